--- /dev/null
+++ b/rushmux/interface.py
@@ -0,0 +1,102 @@
+"""What goes into the decision module and what comes out of it.
+
+`rushmux.rules.Gateway` is built once for each start of a gateway and then called with
+what happens there; it answers through the calls of an `Outbox`.  All times are whole
+tenths of a millisecond on the caller's clock, which never moves backwards.  Ids of
+operations, nodes, volumes and keys are opaque text.
+"""
+from typing import NamedTuple, Optional, Protocol, Sequence
+
+# How a lane's operations may be repeated.
+REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
+
+# How an execution came back.
+SUCCEEDED = "succeeded"
+ERRORED = "errored"              # the node answered with an error; it may have run
+FULL = "full"                    # turned away unread
+OVERDUE = "overdue"              # no answer in time; it may still run
+UNREACHED = "unreached"          # no connection was made
+SEVERED = "severed"              # the connection broke; it may have run
+WITHDRAWN = "withdrawn"          # called off by this gateway; it may have run
+MOOT = "moot"                    # never sent
+
+# Conditions of a node, and kinds of list.
+READY, DRAINING, GONE = "ready", "draining", "gone"
+CHANGES, WHOLE, RESTORED, UNAVAILABLE = "changes", "whole", "restored", "unavailable"
+
+
+class Lane(NamedTuple):
+    """One row of the table of lanes: what the module reads of a lane."""
+    name: str
+    quoted_time: int
+    hard_stop: int
+    utility: float
+    repeat: str
+    group: str                   # who drops repeats of a referenced operation: all, zone or cell
+    window: int                  # how long they remember it
+    in_order: bool
+
+
+class Plan(NamedTuple):
+    """A volume's entitlement, over all gateways and nodes (units, units a second)."""
+    name: str
+    nominal: float
+    reserve: float
+    limit: float                 # 0: none
+    burst: float
+    slack: float
+    weight: float
+    price: float
+
+
+class Terms(NamedTuple):
+    """What a deployment states at the start of a gateway."""
+    lanes: dict[str, Lane]
+    plans: dict[str, Plan]
+    gateways: int
+    tick: int                    # shortest time between two rounds of events
+    list_asked: bool             # changes of the list come only to those who ask
+    ask_within: int
+    executions: int              # most executions of one operation
+    come_back: int               # longest advice that clients follow; 0: no advice is passed on
+    mean_units: float
+    most_units: float
+    cold_units: float            # what a cold node bears within `cold_span` from all gateways
+    cold_span: int
+    cold_start: float            # part of its capacity that a node starts with, at least
+    warm_within: int
+    meter_span: int              # period of the fleet meter; 0: none
+    order_rest: int              # rest of a key after an execution that may still run
+    budget_share: Optional[float]  # further executions for each operation taken; None: no budget
+    budget_free: float
+    budget_span: int
+
+
+class Listed(NamedTuple):
+    """A node as the list shows it."""
+    node: str
+    cell: int                    # the shard of data it holds
+    zone: str
+    condition: str
+    online_since: int            # 0: long ago
+
+
+class Outbox(Protocol):
+    """What the module may do.  Each call takes effect at the time of the event it answers."""
+    def execute(self, op_id: str, node: str, time_out: int) -> None: ...
+    def shed(self, op_id: str, come_back: int) -> None: ...
+    def terminate(self, op_id: str) -> None: ...
+    def withdraw(self, op_id: str, execution: int) -> None: ...
+    def wake(self, after: int) -> None: ...
+    def watch(self) -> None: ...
+
+
+class Decisions(Protocol):
+    """What the module is told.  `act` closes each round of events."""
+    def listed(self, now: int, kind: str, entries: Sequence[Listed]) -> None: ...
+    def taken(self, now: int, op_id: str, lane: str, plan: str, volume: str, key: str, left: int,
+              units: float, cell: int, mounts: int) -> None: ...
+    def answered(self, now: int, op_id: str, execution: int, result: str, ended: bool,
+                 fleet_use: int, from_others: float) -> None: ...
+    def left(self, now: int, op_id: str) -> None: ...
+    def act(self, now: int) -> None: ...
--- /dev/null
+++ b/rushmux/rules.py
@@ -0,0 +1,553 @@
+"""The decisions of one rushmux gateway.
+
+Build a `Gateway` at each start, call it with what happens (`rushmux/interface.py` lists the
+calls, `Decisions`, and the answers, `Outbox`), and close each round of events with `act`.
+Times are whole tenths of a millisecond.  An operation passes the stages KeyOrder, Placing,
+Pacing and Sending; what comes back of an execution runs through them the other way.
+The mechanism is Zygaria's (docs/design.md): a reserve bucket sets deadlines, a limit bucket
+release times, passed deadlines go first, slack goes to the lowest weighted average.
+"""
+from collections import deque
+from heapq import heappop, heappush
+
+from rushmux import interface as say
+
+# Constants: value, unit, and the reason for the size.
+SECOND = 10_000          # ticks (0.1 ms) in the second that plans are stated by
+DEPTH_CAP = 10           # executions out at a node: the bound of the design
+QUARTER = 2_500          # ticks: width of a bin of the moving average, from the design
+QUARTERS = 20            # bins: five seconds, from the design
+DECAY = 0.9              # weight of a bin against the next younger one, from the design
+DEEPEST_DEBT = 1.0       # seconds of reserve that slack may pre-use: reserves are owed by the second
+FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
+LEAST_DEPTH = 1          # executions: one out keeps news of the node coming
+DUE_FACTOR = 2           # room for passed deadlines against room for slack: reserves are what is owed
+DUE_EXTRA = 1            # executions: so that a node at its least depth still takes what is owed
+WAIT_BASE = 0.25         # of the quoted time: an answer within this never shrinks the room
+WAIT_SIZE = 0.15         # of the quoted time for each mean operation in it: large ones take longer
+SHRINK = 0.8             # factor on the room at a late answer: a few of them halve it
+BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
+BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
+HALVE_AT = 32            # answers in a histogram before it is halved: some seconds of memory
+REST = 500               # ticks: first rest of a node that turns away or cannot be reached
+REST_DOUBLINGS = 5       # doublings of the rest: at most 1.6 s, so that a return is found soon
+BAD_WEIGHT = 8           # executions that a node failing everything counts as more in the pick
+ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
+
+NEVER_RAN = (say.FULL, say.UNREACHED, say.MOOT)
+MAY_STILL_RUN = (say.OVERDUE, say.SEVERED, say.WITHDRAWN)
+NEVER = 1 << 62          # ticks: later than any time
+
+
+class Chance:
+    """A linear congruential generator; the high bits are used."""
+
+    def __init__(self, seed):
+        self.state = seed & (2 ** 64 - 1)
+
+    def below(self, bound):
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2 ** 64
+        return (self.state >> 33) * bound >> 31
+
+
+class Operation:
+    """An operation that this gateway has taken and not forgotten."""
+
+    def __init__(self, op_id, lane, volume, key, units, named, now, quoted_at, stop_at):
+        self.op_id, self.lane, self.volume, self.key, self.units = op_id, lane, volume, key, units
+        self.named = named               # the cell that holds its data; negative: a new object
+        self.taken_at, self.quoted_at, self.stop_at = now, quoted_at, stop_at
+        self.cell = None
+        self.node, self.sends = None, 0  # where an execution is out: never more than one at a time
+        self.maybe_at = None             # when the first execution left that may have run
+        self.maybe_node = None
+        self.over = self.held = False
+
+
+class Volume:
+    """Both buckets and the moving average of a volume, as this gateway sees it."""
+
+    def __init__(self, plan, mounts, terms, began, now):
+        self.plan, self.at = plan, now
+        # First fill: a volume not seen for long is owed a full bucket, and most are that at a start.
+        self.reserve = self.reserve_cap = plan.reserve + terms.most_units
+        self.rate, self.limit_cap = plan.limit / mounts, plan.burst / mounts
+        # Danger: a gateway that came back has forgotten what its share of the limit had used.  It
+        # cannot tell this from a first start, so the share fills from the start of the gateway,
+        # beginning with its part of the slack.  Harm: a volume's first burst may wait a moment.
+        self.limit = min(self.limit_cap, plan.slack / mounts + self.rate * (now - began) / SECOND)
+        self.bins, self.sum, self.quarter = [0.0] * QUARTERS, 0.0, now // QUARTER
+        self.metered_at = now
+
+    def advance(self, now):
+        span, self.at = (now - self.at) / SECOND, now
+        self.reserve = min(self.reserve_cap, self.reserve + self.plan.reserve * span)
+        self.limit = min(self.limit_cap, self.limit + self.rate * span)
+        for quarter in range(max(self.quarter, now // QUARTER - QUARTERS) + 1, now // QUARTER + 1):
+            place = quarter % QUARTERS
+            self.sum = (self.sum - self.bins[place] * DECAY ** (QUARTERS - 1)) * DECAY
+            self.bins[place] = 0.0
+        self.quarter = now // QUARTER
+
+    def deadline(self, units, now):
+        """When the reserve bucket has, or will have, the units."""
+        if self.plan.reserve <= 0:
+            return NEVER
+        return now - int((self.reserve - units) / self.plan.reserve * SECOND)
+
+    def release(self, units, now):
+        """When the limit bucket has the units."""
+        if self.plan.limit <= 0 or self.limit >= units:
+            return now
+        return now + 1 + int((units - self.limit) / self.rate * SECOND)
+
+    def debit(self, units):
+        """Negative units give back."""
+        debt = -self.plan.reserve * DEEPEST_DEBT
+        self.reserve = min(self.reserve_cap, max(self.reserve - units, debt))
+
+    def charge(self, units):
+        self.debit(units)
+        units = max(units, -self.bins[self.quarter % QUARTERS])
+        self.bins[self.quarter % QUARTERS] += units
+        self.sum += units
+
+    def own_rate(self):
+        """Units a second of late, by the bins that are complete."""
+        return (sum(self.bins) - self.bins[self.quarter % QUARTERS]) * SECOND / (QUARTER * (QUARTERS - 1))
+
+
+class Node:
+    """A node as the list shows it and as this gateway's own executions found it."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.out = {}                    # operation id -> time sent, oldest first
+        self.depth = FIRST_DEPTH
+        self.answers = [0] * BINS        # histogram of answer times
+        self.good = self.bad = 0
+        self.failures = 0                # in a row
+        self.rest_until = 0
+        self.arrivals = deque()          # (time, units) sent within the cold span
+        self.shrunk_at = 0
+
+    def typical(self):
+        """Lower edge of the bin with the median answer time; 0 while nothing is out."""
+        if not self.out:
+            return 0
+        seen, half = 0, (sum(self.answers) + 1) // 2
+        for place, count in enumerate(self.answers):
+            seen += count
+            if seen >= half:
+                return BIN << place - 1 if place else 0
+        return 0
+
+    def count(self, good, latency):
+        if good:
+            self.answers[min(BINS - 1, (latency // BIN).bit_length())] += 1
+            self.good += 1
+        else:
+            self.bad += 1
+        if sum(self.answers) >= HALVE_AT:
+            self.answers = [count // 2 for count in self.answers]
+        if self.good + self.bad >= HALVE_AT:
+            self.good, self.bad = self.good // 2, self.bad // 2
+
+    def prune(self, until):
+        while self.arrivals and self.arrivals[0][0] <= until:
+            self.arrivals.popleft()
+
+    def allowance(self, terms, began, now):
+        """Units that may still go to a cold node within its span; NEVER once it is warm.
+
+        Danger: all gateways together push a cold node over.  Each keeps to an even part of what
+        such a node always bears, grown by the least that it has warmed since.  A gateway that came
+        back has forgotten what it sent, so it waits one span.  Harm: a slow return after a restart.
+        """
+        age = now - self.entry.online_since
+        if not self.entry.online_since or age >= terms.warm_within:
+            return NEVER
+        if now - began < terms.cold_span:
+            return 0
+        self.prune(now - terms.cold_span)
+        warmed = 1 + (1 / terms.cold_start - 1) * max(0, age - terms.cold_span) / terms.warm_within
+        return terms.cold_units * warmed / terms.gateways - sum(units for _, units in self.arrivals)
+
+
+class Cell:
+    """The nodes that hold one shard of data, and what is held for them, by volume."""
+
+    def __init__(self):
+        self.nodes = {}
+        self.queues = {}                 # volume -> its held operations in turn
+        self.try_at = NEVER              # when something held may go though nothing happens
+
+    def open_node(self):
+        ready = (node for node in self.nodes.values() if node.entry.condition == say.READY)
+        return min(ready, key=lambda node: len(node.out), default=None)
+
+
+class Stage:
+    """A link of the chain.  `accept` says whether the operation goes on (else it is kept or ended);
+    `back` sees what came back of it, on the way out."""
+
+    def __init__(self, gateway):
+        self.gateway, self.terms, self.out = gateway, gateway.terms, gateway.out
+
+    def accept(self, op, now):
+        raise NotImplementedError
+
+    def back(self, op, node, result, now):
+        pass
+
+
+class KeyOrder(Stage):
+    """Operations of lanes in order go one at a time for a key, in the order they were taken."""
+
+    def __init__(self, gateway):
+        super().__init__(gateway)
+        self.lines = {}                  # key -> operations in the order taken
+        self.rests = {}                  # key -> until when it rests
+
+    def accept(self, op, now):
+        if not (op.lane.in_order and op.key):
+            return True
+        line = self.lines.setdefault(op.key, deque())
+        if op not in line:
+            line.append(op)
+        if line[0] is op and self.rests.get(op.key, 0) <= now:
+            return True
+        if line[0] is op:
+            self.gateway.later(self.rests[op.key], op)
+        return False
+
+    def back(self, op, node, result, now):
+        """Also called with no result when an operation is over and nothing of it is out."""
+        line = self.lines.get(op.key, ()) if op.lane.in_order else ()
+        if result in MAY_STILL_RUN:
+            self.rests[op.key] = now + self.terms.order_rest + 1
+        if op.over and not op.node and op in line:
+            had_turn = line[0] is op
+            line.remove(op)
+            if not line:
+                del self.lines[op.key]
+            elif had_turn:
+                self.gateway.forward(line[0], now)
+
+
+class Placing(Stage):
+    """Finds the cell: the named one, or for a new object the better of two drawn."""
+
+    def accept(self, op, now):
+        if op.named >= 0:
+            op.cell = self.gateway.cell(op.named)
+        elif op.cell is None or op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
+            op.cell = self.pick(now)
+        return True
+
+    def pick(self, now):
+        # Exception to the plain draw: nodes that rest, are cold or keep answers back are left out
+        # while others are open.  Danger: new objects, and the reads that follow them, lost to a
+        # node that is silent or failing.  Harm: should most nodes rest, the few left get all.
+        gateway = self.gateway
+        ready = [(cell, cell.open_node()) for cell in gateway.cells.values()]
+        ready = [(cell, node) for cell, node in ready if node is not None]
+        if not ready:
+            return gateway.cell(-1)
+        fit = [pair for pair in ready if gateway.fit(pair[1], now)] or ready
+        first, second = (fit[gateway.chance.below(len(fit))] for _ in range(2))
+        return min(first, second, key=lambda pair: self.burden(*pair))[0]
+
+    @staticmethod
+    def burden(cell, node):
+        failing = node.bad / (node.good + node.bad + 1)
+        return (len(node.out) + sum(map(len, cell.queues.values())) + 1 + BAD_WEIGHT * failing) / node.depth
+
+
+class Pacing(Stage):
+    """Holds operations by cell and volume and lets them go as both buckets and the average say."""
+
+    def accept(self, op, now):
+        queue = op.cell.queues.setdefault(op.volume, deque())
+        if op.sends:
+            queue.appendleft(op)         # what was taken first stays first
+        else:
+            queue.append(op)
+        op.held = True
+        self.gateway.dirty[op.cell] = True
+        return False
+
+    def remove(self, op):
+        queue = op.cell.queues[op.volume]
+        queue.remove(op)
+        if not queue:
+            del op.cell.queues[op.volume]
+        op.held = False
+
+    def choose(self, cell, node, now):
+        """The operation to go next to this node, or None; sets when to look again."""
+        room = len(node.out) < node.depth
+        if len(node.out) >= min(DEPTH_CAP, DUE_FACTOR * node.depth + DUE_EXTRA):
+            return None
+        if node.rest_until > now:
+            cell.try_at = min(cell.try_at, node.rest_until)
+            return None
+        bears = node.allowance(self.terms, self.gateway.began, now)
+        typical = node.typical()
+        due = slack = None
+        due_at = lowest = NEVER
+        for volume, queue in list(cell.queues.items()):
+            while queue and queue[0].quoted_at < now + typical and queue[0].taken_at < now:
+                # Danger: in a backlog only the oldest would leave, each just too late.
+                self.gateway.finish(queue[0], now)
+            if not queue:
+                continue
+            op = queue[0]
+            volume.advance(now)
+            release = now if op.sends else volume.release(op.units, now)
+            if release > now or op.units > bears:
+                cell.try_at = min(cell.try_at, release if release > now else now + REST)
+                continue
+            deadline = max(op.taken_at, volume.deadline(op.units, now))
+            if deadline <= now < op.quoted_at and deadline < due_at:
+                due, due_at = op, deadline
+            if room and volume.sum / volume.plan.weight < lowest:
+                slack, lowest = op, volume.sum / volume.plan.weight
+        return due or slack
+
+    def back(self, op, node, result, now):
+        # Danger: fast errors charge as if served, and a failing volume looks fed.
+        if result != say.SUCCEEDED:
+            op.volume.charge(-op.units)
+
+    def told(self, volume, fleet_use, from_others, now):
+        """Debits what other gateways had served, as the answer's meter tells it."""
+        volume.advance(now)
+        if from_others:
+            volume.debit(from_others)
+        if fleet_use and self.terms.meter_span and now - volume.metered_at >= self.terms.meter_span:
+            volume.metered_at = now
+            span = self.terms.meter_span / SECOND
+            total = (fleet_use - 1) / 100 * volume.plan.nominal * span
+            volume.debit(max(0.0, total - volume.own_rate() * span))
+
+
+class Sending(Stage):
+    """Sends what is let go, under the rules for sending, and judges the node by what comes back."""
+
+    def may_run_again(self, op, node, now):
+        if op.sends >= self.terms.executions or not self.gateway.budget_left(now):
+            return False
+        if op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
+            return True
+        if op.lane.repeat == say.SINGLE_USE or now - op.maybe_at >= op.lane.window - self.terms.tick:
+            return False
+        same, entry = op.maybe_node.entry, node.entry
+        return (op.lane.group == "all" or op.lane.group == "zone" and same.zone == entry.zone
+                or op.lane.group == "cell" and same.cell == entry.cell)
+
+    def send(self, op, node, now):
+        if op.sends:
+            if not self.may_run_again(op, node, now):
+                self.gateway.finish(op, now)
+                return
+            self.gateway.extras.append(now)
+        self.gateway.pacing.remove(op)
+        op.volume.charge(op.units)
+        if not op.sends:
+            op.volume.limit -= op.units
+        op.node, node.out[op.op_id] = node, now
+        node.arrivals.append((now, op.units))
+        node.prune(now - self.terms.cold_span)
+        op.sends += 1
+        self.out.execute(op.op_id, node.entry.node, op.stop_at - now)
+
+    def back(self, op, node, result, now):
+        sent = node.out.pop(op.op_id)
+        latency = now - sent
+        if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
+            op.maybe_at, op.maybe_node = sent, node
+        node.count(result == say.SUCCEEDED, latency)
+        if result == say.SUCCEEDED:
+            node.failures = 0
+            self.judge(op, node, latency, now)
+        elif result in (say.FULL, say.UNREACHED, say.OVERDUE, say.SEVERED):
+            # Danger: a node that is silent, gone, cut off or full swallows what is sent to it until
+            # the list says so.  Harm: after a short cut the first operations wait out the rest.
+            node.failures += result != say.FULL
+            node.depth = LEAST_DEPTH
+            node.rest_until = now + (REST << min(node.failures, REST_DOUBLINGS))
+
+    def judge(self, op, node, latency, now):
+        """Danger: ten out from each of several gateways outlast a quoted time.  The room for slack
+        follows the answer times: late answers shrink it, early ones let it grow to the bound."""
+        size = op.units / self.terms.mean_units
+        if latency > op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * size):
+            if now - latency >= node.shrunk_at:
+                node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
+        elif len(node.out) + 1 >= int(node.depth):
+            node.depth = min(DEPTH_CAP, node.depth + 1 / node.depth)
+
+
+class Gateway:
+    """One gateway's decisions, from one start to the next."""
+
+    def __init__(self, terms, seed, now, out):
+        self.terms, self.out, self.began = terms, out, now
+        self.chance = Chance(seed)
+        self.ops, self.volumes, self.cells, self.nodes = {}, {}, {}, {}
+        self.longest = {}                # lane -> longest time left seen: that of a first try
+        self.dirty = {}                  # cells where something changed
+        self.times = []                  # heap of (time, number, operation) to look at again
+        self.number = 0
+        self.extras, self.takes = deque(), deque()
+        self.wake_at = NEVER
+        self.ask_at = now if terms.list_asked else NEVER
+        self.watching = False
+        self.pacing, self.sending = Pacing(self), Sending(self)
+        self.stages = (KeyOrder(self), Placing(self), self.pacing, self.sending)
+
+    def cell(self, number):
+        return self.cells.setdefault(number, Cell())
+
+    def listed(self, now, kind, entries):
+        if kind == say.UNAVAILABLE:
+            # Danger: a failed ask may have ended the watch.  Asked again after a drawn pause, so
+            # that the gateways do not come back all at once.
+            pause = int(self.terms.ask_within * ASK_AGAIN)
+            self.watching, self.ask_at = False, now + pause + self.chance.below(pause + 1)
+            return
+        if kind != say.RESTORED and self.terms.list_asked:
+            self.watching, self.ask_at = True, NEVER
+        if kind != say.CHANGES:
+            named = {entry.node: True for entry in entries}
+            for node in self.nodes.values():
+                if node.entry.node not in named:
+                    node.entry = node.entry._replace(condition=say.GONE)
+        for entry in entries:
+            node = self.nodes.get(entry.node)
+            if node is None:
+                node = self.nodes[entry.node] = Node(entry)
+            elif node.entry.online_since != entry.online_since:
+                node.depth, node.rest_until, node.failures = LEAST_DEPTH, 0, 0
+            node.entry = entry
+            self.cell(entry.cell).nodes[entry.node] = node
+            self.dirty[self.cell(entry.cell)] = True
+        lost = self.cells.get(-1)
+        if lost is not None and entries:
+            for op in [op for queue in lost.queues.values() for op in queue]:
+                self.pacing.remove(op)
+                self.forward(op, now)
+
+    def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts):
+        lane = self.terms.lanes[lane]
+        known = self.volumes.get(volume)
+        if known is None:
+            known = self.volumes[volume] = Volume(self.terms.plans[plan], mounts, self.terms, self.began, now)
+        full = self.longest[lane.name] = max(left, self.longest.get(lane.name, left))
+        quoted_at = now + lane.quoted_time - (full - left)
+        stop_at = now + max(0, left - 2 * self.terms.tick)
+        op = Operation(op_id, lane, known, key, units, cell, now, min(quoted_at, stop_at), stop_at)
+        self.ops[op_id] = op
+        if self.terms.budget_share is not None:
+            self.takes.append(now)
+        self.later(op.quoted_at, op)
+        self.forward(op, now)
+
+    def forward(self, op, now):
+        for stage in self.stages:
+            if not stage.accept(op, now):
+                return
+
+    def later(self, when, op):
+        self.number += 1
+        heappush(self.times, (when, self.number, op))
+
+    def answered(self, now, op_id, execution, result, ended, fleet_use, from_others):
+        op = self.ops.get(op_id)
+        if op is None or op.node is None or execution != op.sends - 1:
+            return
+        node, op.node = op.node, None
+        op.over = op.over or ended
+        self.dirty[op.cell] = True
+        self.pacing.told(op.volume, fleet_use, from_others, now)
+        for stage in reversed(self.stages):
+            stage.back(op, node, result, now)
+        if op.over:
+            del self.ops[op_id]
+        elif now < op.quoted_at and self.sending.may_run_again(op, node, now):
+            self.forward(op, now)
+        else:
+            self.finish(op, now)
+
+    def left(self, now, op_id):
+        op = self.ops.get(op_id)
+        if op is not None and not op.over:
+            self.end(op, now)
+
+    def finish(self, op, now):
+        """The final answer of this gateway: shed where that is true, else terminated."""
+        harmless = (op.maybe_at is None and not op.node or op.lane.repeat == say.REPLAYABLE
+                    or op.lane.repeat == say.REFERENCED and op.lane.group == "all")
+        if harmless:
+            self.out.shed(op.op_id, self.terms.come_back if now >= op.quoted_at else 0)
+        else:
+            self.out.terminate(op.op_id)
+        self.end(op, now)
+
+    def end(self, op, now):
+        op.over = True
+        if op.held:
+            self.pacing.remove(op)
+        if not op.node:
+            self.stages[0].back(op, None, None, now)
+            del self.ops[op.op_id]
+
+    def budget_left(self, now):
+        if self.terms.budget_share is None:
+            return True
+        for times in (self.extras, self.takes):
+            while times and times[0] <= now - self.terms.budget_span:
+                times.popleft()
+        # The oldest tick of the window is left out of what was taken: rounding must not overdraw.
+        taken = sum(1 for time in self.takes if time > now - self.terms.budget_span + 1)
+        return len(self.extras) + 1 <= self.terms.budget_free + self.terms.budget_share * taken
+
+    def fit(self, node, now):
+        oldest = next(iter(node.out.values()), now)
+        return (node.rest_until <= now and now - oldest < max(SECOND, 2 * node.typical())
+                and node.allowance(self.terms, self.began, now) >= self.terms.most_units)
+
+    def act(self, now):
+        """Closes a round: lets go what may go, ends what is past use, and sets the next wake."""
+        if now >= self.ask_at:
+            self.out.watch()
+            self.ask_at = now + int(self.terms.ask_within / 2)
+        if now >= self.wake_at:
+            self.wake_at = NEVER
+        dirty, self.dirty = self.dirty, {}
+        for cell in self.cells.values():
+            if cell.queues and (cell in dirty or cell.try_at <= now):
+                self.pump(cell, now)
+        while self.times and self.times[0][0] <= now:
+            op = heappop(self.times)[2]
+            if op.over or op.node:
+                continue
+            if now >= op.quoted_at:
+                self.finish(op, now)
+            elif not op.held:
+                self.forward(op, now)
+        next_at = min([now + 1 if self.dirty else self.ask_at, self.times[0][0] if self.times else NEVER]
+                      + [cell.try_at for cell in self.cells.values() if cell.queues])
+        if next_at < self.wake_at:
+            self.wake_at = max(next_at, now + 1)
+            self.out.wake(self.wake_at - now)
+
+    def pump(self, cell, now):
+        cell.try_at = NEVER
+        while cell.queues:
+            node = cell.open_node()
+            op = node and self.pacing.choose(cell, node, now)
+            if not op:
+                return
+            self.sending.send(op, node, now)
--- /dev/null
+++ b/rushmux/wirehost/__main__.py
@@ -0,0 +1,11 @@
+"""Run the adapter on standard input and output."""
+import sys
+
+from rushmux.wirehost.host import Host, Malformed
+
+if __name__ == "__main__":
+    try:
+        Host().serve(sys.stdin.buffer, sys.stdout.buffer)
+    except Malformed as fault:
+        print(f"rushmux.wirehost: {fault}", file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,131 @@
+"""The one helper file: plays a scenario in the notation of tests/scenarios/README.md."""
+import pytest
+
+from rushmux import interface as say
+from rushmux.rules import Gateway
+
+MS = 10   # ticks in a millisecond
+
+TERMS = {"gateways": 2, "tick": 20, "list_asked": False, "ask_within": 10_000 * MS, "executions": 3,
+         "come_back": 2_000 * MS, "mean_units": 2.0, "most_units": 8.0,
+         "cold_units": 16.0, "cold_span": 2_000 * MS, "cold_start": 0.25, "warm_within": 16_000 * MS,
+         "meter_span": 0, "order_rest": 0, "budget_share": None, "budget_free": 0.0, "budget_span": 0}
+LANE = {"quoted": 400, "stop": 2000, "utility": 1.0, "repeat": say.REPLAYABLE, "group": "all",
+        "window": 3000, "in_order": False}
+PLAN = {"nominal": 4.0, "reserve": 2.0, "limit": 0.0, "burst": 0.0, "slack": 0.0, "weight": 1.0,
+        "price": 1.0}
+
+
+def valued(words, defaults):
+    """`name=value` words over the defaults, each as the kind of thing its default is."""
+    fields = dict(defaults)
+    for word in words:
+        name, value = word.split("=")
+        kind = float if defaults[name] is None else type(defaults[name])
+        fields[name] = value == "yes" if kind is bool else kind(value)
+    return fields
+
+
+class Player:
+    """An Outbox that writes down what a gateway does, and the verbs of the notation."""
+
+    def __init__(self):
+        self.now, self.gateway, self.done, self.wakes = 0, None, [], []
+        self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
+
+    # What the module calls.
+    def execute(self, op_id, node, time_out):
+        assert time_out >= 0
+        self.executions[op_id] = self.executions.get(op_id, -1) + 1
+        self.done.append(f"run {op_id} {node}")
+
+    def shed(self, op_id, come_back):
+        self.done.append(f"shed {op_id}")
+
+    def terminate(self, op_id):
+        self.done.append(f"end {op_id}")
+
+    def withdraw(self, op_id, execution):
+        self.done.append(f"withdraw {op_id}")
+
+    def wake(self, after):
+        assert after > 0
+        self.wakes.append(self.now + after)
+
+    def watch(self):
+        self.done.append("watch")
+
+    # The verbs of a scenario.
+    def terms_(self, *words):
+        self.terms = valued(words, self.terms)
+
+    def lane(self, name, *words):
+        row = valued(words, LANE)
+        self.lanes[name] = say.Lane(name, row["quoted"] * MS, row["stop"] * MS, row["utility"], row["repeat"],
+                                    row["group"], row["window"] * MS, row["in_order"])
+
+    def plan(self, name, *words):
+        self.plans[name] = say.Plan(name, **valued(words, PLAN))
+
+    def start(self):
+        terms = say.Terms(lanes=self.lanes, plans=self.plans, **self.terms)
+        self.wakes, self.executions = [], {}
+        self.gateway = Gateway(terms, 7, self.now, self)
+
+    def list(self, kind, *nodes):
+        """Each node as name/cell/condition/online-since in ms/zone, the last three left out at will."""
+        entries = []
+        for text in nodes:
+            name, cell, condition, since, zone = (text.split("/") + ["", "", ""])[:5]
+            entries.append(say.Listed(name, int(cell), zone or "z", condition or say.READY,
+                                      int(since or 0) * MS))
+        self.gateway.listed(self.now, kind, entries)
+
+    def take(self, op_ids, *words):
+        row = valued(words, {"lane": "read", "plan": "base", "vol": "v", "key": "", "left": 0, "units": 2.0,
+                             "cell": 0, "mounts": 1})
+        left = row["left"] * MS or self.lanes[row["lane"]].hard_stop
+        for op_id in op_ids.split(","):
+            self.gateway.taken(self.now, op_id, row["lane"], row["plan"], row["vol"], row["key"], left,
+                               row["units"], row["cell"], row["mounts"])
+
+    def back(self, op_ids, result, *words):
+        row = valued(words, {"others": 0.0, "use": 0})
+        for op_id in op_ids.split(","):
+            self.gateway.answered(self.now, op_id, self.executions[op_id], result, result == say.SUCCEEDED,
+                                  row["use"], row["others"])
+
+    def play(self, text):
+        for number, line in enumerate(text.splitlines(), 1):
+            words = line.split("#")[0].split()
+            if not words:
+                continue
+            if words[0] == "at":
+                self.until(int(words[1]) * MS)
+            elif words[0] == "expect":
+                self.gateway.act(self.now)
+                wanted = [part.strip() for part in " ".join(words[1:]).split(";")]
+                assert self.done == ([] if wanted == ["nothing"] else wanted), f"line {number}: {line}"
+                self.done = []
+            elif words[0] == "count":
+                self.gateway.act(self.now)
+                found = sum(deed.startswith(" ".join(words[2:])) for deed in self.done)
+                assert found == int(words[1]), f"line {number}: {line}: {self.done}"
+                self.done = []
+            else:
+                getattr(self, "terms_" if words[0] == "terms" else words[0])(*words[1:])
+
+    def until(self, when):
+        """Lets time pass, with the wakes that the gateway asked for."""
+        if self.gateway:
+            self.gateway.act(self.now)
+        while self.wakes and min(self.wakes) <= when:
+            self.now = min(self.wakes)
+            self.wakes = [wake for wake in self.wakes if wake > self.now]
+            self.gateway.act(self.now)
+        self.now = when
+
+
+@pytest.fixture
+def player():
+    return Player()
