--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -284,6 +284,11 @@
             del op.cell.queues[op.volume]
         op.held = False
 
+    def free(self, op, node, now):
+        """Whether the limit bucket and a cold node's allowance let it go now."""
+        return ((op.sends or op.volume.release(op.units, now) <= now)
+                and op.units <= node.allowance(self.terms, self.gateway.began, now))
+
     def choose(self, cell, node, now):
         """The operation to go next to this node, or None; sets when to look again."""
         room = len(node.out) < node.depth
@@ -551,3 +556,8 @@
             if not op:
                 return
             self.sending.send(op, node, now)
+            # The paper's batches: what is held for the same piece of data goes along, since a node
+            # does it cheaply while it remembers the piece.  Only the bound of the design holds it.
+            for mate in [mate for mate in cell.queues.get(op.volume, ()) if mate.key == op.key]:
+                if len(node.out) < DEPTH_CAP and self.pacing.free(mate, node, now):
+                    self.sending.send(mate, node, now)
