--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -557,7 +557,7 @@
                 return
             self.sending.send(op, node, now)
             # The paper's batches: what is held for the same piece of data goes along, since a node
-            # does it cheaply while it remembers the piece.  Only the bound of the design holds it.
+            # does it cheaply while it remembers the piece; within the room for slack.
             for mate in [mate for mate in cell.queues.get(op.volume, ()) if mate.key == op.key]:
-                if len(node.out) < DEPTH_CAP and self.pacing.free(mate, node, now):
+                if len(node.out) < node.depth and self.pacing.free(mate, node, now):
                     self.sending.send(mate, node, now)
