--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -23,7 +23,7 @@
 LEAST_DEPTH = 1          # executions: one out keeps news of the node coming
 DUE_FACTOR = 2           # room for passed deadlines against room for slack: reserves are what is owed
 DUE_EXTRA = 1            # executions: so that a node at its least depth still takes what is owed
-WAIT_BASE = 0.25         # of the quoted time: an answer within this never shrinks the room
+WAIT_BASE = 0.15         # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.15         # of the quoted time for each mean operation in it: large ones take longer
 SHRINK = 0.8             # factor on the room at a late answer: a few of them halve it
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
@@ -132,14 +132,14 @@
         self.shrunk_at = 0
 
     def typical(self):
-        """Lower edge of the bin with the median answer time; 0 while nothing is out."""
+        """Upper edge of the bin with the median answer time; 0 while nothing is out."""
         if not self.out:
             return 0
         seen, half = 0, (sum(self.answers) + 1) // 2
         for place, count in enumerate(self.answers):
             seen += count
             if seen >= half:
-                return BIN << place - 1 if place else 0
+                return BIN << place
         return 0
 
     def count(self, good, latency):
