--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -316,7 +316,10 @@
             deadline = max(op.taken_at, volume.deadline(op.units, now))
             if deadline <= now < op.quoted_at and deadline < due_at:
                 due, due_at = op, deadline
-            if room and volume.sum / volume.plan.weight < lowest:
+            if op.quoted_at <= now and (node.out or len(cell.queues) > 1):
+                # Danger: clients' retries, late already, take the place of answers still in time.
+                self.gateway.finish(op, now)
+            elif room and volume.sum / volume.plan.weight < lowest:
                 slack, lowest = op, volume.sum / volume.plan.weight
         if not (due or room or node.out):
             cell.try_at = min(cell.try_at, node.open_at)
