--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -269,10 +269,12 @@
 
     def accept(self, op, now):
         queue = op.cell.queues.setdefault(op.volume, deque())
-        if op.sends:
-            queue.appendleft(op)         # what was taken first stays first
-        else:
-            queue.append(op)
+        # Of one volume's operations the lane of the most utility goes first, then the first taken.
+        rank = (-op.lane.utility, op.taken_at)
+        place = len(queue)
+        while place and (-queue[place - 1].lane.utility, queue[place - 1].taken_at) > rank:
+            place -= 1
+        queue.insert(place, op)
         op.held = True
         self.gateway.dirty[op.cell] = True
         return False
