--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -20,7 +20,7 @@
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
 DEEPEST_DEBT = 1.0       # seconds of reserve that slack may pre-use: reserves are owed by the second
 FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
-LEAST_DEPTH = 0.25       # executions: below one, pauses between answers make up the rest
+LEAST_DEPTH = 1          # executions: one out keeps news of the node coming
 DUE_FACTOR = 1.5         # room for passed deadlines against room for slack: reserves are what is owed
 DUE_EXTRA = 1            # executions: so that a node at its least depth still takes what is owed
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
@@ -129,7 +129,7 @@
         self.failures = 0                # in a row
         self.rest_until = 0
         self.arrivals = deque()          # (time, units) sent within the cold span
-        self.shrunk_at = self.open_at = 0
+        self.shrunk_at = 0
 
     def typical(self):
         """Upper edge of the bin with the median answer time; 0 while nothing is out."""
@@ -286,20 +286,20 @@
             del op.cell.queues[op.volume]
         op.held = False
 
-    def free(self, op, node, now):
-        """Whether the limit bucket and a cold node's allowance let it go now."""
-        return ((op.sends or op.volume.release(op.units, now) <= now)
-                and op.units <= node.allowance(self.terms, self.gateway.began, now))
+    def free_at(self, op, node, now):
+        """When to look whether the limit bucket and a cold node's allowance let it go."""
+        if op.units > node.allowance(self.terms, self.gateway.began, now):
+            return now + REST
+        return now if op.sends else op.volume.release(op.units, now)
 
     def choose(self, cell, node, now):
         """The operation to go next to this node, or None; sets when to look again."""
-        room = len(node.out) < node.depth and node.open_at <= now
+        room = len(node.out) < node.depth
         if len(node.out) >= min(DEPTH_CAP, DUE_FACTOR * node.depth + DUE_EXTRA):
             return None
         if node.rest_until > now:
             cell.try_at = min(cell.try_at, node.rest_until)
             return None
-        bears = node.allowance(self.terms, self.gateway.began, now)
         typical = node.typical()
         due = slack = None
         due_at = lowest = NEVER
@@ -311,9 +311,9 @@
                 continue
             op = queue[0]
             volume.advance(now)
-            release = now if op.sends else volume.release(op.units, now)
-            if release > now or op.units > bears:
-                cell.try_at = min(cell.try_at, release if release > now else now + REST)
+            free_at = self.free_at(op, node, now)
+            if free_at > now:
+                cell.try_at = min(cell.try_at, free_at)
                 continue
             deadline = max(op.taken_at, volume.deadline(op.units, now))
             if deadline <= now < op.quoted_at and deadline < due_at:
@@ -323,8 +323,6 @@
                 self.gateway.finish(op, now)
             elif room and volume.sum / volume.plan.weight < lowest:
                 slack, lowest = op, volume.sum / volume.plan.weight
-        if not (due or room or node.out):
-            cell.try_at = min(cell.try_at, node.open_at)
         return due or slack
 
     def back(self, op, node, result, now):
@@ -398,8 +396,7 @@
             if now - latency >= node.shrunk_at:
                 node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
         elif len(node.out) + 1 >= int(node.depth):
-            node.depth = min(DEPTH_CAP, node.depth + 1 / max(1, node.depth))
-        node.open_at = now + int(latency * max(0, 1 / node.depth - 1))
+            node.depth = min(DEPTH_CAP, node.depth + 1 / node.depth)
 
 
 class Gateway:
@@ -567,5 +564,5 @@
             # The paper's batches: what is held for the same piece of data goes along, since a node
             # does it cheaply while it remembers the piece; within the room for slack.
             for mate in [mate for mate in cell.queues.get(op.volume, ()) if mate.key == op.key]:
-                if len(node.out) < node.depth and self.pacing.free(mate, node, now):
+                if len(node.out) < node.depth and self.pacing.free_at(mate, node, now) <= now:
                     self.sending.send(mate, node, now)
