--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -91,15 +91,13 @@
 
     def deadline(self, units, now):
         """When the reserve bucket has, or will have, the units."""
-        if self.plan.reserve <= 0:
-            return NEVER
-        return now - int((self.reserve - units) / self.plan.reserve * SECOND)
+        rate = self.plan.reserve
+        return now - int((self.reserve - units) / rate * SECOND) if rate > 0 else NEVER
 
     def release(self, units, now):
         """When the limit bucket has the units."""
-        if self.plan.limit <= 0 or self.limit >= units:
-            return now
-        return now + 1 + int((units - self.limit) / self.rate * SECOND)
+        waits = self.plan.limit > 0 and self.limit < units
+        return now + 1 + int((units - self.limit) / self.rate * SECOND) if waits else now
 
     def debit(self, units):
         """Negative units give back."""
@@ -112,10 +110,6 @@
         self.bins[self.quarter % QUARTERS] += units
         self.sum += units
 
-    def own_rate(self):
-        """Units a second of late, by the bins that are complete."""
-        return (sum(self.bins) - self.bins[self.quarter % QUARTERS]) * SECOND / (QUARTER * (QUARTERS - 1))
-
 
 class Node:
     """A node as the list shows it and as this gateway's own executions found it."""
@@ -124,8 +118,7 @@
         self.entry = entry
         self.out = {}                    # operation id -> time sent, oldest first
         self.depth = FIRST_DEPTH
-        self.answers = [0] * BINS        # histogram of answer times
-        self.good = self.bad = 0
+        self.answers = [0] * (BINS + 1)  # histogram of answer times; the last place counts failures
         self.failures = 0                # in a row
         self.rest_until = 0
         self.arrivals = deque()          # (time, units) sent within the cold span
@@ -135,23 +128,23 @@
         """Upper edge of the bin with the median answer time; 0 while nothing is out."""
         if not self.out:
             return 0
-        seen, half = 0, (sum(self.answers) + 1) // 2
-        for place, count in enumerate(self.answers):
+        seen, half = 0, sum(self.answers[:BINS]) / 2
+        for place, count in enumerate(self.answers[:BINS]):
             seen += count
-            if seen >= half:
+            if seen >= half > 0:
                 return BIN << place
         return 0
 
-    def count(self, good, latency):
-        if good:
-            self.answers[min(BINS - 1, (latency // BIN).bit_length())] += 1
-            self.good += 1
-        else:
-            self.bad += 1
+    def count(self, place):
+        self.answers[place] += 1
         if sum(self.answers) >= HALVE_AT:
             self.answers = [count // 2 for count in self.answers]
-        if self.good + self.bad >= HALVE_AT:
-            self.good, self.bad = self.good // 2, self.bad // 2
+
+    def burden(self, cell):
+        """What speaks against it in the pick: all that this gateway has there, and failures."""
+        held = sum(map(len, cell.queues.values()))
+        failing = self.answers[BINS] / (sum(self.answers) + 1)
+        return (len(self.out) + held + 1 + BAD_WEIGHT * failing) / self.depth
 
     def prune(self, until):
         while self.arrivals and self.arrivals[0][0] <= until:
@@ -256,12 +249,7 @@
             return gateway.cell(-1)
         fit = [pair for pair in ready if gateway.fit(pair[1], now)] or ready
         first, second = (fit[gateway.chance.below(len(fit))] for _ in range(2))
-        return min(first, second, key=lambda pair: self.burden(*pair))[0]
-
-    @staticmethod
-    def burden(cell, node):
-        failing = node.bad / (node.good + node.bad + 1)
-        return (len(node.out) + sum(map(len, cell.queues.values())) + 1 + BAD_WEIGHT * failing) / node.depth
+        return min(first, second, key=lambda pair: pair[1].burden(pair[0]))[0]
 
 
 class Pacing(Stage):
@@ -333,13 +321,12 @@
     def told(self, volume, fleet_use, from_others, now):
         """Debits what other gateways had served, as the answer's meter tells it."""
         volume.advance(now)
-        if from_others:
-            volume.debit(from_others)
+        volume.debit(from_others)
         if fleet_use and self.terms.meter_span and now - volume.metered_at >= self.terms.meter_span:
             volume.metered_at = now
-            span = self.terms.meter_span / SECOND
-            total = (fleet_use - 1) / 100 * volume.plan.nominal * span
-            volume.debit(max(0.0, total - volume.own_rate() * span))
+            total = (fleet_use - 1) / 100 * volume.plan.nominal
+            own = sum(volume.bins) * SECOND / (QUARTER * QUARTERS)
+            volume.debit(max(0.0, total - own) * self.terms.meter_span / SECOND)
 
 
 class Sending(Stage):
@@ -359,8 +346,7 @@
     def send(self, op, node, now):
         if op.sends:
             if not self.may_run_again(op, node, now):
-                self.gateway.finish(op, now)
-                return
+                return self.gateway.finish(op, now)
             self.gateway.extras.append(now)
         self.gateway.pacing.remove(op)
         op.volume.charge(op.units)
@@ -377,8 +363,9 @@
         latency = now - sent
         if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
             op.maybe_at, op.maybe_node = sent, node
-        node.count(result == say.SUCCEEDED, latency)
-        if result == say.SUCCEEDED:
+        good = result == say.SUCCEEDED
+        node.count(min(BINS - 1, (latency // BIN).bit_length()) if good else BINS)
+        if good:
             node.failures = 0
             self.judge(op, node, latency, now)
         elif result in (say.FULL, say.UNREACHED, say.OVERDUE, say.SEVERED):
@@ -413,7 +400,6 @@
         self.extras, self.takes = deque(), deque()
         self.wake_at = NEVER
         self.ask_at = now if terms.list_asked else NEVER
-        self.watching = False
         self.pacing, self.sending = Pacing(self), Sending(self)
         self.stages = (KeyOrder(self), Placing(self), self.pacing, self.sending)
 
@@ -425,10 +411,10 @@
             # Danger: a failed ask may have ended the watch.  Asked again after a drawn pause, so
             # that the gateways do not come back all at once.
             pause = int(self.terms.ask_within * ASK_AGAIN)
-            self.watching, self.ask_at = False, now + pause + self.chance.below(pause + 1)
+            self.ask_at = now + pause + self.chance.below(pause + 1)
             return
         if kind != say.RESTORED and self.terms.list_asked:
-            self.watching, self.ask_at = True, NEVER
+            self.ask_at = NEVER
         if kind != say.CHANGES:
             named = {entry.node: True for entry in entries}
             for node in self.nodes.values():
@@ -444,21 +430,19 @@
             self.cell(entry.cell).nodes[entry.node] = node
             self.dirty[self.cell(entry.cell)] = True
         lost = self.cells.get(-1)
-        if lost is not None and entries:
-            for op in [op for queue in lost.queues.values() for op in queue]:
-                self.pacing.remove(op)
-                self.forward(op, now)
+        for op in [op for queue in lost.queues.values() for op in queue] if lost else ():
+            self.pacing.remove(op)
+            self.forward(op, now)
 
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts):
         lane = self.terms.lanes[lane]
-        known = self.volumes.get(volume)
-        if known is None:
-            known = self.volumes[volume] = Volume(self.terms.plans[plan], mounts, self.terms, self.began, now)
+        if volume not in self.volumes:
+            self.volumes[volume] = Volume(self.terms.plans[plan], mounts, self.terms, self.began, now)
         full = self.longest[lane.name] = max(left, self.longest.get(lane.name, left))
         quoted_at = now + lane.quoted_time - (full - left)
         stop_at = now + max(0, left - 2 * self.terms.tick)
-        op = Operation(op_id, lane, known, key, units, cell, now, min(quoted_at, stop_at), stop_at)
-        self.ops[op_id] = op
+        op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
+                                         min(quoted_at, stop_at), stop_at)
         if self.terms.budget_share is not None:
             self.takes.append(now)
         self.later(op.quoted_at, op)
