--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -20,11 +20,11 @@
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
 DEEPEST_DEBT = 1.0       # seconds of reserve that slack may pre-use: reserves are owed by the second
 FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
-LEAST_DEPTH = 1          # executions: one out keeps news of the node coming
+LEAST_DEPTH = 0.1        # executions: below one, pauses after answers make up the rest
 DUE_FACTOR = 1.5         # room for passed deadlines against room for slack: reserves are what is owed
-DUE_EXTRA = 1            # executions: so that a node at its least depth still takes what is owed
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
+GROWTH = 0.5             # executions that the room grows by for each full room of early answers
 SHRINK = 0.7             # factor on the room at a late answer: two of them halve it
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
@@ -122,7 +122,7 @@
         self.failures = 0                # in a row
         self.rest_until = 0
         self.arrivals = deque()          # (time, units) sent within the cold span
-        self.shrunk_at = 0
+        self.shrunk_at = self.open_at = 0
 
     def typical(self):
         """Upper edge of the bin with the median answer time; 0 while nothing is out."""
@@ -283,10 +283,10 @@
     def choose(self, cell, node, now):
         """The operation to go next to this node, or None; sets when to look again."""
         room = len(node.out) < node.depth
-        if len(node.out) >= min(DEPTH_CAP, DUE_FACTOR * node.depth + DUE_EXTRA):
+        if len(node.out) >= min(DEPTH_CAP, DUE_FACTOR * node.depth):
             return None
-        if node.rest_until > now:
-            cell.try_at = min(cell.try_at, node.rest_until)
+        if max(node.rest_until, node.open_at) > now:
+            cell.try_at = min(cell.try_at, max(node.rest_until, node.open_at))
             return None
         typical = node.typical()
         due = slack = None
@@ -383,7 +383,8 @@
             if now - latency >= node.shrunk_at:
                 node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
         elif len(node.out) + 1 >= int(node.depth):
-            node.depth = min(DEPTH_CAP, node.depth + 1 / node.depth)
+            node.depth = min(DEPTH_CAP, node.depth + GROWTH * min(node.depth, 1 / node.depth))
+        node.open_at = now + int(latency * max(0, 1 / node.depth - 1))
 
 
 class Gateway:
