--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -20,8 +20,8 @@
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
 DEEPEST_DEBT = 1.0       # seconds of reserve that slack may pre-use: reserves are owed by the second
 FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
-LEAST_DEPTH = 0.1        # executions: below one, pauses after answers make up the rest
-DUE_FACTOR = 1.5         # room for passed deadlines against room for slack: reserves are what is owed
+LEAST_DEPTH = 0.25       # executions: below one, pauses after answers make up the rest
+DUE_FACTOR = 2           # room for passed deadlines against room for slack: reserves are what is owed
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
 GROWTH = 0.5             # executions that the room grows by for each full room of early answers
@@ -125,9 +125,7 @@
         self.shrunk_at = self.open_at = 0
 
     def typical(self):
-        """Upper edge of the bin with the median answer time; 0 while nothing is out."""
-        if not self.out:
-            return 0
+        """Upper edge of the bin with the median answer time."""
         seen, half = 0, sum(self.answers[:BINS]) / 2
         for place, count in enumerate(self.answers[:BINS]):
             seen += count
@@ -285,10 +283,12 @@
         room = len(node.out) < node.depth
         if len(node.out) >= min(DEPTH_CAP, DUE_FACTOR * node.depth):
             return None
-        if max(node.rest_until, node.open_at) > now:
-            cell.try_at = min(cell.try_at, max(node.rest_until, node.open_at))
+        if node.rest_until > now:
+            cell.try_at = min(cell.try_at, node.rest_until)
             return None
-        typical = node.typical()
+        if room and node.open_at > now:
+            room, cell.try_at = False, min(cell.try_at, node.open_at)
+        typical = node.typical() if node.out else 0
         due = slack = None
         due_at = lowest = NEVER
         for volume, queue in list(cell.queues.items()):
@@ -384,7 +384,7 @@
                 node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
         elif len(node.out) + 1 >= int(node.depth):
             node.depth = min(DEPTH_CAP, node.depth + GROWTH * min(node.depth, 1 / node.depth))
-        node.open_at = now + int(latency * max(0, 1 / node.depth - 1))
+        node.open_at = now + int(min(latency, node.typical()) * max(0, 1 / node.depth - 1))
 
 
 class Gateway:
