--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -548,6 +548,6 @@
             self.sending.send(op, node, now)
             # The paper's batches: what is held for the same piece of data goes along, since a node
             # does it cheaply while it remembers the piece; within the room for slack.
-            for mate in [mate for mate in cell.queues.get(op.volume, ()) if mate.key == op.key]:
+            for mate in [mate for mate in cell.queues.get(op.volume, ()) if op.key == mate.key != ""]:
                 if len(node.out) < node.depth and self.pacing.free_at(mate, node, now) <= now:
                     self.sending.send(mate, node, now)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -105,7 +105,7 @@
             elif words[0] == "expect":
                 self.gateway.act(self.now)
                 wanted = [part.strip() for part in " ".join(words[1:]).split(";")]
-                assert self.done == ([] if wanted == ["nothing"] else wanted), f"line {number}: {line}"
+                assert self.done == ([] if wanted == ["nothing"] else wanted), f"line {number}: {line}: {self.done}"
                 self.done = []
             elif words[0] == "count":
                 self.gateway.act(self.now)
