--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -549,5 +549,5 @@
             # The paper's batches: what is held for the same piece of data goes along, since a node
             # does it cheaply while it remembers the piece; within the room for slack.
             for mate in [mate for mate in cell.queues.get(op.volume, ()) if op.key == mate.key != ""]:
-                if len(node.out) < node.depth and self.pacing.free_at(mate, node, now) <= now:
+                if len(node.out) < 2 * node.depth + 1 and self.pacing.free_at(mate, node, now) <= now:
                     self.sending.send(mate, node, now)
