--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -123,6 +123,7 @@
         self.rest_until = 0
         self.arrivals = deque()          # (time, units) sent within the cold span
         self.shrunk_at = self.open_at = 0
+        self.last_key = ""
 
     def typical(self):
         """Upper edge of the bin with the median answer time."""
@@ -297,7 +298,10 @@
                 self.gateway.finish(queue[0], now)
             if not queue:
                 continue
-            op = queue[0]
+            op, share = queue[0], volume.sum / volume.plan.weight
+            mate = next((other for other in queue if other.key == node.last_key != ""), None)
+            if mate is not None:
+                op, share = mate, -1
             volume.advance(now)
             free_at = self.free_at(op, node, now)
             if free_at > now:
@@ -309,8 +313,8 @@
             if op.quoted_at <= now and (node.out or len(cell.queues) > 1):
                 # Danger: clients' retries, late already, take the place of answers still in time.
                 self.gateway.finish(op, now)
-            elif room and volume.sum / volume.plan.weight < lowest:
-                slack, lowest = op, volume.sum / volume.plan.weight
+            elif room and share < lowest:
+                slack, lowest = op, share
         return due or slack
 
     def back(self, op, node, result, now):
@@ -352,7 +356,7 @@
         op.volume.charge(op.units)
         if not op.sends:
             op.volume.limit -= op.units
-        op.node, node.out[op.op_id] = node, now
+        op.node, node.out[op.op_id], node.last_key = node, now, op.key
         node.arrivals.append((now, op.units))
         node.prune(now - self.terms.cold_span)
         op.sends += 1
