--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -22,6 +22,7 @@
 FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
 LEAST_DEPTH = 0.25       # executions: below one, pauses after answers make up the rest
 DUE_FACTOR = 2           # room for passed deadlines against room for slack: reserves are what is owed
+BATCH_EXTRA = 3          # executions past the room for one piece of data: in a row they are cheap
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
 GROWTH = 0.5             # executions that the room grows by for each full room of early answers
@@ -123,7 +124,6 @@
         self.rest_until = 0
         self.arrivals = deque()          # (time, units) sent within the cold span
         self.shrunk_at = self.open_at = 0
-        self.last_key = ""
 
     def typical(self):
         """Upper edge of the bin with the median answer time."""
@@ -298,10 +298,7 @@
                 self.gateway.finish(queue[0], now)
             if not queue:
                 continue
-            op, share = queue[0], volume.sum / volume.plan.weight
-            mate = next((other for other in queue if other.key == node.last_key != ""), None)
-            if mate is not None:
-                op, share = mate, -1
+            op = queue[0]
             volume.advance(now)
             free_at = self.free_at(op, node, now)
             if free_at > now:
@@ -313,8 +310,8 @@
             if op.quoted_at <= now and (node.out or len(cell.queues) > 1):
                 # Danger: clients' retries, late already, take the place of answers still in time.
                 self.gateway.finish(op, now)
-            elif room and share < lowest:
-                slack, lowest = op, share
+            elif room and volume.sum / volume.plan.weight < lowest:
+                slack, lowest = op, volume.sum / volume.plan.weight
         return due or slack
 
     def back(self, op, node, result, now):
@@ -356,7 +353,7 @@
         op.volume.charge(op.units)
         if not op.sends:
             op.volume.limit -= op.units
-        op.node, node.out[op.op_id], node.last_key = node, now, op.key
+        op.node, node.out[op.op_id] = node, now
         node.arrivals.append((now, op.units))
         node.prune(now - self.terms.cold_span)
         op.sends += 1
@@ -551,7 +548,7 @@
                 return
             self.sending.send(op, node, now)
             # The paper's batches: what is held for the same piece of data goes along, since a node
-            # does it cheaply while it remembers the piece; within the room for slack.
+            # does it cheaply while it remembers the piece; little past the room for slack.
             for mate in [mate for mate in cell.queues.get(op.volume, ()) if op.key == mate.key != ""]:
-                if len(node.out) < 2 * node.depth + 1 and self.pacing.free_at(mate, node, now) <= now:
+                if len(node.out) < node.depth + BATCH_EXTRA and self.pacing.free_at(mate, node, now) <= now:
                     self.sending.send(mate, node, now)
