--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -7,6 +7,7 @@
 The mechanism is Zygaria's (docs/design.md): a reserve bucket sets deadlines, a limit bucket
 release times, passed deadlines go first, slack goes to the lowest weighted average.
 """
+from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
 
@@ -30,12 +31,14 @@
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
 HALVE_AT = 32            # answers in a histogram before it is halved: some seconds of memory
+PATIENCE = 10            # median answer times, by size, until an execution is held for lost
 REST = 500               # ticks: first rest of a node that turns away or cannot be reached
 REST_DOUBLINGS = 5       # doublings of the rest: at most 1.6 s, so that a return is found soon
 BAD_WEIGHT = 8           # executions that a node failing everything counts as more in the pick
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 
 NEVER_RAN = (say.FULL, say.UNREACHED, say.MOOT)
+MAY_BE_SILENT = (say.UNREACHED, say.OVERDUE, say.SEVERED)
 MAY_STILL_RUN = (say.OVERDUE, say.SEVERED, say.WITHDRAWN)
 NEVER = 1 << 62          # ticks: later than any time
 
@@ -60,8 +63,7 @@
         self.taken_at, self.quoted_at, self.stop_at = now, quoted_at, stop_at
         self.cell = None
         self.node, self.sends = None, 0  # where an execution is out: never more than one at a time
-        self.maybe_at = None             # when the first execution left that may have run
-        self.maybe_node = None
+        self.maybe_at = self.maybe_node = None   # when and where the first left that may have run
         self.over = self.held = False
 
 
@@ -117,13 +119,12 @@
 
     def __init__(self, entry):
         self.entry = entry
-        self.out = {}                    # operation id -> time sent, oldest first
+        self.out = {}                    # operation -> time sent, oldest first
         self.depth = FIRST_DEPTH
         self.answers = [0] * (BINS + 1)  # histogram of answer times; the last place counts failures
-        self.failures = 0                # in a row
-        self.rest_until = 0
+        self.failures, self.rest_until = 0, 0   # failures in a row
         self.arrivals = deque()          # (time, units) sent within the cold span
-        self.shrunk_at = self.open_at = 0
+        self.shrunk_at = self.open_at = self.answered_at = 0
 
     def typical(self):
         """Upper edge of the bin with the median answer time."""
@@ -242,8 +243,7 @@
         # while others are open.  Danger: new objects, and the reads that follow them, lost to a
         # node that is silent or failing.  Harm: should most nodes rest, the few left get all.
         gateway = self.gateway
-        ready = [(cell, cell.open_node()) for cell in gateway.cells.values()]
-        ready = [(cell, node) for cell, node in ready if node is not None]
+        ready = [(cell, node) for cell in gateway.cells.values() if (node := cell.open_node())]
         if not ready:
             return gateway.cell(-1)
         fit = [pair for pair in ready if gateway.fit(pair[1], now)] or ready
@@ -255,13 +255,9 @@
     """Holds operations by cell and volume and lets them go as both buckets and the average say."""
 
     def accept(self, op, now):
-        queue = op.cell.queues.setdefault(op.volume, deque())
+        queue = op.cell.queues.setdefault(op.volume, [])
         # Of one volume's operations the lane of the most utility goes first, then the first taken.
-        rank = (-op.lane.utility, op.taken_at)
-        place = len(queue)
-        while place and (-queue[place - 1].lane.utility, queue[place - 1].taken_at) > rank:
-            place -= 1
-        queue.insert(place, op)
+        insort(queue, op, key=lambda held: (-held.lane.utility, held.taken_at))
         op.held = True
         self.gateway.dirty[op.cell] = True
         return False
@@ -290,8 +286,7 @@
         if room and node.open_at > now:
             room, cell.try_at = False, min(cell.try_at, node.open_at)
         typical = node.typical() if node.out else 0
-        due = slack = None
-        due_at = lowest = NEVER
+        due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
             while queue and queue[0].quoted_at < now + typical and queue[0].taken_at < now:
                 # Danger: in a backlog only the oldest would leave, each just too late.
@@ -353,25 +348,30 @@
         op.volume.charge(op.units)
         if not op.sends:
             op.volume.limit -= op.units
-        op.node, node.out[op.op_id] = node, now
+        op.node, node.out[op] = node, now
         node.arrivals.append((now, op.units))
         node.prune(now - self.terms.cold_span)
         op.sends += 1
-        self.out.execute(op.op_id, node.entry.node, op.stop_at - now)
+        # Danger: executions lost on the way, while the node answers others, fill the room and use up
+        # the quoted time.  Also guards against a node that hangs.  Harm: a jam of many answer times
+        # is taken for a loss, and what was done for it is wasted.
+        patience = (node.typical() or op.lane.quoted_time) * max(1, op.units / self.terms.mean_units)
+        self.out.execute(op.op_id, node.entry.node, min(op.stop_at - now, int(PATIENCE * patience)))
 
     def back(self, op, node, result, now):
-        sent = node.out.pop(op.op_id)
+        sent = node.out.pop(op)
         latency = now - sent
         if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
             op.maybe_at, op.maybe_node = sent, node
         good = result == say.SUCCEEDED
         node.count(min(BINS - 1, (latency // BIN).bit_length()) if good else BINS)
         if good:
-            node.failures = 0
+            node.failures, node.answered_at = 0, now
             self.judge(op, node, latency, now)
-        elif result in (say.FULL, say.UNREACHED, say.OVERDUE, say.SEVERED):
+        elif result == say.FULL or result in MAY_BE_SILENT and node.answered_at <= sent:
             # Danger: a node that is silent, gone, cut off or full swallows what is sent to it until
-            # the list says so.  Harm: after a short cut the first operations wait out the rest.
+            # the list says so.  One that has answered since only lost this execution, and goes on.
+            # Harm: after a short cut the first operations wait out the rest.
             node.failures += result != say.FULL
             node.depth = LEAST_DEPTH
             node.rest_until = now + (REST << min(node.failures, REST_DOUBLINGS))
@@ -400,8 +400,7 @@
         self.times = []                  # heap of (time, number, operation) to look at again
         self.number = 0
         self.extras, self.takes = deque(), deque()
-        self.wake_at = NEVER
-        self.ask_at = now if terms.list_asked else NEVER
+        self.wake_at, self.ask_at = NEVER, now if terms.list_asked else NEVER
         self.pacing, self.sending = Pacing(self), Sending(self)
         self.stages = (KeyOrder(self), Placing(self), self.pacing, self.sending)
 
@@ -485,6 +484,7 @@
         """The final answer of this gateway: shed where that is true, else terminated."""
         harmless = (op.maybe_at is None and not op.node or op.lane.repeat == say.REPLAYABLE
                     or op.lane.repeat == say.REFERENCED and op.lane.group == "all")
+        # With its quoted time over, the client is asked to stay away for as long as it may heed.
         if harmless:
             self.out.shed(op.op_id, self.terms.come_back if now >= op.quoted_at else 0)
         else:
@@ -510,8 +510,8 @@
         return len(self.extras) + 1 <= self.terms.budget_free + self.terms.budget_share * taken
 
     def fit(self, node, now):
-        oldest = next(iter(node.out.values()), now)
-        return (node.rest_until <= now and now - oldest < max(SECOND, 2 * node.typical())
+        silent = now - max(node.answered_at, next(iter(node.out.values()), now))
+        return (node.rest_until <= now and silent < max(SECOND, 2 * node.typical())
                 and node.allowance(self.terms, self.began, now) >= self.terms.most_units)
 
     def act(self, now):
