--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -35,6 +35,7 @@
 REST = 500               # ticks: first rest of a node that turns away or cannot be reached
 REST_DOUBLINGS = 5       # doublings of the rest: at most 1.6 s, so that a return is found soon
 BAD_WEIGHT = 8           # executions that a node failing everything counts as more in the pick
+SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 
 NEVER_RAN = (say.FULL, say.UNREACHED, say.MOOT)
@@ -70,8 +71,8 @@
 class Volume:
     """Both buckets and the moving average of a volume, as this gateway sees it."""
 
-    def __init__(self, plan, mounts, terms, began, now):
-        self.plan, self.at = plan, now
+    def __init__(self, name, plan, mounts, terms, began, now):
+        self.name, self.plan, self.at = name, plan, now
         # First fill: a volume not seen for long is owed a full bucket, and most are that at a start.
         self.reserve = self.reserve_cap = plan.reserve + terms.most_units
         self.rate, self.limit_cap = plan.limit / mounts, plan.burst / mounts
@@ -187,9 +188,6 @@
     def __init__(self, gateway):
         self.gateway, self.terms, self.out = gateway, gateway.terms, gateway.out
 
-    def accept(self, op, now):
-        raise NotImplementedError
-
     def back(self, op, node, result, now):
         pass
 
@@ -232,10 +230,8 @@
     """Finds the cell: the named one, or for a new object the better of two drawn."""
 
     def accept(self, op, now):
-        if op.named >= 0:
-            op.cell = self.gateway.cell(op.named)
-        elif op.cell is None or op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
-            op.cell = self.pick(now)
+        if op.cell is None or op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
+            op.cell = self.gateway.cell(op.named) if op.named >= 0 else self.pick(now)
         return True
 
     def pick(self, now):
@@ -395,7 +391,7 @@
         self.terms, self.out, self.began = terms, out, now
         self.chance = Chance(seed)
         self.ops, self.volumes, self.cells, self.nodes = {}, {}, {}, {}
-        self.longest = {}                # lane -> longest time left seen: that of a first try
+        self.ended, self.turn_at = ({}, {}), now   # (volume, key) -> what was shed or terminated, new and old
         self.dirty = {}                  # cells where something changed
         self.times = []                  # heap of (time, number, operation) to look at again
         self.number = 0
@@ -422,10 +418,8 @@
                 if node.entry.node not in named:
                     node.entry = node.entry._replace(condition=say.GONE)
         for entry in entries:
-            node = self.nodes.get(entry.node)
-            if node is None:
-                node = self.nodes[entry.node] = Node(entry)
-            elif node.entry.online_since != entry.online_since:
+            node = self.nodes.setdefault(entry.node, Node(entry))
+            if node.entry.online_since != entry.online_since:
                 node.depth, node.rest_until, node.failures = LEAST_DEPTH, 0, 0
             node.entry = entry
             self.cell(entry.cell).nodes[entry.node] = node
@@ -435,12 +429,15 @@
             self.pacing.remove(op)
             self.forward(op, now)
 
-    def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts):
+    def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
         if volume not in self.volumes:
-            self.volumes[volume] = Volume(self.terms.plans[plan], mounts, self.terms, self.began, now)
-        full = self.longest[lane.name] = max(left, self.longest.get(lane.name, left))
-        quoted_at = now + lane.quoted_time - (full - left)
+            self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self.terms, self.began, now)
+        # Danger: a client's retry taken for a first try, or an impatient client's for a retry.  A retry
+        # comes here again and its client stops waiting when it would have for the first try.
+        tries = self.ended[0].get((volume, key), []) + self.ended[1].get((volume, key), [])
+        quoted_at = next((quoted_at for ends_at, quoted_at in tries
+                          if again or abs(ends_at - now - left) <= SAME_END), now + lane.quoted_time)
         stop_at = now + max(0, left - 2 * self.terms.tick)
         op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
                                          min(quoted_at, stop_at), stop_at)
@@ -493,6 +490,10 @@
 
     def end(self, op, now):
         op.over = True
+        if now >= self.turn_at:
+            self.ended, self.turn_at = ({}, self.ended[0]), now + op.lane.hard_stop
+        tries = self.ended[0].setdefault((op.volume.name, op.key), [])
+        tries.append((op.stop_at + 2 * self.terms.tick, op.quoted_at))
         if op.held:
             self.pacing.remove(op)
         if not op.node:
@@ -519,8 +520,6 @@
         if now >= self.ask_at:
             self.out.watch()
             self.ask_at = now + int(self.terms.ask_within / 2)
-        if now >= self.wake_at:
-            self.wake_at = NEVER
         dirty, self.dirty = self.dirty, {}
         for cell in self.cells.values():
             if cell.queues and (cell in dirty or cell.try_at <= now):
@@ -535,7 +534,7 @@
                 self.forward(op, now)
         next_at = min([now + 1 if self.dirty else self.ask_at, self.times[0][0] if self.times else NEVER]
                       + [cell.try_at for cell in self.cells.values() if cell.queues])
-        if next_at < self.wake_at:
+        if next_at < (self.wake_at if self.wake_at > now else NEVER):
             self.wake_at = max(next_at, now + 1)
             self.out.wake(self.wake_at - now)
 
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -146,8 +146,9 @@
         return self.gateways[e["Gateway"]].listed, self.now, kind, entries
 
     def call(self, e):
-        return (self.gateways[e["Gateway"]].taken, self.now, e["Corr"], e["Service"], e["Grade"], e["StoreUser"],
-                e.get("Chunk", ""), e["Left"] // TICK_NS, e["Units"], e["GroupNo"], e["Mounts"])
+        return (self.gateways[e["Gateway"]].taken, self.now, e["Corr"], e["Service"], e["Grade"],
+                e["StoreUser"], e.get("Chunk", ""), e["Left"] // TICK_NS, e["Units"], e["GroupNo"],
+                e["Mounts"], e.get("IsRetry", False))
 
     def settled(self, e):
         return (self.gateways[e["Gateway"]].answered, self.now, e["Corr"], e["SendNo"], RESULTS[e["Verdict"]],
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -83,11 +83,12 @@
 
     def take(self, op_ids, *words):
         row = valued(words, {"lane": "read", "plan": "base", "vol": "v", "key": "", "left": 0, "units": 2.0,
-                             "cell": 0, "mounts": 1})
+                             "cell": 0, "mounts": 1,
+                             "again": False})
         left = row["left"] * MS or self.lanes[row["lane"]].hard_stop
         for op_id in op_ids.split(","):
             self.gateway.taken(self.now, op_id, row["lane"], row["plan"], row["vol"], row["key"], left,
-                               row["units"], row["cell"], row["mounts"])
+                               row["units"], row["cell"], row["mounts"], row["again"])
 
     def back(self, op_ids, result, *words):
         row = valued(words, {"others": 0.0, "use": 0})
