--- a/rushmux/interface.py
+++ b/rushmux/interface.py
@@ -63,6 +63,7 @@
     most_units: float
     cold_units: float            # what a cold node bears within `cold_span` from all gateways
     cold_span: int
+    fall_multiple: float         # of its capacity that pushes a cold node over, sent for `cold_span`
     cold_start: float            # part of its capacity that a node starts with, at least
     warm_within: int
     meter_span: int              # period of the fleet meter; 0: none
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -31,6 +31,7 @@
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
 HALVE_AT = 32            # answers in a histogram before it is halved: some seconds of memory
+COLD_CREDIT = 0.5        # of what the rule leaves above a cold node's capacity, for what it has answered
 PATIENCE = 10            # median answer times, by size, until an execution is held for lost
 REST = 500               # ticks: first rest of a node that turns away or cannot be reached
 REST_DOUBLINGS = 5       # doublings of the rest: at most 1.6 s, so that a return is found soon
@@ -155,8 +156,9 @@
         """Units that may still go to a cold node within its span; NEVER once it is warm.
 
         Danger: all gateways together push a cold node over.  Each keeps to an even part of what
-        such a node always bears, grown by the least that it has warmed since.  A gateway that came
-        back has forgotten what it sent, so it waits one span.  Harm: a slow return after a restart.
+        such a node always bears, grown by the least that it has warmed since, and part of what it
+        had answered within the span, since it has shown that it can do that much.  A gateway that
+        came back has forgotten what it sent, so it waits one span.  Harm: a slow return.
         """
         age = now - self.entry.online_since
         if not self.entry.online_since or age >= terms.warm_within:
@@ -363,6 +365,7 @@
         node.count(min(BINS - 1, (latency // BIN).bit_length()) if good else BINS)
         if good:
             node.failures, node.answered_at = 0, now
+            node.arrivals.append((now, -COLD_CREDIT * (self.terms.fall_multiple - 1) * op.units))
             self.judge(op, node, latency, now)
         elif result == say.FULL or result in MAY_BE_SILENT and node.answered_at <= sent:
             # Danger: a node that is silent, gone, cut off or full swallows what is sent to it until
@@ -388,14 +391,12 @@
     """One gateway's decisions, from one start to the next."""
 
     def __init__(self, terms, seed, now, out):
-        self.terms, self.out, self.began = terms, out, now
-        self.chance = Chance(seed)
+        self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
         self.ops, self.volumes, self.cells, self.nodes = {}, {}, {}, {}
         self.ended, self.turn_at = ({}, {}), now   # (volume, key) -> what was shed or terminated, new and old
         self.dirty = {}                  # cells where something changed
         self.times = []                  # heap of (time, number, operation) to look at again
-        self.number = 0
-        self.extras, self.takes = deque(), deque()
+        self.number, self.extras, self.takes = 0, deque(), deque()
         self.wake_at, self.ask_at = NEVER, now if terms.list_asked else NEVER
         self.pacing, self.sending = Pacing(self), Sending(self)
         self.stages = (KeyOrder(self), Placing(self), self.pacing, self.sending)
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -68,6 +68,7 @@
         come_back=limits["MaxRetryAfter"] // TICK_NS if limits["RetryAfter"] else 0,
         mean_units=extra["UnitMean"], most_units=extra["MostUnits"],
         cold_units=extra["ColdUnits"], cold_span=-(-rules["OverloadFor"] // TICK_NS),
+        fall_multiple=rules["FallMultiple"],
         cold_start=rules["StartCapacity"], warm_within=-(-rules["WarmWithin"] // TICK_NS),
         meter_span=extra["UsePeriod"] // TICK_NS, order_rest=-(-rules.get("OrderSettle", 0) // TICK_NS),
         budget_share=rules.get("ExtraRatio"), budget_free=rules.get("ExtraFree", 0),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,8 @@
 MS = 10   # ticks in a millisecond
 
 TERMS = {"gateways": 2, "tick": 20, "list_asked": False, "ask_within": 10_000 * MS, "executions": 3,
-         "come_back": 2_000 * MS, "mean_units": 2.0, "most_units": 8.0,
-         "cold_units": 16.0, "cold_span": 2_000 * MS, "cold_start": 0.25, "warm_within": 16_000 * MS,
+         "come_back": 2_000 * MS, "mean_units": 2.0, "most_units": 8.0, "cold_units": 16.0,
+         "cold_span": 2_000 * MS, "fall_multiple": 2.0, "cold_start": 0.25, "warm_within": 16_000 * MS,
          "meter_span": 0, "order_rest": 0, "budget_share": None, "budget_free": 0.0, "budget_span": 0}
 LANE = {"quoted": 400, "stop": 2000, "utility": 1.0, "repeat": say.REPLAYABLE, "group": "all",
         "window": 3000, "in_order": False}
@@ -106,7 +106,8 @@
             elif words[0] == "expect":
                 self.gateway.act(self.now)
                 wanted = [part.strip() for part in " ".join(words[1:]).split(";")]
-                assert self.done == ([] if wanted == ["nothing"] else wanted), f"line {number}: {line}: {self.done}"
+                wanted = [] if wanted == ["nothing"] else wanted
+                assert self.done == wanted, f"line {number}: {line}: {self.done}"
                 self.done = []
             elif words[0] == "count":
                 self.gateway.act(self.now)
