--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -34,6 +34,7 @@
 COLD_CREDIT = 0.5        # of what the rule leaves above a cold node's capacity, for what it has answered
 PATIENCE = 10            # median answer times, by size, until an execution is held for lost
 REST = 500               # ticks: first rest of a node that turns away or cannot be reached
+ALLOWED_FAILURES = 2     # in a row before a node rests: chance losses are not a silent node
 REST_DOUBLINGS = 5       # doublings of the rest: at most 1.6 s, so that a return is found soon
 BAD_WEIGHT = 8           # executions that a node failing everything counts as more in the pick
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
@@ -371,9 +372,10 @@
             # Danger: a node that is silent, gone, cut off or full swallows what is sent to it until
             # the list says so.  One that has answered since only lost this execution, and goes on.
             # Harm: after a short cut the first operations wait out the rest.
-            node.failures += result != say.FULL
-            node.depth = LEAST_DEPTH
-            node.rest_until = now + (REST << min(node.failures, REST_DOUBLINGS))
+            node.failures += 1
+            if result == say.FULL or node.failures > ALLOWED_FAILURES:
+                node.depth = LEAST_DEPTH
+                node.rest_until = now + (REST << min(node.failures, REST_DOUBLINGS))
 
     def judge(self, op, node, latency, now):
         """Danger: ten out from each of several gateways outlast a quoted time.  The room for slack
