--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -19,7 +19,6 @@
 QUARTER = 2_500          # ticks: width of a bin of the moving average, from the design
 QUARTERS = 20            # bins: five seconds, from the design
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
-DEEPEST_DEBT = 1.0       # seconds of reserve that slack may pre-use: reserves are owed by the second
 FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
 LEAST_DEPTH = 0.25       # executions: below one, pauses after answers make up the rest
 DUE_FACTOR = 2           # room for passed deadlines against room for slack: reserves are what is owed
@@ -106,9 +105,8 @@
         return now + 1 + int((units - self.limit) / self.rate * SECOND) if waits else now
 
     def debit(self, units):
-        """Negative units give back."""
-        debt = -self.plan.reserve * DEEPEST_DEBT
-        self.reserve = min(self.reserve_cap, max(self.reserve - units, debt))
+        """Negative units give back.  The debt is a second's fill at most: reserves are owed by the second."""
+        self.reserve = min(self.reserve_cap, max(self.reserve - units, -self.plan.reserve))
 
     def charge(self, units):
         self.debit(units)
@@ -209,11 +207,10 @@
         line = self.lines.setdefault(op.key, deque())
         if op not in line:
             line.append(op)
-        if line[0] is op and self.rests.get(op.key, 0) <= now:
-            return True
-        if line[0] is op:
+        rested = self.rests.get(op.key, 0) <= now
+        if line[0] is op and not rested:
             self.gateway.later(self.rests[op.key], op)
-        return False
+        return line[0] is op and rested
 
     def back(self, op, node, result, now):
         """Also called with no result when an operation is over and nothing of it is out."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,11 +32,13 @@
     def __init__(self):
         self.now, self.gateway, self.done, self.wakes = 0, None, [], []
         self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
+        self.time_outs = {}
 
     # What the module calls.
     def execute(self, op_id, node, time_out):
         assert time_out >= 0
         self.executions[op_id] = self.executions.get(op_id, -1) + 1
+        self.time_outs[op_id] = time_out
         self.done.append(f"run {op_id} {node}")
 
     def shed(self, op_id, come_back):
@@ -96,6 +98,9 @@
             self.gateway.answered(self.now, op_id, self.executions[op_id], result, result == say.SUCCEEDED,
                                   row["use"], row["others"])
 
+    def timeout(self, op_id, milliseconds):
+        assert self.time_outs[op_id] == int(milliseconds) * MS, f"{op_id}: {self.time_outs[op_id]}"
+
     def play(self, text):
         for number, line in enumerate(text.splitlines(), 1):
             words = line.split("#")[0].split()
