--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,11 +30,9 @@
     """An Outbox that writes down what a gateway does, and the verbs of the notation."""
 
     def __init__(self):
-        self.now, self.gateway, self.done, self.wakes = 0, None, [], []
+        self.now, self.gateway, self.done, self.wakes, self.time_outs = 0, None, [], [], {}
         self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
-        self.time_outs = {}
 
-    # What the module calls.
     def execute(self, op_id, node, time_out):
         assert time_out >= 0
         self.executions[op_id] = self.executions.get(op_id, -1) + 1
@@ -57,7 +55,6 @@
     def watch(self):
         self.done.append("watch")
 
-    # The verbs of a scenario.
     def terms_(self, *words):
         self.terms = valued(words, self.terms)
 
