--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -25,7 +25,7 @@
 BATCH_EXTRA = 3          # executions past the room for one piece of data: in a row they are cheap
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
-GROWTH = 0.5             # executions that the room grows by for each full room of early answers
+GROWTH = 2               # executions of all gateways together, for each full room of early answers
 SHRINK = 0.7             # factor on the room at a late answer: two of them halve it
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
@@ -382,7 +382,8 @@
             if now - latency >= node.shrunk_at:
                 node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
         elif len(node.out) + 1 >= int(node.depth):
-            node.depth = min(DEPTH_CAP, node.depth + GROWTH * min(node.depth, 1 / node.depth))
+            growth = GROWTH / self.terms.gateways * min(node.depth, 1 / node.depth)
+            node.depth = min(DEPTH_CAP, node.depth + growth)
         node.open_at = now + int(min(latency, node.typical()) * max(0, 1 / node.depth - 1))
 
 
