--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -273,8 +273,8 @@
 
     def choose(self, cell, node, now):
         """The operation to go next to this node, or None; sets when to look again."""
-        room = len(node.out) < node.depth
-        if len(node.out) >= min(DEPTH_CAP, DUE_FACTOR * node.depth):
+        room = len(node.out) < max(1, int(node.depth))
+        if len(node.out) >= min(DEPTH_CAP, max(1, int(DUE_FACTOR * node.depth))):
             return None
         if node.rest_until > now:
             cell.try_at = min(cell.try_at, node.rest_until)
