--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -231,10 +231,10 @@
 
     def accept(self, op, now):
         if op.cell is None or op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
-            op.cell = self.gateway.cell(op.named) if op.named >= 0 else self.pick(now)
+            op.cell = self.gateway.cell(op.named) if op.named >= 0 else self.pick(op.units, now)
         return True
 
-    def pick(self, now):
+    def pick(self, units, now):
         # Exception to the plain draw: nodes that rest, are cold or keep answers back are left out
         # while others are open.  Danger: new objects, and the reads that follow them, lost to a
         # node that is silent or failing.  Harm: should most nodes rest, the few left get all.
@@ -242,7 +242,7 @@
         ready = [(cell, node) for cell in gateway.cells.values() if (node := cell.open_node())]
         if not ready:
             return gateway.cell(-1)
-        fit = [pair for pair in ready if gateway.fit(pair[1], now)] or ready
+        fit = [pair for pair in ready if gateway.fit(*pair, units, now)] or ready
         first, second = (fit[gateway.chance.below(len(fit))] for _ in range(2))
         return min(first, second, key=lambda pair: pair[1].burden(pair[0]))[0]
 
@@ -511,10 +511,11 @@
         taken = sum(1 for time in self.takes if time > now - self.terms.budget_span + 1)
         return len(self.extras) + 1 <= self.terms.budget_free + self.terms.budget_share * taken
 
-    def fit(self, node, now):
+    def fit(self, cell, node, units, now):
         silent = now - max(node.answered_at, next(iter(node.out.values()), now))
+        least = self.terms.most_units if cell.queues else units
         return (node.rest_until <= now and silent < max(SECOND, 2 * node.typical())
-                and node.allowance(self.terms, self.began, now) >= self.terms.most_units)
+                and node.allowance(self.terms, self.began, now) >= least)
 
     def act(self, now):
         """Closes a round: lets go what may go, ends what is past use, and sets the next wake."""
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -41,9 +41,6 @@
     def terminate(self, op_id):
         self.put("FinishError", Corr=op_id)
 
-    def withdraw(self, op_id, execution):
-        self.put("Retract", Corr=op_id, SendNo=execution)
-
     def wake(self, after):
         self.put("NotifyMe", Span=after * TICK_NS, Cookie="wake")
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -45,9 +45,6 @@
     def terminate(self, op_id):
         self.done.append(f"end {op_id}")
 
-    def withdraw(self, op_id, execution):
-        self.done.append(f"withdraw {op_id}")
-
     def wake(self, after):
         assert after > 0
         self.wakes.append(self.now + after)
