--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -479,10 +479,9 @@
             self.end(op, now)
 
     def finish(self, op, now):
-        """The final answer of this gateway: shed where that is true, else terminated."""
+        """The final answer: shed where that is true, else terminated; a late client may stay away."""
         harmless = (op.maybe_at is None and not op.node or op.lane.repeat == say.REPLAYABLE
                     or op.lane.repeat == say.REFERENCED and op.lane.group == "all")
-        # With its quoted time over, the client is asked to stay away for as long as it may heed.
         if harmless:
             self.out.shed(op.op_id, self.terms.come_back if now >= op.quoted_at else 0)
         else:
@@ -551,5 +550,6 @@
             # The paper's batches: what is held for the same piece of data goes along, since a node
             # does it cheaply while it remembers the piece; little past the room for slack.
             for mate in [mate for mate in cell.queues.get(op.volume, ()) if op.key == mate.key != ""]:
-                if len(node.out) < node.depth + BATCH_EXTRA and self.pacing.free_at(mate, node, now) <= now:
+                room = len(node.out) < min(DEPTH_CAP, node.depth + BATCH_EXTRA)
+                if room and self.pacing.free_at(mate, node, now) <= now:
                     self.sending.send(mate, node, now)
