--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -19,13 +19,13 @@
 QUARTER = 2_500          # ticks: width of a bin of the moving average, from the design
 QUARTERS = 20            # bins: five seconds, from the design
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
-FIRST_DEPTH = 3          # executions: enough to keep a small node's cores busy before anything is known
-LEAST_DEPTH = 0.25       # executions: below one, pauses after answers make up the rest
+FIRST_DEPTH = 1          # executions: hundreds of gateways may start with a node at once
+LEAST_DEPTH = 0.05       # executions: below one, pauses after answers make up the rest
 DUE_FACTOR = 3           # room for passed deadlines against room for slack: reserves are what is owed
 BATCH_EXTRA = 3          # executions past the room for one piece of data: in a row they are cheap
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
-GROWTH = 2               # executions of all gateways together, for each full room of early answers
+GROWTH = 1               # executions of a volume's gateways together, for each full room of early answers
 SHRINK = 0.7             # factor on the room at a late answer: two of them halve it
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
@@ -73,7 +73,7 @@
     """Both buckets and the moving average of a volume, as this gateway sees it."""
 
     def __init__(self, name, plan, mounts, terms, began, now):
-        self.name, self.plan, self.at = name, plan, now
+        self.name, self.plan, self.mounts, self.at = name, plan, mounts, now
         # First fill: a volume not seen for long is owed a full bucket, and most are that at a start.
         self.reserve = self.reserve_cap = plan.reserve + terms.most_units
         self.rate, self.limit_cap = plan.limit / mounts, plan.burst / mounts
@@ -125,7 +125,7 @@
         self.answers = [0] * (BINS + 1)  # histogram of answer times; the last place counts failures
         self.failures, self.rest_until = 0, 0   # failures in a row
         self.arrivals = deque()          # (time, units) sent within the cold span
-        self.shrunk_at = self.open_at = self.answered_at = 0
+        self.shrunk_at = self.open_at = self.due_at = self.answered_at = 0
 
     def typical(self):
         """Upper edge of the bin with the median answer time."""
@@ -279,8 +279,11 @@
         if node.rest_until > now:
             cell.try_at = min(cell.try_at, node.rest_until)
             return None
-        if room and node.open_at > now:
-            room, cell.try_at = False, min(cell.try_at, node.open_at)
+        if node.open_at > now:
+            cell.try_at = min(cell.try_at, node.open_at)
+            room = False
+            if node.due_at > now:
+                return None
         typical = node.typical() if node.out else 0
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
@@ -382,9 +385,11 @@
             if now - latency >= node.shrunk_at:
                 node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
         elif len(node.out) + 1 >= int(node.depth):
-            growth = GROWTH / self.terms.gateways * min(node.depth, 1 / node.depth)
+            growth = GROWTH / op.volume.mounts * min(node.depth, 1 / node.depth)
             node.depth = min(DEPTH_CAP, node.depth + growth)
-        node.open_at = now + int(min(latency, node.typical()) * max(0, 1 / node.depth - 1))
+        wait = min(latency, node.typical())
+        node.open_at = now + int(wait * max(0, 1 / node.depth - 1))
+        node.due_at = now + int(wait * max(0, 1 / node.depth / DUE_FACTOR - 1))
 
 
 class Gateway:
