--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -10,6 +10,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
+from itertools import accumulate
 
 from rushmux import interface as say
 
@@ -19,28 +20,28 @@
 QUARTER = 2_500          # ticks: width of a bin of the moving average, from the design
 QUARTERS = 20            # bins: five seconds, from the design
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
-FIRST_DEPTH = 1          # executions: hundreds of gateways may start with a node at once
-LEAST_DEPTH = 0.05       # executions: below one, pauses after answers make up the rest
+SHRINK_FAILED = 0.7      # part that a failure takes: the third in a row makes a node rest
+FIRST_ROOM = 3           # executions: enough to keep a small node's cores busy before anything is known
+LEAST_ROOM = 0.15        # executions: below one, pauses after answers make up the rest
 DUE_FACTOR = 3           # room for passed deadlines against room for slack: reserves are what is owed
-BATCH_EXTRA = 3          # executions past the room for one piece of data: in a row they are cheap
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
+NODE_PAUSE = 4           # part of the quoted time: the most that a node's room counts as an answer time
+WHOLE_WAIT = 1.5         # times that in the room over all nodes: there only a jam should count
 GROWTH = 1               # executions of a volume's gateways together, for each full room of early answers
-SHRINK = 0.7             # factor on the room at a late answer: two of them halve it
+SHRINK = 0.3             # part of the room that a late answer takes: two of them halve it
+BATCH_EXTRA = 3          # executions past a node's room for one piece of data: in a row they are cheap
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
 HALVE_AT = 32            # answers in a histogram before it is halved: some seconds of memory
+ARRIVALS = 512           # kept of a node: more than one gateway sends to a cold one within the span
 COLD_CREDIT = 0.5        # of what the rule leaves above a cold node's capacity, for what it has answered
 PATIENCE = 10            # median answer times, by size, until an execution is held for lost
-REST = 500               # ticks: first rest of a node that turns away or cannot be reached
-ALLOWED_FAILURES = 2     # in a row before a node rests: chance losses are not a silent node
-REST_DOUBLINGS = 5       # doublings of the rest: at most 1.6 s, so that a return is found soon
-BAD_WEIGHT = 8           # executions that a node failing everything counts as more in the pick
+DRAWS = 10               # at most, for two nodes that are fit: enough with half of them resting
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 
 NEVER_RAN = (say.FULL, say.UNREACHED, say.MOOT)
-MAY_BE_SILENT = (say.UNREACHED, say.OVERDUE, say.SEVERED)
 MAY_STILL_RUN = (say.OVERDUE, say.SEVERED, say.WITHDRAWN)
 NEVER = 1 << 62          # ticks: later than any time
 
@@ -74,12 +75,10 @@
 
     def __init__(self, name, plan, mounts, terms, began, now):
         self.name, self.plan, self.mounts, self.at = name, plan, mounts, now
-        # First fill: a volume not seen for long is owed a full bucket, and most are that at a start.
         self.reserve = self.reserve_cap = plan.reserve + terms.most_units
         self.rate, self.limit_cap = plan.limit / mounts, plan.burst / mounts
-        # Danger: a gateway that came back has forgotten what its share of the limit had used.  It
-        # cannot tell this from a first start, so the share fills from the start of the gateway,
-        # beginning with its part of the slack.  Harm: a volume's first burst may wait a moment.
+        # Danger: a gateway that came back has forgotten what it had used of its share, and cannot tell
+        # this from a first start: the share fills from then on.  Harm: a first burst may wait.
         self.limit = min(self.limit_cap, plan.slack / mounts + self.rate * (now - began) / SECOND)
         self.bins, self.sum, self.quarter = [0.0] * QUARTERS, 0.0, now // QUARTER
         self.metered_at = now
@@ -105,7 +104,7 @@
         return now + 1 + int((units - self.limit) / self.rate * SECOND) if waits else now
 
     def debit(self, units):
-        """Negative units give back.  The debt is a second's fill at most: reserves are owed by the second."""
+        """Negative units give back.  The debt is a second's fill at most."""
         self.reserve = min(self.reserve_cap, max(self.reserve - units, -self.plan.reserve))
 
     def charge(self, units):
@@ -115,58 +114,88 @@
         self.sum += units
 
 
+class Room:
+    """How many executions may be out at a node, or from this gateway over all nodes together.
+
+    Danger: one out from each of hundreds of gateways is a jam that none sees coming.  Late answers
+    shrink the room, early ones let it grow; below one a pause after each answer makes up the rest.
+    What is out past its quoted time is late and holds no room.  Harm: chance delays shrink it too.
+    """
+
+    def __init__(self, size, whole):
+        self.size, self.whole, self.out = size, whole, {}   # operation -> time sent, oldest first
+        self.shrunk_at = self.wait_from = self.wait = 0
+
+    def opens(self, factor, now):
+        """When the next may go, with that many times the room."""
+        while self.out:
+            op, sent = next(iter(self.out.items()))
+            if now - sent < op.lane.quoted_time:
+                break
+            self.back(op, False, now, 1)
+        size = factor * self.size
+        opens = self.wait_from + int(self.wait * max(0, 1 / size - 1))
+        return max(opens, sent + op.lane.quoted_time) if len(self.out) >= max(1, int(size)) else opens
+
+    def back(self, op, good, now, mean_units):
+        if op not in self.out:
+            return
+        full, sent = len(self.out) >= int(self.size), self.out.pop(op)
+        pause = op.lane.quoted_time // (1 if self.whole else NODE_PAUSE)
+        self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
+        # Over all nodes a late answer speaks for its own alone: a part of what is out.
+        wait, part = (WHOLE_WAIT, 1 / (len(self.out) + 1)) if self.whole else (1, 1)
+        wait *= op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * op.units / mean_units)
+        if not good or now - sent > wait:
+            if sent >= self.shrunk_at:
+                part *= SHRINK if good or self.whole else SHRINK_FAILED
+                self.size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
+        elif full:
+            self.size += GROWTH / op.volume.mounts * min(self.size, 1 / self.size)
+
+
 class Node:
     """A node as the list shows it and as this gateway's own executions found it."""
 
     def __init__(self, entry):
         self.entry = entry
         self.out = {}                    # operation -> time sent, oldest first
-        self.depth = FIRST_DEPTH
-        self.answers = [0] * (BINS + 1)  # histogram of answer times; the last place counts failures
-        self.failures, self.rest_until = 0, 0   # failures in a row
-        self.arrivals = deque()          # (time, units) sent within the cold span
-        self.shrunk_at = self.open_at = self.due_at = self.answered_at = 0
-
-    def typical(self):
-        """Upper edge of the bin with the median answer time."""
-        seen, half = 0, sum(self.answers[:BINS]) / 2
-        for place, count in enumerate(self.answers[:BINS]):
-            seen += count
-            if seen >= half > 0:
-                return BIN << place
-        return 0
-
-    def count(self, place):
-        self.answers[place] += 1
+        self.room = Room(FIRST_ROOM, False)
+        self.answers = [0] * BINS        # histogram of answer times
+        self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
+        self.turn = self.lot = 0         # number of the span, and what was drawn for it
+
+    def typical(self):                   # upper edge of the bin with the median answer time
+        half = sum(self.answers) / 2
+        sums = enumerate(accumulate(self.answers))
+        return next((BIN << place for place, seen in sums if seen >= half > 0), 0)
+
+    def count(self, latency):
+        self.answers[min(BINS - 1, (latency // BIN).bit_length())] += 1
         if sum(self.answers) >= HALVE_AT:
             self.answers = [count // 2 for count in self.answers]
 
-    def burden(self, cell):
-        """What speaks against it in the pick: all that this gateway has there, and failures."""
-        held = sum(map(len, cell.queues.values()))
-        failing = self.answers[BINS] / (sum(self.answers) + 1)
-        return (len(self.out) + held + 1 + BAD_WEIGHT * failing) / self.depth
-
-    def prune(self, until):
-        while self.arrivals and self.arrivals[0][0] <= until:
-            self.arrivals.popleft()
-
-    def allowance(self, terms, began, now):
+    def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
 
-        Danger: all gateways together push a cold node over.  Each keeps to an even part of what
-        such a node always bears, grown by the least that it has warmed since, and part of what it
-        had answered within the span, since it has shown that it can do that much.  A gateway that
-        came back has forgotten what it sent, so it waits one span.  Harm: a slow return.
+        Danger: all gateways together push a cold node over.  Each keeps to its part of what it always
+        bears, as it warms, and part of what it answered.  The part is even among those that want the
+        node: as many of all as this one wants of all nodes; under one operation it goes by lot.  One
+        that came back has forgotten what it sent and waits a span.  Harm: lots may fall together.
         """
-        age = now - self.entry.online_since
+        terms, age = gateway.terms, now - self.entry.online_since
         if not self.entry.online_since or age >= terms.warm_within:
             return NEVER
-        if now - began < terms.cold_span:
+        if now - gateway.began < terms.cold_span:
             return 0
-        self.prune(now - terms.cold_span)
+        while self.arrivals and self.arrivals[0][0] <= now - terms.cold_span:
+            self.arrivals.popleft()
+        if self.turn != now // terms.cold_span:
+            self.turn, self.lot = now // terms.cold_span, gateway.chance.below(1 << 16) / (1 << 16)
         warmed = 1 + (1 / terms.cold_start - 1) * max(0, age - terms.cold_span) / terms.warm_within
-        return terms.cold_units * warmed / terms.gateways - sum(units for _, units in self.arrivals)
+        part = terms.cold_units * warmed / terms.gateways * len(gateway.places)
+        wanted = sum(cell.wanted_at > now - terms.cold_span for cell in gateway.places)
+        return part / max(1, wanted) + self.lot * units - sum(units for _, units in self.arrivals)
 
 
 class Cell:
@@ -175,7 +204,7 @@
     def __init__(self):
         self.nodes = {}
         self.queues = {}                 # volume -> its held operations in turn
-        self.try_at = NEVER              # when something held may go though nothing happens
+        self.try_at, self.wanted_at = NEVER, -NEVER   # when something held may go; when it was last named
 
     def open_node(self):
         ready = (node for node in self.nodes.values() if node.entry.condition == say.READY)
@@ -183,8 +212,7 @@
 
 
 class Stage:
-    """A link of the chain.  `accept` says whether the operation goes on (else it is kept or ended);
-    `back` sees what came back of it, on the way out."""
+    """A link of the chain: `accept` says whether the operation goes on, `back` sees what came back."""
 
     def __init__(self, gateway):
         self.gateway, self.terms, self.out = gateway, gateway.terms, gateway.out
@@ -232,19 +260,26 @@
     def accept(self, op, now):
         if op.cell is None or op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
             op.cell = self.gateway.cell(op.named) if op.named >= 0 else self.pick(op.units, now)
-        return True
+        if op.cell is None:              # no node is listed
+            self.gateway.finish(op, now)
+        return op.cell is not None
 
     def pick(self, units, now):
-        # Exception to the plain draw: nodes that rest, are cold or keep answers back are left out
-        # while others are open.  Danger: new objects, and the reads that follow them, lost to a
-        # node that is silent or failing.  Harm: should most nodes rest, the few left get all.
-        gateway = self.gateway
-        ready = [(cell, node) for cell in gateway.cells.values() if (node := cell.open_node())]
-        if not ready:
-            return gateway.cell(-1)
-        fit = [pair for pair in ready if gateway.fit(*pair, units, now)] or ready
-        first, second = (fit[gateway.chance.below(len(fit))] for _ in range(2))
-        return min(first, second, key=lambda pair: pair[1].burden(pair[0]))[0]
+        # Exception to the plain draw: a node with no room or cold is drawn again.  Danger: new objects,
+        # and reads after them, lost to a node that is silent or failing.  Harm: the few left get all.
+        gateway, fit, ready = self.gateway, [], None
+        for _ in range(DRAWS if gateway.places else 0):
+            cell = gateway.places[gateway.chance.below(len(gateway.places))]
+            node = cell.open_node()
+            ready = ready or cell
+            least = self.terms.most_units if cell.queues else units
+            if (node and node.room.opens(DUE_FACTOR, now) <= now
+                    and node.allowance(gateway, units, now) >= least):
+                here = len(node.out) + sum(map(len, cell.queues.values())) + 1
+                fit.append((here / node.room.size, len(fit), cell))
+                if len(fit) == 2:
+                    break
+        return min(fit)[2] if fit else ready
 
 
 class Pacing(Stage):
@@ -255,7 +290,7 @@
         # Of one volume's operations the lane of the most utility goes first, then the first taken.
         insort(queue, op, key=lambda held: (-held.lane.utility, held.taken_at))
         op.held = True
-        self.gateway.dirty[op.cell] = True
+        self.gateway.dirty[op.cell], op.cell.wanted_at = True, now
         return False
 
     def remove(self, op):
@@ -267,28 +302,30 @@
 
     def free_at(self, op, node, now):
         """When to look whether the limit bucket and a cold node's allowance let it go."""
-        if op.units > node.allowance(self.terms, self.gateway.began, now):
-            return now + REST
+        if op.units > node.allowance(self.gateway, op.units, now):
+            return now + QUARTER
         return now if op.sends else op.volume.release(op.units, now)
 
+    def opens(self, node, factor, now):
+        """When both rooms, so many times as large, let the next go to this node."""
+        if len(node.out) >= DEPTH_CAP:
+            return NEVER
+        return max(node.room.opens(factor, now), self.gateway.room.opens(factor, now))
+
     def choose(self, cell, node, now):
         """The operation to go next to this node, or None; sets when to look again."""
-        room = len(node.out) < max(1, int(node.depth))
-        if len(node.out) >= min(DEPTH_CAP, max(1, int(DUE_FACTOR * node.depth))):
+        due_opens, opens = self.opens(node, DUE_FACTOR, now), self.opens(node, 1, now)
+        if opens > now:
+            self.gateway.waiting[cell] = True
+            cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
+        if due_opens > now:
             return None
-        if node.rest_until > now:
-            cell.try_at = min(cell.try_at, node.rest_until)
-            return None
-        if node.open_at > now:
-            cell.try_at = min(cell.try_at, node.open_at)
-            room = False
-            if node.due_at > now:
-                return None
         typical = node.typical() if node.out else 0
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
-            while queue and queue[0].quoted_at < now + typical and queue[0].taken_at < now:
-                # Danger: in a backlog only the oldest would leave, each just too late.
+            # Danger: in a backlog only the oldest would leave, each just too late, and clients'
+            # retries, late already, would take the place of answers still in time.
+            while queue and queue[0].quoted_at < now + (typical if queue[0].taken_at < now else 1):
                 self.gateway.finish(queue[0], now)
             if not queue:
                 continue
@@ -299,12 +336,9 @@
                 cell.try_at = min(cell.try_at, free_at)
                 continue
             deadline = max(op.taken_at, volume.deadline(op.units, now))
-            if deadline <= now < op.quoted_at and deadline < due_at:
+            if deadline <= now and deadline < due_at:
                 due, due_at = op, deadline
-            if op.quoted_at <= now and (node.out or len(cell.queues) > 1):
-                # Danger: clients' retries, late already, take the place of answers still in time.
-                self.gateway.finish(op, now)
-            elif room and volume.sum / volume.plan.weight < lowest:
+            if opens <= now and volume.sum / volume.plan.weight < lowest:
                 slack, lowest = op, volume.sum / volume.plan.weight
         return due or slack
 
@@ -319,9 +353,9 @@
         volume.debit(from_others)
         if fleet_use and self.terms.meter_span and now - volume.metered_at >= self.terms.meter_span:
             volume.metered_at = now
-            total = (fleet_use - 1) / 100 * volume.plan.nominal
             own = sum(volume.bins) * SECOND / (QUARTER * QUARTERS)
-            volume.debit(max(0.0, total - own) * self.terms.meter_span / SECOND)
+            others = max(0.0, (fleet_use - 1) / 100 * volume.plan.nominal - own)
+            volume.debit(others * self.terms.meter_span / SECOND)
 
 
 class Sending(Stage):
@@ -334,9 +368,9 @@
             return True
         if op.lane.repeat == say.SINGLE_USE or now - op.maybe_at >= op.lane.window - self.terms.tick:
             return False
-        same, entry = op.maybe_node.entry, node.entry
-        return (op.lane.group == "all" or op.lane.group == "zone" and same.zone == entry.zone
-                or op.lane.group == "cell" and same.cell == entry.cell)
+        # The group names what two nodes must share to drop each other's repeats.
+        group = op.lane.group
+        return group == "all" or getattr(op.maybe_node.entry, group) == getattr(node.entry, group)
 
     def send(self, op, node, now):
         if op.sends:
@@ -348,48 +382,23 @@
         if not op.sends:
             op.volume.limit -= op.units
         op.node, node.out[op] = node, now
+        node.room.out[op] = self.gateway.room.out[op] = now
         node.arrivals.append((now, op.units))
-        node.prune(now - self.terms.cold_span)
         op.sends += 1
-        # Danger: executions lost on the way, while the node answers others, fill the room and use up
-        # the quoted time.  Also guards against a node that hangs.  Harm: a jam of many answer times
-        # is taken for a loss, and what was done for it is wasted.
+        # Danger: executions lost on the way use up the quoted time.  Also guards against a node that
+        # hangs.  Harm: a jam of many answer times is taken for a loss, and its work is wasted.
         patience = (node.typical() or op.lane.quoted_time) * max(1, op.units / self.terms.mean_units)
         self.out.execute(op.op_id, node.entry.node, min(op.stop_at - now, int(PATIENCE * patience)))
 
     def back(self, op, node, result, now):
         sent = node.out.pop(op)
-        latency = now - sent
         if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
             op.maybe_at, op.maybe_node = sent, node
-        good = result == say.SUCCEEDED
-        node.count(min(BINS - 1, (latency // BIN).bit_length()) if good else BINS)
-        if good:
-            node.failures, node.answered_at = 0, now
+        for room in (node.room, self.gateway.room):
+            room.back(op, result == say.SUCCEEDED, now, self.terms.mean_units)
+        if result == say.SUCCEEDED:
+            node.count(now - sent)
             node.arrivals.append((now, -COLD_CREDIT * (self.terms.fall_multiple - 1) * op.units))
-            self.judge(op, node, latency, now)
-        elif result == say.FULL or result in MAY_BE_SILENT and node.answered_at <= sent:
-            # Danger: a node that is silent, gone, cut off or full swallows what is sent to it until
-            # the list says so.  One that has answered since only lost this execution, and goes on.
-            # Harm: after a short cut the first operations wait out the rest.
-            node.failures += 1
-            if result == say.FULL or node.failures > ALLOWED_FAILURES:
-                node.depth = LEAST_DEPTH
-                node.rest_until = now + (REST << min(node.failures, REST_DOUBLINGS))
-
-    def judge(self, op, node, latency, now):
-        """Danger: ten out from each of several gateways outlast a quoted time.  The room for slack
-        follows the answer times: late answers shrink it, early ones let it grow to the bound."""
-        size = op.units / self.terms.mean_units
-        if latency > op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * size):
-            if now - latency >= node.shrunk_at:
-                node.depth, node.shrunk_at = max(LEAST_DEPTH, node.depth * SHRINK), now
-        elif len(node.out) + 1 >= int(node.depth):
-            growth = GROWTH / op.volume.mounts * min(node.depth, 1 / node.depth)
-            node.depth = min(DEPTH_CAP, node.depth + growth)
-        wait = min(latency, node.typical())
-        node.open_at = now + int(wait * max(0, 1 / node.depth - 1))
-        node.due_at = now + int(wait * max(0, 1 / node.depth / DUE_FACTOR - 1))
 
 
 class Gateway:
@@ -397,9 +406,10 @@
 
     def __init__(self, terms, seed, now, out):
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
-        self.ops, self.volumes, self.cells, self.nodes = {}, {}, {}, {}
+        self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, {}, {}, []
         self.ended, self.turn_at = ({}, {}), now   # (volume, key) -> what was shed or terminated, new and old
-        self.dirty = {}                  # cells where something changed
+        self.dirty, self.waiting = {}, {}   # cells where something changed; those that wait for room
+        self.room = Room(0, True)
         self.times = []                  # heap of (time, number, operation) to look at again
         self.number, self.extras, self.takes = 0, deque(), deque()
         self.wake_at, self.ask_at = NEVER, now if terms.list_asked else NEVER
@@ -411,36 +421,30 @@
 
     def listed(self, now, kind, entries):
         if kind == say.UNAVAILABLE:
-            # Danger: a failed ask may have ended the watch.  Asked again after a drawn pause, so
-            # that the gateways do not come back all at once.
+            # Danger: a failed ask may have ended the watch.  The pause is drawn, against all at once.
             pause = int(self.terms.ask_within * ASK_AGAIN)
             self.ask_at = now + pause + self.chance.below(pause + 1)
             return
-        if kind != say.RESTORED and self.terms.list_asked:
-            self.ask_at = NEVER
+        self.ask_at = self.ask_at if kind == say.RESTORED else NEVER
         if kind != say.CHANGES:
-            named = {entry.node: True for entry in entries}
             for node in self.nodes.values():
-                if node.entry.node not in named:
-                    node.entry = node.entry._replace(condition=say.GONE)
+                node.entry = node.entry._replace(condition=say.GONE)
         for entry in entries:
             node = self.nodes.setdefault(entry.node, Node(entry))
             if node.entry.online_since != entry.online_since:
-                node.depth, node.rest_until, node.failures = LEAST_DEPTH, 0, 0
+                node.room.size = LEAST_ROOM
             node.entry = entry
             self.cell(entry.cell).nodes[entry.node] = node
             self.dirty[self.cell(entry.cell)] = True
-        lost = self.cells.get(-1)
-        for op in [op for queue in lost.queues.values() for op in queue] if lost else ():
-            self.pacing.remove(op)
-            self.forward(op, now)
+        self.places = list(self.cells.values())
+        self.room.size = self.room.size or DEPTH_CAP * len(self.cells) / self.terms.gateways
 
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
         if volume not in self.volumes:
             self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self.terms, self.began, now)
-        # Danger: a client's retry taken for a first try, or an impatient client's for a retry.  A retry
-        # comes here again and its client stops waiting when it would have for the first try.
+        # Danger: a client's retry taken for a first try, or an impatient client's for a retry.  The
+        # client of a retry stops waiting when it would have for the first try.
         tries = self.ended[0].get((volume, key), []) + self.ended[1].get((volume, key), [])
         quoted_at = next((quoted_at for ends_at, quoted_at in tries
                           if again or abs(ends_at - now - left) <= SAME_END), now + lane.quoted_time)
@@ -468,6 +472,8 @@
         node, op.node = op.node, None
         op.over = op.over or ended
         self.dirty[op.cell] = True
+        self.dirty.update(self.waiting)
+        self.waiting = {}
         self.pacing.told(op.volume, fleet_use, from_others, now)
         for stage in reversed(self.stages):
             stage.back(op, node, result, now)
@@ -508,18 +514,12 @@
     def budget_left(self, now):
         if self.terms.budget_share is None:
             return True
-        for times in (self.extras, self.takes):
-            while times and times[0] <= now - self.terms.budget_span:
-                times.popleft()
         # The oldest tick of the window is left out of what was taken: rounding must not overdraw.
-        taken = sum(1 for time in self.takes if time > now - self.terms.budget_span + 1)
-        return len(self.extras) + 1 <= self.terms.budget_free + self.terms.budget_share * taken
-
-    def fit(self, cell, node, units, now):
-        silent = now - max(node.answered_at, next(iter(node.out.values()), now))
-        least = self.terms.most_units if cell.queues else units
-        return (node.rest_until <= now and silent < max(SECOND, 2 * node.typical())
-                and node.allowance(self.terms, self.began, now) >= least)
+        for times, oldest in ((self.extras, now - self.terms.budget_span),
+                              (self.takes, now - self.terms.budget_span + 1)):
+            while times and times[0] <= oldest:
+                times.popleft()
+        return len(self.extras) + 1 <= self.terms.budget_free + self.terms.budget_share * len(self.takes)
 
     def act(self, now):
         """Closes a round: lets go what may go, ends what is past use, and sets the next wake."""
@@ -532,11 +532,9 @@
                 self.pump(cell, now)
         while self.times and self.times[0][0] <= now:
             op = heappop(self.times)[2]
-            if op.over or op.node:
-                continue
-            if now >= op.quoted_at:
+            if not (op.over or op.node) and now >= op.quoted_at:
                 self.finish(op, now)
-            elif not op.held:
+            elif not (op.over or op.node or op.held):
                 self.forward(op, now)
         next_at = min([now + 1 if self.dirty else self.ask_at, self.times[0][0] if self.times else NEVER]
                       + [cell.try_at for cell in self.cells.values() if cell.queues])
@@ -553,8 +551,8 @@
                 return
             self.sending.send(op, node, now)
             # The paper's batches: what is held for the same piece of data goes along, since a node
-            # does it cheaply while it remembers the piece; little past the room for slack.
+            # does it cheaply while it remembers the piece.
             for mate in [mate for mate in cell.queues.get(op.volume, ()) if op.key == mate.key != ""]:
-                room = len(node.out) < min(DEPTH_CAP, node.depth + BATCH_EXTRA)
-                if room and self.pacing.free_at(mate, node, now) <= now:
+                most = min(DEPTH_CAP, node.room.size + BATCH_EXTRA, DUE_FACTOR * self.room.size + 1)
+                if len(node.out) < most and self.pacing.free_at(mate, node, now) <= now:
                     self.sending.send(mate, node, now)
