--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -38,6 +38,7 @@
 COLD_CREDIT = 0.5        # of what the rule leaves above a cold node's capacity, for what it has answered
 PATIENCE = 10            # median answer times, by size, until an execution is held for lost
 DRAWS = 10               # at most, for two nodes that are fit: enough with half of them resting
+TRIES = 64               # ended operations kept of a volume to know retries by: some seconds of a surge
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 
@@ -73,15 +74,18 @@
 class Volume:
     """Both buckets and the moving average of a volume, as this gateway sees it."""
 
-    def __init__(self, name, plan, mounts, terms, began, now):
+    def __init__(self, name, plan, mounts, gateway, now):
         self.name, self.plan, self.mounts, self.at = name, plan, mounts, now
-        self.reserve = self.reserve_cap = plan.reserve + terms.most_units
+        self.reserve = self.reserve_cap = plan.reserve + gateway.terms.most_units
         self.rate, self.limit_cap = plan.limit / mounts, plan.burst / mounts
-        # Danger: a gateway that came back has forgotten what it had used of its share, and cannot tell
-        # this from a first start: the share fills from then on.  Harm: a first burst may wait.
-        self.limit = min(self.limit_cap, plan.slack / mounts + self.rate * (now - began) / SECOND)
+        # Danger: a gateway that came back has forgotten what it had used of its part of the limit, which
+        # then fills from its start.  Answers with no figure of the fleet's meter tell that no period has
+        # ended yet: the whole fleet has just begun, and the part is full.  Harm: a burst may wait.
+        filled = plan.slack / mounts + self.rate * (now - gateway.began) / SECOND
+        self.limit = self.limit_cap if gateway.fresh else min(self.limit_cap, filled)
         self.bins, self.sum, self.quarter = [0.0] * QUARTERS, 0.0, now // QUARTER
         self.metered_at = now
+        self.tries = deque(maxlen=TRIES)   # of what was shed or terminated: key, hard stop, quoted until
 
     def advance(self, now):
         span, self.at = (now - self.at) / SECOND, now
@@ -114,6 +118,18 @@
         self.sum += units
 
 
+    def told(self, fleet_use, from_others, span, now):
+        """Takes in what other gateways had served, as the answer's meter tells it."""
+        self.advance(now)
+        if span and not fleet_use:       # the fleet has just begun
+            self.limit = max(self.limit, self.limit_cap - sum(self.bins))
+        elif now - self.metered_at >= span:
+            self.metered_at = now
+            own = sum(self.bins) * SECOND / (QUARTER * QUARTERS)
+            rate = max(0.0, (fleet_use - 1) / 100 * self.plan.nominal - own)
+            self.debit(rate * span / SECOND if span else from_others)
+
+
 class Room:
     """How many executions may be out at a node, or from this gateway over all nodes together.
 
@@ -308,8 +324,6 @@
 
     def opens(self, node, factor, now):
         """When both rooms, so many times as large, let the next go to this node."""
-        if len(node.out) >= DEPTH_CAP:
-            return NEVER
         return max(node.room.opens(factor, now), self.gateway.room.opens(factor, now))
 
     def choose(self, cell, node, now):
@@ -318,7 +332,7 @@
         if opens > now:
             self.gateway.waiting[cell] = True
             cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
-        if due_opens > now:
+        if due_opens > now or len(node.out) >= DEPTH_CAP:
             return None
         typical = node.typical() if node.out else 0
         due, due_at, slack, lowest = None, NEVER, None, NEVER
@@ -347,16 +361,6 @@
         if result != say.SUCCEEDED:
             op.volume.charge(-op.units)
 
-    def told(self, volume, fleet_use, from_others, now):
-        """Debits what other gateways had served, as the answer's meter tells it."""
-        volume.advance(now)
-        volume.debit(from_others)
-        if fleet_use and self.terms.meter_span and now - volume.metered_at >= self.terms.meter_span:
-            volume.metered_at = now
-            own = sum(volume.bins) * SECOND / (QUARTER * QUARTERS)
-            others = max(0.0, (fleet_use - 1) / 100 * volume.plan.nominal - own)
-            volume.debit(others * self.terms.meter_span / SECOND)
-
 
 class Sending(Stage):
     """Sends what is let go, under the rules for sending, and judges the node by what comes back."""
@@ -407,9 +411,8 @@
     def __init__(self, terms, seed, now, out):
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
         self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, {}, {}, []
-        self.ended, self.turn_at = ({}, {}), now   # (volume, key) -> what was shed or terminated, new and old
         self.dirty, self.waiting = {}, {}   # cells where something changed; those that wait for room
-        self.room = Room(0, True)
+        self.room, self.fresh = Room(0, True), False   # over all nodes; whether the whole fleet just began
         self.times = []                  # heap of (time, number, operation) to look at again
         self.number, self.extras, self.takes = 0, deque(), deque()
         self.wake_at, self.ask_at = NEVER, now if terms.list_asked else NEVER
@@ -442,12 +445,11 @@
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
         if volume not in self.volumes:
-            self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self.terms, self.began, now)
+            self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self, now)
         # Danger: a client's retry taken for a first try, or an impatient client's for a retry.  The
         # client of a retry stops waiting when it would have for the first try.
-        tries = self.ended[0].get((volume, key), []) + self.ended[1].get((volume, key), [])
-        quoted_at = next((quoted_at for ends_at, quoted_at in tries
-                          if again or abs(ends_at - now - left) <= SAME_END), now + lane.quoted_time)
+        quoted_at = next((quoted_at for its_key, ends_at, quoted_at in self.volumes[volume].tries if its_key == key
+                          and (again or abs(ends_at - now - left) <= SAME_END)), now + lane.quoted_time)
         stop_at = now + max(0, left - 2 * self.terms.tick)
         op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
                                          min(quoted_at, stop_at), stop_at)
@@ -474,7 +476,9 @@
         self.dirty[op.cell] = True
         self.dirty.update(self.waiting)
         self.waiting = {}
-        self.pacing.told(op.volume, fleet_use, from_others, now)
+        if result == say.SUCCEEDED:
+            self.fresh = self.fresh or self.terms.meter_span > fleet_use == 0
+            op.volume.told(fleet_use, from_others, self.terms.meter_span, now)
         for stage in reversed(self.stages):
             stage.back(op, node, result, now)
         if op.over:
@@ -501,10 +505,7 @@
 
     def end(self, op, now):
         op.over = True
-        if now >= self.turn_at:
-            self.ended, self.turn_at = ({}, self.ended[0]), now + op.lane.hard_stop
-        tries = self.ended[0].setdefault((op.volume.name, op.key), [])
-        tries.append((op.stop_at + 2 * self.terms.tick, op.quoted_at))
+        op.volume.tries.append((op.key, op.stop_at + 2 * self.terms.tick, op.quoted_at))
         if op.held:
             self.pacing.remove(op)
         if not op.node:
