--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -19,6 +19,7 @@
 DEPTH_CAP = 10           # executions out at a node: the bound of the design
 QUARTER = 2_500          # ticks: width of a bin of the moving average, from the design
 QUARTERS = 20            # bins: five seconds, from the design
+DEBT = 4                 # seconds of the reserve's fill: slack taken long ago must not eat today's
 DECAY = 0.9              # weight of a bin against the next younger one, from the design
 SHRINK_FAILED = 0.7      # part that a failure takes: the third in a row makes a node rest
 FIRST_ROOM = 3           # executions: enough to keep a small node's cores busy before anything is known
@@ -76,7 +77,8 @@
 
     def __init__(self, name, plan, mounts, gateway, now):
         self.name, self.plan, self.mounts, self.at = name, plan, mounts, now
-        self.reserve = self.reserve_cap = plan.reserve + gateway.terms.most_units
+        self.reserve_cap = plan.reserve + gateway.terms.most_units
+        self.reserve = self.reserve_cap / mounts   # first fill: what all its gateways promise together
         self.rate, self.limit_cap = plan.limit / mounts, plan.burst / mounts
         # Danger: a gateway that came back has forgotten what it had used of its part of the limit, which
         # then fills from its start.  Answers with no figure of the fleet's meter tell that no period has
@@ -99,8 +101,7 @@
 
     def deadline(self, units, now):
         """When the reserve bucket has, or will have, the units."""
-        rate = self.plan.reserve
-        return now - int((self.reserve - units) / rate * SECOND) if rate > 0 else NEVER
+        return now - int((self.reserve - units) / self.plan.reserve * SECOND) if self.plan.reserve else NEVER
 
     def release(self, units, now):
         """When the limit bucket has the units."""
@@ -108,8 +109,7 @@
         return now + 1 + int((units - self.limit) / self.rate * SECOND) if waits else now
 
     def debit(self, units):
-        """Negative units give back.  The debt is a second's fill at most."""
-        self.reserve = min(self.reserve_cap, max(self.reserve - units, -self.plan.reserve))
+        self.reserve = min(self.reserve_cap, max(self.reserve - units, -DEBT * self.plan.reserve))
 
     def charge(self, units):
         self.debit(units)
@@ -229,7 +229,6 @@
 
 class Stage:
     """A link of the chain: `accept` says whether the operation goes on, `back` sees what came back."""
-
     def __init__(self, gateway):
         self.gateway, self.terms, self.out = gateway, gateway.terms, gateway.out
 
@@ -257,11 +256,10 @@
         return line[0] is op and rested
 
     def back(self, op, node, result, now):
-        """Also called with no result when an operation is over and nothing of it is out."""
         line = self.lines.get(op.key, ()) if op.lane.in_order else ()
         if result in MAY_STILL_RUN:
             self.rests[op.key] = now + self.terms.order_rest + 1
-        if op.over and not op.node and op in line:
+        if op.over and not op.node and op in line:   # then also called with no result
             had_turn = line[0] is op
             line.remove(op)
             if not line:
@@ -448,7 +446,8 @@
             self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self, now)
         # Danger: a client's retry taken for a first try, or an impatient client's for a retry.  The
         # client of a retry stops waiting when it would have for the first try.
-        quoted_at = next((quoted_at for its_key, ends_at, quoted_at in self.volumes[volume].tries if its_key == key
+        tries = self.volumes[volume].tries
+        quoted_at = next((quoted_at for its_key, ends_at, quoted_at in tries if its_key == key
                           and (again or abs(ends_at - now - left) <= SAME_END)), now + lane.quoted_time)
         stop_at = now + max(0, left - 2 * self.terms.tick)
         op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
