--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -8,7 +8,7 @@
 release times, passed deadlines go first, slack goes to the lowest weighted average.
 """
 from bisect import insort
-from collections import deque
+from collections import defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
 
@@ -141,6 +141,12 @@
     def __init__(self, size, whole):
         self.size, self.whole, self.out = size, whole, {}   # operation -> time sent, oldest first
         self.shrunk_at = self.wait_from = self.wait = 0
+        self.answers = [0] * BINS        # histogram of answer times
+
+    def typical(self):                   # upper edge of the bin with the median answer time
+        half = sum(self.answers) / 2
+        sums = enumerate(accumulate(self.answers))
+        return next((BIN << place for place, seen in sums if seen >= half > 0), 0)
 
     def opens(self, factor, now):
         """When the next may go, with that many times the room."""
@@ -168,6 +174,10 @@
                 self.size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
         elif full:
             self.size += GROWTH / op.volume.mounts * min(self.size, 1 / self.size)
+        if good:
+            self.answers[min(BINS - 1, ((now - sent) // BIN).bit_length())] += 1
+            if sum(self.answers) >= HALVE_AT:
+                self.answers = [count // 2 for count in self.answers]
 
 
 class Node:
@@ -177,20 +187,9 @@
         self.entry = entry
         self.out = {}                    # operation -> time sent, oldest first
         self.room = Room(FIRST_ROOM, False)
-        self.answers = [0] * BINS        # histogram of answer times
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
 
-    def typical(self):                   # upper edge of the bin with the median answer time
-        half = sum(self.answers) / 2
-        sums = enumerate(accumulate(self.answers))
-        return next((BIN << place for place, seen in sums if seen >= half > 0), 0)
-
-    def count(self, latency):
-        self.answers[min(BINS - 1, (latency // BIN).bit_length())] += 1
-        if sum(self.answers) >= HALVE_AT:
-            self.answers = [count // 2 for count in self.answers]
-
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
 
@@ -273,7 +272,7 @@
 
     def accept(self, op, now):
         if op.cell is None or op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
-            op.cell = self.gateway.cell(op.named) if op.named >= 0 else self.pick(op.units, now)
+            op.cell = self.gateway.cells[op.named] if op.named >= 0 else self.pick(op.units, now)
         if op.cell is None:              # no node is listed
             self.gateway.finish(op, now)
         return op.cell is not None
@@ -332,7 +331,7 @@
             cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
         if due_opens > now or len(node.out) >= DEPTH_CAP:
             return None
-        typical = node.typical() if node.out else 0
+        typical = node.room.typical() if node.out else 0
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
             # Danger: in a backlog only the oldest would leave, each just too late, and clients'
@@ -389,7 +388,8 @@
         op.sends += 1
         # Danger: executions lost on the way use up the quoted time.  Also guards against a node that
         # hangs.  Harm: a jam of many answer times is taken for a loss, and its work is wasted.
-        patience = (node.typical() or op.lane.quoted_time) * max(1, op.units / self.terms.mean_units)
+        usual = node.room.typical() or self.gateway.room.typical() or op.lane.quoted_time
+        patience = usual * max(1, op.units / self.terms.mean_units)
         self.out.execute(op.op_id, node.entry.node, min(op.stop_at - now, int(PATIENCE * patience)))
 
     def back(self, op, node, result, now):
@@ -399,7 +399,6 @@
         for room in (node.room, self.gateway.room):
             room.back(op, result == say.SUCCEEDED, now, self.terms.mean_units)
         if result == say.SUCCEEDED:
-            node.count(now - sent)
             node.arrivals.append((now, -COLD_CREDIT * (self.terms.fall_multiple - 1) * op.units))
 
 
@@ -408,7 +407,7 @@
 
     def __init__(self, terms, seed, now, out):
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
-        self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, {}, {}, []
+        self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, defaultdict(Cell), {}, []
         self.dirty, self.waiting = {}, {}   # cells where something changed; those that wait for room
         self.room, self.fresh = Room(0, True), False   # over all nodes; whether the whole fleet just began
         self.times = []                  # heap of (time, number, operation) to look at again
@@ -417,9 +416,6 @@
         self.pacing, self.sending = Pacing(self), Sending(self)
         self.stages = (KeyOrder(self), Placing(self), self.pacing, self.sending)
 
-    def cell(self, number):
-        return self.cells.setdefault(number, Cell())
-
     def listed(self, now, kind, entries):
         if kind == say.UNAVAILABLE:
             # Danger: a failed ask may have ended the watch.  The pause is drawn, against all at once.
@@ -435,8 +431,8 @@
             if node.entry.online_since != entry.online_since:
                 node.room.size = LEAST_ROOM
             node.entry = entry
-            self.cell(entry.cell).nodes[entry.node] = node
-            self.dirty[self.cell(entry.cell)] = True
+            self.cells[entry.cell].nodes[entry.node] = node
+            self.dirty[self.cells[entry.cell]] = True
         self.places = list(self.cells.values())
         self.room.size = self.room.size or DEPTH_CAP * len(self.cells) / self.terms.gateways
 
