--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -154,14 +154,15 @@
             op, sent = next(iter(self.out.items()))
             if now - sent < op.lane.quoted_time:
                 break
-            self.back(op, False, now, 1)
+            self.back(op, say.OVERDUE, now, 1)
         size = factor * self.size
         opens = self.wait_from + int(self.wait * max(0, 1 / size - 1))
         return max(opens, sent + op.lane.quoted_time) if len(self.out) >= max(1, int(size)) else opens
 
-    def back(self, op, good, now, mean_units):
+    def back(self, op, result, now, mean_units):
         if op not in self.out:
             return
+        good, soft = result == say.SUCCEEDED, self.whole or result in (say.SUCCEEDED, say.ERRORED)
         full, sent = len(self.out) >= int(self.size), self.out.pop(op)
         pause = op.lane.quoted_time // (1 if self.whole else NODE_PAUSE)
         self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
@@ -170,7 +171,7 @@
         wait *= op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * op.units / mean_units)
         if not good or now - sent > wait:
             if sent >= self.shrunk_at:
-                part *= SHRINK if good or self.whole else SHRINK_FAILED
+                part *= SHRINK if soft else SHRINK_FAILED
                 self.size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
         elif full:
             self.size += GROWTH / op.volume.mounts * min(self.size, 1 / self.size)
@@ -397,7 +398,7 @@
         if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
             op.maybe_at, op.maybe_node = sent, node
         for room in (node.room, self.gateway.room):
-            room.back(op, result == say.SUCCEEDED, now, self.terms.mean_units)
+            room.back(op, result, now, self.terms.mean_units)
         if result == say.SUCCEEDED:
             node.arrivals.append((now, -COLD_CREDIT * (self.terms.fall_multiple - 1) * op.units))
 
