--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -160,10 +160,11 @@
         return max(opens, sent + op.lane.quoted_time) if len(self.out) >= max(1, int(size)) else opens
 
     def back(self, op, result, now, mean_units):
-        if op not in self.out:
+        # Danger: nodes that are gone, cut off or failing shrink the room over all nodes for the others.
+        full, sent = len(self.out) >= int(self.size), self.out.pop(op, None)
+        if sent is None or self.whole and result in (say.UNREACHED, say.SEVERED, say.ERRORED):
             return
         good, soft = result == say.SUCCEEDED, self.whole or result in (say.SUCCEEDED, say.ERRORED)
-        full, sent = len(self.out) >= int(self.size), self.out.pop(op)
         pause = op.lane.quoted_time // (1 if self.whole else NODE_PAUSE)
         self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
         # Over all nodes a late answer speaks for its own alone: a part of what is out.
