--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,6 +32,8 @@
     def __init__(self):
         self.now, self.gateway, self.done, self.wakes, self.time_outs = 0, None, [], [], {}
         self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
+        self.lane("read")
+        self.plan("base")
 
     def execute(self, op_id, node, time_out):
         assert time_out >= 0
@@ -79,8 +81,7 @@
 
     def take(self, op_ids, *words):
         row = valued(words, {"lane": "read", "plan": "base", "vol": "v", "key": "", "left": 0, "units": 2.0,
-                             "cell": 0, "mounts": 1,
-                             "again": False})
+                             "cell": 0, "mounts": 1, "again": False})
         left = row["left"] * MS or self.lanes[row["lane"]].hard_stop
         for op_id in op_ids.split(","):
             self.gateway.taken(self.now, op_id, row["lane"], row["plan"], row["vol"], row["key"], left,
@@ -88,6 +89,7 @@
 
     def back(self, op_ids, result, *words):
         row = valued(words, {"others": 0.0, "use": 0})
+        self.gateway.act(self.now)
         for op_id in op_ids.split(","):
             self.gateway.answered(self.now, op_id, self.executions[op_id], result, result == say.SUCCEEDED,
                                   row["use"], row["others"])
