--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -333,12 +333,10 @@
             cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
         if due_opens > now or len(node.out) >= DEPTH_CAP:
             return None
-        typical = node.room.typical() if node.out else 0
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
-            # Danger: in a backlog only the oldest would leave, each just too late, and clients'
-            # retries, late already, would take the place of answers still in time.
-            while queue and queue[0].quoted_at < now + (typical if queue[0].taken_at < now else 1):
+            # Danger: clients' retries, late already, take the place of answers still in time.
+            while queue and queue[0].quoted_at <= now:
                 self.gateway.finish(queue[0], now)
             if not queue:
                 continue
