--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -382,10 +382,9 @@
         op.volume.charge(op.units)
         if not op.sends:
             op.volume.limit -= op.units
-        op.node, node.out[op] = node, now
-        node.room.out[op] = self.gateway.room.out[op] = now
+        op.node, op.sends = node, op.sends + 1
+        node.out[op] = node.room.out[op] = self.gateway.room.out[op] = now
         node.arrivals.append((now, op.units))
-        op.sends += 1
         # Danger: executions lost on the way use up the quoted time.  Also guards against a node that
         # hangs.  Harm: a jam of many answer times is taken for a loss, and its work is wasted.
         usual = node.room.typical() or self.gateway.room.typical() or op.lane.quoted_time
@@ -440,11 +439,13 @@
         lane = self.terms.lanes[lane]
         if volume not in self.volumes:
             self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self, now)
-        # Danger: a client's retry taken for a first try, or an impatient client's for a retry.  The
-        # client of a retry stops waiting when it would have for the first try.
+        # Danger: after a pause of this gateway's own, told by an overdue wake, what came meanwhile seems
+        # new; a retry taken for a first try, or a hurried client's first try for a retry.  The client of
+        # a retry stops waiting when it would have before.  Harm: hurried clients during a pause.
+        quoted_at = now + lane.quoted_time - max(0, min(now - self.wake_at, lane.hard_stop - left))
         tries = self.volumes[volume].tries
         quoted_at = next((quoted_at for its_key, ends_at, quoted_at in tries if its_key == key
-                          and (again or abs(ends_at - now - left) <= SAME_END)), now + lane.quoted_time)
+                          and (again or abs(ends_at - now - left) <= SAME_END)), quoted_at)
         stop_at = now + max(0, left - 2 * self.terms.tick)
         op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
                                          min(quoted_at, stop_at), stop_at)
@@ -532,9 +533,10 @@
                 self.finish(op, now)
             elif not (op.over or op.node or op.held):
                 self.forward(op, now)
+        self.wake_at = self.wake_at if self.wake_at > now else NEVER
         next_at = min([now + 1 if self.dirty else self.ask_at, self.times[0][0] if self.times else NEVER]
                       + [cell.try_at for cell in self.cells.values() if cell.queues])
-        if next_at < (self.wake_at if self.wake_at > now else NEVER):
+        if next_at < self.wake_at:
             self.wake_at = max(next_at, now + 1)
             self.out.wake(self.wake_at - now)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -94,6 +94,9 @@
             self.gateway.answered(self.now, op_id, self.executions[op_id], result, result == say.SUCCEEDED,
                                   row["use"], row["others"])
 
+    def pause(self, milliseconds):
+        self.now, self.wakes = self.now + int(milliseconds) * MS, []
+
     def timeout(self, op_id, milliseconds):
         assert self.time_outs[op_id] == int(milliseconds) * MS, f"{op_id}: {self.time_outs[op_id]}"
 
