--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -87,7 +87,7 @@
         self.limit = self.limit_cap if gateway.fresh else min(self.limit_cap, filled)
         self.bins, self.sum, self.quarter = [0.0] * QUARTERS, 0.0, now // QUARTER
         self.metered_at = now
-        self.tries = deque(maxlen=TRIES)   # of what was shed or terminated: key, hard stop, quoted until
+        self.tries = deque(maxlen=TRIES)   # of what is over: key, hard stop, when it was over, quoted until
 
     def advance(self, now):
         span, self.at = (now - self.at) / SECOND, now
@@ -440,12 +440,12 @@
         if volume not in self.volumes:
             self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self, now)
         # Danger: after a pause of this gateway's own, told by an overdue wake, what came meanwhile seems
-        # new; a retry taken for a first try, or a hurried client's first try for a retry.  The client of
-        # a retry stops waiting when it would have before.  Harm: hurried clients during a pause.
+        # new; a retry taken for a first try, or a hurried client's first try for a retry.  A retry's client
+        # stops waiting when it would have, or gave up early just now.  Harm: hurried runs on one key.
         quoted_at = now + lane.quoted_time - max(0, min(now - self.wake_at, lane.hard_stop - left))
-        tries = self.volumes[volume].tries
-        quoted_at = next((quoted_at for its_key, ends_at, quoted_at in tries if its_key == key
-                          and (again or abs(ends_at - now - left) <= SAME_END)), quoted_at)
+        quoted_at = next((quoted for its_key, ends_at, over_at, quoted in reversed(self.volumes[volume].tries)
+                          if its_key == key and (again or abs(ends_at - now - left) <= SAME_END
+                          or now - over_at <= SAME_END and left < lane.hard_stop)), quoted_at)
         stop_at = now + max(0, left - 2 * self.terms.tick)
         op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
                                          min(quoted_at, stop_at), stop_at)
@@ -501,7 +501,7 @@
 
     def end(self, op, now):
         op.over = True
-        op.volume.tries.append((op.key, op.stop_at + 2 * self.terms.tick, op.quoted_at))
+        op.volume.tries.append((op.key, op.stop_at + 2 * self.terms.tick, now, op.quoted_at))
         if op.held:
             self.pacing.remove(op)
         if not op.node:
