--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -325,18 +325,18 @@
         """When both rooms, so many times as large, let the next go to this node."""
         return max(node.room.opens(factor, now), self.gateway.room.opens(factor, now))
 
-    def choose(self, cell, node, now):
-        """The operation to go next to this node, or None; sets when to look again."""
+    def choose(self, cell, node, now):   # the operation to go next, or None; sets when to look again
         due_opens, opens = self.opens(node, DUE_FACTOR, now), self.opens(node, 1, now)
         if opens > now:
             self.gateway.waiting[cell] = True
             cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
         if due_opens > now or len(node.out) >= DEPTH_CAP:
             return None
+        typical = node.room.typical() if node.out else 0
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
-            # Danger: clients' retries, late already, take the place of answers still in time.
-            while queue and queue[0].quoted_at <= now:
+            # Danger: retries late already, or in a backlog the oldest, take the place of answers in time.
+            while queue and queue[0].quoted_at <= now + typical * (queue[0].taken_at < now):
                 self.gateway.finish(queue[0], now)
             if not queue:
                 continue
