--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,4 +1,3 @@
-"""Plays every scenario in tests/scenarios."""
 from pathlib import Path
 
 import pytest
