Gateway: SFTP codec, node protocol, edge, stand-ins and a virtual clock, first files through

Change: packages sftp, nodewire, files, settings, edge, standins, lab (event loop on a simulated clock). Each access to names or data is an operation of the module.

--- /dev/null
+++ b/rushmux/edge/edge.py
@@ -0,0 +1,77 @@
+"""An edge: the program that clients and nodes are connected to, from its start to its end."""
+import asyncio
+import random
+
+from rushmux.edge.cleaner import Cleaner
+from rushmux.edge.driver import Driver
+from rushmux.edge.links import Address, Links, Lists
+from rushmux.edge.session import Session
+from rushmux.edge.tree import Tree
+from rushmux.nodewire import VERSION, messages
+from rushmux.rules import Gateway
+from rushmux.settings.deployment import Deployment
+
+LINGER = 0.2             # seconds for the last answers to leave before connections close
+
+
+class Edge:
+    """One gateway.  `seed` is all its chance and must differ at every start; `epoch` is the calendar
+    time, in seconds since 1970, at the loop's clock of nought."""
+
+    def __init__(self, number: int, deployment: Deployment, lists: Address, seed: int, epoch: float, log,
+                 decisions=Gateway):
+        self.number, self.deployment, self.epoch = number, deployment, epoch
+        self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
+        self.log = log.bind(edge=self.name, start=self.start)
+        self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
+        self.closing, self.sessions, self.count, self.tasks = False, {}, 0, []
+
+    def serves(self, folder: str) -> bool:
+        edges = self.deployment.folders[folder].edges
+        return edges is None or self.number in edges
+
+    async def open(self, host: str, port: int) -> int:
+        """Begins to serve; the port that clients are taken on."""
+        loop = asyncio.get_running_loop()
+        hello = messages.Hello(version=VERSION, peer=self.name, start=self.start)
+        self.links = Links(hello, self.deployment.dial, self.deployment.links, self.chance, self.log)
+        self.driver = Driver(self.name, self.start, self.deployment, self.links, self.seed, self.log,
+                             self.chance, self.decisions)
+        self.cleaner = Cleaner(self.driver, self.log)
+        self.tree = Tree(self.deployment.files, self.driver.unique, lambda: int(self.epoch + loop.time()),
+                         self.cleaner.note)
+        lists = Lists(self.lists_at, hello, self.chance, self.log, self.driver.told)
+        self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
+        self.server = await asyncio.start_server(self.accept, host, port)
+        port = self.server.sockets[0].getsockname()[1]
+        self.log.info("edge.serves", host=host, port=port)
+        return port
+
+    async def accept(self, reader, writer):
+        if self.closing or len(self.sessions) >= self.deployment.sessions.most:
+            self.log.warning("session.turned_away", sessions=len(self.sessions))
+            writer.close()
+            return
+        self.count += 1
+        session = Session(self, f"{self.name}.{self.start}/s{self.count}", reader, writer)
+        self.sessions[session] = asyncio.current_task()
+        try:
+            await session.run()
+        finally:
+            del self.sessions[session]
+
+    async def close(self):
+        """Takes nothing new, answers what is held, and ends within the clients' patience."""
+        self.closing = True
+        self.server.close()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.deployment.sessions.patience
+        while any(session.tasks for session in self.sessions) and loop.time() < until:
+            await asyncio.sleep(LINGER / 4)
+        await asyncio.sleep(LINGER)
+        ending = list(self.sessions.values()) + self.tasks
+        for task in ending:
+            task.cancel()
+        await asyncio.gather(*ending, return_exceptions=True)
+        await self.links.close()
+        self.log.info("edge.ended")
--- /dev/null
+++ b/rushmux/edge/errand.py
@@ -0,0 +1,105 @@
+"""What one request of a client asks of the nodes: each access is one operation of the module."""
+import asyncio
+import zlib
+
+from rushmux.edge.driver import Driver, Shed, Terminated, Work
+from rushmux.files import paths
+from rushmux.nodewire import messages
+
+CONFLICTS = 12           # fresh looks of one request: more means a crowd that none gets through
+APART = 0.002            # seconds: two edges that took turns by chance alone are apart after a few
+MOST_APART = 0.2         # seconds: far under any client's time
+LEAST = 0.02             # seconds: with less left an operation is not begun
+
+
+class Lost(Exception):
+    """An object that a name points at is not there."""
+
+
+class Damaged(Exception):
+    """Data came back other than it was written."""
+
+
+class Errand:
+    """One client request in one folder, or a piece of background work: its time and its tag."""
+
+    def __init__(self, driver: Driver, folder: str, tag: str, until: float):
+        self.driver, self.folder, self.tag, self.until = driver, folder, tag, until
+        self.roles = driver.deployment.roles
+
+    async def again(self):
+        """Fresh looks after a change that others were ahead of; each comes a
+        drawn time later than the one before, until the tries or the time are used up."""
+        for attempt in range(CONFLICTS):
+            if attempt:
+                await asyncio.sleep(self.driver.chance.random() * min(MOST_APART, APART * 2 ** attempt))
+            yield attempt
+
+    async def run(self, role, key, units, cell, fill):
+        left = self.until - self.driver.loop.time()
+        if left < LEAST:
+            raise Shed()
+        return await self.driver.run(Work(self.roles[role], self.folder, key, units, cell, fill), left, self.tag)
+
+    async def names(self, role, key, units, fill):
+        cells = self.driver.cells
+        if not cells:                    # no list came yet
+            raise Shed()
+        answer = await self.run(role, key, units, paths.home(self.folder, cells), fill)
+        return answer.outcome
+
+    async def look(self, key: str, **fields) -> messages.Outcome:
+        """Reads rows of the folder's names; fields as in nodewire's Look."""
+        look = messages.Look(**fields)
+        return await self.names("look", key, 1.0, lambda execute: execute.look.CopyFrom(look))
+
+    async def change(self, key: str, checks, puts=(), drops=()):
+        """Changes rows, all or none; the rows put with their new versions, or None where a check
+        does not hold.  Terminated: it may have been done."""
+        change = messages.Change(
+            mark=self.driver.unique(), checks=[messages.Check(**check) for check in checks],
+            puts=[messages.Row(key=row, value=value) for row, value in puts], drops=drops)
+        size = sum(len(value) for _, value in puts)
+        outcome = await self.names("change", key, self.driver.deployment.units(size),
+                                   lambda execute: execute.change.CopyFrom(change))
+        return None if outcome.code == messages.CONFLICT else outcome.rows
+
+    async def fetch(self, cell: int, name: str, offset: int, length: int) -> bytes:
+        """Bytes of an object; Lost where it is not there, Damaged where they are not those written."""
+        read = messages.ReadObject(object=name, offset=offset, length=length)
+        answer = await self.run("read", name, self.driver.deployment.units(length), cell,
+                                lambda execute: execute.read.CopyFrom(read))
+        if answer.outcome.code == messages.MISSING:
+            raise Lost(name)
+        data = answer.outcome.data
+        if len(data) != length or zlib.crc32(data) != answer.outcome.crc:
+            raise Damaged(name)
+        return data
+
+    async def store(self, data: bytes) -> tuple[str, int]:
+        """Writes a new object where the module's pick says; its name and its cell."""
+        name = self.driver.unique()
+        write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
+        answer = await self.run("write", name, self.driver.deployment.units(len(data)), -1,
+                                lambda execute: execute.write.CopyFrom(write))
+        return name, answer.cell
+
+    async def clean(self, cell: int, names) -> None:
+        """Drops objects of one cell."""
+        drop = messages.DropObjects(objects=names)
+        await self.run("clean", "", 1.0, cell, lambda execute: execute.drop.CopyFrom(drop))
+
+
+async def together(*calls):
+    """Runs calls side by side; the first fault is raised after the others were called off."""
+    tasks = [asyncio.ensure_future(call) for call in calls]
+    try:
+        return await asyncio.gather(*tasks)
+    except BaseException:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        raise
+
+
+__all__ = ["Damaged", "Errand", "Lost", "Shed", "Terminated", "together"]
--- /dev/null
+++ b/rushmux/edge/links.py
@@ -0,0 +1,186 @@
+"""Connections of an edge to storage nodes: few, shared by all operations, re-opened with back-off.
+
+`Links.send` puts one execution on the way and later calls back once with how it came back, in
+the terms of `rushmux.interface`; never from within `send` itself.
+"""
+import asyncio
+from typing import Callable, NamedTuple, Optional
+
+from rushmux import interface as say
+from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+
+BACK_OFF = 0.05          # seconds after a first failed dial: a process restarts in some of these
+MOST_BACK_OFF = 2.0      # seconds: a node that returns is found again within this
+MOST_WAITING = 64        # executions that wait for one dial: six gateways' worth of the bound of ten
+MOST_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
+READ = 1 << 18           # bytes asked of the socket at once
+RESULTS = {messages.DONE: say.SUCCEEDED, messages.MISSING: say.SUCCEEDED, messages.CONFLICT: say.SUCCEEDED,
+           messages.FAILED: say.ERRORED, messages.BUSY: say.FULL}
+
+
+class Address(NamedTuple):
+    """Where a node listens."""
+    host: str
+    port: int
+
+
+class Link:
+    """One connection to a node, opened when something is to be sent."""
+
+    def __init__(self, links, node, address):
+        self.links, self.node, self.address = links, node, address
+        self.writer, self.task = None, None
+        self.waiting = {}        # corr -> execution that waits for the dial
+        self.out = {}            # corr -> what to call when it comes back
+        self.failures, self.not_before = 0, 0.0
+
+    def send(self, execute, done):
+        loop = asyncio.get_running_loop()
+        corr = execute.corr = self.links.number()
+        if self.writer is not None:
+            if self.writer.transport.get_write_buffer_size() > MOST_BUFFERED:
+                loop.call_soon(done, say.FULL, None)
+            else:
+                self.out[corr] = done
+                self.writer.write(frame(messages.Message(execute=execute)))
+        elif len(self.waiting) >= MOST_WAITING:
+            loop.call_soon(done, say.FULL, None)
+        elif self.task is None and loop.time() < self.not_before:
+            loop.call_soon(done, say.UNREACHED, None)
+        else:
+            self.waiting[corr], self.out[corr] = execute, done
+            if self.task is None:
+                self.task = loop.create_task(self.live())
+        return corr
+
+    def drop(self, corr):
+        """Forgets an execution that nobody waits for; one that was not sent yet never is."""
+        self.waiting.pop(corr, None)
+        self.out.pop(corr, None)
+
+    async def live(self):
+        """Dials, sends what waits, and reads answers until the connection ends."""
+        loop, writer, why = asyncio.get_running_loop(), None, "closed by the node"
+        try:
+            async with asyncio.timeout(self.links.dial):
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(frame(messages.Message(hello=self.links.hello)))
+                frames, early = Frames(), []
+                while not early:
+                    data = await reader.read(READ)
+                    if not data:
+                        raise WireFault("closed before a welcome")
+                    early = frames.feed(data)
+            # Danger: another process has the address now, or an older one of this node.
+            if early[0].WhichOneof("body") != "welcome" or early[0].welcome.peer != self.node:
+                raise WireFault(f"{early[0].welcome.peer or 'something'} answers at the address of {self.node}")
+            self.writer, self.failures = writer, 0
+            for execute in self.waiting.values():
+                writer.write(frame(messages.Message(execute=execute)))
+            self.waiting = {}
+            self.came(early[1:])
+            while data := await reader.read(READ):
+                self.came(frames.feed(data))
+        except (OSError, TimeoutError, WireFault) as fault:
+            why = str(fault) or type(fault).__name__
+        finally:
+            result = say.SEVERED if self.writer else say.UNREACHED
+            if not self.writer:
+                self.failures += 1
+                pause = min(MOST_BACK_OFF, BACK_OFF * 2 ** (self.failures - 1))
+                self.not_before = loop.time() + pause * (0.5 + self.links.chance.random() / 2)
+            if writer:
+                writer.close()
+            out, self.out, self.waiting, self.writer, self.task = self.out, {}, {}, None, None
+            self.links.log.info("link.ended", node=self.node, why=why, lost=len(out), result=result)
+            for done in out.values():
+                done(result, None)
+
+    def came(self, found):
+        for message in found:
+            if message.WhichOneof("body") != "outcome":
+                raise WireFault(f"{message.WhichOneof('body')} where an outcome belongs")
+            done = self.out.pop(message.outcome.corr, None)
+            if done is not None:     # else it was given up
+                done(RESULTS.get(message.outcome.code, say.ERRORED), message.outcome)
+
+    def close(self):
+        if self.task is not None:
+            self.task.cancel()
+
+
+class Sent(NamedTuple):
+    """An execution on its way: `drop` forgets it."""
+    link: Link
+    corr: int
+
+    def drop(self):
+        self.link.drop(self.corr)
+
+
+class Links:
+    """All connections of one edge.  `chance` draws the back-off; `log` takes events."""
+
+    def __init__(self, hello: messages.Hello, dial: float, per_node: int, chance, log):
+        self.hello, self.dial, self.per_node, self.chance, self.log = hello, dial, per_node, chance, log
+        self.nodes = {}          # node -> its links
+        self.count = 0
+
+    def number(self):
+        self.count += 1
+        return self.count
+
+    def listed(self, node: str, address: Optional[Address]):
+        """Takes in where a node listens; None: it is gone, and its links close."""
+        links = self.nodes.get(node, ())
+        if address is None or any(link.address != address for link in links):
+            for link in self.nodes.pop(node, ()):
+                link.close()
+        if address is not None:
+            self.nodes.setdefault(node, [Link(self, node, address) for _ in range(self.per_node)])
+
+    def send(self, node: str, execute: messages.Execute, done: Callable) -> Optional[Sent]:
+        """Sends one execution; `done(result, outcome)` is called once, later, unless it is dropped."""
+        links = self.nodes.get(node)
+        if not links:
+            asyncio.get_running_loop().call_soon(done, say.UNREACHED, None)
+            return None
+        link = min(links, key=lambda link: len(link.out))
+        return Sent(link, link.send(execute, done))
+
+    async def close(self):
+        tasks = [link.task for links in self.nodes.values() for link in links if link.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Lists:
+    """Follows the source of the list; reconnects with back-off and keeps the last list meanwhile."""
+
+    def __init__(self, address: Address, hello: messages.Hello, chance, log, told: Callable):
+        self.address, self.hello, self.chance, self.log, self.told = address, hello, chance, log, told
+
+    async def run(self):
+        """Until cancelled: calls `told(listing)` for each listing, in order."""
+        failures = 0
+        while True:
+            writer, why = None, "closed"
+            try:
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(frame(messages.Message(hello=self.hello)))
+                frames = Frames()
+                while data := await reader.read(READ):
+                    for message in frames.feed(data):
+                        if message.WhichOneof("body") == "listing":
+                            failures = 0
+                            self.told(message.listing)
+            except (OSError, WireFault) as fault:
+                why = str(fault)
+            finally:
+                if writer:
+                    writer.close()
+            failures += 1
+            pause = min(MOST_BACK_OFF, BACK_OFF * 2 ** failures) * (0.5 + self.chance.random() / 2)
+            self.log.info("list.lost", why=why, again_in=round(pause, 3))
+            await asyncio.sleep(pause)
--- /dev/null
+++ b/rushmux/edge/session.py
@@ -0,0 +1,383 @@
+"""One client's session: packets in, answers out, each request under its own time.
+
+A request becomes one or more operations through `Tree` and `OpenFile`.  Whatever happens to one
+request is its own answer; the session ends only where the stream itself cannot be followed.
+"""
+import asyncio
+import struct
+import time
+
+from rushmux.edge import turns
+from rushmux.edge.errand import Damaged, Errand, Lost, Shed, Terminated
+from rushmux.edge.openfile import OpenFile
+from rushmux.edge.tree import Refused, attributes, root_attributes
+from rushmux.edge.turns import Claim, Turns
+from rushmux.files import layout, paths
+from rushmux.sftp import packets as sftp
+
+MARGIN = 0.05            # seconds kept back from a client's time for the way of the answer
+READ = 1 << 17           # bytes asked of the socket at once
+UNSENT = 1 << 20         # bytes of answers not taken by the client before no more of it is read
+BLOCK = 4_096            # bytes in a block as statvfs counts them
+EXTENSIONS = (("posix-rename@openssh.com", b"1"), ("fsync@openssh.com", b"1"),
+              ("statvfs@openssh.com", b"2"))
+
+
+class Ended(Exception):
+    """The session cannot go on; the text is the reason that is logged."""
+
+
+class OpenDirectory:
+    """One handle's place in a listing."""
+
+    def __init__(self, folder, number, rows=None):
+        self.folder, self.number, self.rows, self.after, self.done = folder, number, rows, "", False
+
+
+def long_name(name, shown):
+    """A line as `ls -l` prints it, which old clients show as it is."""
+    kind = "d" if (shown.mode or 0) & sftp.DIRECTORY == sftp.DIRECTORY else "-"
+    bits = "".join(letter if (shown.mode or 0) >> shift & 1 else "-"
+                   for letter, shift in zip("rwxrwxrwx", range(8, -1, -1)))
+    when = time.strftime("%b %d  %Y", time.gmtime(shown.mtime or 0))
+    return f"{kind}{bits}    1 {shown.uid or 0:<8} {shown.gid or 0:<8} {shown.size or 0:8} {when} {name}"
+
+
+class Session:
+    """A connection of a client from its first byte to its last."""
+
+    def __init__(self, edge, name, reader, writer):
+        self.edge, self.name, self.reader, self.writer = edge, name, reader, writer
+        self.log = edge.log.bind(session=name)
+        self.bounds, self.loop = edge.deployment.sessions, asyncio.get_running_loop()
+        self.packets, self.turns, self.handles, self.tasks = sftp.Packets(), Turns(), {}, {}
+        self.ready, self.count, self.opened, self.begun_at = False, 0, 0, None
+        self.room = asyncio.Event()
+        self.calls = {
+            sftp.Open: self.open, sftp.Close: self.close, sftp.Read: self.read, sftp.Write: self.write,
+            sftp.LStat: self.stat, sftp.Stat: self.stat, sftp.FStat: self.handle_stat,
+            sftp.SetStat: self.set_stat, sftp.FSetStat: self.handle_set_stat, sftp.OpenDir: self.open_directory,
+            sftp.ReadDir: self.read_directory, sftp.Remove: self.remove, sftp.MkDir: self.make_directory,
+            sftp.RmDir: self.remove_directory, sftp.RealPath: self.real_path, sftp.Rename: self.rename,
+            sftp.Extended: self.extended}
+
+    async def run(self):
+        """Until the client leaves, breaks the protocol, or the edge closes."""
+        why = "left"
+        try:
+            while not self.edge.closing:
+                await self.take_some()
+        except Ended as reason:
+            why = str(reason)
+        except sftp.BadPacket as fault:
+            why = str(fault)
+        except (ConnectionError, OSError) as fault:
+            why = f"broken: {fault}"
+        finally:
+            if not self.edge.closing:
+                for task in list(self.tasks):
+                    task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            self.writer.close()
+            self.log.info("session.ended", why=why, requests=self.count)
+
+    async def take_some(self):
+        """Reads once and begins the requests that this completes."""
+        # Danger: a client that sends a byte a second holds a session with nothing ever whole.
+        left = None if self.begun_at is None else self.begun_at + self.bounds.packet - self.loop.time()
+        try:
+            async with asyncio.timeout(left):
+                data = await self.reader.read(READ)
+        except TimeoutError:
+            raise Ended(f"a packet not whole after {self.bounds.packet} s") from None
+        if not data:
+            raise Ended("left" if not self.packets.begun else "left within a packet")
+        bodies = self.packets.feed(data)
+        if not self.packets.begun:
+            self.begun_at = None
+        elif bodies or self.begun_at is None:
+            self.begun_at = self.loop.time()
+        for body in bodies:
+            await self.take(body)
+        await self.until_read()
+
+    async def until_read(self):
+        """Danger: a client that sends and never reads makes its answers pile up here."""
+        if self.writer.transport.get_write_buffer_size() > UNSENT:
+            try:
+                async with asyncio.timeout(self.bounds.unread):
+                    await self.writer.drain()
+            except TimeoutError:
+                raise Ended(f"nothing read for {self.bounds.unread} s") from None
+
+    async def take(self, body):
+        try:
+            packet = sftp.decode(body)
+        except sftp.BadPacket as fault:
+            if fault.request is None or not self.ready:
+                raise
+            self.count += 1
+            self.log.warning("packet.bad", why=str(fault))
+            return self.reply(self.status(fault.request, sftp.BAD_MESSAGE, str(fault)))
+        if not self.ready:
+            if not isinstance(packet, sftp.Init):
+                raise Ended(f"{type(packet).__name__} before Init")
+            self.ready = True
+            self.log.info("session.ready", version=packet.version)
+            pairs = EXTENSIONS + (("session@rushmux", self.name.encode()),)
+            return self.reply(sftp.Version(min(packet.version, sftp.VERSION), pairs))
+        if isinstance(packet, (sftp.Init, sftp.Version)) or sftp.TYPES.get(type(packet), (0,))[0] in range(101, 130):
+            raise Ended(f"{type(packet).__name__} in the middle of a session")
+        self.count += 1
+        while len(self.turns) >= self.bounds.pipelined:
+            self.room.clear()
+            await self.room.wait()
+        number, before = self.turns.enter(self.claim(packet))
+        task = self.loop.create_task(self.answer(packet, self.count, number, before))
+        self.tasks[task] = True
+        task.add_done_callback(self.tasks.pop)
+
+    def claim(self, packet) -> Claim:
+        """What the request touches."""
+        kind = type(packet)
+        held = self.handles.get(getattr(packet, "handle", None))
+        number = getattr(held, "number", None)
+        if kind is sftp.Read:
+            return Claim(turns.READ, number, packet.offset, packet.offset + packet.length)
+        if kind is sftp.Write:
+            if isinstance(held, OpenFile) and held.flags & sftp.APPEND:
+                return Claim(turns.ALTER, number)
+            return Claim(turns.WRITE, number, packet.offset, packet.offset + len(packet.data))
+        if kind in (sftp.Close, sftp.FSetStat, sftp.ReadDir):
+            return Claim(turns.ALTER, number)
+        if kind is sftp.FStat:
+            return Claim(turns.LOOK, number)
+        if kind in (sftp.Stat, sftp.LStat, sftp.OpenDir, sftp.RealPath):
+            return Claim(turns.LOOK)
+        if kind is sftp.Open and not packet.flags & (sftp.CREATE | sftp.TRUNCATE):
+            return Claim(turns.LOOK)
+        return Claim(turns.ALTER)
+
+    async def answer(self, packet, count, number, before):
+        """One request from its turn to its one answer."""
+        until = self.loop.time() + self.bounds.patience - MARGIN
+        tag = f"{self.name.rsplit('/', 1)[1]}.{count}"
+        try:
+            async with asyncio.timeout_at(until):
+                for over in before:
+                    await over
+                call = self.calls.get(type(packet))
+                if call is None:
+                    raise Refused(sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered")
+                reply = await call(packet, lambda folder: Errand(self.edge.driver, folder, tag, until))
+        except Refused as fault:
+            reply = self.status(packet.request, fault.code, str(fault))
+        except paths.BadPath as fault:
+            reply = self.status(packet.request, sftp.PERMISSION_DENIED, str(fault))
+        except Shed as fault:
+            again = f"; try again in {fault.come_back:.1f} s" if fault.come_back else ""
+            reply = self.status(packet.request, sftp.FAILURE, "shed: nothing was done" + again)
+        except (Terminated, TimeoutError):
+            reply = self.status(packet.request, sftp.FAILURE, "terminated: it may have been done")
+        except Lost as fault:
+            reply = self.status(packet.request, sftp.FAILURE, f"object {fault} is not on its node")
+        except Damaged as fault:
+            self.log.error("object.damaged", object=str(fault))
+            reply = self.status(packet.request, sftp.FAILURE, f"object {fault} came back damaged")
+        except Exception:   # pylint: disable=broad-except
+            self.log.exception("session.fault", request=type(packet).__name__)
+            reply = self.status(packet.request, sftp.FAILURE, "a fault of the gateway; it was logged")
+        finally:
+            self.turns.leave(number)
+            self.room.set()
+        self.reply(reply)
+
+    def reply(self, packet):
+        if not self.writer.transport.is_closing():
+            self.writer.write(sftp.encode(packet))
+
+    @staticmethod
+    def status(request, code=sftp.OK, text="done"):
+        return sftp.Status(request, code, text, "en")
+
+    def done(self, packet):
+        return self.status(packet.request)
+
+    # Paths and handles.
+
+    def place(self, path) -> tuple[str, tuple[str, ...]]:
+        """The folder and the names below it; ("", ()) is the root."""
+        names = paths.split(path)
+        if not names:
+            return "", ()
+        if names[0] not in self.edge.deployment.folders:
+            raise Refused(sftp.NO_SUCH_FILE, f"there is no folder '{names[0]}'")
+        if not self.edge.serves(names[0]):
+            raise Refused(sftp.PERMISSION_DENIED, f"folder '{names[0]}' is not served by this edge")
+        self.edge.cleaner.met(names[0])
+        return names[0], names[1:]
+
+    def inside(self, path):
+        """As `place`, for what must lie in a folder."""
+        folder, names = self.place(path)
+        if not names:
+            raise Refused(sftp.PERMISSION_DENIED, "folders are made and removed by the deployment file only")
+        return folder, names
+
+    def hold(self, packet, what):
+        self.opened += 1
+        handle = f"{self.name}/{self.opened}".encode()
+        self.handles[handle] = what
+        return sftp.Handle(packet.request, handle)
+
+    def room_for_handle(self):
+        if len(self.handles) >= self.bounds.handles:
+            raise Refused(sftp.FAILURE, f"{self.bounds.handles} handles are open, the most of a session")
+
+    def held(self, packet, kind):
+        what = self.handles.get(packet.handle)
+        if not isinstance(what, kind):
+            raise Refused(sftp.FAILURE, "no such handle in this session")
+        return what
+
+    # One for each kind of request: the packet and a maker of errands in, the reply out.
+
+    async def open(self, packet, errand):
+        self.room_for_handle()
+        folder, names = self.inside(packet.path)
+        if not packet.flags & (sftp.READ | sftp.WRITE):
+            raise Refused(sftp.BAD_MESSAGE, "a file is opened to read or to write")
+        found = await self.edge.tree.open(errand(folder), names, packet.flags, packet.attributes)
+        self.room_for_handle()
+        return self.hold(packet, OpenFile(self.edge.tree, folder, found, packet.flags))
+
+    async def close(self, packet, errand):
+        self.held(packet, (OpenFile, OpenDirectory))
+        del self.handles[packet.handle]
+        return self.done(packet)
+
+    async def read(self, packet, errand):
+        file = self.held(packet, OpenFile)
+        if not file.flags & sftp.READ:
+            raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to read")
+        data = await file.read(errand(file.folder), packet.offset, packet.length)
+        if packet.length and not data:
+            return self.status(packet.request, sftp.EOF, "end of file")
+        return sftp.Data(packet.request, data)
+
+    async def write(self, packet, errand):
+        file = self.held(packet, OpenFile)
+        if not file.flags & sftp.WRITE:
+            raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
+        if packet.data:
+            await file.write(errand(file.folder), packet.offset, packet.data)
+        return self.done(packet)
+
+    async def stat(self, packet, errand):
+        folder, names = self.place(packet.path)
+        if not names:
+            return sftp.Attrs(packet.request, root_attributes())
+        found = await self.edge.tree.existing(errand(folder), names)
+        return sftp.Attrs(packet.request, attributes(found.file))
+
+    async def handle_stat(self, packet, errand):
+        file = self.held(packet, OpenFile)
+        await file.load(errand(file.folder), (), self.loop.time())
+        return sftp.Attrs(packet.request, attributes(file.file))
+
+    async def set_stat(self, packet, errand):
+        folder, names = self.inside(packet.path)
+        once = errand(folder)
+        found = await self.edge.tree.existing(once, names)
+        await self.edge.tree.set_attributes(once, found.number, packet.attributes)
+        return self.done(packet)
+
+    async def handle_set_stat(self, packet, errand):
+        file = self.held(packet, OpenFile)
+        if packet.attributes.size is not None and not file.flags & sftp.WRITE:
+            raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
+        row, version = await self.edge.tree.set_attributes(errand(file.folder), file.number, packet.attributes)
+        file.file, file.version = row, version
+        file.blocks.clear()
+        return self.done(packet)
+
+    async def open_directory(self, packet, errand):
+        self.room_for_handle()
+        folder, names = self.place(packet.path)
+        if not folder:
+            served = [name for name in self.edge.deployment.folders if self.edge.serves(name)]
+            return self.hold(packet, OpenDirectory("", layout.ROOT, served))
+        if names:
+            found = await self.edge.tree.existing(errand(folder), names)
+            if not found.is_directory:
+                raise Refused(sftp.FAILURE, "/".join(names) + " is no directory")
+            number = found.number
+        else:
+            number = layout.ROOT
+        self.room_for_handle()
+        return self.hold(packet, OpenDirectory(folder, number))
+
+    async def read_directory(self, packet, errand):
+        held = self.held(packet, OpenDirectory)
+        rows = []
+        while not rows:
+            if held.done:
+                return self.status(packet.request, sftp.EOF, "end of the listing")
+            if held.rows is not None:
+                rows = [(name, root_attributes()) for name in held.rows[:100]]
+                held.rows = held.rows[100:]
+                held.done = not held.rows
+            else:
+                page, held.after = await self.edge.tree.page(errand(held.folder), held.number, held.after)
+                rows, held.done = [(name, attributes(file)) for name, file in page], not held.after
+        return sftp.Names(packet.request, [sftp.Name(name, long_name(name, shown), shown) for name, shown in rows])
+
+    async def remove(self, packet, errand):
+        folder, names = self.inside(packet.path)
+        await self.edge.tree.remove(errand(folder), names, directory=False)
+        return self.done(packet)
+
+    async def make_directory(self, packet, errand):
+        folder, names = self.inside(packet.path)
+        await self.edge.tree.make_directory(errand(folder), names, packet.attributes)
+        return self.done(packet)
+
+    async def remove_directory(self, packet, errand):
+        folder, names = self.inside(packet.path)
+        await self.edge.tree.remove(errand(folder), names, directory=True)
+        return self.done(packet)
+
+    async def real_path(self, packet, errand):
+        path = "/" + "/".join(paths.split(packet.path))
+        return sftp.Names(packet.request, [sftp.Name(path, path, sftp.Attributes())])
+
+    async def rename(self, packet, errand, replace=False):
+        folder, names = self.inside(packet.path)
+        other, target = self.inside(packet.target)
+        if folder != other:
+            raise Refused(sftp.PERMISSION_DENIED, "names do not move between folders")
+        await self.edge.tree.rename(errand(folder), names, target, replace)
+        return self.done(packet)
+
+    async def extended(self, packet, errand):
+        cursor = sftp.Cursor(memoryview(packet.data))
+        try:
+            if packet.name == "posix-rename@openssh.com":
+                moved = sftp.Rename(packet.request, cursor.text(), cursor.text())
+                return await self.rename(moved, errand, replace=True)
+            if packet.name == "fsync@openssh.com":
+                # What was answered as written lies on nodes already; earlier writes were waited for.
+                self.held(sftp.Close(packet.request, cursor.raw()), OpenFile)
+                return self.done(packet)
+            if packet.name == "statvfs@openssh.com":
+                self.place(cursor.text())
+                return sftp.ExtendedReply(packet.request, self.space())
+        except sftp.BadPacket as fault:
+            raise Refused(sftp.BAD_MESSAGE, f"{packet.name}: {fault}") from fault
+        raise Refused(sftp.OP_UNSUPPORTED, f"extension '{packet.name[:64]}' is not offered")
+
+    def space(self):
+        """The fields of statvfs: what the nodes in the list have, in blocks."""
+        total = sum(total for total, _ in self.edge.driver.disk.values()) // BLOCK
+        free = sum(free for _, free in self.edge.driver.disk.values()) // BLOCK
+        return struct.pack(">11Q", BLOCK, BLOCK, total, free, free, 0, 0, 0, 0, 0, paths.MOST_NAME)
--- /dev/null
+++ b/rushmux/settings/deployment.py
@@ -0,0 +1,179 @@
+"""The deployment file: JSON, checked against schema.json and for what a schema cannot say.
+
+`load` reads a file and gives a `Deployment`; `BadDeployment` lists every fault with its place.
+Decisions read `Terms` only; the rest concerns sessions and files.
+"""
+import json
+from pathlib import Path
+from typing import NamedTuple, Optional
+
+import jsonschema
+
+from rushmux import interface as say
+
+TICKS = 10           # ticks of the decisions (0.1 ms) in a millisecond
+SCHEMA = json.loads(Path(__file__).with_name("schema.json").read_text())
+
+
+class BadDeployment(Exception):
+    """A file that cannot be used; `faults` is a list of (place, what is wrong)."""
+
+    def __init__(self, source, faults):
+        super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
+        self.source, self.faults = source, faults
+
+
+class Folder(NamedTuple):
+    """A client folder: its plan, and the numbers of the edges that serve it (None: all)."""
+    plan: str
+    edges: Optional[tuple[int, ...]]
+
+
+class Sessions(NamedTuple):
+    """Bounds of client sessions; times in seconds."""
+    patience: float
+    most: int
+    handles: int
+    pipelined: int
+    packet: float
+    unread: float
+
+
+class Files(NamedTuple):
+    """How files are cut: bytes of an object, extents of a block, seconds that names stay fresh."""
+    object_bytes: int
+    extents: int
+    fresh: float
+    unit_bytes: int
+
+
+class Deployment(NamedTuple):
+    """Everything that a deployment file states."""
+    terms: say.Terms
+    roles: dict[str, str]
+    folders: dict[str, Folder]
+    sessions: Sessions
+    files: Files
+    drain_grace: float      # seconds
+    dial: float             # seconds
+    links: int
+
+    def units(self, size: int) -> float:
+        """Units of an operation that moves `size` bytes."""
+        return min(self.terms.most_units, float(max(1, -(-size // self.files.unit_bytes))))
+
+    def mounts(self, folder: str) -> int:
+        """Through how many edges the folder works."""
+        edges = self.folders[folder].edges
+        return len(edges) if edges else self.terms.gateways
+
+
+def _filled(schema, value):
+    """`value` with the schema's defaults put in."""
+    if not isinstance(value, dict):
+        return value
+    named, other = schema.get("properties", {}), schema.get("additionalProperties")
+    filled = {name: part["default"] for name, part in named.items() if "default" in part}
+    filled.update({name: _filled(named.get(name, other if isinstance(other, dict) else {}), part)
+                   for name, part in value.items()})
+    return filled
+
+
+def _place(path):
+    return "/" + "/".join(str(part) for part in path)
+
+
+def _faults(raw):
+    checker = jsonschema.Draft202012Validator(SCHEMA)
+    found = [(_place(fault.absolute_path), fault.message) for fault in checker.iter_errors(raw)]
+    if found:
+        return sorted(found)
+    for name, lane in raw["lanes"].items():
+        if lane["quoted_ms"] > lane["hard_stop_ms"]:
+            found.append((f"/lanes/{name}/quoted_ms",
+                          f"{lane['quoted_ms']} is past the hard stop of {lane['hard_stop_ms']}"))
+        if lane["repeat"] == "referenced" and not lane.get("window_ms"):
+            found.append((f"/lanes/{name}/window_ms", "a referenced lane needs the time that repeats are known"))
+    for role, lane in raw["roles"].items():
+        if lane not in raw["lanes"]:
+            found.append((f"/roles/{role}", f"there is no lane '{lane}'; there are {', '.join(raw['lanes'])}"))
+        elif role == "change" and raw["lanes"][lane]["repeat"] == "replayable":
+            found.append((f"/roles/{role}", f"lane '{lane}' is replayable; a change of names must not run twice"))
+        elif role == "change" and raw["lanes"][lane].get("group") != "cell":
+            found.append((f"/roles/{role}", f"lane '{lane}' must state group 'cell': only it knows a mark again"))
+    fleet = raw["fleet"]
+    most = fleet.get("most_units", 8)
+    for name, plan in raw["plans"].items():
+        if plan["reserve"] > plan["nominal"]:
+            found.append((f"/plans/{name}/reserve", f"{plan['reserve']} is over the nominal {plan['nominal']}"))
+        if plan.get("limit") and plan.get("burst", 0) < most * fleet["gateways"]:
+            found.append((f"/plans/{name}/burst", f"{plan.get('burst', 0)} is under {most * fleet['gateways']}: "
+                          "one largest operation for each gateway, or a part of the burst holds none"))
+    for name, folder in raw["folders"].items():
+        if folder["plan"] not in raw["plans"]:
+            found.append((f"/folders/{name}/plan", f"there is no plan '{folder['plan']}'"))
+        if name in (".", ".."):
+            found.append((f"/folders/{name}", "this name means another folder in a path"))
+        for place, number in enumerate(folder.get("edges", ())):
+            if number >= fleet["gateways"]:
+                found.append((f"/folders/{name}/edges/{place}", f"edge {number} of {fleet['gateways']}"))
+    largest = raw.get("files", {}).get("object_bytes", 262_144)
+    if fleet.get("unit_bytes", 32_768) * most < largest:
+        found.append(("/files/object_bytes", f"{largest} bytes count more than most_units {most}"))
+    patience = raw.get("sessions", {}).get("patience_ms", 8_000)
+    for role, name in raw["roles"].items():
+        if raw["lanes"][name]["hard_stop_ms"] + 100 > patience:
+            found.append(("/sessions/patience_ms", f"{patience} leaves no time to answer after the hard stop "
+                          f"of lane '{name}' for {role}"))
+    return found
+
+
+def ticks(milliseconds: float) -> int:
+    """Whole ticks of a time, rounded up."""
+    return -int(-milliseconds * TICKS // 1)
+
+
+def build(raw: dict, source: str = "deployment") -> Deployment:
+    """The deployment that `raw` states; BadDeployment with all its faults."""
+    faults = _faults(raw)
+    if faults:
+        raise BadDeployment(source, faults)
+    raw = _filled(SCHEMA, {"sessions": {}, "files": {}, **raw})
+    fleet, budget = raw["fleet"], raw["fleet"].get("budget")
+    lanes = {name: say.Lane(name, ticks(row["quoted_ms"]), ticks(row["hard_stop_ms"]), row["utility"],
+                            row["repeat"], row["group"], int(row["window_ms"] * TICKS), row["in_order"])
+             for name, row in raw["lanes"].items()}
+    plans = {name: say.Plan(name, **row) for name, row in raw["plans"].items()}
+    terms = say.Terms(
+        lanes=lanes, plans=plans, gateways=fleet["gateways"], tick=ticks(fleet["tick_ms"]),
+        list_asked=False, ask_within=0, executions=fleet["executions"], come_back=ticks(fleet["come_back_ms"]),
+        mean_units=fleet["mean_units"], most_units=fleet["most_units"], cold_units=fleet["cold_units"],
+        cold_span=ticks(fleet["cold_span_ms"]), fall_multiple=fleet["fall_multiple"],
+        cold_start=fleet["cold_start"], warm_within=ticks(fleet["warm_within_ms"]),
+        meter_span=ticks(fleet["meter_span_ms"]), order_rest=ticks(fleet["order_rest_ms"]),
+        budget_share=budget and budget["share"], budget_free=budget["free"] if budget else 0,
+        budget_span=ticks(budget["span_ms"]) if budget else 0)
+    bounds, files = raw["sessions"], raw["files"]
+    return Deployment(
+        terms=terms, roles=raw["roles"],
+        folders={name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
+                 for name, row in raw["folders"].items()},
+        sessions=Sessions(bounds["patience_ms"] / 1000, bounds["most"], bounds["handles"], bounds["pipelined"],
+                          bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
+        files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
+        drain_grace=fleet["drain_grace_ms"] / 1000, dial=fleet["dial_ms"] / 1000, links=fleet["links"])
+
+
+def load(path) -> Deployment:
+    """Reads a deployment file; BadDeployment where it cannot be read, is no JSON or has faults."""
+    try:
+        raw = json.loads(Path(path).read_text())
+    except OSError as fault:
+        raise BadDeployment(path, [("/", f"cannot be read: {fault.strerror}")]) from fault
+    except json.JSONDecodeError as fault:
+        raise BadDeployment(path, [(f"line {fault.lineno}, column {fault.colno}", fault.msg)]) from fault
+    except UnicodeDecodeError as fault:
+        raise BadDeployment(path, [("/", f"is not UTF-8: {fault.reason} at byte {fault.start}")]) from fault
+    if not isinstance(raw, dict):
+        raise BadDeployment(path, [("/", "the file must hold one object")])
+    return build(raw, str(path))
--- /dev/null
+++ b/rushmux/standins/fleet.py
@@ -0,0 +1,125 @@
+"""A whole fleet on the virtual clock: list source, nodes, edges and clients in one process."""
+import asyncio
+import random
+
+from rushmux import log
+from rushmux.edge.edge import Edge
+from rushmux.edge.links import Address
+from rushmux.lab.loop import VirtualLoop, run
+from rushmux.rules import Gateway
+from rushmux.settings.deployment import Deployment
+from rushmux.standins.client import Client
+from rushmux.standins.engine import Shape
+from rushmux.standins.lists import ListSource
+from rushmux.standins.node import Node
+from rushmux.standins.store import Store
+
+HOST = "127.0.0.1"
+DISK = 1 << 30           # bytes of a node's disk where a test says nothing else
+EPOCH = 1_800_000_000.0  # calendar time at nought of the virtual clock
+
+
+class Part:
+    """A program of the fleet and the process it runs in."""
+
+    def __init__(self, process, program, port):
+        self.process, self.program, self.port = process, program, port
+
+    @property
+    def address(self):
+        return Address(HOST, self.port)
+
+
+def shape_of(deployment: Deployment, **other) -> Shape:
+    """A machine as the deployment states it."""
+    terms = deployment.terms
+    return Shape(cold_start=terms.cold_start, warm_within=terms.warm_within / 10_000,
+                 fall_multiple=terms.fall_multiple, cold_span=terms.cold_span / 10_000, **other)
+
+
+class VirtualFleet:
+    """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
+
+    def __init__(self, loop: VirtualLoop, deployment: Deployment, seed: int, lag=1.0, decisions=Gateway,
+                 level="info", disk=DISK, **shape):
+        self.loop, self.deployment, self.chance = loop, deployment, random.Random(seed)
+        self.lag, self.decisions, self.disk = lag, decisions, disk
+        self.shape = shape_of(deployment, **shape)
+        self.records, self.logs = [], []
+        self.log = log.to_list(self.logs, level)
+        self.nodes, self.edges, self.stores, self.lists = {}, {}, {}, None
+
+    def record(self, kind, **fields):
+        self.records.append({"kind": kind, "at": self.loop.time(), **fields})
+
+    def seed(self):
+        return self.chance.getrandbits(48)
+
+    async def up(self, nodes: int, edges: int):
+        """Starts everything, nodes warm, and waits until the edges know the list."""
+        terms = self.deployment.terms
+        process = self.loop.process("lists")
+        source = ListSource(nodes, self.lag, self.log, self.record, period=terms.meter_span / 10_000,
+                            rates={name: terms.plans[folder.plan].nominal
+                                   for name, folder in self.deployment.folders.items()}, obeys=True)
+        self.lists = Part(process, source, await process.spawn(source.open(HOST, 0)))
+        for cell in range(nodes):
+            await self.node(f"node{cell}", cell, cold=False)
+        for number in range(edges):
+            await self.edge(number)
+        while not all(part.program.driver.cells for part in self.edges.values()):
+            await self.sleep(0.05)
+
+    async def sleep(self, seconds):
+        await asyncio.sleep(seconds)
+
+    def window(self):
+        """Seconds for which a node knows the mark of a change again, with room for the way to it."""
+        return self.deployment.terms.lanes[self.deployment.roles["change"]].window / 10_000 + 1
+
+    async def node(self, name, cell, cold=True, empty=False, disk=None):
+        """Starts a node; one of a known name has what it held before, unless it is to be empty."""
+        if empty or name not in self.stores:
+            self.stores[name] = Store(":memory:", cell, disk or self.disk, self.window())
+        process = self.loop.process(name)
+        program = Node(name, cell, f"z{cell % 2}", self.stores[name], self.lists.address, self.shape,
+                       self.seed(), cold, self.log, self.record, obeys=True)
+        self.nodes[name] = Part(process, program, await process.spawn(program.open(HOST, 0)))
+        return self.nodes[name]
+
+    def kill_node(self, name):
+        self.record("killed", node=name)
+        self.nodes[name].process.kill()
+        self.stores[name].crashed()
+
+    async def edge(self, number):
+        """Starts an edge, anew where it ran before."""
+        process = self.loop.process(f"edge{number}")
+        program = Edge(number, self.deployment, self.lists.address, self.seed(), EPOCH, self.log, self.decisions)
+        self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
+        return self.edges[number]
+
+    def kill_edge(self, number):
+        self.record("killed", edge=f"edge{number}", start=self.edges[number].program.start)
+        self.edges[number].process.kill()
+
+    async def client(self, number) -> Client:
+        """A session with an edge."""
+        return await Client(self.record).connect(*self.edges[number].address)
+
+    def all_records(self):
+        """What the stand-ins saw and the edges were told, in the order of time."""
+        told = [{"kind": "told", "at": row["at"], "edge": row["edge"], "start": row["start"],
+                 "whole": row["whole"], "nodes": row["nodes"]}
+                for row in self.logs if row["event"] == "list.told"]
+        return sorted(self.records + told, key=lambda row: row["at"])
+
+
+def play(deployment: Deployment, seed: int, story, nodes=4, edges=2, **fleet):
+    """Brings a fleet up on a virtual clock and plays `story(fleet)`; the fleet, and what that gave."""
+    async def whole(loop):
+        made = VirtualFleet(loop, deployment, seed, **fleet)
+        await made.up(nodes, edges)
+        return made, await story(made)
+
+    return run(whole, seed)
