--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -15,6 +15,7 @@
 
 SECOND = 10_000          # ticks in a second
 MOST_TAKEN = 20_000      # operations held at a time; beyond it they are shed at the door
+MOST_STARTS = 4          # starts of a node kept, against late words of an older one
 MOST_LISTED = 10_000     # nodes in a listing: beyond any fleet this is for
 
 
@@ -65,6 +66,8 @@
         self.taken, self.count, self.inbox, self.scheduled = {}, 0, [], False
         self.names = 0
         self.cells, self.node_cell, self.online = 0, {}, {}
+        self.entries = {}                # node -> as the module was last told of it
+        links.met = self.greeted
         self.disk = {}                   # node -> (total, free) bytes
         self.timer = None
         self.gateway = decisions(deployment.terms, seed, self.now(), self)
@@ -112,16 +115,13 @@
                 self.log.warning("list.entry.refused", node=entry.node, cell=entry.cell,
                                  condition=entry.condition)
                 continue
-            # The start of a node is put on this clock once; hearing of it late makes it seem younger.
-            since = self.online.get(entry.node, ("", 0))
-            if since[0] != entry.start:
-                warm = entry.age >= self.deployment.terms.warm_within
-                since = self.online[entry.node] = entry.start, 0 if warm else max(1, now - entry.age)
+            since = self.online_since(now, entry.node, entry.start, entry.age)
             gone = entry.condition == say.GONE
             self.links.listed(entry.node, None if gone else Address(entry.host, entry.port))
             self.node_cell[entry.node] = entry.cell
             self.disk[entry.node] = (0, 0) if gone else (entry.total, entry.free)
-            entries.append(say.Listed(entry.node, entry.cell, entry.zone, entry.condition, since[1]))
+            entries.append(say.Listed(entry.node, entry.cell, entry.zone, entry.condition, since))
+            self.entries[entry.node] = entries[-1]
         if listing.whole:
             named = {entry.node for entry in entries}
             for node in [node for node in self.links.nodes if node not in named]:
@@ -133,6 +133,30 @@
         kind = say.WHOLE if listing.whole else say.CHANGES
         self.event(lambda now: self.guarded(None, self.gateway.listed, now, kind, entries))
 
+    def online_since(self, now, node, start, age):
+        """When a node started, on this clock, put down once; 0: long ago.  A later start is believed
+        from whoever tells of it first, and an older one no more."""
+        known = self.online.get(node)
+        if known is None or start not in known:
+            since = 0 if age >= self.deployment.terms.warm_within else max(1, now - age)
+            if known is not None and since <= max(known.values()):
+                return max(known.values())
+            known = self.online[node] = {**(known or {}), start: since}
+            while len(known) > MOST_STARTS:
+                del known[next(iter(known))]
+        return max(known.values())
+
+    def greeted(self, node, start, age):
+        """Danger: a node that restarted is cold, and the list will say so only seconds later."""
+        entry = self.entries.get(node)
+        if entry is None:
+            return
+        since = self.online_since(self.now(), node, start, age)
+        if since != entry.online_since:
+            self.entries[node] = entry = entry._replace(online_since=since)
+            self.log.info("node.restarted", node=node, start=start)
+            self.event(lambda now: self.guarded(None, self.gateway.listed, now, say.CHANGES, [entry]))
+
     async def run(self, work: Work, left: float, tag: str) -> Answer:
         """Has one operation done within `left` seconds; raises Shed or Terminated."""
         if len(self.taken) >= MOST_TAKEN:
--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -27,13 +27,10 @@
         self.driver, self.folder, self.tag, self.until = driver, folder, tag, until
         self.roles = driver.deployment.roles
 
-    async def again(self):
-        """Fresh looks after a change that others were ahead of; each comes a
-        drawn time later than the one before, until the tries or the time are used up."""
-        for attempt in range(CONFLICTS):
-            if attempt:
-                await asyncio.sleep(self.driver.chance.random() * min(MOST_APART, APART * 2 ** attempt))
-            yield attempt
+    async def apart(self, attempt: int):
+        """Waits a drawn time before a fresh look; the first of them waits for nothing."""
+        if attempt:
+            await asyncio.sleep(self.driver.chance.random() * min(MOST_APART, APART * 2 ** attempt))
 
     async def run(self, role, key, units, cell, fill):
         left = self.until - self.driver.loop.time()
@@ -51,7 +48,7 @@
     async def look(self, key: str, **fields) -> messages.Outcome:
         """Reads rows of the folder's names; fields as in nodewire's Look."""
         look = messages.Look(**fields)
-        return await self.names("look", key, 1.0, lambda execute: execute.look.CopyFrom(look))
+        return await self.names("look", f"{self.folder}/{key}", 1.0, lambda execute: execute.look.CopyFrom(look))
 
     async def change(self, key: str, checks, puts=(), drops=()):
         """Changes rows, all or none; the rows put with their new versions, or None where a check
@@ -60,7 +57,7 @@
             mark=self.driver.unique(), checks=[messages.Check(**check) for check in checks],
             puts=[messages.Row(key=row, value=value) for row, value in puts], drops=drops)
         size = sum(len(value) for _, value in puts)
-        outcome = await self.names("change", key, self.driver.deployment.units(size),
+        outcome = await self.names("change", f"{self.folder}/{key}", self.driver.deployment.units(size),
                                    lambda execute: execute.change.CopyFrom(change))
         return None if outcome.code == messages.CONFLICT else outcome.rows
 
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -74,6 +74,7 @@
             # Danger: another process has the address now, or an older one of this node.
             if early[0].WhichOneof("body") != "welcome" or early[0].welcome.peer != self.node:
                 raise WireFault(f"{early[0].welcome.peer or 'something'} answers at the address of {self.node}")
+            self.links.met(self.node, early[0].welcome.start, early[0].welcome.age)
             self.writer, self.failures = writer, 0
             for execute in self.waiting.values():
                 writer.write(frame(messages.Message(execute=execute)))
@@ -124,6 +125,7 @@
     def __init__(self, hello: messages.Hello, dial: float, per_node: int, chance, log):
         self.hello, self.dial, self.per_node, self.chance, self.log = hello, dial, per_node, chance, log
         self.nodes = {}          # node -> its links
+        self.met = lambda node, start, age: None   # hears of each greeting: the node's start and its age
         self.count = 0
 
     def number(self):
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections import OrderedDict
 
-from rushmux.edge.errand import Errand, Lost, Shed, Terminated, together
+from rushmux.edge.errand import CONFLICTS, Errand, Lost, Shed, Terminated, together
 from rushmux.edge.tree import Refused, Tree, contended
 from rushmux.files import layout
 from rushmux.files.layout import Extent
@@ -158,7 +158,8 @@
         False where it has another."""
         numbers = list(dict.fromkeys(number for laid in batch for number, _ in laid.extents))
         since = self.loop.time() - self.tree.files.fresh
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             await self.load(errand, numbers, since)
             if exact is not None and self.version != exact:
                 return False
@@ -212,7 +213,8 @@
 
     async def append(self, errand, data):
         """Writes at the end, wherever that is by then: two edges that append lose nothing."""
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             await self.load(errand, (), self.loop.time())
             offset, version = self.file.size, self.version
             extents = await self.store(errand, offset, data)
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/tree.py
@@ -5,7 +5,7 @@
 """
 from typing import NamedTuple, Optional
 
-from rushmux.edge.errand import Errand
+from rushmux.edge.errand import CONFLICTS, Errand
 from rushmux.files import layout
 from rushmux.files.layout import ROOT, File
 from rushmux.sftp import packets as sftp
@@ -104,7 +104,8 @@
 
     async def open(self, errand, names, flags, asked) -> Found:
         """The file to open, made or emptied as the flags say."""
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             found = await self.find(errand, names)
             if found.file is None:
                 if not flags & sftp.CREATE:
@@ -135,7 +136,7 @@
         number = self.unique()
         entry, row = layout.entry_key(found.parent, found.name), layout.file_key(number)
         done = await errand.change(
-            found.parent, [*found.parent_check(), {"key": entry}],
+            f"{found.parent}/{found.name}", [*found.parent_check(), {"key": entry}],
             [(entry, layout.pack_entry(number, file.kind)), (row, layout.pack_file(file))])
         if done is None:
             return None
@@ -152,7 +153,8 @@
         return found._replace(file=file, version=done[0].version)
 
     async def make_directory(self, errand, names, asked):
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             found = await self.find(errand, names)
             if found.file is not None:
                 raise Refused(sftp.FAILURE, "/".join(names) + " exists")
@@ -162,7 +164,8 @@
 
     async def remove(self, errand, names, directory):
         """Removes a file, or an empty directory."""
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             found = await self.existing(errand, names)
             if found.is_directory != directory:
                 kind = "is a directory" if found.is_directory else "is no directory"
@@ -185,7 +188,8 @@
 
     async def rename(self, errand, names, target, replace):
         """Moves a name within the folder; `replace`: over a file, or an empty directory, in one step."""
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             found = await self.existing(errand, names)
             other = await self.find(errand, target)
             if found.number == other.number:
@@ -220,7 +224,8 @@
     async def set_attributes(self, errand, number, asked: sftp.Attributes) -> tuple[File, int]:
         """Changes attributes of a file by its id, its size among them; the row and its version."""
         key = layout.file_key(number)
-        async for _ in errand.again():
+        for attempt in range(CONFLICTS):
+            await errand.apart(attempt)
             rows = (await errand.look(number, keys=[key])).rows
             if not rows:
                 raise Refused(sftp.NO_SUCH_FILE, "the file was removed")
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -103,6 +103,19 @@
         self.record("killed", edge=f"edge{number}", start=self.edges[number].program.start)
         self.edges[number].process.kill()
 
+    def cell_of(self, name):
+        return self.nodes[name].program.cell
+
+    async def replace(self, name, new):
+        """Takes a node away and starts a new, empty one for its cell."""
+        cell = self.cell_of(name)
+        self.kill_node(name)
+        await self.node(new, cell)
+
+    async def trouble(self, target, kind, size=0.0, seconds=0.0):
+        part = self.lists if target == "lists" else self.nodes[target]
+        part.process.context.run(part.program.begin, kind, size, seconds)
+
     async def client(self, number) -> Client:
         """A session with an edge."""
         return await Client(self.record).connect(*self.edges[number].address)
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -77,10 +77,12 @@
 
     # Towards the list source.
 
+    def age(self):
+        return int((self.loop.time() - self.began + (0 if self.cold else self.shape.warm_within)) * 10_000)
+
     def report(self):
-        age = self.loop.time() - self.began + (0 if self.cold else self.shape.warm_within)
         entry = messages.Entry(node=self.name, host=self.host, port=self.port, cell=self.cell, zone=self.zone,
-                               condition=self.condition, start=self.start, age=int(age * 10_000),
+                               condition=self.condition, start=self.start, age=self.age(),
                                total=self.store.limit, free=self.store.free)
         used = [messages.Used(volume=folder, units=units) for folder, units in self.served.period.items()]
         self.served.period = {}
@@ -150,21 +152,24 @@
         if kind == "stuck":              # what was held for lost runs now
             stuck, self.stuck = self.stuck, []
             for peer, body in stuck:
-                self.execute(peer, body)
+                self.serve(peer, body, body.WhichOneof("what"))
 
     def execute(self, peer: Peer, body: messages.Execute):
         if self.fallen:
             return
+        what = body.WhichOneof("what")
+        self.record("execution", node=self.name, cell=self.cell, edge=peer.hello.peer, op=body.op,
+                    execution=body.execution, volume=body.volume, lane=body.lane, key=body.key,
+                    units=body.units, what=what, time_out=body.time_out)
         if "lost" in self.trouble and self.chance.random() < self.trouble["lost"]:
             return
         if "stuck" in self.trouble:
             if len(self.stuck) < HOLD_MOST:
                 self.stuck.append((peer, body))
             return
-        what = body.WhichOneof("what")
-        self.record("execution", node=self.name, cell=self.cell, edge=peer.hello.peer, op=body.op,
-                    execution=body.execution, volume=body.volume, lane=body.lane, key=body.key,
-                    units=body.units, what=what, time_out=body.time_out)
+        self.serve(peer, body, what)
+
+    def serve(self, peer, body, what):
         if "errors" in self.trouble and self.chance.random() < self.trouble["errors"]:
             self.answer(peer, body, messages.Outcome(code=messages.FAILED, error="in trouble"))
             return
--- a/rushmux/standins/peers.py
+++ b/rushmux/standins/peers.py
@@ -58,7 +58,7 @@
                 raise WireFault("no greeting, or one of another version")
             peer = Peer(writer, hello.hello)
             self.peers[writer] = peer, asyncio.current_task()
-            peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start))
+            peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start, age=self.age()))
             self.met(peer)
             while True:
                 for message in found:
@@ -77,6 +77,10 @@
                 self.left(peer)
                 self.log.debug("peer.left", peer=peer.hello.peer, why=why)
 
+    def age(self):
+        """Tenths of a millisecond since the start, as far as that matters to a peer."""
+        return 0
+
     def met(self, peer):
         """A peer has greeted."""
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -5,10 +5,11 @@
 
 import pytest
 
+from rushmux.settings import deployment
 from rushmux.settings.deployment import build
 from rushmux.standins import fleet
 
-EXAMPLE = json.loads((Path(__file__).parents[2] / "deploy" / "example.json").read_text())
+EXAMPLE = json.loads((Path(deployment.__file__).with_name("example.json")).read_text())
 
 
 @pytest.fixture
