Command line: edge, node, lists, connect, check, up and demo over real processes

Change: sub-commands with click, a process fleet whose parts end with their starter, report of service and rules, restarted nodes known from their greeting.

--- /dev/null
+++ b/rushmux/cli/main.py
@@ -0,0 +1,236 @@
+"""The command line: the only place that reads arguments, the wall clock and the machine's chance."""
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from rushmux import log
+from rushmux.settings import deployment as deployments
+
+EXAMPLE = Path(deployments.__file__).with_name("example.json")
+LEVELS = click.Choice(sorted(log.LEVELS))
+
+
+class Place(click.ParamType):
+    """HOST:PORT of this machine or another."""
+    name = "host:port"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, tuple):
+            return value
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65_535:
+            self.fail(f"'{value}' is no HOST:PORT", param, ctx)
+        return host, int(port)
+
+
+def deployed(path):
+    try:
+        return deployments.load(path)
+    except deployments.BadDeployment as fault:
+        raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
+
+
+def common(command):
+    """Options of every part that runs until it is told to end."""
+    for option in (
+            click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example"),
+            click.option("--listen", type=Place(), default="127.0.0.1:0", show_default=True),
+            click.option("--seed", type=int, help="all of its chance; must differ at every start"),
+            click.option("--records", type=click.Path(), help="write what its sockets see to this file"),
+            click.option("--log-level", type=LEVELS, default="info", show_default=True),
+            click.option("--with-parent", is_flag=True, help="end when standard input closes")):
+        command = option(command)
+    return command
+
+
+def recorder(path, loop):
+    """Writes rows, each whole and at once, so that a kill costs none."""
+    if path is None:
+        return lambda kind, **fields: None
+    sink = open(path, "ab", buffering=0)
+
+    def record(kind, **fields):
+        import orjson
+        sink.write(orjson.dumps({"kind": kind, "at": loop.time(), **fields}) + b"\n")
+    return record
+
+
+def new_seed(seed):
+    return int.from_bytes(os.urandom(6), "big") if seed is None else seed
+
+
+async def serve(part, listen, with_parent, **said):
+    """Opens a part, says where it listens, and closes it on SIGTERM, SIGINT or the parent's end."""
+    loop, ended = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    if with_parent:
+        reader = asyncio.StreamReader()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        watch = loop.create_task(reader.read(1))
+        watch.add_done_callback(lambda _: ended.set())
+    try:
+        port = await part.open(*listen)
+    except OSError as fault:
+        raise click.ClickException(f"cannot listen at {listen[0]}:{listen[1]}: {fault.strerror}") from fault
+    import orjson
+    click.echo(orjson.dumps({"port": port, **said}))
+    await ended.wait()
+    await part.close()
+
+
+@click.group()
+def main():
+    """rushmux: a storage gateway, and the stand-ins it is tried against."""
+
+
+@main.command()
+@common
+@click.option("--number", type=int, default=0, show_default=True, help="which of the deployment's edges this is")
+@click.option("--lists", type=Place(), required=True, help="source of the list of nodes")
+@click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module", show_default=True)
+def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions):
+    """Takes clients and serves their files from the nodes."""
+    from rushmux.edge.edge import Edge
+    from rushmux.edge.links import Address
+    from rushmux.rules import Gateway
+    from rushmux.standins.passthrough import PassThrough
+    deployment = deployed(file)
+    if not 0 <= number < deployment.terms.gateways:
+        raise click.ClickException(f"edge {number} of {deployment.terms.gateways}")
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        record, logger = recorder(records, loop), log.to_stream(sys.stderr.buffer, log_level)
+        part = Edge(number, deployment, Address(*lists), new_seed(seed), time.time() - loop.time(), logger,
+                    {"module": Gateway, "passthrough": PassThrough}[decisions])
+        part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
+        await serve(part, listen, with_parent, start=part.start)
+    asyncio.run(run())
+
+
+@main.command()
+@common
+@click.option("--name", required=True)
+@click.option("--cell", type=int, required=True, help="the shard of data it holds")
+@click.option("--zone", default="z", show_default=True)
+@click.option("--lists", type=Place(), required=True)
+@click.option("--data", type=click.Path(), required=True, help="file of its store")
+@click.option("--disk", type=int, default=1 << 30, show_default=True, help="bytes")
+@click.option("--unit", type=float, default=0.015, show_default=True, help="seconds of a core for a unit of work")
+@click.option("--cores", type=int, default=2, show_default=True)
+@click.option("--warm", is_flag=True, help="start at full capacity")
+@click.option("--sync", is_flag=True, help="every commit reaches the disk before it is answered")
+@click.option("--obeys", is_flag=True, help="take orders to be in trouble")
+def node(file, listen, seed, records, log_level, with_parent, name, cell, zone, lists, data, disk, unit, cores,
+         warm, sync, obeys):
+    """A stand-in storage node."""
+    from rushmux.edge.links import Address
+    from rushmux.standins.fleet import shape_of, window_of
+    from rushmux.standins.node import Node
+    from rushmux.standins.store import BadStore, Store
+    deployment = deployed(file)
+    try:
+        store = Store(data, cell, disk, window_of(deployment), sync)
+    except BadStore as fault:
+        raise click.ClickException(str(fault)) from fault
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        part = Node(name, cell, zone, store, Address(*lists), shape_of(deployment, unit=unit, cores=cores),
+                    new_seed(seed), not warm, log.to_stream(sys.stderr.buffer, log_level),
+                    recorder(records, loop), obeys)
+        await serve(part, listen, with_parent, start=part.start)
+    asyncio.run(run())
+
+
+@main.command()
+@common
+@click.option("--cells", type=int, required=True, help="shards that data is spread over; never changed later")
+@click.option("--lag", type=float, default=1.0, show_default=True, help="seconds until a change is told")
+@click.option("--obeys", is_flag=True, help="take orders to be in trouble")
+def lists(file, listen, seed, records, log_level, with_parent, cells, lag, obeys):
+    """A stand-in for the source of the list of nodes."""
+    from rushmux.standins.lists import ListSource
+    deployment = deployed(file)
+    terms = deployment.terms
+
+    async def run():
+        rates = {name: terms.plans[folder.plan].nominal for name, folder in deployment.folders.items()}
+        part = ListSource(cells, lag, log.to_stream(sys.stderr.buffer, log_level),
+                          recorder(records, asyncio.get_running_loop()), f"{new_seed(seed):x}",
+                          terms.meter_span / 10_000, rates, obeys)
+        await serve(part, listen, with_parent)
+    asyncio.run(run())
+
+
+@main.command()
+@click.argument("place", type=Place())
+def connect(place):
+    """Joins standard input and output to an edge, for clients that speak through a command."""
+    async def run():
+        loop = asyncio.get_running_loop()
+        try:
+            reader, writer = await asyncio.open_connection(*place)
+        except OSError as fault:
+            raise click.ClickException(f"{place[0]}:{place[1]}: {fault.strerror or fault}") from fault
+        near = asyncio.StreamReader()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(near), sys.stdin)
+
+        async def upwards():
+            while data := await near.read(1 << 16):
+                writer.write(data)
+                await writer.drain()
+            writer.write_eof()
+
+        async def downwards():
+            while data := await reader.read(1 << 16):
+                sys.stdout.buffer.write(data)
+                sys.stdout.buffer.flush()
+        up = loop.create_task(upwards())
+        with contextlib.suppress(OSError):
+            await downwards()
+        up.cancel()
+    asyncio.run(run())
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def check(file):
+    """Reads a deployment file and tells every fault in it."""
+    deployment = deployed(file)
+    click.echo(f"{file}: {len(deployment.terms.lanes)} lanes, {len(deployment.terms.plans)} plans, "
+               f"{len(deployment.folders)} folders: in order")
+
+
+@main.command()
+@click.option("--edges", type=click.IntRange(1, 100), default=3, show_default=True)
+@click.option("--nodes", type=click.IntRange(1, 200), default=4, show_default=True)
+@click.option("--data", type=click.Path(), required=True, help="folder of the fleet's data; kept")
+@click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example")
+def up(edges, nodes, data, file):
+    """Starts a whole fleet on loopback and runs until SIGTERM or Ctrl-C."""
+    from rushmux.cli import fleets
+    fleets.up(edges, nodes, Path(data), file)
+
+
+@main.command()
+@click.option("--day", default="short", show_default=True, help="a scripted day by its name, or a file")
+@click.option("--edges", type=click.IntRange(1, 50), default=3, show_default=True)
+@click.option("--nodes", type=click.IntRange(1, 50), default=6, show_default=True)
+@click.option("--load", type=float, default=0.5, show_default=True, help="part of the folders' nominal rates")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--virtual", is_flag=True, help="in one process on a simulated clock")
+@click.option("--both", is_flag=True, help="the same day with a plain pass-through beside it")
+@click.option("--data", type=click.Path(), help="folder for data, logs and recordings; default: a temporary one")
+@click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example")
+def demo(day, edges, nodes, load, seed, virtual, both, data, file):
+    """Plays a scripted bad day, checks the rules from its recordings and prints a report."""
+    from rushmux.cli import fleets
+    sys.exit(fleets.demo(day, edges, nodes, load, seed, virtual, both, data, file))
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -24,6 +24,7 @@
         self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
         self.log = log.bind(edge=self.name, start=self.start)
         self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
+        self.heard = lambda nodes: None  # hears of each listing taken in: [node, condition] each
         self.closing, self.sessions, self.count, self.tasks = False, {}, 0, []
 
     def serves(self, folder: str) -> bool:
@@ -40,13 +41,17 @@
         self.cleaner = Cleaner(self.driver, self.log)
         self.tree = Tree(self.deployment.files, self.driver.unique, lambda: int(self.epoch + loop.time()),
                          self.cleaner.note)
-        lists = Lists(self.lists_at, hello, self.chance, self.log, self.driver.told)
+        lists = Lists(self.lists_at, hello, self.chance, self.log, self.told)
         self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
         self.server = await asyncio.start_server(self.accept, host, port)
         port = self.server.sockets[0].getsockname()[1]
         self.log.info("edge.serves", host=host, port=port)
         return port
 
+    def told(self, listing):
+        self.driver.told(listing)
+        self.heard([[entry.node, entry.condition] for entry in listing.entries])
+
     async def accept(self, reader, writer):
         if self.closing or len(self.sessions) >= self.deployment.sessions.most:
             self.log.warning("session.turned_away", sessions=len(self.sessions))
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -37,6 +37,11 @@
                  fall_multiple=terms.fall_multiple, cold_span=terms.cold_span / 10_000, **other)
 
 
+def window_of(deployment: Deployment) -> float:
+    """Seconds for which a node knows the mark of a change again, with room for the way to it."""
+    return deployment.terms.lanes[deployment.roles["change"]].window / 10_000 + 1
+
+
 class VirtualFleet:
     """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
 
@@ -73,14 +78,10 @@
     async def sleep(self, seconds):
         await asyncio.sleep(seconds)
 
-    def window(self):
-        """Seconds for which a node knows the mark of a change again, with room for the way to it."""
-        return self.deployment.terms.lanes[self.deployment.roles["change"]].window / 10_000 + 1
-
     async def node(self, name, cell, cold=True, empty=False, disk=None):
         """Starts a node; one of a known name has what it held before, unless it is to be empty."""
         if empty or name not in self.stores:
-            self.stores[name] = Store(":memory:", cell, disk or self.disk, self.window())
+            self.stores[name] = Store(":memory:", cell, disk or self.disk, window_of(self.deployment))
         process = self.loop.process(name)
         program = Node(name, cell, f"z{cell % 2}", self.stores[name], self.lists.address, self.shape,
                        self.seed(), cold, self.log, self.record, obeys=True)
@@ -96,6 +97,7 @@
         """Starts an edge, anew where it ran before."""
         process = self.loop.process(f"edge{number}")
         program = Edge(number, self.deployment, self.lists.address, self.seed(), EPOCH, self.log, self.decisions)
+        program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
 
@@ -122,10 +124,7 @@
 
     def all_records(self):
         """What the stand-ins saw and the edges were told, in the order of time."""
-        told = [{"kind": "told", "at": row["at"], "edge": row["edge"], "start": row["start"],
-                 "whole": row["whole"], "nodes": row["nodes"]}
-                for row in self.logs if row["event"] == "list.told"]
-        return sorted(self.records + told, key=lambda row: row["at"])
+        return sorted(self.records, key=lambda row: row["at"])
 
 
 def play(deployment: Deployment, seed: int, story, nodes=4, edges=2, **fleet):
--- /dev/null
+++ b/rushmux/standins/processes.py
@@ -0,0 +1,161 @@
+"""A whole fleet as processes on loopback: each part is `python -m rushmux ...` of its own."""
+import asyncio
+import json
+import random
+import sys
+from pathlib import Path
+
+import orjson
+
+from rushmux.edge.links import Address
+from rushmux.nodewire import VERSION, Frames, frame, messages
+from rushmux.settings.deployment import Deployment
+from rushmux.standins.client import Client
+
+HOST = "127.0.0.1"
+START = 30.0             # seconds for a process to say where it listens: a busy machine's imports
+STOP = 15.0              # seconds for a process to end after SIGTERM, past its clients' patience
+UP = 30.0                # seconds until every edge knows the list
+
+
+class NotStarted(Exception):
+    """A part of the fleet did not come up; the text holds its last words."""
+
+
+class Part:
+    """A process of the fleet."""
+
+    def __init__(self, name, process, port, log, cell=None, start=""):
+        self.name, self.process, self.port, self.log = name, process, port, log
+        self.cell, self.start = cell, start
+
+    @property
+    def address(self):
+        return Address(HOST, self.port)
+
+
+class ProcessFleet:
+    """The fleet; its data, logs and recordings lie in `folder`.  `records`: write recordings."""
+
+    def __init__(self, deployment_file, deployment: Deployment, folder: Path, seed: int, lag=1.0, records=False,
+                 decisions="module", unit=0.02):
+        self.file, self.deployment, self.folder, self.lag = Path(deployment_file), deployment, Path(folder), lag
+        self.chance, self.records, self.decisions, self.unit = random.Random(seed), records, decisions, unit
+        self.loop = asyncio.get_running_loop()
+        self.nodes, self.edges, self.lists, self.count, self.rows = {}, {}, None, 0, []
+        for name in ("data", "logs", "records"):
+            (self.folder / name).mkdir(parents=True, exist_ok=True)
+
+    def record(self, kind, **fields):
+        self.rows.append({"kind": kind, "at": self.loop.time(), **fields})
+
+    async def begin(self, name, *words):
+        """Starts a part and waits until it says where it listens."""
+        self.count += 1
+        log = self.folder / "logs" / f"{self.count:03}-{name}.jsonl"
+        more = ["--records", str(self.folder / "records" / f"{self.count:03}-{name}.jsonl")] if self.records else []
+        with open(log, "wb") as sink:
+            # Danger: a fleet whose starter is killed would go on alone; each part ends with its input.
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "rushmux", *map(str, words), *more, "--with-parent",
+                "--seed", str(self.chance.getrandbits(48)), stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE, stderr=sink)
+        try:
+            async with asyncio.timeout(START):
+                line = await process.stdout.readline()
+            said = json.loads(line)
+        except (TimeoutError, ValueError):
+            await self.end_one(Part(name, process, 0, log))
+            raise NotStarted(f"{name} did not start: {log.read_text()[-2000:]}") from None
+        return Part(name, process, said["port"], log, start=said.get("start", ""))
+
+    async def up(self, nodes: int, edges: int):
+        """Starts everything, nodes warm, and waits until the edges know the list."""
+        self.lists = await self.begin("lists", "lists", "--deployment", self.file, "--cells", nodes,
+                                      "--lag", self.lag, "--obeys")
+        await asyncio.gather(*(self.node(f"node{cell}", cell, cold=False) for cell in range(nodes)))
+        await asyncio.gather(*(self.edge(number) for number in range(edges)))
+        async with asyncio.timeout(UP):
+            while not all(b'"list.told"' in part.log.read_bytes() for part in self.edges.values()):
+                await asyncio.sleep(0.05)
+
+    async def node(self, name, cell, cold=True):
+        words = ["node", "--deployment", self.file, "--name", name, "--cell", cell, "--unit", self.unit,
+                 "--lists", f"{HOST}:{self.lists.port}", "--data", self.folder / "data" / f"{name}.db", "--obeys"]
+        part = await self.begin(name, *words, *(() if cold else ("--warm",)))
+        part.cell, self.nodes[name] = cell, part
+        return part
+
+    async def edge(self, number, port=0):
+        part = await self.begin(f"edge{number}", "edge", "--listen", f"{HOST}:{port}", "--deployment", self.file, "--number", number,
+                                "--lists", f"{HOST}:{self.lists.port}", "--decisions", self.decisions)
+        self.edges[number] = part
+        return part
+
+    def cell_of(self, name):
+        return self.nodes[name].cell
+
+    def kill_node(self, name):
+        self.record("killed", node=name)
+        self.nodes[name].process.kill()
+
+    def kill_edge(self, number):
+        self.record("killed", edge=f"edge{number}", start=self.edges[number].start)
+        self.edges[number].process.kill()
+
+    async def replace(self, name, new):
+        cell = self.cell_of(name)
+        self.kill_node(name)
+        await self.node(new, cell)
+
+    async def trouble(self, target, kind, size=0.0, seconds=0.0):
+        """Orders a trouble over the part's own socket."""
+        part = self.lists if target == "lists" else self.nodes[target]
+        reader, writer = await asyncio.open_connection(*part.address)
+        hello = messages.Hello(version=VERSION, peer="script", start="0")
+        writer.write(frame(messages.Message(hello=hello)))
+        order = messages.Trouble(kind=kind, size=size, seconds=seconds)
+        writer.write(frame(messages.Message(trouble=order)))
+        frames, found = Frames(), []
+        while kind != "resets" and not any(message.WhichOneof("body") == "obeyed" for message in found):
+            data = await reader.read(1 << 16)
+            if not data:
+                break
+            found = frames.feed(data)
+        await writer.drain()
+        writer.close()
+
+    async def client(self, number) -> Client:
+        return await Client(self.record).connect(*self.edges[number].address)
+
+    async def end_one(self, part):
+        if part.process.returncode is None:
+            part.process.stdin.close()
+            part.process.terminate()
+            try:
+                async with asyncio.timeout(STOP):
+                    await part.process.wait()
+            except TimeoutError:
+                part.process.kill()
+        await part.process.wait()
+
+    async def down(self):
+        """Ends every part: edges first, so that they answer what they hold."""
+        for parts in (self.edges.values(), self.nodes.values(), [self.lists] if self.lists else []):
+            await asyncio.gather(*(self.end_one(part) for part in parts))
+
+    def all_records(self):
+        """What clients, nodes and edges recorded, in the order of time."""
+        rows = list(self.rows)
+        for path in sorted((self.folder / "records").glob("*.jsonl")):
+            rows += read_rows(path)
+        return sorted(rows, key=lambda row: row["at"])
+
+
+def read_rows(path):
+    """The rows of a recording; a last line cut off by a kill is left out."""
+    rows = []
+    for line in path.read_bytes().splitlines(keepends=True):
+        if line.endswith(b"\n"):
+            rows.append(orjson.loads(line))
+    return rows
