--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -89,6 +89,8 @@
 
 async def together(*calls):
     """Runs calls side by side; the first fault is raised after the others were called off."""
+    if len(calls) == 1:
+        return [await calls[0]]          # no task of its own: most reads and writes are one operation
     tasks = [asyncio.ensure_future(call) for call in calls]
     try:
         return await asyncio.gather(*tasks)
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -7,6 +7,7 @@
 from typing import Callable, NamedTuple, Optional
 
 from rushmux import interface as say
+from rushmux.edge.outgoing import Outgoing
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
 BACK_OFF = 0.05          # seconds after a first failed dial: a process restarts in some of these
@@ -38,7 +39,7 @@
         loop = asyncio.get_running_loop()
         corr = execute.corr = self.links.number()
         if self.writer is not None:
-            if self.writer.transport.get_write_buffer_size() > MOST_BUFFERED:
+            if self.writer.held() > MOST_BUFFERED:
                 loop.call_soon(done, say.FULL, None)
             else:
                 self.out[corr] = done
@@ -75,9 +76,9 @@
             if early[0].WhichOneof("body") != "welcome" or early[0].welcome.peer != self.node:
                 raise WireFault(f"{early[0].welcome.peer or 'something'} answers at the address of {self.node}")
             self.links.met(self.node, early[0].welcome.start, early[0].welcome.age)
-            self.writer, self.failures = writer, 0
+            self.writer, self.failures = Outgoing(writer), 0
             for execute in self.waiting.values():
-                writer.write(frame(messages.Message(execute=execute)))
+                self.writer.write(frame(messages.Message(execute=execute)))
             self.waiting = {}
             self.came(early[1:])
             while data := await reader.read(READ):
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -11,6 +11,7 @@
 from rushmux.edge import turns
 from rushmux.edge.errand import Damaged, Errand, Lost, Shed, Terminated
 from rushmux.edge.openfile import OpenFile
+from rushmux.edge.outgoing import Outgoing
 from rushmux.edge.tree import Refused, attributes, root_attributes
 from rushmux.edge.turns import Claim, Turns
 from rushmux.files import layout, paths
@@ -50,6 +51,7 @@
 
     def __init__(self, edge, name, reader, writer):
         self.edge, self.name, self.reader, self.writer = edge, name, reader, writer
+        self.outgoing = Outgoing(writer)
         self.log = edge.log.bind(session=name)
         self.bounds, self.loop = edge.deployment.sessions, asyncio.get_running_loop()
         self.packets, self.turns, self.handles, self.tasks = sftp.Packets(), Turns(), {}, {}
@@ -82,6 +84,7 @@
             await asyncio.gather(*self.tasks, return_exceptions=True)
             if self.unread_timer is not None:
                 self.unread_timer.cancel()
+            self.outgoing.flush()
             self.writer.close()
             self.log.info("session.ended", why=why, requests=self.count)
 
@@ -104,16 +107,17 @@
         for body in bodies:
             await self.take(body)
             if self.unread_timer is not None:
+                self.outgoing.flush()
                 await self.writer.drain()    # more is begun when its answers were taken
 
     def watch_unread(self):
         """Danger: a client that sends and never reads makes its answers pile up here."""
-        if self.writer.transport.get_write_buffer_size() > UNSENT and self.unread_timer is None:
+        if self.outgoing.held() > UNSENT and self.unread_timer is None:
             self.unread_timer = self.loop.call_later(self.bounds.unread, self.unread)
 
     def unread(self):
         self.unread_timer = None
-        if self.writer.transport.get_write_buffer_size() > UNSENT:
+        if self.outgoing.held() > UNSENT:
             self.log.warning("session.unread", seconds=self.bounds.unread)
             self.writer.transport.abort()
 
@@ -211,9 +215,8 @@
         self.reply(reply)
 
     def reply(self, packet):
-        if not self.writer.transport.is_closing():
-            self.writer.write(sftp.encode(packet))
-            self.watch_unread()
+        self.outgoing.write(sftp.encode(packet))
+        self.watch_unread()
 
     @staticmethod
     def status(request, code=sftp.OK, text="done"):
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -43,6 +43,7 @@
         self.chance, self.records, self.decisions, self.unit = random.Random(seed), records, decisions, unit
         self.loop = asyncio.get_running_loop()
         self.nodes, self.edges, self.lists, self.count, self.rows = {}, {}, None, 0, []
+        self.prefix = {}                 # kind of part -> words for the interpreter before the program
         for name in ("data", "logs", "records"):
             (self.folder / name).mkdir(parents=True, exist_ok=True)
 
@@ -57,7 +58,7 @@
         with open(log, "wb") as sink:
             # Danger: a fleet whose starter is killed would go on alone; each part ends with its input.
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "rushmux", *map(str, words), *more, "--with-parent",
+                sys.executable, *self.prefix.get(words[0], ()), "-m", "rushmux", *map(str, words), *more, "--with-parent",
                 "--seed", str(self.chance.getrandbits(48)), stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE, stderr=sink)
         try:
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -275,3 +275,36 @@
     fleet, _ = judged(story, nodes=6, edges=3, unit=0.02)
     service = report.Service(fleet.all_records(), build(raw))
     assert service.share() > 0.8
+
+
+def test_the_module_hears_what_the_fleet_and_other_edges_served(play, raw):
+    raw["fleet"]["meter_span_ms"] = 500
+    heard = []
+
+    class Hearing(Gateway):
+        def answered(self, now, op_id, execution, result, ended, fleet_use, from_others):
+            heard.append((now, fleet_use, from_others))
+            super().answered(now, op_id, execution, result, ended, fleet_use, from_others)
+
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        for number in range(20):
+            await asyncio.gather(one.put(f"/golfo/a{number}", b"x" * 30_000), two.put(f"/golfo/b{number}", b"y"))
+            await fleet.sleep(0.1)
+    play(story, decisions=Hearing)
+    assert heard[0][1] == 0              # no period had ended
+    assert max(use for _, use, _ in heard) > 50 and any(others > 0 for _, _, others in heard)
+
+
+def test_a_list_that_says_nothing_is_gone_by_until_it_speaks_again(judged):
+    async def story(fleet):
+        one = await fleet.client(0)
+        await fleet.trouble("lists", "silent", seconds=4)
+        fleet.kill_node("node2")
+        await fleet.sleep(0.5)
+        results = [await outcome(one.put(f"/heredia/{number}", b"x")) for number in range(10)]
+        before = len([row for row in fleet.records if row["kind"] == "told"])
+        await fleet.sleep(5)
+        return results, before, len([row for row in fleet.records if row["kind"] == "told"])
+    _, (results, before, after) = judged(story)
+    assert results.count("ok") >= 9 and before == 2 and after == 4
