--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -37,9 +37,10 @@
 def up(edges, nodes, folder, file):
     path, deployment = sized(file, edges, folder)
     kept = folder / "fleet.json"
-    if kept.exists() and json.loads(kept.read_text())["cells"] != nodes:
-        raise click.ClickException(f"{folder} holds a fleet of {json.loads(kept.read_text())['cells']} nodes, "
-                                   f"not {nodes}: where names lie follows from their number")
+    held = json.loads(kept.read_text())["cells"] if kept.exists() else nodes
+    if held != nodes:
+        raise click.ClickException(f"{folder} holds a fleet of {held} nodes, not {nodes}: where names lie "
+                                   "follows from their number")
     kept.write_text(json.dumps({"format": 1, "cells": nodes}))
 
     async def run():
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -39,7 +39,8 @@
 def common(command):
     """Options of every part that runs until it is told to end."""
     for option in (
-            click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example"),
+            click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE),
+                         show_default="the example"),
             click.option("--listen", type=Place(), default="127.0.0.1:0", show_default=True),
             click.option("--seed", type=int, help="all of its chance; must differ at every start"),
             click.option("--records", type=click.Path(), help="write what its sockets see to this file"),
@@ -92,9 +93,11 @@
 
 @main.command()
 @common
-@click.option("--number", type=int, default=0, show_default=True, help="which of the deployment's edges this is")
+@click.option("--number", type=int, default=0, show_default=True,
+              help="which of the deployment's edges this is")
 @click.option("--lists", type=Place(), required=True, help="source of the list of nodes")
-@click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module", show_default=True)
+@click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module",
+              show_default=True)
 def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions):
     """Takes clients and serves their files from the nodes."""
     from rushmux.edge.edge import Edge
@@ -123,12 +126,14 @@
 @click.option("--lists", type=Place(), required=True)
 @click.option("--data", type=click.Path(), required=True, help="file of its store")
 @click.option("--disk", type=int, default=1 << 30, show_default=True, help="bytes")
-@click.option("--unit", type=float, default=0.015, show_default=True, help="seconds of a core for a unit of work")
+@click.option("--unit", type=float, default=0.015, show_default=True,
+              help="seconds of a core for a unit of work")
 @click.option("--cores", type=int, default=2, show_default=True)
 @click.option("--warm", is_flag=True, help="start at full capacity")
 @click.option("--sync", is_flag=True, help="every commit reaches the disk before it is answered")
 @click.option("--obeys", is_flag=True, help="take orders to be in trouble")
-def node(file, listen, seed, records, log_level, with_parent, name, cell, zone, lists, data, disk, unit, cores,
+def node(file, listen, seed, records, log_level, with_parent, name, cell, zone, lists, data, disk, unit,
+         cores,
          warm, sync, obeys):
     """A stand-in storage node."""
     from rushmux.edge.links import Address
@@ -228,7 +233,8 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--virtual", is_flag=True, help="in one process on a simulated clock")
 @click.option("--both", is_flag=True, help="the same day with a plain pass-through beside it")
-@click.option("--data", type=click.Path(), help="folder for data, logs and recordings; default: a temporary one")
+@click.option("--data", type=click.Path(),
+              help="folder for data, logs and recordings; default: a temporary one")
 @click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example")
 def demo(day, edges, nodes, load, seed, virtual, both, data, file):
     """Plays a scripted bad day, checks the rules from its recordings and prints a report."""
--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -36,7 +36,8 @@
         left = self.until - self.driver.loop.time()
         if left < LEAST:
             raise Shed()
-        return await self.driver.run(Work(self.roles[role], self.folder, key, units, cell, fill), left, self.tag)
+        return await self.driver.run(Work(self.roles[role], self.folder, key, units, cell, fill), left,
+                                     self.tag)
 
     async def names(self, role, key, units, fill):
         cells = self.driver.cells
@@ -48,7 +49,8 @@
     async def look(self, key: str, **fields) -> messages.Outcome:
         """Reads rows of the folder's names; fields as in nodewire's Look."""
         look = messages.Look(**fields)
-        return await self.names("look", f"{self.folder}/{key}", 1.0, lambda execute: execute.look.CopyFrom(look))
+        return await self.names("look", f"{self.folder}/{key}", 1.0,
+                                lambda execute: execute.look.CopyFrom(look))
 
     async def change(self, key: str, checks, puts=(), drops=()):
         """Changes rows, all or none; the rows put with their new versions, or None where a check
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -74,7 +74,8 @@
                     early = frames.feed(data)
             # Danger: another process has the address now, or an older one of this node.
             if early[0].WhichOneof("body") != "welcome" or early[0].welcome.peer != self.node:
-                raise WireFault(f"{early[0].welcome.peer or 'something'} answers at the address of {self.node}")
+                other = early[0].welcome.peer or "something"
+                raise WireFault(f"{other} answers at the address of {self.node}")
             self.links.met(self.node, early[0].welcome.start, early[0].welcome.age)
             self.writer, self.failures = Outgoing(writer), 0
             for execute in self.waiting.values():
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -64,7 +64,8 @@
             self.file, self.version, self.read_at = file, rows[key].version, now
         for number, block in zip(numbers, keys[1:]):
             row = rows.get(block)
-            self.keep(number, Block(layout.unpack_block(row.value) if row else [], row.version if row else 0, now))
+            self.keep(number, Block(layout.unpack_block(row.value) if row else [],
+                                    row.version if row else 0, now))
 
     def keep(self, number, block):
         held = self.blocks.get(number)
@@ -118,9 +119,11 @@
         if self.flags & sftp.APPEND:
             return await self.append(errand, data)
         if offset + len(data) > layout.most_bytes(self.file.block):
-            raise Refused(sftp.FAILURE, f"past the largest size of a file, {layout.most_bytes(self.file.block)}")
+            raise Refused(sftp.FAILURE,
+                          f"past the largest size of a file, {layout.most_bytes(self.file.block)}")
         name = self.file.data
-        laid = Laid(await self.store(errand, offset, data), offset + len(data), name, self.loop.create_future())
+        laid = Laid(await self.store(errand, offset, data), offset + len(data), name,
+                    self.loop.create_future())
         self.pending.append(laid)
         try:
             while not laid.done.done():
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -21,6 +21,8 @@
 READ = 1 << 17           # bytes asked of the socket at once
 UNSENT = 1 << 20         # bytes of answers not taken by the client before no more of it is read
 BLOCK = 4_096            # bytes in a block as statvfs counts them
+NOT_ASKED = (sftp.Init, sftp.Version, sftp.Status, sftp.Handle, sftp.Data, sftp.Names, sftp.Attrs,
+             sftp.ExtendedReply)
 EXTENSIONS = (("posix-rename@openssh.com", b"1"), ("fsync@openssh.com", b"1"),
               ("statvfs@openssh.com", b"2"))
 
@@ -60,8 +62,9 @@
         self.calls = {
             sftp.Open: self.open, sftp.Close: self.close, sftp.Read: self.read, sftp.Write: self.write,
             sftp.LStat: self.stat, sftp.Stat: self.stat, sftp.FStat: self.handle_stat,
-            sftp.SetStat: self.set_stat, sftp.FSetStat: self.handle_set_stat, sftp.OpenDir: self.open_directory,
-            sftp.ReadDir: self.read_directory, sftp.Remove: self.remove, sftp.MkDir: self.make_directory,
+            sftp.SetStat: self.set_stat, sftp.FSetStat: self.handle_set_stat,
+            sftp.OpenDir: self.open_directory, sftp.ReadDir: self.read_directory,
+            sftp.Remove: self.remove, sftp.MkDir: self.make_directory,
             sftp.RmDir: self.remove_directory, sftp.RealPath: self.real_path, sftp.Rename: self.rename,
             sftp.Extended: self.extended}
 
@@ -137,7 +140,7 @@
             self.log.info("session.ready", version=packet.version)
             pairs = EXTENSIONS + (("session@rushmux", self.name.encode()),)
             return self.reply(sftp.Version(min(packet.version, sftp.VERSION), pairs))
-        if isinstance(packet, (sftp.Init, sftp.Version)) or sftp.TYPES.get(type(packet), (0,))[0] in range(101, 130):
+        if isinstance(packet, NOT_ASKED):
             raise Ended(f"{type(packet).__name__} in the middle of a session")
         self.count += 1
         if self.edge.closing:
@@ -166,7 +169,8 @@
                 while cursor.at < len(packet.data) and len(texts) < 2:
                     texts.append(cursor.raw())
             found = [self.handles[text].path for text in texts if text in self.handles]
-            return Claim(turns.ALTER, (*found, *self.names(*(text.decode(errors="replace") for text in texts))))
+            named = self.names(*(text.decode(errors="replace") for text in texts))
+            return Claim(turns.ALTER, (*found, *named))
         asked = self.names(*(getattr(packet, name) for name in ("path", "target") if hasattr(packet, name)))
         looks = kind in (sftp.Stat, sftp.LStat, sftp.OpenDir, sftp.RealPath) or (
             kind is sftp.Open and not packet.flags & (sftp.CREATE | sftp.TRUNCATE))
@@ -318,7 +322,8 @@
         file = self.held(packet, OpenFile)
         if packet.attributes.size is not None and not file.flags & sftp.WRITE:
             raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
-        row, version = await self.edge.tree.set_attributes(errand(file.folder), file.number, packet.attributes)
+        row, version = await self.edge.tree.set_attributes(errand(file.folder), file.number,
+                                                           packet.attributes)
         file.file, file.version = row, version
         file.blocks.clear()
         return self.done(packet)
@@ -352,7 +357,8 @@
             else:
                 page, held.after = await self.edge.tree.page(errand(held.folder), held.number, held.after)
                 rows, held.done = [(name, attributes(file)) for name, file in page], not held.after
-        return sftp.Names(packet.request, [sftp.Name(name, long_name(name, shown), shown) for name, shown in rows])
+        names = [sftp.Name(name, long_name(name, shown), shown) for name, shown in rows]
+        return sftp.Names(packet.request, names)
 
     async def remove(self, packet, errand):
         folder, names = self.inside(packet.path)
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/tree.py
@@ -140,7 +140,8 @@
             [(entry, layout.pack_entry(number, file.kind)), (row, layout.pack_file(file))])
         if done is None:
             return None
-        return found._replace(number=number, file=file, entry_version=done[0].version, version=done[1].version)
+        return found._replace(number=number, file=file, entry_version=done[0].version,
+                              version=done[1].version)
 
     async def empty(self, errand, found: Found) -> Optional[Found]:
         file = found.file._replace(size=0, mtime=self.wall(), data=self.unique())
@@ -234,7 +235,8 @@
                 if file.kind == "d":
                     raise Refused(sftp.FAILURE, "a directory has no size")
                 if asked.size > layout.most_bytes(file.block):
-                    raise Refused(sftp.FAILURE, f"a size of {asked.size} is over {layout.most_bytes(file.block)}")
+                    raise Refused(sftp.FAILURE,
+                                  f"a size of {asked.size} is over {layout.most_bytes(file.block)}")
                 done = await self.resize(errand, number, file, version, asked.size)
                 if done is None:
                     continue
--- a/rushmux/files/layout.py
+++ b/rushmux/files/layout.py
@@ -134,7 +134,8 @@
     for extent in extents:
         low, high = max(start, extent.start), min(start + length, extent.end)
         if low < high:
-            found.append(Extent(low, high - low, extent.object, extent.cell, extent.skip + low - extent.start))
+            found.append(Extent(low, high - low, extent.object, extent.cell,
+                                extent.skip + low - extent.start))
     return found
 
 
--- a/rushmux/lab/loop.py
+++ b/rushmux/lab/loop.py
@@ -256,7 +256,8 @@
         if process.dead:
             return
         if process.held_until > self.clock:
-            super().call_at(process.held_until, self._alive, process, callback, args, context, context=context)
+            super().call_at(process.held_until, self._alive, process, callback, args, context,
+                            context=context)
         else:
             callback(*args)
 
--- a/rushmux/log.py
+++ b/rushmux/log.py
@@ -22,7 +22,8 @@
 
 def _wrapped(sink, level):
     return structlog.wrap_logger(
-        None, wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]), cache_logger_on_first_use=False,
+        None, wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        cache_logger_on_first_use=False,
         processors=[_loop_time, structlog.processors.format_exc_info, sink])
 
 
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -93,21 +93,27 @@
             found.append((f"/lanes/{name}/quoted_ms",
                           f"{lane['quoted_ms']} is past the hard stop of {lane['hard_stop_ms']}"))
         if lane["repeat"] == "referenced" and not lane.get("window_ms"):
-            found.append((f"/lanes/{name}/window_ms", "a referenced lane needs the time that repeats are known"))
+            found.append((f"/lanes/{name}/window_ms",
+                          "a referenced lane needs the time that repeats are known"))
     for role, lane in raw["roles"].items():
         if lane not in raw["lanes"]:
-            found.append((f"/roles/{role}", f"there is no lane '{lane}'; there are {', '.join(raw['lanes'])}"))
+            found.append((f"/roles/{role}",
+                          f"there is no lane '{lane}'; there are {', '.join(raw['lanes'])}"))
         elif role == "change" and raw["lanes"][lane]["repeat"] == "replayable":
-            found.append((f"/roles/{role}", f"lane '{lane}' is replayable; a change of names must not run twice"))
+            found.append((f"/roles/{role}",
+                          f"lane '{lane}' is replayable; a change of names must not run twice"))
         elif role == "change" and raw["lanes"][lane].get("group") != "cell":
-            found.append((f"/roles/{role}", f"lane '{lane}' must state group 'cell': only it knows a mark again"))
+            found.append((f"/roles/{role}",
+                          f"lane '{lane}' must state group 'cell': only it knows a mark again"))
     fleet = raw["fleet"]
     most = fleet.get("most_units", 8)
     for name, plan in raw["plans"].items():
         if plan["reserve"] > plan["nominal"]:
-            found.append((f"/plans/{name}/reserve", f"{plan['reserve']} is over the nominal {plan['nominal']}"))
+            found.append((f"/plans/{name}/reserve",
+                          f"{plan['reserve']} is over the nominal {plan['nominal']}"))
         if plan.get("limit") and plan.get("burst", 0) < most * fleet["gateways"]:
-            found.append((f"/plans/{name}/burst", f"{plan.get('burst', 0)} is under {most * fleet['gateways']}: "
+            found.append((f"/plans/{name}/burst",
+                          f"{plan.get('burst', 0)} is under {most * fleet['gateways']}: "
                           "one largest operation for each gateway, or a part of the burst holds none"))
     for name, folder in raw["folders"].items():
         if folder["plan"] not in raw["plans"]:
@@ -146,7 +152,8 @@
     plans = {name: say.Plan(name, **row) for name, row in raw["plans"].items()}
     terms = say.Terms(
         lanes=lanes, plans=plans, gateways=fleet["gateways"], tick=ticks(fleet["tick_ms"]),
-        list_asked=False, ask_within=0, executions=fleet["executions"], come_back=ticks(fleet["come_back_ms"]),
+        list_asked=False, ask_within=0, executions=fleet["executions"],
+        come_back=ticks(fleet["come_back_ms"]),
         mean_units=fleet["mean_units"], most_units=fleet["most_units"], cold_units=fleet["cold_units"],
         cold_span=ticks(fleet["cold_span_ms"]), fall_multiple=fleet["fall_multiple"],
         cold_start=fleet["cold_start"], warm_within=ticks(fleet["warm_within_ms"]),
@@ -158,7 +165,8 @@
         terms=terms, roles=raw["roles"],
         folders={name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
                  for name, row in raw["folders"].items()},
-        sessions=Sessions(bounds["patience_ms"] / 1000, bounds["most"], bounds["handles"], bounds["pipelined"],
+        sessions=Sessions(bounds["patience_ms"] / 1000, bounds["most"], bounds["handles"],
+                          bounds["pipelined"],
                           bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
         drain_grace=fleet["drain_grace_ms"] / 1000, dial=fleet["dial_ms"] / 1000, links=fleet["links"])
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -140,7 +140,8 @@
         while True:
             await asyncio.sleep(self.period)
             used, self.used = self.used, {}
-            told = [messages.Used(volume=folder, percent=int(100 * units / (self.rates[folder] * self.period)))
+            told = [messages.Used(volume=folder,
+                                  percent=int(100 * units / (self.rates[folder] * self.period)))
                     for folder, units in used.items() if folder in self.rates]
             for peer in self.nodes:
                 peer.send(meter=messages.Meter(used=told))
--- a/rushmux/standins/peers.py
+++ b/rushmux/standins/peers.py
@@ -58,7 +58,8 @@
                 raise WireFault("no greeting, or one of another version")
             peer = Peer(writer, hello.hello)
             self.peers[writer] = peer, asyncio.current_task()
-            peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start, age=self.age()))
+            peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start,
+                                               age=self.age()))
             self.met(peer)
             while True:
                 for message in found:
