Write-back buffer: dirty index, decisions, log and write-out, off by default

Change: package buffer; WRITE may be answered from a bounded buffer, fsync, close and a barrier over a folder wait until the bytes are readable through any edge.

--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -98,8 +98,10 @@
 @click.option("--lists", type=Place(), required=True, help="source of the list of nodes")
 @click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module",
               show_default=True)
-def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions):
+@click.option("--data", type=click.Path(), help="folder for the log of its write-back buffer; left out: no log")
+def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions, data):
     """Takes clients and serves their files from the nodes."""
+    from rushmux.buffer.disk import Disk, InUse
     from rushmux.edge.edge import Edge
     from rushmux.edge.links import Address
     from rushmux.rules import Gateway
@@ -107,12 +109,18 @@
     deployment = deployed(file)
     if not 0 <= number < deployment.terms.gateways:
         raise click.ClickException(f"edge {number} of {deployment.terms.gateways}")
+    disk = None
+    if data and deployment.buffer is not None:
+        try:
+            disk = Disk(data, deployment.buffer["log_sync"])
+        except (InUse, OSError) as fault:
+            raise click.ClickException(str(fault)) from fault
 
     async def run():
         loop = asyncio.get_running_loop()
         record, logger = recorder(records, loop), log.to_stream(sys.stderr.buffer, log_level)
         part = Edge(number, deployment, Address(*lists), new_seed(seed), time.time() - loop.time(), logger,
-                    {"module": Gateway, "passthrough": PassThrough}[decisions])
+                    {"module": Gateway, "passthrough": PassThrough}[decisions], disk)
         part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
         await serve(part, listen, with_parent, start=part.start)
     asyncio.run(run())
--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -75,11 +75,12 @@
             raise Damaged(name)
         return data
 
-    async def store(self, data: bytes) -> tuple[str, int]:
-        """Writes a new object where the module's pick says; its name and its cell."""
+    async def store(self, data: bytes, role="write") -> tuple[str, int]:
+        """Writes a new object where the module's pick says; its name and its cell.  `role` names the
+        lane: `write_out` for what nobody waits for."""
         name = self.driver.unique()
         write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
-        answer = await self.run("write", name, self.driver.deployment.units(len(data)), -1,
+        answer = await self.run(role, name, self.driver.deployment.units(len(data)), -1,
                                 lambda execute: execute.write.CopyFrom(write))
         return name, answer.cell
 
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -36,13 +36,27 @@
 class OpenFile:
     """One handle's view of a file.  What it read of names is used for `files.fresh` seconds."""
 
-    def __init__(self, tree: Tree, path, found, flags):
+    def __init__(self, tree: Tree, path, found, flags, buffer=None):
         self.tree, self.path, self.folder = tree, path, path[0]
         self.number, self.flags = found.number, flags
         self.file, self.version, self.read_at = found.file, found.version, None
         self.blocks, self.pending, self.committing = OrderedDict(), [], None
         self.loop = asyncio.get_running_loop()
-        self.read_at = self.loop.time()
+        self.read_at, self.buffer = self.loop.time(), buffer
+        if buffer is not None:
+            self.held = buffer.buffer.file(self.folder, self.number, "/" + "/".join(path))
+            self.held.opens += 1
+
+    def release(self):
+        """The handle is gone."""
+        if self.buffer is not None:
+            self.held.opens -= 1
+            self.buffer.buffer.close(self.held)
+
+    async def flush(self, errand):
+        """Until all that was written by any handle of this edge is readable through any edge."""
+        if self.buffer is not None:
+            await self.buffer.flush(self.held, errand)
 
     async def load(self, errand: Errand, numbers, since):
         """Sees that the file's row and these blocks were read at `since` or later."""
@@ -79,19 +93,35 @@
         """Bytes from `offset` on, fewer at the end of the file, none past it; holes read as zeros."""
         length = min(length, errand.driver.deployment.files.object_bytes)
         since = self.loop.time() - self.tree.files.fresh
+        # Taken before the rows are read: what is written out meanwhile is in one of them at least.
+        held, end = [], 0
+        if self.buffer is not None:
+            held, end = self.held.overlay(offset, offset + length), self.held.end
+            since = max(since, self.held.committed_at)
         for _ in range(LOST_AGAIN):
             numbers = [number for number, _, _ in layout.pieces(offset, length, self.file.block)]
             await self.load(errand, numbers, since)
-            length = max(0, min(length, self.file.size - offset))
+            length = max(0, min(length, max(self.file.size, end) - offset))
             parts = [(at, self.blocks[number].extents, start, part)
                      for number, start, part in layout.pieces(offset, length, self.file.block)
                      for at in [number * self.file.block - offset]]
             try:
-                return await self.gather(errand, length, parts)
+                return self.over(await self.gather(errand, length, parts), offset, held)
             except Lost:
                 since = self.loop.time()
         raise Refused(sftp.FAILURE, "an object of this file is not on its node")
 
+    @staticmethod
+    def over(data, offset, held):
+        """Lays what the buffer holds over what the nodes have."""
+        if not held:
+            return data
+        data = bytearray(data)
+        for piece in held:
+            part = piece.data[:len(data) + offset - piece.start]
+            data[piece.start - offset:piece.start - offset + len(part)] = part
+        return bytes(data)
+
     async def gather(self, errand, length, parts):
         wanted = [(at + extent.start, extent) for at, extents, start, part in parts
                   for extent in layout.within(extents, start, part)]
@@ -115,12 +145,14 @@
                 for (number, start, part), (name, cell) in zip(pieces, stored)]
 
     async def write(self, errand: Errand, offset: int, data: bytes):
-        """Writes bytes; returned when any edge can read them."""
+        """Writes bytes; returned when any edge can read them, or when the buffer holds them."""
         if self.flags & sftp.APPEND:
             return await self.append(errand, data)
         if offset + len(data) > layout.most_bytes(self.file.block):
             raise Refused(sftp.FAILURE,
                           f"past the largest size of a file, {layout.most_bytes(self.file.block)}")
+        if self.buffer is not None and await self.buffer.write(self.held, errand, offset, data, self.version):
+            return None
         name = self.file.data
         laid = Laid(await self.store(errand, offset, data), offset + len(data), name,
                     self.loop.create_future())
@@ -217,6 +249,7 @@
 
     async def append(self, errand, data):
         """Writes at the end, wherever that is by then: two edges that append lose nothing."""
+        await self.flush(errand)
         for attempt in range(CONFLICTS):
             await errand.apart(attempt)
             await self.load(errand, (), self.loop.time())
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -24,7 +24,7 @@
 NOT_ASKED = (sftp.Init, sftp.Version, sftp.Status, sftp.Handle, sftp.Data, sftp.Names, sftp.Attrs,
              sftp.ExtendedReply)
 EXTENSIONS = (("posix-rename@openssh.com", b"1"), ("fsync@openssh.com", b"1"),
-              ("statvfs@openssh.com", b"2"))
+              ("statvfs@openssh.com", b"2"), ("barrier@rushmux", b"1"))
 
 
 class Ended(Exception):
@@ -85,6 +85,9 @@
                 for task in list(self.tasks):
                     task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
+            for held in self.handles.values():
+                if isinstance(held, OpenFile):
+                    held.release()
             if self.unread_timer is not None:
                 self.unread_timer.cancel()
             self.outgoing.flush()
@@ -148,8 +151,9 @@
         while len(self.turns) >= self.bounds.pipelined:
             self.room.clear()
             await self.room.wait()
-        number, before = self.turns.enter(self.claim(packet))
-        task = self.loop.create_task(self.answer(packet, self.count, number, before))
+        claim = self.claim(packet)
+        number, before = self.turns.enter(claim)
+        task = self.loop.create_task(self.answer(packet, self.count, claim, number, before))
         self.tasks[task] = True
         task.add_done_callback(self.tasks.pop)
 
@@ -184,7 +188,7 @@
                 found.append(paths.split(text))
         return tuple(found)
 
-    async def answer(self, packet, count, number, before):
+    async def answer(self, packet, count, claim, number, before):
         """One request from its turn to its one answer."""
         until = self.loop.time() + self.bounds.patience - MARGIN
         tag = f"{self.name.rsplit('/', 1)[1]}.{count}"
@@ -192,6 +196,9 @@
             async with asyncio.timeout_at(until):
                 for over in before:
                     await over
+                if self.edge.buffer is not None and self.edge.buffer.recovering:
+                    for path in claim.paths:
+                        await self.edge.buffer.ready(path[0] if path else "", until - MARGIN)
                 call = self.calls.get(type(packet))
                 if call is None:
                     raise Refused(sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered")
@@ -273,13 +280,31 @@
         folder, names = self.inside(packet.path)
         if not packet.flags & (sftp.READ | sftp.WRITE):
             raise Refused(sftp.BAD_MESSAGE, "a file is opened to read or to write")
-        found = await self.edge.tree.open(errand(folder), names, packet.flags, packet.attributes)
+        once = errand(folder)
+        if packet.flags & sftp.TRUNCATE:
+            await self.written_out(once, names)
+        found = await self.edge.tree.open(once, names, packet.flags, packet.attributes)
         self.room_for_handle()
-        return self.hold(packet, OpenFile(self.edge.tree, (folder, *names), found, packet.flags))
+        file = OpenFile(self.edge.tree, (folder, *names), found, packet.flags, self.edge.buffer)
+        return self.hold(packet, file)
+
+    async def written_out(self, errand, names):
+        """Danger: bytes held of a file that is cut would come back after the cut."""
+        buffer = self.edge.buffer
+        if buffer is not None and buffer.buffer.folder(errand.folder).bytes:
+            found = await self.edge.tree.find(errand, names)
+            held = buffer.buffer.known(errand.folder, found.number)
+            if held is not None:
+                await buffer.flush(held, errand)
 
     async def close(self, packet, errand):
-        self.held(packet, (OpenFile, OpenDirectory))
+        held = self.held(packet, (OpenFile, OpenDirectory))
         del self.handles[packet.handle]
+        if isinstance(held, OpenFile):
+            try:
+                await held.flush(errand(held.folder))
+            finally:
+                held.release()
         return self.done(packet)
 
     async def read(self, packet, errand):
@@ -304,16 +329,23 @@
         if not names:
             return sftp.Attrs(packet.request, root_attributes())
         found = await self.edge.tree.existing(errand(folder), names)
-        return sftp.Attrs(packet.request, attributes(found.file))
+        return sftp.Attrs(packet.request, self.shown(folder, found.number, found.file))
+
+    def shown(self, folder, number, file):
+        """Attributes with what the buffer holds past the end of the file."""
+        held = self.edge.buffer and self.edge.buffer.buffer.known(folder, number)
+        return attributes(file._replace(size=max(file.size, held.end)) if held else file)
 
     async def handle_stat(self, packet, errand):
         file = self.held(packet, OpenFile)
         await file.load(errand(file.folder), (), self.loop.time())
-        return sftp.Attrs(packet.request, attributes(file.file))
+        return sftp.Attrs(packet.request, self.shown(file.folder, file.number, file.file))
 
     async def set_stat(self, packet, errand):
         folder, names = self.inside(packet.path)
         once = errand(folder)
+        if packet.attributes.size is not None:
+            await self.written_out(once, names)
         found = await self.edge.tree.existing(once, names)
         await self.edge.tree.set_attributes(once, found.number, packet.attributes)
         return self.done(packet)
@@ -322,6 +354,7 @@
         file = self.held(packet, OpenFile)
         if packet.attributes.size is not None and not file.flags & sftp.WRITE:
             raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
+        await file.flush(errand(file.folder))
         row, version = await self.edge.tree.set_attributes(errand(file.folder), file.number,
                                                            packet.attributes)
         file.file, file.version = row, version
@@ -356,7 +389,8 @@
                 held.done = not held.rows
             else:
                 page, held.after = await self.edge.tree.page(errand(held.folder), held.number, held.after)
-                rows, held.done = [(name, attributes(file)) for name, file in page], not held.after
+                rows = [(name, self.shown(held.folder, number, file)) for name, number, file in page]
+                held.done = not held.after
         names = [sftp.Name(name, long_name(name, shown), shown) for name, shown in rows]
         return sftp.Names(packet.request, names)
 
@@ -398,8 +432,17 @@
                 moved = sftp.Rename(packet.request, cursor.text(), cursor.text())
                 return await self.rename(moved, errand, replace=True)
             if packet.name == "fsync@openssh.com":
-                # What was answered as written lies on nodes already; earlier writes were waited for.
-                self.held(sftp.Close(packet.request, cursor.raw()), OpenFile)
+                # Without a buffer, what was answered as written lies on nodes already.
+                file = self.held(sftp.Close(packet.request, cursor.raw()), OpenFile)
+                await file.flush(errand(file.folder))
+                return self.done(packet)
+            if packet.name == "barrier@rushmux":
+                folder, _ = self.place(cursor.text())
+                if not folder:
+                    raise Refused(sftp.FAILURE, "a barrier is set over one folder")
+                if self.edge.buffer is not None:
+                    barrier = self.edge.buffer.mark(folder)
+                    await self.edge.buffer.past(folder, barrier, errand(folder))
                 return self.done(packet)
             if packet.name == "statvfs@openssh.com":
                 self.place(cursor.text())
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/tree.py
@@ -292,8 +292,8 @@
             if step == size:
                 return file, version
 
-    async def page(self, errand, number, after) -> tuple[list[tuple[str, File]], str]:
-        """Up to PAGE entries of a directory past the key `after` ("" : from the first), and the key
+    async def page(self, errand, number, after) -> tuple[list[tuple[str, str, File]], str]:
+        """Up to PAGE entries (name, id, row) of a directory past the key `after` ("" : from the first), and the key
         to go on from ("" : that was all)."""
         first, below = layout.entries_of(number)
         outcome = await errand.look(number, after=after or first, below=below, most=PAGE)
@@ -302,6 +302,6 @@
         numbers = [layout.unpack_entry(row.value)[0] for row in outcome.rows]
         rows = (await errand.look(number, keys=[layout.file_key(other) for other in numbers])).rows
         files = {row.key: layout.unpack_file(row.value) for row in rows}
-        entries = [(row.key[len(first):], files[layout.file_key(other)])
+        entries = [(row.key[len(first):], other, files[layout.file_key(other)])
                    for row, other in zip(outcome.rows, numbers) if layout.file_key(other) in files]
         return entries, outcome.rows[-1].key if outcome.more else ""
--- a/rushmux/files/layout.py
+++ b/rushmux/files/layout.py
@@ -44,6 +44,7 @@
     gid: int = 0
     data: str = ""
     block: int = 0           # bytes in a block
+    by: str = ""             # stamp of the write-back batch that changed it last
 
 
 def entry_key(parent: str, name: str) -> str:
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -54,6 +54,7 @@
     folders: dict[str, Folder]
     sessions: Sessions
     files: Files
+    buffer: Optional[dict]  # the file's part on the write-back buffer, times in seconds; None: off
     drain_grace: float      # seconds
     dial: float             # seconds
     links: int
@@ -123,6 +124,11 @@
         for place, number in enumerate(folder.get("edges", ())):
             if number >= fleet["gateways"]:
                 found.append((f"/folders/{name}/edges/{place}", f"edge {number} of {fleet['gateways']}"))
+    buffer = raw.get("buffer", {})
+    if buffer.get("folder_bytes", 8 << 20) > buffer.get("edge_bytes", 64 << 20):
+        found.append(("/buffer/folder_bytes", "a folder cannot hold more than its edge"))
+    if buffer.get("age_ms", 2_000) >= buffer.get("keep_ms", 30_000):
+        found.append(("/buffer/keep_ms", "what is given up before it is written out is always lost"))
     largest = raw.get("files", {}).get("object_bytes", 262_144)
     if fleet.get("unit_bytes", 32_768) * most < largest:
         found.append(("/files/object_bytes", f"{largest} bytes count more than most_units {most}"))
@@ -161,6 +167,7 @@
         budget_share=budget and budget["share"], budget_free=budget["free"] if budget else 0,
         budget_span=ticks(budget["span_ms"]) if budget else 0)
     bounds, files = raw["sessions"], raw["files"]
+    raw["roles"].setdefault("write_out", raw["roles"]["write"])
     return Deployment(
         terms=terms, roles=raw["roles"],
         folders={name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
@@ -169,7 +176,14 @@
                           bounds["pipelined"],
                           bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
-        drain_grace=fleet["drain_grace_ms"] / 1000, dial=fleet["dial_ms"] / 1000, links=fleet["links"])
+        buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000, dial=fleet["dial_ms"] / 1000, links=fleet["links"])
+
+
+def _buffer(raw):
+    if raw is None or not raw["on"]:
+        return None
+    return {name.removesuffix("_ms"): value / 1000 if name.endswith("_ms") else value
+            for name, value in raw.items() if name != "on"}
 
 
 def load(path) -> Deployment:
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -3,6 +3,7 @@
 import random
 
 from rushmux import log
+from rushmux.buffer.disk import SimulatedDisk
 from rushmux.edge.edge import Edge
 from rushmux.edge.links import Address
 from rushmux.lab.loop import VirtualLoop, run
@@ -46,11 +47,12 @@
     """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
 
     def __init__(self, loop: VirtualLoop, deployment: Deployment, seed: int, lag=1.0, decisions=Gateway,
-                 level="info", disk=DISK, **shape):
+                 level="info", disk=DISK, logs=True, **shape):
         self.loop, self.deployment, self.chance = loop, deployment, random.Random(seed)
         self.lag, self.decisions, self.disk = lag, decisions, disk
         self.shape = shape_of(deployment, **shape)
         self.records, self.logs = [], []
+        self.log_disks = {} if logs else None    # edge -> the disk of its buffer's log
         self.log = log.to_list(self.logs, level)
         self.nodes, self.edges, self.stores, self.lists = {}, {}, {}, None
 
@@ -97,11 +99,16 @@
         """Starts an edge, anew where it ran before."""
         process = self.loop.process(f"edge{number}")
         program = Edge(number, self.deployment, self.lists.address, self.seed(), EPOCH, self.log,
-                       self.decisions)
+                       self.decisions, self.log_disk(number))
         program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
 
+    def log_disk(self, number):
+        if self.log_disks is None:
+            return None
+        return self.log_disks.setdefault(number, SimulatedDisk())
+
     def kill_edge(self, number):
         self.record("killed", edge=f"edge{number}", start=self.edges[number].program.start)
         self.edges[number].process.kill()
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -95,7 +95,8 @@
     async def edge(self, number, port=0):
         part = await self.begin(f"edge{number}", "edge", "--listen", f"{HOST}:{port}", "--deployment",
                                 self.file, "--number", number,
-                                "--lists", f"{HOST}:{self.lists.port}", "--decisions", self.decisions)
+                                "--lists", f"{HOST}:{self.lists.port}", "--decisions", self.decisions,
+                                "--data", self.folder / "data" / f"edge{number}")
         self.edges[number] = part
         return part
 
