--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -248,3 +248,15 @@
     """Plays a scripted bad day, checks the rules from its recordings and prints a report."""
     from rushmux.cli import fleets
     sys.exit(fleets.demo(day, edges, nodes, load, seed, virtual, both, data, file))
+
+
+@main.command()
+@click.option("--runs", type=click.IntRange(1, 1_000_000), default=300, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True, help="of the first; each next has the next")
+@click.option("--real", is_flag=True, help="real processes in place of the virtual clock")
+@click.option("--jobs", type=click.IntRange(1, 64), default=4, show_default=True)
+@click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example")
+def kills(runs, seed, real, jobs, file):
+    """Kills an edge within its write-back at random moments and checks what it had promised."""
+    from rushmux.cli import killing
+    sys.exit(1 if killing.run(runs, seed, real, jobs, file) else 0)
