--- a/rushmux/buffer/decide.py
+++ b/rushmux/buffer/decide.py
@@ -287,6 +287,7 @@
             if not layer.packets:
                 del part.file.layers[batch.barrier]
             if part.file in gone:
+                part.file.error = f"{part.file.path}: {gone[part.file]}"
                 self.drop(part.file, batch.barrier, gone[part.file])
             self.settle(part.file)
 
