--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -33,6 +33,7 @@
         self.waiters, self.tasks, self.recovering = {}, {}, {}
         self.epoch, self.made, self.segment, self.sizes = 1, 0, "", {}
         self.records, self.broken = [], False
+        self.known = {}                  # file -> its rows as last seen: version, row, blocks by number
         self.based = {}                  # files whose base stands in the log since they became dirty
         self.counts = {"packets": 0, "bytes": 0, "objects": 0, "object_bytes": 0, "changes": 0, "direct": 0}
         if disk is not None:
@@ -40,8 +41,8 @@
 
     # Packets, flushes and barriers.
 
-    async def write(self, file: File, errand: Errand, start: int, data, version: int) -> bool:
-        """Holds a packet; False where it has to go to the nodes at once, which the log's end or a size
+    async def write(self, file: File, errand: Errand, start: int, data, opened) -> bool:
+        """Holds a packet of an open file; False where it has to go to the nodes at once, which the log's end or a size
         past all bounds ask for."""
         while True:
             verdict = self.buffer.admit(errand.folder, len(data))
@@ -59,7 +60,11 @@
                     await self.room.wait()
             except TimeoutError:
                 raise Shed() from None
-        self.hold(file, start, data, version)
+        known = self.known.get(file)
+        if known is None or known[0] < opened.version:
+            self.known[file] = opened.version, opened.file, {
+                number: (block.version, block.extents) for number, block in opened.blocks.items()}
+        self.hold(file, start, data, opened.version)
         self.changed.set()
         if self.disk is not None:
             self.commit_log()
@@ -78,6 +83,12 @@
             self.record(journal.PUT, data, folder=file.folder, file=file.number, start=start, number=number,
                         barrier=self.buffer.folder(file.folder).barrier)
 
+    def closed(self, file: File):
+        """A handle of the file is gone."""
+        self.buffer.close(file)
+        if not (file.opens or file.dirty):
+            self.known.pop(file, None)
+
     async def flush(self, file: File, errand: Errand):
         """Until all that is held of the file is readable through any edge; Refused with what went wrong
         before, told once."""
@@ -156,9 +167,13 @@
                 if file.error and not error:
                     self.log.error("buffer.given_up", file=file.number, why=file.error)
                     self.record_dropped(file)
+                self.known.pop(file, None)
         finally:
             self.room.set()
             self.changed.set()
+            for part in batch.parts:
+                if not (part.file.opens or part.file.dirty):
+                    self.known.pop(part.file, None)
             for name, barrier in list(self.recovering.items()):
                 if self.buffer.is_past(name, barrier):
                     del self.recovering[name]
@@ -186,13 +201,52 @@
             extents[part.file].append(extent)
         return extents
 
-    async def rows(self, errand, batch, keys):
+    async def rows(self, errand, keys):
         found = {}
         for at in range(0, len(keys), KEYS):
             outcome = await errand.look("buffer", keys=keys[at:at + KEYS])
             found.update((row.key, row) for row in outcome.rows)
         return found
 
+    def guessed(self, batch, extents):
+        """The rows to change as they were last seen here: file -> (version, row, blocks by number), each
+        block its version and extents.  None where one is not known; a wrong guess is a check that fails."""
+        found = {}
+        for part in batch.parts:
+            known = self.known.get(part.file)
+            if known is None or part.file.recovered:
+                return None
+            version, file, blocks = known
+            for number, _ in extents[part.file]:
+                if number not in blocks and number * file.block < file.size:
+                    return None
+            found[part.file] = version, file, {number: blocks.get(number, (0, []))
+                                               for number, _ in extents[part.file]}
+        return found
+
+    async def looked(self, errand, batch, extents, gone, overtaken):
+        """The same by a look; files that are no more, or that others have changed, are put aside."""
+        rows = await self.rows(errand, [layout.file_key(part.file.number) for part in batch.parts])
+        files, keys = {}, {}
+        for part in batch.parts:
+            row = rows.get(layout.file_key(part.file.number))
+            if row is None:
+                gone[part.file] = "the file was removed"
+                continue
+            file = layout.unpack_file(row.value)
+            if self.overtaken(part.file, row.version, file):
+                gone[part.file] = "others wrote to the file while this edge was down"
+                overtaken.append(part.file)
+                continue
+            files[part.file] = row.version, file, {}
+            for number, _ in extents[part.file]:
+                keys[layout.block_key(file.data, number)] = part.file, number
+        rows = await self.rows(errand, list(keys))
+        for key, (file, number) in keys.items():
+            row = rows.get(key)
+            files[file][2][number] = (row.version, layout.unpack_block(row.value)) if row else (0, [])
+        return files
+
     async def commit(self, errand, batch, extents):
         """One change of rows for all files of the batch; the files that are no more, and why, and those
         that others wrote to while an earlier start's packets lay in the log."""
@@ -200,56 +254,48 @@
         for attempt in range(CONFLICTS):
             await errand.apart(attempt)
             gone, overtaken = {}, []
-            rows = await self.rows(errand, batch, [layout.file_key(part.file.number) for part in batch.parts])
-            files = {}
-            for part in batch.parts:
-                row = rows.get(layout.file_key(part.file.number))
-                if row is None:
-                    gone[part.file] = "the file was removed"
-                elif self.overtaken(part.file, row):
-                    gone[part.file] = "others wrote to the file while this edge was down"
-                    overtaken.append(part.file)
-                else:
-                    files[part.file] = row, layout.unpack_file(row.value)
-            rows.update(await self.rows(errand, batch, [
-                layout.block_key(file.data, number) for held, (_, file) in files.items()
-                for number in dict.fromkeys(number for number, _ in extents[held])]))
+            files = self.guessed(batch, extents) if attempt == 0 else None
+            if files is None:
+                files = await self.looked(errand, batch, extents, gone, overtaken)
+            if not files:
+                return gone, overtaken
             stamp = self.driver.unique()
-            checks, puts, dropped, reached = [], [], [], {}
-            for held, (row, file) in files.items():
-                now = file._replace(size=max(file.size, ends[held]), mtime=self.tree.wall(), by=stamp)
-                reached[held] = len(puts)
-                checks.append({"key": row.key, "version": row.version})
-                puts.append((row.key, layout.pack_file(now)))
-                for number in dict.fromkeys(number for number, _ in extents[held]):
-                    key = layout.block_key(file.data, number)
-                    before = layout.unpack_block(rows[key].value) if key in rows else []
-                    after = before
+            checks, puts, dropped, after = [], [], [], {}
+            for held, (version, file, blocks) in files.items():
+                file = file._replace(size=max(file.size, ends[held]), mtime=self.tree.wall(), by=stamp)
+                key, places = layout.file_key(held.number), {}
+                after[held] = len(puts), file, places
+                checks.append({"key": key, "version": version})
+                puts.append((key, layout.pack_file(file)))
+                for number, (version, before) in blocks.items():
+                    laid = before
                     for place, extent in extents[held]:
                         if place == number:
-                            after = layout.lay(after, extent)
-                    checks.append({"key": key, "version": rows[key].version if key in rows else 0})
-                    puts.append((key, layout.pack_block(after)))
-                    dropped += layout.dropped(before, after)
-            if not files:
-                return gone, overtaken
+                            laid = layout.lay(laid, extent)
+                    key = layout.block_key(file.data, number)
+                    places[number] = len(puts), laid
+                    checks.append({"key": key, "version": version})
+                    puts.append((key, layout.pack_block(laid)))
+                    dropped += layout.dropped(before, laid)
             if dropped:
                 puts.append(self.tree.doomed(objects=dropped))
             self.intend(batch, files, stamp)
             done = await errand.change("buffer", checks, puts)
-            if done is not None:
-                self.counts["changes"] += 1
-                if dropped:
-                    self.tree.drop(errand.folder)
-                for held, place in reached.items():
-                    held.version = done[place].version
-                return gone, overtaken
+            if done is None:
+                continue
+            self.counts["changes"] += 1
+            if dropped:
+                self.tree.drop(errand.folder)
+            for held, (place, file, places) in after.items():
+                held.version = done[place].version
+                blocks = {number: (done[at].version, laid) for number, (at, laid) in places.items()}
+                self.known[held] = held.version, file, blocks
+            return gone, overtaken
         raise contended("the files")
 
-    def overtaken(self, file, row):
+    def overtaken(self, file, version, row):
         """Danger: what a killed edge still held must not undo what others wrote since."""
-        return (file.recovered and file.version != row.version
-                and not (file.stamp and layout.unpack_file(row.value).by == file.stamp))
+        return file.recovered and file.version != version and not (file.stamp and row.by == file.stamp)
 
     # The log.
 
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -51,7 +51,7 @@
         """The handle is gone."""
         if self.buffer is not None:
             self.held.opens -= 1
-            self.buffer.buffer.close(self.held)
+            self.buffer.closed(self.held)
 
     async def flush(self, errand):
         """Until all that was written by any handle of this edge is readable through any edge."""
@@ -151,7 +151,7 @@
         if offset + len(data) > layout.most_bytes(self.file.block):
             raise Refused(sftp.FAILURE,
                           f"past the largest size of a file, {layout.most_bytes(self.file.block)}")
-        if self.buffer is not None and await self.buffer.write(self.held, errand, offset, data, self.version):
+        if self.buffer is not None and await self.buffer.write(self.held, errand, offset, data, self):
             return None
         name = self.file.data
         laid = Laid(await self.store(errand, offset, data), offset + len(data), name,
--- a/tests/buffer/test_kills.py
+++ b/tests/buffer/test_kills.py
@@ -34,7 +34,7 @@
 
 
 def test_a_buffer_without_its_fence_is_found_out(play, monkeypatch):
-    monkeypatch.setattr(WriteBack, "overtaken", lambda self, file, row: False)
+    monkeypatch.setattr(WriteBack, "overtaken", lambda self, file, version, row: False)
     assert any("after the return" in text for text in breaches(play, range(30)))
 
 
