--- a/benchmarks/extents.py
+++ b/benchmarks/extents.py
@@ -46,7 +46,7 @@
         begun = time.perf_counter()
         filled(index, places)
         fill = (time.perf_counter() - begun) / size * 1e6
-    count = FEW if kind is not Extents else 20_000
+    count = FEW
     over = [(chance.randrange(space), size + place) for place in range(count)]
     put = timed(index, [lambda at=at, number=number: index.put(at, DATA, number) for at, number in over])
     find = timed(index, [lambda at=at: index.within(at, at + 1_000) for at, _ in over])
--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,71 @@
+"""How long an edge needs to take in the log of an earlier start, by the log's size.
+
+    python benchmarks/recovery.py [--most 64]
+
+The log is made as an edge makes it: packets of 4 KiB over 64 files of 8 folders, in MiB held.
+"""
+import argparse
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+
+from rushmux.buffer import journal
+from rushmux.buffer.disk import Disk
+from rushmux.settings import deployment
+from rushmux.standins import fleet as fleets
+
+EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
+PACKET, FILES, SEGMENT = 4_096, 64, 4 << 20
+
+
+def made(disk, size):
+    """A log that holds `size` MiB."""
+    folders, parts = sorted(EXAMPLE["folders"])[:8], [journal.HEAD, journal.pack(journal.BEGUN, epoch=1)]
+    number, segment = 0, 1
+    for place in range(size * 256):
+        file, at = place % FILES, place // FILES * PACKET
+        if at == 0:
+            parts.append(journal.pack(journal.BASE, folder=folders[file % 8], file=f"f{file}", path=f"/{file}",
+                                      version=1))
+        number += 1
+        parts.append(journal.pack(journal.PUT, bytes(PACKET), folder=folders[file % 8], file=f"f{file}", start=at,
+                                  number=number, barrier=0))
+        if sum(map(len, parts[-1:])) * len(parts) > SEGMENT:
+            disk.append(f"00000001-{segment:06}.log", b"".join(parts))
+            parts, segment = [journal.HEAD], segment + 1
+    disk.append(f"00000001-{segment:06}.log", b"".join(parts))
+
+
+def taken_in(size):
+    """Seconds until an edge with such a log serves; its packets."""
+    with tempfile.TemporaryDirectory() as folder:
+        disk = Disk(folder)
+        made(disk, size)
+        raw = {**EXAMPLE, "buffer": {"edge_bytes": 1 << 30, "folder_bytes": 1 << 29, "log_bytes": 1 << 30}}
+
+        async def story(fleet):
+            fleet.log_disks[0] = disk
+            fleet.kill_edge(0)
+            begun = time.perf_counter()
+            await fleet.edge(0)
+            took = time.perf_counter() - begun
+            await asyncio.sleep(0)
+            return took, fleet.edges[0].program.buffer.buffer.bytes
+        return fleets.play(deployment.build(raw), 1, story)[1]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--most", type=int, default=64)
+    size = 1
+    while size <= parser.parse_args().most:
+        took, held = taken_in(size)
+        assert held == size << 20
+        print(f"{size:4} MiB, {size * 256:6} packets: serves after {took:.3f} s", flush=True)
+        size *= 4
+
+
+if __name__ == "__main__":
+    main()
--- a/rushmux/buffer/decide.py
+++ b/rushmux/buffer/decide.py
@@ -11,6 +11,7 @@
 TAKE, WAIT, REFUSE = "take", "wait", "refuse"
 
 PRESSURE = 0.5           # of a cap: beyond it what lies longest goes out without regard to the budget
+STALE = 0.3              # of the time that packets are kept: older ones that fail stop new ones
 RETRY, MOST_RETRY = 0.1, 5.0   # seconds until a failed batch goes again, doubled each time up to the most
 TIMES = 32               # batches whose time is remembered, to know whether a flush can still make it
 SURE = 4                 # of them before anything is concluded
@@ -142,15 +143,24 @@
 
     # What comes in.
 
-    def admit(self, folder: str, size: int) -> str:
+    def admit(self, folder: str, size: int, now: float) -> str:
         """Whether a packet is taken, has to wait, or can never be held."""
         held = self.folder(folder)
         if size > min(self.caps.folder_bytes, self.caps.edge_bytes):
             return REFUSE
         if self.bytes + size > self.caps.edge_bytes or held.bytes + size > self.caps.folder_bytes:
             return WAIT
+        # Danger: what cannot get out grows old unseen while more is answered as written on top of it.
+        if held.failures and now - self.oldest(held, now) > STALE * self.caps.keep:
+            return WAIT
         return TAKE
 
+    @staticmethod
+    def oldest(folder: Folder, now: float) -> float:
+        """When the packet that is held longest came."""
+        return min((layer.first_at for file in folder.files.values() for layer in file.layers.values()
+                    if layer.first_at is not None), default=now)
+
     def put(self, file: File, start: int, data, now: float) -> int:
         """Holds a packet; its number."""
         folder = self.folder(file.folder)
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -45,7 +45,7 @@
         """Holds a packet of an open file; False where it has to go to the nodes at once, which the log's end or a size
         past all bounds ask for."""
         while True:
-            verdict = self.buffer.admit(errand.folder, len(data))
+            verdict = self.buffer.admit(errand.folder, len(data), self.loop.time())
             if verdict == REFUSE or self.broken:
                 await self.flush(file, errand)
                 self.counts["direct"] += 1
