--- a/benchmarks/buffer.py
+++ b/benchmarks/buffer.py
@@ -127,7 +127,8 @@
             print(f"  buffer {'on ' if on else 'off'} {kind:6} 50th {share(times, .5):8.1f}  99th "
                   f"{share(times, .99):8.1f}  worst {share(times, 1):8.1f} ms  ({len(times)})")
         print(f"  buffer {'on ' if on else 'off'} node operations {median(runs, 'operations')} (writes "
-              f"{median(runs, 'writes')}, changes {median(runs, 'changes')}), refused {median(runs, 'refused')}")
+              f"{median(runs, 'writes')}, changes {median(runs, 'changes')}), "
+              f"refused {median(runs, 'refused')}")
         if on:
             counts = [run.counts for run in runs]
             twice = [count["object_bytes"] / max(1, count["bytes"]) for count in counts]
@@ -144,7 +145,8 @@
     seeds = range(1, parser.parse_args().seeds + 1)
     told("240 small files by 8 desks", ("file",), seeds, small_files)
     for size in (4_096, 16_384, 65_536):
-        told(f"4 streams of 2 MiB in {size // 1024} KiB writes", ("write", "close", "whole"), seeds, stream(size))
+        told(f"4 streams of 2 MiB in {size // 1024} KiB writes", ("write", "close", "whole"), seeds,
+             stream(size))
     told("40 reads a second alone", ("read",), seeds, reads_alone)
     told("40 reads a second beside filing", ("read", "write"), seeds, reads_beside)
 
--- a/benchmarks/extents.py
+++ b/benchmarks/extents.py
@@ -63,7 +63,8 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--most", type=int, default=1_000_000)
     size = 1_000
-    print(f"{'extents':>9} {'index':10} {'fill, each':>12} {'put over':>12} {'find 1,000 B':>13}  microseconds")
+    print(f"{'extents':>9} {'index':10} {'fill, each':>12} {'put over':>12} {'find 1,000 B':>13}"
+          "  microseconds")
     while size <= parser.parse_args().most:
         for kind in (Extents, PlainExtents, Tree):
             fill, put, find = measure(kind, size, random.Random(1))
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -27,10 +27,12 @@
     for place in range(size * 256):
         file, at = place % FILES, place // FILES * PACKET
         if at == 0:
-            parts.append(journal.pack(journal.BASE, folder=folders[file % 8], file=f"f{file}", path=f"/{file}",
+            parts.append(journal.pack(journal.BASE, folder=folders[file % 8], file=f"f{file}",
+                                      path=f"/{file}",
                                       version=1))
         number += 1
-        parts.append(journal.pack(journal.PUT, bytes(PACKET), folder=folders[file % 8], file=f"f{file}", start=at,
+        parts.append(journal.pack(journal.PUT, bytes(PACKET), folder=folders[file % 8], file=f"f{file}",
+                                  start=at,
                                   number=number, barrier=0))
         if sum(map(len, parts[-1:])) * len(parts) > SEGMENT:
             disk.append(f"00000001-{segment:06}.log", b"".join(parts))
--- a/rushmux/buffer/extents.py
+++ b/rushmux/buffer/extents.py
@@ -8,7 +8,7 @@
 from bisect import bisect_right, insort
 from typing import Iterator, NamedTuple
 
-CHUNK = 512              # pieces in a chunk before it is cut in two: a list of this length moves in a microsecond
+CHUNK = 512              # pieces in a chunk before it is cut in two: so many move in a microsecond
 
 
 class Piece(NamedTuple):
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -21,14 +21,25 @@
 SEGMENT = 4 << 20        # bytes of the log after which a new segment is begun
 
 
+def buffered(deployment, disk=None):
+    """What an edge of the deployment makes its buffer with; None where it has none.  `disk` keeps the log."""
+    if deployment.buffer is None:
+        return None
+    caps = Caps(**{name: value for name, value in deployment.buffer.items() if name in Caps._fields})
+
+    def made(driver, tree, log):
+        return WriteBack(driver, tree, caps, log, disk, deployment.buffer["log_bytes"])
+    return made
+
+
 class WriteBack:
     """One edge's buffer.  `disk` holds its log (None: no log); `most_log` bounds that in bytes."""
 
     def __init__(self, driver, tree, caps: Caps, log, disk=None, most_log=256 << 20):
         self.driver, self.tree, self.log, self.disk, self.most_log = driver, tree, log, disk, most_log
         deployment = driver.deployment
-        self.buffer = Buffer(
-            caps, lambda folder: deployment.terms.plans[deployment.folders[folder].plan].nominal, deployment.units)
+        plans, folders = deployment.terms.plans, deployment.folders
+        self.buffer = Buffer(caps, lambda folder: plans[folders[folder].plan].nominal, deployment.units)
         self.loop, self.changed, self.room = driver.loop, asyncio.Event(), asyncio.Event()
         self.waiters, self.tasks, self.recovering = {}, {}, {}
         self.epoch, self.made, self.segment, self.sizes = 1, 0, "", {}
@@ -42,8 +53,8 @@
     # Packets, flushes and barriers.
 
     async def write(self, file: File, errand: Errand, start: int, data, opened) -> bool:
-        """Holds a packet of an open file; False where it has to go to the nodes at once, which the log's end or a size
-        past all bounds ask for."""
+        """Holds a packet of an open file; False where it has to go to the nodes at once, which the log's
+        end or a size past all bounds ask for."""
         while True:
             verdict = self.buffer.admit(errand.folder, len(data), self.loop.time())
             if verdict == REFUSE or self.broken:
@@ -79,7 +90,8 @@
         if self.disk is not None:
             if file not in self.based:
                 self.based[file] = True
-                self.record(journal.BASE, folder=file.folder, file=file.number, path=file.path, version=version)
+                self.record(journal.BASE, folder=file.folder, file=file.number, path=file.path,
+                            version=version)
             self.record(journal.PUT, data, folder=file.folder, file=file.number, start=start, number=number,
                         barrier=self.buffer.folder(file.folder).barrier)
 
@@ -151,7 +163,8 @@
             gone, overtaken = await self.commit(errand, batch, await self.store(errand, batch))
             self.buffer.committed(batch, self.loop.time(), gone)
             if overtaken:
-                self.buffer.give_up(batch.folder, batch.barrier, "others wrote while this edge was down", overtaken)
+                self.buffer.give_up(batch.folder, batch.barrier, "others wrote while this edge was down",
+                                    overtaken)
                 self.log.error("buffer.overtaken", files=[file.number for file in overtaken])
             self.done(batch)
         except Exception as fault:   # pylint: disable=broad-except
@@ -423,7 +436,8 @@
             if record.kind == journal.BASE:
                 files[key] = [fields["path"], fields["version"], "", {}]
             elif record.kind == journal.PUT:
-                files[key][3].setdefault(fields["barrier"], []).append((fields["number"], fields["start"], record.data))
+                files[key][3].setdefault(fields["barrier"],
+                                         []).append((fields["number"], fields["start"], record.data))
             elif record.kind == journal.BARRIER:
                 barriers[key[0]] = fields["barrier"]
             elif record.kind == journal.INTENT:
--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -7,7 +7,7 @@
 
 import click
 
-from rushmux.cli.main import deployed
+from rushmux.cli.shared import deployed, new_seed
 from rushmux.rules import Gateway
 from rushmux.settings import deployment as deployments
 from rushmux.standins import day as days
@@ -47,7 +47,7 @@
         loop, ended = asyncio.get_running_loop(), asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, ended.set)
-        fleet = ProcessFleet(path, deployment, folder, new(), lag=0.5, unit=0.001)
+        fleet = ProcessFleet(path, deployment, folder, new_seed(None), lag=0.5, unit=0.001)
         try:
             await fleet.up(nodes, edges)
             addresses = [f"{HOST}:{fleet.edges[number].port}" for number in sorted(fleet.edges)]
@@ -60,11 +60,6 @@
     asyncio.run(run())
 
 
-def new():
-    from rushmux.cli.main import new_seed
-    return new_seed(None)
-
-
 async def watch(fleet, ended):
     """Starts a node that ended anew, cold, with what it holds, until the fleet is told to end."""
     while not ended.is_set():
--- a/rushmux/cli/killing.py
+++ b/rushmux/cli/killing.py
@@ -8,7 +8,7 @@
 
 import click
 
-from rushmux.cli.main import deployed
+from rushmux.cli.shared import deployed
 from rushmux.settings.deployment import build
 from rushmux.standins import fleet as fleets
 from rushmux.standins import kills
@@ -69,7 +69,8 @@
                 for seed in seeds:
                     chance = random.Random(seed)
                     trouble = asyncio.ensure_future(troubled(fleet, chance))
-                    wrong, count = await kills.round_of(fleet, FOLDERS[seed % len(FOLDERS)], chance, count, SPAN)
+                    wrong, count = await kills.round_of(fleet, FOLDERS[seed % len(FOLDERS)], chance, count,
+                                                        SPAN)
                     await trouble
                     found.append((seed, wrong))
             finally:
@@ -91,6 +92,6 @@
                 bad += bool(wrong)
                 for text in wrong[:3]:
                     click.echo(f"seed {number}: {text}")
-    click.echo(f"{done} kills, {'real processes' if real else 'virtual clock'}, seeds {seeds[0]} to {seeds[-1]}: "
-               f"{bad} with something wrong")
+    click.echo(f"{done} kills, {'real processes' if real else 'virtual clock'}, "
+               f"seeds {seeds[0]} to {seeds[-1]}: {bad} with something wrong")
     return bad
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -1,7 +1,6 @@
 """The command line: the only place that reads arguments, the wall clock and the machine's chance."""
 import asyncio
 import contextlib
-import os
 import signal
 import sys
 import time
@@ -10,9 +9,8 @@
 import click
 
 from rushmux import log
-from rushmux.settings import deployment as deployments
+from rushmux.cli.shared import EXAMPLE, deployed, new_seed
 
-EXAMPLE = Path(deployments.__file__).with_name("example.json")
 LEVELS = click.Choice(sorted(log.LEVELS))
 
 
@@ -29,13 +27,6 @@
         return host, int(port)
 
 
-def deployed(path):
-    try:
-        return deployments.load(path)
-    except deployments.BadDeployment as fault:
-        raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
-
-
 def common(command):
     """Options of every part that runs until it is told to end."""
     for option in (
@@ -62,10 +53,6 @@
     return record
 
 
-def new_seed(seed):
-    return int.from_bytes(os.urandom(6), "big") if seed is None else seed
-
-
 async def serve(part, listen, with_parent, **said):
     """Opens a part, says where it listens, and closes it on SIGTERM, SIGINT or the parent's end."""
     loop, ended = asyncio.get_running_loop(), asyncio.Event()
@@ -98,10 +85,12 @@
 @click.option("--lists", type=Place(), required=True, help="source of the list of nodes")
 @click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module",
               show_default=True)
-@click.option("--data", type=click.Path(), help="folder for the log of its write-back buffer; left out: no log")
+@click.option("--data", type=click.Path(),
+              help="folder for the log of its write-back buffer; left out: no log")
 def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions, data):
     """Takes clients and serves their files from the nodes."""
     from rushmux.buffer.disk import Disk, InUse
+    from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
     from rushmux.edge.links import Address
     from rushmux.rules import Gateway
@@ -120,7 +109,8 @@
         loop = asyncio.get_running_loop()
         record, logger = recorder(records, loop), log.to_stream(sys.stderr.buffer, log_level)
         part = Edge(number, deployment, Address(*lists), new_seed(seed), time.time() - loop.time(), logger,
-                    {"module": Gateway, "passthrough": PassThrough}[decisions], disk)
+                    {"module": Gateway, "passthrough": PassThrough}[decisions],
+                    buffered(deployment, disk))
         part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
         await serve(part, listen, with_parent, start=part.start)
     asyncio.run(run())
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -2,8 +2,6 @@
 import asyncio
 import random
 
-from rushmux.buffer.decide import Caps
-from rushmux.buffer.writeback import WriteBack
 from rushmux.edge.cleaner import Cleaner
 from rushmux.edge.driver import Driver
 from rushmux.edge.links import Address, Links, Lists
@@ -18,17 +16,17 @@
 
 class Edge:
     """One gateway.  `seed` is all its chance and must differ at every start; `epoch` is the calendar
-    time, in seconds since 1970, at the loop's clock of nought; `disk` keeps the log of a write-back buffer
-    (None: it has no log)."""
+    time, in seconds since 1970, at the loop's clock of nought; `buffered` makes a write-back
+    buffer of a driver, a tree and a log (None: there is none)."""
 
     def __init__(self, number: int, deployment: Deployment, lists: Address, seed: int, epoch: float, log,
-                 decisions=Gateway, disk=None):
+                 decisions=Gateway, buffered=None):
         self.number, self.deployment, self.epoch = number, deployment, epoch
         self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
         self.log = log.bind(edge=self.name, start=self.start)
         self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
         self.heard = lambda nodes: None  # hears of each listing taken in: [node, condition] each
-        self.disk, self.buffer = disk, None
+        self.buffered, self.buffer = buffered, None
         self.closing, self.sessions, self.count, self.tasks = False, {}, 0, []
 
     def serves(self, folder: str) -> bool:
@@ -45,10 +43,8 @@
         self.cleaner = Cleaner(self.driver, self.log)
         self.tree = Tree(self.deployment.files, self.driver.unique, lambda: int(self.epoch + loop.time()),
                          self.cleaner.note)
-        if self.deployment.buffer is not None:
-            caps = {name: value for name, value in self.deployment.buffer.items() if name in Caps._fields}
-            self.buffer = WriteBack(self.driver, self.tree, Caps(**caps), self.log, self.disk,
-                                    self.deployment.buffer["log_bytes"])
+        if self.buffered is not None:
+            self.buffer = self.buffered(self.driver, self.tree, self.log)
         lists = Lists(self.lists_at, hello, self.chance, self.log, self.told)
         self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
         if self.buffer is not None:
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/tree.py
@@ -293,8 +293,8 @@
                 return file, version
 
     async def page(self, errand, number, after) -> tuple[list[tuple[str, str, File]], str]:
-        """Up to PAGE entries (name, id, row) of a directory past the key `after` ("" : from the first), and the key
-        to go on from ("" : that was all)."""
+        """Up to PAGE entries (name, id, row) of a directory past the key `after` ("" : from the first), and
+        the key to go on from ("" : that was all)."""
         first, below = layout.entries_of(number)
         outcome = await errand.look(number, after=after or first, below=below, most=PAGE)
         if not outcome.rows:
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -176,7 +176,8 @@
                           bounds["pipelined"],
                           bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
-        buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000, dial=fleet["dial_ms"] / 1000, links=fleet["links"])
+        buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000,
+        dial=fleet["dial_ms"] / 1000, links=fleet["links"])
 
 
 def _buffer(raw):
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -4,6 +4,7 @@
 
 from rushmux import log
 from rushmux.buffer.disk import SimulatedDisk
+from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
 from rushmux.edge.links import Address
 from rushmux.lab.loop import VirtualLoop, run
@@ -99,7 +100,7 @@
         """Starts an edge, anew where it ran before."""
         process = self.loop.process(f"edge{number}")
         program = Edge(number, self.deployment, self.lists.address, self.seed(), EPOCH, self.log,
-                       self.decisions, self.log_disk(number))
+                       self.decisions, buffered(self.deployment, self.log_disk(number)))
         program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
--- a/rushmux/standins/kills.py
+++ b/rushmux/standins/kills.py
@@ -160,7 +160,8 @@
         if after:
             wrong += [f"slot {place} holds {found[place]} and {after[0]} holds {found[after[0]]}, "
                       f"from after the barrier at {last}; {number} came before it"
-                      for place, number in before.items() if found[place] is not None and found[place] < number]
+                      for place, number in before.items()
+                      if found[place] is not None and found[place] < number]
     return wrong
 
 
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -63,8 +63,7 @@
                 self.used[used.volume] = self.used.get(used.volume, 0.0) + used.units
             self.changed(body.entry)
         elif name == "trouble" and self.obeys:
-            self.begin(body.kind, body.size, body.seconds)
-            peer.send(obeyed=messages.Obeyed(kind=body.kind))
+            self.obey(peer, body)
         else:
             raise WireFault(f"{name} is not for the source of the list")
 
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -125,8 +125,7 @@
         if name == "execute":
             self.execute(peer, body)
         elif name == "trouble" and self.obeys:
-            self.begin(body.kind, body.size, body.seconds)
-            peer.send(obeyed=messages.Obeyed(kind=body.kind))
+            self.obey(peer, body)
         else:
             raise WireFault(f"{name} is not for a node")
 
--- a/tests/buffer/test_decide.py
+++ b/tests/buffer/test_decide.py
@@ -3,7 +3,8 @@
 
 from rushmux.buffer.decide import REFUSE, TAKE, WAIT, Buffer, Caps
 
-CAPS = Caps(edge_bytes=3_000, folder_bytes=2_000, age=2.0, keep=10.0, idle=0.3, batch_files=3, batch_bytes=1_000,
+CAPS = Caps(edge_bytes=3_000, folder_bytes=2_000, age=2.0, keep=10.0, idle=0.3, batch_files=3,
+            batch_bytes=1_000,
             out=2, background=0.5)
 
 
