Buffer: a block in too many pieces is written as one, as without a buffer

Cause: batches of the buffer did not keep the bound on a block's extents; sixty small flushes left sixty pieces, and rows grew without end. Change: the parts that put a block together serve both. Result: a test with a bound of 8 holds and the replaced objects are dropped.

--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -9,6 +9,7 @@
 from rushmux.buffer import journal
 from rushmux.buffer.decide import REFUSE, TAKE, Batch, Buffer, Caps, File
 from rushmux.edge.errand import CONFLICTS, Errand, Lost, Shed, Terminated, together
+from rushmux.edge.openfile import as_one
 from rushmux.edge.tree import Refused, contended
 from rushmux.files import layout
 from rushmux.files.layout import Extent
@@ -273,6 +274,10 @@
             if not files:
                 return gone, overtaken
             stamp = self.driver.unique()
+            try:
+                laid_out = await self.laid_out(errand, files, extents)
+            except Lost:                 # replaced under our hands: a fresh look knows by what
+                continue
             checks, puts, dropped, after = [], [], [], {}
             for held, (version, file, blocks) in files.items():
                 file = file._replace(size=max(file.size, ends[held]), mtime=self.tree.wall(), by=stamp)
@@ -281,10 +286,7 @@
                 checks.append({"key": key, "version": version})
                 puts.append((key, layout.pack_file(file)))
                 for number, (version, before) in blocks.items():
-                    laid = before
-                    for place, extent in extents[held]:
-                        if place == number:
-                            laid = layout.lay(laid, extent)
+                    laid = laid_out[held, number]
                     key = layout.block_key(file.data, number)
                     places[number] = len(puts), laid
                     checks.append({"key": key, "version": version})
@@ -306,6 +308,19 @@
             return gone, overtaken
         raise contended("the files")
 
+    async def laid_out(self, errand, files, extents):
+        """The extents of each block with the batch's over them; one in too many pieces is written as one."""
+        found = {}
+        for held, (_, _, blocks) in files.items():
+            for number, (_, laid) in blocks.items():
+                for place, extent in extents[held]:
+                    if place == number:
+                        laid = layout.lay(laid, extent)
+                if len(laid) > self.tree.files.extents:
+                    laid = [await as_one(errand, laid)]
+                found[held, number] = laid
+        return found
+
     def overtaken(self, file, version, row):
         """Danger: what a killed edge still held must not undo what others wrote since."""
         return file.recovered and file.version != version and not (file.stamp and row.by == file.stamp)
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -33,6 +33,29 @@
         self.extents, self.end, self.data, self.done = extents, end, data, done
 
 
+async def gather(errand: Errand, length: int, parts) -> bytes:
+    """`length` bytes put together from parts (where its block begins, extents, start, length in the block);
+    what no extent covers is zeros.  Lost where an object is not there."""
+    wanted = [(at + extent.start, extent) for at, extents, start, part in parts
+              for extent in layout.within(extents, start, part)]
+    fetched = await together(*(errand.fetch(extent.cell, extent.object, extent.skip, extent.length)
+                               for _, extent in wanted))
+    if len(wanted) == 1 and wanted[0][1].length == length:
+        return fetched[0]
+    data = bytearray(length)
+    for (at, extent), piece in zip(wanted, fetched):
+        data[at:at + extent.length] = piece
+    return bytes(data)
+
+
+async def as_one(errand: Errand, extents) -> Extent:
+    """A block in many pieces, written as one object."""
+    end = max(extent.end for extent in extents)
+    data = await gather(errand, end, [(0, extents, 0, end)])
+    name, cell = await errand.store(data)
+    return Extent(0, end, name, cell, 0)
+
+
 class OpenFile:
     """One handle's view of a file.  What it read of names is used for `files.fresh` seconds."""
 
@@ -106,7 +129,7 @@
                      for number, start, part in layout.pieces(offset, length, self.file.block)
                      for at in [number * self.file.block - offset]]
             try:
-                return self.over(await self.gather(errand, length, parts), offset, held)
+                return self.over(await gather(errand, length, parts), offset, held)
             except Lost:
                 since = self.loop.time()
         raise Refused(sftp.FAILURE, "an object of this file is not on its node")
@@ -122,18 +145,6 @@
             data[piece.start - offset:piece.start - offset + len(part)] = part
         return bytes(data)
 
-    async def gather(self, errand, length, parts):
-        wanted = [(at + extent.start, extent) for at, extents, start, part in parts
-                  for extent in layout.within(extents, start, part)]
-        fetched = await together(*(errand.fetch(extent.cell, extent.object, extent.skip, extent.length)
-                                   for _, extent in wanted))
-        if len(wanted) == 1 and wanted[0][1].length == length:
-            return fetched[0]
-        data = bytearray(length)
-        for (at, extent), piece in zip(wanted, fetched):
-            data[at:at + extent.length] = piece
-        return bytes(data)
-
     async def store(self, errand, offset, data):
         pieces = list(layout.pieces(offset, len(data), self.file.block))
         at, cuts = 0, []
@@ -213,7 +224,7 @@
                             extents = layout.lay(extents, extent)
                 if len(extents) > self.tree.files.extents:
                     try:
-                        extents = [await self.as_one(errand, extents)]
+                        extents = [await as_one(errand, extents)]
                     except Lost:         # replaced under our hands: this version's check will not hold
                         break
                 key = layout.block_key(file.data, number)
@@ -240,13 +251,6 @@
             since = self.loop.time()
         raise contended("the file")
 
-    async def as_one(self, errand, extents) -> Extent:
-        """A block in many pieces, written as one object."""
-        end = max(extent.end for extent in extents)
-        data = await self.gather(errand, end, [(0, extents, 0, end)])
-        name, cell = await errand.store(data)
-        return Extent(0, end, name, cell, 0)
-
     async def append(self, errand, data):
         """Writes at the end, wherever that is by then: two edges that append lose nothing."""
         await self.flush(errand)
--- a/tests/buffer/test_hard_cases.py
+++ b/tests/buffer/test_hard_cases.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rushmux.files import layout
 from rushmux.files.paths import home
 from rushmux.sftp import packets as sftp
 from rushmux.standins import day, script
@@ -281,6 +282,23 @@
     assert 2.9 < took < 7 and data == b"paused" * 10_000
 
 
+def test_a_block_written_in_many_small_flushes_stays_in_few_pieces(play, raw):
+    raw["files"] = {"extents": 8}
+
+    async def story(fleet):
+        one, far = await fleet.client(0), await fleet.client(1)
+        handle = await opened(one, "/heredia/a")
+        for at in range(60):             # every other place, so that nothing lies together
+            await one.ask(sftp.Write, handle, at * 200, bytes([at]) * 100)
+            await flush(one, handle)
+        rows = fleet.stores[f"node{HOME}"].base.execute("select value from rows where key like 'b/%'").fetchall()
+        await fleet.sleep(5)             # until the cleaner has dropped what is no more named
+        return max(len(layout.unpack_block(value)) for value, in rows), await far.get("/heredia/a")
+    fleet, (pieces, data) = play(story)
+    assert pieces <= 8 and data == b"".join(bytes([at]) * 100 + bytes(100) for at in range(60))[:-100]
+    assert any(row["kind"] == "execution" and row["what"] == "drop" for row in fleet.records)
+
+
 def test_two_edges_write_one_file(play):
     async def story(fleet):
         one, two = await fleet.client(0), await fleet.client(1)
