Sessions work on a few requests at a time: stock clients that read ahead are not shed

Cause: a stock client reading 30 MB was told 'shed' and gave up: hundreds of reads were handed to the module at once, most past their quoted time before their turn. Change: a window of 12 requests a session, a setting.

--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -59,6 +59,7 @@
         self.packets, self.turns, self.handles, self.tasks = sftp.Packets(), Turns(), {}, {}
         self.ready, self.count, self.opened, self.begun_at = False, 0, 0, None
         self.room, self.unread_timer = asyncio.Event(), None
+        self.window = asyncio.Semaphore(self.bounds.window)
         self.calls = {
             sftp.Open: self.open, sftp.Close: self.close, sftp.Read: self.read, sftp.Write: self.write,
             sftp.LStat: self.stat, sftp.Stat: self.stat, sftp.FStat: self.handle_stat,
@@ -202,7 +203,10 @@
                 call = self.calls.get(type(packet))
                 if call is None:
                     raise Refused(sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered")
-                reply = await call(packet, lambda folder: Errand(self.edge.driver, folder, tag, until))
+                # Danger: a stock client sends hundreds of reads ahead; taken all at once, most would be
+                # past their quoted time before their turn, and be shed.
+                async with self.window:
+                    reply = await call(packet, lambda folder: Errand(self.edge.driver, folder, tag, until))
         except Refused as fault:
             reply = self.status(packet.request, fault.code, str(fault))
         except paths.BadPath as fault:
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -35,6 +35,7 @@
     most: int
     handles: int
     pipelined: int
+    window: int
     packet: float
     unread: float
 
@@ -173,7 +174,7 @@
         folders={name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
                  for name, row in raw["folders"].items()},
         sessions=Sessions(bounds["patience_ms"] / 1000, bounds["most"], bounds["handles"],
-                          bounds["pipelined"],
+                          bounds["pipelined"], bounds["window"],
                           bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
         buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000,
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -306,3 +306,17 @@
         return results, before, len([row for row in fleet.records if row["kind"] == "told"])
     _, (results, before, after) = judged(story)
     assert results.count("ok") >= 9 and before == 2 and after == 4
+
+
+@pytest.mark.parametrize("window, all_read", [(12, True), (4_096, False)])
+def test_a_client_that_reads_far_ahead_is_paced_and_not_shed(judged, raw, window, all_read):
+    raw["sessions"].update(window=window, pipelined=256)
+
+    async def story(fleet):
+        one = await fleet.client(0)
+        await one.put("/heredia/a", b"ahead" * 800_000)
+        handle = await one.open("/heredia/a", sftp.READ)
+        return await asyncio.gather(*(outcome(one.ask(sftp.Read, handle, at, 32_768))
+                                      for at in range(0, 4_000_000, 32_768)))
+    results = judged(story, unit=0.01)[1]
+    assert (set(results) == {"ok"}) is all_read
