Names that nothing read are gone from open files and batches

Need: a second read of the whole change. Change: a write's data name, a batch part's count and re-exports that nobody used are removed; nothing behaves otherwise.

--- a/rushmux/buffer/decide.py
+++ b/rushmux/buffer/decide.py
@@ -94,7 +94,6 @@
     file: File
     index: Extents
     number: int              # of the newest packet in it
-    packets: int
 
 
 class Batch(NamedTuple):
@@ -274,7 +273,7 @@
                 break
             size += layer.index.bytes
             oldest = min(oldest, layer.first_at)
-            parts.append(Part(file, layer.index, layer.last_number, layer.packets))
+            parts.append(Part(file, layer.index, layer.last_number))
             # The packets in hand are closed to newer ones, which go into an index of their own.
             layer.out, layer.out_packets = layer.index, layer.packets
             layer.out_first, layer.out_last = layer.first_number, layer.last_number
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections import OrderedDict
 
-from rushmux.edge.errand import CONFLICTS, Errand, Lost, Shed, Terminated, together
+from rushmux.edge.errand import CONFLICTS, Errand, Lost, together
 from rushmux.edge.tree import Refused, Tree, contended
 from rushmux.files import layout
 from rushmux.files.layout import Extent
@@ -27,10 +27,10 @@
 
 class Laid:
     """A write whose objects are stored and whose rows are not changed yet."""
-    __slots__ = ("extents", "end", "data", "done")
+    __slots__ = ("extents", "end", "done")
 
-    def __init__(self, extents, end, data, done):
-        self.extents, self.end, self.data, self.done = extents, end, data, done
+    def __init__(self, extents, end, done):
+        self.extents, self.end, self.done = extents, end, done
 
 
 async def gather(errand: Errand, length: int, parts) -> bytes:
@@ -164,8 +164,7 @@
                           f"past the largest size of a file, {layout.most_bytes(self.file.block)}")
         if self.buffer is not None and await self.buffer.write(self.held, errand, offset, data, self):
             return None
-        name = self.file.data
-        laid = Laid(await self.store(errand, offset, data), offset + len(data), name,
+        laid = Laid(await self.store(errand, offset, data), offset + len(data),
                     self.loop.create_future())
         self.pending.append(laid)
         try:
@@ -259,10 +258,7 @@
             await self.load(errand, (), self.loop.time())
             offset, version = self.file.size, self.version
             extents = await self.store(errand, offset, data)
-            laid = Laid(extents, offset + len(data), self.file.data, None)
+            laid = Laid(extents, offset + len(data), None)
             if await self.commit(errand, [laid], version):
                 return
         raise contended("the file")
-
-
-__all__ = ["OpenFile", "Shed", "Terminated"]
