Decisions: second copies of new objects, withdrawn executions, routes by lane and plan

Need: the operators want time-outs, attempts and second copies in their file, and a slow or silent node takes the whole quoted time of what was sent there. The module never had two executions of an operation out.

Change: an execution is known by operation and number; a replayable or referenced new object that is late by three median answer times gets a second copy at an idle, warm node while the room over all nodes is not shrunk, five of a hundred operations at most; the first success answers and the other is withdrawn. Terms say whether two at once and withdrawing are allowed, and carry routes: time-out, executions, wait, copies, cap on what is held, budget. New calls: withdraw (Retract on the wire) and routed.

--- a/rushmux/interface.py
+++ b/rushmux/interface.py
@@ -49,6 +49,20 @@
     price: float
 
 
+class Route(NamedTuple):
+    """What the settings state for a lane's operations of a plan; the module only tightens it."""
+    time_out: int = 1 << 62      # the most that an execution may take
+    executions: int = 1 << 62    # the most of one operation, second copies counted
+    wait: int = 0                # from an execution's return until the next
+    copy_after: Optional[int] = 0   # no second copy goes before; None: none goes at all
+    held: int = 1 << 62          # operations that a gateway holds at a time; others are shed
+    share: float = 0.0           # further executions for each operation taken, saved up to `free`
+    free: float = 1 << 62
+
+
+NO_ROUTE = Route()
+
+
 class Terms(NamedTuple):
     """What a deployment states at the start of a gateway."""
     lanes: dict[str, Lane]
@@ -71,6 +85,9 @@
     budget_share: Optional[float]  # further executions for each operation taken; None: no budget
     budget_free: float
     budget_span: int
+    copies: bool = False         # an operation may have two executions out
+    cancel: bool = False         # executions may be withdrawn
+    routes: dict[tuple[str, str], Route] = {}   # by lane and plan; left out: NO_ROUTE
 
 
 class Listed(NamedTuple):
@@ -89,6 +106,7 @@
     def terminate(self, op_id: str) -> None: ...
     def wake(self, after: int) -> None: ...
     def watch(self) -> None: ...
+    def withdraw(self, op_id: str, execution: int) -> None: ...
 
 
 class Decisions(Protocol):
@@ -99,4 +117,5 @@
     def answered(self, now: int, op_id: str, execution: int, result: str, ended: bool,
                  fleet_use: int, from_others: float) -> None: ...
     def left(self, now: int, op_id: str) -> None: ...
+    def routed(self, routes: dict[tuple[str, str], Route]) -> None: ...
     def act(self, now: int) -> None: ...
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -42,6 +42,9 @@
 TRIES = 64               # ended operations kept of a volume to know retries by: some seconds of a surge
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
+COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
+COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
+COPY_MOST = 5            # second copies saved up at most: a silent node meets some in a row
 
 NEVER_RAN = (say.FULL, say.UNREACHED, say.MOOT)
 MAY_STILL_RUN = (say.OVERDUE, say.SEVERED, say.WITHDRAWN)
@@ -62,16 +65,25 @@
 class Operation:
     """An operation that this gateway has taken and not forgotten."""
 
-    def __init__(self, op_id, lane, volume, key, units, named, now, quoted_at, stop_at):
+    def __init__(self, op_id, lane, volume, key, units, named, now, quoted_at, stop_at, route, flow):
         self.op_id, self.lane, self.volume, self.key, self.units = op_id, lane, volume, key, units
         self.named = named               # the cell that holds its data; negative: a new object
         self.taken_at, self.quoted_at, self.stop_at = now, quoted_at, stop_at
-        self.cell = None
-        self.node, self.sends = None, 0  # where an execution is out: never more than one at a time
+        self.route, self.flow, self.cell = route, flow, None
+        self.again_at = 0                # not before, for the route's wait
+        self.out, self.sends = {}, 0     # number -> node of each execution out: two with a second copy
+        self.copied, self.copy_at = False, NEVER
         self.maybe_at = self.maybe_node = None   # when and where the first left that may have run
         self.over = self.held = False
 
 
+class Flow:
+    """What a route's caps count: the operations of one lane and plan that this gateway holds."""
+
+    def __init__(self, route):
+        self.held, self.credit = 0, route.free   # credit: further executions that the route still allows
+
+
 class Volume:
     """Both buckets and the moving average of a volume, as this gateway sees it."""
 
@@ -139,7 +151,7 @@
     """
 
     def __init__(self, size, whole):
-        self.size, self.whole, self.out = size, whole, {}   # operation -> time sent, oldest first
+        self.size, self.whole, self.out = size, whole, {}   # (operation, number) -> time sent, oldest first
         self.shrunk_at = self.wait_from = self.wait = 0
         self.answers = [0] * BINS        # histogram of answer times
 
@@ -151,25 +163,28 @@
     def opens(self, factor, now):
         """When the next may go, with that many times the room."""
         while self.out:
-            op, sent = next(iter(self.out.items()))
+            (op, number), sent = next(iter(self.out.items()))
             if now - sent < op.lane.quoted_time:
                 break
-            self.back(op, say.OVERDUE, now, 1)
+            self.back(op, number, say.OVERDUE, now, 1)
         size = factor * self.size
         opens = self.wait_from + int(self.wait * max(0, 1 / size - 1))
         return max(opens, sent + op.lane.quoted_time) if len(self.out) >= max(1, int(size)) else opens
 
-    def back(self, op, result, now, mean_units):
+    def back(self, op, number, result, now, mean_units):
         # Danger: nodes that are gone, cut off or failing shrink the room over all nodes for the others.
-        full, sent = len(self.out) >= int(self.size), self.out.pop(op, None)
+        full, sent = len(self.out) >= int(self.size), self.out.pop((op, number), None)
         if sent is None or self.whole and result in (say.UNREACHED, say.SEVERED, say.ERRORED):
             return
-        good, soft = result == say.SUCCEEDED, self.whole or result in (say.SUCCEEDED, say.ERRORED)
+        good = result == say.SUCCEEDED
+        soft = good or self.whole or result in (say.ERRORED, say.WITHDRAWN)
         pause = op.lane.quoted_time // (1 if self.whole else NODE_PAUSE)
-        self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
         # Over all nodes a late answer speaks for its own alone: a part of what is out.
         wait, part = (WHOLE_WAIT, 1 / (len(self.out) + 1)) if self.whole else (1, 1)
         wait *= op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * op.units / mean_units)
+        if result == say.WITHDRAWN and now - sent <= wait:
+            return                       # called off before it was late: it tells nothing
+        self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
         if not good or now - sent > wait:
             if sent >= self.shrunk_at:
                 part *= SHRINK if soft else SHRINK_FAILED
@@ -187,7 +202,7 @@
 
     def __init__(self, entry):
         self.entry = entry
-        self.out = {}                    # operation -> time sent, oldest first
+        self.out = {}                    # (operation, number) -> time sent, oldest first
         self.room = Room(FIRST_ROOM, False)
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
@@ -233,7 +248,7 @@
     def __init__(self, gateway):
         self.gateway, self.terms, self.out = gateway, gateway.terms, gateway.out
 
-    def back(self, op, node, result, now):
+    def back(self, op, number, node, result, now):
         pass
 
 
@@ -256,11 +271,11 @@
             self.gateway.later(self.rests[op.key], op)
         return line[0] is op and rested
 
-    def back(self, op, node, result, now):
+    def back(self, op, number, node, result, now):
         line = self.lines.get(op.key, ()) if op.lane.in_order else ()
         if result in MAY_STILL_RUN:
             self.rests[op.key] = now + self.terms.order_rest + 1
-        if op.over and not op.node and op in line:   # then also called with no result
+        if op.over and not op.out and op in line:   # then also called with no result
             had_turn = line[0] is op
             line.remove(op)
             if not line:
@@ -353,7 +368,7 @@
                 slack, lowest = op, volume.sum / volume.plan.weight
         return due or slack
 
-    def back(self, op, node, result, now):
+    def back(self, op, number, node, result, now):
         # Danger: fast errors charge as if served, and a failing volume looks fed.
         if result != say.SUCCEEDED:
             op.volume.charge(-op.units)
@@ -363,7 +378,8 @@
     """Sends what is let go, under the rules for sending, and judges the node by what comes back."""
 
     def may_run_again(self, op, node, now):
-        if op.sends >= self.terms.executions or not self.gateway.budget_left(now):
+        if (op.sends >= min(self.terms.executions, op.route.executions) or op.flow.credit < 1
+                or not self.gateway.budget_left(now)):
             return False
         if op.maybe_at is None or op.lane.repeat == say.REPLAYABLE:
             return True
@@ -378,25 +394,57 @@
             if not self.may_run_again(op, node, now):
                 return self.gateway.finish(op, now)
             self.gateway.extras.append(now)
+            op.flow.credit -= 1
+        else:
+            op.volume.limit -= op.units
         self.gateway.pacing.remove(op)
+        self.go(op, node, now)
+
+    def go(self, op, node, now):
         op.volume.charge(op.units)
-        if not op.sends:
-            op.volume.limit -= op.units
-        op.node, op.sends = node, op.sends + 1
-        node.out[op] = node.room.out[op] = self.gateway.room.out[op] = now
+        op.out[op.sends] = node
+        node.out[op, op.sends] = node.room.out[op, op.sends] = self.gateway.room.out[op, op.sends] = now
+        op.sends += 1
         node.arrivals.append((now, op.units))
         # Danger: executions lost on the way use up the quoted time.  Also guards against a node that
         # hangs.  Harm: a jam of many answer times is taken for a loss, and its work is wasted.
         usual = node.room.typical() or self.gateway.room.typical() or op.lane.quoted_time
-        patience = usual * max(1, op.units / self.terms.mean_units)
-        self.out.execute(op.op_id, node.entry.node, min(op.stop_at - now, int(PATIENCE * patience)))
-
-    def back(self, op, node, result, now):
-        sent = node.out.pop(op)
+        usual *= max(1, op.units / self.terms.mean_units)
+        self.out.execute(op.op_id, node.entry.node,
+                         min(op.stop_at - now, int(PATIENCE * usual), op.route.time_out))
+        if self.terms.copies and op.route.copy_after is not None and op.named < 0 and len(op.out) == 1:
+            op.copy_at = now + max(op.route.copy_after, int(COPY_AFTER * usual))
+            if op.copy_at + usual < op.quoted_at:
+                self.gateway.later(op.copy_at, op)
+
+    def copy(self, op, now):
+        """A second copy of a new object while the first is out: only into room that is free.
+
+        Danger: a slow or silent node takes the quoted time of what was sent there.  Harm: work done
+        twice, so it is rationed, waits for both rooms, and leaves a cold node and a jam alone.
+        """
+        op.copy_at, gateway = NEVER, self.gateway
+        (number, first), = op.out.items()
+        cell = gateway.credit >= 1 and gateway.placing.pick(op.units, now)
+        node = cell and cell is not op.cell and not cell.queues and cell.open_node()
+        if (not node or node.out or gateway.room.size < gateway.even_room()
+                or gateway.pacing.opens(node, 1, now) > now or node.allowance(gateway, op.units, now) < NEVER):
+            return
+        if op.maybe_at is None:
+            op.maybe_at, op.maybe_node = first.out[op, number], first
+        if self.may_run_again(op, node, now):
+            gateway.extras.append(now)
+            gateway.credit -= 1
+            op.copied = True
+            op.flow.credit -= 1
+            self.go(op, node, now)
+
+    def back(self, op, number, node, result, now):
+        sent = node.out.pop((op, number))
         if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
             op.maybe_at, op.maybe_node = sent, node
         for room in (node.room, self.gateway.room):
-            room.back(op, result, now, self.terms.mean_units)
+            room.back(op, number, result, now, self.terms.mean_units)
         if result == say.SUCCEEDED:
             node.arrivals.append((now, -COLD_CREDIT * (self.terms.fall_multiple - 1) * op.units))
 
@@ -412,8 +460,9 @@
         self.times = []                  # heap of (time, number, operation) to look at again
         self.number, self.extras, self.takes = 0, deque(), deque()
         self.wake_at, self.ask_at = NEVER, now if terms.list_asked else NEVER
-        self.pacing, self.sending = Pacing(self), Sending(self)
-        self.stages = (KeyOrder(self), Placing(self), self.pacing, self.sending)
+        self.placing, self.pacing, self.sending = Placing(self), Pacing(self), Sending(self)
+        self.stages = (KeyOrder(self), self.placing, self.pacing, self.sending)
+        self.routes, self.flows, self.credit = terms.routes, {}, COPY_MOST
 
     def listed(self, now, kind, entries):
         if kind == say.UNAVAILABLE:
@@ -433,7 +482,10 @@
             self.cells[entry.cell].nodes[entry.node] = node
             self.dirty[self.cells[entry.cell]] = True
         self.places = list(self.cells.values())
-        self.room.size = self.room.size or DEPTH_CAP * len(self.cells) / self.terms.gateways
+        self.room.size = self.room.size or self.even_room()
+
+    def even_room(self):
+        return DEPTH_CAP * len(self.cells) / self.terms.gateways
 
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
@@ -447,13 +499,24 @@
                           if its_key == key and (again or abs(ends_at - now - left) <= SAME_END
                           or now - over_at <= SAME_END and left < lane.hard_stop)), quoted_at)
         stop_at = now + max(0, left - 2 * self.terms.tick)
+        route = self.routes.get((lane.name, plan), say.NO_ROUTE)
+        flow = self.flows.setdefault((lane.name, plan), Flow(route))
         op = self.ops[op_id] = Operation(op_id, lane, self.volumes[volume], key, units, cell, now,
-                                         min(quoted_at, stop_at), stop_at)
+                                         min(quoted_at, stop_at), stop_at, route, flow)
+        flow.held, flow.credit = flow.held + 1, min(route.free, flow.credit + route.share)
+        self.credit = min(COPY_MOST, self.credit + COPY_SHARE)
         if self.terms.budget_share is not None:
             self.takes.append(now)
+        if flow.held > route.held:
+            self.finish(op, now)
+            return
         self.later(op.quoted_at, op)
         self.forward(op, now)
 
+    def routed(self, routes):
+        """Takes over routes; what was taken before keeps its own, and what is used up stays so."""
+        self.routes = routes
+
     def forward(self, op, now):
         for stage in self.stages:
             if not stage.accept(op, now):
@@ -465,22 +528,33 @@
 
     def answered(self, now, op_id, execution, result, ended, fleet_use, from_others):
         op = self.ops.get(op_id)
-        if op is None or op.node is None or execution != op.sends - 1:
+        if op is None or execution not in op.out:
             return
-        node, op.node = op.node, None
+        node = op.out.pop(execution)
+        op.flow.held -= ended > op.over
         op.over = op.over or ended
         self.dirty[op.cell] = True
+        if op.copied:
+            self.dirty[self.cells[node.entry.cell]] = True
         self.dirty.update(self.waiting)
         self.waiting = {}
         if result == say.SUCCEEDED:
             self.fresh = self.fresh or self.terms.meter_span > fleet_use == 0
             op.volume.told(fleet_use, from_others, self.terms.meter_span, now)
         for stage in reversed(self.stages):
-            stage.back(op, node, result, now)
-        if op.over:
+            stage.back(op, execution, node, result, now)
+        if op.over and not op.out:
             del self.ops[op_id]
-        elif now < op.quoted_at and self.sending.may_run_again(op, node, now):
-            self.forward(op, now)
+        elif op.over:
+            self.withdraw(op)
+        elif op.out:                     # the other copy may still succeed
+            pass
+        elif now + op.route.wait < op.quoted_at and self.sending.may_run_again(op, node, now):
+            op.again_at = now + op.route.wait
+            if op.route.wait:
+                self.later(op.again_at, op)
+            else:
+                self.forward(op, now)
         else:
             self.finish(op, now)
 
@@ -491,7 +565,7 @@
 
     def finish(self, op, now):
         """The final answer: shed where that is true, else terminated; a late client may stay away."""
-        harmless = (op.maybe_at is None and not op.node or op.lane.repeat == say.REPLAYABLE
+        harmless = (op.maybe_at is None and not op.out or op.lane.repeat == say.REPLAYABLE
                     or op.lane.repeat == say.REFERENCED and op.lane.group == "all")
         if harmless:
             self.out.shed(op.op_id, self.terms.come_back if now >= op.quoted_at else 0)
@@ -501,12 +575,21 @@
 
     def end(self, op, now):
         op.over = True
+        op.flow.held -= 1
         op.volume.tries.append((op.key, op.stop_at + 2 * self.terms.tick, now, op.quoted_at))
         if op.held:
             self.pacing.remove(op)
-        if not op.node:
-            self.stages[0].back(op, None, None, now)
+        if not op.out:
+            self.stages[0].back(op, None, None, None, now)
             del self.ops[op.op_id]
+        self.withdraw(op)
+
+    def withdraw(self, op):
+        """Calls off what is still out of an operation that had a second copy and is over."""
+        if op.copied and self.terms.cancel:
+            op.copied = False
+            for number in op.out:
+                self.out.withdraw(op.op_id, number)
 
     def budget_left(self, now):
         if self.terms.budget_share is None:
@@ -529,10 +612,12 @@
                 self.pump(cell, now)
         while self.times and self.times[0][0] <= now:
             op = heappop(self.times)[2]
-            if not (op.over or op.node) and now >= op.quoted_at:
+            if not (op.over or op.out) and now >= op.quoted_at:
                 self.finish(op, now)
-            elif not (op.over or op.node or op.held):
+            elif not (op.over or op.out or op.held) and now >= op.again_at:
                 self.forward(op, now)
+            elif not op.over and len(op.out) == 1 and now >= op.copy_at:
+                self.sending.copy(op, now)
         self.wake_at = self.wake_at if self.wake_at > now else NEVER
         next_at = min([now + 1 if self.dirty else self.ask_at, self.times[0][0] if self.times else NEVER]
                       + [cell.try_at for cell in self.cells.values() if cell.queues])
--- a/rushmux/standins/passthrough.py
+++ b/rushmux/standins/passthrough.py
@@ -42,3 +42,6 @@
 
     def act(self, now):
         """Nothing waits here."""
+
+    def routed(self, routes):
+        """Routes are the module's."""
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -47,6 +47,9 @@
     def watch(self):
         self.put("Watch", Active=True)
 
+    def withdraw(self, op_id, execution):
+        self.put("Retract", Corr=op_id, SendNo=execution)
+
 
 def terms_of(env):
     """The settings of the first message, as the module reads them."""
@@ -69,7 +72,8 @@
         cold_start=rules["StartCapacity"], warm_within=-(-rules["WarmWithin"] // TICK_NS),
         meter_span=extra["UsePeriod"] // TICK_NS, order_rest=-(-rules.get("OrderSettle", 0) // TICK_NS),
         budget_share=rules.get("ExtraRatio"), budget_free=rules.get("ExtraFree", 0),
-        budget_span=-(-rules.get("BudgetSpan", 0) // TICK_NS))
+        budget_span=-(-rules.get("BudgetSpan", 0) // TICK_NS),
+        copies=limits.get("SecondCopies", False), cancel=limits.get("Cancel", False))
 
 
 class Host:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,12 @@
 TERMS = {"gateways": 2, "tick": 20, "list_asked": False, "ask_within": 10_000 * MS, "executions": 3,
          "come_back": 2_000 * MS, "mean_units": 2.0, "most_units": 8.0, "cold_units": 16.0,
          "cold_span": 2_000 * MS, "fall_multiple": 2.0, "cold_start": 0.25, "warm_within": 16_000 * MS,
-         "meter_span": 0, "order_rest": 0, "budget_share": None, "budget_free": 0.0, "budget_span": 0}
+         "meter_span": 0, "order_rest": 0, "budget_share": None, "budget_free": 0.0, "budget_span": 0,
+         "copies": False, "cancel": False}
 LANE = {"quoted": 400, "stop": 2000, "utility": 1.0, "repeat": say.REPLAYABLE, "group": "all",
         "window": 3000, "in_order": False}
+ROUTE = {"time_out": 1 << 40, "executions": 1 << 40, "wait": 0, "copy_after": 0, "held": 1 << 40, "share": 0.0,
+         "free": 1e12}
 PLAN = {"nominal": 4.0, "reserve": 2.0, "limit": 0.0, "burst": 0.0, "slack": 0.0, "weight": 1.0,
         "price": 1.0}
 
@@ -32,6 +35,7 @@
     def __init__(self):
         self.now, self.gateway, self.done, self.wakes, self.time_outs = 0, None, [], [], {}
         self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
+        self.routes = {}
         self.lane("read")
         self.plan("base")
 
@@ -54,6 +58,9 @@
     def watch(self):
         self.done.append("watch")
 
+    def withdraw(self, op_id, execution):
+        self.done.append(f"withdraw {op_id} {execution}")
+
     def terms_(self, *words):
         self.terms = valued(words, self.terms)
 
@@ -65,8 +72,17 @@
     def plan(self, name, *words):
         self.plans[name] = say.Plan(name, **valued(words, PLAN))
 
+    def route(self, lane, plan, *words):
+        """A route; `copies=` none stands for no copies.  A running gateway is told at once."""
+        row = valued([word for word in words if word != "copies=none"], ROUTE)
+        copy_after = None if "copies=none" in words else row["copy_after"] * MS
+        self.routes[lane, plan] = say.Route(row["time_out"] * MS, row["executions"], row["wait"] * MS, copy_after,
+                                            row["held"], row["share"], row["free"])
+        if self.gateway:
+            self.gateway.routed(dict(self.routes))
+
     def start(self):
-        terms = say.Terms(lanes=self.lanes, plans=self.plans, **self.terms)
+        terms = say.Terms(lanes=self.lanes, plans=self.plans, routes=dict(self.routes), **self.terms)
         self.wakes, self.executions = [], {}
         self.gateway = Gateway(terms, 7, self.now, self)
 
@@ -91,7 +107,9 @@
         row = valued(words, {"others": 0.0, "use": 0})
         self.gateway.act(self.now)
         for op_id in op_ids.split(","):
-            self.gateway.answered(self.now, op_id, self.executions[op_id], result, result == say.SUCCEEDED,
+            op_id, _, number = op_id.partition("/")
+            number = int(number) if number else self.executions[op_id]
+            self.gateway.answered(self.now, op_id, number, result, result == say.SUCCEEDED,
                                   row["use"], row["others"])
 
     def pause(self, milliseconds):
