Withdrawn executions on the nodes' wire; copies that lost are dropped from their cells

Need: the module withdraws the copy that lost, and a real edge had no words for it; the losing copy of a new object stayed.

Change: message Withdraw, the driver's withdraw and routed, stand-in nodes drop what still waits; a write tells the cleaner of other cells where it may have been done, which also holds for executions held for lost.

--- a/rushmux/edge/cleaner.py
+++ b/rushmux/edge/cleaner.py
@@ -15,6 +15,7 @@
 AGAIN = 5.0              # seconds until a folder is tried again after a shed
 TIME = 10.0              # seconds for one operation
 PAGE = 64                # rows and objects taken in hand at once
+MOST_LEFT = 4_096        # left-over objects kept in mind; more wait for a scrubber
 
 
 class Cleaner:
@@ -23,6 +24,15 @@
     def __init__(self, driver, log):
         self.driver, self.log = driver, log
         self.folders, self.seen, self.changed = {}, {}, asyncio.Event()
+        self.left, self.left_over = {}, 0    # folder -> (cell, object) of copies that no name points at
+        driver.left_over = self.leave
+
+    def leave(self, folder: str, cell: int, name: str):
+        """A write went to this cell too and another copy is the one that counts."""
+        if self.left_over < MOST_LEFT:
+            self.left_over += 1
+            self.left.setdefault(folder, []).append((cell, name))
+            self.note(folder)
 
     def note(self, folder: str):
         """A folder has something to drop."""
@@ -57,6 +67,10 @@
         return Errand(self.driver, folder, "-", self.driver.loop.time() + TIME)
 
     async def clean(self, folder):
+        # Danger: a copy that a node runs later than this stays; a drop of what is not there is harmless.
+        left = self.left.pop(folder, [])
+        self.left_over -= len(left)
+        await self.objects(folder, left)
         while True:
             rows = (await self.errand(folder).look("x", after="x/", below="x0", most=PAGE)).rows
             for row in rows:
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -42,17 +42,19 @@
 
 
 class Answer(NamedTuple):
-    """What a node answered, and the cell it was asked in."""
+    """What a node answered, the cell it was asked in, and other cells where it may have been done."""
     outcome: messages.Outcome
     cell: int
+    elsewhere: tuple[int, ...] = ()
 
 
 class Taken:
     """An operation between being taken and its last execution's return."""
-    __slots__ = ("work", "future", "sent", "flying", "backstop")
+    __slots__ = ("work", "future", "sent", "flying", "backstop", "cells")
 
     def __init__(self, work, future):
         self.work, self.future, self.sent, self.flying, self.backstop = work, future, 0, {}, None
+        self.cells = {}                  # where an execution went that may have run
 
 
 class Driver:
@@ -68,6 +70,7 @@
         self.cells, self.node_cell, self.online = 0, {}, {}
         self.entries = {}                # node -> as the module was last told of it
         links.met = self.greeted
+        self.left_over = lambda folder, cell, name: None   # hears of objects that no name will point at
         self.disk = {}                   # node -> (total, free) bytes
         self.timer = None
         self.gateway = decisions(deployment.terms, seed, self.now(), self)
@@ -104,6 +107,11 @@
             if op_id is not None:
                 self.terminate(op_id)
 
+    def routed(self, deployment: Deployment):
+        """Takes over a new file's routes; what was taken before keeps its own."""
+        self.deployment = deployment
+        self.event(lambda now: self.guarded(None, self.gateway.routed, deployment.terms.routes))
+
     def told(self, listing: messages.Listing):
         """Takes in a listing; one that makes no sense is logged and left out."""
         if len(listing.entries) > MOST_LISTED or not 0 < listing.cells <= MOST_LISTED:
@@ -206,7 +214,8 @@
         if sent is not None:
             sent.drop()
         if result == say.SUCCEEDED and not taken.future.done():
-            taken.future.set_result(Answer(outcome, self.node_cell[node]))
+            cell = self.node_cell[node]
+            taken.future.set_result(Answer(outcome, cell, tuple(c for c in taken.cells if c != cell)))
         ended = taken.future.done()
         use, others = (outcome.fleet_use, outcome.from_others) if outcome is not None else (0, 0.0)
         self.log.debug("execution.back", op=op_id, execution=number, node=node, result=result)
@@ -233,10 +242,18 @@
         message = messages.Execute(op=op_id, execution=number, volume=work.folder, lane=work.lane,
                                    key=work.key, units=work.units, time_out=time_out)
         work.fill(message)
+        taken.cells[self.node_cell[node]] = True
         sent = self.links.send(node, message, partial(self.came, op_id, number))
         timer = self.loop.call_later(time_out / SECOND, self.came, op_id, number, say.OVERDUE, None)
         taken.flying[number] = node, timer, sent
 
+    def withdraw(self, op_id, execution):
+        _, _, sent = self.taken[op_id].flying[execution]
+        if sent is not None:
+            sent.withdraw()
+        # Danger: the module must not be called from within; its answer comes with the next round.
+        self.came(op_id, execution, say.WITHDRAWN, None)
+
     def shed(self, op_id, come_back):
         self.end(op_id, Shed(come_back / SECOND))
 
--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -82,6 +82,8 @@
         write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
         answer = await self.run(role, name, self.driver.deployment.units(len(data)), -1,
                                 lambda execute: execute.write.CopyFrom(write))
+        for cell in answer.elsewhere:
+            self.driver.left_over(self.folder, cell, name)
         return name, answer.cell
 
     async def clean(self, cell: int, names) -> None:
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -54,6 +54,12 @@
                 self.task = loop.create_task(self.live())
         return corr
 
+    def withdraw(self, corr):
+        """Forgets an execution and tells the node; one that was not sent yet never is."""
+        if corr in self.out and corr not in self.waiting and self.writer is not None:
+            self.writer.write(frame(messages.Message(withdraw=messages.Withdraw(corr=corr))))
+        self.drop(corr)
+
     def drop(self, corr):
         """Forgets an execution that nobody waits for; one that was not sent yet never is."""
         self.waiting.pop(corr, None)
@@ -113,13 +119,16 @@
 
 
 class Sent(NamedTuple):
-    """An execution on its way: `drop` forgets it."""
+    """An execution on its way: `drop` forgets it, `withdraw` tells its node so."""
     link: Link
     corr: int
 
     def drop(self):
         self.link.drop(self.corr)
 
+    def withdraw(self):
+        self.link.withdraw(self.corr)
+
 
 class Links:
     """All connections of one edge.  `chance` draws the back-off; `log` takes events."""
--- a/rushmux/standins/engine.py
+++ b/rushmux/standins/engine.py
@@ -113,6 +113,14 @@
         self.next()
         return True
 
+    def withdraw(self, done: Callable) -> bool:
+        """Drops what still waits and was offered with `done`; False: it runs or has run."""
+        for job in self.waiting:
+            if job.done is done:
+                self.waiting.remove(job)
+                return True
+        return False
+
     def next(self):
         while self.running < self.shape.cores and self.waiting and not self.stopped:
             job, now = self.waiting.popleft(), self.loop.time()
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -45,6 +45,7 @@
         self.chance, self.cold, self.record, self.obeys = random.Random(seed), cold, record, obeys
         self.condition, self.trouble, self.served, self.use = "ready", {}, Served(), None
         self.waiting_commit, self.stuck, self.fallen, self.task = [], [], False, None
+        self.calls = {}                  # (peer, corr) -> call of what the machine holds
 
     async def open(self, host, port):
         self.loop = asyncio.get_running_loop()
@@ -124,6 +125,10 @@
     def message(self, peer, name, body):
         if name == "execute":
             self.execute(peer, body)
+        elif name == "withdraw":
+            done = self.calls.pop((peer, body.corr), None)
+            if done is not None and self.engine.withdraw(done):
+                self.record("withdrawn", node=self.name, edge=peer.hello.peer)
         elif name == "trouble" and self.obeys:
             self.obey(peer, body)
         else:
@@ -176,8 +181,13 @@
             return
         writes = what in ("write", "change")
         key = f"{body.volume}/{body.key}" if body.key else ""
-        if not self.engine.offer(body.units, key, writes, body.time_out / 10_000,
-                                 lambda late: self.work(peer, body, what, late)):
+        def done(late):
+            self.calls.pop((peer, body.corr), None)
+            self.work(peer, body, what, late)
+        # Bounded by the machine's waiting room; what a pushed-over node holds ends with it.
+        if self.engine.offer(body.units, key, writes, body.time_out / 10_000, done):
+            self.calls[peer, body.corr] = done
+        else:
             if not self.fallen:
                 self.answer(peer, body, messages.Outcome(code=messages.BUSY))
 
