--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -94,6 +94,7 @@
     from rushmux.edge.edge import Edge
     from rushmux.edge.links import Address
     from rushmux.rules import Gateway
+    from rushmux.settings import deployment as deployments
     from rushmux.standins.passthrough import PassThrough
     deployment = deployed(file)
     if not 0 <= number < deployment.terms.gateways:
@@ -112,6 +113,7 @@
                     {"module": Gateway, "passthrough": PassThrough}[decisions],
                     buffered(deployment, disk))
         part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
+        loop.add_signal_handler(signal.SIGHUP, part.reload, lambda: deployments.load(file))
         await serve(part, listen, with_parent, start=part.start)
     asyncio.run(run())
 
@@ -205,9 +207,18 @@
 
 @main.command()
 @click.argument("file", type=click.Path())
-def check(file):
-    """Reads a deployment file and tells every fault in it."""
-    deployment = deployed(file)
+@click.option("--facts", is_flag=True, help="the worst that the accepted file allows")
+@click.option("--routes", "told", is_flag=True, help="the route of each lane and plan, and where it stands")
+def check(file, facts, told):
+    """Reads a deployment file, proves its routes and tells every refusal, starting nothing."""
+    from rushmux.routes import prove, tell
+    deployment = deployed(file, plainly=True)
+    if told:
+        for line in tell.routes(deployment.flows):
+            click.echo(line)
+    if facts:
+        for line in tell.facts(prove.facts(deployment.ground, deployment.flows)):
+            click.echo(line)
     click.echo(f"{file}: {len(deployment.terms.lanes)} lanes, {len(deployment.terms.plans)} plans, "
                f"{len(deployment.folders)} folders: in order")
 
--- a/rushmux/cli/shared.py
+++ b/rushmux/cli/shared.py
@@ -9,10 +9,18 @@
 EXAMPLE = Path(deployments.__file__).with_name("example.json")
 
 
-def deployed(path):
+def deployed(path, plainly=False):
+    """The deployment of a file, or an end with its faults; `plainly`: refusals of routes with how each
+    would come about."""
     try:
         return deployments.load(path)
     except deployments.BadDeployment as fault:
+        if plainly:
+            told = {(finding.place, finding.text) for finding in fault.findings}
+            lines = [f"{place}: {text}" for place, text in fault.faults if (place, text) not in told]
+            lines += [line for finding in fault.findings for line in finding.lines()]
+            raise click.ClickException("\n".join([f"{path}: {len(fault.faults)} refusal(s)",
+                                                  *lines])) from fault
         raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
 
 
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -172,19 +172,21 @@
         self.count += 1
         op_id = f"{self.name}.{self.start}.{self.count}/{tag}"
         taken = self.taken[op_id] = Taken(work, self.loop.create_future())
-        lane = self.deployment.terms.lanes[work.lane]
-        ticks = min(lane.hard_stop, int(left * SECOND))
-        taken.backstop = self.loop.call_later(ticks / SECOND, self.overrun, op_id)
-        self.event(self.tell_taken, op_id, work, ticks)
+        terms = self.deployment.terms
+        hard_stop = (terms.lanes[work.lane].hard_stop + terms.tick) / SECOND
+        taken.backstop = self.loop.call_later(min(hard_stop, left), self.overrun, op_id)
+        self.event(self.tell_taken, op_id, work, self.loop.time() + left)
         try:
             return await taken.future
         except asyncio.CancelledError:
             self.event(self.tell_left, op_id)
             raise
 
-    def tell_taken(self, now, op_id, work, ticks):
+    def tell_taken(self, now, op_id, work, ends):
         if op_id not in self.taken:      # its client left before the round began
             return
+        # Danger: a late round has used up a part of the client's time already.
+        ticks = max(0, min(self.deployment.terms.lanes[work.lane].hard_stop, int(ends * SECOND) - now))
         plan = self.deployment.folders[work.folder].plan
         self.guarded(op_id, self.gateway.taken, now, op_id, work.lane, plan, work.folder, work.key,
                      ticks, work.units, work.cell, self.deployment.mounts(work.folder), False)
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -8,8 +8,9 @@
 from rushmux.edge.session import Session
 from rushmux.edge.tree import Tree
 from rushmux.nodewire import VERSION, messages
+from rushmux.routes.reload import MOST_NAMED, judge
 from rushmux.rules import Gateway
-from rushmux.settings.deployment import Deployment
+from rushmux.settings.deployment import BadDeployment, Deployment
 
 LINGER = 0.2             # seconds for the last answers to leave before connections close
 
@@ -58,6 +59,23 @@
         self.driver.told(listing)
         self.heard([[entry.node, entry.condition] for entry in listing.entries])
 
+    def reload(self, read):
+        """Takes over the routes of the deployment that `read()` gives; a bad file, or one that changes
+        anything else, leaves the routes in force whole.  Returns whether they were taken over."""
+        try:
+            found = read()
+        except BadDeployment as fault:
+            self.log.error("routes.refused", faults=[f"{place}: {text}" for place, text in fault.faults])
+            return False
+        verdict = judge(self.deployment, found)
+        if not verdict.taken:
+            self.log.error("routes.refused", faults=list(verdict.against))
+            return False
+        self.deployment = found
+        self.driver.routed(found)
+        self.log.info("routes.taken", changed=list(verdict.changed[:MOST_NAMED]), count=len(verdict.changed))
+        return True
+
     async def accept(self, reader, writer):
         if self.closing or len(self.sessions) >= self.deployment.sessions.most:
             self.log.warning("session.turned_away", sessions=len(self.sessions))
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -3,6 +3,7 @@
 `load` reads a file and gives a `Deployment`; `BadDeployment` lists every fault with its place.
 Decisions read `Terms` only; the rest concerns sessions and files.
 """
+import copy
 import json
 from pathlib import Path
 from typing import NamedTuple, Optional
@@ -10,17 +11,18 @@
 import jsonschema
 
 from rushmux import interface as say
+from rushmux.routes import prove, resolve
 
-TICKS = 10           # ticks of the decisions (0.1 ms) in a millisecond
 SCHEMA = json.loads(Path(__file__).with_name("schema.json").read_text())
 
 
 class BadDeployment(Exception):
-    """A file that cannot be used; `faults` is a list of (place, what is wrong)."""
+    """A file that cannot be used; `faults` is a list of (place, what is wrong), `findings` those of the
+    proof among them."""
 
-    def __init__(self, source, faults):
+    def __init__(self, source, faults, findings=()):
         super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
-        self.source, self.faults = source, faults
+        self.source, self.faults, self.findings = source, faults, findings
 
 
 class Folder(NamedTuple):
@@ -59,6 +61,9 @@
     drain_grace: float      # seconds
     dial: float             # seconds
     links: int
+    ground: prove.Ground    # what the proof of the routes was worked out on
+    flows: list[resolve.Flow]
+    raw: dict               # the file as it was
 
     def units(self, size: int) -> float:
         """Units of an operation that moves `size` bytes."""
@@ -86,10 +91,15 @@
 
 
 def _faults(raw):
+    """Faults with their places, and the rows of routes that can be worked with (None: nothing can)."""
     checker = jsonschema.Draft202012Validator(SCHEMA)
-    found = [(_place(fault.absolute_path), fault.message) for fault in checker.iter_errors(raw)]
-    if found:
-        return sorted(found)
+    wrong = list(checker.iter_errors(raw))
+    found = sorted((_place(fault.absolute_path), fault.message) for fault in wrong)
+    rows = [fault.absolute_path[1] if len(fault.absolute_path) > 1 and fault.absolute_path[0] == "routes"
+            else None for fault in wrong]
+    if None in rows:
+        return found, None
+    routes = [{} if number in rows else row for number, row in enumerate(raw.get("routes", []))]
     for name, lane in raw["lanes"].items():
         if lane["quoted_ms"] > lane["hard_stop_ms"]:
             found.append((f"/lanes/{name}/quoted_ms",
@@ -125,6 +135,10 @@
         for place, number in enumerate(folder.get("edges", ())):
             if number >= fleet["gateways"]:
                 found.append((f"/folders/{name}/edges/{place}", f"edge {number} of {fleet['gateways']}"))
+    bad = resolve.faults(routes, raw["lanes"], raw["plans"])
+    found += [(place, text) for place, text in bad]
+    rows = [int(place.split("/")[2]) for place, _ in bad]
+    routes = [{} if number in rows else row for number, row in enumerate(routes)]
     buffer = raw.get("buffer", {})
     if buffer.get("folder_bytes", 8 << 20) > buffer.get("edge_bytes", 64 << 20):
         found.append(("/buffer/folder_bytes", "a folder cannot hold more than its edge"))
@@ -138,35 +152,42 @@
         if raw["lanes"].get(name, {}).get("hard_stop_ms", 0) + 100 > patience:
             found.append(("/sessions/patience_ms", f"{patience} leaves no time to answer after the hard stop "
                           f"of lane '{name}' for {role}"))
-    return found
-
-
-def ticks(milliseconds: float) -> int:
-    """Whole ticks of a time, rounded up."""
-    return -int(-milliseconds * TICKS // 1)
+    return found, routes
 
 
 def build(raw: dict, source: str = "deployment") -> Deployment:
     """The deployment that `raw` states; BadDeployment with all its faults."""
-    faults = _faults(raw)
-    if faults:
+    faults, routes = _faults(raw)
+    stated = copy.deepcopy(raw)
+    if routes is None:
         raise BadDeployment(source, faults)
-    raw = _filled(SCHEMA, {"sessions": {}, "files": {}, **raw})
+    raw = _filled(SCHEMA, {"sessions": {}, "files": {}, "bounds": {}, **raw})
     fleet, budget = raw["fleet"], raw["fleet"].get("budget")
-    lanes = {name: say.Lane(name, ticks(row["quoted_ms"]), ticks(row["hard_stop_ms"]), row["utility"],
-                            row["repeat"], row["group"], int(row["window_ms"] * TICKS), row["in_order"])
+    lanes = {name: say.Lane(name, resolve.ticks(row["quoted_ms"]), resolve.ticks(row["hard_stop_ms"]),
+                            row["utility"], row["repeat"], row["group"],
+                            int(row["window_ms"] * resolve.TICKS), row["in_order"])
              for name, row in raw["lanes"].items()}
     plans = {name: say.Plan(name, **row) for name, row in raw["plans"].items()}
     terms = say.Terms(
-        lanes=lanes, plans=plans, gateways=fleet["gateways"], tick=ticks(fleet["tick_ms"]),
+        lanes=lanes, plans=plans, gateways=fleet["gateways"], tick=resolve.ticks(fleet["tick_ms"]),
         list_asked=False, ask_within=0, executions=fleet["executions"],
-        come_back=ticks(fleet["come_back_ms"]),
+        come_back=resolve.ticks(fleet["come_back_ms"]),
         mean_units=fleet["mean_units"], most_units=fleet["most_units"], cold_units=fleet["cold_units"],
-        cold_span=ticks(fleet["cold_span_ms"]), fall_multiple=fleet["fall_multiple"],
-        cold_start=fleet["cold_start"], warm_within=ticks(fleet["warm_within_ms"]),
-        meter_span=ticks(fleet["meter_span_ms"]), order_rest=ticks(fleet["order_rest_ms"]),
+        cold_span=prove.kept(resolve.ticks(fleet["cold_span_ms"]), resolve.ticks(raw["bounds"]["way_ms"]),
+                             resolve.ticks(fleet["dial_ms"]), resolve.ticks(fleet["tick_ms"])),
+        fall_multiple=fleet["fall_multiple"],
+        cold_start=fleet["cold_start"], warm_within=resolve.ticks(fleet["warm_within_ms"]),
+        meter_span=resolve.ticks(fleet["meter_span_ms"]), order_rest=resolve.ticks(fleet["order_rest_ms"]),
         budget_share=budget and budget["share"], budget_free=budget["free"] if budget else 0,
-        budget_span=ticks(budget["span_ms"]) if budget else 0)
+        budget_span=resolve.ticks(budget["span_ms"]) if budget else 0,
+        copies=fleet["second_copies"], cancel=True)
+    flows = resolve.flows(routes, lanes, plans, fleet["executions"])
+    terms = terms._replace(routes=resolve.routes(flows))
+    ground = _ground(terms, fleet, raw["bounds"])
+    findings = prove.prove(ground, flows)
+    if faults or findings:
+        raise BadDeployment(source, faults + [(finding.place, finding.text) for finding in findings],
+                            findings)
     bounds, files = raw["sessions"], raw["files"]
     raw["roles"].setdefault("write_out", raw["roles"]["write"])
     return Deployment(
@@ -178,7 +199,17 @@
                           bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
         buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000,
-        dial=fleet["dial_ms"] / 1000, links=fleet["links"])
+        dial=fleet["dial_ms"] / 1000, links=fleet["links"], ground=ground, flows=flows, raw=stated)
+
+
+def _ground(terms, fleet, bounds):
+    falls = bounds.get("cold_falls_units", fleet["cold_units"] * fleet["fall_multiple"])
+    return prove.Ground(
+        terms, way=resolve.ticks(bounds["way_ms"]), dial=resolve.ticks(fleet["dial_ms"]),
+        drain_grace=resolve.ticks(fleet["drain_grace_ms"]), restarts=bounds["restarts"],
+        span=resolve.ticks(fleet["cold_span_ms"]), falls=falls,
+        serves=bounds.get("cold_serves_units", falls / fleet["fall_multiple"]),
+        held=bounds["held"], unit_bytes=fleet["unit_bytes"], wanted=bounds["cold_wanted"])
 
 
 def _buffer(raw):
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -182,7 +182,7 @@
 
     def cold(self, rule):
         """What comes to a node that has just started stays under the stated multiple of what it can do."""
-        span, terms = self.terms.cold_span / SECOND, self.terms
+        span, terms = self.deployment.ground.span / SECOND, self.terms
         for row in self.rows["fell"]:
             rule.breach(f"{row['node']} was pushed over at {row['at']:.3f} s")
         by_node = defaultdict(list)
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -36,7 +36,7 @@
     """A machine as the deployment states it."""
     terms = deployment.terms
     return Shape(cold_start=terms.cold_start, warm_within=terms.warm_within / 10_000,
-                 fall_multiple=terms.fall_multiple, cold_span=terms.cold_span / 10_000, **other)
+                 fall_multiple=terms.fall_multiple, cold_span=deployment.ground.span / 10_000, **other)
 
 
 def window_of(deployment: Deployment) -> float:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,8 @@
          "copies": False, "cancel": False}
 LANE = {"quoted": 400, "stop": 2000, "utility": 1.0, "repeat": say.REPLAYABLE, "group": "all",
         "window": 3000, "in_order": False}
-ROUTE = {"time_out": 1 << 40, "executions": 1 << 40, "wait": 0, "copy_after": 0, "held": 1 << 40, "share": 0.0,
+ROUTE = {"time_out": 1 << 40, "executions": 1 << 40, "wait": 0, "copy_after": 0, "held": 1 << 40,
+         "share": 0.0,
          "free": 1e12}
 PLAN = {"nominal": 4.0, "reserve": 2.0, "limit": 0.0, "burst": 0.0, "slack": 0.0, "weight": 1.0,
         "price": 1.0}
@@ -76,7 +77,8 @@
         """A route; `copies=` none stands for no copies.  A running gateway is told at once."""
         row = valued([word for word in words if word != "copies=none"], ROUTE)
         copy_after = None if "copies=none" in words else row["copy_after"] * MS
-        self.routes[lane, plan] = say.Route(row["time_out"] * MS, row["executions"], row["wait"] * MS, copy_after,
+        self.routes[lane, plan] = say.Route(row["time_out"] * MS, row["executions"], row["wait"] * MS,
+                                            copy_after,
                                             row["held"], row["share"], row["free"])
         if self.gateway:
             self.gateway.routed(dict(self.routes))
--- /dev/null
+++ b/tests/routes/test_prove.py
@@ -0,0 +1,103 @@
+"""The prover at its borders, and which row wins."""
+import pytest
+
+from rushmux import interface as say
+from rushmux.routes import prove, resolve
+from rushmux.settings import deployment
+
+
+def test_the_most_specific_row_wins_field_by_field(raw):
+    raw["routes"] = [{"lane": "lectura", "plan": "basico", "executions": 1},
+                     {"plan": "basico", "executions": 3, "held": 7, "wait_ms": 1},
+                     {"lane": "lectura", "executions": 2, "wait_ms": 5}]
+    built = deployment.build(raw)
+    route = built.terms.routes["lectura", "basico"]
+    assert (route.executions, route.wait, route.held) == (1, 50, 7)
+    assert built.terms.routes["lectura", "estandar"].executions == 2
+    assert built.terms.routes["consulta", "basico"]._replace(held=0) == say.Route(
+        executions=3, wait=10, copy_after=None, held=0)
+    flow = next(flow for flow in built.flows if (flow.lane.name, flow.plan) == ("lectura", "basico"))
+    assert flow.places == {"executions": "/routes/0/executions", "wait_ms": "/routes/2/wait_ms",
+                           "held": "/routes/1/held"}
+
+
+def test_a_file_without_routes_sends_no_copies(raw):
+    assert raw["fleet"]["second_copies"]
+    assert all(route.copy_after is None for route in deployment.build(raw).terms.routes.values())
+
+
+# A change at the border, and the same one tick or unit further.
+BORDERS = [
+    (("bounds", "way_ms"), 2.5, 2.6, prove.LOST),
+    (("fleet", "drain_grace_ms"), 307, 306.9, prove.DRAINS),
+    (("fleet", "cold_units"), 16.7, 16.8, prove.COLD),
+    (("bounds", "restarts"), 1, 2, prove.LIMITS),
+    (("lanes", "registro", "window_ms"), 707, 706.9, prove.TWICE)]
+
+
+@pytest.mark.parametrize("place, passes, breaks, rule", BORDERS, ids=lambda part: str(part)[-20:])
+def test_borders_by_one_tick(raw, refused, place, passes, breaks, rule):
+    part = raw
+    for name in place[:-1]:
+        part = part[name]
+    part[place[-1]] = passes
+    assert refused() == []
+    part[place[-1]] = breaks
+    assert [finding.rule for finding in refused()] == [rule]
+
+
+def test_a_ladder_at_its_border(refused):
+    # Three of 400 ms quoted time: two time-outs, two late ticks and two waits come before the last.
+    row = {"lane": "lectura", "executions": 3, "wait_ms": 20}
+    assert refused([{**row, "time_out_ms": 174.9}]) == []
+    assert [finding.rule for finding in refused([{**row, "time_out_ms": 175}])] == [prove.LOST]
+
+
+def test_a_second_copy_at_its_border(refused):
+    # Sent a tick late, on its way there and back: 9 ms before the quoted time of 600 ms is over.
+    assert refused([{"lane": "archivo-nuevo", "second_copy": {"after_ms": 590.9}}]) == []
+    assert refused([{"lane": "archivo-nuevo", "second_copy": {"after_ms": 591}}]) != []
+
+
+def test_a_hard_stop_shorter_than_two_ticks(raw, refused):
+    raw["lanes"]["limpieza"].update(quoted_ms=8.9, hard_stop_ms=8.9)
+    finding, = refused()
+    assert finding.place == "/lanes/limpieza/hard_stop_ms" and finding.nearest == "hard_stop_ms 9"
+
+
+def test_routes_that_are_safe_alone_are_refused_together(refused):
+    rows = [{"lane": "lectura", "time_out_ms": 200}, {"plan": "prioritario", "executions": 3, "wait_ms": 150}]
+    assert refused(rows[:1]) == refused(rows[1:]) == []
+    finding, = refused(rows)
+    assert "lane 'lectura' of plan 'prioritario'" in finding.text
+
+
+def test_twenty_four_gateways_and_one_largest_operation(raw, refused):
+    raw["fleet"]["gateways"], raw["plans"]["basico"]["burst"] = 24, 24 * 8
+    finding, = refused()
+    assert finding.rule == prove.COLD and finding.worst > 24 * 8 and "24 gateways" in finding.text
+    raw["bounds"]["cold_falls_units"] = 800
+    assert refused() == []
+
+
+def test_a_thousand_routes_are_resolved_and_proved(raw, refused):
+    for number in range(25):
+        raw["lanes"][f"l{number}"] = dict(raw["lanes"]["lectura"])
+    for number in range(40):
+        raw["plans"][f"p{number}"] = dict(raw["plans"]["estandar"])
+    rows = [{"lane": f"l{lane}", "plan": f"p{plan}", "time_out_ms": 100 + lane, "executions": 2}
+            for lane in range(25) for plan in range(40)]
+    assert refused(rows) == []
+    rows[777]["time_out_ms"] = 5_000
+    finding, = refused(rows)
+    assert finding.place == "/routes/777/executions"
+
+
+def test_facts_stay_within_their_bounds(raw):
+    built = deployment.build(raw)
+    for fact in prove.facts(built.ground, built.flows):
+        assert fact.bound is None or fact.worst <= fact.bound, fact
+
+
+def test_ticks_are_rounded_up():
+    assert [resolve.ticks(value) for value in (0, 0.1, 0.11, 2.5)] == [0, 1, 2, 25]
