--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -1,6 +1,7 @@
 """Commands that run a whole fleet."""
 import asyncio
 import json
+import re
 import signal
 import tempfile
 from pathlib import Path
@@ -17,17 +18,28 @@
 from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
 from rushmux.standins.report import judge
 
-UNIT = 0.02              # seconds of a core for a unit of work, in the demo
+UNIT = 0.015             # seconds of a core for a unit of work, in the demo
+QUICK = 0.001            # the same, in a fleet that is only there to be used
 WATCH = 0.5              # seconds between two looks whether all parts live
 AGAIN = 1.0              # seconds until a part that ended is started anew
 VIRTUAL_WAY, WAY = 0.005, 0.25   # longest time of a message on its way: simulated, and real and busy
 
 
-def sized(file, edges, folder) -> tuple[Path, deployments.Deployment]:
-    """The deployment with so many gateways, written to the fleet's folder."""
-    deployed(file)
+def sized(file, edges, folder, unit) -> tuple[Path, deployments.Deployment]:
+    """The deployment with so many gateways on stand-in nodes of this speed, written to the fleet's folder.
+    What pushes such a node over is known, and the gateways' parts are made as small as the proof asks."""
+    shape = fleets.shape_of(deployed(file), unit=unit)
     raw = json.loads(Path(file).read_text())
     raw["fleet"]["gateways"] = edges
+    falls = shape.cores * shape.speed / unit * shape.cold_start * shape.cold_span * shape.fall_multiple
+    raw.setdefault("bounds", {})["cold_falls_units"] = int(falls)
+    try:
+        deployments.build(raw)
+    except deployments.BadDeployment as fault:
+        for finding in fault.findings:
+            named = re.fullmatch(r"/fleet/cold_units (\S+)", finding.nearest)
+            if named:
+                raw["fleet"]["cold_units"] = float(named[1])
     path = Path(folder) / "deployment.json"
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(json.dumps(raw, indent=2))
@@ -35,7 +47,7 @@
 
 
 def up(edges, nodes, folder, file):
-    path, deployment = sized(file, edges, folder)
+    path, deployment = sized(file, edges, folder, QUICK)
     kept = folder / "fleet.json"
     held = json.loads(kept.read_text())["cells"] if kept.exists() else nodes
     if held != nodes:
@@ -47,7 +59,7 @@
         loop, ended = asyncio.get_running_loop(), asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, ended.set)
-        fleet = ProcessFleet(path, deployment, folder, new_seed(None), lag=0.5, unit=0.001)
+        fleet = ProcessFleet(path, deployment, folder, new_seed(None), lag=0.5, unit=QUICK)
         try:
             await fleet.up(nodes, edges)
             addresses = [f"{HOST}:{fleet.edges[number].port}" for number in sorted(fleet.edges)]
@@ -82,7 +94,7 @@
 
 def played(name, edges, nodes, load, seed, virtual, decisions, folder, file):
     """Plays one day; its records."""
-    path, deployment = sized(file, edges, folder)
+    path, deployment = sized(file, edges, folder, UNIT)
     chosen, wanted = script.load(name), days.Load(part=load)
     if virtual:
         async def story(fleet):
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -425,10 +425,13 @@
         """
         op.copy_at, gateway = NEVER, self.gateway
         (number, first), = op.out.items()
-        cell = gateway.credit >= 1 and gateway.placing.pick(op.units, now)
+        if (gateway.credit < 1 or gateway.room.size < gateway.even_room()
+                or any(cell.queues for cell in gateway.places)):
+            return
+        cell = gateway.placing.pick(op.units, now)
         node = cell and cell is not op.cell and not cell.queues and cell.open_node()
-        if (not node or node.out or gateway.room.size < gateway.even_room()
-                or gateway.pacing.opens(node, 1, now) > now or node.allowance(gateway, op.units, now) < NEVER):
+        if (not node or node.out or gateway.pacing.opens(node, 1, now) > now
+                or node.allowance(gateway, op.units, now) < NEVER):
             return
         if op.maybe_at is None:
             op.maybe_at, op.maybe_node = first.out[op, number], first
--- a/rushmux/standins/day.py
+++ b/rushmux/standins/day.py
@@ -5,13 +5,14 @@
 """
 import asyncio
 import hashlib
+import json
 import random
 from collections import deque
 from typing import NamedTuple
 
 from rushmux.sftp import packets as sftp
 from rushmux.standins.client import Client, Gone, Refusal
-from rushmux.standins.script import Script
+from rushmux.standins.script import DAYS, Script
 
 MOST_ERRANDS = 4_000     # at a time; more are counted as turned away by the load itself
 KNOWN = 200              # files of a folder that readers choose from
@@ -161,6 +162,10 @@
         desks[event.target].times = 1.0
     elif event.verb == "replace":
         await fleet.replace(event.target, event.kind)
+    elif event.verb == "reload":
+        routes = json.loads((DAYS / f"{event.kind}.json").read_text())
+        numbers = sorted(fleet.edges) if event.target == "edges" else [int(event.target[4:])]
+        fleet.reload(numbers, {**fleet.deployment.raw, "routes": routes})
     else:
         part = "edge" if event.target.startswith("edge") else "node"
         name = int(event.target[4:]) if part == "edge" else event.target
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -9,7 +9,7 @@
 from rushmux.edge.links import Address
 from rushmux.lab.loop import VirtualLoop, run
 from rushmux.rules import Gateway
-from rushmux.settings.deployment import Deployment
+from rushmux.settings.deployment import Deployment, build
 from rushmux.standins.client import Client
 from rushmux.standins.engine import Shape
 from rushmux.standins.lists import ListSource
@@ -114,6 +114,11 @@
         self.record("killed", edge=f"edge{number}", start=self.edges[number].program.start)
         self.edges[number].process.kill()
 
+    def reload(self, numbers, raw):
+        """Edges read their deployment's file anew, as on SIGHUP; whether each took its routes over."""
+        return [self.edges[number].process.context.run(self.edges[number].program.reload, lambda: build(raw))
+                for number in numbers]
+
     def cell_of(self, name):
         return self.nodes[name].program.cell
 
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import random
+import signal
 import sys
 from pathlib import Path
 
@@ -100,6 +101,15 @@
         self.edges[number] = part
         return part
 
+    def reload(self, numbers, raw):
+        """Writes the deployment's file anew and tells edges to read it."""
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(json.dumps(raw, indent=2))
+        fresh.replace(self.file)
+        for number in numbers:
+            if self.edges[number].process.returncode is None:
+                self.edges[number].process.send_signal(signal.SIGHUP)
+
     def cell_of(self, name):
         return self.nodes[name].cell
 
