--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -9,6 +9,7 @@
 import click
 
 from rushmux import log
+from rushmux.cli.lab import lab
 from rushmux.cli.shared import EXAMPLE, deployed, new_seed
 
 LEVELS = click.Choice(sorted(log.LEVELS))
@@ -78,6 +79,9 @@
     """rushmux: a storage gateway, and the stand-ins it is tried against."""
 
 
+main.add_command(lab)
+
+
 @main.command()
 @common
 @click.option("--number", type=int, default=0, show_default=True,
--- a/rushmux/lab/lean.py
+++ b/rushmux/lab/lean.py
@@ -159,8 +159,8 @@
         self.alive, self.ops, self.count, self.timer, self.closing = True, {}, 0, None, False
         self.prefix = f"{self.name}.{self.starts:x}"
         world = self.world
-        self.gateway = world.decisions(world.deployment.terms,
-                                       random.Random(f"{world.seed}/{self.prefix}").getrandbits(48), self.now(), self)
+        seed = random.Random(f"{world.seed}/{self.prefix}").getrandbits(48)
+        self.gateway = world.decisions(world.deployment.terms, seed, self.now(), self)
         self.tell([node.entry for node in world.nodes.values()], say.WHOLE)
 
     def now(self):
--- /dev/null
+++ b/rushmux/lab/spec.py
@@ -0,0 +1,138 @@
+"""From an experiment's checked JSON to the days it plays: fleet, deployment, workload, troubles.
+
+No clock and no files; a day follows from the text and a seed.
+"""
+import copy
+import json
+from pathlib import Path
+
+import jsonschema
+
+from rushmux.lab import troubles, workload
+from rushmux.lab.lean import Fleet
+from rushmux.settings import deployment as deployments
+from rushmux.standins.engine import Shape
+
+SCHEMA = json.loads(Path(__file__).with_name("experiment.schema.json").read_text())
+EXAMPLE = Path(deployments.__file__).with_name("example.json")
+ROLES = {"read": "lectura", "write": "archivo-nuevo"}   # of the example, where a day states no others
+
+
+class BadExperiment(Exception):
+    """A text that is no experiment; `faults` is a list of (place, what is wrong)."""
+
+    def __init__(self, source, faults):
+        super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
+        self.source, self.faults = source, faults
+
+
+def load(path) -> dict:
+    """An experiment from a file, checked; BadExperiment with all its faults."""
+    try:
+        raw = json.loads(Path(path).read_text())
+    except OSError as fault:
+        raise BadExperiment(path, [("/", f"cannot be read: {fault.strerror}")]) from fault
+    except ValueError as fault:
+        raise BadExperiment(path, [("/", f"is no JSON: {fault}")]) from fault
+    return checked(raw, str(path))
+
+
+def checked(raw, source="experiment") -> dict:
+    """The experiment with its defaults put in; BadExperiment with all its faults."""
+    found = [("/" + "/".join(map(str, fault.absolute_path)), fault.message)
+             for fault in jsonschema.Draft202012Validator(SCHEMA).iter_errors(raw)]
+    if found:
+        raise BadExperiment(source, sorted(found))
+    raw = copy.deepcopy(raw)
+    for name, part in SCHEMA["properties"].items():
+        if "default" in part:
+            raw.setdefault(name, copy.deepcopy(part["default"]))
+        for inner, value in part.get("properties", {}).items():
+            if "default" in value:
+                raw.setdefault(name, {}).setdefault(inner, value["default"])
+    names = [variant["name"] for variant in raw["variants"]]
+    if len(set(names)) < len(names):
+        found.append(("/variants", f"two of one name: {', '.join(names)}"))
+    try:
+        troubles.parse(raw["troubles"])
+    except troubles.BadTrouble as fault:
+        found.append(("/troubles", str(fault)))
+    for number, variant in enumerate(raw["variants"]):
+        try:
+            deployment(raw, variant)
+        except (deployments.BadDeployment, KeyError, TypeError) as fault:
+            found.append((f"/variants/{number}", f"its deployment is none: {fault}"))
+    if found:
+        raise BadExperiment(source, found)
+    return raw
+
+
+def put(text, place, value):
+    """Sets a value in nested objects and lists by its place, `/fleet/tick_ms`."""
+    *names, last = place.strip("/").split("/")
+    for name in names:
+        text = text[int(name)] if isinstance(text, list) else text.setdefault(name, {})
+    text[int(last) if isinstance(text, list) else last] = value
+
+
+def fleet(raw) -> Fleet:
+    stated, machine = raw["fleet"], raw["machine"]
+    shape = Shape(**{name: tuple(value) if isinstance(value, list) else value for name,
+                     value in machine.items()})
+    text = json.loads(EXAMPLE.read_text())["fleet"]
+    shape = shape._replace(cold_start=text["cold_start"], warm_within=text["warm_within_ms"] / 1000,
+                           fall_multiple=text["fall_multiple"], cold_span=text["cold_span_ms"] / 1000)
+    return Fleet(stated["edges"], stated["nodes"], stated["zones"], shape, stated["unlike"],
+                 stated["connections"])
+
+
+def capacity(raw) -> float:
+    """Units a second of all nodes together, warm."""
+    stood = fleet(raw)
+    return stood.nodes * stood.machine.cores * stood.machine.speed / stood.machine.unit
+
+
+def day_volumes(raw, seed):
+    """The volumes of a day, with what they ask for."""
+    plans = deployments.build(json.loads(EXAMPLE.read_text())).terms.plans
+    return workload.volumes(plans, raw["volumes"], raw["fleet"]["nodes"], raw["fleet"]["edges"],
+                            capacity(raw),
+                            {**workload.DEFAULTS, **raw["workload"]}, seed)
+
+
+def deployment(raw, variant, seed=0):
+    """The deployment of a variant: the example, sized to the fleet, with the variant's values put in.
+
+    Plans are sized so that the reserves of all volumes together are `reserved` of the fleet's capacity.
+    Not proved: the laboratory tries what the proof would refuse too.
+    """
+    text, found = json.loads(EXAMPLE.read_text()), day_volumes(raw, seed)
+    whole, stood = capacity(raw), fleet(raw)
+    reserves = sum(text["plans"][volume.plan]["reserve"] for volume in found)
+    times = raw["reserved"] * whole / reserves
+    for plan in text["plans"].values():
+        for field in ("nominal", "reserve", "limit", "burst", "slack"):
+            if field in plan:
+                plan[field] = plan[field] * times
+        if plan.get("limit"):
+            plan["burst"] = max(plan["burst"], text["fleet"]["most_units"] * stood.edges)
+    text["folders"] = {volume.name: {"plan": volume.plan, "edges": list(volume.edges)} for volume in found}
+    text["fleet"].update(gateways=stood.edges, second_copies=False)
+    text["fleet"]["cold_units"] = (stood.machine.cores * stood.machine.speed / stood.machine.unit
+                                   * stood.machine.cold_start * stood.machine.cold_span * 0.8)
+    text["bounds"], text["routes"] = {}, []
+    for place, value in {**raw["set"], **variant.get("set", {})}.items():
+        put(text, place, value)
+    return deployments.build(text, "deployment", proved=False)
+
+
+def day(raw, variant, seed):
+    """Everything that a day needs: deployment, fleet, arrivals, events."""
+    built, stood, found = deployment(raw, variant, seed), fleet(raw), day_volumes(raw, seed)
+    zones = {f"n{cell}": f"z{cell % stood.zones}" for cell in range(stood.nodes)}
+    events = troubles.draw(troubles.parse(raw["troubles"]), seed, zones, range(stood.edges),
+                           {volume.name: volume.plan for volume in found})
+    arrivals = workload.drawn(found, {**workload.DEFAULTS, **raw["workload"]}, raw["seconds"], seed, events,
+                              ROLES,
+                              built.terms.most_units)
+    return built, stood, arrivals, events
--- a/rushmux/lab/troubles.py
+++ b/rushmux/lab/troubles.py
@@ -2,8 +2,9 @@
 
     KIND TARGET [size A..B] at A..B [for A..B]
 
-One number stands for a range of one.  TARGET: `node` (one drawn), `nodes N%` or `nodes N` (so many drawn),
-`zone` (all nodes of one drawn), `edge`, `edges N`, `lists`, `volume`, `plan NAME`, `all`.  `#` begins a comment.
+One number stands for a range of one.  TARGET: `node` (one drawn), `nodes N%` or `nodes N` (so many
+drawn), `zone` (all nodes of one drawn), `edge`, `edges N`, `lists`, `volume`, `plan NAME`, `all`.
+`#` begins a comment.
 """
 import random
 from typing import NamedTuple
@@ -19,7 +20,7 @@
     "neighbour": (("node", "nodes", "zone"), True, True),   # times longer, in and out every second
     "restart": (("node", "nodes", "zone"), False, True),    # down for so long, then cold
     "drain": (("node", "nodes", "zone"), True, False),      # one after the other, so many seconds apart
-    "cut": (("zone", "edge", "edges"), False, True),        # no connection between the zone, or edges, and the rest
+    "cut": (("zone", "edge", "edges"), False, True),        # no connection to the others
     "lag": (("lists",), True, True),                        # seconds that changes come late
     "reports": (("node", "nodes", "zone"), False, True),    # answers say nothing of others' use
     "die": (("edge", "edges"), False, True),                # gone for so long, comes back with nothing
