--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -6,8 +6,6 @@
 stand-in nodes, and through the lean level.
 """
 import argparse
-import asyncio
-import random
 import resource
 import subprocess
 import sys
@@ -16,15 +14,14 @@
 import numpy
 from scipy import stats
 
-from rushmux.edge.driver import Shed, Terminated, Work
-from rushmux.lab import outcome, spec
+from rushmux.lab import outcome, spec, whole
 from rushmux.lab.lean import World
-from rushmux.nodewire import messages
-from rushmux.standins import fleet as fleets
 from rushmux.standins.checker import Checker
 
 CASES = {"calm": (0.5, []), "busy": (0.9, []), "silent node": (0.6, ["silent node at 2 for 4"]),
-         "slow node": (0.6, ["slow node size 6 at 2 for 5"])}
+         "slow node": (0.6, ["slow node size 6 at 2 for 5"]),
+         "restarts": (0.5, ["restart nodes 2 at 2 for 2"]), "edge dies": (0.5, ["die edge at 3 for 2"]),
+         "zone cut": (0.5, ["cut zone at 3 for 3"])}
 SIZES = ((10, 8), (50, 16), (100, 24), (300, 47))
 
 
@@ -44,60 +41,14 @@
     return [row.took for row in world.ended if row.how == "succeeded"], found["in_time"], found["kept"]
 
 
-def whole(raw, seed):
-    """The same day through real edges: each operation is one access of the driver, tried again as in the "
-      "lean."""
+def real(raw, seed):
+    """The same day through real edges."""
     built, stood, arrivals, events = spec.day(raw, raw["variants"][0], seed)
+    ended, fleet = whole.play(built, stood, arrivals, events, seed)
     quoted = {name: lane.quoted_time / 10_000 for name, lane in built.terms.lanes.items()}
-    times, good, chance = [], [0], random.Random(seed)
-
-    async def story(fleet):
-        begun = fleet.loop.time()
-
-        async def one(number, arrival):
-            edge = fleet.edges[arrival.edge % len(fleet.edges)]
-            lane = built.terms.lanes[arrival.lane]
-
-            def fill(execute):
-                # Objects of no bytes: what counts here is the machine's time.
-                if arrival.cell < 0:
-                    execute.write.CopyFrom(messages.WriteObject(object=f"o{number}", data=b"", crc=0))
-                else:
-                    execute.read.CopyFrom(messages.ReadObject(object="none", offset=0, length=1))
-            ends = begun + arrival.at + lane.hard_stop / 10_000 * 1.5
-            for _ in range(3):
-                try:
-                    work = Work(arrival.lane, arrival.volume, arrival.key, arrival.units, arrival.cell, fill)
-                    await edge.program.driver.run(work, lane.hard_stop / 10_000, "-")
-                    times.append(fleet.loop.time() - begun - arrival.at)
-                    good[0] += times[-1] <= quoted[arrival.lane]
-                    return
-                except Terminated:
-                    return
-                except Shed as shed:
-                    again = shed.come_back or chance.uniform(0.2, 0.6)
-                    if fleet.loop.time() + again >= ends:
-                        return
-                    await asyncio.sleep(again)
-
-        async def trouble(event):
-            await asyncio.sleep(event.at)
-            for name in event.targets:
-                await fleet.trouble(f"node{name[1:]}", event.kind, event.size, event.seconds)
-        tasks = [asyncio.ensure_future(trouble(event)) for event in events]
-        for number, arrival in enumerate(arrivals):
-            wait = begun + arrival.at - fleet.loop.time()
-            if wait > 0:
-                await asyncio.sleep(wait)
-            process = fleet.edges[arrival.edge % len(fleet.edges)].process
-            tasks.append(process.spawn(one(number, arrival)))
-        await asyncio.gather(*tasks)
-    machine = {name: getattr(stood.machine, name) for name in ("cores", "unit", "room", "recent")}
-    fleet, _ = fleets.play(built, seed, story, nodes=stood.nodes, edges=stood.edges, level="error",
-                           logs=False,
-                           **machine)
+    good = [row for row in ended if row.how == "succeeded"]
     kept = not any(verdict.breaches for verdict in Checker(fleet.all_records(), built, 0.005).verdicts())
-    return times, good[0] / len(arrivals), kept
+    return [row.took for row in good], sum(row.took <= quoted[row.lane] for row in good) / len(ended), kept
 
 
 def scale(edges, nodes):
@@ -141,7 +92,7 @@
     for name, (load, lines) in CASES.items():
         raw = stated(name, load, lines)
         rows = {}
-        for level, play in (("edge", whole), ("lean", lean)):
+        for level, play in (("edge", real), ("lean", lean)):
             rows[level] = [play(raw, seed) for seed in range(1, wanted.seeds + 1)]
         times = {level: [took for found, _, _ in days for took in found] for level, days in rows.items()}
         apart = max(1, len(times["edge"]) // 400)
--- a/rushmux/lab/loop.py
+++ b/rushmux/lab/loop.py
@@ -29,6 +29,7 @@
     def __init__(self, loop, name):
         self.loop, self.name, self.dead, self.held_until = loop, name, False, 0.0
         self.transports, self.servers = {}, {}
+        self.island, self.cut_until = 0, 0.0
         self.context = contextvars.copy_context()
         self.context.run(PROCESS.set, self)
 
@@ -49,6 +50,18 @@
         self.held_until = max(self.held_until, self.loop.time() + seconds)
 
 
+    def cut(self, island, seconds):
+        """Cuts it off, with all others of its island: what is sent between islands arrives when it ends."""
+        self.island, self.cut_until = island, max(self.cut_until, self.loop.time() + seconds)
+
+
+def _cut_until(one, other, now):
+    """When messages between two processes go again; nought: they do."""
+    ends = [process.cut_until if process and process.cut_until > now else 0.0 for process in (one, other)]
+    islands = [process.island if end else 0 for process, end in zip((one, other), ends)]
+    return max(ends) if islands[0] != islands[1] else 0.0
+
+
 class _Selector:
     def __init__(self, loop):
         self.loop = loop
@@ -124,7 +137,8 @@
     def send(self, what, *values):
         """Puts something on the way to the other end, in order."""
         # Danger: timers of one instant have no order among them; what is sent in order must arrive so.
-        self.last = max(self.last + APART, self.loop.time() + self.loop.delay())
+        begins = max(self.loop.time(), _cut_until(self.process, self.peer.process, self.loop.time()))
+        self.last = max(self.last + APART, begins + self.loop.delay())
         self.loop.call_at(self.last, what, *values, context=self.peer.context)
 
     def write(self, data):
@@ -292,6 +306,8 @@
         server = self.ports.get((host, port))
         if server is None:
             raise ConnectionRefusedError(111, f"nothing listens at {host}:{port}")
+        while ends := _cut_until(PROCESS.get(), server.process, self.clock):
+            await asyncio.sleep(ends - self.clock)   # whoever dials gives up before
         own = ("127.0.0.1", self.next_port)
         self.next_port += 1
         protocol = protocol_factory()
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -13,7 +13,8 @@
 REPORT_EVERY = 1.0       # seconds between reports of free space to the list source
 AGAIN = 0.3              # seconds until the list source is dialled again
 HOLD_MOST = 10_000       # executions kept by the trouble `stuck`
-TROUBLES = ("silent", "stuck", "slow", "errors", "lost", "resets", "drain", "disk")
+TROUBLES = ("silent", "stuck", "slow", "errors", "lost", "resets", "drain", "disk", "neighbour", "unmetered")
+NEIGHBOUR = 1.0          # seconds that a neighbour on the machine is in, and out
 
 
 class Served:
@@ -147,11 +148,20 @@
             self.condition = "draining"
             return
         self.trouble[kind] = size
+        if kind == "neighbour":
+            self.neighbour(size, self.loop.time() + seconds, True)
         if kind == "slow":
             self.engine.slowed = size
         if seconds:
             self.loop.call_later(seconds, self.end, kind)
 
+    def neighbour(self, size, until, comes):
+        """Another program on the machine comes and goes."""
+        now = self.loop.time()
+        self.engine.neighbour = size if comes and now < until else 1.0
+        if now < until:
+            self.loop.call_later(NEIGHBOUR, self.neighbour, size, until, not comes)
+
     def end(self, kind):
         self.trouble.pop(kind, None)
         self.engine.slowed = self.trouble.get("slow", 1.0)
@@ -239,5 +249,7 @@
                 outcome.fleet_use = 1 + self.use.get(body.volume, 0)
         if "silent" in self.trouble:
             return
+        if "unmetered" in self.trouble:
+            outcome.from_others = outcome.fleet_use = 0
         self.record("outcome", node=self.name, op=body.op, execution=body.execution, code=outcome.code)
         peer.send(outcome=outcome)
