--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -17,7 +17,6 @@
 from rushmux.nodewire import VERSION, Frames, frame, messages
 from rushmux.settings import deployment
 from rushmux.sftp import packets as sftp
-from rushmux.standins.client import Client
 from rushmux.standins.processes import ProcessFleet
 
 SIZE = 4_096             # bytes of a read
--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -53,8 +53,19 @@
     """Plays an experiment, goes on where one was killed, and says what was seen.
 
     Exit 1 where a variant of the module broke a rule."""
+    from rushmux.lab import spec
+    store = kept(data)
+    try:
+        many = spec.expanded(read(experiment))
+    except spec.BadExperiment as fault:
+        raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
+    sys.exit(1 if any([one(raw, store, jobs, report, Path(data)) for raw in many]) else 0)
+
+
+def one(raw, store, jobs, report, data):
+    """Plays one experiment and says what was seen; whether a variant of the module broke a rule."""
     from rushmux.lab import run as runs
-    raw, store, begun = read(experiment), kept(data), time.monotonic()
+    begun = time.monotonic()
     try:
         found = runs.run(raw, store, jobs, told)
     except runs.NoSource as fault:
@@ -62,12 +73,11 @@
     click.echo("\n".join(runs.said(raw, found)))
     if report:
         from rushmux.lab import report as reports
-        path = reports.write(raw, found, Path(data) / raw["name"])
+        path = reports.write(raw, found, data / raw["name"])
         click.echo(f"{path} ({time.monotonic() - begun:.0f} s)")
     ours = [variant["name"] for variant in raw["variants"]
             if variant.get("decisions", "module") == "module" and not variant.get("without")]
-    broken = any(not row["kept"] for name in ours for row in found[name].values() if "crashed" not in row)
-    sys.exit(1 if broken else 0)
+    return any(not row["kept"] for name in ours for row in found[name].values() if "crashed" not in row)
 
 
 @lab.command()
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -8,7 +8,7 @@
 
 from rushmux import interface as say
 from rushmux.edge.outgoing import Outgoing
-from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.nodewire import Frames, WireFault, frame, messages
 
 BACK_OFF = 0.05          # seconds after a first failed dial: a process restarts in some of these
 MOST_BACK_OFF = 2.0      # seconds: a node that returns is found again within this
--- a/rushmux/lab/compare.py
+++ b/rushmux/lab/compare.py
@@ -17,7 +17,7 @@
     mean: float
     low: float
     high: float
-    chance: float                # of such a mean were there no difference, corrected for the number of variants
+    chance: float                # of such a mean were there no difference, corrected for the variants
     says: str
 
 
--- a/rushmux/lab/schedules.py
+++ b/rushmux/lab/schedules.py
@@ -14,7 +14,6 @@
 from rushmux.rules import Gateway
 
 MOST_EVENTS = 20_000     # of one schedule: beyond it the play has run away
-LATER = 40               # schedules are played until so many hard stops are over
 WORST = 0.7              # of the choices drawn are the worst: delays add up to a breach only together
 SILENT, DONE, FAILED, TURNED_AWAY = range(4)
 
--- a/rushmux/lab/search.py
+++ b/rushmux/lab/search.py
@@ -16,7 +16,6 @@
 FORMAT = 1
 WARM, COOL = 0.05, 0.002   # differences in the service that are taken with even chance, first and last
 SPARE = 0.02             # of the service: what a shrunk day may be better than the whole one
-SAME = 1e-9              # service of a replay may differ by rounding alone
 MOST_LINES = 12
 
 
--- a/rushmux/lab/spec.py
+++ b/rushmux/lab/spec.py
@@ -4,6 +4,7 @@
 """
 import copy
 import json
+import re
 from pathlib import Path
 
 import jsonschema
@@ -60,8 +61,11 @@
     for number, variant in enumerate(raw["variants"]):
         try:
             deployment(raw, variant)
-        except (deployments.BadDeployment, KeyError, TypeError) as fault:
+        except (deployments.BadDeployment, KeyError, TypeError, IndexError) as fault:
             found.append((f"/variants/{number}", f"its deployment is none: {fault}"))
+        except (workload.BadTrace, OSError) as fault:
+            found.append(("/trace", str(fault)))
+            break
     if found:
         raise BadExperiment(source, found)
     return raw
@@ -75,6 +79,23 @@
     text[int(last) if isinstance(text, list) else last] = value
 
 
+def expanded(raw) -> list[dict]:
+    """The experiments that the factors make of one: itself where it states none; BadExperiment for a value
+    that the schema does not allow."""
+    found = [raw]
+    for place, values in raw["factors"].items():
+        found = [(one, place, value) for one in found for value in values]
+        made = []
+        for one, where, value in found:
+            text = copy.deepcopy(one)
+            put(text, where, value)
+            word = re.sub("[^a-z0-9]+", "-", f"{where.rsplit('/', 1)[1]}-{value}".lower()).strip("-")
+            text["name"] = f"{one['name']}-{word}"[:60]
+            made.append(text)
+        found = made
+    return [checked({**text, "factors": {}}, text["name"]) for text in found]
+
+
 def fleet(raw) -> Fleet:
     stated, machine = raw["fleet"], raw["machine"]
     shape = Shape(**{name: tuple(value) if isinstance(value, list) else value for name,
@@ -93,7 +114,11 @@
 
 
 def day_volumes(raw, seed):
-    """The volumes of a day, with what they ask for."""
+    """The volumes of a day, with what they ask for; of a trace, its own through all edges."""
+    if "trace" in raw:
+        known, _ = workload.read_trace(raw["trace"])
+        every = tuple(range(raw["fleet"]["edges"]))
+        return [workload.Volume(name, plan, 1.0, (0,), every) for name, plan in known.items()]
     plans = deployments.build(json.loads(EXAMPLE.read_text())).terms.plans
     return workload.volumes(plans, raw["volumes"], raw["fleet"]["nodes"], raw["fleet"]["edges"],
                             capacity(raw),
@@ -132,6 +157,11 @@
     zones = {f"n{cell}": f"z{cell % stood.zones}" for cell in range(stood.nodes)}
     events = troubles.draw(troubles.parse(raw["troubles"]), seed, zones, range(stood.edges),
                            {volume.name: volume.plan for volume in found})
+    if "trace" in raw:
+        _, arrivals = workload.read_trace(raw["trace"])
+        arrivals = [arrival._replace(cell=arrival.cell % stood.nodes if arrival.cell >= 0 else -1)
+                    for arrival in arrivals if arrival.at <= raw["seconds"]]
+        return built, stood, arrivals, events
     arrivals = workload.drawn(found, {**workload.DEFAULTS, **raw["workload"]}, raw["seconds"], seed, events,
                               ROLES,
                               built.terms.most_units)
--- a/tests/buffer/test_hard_cases.py
+++ b/tests/buffer/test_hard_cases.py
@@ -291,7 +291,8 @@
         for at in range(60):             # every other place, so that nothing lies together
             await one.ask(sftp.Write, handle, at * 200, bytes([at]) * 100)
             await flush(one, handle)
-        rows = fleet.stores[f"node{HOME}"].base.execute("select value from rows where key like 'b/%'").fetchall()
+        rows = fleet.stores[f"node{HOME}"].base.execute("select value from rows where key like "
+                                                        "'b/%'").fetchall()
         await fleet.sleep(5)             # until the cleaner has dropped what is no more named
         return max(len(layout.unpack_block(value)) for value, in rows), await far.get("/heredia/a")
     fleet, (pieces, data) = play(story)
--- a/tests/lab/conftest.py
+++ b/tests/lab/conftest.py
@@ -12,7 +12,8 @@
         return spec.checked({
             "name": "small", "seconds": 4, "fleet": {"edges": 4, "nodes": 4, "zones": 2},
             "volumes": {"basico": 3, "estandar": 2, "prioritario": 2}, "workload": {"load": 0.7},
-            "troubles": list(troubles), "variants": list(variants), "seeds": {"least": 2, "most": 2}, **other})
+            "troubles": list(troubles), "variants": list(variants), "seeds": {"least": 2,
+                                                                              "most": 2}, **other})
     return made
 
 
--- /dev/null
+++ b/tests/lab/test_cases.py
@@ -0,0 +1,18 @@
+"""Days that a search saved: the program serves no less on them than when they were saved."""
+from pathlib import Path
+
+import pytest
+
+from rushmux.lab import search
+
+CASES = sorted((Path(search.__file__).parent / "cases").glob("*.json"))
+
+
+@pytest.mark.parametrize("path", CASES, ids=lambda path: path.stem)
+def test_a_saved_day_is_served_as_before(path):
+    good, text = search.replay(path)
+    assert good, text
+
+
+def test_there_are_saved_days():
+    assert CASES
--- a/tests/lab/test_days.py
+++ b/tests/lab/test_days.py
@@ -65,7 +65,8 @@
 
 
 def test_resets_hot_keys_late_lists_and_reports_keep_the_rules(small, played):
-    lines = ["resets nodes 4 at 1", "resets nodes 4 at 2", "hot all size 0.9 at 0 for 4", "reports nodes 4 at 0 for 4",
+    lines = ["resets nodes 4 at 1", "resets nodes 4 at 2", "hot all size 0.9 at 0 for 4", "reports nodes 4 "
+                                                                                          "at 0 for 4",
              "lag lists size 3 at 0 for 4", "restart nodes 1 at 0.5 for 0.5"]
     world = played(small(lines))
     assert outcome.measured(world, 4.0)["kept"]
@@ -97,7 +98,8 @@
 def test_crowding_makes_machines_slower():
     def total(crowd):
         clock, ends = HeapClock(), []
-        engine = Engine(Shape(crowd=crowd, recent=0, put_off=0.0), random.Random(1), False, lambda: None, clock)
+        engine = Engine(Shape(crowd=crowd, recent=0, put_off=0.0), random.Random(1), False, lambda: None,
+                        clock)
         for _ in range(30):
             engine.offer(1.0, "", False, 60.0, lambda late: ends.append(clock.time()))
         clock.run(60.0)
@@ -130,5 +132,6 @@
 def test_load_is_what_was_stated(small):
     from rushmux.lab import spec
     raw = small(seconds=40, workload={"load": 0.5, "rush": 0})
-    asked = [sum(arrival.units for arrival in spec.day(raw, raw["variants"][0], seed)[2]) for seed in range(4)]
+    asked = [sum(arrival.units for arrival in spec.day(raw, raw["variants"][0],
+                                                       seed)[2]) for seed in range(4)]
     assert sum(asked) / 4 / 40 / spec.capacity(raw) == pytest.approx(0.5, rel=0.2)
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -19,7 +19,8 @@
 
 
 def plain(found):
-    return {name: {seed: {k: v for k, v in row.items() if k not in ("sketches",)} for seed, row in rows.items()}
+    return {name: {seed: {k: v for k, v in row.items() if k not in ("sketches",)} for seed,
+                   row in rows.items()}
             for name, rows in found.items()}
 
 
@@ -54,13 +55,16 @@
 
 
 def test_an_experiment_killed_half_way_goes_on(tmp_path):
-    raw = {"name": "killed", "seconds": 4, "fleet": {"edges": 4, "nodes": 4}, "variants": [{"name": "module"}],
+    raw = {"name": "killed", "seconds": 4, "fleet": {"edges": 4, "nodes": 4},
+           "variants": [{"name": "module"}],
            "seeds": {"least": 24, "most": 24}}
     path = tmp_path / "e.json"
     path.write_text(json.dumps(raw))
-    words = [sys.executable, "-m", "rushmux", "lab", "run", str(path), "--data", str(tmp_path / "d"), "--jobs", "2",
+    words = [sys.executable, "-m", "rushmux", "lab", "run", str(path), "--data", str(tmp_path / "d"),
+             "--jobs", "2",
              "--no-report"]
-    process = subprocess.Popen(words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True)
+    process = subprocess.Popen(words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+                               start_new_session=True)
     base = tmp_path / "d" / "results.sqlite"
 
     def rows():
@@ -103,7 +107,8 @@
 
 @pytest.mark.parametrize("change, words", [
     ({"variants": []}, "/variants"), ({"troubles": ["nothing at all"]}, "there is no kind 'nothing'"),
-    ({"variants": [{"name": "a"}, {"name": "a"}]}, "two of one name"), ({"fleet": {"edges": 0}}, "/fleet/edges"),
+    ({"variants": [{"name": "a"}, {"name": "a"}]}, "two of one name"), ({"fleet": {"edges": 0}},
+                                                                        "/fleet/edges"),
     ({"variants": [{"name": "a", "set": {"/plans/basico/weight": 0}}]}, "/variants/0")])
 def test_bad_experiments_are_told(change, words, tmp_path):
     path = tmp_path / "e.json"
@@ -142,6 +147,39 @@
     assert compare.narrow(results, "in_time", 1e-6)
 
 
+def test_factors_make_an_experiment_of_each_combination(small):
+    raw = small(factors={"/workload/load": [0.3, 0.9], "/fleet/nodes": [3, 4]})
+    many = spec.expanded(raw)
+    assert [(one["workload"]["load"], one["fleet"]["nodes"]) for one in many] == [
+        (0.3, 3), (0.3, 4), (0.9, 3), (0.9, 4)]
+    assert len({one["name"] for one in many}) == 4
+    with pytest.raises(spec.BadExperiment):
+        spec.expanded(small(factors={"/fleet/nodes": [0]}))
+
+
+def test_a_trace_is_played_as_it_was_recorded(small, tmp_path):
+    raw = small()
+    path = tmp_path / "e.json"
+    path.write_text(json.dumps(raw))
+    trace = str(tmp_path / "t.jsonl")
+    assert CliRunner().invoke(main, ["lab", "trace", str(path), "--out", trace, "--seed", "3"]).exit_code == 0
+    again = small(trace=trace)
+    assert spec.day(again, again["variants"][0], 9)[2] == spec.day(raw, raw["variants"][0], 3)[2]
+    row = run.play(again, again["variants"][0], run.source(again["variants"][0]), 9)
+    assert row["kept"] and row["asked"] > 100
+    with pytest.raises(spec.BadExperiment) as fault:
+        small(trace=str(tmp_path / "none"))
+    assert fault.value.faults[0][0] == "/trace"
+
+
+def test_a_revision_of_this_repository_is_played(small, tmp_path):
+    if not (run.ROOT / ".git").exists():
+        pytest.skip("this tree has no history")
+    raw = small((), [{"name": "module"}, {"name": "head", "revision": "HEAD"}])
+    found = run.run(raw, store.Store(tmp_path / "a"), 2)
+    assert all("crashed" not in row for row in found["head"].values())
+
+
 def test_holms_correction():
     assert compare.holm([0.01, 0.04, 0.03]) == pytest.approx([0.03, 0.06, 0.06])
 
@@ -173,12 +211,14 @@
 def test_the_yardstick_sees_what_cannot_be_done(small):
     light, heavy = (small(workload={"load": load, "rush": 0}, machine={"recent": 0, "saved": 0, "put_off": 0})
                     for load in (0.2, 4.0))
-    bounds = [yardstick.bound(*spec.day(raw, raw["variants"][0], 1), raw["seconds"]) for raw in (light, heavy)]
+    bounds = [yardstick.bound(*spec.day(raw, raw["variants"][0], 1), raw["seconds"]) for raw in (light,
+                                                                                                 heavy)]
     assert bounds[0] > 0.99 and bounds[1] < 0.75
 
 
 def test_the_search_finds_the_same_day_again_and_shrinks_it(small, tmp_path):
-    raw = small(["silent nodes 3 at 0.5..2 for 1..3", "reports node at 1 for 1", "slow node size 2..9 at 1 for 2"])
+    raw = small(["silent nodes 3 at 0.5..2 for 1..3", "reports node at 1 for 1", "slow node size 2..9 at 1 "
+                                                                                 "for 2"])
     days = [search.search(raw, 12, 5, 2) for _ in range(2)]
     assert days[0] == days[1]
     worst = search.played(raw, raw["variants"][0], run.source(raw["variants"][0]), 3,
--- /dev/null
+++ b/tests/planner/test_placement.py
@@ -0,0 +1,119 @@
+"""Placement: even, cheap, stable, within zones and budget; against an exact solver on small cases."""
+import random
+
+import numpy
+import pytest
+from scipy.optimize import Bounds, LinearConstraint, milp
+
+from rushmux.planner.placement import EVEN, Cell, Node, fullest, greedy, plan
+
+
+def drawn(seed, cells, nodes, zones=3, spread=0.6):
+    """Cells placed at random on nodes of unlike capacity."""
+    chance = random.Random(seed)
+    stood = [Node(f"n{number}", chance.choice((1.0, 1.0, 2.0)), f"z{number % zones}") for number in range(nodes)]
+    return [Cell(number, chance.lognormvariate(0, spread), 1.0, chance.choice(stood).name)
+            for number in range(cells)], stood
+
+
+def applied(cells, found):
+    to = {move.cell: move.target for move in found.moves}
+    return [cell._replace(node=to.get(cell.name, cell.node)) for cell in cells]
+
+
+def exact(cells, nodes, budget):
+    """The least that the fullest node can be with so many moves, by a solver."""
+    count, many = len(cells), len(nodes)
+    size = count * many + 1
+    goal = numpy.zeros(size)
+    goal[-1] = 1.0
+    rows, low, high = [], [], []
+    for place in range(count):
+        row = numpy.zeros(size)
+        row[place * many:(place + 1) * many] = 1
+        rows.append(row), low.append(1), high.append(1)
+    for number, node in enumerate(nodes):
+        row = numpy.zeros(size)
+        for place, cell in enumerate(cells):
+            row[place * many + number] = cell.weight / node.capacity
+        row[-1] = -1
+        rows.append(row), low.append(-numpy.inf), high.append(0)
+    row = numpy.zeros(size)
+    for place, cell in enumerate(cells):
+        for number, node in enumerate(nodes):
+            row[place * many + number] = cell.size * (cell.node != node.name)
+    rows.append(row), low.append(0), high.append(budget)
+    kinds = numpy.ones(size)
+    kinds[-1] = 0
+    found = milp(goal, constraints=LinearConstraint(numpy.array(rows), low, high), integrality=kinds,
+                 bounds=Bounds(0, numpy.append(numpy.ones(size - 1), numpy.inf)), options={"time_limit": 10})
+    return found.fun
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_near_the_exact_one_on_small_cases(seed):
+    cells, nodes = drawn(seed, 14, 4, zones=1)
+    for budget in (2.0, 4.0, 14.0):
+        best, found = exact(cells, nodes, budget), plan(cells, nodes, budget)
+        assert found.moved <= budget
+        assert best - 1e-6 <= found.after <= max(best * 1.25, best + EVEN * 3)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_is_told_is_what_it_comes_to(seed):
+    cells, nodes = drawn(seed, 200, 12)
+    found = plan(cells, nodes)
+    after = applied(cells, found)
+    assert fullest(after, nodes) == pytest.approx(found.after) and fullest(cells, nodes) == pytest.approx(
+        found.before)
+    assert found.after < found.before and found.moved == len(found.moves)
+    even = sum(cell.weight for cell in cells) / sum(node.capacity for node in nodes)
+    assert found.after <= even * 1.12
+
+
+def test_a_second_look_changes_nothing_and_a_small_change_little():
+    cells, nodes = drawn(3, 300, 15)
+    after = applied(cells, plan(cells, nodes))
+    assert plan(after, nodes).moves == ()
+    chance = random.Random(1)
+    shaken = [cell._replace(weight=cell.weight * chance.uniform(0.97, 1.03)) for cell in after]
+    assert len(plan(shaken, nodes).moves) <= 0.03 * len(cells)
+
+
+def test_a_lost_node_moves_its_own_cells_and_few_others():
+    cells, nodes = drawn(4, 300, 15)
+    after = applied(cells, plan(cells, nodes))
+    lost, left = nodes[0].name, nodes[1:]
+    found = plan(after, left)
+    own = {cell.name for cell in after if cell.node == lost}
+    assert own == {move.cell for move in found.moves if move.forced}
+    assert len(found.moves) <= 1.5 * len(own)
+    assert [move.forced for move in found.moves] == sorted((move.forced for move in found.moves), reverse=True)
+
+
+def test_zones_keep_their_parts():
+    cells, nodes = drawn(5, 240, 12, zones=3)
+    crowded = [cell._replace(node="n0") for cell in cells]
+    after = applied(crowded, plan(crowded, nodes))
+    zone = {node.name: node.zone for node in nodes}
+    whole, capacity = sum(cell.weight for cell in cells), sum(node.capacity for node in nodes)
+    for name in ("z0", "z1", "z2"):
+        part = sum(node.capacity for node in nodes if node.zone == name) / capacity
+        assert sum(cell.weight for cell in after if zone[cell.node] == name) <= 1.15 * 1.1 * part * whole
+
+
+def test_a_budget_is_kept_and_no_node_is_an_error():
+    cells, nodes = drawn(6, 200, 10)
+    for budget in (0.0, 5.0, 30.0):
+        assert plan(cells, nodes, budget).moved <= budget
+    assert plan(cells, nodes, 0.0).moves == ()
+    with pytest.raises(ValueError):
+        plan(cells, [])
+
+
+def test_moves_far_fewer_than_placing_anew():
+    cells, nodes = drawn(7, 400, 20)
+    after = applied(cells, plan(cells, nodes))
+    grown = nodes + [Node("new", 1.0, "z0")]
+    ours, plain = plan(after, grown), greedy(after, grown)
+    assert ours.moved < 0.2 * plain.moved and ours.after <= 1.15 * plain.after
