Planner: a program that knows who lives, keeps it and tells edges; edges keep their last list

Edges depended on a stand-in for the list and began with nothing after a start.

Change: rushmux planner (leases, drains, store with checksums and terms, deltas and whole lists), rushmux fleet show, drain, undrain, watch; edges keep their last list with its age and do not believe a whole list with no ready node. The servers' common part moved from the stand-ins.

Found by a test: a restarted planner told a draining node as ready, as the node said.

Not there yet: shares and placement are decided but not wired; one planner only.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -22,7 +22,8 @@
 
 
 def nodes_of(chance, count, first=0):
-    return [Node(f"n{number}", chance.choice((1.0, 1.0, 1.5)), f"z{number % 5}") for number in range(first, count)]
+    return [Node(f"n{number}", chance.choice((1.0, 1.0, 1.5)), f"z{number % 5}") for number in range(first,
+                                                                                                     count)]
 
 
 def least(cells, nodes, level):
@@ -45,7 +46,8 @@
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--seed", type=int, default=1)
     chance = random.Random(asked.parse_args().seed)
-    print(f"{'case':34}{'cells':>7}{'fullest before':>15}{'after':>8}{'moved':>8}{'least':>8}{'anew':>8}{'s':>8}")
+    heads = ("cells", "fullest before", "after", "moved", "least", "anew", "s")
+    print(f"{'case':34}" + "".join(f"{head:>{width}}" for head, width in zip(heads, (7, 15, 8, 8, 8, 8, 8))))
     for count in (100, 300, 1_000):
         ten, fifty = nodes_of(chance, 10), None
         cells = start(chance, count, ten)
@@ -53,7 +55,8 @@
         grown = start(chance, count, fifty)
         rack = [node for node in fifty if node.zone != "z2"]
         hot = [cell._replace(weight=cell.weight * (4 if cell.name % 20 == 0 else 1)) for cell in grown]
-        for name, before, stood in (("10 nodes grow to 50", cells, fifty), ("10 grow to 11", cells, fifty[:11]),
+        for name, before, stood in (("10 nodes grow to 50", cells, fifty), ("10 grow to 11", cells,
+                                                                            fifty[:11]),
                                     ("a rack of 10 of 50 is lost", grown, rack),
                                     ("a twentieth is four times hotter", hot, fifty)):
             begun = time.perf_counter()
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -10,24 +10,12 @@
 
 from rushmux import log
 from rushmux.cli.lab import lab
-from rushmux.cli.shared import EXAMPLE, deployed, new_seed
+from rushmux.cli.planning import fleet
+from rushmux.cli.shared import EXAMPLE, Place, deployed, new_seed
 
 LEVELS = click.Choice(sorted(log.LEVELS))
 
 
-class Place(click.ParamType):
-    """HOST:PORT of this machine or another."""
-    name = "host:port"
-
-    def convert(self, value, param, ctx):
-        if isinstance(value, tuple):
-            return value
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65_535:
-            self.fail(f"'{value}' is no HOST:PORT", param, ctx)
-        return host, int(port)
-
-
 def common(command):
     """Options of every part that runs until it is told to end."""
     for option in (
@@ -80,6 +68,7 @@
 
 
 main.add_command(lab)
+main.add_command(fleet)
 
 
 @main.command()
@@ -90,12 +79,13 @@
 @click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module",
               show_default=True)
 @click.option("--data", type=click.Path(),
-              help="folder for the log of its write-back buffer; left out: no log")
+              help="folder for the log of its write-back buffer and the last list; left out: neither")
 def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions, data):
     """Takes clients and serves their files from the nodes."""
     from rushmux.buffer.disk import Disk, InUse
     from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
+    from rushmux.edge.lastlist import LastList
     from rushmux.edge.links import Address
     from rushmux.rules import Gateway
     from rushmux.settings import deployment as deployments
@@ -113,9 +103,12 @@
     async def run():
         loop = asyncio.get_running_loop()
         record, logger = recorder(records, loop), log.to_stream(sys.stderr.buffer, log_level)
+        if data:
+            Path(data).mkdir(parents=True, exist_ok=True)
+        last = LastList(Path(data) / "last.list", time.time, logger) if data else None
         part = Edge(number, deployment, Address(*lists), new_seed(seed), time.time() - loop.time(), logger,
                     {"module": Gateway, "passthrough": PassThrough}[decisions],
-                    buffered(deployment, disk))
+                    buffered(deployment, disk), last)
         part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
         loop.add_signal_handler(signal.SIGHUP, part.reload, lambda: deployments.load(file))
         await serve(part, listen, with_parent, start=part.start)
@@ -179,6 +172,28 @@
     asyncio.run(run())
 
 
+@main.command()
+@common
+@click.option("--cells", type=int, required=True, help="shards that data is spread over; never changed later")
+@click.option("--data", type=click.Path(), required=True, help="file of what it knows")
+def planner(file, listen, seed, records, log_level, with_parent, cells, data):
+    """Knows which nodes and edges live, and tells the edges."""
+    del seed                             # it draws nothing
+    from rushmux.planner.planner import Planner
+    from rushmux.planner.store import BadStore, Store
+    deployed(file)
+    try:
+        store = Store(data)
+    except (BadStore, OSError) as fault:
+        raise click.ClickException(str(fault)) from fault
+
+    async def run():
+        part = Planner(cells, store, log.to_stream(sys.stderr.buffer, log_level),
+                       recorder(records, asyncio.get_running_loop()))
+        await serve(part, listen, with_parent)
+    asyncio.run(run())
+
+
 @main.command()
 @click.argument("place", type=Place())
 def connect(place):
--- a/rushmux/cli/shared.py
+++ b/rushmux/cli/shared.py
@@ -9,6 +9,19 @@
 EXAMPLE = Path(deployments.__file__).with_name("example.json")
 
 
+class Place(click.ParamType):
+    """HOST:PORT of this machine or another."""
+    name = "host:port"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, tuple):
+            return value
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65_535:
+            self.fail(f"'{value}' is no HOST:PORT", param, ctx)
+        return host, int(port)
+
+
 def deployed(path, plainly=False):
     """The deployment of a file, or an end with its faults; `plainly`: refusals of routes with how each
     would come about."""
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -112,11 +112,18 @@
         self.deployment = deployment
         self.event(lambda now: self.guarded(None, self.gateway.routed, deployment.terms.routes))
 
-    def told(self, listing: messages.Listing):
-        """Takes in a listing; one that makes no sense is logged and left out."""
-        if len(listing.entries) > MOST_LISTED or not 0 < listing.cells <= MOST_LISTED:
-            self.log.warning("list.refused", entries=len(listing.entries), cells=listing.cells)
-            return
+    def told(self, listing: messages.Listing) -> bool:
+        """Takes in a listing; one that makes no sense is logged and left out: False.
+
+        Danger: a source that has just begun, or went wrong, may know no node.  A whole list with none that is
+        ready is not believed while some are; that each of them is gone is told one by one.
+        """
+        ready = sum(entry.condition == say.READY for entry in listing.entries)
+        known = sum(entry.condition == say.READY for entry in self.entries.values())
+        if (len(listing.entries) > MOST_LISTED or not 0 < listing.cells <= MOST_LISTED
+                or listing.whole and not ready and known):
+            self.log.warning("list.refused", entries=len(listing.entries), cells=listing.cells, ready=ready)
+            return False
         now, entries = self.now(), []
         for entry in listing.entries:
             if entry.cell >= listing.cells or entry.condition not in (say.READY, say.DRAINING, say.GONE):
@@ -140,6 +147,7 @@
                       nodes=[[entry.node, entry.condition] for entry in entries])
         kind = say.WHOLE if listing.whole else say.CHANGES
         self.event(lambda now: self.guarded(None, self.gateway.listed, now, kind, entries))
+        return True
 
     def online_since(self, now, node, start, age):
         """When a node started, on this clock, put down once; 0: long ago.  A later start is believed
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -21,13 +21,14 @@
     buffer of a driver, a tree and a log (None: there is none)."""
 
     def __init__(self, number: int, deployment: Deployment, lists: Address, seed: int, epoch: float, log,
-                 decisions=Gateway, buffered=None):
+                 decisions=Gateway, buffered=None, last=None):
         self.number, self.deployment, self.epoch = number, deployment, epoch
         self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
         self.log = log.bind(edge=self.name, start=self.start)
         self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
         self.heard = lambda nodes: None  # hears of each listing taken in: [node, condition] each
         self.buffered, self.buffer = buffered, None
+        self.last = last                 # the last list of an earlier start (`edge.lastlist`)
         self.closing, self.sessions, self.count, self.tasks = False, {}, 0, []
 
     def serves(self, folder: str) -> bool:
@@ -46,6 +47,9 @@
                          self.cleaner.note)
         if self.buffered is not None:
             self.buffer = self.buffered(self.driver, self.tree, self.log)
+        known = self.last.load() if self.last is not None else None
+        if known is not None:
+            self.driver.told(known)
         lists = Lists(self.lists_at, hello, self.chance, self.log, self.told)
         self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
         if self.buffer is not None:
@@ -56,7 +60,10 @@
         return port
 
     def told(self, listing):
-        self.driver.told(listing)
+        if not self.driver.told(listing):
+            return
+        if self.last is not None:
+            self.last.told(listing)
         self.heard([[entry.node, entry.condition] for entry in listing.entries])
 
     def reload(self, read):
--- a/rushmux/planner/membership.py
+++ b/rushmux/planner/membership.py
@@ -10,6 +10,7 @@
 
 LEASE = 6.0              # seconds without a word until a member is gone: three lost reports and a long pause
 REPORT = 1.0             # seconds between a member's reports
+BROKEN = 1.0             # seconds until a member whose connection broke is gone: a few dials
 STEP = 2.0               # seconds between two looks of a planner: more is a pause of its own, or a jump
 SUSPECT = 4.0            # times a member's own usual gap until it is suspected
 GAPS = 16                # gaps kept of a member
@@ -99,6 +100,13 @@
             member.quiet_at = None if out else now if member.quiet_at is None else member.quiet_at
         return changes + self.judge(now, member)
 
+    def broke(self, now, name) -> list[Change]:
+        """A member's connection broke: mostly it died.  It has a moment to come back on another."""
+        member = self.members.get(name)
+        if member is not None and member.condition != GONE:
+            member.until = min(member.until, now + BROKEN)
+        return self.paused(now)
+
     def look(self, now) -> list[Change]:
         """To be called every second or so: ends leases and lets drained nodes go."""
         changes = self.paused(now)
--- a/rushmux/standins/peers.py
+++ b/rushmux/planner/peers.py
@@ -1,4 +1,4 @@
-"""What the stand-ins' servers share: a greeting, a loop over frames, and an end for each peer."""
+"""What servers of the nodes' wire share: a greeting, a loop over frames, and an end for each peer."""
 import asyncio
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
@@ -91,11 +91,6 @@
     def message(self, peer, name, body):
         raise WireFault(f"{name} is not for this program")
 
-    def obey(self, peer, order):
-        """Begins a trouble that was ordered over the socket."""
-        self.begin(order.kind, order.size, order.seconds)
-        peer.send(obeyed=messages.Obeyed(kind=order.kind))
-
     def drop_peers(self):
         """Breaks all connections, as a process that dies does."""
         for writer in list(self.peers):
--- a/rushmux/planner/placement.py
+++ b/rushmux/planner/placement.py
@@ -1,8 +1,8 @@
 """Where cells lie: which node holds which, moved as little as makes loads even.  No I/O.
 
-A cell has a weight (what is asked of its data) and a size (what a move costs); a node has a capacity and a
-zone.  A plan of moves makes the fullest node as empty as it can within a budget of moved size, keeps each zone
-under its part, and changes nothing where the gain is small.  All of it follows from the arguments.
+A cell has a weight (what is asked of its data) and a size (what a move costs); a node has a capacity and
+a zone.  A plan of moves makes the fullest node as empty as it can within a budget of moved size, keeps
+each zone under its part, and changes nothing where the gain is small.  All follows from the arguments.
 """
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple, Optional
@@ -69,7 +69,7 @@
         zones = {}
         for node in nodes:
             zones[node.zone] = zones.get(node.zone, 0.0) + node.capacity
-        # A zone may hold its part by capacity and a share more, so that the loss of one is not the loss of most.
+        # A zone may hold its part by capacity and a little more: the loss of one is not the loss of most.
         self.most = {zone: max(zone_part, 1.0) * self.whole * part / capacity for zone, part in zones.items()}
         for cell in cells:
             if self.at[cell.name] is not None:
@@ -146,7 +146,8 @@
     spent, stuck = 0.0, {}
 
     def cost(cell, target):
-        """What a move adds: nothing for a cell that lay nowhere, or that only goes elsewhere; back home pays."""
+        """What a move adds: nothing for a cell that lay nowhere, or that only goes elsewhere; back home "
+          "pays."""
         home, at = origin[cell.name], work.at[cell.name]
         if home is None:
             return 0.0
@@ -189,11 +190,13 @@
             if after < level:
                 continue
             # Too heavy alone: something lighter comes back for it.
-            for other in sorted(work.held[target].values(), key=lambda held: (held.weight, held.name))[:TRIES]:
+            for other in sorted(work.held[target].values(), key=lambda held: (held.weight,
+                                                                              held.name))[:TRIES]:
                 gap = cell.weight - other.weight
                 if gap <= 0:
                     break
-                after = max(level - gap / work.nodes[source].capacity, work.full(target) + gap / node.capacity)
+                after = max(level - gap / work.nodes[source].capacity,
+                            work.full(target) + gap / node.capacity)
                 both = price + cost(other, source)
                 if after < level and both <= left and work.fits_zone(gap, target, source):
                     best = _better(best, level - after, both, ((cell, target), (other, source)), work)
--- /dev/null
+++ b/rushmux/planner/planner.py
@@ -0,0 +1,211 @@
+"""The planner: hears nodes and edges, decides who lives (`membership`), keeps it, and tells edges.
+
+Edges keep serving on the last list when it is away.  Each change is on its disk before it is told; where the
+disk takes nothing, what lives is told all the same and said in the log, and what was told is written later.
+"""
+import asyncio
+from typing import Optional
+
+from rushmux.nodewire import WireFault, messages
+from rushmux.planner.membership import EDGE, GONE, NODE, Change, Full, Membership
+from rushmux.planner.peers import Listener
+from rushmux.planner.store import Row, Store
+
+LOOK = 0.5               # seconds between two looks at all leases
+ENTRIES = 10_000         # nodes in a list: as many as edges take
+APART = 0.02             # seconds by which changes are gathered into one telling
+CONDITIONS = {"ready": "ready", "suspected": "ready", "held": "draining", "draining": "draining",
+              "drained": "draining", "gone": "gone"}
+
+
+class Planner(Listener):
+    """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells."""
+
+    def __init__(self, cells: int, store: Store, log, record=lambda kind, **fields: None):
+        super().__init__("planner", str(store.term), log.bind(planner="planner", term=store.term))
+        self.cells, self.store, self.record = cells, store, record
+        self.entries, self.heard_at = {}, {}   # node -> entry as it reported, and when
+        self.edges, self.names = {}, {}  # peers of edges; member of a peer
+        self.version, self.waiting, self.unkept = store.version, {}, {}
+        self.reasons, self.tasks, self.telling = {}, [], None
+
+    async def open(self, host: str, port: int) -> int:
+        """Begins to serve; the port."""
+        self.loop = asyncio.get_running_loop()
+        now = self.loop.time()
+        self.members = Membership(now)
+        rows, damaged = self.store.rows()
+        for name in damaged:
+            self.log.error("store.damaged", member=name)
+        for row in rows:
+            if row.kind == NODE:
+                entry = messages.Entry()
+                entry.ParseFromString(row.entry)
+                self.entries[row.name], self.heard_at[row.name] = entry, now
+        self.members.restored(now, [(row.name, row.kind, row.start, row.draining) for row in rows])
+        self.log.info("planner.restored", members=len(rows), version=self.version)
+        await self.listen(host, port)
+        self.tasks = [self.loop.create_task(self.look())]
+        return self.port
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await self.shut()
+        self.store.close()
+
+    async def look(self):
+        while True:
+            await asyncio.sleep(LOOK)
+            self.changed(self.members.look(self.loop.time()))
+            forgotten = [name for name in self.entries if name not in self.members.members]
+            for name in forgotten:
+                del self.entries[name], self.heard_at[name]
+                self.reasons.pop(name, None)
+            if self.unkept or forgotten:
+                self.keep(dict.fromkeys(forgotten, True))
+
+    # Peers.
+
+    def met(self, peer):
+        name = peer.hello.peer
+        if name.startswith("edge"):
+            self.edges[peer] = True
+            self.names[peer] = name
+            self.hear(name, EDGE, peer.hello.start, 0)
+            self.whole(peer)
+
+    def left(self, peer):
+        self.edges.pop(peer, None)
+        name = self.names.pop(peer, None)
+        if name is not None and name not in self.names.values():
+            self.changed(self.members.broke(self.loop.time(), name))
+
+    def message(self, peer, name, body):
+        if name == "report":
+            self.report(peer, body)
+        elif name == "order":
+            peer.send(ordered=self.order(body))
+        else:
+            raise WireFault(f"{name} is not for a planner")
+
+    def report(self, peer, body):
+        entry = body.entry
+        if entry.cell >= self.cells or entry.node != peer.hello.peer or not entry.node:
+            raise WireFault(f"node {entry.node} of cell {entry.cell} does not belong here")
+        if len(self.entries) >= ENTRIES and entry.node not in self.entries:
+            raise WireFault(f"more than {ENTRIES} nodes")
+        self.names[peer] = entry.node
+        known, now = self.entries.get(entry.node), self.loop.time()
+        # A node that asks to drain by itself is as one that was told to.
+        drains = entry.condition == "draining"
+        self.hear(entry.node, NODE, entry.start, body.out)
+        member = self.members.members.get(entry.node)
+        if member is None or member.start != entry.start:
+            return                       # a late word of an older start
+        self.entries[entry.node], self.heard_at[entry.node] = entry, now
+        if drains and not member.draining:
+            self.changed(self.members.drain(now, entry.node))
+        if known is None or (known.start, known.host, known.port, known.cell) != (
+                entry.start, entry.host, entry.port, entry.cell):
+            self.waiting[entry.node] = True
+            self.tell_soon()
+
+    def hear(self, name, kind, start, out):
+        try:
+            self.changed(self.members.heard(self.loop.time(), name, kind, start, out))
+        except Full as fault:
+            raise WireFault(str(fault)) from fault
+
+    # Changes.
+
+    def changed(self, changes: list[Change]):
+        for change in changes:
+            self.log.info("member", member=change.member, condition=change.condition, reason=change.reason)
+            self.reasons[change.member] = change.reason
+            self.waiting[change.member] = True
+        if changes:
+            self.tell_soon()
+
+    def tell_soon(self):
+        if self.telling is None:
+            self.telling = self.loop.call_later(APART, self.tell)
+
+    def tell(self):
+        """Keeps what changed and tells every edge."""
+        self.telling = None
+        names, self.waiting = self.waiting, {}
+        rows, version = {}, self.version + 1
+        for name in names:
+            member = self.members.members.get(name)
+            if member is None or member.kind == EDGE:
+                continue
+            entry = self.entries[name]
+            rows[name] = entry
+        self.keep(names, version if rows else self.version)
+        if not rows:
+            return
+        self.version = version
+        listing = self.listing(rows, False)
+        self.record("shown", version=version, nodes=[[told.node, told.condition] for told in listing.entries])
+        for peer in self.edges:
+            peer.send(listing=listing)
+
+    def keep(self, names, version=None):
+        """Danger: what edges were told must outlive a kill.  A full disk is said, and tried again."""
+        self.unkept.update(names)
+        rows, dropped = [], []
+        for name in self.unkept:
+            member = self.members.members.get(name)
+            if member is None or member.kind == EDGE and member.condition == GONE:
+                dropped.append(name)
+            else:
+                entry = self.entries.get(name)
+                rows.append(Row(name, member.kind, member.start, member.draining,
+                                entry.SerializeToString() if entry is not None else b""))
+        try:
+            self.store.put(rows, dropped, self.version if version is None else version)
+            self.unkept = {}
+        except OSError as fault:
+            self.log.error("store.full", why=str(fault), waiting=len(self.unkept))
+
+    def listing(self, rows, whole):
+        now = self.loop.time()
+        listing = messages.Listing(version=self.version, whole=whole, cells=self.cells)
+        for name, entry in rows.items():
+            told = listing.entries.add()
+            told.CopyFrom(entry)
+            # Danger: what a node says of itself is not what was decided of it.
+            told.condition = CONDITIONS[self.members.members[name].condition]
+            told.age += int((now - self.heard_at[name]) * 10_000)
+        return listing
+
+    def whole(self, peer):
+        """The whole list; nothing while no node is known, since a list with none is not to be believed."""
+        rows = {name: entry for name, entry in self.entries.items() if name in self.members.members}
+        if rows:
+            peer.send(listing=self.listing(rows, True))
+
+    # People.
+
+    def order(self, order) -> messages.Ordered:
+        fault: Optional[str] = None
+        if order.verb in ("drain", "undrain"):
+            member = self.members.members.get(order.member)
+            if member is None or member.kind != NODE:
+                fault = f"there is no node '{order.member}'"
+            elif order.verb == "drain" and member.condition == GONE:
+                fault = f"node '{order.member}' is gone"
+            else:
+                self.log.info("order", verb=order.verb, member=order.member)
+                self.changed(getattr(self.members, order.verb)(self.loop.time(), order.member))
+        elif order.verb != "show":
+            fault = f"there is no order '{order.verb}'; there are show, drain, undrain"
+        answer = messages.Ordered(fault=fault or "", term=self.store.term, version=self.version)
+        for member in self.members.members.values():
+            entry = self.entries.get(member.name)
+            answer.members.add(member=member.name, kind=member.kind, condition=member.condition or "",
+                               reason=self.reasons.get(member.name, "from the store"), start=member.start,
+                               out=member.out, cell=entry.cell if entry is not None else 0,
+                               zone=entry.zone if entry is not None else "")
+        return answer
--- a/rushmux/planner/shares.py
+++ b/rushmux/planner/shares.py
@@ -13,7 +13,7 @@
 LEASE = 10.0             # seconds for which a grant holds, from when the edge asked
 DRIFT = 0.01             # part by which two clocks may run apart
 SAFE = 0.25              # of a limit: what edges that hear of nobody share evenly
-STEADY = 0.1             # of a share: smaller wishes change nothing, or hundreds of edges are told each second
+STEADY = 0.1             # of a share: for smaller wishes hundreds of edges would be told each second
 FLOOR = 0.02             # of what is shared out goes to each edge that asked for none: a first burst
 RISE = 0.5               # weight of the newest report in what an edge wants
 NOTHING = 1e-9           # shares are compared to this
@@ -45,13 +45,14 @@
         self.term, self.count, self.began = term, edges, now
         self.safe = SAFE / edges
         self.folders = {name: {} for name in folders}   # folder -> edge -> what it may believe
-        self.until, self.number, self.pending = {}, 0, {}   # edge -> end of its lease; number of the last grant
+        self.until, self.number, self.pending = {}, 0, {}   # edge -> end of its lease; its last grant
         # Danger: a planner that has just begun does not know what another one had granted: nothing above the
         # safe parts goes out until every lease of an older term is over.
         self.open_at = now + LEASE * (1 + DRIFT)
 
     def asked(self, now, edge: str, ask: int, wants: dict[str, float], done: Optional[tuple] = None) -> Grant:
-        """An edge asks, tells what it could use of each folder (parts of the limit), and which grant it goes by
+        """An edge asks, tells what it could use of each folder (parts of the limit), and which grant it "
+          "goes by
         (`done`: its term and number).  What it is granted holds for a lease from when it asked."""
         self.lapse(now)
         known = self.pending.get(edge)
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -1,13 +1,17 @@
 """A whole fleet on the virtual clock: list source, nodes, edges and clients in one process."""
 import asyncio
 import random
+from pathlib import Path
 
 from rushmux import log
 from rushmux.buffer.disk import SimulatedDisk
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
+from rushmux.edge.lastlist import LastList
 from rushmux.edge.links import Address
 from rushmux.lab.loop import VirtualLoop, run
+from rushmux.planner.planner import Planner
+from rushmux.planner.store import Store as PlannerStore
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import Deployment, build
 from rushmux.standins.client import Client
@@ -48,12 +52,14 @@
     """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
 
     def __init__(self, loop: VirtualLoop, deployment: Deployment, seed: int, lag=1.0, decisions=Gateway,
-                 level="info", disk=DISK, logs=True, **shape):
+                 level="info", disk=DISK, logs=True, planner=None, lists=None, **shape):
         self.loop, self.deployment, self.chance = loop, deployment, random.Random(seed)
         self.lag, self.decisions, self.disk = lag, decisions, disk
         self.shape = shape_of(deployment, **shape)
         self.records, self.logs = [], []
         self.log_disks = {} if logs else None    # edge -> the disk of its buffer's log
+        self.planner = planner           # path of a planner's store, to have one in place of the list source
+        self.last_lists = lists          # folder in which edges keep their last lists
         self.log = log.to_list(self.logs, level)
         self.nodes, self.edges, self.stores, self.lists = {}, {}, {}, None
 
@@ -65,19 +71,36 @@
 
     async def up(self, nodes: int, edges: int):
         """Starts everything, nodes warm, and waits until the edges know the list."""
-        terms = self.deployment.terms
-        process = self.loop.process("lists")
-        source = ListSource(nodes, self.lag, self.log, self.record, period=terms.meter_span / 10_000,
-                            rates={name: terms.plans[folder.plan].nominal
-                                   for name, folder in self.deployment.folders.items()}, obeys=True)
-        self.lists = Part(process, source, await process.spawn(source.open(HOST, 0)))
+        if self.planner is not None:
+            await self.plan(nodes)
+        else:
+            await self.source(nodes)
         for cell in range(nodes):
             await self.node(f"node{cell}", cell, cold=False)
         for number in range(edges):
             await self.edge(number)
-        while not all(part.program.driver.cells for part in self.edges.values()):
+        while not all(len(part.program.driver.disk) == nodes for part in self.edges.values()):
             await self.sleep(0.05)
 
+    async def source(self, nodes, port=0):
+        """Starts the stand-in for the source of the list."""
+        terms = self.deployment.terms
+        process = self.loop.process("lists")
+        source = ListSource(nodes, self.lag, self.log, self.record, period=terms.meter_span / 10_000,
+                            rates={name: terms.plans[folder.plan].nominal
+                                   for name, folder in self.deployment.folders.items()}, obeys=True)
+        self.lists = Part(process, source, await process.spawn(source.open(HOST, port)))
+
+    async def plan(self, nodes, port=0):
+        """Starts a planner, anew where one ran before: on the same port, with what it kept."""
+        process = self.loop.process("planner")
+        program = Planner(nodes, PlannerStore(self.planner), self.log, self.record)
+        self.lists = Part(process, program, await process.spawn(program.open(HOST, port)))
+
+    def kill_planner(self):
+        self.record("killed", planner=True)
+        self.lists.process.kill()
+
     async def sleep(self, seconds):
         await asyncio.sleep(seconds)
 
@@ -100,11 +123,18 @@
         """Starts an edge, anew where it ran before."""
         process = self.loop.process(f"edge{number}")
         program = Edge(number, self.deployment, self.lists.address, self.seed(), EPOCH, self.log,
-                       self.decisions, buffered(self.deployment, self.log_disk(number)))
+                       self.decisions, buffered(self.deployment,
+                                                self.log_disk(number)), self.last_list(number))
         program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
 
+    def last_list(self, number):
+        if self.last_lists is None:
+            return None
+        return LastList(Path(self.last_lists) / f"edge{number}.list", lambda: EPOCH + self.loop.time(),
+                        self.log)
+
     def log_disk(self, number):
         if self.log_disks is None:
             return None
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -6,7 +6,7 @@
 import asyncio
 
 from rushmux.nodewire import WireFault, messages
-from rushmux.standins.peers import Listener
+from rushmux.planner.peers import Listener
 
 MOST_NODES = 10_000      # entries kept: as many as edges take
 SETTLE = 3.0             # seconds at most until a source that starts shows the nodes that have come
@@ -67,6 +67,11 @@
         else:
             raise WireFault(f"{name} is not for the source of the list")
 
+    def obey(self, peer, order):
+        """Begins a trouble that was ordered over the socket."""
+        self.begin(order.kind, order.size, order.seconds)
+        peer.send(obeyed=messages.Obeyed(kind=order.kind))
+
     def begin(self, kind, size=0.0, seconds=0.0):
         """`lag`: changes come `size` seconds late; `silent`: nothing is told."""
         if kind not in TROUBLES:
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -6,7 +6,7 @@
 
 from rushmux.nodewire import Frames, WireFault, frame, messages
 from rushmux.standins.engine import Engine, Shape
-from rushmux.standins.peers import Listener, Peer
+from rushmux.planner.peers import Listener, Peer
 from rushmux.standins.store import DiskFull, Store
 
 MOST_VOLUMES = 100_000   # folders whose served units are kept, and edges they were told to
@@ -89,7 +89,7 @@
                                total=self.store.limit, free=self.store.free)
         used = [messages.Used(volume=folder, units=units) for folder, units in self.served.period.items()]
         self.served.period = {}
-        return messages.Message(report=messages.Report(entry=entry, used=used))
+        return messages.Message(report=messages.Report(entry=entry, used=used, out=self.engine.inflight))
 
     async def register(self):
         """Tells the list source what this node is, now and then, for as long as it lives."""
@@ -135,6 +135,11 @@
         else:
             raise WireFault(f"{name} is not for a node")
 
+    def obey(self, peer, order):
+        """Begins a trouble that was ordered over the socket."""
+        self.begin(order.kind, order.size, order.seconds)
+        peer.send(obeyed=messages.Obeyed(kind=order.kind))
+
     def begin(self, kind, size=0.0, seconds=0.0):
         """Begins a trouble, for so many seconds (0: for good)."""
         if kind not in TROUBLES:
--- a/tests/planner/test_membership.py
+++ b/tests/planner/test_membership.py
@@ -144,7 +144,8 @@
 def test_members_from_a_store_get_a_whole_lease_and_stay_draining(fleet):
     fleet.members = Membership(100.0)
     fleet.now = 100.0
-    fleet.members.restored(100.0, [("n0", NODE, "a", False), ("n1", NODE, "a", True), ("e0", EDGE, "x", False)])
+    fleet.members.restored(100.0, [("n0", NODE, "a", False), ("n1", NODE, "a", True), ("e0", EDGE, "x",
+                                                                                       False)])
     fleet.silent = {"n1"}
     fleet.run(4)
     assert GONE not in fleet.of("n1") and dict(fleet.members.told())["n1"] == DRAINING
--- a/tests/planner/test_placement.py
+++ b/tests/planner/test_placement.py
@@ -11,7 +11,8 @@
 def drawn(seed, cells, nodes, zones=3, spread=0.6):
     """Cells placed at random on nodes of unlike capacity."""
     chance = random.Random(seed)
-    stood = [Node(f"n{number}", chance.choice((1.0, 1.0, 2.0)), f"z{number % zones}") for number in range(nodes)]
+    stood = [Node(f"n{number}", chance.choice((1.0, 1.0, 2.0)),
+                  f"z{number % zones}") for number in range(nodes)]
     return [Cell(number, chance.lognormvariate(0, spread), 1.0, chance.choice(stood).name)
             for number in range(cells)], stood
 
@@ -88,7 +89,8 @@
     own = {cell.name for cell in after if cell.node == lost}
     assert own == {move.cell for move in found.moves if move.forced}
     assert len(found.moves) <= 1.5 * len(own)
-    assert [move.forced for move in found.moves] == sorted((move.forced for move in found.moves), reverse=True)
+    assert [move.forced for move in found.moves] == sorted((move.forced for move in found.moves),
+                                                           reverse=True)
 
 
 def test_zones_keep_their_parts():
--- a/tests/planner/test_shares.py
+++ b/tests/planner/test_shares.py
@@ -1,4 +1,5 @@
-"""Shares never pass a limit, whatever happens to messages, edges and planners; and they follow what is wanted."""
+"""Shares never pass a limit, whatever happens to messages, edges and planners; and they follow what is "
+  "wanted."""
 import random
 
 import pytest
@@ -65,7 +66,8 @@
     for _ in range(1_500):
         world.step()
         if world.chance.random() < 0.004:
-            world.still[world.chance.choice(list(world.edges))] = world.now + world.chance.uniform(1, 3 * LEASE)
+            world.still[world.chance.choice(list(world.edges))] = world.now + world.chance.uniform(1,
+                                                                                                   3 * LEASE)
     assert max(world.most.values()) <= 1 + 1e-9
     assert max(world.most.values()) > 0.9          # and the limit is used
 
