--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -180,6 +180,12 @@
     assert all("crashed" not in row for row in found["head"].values())
 
 
+def test_the_small_experiment_that_comes_along(tmp_path):
+    result = CliRunner().invoke(main, ["lab", "run", "small", "--data", str(tmp_path), "--jobs", "4"])
+    assert result.exit_code == 0 and "rules kept" in result.output and "in_time" in result.output
+    assert (tmp_path / "small" / "report.html").read_text().count("<img") == 6
+
+
 def test_holms_correction():
     assert compare.holm([0.01, 0.04, 0.03]) == pytest.approx([0.03, 0.06, 0.06])
 
