Planner in up, killed over real processes; an edge lives as long as its connection

Need: the planner over real processes. Found by its test: edges greet once and say nothing more, so that a planner told them gone after a lease; now a connection that lives counts.

Change: rushmux up runs a planner and starts it anew; a test kills it twice under real clients, every rule kept, and drains.

--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -59,11 +59,11 @@
         loop, ended = asyncio.get_running_loop(), asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, ended.set)
-        fleet = ProcessFleet(path, deployment, folder, new_seed(None), lag=0.5, unit=QUICK)
+        fleet = ProcessFleet(path, deployment, folder, new_seed(None), lag=0.5, unit=QUICK, planner=True)
         try:
             await fleet.up(nodes, edges)
             addresses = [f"{HOST}:{fleet.edges[number].port}" for number in sorted(fleet.edges)]
-            click.echo(json.dumps({"edges": addresses}))
+            click.echo(json.dumps({"edges": addresses, "planner": f"{HOST}:{fleet.lists.port}"}))
             await watch(fleet, ended)
         except NotStarted as fault:
             raise click.ClickException(str(fault)) from fault
@@ -80,6 +80,9 @@
                 click.echo(json.dumps({"ended": name, "code": part.process.returncode}), err=True)
                 await asyncio.sleep(AGAIN)
                 await fleet.node(name, part.cell)
+        if fleet.planner and fleet.lists.process.returncode is not None:
+            click.echo(json.dumps({"ended": "planner", "code": fleet.lists.process.returncode}), err=True)
+            await fleet.plan(fleet.lists.port)
         for number, part in list(fleet.edges.items()):
             if part.process.returncode is not None:
                 click.echo(json.dumps({"ended": part.name, "code": part.process.returncode}), err=True)
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -57,6 +57,9 @@
     async def look(self):
         while True:
             await asyncio.sleep(LOOK)
+            # Edges say nothing after their greeting: one lives as long as its connection.
+            for peer in list(self.edges):
+                self.hear(peer.hello.peer, EDGE, peer.hello.start, 0)
             self.changed(self.members.look(self.loop.time()))
             forgotten = [name for name in self.entries if name not in self.members.members]
             for name in forgotten:
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -39,13 +39,14 @@
     """The fleet; its data, logs and recordings lie in `folder`.  `records`: write recordings."""
 
     def __init__(self, deployment_file, deployment: Deployment, folder: Path, seed: int, lag=1.0,
-                 records=False,
-                 decisions="module", unit=0.02):
+                 records=False, decisions="module", unit=0.02, planner=False):
         self.file, self.deployment = Path(deployment_file), deployment
         self.folder, self.lag = Path(folder), lag
         self.chance, self.records, self.decisions, self.unit = random.Random(seed), records, decisions, unit
         self.loop = asyncio.get_running_loop()
         self.nodes, self.edges, self.lists, self.count, self.rows = {}, {}, None, 0, []
+        self.planner = planner           # a planner in place of the list source
+        self.cells = 0
         self.prefix = {}                 # kind of part -> words for the interpreter before the program
         for name in ("data", "logs", "records"):
             (self.folder / name).mkdir(parents=True, exist_ok=True)
@@ -77,14 +78,29 @@
 
     async def up(self, nodes: int, edges: int):
         """Starts everything, nodes warm, and waits until the edges know the list."""
-        self.lists = await self.begin("lists", "lists", "--deployment", self.file, "--cells", nodes,
-                                      "--lag", self.lag, "--obeys")
+        self.cells = nodes
+        await (self.plan() if self.planner else self.source())
         await asyncio.gather(*(self.node(f"node{cell}", cell, cold=False) for cell in range(nodes)))
         await asyncio.gather(*(self.edge(number) for number in range(edges)))
         async with asyncio.timeout(UP):
             while not all(b'"list.told"' in part.log.read_bytes() for part in self.edges.values()):
                 await asyncio.sleep(0.05)
 
+    async def source(self):
+        """Starts the stand-in for the source of the list."""
+        self.lists = await self.begin("lists", "lists", "--deployment", self.file, "--cells", self.cells,
+                                      "--lag", self.lag, "--obeys")
+
+    async def plan(self, port=0):
+        """Starts the planner, anew where it ran before."""
+        self.lists = await self.begin("planner", "planner", "--deployment", self.file, "--cells", self.cells,
+                                      "--listen", f"{HOST}:{port}",
+                                      "--data", self.folder / "data" / "planner.db")
+
+    def kill_planner(self):
+        self.record("killed", planner=True)
+        self.lists.process.kill()
+
     async def node(self, name, cell, cold=True):
         words = ["node", "--deployment", self.file, "--name", name, "--cell", cell, "--unit", self.unit,
                  "--lists", f"{HOST}:{self.lists.port}", "--obeys",
--- /dev/null
+++ b/tests/planner/test_processes.py
@@ -0,0 +1,67 @@
+"""The planner as a process: killed in the middle of real clients' work, and ordered about."""
+import asyncio
+import copy
+import json
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from rushmux.cli.main import main
+from rushmux.settings import deployment
+from rushmux.standins import day as days
+from rushmux.standins import script
+from rushmux.standins.checker import Checker
+from rushmux.standins.processes import ProcessFleet
+
+RAW = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
+WAY = 0.25               # seconds: longest that a message takes between processes of a busy machine
+
+
+def test_killed_twice_while_clients_work(tmp_path):
+    raw = copy.deepcopy(RAW)
+    raw["fleet"]["gateways"] = 2
+    path = tmp_path / "deployment.json"
+    path.write_text(json.dumps(raw))
+    stated = deployment.load(path)
+    events = script.parse("length 9\nat 2 trouble node1 silent for 2\nat 4 kill node2\nat 5 start node2\n")
+
+    async def story():
+        fleet = ProcessFleet(path, stated, tmp_path, 5, records=True, unit=0.004, planner=True)
+        try:
+            await fleet.up(3, 2)
+            port = fleet.lists.port
+            place = f"127.0.0.1:{port}"
+
+            async def killer():
+                for _ in range(2):
+                    await asyncio.sleep(2.5)
+                    fleet.kill_planner()
+                    await asyncio.sleep(0.7)
+                    await fleet.plan(port)
+            task = asyncio.ensure_future(killer())
+            await days.play(fleet, events, days.Load(0.4), 5)
+            await task
+            # The last start knows all of it again.
+            await asyncio.sleep(2.5)
+            shown = await asyncio.to_thread(CliRunner().invoke, main, ["fleet", "show", "--planner", place])
+            drained = await asyncio.to_thread(CliRunner().invoke, main, [
+                "fleet", "drain", "node0", "--planner", place, "--wait", "20"])
+            return fleet, shown, drained
+        finally:
+            await fleet.down()
+    fleet, shown, drained = asyncio.run(story())
+    records = fleet.all_records()
+    breaches = [text for verdict in Checker(records, stated, WAY).verdicts() for text in verdict.breaches]
+    assert not breaches
+    answers = [row for row in records if row["kind"] == "answer"]
+    assert len(answers) > 100 and sum(row["status"] in (0, 1) for row in answers) > 0.8 * len(answers)
+    assert "term 3" in shown.output and shown.output.count(" ready ") == 5
+    assert drained.exit_code == 0 and "may be stopped" in drained.output
+
+
+def test_orders_to_nobody_are_told(tmp_path):
+    result = CliRunner().invoke(main, ["fleet", "show", "--planner", "127.0.0.1:9"])
+    assert result.exit_code == 1 and "127.0.0.1:9" in result.output and "Traceback" not in result.output
+    (tmp_path / "p").write_bytes(b"not a store" * 50)
+    result = CliRunner().invoke(main, ["planner", "--cells", "2", "--data", str(tmp_path / "p")])
+    assert result.exit_code == 1 and "no store of a planner" in result.output
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -73,6 +73,16 @@
     assert shown(made, "node1")[-1][1] == "ready"
 
 
+def test_an_edge_lives_as_long_as_its_connection(play):
+    async def story(made):
+        await made.sleep(2 * LEASE)
+        alive = condition(made, "edge1")
+        made.kill_edge(1)
+        await made.sleep(3)
+        return alive, condition(made, "edge1"), condition(made, "edge0")
+    assert play(story)[1] == ("ready", "gone", "ready")
+
+
 def test_a_drained_node_is_released_when_nothing_is_out(play):
     away = next(name for name in STATED.folders if home(name, 4) != 2)
 
