Planners vote: one of several leads, edges and nodes turn to it

Need: a planner that is gone must be followed by another.

Change: planner/voting.py carries votes over the nodes' wire; a planner that does not lead takes only planners; drains people ordered go along with the asks; edges and nodes know several addresses. Not yet reached from the command line.

--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -11,6 +11,7 @@
 from rushmux.planner.peers import Listener
 from rushmux.planner.shares import Shares
 from rushmux.planner.store import Row, Store
+from rushmux.planner.voting import Voting
 
 LOOK = 0.5               # seconds between two looks at all leases
 ENTRIES = 10_000         # nodes in a list: as many as edges take
@@ -21,13 +22,16 @@
 
 
 class Planner(Listener):
-    """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells."""
+    """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells.  `planners`: where
+    all of several listen, this one's place among them is `number`; `chance` draws their waits."""
 
     def __init__(self, cells: int, store: Store, log, record=lambda kind, **fields: None, folders=(),
-                 edges=1):
+                 edges=1, number=0, planners=(), chance=None):
         super().__init__("planner", str(store.term), log.bind(planner="planner", term=store.term))
         self.cells, self.store, self.record = cells, store, record
         self.folders, self.most_edges = folders, edges   # those with limits; edges there may ever be
+        self.number, self.planners, self.chance, self.voting = number, planners, chance, None
+        self.drained = {}                # nodes that people ordered to drain
         self.entries, self.heard_at = {}, {}   # node -> entry as it reported, and when
         self.edges, self.names = {}, {}  # peers of edges; member of a peer
         self.version, self.waiting, self.unkept = store.version, {}, {}
@@ -36,9 +40,33 @@
     async def open(self, host: str, port: int) -> int:
         """Begins to serve; the port."""
         self.loop = asyncio.get_running_loop()
+        self.restore(self.store.term)
+        await self.listen(host, port)
+        self.tasks = [self.loop.create_task(self.look())]
+        if len(self.planners) > 1:
+            self.voting = Voting(self.number, self.planners, self.chance, self.log, self.led)
+            self.voting.start()
+        return self.port
+
+    @property
+    def leads(self) -> bool:
+        return self.voting is None or self.voting.leads
+
+    def led(self, leads):
+        """Its leadership begins or ends.  Danger: what it knew before is old; all are heard anew."""
+        for writer, (peer, _) in list(self.peers.items()):
+            if peer is None or not peer.hello.peer.startswith("planner"):
+                writer.transport.abort()
+        if leads:
+            self.restore(self.voting.elector.term)
+
+    def restore(self, term):
+        """Begins anew with what its store knows; drains are those of the newest orders where there are several
+        planners, since its own store may be old."""
         now = self.loop.time()
+        self.entries, self.heard_at, self.waiting, self.unkept = {}, {}, {}, {}
         self.members = Membership(now)
-        self.shares = Shares(self.store.term, self.folders, self.most_edges, now)
+        self.shares = Shares(term, self.folders, self.most_edges, now)
         rows, damaged = self.store.rows()
         for name in damaged:
             self.log.error("store.damaged", member=name)
@@ -47,21 +75,24 @@
                 entry = messages.Entry()
                 entry.ParseFromString(row.entry)
                 self.entries[row.name], self.heard_at[row.name] = entry, now
-        self.members.restored(now, [(row.name, row.kind, row.start, row.draining) for row in rows])
-        self.log.info("planner.restored", members=len(rows), version=self.version)
-        await self.listen(host, port)
-        self.tasks = [self.loop.create_task(self.look())]
-        return self.port
+        self.drained = dict.fromkeys(self.voting.elector.orders[1] if self.voting is not None else
+                                     [row.name for row in rows if row.draining], True)
+        self.members.restored(now, [(row.name, row.kind, row.start, row.name in self.drained) for row in rows])
+        self.log.info("planner.restored", members=len(rows), version=self.version, term=term)
 
     async def close(self):
         for task in self.tasks:
             task.cancel()
+        if self.voting is not None:
+            self.voting.close()
         await self.shut()
         self.store.close()
 
     async def look(self):
         while True:
             await asyncio.sleep(LOOK)
+            if not self.leads:
+                continue
             # Edges say nothing after their greeting: one lives as long as its connection.
             for peer in list(self.edges):
                 self.hear(peer.hello.peer, EDGE, peer.hello.start, 0)
@@ -77,6 +108,8 @@
 
     def met(self, peer):
         name = peer.hello.peer
+        if not self.leads and not name.startswith("planner"):
+            raise WireFault("this planner does not lead")
         if name.startswith("edge"):
             self.edges[peer] = True
             self.names[peer] = name
@@ -90,7 +123,11 @@
             self.changed(self.members.broke(self.loop.time(), name))
 
     def message(self, peer, name, body):
-        if name == "report":
+        if name == "candidacy" and self.voting is not None:
+            self.voting.candidacy(peer, body)
+        elif not self.leads:
+            raise WireFault("this planner does not lead")
+        elif name == "report":
             self.report(peer, body)
         elif name == "ask" and peer in self.edges:
             self.ask(peer, body)
@@ -108,7 +145,7 @@
         self.names[peer] = entry.node
         known, now = self.entries.get(entry.node), self.loop.time()
         # A node that asks to drain by itself is as one that was told to.
-        drains = entry.condition == "draining"
+        drains = entry.condition == "draining" or entry.node in self.drained
         self.hear(entry.node, NODE, entry.start, body.out)
         member = self.members.members.get(entry.node)
         if member is None or member.start != entry.start:
@@ -152,6 +189,9 @@
     def tell(self):
         """Keeps what changed and tells every edge."""
         self.telling = None
+        if not self.leads:               # what it knows is another's by now
+            self.waiting = {}
+            return
         names, self.waiting = self.waiting, {}
         rows, version = {}, self.version + 1
         for name in names:
@@ -216,10 +256,16 @@
                 fault = f"node '{order.member}' is gone"
             else:
                 self.log.info("order", verb=order.verb, member=order.member)
+                if order.verb == "drain":
+                    self.drained[order.member] = True
+                else:
+                    self.drained.pop(order.member, None)
+                if self.voting is not None:
+                    self.voting.elector.order(self.drained)
                 self.changed(getattr(self.members, order.verb)(self.loop.time(), order.member))
         elif order.verb != "show":
             fault = f"there is no order '{order.verb}'; there are show, drain, undrain"
-        answer = messages.Ordered(fault=fault or "", term=self.store.term, version=self.version)
+        answer = messages.Ordered(fault=fault or "", term=self.shares.term, version=self.version)
         for member in self.members.members.values():
             entry = self.entries.get(member.name)
             answer.members.add(member=member.name, kind=member.kind, condition=member.condition or "",
--- a/tests/planner/test_election.py
+++ b/tests/planner/test_election.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from rushmux.planner.election import DRIFT, EVERY, LEASE, MOST, Ask, Elector
+from rushmux.planner.election import DRIFT, EVERY, LEASE, MOST, Ask, Elector, Vote
 
 STEP = 0.05
 
@@ -159,3 +159,31 @@
         Elector(3, 3, 0.0, random.Random(1))
     with pytest.raises(ValueError):
         Elector(0, MOST + 1, 0.0, random.Random(1))
+
+
+def elected(now=100.0):
+    """A candidate of three that leads since `now`, and its first ask."""
+    one = Elector(0, 3, now - 10, random.Random(1))
+    one.ask_at = now
+    ask = one.look(now)
+    assert one.told(now + 0.1, Vote(1, 0, ask.term, ask.number, True, ask.term, (0, ())))
+    return one, ask
+
+
+def test_a_vote_counts_from_when_it_was_asked_for():
+    one, _ = elected()
+    assert one.until() == 100.0 + LEASE
+    second = one.look(100.6)
+    for voter in (1, 2):
+        one.told(102.9, Vote(voter, 0, second.term, second.number, True, second.term, (0, ())))
+    assert one.until() <= 100.6 + LEASE
+
+
+def test_a_late_vote_does_not_bring_back_a_term_that_ended():
+    one, first = elected()
+    renewal = one.look(100.6)
+    assert renewal.term == first.term and not one.leads(103.2)
+    assert not one.told(103.3, Vote(2, 0, renewal.term, renewal.number, True, renewal.term, (0, ())))
+    assert not one.leads(103.3)
+    one.ask_at = 103.4
+    assert one.look(103.4).term > first.term
