--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -171,8 +171,11 @@
 class Lists:
     """Follows the source of the list; reconnects with back-off and keeps the last list meanwhile."""
 
-    def __init__(self, address: Address, hello: messages.Hello, chance, log, told: Callable):
-        self.address, self.hello, self.chance, self.log, self.told = address, hello, chance, log, told
+    def __init__(self, addresses, hello: messages.Hello, chance, log, told: Callable):
+        # One address, or those of several planners of which one takes edges.
+        self.addresses = [addresses] if isinstance(addresses[0], str) else list(addresses)
+        self.hello, self.chance, self.log, self.told = hello, chance, log, told
+        self.turn = 0                    # whose turn it is to be dialled
         self.granted, self.writer = lambda grant: None, None
 
     def send(self, **body) -> bool:
@@ -186,15 +189,16 @@
         """Until cancelled: calls `told(listing)` for each listing, in order."""
         failures = 0
         while True:
-            writer, why = None, "closed"
+            writer, why, heard = None, "closed", False
             try:
-                reader, writer = await asyncio.open_connection(*self.address)
+                address = self.addresses[self.turn % len(self.addresses)]
+                reader, writer = await asyncio.open_connection(*address)
                 writer.write(frame(messages.Message(hello=self.hello)))
                 self.writer, frames = writer, Frames()
                 while data := await reader.read(READ):
                     for message in frames.feed(data):
                         if message.WhichOneof("body") == "listing":
-                            failures = 0
+                            failures, heard = 0, True
                             self.told(message.listing)
                         elif message.WhichOneof("body") == "grant":
                             self.granted(message.grant)
@@ -205,6 +209,7 @@
                 if writer:
                     writer.close()
             failures += 1
+            self.turn += not heard
             pause = min(MOST_BACK_OFF, BACK_OFF * 2 ** failures) * (0.5 + self.chance.random() / 2)
             self.log.info("list.lost", why=why, again_in=round(pause, 3))
             await asyncio.sleep(pause)
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -92,11 +92,14 @@
         return messages.Message(report=messages.Report(entry=entry, used=used, out=self.engine.inflight))
 
     async def register(self):
-        """Tells the list source what this node is, now and then, for as long as it lives."""
+        """Tells the list source what this node is, now and then, for as long as it lives; of several planners
+        the one that takes it."""
+        turn = -1
         while True:
-            writer = None
+            writer, turn = None, turn + 1
             try:
-                reader, writer = await asyncio.open_connection(*self.lists)
+                lists = [self.lists] if isinstance(self.lists[0], str) else self.lists
+                reader, writer = await asyncio.open_connection(*lists[turn % len(lists)])
                 hello = messages.Hello(version=1, peer=self.name, start=self.start)
                 writer.write(frame(messages.Message(hello=hello)))
                 reading = self.loop.create_task(self.hear(reader))
