Virtual fleets give up waiting for a list that does not come

Cause: the wait for all edges to know all nodes had no bound; a play of several planners never ended in it.

Change: a minute of simulated time, then an error that says so.

--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -21,6 +21,7 @@
 from rushmux.standins.store import Store
 
 HOST = "127.0.0.1"
+UP = 60.0                # seconds at most until every edge knows all nodes
 DISK = 1 << 30           # bytes of a node's disk where a test says nothing else
 EPOCH = 1_800_000_000.0  # calendar time at nought of the virtual clock
 
@@ -79,8 +80,11 @@
             await self.node(f"node{cell}", cell, cold=False)
         for number in range(edges):
             await self.edge(number)
-        while not all(len(part.program.driver.disk) == nodes for part in self.edges.values()):
+        for _ in range(int(UP / 0.05)):
+            if all(len(part.program.driver.disk) == nodes for part in self.edges.values()):
+                return
             await self.sleep(0.05)
+        raise TimeoutError(f"the edges do not know all {nodes} nodes after {UP:g} s")
 
     async def source(self, nodes, port=0):
         """Starts the stand-in for the source of the list."""
