One piece where two stood: orders to stand-ins, limits of folders, conditions as told

Cause: read again, the change wrote some things twice: the order of a trouble in two stand-ins, folders with limits in three places, the conditions that edges take in planner and membership; a grant set two timers where one does; membership's pauses and a few fields gave nothing; lab load read HOST:PORT by itself.

Change: standins/obeying.py, Deployment.limits, membership.SHOWN, one timer that a later grant replaces, dead code out.

--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -6,6 +6,8 @@
 
 import click
 
+from rushmux.cli.shared import Place
+
 EXPERIMENTS = Path(__file__).resolve().parents[1] / "lab" / "experiments"
 DATA = click.option("--data", type=click.Path(), default="var/lab", show_default=True,
                     help="folder of the store of results and the reports")
@@ -147,7 +149,8 @@
 
 @lab.command()
 @click.argument("experiment")
-@click.option("--edge", "edges", multiple=True, required=True, help="HOST:PORT of an edge; may be repeated")
+@click.option("--edge", "edges", type=Place(), multiple=True, required=True,
+              help="HOST:PORT of an edge; may be repeated")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seconds", type=float, default=10.0, show_default=True)
 @click.option("--folder", "folders", multiple=True, required=True, help="client folders to work in")
@@ -155,14 +158,8 @@
     """Drives running edges over sockets with an experiment's workload."""
     from rushmux.lab import load as loads
     raw = read(experiment)
-    places = []
-    for place in edges:
-        host, _, port = place.rpartition(":")
-        if not host or not port.isdigit():
-            raise click.ClickException(f"'{place}' is no HOST:PORT")
-        places.append((host, int(port)))
     try:
-        lines, good = loads.drive(raw, seed, seconds, places, folders)
+        lines, good = loads.drive(raw, seed, seconds, edges, folders)
     except (OSError, loads.NotServed) as fault:
         raise click.ClickException(str(fault)) from fault
     click.echo("\n".join(lines))
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -182,8 +182,6 @@
     from rushmux.planner.planner import Planner
     from rushmux.planner.store import BadStore, Store
     deployment = deployed(file)
-    limited = [name for name,
-               folder in deployment.folders.items() if deployment.terms.plans[folder.plan].limit]
     try:
         store = Store(data)
     except (BadStore, OSError) as fault:
@@ -191,7 +189,8 @@
 
     async def run():
         part = Planner(cells, store, log.to_stream(sys.stderr.buffer, log_level),
-                       recorder(records, asyncio.get_running_loop()), limited, deployment.terms.gateways)
+                       recorder(records, asyncio.get_running_loop()), deployment.limits(),
+                       deployment.terms.gateways)
         await serve(part, listen, with_parent)
     asyncio.run(run())
 
--- a/rushmux/edge/asking.py
+++ b/rushmux/edge/asking.py
@@ -2,7 +2,7 @@
 import asyncio
 
 from rushmux.nodewire import messages
-from rushmux.planner.shares import LEASE, Believed, Grant
+from rushmux.planner.shares import Believed, Grant
 
 EVERY = 0.5              # seconds between two asks: what is lowered here is free there two asks later
 APART = 0.5              # of that, drawn: hundreds of edges ask apart from each other
@@ -15,9 +15,7 @@
     def __init__(self, driver, lists, log):
         self.driver, self.lists, self.log = driver, lists, log
         self.believed = Believed(driver.name, driver.deployment.terms.gateways)
-        plans, folders = driver.deployment.terms.plans, driver.deployment.folders
-        self.limits = {name: plans[folder.plan].limit for name, folder in folders.items()
-                       if plans[folder.plan].limit}
+        self.limits, self.lapse = driver.deployment.limits(), None
         self.wanted, self.since, self.parts = dict.fromkeys(self.limits, 0.0), driver.loop.time(), {}
         lists.granted = self.granted
         driver.taking = self.taking
@@ -50,8 +48,9 @@
                                                     parts)):
             self.apply()
             # Danger: the lease ends while nothing else happens here.
-            loop.call_at(self.believed.until, self.apply)
-            loop.call_at(loop.time() + LEASE, self.apply)
+            if self.lapse is not None:
+                self.lapse.cancel()
+            self.lapse = loop.call_at(self.believed.until, self.apply)
 
     def apply(self):
         """Has the module go by what holds at this moment."""
--- a/rushmux/planner/membership.py
+++ b/rushmux/planner/membership.py
@@ -30,6 +30,10 @@
 READY, SUSPECTED, HELD, DRAINING, DRAINED, GONE = "ready", "suspected", "held", "draining", "drained", "gone"
 
 
+# Conditions that edges take as another: suspicion changes nothing for them.
+SHOWN = {SUSPECTED: READY, DRAINED: DRAINING, HELD: DRAINING}
+
+
 class Full(Exception):
     """More members than are kept; the text names the one that was turned away."""
 
@@ -66,11 +70,10 @@
 
     def __init__(self, now):
         self.members, self.looked_at, self.kept_since = {}, now, None
-        # Danger: a planner that starts has heard nobody yet; who is known from its store gets a whole lease.
-        self.began = now
 
     def restored(self, now, names):
-        """Members known from before this planner's start: (name, kind, start, draining)."""
+        """Members known from before this planner's start: (name, kind, start, draining).
+        Danger: it has heard nobody yet; each gets a whole lease."""
         for name, kind, start, draining in names:
             member = self.members[name] = Member(name, kind, now)
             member.start, member.draining, member.condition = start, draining, DRAINING if draining else READY
@@ -78,7 +81,7 @@
 
     def heard(self, now, name, kind, start, out=0) -> list[Change]:
         """A report came: of a start, with so many executions out at it."""
-        changes = self.paused(now)
+        self.paused(now)
         member = self.members.get(name)
         if member is None:
             if len(self.members) >= MOST:
@@ -86,7 +89,7 @@
             member = self.members[name] = Member(name, kind, now)
         if start != member.start:
             if start in member.starts:
-                return changes           # a late word of a start that is over
+                return []                # a late word of a start that is over
             if member.start:
                 member.penalty = member.flapped(now) + FLAP
                 member.gaps.clear()
@@ -98,30 +101,31 @@
         member.heard_at, member.until, member.out = now, now + LEASE, out
         if member.draining:
             member.quiet_at = None if out else now if member.quiet_at is None else member.quiet_at
-        return changes + self.judge(now, member)
+        return self.judge(now, member)
 
-    def broke(self, now, name) -> list[Change]:
+    def broke(self, now, name):
         """A member's connection broke: mostly it died.  It has a moment to come back on another."""
         member = self.members.get(name)
         if member is not None and member.condition != GONE:
             member.until = min(member.until, now + BROKEN)
-        return self.paused(now)
+        self.paused(now)
 
     def look(self, now) -> list[Change]:
         """To be called every second or so: ends leases and lets drained nodes go."""
-        changes = self.paused(now)
+        self.paused(now)
         self.looked_at = now
         ending = [member for member in self.members.values()
                   if member.condition not in (GONE, None) and now >= member.until]
         if self.own_trouble(now, ending):
-            return changes
+            return []
+        changes = []
         for member in list(self.members.values()):
             changes += self.judge(now, member)
             if member.condition == GONE and now - member.heard_at > KEPT:
                 del self.members[member.name]
         return changes
 
-    def paused(self, now) -> list[Change]:
+    def paused(self, now):
         """Danger: after a pause of this planner's own, or a jump of its clock, all have been silent."""
         lost = now - self.looked_at - STEP
         self.looked_at = max(self.looked_at, now)
@@ -130,7 +134,6 @@
                 if member.condition != GONE:
                     member.until += lost + STEP
                     member.heard_at += lost + STEP
-        return []
 
     def own_trouble(self, now, ending) -> bool:
         """Whether so many leases end together that this planner must be the one cut off; for a while."""
@@ -178,7 +181,6 @@
         return READY, f"start {member.start}"
 
     def told(self) -> list[tuple[str, str]]:
-        """Nodes and their conditions as edges are to take them: suspicion changes nothing for them."""
-        shown = {SUSPECTED: READY, DRAINED: DRAINING, HELD: DRAINING}
-        return [(member.name, shown.get(member.condition, member.condition))
+        """Nodes and their conditions as edges are to take them."""
+        return [(member.name, SHOWN.get(member.condition, member.condition))
                 for member in self.members.values() if member.kind == NODE and member.condition]
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -7,7 +7,7 @@
 from typing import Optional
 
 from rushmux.nodewire import WireFault, messages
-from rushmux.planner.membership import EDGE, GONE, NODE, Change, Full, Membership
+from rushmux.planner.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
 from rushmux.planner.peers import Listener
 from rushmux.planner.shares import Shares
 from rushmux.planner.store import Row, Store
@@ -17,8 +17,6 @@
 ENTRIES = 10_000         # nodes in a list: as many as edges take
 WANTS = 10_000           # folders in one ask
 APART = 0.02             # seconds by which changes are gathered into one telling
-CONDITIONS = {"ready": "ready", "suspected": "ready", "held": "draining", "draining": "draining",
-              "drained": "draining", "gone": "gone"}
 
 
 class Planner(Listener):
@@ -61,8 +59,8 @@
             self.restore(self.voting.elector.term)
 
     def restore(self, term):
-        """Begins anew with what its store knows; drains are those of the newest orders where there are several
-        planners, since its own store may be old."""
+        """Begins anew with what its store knows; drains are those of the newest orders where there are
+        several planners, since its own store may be old."""
         now = self.loop.time()
         self.entries, self.heard_at, self.waiting, self.unkept = {}, {}, {}, {}
         self.members = Membership(now)
@@ -77,7 +75,8 @@
                 self.entries[row.name], self.heard_at[row.name] = entry, now
         self.drained = dict.fromkeys(self.voting.elector.orders[1] if self.voting is not None else
                                      [row.name for row in rows if row.draining], True)
-        self.members.restored(now, [(row.name, row.kind, row.start, row.name in self.drained) for row in rows])
+        self.members.restored(now, [(row.name, row.kind, row.start, row.name in self.drained)
+                                    for row in rows])
         self.log.info("planner.restored", members=len(rows), version=self.version, term=term)
 
     async def close(self):
@@ -120,7 +119,7 @@
         self.edges.pop(peer, None)
         name = self.names.pop(peer, None)
         if name is not None and name not in self.names.values():
-            self.changed(self.members.broke(self.loop.time(), name))
+            self.members.broke(self.loop.time(), name)
 
     def message(self, peer, name, body):
         if name == "candidacy" and self.voting is not None:
@@ -198,8 +197,7 @@
             member = self.members.members.get(name)
             if member is None or member.kind == EDGE:
                 continue
-            entry = self.entries[name]
-            rows[name] = entry
+            rows[name] = self.entries[name]
         self.keep(names, version if rows else self.version)
         if not rows:
             return
@@ -234,7 +232,8 @@
             told = listing.entries.add()
             told.CopyFrom(entry)
             # Danger: what a node says of itself is not what was decided of it.
-            told.condition = CONDITIONS[self.members.members[name].condition]
+            condition = self.members.members[name].condition
+            told.condition = SHOWN.get(condition, condition)
             told.age += int((now - self.heard_at[name]) * 10_000)
         return listing
 
--- a/rushmux/planner/shares.py
+++ b/rushmux/planner/shares.py
@@ -42,7 +42,7 @@
     """The planner's side, for one term.  `edges`: most edges there may ever be; each has its safe part."""
 
     def __init__(self, term: int, folders, edges: int, now: float):
-        self.term, self.count, self.began = term, edges, now
+        self.term, self.count = term, edges
         self.safe = SAFE / edges
         self.folders = {name: {} for name in folders}   # folder -> edge -> what it may believe
         self.until, self.number, self.pending = {}, 0, {}   # edge -> end of its lease; its last grant
--- a/rushmux/routes/resolve.py
+++ b/rushmux/routes/resolve.py
@@ -3,7 +3,7 @@
 A row names a lane, a plan, or both.  Field by field the most specific row that states it wins: one
 that names both, then one that names the lane, then one that names the plan, then the fleet.
 """
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from rushmux import interface as say
 
@@ -77,8 +77,3 @@
 def routes(found: list[Flow]) -> dict[tuple[str, str], say.Route]:
     """As `Terms` takes them."""
     return {(flow.lane.name, flow.plan): flow.route for flow in found}
-
-
-def stated(flow: Flow, field: str) -> Optional[str]:
-    """The place of a field, None where no row states it."""
-    return flow.places.get(field)
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -71,6 +71,11 @@
         """Units of an operation that moves `size` bytes."""
         return min(self.terms.most_units, float(max(1, -(-size // self.files.unit_bytes))))
 
+    def limits(self) -> dict[str, float]:
+        """Folders whose plans have a limit, and that limit."""
+        return {name: self.terms.plans[folder.plan].limit for name, folder in self.folders.items()
+                if self.terms.plans[folder.plan].limit}
+
     def mounts(self, folder: str) -> int:
         """Through how many edges the folder works."""
         edges = self.folders[folder].edges
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -98,9 +98,7 @@
     async def plan(self, nodes, port=0):
         """Starts a planner, anew where one ran before: on the same port, with what it kept."""
         process = self.loop.process("planner")
-        plans = self.deployment.terms.plans
-        limited = [name for name, folder in self.deployment.folders.items() if plans[folder.plan].limit]
-        program = Planner(nodes, PlannerStore(self.planner), self.log, self.record, limited,
+        program = Planner(nodes, PlannerStore(self.planner), self.log, self.record, self.deployment.limits(),
                           self.deployment.terms.gateways)
         self.lists = Part(process, program, await process.spawn(program.open(HOST, port)))
 
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -6,7 +6,7 @@
 import asyncio
 
 from rushmux.nodewire import WireFault, messages
-from rushmux.planner.peers import Listener
+from rushmux.standins.obeying import Obeying
 
 MOST_NODES = 10_000      # entries kept: as many as edges take
 SETTLE = 3.0             # seconds at most until a source that starts shows the nodes that have come
@@ -14,7 +14,7 @@
 TROUBLES = ("lag", "silent")
 
 
-class ListSource(Listener):
+class ListSource(Obeying):
     """One source.  `rates` gives the nominal rate of a folder (None: no meter), `period` its seconds."""
 
     def __init__(self, cells: int, lag: float, log, record, start="0", period=0.0, rates=None, obeys=False):
@@ -67,11 +67,6 @@
         else:
             raise WireFault(f"{name} is not for the source of the list")
 
-    def obey(self, peer, order):
-        """Begins a trouble that was ordered over the socket."""
-        self.begin(order.kind, order.size, order.seconds)
-        peer.send(obeyed=messages.Obeyed(kind=order.kind))
-
     def begin(self, kind, size=0.0, seconds=0.0):
         """`lag`: changes come `size` seconds late; `silent`: nothing is told."""
         if kind not in TROUBLES:
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -6,7 +6,8 @@
 
 from rushmux.nodewire import Frames, WireFault, frame, messages
 from rushmux.standins.engine import Engine, Shape
-from rushmux.planner.peers import Listener, Peer
+from rushmux.standins.obeying import Obeying
+from rushmux.planner.peers import Peer
 from rushmux.standins.store import DiskFull, Store
 
 MOST_VOLUMES = 100_000   # folders whose served units are kept, and edges they were told to
@@ -35,7 +36,7 @@
         return max(0.0, total - units - before)
 
 
-class Node(Listener):
+class Node(Obeying):
     """One node from one start.  `record(kind, **fields)` hears of every execution; `obeys`: troubles
     may be ordered over the socket."""
 
@@ -138,11 +139,6 @@
         else:
             raise WireFault(f"{name} is not for a node")
 
-    def obey(self, peer, order):
-        """Begins a trouble that was ordered over the socket."""
-        self.begin(order.kind, order.size, order.seconds)
-        peer.send(obeyed=messages.Obeyed(kind=order.kind))
-
     def begin(self, kind, size=0.0, seconds=0.0):
         """Begins a trouble, for so many seconds (0: for good)."""
         if kind not in TROUBLES:
