--- /dev/null
+++ b/tests/lab/test_load.py
@@ -0,0 +1,37 @@
+"""The load tool against real edges over sockets."""
+import asyncio
+import copy
+import json
+from pathlib import Path
+
+import pytest
+
+from rushmux.lab import load
+from rushmux.settings import deployment
+from rushmux.standins.processes import ProcessFleet
+
+EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
+
+
+def test_files_are_filed_and_read_through_running_edges(small, tmp_path):
+    path = tmp_path / "deployment.json"
+    path.write_text(json.dumps(copy.deepcopy(EXAMPLE)))
+    raw = small(workload={"load": 0.1}, machine={"unit": 0.03})
+
+    async def story():
+        fleet = ProcessFleet(path, deployment.load(path), tmp_path, 5, unit=0.001)
+        try:
+            await fleet.up(2, 1)
+            return await asyncio.to_thread(load.drive, raw, 1, 2.0, [fleet.edges[0].address],
+                                           ["limon", "golfo"])
+        finally:
+            await fleet.down()
+    lines, good = asyncio.run(story())
+    assert good and "succeeded" in lines[0] and "lost" not in lines[0]
+    assert [line.split()[0] for line in lines[1:]] == ["write", "read"]
+
+
+def test_an_edge_that_is_not_there_is_told(small):
+    with pytest.raises(load.NotServed) as fault:
+        load.drive(small(), 1, 1.0, [("127.0.0.1", 9)], ["limon"])
+    assert "127.0.0.1:9" in str(fault.value)
