--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -42,6 +42,9 @@
 TRIES = 64               # ended operations kept of a volume to know retries by: some seconds of a surge
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
+BUSY = 0.9               # of a node's cores: below this by its own report, a late answer came by chance
+BACKLOG = 0.25           # of the quoted time: a queue that takes less at one core is no crowd
+DOUBTS = 16              # late executions that wait for a node's report: some seconds of a gateway's
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
 COPY_MOST = 5            # second copies saved up at most: a silent node meets some in a row
@@ -157,7 +160,8 @@
     """
 
     def __init__(self, size, whole):
-        self.size, self.whole, self.out = size, whole, {}   # (operation, number) -> time sent, oldest first
+        self.size, self.whole = size, whole
+        self.out = {}                    # (operation, number) -> time sent, node; oldest first
         self.shrunk_at = self.wait_from = self.wait = 0
         self.answers = [0] * BINS        # histogram of answer times
 
@@ -169,7 +173,7 @@
     def opens(self, factor, now):
         """When the next may go, with that many times the room."""
         while self.out:
-            (op, number), sent = next(iter(self.out.items()))
+            (op, number), (sent, _) = next(iter(self.out.items()))
             if now - sent < op.lane.quoted_time:
                 break
             self.back(op, number, say.OVERDUE, now, 1)
@@ -179,7 +183,7 @@
 
     def back(self, op, number, result, now, mean_units):
         # Danger: nodes that are gone, cut off or failing shrink the room over all nodes for the others.
-        full, sent = len(self.out) >= int(self.size), self.out.pop((op, number), None)
+        full, (sent, node) = len(self.out) >= int(self.size), self.out.pop((op, number), (None, None))
         if sent is None or self.whole and result in (say.UNREACHED, say.SEVERED, say.ERRORED):
             return
         good = result == say.SUCCEEDED
@@ -188,13 +192,17 @@
         # Over all nodes a late answer speaks for its own alone: a part of what is out.
         wait, part = (WHOLE_WAIT, 1 / (len(self.out) + 1)) if self.whole else (1, 1)
         wait *= op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * op.units / mean_units)
-        if result == say.WITHDRAWN and now - sent <= wait:
-            return                       # called off before it was late: it tells nothing
+        # Danger: hurried clients end an execution before it is late.  It tells nothing, as one called off.
+        if result in (say.WITHDRAWN, say.OVERDUE) and now - sent <= wait:
+            return
         self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
         if not good or now - sent > wait:
             if sent >= self.shrunk_at:
                 part *= SHRINK if soft else SHRINK_FAILED
-                self.size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
+                size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
+                if result in (say.SUCCEEDED, say.OVERDUE, say.WITHDRAWN):
+                    node.doubts.append((self, size / self.size, op.lane))
+                self.size = size
         elif full:
             self.size += GROWTH / op.volume.mounts * min(self.size, 1 / self.size)
         if good:
@@ -212,6 +220,22 @@
         self.room = Room(FIRST_ROOM, False)
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
+        # Danger: a late answer is taken for a crowd where it came by chance, by a slow node or by a loss on
+        # the way.  Where nodes report their load, the report decides: what a room lost is given back.
+        self.doubts, self.asked = deque(maxlen=DOUBTS), False   # (room, part kept, lane) of late executions
+
+    def reported(self, queue, service, busy):
+        """Gives back what rooms lost for late executions where this report shows no crowd."""
+        self.asked = False
+        while self.doubts:
+            room, kept, lane = self.doubts.popleft()
+            if queue is not None and service is not None:
+                crowded = queue * service > BACKLOG * lane.quoted_time
+            else:
+                crowded = busy is None or busy >= BUSY
+            if not crowded:
+                room.size /= kept
+                room.wait = 0
 
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
@@ -409,7 +433,8 @@
     def go(self, op, node, now):
         op.volume.charge(op.units)
         op.out[op.sends] = node
-        node.out[op, op.sends] = node.room.out[op, op.sends] = self.gateway.room.out[op, op.sends] = now
+        node.out[op, op.sends] = now
+        node.room.out[op, op.sends] = self.gateway.room.out[op, op.sends] = now, node
         op.sends += 1
         node.arrivals.append((now, op.units))
         # Danger: executions lost on the way use up the quoted time.  Also guards against a node that
@@ -579,6 +604,13 @@
         else:
             self.finish(op, now)
 
+    def reported(self, node, queue, service, busy):
+        """A node's own report of its load: None for what it does not tell, or all when asked in vain."""
+        if node in self.nodes:
+            self.nodes[node].reported(queue, service, busy)
+            self.dirty.update(self.waiting)
+            self.waiting = {}
+
     def left(self, now, op_id):
         op = self.ops.get(op_id)
         if op is not None and not op.over:
@@ -627,6 +659,11 @@
         if now >= self.ask_at:
             self.out.watch()
             self.ask_at = now + int(self.terms.ask_within / 2)
+        if self.terms.load_asked:
+            for node in self.nodes.values():
+                if node.doubts and not node.asked:
+                    node.asked = True
+                    self.out.probe(node.entry.node)
         dirty, self.dirty = self.dirty, {}
         for cell in self.cells.values():
             if cell.queues and (cell in dirty or cell.try_at <= now):
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -14,6 +14,7 @@
 RESULTS = {"completed": say.SUCCEEDED, "errored": say.ERRORED, "saturated": say.FULL,
            "overdue": say.OVERDUE, "refused_conn": say.UNREACHED, "severed": say.SEVERED,
            "recalled": say.WITHDRAWN, "superseded": say.MOOT}
+LOADS = {"backlog": 1, "recent_ms": 1_000_000 / TICK_NS, "utilization": 1}   # name -> in the module's unit
 LISTS = {"update": say.CHANGES, "replace": say.WHOLE, "restored": say.RESTORED,
          "unavailable": say.UNAVAILABLE}
 
@@ -50,6 +51,9 @@
     def withdraw(self, op_id, execution):
         self.put("Retract", Corr=op_id, SendNo=execution)
 
+    def probe(self, node):
+        self.put("Probe", Node=node)
+
 
 def terms_of(env):
     """The settings of the first message, as the module reads them."""
@@ -73,7 +77,15 @@
         meter_span=extra["UsePeriod"] // TICK_NS, order_rest=-(-rules.get("OrderSettle", 0) // TICK_NS),
         budget_share=rules.get("ExtraRatio"), budget_free=rules.get("ExtraFree", 0),
         budget_span=-(-rules.get("BudgetSpan", 0) // TICK_NS),
-        copies=limits.get("SecondCopies", False), cancel=limits.get("Cancel", False))
+        copies=limits.get("SecondCopies", False), cancel=limits.get("Cancel", False),
+        load_asked=bool(limits.get("MayProbe") and any(place is not None for place in loads_of(env))))
+
+
+def loads_of(env):
+    """Where the values of a load report stand in its row; None for those it lacks."""
+    report = env.get("Report", {})
+    columns = report.get("Columns", []) if report.get("How") in ("answers", "probe") else []
+    return [columns.index(name) if name in columns else None for name in LOADS]
 
 
 class Host:
@@ -81,13 +93,14 @@
 
     def __init__(self):
         self.gateways = {}
+        self.loads = {}                  # gateway -> where the values of a report stand
         self.lists = {}
         self.now = 0
         self.actions = []
         self.calls = {"Attach": self.attach, "Down": self.down, "Catalog": self.catalog,
                       "DirectoryUpdate": self.directory, "Call": self.call, "AckFirst": None,
                       "Settled": self.settled, "TimedOutClient": self.timed_out,
-                      "Fired": None, "Health": None, "PeerData": None}
+                      "Fired": None, "Health": self.health, "PeerData": None}
 
     def serve(self, source, sink):
         for number, line in enumerate(source, 1):
@@ -129,6 +142,7 @@
 
     def attach(self, e):
         outlet = Outlet(e["Gateway"], self)
+        self.loads[e["Gateway"]] = loads_of(e["Env"])
         return self.start, e["Gateway"], terms_of(e["Env"]), e["Entropy"], outlet
 
     def start(self, gateway, terms, seed, outlet):
@@ -156,5 +170,11 @@
         return (self.gateways[e["Gateway"]].answered, self.now, e["Corr"], e["SendNo"], RESULTS[e["Verdict"]],
                 e.get("Ended", False), e.get("SeenUse", 0), e.get("FromOthers", 0))
 
+    def health(self, e):
+        row, places = e.get("Metrics") or (), self.loads[e["Gateway"]]
+        values = [row[place] * scale if place is not None and place < len(row) else None
+                  for place, scale in zip(places, LOADS.values())]
+        return self.gateways[e["Gateway"]].reported, e["Node"], *values
+
     def timed_out(self, e):
         return self.gateways[e["Gateway"]].left, self.now, e["Corr"]
