--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -43,8 +43,8 @@
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 BUSY = 0.9               # of a node's cores: below this by its own report, a late answer came by chance
-BACKLOG = 0.25           # of the quoted time: a queue that takes less at one core is no crowd
-DOUBTS = 16              # late executions that wait for a node's report: some seconds of a gateway's
+CROWD = 0.4              # of the quoted time: a node whose own service and queue take longer is crowded
+LOAD_AGE = 5_000         # ticks until a node's load is asked for again: reports change about as often
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
 COPY_MOST = 5            # second copies saved up at most: a silent node meets some in a row
@@ -186,9 +186,12 @@
         full, (sent, node) = len(self.out) >= int(self.size), self.out.pop((op, number), (None, None))
         if sent is None or self.whole and result in (say.UNREACHED, say.SEVERED, say.ERRORED):
             return
+        asks = node.asks
+        if asks and self.whole:
+            return
         good = result == say.SUCCEEDED
         soft = good or self.whole or result in (say.ERRORED, say.WITHDRAWN)
-        pause = op.lane.quoted_time // (1 if self.whole else NODE_PAUSE)
+        pause = op.lane.quoted_time // (1 if self.whole or asks else NODE_PAUSE)
         # Over all nodes a late answer speaks for its own alone: a part of what is out.
         wait, part = (WHOLE_WAIT, 1 / (len(self.out) + 1)) if self.whole else (1, 1)
         wait *= op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * op.units / mean_units)
@@ -196,14 +199,13 @@
         if result in (say.WITHDRAWN, say.OVERDUE) and now - sent <= wait:
             return
         self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
-        if not good or now - sent > wait:
+        if asks and result in (say.SUCCEEDED, say.OVERDUE, say.WITHDRAWN):
+            node.doubt = node.doubt or not good or now - sent > wait
+        elif not good or now - sent > wait:
             if sent >= self.shrunk_at:
                 part *= SHRINK if soft else SHRINK_FAILED
-                size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
-                if result in (say.SUCCEEDED, say.OVERDUE, say.WITHDRAWN):
-                    node.doubts.append((self, size / self.size, op.lane))
-                self.size = size
-        elif full:
+                self.size, self.shrunk_at = max(LEAST_ROOM, self.size * (1 - part)), now
+        elif full and not asks:
             self.size += GROWTH / op.volume.mounts * min(self.size, 1 / self.size)
         if good:
             self.answers[min(BINS - 1, ((now - sent) // BIN).bit_length())] += 1
@@ -220,22 +222,23 @@
         self.room = Room(FIRST_ROOM, False)
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
-        # Danger: a late answer is taken for a crowd where it came by chance, by a slow node or by a loss on
-        # the way.  Where nodes report their load, the report decides: what a room lost is given back.
-        self.doubts, self.asked = deque(maxlen=DOUBTS), False   # (room, part kept, lane) of late executions
-
-    def reported(self, queue, service, busy):
-        """Gives back what rooms lost for late executions where this report shows no crowd."""
-        self.asked = False
-        while self.doubts:
-            room, kept, lane = self.doubts.popleft()
-            if queue is not None and service is not None:
-                crowded = queue * service > BACKLOG * lane.quoted_time
-            else:
-                crowded = busy is None or busy >= BUSY
-            if not crowded:
-                room.size /= kept
-                room.wait = 0
+        self.asks = False
+        self.doubt, self.asked_at = False, -NEVER   # whether its load should be asked for; when it was
+
+    def reported(self, now, terms, queue, service, busy):
+        """Sets the room by the node's own report of its load."""
+        if service is not None:
+            service *= 1 + (queue or 0) / FIRST_ROOM
+            crowded = service > CROWD * min(lane.quoted_time for lane in terms.lanes.values())
+        elif queue is not None:
+            crowded = queue > FIRST_ROOM
+        else:
+            crowded = busy is None or busy >= BUSY
+        size = self.room.size
+        if crowded:
+            self.room.size = max(1 / terms.gateways, size * (1 - SHRINK))
+        else:
+            self.room.size = max(size, min(FIRST_ROOM, size / (1 - SHRINK)))
 
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
@@ -374,6 +377,7 @@
         due_opens, opens = self.opens(node, DUE_FACTOR, now), self.opens(node, 1, now)
         if opens > now:
             self.gateway.waiting[cell] = True
+            node.doubt = True
             cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
         if due_opens > now or len(node.out) >= DEPTH_CAP:
             return None
@@ -511,8 +515,10 @@
                 node.entry = node.entry._replace(condition=say.GONE)
         for entry in entries:
             node = self.nodes.setdefault(entry.node, Node(entry))
+            if self.terms.load_asked and not node.asks:
+                node.asks, node.room.size = True, min(FIRST_ROOM, DEPTH_CAP / self.terms.gateways)
             if node.entry.online_since != entry.online_since:
-                node.room.size = LEAST_ROOM
+                node.room.size = min(LEAST_ROOM, node.room.size)
             node.entry = entry
             self.cells[entry.cell].nodes[entry.node] = node
             self.dirty[self.cells[entry.cell]] = True
@@ -520,7 +526,7 @@
         self.room.size = self.room.size or self.even_room()
 
     def even_room(self):
-        return DEPTH_CAP * len(self.cells) / self.terms.gateways
+        return DEPTH_CAP * len(self.cells) / (1 if self.terms.load_asked else self.terms.gateways)
 
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
@@ -604,10 +610,10 @@
         else:
             self.finish(op, now)
 
-    def reported(self, node, queue, service, busy):
+    def reported(self, now, node, queue, service, busy):
         """A node's own report of its load: None for what it does not tell, or all when asked in vain."""
         if node in self.nodes:
-            self.nodes[node].reported(queue, service, busy)
+            self.nodes[node].reported(now, self.terms, queue, service, busy)
             self.dirty.update(self.waiting)
             self.waiting = {}
 
@@ -661,8 +667,8 @@
             self.ask_at = now + int(self.terms.ask_within / 2)
         if self.terms.load_asked:
             for node in self.nodes.values():
-                if node.doubts and not node.asked:
-                    node.asked = True
+                if node.doubt and now - node.asked_at >= LOAD_AGE:
+                    node.doubt, node.asked_at = False, now
                     self.out.probe(node.entry.node)
         dirty, self.dirty = self.dirty, {}
         for cell in self.cells.values():
