--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -200,7 +200,8 @@
             return
         self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
         if asks and result in (say.SUCCEEDED, say.OVERDUE, say.WITHDRAWN):
-            node.doubt = node.doubt or not good or now - sent > wait
+            node.late = node.late or not good or now - sent > wait
+            node.doubt = node.doubt or node.late
         elif not good or now - sent > wait:
             if sent >= self.shrunk_at:
                 part *= SHRINK if soft else SHRINK_FAILED
@@ -222,22 +223,27 @@
         self.room = Room(FIRST_ROOM, False)
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
-        self.asks = False
+        self.asks = self.late = False
         self.doubt, self.asked_at = False, -NEVER   # whether its load should be asked for; when it was
 
-    def reported(self, now, terms, queue, service, busy):
-        """Sets the room by the node's own report of its load."""
+    def reported(self, terms, result, queue, service, busy):
+        """Sets the room by the node's own report of its load.
+
+        Danger: a probe turned away for other gateways' probes tells nothing of the node.  Then a late
+        execution stands for a crowd, as it does where no node reports.
+        """
+        late, self.late = self.late, False
         if service is not None:
             service *= 1 + (queue or 0) / FIRST_ROOM
             crowded = service > CROWD * min(lane.quoted_time for lane in terms.lanes.values())
         elif queue is not None:
             crowded = queue > FIRST_ROOM
         else:
-            crowded = busy is None or busy >= BUSY
+            crowded = busy >= BUSY if busy is not None else late or result == say.OVERDUE
         size = self.room.size
         if crowded:
             self.room.size = max(1 / terms.gateways, size * (1 - SHRINK))
-        else:
+        elif result == say.SUCCEEDED:
             self.room.size = max(size, min(FIRST_ROOM, size / (1 - SHRINK)))
 
     def allowance(self, gateway, units, now):
@@ -610,10 +616,10 @@
         else:
             self.finish(op, now)
 
-    def reported(self, now, node, queue, service, busy):
+    def reported(self, now, node, result, queue, service, busy):
         """A node's own report of its load: None for what it does not tell, or all when asked in vain."""
         if node in self.nodes:
-            self.nodes[node].reported(now, self.terms, queue, service, busy)
+            self.nodes[node].reported(self.terms, result, queue, service, busy)
             self.dirty.update(self.waiting)
             self.waiting = {}
 
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -174,7 +174,7 @@
         row, places = e.get("Metrics") or (), self.loads[e["Gateway"]]
         values = [row[place] * scale if place is not None and place < len(row) else None
                   for place, scale in zip(places, LOADS.values())]
-        return self.gateways[e["Gateway"]].reported, self.now, e["Node"], *values
+        return self.gateways[e["Gateway"]].reported, self.now, e["Node"], RESULTS[e["Verdict"]], *values
 
     def timed_out(self, e):
         return self.gateways[e["Gateway"]].left, self.now, e["Corr"]
