Where no plan has a reserve, the rate that a volume is sized for stands in

Seen: with reserve 0 in all plans the deadline is never, so nothing goes as owed and surges are let go like usual traffic. The other sites have a reserve in some plan.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -497,6 +497,11 @@
     """One gateway's decisions, from one start to the next."""
 
     def __init__(self, terms, seed, now, out):
+        # Danger: with no reserve in any plan nothing is ever owed, and surges crowd out the usual traffic.
+        # Then the rate that a volume is sized for stands in.
+        if not any(plan.reserve for plan in terms.plans.values()):
+            terms = terms._replace(plans={name: plan._replace(reserve=plan.nominal)
+                                          for name, plan in terms.plans.items()})
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
         self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, defaultdict(Cell), {}, []
         self.dirty, self.waiting = {}, {}   # cells where something changed; those that wait for room
