--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -44,6 +44,7 @@
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 BUSY = 0.9               # of a node's cores: below this by its own report, a late answer came by chance
 CROWD = 0.4              # of the quoted time: a node whose own service and queue take longer is crowded
+STEP = 3                 # times larger or smaller that a report makes a room at most
 LOAD_AGE = 5_000         # ticks until a node's load is asked for again: reports change about as often
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
@@ -233,18 +234,21 @@
         execution stands for a crowd, as it does where no node reports.
         """
         late, self.late = self.late, False
+        load = 0.0                       # of what a node may take: above one it is crowded
         if service is not None:
-            service *= 1 + (queue or 0) / FIRST_ROOM
-            crowded = service > CROWD * min(lane.quoted_time for lane in terms.lanes.values())
+            taken = service * (1 + (queue or 0) / FIRST_ROOM)
+            load = taken / CROWD / min(lane.quoted_time for lane in terms.lanes.values())
         elif queue is not None:
-            crowded = queue > FIRST_ROOM
-        else:
-            crowded = busy >= BUSY if busy is not None else late or result == say.OVERDUE
-        size = self.room.size
-        if crowded:
-            self.room.size = max(1 / terms.gateways, size * (1 - SHRINK))
+            load = queue / FIRST_ROOM
+        elif busy is not None:
+            load = busy / BUSY
+        elif late or result == say.OVERDUE:
+            load = STEP
+        change = 1 / max(1 / STEP, min(STEP, load))
+        if load > 1:
+            self.room.size = max(1 / terms.gateways, self.room.size * change)
         elif result == say.SUCCEEDED:
-            self.room.size = max(size, min(FIRST_ROOM, size / (1 - SHRINK)))
+            self.room.size = max(self.room.size, min(FIRST_ROOM, self.room.size * change))
 
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
