--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -45,6 +45,7 @@
 BUSY = 0.9               # of a node's cores: below this by its own report, a late answer came by chance
 CROWD = 0.4              # of the quoted time: a node whose own service and queue take longer is crowded
 STEP = 3                 # times larger or smaller that a report makes a room at most
+HOPE = 1                 # times that an operation takes by a node's report, which must be left of its quoted time
 LOAD_AGE = 5_000         # ticks until a node's load is asked for again: reports change about as often
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
@@ -225,6 +226,7 @@
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
         self.asks = self.late = False
+        self.answers_in = 0              # ticks that a mean operation takes there, by its report
         self.doubt, self.asked_at = False, -NEVER   # whether its load should be asked for; when it was
 
     def reported(self, terms, result, queue, service, busy):
@@ -236,8 +238,8 @@
         late, self.late = self.late, False
         load = 0.0                       # of what a node may take: above one it is crowded
         if service is not None:
-            taken = service * (1 + (queue or 0) / FIRST_ROOM)
-            load = taken / CROWD / min(lane.quoted_time for lane in terms.lanes.values())
+            self.answers_in = service * (1 + (queue or 0) / FIRST_ROOM)
+            load = self.answers_in / CROWD / min(lane.quoted_time for lane in terms.lanes.values())
         elif queue is not None:
             load = queue / FIRST_ROOM
         elif busy is not None:
@@ -395,7 +397,10 @@
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
             # Danger: retries late already, or in a backlog the oldest, take the place of answers in time.
-            while queue and queue[0].quoted_at <= now + typical * (queue[0].taken_at < now):
+            while queue and queue[0].quoted_at <= now + max(
+                    typical * (queue[0].taken_at < now),
+                    HOPE * node.answers_in * queue[0].units / self.terms.mean_units):
+                node.doubt = node.doubt or node.asks
                 self.gateway.finish(queue[0], now)
             if not queue:
                 continue
