--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -238,8 +238,8 @@
         late, self.late = self.late, False
         load = 0.0                       # of what a node may take: above one it is crowded
         if service is not None:
-            self.answers_in = service * (1 + (queue or 0) / FIRST_ROOM)
-            load = self.answers_in / CROWD / min(lane.quoted_time for lane in terms.lanes.values())
+            self.answers_in = service
+            load = service * (1 + (queue or 0) / FIRST_ROOM) / CROWD / min(lane.quoted_time for lane in terms.lanes.values())
         elif queue is not None:
             load = queue / FIRST_ROOM
         elif busy is not None:
