Others' use drains the reserve bucket as metered; stand-in for reserves by weight

Seen: the meter's rate was debited for one period an answer, while a gateway that gets an answer in seconds fills for all of them.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -46,7 +46,8 @@
 CROWD = 0.4              # of the quoted time: a node whose own service and queue take longer is crowded
 STEP = 3                 # times larger or smaller that a report makes a room at most
 HOPE = 1                 # times that an operation takes by a node's report, which must be left of its quoted time
-LOAD_AGE = 5_000         # ticks until a node's load is asked for again: reports change about as often
+MEMORY = 30_000          # ticks for which the rate told of other gateways counts: surges last longer
+LOAD_AGE = 10_000        # ticks until a node's load is asked for again: reports change about as often
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
 COPY_MOST = 5            # second copies saved up at most: a silent node meets some in a row
@@ -103,7 +104,7 @@
         filled = plan.slack / mounts + self.rate * (now - gateway.began) / SECOND
         self.limit = self.limit_cap if gateway.fresh else min(self.limit_cap, filled)
         self.bins, self.sum, self.quarter = [0.0] * QUARTERS, 0.0, now // QUARTER
-        self.metered_at = now
+        self.metered_at, self.others = now, 0.0   # when the fleet's meter was told; units a second
         self.tries = deque(maxlen=TRIES)   # of what is over: key, hard stop, when it was over, quoted until
 
     def share(self, part):
@@ -114,7 +115,9 @@
 
     def advance(self, now):
         span, self.at = (now - self.at) / SECOND, now
+        others = self.others * min(span, max(0, (self.metered_at + MEMORY - now) / SECOND + span))
         self.reserve = min(self.reserve_cap, self.reserve + self.plan.reserve * span)
+        self.debit(others)
         self.limit = min(self.limit_cap, self.limit + self.rate * span)
         for quarter in range(max(self.quarter, now // QUARTER - QUARTERS) + 1, now // QUARTER + 1):
             place = quarter % QUARTERS
@@ -146,11 +149,11 @@
         self.advance(now)
         if span and not fleet_use:       # the fleet has just begun
             self.limit = max(self.limit, self.limit_cap - sum(self.bins))
-        elif now - self.metered_at >= span:
-            self.metered_at = now
+        elif span:
             own = sum(self.bins) * SECOND / (QUARTER * QUARTERS)
-            rate = max(0.0, (fleet_use - 1) / 100 * self.plan.nominal - own)
-            self.debit(rate * span / SECOND if span else from_others)
+            self.metered_at, self.others = now, max(0.0, (fleet_use - 1) / 100 * self.plan.nominal - own)
+        else:
+            self.debit(from_others)
 
 
 class Room:
@@ -509,7 +512,8 @@
         # Danger: with no reserve in any plan nothing is ever owed, and surges crowd out the usual traffic.
         # Then the rate that a volume is sized for stands in.
         if not any(plan.reserve for plan in terms.plans.values()):
-            terms = terms._replace(plans={name: plan._replace(reserve=plan.nominal)
+            most = max(plan.nominal / plan.weight for plan in terms.plans.values())
+            terms = terms._replace(plans={name: plan._replace(reserve=most * plan.weight)
                                           for name, plan in terms.plans.items()})
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
         self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, defaultdict(Cell), {}, []
