--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -253,7 +253,7 @@
         if load > 1:
             self.room.size = max(1 / terms.gateways, self.room.size * change)
         elif result == say.SUCCEEDED:
-            self.room.size = max(self.room.size, min(FIRST_ROOM, self.room.size * change))
+            self.room.size = max(self.room.size, min(1, self.room.size * change))
 
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
