Reports open a node's room to half an execution or the even part of ten

Many gateways' executions meet at a node unseen: with one out each of sixty, thrashing nodes serve less.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -44,6 +44,7 @@
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
 BUSY = 0.9               # of a node's cores: below this by its own report, a late answer came by chance
 CROWD = 0.4              # of the quoted time: a node whose own service and queue take longer is crowded
+SHARED_ROOM = 0.5        # executions: the most a report opens a node's room to among tens of gateways
 STEP = 3                 # times larger or smaller that a report makes a room at most
 HOPE = 1                 # times that an operation takes by a node's report, which must be left of its quoted time
 MEMORY = 30_000          # ticks for which the rate told of other gateways counts: surges last longer
@@ -253,7 +254,8 @@
         if load > 1:
             self.room.size = max(1 / terms.gateways, self.room.size * change)
         elif result == say.SUCCEEDED:
-            self.room.size = max(self.room.size, min(1, self.room.size * change))
+            self.room.size = max(self.room.size, min(FIRST_ROOM, max(SHARED_ROOM, DEPTH_CAP / terms.gateways),
+                                                       self.room.size * change))
 
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
