Who has a key's turn goes again without its rest; hurried ends passed over where nodes report

Seen: WIRE says that the operation with the turn may be tried again at once; KeyOrder.accept held it for the rest too, and kept a rest for each key for ever.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -202,7 +202,7 @@
         wait, part = (WHOLE_WAIT, 1 / (len(self.out) + 1)) if self.whole else (1, 1)
         wait *= op.lane.quoted_time * (WAIT_BASE + WAIT_SIZE * op.units / mean_units)
         # Danger: hurried clients end an execution before it is late.  It tells nothing, as one called off.
-        if result in (say.WITHDRAWN, say.OVERDUE) and now - sent <= wait:
+        if (result == say.WITHDRAWN or asks and result == say.OVERDUE) and now - sent <= wait:
             return
         self.wait_from, self.wait = now, min(now - sent, pause) if good else pause
         if asks and result in (say.SUCCEEDED, say.OVERDUE, say.WITHDRAWN):
@@ -316,15 +316,18 @@
         line = self.lines.setdefault(op.key, deque())
         if op not in line:
             line.append(op)
-        rested = self.rests.get(op.key, 0) <= now
+        rested = op.sends or self.rests.get(op.key, 0) <= now   # who has the turn may go again at once
         if line[0] is op and not rested:
             self.gateway.later(self.rests[op.key], op)
         return line[0] is op and rested
 
     def back(self, op, number, node, result, now):
         line = self.lines.get(op.key, ()) if op.lane.in_order else ()
-        if result in MAY_STILL_RUN:
+        if result in MAY_STILL_RUN and op.lane.in_order:
+            self.rests.pop(op.key, None)
             self.rests[op.key] = now + self.terms.order_rest + 1
+            while next(iter(self.rests.values())) <= now:   # the oldest stand first
+                del self.rests[next(iter(self.rests))]
         if op.over and not op.out and op in line:   # then also called with no result
             had_turn = line[0] is op
             line.remove(op)
