--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -1,6 +1,8 @@
 """The command line: the only place that reads arguments, the wall clock and the machine's chance."""
 import asyncio
 import contextlib
+import json
+import os
 import signal
 import sys
 import time
@@ -243,6 +245,48 @@
                f"{len(deployment.folders)} folders: in order")
 
 
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--to", type=click.Path(dir_okay=False), help="the new file; without it nothing is written")
+@click.option("--dry-run", is_flag=True, help="tell what would be written and what would be left, and stop")
+@click.option("--force", is_flag=True, help="write over a file that is there")
+@click.option("--load", type=click.Choice(["none", "probe"]), default="probe", show_default=True,
+              help="whether the new nodes tell their load to edges that ask")
+@click.option("--meter-ms", type=float, help="period of the fleet's meter; 0: none")
+@click.option("--in-order", multiple=True, help="a lane to keep in order by key; may be given again")
+@click.option("--order-rest-ms", type=float, help="rest of a key after what may still run")
+@click.option("--gateways", type=int, help="edges of the new fleet")
+@click.option("--no-reserves", is_flag=True, help="plans share by weight alone")
+@click.option("--no-copies", is_flag=True, help="the new nodes take no second copies")
+def move(file, to, dry_run, force, load, meter_ms, in_order, order_rest_ms, gateways, no_reserves, no_copies):
+    """Makes the new shape's file from one of the old, and lists what it could not carry over."""
+    from rushmux.settings import deployment as deployments, moving
+    old = deployed(file)
+    new, left = moving.moved(old.raw, moving.Shape(load, meter_ms, in_order, order_rest_ms, gateways,
+                                                   not no_reserves, not no_copies))
+    for place, text in left:
+        click.echo(f"{file}: {place}: {text}")
+    try:
+        deployments.build(new, to or "the new file")
+    except deployments.BadDeployment as fault:
+        raise click.ClickException(f"nothing written; the new file would be refused\n{fault}") from fault
+    if to is None or dry_run:
+        click.echo(f"in order; nothing written, {len(left)} to look at")
+        return
+    if Path(to).exists() and not force:
+        raise click.ClickException(f"{to} is there already; --force writes over it")
+    part = Path(f"{to}.part")
+    try:                                 # Danger: a kill half way leaves the old file or the new one whole.
+        with part.open("w") as sink:
+            sink.write(json.dumps(new, indent=2, ensure_ascii=False) + "\n")
+            sink.flush()
+            os.fsync(sink.fileno())
+        part.replace(to)
+    except OSError as fault:
+        raise click.ClickException(f"{to}: cannot be written: {fault.strerror}") from fault
+    click.echo(f"{to}: written, {len(left)} to look at")
+
+
 @main.command()
 @click.option("--edges", type=click.IntRange(1, 100), default=3, show_default=True)
 @click.option("--nodes", type=click.IntRange(1, 200), default=4, show_default=True)
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -16,6 +16,7 @@
 SECOND = 10_000          # ticks in a second
 MOST_TAKEN = 20_000      # operations held at a time; beyond it they are shed at the door
 MOST_STARTS = 4          # starts of a node kept, against late words of an older one
+NONSENSE = 1e9           # of any figure of a load: beyond a day of service time
 MOST_LISTED = 10_000     # nodes in a listing: beyond any fleet this is for
 
 
@@ -270,6 +271,25 @@
         # Danger: the module must not be called from within; its answer comes with the next round.
         self.came(op_id, execution, say.WITHDRAWN, None)
 
+    def probe(self, node):
+        asked = []
+
+        def came(result, load):
+            if asked:
+                asked.pop().cancel()
+                forget()
+                self.event(self.tell_load, node, result, load)
+        # Danger: a node that hangs never tells; the module takes it for a crowd when the time is over.
+        asked.append(self.loop.call_later(self.deployment.dial, came, say.OVERDUE, None))
+        forget = self.links.probe(node, came)
+
+    def tell_load(self, now, node, result, load):
+        values = [getattr(load, name) if load is not None and load.HasField(name) else None
+                  for name in ("queue", "service", "busy")]
+        # Danger: a node that tells nonsense moves a room for it.  What is no sound figure counts as not told.
+        values = [value if value is not None and 0 <= value < NONSENSE else None for value in values]
+        self.guarded(None, self.gateway.reported, now, node, result, *values)
+
     def shed(self, op_id, come_back):
         self.end(op_id, Shed(come_back / SECOND))
 
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -33,6 +33,7 @@
         self.writer, self.task = None, None
         self.waiting = {}        # corr -> execution that waits for the dial
         self.out = {}            # corr -> what to call when it comes back
+        self.probes = {}         # corr -> what to call when the node told its load
         self.failures, self.not_before = 0, 0.0
 
     def send(self, execute, done):
@@ -65,6 +66,15 @@
         self.waiting.pop(corr, None)
         self.out.pop(corr, None)
 
+    def probe(self, done):
+        """Asks the node for its load over a connection that stands; None: there is none."""
+        if self.writer is None or self.writer.held() > MOST_BUFFERED:
+            return None
+        corr = self.links.number()
+        self.probes[corr] = done
+        self.writer.write(frame(messages.Message(probe=messages.Probe(corr=corr))))
+        return corr
+
     async def live(self):
         """Dials, sends what waits, and reads answers until the connection ends."""
         loop, writer, why = asyncio.get_running_loop(), None, "closed by the node"
@@ -101,12 +111,18 @@
             if writer:
                 writer.close()
             out, self.out, self.waiting, self.writer, self.task = self.out, {}, {}, None, None
+            probes, self.probes = self.probes, {}
             self.links.log.info("link.ended", node=self.node, why=why, lost=len(out), result=result)
-            for done in out.values():
+            for done in [*out.values(), *probes.values()]:
                 done(result, None)
 
     def came(self, found):
         for message in found:
+            if message.WhichOneof("body") == "load":
+                done = self.probes.pop(message.load.corr, None)
+                if done is not None:
+                    done(say.SUCCEEDED, message.load)
+                continue
             if message.WhichOneof("body") != "outcome":
                 raise WireFault(f"{message.WhichOneof('body')} where an outcome belongs")
             done = self.out.pop(message.outcome.corr, None)
@@ -161,6 +177,16 @@
         link = min(links, key=lambda link: len(link.out))
         return Sent(link, link.send(execute, done))
 
+    def probe(self, node: str, done: Callable) -> Callable:
+        """Asks a node for its load; `done(result, load)` is called once, later, unless what is returned
+        is called first.  Asked over a connection that stands alone: a load is not worth a dial."""
+        for link in self.nodes.get(node, ()):
+            corr = link.probe(done)
+            if corr is not None:
+                return lambda: link.probes.pop(corr, None)
+        asyncio.get_running_loop().call_soon(done, say.UNREACHED, None)
+        return lambda: None
+
     async def close(self):
         tasks = [link.task for links in self.nodes.values() for link in links if link.task]
         for task in tasks:
--- a/rushmux/lab/lean.py
+++ b/rushmux/lab/lean.py
@@ -253,6 +253,15 @@
     def withdraw(self, op_id, execution):
         self.world.clock.call_soon(self.calls, self.came, self.ops[op_id], execution, say.WITHDRAWN, 0.0)
 
+    def probe(self, node):
+        asked = self.world.nodes.get(node)
+        load = asked.engine.load() if asked is not None and asked.alive else None
+        self.world.clock.call_soon(self.calls, self.tell_load, node, load)
+
+    def tell_load(self, node, load):
+        result = say.UNREACHED if load is None else say.SUCCEEDED
+        self.gateway.reported(self.now(), node, result, *(load or dict.fromkeys(("queue", "service", "busy"))).values())
+
     def wake(self, after):
         if self.timer is not None:
             self.timer.cancel()
--- a/rushmux/lab/schedules.py
+++ b/rushmux/lab/schedules.py
@@ -134,6 +134,9 @@
     def watch(self):
         """Lists come by themselves here."""
 
+    def probe(self, node):
+        """Loads move rooms alone, which no rule of the proof rests on."""
+
     def wake(self, after):
         self.tell(self.play.now + after, lambda: None)
 
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -193,7 +193,7 @@
         meter_span=resolve.ticks(fleet["meter_span_ms"]), order_rest=resolve.ticks(fleet["order_rest_ms"]),
         budget_share=budget and budget["share"], budget_free=budget["free"] if budget else 0,
         budget_span=resolve.ticks(budget["span_ms"]) if budget else 0,
-        copies=fleet["second_copies"], cancel=True)
+        copies=fleet["second_copies"], cancel=True, load_asked=fleet["load"] == "probe")
     flows = resolve.flows(routes, lanes, plans, fleet["executions"])
     terms = terms._replace(routes=resolve.routes(flows))
     ground = _ground(terms, fleet, raw["bounds"])
--- a/rushmux/standins/engine.py
+++ b/rushmux/standins/engine.py
@@ -56,6 +56,7 @@
         self.waiting, self.running, self.recent = deque(), 0, OrderedDict()
         self.arrived, self.pushed = deque(), 0.0
         self.still_until, self.later, self.slowed, self.stopped = 0.0, 0.0, 1.0, False
+        self.service = 0.0       # seconds of recent executions in work, the newest an eighth
         self.neighbour = 1.0     # times longer, for another program on the machine
         self.timers = {}
         self.again("pause", shape.pause_every, self.pause)
@@ -99,6 +100,11 @@
     def inflight(self):
         return self.running + len(self.waiting)
 
+    def load(self):
+        """What a node tells of its load: what waits, recent service in tenths of a millisecond, busy cores."""
+        return {"queue": len(self.waiting), "service": self.service * 10_000,
+                "busy": self.running / self.shape.cores}
+
     def offer(self, units: float, key: str, writes: bool, time_out: float, done: Callable) -> bool:
         """Takes an execution; `done(late)` is called when its work is over, with whether it was
         dropped for its time-out.  False: turned away."""
@@ -142,6 +148,7 @@
             self.running += 1
             crowd = min(self.shape.most_crowd, 1 + self.shape.crowd * len(self.waiting))
             seconds = job.seconds * self.slowed * self.neighbour * crowd / self.capacity(now)
+            self.service += (seconds - self.service) / (8 if self.service else 1)
             self.loop.call_later(seconds, self.finish, job)
 
     def finish(self, job):
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -133,6 +133,9 @@
             done = self.calls.pop((peer, body.corr), None)
             if done is not None and self.engine.withdraw(done):
                 self.record("withdrawn", node=self.name, edge=peer.hello.peer)
+        elif name == "probe":
+            if not self.fallen and "silent" not in self.trouble and "stuck" not in self.trouble:
+                peer.send(load=messages.Load(corr=body.corr, **self.engine.load()))
         elif name == "trouble" and self.obeys:
             self.obey(peer, body)
         else:
--- /dev/null
+++ b/tests/settings/test_moving.py
@@ -0,0 +1,71 @@
+"""The move to the new shape: what is carried over, what is told as left, and that a trial changes nothing."""
+import copy
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from rushmux.cli.main import main
+from rushmux.settings import deployment
+from rushmux.settings.deployment import build
+from rushmux.settings.moving import Shape, moved
+
+FILE = Path(deployment.__file__).with_name("example.json")
+EXAMPLE = json.loads(FILE.read_text())
+
+
+def move(*words):
+    return CliRunner().invoke(main, ["move", *map(str, words)])
+
+
+def test_an_old_file_asks_no_node():
+    assert build(EXAMPLE).terms.load_asked is False
+
+
+def test_the_new_file_states_the_new_shape_and_is_in_order(tmp_path):
+    to = tmp_path / "new.json"
+    done = move(FILE, "--to", to, "--meter-ms", 1000, "--in-order", "archivo-nuevo", "--order-rest-ms", 300)
+    assert done.exit_code == 0, done.output
+    terms = build(json.loads(to.read_text())).terms
+    assert terms.load_asked and terms.meter_span == 10_000 and terms.order_rest == 3_000
+    assert terms.lanes["archivo-nuevo"].in_order and not terms.lanes["lectura"].in_order
+
+
+def test_a_trial_writes_nothing(tmp_path):
+    to = tmp_path / "new.json"
+    done = move(FILE, "--to", to, "--dry-run", "--no-reserves")
+    assert done.exit_code == 0 and "/plans/prioritario/reserve: 40" in done.output
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_what_cannot_be_carried_over_is_listed():
+    raw = copy.deepcopy(EXAMPLE)
+    raw["folders"]["caribe"]["edges"] = [2]
+    raw["folders"]["delta"]["edges"] = [1, 2]
+    new, left = moved(raw, Shape(reserves=False, copies=False, gateways=2, in_order=("volcados",)))
+    assert [place for place, _ in left] == [
+        "/lanes/volcados", "/plans/basico/reserve", "/plans/estandar/reserve", "/plans/prioritario/reserve",
+        "/routes/0/second_copy", "/folders/caribe/edges", "/folders/delta/edges", "/fleet/cold_units"]
+    assert "edges" not in new["folders"]["caribe"] and new["folders"]["delta"]["edges"] == [1]
+    assert new["routes"] == [{"lane": "limpieza", "executions": 2, "wait_ms": 500},
+                             {"plan": "basico", "held": 2000}]
+    assert not build(new).terms.copies
+    assert raw["plans"]["basico"]["reserve"] == 10     # the old one is left as it was
+
+
+@pytest.mark.parametrize("words, told", [
+    (("--gateways", 40), "burst"),                     # the new file would be refused
+    (("--meter-ms", -1), "meter_span_ms"),
+])
+def test_a_file_that_would_be_refused_is_not_written(tmp_path, words, told):
+    to = tmp_path / "new.json"
+    done = move(FILE, "--to", to, *words)
+    assert done.exit_code == 1 and told in done.output and not to.exists()
+
+
+def test_a_file_that_is_there_is_kept(tmp_path):
+    to = tmp_path / "new.json"
+    to.write_text("mine")
+    assert move(FILE, "--to", to).exit_code == 1 and to.read_text() == "mine"
+    assert move(FILE, "--to", to, "--force").exit_code == 0 and json.loads(to.read_text())
