--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -368,6 +368,10 @@
 class Pacing(Stage):
     """Holds operations by cell and volume and lets them go as both buckets and the average say."""
 
+    def __init__(self, gateway):
+        super().__init__(gateway)
+        self.most_utility = max(lane.utility for lane in self.terms.lanes.values())
+
     def accept(self, op, now):
         queue = op.cell.queues.setdefault(op.volume, [])
         # Of one volume's operations the lane of the most utility goes first, then the first taken.
@@ -418,10 +422,17 @@
             if free_at > now:
                 cell.try_at = min(cell.try_at, free_at)
                 continue
+            # Danger: what can wait takes the room from what is worth more and cannot.
+            part = op.lane.utility / self.most_utility if node.asks else 1
+            due_opens, opens = self.opens(node, DUE_FACTOR * part, now), self.opens(node, part, now)
             deadline = max(op.taken_at, volume.deadline(op.units, now))
-            if deadline <= now and deadline < due_at:
+            if due_opens > now:
+                cell.try_at = min(cell.try_at, due_opens)
+            elif deadline <= now and deadline < due_at:
                 due, due_at = op, deadline
-            if opens <= now and volume.sum / volume.plan.weight < lowest:
+            if opens > now:
+                cell.try_at = min(cell.try_at, opens)
+            elif volume.sum / volume.plan.weight < lowest:
                 slack, lowest = op, volume.sum / volume.plan.weight
         return due or slack
 
