--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -705,11 +705,6 @@
         if now >= self.ask_at:
             self.out.watch()
             self.ask_at = now + int(self.terms.ask_within / 2)
-        if self.terms.load_asked:
-            for node in self.nodes.values():
-                if node.doubt and now - node.asked_at >= LOAD_AGE:
-                    node.doubt, node.asked_at = False, now
-                    self.out.probe(node.entry.node)
         dirty, self.dirty = self.dirty, {}
         for cell in self.cells.values():
             if cell.queues and (cell in dirty or cell.try_at <= now):
@@ -722,6 +717,11 @@
                 self.forward(op, now)
             elif not op.over and len(op.out) == 1 and now >= op.copy_at:
                 self.sending.copy(op, now)
+        if self.terms.load_asked:
+            for node in self.nodes.values():
+                if node.doubt and now - node.asked_at >= LOAD_AGE:
+                    node.doubt, node.asked_at = False, now
+                    self.out.probe(node.entry.node)
         self.wake_at = self.wake_at if self.wake_at > now else NEVER
         next_at = min([now + 1 if self.dirty else self.ask_at, self.times[0][0] if self.times else NEVER]
                       + [cell.try_at for cell in self.cells.values() if cell.queues])
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
          "come_back": 2_000 * MS, "mean_units": 2.0, "most_units": 8.0, "cold_units": 16.0,
          "cold_span": 2_000 * MS, "fall_multiple": 2.0, "cold_start": 0.25, "warm_within": 16_000 * MS,
          "meter_span": 0, "order_rest": 0, "budget_share": None, "budget_free": 0.0, "budget_span": 0,
-         "copies": False, "cancel": False}
+         "copies": False, "cancel": False, "load_asked": False}
 LANE = {"quoted": 400, "stop": 2000, "utility": 1.0, "repeat": say.REPLAYABLE, "group": "all",
         "window": 3000, "in_order": False}
 ROUTE = {"time_out": 1 << 40, "executions": 1 << 40, "wait": 0, "copy_after": 0, "held": 1 << 40,
@@ -62,6 +62,16 @@
     def withdraw(self, op_id, execution):
         self.done.append(f"withdraw {op_id} {execution}")
 
+    def probe(self, node):
+        self.done.append(f"probe {node}")
+
+    def told(self, node, result, *words):
+        """A node's load, or how asking for it ended: queue, service in ms, busy part of the cores."""
+        row = valued(words, {"queue": -1.0, "service": -1.0, "busy": -1.0})
+        row["service"] *= MS
+        self.gateway.reported(self.now, node, result,
+                              *(value if value >= 0 else None for value in row.values()))
+
     def terms_(self, *words):
         self.terms = valued(words, self.terms)
 
