--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -285,10 +285,10 @@
 
     def tell_load(self, now, node, result, load):
         values = [getattr(load, name) if load is not None and load.HasField(name) else None
-                  for name in ("queue", "service", "busy")]
+                  for name in ("queue", "service")]
         # Danger: a node that tells nonsense moves a room for it.  What is no sound figure counts as not told.
         values = [value if value is not None and 0 <= value < NONSENSE else None for value in values]
-        self.guarded(None, self.gateway.reported, now, node, result, *values)
+        self.guarded(None, self.gateway.reported, node, result, *values)
 
     def shed(self, op_id, come_back):
         self.end(op_id, Shed(come_back / SECOND))
--- a/rushmux/lab/lean.py
+++ b/rushmux/lab/lean.py
@@ -260,7 +260,7 @@
 
     def tell_load(self, node, load):
         result = say.UNREACHED if load is None else say.SUCCEEDED
-        self.gateway.reported(self.now(), node, result, *(load or dict.fromkeys(("queue", "service", "busy"))).values())
+        self.gateway.reported(node, result, *(load or {"queue": None, "service": None}).values())
 
     def wake(self, after):
         if self.timer is not None:
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -42,13 +42,11 @@
 TRIES = 64               # ended operations kept of a volume to know retries by: some seconds of a surge
 SAME_END = 50            # ticks: how far a retry's hard stop may be from its first try's, for jitter
 ASK_AGAIN = 0.1          # of the time within which the list must be asked: for a lost or failed ask
-BUSY = 0.9               # of a node's cores: below this by its own report, a late answer came by chance
 CROWD = 0.4              # of the quoted time: a node whose own service and queue take longer is crowded
 SHARED_ROOM = 0.5        # executions: the most a report opens a node's room to among tens of gateways
 STEP = 3                 # times larger or smaller that a report makes a room at most
-HOPE = 1                 # times that an operation takes by a node's report, which must be left of its quoted time
 MEMORY = 30_000          # ticks for which the rate told of other gateways counts: surges last longer
-LOAD_AGE = 20_000        # ticks until a node is asked for its load again: nodes cap probes, and tens of gateways ask
+LOAD_AGE = 20_000        # ticks until a node is asked for its load again: tens of gateways ask, it caps them
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
 COPY_MOST = 5            # second copies saved up at most: a silent node meets some in a row
@@ -223,17 +221,22 @@
 class Node:
     """A node as the list shows it and as this gateway's own executions found it."""
 
-    def __init__(self, entry):
-        self.entry = entry
+    def __init__(self, entry, terms):
+        self.entry, self.asks = entry, terms.load_asked   # whether its load may be asked for
         self.out = {}                    # (operation, number) -> time sent, oldest first
-        self.room = Room(FIRST_ROOM, False)
+        # Danger: many gateways' executions meet at a node unseen.  Where nodes report, ten of all begin.
+        even = DEPTH_CAP / terms.gateways
+        self.room = Room(min(FIRST_ROOM, even) if self.asks else FIRST_ROOM, False)
+        self.most_room = min(FIRST_ROOM, max(SHARED_ROOM, even))
+        self.least_room = 1 / terms.gateways
+        self.crowd = CROWD * min(lane.quoted_time for lane in terms.lanes.values())
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
-        self.asks = self.late = False
         self.answers_in = 0              # ticks that a mean operation takes there, by its report
-        self.doubt, self.asked_at = False, -NEVER   # whether its load should be asked for; when it was
+        self.late = self.doubt = False   # since it was asked: an execution late; a reason to ask again
+        self.asked_at = -NEVER
 
-    def reported(self, terms, result, queue, service, busy):
+    def reported(self, result, queue, service):
         """Sets the room by the node's own report of its load.
 
         Danger: a probe turned away for other gateways' probes tells nothing of the node.  Then a late
@@ -243,19 +246,14 @@
         load = 0.0                       # of what a node may take: above one it is crowded
         if service is not None:
             self.answers_in = service
-            load = service * (1 + (queue or 0) / FIRST_ROOM) / CROWD / min(lane.quoted_time for lane in terms.lanes.values())
-        elif queue is not None:
-            load = queue / FIRST_ROOM
-        elif busy is not None:
-            load = busy / BUSY
+            load = service * (1 + (queue or 0) / FIRST_ROOM) / self.crowd
         elif late or result == say.OVERDUE:
             load = STEP
-        change = 1 / max(1 / STEP, min(STEP, load))
+        size = self.room.size / max(1 / STEP, min(STEP, load))
         if load > 1:
-            self.room.size = max(1 / terms.gateways, self.room.size * change)
-        elif result == say.SUCCEEDED:
-            self.room.size = max(self.room.size, min(FIRST_ROOM, max(SHARED_ROOM, DEPTH_CAP / terms.gateways),
-                                                       self.room.size * change))
+            self.room.size = max(self.least_room, size)
+        elif service is not None:
+            self.room.size = max(self.room.size, min(self.most_room, size))
 
     def allowance(self, gateway, units, now):
         """Units that may still go to a cold node within its span; NEVER once it is warm.
@@ -409,11 +407,12 @@
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
             # Danger: retries late already, or in a backlog the oldest, take the place of answers in time.
+            # And work begun for hurried clients that leave before the node, as it reports, can end it.
             while queue and queue[0].quoted_at <= now + max(
                     typical * (queue[0].taken_at < now),
-                    HOPE * node.answers_in * queue[0].units / self.terms.mean_units):
-                node.doubt = node.doubt or node.asks
-                self.gateway.finish(queue[0], now)
+                    node.answers_in * queue[0].units / self.terms.mean_units):
+                node.doubt = True
+                self.gateway.finish(queue[0], now, True)
             if not queue:
                 continue
             op = queue[0]
@@ -422,7 +421,7 @@
             if free_at > now:
                 cell.try_at = min(cell.try_at, free_at)
                 continue
-            # Danger: what can wait takes the room from what is worth more and cannot.
+            # Danger: what can wait is there when a room opens, and what is worth more is not any more.
             part = op.lane.utility / self.most_utility if node.asks else 1
             due_opens, opens = self.opens(node, DUE_FACTOR * part, now), self.opens(node, part, now)
             deadline = max(op.taken_at, volume.deadline(op.units, now))
@@ -554,11 +553,9 @@
             for node in self.nodes.values():
                 node.entry = node.entry._replace(condition=say.GONE)
         for entry in entries:
-            node = self.nodes.setdefault(entry.node, Node(entry))
-            if self.terms.load_asked and not node.asks:
-                node.asks, node.room.size = True, min(FIRST_ROOM, DEPTH_CAP / self.terms.gateways)
+            node = self.nodes.setdefault(entry.node, Node(entry, self.terms))
             if node.entry.online_since != entry.online_since:
-                node.room.size = min(LEAST_ROOM, node.room.size)
+                node.room.size, node.answers_in = min(LEAST_ROOM, node.room.size), 0
             node.entry = entry
             self.cells[entry.cell].nodes[entry.node] = node
             self.dirty[self.cells[entry.cell]] = True
@@ -650,10 +647,10 @@
         else:
             self.finish(op, now)
 
-    def reported(self, now, node, result, queue, service, busy):
+    def reported(self, node, result, queue, service):
         """A node's own report of its load: None for what it does not tell, or all when asked in vain."""
         if node in self.nodes:
-            self.nodes[node].reported(self.terms, result, queue, service, busy)
+            self.nodes[node].reported(result, queue, service)
             self.dirty.update(self.waiting)
             self.waiting = {}
 
@@ -662,12 +659,12 @@
         if op is not None and not op.over:
             self.end(op, now)
 
-    def finish(self, op, now):
+    def finish(self, op, now, late=False):
         """The final answer: shed where that is true, else terminated; a late client may stay away."""
         harmless = (op.maybe_at is None and not op.out or op.lane.repeat == say.REPLAYABLE
                     or op.lane.repeat == say.REFERENCED and op.lane.group == "all")
         if harmless:
-            self.out.shed(op.op_id, self.terms.come_back if now >= op.quoted_at else 0)
+            self.out.shed(op.op_id, self.terms.come_back if late or now >= op.quoted_at else 0)
         else:
             self.out.terminate(op.op_id)
         self.end(op, now)
@@ -719,7 +716,8 @@
                 self.sending.copy(op, now)
         if self.terms.load_asked:
             for node in self.nodes.values():
-                if node.doubt and now - node.asked_at >= LOAD_AGE:
+                if (node.doubt and now - node.asked_at >= LOAD_AGE
+                        and node.entry.condition == say.READY):
                     node.doubt, node.asked_at = False, now
                     self.out.probe(node.entry.node)
         self.wake_at = self.wake_at if self.wake_at > now else NEVER
--- a/rushmux/standins/engine.py
+++ b/rushmux/standins/engine.py
@@ -101,9 +101,8 @@
         return self.running + len(self.waiting)
 
     def load(self):
-        """What a node tells of its load: what waits, recent service in tenths of a millisecond, busy cores."""
-        return {"queue": len(self.waiting), "service": self.service * 10_000,
-                "busy": self.running / self.shape.cores}
+        """What a node tells of its load: what waits, and recent service in tenths of a millisecond."""
+        return {"queue": len(self.waiting), "service": self.service * 10_000}
 
     def offer(self, units: float, key: str, writes: bool, time_out: float, done: Callable) -> bool:
         """Takes an execution; `done(late)` is called when its work is over, with whether it was
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -14,7 +14,7 @@
 RESULTS = {"completed": say.SUCCEEDED, "errored": say.ERRORED, "saturated": say.FULL,
            "overdue": say.OVERDUE, "refused_conn": say.UNREACHED, "severed": say.SEVERED,
            "recalled": say.WITHDRAWN, "superseded": say.MOOT}
-LOADS = {"backlog": 1, "recent_ms": 1_000_000 / TICK_NS, "utilization": 1}   # name -> in the module's unit
+LOADS = {"backlog": 1, "recent_ms": 1_000_000 / TICK_NS}   # name -> in the module's unit
 LISTS = {"update": say.CHANGES, "replace": say.WHOLE, "restored": say.RESTORED,
          "unavailable": say.UNAVAILABLE}
 
@@ -174,7 +174,7 @@
         row, places = e.get("Metrics") or (), self.loads[e["Gateway"]]
         values = [row[place] * scale if place is not None and place < len(row) else None
                   for place, scale in zip(places, LOADS.values())]
-        return self.gateways[e["Gateway"]].reported, self.now, e["Node"], RESULTS[e["Verdict"]], *values
+        return self.gateways[e["Gateway"]].reported, e["Node"], RESULTS[e["Verdict"]], *values
 
     def timed_out(self, e):
         return self.gateways[e["Gateway"]].left, self.now, e["Corr"]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,7 +36,7 @@
     def __init__(self):
         self.now, self.gateway, self.done, self.wakes, self.time_outs = 0, None, [], [], {}
         self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
-        self.routes = {}
+        self.routes, self.advice = {}, {}
         self.lane("read")
         self.plan("base")
 
@@ -47,6 +47,7 @@
         self.done.append(f"run {op_id} {node}")
 
     def shed(self, op_id, come_back):
+        self.advice[op_id] = come_back
         self.done.append(f"shed {op_id}")
 
     def terminate(self, op_id):
@@ -66,10 +67,10 @@
         self.done.append(f"probe {node}")
 
     def told(self, node, result, *words):
-        """A node's load, or how asking for it ended: queue, service in ms, busy part of the cores."""
-        row = valued(words, {"queue": -1.0, "service": -1.0, "busy": -1.0})
+        """A node's load, or how asking for it ended: queue, and service in ms."""
+        row = valued(words, {"queue": -1.0, "service": -1.0})
         row["service"] *= MS
-        self.gateway.reported(self.now, node, result,
+        self.gateway.reported(node, result,
                               *(value if value >= 0 else None for value in row.values()))
 
     def terms_(self, *words):
@@ -130,6 +131,9 @@
     def timeout(self, op_id, milliseconds):
         assert self.time_outs[op_id] == int(milliseconds) * MS, f"{op_id}: {self.time_outs[op_id]}"
 
+    def comeback(self, op_id, milliseconds):
+        assert self.advice[op_id] == int(milliseconds) * MS, f"{op_id}: {self.advice[op_id]}"
+
     def play(self, text):
         for number, line in enumerate(text.splitlines(), 1):
             words = line.split("#")[0].split()
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -16,8 +16,9 @@
 def test_a_node_tells_its_load_over_a_connection_that_stands():
     async def story():
         quiet = log.to_list([], "info")
-        node = Node("n", 0, "z", Store(":memory:", 0, 1 << 20, 10.0), Address(HOST, 1), Shape(unit=0.02), 5, False,
-                    quiet, lambda kind, **fields: None)
+        store = Store(":memory:", 0, 1 << 20, 10.0)
+        node = Node("n", 0, "z", store, Address(HOST, 1), Shape(unit=0.02), 5, False, quiet,
+                    lambda kind, **fields: None)
         links = Links(messages.Hello(version=1, peer="e", start="1"), 1.0, 1, random.Random(1), quiet)
         links.listed("n", Address(HOST, await node.open(HOST, 0)))
 
