--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -232,6 +232,7 @@
         self.crowd = CROWD * min(lane.quoted_time for lane in terms.lanes.values())
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
+        self.told = 0                    # service time last reported
         self.answers_in = 0              # ticks that a mean operation takes there, by its report
         self.late = self.doubt = False   # since it was asked: an execution late; a reason to ask again
         self.asked_at = -NEVER
@@ -245,7 +246,7 @@
         late, self.late = self.late, False
         load = 0.0                       # of what a node may take: above one it is crowded
         if service is not None:
-            self.answers_in = service
+            self.answers_in, self.told = min(service, self.told or service), service
             load = service * (1 + (queue or 0) / FIRST_ROOM) / self.crowd
         elif late or result == say.OVERDUE:
             load = STEP
