--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -1,11 +1,16 @@
 """Nodes that tell their load to edges that ask: over real sockets on loopback, and through whole edges."""
 import asyncio
 import random
+from pathlib import Path
+
+from click.testing import CliRunner
 
 from rushmux import interface as say, log
+from rushmux.cli.main import main
 from rushmux.edge.links import Address, Links
 from rushmux.nodewire import messages
 from rushmux.rules import FIRST_ROOM
+from rushmux.settings import deployment
 from rushmux.standins.engine import Shape
 from rushmux.standins.node import Node
 from rushmux.standins.store import Store
@@ -76,3 +81,13 @@
 
 def test_without_the_setting_no_node_is_asked(raw, play):
     assert all(answers_in == 0 for told, _ in busy(raw, play, "none") for answers_in in told)
+
+
+def test_a_bad_day_with_loads_and_a_lane_in_order_keeps_every_rule(tmp_path):
+    to = tmp_path / "new.json"
+    words = ["move", str(Path(deployment.__file__).with_name("example.json")), "--to", str(to),
+             "--meter-ms", "1000", "--in-order", "archivo-nuevo"]
+    assert CliRunner().invoke(main, words).exit_code == 0
+    played = CliRunner().invoke(main, ["demo", "--virtual", "--deployment", str(to)])
+    assert played.exit_code == 0, played.output
+    assert played.output.count("kept\n") == 8
