--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -273,12 +273,16 @@
     if to is None or dry_run:
         click.echo(f"in order; nothing written, {len(left)} to look at")
         return
+    text = json.dumps(new, indent=2, ensure_ascii=False) + "\n"
+    if Path(to).exists() and Path(to).read_bytes() == text.encode():
+        click.echo(f"{to}: is so already, {len(left)} to look at")
+        return
     if Path(to).exists() and not force:
         raise click.ClickException(f"{to} is there already; --force writes over it")
     part = Path(f"{to}.part")
     try:                                 # Danger: a kill half way leaves the old file or the new one whole.
         with part.open("w") as sink:
-            sink.write(json.dumps(new, indent=2, ensure_ascii=False) + "\n")
+            sink.write(text)
             sink.flush()
             os.fsync(sink.fileno())
         part.replace(to)
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -14,7 +14,8 @@
 REPORT_EVERY = 1.0       # seconds between reports of free space to the list source
 AGAIN = 0.3              # seconds until the list source is dialled again
 HOLD_MOST = 10_000       # executions kept by the trouble `stuck`
-TROUBLES = ("silent", "stuck", "slow", "errors", "lost", "resets", "drain", "disk", "neighbour", "unmetered")
+TROUBLES = ("silent", "stuck", "slow", "errors", "lost", "resets", "drain", "disk", "neighbour", "unmetered",
+            "unanswered")
 
 
 class Served:
@@ -248,6 +249,9 @@
                 outcome.fleet_use = 1 + self.use.get(body.volume, 0)
         if "silent" in self.trouble:
             return
+        # The work is done and its answer lost on the way; probes come through.
+        if "unanswered" in self.trouble and self.chance.random() < self.trouble["unanswered"]:
+            return
         if "unmetered" in self.trouble:
             outcome.from_others = outcome.fleet_use = 0
         self.record("outcome", node=self.name, op=body.op, execution=body.execution, code=outcome.code)
--- a/tests/settings/test_moving.py
+++ b/tests/settings/test_moving.py
@@ -64,6 +64,25 @@
     assert done.exit_code == 1 and told in done.output and not to.exists()
 
 
+def test_a_second_run_changes_nothing(tmp_path):
+    one, two = tmp_path / "one.json", tmp_path / "two.json"
+    assert move(FILE, "--to", one).exit_code == 0
+    before = one.stat()
+    again = move(FILE, "--to", one)
+    assert again.exit_code == 0 and "already" in again.output and one.stat() == before
+    assert move(one, "--to", two).exit_code == 0 and two.read_bytes() == one.read_bytes()
+
+
+@pytest.mark.parametrize("text, told", [
+    (None, "cannot be read"), ("{", "line 1"), ('{"version": 9}', "version"), ("[]", "one object")])
+def test_an_old_file_that_is_none(tmp_path, text, told):
+    old, to = tmp_path / "old.json", tmp_path / "new.json"
+    if text is not None:
+        old.write_text(text)
+    done = move(old, "--to", to)
+    assert done.exit_code == 1 and told in done.output and str(old) in done.output and not to.exists()
+
+
 def test_a_file_that_is_there_is_kept(tmp_path):
     to = tmp_path / "new.json"
     to.write_text("mine")
