--- a/rushmux/interface.py
+++ b/rushmux/interface.py
@@ -87,7 +87,7 @@
     budget_span: int
     copies: bool = False         # an operation may have two executions out
     cancel: bool = False         # executions may be withdrawn
-    load_asked: bool = False     # nodes report their load, to who asks
+    load_asked: bool = False     # nodes tell their load, the service time at least, to who asks
     routes: dict[tuple[str, str], Route] = {}   # by lane and plan; left out: NO_ROUTE
 
 
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -78,7 +78,7 @@
         budget_share=rules.get("ExtraRatio"), budget_free=rules.get("ExtraFree", 0),
         budget_span=-(-rules.get("BudgetSpan", 0) // TICK_NS),
         copies=limits.get("SecondCopies", False), cancel=limits.get("Cancel", False),
-        load_asked=bool(limits.get("MayProbe") and any(place is not None for place in loads_of(env))))
+        load_asked=bool(limits.get("MayProbe") and loads_of(env)[-1] is not None))   # the service time is told
 
 
 def loads_of(env):
@@ -172,7 +172,7 @@
 
     def health(self, e):
         row, places = e.get("Metrics") or (), self.loads[e["Gateway"]]
-        values = [row[place] * scale if place is not None and place < len(row) else None
+        values = [float(row[place]) * scale if place is not None and place < len(row) else None
                   for place, scale in zip(places, LOADS.values())]
         return self.gateways[e["Gateway"]].reported, e["Node"], RESULTS[e["Verdict"]], *values
 
