The stand-in for reserves acts only where nodes report: old files stay as they were

A file of the old shape in which no plan has a reserve would have been served otherwise with the new build.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -526,8 +526,8 @@
 
     def __init__(self, terms, seed, now, out):
         # Danger: with no reserve in any plan nothing is ever owed, and surges crowd out the usual traffic.
-        # Then the rate that a volume is sized for stands in.
-        if not any(plan.reserve for plan in terms.plans.values()):
+        # Then the rate that a volume is sized for stands in, where nodes report: elsewhere all stays.
+        if terms.load_asked and not any(plan.reserve for plan in terms.plans.values()):
             most = max(plan.nominal / plan.weight for plan in terms.plans.values())
             terms = terms._replace(plans={name: plan._replace(reserve=most * plan.weight)
                                           for name, plan in terms.plans.items()})
