A node knows its rooms; no room is opened twice; probes go by the links' own tickets

Read again: the room over all nodes was kept for nodes that report and then passed over in Room.back (a special case); choose() opened both rooms anew for each operation where no lane has a smaller part; the driver's probe kept a list and a closure where Links.send has Sent.

--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -272,16 +272,14 @@
         self.came(op_id, execution, say.WITHDRAWN, None)
 
     def probe(self, node):
-        asked = []
-
         def came(result, load):
-            if asked:
-                asked.pop().cancel()
-                forget()
-                self.event(self.tell_load, node, result, load)
+            timer.cancel()
+            if sent is not None:
+                sent.drop()
+            self.event(self.tell_load, node, result, load)
+        sent = self.links.probe(node, came)
         # Danger: a node that hangs never tells; the module takes it for a crowd when the time is over.
-        asked.append(self.loop.call_later(self.deployment.dial, came, say.OVERDUE, None))
-        forget = self.links.probe(node, came)
+        timer = self.loop.call_later(self.deployment.dial, came, say.OVERDUE, None)
 
     def tell_load(self, now, node, result, load):
         values = [getattr(load, name) if load is not None and load.HasField(name) else None
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -62,9 +62,9 @@
         self.drop(corr)
 
     def drop(self, corr):
-        """Forgets an execution that nobody waits for; one that was not sent yet never is."""
-        self.waiting.pop(corr, None)
-        self.out.pop(corr, None)
+        """Forgets an execution or a probe that nobody waits for; one that was not sent yet never is."""
+        for kept in (self.waiting, self.out, self.probes):
+            kept.pop(corr, None)
 
     def probe(self, done):
         """Asks the node for its load over a connection that stands; None: there is none."""
@@ -135,7 +135,7 @@
 
 
 class Sent(NamedTuple):
-    """An execution on its way: `drop` forgets it, `withdraw` tells its node so."""
+    """An execution or a probe on its way: `drop` forgets it, `withdraw` tells its node so."""
     link: Link
     corr: int
 
@@ -177,15 +177,15 @@
         link = min(links, key=lambda link: len(link.out))
         return Sent(link, link.send(execute, done))
 
-    def probe(self, node: str, done: Callable) -> Callable:
-        """Asks a node for its load; `done(result, load)` is called once, later, unless what is returned
-        is called first.  Asked over a connection that stands alone: a load is not worth a dial."""
+    def probe(self, node: str, done: Callable) -> Optional[Sent]:
+        """Asks a node for its load; `done(result, load)` is called once, later, unless it is dropped.
+        Asked over a connection that stands alone: a load is not worth a dial."""
         for link in self.nodes.get(node, ()):
             corr = link.probe(done)
             if corr is not None:
-                return lambda: link.probes.pop(corr, None)
+                return Sent(link, corr)
         asyncio.get_running_loop().call_soon(done, say.UNREACHED, None)
-        return lambda: None
+        return None
 
     async def close(self):
         tasks = [link.task for links in self.nodes.values() for link in links if link.task]
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -191,8 +191,6 @@
         if sent is None or self.whole and result in (say.UNREACHED, say.SEVERED, say.ERRORED):
             return
         asks = node.asks
-        if asks and self.whole:
-            return
         good = result == say.SUCCEEDED
         soft = good or self.whole or result in (say.ERRORED, say.WITHDRAWN)
         pause = op.lane.quoted_time // (1 if self.whole or asks else NODE_PAUSE)
@@ -221,12 +219,14 @@
 class Node:
     """A node as the list shows it and as this gateway's own executions found it."""
 
-    def __init__(self, entry, terms):
+    def __init__(self, entry, gateway):
+        terms = gateway.terms
         self.entry, self.asks = entry, terms.load_asked   # whether its load may be asked for
         self.out = {}                    # (operation, number) -> time sent, oldest first
         # Danger: many gateways' executions meet at a node unseen.  Where nodes report, ten of all begin.
         even = DEPTH_CAP / terms.gateways
         self.room = Room(min(FIRST_ROOM, even) if self.asks else FIRST_ROOM, False)
+        self.rooms = (self.room,) if self.asks else (self.room, gateway.room)   # that let an execution go
         self.most_room = min(FIRST_ROOM, max(SHARED_ROOM, even))
         self.least_room = 1 / terms.gateways
         self.crowd = CROWD * min(lane.quoted_time for lane in terms.lanes.values())
@@ -393,8 +393,8 @@
         return now if op.sends else op.volume.release(op.units, now)
 
     def opens(self, node, factor, now):
-        """When both rooms, so many times as large, let the next go to this node."""
-        return max(node.room.opens(factor, now), self.gateway.room.opens(factor, now))
+        """When its rooms, so many times as large, let the next go to this node."""
+        return max(room.opens(factor, now) for room in node.rooms)
 
     def choose(self, cell, node, now):   # the operation to go next, or None; sets when to look again
         due_opens, opens = self.opens(node, DUE_FACTOR, now), self.opens(node, 1, now)
@@ -424,14 +424,16 @@
                 continue
             # Danger: what can wait is there when a room opens, and what is worth more is not any more.
             part = op.lane.utility / self.most_utility if node.asks else 1
-            due_opens, opens = self.opens(node, DUE_FACTOR * part, now), self.opens(node, part, now)
+            due_at_part, at_part = due_opens, opens
+            if part < 1:
+                due_at_part, at_part = self.opens(node, DUE_FACTOR * part, now), self.opens(node, part, now)
             deadline = max(op.taken_at, volume.deadline(op.units, now))
-            if due_opens > now:
-                cell.try_at = min(cell.try_at, due_opens)
+            if due_at_part > now:
+                cell.try_at = min(cell.try_at, due_at_part)
             elif deadline <= now and deadline < due_at:
                 due, due_at = op, deadline
-            if opens > now:
-                cell.try_at = min(cell.try_at, opens)
+            if at_part > now:
+                cell.try_at = min(cell.try_at, at_part)
             elif volume.sum / volume.plan.weight < lowest:
                 slack, lowest = op, volume.sum / volume.plan.weight
         return due or slack
@@ -472,7 +474,8 @@
         op.volume.charge(op.units)
         op.out[op.sends] = node
         node.out[op, op.sends] = now
-        node.room.out[op, op.sends] = self.gateway.room.out[op, op.sends] = now, node
+        for room in node.rooms:
+            room.out[op, op.sends] = now, node
         op.sends += 1
         node.arrivals.append((now, op.units))
         # Danger: executions lost on the way use up the quoted time.  Also guards against a node that
@@ -515,7 +518,7 @@
         sent = node.out.pop((op, number))
         if result not in NEVER_RAN and result != say.SUCCEEDED and op.maybe_at is None:
             op.maybe_at, op.maybe_node = sent, node
-        for room in (node.room, self.gateway.room):
+        for room in node.rooms:
             room.back(op, number, result, now, self.terms.mean_units)
         if result == say.SUCCEEDED:
             node.arrivals.append((now, -COLD_CREDIT * (self.terms.fall_multiple - 1) * op.units))
@@ -554,7 +557,7 @@
             for node in self.nodes.values():
                 node.entry = node.entry._replace(condition=say.GONE)
         for entry in entries:
-            node = self.nodes.setdefault(entry.node, Node(entry, self.terms))
+            node = self.nodes.setdefault(entry.node, Node(entry, self))
             if node.entry.online_since != entry.online_since:
                 node.room.size, node.answers_in = min(LEAST_ROOM, node.room.size), 0
             node.entry = entry
