One piece writes a file whole, one asks a checker for its breaches, one fixture judges

Behaviour as it was, but that a write that fails leaves no half-written file beside the old one (new test).

--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -2,7 +2,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import sys
 import time
@@ -10,7 +9,7 @@
 
 import click
 
-from rushmux import log
+from rushmux import log, replace
 from rushmux.cli.lab import lab
 from rushmux.cli.planning import fleet
 from rushmux.cli.shared import EXAMPLE, Place, deployed, new_seed
@@ -273,19 +272,14 @@
     if to is None or dry_run:
         click.echo(f"in order; nothing written, {len(left)} to look at")
         return
-    text = json.dumps(new, indent=2, ensure_ascii=False) + "\n"
-    if Path(to).exists() and Path(to).read_bytes() == text.encode():
+    to, data = Path(to), (json.dumps(new, indent=2, ensure_ascii=False) + "\n").encode()
+    if to.exists() and to.read_bytes() == data:
         click.echo(f"{to}: is so already, {len(left)} to look at")
         return
-    if Path(to).exists() and not force:
+    if to.exists() and not force:
         raise click.ClickException(f"{to} is there already; --force writes over it")
-    part = Path(f"{to}.part")
-    try:                                 # Danger: a kill half way leaves the old file or the new one whole.
-        with part.open("w") as sink:
-            sink.write(text)
-            sink.flush()
-            os.fsync(sink.fileno())
-        part.replace(to)
+    try:
+        replace.whole(to, data)
     except OSError as fault:
         raise click.ClickException(f"{to}: cannot be written: {fault.strerror}") from fault
     click.echo(f"{to}: written, {len(left)} to look at")
--- a/rushmux/edge/lastlist.py
+++ b/rushmux/edge/lastlist.py
@@ -3,12 +3,12 @@
 One file, replaced whole: a magic word, a format, a checksum, the calendar time, and the list as the wire
 has it.  What cannot be read is as no list at all, and said so.
 """
-import os
 import struct
 import zlib
 from pathlib import Path
 from typing import Callable, Optional
 
+from rushmux import replace
 from rushmux.nodewire import messages
 
 MAGIC, FORMAT = b"rmll", 1
@@ -37,13 +37,8 @@
                                 entries=self.entries.values()).SerializeToString()
         now = self.calendar()
         head = HEAD.pack(MAGIC, FORMAT, zlib.crc32(struct.pack(">d", now) + body), now)
-        fresh = self.path.with_suffix(".new")
         try:
-            with open(fresh, "wb") as sink:
-                sink.write(head + body)
-                sink.flush()
-                os.fsync(sink.fileno())
-            fresh.replace(self.path)
+            replace.whole(self.path, head + body)
         except OSError as fault:
             self.log.warning("lastlist.unkept", why=str(fault))
 
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -79,6 +79,10 @@
         self.sent = [_sent(row) for row in self.rows["execution"]]
         self.outcomes = {(row["op"], row["execution"], row["node"]): row for row in self.rows["outcome"]}
 
+    def breaches(self) -> list[str]:
+        """What broke any rule."""
+        return [text for verdict in self.verdicts() for text in verdict.breaches]
+
     def verdicts(self) -> list[Verdict]:
         """One for each of RULES, in that order."""
         checks = (self.lost, self.effects, self.drains, self.cold, self.order, self.budgets, self.limits,
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -8,6 +8,7 @@
 from rushmux.settings import deployment
 from rushmux.settings.deployment import build
 from rushmux.standins import fleet
+from rushmux.standins.checker import Checker
 
 EXAMPLE = json.loads((Path(deployment.__file__).with_name("example.json")).read_text())
 
@@ -24,3 +25,13 @@
     def played(story, seed=3, **settings):
         return fleet.play(build(raw), seed, story, **settings)
     return played
+
+
+@pytest.fixture
+def judged(raw, play):
+    """Plays a story and holds its recordings against every rule; the fleet and the result."""
+    def played(story, **settings):
+        fleet, result = play(story, **settings)
+        assert not Checker(fleet.all_records(), build(raw), 0.005).breaches()
+        return fleet, result
+    return played
--- a/tests/settings/test_moving.py
+++ b/tests/settings/test_moving.py
@@ -88,3 +88,15 @@
     to.write_text("mine")
     assert move(FILE, "--to", to).exit_code == 1 and to.read_text() == "mine"
     assert move(FILE, "--to", to, "--force").exit_code == 0 and json.loads(to.read_text())
+
+
+def test_a_write_that_fails_leaves_the_old_file_and_nothing_half_written(tmp_path, monkeypatch):
+    to = tmp_path / "new.json"
+    to.write_text("mine")
+
+    def full(_):
+        raise OSError(28, "No space left on device")
+    monkeypatch.setattr("os.fsync", full)
+    done = move(FILE, "--to", to, "--force")
+    assert done.exit_code == 1 and "No space left" in done.output
+    assert to.read_text() == "mine" and list(tmp_path.iterdir()) == [to]
