--- /dev/null
+++ b/rushmux/block/__main__.py
@@ -0,0 +1,58 @@
+"""Runs one gateway on the platform until SIGTERM.  `NODE_CONFIG` names its configuration."""
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+
+from rushmux.block.config import BadFile, read
+from rushmux.block.front import Front
+from rushmux.block.lines import Lines
+
+SERVE_ON = 0.5           # seconds after SIGTERM in which new connections still come
+LOOK = 0.05              # seconds between two looks whether all is answered
+
+
+async def serve(path) -> int:
+    loop = asyncio.get_running_loop()
+    stop, again = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, again.set)
+    log = Lines(loop.time, os.environ.get("NODE_NAME", "gateway"))
+    try:
+        front = Front(read(path), time.time() - loop.time(), loop, log)
+    except BadFile as fault:
+        log.error("config.refused", file=path, why=fault)
+        return 2
+    await front.open()
+    gc.collect()
+    gc.freeze()                          # what stays for good is not looked through again
+
+    async def reloads():
+        while True:
+            await again.wait()
+            again.clear()
+            try:
+                front.reload(read(path))
+            except BadFile as fault:     # the old one holds
+                log.error("config.refused", file=path, why=fault)
+    task = loop.create_task(reloads())
+    await stop.wait()
+    log.info("stops", open=len(front.taken), clients=len(front.listener.clients))
+    await asyncio.sleep(SERVE_ON)
+    front.close()
+    while not front.done():
+        await asyncio.sleep(LOOK)
+    task.cancel()
+    front.watch_list.close()
+    front.pool.close()
+    log.info("stopped")
+    return 0
+
+
+if __name__ == "__main__":
+    # Danger: a signal before the loop runs would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.exit(asyncio.run(serve(os.environ["NODE_CONFIG"])))
--- /dev/null
+++ b/rushmux/block/figures.py
@@ -0,0 +1,28 @@
+"""What stands beside a value in a node's reply, and what a reply means.  No I/O."""
+import re
+
+from rushmux import interface as say
+
+USE = re.compile(rb"used=([0-9]{1,7})(?:,cost=([0-9]{1,7}(?:\.[0-9]{1,6})?))?")
+NONE = 0, 0.0
+
+
+def use(text) -> tuple[int, float]:
+    """The module's fleet use (one more than on the sockets; 0: none) and units from others."""
+    found = USE.fullmatch(text) if isinstance(text, bytes) else None
+    if found is None:                    # a figure that can't be read is not told
+        return NONE
+    return int(found[1]) + 1, float(found[2] or 0)
+
+
+def outcome(kind, value):
+    """Result, value, fleet use and units from others, of one whole reply."""
+    if kind == "*" and value and len(value) == 3 and isinstance(value[0], bytes):
+        return say.SUCCEEDED, value[0], *use(value[1])
+    if kind == "-" and (value == b"BUSY" or value.startswith(b"BUSY ")):
+        return say.FULL, None, *NONE
+    if kind == "-" and value.startswith(b"ERR failed"):
+        for word in value.split(b" ")[2:]:
+            if word.startswith(b"used="):
+                return say.ERRORED, None, *use(word)
+    return say.ERRORED, None, *NONE      # spoilt: it may have run
--- /dev/null
+++ b/rushmux/block/listener.py
@@ -0,0 +1,223 @@
+"""Clients' connections: bytes to checked commands, and answers in the order of a connection's commands."""
+import asyncio
+import socket
+from collections import deque
+
+from rushmux.block import commands
+from rushmux.resp import Commands, Malformed, error
+
+BACKLOG = 1024           # connections that the system holds until they are accepted: hundreds come at once
+ACCEPTS = 16             # connections taken in one turn of the loop: a flood must not starve it
+MOST_OWED = 64           # commands of one connection that are not answered; beyond it is not read
+UNREAD = 1 << 19         # bytes of answers that a client has not read; beyond it is not served
+SILENT = 1.6             # seconds until a connection that sent no whole command is closed: 3 are allowed
+UNREAD_TIME = 3.0        # seconds that answers may lie unread: the longest that an operation lives
+IDLE = 30.0              # seconds after which a connection with nothing open is closed
+FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform allows
+LINGER = 0.25            # seconds for an error to be read before its connection ends
+SWEEP = 0.2              # seconds between two looks at who is silent, idle or does not read
+MOST_FAULTS = 3          # refused commands of one connection until it is closed
+PONG, OK = b"+PONG\r\n", b"+OK\r\n"
+
+
+class Slot:
+    """The place of one command's answer."""
+    __slots__ = ("client", "reply", "op_id")
+
+    def __init__(self, client, reply=None):
+        self.client, self.reply, self.op_id = client, reply, None
+
+    def answer(self, reply):
+        self.reply = reply
+        self.client.flush()
+
+
+class Client(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, listener):
+        self.listener, self.transport, self.reader = listener, None, Commands()
+        self.owed = deque()              # slots not answered yet, in the order of commands
+        self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
+        self.spoke = self.over = self.halted = self.choked = False
+        self.choked_at, self.faults = 0.0, 0
+
+    def connection_made(self, transport):
+        self.transport = transport
+        transport.set_write_buffer_limits(high=UNREAD)
+        self.listener.joined(self)
+
+    def data_received(self, data):
+        if not self.over:
+            self.reader.feed(data)
+            self.work()
+
+    def work(self):
+        """Takes the commands that came, as many as may be owed at a time."""
+        wrong = None
+        try:
+            while len(self.owed) < MOST_OWED and not self.over:
+                words = self.reader.next()
+                if words is None:
+                    break
+                self.spoke = True
+                self.owed.append(self.listener.handle(words, self))
+        except Malformed as fault:
+            wrong = str(fault)
+        self.since = self.listener.loop.time()
+        if wrong is not None:
+            self.owed.append(Slot(self, error(f"ERR Protocol error: {wrong}")))
+            self.finish()
+        elif self.faults >= MOST_FAULTS:
+            self.finish()
+        self.halt()
+        self.flush()
+
+    def finish(self):
+        """Nothing more is read; it ends when what is owed was given."""
+        self.over = True
+
+    def halt(self):
+        """Reads on, or stops reading: danger, commands at full speed grow what is kept."""
+        stop = self.over or self.choked or len(self.owed) >= MOST_OWED
+        if stop != self.halted and not self.transport.is_closing():
+            self.halted = stop
+            (self.transport.pause_reading if stop else self.transport.resume_reading)()
+
+    def flush(self):
+        parts = []
+        while self.owed and self.owed[0].reply is not None:
+            parts.append(self.owed.popleft().reply)
+        if self.transport.is_closing():
+            return
+        if parts:
+            self.transport.write(b"".join(parts))
+            self.since = self.listener.loop.time()
+        if self.over:
+            if not self.owed:
+                self.part()
+        elif self.listener.closing and not self.owed:
+            self.transport.close()
+        elif self.halted and not self.choked and len(self.owed) <= MOST_OWED // 2:
+            self.halt()
+            self.listener.loop.call_soon(self.more)
+
+    def more(self):
+        if not self.over and not self.transport.is_closing():
+            self.work()
+
+    def part(self):
+        """Danger: closed with bytes unread, the connection is reset and the error line lost with it."""
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.listener.loop.call_later(LINGER, self.transport.abort)
+
+    def pause_writing(self):
+        self.choked, self.choked_at = True, self.listener.loop.time()
+        self.halt()
+
+    def resume_writing(self):
+        self.choked = False
+        self.halt()
+        self.listener.loop.call_soon(self.more)
+
+    def eof_received(self):
+        return bool(self.owed) and not self.over   # half-closed: what is owed is still given
+
+    def connection_lost(self, fault):
+        self.over = True
+        owed, self.owed = self.owed, deque()
+        for slot in owed:
+            if slot.op_id is not None and slot.reply is None:
+                self.listener.left(slot.op_id)
+        self.listener.parted(self)
+
+    def idle(self):
+        return not self.owed and not self.reader.partial() and not self.over
+
+    def look(self, now):
+        """What the sweep finds wrong with it."""
+        if self.transport.is_closing() or self.over:
+            return
+        if self.choked and now - self.choked_at > UNREAD_TIME:
+            self.transport.abort()
+        elif not self.owed and (not self.spoke or self.reader.partial()) and now - (
+                self.since if self.spoke else self.made_at) > SILENT:
+            self.owed.append(Slot(self, error("ERR no whole command came in time")))
+            self.finish()
+            self.flush()
+        elif self.idle() and now - self.since > IDLE:
+            self.transport.close()
+
+
+class Listener:
+    """All clients' connections, `most` at a time.  `take(command, slot)` has an operation done, and
+    `left(op_id)` is told of one whose client went away."""
+
+    def __init__(self, loop, start, most, take, left, log):
+        self.loop, self.start, self.most, self.take, self.left, self.log = loop, start, most, take, left, log
+        self.clients, self.closing, self.server = {}, False, None
+        self.turned_away = self.bad = 0
+
+    async def open(self, host, port):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((host, port))
+        self.server = await self.loop.create_server(lambda: Client(self), sock=sock, backlog=ACCEPTS)
+        # The loop takes as many connections in a turn as its backlog says; the system may hold more.
+        sock.listen(BACKLOG)
+        self.loop.call_later(SWEEP, self.sweep)
+
+    def joined(self, client):
+        self.clients[client] = True
+        if len(self.clients) > self.most:
+            self.shorten()
+
+    def parted(self, client):
+        self.clients.pop(client, None)
+
+    def shorten(self):
+        """Sockets are short: who never spoke goes first, then who is idle for longest, then the last."""
+        now = self.loop.time()
+        last = next(reversed(self.clients))
+        silent = next((one for one in self.clients
+                       if not one.spoke and one is not last and not one.transport.is_closing()), None)
+        idle = min((one for one in self.clients
+                    if one.spoke and one.idle() and now - one.since > FULL_IDLE
+                    and not one.transport.is_closing()), key=lambda one: one.since, default=None)
+        self.turned_away += 1
+        self.clients.pop(silent or idle or last).transport.abort()
+
+    def sweep(self):
+        now = self.loop.time()
+        for client in list(self.clients):
+            client.look(now)
+        self.loop.call_later(SWEEP, self.sweep)
+
+    def handle(self, words, client) -> Slot:
+        """The place of one command's answer, which may be there at once."""
+        name = words[0].upper()
+        if name in (commands.READ, commands.WRITE):
+            slot = Slot(client)
+            try:
+                self.take(commands.check(words, self.start), slot)
+            except commands.Refused as fault:
+                self.bad += 1
+                client.faults += 1
+                slot.reply = error(f"ERR {fault}")
+            return slot
+        if name == b"PING":
+            return Slot(client, PONG)
+        if name in (b"CLIENT", b"SELECT"):
+            return Slot(client, OK)
+        client.faults += name != b"HELLO"
+        return Slot(client, error("ERR unknown command"))
+
+    def close(self):
+        """Takes no more connections; each one ends as it falls idle."""
+        self.closing = True
+        self.server.close()
+        for client in list(self.clients):
+            if not client.owed and not client.transport.is_closing():
+                client.transport.close()
--- /dev/null
+++ b/rushmux/block/members.py
@@ -0,0 +1,32 @@
+"""Rows of discovery's list, as values.  No I/O."""
+from typing import NamedTuple
+
+from rushmux import interface as say
+
+STATES = {"up": say.READY, "draining": say.DRAINING, "removed": say.GONE}
+
+
+class Member(NamedTuple):
+    """A storage node as discovery tells it."""
+    node: str
+    host: str
+    port: int
+    zone: str
+    cell: int
+    condition: str
+    started: float           # Unix time in seconds; 0: long ago
+
+
+def member(row: dict) -> Member:
+    """One row; KeyError, TypeError or ValueError where it makes no sense."""
+    host, _, port = row["addr"].rpartition(":")
+    state, node = row["state"], row["id"]
+    if state not in STATES or not isinstance(node, str) or not node:
+        raise ValueError(f"a row with id {node!r} in state {state!r}")
+    return Member(node, host, int(port), str(row.get("zone", "")), int(row["cell"]), STATES[state],
+                  float(row.get("started_ms", 0)) / 1000)
+
+
+def listing(body: dict) -> tuple[int, bool, list[Member]]:
+    """Version, whether it is whole, and the rows of an answer."""
+    return int(body["version"]), bool(body["full"]), [member(row) for row in body["servers"]]
--- /dev/null
+++ b/rushmux/block/pool.py
@@ -0,0 +1,219 @@
+"""Connections to storage nodes, one execution out on each.
+
+What is given up closes its own connection and nothing else.  Nothing is ever sent a second time here.
+"""
+import asyncio
+from collections import deque
+
+from rushmux import interface as say
+from rushmux.block import figures
+from rushmux.resp import Malformed, Replies, command
+
+MOST_WAITING = 64        # executions that wait for connections to one node: six times the design's bound
+REST = 0.02              # seconds after an answer until a connection is used again: a surplus comes before
+IDLE_PART = 0.6          # of the time after which a node closes an idle connection
+SWEEP = 1.0              # seconds between two looks for connections idle for too long
+
+
+class Execution:
+    """One execution on its way; `drop` is told when nobody waits for it any more."""
+    __slots__ = ("node", "words", "until", "done", "link")
+
+    def __init__(self, node, words, until, done):
+        self.node, self.words, self.until, self.done, self.link = node, words, until, done, None
+
+    def drop(self):
+        """Gives it up: one that was not sent never is, else its connection ends and the node stops."""
+        self.done = None
+        if self.link is not None:
+            self.link.end()
+        elif self in self.node.waiting:
+            self.node.waiting.remove(self)
+
+    withdraw = drop
+
+    def back(self, result, value=None, fleet_use=0, from_others=0.0):
+        done, self.done, self.link = self.done, None, None
+        if done is not None:
+            done(result, value, fleet_use, from_others)
+
+
+class Link(asyncio.Protocol):
+    """A connection to a node."""
+
+    def __init__(self, node):
+        self.node, self.replies, self.out, self.transport = node, Replies(), None, None
+        self.free_at = 0.0               # when it was last answered on
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.node.made(self)
+
+    def carry(self, execution):
+        """Sends it.  The time told to the node is what is left of the time it is waited for."""
+        self.out, execution.link = execution, self
+        left = execution.until - self.node.pool.loop.time()
+        self.transport.write(command(execution.words(max(1, -int(-left * 1000 // 1)))))
+
+    def data_received(self, data):
+        if self.out is None:
+            # Danger: what comes where nothing is owed would be taken for the next request's answer.
+            self.node.pool.surplus += 1
+            return self.end()
+        self.replies.feed(data)
+        try:
+            reply = self.replies.next()
+        except Malformed:
+            return self.answered((say.ERRORED,), False)
+        if reply is not None:
+            self.answered(figures.outcome(*reply), reply[0] in "*-" and not self.replies.held())
+
+    def answered(self, outcome, sound):
+        execution, self.out = self.out, None
+        if sound and outcome[0] in (say.SUCCEEDED, say.FULL, say.ERRORED) and self.node.address is not None:
+            self.free_at = self.node.pool.loop.time()
+            self.node.idle.append(self)
+        else:
+            self.end()
+        execution.back(*outcome)
+
+    def end(self):
+        """Breaks the connection off; what is out on it is told by who ends it."""
+        self.node.forget(self)
+        if self.out is not None:
+            self.out.link, self.out = None, None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, fault):
+        self.node.forget(self)
+        execution, self.out = self.out, None
+        if execution is not None:
+            # What had not left this process whole can't have run.
+            whole = not self.transport.get_write_buffer_size()
+            self.node.stale()
+            execution.back(say.SEVERED if whole else say.UNREACHED)
+
+
+class Node:
+    """A storage node's connections, and the executions that wait for one."""
+
+    def __init__(self, pool, name):
+        self.pool, self.name, self.address, self.started = pool, name, None, None
+        self.links, self.idle, self.waiting = {}, deque(), deque()   # idle: longest rested first
+        self.dials = {}
+
+    def send(self, execution):
+        now = self.pool.loop.time()
+        if self.idle and now - self.idle[0].free_at >= REST and not self.idle[0].transport.is_closing():
+            self.idle.popleft().carry(execution)
+        elif len(self.waiting) >= MOST_WAITING or not self.pool.room():
+            self.pool.loop.call_soon(execution.back, say.FULL)
+        else:
+            self.waiting.append(execution)
+            task = self.pool.loop.create_task(self.dial(self.address))
+            self.dials[task] = True
+            task.add_done_callback(self.dials.pop)
+
+    async def dial(self, address):
+        try:
+            async with asyncio.timeout(self.pool.dial):
+                await self.pool.loop.create_connection(lambda: Link(self), *address)
+        except (OSError, TimeoutError):
+            # Waiting in vain for a connection: as many executions as connections that did not come up.
+            if self.waiting:
+                self.waiting.popleft().back(say.UNREACHED)
+
+    def made(self, link):
+        if self.address is None:
+            return link.end()
+        self.links[link] = True
+        if self.waiting:
+            link.carry(self.waiting.popleft())
+        else:
+            link.free_at = 0.0
+            self.idle.appendleft(link)
+
+    def forget(self, link):
+        self.links.pop(link, None)
+        if link in self.idle:
+            self.idle.remove(link)
+
+    def stale(self):
+        """A connection broke under an execution: the idle ones of before are not trusted."""
+        for link in list(self.idle):
+            link.end()
+
+    def listed(self, member):
+        """Takes in a row; None: the node is gone."""
+        gone = member is None or member.condition == say.GONE
+        address = None if gone else (member.host, member.port)
+        started = None if gone else member.started
+        if address != self.address or started != self.started:
+            self.stale()
+        self.address, self.started = address, started
+        if gone or member.condition != say.READY:
+            # Danger: what waits for a connection would be sent past the grace of a drain.
+            while self.waiting:
+                self.pool.loop.call_soon(self.waiting.popleft().back, say.UNREACHED)
+
+    def sweep(self, now):
+        while self.idle and now - self.idle[0].free_at > self.pool.idle:
+            self.idle[0].end()
+
+
+class Pool:
+    """All connections to nodes; `most` at a time, `dial` and `idle` in seconds."""
+
+    def __init__(self, loop, most, dial, idle):
+        self.loop, self.most, self.dial, self.idle = loop, most, dial, idle * IDLE_PART
+        self.nodes, self.surplus = {}, 0
+        self.timer = loop.call_later(SWEEP, self.sweep)
+
+    def count(self):
+        return sum(len(node.links) + len(node.dials) for node in self.nodes.values())
+
+    def room(self):
+        """Whether one more connection may be opened; the longest idle of any node makes place."""
+        if self.count() < self.most:
+            return True
+        idle = [node.idle[0] for node in self.nodes.values() if node.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda link: link.free_at).end()
+        return True
+
+    def listed(self, whole, members):
+        named = {row.node: row for row in members}
+        for name in [name for name in self.nodes if whole and name not in named]:
+            self.nodes[name].listed(None)
+        for name, row in named.items():
+            if name in self.nodes or row.condition != say.GONE:
+                self.nodes.setdefault(name, Node(self, name)).listed(row)
+
+    def send(self, name, words, until, done):
+        """Sends `words(milliseconds)` to a node; `done(result, value, fleet_use, from_others)` is called
+        once, later, unless it is dropped.  `until`: the loop's time to which it is waited for."""
+        node = self.nodes.get(name)
+        if node is None or node.address is None:
+            self.loop.call_soon(done, say.UNREACHED, None, 0, 0.0)
+            return None
+        execution = Execution(node, words, until, done)
+        node.send(execution)
+        return execution
+
+    def sweep(self):
+        now = self.loop.time()
+        self.timer = self.loop.call_later(SWEEP, self.sweep)
+        for name, node in list(self.nodes.items()):
+            node.sweep(now)
+            if node.address is None and not (node.links or node.dials or node.waiting):
+                del self.nodes[name]
+
+    def close(self):
+        self.timer.cancel()
+        for node in self.nodes.values():
+            for link in list(node.links):
+                link.end()
+            for task in list(node.dials):
+                task.cancel()
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -1,19 +1,18 @@
-"""Drives the decision module: tells it what happens and carries out what it decides.
+"""The core on the nodes' wire: an edge's operations, its links and what the source of the list tells.
 
-It decides nothing.  Events are collected while the loop turns, and each round is closed by
-`act`.  Ticks are whole tenths of a millisecond of the loop's clock.
+It decides nothing.  Ticks are whole tenths of a millisecond of the loop's clock.
 """
 import asyncio
 from functools import partial
 from typing import Callable, NamedTuple
 
 from rushmux import interface as say
+from rushmux.driver import SECOND, SHED, Core
 from rushmux.edge.links import Address, Links
 from rushmux.nodewire import messages
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import Deployment
 
-SECOND = 10_000          # ticks in a second
 MOST_TAKEN = 20_000      # operations held at a time; beyond it they are shed at the door
 MOST_STARTS = 4          # starts of a node kept, against late words of an older one
 NONSENSE = 1e9           # of any figure of a load: beyond a day of service time
@@ -49,66 +48,27 @@
     elsewhere: tuple[int, ...] = ()
 
 
-class Taken:
-    """An operation between being taken and its last execution's return."""
-    __slots__ = ("work", "future", "sent", "flying", "backstop", "cells")
-
-    def __init__(self, work, future):
-        self.work, self.future, self.sent, self.flying, self.backstop = work, future, 0, {}, None
-        self.cells = {}                  # where an execution went that may have run
-
-
-class Driver:
+class Driver(Core):
     """The module and what it acts upon, for one start of an edge."""
 
     def __init__(self, name: str, start: str, deployment: Deployment, links: Links, seed: int, log,
                  chance, decisions=Gateway):
-        self.name, self.start, self.deployment, self.links, self.log = name, start, deployment, links, log
-        self.chance = chance
-        self.loop = asyncio.get_running_loop()
-        self.taken, self.count, self.inbox, self.scheduled = {}, 0, [], False
-        self.names = 0
+        super().__init__(deployment.terms, seed, log, decisions)
+        self.name, self.start, self.deployment, self.links = name, start, deployment, links
+        self.chance, self.count, self.names = chance, 0, 0
         self.cells, self.node_cell, self.online = 0, {}, {}
         self.entries = {}                # node -> as the module was last told of it
         links.met = self.greeted
         self.taking = lambda folder, units: None   # hears of each operation
         self.left_over = lambda folder, cell, name: None   # hears of objects that no name will point at
         self.disk = {}                   # node -> (total, free) bytes
-        self.timer = None
-        self.gateway = decisions(deployment.terms, seed, self.now(), self)
-
-    def now(self) -> int:
-        return int(self.loop.time() * SECOND)
+        self.went = {}                   # operation -> cells where an execution went that may have run
 
     def unique(self) -> str:
         """A name never used before, by this start or another."""
         self.names += 1
         return f"{self.name}.{self.start}.{self.names}"
 
-    # What happens: each is put down for the round, since the module must not be called from within.
-
-    def event(self, call, *values):
-        self.inbox.append((call, values))
-        if not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self.round)
-
-    def round(self):
-        self.scheduled, now = False, self.now()
-        inbox, self.inbox = self.inbox, []
-        for call, values in inbox:
-            call(now, *values)
-        self.guarded(None, self.gateway.act, now)
-
-    def guarded(self, op_id, call, *values):
-        """A fault of the module is logged and costs one operation, not the edge."""
-        try:
-            call(*values)
-        except Exception:   # pylint: disable=broad-except
-            self.log.exception("module.fault", op=op_id)
-            if op_id is not None:
-                self.terminate(op_id)
-
     def routed(self, deployment: Deployment):
         """Takes over a new file's routes; what was taken before keeps its own."""
         self.deployment = deployment
@@ -152,7 +112,7 @@
         self.log.info("list.told", version=listing.version, whole=listing.whole,
                       nodes=[[entry.node, entry.condition] for entry in entries])
         kind = say.WHOLE if listing.whole else say.CHANGES
-        self.event(lambda now: self.guarded(None, self.gateway.listed, now, kind, entries))
+        self.listed(kind, entries)
         return True
 
     def online_since(self, now, node, start, age):
@@ -177,7 +137,7 @@
         if since != entry.online_since:
             self.entries[node] = entry = entry._replace(online_since=since)
             self.log.info("node.restarted", node=node, start=start)
-            self.event(lambda now: self.guarded(None, self.gateway.listed, now, say.CHANGES, [entry]))
+            self.listed(say.CHANGES, [entry])
 
     async def run(self, work: Work, left: float, tag: str) -> Answer:
         """Has one operation done within `left` seconds; raises Shed or Terminated."""
@@ -185,91 +145,45 @@
             raise Shed()
         self.count += 1
         op_id = f"{self.name}.{self.start}.{self.count}/{tag}"
-        taken = self.taken[op_id] = Taken(work, self.loop.create_future())
+        future = self.loop.create_future()
+        self.went[op_id] = {}
         self.taking(work.folder, work.units)
-        terms = self.deployment.terms
-        hard_stop = (terms.lanes[work.lane].hard_stop + terms.tick) / SECOND
-        taken.backstop = self.loop.call_later(min(hard_stop, left), self.overrun, op_id)
-        self.event(self.tell_taken, op_id, work, self.loop.time() + left)
+        self.take(op_id, work, self.loop.time() + left, partial(self.answered, future), work.lane,
+                  self.deployment.folders[work.folder].plan, work.folder, work.key, work.units, work.cell,
+                  self.deployment.mounts(work.folder))
         try:
-            return await taken.future
+            return await future
         except asyncio.CancelledError:
-            self.event(self.tell_left, op_id)
+            self.leave(op_id)
             raise
+        finally:
+            del self.went[op_id]
 
-    def tell_taken(self, now, op_id, work, ends):
-        if op_id not in self.taken:      # its client left before the round began
+    def answered(self, future, result, answer, come_back):
+        if future.done():
             return
-        # Danger: a late round has used up a part of the client's time already.
-        ticks = max(0, min(self.deployment.terms.lanes[work.lane].hard_stop, int(ends * SECOND) - now))
-        plan = self.deployment.folders[work.folder].plan
-        self.guarded(op_id, self.gateway.taken, now, op_id, work.lane, plan, work.folder, work.key,
-                     ticks, work.units, work.cell, self.deployment.mounts(work.folder), False)
+        if result == say.SUCCEEDED:
+            future.set_result(answer)
+        else:
+            future.set_exception(Shed(come_back / SECOND) if result == SHED else Terminated())
 
-    def tell_left(self, now, op_id):
-        if op_id in self.taken:
-            self.guarded(op_id, self.gateway.left, now, op_id)
-            self.over(op_id)
-
-    def overrun(self, op_id):
-        """The module's answer did not come before the hard stop: it gets one all the same."""
-        if not self.taken[op_id].future.done():
-            self.log.error("module.overrun", op=op_id)
-            self.terminate(op_id)
-            self.event(self.tell_left, op_id)
-
-    def came(self, op_id, number, result, outcome):
-        self.event(self.tell_answered, op_id, number, result, outcome)
-
-    def tell_answered(self, now, op_id, number, result, outcome):
-        taken = self.taken.get(op_id)
-        if taken is None or number not in taken.flying:
-            return                       # it had come back before, as overdue
-        node, timer, sent = taken.flying.pop(number)
-        if timer is not None:
-            timer.cancel()
-        if sent is not None:
-            sent.drop()
-        if result == say.SUCCEEDED and not taken.future.done():
-            cell = self.node_cell[node]
-            taken.future.set_result(Answer(outcome, cell, tuple(c for c in taken.cells if c != cell)))
-        ended = taken.future.done()
-        use, others = (outcome.fleet_use, outcome.from_others) if outcome is not None else (0, 0.0)
-        self.log.debug("execution.back", op=op_id, execution=number, node=node, result=result)
-        self.guarded(op_id, self.gateway.answered, now, op_id, number, result, ended, use, others)
-        self.over(op_id)
-
-    def over(self, op_id):
-        taken = self.taken.get(op_id)
-        if taken is not None and taken.future.done() and not taken.flying:
-            taken.backstop.cancel()
-            del self.taken[op_id]
+    def value(self, op_id, node, outcome):
+        cell = self.node_cell[node]
+        return Answer(outcome, cell, tuple(other for other in self.went.get(op_id, ()) if other != cell))
 
     # What the module decides (`rushmux.interface.Outbox`).
 
-    def execute(self, op_id, node, time_out):
-        taken = self.taken[op_id]
-        number, taken.sent = taken.sent, taken.sent + 1
-        # Danger: nothing may be sent for an operation that was answered, whatever the module says.
-        if taken.future.done():
-            taken.flying[number] = node, None, None
-            self.loop.call_soon(self.came, op_id, number, say.MOOT, None)
-            return
+    def carry(self, op_id, number, node, taken, time_out):
         work = taken.work
         message = messages.Execute(op=op_id, execution=number, volume=work.folder, lane=work.lane,
                                    key=work.key, units=work.units, time_out=time_out)
         work.fill(message)
-        taken.cells[self.node_cell[node]] = True
-        sent = self.links.send(node, message, partial(self.came, op_id, number))
-        timer = self.loop.call_later(time_out / SECOND, self.came, op_id, number, say.OVERDUE, None)
-        taken.flying[number] = node, timer, sent
+        self.went[op_id][self.node_cell[node]] = True
+        return self.links.send(node, message, partial(self.back, op_id, number))
 
-    def withdraw(self, op_id, execution):
-        _, _, sent = self.taken[op_id].flying[execution]
-        if sent is not None:
-            sent.withdraw()
-        # Danger: the module must not be called from within; its answer comes with the next round.
-        self.came(op_id, execution, say.WITHDRAWN, None)
+    def back(self, op_id, number, result, outcome):
+        use, others = (outcome.fleet_use, outcome.from_others) if outcome is not None else (0, 0.0)
+        self.came(op_id, number, result, outcome, use, others)
 
     def probe(self, node):
         def came(result, load):
@@ -287,26 +201,3 @@
         # Danger: a node that tells nonsense moves a room for it.  What is no sound figure counts as not told.
         values = [value if value is not None and 0 <= value < NONSENSE else None for value in values]
         self.guarded(None, self.gateway.reported, node, result, *values)
-
-    def shed(self, op_id, come_back):
-        self.end(op_id, Shed(come_back / SECOND))
-
-    def terminate(self, op_id):
-        self.end(op_id, Terminated())
-
-    def end(self, op_id, fault):
-        taken = self.taken.get(op_id)
-        if taken is not None and not taken.future.done():
-            taken.future.set_exception(fault)
-            self.over(op_id)
-
-    def wake(self, after):
-        if self.timer is not None:
-            self.timer.cancel()          # the module asks anew only for an earlier time
-        self.timer = self.loop.call_later(after / SECOND, self.event, self.woken)
-
-    def woken(self, now):
-        """A wake has no words: `act` closes the round."""
-
-    def watch(self):
-        """Changes of the list come by themselves here."""
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -7,14 +7,11 @@
 
 from rushmux import interface as say
 from rushmux.rules import Gateway
+from rushmux.settings.platform import LOADS, TICK_NS, loads_of, terms_of
 
-TICK_NS = 100_000   # nanoseconds in a tenth of a millisecond, the module's unit of time
-
-REPEATS = {"safe": say.REPLAYABLE, "keyed": say.REFERENCED, "unsafe": say.SINGLE_USE}
 RESULTS = {"completed": say.SUCCEEDED, "errored": say.ERRORED, "saturated": say.FULL,
            "overdue": say.OVERDUE, "refused_conn": say.UNREACHED, "severed": say.SEVERED,
            "recalled": say.WITHDRAWN, "superseded": say.MOOT}
-LOADS = {"backlog": 1, "recent_ms": 1_000_000 / TICK_NS}   # name -> in the module's unit
 LISTS = {"update": say.CHANGES, "replace": say.WHOLE, "restored": say.RESTORED,
          "unavailable": say.UNAVAILABLE}
 
@@ -55,39 +52,6 @@
         self.put("Probe", Node=node)
 
 
-def terms_of(env):
-    """The settings of the first message, as the module reads them."""
-    rules, limits, extra = env["Rules"], env["Limits"], env["Extra"]
-    lanes = {row["Name"]: say.Lane(
-        row["Name"], row["Aim"] // TICK_NS, row["Deadline"] // TICK_NS, row["Worth"],
-        REPEATS[row["Idempotency"]], row.get("Group", "all"), row.get("Window", 0) // TICK_NS,
-        row.get("ByArrival", False)) for row in env["Classes"]}
-    plans = {row["Name"]: say.Plan(
-        row["Name"], row["Nominal"], row["FloorRate"], row["NeverOver"], row["CapDepth"],
-        row["Tolerance"], row["Parts"], row["WorthFactor"]) for row in env["Grades"]}
-    return say.Terms(
-        lanes=lanes, plans=plans, gateways=env["ReplicasOfMe"], tick=-(-env["Period"] // TICK_NS),
-        list_asked=env["Discovery"] == "ask", ask_within=rules["AskWithin"] // TICK_NS,
-        executions=limits["MaxAttempts"],
-        come_back=limits["MaxRetryAfter"] // TICK_NS if limits["RetryAfter"] else 0,
-        mean_units=extra["UnitMean"], most_units=extra["MostUnits"],
-        cold_units=extra["ColdUnits"], cold_span=-(-rules["OverloadFor"] // TICK_NS),
-        fall_multiple=rules["FallMultiple"],
-        cold_start=rules["StartCapacity"], warm_within=-(-rules["WarmWithin"] // TICK_NS),
-        meter_span=extra["UsePeriod"] // TICK_NS, order_rest=-(-rules.get("OrderSettle", 0) // TICK_NS),
-        budget_share=rules.get("ExtraRatio"), budget_free=rules.get("ExtraFree", 0),
-        budget_span=-(-rules.get("BudgetSpan", 0) // TICK_NS),
-        copies=limits.get("SecondCopies", False), cancel=limits.get("Cancel", False),
-        load_asked=bool(limits.get("MayProbe") and loads_of(env)[-1] is not None))   # the service time is told
-
-
-def loads_of(env):
-    """Where the values of a load report stand in its row; None for those it lacks."""
-    report = env.get("Report", {})
-    columns = report.get("Columns", []) if report.get("How") in ("answers", "probe") else []
-    return [columns.index(name) if name in columns else None for name in LOADS]
-
-
 class Host:
     """All instances of one process; they share nothing but the lists that events refer to."""
 
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -239,7 +239,7 @@
         held = len(driver.taken)
         await one.close()
         await fleet.sleep(0.1)
-        ended = sum(taken.future.done() for taken in driver.taken.values())
+        ended = sum(taken.ended for taken in driver.taken.values())
         await fleet.sleep(4)
         return held, ended, len(driver.taken)
     _, (held, ended, left) = judged(story)
