The listener ends the connection it chose, and makes room before its places are full

Checked: the log's first fault, AttributeError in Listener.shorten, line 190: dict.pop gave the value True, so nothing was ever closed when places were short. Ruled out: dials and idle node connections (count stays under its part). Also: idle connections go after 2 s once half of the places are taken; a half-closed client is parted from when its last answer went.

--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -15,6 +15,7 @@
 IDLE = 30.0              # seconds after which a connection with nothing open is closed
 FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform allows
 LINGER = 0.25            # seconds for an error to be read before its connection ends
+SHORT = 0.5              # of the places for clients: sockets are short above it
 SWEEP = 0.2              # seconds between two looks at who is silent, idle or does not read
 MOST_FAULTS = 3          # refused commands of one connection until it is closed
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
@@ -39,7 +40,7 @@
         self.listener, self.transport, self.reader = listener, None, Commands()
         self.owed = deque()              # slots not answered yet, in the order of commands
         self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
-        self.spoke = self.over = self.halted = self.choked = False
+        self.spoke = self.over = self.halted = self.choked = self.ended = False
         self.choked_at, self.faults = 0.0, 0
 
     def connection_made(self, transport):
@@ -96,7 +97,7 @@
         if self.over:
             if not self.owed:
                 self.part()
-        elif self.listener.closing and not self.owed:
+        elif (self.listener.closing or self.ended) and not self.owed:
             self.transport.close()
         elif self.halted and not self.choked and len(self.owed) <= MOST_OWED // 2:
             self.halt()
@@ -122,7 +123,8 @@
         self.listener.loop.call_soon(self.more)
 
     def eof_received(self):
-        return bool(self.owed) and not self.over   # half-closed: what is owed is still given
+        self.ended = True                # half-closed: what is owed is still given
+        return bool(self.owed)
 
     def connection_lost(self, fault):
         self.over = True
@@ -135,8 +137,8 @@
     def idle(self):
         return not self.owed and not self.reader.partial() and not self.over
 
-    def look(self, now):
-        """What the sweep finds wrong with it."""
+    def look(self, now, rest):
+        """What the sweep finds wrong with it; `rest`: the seconds that it may be idle."""
         if self.transport.is_closing() or self.over:
             return
         if self.choked and now - self.choked_at > UNREAD_TIME:
@@ -146,7 +148,7 @@
             self.owed.append(Slot(self, error("ERR no whole command came in time")))
             self.finish()
             self.flush()
-        elif self.idle() and now - self.since > IDLE:
+        elif self.idle() and now - self.since > rest:
             self.transport.close()
 
 
@@ -187,12 +189,16 @@
                     if one.spoke and one.idle() and now - one.since > FULL_IDLE
                     and not one.transport.is_closing()), key=lambda one: one.since, default=None)
         self.turned_away += 1
-        self.clients.pop(silent or idle or last).transport.abort()
+        one = silent or idle or last
+        del self.clients[one]
+        one.transport.abort()
 
     def sweep(self):
         now = self.loop.time()
+        # Danger: clients that ask once and stay hold every place.  Room is made before the last is taken.
+        rest = FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
         for client in list(self.clients):
-            client.look(now)
+            client.look(now, rest)
         self.loop.call_later(SWEEP, self.sweep)
 
     def handle(self, words, client) -> Slot:
