--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -9,8 +9,13 @@
 from rushmux.block.config import BadFile, read
 from rushmux.block.front import Front
 from rushmux.block.lines import Lines
+from rushmux.driver import SECOND
 
 SERVE_ON = 0.5           # seconds after SIGTERM in which new connections still come
+LATEST = 3.0             # seconds: the most that the platform counts of the longest hard stop
+MORE = 0.7               # seconds past that until SIGKILL may come
+TO_ANSWER = 1.2          # seconds before that from which no connection is kept open for new commands
+TO_END = 0.4             # seconds before that when what is open gets its final answer
 LOOK = 0.05              # seconds between two looks whether all is answered
 
 
@@ -41,9 +46,13 @@
     task = loop.create_task(reloads())
     await stop.wait()
     log.info("stops", open=len(front.taken), clients=len(front.listener.clients))
+    longest = max(lane.hard_stop for lane in front.terms.lanes.values()) / SECOND
+    killed_at = loop.time() + min(LATEST, longest) + MORE
     await asyncio.sleep(SERVE_ON)
     front.close()
-    while not front.done():
+    loop.call_at(killed_at - TO_ANSWER, front.listener.end)
+    loop.call_at(killed_at - TO_END, front.last)
+    while not front.done() and loop.time() < killed_at:
         await asyncio.sleep(LOOK)
     task.cancel()
     front.watch_list.close()
--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -97,6 +97,11 @@
     def close(self):
         self.listener.close()
 
+    def last(self):
+        """What is still open gets its final answer: the process is about to be ended from outside."""
+        for op_id in list(self.taken):
+            self.terminate(op_id)
+
     def done(self) -> bool:
         """Whether nothing is owed any more."""
         return not self.listener.clients
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -14,6 +14,7 @@
 UNREAD_TIME = 3.0        # seconds that answers may lie unread: the longest that an operation lives
 IDLE = 30.0              # seconds after which a connection with nothing open is closed
 FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform allows
+LAST_IDLE = 1.0          # the same once the gateway stops: who asked just now will ask again here
 LINGER = 0.25            # seconds for an error to be read before its connection ends
 SHORT = 0.5              # of the places for clients: sockets are short above it
 SWEEP = 0.2              # seconds between two looks at who is silent, idle or does not read
@@ -94,11 +95,12 @@
         if parts:
             self.transport.write(b"".join(parts))
             self.since = self.listener.loop.time()
+        if self.listener.ending and not self.owed:
+            self.finish()
+            self.halt()
         if self.over:
             if not self.owed:
                 self.part()
-        elif self.listener.closing and not self.owed:
-            self.transport.close()
         elif self.halted and not self.choked and len(self.owed) <= MOST_OWED // 2:
             self.halt()
             self.listener.loop.call_soon(self.more)
@@ -158,7 +160,7 @@
 
     def __init__(self, loop, start, most, take, left, log):
         self.loop, self.start, self.most, self.take, self.left, self.log = loop, start, most, take, left, log
-        self.clients, self.closing, self.server = {}, False, None
+        self.clients, self.closing, self.ending, self.server = {}, False, False, None
         self.turned_away = self.bad = 0
 
     async def open(self, host, port):
@@ -196,7 +198,7 @@
     def sweep(self):
         now = self.loop.time()
         # Danger: clients that ask once and stay hold every place.  Room is made before the last is taken.
-        rest = FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
+        rest = LAST_IDLE if self.closing else FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
         for client in list(self.clients):
             client.look(now, rest)
         self.loop.call_later(SWEEP, self.sweep)
@@ -224,6 +226,10 @@
         """Takes no more connections; each one ends as it falls idle."""
         self.closing = True
         self.server.close()
+
+    def end(self):
+        """Takes no more commands on a connection than those read before its last answer."""
+        self.ending = True
         for client in list(self.clients):
             if not client.owed and not client.transport.is_closing():
                 client.transport.close()
--- a/rushmux/resp/codec.py
+++ b/rushmux/resp/codec.py
@@ -4,7 +4,8 @@
 Every length is checked when its header is read, before a byte of what it claims is kept.
 `Malformed` says that the rest of the connection can't be read.
 """
-MOST_VALUE = 65_536      # bytes of a value, from the platform's protocol
+MOST_VALUE = 65_536      # bytes of a value that a client sends, from the platform's protocol
+MOST_REPLY = 1 << 20     # bytes of a value that a node gives: 400,000 were seen, the page says 64 KiB
 MOST_WORDS = 16          # words of a command: five for a write, a few more for what libraries greet with
 MOST_COMMAND = MOST_VALUE + 4_096   # bytes of a command's words together
 MOST_HEADER = 16         # bytes of a header line: a sign and a length
@@ -149,7 +150,7 @@
                 if b"\r" in rest or b"\n" in rest:
                     raise Malformed("half a line's end within a line")
                 return kind, bytes(rest)
-            length = number(rest, MOST_VALUE)
+            length = number(rest, MOST_REPLY)
             if length < 0:
                 return kind, None
             self.length = length
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -157,7 +157,10 @@
         """The next reply, or None where the connection ended."""
         async with asyncio.timeout(within):
             while (reply := self.replies.next()) is None:
-                data = await self.reader.read(65_536)
+                try:
+                    data = await self.reader.read(65_536)
+                except ConnectionError:
+                    return None
                 if not data:
                     return None
                 self.replies.feed(data)
