--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -13,12 +13,12 @@
 SILENT = 1.6             # seconds until a connection that sent no whole command is closed: 3 are allowed
 UNREAD_TIME = 3.0        # seconds that answers may lie unread: the longest that an operation lives
 IDLE = 30.0              # seconds after which a connection with nothing open is closed
-FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform allows
+FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform's page names
 LAST_IDLE = 1.0          # the same once the gateway stops: who asked just now will ask again here
 LINGER = 0.25            # seconds for an error to be read before its connection ends
 TO_SPEAK = 0.3           # seconds that a newcomer has at least before another takes its place
 SHORT = 0.5              # of the places for clients: sockets are short above it
-SWEEP = 0.2              # seconds between two looks at who is silent, idle or does not read
+SWEEP = 0.1              # seconds between two looks at who is silent, idle or does not read
 MOST_FAULTS = 3          # refused commands of one connection until it is closed
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
@@ -185,16 +185,16 @@
 
     def shorten(self):
         """Sockets are short: who has not spoken for a while goes first, then who never asked for an operation,
-        then who is idle for longest, then who has not spoken at all, then the last.
+        then who is idle for longest, as long as the platform lets it be, then who has not spoken, then the last.
 
-        Danger: a crowd that asks once and stays holds every place, and the usual clients find none.
-        Between requests a connection may be closed; a newcomer's request has no other way in.
+        Danger: a crowd that greets and stays holds every place, and the usual clients find none.
         """
         now = self.loop.time()
         last = next(reversed(self.clients))
         others = [one for one in self.clients if one is not last and not one.transport.is_closing()]
         silent = next((one for one in others if not one.spoke), None)
-        idle = min((one for one in others if one.spoke and one.idle()),
+        idle = min((one for one in others if one.spoke and one.idle()
+                    and (not one.asked or now - one.since > FULL_IDLE)),
                    key=lambda one: (one.asked, one.since), default=None)
         if silent is not None and idle is not None and now - silent.made_at < TO_SPEAK:
             silent = None
