--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -11,6 +11,7 @@
 
 MOST_WAITING = 64        # executions that wait for connections to one node: six times the design's bound
 REST = 0.02              # seconds after an answer until a connection is used again: a surplus comes before
+MOST_HELD = 24 << 20     # bytes of all replies that are not whole: sixty of the largest seen, a third of 80 MB
 IDLE_PART = 0.6          # of the time after which a node closes an idle connection
 SWEEP = 1.0              # seconds between two looks for connections idle for too long
 REST_BINS = 12           # of rests: the first ends at 20 ms, each next is twice as long; the last is 20 s and more
@@ -85,6 +86,7 @@
 
     def __init__(self, node):
         self.node, self.replies, self.out, self.transport = node, Replies(), None, None
+        self.held = 0                    # bytes of a reply that is not whole
         self.free_at, self.rest = 0.0, 0.0   # when it was last answered on; its rest before the last use
 
     def connection_made(self, transport):
@@ -103,10 +105,15 @@
             self.node.pool.surplus += 1
             return self.end()
         self.replies.feed(data)
+        self.node.pool.held += len(data)
+        self.held += len(data)
         try:
             reply = self.replies.next()
         except Malformed:
             return self.answered((say.ERRORED,), False)
+        # Danger: many values that keep coming, each within its own bound, take the memory of the process.
+        if reply is None and self.node.pool.held > MOST_HELD:
+            return self.answered((say.ERRORED,), False)
         if reply is not None:
             surplus = self.replies.held() > 0
             self.node.pool.surplus += surplus
@@ -114,6 +121,8 @@
 
     def answered(self, outcome, sound):
         execution, self.out = self.out, None
+        self.node.pool.held -= self.held
+        self.held = 0
         self.node.pool.trust.back(self.rest, False)
         if sound and outcome[0] in (say.SUCCEEDED, say.FULL, say.ERRORED) and self.node.address is not None:
             self.free_at = self.node.pool.loop.time()
@@ -194,6 +203,8 @@
 
     def forget(self, link):
         self.links.pop(link, None)
+        self.pool.held -= link.held
+        link.held = 0
         if link in self.idle:
             self.idle.remove(link)
 
@@ -225,7 +236,7 @@
 
     def __init__(self, loop, most, dial, idle):
         self.loop, self.most, self.dial, self.idle = loop, most, dial, idle * IDLE_PART
-        self.nodes, self.surplus, self.trust = {}, 0, Trust()
+        self.nodes, self.surplus, self.held, self.trust = {}, 0, 0, Trust()
         self.timer = loop.call_later(SWEEP, self.sweep)
 
     def count(self):
--- a/tests/block/test_pool.py
+++ b/tests/block/test_pool.py
@@ -176,6 +176,18 @@
     assert played(story, most=5) == ([say.FULL] * 3 + [say.SUCCEEDED] * 5, 5)
 
 
+def test_values_that_keep_coming_are_bounded_together(monkeypatch):
+    monkeypatch.setattr(pools, "MOST_HELD", 200_000)
+
+    async def story(pool, node, row, run):
+        node.plays = lambda words: [b"*3\r\n$900000\r\n" + b"x" * 100_000, "hang"]
+        outcomes = await asyncio.gather(*(run(number, 0.5) for number in range(6)))
+        node.plays = lambda words: [served()]
+        return sorted(result for result, _ in outcomes), await run(9), pool.held
+    results, after, held = played(story)
+    assert results.count(say.ERRORED) >= 4 and after == (say.SUCCEEDED, b"data") and held == 0
+
+
 def test_a_node_with_another_address_is_asked_there():
     async def story(pool, node, row, run):
         await run(1)
