--- a/rushmux/block/commands.py
+++ b/rushmux/block/commands.py
@@ -39,8 +39,8 @@
 
     def words(self, milliseconds: int) -> list[bytes]:
         """The command for a node, which will be waited for that long."""
-        return [self.verb, self.piece, self.op_id.encode(), b"%b%d%b" % (self.before, milliseconds, self.after),
-                *self.body]
+        what = b"%b%d%b" % (self.before, milliseconds, self.after)
+        return [self.verb, self.piece, self.op_id.encode(), what, *self.body]
 
 
 def check(words, start) -> Command:
@@ -71,5 +71,6 @@
     if not 0 < units <= start.units or not cell < start.shards or not 0 < mounts <= start.terms.gateways:
         raise Refused("a figure out of range")
     at = found.start(3)
-    return Command(op_id.decode(), lane, plan, volume.decode(), piece.decode(), units, cell, mounts, bool(again),
-                   left / MILLISECONDS, verb, piece, what[:at], what[found.end(3):], tuple(words[4:]))
+    return Command(op_id.decode(), lane, plan, volume.decode(), piece.decode(), units, cell, mounts,
+                   bool(again), left / MILLISECONDS,
+                   verb, piece, what[:at], what[found.end(3):], tuple(words[4:]))
--- a/rushmux/block/discovery.py
+++ b/rushmux/block/discovery.py
@@ -29,8 +29,8 @@
         target = PATH if watch.version is None else (
             f"{PATH}?after={watch.version}&wait_ms={int(WAIT * 1000)}")
         host = "%s:%d" % watch.address
-        self.transport.write(self.http.send(h11.Request(method="GET", target=target, headers=[("Host", host)]))
-                             + self.http.send(h11.EndOfMessage()))
+        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
         self.timer = loop.call_later(WAIT + SLACK, self.lost, "silent")
 
     def data_received(self, data):
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -184,8 +184,9 @@
         self.clients.pop(client, None)
 
     def shorten(self):
-        """Sockets are short: who has not spoken for a while goes first, then who never asked for an operation,
-        then who is idle for longest, as long as the platform lets it be, then who has not spoken, then the last.
+        """Sockets are short: who has not spoken for a while goes first, then who never asked for an
+        operation, then who is idle for longest (past what the platform grants), then who has not spoken,
+        then the last.
 
         Danger: a crowd that greets and stays holds every place, and the usual clients find none.
         """
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -11,10 +11,10 @@
 
 MOST_WAITING = 64        # executions that wait for connections to one node: six times the design's bound
 REST = 0.02              # seconds after an answer until a connection is used again: a surplus comes before
-MOST_HELD = 24 << 20     # bytes of all replies that are not whole: sixty of the largest seen, a third of 80 MB
+MOST_HELD = 24 << 20     # bytes of all replies that are not whole: sixty of the largest seen
 IDLE_PART = 0.6          # of the time after which a node closes an idle connection
 SWEEP = 1.0              # seconds between two looks for connections idle for too long
-REST_BINS = 12           # of rests: the first ends at 20 ms, each next is twice as long; the last is 20 s and more
+REST_BINS = 12           # of rests: the first ends at 20 ms, each next is twice as long
 FEW = 3                  # resets of a bin that may be chance
 MORE = 0.1               # part of uses that end in a reset, above twice that of new connections: not chance
 HALVE_EVERY = 10         # sweeps: what went stale early may be kept longer later, and is tried again
--- a/rushmux/driver.py
+++ b/rushmux/driver.py
@@ -91,8 +91,8 @@
         lane, plan, volume, key, units, cell, mounts, again = taken.facts
         # Danger: a late round has used up a part of the client's time already.
         left = max(0, min(self.terms.lanes[lane].hard_stop, int(taken.ends * SECOND) - now))
-        self.guarded(op_id, self.gateway.taken, now, op_id, lane, plan, volume, key, left, units, cell, mounts,
-                     again)
+        self.guarded(op_id, self.gateway.taken, now, op_id, lane, plan, volume, key, left, units, cell,
+                     mounts, again)
 
     def leave(self, op_id):
         """The client went away: nobody is owed an answer."""
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -142,7 +142,6 @@
         self.bins[self.quarter % QUARTERS] += units
         self.sum += units
 
-
     def told(self, fleet_use, from_others, span, now):
         """Takes in what other gateways had served, as the answer's meter tells it."""
         self.advance(now)
@@ -207,7 +206,7 @@
             if sent >= self.shrunk_at:
                 part *= SHRINK if soft else SHRINK_FAILED
                 # Danger: connections lost by chance close the rooms of nodes that serve the others well.
-                least = min(1, self.size) if result in (say.SEVERED, say.UNREACHED) and not row else LEAST_ROOM
+                least = LEAST_ROOM if row or result not in (say.SEVERED, say.UNREACHED) else min(1, self.size)
                 self.size, self.shrunk_at = max(least, self.size * (1 - part)), now
         elif full and not asks:
             self.size += GROWTH / op.volume.mounts * min(self.size, 1 / self.size)
--- a/rushmux/settings/platform.py
+++ b/rushmux/settings/platform.py
@@ -33,7 +33,8 @@
         budget_share=rules.get("ExtraRatio"), budget_free=rules.get("ExtraFree", 0),
         budget_span=-(-rules.get("BudgetSpan", 0) // TICK_NS),
         copies=limits.get("SecondCopies", False), cancel=limits.get("Cancel", False),
-        load_asked=bool(limits.get("MayProbe") and loads_of(env)[-1] is not None))   # the service time is told
+        # Only where the service time is told.
+        load_asked=bool(limits.get("MayProbe") and loads_of(env)[-1] is not None))
 
 
 def loads_of(env):
--- a/tests/block/test_commands.py
+++ b/tests/block/test_commands.py
@@ -38,9 +38,11 @@
 @pytest.mark.parametrize("words", [
     READ[:3], [*READ, b"body"], WRITE[:4], [READ[0], b"xyz", *READ[2:]], [*READ[:2], b"", READ[3]],
     [*READ[:2], b"1" * 17, READ[3]], [*READ[:2], b"A" * 16, READ[3]],
-    changed(READ, b"c=read", b"c=none"), changed(READ, b"t=base", b"t=none"), changed(READ, b"d=900", b"d=soon"),
+    changed(READ, b"c=read", b"c=none"), changed(READ, b"t=base", b"t=none"),
+    changed(READ, b"d=900", b"d=soon"),
     changed(READ, b"d=900", b"d=-1"), changed(READ, b"d=900", b"d=0"), changed(READ, b"d=900", b"d=9000"),
-    changed(READ, b"d=900", b"d=900.5"), changed(READ, b"units=1", b"units=0"), changed(READ, b"units=1", b"units=9"),
+    changed(READ, b"d=900", b"d=900.5"), changed(READ, b"units=1", b"units=0"),
+    changed(READ, b"units=1", b"units=9"),
     changed(READ, b"units=1", b"units=nan"), changed(READ, b"shard=0", b"shard=4"),
     changed(READ, b"shard=0", b"shard=-2"), changed(READ, b"hosts=1", b"hosts=0"),
     changed(READ, b"hosts=1", b"hosts=1,x=1"), changed(READ, b"d=900", b"d=900,r=1"),
@@ -71,8 +73,9 @@
     (b"-BUSY\r\n", (say.FULL, None, *NONE)), (b"-BUSY 20\r\n", (say.FULL, None, *NONE)),
     (b"-ERR failed\r\n", (say.ERRORED, None, *NONE)),
     (b"-ERR failed used=12 inflight=3\r\n", (say.ERRORED, None, 13, 0.0)),
-    (b"-ERR failed inflight=3\r\n", (say.ERRORED, None, *NONE)), (b"-BUSYNESS\r\n", (say.ERRORED, None, *NONE)),
-    (b"$4\r\ndata\r\n", (say.ERRORED, None, *NONE)), (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", (say.ERRORED, None, *NONE)),
+    (b"-ERR failed inflight=3\r\n", (say.ERRORED, None, *NONE)),
+    (b"-BUSYNESS\r\n", (say.ERRORED, None, *NONE)), (b"$4\r\ndata\r\n", (say.ERRORED, None, *NONE)),
+    (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", (say.ERRORED, None, *NONE)),
     (b"*1\r\n$4\r\ndata\r\n", (say.ERRORED, None, *NONE)), (b"*0\r\n", (say.ERRORED, None, *NONE)),
     (b"*-1\r\n", (say.ERRORED, None, *NONE)), (b"+OK\r\n", (say.ERRORED, None, *NONE))])
 def test_a_reply_means(data, found):
--- a/tests/block/test_discovery.py
+++ b/tests/block/test_discovery.py
@@ -28,7 +28,8 @@
         await source.open()
         source.put(row("a"), row("b"))
         watch = Watch(asyncio.get_running_loop(), ("127.0.0.1", source.port), Log(),
-                      lambda whole, members: told.append((whole, [(one.node, one.condition) for one in members])))
+                      lambda whole, members: told.append(
+                          (whole, [(one.node, one.condition) for one in members])))
         watch.start()
         try:
             return await story(source, watch, told)
@@ -70,7 +71,8 @@
     assert told == [WHOLE, (False, [("a", "draining")])] and calls > 3
 
 
-@pytest.mark.parametrize("broken", [b"", b"{", b"[]", b'{"version":3,"full":true,"servers":[{"id":"x"}]}', b"7"])
+@pytest.mark.parametrize("broken", [b"", b"{", b"[]", b"7",
+                                    b'{"version":3,"full":true,"servers":[{"id":"x"}]}'])
 def test_an_answer_that_makes_no_sense_leaves_the_last_list(monkeypatch, broken):
     async def story(source, watch, told):
         await asyncio.sleep(0.1)
--- a/tests/block/test_front.py
+++ b/tests/block/test_front.py
@@ -34,7 +34,8 @@
                     wrong.append((name, believed[name], node.running, after[name]))
         await asyncio.sleep(0.05)
         rest = [len(node.out) for node in stage.front.gateway.nodes.values()]
-        return looks, wrong, rest, [node.running for node in stage.nodes], max(node.most for node in stage.nodes)
+        running = [node.running for node in stage.nodes]
+        return looks, wrong, rest, running, max(node.most for node in stage.nodes)
     looks, wrong, rest, running, most = staged(story, nodes=3)
     assert looks > 50 and not wrong and rest == running == [0, 0, 0] and most <= 10
 
--- a/tests/block/test_listener.py
+++ b/tests/block/test_listener.py
@@ -37,8 +37,9 @@
     assert staged(story) == [("$", b"%016x" % 1), ("$", b"%016x" % 2), ("+", b"PONG")]
 
 
-@pytest.mark.parametrize("noise", [b"noise\r\n", b"*3\r\n$60000000\r\n" + b"x" * 100_000, b"*1\r\n$-5\r\n", b"*-3\r\n",
-                                   b"*1000000000\r\n", b"*2\r\n" + b"$" + b"9" * 50])
+@pytest.mark.parametrize("noise", [b"noise\r\n", b"*3\r\n$60000000\r\n" + b"x" * 100_000,
+                                   b"*1\r\n$-5\r\n", b"*-3\r\n", b"*1000000000\r\n",
+                                   b"*2\r\n" + b"$" + b"9" * 50])
 def test_what_can_t_be_read_gets_an_error_behind_what_was_owed_and_then_a_close(staged, noise):
     async def story(stage):
         stage.nodes[0].plays = lambda words: [0.1, served()]
--- a/tests/block/test_program.py
+++ b/tests/block/test_program.py
@@ -140,7 +140,8 @@
 
 def test_the_program_imports_no_heavy_library():
     code = ("import sys, rushmux.block.__main__; "
-            "print([name for name in ('numpy', 'google.protobuf', 'structlog', 'jsonschema') if name in sys.modules])")
+            "print([name for name in ('numpy', 'google.protobuf', 'structlog', 'jsonschema')"
+            " if name in sys.modules])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=20,
                           check=True)
     assert done.stdout.strip() == "[]"
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -31,7 +31,8 @@
     assert values(Replies(), [REPLIES[at:at + 1] for at in range(len(REPLIES))]) == READ
 
 
-@given(strategies.lists(strategies.lists(strategies.binary(max_size=80), min_size=1, max_size=16), max_size=8),
+@given(strategies.lists(strategies.lists(strategies.binary(max_size=80), min_size=1, max_size=16),
+                        max_size=8),
        strategies.randoms(use_true_random=False))
 def test_commands_come_out_as_they_went_in(commands, chance):
     data, pieces = b"".join(map(command, commands)), []
@@ -54,8 +55,10 @@
 
 
 @pytest.mark.parametrize("head", [b"*2\r\n$65537\r\n", b"*1\r\n$60000000\r\n", b"*1\r\n$-1\r\n", b"*-1\r\n",
-                                  b"*0\r\n", b"*17\r\n", b"*1\r\n$1x\r\n", b"*99999999999999999\r\n", b"PING\r\n",
-                                  b"*1\r\n$+4\r\n", b"*" + b"1" * 40, b"*1\r\n+", b"*1\r\n$4\r\nPING  ", b"\0"])
+                                  b"*0\r\n", b"*17\r\n", b"*1\r\n$1x\r\n", b"*99999999999999999\r\n",
+                                  b"PING\r\n",
+                                  b"*1\r\n$+4\r\n", b"*" + b"1" * 40, b"*1\r\n+",
+                                  b"*1\r\n$4\r\nPING  ", b"\0"])
 def test_a_bad_command_is_malformed_at_its_header(head):
     reader = Commands()
     reader.feed(head)
@@ -71,7 +74,8 @@
         reader.next()
 
 
-@pytest.mark.parametrize("data", [b"$3000000000\r\n", b"$1048577\r\n", b"*9\r\n", b"*2\r\n*1\r\n", b"?\r\n", b"$2\r\nabc\r\n",
+@pytest.mark.parametrize("data", [b"$3000000000\r\n", b"$1048577\r\n", b"*9\r\n", b"*2\r\n*1\r\n",
+                                  b"?\r\n", b"$2\r\nabc\r\n",
                                   b"$-2\r\n", b"+" + b"x" * 600, b"\r\n", b"+a\nb\r\n"])
 def test_a_bad_reply_is_malformed(data):
     reader = Replies()
@@ -82,8 +86,8 @@
 
 
 def test_a_large_value_of_a_node_is_read_whole():
-    """Seen on the platform: values of 400,000 bytes, where its page says 64 KiB; held for spoilt, each was asked
-    for three times."""
+    """Seen on the platform: values of 400,000 bytes, where its page says 64 KiB; held for spoilt, each was
+    asked for three times."""
     value = b"v" * 400_000
     data = b"*3\r\n" + bulk(value) + b"$-1\r\n$-1\r\n"
     assert values(Replies(), [data[at:at + 65_536] for at in range(0, len(data), 65_536)]) == [
