Places of connections, unsent bytes, spoilt replies: three beliefs of the pool mended on rereading

A connection busy, or a dial under way, while its node moved or restarted was used afterwards (Link.answered, Node.made; now one place instead of address and start). A spoilt reply of right syntax left its connection in use (answered's condition was always true).

--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -20,6 +20,7 @@
 
 
 async def serve(path) -> int:
+    """Runs the gateway of a configuration file; the exit code."""
     loop = asyncio.get_running_loop()
     stop, again = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -29,9 +30,13 @@
     try:
         front = Front(read(path), time.time() - loop.time(), loop, log)
     except BadFile as fault:
-        log.error("config.refused", file=path, why=fault)
+        log.error("config.refused", file=path or "(NODE_CONFIG is not set)", why=fault)
+        return 2
+    try:
+        await front.open()
+    except OSError as fault:
+        log.error("listen.refused", listen="%s:%d" % front.start.listen, why=fault)
         return 2
-    await front.open()
     gc.collect()
     gc.freeze()                          # what stays for good is not looked through again
 
@@ -64,4 +69,4 @@
 if __name__ == "__main__":
     # Danger: a signal before the loop runs would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    sys.exit(asyncio.run(serve(os.environ["NODE_CONFIG"])))
+    sys.exit(asyncio.run(serve(os.environ.get("NODE_CONFIG", ""))))
--- a/rushmux/block/commands.py
+++ b/rushmux/block/commands.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from rushmux import interface as say
+from rushmux.driver import SECOND
 
 READ, WRITE = b"BLK.READ", b"BLK.WRITE"
 ID = re.compile(rb"[0-9a-f]{16}")
@@ -45,7 +46,8 @@
 
 def check(words, start) -> Command:
     """The command of `words` under a start's settings; Refused."""
-    verb, write = words[0].upper(), words[0].upper() == WRITE
+    verb = words[0].upper()
+    write = verb == WRITE
     if len(words) != (5 if write else 4):
         raise Refused(f"{len(words)} words")
     _, piece, op_id, what = words[:4]
@@ -66,9 +68,9 @@
         raise Refused("a key exactly where the class has one")
     if again and not start.marks:
         raise Refused("retries are not marked here")
-    if not 0 < left * 10 <= known.hard_stop + start.terms.tick:
+    if not 0 < left * SECOND // MILLISECONDS <= known.hard_stop + start.terms.tick:
         raise Refused(f"a time of {left} ms")
-    if not 0 < units <= start.units or not cell < start.shards or not 0 < mounts <= start.terms.gateways:
+    if not 0 < units <= start.terms.most_units or not cell < start.shards or not 0 < mounts <= start.terms.gateways:
         raise Refused("a figure out of range")
     at = found.start(3)
     return Command(op_id.decode(), lane, plan, volume.decode(), piece.decode(), units, cell, mounts,
--- a/rushmux/block/config.py
+++ b/rushmux/block/config.py
@@ -4,7 +4,7 @@
 import orjson
 
 from rushmux import interface as say
-from rushmux.block.members import Member, member
+from rushmux.block.members import Member, address, member
 from rushmux.settings.platform import terms_of
 
 MOST_BYTES = 8 << 20     # of the file: a list of thousands of nodes
@@ -17,30 +17,18 @@
 
 class Start(NamedTuple):
     """What a gateway is told at its start; times in seconds."""
-    name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
     sockets: int
-    version: int
     known: list[Member]
     terms: say.Terms
-    units: float             # the most of one operation
     shards: int
     held: int                # operations open at a time
     dial: float
     idle: float              # until a node closes a connection that nothing uses
-    grace: float             # for sends to a node that is told to drain
     marks: bool              # clients mark their retries
     writes: dict[str, bool]  # lane -> whether it changes data
-    used: bool               # answers may tell how much a volume was served
-
-
-def address(text) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise BadFile(f"{text!r} is no address and port")
-    return host, int(port)
 
 
 def read(path) -> Start:
@@ -61,19 +49,14 @@
         env = raw["settings"]
         limits, extra, known = env["Limits"], env["Extra"], raw.get("known") or {}
         return Start(
-            name=str(raw["name"]), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
+            listen=address(raw["listen"]), discovery=address(raw["discovery"]),
             seed=int(raw["seed"], 16), sockets=int(raw["limits"]["sockets"]),
-            version=int(known.get("version", 0)),
             known=[member(row) for row in known.get("servers", ())], terms=terms_of(env),
-            units=extra["MostUnits"], shards=extra["SlotsTotal"], held=limits["MostHeld"],
+            shards=extra["SlotsTotal"], held=limits["MostHeld"],
             dial=limits["DialTimeout"] / NS, idle=limits["ConnIdle"] / NS,
-            grace=env["Rules"]["StopSendingWithin"] / NS,
             marks=bool(env.get("ClientHabits", {}).get("MarksRetry")),
             writes={row["Name"]: bool(writes)
-                    for row, writes in zip(env["Classes"], extra["ChangesData"])},
-            used=extra["UsePeriod"] > 0 or bool(extra.get("SaysOthers")))
-    except BadFile:
-        raise
+                    for row, writes in zip(env["Classes"], extra["ChangesData"])})
     except orjson.JSONDecodeError as fault:
         raise BadFile(f"is no JSON: {fault}") from fault
     except KeyError as fault:
--- a/rushmux/block/figures.py
+++ b/rushmux/block/figures.py
@@ -5,6 +5,7 @@
 
 USE = re.compile(rb"used=([0-9]{1,7})(?:,cost=([0-9]{1,7}(?:\.[0-9]{1,6})?))?")
 NONE = 0, 0.0
+FAILED = b"ERR failed"
 
 
 def use(text) -> tuple[int, float]:
@@ -15,13 +16,18 @@
     return int(found[1]) + 1, float(found[2] or 0)
 
 
+def sound(result, kind, value) -> bool:
+    """Whether the connection that brought a reply is of further use: after a spoilt one it is not."""
+    return result in (say.SUCCEEDED, say.FULL) or kind == "-" and value.startswith(FAILED)
+
+
 def outcome(kind, value):
     """Result, value, fleet use and units from others, of one whole reply."""
     if kind == "*" and value and len(value) == 3 and isinstance(value[0], bytes):
         return say.SUCCEEDED, value[0], *use(value[1])
     if kind == "-" and (value == b"BUSY" or value.startswith(b"BUSY ")):
         return say.FULL, None, *NONE
-    if kind == "-" and value.startswith(b"ERR failed"):
+    if kind == "-" and value.startswith(FAILED):
         for word in value.split(b" ")[2:]:
             if word.startswith(b"used="):
                 return say.ERRORED, None, *use(word)
--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -25,7 +25,7 @@
         self.start, self.epoch = start, epoch
         spare = max(16, start.sockets - RESERVED)
         self.pool = Pool(loop, int(spare * NODES), start.dial, start.idle)
-        self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.leave, log)
+        self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.leave)
         self.watch_list = Watch(loop, start.discovery, log, self.told)
         self.conditions = {}             # node -> as the module was last told of it
 
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -52,6 +52,9 @@
 
     def data_received(self, data):
         if not self.over:
+            # Danger: half a command that grows a byte at a time.  Its time counts from its first byte.
+            if not self.reader.partial():
+                self.since = self.listener.loop.time()
             self.reader.feed(data)
             self.work()
 
@@ -63,11 +66,10 @@
                 words = self.reader.next()
                 if words is None:
                     break
-                self.spoke = True
+                self.spoke, self.since = True, self.listener.loop.time()
                 self.owed.append(self.listener.handle(words, self))
         except Malformed as fault:
             wrong = str(fault)
-        self.since = self.listener.loop.time()
         if wrong is not None:
             self.owed.append(Slot(self, error(f"ERR Protocol error: {wrong}")))
             self.finish()
@@ -79,6 +81,7 @@
     def finish(self):
         """Nothing more is read; it ends when what is owed was given."""
         self.over = True
+        self.halt()
 
     def halt(self):
         """Reads on, or stops reading: danger, commands at full speed grow what is kept."""
@@ -98,7 +101,6 @@
             self.since = self.listener.loop.time()
         if self.listener.ending and not self.owed:
             self.finish()
-            self.halt()
         if self.over:
             if not self.owed:
                 self.part()
@@ -160,8 +162,8 @@
     """All clients' connections, `most` at a time.  `take(command, slot)` has an operation done, and
     `left(op_id)` is told of one whose client went away."""
 
-    def __init__(self, loop, start, most, take, left, log):
-        self.loop, self.start, self.most, self.take, self.left, self.log = loop, start, most, take, left, log
+    def __init__(self, loop, start, most, take, left):
+        self.loop, self.start, self.most, self.take, self.left = loop, start, most, take, left
         self.clients, self.closing, self.ending, self.server = {}, False, False, None
         self.turned_away = self.bad = self.silent = self.taken = 0   # counts for the log
 
--- a/rushmux/block/members.py
+++ b/rushmux/block/members.py
@@ -3,6 +3,7 @@
 
 from rushmux import interface as say
 
+MOST_PORT = 65_535
 STATES = {"up": say.READY, "draining": say.DRAINING, "removed": say.GONE}
 
 
@@ -17,13 +18,21 @@
     started: float           # Unix time in seconds; 0: long ago
 
 
+def address(text: str) -> tuple[str, int]:
+    """Host and port of `host:port`; ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) <= MOST_PORT:
+        raise ValueError(f"{text!r} is no address and port")
+    return host, int(port)
+
+
 def member(row: dict) -> Member:
     """One row; KeyError, TypeError or ValueError where it makes no sense."""
-    host, _, port = row["addr"].rpartition(":")
+    host, port = address(row["addr"])
     state, node = row["state"], row["id"]
     if state not in STATES or not isinstance(node, str) or not node:
         raise ValueError(f"a row with id {node!r} in state {state!r}")
-    return Member(node, host, int(port), str(row.get("zone", "")), int(row["cell"]), STATES[state],
+    return Member(node, host, port, str(row.get("zone", "")), int(row["cell"]), STATES[state],
                   float(row.get("started_ms", 0)) / 1000)
 
 
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -84,15 +84,24 @@
 class Link(asyncio.Protocol):
     """A connection to a node."""
 
-    def __init__(self, node):
-        self.node, self.replies, self.out, self.transport = node, Replies(), None, None
+    def __init__(self, node, place):
+        self.node, self.place = node, place   # place: where it leads
+        self.replies, self.out, self.transport = Replies(), None, None
+        self.unsent = False              # bytes written have not left this process
         self.held = 0                    # bytes of a reply that is not whole
         self.free_at, self.rest = 0.0, 0.0   # when it was last answered on; its rest before the last use
 
     def connection_made(self, transport):
         self.transport = transport
+        transport.set_write_buffer_limits(high=0)   # told of each byte that waits
         self.node.made(self)
 
+    def pause_writing(self):
+        self.unsent = True
+
+    def resume_writing(self):
+        self.unsent = False
+
     def carry(self, execution):
         """Sends it.  The time told to the node is what is left of the time it is waited for."""
         self.out, execution.link = execution, self
@@ -110,23 +119,24 @@
         try:
             reply = self.replies.next()
         except Malformed:
-            return self.answered((say.ERRORED,), False)
+            return self.answered((say.ERRORED,))
         # Danger: many values that keep coming, each within its own bound, take the memory of the process.
         if reply is None and self.node.pool.held > MOST_HELD:
-            return self.answered((say.ERRORED,), False)
+            return self.answered((say.ERRORED,))
         if reply is not None:
             surplus = self.replies.held() > 0
             self.node.pool.surplus += surplus
-            self.answered(figures.outcome(*reply), reply[0] in "*-" and not surplus)
+            outcome = figures.outcome(*reply)
+            self.answered(outcome, not surplus and figures.sound(outcome[0], *reply))
 
-    def answered(self, outcome, sound):
+    def answered(self, outcome, sound=False):
+        """Its execution came back; it is used again where the reply was `sound` and the node is still there."""
         execution, self.out = self.out, None
         self.node.pool.held -= self.held
         self.held = 0
         self.node.pool.trust.back(self.rest, False)
-        if sound and outcome[0] in (say.SUCCEEDED, say.FULL, say.ERRORED) and self.node.address is not None:
-            self.free_at = self.node.pool.loop.time()
-            self.node.idle.append(self)
+        if sound and self.place == self.node.place:
+            self.node.rest(self)
         else:
             self.end()
         execution.back(*outcome)
@@ -143,18 +153,18 @@
         self.node.forget(self)
         execution, self.out = self.out, None
         if execution is not None:
-            # What had not left this process whole can't have run.
-            whole = not self.transport.get_write_buffer_size()
             self.node.pool.trust.back(self.rest, True)
             self.node.stale()
-            execution.back(say.SEVERED if whole else say.UNREACHED)
+            # What had not left this process whole can't have run.
+            execution.back(say.UNREACHED if self.unsent else say.SEVERED)
 
 
 class Node:
     """A storage node's connections, and the executions that wait for one."""
 
     def __init__(self, pool, name):
-        self.pool, self.name, self.address, self.started = pool, name, None, None
+        self.pool, self.name = pool, name
+        self.place = None                # host, port and start, as last listed; None: it is gone
         self.links, self.idle, self.waiting = {}, deque(), deque()   # idle: longest rested first
         self.dials = {}
 
@@ -166,7 +176,7 @@
             self.pool.loop.call_soon(execution.back, say.FULL)
         else:
             self.waiting.append(execution)
-            task = self.pool.loop.create_task(self.dial(self.address))
+            task = self.pool.loop.create_task(self.dial(self.place))
             self.dials[task] = True
             task.add_done_callback(self.dials.pop)
 
@@ -182,24 +192,33 @@
                 return link
         return None
 
-    async def dial(self, address):
+    async def dial(self, place):
+        host, port, _ = place
         try:
             async with asyncio.timeout(self.pool.dial):
-                await self.pool.loop.create_connection(lambda: Link(self), *address)
+                await self.pool.loop.create_connection(lambda: Link(self, place), host, port)
         except (OSError, TimeoutError):
-            # Waiting in vain for a connection: as many executions as connections that did not come up.
-            if self.waiting:
-                self.waiting.popleft().back(say.UNREACHED)
+            self.in_vain()
+
+    def in_vain(self):
+        """A connection did not come up: so many executions waited for one in vain."""
+        if self.waiting:
+            self.waiting.popleft().back(say.UNREACHED)
 
     def made(self, link):
-        if self.address is None:
-            return link.end()
+        if link.place != self.place:     # the node is not there any more
+            link.end()
+            return self.in_vain()
         self.links[link] = True
         if self.waiting:
             link.carry(self.waiting.popleft())
         else:
-            link.free_at = self.pool.loop.time()
-            self.idle.append(link)
+            self.rest(link)
+
+    def rest(self, link):
+        """It may be used again, after a rest."""
+        link.free_at = self.pool.loop.time()
+        self.idle.append(link)
 
     def forget(self, link):
         self.links.pop(link, None)
@@ -216,11 +235,10 @@
     def listed(self, member):
         """Takes in a row; None: the node is gone."""
         gone = member is None or member.condition == say.GONE
-        address = None if gone else (member.host, member.port)
-        started = None if gone else member.started
-        if address != self.address or started != self.started:
+        place = None if gone else (member.host, member.port, member.started)
+        if place != self.place:
             self.stale()
-        self.address, self.started = address, started
+        self.place = place
         if gone or member.condition != say.READY:
             # Danger: what waits for a connection would be sent past the grace of a drain.
             while self.waiting:
@@ -264,7 +282,7 @@
         """Sends `words(milliseconds)` to a node; `done(result, value, fleet_use, from_others)` is called
         once, later, unless it is dropped.  `until`: the loop's time to which it is waited for."""
         node = self.nodes.get(name)
-        if node is None or node.address is None:
+        if node is None or node.place is None:
             self.loop.call_soon(done, say.UNREACHED, None, 0, 0.0)
             return None
         execution = Execution(node, words, until, done)
@@ -277,7 +295,7 @@
         self.trust.sweep()
         for name, node in list(self.nodes.items()):
             node.sweep(now)
-            if node.address is None and not (node.links or node.dials or node.waiting):
+            if node.place is None and not (node.links or node.dials or node.waiting):
                 del self.nodes[name]
 
     def close(self):
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -8,7 +8,7 @@
 release times, passed deadlines go first, slack goes to the lowest weighted average.
 """
 from bisect import insort
-from collections import defaultdict, deque
+from collections import OrderedDict, defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
 
@@ -46,6 +46,7 @@
 SHARED_ROOM = 0.5        # executions: the most a report opens a node's room to among tens of gateways
 STEP = 3                 # times larger or smaller that a report makes a room at most
 MEMORY = 30_000          # ticks for which the rate told of other gateways counts: surges last longer
+FORGET = 600_000         # ticks: volumes come and go for hours; idle so long, one is as never seen
 LOAD_AGE = 20_000        # ticks until a node is asked for its load again: tens of gateways ask, it caps them
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
@@ -460,17 +461,17 @@
         return group == "all" or getattr(op.maybe_node.entry, group) == getattr(node.entry, group)
 
     def send(self, op, node, now):
+        if op.sends and not self.may_run_again(op, node, now):
+            return self.gateway.finish(op, now)
+        self.gateway.pacing.remove(op)
+        self.go(op, node, now)
+
+    def go(self, op, node, now):
         if op.sends:
-            if not self.may_run_again(op, node, now):
-                return self.gateway.finish(op, now)
             self.gateway.extras.append(now)
             op.flow.credit -= 1
         else:
             op.volume.limit -= op.units
-        self.gateway.pacing.remove(op)
-        self.go(op, node, now)
-
-    def go(self, op, node, now):
         op.volume.charge(op.units)
         op.out[op.sends] = node
         node.out[op, op.sends] = now
@@ -508,10 +509,8 @@
         if op.maybe_at is None:
             op.maybe_at, op.maybe_node = first.out[op, number], first
         if self.may_run_again(op, node, now):
-            gateway.extras.append(now)
             gateway.credit -= 1
             op.copied = True
-            op.flow.credit -= 1
             self.go(op, node, now)
 
     def back(self, op, number, node, result, now):
@@ -535,7 +534,7 @@
             terms = terms._replace(plans={name: plan._replace(reserve=most * plan.weight)
                                           for name, plan in terms.plans.items()})
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
-        self.ops, self.volumes, self.cells, self.nodes, self.places = {}, {}, defaultdict(Cell), {}, []
+        self.ops, self.volumes, self.cells, self.nodes, self.places = {}, OrderedDict(), defaultdict(Cell), {}, []
         self.dirty, self.waiting = {}, {}   # cells where something changed; those that wait for room
         self.room, self.fresh = Room(0, True), False   # over all nodes; whether the whole fleet just began
         self.times = []                  # heap of (time, number, operation) to look at again
@@ -577,6 +576,10 @@
         lane = self.terms.lanes[lane]
         if volume not in self.volumes:
             self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self, now)
+        self.volumes.move_to_end(volume)
+        self.volumes[volume].asked_at, first = now, next(iter(self.volumes.values()))
+        if max(first.asked_at + FORGET, first.release(first.limit_cap, first.at)) <= now:   # its bucket is full
+            del self.volumes[first.name]
         # Danger: after a pause of this gateway's own, told by an overdue wake, what came meanwhile seems
         # new; a retry taken for a first try, or a hurried client's first try for a retry.  A retry's client
         # stops waiting when it would have, or gave up early just now.  Harm: hurried runs on one key.
@@ -594,8 +597,7 @@
         if self.terms.budget_share is not None:
             self.takes.append(now)
         if flow.held > route.held:
-            self.finish(op, now)
-            return
+            return self.finish(op, now)
         self.later(op.quoted_at, op)
         self.forward(op, now)
 
@@ -695,14 +697,13 @@
                 self.out.withdraw(op.op_id, number)
 
     def budget_left(self, now):
-        if self.terms.budget_share is None:
-            return True
         # The oldest tick of the window is left out of what was taken: rounding must not overdraw.
         for times, oldest in ((self.extras, now - self.terms.budget_span),
                               (self.takes, now - self.terms.budget_span + 1)):
             while times and times[0] <= oldest:
                 times.popleft()
-        return len(self.extras) + 1 <= self.terms.budget_free + self.terms.budget_share * len(self.takes)
+        share, free = self.terms.budget_share, self.terms.budget_free
+        return share is None or len(self.extras) + 1 <= free + share * len(self.takes)
 
     def act(self, now):
         """Closes a round: lets go what may go, ends what is past use, and sets the next wake."""
@@ -723,8 +724,7 @@
                 self.sending.copy(op, now)
         if self.terms.load_asked:
             for node in self.nodes.values():
-                if (node.doubt and now - node.asked_at >= LOAD_AGE
-                        and node.entry.condition == say.READY):
+                if node.doubt and now - node.asked_at >= LOAD_AGE and node.entry.condition == say.READY:
                     node.doubt, node.asked_at = False, now
                     self.out.probe(node.entry.node)
         self.wake_at = self.wake_at if self.wake_at > now else NEVER
--- a/tests/block/test_pool.py
+++ b/tests/block/test_pool.py
@@ -157,6 +157,65 @@
     assert played(story) == (4, 0, 0)
 
 
+def test_a_connection_busy_while_its_node_moved_is_not_used_again():
+    async def story(pool, node, row, run):
+        node.plays = lambda words: [0.1, served()]
+        task = asyncio.ensure_future(run(1))
+        await asyncio.sleep(0.05)
+        pool.listed(False, [row._replace(started=99.0)])
+        outcome = await task
+        return outcome, pool.count()
+    assert played(story) == ((say.SUCCEEDED, b"data"), 0)
+
+
+def test_a_dial_that_leads_to_an_old_address_carries_nothing():
+    async def story(pool, node, row, run):
+        other = Node()
+        await other.open()
+        task = asyncio.ensure_future(run(1))
+        await asyncio.sleep(0)
+        pool.listed(False, [row._replace(port=other.port)])
+        outcome = await task
+        await asyncio.sleep(0.05)
+        other.close()
+        return outcome, node.got, other.got
+    assert played(story) == ((say.UNREACHED, None), [], [])
+
+
+@pytest.mark.parametrize("spoilt", [b"*0\r\n", b"*1\r\n$1\r\nx\r\n", b":5\r\n", b"-xx\r\n", b"$-1\r\n"])
+def test_a_connection_that_brought_a_spoilt_answer_is_of_no_further_use(spoilt):
+    async def story(pool, node, row, run):
+        node.plays = lambda words: [spoilt]
+        outcome = await run(1)
+        await asyncio.sleep(0.05)
+        return outcome, pool.count(), len(node.connections)
+    assert played(story) == ((say.ERRORED, None), 0, 0)
+
+
+def test_what_had_not_left_this_process_whole_was_never_reached():
+    """A node that reads nothing: the command stays in our buffer, and then the connection breaks."""
+    async def story(pool, node, row, run):
+        loop, held, result = pool.loop, [], loop_future()
+        def silent():
+            class Deaf(asyncio.Protocol):
+                def connection_made(self, transport):
+                    transport.pause_reading()
+                    held.append(transport)
+            return Deaf()
+        server = await loop.create_server(silent, "127.0.0.1", 0)
+        pool.listed(True, [row._replace(port=server.sockets[0].getsockname()[1])])
+        pool.send("s", lambda left: [b"x" * (16 << 20)], loop.time() + 1, lambda *outcome: result.set_result(outcome))
+        await asyncio.sleep(0.1)
+        held[0].abort()
+        server.close()
+        return (await result)[0]
+    assert played(story) == say.UNREACHED
+
+
+def loop_future():
+    return asyncio.get_running_loop().create_future()
+
+
 def test_what_waits_for_a_connection_is_not_sent_to_a_node_that_drains():
     async def story(pool, node, row, run):
         task = asyncio.ensure_future(run(1))
