Hard cases that had no test: stand-still, limits over a restart, spam, drip, descriptors

The stand-still test first passed without its guard, since this loop reads sockets before timers; it now sets the pause between the two.

--- a/rushmux/block/commands.py
+++ b/rushmux/block/commands.py
@@ -70,7 +70,8 @@
         raise Refused("retries are not marked here")
     if not 0 < left * SECOND // MILLISECONDS <= known.hard_stop + start.terms.tick:
         raise Refused(f"a time of {left} ms")
-    if not 0 < units <= start.terms.most_units or not cell < start.shards or not 0 < mounts <= start.terms.gateways:
+    terms = start.terms
+    if not 0 < units <= terms.most_units or not cell < start.shards or not 0 < mounts <= terms.gateways:
         raise Refused("a figure out of range")
     at = found.start(3)
     return Command(op_id.decode(), lane, plan, volume.decode(), piece.decode(), units, cell, mounts,
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -130,7 +130,7 @@
             self.answered(outcome, not surplus and figures.sound(outcome[0], *reply))
 
     def answered(self, outcome, sound=False):
-        """Its execution came back; it is used again where the reply was `sound` and the node is still there."""
+        """Its execution came back; it is used again after a `sound` reply, if the node is still there."""
         execution, self.out = self.out, None
         self.node.pool.held -= self.held
         self.held = 0
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -46,7 +46,7 @@
 SHARED_ROOM = 0.5        # executions: the most a report opens a node's room to among tens of gateways
 STEP = 3                 # times larger or smaller that a report makes a room at most
 MEMORY = 30_000          # ticks for which the rate told of other gateways counts: surges last longer
-FORGET = 600_000         # ticks: volumes come and go for hours; idle so long, one is as never seen
+FORGET = 600_000         # ticks: volumes come and go for hours; one idle so long is as never seen
 LOAD_AGE = 20_000        # ticks until a node is asked for its load again: tens of gateways ask, it caps them
 COPY_AFTER = 3           # median answer times, by size, after which a first execution counts as late
 COPY_SHARE = 0.05        # second copies for each operation taken: what a fleet hardly feels
@@ -534,8 +534,8 @@
             terms = terms._replace(plans={name: plan._replace(reserve=most * plan.weight)
                                           for name, plan in terms.plans.items()})
         self.terms, self.out, self.began, self.chance = terms, out, now, Chance(seed)
-        self.ops, self.volumes, self.cells, self.nodes, self.places = {}, OrderedDict(), defaultdict(Cell), {}, []
-        self.dirty, self.waiting = {}, {}   # cells where something changed; those that wait for room
+        self.ops, self.volumes, self.cells, self.nodes = {}, OrderedDict(), defaultdict(Cell), {}
+        self.dirty, self.waiting, self.places = {}, {}, []   # cells: changed, waiting for room, all listed
         self.room, self.fresh = Room(0, True), False   # over all nodes; whether the whole fleet just began
         self.times = []                  # heap of (time, number, operation) to look at again
         self.number, self.extras, self.takes = 0, deque(), deque()
@@ -578,7 +578,7 @@
             self.volumes[volume] = Volume(volume, self.terms.plans[plan], mounts, self, now)
         self.volumes.move_to_end(volume)
         self.volumes[volume].asked_at, first = now, next(iter(self.volumes.values()))
-        if max(first.asked_at + FORGET, first.release(first.limit_cap, first.at)) <= now:   # its bucket is full
+        if max(first.asked_at + FORGET, first.release(first.limit_cap, first.at)) <= now:
             del self.volumes[first.name]
         # Danger: after a pause of this gateway's own, told by an overdue wake, what came meanwhile seems
         # new; a retry taken for a first try, or a hurried client's first try for a retry.  A retry's client
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -186,7 +186,7 @@
     return [b"BLK.WRITE", b"%016x" % (number + 4096), b"%016x" % number, what.encode(), body]
 
 
-def settings(**limits) -> dict:
+def settings(plan=None, **limits) -> dict:
     """Settings in the form of the simulator's first message, with times that suit a test."""
     return {
         "Classes": [{"Name": "read", "Aim": 400 * NS, "Deadline": 1_000 * NS, "Worth": 3,
@@ -194,7 +194,7 @@
                     {"Name": "write", "Aim": 400 * NS, "Deadline": 1_000 * NS, "Worth": 2,
                      "Idempotency": "keyed", "Group": "cell", "Window": 3_000 * NS}],
         "Grades": [{"Name": "base", "Nominal": 1_000, "FloorRate": 500, "NeverOver": 0, "CapDepth": 0,
-                    "Tolerance": 0, "Parts": 1, "WorthFactor": 1}],
+                    "Tolerance": 0, "Parts": 1, "WorthFactor": 1, **(plan or {})}],
         "Rules": {"AskWithin": 9_000 * NS, "OverloadFor": 1_000 * NS, "FallMultiple": 3,
                   "StartCapacity": 0.2, "WarmWithin": 3_000 * NS, "StopSendingWithin": 250 * NS},
         "Limits": {"MaxAttempts": 3, "RetryAfter": False, "MaxRetryAfter": 0, "MayProbe": False,
--- a/tests/block/test_front.py
+++ b/tests/block/test_front.py
@@ -1,8 +1,13 @@
 """The whole gateway: what it believes against what crosses the sockets, drains, and a long life."""
 import asyncio
 import random
+import socket
+import threading
+import time
 
-from rushmux.standins.platform import Node, read, served, write
+from rushmux import rules
+from rushmux.block.front import Front
+from rushmux.standins.platform import Node, of, read, served, write
 
 
 def test_what_the_module_believes_out_is_what_the_nodes_have_open(staged):
@@ -128,7 +133,79 @@
     assert kind == "-" and took < 0.6
 
 
-def test_many_generations_of_nodes_ids_and_connections_leave_nothing_behind(staged):
+def test_an_answer_that_waited_while_this_process_stood_still_is_not_judged_late(staged):
+    """The node is a thread: it answers in 50 ms, while the loop stands still past the time-out."""
+    listening = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        connection, _ = listening.accept()
+        connection.recv(65_536)
+        time.sleep(0.05)
+        connection.sendall(served())
+        time.sleep(1)
+        connection.close()
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+
+    async def story(stage):
+        heard, answered = [], stage.front.gateway.answered
+        stage.front.gateway.answered = lambda *told: (heard.append(told[3]), answered(*told))
+        row = stage.nodes[0].row("s0", 0)
+        stage.discovery.put({**row, "addr": "127.0.0.1:%d" % listening.getsockname()[1]})
+        await asyncio.sleep(0.1)
+        client = await stage.client()
+        client.send(*read(1, left=300))
+        await asyncio.sleep(0.03)        # it is out
+        begun = stage.front.loop.time()
+        time.sleep(0.2)
+        # The pause may fall between the look at the sockets and that at the timers: the time-out goes first.
+        stage.front.time_over(f"{1:016x}", 0, begun + 0.1)
+        await asyncio.sleep(0.05)
+        return heard
+    assert staged(story) == ["succeeded"]
+    listening.close()
+
+
+def test_a_limit_is_kept_at_the_node_over_a_restart_of_the_gateway(staged):
+    """Units by the time they came: the store starts full, fills at the plan's rate, and dips below nought
+    by the plan's slack and 150 ms of its rate at most."""
+    rate, burst, slack = 40.0, 20.0, 8.0
+
+    async def story(stage):
+        came = []
+
+        def plays(words):
+            came.append((time.monotonic(), float(of(words, "units"))))
+            # As the platform's meter: no figure until a period has ended.
+            metered = came[-1][0] - came[0][0] > 1
+            return [served(used=b"$6\r\nused=4\r\n" if metered else b"$-1\r\n")]
+        stage.nodes[0].plays = plays
+
+        async def ask(front_port, base):
+            stage.port = front_port
+            clients = [await stage.client() for _ in range(6)]
+
+            async def asks(client, first):
+                for number in range(12):
+                    await client.ask(*read(first + number, units=2, left=500))
+            await asyncio.gather(*(asks(client, base + 100 * at) for at, client in enumerate(clients)))
+        await ask(stage.port, 1_000)
+        start = stage.front.start
+        again = Front(start._replace(seed=7), 0.0, asyncio.get_running_loop(), stage.log)
+        await again.open()
+        await ask(again.listener.server.sockets[0].getsockname()[1], 9_000)
+        for part in (again.watch_list, again.pool, again.listener):
+            part.close()
+        return came
+    came = staged(story, plan={"NeverOver": rate, "CapDepth": burst, "Tolerance": slack})
+    held, least, at = burst, 0.0, None
+    for when, units in came:
+        held = min(burst, held + (when - (at or when)) * rate) - units
+        at, least = when, min(least, held)
+    assert len(came) > 20 and least >= -slack - 0.15 * rate
+
+
+def test_many_generations_of_nodes_ids_volumes_and_connections_leave_nothing_behind(staged, monkeypatch):
     async def story(stage):
         sizes = []
         for generation in range(12):
@@ -141,7 +218,7 @@
             await asyncio.sleep(0.03)
             client = await stage.client()
             for number in range(5):
-                await client.ask(*read(100 * (generation + 1) + number))
+                await client.ask(*read(100 * (generation + 1) + number, volume=10 * generation + number))
             client.close()
             stage.front.pool.sweep()
             stage.front.pool.timer.cancel()
@@ -151,8 +228,12 @@
                 gone.arrivals.clear()
             sizes.append((len(gateway.nodes), len(gateway.cells[0].nodes), len(gateway.ops),
                           len(stage.front.taken), len(stage.front.pool.nodes), len(stage.front.conditions)))
+            volumes.append(len(gateway.volumes))
         await asyncio.sleep(0.05)
         return sizes, len(stage.front.listener.clients)
+    monkeypatch.setattr(rules, "FORGET", 1_000)
+    volumes = []
     sizes, clients = staged(story)
     assert sizes[-1][2:4] == (0, 0) and max(sizes[-1]) <= 3 and clients == 0
+    assert max(volumes) < 25             # of 60 that came: those of the last tenth of a second
 
--- a/tests/block/test_listener.py
+++ b/tests/block/test_listener.py
@@ -82,6 +82,45 @@
     assert reply[0] == "-" and end is None and 1 < took < 2.5
 
 
+def test_half_a_command_that_grows_a_byte_at_a_time_is_parted_from_too(staged):
+    async def story(stage):
+        client = await stage.client()
+        await client.ask(b"PING")
+        begun = time.monotonic()
+        told = asyncio.ensure_future(client.reply())
+        for byte in command(read(1))[:60]:
+            client.writer.write(bytes([byte]))
+            await asyncio.sleep(0.05)
+            if told.done():
+                break
+        return (await told)[0], await client.reply(), time.monotonic() - begun
+    kind, end, took = staged(story)
+    assert kind == "-" and end is None and took < 2.5
+
+
+def test_refused_requests_repeated_at_full_speed_do_not_starve_the_others(staged):
+    async def story(stage):
+        stop, repeats, times = False, 0, []
+
+        async def spam():
+            nonlocal repeats
+            while not stop:
+                client = await stage.client()
+                while not stop and await client.ask(*read(repeats + 50_000, lane="none")):
+                    repeats += 1
+        tasks = [asyncio.ensure_future(spam()) for _ in range(8)]
+        usual = await stage.client()
+        for number in range(30):
+            begun = time.monotonic()
+            answer = await usual.ask(*read(number + 1))
+            times.append((answer, time.monotonic() - begun))
+        stop = True
+        await asyncio.gather(*tasks)
+        return repeats, {answer for answer, _ in times}, sorted(took for _, took in times)[15]
+    repeats, answers, median = staged(story)
+    assert repeats > 200 and answers == {("$", b"data")} and median < 0.1
+
+
 def test_hundreds_of_commands_at_once_are_held_back_and_all_answered(staged):
     async def story(stage):
         stage.nodes[0].plays = lambda words: [0.005, served()]
--- a/tests/block/test_pool.py
+++ b/tests/block/test_pool.py
@@ -195,16 +195,16 @@
 def test_what_had_not_left_this_process_whole_was_never_reached():
     """A node that reads nothing: the command stays in our buffer, and then the connection breaks."""
     async def story(pool, node, row, run):
-        loop, held, result = pool.loop, [], loop_future()
-        def silent():
-            class Deaf(asyncio.Protocol):
-                def connection_made(self, transport):
-                    transport.pause_reading()
-                    held.append(transport)
-            return Deaf()
-        server = await loop.create_server(silent, "127.0.0.1", 0)
+        loop, held, result = pool.loop, [], pool.loop.create_future()
+
+        class Deaf(asyncio.Protocol):
+            def connection_made(self, transport):
+                transport.pause_reading()
+                held.append(transport)
+        server = await loop.create_server(Deaf, "127.0.0.1", 0)
         pool.listed(True, [row._replace(port=server.sockets[0].getsockname()[1])])
-        pool.send("s", lambda left: [b"x" * (16 << 20)], loop.time() + 1, lambda *outcome: result.set_result(outcome))
+        pool.send("s", lambda left: [b"x" * (16 << 20)], loop.time() + 1,
+                  lambda *outcome: result.set_result(outcome))
         await asyncio.sleep(0.1)
         held[0].abort()
         server.close()
@@ -212,10 +212,6 @@
     assert played(story) == say.UNREACHED
 
 
-def loop_future():
-    return asyncio.get_running_loop().create_future()
-
-
 def test_what_waits_for_a_connection_is_not_sent_to_a_node_that_drains():
     async def story(pool, node, row, run):
         task = asyncio.ensure_future(run(1))
--- a/tests/block/test_program.py
+++ b/tests/block/test_program.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -113,6 +114,10 @@
         client = await stage.client()
         await client.ask(b"PING")
         await asyncio.sleep(0.2)
+        slow = await stage.client()
+        stage.node.plays = lambda words: [0.3 if words[2][-1:] == b"9" else 0.0, served()]
+        slow.send(*read(9))
+        await asyncio.sleep(0.05)
         stage.file.write_text('{"name": "n0", "lis')
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
@@ -124,10 +129,41 @@
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
         answer = await client.ask(*read(1))
-        calls = len(other.calls)
+        calls, under = len(other.calls), await slow.reply()   # asked before the file changed
         other.close()
-        return before > 0, calls > 0, answer, stage.process.returncode
-    assert staged(story) == (True, True, ("$", b"data"), None)
+        return before > 0, calls > 0, answer, under, stage.process.returncode
+    assert staged(story) == (True, True, ("$", b"data"), ("$", b"data"), None)
+
+
+def test_a_port_that_is_taken_and_no_file_are_told_in_a_line(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(1, [], taken.getsockname()[1])))
+        for path, event in ((str(file), "listen.refused"), ("", "config.refused")):
+            done = subprocess.run([sys.executable, "-m", "rushmux.block"], cwd=ROOT, capture_output=True,
+                                  text=True, timeout=20, check=False,
+                                  env={**os.environ, "NODE_CONFIG": path})
+            assert done.returncode == 2 and event in done.stderr and "Traceback" not in done.stderr
+
+
+def test_descriptors_that_run_out_do_not_end_it(staged):
+    """Fewer descriptors than it was told of: it goes on, and serves when some are free again."""
+    async def story(stage):
+        await stage.client()
+        resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (40, 40))
+        crowd = []
+        for _ in range(80):
+            crowd.append(await stage.client())
+        for client in crowd:
+            client.send(b"PING")
+        await asyncio.sleep(0.3)
+        for client in crowd:
+            client.close()
+        await asyncio.sleep(1.2)         # the loop tries again after a second
+        usual = await stage.client()
+        return await usual.ask(b"PING"), await usual.ask(*read(1)), stage.process.returncode
+
+    assert staged(story) == (("+", b"PONG"), ("$", b"data"), None)
 
 
 def test_a_start_with_no_sense_says_why(tmp_path):
