--- a/tests/block/conftest.py
+++ b/tests/block/conftest.py
@@ -1,6 +1,11 @@
 """Fixtures of the platform's front: a gateway on loopback with stand-ins around it."""
 import asyncio
 import json
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -9,6 +14,9 @@
 from rushmux.standins.platform import Client, Discovery, Node, configuration
 
 
+ROOT = Path(__file__).resolve().parents[2]
+
+
 class Rows:
     """A log that keeps what it is told."""
 
@@ -72,3 +80,64 @@
                 await stage.close()
         return asyncio.run(whole())
     return played
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Running:
+    """A gateway's process with a node and discovery."""
+
+    def __init__(self, folder):
+        self.file, self.node, self.discovery = folder / "config.json", Node(), Discovery()
+        self.port, self.process, self.terms = free_port(), None, {}
+
+    def write(self, discovery=None):
+        raw = configuration(discovery or self.discovery.port, list(self.discovery.rows.values()), self.port,
+                            **self.terms)
+        self.file.write_text(json.dumps(raw))
+
+    async def open(self, terms):
+        self.terms = terms
+        await self.node.open()
+        await self.discovery.open()
+        self.discovery.put(self.node.row("s0", 0))
+        self.write()
+
+    async def run(self, *arguments):
+        """Starts it, with these arguments of the interpreter."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, cwd=ROOT, stderr=subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(self.file), "NODE_NAME": "n0"})
+
+    async def client(self):
+        for _ in range(100):
+            try:
+                return await Client().open(self.port)
+            except OSError:
+                await asyncio.sleep(0.05)
+        raise AssertionError("the gateway does not listen")
+
+
+@pytest.fixture
+def running(tmp_path):
+    """Plays a story, a coroutine function of a `Running`, with the gateway's own process."""
+    def played(story, arguments=("-m", "rushmux.block"), **terms):
+        async def whole():
+            stage = Running(tmp_path)
+            await stage.open(terms)
+            try:
+                await stage.run(*arguments)
+                async with asyncio.timeout(20):
+                    return await story(stage)
+            finally:
+                if stage.process and stage.process.returncode is None:
+                    stage.process.kill()
+                    await stage.process.wait()
+                stage.node.close()
+                stage.discovery.close()
+        return asyncio.run(whole())
+    return played
--- a/tests/block/test_program.py
+++ b/tests/block/test_program.py
@@ -9,68 +9,12 @@
 import sys
 from pathlib import Path
 
-import pytest
-
-from rushmux.standins.platform import Client, Discovery, Node, configuration, read, served
+from rushmux.standins.platform import Discovery, configuration, read, served
 
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
-class Stage:
-    """A gateway's process with a node and discovery."""
-
-    def __init__(self, folder):
-        self.file, self.node, self.discovery = folder / "config.json", Node(), Discovery()
-        self.port, self.process = free_port(), None
-
-    def write(self, discovery=None):
-        raw = configuration(discovery or self.discovery.port, list(self.discovery.rows.values()), self.port)
-        self.file.write_text(json.dumps(raw))
-
-    async def open(self):
-        await self.node.open()
-        await self.discovery.open()
-        self.discovery.put(self.node.row("s0", 0))
-        self.write()
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "rushmux.block", cwd=ROOT, stderr=subprocess.PIPE,
-            env={**os.environ, "NODE_CONFIG": str(self.file), "NODE_NAME": "n0"})
-
-    async def client(self):
-        for _ in range(100):
-            try:
-                return await Client().open(self.port)
-            except OSError:
-                await asyncio.sleep(0.05)
-        raise AssertionError("the gateway does not listen")
-
-
-@pytest.fixture
-def staged(tmp_path):
-    def played(story):
-        async def whole():
-            stage = Stage(tmp_path)
-            await stage.open()
-            try:
-                async with asyncio.timeout(20):
-                    return await story(stage)
-            finally:
-                if stage.process.returncode is None:
-                    stage.process.kill()
-                    await stage.process.wait()
-                stage.node.close()
-                stage.discovery.close()
-        return asyncio.run(whole())
-    return played
-
-
-def test_at_sigterm_it_serves_on_answers_what_it_took_and_ends_with_nought(staged):
+def test_at_sigterm_it_serves_on_answers_what_it_took_and_ends_with_nought(running):
     async def story(stage):
         stage.node.plays = lambda words: [0.2, served()]
         client, idle = await stage.client(), await stage.client()
@@ -87,12 +31,12 @@
         answers.append(await late.ask(*read(2)))   # a connection in use is served on
         ends = [await one.reply() for one in (idle, late, client)]
         return pong, answers, ends, await stage.process.wait(), asyncio.get_running_loop().time() - begun
-    pong, answers, ends, code, took = staged(story)
+    pong, answers, ends, code, took = running(story)
     assert pong == ("+", b"PONG") and answers == [("$", b"data")] * 2
     assert ends == [None] * 3 and code == 0 and took < 1.7
 
 
-def test_what_is_open_shortly_before_sigkill_gets_its_final_answer(staged):
+def test_what_is_open_shortly_before_sigkill_gets_its_final_answer(running):
     async def story(stage):
         stage.node.plays = lambda words: ["hang"]
         client = await stage.client()
@@ -105,11 +49,11 @@
         while (reply := await client.reply()) is not None:
             replies.append(reply)
         return replies, await stage.process.wait(), asyncio.get_running_loop().time() - begun
-    replies, code, took = staged(story)
+    replies, code, took = running(story)
     assert code == 0 and took < 1.9 and replies and {kind for kind, _ in replies} == {"-"}
 
 
-def test_sighup_goes_over_to_the_new_discovery_and_a_torn_file_keeps_the_old(staged):
+def test_sighup_goes_over_to_the_new_discovery_and_a_torn_file_keeps_the_old(running):
     async def story(stage):
         client = await stage.client()
         await client.ask(b"PING")
@@ -132,7 +76,7 @@
         calls, under = len(other.calls), await slow.reply()   # asked before the file changed
         other.close()
         return before > 0, calls > 0, answer, under, stage.process.returncode
-    assert staged(story) == (True, True, ("$", b"data"), ("$", b"data"), None)
+    assert running(story) == (True, True, ("$", b"data"), ("$", b"data"), None)
 
 
 def test_a_port_that_is_taken_and_no_file_are_told_in_a_line(tmp_path):
@@ -146,7 +90,7 @@
             assert done.returncode == 2 and event in done.stderr and "Traceback" not in done.stderr
 
 
-def test_descriptors_that_run_out_do_not_end_it(staged):
+def test_descriptors_that_run_out_do_not_end_it(running):
     """Fewer descriptors than it was told of: it goes on, and serves when some are free again."""
     async def story(stage):
         await stage.client()
@@ -163,7 +107,7 @@
         usual = await stage.client()
         return await usual.ask(b"PING"), await usual.ask(*read(1)), stage.process.returncode
 
-    assert staged(story) == (("+", b"PONG"), ("$", b"data"), None)
+    assert running(story) == (("+", b"PONG"), ("$", b"data"), None)
 
 
 def test_a_start_with_no_sense_says_why(tmp_path):
