Connections are served on until 0.8 s before SIGKILL; requests wait for a connection's rest

Change: no connection is closed for idleness by the stop; new commands are taken until 0.8 s before SIGKILL may come (then 0.4 s are left for the usual answer, 0.3 s); a request waits for the rest of an idle connection rather than open one; idle ones are kept to 0.9 of the nodes' time and none is used past it.

--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -14,7 +14,8 @@
 SERVE_ON = 0.5           # seconds after SIGTERM in which new connections still come
 LATEST = 3.0             # seconds: the most that the platform counts of the longest hard stop
 MORE = 0.7               # seconds past that until SIGKILL may come
-TO_ANSWER = 1.2          # seconds before that from which no connection is kept open for new commands
+TO_ANSWER = 0.8          # seconds before that from which no connection is kept open for new commands: what
+                         # comes just before has the usual time of an answer until it is ended
 TO_END = 0.4             # seconds before that when what is open gets its final answer
 LOOK = 0.05              # seconds between two looks whether all is answered
 
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -14,7 +14,6 @@
 UNREAD_TIME = 3.0        # seconds that answers may lie unread: the longest that an operation lives
 IDLE = 30.0              # seconds after which a connection with nothing open is closed
 FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform's page names
-LAST_IDLE = 1.0          # the same once the gateway stops: who asked just now will ask again here
 LINGER = 0.25            # seconds for an error to be read before its connection ends
 TO_SPEAK = 0.3           # seconds that a newcomer has at least before another takes its place
 SHORT = 0.5              # of the places for clients: sockets are short above it
@@ -171,7 +170,7 @@
 
     def __init__(self, loop, start, most, take, left):
         self.loop, self.start, self.most, self.take, self.left = loop, start, most, take, left
-        self.clients, self.closing, self.ending, self.server = {}, False, False, None
+        self.clients, self.ending, self.server = {}, False, None
         self.turned_away = self.bad = self.silent = self.taken = 0   # counts for the log
 
     async def open(self, host, port):
@@ -216,7 +215,7 @@
     def sweep(self):
         now = self.loop.time()
         # Danger: clients that ask once and stay hold every place.  Room is made before the last is taken.
-        rest = LAST_IDLE if self.closing else FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
+        rest = FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
         for client in list(self.clients):
             client.look(now, rest)
         self.loop.call_later(SWEEP, self.sweep)
@@ -242,8 +241,7 @@
         return Slot(client, error("ERR unknown command"))
 
     def close(self):
-        """Takes no more connections; each one ends as it falls idle."""
-        self.closing = True
+        """Takes no more connections; those that stand are served on."""
         self.server.close()
 
     def end(self):
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -12,7 +12,7 @@
 MOST_WAITING = 64        # executions that wait for connections to one node: six times the design's bound
 REST = 0.02              # seconds after an answer until a connection is used again: a surplus comes before
 MOST_HELD = 24 << 20     # bytes of all replies that are not whole: sixty of the largest seen
-IDLE_PART = 0.6          # of the time after which a node closes an idle connection
+IDLE_PART = 0.9          # of the time after which a node closes an idle connection: the rest is for the way
 SWEEP = 1.0              # seconds between two looks for connections idle for too long
 REST_BINS = 12           # of rests: the first ends at 20 ms, each next is twice as long
 FEW = 3                  # resets of a bin that may be chance
@@ -90,6 +90,7 @@
         self.unsent = False              # bytes written have not left this process
         self.held = 0                    # bytes of a reply that is not whole
         self.free_at, self.rest = 0.0, 0.0   # when it was last answered on; its rest before the last use
+        self.claimed = False             # an execution waits for the end of its rest
 
     def connection_made(self, transport):
         self.transport = transport
@@ -169,29 +170,62 @@
         self.dials = {}
 
     def send(self, execution):
-        link = self.rested(self.pool.loop.time())
+        now = self.pool.loop.time()
+        link, resting = self.rested(now), self.resting(now)
         if link is not None:
-            link.carry(execution)
-        elif len(self.waiting) >= MOST_WAITING or not self.pool.room():
+            self.use(link, execution, now)
+        elif len(self.waiting) >= MOST_WAITING or resting is None and not self.pool.room():
             self.pool.loop.call_soon(execution.back, say.FULL)
+        elif resting is not None:
+            resting.claimed = True
+            self.waiting.append(execution)
+            self.pool.loop.call_at(resting.free_at + REST, self.rest_over, resting)
         else:
             self.waiting.append(execution)
-            task = self.pool.loop.create_task(self.dial(self.place))
-            self.dials[task] = True
-            task.add_done_callback(self.dials.pop)
+            self.open()
+
+    def use(self, link, execution, now):
+        self.idle.remove(link)
+        link.rest = now - link.free_at
+        link.carry(execution)
 
     def rested(self, now):
         """The idle connection with the shortest rest that is long enough, if such a rest is trusted."""
         for link in reversed(self.idle):
             rest = now - link.free_at
-            if rest >= REST and not link.transport.is_closing():
-                if rest >= self.pool.trust.most:
-                    return None
-                self.idle.remove(link)
-                link.rest = rest
-                return link
+            if rest >= REST and not link.claimed and not link.transport.is_closing():
+                return link if rest < min(self.pool.idle, self.pool.trust.most) else None
         return None
 
+    def resting(self, now):
+        """The idle connection whose rest ends first, if nothing waits for it.
+
+        Danger: a new connection for each request that comes within the rest of the last; each costs its
+        node work, from hundreds of gateways.  Harm: a wait of at most the rest.
+        """
+        if self.pool.trust.most <= REST:
+            return None
+        return next((link for link in self.idle if now - link.free_at < REST and not link.claimed
+                     and not link.transport.is_closing()), None)
+
+    def rest_over(self, link):
+        """What waited for a connection's rest goes on it, or on a new one if it has ended meanwhile."""
+        link.claimed = False
+        if not self.waiting:             # it was given up, or went on another connection
+            return
+        if link in self.idle and not link.transport.is_closing():
+            self.use(link, self.waiting.popleft(), self.pool.loop.time())
+        elif self.pool.room():
+            self.open()
+        else:
+            self.waiting.popleft().back(say.FULL)
+
+    def open(self):
+        """Opens one more connection for what waits."""
+        task = self.pool.loop.create_task(self.dial(self.place))
+        self.dials[task] = True
+        task.add_done_callback(self.dials.pop)
+
     async def dial(self, place):
         host, port, _ = place
         try:
