Room over all nodes begins at three even parts; held operations that would end late are shed

Ten of 190 gateways had 17% of the traffic and 33% of the sheds: the room is an even part, traffic is not. Of 355 executions sent from a queue with under 200 ms of the 1,564 ms left 58 ended in time, of 446 with 200 to 400 ms 166; the usual answer is 400. They took 3.4% of all units. Lines: rules.py even_room; Pacing.choose, where the usual answer counted only with something out from here at the node: among 200 gateways nothing ever is. Harm: a slow node's usual answer outlives its slowness for what is held; what is just taken still goes.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -28,6 +28,7 @@
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
 NODE_PAUSE = 4           # part of the quoted time: the most that a node's room counts as an answer time
+UNEVEN = 3               # even parts in the first room over all nodes: some gateways get thrice the mean
 WHOLE_WAIT = 1.5         # times that in the room over all nodes: there only a jam should count
 GROWTH = 1               # executions of a volume's gateways together, for each full room of early answers
 SHRINK = 0.3             # part of the room that a late answer takes: two of them halve it
@@ -233,8 +234,7 @@
         self.crowd = CROWD * min(lane.quoted_time for lane in terms.lanes.values())
         self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
-        self.told = 0                    # service time last reported
-        self.answers_in = 0              # ticks that a mean operation takes there, by its report
+        self.told = self.answers_in = 0  # service time last reported; ticks that a mean operation takes by it
         self.late = self.doubt = False   # since it was asked: an execution late; a reason to ask again
         self.asked_at = -NEVER
 
@@ -405,7 +405,7 @@
             cell.try_at = min(cell.try_at, due_opens if due_opens > now else opens)
         if due_opens > now or len(node.out) >= DEPTH_CAP:
             return None
-        typical = node.room.typical() if node.out else 0
+        typical = 0 if node.asks and not node.out else node.room.typical() or self.gateway.room.typical()
         due, due_at, slack, lowest = None, NEVER, None, NEVER
         for volume, queue in list(cell.queues.items()):
             # Danger: retries late already, or in a backlog the oldest, take the place of answers in time.
@@ -570,7 +570,7 @@
         self.room.size = self.room.size or self.even_room()
 
     def even_room(self):
-        return DEPTH_CAP * len(self.cells) / (1 if self.terms.load_asked else self.terms.gateways)
+        return UNEVEN * DEPTH_CAP * len(self.cells) / (1 if self.terms.load_asked else self.terms.gateways)
 
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
