fleet/ and virtual/ are rooms of their own; stand-ins import nothing of the laboratory

Change: membership, shares, placement and election move from planner/ to fleet/, the loop on a simulated clock from lab/ to virtual/, with their tests; no line of theirs changed. Checked: nothing in fleet/ or virtual/ imports the rest of the program; planner, lab, routes and buffer tests pass as before; the platform's gateway imports neither (tests/block/test_bounds_of_run.py).

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from rushmux.planner.placement import Cell, Node, fullest, greedy, plan
+from rushmux.fleet.placement import Cell, Node, fullest, greedy, plan
 
 SPREAD = 0.6             # sigma of the cells' weights
 
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -15,10 +15,10 @@
 
 from rushmux import log
 from rushmux.edge.links import Lists
-from rushmux.lab.loop import run
+from rushmux.virtual.loop import run
 from rushmux.nodewire import VERSION, frame, messages
 from rushmux.planner import orders
-from rushmux.planner.membership import REPORT
+from rushmux.fleet.membership import REPORT
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import Store
 
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -7,9 +7,9 @@
 from typing import Optional
 
 from rushmux.nodewire import WireFault, messages
-from rushmux.planner.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
+from rushmux.fleet.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
 from rushmux.planner.peers import Listener
-from rushmux.planner.shares import Shares
+from rushmux.fleet.shares import Shares
 from rushmux.planner.store import Row, Store
 from rushmux.planner.voting import Voting
 
--- a/rushmux/planner/voting.py
+++ b/rushmux/planner/voting.py
@@ -6,7 +6,7 @@
 from typing import Callable
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
-from rushmux.planner.election import Ask, Elector, Vote
+from rushmux.fleet.election import Ask, Elector, Vote
 
 LOOK = 0.1               # seconds between two looks
 AGAIN = 0.3              # seconds until another planner is dialled again
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -11,7 +11,7 @@
 import jsonschema
 
 from rushmux import interface as say
-from rushmux.planner.shares import SAFE
+from rushmux.fleet.shares import SAFE
 from rushmux.routes import prove, resolve
 
 SCHEMA = json.loads(Path(__file__).with_name("schema.json").read_text())
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -9,7 +9,7 @@
 from rushmux.edge.edge import Edge
 from rushmux.edge.lastlist import LastList
 from rushmux.edge.links import Address
-from rushmux.lab.loop import VirtualLoop, run
+from rushmux.virtual.loop import VirtualLoop, run
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import Store as PlannerStore
 from rushmux.rules import Gateway
--- a/tests/planner/test_election.py
+++ b/tests/fleet/test_election.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from rushmux.planner.election import DRIFT, EVERY, LEASE, MOST, Ask, Elector, Vote
+from rushmux.fleet.election import DRIFT, EVERY, LEASE, MOST, Ask, Elector, Vote
 
 STEP = 0.05
 
--- a/tests/planner/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from rushmux.planner import membership
-from rushmux.planner.membership import (CROWD_WAIT, DRAINED, DRAINING, EDGE, GONE, HELD, LEASE, NODE, READY,
+from rushmux.fleet import membership
+from rushmux.fleet.membership import (CROWD_WAIT, DRAINED, DRAINING, EDGE, GONE, HELD, LEASE, NODE, READY,
                                         SETTLE, SUSPECTED, Full, Membership)
 
 
--- a/tests/planner/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -5,7 +5,7 @@
 import pytest
 from scipy.optimize import Bounds, LinearConstraint, milp
 
-from rushmux.planner.placement import EVEN, Cell, Node, fullest, greedy, plan
+from rushmux.fleet.placement import EVEN, Cell, Node, fullest, greedy, plan
 
 
 def drawn(seed, cells, nodes, zones=3, spread=0.6):
--- a/tests/planner/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rushmux.planner.shares import DRIFT, LEASE, SAFE, Believed, Shares
+from rushmux.fleet.shares import DRIFT, LEASE, SAFE, Believed, Shares
 
 FOLDERS = ("a", "b")
 
--- a/tests/planner/test_asking.py
+++ b/tests/planner/test_asking.py
@@ -6,7 +6,7 @@
 from benchmarks import shares as day
 from rushmux.edge.links import Lists
 from rushmux.nodewire import messages
-from rushmux.planner.shares import LEASE, SAFE
+from rushmux.fleet.shares import LEASE, SAFE
 from rushmux.settings.deployment import BadDeployment, build
 from rushmux.standins import fleet
 from rushmux.standins.checker import Checker
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -13,10 +13,10 @@
 from rushmux.edge.lastlist import LastList
 from rushmux.edge.links import Lists
 from rushmux.files.paths import home
-from rushmux.lab.loop import run
+from rushmux.virtual.loop import run
 from rushmux.nodewire import VERSION, messages
 from rushmux.planner import orders
-from rushmux.planner.membership import LEASE
+from rushmux.fleet.membership import LEASE
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import BadStore, Row, Store
 from rushmux.settings import deployment
