--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -28,7 +28,6 @@
 WAIT_BASE = 0.1          # of the quoted time: an answer within this never shrinks the room
 WAIT_SIZE = 0.1          # of the quoted time for each mean operation in it: large ones take longer
 NODE_PAUSE = 4           # part of the quoted time: the most that a node's room counts as an answer time
-UNEVEN = 3               # even parts in the first room over all nodes: some gateways get thrice the mean
 WHOLE_WAIT = 1.5         # times that in the room over all nodes: there only a jam should count
 GROWTH = 1               # executions of a volume's gateways together, for each full room of early answers
 SHRINK = 0.3             # part of the room that a late answer takes: two of them halve it
@@ -570,7 +569,7 @@
         self.room.size = self.room.size or self.even_room()
 
     def even_room(self):
-        return UNEVEN * DEPTH_CAP * len(self.cells) / (1 if self.terms.load_asked else self.terms.gateways)
+        return DEPTH_CAP * len(self.cells) / (1 if self.terms.load_asked else self.terms.gateways)
 
     def taken(self, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again):
         lane = self.terms.lanes[lane]
