--- a/rushmux/fleet/raft.py
+++ b/rushmux/fleet/raft.py
@@ -75,6 +75,7 @@
     before_term: int
     entries: tuple[Entry, ...]
     decided: int
+    round: int = 0           # of the leader's words: whoever echoes it heard it after the round began
 
 
 class Install(NamedTuple):
@@ -83,6 +84,7 @@
     to: str
     term: int
     snapshot: Snapshot
+    round: int = 0
 
 
 class Appended(NamedTuple):
@@ -92,6 +94,7 @@
     term: int
     good: bool
     index: int
+    round: int = 0
 
 
 class Ready(NamedTuple):
@@ -124,7 +127,7 @@
         self.decided = self.applied = kept.snapshot.index
         self.role, self.leader, self.heard_at = FOLLOWS, None, now - WAIT / 10
         self.votes, self.next, self.match, self.heard, self.learners = {}, {}, {}, {}, {}
-        self.told_at, self.asked_at = 0.0, 0.0
+        self.told_at, self.asked_at, self.round, self.echoes = 0.0, 0.0, 0, {}
         self.out, self.vote_kept, self.cut_from = [], (self.term, self.voted), None
         self.unwritten, self.to_write, self.to_restore = self.on_disk, None, None
         self.members = self.members_at(self.last)
@@ -210,7 +213,7 @@
                 self.stand(now, False)
             elif self.role == STANDS:
                 self.role, self.leader = LEADS, self.me
-                self.next, self.match = {}, {}
+                self.next, self.match, self.echoes = {}, {}, {}
                 self.heard = {name: now for name in self.members}
                 # Danger: entries of older terms are not decided by counting; one of its own decides them.
                 self.add([Entry(self.term, BEGIN, b"")])
@@ -274,7 +277,7 @@
     # A leader's words.
 
     def tell(self, now):
-        self.told_at = now
+        self.told_at, self.round = now, self.round + 1
         for name in (*self.members, *self.learners):
             if name != self.me:
                 self.tell_one(name)
@@ -283,11 +286,11 @@
     def tell_one(self, name):
         next_ = self.next.setdefault(name, self.last)
         if next_ <= self.snapshot.index:
-            self.out.append(Install(self.me, name, self.term, self.snapshot))
+            self.out.append(Install(self.me, name, self.term, self.snapshot, self.round))
             return
         place = next_ - self.snapshot.index - 1
         self.out.append(Append(self.me, name, self.term, next_ - 1, self.term_at(next_ - 1),
-                               tuple(self.log[place:place + BATCH]), self.decided))
+                               tuple(self.log[place:place + BATCH]), self.decided, self.round))
 
     def decide(self, now):
         """Moves on what a majority's disks have, this one's included."""
@@ -300,6 +303,16 @@
                 self.tell(now)
                 self.follow(now, self.term)
 
+    @property
+    def confirmed(self) -> int:
+        """The newest round that a majority echoed: after it began this member still led, by nobody's clock.
+        0 until an entry of its own term is decided: before that it may not know what was decided."""
+        if self.role != LEADS or self.term_at(self.decided) != self.term:
+            return 0
+        rounds = sorted((self.round if name == self.me else self.echoes.get(name, 0)
+                         for name in self.members), reverse=True)
+        return rounds[len(self.members) // 2]
+
     # What comes.
 
     def hear(self, now, message):
@@ -350,7 +363,7 @@
             index = min(before - 1, self.last)
             while index > self.decided and self.term_at(index) == self.term_at(before):
                 index -= 1               # the whole term differs: one word for all of it
-            self.out.append(Appended(self.me, message.sender, self.term, False, index))
+            self.out.append(Appended(self.me, message.sender, self.term, False, index, message.round))
             return
         for place, entry in enumerate(entries):
             known = self.term_at(before + 1 + place)
@@ -361,7 +374,7 @@
                 break
         reached = max(before + len(entries), self.snapshot.index)
         self.decided = max(self.decided, min(message.decided, reached))
-        self.out.append(Appended(self.me, message.sender, self.term, True, reached))
+        self.out.append(Appended(self.me, message.sender, self.term, True, reached, message.round))
 
     def install(self, now, message):
         snapshot = message.snapshot
@@ -377,13 +390,14 @@
             self.decided = self.applied = snapshot.index
             self.to_restore = snapshot
             self.members = self.members_at(self.last)
-        self.out.append(Appended(self.me, message.sender, self.term, True, snapshot.index))
+        self.out.append(Appended(self.me, message.sender, self.term, True, snapshot.index, message.round))
 
     def appended(self, now, message):
         if self.role != LEADS:
             return
         self.heard[message.sender] = now
         name = message.sender
+        self.echoes[name] = max(self.echoes.get(name, 0), message.round)
         if message.good:
             self.match[name] = max(self.match.get(name, 0), message.index)
             self.next[name] = max(self.next.get(name, 0), self.match[name] + 1)
--- /dev/null
+++ b/rushmux/standins/policies.py
@@ -0,0 +1,338 @@
+"""A world for the fleet's policy: planners with their log (`voices`), members with disks and clocks of their own,
+and a judge that knows only what was decided first and what each member may use at each instant.
+
+All follows from the seed.  A faulty `Conduct`, `Holder` or `Register` may be handed in: the judge has to find it.
+"""
+import json
+import random
+from typing import NamedTuple
+
+from rushmux.fleet import policy, raft
+from rushmux.standins import voices
+from rushmux.standins.voices import Breach, Faults
+
+ASK = 0.5                # seconds between two asks of a member
+NO_ANSWER = 1.5          # seconds without a grant until another planner is asked
+IMAGE = 5.0              # seconds that it takes at least to put an older image of a disk back
+FOLDERS = ("a", "b")
+LIMITS = (200.0, 100.0, 60.0, 30.0, 12.0, 4.0)
+APART = 0.004            # most by which a member's clock runs fast or slow: under half of the drift allowed
+MOST_IMAGES = 4          # older states of a disk that may come back
+EPSILON = 1e-6
+
+
+class MemberFaults(NamedTuple):
+    """How much goes wrong with members, each a second over all of them; `mute`: one never asks."""
+    kills: float
+    stops: float
+    cuts: float
+    disks: float
+    images: float            # part of starts that find an older disk
+    refusals: float          # part of policies that some member cannot prove
+    mute: bool
+
+
+def drawn(chance) -> MemberFaults:
+    def some(most):
+        return most * chance.random() ** 2 if chance.random() < 0.6 else 0.0
+    return MemberFaults(some(0.3), some(0.2), some(0.3), some(0.1), some(0.5), some(0.3), chance.random() < 0.15)
+
+
+class Planner(voices.Host):
+    """A planner: a voice of the log, the state it makes, and what it does when it leads."""
+
+    def __init__(self, name, kept):
+        super().__init__(name, kept)
+        self.register, self.conduct, self.index = policy.Register(), None, 0
+
+
+class Member:
+    """An edge: its disk survives a kill, its holder does not."""
+
+    def __init__(self, name, clock, rate):
+        self.name, self.clock, self.rate = name, clock, rate
+        self.disk, self.images, self.holder = (None, None), [], None
+        self.life, self.held_until, self.cut_until, self.full_until, self.heard = 0, 0.0, 0.0, 0.0, 0.0
+        self.planner, self.mute = 0, False
+
+    def time(self, now):
+        return self.clock + now * self.rate
+
+
+class World(voices.World):
+    """`members` edges; `parts`: (Register, Conduct, Holder) as they are, or as a defect has them."""
+    host = Planner
+
+    def __init__(self, seed, planners=3, members=4, parts=None, make=raft.Voice):
+        self.register, self.conduct, self.holder = parts or (policy.Register, policy.Conduct, policy.Holder)
+        self.decided, self.floor, self.unprovable, self.checked = [], 0, {}, 0
+        self.outcomes, self.ended_at, self.counted, self.order = {}, 0.0, 0, None
+        self.edges = {}
+        super().__init__(seed, planners, make)
+        self.faults = self.faults._replace(changes=0.0)
+        chance = random.Random(f"members {seed}")
+        self.member_faults = drawn(chance)
+        for number in range(members):
+            rate = 1 + (chance.random() * 2 - 1) * APART
+            edge = self.edges[f"edge{number}"] = Member(f"edge{number}", chance.uniform(0, 1e5), rate)
+            edge.mute = self.member_faults.mute and number == 0
+            self.begin(edge)
+        for rate, act in ((self.member_faults.kills, self.kill_edge), (self.member_faults.stops, self.stop_edge),
+                          (self.member_faults.cuts, self.cut_edge), (self.member_faults.disks, self.fill_disk)):
+            if rate:
+                self.again(rate, act)
+
+    def change(self):
+        """Planners stay the same here; `voices` plays their coming and going."""
+
+    # Planners.
+
+    def start(self, name):
+        host = self.hosts[name]
+        host.conduct = None
+        super().start(name)
+
+    def restore(self, host, snapshot):
+        raw = json.loads(snapshot.state) if snapshot.state else {"register": "", "sessions": []}
+        host.register = self.register.restored(raw["register"].encode())
+        host.sessions = raft.Sessions([tuple(row) for row in raw["sessions"]])
+        host.index = snapshot.index
+
+    def state(self, host):
+        return json.dumps({"register": host.register.kept().decode(), "sessions": host.sessions.kept()}).encode()
+
+    def apply(self, host, index, entry):
+        known = self.applied.setdefault(index, entry)
+        if known != entry:
+            raise Breach(f"{self.now:.3f} {host.name} applies {entry} at {index}, where {known} was applied")
+        host.index, self.decided_at = index, self.now
+        if entry.kind != raft.ORDER:
+            return
+        order, before = json.loads(entry.body), host.register.staged
+        if "client" in order:
+            host.sessions.once(order["client"], order["n"], lambda: host.register.apply(order))
+        else:
+            host.register.apply(order)
+        if index > self.counted:         # the first to apply it: decided at this instant
+            self.counted = index
+            self.took(host, order, before)
+
+    def took(self, host, order, before):
+        force = host.register.force
+        if force is not None and (not self.decided or self.decided[-1].number != force.number):
+            if self.decided and force.number < self.decided[-1].number:
+                raise Breach(f"{self.now:.3f} {force.number} is in force after {self.decided[-1].number}")
+            self.decided.append(force)
+        if before is not None and host.register.staged is None:
+            if before.number in self.outcomes:
+                raise Breach(f"{self.now:.3f} change {before.number} ended twice")
+            self.outcomes[before.number], self.ended_at = order["kind"], self.now
+        self.judge_limits()
+
+    def work(self, host):
+        super().work(host)
+        voice = host.voice
+        if voice is None or voice.role != raft.LEADS:
+            host.conduct = None
+            return
+        if host.conduct is None or host.conduct.term != voice.term:
+            host.conduct = self.conduct(host.register, self.now)
+            host.conduct.term = voice.term
+        if voice.confirmed:
+            if host.conduct.register is not host.register:
+                host.conduct.register = host.register
+            for grant in host.conduct.answers(self.now, voice.confirmed, voice.term, host.index):
+                self.to_edge(host, grant)
+            order = host.conduct.look(self.now)
+            if order is not None:
+                try:
+                    voice.propose(self.now, json.dumps(order).encode())
+                except raft.Refused:
+                    host.conduct.unkept()
+                super().work(host)
+            # Nodes hear the floor from whoever leads, some later.
+            self.at(0.2, self.raise_floor, host.register.floor)
+
+    def raise_floor(self, floor):
+        self.floor = max(self.floor, floor)
+
+    def client(self):
+        """People: the first policy, changes, withdrawals, going back; each asked again by chance."""
+        for host in self.leading():
+            if self.order is None or self.chance.random() < 0.8:
+                self.asked += 1
+                self.order = self.drawn_order(host)
+            try:
+                host.voice.propose(self.now, json.dumps(self.order).encode())
+            except raft.Refused:
+                pass
+            self.work(host)
+        wait = 0.1 if not self.decided else self.chance.uniform(0.5, 8.0)
+        if not self.healing:
+            self.at(wait, self.client)
+
+    def drawn_order(self, host):
+        client = {"client": f"c{self.asked % 3}", "n": self.asked // 3 + 1, "by": "somebody"}
+        force, staged = host.register.force, host.register.staged
+        if force is None:
+            return {**client, "kind": "found", "members": sorted(self.edges), **self.drawn_policy()}
+        kind = self.chance.random()
+        if staged is not None and kind < 0.1:
+            return {**client, "kind": "withdraw", "number": staged.number}
+        if kind < 0.2:
+            return {**client, "kind": "revert", "number": self.chance.randrange(1, force.number + 2)}
+        base = {"base": force.number} if kind < 0.6 else {}
+        return {**client, "kind": "propose", **base, **self.drawn_policy()}
+
+    def drawn_policy(self):
+        rows = [(folder, limit := self.chance.choice(LIMITS), limit * 2) for folder in FOLDERS]
+        text = f"text {self.asked}"
+        if self.decided and self.chance.random() < self.member_faults.refusals:
+            self.unprovable[text] = self.chance.choice(sorted(self.edges))
+        return {"text": text, "rows": rows}
+
+    # Members.
+
+    def begin(self, edge):
+        """A start: what the disk holds, narrow until a planner answers."""
+        edge.life += 1
+        life = edge.life
+
+        def keep(force, staged):
+            if self.now < edge.full_until:
+                raise OSError("no room")
+            edge.images = [*edge.images, edge.disk][-MOST_IMAGES:]
+            edge.disk = force, staged
+
+        def prove(proposed):
+            return "cannot" if self.unprovable.get(proposed.text) == edge.name else None
+        edge.holder = self.holder(edge.name, *edge.disk, prove, keep)
+        edge.heard = self.now
+        self.at(self.chance.uniform(0, ASK), self.ask, edge, life)
+
+    def ask(self, edge, life):
+        if edge.life != life:
+            return
+        self.at(ASK * self.chance.uniform(0.5, 1.0), self.ask, edge, life)
+        if edge.mute or self.now < edge.held_until:
+            return
+        if self.now - edge.heard > NO_ANSWER:
+            edge.planner, edge.heard = edge.planner + 1, self.now
+        name = sorted(self.hosts)[edge.planner % len(self.hosts)]
+        self.carried(edge, self.asked_by, name, edge.holder.ask(edge.time(self.now)), self.copies())
+
+    def copies(self):
+        return max(0, 1 + (self.chance.random() < self.faults.repeated)
+                   - (self.chance.random() < self.faults.lost))
+
+    def carried(self, edge, act, *values):
+        *values, copies = values
+        if self.now < edge.cut_until:
+            return
+        for _ in range(copies):
+            late = 30 if self.chance.random() < 0.05 and not self.healing else 1
+            self.at(self.chance.uniform(*voices.WAY) * late, act, *values)
+
+    def asked_by(self, name, ask):
+        host = self.hosts[name]
+        if host.voice is not None and host.conduct is not None:
+            host.conduct.asked(self.now, ask, host.voice.round)
+            self.work(host)
+
+    def to_edge(self, host, grant):
+        edge = self.edges[grant.member]
+        self.carried(edge, self.granted, edge, edge.life, grant, self.copies())
+
+    def granted(self, edge, life, grant):
+        if edge.life != life or edge.holder is None:
+            return
+        if self.now < edge.held_until:   # it stands still: what came waits in its socket
+            self.at(edge.held_until - self.now, self.granted, edge, life, grant)
+            return
+        edge.heard = self.now
+        edge.holder.granted(edge.time(self.now), grant)
+        self.judge_limits()
+
+    def kill_edge(self):
+        edge = self.chance.choice(list(self.edges.values()))
+        edge.life, edge.holder = edge.life + 1, None
+        away = 0.01 * 2_500 ** self.chance.random()   # 10 ms to 25 s
+        if edge.images and self.chance.random() < self.member_faults.images:
+            edge.disk, away = self.chance.choice(edge.images), max(away, IMAGE)
+        self.at(away, self.begin_again, edge, edge.life)
+
+    def begin_again(self, edge, life):
+        if edge.life == life:
+            self.begin(edge)
+            self.judge_limits()
+
+    def stop_edge(self):
+        edge = self.chance.choice(list(self.edges.values()))
+        edge.held_until = self.now + 0.2 * 120 ** self.chance.random()   # to 24 s
+        self.at(edge.held_until - self.now, self.judge_limits)
+
+    def cut_edge(self):
+        edge = self.chance.choice(list(self.edges.values()))
+        edge.cut_until = self.now + 0.5 * 60 ** self.chance.random()
+
+    def fill_disk(self):
+        edge = self.chance.choice(list(self.edges.values()))
+        edge.full_until = self.now + self.chance.uniform(1, 15)
+
+    def quiet(self):
+        super().quiet()
+        for edge in self.edges.values():
+            edge.held_until = edge.cut_until = edge.full_until = 0.0
+
+    # The judge.
+
+    def judge_limits(self):
+        """All that members may use at this instant, against the limits decided last."""
+        if not self.decided:
+            return
+        self.checked += 1
+        known = {made.number for made in self.decided}
+        limits, used = self.decided[-1].limits(), {}
+        for edge in self.edges.values():
+            holder = edge.holder
+            if holder is None or self.now < edge.held_until or not holder.serves():
+                continue
+            if holder.number not in known:
+                raise Breach(f"{self.now:.3f} {edge.name} serves under {holder.number}, never decided")
+            if holder.number < self.floor:
+                holder.turned_away(self.floor)   # the first operation tells it
+                continue
+            for folder, both in holder.limits(edge.time(self.now)).items():
+                row = used.setdefault(folder, [0.0, 0.0])
+                for place, value in enumerate(both):
+                    row[place] += value / len(self.edges)
+        for folder, row in used.items():
+            for value, limit, what in zip(row, limits[folder], ("limit", "burst")):
+                if value > limit + EPSILON:
+                    raise Breach(f"{self.now:.3f} {what} of {folder} is {limit:g} by {self.decided[-1].number}; members "
+                                 f"go by {value:g}: " + ", ".join(
+                                     f"{edge.name} {edge.holder and edge.holder.number}" for edge in
+                                     self.edges.values()))
+
+    def settled(self):
+        """After a quiet time: one number everywhere, nothing under way, nobody narrow but the mute."""
+        if not self.decided:
+            raise Breach("no policy was ever decided")
+        for host in self.hosts.values():
+            if host.register.staged is not None:
+                raise Breach(f"change {host.register.staged.number} hangs at {host.name}")
+        for edge in self.edges.values():
+            refuses = self.unprovable.get(self.decided[-1].text) == edge.name
+            if edge.mute or refuses:
+                continue
+            if edge.holder.number != self.decided[-1].number or edge.holder.narrow(edge.time(self.now)):
+                raise Breach(f"{edge.name} goes by {edge.holder.number}, {self.decided[-1].number} is in force")
+        return self
+
+
+PLAY, HEAL = 130.0, 70.0     # seconds of a seed, and when its faults end
+
+
+def played(seed, **other) -> World:
+    """One seed, whole: `Breach` where anything was found."""
+    return World(seed, planners=1 + 2 * (seed % 3 > 0), members=3 + seed % 4, **other).play(PLAY, HEAL).settled()
--- a/rushmux/standins/voices.py
+++ b/rushmux/standins/voices.py
@@ -56,13 +56,14 @@
 
 class World:
     """Members that play together until a time; `make` builds one."""
+    host = Host
 
     def __init__(self, seed, members=3, make=raft.Voice):
         self.chance = random.Random(seed)
         self.make, self.faults, self.now, self.number = make, drawn(self.chance), 0.0, 0
         self.events, self.cut, self.leaders, self.applied, self.promised = [], {}, {}, {}, {}
         names = [f"p{number}/1" for number in range(members)]
-        self.hosts = {name: Host(name, raft.founded(names)) for name in names}
+        self.hosts = {name: self.host(name, raft.founded(names)) for name in names}
         self.asked, self.spare, self.healing = 0, members, False
         self.decided_at = self.quiet_decided = 0.0
         for name in names:
@@ -221,7 +222,7 @@
                     if learns is None:
                         name, self.spare = f"p{self.spare}/1", self.spare + 1
                         empty = raft.Kept(0, None, raft.Snapshot(0, 0, (), b""))
-                        self.hosts[name] = Host(name, empty)
+                        self.hosts[name] = self.host(name, empty)
                         self.start(name)
                         host.voice.learn(self.now, name)
                     else:
