Planners decide a policy in common over real processes: log on disk, carriage, edges, fence, fault rig

Change: planner/council.py carries fleet/raft.py, planner/logfile.py keeps it (length, checksum and format on each record, synced before it is sent; a torn tail is cut, a damaged middle refused); edge/going.py keeps and goes by the policy; nodes turn away numbers below a floor; rushmux policy; standins/relay.py, rig.py and policy_judge.py play stories on real processes.

--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -12,7 +12,8 @@
 from rushmux import log, replace
 from rushmux.cli.lab import lab
 from rushmux.cli.planning import fleet
-from rushmux.cli.shared import EXAMPLE, Place, deployed, new_seed
+from rushmux.cli.policies import policy
+from rushmux.cli.shared import EXAMPLE, Named, Place, Places, deployed, new_seed
 
 LEVELS = click.Choice(sorted(log.LEVELS))
 
@@ -70,13 +71,15 @@
 
 main.add_command(lab)
 main.add_command(fleet)
+main.add_command(policy)
 
 
 @main.command()
 @common
 @click.option("--number", type=int, default=0, show_default=True,
               help="which of the deployment's edges this is")
-@click.option("--lists", type=Place(), required=True, help="source of the list of nodes")
+@click.option("--lists", type=Places(), required=True,
+              help="source of the list of nodes; of several planners with commas between")
 @click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module",
               show_default=True)
 @click.option("--data", type=click.Path(),
@@ -87,14 +90,24 @@
     from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
     from rushmux.edge.lastlist import LastList
-    from rushmux.edge.links import Address
+    from rushmux.edge.going import Kept, Newer
     from rushmux.rules import Gateway
     from rushmux.settings import deployment as deployments
     from rushmux.standins.passthrough import PassThrough
     deployment = deployed(file)
     if not 0 <= number < deployment.terms.gateways:
         raise click.ClickException(f"edge {number} of {deployment.terms.gateways}")
-    disk = None
+    disk = kept = None
+    if deployment.policy:
+        if not data:
+            raise click.ClickException("an edge of a fleet with a policy needs --data: it keeps what was decided")
+        kept = Kept(Path(data) / "policy.kept")
+        try:
+            kept.load()
+        except Newer as fault:
+            raise click.ClickException(str(fault)) from fault
+        except Exception:   # pylint: disable=broad-except
+            pass                         # said when it starts: it serves nothing until it was told
     if data and deployment.buffer is not None:
         try:
             disk = Disk(data, deployment.buffer["log_sync"])
@@ -107,9 +120,11 @@
         if data:
             Path(data).mkdir(parents=True, exist_ok=True)
         last = LastList(Path(data) / "last.list", time.time, logger) if data else None
-        part = Edge(number, deployment, Address(*lists), new_seed(seed), time.time() - loop.time(), logger,
+        part = Edge(number, deployment, lists, new_seed(seed), time.time() - loop.time(), logger,
                     {"module": Gateway, "passthrough": PassThrough}[decisions],
-                    buffered(deployment, disk), last)
+                    buffered(deployment, disk), last, kept)
+        part.went_by = lambda state: record("goes_by", edge=part.name, start=part.start, number=state[0],
+                                            staged=state[1] or 0, narrow=state[2], serves=state[3])
         part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
         loop.add_signal_handler(signal.SIGHUP, part.reload, lambda: deployments.load(file))
         await serve(part, listen, with_parent, start=part.start)
@@ -121,7 +136,8 @@
 @click.option("--name", required=True)
 @click.option("--cell", type=int, required=True, help="the shard of data it holds")
 @click.option("--zone", default="z", show_default=True)
-@click.option("--lists", type=Place(), required=True)
+@click.option("--lists", type=Places(), required=True)
+@click.option("--tell", type=Place(), help="where edges find it, if not where it listens")
 @click.option("--data", type=click.Path(), required=True, help="file of its store")
 @click.option("--disk", type=int, default=1 << 30, show_default=True, help="bytes")
 @click.option("--unit", type=float, default=0.015, show_default=True,
@@ -130,11 +146,9 @@
 @click.option("--warm", is_flag=True, help="start at full capacity")
 @click.option("--sync", is_flag=True, help="every commit reaches the disk before it is answered")
 @click.option("--obeys", is_flag=True, help="take orders to be in trouble")
-def node(file, listen, seed, records, log_level, with_parent, name, cell, zone, lists, data, disk, unit,
-         cores,
-         warm, sync, obeys):
+def node(file, listen, seed, records, log_level, with_parent, name, cell, zone, lists, tell, data, disk, unit,
+         cores, warm, sync, obeys):
     """A stand-in storage node."""
-    from rushmux.edge.links import Address
     from rushmux.standins.fleet import shape_of, window_of
     from rushmux.standins.node import Node
     from rushmux.standins.store import BadStore, Store
@@ -146,9 +160,9 @@
 
     async def run():
         loop = asyncio.get_running_loop()
-        part = Node(name, cell, zone, store, Address(*lists), shape_of(deployment, unit=unit, cores=cores),
+        part = Node(name, cell, zone, store, lists, shape_of(deployment, unit=unit, cores=cores),
                     new_seed(seed), not warm, log.to_stream(sys.stderr.buffer, log_level),
-                    recorder(records, loop), obeys)
+                    recorder(records, loop), obeys, tell)
         await serve(part, listen, with_parent, start=part.start)
     asyncio.run(run())
 
@@ -176,13 +190,23 @@
 @main.command()
 @common
 @click.option("--cells", type=int, required=True, help="shards that data is spread over; never changed later")
-@click.option("--data", type=click.Path(), required=True, help="file of what it knows")
-def planner(file, listen, seed, records, log_level, with_parent, cells, data):
+@click.option("--data", type=click.Path(), required=True, help="file of what it knows; its log lies beside it")
+@click.option("--planners", type=Named(), help="all planners of the fleet, this one among them")
+@click.option("--name", default="a", show_default=True, help="which of the planners this is")
+@click.option("--found", is_flag=True, help="begin the planners' log; at the fleet's first start only")
+def planner(file, listen, seed, records, log_level, with_parent, cells, data, planners, name, found):
     """Knows which nodes and edges live, and tells the edges."""
-    del seed                             # it draws nothing
+    import random
+    from rushmux.planner.council import Planners
+    from rushmux.planner.logfile import BadLog
     from rushmux.planner.planner import Planner
     from rushmux.planner.store import BadStore, Store
-    deployment = deployed(file)
+    deployment, among = deployed(file), None
+    if planners or deployment.policy:
+        planners = planners or {name: listen}
+        if name not in planners:
+            raise click.ClickException(f"there is no planner '{name}'; there are {', '.join(planners)}")
+        among = Planners(name, planners, found)
     try:
         store = Store(data)
     except (BadStore, OSError) as fault:
@@ -191,8 +215,12 @@
     async def run():
         part = Planner(cells, store, log.to_stream(sys.stderr.buffer, log_level),
                        recorder(records, asyncio.get_running_loop()), deployment.limits(),
-                       deployment.terms.gateways)
-        await serve(part, listen, with_parent)
+                       deployment.terms.gateways, among, f"{data}.log", deployment,
+                       random.Random(new_seed(seed)))
+        try:
+            await serve(part, listen, with_parent)
+        except BadLog as fault:
+            raise click.ClickException(str(fault)) from fault
     asyncio.run(run())
 
 
--- a/rushmux/cli/planning.py
+++ b/rushmux/cli/planning.py
@@ -3,9 +3,10 @@
 
 import click
 
-from rushmux.cli.shared import Place
+from rushmux.cli.shared import Places
 
-PLANNER = click.option("--planner", type=Place(), required=True, help="HOST:PORT of the planner")
+PLANNER = click.option("--planner", type=Places(), required=True,
+                       help="HOST:PORT of the planner; of several with commas between")
 MOST_LOOKS = 100_000     # of one `watch`
 
 
@@ -14,7 +15,8 @@
     try:
         return asyncio.run(orders.order(planner, verb, member))
     except orders.NotOrdered as fault:
-        raise click.ClickException(f"{planner[0]}:{planner[1]}: {fault}") from fault
+        place = f"{planner[0]}:{planner[1]}: " if isinstance(planner[0], str) else ""
+        raise click.ClickException(f"{place}{fault}") from fault
 
 
 @click.group()
--- a/rushmux/cli/shared.py
+++ b/rushmux/cli/shared.py
@@ -22,6 +22,33 @@
         return host, int(port)
 
 
+class Places(Place):
+    """HOST:PORT, or several with commas between."""
+    name = "host:port[,...]"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, tuple):
+            return value
+        found = tuple(super(Places, self).convert(part.strip(), param, ctx) for part in value.split(","))
+        return found[0] if len(found) == 1 else found
+
+
+class Named(Place):
+    """NAME=HOST:PORT, with commas between."""
+    name = "name=host:port[,...]"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, dict):
+            return value
+        found = {}
+        for part in value.split(","):
+            name, equals, place = part.strip().partition("=")
+            if not equals or not name.isalnum() or name in found:
+                self.fail(f"'{part}' is no NAME=HOST:PORT, or names one twice", param, ctx)
+            found[name] = super().convert(place, param, ctx)
+        return found
+
+
 def deployed(path, plainly=False):
     """The deployment of a file, or an end with its faults; `plainly`: refusals of routes with how each
     would come about."""
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -63,6 +63,10 @@
         self.left_over = lambda folder, cell, name: None   # hears of objects that no name will point at
         self.disk = {}                   # node -> (total, free) bytes
         self.went = {}                   # operation -> cells where an execution went that may have run
+        self.number, self.numbers = 0, {}   # policy that is gone by; operation -> the one it was taken under
+        self.serving = lambda: True      # whether operations may be taken at all
+        self.fenced = lambda floor: None   # hears of nodes that turn this edge's number away
+        self.parts, self.scales = {}, {}   # folder -> part of its limit; how far the policy moves it
 
     def unique(self) -> str:
         """A name never used before, by this start or another."""
@@ -76,6 +80,17 @@
 
     def shared(self, folder: str, part: float):
         """Goes by a part of a folder's limit from the next round on."""
+        self.parts[folder] = part
+        self.portion(folder)
+
+    def scaled(self, scales):
+        """Goes by other limits than the module was built on: `scales` of them, by folder."""
+        self.scales.update(scales)
+        for folder in scales:
+            self.portion(folder)
+
+    def portion(self, folder):
+        part = self.parts.get(folder, 1 / self.deployment.mounts(folder)) * self.scales.get(folder, 1.0)
         self.event(lambda now: self.guarded(None, self.gateway.shared, now, folder, part))
 
     def told(self, listing: messages.Listing) -> bool:
@@ -143,10 +158,12 @@
         """Has one operation done within `left` seconds; raises Shed or Terminated."""
         if len(self.taken) >= MOST_TAKEN:
             raise Shed()
+        if not self.serving():
+            raise Shed(self.deployment.terms.come_back / SECOND)
         self.count += 1
         op_id = f"{self.name}.{self.start}.{self.count}/{tag}"
         future = self.loop.create_future()
-        self.went[op_id] = {}
+        self.went[op_id], self.numbers[op_id] = {}, self.number
         self.taking(work.folder, work.units)
         self.take(op_id, work, self.loop.time() + left, partial(self.answered, future), work.lane,
                   self.deployment.folders[work.folder].plan, work.folder, work.key, work.units, work.cell,
@@ -157,7 +174,7 @@
             self.leave(op_id)
             raise
         finally:
-            del self.went[op_id]
+            del self.went[op_id], self.numbers[op_id]
 
     def answered(self, future, result, answer, come_back):
         if future.done():
@@ -176,12 +193,15 @@
     def carry(self, op_id, number, node, taken, time_out):
         work = taken.work
         message = messages.Execute(op=op_id, execution=number, volume=work.folder, lane=work.lane,
-                                   key=work.key, units=work.units, time_out=time_out)
+                                   key=work.key, units=work.units, time_out=time_out,
+                                   policy=self.numbers[op_id])
         work.fill(message)
         self.went[op_id][self.node_cell[node]] = True
         return self.links.send(node, message, partial(self.back, op_id, number))
 
     def back(self, op_id, number, result, outcome):
+        if outcome is not None and outcome.floor:
+            self.fenced(outcome.floor)
         use, others = (outcome.fleet_use, outcome.from_others) if outcome is not None else (0, 0.0)
         self.came(op_id, number, result, outcome, use, others)
 
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -5,6 +5,7 @@
 from rushmux.edge.asking import Asking
 from rushmux.edge.cleaner import Cleaner
 from rushmux.edge.driver import Driver
+from rushmux.edge.going import Going, begun
 from rushmux.edge.links import Address, Links, Lists
 from rushmux.edge.session import Session
 from rushmux.edge.tree import Tree
@@ -22,8 +23,10 @@
     buffer of a driver, a tree and a log (None: there is none)."""
 
     def __init__(self, number: int, deployment: Deployment, lists: Address, seed: int, epoch: float, log,
-                 decisions=Gateway, buffered=None, last=None):
+                 decisions=Gateway, buffered=None, last=None, kept=None):
         self.number, self.deployment, self.epoch = number, deployment, epoch
+        self.own, self.kept, self.going = deployment, kept, None   # the file's; the disk of the fleet's policy
+        self.went_by = lambda state: None   # hears of each change of what it goes by
         self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
         self.log = log.bind(edge=self.name, start=self.start)
         self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
@@ -39,6 +42,9 @@
     async def open(self, host: str, port: int) -> int:
         """Begins to serve; the port that clients are taken on."""
         loop = asyncio.get_running_loop()
+        held = None, None
+        if self.kept is not None:
+            self.deployment, held = begun(self.own, self.kept, self.log)
         hello = messages.Hello(version=VERSION, peer=self.name, start=self.start)
         self.links = Links(hello, self.deployment.dial, self.deployment.links, self.chance, self.log)
         self.driver = Driver(self.name, self.start, self.deployment, self.links, self.seed, self.log,
@@ -51,12 +57,15 @@
         known = self.last.load() if self.last is not None else None
         if known is not None:
             self.driver.told(known)
-        lists = Lists(self.lists_at, hello, self.chance, self.log, self.told)
+        lists = self.lists = Lists(self.lists_at, hello, self.chance, self.log, self.told)
         if self.deployment.shares:
             self.asking = Asking(self.driver, lists, self.log)
         self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
         if self.deployment.shares:
             self.tasks.append(loop.create_task(self.asking.run()))
+        if self.kept is not None:
+            self.going = Going(self, self.own, self.kept, held, self.log)
+            self.tasks.append(loop.create_task(self.going.run()))
         if self.buffer is not None:
             self.tasks.append(loop.create_task(self.buffer.run()))
         self.server = await asyncio.start_server(self.accept, host, port)
@@ -74,6 +83,10 @@
     def reload(self, read):
         """Takes over the routes of the deployment that `read()` gives; a bad file, or one that changes
         anything else, leaves the routes in force whole.  Returns whether they were taken over."""
+        if self.going is not None:
+            # Danger: one edge's file is one edge's policy.
+            self.log.error("routes.refused", faults=["the fleet decides its policy in common: propose it"])
+            return False
         try:
             found = read()
         except BadDeployment as fault:
@@ -83,11 +96,15 @@
         if not verdict.taken:
             self.log.error("routes.refused", faults=list(verdict.against))
             return False
-        self.deployment = found
-        self.driver.routed(found)
+        self.take_over(found)
         self.log.info("routes.taken", changed=list(verdict.changed[:MOST_NAMED]), count=len(verdict.changed))
         return True
 
+    def take_over(self, found: Deployment):
+        """Goes by another deployment's routes; what was taken before keeps its own."""
+        self.deployment = found
+        self.driver.routed(found)
+
     async def accept(self, reader, writer):
         if self.closing or len(self.sessions) >= self.deployment.sessions.most:
             self.log.warning("session.turned_away", sessions=len(self.sessions))
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -14,6 +14,7 @@
 MOST_BACK_OFF = 2.0      # seconds: a node that returns is found again within this
 MOST_WAITING = 64        # executions that wait for one dial: six gateways' worth of the bound of ten
 MOST_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
+LIST_DIAL = 2.0          # seconds for a dial to the source of the list
 READ = 1 << 18           # bytes asked of the socket at once
 RESULTS = {messages.DONE: say.SUCCEEDED, messages.MISSING: say.SUCCEEDED, messages.CONFLICT: say.SUCCEEDED,
            messages.FAILED: say.ERRORED, messages.BUSY: say.FULL}
@@ -203,6 +204,7 @@
         self.hello, self.chance, self.log, self.told = hello, chance, log, told
         self.turn = 0                    # whose turn it is to be dialled
         self.granted, self.writer = lambda grant: None, None
+        self.policy_granted = lambda grant: None
 
     def send(self, **body) -> bool:
         """Sends one message to the source, where there is one now."""
@@ -211,6 +213,12 @@
         self.writer.write(frame(messages.Message(**body)))
         return True
 
+    def elsewhere(self):
+        """Lets go of a source that does not answer: it may be stopped, or cut off without a word."""
+        if self.writer is not None:
+            self.turn += 1
+            self.writer.transport.abort()
+
     async def run(self):
         """Until cancelled: calls `told(listing)` for each listing, in order."""
         failures = 0
@@ -218,7 +226,8 @@
             writer, why, heard = None, "closed", False
             try:
                 address = self.addresses[self.turn % len(self.addresses)]
-                reader, writer = await asyncio.open_connection(*address)
+                async with asyncio.timeout(LIST_DIAL):
+                    reader, writer = await asyncio.open_connection(*address)
                 writer.write(frame(messages.Message(hello=self.hello)))
                 self.writer, frames = writer, Frames()
                 while data := await reader.read(READ):
@@ -228,8 +237,10 @@
                             self.told(message.listing)
                         elif message.WhichOneof("body") == "grant":
                             self.granted(message.grant)
-            except (OSError, WireFault) as fault:
-                why = str(fault)
+                        elif message.WhichOneof("body") == "policy_grant":
+                            self.policy_granted(message.policy_grant)
+            except (OSError, WireFault, TimeoutError) as fault:
+                why = str(fault) or "no answer"
             finally:
                 self.writer = None
                 if writer:
--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -26,6 +26,7 @@
 MOST_BETWEEN = 32        # decided since the oldest that a member may go by: their limits are all kept
 KEPT = 4                 # texts of past policies kept, to go back to
 HISTORY = 200            # changes remembered with how they ended
+MOST_DRAINED = 10_000    # nodes
 MOST_ASKS = 2_000        # members' asks that wait for one round of the log
 TOLERANCE = 1e-9         # parts are compared to this
 
@@ -83,6 +84,7 @@
         self.members, self.force, self.staged, self.last = (), None, None, 0
         self.by = ""                     # who proposed what is staged
         self.goes = {}                   # member -> the oldest number that it may go by
+        self.drained = {}                # nodes that people ordered to drain
         self.past, self.texts, self.rows = [], {}, {}   # rows: of all decided numbers from the floor on
 
     @property
@@ -177,6 +179,16 @@
         self.raised([order["member"]])
         return f"{order['member']} is no longer waited for"
 
+    def order_drain(self, order):
+        if len(self.drained) >= MOST_DRAINED:
+            raise Refused(f"{MOST_DRAINED} nodes are to drain already")
+        self.drained[order["member"]] = True
+        return f"{order['member']} drains"
+
+    def order_undrain(self, order):
+        self.drained.pop(order["member"], None)
+        return f"{order['member']} may be used"
+
     def under_way(self, order):
         if self.staged is None or self.staged.number != order["number"]:
             raise Refused(f"{order['number']} is not under way")
@@ -212,7 +224,7 @@
             "members": self.members, "force": packed(self.force), "staged": packed(self.staged),
             "last": self.last, "by": self.by, "goes": self.goes, "past": self.past,
             "texts": [packed(policy) for policy in self.texts.values()],
-            "rows": list(self.rows.items())}).encode()
+            "rows": list(self.rows.items()), "drained": list(self.drained)}).encode()
 
     @classmethod
     def restored(cls, state: bytes) -> "Register":
@@ -225,6 +237,7 @@
             made.past = [Past(*past) for past in raw["past"]]
             made.texts = {policy.number: policy for policy in map(unpacked, raw["texts"])}
             made.rows = {number: rows_of({"rows": rows}) for number, rows in raw["rows"]}
+            made.drained = dict.fromkeys(raw["drained"], True)
         return made
 
 
--- a/rushmux/planner/peers.py
+++ b/rushmux/planner/peers.py
@@ -32,6 +32,7 @@
     def __init__(self, name, start, log):
         self.name, self.start, self.log, self.peers = name, start, log, {}
         self.server = self.port = None
+        self.ending = False
 
     async def listen(self, host, port):
         self.server = await asyncio.start_server(self.accept, host, port)
@@ -71,6 +72,9 @@
                 found = frames.feed(data)
         except (OSError, WireFault, TimeoutError) as fault:
             why = str(fault) or type(fault).__name__
+        except asyncio.CancelledError:
+            if not self.ending:          # else `shut` waits for it, and nobody else is to hear of it
+                raise
         finally:
             self.peers.pop(writer, None)
             writer.close()
@@ -97,6 +101,7 @@
             writer.transport.abort()
 
     async def shut(self):
+        self.ending = True
         if self.server is not None:
             self.server.close()
         tasks = [task for _, task in self.peers.values()]
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -8,27 +8,34 @@
 
 from rushmux.nodewire import WireFault, messages
 from rushmux.fleet.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
-from rushmux.planner.peers import Listener
 from rushmux.fleet.shares import Shares
+from rushmux.planner import policies
+from rushmux.planner.council import Council, NotDecided, Planners
+from rushmux.planner.peers import Listener
 from rushmux.planner.store import Row, Store
-from rushmux.planner.voting import Voting
 
 LOOK = 0.5               # seconds between two looks at all leases
 ENTRIES = 10_000         # nodes in a list: as many as edges take
 WANTS = 10_000           # folders in one ask
+SECOND = 10_000          # ticks in a second
+FLOOR_LAG = 1.0          # seconds beyond the longest hard stop until a floor is told: ways and a late timer
+MOST_ORDERS = 100        # of people that wait for an answer
 APART = 0.02             # seconds by which changes are gathered into one telling
 
 
 class Planner(Listener):
-    """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells.  `planners`: where
-    all of several listen, this one's place among them is `number`; `chance` draws their waits."""
+    """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells.  `planners`: who
+    decides with it in common, in a log at `log_path`; `deployment`: the fleet's first policy, where it has
+    one; `chance` draws waits.  None: it decides alone, on its store."""
 
     def __init__(self, cells: int, store: Store, log, record=lambda kind, **fields: None, folders=(),
-                 edges=1, number=0, planners=(), chance=None):
+                 edges=1, planners: Optional[Planners] = None, log_path=None, deployment=None, chance=None):
         super().__init__("planner", str(store.term), log.bind(planner="planner", term=store.term))
         self.cells, self.store, self.record = cells, store, record
         self.folders, self.most_edges = folders, edges   # those with limits; edges there may ever be
-        self.number, self.planners, self.chance, self.voting = number, planners, chance, None
+        self.council, self.deployment = None, deployment
+        self.floor = 0, 0.0              # the newest floor, and since when it stood here
+        self.planners, self.log_path, self.chance, self.asked, self.confirming = planners, log_path, chance, {}, {}
         self.drained = {}                # nodes that people ordered to drain
         self.entries, self.heard_at = {}, {}   # node -> entry as it reported, and when
         self.edges, self.names = {}, {}  # peers of edges; member of a peer
@@ -39,24 +46,33 @@
         """Begins to serve; the port."""
         self.loop = asyncio.get_running_loop()
         self.restore(self.store.term)
+        if self.planners is not None:
+            self.council = Council(self.planners, self.log_path, self.chance, self.log, self.led, self.first,
+                                   self.record)
         await self.listen(host, port)
         self.tasks = [self.loop.create_task(self.look())]
-        if len(self.planners) > 1:
-            self.voting = Voting(self.number, self.planners, self.chance, self.log, self.led)
-            self.voting.start()
+        if self.council is not None:
+            self.council.start()
         return self.port
 
+    def first(self):
+        """The order that founds the fleet's policy; None where it is to have none."""
+        if self.deployment is None or not self.deployment.policy:
+            return None
+        return policies.first(self.deployment)
+
     @property
     def leads(self) -> bool:
-        return self.voting is None or self.voting.leads
+        return self.council is None or self.council.leads
 
     def led(self, leads):
         """Its leadership begins or ends.  Danger: what it knew before is old; all are heard anew."""
         for writer, (peer, _) in list(self.peers.items()):
-            if peer is None or not peer.hello.peer.startswith("planner"):
+            if peer is not None and not peer.hello.peer.startswith(("planner ", "people")):
                 writer.transport.abort()
+        self.confirming = {}
         if leads:
-            self.restore(self.voting.elector.term)
+            self.restore(self.council.term)
 
     def restore(self, term):
         """Begins anew with what its store knows; drains are those of the newest orders where there are
@@ -73,7 +89,7 @@
                 entry = messages.Entry()
                 entry.ParseFromString(row.entry)
                 self.entries[row.name], self.heard_at[row.name] = entry, now
-        self.drained = dict.fromkeys(self.voting.elector.orders[1] if self.voting is not None else
+        self.drained = dict.fromkeys(self.council.register.drained if self.council is not None else
                                      [row.name for row in rows if row.draining], True)
         self.members.restored(now, [(row.name, row.kind, row.start, row.name in self.drained)
                                     for row in rows])
@@ -82,8 +98,8 @@
     async def close(self):
         for task in self.tasks:
             task.cancel()
-        if self.voting is not None:
-            self.voting.close()
+        if self.council is not None:
+            self.council.close()
         await self.shut()
         self.store.close()
 
@@ -107,7 +123,9 @@
 
     def met(self, peer):
         name = peer.hello.peer
-        if not self.leads and not name.startswith("planner"):
+        if name.startswith("planner ") and self.council is not None:
+            self.council.greeted(name.split(" ", 1)[1])
+        elif not self.leads and name != "people":
             raise WireFault("this planner does not lead")
         if name.startswith("edge"):
             self.edges[peer] = True
@@ -122,12 +140,19 @@
             self.members.broke(self.loop.time(), name)
 
     def message(self, peer, name, body):
-        if name == "candidacy" and self.voting is not None:
-            self.voting.candidacy(peer, body)
+        if name == "word" and self.council is not None:
+            self.council.heard(body)
+        elif name == "policy_order":
+            self.asked_for(peer, lambda: policies.answer(self.council, self.deployment, body), "policy_answer")
+        elif name == "order" and self.council is not None:
+            self.asked_for(peer, lambda: self.order_in_common(body), "ordered")
         elif not self.leads:
             raise WireFault("this planner does not lead")
         elif name == "report":
             self.report(peer, body)
+            self.tell_floor(peer)
+        elif name == "policy_ask" and peer in self.edges and self.council is not None:
+            self.council.policy_ask(peer, body)
         elif name == "ask" and peer in self.edges:
             self.ask(peer, body)
         elif name == "order":
@@ -157,7 +182,40 @@
             self.waiting[entry.node] = True
             self.tell_soon()
 
+    def tell_floor(self, peer):
+        """Nodes turn away what goes by an older number than any member is known to.
+
+        Danger: what a member took before it went to the next number ends under the old one.  A floor is told once
+        the longest hard stop is over since it stood here.
+        """
+        if self.council is None or self.deployment is None or self.council.register.floor <= 1:
+            return
+        floor, now = self.council.register.floor, self.loop.time()
+        if self.floor[0] != floor:
+            self.floor = floor, now
+        longest = max(lane.hard_stop for lane in self.deployment.terms.lanes.values()) / SECOND
+        if now - self.floor[1] > longest + FLOOR_LAG:
+            peer.send(floor=messages.Floor(number=floor))
+
+    def asked_for(self, peer, act, kind):
+        """A person's order: its answer goes out when it is known.  A bound on those that wait."""
+        async def whole():
+            peer.send(**{kind: await act()})
+        if len(self.asked) >= MOST_ORDERS:
+            raise WireFault(f"{MOST_ORDERS} orders wait")
+        task = self.loop.create_task(whole())
+        self.asked[task] = True
+        task.add_done_callback(lambda task: self.asked.pop(task, None))
+
     def ask(self, peer, body):
+        if self.council is not None and peer not in self.confirming:
+            # Danger: a planner that others have replaced would grant parts that are another's by now.
+            self.confirming[peer] = True
+            self.council.confirm(lambda: (self.confirming.pop(peer, None), self.ask_confirmed(peer, body)))
+        elif self.council is None:
+            self.ask_confirmed(peer, body)
+
+    def ask_confirmed(self, peer, body):
         if len(body.wants) > WANTS or any(not 0 <= want.part < 1e9 for want in body.wants):
             raise WireFault("an ask that makes no sense")
         grant = self.shares.asked(self.loop.time(), peer.hello.peer, body.ask,
@@ -245,6 +303,19 @@
 
     # People.
 
+    async def order_in_common(self, order) -> messages.Ordered:
+        """An order that several planners decide first; the fault tells who leads."""
+        if not self.leads:
+            return messages.Ordered(fault=f"{self.council.voice.leader or 'no planner known here'} leads")
+        if order.verb in ("drain", "undrain") and order.member in self.members.members:
+            try:
+                said = await self.council.order({"kind": order.verb, "member": order.member, "by": "people"})
+            except NotDecided as fault:
+                return messages.Ordered(fault=str(fault))
+            if said.startswith("refused"):
+                return messages.Ordered(fault=said)
+        return self.order(order)
+
     def order(self, order) -> messages.Ordered:
         fault: Optional[str] = None
         if order.verb in ("drain", "undrain"):
@@ -259,8 +330,6 @@
                     self.drained[order.member] = True
                 else:
                     self.drained.pop(order.member, None)
-                if self.voting is not None:
-                    self.voting.elector.order(self.drained)
                 self.changed(getattr(self.members, order.verb)(self.loop.time(), order.member))
         elif order.verb != "show":
             fault = f"there is no order '{order.verb}'; there are show, drain, undrain"
--- a/rushmux/replace.py
+++ b/rushmux/replace.py
@@ -12,6 +12,12 @@
             sink.flush()
             os.fsync(sink.fileno())
         fresh.replace(path)
+        # Danger: without the folder's own sync a power loss may bring the old file back.
+        folder = os.open(path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
     except OSError:
         fresh.unlink(missing_ok=True)
         raise
--- a/rushmux/routes/reload.py
+++ b/rushmux/routes/reload.py
@@ -14,18 +14,19 @@
     changed: tuple[str, ...]
 
 
-def _differences(old, new, place=""):
+def differences(old, new, place=""):
+    """Places, like `/plans/basico/limit`, at which two files differ, but for their routes."""
     if isinstance(old, dict) and isinstance(new, dict):
         for name in [*old, *(name for name in new if name not in old)]:
             if place or name != "routes":
-                yield from _differences(old.get(name), new.get(name), f"{place}/{name}")
+                yield from differences(old.get(name), new.get(name), f"{place}/{name}")
     elif old != new:
         yield place
 
 
 def judge(old, new) -> Verdict:
     """Holds a checked deployment against the one in force."""
-    against = list(_differences(old.raw, new.raw))
+    against = list(differences(old.raw, new.raw))
     if against:
         more = [f"and {len(against) - MOST_NAMED} more"] if len(against) > MOST_NAMED else []
         return Verdict(False, tuple(f"{place}: changes only with a start" for place in against[:MOST_NAMED])
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -63,6 +63,7 @@
     dial: float             # seconds
     links: int
     shares: bool            # parts of limits are asked of a planner
+    policy: bool            # lanes, plans, routes and the like are decided in common by the planners
     ground: prove.Ground    # what the proof of the routes was worked out on
     flows: list[resolve.Flow]
     raw: dict               # the file as it was
@@ -212,7 +213,8 @@
                           bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
         buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000,
-        dial=fleet["dial_ms"] / 1000, links=fleet["links"], shares=fleet["shares"], ground=ground,
+        dial=fleet["dial_ms"] / 1000, links=fleet["links"], shares=fleet["shares"],
+        policy=fleet["policy"], ground=ground,
         flows=flows, raw=stated)
 
 
--- /dev/null
+++ b/rushmux/settings/policy.py
@@ -0,0 +1,57 @@
+"""The part of a deployment file that the fleet decides in common: to text, back, and what may change while it runs.
+
+No I/O.  The text is JSON with its keys in order, so that the same policy has the same checksum everywhere.
+"""
+import copy
+import json
+
+from rushmux.routes.reload import MOST_NAMED, differences
+from rushmux.settings.deployment import BadDeployment, Deployment, build
+
+DECIDES = ("lanes", "roles", "plans", "folders", "fleet", "routes", "bounds", "buffer")
+LIVE = ("limit", "burst")        # of a plan: what the module takes over by its parts of limits
+
+
+def text(raw: dict) -> str:
+    """The policy in a file's content."""
+    return json.dumps({name: raw[name] for name in DECIDES if name in raw}, sort_keys=True,
+                      separators=(",", ":"), ensure_ascii=False)
+
+
+def rows(deployment: Deployment) -> list[tuple[str, float, float]]:
+    """(folder, limit, burst) of each folder that has a limit, in the order of their names."""
+    plans = deployment.terms.plans
+    return [(name, plans[folder.plan].limit, plans[folder.plan].burst)
+            for name, folder in sorted(deployment.folders.items()) if plans[folder.plan].limit]
+
+
+def merged(own: Deployment, policy: str, source: str) -> Deployment:
+    """The deployment of an own file under a policy, proved; BadDeployment with all that is wrong."""
+    try:
+        decided = json.loads(policy)
+    except ValueError as fault:
+        raise BadDeployment(source, [("/", f"is no JSON: {fault}")]) from fault
+    if not isinstance(decided, dict):
+        raise BadDeployment(source, [("/", "a policy holds one object")])
+    unknown = [name for name in decided if name not in DECIDES]
+    if unknown:
+        # Danger: a newer program's policy gone by in part is another policy.
+        raise BadDeployment(source, [(f"/{name}", "this program knows no such part of a policy")
+                                     for name in unknown])
+    raw = {name: value for name, value in own.raw.items() if name not in DECIDES}
+    return build({**copy.deepcopy(raw), **decided}, source)
+
+
+def against(now: Deployment, proposed: Deployment) -> list[str]:
+    """What keeps a policy from being taken over without a start: all that differs but routes, and limits and
+    bursts of plans that keep one."""
+    found = []
+    for place in differences(now.raw, proposed.raw):
+        parts = place.split("/")
+        if len(parts) == 4 and parts[1] == "plans" and parts[3] in LIVE:
+            ends = [made.raw["plans"].get(parts[2], {}).get(parts[3]) for made in (now, proposed)]
+            if all(ends):
+                continue
+        found.append(f"{place}: changes only with a start")
+    more = [f"and {len(found) - MOST_NAMED} more"] if len(found) > MOST_NAMED else []
+    return found[:MOST_NAMED] + more
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -41,8 +41,9 @@
     may be ordered over the socket."""
 
     def __init__(self, name, cell, zone, store: Store, lists, shape: Shape, seed, cold, log, record,
-                 obeys=False):
+                 obeys=False, tell=None):
         super().__init__(name, f"{seed & 0xffffffffffff:012x}", log.bind(node=name))
+        self.tell = tell                 # (host, port) where edges find it, if not where it listens
         self.cell, self.zone, self.store, self.lists, self.shape = cell, zone, store, lists, shape
         self.chance, self.cold, self.record, self.obeys = random.Random(seed), cold, record, obeys
         self.condition, self.trouble, self.served, self.use = "ready", {}, Served(), None
@@ -85,7 +86,8 @@
         return int((self.loop.time() - self.began + (0 if self.cold else self.shape.warm_within)) * 10_000)
 
     def report(self):
-        entry = messages.Entry(node=self.name, host=self.host, port=self.port, cell=self.cell, zone=self.zone,
+        host, port = self.tell or (self.host, self.port)
+        entry = messages.Entry(node=self.name, host=host, port=port, cell=self.cell, zone=self.zone,
                                condition=self.condition, start=self.start, age=self.age(),
                                total=self.store.limit, free=self.store.free)
         used = [messages.Used(volume=folder, units=units) for folder, units in self.served.period.items()]
@@ -122,9 +124,17 @@
         frames = Frames()
         while data := await reader.read(1 << 16):
             for message in frames.feed(data):
-                if message.WhichOneof("body") == "meter":
+                if message.WhichOneof("body") == "floor":
+                    self.raise_floor(message.floor.number)
+                elif message.WhichOneof("body") == "meter":
                     self.use = {used.volume: used.percent for used in message.meter.used}
 
+    def raise_floor(self, number):
+        """Turns away what goes by older policies from now on, and after a start too."""
+        if number > self.store.floor:
+            self.store.raise_floor(number)
+            self.log.info("node.floor", number=number)
+
     # Towards the edges.
 
     def message(self, peer, name, body):
@@ -176,7 +186,12 @@
         what = body.WhichOneof("what")
         self.record("execution", node=self.name, cell=self.cell, edge=peer.hello.peer, op=body.op,
                     execution=body.execution, volume=body.volume, lane=body.lane, key=body.key,
-                    units=body.units, what=what, time_out=body.time_out)
+                    units=body.units, what=what, time_out=body.time_out, policy=body.policy)
+        # Danger: whoever goes by a number that no member goes by any more has an old disk.
+        if 0 < body.policy < self.store.floor:
+            self.record("fenced", node=self.name, op=body.op, execution=body.execution, policy=body.policy)
+            self.answer(peer, body, messages.Outcome(code=messages.BUSY, floor=self.store.floor))
+            return
         if "lost" in self.trouble and self.chance.random() < self.trouble["lost"]:
             return
         if "stuck" in self.trouble:
--- a/rushmux/standins/policies.py
+++ b/rushmux/standins/policies.py
@@ -29,13 +29,15 @@
     disks: float
     images: float            # part of starts that find an older disk
     refusals: float          # part of policies that some member cannot prove
+    planner_stops: float     # a second, over all planners
     mute: bool
 
 
 def drawn(chance) -> MemberFaults:
     def some(most):
         return most * chance.random() ** 2 if chance.random() < 0.6 else 0.0
-    return MemberFaults(some(0.3), some(0.2), some(0.3), some(0.1), some(0.5), some(0.3), chance.random() < 0.15)
+    rates = [some(most) for most in (0.3, 0.2, 0.3, 0.1, 0.5, 0.3, 0.2)]
+    return MemberFaults(*rates, mute=chance.random() < 0.15)
 
 
 class Planner(voices.Host):
@@ -43,7 +45,7 @@
 
     def __init__(self, name, kept):
         super().__init__(name, kept)
-        self.register, self.conduct, self.index = policy.Register(), None, 0
+        self.register, self.conduct, self.index, self.held_until = policy.Register(), None, 0, 0.0
 
 
 class Member:
@@ -63,11 +65,11 @@
     """`members` edges; `parts`: (Register, Conduct, Holder) as they are, or as a defect has them."""
     host = Planner
 
-    def __init__(self, seed, planners=3, members=4, parts=None, make=raft.Voice):
+    def __init__(self, seed, planners=3, members=4, parts=None, make=raft.Voice, fences=True):
         self.register, self.conduct, self.holder = parts or (policy.Register, policy.Conduct, policy.Holder)
         self.decided, self.floor, self.unprovable, self.checked = [], 0, {}, 0
         self.outcomes, self.ended_at, self.counted, self.order = {}, 0.0, 0, None
-        self.edges = {}
+        self.edges, self.fences = {}, fences
         super().__init__(seed, planners, make)
         self.faults = self.faults._replace(changes=0.0)
         chance = random.Random(f"members {seed}")
@@ -78,7 +80,9 @@
             edge.mute = self.member_faults.mute and number == 0
             self.begin(edge)
         for rate, act in ((self.member_faults.kills, self.kill_edge), (self.member_faults.stops, self.stop_edge),
-                          (self.member_faults.cuts, self.cut_edge), (self.member_faults.disks, self.fill_disk)):
+                          (self.member_faults.cuts, self.cut_edge),
+                          (self.member_faults.disks, self.fill_disk),
+                          (self.member_faults.planner_stops, self.stop_planner)):
             if rate:
                 self.again(rate, act)
 
@@ -129,6 +133,26 @@
             self.outcomes[before.number], self.ended_at = order["kind"], self.now
         self.judge_limits()
 
+    def tick(self, host, voice):
+        if self.now < host.held_until:   # it wakes with its sockets full, and reads them before its timers
+            self.at(host.held_until - self.now + 0.001, self.tick, host, voice)
+            return
+        super().tick(host, voice)
+
+    def arrive(self, message):
+        host = self.hosts.get(message.to)
+        if host is not None and self.now < host.held_until:
+            self.at(host.held_until - self.now, self.arrive, message)
+            return
+        super().arrive(message)
+
+    def leading(self):
+        return [host for host in super().leading() if self.now >= host.held_until]
+
+    def stop_planner(self):
+        host = self.chance.choice([self.hosts[name] for name in sorted(self.hosts)])
+        host.held_until = self.now + 0.5 * 50 ** self.chance.random()   # to 25 s
+
     def work(self, host):
         super().work(host)
         voice = host.voice
@@ -235,7 +259,9 @@
 
     def asked_by(self, name, ask):
         host = self.hosts[name]
-        if host.voice is not None and host.conduct is not None:
+        if self.now < host.held_until:
+            self.at(host.held_until - self.now, self.asked_by, name, ask)
+        elif host.voice is not None and host.conduct is not None:
             host.conduct.asked(self.now, ask, host.voice.round)
             self.work(host)
 
@@ -281,6 +307,8 @@
 
     def quiet(self):
         super().quiet()
+        for host in self.hosts.values():
+            host.held_until = 0.0
         for edge in self.edges.values():
             edge.held_until = edge.cut_until = edge.full_until = 0.0
 
@@ -299,7 +327,7 @@
                 continue
             if holder.number not in known:
                 raise Breach(f"{self.now:.3f} {edge.name} serves under {holder.number}, never decided")
-            if holder.number < self.floor:
+            if holder.number < self.floor and self.fences:
                 holder.turned_away(self.floor)   # the first operation tells it
                 continue
             for folder, both in holder.limits(edge.time(self.now)).items():
--- a/rushmux/standins/policy_defects.py
+++ b/rushmux/standins/policy_defects.py
@@ -34,15 +34,6 @@
                 for folder, both in known.limits().items()} if self.serves() else {}
 
 
-class FloorNotChecked(Holder):
-    """Goes on though nodes turn its number away."""
-    def turned_away(self, floor):
-        pass
-
-    def serves(self):
-        return self.force is not None
-
-
 class BelievesOldWords(Holder):
     """Takes an older state of the log for the newest."""
     def granted(self, now, grant):
@@ -152,8 +143,8 @@
         return self.staged
 
 
-DEFECTS = (YesBeforeItsDisk, LeaseFromTheAnswer, NeverNarrow, UpBeforeDown, FloorNotChecked, BelievesOldWords,
-           JointIsForgotten, WakesWithItsLease, OldLeasesForgotten, OwnLeasesForgotten, AnswersUnconfirmed,
+DEFECTS = (YesBeforeItsDisk, LeaseFromTheAnswer, NeverNarrow, UpBeforeDown, BelievesOldWords, JointIsForgotten,
+           WakesWithItsLease, OldLeasesForgotten, OwnLeasesForgotten, AnswersUnconfirmed,
            AnswersWhileItCloses, MostAreEnough, ANoIsAYes, WaitsForEver, HarmNotChecked, OnlyTheNewestCounts,
            WithdrawsWhatIsDecided, TwoAtOnce, DecidesWhatIsStaged)
 
--- a/rushmux/standins/store.py
+++ b/rushmux/standins/store.py
@@ -49,8 +49,14 @@
             raise BadStore(f"{path}: holds cell {known['cell']}, not {cell}")
         self.base.executemany("insert or replace into about values (?, ?)",
                               [("format", FORMAT), ("cell", cell)])
+        self.floor = known.get("floor", 0)   # the oldest policy whose operations run here
         self.recount()
 
+    def raise_floor(self, number):
+        """Puts a floor on the disk, by itself or with the changes under way."""
+        self.floor = number
+        self.base.execute("insert or replace into about values ('floor', ?)", (number,))
+
     def recount(self):
         row = self.base.execute("select value from about where name = 'version'").fetchone()
         self.version = row[0] if row else 0
