--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -13,6 +13,7 @@
 from rushmux.cli.lab import lab
 from rushmux.cli.planning import fleet
 from rushmux.cli.policies import policy
+from rushmux.cli.rig import rig
 from rushmux.cli.shared import EXAMPLE, Named, Place, Places, deployed, new_seed
 
 LEVELS = click.Choice(sorted(log.LEVELS))
@@ -72,6 +73,7 @@
 main.add_command(lab)
 main.add_command(fleet)
 main.add_command(policy)
+main.add_command(rig)
 
 
 @main.command()
@@ -100,7 +102,8 @@
     disk = kept = None
     if deployment.policy:
         if not data:
-            raise click.ClickException("an edge of a fleet with a policy needs --data: it keeps what was decided")
+            raise click.ClickException("an edge of a fleet with a policy needs --data: it keeps what was "
+                                       "decided")
         kept = Kept(Path(data) / "policy.kept")
         try:
             kept.load()
@@ -190,7 +193,8 @@
 @main.command()
 @common
 @click.option("--cells", type=int, required=True, help="shards that data is spread over; never changed later")
-@click.option("--data", type=click.Path(), required=True, help="file of what it knows; its log lies beside it")
+@click.option("--data", type=click.Path(), required=True,
+              help="file of what it knows; its log lies beside it")
 @click.option("--planners", type=Named(), help="all planners of the fleet, this one among them")
 @click.option("--name", default="a", show_default=True, help="which of the planners this is")
 @click.option("--found", is_flag=True, help="begin the planners' log; at the fleet's first start only")
--- a/rushmux/cli/policies.py
+++ b/rushmux/cli/policies.py
@@ -40,13 +40,15 @@
     found = [f"in force: {force['number'] if force else 'none'}; under way: "
              + (f"{staged['number']} by {staged['by']}" if staged else "none")
              + f"; nodes turn away below {state['floor']}",
-             f"planners: {', '.join(state['planners'])}; {state['leader'] or 'none'} leads, term {state['term']}"]
+             f"planners: {', '.join(state['planners'])}; {state['leader'] or 'none'} leads, "
+             f"term {state['term']}"]
     if state["harm"]:
         found.append(f"waits for all: {state['harm']}")
     found.append(f"{'member':10}{'goes by':>8}{'joint':>7}{'lease':>7}  against")
     for row in state["members"]:
         says = row["says"] if row["says"] is not None else f"({row['goes']})"
-        found.append(f"{row['member']:10}{says!s:>8}{row['joint'] or '-'!s:>7}{row['lease']:>7}  {row['against']}")
+        joint = str(row["joint"] or "-")
+        found.append(f"{row['member']:10}{says!s:>8}{joint:>7}{row['lease']:>7}  {row['against']}")
     return found
 
 
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -25,7 +25,8 @@
     def __init__(self, number: int, deployment: Deployment, lists: Address, seed: int, epoch: float, log,
                  decisions=Gateway, buffered=None, last=None, kept=None):
         self.number, self.deployment, self.epoch = number, deployment, epoch
-        self.own, self.kept, self.going = deployment, kept, None   # the file's; the disk of the fleet's policy
+        # The file's deployment; the disk of the fleet's policy; what goes by it.
+        self.own, self.kept, self.going = deployment, kept, None
         self.went_by = lambda state: None   # hears of each change of what it goes by
         self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
         self.log = log.bind(edge=self.name, start=self.start)
--- a/rushmux/edge/going.py
+++ b/rushmux/edge/going.py
@@ -1,7 +1,8 @@
 """An edge's side of the fleet's policy: what it goes by, kept on its disk, asked for again and again.
 
-`fleet.policy.Holder` decides what holds; this asks the planner that leads, keeps, and hands limits and routes to the
-driver.  The file: magic, format, checksum and both policies as JSON, replaced whole and synced.
+`fleet.policy.Holder` decides what holds; this asks the planner that leads, keeps, and hands limits and
+routes to the driver.  The file: magic, format, checksum and both policies as JSON, replaced whole and
+synced.
 """
 import asyncio
 import json
@@ -75,8 +76,9 @@
 
 
 def begun(own: Deployment, kept: Kept, log) -> tuple[Deployment, tuple]:
-    """The deployment that an edge starts on: its file's, under the policy that its disk holds; and what it holds.
-    A damaged one is as none: the edge serves nothing until a planner told it.  `Newer` is for the caller."""
+    """The deployment that an edge starts on: its file's, under the policy that its disk holds; and what it
+    holds. A damaged one is as none: the edge serves nothing until a planner told it.  `Newer` is for the
+    caller."""
     try:
         force, staged = kept.load()
         found = own if force is None else documents.merged(own, force.text, f"policy {force.number}")
@@ -89,7 +91,8 @@
 
 
 class Going:
-    """Goes by the policy.  `own`: the deployment of the edge's own file; `kept`: its disk, and what that held."""
+    """Goes by the policy.  `own`: the deployment of the edge's own file; `kept`: its disk, and what that
+    held."""
 
     def __init__(self, edge, own: Deployment, kept: Kept, held, log):
         self.edge, self.driver, self.own, self.log = edge, edge.driver, own, log
@@ -148,8 +151,8 @@
         self.edge.take_over(documents.merged(self.own, force.text, f"policy {force.number}"))
 
     def serving(self) -> bool:
-        """Whether an operation may be taken at this instant.  Danger: an edge that stood still wakes with its lease
-        over, and its sockets are read before its timers run."""
+        """Whether an operation may be taken at this instant.  Danger: an edge that stood still wakes with
+        its lease over, and its sockets are read before its timers run."""
         self.apply()
         return self.holder.serves()
 
--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -1,18 +1,20 @@
-"""A fleet's policy: a change of it takes hold at every member that serves, or at none.  No I/O, no clock of its own.
-
-Three parts.  `Register` is the state that the planners' log makes, the same at each of them.  `Conduct` is what the
-planner that leads does with what members say.  `Holder` is a member's side.
-
-A change is staged by an entry of the log.  A member proves it, keeps it beside the one in force, and from then on is
-*joint*: it goes by the lesser limit of both, so that it is harmless whichever way the change ends.  When every member
-is joint, or was silent until its lease was over, an entry decides it; one member's no ends it everywhere.  A member
-whose lease is over is *narrow*: it goes by a safe part (`NARROW`) of all that it knows, and a change is decided
-without it only where that part fits into its even part of the new limit.  So limits are down everywhere before
-they are up anywhere, and nobody needs a new decision to go on serving.
-
-A lease runs from when the member asked, by its own clock; the planner counts it from when it answered, longer by
-DRIFT.  Clocks may stand apart and be set; they may not run apart by more than DRIFT.
-Limits are units a second of all members together, 0: none.
+"""A fleet's policy: a change of it takes hold at every member that serves, or at none.  No I/O, no clock of
+its own.
+
+Three parts.  `Register` is the state that the planners' log makes, the same at each of them.  `Conduct` is
+what the planner that leads does with what members say.  `Holder` is a member's side.
+
+A change is staged by an entry of the log.  A member proves it, keeps it beside the one in force, and from
+then on is *joint*: it goes by the lesser limit of both, so that it is harmless whichever way the change
+ends.  When every member is joint, or was silent until its lease was over, an entry decides it; one member's
+no ends it everywhere.  A member whose lease is over is *narrow*: it goes by a safe part (`NARROW`) of all
+that it knows, and a change is decided without it only where that part fits into its even part of the new
+limit.  So limits are down everywhere before they are up anywhere, and nobody needs a new decision to go on
+serving.
+
+A lease runs from when the member asked, by its own clock; the planner counts it from when it answered,
+longer by DRIFT.  Clocks may stand apart and be set; they may not run apart by more than DRIFT. Limits are
+units a second of all members together, 0: none.
 """
 import json
 import zlib
@@ -204,8 +206,8 @@
         self.past = [*self.past, Past(number, end, why, by)][-HISTORY:]
 
     def unharmed(self, policy: Policy) -> Optional[str]:
-        """What a member that hears of nobody could use beyond its even part of a policy's limits; None: nothing.
-        It may go by any number from the floor on."""
+        """What a member that hears of nobody could use beyond its even part of a policy's limits; None:
+        nothing. It may go by any number from the floor on."""
         limits = policy.limits()
         for number, rows in self.rows.items():
             for folder, limit, burst in rows:
@@ -213,8 +215,8 @@
                 for was, will, what in zip((limit, burst), wills, ("limit", "burst")):
                     if will and (not was or NARROW * was > will + TOLERANCE):
                         part = f"{NARROW * was:g} in all" if was else "no bound"
-                        return (f"{folder}: who is away and goes by {number} keeps {part} of its {what}, over "
-                                f"the {will:g} of {policy.number}")
+                        return (f"{folder}: who is away and goes by {number} keeps {part} of its "
+                                f"{what}, over the {will:g} of {policy.number}")
         return None
 
     # Snapshots.
@@ -277,19 +279,20 @@
         # Danger: the one that led before may have answered an ask just before it was not leading any more.
         self.open_at = now + LEASE * (1 + DRIFT)
         self.until, self.said = {}, {}   # member -> when its lease is over; its newest ask
-        self.asks, self.began = [], {}   # asks that wait for a round; staged number -> since when it is looked at
+        self.asks, self.began = [], {}   # asks that wait for a round; staged number -> since when it is seen
         self.closing = None              # the number that it asked the log to decide, and who was joint
 
     def asked(self, now, ask: Ask, round_: int):
-        """An ask came while the log's newest round was `round_`: it is answered once a later one is confirmed."""
+        """An ask came while the log's newest round was `round_`: it is answered once a later one is
+        confirmed."""
         if ask.member in self.register.goes and len(self.asks) < MOST_ASKS:
             self.asks.append((round_, ask))
 
     def answers(self, now, confirmed: int, term: int, index: int) -> list[Grant]:
         """Grants for asks that came before a round which a majority echoed.
 
-        Danger: a planner that others have replaced does not know it.  What it answers by a round of before the
-        ask could be older than what was decided since.
+        Danger: a planner that others have replaced does not know it.  What it answers by a round of before
+        the ask could be older than what was decided since.
         """
         ready = [ask for round_, ask in self.asks if round_ < confirmed]
         self.asks = [(round_, ask) for round_, ask in self.asks if round_ >= confirmed]
@@ -354,8 +357,8 @@
 # A member.
 
 class Holder:
-    """`prove(policy)`: why it cannot be gone by, None: it can.  `keep(force, staged)`: puts both on its disk, synced;
-    OSError where the disk does not take them.  `force`, `staged`: what its disk held."""
+    """`prove(policy)`: why it cannot be gone by, None: it can.  `keep(force, staged)`: puts both on its
+    disk, synced; OSError where the disk does not take them.  `force`, `staged`: what its disk held."""
 
     def __init__(self, member: str, force: Optional[Policy], staged: Optional[Policy],
                  prove: Callable[[Policy], Optional[str]], keep: Callable):
@@ -369,7 +372,8 @@
         self.asks[self.count] = now
         while len(self.asks) > 16:
             del self.asks[next(iter(self.asks))]
-        return Ask(self.member, self.count, self.number, self.staged.number if self.staged else 0, *self.refused)
+        joint = self.staged.number if self.staged else 0
+        return Ask(self.member, self.count, self.number, joint, *self.refused)
 
     @property
     def number(self) -> int:
--- a/rushmux/fleet/raft.py
+++ b/rushmux/fleet/raft.py
@@ -7,8 +7,9 @@
 breaks.  Times are seconds of the caller's monotonic clock, which may begin anew with each start; no promise
 to another member rests on a clock, so clocks may differ, drift and jump without harm to what is decided.
 
-A member is named by its name and the life of its disk: one whose disk was lost comes back as somebody
-else, has no vote, and is taken in by a change of members.  Danger: under its old name it would vote twice in a term.
+A member is named by its name and the life of its disk: one whose disk was lost comes back as somebody else,
+has no vote, and is taken in by a change of members.  Danger: under its old name it would vote twice in a
+term.
 """
 from collections import OrderedDict
 from typing import Callable, NamedTuple, Optional
--- a/rushmux/planner/council.py
+++ b/rushmux/planner/council.py
@@ -1,8 +1,9 @@
 """Several planners as one: carries the words of their log, keeps it, and applies what was decided.
 
-`fleet.raft` decides the log, `fleet.policy` what its orders make.  A planner whose disk takes nothing says so and is
-silent until it does: it neither votes nor answers.  One whose disk was lost comes back as a new member (its name and
-the new disk's life), is taught the log, and takes the place of its old self by two changes of members.
+`fleet.raft` decides the log, `fleet.policy` what its orders make.  A planner whose disk takes nothing says
+so and is silent until it does: it neither votes nor answers.  One whose disk was lost comes back as a new
+member (its name and the new disk's life), is taught the log, and takes the place of its old self by two
+changes of members.
 """
 import asyncio
 from typing import Callable, NamedTuple
@@ -31,15 +32,16 @@
 
 
 class Planners(NamedTuple):
-    """This planner's name, where all listen (itself included), and whether the fleet is founded by this start."""
+    """This planner's name, where all listen (itself included), and whether the fleet is founded by this
+    start."""
     name: str
     addresses: dict[str, tuple[str, int]]
     found: bool = False
 
 
 class Council:
-    """This planner's part.  `changed(leads)` hears when its leadership begins and ends; `first()` gives the order
-    that founds the fleet's policy, or None; `chance` draws waits and the life of a new disk."""
+    """This planner's part.  `changed(leads)` hears when its leadership begins and ends; `first()` gives the
+    order that founds the fleet's policy, or None; `chance` draws waits and the life of a new disk."""
 
     def __init__(self, planners: Planners, path, chance, log, changed: Callable, first: Callable,
                  record=lambda kind, **fields: None):
@@ -107,7 +109,8 @@
             await asyncio.sleep(TICK)
 
     def mend(self):
-        """Tries a disk again that took nothing.  Danger: what it took in part must be known before it goes on."""
+        """Tries a disk again that took nothing.  Danger: what it took in part must be known before it goes
+        on."""
         if self.loop.time() - self.broken < DISK_AGAIN:
             return
         self.broken = self.loop.time()
@@ -232,7 +235,8 @@
                 future.set_exception(NotDecided(why))
 
     def confirm(self, call: Callable):
-        """Calls `call` once a majority has said, after this, that this planner leads; never if it does not."""
+        """Calls `call` once a majority has said, after this, that this planner leads; never if it does
+        not."""
         if self.leads and len(self.asking) < MOST_WAITING:
             self.asking.append((self.voice.round, call))
 
@@ -267,7 +271,8 @@
             self.new[name] = self.loop.time()
 
     def take_in(self):
-        """Members change by one at a time: a disk's new life is taught the log, comes in, and the old life goes."""
+        """Members change by one at a time: a disk's new life is taught the log, comes in, and the old life
+        goes."""
         if not self.leads:
             return
         now = self.loop.time()
--- a/rushmux/planner/logfile.py
+++ b/rushmux/planner/logfile.py
@@ -1,8 +1,8 @@
 """A planner's log on its disk: what `fleet.raft` hands out is written and synced before anything is sent.
 
-One file of records (`rushmux.records`).  The first may be a snapshot; a new snapshot makes the file anew, whole,
-so that a kill leaves the old one or the new one.  A torn tail was answered to nobody and is cut off; a damaged middle
-was, and the planner does not start on it: it would break what it promised.
+One file of records (`rushmux.records`).  The first may be a snapshot; a new snapshot makes the file anew,
+whole, so that a kill leaves the old one or the new one.  A torn tail was answered to nobody and is cut off;
+a damaged middle was, and the planner does not start on it: it would break what it promised.
 """
 import fcntl
 import os
@@ -34,8 +34,8 @@
 
 
 class LogFile:
-    """The file of one planner, held by one program at a time.  `life` names this disk: one that was lost comes back
-    as another.  `fresh` draws the life of a new one."""
+    """The file of one planner, held by one program at a time.  `life` names this disk: one that was lost
+    comes back as another.  `fresh` draws the life of a new one."""
 
     def __init__(self, path, fresh):
         self.path, self.sink = Path(path), None
@@ -51,7 +51,11 @@
         if self.new:
             self.life = fresh()
         else:
-            self.load()
+            try:
+                self.load()
+            except BadLog:
+                os.close(self.lock)
+                raise
 
     def load(self):
         """Reads the file anew, and cuts a torn tail off."""
@@ -62,9 +66,9 @@
         except records.BadFile as fault:
             raise BadLog(f"{self.path}: is no log of a planner: {fault}") from fault
         if found.damaged:
-            raise BadLog(f"{self.path}: damaged at byte {found.end}, and whole records follow: what this planner "
-                         f"promised is not known any more.  Put the file aside and start it with none: it comes "
-                         f"back as a new member")
+            raise BadLog(f"{self.path}: damaged at byte {found.end}, and whole records follow: what this "
+                         f"planner promised is not known any more.  Put the file aside and start it with "
+                         f"none: it comes back as a new member")
         try:
             self.kept = self.replayed(found.bodies)
         except (ValueError, IndexError, TypeError) as fault:
@@ -107,16 +111,17 @@
 
     def rewrite(self):
         kept = self.kept
+        rows = enumerate(kept.entries, kept.snapshot.index + 1)
         bodies = [LIFE + orjson.dumps(self.life), _snapshot(kept.snapshot),
                   VOTE + orjson.dumps([kept.term, kept.voted]),
-                  *(_entry(index, entry) for index, entry in enumerate(kept.entries, kept.snapshot.index + 1))]
+                  *(_entry(index, entry) for index, entry in rows)]
         replace.whole(self.path, records.head(WORD, FORMAT) + b"".join(map(records.pack, bodies)))
         self.close()
         self.sink = os.open(self.path, os.O_WRONLY | os.O_APPEND)
 
     def write(self, done: Ready):
-        """Puts what was handed out on the disk, synced; OSError where the disk does not take it, and then nothing
-        of it may be sent."""
+        """Puts what was handed out on the disk, synced; OSError where the disk does not take it, and then
+        nothing of it may be sent."""
         kept, bodies = self.kept, []
         entries = dict(enumerate(kept.entries, kept.snapshot.index + 1))
         if done.vote is not None:
--- a/rushmux/planner/orders.py
+++ b/rushmux/planner/orders.py
@@ -5,7 +5,7 @@
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
-WAIT = 10.0              # seconds for an answer: an order is decided within eight, or it is said that it is not
+WAIT = 10.0              # seconds for an answer: an order is decided within eight, or it is said not to be
 AGAIN = 4                # rounds over all planners: one is chosen anew within three seconds or so
 PAUSE = 1.0              # seconds between two
 
@@ -44,7 +44,7 @@
                 if not isinstance(fault, Elsewhere):
                     raise
         await asyncio.sleep(PAUSE if again + 1 < AGAIN else 0)
-    raise NotOrdered("; ".join(faults))
+    raise (NotOrdered if len(addresses) == 1 else Elsewhere)("; ".join(faults))
 
 
 async def exchange(address, asked, kind):
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -35,7 +35,8 @@
         self.folders, self.most_edges = folders, edges   # those with limits; edges there may ever be
         self.council, self.deployment = None, deployment
         self.floor = 0, 0.0              # the newest floor, and since when it stood here
-        self.planners, self.log_path, self.chance, self.asked, self.confirming = planners, log_path, chance, {}, {}
+        self.planners, self.log_path, self.chance = planners, log_path, chance
+        self.asked, self.confirming = {}, {}   # people's orders; edges whose parts wait for a majority
         self.drained = {}                # nodes that people ordered to drain
         self.entries, self.heard_at = {}, {}   # node -> entry as it reported, and when
         self.edges, self.names = {}, {}  # peers of edges; member of a peer
@@ -143,7 +144,8 @@
         if name == "word" and self.council is not None:
             self.council.heard(body)
         elif name == "policy_order":
-            self.asked_for(peer, lambda: policies.answer(self.council, self.deployment, body), "policy_answer")
+            self.asked_for(peer, lambda: policies.answer(self.council, self.deployment, body),
+                           "policy_answer")
         elif name == "order" and self.council is not None:
             self.asked_for(peer, lambda: self.order_in_common(body), "ordered")
         elif not self.leads:
@@ -185,8 +187,8 @@
     def tell_floor(self, peer):
         """Nodes turn away what goes by an older number than any member is known to.
 
-        Danger: what a member took before it went to the next number ends under the old one.  A floor is told once
-        the longest hard stop is over since it stood here.
+        Danger: what a member took before it went to the next number ends under the old one.  A floor is
+        told once the longest hard stop is over since it stood here.
         """
         if self.council is None or self.deployment is None or self.council.register.floor <= 1:
             return
--- a/rushmux/planner/policies.py
+++ b/rushmux/planner/policies.py
@@ -74,10 +74,12 @@
                         "says": said.force if said else None, "joint": said.joint if said else None,
                         "lease": round(max(0.0, until - now), 1),
                         "against": said.against if said and said.refused else ""})
-    return {"planner": council.me, "leads": council.leads, "term": council.term, "leader": council.voice.leader,
-            "planners": list(council.voice.members), "index": council.index, "floor": register.floor,
+    return {"planner": council.me, "leads": council.leads, "term": council.term,
+            "leader": council.voice.leader, "planners": list(council.voice.members),
+            "index": council.index, "floor": register.floor,
             "force": force and {"number": force.number, "text": force.text, "sum": force.sum},
             "staged": staged and {"number": staged.number, "text": staged.text, "by": register.by},
             "history": [past._asdict() for past in register.past], "kept": list(register.texts),
             "texts": {str(number): policy.text for number, policy in register.texts.items()},
-            "members": members, "narrow": NARROW, "lease": LEASE, "harm": staged and register.unharmed(staged)}
+            "members": members, "narrow": NARROW, "lease": LEASE,
+            "harm": staged and register.unharmed(staged)}
--- a/rushmux/planner/words.py
+++ b/rushmux/planner/words.py
@@ -60,7 +60,8 @@
         return raft.Append(*begin, made.index, made.index_term, entries, made.decided, made.round)
     if made.kind == "install":
         row = made.snapshot
-        return raft.Install(*begin, raft.Snapshot(row.index, row.term, tuple(row.members), row.state), made.round)
+        snapshot = raft.Snapshot(row.index, row.term, tuple(row.members), row.state)
+        return raft.Install(*begin, snapshot, made.round)
     if made.kind == "appended":
         return raft.Appended(*begin, made.good, made.index, made.round)
     raise WireFault(f"there is no word '{made.kind}' of a log")
--- a/rushmux/records.py
+++ b/rushmux/records.py
@@ -1,7 +1,7 @@
 """Records in a file: length, checksum and body of each; a torn tail is told from a damaged middle.  No I/O.
 
-A file begins with eight bytes: a word of four, the format as a number of two bytes, and two of nought.  A record is
-its length and the CRC-32 of its body, four bytes each, and the body.
+A file begins with eight bytes: a word of four, the format as a number of two bytes, and two of nought.  A
+record is its length and the CRC-32 of its body, four bytes each, and the body.
 """
 import struct
 import zlib
--- a/rushmux/settings/policy.py
+++ b/rushmux/settings/policy.py
@@ -1,4 +1,5 @@
-"""The part of a deployment file that the fleet decides in common: to text, back, and what may change while it runs.
+"""The part of a deployment file that the fleet decides in common: to text, back, and what may change while
+it runs.
 
 No I/O.  The text is JSON with its keys in order, so that the same policy has the same checksum everywhere.
 """
--- /dev/null
+++ b/rushmux/standins/policy_states.py
@@ -0,0 +1,248 @@
+"""A bounded check of the policy's protocol: every order of a few events, on the very parts that run.
+
+Three members, two planners of which the second takes over from the first (terms 1 and 2), one change after
+the first policy, time in steps of half of a lease.  Messages (asks, grants) may be lost, repeated and
+late; a planner may be replaced without knowing it; members may be killed and come back from their disks.
+The log itself is taken as right (`voices` plays it): an entry is decided when the planner whose term is the
+newest says so.
+
+States are compared by what they hold, so that one that was reached before is not gone on from.  Bounds:
+steps, asks out at a time, and what may happen how often; `check` says how many states there were.
+"""
+import json
+from typing import NamedTuple, Optional
+
+from rushmux.fleet import policy
+
+MEMBERS = ("edge0", "edge1", "edge2")
+STEP = policy.LEASE / 1.9       # two of them are over any lease, its drift included
+LIMITS = (90.0, 30.0)    # of the folder, before and after: the change down; up is the other way round
+EPSILON = 1e-6
+
+
+class Bounds(NamedTuple):
+    """How much may happen in a play."""
+    ticks: int = 4               # steps of the clock
+    kills: int = 1
+    takeovers: int = 1
+    mail: int = 2                # messages on their way at a time
+    states: int = 1_000_000
+
+
+class Found(NamedTuple):
+    """States that were reached, whether all within the bounds were, ends seen, and the first breach with
+    its way."""
+    states: int
+    whole: bool
+    ends: dict
+    breach: Optional[str]
+    way: tuple
+
+
+def shallow(one):
+    """Another of the same kind that holds the same."""
+    made = object.__new__(type(one))
+    made.__dict__.update(one.__dict__)
+    return made
+
+
+class State:
+    """Everything that matters of one moment; `parts` are Register, Conduct and Holder."""
+
+    def __init__(self, parts, first, second):
+        register, conduct, holder = parts
+        self.parts, self.now, self.term = parts, 0.0, 1
+        self.register = register()
+        self.register.apply({"kind": "found", "by": "x", "members": list(MEMBERS), "text": "first",
+                             "rows": [["a", first, first]]})
+        self.index = 1
+        self.disks = {name: (self.register.force, None) for name in MEMBERS}
+        self.members = {name: self.member(name) for name in MEMBERS}
+        # Planner 1 leads; planner 2 may take over, and 1 may not know.
+        self.leaders = {1: conduct(self.register, -2 * policy.LEASE)}
+        self.views = {}                  # of a replaced planner: the register as it last knew it
+        self.mail, self.kills, self.takeovers, self.ticks = (), 0, 0, 0
+        self.pending = None              # an order that stands in the newest planner's log, not decided yet
+        for name in MEMBERS:             # each has just heard that 1 is in force
+            ask = self.members[name].ask(self.now)
+            self.leaders[1].asked(self.now, ask, 0)
+            for grant in self.leaders[1].answers(self.now, 1, 1, self.index):
+                self.members[name].granted(self.now, grant)
+        self.register.apply({"kind": "propose", "by": "x", "text": "second", "rows": [["a", second, second]]})
+        self.index = 2
+
+    def member(self, name):
+        return self.parts[2](name, *self.disks[name], lambda made: None, self.keeper(name))
+
+    def keeper(self, name):
+        def keep(force, staged):
+            self.disks[name] = force, staged
+        return keep
+
+    def copied(self):
+        made = shallow(self)
+        made.register = self.of_its_own(self.register)
+        made.disks, made.views = dict(self.disks), dict(self.views)
+        made.leaders = {}
+        for term, conduct in self.leaders.items():
+            other = shallow(conduct)
+            other.until, other.said = dict(conduct.until), dict(conduct.said)
+            other.began = dict(conduct.began)
+            other.asks = list(conduct.asks)
+            other.register = made.register if term == self.term else self.views[term]
+            made.leaders[term] = other
+        made.members = {}
+        for name, holder in self.members.items():
+            made.members[name] = other = shallow(holder)
+            # An ask that is not on its way any more, nor its grant, is never answered.
+            other.asks = {what.ask: holder.asks[what.ask] for _, what, _ in self.mail if what.member == name}
+            other.keep = made.keeper(name)
+        return made
+
+    @staticmethod
+    def of_its_own(register):
+        made = shallow(register)
+        made.goes, made.rows, made.texts = dict(register.goes), dict(register.rows), dict(register.texts)
+        return made
+
+    def key(self):
+        """What tells two states apart.  Members differ by nothing but their names: they are put in order."""
+        def ago(at):
+            return None if at is None else round(max(-0.01, min(at - self.now, 30.0)) * 100)
+        rows = []
+        for name, holder in self.members.items():
+            mail = tuple((kind, term, ago(holder.asks[what.ask]), *self.told(what))
+                         for kind, what, term in self.mail if what.member == name)
+            known = tuple((ago(conduct.until.get(name, 0.0)), self.said(conduct.said.get(name)),
+                           conduct.closing is not None and name in conduct.closing[1])
+                          for conduct in self.leaders.values())
+            rows.append((holder.number, holder.staged is not None, ago(holder.until) or 0, holder.seen,
+                         self.disks[name][1] is not None, self.register.goes[name], mail, known))
+        leaders = tuple((term, ago(conduct.open_at), conduct.closing is not None)
+                        for term, conduct in self.leaders.items())
+        return hash((self.ticks, self.index, self.register.staged is None, self.register.force.number,
+                     tuple(sorted(rows)), leaders, self.kills, self.pending and self.pending["kind"]))
+
+    @staticmethod
+    def said(ask):
+        return (0, 0) if ask is None else (ask.force, ask.joint)
+
+    @staticmethod
+    def told(what):
+        if isinstance(what, policy.Ask):
+            return what.force, what.joint
+        return what.index, what.force.number, what.staged.number if what.staged else 0
+
+    # What may happen next: (name, what to do) each.
+
+    def moves(self, bounds):
+        room = len(self.mail) < bounds.mail
+        for name in MEMBERS:
+            if room and not any(kind == "ask" and what.member == name for kind, what, _ in self.mail):
+                for term in self.leaders:
+                    yield (f"{name} asks planner {term}",
+                           lambda made, name=name, term=term: made.asks(name, term))
+            if self.kills < bounds.kills:
+                yield f"{name} is killed and started", lambda made, name=name: made.killed(name)
+        for place, (kind, what, term) in enumerate(self.mail):
+            yield (f"{kind} of {what.member} comes at {term}",
+                   lambda made, place=place: made.comes(place, True))
+            yield (f"{kind} of {what.member} is lost", lambda made, place=place: made.comes(place, False))
+            if room and kind == "grant":
+                yield (f"{kind} of {what.member} comes, and again",
+                       lambda made, place=place: made.comes(place, True, keep=True))
+        if self.ticks < bounds.ticks:
+            yield "time goes on", lambda made: made.passes()
+        if self.takeovers < bounds.takeovers:
+            yield "planner 2 takes over", lambda made: made.taken_over(False)
+            if self.pending is not None:
+                yield "planner 2 takes over with what is pending", lambda made: made.taken_over(True)
+        if self.pending is None:
+            yield f"planner {self.term} looks", lambda made: made.looks()
+        else:
+            yield "what is pending is decided", lambda made: made.decides()
+
+    def asks(self, name, term):
+        self.mail += (("ask", self.members[name].ask(self.now), term),)
+
+    def killed(self, name):
+        """What it had asked for is never heard again: its asks begin anew."""
+        self.kills += 1
+        self.members[name] = self.member(name)
+        self.mail = tuple(row for row in self.mail if row[1].member != name)
+
+    def comes(self, place, heard, keep=False):
+        kind, what, term = self.mail[place]
+        if not keep:
+            # Once here it is not on its way; its ask stays known until its grant came.
+            self.mail = self.mail[:place] + self.mail[place + 1:]
+        if not heard:
+            return
+        if kind == "grant":
+            self.members[what.member].granted(self.now, what)
+            return
+        conduct = self.leaders[term]
+        conduct.asked(self.now, what, 0)
+        # A replaced planner hears no majority: no later round of it is ever confirmed.
+        confirmed = 1 if term == self.term else 0
+        for grant in conduct.answers(self.now, confirmed, term, self.index if term == self.term else 2):
+            self.mail += (("grant", grant, term),)
+
+    def passes(self):
+        self.ticks += 1
+        self.now += STEP
+
+    def taken_over(self, pending):
+        """It has what stood in the other's log, and then decides it first, or has it not: then it is gone."""
+        self.takeovers += 1
+        if pending:
+            self.decides()
+        self.pending = None
+        self.views[self.term] = self.of_its_own(self.register)
+        self.leaders[self.term].register = self.views[self.term]
+        self.term += 1
+        self.leaders[self.term] = self.parts[1](self.register, self.now)
+
+    def looks(self):
+        self.pending = self.leaders[self.term].look(self.now)
+
+    def decides(self):
+        self.register.apply(json.loads(json.dumps(self.pending)))
+        self.index += 1
+        self.pending = None
+
+    def breach(self):
+        """What members may use now, against the limit decided last."""
+        limit, used = self.register.force.limits()["a"][0], 0.0
+        for holder in self.members.values():
+            used += holder.limits(self.now).get("a", (0.0,))[0] / len(MEMBERS)
+        if used > limit + EPSILON:
+            return f"limit {limit:g} by {self.register.force.number}, {used:g} may be used"
+        return None
+
+
+def check(bounds=Bounds(), parts=(policy.Register, policy.Conduct, policy.Holder), limits=LIMITS) -> Found:
+    """Goes through all orders of events within the bounds, breadth first; the first breach is a shortest
+    one."""
+    begin = State(parts, *limits)
+    seen, edge, ends = {begin.key(): None}, [(begin, ())], {}
+    while edge:
+        following = []
+        for state, way in edge:
+            for name, act in state.moves(bounds):
+                made = state.copied()
+                act(made)
+                key = made.key()
+                if key in seen:
+                    continue
+                seen[key] = None
+                end = "under way" if made.register.staged is not None else str(made.register.force.number)
+                ends[end] = ends.get(end, 0) + 1
+                found = made.breach()
+                if found is not None:
+                    return Found(len(seen), False, ends, found, way + (name,))
+                if len(seen) >= bounds.states:
+                    return Found(len(seen), False, ends, None, ())
+                following.append((made, way + (name,)))
+        edge = following
+    return Found(len(seen), True, ends, None, ())
--- a/rushmux/standins/relay.py
+++ b/rushmux/standins/relay.py
@@ -1,4 +1,5 @@
-"""Relays on loopback between the processes of a fleet: what passes through them can be dropped, held back, slowed, reset.
+"""Relays on loopback between the processes of a fleet: what passes through them can be dropped, held back,
+slowed, reset.
 
 One relay listens for each pair (who dials, who is dialled).  A cut says nothing to either side: what was sent
 arrives when it heals, as with packets that are sent again.  All is bounded, and ends with the rig.
