--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,260 @@
+"""The fleet's policy measured: a change over real planners at 10, 100 and 300 edges; seeded defects and
+baselines; planners' start by size of their log; a limit's use by second through changes.
+
+    python -m benchmarks.policy change | defects | baselines | states | start | use PLOT.svg
+"""
+import asyncio
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+from multiprocessing import Pool
+from pathlib import Path
+
+from rushmux.edge.going import granted
+from rushmux.fleet import policy, raft
+from rushmux.nodewire import VERSION, Frames, frame, messages
+from rushmux.planner import orders
+from rushmux.planner.logfile import LogFile
+from rushmux.settings import policy as documents
+from rushmux.settings.deployment import build
+from rushmux.standins import policies, policy_defects, policy_states, rig
+
+HOST = "127.0.0.1"
+EVERY = 0.5              # seconds between a stand-in member's asks, as an edge's
+MOST_SEEDS = 500
+NODES = 2
+
+
+class Member:
+    """A stand-in for an edge: the real `Holder` over a real connection, and no clients."""
+
+    def __init__(self, number, places, chance):
+        self.name, self.places, self.chance = f"edge{number}", places, chance
+        self.holder = policy.Holder(self.name, None, None, lambda made: None, lambda *both: None)
+        self.read = self.written = 0
+        self.task, self.at, self.turn = None, {}, 0
+
+    async def run(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            writer = asking = None
+            try:
+                self.turn += 1
+                reader, writer = await asyncio.open_connection(*self.places[self.turn % len(self.places)])
+                hello = messages.Hello(version=VERSION, peer=self.name, start="1")
+                writer.write(frame(messages.Message(hello=hello)))
+                asking = loop.create_task(self.ask(writer))
+                frames = Frames()
+                while data := await reader.read(1 << 16):
+                    self.read += len(data)
+                    for message in frames.feed(data):
+                        if message.WhichOneof("body") == "policy_grant":
+                            holder = self.holder
+                            known = {made.number: made for made in (holder.force, holder.staged) if made}
+                            holder.granted(loop.time(), granted(message.policy_grant, known))
+                            self.at.setdefault(holder.number, loop.time())
+            except OSError:
+                pass
+            finally:
+                if asking is not None:
+                    asking.cancel()
+                if writer is not None:
+                    writer.close()
+            await asyncio.sleep(0.2)
+
+    async def ask(self, writer):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(EVERY * (1 - 0.5 * self.chance.random()))
+            ask = messages.PolicyAsk(**self.holder.ask(loop.time())._asdict())
+            data = frame(messages.Message(policy_ask=ask))
+            self.written += len(data)
+            writer.write(data)
+
+
+def processor(part):
+    """Seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{part.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def one_change(edges, away, folder):
+    story = rig.parse(f"edges {edges}\nnodes {NODES}\n")
+    raw = rig.stated(story)
+    raw["plans"]["basico"].update(limit=edges * 40.0, burst=edges * 80.0)
+    raw["fleet"]["cold_units"] = 1
+    raw["bounds"]["cold_falls_units"] = 113_000
+    file = Path(folder) / "deployment.json"
+    file.write_text(json.dumps(raw))
+    made = rig.Rig(story, file, build(raw, proved=False), folder, 1)
+    made.cells, made.planner_names = NODES, ["plannera", "plannerb", "plannerc"]
+    chance, members = random.Random(1), []
+    try:
+        await asyncio.gather(*(made.start_planner(name, True) for name in made.planner_names))
+        members = [Member(number, made.places, chance) for number in range(edges)]
+        for member in members:
+            member.task = asyncio.ensure_future(member.run())
+        async with asyncio.timeout(60):
+            while not all(member.holder.number == 1 for member in members):
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(3)
+        for member in members[:round(edges * away)]:
+            member.task.cancel()
+        used = [processor(part) for part in made.planners.values()]
+        moved = sum(member.read + member.written for member in members)
+        begun = asyncio.get_running_loop().time()
+        there = members[round(edges * away):]
+        raw["plans"]["basico"].update(limit=edges * 20.0, burst=edges * 40.0)
+        await orders.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
+        async with asyncio.timeout(60):
+            while not all(2 in member.at for member in there):
+                await asyncio.sleep(0.01)
+        ended = asyncio.get_running_loop().time()
+        after = [processor(part) for part in made.planners.values()]
+        times = sorted(member.at[2] - begun for member in there)
+        moved = sum(member.read + member.written for member in members) - moved
+        return {"edges": edges, "away": round(edges * away), "first s": round(times[0], 2),
+                "last s": round(times[-1], 2), "KB": round(moved / 1000),
+                "leader's core": round((max(b - a for a, b in zip(used, after))) / (ended - begun), 3)}
+    finally:
+        for member in members:
+            member.task.cancel()
+        await made.down()
+
+
+def change(sizes=(10, 100, 300)):
+    for edges in sizes:
+        for away in (0.0, 0.1):
+            with tempfile.TemporaryDirectory() as folder:
+                print(asyncio.run(one_change(edges, away, folder)), flush=True)
+
+
+# Defects and baselines, on the seeded world.
+
+class OneAfterAnother(policy.Conduct):
+    """As SIGHUP to one edge after another does: nobody waits for anybody."""
+    def look(self, now):
+        staged = self.register.staged
+        if staged is None:
+            return super().look(now)
+        return {"kind": "decide", "number": staged.number, "joint": list(self.register.members), "why": "told"}
+
+
+class Plain(policy.Holder):
+    """As in two phases without leases: it goes by what it was last told, whatever the time."""
+    def narrow(self, now):
+        return self.until is None
+
+    def limits(self, now):
+        force = self.force
+        return {folder: both for folder, both in force.limits().items()} if force is not None else {}
+
+
+def ended(seed, parts):
+    try:
+        policies.played(seed, parts=parts)
+    except policies.Breach as fault:
+        return str(fault).split(" ")[1:4]
+    return None
+
+
+def found(defect):
+    begun = time.process_time()
+    for seed in range(MOST_SEEDS):
+        settings = {"parts": policy_defects.parts(defect)} if defect else {"fences": False}
+        try:
+            policies.played(seed, **settings)
+        except policies.Breach as fault:
+            return defect, seed + 1, time.process_time() - begun, str(fault)[:90]
+    return defect, None, time.process_time() - begun, ""
+
+
+def defects():
+    with Pool(3) as pool:
+        for defect, seeds, took, why in pool.imap_unordered(found, [None, *policy_defects.DEFECTS]):
+            name = defect.__name__ if defect else "NodesThatFenceNothing"
+            print(f"{name:24}{seeds!s:>6} seeds {took:6.1f} s  {why}", flush=True)
+
+
+def baselines(seeds=200):
+    for name, parts in (("as it is", (policy.Register, policy.Conduct, policy.Holder)),
+                        ("one after another", (policy.Register, OneAfterAnother, Plain)),
+                        ("two phases, no leases", (policy.Register, policy.Conduct, Plain))):
+        with Pool(3) as pool:
+            ends = pool.starmap(ended, [(seed, parts) for seed in range(seeds)], 4)
+        print(f"{name}: {sum(end is not None for end in ends)} of {seeds} seeds with a breach", flush=True)
+
+
+def gone_through(job):
+    begin, limits = job
+    return begin, limits, policy_states.check(policy_states.Bounds(states=200_000), limits=limits,
+                                              begin=policy_states.BEGINS[begin])
+
+
+def states():
+    """The bounded check further than the tests go."""
+    jobs = [(begin, limits) for begin in policy_states.BEGINS for limits in ((90.0, 30.0), (30.0, 90.0))]
+    with Pool(4) as pool:
+        for begin, limits, told in pool.imap(gone_through, jobs):
+            print(f"{begin}, {limits[0]:g} to {limits[1]:g}: {told.states} states, all orders of {told.events} "
+                  f"events, {told.ends}, breach: {told.breach} {told.way}", flush=True)
+
+
+def start(sizes=(100, 1_000, 10_000, 30_000)):
+    """Seconds from a planner's log on disk to a voice, with and without a snapshot in place of its entries."""
+    for size in sizes:
+        for short in (False, True):
+            with tempfile.TemporaryDirectory() as folder:
+                disk = LogFile(Path(folder) / "a.log", lambda: "1")
+                rows = tuple(raft.Entry(1, raft.ORDER, b"x" * 200) for _ in range(size))
+                kept = raft.founded(["a/1"])._replace(term=1, entries=rows)
+                if short:
+                    kept = raft.Kept(1, None, raft.Snapshot(size, 1, ("a/1",), b"s" * 20_000))
+                disk.begin(kept)
+                disk.release()
+                begun = time.perf_counter()
+                disk = LogFile(Path(folder) / "a.log", lambda: "1")
+                raft.Voice("a/1", disk.kept, 0.0, lambda below: 0)
+                took = time.perf_counter() - begun
+                disk.release()
+                print({"orders": size, "snapshot": short, "s": round(took, 4)}, flush=True)
+
+
+def use(path):
+    """The limit's use by second through five changes of a folder that asks for more, from a story's recordings."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    with tempfile.TemporaryDirectory() as folder:
+        story = rig.load("forth-and-back")
+        told = asyncio.run(rig.played(story, folder, 1))
+        rows = [json.loads(line) for file in sorted(Path(folder, "records").glob("*.jsonl"))
+                for line in file.read_bytes().splitlines()]
+    decided = {}
+    for row in sorted(rows, key=lambda row: row["at"]):
+        if row["kind"] == "decided" and row["force"]:
+            decided.setdefault(row["force"], (row["at"], dict((name, limit) for name, limit, _ in row["rows"])))
+    sent = [(row["at"], row["units"]) for row in rows if row["kind"] == "execution"
+            and row["volume"] == rig.SURGED and row["execution"] == 0]
+    begun = min(at for at, _ in sent)
+    seconds = [0.0] * (int(max(at for at, _ in sent) - begun) + 1)
+    for at, units in sent:
+        seconds[int(at - begun)] += units
+    figure, axes = pyplot.subplots(figsize=(8, 3))
+    axes.step(range(len(seconds)), seconds, where="post", label="units that nodes were sent")
+    steps = [(at - begun, limits[rig.SURGED]) for at, limits in decided.values()]
+    axes.step([max(0, at) for at, _ in steps] + [len(seconds)], [limit for _, limit in steps] + [steps[-1][1]],
+              where="post", label="limit in force")
+    axes.set(xlabel="s", ylabel="units/s", title="Use of a limit through five changes (stand-in nodes)")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+    print(told.breaches, [round(value) for value in seconds], [(round(at, 1), limit) for at, limit in steps])
+
+
+if __name__ == "__main__":
+    {"change": change, "defects": defects, "baselines": baselines, "start": start, "states": states,
+     "use": lambda: use(sys.argv[2])}[sys.argv[1]]()
