--- a/rushmux/cli/policies.py
+++ b/rushmux/cli/policies.py
@@ -48,7 +48,8 @@
     for row in state["members"]:
         says = row["says"] if row["says"] is not None else f"({row['goes']})"
         joint = str(row["joint"] or "-")
-        found.append(f"{row['member']:10}{says!s:>8}{joint:>7}{row['lease']:>7}  {row['against']}")
+        against = "forgotten" if row["gone"] else row["against"]
+        found.append(f"{row['member']:10}{says!s:>8}{joint:>7}{row['lease']:>7}  {against}")
     return found
 
 
--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -86,13 +86,15 @@
         self.members, self.force, self.staged, self.last = (), None, None, 0
         self.by = ""                     # who proposed what is staged
         self.goes = {}                   # member -> the oldest number that it may go by
+        self.gone = {}                   # members that people said will never serve again
         self.drained = {}                # nodes that people ordered to drain
         self.past, self.texts, self.rows = [], {}, {}   # rows: of all decided numbers from the floor on
 
     @property
     def floor(self) -> int:
         """No member goes by an older number, but one whose disk is older than what it said."""
-        return min(self.goes.values(), default=0)
+        return min((number for member, number in self.goes.items() if member not in self.gone),
+                   default=self.force.number if self.force is not None else 0)
 
     def apply(self, order: dict) -> str:
         """What came of an order, in words; those that begin with `refused` changed nothing."""
@@ -175,12 +177,19 @@
         return f"{len(order['members'])} go by {self.force.number}"
 
     def order_forget(self, order):
-        """A person says that a member will never serve again."""
+        """A person says that a member does not run and will not: nothing waits for it any more."""
         if order["member"] not in self.goes:
             raise Refused(f"there is no member '{order['member']}'")
-        self.raised([order["member"]])
+        self.gone[order["member"]] = True
+        self.raised([])
         return f"{order['member']} is no longer waited for"
 
+    def order_return(self, order):
+        """Members that were forgotten asked: they count again before they are answered."""
+        for member in order["members"]:
+            self.gone.pop(member, None)
+        return f"{len(order['members'])} are back"
+
     def order_drain(self, order):
         if len(self.drained) >= MOST_DRAINED:
             raise Refused(f"{MOST_DRAINED} nodes are to drain already")
@@ -226,7 +235,8 @@
             "members": self.members, "force": packed(self.force), "staged": packed(self.staged),
             "last": self.last, "by": self.by, "goes": self.goes, "past": self.past,
             "texts": [packed(policy) for policy in self.texts.values()],
-            "rows": list(self.rows.items()), "drained": list(self.drained)}).encode()
+            "rows": list(self.rows.items()), "drained": list(self.drained),
+            "gone": list(self.gone)}).encode()
 
     @classmethod
     def restored(cls, state: bytes) -> "Register":
@@ -240,6 +250,7 @@
             made.texts = {policy.number: policy for policy in map(unpacked, raw["texts"])}
             made.rows = {number: rows_of({"rows": rows}) for number, rows in raw["rows"]}
             made.drained = dict.fromkeys(raw["drained"], True)
+            made.gone = dict.fromkeys(raw["gone"], True)
         return made
 
 
@@ -280,12 +291,16 @@
         self.open_at = now + LEASE * (1 + DRIFT)
         self.until, self.said = {}, {}   # member -> when its lease is over; its newest ask
         self.asks, self.began = [], {}   # asks that wait for a round; staged number -> since when it is seen
+        self.returning = {}              # members that were forgotten and ask
         self.closing = None              # the number that it asked the log to decide, and who was joint
 
     def asked(self, now, ask: Ask, round_: int):
         """An ask came while the log's newest round was `round_`: it is answered once a later one is
         confirmed."""
-        if ask.member in self.register.goes and len(self.asks) < MOST_ASKS:
+        if ask.member in self.register.gone:
+            # Danger: with an answer it would hold a lease that nothing waits for.
+            self.returning[ask.member] = True
+        elif ask.member in self.register.goes and len(self.asks) < MOST_ASKS:
             self.asks.append((round_, ask))
 
     def answers(self, now, confirmed: int, term: int, index: int) -> list[Grant]:
@@ -300,7 +315,7 @@
 
     def answer(self, now, ask, term, index):
         register = self.register
-        if register.force is None:
+        if register.force is None or ask.member in register.gone:
             return None
         self.said[ask.member] = ask
         # Danger: a change that is being decided without this member must not find it with a lease.
@@ -319,6 +334,10 @@
         if register.force is None:
             return None
         staged = register.staged
+        returning = [member for member in self.returning if member in register.gone]
+        self.returning = {}
+        if returning:
+            return {"kind": "return", "members": returning}
         if staged is None:
             self.closing, self.began = None, {}
             back = [member for member in register.members if self.goes_by(member, register.force.number)
@@ -331,7 +350,8 @@
             said = self.said.get(member)
             if said is not None and said.refused == number:
                 return {"kind": "end", "number": number, "why": f"{member}: {said.against}"}
-        waiting = [member for member in register.members if not self.joint(member, number)]
+        waiting = [member for member in register.members
+                   if member not in register.gone and not self.joint(member, number)]
         held = [member for member in waiting if self.until.get(member, self.open_at) > now]
         harm = register.unharmed(staged) if waiting else None
         if not held and harm is None:
--- a/rushmux/planner/policies.py
+++ b/rushmux/planner/policies.py
@@ -70,7 +70,7 @@
     for member in register.members:
         said = conduct.said.get(member) if conduct is not None else None
         until = conduct.until.get(member, 0.0) if conduct is not None else 0.0
-        members.append({"member": member, "goes": register.goes[member],
+        members.append({"member": member, "goes": register.goes[member], "gone": member in register.gone,
                         "says": said.force if said else None, "joint": said.joint if said else None,
                         "lease": round(max(0.0, until - now), 1),
                         "against": said.against if said and said.refused else ""})
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -180,9 +180,25 @@
     found = conduct.look(11.0 + PATIENCE)
     assert found["kind"] == "end" and "edge2" in found["why"]
     assert "keeps 25 in all of its limit" in found["why"]
-    made.apply(order("end", number=2, why=""))
-    made.apply(order("forget", member="edge2"))
     assert made.apply(order("forget", member="edge9")).startswith("refused")
+    assert made.apply(order("forget", member="edge2")) == "edge2 is no longer waited for"
+    assert conduct.look(11.0 + PATIENCE)["kind"] == "decide"   # a person's word: it does not run
+    assert Register.restored(made.kept()).gone == {"edge2": True}
+
+
+def test_who_was_forgotten_counts_again_before_it_is_answered():
+    made = register()
+    made.apply(order("forget", member="edge2"))
+    made.apply(order("propose", 20.0))
+    conduct = Conduct(made, 0.0)
+    for member in MEMBERS[:2]:
+        asked(conduct, 11.0, member, joint=2)
+    assert asked(conduct, 11.1, "edge2") == []
+    found = conduct.look(11.2)
+    assert found == {"kind": "return", "members": ["edge2"]}
+    made.apply(found)
+    assert conduct.look(11.3) is None and len(asked(conduct, 11.4, "edge2", joint=2)) == 1
+    assert conduct.look(11.5)["joint"] == MEMBERS
 
 
 def test_who_may_go_by_an_old_number_is_counted_with_all_since_and_there_is_a_bound():
