--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -43,7 +43,8 @@
 
     @property
     def sum(self) -> int:
-        return zlib.crc32(f"{self.number}\0{self.text}".encode())
+        rows = json.dumps([[folder, float(limit), float(burst)] for folder, limit, burst in self.rows])
+        return zlib.crc32(f"{self.number}\0{self.text}\0{rows}".encode())
 
     def limits(self) -> dict[str, tuple[float, float]]:
         return {folder: (limit, burst) for folder, limit, burst in self.rows}
--- /dev/null
+++ b/tests/gateway/test_going.py
@@ -0,0 +1,148 @@
+"""An edge's kept policy, and what people ask about the fleet's, on processes."""
+import asyncio
+import copy
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from rushmux.cli.main import main
+from rushmux.edge.going import BadKept, Kept, Newer, begun, granted
+from rushmux.fleet.policy import Grant, Policy
+from rushmux.nodewire import WireFault
+from rushmux.planner import words
+from rushmux.settings import policy as documents
+from rushmux.settings.deployment import BadDeployment, build
+from rushmux.standins import rig
+
+RAW = rig.stated(rig.parse("edges 3\n"))
+OWN = build(RAW)
+
+
+class Log:
+    def __init__(self):
+        self.rows = []
+
+    def error(self, event, **fields):
+        self.rows.append((event, fields))
+
+
+def policy(number, raw=RAW):
+    return Policy(number, documents.text(raw), tuple(documents.rows(build(raw))))
+
+
+def changed(**plan):
+    raw = copy.deepcopy(RAW)
+    raw["plans"]["basico"].update(plan)
+    return raw
+
+
+def test_what_was_kept_is_there_again_and_what_is_damaged_is_as_none(tmp_path):
+    kept, log = Kept(tmp_path / "p"), Log()
+    assert kept.load() == (None, None) and begun(OWN, kept, log) == (OWN, (None, None))
+    both = policy(3, changed(limit=40)), policy(4)
+    kept.keep(*both)
+    assert kept.load() == both
+    assert begun(OWN, kept, log)[0].terms.plans["basico"].limit == 40 and log.rows == []
+    whole = kept.path.read_bytes()
+    for bad in (whole[:-30], whole.replace(b"basico", b"basic0", 1), b"", b"[]", b"\xff"):
+        kept.path.write_bytes(bad)
+        with pytest.raises(BadKept):
+            kept.load()
+        assert begun(OWN, kept, log) == (OWN, (None, None))
+    assert len(log.rows) == 5 and log.rows[0][0] == "policy.unread"
+
+
+def test_a_newer_format_is_refused_and_not_written_over(tmp_path):
+    (tmp_path / "e").mkdir()
+    path = tmp_path / "e" / "policy.kept"
+    path.write_text(json.dumps(["rushmux policy", 2, 0, ""]))
+    with pytest.raises(Newer, match="format 2, this edge reads 1"):
+        begun(OWN, Kept(path), Log())
+    file = tmp_path / "d.json"
+    file.write_text(json.dumps(RAW))
+    result = CliRunner().invoke(main, ["edge", "--deployment", str(file), "--lists", "127.0.0.1:9",
+                                       "--data", str(tmp_path / "e")])
+    assert result.exit_code == 1 and "format 2" in result.output and json.loads(path.read_text())[1] == 2
+    result = CliRunner().invoke(main, ["edge", "--deployment", str(file), "--lists", "127.0.0.1:9"])
+    assert result.exit_code == 1 and "needs --data" in result.output
+
+
+def test_what_changes_only_with_a_start_is_told_and_unknown_parts_are_refused():
+    assert documents.against(OWN, build(changed(limit=40, burst=90))) == []
+    routes = {**copy.deepcopy(RAW), "routes": RAW["routes"][:1]}
+    assert documents.against(OWN, build(routes)) == []
+    weight = documents.against(OWN, build(changed(weight=7)))
+    assert weight == ["/plans/basico/weight: changes only with a start"]
+    unlimited = copy.deepcopy(RAW)
+    del unlimited["plans"]["basico"]["limit"]
+    assert documents.against(OWN, build(unlimited)) == ["/plans/basico/limit: changes only with a start"]
+    with pytest.raises(BadDeployment, match="no such part"):
+        documents.merged(OWN, json.dumps({**json.loads(documents.text(RAW)), "tides": 1}), "x")
+    with pytest.raises(BadDeployment, match="is no JSON"):
+        documents.merged(OWN, "{", "x")
+    again = dict(reversed(list(RAW.items())))
+    assert documents.text(again) == documents.text(RAW)
+
+
+def test_a_grant_names_what_the_member_has_and_a_wrong_checksum_is_refused():
+    first, second = policy(1), policy(2, changed(limit=40))
+    grant = Grant("edge0", 5, 2, 9, first, second)
+    whole = words.grant(grant, ())
+    assert granted(whole, {}) == grant
+    short = words.grant(grant, (1,))
+    assert not short.force.text and granted(short, {1: first}) == grant
+    with pytest.raises(WireFault):
+        granted(short, {})
+    with pytest.raises(WireFault):
+        granted(short, {1: first._replace(text="other")})
+    whole.staged.rows[0].limit += 1
+    with pytest.raises(WireFault, match="checksum"):
+        granted(whole, {})
+
+
+def test_people_change_a_fleet_by_the_command_line(tmp_path):
+    story = rig.parse("edges 2\nnodes 1\n")
+    raw = rig.stated(story)
+    file = tmp_path / "deployment.json"
+    file.write_text(json.dumps(raw))
+
+    async def play():
+        fleet = rig.Rig(story, file, build(raw), tmp_path, 3)
+
+        async def asks(*words_):
+            place = ",".join(f"{host}:{port}" for host, port in fleet.places)
+            return await asyncio.to_thread(CliRunner().invoke, main, ["policy", *words_, "--planner", place])
+        try:
+            await fleet.up(1, 2)
+            other = copy.deepcopy(raw)
+            other["plans"]["basico"].update(limit=44, burst=99)
+            (tmp_path / "other.json").write_text(json.dumps(other))
+            bad = copy.deepcopy(raw)
+            bad["plans"]["basico"]["weight"] = 5
+            (tmp_path / "bad.json").write_text(json.dumps(bad))
+            diff = await asks("diff", str(tmp_path / "other.json"))
+            told = await asks("propose", str(tmp_path / "other.json"), "--wait", "20", "--base", "1")
+            refused = await asks("propose", str(tmp_path / "bad.json"))
+            based = await asks("propose", str(tmp_path / "other.json"), "--base", "1")
+            back = await asks("revert", "1", "--wait", "20")
+            return [diff, told, refused, based, back, await asks("withdraw", "2"),
+                    await asks("forget", "edge9"), await asks("show"), await asks("show", "--text"),
+                    await asks("history"), await asks("watch", "--looks", "1"),
+                    await asks("diff", "--past", "2")]
+        finally:
+            await fleet.down()
+    found = asyncio.run(play())
+    diff, told, refused, based, back, withdraw, forget, show, text, history, watch, past = found
+    assert '+   "limit": 44' in diff.output
+    assert told.exit_code == 0 and "2 is decided: 2 of 2 were there" in told.output
+    assert refused.exit_code == 1 and "/plans/basico/weight: changes only with a start" in refused.output
+    assert based.exit_code == 1 and "made on 1, and 2 is in force" in based.output
+    assert back.exit_code == 0 and "3 is decided" in back.output
+    assert withdraw.exit_code == 1 and "propose a revert" in withdraw.output
+    assert forget.exit_code == 1 and "no member 'edge9'" in forget.output
+    assert "in force: 3; under way: none" in show.output and "edge1" in show.output
+    assert json.loads(text.output)["plans"]["basico"]["limit"] == 60
+    assert [line.split()[1] for line in history.output.splitlines()] == ["decided"] * 3
+    assert "edge0: goes by" in watch.output and "change 3: decided" in watch.output
+    assert "44" in past.output
