A change is harmless only if members that were joint and fell silent are counted too

At fault: Conduct.look asked for harm only while somebody had not said joint. Change: who is joint and silent past its lease counts as away; nodes hold their floor against the newest number that an edge keeps to (Execute.knows), so that one that is joint and cut off is not turned away; cancelled timers of held processes stay cancelled on the virtual clock (KeyError in overrun). Assumed now and stated: an image is put back more slowly than a lease.

--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -63,7 +63,8 @@
         self.left_over = lambda folder, cell, name: None   # hears of objects that no name will point at
         self.disk = {}                   # node -> (total, free) bytes
         self.went = {}                   # operation -> cells where an execution went that may have run
-        self.number, self.numbers = 0, {}   # policy that is gone by; operation -> the one it was taken under
+        # Policy that is gone by and the newest that is kept to; operation -> those it was taken under.
+        self.number, self.numbers = (0, 0), {}
         self.serving = lambda: True      # whether operations may be taken at all
         self.fenced = lambda floor: None   # hears of nodes that turn this edge's number away
         self.parts, self.scales = {}, {}   # folder -> part of its limit; how far the policy moves it
@@ -194,7 +195,7 @@
         work = taken.work
         message = messages.Execute(op=op_id, execution=number, volume=work.folder, lane=work.lane,
                                    key=work.key, units=work.units, time_out=time_out,
-                                   policy=self.numbers[op_id])
+                                   policy=self.numbers[op_id][0], knows=self.numbers[op_id][1])
         work.fill(message)
         self.went[op_id][self.node_cell[node]] = True
         return self.links.send(node, message, partial(self.back, op_id, number))
--- a/rushmux/edge/going.py
+++ b/rushmux/edge/going.py
@@ -170,7 +170,7 @@
         if state == self.said:
             return
         self.said, limits = state, holder.limits(now)
-        self.driver.number = holder.number
+        self.driver.number = holder.number, holder.knows
         # The module was built on some limits; others are parts of them, the smaller of limit and burst.
         scales = {folder: min(own / base for own, base in zip(limits[folder], both))
                   for folder, both in self.base.items() if folder in limits and all(both)}
--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -354,14 +354,18 @@
         waiting = [member for member in register.members
                    if member not in register.gone and not self.joint(member, number)]
         held = [member for member in waiting if self.until.get(member, self.open_at) > now]
-        harm = register.unharmed(staged) if waiting else None
+        # Danger: who was joint and is silent since may come back on an older disk that knows nothing of it.
+        silent = [member for member in register.members if member not in register.gone
+                  and (member in waiting or self.until.get(member, self.open_at) <= now)]
+        harm = register.unharmed(staged) if silent else None
         if not held and harm is None:
             joint = [member for member in register.members if member not in waiting]
             self.closing = number, dict.fromkeys(joint, True)
             return {"kind": "decide", "number": number, "joint": joint,
                     "why": f"{len(joint)} of {len(register.members)} were there"}
         if now - since >= PATIENCE:
-            who = ", ".join(waiting[:5]) + (f" and {len(waiting) - 5} more" if len(waiting) > 5 else "")
+            away = waiting or silent
+            who = ", ".join(away[:5]) + (f" and {len(away) - 5} more" if len(away) > 5 else "")
             why = f"without answer in {PATIENCE:g} s: {who}" + (f"; {harm}" if harm is not None else "")
             return {"kind": "end", "number": number, "why": why}
         return None
@@ -440,13 +444,18 @@
                 return None
         return staged
 
+    @property
+    def knows(self) -> int:
+        """The newest number whose limits it keeps to: what nodes hold against their floor."""
+        return self.staged.number if self.staged is not None else self.number
+
     def turned_away(self, floor: int):
         """A node goes by nothing older than `floor`: this member's disk is older than it believes."""
         self.fenced = max(self.fenced, floor)
 
     def serves(self) -> bool:
         """Whether it may take operations at all."""
-        return self.force is not None and self.number >= self.fenced
+        return self.force is not None and self.knows >= self.fenced
 
     def narrow(self, now) -> bool:
         """Whether it hears of no planner, so that others may have decided what it does not know."""
--- a/rushmux/virtual/loop.py
+++ b/rushmux/virtual/loop.py
@@ -265,29 +265,39 @@
 
     def _of_process(self, context, callback, args):
         process = (context or contextvars.copy_context()).get(PROCESS)
-        return (callback, args) if process is None else (self._alive, (process, callback, args, context))
+        if process is None:
+            return callback, args, None
+        asked = []                       # the handle that was given out: it may be cancelled while this waits
+        return self._alive, (process, callback, args, context, asked), asked
 
-    def _alive(self, process, callback, args, context):
-        if process.dead:
+    def _alive(self, process, callback, args, context, asked):
+        if process.dead or asked and asked[0].cancelled():
             return
         if process.held_until > self.clock:
             # Danger: timers of one instant have no order among them; what waits in a socket keeps its own.
             process.woken = max(process.woken + APART, process.held_until)
-            super().call_at(process.woken, self._alive, process, callback, args, context, context=context)
+            super().call_at(process.woken, self._alive, process, callback, args, context, asked,
+                            context=context)
         else:
             callback(*args)
 
     def call_soon(self, callback, *args, context=None):
         if self.ended:
             return asyncio.Handle(callback, args, self, context)
-        callback, args = self._of_process(context, callback, args)
-        return super().call_soon(callback, *args, context=context)
+        callback, args, asked = self._of_process(context, callback, args)
+        handle = super().call_soon(callback, *args, context=context)
+        if asked is not None:
+            asked.append(handle)
+        return handle
 
     def call_at(self, when, callback, *args, context=None):
         if self.ended:
             return asyncio.TimerHandle(when, callback, args, self, context)
-        callback, args = self._of_process(context, callback, args)
-        return super().call_at(when, callback, *args, context=context)
+        callback, args, asked = self._of_process(context, callback, args)
+        handle = super().call_at(when, callback, *args, context=context)
+        if asked is not None:
+            asked.append(handle)
+        return handle
 
     def call_soon_threadsafe(self, callback, *args, context=None):
         return self.call_soon(callback, *args, context=context)
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -182,6 +182,8 @@
     assert "keeps 25 in all of its limit" in found["why"]
     assert made.apply(order("forget", member="edge9")).startswith("refused")
     assert made.apply(order("forget", member="edge2")) == "edge2 is no longer waited for"
+    for member in MEMBERS[:2]:
+        asked(conduct, 11.0 + PATIENCE, member, joint=2)
     assert conduct.look(11.0 + PATIENCE)["kind"] == "decide"   # a person's word: it does not run
     assert Register.restored(made.kept()).gone == {"edge2": True}
 
@@ -199,6 +201,28 @@
     assert found["kind"] == "end" and found["why"] == f"without answer in {PATIENCE:g} s: edge2"
 
 
+def test_who_was_joint_and_is_silent_since_may_come_back_on_an_older_disk():
+    made = register()
+    made.apply(order("propose", 20.0))
+    conduct = Conduct(made, 0.0)
+    asked(conduct, 11.0, "edge2", joint=2)
+    for member in MEMBERS[:2]:
+        asked(conduct, 25.0, member, joint=2)
+    assert conduct.look(25.0) is None     # 25 of 100, by a disk of before it was joint, over the 20 of all
+    asked(conduct, 26.0, "edge2", joint=2)
+    assert conduct.look(26.0)["joint"] == MEMBERS
+
+
+def test_nodes_hold_their_floor_against_what_a_member_knows_of():
+    before, after = (Policy(number, "x", (("a", limit, limit),)) for number, limit in ((1, 40.0), (2, 20.0)))
+    one, _ = holder(disk=(before, after))
+    assert (one.number, one.knows) == (1, 2)
+    one.turned_away(2)
+    assert one.serves() and one.limits(0.0)["a"][0] == 20.0 * NARROW
+    one.turned_away(3)
+    assert not one.serves()
+
+
 def test_who_was_forgotten_counts_again_before_it_is_answered():
     made = register()
     made.apply(order("forget", member="edge2"))
