--- a/rushmux/standins/policies.py
+++ b/rushmux/standins/policies.py
@@ -254,7 +254,7 @@
         if force is None:
             return {**client, "kind": "found", "members": sorted(self.edges), **self.drawn_policy()}
         kind = self.chance.random()
-        gone = [edge.name for edge in self.edges.values() if edge.mute or edge.holder is None]
+        gone = [edge.name for edge in self.edges.values() if edge.mute]   # a person's word has to be true
         if gone and kind > 0.95:
             return {**client, "kind": "forget", "member": self.chance.choice(gone)}
         if staged is not None and kind < 0.1:
--- a/rushmux/standins/policy_defects.py
+++ b/rushmux/standins/policy_defects.py
@@ -104,6 +104,15 @@
         return super().look(now)
 
 
+class SilentIsThere(Conduct):
+    """Who was joint once is taken for being there."""
+    def look(self, now):
+        for member in self.register.members:
+            if self.register.staged is not None and self.joint(member, self.register.staged.number):
+                self.until[member] = now + 1.0
+        return super().look(now)
+
+
 class HarmNotChecked(Register):
     def unharmed(self, staged):
         return None
@@ -145,8 +154,8 @@
 
 DEFECTS = (YesBeforeItsDisk, LeaseFromTheAnswer, NeverNarrow, UpBeforeDown, BelievesOldWords,
            JointIsForgotten, WakesWithItsLease, OldLeasesForgotten, OwnLeasesForgotten, AnswersUnconfirmed,
-           AnswersWhileItCloses, MostAreEnough, ANoIsAYes, WaitsForEver, HarmNotChecked, OnlyTheNewestCounts,
-           WithdrawsWhatIsDecided, TwoAtOnce, DecidesWhatIsStaged)
+           AnswersWhileItCloses, MostAreEnough, ANoIsAYes, WaitsForEver, SilentIsThere, HarmNotChecked,
+           OnlyTheNewestCounts, WithdrawsWhatIsDecided, TwoAtOnce, DecidesWhatIsStaged)
 
 
 def parts(defect):
