--- a/rushmux/planner/council.py
+++ b/rushmux/planner/council.py
@@ -6,6 +6,8 @@
 changes of members.
 """
 import asyncio
+import base64
+import zlib
 from typing import Callable, NamedTuple
 
 import orjson
@@ -14,7 +16,7 @@
 from rushmux.fleet.policy import Ask, Conduct, Register
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 from rushmux.planner import words
-from rushmux.planner.logfile import LogFile
+from rushmux.planner.logfile import BadLog, LogFile
 
 TICK = 0.1               # seconds between two looks at the log
 AGAIN = 0.3              # seconds until another planner is dialled again
@@ -72,13 +74,17 @@
         self.restore(kept.snapshot)
 
     def restore(self, snapshot):
-        raw = orjson.loads(snapshot.state) if snapshot.state else {"register": "", "sessions": []}
+        raw = {"register": "", "sessions": []}
+        if snapshot.state:
+            raw = orjson.loads(zlib.decompress(base64.b64decode(snapshot.state)))
         self.register = Register.restored(raw["register"].encode())
         self.sessions = raft.Sessions([tuple(row) for row in raw["sessions"]])
         self.index = snapshot.index
 
     def state(self) -> bytes:
-        return orjson.dumps({"register": self.register.kept().decode(), "sessions": self.sessions.kept()})
+        """What all entries made, small enough for one word whatever the policies hold."""
+        raw = orjson.dumps({"register": self.register.kept().decode(), "sessions": self.sessions.kept()})
+        return base64.b64encode(zlib.compress(raw))
 
     def start(self):
         others = [name for name in self.planners.addresses if name != self.planners.name]
@@ -121,7 +127,7 @@
         try:
             self.disk.load()
             self.disk.rewrite()
-        except OSError as fault:
+        except (OSError, BadLog) as fault:
             self.log.error("council.disk", why=str(fault))
             return
         self.broken = None
@@ -248,6 +254,8 @@
 
     def policy_ask(self, peer, body):
         """A member asks what holds; it is answered once this planner is sure that it still leads."""
+        if body.member != peer.hello.peer:
+            raise WireFault(f"{peer.hello.peer} asks for {body.member}")
         if self.leads:
             ask = Ask(body.member, body.ask, body.force, body.joint, body.refused, body.against)
             self.peers[body.member] = peer, (body.force, body.joint)
@@ -258,7 +266,10 @@
     def send(self, word):
         writer = self.writers.get(word.to.split("/")[0])
         if writer is not None and writer.transport.get_write_buffer_size() <= MOST_BUFFERED:
-            writer.write(frame(messages.Message(word=words.sent(word))))
+            try:
+                writer.write(frame(messages.Message(word=words.sent(word))))
+            except WireFault as fault:
+                self.say("council.word", str(fault))
 
     def heard(self, body):
         """A word from another planner."""
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_policy_fleet.py
@@ -101,3 +101,23 @@
         with pytest.raises(orders.NotOrdered, match="no node"):
             await orders.order(fleet.places, "drain", "node7")
     story(tmp_path, tell)
+
+
+def test_a_planner_that_was_away_is_brought_up_by_a_snapshot(tmp_path):
+    async def tell(fleet):
+        name = next(name for name in policy_fleet.PLANNERS if name != leader(fleet))
+        fleet.kill_planner_of(name)
+        for number in range(260):        # more entries than a log keeps
+            await orders.order(fleet.places, ("drain", "undrain")[number % 2], "node0")
+        assert fleet.planners[leader(fleet)].program.council.voice.snapshot.index > 100
+        await fleet.start_planner(name)
+        await propose(fleet, "down", 40.0)
+        await fleet.sleep(5)
+        council = fleet.planners[name].program.council
+        assert council.voice.snapshot.index > 100 and council.register.force.number == 2
+        assert council.register.members == ("edge0", "edge1")
+        # And from its disk.
+        fleet.kill_planner_of(name)
+        await fleet.start_planner(name)
+        assert fleet.planners[name].program.council.register.members == ("edge0", "edge1")
+    story(tmp_path, tell)
