One person for both kinds of fleet; lines and names read over

Need: the rig and the virtual fleet each had a person that asks on. Change: standins/orders.py has one; an expectation that the rig's page named and did not know is gone from it; an import that nobody used.

--- a/rushmux/standins/orders.py
+++ b/rushmux/standins/orders.py
@@ -1,4 +1,10 @@
 """What a fleet on the virtual clock and one of processes do alike to their parts."""
+import asyncio
+
+from rushmux.planner import orders
+
+PERSON = 60.0            # seconds that a person asks on for an answer that was lost
+PAUSE = 0.5              # seconds between two of its tries
 
 
 class Orders:
@@ -13,3 +19,23 @@
     def kill_planner(self):
         self.record("killed", planner=True)
         self.lists.process.kill()
+
+    async def person(self, word, verb, **order):
+        """A person asks about the policy until an answer comes, under one name for one order; `people` holds
+        what was said.  For fleets that have `people` and `places`."""
+        known = {"client": f"person{len(self.people)}", "n": 1, "by": "somebody"}
+        row = {"word": word, "verb": verb, "said": "", "number": order.get("number")}
+        self.people.append(row)
+        until = self.loop.time() + PERSON
+        while self.loop.time() < until:
+            try:
+                row["said"] = (await orders.policy(self.places, verb, **order, **known)).said
+                break
+            except orders.Elsewhere:
+                await asyncio.sleep(PAUSE)
+            except orders.NotOrdered as fault:
+                row["said"] = f"refused: {fault}"
+                break
+        if row["said"].endswith("is staged"):
+            row["number"] = int(row["said"].split()[0])
+        self.record("told_person", **row)
--- a/rushmux/standins/policies.py
+++ b/rushmux/standins/policies.py
@@ -10,7 +10,7 @@
 
 from rushmux.fleet import policy, raft
 from rushmux.standins import voices
-from rushmux.standins.voices import Breach, Faults
+from rushmux.standins.voices import Breach
 
 ASK = 0.5                # seconds between two asks of a member
 NO_ANSWER = 1.5          # seconds without a grant until another planner is asked
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -12,7 +12,6 @@
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
 from rushmux.edge.going import Kept
-from rushmux.planner import orders
 from rushmux.planner.council import Planners
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import Store as PlannerStore
@@ -28,7 +27,6 @@
 FAULTS = 40.0            # seconds of faults, and of changes
 QUIET = 45.0             # seconds at the end: a change may hang for PATIENCE, and a lease be waited for
 LIMITS = (120.0, 60.0, 40.0, 30.0)
-MOST_PERSON = 20         # tries of a person whose answer was lost
 PLANNERS = ("plannera", "plannerb", "plannerc")
 
 
@@ -104,22 +102,6 @@
 
     # What people and faults do.
 
-    async def person(self, word, verb, **order):
-        known = {"client": f"person{len(self.people)}", "n": 1, "by": "seed"}
-        row = {"word": word, "verb": verb, "said": "", "number": order.get("number")}
-        self.people.append(row)
-        for _ in range(MOST_PERSON):
-            try:
-                row["said"] = (await orders.policy(self.places, verb, **order, **known)).said
-                break
-            except orders.Elsewhere:
-                await self.sleep(0.5)
-            except orders.NotOrdered as fault:
-                row["said"] = f"refused: {fault}"
-                break
-        if row["said"].endswith("is staged"):
-            row["number"] = int(row["said"].split()[0])
-
     async def changes(self, until):
         """Changes one after another, now and then two at once."""
         while self.loop.time() < until:
--- a/rushmux/standins/policy_states.py
+++ b/rushmux/standins/policy_states.py
@@ -255,8 +255,8 @@
 
 def check(bounds=Bounds(), parts=(policy.Register, policy.Conduct, policy.Holder), limits=LIMITS,
           begin=()) -> Found:
-    """Goes through all orders of events, breadth first, until as many states were reached as the bounds allow;
-    the first breach is a shortest one."""
+    """Goes through all orders of events, breadth first, until as many states were reached as the bounds
+    allow; the first breach is a shortest one."""
     start = begun(parts, limits, begin)
     seen, edge, ends, events = {start.key(): None}, [(start, ())], {}, 0
     while edge:
--- a/rushmux/standins/rig.py
+++ b/rushmux/standins/rig.py
@@ -9,9 +9,9 @@
     cut NAMES from NAMES SECONDS   mute NAMES to NAMES SECONDS   delay NAMES to NAMES LEAST MOST SECONDS
     refuse NAMES to NAMES SECONDS   reset NAME from NAME BYTES
 
-`leader` is the planner that leads then, `last` what was killed last.  `expect WORD
-decided|ended|withdrawn|refused [text]` says how a change has to end, `expect force N` what is in force at
-the end, `expect nobody serves NAME` and the like.
+`leader` is the planner that leads then, `last` what was killed last.
+`expect WORD decided|ended|withdrawn|refused [text]` says how a change has to end, `expect force N` what is in
+force at the end.
 """
 import asyncio
 import copy
@@ -23,7 +23,6 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from rushmux.planner import orders
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import Deployment, build
 from rushmux.standins import day as days
@@ -37,7 +36,6 @@
 LOOK = 0.02              # seconds between two looks at what was decided
 MOST_LINES = 500
 SETTLE = 25.0            # seconds at the end in which all must come to one number
-PERSON = 60.0            # seconds that a person asks on for an answer that was lost
 SURGED = "caribe"        # a folder with a limit that is asked for more than it allows
 
 
@@ -211,26 +209,6 @@
         self.record("deed", verb=deed.verb, words=deed.words)
         await getattr(self, f"do_{deed.verb}")(*deed.words)
 
-    async def person(self, verb, word, **order):
-        """A person asks until an answer comes, with the same name for the same order."""
-        known = {"client": f"person{len(self.people)}", "n": 1, "by": "rig"}
-        row = {"word": word, "verb": verb, "said": "", "number": order.get("number")}
-        self.people.append(row)
-        until = self.loop.time() + PERSON
-        while self.loop.time() < until:
-            try:
-                answer = await orders.policy(self.places, verb, **order, **known)
-                row["said"] = answer.said
-                break
-            except orders.Elsewhere:
-                await asyncio.sleep(0.5)
-            except orders.NotOrdered as fault:
-                row["said"] = f"refused: {fault}"
-                break
-        if row["said"].endswith("is staged"):
-            row["number"] = int(row["said"].split()[0])
-        self.record("told_person", **row)
-
     async def do_propose(self, *words):
         raw, more, word = copy.deepcopy(self.deployment.raw), {}, ""
         rest = list(words)
