--- a/rushmux/standins/policies.py
+++ b/rushmux/standins/policies.py
@@ -57,7 +57,7 @@
         self.name, self.clock, self.rate = name, clock, rate
         self.disk, self.images, self.holder = (None, None), [], None
         self.life, self.held_until, self.cut_until, self.full_until, self.heard = 0, 0.0, 0.0, 0.0, 0.0
-        self.planner, self.mute, self.said = 0, False, 0
+        self.planner, self.mute, self.said, self.image_at = 0, False, 0, 0.0
         self.only, self.only_until = "", 0.0   # the one planner that it reaches, for some time
 
     def reaches(self, planner, now):
@@ -356,7 +356,8 @@
         edge.life, edge.holder = edge.life + 1, None
         away = 0.01 * 2_500 ** self.chance.random()   # 10 ms to 25 s
         if edge.images and self.chance.random() < self.member_faults.images:
-            edge.disk, away = self.chance.choice(edge.images), max(away, IMAGE)
+            edge.disk, edge.image_at = self.chance.choice(edge.images), self.now + IMAGE
+        away = max(away, edge.image_at - self.now)   # also where it is killed again meanwhile
         self.at(away, self.begin_again, edge, edge.life)
 
     def begin_again(self, edge, life):
