The rig's person is called as the shared one takes its words; last waits for its kill

Seen: test_stories_keep_every_rule failed with an empty part name at 'start last'. Change: the calls; 'last' waits for what is to be killed, at most 30 s, and says so.

--- a/rushmux/standins/rig.py
+++ b/rushmux/standins/rig.py
@@ -121,7 +121,7 @@
     def __init__(self, story: Story, file, deployment: Deployment, folder, seed):
         super().__init__(file, deployment, folder, seed, records=True, unit=0.002)
         self.story, self.relays = story, Relays(random.Random(seed))
-        self.planners, self.killed, self.last, self.images, self.people = {}, {}, "", {}, []
+        self.planners, self.killed, self.images, self.people = {}, [], {}, []
         self.stopped = {}                # edge -> whether it ever stood still
 
     async def start_planner(self, name, found=False):
@@ -191,7 +191,14 @@
         raise TimeoutError("no planner leads")
 
     async def name(self, word):
-        return await self.leader() if word == "leader" else self.last if word == "last" else word
+        """A part's name; `last` waits for what is to be killed first, on a busy machine later than its start."""
+        for _ in range(300 if word == "last" else 0):
+            if self.killed:
+                return self.killed[-1]
+            await asyncio.sleep(0.1)
+        if word == "last":
+            raise TimeoutError("nothing was killed that could be started")
+        return await self.leader() if word == "leader" else word
 
     def part(self, name):
         for parts in (self.planners, self.nodes):
@@ -225,20 +232,21 @@
                 for step in inner:
                     target = target[int(step)] if isinstance(target, list) else target.setdefault(step, {})
                 target[last] = json.loads(value)
-        await self.person("propose", word, text=documents.text(raw), **more)
+        await self.person(word, "propose", text=documents.text(raw), **more)
 
     async def do_withdraw(self, number):
-        await self.person("withdraw", f"w{number}", number=int(number))
+        await self.person(f"w{number}", "withdraw", number=int(number))
 
     async def do_revert(self, number, *more):
-        await self.person("revert", more[1] if more else "", number=int(number))
+        await self.person(more[1] if more else "", "revert", number=int(number))
 
     async def do_forget(self, member):
-        await self.person("forget", f"f{member}", member=member)
+        await self.person(f"f{member}", "forget", member=member)
 
     async def do_kill(self, word):
         name = await self.name(word)
-        part, self.last = self.part(name), name
+        part = self.part(name)
+        self.killed.append(name)
         if name.startswith("edge"):
             self.record("killed", edge=name, start=part.start)
         elif name.startswith("node"):
@@ -261,6 +269,7 @@
 
     async def do_start(self, word, how=""):
         name = await self.name(word)
+        self.killed = [other for other in self.killed if other != name]
         for path in self.disk(name):
             if how in ("image", "empty"):
                 shutil.rmtree(path, ignore_errors=True) if path.is_dir() else path.unlink(missing_ok=True)
