What the system accepted is answered: the stop drains its queue and ends only quiet connections

At fault: Listener.close() closed the socket with connections in the system's queue and done() knew only of joined clients, so that the process ended with accepted connections (a loopback probe: 100 of 100 reset, 5 of 5 with no other client); Client.flush() finished a connection together with its last answer, so that the command on its heels was never read; commands beyond the 64 owed were dropped at the end; good commands behind a third refused one, too. After a stand-still the loop runs timers before sockets.

Change: the listener accepts by itself, counts what is coming, and closes drained, only when nothing is left or everything is ended; at the stop a connection ends once it was quiet for 20 ms; what comes after everything was ended gets -BUSY; last, all are cut 0.15 s before SIGKILL may come. The stop's times count from the signal.

--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -11,21 +11,26 @@
 from rushmux.block.lines import Lines
 from rushmux.driver import SECOND
 
-SERVE_ON = 0.5           # seconds after SIGTERM in which new connections still come
+SERVE_ON = 0.5           # seconds after SIGTERM in which new connections still come: a gateway that nobody
+                         # is connected to ends no sooner
 LATEST = 3.0             # seconds: the most that the platform counts of the longest hard stop
 MORE = 0.7               # seconds past that until SIGKILL may come
-TO_ANSWER = 0.8          # seconds before that from which no connection is kept open for new commands: what
+TO_ANSWER = 0.8          # seconds before that from which connections end as soon as they are quiet: what
                          # comes just before has the usual time of an answer until it is ended
-TO_END = 0.4             # seconds before that when what is open gets its final answer
+TO_END = 0.4             # seconds before that when what is open gets its final answer, and no connection is taken
+TO_CUT = 0.15            # seconds before that when nothing more is read: for the way of the last answers
 LOOK = 0.05              # seconds between two looks whether all is answered
 
 
 async def serve(path) -> int:
     """Runs the gateway of a configuration file; the exit code."""
     loop = asyncio.get_running_loop()
-    stop, again = asyncio.Event(), asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    stop, again, told_at = asyncio.Event(), asyncio.Event(), []
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+        # Danger: a long turn of the loop, and the stop's times would count from its end.
+        signal.signal(number, lambda *_: told_at.append(loop.time()))
     loop.add_signal_handler(signal.SIGHUP, again.set)
     log = Lines(loop.time, os.environ.get("NODE_NAME", "gateway"))
     # Danger: a fault in a timer is printed by the loop, past the log's bound, and nobody hears of it.
@@ -56,12 +61,12 @@
     await stop.wait()
     log.info("stops", open=len(front.taken), clients=len(front.listener.clients))
     longest = max(lane.hard_stop for lane in front.terms.lanes.values()) / SECOND
-    killed_at = loop.time() + min(LATEST, longest) + MORE
-    await asyncio.sleep(SERVE_ON)
-    front.close()
+    killed_at = told_at[0] + min(LATEST, longest) + MORE
     loop.call_at(killed_at - TO_ANSWER, front.listener.end)
     loop.call_at(killed_at - TO_END, front.end_all)
-    while not front.done() and loop.time() < killed_at:
+    loop.call_at(killed_at - TO_CUT, front.listener.cut)
+    await asyncio.sleep(SERVE_ON)
+    while not front.listener.done() and loop.time() < killed_at:
         await asyncio.sleep(LOOK)
     task.cancel()
     front.watch_list.close()
--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -28,6 +28,7 @@
         self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.leave)
         self.watch_list = Watch(loop, start.discovery, log, self.told)
         self.conditions = {}             # node -> as the module was last told of it
+        self.ended = False               # whether everything gets its answer at once: the stop is near
 
     async def open(self):
         self.members(say.RESTORED, self.start.known)
@@ -50,7 +51,7 @@
         """An operation comes; its answer goes to its slot."""
         if command.op_id in self.taken:
             raise commands.Refused("the id is that of an open request")
-        if len(self.taken) >= self.start.held:
+        if self.ended or len(self.taken) >= self.start.held:
             slot.reply = BUSY
             return
         slot.op_id = command.op_id
@@ -104,14 +105,10 @@
             self.log.info("discovery.moves", to="%s:%d" % start.discovery)
             self.watch_list.move(start.discovery)
 
-    def close(self):
-        self.listener.close()
-
     def end_all(self):
-        """What is still open gets its final answer: the process is about to be ended from outside."""
+        """What is open, and what still comes, gets its final answer: the process is about to be ended from
+        outside."""
+        self.ended = True
+        self.listener.close()
         for op_id in list(self.taken):
             self.break_off(op_id)
-
-    def done(self) -> bool:
-        """Whether every client's connection has ended."""
-        return not self.listener.clients
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -18,10 +18,20 @@
 TO_SPEAK = 0.3           # seconds that a newcomer has at least before another takes its place
 SHORT = 0.5              # of the places for clients: sockets are short above it
 SWEEP = 0.1              # seconds between two looks at who is silent, idle or does not read
+QUIET = 0.02             # seconds without a command after which a connection may end at a stop: who comes
+                         # again at once is on its way for a few milliseconds
 MOST_FAULTS = 3          # refused commands of one connection until it is closed
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 
 
+def after_reading(loop, call):
+    """Calls it once everything that stood in a socket by now was read.
+
+    Danger: when the process has stood still, the loop runs its timers before it looks at any socket.
+    """
+    loop.call_soon(loop.call_soon, call)   # the loop looks at the sockets between the two
+
+
 class Slot:
     """The place of one command's answer."""
     __slots__ = ("client", "reply", "op_id")
@@ -41,7 +51,7 @@
         self.listener, self.transport, self.reader = listener, None, Commands()
         self.owed = deque()              # slots not answered yet, in the order of commands
         self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
-        self.spoke = self.asked = self.over = self.halted = self.choked = False
+        self.spoke = self.asked = self.over = self.halted = self.choked = self.settling = False
         self.choked_at, self.faults = 0.0, 0
 
     def connection_made(self, transport):
@@ -59,7 +69,7 @@
 
     def work(self):
         """Takes the commands that came, as many as may be owed at a time."""
-        wrong = None
+        wrong, words = None, None
         try:
             while len(self.owed) < MOST_OWED and not self.over:
                 words = self.reader.next()
@@ -72,7 +82,8 @@
         if wrong is not None:
             self.owed.append(Slot(self, error(f"ERR Protocol error: {wrong}")))
             self.finish()
-        elif self.faults >= MOST_FAULTS:
+        elif self.faults >= MOST_FAULTS and words is None:
+            # Danger: a good command that was read behind the refused ones would get no answer.
             self.finish()
         self.halt()
         self.flush()
@@ -98,19 +109,37 @@
         if parts:
             self.transport.write(b"".join(parts))
             self.since = self.listener.loop.time()
-        if self.listener.ending and not self.owed:
-            self.finish()
         if self.over:
             if not self.owed:
                 self.part()
         elif self.halted and not self.choked and len(self.owed) <= MOST_OWED // 2:
             self.halt()
             self.listener.loop.call_soon(self.more)
+        elif self.listener.ending and not self.owed:
+            self.settle()
 
     def more(self):
         if not self.over and not self.transport.is_closing():
             self.work()
 
+    def settle(self):
+        """At a stop it ends once it was quiet for a while with nothing owed.
+
+        Danger: closed behind its answer, the command of a client that comes again at once is never read.
+        """
+        if not self.settling:
+            self.settling = True
+            self.listener.loop.call_later(QUIET, after_reading, self.listener.loop, self.settled)
+
+    def settled(self):
+        self.settling = False
+        if self.idle() and not self.transport.is_closing():
+            rest = QUIET if self.spoke or self.listener.sock is None else TO_SPEAK
+            if self.listener.loop.time() - self.since < rest:
+                return self.settle()
+            self.finish()
+            self.part()
+
     def part(self):
         """Danger: closed with bytes unread, the connection is reset and the error line lost with it."""
         if self.transport.can_write_eof():
@@ -166,25 +195,60 @@
 
 class Listener:
     """All clients' connections, `most` at a time.  `take(command, slot)` has an operation done, and
-    `left(op_id)` is told of one whose client went away."""
+    `left(op_id)` is told of one whose client went away.
+
+    Whatever the system has accepted is owed an answer as soon as a whole command was written to it, so
+    each connection has one owner from the system's queue on: `coming` until it is joined, then `clients`.
+    """
 
     def __init__(self, loop, start, most, take, left):
         self.loop, self.start, self.most, self.take, self.left = loop, start, most, take, left
-        self.clients, self.ending, self.server = {}, False, None
+        self.clients, self.coming, self.ending, self.sock = {}, {}, False, None
         self.turned_away = self.bad = self.silent = self.taken = 0   # counts for the log
 
     async def open(self, host, port):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((host, port))
-        self.server = await self.loop.create_server(lambda: Client(self), sock=sock, backlog=ACCEPTS)
-        # The loop takes as many connections in a turn as its backlog says; the system may hold more.
-        sock.listen(BACKLOG)
-        self.loop.call_later(SWEEP, self.sweep)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind((host, port))
+        self.sock.listen(BACKLOG)
+        self.accept_on()
+        self.loop.call_later(SWEEP, after_reading, self.loop, self.sweep)
+
+    def accept_on(self):
+        if self.sock is not None:
+            self.loop.add_reader(self.sock, self.accept)
+
+    def accept(self, most=ACCEPTS):
+        """Takes what waits in the system's queue; whether it was emptied."""
+        for _ in range(most):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return True
+            except ConnectionAbortedError:
+                continue
+            except OSError as fault:
+                # Danger: out of descriptors, and the queue would be asked again at full speed.
+                self.loop.remove_reader(self.sock)
+                self.loop.call_later(SWEEP, self.accept_on)
+                self.loop.call_exception_handler({"message": "no connection can be taken", "exception": fault})
+                return False
+            sock.setblocking(False)
+            task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
+            self.coming[task] = True
+            task.add_done_callback(self.came)
+        return False
+
+    def came(self, task):
+        del self.coming[task]
+        if not task.cancelled():
+            task.exception()             # its client went away before it was joined
 
     def joined(self, client):
         self.clients[client] = True
+        if self.ending:
+            client.settle()
         if len(self.clients) > self.most:
             self.shorten()
 
@@ -218,7 +282,7 @@
         rest = FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
         for client in list(self.clients):
             client.look(now, rest)
-        self.loop.call_later(SWEEP, self.sweep)
+        self.loop.call_later(SWEEP, after_reading, self.loop, self.sweep)
 
     def handle(self, words, client) -> Slot:
         """The place of one command's answer, which may be there at once."""
@@ -240,13 +304,36 @@
         client.faults += name != b"HELLO"
         return Slot(client, error("ERR unknown command"))
 
-    def close(self):
-        """Takes no more connections; those that stand are served on."""
-        self.server.close()
-
     def end(self):
-        """Takes no more commands on a connection than those read before its last answer."""
+        """From now on a connection ends when it was quiet with nothing owed; what comes is still taken."""
         self.ending = True
+        for client in self.clients:
+            client.settle()
+
+    def cut(self):
+        """Reads no more than stands in the sockets; each connection ends with what it is owed."""
+        after_reading(self.loop, self.part_all)
+
+    def part_all(self):
         for client in list(self.clients):
-            if not client.owed and not client.transport.is_closing():
-                client.transport.close()
+            if not client.over and not client.transport.is_closing():
+                client.finish()
+                client.flush()
+
+    def done(self) -> bool:
+        """Whether every connection has ended, and none waits in the system's queue; then it is closed."""
+        if self.clients or self.coming or self.sock is not None and not (self.accept() and not self.coming):
+            return False
+        self.close()
+        return True
+
+    def close(self):
+        """Takes no more connections.
+
+        Danger: the system resets what it accepted and the program did not, with the commands on it.
+        """
+        if self.sock is not None:
+            self.accept(BACKLOG)
+            self.loop.remove_reader(self.sock)
+            self.sock.close()
+            self.sock = None
--- a/tests/block/test_stop.py
+++ b/tests/block/test_stop.py
@@ -2,6 +2,10 @@
 
 Seen on the fleet's roll day (seed 90002): with hard stops over the 3.3 s after which all that is open is
 ended, operations were still open at SIGKILL; the timer that should have ended them called a number.
+
+Seen on brink and roll days: connections that the system had accepted were reset when the listener closed,
+and commands that came on the heels of an answer were never read.  What the program says that it took
+knows of neither: what clients wrote whole is counted here.
 """
 import asyncio
 import signal
@@ -9,19 +13,29 @@
 
 import pytest
 
+from rushmux.resp import Replies
 from rushmux.standins.platform import command, read, served
 
 STEP = 0.05              # seconds between two commands on each kind of connection
 PAUSE = 0.15             # seconds for which the process stands still
 GRACE = 0.7              # seconds past the longest hard stop, 3 s at most, until SIGKILL may come
+CROSSING = 0.05          # seconds before a connection's end in which a command may cross it, on a busy machine
 
 
 class Asker:
     """A client that asks, reads all that comes, and counts."""
 
     def __init__(self, port):
-        self.port, self.asked, self.answers, self.client, self.ended = port, 0, [], None, False
-        self.task = None
+        self.port, self.asks, self.answers, self.client, self.ended = port, [], [], None, False
+        self.task = self.ended_at = None
+
+    @property
+    def asked(self):
+        return len(self.asks)
+
+    def lost(self):
+        """When each command was written that got no answer and did not cross the connection's end."""
+        return [at for at in self.asks[len(self.answers):] if at < self.ended_at - CROSSING]
 
     async def open(self, client):
         self.client = client
@@ -32,12 +46,12 @@
             while (reply := await self.client.reply(within=10)) is not None:
                 self.answers.append((asyncio.get_running_loop().time(), reply))
         finally:
-            self.ended = True
+            self.ended, self.ended_at = True, asyncio.get_running_loop().time()
 
-    def ask(self, number, hard_stop):
+    def ask(self, *numbers, hard_stop):
         if not self.ended:
-            self.asked += 1
-            self.client.send(*read(number, left=hard_stop))
+            self.asks += [asyncio.get_running_loop().time()] * len(numbers)
+            self.client.writer.write(b"".join(command(read(number, left=hard_stop)) for number in numbers))
 
 
 @pytest.mark.parametrize("hard_stop, pauses", [
@@ -52,7 +66,7 @@
         idle, busy, pipe = Asker(stage.port), Asker(stage.port), Asker(stage.port)
         for one in (idle, busy, pipe):
             await one.open(await stage.client())
-        busy.ask(1, hard_stop)           # answered late
+        busy.ask(1, hard_stop=hard_stop)   # answered late
         askers, number = [idle, busy, pipe], 10
         begun = loop.time()
         stage.process.send_signal(signal.SIGTERM)
@@ -62,15 +76,14 @@
         while loop.time() < begun + killed_after:
             number += 3
             if len(idle.answers) == idle.asked:
-                idle.ask(number, hard_stop)
-            busy.ask(number + 1, hard_stop)
-            pipe.client.writer.write(b"".join(command(read(1000 + 3 * number + place, left=hard_stop))
-                                              for place in range(2)) if not pipe.ended else b"")
+                idle.ask(number, hard_stop=hard_stop)
+            busy.ask(number + 1, hard_stop=hard_stop)
+            pipe.ask(1000 + 3 * number, 1001 + 3 * number, hard_stop=hard_stop)
             try:
                 new = Asker(stage.port)
                 await new.open(await asyncio.wait_for(stage.client_once(), STEP))
                 askers.append(new)
-                new.ask(number + 2, hard_stop)
+                new.ask(number + 2, hard_stop=hard_stop)
             except (OSError, TimeoutError):
                 pass
             await asyncio.sleep(STEP)
@@ -79,14 +92,107 @@
         code, ended = await stage.process.wait(), loop.time() - begun
         await asyncio.gather(*(one.task for one in askers))
         answers = [answer for one in askers for answer in one.answers]
-        return answers, log, code, ended, begun
-    answers, log, code, ended, begun = running(story, hard_stop=hard_stop)
+        return answers, log, code, ended, begun, [at - begun for one in askers for at in one.lost()]
+    answers, log, code, ended, begun, lost = running(story, hard_stop=hard_stop)
     last = log.splitlines()[-1]
     assert code == 0 and "fault" not in log and "Traceback" not in log
     assert ended < killed_after + 0.5    # the interpreter takes its time to end
     # Each that was taken is answered, and no connection is answered on more often.
     assert f"taken={len(answers)} open=0" in last, (last, len(answers))
     assert max(at for at, _ in answers) - begun < killed_after
+    assert not lost, lost
+
+
+async def connected(port, *commands):
+    """A connection that the system made and on which whole commands stand; nobody need have accepted it."""
+    loop, sock = asyncio.get_running_loop(), socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, ("127.0.0.1", port))
+    await loop.sock_sendall(sock, b"".join(map(command, commands)))
+    return sock
+
+
+async def answers_on(sock, within=6.0):
+    """All replies that come until the connection ends; None behind them where it was reset."""
+    loop, replies, given = asyncio.get_running_loop(), Replies(), []
+    with sock:
+        async with asyncio.timeout(within):
+            try:
+                while data := await loop.sock_recv(sock, 65_536):
+                    replies.feed(data)
+                    while (reply := replies.next()) is not None:
+                        given.append(reply)
+            except ConnectionError:
+                given.append(None)
+    return given
+
+
+@pytest.mark.parametrize("clients", [1, 100])
+def test_what_the_system_accepted_when_the_listener_closes_is_answered(running, clients):
+    async def story(stage):
+        await (await stage.client()).ask(b"PING")
+        stage.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.25)        # new connections come for 0.4 s
+        stage.process.send_signal(signal.SIGSTOP)
+        socks = [await connected(stage.port, read(number, left=2_000)) for number in range(clients)]
+        await asyncio.sleep(0.4)         # past the time at which no new ones are waited for
+        stage.process.send_signal(signal.SIGCONT)
+        return await asyncio.gather(*map(answers_on, socks)), await stage.process.wait()
+    assert running(story, hard_stop=2_000) == ([[("$", b"data")]] * clients, 0)
+
+
+def test_commands_that_wait_behind_a_full_connection_are_answered_at_the_stop(running):
+    asked = 150                          # more than a connection may be owed at a time
+
+    async def story(stage):
+        stage.node.plays = lambda words: ["hang"]
+        await (await stage.client()).ask(b"PING")
+        sock = await connected(stage.port, *(read(number, left=9_000) for number in range(asked)))
+        await asyncio.sleep(0.2)
+        stage.process.send_signal(signal.SIGTERM)
+        return await answers_on(sock)
+    answers = running(story, hard_stop=9_000)
+    assert [kind for kind, _ in answers] == ["-"] * asked
+
+
+def test_a_good_command_behind_refused_ones_is_answered(running):
+    async def story(stage):
+        await (await stage.client()).ask(b"PING")
+        bad = [read(number, lane="none") for number in range(3)]
+        return await answers_on(await connected(stage.port, *bad, read(4)))
+    answers = running(story)
+    assert [kind for kind, _ in answers] == ["-", "-", "-", "$"]
+
+
+@pytest.mark.parametrize("hard_stop", [1_000, 6_000])
+def test_who_comes_again_on_the_heels_of_an_answer_is_served_through_the_stop(running, hard_stop):
+    """Each answer is followed at once by the next command, for as long as the connection stands."""
+    async def story(stage):
+        loop, unanswered, served_by = asyncio.get_running_loop(), 0, []
+        stage.node.plays = lambda words: [0.03, served()]
+        clients = [await stage.client() for _ in range(10)]
+        stage.process.send_signal(signal.SIGTERM)
+        begun = loop.time()
+
+        async def again(client, number):
+            nonlocal unanswered
+            while True:
+                number += 100
+                try:
+                    reply = await client.ask(*read(number, left=hard_stop))
+                except ConnectionError:
+                    return
+                if reply is None:
+                    unanswered += 1
+                    return
+                served_by.append(loop.time() - begun)
+        await asyncio.gather(*(again(client, place) for place, client in enumerate(clients)))
+        await stage.process.wait()
+        return unanswered, max(served_by), len(clients)
+    unanswered, last, clients = running(story, hard_stop=hard_stop)
+    killed_after = min(3.0, hard_stop / 1000) + GRACE
+    # Only the cut itself is crossed, and it comes shortly before SIGKILL may.
+    assert unanswered <= clients and killed_after - 0.3 < last < killed_after
 
 
 def test_large_answers_under_the_end_of_their_connection_are_given_whole(running):
