Lists of members are bounded by need: arrivals by their span, planners' tables at thousands

Need: other deployments play some 230 processes and hundreds of nodes; no list of either may end below 1,024.

About members were: ARRIVALS (512) in the module, now what was sent within the span, pruned at each send; MOST_CLIENTS (1,000) and MOST_WAITING (1,000) of the planners' log, now 16,384 and 4,096; MOST_PEERS 2,000 connections of a planner, now 8,192; the listen queues of edges and planners held the library's 100, now 1,024. Left: MOST_MEMBERS = 9 voters of the log, no list of a fleet's processes.

Test: a gateway's process with 1,024 nodes and gateways, indented and compact lists, whole and as changes.

--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -14,6 +14,7 @@
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import BadDeployment, Deployment
 
+BACKLOG = 1_024          # connections that the system holds until they are accepted
 LINGER = 0.2             # seconds for the last answers to leave before connections close
 
 
@@ -69,7 +70,7 @@
             self.tasks.append(loop.create_task(self.going.run()))
         if self.buffer is not None:
             self.tasks.append(loop.create_task(self.buffer.run()))
-        self.server = await asyncio.start_server(self.accept, host, port)
+        self.server = await asyncio.start_server(self.accept, host, port, backlog=BACKLOG)
         port = self.server.sockets[0].getsockname()[1]
         self.log.info("edge.serves", host=host, port=port)
         return port
--- a/rushmux/fleet/raft.py
+++ b/rushmux/fleet/raft.py
@@ -23,7 +23,7 @@
 BATCH = 64               # entries in one message: a member that is far behind must not stall the others
 MOST_OPEN = 1_024        # entries not decided yet: beyond it nothing more is taken
 MOST_MEMBERS = 9         # more make nothing safer
-MOST_CLIENTS = 1_000     # whose last answer is remembered; the longest silent is forgotten first
+MOST_CLIENTS = 16_384    # whose last answer is remembered; the longest silent is forgotten first
 
 
 class Entry(NamedTuple):
--- a/rushmux/planner/council.py
+++ b/rushmux/planner/council.py
@@ -25,7 +25,7 @@
 MANY = 200               # entries after which the log is made shorter
 ORDER = 8.0              # seconds until a person hears that an order was not decided
 DISK_AGAIN = 1.0         # seconds until a disk that took nothing is tried again
-MOST_WAITING = 1_000     # orders that wait to be decided
+MOST_WAITING = 4_096     # orders that wait to be decided: one of each edge of a thousand, with room
 MOST_NEW = 8             # members that ask to be taken in
 
 
--- a/rushmux/planner/peers.py
+++ b/rushmux/planner/peers.py
@@ -4,8 +4,9 @@
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
 READ = 1 << 17           # bytes asked of a socket at once
-MOST_PEERS = 2_000       # connections: hundreds of edges with a few links each
+MOST_PEERS = 8_192       # connections: a thousand edges with a few links each
 MOST_UNREAD = 8 << 20    # bytes a peer has not read before it is let go
+BACKLOG = 1_024          # connections that the system holds until they are accepted: all edges come at once
 GREET = 5.0              # seconds for a peer's first message
 
 
@@ -35,7 +36,7 @@
         self.ending = False
 
     async def listen(self, host, port):
-        self.server = await asyncio.start_server(self.accept, host, port)
+        self.server = await asyncio.start_server(self.accept, host, port, backlog=BACKLOG)
         self.port = self.server.sockets[0].getsockname()[1]
         return self.port
 
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -35,7 +35,6 @@
 BIN = 250                # ticks: first bin of the histogram of answer times; each next is twice as wide
 BINS = 8                 # bins: the last one begins at 1.6 s, beyond any use
 HALVE_AT = 32            # answers in a histogram before it is halved: some seconds of memory
-ARRIVALS = 512           # kept of a node: more than one gateway sends to a cold one within the span
 COLD_CREDIT = 0.8        # of what the rule leaves above a cold node's capacity, for what it has answered
 PATIENCE = 10            # median answer times, by size, until an execution is held for lost
 DRAWS = 10               # at most, for two nodes that are fit: enough with half of them resting
@@ -231,7 +230,7 @@
         self.most_room = min(FIRST_ROOM, max(SHARED_ROOM, even))
         self.least_room = 1 / terms.gateways
         self.crowd = CROWD * min(lane.quoted_time for lane in terms.lanes.values())
-        self.arrivals = deque(maxlen=ARRIVALS)   # (time, units) sent, the answered part given back
+        self.arrivals = deque()          # (time, units) sent within the span, the answered part given back
         self.turn = self.lot = 0         # number of the span, and what was drawn for it
         self.told = self.answers_in = 0  # service time last reported; ticks that a mean operation takes by it
         self.late = self.doubt = False   # since it was asked: an execution late; a reason to ask again
@@ -265,12 +264,12 @@
         that came back has forgotten what it sent and waits a span.  Harm: lots may fall together.
         """
         terms, age = gateway.terms, now - self.entry.online_since
+        while self.arrivals and self.arrivals[0][0] <= now - terms.cold_span:
+            self.arrivals.popleft()      # at each send, to a warm node too: kept is what is sent in a span
         if not self.entry.online_since or age >= terms.warm_within:
             return NEVER
         if now - gateway.began < terms.cold_span:
             return 0
-        while self.arrivals and self.arrivals[0][0] <= now - terms.cold_span:
-            self.arrivals.popleft()
         if self.turn != now // terms.cold_span:
             self.turn, self.lot = now // terms.cold_span, gateway.chance.below(1 << 16) / (1 << 16)
         warmed = 1 + (1 / terms.cold_start - 1) * max(0, age - terms.cold_span) / terms.warm_within
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -88,7 +88,7 @@
 
     def __init__(self):
         self.version, self.rows, self.changes, self.calls = 1, {}, [], []
-        self.silent, self.broken, self.port = False, None, 0
+        self.silent, self.broken, self.indent, self.port = False, None, None, 0
         self.server, self.moved = None, asyncio.Event()
 
     async def open(self):
@@ -132,7 +132,7 @@
         return {"version": self.version, "full": False, "servers": rows}
 
     def answer(self, body):
-        text = self.broken if self.broken is not None else json.dumps(body).encode()
+        text = self.broken if self.broken is not None else json.dumps(body, indent=self.indent).encode()
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text)
 
     def close(self):
@@ -186,7 +186,7 @@
     return [b"BLK.WRITE", b"%016x" % (number + 4096), b"%016x" % number, what.encode(), body]
 
 
-def settings(plan=None, hard_stop=1_000, **limits) -> dict:
+def settings(plan=None, hard_stop=1_000, gateways=3, shards=4, **limits) -> dict:
     """Settings in the form of the simulator's first message, with times that suit a test; `hard_stop` of
     both lanes in ms."""
     return {
@@ -202,8 +202,8 @@
                    "MostHeld": 500, "DialTimeout": 250 * NS, "ConnIdle": 4_000 * NS, "Cancel": True,
                    **limits},
         "Extra": {"UnitMean": 2, "MostUnits": 8, "ColdUnits": 20, "UsePeriod": 1_000 * NS,
-                  "SlotsTotal": 4, "ChangesData": [False, True], "SaysOthers": False},
-        "Report": {"How": "answers", "Columns": ["outstanding"]}, "ReplicasOfMe": 3, "Period": 2 * NS,
+                  "SlotsTotal": shards, "ChangesData": [False, True], "SaysOthers": False},
+        "Report": {"How": "answers", "Columns": ["outstanding"]}, "ReplicasOfMe": gateways, "Period": 2 * NS,
         "Discovery": "push", "ClientHabits": {"MarksRetry": False}}
 
 
--- a/tests/block/conftest.py
+++ b/tests/block/conftest.py
@@ -100,11 +100,12 @@
                             **self.terms)
         self.file.write_text(json.dumps(raw))
 
-    async def open(self, terms):
+    async def open(self, terms, nodes=1):
+        """`nodes`: rows of the list; all of them lead to the one stand-in."""
         self.terms = terms
         await self.node.open()
         await self.discovery.open()
-        self.discovery.put(self.node.row("s0", 0))
+        self.discovery.put(*(self.node.row(f"s{number}", number) for number in range(nodes)))
         self.write()
 
     async def run(self, *arguments):
@@ -128,10 +129,10 @@
 @pytest.fixture
 def running(tmp_path):
     """Plays a story, a coroutine function of a `Running`, with the gateway's own process."""
-    def played(story, arguments=("-m", "rushmux.block"), **terms):
+    def played(story, arguments=("-m", "rushmux.block"), nodes=1, **terms):
         async def whole():
             stage = Running(tmp_path)
-            await stage.open(terms)
+            await stage.open(terms, nodes)
             try:
                 await stage.run(*arguments)
                 async with asyncio.timeout(20):
