--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -31,6 +31,7 @@
         loop.add_signal_handler(number, stop.set)
         # Danger: a long turn of the loop, and the stop's times would count from its end.
         signal.signal(number, lambda *_: told_at.append(loop.time()))
+        signal.siginterrupt(number, False)   # as the loop has it: no call is broken off
     loop.add_signal_handler(signal.SIGHUP, again.set)
     log = Lines(loop.time, os.environ.get("NODE_NAME", "gateway"))
     # Danger: a fault in a timer is printed by the loop, past the log's bound, and nobody hears of it.
--- a/rushmux/driver.py
+++ b/rushmux/driver.py
@@ -113,14 +113,14 @@
             self.break_off(op_id)
 
     def break_off(self, op_id):
-        """Ends an operation without the module; it is shed if nothing was sent for it.
+        """Terminates an operation without the module.
 
         Danger: the module still holds it and would send it.  Its row stays until the module was told.
         """
         taken = self.taken.get(op_id)
         if taken is not None and not taken.ended:
             taken.ended = True
-            taken.answer(TERMINATED if taken.sent else SHED, None, 0)
+            taken.answer(TERMINATED, None, 0)
             self.event(self.tell_left, op_id)
 
     def came(self, op_id, number, result, outcome=None, fleet_use=0, from_others=0.0):
