--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -17,7 +17,7 @@
 MORE = 0.7               # seconds past that until SIGKILL may come
 TO_ANSWER = 0.8          # seconds before that from which connections end as soon as they are quiet: what
                          # comes just before has the usual time of an answer until it is ended
-TO_END = 0.4             # seconds before that when what is open gets its final answer, and no connection is taken
+TO_END = 0.4             # seconds before that when what is open gets its final answer; no connection is taken
 TO_CUT = 0.15            # seconds before that when nothing more is read: for the way of the last answers
 LOOK = 0.05              # seconds between two looks whether all is answered
 
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -232,7 +232,8 @@
                 # Danger: out of descriptors, and the queue would be asked again at full speed.
                 self.loop.remove_reader(self.sock)
                 self.loop.call_later(SWEEP, self.accept_on)
-                self.loop.call_exception_handler({"message": "no connection can be taken", "exception": fault})
+                self.loop.call_exception_handler({"message": "no connection can be taken",
+                                                  "exception": fault})
                 return False
             sock.setblocking(False)
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
--- a/tests/block/test_listener.py
+++ b/tests/block/test_listener.py
@@ -1,5 +1,6 @@
 """Clients of every kind on loopback."""
 import asyncio
+import errno
 import time
 
 import pytest
@@ -220,3 +221,28 @@
         await client.ask(*read(1, left=480))
         return int(of(stage.nodes[0].got[0], "d"))
     assert 0 < staged(story) <= 480
+
+
+def test_out_of_descriptors_the_queue_is_asked_again_soon_and_nobody_is_lost(staged):
+    class Short:
+        """A listening socket whose process has no descriptor left, for a while."""
+
+        def __init__(self, sock, until):
+            self.sock, self.until, self.asked = sock, until, 0
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+
+        def accept(self):
+            self.asked += 1
+            if time.monotonic() < self.until:
+                raise OSError(errno.EMFILE, "too many open files")
+            return self.sock.accept()
+
+    async def story(stage):
+        short = stage.front.listener.sock = Short(stage.front.listener.sock, time.monotonic() + 0.35)
+        begun = time.monotonic()
+        answer = await (await stage.client()).ask(*read(1))
+        return answer, time.monotonic() - begun, short.asked
+    answer, took, asked = staged(story)
+    assert answer == ("$", b"data") and took < 0.7 and asked < 12
