--- a/tests/block/test_stop.py
+++ b/tests/block/test_stop.py
@@ -14,7 +14,7 @@
 import pytest
 
 from rushmux.resp import Replies
-from rushmux.standins.platform import command, read, served
+from rushmux.standins.platform import Discovery, command, read, served
 
 STEP = 0.05              # seconds between two commands on each kind of connection
 PAUSE = 0.15             # seconds for which the process stands still
@@ -55,7 +55,7 @@
 
 
 @pytest.mark.parametrize("hard_stop, pauses", [
-    (300, ()), (1_000, (0.45,)), (2_000, (1.4, 2.35)), (6_700, (0.2, 2.45, 3.25)), (10_000, (2.4, 3.35))])
+    (100, (0.3,)), (300, ()), (1_000, (0.45,)), (2_000, (1.4, 2.35)), (6_700, (0.2, 2.45, 3.25)), (10_000, (2.4, 3.35))])
 def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(running, hard_stop, pauses):
     killed_after = min(3.0, hard_stop / 1000) + GRACE
 
@@ -195,6 +195,25 @@
     assert unanswered <= clients and killed_after - 0.3 < last < killed_after
 
 
+def test_a_new_configuration_in_the_midst_of_a_stop_harms_nothing(running):
+    async def story(stage):
+        other = Discovery()
+        await other.open()
+        other.put(*stage.discovery.rows.values())
+        client = await stage.client()
+        assert await client.ask(*read(1)) == ("$", b"data")
+        stage.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        stage.write(discovery=other.port)
+        stage.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        answer = await client.ask(*read(2))
+        log = (await stage.process.stderr.read()).decode()
+        other.close()
+        return answer, len(other.calls) > 0, "fault" in log, await stage.process.wait()
+    assert running(story) == (("$", b"data"), True, False, 0)
+
+
 def test_large_answers_under_the_end_of_their_connection_are_given_whole(running):
     value, asked = bytes(900_000), 5
 
