--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -69,7 +69,7 @@
 
     def work(self):
         """Takes the commands that came, as many as may be owed at a time."""
-        wrong, words = None, None
+        wrong = None
         try:
             while len(self.owed) < MOST_OWED and not self.over:
                 words = self.reader.next()
@@ -82,8 +82,7 @@
         if wrong is not None:
             self.owed.append(Slot(self, error(f"ERR Protocol error: {wrong}")))
             self.finish()
-        elif self.faults >= MOST_FAULTS and words is None:
-            # Danger: a good command that was read behind the refused ones would get no answer.
+        elif self.faults >= MOST_FAULTS:
             self.finish()
         self.halt()
         self.flush()
