--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -21,7 +21,7 @@
 SIZES = 64, 256, 1_024   # nodes, shards and gateways
 OPERATIONS = 2_000       # of each case; half a hundred volumes
 APART = 20               # ticks between two
-WARM_SPAN = 300_000      # ticks for which a node counts as cold here: all operations of a case
+WARM_WITHIN = 300_000    # ticks for which a node counts as cold here: all operations of a case
 PORT = 27_381
 
 
@@ -42,8 +42,8 @@
     """Yields for warm and for cold nodes: ms of the list, and us of an operation's two turns, median and
     99th percentile."""
     for cold in (False, True):
-        terms = terms_of(settings(gateways=size, shards=size, ColdUnits=200))._replace(
-            warm_within=WARM_SPAN, cold_units=200 * size)
+        terms = terms_of(settings(gateways=size, shards=size))._replace(
+            warm_within=WARM_WITHIN, cold_units=200 * size)
         out, chance, now, took = Out(), Chance(1), 10_000, []
         gateway = Gateway(terms, 7, 0, out)
         rows = [say.Listed(f"s{number}", number, "a", say.READY, now if cold else 0)
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -144,7 +144,7 @@
 
     def __init__(self):
         self.reader = self.writer = None
-        self.replies = Replies()
+        self.replies, self.reset = Replies(), False   # reset: whether it ended so, and not in order
 
     async def open(self, port):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
@@ -160,6 +160,7 @@
                 try:
                     data = await self.reader.read(65_536)
                 except ConnectionError:
+                    self.reset = True
                     return None
                 if not data:
                     return None
--- a/tests/block/test_sizes.py
+++ b/tests/block/test_sizes.py
@@ -45,8 +45,7 @@
         stop = True
         await task
         return ready, asked, max(waits), memory(stage.process), len(stage.discovery.rows)
-    ready, asked, longest, held, rows = running(
-        story, nodes=NODES, gateways=NODES, shards=NODES, ConnIdle=4_000_000_000)
+    ready, asked, longest, held, rows = running(story, nodes=NODES, gateways=NODES, shards=NODES)
     assert rows == NODES and ready < 5
     assert set(asked) == {("$", b"data")} and len(asked) == 2 * NODES // 16
     assert longest < TURN and held < MEMORY
--- a/tests/block/test_stop.py
+++ b/tests/block/test_stop.py
@@ -13,7 +13,6 @@
 
 import pytest
 
-from rushmux.resp import Replies
 from rushmux.standins.platform import Discovery, command, read, served
 
 STEP = 0.05              # seconds between two commands on each kind of connection
@@ -29,10 +28,6 @@
         self.port, self.asks, self.answers, self.client, self.ended = port, [], [], None, False
         self.task = self.ended_at = None
 
-    @property
-    def asked(self):
-        return len(self.asks)
-
     def lost(self):
         """When each command was written that got no answer and did not cross the connection's end."""
         return [at for at in self.asks[len(self.answers):] if at < self.ended_at - CROSSING]
@@ -77,7 +72,7 @@
             loop.call_at(begun + at + PAUSE, stage.process.send_signal, signal.SIGCONT)
         while loop.time() < begun + killed_after:
             number += 3
-            if len(idle.answers) == idle.asked:
+            if len(idle.answers) == len(idle.asks):
                 idle.ask(number, hard_stop=hard_stop)
             busy.ask(number + 1, hard_stop=hard_stop)
             pipe.ask(1000 + 3 * number, 1001 + 3 * number, hard_stop=hard_stop)
@@ -105,28 +100,19 @@
     assert not lost, lost
 
 
-async def connected(port, *commands):
-    """A connection that the system made and on which whole commands stand; nobody need have accepted it."""
-    loop, sock = asyncio.get_running_loop(), socket.socket()
-    sock.setblocking(False)
-    await loop.sock_connect(sock, ("127.0.0.1", port))
-    await loop.sock_sendall(sock, b"".join(map(command, commands)))
-    return sock
+async def asking(stage, *commands):
+    """A client that the system connected, with whole commands written; nobody need have accepted it."""
+    client = await stage.client_once()
+    client.writer.write(b"".join(map(command, commands)))
+    return client
 
 
-async def answers_on(sock, within=6.0):
+async def answers_on(client):
     """All replies that come until the connection ends; None behind them where it was reset."""
-    loop, replies, given = asyncio.get_running_loop(), Replies(), []
-    with sock:
-        async with asyncio.timeout(within):
-            try:
-                while data := await loop.sock_recv(sock, 65_536):
-                    replies.feed(data)
-                    while (reply := replies.next()) is not None:
-                        given.append(reply)
-            except ConnectionError:
-                given.append(None)
-    return given
+    given = []
+    while (reply := await client.reply(within=6)) is not None:
+        given.append(reply)
+    return given + [None] * client.reset
 
 
 @pytest.mark.parametrize("clients", [1, 100])
@@ -136,10 +122,10 @@
         stage.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.25)        # new connections come for 0.4 s
         stage.process.send_signal(signal.SIGSTOP)
-        socks = [await connected(stage.port, read(number, left=2_000)) for number in range(clients)]
+        askers = [await asking(stage, read(number, left=2_000)) for number in range(clients)]
         await asyncio.sleep(0.4)         # past the time at which no new ones are waited for
         stage.process.send_signal(signal.SIGCONT)
-        return await asyncio.gather(*map(answers_on, socks)), await stage.process.wait()
+        return await asyncio.gather(*map(answers_on, askers)), await stage.process.wait()
     assert running(story, hard_stop=2_000) == ([[("$", b"data")]] * clients, 0)
 
 
@@ -149,10 +135,10 @@
     async def story(stage):
         stage.node.plays = lambda words: ["hang"]
         await (await stage.client()).ask(b"PING")
-        sock = await connected(stage.port, *(read(number, left=9_000) for number in range(asked)))
+        client = await asking(stage, *(read(number, left=9_000) for number in range(asked)))
         await asyncio.sleep(0.2)
         stage.process.send_signal(signal.SIGTERM)
-        return await answers_on(sock)
+        return await answers_on(client)
     answers = running(story, hard_stop=9_000)
     assert [kind for kind, _ in answers] == ["-"] * asked
 
@@ -161,7 +147,7 @@
     async def story(stage):
         await (await stage.client()).ask(b"PING")
         bad = [read(number, lane="none") for number in range(3)]
-        return await answers_on(await connected(stage.port, *bad, read(4)))
+        return await answers_on(await asking(stage, *bad, read(4)))
     answers = running(story)
     assert [kind for kind, _ in answers] == ["-", "-", "-", "$"]
 
