Connections to clients end by a lingering close, and what left is seen behind what it sent

Now: an end reads on and throws away, within 1 s and 1 MiB; 128 KiB of commands are read ahead (4 MiB of all), beyond that the system is asked every 50 ms whether the client has closed; newcomers past the places are told -BUSY, past a margin they wait in the system's queue.

--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -14,22 +14,31 @@
 UNREAD_TIME = 3.0        # seconds that answers may lie unread: who reads nothing for so long is held for gone
 IDLE = 30.0              # seconds after which a connection with nothing open is closed
 FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform's page names
-LINGER = 0.25            # seconds for an error to be read before its connection ends
+LINGER = 0.25            # seconds without a byte after which a lingering close ends
+LONGEST_LINGER = 1.0     # seconds that it may take: who sends on and on is cut off
+MOST_DISCARDED = 1 << 20   # bytes of one connection that are read and thrown away; then nothing more is read
+READ_AHEAD = 1 << 17     # bytes of one connection's commands that wait to be taken: the end of a client that
+                         # sent hundreds at once and went is still seen behind them
+MOST_AHEAD = 4 << 20     # the same of all connections: beyond it those that have a full share are not read
+GONE_LOOK = 0.05         # seconds between two looks whether a client that is not read has gone: 0.1 s from its
+                         # end on nothing may begin for it
+CLOSE_WAIT, CLOSE = 8, 7   # states of a connection whose client has ended its sending, or that was reset
 TO_SPEAK = 0.3           # seconds that a newcomer has at least before another takes its place
 SHORT = 0.5              # of the places for clients: sockets are short above it
+MARGIN = 0.1             # of the places, past them, for newcomers that are told BUSY and for ends that linger
 SWEEP = 0.1              # seconds between two looks at who is silent, idle or does not read
 QUIET = 0.02             # seconds without a command after which a connection may end at a stop: who comes
                          # again at once is on its way for a few milliseconds
 MOST_FAULTS = 3          # refused commands of one connection until it is closed
-PONG, OK = b"+PONG\r\n", b"+OK\r\n"
+PONG, OK, BUSY = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n"
 
 
-def after_reading(loop, call):
+def after_reading(loop, call, *values):
     """Calls it once everything that stood in a socket by now was read.
 
     Danger: when the process has stood still, the loop runs its timers before it looks at any socket.
     """
-    loop.call_soon(loop.call_soon, call)   # the loop looks at the sockets between the two
+    loop.call_soon(loop.call_soon, call, *values)   # the loop looks at the sockets between the two
 
 
 class Slot:
@@ -52,7 +61,10 @@
         self.owed = deque()              # slots not answered yet, in the order of commands
         self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
         self.spoke = self.asked = self.over = self.halted = self.choked = self.settling = False
+        self.parting = self.behind = False   # behind: commands may be here that were not taken
         self.choked_at, self.faults = 0.0, 0
+        self.ahead = self.discarded = 0  # bytes that wait to be taken; bytes thrown away
+        self.heard_at = 0.0              # when the last of them came
 
     def connection_made(self, transport):
         self.transport = transport
@@ -60,20 +72,30 @@
         self.listener.joined(self)
 
     def data_received(self, data):
-        if not self.over:
-            # Danger: half a command that grows a byte at a time.  Its time counts from its first byte.
-            if not self.reader.partial():
-                self.since = self.listener.loop.time()
-            self.reader.feed(data)
-            self.work()
+        if self.over:
+            self.discard(len(data))
+            return
+        # Danger: half a command that grows a byte at a time.  Its time counts from its first byte.
+        if not self.reader.partial():
+            self.since = self.listener.loop.time()
+        self.reader.feed(data)
+        self.work()
+
+    def discard(self, size):
+        """A lingering close reads on: closed over unread bytes, a connection is reset, and what the client
+        has not read yet goes with it."""
+        self.discarded += size
+        self.heard_at = self.listener.loop.time()
+        self.halt()
 
     def work(self):
         """Takes the commands that came, as many as may be owed at a time."""
-        wrong = None
+        wrong, self.behind = None, True
         try:
-            while len(self.owed) < MOST_OWED and not self.over:
+            while len(self.owed) < MOST_OWED and not self.over and not self.choked:
                 words = self.reader.next()
                 if words is None:
+                    self.behind = False
                     break
                 self.spoke, self.since = True, self.listener.loop.time()
                 self.owed.append(self.listener.handle(words, self))
@@ -88,15 +110,30 @@
         self.flush()
 
     def finish(self):
-        """Nothing more is read; it ends when what is owed was given."""
+        """Nothing more is taken; it ends when what is owed was given."""
         self.over = True
+        self.reader = Commands()
         self.halt()
 
     def halt(self):
-        """Reads on, or stops reading: danger, commands at full speed grow what is kept."""
-        stop = self.over or self.choked or len(self.owed) >= MOST_OWED
+        """Reads on, or stops reading: danger, commands at full speed grow what is kept.
+
+        Danger of stopping: the end of a client that went stays unseen behind what it sent, and all that it
+        asked for is begun for nobody.  So some of what can't be taken yet is read all the same.
+        """
+        listener, ahead = self.listener, self.reader.held()
+        listener.ahead += ahead - self.ahead
+        self.ahead = ahead
+        if self.over:
+            stop = self.discarded > MOST_DISCARDED
+        else:
+            stop = (self.choked or len(self.owed) >= MOST_OWED) and (
+                ahead >= READ_AHEAD or listener.ahead >= MOST_AHEAD)
         if stop != self.halted and not self.transport.is_closing():
             self.halted = stop
+            listener.halted.pop(self, None)
+            if stop:
+                listener.halts(self)
             (self.transport.pause_reading if stop else self.transport.resume_reading)()
 
     def flush(self):
@@ -111,8 +148,7 @@
         if self.over:
             if not self.owed:
                 self.part()
-        elif self.halted and not self.choked and len(self.owed) <= MOST_OWED // 2:
-            self.halt()
+        elif self.behind and not self.choked and len(self.owed) <= MOST_OWED // 2:
             self.listener.loop.call_soon(self.more)
         elif self.listener.ending and not self.owed:
             self.settle()
@@ -140,15 +176,26 @@
             self.part()
 
     def part(self):
-        """Danger: closed with bytes unread, the connection is reset and the error line lost with it."""
+        """A lingering close: sends no more, reads and throws away what comes, then closes.
+
+        Danger: closed with bytes unread, the connection is reset and the error line lost with it.
+        """
+        if self.parting:
+            return
+        self.parting = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self.listener.loop.call_later(LINGER, self.gone, self.listener.loop.time() + UNREAD_TIME)
+        now = self.listener.loop.time()
+        self.heard_at = now
+        self.listener.loop.call_later(LINGER, after_reading, self.listener.loop, self.gone, now)
 
-    def gone(self, until):
+    def gone(self, began):
         """Danger: a large answer that is still being read would be cut off."""
-        if self.transport.get_write_buffer_size() and self.listener.loop.time() < until:
-            self.listener.loop.call_later(LINGER, self.gone, until)
+        now = self.listener.loop.time()
+        unread = self.transport.get_write_buffer_size() and now < began + UNREAD_TIME
+        comes = now - self.heard_at < LINGER and now < began + LONGEST_LINGER and not self.halted
+        if (unread or comes) and not self.transport.is_closing():
+            self.listener.loop.call_later(LINGER, after_reading, self.listener.loop, self.gone, began)
         else:
             self.transport.abort()
 
@@ -162,17 +209,35 @@
         self.listener.loop.call_soon(self.more)
 
     def eof_received(self):
-        # Danger: a client that gives up closes, and what it asked for would be served to nobody.
+        # Danger: a client that gives up closes, and what it asked for would be served to nobody.  While
+        # answers that it has not read are flushed, the connection is not lost yet.
+        self.leave()
         return False
 
-    def connection_lost(self, fault):
-        self.over = True
-        owed, self.owed = self.owed, deque()
-        for slot in owed:
+    def leave(self):
+        """The client has gone: its operations are told so at once."""
+        for slot in self.owed:
             if slot.op_id is not None and slot.reply is None:
                 self.listener.left(slot.op_id)
+                slot.op_id = None
+
+    def connection_lost(self, fault):
+        self.finish()
+        self.leave()
+        self.owed = deque()
         self.listener.parted(self)
 
+    def has_gone(self) -> bool:
+        """Whether the system knows that its client closed, where the connection is not read.
+
+        A platform that does not tell is taken to say no.
+        """
+        try:
+            sock = self.transport.get_extra_info("socket")
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in (CLOSE_WAIT, CLOSE)
+        except (OSError, AttributeError, IndexError, TypeError):
+            return False
+
     def idle(self):
         return not self.owed and not self.reader.partial() and not self.over
 
@@ -182,13 +247,14 @@
             return
         if self.choked and now - self.choked_at > UNREAD_TIME:
             self.transport.abort()
-        elif not self.owed and (not self.spoke or self.reader.partial()) and now - (
+        elif not self.owed and not self.behind and (not self.spoke or self.reader.partial()) and now - (
                 self.since if self.spoke else self.made_at) > SILENT:
             self.listener.silent += 1
             self.owed.append(Slot(self, error("ERR no whole command came in time")))
             self.finish()
             self.flush()
-        elif self.idle() and now - self.since > rest:
+        elif self.idle() and now - self.since > rest and not self.transport.get_write_buffer_size():
+            # Its socket was read just now and its last answer is long gone: nothing is cut off.
             self.transport.close()
 
 
@@ -203,6 +269,9 @@
     def __init__(self, loop, start, most, take, left):
         self.loop, self.start, self.most, self.take, self.left = loop, start, most, take, left
         self.clients, self.coming, self.ending, self.sock = {}, {}, False, None
+        self.margin = max(2, int(most * MARGIN))
+        self.held_back = False           # newcomers wait in the system's queue until a place is free
+        self.halted, self.ahead = {}, 0  # clients that are not read; bytes of commands that wait to be taken
         self.turned_away = self.bad = self.silent = self.taken = 0   # counts for the log
 
     async def open(self, host, port):
@@ -215,12 +284,22 @@
         self.loop.call_later(SWEEP, after_reading, self.loop, self.sweep)
 
     def accept_on(self):
+        self.held_back = False
         if self.sock is not None:
             self.loop.add_reader(self.sock, self.accept)
 
+    def full(self) -> bool:
+        """Danger: newcomers, those on their way counted, take the descriptors that nodes and discovery
+        need.  Harm: they wait in the system's queue."""
+        return len(self.clients) + len(self.coming) >= self.most + self.margin
+
     def accept(self, most=ACCEPTS):
         """Takes what waits in the system's queue; whether it was emptied."""
         for _ in range(most):
+            if self.full() and most == ACCEPTS:
+                self.loop.remove_reader(self.sock)
+                self.held_back = True
+                return False
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -250,31 +329,55 @@
         if self.ending:
             client.settle()
         if len(self.clients) > self.most:
-            self.shorten()
+            after_reading(self.loop, self.shorten)
 
     def parted(self, client):
         self.clients.pop(client, None)
+        self.halted.pop(client, None)
+        self.free()
+
+    def free(self):
+        if self.held_back and not self.full():
+            self.accept_on()
 
     def shorten(self):
         """Sockets are short: who has not spoken for a while goes first, then who never asked for an
-        operation, then who is idle for longest (past what the platform grants), then who has not spoken,
-        then the last.
+        operation, then who is idle for longest (past what the platform grants), then who has not spoken.
+        Where nobody can go, newcomers stay for the moment: what they ask gets `-BUSY` and their end.
 
-        Danger: a crowd that greets and stays holds every place, and the usual clients find none.
+        Danger: a crowd that greets and stays holds every place, and the usual clients find none.  Danger:
+        a connection closed over a command that was not read loses it; so the sockets were read just now.
         """
+        if len(self.clients) <= self.most:
+            return
         now = self.loop.time()
-        last = next(reversed(self.clients))
-        others = [one for one in self.clients if one is not last and not one.transport.is_closing()]
-        silent = next((one for one in others if not one.spoke), None)
+        others = [one for one in self.clients if not one.over and not one.transport.is_closing()]
+        silent = next((one for one in others if not one.spoke and not one.reader.partial()), None)
         idle = min((one for one in others if one.spoke and one.idle()
                     and (not one.asked or now - one.since > FULL_IDLE)),
                    key=lambda one: (one.asked, one.since), default=None)
-        if silent is not None and idle is not None and now - silent.made_at < TO_SPEAK:
+        if silent is not None and now - silent.made_at < TO_SPEAK:
             silent = None
-        self.turned_away += 1
-        one = silent or idle or last
-        del self.clients[one]
-        one.transport.abort()
+        one = silent or idle
+        if one is not None:
+            self.turned_away += 1
+            del self.clients[one]
+            one.transport.abort()
+            self.free()
+
+    def halts(self, client):
+        """A client is not read: its end has to be asked for."""
+        if not self.halted:
+            self.loop.call_later(GONE_LOOK, self.look_for_gone)
+        self.halted[client] = True
+
+    def look_for_gone(self):
+        for client in list(self.halted):
+            if client.has_gone():
+                client.leave()
+                client.transport.abort()
+        if self.halted:
+            self.loop.call_later(GONE_LOOK, self.look_for_gone)
 
     def sweep(self):
         now = self.loop.time()
@@ -282,13 +385,19 @@
         rest = FULL_IDLE if len(self.clients) > self.most * SHORT else IDLE
         for client in list(self.clients):
             client.look(now, rest)
+        for _ in range(len(self.clients) - self.most):
+            self.shorten()
         self.loop.call_later(SWEEP, after_reading, self.loop, self.sweep)
 
     def handle(self, words, client) -> Slot:
         """The place of one command's answer, which may be there at once."""
         name = words[0].upper()
         if name in (commands.READ, commands.WRITE):
-            slot, client.asked = Slot(client), True
+            slot, newcomer, client.asked = Slot(client), not client.asked, True
+            if newcomer and len(self.clients) > self.most:
+                self.turned_away += 1
+                client.finish()
+                return Slot(client, BUSY)
             try:
                 self.take(commands.check(words, self.start), slot)
                 self.taken += 1
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -5,6 +5,8 @@
 """
 import asyncio
 import json
+import socket
+import struct
 
 from rushmux.resp import Commands, Replies, bulk, command
 
@@ -89,6 +91,8 @@
     def __init__(self):
         self.version, self.rows, self.changes, self.calls = 1, {}, [], []
         self.silent, self.broken, self.indent, self.port = False, None, None, 0
+        self.plays = None                # a function of a target and an answer's text that gives steps, as a
+                                         # node's; besides "reset" and events, which are waited for
         self.server, self.moved = None, asyncio.Event()
 
     async def open(self):
@@ -112,12 +116,35 @@
                 self.calls.append((asyncio.get_running_loop().time(), target))
                 while self.silent:
                     await asyncio.sleep(0.01)
-                writer.write(self.answer(await self.body(target)))
+                body = await self.body(target)
+                if self.plays is None:
+                    writer.write(self.answer(body))
+                elif not await self.play(self.plays(target, json.dumps(body).encode()), writer):
+                    return
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             writer.close()
 
+    async def play(self, steps, writer) -> bool:
+        """Plays an answer's steps; whether the connection goes on."""
+        for step in steps:
+            if step == "reset":
+                writer.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+                return False
+            if step == "close":
+                return False
+            if isinstance(step, asyncio.Event):
+                await step.wait()
+            elif isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            else:
+                await asyncio.sleep(step)
+        return True
+
     async def body(self, target):
         asked = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
         if "after" not in asked:
@@ -145,6 +172,7 @@
     def __init__(self):
         self.reader = self.writer = None
         self.replies, self.reset = Replies(), False   # reset: whether it ended so, and not in order
+        self.replies_seen = 0
 
     async def open(self, port):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
@@ -165,6 +193,7 @@
                 if not data:
                     return None
                 self.replies.feed(data)
+            self.replies_seen += 1
             return reply
 
     async def ask(self, *words, within=5.0):
@@ -187,14 +216,14 @@
     return [b"BLK.WRITE", b"%016x" % (number + 4096), b"%016x" % number, what.encode(), body]
 
 
-def settings(plan=None, hard_stop=1_000, gateways=3, shards=4, **limits) -> dict:
+def settings(plan=None, hard_stop=1_000, window=None, gateways=3, shards=4, **limits) -> dict:
     """Settings in the form of the simulator's first message, with times that suit a test; `hard_stop` of
-    both lanes in ms."""
+    both lanes and `window` of the referenced one in ms."""
     return {
         "Classes": [{"Name": "read", "Aim": 400 * NS, "Deadline": hard_stop * NS, "Worth": 3,
                      "Idempotency": "safe"},
                     {"Name": "write", "Aim": 400 * NS, "Deadline": hard_stop * NS, "Worth": 2,
-                     "Idempotency": "keyed", "Group": "cell", "Window": max(3_000, hard_stop) * NS}],
+                     "Idempotency": "keyed", "Group": "cell", "Window": (window or max(3_000, hard_stop)) * NS}],
         "Grades": [{"Name": "base", "Nominal": 1_000, "FloorRate": 500, "NeverOver": 0, "CapDepth": 0,
                     "Tolerance": 0, "Parts": 1, "WorthFactor": 1, **(plan or {})}],
         "Rules": {"AskWithin": 9_000 * NS, "OverloadFor": 1_000 * NS, "FallMultiple": 3,
--- a/tests/block/conftest.py
+++ b/tests/block/conftest.py
@@ -59,6 +59,12 @@
         self.clients.append(await Client().open(self.port))
         return self.clients[-1]
 
+    async def client_with(self, *words):
+        """A client that writes a command at once; nobody need have accepted it."""
+        client = await self.client()
+        client.send(*words)
+        return client
+
     async def close(self):
         for client in self.clients:
             client.close()
@@ -100,6 +106,19 @@
                             **self.terms)
         self.file.write_text(json.dumps(raw))
 
+    def write_known(self, *rows):
+        """The file's own list, which may be old."""
+        raw = json.loads(self.file.read_text())
+        raw["known"]["servers"] = rows
+        self.file.write_text(json.dumps(raw))
+
+    async def restart(self):
+        """Starts it again from nothing, as after SIGKILL; what discovery was asked before is forgotten."""
+        self.process.kill()
+        await self.process.wait()
+        self.discovery.calls.clear()
+        await self.run("-m", "rushmux.block")
+
     async def open(self, terms, nodes=1):
         """`nodes`: rows of the list; all of them lead to the one stand-in."""
         self.terms = terms
--- /dev/null
+++ b/tests/block/test_closes.py
@@ -0,0 +1,155 @@
+"""How connections to clients end: nothing that was answered is lost with them, and nothing that the system
+accepted is ended unanswered.  The crossings are forced: bytes come while a connection ends, places are full.
+"""
+import asyncio
+import resource
+import time
+
+import pytest
+
+from rushmux.block import listener
+from rushmux.resp import command
+from rushmux.standins.platform import Node, read, served
+
+
+async def replies_of(client, within=5):
+    """All replies until the connection ends, and whether it was reset."""
+    given = []
+    while (reply := await client.reply(within=within)) is not None:
+        given.append(reply)
+    return given, client.reset
+
+
+@pytest.mark.parametrize("noise", [b"noise\r\n", b"".join(
+    command(read(number, lane="none")) for number in range(3))])
+def test_a_client_that_sends_on_behind_its_error_reads_it_and_an_orderly_end(staged, noise):
+    async def story(stage):
+        client = await stage.client()
+        client.writer.transport.pause_reading()
+        client.writer.write(noise)
+        for _ in range(20):              # past the time after which a quiet connection is closed
+            await asyncio.sleep(0.02)
+            client.writer.write(b"x")
+        client.writer.transport.resume_reading()
+        given, reset = await replies_of(client)
+        return {kind for kind, _ in given}, len(given), reset
+    kinds, count, reset = staged(story)
+    assert kinds == {"-"} and count == (1 if noise == b"noise\r\n" else 3) and not reset
+
+
+def test_who_sends_on_and_on_behind_its_error_is_cut_off(staged):
+    async def story(stage):
+        client, began = await stage.client(), time.monotonic()
+        client.writer.write(b"noise\r\n")
+        while time.monotonic() < began + 4 and stage.front.listener.clients:
+            try:
+                client.writer.write(b"x" * 10_000)
+                await client.writer.drain()
+            except ConnectionError:
+                break
+            await asyncio.sleep(0.005)
+        return time.monotonic() - began, len(stage.front.listener.clients)
+    took, left = staged(story)
+    assert took < 3 and not left
+
+
+async def fill(stage):
+    """Every place for clients is taken by one that asked just now."""
+    clients = [await stage.client() for _ in range(stage.front.listener.most)]
+    for number, client in enumerate(clients):
+        assert (await client.ask(*read(number + 1)))[0] == "$"
+    return clients
+
+
+def test_a_newcomer_with_a_command_where_every_place_is_in_use_is_told_busy(staged):
+    async def story(stage):
+        usual = await fill(stage)
+        newcomer = await stage.client_with(*read(900))
+        given = await replies_of(newcomer)
+        return given, [await client.ask(*read(1_000 + at)) for at, client in enumerate(usual)]
+    given, usual = staged(story, sockets=64)
+    assert given == ([("-", b"BUSY")], False) and usual == [("$", b"data")] * len(usual)
+
+
+def test_newcomers_past_every_bound_wait_in_the_systems_queue_and_are_answered(staged, monkeypatch):
+    monkeypatch.setattr(listener, "FULL_IDLE", 0.5)
+
+    async def story(stage):
+        await fill(stage)
+        newcomers = [await stage.client_with(*read(900 + number)) for number in range(30)]
+        ends = [asyncio.ensure_future(replies_of(client)) for client in newcomers]
+        peak = 0
+        while not all(end.done() for end in ends):
+            peak = max(peak, len(stage.front.listener.clients))
+            await asyncio.sleep(0.001)
+            for client, end in zip(newcomers, ends):
+                if client.replies_seen and not end.done():
+                    client.close()
+        return [end.result() for end in ends], peak <= 1.2 * stage.front.listener.most
+    ends, bounded = staged(story, sockets=64)
+    assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
+
+
+def test_an_idle_crowd_while_discovery_is_down_leaves_descriptors_for_nodes_and_work(running):
+    """A small limit, held by the system: each part must find its descriptors when discovery comes back."""
+    async def story(stage):
+        await (await stage.client()).ask(b"PING")
+        resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (64, 64))
+        stage.discovery.silent = True
+        crowd = []
+        for _ in range(200):
+            crowd.append(await stage.client_once())
+        for client in crowd:
+            client.send(b"PING")
+        await asyncio.sleep(2.5)
+        node = Node()
+        await node.open()
+        stage.discovery.put(node.row("s1", 1))
+        stage.discovery.silent = False
+        async with asyncio.timeout(6):
+            while not node.got:
+                client = await stage.client_once()
+                client.send(*read(len(crowd) + 1, cell=1))
+                await client.reply()
+                crowd.append(client)
+                await asyncio.sleep(0.05)
+        stage.process.terminate()
+        log = (await stage.process.stderr.read()).decode()
+        node.close()
+        for client in crowd:
+            client.close()
+        return "no connection can be taken" in log, "Traceback" in log
+    assert running(story, sockets=64) == (False, False)
+
+
+def test_half_a_command_behind_a_whole_one_costs_no_processor_time(running):
+    async def story(stage):
+        client = await stage.client()
+        client.writer.write(command([b"PING"]) + b"*4\r\n$8\r\nBLK")
+        assert await client.reply() == ("+", b"PONG")
+        await asyncio.sleep(0.2)
+
+        def used():
+            with open(f"/proc/{stage.process.pid}/stat", encoding="ascii") as file:
+                return sum(map(int, file.read().rsplit(")", 1)[1].split()[11:13]))
+        before = used()
+        await asyncio.sleep(1.0)
+        return used() - before
+    assert running(story) < 30           # of a hundred in a second; a loop that never rests takes all
+
+
+def test_large_answers_that_are_not_read_hold_back_no_later_command(staged):
+    """What came behind answers that a client was slow to read is taken once it has read them."""
+    async def story(stage):
+        stage.nodes[0].plays = lambda words: [served(bytes(900_000))]
+        client = await stage.client()
+        client.writer.transport.pause_reading()
+        client.writer.write(b"".join(command(read(number)) for number in range(1, 10)))
+        async with asyncio.timeout(3):
+            while not any(one.choked for one in stage.front.listener.clients):
+                await asyncio.sleep(0.005)
+        client.writer.write(command([b"PING"]))
+        await asyncio.sleep(0.1)
+        client.writer.transport.resume_reading()
+        return [(await client.reply())[0] for _ in range(10)]
+    assert staged(story, hard_stop=3_000) == ["$"] * 9 + ["+"]
