Whether an execution may still begin is asked at the instant its bytes are written

A request written and left while the process stood still was sent on, since the loop ran the round before it looked at the socket. A surplus that came while the process stood still was given to the next request as its answer (another's value served); an idle connection that its node had closed was written to.

Now: `Execution.latest` (the time-out, and for a referenced lane the window less a tick, from the terms) is asked in `Node.next_waiting`; `Core.call_off` drops what was not begun when an operation ends in any way, and the module hears MOOT or UNREACHED; the round runs after the sockets were looked at; a resting connection with anything unread is not used. The same in the edge's links.

--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -69,9 +69,9 @@
 
     # Nodes.
 
-    def carry(self, op_id, number, node, taken, time_out):
+    def carry(self, op_id, number, node, taken, time_out, latest):
         return self.pool.send(node, taken.work.words, self.loop.time() + time_out / SECOND,
-                              partial(self.came, op_id, number))
+                              partial(self.came, op_id, number), latest)
 
     # Discovery.
 
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -3,6 +3,7 @@
 What is given up closes its own connection and nothing else.  Nothing is ever sent a second time here.
 """
 import asyncio
+import select
 from collections import deque
 
 from rushmux import interface as say
@@ -17,6 +18,7 @@
 REST_BINS = 12           # of rests: the first ends at 20 ms, each next is twice as long
 FEW = 3                  # resets of a bin that may be chance
 MORE = 0.1               # part of uses that end in a reset, above twice that of new connections: not chance
+NEVER = float("inf")     # the loop's time that never comes
 HALVE_EVERY = 10         # sweeps: what went stale early may be kept longer later, and is tried again
 
 
@@ -59,14 +61,24 @@
 
 
 class Execution:
-    """One execution on its way; `drop` is told when nobody waits for it any more."""
-    __slots__ = ("node", "words", "until", "done", "link")
+    """One execution on its way; `drop` is told when nobody waits for it any more.
 
-    def __init__(self, node, words, until, done):
-        self.node, self.words, self.until, self.done, self.link = node, words, until, done, None
+    Whether it may still begin is asked once, at the instant its bytes are written (`Node.next_waiting`,
+    `Link.carry`): who was dropped does not wait any more, and `latest` is the last time for it.
+    """
+    __slots__ = ("node", "words", "until", "latest", "done", "link", "written")
+
+    def __init__(self, node, words, until, latest, done):
+        self.node, self.words, self.until, self.latest, self.done = node, words, until, latest, done
+        self.link, self.written = None, False
+
+    @property
+    def begun(self) -> bool:
+        """Whether its last byte has left this process: else it never ran when it is given up now."""
+        return self.written and not (self.link is not None and self.link.unsent)
 
     def drop(self):
-        """Gives it up: one that was not sent never is, else its connection ends and the node stops."""
+        """Gives it up: one that was not begun never is, else its connection ends and the node stops."""
         self.done = None
         if self.link is not None:
             self.link.end()
@@ -105,10 +117,20 @@
 
     def carry(self, execution):
         """Sends it.  The time told to the node is what is left of the time it is waited for."""
-        self.out, execution.link = execution, self
+        self.out, execution.link, execution.written = execution, self, True
         left = execution.until - self.node.pool.loop.time()
         self.transport.write(command(execution.words(max(1, -int(-left * 1000 // 1)))))
 
+    def stirred(self) -> bool:
+        """Whether something came that was not read: a surplus, its end or a reset.
+
+        Danger: when the process stood still its rest is over by the clock, and nobody has looked at the
+        socket since.  A late surplus would be taken for the next request's answer.
+        """
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def data_received(self, data):
         if self.out is None:
             # Danger: what comes where nothing is owed would be taken for the next request's answer.
@@ -172,7 +194,9 @@
     def send(self, execution):
         now = self.pool.loop.time()
         link, resting = self.rested(now), self.resting(now)
-        if link is not None:
+        if now >= execution.latest:
+            self.pool.loop.call_soon(execution.back, say.UNREACHED)
+        elif link is not None:
             self.use(link, execution, now)
         elif len(self.waiting) >= MOST_WAITING or resting is None and not self.pool.room():
             self.pool.loop.call_soon(execution.back, say.FULL)
@@ -191,10 +215,14 @@
 
     def rested(self, now):
         """The idle connection with the shortest rest that is long enough, if such a rest is trusted."""
-        for link in reversed(self.idle):
+        for link in reversed(list(self.idle)):
             rest = now - link.free_at
             if rest >= REST and not link.claimed and not link.transport.is_closing():
-                return link if rest < min(self.pool.idle, self.pool.trust.most) else None
+                if rest >= min(self.pool.idle, self.pool.trust.most):
+                    return None
+                if not link.stirred():
+                    return link
+                link.end()
         return None
 
     def resting(self, now):
@@ -211,14 +239,32 @@
     def rest_over(self, link):
         """What waited for a connection's rest goes on it, or on a new one if it has ended meanwhile."""
         link.claimed = False
-        if not self.waiting:             # it was given up, or went on another connection
+        if link in self.idle and (link.transport.is_closing() or link.stirred()):
+            link.end()
+        execution = self.next_waiting()
+        if execution is None:            # it was given up, or went on another connection
             return
-        if link in self.idle and not link.transport.is_closing():
-            self.use(link, self.waiting.popleft(), self.pool.loop.time())
+        if link in self.idle:
+            self.use(link, execution, self.pool.loop.time())
         elif self.pool.room():
+            self.waiting.appendleft(execution)
             self.open()
         else:
-            self.waiting.popleft().back(say.FULL)
+            execution.back(say.FULL)
+
+    def next_waiting(self):
+        """What waited longest and may still begin, or None.
+
+        Danger: while it waited for a connection the time went by in which it may run; sent all the same,
+        a repeat has its effect twice, or an answer comes that nobody waits for.
+        """
+        now = self.pool.loop.time()
+        while self.waiting:
+            execution = self.waiting.popleft()
+            if now < execution.latest:
+                return execution
+            self.pool.loop.call_soon(execution.back, say.UNREACHED)
+        return None
 
     def open(self):
         """Opens one more connection for what waits."""
@@ -231,7 +277,7 @@
         try:
             async with asyncio.timeout(self.pool.dial):
                 await self.pool.loop.create_connection(lambda: Link(self, place), host, port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError):   # ValueError: an address that can't be one
             self.in_vain()
 
     def in_vain(self):
@@ -244,8 +290,9 @@
             link.end()
             return self.in_vain()
         self.links[link] = True
-        if self.waiting:
-            link.carry(self.waiting.popleft())
+        execution = self.next_waiting()
+        if execution is not None:
+            link.carry(execution)
         else:
             self.rest(link)
 
@@ -312,14 +359,15 @@
             if name in self.nodes or row.condition != say.GONE:
                 self.nodes.setdefault(name, Node(self, name)).listed(row)
 
-    def send(self, name, words, until, done):
+    def send(self, name, words, until, done, latest=NEVER):
         """Sends `words(milliseconds)` to a node; `done(result, value, fleet_use, from_others)` is called
-        once, later, unless it is dropped.  `until`: the loop's time to which it is waited for."""
+        once, later, unless it is dropped.  `until`: the loop's time to which it is waited for; `latest`:
+        that before which it begins or never."""
         node = self.nodes.get(name)
         if node is None or node.place is None:
             self.loop.call_soon(done, say.UNREACHED, None, 0, 0.0)
             return None
-        execution = Execution(node, words, until, done)
+        execution = Execution(node, words, until, min(until, latest), done)
         node.send(execution)
         return execution
 
--- a/rushmux/driver.py
+++ b/rushmux/driver.py
@@ -7,21 +7,23 @@
 import asyncio
 
 from rushmux import interface as say
-from rushmux.rules import Gateway
+from rushmux.rules import MAY_STILL_RUN, NEVER_RAN, Gateway
 
 SECOND = 10_000          # ticks in a second
 SHED, TERMINATED = "shed", "terminated"
 STOOD_STILL = 0.001      # seconds that a timer is late when this process was not running
+NEVER = float("inf")     # the loop's time that never comes
 READ_FIRST = 0.002       # seconds until a late time-out is judged: the sockets are read in between
 
 
 class Taken:
     """An operation between being taken and its last execution's return."""
-    __slots__ = ("work", "facts", "ends", "answer", "ended", "sent", "flying", "backstop")
+    __slots__ = ("work", "facts", "ends", "answer", "ended", "sent", "flying", "backstop", "maybe_at")
 
     def __init__(self, work, facts, ends, answer):
         self.work, self.facts, self.ends, self.answer = work, facts, ends, answer
         self.ended, self.sent, self.flying, self.backstop = False, 0, {}, None
+        self.maybe_at = None             # when the first execution was decided that may have run
 
 
 class Core:
@@ -39,9 +41,11 @@
 
     # What a front gives.
 
-    def carry(self, op_id, number, node, taken, time_out):
-        """Puts an execution on the way and calls `came` once, later.  What it returns may be told to
-        `drop` it, when nobody waits any more, or to `withdraw` it; None: there is nothing to tell."""
+    def carry(self, op_id, number, node, taken, time_out, latest):
+        """Puts an execution on the way and calls `came` once, later.  It may wait for a connection, but
+        its first byte is written before the loop's time `latest` or never.  What it returns tells whether
+        it has `begun`, and may be told to `drop` it, when nobody waits any more, or to `withdraw` it;
+        None: there is nothing to tell."""
         raise NotImplementedError
 
     # What happens: each is put down for the round, since the module must not be called from within.
@@ -54,7 +58,9 @@
             if wait > 0:
                 self.loop.call_later(wait, self.round)
             else:
-                self.loop.call_soon(self.round)
+                # Danger: while the process stood still, a client asked and left; the loop would run the
+                # round before it sees that.  It looks at the sockets between the two.
+                self.loop.call_soon(self.loop.call_soon, self.round)
 
     def round(self):
         self.scheduled, self.round_at, now = False, self.loop.time(), self.now()
@@ -99,8 +105,21 @@
         taken = self.taken.get(op_id)
         if taken is not None:
             taken.ended = True
+            self.call_off(op_id, taken)
             self.event(self.tell_left, op_id)
 
+    def call_off(self, op_id, taken):
+        """Nobody waits for the operation any more: of its executions those that wait for a connection
+        never begin.
+
+        Danger: they would be sent when the connection comes, for a client that has gone or that was
+        answered already.
+        """
+        for number, (_, _, _, sent) in taken.flying.items():
+            if sent is not None and not sent.begun:
+                sent.drop()
+                self.came(op_id, number, say.MOOT)
+
     def tell_left(self, now, op_id):
         if op_id in self.taken:
             self.guarded(op_id, self.gateway.left, now, op_id)
@@ -121,6 +140,7 @@
         if taken is not None and not taken.ended:
             taken.ended = True
             taken.answer(TERMINATED, None, 0)
+            self.call_off(op_id, taken)
             self.event(self.tell_left, op_id)
 
     def came(self, op_id, number, result, outcome=None, fleet_use=0, from_others=0.0):
@@ -139,14 +159,19 @@
         taken = self.taken.get(op_id)
         if taken is None or number not in taken.flying:
             return                       # it had come back before, as overdue
-        node, timer, sent = taken.flying.pop(number)
+        node, timer, at, sent = taken.flying.pop(number)
         if timer is not None:
             timer.cancel()
         if sent is not None:
+            if result in MAY_STILL_RUN and not sent.begun:   # no byte of it was written: it never ran
+                result = say.MOOT if result == say.WITHDRAWN else say.UNREACHED
             sent.drop()
+        if result not in NEVER_RAN and result != say.SUCCEEDED:
+            taken.maybe_at = at if taken.maybe_at is None else min(at, taken.maybe_at)
         if result == say.SUCCEEDED and not taken.ended:
             taken.ended = True
             taken.answer(say.SUCCEEDED, self.value(op_id, node, outcome), 0)
+            self.call_off(op_id, taken)
         self.log.debug("execution.back", op=op_id, execution=number, node=node, result=result)
         self.guarded(op_id, self.gateway.answered, now, op_id, number, result, taken.ended, fleet_use,
                      from_others)
@@ -169,15 +194,31 @@
         number, taken.sent = taken.sent, taken.sent + 1
         # Danger: nothing may be sent for an operation that was answered, whatever the module says.
         if taken.ended:
-            taken.flying[number] = node, None, None
+            taken.flying[number] = node, None, self.now(), None
             self.loop.call_soon(self.came, op_id, number, say.MOOT)
             return
         due = self.loop.time() + time_out / SECOND
         timer = self.loop.call_at(due, self.time_over, op_id, number, due)
-        taken.flying[number] = node, timer, self.carry(op_id, number, node, taken, time_out)
+        latest = min(due, self.latest_start(taken))
+        taken.flying[number] = (node, timer, self.now(),
+                                self.carry(op_id, number, node, taken, time_out, latest))
+
+    def latest_start(self, taken):
+        """The loop's time before which an execution has to begin by the terms.
+
+        Danger: the module decides on a repeat of a referenced operation within the window in which nodes
+        know it again; sent when a connection comes at last, past the window, it has its effect twice.
+        """
+        lane = self.terms.lanes[taken.facts[0]]
+        first = min((at for _, _, at, _ in taken.flying.values()), default=None)
+        if taken.maybe_at is not None:
+            first = taken.maybe_at
+        if first is None or lane.repeat != say.REFERENCED:
+            return NEVER
+        return (first + lane.window - self.terms.tick) / SECOND
 
     def withdraw(self, op_id, execution):
-        _, _, sent = self.taken[op_id].flying[execution]
+        _, _, _, sent = self.taken[op_id].flying[execution]
         if sent is not None:
             sent.withdraw()
         # Danger: the module must not be called from within; its answer comes with the next round.
@@ -194,6 +235,7 @@
         if taken is not None and not taken.ended:
             taken.ended = True
             taken.answer(result, None, come_back)
+            self.call_off(op_id, taken)
             self.over(op_id)
 
     def wake(self, after):
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -191,14 +191,14 @@
 
     # What the module decides (`rushmux.interface.Outbox`).
 
-    def carry(self, op_id, number, node, taken, time_out):
+    def carry(self, op_id, number, node, taken, time_out, latest):
         work = taken.work
         message = messages.Execute(op=op_id, execution=number, volume=work.folder, lane=work.lane,
                                    key=work.key, units=work.units, time_out=time_out,
                                    policy=self.numbers[op_id][0], knows=self.numbers[op_id][1])
         work.fill(message)
         self.went[op_id][self.node_cell[node]] = True
-        return self.links.send(node, message, partial(self.back, op_id, number))
+        return self.links.send(node, message, partial(self.back, op_id, number), latest)
 
     def back(self, op_id, number, result, outcome):
         if outcome is not None and outcome.floor:
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -16,6 +16,7 @@
 MOST_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
 LIST_DIAL = 2.0          # seconds for a dial to the source of the list
 READ = 1 << 18           # bytes asked of the socket at once
+NEVER = float("inf")     # the loop's time that never comes
 RESULTS = {messages.DONE: say.SUCCEEDED, messages.MISSING: say.SUCCEEDED, messages.CONFLICT: say.SUCCEEDED,
            messages.FAILED: say.ERRORED, messages.BUSY: say.FULL}
 
@@ -32,12 +33,12 @@
     def __init__(self, links, node, address):
         self.links, self.node, self.address = links, node, address
         self.writer, self.task = None, None
-        self.waiting = {}        # corr -> execution that waits for the dial
+        self.waiting = {}        # corr -> execution that waits for the dial, and before when it may begin
         self.out = {}            # corr -> what to call when it comes back
         self.probes = {}         # corr -> what to call when the node told its load
         self.failures, self.not_before = 0, 0.0
 
-    def send(self, execute, done):
+    def send(self, execute, done, latest):
         loop = asyncio.get_running_loop()
         corr = execute.corr = self.links.number()
         if self.writer is not None:
@@ -51,7 +52,7 @@
         elif self.task is None and loop.time() < self.not_before:
             loop.call_soon(done, say.UNREACHED, None)
         else:
-            self.waiting[corr], self.out[corr] = execute, done
+            self.waiting[corr], self.out[corr] = (execute, latest), done
             if self.task is None:
                 self.task = loop.create_task(self.live())
         return corr
@@ -95,9 +96,7 @@
                 raise WireFault(f"{other} answers at the address of {self.node}")
             self.links.met(self.node, early[0].welcome.start, early[0].welcome.age)
             self.writer, self.failures = Outgoing(writer), 0
-            for execute in self.waiting.values():
-                self.writer.write(frame(messages.Message(execute=execute)))
-            self.waiting = {}
+            self.begin(loop.time())
             self.came(early[1:])
             while data := await reader.read(READ):
                 self.came(frames.feed(data))
@@ -117,6 +116,15 @@
             for done in [*out.values(), *probes.values()]:
                 done(result, None)
 
+    def begin(self, now):
+        """Sends what waited.  Danger: what may not begin any more would be sent past its window."""
+        waiting, self.waiting = self.waiting, {}
+        for corr, (execute, latest) in waiting.items():
+            if now < latest:
+                self.writer.write(frame(messages.Message(execute=execute)))
+            else:
+                self.out.pop(corr)(say.UNREACHED, None)
+
     def came(self, found):
         for message in found:
             if message.WhichOneof("body") == "load":
@@ -136,10 +144,15 @@
 
 
 class Sent(NamedTuple):
-    """An execution or a probe on its way: `drop` forgets it, `withdraw` tells its node so."""
+    """An execution or a probe on its way: `begun` once it was written, `drop` forgets it, `withdraw`
+    tells its node so."""
     link: Link
     corr: int
 
+    @property
+    def begun(self) -> bool:
+        return self.corr not in self.link.waiting
+
     def drop(self):
         self.link.drop(self.corr)
 
@@ -169,14 +182,15 @@
         if address is not None:
             self.nodes.setdefault(node, [Link(self, node, address) for _ in range(self.per_node)])
 
-    def send(self, node: str, execute: messages.Execute, done: Callable) -> Optional[Sent]:
-        """Sends one execution; `done(result, outcome)` is called once, later, unless it is dropped."""
+    def send(self, node: str, execute: messages.Execute, done: Callable, latest=NEVER) -> Optional[Sent]:
+        """Sends one execution; `done(result, outcome)` is called once, later, unless it is dropped.
+        `latest`: the loop's time before which it begins or never."""
         links = self.nodes.get(node)
         if not links:
             asyncio.get_running_loop().call_soon(done, say.UNREACHED, None)
             return None
         link = min(links, key=lambda link: len(link.out))
-        return Sent(link, link.send(execute, done))
+        return Sent(link, link.send(execute, done, latest))
 
     def probe(self, node: str, done: Callable) -> Optional[Sent]:
         """Asks a node for its load; `done(result, load)` is called once, later, unless it is dropped.
--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -186,7 +186,8 @@
     def back(self, op, number, result, now, mean_units):
         # Danger: nodes that are gone, cut off or failing shrink the room over all nodes for the others.
         full, (sent, node) = len(self.out) >= int(self.size), self.out.pop((op, number), (None, None))
-        if sent is None or self.whole and result in (say.UNREACHED, say.SEVERED, say.ERRORED):
+        if sent is None or result == say.MOOT or self.whole and result in (
+                say.UNREACHED, say.SEVERED, say.ERRORED):
             return
         asks, good = node.asks, result == say.SUCCEEDED
         row, self.failed = self.failed, not good
