--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -42,11 +42,17 @@
     except BadFile as fault:
         log.error("config.refused", file=path or "(NODE_CONFIG is not set)", why=fault)
         return 2
-    try:
-        await front.open()
-    except OSError as fault:
+    opening, told = loop.create_task(front.open()), loop.create_task(stop.wait())
+    await asyncio.wait([opening, told], return_when=asyncio.FIRST_COMPLETED)
+    if not opening.done():               # told to end before it was ready: nobody has been let in
+        opening.cancel()
+        log.info("stopped", taken=0, open=0)
+        return 0
+    told.cancel()
+    if isinstance(fault := opening.exception(), OSError):
         log.error("listen.refused", listen="%s:%d" % front.start.listen, why=fault)
         return 2
+    opening.result()
     gc.collect()
     gc.freeze()                          # what stays for good is not looked through again
 
@@ -58,6 +64,9 @@
                 front.reload(read(path))
             except BadFile as fault:     # the old one holds
                 log.error("config.refused", file=path, why=fault)
+            except Exception:   # pylint: disable=broad-except
+                # Danger: this task would end with it, and no later configuration be heard of.
+                log.exception("config.refused", file=path)
     task = loop.create_task(reloads())
     await stop.wait()
     log.info("stops", open=len(front.taken), clients=len(front.listener.clients))
--- a/rushmux/block/config.py
+++ b/rushmux/block/config.py
@@ -4,7 +4,7 @@
 import orjson
 
 from rushmux import interface as say
-from rushmux.block.members import Member, address, member
+from rushmux.block.members import Member, address, members
 from rushmux.settings.platform import terms_of
 
 MOST_BYTES = 8 << 20     # of the file: a list of thousands of nodes
@@ -51,7 +51,7 @@
         return Start(
             listen=address(raw["listen"]), discovery=address(raw["discovery"]),
             seed=int(raw["seed"], 16), sockets=int(raw["limits"]["sockets"]),
-            known=[member(row) for row in known.get("servers", ())], terms=terms_of(env),
+            known=members(known.get("servers", ()))[0], terms=terms_of(env),
             shards=extra["SlotsTotal"], held=limits["MostHeld"],
             dial=limits["DialTimeout"] / NS, idle=limits["ConnIdle"] / NS,
             marks=bool(env.get("ClientHabits", {}).get("MarksRetry")),
@@ -61,5 +61,5 @@
         raise BadFile(f"is no JSON: {fault}") from fault
     except KeyError as fault:
         raise BadFile(f"lacks {fault}") from fault
-    except (TypeError, ValueError, AttributeError) as fault:
+    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as fault:
         raise BadFile(f"has a value that makes no sense: {fault}") from fault
--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -1,4 +1,5 @@
 """One gateway on the platform: clients, nodes and discovery around the driver's core."""
+import asyncio
 from functools import partial
 
 from rushmux import interface as say
@@ -12,6 +13,7 @@
 RESERVED = 24            # descriptors for what is neither a client nor a node
 CLIENTS = 0.55           # of the others, for clients: at most a third of all hold requests, and some rest
 NODES = 0.35             # of the others, for nodes; the rest is for connections that are just ending
+FIRST_LIST = 1.0         # seconds that the first list is waited for: an agent that can answer does so at once
 TELL = 30.0              # seconds between two lines on the traffic
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
@@ -26,13 +28,16 @@
         spare = max(16, start.sockets - RESERVED)
         self.pool = Pool(loop, int(spare * NODES), start.dial, start.idle)
         self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.leave)
-        self.watch_list = Watch(loop, start.discovery, log, self.told)
+        self.watch_list = Watch(loop, start.discovery, log, self.told, start.known)
         self.conditions = {}             # node -> as the module was last told of it
         self.ended = False               # whether everything gets its answer at once: the stop is near
 
     async def open(self):
         self.members(say.RESTORED, self.start.known)
         self.watch_list.start()
+        # Danger: what the agent has counts as told from the first moment, and the list in the file may be
+        # old; a request that comes before the answer would be sent to a node that drains.
+        await asyncio.wait([self.watch_list.first], timeout=FIRST_LIST)
         await self.listener.open(*self.start.listen)
         self.loop.call_later(TELL, self.tell)
         self.log.info("serves", listen="%s:%d" % self.start.listen, nodes=len(self.start.known))
--- a/rushmux/block/members.py
+++ b/rushmux/block/members.py
@@ -36,6 +36,22 @@
                   float(row.get("started_ms", 0)) / 1000)
 
 
-def listing(body: dict) -> tuple[int, bool, list[Member]]:
-    """Version, whether it is whole, and the rows of an answer."""
-    return int(body["version"]), bool(body["full"]), [member(row) for row in body["servers"]]
+def members(rows) -> tuple[list[Member], list[tuple]]:
+    """The rows that make sense, and of the others the id, None where even that can't be read, and why."""
+    good, refused = [], []
+    for row in rows:
+        try:
+            good.append(member(row))
+        except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as fault:
+            node = row.get("id") if isinstance(row, dict) else None
+            refused.append((node if isinstance(node, str) else None, f"{type(fault).__name__}: {fault}"))
+    return good, refused
+
+
+def listing(body: dict) -> tuple[int, bool, list[Member], list[tuple]]:
+    """Version, whether it is whole, the rows of an answer and those that make no sense; ValueError where
+    none makes sense: such a list changes nothing."""
+    good, refused = members(body["servers"])
+    if refused and not good:
+        raise ValueError(refused[0][1])
+    return int(body["version"]), bool(body["full"]), good, refused
