A cold node is shared by no fewer gateways than its busiest volume has

Seen: 17 of 45 fleets of modules (20, 30, 200 instances; test_cold_fleet.py) sent a cold node more than N + 2 root of N + 2 within its span, those with a hot key, one cell or a scan's end: 289 calls where 160 are borne, 1,204 where 53 are.

Cause: `Node.allowance` took the share of cells that this gateway had wanted within the span as that of all gateways; who wants one cell gets as many even parts as there are cells, and so do all others that want the same one for the same volume. What an operation tells, through how many gateways its volume works, is the least number that shares. N here: the least node that the settings go with, 2.5 times the stated units (by `fit`: 105 for 42).

Not covered: many volumes of one gateway each that all turn to one cell; no gateway can know that.

--- a/rushmux/rules.py
+++ b/rushmux/rules.py
@@ -186,8 +186,7 @@
     def back(self, op, number, result, now, mean_units):
         # Danger: nodes that are gone, cut off or failing shrink the room over all nodes for the others.
         full, (sent, node) = len(self.out) >= int(self.size), self.out.pop((op, number), (None, None))
-        if sent is None or result == say.MOOT or self.whole and result in (
-                say.UNREACHED, say.SEVERED, say.ERRORED):
+        if sent is None or result in (say.MOOT,) + self.whole * (say.UNREACHED, say.SEVERED, say.ERRORED):
             return
         asks, good = node.asks, result == say.SUCCEEDED
         row, self.failed = self.failed, not good
@@ -260,9 +259,9 @@
         """Units that may still go to a cold node within its span; NEVER once it is warm.
 
         Danger: all gateways together push a cold node over.  Each keeps to its part of what it always
-        bears, as it warms, and part of what it answered.  The part is even among those that want the
-        node: as many of all as this one wants of all nodes; under one operation it goes by lot.  One
-        that came back has forgotten what it sent and waits a span.  Harm: lots may fall together.
+        bears, as it warms, and part of what it answered.  The part is even among those that want the node:
+        as many of all as this one wants of all nodes, or its busiest volume's; under one operation by lot.
+        One that came back has forgotten what it sent and waits a span.  Harm: lots may fall together.
         """
         terms, age = gateway.terms, now - self.entry.online_since
         while self.arrivals and self.arrivals[0][0] <= now - terms.cold_span:
@@ -274,9 +273,9 @@
         if self.turn != now // terms.cold_span:
             self.turn, self.lot = now // terms.cold_span, gateway.chance.below(1 << 16) / (1 << 16)
         warmed = 1 + (1 / terms.cold_start - 1) * max(0, age - terms.cold_span) / terms.warm_within
-        part = terms.cold_units * warmed / terms.gateways * len(gateway.places)
-        wanted = sum(cell.wanted_at > now - terms.cold_span for cell in gateway.places)
-        return part / max(1, wanted) + self.lot * units - sum(units for _, units in self.arrivals)
+        wanted = max(1, sum(cell.wanted_at > now - terms.cold_span for cell in gateway.places))
+        among = max(gateway.cells[self.entry.cell].among, wanted * terms.gateways / len(gateway.places))
+        return terms.cold_units * warmed / among + self.lot * units - sum(units for _, units in self.arrivals)
 
 
 class Cell:
@@ -285,7 +284,8 @@
     def __init__(self):
         self.nodes = {}
         self.queues = {}                 # volume -> its held operations in turn
-        self.try_at, self.wanted_at = NEVER, -NEVER   # when something held may go; when it was last named
+        self.try_at = NEVER              # when something held may go
+        self.wanted_at, self.among = -NEVER, 1   # when it was last named, the most mounts of who did lately
 
     def open_node(self):
         ready = (node for node in self.nodes.values() if node.entry.condition == say.READY)
@@ -372,11 +372,12 @@
         self.most_utility = max(lane.utility for lane in self.terms.lanes.values())
 
     def accept(self, op, now):
-        queue = op.cell.queues.setdefault(op.volume, [])
+        cell, queue = op.cell, op.cell.queues.setdefault(op.volume, [])
         # Of one volume's operations the lane of the most utility goes first, then the first taken.
         insort(queue, op, key=lambda held: (-held.lane.utility, held.taken_at))
         op.held = True
-        self.gateway.dirty[op.cell], op.cell.wanted_at = True, now
+        cell.among = max(op.volume.mounts, cell.among * (now - cell.wanted_at < self.terms.cold_span))
+        self.gateway.dirty[cell], cell.wanted_at = True, now
         return False
 
     def remove(self, op):
