Connections that fail on their way give their places back to who waits

Where all on their way failed (their clients gone before they were joined), nobody was let in again until some other client left. `came` asks too now. The test holds three on their way, lets a fourth wait, and fails without the line.

--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -323,6 +323,7 @@
         del self.coming[task]
         if not task.cancelled():
             task.exception()             # its client went away before it was joined
+        self.free()
 
     def joined(self, client):
         self.clients[client] = True
--- a/tests/block/test_closes.py
+++ b/tests/block/test_closes.py
@@ -90,6 +90,28 @@
     assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
 
 
+def test_connections_that_fail_on_their_way_give_their_places_back(staged):
+    async def story(stage):
+        held, loop, join = stage.front.listener, stage.front.loop, stage.front.loop.connect_accepted_socket
+        held.most, held.margin, go = 0, 3, asyncio.Event()
+
+        async def fails(protocol, sock):
+            await go.wait()
+            sock.close()
+            raise OSError("gone before it was joined")
+        loop.connect_accepted_socket = fails
+        for _ in range(held.margin):
+            await stage.client()
+        usual = await stage.client_with(b"PING")
+        async with asyncio.timeout(2):
+            while not held.held_back:
+                await asyncio.sleep(0.005)
+        loop.connect_accepted_socket = join
+        go.set()
+        return await usual.reply(within=2)
+    assert staged(story) == ("+", b"PONG")
+
+
 def test_an_idle_crowd_while_discovery_is_down_leaves_descriptors_for_nodes_and_work(running):
     """A small limit, held by the system: each part must find its descriptors when discovery comes back."""
     async def story(stage):
