Tests: a node replaced under a dial, commands that come while the process stands still

The first has a dial held while its node is gone, started anew at the same address or drains; the second stops the process while fifteen idle connections get commands and their 2 s run out.

--- a/tests/block/test_closes.py
+++ b/tests/block/test_closes.py
@@ -3,6 +3,7 @@
 """
 import asyncio
 import resource
+import signal
 import time
 
 import pytest
@@ -144,6 +145,22 @@
     assert running(story, sockets=64) == (False, False)
 
 
+def test_commands_that_came_while_the_process_stood_still_save_their_idle_connections(running):
+    """Connections idle for 2 s are closed where places are short: not over a command that was not read."""
+    async def story(stage):
+        clients = [await stage.client() for _ in range(15)]   # over half of the places
+        for number, client in enumerate(clients):
+            await client.ask(*read(number + 1))
+        await asyncio.sleep(1.7)
+        stage.process.send_signal(signal.SIGSTOP)
+        for number, client in enumerate(clients):
+            client.send(*read(number + 100))
+        await asyncio.sleep(0.6)
+        stage.process.send_signal(signal.SIGCONT)
+        return [await client.reply() for client in clients]
+    assert running(story, sockets=64) == [("$", b"data")] * 15
+
+
 def test_half_a_command_behind_a_whole_one_costs_no_processor_time(running):
     async def story(stage):
         client = await stage.client()
--- a/tests/block/test_crossings.py
+++ b/tests/block/test_crossings.py
@@ -15,7 +15,7 @@
 from rushmux.block import pool as pools
 from rushmux.block.members import Member
 from rushmux.resp import Commands
-from rushmux.standins.platform import command, read, served, write
+from rushmux.standins.platform import Node, command, read, served, write
 
 
 class Held:
@@ -140,6 +140,31 @@
     assert running(story) == (("$", b"data"), [b"%016x" % 2])
 
 
+@pytest.mark.parametrize("change", [{"condition": say.GONE}, {"started": 99.0}, {"condition": say.DRAINING}])
+def test_a_dial_that_was_out_when_its_node_was_replaced_or_drained_carries_nothing(change):
+    """The address stays: what answers there is another start, or wants nothing new."""
+    async def story():
+        loop, node = asyncio.get_running_loop(), Node()
+        await node.open()
+        row = Member("s", "127.0.0.1", node.port, "a", 0, say.READY, 0.0)
+        pool, connect, outcome = pools.Pool(loop, 50, 5.0, 10.0), loop.create_connection, loop.create_future()
+        held = Held(loop)
+        try:
+            pool.listed(True, [row])
+            pool.send("s", lambda left: read(1), loop.time() + 5, lambda *told: outcome.set_result(told[0]))
+            await asyncio.wait_for(held.begun.wait(), 2)
+            pool.listed(False, [row._replace(**change)])
+            held.go.set()
+            result = await asyncio.wait_for(outcome, 2)
+            await asyncio.sleep(0.1)
+            return result, node.got
+        finally:
+            loop.create_connection = connect
+            pool.close()
+            node.close()
+    assert asyncio.run(story()) == (say.UNREACHED, [])
+
+
 class Surplus(threading.Thread):
     """A node in a thread of its own, which goes on while the gateway's loop stands still: a second answer
     follows each first one."""
