An operation is told to the module only after the loop has looked at the sockets again

Forced on loopback: a command, the client's end and a due round together, with a rested connection to the node: sent for who had gone 50 ms before. The look belongs to taking an operation, not to the round: answers and wakes go as fast as before again.

--- a/rushmux/driver.py
+++ b/rushmux/driver.py
@@ -58,9 +58,7 @@
             if wait > 0:
                 self.loop.call_later(wait, self.round)
             else:
-                # Danger: while the process stood still, a client asked and left; the loop would run the
-                # round before it sees that.  It looks at the sockets between the two.
-                self.loop.call_soon(self.loop.call_soon, self.round)
+                self.loop.call_soon(self.round)
 
     def round(self):
         self.scheduled, self.round_at, now = False, self.loop.time(), self.now()
@@ -88,7 +86,9 @@
                                           answer)
         latest = self.loop.time() + (self.terms.lanes[lane].hard_stop + self.terms.tick) / SECOND
         taken.backstop = self.loop.call_at(min(latest, ends), self.overrun, op_id)
-        self.event(self.tell_taken, op_id)
+        # Danger: while the process stood still, a client asked and left; the round would come before the
+        # loop sees that.  It looks at the sockets between the two.
+        self.loop.call_soon(self.loop.call_soon, self.event, self.tell_taken, op_id)
 
     def tell_taken(self, now, op_id):
         taken = self.taken.get(op_id)
--- a/tests/block/test_crossings.py
+++ b/tests/block/test_crossings.py
@@ -140,6 +140,24 @@
     assert running(story) == (("$", b"data"), [b"%016x" % 2])
 
 
+def test_who_asked_and_left_is_not_served_by_a_round_that_was_due_already(staged):
+    async def story(stage):
+        loop, front = asyncio.get_running_loop(), stage.front
+        await (await stage.client()).ask(*read(9))   # its connection rests, so the next is sent at once
+        sock = socket.create_connection(("127.0.0.1", stage.port))
+        sock.sendall(command([b"PING"]))
+        await settled(lambda: sum(client.spoke for client in front.listener.clients) == 2)
+        await asyncio.sleep(pools.REST * 3)
+        front.round_at = loop.time()
+        front.event(lambda now: None)    # a round waits for the tick
+        sock.sendall(command(read(1)))
+        sock.close()
+        time.sleep(0.05)                 # the command, the end and the round are all due when the loop goes on
+        await asyncio.sleep(0.2)
+        return [words[2] for words in stage.nodes[0].got], front.taken
+    assert staged(story) == ([b"%016x" % 9], {})
+
+
 @pytest.mark.parametrize("change", [{"condition": say.GONE}, {"started": 99.0}, {"condition": say.DRAINING}])
 def test_a_dial_that_was_out_when_its_node_was_replaced_or_drained_carries_nothing(change):
     """The address stays: what answers there is another start, or wants nothing new."""
