Names of the field in the listener: lingering close, paused reading and writing, evict

`part`, `gone`, `choked`, `halted`, `halt`, `shorten` and the pool's `stirred` hid standard terms: lingering_close, lingered, paused_writing, paused_reading, flow, evict, readable.

--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -20,8 +20,8 @@
 READ_AHEAD = 1 << 17     # bytes of one connection's commands that wait to be taken: the end of a client that
                          # sent hundreds at once and went is still seen behind them
 MOST_AHEAD = 4 << 20     # the same of all connections: beyond it those that have a full share are not read
-GONE_LOOK = 0.05         # seconds between two looks whether a client that is not read has gone: 0.1 s from its
-                         # end on nothing may begin for it
+GONE_LOOK = 0.05         # seconds between two looks whether a client that is not read has gone: nothing may
+                         # begin for it from 0.1 s after its end on
 CLOSE_WAIT, CLOSE = 8, 7   # states of a connection whose client has ended its sending, or that was reset
 TO_SPEAK = 0.3           # seconds that a newcomer has at least before another takes its place
 SHORT = 0.5              # of the places for clients: sockets are short above it
@@ -60,9 +60,10 @@
         self.listener, self.transport, self.reader = listener, None, Commands()
         self.owed = deque()              # slots not answered yet, in the order of commands
         self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
-        self.spoke = self.asked = self.over = self.halted = self.choked = self.settling = False
-        self.parting = self.behind = False   # behind: commands may be here that were not taken
-        self.choked_at, self.faults = 0.0, 0
+        self.spoke = self.asked = self.over = self.settling = False
+        self.paused_reading = self.paused_writing = False
+        self.lingering = self.behind = False   # behind: commands may be here that were not taken
+        self.paused_writing_at, self.faults = 0.0, 0
         self.ahead = self.discarded = 0  # bytes that wait to be taken; bytes thrown away
         self.heard_at = 0.0              # when the last of them came
 
@@ -86,13 +87,13 @@
         has not read yet goes with it."""
         self.discarded += size
         self.heard_at = self.listener.loop.time()
-        self.halt()
+        self.flow()
 
     def work(self):
         """Takes the commands that came, as many as may be owed at a time."""
         wrong, self.behind = None, True
         try:
-            while len(self.owed) < MOST_OWED and not self.over and not self.choked:
+            while len(self.owed) < MOST_OWED and not self.over and not self.paused_writing:
                 words = self.reader.next()
                 if words is None:
                     self.behind = False
@@ -106,16 +107,16 @@
             self.finish()
         elif self.faults >= MOST_FAULTS:
             self.finish()
-        self.halt()
+        self.flow()
         self.flush()
 
     def finish(self):
         """Nothing more is taken; it ends when what is owed was given."""
         self.over = True
         self.reader = Commands()
-        self.halt()
+        self.flow()
 
-    def halt(self):
+    def flow(self):
         """Reads on, or stops reading: danger, commands at full speed grow what is kept.
 
         Danger of stopping: the end of a client that went stays unseen behind what it sent, and all that it
@@ -127,13 +128,13 @@
         if self.over:
             stop = self.discarded > MOST_DISCARDED
         else:
-            stop = (self.choked or len(self.owed) >= MOST_OWED) and (
+            stop = (self.paused_writing or len(self.owed) >= MOST_OWED) and (
                 ahead >= READ_AHEAD or listener.ahead >= MOST_AHEAD)
-        if stop != self.halted and not self.transport.is_closing():
-            self.halted = stop
-            listener.halted.pop(self, None)
+        if stop != self.paused_reading and not self.transport.is_closing():
+            self.paused_reading = stop
+            listener.unread_clients.pop(self, None)
             if stop:
-                listener.halts(self)
+                listener.stops_reading(self)
             (self.transport.pause_reading if stop else self.transport.resume_reading)()
 
     def flush(self):
@@ -147,8 +148,8 @@
             self.since = self.listener.loop.time()
         if self.over:
             if not self.owed:
-                self.part()
-        elif self.behind and not self.choked and len(self.owed) <= MOST_OWED // 2:
+                self.lingering_close()
+        elif self.behind and not self.paused_writing and len(self.owed) <= MOST_OWED // 2:
             self.listener.loop.call_soon(self.more)
         elif self.listener.ending and not self.owed:
             self.settle()
@@ -173,39 +174,39 @@
             if self.listener.loop.time() - self.since < rest:
                 return self.settle()
             self.finish()
-            self.part()
+            self.lingering_close()
 
-    def part(self):
+    def lingering_close(self):
         """A lingering close: sends no more, reads and throws away what comes, then closes.
 
         Danger: closed with bytes unread, the connection is reset and the error line lost with it.
         """
-        if self.parting:
+        if self.lingering:
             return
-        self.parting = True
+        self.lingering = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
         now = self.listener.loop.time()
         self.heard_at = now
-        self.listener.loop.call_later(LINGER, after_reading, self.listener.loop, self.gone, now)
+        self.listener.loop.call_later(LINGER, after_reading, self.listener.loop, self.lingered, now)
 
-    def gone(self, began):
+    def lingered(self, began):
         """Danger: a large answer that is still being read would be cut off."""
         now = self.listener.loop.time()
         unread = self.transport.get_write_buffer_size() and now < began + UNREAD_TIME
-        comes = now - self.heard_at < LINGER and now < began + LONGEST_LINGER and not self.halted
+        comes = now - self.heard_at < LINGER and now < began + LONGEST_LINGER and not self.paused_reading
         if (unread or comes) and not self.transport.is_closing():
-            self.listener.loop.call_later(LINGER, after_reading, self.listener.loop, self.gone, began)
+            self.listener.loop.call_later(LINGER, after_reading, self.listener.loop, self.lingered, began)
         else:
             self.transport.abort()
 
     def pause_writing(self):
-        self.choked, self.choked_at = True, self.listener.loop.time()
-        self.halt()
+        self.paused_writing, self.paused_writing_at = True, self.listener.loop.time()
+        self.flow()
 
     def resume_writing(self):
-        self.choked = False
-        self.halt()
+        self.paused_writing = False
+        self.flow()
         self.listener.loop.call_soon(self.more)
 
     def eof_received(self):
@@ -245,7 +246,7 @@
         """What the sweep finds wrong with it; `rest`: the seconds that it may be idle."""
         if self.transport.is_closing() or self.over:
             return
-        if self.choked and now - self.choked_at > UNREAD_TIME:
+        if self.paused_writing and now - self.paused_writing_at > UNREAD_TIME:
             self.transport.abort()
         elif not self.owed and not self.behind and (not self.spoke or self.reader.partial()) and now - (
                 self.since if self.spoke else self.made_at) > SILENT:
@@ -271,7 +272,8 @@
         self.clients, self.coming, self.ending, self.sock = {}, {}, False, None
         self.margin = max(2, int(most * MARGIN))
         self.held_back = False           # newcomers wait in the system's queue until a place is free
-        self.halted, self.ahead = {}, 0  # clients that are not read; bytes of commands that wait to be taken
+        self.unread_clients = {}         # those whose sockets are not read
+        self.ahead = 0                   # bytes of commands that wait to be taken
         self.turned_away = self.bad = self.silent = self.taken = 0   # counts for the log
 
     async def open(self, host, port):
@@ -330,18 +332,18 @@
         if self.ending:
             client.settle()
         if len(self.clients) > self.most:
-            after_reading(self.loop, self.shorten)
+            after_reading(self.loop, self.evict)
 
     def parted(self, client):
         self.clients.pop(client, None)
-        self.halted.pop(client, None)
+        self.unread_clients.pop(client, None)
         self.free()
 
     def free(self):
         if self.held_back and not self.full():
             self.accept_on()
 
-    def shorten(self):
+    def evict(self):
         """Sockets are short: who has not spoken for a while goes first, then who never asked for an
         operation, then who is idle for longest (past what the platform grants), then who has not spoken.
         Where nobody can go, newcomers stay for the moment: what they ask gets `-BUSY` and their end.
@@ -366,18 +368,18 @@
             one.transport.abort()
             self.free()
 
-    def halts(self, client):
+    def stops_reading(self, client):
         """A client is not read: its end has to be asked for."""
-        if not self.halted:
+        if not self.unread_clients:
             self.loop.call_later(GONE_LOOK, self.look_for_gone)
-        self.halted[client] = True
+        self.unread_clients[client] = True
 
     def look_for_gone(self):
-        for client in list(self.halted):
+        for client in list(self.unread_clients):
             if client.has_gone():
                 client.leave()
                 client.transport.abort()
-        if self.halted:
+        if self.unread_clients:
             self.loop.call_later(GONE_LOOK, self.look_for_gone)
 
     def sweep(self):
@@ -387,7 +389,7 @@
         for client in list(self.clients):
             client.look(now, rest)
         for _ in range(len(self.clients) - self.most):
-            self.shorten()
+            self.evict()
         self.loop.call_later(SWEEP, after_reading, self.loop, self.sweep)
 
     def handle(self, words, client) -> Slot:
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -121,7 +121,7 @@
         left = execution.until - self.node.pool.loop.time()
         self.transport.write(command(execution.words(max(1, -int(-left * 1000 // 1)))))
 
-    def stirred(self) -> bool:
+    def readable(self) -> bool:
         """Whether something came that was not read: a surplus, its end or a reset.
 
         Danger: when the process stood still its rest is over by the clock, and nobody has looked at the
@@ -220,7 +220,7 @@
             if rest >= REST and not link.claimed and not link.transport.is_closing():
                 if rest >= min(self.pool.idle, self.pool.trust.most):
                     return None
-                if not link.stirred():
+                if not link.readable():
                     return link
                 link.end()
         return None
@@ -239,7 +239,7 @@
     def rest_over(self, link):
         """What waited for a connection's rest goes on it, or on a new one if it has ended meanwhile."""
         link.claimed = False
-        if link in self.idle and (link.transport.is_closing() or link.stirred()):
+        if link in self.idle and (link.transport.is_closing() or link.readable()):
             link.end()
         execution = self.next_waiting()
         if execution is None:            # it was given up, or went on another connection
--- a/tests/block/test_closes.py
+++ b/tests/block/test_closes.py
@@ -186,7 +186,7 @@
         client.writer.transport.pause_reading()
         client.writer.write(b"".join(command(read(number)) for number in range(1, 10)))
         async with asyncio.timeout(3):
-            while not any(one.choked for one in stage.front.listener.clients):
+            while not any(one.paused_writing for one in stage.front.listener.clients):
                 await asyncio.sleep(0.005)
         client.writer.write(command([b"PING"]))
         await asyncio.sleep(0.1)
--- a/tests/block/test_crossings.py
+++ b/tests/block/test_crossings.py
@@ -215,20 +215,18 @@
                 pass
 
 
-def test_a_surplus_that_came_while_the_process_stood_still_is_nobodys_answer():
+def two_in_a_row(port, meanwhile):
+    """Outcomes of two executions, the second sent in the turn in which the first one's answer was read: the
+    process stands still past the rest, and the loop has looked at no socket since.  `meanwhile` is waited for."""
     async def story():
-        loop, node = asyncio.get_running_loop(), Surplus()
-        node.start()
+        loop, outcomes = asyncio.get_running_loop(), asyncio.Queue()
         pool = pools.Pool(loop, 50, 0.25, 10.0)
-        pool.listed(True, [Member("s", "127.0.0.1", node.port, "a", 0, say.READY, 0.0)])
-        outcomes = asyncio.Queue()
+        pool.listed(True, [Member("s", "127.0.0.1", port, "a", 0, say.READY, 0.0)])
 
         def again(*outcome):
-            """Called in the turn in which the answer was read: the process stands still past the rest, and
-            the next request comes before the loop has looked at any socket."""
-            outcomes.put_nowait(outcome[1])
+            outcomes.put_nowait(outcome[:2])
             if outcomes.qsize() == 1:
-                assert node.sent.wait(2)
+                assert meanwhile.wait(2)
                 time.sleep(pools.REST * 2)
                 pool.send("s", lambda left: read(2), loop.time() + 1, again)
         try:
@@ -237,44 +235,35 @@
             return outcomes.get_nowait(), outcomes.get_nowait()
         finally:
             pool.close()
-            node.sock.close()
-    assert asyncio.run(story()) == (b"%016x" % 1, b"%016x" % 2)
+    return asyncio.run(story())
 
 
-def test_an_idle_connection_that_its_node_closed_meanwhile_is_not_written_to():
-    async def story():
-        loop, ended = asyncio.get_running_loop(), threading.Event()
-        server = socket.create_server(("127.0.0.1", 0))
-
-        def serve():
-            for number in range(2):
-                connection, _ = server.accept()
-                reader = Commands()
-                while (words := reader.next()) is None:
-                    reader.feed(connection.recv(65_536))
-                connection.sendall(served(words[2]))
-                if number == 0:
-                    connection.close()
-                    ended.set()
-        threading.Thread(target=serve, daemon=True).start()
-        pool = pools.Pool(loop, 50, 0.25, 10.0)
-        pool.listed(True, [Member("s", "127.0.0.1", server.getsockname()[1], "a", 0, say.READY, 0.0)])
-        outcomes = asyncio.Queue()
+OWN = (say.SUCCEEDED, b"%016x" % 1), (say.SUCCEEDED, b"%016x" % 2)
 
-        def again(*outcome):
-            outcomes.put_nowait(outcome[:2])
-            if outcomes.qsize() == 1:
-                assert ended.wait(2)
-                time.sleep(pools.REST * 2)
-                pool.send("s", lambda left: read(2), loop.time() + 1, again)
-        try:
-            pool.send("s", lambda left: read(1), loop.time() + 1, again)
-            await settled(lambda: outcomes.qsize() == 2)
-            return outcomes.get_nowait(), outcomes.get_nowait()
-        finally:
-            pool.close()
-            server.close()
-    assert asyncio.run(story()) == ((say.SUCCEEDED, b"%016x" % 1), (say.SUCCEEDED, b"%016x" % 2))
+
+def test_a_surplus_that_came_while_the_process_stood_still_is_nobodys_answer():
+    node = Surplus()
+    node.start()
+    assert two_in_a_row(node.port, node.sent) == OWN
+    node.sock.close()
+
+
+def test_an_idle_connection_that_its_node_closed_meanwhile_is_not_written_to():
+    ended, server = threading.Event(), socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        for number in range(2):
+            connection, _ = server.accept()
+            reader = Commands()
+            while (words := reader.next()) is None:
+                reader.feed(connection.recv(65_536))
+            connection.sendall(served(words[2]))
+            if number == 0:
+                connection.close()
+                ended.set()
+    threading.Thread(target=serve, daemon=True).start()
+    assert two_in_a_row(server.getsockname()[1], ended) == OWN
+    server.close()
 
 
 def test_an_address_that_can_be_none_leaves_nothing_waiting():
@@ -313,7 +302,7 @@
         client = await stage.client()
         client.writer.transport.pause_reading()
         client.writer.write(b"".join(command(read(number, left=5_000)) for number in range(1, 10)))
-        await settled(lambda: any(one.choked for one in stage.front.listener.clients) and len(
+        await settled(lambda: any(one.paused_writing for one in stage.front.listener.clients) and len(
             [one for one in stage.front.taken.values() if not one.ended]) == 1)
         client.writer.write_eof()
         await settled(lambda: all(one.ended for one in stage.front.taken.values()), 0.5)
--- a/tests/block/test_told_in_time.py
+++ b/tests/block/test_told_in_time.py
@@ -316,24 +316,29 @@
     assert code == 0 and "Traceback" not in log and "serves" not in log
 
 
-@pytest.mark.parametrize("limits", [{"sockets": "1e999"}, {"sockets": [1]}, {}, None])
+async def goes_over(stage):
+    """Another discovery, named by a good file and SIGHUP, once the gateway has asked it."""
+    other = Discovery()
+    await other.open()
+    other.put(*stage.discovery.rows.values())
+    stage.write(discovery=other.port)
+    stage.process.send_signal(signal.SIGHUP)
+    async with asyncio.timeout(3):
+        while not other.calls:
+            await asyncio.sleep(0.01)
+    return other
+
+
+@pytest.mark.parametrize("limits", [{"sockets": 1e308}, {"sockets": "x"}, {"sockets": [1]}, {}, None])
 def test_a_configuration_that_makes_no_sense_in_any_way_leaves_the_next_one_heard(running, limits):
     async def story(stage):
         client = await stage.client()
-        good = stage.file.read_text()
-        torn = json.loads(good)
+        torn = json.loads(stage.file.read_text())
         torn["limits"] = limits
-        stage.file.write_text(json.dumps(torn).replace('"1e999"', "1e308"))
+        stage.file.write_text(json.dumps(torn))
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        other = Discovery()
-        await other.open()
-        other.put(*stage.discovery.rows.values())
-        stage.write(discovery=other.port)
-        stage.process.send_signal(signal.SIGHUP)
-        async with asyncio.timeout(3):
-            while not other.calls:
-                await asyncio.sleep(0.01)
+        other = await goes_over(stage)
         answer = await client.ask(*read(1))
         stage.process.terminate()
         log = (await stage.process.stderr.read()).decode()
@@ -358,14 +363,7 @@
         await (await stage.client()).ask(b"PING")
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        other = Discovery()
-        await other.open()
-        other.put(*stage.discovery.rows.values())
-        stage.write(discovery=other.port)
-        stage.process.send_signal(signal.SIGHUP)
-        async with asyncio.timeout(3):
-            while not other.calls:
-                await asyncio.sleep(0.01)
+        other = await goes_over(stage)
         other.close()
         stage.process.terminate()
         return (await stage.process.stderr.read()).decode().count("config.refused")
