A command that crosses an orderly end is left unread, so that its client sends it again

So only an end behind an error of the client's own (unreadable bytes, three refused commands) throws away what comes; ends of who said nothing, of the stop and of newcomers leave it unread, as before.

--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -62,7 +62,8 @@
         self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
         self.spoke = self.asked = self.over = self.settling = False
         self.paused_reading = self.paused_writing = False
-        self.lingering = self.behind = False   # behind: commands may be here that were not taken
+        self.lingering = self.discards = False
+        self.behind = False              # commands may be here that were not taken
         self.paused_writing_at, self.faults = 0.0, 0
         self.ahead = self.discarded = 0  # bytes that wait to be taken; bytes thrown away
         self.heard_at = 0.0              # when the last of them came
@@ -83,8 +84,7 @@
         self.work()
 
     def discard(self, size):
-        """A lingering close reads on: closed over unread bytes, a connection is reset, and what the client
-        has not read yet goes with it."""
+        """Bytes behind an error that ends the connection: within a bound they are read and thrown away."""
         self.discarded += size
         self.heard_at = self.listener.loop.time()
         self.flow()
@@ -104,15 +104,20 @@
             wrong = str(fault)
         if wrong is not None:
             self.owed.append(Slot(self, error(f"ERR Protocol error: {wrong}")))
-            self.finish()
+            self.finish(discards=True)
         elif self.faults >= MOST_FAULTS:
-            self.finish()
+            self.finish(discards=True)
         self.flow()
         self.flush()
 
-    def finish(self):
-        """Nothing more is taken; it ends when what is owed was given."""
-        self.over = True
+    def finish(self, discards=False):
+        """Nothing more is taken; it ends when what is owed was given.
+
+        `discards`: what still comes is of no use and thrown away, so that the end is no reset and the error
+        line is read.  Danger elsewhere: a good command that crosses the end would be read and never answered.
+        Left unread, it makes a reset, and its client sends it once more.
+        """
+        self.over, self.discards = True, discards
         self.reader = Commands()
         self.flow()
 
@@ -126,7 +131,7 @@
         listener.ahead += ahead - self.ahead
         self.ahead = ahead
         if self.over:
-            stop = self.discarded > MOST_DISCARDED
+            stop = not self.discards or self.discarded > MOST_DISCARDED
         else:
             stop = (self.paused_writing or len(self.owed) >= MOST_OWED) and (
                 ahead >= READ_AHEAD or listener.ahead >= MOST_AHEAD)
@@ -177,10 +182,8 @@
             self.lingering_close()
 
     def lingering_close(self):
-        """A lingering close: sends no more, reads and throws away what comes, then closes.
-
-        Danger: closed with bytes unread, the connection is reset and the error line lost with it.
-        """
+        """Sends no more and closes a little later, so that what was sent is read: closed with bytes unread,
+        the connection is reset and the error line lost with it.  See `finish` for what comes meanwhile."""
         if self.lingering:
             return
         self.lingering = True
--- a/tests/block/test_closes.py
+++ b/tests/block/test_closes.py
@@ -2,8 +2,10 @@
 accepted is ended unanswered.  The crossings are forced: bytes come while a connection ends, places are full.
 """
 import asyncio
+import errno
 import resource
 import signal
+import socket
 import time
 
 import pytest
@@ -93,6 +95,34 @@
     assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
 
 
+def crossed(sock, words):
+    """A command that crosses its connection's end: whether a reset tells the client that it was not read."""
+    while sock.recv(65_536):             # what was answered, and the end
+        pass
+    sock.sendall(command(words))
+    for _ in range(300):
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) in (errno.ECONNRESET, errno.EPIPE):
+            return True
+        time.sleep(0.01)
+    return False
+
+
+@pytest.mark.parametrize("end", ["silent", "stop"])
+def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_sends_it_again(running, end):
+    """Seen on roll and join days: eleven requests of ten brink scores were read behind the end, thrown away
+    and never answered; left unread before, a few were sent again."""
+    async def story(stage):
+        loop = asyncio.get_running_loop()
+        await (await stage.client()).ask(b"PING")
+        with socket.create_connection(("127.0.0.1", stage.port)) as sock:
+            if end == "stop":
+                sock.sendall(command([b"PING"]))
+                stage.process.send_signal(signal.SIGTERM)
+            sock.settimeout(10)
+            return await loop.run_in_executor(None, crossed, sock, read(1)), stage.node.got
+    assert running(story) == (True, [])
+
+
 def test_connections_that_fail_on_their_way_give_their_places_back(staged):
     async def story(stage):
         held, loop, join = stage.front.listener, stage.front.loop, stage.front.loop.connect_accepted_socket
