--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,4 +1,4 @@
-"""Reads KNOWN-RED.txt: tests that fail for a real fault not mended yet, each `test id, cause, issue N` on a line.
+"""Reads KNOWN-RED.txt: tests that fail for a real fault not mended yet, `test id, cause, issue N` a line.
 
 Prints pytest's options that leave just these out, and tells on standard error which they are.  Exits 1 on a
 fourth line, a malformed one, or an id that names no test.
--- a/rushmux/block/discovery.py
+++ b/rushmux/block/discovery.py
@@ -8,8 +8,8 @@
 from rushmux.block.members import listing
 
 PATH = "/catalog/members"
-# Whatever a call met, a change has to be here 6 s after discovery had it and could be reached.  The worst that
-# can follow one another: an answer that trickles and was begun before the change (ANSWER), a dial that
+# Whatever a call met, a change has to be here 6 s after discovery had it and could be reached.  The worst
+# that can follow one another: an answer that trickles and was begun before the change (ANSWER), a dial that
 # nobody takes (DIAL), an answer that trickles again (ANSWER), AGAIN before each: 5.6 s.
 WAIT = 1.0               # seconds that a watch may wait: silence is noticed well before changes count as told
 SLACK = 0.5              # seconds past that until a call with no byte of an answer is given up
--- a/tests/block/test_crossings.py
+++ b/tests/block/test_crossings.py
@@ -152,7 +152,7 @@
         front.event(lambda now: None)    # a round waits for the tick
         sock.sendall(command(read(1)))
         sock.close()
-        time.sleep(0.05)                 # the command, the end and the round are all due when the loop goes on
+        time.sleep(0.05)                 # command, end and round are all due when the loop goes on
         await asyncio.sleep(0.2)
         return [words[2] for words in stage.nodes[0].got], front.taken
     assert staged(story) == ([b"%016x" % 9], {})
@@ -217,7 +217,8 @@
 
 def two_in_a_row(port, meanwhile):
     """Outcomes of two executions, the second sent in the turn in which the first one's answer was read: the
-    process stands still past the rest, and the loop has looked at no socket since.  `meanwhile` is waited for."""
+    process stands still past the rest, and the loop has looked at no socket since.  `meanwhile`: what is
+    waited for before."""
     async def story():
         loop, outcomes = asyncio.get_running_loop(), asyncio.Queue()
         pool = pools.Pool(loop, 50, 0.25, 10.0)
--- a/tests/gateway/test_cold_fleet.py
+++ b/tests/gateway/test_cold_fleet.py
@@ -1,8 +1,8 @@
 """What all gateways together send to a cold node: twenty, thirty and two hundred modules on one clock.
 
 The node has the least capacity that the platform's settings go with: seen on limon-puerto (`fit`), the units
-that a cold node always bears are 1.2 times what the least node does at its start within the span, and the rule
-allows it as many times that as the settings' multiple.  Each module has its own seed and its own clients.
+that a cold node always bears are 1.2 times what the least node does at its start within the span, and the
+rule allows it as many times that as the settings' multiple.  Each module has its own seed and clients.
 """
 import heapq
 import itertools
@@ -22,16 +22,16 @@
 
 
 class Fleet:
-    """Gateways, and one cold node among warm ones.  `demand(chance, now, gateway)` gives the cell, and whether
-    the volume goes through all gateways."""
+    """Gateways, and one cold node among warm ones.  `demand(chance, now, gateway)` gives the cell, and
+    whether the volume goes through all gateways."""
 
     def __init__(self, gateways, cells, rate, calls, demand, seed, listed_cold, restarted):
         self.chance, self.now, self.heap, self.order = random.Random(seed), 0, [], itertools.count()
         self.cells, self.rate, self.demand, self.seed = cells, rate, demand, seed
         stated = calls * MEAN
         self.full = stated / STATED / (SPAN / SECOND) / START   # units a second once warm
-        self.terms = say.Terms(LANES, PLANS, gateways, 20, False, 0, 3, 0, MEAN, 8, stated, SPAN, MULTIPLE, START,
-                               WARM, SECOND, 0, None, 0, 0, cancel=True)
+        self.terms = say.Terms(LANES, PLANS, gateways, 20, False, 0, 3, 0, MEAN, 8, stated, SPAN, MULTIPLE,
+                               START, WARM, SECOND, 0, None, 0, 0, cancel=True)
         self.sent, self.served, self.free = [], 0, 0.0
         self.cold_at = 1 if listed_cold else COLD_AT
         self.gates = [None] * gateways
@@ -71,8 +71,8 @@
         module, name = self.gates[number].module, f"o{next(self.order)}"
         cell, everywhere = self.demand(self.chance, self.now, number)
         units = min(8, 1 + int(self.chance.expovariate(1 / MEAN)))
-        module.taken(self.now, name, "read", "base", "hot" if everywhere else f"v{number}.{cell}", name, 20_000, units,
-                     cell, len(self.gates) if everywhere else 1, False)
+        volume, mounts = ("hot", len(self.gates)) if everywhere else (f"v{number}.{cell}", 1)
+        module.taken(self.now, name, "read", "base", volume, name, 20_000, units, cell, mounts, False)
         module.act(self.now)
 
     def capacity(self, when):
@@ -151,7 +151,8 @@
 
 def hot_key(cells):
     """Two in five requests are for one volume's cell, from every gateway."""
-    return lambda chance, now, number: (0, True) if chance.random() < 0.4 else (chance.randrange(cells), False)
+    return lambda chance, now, number: (
+        (0, True) if chance.random() < 0.4 else (chance.randrange(cells), False))
 
 
 def one_cell(cells):
@@ -164,10 +165,11 @@
 
 
 @pytest.mark.parametrize("demand", [even, few_cells, hot_key, one_cell, suddenly])
-@pytest.mark.parametrize("gateways, cells, rate, calls", [(20, 16, 16, 60), (30, 16, 5, 25), (200, 100, 1.5, 9)])
+@pytest.mark.parametrize("gateways, cells, rate, calls", [
+    (20, 16, 16, 60), (30, 16, 5, 25), (200, 100, 1.5, 9)])
 @pytest.mark.parametrize("listed_cold, restarted", [(False, False), (False, True), (True, False)])
-def test_all_gateways_together_keep_to_what_a_cold_node_bears(demand, gateways, cells, rate, calls, listed_cold,
-                                                              restarted):
+def test_all_gateways_together_keep_to_what_a_cold_node_bears(
+        demand, gateways, cells, rate, calls, listed_cold, restarted):
     for seed in range(3):
         fleet = Fleet(gateways, cells, rate, calls, demand(cells), seed, listed_cold, restarted)
         fleet.play(fleet.cold_at + 60_000)
