--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -3,12 +3,13 @@
 Prints pytest's options that leave just these out, and tells on standard error which they are.  Exits 1 on a
 fourth line, a malformed one, or an id that names no test.
 """
+
 import re
 import subprocess
 import sys
 from pathlib import Path
 
-MOST = 3                 # lines: the operators' bound
+MOST = 3  # lines: the operators' bound
 LINE = re.compile(r"(?P<test>tests/\S+\.py::\S+), (?P<cause>.+), issue (?P<issue>[0-9]+)")
 
 
@@ -26,10 +27,16 @@
 
 def names_a_test(test: str, root: Path) -> bool:
     """Whether pytest collects just this id, alone or as a parametrised one."""
-    done = subprocess.run([sys.executable, "-m", "pytest", "--collect-only", "-q", test], cwd=root,
-                          capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "--collect-only", "-q", test],
+        cwd=root,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     return done.returncode == 0 and any(
-        line == test or line.startswith(test + "[") for line in done.stdout.splitlines())
+        line == test or line.startswith(test + "[") for line in done.stdout.splitlines()
+    )
 
 
 def main(root: Path) -> int:
--- a/benchmarks/buffer.py
+++ b/benchmarks/buffer.py
@@ -5,6 +5,7 @@
 Four nodes of two cores, 15 ms of a core for a unit, two edges.  Times are simulated and mean nothing but
 against each other.
 """
+
 import argparse
 import asyncio
 import copy
@@ -41,8 +42,8 @@
             await made.sleep(5)
             if on:
                 self.counts = made.edges[0].program.buffer.counts
-        made, _ = fleets.play(deployment.build(raw), seed, whole, nodes=4, edges=2,
-                              **{"unit": UNIT, **fleet})
+
+        made, _ = fleets.play(deployment.build(raw), seed, whole, nodes=4, edges=2, **{"unit": UNIT, **fleet})
         rows = [row for row in made.records if row["kind"] == "execution" and row["what"] != "drop"]
         self.operations = len(rows)
         self.writes = sum(row["what"] == "write" for row in rows)
@@ -60,17 +61,20 @@
 
 async def small_files(run, fleet):
     """Eight desks file 30 documents each, one after the other."""
+
     async def desk(number):
         client = await fleet.client(0)
         for place in range(30):
             size = run.chance.randrange(2_000, 8_000)
             await run.timed("file", client.put(f"/heredia/{number}-{place}", bytes(size)))
             await asyncio.sleep(run.chance.expovariate(5))
+
     await asyncio.gather(*(desk(number) for number in range(8)))
 
 
 def stream(size):
     """Four clients write 2 MiB each in pieces of `size`, one at a time, and close."""
+
     async def story(run, fleet):
         async def one(number):
             client = await fleet.client(0)
@@ -80,7 +84,9 @@
                 await run.timed("write", client.ask(sftp.Write, handle, at, bytes(size)))
             await run.timed("close", client.ask(sftp.Close, handle))
             run.times.setdefault("whole", []).append(fleet.loop.time() - begun)
+
         await asyncio.gather(*(one(number) for number in range(4)))
+
     return story
 
 
@@ -98,6 +104,7 @@
             await run.timed("write", client.ask(sftp.Write, handle, at, bytes(8_192)))
             at += 8_192
             await asyncio.sleep(run.chance.expovariate(40))
+
     until = fleet.loop.time() + 10
     tasks = [asyncio.ensure_future(filing(folder)) for folder in ("heredia", "golfo")]
     while fleet.loop.time() < until:
@@ -124,11 +131,15 @@
         runs = [Run(on, seed, story) for seed in seeds]
         for kind in what:
             times = [time for run in runs for time in run.times[kind]]
-            print(f"  buffer {'on ' if on else 'off'} {kind:6} 50th {share(times, .5):8.1f}  99th "
-                  f"{share(times, .99):8.1f}  worst {share(times, 1):8.1f} ms  ({len(times)})")
-        print(f"  buffer {'on ' if on else 'off'} node operations {median(runs, 'operations')} (writes "
-              f"{median(runs, 'writes')}, changes {median(runs, 'changes')}), "
-              f"refused {median(runs, 'refused')}")
+            print(
+                f"  buffer {'on ' if on else 'off'} {kind:6} 50th {share(times, 0.5):8.1f}  99th "
+                f"{share(times, 0.99):8.1f}  worst {share(times, 1):8.1f} ms  ({len(times)})"
+            )
+        print(
+            f"  buffer {'on ' if on else 'off'} node operations {median(runs, 'operations')} (writes "
+            f"{median(runs, 'writes')}, changes {median(runs, 'changes')}), "
+            f"refused {median(runs, 'refused')}"
+        )
         if on:
             counts = [run.counts for run in runs]
             twice = [count["object_bytes"] / max(1, count["bytes"]) for count in counts]
@@ -145,8 +156,12 @@
     seeds = range(1, parser.parse_args().seeds + 1)
     told("240 small files by 8 desks", ("file",), seeds, small_files)
     for size in (4_096, 16_384, 65_536):
-        told(f"4 streams of 2 MiB in {size // 1024} KiB writes", ("write", "close", "whole"), seeds,
-             stream(size))
+        told(
+            f"4 streams of 2 MiB in {size // 1024} KiB writes",
+            ("write", "close", "whole"),
+            seeds,
+            stream(size),
+        )
     told("40 reads a second alone", ("read",), seeds, reads_alone)
     told("40 reads a second beside filing", ("read", "write"), seeds, reads_beside)
 
--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -5,6 +5,7 @@
 On the virtual clock: three edges store objects on six nodes while one node is slow, one is silent, or
 all are asked for more than they can do.  Both variants meet the same seeds.
 """
+
 import argparse
 import asyncio
 import copy
@@ -21,9 +22,9 @@
 from rushmux.standins.checker import Checker
 
 EXAMPLE = json.loads(Path(deployments.__file__).with_name("example.json").read_text())
-SIZE = 20_000            # bytes of an object: one unit
-WAY = 0.005              # seconds: longest simulated way of a message
-CASES = {                # name -> objects a second of each edge, troubles as (node, kind, size)
+SIZE = 20_000  # bytes of an object: one unit
+WAY = 0.005  # seconds: longest simulated way of a message
+CASES = {  # name -> objects a second of each edge, troubles as (node, kind, size)
     "calm": (20, ()),
     "slow node": (20, (("node1", "slow", 12.0),)),
     "silent node": (20, (("node1", "silent", 0.0),)),
@@ -70,7 +71,9 @@
                 await asyncio.sleep(chance.expovariate(rate))
                 tasks.append(edge.process.spawn(store(fleet, edge, chance.choice(names))))
             await asyncio.gather(*tasks)
+
         await asyncio.gather(*(arrivals(edge) for edge in fleet.edges.values()))
+
     fleet, _ = fleets.play(stated, seed, story, nodes=6, edges=3, level="error")
     return times, ends, fleet.all_records(), stated
 
@@ -84,8 +87,10 @@
     asked.add_argument("--seeds", type=int, default=5)
     asked.add_argument("--seconds", type=float, default=30.0)
     wanted = asked.parse_args()
-    print(f"{'case':18}{'copies':>7}{'objects':>9}{'stored':>8}{'in time':>9}{'p50 ms':>8}{'p99 ms':>8}"
-          f"{'p99.9':>8}{'further':>9}{'withdrawn':>10}  rules")
+    print(
+        f"{'case':18}{'copies':>7}{'objects':>9}{'stored':>8}{'in time':>9}{'p50 ms':>8}{'p99 ms':>8}"
+        f"{'p99.9':>8}{'further':>9}{'withdrawn':>10}  rules"
+    )
     broken = False
     for case in CASES:
         for copies in (False, True):
@@ -101,10 +106,12 @@
             quoted = stated.terms.lanes["archivo-nuevo"].quoted_time / 10_000
             in_time = sum(time <= quoted for time in times) / len(times)
             broken = broken or bool(breaches)
-            print(f"{case:18}{'on' if copies else 'off':>7}{len(times):9}{ends['stored'] / len(times):8.3f}"
-                  f"{in_time:9.3f}{1000 * quantile(times, 0.5):8.0f}{1000 * quantile(times, 0.99):8.0f}"
-                  f"{1000 * quantile(times, 0.999):8.0f}{further / executions:9.4f}{withdrawn:10}  "
-                  f"{'kept' if not breaches else breaches[0]}")
+            print(
+                f"{case:18}{'on' if copies else 'off':>7}{len(times):9}{ends['stored'] / len(times):8.3f}"
+                f"{in_time:9.3f}{1000 * quantile(times, 0.5):8.0f}{1000 * quantile(times, 0.99):8.0f}"
+                f"{1000 * quantile(times, 0.999):8.0f}{further / executions:9.4f}{withdrawn:10}  "
+                f"{'kept' if not breaches else breaches[0]}"
+            )
     sys.exit(broken)
 
 
--- a/benchmarks/extents.py
+++ b/benchmarks/extents.py
@@ -1,7 +1,8 @@
 """The dirty index against a plain list and a library's interval tree, at 10^3 to 10^6 extents.
 
-    pip install intervaltree; python benchmarks/extents.py [--most 1000000]
+pip install intervaltree; python benchmarks/extents.py [--most 1000000]
 """
+
 import argparse
 import random
 import time
@@ -11,7 +12,7 @@
 from rushmux.buffer.extents import Extents, PlainExtents
 
 DATA = bytes(64)
-FEW = 300                # operations timed of a kind whose single one takes long
+FEW = 300  # operations timed of a kind whose single one takes long
 
 
 class Tree:
@@ -39,7 +40,7 @@
     index, space = kind(), size * 100
     places = list(range(0, space, 100))
     chance.shuffle(places)
-    if kind is PlainExtents:             # filled in order at once: one by one would take hours
+    if kind is PlainExtents:  # filled in order at once: one by one would take hours
         index.pieces = list(filled(Extents(), sorted(places)))
         fill = float("nan")
     else:
@@ -63,8 +64,9 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--most", type=int, default=1_000_000)
     size = 1_000
-    print(f"{'extents':>9} {'index':10} {'fill, each':>12} {'put over':>12} {'find 1,000 B':>13}"
-          "  microseconds")
+    print(
+        f"{'extents':>9} {'index':10} {'fill, each':>12} {'put over':>12} {'find 1,000 B':>13}  microseconds"
+    )
     while size <= parser.parse_args().most:
         for kind in (Extents, PlainExtents, Tree):
             fill, put, find = measure(kind, size, random.Random(1))
--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -5,6 +5,7 @@
 One node whose work takes next to no time, one edge, and the same 4 KiB object read over and over by
 sessions that each keep a few reads out.  The two ways take turns; what counts is their ratio.
 """
+
 import argparse
 import asyncio
 import json
@@ -19,8 +20,8 @@
 from rushmux.sftp import packets as sftp
 from rushmux.standins.processes import ProcessFleet
 
-SIZE = 4_096             # bytes of a read
-OUT = 4                  # reads that a session keeps out
+SIZE = 4_096  # bytes of a read
+OUT = 4  # reads that a session keeps out
 
 
 async def through_edge(fleet, sessions, seconds, times):
@@ -37,8 +38,10 @@
             await client.ask(sftp.Read, handle, 0, SIZE)
             times.append(loop.time() - begun)
             count += 1
-    await asyncio.gather(*(one(client, handle) for client, handle in zip(clients, handles)
-                           for _ in range(OUT)))
+
+    await asyncio.gather(
+        *(one(client, handle) for client, handle in zip(clients, handles) for _ in range(OUT))
+    )
     for client in clients:
         await client.close()
     return count
@@ -59,9 +62,23 @@
             nonlocal corr
             corr += 1
             waiting[corr] = loop.time()
-            writer.write(frame(messages.Message(execute=messages.Execute(
-                corr=corr, op=f"direct.{number}.{corr}/-", volume="limon", lane="lectura", key=name, units=1,
-                time_out=30_000, read=messages.ReadObject(object=name, length=SIZE)))))
+            writer.write(
+                frame(
+                    messages.Message(
+                        execute=messages.Execute(
+                            corr=corr,
+                            op=f"direct.{number}.{corr}/-",
+                            volume="limon",
+                            lane="lectura",
+                            key=name,
+                            units=1,
+                            time_out=30_000,
+                            read=messages.ReadObject(object=name, length=SIZE),
+                        )
+                    )
+                )
+            )
+
         for _ in range(OUT):
             send()
         while loop.time() < until:
@@ -71,6 +88,7 @@
                     count += 1
                     send()
         writer.close()
+
     await asyncio.gather(*(one(number) for number in range(sessions)))
     return count
 
@@ -98,22 +116,33 @@
             edge_times, node_times = [], []
             edge = await through_edge(fleet, words.sessions, words.seconds, edge_times)
             node = await directly(fleet, name, words.sessions, words.seconds, node_times)
-            rounds.append((edge / node, at(edge_times, 0.5) - at(node_times, 0.5),
-                           at(edge_times, 0.99) / at(node_times, 0.99)))
-            print(f"edge {edge / words.seconds:8.0f}/s  direct {node / words.seconds:8.0f}/s  "
-                  f"ratio {rounds[-1][0]:.3f}  median {at(edge_times, .5):.2f} against "
-                  f"{at(node_times, .5):.2f} ms", flush=True)
+            rounds.append(
+                (
+                    edge / node,
+                    at(edge_times, 0.5) - at(node_times, 0.5),
+                    at(edge_times, 0.99) / at(node_times, 0.99),
+                )
+            )
+            print(
+                f"edge {edge / words.seconds:8.0f}/s  direct {node / words.seconds:8.0f}/s  "
+                f"ratio {rounds[-1][0]:.3f}  median {at(edge_times, 0.5):.2f} against "
+                f"{at(node_times, 0.5):.2f} ms",
+                flush=True,
+            )
     finally:
         await fleet.down()
     shares = [share for share, _, _ in rounds]
-    print(f"reads of {SIZE} bytes, {words.sessions} sessions with {OUT} out, {words.rounds} rounds: ratio "
-          f"{statistics.median(shares):.3f} ({min(shares):.3f} to {max(shares):.3f}), latency added at the "
-          f"median {statistics.median(added for _, added, _ in rounds):.2f} ms")
+    print(
+        f"reads of {SIZE} bytes, {words.sessions} sessions with {OUT} out, {words.rounds} rounds: ratio "
+        f"{statistics.median(shares):.3f} ({min(shares):.3f} to {max(shares):.3f}), latency added at the "
+        f"median {statistics.median(added for _, added, _ in rounds):.2f} ms"
+    )
 
 
 def stored_name(fleet):
     """The one object that the node holds, from its own store."""
     import sqlite3
+
     with sqlite3.connect(fleet.folder / "data" / "node0.db") as base:
         return base.execute("select name from objects").fetchone()[0]
 
@@ -128,8 +157,15 @@
     with tempfile.TemporaryDirectory() as folder:
         asyncio.run(measure(words, folder))
     if words.profile:
-        subprocess.run([sys.executable, "-c", "import pstats, sys; pstats.Stats(sys.argv[1]).sort_stats("
-                        "'tottime').print_stats(25)", words.profile], check=True)
+        subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "import pstats, sys; pstats.Stats(sys.argv[1]).sort_stats('tottime').print_stats(25)",
+                words.profile,
+            ],
+            check=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -5,6 +5,7 @@
 Shared cases: the same operations through the driver and links of real edges on the virtual clock with
 stand-in nodes, and through the lean level.
 """
+
 import argparse
 import resource
 import subprocess
@@ -18,19 +19,31 @@
 from rushmux.lab.lean import World
 from rushmux.standins.checker import Checker
 
-CASES = {"calm": (0.5, []), "busy": (0.9, []), "silent node": (0.6, ["silent node at 2 for 4"]),
-         "slow node": (0.6, ["slow node size 6 at 2 for 5"]),
-         "restarts": (0.5, ["restart nodes 2 at 2 for 2"]), "edge dies": (0.5, ["die edge at 3 for 2"]),
-         "zone cut": (0.5, ["cut zone at 3 for 3"])}
+CASES = {
+    "calm": (0.5, []),
+    "busy": (0.9, []),
+    "silent node": (0.6, ["silent node at 2 for 4"]),
+    "slow node": (0.6, ["slow node size 6 at 2 for 5"]),
+    "restarts": (0.5, ["restart nodes 2 at 2 for 2"]),
+    "edge dies": (0.5, ["die edge at 3 for 2"]),
+    "zone cut": (0.5, ["cut zone at 3 for 3"]),
+}
 SIZES = ((10, 8), (50, 16), (100, 24), (300, 47))
 
 
 def stated(name, load, lines, edges=3, nodes=4, seconds=10.0):
-    return spec.checked({
-        "name": name.replace(" ", "-"), "seconds": seconds, "fleet": {"edges": edges, "nodes": nodes,
-                                                                      "unlike": 0},
-        "volumes": {"basico": edges, "estandar": edges, "prioritario": edges}, "machine": {"recent": 0},
-        "workload": {"load": load}, "troubles": lines, "variants": [{"name": "module"}]})
+    return spec.checked(
+        {
+            "name": name.replace(" ", "-"),
+            "seconds": seconds,
+            "fleet": {"edges": edges, "nodes": nodes, "unlike": 0},
+            "volumes": {"basico": edges, "estandar": edges, "prioritario": edges},
+            "machine": {"recent": 0},
+            "workload": {"load": load},
+            "troubles": lines,
+            "variants": [{"name": "module"}],
+        }
+    )
 
 
 def lean(raw, seed):
@@ -53,8 +66,9 @@
 
 def scale(edges, nodes):
     """One day of a minute in a process of its own; its line."""
-    raw = stated("scale", 0.6, ["silent node at 10 for 6", "restart nodes 20% at 30 for 3"], edges, nodes,
-                 60.0)
+    raw = stated(
+        "scale", 0.6, ["silent node at 10 for 6", "restart nodes 20% at 30 for 3"], edges, nodes, 60.0
+    )
     raw["volumes"] = {"basico": edges, "estandar": edges // 2, "prioritario": edges // 4}
     begun = time.perf_counter()
     built, stood, arrivals, events = spec.day(raw, raw["variants"][0], 1)
@@ -64,9 +78,11 @@
     played = time.perf_counter() - begun - drawn
     found = outcome.measured(world, raw["seconds"])
     whole_time = time.perf_counter() - begun
-    return (f"{edges:9}{nodes:7}{len(arrivals):12}{drawn:9.1f}{played:9.1f}{whole_time - played - drawn:9.1f}"
-            f"{resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:10.0f}{found['in_time']:9.3f}  "
-            f"{'kept' if found['kept'] else 'BROKEN'}")
+    return (
+        f"{edges:9}{nodes:7}{len(arrivals):12}{drawn:9.1f}{played:9.1f}{whole_time - played - drawn:9.1f}"
+        f"{resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:10.0f}{found['in_time']:9.3f}  "
+        f"{'kept' if found['kept'] else 'BROKEN'}"
+    )
 
 
 def main():
@@ -83,12 +99,23 @@
         widths = (9, 7, 12, 9, 9, 9, 10, 9)
         print("".join(f"{head:>{width}}" for head, width in zip(heads, widths)) + "  rules")
         for edges, nodes in SIZES:
-            print(subprocess.run([sys.executable, "-m", "benchmarks.levels", "--one", str(edges), str(nodes)],
-                                 capture_output=True, text=True, check=True).stdout, end="", flush=True)
+            print(
+                subprocess.run(
+                    [sys.executable, "-m", "benchmarks.levels", "--one", str(edges), str(nodes)],
+                    capture_output=True,
+                    text=True,
+                    check=True,
+                ).stdout,
+                end="",
+                flush=True,
+            )
         return
     heads = ("level", "answers", "in time", "p50 ms", "p90", "p99", "KS", "chance")
-    print(f"{'case':14}" + "".join(f"{head:>{width}}" for head, width in zip(heads, (7, 9, 9, 9, 9, 9, 8, 8)))
-          + "  rules")
+    print(
+        f"{'case':14}"
+        + "".join(f"{head:>{width}}" for head, width in zip(heads, (7, 9, 9, 9, 9, 9, 8, 8)))
+        + "  rules"
+    )
     for name, (load, lines) in CASES.items():
         raw = stated(name, load, lines)
         rows = {}
@@ -101,8 +128,10 @@
             p50, p90, p99 = (1000 * numpy.quantile(times[level], part) for part in (0.5, 0.9, 0.99))
             test_text = f"{test.statistic:8.3f}{test.pvalue:8.3f}" if level == "lean" else f"{'':16}"
             in_time = numpy.mean([part for _, part, _ in days])
-            print(f"{name:14}{level:>7}{len(times[level]):9}{in_time:9.3f}{p50:9.1f}{p90:9.1f}{p99:9.1f}"
-                  f"{test_text}  {'kept' if all(kept for _, _, kept in days) else 'BROKEN'}")
+            print(
+                f"{name:14}{level:>7}{len(times[level]):9}{in_time:9.3f}{p50:9.1f}{p90:9.1f}{p99:9.1f}"
+                f"{test_text}  {'kept' if all(kept for _, _, kept in days) else 'BROKEN'}"
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -1,7 +1,8 @@
 """What the platform's gateway costs by the size of its lists: the module's turns, and the process.
 
-    python -m benchmarks.members
+python -m benchmarks.members
 """
+
 import asyncio
 import json
 import os
@@ -18,10 +19,10 @@
 from rushmux.standins.platform import Client, Discovery, Node, configuration, settings
 
 ROOT = Path(__file__).resolve().parents[1]
-SIZES = 64, 256, 1_024   # nodes, shards and gateways
-OPERATIONS = 2_000       # of each case; half a hundred volumes
-APART = 20               # ticks between two
-WARM_WITHIN = 300_000    # ticks for which a node counts as cold here: all operations of a case
+SIZES = 64, 256, 1_024  # nodes, shards and gateways
+OPERATIONS = 2_000  # of each case; half a hundred volumes
+APART = 20  # ticks between two
+WARM_WITHIN = 300_000  # ticks for which a node counts as cold here: all operations of a case
 PORT = 27_381
 
 
@@ -43,11 +44,13 @@
     99th percentile."""
     for cold in (False, True):
         terms = terms_of(settings(gateways=size, shards=size))._replace(
-            warm_within=WARM_WITHIN, cold_units=200 * size)
+            warm_within=WARM_WITHIN, cold_units=200 * size
+        )
         out, chance, now, took = Out(), Chance(1), 10_000, []
         gateway = Gateway(terms, 7, 0, out)
-        rows = [say.Listed(f"s{number}", number, "a", say.READY, now if cold else 0)
-                for number in range(size)]
+        rows = [
+            say.Listed(f"s{number}", number, "a", say.READY, now if cold else 0) for number in range(size)
+        ]
         begun = time.perf_counter()
         gateway.listed(now, say.WHOLE, rows)
         gateway.act(now)
@@ -55,8 +58,19 @@
         for number in range(OPERATIONS):
             now += APART
             begun = time.perf_counter()
-            gateway.taken(now, f"o{number}", "read", "base", f"v{number % 50}", f"k{number}", 10_000, 2,
-                          chance.below(size), 3, False)
+            gateway.taken(
+                now,
+                f"o{number}",
+                "read",
+                "base",
+                f"v{number % 50}",
+                f"k{number}",
+                10_000,
+                2,
+                chance.below(size),
+                3,
+                False,
+            )
             gateway.act(now)
             for op_id in out.sent:
                 gateway.answered(now + 1, op_id, 0, say.SUCCEEDED, True, 50, 0.0)
@@ -78,8 +92,12 @@
         json.dump(configuration(discovery.port, rows, PORT, gateways=size, shards=size), file)
         file.flush()
         begun = loop.time()
-        child = subprocess.Popen([sys.executable, "-m", "rushmux.block"], cwd=ROOT, stderr=subprocess.DEVNULL,
-                                 env={**os.environ, "NODE_CONFIG": file.name})
+        child = subprocess.Popen(
+            [sys.executable, "-m", "rushmux.block"],
+            cwd=ROOT,
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "NODE_CONFIG": file.name},
+        )
         try:
             while True:
                 try:
@@ -89,7 +107,7 @@
                     await asyncio.sleep(0.01)
             await client.ask(b"PING")
             ready = loop.time() - begun
-            await asyncio.sleep(1.0)     # the list of discovery comes too
+            await asyncio.sleep(1.0)  # the list of discovery comes too
             status = Path(f"/proc/{child.pid}/status").read_text()
         finally:
             child.kill()
@@ -102,6 +120,8 @@
 if __name__ == "__main__":
     for count in SIZES:
         for are_cold, list_ms, median, late in turns(count):
-            print(f"{count} nodes {'cold' if are_cold else 'warm'}: list {list_ms:.1f} ms, "
-                  f"operation {median:.0f} us, {late:.0f} us (99th)")
+            print(
+                f"{count} nodes {'cold' if are_cold else 'warm'}: list {list_ms:.1f} ms, "
+                f"operation {median:.0f} us, {late:.0f} us (99th)"
+            )
         print(f"{count} nodes: ready %.2f s, %.1f MB" % asyncio.run(process(count)))
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,14 +1,15 @@
 """Rebalancing: moves against the least that could do, evenness, and time up to 1,000 cells.
 
-    python -m benchmarks.placement [--seed N]
+python -m benchmarks.placement [--seed N]
 """
+
 import argparse
 import random
 import time
 
 from rushmux.fleet.placement import Cell, Node, fullest, greedy, plan
 
-SPREAD = 0.6             # sigma of the cells' weights
+SPREAD = 0.6  # sigma of the cells' weights
 
 
 def placed(cells, found):
@@ -22,8 +23,9 @@
 
 
 def nodes_of(chance, count, first=0):
-    return [Node(f"n{number}", chance.choice((1.0, 1.0, 1.5)), f"z{number % 5}") for number in range(first,
-                                                                                                     count)]
+    return [
+        Node(f"n{number}", chance.choice((1.0, 1.0, 1.5)), f"z{number % 5}") for number in range(first, count)
+    ]
 
 
 def least(cells, nodes, level):
@@ -55,17 +57,21 @@
         grown = start(chance, count, fifty)
         rack = [node for node in fifty if node.zone != "z2"]
         hot = [cell._replace(weight=cell.weight * (4 if cell.name % 20 == 0 else 1)) for cell in grown]
-        for name, before, stood in (("10 nodes grow to 50", cells, fifty), ("10 grow to 11", cells,
-                                                                            fifty[:11]),
-                                    ("a rack of 10 of 50 is lost", grown, rack),
-                                    ("a twentieth is four times hotter", hot, fifty)):
+        for name, before, stood in (
+            ("10 nodes grow to 50", cells, fifty),
+            ("10 grow to 11", cells, fifty[:11]),
+            ("a rack of 10 of 50 is lost", grown, rack),
+            ("a twentieth is four times hotter", hot, fifty),
+        ):
             begun = time.perf_counter()
             found = plan(before, stood)
             took = time.perf_counter() - begun
             even = sum(cell.weight for cell in before) / sum(node.capacity for node in stood)
-            print(f"{name:34}{count:7}{fullest(before, stood) / even:15.2f}{found.after / even:8.2f}"
-                  f"{found.moved:8.0f}{least(before, stood, found.after):8}{greedy(before, stood).moved:8.0f}"
-                  f"{took:8.2f}")
+            print(
+                f"{name:34}{count:7}{fullest(before, stood) / even:15.2f}{found.after / even:8.2f}"
+                f"{found.moved:8.0f}{least(before, stood, found.after):8}{greedy(before, stood).moved:8.0f}"
+                f"{took:8.2f}"
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -4,6 +4,7 @@
 
 On the virtual clock with the planner's own program, edges' list clients and nodes that report each second.
 """
+
 import argparse
 import asyncio
 import random
@@ -24,7 +25,7 @@
 
 NODES = 47
 DEATHS = 5
-QUIET = 20.0             # seconds of nothing but reports, for the cost of standing still
+QUIET = 20.0  # seconds of nothing but reports, for the cost of standing still
 
 
 async def reports(name, cell, port, loop):
@@ -32,8 +33,16 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(frame(messages.Message(hello=messages.Hello(version=VERSION, peer=name, start="1"))))
     while True:
-        entry = messages.Entry(node=name, host="127.0.0.1", port=1 + cell, cell=cell, zone=f"z{cell % 3}",
-                               condition="ready", start="1", age=int(loop.time() * 10_000))
+        entry = messages.Entry(
+            node=name,
+            host="127.0.0.1",
+            port=1 + cell,
+            cell=cell,
+            zone=f"z{cell % 3}",
+            condition="ready",
+            start="1",
+            age=int(loop.time() * 10_000),
+        )
         writer.write(frame(messages.Message(report=messages.Report(entry=entry))))
         await asyncio.sleep(REPORT)
 
@@ -55,11 +64,21 @@
             sent[0] += listing.ByteSize()
             for entry in listing.entries:
                 told.setdefault((entry.node, entry.condition), {}).setdefault(number, loop.time())
+
         tasks = []
         for number in range(edges):
             hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
-            tasks.append(loop.create_task(Lists(("127.0.0.1", port), hello, random.Random(f"{seed}/{number}"),
-                                                logger, lambda listing, n=number: heard(n, listing)).run()))
+            tasks.append(
+                loop.create_task(
+                    Lists(
+                        ("127.0.0.1", port),
+                        hello,
+                        random.Random(f"{seed}/{number}"),
+                        logger,
+                        lambda listing, n=number: heard(n, listing),
+                    ).run()
+                )
+            )
         await asyncio.sleep(5)
         sent[0], begun = 0, time.process_time()
         await asyncio.sleep(QUIET)
@@ -95,6 +114,7 @@
         for task in tasks:
             task.cancel()
         return deaths, drains, released, last - back, back - killed, quiet_cpu, quiet_bytes
+
     return run(whole, seed)
 
 
@@ -102,21 +122,41 @@
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--seed", type=int, default=1)
     seed = asked.parse_args().seed
-    heads = ("edges", "death to last edge s", "worst", "drain to last edge s", "to release s", "back to "
-                                                                                               "last edge s",
-             "CPU part at rest", "bytes/s at rest")
+    heads = (
+        "edges",
+        "death to last edge s",
+        "worst",
+        "drain to last edge s",
+        "to release s",
+        "back to last edge s",
+        "CPU part at rest",
+        "bytes/s at rest",
+    )
     print("".join(f"{head:>{max(9, len(head) + 2)}}" for head in heads))
     for edges in (10, 100, 300):
         with tempfile.TemporaryDirectory() as folder:
             deaths, drains, released, back, _, cpu, sent = measured(edges, seed, folder)
-        values = (edges, statistics.median(deaths), max(deaths), statistics.median(drains),
-                  statistics.median(released),
-                  back, cpu, sent)
-        print("".join(f"{value:{max(9, len(head) + 2)}.{0 if head in ('edges', 'bytes/s at rest') else 3}f}"
-                      for value, head in zip(values, heads)))
-    print(f"{resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB, edges' list clients and "
-          f"{NODES} nodes "
-          "included; CPU of them too")
+        values = (
+            edges,
+            statistics.median(deaths),
+            max(deaths),
+            statistics.median(drains),
+            statistics.median(released),
+            back,
+            cpu,
+            sent,
+        )
+        print(
+            "".join(
+                f"{value:{max(9, len(head) + 2)}.{0 if head in ('edges', 'bytes/s at rest') else 3}f}"
+                for value, head in zip(values, heads)
+            )
+        )
+    print(
+        f"{resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB, edges' list clients and "
+        f"{NODES} nodes "
+        "included; CPU of them too"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/planner_kills.py
+++ b/benchmarks/planner_kills.py
@@ -5,6 +5,7 @@
 Each run: three kills within 14 s in which nodes die, fall silent and come back and an edge is killed, with
 clients working through two edges; parts of limits on in every second run.  Exit 1 where a rule broke.
 """
+
 import argparse
 import asyncio
 import copy
@@ -22,10 +23,12 @@
 from rushmux.standins.checker import Checker
 
 EXAMPLE = json.loads(Path(deployments.__file__).with_name("example.json").read_text())
-EVENTS = ("length 14\nat 2 kill node1\nat 4 start node1\nat 5 trouble node2 silent for 3\n"
-          "at 6 kill edge1\nat 8 start edge1\nat 9 kill node0\nat 10 start node0\n")
+EVENTS = (
+    "length 14\nat 2 kill node1\nat 4 start node1\nat 5 trouble node2 silent for 3\n"
+    "at 6 kill edge1\nat 8 start edge1\nat 9 kill node0\nat 10 start node0\n"
+)
 KILLS, NODES, EDGES, LOAD = 3, 5, 2, 0.4
-WAY = 0.005              # seconds: longest simulated way of a message
+WAY = 0.005  # seconds: longest simulated way of a message
 
 
 def played(seed):
@@ -43,9 +46,11 @@
                 made.kill_planner()
                 await made.sleep(chance.uniform(0.0, 2.0))
                 await made.plan(NODES, port)
+
         task = asyncio.ensure_future(killer())
         await days.play(made, script.parse(EVENTS), days.Load(LOAD), seed)
         await task
+
     with tempfile.TemporaryDirectory() as place:
         made, _ = fleets.play(stated, seed, story, NODES, EDGES, planner=Path(place) / "p", level="error")
     records = made.all_records()
@@ -67,8 +72,10 @@
         for seed, (some, fine, killed, breaches) in zip(seeds, pool.map(played, seeds)):
             answers, good, kills = answers + some, good + fine, kills + killed
             broken += [f"seed {seed}: {text}" for text in breaches[:3]]
-    print(f"{wanted.runs} runs, {kills} kills, {answers} answers, {good / max(1, answers):.3f} succeeded, "
-          f"{len(broken)} breach(es)")
+    print(
+        f"{wanted.runs} runs, {kills} kills, {answers} answers, {good / max(1, answers):.3f} succeeded, "
+        f"{len(broken)} breach(es)"
+    )
     for text in broken[:20]:
         print(text)
     sys.exit(bool(broken))
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -3,6 +3,7 @@
 
     python -m benchmarks.policy change | defects | baselines | states | service | start | use PLOT.svg
 """
+
 import asyncio
 import json
 import os
@@ -24,7 +25,7 @@
 from rushmux.virtual import loop as virtual
 
 HOST = "127.0.0.1"
-EVERY = 0.5              # seconds between a stand-in member's asks, as an edge's
+EVERY = 0.5  # seconds between a stand-in member's asks, as an edge's
 MOST_SEEDS = 500
 NODES = 2
 
@@ -102,12 +103,12 @@
             while not all(member.holder.number == 1 for member in members):
                 await asyncio.sleep(0.1)
         await asyncio.sleep(3)
-        for member in members[:round(edges * away)]:
+        for member in members[: round(edges * away)]:
             member.task.cancel()
         used = [processor(part) for part in made.planners.values()]
         moved = sum(member.read + member.written for member in members)
         begun = asyncio.get_running_loop().time()
-        there = members[round(edges * away):]
+        there = members[round(edges * away) :]
         raw["plans"]["basico"].update(limit=edges * 20.0, burst=edges * 40.0)
         await orders.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
         async with asyncio.timeout(60):
@@ -117,9 +118,14 @@
         after = [processor(part) for part in made.planners.values()]
         times = sorted(member.at[2] - begun for member in there)
         moved = sum(member.read + member.written for member in members) - moved
-        return {"edges": edges, "away": round(edges * away), "first s": round(times[0], 2),
-                "last s": round(times[-1], 2), "KB": round(moved / 1000),
-                "leader's core": round((max(b - a for a, b in zip(used, after))) / (ended - begun), 3)}
+        return {
+            "edges": edges,
+            "away": round(edges * away),
+            "first s": round(times[0], 2),
+            "last s": round(times[-1], 2),
+            "KB": round(moved / 1000),
+            "leader's core": round((max(b - a for a, b in zip(used, after))) / (ended - begun), 3),
+        }
     finally:
         for member in members:
             member.task.cancel()
@@ -135,18 +141,25 @@
 
 # Defects and baselines, on the seeded world.
 
+
 class OneAfterAnother(policy.Conduct):
     """As SIGHUP to one edge after another does: nobody waits for anybody."""
+
     def look(self, now):
         staged = self.register.staged
         if staged is None:
             return super().look(now)
-        return {"kind": "decide", "number": staged.number, "joint": list(self.register.members),
-                "why": "told"}
+        return {
+            "kind": "decide",
+            "number": staged.number,
+            "joint": list(self.register.members),
+            "why": "told",
+        }
 
 
 class Plain(policy.Holder):
     """As in two phases without leases: it goes by what it was last told, whatever the time."""
+
     def narrow(self, now):
         return self.until is None
 
@@ -182,15 +195,17 @@
 
 
 def baselines(seeds=200):
-    for name, parts in (("as it is", (policy.Register, policy.Conduct, policy.Holder)),
-                        ("one after another", (policy.Register, OneAfterAnother, Plain)),
-                        ("two phases, no leases", (policy.Register, policy.Conduct, Plain))):
+    for name, parts in (
+        ("as it is", (policy.Register, policy.Conduct, policy.Holder)),
+        ("one after another", (policy.Register, OneAfterAnother, Plain)),
+        ("two phases, no leases", (policy.Register, policy.Conduct, Plain)),
+    ):
         with Pool(3) as pool:
             ends = pool.starmap(ended, [(seed, parts) for seed in range(seeds)], 4)
         print(f"{name}: {sum(end is not None for end in ends)} of {seeds} seeds with a breach", flush=True)
 
 
-SPAN = 24.0              # seconds of a run of `service`
+SPAN = 24.0  # seconds of a run of `service`
 
 
 def served(job):
@@ -221,23 +236,33 @@
             if 0 <= row["at"] - begun < SPAN:
                 seconds[int(row["at"] - begun)] += 1
         return seconds, decided
+
     with tempfile.TemporaryDirectory() as folder:
         return job, virtual.run(whole, 3)
 
 
 def service():
-    jobs = [(edges, round(edges * away), changes) for edges in (10, 20) for away in (0, 0.1)
-            for changes in (0, 5)]
+    jobs = [
+        (edges, round(edges * away), changes) for edges in (10, 20) for away in (0, 0.1) for changes in (0, 5)
+    ]
     with Pool(2) as pool:
         for (edges, down, changes), (seconds, decided) in pool.imap(served, jobs):
-            print(f"{edges} edges, {down} down, {changes} changes: {sum(seconds)} answers, least in a second "
-                  f"{min(seconds[1:-1])}, {decided}", flush=True)
+            print(
+                f"{edges} edges, {down} down, {changes} changes: {sum(seconds)} answers, least in a second "
+                f"{min(seconds[1:-1])}, {decided}",
+                flush=True,
+            )
 
 
 def gone_through(job):
     begin, limits = job
-    return begin, limits, policy_states.check(policy_states.Bounds(states=60_000), limits=limits,
-                                              begin=policy_states.BEGINS[begin])
+    return (
+        begin,
+        limits,
+        policy_states.check(
+            policy_states.Bounds(states=60_000), limits=limits, begin=policy_states.BEGINS[begin]
+        ),
+    )
 
 
 def states():
@@ -245,8 +270,11 @@
     jobs = [(begin, limits) for begin in policy_states.BEGINS for limits in ((90.0, 30.0), (30.0, 90.0))]
     with Pool(4) as pool:
         for begin, limits, told in pool.imap(gone_through, jobs):
-            print(f"{begin}, {limits[0]:g} to {limits[1]:g}: {told.states} states, all orders of "
-                  f"{told.events} events, {told.ends}, breach: {told.breach} {told.way}", flush=True)
+            print(
+                f"{begin}, {limits[0]:g} to {limits[1]:g}: {told.states} states, all orders of "
+                f"{told.events} events, {told.ends}, breach: {told.breach} {told.way}",
+                flush=True,
+            )
 
 
 def start(sizes=(100, 1_000, 10_000, 30_000)):
@@ -272,20 +300,28 @@
 def use(path):
     """The limit's use by second through five changes of a folder that asks for more, from a story."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     with tempfile.TemporaryDirectory() as folder:
         story = rig.load("forth-and-back")
         told = asyncio.run(rig.played(story, folder, 1))
-        rows = [json.loads(line) for file in sorted(Path(folder, "records").glob("*.jsonl"))
-                for line in file.read_bytes().splitlines()]
+        rows = [
+            json.loads(line)
+            for file in sorted(Path(folder, "records").glob("*.jsonl"))
+            for line in file.read_bytes().splitlines()
+        ]
     decided = {}
     for row in sorted(rows, key=lambda row: row["at"]):
         if row["kind"] == "decided" and row["force"]:
             limits = {name: limit for name, limit, _ in row["rows"]}
             decided.setdefault(row["force"], (row["at"], limits))
-    sent = [(row["at"], row["units"]) for row in rows if row["kind"] == "execution"
-            and row["volume"] == rig.SURGED and row["execution"] == 0]
+    sent = [
+        (row["at"], row["units"])
+        for row in rows
+        if row["kind"] == "execution" and row["volume"] == rig.SURGED and row["execution"] == 0
+    ]
     begun = min(at for at, _ in sent)
     seconds = [0.0] * (int(max(at for at, _ in sent) - begun) + 1)
     for at, units in sent:
@@ -293,8 +329,12 @@
     figure, axes = pyplot.subplots(figsize=(8, 3))
     axes.step(range(len(seconds)), seconds, where="post", label="units that nodes were sent")
     steps = [(at - begun, limits[rig.SURGED]) for at, limits in decided.values()]
-    axes.step([max(0, at) for at, _ in steps] + [len(seconds)],
-              [limit for _, limit in steps] + [steps[-1][1]], where="post", label="limit in force")
+    axes.step(
+        [max(0, at) for at, _ in steps] + [len(seconds)],
+        [limit for _, limit in steps] + [steps[-1][1]],
+        where="post",
+        label="limit in force",
+    )
     axes.set(xlabel="s", ylabel="units/s", title="Use of a limit through five changes (stand-in nodes)")
     axes.legend()
     figure.tight_layout()
@@ -303,5 +343,12 @@
 
 
 if __name__ == "__main__":
-    {"change": change, "defects": defects, "baselines": baselines, "start": start, "states": states,
-     "service": service, "use": lambda: use(sys.argv[2])}[sys.argv[1]]()
+    {
+        "change": change,
+        "defects": defects,
+        "baselines": baselines,
+        "start": start,
+        "states": states,
+        "service": service,
+        "use": lambda: use(sys.argv[2]),
+    }[sys.argv[1]]()
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -4,6 +4,7 @@
 
 The log is made as an edge makes it: packets of 4 KiB over 64 files of 8 folders, in MiB held.
 """
+
 import argparse
 import asyncio
 import json
@@ -27,13 +28,23 @@
     for place in range(size * 256):
         file, at = place % FILES, place // FILES * PACKET
         if at == 0:
-            parts.append(journal.pack(journal.BASE, folder=folders[file % 8], file=f"f{file}",
-                                      path=f"/{file}",
-                                      version=1))
+            parts.append(
+                journal.pack(
+                    journal.BASE, folder=folders[file % 8], file=f"f{file}", path=f"/{file}", version=1
+                )
+            )
         number += 1
-        parts.append(journal.pack(journal.PUT, bytes(PACKET), folder=folders[file % 8], file=f"f{file}",
-                                  start=at,
-                                  number=number, barrier=0))
+        parts.append(
+            journal.pack(
+                journal.PUT,
+                bytes(PACKET),
+                folder=folders[file % 8],
+                file=f"f{file}",
+                start=at,
+                number=number,
+                barrier=0,
+            )
+        )
         if sum(map(len, parts[-1:])) * len(parts) > SEGMENT:
             disk.append(f"00000001-{segment:06}.log", b"".join(parts))
             parts, segment = [journal.HEAD], segment + 1
@@ -55,6 +66,7 @@
             took = time.perf_counter() - begun
             await asyncio.sleep(0)
             return took, fleet.edges[0].program.buffer.buffer.bytes
+
         return fleets.play(deployment.build(raw), 1, story)[1]
 
 
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -5,6 +5,7 @@
 Draws deployments near the prover's borders and plays each through schedules that the bounds allow;
 exit 1 where an accepted one, or one said to be guarded, broke a rule.
 """
+
 import argparse
 import copy
 import json
@@ -30,8 +31,18 @@
         raw["lanes"][f"l{number}"] = dict(raw["lanes"]["lectura"])
     for number in range(plans):
         raw["plans"][f"p{number}"] = dict(raw["plans"]["estandar"])
-    raw["routes"] = [{"lane": f"l{lane}", "plan": f"p{plan}", "time_out_ms": 100 + lane, "executions": 2,
-                      "wait_ms": plan / 10, "held": 15} for lane in range(lanes) for plan in range(plans)]
+    raw["routes"] = [
+        {
+            "lane": f"l{lane}",
+            "plan": f"p{plan}",
+            "time_out_ms": 100 + lane,
+            "executions": 2,
+            "wait_ms": plan / 10,
+            "held": 15,
+        }
+        for lane in range(lanes)
+        for plan in range(plans)
+    ]
     return raw
 
 
@@ -53,24 +64,35 @@
     wanted = asked.parse_args()
     small, whole = deployments.build(large(5, 20)), large(25, 40)
     built = deployments.build(whole)
-    print(f"{len(whole['routes'])} routes, {len(built.flows)} lanes and plans: read and proved in "
-          f"{timed(deployments.build, whole):.3f} s, of which the proof "
-          f"{timed(prove.prove, built.ground, built.flows):.4f} s; for {len(small.flows)} lanes and plans "
-          f"the proof takes {timed(prove.prove, small.ground, small.flows):.4f} s")
+    print(
+        f"{len(whole['routes'])} routes, {len(built.flows)} lanes and plans: read and proved in "
+        f"{timed(deployments.build, whole):.3f} s, of which the proof "
+        f"{timed(prove.prove, built.ground, built.flows):.4f} s; for {len(small.flows)} lanes and plans "
+        f"the proof takes {timed(prove.prove, small.ground, small.flows):.4f} s"
+    )
     each = -(-wanted.draws // wanted.jobs)
     with ProcessPoolExecutor(wanted.jobs) as pool:
-        outcomes = list(pool.map(proof.hold, [each] * wanted.jobs,
-                                 [wanted.seed * 1_000 + job for job in range(wanted.jobs)],
-                                 [wanted.schedules] * wanted.jobs))
+        outcomes = list(
+            pool.map(
+                proof.hold,
+                [each] * wanted.jobs,
+                [wanted.seed * 1_000 + job for job in range(wanted.jobs)],
+                [wanted.schedules] * wanted.jobs,
+            )
+        )
     counts, wrong = Counter(), []
     for outcome in outcomes:
         counts += outcome.counts
         wrong += outcome.wrong
-    print(f"at most {wanted.schedules} schedules a story; " + ", ".join(
-        f"{name} {count}" for name, count in counts.items()))
+    print(
+        f"at most {wanted.schedules} schedules a story; "
+        + ", ".join(f"{name} {count}" for name, count in counts.items())
+    )
     findings = sum(counts[name] for name in ("played", "guarded", "conservative"))
-    print(f"findings {findings}: played {counts['played'] / findings:.2f}, guarded by the module "
-          f"{counts['guarded'] / findings:.2f}, conservative {counts['conservative'] / findings:.2f}")
+    print(
+        f"findings {findings}: played {counts['played'] / findings:.2f}, guarded by the module "
+        f"{counts['guarded'] / findings:.2f}, conservative {counts['conservative'] / findings:.2f}"
+    )
     for place, text in wrong:
         print(f"WRONG draw {place}: {text}")
     sys.exit(bool(wrong))
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -6,6 +6,7 @@
 one edge at a time.  The planner is killed and started anew once, and an edge stands still for longer than its
 lease.  Both variants meet the same seeds, and the checker judges the limits.
 """
+
 import argparse
 import asyncio
 import copy
@@ -23,12 +24,12 @@
 from rushmux.standins.checker import Checker
 
 EXAMPLE = json.loads(Path(deployments.__file__).with_name("example.json").read_text())
-PART = 0.75              # of a limit that a folder asks for, nearly all of it through one edge
-MOST_THERE = 0.9         # of that, through the busiest
-SHIFT = 12.0             # seconds until another edge is the busiest of a folder
-SIZE, UNITS = 60_000, 2.0   # bytes of an object, and what it counts
+PART = 0.75  # of a limit that a folder asks for, nearly all of it through one edge
+MOST_THERE = 0.9  # of that, through the busiest
+SHIFT = 12.0  # seconds until another edge is the busiest of a folder
+SIZE, UNITS = 60_000, 2.0  # bytes of an object, and what it counts
 EDGES, NODES = 3, 4
-STILL, AT, KILLED, DOWN = 14.0, 0.35, 0.6, 2.0   # of the edge that stands still; when, of the day
+STILL, AT, KILLED, DOWN = 14.0, 0.35, 0.6, 2.0  # of the edge that stands still; when, of the day
 WAY = 0.005
 
 
@@ -76,11 +77,22 @@
             made.kill_planner()
             await asyncio.sleep(DOWN)
             await made.plan(NODES, port)
+
         await asyncio.gather(*(folder(name) for name in stated.folders), *([happens()] if troubles else []))
         await asyncio.gather(*tasks)
+
     with tempfile.TemporaryDirectory() as place:
-        made, _ = fleets.play(stated, seed, story, nodes=NODES, edges=EDGES, planner=Path(place) / "p",
-                              level="error", logs=False, unit=0.004)
+        made, _ = fleets.play(
+            stated,
+            seed,
+            story,
+            nodes=NODES,
+            edges=EDGES,
+            planner=Path(place) / "p",
+            level="error",
+            logs=False,
+            unit=0.004,
+        )
     return ends, made.all_records(), stated
 
 
@@ -106,8 +118,10 @@
             broken = broken or bool(breaches)
             part = {name: ends[name] / ends["asked"] for name in ("in time", "late", "not stored")}
             day, parts = "troubled" if troubles else "calm", "planned" if shares else "even"
-            print(f"{day:10}{parts:>9}{ends['asked']:8}{part['in time']:9.3f}{part['late']:7.3f}"
-                  f"{part['not stored']:12.3f}{nearest:16.2f}  {'kept' if not breaches else breaches[0]}")
+            print(
+                f"{day:10}{parts:>9}{ends['asked']:8}{part['in time']:9.3f}{part['late']:7.3f}"
+                f"{part['not stored']:12.3f}{nearest:16.2f}  {'kept' if not breaches else breaches[0]}"
+            )
     sys.exit(broken)
 
 
--- a/rushmux/__main__.py
+++ b/rushmux/__main__.py
@@ -1,4 +1,5 @@
 """`python -m rushmux`: the command line."""
+
 from rushmux.cli.main import main
 
 if __name__ == "__main__":
--- a/rushmux/block/__main__.py
+++ b/rushmux/block/__main__.py
@@ -1,4 +1,5 @@
 """Runs one gateway on the platform until SIGTERM.  `NODE_CONFIG` names its configuration."""
+
 import asyncio
 import gc
 import os
@@ -11,15 +12,15 @@
 from rushmux.block.lines import Lines
 from rushmux.driver import SECOND
 
-SERVE_ON = 0.5           # seconds after SIGTERM in which new connections still come: a gateway that nobody
-                         # is connected to ends no sooner
-LATEST = 3.0             # seconds: the most that the platform counts of the longest hard stop
-MORE = 0.7               # seconds past that until SIGKILL may come
-TO_ANSWER = 0.8          # seconds before that from which connections end as soon as they are quiet: what
-                         # comes just before has the usual time of an answer until it is ended
-TO_END = 0.4             # seconds before that when what is open gets its final answer; no connection is taken
-TO_CUT = 0.15            # seconds before that when nothing more is read: for the way of the last answers
-LOOK = 0.05              # seconds between two looks whether all is answered
+SERVE_ON = 0.5  # seconds after SIGTERM in which new connections still come: a gateway that nobody
+# is connected to ends no sooner
+LATEST = 3.0  # seconds: the most that the platform counts of the longest hard stop
+MORE = 0.7  # seconds past that until SIGKILL may come
+TO_ANSWER = 0.8  # seconds before that from which connections end as soon as they are quiet: what
+# comes just before has the usual time of an answer until it is ended
+TO_END = 0.4  # seconds before that when what is open gets its final answer; no connection is taken
+TO_CUT = 0.15  # seconds before that when nothing more is read: for the way of the last answers
+LOOK = 0.05  # seconds between two looks whether all is answered
 
 
 async def serve(path) -> int:
@@ -31,12 +32,13 @@
         loop.add_signal_handler(number, stop.set)
         # Danger: a long turn of the loop, and the stop's times would count from its end.
         signal.signal(number, lambda *_: told_at.append(loop.time()))
-        signal.siginterrupt(number, False)   # as the loop has it: no call is broken off
+        signal.siginterrupt(number, False)  # as the loop has it: no call is broken off
     loop.add_signal_handler(signal.SIGHUP, again.set)
     log = Lines(loop.time, os.environ.get("NODE_NAME", "gateway"))
     # Danger: a fault in a timer is printed by the loop, past the log's bound, and nobody hears of it.
-    loop.set_exception_handler(lambda _, fault: log.error(
-        "loop.fault", what=fault["message"], fault=repr(fault.get("exception"))))
+    loop.set_exception_handler(
+        lambda _, fault: log.error("loop.fault", what=fault["message"], fault=repr(fault.get("exception")))
+    )
     try:
         front = Front(read(path), time.time() - loop.time(), loop, log)
     except BadFile as fault:
@@ -44,7 +46,7 @@
         return 2
     opening, told = loop.create_task(front.open()), loop.create_task(stop.wait())
     await asyncio.wait([opening, told], return_when=asyncio.FIRST_COMPLETED)
-    if not opening.done():               # told to end before it was ready: nobody has been let in
+    if not opening.done():  # told to end before it was ready: nobody has been let in
         opening.cancel()
         log.info("stopped", taken=0, open=0)
         return 0
@@ -54,7 +56,7 @@
         return 2
     opening.result()
     gc.collect()
-    gc.freeze()                          # what stays for good is not looked through again
+    gc.freeze()  # what stays for good is not looked through again
 
     async def reloads():
         while True:
@@ -62,11 +64,12 @@
             again.clear()
             try:
                 front.reload(read(path))
-            except BadFile as fault:     # the old one holds
+            except BadFile as fault:  # the old one holds
                 log.error("config.refused", file=path, why=fault)
-            except Exception:   # pylint: disable=broad-except
+            except Exception:  # pylint: disable=broad-except
                 # Danger: this task would end with it, and no later configuration be heard of.
                 log.exception("config.refused", file=path)
+
     task = loop.create_task(reloads())
     await stop.wait()
     log.info("stops", open=len(front.taken), clients=len(front.listener.clients))
--- a/rushmux/block/commands.py
+++ b/rushmux/block/commands.py
@@ -2,6 +2,7 @@
 
 Danger: a node turns away what no usual client sends, and that voids more than the one request.
 """
+
 import re
 from typing import NamedTuple
 
@@ -10,10 +11,12 @@
 
 READ, WRITE = b"BLK.READ", b"BLK.WRITE"
 ID = re.compile(rb"[0-9a-f]{16}")
-LIST = re.compile(rb"c=([^,=]{1,64}),t=([^,=]{1,64}),d=([0-9]{1,7})(?:,k=([0-9a-f]{16}))?(,r=1)?"
-                  rb",volume=([0-9a-f]{16}),units=([0-9]{1,4}(?:\.[0-9]{1,6})?)"
-                  rb",shard=(-1|[0-9]{1,5}),hosts=([0-9]{1,4})")
-MILLISECONDS = 1000      # in a second
+LIST = re.compile(
+    rb"c=([^,=]{1,64}),t=([^,=]{1,64}),d=([0-9]{1,7})(?:,k=([0-9a-f]{16}))?(,r=1)?"
+    rb",volume=([0-9a-f]{16}),units=([0-9]{1,4}(?:\.[0-9]{1,6})?)"
+    rb",shard=(-1|[0-9]{1,5}),hosts=([0-9]{1,4})"
+)
+MILLISECONDS = 1000  # in a second
 
 
 class Refused(Exception):
@@ -22,6 +25,7 @@
 
 class Command(NamedTuple):
     """A checked command.  `before` and `after` enclose the time in the list that goes to a node."""
+
     op_id: str
     lane: str
     plan: str
@@ -31,7 +35,7 @@
     cell: int
     mounts: int
     again: bool
-    left: float              # seconds
+    left: float  # seconds
     verb: bytes
     piece: bytes
     before: bytes
@@ -74,6 +78,20 @@
     if not 0 < units <= terms.most_units or not cell < start.shards or not 0 < mounts <= terms.gateways:
         raise Refused("a figure out of range")
     at = found.start(3)
-    return Command(op_id.decode(), lane, plan, volume.decode(), piece.decode(), units, cell, mounts,
-                   bool(again), left / MILLISECONDS,
-                   verb, piece, what[:at], what[found.end(3):], tuple(words[4:]))
+    return Command(
+        op_id.decode(),
+        lane,
+        plan,
+        volume.decode(),
+        piece.decode(),
+        units,
+        cell,
+        mounts,
+        bool(again),
+        left / MILLISECONDS,
+        verb,
+        piece,
+        what[:at],
+        what[found.end(3) :],
+        tuple(words[4:]),
+    )
--- a/rushmux/block/config.py
+++ b/rushmux/block/config.py
@@ -1,4 +1,5 @@
 """The configuration that the platform hands a gateway: a file of JSON, checked as far as it is used."""
+
 from typing import NamedTuple
 
 import orjson
@@ -7,8 +8,8 @@
 from rushmux.block.members import Member, address, members
 from rushmux.settings.platform import terms_of
 
-MOST_BYTES = 8 << 20     # of the file: a list of thousands of nodes
-NS = 1_000_000_000       # nanoseconds in a second
+MOST_BYTES = 8 << 20  # of the file: a list of thousands of nodes
+NS = 1_000_000_000  # nanoseconds in a second
 
 
 class BadFile(Exception):
@@ -17,6 +18,7 @@
 
 class Start(NamedTuple):
     """What a gateway is told at its start; times in seconds."""
+
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
@@ -24,10 +26,10 @@
     known: list[Member]
     terms: say.Terms
     shards: int
-    held: int                # operations open at a time
+    held: int  # operations open at a time
     dial: float
-    idle: float              # until a node closes a connection that nothing uses
-    marks: bool              # clients mark their retries
+    idle: float  # until a node closes a connection that nothing uses
+    marks: bool  # clients mark their retries
     writes: dict[str, bool]  # lane -> whether it changes data
 
 
@@ -49,14 +51,19 @@
         env = raw["settings"]
         limits, extra, known = env["Limits"], env["Extra"], raw.get("known") or {}
         return Start(
-            listen=address(raw["listen"]), discovery=address(raw["discovery"]),
-            seed=int(raw["seed"], 16), sockets=int(raw["limits"]["sockets"]),
-            known=members(known.get("servers", ()))[0], terms=terms_of(env),
-            shards=extra["SlotsTotal"], held=limits["MostHeld"],
-            dial=limits["DialTimeout"] / NS, idle=limits["ConnIdle"] / NS,
+            listen=address(raw["listen"]),
+            discovery=address(raw["discovery"]),
+            seed=int(raw["seed"], 16),
+            sockets=int(raw["limits"]["sockets"]),
+            known=members(known.get("servers", ()))[0],
+            terms=terms_of(env),
+            shards=extra["SlotsTotal"],
+            held=limits["MostHeld"],
+            dial=limits["DialTimeout"] / NS,
+            idle=limits["ConnIdle"] / NS,
             marks=bool(env.get("ClientHabits", {}).get("MarksRetry")),
-            writes={row["Name"]: bool(writes)
-                    for row, writes in zip(env["Classes"], extra["ChangesData"])})
+            writes={row["Name"]: bool(writes) for row, writes in zip(env["Classes"], extra["ChangesData"])},
+        )
     except orjson.JSONDecodeError as fault:
         raise BadFile(f"is no JSON: {fault}") from fault
     except KeyError as fault:
--- a/rushmux/block/discovery.py
+++ b/rushmux/block/discovery.py
@@ -1,4 +1,5 @@
 """Follows discovery: the whole list once, then a watch that never rests."""
+
 import asyncio
 
 import h11
@@ -11,14 +12,14 @@
 # Whatever a call met, a change has to be here 6 s after discovery had it and could be reached.  The worst
 # that can follow one another: an answer that trickles and was begun before the change (ANSWER), a dial that
 # nobody takes (DIAL), an answer that trickles again (ANSWER), AGAIN before each: 5.6 s.
-WAIT = 1.0               # seconds that a watch may wait: silence is noticed well before changes count as told
-SLACK = 0.5              # seconds past that until a call with no byte of an answer is given up
-ANSWER = 2.5             # seconds from asking until an answer has to be whole
-DIAL = 0.5               # seconds for a connection to come up: the agent is on this machine
-AGAIN = 0.05             # seconds until the next try: within the 200 ms in which a watch goes on
-MOST_BYTES = 8 << 20     # of an answer
-MOST_LEAVING = 4         # calls to former addresses whose answers may still come: SIGHUP may come often
-ANEW = range(400, 500)   # statuses that refuse what was asked: the version is not known there
+WAIT = 1.0  # seconds that a watch may wait: silence is noticed well before changes count as told
+SLACK = 0.5  # seconds past that until a call with no byte of an answer is given up
+ANSWER = 2.5  # seconds from asking until an answer has to be whole
+DIAL = 0.5  # seconds for a connection to come up: the agent is on this machine
+AGAIN = 0.05  # seconds until the next try: within the 200 ms in which a watch goes on
+MOST_BYTES = 8 << 20  # of an answer
+MOST_LEAVING = 4  # calls to former addresses whose answers may still come: SIGHUP may come often
+ANEW = range(400, 500)  # statuses that refuse what was asked: the version is not known there
 
 
 class Call(asyncio.Protocol):
@@ -27,8 +28,8 @@
     def __init__(self, watch):
         self.watch, self.address, self.transport, self.timer = watch, watch.address, None, None
         self.http, self.body = h11.Connection(h11.CLIENT), bytearray()
-        self.asked_at, self.began = 0.0, False   # began: a part of the answer is here
-        self.over = False                # discovery has ended its sending
+        self.asked_at, self.began = 0.0, False  # began: a part of the answer is here
+        self.over = False  # discovery has ended its sending
 
     def connection_made(self, transport):
         self.transport = transport
@@ -36,8 +37,9 @@
 
     def ask(self):
         watch, loop = self.watch, self.watch.loop
-        target = PATH if watch.version is None else (
-            f"{PATH}?after={watch.version}&wait_ms={int(WAIT * 1000)}")
+        target = (
+            PATH if watch.version is None else (f"{PATH}?after={watch.version}&wait_ms={int(WAIT * 1000)}")
+        )
         host = "%s:%d" % self.address
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
@@ -87,8 +89,12 @@
             self.lost(f"an answer that makes no sense: {fault}")
             return False
         self.watch.heard(self, *found)
-        if (self.watch.call is self and not self.over and self.http.our_state is h11.DONE
-                and self.http.their_state is h11.DONE):
+        if (
+            self.watch.call is self
+            and not self.over
+            and self.http.our_state is h11.DONE
+            and self.http.their_state is h11.DONE
+        ):
             self.http.start_next_cycle()
             self.ask()
             return True
@@ -114,9 +120,9 @@
         self.loop, self.address, self.log, self.told = loop, address, log, told
         self.version = self.call = self.task = None
         self.closed = self.down = False
-        self.rows = {row.node: row for row in known}   # as last told: what a bad row leaves in force
-        self.leaving = {}                # calls to former addresses, the oldest first
-        self.first = loop.create_future()   # done when discovery was heard
+        self.rows = {row.node: row for row in known}  # as last told: what a bad row leaves in force
+        self.leaving = {}  # calls to former addresses, the oldest first
+        self.first = loop.create_future()  # done when discovery was heard
 
     def start(self):
         if self.task is None and self.call is None and not self.closed:
@@ -128,7 +134,7 @@
             async with asyncio.timeout(DIAL):
                 await self.loop.create_connection(lambda: call, *self.address)
             self.task = None
-        except (OSError, TimeoutError, ValueError) as fault:   # ValueError: what can't be an address
+        except (OSError, TimeoutError, ValueError) as fault:  # ValueError: what can't be an address
             self.task = None
             self.ended(call, str(fault) or "no connection")
 
--- a/rushmux/block/figures.py
+++ b/rushmux/block/figures.py
@@ -1,4 +1,5 @@
 """What stands beside a value in a node's reply, and what a reply means.  No I/O."""
+
 import re
 
 from rushmux import interface as say
@@ -11,7 +12,7 @@
 def use(text) -> tuple[int, float]:
     """The module's fleet use (one more than on the sockets; 0: none) and units from others."""
     found = USE.fullmatch(text) if isinstance(text, bytes) else None
-    if found is None:                    # a figure that can't be read is not told
+    if found is None:  # a figure that can't be read is not told
         return NONE
     return int(found[1]) + 1, float(found[2] or 0)
 
@@ -31,4 +32,4 @@
         for word in value.split(b" ")[2:]:
             if word.startswith(b"used="):
                 return say.ERRORED, None, *use(word)
-    return say.ERRORED, None, *NONE      # spoilt: it may have run
+    return say.ERRORED, None, *NONE  # spoilt: it may have run
--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -1,4 +1,5 @@
 """One gateway on the platform: clients, nodes and discovery around the driver's core."""
+
 import asyncio
 from functools import partial
 
@@ -10,11 +11,11 @@
 from rushmux.driver import SECOND, SHED, Core
 from rushmux.resp import bulk
 
-RESERVED = 24            # descriptors for what is neither a client nor a node
-CLIENTS = 0.55           # of the others, for clients: at most a third of all hold requests, and some rest
-NODES = 0.35             # of the others, for nodes; the rest is for connections that are just ending
-FIRST_LIST = 1.0         # seconds that the first list is waited for: an agent that can answer does so at once
-TELL = 30.0              # seconds between two lines on the traffic
+RESERVED = 24  # descriptors for what is neither a client nor a node
+CLIENTS = 0.55  # of the others, for clients: at most a third of all hold requests, and some rest
+NODES = 0.35  # of the others, for nodes; the rest is for connections that are just ending
+FIRST_LIST = 1.0  # seconds that the first list is waited for: an agent that can answer does so at once
+TELL = 30.0  # seconds between two lines on the traffic
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
 
@@ -29,8 +30,8 @@
         self.pool = Pool(loop, int(spare * NODES), start.dial, start.idle)
         self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.leave)
         self.watch_list = Watch(loop, start.discovery, log, self.told, start.known)
-        self.conditions = {}             # node -> as the module was last told of it
-        self.ended = False               # whether everything gets its answer at once: the stop is near
+        self.conditions = {}  # node -> as the module was last told of it
+        self.ended = False  # whether everything gets its answer at once: the stop is near
 
     async def open(self):
         self.members(say.RESTORED, self.start.known)
@@ -45,9 +46,17 @@
     def tell(self):
         """A line on the traffic, with counts from the start."""
         listener, pool = self.listener, self.pool
-        self.log.info("clients", open=len(listener.clients), taken=listener.taken, refused=listener.bad,
-                      turned_away=listener.turned_away, silent=listener.silent, nodes=pool.count(),
-                      surplus=pool.surplus, rest_trusted=f"{pool.trust.most:g}")
+        self.log.info(
+            "clients",
+            open=len(listener.clients),
+            taken=listener.taken,
+            refused=listener.bad,
+            turned_away=listener.turned_away,
+            silent=listener.silent,
+            nodes=pool.count(),
+            surplus=pool.surplus,
+            rest_trusted=f"{pool.trust.most:g}",
+        )
         self.loop.call_later(TELL, self.tell)
 
     # Clients.
@@ -60,9 +69,20 @@
             slot.reply = BUSY
             return
         slot.op_id = command.op_id
-        self.take(command.op_id, command, self.loop.time() + command.left, partial(self.answered, slot),
-                  command.lane, command.plan, command.volume, command.key, command.units, command.cell,
-                  command.mounts, command.again)
+        self.take(
+            command.op_id,
+            command,
+            self.loop.time() + command.left,
+            partial(self.answered, slot),
+            command.lane,
+            command.plan,
+            command.volume,
+            command.key,
+            command.units,
+            command.cell,
+            command.mounts,
+            command.again,
+        )
 
     def answered(self, slot, result, value, come_back):
         if result == say.SUCCEEDED:
@@ -75,8 +95,13 @@
     # Nodes.
 
     def carry(self, op_id, number, node, taken, time_out, latest):
-        return self.pool.send(node, taken.work.words, self.loop.time() + time_out / SECOND,
-                              partial(self.came, op_id, number), latest)
+        return self.pool.send(
+            node,
+            taken.work.words,
+            self.loop.time() + time_out / SECOND,
+            partial(self.came, op_id, number),
+            latest,
+        )
 
     # Discovery.
 
@@ -85,17 +110,29 @@
 
     def members(self, kind, members):
         self.pool.listed(kind != say.CHANGES, members)
-        self.log.info("list.told", kind=kind, changed=" ".join(
-            f"{row.node}:{row.condition}" for row in members
-            if self.conditions.get(row.node) != (row.condition, row.started)) or "-")
+        self.log.info(
+            "list.told",
+            kind=kind,
+            changed=" ".join(
+                f"{row.node}:{row.condition}"
+                for row in members
+                if self.conditions.get(row.node) != (row.condition, row.started)
+            )
+            or "-",
+        )
         if kind != say.CHANGES:
             self.conditions = {}
         for row in members:
             self.conditions[row.node] = row.condition, row.started
             if row.condition == say.GONE:
                 del self.conditions[row.node]
-        self.listed(kind, [say.Listed(row.node, row.cell, row.zone, row.condition, self.since(row.started))
-                           for row in members])
+        self.listed(
+            kind,
+            [
+                say.Listed(row.node, row.cell, row.zone, row.condition, self.since(row.started))
+                for row in members
+            ],
+        )
 
     def since(self, started):
         """When a node started, on the module's clock; 0: long ago."""
--- a/rushmux/block/lines.py
+++ b/rushmux/block/lines.py
@@ -1,9 +1,10 @@
 """The gateway's log: a line of text an event, on standard error, bounded in rate."""
+
 import sys
 import traceback
 
-RATE = 20                # lines a second in the long run: what an operator can still use
-BURST = 200              # lines at once: a start, a reload, a node's end
+RATE = 20  # lines a second in the long run: what an operator can still use
+BURST = 200  # lines at once: a start, a reload, a node's end
 
 
 class Lines:
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -1,4 +1,5 @@
 """Clients' connections: bytes to checked commands, and answers in the order of a connection's commands."""
+
 import asyncio
 import socket
 from collections import deque
@@ -6,30 +7,30 @@
 from rushmux.block import commands
 from rushmux.resp import Commands, Malformed, error
 
-BACKLOG = 1024           # connections that the system holds until they are accepted: hundreds come at once
-ACCEPTS = 16             # connections taken in one turn of the loop: a flood must not starve it
-MOST_OWED = 64           # commands of one connection that are not answered; beyond it is not read
-UNREAD = 1 << 19         # bytes of answers that a client has not read; beyond it is not served
-SILENT = 1.6             # seconds until a connection that sent no whole command is closed: 3 are allowed
-UNREAD_TIME = 3.0        # seconds that answers may lie unread: who reads nothing for so long is held for gone
-IDLE = 30.0              # seconds after which a connection with nothing open is closed
-FULL_IDLE = 2.0          # the same where sockets are short: the least that the platform's page names
-LINGER = 0.25            # seconds without a byte after which a lingering close ends
-LONGEST_LINGER = 1.0     # seconds that it may take: who sends on and on is cut off
-MOST_DISCARDED = 1 << 20   # bytes of one connection that are read and thrown away; then nothing more is read
-READ_AHEAD = 1 << 17     # bytes of one connection's commands that wait to be taken: the end of a client that
-                         # sent hundreds at once and went is still seen behind them
-MOST_AHEAD = 4 << 20     # the same of all connections: beyond it those that have a full share are not read
-GONE_LOOK = 0.05         # seconds between two looks whether a client that is not read has gone: nothing may
-                         # begin for it from 0.1 s after its end on
-CLOSE_WAIT = 8           # state of a connection whose client has ended its sending (TCP_INFO)
-TO_SPEAK = 0.3           # seconds that a newcomer has at least before another takes its place
-SHORT = 0.5              # of the places for clients: sockets are short above it
-MARGIN = 0.1             # of the places, past them, for newcomers that are told BUSY and for ends that linger
-SWEEP = 0.1              # seconds between two looks at who is silent, idle or does not read
-QUIET = 0.02             # seconds without a command after which a connection may end at a stop: who comes
-                         # again at once is on its way for a few milliseconds
-MOST_FAULTS = 3          # refused commands of one connection until it is closed
+BACKLOG = 1024  # connections that the system holds until they are accepted: hundreds come at once
+ACCEPTS = 16  # connections taken in one turn of the loop: a flood must not starve it
+MOST_OWED = 64  # commands of one connection that are not answered; beyond it is not read
+UNREAD = 1 << 19  # bytes of answers that a client has not read; beyond it is not served
+SILENT = 1.6  # seconds until a connection that sent no whole command is closed: 3 are allowed
+UNREAD_TIME = 3.0  # seconds that answers may lie unread: who reads nothing for so long is held for gone
+IDLE = 30.0  # seconds after which a connection with nothing open is closed
+FULL_IDLE = 2.0  # the same where sockets are short: the least that the platform's page names
+LINGER = 0.25  # seconds without a byte after which a lingering close ends
+LONGEST_LINGER = 1.0  # seconds that it may take: who sends on and on is cut off
+MOST_DISCARDED = 1 << 20  # bytes of one connection that are read and thrown away; then nothing more is read
+READ_AHEAD = 1 << 17  # bytes of one connection's commands that wait to be taken: the end of a client that
+# sent hundreds at once and went is still seen behind them
+MOST_AHEAD = 4 << 20  # the same of all connections: beyond it those that have a full share are not read
+GONE_LOOK = 0.05  # seconds between two looks whether a client that is not read has gone: nothing may
+# begin for it from 0.1 s after its end on
+CLOSE_WAIT = 8  # state of a connection whose client has ended its sending (TCP_INFO)
+TO_SPEAK = 0.3  # seconds that a newcomer has at least before another takes its place
+SHORT = 0.5  # of the places for clients: sockets are short above it
+MARGIN = 0.1  # of the places, past them, for newcomers that are told BUSY and for ends that linger
+SWEEP = 0.1  # seconds between two looks at who is silent, idle or does not read
+QUIET = 0.02  # seconds without a command after which a connection may end at a stop: who comes
+# again at once is on its way for a few milliseconds
+MOST_FAULTS = 3  # refused commands of one connection until it is closed
 PONG, OK, BUSY = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n"
 
 
@@ -38,11 +39,12 @@
 
     Danger: when the process has stood still, the loop runs its timers before it looks at any socket.
     """
-    loop.call_soon(loop.call_soon, call, *values)   # the loop looks at the sockets between the two
+    loop.call_soon(loop.call_soon, call, *values)  # the loop looks at the sockets between the two
 
 
 class Slot:
     """The place of one command's answer."""
+
     __slots__ = ("client", "reply", "op_id")
 
     def __init__(self, client, reply=None):
@@ -58,15 +60,15 @@
 
     def __init__(self, listener):
         self.listener, self.transport, self.reader = listener, None, Commands()
-        self.owed = deque()              # slots not answered yet, in the order of commands
-        self.made_at = self.since = listener.loop.time()   # since: when it last became idle or half-read
+        self.owed = deque()  # slots not answered yet, in the order of commands
+        self.made_at = self.since = listener.loop.time()  # since: when it last became idle or half-read
         self.spoke = self.asked = self.over = self.settling = False
         self.paused_reading = self.paused_writing = False
         self.lingering = self.discards = False
-        self.behind = False              # commands may be here that were not taken
+        self.behind = False  # commands may be here that were not taken
         self.paused_writing_at, self.faults = 0.0, 0
         self.ahead = self.discarded = 0  # bytes that wait to be taken; bytes thrown away
-        self.heard_at = 0.0              # when the last of them came
+        self.heard_at = 0.0  # when the last of them came
 
     def connection_made(self, transport):
         self.transport = transport
@@ -134,7 +136,8 @@
             stop = not self.discards or self.discarded > MOST_DISCARDED
         else:
             stop = (self.paused_writing or len(self.owed) >= MOST_OWED) and (
-                ahead >= READ_AHEAD or listener.ahead >= MOST_AHEAD)
+                ahead >= READ_AHEAD or listener.ahead >= MOST_AHEAD
+            )
         if stop != self.paused_reading and not self.transport.is_closing():
             self.paused_reading = stop
             listener.unread_clients.pop(self, None)
@@ -239,8 +242,10 @@
         """
         try:
             sock = self.transport.get_extra_info("socket")
-            return (sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
-                    or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0)
+            return (
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
+                or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+            )
         except (OSError, AttributeError, IndexError, TypeError):
             return False
 
@@ -253,8 +258,12 @@
             return
         if self.paused_writing and now - self.paused_writing_at > UNREAD_TIME:
             self.transport.abort()
-        elif not self.owed and not self.behind and (not self.spoke or self.reader.partial()) and now - (
-                self.since if self.spoke else self.made_at) > SILENT:
+        elif (
+            not self.owed
+            and not self.behind
+            and (not self.spoke or self.reader.partial())
+            and now - (self.since if self.spoke else self.made_at) > SILENT
+        ):
             self.listener.silent += 1
             self.owed.append(Slot(self, error("ERR no whole command came in time")))
             self.finish()
@@ -276,10 +285,10 @@
         self.loop, self.start, self.most, self.take, self.left = loop, start, most, take, left
         self.clients, self.coming, self.ending, self.sock = {}, {}, False, None
         self.margin = max(2, int(most * MARGIN))
-        self.held_back = False           # newcomers wait in the system's queue until a place is free
-        self.unread_clients = {}         # those whose sockets are not read
-        self.ahead = 0                   # bytes of commands that wait to be taken
-        self.turned_away = self.bad = self.silent = self.taken = 0   # counts for the log
+        self.held_back = False  # newcomers wait in the system's queue until a place is free
+        self.unread_clients = {}  # those whose sockets are not read
+        self.ahead = 0  # bytes of commands that wait to be taken
+        self.turned_away = self.bad = self.silent = self.taken = 0  # counts for the log
 
     async def open(self, host, port):
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -317,8 +326,9 @@
                 # Danger: out of descriptors, and the queue would be asked again at full speed.
                 self.loop.remove_reader(self.sock)
                 self.loop.call_later(SWEEP, self.accept_on)
-                self.loop.call_exception_handler({"message": "no connection can be taken",
-                                                  "exception": fault})
+                self.loop.call_exception_handler(
+                    {"message": "no connection can be taken", "exception": fault}
+                )
                 return False
             sock.setblocking(False)
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
@@ -329,7 +339,7 @@
     def came(self, task):
         del self.coming[task]
         if not task.cancelled():
-            task.exception()             # its client went away before it was joined
+            task.exception()  # its client went away before it was joined
         self.free()
 
     def joined(self, client):
@@ -361,9 +371,15 @@
         now = self.loop.time()
         others = [one for one in self.clients if not one.over and not one.transport.is_closing()]
         silent = next((one for one in others if not one.spoke and not one.reader.partial()), None)
-        idle = min((one for one in others if one.spoke and one.idle()
-                    and (not one.asked or now - one.since > FULL_IDLE)),
-                   key=lambda one: (one.asked, one.since), default=None)
+        idle = min(
+            (
+                one
+                for one in others
+                if one.spoke and one.idle() and (not one.asked or now - one.since > FULL_IDLE)
+            ),
+            key=lambda one: (one.asked, one.since),
+            default=None,
+        )
         if silent is not None and now - silent.made_at < TO_SPEAK:
             silent = None
         one = silent or idle
--- a/rushmux/block/members.py
+++ b/rushmux/block/members.py
@@ -1,4 +1,5 @@
 """Rows of discovery's list, as values.  No I/O."""
+
 from typing import NamedTuple
 
 from rushmux import interface as say
@@ -9,13 +10,14 @@
 
 class Member(NamedTuple):
     """A storage node as discovery tells it."""
+
     node: str
     host: str
     port: int
     zone: str
     cell: int
     condition: str
-    started: float           # Unix time in seconds; 0: long ago
+    started: float  # Unix time in seconds; 0: long ago
 
 
 def address(text: str) -> tuple[str, int]:
@@ -32,8 +34,15 @@
     state, node = row["state"], row["id"]
     if state not in STATES or not isinstance(node, str) or not node:
         raise ValueError(f"a row with id {node!r} in state {state!r}")
-    return Member(node, host, port, str(row.get("zone", "")), int(row["cell"]), STATES[state],
-                  float(row.get("started_ms", 0)) / 1000)
+    return Member(
+        node,
+        host,
+        port,
+        str(row.get("zone", "")),
+        int(row["cell"]),
+        STATES[state],
+        float(row.get("started_ms", 0)) / 1000,
+    )
 
 
 def members(rows) -> tuple[list[Member], list[tuple]]:
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -2,6 +2,7 @@
 
 What is given up closes its own connection and nothing else.  Nothing is ever sent a second time here.
 """
+
 import asyncio
 import select
 from collections import deque
@@ -10,16 +11,16 @@
 from rushmux.block import figures
 from rushmux.resp import Malformed, Replies, command
 
-MOST_WAITING = 64        # executions that wait for connections to one node: six times the design's bound
-REST = 0.02              # seconds after an answer until a connection is used again: a surplus comes before
-MOST_HELD = 24 << 20     # bytes of all replies that are not whole: sixty of the largest seen
-IDLE_PART = 0.9          # of the time after which a node closes an idle connection: the rest is for the way
-SWEEP = 1.0              # seconds between two looks for connections idle for too long
-REST_BINS = 12           # of rests: the first ends at 20 ms, each next is twice as long
-FEW = 3                  # resets of a bin that may be chance
-MORE = 0.1               # part of uses that end in a reset, above twice that of new connections: not chance
-NEVER = float("inf")     # the loop's time that never comes
-HALVE_EVERY = 10         # sweeps: what went stale early may be kept longer later, and is tried again
+MOST_WAITING = 64  # executions that wait for connections to one node: six times the design's bound
+REST = 0.02  # seconds after an answer until a connection is used again: a surplus comes before
+MOST_HELD = 24 << 20  # bytes of all replies that are not whole: sixty of the largest seen
+IDLE_PART = 0.9  # of the time after which a node closes an idle connection: the rest is for the way
+SWEEP = 1.0  # seconds between two looks for connections idle for too long
+REST_BINS = 12  # of rests: the first ends at 20 ms, each next is twice as long
+FEW = 3  # resets of a bin that may be chance
+MORE = 0.1  # part of uses that end in a reset, above twice that of new connections: not chance
+NEVER = float("inf")  # the loop's time that never comes
+HALVE_EVERY = 10  # sweeps: what went stale early may be kept longer later, and is tried again
 
 
 class Trust:
@@ -32,7 +33,7 @@
 
     def __init__(self):
         self.used, self.reset = [0.0] * REST_BINS, [0.0] * REST_BINS
-        self.most, self.sweeps = float("inf"), 0   # seconds of rest
+        self.most, self.sweeps = float("inf"), 0  # seconds of rest
 
     @staticmethod
     def bin(rest) -> int:
@@ -48,8 +49,11 @@
 
     def judge(self):
         usual = self.reset[0] / self.used[0] if self.used[0] else 0.0
-        worse = (place for place in range(1, REST_BINS) if self.reset[place] >= FEW
-                 and self.reset[place] / self.used[place] > 2 * usual + MORE)
+        worse = (
+            place
+            for place in range(1, REST_BINS)
+            if self.reset[place] >= FEW and self.reset[place] / self.used[place] > 2 * usual + MORE
+        )
         place = next(worse, None)
         self.most = float("inf") if place is None else max(REST, REST * 2 ** (place - 1))
 
@@ -66,6 +70,7 @@
     Whether it may still begin is asked once, at the instant its bytes are written (`Node.next_waiting`,
     `Link.carry`): who was dropped does not wait any more, and `latest` is the last time for it.
     """
+
     __slots__ = ("node", "words", "until", "latest", "done", "link", "written")
 
     def __init__(self, node, words, until, latest, done):
@@ -97,16 +102,16 @@
     """A connection to a node."""
 
     def __init__(self, node, place):
-        self.node, self.place = node, place   # place: where it leads
+        self.node, self.place = node, place  # place: where it leads
         self.replies, self.out, self.transport = Replies(), None, None
-        self.unsent = False              # bytes written have not left this process
-        self.held = 0                    # bytes of a reply that is not whole
-        self.free_at, self.rest = 0.0, 0.0   # when it was last answered on; its rest before the last use
-        self.claimed = False             # an execution waits for the end of its rest
+        self.unsent = False  # bytes written have not left this process
+        self.held = 0  # bytes of a reply that is not whole
+        self.free_at, self.rest = 0.0, 0.0  # when it was last answered on; its rest before the last use
+        self.claimed = False  # an execution waits for the end of its rest
 
     def connection_made(self, transport):
         self.transport = transport
-        transport.set_write_buffer_limits(high=0)   # told of each byte that waits
+        transport.set_write_buffer_limits(high=0)  # told of each byte that waits
         self.node.made(self)
 
     def pause_writing(self):
@@ -187,8 +192,8 @@
 
     def __init__(self, pool, name):
         self.pool, self.name = pool, name
-        self.place = None                # host, port and start, as last listed; None: it is gone
-        self.links, self.idle, self.waiting = {}, deque(), deque()   # idle: longest rested first
+        self.place = None  # host, port and start, as last listed; None: it is gone
+        self.links, self.idle, self.waiting = {}, deque(), deque()  # idle: longest rested first
         self.dials = {}
 
     def send(self, execution):
@@ -233,8 +238,14 @@
         """
         if self.pool.trust.most <= REST:
             return None
-        return next((link for link in self.idle if now - link.free_at < REST and not link.claimed
-                     and not link.transport.is_closing()), None)
+        return next(
+            (
+                link
+                for link in self.idle
+                if now - link.free_at < REST and not link.claimed and not link.transport.is_closing()
+            ),
+            None,
+        )
 
     def rest_over(self, link):
         """What waited for a connection's rest goes on it, or on a new one if it has ended meanwhile."""
@@ -242,7 +253,7 @@
         if link in self.idle and (link.transport.is_closing() or link.readable()):
             link.end()
         execution = self.next_waiting()
-        if execution is None:            # it was given up, or went on another connection
+        if execution is None:  # it was given up, or went on another connection
             return
         if link in self.idle:
             self.use(link, execution, self.pool.loop.time())
@@ -277,7 +288,7 @@
         try:
             async with asyncio.timeout(self.pool.dial):
                 await self.pool.loop.create_connection(lambda: Link(self, place), host, port)
-        except (OSError, TimeoutError, ValueError):   # ValueError: an address that can't be one
+        except (OSError, TimeoutError, ValueError):  # ValueError: an address that can't be one
             self.in_vain()
 
     def in_vain(self):
@@ -286,7 +297,7 @@
             self.waiting.popleft().back(say.UNREACHED)
 
     def made(self, link):
-        if link.place != self.place:     # the node is not there any more
+        if link.place != self.place:  # the node is not there any more
             link.end()
             return self.in_vain()
         self.links[link] = True
--- a/rushmux/buffer/decide.py
+++ b/rushmux/buffer/decide.py
@@ -4,37 +4,49 @@
 below it is on nodes.  Within a layer a file's packets go together, in whole packets, so that no
 reader elsewhere ever sees half of one.  Times are seconds of the caller's clock.
 """
+
 from typing import NamedTuple, Optional
 
 from rushmux.buffer.extents import Extents
 
 TAKE, WAIT, REFUSE = "take", "wait", "refuse"
 
-PRESSURE = 0.5           # of a cap: beyond it what lies longest goes out without regard to the budget
-STALE = 0.3              # of the time that packets are kept: older ones that fail stop new ones
-RETRY, MOST_RETRY = 0.1, 5.0   # seconds until a failed batch goes again, doubled each time up to the most
-TIMES = 32               # batches whose time is remembered, to know whether a flush can still make it
-SURE = 4                 # of them before anything is concluded
-BUDGET_SPAN = 1.0        # seconds of the background rate that a folder can save up
+PRESSURE = 0.5  # of a cap: beyond it what lies longest goes out without regard to the budget
+STALE = 0.3  # of the time that packets are kept: older ones that fail stop new ones
+RETRY, MOST_RETRY = 0.1, 5.0  # seconds until a failed batch goes again, doubled each time up to the most
+TIMES = 32  # batches whose time is remembered, to know whether a flush can still make it
+SURE = 4  # of them before anything is concluded
+BUDGET_SPAN = 1.0  # seconds of the background rate that a folder can save up
 
 
 class Caps(NamedTuple):
     """Bounds of a buffer: bytes, seconds, counts."""
+
     edge_bytes: int = 64 << 20
     folder_bytes: int = 8 << 20
-    age: float = 2.0             # a packet this old is written out, whatever the budget says
-    keep: float = 30.0           # a packet that cannot be written out is given up after this
-    idle: float = 0.3            # a file with nothing new for so long is written out
+    age: float = 2.0  # a packet this old is written out, whatever the budget says
+    keep: float = 30.0  # a packet that cannot be written out is given up after this
+    idle: float = 0.3  # a file with nothing new for so long is written out
     batch_files: int = 64
     batch_bytes: int = 4 << 20
-    out: int = 8                 # batches out at a time, one for a folder
-    background: float = 0.5      # part of a plan's nominal rate that unhurried write-out may take
+    out: int = 8  # batches out at a time, one for a folder
+    background: float = 0.5  # part of a plan's nominal rate that unhurried write-out may take
 
 
 class Layer:
     """A file's packets between two barriers; `out` are those of a batch on its way."""
-    __slots__ = ("index", "out", "first_at", "first_number", "last_number", "packets", "out_first",
-                 "out_last", "out_packets")
+
+    __slots__ = (
+        "index",
+        "out",
+        "first_at",
+        "first_number",
+        "last_number",
+        "packets",
+        "out_first",
+        "out_last",
+        "out_packets",
+    )
 
     def __init__(self):
         self.index, self.out, self.first_at = Extents(), None, None
@@ -47,11 +59,11 @@
 
     def __init__(self, folder, number, path):
         self.folder, self.number, self.path = folder, number, path
-        self.layers = {}                 # number of the barrier before it -> Layer
+        self.layers = {}  # number of the barrier before it -> Layer
         self.error, self.last_at, self.wanted = None, 0.0, 0
         self.committed_at, self.opens = float("-inf"), 0
-        self.version, self.stamp = 0, "" # of the file's row when last seen here, and of the last change sent
-        self.recovered = False           # what is held was found in the log of an earlier start
+        self.version, self.stamp = 0, ""  # of the file's row when last seen here, and of the last change sent
+        self.recovered = False  # what is held was found in the log of an earlier start
 
     @property
     def dirty(self):
@@ -60,14 +72,20 @@
     @property
     def end(self):
         """One past the last byte held."""
-        return max((part.end for layer in self.layers.values() for part in (layer.out, layer.index) if part),
-                   default=0)
+        return max(
+            (part.end for layer in self.layers.values() for part in (layer.out, layer.index) if part),
+            default=0,
+        )
 
     def overlay(self, start, end):
         """What is held of a stretch, older pieces before newer ones."""
-        return [piece for barrier in sorted(self.layers)
-                for part in (self.layers[barrier].out, self.layers[barrier].index) if part
-                for piece in part.within(start, end)]
+        return [
+            piece
+            for barrier in sorted(self.layers)
+            for part in (self.layers[barrier].out, self.layers[barrier].index)
+            if part
+            for piece in part.within(start, end)
+        ]
 
     def last_number(self):
         """Of the newest packet held, 0 where none is."""
@@ -80,7 +98,7 @@
     def __init__(self, name, rate):
         self.name, self.rate = name, rate
         self.files, self.barrier, self.bytes = {}, 0, 0
-        self.wanted_barrier = -1         # layers up to this one are waited for
+        self.wanted_barrier = -1  # layers up to this one are waited for
         self.busy, self.failures, self.not_before = False, 0, 0.0
         self.level, self.level_at = rate * BUDGET_SPAN, 0.0
 
@@ -91,17 +109,19 @@
 
 class Part(NamedTuple):
     """One file's share of a batch."""
+
     file: File
     index: Extents
-    number: int              # of the newest packet in it
+    number: int  # of the newest packet in it
 
 
 class Batch(NamedTuple):
     """What one change of rows is to make visible."""
+
     folder: Folder
     barrier: int
     parts: tuple[Part, ...]
-    hurried: bool            # somebody waits for it
+    hurried: bool  # somebody waits for it
     begun: float
     oldest: float
 
@@ -113,7 +133,7 @@
     def __init__(self, caps: Caps, rate, units):
         self.caps, self.rate, self.units = caps, rate, units
         self.folders, self.bytes, self.count, self.out, self.times = {}, 0, 0, 0, []
-        self.holding = {}                # folders that hold anything; the others cost nothing
+        self.holding = {}  # folders that hold anything; the others cost nothing
 
     def folder(self, name) -> Folder:
         found = self.folders.get(name)
@@ -158,8 +178,15 @@
     @staticmethod
     def oldest(folder: Folder, now: float) -> float:
         """When the packet that is held longest came."""
-        return min((layer.first_at for file in folder.files.values() for layer in file.layers.values()
-                    if layer.first_at is not None), default=now)
+        return min(
+            (
+                layer.first_at
+                for file in folder.files.values()
+                for layer in file.layers.values()
+                if layer.first_at is not None
+            ),
+            default=now,
+        )
 
     def put(self, file: File, start: int, data, now: float) -> int:
         """Holds a packet; its number."""
@@ -204,8 +231,13 @@
     @staticmethod
     def is_out(file: File, number: int) -> bool:
         """Whether the file's packets up to a number are on nodes (or given up, with an error told)."""
-        return not any(layer.out is not None and layer.out_first <= number
-                       or layer.packets and layer.first_number <= number for layer in file.layers.values())
+        return not any(
+            layer.out is not None
+            and layer.out_first <= number
+            or layer.packets
+            and layer.first_number <= number
+            for layer in file.layers.values()
+        )
 
     def is_past(self, name: str, barrier: int) -> bool:
         """Whether all layers up to a barrier are on nodes or given up."""
@@ -234,11 +266,13 @@
             return None, folder.not_before
         files = [file for file in folder.files.values() if lowest in file.layers]
         oldest = min(file.layers[lowest].first_at for file in files)
-        if lowest <= folder.wanted_barrier or any(file.wanted >= file.layers[lowest].first_number
-                                                  for file in files if file.wanted):
+        if lowest <= folder.wanted_barrier or any(
+            file.wanted >= file.layers[lowest].first_number for file in files if file.wanted
+        ):
             return (0, oldest), now
-        crowded = (folder.bytes > PRESSURE * self.caps.folder_bytes
-                   or self.bytes > PRESSURE * self.caps.edge_bytes)
+        crowded = (
+            folder.bytes > PRESSURE * self.caps.folder_bytes or self.bytes > PRESSURE * self.caps.edge_bytes
+        )
         if crowded or now - oldest >= self.caps.age or folder.barrier > lowest:
             return (1, oldest), now
         quiet = max(file.last_at for file in files) + self.caps.idle
@@ -267,7 +301,7 @@
         files = [file for file in folder.files.values() if lowest in file.layers]
         files.sort(key=lambda file: (not file.wanted, file.layers[lowest].first_at))
         parts, size, oldest = [], 0, now
-        for file in files[:self.caps.batch_files]:
+        for file in files[: self.caps.batch_files]:
             layer = file.layers[lowest]
             if parts and size + layer.index.bytes > self.caps.batch_bytes:
                 break
--- a/rushmux/buffer/disk.py
+++ b/rushmux/buffer/disk.py
@@ -1,4 +1,5 @@
 """Where the log's segments lie: a folder of a real disk, or a simulated one."""
+
 import fcntl
 import os
 from pathlib import Path
@@ -33,7 +34,7 @@
         if name not in self.open:
             self.open[name] = os.open(self.folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
         while data:
-            data = data[os.write(self.open[name], data):]
+            data = data[os.write(self.open[name], data) :]
         if self.sync:
             os.fdatasync(self.open[name])
 
@@ -61,8 +62,8 @@
 
     def append(self, name, data):
         if self.fails is not None:
-            if self.half:                # a full disk takes what still fits
-                self.files.setdefault(name, bytearray()).extend(data[:len(data) // 2])
+            if self.half:  # a full disk takes what still fits
+                self.files.setdefault(name, bytearray()).extend(data[: len(data) // 2])
             raise OSError(self.fails, os.strerror(self.fails))
         self.files.setdefault(name, bytearray()).extend(data)
 
--- a/rushmux/buffer/extents.py
+++ b/rushmux/buffer/extents.py
@@ -5,17 +5,19 @@
 the packet that brought it.  A barrier costs nothing here: it closes a file's layer, and later
 packets go into the next one.
 """
+
 from bisect import bisect_right, insort
 from typing import Iterator, NamedTuple
 
-CHUNK = 512              # pieces in a chunk before it is cut in two: so many move in a microsecond
+CHUNK = 512  # pieces in a chunk before it is cut in two: so many move in a microsecond
 
 
 class Piece(NamedTuple):
     """Bytes of one packet at a place of the file."""
+
     start: int
     end: int
-    number: int              # of the packet, in the order they came
+    number: int  # of the packet, in the order they came
     data: memoryview
 
 
@@ -62,9 +64,9 @@
             if old.start >= end:
                 break
             if old.start < start:
-                low = Piece(old.start, start, old.number, old.data[:start - old.start])
+                low = Piece(old.start, start, old.number, old.data[: start - old.start])
             if old.end > end:
-                high = Piece(end, old.end, old.number, old.data[end - old.start:])
+                high = Piece(end, old.end, old.number, old.data[end - old.start :])
             self.bytes -= old.end - old.start
             place += 1
             if place == len(self.chunks[chunk]):
@@ -78,7 +80,7 @@
         if not self.chunks:
             self.chunks, self.firsts = [new], [new[0].start]
             return
-        if first_chunk == len(self.chunks):      # past the last piece
+        if first_chunk == len(self.chunks):  # past the last piece
             first_chunk, first_place = first_chunk - 1, len(self.chunks[-1])
             chunk, place = first_chunk, first_place
         if chunk == first_chunk:
@@ -88,15 +90,15 @@
             tail = self.chunks[chunk][place:] if place and chunk < len(self.chunks) else []
             past = chunk + 1 if tail else chunk
             self.chunks[first_chunk][first_place:] = new + tail
-            del self.chunks[first_chunk + 1:past], self.firsts[first_chunk + 1:past]
+            del self.chunks[first_chunk + 1 : past], self.firsts[first_chunk + 1 : past]
         pieces = self.chunks[first_chunk]
         if not pieces:
             del self.chunks[first_chunk], self.firsts[first_chunk]
             return
         self.firsts[first_chunk] = pieces[0].start
         while len(pieces) > CHUNK:
-            rest = pieces[CHUNK // 2:]
-            del pieces[CHUNK // 2:]
+            rest = pieces[CHUNK // 2 :]
+            del pieces[CHUNK // 2 :]
             first_chunk += 1
             self.chunks.insert(first_chunk, rest)
             self.firsts.insert(first_chunk, rest[0].start)
@@ -111,7 +113,7 @@
             if piece.start >= end:
                 break
             low, high = max(start, piece.start), min(end, piece.end)
-            found.append(Piece(low, high, piece.number, piece.data[low - piece.start:high - piece.start]))
+            found.append(Piece(low, high, piece.number, piece.data[low - piece.start : high - piece.start]))
             place += 1
             if place == len(self.chunks[chunk]):
                 chunk, place = chunk + 1, 0
@@ -125,8 +127,8 @@
                 edge = piece.start - piece.start % most + most
                 head, rest = piece, None
                 if piece.end > edge:
-                    head = Piece(piece.start, edge, piece.number, piece.data[:edge - piece.start])
-                    rest = Piece(edge, piece.end, piece.number, piece.data[edge - piece.start:])
+                    head = Piece(piece.start, edge, piece.number, piece.data[: edge - piece.start])
+                    rest = Piece(edge, piece.end, piece.number, piece.data[edge - piece.start :])
                 if run and (head.start != run[-1].end or head.start % most == 0):
                     yield at, run
                     run = []
@@ -157,13 +159,20 @@
                 kept.append(old)
                 continue
             if old.start < start:
-                kept.append(Piece(old.start, start, old.number, old.data[:start - old.start]))
+                kept.append(Piece(old.start, start, old.number, old.data[: start - old.start]))
             if old.end > end:
-                kept.append(Piece(end, old.end, old.number, old.data[end - old.start:]))
+                kept.append(Piece(end, old.end, old.number, old.data[end - old.start :]))
         insort(kept, Piece(start, end, number, data), key=_start)
         self.pieces = kept
 
     def within(self, start, end):
-        return [Piece(max(start, piece.start), min(end, piece.end), piece.number,
-                      piece.data[max(start, piece.start) - piece.start:min(end, piece.end) - piece.start])
-                for piece in self.pieces if piece.start < end and piece.end > start]
+        return [
+            Piece(
+                max(start, piece.start),
+                min(end, piece.end),
+                piece.number,
+                piece.data[max(start, piece.start) - piece.start : min(end, piece.end) - piece.start],
+            )
+            for piece in self.pieces
+            if piece.start < end and piece.end > start
+        ]
--- a/rushmux/buffer/journal.py
+++ b/rushmux/buffer/journal.py
@@ -4,6 +4,7 @@
 A record is its length and the CRC-32 of its body, four bytes each, and the body: a type byte, four
 bytes of the length of its fields as JSON, the fields, and the data of a packet.
 """
+
 import struct
 import zlib
 from typing import NamedTuple
@@ -14,7 +15,7 @@
 HEAD = b"RMXB" + FORMAT.to_bytes(2, "big") + b"\0\0"
 FRAME = struct.Struct(">II")
 FIELDS = struct.Struct(">BI")
-MOST = 2 << 20           # bytes of a record: a packet of the largest size with room
+MOST = 2 << 20  # bytes of a record: a packet of the largest size with room
 
 BASE, PUT, BARRIER, INTENT, DONE, DROPPED, BEGUN = range(1, 8)
 
@@ -25,6 +26,7 @@
 
 class Record(NamedTuple):
     """One record: its type, its fields, and the data of a packet."""
+
     kind: int
     fields: dict
     data: bytes = b""
@@ -33,6 +35,7 @@
 class Read(NamedTuple):
     """What a segment held: whole records up to the first that is not; whether its tail was cut off,
     as by a kill; and where it is damaged, if whole records follow (None: nowhere)."""
+
     records: list
     torn: bool
     damaged: int
@@ -53,24 +56,24 @@
     at += FRAME.size
     if not FIELDS.size <= length <= MOST or len(text) - at < length:
         return None
-    body = text[at:at + length]
+    body = text[at : at + length]
     if zlib.crc32(body) != crc:
         return None
     kind, size = FIELDS.unpack_from(body)
     if FIELDS.size + size > length or not BASE <= kind <= BEGUN:
         return None
     try:
-        fields = orjson.loads(body[FIELDS.size:FIELDS.size + size])
+        fields = orjson.loads(body[FIELDS.size : FIELDS.size + size])
     except orjson.JSONDecodeError:
         return None
-    return Record(kind, fields, bytes(body[FIELDS.size + size:])), at + length
+    return Record(kind, fields, bytes(body[FIELDS.size + size :])), at + length
 
 
 def read(text: bytes) -> Read:
     """Reads a segment; BadSegment where it does not begin as one."""
     if len(text) < len(HEAD) and HEAD.startswith(text):
-        return Read([], bool(text), None)      # killed while it was made
-    if text[:len(HEAD)] != HEAD:
+        return Read([], bool(text), None)  # killed while it was made
+    if text[: len(HEAD)] != HEAD:
         raise BadSegment(f"begins with {text[:8]!r}; a segment of this program begins with {HEAD!r}")
     view, at, records = memoryview(text), len(HEAD), []
     while at < len(text):
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -3,6 +3,7 @@
 `decide.Buffer` decides; this carries out.  A batch stores its bytes as new objects and then makes
 them visible by one change of rows, for all its files at once.
 """
+
 import asyncio
 from functools import partial
 
@@ -15,11 +16,11 @@
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
 
-TIME = 8.0               # seconds for a batch: past the hard stops of its two accesses
-STORES = 6               # objects of a batch on their way at a time: under the bound of ten out
-KEYS = 400               # rows asked for at once: far under a frame's bytes
-MARGIN = 0.1             # seconds kept back from a request that waits for room
-SEGMENT = 4 << 20        # bytes of the log after which a new segment is begun
+TIME = 8.0  # seconds for a batch: past the hard stops of its two accesses
+STORES = 6  # objects of a batch on their way at a time: under the bound of ten out
+KEYS = 400  # rows asked for at once: far under a frame's bytes
+MARGIN = 0.1  # seconds kept back from a request that waits for room
+SEGMENT = 4 << 20  # bytes of the log after which a new segment is begun
 
 
 def buffered(deployment, disk=None):
@@ -30,6 +31,7 @@
 
     def made(driver, tree, log):
         return WriteBack(driver, tree, caps, log, disk, deployment.buffer["log_bytes"])
+
     return made
 
 
@@ -45,8 +47,8 @@
         self.waiters, self.tasks, self.recovering = {}, {}, {}
         self.epoch, self.made, self.segment, self.sizes = 1, 0, "", {}
         self.records, self.broken = [], False
-        self.known = {}                  # file -> its rows as last seen: version, row, blocks by number
-        self.based = {}                  # files whose base stands in the log since they became dirty
+        self.known = {}  # file -> its rows as last seen: version, row, blocks by number
+        self.based = {}  # files whose base stands in the log since they became dirty
         self.counts = {"packets": 0, "bytes": 0, "objects": 0, "object_bytes": 0, "changes": 0, "direct": 0}
         if disk is not None:
             self.replay()
@@ -74,8 +76,11 @@
                 raise Shed() from None
         known = self.known.get(file)
         if known is None or known[0] < opened.version:
-            self.known[file] = opened.version, opened.file, {
-                number: (block.version, block.extents) for number, block in opened.blocks.items()}
+            self.known[file] = (
+                opened.version,
+                opened.file,
+                {number: (block.version, block.extents) for number, block in opened.blocks.items()},
+            )
         self.hold(file, start, data, opened.version)
         self.changed.set()
         if self.disk is not None:
@@ -91,10 +96,18 @@
         if self.disk is not None:
             if file not in self.based:
                 self.based[file] = True
-                self.record(journal.BASE, folder=file.folder, file=file.number, path=file.path,
-                            version=version)
-            self.record(journal.PUT, data, folder=file.folder, file=file.number, start=start, number=number,
-                        barrier=self.buffer.folder(file.folder).barrier)
+                self.record(
+                    journal.BASE, folder=file.folder, file=file.number, path=file.path, version=version
+                )
+            self.record(
+                journal.PUT,
+                data,
+                folder=file.folder,
+                file=file.number,
+                start=start,
+                number=number,
+                barrier=self.buffer.folder(file.folder).barrier,
+            )
 
     def closed(self, file: File):
         """A handle of the file is gone."""
@@ -133,7 +146,7 @@
         """Waits until `there()` holds, which each batch that ends may bring about."""
         if not self.buffer.can_make_it(errand.until - self.loop.time()):
             self.changed.set()
-            raise Terminated()           # it goes on all the same, but nobody can be told in time
+            raise Terminated()  # it goes on all the same, but nobody can be told in time
         self.changed.set()
         while not there():
             await self.until_changed()
@@ -164,19 +177,25 @@
             gone, overtaken = await self.commit(errand, batch, await self.store(errand, batch))
             self.buffer.committed(batch, self.loop.time(), gone)
             if overtaken:
-                self.buffer.give_up(batch.folder, batch.barrier, "others wrote while this edge was down",
-                                    overtaken)
+                self.buffer.give_up(
+                    batch.folder, batch.barrier, "others wrote while this edge was down", overtaken
+                )
                 self.log.error("buffer.overtaken", files=[file.number for file in overtaken])
             self.done(batch)
-        except Exception as fault:   # pylint: disable=broad-except
+        except Exception as fault:  # pylint: disable=broad-except
             known = isinstance(fault, (Shed, Terminated, Refused, Lost))
             why = (str(fault) or type(fault).__name__) if known else why
             if not known:
                 self.log.exception("buffer.fault", folder=batch.folder.name)
             before = {part.file: part.file.error for part in batch.parts}
             self.buffer.failed(batch, self.loop.time(), f"could not be written out ({why})")
-            self.log.info("buffer.batch.failed", folder=batch.folder.name, files=len(batch.parts), why=why,
-                          failures=batch.folder.failures)
+            self.log.info(
+                "buffer.batch.failed",
+                folder=batch.folder.name,
+                files=len(batch.parts),
+                why=why,
+                failures=batch.folder.failures,
+            )
             for file, error in before.items():
                 if file.error and not error:
                     self.log.error("buffer.given_up", file=file.number, why=file.error)
@@ -207,8 +226,12 @@
             self.counts["objects"] += 1
             self.counts["object_bytes"] += len(data)
             return number, Extent(start, len(data), name, cell, 0)
-        wanted = [(part, *divmod(start, block), pieces) for part in batch.parts
-                  for start, pieces in part.index.runs(block)]
+
+        wanted = [
+            (part, *divmod(start, block), pieces)
+            for part in batch.parts
+            for start, pieces in part.index.runs(block)
+        ]
         stored = await together(*(one(number, start, pieces) for _, number, start, pieces in wanted))
         extents = {part.file: [] for part in batch.parts}
         for (part, _, _, _), extent in zip(wanted, stored):
@@ -218,7 +241,7 @@
     async def rows(self, errand, keys):
         found = {}
         for at in range(0, len(keys), KEYS):
-            outcome = await errand.look("buffer", keys=keys[at:at + KEYS])
+            outcome = await errand.look("buffer", keys=keys[at : at + KEYS])
             found.update((row.key, row) for row in outcome.rows)
         return found
 
@@ -234,8 +257,11 @@
             for number, _ in extents[part.file]:
                 if number not in blocks and number * file.block < file.size:
                     return None
-            found[part.file] = version, file, {number: blocks.get(number, (0, []))
-                                               for number, _ in extents[part.file]}
+            found[part.file] = (
+                version,
+                file,
+                {number: blocks.get(number, (0, [])) for number, _ in extents[part.file]},
+            )
         return found
 
     async def looked(self, errand, batch, extents, gone, overtaken):
@@ -276,7 +302,7 @@
             stamp = self.driver.unique()
             try:
                 laid_out = await self.laid_out(errand, files, extents)
-            except Lost:                 # replaced under our hands: a fresh look knows by what
+            except Lost:  # replaced under our hands: a fresh look knows by what
                 continue
             checks, puts, dropped, after = [], [], [], {}
             for held, (version, file, blocks) in files.items():
@@ -340,7 +366,7 @@
             return
         data = b"".join(records)
         if not self.sizes or self.sizes[self.segment] > SEGMENT:
-            if not self.sizes:           # all before is on nodes: nothing of it is needed to read this
+            if not self.sizes:  # all before is on nodes: nothing of it is needed to read this
                 data = journal.pack(journal.BEGUN, epoch=self.epoch) + data
             self.made += 1
             self.segment = f"{self.epoch:08}-{self.made:06}.log"
@@ -358,8 +384,12 @@
         for part in batch.parts:
             part.file.stamp = stamp
         if self.disk is not None:
-            self.record(journal.INTENT, folder=batch.folder.name, stamp=stamp,
-                        files=[part.file.number for part in batch.parts if part.file in files])
+            self.record(
+                journal.INTENT,
+                folder=batch.folder.name,
+                stamp=stamp,
+                files=[part.file.number for part in batch.parts if part.file in files],
+            )
             self.commit_log()
 
     def done(self, batch):
@@ -367,8 +397,13 @@
         if self.disk is None:
             return
         for part in batch.parts:
-            self.record(journal.DONE, folder=batch.folder.name, file=part.file.number, number=part.number,
-                        version=part.file.version)
+            self.record(
+                journal.DONE,
+                folder=batch.folder.name,
+                file=part.file.number,
+                number=part.number,
+                version=part.file.version,
+            )
             if not part.file.dirty:
                 self.based.pop(part.file, None)
         self.commit_log()
@@ -394,14 +429,22 @@
                 if not file.dirty:
                     continue
                 self.based[file] = True
-                self.record(journal.BASE, folder=folder.name, file=file.number, path=file.path,
-                            version=file.version)
+                self.record(
+                    journal.BASE, folder=folder.name, file=file.number, path=file.path, version=file.version
+                )
                 if file.stamp:
                     self.record(journal.INTENT, folder=folder.name, stamp=file.stamp, files=[file.number])
                 for barrier, layer in sorted(file.layers.items()):
                     for piece in (piece for part in (layer.out, layer.index) if part for piece in part):
-                        self.record(journal.PUT, piece.data, folder=folder.name, file=file.number,
-                                    start=piece.start, number=piece.number, barrier=barrier)
+                        self.record(
+                            journal.PUT,
+                            piece.data,
+                            folder=folder.name,
+                            file=file.number,
+                            start=piece.start,
+                            number=piece.number,
+                            barrier=barrier,
+                        )
         self.commit_log()
 
     def replay(self):
@@ -451,8 +494,9 @@
             if record.kind == journal.BASE:
                 files[key] = [fields["path"], fields["version"], "", {}]
             elif record.kind == journal.PUT:
-                files[key][3].setdefault(fields["barrier"],
-                                         []).append((fields["number"], fields["start"], record.data))
+                files[key][3].setdefault(fields["barrier"], []).append(
+                    (fields["number"], fields["start"], record.data)
+                )
             elif record.kind == journal.BARRIER:
                 barriers[key[0]] = fields["barrier"]
             elif record.kind == journal.INTENT:
@@ -466,8 +510,12 @@
                     held[3][barrier] = [packet for packet in packets if packet[0] > fields["number"]]
             elif record.kind == journal.DROPPED:
                 files.pop(key, None)
-        packets = sorted((number, barrier, key, start, data) for key, held in files.items()
-                         for barrier, some in held[3].items() for number, start, data in some)
+        packets = sorted(
+            (number, barrier, key, start, data)
+            for key, held in files.items()
+            for barrier, some in held[3].items()
+            for number, start, data in some
+        )
         for number, barrier, (name, file), start, data in packets:
             if name not in self.driver.deployment.folders:
                 self.log.error("buffer.recovered.no_folder", folder=name, file=file)
@@ -481,8 +529,12 @@
             folder.wanted_barrier, folder.barrier = folder.barrier, folder.barrier + 1
             self.recovering[name] = folder.wanted_barrier
         if packets:
-            self.log.info("buffer.recovered", packets=len(packets), bytes=self.buffer.bytes,
-                          folders=len(self.recovering))
+            self.log.info(
+                "buffer.recovered",
+                packets=len(packets),
+                bytes=self.buffer.bytes,
+                folders=len(self.recovering),
+            )
 
     async def drain(self, until):
         """Has everything written out, until a time at the most."""
--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -1,4 +1,5 @@
 """Commands that run a whole fleet."""
+
 import asyncio
 import json
 import re
@@ -18,11 +19,11 @@
 from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
 from rushmux.standins.report import judge
 
-UNIT = 0.015             # seconds of a core for a unit of work, in the demo
-QUICK = 0.001            # the same, in a fleet that is only there to be used
-WATCH = 0.5              # seconds between two looks whether all parts live
-AGAIN = 1.0              # seconds until a part that ended is started anew
-VIRTUAL_WAY, WAY = 0.005, 0.25   # longest time of a message on its way: simulated, and real and busy
+UNIT = 0.015  # seconds of a core for a unit of work, in the demo
+QUICK = 0.001  # the same, in a fleet that is only there to be used
+WATCH = 0.5  # seconds between two looks whether all parts live
+AGAIN = 1.0  # seconds until a part that ended is started anew
+VIRTUAL_WAY, WAY = 0.005, 0.25  # longest time of a message on its way: simulated, and real and busy
 
 
 def sized(file, edges, folder, unit) -> tuple[Path, deployments.Deployment]:
@@ -51,8 +52,9 @@
     kept = folder / "fleet.json"
     held = json.loads(kept.read_text())["cells"] if kept.exists() else nodes
     if held != nodes:
-        raise click.ClickException(f"{folder} holds a fleet of {held} nodes, not {nodes}: where names lie "
-                                   "follows from their number")
+        raise click.ClickException(
+            f"{folder} holds a fleet of {held} nodes, not {nodes}: where names lie follows from their number"
+        )
     kept.write_text(json.dumps({"format": 1, "cells": nodes}))
 
     async def run():
@@ -69,6 +71,7 @@
             raise click.ClickException(str(fault)) from fault
         finally:
             await fleet.down()
+
     asyncio.run(run())
 
 
@@ -100,10 +103,19 @@
     path, deployment = sized(file, edges, folder, UNIT)
     chosen, wanted = script.load(name), days.Load(part=load)
     if virtual:
+
         async def story(fleet):
             await days.play(fleet, chosen, wanted, seed)
-        fleet, _ = fleets.play(deployment, seed, story, nodes=nodes, edges=edges, unit=UNIT,
-                               decisions={"module": Gateway, "passthrough": PassThrough}[decisions])
+
+        fleet, _ = fleets.play(
+            deployment,
+            seed,
+            story,
+            nodes=nodes,
+            edges=edges,
+            unit=UNIT,
+            decisions={"module": Gateway, "passthrough": PassThrough}[decisions],
+        )
         return fleet.all_records(), deployment
 
     async def run():
@@ -114,6 +126,7 @@
         finally:
             await fleet.down()
         return fleet.all_records()
+
     return asyncio.run(run()), deployment
 
 
@@ -124,13 +137,16 @@
         code = 0
         for decisions in ("module", "passthrough") if both else ("module",):
             try:
-                records, deployment = played(name, edges, nodes, load, seed, virtual, decisions,
-                                             folder / decisions, file)
+                records, deployment = played(
+                    name, edges, nodes, load, seed, virtual, decisions, folder / decisions, file
+                )
             except (script.BadScript, NotStarted) as fault:
                 raise click.ClickException(str(fault)) from fault
             lines, kept, _ = judge(records, deployment, VIRTUAL_WAY if virtual else WAY)
-            click.echo(f"day '{name}', {edges} edges, {nodes} nodes, load {load}, seed {seed}, "
-                       f"{'virtual' if virtual else 'processes'}, decisions: {decisions}")
+            click.echo(
+                f"day '{name}', {edges} edges, {nodes} nodes, load {load}, seed {seed}, "
+                f"{'virtual' if virtual else 'processes'}, decisions: {decisions}"
+            )
             click.echo("\n".join(lines) + "\n")
             if decisions == "module" and not kept:
                 code = 1
--- a/rushmux/cli/killing.py
+++ b/rushmux/cli/killing.py
@@ -1,4 +1,5 @@
 """`rushmux kills`: kills an edge at random moments, thousands of times, and judges each."""
+
 import asyncio
 import json
 import random
@@ -15,10 +16,10 @@
 from rushmux.standins.processes import ProcessFleet
 
 FOLDERS = ("heredia", "limon", "estrella", "frutas", "golfo")
-VIRTUAL_UNIT, UNIT = 0.004, 0.002   # seconds of a core for a unit of work
-SPAN = 1.2               # seconds within which the kill comes
+VIRTUAL_UNIT, UNIT = 0.004, 0.002  # seconds of a core for a unit of work
+SPAN = 1.2  # seconds within which the kill comes
 TROUBLES = (None, None, "silent", "lost", "errors", "stuck", "slow", "disk", "resets")
-STARTED = 60             # rounds with one fleet of processes
+STARTED = 60  # rounds with one fleet of processes
 
 
 def raw_of(file):
@@ -42,14 +43,17 @@
     """Rounds on the virtual clock, one fleet each: (seed, what was wrong)."""
     found = []
     for seed in seeds:
+
         async def story(fleet, seed=seed):
             chance = random.Random(seed)
             asyncio.ensure_future(troubled(fleet, chance))
             return (await kills.round_of(fleet, FOLDERS[seed % len(FOLDERS)], chance, 0, SPAN))[0]
+
         try:
-            _, wrong = fleets.play(build(raw), seed, story, nodes=4, edges=2, unit=VIRTUAL_UNIT,
-                                   logs=seed % 3 > 0)
-        except Exception as fault:   # pylint: disable=broad-except
+            _, wrong = fleets.play(
+                build(raw), seed, story, nodes=4, edges=2, unit=VIRTUAL_UNIT, logs=seed % 3 > 0
+            )
+        except Exception as fault:  # pylint: disable=broad-except
             wrong = [f"{type(fault).__name__}: {fault}"]
         found.append((seed, wrong))
     return found
@@ -57,6 +61,7 @@
 
 def processes(raw, seeds):
     """Rounds on one fleet of real processes, one after the other."""
+
     async def run():
         found = []
         with tempfile.TemporaryDirectory() as folder:
@@ -69,13 +74,15 @@
                 for seed in seeds:
                     chance = random.Random(seed)
                     trouble = asyncio.ensure_future(troubled(fleet, chance))
-                    wrong, count = await kills.round_of(fleet, FOLDERS[seed % len(FOLDERS)], chance, count,
-                                                        SPAN)
+                    wrong, count = await kills.round_of(
+                        fleet, FOLDERS[seed % len(FOLDERS)], chance, count, SPAN
+                    )
                     await trouble
                     found.append((seed, wrong))
             finally:
                 await fleet.down()
         return found
+
     return asyncio.run(run())
 
 
@@ -83,7 +90,7 @@
     """All rounds over some cores; the number of seeds with something wrong."""
     raw, seeds = raw_of(file), range(seed, seed + runs)
     size = min(STARTED if real else 50, -(-runs // jobs))
-    shares = [seeds[at:at + size] for at in range(0, runs, size)]
+    shares = [seeds[at : at + size] for at in range(0, runs, size)]
     bad = done = 0
     with ProcessPoolExecutor(jobs) as pool:
         for found in pool.map(processes if real else virtual, [raw] * len(shares), shares):
@@ -92,6 +99,8 @@
                 bad += bool(wrong)
                 for text in wrong[:3]:
                     click.echo(f"seed {number}: {text}")
-    click.echo(f"{done} kills, {'real processes' if real else 'virtual clock'}, "
-               f"seeds {seeds[0]} to {seeds[-1]}: {bad} with something wrong")
+    click.echo(
+        f"{done} kills, {'real processes' if real else 'virtual clock'}, "
+        f"seeds {seeds[0]} to {seeds[-1]}: {bad} with something wrong"
+    )
     return bad
--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -1,4 +1,5 @@
 """`rushmux lab`: experiments on emulated fleets."""
+
 import os
 import sys
 import time
@@ -9,15 +10,25 @@
 from rushmux.cli.shared import Place
 
 EXPERIMENTS = Path(__file__).resolve().parents[1] / "lab" / "experiments"
-DATA = click.option("--data", type=click.Path(), default="var/lab", show_default=True,
-                    help="folder of the store of results and the reports")
-JOBS = click.option("--jobs", type=click.IntRange(1, 256), default=lambda: os.cpu_count() or 1,
-                    show_default="the machine's cores")
+DATA = click.option(
+    "--data",
+    type=click.Path(),
+    default="var/lab",
+    show_default=True,
+    help="folder of the store of results and the reports",
+)
+JOBS = click.option(
+    "--jobs",
+    type=click.IntRange(1, 256),
+    default=lambda: os.cpu_count() or 1,
+    show_default="the machine's cores",
+)
 
 
 def read(name):
     """An experiment by its name among those that come along, or by its file."""
     from rushmux.lab import spec
+
     path = EXPERIMENTS / f"{name}.json"
     try:
         return spec.load(path if path.exists() else name)
@@ -27,6 +38,7 @@
 
 def kept(data):
     from rushmux.lab.store import BadStore, Store
+
     try:
         return Store(Path(data) / "results.sqlite")
     except BadStore as fault:
@@ -56,6 +68,7 @@
 
     Exit 1 where a variant of the module broke a rule."""
     from rushmux.lab import spec
+
     store = kept(data)
     try:
         many = spec.expanded(read(experiment))
@@ -67,6 +80,7 @@
 def one(raw, store, jobs, report, data):
     """Plays one experiment and says what was seen; whether a variant of the module broke a rule."""
     from rushmux.lab import run as runs
+
     begun = time.monotonic()
     try:
         found = runs.run(raw, store, jobs, told)
@@ -75,10 +89,14 @@
     click.echo("\n".join(runs.said(raw, found)))
     if report:
         from rushmux.lab import report as reports
+
         path = reports.write(raw, found, data / raw["name"])
         click.echo(f"{path} ({time.monotonic() - begun:.0f} s)")
-    ours = [variant["name"] for variant in raw["variants"]
-            if variant.get("decisions", "module") == "module" and not variant.get("without")]
+    ours = [
+        variant["name"]
+        for variant in raw["variants"]
+        if variant.get("decisions", "module") == "module" and not variant.get("without")
+    ]
     return any(not row["kept"] for name in ours for row in found[name].values() if "crashed" not in row)
 
 
@@ -92,6 +110,7 @@
 def search(experiment, data, jobs, days, seed, save):
     """Looks for the day on which the first variant serves worst, within the experiment's ranges."""
     from rushmux.lab import search as searches
+
     raw = read(experiment)
     worst = searches.search(raw, days, seed, jobs, told)
     shrunk = searches.shrink(raw, worst, jobs, told)
@@ -107,6 +126,7 @@
 def replay(case):
     """Plays a saved day again; exit 1 where it ends otherwise than it was saved, or a rule breaks."""
     from rushmux.lab import search as searches
+
     try:
         same, text = searches.replay(case)
     except searches.BadCase as fault:
@@ -124,14 +144,22 @@
     from rushmux.lab import spec
     from rushmux.lab import yardstick as yards
     from rushmux.lab.lean import speeds
+
     raw = read(experiment)
-    bound = yards.bound(*spec.day(raw, raw["variants"][0], seed), raw["seconds"],
-                        speeds(spec.fleet(raw), seed))
+    bound = yards.bound(
+        *spec.day(raw, raw["variants"][0], seed), raw["seconds"], speeds(spec.fleet(raw), seed)
+    )
     click.echo(f"at most {bound:.3f} of all operations could be served in time")
     for variant in raw["variants"]:
         row = runs.play(raw, variant, runs.source(variant), seed)
-        click.echo(f"  {variant['name']:24} " + (f"{row['in_time']:.3f}, {row['in_time'] / bound:.3f} of that"
-                                                 if "crashed" not in row else row["crashed"]))
+        click.echo(
+            f"  {variant['name']:24} "
+            + (
+                f"{row['in_time']:.3f}, {row['in_time'] / bound:.3f} of that"
+                if "crashed" not in row
+                else row["crashed"]
+            )
+        )
 
 
 @lab.command()
@@ -141,6 +169,7 @@
 def trace(experiment, seed, out):
     """Writes the arrivals of one day as a trace."""
     from rushmux.lab import spec, workload
+
     raw = read(experiment)
     _, _, arrivals, _ = spec.day(raw, raw["variants"][0], seed)
     workload.write_trace(out, spec.day_volumes(raw, seed), arrivals)
@@ -149,14 +178,21 @@
 
 @lab.command()
 @click.argument("experiment")
-@click.option("--edge", "edges", type=Place(), multiple=True, required=True,
-              help="HOST:PORT of an edge; may be repeated")
+@click.option(
+    "--edge",
+    "edges",
+    type=Place(),
+    multiple=True,
+    required=True,
+    help="HOST:PORT of an edge; may be repeated",
+)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seconds", type=float, default=10.0, show_default=True)
 @click.option("--folder", "folders", multiple=True, required=True, help="client folders to work in")
 def load(experiment, edges, seed, seconds, folders):
     """Drives running edges over sockets with an experiment's workload."""
     from rushmux.lab import load as loads
+
     raw = read(experiment)
     try:
         lines, good = loads.drive(raw, seed, seconds, edges, folders)
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -1,4 +1,5 @@
 """The command line: the only place that reads arguments, the wall clock and the machine's chance."""
+
 import asyncio
 import contextlib
 import json
@@ -22,13 +23,15 @@
 def common(command):
     """Options of every part that runs until it is told to end."""
     for option in (
-            click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE),
-                         show_default="the example"),
-            click.option("--listen", type=Place(), default="127.0.0.1:0", show_default=True),
-            click.option("--seed", type=int, help="all of its chance; must differ at every start"),
-            click.option("--records", type=click.Path(), help="write what its sockets see to this file"),
-            click.option("--log-level", type=LEVELS, default="info", show_default=True),
-            click.option("--with-parent", is_flag=True, help="end when standard input closes")):
+        click.option(
+            "--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example"
+        ),
+        click.option("--listen", type=Place(), default="127.0.0.1:0", show_default=True),
+        click.option("--seed", type=int, help="all of its chance; must differ at every start"),
+        click.option("--records", type=click.Path(), help="write what its sockets see to this file"),
+        click.option("--log-level", type=LEVELS, default="info", show_default=True),
+        click.option("--with-parent", is_flag=True, help="end when standard input closes"),
+    ):
         command = option(command)
     return command
 
@@ -41,7 +44,9 @@
 
     def record(kind, **fields):
         import orjson
+
         sink.write(orjson.dumps({"kind": kind, "at": loop.time(), **fields}) + b"\n")
+
     return record
 
 
@@ -60,6 +65,7 @@
     except OSError as fault:
         raise click.ClickException(f"cannot listen at {listen[0]}:{listen[1]}: {fault.strerror}") from fault
     import orjson
+
     click.echo(orjson.dumps({"port": port, **said}))
     await ended.wait()
     await part.close()
@@ -78,14 +84,23 @@
 
 @main.command()
 @common
-@click.option("--number", type=int, default=0, show_default=True,
-              help="which of the deployment's edges this is")
-@click.option("--lists", type=Places(), required=True,
-              help="source of the list of nodes; of several planners with commas between")
-@click.option("--decisions", type=click.Choice(["module", "passthrough"]), default="module",
-              show_default=True)
-@click.option("--data", type=click.Path(),
-              help="folder for the log of its write-back buffer and the last list; left out: neither")
+@click.option(
+    "--number", type=int, default=0, show_default=True, help="which of the deployment's edges this is"
+)
+@click.option(
+    "--lists",
+    type=Places(),
+    required=True,
+    help="source of the list of nodes; of several planners with commas between",
+)
+@click.option(
+    "--decisions", type=click.Choice(["module", "passthrough"]), default="module", show_default=True
+)
+@click.option(
+    "--data",
+    type=click.Path(),
+    help="folder for the log of its write-back buffer and the last list; left out: neither",
+)
 def edge(file, listen, seed, records, log_level, with_parent, number, lists, decisions, data):
     """Takes clients and serves their files from the nodes."""
     from rushmux.buffer.disk import Disk, InUse
@@ -96,21 +111,23 @@
     from rushmux.rules import Gateway
     from rushmux.settings import deployment as deployments
     from rushmux.standins.passthrough import PassThrough
+
     deployment = deployed(file)
     if not 0 <= number < deployment.terms.gateways:
         raise click.ClickException(f"edge {number} of {deployment.terms.gateways}")
     disk = kept = None
     if deployment.policy:
         if not data:
-            raise click.ClickException("an edge of a fleet with a policy needs --data: it keeps what was "
-                                       "decided")
+            raise click.ClickException(
+                "an edge of a fleet with a policy needs --data: it keeps what was decided"
+            )
         kept = Kept(Path(data) / "policy.kept")
         try:
             kept.load()
         except Newer as fault:
             raise click.ClickException(str(fault)) from fault
-        except Exception:   # pylint: disable=broad-except
-            pass                         # said when it starts: it serves nothing until it was told
+        except Exception:  # pylint: disable=broad-except
+            pass  # said when it starts: it serves nothing until it was told
     if data and deployment.buffer is not None:
         try:
             disk = Disk(data, deployment.buffer["log_sync"])
@@ -123,14 +140,31 @@
         if data:
             Path(data).mkdir(parents=True, exist_ok=True)
         last = LastList(Path(data) / "last.list", time.time, logger) if data else None
-        part = Edge(number, deployment, lists, new_seed(seed), time.time() - loop.time(), logger,
-                    {"module": Gateway, "passthrough": PassThrough}[decisions],
-                    buffered(deployment, disk), last, kept)
-        part.went_by = lambda state: record("goes_by", edge=part.name, start=part.start, number=state[0],
-                                            staged=state[1] or 0, narrow=state[2], serves=state[3])
+        part = Edge(
+            number,
+            deployment,
+            lists,
+            new_seed(seed),
+            time.time() - loop.time(),
+            logger,
+            {"module": Gateway, "passthrough": PassThrough}[decisions],
+            buffered(deployment, disk),
+            last,
+            kept,
+        )
+        part.went_by = lambda state: record(
+            "goes_by",
+            edge=part.name,
+            start=part.start,
+            number=state[0],
+            staged=state[1] or 0,
+            narrow=state[2],
+            serves=state[3],
+        )
         part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
         loop.add_signal_handler(signal.SIGHUP, part.reload, lambda: deployments.load(file))
         await serve(part, listen, with_parent, start=part.start)
+
     asyncio.run(run())
 
 
@@ -143,18 +177,38 @@
 @click.option("--tell", type=Place(), help="where edges find it, if not where it listens")
 @click.option("--data", type=click.Path(), required=True, help="file of its store")
 @click.option("--disk", type=int, default=1 << 30, show_default=True, help="bytes")
-@click.option("--unit", type=float, default=0.015, show_default=True,
-              help="seconds of a core for a unit of work")
+@click.option(
+    "--unit", type=float, default=0.015, show_default=True, help="seconds of a core for a unit of work"
+)
 @click.option("--cores", type=int, default=2, show_default=True)
 @click.option("--warm", is_flag=True, help="start at full capacity")
 @click.option("--sync", is_flag=True, help="every commit reaches the disk before it is answered")
 @click.option("--obeys", is_flag=True, help="take orders to be in trouble")
-def node(file, listen, seed, records, log_level, with_parent, name, cell, zone, lists, tell, data, disk, unit,
-         cores, warm, sync, obeys):
+def node(
+    file,
+    listen,
+    seed,
+    records,
+    log_level,
+    with_parent,
+    name,
+    cell,
+    zone,
+    lists,
+    tell,
+    data,
+    disk,
+    unit,
+    cores,
+    warm,
+    sync,
+    obeys,
+):
     """A stand-in storage node."""
     from rushmux.standins.fleet import shape_of, window_of
     from rushmux.standins.node import Node
     from rushmux.standins.store import BadStore, Store
+
     deployment = deployed(file)
     try:
         store = Store(data, cell, disk, window_of(deployment), sync)
@@ -163,10 +217,22 @@
 
     async def run():
         loop = asyncio.get_running_loop()
-        part = Node(name, cell, zone, store, lists, shape_of(deployment, unit=unit, cores=cores),
-                    new_seed(seed), not warm, log.to_stream(sys.stderr.buffer, log_level),
-                    recorder(records, loop), obeys, tell)
+        part = Node(
+            name,
+            cell,
+            zone,
+            store,
+            lists,
+            shape_of(deployment, unit=unit, cores=cores),
+            new_seed(seed),
+            not warm,
+            log.to_stream(sys.stderr.buffer, log_level),
+            recorder(records, loop),
+            obeys,
+            tell,
+        )
         await serve(part, listen, with_parent, start=part.start)
+
     asyncio.run(run())
 
 
@@ -178,23 +244,33 @@
 def lists(file, listen, seed, records, log_level, with_parent, cells, lag, obeys):
     """A stand-in for the source of the list of nodes."""
     from rushmux.standins.lists import ListSource
+
     deployment = deployed(file)
     terms = deployment.terms
 
     async def run():
         rates = {name: terms.plans[folder.plan].nominal for name, folder in deployment.folders.items()}
-        part = ListSource(cells, lag, log.to_stream(sys.stderr.buffer, log_level),
-                          recorder(records, asyncio.get_running_loop()), f"{new_seed(seed):x}",
-                          terms.meter_span / 10_000, rates, obeys)
+        part = ListSource(
+            cells,
+            lag,
+            log.to_stream(sys.stderr.buffer, log_level),
+            recorder(records, asyncio.get_running_loop()),
+            f"{new_seed(seed):x}",
+            terms.meter_span / 10_000,
+            rates,
+            obeys,
+        )
         await serve(part, listen, with_parent)
+
     asyncio.run(run())
 
 
 @main.command()
 @common
 @click.option("--cells", type=int, required=True, help="shards that data is spread over; never changed later")
-@click.option("--data", type=click.Path(), required=True,
-              help="file of what it knows; its log lies beside it")
+@click.option(
+    "--data", type=click.Path(), required=True, help="file of what it knows; its log lies beside it"
+)
 @click.option("--planners", type=Named(), help="all planners of the fleet, this one among them")
 @click.option("--name", default="a", show_default=True, help="which of the planners this is")
 @click.option("--found", is_flag=True, help="begin the planners' log; at the fleet's first start only")
@@ -205,6 +281,7 @@
     from rushmux.planner.logfile import BadLog
     from rushmux.planner.planner import Planner
     from rushmux.planner.store import BadStore, Store
+
     deployment, among = deployed(file), None
     if planners or deployment.policy:
         planners = planners or {name: listen}
@@ -217,14 +294,23 @@
         raise click.ClickException(str(fault)) from fault
 
     async def run():
-        part = Planner(cells, store, log.to_stream(sys.stderr.buffer, log_level),
-                       recorder(records, asyncio.get_running_loop()), deployment.limits(),
-                       deployment.terms.gateways, among, f"{data}.log", deployment,
-                       random.Random(new_seed(seed)))
+        part = Planner(
+            cells,
+            store,
+            log.to_stream(sys.stderr.buffer, log_level),
+            recorder(records, asyncio.get_running_loop()),
+            deployment.limits(),
+            deployment.terms.gateways,
+            among,
+            f"{data}.log",
+            deployment,
+            random.Random(new_seed(seed)),
+        )
         try:
             await serve(part, listen, with_parent)
         except BadLog as fault:
             raise click.ClickException(str(fault)) from fault
+
     asyncio.run(run())
 
 
@@ -232,6 +318,7 @@
 @click.argument("place", type=Place())
 def connect(place):
     """Joins standard input and output to an edge, for clients that speak through a command."""
+
     async def run():
         loop = asyncio.get_running_loop()
         try:
@@ -251,10 +338,12 @@
             while data := await reader.read(1 << 16):
                 sys.stdout.buffer.write(data)
                 sys.stdout.buffer.flush()
+
         up = loop.create_task(upwards())
         with contextlib.suppress(OSError):
             await downwards()
         up.cancel()
+
     asyncio.run(run())
 
 
@@ -265,6 +354,7 @@
 def check(file, facts, told):
     """Reads a deployment file, proves its routes and tells every refusal, starting nothing."""
     from rushmux.routes import prove, tell
+
     deployment = deployed(file, plainly=True)
     if told:
         for line in tell.routes(deployment.flows):
@@ -272,8 +362,10 @@
     if facts:
         for line in tell.facts(prove.facts(deployment.ground, deployment.flows)):
             click.echo(line)
-    click.echo(f"{file}: {len(deployment.terms.lanes)} lanes, {len(deployment.terms.plans)} plans, "
-               f"{len(deployment.folders)} folders: in order")
+    click.echo(
+        f"{file}: {len(deployment.terms.lanes)} lanes, {len(deployment.terms.plans)} plans, "
+        f"{len(deployment.folders)} folders: in order"
+    )
 
 
 @main.command()
@@ -281,8 +373,13 @@
 @click.option("--to", type=click.Path(dir_okay=False), help="the new file; without it nothing is written")
 @click.option("--dry-run", is_flag=True, help="tell what would be written and what would be left, and stop")
 @click.option("--force", is_flag=True, help="write over a file that is there")
-@click.option("--load", type=click.Choice(["none", "probe"]), default="probe", show_default=True,
-              help="whether the new nodes tell their load to edges that ask")
+@click.option(
+    "--load",
+    type=click.Choice(["none", "probe"]),
+    default="probe",
+    show_default=True,
+    help="whether the new nodes tell their load to edges that ask",
+)
 @click.option("--meter-ms", type=float, help="period of the fleet's meter; 0: none")
 @click.option("--in-order", multiple=True, help="a lane to keep in order by key; may be given again")
 @click.option("--order-rest-ms", type=float, help="rest of a key after what may still run")
@@ -292,9 +389,12 @@
 def move(file, to, dry_run, force, load, meter_ms, in_order, order_rest_ms, gateways, no_reserves, no_copies):
     """Makes the new shape's file from one of the old, and lists what it could not carry over."""
     from rushmux.settings import deployment as deployments, moving
+
     old = deployed(file)
-    new, left = moving.moved(old.raw, moving.Shape(load, meter_ms, in_order, order_rest_ms, gateways,
-                                                   not no_reserves, not no_copies))
+    new, left = moving.moved(
+        old.raw,
+        moving.Shape(load, meter_ms, in_order, order_rest_ms, gateways, not no_reserves, not no_copies),
+    )
     for place, text in left:
         click.echo(f"{file}: {place}: {text}")
     try:
@@ -325,6 +425,7 @@
 def up(edges, nodes, data, file):
     """Starts a whole fleet on loopback and runs until SIGTERM or Ctrl-C."""
     from rushmux.cli import fleets
+
     fleets.up(edges, nodes, Path(data), file)
 
 
@@ -336,12 +437,14 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--virtual", is_flag=True, help="in one process on a simulated clock")
 @click.option("--both", is_flag=True, help="the same day with a plain pass-through beside it")
-@click.option("--data", type=click.Path(),
-              help="folder for data, logs and recordings; default: a temporary one")
+@click.option(
+    "--data", type=click.Path(), help="folder for data, logs and recordings; default: a temporary one"
+)
 @click.option("--deployment", "file", type=click.Path(), default=str(EXAMPLE), show_default="the example")
 def demo(day, edges, nodes, load, seed, virtual, both, data, file):
     """Plays a scripted bad day, checks the rules from its recordings and prints a report."""
     from rushmux.cli import fleets
+
     sys.exit(fleets.demo(day, edges, nodes, load, seed, virtual, both, data, file))
 
 
@@ -354,4 +457,5 @@
 def kills(runs, seed, real, jobs, file):
     """Kills an edge within its write-back at random moments and checks what it had promised."""
     from rushmux.cli import killing
+
     sys.exit(1 if killing.run(runs, seed, real, jobs, file) else 0)
--- a/rushmux/cli/planning.py
+++ b/rushmux/cli/planning.py
@@ -1,17 +1,20 @@
 """`rushmux fleet`: what people ask of a planner."""
+
 import asyncio
 
 import click
 
 from rushmux.cli.shared import Places
 
-PLANNER = click.option("--planner", type=Places(), required=True,
-                       help="HOST:PORT of the planner; of several with commas between")
-MOST_LOOKS = 100_000     # of one `watch`
+PLANNER = click.option(
+    "--planner", type=Places(), required=True, help="HOST:PORT of the planner; of several with commas between"
+)
+MOST_LOOKS = 100_000  # of one `watch`
 
 
 def ordered(planner, verb, member=""):
     from rushmux.planner import orders
+
     try:
         return asyncio.run(orders.order(planner, verb, member))
     except orders.NotOrdered as fault:
@@ -29,6 +32,7 @@
 def show(planner):
     """Every member, its condition and why."""
     from rushmux.planner import orders
+
     click.echo("\n".join(orders.lines(ordered(planner, "show"))))
 
 
@@ -39,6 +43,7 @@
 def drain(planner, node, wait):
     """Nothing new goes to a node; exit 1 where it may not be stopped in the time waited for."""
     import time
+
     answer, until = ordered(planner, "drain", node), time.monotonic() + wait
     while True:
         row = next(row for row in answer.members if row.member == node)
@@ -66,6 +71,7 @@
 def watch(planner, every, looks):
     """Prints members as their conditions change."""
     import time
+
     known = {}
     for look in range(looks):
         for row in ordered(planner, "show").members:
--- a/rushmux/cli/policies.py
+++ b/rushmux/cli/policies.py
@@ -1,4 +1,5 @@
 """`rushmux policy`: what people ask of the planners about the fleet's policy."""
+
 import asyncio
 import difflib
 import getpass
@@ -10,14 +11,15 @@
 from rushmux.cli.planning import PLANNER
 from rushmux.cli.shared import deployed, new_seed
 
-MOST_LOOKS = 100_000     # of one `watch`
-EVERY = 0.5              # seconds between two looks
+MOST_LOOKS = 100_000  # of one `watch`
+EVERY = 0.5  # seconds between two looks
 TEXT = ("text", "texts")
 
 
 def asked(planner, verb, **order) -> tuple[str, dict]:
     """What was said, and the state behind it."""
     from rushmux.planner import orders
+
     try:
         answer = asyncio.run(orders.policy(planner, verb, **order))
     except orders.NotOrdered as fault:
@@ -37,11 +39,12 @@
 def lines(state) -> list[str]:
     """The policy and who goes by what, as plain text."""
     force, staged = state["force"], state["staged"]
-    found = [f"in force: {force['number'] if force else 'none'}; under way: "
-             + (f"{staged['number']} by {staged['by']}" if staged else "none")
-             + f"; nodes turn away below {state['floor']}",
-             f"planners: {', '.join(state['planners'])}; {state['leader'] or 'none'} leads, "
-             f"term {state['term']}"]
+    found = [
+        f"in force: {force['number'] if force else 'none'}; under way: "
+        + (f"{staged['number']} by {staged['by']}" if staged else "none")
+        + f"; nodes turn away below {state['floor']}",
+        f"planners: {', '.join(state['planners'])}; {state['leader'] or 'none'} leads, term {state['term']}",
+    ]
     if state["harm"]:
         found.append(f"waits for all: {state['harm']}")
     found.append(f"{'member':10}{'goes by':>8}{'joint':>7}{'lease':>7}  against")
@@ -99,6 +102,7 @@
 def propose(planner, wait, base, file):
     """Proposes the policy of a deployment file: it takes hold at every member, or at none."""
     from rushmux.settings import policy as documents
+
     said, _ = done(planner, "propose", text=documents.text(deployed(file, plainly=True).raw), base=base)
     if wait:
         waited(planner, int(said.split()[0]), wait)
@@ -146,6 +150,7 @@
 def diff(planner, file, past):
     """What a file, or a policy of before, would change in the one in force."""
     from rushmux.settings import policy as documents
+
     _, state = asked(planner, "show")
     if past is not None:
         if str(past) not in state["texts"]:
@@ -158,8 +163,16 @@
 
     def plain(text):
         return json.dumps(json.loads(text), indent=1, sort_keys=True, ensure_ascii=False).splitlines()
-    found = list(difflib.unified_diff(plain(state["force"]["text"]), plain(other),
-                                      f"policy {state['force']['number']}", name, lineterm=""))
+
+    found = list(
+        difflib.unified_diff(
+            plain(state["force"]["text"]),
+            plain(other),
+            f"policy {state['force']['number']}",
+            name,
+            lineterm="",
+        )
+    )
     click.echo("\n".join(found) if found else "the same")
 
 
@@ -172,8 +185,10 @@
     known = {}
     for look in range(looks):
         _, state = asked(planner, "show")
-        rows = {("change", past["number"]): f"change {past['number']}: {past['end']}, {past['why']}"
-                for past in state["history"]}
+        rows = {
+            ("change", past["number"]): f"change {past['number']}: {past['end']}, {past['why']}"
+            for past in state["history"]
+        }
         if state["staged"]:
             number = state["staged"]["number"]
             rows["change", number] = f"change {number}: under way, by {state['staged']['by']}"
--- a/rushmux/cli/rig.py
+++ b/rushmux/cli/rig.py
@@ -1,4 +1,5 @@
 """`rushmux rig`: stories of faults between real processes, judged."""
+
 import asyncio
 import tempfile
 from pathlib import Path
@@ -11,13 +12,15 @@
 @click.option("--all", "every", is_flag=True, help="every story of the collection")
 @click.option("--jobs", type=click.IntRange(1, 16), default=3, show_default=True, help="stories at a time")
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--data", type=click.Path(),
-              help="folder for data, logs and recordings; default: a temporary one")
+@click.option(
+    "--data", type=click.Path(), help="folder for data, logs and recordings; default: a temporary one"
+)
 @click.option("--facts", is_flag=True, help="counts of each story")
 def rig(stories, every, jobs, seed, data, facts):
     """Plays stories (names, or files) on planners, edges and nodes of their own; exit 1 where one breaks a
     rule."""
     from rushmux.standins import rig as rigs
+
     try:
         chosen = [rigs.load(name) for name in (rigs.names() if every else stories)]
     except rigs.BadStory as fault:
--- a/rushmux/cli/shared.py
+++ b/rushmux/cli/shared.py
@@ -1,4 +1,5 @@
 """What the sub-commands share."""
+
 import os
 from pathlib import Path
 
@@ -11,6 +12,7 @@
 
 class Place(click.ParamType):
     """HOST:PORT of this machine or another."""
+
     name = "host:port"
 
     def convert(self, value, param, ctx):
@@ -24,6 +26,7 @@
 
 class Places(Place):
     """HOST:PORT, or several with commas between."""
+
     name = "host:port[,...]"
 
     def convert(self, value, param, ctx):
@@ -35,6 +38,7 @@
 
 class Named(Place):
     """NAME=HOST:PORT, with commas between."""
+
     name = "name=host:port[,...]"
 
     def convert(self, value, param, ctx):
@@ -59,8 +63,9 @@
             told = {(finding.place, finding.text) for finding in fault.findings}
             lines = [f"{place}: {text}" for place, text in fault.faults if (place, text) not in told]
             lines += [line for finding in fault.findings for line in finding.lines()]
-            raise click.ClickException("\n".join([f"{path}: {len(fault.faults)} refusal(s)",
-                                                  *lines])) from fault
+            raise click.ClickException(
+                "\n".join([f"{path}: {len(fault.faults)} refusal(s)", *lines])
+            ) from fault
         raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
 
 
--- a/rushmux/driver.py
+++ b/rushmux/driver.py
@@ -4,26 +4,28 @@
 closed by `act`, no sooner than the terms' tick after the last.  Ticks are whole tenths of a millisecond
 of the loop's clock.  A front derives from `Core`, takes operations by `take`, and gives `carry`.
 """
+
 import asyncio
 
 from rushmux import interface as say
 from rushmux.rules import MAY_STILL_RUN, NEVER_RAN, Gateway
 
-SECOND = 10_000          # ticks in a second
+SECOND = 10_000  # ticks in a second
 SHED, TERMINATED = "shed", "terminated"
-STOOD_STILL = 0.001      # seconds that a timer is late when this process was not running
-NEVER = float("inf")     # the loop's time that never comes
-READ_FIRST = 0.002       # seconds until a late time-out is judged: the sockets are read in between
+STOOD_STILL = 0.001  # seconds that a timer is late when this process was not running
+NEVER = float("inf")  # the loop's time that never comes
+READ_FIRST = 0.002  # seconds until a late time-out is judged: the sockets are read in between
 
 
 class Taken:
     """An operation between being taken and its last execution's return."""
+
     __slots__ = ("work", "facts", "ends", "answer", "ended", "sent", "flying", "backstop", "maybe_at")
 
     def __init__(self, work, facts, ends, answer):
         self.work, self.facts, self.ends, self.answer = work, facts, ends, answer
         self.ended, self.sent, self.flying, self.backstop = False, 0, {}, None
-        self.maybe_at = None             # when the first execution was decided that may have run
+        self.maybe_at = None  # when the first execution was decided that may have run
 
 
 class Core:
@@ -71,7 +73,7 @@
         """A fault of the module is logged and costs one operation, not the gateway."""
         try:
             call(*values)
-        except Exception:   # pylint: disable=broad-except
+        except Exception:  # pylint: disable=broad-except
             self.log.exception("module.fault", op=op_id)
             if op_id is not None:
                 self.break_off(op_id)
@@ -82,8 +84,9 @@
     def take(self, op_id, work, ends, answer, lane, plan, volume, key, units, cell, mounts, again=False):
         """Takes an operation that ends by the loop's time `ends`; `answer(result, value, come_back)` is
         called once, with SUCCEEDED, SHED or TERMINATED."""
-        taken = self.taken[op_id] = Taken(work, (lane, plan, volume, key, units, cell, mounts, again), ends,
-                                          answer)
+        taken = self.taken[op_id] = Taken(
+            work, (lane, plan, volume, key, units, cell, mounts, again), ends, answer
+        )
         latest = self.loop.time() + (self.terms.lanes[lane].hard_stop + self.terms.tick) / SECOND
         taken.backstop = self.loop.call_at(min(latest, ends), self.overrun, op_id)
         # Danger: while the process stood still, a client asked and left; the round would come before the
@@ -92,13 +95,14 @@
 
     def tell_taken(self, now, op_id):
         taken = self.taken.get(op_id)
-        if taken is None or taken.ended:   # its client left before the round began
+        if taken is None or taken.ended:  # its client left before the round began
             return
         lane, plan, volume, key, units, cell, mounts, again = taken.facts
         # Danger: a late round has used up a part of the client's time already.
         left = max(0, min(self.terms.lanes[lane].hard_stop, int(taken.ends * SECOND) - now))
-        self.guarded(op_id, self.gateway.taken, now, op_id, lane, plan, volume, key, left, units, cell,
-                     mounts, again)
+        self.guarded(
+            op_id, self.gateway.taken, now, op_id, lane, plan, volume, key, left, units, cell, mounts, again
+        )
 
     def leave(self, op_id):
         """The client went away: nobody is owed an answer."""
@@ -158,12 +162,12 @@
     def tell_answered(self, now, op_id, number, result, outcome, fleet_use, from_others):
         taken = self.taken.get(op_id)
         if taken is None or number not in taken.flying:
-            return                       # it had come back before, as overdue
+            return  # it had come back before, as overdue
         node, timer, at, sent = taken.flying.pop(number)
         if timer is not None:
             timer.cancel()
         if sent is not None:
-            if result in MAY_STILL_RUN and not sent.begun:   # no byte of it was written: it never ran
+            if result in MAY_STILL_RUN and not sent.begun:  # no byte of it was written: it never ran
                 result = say.MOOT if result == say.WITHDRAWN else say.UNREACHED
             sent.drop()
         if result not in NEVER_RAN and result != say.SUCCEEDED:
@@ -173,8 +177,9 @@
             taken.answer(say.SUCCEEDED, self.value(op_id, node, outcome), 0)
             self.call_off(op_id, taken)
         self.log.debug("execution.back", op=op_id, execution=number, node=node, result=result)
-        self.guarded(op_id, self.gateway.answered, now, op_id, number, result, taken.ended, fleet_use,
-                     from_others)
+        self.guarded(
+            op_id, self.gateway.answered, now, op_id, number, result, taken.ended, fleet_use, from_others
+        )
         self.over(op_id)
 
     def value(self, op_id, node, outcome):
@@ -200,8 +205,12 @@
         due = self.loop.time() + time_out / SECOND
         timer = self.loop.call_at(due, self.time_over, op_id, number, due)
         latest = min(due, self.latest_start(taken))
-        taken.flying[number] = (node, timer, self.now(),
-                                self.carry(op_id, number, node, taken, time_out, latest))
+        taken.flying[number] = (
+            node,
+            timer,
+            self.now(),
+            self.carry(op_id, number, node, taken, time_out, latest),
+        )
 
     def latest_start(self, taken):
         """The loop's time before which an execution has to begin by the terms.
@@ -240,7 +249,7 @@
 
     def wake(self, after):
         if self.timer is not None:
-            self.timer.cancel()          # the module asks anew only for an earlier time
+            self.timer.cancel()  # the module asks anew only for an earlier time
         self.timer = self.loop.call_later(after / SECOND, self.event, self.woken)
 
     def woken(self, now):
--- a/rushmux/edge/asking.py
+++ b/rushmux/edge/asking.py
@@ -1,12 +1,13 @@
 """An edge's parts of limits: it tells the planner what it could use, and goes by what it is granted."""
+
 import asyncio
 
 from rushmux.nodewire import messages
 from rushmux.fleet.shares import Believed, Grant
 
-EVERY = 0.5              # seconds between two asks: what is lowered here is free there two asks later
-APART = 0.5              # of that, drawn: hundreds of edges ask apart from each other
-MOST_WANTS = 10_000      # folders asked for at once
+EVERY = 0.5  # seconds between two asks: what is lowered here is free there two asks later
+APART = 0.5  # of that, drawn: hundreds of edges ask apart from each other
+MOST_WANTS = 10_000  # folders asked for at once
 
 
 class Asking:
@@ -19,7 +20,7 @@
         self.wanted, self.since, self.parts = dict.fromkeys(self.limits, 0.0), driver.loop.time(), {}
         lists.granted = self.granted
         driver.taking = self.taking
-        self.apply()                     # nothing above the safe parts before anything was granted
+        self.apply()  # nothing above the safe parts before anything was granted
 
     def taking(self, folder, units):
         """An operation came, whatever becomes of it."""
@@ -34,18 +35,24 @@
             now = loop.time()
             span, self.since = max(0.1, now - self.since), now
             ask, (term, number) = self.believed.ask(now)
-            wants = [messages.Want(folder=folder, part=units / span / self.limits[folder])
-                     for folder, units in list(self.wanted.items())[:MOST_WANTS]]
+            wants = [
+                messages.Want(folder=folder, part=units / span / self.limits[folder])
+                for folder, units in list(self.wanted.items())[:MOST_WANTS]
+            ]
             self.wanted = dict.fromkeys(self.wanted, 0.0)
             self.lists.send(ask=messages.Ask(ask=ask, term=term, number=number, wants=wants))
             self.apply()
 
     def granted(self, grant: messages.Grant):
         loop = self.driver.loop
-        parts = {want.folder: want.part for want in grant.parts
-                 if want.folder in self.limits and 0 <= want.part <= 1}
-        if self.believed.granted(loop.time(), Grant(self.driver.name, grant.term, grant.number, grant.ask,
-                                                    parts)):
+        parts = {
+            want.folder: want.part
+            for want in grant.parts
+            if want.folder in self.limits and 0 <= want.part <= 1
+        }
+        if self.believed.granted(
+            loop.time(), Grant(self.driver.name, grant.term, grant.number, grant.ask, parts)
+        ):
             self.apply()
             # Danger: the lease ends while nothing else happens here.
             if self.lapse is not None:
--- a/rushmux/edge/cleaner.py
+++ b/rushmux/edge/cleaner.py
@@ -3,6 +3,7 @@
 What is to be dropped stands in rows of the folder's names, put there by the change that freed
 it, so that any edge can go on where one was killed.
 """
+
 import asyncio
 
 import orjson
@@ -11,11 +12,11 @@
 from rushmux.edge.errand import Errand
 from rushmux.files import layout
 
-DELAY = 2.0              # seconds: readers with older rows finish first
-AGAIN = 5.0              # seconds until a folder is tried again after a shed
-TIME = 10.0              # seconds for one operation
-PAGE = 64                # rows and objects taken in hand at once
-MOST_LEFT = 4_096        # left-over objects kept in mind; more wait for a scrubber
+DELAY = 2.0  # seconds: readers with older rows finish first
+AGAIN = 5.0  # seconds until a folder is tried again after a shed
+TIME = 10.0  # seconds for one operation
+PAGE = 64  # rows and objects taken in hand at once
+MOST_LEFT = 4_096  # left-over objects kept in mind; more wait for a scrubber
 
 
 class Cleaner:
@@ -24,7 +25,7 @@
     def __init__(self, driver, log):
         self.driver, self.log = driver, log
         self.folders, self.seen, self.changed = {}, {}, asyncio.Event()
-        self.left, self.left_over = {}, 0    # folder -> (cell, object) of copies that no name points at
+        self.left, self.left_over = {}, 0  # folder -> (cell, object) of copies that no name points at
         driver.left_over = self.leave
 
     def leave(self, folder: str, cell: int, name: str):
@@ -56,7 +57,7 @@
                     await self.clean(folder)
                 except (Shed, Terminated):
                     again.append(folder)
-                except Exception:   # pylint: disable=broad-except
+                except Exception:  # pylint: disable=broad-except
                     self.log.exception("cleaner.fault", folder=folder)
             if again:
                 await asyncio.sleep(AGAIN)
@@ -99,4 +100,4 @@
             cells.setdefault(cell, []).append(name)
         for cell, names in cells.items():
             for at in range(0, len(names), PAGE):
-                await self.errand(folder).clean(cell, names[at:at + PAGE])
+                await self.errand(folder).clean(cell, names[at : at + PAGE])
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -2,6 +2,7 @@
 
 It decides nothing.  Ticks are whole tenths of a millisecond of the loop's clock.
 """
+
 import asyncio
 from functools import partial
 from typing import Callable, NamedTuple
@@ -13,10 +14,10 @@
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import Deployment
 
-MOST_TAKEN = 20_000      # operations held at a time; beyond it they are shed at the door
-MOST_STARTS = 4          # starts of a node kept, against late words of an older one
-NONSENSE = 1e9           # of any figure of a load: beyond a day of service time
-MOST_LISTED = 10_000     # nodes in a listing: beyond any fleet this is for
+MOST_TAKEN = 20_000  # operations held at a time; beyond it they are shed at the door
+MOST_STARTS = 4  # starts of a node kept, against late words of an older one
+NONSENSE = 1e9  # of any figure of a load: beyond a day of service time
+MOST_LISTED = 10_000  # nodes in a listing: beyond any fleet this is for
 
 
 class Shed(Exception):
@@ -33,16 +34,18 @@
 
 class Work(NamedTuple):
     """An operation: what the module reads of it, and what fills in the execution's message."""
+
     lane: str
     folder: str
     key: str
     units: float
-    cell: int                    # negative: a new object
+    cell: int  # negative: a new object
     fill: Callable[[messages.Execute], None]
 
 
 class Answer(NamedTuple):
     """What a node answered, the cell it was asked in, and other cells where it may have been done."""
+
     outcome: messages.Outcome
     cell: int
     elsewhere: tuple[int, ...] = ()
@@ -51,23 +54,32 @@
 class Driver(Core):
     """The module and what it acts upon, for one start of an edge."""
 
-    def __init__(self, name: str, start: str, deployment: Deployment, links: Links, seed: int, log,
-                 chance, decisions=Gateway):
+    def __init__(
+        self,
+        name: str,
+        start: str,
+        deployment: Deployment,
+        links: Links,
+        seed: int,
+        log,
+        chance,
+        decisions=Gateway,
+    ):
         super().__init__(deployment.terms, seed, log, decisions)
         self.name, self.start, self.deployment, self.links = name, start, deployment, links
         self.chance, self.count, self.names = chance, 0, 0
         self.cells, self.node_cell, self.online = 0, {}, {}
-        self.entries = {}                # node -> as the module was last told of it
+        self.entries = {}  # node -> as the module was last told of it
         links.met = self.greeted
-        self.taking = lambda folder, units: None   # hears of each operation
-        self.left_over = lambda folder, cell, name: None   # hears of objects that no name will point at
-        self.disk = {}                   # node -> (total, free) bytes
-        self.went = {}                   # operation -> cells where an execution went that may have run
+        self.taking = lambda folder, units: None  # hears of each operation
+        self.left_over = lambda folder, cell, name: None  # hears of objects that no name will point at
+        self.disk = {}  # node -> (total, free) bytes
+        self.went = {}  # operation -> cells where an execution went that may have run
         # Policy that is gone by and the newest that is kept to; operation -> those it was taken under.
         self.number, self.numbers = (0, 0), {}
-        self.serving = lambda: True      # whether operations may be taken at all
-        self.fenced = lambda floor: None   # hears of nodes that turn this edge's number away
-        self.parts, self.scales = {}, {}   # folder -> part of its limit; how far the policy moves it
+        self.serving = lambda: True  # whether operations may be taken at all
+        self.fenced = lambda floor: None  # hears of nodes that turn this edge's number away
+        self.parts, self.scales = {}, {}  # folder -> part of its limit; how far the policy moves it
 
     def unique(self) -> str:
         """A name never used before, by this start or another."""
@@ -102,15 +114,21 @@
         """
         ready = sum(entry.condition == say.READY for entry in listing.entries)
         known = sum(entry.condition == say.READY for entry in self.entries.values())
-        if (len(listing.entries) > MOST_LISTED or not 0 < listing.cells <= MOST_LISTED
-                or listing.whole and not ready and known):
+        if (
+            len(listing.entries) > MOST_LISTED
+            or not 0 < listing.cells <= MOST_LISTED
+            or listing.whole
+            and not ready
+            and known
+        ):
             self.log.warning("list.refused", entries=len(listing.entries), cells=listing.cells, ready=ready)
             return False
         now, entries = self.now(), []
         for entry in listing.entries:
             if entry.cell >= listing.cells or entry.condition not in (say.READY, say.DRAINING, say.GONE):
-                self.log.warning("list.entry.refused", node=entry.node, cell=entry.cell,
-                                 condition=entry.condition)
+                self.log.warning(
+                    "list.entry.refused", node=entry.node, cell=entry.cell, condition=entry.condition
+                )
                 continue
             since = self.online_since(now, entry.node, entry.start, entry.age)
             gone = entry.condition == say.GONE
@@ -125,8 +143,12 @@
                 self.links.listed(node, None)
                 self.disk.pop(node, None)
         self.cells = listing.cells
-        self.log.info("list.told", version=listing.version, whole=listing.whole,
-                      nodes=[[entry.node, entry.condition] for entry in entries])
+        self.log.info(
+            "list.told",
+            version=listing.version,
+            whole=listing.whole,
+            nodes=[[entry.node, entry.condition] for entry in entries],
+        )
         kind = say.WHOLE if listing.whole else say.CHANGES
         self.listed(kind, entries)
         return True
@@ -166,9 +188,19 @@
         future = self.loop.create_future()
         self.went[op_id], self.numbers[op_id] = {}, self.number
         self.taking(work.folder, work.units)
-        self.take(op_id, work, self.loop.time() + left, partial(self.answered, future), work.lane,
-                  self.deployment.folders[work.folder].plan, work.folder, work.key, work.units, work.cell,
-                  self.deployment.mounts(work.folder))
+        self.take(
+            op_id,
+            work,
+            self.loop.time() + left,
+            partial(self.answered, future),
+            work.lane,
+            self.deployment.folders[work.folder].plan,
+            work.folder,
+            work.key,
+            work.units,
+            work.cell,
+            self.deployment.mounts(work.folder),
+        )
         try:
             return await future
         except asyncio.CancelledError:
@@ -193,9 +225,17 @@
 
     def carry(self, op_id, number, node, taken, time_out, latest):
         work = taken.work
-        message = messages.Execute(op=op_id, execution=number, volume=work.folder, lane=work.lane,
-                                   key=work.key, units=work.units, time_out=time_out,
-                                   policy=self.numbers[op_id][0], knows=self.numbers[op_id][1])
+        message = messages.Execute(
+            op=op_id,
+            execution=number,
+            volume=work.folder,
+            lane=work.lane,
+            key=work.key,
+            units=work.units,
+            time_out=time_out,
+            policy=self.numbers[op_id][0],
+            knows=self.numbers[op_id][1],
+        )
         work.fill(message)
         self.went[op_id][self.node_cell[node]] = True
         return self.links.send(node, message, partial(self.back, op_id, number), latest)
@@ -212,13 +252,16 @@
             if sent is not None:
                 sent.drop()
             self.event(self.tell_load, node, result, load)
+
         sent = self.links.probe(node, came)
         # Danger: a node that hangs never tells; the module takes it for a crowd when the time is over.
         timer = self.loop.call_later(self.deployment.dial, came, say.OVERDUE, None)
 
     def tell_load(self, now, node, result, load):
-        values = [getattr(load, name) if load is not None and load.HasField(name) else None
-                  for name in ("queue", "service")]
+        values = [
+            getattr(load, name) if load is not None and load.HasField(name) else None
+            for name in ("queue", "service")
+        ]
         # Danger: a node that tells nonsense moves a room for it.  What is no sound figure counts as not told.
         values = [value if value is not None and 0 <= value < NONSENSE else None for value in values]
         self.guarded(None, self.gateway.reported, node, result, *values)
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -1,4 +1,5 @@
 """An edge: the program that clients and nodes are connected to, from its start to its end."""
+
 import asyncio
 import random
 
@@ -14,8 +15,8 @@
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import BadDeployment, Deployment
 
-BACKLOG = 1_024          # connections that the system holds until they are accepted
-LINGER = 0.2             # seconds for the last answers to leave before connections close
+BACKLOG = 1_024  # connections that the system holds until they are accepted
+LINGER = 0.2  # seconds for the last answers to leave before connections close
 
 
 class Edge:
@@ -23,18 +24,29 @@
     time, in seconds since 1970, at the loop's clock of nought; `buffered` makes a write-back
     buffer of a driver, a tree and a log (None: there is none)."""
 
-    def __init__(self, number: int, deployment: Deployment, lists: Address, seed: int, epoch: float, log,
-                 decisions=Gateway, buffered=None, last=None, kept=None):
+    def __init__(
+        self,
+        number: int,
+        deployment: Deployment,
+        lists: Address,
+        seed: int,
+        epoch: float,
+        log,
+        decisions=Gateway,
+        buffered=None,
+        last=None,
+        kept=None,
+    ):
         self.number, self.deployment, self.epoch = number, deployment, epoch
         # The file's deployment; the disk of the fleet's policy; what goes by it.
         self.own, self.kept, self.going = deployment, kept, None
-        self.went_by = lambda state: None   # hears of each change of what it goes by
-        self.name, self.start = f"edge{number}", f"{seed & 0xffffffffffff:012x}"
+        self.went_by = lambda state: None  # hears of each change of what it goes by
+        self.name, self.start = f"edge{number}", f"{seed & 0xFFFFFFFFFFFF:012x}"
         self.log = log.bind(edge=self.name, start=self.start)
         self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
         self.heard = lambda nodes: None  # hears of each listing taken in: [node, condition] each
         self.buffered, self.buffer = buffered, None
-        self.last = last                 # the last list of an earlier start (`edge.lastlist`)
+        self.last = last  # the last list of an earlier start (`edge.lastlist`)
         self.closing, self.sessions, self.count, self.tasks = False, {}, 0, []
 
     def serves(self, folder: str) -> bool:
@@ -49,11 +61,23 @@
             self.deployment, held = begun(self.own, self.kept, self.log)
         hello = messages.Hello(version=VERSION, peer=self.name, start=self.start)
         self.links = Links(hello, self.deployment.dial, self.deployment.links, self.chance, self.log)
-        self.driver = Driver(self.name, self.start, self.deployment, self.links, self.seed, self.log,
-                             self.chance, self.decisions)
+        self.driver = Driver(
+            self.name,
+            self.start,
+            self.deployment,
+            self.links,
+            self.seed,
+            self.log,
+            self.chance,
+            self.decisions,
+        )
         self.cleaner = Cleaner(self.driver, self.log)
-        self.tree = Tree(self.deployment.files, self.driver.unique, lambda: int(self.epoch + loop.time()),
-                         self.cleaner.note)
+        self.tree = Tree(
+            self.deployment.files,
+            self.driver.unique,
+            lambda: int(self.epoch + loop.time()),
+            self.cleaner.note,
+        )
         if self.buffered is not None:
             self.buffer = self.buffered(self.driver, self.tree, self.log)
         known = self.last.load() if self.last is not None else None
--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -1,4 +1,5 @@
 """What one request of a client asks of the nodes: each access is one operation of the module."""
+
 import asyncio
 import zlib
 
@@ -6,10 +7,10 @@
 from rushmux.files import paths
 from rushmux.nodewire import messages
 
-CONFLICTS = 12           # fresh looks of one request: more means a crowd that none gets through
-APART = 0.002            # seconds: two edges that took turns by chance alone are apart after a few
-MOST_APART = 0.2         # seconds: far under any client's time
-LEAST = 0.02             # seconds: with less left an operation is not begun
+CONFLICTS = 12  # fresh looks of one request: more means a crowd that none gets through
+APART = 0.002  # seconds: two edges that took turns by chance alone are apart after a few
+MOST_APART = 0.2  # seconds: far under any client's time
+LEAST = 0.02  # seconds: with less left an operation is not begun
 
 
 class Lost(Exception):
@@ -30,18 +31,19 @@
     async def apart(self, attempt: int):
         """Waits a drawn time before a fresh look; the first of them waits for nothing."""
         if attempt:
-            await asyncio.sleep(self.driver.chance.random() * min(MOST_APART, APART * 2 ** attempt))
+            await asyncio.sleep(self.driver.chance.random() * min(MOST_APART, APART * 2**attempt))
 
     async def run(self, role, key, units, cell, fill):
         left = self.until - self.driver.loop.time()
         if left < LEAST:
             raise Shed()
-        return await self.driver.run(Work(self.roles[role], self.folder, key, units, cell, fill), left,
-                                     self.tag)
+        return await self.driver.run(
+            Work(self.roles[role], self.folder, key, units, cell, fill), left, self.tag
+        )
 
     async def names(self, role, key, units, fill):
         cells = self.driver.cells
-        if not cells:                    # no list came yet
+        if not cells:  # no list came yet
             raise Shed()
         answer = await self.run(role, key, units, paths.home(self.folder, cells), fill)
         return answer.outcome
@@ -49,25 +51,38 @@
     async def look(self, key: str, **fields) -> messages.Outcome:
         """Reads rows of the folder's names; fields as in nodewire's Look."""
         look = messages.Look(**fields)
-        return await self.names("look", f"{self.folder}/{key}", 1.0,
-                                lambda execute: execute.look.CopyFrom(look))
+        return await self.names(
+            "look", f"{self.folder}/{key}", 1.0, lambda execute: execute.look.CopyFrom(look)
+        )
 
     async def change(self, key: str, checks, puts=(), drops=()):
         """Changes rows, all or none; the rows put with their new versions, or None where a check
         does not hold.  Terminated: it may have been done."""
         change = messages.Change(
-            mark=self.driver.unique(), checks=[messages.Check(**check) for check in checks],
-            puts=[messages.Row(key=row, value=value) for row, value in puts], drops=drops)
+            mark=self.driver.unique(),
+            checks=[messages.Check(**check) for check in checks],
+            puts=[messages.Row(key=row, value=value) for row, value in puts],
+            drops=drops,
+        )
         size = sum(len(value) for _, value in puts)
-        outcome = await self.names("change", f"{self.folder}/{key}", self.driver.deployment.units(size),
-                                   lambda execute: execute.change.CopyFrom(change))
+        outcome = await self.names(
+            "change",
+            f"{self.folder}/{key}",
+            self.driver.deployment.units(size),
+            lambda execute: execute.change.CopyFrom(change),
+        )
         return None if outcome.code == messages.CONFLICT else outcome.rows
 
     async def fetch(self, cell: int, name: str, offset: int, length: int) -> bytes:
         """Bytes of an object; Lost where it is not there, Damaged where they are not those written."""
         read = messages.ReadObject(object=name, offset=offset, length=length)
-        answer = await self.run("read", name, self.driver.deployment.units(length), cell,
-                                lambda execute: execute.read.CopyFrom(read))
+        answer = await self.run(
+            "read",
+            name,
+            self.driver.deployment.units(length),
+            cell,
+            lambda execute: execute.read.CopyFrom(read),
+        )
         if answer.outcome.code == messages.MISSING:
             raise Lost(name)
         data = answer.outcome.data
@@ -80,8 +95,13 @@
         lane: `write_out` for what nobody waits for."""
         name = self.driver.unique()
         write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
-        answer = await self.run(role, name, self.driver.deployment.units(len(data)), -1,
-                                lambda execute: execute.write.CopyFrom(write))
+        answer = await self.run(
+            role,
+            name,
+            self.driver.deployment.units(len(data)),
+            -1,
+            lambda execute: execute.write.CopyFrom(write),
+        )
         for cell in answer.elsewhere:
             self.driver.left_over(self.folder, cell, name)
         return name, answer.cell
@@ -95,7 +115,7 @@
 async def together(*calls):
     """Runs calls side by side; the first fault is raised after the others were called off."""
     if len(calls) == 1:
-        return [await calls[0]]          # no task of its own: most reads and writes are one operation
+        return [await calls[0]]  # no task of its own: most reads and writes are one operation
     tasks = [asyncio.ensure_future(call) for call in calls]
     try:
         return await asyncio.gather(*tasks)
--- a/rushmux/edge/going.py
+++ b/rushmux/edge/going.py
@@ -4,6 +4,7 @@
 routes to the driver.  The file: magic, format, checksum and both policies as JSON, replaced whole and
 synced.
 """
+
 import asyncio
 import json
 import zlib
@@ -16,11 +17,11 @@
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import BadDeployment, Deployment
 
-EVERY = 0.5              # seconds between two asks: a change reaches all within two of them
-APART = 0.5              # of that, drawn: hundreds of edges ask apart from each other
-NO_ANSWER = 2.0          # seconds without a grant until another planner is looked for
+EVERY = 0.5  # seconds between two asks: a change reaches all within two of them
+APART = 0.5  # of that, drawn: hundreds of edges ask apart from each other
+NO_ANSWER = 2.0  # seconds without a grant until another planner is looked for
 MAGIC, FORMAT = "rushmux policy", 1
-MOST = 1 << 20           # bytes of a file: two policies with room
+MOST = 1 << 20  # bytes of a file: two policies with room
 
 
 class BadKept(Exception):
@@ -33,14 +34,22 @@
 
 def granted(told: messages.PolicyGrant, known: dict[int, policy.Policy]) -> policy.Grant:
     """The grant of a message; WireFault where a policy in it is not whole, or is none that is `known`."""
+
     def whole(row):
         rows = tuple((limit.folder, limit.limit, limit.burst) for limit in row.rows)
         made = policy.Policy(row.number, row.text, rows) if row.text else known.get(row.number)
         if made is None or made.sum != row.sum:
             raise WireFault(f"policy {row.number} has a wrong checksum")
         return made
-    return policy.Grant(told.member, told.ask, told.term, told.index, whole(told.force),
-                 whole(told.staged) if told.HasField("staged") else None)
+
+    return policy.Grant(
+        told.member,
+        told.ask,
+        told.term,
+        told.index,
+        whole(told.force),
+        whole(told.staged) if told.HasField("staged") else None,
+    )
 
 
 class Kept:
@@ -61,8 +70,9 @@
         try:
             magic, form, mark, body = json.loads(data)
             if magic != MAGIC or form != FORMAT:
-                raise Newer(f"{self.path}: format {form}, this edge reads {FORMAT}: start the program that "
-                            f"wrote it")
+                raise Newer(
+                    f"{self.path}: format {form}, this edge reads {FORMAT}: start the program that wrote it"
+                )
             if zlib.crc32(body.encode()) != mark:
                 raise ValueError("its checksum is wrong")
             return tuple(map(policy.unpacked, json.loads(body)))
@@ -172,14 +182,26 @@
         self.said, limits = state, holder.limits(now)
         self.driver.number = holder.number, holder.knows
         # The module was built on some limits; others are parts of them, the smaller of limit and burst.
-        scales = {folder: min(own / base for own, base in zip(limits[folder], both))
-                  for folder, both in self.base.items() if folder in limits and all(both)}
-        self.driver.scaled({folder: part for folder, part in scales.items()
-                            if self.scales.get(folder, 1.0) != part})
+        scales = {
+            folder: min(own / base for own, base in zip(limits[folder], both))
+            for folder, both in self.base.items()
+            if folder in limits and all(both)
+        }
+        self.driver.scaled(
+            {folder: part for folder, part in scales.items() if self.scales.get(folder, 1.0) != part}
+        )
         self.scales = scales
-        gives_up = [f"{folder}: {limits[folder][0]:g} of {own[0]:g} units/s" for folder, own in
-                    (holder.force.limits().items() if holder.force else ()) if folder in limits
-                    and limits[folder][0] < own[0]]
-        self.log.info("policy.goes_by", number=state[0], staged=state[1] or 0, narrow=state[2],
-                      serves=state[3], less=gives_up[:MOST_NAMED])
+        gives_up = [
+            f"{folder}: {limits[folder][0]:g} of {own[0]:g} units/s"
+            for folder, own in (holder.force.limits().items() if holder.force else ())
+            if folder in limits and limits[folder][0] < own[0]
+        ]
+        self.log.info(
+            "policy.goes_by",
+            number=state[0],
+            staged=state[1] or 0,
+            narrow=state[2],
+            serves=state[3],
+            less=gives_up[:MOST_NAMED],
+        )
         self.edge.went_by(state)
--- a/rushmux/edge/lastlist.py
+++ b/rushmux/edge/lastlist.py
@@ -3,6 +3,7 @@
 One file, replaced whole: a magic word, a format, a checksum, the calendar time, and the list as the wire
 has it.  What cannot be read is as no list at all, and said so.
 """
+
 import struct
 import zlib
 from pathlib import Path
@@ -12,9 +13,9 @@
 from rushmux.nodewire import messages
 
 MAGIC, FORMAT = b"rmll", 1
-HEAD = struct.Struct(">4sHId")   # magic, format, checksum of the rest, calendar seconds
-MOST = 8 << 20           # bytes of a file: far above any list
-OLD = 7 * 86_400.0       # seconds: an older list tells nothing of today's nodes
+HEAD = struct.Struct(">4sHId")  # magic, format, checksum of the rest, calendar seconds
+MOST = 8 << 20  # bytes of a file: far above any list
+OLD = 7 * 86_400.0  # seconds: an older list tells nothing of today's nodes
 
 
 class LastList:
@@ -33,8 +34,9 @@
             self.entries.pop(entry.node, None)
             if entry.condition != "gone":
                 self.entries[entry.node] = entry
-        body = messages.Listing(version=self.version, whole=True, cells=self.cells,
-                                entries=self.entries.values()).SerializeToString()
+        body = messages.Listing(
+            version=self.version, whole=True, cells=self.cells, entries=self.entries.values()
+        ).SerializeToString()
         now = self.calendar()
         head = HEAD.pack(MAGIC, FORMAT, zlib.crc32(struct.pack(">d", now) + body), now)
         try:
@@ -55,7 +57,7 @@
         listing = messages.Listing()
         try:
             magic, version, mark, at = HEAD.unpack_from(data)
-            body = data[HEAD.size:]
+            body = data[HEAD.size :]
             if magic != MAGIC or version != FORMAT or len(data) > MOST:
                 raise ValueError(f"format {version}, this edge reads {FORMAT}")
             if zlib.crc32(struct.pack(">d", at) + body) != mark:
@@ -64,7 +66,7 @@
         except (struct.error, ValueError) as fault:
             self.log.warning("lastlist.unread", why=str(fault))
             return None
-        except Exception as fault:   # pylint: disable=broad-except
+        except Exception as fault:  # pylint: disable=broad-except
             self.log.warning("lastlist.unread", why=f"{type(fault).__name__}: {fault}")
             return None
         age = self.calendar() - at
