--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -3,6 +3,7 @@
 `Links.send` puts one execution on the way and later calls back once with how it came back, in
 the terms of `rushmux.interface`; never from within `send` itself.
 """
+
 import asyncio
 from typing import Callable, NamedTuple, Optional
 
@@ -10,19 +11,25 @@
 from rushmux.edge.outgoing import Outgoing
 from rushmux.nodewire import Frames, WireFault, frame, messages
 
-BACK_OFF = 0.05          # seconds after a first failed dial: a process restarts in some of these
-MOST_BACK_OFF = 2.0      # seconds: a node that returns is found again within this
-MOST_WAITING = 64        # executions that wait for one dial: six gateways' worth of the bound of ten
+BACK_OFF = 0.05  # seconds after a first failed dial: a process restarts in some of these
+MOST_BACK_OFF = 2.0  # seconds: a node that returns is found again within this
+MOST_WAITING = 64  # executions that wait for one dial: six gateways' worth of the bound of ten
 MOST_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
-LIST_DIAL = 2.0          # seconds for a dial to the source of the list
-READ = 1 << 18           # bytes asked of the socket at once
-NEVER = float("inf")     # the loop's time that never comes
-RESULTS = {messages.DONE: say.SUCCEEDED, messages.MISSING: say.SUCCEEDED, messages.CONFLICT: say.SUCCEEDED,
-           messages.FAILED: say.ERRORED, messages.BUSY: say.FULL}
+LIST_DIAL = 2.0  # seconds for a dial to the source of the list
+READ = 1 << 18  # bytes asked of the socket at once
+NEVER = float("inf")  # the loop's time that never comes
+RESULTS = {
+    messages.DONE: say.SUCCEEDED,
+    messages.MISSING: say.SUCCEEDED,
+    messages.CONFLICT: say.SUCCEEDED,
+    messages.FAILED: say.ERRORED,
+    messages.BUSY: say.FULL,
+}
 
 
 class Address(NamedTuple):
     """Where a node listens."""
+
     host: str
     port: int
 
@@ -33,9 +40,9 @@
     def __init__(self, links, node, address):
         self.links, self.node, self.address = links, node, address
         self.writer, self.task = None, None
-        self.waiting = {}        # corr -> execution that waits for the dial, and before when it may begin
-        self.out = {}            # corr -> what to call when it comes back
-        self.probes = {}         # corr -> what to call when the node told its load
+        self.waiting = {}  # corr -> execution that waits for the dial, and before when it may begin
+        self.out = {}  # corr -> what to call when it comes back
+        self.probes = {}  # corr -> what to call when the node told its load
         self.failures, self.not_before = 0, 0.0
 
     def send(self, execute, done, latest):
@@ -135,7 +142,7 @@
             if message.WhichOneof("body") != "outcome":
                 raise WireFault(f"{message.WhichOneof('body')} where an outcome belongs")
             done = self.out.pop(message.outcome.corr, None)
-            if done is not None:     # else it was given up
+            if done is not None:  # else it was given up
                 done(RESULTS.get(message.outcome.code, say.ERRORED), message.outcome)
 
     def close(self):
@@ -146,6 +153,7 @@
 class Sent(NamedTuple):
     """An execution or a probe on its way: `begun` once it was written, `drop` forgets it, `withdraw`
     tells its node so."""
+
     link: Link
     corr: int
 
@@ -165,8 +173,8 @@
 
     def __init__(self, hello: messages.Hello, dial: float, per_node: int, chance, log):
         self.hello, self.dial, self.per_node, self.chance, self.log = hello, dial, per_node, chance, log
-        self.nodes = {}          # node -> its links
-        self.met = lambda node, start, age: None   # hears of each greeting: the node's start and its age
+        self.nodes = {}  # node -> its links
+        self.met = lambda node, start, age: None  # hears of each greeting: the node's start and its age
         self.count = 0
 
     def number(self):
@@ -216,7 +224,7 @@
         # One address, or those of several planners of which one takes edges.
         self.addresses = [addresses] if isinstance(addresses[0], str) else list(addresses)
         self.hello, self.chance, self.log, self.told = hello, chance, log, told
-        self.turn = 0                    # whose turn it is to be dialled
+        self.turn = 0  # whose turn it is to be dialled
         self.granted, self.writer = lambda grant: None, None
         self.policy_granted = lambda grant: None
 
@@ -261,6 +269,6 @@
                     writer.close()
             failures += 1
             self.turn += not heard
-            pause = min(MOST_BACK_OFF, BACK_OFF * 2 ** failures) * (0.5 + self.chance.random() / 2)
+            pause = min(MOST_BACK_OFF, BACK_OFF * 2**failures) * (0.5 + self.chance.random() / 2)
             self.log.info("list.lost", why=why, again_in=round(pause, 3))
             await asyncio.sleep(pause)
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -3,6 +3,7 @@
 A WRITE is answered when its bytes lie whole on a node and the rows that name them are changed;
 writes of one handle that come meanwhile go into the next change together.
 """
+
 import asyncio
 from collections import OrderedDict
 
@@ -12,13 +13,14 @@
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
 
-KEPT_BLOCKS = 64         # rows kept by a handle: 16 MiB of a file read in turn
-BATCH = 32               # writes made visible by one change: a megabyte of a stock client's
-LOST_AGAIN = 3           # fresh looks where a reader's objects were replaced under its hands
+KEPT_BLOCKS = 64  # rows kept by a handle: 16 MiB of a file read in turn
+BATCH = 32  # writes made visible by one change: a megabyte of a stock client's
+LOST_AGAIN = 3  # fresh looks where a reader's objects were replaced under its hands
 
 
 class Block:
     """A block's extents as this handle last read them."""
+
     __slots__ = ("extents", "version", "read_at")
 
     def __init__(self, extents, version, read_at):
@@ -27,6 +29,7 @@
 
 class Laid:
     """A write whose objects are stored and whose rows are not changed yet."""
+
     __slots__ = ("extents", "end", "done")
 
     def __init__(self, extents, end, done):
@@ -36,15 +39,19 @@
 async def gather(errand: Errand, length: int, parts) -> bytes:
     """`length` bytes put together from parts (where its block begins, extents, start, length in the block);
     what no extent covers is zeros.  Lost where an object is not there."""
-    wanted = [(at + extent.start, extent) for at, extents, start, part in parts
-              for extent in layout.within(extents, start, part)]
-    fetched = await together(*(errand.fetch(extent.cell, extent.object, extent.skip, extent.length)
-                               for _, extent in wanted))
+    wanted = [
+        (at + extent.start, extent)
+        for at, extents, start, part in parts
+        for extent in layout.within(extents, start, part)
+    ]
+    fetched = await together(
+        *(errand.fetch(extent.cell, extent.object, extent.skip, extent.length) for _, extent in wanted)
+    )
     if len(wanted) == 1 and wanted[0][1].length == length:
         return fetched[0]
     data = bytearray(length)
     for (at, extent), piece in zip(wanted, fetched):
-        data[at:at + extent.length] = piece
+        data[at : at + extent.length] = piece
     return bytes(data)
 
 
@@ -83,8 +90,9 @@
 
     async def load(self, errand: Errand, numbers, since):
         """Sees that the file's row and these blocks were read at `since` or later."""
-        numbers = [number for number in numbers
-                   if number not in self.blocks or self.blocks[number].read_at < since]
+        numbers = [
+            number for number in numbers if number not in self.blocks or self.blocks[number].read_at < since
+        ]
         if not numbers and self.read_at >= since:
             return
         data, key, now = self.file.data, layout.file_key(self.number), self.loop.time()
@@ -93,7 +101,7 @@
         if key not in rows:
             raise Refused(sftp.NO_SUCH_FILE, "the file was removed")
         file = layout.unpack_file(rows[key].value)
-        if file.data != data:            # emptied by another: its blocks go by another name now
+        if file.data != data:  # emptied by another: its blocks go by another name now
             self.blocks.clear()
             self.file, self.version, self.read_at = file, rows[key].version, now
             return await self.load(errand, numbers, since)
@@ -101,8 +109,9 @@
             self.file, self.version, self.read_at = file, rows[key].version, now
         for number, block in zip(numbers, keys[1:]):
             row = rows.get(block)
-            self.keep(number, Block(layout.unpack_block(row.value) if row else [],
-                                    row.version if row else 0, now))
+            self.keep(
+                number, Block(layout.unpack_block(row.value) if row else [], row.version if row else 0, now)
+            )
 
     def keep(self, number, block):
         held = self.blocks.get(number)
@@ -125,9 +134,11 @@
             numbers = [number for number, _, _ in layout.pieces(offset, length, self.file.block)]
             await self.load(errand, numbers, since)
             length = max(0, min(length, max(self.file.size, end) - offset))
-            parts = [(at, self.blocks[number].extents, start, part)
-                     for number, start, part in layout.pieces(offset, length, self.file.block)
-                     for at in [number * self.file.block - offset]]
+            parts = [
+                (at, self.blocks[number].extents, start, part)
+                for number, start, part in layout.pieces(offset, length, self.file.block)
+                for at in [number * self.file.block - offset]
+            ]
             try:
                 return self.over(await gather(errand, length, parts), offset, held)
             except Lost:
@@ -141,31 +152,33 @@
             return data
         data = bytearray(data)
         for piece in held:
-            part = piece.data[:len(data) + offset - piece.start]
-            data[piece.start - offset:piece.start - offset + len(part)] = part
+            part = piece.data[: len(data) + offset - piece.start]
+            data[piece.start - offset : piece.start - offset + len(part)] = part
         return bytes(data)
 
     async def store(self, errand, offset, data):
         pieces = list(layout.pieces(offset, len(data), self.file.block))
         at, cuts = 0, []
         for _, _, part in pieces:
-            cuts.append(data[at:at + part])
+            cuts.append(data[at : at + part])
             at += part
         stored = await together(*(errand.store(cut) for cut in cuts))
-        return [(number, Extent(start, part, name, cell, 0))
-                for (number, start, part), (name, cell) in zip(pieces, stored)]
+        return [
+            (number, Extent(start, part, name, cell, 0))
+            for (number, start, part), (name, cell) in zip(pieces, stored)
+        ]
 
     async def write(self, errand: Errand, offset: int, data: bytes):
         """Writes bytes; returned when any edge can read them, or when the buffer holds them."""
         if self.flags & sftp.APPEND:
             return await self.append(errand, data)
         if offset + len(data) > layout.most_bytes(self.file.block):
-            raise Refused(sftp.FAILURE,
-                          f"past the largest size of a file, {layout.most_bytes(self.file.block)}")
+            raise Refused(
+                sftp.FAILURE, f"past the largest size of a file, {layout.most_bytes(self.file.block)}"
+            )
         if self.buffer is not None and await self.buffer.write(self.held, errand, offset, data, self):
             return None
-        laid = Laid(await self.store(errand, offset, data), offset + len(data),
-                    self.loop.create_future())
+        laid = Laid(await self.store(errand, offset, data), offset + len(data), self.loop.create_future())
         self.pending.append(laid)
         try:
             while not laid.done.done():
@@ -184,7 +197,7 @@
         self.committing = self.loop.create_future()
         try:
             await self.commit(errand, batch)
-        except Refused as fault:         # holds for all: the file is gone, or fought over
+        except Refused as fault:  # holds for all: the file is gone, or fought over
             for laid in batch:
                 if not laid.done.done():
                     laid.done.set_exception(fault)
@@ -224,7 +237,7 @@
                 if len(extents) > self.tree.files.extents:
                     try:
                         extents = [await as_one(errand, extents)]
-                    except Lost:         # replaced under our hands: this version's check will not hold
+                    except Lost:  # replaced under our hands: this version's check will not hold
                         break
                 key = layout.block_key(file.data, number)
                 checks.append({"key": key, "version": block.version})
--- a/rushmux/edge/outgoing.py
+++ b/rushmux/edge/outgoing.py
@@ -1,4 +1,5 @@
 """Bytes on their way out of a connection: what one turn of the loop writes leaves in one piece."""
+
 import asyncio
 
 
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -3,6 +3,7 @@
 A request becomes one or more operations through `Tree` and `OpenFile`.  Whatever happens to one
 request is its own answer; the session ends only where the stream itself cannot be followed.
 """
+
 import asyncio
 import contextlib
 import struct
@@ -17,14 +18,26 @@
 from rushmux.files import layout, paths
 from rushmux.sftp import packets as sftp
 
-MARGIN = 0.05            # seconds kept back from a client's time for the way of the answer
-READ = 1 << 17           # bytes asked of the socket at once
-UNSENT = 1 << 20         # bytes of answers not taken by the client before no more of it is read
-BLOCK = 4_096            # bytes in a block as statvfs counts them
-NOT_ASKED = (sftp.Init, sftp.Version, sftp.Status, sftp.Handle, sftp.Data, sftp.Names, sftp.Attrs,
-             sftp.ExtendedReply)
-EXTENSIONS = (("posix-rename@openssh.com", b"1"), ("fsync@openssh.com", b"1"),
-              ("statvfs@openssh.com", b"2"), ("barrier@rushmux", b"1"))
+MARGIN = 0.05  # seconds kept back from a client's time for the way of the answer
+READ = 1 << 17  # bytes asked of the socket at once
+UNSENT = 1 << 20  # bytes of answers not taken by the client before no more of it is read
+BLOCK = 4_096  # bytes in a block as statvfs counts them
+NOT_ASKED = (
+    sftp.Init,
+    sftp.Version,
+    sftp.Status,
+    sftp.Handle,
+    sftp.Data,
+    sftp.Names,
+    sftp.Attrs,
+    sftp.ExtendedReply,
+)
+EXTENSIONS = (
+    ("posix-rename@openssh.com", b"1"),
+    ("fsync@openssh.com", b"1"),
+    ("statvfs@openssh.com", b"2"),
+    ("barrier@rushmux", b"1"),
+)
 
 
 class Ended(Exception):
@@ -42,8 +55,10 @@
 def long_name(name, shown):
     """A line as `ls -l` prints it, which old clients show as it is."""
     kind = "d" if (shown.mode or 0) & sftp.DIRECTORY == sftp.DIRECTORY else "-"
-    bits = "".join(letter if (shown.mode or 0) >> shift & 1 else "-"
-                   for letter, shift in zip("rwxrwxrwx", range(8, -1, -1)))
+    bits = "".join(
+        letter if (shown.mode or 0) >> shift & 1 else "-"
+        for letter, shift in zip("rwxrwxrwx", range(8, -1, -1))
+    )
     when = time.strftime("%b %d  %Y", time.gmtime(shown.mtime or 0))
     return f"{kind}{bits}    1 {shown.uid or 0:<8} {shown.gid or 0:<8} {shown.size or 0:8} {when} {name}"
 
@@ -61,13 +76,24 @@
         self.room, self.unread_timer = asyncio.Event(), None
         self.window = asyncio.Semaphore(self.bounds.window)
         self.calls = {
-            sftp.Open: self.open, sftp.Close: self.close, sftp.Read: self.read, sftp.Write: self.write,
-            sftp.LStat: self.stat, sftp.Stat: self.stat, sftp.FStat: self.handle_stat,
-            sftp.SetStat: self.set_stat, sftp.FSetStat: self.handle_set_stat,
-            sftp.OpenDir: self.open_directory, sftp.ReadDir: self.read_directory,
-            sftp.Remove: self.remove, sftp.MkDir: self.make_directory,
-            sftp.RmDir: self.remove_directory, sftp.RealPath: self.real_path, sftp.Rename: self.rename,
-            sftp.Extended: self.extended}
+            sftp.Open: self.open,
+            sftp.Close: self.close,
+            sftp.Read: self.read,
+            sftp.Write: self.write,
+            sftp.LStat: self.stat,
+            sftp.Stat: self.stat,
+            sftp.FStat: self.handle_stat,
+            sftp.SetStat: self.set_stat,
+            sftp.FSetStat: self.handle_set_stat,
+            sftp.OpenDir: self.open_directory,
+            sftp.ReadDir: self.read_directory,
+            sftp.Remove: self.remove,
+            sftp.MkDir: self.make_directory,
+            sftp.RmDir: self.remove_directory,
+            sftp.RealPath: self.real_path,
+            sftp.Rename: self.rename,
+            sftp.Extended: self.extended,
+        }
 
     async def run(self):
         """Until the client leaves, breaks the protocol, or the edge calls it off."""
@@ -115,7 +141,7 @@
             await self.take(body)
             if self.unread_timer is not None:
                 self.outgoing.flush()
-                await self.writer.drain()    # more is begun when its answers were taken
+                await self.writer.drain()  # more is begun when its answers were taken
 
     def watch_unread(self):
         """Danger: a client that sends and never reads makes its answers pile up here."""
@@ -178,7 +204,8 @@
             return Claim(turns.ALTER, (*found, *named))
         asked = self.names(*(getattr(packet, name) for name in ("path", "target") if hasattr(packet, name)))
         looks = kind in (sftp.Stat, sftp.LStat, sftp.OpenDir, sftp.RealPath) or (
-            kind is sftp.Open and not packet.flags & (sftp.CREATE | sftp.TRUNCATE))
+            kind is sftp.Open and not packet.flags & (sftp.CREATE | sftp.TRUNCATE)
+        )
         return Claim(turns.LOOK if looks else turns.ALTER, asked)
 
     @staticmethod
@@ -221,7 +248,7 @@
         except Damaged as fault:
             self.log.error("object.damaged", object=str(fault))
             reply = self.status(packet.request, sftp.FAILURE, f"object {fault} came back damaged")
-        except Exception:   # pylint: disable=broad-except
+        except Exception:  # pylint: disable=broad-except
             self.log.exception("session.fault", request=type(packet).__name__)
             reply = self.status(packet.request, sftp.FAILURE, "a fault of the gateway; it was logged")
         finally:
@@ -359,8 +386,9 @@
         if packet.attributes.size is not None and not file.flags & sftp.WRITE:
             raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
         await file.flush(errand(file.folder))
-        row, version = await self.edge.tree.set_attributes(errand(file.folder), file.number,
-                                                           packet.attributes)
+        row, version = await self.edge.tree.set_attributes(
+            errand(file.folder), file.number, packet.attributes
+        )
         file.file, file.version = row, version
         file.blocks.clear()
         return self.done(packet)
@@ -425,8 +453,8 @@
         await self.edge.tree.rename(errand(folder), names, target, replace)
         moved, goal = (folder, *names), (folder, *target)
         for held in self.handles.values():
-            if held.path[:len(moved)] == moved:
-                held.path = goal + held.path[len(moved):]
+            if held.path[: len(moved)] == moved:
+                held.path = goal + held.path[len(moved) :]
         return self.done(packet)
 
     async def extended(self, packet, errand):
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/tree.py
@@ -3,6 +3,7 @@
 Every change carries checks on the rows that it was decided by, so that two edges that change
 one folder at once lose nothing: a check that fails is followed by a fresh look, a few times.
 """
+
 from typing import NamedTuple, Optional
 
 from rushmux.edge.errand import CONFLICTS, Errand
@@ -10,9 +11,9 @@
 from rushmux.files.layout import ROOT, File
 from rushmux.sftp import packets as sftp
 
-PAGE = 100               # entries in one answer to READDIR: some 10 KiB
-STEP = 256               # blocks cut off by one change: its message stays far under a frame's bound
-MODE = 0o644             # of a file whose client states none
+PAGE = 100  # entries in one answer to READDIR: some 10 KiB
+STEP = 256  # blocks cut off by one change: its message stays far under a frame's bound
+MODE = 0o644  # of a file whose client states none
 
 
 class Refused(Exception):
@@ -25,13 +26,14 @@
 
 class Found(NamedTuple):
     """What a name means: its rows and their versions (0: no row)."""
-    parent: str              # id of the directory that holds it
+
+    parent: str  # id of the directory that holds it
     name: str
-    number: str              # its id; "" where there is nothing
+    number: str  # its id; "" where there is nothing
     file: Optional[File]
     entry_version: int = 0
     version: int = 0
-    chain: tuple = ()        # (key, version) of the entries that lead to the parent
+    chain: tuple = ()  # (key, version) of the entries that lead to the parent
 
     @property
     def is_directory(self):
@@ -87,7 +89,7 @@
             if last:
                 return Found(parent, name, number, file, entry.version, row.version, tuple(chain))
             if file.kind != "d":
-                raise Refused(sftp.NO_SUCH_FILE, "/".join(names[:depth + 1]) + " is no directory")
+                raise Refused(sftp.NO_SUCH_FILE, "/".join(names[: depth + 1]) + " is no directory")
             parent = number
             chain.append((entry.key, entry.version))
         raise AssertionError("unreachable: the loop returns at the last name")
@@ -136,18 +138,24 @@
         number = self.unique()
         entry, row = layout.entry_key(found.parent, found.name), layout.file_key(number)
         done = await errand.change(
-            f"{found.parent}/{found.name}", [*found.parent_check(), {"key": entry}],
-            [(entry, layout.pack_entry(number, file.kind)), (row, layout.pack_file(file))])
+            f"{found.parent}/{found.name}",
+            [*found.parent_check(), {"key": entry}],
+            [(entry, layout.pack_entry(number, file.kind)), (row, layout.pack_file(file))],
+        )
         if done is None:
             return None
-        return found._replace(number=number, file=file, entry_version=done[0].version,
-                              version=done[1].version)
+        return found._replace(
+            number=number, file=file, entry_version=done[0].version, version=done[1].version
+        )
 
     async def empty(self, errand, found: Found) -> Optional[Found]:
         file = found.file._replace(size=0, mtime=self.wall(), data=self.unique())
         key = layout.file_key(found.number)
-        done = await errand.change(found.number, [{"key": key, "version": found.version}],
-                                   [(key, layout.pack_file(file)), self.doomed(data=found.file.data)])
+        done = await errand.change(
+            found.number,
+            [{"key": key, "version": found.version}],
+            [(key, layout.pack_file(file)), self.doomed(data=found.file.data)],
+        )
         if done is None:
             return None
         self.drop(errand.folder)
@@ -195,13 +203,16 @@
             other = await self.find(errand, target)
             if found.number == other.number:
                 return
-            if found.is_directory and target[:len(names)] == names:
+            if found.is_directory and target[: len(names)] == names:
                 raise Refused(sftp.FAILURE, "a directory cannot go below itself")
             entry = layout.entry_key(found.parent, found.name)
             goal = layout.entry_key(other.parent, other.name)
             # The way to the new place must not change meanwhile, or a directory could end below itself.
-            checks = [{"key": entry, "version": found.entry_version}, *other.parent_check(),
-                      {"key": goal, "version": other.entry_version}]
+            checks = [
+                {"key": entry, "version": found.entry_version},
+                *other.parent_check(),
+                {"key": goal, "version": other.entry_version},
+            ]
             if found.is_directory:
                 checks += [{"key": key, "version": version} for key, version in other.chain]
             puts, drops = [(goal, layout.pack_entry(found.number, found.file.kind))], [entry]
@@ -235,8 +246,9 @@
                 if file.kind == "d":
                     raise Refused(sftp.FAILURE, "a directory has no size")
                 if asked.size > layout.most_bytes(file.block):
-                    raise Refused(sftp.FAILURE,
-                                  f"a size of {asked.size} is over {layout.most_bytes(file.block)}")
+                    raise Refused(
+                        sftp.FAILURE, f"a size of {asked.size} is over {layout.most_bytes(file.block)}"
+                    )
                 done = await self.resize(errand, number, file, version, asked.size)
                 if done is None:
                     continue
@@ -246,11 +258,13 @@
                 uid=file.uid if asked.uid is None else asked.uid,
                 gid=file.gid if asked.gid is None else asked.gid,
                 mtime=file.mtime if asked.mtime is None else asked.mtime,
-                atime=file.atime if asked.atime is None else asked.atime)
+                atime=file.atime if asked.atime is None else asked.atime,
+            )
             if changed == file:
                 return file, version
-            done = await errand.change(number, [{"key": key, "version": version}],
-                                       [(key, layout.pack_file(changed))])
+            done = await errand.change(
+                number, [{"key": key, "version": version}], [(key, layout.pack_file(changed))]
+            )
             if done is not None:
                 return changed, done[0].version
         raise contended("the file")
@@ -302,6 +316,9 @@
         numbers = [layout.unpack_entry(row.value)[0] for row in outcome.rows]
         rows = (await errand.look(number, keys=[layout.file_key(other) for other in numbers])).rows
         files = {row.key: layout.unpack_file(row.value) for row in rows}
-        entries = [(row.key[len(first):], other, files[layout.file_key(other)])
-                   for row, other in zip(outcome.rows, numbers) if layout.file_key(other) in files]
+        entries = [
+            (row.key[len(first) :], other, files[layout.file_key(other)])
+            for row, other in zip(outcome.rows, numbers)
+            if layout.file_key(other) in files
+        ]
         return entries, outcome.rows[-1].key if outcome.more else ""
--- a/rushmux/edge/turns.py
+++ b/rushmux/edge/turns.py
@@ -5,6 +5,7 @@
 for all that goes on at that name, above it or below it, and what asks for attributes waits for
 writes there.
 """
+
 import asyncio
 from typing import NamedTuple
 
@@ -14,8 +15,9 @@
 
 class Claim(NamedTuple):
     """What a request touches: names from the root, and a stretch of the file."""
+
     kind: str
-    paths: tuple = ()        # each a tuple of names; none: nothing that others could touch
+    paths: tuple = ()  # each a tuple of names; none: nothing that others could touch
     low: int = 0
     high: int = END
 
@@ -40,7 +42,7 @@
     """The requests of one session that are not answered yet, in the order they came."""
 
     def __init__(self):
-        self.held = {}                   # number -> (claim, future set when it is over)
+        self.held = {}  # number -> (claim, future set when it is over)
         self.count = 0
 
     def __len__(self):
--- a/rushmux/files/layout.py
+++ b/rushmux/files/layout.py
@@ -12,16 +12,18 @@
 names them only after they were answered as written.  A write that was held for lost and runs
 late makes an object that no row names.
 """
+
 from typing import NamedTuple
 
 import orjson
 
-ROOT = "0"                # id of a folder's own directory, which has no row
-BLOCK_DIGITS = 9          # decimal digits of a block's number, so that keys sort as numbers do
+ROOT = "0"  # id of a folder's own directory, which has no row
+BLOCK_DIGITS = 9  # decimal digits of a block's number, so that keys sort as numbers do
 
 
 class Extent(NamedTuple):
     """Bytes `start` to `start + length` of a block: those from `skip` on of an object at a cell."""
+
     start: int
     length: int
     object: str
@@ -35,7 +37,8 @@
 
 class File(NamedTuple):
     """Row of a file or a directory.  `data` names its blocks; it changes when the file is emptied."""
-    kind: str                # "f" or "d"
+
+    kind: str  # "f" or "d"
     mode: int
     size: int = 0
     mtime: int = 0
@@ -43,8 +46,8 @@
     uid: int = 0
     gid: int = 0
     data: str = ""
-    block: int = 0           # bytes in a block
-    by: str = ""             # stamp of the write-back batch that changed it last
+    block: int = 0  # bytes in a block
+    by: str = ""  # stamp of the write-back batch that changed it last
 
 
 def entry_key(parent: str, name: str) -> str:
@@ -71,7 +74,7 @@
 
 def most_bytes(block: int) -> int:
     """The largest size of a file with blocks of so many bytes."""
-    return block * 10 ** BLOCK_DIGITS
+    return block * 10**BLOCK_DIGITS
 
 
 def pack_entry(number: str, kind: str) -> bytes:
@@ -125,8 +128,11 @@
 
 def cut(extents, length: int) -> list[Extent]:
     """What is left of a block of which `length` bytes stay."""
-    return [extent._replace(length=min(extent.length, length - extent.start))
-            for extent in extents if extent.start < length]
+    return [
+        extent._replace(length=min(extent.length, length - extent.start))
+        for extent in extents
+        if extent.start < length
+    ]
 
 
 def within(extents, start: int, length: int) -> list[Extent]:
@@ -135,8 +141,9 @@
     for extent in extents:
         low, high = max(start, extent.start), min(start + length, extent.end)
         if low < high:
-            found.append(Extent(low, high - low, extent.object, extent.cell,
-                                extent.skip + low - extent.start))
+            found.append(
+                Extent(low, high - low, extent.object, extent.cell, extent.skip + low - extent.start)
+            )
     return found
 
 
--- a/rushmux/files/paths.py
+++ b/rushmux/files/paths.py
@@ -1,9 +1,10 @@
 """Paths of clients: text to a folder and the names below it; no I/O."""
+
 import hashlib
 
-MOST_NAME = 255       # bytes of a name: what file systems of clients hold
-MOST_DEPTH = 64       # names in a path: each is a row to read
-MOST_PATH = 4_096     # bytes of a path
+MOST_NAME = 255  # bytes of a name: what file systems of clients hold
+MOST_DEPTH = 64  # names in a path: each is a row to read
+MOST_PATH = 4_096  # bytes of a path
 
 
 class BadPath(Exception):
@@ -36,6 +37,8 @@
 def home(folder: str, cells: int) -> int:
     """The cell that holds a folder's names: the highest of a hash for each cell (rendezvous), so
     that it follows from the name and the number of cells alone and few folders move with it."""
+
     def weight(cell):
         return hashlib.blake2b(f"{cell}/{folder}".encode(), digest_size=8).digest()
+
     return max(range(cells), key=weight)
--- a/rushmux/fleet/membership.py
+++ b/rushmux/fleet/membership.py
@@ -5,26 +5,27 @@
 cut off itself knows less than it seems: it ends no lease early for that.  Times are seconds of the
 caller's clock, which never moves backwards but may jump.
 """
+
 from collections import deque
 from typing import NamedTuple
 
-LEASE = 6.0              # seconds without a word until a member is gone: three lost reports and a long pause
-REPORT = 1.0             # seconds between a member's reports
-BROKEN = 1.0             # seconds until a member whose connection broke is gone: a few dials
-STEP = 2.0               # seconds between two looks of a planner: more is a pause of its own, or a jump
-SUSPECT = 4.0            # times a member's own usual gap until it is suspected
-GAPS = 16                # gaps kept of a member
-LEAST_GAP = 0.5          # seconds: below that a gap says nothing of the next one
-PART = 0.5               # of the members: more gone at once is this planner's own trouble
-CROWD = 4                # members at least for that
-CROWD_SPAN = 4.0         # seconds within which "at once" is
-CROWD_WAIT = 10.0        # seconds that such a crowd is kept, unless some of it speak
-FLAP = 1.0               # added to a member's penalty at each start
-HALF = 60.0              # seconds in which a penalty halves
-HOLD, REUSE = 3.5, 1.5   # penalty at which a member is held back, and below which it is used again
-SETTLE = 3.0             # seconds that a drained node is silent before it may be stopped
-MOST = 20_000            # members kept
-KEPT = 900.0             # seconds for which a gone member is remembered
+LEASE = 6.0  # seconds without a word until a member is gone: three lost reports and a long pause
+REPORT = 1.0  # seconds between a member's reports
+BROKEN = 1.0  # seconds until a member whose connection broke is gone: a few dials
+STEP = 2.0  # seconds between two looks of a planner: more is a pause of its own, or a jump
+SUSPECT = 4.0  # times a member's own usual gap until it is suspected
+GAPS = 16  # gaps kept of a member
+LEAST_GAP = 0.5  # seconds: below that a gap says nothing of the next one
+PART = 0.5  # of the members: more gone at once is this planner's own trouble
+CROWD = 4  # members at least for that
+CROWD_SPAN = 4.0  # seconds within which "at once" is
+CROWD_WAIT = 10.0  # seconds that such a crowd is kept, unless some of it speak
+FLAP = 1.0  # added to a member's penalty at each start
+HALF = 60.0  # seconds in which a penalty halves
+HOLD, REUSE = 3.5, 1.5  # penalty at which a member is held back, and below which it is used again
+SETTLE = 3.0  # seconds that a drained node is silent before it may be stopped
+MOST = 20_000  # members kept
+KEPT = 900.0  # seconds for which a gone member is remembered
 
 NODE, EDGE = "node", "edge"
 READY, SUSPECTED, HELD, DRAINING, DRAINED, GONE = "ready", "suspected", "held", "draining", "drained", "gone"
@@ -40,6 +41,7 @@
 
 class Change(NamedTuple):
     """A member's condition and why it is so."""
+
     member: str
     condition: str
     reason: str
@@ -51,7 +53,7 @@
     def __init__(self, name, kind, now):
         self.name, self.kind = name, kind
         self.start, self.heard_at, self.until = "", now, now + LEASE
-        self.starts = {}                 # starts of it that were seen, in order: an older one is not believed
+        self.starts = {}  # starts of it that were seen, in order: an older one is not believed
         self.gaps, self.penalty, self.penalty_at = deque(maxlen=GAPS), 0.0, now
         self.draining, self.out, self.quiet_at, self.condition = False, 0, None, None
 
@@ -89,7 +91,7 @@
             member = self.members[name] = Member(name, kind, now)
         if start != member.start:
             if start in member.starts:
-                return []                # a late word of a start that is over
+                return []  # a late word of a start that is over
             if member.start:
                 member.penalty = member.flapped(now) + FLAP
                 member.gaps.clear()
@@ -114,8 +116,11 @@
         """To be called every second or so: ends leases and lets drained nodes go."""
         self.paused(now)
         self.looked_at = now
-        ending = [member for member in self.members.values()
-                  if member.condition not in (GONE, None) and now >= member.until]
+        ending = [
+            member
+            for member in self.members.values()
+            if member.condition not in (GONE, None) and now >= member.until
+        ]
         if self.own_trouble(now, ending):
             return []
         changes = []
@@ -182,5 +187,8 @@
 
     def told(self) -> list[tuple[str, str]]:
         """Nodes and their conditions as edges are to take them."""
-        return [(member.name, SHOWN.get(member.condition, member.condition))
-                for member in self.members.values() if member.kind == NODE and member.condition]
+        return [
+            (member.name, SHOWN.get(member.condition, member.condition))
+            for member in self.members.values()
+            if member.kind == NODE and member.condition
+        ]
--- a/rushmux/fleet/placement.py
+++ b/rushmux/fleet/placement.py
@@ -4,17 +4,19 @@
 a zone.  A plan of moves makes the fullest node as empty as it can within a budget of moved size, keeps
 each zone under its part, and changes nothing where the gain is small.  All follows from the arguments.
 """
+
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple, Optional
 
-EVEN = 0.05              # over the even load at which a node counts as full enough to take from
-SMALL = 0.02             # of the even load: a move that gains less is not worth its copy
-TRIES = 40               # fullest cells of a node that are tried for a swap
-ROUNDS = 20_000          # steps at most: a few for each cell
+EVEN = 0.05  # over the even load at which a node counts as full enough to take from
+SMALL = 0.02  # of the even load: a move that gains less is not worth its copy
+TRIES = 40  # fullest cells of a node that are tried for a swap
+ROUNDS = 20_000  # steps at most: a few for each cell
 
 
 class Cell(NamedTuple):
     """A shard of data: what is asked of it, what a move costs, and where it lies (None: nowhere now)."""
+
     name: int
     weight: float
     size: float
@@ -23,6 +25,7 @@
 
 class Node(NamedTuple):
     """A node that may hold cells."""
+
     name: str
     capacity: float
     zone: str
@@ -30,6 +33,7 @@
 
 class Move(NamedTuple):
     """A cell that goes to another node; `forced`: it lies nowhere now."""
+
     cell: int
     source: Optional[str]
     target: str
@@ -38,10 +42,11 @@
 
 class Plan(NamedTuple):
     """Moves in the order that they are to be made, and how full the fullest node is before and after."""
+
     moves: tuple[Move, ...]
     before: float
     after: float
-    moved: float                 # size, forced moves included
+    moved: float  # size, forced moves included
 
 
 def fullest(cells, nodes) -> float:
@@ -112,8 +117,9 @@
     # What lies nowhere goes first, the heaviest first, to the node that it leaves the least full.
     heap = [(work.full(name), name) for name in work.nodes]
     heapify(heap)
-    for cell in sorted((cell for cell in cells if work.at[cell.name] is None),
-                       key=lambda cell: (-cell.weight, cell.name)):
+    for cell in sorted(
+        (cell for cell in cells if work.at[cell.name] is None), key=lambda cell: (-cell.weight, cell.name)
+    ):
         skipped, chosen = [], None
         while heap:
             level, name = heappop(heap)
@@ -134,8 +140,10 @@
         if work.at[cell.name] != origin[cell.name]:
             moves.append(Move(cell.name, origin[cell.name], work.at[cell.name], origin[cell.name] is None))
     # Those that lie nowhere cannot be served at all; then what eases the fullest nodes.
-    start = {name: sum(cell.weight for cell in cells if origin[cell.name] == name) / node.capacity
-             for name, node in work.nodes.items()}
+    start = {
+        name: sum(cell.weight for cell in cells if origin[cell.name] == name) / node.capacity
+        for name, node in work.nodes.items()
+    }
     moves.sort(key=lambda move: (not move.forced, -start.get(move.source, 0.0), move.cell))
     forced = sum(work.cells[move.cell].size for move in moves if move.forced)
     return Plan(tuple(moves), before, max(work.full(name) for name in work.nodes), spent + forced)
@@ -147,11 +155,12 @@
 
     def cost(cell, target):
         """What a move adds: nothing for a cell that lay nowhere, or that only goes elsewhere; back home "
-          "pays."""
+        "pays."""
         home, at = origin[cell.name], work.at[cell.name]
         if home is None:
             return 0.0
         return (cell.size if at == home else 0.0) - (cell.size if target == home else 0.0)
+
     for _ in range(ROUNDS):
         ranked = sorted(work.nodes, key=lambda name: (-work.full(name), name))
         source = next((name for name in ranked if name not in stuck), None)
@@ -166,8 +175,11 @@
             work.take(cell)
         for cell, target in moves:
             work.put(cell, target)
-        spent = sum(cell.size for cell in work.cells.values()
-                    if origin[cell.name] is not None and work.at[cell.name] != origin[cell.name])
+        spent = sum(
+            cell.size
+            for cell in work.cells.values()
+            if origin[cell.name] is not None and work.at[cell.name] != origin[cell.name]
+        )
         stuck = {}
     return spent
 
@@ -183,20 +195,24 @@
             continue
         for cell in cells:
             price = cost(cell, target)
-            after = max(level - cell.weight / work.nodes[source].capacity,
-                        work.full(target) + cell.weight / node.capacity)
+            after = max(
+                level - cell.weight / work.nodes[source].capacity,
+                work.full(target) + cell.weight / node.capacity,
+            )
             if price <= left and work.fits_zone(cell.weight, target, source):
                 best = _better(best, level - after, price, ((cell, target),), work)
             if after < level:
                 continue
             # Too heavy alone: something lighter comes back for it.
-            for other in sorted(work.held[target].values(), key=lambda held: (held.weight,
-                                                                              held.name))[:TRIES]:
+            for other in sorted(work.held[target].values(), key=lambda held: (held.weight, held.name))[
+                :TRIES
+            ]:
                 gap = cell.weight - other.weight
                 if gap <= 0:
                     break
-                after = max(level - gap / work.nodes[source].capacity,
-                            work.full(target) + gap / node.capacity)
+                after = max(
+                    level - gap / work.nodes[source].capacity, work.full(target) + gap / node.capacity
+                )
                 both = price + cost(other, source)
                 if after < level and both <= left and work.fits_zone(gap, target, source):
                     best = _better(best, level - after, both, ((cell, target), (other, source)), work)
@@ -225,5 +241,9 @@
         placed.append(cell._replace(node=name))
         if cell.node != name:
             moves.append(Move(cell.name, cell.node, name, cell.node not in capacity))
-    return Plan(tuple(moves), before, fullest(placed, nodes), sum(cell.size for cell in cells if any(
-        move.cell == cell.name for move in moves)))
+    return Plan(
+        tuple(moves),
+        before,
+        fullest(placed, nodes),
+        sum(cell.size for cell in cells if any(move.cell == cell.name for move in moves)),
+    )
--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -16,27 +16,29 @@
 longer by DRIFT.  Clocks may stand apart and be set; they may not run apart by more than DRIFT. Limits are
 units a second of all members together, 0: none.
 """
+
 import json
 import zlib
 from typing import Callable, NamedTuple, Optional
 
-LEASE = 10.0             # seconds that a member goes by what it was told, from when it asked
-DRIFT = 0.01             # part by which two clocks may run apart
-NARROW = 0.25            # of its limits: what a member keeps that hears of no planner
-PATIENCE = 35.0          # seconds until a staged change that not all have answered ends: three leases
-MOST_TEXT = 64 << 10     # bytes of a policy
-MOST_BETWEEN = 32        # decided since the oldest that a member may go by: their limits are all kept
-KEPT = 4                 # texts of past policies kept, to go back to
-HISTORY = 200            # changes remembered with how they ended
-MOST_DRAINED = 10_000    # nodes
-MOST_ASKS = 2_000        # members' asks that wait for one round of the log
-TOLERANCE = 1e-9         # parts are compared to this
+LEASE = 10.0  # seconds that a member goes by what it was told, from when it asked
+DRIFT = 0.01  # part by which two clocks may run apart
+NARROW = 0.25  # of its limits: what a member keeps that hears of no planner
+PATIENCE = 35.0  # seconds until a staged change that not all have answered ends: three leases
+MOST_TEXT = 64 << 10  # bytes of a policy
+MOST_BETWEEN = 32  # decided since the oldest that a member may go by: their limits are all kept
+KEPT = 4  # texts of past policies kept, to go back to
+HISTORY = 200  # changes remembered with how they ended
+MOST_DRAINED = 10_000  # nodes
+MOST_ASKS = 2_000  # members' asks that wait for one round of the log
+TOLERANCE = 1e-9  # parts are compared to this
 
 DECIDED, ENDED, WITHDRAWN = "decided", "ended", "withdrawn"
 
 
 class Policy(NamedTuple):
     """`rows`: (folder, limit, burst) of each folder; `text`: what members prove and go by, as JSON."""
+
     number: int
     text: str
     rows: tuple[tuple[str, float, float], ...]
@@ -52,8 +54,11 @@
 
 def packed(policy: Optional[Policy]):
     """A policy as JSON values; None stays so."""
-    return None if policy is None else [policy.number, policy.text, [list(row) for row in policy.rows],
-                                        policy.sum]
+    return (
+        None
+        if policy is None
+        else [policy.number, policy.text, [list(row) for row in policy.rows], policy.sum]
+    )
 
 
 def unpacked(values) -> Optional[Policy]:
@@ -72,6 +77,7 @@
 
 class Past(NamedTuple):
     """A change and how it ended: `why` and by whom it was proposed."""
+
     number: int
     end: str
     why: str
@@ -80,22 +86,25 @@
 
 # What planners hold in common.
 
+
 class Register:
     """The state.  `apply` takes orders as the log decides them; `kept` and `restored` are for snapshots."""
 
     def __init__(self):
         self.members, self.force, self.staged, self.last = (), None, None, 0
-        self.by = ""                     # who proposed what is staged
-        self.goes = {}                   # member -> the oldest number that it may go by
-        self.gone = {}                   # members that people said will never serve again
-        self.drained = {}                # nodes that people ordered to drain
-        self.past, self.texts, self.rows = [], {}, {}   # rows: of all decided numbers from the floor on
+        self.by = ""  # who proposed what is staged
+        self.goes = {}  # member -> the oldest number that it may go by
+        self.gone = {}  # members that people said will never serve again
+        self.drained = {}  # nodes that people ordered to drain
+        self.past, self.texts, self.rows = [], {}, {}  # rows: of all decided numbers from the floor on
 
     @property
     def floor(self) -> int:
         """No member goes by an older number, but one whose disk is older than what it said."""
-        return min((number for member, number in self.goes.items() if member not in self.gone),
-                   default=self.force.number if self.force is not None else 0)
+        return min(
+            (number for member, number in self.goes.items() if member not in self.gone),
+            default=self.force.number if self.force is not None else 0,
+        )
 
     def apply(self, order: dict) -> str:
         """What came of an order, in words; those that begin with `refused` changed nothing."""
@@ -138,8 +147,11 @@
     def order_revert(self, order):
         text = self.texts.get(order["number"])
         if text is None:
-            raise Refused(f"{order['number']} is not kept; there are {', '.join(map(str, self.texts))}"
-                          if self.texts else "no past policy is kept yet")
+            raise Refused(
+                f"{order['number']} is not kept; there are {', '.join(map(str, self.texts))}"
+                if self.texts
+                else "no past policy is kept yet"
+            )
         return self.order_propose({**order, "text": text.text, "rows": text.rows})
 
     def order_decide(self, order):
@@ -164,8 +176,10 @@
             found = next((past for past in self.past if past.number == order["number"]), None)
             if found is None:
                 raise Refused(f"there is no change {order['number']}")
-            raise Refused(f"{found.number} is {found.end} already" +
-                          (": propose a revert" if found.end == DECIDED else ""))
+            raise Refused(
+                f"{found.number} is {found.end} already"
+                + (": propose a revert" if found.end == DECIDED else "")
+            )
         self.note(self.staged.number, WITHDRAWN, f"by {order['by']}", self.by)
         self.staged = None
         return f"{order['number']} is withdrawn and took hold nowhere"
@@ -225,19 +239,30 @@
                 for was, will, what in zip((limit, burst), wills, ("limit", "burst")):
                     if will and (not was or NARROW * was > will + TOLERANCE):
                         part = f"{NARROW * was:g} in all" if was else "no bound"
-                        return (f"{folder}: who is away and goes by {number} keeps {part} of its "
-                                f"{what}, over the {will:g} of {policy.number}")
+                        return (
+                            f"{folder}: who is away and goes by {number} keeps {part} of its "
+                            f"{what}, over the {will:g} of {policy.number}"
+                        )
         return None
 
     # Snapshots.
 
     def kept(self) -> bytes:
-        return json.dumps({
-            "members": self.members, "force": packed(self.force), "staged": packed(self.staged),
-            "last": self.last, "by": self.by, "goes": self.goes, "past": self.past,
-            "texts": [packed(policy) for policy in self.texts.values()],
-            "rows": list(self.rows.items()), "drained": list(self.drained),
-            "gone": list(self.gone)}).encode()
+        return json.dumps(
+            {
+                "members": self.members,
+                "force": packed(self.force),
+                "staged": packed(self.staged),
+                "last": self.last,
+                "by": self.by,
+                "goes": self.goes,
+                "past": self.past,
+                "texts": [packed(policy) for policy in self.texts.values()],
+                "rows": list(self.rows.items()),
+                "drained": list(self.drained),
+                "gone": list(self.gone),
+            }
+        ).encode()
 
     @classmethod
     def restored(cls, state: bytes) -> "Register":
@@ -261,9 +286,11 @@
 
 # What members and the planner that leads say to each other.
 
+
 class Ask(NamedTuple):
     """`force`: the number it goes by (0: none); `joint`: the staged number that it keeps beside it (0: none);
     `against`: why it does not take the number `refused`."""
+
     member: str
     ask: int
     force: int
@@ -275,6 +302,7 @@
 class Grant(NamedTuple):
     """What holds for a lease from the ask on: `force` and, while a change is under way, `staged`.  `term` and
     `index` are of the log: what is older is not believed."""
+
     member: str
     ask: int
     term: int
@@ -290,10 +318,10 @@
         self.register = register
         # Danger: the one that led before may have answered an ask just before it was not leading any more.
         self.open_at = now + LEASE * (1 + DRIFT)
-        self.until, self.said = {}, {}   # member -> when its lease is over; its newest ask
-        self.asks, self.began = [], {}   # asks that wait for a round; staged number -> since when it is seen
-        self.returning = {}              # members that were forgotten and ask
-        self.closing = None              # the number that it asked the log to decide, and who was joint
+        self.until, self.said = {}, {}  # member -> when its lease is over; its newest ask
+        self.asks, self.began = [], {}  # asks that wait for a round; staged number -> since when it is seen
+        self.returning = {}  # members that were forgotten and ask
+        self.closing = None  # the number that it asked the log to decide, and who was joint
 
     def asked(self, now, ask: Ask, round_: int):
         """An ask came while the log's newest round was `round_`: it is answered once a later one is
@@ -341,8 +369,12 @@
             return {"kind": "return", "members": returning}
         if staged is None:
             self.closing, self.began = None, {}
-            back = [member for member in register.members if self.goes_by(member, register.force.number)
-                    and register.goes[member] != register.force.number]
+            back = [
+                member
+                for member in register.members
+                if self.goes_by(member, register.force.number)
+                and register.goes[member] != register.force.number
+            ]
             return {"kind": "back", "number": register.force.number, "members": back} if back else None
         if self.closing is not None and self.closing[0] == staged.number:
             return None
@@ -351,18 +383,29 @@
             said = self.said.get(member)
             if said is not None and said.refused == number:
                 return {"kind": "end", "number": number, "why": f"{member}: {said.against}"}
-        waiting = [member for member in register.members
-                   if member not in register.gone and not self.joint(member, number)]
+        waiting = [
+            member
+            for member in register.members
+            if member not in register.gone and not self.joint(member, number)
+        ]
         held = [member for member in waiting if self.until.get(member, self.open_at) > now]
         # Danger: who was joint and is silent since may come back on an older disk that knows nothing of it.
-        silent = [member for member in register.members if member not in register.gone
-                  and (member in waiting or self.until.get(member, self.open_at) <= now)]
+        silent = [
+            member
+            for member in register.members
+            if member not in register.gone
+            and (member in waiting or self.until.get(member, self.open_at) <= now)
+        ]
         harm = register.unharmed(staged) if silent else None
         if not held and harm is None:
             joint = [member for member in register.members if member not in waiting]
             self.closing = number, dict.fromkeys(joint, True)
-            return {"kind": "decide", "number": number, "joint": joint,
-                    "why": f"{len(joint)} of {len(register.members)} were there"}
+            return {
+                "kind": "decide",
+                "number": number,
+                "joint": joint,
+                "why": f"{len(joint)} of {len(register.members)} were there",
+            }
         if now - since >= PATIENCE:
             away = waiting or silent
             who = ", ".join(away[:5]) + (f" and {len(away) - 5} more" if len(away) > 5 else "")
@@ -381,16 +424,23 @@
 
 # A member.
 
+
 class Holder:
     """`prove(policy)`: why it cannot be gone by, None: it can.  `keep(force, staged)`: puts both on its
     disk, synced; OSError where the disk does not take them.  `force`, `staged`: what its disk held."""
 
-    def __init__(self, member: str, force: Optional[Policy], staged: Optional[Policy],
-                 prove: Callable[[Policy], Optional[str]], keep: Callable):
+    def __init__(
+        self,
+        member: str,
+        force: Optional[Policy],
+        staged: Optional[Policy],
+        prove: Callable[[Policy], Optional[str]],
+        keep: Callable,
+    ):
         self.member, self.force, self.staged, self.prove, self.keep = member, force, staged, prove, keep
         self.until, self.seen, self.count, self.asks = None, (0, 0), 0, {}
-        self.refused = 0, ""             # a number that it said no to, and why
-        self.fenced = 0                  # nodes turned away what goes by numbers below this one
+        self.refused = 0, ""  # a number that it said no to, and why
+        self.fenced = 0  # nodes turned away what goes by numbers below this one
 
     def ask(self, now) -> Ask:
         self.count += 1
@@ -411,7 +461,7 @@
         if grant.member != self.member or asked_at is None or (grant.term, grant.index) < self.seen:
             return False
         if asked_at + LEASE <= now:
-            return False                 # so long on its way that it is over
+            return False  # so long on its way that it is over
         force, staged = grant.force, self.stages(grant)
         if force.number != self.number:
             reason = self.prove(force)
@@ -468,6 +518,10 @@
             return {}
         known = [policy.limits() for policy in (self.force, self.staged) if policy is not None]
         part = NARROW if self.narrow(now) else 1.0
-        return {folder: tuple(part * min((limit for limit in values if limit), default=0.0)
-                              for values in zip(*(limits.get(folder, own) for limits in known)))
-                for folder, own in known[0].items()}
+        return {
+            folder: tuple(
+                part * min((limit for limit in values if limit), default=0.0)
+                for values in zip(*(limits.get(folder, own) for limits in known))
+            )
+            for folder, own in known[0].items()
+        }
--- a/rushmux/fleet/raft.py
+++ b/rushmux/fleet/raft.py
@@ -11,23 +11,25 @@
 has no vote, and is taken in by a change of members.  Danger: under its old name it would vote twice in a
 term.
 """
+
 from collections import OrderedDict
 from typing import Callable, NamedTuple, Optional
 
 FOLLOWS, TRIES, STANDS, LEADS = "follows", "tries", "stands", "leads"
-BEGIN, ORDER, MEMBERS = "begin", "order", "members"   # kinds of entries
+BEGIN, ORDER, MEMBERS = "begin", "order", "members"  # kinds of entries
 
-WAIT = 10                # tenths of a second: the least without a leader before another is sought
-SPREAD = 10              # tenths drawn on top of it: two seldom stand together
-EVERY = 0.25             # seconds between two words of a leader: three may be lost before anybody tries
-BATCH = 64               # entries in one message: a member that is far behind must not stall the others
-MOST_OPEN = 1_024        # entries not decided yet: beyond it nothing more is taken
-MOST_MEMBERS = 9         # more make nothing safer
-MOST_CLIENTS = 16_384    # whose last answer is remembered; the longest silent is forgotten first
+WAIT = 10  # tenths of a second: the least without a leader before another is sought
+SPREAD = 10  # tenths drawn on top of it: two seldom stand together
+EVERY = 0.25  # seconds between two words of a leader: three may be lost before anybody tries
+BATCH = 64  # entries in one message: a member that is far behind must not stall the others
+MOST_OPEN = 1_024  # entries not decided yet: beyond it nothing more is taken
+MOST_MEMBERS = 9  # more make nothing safer
+MOST_CLIENTS = 16_384  # whose last answer is remembered; the longest silent is forgotten first
 
 
 class Entry(NamedTuple):
     """`body`: bytes of an order, or the members' names."""
+
     term: int
     kind: str
     body: object
@@ -35,6 +37,7 @@
 
 class Snapshot(NamedTuple):
     """What all entries up to `index` made, so that they need not be kept."""
+
     index: int
     term: int
     members: tuple[str, ...]
@@ -43,6 +46,7 @@
 
 class Kept(NamedTuple):
     """What a disk holds at a start: the entries follow the snapshot."""
+
     term: int
     voted: Optional[str]
     snapshot: Snapshot
@@ -51,6 +55,7 @@
 
 class Ask(NamedTuple):
     """For a vote; `trial`: whether it would be given."""
+
     sender: str
     to: str
     term: int
@@ -69,6 +74,7 @@
 
 class Append(NamedTuple):
     """Entries behind index `before`, and up to where all is decided."""
+
     sender: str
     to: str
     term: int
@@ -76,11 +82,12 @@
     before_term: int
     entries: tuple[Entry, ...]
     decided: int
-    round: int = 0           # of the leader's words: whoever echoes it heard it after the round began
+    round: int = 0  # of the leader's words: whoever echoes it heard it after the round began
 
 
 class Install(NamedTuple):
     """A snapshot, for a member whose entries the leader does not keep any more."""
+
     sender: str
     to: str
     term: int
@@ -90,6 +97,7 @@
 
 class Appended(NamedTuple):
     """Up to where the sender's log is the leader's; not `good`: up to where it may be."""
+
     sender: str
     to: str
     term: int
@@ -100,12 +108,13 @@
 
 class Ready(NamedTuple):
     """To be done in this order: written and synced, sent, applied; then `written`."""
-    vote: Optional[tuple[int, Optional[str]]]   # term and whom it voted for, where they changed
-    snapshot: Optional[Snapshot]     # replaces what is on disk up to its index
-    cut: Optional[int]               # from this index on the disk's entries are dropped before
+
+    vote: Optional[tuple[int, Optional[str]]]  # term and whom it voted for, where they changed
+    snapshot: Optional[Snapshot]  # replaces what is on disk up to its index
+    cut: Optional[int]  # from this index on the disk's entries are dropped before
     entries: tuple[tuple[int, Entry], ...]
     send: tuple
-    restored: Optional[Snapshot]     # the state to be taken over before what is decided is applied
+    restored: Optional[Snapshot]  # the state to be taken over before what is decided is applied
     decided: tuple[tuple[int, Entry], ...]
 
 
@@ -149,7 +158,7 @@
 
     def members_at(self, index) -> tuple[str, ...]:
         """Those of the last change up to an index: a change counts from when it stands in the log."""
-        for entry in reversed(self.log[:max(0, index - self.snapshot.index)]):
+        for entry in reversed(self.log[: max(0, index - self.snapshot.index)]):
             if entry.kind == MEMBERS:
                 return entry.body
         return self.snapshot.members
@@ -162,7 +171,7 @@
     def cut(self, index):
         """Drops the entries from an index on: they were never decided."""
         assert index > self.decided, "what was decided is never undone"
-        del self.log[index - self.snapshot.index - 1:]
+        del self.log[index - self.snapshot.index - 1 :]
         self.cut_from = index if self.cut_from is None else min(self.cut_from, index)
         self.on_disk, self.unwritten = min(self.on_disk, index - 1), min(self.unwritten, index - 1)
         self.members = self.members_at(self.last)
@@ -271,7 +280,7 @@
         self.replace(Snapshot(index, self.term_at(index), self.members_at(index), state))
 
     def replace(self, snapshot):
-        self.log = self.log[snapshot.index - self.snapshot.index:]
+        self.log = self.log[snapshot.index - self.snapshot.index :]
         self.snapshot = self.to_write = snapshot
         self.on_disk, self.unwritten = max(self.on_disk, snapshot.index), max(self.unwritten, snapshot.index)
 
@@ -290,17 +299,29 @@
             self.out.append(Install(self.me, name, self.term, self.snapshot, self.round))
             return
         place = next_ - self.snapshot.index - 1
-        self.out.append(Append(self.me, name, self.term, next_ - 1, self.term_at(next_ - 1),
-                               tuple(self.log[place:place + BATCH]), self.decided, self.round))
+        self.out.append(
+            Append(
+                self.me,
+                name,
+                self.term,
+                next_ - 1,
+                self.term_at(next_ - 1),
+                tuple(self.log[place : place + BATCH]),
+                self.decided,
+                self.round,
+            )
+        )
 
     def decide(self, now):
         """Moves on what a majority's disks have, this one's included."""
-        reached = sorted((self.on_disk if name == self.me else self.match.get(name, 0)
-                          for name in self.members), reverse=True)
+        reached = sorted(
+            (self.on_disk if name == self.me else self.match.get(name, 0) for name in self.members),
+            reverse=True,
+        )
         index = reached[len(self.members) // 2]
         if index > self.decided and self.term_at(index) == self.term:
             self.decided = index
-            if self.me not in self.members_at(index):   # it has led itself out
+            if self.me not in self.members_at(index):  # it has led itself out
                 self.tell(now)
                 self.follow(now, self.term)
 
@@ -310,8 +331,10 @@
         0 until an entry of its own term is decided: before that it may not know what was decided."""
         if self.role != LEADS or self.term_at(self.decided) != self.term:
             return 0
-        rounds = sorted((self.round if name == self.me else self.echoes.get(name, 0)
-                         for name in self.members), reverse=True)
+        rounds = sorted(
+            (self.round if name == self.me else self.echoes.get(name, 0) for name in self.members),
+            reverse=True,
+        )
         return rounds[len(self.members) // 2]
 
     # What comes.
@@ -324,7 +347,7 @@
         trial = getattr(message, "trial", False)
         if message.term > self.term and not (trial and (asks or message.given)):
             if asks and self.looked(now):
-                return                   # a leader is heard: whoever asks does not hear it
+                return  # a leader is heard: whoever asks does not hear it
             self.follow(now, message.term)
         if message.term < self.term:
             if asks:
@@ -357,13 +380,13 @@
 
     def append(self, now, message):
         before, entries = message.before, message.entries
-        if before < self.snapshot.index:   # an old word: what the snapshot holds was decided
-            entries = entries[self.snapshot.index - before:]
+        if before < self.snapshot.index:  # an old word: what the snapshot holds was decided
+            entries = entries[self.snapshot.index - before :]
             before = self.snapshot.index
         elif self.term_at(before) != message.before_term:
             index = min(before - 1, self.last)
             while index > self.decided and self.term_at(index) == self.term_at(before):
-                index -= 1               # the whole term differs: one word for all of it
+                index -= 1  # the whole term differs: one word for all of it
             self.out.append(Appended(self.me, message.sender, self.term, False, index, message.round))
             return
         for place, entry in enumerate(entries):
@@ -404,8 +427,9 @@
             self.next[name] = max(self.next.get(name, 0), self.match[name] + 1)
             self.decide(now)
         else:
-            self.next[name] = max(self.match.get(name, 0) + 1,
-                                  min(self.next.get(name, 1) - 1, message.index + 1))
+            self.next[name] = max(
+                self.match.get(name, 0) + 1, min(self.next.get(name, 1) - 1, message.index + 1)
+            )
         if self.role == LEADS and (not message.good or self.next[name] <= self.last):
             self.tell_one(name)
 
@@ -414,12 +438,23 @@
     def ready(self) -> Optional[Ready]:
         """What is to be done now, None: nothing.  It is handed out once."""
         vote = (self.term, self.voted)
-        entries = tuple((index, self.log[index - self.snapshot.index - 1])
-                        for index in range(max(self.unwritten, self.snapshot.index) + 1, self.last + 1))
-        decided = tuple((index, self.log[index - self.snapshot.index - 1])
-                        for index in range(self.applied + 1, self.decided + 1))
-        done = Ready(vote if vote != self.vote_kept else None, self.to_write, self.cut_from, entries,
-                     tuple(self.out), self.to_restore, decided)
+        entries = tuple(
+            (index, self.log[index - self.snapshot.index - 1])
+            for index in range(max(self.unwritten, self.snapshot.index) + 1, self.last + 1)
+        )
+        decided = tuple(
+            (index, self.log[index - self.snapshot.index - 1])
+            for index in range(self.applied + 1, self.decided + 1)
+        )
+        done = Ready(
+            vote if vote != self.vote_kept else None,
+            self.to_write,
+            self.cut_from,
+            entries,
+            tuple(self.out),
+            self.to_restore,
+            decided,
+        )
         if done == (None, None, None, (), (), None, ()):
             return None
         self.vote_kept, self.to_write, self.cut_from, self.out = vote, None, None, []
--- a/rushmux/fleet/shares.py
+++ b/rushmux/fleet/shares.py
@@ -8,33 +8,36 @@
 limit.  So shares go down everywhere before they go up anywhere: what was lowered is free only when the
 edge said so, or when its lease is over.
 """
+
 from typing import NamedTuple, Optional
 
-LEASE = 10.0             # seconds for which a grant holds, from when the edge asked
-DRIFT = 0.01             # part by which two clocks may run apart
-SAFE = 0.25              # of a limit: what edges that hear of nobody share evenly
-STEADY = 0.1             # of a share: for smaller wishes hundreds of edges would be told each second
-FLOOR = 0.02             # of what is shared out goes to each edge that asked for none: a first burst
-RISE = 0.5               # weight of the newest report in what an edge wants
-NOTHING = 1e-9           # shares are compared to this
+LEASE = 10.0  # seconds for which a grant holds, from when the edge asked
+DRIFT = 0.01  # part by which two clocks may run apart
+SAFE = 0.25  # of a limit: what edges that hear of nobody share evenly
+STEADY = 0.1  # of a share: for smaller wishes hundreds of edges would be told each second
+FLOOR = 0.02  # of what is shared out goes to each edge that asked for none: a first burst
+RISE = 0.5  # weight of the newest report in what an edge wants
+NOTHING = 1e-9  # shares are compared to this
 
 
 class Grant(NamedTuple):
     """What an edge is told: parts of each folder's limit, and the ask that it answers."""
+
     edge: str
-    term: int                    # of the planner: an older one is not believed
-    number: int                  # of the grant, rising within a term
-    ask: int                     # the edge's own number of the ask: the lease runs from then
+    term: int  # of the planner: an older one is not believed
+    number: int  # of the grant, rising within a term
+    ask: int  # the edge's own number of the ask: the lease runs from then
     parts: dict[str, float]
 
 
 class _Held:
     """What one edge may believe of one folder."""
+
     __slots__ = ("granted", "sent", "want")
 
     def __init__(self, part):
-        self.granted = part      # the most that it may use now, whatever it has heard
-        self.sent = part         # what it was last told
+        self.granted = part  # the most that it may use now, whatever it has heard
+        self.sent = part  # what it was last told
         self.want = 0.0
 
 
@@ -44,8 +47,8 @@
     def __init__(self, term: int, folders, edges: int, now: float):
         self.term, self.count = term, edges
         self.safe = SAFE / edges
-        self.folders = {name: {} for name in folders}   # folder -> edge -> what it may believe
-        self.until, self.number, self.pending = {}, 0, {}   # edge -> end of its lease; its last grant
+        self.folders = {name: {} for name in folders}  # folder -> edge -> what it may believe
+        self.until, self.number, self.pending = {}, 0, {}  # edge -> end of its lease; its last grant
         # Danger: a planner that has just begun does not know what another one had granted: nothing above the
         # safe parts goes out until every lease of an older term is over.
         self.open_at = now + LEASE * (1 + DRIFT)
@@ -61,7 +64,7 @@
             for folder, part in known[1].items():
                 self.folders[folder][edge].granted = part
         if edge not in self.until and len(self.until) >= self.count:
-            return Grant(edge, self.term, 0, ask, {})   # one too many: it stays at nothing
+            return Grant(edge, self.term, 0, ask, {})  # one too many: it stays at nothing
         self.until[edge] = now + LEASE * (1 + DRIFT)
         parts = {}
         for folder, want in wants.items():
@@ -130,7 +133,7 @@
         if asked_at is None or (grant.term, grant.number) <= (self.term, self.number):
             return False
         if asked_at + LEASE <= now:
-            return False                 # so long on its way that it is over
+            return False  # so long on its way that it is over
         self.term, self.number, self.parts = grant.term, grant.number, dict(grant.parts)
         self.until = asked_at + LEASE
         return True
--- a/rushmux/lab/baselines.py
+++ b/rushmux/lab/baselines.py
@@ -3,6 +3,7 @@
 
 They are baselines of the laboratory only; no program uses them.
 """
+
 from collections import defaultdict
 from itertools import count
 
@@ -37,9 +38,18 @@
                 return
             cell = cells[self.chance.below(len(cells))]
         stop_at = now + max(0, left - 2 * self.terms.tick)
-        op = self.ops[op_id] = {"id": op_id, "lane": lane, "plan": self.terms.plans[plan], "volume": volume,
-                                "units": units, "cell": cell, "quoted": min(now + lane.quoted_time, stop_at),
-                                "stop": stop_at, "number": next(self.numbers), "out": None}
+        op = self.ops[op_id] = {
+            "id": op_id,
+            "lane": lane,
+            "plan": self.terms.plans[plan],
+            "volume": volume,
+            "units": units,
+            "cell": cell,
+            "quoted": min(now + lane.quoted_time, stop_at),
+            "stop": stop_at,
+            "number": next(self.numbers),
+            "out": None,
+        }
         self.held[cell][op_id] = op
 
     def answered(self, now, op_id, execution, result, ended, fleet_use, from_others):
@@ -118,5 +128,9 @@
         return op["quoted"], op["number"]
 
 
-BASELINES = {"first-come": FirstCome, "random": RandomNext, "fair-share": FairShare,
-             "earliest-deadline": EarliestDeadline}
+BASELINES = {
+    "first-come": FirstCome,
+    "random": RandomNext,
+    "fair-share": FairShare,
+    "earliest-deadline": EarliestDeadline,
+}
--- a/rushmux/lab/compare.py
+++ b/rushmux/lab/compare.py
@@ -1,4 +1,5 @@
 """Variants against the first one on the same seeds: intervals, tests, and a plain conclusion."""
+
 from typing import NamedTuple
 
 import numpy
@@ -6,18 +7,19 @@
 
 LEVEL = 0.95
 RESAMPLES = 2_000
-EXACT = 12               # pairs up to which all sign changes are gone through
+EXACT = 12  # pairs up to which all sign changes are gone through
 
 
 class Difference(NamedTuple):
     """A variant less the first one, in one measure, over the seeds that both have."""
+
     variant: str
     measure: str
     pairs: int
     mean: float
     low: float
     high: float
-    chance: float                # of such a mean were there no difference, corrected for the variants
+    chance: float  # of such a mean were there no difference, corrected for the variants
     says: str
 
 
@@ -26,22 +28,31 @@
     values = numpy.asarray(values, float)
     if len(values) < 2 or numpy.ptp(values) == 0:
         return float(values.mean()), float(values.mean())
-    found = stats.bootstrap((values,), numpy.mean, confidence_level=LEVEL, n_resamples=RESAMPLES,
-                            method="basic",
-                            rng=numpy.random.default_rng(7)).confidence_interval
+    found = stats.bootstrap(
+        (values,),
+        numpy.mean,
+        confidence_level=LEVEL,
+        n_resamples=RESAMPLES,
+        method="basic",
+        rng=numpy.random.default_rng(7),
+    ).confidence_interval
     return float(found.low), float(found.high)
 
 
 def sign_flips(values) -> float:
     """Chance of a mean as far from nought, were each pair's sign a coin's: exact for few pairs, else "
-      "drawn."""
+    "drawn."""
     values = numpy.asarray(values, float)
     if not numpy.any(values):
         return 1.0
-    found = stats.permutation_test((values, numpy.zeros(len(values))), lambda a, b: numpy.mean(a - b),
-                                   permutation_type="samples", vectorized=False,
-                                   n_resamples=numpy.inf if len(values) <= EXACT else RESAMPLES,
-                                   rng=numpy.random.default_rng(7))
+    found = stats.permutation_test(
+        (values, numpy.zeros(len(values))),
+        lambda a, b: numpy.mean(a - b),
+        permutation_type="samples",
+        vectorized=False,
+        n_resamples=numpy.inf if len(values) <= EXACT else RESAMPLES,
+        rng=numpy.random.default_rng(7),
+    )
     return float(found.pvalue)
 
 
--- a/rushmux/lab/heap.py
+++ b/rushmux/lab/heap.py
@@ -1,9 +1,11 @@
 """A clock of timers alone: the part of an event loop that emulated machines use, without tasks or sockets."""
+
 from heapq import heappop, heappush
 
 
 class Timer:
     """A call to come; `cancel` forgets it."""
+
     __slots__ = ("call", "values")
 
     def __init__(self, call, values):
--- a/rushmux/lab/lean.py
+++ b/rushmux/lab/lean.py
@@ -3,6 +3,7 @@
 For the largest fleets.  Same machines (`standins.engine`), same module, same rounds as the real edge;
 an operation is one access.  Records are those of the checker, so every run is judged by the rules.
 """
+
 import random
 from collections import defaultdict
 from typing import Callable, NamedTuple
@@ -15,36 +16,38 @@
 from rushmux.standins.engine import Engine, Shape, neighbour
 from rushmux.standins.node import Served
 
-SECOND = 10_000          # ticks in a second
-WAY = (0.0002, 0.0015)   # seconds one way within a zone
+SECOND = 10_000  # ticks in a second
+WAY = (0.0002, 0.0015)  # seconds one way within a zone
 ACROSS = (0.0008, 0.003)  # and between two
-TRIES = 3                # tries of a client, the first included
-AGAIN = (0.2, 0.6)       # seconds until a client tries again that was told no time
-SAMPLE = 0.5             # seconds between two looks at rooms and backlogs
-WATCHED = 40             # gateways whose rooms are looked at
-LAG = 0.5                # seconds until a change of a node reaches the gateways
-AFTER = 4.0              # seconds played on after the last arrival
-IDLE = 30.0              # seconds after which a node closes a connection that is not used
+TRIES = 3  # tries of a client, the first included
+AGAIN = (0.2, 0.6)  # seconds until a client tries again that was told no time
+SAMPLE = 0.5  # seconds between two looks at rooms and backlogs
+WATCHED = 40  # gateways whose rooms are looked at
+LAG = 0.5  # seconds until a change of a node reaches the gateways
+AFTER = 4.0  # seconds played on after the last arrival
+IDLE = 30.0  # seconds after which a node closes a connection that is not used
 
 
 class Fleet(NamedTuple):
     """What stands there: machines by node, and how many gateways."""
+
     edges: int
     nodes: int
     zones: int
     machine: Shape
-    unlike: float                # sigma of the machines' speeds around one
-    connections: int             # gateways that a node is connected to at most; 0: no bound
+    unlike: float  # sigma of the machines' speeds around one
+    connections: int  # gateways that a node is connected to at most; 0: no bound
 
 
 class Ended(NamedTuple):
     """How one operation of a client ended; times in seconds from the day's begin."""
+
     at: float
     volume: str
     lane: str
     units: float
     took: float
-    how: str                     # succeeded, shed, terminated, lost
+    how: str  # succeeded, shed, terminated, lost
     tries: int
 
 
@@ -62,12 +65,24 @@
     def start(self, cold=True):
         self.starts += 1
         self.alive = True
-        self.engine = Engine(self.shape, random.Random(f"{self.world.seed}/{self.name}/{self.starts}"), cold,
-                             self.fall, self.world.clock)
+        self.engine = Engine(
+            self.shape,
+            random.Random(f"{self.world.seed}/{self.name}/{self.starts}"),
+            cold,
+            self.fall,
+            self.world.clock,
+        )
         self.since = self.world.clock.time() if cold else 0.0
-        self.world.record("start", node=self.name, cell=self.cell, cold=cold, start=str(self.starts),
-                          per_second=self.engine.per_second(), cold_start=self.shape.cold_start,
-                          warm_within=self.shape.warm_within)
+        self.world.record(
+            "start",
+            node=self.name,
+            cell=self.cell,
+            cold=cold,
+            start=str(self.starts),
+            per_second=self.engine.per_second(),
+            cold_start=self.shape.cold_start,
+            warm_within=self.shape.warm_within,
+        )
 
     def fall(self):
         self.world.record("fell", node=self.name)
@@ -106,10 +121,20 @@
             self.world.back(self, edge, op, number, say.SEVERED)
             return
         world, arrival = self.world, op.arrival
-        world.record("execution", node=self.name, cell=self.cell, edge=edge.name, op=op.name,
-                     execution=number,
-                     volume=arrival.volume, lane=arrival.lane, key=arrival.key, units=arrival.units,
-                     what="write" if arrival.cell < 0 else "read", time_out=time_out)
+        world.record(
+            "execution",
+            node=self.name,
+            cell=self.cell,
+            edge=edge.name,
+            op=op.name,
+            execution=number,
+            volume=arrival.volume,
+            lane=arrival.lane,
+            key=arrival.key,
+            units=arrival.units,
+            what="write" if arrival.cell < 0 else "read",
+            time_out=time_out,
+        )
         self.flying[edge, op, number] = True
         if self.lost and world.chance.random() < self.lost:
             return
@@ -121,8 +146,11 @@
         def done(late):
             if not late:
                 self.answer(edge, op, number, say.SUCCEEDED, messages.DONE)
-        if not self.engine.offer(arrival.units, key, arrival.cell < 0, time_out / SECOND,
-                                 done) and self.alive:
+
+        if (
+            not self.engine.offer(arrival.units, key, arrival.cell < 0, time_out / SECOND, done)
+            and self.alive
+        ):
             self.answer(edge, op, number, say.FULL, messages.BUSY)
 
     def answer(self, edge, op, number, result, code):
@@ -138,6 +166,7 @@
 
 class Op:
     """One try of a client's operation at its gateway."""
+
     __slots__ = ("arrival", "begun", "name", "number", "tries", "sent", "flying", "over")
 
     def __init__(self, arrival, begun, tries):
@@ -194,8 +223,12 @@
             self.gateway.act(self.now())
 
     def tell(self, entries, kind=say.CHANGES):
-        self.world.record("told", edge=self.name, start=f"{self.starts:x}",
-                          nodes=[[entry.node, entry.condition] for entry in entries])
+        self.world.record(
+            "told",
+            edge=self.name,
+            start=f"{self.starts:x}",
+            nodes=[[entry.node, entry.condition] for entry in entries],
+        )
         self.gateway.listed(self.now(), kind, entries)
 
     def take(self, op):
@@ -213,9 +246,19 @@
         left = int(lane.hard_stop * arrival.left)
         # What its client has waited for a gateway that stood still is gone.
         left = max(0, left - int((self.world.clock.time() - op.begun) * SECOND))
-        self.gateway.taken(self.now(), op.name, arrival.lane, deployment.folders[arrival.volume].plan,
-                           arrival.volume, arrival.key, left, arrival.units, arrival.cell,
-                           deployment.mounts(arrival.volume), False)
+        self.gateway.taken(
+            self.now(),
+            op.name,
+            arrival.lane,
+            deployment.folders[arrival.volume].plan,
+            arrival.volume,
+            arrival.key,
+            left,
+            arrival.units,
+            arrival.cell,
+            deployment.mounts(arrival.volume),
+            False,
+        )
 
     def came(self, op, number, result, others):
         if number not in op.flying or not op.name.startswith(self.prefix):
@@ -239,9 +282,9 @@
     def execute(self, op_id, node, time_out):
         op, world = self.ops[op_id], self.world
         number, op.sent = op.sent, op.sent + 1
-        op.flying[number] = world.clock.call_later(time_out / SECOND, self.calls, self.came, op, number,
-                                                   say.OVERDUE,
-                                                   0.0)
+        op.flying[number] = world.clock.call_later(
+            time_out / SECOND, self.calls, self.came, op, number, say.OVERDUE, 0.0
+        )
         world.send(self, op, number, world.nodes[node], time_out)
 
     def shed(self, op_id, come_back):
@@ -340,9 +383,11 @@
         if how in ("shed", "lost") and op.tries < TRIES and again < waits:
             self.clock.call_at(again, self.arrives, arrival, op.tries + 1)
             return
-        self.ended.append(Ended(arrival.at, arrival.volume, arrival.lane, arrival.units,
-                                now - 1.0 - arrival.at,
-                                how, op.tries))
+        self.ended.append(
+            Ended(
+                arrival.at, arrival.volume, arrival.lane, arrival.units, now - 1.0 - arrival.at, how, op.tries
+            )
+        )
 
     # Troubles (`rushmux.lab.troubles`).
 
@@ -408,10 +453,18 @@
         for edge in self.edges[:WATCHED]:
             for name, node in getattr(edge.gateway, "nodes", {}).items():
                 rooms[name].append(node.room.size)
-        self.samples.append((self.clock.time() - 1.0, {
-            name: (node.engine.inflight if node.alive else 0,
-                   sorted(rooms[name])[len(rooms[name]) // 2] if rooms[name] else 0.0)
-            for name, node in self.nodes.items()}))
+        self.samples.append(
+            (
+                self.clock.time() - 1.0,
+                {
+                    name: (
+                        node.engine.inflight if node.alive else 0,
+                        sorted(rooms[name])[len(rooms[name]) // 2] if rooms[name] else 0.0,
+                    )
+                    for name, node in self.nodes.items()
+                },
+            )
+        )
         self.clock.call_later(SAMPLE, self.sample)
 
     def play(self, arrivals, events, seconds, progress=lambda at: None):
@@ -432,9 +485,14 @@
         def come(arrival):
             next_one()
             self.arrives(arrival)
+
         next_one()
         for second in range(int(seconds) + 1):
             self.clock.run(begun + second)
             progress(second)
-        self.clock.run(begun + seconds + AFTER + max(
-            lane.hard_stop for lane in self.deployment.terms.lanes.values()) / SECOND)
+        self.clock.run(
+            begun
+            + seconds
+            + AFTER
+            + max(lane.hard_stop for lane in self.deployment.terms.lanes.values()) / SECOND
+        )
--- a/rushmux/lab/load.py
+++ b/rushmux/lab/load.py
@@ -3,6 +3,7 @@
 Each new object becomes a file that is written, each read one of those written before through the same
 folder; sizes follow the operations' units.
 """
+
 import asyncio
 from collections import Counter, deque
 
@@ -10,12 +11,12 @@
 from rushmux.sftp import packets as sftp
 from rushmux.standins.client import Client, Gone, Refusal
 
-MOST_OUT = 2_000         # at a time; more are counted as turned away by the load itself
-UNIT = 32_768            # bytes of a unit
-KNOWN = 64               # files of a folder that reads choose from
-SESSIONS = 4             # with each edge
-FIRST = 2                # files filed in each folder before the clock starts
-QUOTED = {"write": 1.4, "read": 0.8}   # seconds: of the accesses that one request is made of, in the example
+MOST_OUT = 2_000  # at a time; more are counted as turned away by the load itself
+UNIT = 32_768  # bytes of a unit
+KNOWN = 64  # files of a folder that reads choose from
+SESSIONS = 4  # with each edge
+FIRST = 2  # files filed in each folder before the clock starts
+QUOTED = {"write": 1.4, "read": 0.8}  # seconds: of the accesses that one request is made of, in the example
 
 
 class NotServed(Exception):
@@ -70,6 +71,7 @@
             ends[refusal.status.message.split(":")[0] or sftp.FAILURE] += 1
         except (Gone, OSError):
             ends["lost"] += 1
+
     begun = loop.time()
     for number, arrival in enumerate(arrivals):
         due = begun + arrival.at
@@ -85,11 +87,17 @@
     for pool in pools:
         for client in pool:
             await client.close()
-    lines = [f"{len(arrivals)} requests in {seconds:g} s through {len(edges)} edge(s): "
-             + ", ".join(f"{how} {count}" for how, count in sorted(ends.items()))
-             + f"; in time {in_time / max(1, len(arrivals)):.3f}"]
+    lines = [
+        f"{len(arrivals)} requests in {seconds:g} s through {len(edges)} edge(s): "
+        + ", ".join(f"{how} {count}" for how, count in sorted(ends.items()))
+        + f"; in time {in_time / max(1, len(arrivals)):.3f}"
+    ]
     for kind, found in times.items():
         if found.get_total_count():
-            lines.append(f"  {kind:6} " + ", ".join(
-                f"{part}%: {found.get_value_at_percentile(part) / 1000:.1f} ms" for part in outcome.PARTS))
+            lines.append(
+                f"  {kind:6} "
+                + ", ".join(
+                    f"{part}%: {found.get_value_at_percentile(part) / 1000:.1f} ms" for part in outcome.PARTS
+                )
+            )
     return lines, ends["lost"] == 0
--- a/rushmux/lab/outcome.py
+++ b/rushmux/lab/outcome.py
@@ -1,4 +1,5 @@
 """What a played day comes to: plain numbers that can be kept, merged and compared."""
+
 from collections import defaultdict
 
 from hdrh.histogram import HdrHistogram
@@ -6,11 +7,11 @@
 from rushmux.lab.lean import World
 from rushmux.standins.checker import Checker
 
-WAY = 0.01               # seconds: longest emulated way of a message
-WINDOW = 10              # seconds of the worst stretch
-FINEST, LONGEST, DIGITS = 1, 60_000_000, 2   # microseconds of the histograms, and their digits
+WAY = 0.01  # seconds: longest emulated way of a message
+WINDOW = 10  # seconds of the worst stretch
+FINEST, LONGEST, DIGITS = 1, 60_000_000, 2  # microseconds of the histograms, and their digits
 PARTS = (50, 90, 99, 99.9)
-MEASURES = ("in_time", "worth", "worst", "entitled", "fair", "p99_ms")   # what variants are compared by
+MEASURES = ("in_time", "worth", "worst", "entitled", "fair", "p99_ms")  # what variants are compared by
 
 
 def histogram(text=None) -> HdrHistogram:
@@ -63,30 +64,46 @@
     whole = histogram()
     for found in times.values():
         whole.add(found)
-    seconds_asked = [sum(series[name][at][0] for name in series if name.startswith("plan"))
-                     for at in range(int(seconds) + 1)]
-    seconds_good = [sum(series[name][at][1] for name in series if name.startswith("plan"))
-                    for at in range(int(seconds) + 1)]
-    stretches = [(sum(seconds_good[at:at + WINDOW]), sum(seconds_asked[at:at + WINDOW]))
-                 for at in range(0, max(1, int(seconds) - WINDOW + 1))]
+    seconds_asked = [
+        sum(series[name][at][0] for name in series if name.startswith("plan"))
+        for at in range(int(seconds) + 1)
+    ]
+    seconds_good = [
+        sum(series[name][at][1] for name in series if name.startswith("plan"))
+        for at in range(int(seconds) + 1)
+    ]
+    stretches = [
+        (sum(seconds_good[at : at + WINDOW]), sum(seconds_asked[at : at + WINDOW]))
+        for at in range(0, max(1, int(seconds) - WINDOW + 1))
+    ]
     rules = {}
     if world.keep:
         for verdict in Checker(world.records, world.deployment, WAY).verdicts():
             rules[verdict.rule] = [verdict.checked, verdict.nearest, list(verdict.breaches[:3])]
     return {
-        "asked": asked, "in_time": good / max(1, asked), "worth": worth / max(1e-9, due),
+        "asked": asked,
+        "in_time": good / max(1, asked),
+        "worth": worth / max(1e-9, due),
         "worst": min((part / wanted for part, wanted in stretches if wanted >= 20), default=1.0),
-        "entitled": met / max(1e-9, entitled), "fair": jain(had / wanted for wanted, had in shares.values()),
+        "entitled": met / max(1e-9, entitled),
+        "fair": jain(had / wanted for wanted, had in shares.values()),
         "p99_ms": whole.get_value_at_percentile(99) / 1000,
-        "ends": dict(ends), "plans": {name: row[1] / row[0] for name, row in sorted(plans.items())},
+        "ends": dict(ends),
+        "plans": {name: row[1] / row[0] for name, row in sorted(plans.items())},
         "lanes": {name: row[1] / row[0] for name, row in sorted(lanes.items())},
-        "latency": {lane: {str(part): found.get_value_at_percentile(part) / 1000 for part in PARTS}
-                    for lane, found in sorted(times.items())},
+        "latency": {
+            lane: {str(part): found.get_value_at_percentile(part) / 1000 for part in PARTS}
+            for lane, found in sorted(times.items())
+        },
         "sketches": {lane: found.encode().decode() for lane, found in sorted(times.items())},
         "series": {name: rows for name, rows in sorted(series.items())},
-        "nodes": [[round(at, 2), {name: [flying, round(room, 2)] for name, (flying, room) in row.items()}]
-                  for at, row in world.samples],
-        "rules": rules, "kept": not any(row[2] for row in rules.values())}
+        "nodes": [
+            [round(at, 2), {name: [flying, round(room, 2)] for name, (flying, room) in row.items()}]
+            for at, row in world.samples
+        ],
+        "rules": rules,
+        "kept": not any(row[2] for row in rules.values()),
+    }
 
 
 def merged(texts) -> HdrHistogram:
--- a/rushmux/lab/proof.py
+++ b/rushmux/lab/proof.py
@@ -4,6 +4,7 @@
 that breaks its rule, or count as conservative; or be marked `guarded`, where the module keeps the rule
 by itself.
 """
+
 import random
 from collections import Counter
 from typing import NamedTuple
@@ -13,22 +14,28 @@
 from rushmux.routes import prove, resolve
 
 MATTERS = ("way", "short", "window", "drain", "cold", "limit", "ladder", "copy", "budget")
-STORIES = {              # rule -> stories that try to break it, what nodes do there, whether ways are drawn
+STORIES = {  # rule -> stories that try to break it, what nodes do there, whether ways are drawn
     prove.LOST: ((schedules.late, (schedules.SILENT, schedules.FAILED, schedules.DONE), True),),
-    prove.TWICE: ((schedules.late, (schedules.SILENT, schedules.FAILED, schedules.TURNED_AWAY), True),
-                  (schedules.held_back, (schedules.SILENT, schedules.FAILED), True)),
+    prove.TWICE: (
+        (schedules.late, (schedules.SILENT, schedules.FAILED, schedules.TURNED_AWAY), True),
+        (schedules.held_back, (schedules.SILENT, schedules.FAILED), True),
+    ),
     prove.DRAINS: ((schedules.drained, (schedules.SILENT,), True),),
-    prove.COLD: ((schedules.started, (schedules.SILENT,), True), (schedules.started, (schedules.DONE,),
-                                                                  True)),
+    prove.COLD: (
+        (schedules.started, (schedules.SILENT,), True),
+        (schedules.started, (schedules.DONE,), True),
+    ),
     prove.BUDGETS: ((schedules.late, (schedules.FAILED, schedules.SILENT), True),),
-    prove.LIMITS: ((schedules.forgotten, (schedules.DONE,), False),)}
+    prove.LIMITS: ((schedules.forgotten, (schedules.DONE,), False),),
+}
 
 
-SINGLE = (schedules.late, schedules.drained, schedules.held_back)   # stories of one gateway
+SINGLE = (schedules.late, schedules.drained, schedules.held_back)  # stories of one gateway
 
 
 class Drawn(NamedTuple):
     """A small deployment: one lane, one plan."""
+
     matter: str
     ground: prove.Ground
     flows: list[resolve.Flow]
@@ -37,7 +44,7 @@
 def draw(chance: random.Random) -> Drawn:
     """A deployment in which one matter is near its border, the others well inside."""
     matter = chance.choice(MATTERS)
-    near = chance.randrange(-3, 4)           # ticks, or units, past the border
+    near = chance.randrange(-3, 4)  # ticks, or units, past the border
     tick = chance.randrange(4, 60) * 2
     way, dial = tick // 2 - chance.randrange(1, 3), chance.choice((0, 300, 2_000))
     quoted = chance.randrange(20, 60) * 100
@@ -53,8 +60,9 @@
         repeat, group = say.REFERENCED, chance.choice(("all", "cell"))
         row = {"executions": 2, "time_out_ms": chance.randrange(2, 12) * 10.0}
         wait = min(dial, int(row["time_out_ms"] * 10) + tick)
-        window = max(2 * tick, quoted + tick + wait + way + chance.choice((near, near - quoted // 2,
-                                                                           near - tick)))
+        window = max(
+            2 * tick, quoted + tick + wait + way + chance.choice((near, near - quoted // 2, near - tick))
+        )
     elif matter == "cold":
         gateways, cold = chance.randrange(2, 7), chance.randrange(4, 40) * 1.0
     elif matter == "limit":
@@ -68,9 +76,14 @@
         row["time_out_ms"] = max(1, most + near) / 10
     elif matter == "copy":
         copies = chance.random() < 0.8
-        repeat, group = chance.choice(((say.REPLAYABLE, "all"), (say.REFERENCED, "all"), (say.REFERENCED,
-                                                                                          "cell"),
-                                       (say.SINGLE_USE, "all")))
+        repeat, group = chance.choice(
+            (
+                (say.REPLAYABLE, "all"),
+                (say.REFERENCED, "all"),
+                (say.REFERENCED, "cell"),
+                (say.SINGLE_USE, "all"),
+            )
+        )
         due = min(quoted, stop - 2 * tick) - tick - 2 * way + near
         row = {"second_copy": {"after_ms": max(0, chance.choice((due, due // 4))) / 10}}
     elif matter == "budget":
@@ -80,19 +93,38 @@
     flows = resolve.flows([{"lane": "w", **row}], {"w": lane}, {"p": plan}, 3)
     grace = tick + min(dial, max(prove.longest(tick, flow) for flow in flows) + tick) + way
     terms = say.Terms(
-        lanes={"w": lane}, plans={"p": plan}, gateways=gateways, tick=tick, list_asked=False, ask_within=0,
-        executions=3, come_back=0, mean_units=2.0, most_units=4.0, cold_units=cold,
+        lanes={"w": lane},
+        plans={"p": plan},
+        gateways=gateways,
+        tick=tick,
+        list_asked=False,
+        ask_within=0,
+        executions=3,
+        come_back=0,
+        mean_units=2.0,
+        most_units=4.0,
+        cold_units=cold,
         cold_span=prove.kept(20_000, way, dial, tick),
-        fall_multiple=2.5, cold_start=0.2, warm_within=160_000, meter_span=0, order_rest=0, budget_share=0.5,
-        budget_free=max(0.0,
-                        free), budget_span=100_000, copies=copies, cancel=True, routes=resolve.routes(flows))
+        fall_multiple=2.5,
+        cold_start=0.2,
+        warm_within=160_000,
+        meter_span=0,
+        order_rest=0,
+        budget_share=0.5,
+        budget_free=max(0.0, free),
+        budget_span=100_000,
+        copies=copies,
+        cancel=True,
+        routes=resolve.routes(flows),
+    )
     grace += max(-grace, near) if matter == "drain" else 50
     ground = prove.Ground(terms, way, dial, grace, restarts, 20_000, 1_000.0, 400.0, 20_000, 1)
     if matter == "cold":
         # What it answers is a part of what pushes it over, and both stand in the border.
         falls = (cold + gateways * 4.0 + near) * chance.choice((1.0, 0.8, 0.5, 2.0, 4.0))
-        ground = ground._replace(falls=falls, serves=falls / terms.fall_multiple * chance.choice((0.1, 0.5,
-                                                                                                  1.0)))
+        ground = ground._replace(
+            falls=falls, serves=falls / terms.fall_multiple * chance.choice((0.1, 0.5, 1.0))
+        )
         falls = prove.cold_worst(ground) + near if chance.random() < 0.5 else falls
         ground = ground._replace(falls=falls)
     return Drawn(matter, ground, flows)
@@ -104,8 +136,7 @@
         if rule == prove.LIMITS and not drawn.ground.terms.plans["p"].limit:
             continue
         gateways = 1 if story in SINGLE else drawn.ground.terms.gateways
-        breach = schedules.search(drawn.ground, story, "w", "p", acts, most, seed, gateways,
-                                  way)
+        breach = schedules.search(drawn.ground, story, "w", "p", acts, most, seed, gateways, way)
         if breach is not None:
             return breach
     return None
@@ -113,8 +144,9 @@
 
 class Outcome(NamedTuple):
     """What holding the prover against the model came to."""
+
     counts: Counter
-    wrong: list          # (number of the draw, what is wrong)
+    wrong: list  # (number of the draw, what is wrong)
 
 
 def hold(number: int, seed: int, most: int) -> Outcome:
--- a/rushmux/lab/run.py
+++ b/rushmux/lab/run.py
@@ -1,4 +1,5 @@
 """Plays experiments: variants by seeds over the machine's cores, kept as they come, stopped when clear."""
+
 import hashlib
 import subprocess
 import traceback
@@ -23,8 +24,12 @@
 def source(variant: dict) -> str:
     """The text of the module that a variant plays."""
     if "revision" in variant:
-        found = subprocess.run(["git", "-C", str(ROOT), "show", f"{variant['revision']}:{MODULE}"],
-                               capture_output=True, text=True, check=False)
+        found = subprocess.run(
+            ["git", "-C", str(ROOT), "show", f"{variant['revision']}:{MODULE}"],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
         if found.returncode:
             raise NoSource(f"revision {variant['revision']}: {found.stderr.strip()}")
         text = found.stdout
@@ -32,8 +37,9 @@
         text = Path(rules.__file__).read_text()
     for old, new in variant.get("without", ()):
         if text.count(old) != 1:
-            raise NoSource(f"variant {variant['name']}: '{old[:60]}' stands {text.count(old)} times in the "
-                           f"module")
+            raise NoSource(
+                f"variant {variant['name']}: '{old[:60]}' stands {text.count(old)} times in the module"
+            )
         text = text.replace(old, new)
     return text
 
@@ -55,15 +61,17 @@
         world = World(built, stood, seed, decisions(variant, text))
         world.play(arrivals, events, raw["seconds"])
         return outcome.measured(world, raw["seconds"])
-    except Exception as fault:   # pylint: disable=broad-except
-        return {"crashed": f"{type(fault).__name__}: {fault}",
-                "where": traceback.format_exc(limit=-3).splitlines()[-4:]}
+    except Exception as fault:  # pylint: disable=broad-except
+        return {
+            "crashed": f"{type(fault).__name__}: {fault}",
+            "where": traceback.format_exc(limit=-3).splitlines()[-4:],
+        }
 
 
 def revision() -> str:
-    found = subprocess.run(["git", "-C", str(ROOT), "rev-parse", "--short", "HEAD"], capture_output=True,
-                           text=True,
-                           check=False)
+    found = subprocess.run(
+        ["git", "-C", str(ROOT), "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False
+    )
     return found.stdout.strip() or "unknown"
 
 
@@ -97,8 +105,9 @@
                 store.put(digest(raw, variant), marks[variant["name"]], seed, variant["name"], at, result)
                 found[variant["name"]][seed] = result
                 done += 1
-                progress(f"{raw['name']}: seed {seed} of {variant['name']}, {done} of {len(waiting)} in "
-                         f"this batch")
+                progress(
+                    f"{raw['name']}: seed {seed} of {variant['name']}, {done} of {len(waiting)} in this batch"
+                )
             good = whole(found)
             if compare.narrow(good, "in_time", seeds["narrow"]) or len(good) < 2:
                 break
@@ -109,8 +118,11 @@
 
 def whole(found: dict) -> dict:
     """The outcomes without what crashed."""
-    return {name: {seed: row for seed, row in rows.items() if "crashed" not in row}
-            for name, rows in found.items() if any("crashed" not in row for row in rows.values())}
+    return {
+        name: {seed: row for seed, row in rows.items() if "crashed" not in row}
+        for name, rows in found.items()
+        if any("crashed" not in row for row in rows.values())
+    }
 
 
 def said(raw, found) -> list[str]:
@@ -120,14 +132,22 @@
         crashed = [f"seed {seed}: {row['crashed']}" for seed, row in rows.items() if "crashed" in row]
         good = [row for row in rows.values() if "crashed" not in row]
         broken = sum(not row["kept"] for row in good)
-        values = " ".join(f"{measure} {sum(row[measure] for row in good) / len(good):.3f}"
-                          for measure in outcome.MEASURES) if good else "nothing played"
-        lines.append(f"  {name:24} {len(good):3} days  {values}  "
-                     + ("rules kept" if not broken else f"RULES BROKEN on {broken} days"))
+        values = (
+            " ".join(
+                f"{measure} {sum(row[measure] for row in good) / len(good):.3f}"
+                for measure in outcome.MEASURES
+            )
+            if good
+            else "nothing played"
+        )
+        lines.append(
+            f"  {name:24} {len(good):3} days  {values}  "
+            + ("rules kept" if not broken else f"RULES BROKEN on {broken} days")
+        )
         lines += [f"    crashed: {text}" for text in crashed[:3]]
     for row in compare.differences(whole(found), outcome.MEASURES):
-        lines.append(f"  {row.variant:24} {row.measure:9} {row.mean:+.4f} [{row.low:+.4f}, {row.high:+.4f}] "
-                     f"p {row.chance:.3f} over {row.pairs} seeds: {row.says}")
+        lines.append(
+            f"  {row.variant:24} {row.measure:9} {row.mean:+.4f} [{row.low:+.4f}, {row.high:+.4f}] "
+            f"p {row.chance:.3f} over {row.pairs} seeds: {row.says}"
+        )
     return lines
-
-
--- a/rushmux/lab/schedules.py
+++ b/rushmux/lab/schedules.py
@@ -4,6 +4,7 @@
 does with an execution.  `search` goes through the choices in order, worst first, and then draws
 some.  Small on purpose: a handful of operations, one matter at a time.  Times are whole ticks.
 """
+
 import random
 from collections import defaultdict
 from heapq import heappop, heappush
@@ -13,13 +14,14 @@
 from rushmux.routes.prove import Ground
 from rushmux.rules import Gateway
 
-MOST_EVENTS = 20_000     # of one schedule: beyond it the play has run away
-WORST = 0.7              # of the choices drawn are the worst: delays add up to a breach only together
+MOST_EVENTS = 20_000  # of one schedule: beyond it the play has run away
+WORST = 0.7  # of the choices drawn are the worst: delays add up to a breach only together
 SILENT, DONE, FAILED, TURNED_AWAY = range(4)
 
 
 class Breach(NamedTuple):
     """A rule broken in a play, and what happened until then: (tick, what)."""
+
     rule: str
     text: str
     steps: tuple[tuple[int, str], ...]
@@ -63,10 +65,11 @@
     def start(self):
         """Starts, or starts anew with nothing remembered."""
         self.starts += 1
-        self.out = defaultdict(dict)         # operation -> execution -> (node, sent)
+        self.out = defaultdict(dict)  # operation -> execution -> (node, sent)
         self.sent, self.over, self.orphans = defaultdict(int), {}, {}
-        self.gateway = Gateway(self.play.ground.terms, self.play.seed * 64 + self.number * 8 + self.starts,
-                               self.play.now, self)
+        self.gateway = Gateway(
+            self.play.ground.terms, self.play.seed * 64 + self.number * 8 + self.starts, self.play.now, self
+        )
 
     def tell(self, at, call, *values):
         """Something reaches the gateway at `at`; the round that takes it in may be late."""
@@ -80,6 +83,7 @@
         def reach():
             self.handled = max(self.handled, self.play.now + self.play.choices.of(self.play.lates))
             self.play.at(self.handled, happen)
+
         self.play.at(at, reach)
 
     def listed(self, entries):
@@ -120,6 +124,7 @@
             if number in self.out[op] or not dial:
                 arrives = play.now + play.choices.of(play.ways)
                 play.at(arrives, lambda: play.arrives(self, op, number, node, now))
+
         play.at(now + dial, connected)
 
     def shed(self, op, come_back):
@@ -149,7 +154,7 @@
         self.ground, self.choices, self.acts, self.seed = ground, choices, acts, seed
         self.now, self.number, self.heap = 10, 0, []
         self.steps, self.breach = [], None
-        both = lambda value: (value, 0) if value else (0,)   # noqa: E731
+        both = lambda value: (value, 0) if value else (0,)  # noqa: E731
         self.ways, self.dials, self.lates = (0,), (0,), (0,)
         if way:
             self.ways, self.dials, self.lates = both(ground.way), both(ground.dial), both(ground.terms.tick)
@@ -216,9 +221,10 @@
         arrives = self.now + self.choices.of(self.ways)
         self.note(f"{op} {how}; its client knows at {arrives / 10:g} ms")
         if arrives > sent + lane.hard_stop:
-            self.broke("no operation lost",
-                       f"{op} is answered {(arrives - sent) / 10:g} ms after its send, of "
-                       f"{lane.hard_stop / 10:g}")
+            self.broke(
+                "no operation lost",
+                f"{op} is answered {(arrives - sent) / 10:g} ms after its send, of {lane.hard_stop / 10:g}",
+            )
 
     # What the gateways send, and where it arrives.
 
@@ -244,8 +250,9 @@
                 level = min(plan.burst, level + plan.limit * (self.now - at) / 10_000) - self.ops[op][2]
                 self.store[plan.name] = level, self.now
                 if level < -plan.slack - 1e-6:
-                    self.broke("limits kept", f"the limit is passed by {-level:g} units, {plan.slack:g} are "
-                                              f"allowed")
+                    self.broke(
+                        "limits kept", f"the limit is passed by {-level:g} units, {plan.slack:g} are allowed"
+                    )
 
     def arrives(self, place, op, number, node, sent):
         _, lane, units = self.ops[op]
@@ -261,9 +268,12 @@
             if lane.repeat == say.SINGLE_USE:
                 self.broke("no effect twice", f"{op} may run twice")
             elif self.now - maybe > lane.window:
-                self.broke("no effect twice", f"{op} arrives {(self.now - maybe) / 10:g} ms after the first "
-                                              f"was "
-                                              f"sent, its mark is known for {lane.window / 10:g}")
+                self.broke(
+                    "no effect twice",
+                    f"{op} arrives {(self.now - maybe) / 10:g} ms after the first "
+                    f"was "
+                    f"sent, its mark is known for {lane.window / 10:g}",
+                )
             elif lane.group == "cell" and self.nodes[node].cell != self.nodes[where].cell:
                 self.broke("no effect twice", f"{op} arrives in another cell")
         if act != TURNED_AWAY:
@@ -272,8 +282,13 @@
             self.busy_until = max(self.busy_until, self.now) + self.work(node, units)
             place.tell(self.busy_until + self.choices.of(self.ways), place.back, op, number, say.SUCCEEDED)
         elif act != SILENT:
-            place.tell(self.now + self.choices.of(self.ways), place.back, op, number,
-                       say.ERRORED if act == FAILED else say.FULL)
+            place.tell(
+                self.now + self.choices.of(self.ways),
+                place.back,
+                op,
+                number,
+                say.ERRORED if act == FAILED else say.FULL,
+            )
 
     def work(self, node, units):
         """Ticks of a just-started node for so many units."""
@@ -286,12 +301,15 @@
         self.arrived.append((self.now, units))
         total = sum(sent for at, sent in self.arrived if at > self.now - span)
         if total > self.ground.falls:
-            self.broke("no cold node pushed over", f"{total:g} units within {span / 10:g} ms, "
-                                                   f"{self.ground.falls:g} push it over")
+            self.broke(
+                "no cold node pushed over",
+                f"{total:g} units within {span / 10:g} ms, {self.ground.falls:g} push it over",
+            )
 
 
 # One story for each matter: it sets a play going and says until when.
 
+
 def late(play, lane, plan):
     """One operation of a lane, and another that follows it."""
     place = play.places[0]
@@ -339,8 +357,12 @@
             when = began + step * terms.cold_span // 2 + chance.randrange(terms.cold_span // 4) + 1
             for units in (1.0,) * chance.randrange(3) + (terms.most_units,):
                 count += 1
-                play.at(when, lambda place=place, count=count, units=units: play.take(
-                    place, f"c{count}", lane, plan, units, 0))
+                play.at(
+                    when,
+                    lambda place=place, count=count, units=units: play.take(
+                        place, f"c{count}", lane, plan, units, 0
+                    ),
+                )
     return began + 3 * terms.cold_span
 
 
@@ -363,13 +385,15 @@
             for _ in range(many):
                 count += 1
                 play.take(place, f"l{count}", lane, plan, size, 0, mounts)
+
     for number in range(play.ground.restarts + 1):
         play.at(full + 100 * number, lambda number=number: wave(number))
     return full + 100 * (play.ground.restarts + 1)
 
 
-def search(ground: Ground, story, lane, plan, acts, most=300, seed=1, gateways=1,
-           way=True) -> Optional[Breach]:
+def search(
+    ground: Ground, story, lane, plan, acts, most=300, seed=1, gateways=1, way=True
+) -> Optional[Breach]:
     """The first breach found in `most` schedules, half of them in order and half drawn; None: none."""
     choices, chance = Choices(), random.Random(seed)
     for number in range(most):
--- a/rushmux/lab/search.py
+++ b/rushmux/lab/search.py
@@ -6,6 +6,7 @@
 the worst kind, not how kinds meet; a library's optimiser (scipy's dual annealing) wants a box of
 numbers of one length, and lines come and go.
 """
+
 import json
 import random
 from concurrent.futures import ProcessPoolExecutor
@@ -14,8 +15,8 @@
 from rushmux.lab import run, spec, troubles
 
 FORMAT = 1
-WARM, COOL = 0.05, 0.002   # differences in the service that are taken with even chance, first and last
-SPARE = 0.02             # of the service: what a shrunk day may be better than the whole one
+WARM, COOL = 0.05, 0.002  # differences in the service that are taken with even chance, first and last
+SPARE = 0.02  # of the service: what a shrunk day may be better than the whole one
 MOST_LINES = 12
 
 
@@ -25,6 +26,7 @@
 
 class Day(NamedTuple):
     """A day that was played: how much was served in time, and the rules that broke."""
+
     seed: int
     lines: tuple[str, ...]
     served: float
@@ -42,14 +44,38 @@
     if "crashed" in row:
         return Day(seed, tuple(lines), 0.0, (f"crashed: {row['crashed']}",), row)
     broken = tuple(rule for rule, (_, _, breaches) in row["rules"].items() if breaches)
-    return Day(seed, tuple(lines), row["in_time"], broken, {name: row[name] for name in (
-        "in_time", "worth", "worst", "entitled", "fair", "p99_ms", "ends", "plans", "lanes", "rules")})
+    return Day(
+        seed,
+        tuple(lines),
+        row["in_time"],
+        broken,
+        {
+            name: row[name]
+            for name in (
+                "in_time",
+                "worth",
+                "worst",
+                "entitled",
+                "fair",
+                "p99_ms",
+                "ends",
+                "plans",
+                "lanes",
+                "rules",
+            )
+        },
+    )
 
 
 def _point(line, chance):
     """A line with one number of each of its ranges."""
-    return line._replace(**{name: (value, value) for name in ("size", "at", "seconds")
-                            for value in [round(chance.uniform(*getattr(line, name)), 2)]})
+    return line._replace(
+        **{
+            name: (value, value)
+            for name in ("size", "at", "seconds")
+            for value in [round(chance.uniform(*getattr(line, name)), 2)]
+        }
+    )
 
 
 def changed(day, ranges, chance) -> tuple[int, tuple[str, ...]]:
@@ -67,8 +93,11 @@
     else:
         place = chance.randrange(len(lines))
         kind = troubles.parse([lines[place]])[0]
-        same = [line for line in ranges if (line.kind, line.target, line.which)
-                == (kind.kind, kind.target, kind.which)] or ranges
+        same = [
+            line
+            for line in ranges
+            if (line.kind, line.target, line.which) == (kind.kind, kind.target, kind.which)
+        ] or ranges
         fresh = _point(chance.choice(same), chance)
         name = chance.choice(("size", "at", "seconds"))
         lines[place] = kind._replace(**{name: getattr(fresh, name)}).text()
@@ -81,9 +110,19 @@
     text, ranges = run.source(variant), troubles.parse(raw["troubles"])
     chains = min(jobs, max(1, days // 4), 8)
     with ProcessPoolExecutor(jobs) as pool:
+
         def play(many):
-            return list(pool.map(played, [raw] * len(many), [variant] * len(many), [text] * len(many),
-                                 [one for one, _ in many], [lines for _, lines in many]))
+            return list(
+                pool.map(
+                    played,
+                    [raw] * len(many),
+                    [variant] * len(many),
+                    [text] * len(many),
+                    [one for one, _ in many],
+                    [lines for _, lines in many],
+                )
+            )
+
         begun = []
         for _ in range(chains):
             some = chance.sample(ranges, min(len(ranges), 1 + chance.randrange(3)))
@@ -100,8 +139,10 @@
                     current[place] = day
             worst = min([worst, *tried], key=lambda day: day.badness)
             count += chains
-            progress(f"{count} of {days} days, worst {worst.served:.3f}"
-                     + (f", broken: {', '.join(worst.broken)}" if worst.broken else ""))
+            progress(
+                f"{count} of {days} days, worst {worst.served:.3f}"
+                + (f", broken: {', '.join(worst.broken)}" if worst.broken else "")
+            )
     return worst
 
 
@@ -111,9 +152,17 @@
     text = run.source(variant)
     with ProcessPoolExecutor(jobs) as pool:
         while len(day.lines) > 1:
-            fewer = [day.lines[:place] + day.lines[place + 1:] for place in range(len(day.lines))]
-            tried = list(pool.map(played, [raw] * len(fewer), [variant] * len(fewer), [text] * len(fewer),
-                                  [day.seed] * len(fewer), fewer))
+            fewer = [day.lines[:place] + day.lines[place + 1 :] for place in range(len(day.lines))]
+            tried = list(
+                pool.map(
+                    played,
+                    [raw] * len(fewer),
+                    [variant] * len(fewer),
+                    [text] * len(fewer),
+                    [day.seed] * len(fewer),
+                    fewer,
+                )
+            )
             fit = [one for one in tried if one.badness <= day.badness + SPARE]
             if not fit:
                 break
@@ -125,13 +174,19 @@
 def said(worst: Day, shrunk: Day) -> list[str]:
     """Plain text of what a search found."""
     row = shrunk.outcome
-    lines = [f"worst day: seed {worst.seed}, {worst.served:.3f} in time, {len(worst.lines)} lines; "
-             f"as bad with {len(shrunk.lines)}: {shrunk.served:.3f}"]
+    lines = [
+        f"worst day: seed {worst.seed}, {worst.served:.3f} in time, {len(worst.lines)} lines; "
+        f"as bad with {len(shrunk.lines)}: {shrunk.served:.3f}"
+    ]
     lines += [f"  {line}" for line in shrunk.lines]
     if "crashed" in row:
         return lines + [f"  {shrunk.broken[0]}"]
-    lines.append("  by plan " + ", ".join(f"{name} {part:.2f}" for name, part in row["plans"].items())
-                 + "; by lane " + ", ".join(f"{name} {part:.2f}" for name, part in row["lanes"].items()))
+    lines.append(
+        "  by plan "
+        + ", ".join(f"{name} {part:.2f}" for name, part in row["plans"].items())
+        + "; by lane "
+        + ", ".join(f"{name} {part:.2f}" for name, part in row["lanes"].items())
+    )
     lines.append("  ends " + ", ".join(f"{name} {count}" for name, count in sorted(row["ends"].items())))
     lines.append("  rules " + (f"BROKEN: {', '.join(shrunk.broken)}" if shrunk.broken else "kept"))
     return lines
@@ -141,8 +196,18 @@
     """Writes a day that `replay` plays again."""
     text = {name: value for name, value in raw.items() if name not in ("variants", "seeds", "troubles")}
     with open(path, "w") as sink:
-        json.dump({"format": FORMAT, "experiment": text, "seed": day.seed, "troubles": list(day.lines),
-                   "served": day.served, "broken": list(day.broken)}, sink, indent=1)
+        json.dump(
+            {
+                "format": FORMAT,
+                "experiment": text,
+                "seed": day.seed,
+                "troubles": list(day.lines),
+                "served": day.served,
+                "broken": list(day.broken),
+            },
+            sink,
+            indent=1,
+        )
         sink.write("\n")
 
 
@@ -154,8 +219,9 @@
             case = json.load(source)
         if case["format"] != FORMAT:
             raise BadCase(f"{path}: format {case['format']}, this reads {FORMAT}")
-        raw = spec.checked({**case["experiment"], "troubles": case["troubles"],
-                            "variants": [{"name": "module"}]}, str(path))
+        raw = spec.checked(
+            {**case["experiment"], "troubles": case["troubles"], "variants": [{"name": "module"}]}, str(path)
+        )
         seed, before = int(case["seed"]), float(case["served"])
     except (OSError, ValueError, KeyError, TypeError) as fault:
         raise BadCase(f"{path}: is no saved day: {fault}") from fault
@@ -163,5 +229,7 @@
         raise BadCase(str(fault)) from fault
     day = played(raw, raw["variants"][0], run.source(raw["variants"][0]), seed, raw["troubles"])
     good = not day.broken and day.served >= before - tolerance
-    return good, (f"{path}: {day.served:.3f} in time, {before:.3f} when it was saved; rules "
-                  + (f"BROKEN: {', '.join(day.broken)}" if day.broken else "kept"))
+    return good, (
+        f"{path}: {day.served:.3f} in time, {before:.3f} when it was saved; rules "
+        + (f"BROKEN: {', '.join(day.broken)}" if day.broken else "kept")
+    )
--- a/rushmux/lab/spec.py
+++ b/rushmux/lab/spec.py
@@ -2,6 +2,7 @@
 
 No clock and no files; a day follows from the text and a seed.
 """
+
 import copy
 import json
 import re
@@ -16,7 +17,7 @@
 
 SCHEMA = json.loads(Path(__file__).with_name("experiment.schema.json").read_text())
 EXAMPLE = Path(deployments.__file__).with_name("example.json")
-ROLES = {"read": "lectura", "write": "archivo-nuevo"}   # of the example, where a day states no others
+ROLES = {"read": "lectura", "write": "archivo-nuevo"}  # of the example, where a day states no others
 
 
 class BadExperiment(Exception):
@@ -40,8 +41,10 @@
 
 def checked(raw, source="experiment") -> dict:
     """The experiment with its defaults put in; BadExperiment with all its faults."""
-    found = [("/" + "/".join(map(str, fault.absolute_path)), fault.message)
-             for fault in jsonschema.Draft202012Validator(SCHEMA).iter_errors(raw)]
+    found = [
+        ("/" + "/".join(map(str, fault.absolute_path)), fault.message)
+        for fault in jsonschema.Draft202012Validator(SCHEMA).iter_errors(raw)
+    ]
     if found:
         raise BadExperiment(source, sorted(found))
     raw = copy.deepcopy(raw)
@@ -100,13 +103,19 @@
 
 def fleet(raw) -> Fleet:
     stated, machine = raw["fleet"], raw["machine"]
-    shape = Shape(**{name: tuple(value) if isinstance(value, list) else value for name,
-                     value in machine.items()})
+    shape = Shape(
+        **{name: tuple(value) if isinstance(value, list) else value for name, value in machine.items()}
+    )
     text = json.loads(EXAMPLE.read_text())["fleet"]
-    shape = shape._replace(cold_start=text["cold_start"], warm_within=text["warm_within_ms"] / 1000,
-                           fall_multiple=text["fall_multiple"], cold_span=text["cold_span_ms"] / 1000)
-    return Fleet(stated["edges"], stated["nodes"], stated["zones"], shape, stated["unlike"],
-                 stated["connections"])
+    shape = shape._replace(
+        cold_start=text["cold_start"],
+        warm_within=text["warm_within_ms"] / 1000,
+        fall_multiple=text["fall_multiple"],
+        cold_span=text["cold_span_ms"] / 1000,
+    )
+    return Fleet(
+        stated["edges"], stated["nodes"], stated["zones"], shape, stated["unlike"], stated["connections"]
+    )
 
 
 def capacity(raw) -> float:
@@ -120,10 +129,15 @@
     if "trace" in raw:
         return _of_trace(raw, workload.read_trace(raw["trace"])[0])
     plans = json.loads(EXAMPLE.read_text())["plans"]
-    return workload.volumes({name: plan["nominal"] for name, plan in plans.items()}, raw["volumes"],
-                            raw["fleet"]["nodes"], raw["fleet"]["edges"],
-                            capacity(raw),
-                            {**workload.DEFAULTS, **raw["workload"]}, seed)
+    return workload.volumes(
+        {name: plan["nominal"] for name, plan in plans.items()},
+        raw["volumes"],
+        raw["fleet"]["nodes"],
+        raw["fleet"]["edges"],
+        capacity(raw),
+        {**workload.DEFAULTS, **raw["workload"]},
+        seed,
+    )
 
 
 def _of_trace(raw, known):
@@ -151,8 +165,14 @@
             plan["burst"] = max(plan["burst"], text["fleet"]["most_units"] * stood.edges)
     text["folders"] = {volume.name: {"plan": volume.plan, "edges": list(volume.edges)} for volume in found}
     text["fleet"].update(gateways=stood.edges, second_copies=False)
-    text["fleet"]["cold_units"] = (stood.machine.cores * stood.machine.speed / stood.machine.unit
-                                   * stood.machine.cold_start * stood.machine.cold_span * 0.8)
+    text["fleet"]["cold_units"] = (
+        stood.machine.cores
+        * stood.machine.speed
+        / stood.machine.unit
+        * stood.machine.cold_start
+        * stood.machine.cold_span
+        * 0.8
+    )
     text["bounds"], text["routes"] = {}, []
     for place, value in {**raw["set"], **variant.get("set", {})}.items():
         put(text, place, value)
@@ -165,15 +185,30 @@
     if "trace" in raw:
         known, recorded = workload.read_trace(raw["trace"])
         found = _of_trace(raw, known)
-        arrivals = [arrival._replace(cell=arrival.cell % stood.nodes if arrival.cell >= 0 else -1)
-                    for arrival in recorded if arrival.at <= raw["seconds"]]
+        arrivals = [
+            arrival._replace(cell=arrival.cell % stood.nodes if arrival.cell >= 0 else -1)
+            for arrival in recorded
+            if arrival.at <= raw["seconds"]
+        ]
     else:
         found = day_volumes(raw, seed)
     built = deployment(raw, variant, found)
     zones = {f"n{cell}": f"z{cell % stood.zones}" for cell in range(stood.nodes)}
-    events = troubles.draw(troubles.parse(raw["troubles"]), seed, zones, range(stood.edges),
-                           {volume.name: volume.plan for volume in found})
+    events = troubles.draw(
+        troubles.parse(raw["troubles"]),
+        seed,
+        zones,
+        range(stood.edges),
+        {volume.name: volume.plan for volume in found},
+    )
     if arrivals is None:
-        arrivals = workload.drawn(found, {**workload.DEFAULTS, **raw["workload"]}, raw["seconds"], seed,
-                                  events, ROLES, built.terms.most_units)
+        arrivals = workload.drawn(
+            found,
+            {**workload.DEFAULTS, **raw["workload"]},
+            raw["seconds"],
+            seed,
+            events,
+            ROLES,
+            built.terms.most_units,
+        )
     return built, stood, arrivals, events
--- a/rushmux/lab/store.py
+++ b/rushmux/lab/store.py
@@ -1,5 +1,6 @@
 """Results of experiments in an embedded store: a row for each variant and seed, written whole or not at "
-  "all."""
+"all."""
+
 import hashlib
 import json
 import sqlite3
@@ -33,26 +34,33 @@
             if row is None:
                 with self.base:
                     self.base.execute("insert into about values ('format', ?)", (str(FORMAT),))
-                    self.base.execute("create table results (what text, module text, seed integer, variant "
-                                      "text, "
-                                      "revision text, outcome blob, sum integer, primary key (what, module, "
-                                      "seed))")
+                    self.base.execute(
+                        "create table results (what text, module text, seed integer, variant "
+                        "text, "
+                        "revision text, outcome blob, sum integer, primary key (what, module, "
+                        "seed))"
+                    )
             elif row[0] != str(FORMAT):
-                raise BadStore(f"{path}: results of format {row[0]}, this reads {FORMAT}; choose another "
-                               f"directory")
+                raise BadStore(
+                    f"{path}: results of format {row[0]}, this reads {FORMAT}; choose another directory"
+                )
         except sqlite3.DatabaseError as fault:
             raise BadStore(f"{path}: is no store of results: {fault}") from fault
 
     def put(self, what, module, seed, variant, revision, outcome: dict):
         blob = zlib.compress(json.dumps(outcome).encode())
         with self.base:
-            self.base.execute("insert or replace into results values (?, ?, ?, ?, ?, ?, ?)",
-                              (what, module, seed, variant, revision, blob, zlib.crc32(blob)))
+            self.base.execute(
+                "insert or replace into results values (?, ?, ?, ?, ?, ?, ?)",
+                (what, module, seed, variant, revision, blob, zlib.crc32(blob)),
+            )
 
     def get(self, what, module, seed):
         """The outcome of a seed, None where it was not played; a damaged row counts as not played."""
-        row = self.base.execute("select outcome, sum from results where what = ? and module = ? and seed = ?",
-                                (what, module, seed)).fetchone()
+        row = self.base.execute(
+            "select outcome, sum from results where what = ? and module = ? and seed = ?",
+            (what, module, seed),
+        ).fetchone()
         if row is None or zlib.crc32(row[0]) != row[1]:
             return None
         return json.loads(zlib.decompress(row[0]))
--- a/rushmux/lab/whole.py
+++ b/rushmux/lab/whole.py
@@ -3,6 +3,7 @@
 Each operation is one access of an edge's driver; troubles are those of the notation, carried out on
 processes, sockets and machines.  Smaller fleets than the lean level, and the same days.
 """
+
 import asyncio
 import random
 
@@ -12,8 +13,8 @@
 from rushmux.rules import Gateway
 from rushmux.standins import fleet as fleets
 
-KINDS = {"reports": "unmetered"}   # of the notation, by the stand-in's word; all others are the same
-REPLACED = 2.0           # seconds after the grace until a drained node's replacement starts
+KINDS = {"reports": "unmetered"}  # of the notation, by the stand-in's word; all others are the same
+REPLACED = 2.0  # seconds after the grace until a drained node's replacement starts
 
 
 class _Lost(Exception):
@@ -62,8 +63,17 @@
             if how not in ("shed", "lost") or tries >= TRIES or again >= waits:
                 break
             await asyncio.sleep(again - self.loop.time())
-        self.ended.append(Ended(arrival.at, arrival.volume, arrival.lane, arrival.units,
-                                self.loop.time() - self.begun - arrival.at, how, tries))
+        self.ended.append(
+            Ended(
+                arrival.at,
+                arrival.volume,
+                arrival.lane,
+                arrival.units,
+                self.loop.time() - self.begun - arrival.at,
+                how,
+                tries,
+            )
+        )
 
     async def attempt(self, number, arrival, lane):
         place = arrival.edge % len(self.fleet.edges)
@@ -77,6 +87,7 @@
                 execute.write.CopyFrom(messages.WriteObject(object=f"o{number}", data=b"", crc=0))
             else:
                 execute.read.CopyFrom(messages.ReadObject(object="none", offset=0, length=1))
+
         work = Work(arrival.lane, arrival.volume, arrival.key, arrival.units, arrival.cell, fill)
         task = edge.process.spawn(edge.program.driver.run(work, lane.hard_stop * arrival.left / 10_000, "-"))
         await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
@@ -94,14 +105,16 @@
                 number = target if isinstance(target, int) else -1
                 process = self.fleet.edges[number].process if number >= 0 else self.node(target).process
                 # A zone stays together; each edge is alone.
-                process.cut(islands.setdefault(number, 1 + len(islands) + int(event.at * 1000)),
-                            event.seconds)
+                process.cut(
+                    islands.setdefault(number, 1 + len(islands) + int(event.at * 1000)), event.seconds
+                )
             elif event.kind == "still":
                 self.fleet.edges[target].process.hold(event.seconds)
             elif event.kind in ("silent", "slow", "errors", "lost", "resets", "neighbour", "reports"):
                 if target in self.alive():
-                    await self.fleet.trouble(self.name(target), KINDS.get(event.kind, event.kind), event.size,
-                                             event.seconds)
+                    await self.fleet.trouble(
+                        self.name(target), KINDS.get(event.kind, event.kind), event.size, event.seconds
+                    )
         if event.kind == "lag":
             await self.fleet.trouble("lists", "lag", event.size, event.seconds)
         elif event.kind == "die":
@@ -148,11 +161,24 @@
 
 def play(built, stood, arrivals, events, seed, decisions=Gateway, **settings):
     """A day through real edges: its ended operations and the fleet with its recordings."""
+
     async def story(fleet):
         return await Day(fleet, arrivals, events, seed).play()
-    machine = {name: getattr(stood.machine, name) for name in (
-        "cores", "unit", "room", "recent", "saved", "put_off", "crowd", "pause", "pause_every")}
-    fleet, ended = fleets.play(built, seed, story, nodes=stood.nodes, edges=stood.edges, level="error",
-                               logs=False,
-                               lag=0.5, decisions=decisions, **{**machine, **settings})
+
+    machine = {
+        name: getattr(stood.machine, name)
+        for name in ("cores", "unit", "room", "recent", "saved", "put_off", "crowd", "pause", "pause_every")
+    }
+    fleet, ended = fleets.play(
+        built,
+        seed,
+        story,
+        nodes=stood.nodes,
+        edges=stood.edges,
+        level="error",
+        logs=False,
+        lag=0.5,
+        decisions=decisions,
+        **{**machine, **settings},
+    )
     return ended, fleet
--- a/rushmux/lab/workload.py
+++ b/rushmux/lab/workload.py
@@ -4,6 +4,7 @@
 operation: at (s), volume, lane, key ("" for none), units, cell (-1: a new object), edge, left (part of
 the hard stop).
 """
+
 import json
 from typing import NamedTuple
 
@@ -11,8 +12,8 @@
 from scipy import stats
 
 FORMAT = 1
-MOST = 5_000_000         # operations of a day
-STEP = 0.25              # seconds: within them a rate stands still
+MOST = 5_000_000  # operations of a day
+STEP = 0.25  # seconds: within them a rate stands still
 
 
 class BadTrace(Exception):
@@ -21,6 +22,7 @@
 
 class Arrival(NamedTuple):
     """One operation as its client means to send it."""
+
     at: float
     volume: str
     lane: str
@@ -28,11 +30,12 @@
     units: float
     cell: int
     edge: int
-    left: float = 1.0            # part of the lane's hard stop that its client waits
+    left: float = 1.0  # part of the lane's hard stop that its client waits
 
 
 class Volume(NamedTuple):
     """A volume: its plan, units a second it asks for in the mean, its cells and edges."""
+
     name: str
     plan: str
     rate: float
@@ -41,8 +44,19 @@
 
 
 # What a workload states, with what it is when left out; `numbers` in the experiment's schema.
-DEFAULTS = {"load": 0.6, "write_part": 0.3, "mean_units": 1.5, "size_sigma": 0.7, "keys": 400, "zipf": 1.1,
-            "rush": 0.3, "rush_period": 40.0, "batch": 2.0, "greedy_part": 0.25, "greedy_times": 2.5}
+DEFAULTS = {
+    "load": 0.6,
+    "write_part": 0.3,
+    "mean_units": 1.5,
+    "size_sigma": 0.7,
+    "keys": 400,
+    "zipf": 1.1,
+    "rush": 0.3,
+    "rush_period": 40.0,
+    "batch": 2.0,
+    "greedy_part": 0.25,
+    "greedy_times": 2.5,
+}
 
 
 def volumes(nominal, counts: dict, cells: int, edges: int, capacity: float, spec: dict, seed) -> list[Volume]:
@@ -55,9 +69,15 @@
             spread = int(chance.integers(1, min(6, cells) + 1))
             mounts = int(chance.integers(1, min(4, edges) + 1))
             times = spec["greedy_times"] if chance.random() < spec["greedy_part"] else 1.0
-            found.append(Volume(f"{plan}{number}", plan, nominal[plan] * times,
-                                tuple(int(c) for c in chance.choice(cells, spread, replace=False)),
-                                tuple(int(e) for e in chance.choice(edges, mounts, replace=False))))
+            found.append(
+                Volume(
+                    f"{plan}{number}",
+                    plan,
+                    nominal[plan] * times,
+                    tuple(int(c) for c in chance.choice(cells, spread, replace=False)),
+                    tuple(int(e) for e in chance.choice(edges, mounts, replace=False)),
+                )
+            )
     total = sum(volume.rate for volume in found)
     return [volume._replace(rate=volume.rate * spec["load"] * capacity / total) for volume in found]
 
@@ -67,8 +87,17 @@
     return 1 + spec["rush"] * numpy.sin(2 * numpy.pi * at / spec["rush_period"])
 
 
-def drawn(found: list[Volume], spec: dict, seconds: float, seed, events, lanes: dict, most_units: float,
-          new="write", read="read") -> list[Arrival]:
+def drawn(
+    found: list[Volume],
+    spec: dict,
+    seconds: float,
+    seed,
+    events,
+    lanes: dict,
+    most_units: float,
+    new="write",
+    read="read",
+) -> list[Arrival]:
     """All arrivals of a day in the order of time; `lanes`: the names behind `new` and `read`."""
     steps = numpy.arange(0.0, seconds, STEP)
     arrivals = []
@@ -99,18 +128,29 @@
                 if chance.random() < hot[step]:
                     rank = 1
                 else:
-                    rank = min(spec["keys"],
-                               int(chance.zipf(spec["zipf"] + 1e-9 if spec["zipf"] > 1 else 1.01)))
+                    rank = min(
+                        spec["keys"], int(chance.zipf(spec["zipf"] + 1e-9 if spec["zipf"] > 1 else 1.01))
+                    )
                 cell = volume.cells[rank % len(volume.cells)]
                 edge = volume.edges[min(len(volume.edges) - 1, int(chance.exponential(0.6)))]
                 for number in range(min(count, 8)):
-                    units = chance.lognormal(-spec["size_sigma"] ** 2 / 2,
-                                             spec["size_sigma"]) * spec["mean_units"]
+                    units = (
+                        chance.lognormal(-(spec["size_sigma"] ** 2) / 2, spec["size_sigma"])
+                        * spec["mean_units"]
+                    )
                     units = float(min(most_units, max(1.0, round(units * size[step], 1))))
-                    arrivals.append(Arrival(float(at + number * 0.004), volume.name,
-                                            lanes[new if writes else read],
-                                            "" if writes else f"{volume.name}/{rank}", units,
-                                            -1 if writes else cell, edge, float(left[step])))
+                    arrivals.append(
+                        Arrival(
+                            float(at + number * 0.004),
+                            volume.name,
+                            lanes[new if writes else read],
+                            "" if writes else f"{volume.name}/{rank}",
+                            units,
+                            -1 if writes else cell,
+                            edge,
+                            float(left[step]),
+                        )
+                    )
     return sorted(arrivals, key=lambda arrival: arrival.at)
 
 
@@ -137,8 +177,9 @@
             try:
                 arrival = Arrival(**json.loads(line))
                 if arrival.volume not in known or arrival.at < last or arrival.units <= 0:
-                    raise ValueError("its volume is not in the header, it is out of order, or it has no "
-                                     "units")
+                    raise ValueError(
+                        "its volume is not in the header, it is out of order, or it has no units"
+                    )
             except (ValueError, TypeError) as fault:
                 raise BadTrace(f"{path}, line {number}: {fault}") from fault
             last = arrival.at
--- a/rushmux/lab/yardstick.py
+++ b/rushmux/lab/yardstick.py
@@ -7,14 +7,15 @@
 nothing, operations may be cut in pieces over slots, messages take no time, and a cold node may be
 filled up to what it can do.  A solver (HiGHS, by scipy) does the rest.
 """
+
 from collections import defaultdict
 
 import numpy
 from scipy import sparse
 from scipy.optimize import linprog
 
-SLOT = 0.5               # seconds
-CLASSES = 1.3            # ratio of neighbouring size classes
+SLOT = 0.5  # seconds
+CLASSES = 1.3  # ratio of neighbouring size classes
 
 
 def _capacity(stood, events, seconds, speeds):
@@ -90,8 +91,13 @@
     if not place:
         return 1.0
     matrix = sparse.csr_matrix((values, (rows, columns)), shape=(constraint, place))
-    solved = linprog(numpy.array(gains), A_ub=matrix, b_ub=numpy.array(limits),
-                     bounds=list(zip(numpy.zeros(place), most)), method="highs")
+    solved = linprog(
+        numpy.array(gains),
+        A_ub=matrix,
+        b_ub=numpy.array(limits),
+        bounds=list(zip(numpy.zeros(place), most)),
+        method="highs",
+    )
     if solved.status != 0:
         raise ValueError(f"the solver ended with: {solved.message}")
     return min(1.0, -solved.fun / len(arrivals))
--- a/rushmux/log.py
+++ b/rushmux/log.py
@@ -2,6 +2,7 @@
 
 Every program hands its logger down; nothing reaches for a global one.
 """
+
 import asyncio
 import logging
 
@@ -14,7 +15,7 @@
 def _loop_time(logger, method, event):
     try:
         event["at"] = round(asyncio.get_running_loop().time(), 4)
-    except RuntimeError:                 # before the loop runs
+    except RuntimeError:  # before the loop runs
         event["at"] = 0.0
     event["level"] = method
     return event
@@ -22,23 +23,29 @@
 
 def _wrapped(sink, level):
     return structlog.wrap_logger(
-        None, wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        None,
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         cache_logger_on_first_use=False,
-        processors=[_loop_time, structlog.processors.format_exc_info, sink])
+        processors=[_loop_time, structlog.processors.format_exc_info, sink],
+    )
 
 
 def to_stream(stream, level="info"):
     """A logger that writes lines to a binary stream, each whole."""
+
     def sink(logger, method, event):
         stream.write(orjson.dumps(event, default=str) + b"\n")
         stream.flush()
         raise structlog.DropEvent
+
     return _wrapped(sink, level)
 
 
 def to_list(rows: list, level="info"):
     """A logger that puts its events into a list."""
+
     def sink(logger, method, event):
         rows.append(event)
         raise structlog.DropEvent
+
     return _wrapped(sink, level)
--- a/rushmux/nodewire/frames.py
+++ b/rushmux/nodewire/frames.py
@@ -3,6 +3,7 @@
 A frame is four bytes of length, big-endian, and one `Message` of messages.proto.  To make
 messages_pb2.py anew: `python -m grpc_tools.protoc -I. --python_out=. rushmux/nodewire/messages.proto`.
 """
+
 import struct
 
 from google.protobuf.message import DecodeError
@@ -10,7 +11,7 @@
 from rushmux.nodewire.messages_pb2 import Message
 
 VERSION = 1
-MOST = 1 << 20       # bytes in a frame: an object of the largest size and its envelope, with room
+MOST = 1 << 20  # bytes in a frame: an object of the largest size and its envelope, with room
 LENGTH = struct.Struct(">I")
 
 
@@ -37,7 +38,7 @@
         self.held += data
         found, at = [], 0
         while len(self.held) - at >= LENGTH.size:
-            length, = LENGTH.unpack_from(self.held, at)
+            (length,) = LENGTH.unpack_from(self.held, at)
             # Danger: a peer that states a huge length makes this side wait for it, and buffer it.
             if length > self.most:
                 raise WireFault(f"a frame of {length} bytes; {self.most} is the most")
@@ -46,7 +47,7 @@
                 break
             message = Message()
             try:
-                message.ParseFromString(bytes(self.held[at + LENGTH.size:end]))
+                message.ParseFromString(bytes(self.held[at + LENGTH.size : end]))
             except DecodeError as fault:
                 raise WireFault(f"a frame of {length} bytes is no message: {fault}") from fault
             if message.WhichOneof("body") is None:
--- a/rushmux/planner/council.py
+++ b/rushmux/planner/council.py
@@ -5,6 +5,7 @@
 member (its name and the new disk's life), is taught the log, and takes the place of its old self by two
 changes of members.
 """
+
 import asyncio
 import base64
 import zlib
@@ -18,15 +19,15 @@
 from rushmux.planner import words
 from rushmux.planner.logfile import BadLog, LogFile
 
-TICK = 0.1               # seconds between two looks at the log
-AGAIN = 0.3              # seconds until another planner is dialled again
-DIAL = 1.0               # seconds for a dial: one that was cut off answers nothing at all
+TICK = 0.1  # seconds between two looks at the log
+AGAIN = 0.3  # seconds until another planner is dialled again
+DIAL = 1.0  # seconds for a dial: one that was cut off answers nothing at all
 MOST_BUFFERED = 2 << 20  # bytes for a planner that reads nothing: more are not written
-MANY = 200               # entries after which the log is made shorter
-ORDER = 8.0              # seconds until a person hears that an order was not decided
-DISK_AGAIN = 1.0         # seconds until a disk that took nothing is tried again
-MOST_WAITING = 4_096     # orders that wait to be decided: one of each edge of a thousand, with room
-MOST_NEW = 8             # members that ask to be taken in
+MANY = 200  # entries after which the log is made shorter
+ORDER = 8.0  # seconds until a person hears that an order was not decided
+DISK_AGAIN = 1.0  # seconds until a disk that took nothing is tried again
+MOST_WAITING = 4_096  # orders that wait to be decided: one of each edge of a thousand, with room
+MOST_NEW = 8  # members that ask to be taken in
 
 
 class NotDecided(Exception):
@@ -40,6 +41,7 @@
 class Planners(NamedTuple):
     """This planner's name, where all listen (itself included), and whether the fleet is founded by this
     start."""
+
     name: str
     addresses: dict[str, tuple[str, int]]
     found: bool = False
@@ -49,8 +51,16 @@
     """This planner's part.  `changed(leads)` hears when its leadership begins and ends; `first()` gives the
     order that founds the fleet's policy, or None; `chance` draws waits and the life of a new disk."""
 
-    def __init__(self, planners: Planners, path, chance, log, changed: Callable, first: Callable,
-                 record=lambda kind, **fields: None):
+    def __init__(
+        self,
+        planners: Planners,
+        path,
+        chance,
+        log,
+        changed: Callable,
+        first: Callable,
+        record=lambda kind, **fields: None,
+    ):
         self.planners, self.chance, self.log, self.changed, self.first = planners, chance, log, changed, first
         self.record = record
         self.disk = LogFile(path, lambda: f"{chance.getrandbits(48):012x}")
@@ -180,8 +190,9 @@
             peer.send(policy_grant=words.grant(grant, known))
         order = self.first() if self.register.force is None else self.conduct.look(now)
         if order is not None and not any(
-                (known["kind"], known.get("number")) == (order["kind"], order.get("number"))
-                for _, known, _ in self.waiting.values()):
+            (known["kind"], known.get("number")) == (order["kind"], order.get("number"))
+            for _, known, _ in self.waiting.values()
+        ):
             try:
                 self.put(order)
             except raft.Refused as fault:
@@ -214,8 +225,9 @@
         except raft.Refused as fault:
             raise NotDecided(str(fault)) from fault
         except TimeoutError as fault:
-            raise Elsewhere(f"not decided within {ORDER:g} s; it may still be: look before you ask again "
-                            f"with other words") from fault
+            raise Elsewhere(
+                f"not decided within {ORDER:g} s; it may still be: look before you ask again with other words"
+            ) from fault
 
     def apply(self, index, entry):
         self.index = index
@@ -229,9 +241,16 @@
                 said = self.register.apply(order)
             self.log.info("council.decided", index=index, kind=order["kind"], said=said)
             force, staged = self.register.force, self.register.staged
-            self.record("decided", planner=self.me, index=index, order=order["kind"], said=said,
-                        force=force.number if force else 0, rows=list(force.rows) if force else [],
-                        staged=staged.number if staged else 0)
+            self.record(
+                "decided",
+                planner=self.me,
+                index=index,
+                order=order["kind"],
+                said=said,
+                force=force.number if force else 0,
+                rows=list(force.rows) if force else [],
+                staged=staged.number if staged else 0,
+            )
         if future is not None and not future.done():
             if term == entry.term:
                 future.set_result(said)
@@ -281,8 +300,11 @@
 
     def greeted(self, name):
         """Another planner came by its name and life."""
-        if (name not in self.voice.members and name.split("/")[0] in self.planners.addresses
-                and len(self.new) < MOST_NEW):
+        if (
+            name not in self.voice.members
+            and name.split("/")[0] in self.planners.addresses
+            and len(self.new) < MOST_NEW
+        ):
             self.new[name] = self.loop.time()
 
     def take_in(self):
@@ -293,8 +315,11 @@
         now = self.loop.time()
         for name in list(self.new):
             if name in self.voice.members:
-                old = [other for other in self.voice.members
-                       if other != name and other.split("/")[0] == name.split("/")[0]]
+                old = [
+                    other
+                    for other in self.voice.members
+                    if other != name and other.split("/")[0] == name.split("/")[0]
+                ]
                 if not old:
                     del self.new[name]
                     continue
--- a/rushmux/planner/logfile.py
+++ b/rushmux/planner/logfile.py
@@ -4,6 +4,7 @@
 whole, so that a kill leaves the old one or the new one.  A torn tail was answered to nobody and is cut off;
 a damaged middle was, and the planner does not start on it: it would break what it promised.
 """
+
 import fcntl
 import os
 from pathlib import Path
@@ -15,8 +16,8 @@
 from rushmux.fleet.raft import MEMBERS, Entry, Kept, Ready, Snapshot
 
 WORD, FORMAT = b"RMPL", 1
-MOST = 4 << 20           # bytes of a record: a snapshot of the largest state with room
-MOST_LOG = 64 << 20      # bytes of a file: far above what is kept between two snapshots
+MOST = 4 << 20  # bytes of a record: a snapshot of the largest state with room
+MOST_LOG = 64 << 20  # bytes of a file: far above what is kept between two snapshots
 LIFE, VOTE, ENTRY, CUT, SNAPSHOT = b"L", b"V", b"E", b"C", b"S"
 
 
@@ -66,9 +67,11 @@
         except records.BadFile as fault:
             raise BadLog(f"{self.path}: is no log of a planner: {fault}") from fault
         if found.damaged:
-            raise BadLog(f"{self.path}: damaged at byte {found.end}, and whole records follow: what this "
-                         f"planner promised is not known any more.  Put the file aside and start it with "
-                         f"none: it comes back as a new member")
+            raise BadLog(
+                f"{self.path}: damaged at byte {found.end}, and whole records follow: what this "
+                f"planner promised is not known any more.  Put the file aside and start it with "
+                f"none: it comes back as a new member"
+            )
         try:
             self.kept = self.replayed(found.bodies)
         except (ValueError, IndexError, TypeError) as fault:
@@ -112,9 +115,12 @@
     def rewrite(self):
         kept = self.kept
         rows = enumerate(kept.entries, kept.snapshot.index + 1)
-        bodies = [LIFE + orjson.dumps(self.life), _snapshot(kept.snapshot),
-                  VOTE + orjson.dumps([kept.term, kept.voted]),
-                  *(_entry(index, entry) for index, entry in rows)]
+        bodies = [
+            LIFE + orjson.dumps(self.life),
+            _snapshot(kept.snapshot),
+            VOTE + orjson.dumps([kept.term, kept.voted]),
+            *(_entry(index, entry) for index, entry in rows),
+        ]
         replace.whole(self.path, records.head(WORD, FORMAT) + b"".join(map(records.pack, bodies)))
         self.close()
         self.sink = os.open(self.path, os.O_WRONLY | os.O_APPEND)
@@ -139,7 +145,7 @@
         elif bodies:
             data = b"".join(map(records.pack, bodies))
             while data:
-                data = data[os.write(self.sink, data):]
+                data = data[os.write(self.sink, data) :]
             os.fsync(self.sink)
 
     def close(self):
--- a/rushmux/planner/orders.py
+++ b/rushmux/planner/orders.py
@@ -1,13 +1,14 @@
 """What people ask of a planner over its socket: one connection, one order, one answer."""
+
 import asyncio
 
 import orjson
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
-WAIT = 10.0              # seconds for an answer: an order is decided within eight, or it is said not to be
-AGAIN = 4                # rounds over all planners: one is chosen anew within three seconds or so
-PAUSE = 1.0              # seconds between two
+WAIT = 10.0  # seconds for an answer: an order is decided within eight, or it is said not to be
+AGAIN = 4  # rounds over all planners: one is chosen anew within three seconds or so
+PAUSE = 1.0  # seconds between two
 
 
 class NotOrdered(Exception):
@@ -76,10 +77,13 @@
 
 def lines(answer: messages.Ordered) -> list[str]:
     """The fleet as plain text."""
-    found = [f"term {answer.term}, list {answer.version}",
-             f"{'member':14}{'kind':6}{'cell':>5}  {'zone':6}{'condition':11}{'out':>5}  reason"]
+    found = [
+        f"term {answer.term}, list {answer.version}",
+        f"{'member':14}{'kind':6}{'cell':>5}  {'zone':6}{'condition':11}{'out':>5}  reason",
+    ]
     for row in answer.members:
         cell = str(row.cell) if row.kind == "node" else ""
-        found.append(f"{row.member:14}{row.kind:6}{cell:>5}  {row.zone:6}{row.condition:11}{row.out:5}  "
-                     f"{row.reason}")
+        found.append(
+            f"{row.member:14}{row.kind:6}{cell:>5}  {row.zone:6}{row.condition:11}{row.out:5}  {row.reason}"
+        )
     return found
--- a/rushmux/planner/peers.py
+++ b/rushmux/planner/peers.py
@@ -1,13 +1,14 @@
 """What servers of the nodes' wire share: a greeting, a loop over frames, and an end for each peer."""
+
 import asyncio
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
-READ = 1 << 17           # bytes asked of a socket at once
-MOST_PEERS = 8_192       # connections: a thousand edges with a few links each
-MOST_UNREAD = 8 << 20    # bytes a peer has not read before it is let go
-BACKLOG = 1_024          # connections that the system holds until they are accepted: all edges come at once
-GREET = 5.0              # seconds for a peer's first message
+READ = 1 << 17  # bytes asked of a socket at once
+MOST_PEERS = 8_192  # connections: a thousand edges with a few links each
+MOST_UNREAD = 8 << 20  # bytes a peer has not read before it is let go
+BACKLOG = 1_024  # connections that the system holds until they are accepted: all edges come at once
+GREET = 5.0  # seconds for a peer's first message
 
 
 class Peer:
@@ -60,8 +61,9 @@
                 raise WireFault("no greeting, or one of another version")
             peer = Peer(writer, hello.hello)
             self.peers[writer] = peer, asyncio.current_task()
-            peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start,
-                                               age=self.age()))
+            peer.send(
+                welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start, age=self.age())
+            )
             self.met(peer)
             while True:
                 for message in found:
@@ -74,7 +76,7 @@
         except (OSError, WireFault, TimeoutError) as fault:
             why = str(fault) or type(fault).__name__
         except asyncio.CancelledError:
-            if not self.ending:          # else `shut` waits for it, and nobody else is to hear of it
+            if not self.ending:  # else `shut` waits for it, and nobody else is to hear of it
                 raise
         finally:
             self.peers.pop(writer, None)
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -3,6 +3,7 @@
 Edges keep serving on the last list when it is away.  Each change is on its disk before it is told; where the
 disk takes nothing, what lives is told all the same and said in the log, and what was told is written later.
 """
+
 import asyncio
 from typing import Optional
 
@@ -14,13 +15,13 @@
 from rushmux.planner.peers import Listener
 from rushmux.planner.store import Row, Store
 
-LOOK = 0.5               # seconds between two looks at all leases
-ENTRIES = 10_000         # nodes in a list: as many as edges take
-WANTS = 10_000           # folders in one ask
-SECOND = 10_000          # ticks in a second
-FLOOR_LAG = 1.0          # seconds beyond the longest hard stop until a floor is told: ways and a late timer
-MOST_ORDERS = 100        # of people that wait for an answer
-APART = 0.02             # seconds by which changes are gathered into one telling
+LOOK = 0.5  # seconds between two looks at all leases
+ENTRIES = 10_000  # nodes in a list: as many as edges take
+WANTS = 10_000  # folders in one ask
+SECOND = 10_000  # ticks in a second
+FLOOR_LAG = 1.0  # seconds beyond the longest hard stop until a floor is told: ways and a late timer
+MOST_ORDERS = 100  # of people that wait for an answer
+APART = 0.02  # seconds by which changes are gathered into one telling
 
 
 class Planner(Listener):
@@ -28,17 +29,28 @@
     decides with it in common, in a log at `log_path`; `deployment`: the fleet's first policy, where it has
     one; `chance` draws waits.  None: it decides alone, on its store."""
 
-    def __init__(self, cells: int, store: Store, log, record=lambda kind, **fields: None, folders=(),
-                 edges=1, planners: Optional[Planners] = None, log_path=None, deployment=None, chance=None):
+    def __init__(
+        self,
+        cells: int,
+        store: Store,
+        log,
+        record=lambda kind, **fields: None,
+        folders=(),
+        edges=1,
+        planners: Optional[Planners] = None,
+        log_path=None,
+        deployment=None,
+        chance=None,
+    ):
         super().__init__("planner", str(store.term), log.bind(planner="planner", term=store.term))
         self.cells, self.store, self.record = cells, store, record
-        self.folders, self.most_edges = folders, edges   # those with limits; edges there may ever be
+        self.folders, self.most_edges = folders, edges  # those with limits; edges there may ever be
         self.council, self.deployment = None, deployment
-        self.floor = 0, 0.0              # the newest floor, and since when it stood here
+        self.floor = 0, 0.0  # the newest floor, and since when it stood here
         self.planners, self.log_path, self.chance = planners, log_path, chance
-        self.asked, self.confirming = {}, {}   # people's orders; edges whose parts wait for a majority
-        self.drained = {}                # nodes that people ordered to drain
-        self.entries, self.heard_at = {}, {}   # node -> entry as it reported, and when
+        self.asked, self.confirming = {}, {}  # people's orders; edges whose parts wait for a majority
+        self.drained = {}  # nodes that people ordered to drain
+        self.entries, self.heard_at = {}, {}  # node -> entry as it reported, and when
         self.edges, self.names = {}, {}  # peers of edges; member of a peer
         self.version, self.waiting, self.unkept = store.version, {}, {}
         self.reasons, self.tasks, self.telling = {}, [], None
@@ -48,8 +60,9 @@
         self.loop = asyncio.get_running_loop()
         self.restore(self.store.term)
         if self.planners is not None:
-            self.council = Council(self.planners, self.log_path, self.chance, self.log, self.led, self.first,
-                                   self.record)
+            self.council = Council(
+                self.planners, self.log_path, self.chance, self.log, self.led, self.first, self.record
+            )
         await self.listen(host, port)
         self.tasks = [self.loop.create_task(self.look())]
         if self.council is not None:
@@ -90,10 +103,15 @@
                 entry = messages.Entry()
                 entry.ParseFromString(row.entry)
                 self.entries[row.name], self.heard_at[row.name] = entry, now
-        self.drained = dict.fromkeys(self.council.register.drained if self.council is not None else
-                                     [row.name for row in rows if row.draining], True)
-        self.members.restored(now, [(row.name, row.kind, row.start, row.name in self.drained)
-                                    for row in rows])
+        self.drained = dict.fromkeys(
+            self.council.register.drained
+            if self.council is not None
+            else [row.name for row in rows if row.draining],
+            True,
+        )
+        self.members.restored(
+            now, [(row.name, row.kind, row.start, row.name in self.drained) for row in rows]
+        )
         self.log.info("planner.restored", members=len(rows), version=self.version, term=term)
 
     async def close(self):
@@ -144,8 +162,9 @@
         if name == "word" and self.council is not None:
             self.council.heard(body)
         elif name == "policy_order":
-            self.asked_for(peer, lambda: policies.answer(self.council, self.deployment, body),
-                           "policy_answer")
+            self.asked_for(
+                peer, lambda: policies.answer(self.council, self.deployment, body), "policy_answer"
+            )
         elif name == "order" and self.council is not None:
             self.asked_for(peer, lambda: self.order_in_common(body), "ordered")
         elif not self.leads:
@@ -175,12 +194,16 @@
         self.hear(entry.node, NODE, entry.start, body.out)
         member = self.members.members.get(entry.node)
         if member is None or member.start != entry.start:
-            return                       # a late word of an older start
+            return  # a late word of an older start
         self.entries[entry.node], self.heard_at[entry.node] = entry, now
         if drains and not member.draining:
             self.changed(self.members.drain(now, entry.node))
         if known is None or (known.start, known.host, known.port, known.cell) != (
-                entry.start, entry.host, entry.port, entry.cell):
+            entry.start,
+            entry.host,
+            entry.port,
+            entry.cell,
+        ):
             self.waiting[entry.node] = True
             self.tell_soon()
 
@@ -201,8 +224,10 @@
 
     def asked_for(self, peer, act, kind):
         """A person's order: its answer goes out when it is known.  A bound on those that wait."""
+
         async def whole():
             peer.send(**{kind: await act()})
+
         if len(self.asked) >= MOST_ORDERS:
             raise WireFault(f"{MOST_ORDERS} orders wait")
         task = self.loop.create_task(whole())
@@ -220,10 +245,21 @@
     def ask_confirmed(self, peer, body):
         if len(body.wants) > WANTS or any(not 0 <= want.part < 1e9 for want in body.wants):
             raise WireFault("an ask that makes no sense")
-        grant = self.shares.asked(self.loop.time(), peer.hello.peer, body.ask,
-                                  {want.folder: want.part for want in body.wants}, (body.term, body.number))
-        peer.send(grant=messages.Grant(term=grant.term, number=grant.number, ask=grant.ask, parts=[
-            messages.Want(folder=folder, part=part) for folder, part in grant.parts.items()]))
+        grant = self.shares.asked(
+            self.loop.time(),
+            peer.hello.peer,
+            body.ask,
+            {want.folder: want.part for want in body.wants},
+            (body.term, body.number),
+        )
+        peer.send(
+            grant=messages.Grant(
+                term=grant.term,
+                number=grant.number,
+                ask=grant.ask,
+                parts=[messages.Want(folder=folder, part=part) for folder, part in grant.parts.items()],
+            )
+        )
 
     def hear(self, name, kind, start, out):
         try:
@@ -248,7 +284,7 @@
     def tell(self):
         """Keeps what changed and tells every edge."""
         self.telling = None
-        if not self.leads:               # what it knows is another's by now
+        if not self.leads:  # what it knows is another's by now
             self.waiting = {}
             return
         names, self.waiting = self.waiting, {}
@@ -277,8 +313,15 @@
                 dropped.append(name)
             else:
                 entry = self.entries.get(name)
-                rows.append(Row(name, member.kind, member.start, member.draining,
-                                entry.SerializeToString() if entry is not None else b""))
+                rows.append(
+                    Row(
+                        name,
+                        member.kind,
+                        member.start,
+                        member.draining,
+                        entry.SerializeToString() if entry is not None else b"",
+                    )
+                )
         try:
             self.store.put(rows, dropped, self.version if version is None else version)
             self.unkept = {}
@@ -339,8 +382,14 @@
         answer = messages.Ordered(fault=fault or "", term=self.shares.term, version=self.version)
         for member in self.members.members.values():
             entry = self.entries.get(member.name)
-            answer.members.add(member=member.name, kind=member.kind, condition=member.condition or "",
-                               reason=self.reasons.get(member.name, "from the store"), start=member.start,
-                               out=member.out, cell=entry.cell if entry is not None else 0,
-                               zone=entry.zone if entry is not None else "")
+            answer.members.add(
+                member=member.name,
+                kind=member.kind,
+                condition=member.condition or "",
+                reason=self.reasons.get(member.name, "from the store"),
+                start=member.start,
+                out=member.out,
+                cell=entry.cell if entry is not None else 0,
+                zone=entry.zone if entry is not None else "",
+            )
         return answer
--- a/rushmux/planner/policies.py
+++ b/rushmux/planner/policies.py
@@ -1,4 +1,5 @@
 """What people ask of the planners about the fleet's policy, and what they are told."""
+
 import orjson
 
 from rushmux.fleet.policy import LEASE, NARROW
@@ -7,7 +8,7 @@
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import BadDeployment, Deployment
 
-MOST_ORDER = 512 << 10   # bytes of an order
+MOST_ORDER = 512 << 10  # bytes of an order
 
 
 def first(deployment: Deployment) -> dict:
@@ -33,8 +34,9 @@
     if body.verb == "show":
         return messages.PolicyAnswer(state=orjson.dumps(shown(council)))
     try:
-        return messages.PolicyAnswer(said=await decided(council, deployment, body.verb, order),
-                                     state=orjson.dumps(shown(council)))
+        return messages.PolicyAnswer(
+            said=await decided(council, deployment, body.verb, order), state=orjson.dumps(shown(council))
+        )
     except (NotDecided, BadDeployment, KeyError, TypeError, ValueError) as fault:
         what = f"the order lacks {fault}" if isinstance(fault, KeyError) else str(fault)
         return messages.PolicyAnswer(fault=what, elsewhere=isinstance(fault, Elsewhere))
@@ -70,16 +72,32 @@
     for member in register.members:
         said = conduct.said.get(member) if conduct is not None else None
         until = conduct.until.get(member, 0.0) if conduct is not None else 0.0
-        members.append({"member": member, "goes": register.goes[member], "gone": member in register.gone,
-                        "says": said.force if said else None, "joint": said.joint if said else None,
-                        "lease": round(max(0.0, until - now), 1),
-                        "against": said.against if said and said.refused else ""})
-    return {"planner": council.me, "leads": council.leads, "term": council.term,
-            "leader": council.voice.leader, "planners": list(council.voice.members),
-            "index": council.index, "floor": register.floor,
-            "force": force and {"number": force.number, "text": force.text, "sum": force.sum},
-            "staged": staged and {"number": staged.number, "text": staged.text, "by": register.by},
-            "history": [past._asdict() for past in register.past], "kept": list(register.texts),
-            "texts": {str(number): policy.text for number, policy in register.texts.items()},
-            "members": members, "narrow": NARROW, "lease": LEASE,
-            "harm": staged and register.unharmed(staged)}
+        members.append(
+            {
+                "member": member,
+                "goes": register.goes[member],
+                "gone": member in register.gone,
+                "says": said.force if said else None,
+                "joint": said.joint if said else None,
+                "lease": round(max(0.0, until - now), 1),
+                "against": said.against if said and said.refused else "",
+            }
+        )
+    return {
+        "planner": council.me,
+        "leads": council.leads,
+        "term": council.term,
+        "leader": council.voice.leader,
+        "planners": list(council.voice.members),
+        "index": council.index,
+        "floor": register.floor,
+        "force": force and {"number": force.number, "text": force.text, "sum": force.sum},
+        "staged": staged and {"number": staged.number, "text": staged.text, "by": register.by},
+        "history": [past._asdict() for past in register.past],
+        "kept": list(register.texts),
+        "texts": {str(number): policy.text for number, policy in register.texts.items()},
+        "members": members,
+        "narrow": NARROW,
+        "lease": LEASE,
+        "harm": staged and register.unharmed(staged),
+    }
--- a/rushmux/planner/store.py
+++ b/rushmux/planner/store.py
@@ -3,6 +3,7 @@
 An embedded store; a row is written whole or not at all, with a checksum.  A kill loses nothing that was
 told to edges: a change is on the disk before the first edge hears of it.
 """
+
 import sqlite3
 import zlib
 from pathlib import Path
@@ -18,6 +19,7 @@
 
 class Row(NamedTuple):
     """One member as it is kept; `entry` is the list's message, empty for an edge."""
+
     name: str
     kind: str
     start: str
@@ -41,15 +43,18 @@
             self.base.execute("pragma journal_mode=wal")
             self.base.execute("pragma synchronous=full")
             self.base.execute("create table if not exists about (name text primary key, value integer)")
-            self.base.execute("create table if not exists members (name text primary key, kind text, start "
-                              "text, "
-                              "draining integer, entry blob, sum integer)")
+            self.base.execute(
+                "create table if not exists members (name text primary key, kind text, start "
+                "text, "
+                "draining integer, entry blob, sum integer)"
+            )
             known = dict(self.base.execute("select name, value from about"))
         except sqlite3.DatabaseError as fault:
             raise BadStore(f"{path}: is no store of a planner: {fault}") from fault
         if known.get("format", FORMAT) != FORMAT:
-            raise BadStore(f"{path}: format {known['format']}, this planner reads {FORMAT}; start the newer "
-                           f"one")
+            raise BadStore(
+                f"{path}: format {known['format']}, this planner reads {FORMAT}; start the newer one"
+            )
         self.term, self.version = known.get("term", 0) + 1, known.get("version", 0)
         self.put_about(format=FORMAT, term=self.term)
 
@@ -60,7 +65,8 @@
         """All members in the order of their names, and the names of rows that were damaged and left out."""
         found, damaged = [], []
         for name, kind, start, draining, entry, mark in self.base.execute(
-                "select * from members order by name limit ?", (MOST_ROWS,)):
+            "select * from members order by name limit ?", (MOST_ROWS,)
+        ):
             if mark != _sum(name, kind, start, draining, entry.hex()):
                 damaged.append(name)
             else:
@@ -72,9 +78,15 @@
         try:
             self.base.execute("begin immediate")
             for row in rows:
-                self.base.execute("insert or replace into members values (?, ?, ?, ?, ?, ?)", (
-                    *row[:3], int(row.draining), row.entry,
-                    _sum(row.name, row.kind, row.start, int(row.draining), row.entry.hex())))
+                self.base.execute(
+                    "insert or replace into members values (?, ?, ?, ?, ?, ?)",
+                    (
+                        *row[:3],
+                        int(row.draining),
+                        row.entry,
+                        _sum(row.name, row.kind, row.start, int(row.draining), row.entry.hex()),
+                    ),
+                )
             self.base.executemany("delete from members where name = ?", [(name,) for name in dropped])
             self.put_about(version=version)
             self.base.execute("commit")
--- a/rushmux/planner/words.py
+++ b/rushmux/planner/words.py
@@ -1,11 +1,17 @@
 """The words of the planners' log on the nodes' wire: `fleet.raft` messages to frames and back, no I/O."""
+
 from rushmux.fleet import raft
 from rushmux.fleet.policy import Grant, Policy
 from rushmux.nodewire import WireFault, messages
 
-MOST_BYTES = 512 << 10   # of entries in one word: a frame holds a megabyte
-KINDS = {"ask": raft.Ask, "vote": raft.Vote, "append": raft.Append, "install": raft.Install,
-         "appended": raft.Appended}
+MOST_BYTES = 512 << 10  # of entries in one word: a frame holds a megabyte
+KINDS = {
+    "ask": raft.Ask,
+    "vote": raft.Vote,
+    "append": raft.Append,
+    "install": raft.Install,
+    "appended": raft.Appended,
+}
 
 
 def _entry(entry):
@@ -34,14 +40,21 @@
     elif kind == "vote":
         made.trial, made.good = word.trial, word.given
     elif kind == "append":
-        made.index, made.index_term, made.decided, made.round = (word.before, word.before_term, word.decided,
-                                                                 word.round)
+        made.index, made.index_term, made.decided, made.round = (
+            word.before,
+            word.before_term,
+            word.decided,
+            word.round,
+        )
         made.entries.extend(_entries(word.entries))
     elif kind == "install":
         snapshot = word.snapshot
         made.round = word.round
-        made.snapshot.CopyFrom(messages.LogSnapshot(index=snapshot.index, term=snapshot.term,
-                                                    members=snapshot.members, state=snapshot.state))
+        made.snapshot.CopyFrom(
+            messages.LogSnapshot(
+                index=snapshot.index, term=snapshot.term, members=snapshot.members, state=snapshot.state
+            )
+        )
     else:
         made.good, made.index, made.round = word.good, word.index, word.round
     return made
@@ -55,8 +68,12 @@
     if made.kind == "vote":
         return raft.Vote(*begin, made.trial, made.good)
     if made.kind == "append":
-        entries = tuple(raft.Entry(entry.term, entry.kind, tuple(entry.members) if entry.kind == raft.MEMBERS
-                                   else entry.body) for entry in made.entries)
+        entries = tuple(
+            raft.Entry(
+                entry.term, entry.kind, tuple(entry.members) if entry.kind == raft.MEMBERS else entry.body
+            )
+            for entry in made.entries
+        )
         return raft.Append(*begin, made.index, made.index_term, entries, made.decided, made.round)
     if made.kind == "install":
         row = made.snapshot
@@ -69,18 +86,28 @@
 
 # Policies.
 
+
 def policy(made: Policy, whole: bool) -> messages.Policy:
     """A policy as a message; not `whole`: its number and checksum alone, for who has the rest."""
     if not whole:
         return messages.Policy(number=made.number, sum=made.sum)
-    return messages.Policy(number=made.number, sum=made.sum, text=made.text, rows=[
-        messages.Limit(folder=folder, limit=limit, burst=burst) for folder, limit, burst in made.rows])
+    return messages.Policy(
+        number=made.number,
+        sum=made.sum,
+        text=made.text,
+        rows=[messages.Limit(folder=folder, limit=limit, burst=burst) for folder, limit, burst in made.rows],
+    )
 
 
 def grant(made: Grant, known) -> messages.PolicyGrant:
     """A grant for a member that has the texts of the `known` numbers."""
-    told = messages.PolicyGrant(member=made.member, ask=made.ask, term=made.term, index=made.index,
-                                force=policy(made.force, made.force.number not in known))
+    told = messages.PolicyGrant(
+        member=made.member,
+        ask=made.ask,
+        term=made.term,
+        index=made.index,
+        force=policy(made.force, made.force.number not in known),
+    )
     if made.staged is not None:
         told.staged.CopyFrom(policy(made.staged, made.staged.number not in known))
     return told
--- a/rushmux/records.py
+++ b/rushmux/records.py
@@ -3,6 +3,7 @@
 A file begins with eight bytes: a word of four, the format as a number of two bytes, and two of nought.  A
 record is its length and the CRC-32 of its body, four bytes each, and the body.
 """
+
 import struct
 import zlib
 from typing import NamedTuple, Optional
@@ -17,6 +18,7 @@
 class Read(NamedTuple):
     """Bodies up to the first that is not whole; where that is; whether whole records follow it (damage, and
     no torn tail)."""
+
     bodies: list[bytes]
     end: int
     damaged: bool
@@ -38,7 +40,7 @@
     at += FRAME.size
     if not 0 < length <= most or len(text) - at < length:
         return None
-    body = bytes(text[at:at + length])
+    body = bytes(text[at : at + length])
     return (body, at + length) if zlib.crc32(body) == crc else None
 
 
@@ -46,10 +48,10 @@
     """Reads a whole file; BadFile where it does not begin as one of this kind and format."""
     begin = head(word, form)
     if len(text) < len(begin) and begin.startswith(text):
-        return Read([], 0, False)        # killed while it was made
+        return Read([], 0, False)  # killed while it was made
     if text[:4] != word:
         raise BadFile(f"begins with {text[:8]!r}, where {begin!r} was to be")
-    if text[:len(begin)] != begin:
+    if text[: len(begin)] != begin:
         raise BadFile(f"format {int.from_bytes(text[4:6], 'big')}, this program reads {form}")
     view, at, bodies = memoryview(text), len(begin), []
     while at < len(text):
--- a/rushmux/replace.py
+++ b/rushmux/replace.py
@@ -1,4 +1,5 @@
 """Writes a file whole: a kill at any moment leaves the old one or the new one."""
+
 import os
 from pathlib import Path
 
--- a/rushmux/resp/codec.py
+++ b/rushmux/resp/codec.py
@@ -4,13 +4,14 @@
 Every length is checked when its header is read, before a byte of what it claims is kept.
 `Malformed` says that the rest of the connection can't be read.
 """
-MOST_VALUE = 65_536      # bytes of a value that a client sends, from the platform's protocol
-MOST_REPLY = 1 << 20     # bytes of a value that a node gives: 400,000 were seen, the page says 64 KiB
-MOST_WORDS = 16          # words of a command: five for a write, a few more for what libraries greet with
-MOST_COMMAND = MOST_VALUE + 4_096   # bytes of a command's words together
-MOST_HEADER = 16         # bytes of a header line: a sign and a length
-MOST_LINE = 512          # bytes of a line that holds text: an error with its figures
-MOST_PARTS = 8           # elements of an array in a reply: three are usual
+
+MOST_VALUE = 65_536  # bytes of a value that a client sends, from the platform's protocol
+MOST_REPLY = 1 << 20  # bytes of a value that a node gives: 400,000 were seen, the page says 64 KiB
+MOST_WORDS = 16  # words of a command: five for a write, a few more for what libraries greet with
+MOST_COMMAND = MOST_VALUE + 4_096  # bytes of a command's words together
+MOST_HEADER = 16  # bytes of a header line: a sign and a length
+MOST_LINE = 512  # bytes of a line that holds text: an error with its figures
+MOST_PARTS = 8  # elements of an array in a reply: three are usual
 END = b"\r\n"
 
 
@@ -35,7 +36,7 @@
 
     def feed(self, data: bytes):
         if self.at:
-            del self.buffer[:self.at]
+            del self.buffer[: self.at]
             self.at = 0
         self.buffer += data
 
@@ -50,7 +51,7 @@
             if self.held() > most:
                 raise Malformed(f"a line of over {most} bytes")
             return None
-        line, self.at = self.buffer[self.at:end], end + len(END)
+        line, self.at = self.buffer[self.at : end], end + len(END)
         return line
 
     def body(self, length):
@@ -58,9 +59,9 @@
         end = self.at + length
         if len(self.buffer) < end + len(END):
             return None
-        if self.buffer[end:end + len(END)] != END:
+        if self.buffer[end : end + len(END)] != END:
             raise Malformed("a bulk string that does not end where its length says")
-        body, self.at = bytes(self.buffer[self.at:end]), end + len(END)
+        body, self.at = bytes(self.buffer[self.at : end]), end + len(END)
         return body
 
 
