--- a/rushmux/routes/prove.py
+++ b/rushmux/routes/prove.py
@@ -5,32 +5,35 @@
 A `Finding` is a refusal.  `guarded` marks those whose rule the decision module would keep by itself
 by cutting the route short: such a route cannot do what it says.  The others can be played.
 """
+
 from typing import NamedTuple, Optional
 
 from rushmux import interface as say
 from rushmux.routes.resolve import Flow
 from rushmux.rules import COLD_CREDIT, DEPTH_CAP
 
-MOST_STEPS = 12          # steps of a timeline: what a person follows
+MOST_STEPS = 12  # steps of a timeline: what a person follows
 
 
 class Ground(NamedTuple):
     """What the deployment states besides its routes; times in ticks."""
+
     terms: say.Terms
-    way: int                     # longest that a message is on its way, one way
-    dial: int                    # longest that an execution waits for a connection
+    way: int  # longest that a message is on its way, one way
+    dial: int  # longest that an execution waits for a connection
     drain_grace: int
-    restarts: int                # starts anew of one gateway while a limit's burst fills
-    span: int                    # in which a cold node's rule counts; the module keeps a longer one (`kept`)
-    falls: float                 # units within the span that push a just-started node over, at least
-    serves: float                # units that such a node answers in the span, at most
-    held: int                    # operations that a gateway has place for
+    restarts: int  # starts anew of one gateway while a limit's burst fills
+    span: int  # in which a cold node's rule counts; the module keeps a longer one (`kept`)
+    falls: float  # units within the span that push a just-started node over, at least
+    serves: float  # units that such a node answers in the span, at most
+    held: int  # operations that a gateway has place for
     unit_bytes: int
-    wanted: float = 1.0          # least part of all cells that gateways with work for a cold node work on
+    wanted: float = 1.0  # least part of all cells that gateways with work for a cold node work on
 
 
 class Finding(NamedTuple):
     """One refusal: where it stands, the rule, the worst against the bound, what passes, how it comes."""
+
     place: str
     rule: str
     text: str
@@ -51,6 +54,7 @@
 
 class Fact(NamedTuple):
     """The worst of one matter in an accepted file."""
+
     matter: str
     worst: float
     bound: Optional[float]
@@ -66,7 +70,7 @@
 
 LOST, TWICE, DRAINS = "no operation lost", "no effect twice", "drains kept"
 COLD, BUDGETS, LIMITS = "no cold node pushed over", "budgets kept", "limits kept"
-HELD = "no operation lost"   # what finds no place is shed at the door, whatever its route says
+HELD = "no operation lost"  # what finds no place is shed at the door, whatever its route says
 
 
 def ms(ticks: float) -> str:
@@ -99,21 +103,34 @@
         else:
             about, place = f"lane '{lane.name}'", f"/lanes/{lane.name}/hard_stop_ms"
             nearest = f"hard_stop_ms {(2 * ground.way + tick) / 10:g}"
-        found.append(Finding(
-            place, LOST, f"{about}: the latest final answer comes {ms(worst)} after the client's send, and "
-            f"it waits {ms(lane.hard_stop)}", worst, lane.hard_stop, nearest, False, (
-                (0, "the client sends"), (ground.way, "the gateway takes the operation"),
-                (ground.way + held, "its time here is over"),
-                (ground.way + held + tick, "the round that says so is late by a tick"),
-                (worst, "the answer reaches the client"))))
+        found.append(
+            Finding(
+                place,
+                LOST,
+                f"{about}: the latest final answer comes {ms(worst)} after the client's send, and "
+                f"it waits {ms(lane.hard_stop)}",
+                worst,
+                lane.hard_stop,
+                nearest,
+                False,
+                (
+                    (0, "the client sends"),
+                    (ground.way, "the gateway takes the operation"),
+                    (ground.way + held, "its time here is over"),
+                    (ground.way + held + tick, "the round that says so is late by a tick"),
+                    (worst, "the answer reaches the client"),
+                ),
+            )
+        )
     return found
 
 
 def played_out(flow: Flow, count: int, tick: int) -> bool:
     """Whether so many executions of a flow end before its time is up, the last sent before it is late."""
     last = (count - 1) * (flow.route.time_out + tick + flow.route.wait)
-    return (last + flow.route.time_out <= flow.lane.hard_stop - 2 * tick
-            and (count == 1 or last < flow.lane.quoted_time))
+    return last + flow.route.time_out <= flow.lane.hard_stop - 2 * tick and (
+        count == 1 or last < flow.lane.quoted_time
+    )
 
 
 def ladder(ground: Ground, flow: Flow) -> Optional[Finding]:
@@ -136,18 +153,30 @@
         nearest += f"{', or ' if nearest else ''}{flow.places['executions']} {fewer}"
     steps = [(0, "the first execution goes")]
     for number in range(1, count):
-        steps.append((number * step - route.wait, f"it is held for lost after {ms(route.time_out)}, "
-                                                  "told a tick late"))
+        steps.append(
+            (number * step - route.wait, f"it is held for lost after {ms(route.time_out)}, told a tick late")
+        )
         steps.append((number * step, f"execution {number + 1} goes"))
     steps.append((stop, f"two ticks before the hard stop of {ms(lane.hard_stop)} all ends"))
     steps.append((end, "the last one's time-out would end"))
     worst, bound = (end, stop) if end > stop else (last, lane.quoted_time - 1)
-    text = (f"{count} execution(s) of {ms(route.time_out)} and waits of {ms(route.wait)} end after "
-            f"{ms(end)}; {flow.name} has {ms(stop)}" if end > stop else
-            f"execution {count} would go after {ms(last)}; {flow.name} is answered by its quoted time of "
-            f"{ms(lane.quoted_time)}, and none goes after it")
-    return Finding(flow.place("executions" if count > 1 else "time_out_ms", "time_out_ms"), LOST, text, worst,
-                   bound, nearest or "no time-out", True, tuple(steps))
+    text = (
+        f"{count} execution(s) of {ms(route.time_out)} and waits of {ms(route.wait)} end after "
+        f"{ms(end)}; {flow.name} has {ms(stop)}"
+        if end > stop
+        else f"execution {count} would go after {ms(last)}; {flow.name} is answered by its quoted time of "
+        f"{ms(lane.quoted_time)}, and none goes after it"
+    )
+    return Finding(
+        flow.place("executions" if count > 1 else "time_out_ms", "time_out_ms"),
+        LOST,
+        text,
+        worst,
+        bound,
+        nearest or "no time-out",
+        True,
+        tuple(steps),
+    )
 
 
 def copies(ground: Ground, flow: Flow) -> Optional[Finding]:
@@ -159,29 +188,60 @@
 
     def refused(rule, text, worst, bound, nearest, *steps):
         return Finding(place, rule, text, worst, bound, nearest, True, steps)
+
     if not terms.copies:
-        return refused(TWICE, f"{flow.name}: two executions would be out at a time, the fleet allows one",
-                       2, 1, "second_copy false, or /fleet/second_copies true")
+        return refused(
+            TWICE,
+            f"{flow.name}: two executions would be out at a time, the fleet allows one",
+            2,
+            1,
+            "second_copy false, or /fleet/second_copies true",
+        )
     if lane.repeat == say.SINGLE_USE:
-        return refused(TWICE, f"{flow.name} must never run twice, a second copy would run beside the first",
-                       2, 1, "second_copy false", (0, "the first execution goes"),
-                       (route.copy_after, "the second copy goes"), (route.copy_after, "both may run"))
+        return refused(
+            TWICE,
+            f"{flow.name} must never run twice, a second copy would run beside the first",
+            2,
+            1,
+            "second_copy false",
+            (0, "the first execution goes"),
+            (route.copy_after, "the second copy goes"),
+            (route.copy_after, "both may run"),
+        )
     if lane.repeat == say.REFERENCED and lane.group == "cell":
-        return refused(TWICE, f"{flow.name}: a second copy of a new object goes to another cell, and "
-                       "only its own cell knows its mark again", 2, 1, "second_copy false, or group 'all'")
+        return refused(
+            TWICE,
+            f"{flow.name}: a second copy of a new object goes to another cell, and "
+            "only its own cell knows its mark again",
+            2,
+            1,
+            "second_copy false, or group 'all'",
+        )
     if min(route.executions, terms.executions) < 2:
-        return refused(TWICE, f"{flow.name} has one execution, a second copy would be another", 2, 1,
-                       "executions 2, or second_copy false")
+        return refused(
+            TWICE,
+            f"{flow.name} has one execution, a second copy would be another",
+            2,
+            1,
+            "executions 2, or second_copy false",
+        )
     back = route.copy_after + terms.tick + 2 * ground.way
     use = min(lane.quoted_time, lane.hard_stop - 2 * terms.tick)
     if back >= use:
         last = use - 1 - terms.tick - 2 * ground.way
-        return refused(LOST, f"{flow.name}: a copy sent after {ms(route.copy_after)} is answered after "
-                       f"{ms(back)} at the earliest, and nothing is awaited past {ms(use)}", back, use - 1,
-                       f"after_ms {last / 10:g}, or second_copy false" if last >= 0 else "second_copy false",
-                       (0, "the first execution goes"), (route.copy_after, "the second copy is due"),
-                       (route.copy_after + terms.tick, "it goes, a tick late"),
-                       (use, "the client's time is up, or nearly so"), (back, "its answer could come"))
+        return refused(
+            LOST,
+            f"{flow.name}: a copy sent after {ms(route.copy_after)} is answered after "
+            f"{ms(back)} at the earliest, and nothing is awaited past {ms(use)}",
+            back,
+            use - 1,
+            f"after_ms {last / 10:g}, or second_copy false" if last >= 0 else "second_copy false",
+            (0, "the first execution goes"),
+            (route.copy_after, "the second copy is due"),
+            (route.copy_after + terms.tick, "it goes, a tick late"),
+            (use, "the client's time is up, or nearly so"),
+            (back, "its answer could come"),
+        )
     return None
 
 
@@ -212,13 +272,22 @@
     if short > 0:
         nearest += f", or time_out_ms {short / 10:g}"
     place = flow.place("executions", "time_out_ms") if flow.places else f"/lanes/{lane.name}/window_ms"
-    return Finding(place, TWICE,
-                   f"{flow.name}: a repeat reaches its node {ms(gap + delay)} after the first was sent, and "
-                   f"its mark is known for {ms(lane.window)}", gap + delay, lane.window, nearest, False, (
-                       (0, "the first execution goes and may run at once"),
-                       (gap, "the repeat is sent and waits for a connection"),
-                       (lane.window, "the mark is forgotten"),
-                       (gap + delay, "the repeat arrives and runs anew")))
+    return Finding(
+        place,
+        TWICE,
+        f"{flow.name}: a repeat reaches its node {ms(gap + delay)} after the first was sent, and "
+        f"its mark is known for {ms(lane.window)}",
+        gap + delay,
+        lane.window,
+        nearest,
+        False,
+        (
+            (0, "the first execution goes and may run at once"),
+            (gap, "the repeat is sent and waits for a connection"),
+            (lane.window, "the mark is forgotten"),
+            (gap + delay, "the repeat arrives and runs anew"),
+        ),
+    )
 
 
 def drains(ground: Ground, flows: list[Flow]) -> Optional[Finding]:
@@ -232,12 +301,22 @@
     nearest = f"/fleet/drain_grace_ms {worst / 10:g}"
     if short > 0:
         nearest += f", or /fleet/dial_ms {short / 10:g}"
-    return Finding("/fleet/drain_grace_ms", DRAINS,
-                   f"an execution of {flow.name} reaches a draining node {ms(worst)} after this gateway was "
-                   f"told, {ms(ground.drain_grace)} are allowed", worst, ground.drain_grace, nearest, False, (
-                       (0, "the gateway is told that the node drains"),
-                       (ground.terms.tick, "before the round that takes it in, an execution is sent there"),
-                       (ground.terms.tick + wait, "it had waited for a connection"), (worst, "it arrives")))
+    return Finding(
+        "/fleet/drain_grace_ms",
+        DRAINS,
+        f"an execution of {flow.name} reaches a draining node {ms(worst)} after this gateway was "
+        f"told, {ms(ground.drain_grace)} are allowed",
+        worst,
+        ground.drain_grace,
+        nearest,
+        False,
+        (
+            (0, "the gateway is told that the node drains"),
+            (ground.terms.tick, "before the round that takes it in, an execution is sent there"),
+            (ground.terms.tick + wait, "it had waited for a connection"),
+            (worst, "it arrives"),
+        ),
+    )
 
 
 def cold_rest(ground: Ground) -> float:
@@ -267,18 +346,28 @@
     if worst <= ground.falls:
         return None
     lots = terms.gateways * terms.most_units
-    return Finding("/fleet/cold_units", COLD,
-                   f"{terms.gateways} gateways can send a just-started node {worst:.1f} units within "
-                   f"{ms(ground.span)}, {ground.falls:g} push it over", worst, ground.falls,
-                   f"/fleet/cold_units {nearest:g}" if nearest else
-                   "fewer gateways, a smaller most_units, or nodes that bear more", False, (
-                       (0, f"the node starts; the parts of all gateways are "
-                           f"{terms.cold_units / ground.wanted:g} units"),
-                       (1, "each draws a high lot for the span, and sends one largest operation more: "
-                           f"{lots:g}"),
-                       (ground.span, f"it answers {ground.serves:g} units, and most of what the rule leaves "
-                        "above that is sent again"),
-                       (ground.span, f"{worst:.1f} units within one span, and it falls over")))
+    return Finding(
+        "/fleet/cold_units",
+        COLD,
+        f"{terms.gateways} gateways can send a just-started node {worst:.1f} units within "
+        f"{ms(ground.span)}, {ground.falls:g} push it over",
+        worst,
+        ground.falls,
+        f"/fleet/cold_units {nearest:g}"
+        if nearest
+        else "fewer gateways, a smaller most_units, or nodes that bear more",
+        False,
+        (
+            (0, f"the node starts; the parts of all gateways are {terms.cold_units / ground.wanted:g} units"),
+            (1, f"each draws a high lot for the span, and sends one largest operation more: {lots:g}"),
+            (
+                ground.span,
+                f"it answers {ground.serves:g} units, and most of what the rule leaves "
+                "above that is sent again",
+            ),
+            (ground.span, f"{worst:.1f} units within one span, and it falls over"),
+        ),
+    )
 
 
 def limits(ground: Ground) -> list[Finding]:
@@ -287,19 +376,31 @@
     for plan in ground.terms.plans.values():
         worst = ground.restarts * plan.slack
         if plan.limit and worst > plan.slack:
-            text = (f"each gateway begins with its part of the slack; {ground.restarts} starts of each pass "
-                    f"the limit by {worst:g} units, {plan.slack:g} are allowed")
-            found.append(Finding(
-                f"/plans/{plan.name}/slack", LIMITS, text, worst, plan.slack,
-                "/bounds/restarts 1, or slack 0",
-                False, ((0, "all gateways have used their parts of the burst"),
+            text = (
+                f"each gateway begins with its part of the slack; {ground.restarts} starts of each pass "
+                f"the limit by {worst:g} units, {plan.slack:g} are allowed"
+            )
+            found.append(
+                Finding(
+                    f"/plans/{plan.name}/slack",
+                    LIMITS,
+                    text,
+                    worst,
+                    plan.slack,
+                    "/bounds/restarts 1, or slack 0",
+                    False,
+                    (
+                        (0, "all gateways have used their parts of the burst"),
                         (1, "each starts anew and sends its part of the slack"),
-                        (2, f"and again, {ground.restarts} times in all"))))
+                        (2, f"and again, {ground.restarts} times in all"),
+                    ),
+                )
+            )
     return found
 
 
 def _named(places: list[str]) -> str:
-    return ", ".join(places[:MOST_STEPS // 2]) + (" ..." if len(places) > MOST_STEPS // 2 else "")
+    return ", ".join(places[: MOST_STEPS // 2]) + (" ..." if len(places) > MOST_STEPS // 2 else "")
 
 
 def budgets(ground: Ground, flows: list[Flow]) -> list[Finding]:
@@ -309,22 +410,38 @@
     if terms.budget_share is None or not stated:
         return found
     for flow in {flow.places["budget"]: flow for flow in stated}.values():
-        for name, own, fleet in (("free", flow.route.free, terms.budget_free),
-                                 ("share", flow.route.share, terms.budget_share)):
+        for name, own, fleet in (
+            ("free", flow.route.free, terms.budget_free),
+            ("share", flow.route.share, terms.budget_share),
+        ):
             if own > fleet:
-                text = (f"{flow.name} may take {name} {own:g} in {ms(terms.budget_span)}, the fleet's budget "
-                        f"has {fleet:g}")
-                found.append(Finding(flow.place("budget"), BUDGETS, text, own, fleet, f"{name} {fleet:g}",
-                                     True, ()))
+                text = (
+                    f"{flow.name} may take {name} {own:g} in {ms(terms.budget_span)}, the fleet's budget "
+                    f"has {fleet:g}"
+                )
+                found.append(
+                    Finding(flow.place("budget"), BUDGETS, text, own, fleet, f"{name} {fleet:g}", True, ())
+                )
     together = sum(flow.route.free for flow in stated)
     if together > terms.budget_free and not found:
         places = list(dict.fromkeys(flow.places["budget"] for flow in stated))
         each = int(100 * terms.budget_free / len(stated)) / 100
-        text = (f"together {len(stated)} lanes and plans ({_named(places)}) may take {together:g} further "
-                f"executions at once, the fleet's budget has {terms.budget_free:g}")
-        found.append(Finding(places[-1], BUDGETS, text, together, terms.budget_free, f"free {each:g} each",
-                             True, ((0, "one node that all use fails"),
-                                    (1, "every route takes what it has saved up"))))
+        text = (
+            f"together {len(stated)} lanes and plans ({_named(places)}) may take {together:g} further "
+            f"executions at once, the fleet's budget has {terms.budget_free:g}"
+        )
+        found.append(
+            Finding(
+                places[-1],
+                BUDGETS,
+                text,
+                together,
+                terms.budget_free,
+                f"free {each:g} each",
+                True,
+                ((0, "one node that all use fails"), (1, "every route takes what it has saved up")),
+            )
+        )
     return found
 
 
@@ -335,10 +452,13 @@
     if together <= ground.held:
         return None
     places = list(dict.fromkeys(flow.places["held"] for flow in stated))
-    text = (f"together {len(stated)} lanes and plans ({_named(places)}) may hold {together} operations, a "
-            f"gateway has place for {ground.held} and sheds the rest at its door")
-    return Finding(places[-1], HELD, text, together, ground.held, f"held {ground.held // len(stated)} each",
-                   True, ())
+    text = (
+        f"together {len(stated)} lanes and plans ({_named(places)}) may hold {together} operations, a "
+        f"gateway has place for {ground.held} and sheds the rest at its door"
+    )
+    return Finding(
+        places[-1], HELD, text, together, ground.held, f"held {ground.held // len(stated)} each", True, ()
+    )
 
 
 def prove(ground: Ground, flows: list[Flow]) -> list[Finding]:
@@ -352,8 +472,14 @@
                 key = finding.place, finding.rule, check, flow.lane.name
                 if key not in seen or finding.worst - finding.bound > seen[key].worst - seen[key].bound:
                     seen[key] = finding
-    found += [*seen.values(), drains(ground, flows), cold(ground), *limits(ground), *budgets(ground, flows),
-              held(ground, flows)]
+    found += [
+        *seen.values(),
+        drains(ground, flows),
+        cold(ground),
+        *limits(ground),
+        *budgets(ground, flows),
+        held(ground, flows),
+    ]
     return [finding for finding in found if finding is not None]
 
 
@@ -364,21 +490,43 @@
     out = terms.gateways * DEPTH_CAP
     wait = max((connected(ground, flow) for flow in flows), default=0)
     found = [
-        Fact(f"latest final answer, nearest to its hard stop (lane '{lane.name}')", latest_answer(ground,
-                                                                                                  lane) / 10,
-             lane.hard_stop / 10, "ms", True),
+        Fact(
+            f"latest final answer, nearest to its hard stop (lane '{lane.name}')",
+            latest_answer(ground, lane) / 10,
+            lane.hard_stop / 10,
+            "ms",
+            True,
+        ),
         Fact("executions out at a node", out, None, "", True),
         Fact("bytes of them", out * terms.most_units * ground.unit_bytes, None, "bytes", False),
-        Fact("at a draining node after it was told", (terms.tick + wait + ground.way) / 10,
-             ground.drain_grace / 10,
-             "ms", True),
-        Fact("at a just-started node in a span", cold_worst(ground), ground.falls, "units", False)]
+        Fact(
+            "at a draining node after it was told",
+            (terms.tick + wait + ground.way) / 10,
+            ground.drain_grace / 10,
+            "ms",
+            True,
+        ),
+        Fact("at a just-started node in a span", cold_worst(ground), ground.falls, "units", False),
+    ]
     if terms.budget_share is not None:
-        found.append(Fact(f"further executions of a gateway in {ms(terms.budget_span)}, of 1000 taken",
-                          terms.budget_free + 1000 * terms.budget_share, None, "", True))
+        found.append(
+            Fact(
+                f"further executions of a gateway in {ms(terms.budget_span)}, of 1000 taken",
+                terms.budget_free + 1000 * terms.budget_share,
+                None,
+                "",
+                True,
+            )
+        )
     for plan in terms.plans.values():
         if plan.limit:
-            found.append(Fact(f"over the limit of plan '{plan.name}'", ground.restarts * plan.slack,
-                              plan.slack,
-                              "units", True))
+            found.append(
+                Fact(
+                    f"over the limit of plan '{plan.name}'",
+                    ground.restarts * plan.slack,
+                    plan.slack,
+                    "units",
+                    True,
+                )
+            )
     return found
--- a/rushmux/routes/reload.py
+++ b/rushmux/routes/reload.py
@@ -2,13 +2,15 @@
 
 Decides only; `rushmux.edge.edge` reads the file and tells the module.
 """
+
 from typing import NamedTuple
 
-MOST_NAMED = 20          # places told of; more are counted
+MOST_NAMED = 20  # places told of; more are counted
 
 
 class Verdict(NamedTuple):
     """Whether the routes are taken over, what stands against it, and the lanes and plans that change."""
+
     taken: bool
     against: tuple[str, ...]
     changed: tuple[str, ...]
@@ -29,8 +31,14 @@
     against = list(differences(old.raw, new.raw))
     if against:
         more = [f"and {len(against) - MOST_NAMED} more"] if len(against) > MOST_NAMED else []
-        return Verdict(False, tuple(f"{place}: changes only with a start" for place in against[:MOST_NAMED])
-                       + tuple(more), ())
-    changed = tuple(f"{lane}/{plan}" for (lane, plan), route in new.terms.routes.items()
-                    if old.terms.routes.get((lane, plan)) != route)
+        return Verdict(
+            False,
+            tuple(f"{place}: changes only with a start" for place in against[:MOST_NAMED]) + tuple(more),
+            (),
+        )
+    changed = tuple(
+        f"{lane}/{plan}"
+        for (lane, plan), route in new.terms.routes.items()
+        if old.terms.routes.get((lane, plan)) != route
+    )
     return Verdict(True, (), changed)
--- a/rushmux/routes/resolve.py
+++ b/rushmux/routes/resolve.py
@@ -3,16 +3,18 @@
 A row names a lane, a plan, or both.  Field by field the most specific row that states it wins: one
 that names both, then one that names the lane, then one that names the plan, then the fleet.
 """
+
 from typing import NamedTuple
 
 from rushmux import interface as say
 
-TICKS = 10               # ticks of the decisions (0.1 ms) in a millisecond
+TICKS = 10  # ticks of the decisions (0.1 ms) in a millisecond
 FIELDS = ("time_out_ms", "executions", "wait_ms", "second_copy", "held", "budget")
 
 
 class Flow(NamedTuple):
     """The route of one lane and plan, and the place in the file that each stated field comes from."""
+
     lane: say.Lane
     plan: str
     route: say.Route
@@ -36,10 +38,13 @@
     copy, budget = stated.get("second_copy"), stated.get("budget")
     return say.Route(
         time_out=ticks(stated["time_out_ms"]) if "time_out_ms" in stated else say.NO_ROUTE.time_out,
-        executions=stated.get("executions", executions), wait=ticks(stated.get("wait_ms", 0)),
+        executions=stated.get("executions", executions),
+        wait=ticks(stated.get("wait_ms", 0)),
         copy_after=None if copy is None or copy is False else ticks(copy.get("after_ms", 0)),
-        held=stated.get("held", say.NO_ROUTE.held), share=budget["share"] if budget else 0.0,
-        free=budget["free"] if budget else say.NO_ROUTE.free)
+        held=stated.get("held", say.NO_ROUTE.held),
+        share=budget["share"] if budget else 0.0,
+        free=budget["free"] if budget else say.NO_ROUTE.free,
+    )
 
 
 def faults(rows: list, lanes, plans) -> list[tuple[str, str]]:
@@ -48,8 +53,12 @@
     for number, row in enumerate(rows):
         for kind, known in (("lane", lanes), ("plan", plans)):
             if kind in row and row[kind] not in known:
-                found.append((f"/routes/{number}/{kind}",
-                              f"there is no {kind} '{row[kind]}'; there are {', '.join(known)}"))
+                found.append(
+                    (
+                        f"/routes/{number}/{kind}",
+                        f"there is no {kind} '{row[kind]}'; there are {', '.join(known)}",
+                    )
+                )
         names = row.get("lane"), row.get("plan")
         if names in seen and names != (None, None):
             found.append((f"/routes/{number}", f"routes the same as /routes/{seen[names]}"))
--- a/rushmux/routes/tell.py
+++ b/rushmux/routes/tell.py
@@ -1,4 +1,5 @@
 """Plain text of routes and of what a proof found, for people."""
+
 from rushmux import interface as say
 
 
@@ -15,9 +16,12 @@
 def routes(flows):
     """Lines: each lane and plan with what it got and the row that said so."""
     for flow in flows:
-        parts = [f"{field.removesuffix('_ms')} {value}"
-                 + (f" ({flow.places[field].split('/')[2]})" if field in flow.places else "")
-                 for field, value in _value(flow) if value != "-"]
+        parts = [
+            f"{field.removesuffix('_ms')} {value}"
+            + (f" ({flow.places[field].split('/')[2]})" if field in flow.places else "")
+            for field, value in _value(flow)
+            if value != "-"
+        ]
         yield f"{flow.lane.name} / {flow.plan}: {', '.join(parts)}"
 
 
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -3,6 +3,7 @@
 `load` reads a file and gives a `Deployment`; `BadDeployment` lists every fault with its place.
 Decisions read `Terms` only; the rest concerns sessions and files.
 """
+
 import copy
 import json
 from pathlib import Path
@@ -28,12 +29,14 @@
 
 class Folder(NamedTuple):
     """A client folder: its plan, and the numbers of the edges that serve it (None: all)."""
+
     plan: str
     edges: Optional[tuple[int, ...]]
 
 
 class Sessions(NamedTuple):
     """Bounds of client sessions; times in seconds."""
+
     patience: float
     most: int
     handles: int
@@ -45,6 +48,7 @@
 
 class Files(NamedTuple):
     """How files are cut: bytes of an object, extents of a block, seconds that names stay fresh."""
+
     object_bytes: int
     extents: int
     fresh: float
@@ -53,20 +57,21 @@
 
 class Deployment(NamedTuple):
     """Everything that a deployment file states."""
+
     terms: say.Terms
     roles: dict[str, str]
     folders: dict[str, Folder]
     sessions: Sessions
     files: Files
     buffer: Optional[dict]  # the file's part on the write-back buffer, times in seconds; None: off
-    drain_grace: float      # seconds
-    dial: float             # seconds
+    drain_grace: float  # seconds
+    dial: float  # seconds
     links: int
-    shares: bool            # parts of limits are asked of a planner
-    policy: bool            # lanes, plans, routes and the like are decided in common by the planners
-    ground: prove.Ground    # what the proof of the routes was worked out on
+    shares: bool  # parts of limits are asked of a planner
+    policy: bool  # lanes, plans, routes and the like are decided in common by the planners
+    ground: prove.Ground  # what the proof of the routes was worked out on
     flows: list[resolve.Flow]
-    raw: dict               # the file as it was
+    raw: dict  # the file as it was
 
     def units(self, size: int) -> float:
         """Units of an operation that moves `size` bytes."""
@@ -74,8 +79,11 @@
 
     def limits(self) -> dict[str, float]:
         """Folders whose plans have a limit, and that limit."""
-        return {name: self.terms.plans[folder.plan].limit for name, folder in self.folders.items()
-                if self.terms.plans[folder.plan].limit}
+        return {
+            name: self.terms.plans[folder.plan].limit
+            for name, folder in self.folders.items()
+            if self.terms.plans[folder.plan].limit
+        }
 
     def mounts(self, folder: str) -> int:
         """Through how many edges the folder works."""
@@ -89,8 +97,12 @@
         return value
     named, other = schema.get("properties", {}), schema.get("additionalProperties")
     filled = {name: part["default"] for name, part in named.items() if "default" in part}
-    filled.update({name: _filled(named.get(name, other if isinstance(other, dict) else {}), part)
-                   for name, part in value.items()})
+    filled.update(
+        {
+            name: _filled(named.get(name, other if isinstance(other, dict) else {}), part)
+            for name, part in value.items()
+        }
+    )
     return filled
 
 
@@ -103,43 +115,65 @@
     checker = jsonschema.Draft202012Validator(SCHEMA)
     wrong = list(checker.iter_errors(raw))
     found = sorted((_place(fault.absolute_path), fault.message) for fault in wrong)
-    rows = [fault.absolute_path[1] if len(fault.absolute_path) > 1 and fault.absolute_path[0] == "routes"
-            else None for fault in wrong]
+    rows = [
+        fault.absolute_path[1]
+        if len(fault.absolute_path) > 1 and fault.absolute_path[0] == "routes"
+        else None
+        for fault in wrong
+    ]
     if None in rows:
         return found, None
     routes = [{} if number in rows else row for number, row in enumerate(raw.get("routes", []))]
     for name, lane in raw["lanes"].items():
         if lane["quoted_ms"] > lane["hard_stop_ms"]:
-            found.append((f"/lanes/{name}/quoted_ms",
-                          f"{lane['quoted_ms']} is past the hard stop of {lane['hard_stop_ms']}"))
+            found.append(
+                (
+                    f"/lanes/{name}/quoted_ms",
+                    f"{lane['quoted_ms']} is past the hard stop of {lane['hard_stop_ms']}",
+                )
+            )
         if lane["repeat"] == "referenced" and not lane.get("window_ms"):
-            found.append((f"/lanes/{name}/window_ms",
-                          "a referenced lane needs the time that repeats are known"))
+            found.append(
+                (f"/lanes/{name}/window_ms", "a referenced lane needs the time that repeats are known")
+            )
     for role, lane in raw["roles"].items():
         if lane not in raw["lanes"]:
-            found.append((f"/roles/{role}",
-                          f"there is no lane '{lane}'; there are {', '.join(raw['lanes'])}"))
+            found.append(
+                (f"/roles/{role}", f"there is no lane '{lane}'; there are {', '.join(raw['lanes'])}")
+            )
         elif role == "change" and raw["lanes"][lane]["repeat"] == "replayable":
-            found.append((f"/roles/{role}",
-                          f"lane '{lane}' is replayable; a change of names must not run twice"))
+            found.append(
+                (f"/roles/{role}", f"lane '{lane}' is replayable; a change of names must not run twice")
+            )
         elif role == "change" and raw["lanes"][lane].get("group") != "cell":
-            found.append((f"/roles/{role}",
-                          f"lane '{lane}' must state group 'cell': only it knows a mark again"))
+            found.append(
+                (f"/roles/{role}", f"lane '{lane}' must state group 'cell': only it knows a mark again")
+            )
     fleet = raw["fleet"]
     most = fleet.get("most_units", 8)
     for name, plan in raw["plans"].items():
         if plan["reserve"] > plan["nominal"]:
-            found.append((f"/plans/{name}/reserve",
-                          f"{plan['reserve']} is over the nominal {plan['nominal']}"))
+            found.append(
+                (f"/plans/{name}/reserve", f"{plan['reserve']} is over the nominal {plan['nominal']}")
+            )
         if plan.get("limit") and plan.get("burst", 0) < most * fleet["gateways"]:
-            found.append((f"/plans/{name}/burst",
-                          f"{plan.get('burst', 0)} is under {most * fleet['gateways']}: "
-                          "one largest operation for each gateway, or a part of the burst holds none"))
+            found.append(
+                (
+                    f"/plans/{name}/burst",
+                    f"{plan.get('burst', 0)} is under {most * fleet['gateways']}: "
+                    "one largest operation for each gateway, or a part of the burst holds none",
+                )
+            )
         safe = plan.get("burst", 0) * SAFE / fleet["gateways"]
         if plan.get("limit") and fleet.get("shares") and safe < most:
-            found.append((f"/plans/{name}/burst", f"{plan.get('burst', 0)} is under "
-                          f"{most * fleet['gateways'] / SAFE:g}: a safe part of it holds no largest "
-                          f"operation"))
+            found.append(
+                (
+                    f"/plans/{name}/burst",
+                    f"{plan.get('burst', 0)} is under "
+                    f"{most * fleet['gateways'] / SAFE:g}: a safe part of it holds no largest "
+                    f"operation",
+                )
+            )
     for name, folder in raw["folders"].items():
         if folder["plan"] not in raw["plans"]:
             found.append((f"/folders/{name}/plan", f"there is no plan '{folder['plan']}'"))
@@ -163,8 +197,12 @@
     patience = raw.get("sessions", {}).get("patience_ms", 8_000)
     for role, name in raw["roles"].items():
         if raw["lanes"].get(name, {}).get("hard_stop_ms", 0) + 100 > patience:
-            found.append(("/sessions/patience_ms", f"{patience} leaves no time to answer after the hard stop "
-                          f"of lane '{name}' for {role}"))
+            found.append(
+                (
+                    "/sessions/patience_ms",
+                    f"{patience} leaves no time to answer after the hard stop of lane '{name}' for {role}",
+                )
+            )
     return found, routes
 
 
@@ -177,62 +215,114 @@
         raise BadDeployment(source, faults)
     raw = _filled(SCHEMA, {"sessions": {}, "files": {}, "bounds": {}, **raw})
     fleet, budget = raw["fleet"], raw["fleet"].get("budget")
-    lanes = {name: say.Lane(name, resolve.ticks(row["quoted_ms"]), resolve.ticks(row["hard_stop_ms"]),
-                            row["utility"], row["repeat"], row["group"],
-                            int(row["window_ms"] * resolve.TICKS), row["in_order"])
-             for name, row in raw["lanes"].items()}
+    lanes = {
+        name: say.Lane(
+            name,
+            resolve.ticks(row["quoted_ms"]),
+            resolve.ticks(row["hard_stop_ms"]),
+            row["utility"],
+            row["repeat"],
+            row["group"],
+            int(row["window_ms"] * resolve.TICKS),
+            row["in_order"],
+        )
+        for name, row in raw["lanes"].items()
+    }
     plans = {name: say.Plan(name, **row) for name, row in raw["plans"].items()}
     terms = say.Terms(
-        lanes=lanes, plans=plans, gateways=fleet["gateways"], tick=resolve.ticks(fleet["tick_ms"]),
-        list_asked=False, ask_within=0, executions=fleet["executions"],
+        lanes=lanes,
+        plans=plans,
+        gateways=fleet["gateways"],
+        tick=resolve.ticks(fleet["tick_ms"]),
+        list_asked=False,
+        ask_within=0,
+        executions=fleet["executions"],
         come_back=resolve.ticks(fleet["come_back_ms"]),
-        mean_units=fleet["mean_units"], most_units=fleet["most_units"], cold_units=fleet["cold_units"],
-        cold_span=prove.kept(resolve.ticks(fleet["cold_span_ms"]), resolve.ticks(raw["bounds"]["way_ms"]),
-                             resolve.ticks(fleet["dial_ms"]), resolve.ticks(fleet["tick_ms"])),
+        mean_units=fleet["mean_units"],
+        most_units=fleet["most_units"],
+        cold_units=fleet["cold_units"],
+        cold_span=prove.kept(
+            resolve.ticks(fleet["cold_span_ms"]),
+            resolve.ticks(raw["bounds"]["way_ms"]),
+            resolve.ticks(fleet["dial_ms"]),
+            resolve.ticks(fleet["tick_ms"]),
+        ),
         fall_multiple=fleet["fall_multiple"],
-        cold_start=fleet["cold_start"], warm_within=resolve.ticks(fleet["warm_within_ms"]),
-        meter_span=resolve.ticks(fleet["meter_span_ms"]), order_rest=resolve.ticks(fleet["order_rest_ms"]),
-        budget_share=budget and budget["share"], budget_free=budget["free"] if budget else 0,
+        cold_start=fleet["cold_start"],
+        warm_within=resolve.ticks(fleet["warm_within_ms"]),
+        meter_span=resolve.ticks(fleet["meter_span_ms"]),
+        order_rest=resolve.ticks(fleet["order_rest_ms"]),
+        budget_share=budget and budget["share"],
+        budget_free=budget["free"] if budget else 0,
         budget_span=resolve.ticks(budget["span_ms"]) if budget else 0,
-        copies=fleet["second_copies"], cancel=True, load_asked=fleet["load"] == "probe")
+        copies=fleet["second_copies"],
+        cancel=True,
+        load_asked=fleet["load"] == "probe",
+    )
     flows = resolve.flows(routes, lanes, plans, fleet["executions"])
     terms = terms._replace(routes=resolve.routes(flows))
     ground = _ground(terms, fleet, raw["bounds"])
     findings = prove.prove(ground, flows)
     if faults or findings and proved:
-        raise BadDeployment(source, faults + [(finding.place, finding.text) for finding in findings],
-                            findings)
+        raise BadDeployment(
+            source, faults + [(finding.place, finding.text) for finding in findings], findings
+        )
     bounds, files = raw["sessions"], raw["files"]
     raw["roles"].setdefault("write_out", raw["roles"]["write"])
     return Deployment(
-        terms=terms, roles=raw["roles"],
-        folders={name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
-                 for name, row in raw["folders"].items()},
-        sessions=Sessions(bounds["patience_ms"] / 1000, bounds["most"], bounds["handles"],
-                          bounds["pipelined"], bounds["window"],
-                          bounds["packet_ms"] / 1000, bounds["unread_ms"] / 1000),
+        terms=terms,
+        roles=raw["roles"],
+        folders={
+            name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
+            for name, row in raw["folders"].items()
+        },
+        sessions=Sessions(
+            bounds["patience_ms"] / 1000,
+            bounds["most"],
+            bounds["handles"],
+            bounds["pipelined"],
+            bounds["window"],
+            bounds["packet_ms"] / 1000,
+            bounds["unread_ms"] / 1000,
+        ),
         files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
-        buffer=_buffer(raw.get("buffer")), drain_grace=fleet["drain_grace_ms"] / 1000,
-        dial=fleet["dial_ms"] / 1000, links=fleet["links"], shares=fleet["shares"],
-        policy=fleet["policy"], ground=ground,
-        flows=flows, raw=stated)
+        buffer=_buffer(raw.get("buffer")),
+        drain_grace=fleet["drain_grace_ms"] / 1000,
+        dial=fleet["dial_ms"] / 1000,
+        links=fleet["links"],
+        shares=fleet["shares"],
+        policy=fleet["policy"],
+        ground=ground,
+        flows=flows,
+        raw=stated,
+    )
 
 
 def _ground(terms, fleet, bounds):
     falls = bounds.get("cold_falls_units", fleet["cold_units"] * fleet["fall_multiple"])
     return prove.Ground(
-        terms, way=resolve.ticks(bounds["way_ms"]), dial=resolve.ticks(fleet["dial_ms"]),
-        drain_grace=resolve.ticks(fleet["drain_grace_ms"]), restarts=bounds["restarts"],
-        span=resolve.ticks(fleet["cold_span_ms"]), falls=falls,
+        terms,
+        way=resolve.ticks(bounds["way_ms"]),
+        dial=resolve.ticks(fleet["dial_ms"]),
+        drain_grace=resolve.ticks(fleet["drain_grace_ms"]),
+        restarts=bounds["restarts"],
+        span=resolve.ticks(fleet["cold_span_ms"]),
+        falls=falls,
         serves=bounds.get("cold_serves_units", falls / fleet["fall_multiple"]),
-        held=bounds["held"], unit_bytes=fleet["unit_bytes"], wanted=bounds["cold_wanted"])
+        held=bounds["held"],
+        unit_bytes=fleet["unit_bytes"],
+        wanted=bounds["cold_wanted"],
+    )
 
 
 def _buffer(raw):
     if raw is None or not raw["on"]:
         return None
-    return {name.removesuffix("_ms"): value / 1000 if name.endswith("_ms") else value
-            for name, value in raw.items() if name != "on"}
+    return {
+        name.removesuffix("_ms"): value / 1000 if name.endswith("_ms") else value
+        for name, value in raw.items()
+        if name != "on"
+    }
 
 
 def load(path) -> Deployment:
--- a/rushmux/settings/moving.py
+++ b/rushmux/settings/moving.py
@@ -3,12 +3,14 @@
 
 `moved` gives the new file's object and what could not be carried over, as (place, what became of it).
 """
+
 import copy
 from typing import NamedTuple, Optional
 
 
 class Shape(NamedTuple):
     """What the new deployment is like; None or empty: as before."""
+
     load: str = "probe"
     meter_ms: Optional[float] = None
     in_order: tuple[str, ...] = ()
@@ -23,8 +25,11 @@
     new, left = copy.deepcopy(raw), []
     fleet = new["fleet"]
     fleet["load"] = shape.load
-    for name, value in (("meter_span_ms", shape.meter_ms), ("order_rest_ms", shape.order_rest_ms),
-                        ("gateways", shape.gateways)):
+    for name, value in (
+        ("meter_span_ms", shape.meter_ms),
+        ("order_rest_ms", shape.order_rest_ms),
+        ("gateways", shape.gateways),
+    ):
         if value is not None:
             fleet[name] = value
     for name in shape.in_order:
@@ -38,16 +43,26 @@
         without_copies(new, left)
     if shape.gateways is not None:
         fewer_edges(new, shape.gateways, left)
-    left.append(("/fleet/cold_units", f"kept at {fleet['cold_units']}, which was for the nodes of before: "
-                 "state what a new one always bears"))
+    left.append(
+        (
+            "/fleet/cold_units",
+            f"kept at {fleet['cold_units']}, which was for the nodes of before: "
+            "state what a new one always bears",
+        )
+    )
     return new, left
 
 
 def without_reserves(new, left):
     for name, plan in new["plans"].items():
         if plan["reserve"]:
-            left.append((f"/plans/{name}/reserve", f"{plan['reserve']} units a second are reserved no more; "
-                         f"the weight {plan['weight']} decides"))
+            left.append(
+                (
+                    f"/plans/{name}/reserve",
+                    f"{plan['reserve']} units a second are reserved no more; "
+                    f"the weight {plan['weight']} decides",
+                )
+            )
             plan["reserve"] = 0
 
 
@@ -69,7 +84,11 @@
         if gone:
             folder["edges"] = [edge for edge in folder["edges"] if edge < gateways]
             text = "all edges serve it now" if not folder["edges"] else "the others serve it"
-            left.append((f"/folders/{name}/edges",
-                         f"edges {', '.join(map(str, gone))} are not there any more; {text}"))
+            left.append(
+                (
+                    f"/folders/{name}/edges",
+                    f"edges {', '.join(map(str, gone))} are not there any more; {text}",
+                )
+            )
             if not folder["edges"]:
                 del folder["edges"]
--- a/rushmux/settings/policy.py
+++ b/rushmux/settings/policy.py
@@ -3,6 +3,7 @@
 
 No I/O.  The text is JSON with its keys in order, so that the same policy has the same checksum everywhere.
 """
+
 import copy
 import json
 
@@ -10,20 +11,27 @@
 from rushmux.settings.deployment import BadDeployment, Deployment, build
 
 DECIDES = ("lanes", "roles", "plans", "folders", "fleet", "routes", "bounds", "buffer")
-LIVE = ("limit", "burst")        # of a plan: what the module takes over by its parts of limits
+LIVE = ("limit", "burst")  # of a plan: what the module takes over by its parts of limits
 
 
 def text(raw: dict) -> str:
     """The policy in a file's content."""
-    return json.dumps({name: raw[name] for name in DECIDES if name in raw}, sort_keys=True,
-                      separators=(",", ":"), ensure_ascii=False)
+    return json.dumps(
+        {name: raw[name] for name in DECIDES if name in raw},
+        sort_keys=True,
+        separators=(",", ":"),
+        ensure_ascii=False,
+    )
 
 
 def rows(deployment: Deployment) -> list[tuple[str, float, float]]:
     """(folder, limit, burst) of each folder that has a limit, in the order of their names."""
     plans = deployment.terms.plans
-    return [(name, plans[folder.plan].limit, plans[folder.plan].burst)
-            for name, folder in sorted(deployment.folders.items()) if plans[folder.plan].limit]
+    return [
+        (name, plans[folder.plan].limit, plans[folder.plan].burst)
+        for name, folder in sorted(deployment.folders.items())
+        if plans[folder.plan].limit
+    ]
 
 
 def merged(own: Deployment, policy: str, source: str) -> Deployment:
@@ -37,8 +45,9 @@
     unknown = [name for name in decided if name not in DECIDES]
     if unknown:
         # Danger: a newer program's policy gone by in part is another policy.
-        raise BadDeployment(source, [(f"/{name}", "this program knows no such part of a policy")
-                                     for name in unknown])
+        raise BadDeployment(
+            source, [(f"/{name}", "this program knows no such part of a policy") for name in unknown]
+        )
     raw = {name: value for name, value in own.raw.items() if name not in DECIDES}
     return build({**copy.deepcopy(raw), **decided}, source)
 
--- a/rushmux/sftp/packets.py
+++ b/rushmux/sftp/packets.py
@@ -4,11 +4,12 @@
 packets, `decode` makes one value of a packet's bytes, `encode` the bytes of a value.  Both
 sides of the protocol use the same classes, so a client is written with them as well.
 """
+
 import struct
 from typing import NamedTuple, Optional
 
 VERSION = 3
-MOST = 262_144 + 1_024   # bytes in a packet: what stock clients send at most, and its fields
+MOST = 262_144 + 1_024  # bytes in a packet: what stock clients send at most, and its fields
 U32, U64 = struct.Struct(">I"), struct.Struct(">Q")
 
 # Status codes.
@@ -32,6 +33,7 @@
 
 class Attributes(NamedTuple):
     """File attributes; None where not told.  Times are whole seconds since 1970."""
+
     size: Optional[int] = None
     uid: Optional[int] = None
     gid: Optional[int] = None
@@ -42,6 +44,7 @@
 
 class Name(NamedTuple):
     """One entry of a listing."""
+
     name: str
     long_name: str
     attributes: Attributes
@@ -57,7 +60,7 @@
         if count > len(self.data) - self.at:
             raise BadPacket(f"a field of {count} bytes where {len(self.data) - self.at} are left")
         self.at += count
-        return self.data[self.at - count:self.at]
+        return self.data[self.at - count : self.at]
 
     def u32(self):
         return U32.unpack(self.take(4))[0]
@@ -104,8 +107,12 @@
 
 
 def _attributes(value):
-    flags = ((value.size is not None) * HAS_SIZE | (value.uid is not None) * HAS_OWNER
-             | (value.mode is not None) * HAS_MODE | (value.mtime is not None) * HAS_TIMES)
+    flags = (
+        (value.size is not None) * HAS_SIZE
+        | (value.uid is not None) * HAS_OWNER
+        | (value.mode is not None) * HAS_MODE
+        | (value.mtime is not None) * HAS_TIMES
+    )
     parts = [U32.pack(flags)]
     if value.size is not None:
         parts.append(U64.pack(value.size))
@@ -119,22 +126,31 @@
 
 
 WRITERS = {
-    "u32": U32.pack, "u64": U64.pack, "text": _text, "attributes": _attributes,
-    "raw": lambda value: U32.pack(len(value)) + value, "rest": bytes,
-    "names": lambda value: U32.pack(len(value)) + b"".join(
-        _text(row.name) + _text(row.long_name) + _attributes(row.attributes) for row in value),
-    "pairs": lambda value: b"".join(_text(name) + U32.pack(len(data)) + data for name, data in value)}
-
-KINDS = {}    # type byte -> class
-TYPES = {}    # class -> (type byte, fields with their kinds)
+    "u32": U32.pack,
+    "u64": U64.pack,
+    "text": _text,
+    "attributes": _attributes,
+    "raw": lambda value: U32.pack(len(value)) + value,
+    "rest": bytes,
+    "names": lambda value: (
+        U32.pack(len(value))
+        + b"".join(_text(row.name) + _text(row.long_name) + _attributes(row.attributes) for row in value)
+    ),
+    "pairs": lambda value: b"".join(_text(name) + U32.pack(len(data)) + data for name, data in value),
+}
+
+KINDS = {}  # type byte -> class
+TYPES = {}  # class -> (type byte, fields with their kinds)
 
 
 def packet(code, /, **kinds):
     """Declares a packet class by its type byte and the kinds of its fields in their order."""
+
     def declare(name):
         made = NamedTuple(name, [(field, object) for field in kinds])
         KINDS[code], TYPES[made] = made, (code, tuple(kinds.items()))
         return made
+
     return declare
 
 
@@ -163,11 +179,12 @@
 Names = packet(104, request="u32", names="names")("Names")
 Attrs = packet(105, request="u32", attributes="attributes")("Attrs")
 ExtendedReply = packet(201, request="u32", data="rest")("ExtendedReply")
-SYMLINK, READLINK = 20, 19   # known, and not offered
+SYMLINK, READLINK = 20, 19  # known, and not offered
 
 
 class Unknown(NamedTuple):
     """A packet of a type that is not offered; its request is to be answered OP_UNSUPPORTED."""
+
     request: int
     code: int
 
@@ -213,13 +230,13 @@
         self.held += data
         found, at = [], 0
         while len(self.held) - at >= 4:
-            length, = U32.unpack_from(self.held, at)
+            (length,) = U32.unpack_from(self.held, at)
             # Danger: a length of gigabytes would be waited for, and held.
             if not 0 < length <= self.most:
                 raise BadPacket(f"a packet of {length} bytes; 1 to {self.most} are taken", ends=True)
             if len(self.held) - at - 4 < length:
                 break
-            found.append(bytes(self.held[at + 4:at + 4 + length]))
+            found.append(bytes(self.held[at + 4 : at + 4 + length]))
             at += 4 + length
         del self.held[:at]
         return found
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -5,6 +5,7 @@
 effect, reset, fell), of what edges were told (told) and of what was done to the fleet (killed).  An
 operation's id reads EDGE.START.NUMBER/SESSION.REQUEST, or /- where no client asked for it.
 """
+
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from typing import NamedTuple
@@ -13,15 +14,24 @@
 from rushmux.nodewire import messages
 from rushmux.settings.deployment import Deployment
 
-RULES = ("no operation lost", "no effect twice", "drains kept", "no cold node pushed over", "order kept",
-         "budgets kept", "limits kept", "bytes as written")
-SECOND = 10_000          # ticks in a second
-MOST_TOLD = 20           # breaches told of a rule; more are counted
+RULES = (
+    "no operation lost",
+    "no effect twice",
+    "drains kept",
+    "no cold node pushed over",
+    "order kept",
+    "budgets kept",
+    "limits kept",
+    "bytes as written",
+)
+SECOND = 10_000  # ticks in a second
+MOST_TOLD = 20  # breaches told of a rule; more are counted
 
 
 class Verdict(NamedTuple):
     """One rule: how many events were held against it, how near the nearest came (1: the edge of it;
     None where nothing came near), and the breaches."""
+
     rule: str
     checked: int
     nearest: float
@@ -48,12 +58,13 @@
 
 class Sent(NamedTuple):
     """An execution as a node's socket saw it."""
+
     at: float
     node: str
     edge: str
     start: str
-    number: int              # of the operation, in the order that its edge took them
-    request: str             # session and request, "" where no client asked
+    number: int  # of the operation, in the order that its edge took them
+    request: str  # session and request, "" where no client asked
     row: dict
 
     @property
@@ -64,8 +75,9 @@
 def _sent(row):
     whole, tag = row["op"].split("/", 1)
     edge, start, number = whole.rsplit(".", 2)
-    return Sent(row["at"], row["node"], edge, start, int(number),
-                "" if tag == "-" else f"{edge}.{start}/{tag}", row)
+    return Sent(
+        row["at"], row["node"], edge, start, int(number), "" if tag == "-" else f"{edge}.{start}/{tag}", row
+    )
 
 
 class Checker:
@@ -85,8 +97,16 @@
 
     def verdicts(self) -> list[Verdict]:
         """One for each of RULES, in that order."""
-        checks = (self.lost, self.effects, self.drains, self.cold, self.order, self.budgets, self.limits,
-                  self.bytes)
+        checks = (
+            self.lost,
+            self.effects,
+            self.drains,
+            self.cold,
+            self.order,
+            self.budgets,
+            self.limits,
+            self.bytes,
+        )
         found = []
         for name, check in zip(RULES, checks):
             rule = _Rule(name)
@@ -122,8 +142,9 @@
                 if over > ask["at"] + patience:
                     rule.breach(f"{name}: no answer")
         for (session, number), rows in answers.items():
-            rule.breach(f"{session} request {number}: an answer that nobody asked for, "
-                        f"at {rows[0]['at']:.4f} s")
+            rule.breach(
+                f"{session} request {number}: an answer that nobody asked for, at {rows[0]['at']:.4f} s"
+            )
         answered = {f"{row['session']}.{row['number']}": row["at"] for row in self.rows["answer"]}
         for sent in self.sent:
             over = answered.get(sent.request)
@@ -158,13 +179,14 @@
         for row in self.rows["effect"]:
             rule.checked += 1
             if row["mark"] in marks:
-                rule.breach(f"{row['op']}: its change took effect at {marks[row['mark']]} and "
-                            f"at {row['node']}")
+                rule.breach(
+                    f"{row['op']}: its change took effect at {marks[row['mark']]} and at {row['node']}"
+                )
             marks[row["mark"]] = row["node"]
 
     def drains(self, rule):
         """Nothing new from an edge to a node later than the grace after it was told of its drain."""
-        told = defaultdict(list)             # edge, start, node -> times and conditions
+        told = defaultdict(list)  # edge, start, node -> times and conditions
         for row in self.rows["told"]:
             for node, condition in row["nodes"]:
                 rule.checked += condition != say.READY
@@ -199,8 +221,11 @@
             times = [sent.at for sent in sends]
             first = bisect_left(times, start["at"])
             last = bisect_right(times, start["at"] + start["warm_within"] + span)
-            others = [other["at"] for other in self.rows["start"]
-                      if other["node"] == start["node"] and other["at"] > start["at"]]
+            others = [
+                other["at"]
+                for other in self.rows["start"]
+                if other["node"] == start["node"] and other["at"] > start["at"]
+            ]
             low, held = first, 0.0
             for place in range(first, last):
                 sent = sends[place]
@@ -210,8 +235,11 @@
                 while times[low] <= sent.at - span:
                     held -= sends[low].row["units"]
                     low += 1
-                part = min(1.0, start["cold_start"] + (1 - start["cold_start"])
-                           * (sent.at - start["at"]) / start["warm_within"])
+                part = min(
+                    1.0,
+                    start["cold_start"]
+                    + (1 - start["cold_start"]) * (sent.at - start["at"]) / start["warm_within"],
+                )
                 most = terms.fall_multiple * part * start["per_second"] * span
                 rule.checked += 1
                 rule.near(held / most)
@@ -225,10 +253,18 @@
             if self.terms.lanes[sent.row["lane"]].in_order and sent.row["key"]:
                 lines[sent.edge, sent.start, sent.row["key"]].append(sent)
         rest = self.terms.order_rest / SECOND
-        breaks = sorted((row["at"], row["node"]) for kind in ("killed", "reset", "fell")
-                        for row in self.rows[kind] if "node" in row)
-        breaks += [(row["at"], node) for row in self.rows["told"] for node, condition in row["nodes"]
-                   if condition == say.GONE]
+        breaks = sorted(
+            (row["at"], row["node"])
+            for kind in ("killed", "reset", "fell")
+            for row in self.rows[kind]
+            if "node" in row
+        )
+        breaks += [
+            (row["at"], node)
+            for row in self.rows["told"]
+            for node, condition in row["nodes"]
+            if condition == say.GONE
+        ]
         for line in lines.values():
             line.sort(key=lambda sent: sent.at)
             for before, sent in zip(line, line[1:]):
@@ -243,8 +279,11 @@
                 if outcome is not None and outcome["at"] <= over:
                     free = outcome["at"]
                 else:
-                    broke = [at for at, node in breaks
-                             if node == before.node and before.at <= at + self.way and at < over]
+                    broke = [
+                        at
+                        for at, node in breaks
+                        if node == before.node and before.at <= at + self.way and at < over
+                    ]
                     free = rest + min([over, *broke])
                 if sent.at < free - self.way:
                     rule.breach(f"{sent.name}: {before.name} is not over")
@@ -275,14 +314,16 @@
                 seen = highest[bisect_right(times, extra.at) - 1]
                 before = bisect_right(times, extra.at - span)
                 taken = seen - (highest[before - 1] if before else 0)
-                if took is not None:     # told by the edge itself, those that it never sent included
+                if took is not None:  # told by the edge itself, those that it never sent included
                     taken = bisect_right(took, extra.at) - bisect_left(took, extra.at - span)
                 rule.checked += 1
                 most = free + share * taken
                 rule.near((place - low + 1) / max(1, most))
                 if place - low + 1 > most:
-                    rule.breach(f"{extra.name}: {place - low + 1} further executions in {span} s, "
-                                f"{most:.1f} for {taken} taken")
+                    rule.breach(
+                        f"{extra.name}: {place - low + 1} further executions in {span} s, "
+                        f"{most:.1f} for {taken} taken"
+                    )
 
     def limits(self, rule):
         """What all edges first send for a folder keeps to its plan's limit."""
@@ -299,12 +340,14 @@
             rule.checked += 1
             rule.near((plan.burst - level) / (plan.burst + plan.slack))
             if level < -plan.slack - plan.limit * self.way:
-                rule.breach(f"{sent.name}: the limit of '{folder}' is passed by {-level:.1f} units, "
-                            f"{plan.slack} are allowed")
+                rule.breach(
+                    f"{sent.name}: the limit of '{folder}' is passed by {-level:.1f} units, "
+                    f"{plan.slack} are allowed"
+                )
 
     def bytes(self, rule):
         """What was read is a version that was whole, and no older than the last one acknowledged."""
-        writes = defaultdict(dict)           # path -> digest -> [begun, over, acknowledged]
+        writes = defaultdict(dict)  # path -> digest -> [begun, over, acknowledged]
         for row in self.rows["writing"]:
             writes[row["path"]][row["digest"]] = [row["begun"], float("inf"), False]
         for kind in ("wrote", "unsure"):
@@ -316,8 +359,13 @@
             if known is None:
                 rule.breach(f"{row['path']} read at {row['at']:.4f} s: bytes that nobody wrote whole")
                 continue
-            newer = [other for other in writes[row["path"]].values()
-                     if other[2] and other[0] > known[1] and other[1] < row["begun"]]
+            newer = [
+                other
+                for other in writes[row["path"]].values()
+                if other[2] and other[0] > known[1] and other[1] < row["begun"]
+            ]
             if newer or known[0] > row["at"]:
-                rule.breach(f"{row['path']} read at {row['at']:.4f} s: a version of {known[0]:.4f} s, "
-                            f"over {len(newer)} newer ones that were acknowledged before")
+                rule.breach(
+                    f"{row['path']} read at {row['at']:.4f} s: a version of {known[0]:.4f} s, "
+                    f"over {len(newer)} newer ones that were acknowledged before"
+                )
--- a/rushmux/standins/client.py
+++ b/rushmux/standins/client.py
@@ -1,4 +1,5 @@
 """A scripted SFTP client: requests in any number at once, each recorded with its answer."""
+
 import asyncio
 from typing import Callable
 
@@ -50,9 +51,14 @@
                 for body in self.packets.feed(data):
                     packet = sftp.decode(body)
                     future = self.waiting.pop(packet.request, None)
-                    self.record("answer", session=self.name, number=packet.request,
-                                status=getattr(packet, "code", 0), text=getattr(packet, "message", ""),
-                                known=future is not None)
+                    self.record(
+                        "answer",
+                        session=self.name,
+                        number=packet.request,
+                        status=getattr(packet, "code", 0),
+                        text=getattr(packet, "message", ""),
+                        known=future is not None,
+                    )
                     if future is not None and not future.done():
                         future.set_result(packet)
         except OSError as fault:
@@ -95,8 +101,12 @@
     async def put(self, path, data, piece=32_768, **about):
         """Writes a whole file, its pieces side by side."""
         handle = await self.open(path, sftp.WRITE | sftp.CREATE | sftp.TRUNCATE, **about)
-        await asyncio.gather(*(self.ask(sftp.Write, handle, at, data[at:at + piece], **about)
-                               for at in range(0, len(data), piece)))
+        await asyncio.gather(
+            *(
+                self.ask(sftp.Write, handle, at, data[at : at + piece], **about)
+                for at in range(0, len(data), piece)
+            )
+        )
         await self.ask(sftp.Close, handle, **about)
 
     async def get(self, path, piece=32_768, **about):
--- a/rushmux/standins/day.py
+++ b/rushmux/standins/day.py
@@ -3,6 +3,7 @@
 Arrivals are drawn ahead of their answers and never wait for them.  Contents follow from the path
 and a number, so that every byte read can be judged.
 """
+
 import asyncio
 import hashlib
 import json
@@ -14,18 +15,19 @@
 from rushmux.standins.client import Client, Gone, Refusal
 from rushmux.standins.script import DAYS, Script
 
-MOST_ERRANDS = 4_000     # at a time; more are counted as turned away by the load itself
-KNOWN = 200              # files of a folder that readers choose from
-LEDGER = 4_096           # bytes of the file that is written over and over
-SIZES = ((0.6, 2_000, 30_000), (0.3, 30_000, 64_000), (0.1, 64_000, 300_000))   # share, least, most bytes
-UNITS = 6.0              # units of a mean errand, for its rate
-SESSIONS = 6             # of a folder with an edge
+MOST_ERRANDS = 4_000  # at a time; more are counted as turned away by the load itself
+KNOWN = 200  # files of a folder that readers choose from
+LEDGER = 4_096  # bytes of the file that is written over and over
+SIZES = ((0.6, 2_000, 30_000), (0.3, 30_000, 64_000), (0.1, 64_000, 300_000))  # share, least, most bytes
+UNITS = 6.0  # units of a mean errand, for its rate
+SESSIONS = 6  # of a folder with an edge
 BUSY, MOST_BUSY = 8, 40  # requests out in a session before another is opened, and at the most
-AGAIN = 0.5              # seconds until a lost session is opened again
+AGAIN = 0.5  # seconds until a lost session is opened again
 
 
 class Load(NamedTuple):
     """What clients ask: `part` is the share of each folder's nominal rate."""
+
     part: float = 1.0
     reads: float = 0.55
     lists: float = 0.05
@@ -49,7 +51,7 @@
         self.fleet, self.folder, self.edges, self.load = fleet, folder, edges, load
         self.chance, self.sessions, self.files = random.Random(seed), {}, deque(maxlen=KNOWN)
         self.count, self.times, self.running, self.turned_away = 0, 1.0, {}, 0
-        self.ledger = {}                 # edge -> number of the last version written through it
+        self.ledger = {}  # edge -> number of the last version written through it
 
     async def run(self, until):
         """Draws arrivals until a time."""
@@ -68,8 +70,11 @@
     async def session(self, edge) -> Client:
         """A session with the edge that has little to do; another one where all are busy."""
         pool = self.sessions.setdefault(edge, [])
-        pool[:] = [held for held in pool if not held.done()
-                   or not held.exception() and not held.result().reading.done()]
+        pool[:] = [
+            held
+            for held in pool
+            if not held.done() or not held.exception() and not held.result().reading.done()
+        ]
         free = min(pool, key=lambda held: len(held.result().waiting) if held.done() else 0, default=None)
         busy = free is None or free.done() and len(free.result().waiting) >= BUSY
         if busy and len(pool) < SESSIONS:
@@ -181,8 +186,9 @@
     """Plays a day on a fleet that is up; returned when the last answer has come."""
     loop, chance = fleet.loop, random.Random(seed)
     begun, numbers = loop.time(), sorted(fleet.edges)
-    desks = {name: Desk(fleet, name, numbers, load, chance.getrandbits(48))
-             for name in fleet.deployment.folders}
+    desks = {
+        name: Desk(fleet, name, numbers, load, chance.getrandbits(48)) for name in fleet.deployment.folders
+    }
     fleet.record("day", begun=begun, length=script.length)
     tasks = [loop.create_task(desk.run(begun + script.length)) for desk in desks.values()]
     happening = []
--- a/rushmux/standins/engine.py
+++ b/rushmux/standins/engine.py
@@ -3,38 +3,41 @@
 It says when an execution's work is done; it does none itself.  All its chance comes from the
 generator handed in, all its time from the running loop.
 """
+
 import asyncio
 from collections import OrderedDict, deque
 from typing import Callable, NamedTuple
 
-NEIGHBOUR = 1.0          # seconds that a neighbour on the machine is in, and out
-RECENT_SPREAD = 0.3      # sigma of the lognormal draw of a service time around its mean
+NEIGHBOUR = 1.0  # seconds that a neighbour on the machine is in, and out
+RECENT_SPREAD = 0.3  # sigma of the lognormal draw of a service time around its mean
 
 
 class Shape(NamedTuple):
     """What a machine is like; times in seconds, work in units."""
+
     cores: int = 2
-    unit: float = 0.015          # seconds of a core for a unit of work at speed 1
+    unit: float = 0.015  # seconds of a core for a unit of work at speed 1
     speed: float = 1.0
-    room: int = 40               # executions that wait; beyond it they are turned away
-    cold_start: float = 0.17     # part of the capacity at the start
+    room: int = 40  # executions that wait; beyond it they are turned away
+    cold_start: float = 0.17  # part of the capacity at the start
     warm_within: float = 16.0
-    fall_multiple: float = 2.5   # of the present capacity, sent for `cold_span`, pushes it over
+    fall_multiple: float = 2.5  # of the present capacity, sent for `cold_span`, pushes it over
     cold_span: float = 2.0
     pause_every: tuple = (3.0, 8.0)
     pause: tuple = (0.03, 0.12)
-    recent: int = 3              # keys whose work is cheaper
-    saved: float = 0.5           # part of the work saved then
-    put_off: float = 0.3         # part of a write's work done later, in one go
+    recent: int = 3  # keys whose work is cheaper
+    saved: float = 0.5  # part of the work saved then
+    put_off: float = 0.3  # part of a write's work done later, in one go
     put_off_every: tuple = (1.5, 3.5)
-    crowd: float = 0.0           # of its speed lost for each execution that waits: machines thrash
-    most_crowd: float = 3.0      # times longer at most for that
+    crowd: float = 0.0  # of its speed lost for each execution that waits: machines thrash
+    most_crowd: float = 3.0  # times longer at most for that
 
 
 class Job(NamedTuple):
     """An execution's work as the engine holds it."""
+
     seconds: float
-    until: float                 # when it is dropped if it still waits
+    until: float  # when it is dropped if it still waits
     done: Callable
 
 
@@ -56,8 +59,8 @@
         self.waiting, self.running, self.recent = deque(), 0, OrderedDict()
         self.arrived, self.pushed = deque(), 0.0
         self.still_until, self.later, self.slowed, self.stopped = 0.0, 0.0, 1.0, False
-        self.service = 0.0       # seconds of recent executions in work, the newest an eighth
-        self.neighbour = 1.0     # times longer, for another program on the machine
+        self.service = 0.0  # seconds of recent executions in work, the newest an eighth
+        self.neighbour = 1.0  # times longer, for another program on the machine
         self.timers = {}
         self.again("pause", shape.pause_every, self.pause)
         self.again("put_off", shape.put_off_every, self.put_off)
@@ -115,7 +118,7 @@
         if len(self.waiting) >= self.shape.room:
             return False
         seconds = units * self.shape.unit / self.shape.speed
-        seconds *= self.chance.lognormvariate(-RECENT_SPREAD ** 2 / 2, RECENT_SPREAD)
+        seconds *= self.chance.lognormvariate(-(RECENT_SPREAD**2) / 2, RECENT_SPREAD)
         if key in self.recent:
             seconds *= 1 - self.shape.saved
         if key:
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -1,4 +1,5 @@
 """A whole fleet on the virtual clock: list source, nodes, edges and clients in one process."""
+
 import asyncio
 import random
 from pathlib import Path
@@ -22,8 +23,8 @@
 from rushmux.standins.store import Store
 
 HOST = "127.0.0.1"
-UP = 60.0                # seconds at most until every edge knows all nodes
-DISK = 1 << 30           # bytes of a node's disk where a test says nothing else
+UP = 60.0  # seconds at most until every edge knows all nodes
+DISK = 1 << 30  # bytes of a node's disk where a test says nothing else
 EPOCH = 1_800_000_000.0  # calendar time at nought of the virtual clock
 
 
@@ -41,8 +42,13 @@
 def shape_of(deployment: Deployment, **other) -> Shape:
     """A machine as the deployment states it."""
     terms = deployment.terms
-    return Shape(cold_start=terms.cold_start, warm_within=terms.warm_within / 10_000,
-                 fall_multiple=terms.fall_multiple, cold_span=deployment.ground.span / 10_000, **other)
+    return Shape(
+        cold_start=terms.cold_start,
+        warm_within=terms.warm_within / 10_000,
+        fall_multiple=terms.fall_multiple,
+        cold_span=deployment.ground.span / 10_000,
+        **other,
+    )
 
 
 def window_of(deployment: Deployment) -> float:
@@ -53,15 +59,27 @@
 class VirtualFleet(Orders):
     """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
 
-    def __init__(self, loop: VirtualLoop, deployment: Deployment, seed: int, lag=1.0, decisions=Gateway,
-                 level="info", disk=DISK, logs=True, planner=None, lists=None, **shape):
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        deployment: Deployment,
+        seed: int,
+        lag=1.0,
+        decisions=Gateway,
+        level="info",
+        disk=DISK,
+        logs=True,
+        planner=None,
+        lists=None,
+        **shape,
+    ):
         self.loop, self.deployment, self.chance = loop, deployment, random.Random(seed)
         self.lag, self.decisions, self.disk = lag, decisions, disk
         self.shape = shape_of(deployment, **shape)
         self.records, self.logs = [], []
-        self.log_disks = {} if logs else None    # edge -> the disk of its buffer's log
-        self.planner = planner           # path of a planner's store, to have one in place of the list source
-        self.last_lists = lists          # folder in which edges keep their last lists
+        self.log_disks = {} if logs else None  # edge -> the disk of its buffer's log
+        self.planner = planner  # path of a planner's store, to have one in place of the list source
+        self.last_lists = lists  # folder in which edges keep their last lists
         self.log = log.to_list(self.logs, level)
         self.nodes, self.edges, self.stores, self.lists = {}, {}, {}, None
 
@@ -91,16 +109,30 @@
         """Starts the stand-in for the source of the list."""
         terms = self.deployment.terms
         process = self.loop.process("lists")
-        source = ListSource(nodes, self.lag, self.log, self.record, period=terms.meter_span / 10_000,
-                            rates={name: terms.plans[folder.plan].nominal
-                                   for name, folder in self.deployment.folders.items()}, obeys=True)
+        source = ListSource(
+            nodes,
+            self.lag,
+            self.log,
+            self.record,
+            period=terms.meter_span / 10_000,
+            rates={
+                name: terms.plans[folder.plan].nominal for name, folder in self.deployment.folders.items()
+            },
+            obeys=True,
+        )
         self.lists = Part(process, source, await process.spawn(source.open(HOST, port)))
 
     async def plan(self, nodes, port=0):
         """Starts a planner, anew where one ran before: on the same port, with what it kept."""
         process = self.loop.process("planner")
-        program = Planner(nodes, PlannerStore(self.planner), self.log, self.record, self.deployment.limits(),
-                          self.deployment.terms.gateways)
+        program = Planner(
+            nodes,
+            PlannerStore(self.planner),
+            self.log,
+            self.record,
+            self.deployment.limits(),
+            self.deployment.terms.gateways,
+        )
         self.lists = Part(process, program, await process.spawn(program.open(HOST, port)))
 
     async def sleep(self, seconds):
@@ -111,8 +143,19 @@
         if empty or name not in self.stores:
             self.stores[name] = Store(":memory:", cell, disk or self.disk, window_of(self.deployment))
         process = self.loop.process(name)
-        program = Node(name, cell, f"z{cell % 2}", self.stores[name], self.lists.address, self.shape,
-                       self.seed(), cold, self.log, self.record, obeys=True)
+        program = Node(
+            name,
+            cell,
+            f"z{cell % 2}",
+            self.stores[name],
+            self.lists.address,
+            self.shape,
+            self.seed(),
+            cold,
+            self.log,
+            self.record,
+            obeys=True,
+        )
         self.nodes[name] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.nodes[name]
 
@@ -124,9 +167,17 @@
     async def edge(self, number):
         """Starts an edge, anew where it ran before."""
         process = self.loop.process(f"edge{number}")
-        program = Edge(number, self.deployment, self.lists.address, self.seed(), EPOCH, self.log,
-                       self.decisions, buffered(self.deployment,
-                                                self.log_disk(number)), self.last_list(number))
+        program = Edge(
+            number,
+            self.deployment,
+            self.lists.address,
+            self.seed(),
+            EPOCH,
+            self.log,
+            self.decisions,
+            buffered(self.deployment, self.log_disk(number)),
+            self.last_list(number),
+        )
         program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
@@ -134,8 +185,9 @@
     def last_list(self, number):
         if self.last_lists is None:
             return None
-        return LastList(Path(self.last_lists) / f"edge{number}.list", lambda: EPOCH + self.loop.time(),
-                        self.log)
+        return LastList(
+            Path(self.last_lists) / f"edge{number}.list", lambda: EPOCH + self.loop.time(), self.log
+        )
 
     def log_disk(self, number):
         if self.log_disks is None:
@@ -148,8 +200,10 @@
 
     def reload(self, numbers, raw):
         """Edges read their deployment's file anew, as on SIGHUP; whether each took its routes over."""
-        return [self.edges[number].process.context.run(self.edges[number].program.reload, lambda: build(raw))
-                for number in numbers]
+        return [
+            self.edges[number].process.context.run(self.edges[number].program.reload, lambda: build(raw))
+            for number in numbers
+        ]
 
     def cell_of(self, name):
         return self.nodes[name].program.cell
@@ -169,6 +223,7 @@
 
 def play(deployment: Deployment, seed: int, story, nodes=4, edges=2, **fleet):
     """Brings a fleet up on a virtual clock and plays `story(fleet)`; the fleet, and what that gave."""
+
     async def whole(loop):
         made = VirtualFleet(loop, deployment, seed, **fleet)
         await made.up(nodes, edges)
--- a/rushmux/standins/kills.py
+++ b/rushmux/standins/kills.py
@@ -5,6 +5,7 @@
 none may be older than a flush or a barrier that was answered; and where one shows a number from
 after a barrier, all must show theirs from before it.
 """
+
 import asyncio
 from functools import partial
 from typing import NamedTuple
@@ -12,14 +13,15 @@
 from rushmux.sftp import packets as sftp
 from rushmux.standins.client import Gone, Refusal
 
-FILES, SLOTS = 4, 6      # files of a folder, and slots of a file
-SIZES = (700, 4_096, 30_000, 70_000)   # bytes of a slot: within a block and over the ends of one
-BLOCK = 262_144          # bytes of an object: the slots lie around its ends
+FILES, SLOTS = 4, 6  # files of a folder, and slots of a file
+SIZES = (700, 4_096, 30_000, 70_000)  # bytes of a slot: within a block and over the ends of one
+BLOCK = 262_144  # bytes of an object: the slots lie around its ends
 TRIES, AGAIN = 40, 0.25  # looks at a slot until it can be read, and seconds between them
 
 
 class Written(NamedTuple):
     """A write: its number, file and slot, and whether it was answered."""
+
     number: int
     file: int
     slot: int
@@ -32,9 +34,10 @@
 class Told(NamedTuple):
     """What the writer knows: its writes in order, those answered, what each flush covered, and the
     barriers: the number of the last write before, and whether it was answered."""
+
     writes: list
     answered: set
-    flushed: dict            # (file, slot) -> least number that must be found
+    flushed: dict  # (file, slot) -> least number that must be found
     barriers: list
 
 
@@ -63,8 +66,10 @@
 
 async def write(client, folder, slots, chance, told, first):
     """Writes, flushes and sets barriers until the edge dies."""
-    handles = [await tried(partial(client.open, f"/{folder}/k{file}", sftp.READ | sftp.WRITE | sftp.CREATE))
-               for file in range(FILES)]
+    handles = [
+        await tried(partial(client.open, f"/{folder}/k{file}", sftp.READ | sftp.WRITE | sftp.CREATE))
+        for file in range(FILES)
+    ]
     count = first
 
     async def one(number, file, slot):
@@ -74,6 +79,7 @@
             told.answered.add(number)
         except Refusal:
             pass
+
     while True:
         draw = chance.random()
         if draw < 0.7:
@@ -133,7 +139,7 @@
     for file in range(FILES):
         try:
             handle = await tried(partial(client.open, f"/{folder}/k{file}", sftp.READ))
-        except Refusal:                  # there is no such file
+        except Refusal:  # there is no such file
             handle = None
         for slot, (start, size) in enumerate(slots[file].places):
             found[file, slot] = 0 if handle is None else await read_slot(client, handle, start, size)
@@ -143,7 +149,7 @@
 async def read_slot(client, handle, start, size):
     try:
         return value((await tried(partial(client.ask, sftp.Read, handle, start, size))).data)
-    except Refusal:                      # past the end
+    except Refusal:  # past the end
         return 0
 
 
@@ -158,10 +164,12 @@
     for last, _, before in told.barriers:
         after = [place for place, number in found.items() if number and number > last]
         if after:
-            wrong += [f"slot {place} holds {found[place]} and {after[0]} holds {found[after[0]]}, "
-                      f"from after the barrier at {last}; {number} came before it"
-                      for place, number in before.items()
-                      if found[place] is not None and found[place] < number]
+            wrong += [
+                f"slot {place} holds {found[place]} and {after[0]} holds {found[after[0]]}, "
+                f"from after the barrier at {last}; {number} came before it"
+                for place, number in before.items()
+                if found[place] is not None and found[place] < number
+            ]
     return wrong
 
 
@@ -197,10 +205,10 @@
                 told.flushed[file, slot] = count
             except Refusal:
                 numbers[file, slot].add(count)
-        told.barriers.clear()            # what others wrote has no place among this writer's barriers
+        told.barriers.clear()  # what others wrote has no place among this writer's barriers
     await fleet.edge(0)
     again = await fleet.client(0)
-    await read(again, folder, slots)     # waits until its log is written out
+    await read(again, folder, slots)  # waits until its log is written out
     await again.close()
     await asyncio.sleep(1.0)
     wrong += [f"after the return: {text}" for text in judge(told, await read(other, folder, slots), numbers)]
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -3,14 +3,15 @@
 It knows only whether a node's process runs and what that says of itself.  Changes reach the
 edges `lag` seconds after they happened, in order.
 """
+
 import asyncio
 
 from rushmux.nodewire import WireFault, messages
 from rushmux.standins.obeying import Obeying
 
-MOST_NODES = 10_000      # entries kept: as many as edges take
-SETTLE = 3.0             # seconds at most until a source that starts shows the nodes that have come
-GONE_KEPT = 600.0        # seconds for which a node that is gone stays in the list
+MOST_NODES = 10_000  # entries kept: as many as edges take
+SETTLE = 3.0  # seconds at most until a source that starts shows the nodes that have come
+GONE_KEPT = 600.0  # seconds for which a node that is gone stays in the list
 TROUBLES = ("lag", "silent")
 
 
@@ -92,16 +93,20 @@
         known = self.entries.get(entry.node)
         self.entries[entry.node] = entry
         if known is not None and (known.condition, known.start, known.port, known.cell) == (
-                entry.condition, entry.start, entry.port, entry.cell):
+            entry.condition,
+            entry.start,
+            entry.port,
+            entry.cell,
+        ):
             if entry.node in self.shown:
                 self.shown[entry.node][0].free = entry.free
             return
-        if not self.settled:             # a source that starts waits until each cell has a node
+        if not self.settled:  # a source that starts waits until each cell has a node
             self.shown[entry.node] = entry, self.loop.time()
             if len({shown.cell for shown, _ in self.shown.values()}) == self.cells:
                 self.settle()
             return
-        self.last = max(self.last, self.loop.time() + self.lag)   # later changes never overtake
+        self.last = max(self.last, self.loop.time() + self.lag)  # later changes never overtake
         self.loop.call_at(self.last, self.push, entry, self.loop.time())
 
     def settle(self):
@@ -139,8 +144,10 @@
         while True:
             await asyncio.sleep(self.period)
             used, self.used = self.used, {}
-            told = [messages.Used(volume=folder,
-                                  percent=int(100 * units / (self.rates[folder] * self.period)))
-                    for folder, units in used.items() if folder in self.rates]
+            told = [
+                messages.Used(volume=folder, percent=int(100 * units / (self.rates[folder] * self.period)))
+                for folder, units in used.items()
+                if folder in self.rates
+            ]
             for peer in self.nodes:
                 peer.send(meter=messages.Meter(used=told))
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -1,5 +1,6 @@
 """A stand-in storage node: it keeps objects and rows, takes as long as a machine would, and can
 be told to be in trouble."""
+
 import asyncio
 import random
 from collections import OrderedDict
@@ -10,12 +11,23 @@
 from rushmux.planner.peers import Peer
 from rushmux.standins.store import DiskFull, Store
 
-MOST_VOLUMES = 100_000   # folders whose served units are kept, and edges they were told to
-REPORT_EVERY = 1.0       # seconds between reports of free space to the list source
-AGAIN = 0.3              # seconds until the list source is dialled again
-HOLD_MOST = 10_000       # executions kept by the trouble `stuck`
-TROUBLES = ("silent", "stuck", "slow", "errors", "lost", "resets", "drain", "disk", "neighbour", "unmetered",
-            "unanswered")
+MOST_VOLUMES = 100_000  # folders whose served units are kept, and edges they were told to
+REPORT_EVERY = 1.0  # seconds between reports of free space to the list source
+AGAIN = 0.3  # seconds until the list source is dialled again
+HOLD_MOST = 10_000  # executions kept by the trouble `stuck`
+TROUBLES = (
+    "silent",
+    "stuck",
+    "slow",
+    "errors",
+    "lost",
+    "resets",
+    "drain",
+    "disk",
+    "neighbour",
+    "unmetered",
+    "unanswered",
+)
 
 
 class Served:
@@ -40,15 +52,28 @@
     """One node from one start.  `record(kind, **fields)` hears of every execution; `obeys`: troubles
     may be ordered over the socket."""
 
-    def __init__(self, name, cell, zone, store: Store, lists, shape: Shape, seed, cold, log, record,
-                 obeys=False, tell=None):
-        super().__init__(name, f"{seed & 0xffffffffffff:012x}", log.bind(node=name))
-        self.tell = tell                 # (host, port) where edges find it, if not where it listens
+    def __init__(
+        self,
+        name,
+        cell,
+        zone,
+        store: Store,
+        lists,
+        shape: Shape,
+        seed,
+        cold,
+        log,
+        record,
+        obeys=False,
+        tell=None,
+    ):
+        super().__init__(name, f"{seed & 0xFFFFFFFFFFFF:012x}", log.bind(node=name))
+        self.tell = tell  # (host, port) where edges find it, if not where it listens
         self.cell, self.zone, self.store, self.lists, self.shape = cell, zone, store, lists, shape
         self.chance, self.cold, self.record, self.obeys = random.Random(seed), cold, record, obeys
         self.condition, self.trouble, self.served, self.use = "ready", {}, Served(), None
         self.waiting_commit, self.stuck, self.fallen, self.task = [], [], False, None
-        self.calls = {}                  # (peer, corr) -> call of what the machine holds
+        self.calls = {}  # (peer, corr) -> call of what the machine holds
 
     async def open(self, host, port):
         self.loop = asyncio.get_running_loop()
@@ -56,9 +81,16 @@
         self.engine = Engine(self.shape, self.chance, self.cold, self.fall)
         self.host = host
         await self.listen(host, port)
-        self.record("start", node=self.name, cell=self.cell, cold=self.cold, start=self.start,
-                    per_second=self.engine.per_second(), cold_start=self.shape.cold_start,
-                    warm_within=self.shape.warm_within)
+        self.record(
+            "start",
+            node=self.name,
+            cell=self.cell,
+            cold=self.cold,
+            start=self.start,
+            per_second=self.engine.per_second(),
+            cold_start=self.shape.cold_start,
+            warm_within=self.shape.warm_within,
+        )
         self.task = self.loop.create_task(self.register())
         return self.port
 
@@ -87,9 +119,18 @@
 
     def report(self):
         host, port = self.tell or (self.host, self.port)
-        entry = messages.Entry(node=self.name, host=host, port=port, cell=self.cell, zone=self.zone,
-                               condition=self.condition, start=self.start, age=self.age(),
-                               total=self.store.limit, free=self.store.free)
+        entry = messages.Entry(
+            node=self.name,
+            host=host,
+            port=port,
+            cell=self.cell,
+            zone=self.zone,
+            condition=self.condition,
+            start=self.start,
+            age=self.age(),
+            total=self.store.limit,
+            free=self.store.free,
+        )
         used = [messages.Used(volume=folder, units=units) for folder, units in self.served.period.items()]
         self.served.period = {}
         return messages.Message(report=messages.Report(entry=entry, used=used, out=self.engine.inflight))
@@ -175,7 +216,7 @@
     def end(self, kind):
         self.trouble.pop(kind, None)
         self.engine.slowed = self.trouble.get("slow", 1.0)
-        if kind == "stuck":              # what was held for lost runs now
+        if kind == "stuck":  # what was held for lost runs now
             stuck, self.stuck = self.stuck, []
             for peer, body in stuck:
                 self.serve(peer, body, body.WhichOneof("what"))
@@ -184,9 +225,21 @@
         if self.fallen:
             return
         what = body.WhichOneof("what")
-        self.record("execution", node=self.name, cell=self.cell, edge=peer.hello.peer, op=body.op,
-                    execution=body.execution, volume=body.volume, lane=body.lane, key=body.key,
-                    units=body.units, what=what, time_out=body.time_out, policy=body.policy)
+        self.record(
+            "execution",
+            node=self.name,
+            cell=self.cell,
+            edge=peer.hello.peer,
+            op=body.op,
+            execution=body.execution,
+            volume=body.volume,
+            lane=body.lane,
+            key=body.key,
+            units=body.units,
+            what=what,
+            time_out=body.time_out,
+            policy=body.policy,
+        )
         # Danger: whoever goes by a number that no member goes by any more has an old disk.
         if 0 < body.knows < self.store.floor:
             self.record("fenced", node=self.name, op=body.op, execution=body.execution, policy=body.policy)
@@ -206,9 +259,11 @@
             return
         writes = what in ("write", "change")
         key = f"{body.volume}/{body.key}" if body.key else ""
+
         def done(late):
             self.calls.pop((peer, body.corr), None)
             self.work(peer, body, what, late)
+
         # Bounded by the machine's waiting room; what a pushed-over node holds ends with it.
         if self.engine.offer(body.units, key, writes, body.time_out / 10_000, done):
             self.calls[peer, body.corr] = done
--- a/rushmux/standins/obeying.py
+++ b/rushmux/standins/obeying.py
@@ -1,4 +1,5 @@
 """What stand-ins share besides what all servers do: they may be ordered to be in trouble."""
+
 from rushmux.nodewire import messages
 from rushmux.planner.peers import Listener
 
--- a/rushmux/standins/orders.py
+++ b/rushmux/standins/orders.py
@@ -1,10 +1,11 @@
 """What a fleet on the virtual clock and one of processes do alike to their parts."""
+
 import asyncio
 
 from rushmux.planner import orders
 
-PERSON = 60.0            # seconds that a person asks on for an answer that was lost
-PAUSE = 0.5              # seconds between two of its tries
+PERSON = 60.0  # seconds that a person asks on for an answer that was lost
+PAUSE = 0.5  # seconds between two of its tries
 
 
 class Orders:
--- a/rushmux/standins/passthrough.py
+++ b/rushmux/standins/passthrough.py
@@ -2,6 +2,7 @@
 
 It is a baseline to hold the module against, never a choice for service.
 """
+
 import random
 
 from rushmux import interface as say
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -3,6 +3,7 @@
 What a node does with a command is told by `plays`, a function of its words that gives steps: bytes to
 send, seconds to wait, "close" or "hang".
 """
+
 import asyncio
 import json
 import socket
@@ -10,7 +11,7 @@
 
 from rushmux.resp import Commands, Replies, bulk, command
 
-NS = 1_000_000           # nanoseconds in a millisecond
+NS = 1_000_000  # nanoseconds in a millisecond
 
 
 def served(value=b"data", used=b"$-1\r\n", load=b"$-1\r\n") -> bytes:
@@ -57,7 +58,7 @@
     def connection_lost(self, fault):
         self.node.connections.pop(self, None)
         if self.task is not None:
-            self.task.cancel()           # a node stops what its gateway gave up
+            self.task.cancel()  # a node stops what its gateway gave up
 
 
 class Node:
@@ -75,8 +76,16 @@
 
     def row(self, name, cell, state="up", started=0):
         """Its row in discovery's list."""
-        return {"id": name, "addr": f"127.0.0.1:{self.port}", "zone": "a", "kind": "m", "cell": cell,
-                "state": state, "weight": 1.0, "started_ms": started}
+        return {
+            "id": name,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": "a",
+            "kind": "m",
+            "cell": cell,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": started,
+        }
 
     def close(self):
         if self.server is not None:
@@ -91,8 +100,8 @@
     def __init__(self):
         self.version, self.rows, self.changes, self.calls = 1, {}, [], []
         self.silent, self.broken, self.indent, self.port = False, None, None, 0
-        self.plays = None                # a function of a target and an answer's text that gives steps, as a
-                                         # node's; besides "reset" and events, which are waited for
+        self.plays = None  # a function of a target and an answer's text that gives steps, as a
+        # node's; besides "reset" and events, which are waited for
         self.server, self.moved = None, asyncio.Event()
 
     async def open(self):
@@ -131,7 +140,8 @@
         for step in steps:
             if step == "reset":
                 writer.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
                 writer.transport.abort()
                 return False
             if step == "close":
@@ -171,7 +181,7 @@
 
     def __init__(self):
         self.reader = self.writer = None
-        self.replies, self.reset = Replies(), False   # reset: whether it ended so, and not in order
+        self.replies, self.reset = Replies(), False  # reset: whether it ended so, and not in order
         self.replies_seen = 0
 
     async def open(self, port):
@@ -212,7 +222,7 @@
 
 def write(number, cell=0, left=900, body=b"body") -> list[bytes]:
     """A usual write."""
-    what = (f"c=write,t=base,d={left},k={number:016x},volume={1:016x},units=1,shard={cell},hosts=1")
+    what = f"c=write,t=base,d={left},k={number:016x},volume={1:016x},units=1,shard={cell},hosts=1"
     return [b"BLK.WRITE", b"%016x" % (number + 4096), b"%016x" % number, what.encode(), body]
 
 
@@ -220,26 +230,75 @@
     """Settings in the form of the simulator's first message, with times that suit a test; `hard_stop` and
     `aim` of both lanes and `window` of the referenced one in ms."""
     return {
-        "Classes": [{"Name": "read", "Aim": aim * NS, "Deadline": hard_stop * NS, "Worth": 3,
-                     "Idempotency": "safe"},
-                    {"Name": "write", "Aim": aim * NS, "Deadline": hard_stop * NS, "Worth": 2,
-                     "Idempotency": "keyed", "Group": "cell",
-                     "Window": (window or max(3_000, hard_stop)) * NS}],
-        "Grades": [{"Name": "base", "Nominal": 1_000, "FloorRate": 500, "NeverOver": 0, "CapDepth": 0,
-                    "Tolerance": 0, "Parts": 1, "WorthFactor": 1, **(plan or {})}],
-        "Rules": {"AskWithin": 9_000 * NS, "OverloadFor": 1_000 * NS, "FallMultiple": 3,
-                  "StartCapacity": 0.2, "WarmWithin": 3_000 * NS, "StopSendingWithin": 250 * NS},
-        "Limits": {"MaxAttempts": 3, "RetryAfter": False, "MaxRetryAfter": 0, "MayProbe": False,
-                   "MostHeld": 500, "DialTimeout": 250 * NS, "ConnIdle": 4_000 * NS, "Cancel": True,
-                   **limits},
-        "Extra": {"UnitMean": 2, "MostUnits": 8, "ColdUnits": 20, "UsePeriod": 1_000 * NS,
-                  "SlotsTotal": shards, "ChangesData": [False, True], "SaysOthers": False},
-        "Report": {"How": "answers", "Columns": ["outstanding"]}, "ReplicasOfMe": gateways, "Period": 2 * NS,
-        "Discovery": "push", "ClientHabits": {"MarksRetry": False}}
+        "Classes": [
+            {"Name": "read", "Aim": aim * NS, "Deadline": hard_stop * NS, "Worth": 3, "Idempotency": "safe"},
+            {
+                "Name": "write",
+                "Aim": aim * NS,
+                "Deadline": hard_stop * NS,
+                "Worth": 2,
+                "Idempotency": "keyed",
+                "Group": "cell",
+                "Window": (window or max(3_000, hard_stop)) * NS,
+            },
+        ],
+        "Grades": [
+            {
+                "Name": "base",
+                "Nominal": 1_000,
+                "FloorRate": 500,
+                "NeverOver": 0,
+                "CapDepth": 0,
+                "Tolerance": 0,
+                "Parts": 1,
+                "WorthFactor": 1,
+                **(plan or {}),
+            }
+        ],
+        "Rules": {
+            "AskWithin": 9_000 * NS,
+            "OverloadFor": 1_000 * NS,
+            "FallMultiple": 3,
+            "StartCapacity": 0.2,
+            "WarmWithin": 3_000 * NS,
+            "StopSendingWithin": 250 * NS,
+        },
+        "Limits": {
+            "MaxAttempts": 3,
+            "RetryAfter": False,
+            "MaxRetryAfter": 0,
+            "MayProbe": False,
+            "MostHeld": 500,
+            "DialTimeout": 250 * NS,
+            "ConnIdle": 4_000 * NS,
+            "Cancel": True,
+            **limits,
+        },
+        "Extra": {
+            "UnitMean": 2,
+            "MostUnits": 8,
+            "ColdUnits": 20,
+            "UsePeriod": 1_000 * NS,
+            "SlotsTotal": shards,
+            "ChangesData": [False, True],
+            "SaysOthers": False,
+        },
+        "Report": {"How": "answers", "Columns": ["outstanding"]},
+        "ReplicasOfMe": gateways,
+        "Period": 2 * NS,
+        "Discovery": "push",
+        "ClientHabits": {"MarksRetry": False},
+    }
 
 
 def configuration(discovery, known, listen=0, sockets=256, **limits) -> dict:
     """What a gateway finds in its file."""
-    return {"name": "n0", "listen": f"127.0.0.1:{listen or 1}", "discovery": f"127.0.0.1:{discovery}",
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 128, "sockets": sockets},
-            "known": {"version": 1, "full": True, "servers": known}, "settings": settings(**limits)}
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{listen or 1}",
+        "discovery": f"127.0.0.1:{discovery}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": sockets},
+        "known": {"version": 1, "full": True, "servers": known},
+        "settings": settings(**limits),
+    }
--- a/rushmux/standins/policies.py
+++ b/rushmux/standins/policies.py
@@ -4,6 +4,7 @@
 All follows from the seed.  A faulty `Conduct`, `Holder` or `Register` may be handed in: the judge has to
 find it.
 """
+
 import json
 import random
 from typing import NamedTuple
@@ -12,32 +13,34 @@
 from rushmux.standins import voices
 from rushmux.standins.voices import Breach
 
-ASK = 0.5                # seconds between two asks of a member
-NO_ANSWER = 1.5          # seconds without a grant until another planner is asked
-AWAY = 15.0              # seconds that a member stays away for a second change
-IMAGE = 10.5             # seconds that it takes at least to put an older image of a disk back: over a lease
+ASK = 0.5  # seconds between two asks of a member
+NO_ANSWER = 1.5  # seconds without a grant until another planner is asked
+AWAY = 15.0  # seconds that a member stays away for a second change
+IMAGE = 10.5  # seconds that it takes at least to put an older image of a disk back: over a lease
 FOLDERS = ("a", "b")
 LIMITS = (200.0, 100.0, 60.0, 30.0, 12.0, 4.0)
-APART = 0.004            # most by which a member's clock runs fast or slow: under half of the drift allowed
-MOST_IMAGES = 4          # older states of a disk that may come back
+APART = 0.004  # most by which a member's clock runs fast or slow: under half of the drift allowed
+MOST_IMAGES = 4  # older states of a disk that may come back
 EPSILON = 1e-6
 
 
 class MemberFaults(NamedTuple):
     """How much goes wrong with members, each a second over all of them; `mute`: one never asks."""
+
     kills: float
     stops: float
     cuts: float
     disks: float
-    images: float            # part of starts that find an older disk
-    refusals: float          # part of policies that some member cannot prove
-    planner_stops: float     # a second, over all planners
+    images: float  # part of starts that find an older disk
+    refusals: float  # part of policies that some member cannot prove
+    planner_stops: float  # a second, over all planners
     mute: bool
 
 
 def drawn(chance) -> MemberFaults:
     def some(most):
         return most * chance.random() ** 2 if chance.random() < 0.6 else 0.0
+
     rates = [some(most) for most in (0.3, 0.2, 0.3, 0.1, 0.5, 0.3, 0.2)]
     return MemberFaults(*rates, mute=chance.random() < 0.15)
 
@@ -58,7 +61,7 @@
         self.disk, self.images, self.holder = (None, None), [], None
         self.life, self.held_until, self.cut_until, self.full_until, self.heard = 0, 0.0, 0.0, 0.0, 0.0
         self.planner, self.mute, self.said, self.image_at = 0, False, 0, 0.0
-        self.only, self.only_until = "", 0.0   # the one planner that it reaches, for some time
+        self.only, self.only_until = "", 0.0  # the one planner that it reaches, for some time
 
     def reaches(self, planner, now):
         return now >= self.only_until or planner == self.only
@@ -69,6 +72,7 @@
 
 class World(voices.World):
     """`members` edges; `parts`: (Register, Conduct, Holder) as they are, or as a defect has them."""
+
     host = Planner
 
     def __init__(self, seed, planners=3, members=4, parts=None, make=raft.Voice, fences=True):
@@ -85,11 +89,13 @@
             edge = self.edges[f"edge{number}"] = Member(f"edge{number}", chance.uniform(0, 1e5), rate)
             edge.mute = self.member_faults.mute and number == 0
             self.begin(edge)
-        for rate, act in ((self.member_faults.kills, self.kill_edge),
-                          (self.member_faults.stops, self.stop_edge),
-                          (self.member_faults.cuts, self.cut_edge),
-                          (self.member_faults.disks, self.fill_disk),
-                          (self.member_faults.planner_stops, self.stop_planner)):
+        for rate, act in (
+            (self.member_faults.kills, self.kill_edge),
+            (self.member_faults.stops, self.stop_edge),
+            (self.member_faults.cuts, self.cut_edge),
+            (self.member_faults.disks, self.fill_disk),
+            (self.member_faults.planner_stops, self.stop_planner),
+        ):
             if rate:
                 self.again(rate, act)
 
@@ -110,8 +116,9 @@
         host.index = snapshot.index
 
     def state(self, host):
-        return json.dumps({"register": host.register.kept().decode(),
-                           "sessions": host.sessions.kept()}).encode()
+        return json.dumps(
+            {"register": host.register.kept().decode(), "sessions": host.sessions.kept()}
+        ).encode()
 
     def apply(self, host, index, entry):
         known = self.applied.setdefault(index, entry)
@@ -125,7 +132,7 @@
             host.sessions.once(order["client"], order["n"], lambda: host.register.apply(order))
         else:
             host.register.apply(order)
-        if index > self.counted:         # the first to apply it: decided at this instant
+        if index > self.counted:  # the first to apply it: decided at this instant
             self.counted = index
             self.took(host, order, before)
 
@@ -138,8 +145,9 @@
         staged = host.register.staged
         if before is not None and staged is not before:
             if staged is not None and staged.number != before.number:
-                raise Breach(f"{self.now:.3f} {staged.number} took the place of {before.number}, "
-                             f"which had no end")
+                raise Breach(
+                    f"{self.now:.3f} {staged.number} took the place of {before.number}, which had no end"
+                )
             if "number" in order and order["number"] != before.number:
                 raise Breach(f"{self.now:.3f} {order['kind']} of {order['number']} ended {before.number}")
         if before is not None and staged is None:
@@ -151,7 +159,7 @@
         self.judge_limits()
 
     def tick(self, host, voice):
-        if self.now < host.held_until:   # it wakes with its sockets full, and reads them before its timers
+        if self.now < host.held_until:  # it wakes with its sockets full, and reads them before its timers
             self.at(host.held_until - self.now + 0.001, self.tick, host, voice)
             return
         super().tick(host, voice)
@@ -169,8 +177,8 @@
     def stop_planner(self):
         # Aimed: the one that leads is the one that may say too much when it wakes.
         host = self.chance.choice(self.leading() * 3 + [self.hosts[name] for name in sorted(self.hosts)])
-        host.held_until = self.now + 0.5 * 50 ** self.chance.random()   # to 25 s
-        if self.chance.random() < 0.5:   # and somebody reaches nobody else
+        host.held_until = self.now + 0.5 * 50 ** self.chance.random()  # to 25 s
+        if self.chance.random() < 0.5:  # and somebody reaches nobody else
             edge = self.chance.choice(list(self.edges.values()))
             edge.only, edge.only_until = host.name, host.held_until + 1.0
 
@@ -254,7 +262,7 @@
         if force is None:
             return {**client, "kind": "found", "members": sorted(self.edges), **self.drawn_policy()}
         kind = self.chance.random()
-        gone = [edge.name for edge in self.edges.values() if edge.mute]   # a person's word has to be true
+        gone = [edge.name for edge in self.edges.values() if edge.mute]  # a person's word has to be true
         if gone and kind > 0.95:
             return {**client, "kind": "forget", "member": self.chance.choice(gone)}
         if staged is not None and kind < 0.1:
@@ -286,6 +294,7 @@
 
         def prove(proposed):
             return "cannot" if self.unprovable.get(proposed.text) == edge.name else None
+
         edge.holder = self.holder(edge.name, *edge.disk, prove, keep)
         edge.heard = self.now
         self.at(self.chance.uniform(0, ASK), self.ask, edge, life)
@@ -316,8 +325,9 @@
             self.stop_edge(edge)
 
     def copies(self):
-        return max(0, 1 + (self.chance.random() < self.faults.repeated)
-                   - (self.chance.random() < self.faults.lost))
+        return max(
+            0, 1 + (self.chance.random() < self.faults.repeated) - (self.chance.random() < self.faults.lost)
+        )
 
     def carried(self, edge, act, *values):
         *values, copies = values
@@ -344,7 +354,7 @@
     def granted(self, edge, life, grant):
         if edge.life != life or edge.holder is None:
             return
-        if self.now < edge.held_until:   # it stands still: what came waits in its socket
+        if self.now < edge.held_until:  # it stands still: what came waits in its socket
             self.at(edge.held_until - self.now, self.granted, edge, life, grant)
             return
         edge.heard = self.now
@@ -354,10 +364,10 @@
     def kill_edge(self, edge=None):
         edge = edge or self.chance.choice(list(self.edges.values()))
         edge.life, edge.holder = edge.life + 1, None
-        away = 0.01 * 2_500 ** self.chance.random()   # 10 ms to 25 s
+        away = 0.01 * 2_500 ** self.chance.random()  # 10 ms to 25 s
         if edge.images and self.chance.random() < self.member_faults.images:
             edge.disk, edge.image_at = self.chance.choice(edge.images), self.now + IMAGE
-        away = max(away, edge.image_at - self.now)   # also where it is killed again meanwhile
+        away = max(away, edge.image_at - self.now)  # also where it is killed again meanwhile
         self.at(away, self.begin_again, edge, edge.life)
 
     def begin_again(self, edge, life):
@@ -367,7 +377,7 @@
 
     def stop_edge(self, edge=None):
         edge = edge or self.chance.choice(list(self.edges.values()))
-        edge.held_until = self.now + 0.2 * 120 ** self.chance.random()   # to 24 s
+        edge.held_until = self.now + 0.2 * 120 ** self.chance.random()  # to 24 s
         self.at(edge.held_until - self.now, self.judge_limits)
 
     def cut_edge(self):
@@ -401,7 +411,7 @@
             if holder.number not in known:
                 raise Breach(f"{self.now:.3f} {edge.name} serves under {holder.number}, never decided")
             if holder.knows < self.floor and self.fences:
-                holder.turned_away(self.floor)   # the first operation tells it
+                holder.turned_away(self.floor)  # the first operation tells it
                 continue
             for folder, both in holder.limits(edge.time(self.now)).items():
                 row = used.setdefault(folder, [0.0, 0.0])
@@ -410,10 +420,13 @@
         for folder, row in used.items():
             for value, limit, what in zip(row, limits[folder], ("limit", "burst")):
                 if value > limit + EPSILON:
-                    who = ", ".join(f"{edge.name} {edge.holder and edge.holder.number}"
-                                    for edge in self.edges.values())
-                    raise Breach(f"{self.now:.3f} {what} of {folder} is {limit:g} by "
-                                 f"{self.decided[-1].number}; members go by {value:g}: {who}")
+                    who = ", ".join(
+                        f"{edge.name} {edge.holder and edge.holder.number}" for edge in self.edges.values()
+                    )
+                    raise Breach(
+                        f"{self.now:.3f} {what} of {folder} is {limit:g} by "
+                        f"{self.decided[-1].number}; members go by {value:g}: {who}"
+                    )
 
     def settled(self):
         """After a quiet time: one number everywhere, nothing under way, nobody narrow but the mute."""
@@ -427,12 +440,13 @@
             if edge.mute or refuses:
                 continue
             if edge.holder.number != self.decided[-1].number or edge.holder.narrow(edge.time(self.now)):
-                raise Breach(f"{edge.name} goes by {edge.holder.number}, {self.decided[-1].number} is in "
-                             f"force")
+                raise Breach(
+                    f"{edge.name} goes by {edge.holder.number}, {self.decided[-1].number} is in force"
+                )
         return self
 
 
-PLAY, HEAL = 130.0, 70.0     # seconds of a seed, and when its faults end
+PLAY, HEAL = 130.0, 70.0  # seconds of a seed, and when its faults end
 
 
 def played(seed, **other) -> World:
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -3,6 +3,7 @@
 The programs are those that run: planners with their logs on a real folder, edges, nodes, clients.  All
 follows from the seed.  `policy_judge` judges the recordings, as it does those of real processes.
 """
+
 import asyncio
 import random
 from collections import Counter
@@ -23,15 +24,16 @@
 from rushmux.standins.policy_judge import judge
 from rushmux.virtual.loop import run
 
-PORT = 7_000             # of the first planner
-FAULTS = 40.0            # seconds of faults, and of changes
-QUIET = 45.0             # seconds at the end: a change may hang for PATIENCE, and a lease be waited for
+PORT = 7_000  # of the first planner
+FAULTS = 40.0  # seconds of faults, and of changes
+QUIET = 45.0  # seconds at the end: a change may hang for PATIENCE, and a lease be waited for
 LIMITS = (120.0, 60.0, 40.0, 30.0)
 PLANNERS = ("plannera", "plannerb", "plannerc")
 
 
 class Faults(NamedTuple):
     """Each a second, over all parts of its kind; a seed leaves some out."""
+
     planner_kills: float
     planner_holds: float
     edge_kills: float
@@ -40,8 +42,12 @@
 
 
 def drawn(chance) -> Faults:
-    return Faults(*(most * chance.random() ** 2 if chance.random() < 0.7 else 0.0
-                    for most in (0.15, 0.1, 0.15, 0.1, 0.15)))
+    return Faults(
+        *(
+            most * chance.random() ** 2 if chance.random() < 0.7 else 0.0
+            for most in (0.15, 0.1, 0.15, 0.1, 0.15)
+        )
+    )
 
 
 class PolicyFleet(VirtualFleet):
@@ -60,9 +66,18 @@
         process = self.loop.process(name)
         data = self.folder / f"{name}.db"
         among = Planners(name, dict(zip(PLANNERS, self.places)), found)
-        program = Planner(self.cells, PlannerStore(data), self.log, self.record, self.deployment.limits(),
-                          self.deployment.terms.gateways, among, f"{data}.log", self.deployment,
-                          random.Random(self.seed()))
+        program = Planner(
+            self.cells,
+            PlannerStore(data),
+            self.log,
+            self.record,
+            self.deployment.limits(),
+            self.deployment.terms.gateways,
+            among,
+            f"{data}.log",
+            self.deployment,
+            random.Random(self.seed()),
+        )
         place = PLANNERS.index(name)
         port = await process.spawn(program.open(HOST, PORT + place))
         self.planners[name] = Part(process, program, port)
@@ -70,7 +85,7 @@
     def kill_planner_of(self, name):
         part = self.planners.pop(name)
         part.process.kill()
-        part.program.council.disk.release()   # the kernel lets go of a dead process' lock
+        part.program.council.disk.release()  # the kernel lets go of a dead process' lock
         part.program.store.close()
 
     async def up(self, nodes, edges):
@@ -91,12 +106,27 @@
 
     async def edge(self, number):
         process = self.loop.process(f"edge{number}")
-        program = Edge(number, self.deployment, self.places, self.seed(), EPOCH, self.log, self.decisions,
-                       buffered(self.deployment, None), kept=Kept(self.folder / f"edge{number}.kept"))
+        program = Edge(
+            number,
+            self.deployment,
+            self.places,
+            self.seed(),
+            EPOCH,
+            self.log,
+            self.decisions,
+            buffered(self.deployment, None),
+            kept=Kept(self.folder / f"edge{number}.kept"),
+        )
         program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         program.went_by = lambda state: self.record(
-            "goes_by", edge=program.name, start=program.start, number=state[0], staged=state[1] or 0,
-            narrow=state[2], serves=state[3])
+            "goes_by",
+            edge=program.name,
+            start=program.start,
+            number=state[0],
+            staged=state[1] or 0,
+            narrow=state[2],
+            serves=state[3],
+        )
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
 
@@ -155,6 +185,7 @@
 
     async def clients(self, until):
         """A client an edge that files and reads in a folder with a limit, as fast as it is answered."""
+
         async def one(number):
             count = 0
             while self.loop.time() < until:
@@ -168,6 +199,7 @@
                     await self.sleep(0.2)
                 except (Gone, OSError):
                     await self.sleep(0.5)
+
         await asyncio.gather(*(one(number) for number in sorted(self.edges)))
 
     def settled(self):
@@ -198,8 +230,13 @@
         fleet = PolicyFleet(loop, deployment, seed, folder)
         await fleet.up(nodes, edges)
         until, faults = loop.time() + FAULTS, drawn(fleet.draw)
-        acts = (fleet.kill_a_planner, fleet.hold_a_planner, fleet.kill_an_edge, fleet.hold_an_edge,
-                fleet.cut_some)
+        acts = (
+            fleet.kill_a_planner,
+            fleet.hold_a_planner,
+            fleet.kill_an_edge,
+            fleet.hold_an_edge,
+            fleet.cut_some,
+        )
         work = [fleet.happens(rate, act, until) for rate, act in zip(faults, acts)]
         await asyncio.gather(*work, fleet.changes(until), fleet.clients(until + 5))
         await fleet.sleep(QUIET)
@@ -207,4 +244,5 @@
         breaches, facts = judge(fleet.all_records(), deployment, (), fleet.people, fleet.stopped)
         bad = [row for row in fleet.logs if row["event"] in ("module.fault", "policy.refused")]
         return Told(breaches + settled + [str(row)[:300] for row in bad[:3]], facts, fleet.logs)
+
     return run(whole, seed)
--- a/rushmux/standins/policy_judge.py
+++ b/rushmux/standins/policy_judge.py
@@ -4,19 +4,20 @@
 Rows: `decided` (a planner applied an entry), `leads`, `goes_by` (an edge), `execution`, `fenced` (a node),
 `told_person`.
 """
+
 from collections import Counter, defaultdict
 
 from rushmux.standins.checker import Checker
 
-WAY = 0.25               # seconds: longest that a message takes between processes of a busy machine
-MOST = 20                # breaches told of a kind
-OWN = ("limits kept", "no cold node pushed over")   # judged here by the policy in force, or not by stories
+WAY = 0.25  # seconds: longest that a message takes between processes of a busy machine
+MOST = 20  # breaches told of a kind
+OWN = ("limits kept", "no cold node pushed over")  # judged here by the policy in force, or not by stories
 
 
 def judge(rows, deployment, expects, people, stopped) -> tuple[list[str], Counter]:
     """Breaches and counts.  `people`: what was told to whom; `stopped`: parts that stood still."""
     breaches, facts = [], Counter()
-    applied, force = {}, {}              # index -> (order, said); number -> (when, rows)
+    applied, force = {}, {}  # index -> (order, said); number -> (when, rows)
     for row in rows:
         if row["kind"] == "decided":
             known = applied.setdefault(row["index"], (row["order"], row["said"], row["force"]))
@@ -37,15 +38,22 @@
     breaches += operations(rows, force, facts)[:MOST]
     breaches += told(people, ends, expects, numbers[-1] if numbers else 0)
     # An edge that stood still answers late, and nobody but who stopped it is at fault.
-    judged = [row for row in rows if row["kind"] not in ("ask", "answer")
-              or row["session"].split(".")[0] not in stopped]
+    judged = [
+        row
+        for row in rows
+        if row["kind"] not in ("ask", "answer") or row["session"].split(".")[0] not in stopped
+    ]
     for verdict in Checker(judged, deployment, WAY).verdicts():
         if verdict.rule not in OWN:
             # What it had sent reaches a node when a cut heals, long after it was told otherwise.
-            found = [text for text in verdict.breaches
-                     if not any(f"{name}." in text for name in stopped if name)]
-            breaches += [f"{verdict.rule}: {text}" for text in found if found != list(verdict.breaches[-1:])
-                         or not text.startswith("and ")]
+            found = [
+                text for text in verdict.breaches if not any(f"{name}." in text for name in stopped if name)
+            ]
+            breaches += [
+                f"{verdict.rule}: {text}"
+                for text in found
+                if found != list(verdict.breaches[-1:]) or not text.startswith("and ")
+            ]
     facts["executions"] = sum(row["kind"] == "execution" for row in rows)
     facts["answers"] = sum(row["kind"] == "answer" and row["status"] in (0, 1) for row in rows)
     facts["fenced"] = sum(row["kind"] == "fenced" for row in rows)
@@ -58,7 +66,7 @@
     for row in rows:
         if row["kind"] == "fenced":
             fenced.add((row["op"], row["execution"]))
-    served = defaultdict(list)           # folder -> (at, units) of what ran
+    served = defaultdict(list)  # folder -> (at, units) of what ran
     for row in rows:
         if row["kind"] != "execution":
             continue
@@ -83,8 +91,10 @@
                     most = max(most, used)
             facts[f"used of {folder} under {number}"] = round(100 * most / burst)
             if most > burst + limit * WAY:
-                found.append(f"{folder}: {most:.0f} units at once under {number}, which allows {burst:g} "
-                             f"and {limit:g}/s")
+                found.append(
+                    f"{folder}: {most:.0f} units at once under {number}, which allows {burst:g} "
+                    f"and {limit:g}/s"
+                )
     return found
 
 
--- a/rushmux/standins/policy_states.py
+++ b/rushmux/standins/policy_states.py
@@ -9,40 +9,52 @@
 States are compared by what they hold, so that one that was reached before is not gone on from.  Bounds:
 steps, asks out at a time, and what may happen how often; `check` says how many states there were.
 """
+
 import json
 from typing import NamedTuple, Optional
 
 from rushmux.fleet import policy
 
 MEMBERS = ("edge0", "edge1", "edge2")
-STEP = policy.LEASE / 1.9       # two of them are over any lease, its drift included
-LIMITS = (90.0, 30.0)    # of the folder, before and after: the change down; up is the other way round
+STEP = policy.LEASE / 1.9  # two of them are over any lease, its drift included
+LIMITS = (90.0, 30.0)  # of the folder, before and after: the change down; up is the other way round
 EPSILON = 1e-6
 
 
 class Bounds(NamedTuple):
     """How much may happen in a play."""
-    ticks: int = 4               # steps of the clock
+
+    ticks: int = 4  # steps of the clock
     kills: int = 1
     takeovers: int = 1
-    mail: int = 2                # messages on their way at a time
+    mail: int = 2  # messages on their way at a time
     states: int = 1_000_000
 
 
 def joint(*names, planner=1) -> tuple[str, ...]:
     """The moves by which members become joint and say so."""
-    return tuple(move.format(name, planner) for name in names for move in 2 * (
-        "{0} asks planner {1}", "ask of {0} comes at {1}", "grant of {0} comes at {1}"))
+    return tuple(
+        move.format(name, planner)
+        for name in names
+        for move in 2 * ("{0} asks planner {1}", "ask of {0} comes at {1}", "grant of {0} comes at {1}")
+    )
 
 
 # Where a check begins: what has happened before, by the names of moves.
 BEGINS = {
     "all there": (),
     "one away, its lease over": (
-        "edge0 asks planner 1", "ask of edge0 comes at 1", "grant of edge0 comes at 1", "time goes on",
-        "time goes on", *joint(*MEMBERS[:2])),
+        "edge0 asks planner 1",
+        "ask of edge0 comes at 1",
+        "grant of edge0 comes at 1",
+        "time goes on",
+        "time goes on",
+        *joint(*MEMBERS[:2]),
+    ),
     "planner 2 leads, the third has the lease of 1": (
-        "planner 2 takes over", *joint(*MEMBERS[:2], planner=2)),
+        "planner 2 takes over",
+        *joint(*MEMBERS[:2], planner=2),
+    ),
     "two joint, the third serves on": joint(*MEMBERS[:2]),
     "all joint, about to be decided": joint(*MEMBERS) + ("planner 1 looks",),
 }
@@ -51,6 +63,7 @@
 class Found(NamedTuple):
     """States that were reached, up to how many events all orders were gone through, ends seen, and the first
     breach with its way."""
+
     states: int
     events: int
     ends: dict
@@ -72,17 +85,24 @@
         register, conduct, holder = parts
         self.parts, self.now, self.term = parts, 0.0, 1
         self.register = register()
-        self.register.apply({"kind": "found", "by": "x", "members": list(MEMBERS), "text": "first",
-                             "rows": [["a", first, first]]})
+        self.register.apply(
+            {
+                "kind": "found",
+                "by": "x",
+                "members": list(MEMBERS),
+                "text": "first",
+                "rows": [["a", first, first]],
+            }
+        )
         self.index = 1
         self.disks = {name: (self.register.force, None) for name in MEMBERS}
         self.members = {name: self.member(name) for name in MEMBERS}
         # Planner 1 leads; planner 2 may take over, and 1 may not know.
         self.leaders = {1: conduct(self.register, -2 * policy.LEASE)}
-        self.views = {}                  # of a replaced planner: the register as it last knew it
+        self.views = {}  # of a replaced planner: the register as it last knew it
         self.mail, self.kills, self.takeovers, self.ticks = (), 0, 0, 0
-        self.pending = None              # an order that stands in the newest planner's log, not decided yet
-        for name in MEMBERS:             # each has just heard that 1 is in force
+        self.pending = None  # an order that stands in the newest planner's log, not decided yet
+        for name in MEMBERS:  # each has just heard that 1 is in force
             ask = self.members[name].ask(self.now)
             self.leaders[1].asked(self.now, ask, 0)
             for grant in self.leaders[1].answers(self.now, 1, 1, self.index):
@@ -96,6 +116,7 @@
     def keeper(self, name):
         def keep(force, staged):
             self.disks[name] = force, staged
+
         return keep
 
     def copied(self):
@@ -126,21 +147,53 @@
 
     def key(self):
         """What tells two states apart.  Members differ by nothing but their names: they are put in order."""
+
         def ago(at):
             return None if at is None else round(max(-0.01, min(at - self.now, 30.0)) * 100)
+
         rows = []
         for name, holder in self.members.items():
-            mail = tuple((kind, term, ago(holder.asks[what.ask]), *self.told(what))
-                         for kind, what, term in self.mail if what.member == name)
-            known = tuple((ago(conduct.until.get(name, 0.0)), self.said(conduct.said.get(name)),
-                           conduct.closing is not None and name in conduct.closing[1])
-                          for conduct in self.leaders.values())
-            rows.append((holder.number, holder.staged is not None, ago(holder.until) or 0, holder.seen,
-                         self.disks[name][1] is not None, self.register.goes[name], mail, known))
-        leaders = tuple((term, ago(conduct.open_at), conduct.closing is not None)
-                        for term, conduct in self.leaders.items())
-        return hash((self.ticks, self.index, self.register.staged is None, self.register.force.number,
-                     tuple(sorted(rows)), leaders, self.kills, self.pending and self.pending["kind"]))
+            mail = tuple(
+                (kind, term, ago(holder.asks[what.ask]), *self.told(what))
+                for kind, what, term in self.mail
+                if what.member == name
+            )
+            known = tuple(
+                (
+                    ago(conduct.until.get(name, 0.0)),
+                    self.said(conduct.said.get(name)),
+                    conduct.closing is not None and name in conduct.closing[1],
+                )
+                for conduct in self.leaders.values()
+            )
+            rows.append(
+                (
+                    holder.number,
+                    holder.staged is not None,
+                    ago(holder.until) or 0,
+                    holder.seen,
+                    self.disks[name][1] is not None,
+                    self.register.goes[name],
+                    mail,
+                    known,
+                )
+            )
+        leaders = tuple(
+            (term, ago(conduct.open_at), conduct.closing is not None)
+            for term, conduct in self.leaders.items()
+        )
+        return hash(
+            (
+                self.ticks,
+                self.index,
+                self.register.staged is None,
+                self.register.force.number,
+                tuple(sorted(rows)),
+                leaders,
+                self.kills,
+                self.pending and self.pending["kind"],
+            )
+        )
 
     @staticmethod
     def said(ask):
@@ -159,17 +212,23 @@
         for name in MEMBERS:
             if room and not any(kind == "ask" and what.member == name for kind, what, _ in self.mail):
                 for term in self.leaders:
-                    yield (f"{name} asks planner {term}",
-                           lambda made, name=name, term=term: made.asks(name, term))
+                    yield (
+                        f"{name} asks planner {term}",
+                        lambda made, name=name, term=term: made.asks(name, term),
+                    )
             if self.kills < bounds.kills:
                 yield f"{name} is killed and started", lambda made, name=name: made.killed(name)
         for place, (kind, what, term) in enumerate(self.mail):
-            yield (f"{kind} of {what.member} comes at {term}",
-                   lambda made, place=place: made.comes(place, True))
+            yield (
+                f"{kind} of {what.member} comes at {term}",
+                lambda made, place=place: made.comes(place, True),
+            )
             yield (f"{kind} of {what.member} is lost", lambda made, place=place: made.comes(place, False))
             if room and kind == "grant":
-                yield (f"{kind} of {what.member} comes, and again",
-                       lambda made, place=place: made.comes(place, True, keep=True))
+                yield (
+                    f"{kind} of {what.member} comes, and again",
+                    lambda made, place=place: made.comes(place, True, keep=True),
+                )
         if self.ticks < bounds.ticks:
             yield "time goes on", lambda made: made.passes()
         if self.takeovers < bounds.takeovers:
@@ -194,7 +253,7 @@
         kind, what, term = self.mail[place]
         if not keep:
             # Once here it is not on its way; its ask stays known until its grant came.
-            self.mail = self.mail[:place] + self.mail[place + 1:]
+            self.mail = self.mail[:place] + self.mail[place + 1 :]
         if not heard:
             return
         if kind == "grant":
@@ -253,8 +312,9 @@
     return state
 
 
-def check(bounds=Bounds(), parts=(policy.Register, policy.Conduct, policy.Holder), limits=LIMITS,
-          begin=()) -> Found:
+def check(
+    bounds=Bounds(), parts=(policy.Register, policy.Conduct, policy.Holder), limits=LIMITS, begin=()
+) -> Found:
     """Goes through all orders of events, breadth first, until as many states were reached as the bounds
     allow; the first breach is a shortest one."""
     start = begun(parts, limits, begin)
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -1,4 +1,5 @@
 """A whole fleet as processes on loopback: each part is `python -m rushmux ...` of its own."""
+
 import asyncio
 import json
 import random
@@ -16,9 +17,9 @@
 from rushmux.standins.orders import Orders
 
 HOST = "127.0.0.1"
-START = 30.0             # seconds for a process to say where it listens: a busy machine's imports
-STOP = 15.0              # seconds for a process to end after SIGTERM, past its clients' patience
-UP = 30.0                # seconds until every edge knows the list
+START = 30.0  # seconds for a process to say where it listens: a busy machine's imports
+STOP = 15.0  # seconds for a process to end after SIGTERM, past its clients' patience
+UP = 30.0  # seconds until every edge knows the list
 
 
 class NotStarted(Exception):
@@ -40,16 +41,26 @@
 class ProcessFleet(Orders):
     """The fleet; its data, logs and recordings lie in `folder`.  `records`: write recordings."""
 
-    def __init__(self, deployment_file, deployment: Deployment, folder: Path, seed: int, lag=1.0,
-                 records=False, decisions="module", unit=0.02, planner=False):
+    def __init__(
+        self,
+        deployment_file,
+        deployment: Deployment,
+        folder: Path,
+        seed: int,
+        lag=1.0,
+        records=False,
+        decisions="module",
+        unit=0.02,
+        planner=False,
+    ):
         self.file, self.deployment = Path(deployment_file), deployment
         self.folder, self.lag = Path(folder), lag
         self.chance, self.records, self.decisions, self.unit = random.Random(seed), records, decisions, unit
         self.loop = asyncio.get_running_loop()
         self.nodes, self.edges, self.lists, self.count, self.rows = {}, {}, None, 0, []
-        self.planner = planner           # a planner in place of the list source
+        self.planner = planner  # a planner in place of the list source
         self.cells = 0
-        self.prefix = {}                 # kind of part -> words for the interpreter before the program
+        self.prefix = {}  # kind of part -> words for the interpreter before the program
         for name in ("data", "logs", "records"):
             (self.folder / name).mkdir(parents=True, exist_ok=True)
 
@@ -65,10 +76,19 @@
         with open(log, "wb") as sink:
             # Danger: a fleet whose starter is killed would go on alone; each part ends with its input.
             process = await asyncio.create_subprocess_exec(
-                sys.executable, *self.prefix.get(words[0], ()), "-m", "rushmux", *map(str, words),
-                *more, "--with-parent", "--seed", str(self.chance.getrandbits(48)),
+                sys.executable,
+                *self.prefix.get(words[0], ()),
+                "-m",
+                "rushmux",
+                *map(str, words),
+                *more,
+                "--with-parent",
+                "--seed",
+                str(self.chance.getrandbits(48)),
                 stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE, stderr=sink)
+                stdout=asyncio.subprocess.PIPE,
+                stderr=sink,
+            )
         try:
             async with asyncio.timeout(START):
                 line = await process.stdout.readline()
@@ -90,28 +110,63 @@
 
     async def source(self):
         """Starts the stand-in for the source of the list."""
-        self.lists = await self.begin("lists", "lists", "--deployment", self.file, "--cells", self.cells,
-                                      "--lag", self.lag, "--obeys")
+        self.lists = await self.begin(
+            "lists", "lists", "--deployment", self.file, "--cells", self.cells, "--lag", self.lag, "--obeys"
+        )
 
     async def plan(self, port=0):
         """Starts the planner, anew where it ran before."""
-        self.lists = await self.begin("planner", "planner", "--deployment", self.file, "--cells", self.cells,
-                                      "--listen", f"{HOST}:{port}",
-                                      "--data", self.folder / "data" / "planner.db")
+        self.lists = await self.begin(
+            "planner",
+            "planner",
+            "--deployment",
+            self.file,
+            "--cells",
+            self.cells,
+            "--listen",
+            f"{HOST}:{port}",
+            "--data",
+            self.folder / "data" / "planner.db",
+        )
 
     async def node(self, name, cell, cold=True):
-        words = ["node", "--deployment", self.file, "--name", name, "--cell", cell, "--unit", self.unit,
-                 "--lists", f"{HOST}:{self.lists.port}", "--obeys",
-                 "--data", self.folder / "data" / f"{name}.db"]
+        words = [
+            "node",
+            "--deployment",
+            self.file,
+            "--name",
+            name,
+            "--cell",
+            cell,
+            "--unit",
+            self.unit,
+            "--lists",
+            f"{HOST}:{self.lists.port}",
+            "--obeys",
+            "--data",
+            self.folder / "data" / f"{name}.db",
+        ]
         part = await self.begin(name, *words, *(() if cold else ("--warm",)))
         part.cell, self.nodes[name] = cell, part
         return part
 
     async def edge(self, number, port=0):
-        part = await self.begin(f"edge{number}", "edge", "--listen", f"{HOST}:{port}", "--deployment",
-                                self.file, "--number", number,
-                                "--lists", f"{HOST}:{self.lists.port}", "--decisions", self.decisions,
-                                "--data", self.folder / "data" / f"edge{number}")
+        part = await self.begin(
+            f"edge{number}",
+            "edge",
+            "--listen",
+            f"{HOST}:{port}",
+            "--deployment",
+            self.file,
+            "--number",
+            number,
+            "--lists",
+            f"{HOST}:{self.lists.port}",
+            "--decisions",
+            self.decisions,
+            "--data",
+            self.folder / "data" / f"edge{number}",
+        )
         self.edges[number] = part
         return part
 
--- a/rushmux/standins/relay.py
+++ b/rushmux/standins/relay.py
@@ -4,12 +4,13 @@
 One relay listens for each pair (who dials, who is dialled).  A cut says nothing to either side: what was sent
 arrives when it heals, as with packets that are sent again.  All is bounded, and ends with the rig.
 """
+
 import asyncio
 
 HOST = "127.0.0.1"
 READ = 1 << 16
 MOST_CONNECTIONS = 2_000
-DIAL = 2.0               # seconds for a dial to the real process
+DIAL = 2.0  # seconds for a dial to the real process
 
 
 class Way:
@@ -18,7 +19,7 @@
     def __init__(self):
         self.free, self.delay, self.rate = asyncio.Event(), (0.0, 0.0), 0.0
         self.free.set()
-        self.resets_at = None            # bytes after which a connection is reset, once
+        self.resets_at = None  # bytes after which a connection is reset, once
 
 
 class Relays:
@@ -35,8 +36,10 @@
     async def port(self, source, target) -> int:
         """Where `source` is to dial to come to `target`."""
         if (source, target) not in self.ports:
+
             async def accept(reader, writer):
                 await self.carry(source, target, reader, writer)
+
             server = await asyncio.start_server(accept, HOST, 0)
             self.servers.append(server)
             self.ports[source, target] = server.sockets[0].getsockname()[1]
@@ -48,12 +51,14 @@
             return
         self.connections[writer], far = (source, target), None
         try:
-            await self.way(source, target).free.wait()   # half-open: taken by the kernel, seen by nobody
+            await self.way(source, target).free.wait()  # half-open: taken by the kernel, seen by nobody
             async with asyncio.timeout(DIAL):
                 back, far = await asyncio.open_connection(HOST, self.targets[target])
             self.connections[far] = source, target
-            pumps = [self.loop.create_task(self.pump(reader, far, self.way(source, target))),
-                     self.loop.create_task(self.pump(back, writer, self.way(target, source)))]
+            pumps = [
+                self.loop.create_task(self.pump(reader, far, self.way(source, target))),
+                self.loop.create_task(self.pump(back, writer, self.way(target, source))),
+            ]
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
             for pump in pumps:
                 pump.cancel()
--- a/rushmux/standins/report.py
+++ b/rushmux/standins/report.py
@@ -1,23 +1,31 @@
 """What a day came to: plain text from its recordings."""
+
 from collections import Counter, defaultdict
 
 from rushmux.settings.deployment import Deployment
 from rushmux.standins.checker import Checker, Verdict
 
-WINDOW = 10.0            # seconds of the worst stretch
+WINDOW = 10.0  # seconds of the worst stretch
 # Which kinds of access a request is made of: its quoted time is the sum of theirs.
-STEPS = {"Open": ("look", "change"), "Close": ("look",), "Read": ("look", "read"),
-         "Write": ("write", "change"),
-         "Stat": ("look",), "OpenDir": ("look",), "ReadDir": ("look", "look")}
+STEPS = {
+    "Open": ("look", "change"),
+    "Close": ("look",),
+    "Read": ("look", "read"),
+    "Write": ("write", "change"),
+    "Stat": ("look",),
+    "OpenDir": ("look",),
+    "ReadDir": ("look", "look"),
+}
 
 
 class Service:
     """Counts of a day's requests by plan, and the worst stretch."""
 
     def __init__(self, records, deployment: Deployment):
-        self.quoted = {what: sum(deployment.terms.lanes[deployment.roles[role]].quoted_time
-                                 for role in roles) / 10_000
-                       for what, roles in STEPS.items()}
+        self.quoted = {
+            what: sum(deployment.terms.lanes[deployment.roles[role]].quoted_time for role in roles) / 10_000
+            for what, roles in STEPS.items()
+        }
         plans = {name: folder.plan for name, folder in deployment.folders.items()}
         asks, self.counts = {}, defaultdict(Counter)
         begun = next(row["begun"] for row in records if row["kind"] == "day")
@@ -55,8 +63,11 @@
         yield f"{'plan':14}" + "".join(f"{kind:>12}" for kind in kinds) + f"{'lost':>8}{'in time':>9}"
         for plan, count in sorted(self.counts.items()):
             lost = count["asked"] - sum(count[kind] for kind in kinds[1:])
-            yield (f"{plan:14}" + "".join(f"{count[kind]:12}" for kind in kinds)
-                   + f"{lost:8}{self.share(plan):9.3f}")
+            yield (
+                f"{plan:14}"
+                + "".join(f"{count[kind]:12}" for kind in kinds)
+                + f"{lost:8}{self.share(plan):9.3f}"
+            )
         yield f"all in time {self.share():.3f}; in the worst {WINDOW:.0f} s {self.worst:.3f}"
 
 
--- a/rushmux/standins/rig.py
+++ b/rushmux/standins/rig.py
@@ -13,6 +13,7 @@
 `expect WORD decided|ended|withdrawn|refused [text]` says how a change has to end, `expect force N` what is in
 force at the end.
 """
+
 import asyncio
 import copy
 import json
@@ -33,10 +34,10 @@
 
 STORIES = Path(__file__).with_name("stories")
 EXAMPLE = Path(documents.__file__).with_name("example.json")
-LOOK = 0.02              # seconds between two looks at what was decided
+LOOK = 0.02  # seconds between two looks at what was decided
 MOST_LINES = 500
-SETTLE = 25.0            # seconds at the end in which all must come to one number
-SURGED = "caribe"        # a folder with a limit that is asked for more than it allows
+SETTLE = 25.0  # seconds at the end in which all must come to one number
+SURGED = "caribe"  # a folder with a limit that is asked for more than it allows
 
 
 class BadStory(Exception):
@@ -45,6 +46,7 @@
 
 class Deed(NamedTuple):
     """`at`: seconds after the clients began; or `on` a kind of entry, and so many seconds after it."""
+
     at: float
     on: str
     verb: str
@@ -59,8 +61,22 @@
 
 
 SIZES = {"planners": 3, "edges": 3, "nodes": 2, "length": 25.0, "limit": 60.0, "load": 0.15, "surge": 16.0}
-VERBS = ("propose", "withdraw", "revert", "forget", "kill", "stop", "start", "image", "full", "cut", "mute",
-         "delay", "refuse", "reset")
+VERBS = (
+    "propose",
+    "withdraw",
+    "revert",
+    "forget",
+    "kill",
+    "stop",
+    "start",
+    "image",
+    "full",
+    "cut",
+    "mute",
+    "delay",
+    "refuse",
+    "reset",
+)
 
 
 def parse(text: str, name="story") -> Story:
@@ -122,15 +138,26 @@
         super().__init__(file, deployment, folder, seed, records=True, unit=0.002)
         self.story, self.relays = story, Relays(random.Random(seed))
         self.planners, self.killed, self.images, self.people = {}, [], {}, []
-        self.stopped = {}                # edge -> whether it ever stood still
+        self.stopped = {}  # edge -> whether it ever stood still
 
     async def start_planner(self, name, found=False):
         """Starts a planner; the others are known to it through relays."""
         parts = [f"{other}={HOST}:{await self.relays.port(name, other)}" for other in self.planner_names]
         self.planners[name] = part = await self.begin(
-            name, "planner", "--deployment", self.file, "--cells", self.cells, "--name", name,
-            "--planners", ",".join(parts), "--data", self.folder / "data" / name / "planner.db",
-            *(["--found"] if found else []))
+            name,
+            "planner",
+            "--deployment",
+            self.file,
+            "--cells",
+            self.cells,
+            "--name",
+            name,
+            "--planners",
+            ",".join(parts),
+            "--data",
+            self.folder / "data" / name / "planner.db",
+            *(["--found"] if found else []),
+        )
         self.relays.targets[name] = part.port
 
     async def listed(self, name):
@@ -139,10 +166,26 @@
 
     async def node(self, name, cell, cold=True):
         told = await self.relays.port("edges", name)
-        part = await self.begin(name, "node", "--deployment", self.file, "--name", name, "--cell", cell,
-                                "--unit", self.unit, "--lists", await self.listed(name), "--obeys",
-                                "--tell", f"{HOST}:{told}", "--data", self.folder / "data" / f"{name}.db",
-                                *(() if cold else ("--warm",)))
+        part = await self.begin(
+            name,
+            "node",
+            "--deployment",
+            self.file,
+            "--name",
+            name,
+            "--cell",
+            cell,
+            "--unit",
+            self.unit,
+            "--lists",
+            await self.listed(name),
+            "--obeys",
+            "--tell",
+            f"{HOST}:{told}",
+            "--data",
+            self.folder / "data" / f"{name}.db",
+            *(() if cold else ("--warm",)),
+        )
         part.cell, self.nodes[name] = cell, part
         self.relays.targets[name] = part.port
         return part
@@ -150,19 +193,35 @@
     async def edge(self, number, port=0):
         name = f"edge{number}"
         self.edges[number] = await self.begin(
-            name, "edge", "--listen", f"{HOST}:{port}", "--deployment", self.file, "--number", number,
-            "--lists", await self.listed(name), "--data", self.folder / "data" / name)
+            name,
+            "edge",
+            "--listen",
+            f"{HOST}:{port}",
+            "--deployment",
+            self.file,
+            "--number",
+            number,
+            "--lists",
+            await self.listed(name),
+            "--data",
+            self.folder / "data" / name,
+        )
         return self.edges[number]
 
     async def up(self, nodes, edges):
         self.cells = nodes
-        self.planner_names = [f"planner{letter}" for letter in "abcde"[:self.story.sizes["planners"]]]
+        self.planner_names = [f"planner{letter}" for letter in "abcde"[: self.story.sizes["planners"]]]
         await asyncio.gather(*(self.start_planner(name, True) for name in self.planner_names))
         await asyncio.gather(*(self.node(f"node{cell}", cell, cold=False) for cell in range(nodes)))
         await asyncio.gather(*(self.edge(number) for number in range(edges)))
         async with asyncio.timeout(45):
-            while not all(any(row["kind"] == "goes_by" and row["serves"] and not row["narrow"]
-                              for row in self.rows_of(part)) for part in self.edges.values()):
+            while not all(
+                any(
+                    row["kind"] == "goes_by" and row["serves"] and not row["narrow"]
+                    for row in self.rows_of(part)
+                )
+                for part in self.edges.values()
+            ):
                 await asyncio.sleep(0.1)
 
     def rows_of(self, part):
@@ -172,8 +231,9 @@
         return [json.loads(line) for line in lines if line.endswith(b"\n")]
 
     def decided(self):
-        return [row for part in self.planners.values() for row in self.rows_of(part)
-                if row["kind"] == "decided"]
+        return [
+            row for part in self.planners.values() for row in self.rows_of(part) if row["kind"] == "decided"
+        ]
 
     @property
     def places(self):
@@ -386,8 +446,9 @@
             return False
         for part in self.edges.values():
             rows = [row for row in self.rows_of(part) if row["kind"] == "goes_by"]
-            if part.process.returncode is None and (not rows or rows[-1]["number"] != decided[-1]["force"]
-                                                    or rows[-1]["narrow"]):
+            if part.process.returncode is None and (
+                not rows or rows[-1]["number"] != decided[-1]["force"] or rows[-1]["narrow"]
+            ):
                 return False
         return True
 
@@ -402,6 +463,7 @@
 
 class Told(NamedTuple):
     """What became of a story: breaches (none: it passed) and counts for the reader."""
+
     story: str
     breaches: list[str]
     facts: Counter
@@ -428,8 +490,9 @@
     return Told(story.name, breaches, facts)
 
 
-async def together(stories, folder: Path, jobs: int, seed: int, say=lambda line: None,
-                   facts=False) -> list[Told]:
+async def together(
+    stories, folder: Path, jobs: int, seed: int, say=lambda line: None, facts=False
+) -> list[Told]:
     """Plays stories, so many at a time, each in a folder of its own; `say` hears of each as it ends."""
     turn = asyncio.Semaphore(jobs)
 
@@ -444,4 +507,5 @@
             if facts:
                 say("  " + ", ".join(f"{name} {count}" for name, count in found.facts.items()))
             return found
+
     return list(await asyncio.gather(*(one(story) for story in stories)))
--- a/rushmux/standins/script.py
+++ b/rushmux/standins/script.py
@@ -1,4 +1,5 @@
 """The notation of scripted days: lines of text to events (see days/bad.txt)."""
+
 from pathlib import Path
 from typing import NamedTuple, Optional
 
@@ -12,6 +13,7 @@
 
 class Event(NamedTuple):
     """One thing that happens; times in seconds."""
+
     at: float
     verb: str
     target: str
@@ -22,6 +24,7 @@
 
 class Script(NamedTuple):
     """A day: its length and its events in order of time."""
+
     length: float
     events: tuple[Event, ...]
 
--- a/rushmux/standins/store.py
+++ b/rushmux/standins/store.py
@@ -2,14 +2,15 @@
 
 Several changes go into one commit; a caller hears of its change only after that commit.
 """
+
 import sqlite3
 import zlib
 
 from rushmux.nodewire import messages
 
 FORMAT = 1
-LOOK_MOST = 1_000        # rows in one answer, whatever was asked
-LOOK_BYTES = 700_000     # bytes of rows in one answer: a frame holds a megabyte
+LOOK_MOST = 1_000  # rows in one answer, whatever was asked
+LOOK_BYTES = 700_000  # bytes of rows in one answer: a frame holds a megabyte
 SCHEMA = """
 create table if not exists about (name text primary key, value) without rowid;
 create table if not exists objects (name text primary key, data blob not null, crc integer not null);
@@ -47,9 +48,10 @@
             raise BadStore(f"{path}: format {known['format']}; this program reads {FORMAT}")
         if known.get("cell", cell) != cell:
             raise BadStore(f"{path}: holds cell {known['cell']}, not {cell}")
-        self.base.executemany("insert or replace into about values (?, ?)",
-                              [("format", FORMAT), ("cell", cell)])
-        self.floor = known.get("floor", 0)   # the oldest policy whose operations run here
+        self.base.executemany(
+            "insert or replace into about values (?, ?)", [("format", FORMAT), ("cell", cell)]
+        )
+        self.floor = known.get("floor", 0)  # the oldest policy whose operations run here
         self.recount()
 
     def raise_floor(self, number):
@@ -60,8 +62,8 @@
     def recount(self):
         row = self.base.execute("select value from about where name = 'version'").fetchone()
         self.version = row[0] if row else 0
-        held, = self.base.execute("select coalesce(sum(length(data)), 0) from objects").fetchone()
-        rows, = self.base.execute("select coalesce(sum(length(value)), 0) from rows").fetchone()
+        (held,) = self.base.execute("select coalesce(sum(length(data)), 0) from objects").fetchone()
+        (rows,) = self.base.execute("select coalesce(sum(length(value)), 0) from rows").fetchone()
         self.used = held + rows
 
     def crashed(self):
@@ -94,14 +96,14 @@
         data, crc = found
         if zlib.crc32(data) != crc:
             return messages.Outcome(code=messages.FAILED, error="the object is damaged on disk")
-        part = data[what.offset:what.offset + what.length]
+        part = data[what.offset : what.offset + what.length]
         return messages.Outcome(data=part, crc=zlib.crc32(part))
 
     def write(self, what: messages.WriteObject) -> messages.Outcome:
         if zlib.crc32(what.data) != what.crc:
             return messages.Outcome(code=messages.FAILED, error="the data came damaged")
         if self.base.execute("select 1 from objects where name = ?", (what.object,)).fetchone():
-            return messages.Outcome()    # an execution of the same operation was here before
+            return messages.Outcome()  # an execution of the same operation was here before
         self.grow(len(what.data))
         self.base.execute("insert into objects values (?, ?, ?)", (what.object, what.data, what.crc))
         return messages.Outcome()
@@ -113,14 +115,15 @@
 
     def drop(self, what: messages.DropObjects) -> messages.Outcome:
         for name in what.objects:
-            for size, in self.base.execute("select length(data) from objects where name = ?", (name,)):
+            for (size,) in self.base.execute("select length(data) from objects where name = ?", (name,)):
                 self.used -= size
             self.base.execute("delete from objects where name = ?", (name,))
         return messages.Outcome()
 
     def row(self, folder, key):
-        return self.base.execute("select key, value, version from rows where folder = ? and key = ?",
-                                 (folder, key)).fetchone()
+        return self.base.execute(
+            "select key, value, version from rows where folder = ? and key = ?", (folder, key)
+        ).fetchone()
 
     def look(self, folder: str, what: messages.Look) -> messages.Outcome:
         found = messages.Outcome()
@@ -142,7 +145,9 @@
             most, size = min(what.most or LOOK_MOST, LOOK_MOST), 0
             rows = self.base.execute(
                 "select key, value, version from rows where folder = ? and key > ? and key < ? "
-                "order by key limit ?", (folder, what.after, what.below, most + 1)).fetchall()
+                "order by key limit ?",
+                (folder, what.after, what.below, most + 1),
+            ).fetchall()
             for row in rows[:most]:
                 size += len(row[0]) + len(row[1])
                 if size > LOOK_BYTES:
@@ -158,9 +163,10 @@
         return value.split(b'"', 2)[1].decode()
 
     def change(self, folder: str, what: messages.Change, now: float) -> messages.Outcome:
-        before = self.base.execute("select outcome from marks where folder = ? and mark = ?",
-                                   (folder, what.mark)).fetchone()
-        if before:                       # a repeat: the same answer, and no second effect
+        before = self.base.execute(
+            "select outcome from marks where folder = ? and mark = ?", (folder, what.mark)
+        ).fetchone()
+        if before:  # a repeat: the same answer, and no second effect
             return messages.Outcome.FromString(before[0])
         outcome = messages.Outcome()
         if not all(self.holds(folder, check) for check in what.checks):
@@ -171,19 +177,27 @@
                 self.used -= len((self.row(folder, key) or (key, b""))[1])
                 self.base.execute("delete from rows where folder = ? and key = ?", (folder, key))
             for row in what.puts:
-                self.version += 1        # one count for the node: a row made anew never repeats a version
+                self.version += 1  # one count for the node: a row made anew never repeats a version
                 self.used -= len((self.row(folder, row.key) or (row.key, b""))[1])
-                self.base.execute("insert or replace into rows values (?, ?, ?, ?)",
-                                  (folder, row.key, row.value, self.version))
+                self.base.execute(
+                    "insert or replace into rows values (?, ?, ?, ?)",
+                    (folder, row.key, row.value, self.version),
+                )
                 outcome.rows.add(key=row.key, version=self.version)
         self.base.execute("delete from marks where at < ?", (now - self.window,))
-        self.base.execute("insert into marks values (?, ?, ?, ?)",
-                          (folder, what.mark, now, outcome.SerializeToString()))
+        self.base.execute(
+            "insert into marks values (?, ?, ?, ?)", (folder, what.mark, now, outcome.SerializeToString())
+        )
         return outcome
 
     def holds(self, folder, check):
         if check.empty_below:
-            return self.base.execute("select 1 from rows where folder = ? and key > ? and key < ? limit 1",
-                                     (folder, check.key, check.empty_below)).fetchone() is None
+            return (
+                self.base.execute(
+                    "select 1 from rows where folder = ? and key > ? and key < ? limit 1",
+                    (folder, check.key, check.empty_below),
+                ).fetchone()
+                is None
+            )
         row = self.row(folder, check.key)
         return row is not None if check.exists else (row[2] if row else 0) == check.version
--- a/rushmux/standins/voices.py
+++ b/rushmux/standins/voices.py
@@ -3,16 +3,17 @@
 
 All follows from the seed.  A faulty `Voice` may be handed in: the judge has to find what is wrong with it.
 """
+
 import heapq
 import random
 from typing import NamedTuple
 
 from rushmux.fleet import raft
 
-TICK = 0.1               # seconds between two ticks of a member
-WAY = (0.0005, 0.03)     # seconds of a message on its way; one in ten takes ten times as long
-MOST_EVENTS = 200_000    # of one play: it ends, whatever the members do
-ORDERS = "orders"        # the state: every order that was applied, in turn
+TICK = 0.1  # seconds between two ticks of a member
+WAY = (0.0005, 0.03)  # seconds of a message on its way; one in ten takes ten times as long
+MOST_EVENTS = 200_000  # of one play: it ends, whatever the members do
+ORDERS = "orders"  # the state: every order that was applied, in turn
 
 
 class Breach(AssertionError):
@@ -21,17 +22,20 @@
 
 class Faults(NamedTuple):
     """How much goes wrong; a seed has its own."""
-    lost: float              # part of messages
+
+    lost: float  # part of messages
     repeated: float
-    kills: float             # a second, over all members
-    cuts: float              # a second; each for up to three seconds
-    changes: float           # of members, a second
+    kills: float  # a second, over all members
+    cuts: float  # a second; each for up to three seconds
+    changes: float  # of members, a second
 
 
 def drawn(chance) -> Faults:
     """Swarm testing: each seed leaves some faults out and has much of others."""
+
     def some(most):
         return most * chance.random() ** 2 if chance.random() < 0.7 else 0.0
+
     return Faults(some(0.4), some(0.3), some(1.5), some(1.0), some(0.8))
 
 
@@ -56,6 +60,7 @@
 
 class World:
     """Members that play together until a time; `make` builds one."""
+
     host = Host
 
     def __init__(self, seed, members=3, make=raft.Voice):
@@ -69,8 +74,11 @@
         for name in names:
             self.start(name)
         self.at(0.5, self.client)
-        for rate, act in ((self.faults.kills, self.kill), (self.faults.cuts, self.divide),
-                          (self.faults.changes, self.change)):
+        for rate, act in (
+            (self.faults.kills, self.kill),
+            (self.faults.cuts, self.divide),
+            (self.faults.changes, self.change),
+        ):
             if rate:
                 self.again(rate, act)
 
@@ -85,6 +93,7 @@
             if not self.healing:
                 act()
                 self.again(rate, act)
+
         self.at(self.chance.expovariate(rate), once)
 
     def play(self, until, heal=None):
@@ -115,8 +124,12 @@
     def restore(self, host, snapshot):
         rows = snapshot.state.decode().split("\n")
         host.orders = [row for row in rows[0].split(" ") if row]
-        host.sessions = raft.Sessions([(client, int(last), answer) for client, last, answer in
-                                       (row.split(" ") for row in rows[1:] if row)])
+        host.sessions = raft.Sessions(
+            [
+                (client, int(last), answer)
+                for client, last, answer in (row.split(" ") for row in rows[1:] if row)
+            ]
+        )
 
     def state(self, host):
         rows = [" ".join(map(str, row)) for row in host.sessions.kept()]
@@ -192,7 +205,7 @@
 
     def die(self, host):
         host.voice = None
-        self.at(0.002 * 1000 ** self.chance.random(), self.start, host.name)   # 2 ms to 2 s
+        self.at(0.002 * 1000 ** self.chance.random(), self.start, host.name)  # 2 ms to 2 s
 
     def kill(self):
         host = self.chance.choice([self.hosts[name] for name in sorted(self.hosts)])
@@ -235,8 +248,11 @@
             self.work(host)
 
     def leading(self):
-        return [host for _, host in sorted(self.hosts.items())
-                if host.voice is not None and host.voice.role == raft.LEADS]
+        return [
+            host
+            for _, host in sorted(self.hosts.items())
+            if host.voice is not None and host.voice.role == raft.LEADS
+        ]
 
     def client(self):
         """Asks whoever believes to lead; asks again for what it does not know to be done."""
--- a/rushmux/virtual/loop.py
+++ b/rushmux/virtual/loop.py
@@ -5,15 +5,16 @@
 callbacks ever runs again and its connections break, as with SIGKILL; held, it stands still.
 The order of all that happens follows from the program and the seed alone.
 """
+
 import asyncio
 import contextvars
 import random
 from collections import deque
 
-SOCKET = 262_144         # bytes that a connection holds on its way before the writer sees a buffer
-HIGH, LOW = 65_536, 16_384   # bytes in the writer's buffer at which it is paused and goes on
-DELAY = (0.0001, 0.0006)     # seconds one way on loopback, drawn for each piece
-APART = 1e-8             # seconds between two pieces on one connection
+SOCKET = 262_144  # bytes that a connection holds on its way before the writer sees a buffer
+HIGH, LOW = 65_536, 16_384  # bytes in the writer's buffer at which it is paused and goes on
+DELAY = (0.0001, 0.0006)  # seconds one way on loopback, drawn for each piece
+APART = 1e-8  # seconds between two pieces on one connection
 FIRST_PORT = 20_000
 
 PROCESS = contextvars.ContextVar("process", default=None)
@@ -28,7 +29,7 @@
 
     def __init__(self, loop, name):
         self.loop, self.name, self.dead, self.held_until = loop, name, False, 0.0
-        self.woken = 0.0         # when the next of what waits for it to go on happens
+        self.woken = 0.0  # when the next of what waits for it to go on happens
         self.transports, self.servers = {}, {}
         self.island, self.cut_until = 0, 0.0
         self.context = contextvars.copy_context()
@@ -50,7 +51,6 @@
         """Makes it stand still: what happens to it meanwhile waits."""
         self.held_until = max(self.held_until, self.loop.time() + seconds)
 
-
     def cut(self, island, seconds):
         """Cuts it off, with all others of its island: what is sent between islands arrives when it ends."""
         self.island, self.cut_until = island, max(self.cut_until, self.loop.time() + seconds)
@@ -256,8 +256,8 @@
             task._log_destroy_pending = False
             try:
                 task.get_coro().close()
-            except Exception:   # pylint: disable=broad-except
-                pass             # last words of a program whose world is gone
+            except Exception:  # pylint: disable=broad-except
+                pass  # last words of a program whose world is gone
         self.tasks.clear()
         self.close()
 
@@ -267,7 +267,7 @@
         process = (context or contextvars.copy_context()).get(PROCESS)
         if process is None:
             return callback, args, None
-        asked = []                       # the handle that was given out: it may be cancelled while this waits
+        asked = []  # the handle that was given out: it may be cancelled while this waits
         return self._alive, (process, callback, args, context, asked), asked
 
     def _alive(self, process, callback, args, context, asked):
@@ -276,8 +276,9 @@
         if process.held_until > self.clock:
             # Danger: timers of one instant have no order among them; what waits in a socket keeps its own.
             process.woken = max(process.woken + APART, process.held_until)
-            super().call_at(process.woken, self._alive, process, callback, args, context, asked,
-                            context=context)
+            super().call_at(
+                process.woken, self._alive, process, callback, args, context, asked, context=context
+            )
         else:
             callback(*args)
 
@@ -319,7 +320,7 @@
         if server is None:
             raise ConnectionRefusedError(111, f"nothing listens at {host}:{port}")
         while ends := _cut_until(PROCESS.get(), server.process, self.clock):
-            await asyncio.sleep(ends - self.clock)   # whoever dials gives up before
+            await asyncio.sleep(ends - self.clock)  # whoever dials gives up before
         own = ("127.0.0.1", self.next_port)
         self.next_port += 1
         protocol = protocol_factory()
--- a/rushmux/wirehost/__main__.py
+++ b/rushmux/wirehost/__main__.py
@@ -1,4 +1,5 @@
 """Run the adapter on standard input and output."""
+
 import sys
 
 from rushmux.wirehost.host import Host, Malformed
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -3,17 +3,29 @@
 It hosts one `Gateway` per instance, turns each event into one call and each call of the
 module into one action.  It decides nothing.
 """
+
 import orjson
 
 from rushmux import interface as say
 from rushmux.rules import Gateway
 from rushmux.settings.platform import LOADS, TICK_NS, loads_of, terms_of
 
-RESULTS = {"completed": say.SUCCEEDED, "errored": say.ERRORED, "saturated": say.FULL,
-           "overdue": say.OVERDUE, "refused_conn": say.UNREACHED, "severed": say.SEVERED,
-           "recalled": say.WITHDRAWN, "superseded": say.MOOT}
-LISTS = {"update": say.CHANGES, "replace": say.WHOLE, "restored": say.RESTORED,
-         "unavailable": say.UNAVAILABLE}
+RESULTS = {
+    "completed": say.SUCCEEDED,
+    "errored": say.ERRORED,
+    "saturated": say.FULL,
+    "overdue": say.OVERDUE,
+    "refused_conn": say.UNREACHED,
+    "severed": say.SEVERED,
+    "recalled": say.WITHDRAWN,
+    "superseded": say.MOOT,
+}
+LISTS = {
+    "update": say.CHANGES,
+    "replace": say.WHOLE,
+    "restored": say.RESTORED,
+    "unavailable": say.UNAVAILABLE,
+}
 
 
 class Malformed(Exception):
@@ -57,14 +69,23 @@
 
     def __init__(self):
         self.gateways = {}
-        self.loads = {}                  # gateway -> where the values of a report stand
+        self.loads = {}  # gateway -> where the values of a report stand
         self.lists = {}
         self.now = 0
         self.actions = []
-        self.calls = {"Attach": self.attach, "Down": self.down, "Catalog": self.catalog,
-                      "DirectoryUpdate": self.directory, "Call": self.call, "AckFirst": None,
-                      "Settled": self.settled, "TimedOutClient": self.timed_out,
-                      "Fired": None, "Health": self.health, "PeerData": None}
+        self.calls = {
+            "Attach": self.attach,
+            "Down": self.down,
+            "Catalog": self.catalog,
+            "DirectoryUpdate": self.directory,
+            "Call": self.call,
+            "AckFirst": None,
+            "Settled": self.settled,
+            "TimedOutClient": self.timed_out,
+            "Fired": None,
+            "Health": self.health,
+            "PeerData": None,
+        }
 
     def serve(self, source, sink):
         for number, line in enumerate(source, 1):
@@ -82,7 +103,7 @@
         self.now, self.actions = now, []
         met = {}
         for event in events:
-            (name, fields), = event.items()
+            ((name, fields),) = event.items()
             call = self.calls[name]
             gateway = fields["Gateway"] if name != "Catalog" else None
             if gateway is not None:
@@ -98,7 +119,7 @@
         """Let a fault of the module end the day with its text, not the process."""
         try:
             call(*values)
-        except Exception as fault:   # pylint: disable=broad-except
+        except Exception as fault:  # pylint: disable=broad-except
             text = f"{type(fault).__name__}: {fault}"
             self.actions.append({"BailOut": {"Gateway": gateway, "Text": text}})
 
@@ -116,8 +137,16 @@
         return self.gateways.pop, e["Gateway"], None
 
     def catalog(self, e):
-        entries = [say.Listed(row["Node"], row["Cohort"], row["Dc"], row["Condition"],
-                              -(-row.get("OnlineSince", 0) // TICK_NS)) for row in e["MembersList"]]
+        entries = [
+            say.Listed(
+                row["Node"],
+                row["Cohort"],
+                row["Dc"],
+                row["Condition"],
+                -(-row.get("OnlineSince", 0) // TICK_NS),
+            )
+            for row in e["MembersList"]
+        ]
         return self.lists.__setitem__, e["SetId"], entries
 
     def directory(self, e):
@@ -126,18 +155,39 @@
         return self.gateways[e["Gateway"]].listed, self.now, kind, entries
 
     def call(self, e):
-        return (self.gateways[e["Gateway"]].taken, self.now, e["Corr"], e["Service"], e["Grade"],
-                e["StoreUser"], e.get("Chunk", ""), e["Left"] // TICK_NS, e["Units"], e["GroupNo"],
-                e["Mounts"], e.get("IsRetry", False))
+        return (
+            self.gateways[e["Gateway"]].taken,
+            self.now,
+            e["Corr"],
+            e["Service"],
+            e["Grade"],
+            e["StoreUser"],
+            e.get("Chunk", ""),
+            e["Left"] // TICK_NS,
+            e["Units"],
+            e["GroupNo"],
+            e["Mounts"],
+            e.get("IsRetry", False),
+        )
 
     def settled(self, e):
-        return (self.gateways[e["Gateway"]].answered, self.now, e["Corr"], e["SendNo"], RESULTS[e["Verdict"]],
-                e.get("Ended", False), e.get("SeenUse", 0), e.get("FromOthers", 0))
+        return (
+            self.gateways[e["Gateway"]].answered,
+            self.now,
+            e["Corr"],
+            e["SendNo"],
+            RESULTS[e["Verdict"]],
+            e.get("Ended", False),
+            e.get("SeenUse", 0),
+            e.get("FromOthers", 0),
+        )
 
     def health(self, e):
         row, places = e.get("Metrics") or (), self.loads[e["Gateway"]]
-        values = [float(row[place]) * scale if place is not None and place < len(row) else None
-                  for place, scale in zip(places, LOADS.values())]
+        values = [
+            float(row[place]) * scale if place is not None and place < len(row) else None
+            for place, scale in zip(places, LOADS.values())
+        ]
         return self.gateways[e["Gateway"]].reported, e["Node"], RESULTS[e["Verdict"]], *values
 
     def timed_out(self, e):
--- a/tests/block/conftest.py
+++ b/tests/block/conftest.py
@@ -1,4 +1,5 @@
 """Fixtures of the platform's front: a gateway on loopback with stand-ins around it."""
+
 import asyncio
 import json
 import os
@@ -77,6 +78,7 @@
 @pytest.fixture
 def staged():
     """Plays a story, a coroutine function of a `Stage`, on an event loop of its own."""
+
     def played(story, nodes=1, **terms):
         async def whole():
             stage = await Stage().open(nodes, **terms)
@@ -84,7 +86,9 @@
                 return await story(stage)
             finally:
                 await stage.close()
+
         return asyncio.run(whole())
+
     return played
 
 
@@ -102,8 +106,9 @@
         self.port, self.process, self.terms = free_port(), None, {}
 
     def write(self, discovery=None):
-        raw = configuration(discovery or self.discovery.port, list(self.discovery.rows.values()), self.port,
-                            **self.terms)
+        raw = configuration(
+            discovery or self.discovery.port, list(self.discovery.rows.values()), self.port, **self.terms
+        )
         self.file.write_text(json.dumps(raw))
 
     def write_known(self, *rows):
@@ -130,8 +135,12 @@
     async def run(self, *arguments):
         """Starts it, with these arguments of the interpreter."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, cwd=ROOT, stderr=subprocess.PIPE,
-            env={**os.environ, "NODE_CONFIG": str(self.file), "NODE_NAME": "n0"})
+            sys.executable,
+            *arguments,
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(self.file), "NODE_NAME": "n0"},
+        )
 
     async def client_once(self):
         return await Client().open(self.port)
@@ -148,6 +157,7 @@
 @pytest.fixture
 def running(tmp_path):
     """Plays a story, a coroutine function of a `Running`, with the gateway's own process."""
+
     def played(story, arguments=("-m", "rushmux.block"), nodes=1, **terms):
         async def whole():
             stage = Running(tmp_path)
@@ -162,5 +172,7 @@
                     await stage.process.wait()
                 stage.node.close()
                 stage.discovery.close()
+
         return asyncio.run(whole())
+
     return played
--- a/tests/block/test_bounds_of_run.py
+++ b/tests/block/test_bounds_of_run.py
@@ -1,5 +1,6 @@
 """What `run` may do where the fleet's days are played: one process, TCP and UDP over IPv4, nothing of the
 fleet's control.  `run` of the deploy file is started under an audit hook of the interpreter."""
+
 import signal
 import subprocess
 import sys
@@ -14,7 +15,7 @@
 
 # Started as `python -c GUARD MODULE`: tells on standard error what is forbidden and refuses it; at the
 # end it tells the modules that were imported.
-GUARD = '''
+GUARD = """
 import _socket, os, runpy, sys
 STARTS = ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system", "pty.spawn",
           "subprocess.Popen")
@@ -41,9 +42,18 @@
     runpy.run_module(sys.argv[1], run_name="__main__")
 finally:
     os.write(2, b"IMPORTED %s\\n" % " ".join(sorted(sys.modules)).encode())
-'''
-CONTROL = ("rushmux.planner", "rushmux.fleet", "rushmux.lab", "rushmux.standins", "rushmux.cli",
-           "sqlite3", "google.protobuf", "numpy", "structlog")
+"""
+CONTROL = (
+    "rushmux.planner",
+    "rushmux.fleet",
+    "rushmux.lab",
+    "rushmux.standins",
+    "rushmux.cli",
+    "sqlite3",
+    "google.protobuf",
+    "numpy",
+    "structlog",
+)
 
 
 def module_of_run():
@@ -61,19 +71,36 @@
         stage.process.send_signal(signal.SIGTERM)
         log = (await stage.process.stderr.read()).decode()
         return answers, log, await stage.process.wait()
+
     answers, log, code = running(story, ("-c", GUARD, module_of_run()))
     assert answers == [("+", b"PONG"), ("$", b"data")] and code == 0
     assert "FORBIDDEN" not in log
     imported = log.rpartition("IMPORTED ")[2].split()
     assert "rushmux.block.front" in imported
-    assert [name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL)] == []
+    assert [
+        name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL)
+    ] == []
 
 
-@pytest.mark.parametrize("act", [
-    "os.fork()", "os.system('true')", "subprocess.run(['true'])", "socket.socket(socket.AF_INET6)",
-    "[socket.socketpair() for _ in range(2)]", "os.sendfile(1, 0, 0, 1)"])
+@pytest.mark.parametrize(
+    "act",
+    [
+        "os.fork()",
+        "os.system('true')",
+        "subprocess.run(['true'])",
+        "socket.socket(socket.AF_INET6)",
+        "[socket.socketpair() for _ in range(2)]",
+        "os.sendfile(1, 0, 0, 1)",
+    ],
+)
 def test_the_guard_sees_what_is_forbidden(act, tmp_path):
     (tmp_path / "bad.py").write_text(f"import os, socket, subprocess\n{act}\n")
-    done = subprocess.run([sys.executable, "-c", GUARD, "bad"], cwd=tmp_path, capture_output=True, text=True,
-                          timeout=20, check=False)
+    done = subprocess.run(
+        [sys.executable, "-c", GUARD, "bad"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
     assert done.returncode and "FORBIDDEN" in done.stderr
--- a/tests/block/test_closes.py
+++ b/tests/block/test_closes.py
@@ -1,6 +1,7 @@
 """How connections to clients end: nothing that was answered is lost with them, and nothing that the system
 accepted is ended unanswered.  The crossings are forced: bytes come while a connection ends, places are full.
 """
+
 import asyncio
 import errno
 import resource
@@ -23,19 +24,21 @@
     return given, client.reset
 
 
-@pytest.mark.parametrize("noise", [b"noise\r\n", b"".join(
-    command(read(number, lane="none")) for number in range(3))])
+@pytest.mark.parametrize(
+    "noise", [b"noise\r\n", b"".join(command(read(number, lane="none")) for number in range(3))]
+)
 def test_a_client_that_sends_on_behind_its_error_reads_it_and_an_orderly_end(staged, noise):
     async def story(stage):
         client = await stage.client()
         client.writer.transport.pause_reading()
         client.writer.write(noise)
-        for _ in range(20):              # past the time after which a quiet connection is closed
+        for _ in range(20):  # past the time after which a quiet connection is closed
             await asyncio.sleep(0.02)
             client.writer.write(b"x")
         client.writer.transport.resume_reading()
         given, reset = await replies_of(client)
         return {kind for kind, _ in given}, len(given), reset
+
     kinds, count, reset = staged(story)
     assert kinds == {"-"} and count == (1 if noise == b"noise\r\n" else 3) and not reset
 
@@ -52,6 +55,7 @@
                 break
             await asyncio.sleep(0.005)
         return time.monotonic() - began, len(stage.front.listener.clients)
+
     took, left = staged(story)
     assert took < 3 and not left
 
@@ -72,6 +76,7 @@
         newcomer = await stage.client_with(*read(900))
         given = await replies_of(newcomer)
         return given, [await client.ask(*read(1_000 + at)) for at, client in enumerate(usual)]
+
     given, usual = staged(story, sockets=64)
     assert given == ([("-", b"BUSY")], False) and usual == [("$", b"data")] * len(usual)
 
@@ -91,13 +96,14 @@
                 if client.replies_seen and not end.done():
                     client.close()
         return [end.result() for end in ends], peak <= 1.2 * stage.front.listener.most
+
     ends, bounded = staged(story, sockets=64)
     assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
 
 
 def crossed(sock, words):
     """A command that crosses its connection's end: whether a reset tells the client that it was not read."""
-    while sock.recv(65_536):             # what was answered, and the end
+    while sock.recv(65_536):  # what was answered, and the end
         pass
     sock.sendall(command(words))
     for _ in range(300):
@@ -111,6 +117,7 @@
 def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_sends_it_again(running, end):
     """Seen on roll and join days: eleven requests of ten brink scores were read behind the end, thrown away
     and never answered; left unread before, a few were sent again."""
+
     async def story(stage):
         loop = asyncio.get_running_loop()
         await (await stage.client()).ask(b"PING")
@@ -120,14 +127,18 @@
                 stage.process.send_signal(signal.SIGTERM)
             sock.settimeout(10)
             return await loop.run_in_executor(None, crossed, sock, read(1)), stage.node.got
+
     assert running(story) == (True, [])
 
 
 def test_a_platform_that_knows_no_state_of_a_connection_cuts_no_client_off(staged, monkeypatch):
     """Seen on the bench, where the state told is that of a socket that was never connected: 1,682 connections
     of a day were ended early."""
-    monkeypatch.setattr(asyncio.trsock.TransportSocket, "getsockopt",
-                        lambda self, level, option, *size: b"\x07" if size else 0)
+    monkeypatch.setattr(
+        asyncio.trsock.TransportSocket,
+        "getsockopt",
+        lambda self, level, option, *size: b"\x07" if size else 0,
+    )
     monkeypatch.setattr(listener, "READ_AHEAD", 1_000)
     asked = 300
 
@@ -136,6 +147,7 @@
         client = await stage.client()
         client.writer.write(b"".join(command(read(number, left=9_000)) for number in range(asked)))
         return len([reply for reply in [await client.reply() for _ in range(asked)] if reply is not None])
+
     assert staged(story, hard_stop=9_000, aim=9_000) == asked
 
 
@@ -148,6 +160,7 @@
             await go.wait()
             sock.close()
             raise OSError("gone before it was joined")
+
         loop.connect_accepted_socket = fails
         for _ in range(held.margin):
             await stage.client()
@@ -158,11 +171,13 @@
         loop.connect_accepted_socket = join
         go.set()
         return await usual.reply(within=2)
+
     assert staged(story) == ("+", b"PONG")
 
 
 def test_an_idle_crowd_while_discovery_is_down_leaves_descriptors_for_nodes_and_work(running):
     """A small limit, held by the system: each part must find its descriptors when discovery comes back."""
+
     async def story(stage):
         await (await stage.client()).ask(b"PING")
         resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (64, 64))
@@ -190,13 +205,15 @@
         for client in crowd:
             client.close()
         return "no connection can be taken" in log, "Traceback" in log
+
     assert running(story, sockets=64) == (False, False)
 
 
 def test_commands_that_came_while_the_process_stood_still_save_their_idle_connections(running):
     """Connections idle for 2 s are closed where places are short: not over a command that was not read."""
+
     async def story(stage):
-        clients = [await stage.client() for _ in range(15)]   # over half of the places
+        clients = [await stage.client() for _ in range(15)]  # over half of the places
         await asyncio.gather(*(client.ask(*read(number + 1)) for number, client in enumerate(clients)))
         await asyncio.sleep(1.5)
         stage.process.send_signal(signal.SIGSTOP)
@@ -205,6 +222,7 @@
         await asyncio.sleep(1.0)
         stage.process.send_signal(signal.SIGCONT)
         return [await client.reply() for client in clients]
+
     assert running(story, sockets=64) == [("$", b"data")] * 15
 
 
@@ -218,14 +236,17 @@
         def used():
             with open(f"/proc/{stage.process.pid}/stat", encoding="ascii") as file:
                 return sum(map(int, file.read().rsplit(")", 1)[1].split()[11:13]))
+
         before = used()
         await asyncio.sleep(1.0)
         return used() - before
-    assert running(story) < 30           # of a hundred in a second; a loop that never rests takes all
+
+    assert running(story) < 30  # of a hundred in a second; a loop that never rests takes all
 
 
 def test_large_answers_that_are_not_read_hold_back_no_later_command(staged):
     """What came behind answers that a client was slow to read is taken once it has read them."""
+
     async def story(stage):
         stage.nodes[0].plays = lambda words: [served(bytes(900_000))]
         client = await stage.client()
@@ -238,4 +259,5 @@
         await asyncio.sleep(0.1)
         client.writer.transport.resume_reading()
         return [(await client.reply())[0] for _ in range(10)]
+
     assert staged(story, hard_stop=3_000) == ["$"] * 9 + ["+"]
--- a/tests/block/test_commands.py
+++ b/tests/block/test_commands.py
@@ -1,4 +1,5 @@
 """What a command may look like, what goes on to a node, and what a node's reply means."""
+
 import json
 
 import pytest
@@ -17,7 +18,14 @@
     words = read(7, cell=-1, left=480, units=2)
     known = commands.check(words, START)
     assert (known.op_id, known.lane, known.plan, known.units, known.cell, known.mounts, known.left) == (
-        f"{7:016x}", "read", "base", 2.0, -1, 1, 0.48)
+        f"{7:016x}",
+        "read",
+        "base",
+        2.0,
+        -1,
+        1,
+        0.48,
+    )
     sent = known.words(120)
     assert sent[:3] == words[:3] and sent[3] == words[3].replace(b"d=480", b"d=120") and len(sent) == 4
 
@@ -35,20 +43,41 @@
 READ, WRITE = read(1), write(1)
 
 
-@pytest.mark.parametrize("words", [
-    READ[:3], [*READ, b"body"], WRITE[:4], [READ[0], b"xyz", *READ[2:]], [*READ[:2], b"", READ[3]],
-    [*READ[:2], b"1" * 17, READ[3]], [*READ[:2], b"A" * 16, READ[3]],
-    changed(READ, b"c=read", b"c=none"), changed(READ, b"t=base", b"t=none"),
-    changed(READ, b"d=900", b"d=soon"),
-    changed(READ, b"d=900", b"d=-1"), changed(READ, b"d=900", b"d=0"), changed(READ, b"d=900", b"d=9000"),
-    changed(READ, b"d=900", b"d=900.5"), changed(READ, b"units=1", b"units=0"),
-    changed(READ, b"units=1", b"units=9"),
-    changed(READ, b"units=1", b"units=nan"), changed(READ, b"shard=0", b"shard=4"),
-    changed(READ, b"shard=0", b"shard=-2"), changed(READ, b"hosts=1", b"hosts=0"),
-    changed(READ, b"hosts=1", b"hosts=1,x=1"), changed(READ, b"d=900", b"d=900,r=1"),
-    changed(READ, b"d=900", b"d=900,k=0000000000000001"), changed(WRITE, b",k=0000000000000001", b""),
-    changed(READ, b"c=read", b"c=write"), changed(WRITE, b"c=write", b"c=read"), [*READ[:3], b""],
-    changed(READ, b",", b" "), [*READ[:3], READ[3] + b"\n"], [*READ[:3], b"c=\xff" + READ[3][6:]]])
+@pytest.mark.parametrize(
+    "words",
+    [
+        READ[:3],
+        [*READ, b"body"],
+        WRITE[:4],
+        [READ[0], b"xyz", *READ[2:]],
+        [*READ[:2], b"", READ[3]],
+        [*READ[:2], b"1" * 17, READ[3]],
+        [*READ[:2], b"A" * 16, READ[3]],
+        changed(READ, b"c=read", b"c=none"),
+        changed(READ, b"t=base", b"t=none"),
+        changed(READ, b"d=900", b"d=soon"),
+        changed(READ, b"d=900", b"d=-1"),
+        changed(READ, b"d=900", b"d=0"),
+        changed(READ, b"d=900", b"d=9000"),
+        changed(READ, b"d=900", b"d=900.5"),
+        changed(READ, b"units=1", b"units=0"),
+        changed(READ, b"units=1", b"units=9"),
+        changed(READ, b"units=1", b"units=nan"),
+        changed(READ, b"shard=0", b"shard=4"),
+        changed(READ, b"shard=0", b"shard=-2"),
+        changed(READ, b"hosts=1", b"hosts=0"),
+        changed(READ, b"hosts=1", b"hosts=1,x=1"),
+        changed(READ, b"d=900", b"d=900,r=1"),
+        changed(READ, b"d=900", b"d=900,k=0000000000000001"),
+        changed(WRITE, b",k=0000000000000001", b""),
+        changed(READ, b"c=read", b"c=write"),
+        changed(WRITE, b"c=write", b"c=read"),
+        [*READ[:3], b""],
+        changed(READ, b",", b" "),
+        [*READ[:3], READ[3] + b"\n"],
+        [*READ[:3], b"c=\xff" + READ[3][6:]],
+    ],
+)
 def test_what_no_usual_client_sends_is_refused(words):
     with pytest.raises(commands.Refused):
         commands.check(words, START)
@@ -63,21 +92,29 @@
 NONE = (0, 0.0)
 
 
-@pytest.mark.parametrize("data, found", [
-    (served(), (say.SUCCEEDED, b"data", *NONE)),
-    (served(used=b"$7\r\nused=37\r\n"), (say.SUCCEEDED, b"data", 38, 0.0)),
-    (served(used=b"$14\r\nused=37,cost=4\r\n"), (say.SUCCEEDED, b"data", 38, 4.0)),
-    (served(used=b"$6\r\nused=0\r\n"), (say.SUCCEEDED, b"data", 1, 0.0)),
-    (served(used=b"$7\r\nused=x7\r\n", load=b"$5\r\n\0\1\2\3\4\r\n"), (say.SUCCEEDED, b"data", *NONE)),
-    (served(used=b":9\r\n", load=b"$2\r\n==\r\n"), (say.SUCCEEDED, b"data", *NONE)),
-    (b"-BUSY\r\n", (say.FULL, None, *NONE)), (b"-BUSY 20\r\n", (say.FULL, None, *NONE)),
-    (b"-ERR failed\r\n", (say.ERRORED, None, *NONE)),
-    (b"-ERR failed used=12 inflight=3\r\n", (say.ERRORED, None, 13, 0.0)),
-    (b"-ERR failed inflight=3\r\n", (say.ERRORED, None, *NONE)),
-    (b"-BUSYNESS\r\n", (say.ERRORED, None, *NONE)), (b"$4\r\ndata\r\n", (say.ERRORED, None, *NONE)),
-    (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", (say.ERRORED, None, *NONE)),
-    (b"*1\r\n$4\r\ndata\r\n", (say.ERRORED, None, *NONE)), (b"*0\r\n", (say.ERRORED, None, *NONE)),
-    (b"*-1\r\n", (say.ERRORED, None, *NONE)), (b"+OK\r\n", (say.ERRORED, None, *NONE))])
+@pytest.mark.parametrize(
+    "data, found",
+    [
+        (served(), (say.SUCCEEDED, b"data", *NONE)),
+        (served(used=b"$7\r\nused=37\r\n"), (say.SUCCEEDED, b"data", 38, 0.0)),
+        (served(used=b"$14\r\nused=37,cost=4\r\n"), (say.SUCCEEDED, b"data", 38, 4.0)),
+        (served(used=b"$6\r\nused=0\r\n"), (say.SUCCEEDED, b"data", 1, 0.0)),
+        (served(used=b"$7\r\nused=x7\r\n", load=b"$5\r\n\0\1\2\3\4\r\n"), (say.SUCCEEDED, b"data", *NONE)),
+        (served(used=b":9\r\n", load=b"$2\r\n==\r\n"), (say.SUCCEEDED, b"data", *NONE)),
+        (b"-BUSY\r\n", (say.FULL, None, *NONE)),
+        (b"-BUSY 20\r\n", (say.FULL, None, *NONE)),
+        (b"-ERR failed\r\n", (say.ERRORED, None, *NONE)),
+        (b"-ERR failed used=12 inflight=3\r\n", (say.ERRORED, None, 13, 0.0)),
+        (b"-ERR failed inflight=3\r\n", (say.ERRORED, None, *NONE)),
+        (b"-BUSYNESS\r\n", (say.ERRORED, None, *NONE)),
+        (b"$4\r\ndata\r\n", (say.ERRORED, None, *NONE)),
+        (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", (say.ERRORED, None, *NONE)),
+        (b"*1\r\n$4\r\ndata\r\n", (say.ERRORED, None, *NONE)),
+        (b"*0\r\n", (say.ERRORED, None, *NONE)),
+        (b"*-1\r\n", (say.ERRORED, None, *NONE)),
+        (b"+OK\r\n", (say.ERRORED, None, *NONE)),
+    ],
+)
 def test_a_reply_means(data, found):
     assert outcome(data) == found
 
