--- a/tests/block/test_crossings.py
+++ b/tests/block/test_crossings.py
@@ -3,6 +3,7 @@
 
 Each crossing is forced: a connection comes up when the test says so, the process stands still by SIGSTOP.
 """
+
 import asyncio
 import signal
 import socket
@@ -57,8 +58,9 @@
         await asyncio.sleep(0.1)
         node = stage.front.gateway.nodes["s0"]
         return stage.nodes[0].got, stage.front.taken, node.out, node.room.size
+
     got, taken, out, room = staged(story, hard_stop=5_000, DialTimeout=5_000_000_000)
-    assert not got and not taken and not out and room >= 1   # and the node is not blamed
+    assert not got and not taken and not out and room >= 1  # and the node is not blamed
 
 
 def test_what_waits_for_a_connection_is_not_sent_once_the_stop_has_answered(staged):
@@ -69,12 +71,14 @@
         held.go.set()
         await asyncio.sleep(0.1)
         return answer, stage.nodes[0].got, stage.front.taken
+
     answer, got, taken = staged(story, hard_stop=5_000, DialTimeout=5_000_000_000)
     assert answer[0] == "-" and not got and not taken
 
 
 def test_what_was_given_up_unsent_never_ran_and_a_repeat_is_harmless(staged):
     """The module may then shed it, where what may have run would have to be terminated."""
+
     async def story(stage):
         heard, answered = [], stage.front.gateway.answered
         stage.front.gateway.answered = lambda *told: (heard.append(told[3]), answered(*told))
@@ -83,6 +87,7 @@
         held.go.set()
         await asyncio.sleep(0.1)
         return answer, heard, stage.nodes[0].got
+
     answer, heard, got = staged(story, DialTimeout=5_000_000_000)
     assert answer == ("-", b"BUSY") and set(heard) == {say.UNREACHED} and not got
 
@@ -105,12 +110,13 @@
         answer = await client.reply()
         await asyncio.sleep(0.1)
         return answer, len(stage.nodes[0].got)
+
     answer, sent = staged(story, hard_stop=4_000, window=window, DialTimeout=3_000_000_000)
     assert answer[0] == "-" and sent == 1
 
 
 def test_what_waits_for_a_rest_is_not_sent_for_a_client_that_has_gone(staged, monkeypatch):
-    monkeypatch.setattr(pools, "REST", 0.15)   # shorter than the least time after which it is given up
+    monkeypatch.setattr(pools, "REST", 0.15)  # shorter than the least time after which it is given up
 
     async def story(stage):
         first, second = await stage.client(), await stage.client()
@@ -120,6 +126,7 @@
         second.close()
         await asyncio.sleep(0.3)
         return [words[2] for words in stage.nodes[0].got]
+
     assert staged(story) == [b"%016x" % 1]
 
 
@@ -137,30 +144,33 @@
         usual = await stage.client()
         answer = await usual.ask(*read(2))
         return answer, [words[2] for words in stage.node.got]
+
     assert running(story) == (("$", b"data"), [b"%016x" % 2])
 
 
 def test_who_asked_and_left_is_not_served_by_a_round_that_was_due_already(staged):
     async def story(stage):
         loop, front = asyncio.get_running_loop(), stage.front
-        await (await stage.client()).ask(*read(9))   # its connection rests, so the next is sent at once
+        await (await stage.client()).ask(*read(9))  # its connection rests, so the next is sent at once
         sock = socket.create_connection(("127.0.0.1", stage.port))
         sock.sendall(command([b"PING"]))
         await settled(lambda: sum(client.spoke for client in front.listener.clients) == 2)
         await asyncio.sleep(pools.REST * 3)
         front.round_at = loop.time()
-        front.event(lambda now: None)    # a round waits for the tick
+        front.event(lambda now: None)  # a round waits for the tick
         sock.sendall(command(read(1)))
         sock.close()
-        time.sleep(0.05)                 # command, end and round are all due when the loop goes on
+        time.sleep(0.05)  # command, end and round are all due when the loop goes on
         await asyncio.sleep(0.2)
         return [words[2] for words in stage.nodes[0].got], front.taken
+
     assert staged(story) == ([b"%016x" % 9], {})
 
 
 @pytest.mark.parametrize("change", [{"condition": say.GONE}, {"started": 99.0}, {"condition": say.DRAINING}])
 def test_a_dial_that_was_out_when_its_node_was_replaced_or_drained_carries_nothing(change):
     """The address stays: what answers there is another start, or wants nothing new."""
+
     async def story():
         loop, node = asyncio.get_running_loop(), Node()
         await node.open()
@@ -180,6 +190,7 @@
             loop.create_connection = connect
             pool.close()
             node.close()
+
     assert asyncio.run(story()) == (say.UNREACHED, [])
 
 
@@ -211,7 +222,7 @@
                         time.sleep(0.005)
                         connection.sendall(served(b"another's"))
                         self.sent.set()
-            except ConnectionError:      # the gateway ends a connection with a surplus
+            except ConnectionError:  # the gateway ends a connection with a surplus
                 pass
 
 
@@ -219,6 +230,7 @@
     """Outcomes of two executions, the second sent in the turn in which the first one's answer was read: the
     process stands still past the rest, and the loop has looked at no socket since.  `meanwhile`: what is
     waited for before."""
+
     async def story():
         loop, outcomes = asyncio.get_running_loop(), asyncio.Queue()
         pool = pools.Pool(loop, 50, 0.25, 10.0)
@@ -230,12 +242,14 @@
                 assert meanwhile.wait(2)
                 time.sleep(pools.REST * 2)
                 pool.send("s", lambda left: read(2), loop.time() + 1, again)
+
         try:
             pool.send("s", lambda left: read(1), loop.time() + 1, again)
             await settled(lambda: outcomes.qsize() == 2)
             return outcomes.get_nowait(), outcomes.get_nowait()
         finally:
             pool.close()
+
     return asyncio.run(story())
 
 
@@ -262,6 +276,7 @@
             if number == 0:
                 connection.close()
                 ended.set()
+
     threading.Thread(target=serve, daemon=True).start()
     assert two_in_a_row(server.getsockname()[1], ended) == OWN
     server.close()
@@ -277,10 +292,11 @@
             return await asyncio.wait_for(outcome, 3)
         finally:
             pool.close()
+
     assert asyncio.run(story()) == say.UNREACHED
 
 
-@pytest.mark.parametrize("asked", [150, 3_000])   # within what is read ahead, and past it
+@pytest.mark.parametrize("asked", [150, 3_000])  # within what is read ahead, and past it
 def test_who_sent_much_at_once_and_went_is_not_served_on(running, asked):
     async def story(stage):
         # The first is not answered, so that nothing is written to the client and no reset comes back.
@@ -292,6 +308,7 @@
         client.writer.transport.abort() if asked > 1_000 else client.close()
         await asyncio.sleep(3)
         return len(stage.node.got)
+
     # All that a connection may be owed would be begun, 64, some in each 0.05 s; its end is seen in a tenth.
     assert running(story, hard_stop=9_000, aim=9_000) < 45
 
@@ -303,8 +320,13 @@
         client = await stage.client()
         client.writer.transport.pause_reading()
         client.writer.write(b"".join(command(read(number, left=5_000)) for number in range(1, 10)))
-        await settled(lambda: any(one.paused_writing for one in stage.front.listener.clients) and len(
-            [one for one in stage.front.taken.values() if not one.ended]) == 1)
+        await settled(
+            lambda: (
+                any(one.paused_writing for one in stage.front.listener.clients)
+                and len([one for one in stage.front.taken.values() if not one.ended]) == 1
+            )
+        )
         client.writer.write_eof()
         await settled(lambda: all(one.ended for one in stage.front.taken.values()), 0.5)
+
     staged(story, hard_stop=5_000)
--- a/tests/block/test_front.py
+++ b/tests/block/test_front.py
@@ -1,4 +1,5 @@
 """The whole gateway: what it believes against what crosses the sockets, drains, and a long life."""
+
 import asyncio
 import random
 import socket
@@ -12,13 +13,17 @@
 
 def test_what_the_module_believes_out_is_what_the_nodes_have_open(staged):
     """At each look, requests open at a node lie within what the module held out there since the last."""
+
     async def story(stage):
         chance, looks, wrong = random.Random(5), 0, []
 
         def held_out():
             """What the module holds out at each node, less what waits for a connection still."""
-            return {name: len(node.out) - len(stage.front.pool.nodes[name].waiting)
-                    for name, node in stage.front.gateway.nodes.items()}
+            return {
+                name: len(node.out) - len(stage.front.pool.nodes[name].waiting)
+                for name, node in stage.front.gateway.nodes.items()
+            }
+
         for node in stage.nodes:
             node.plays = lambda words: [chance.uniform(0.01, 0.06), served()]
         clients = [await stage.client() for _ in range(20)]
@@ -26,10 +31,11 @@
         async def asks(client, base):
             for number in range(12):
                 await client.ask(*read(base + number, cell=(base + number) % 3))
+
         tasks = [asyncio.ensure_future(asks(client, 1000 * (at + 1))) for at, client in enumerate(clients)]
         while not all(task.done() for task in tasks):
             believed = held_out()
-            await asyncio.sleep(0.004)   # a round and the way there
+            await asyncio.sleep(0.004)  # a round and the way there
             after = held_out()
             for number, node in enumerate(stage.nodes):
                 name = f"s{number}"
@@ -41,6 +47,7 @@
         rest = [len(node.out) for node in stage.front.gateway.nodes.values()]
         running = [node.running for node in stage.nodes]
         return looks, wrong, rest, running, max(node.most for node in stage.nodes)
+
     looks, wrong, rest, running, most = staged(story, nodes=3)
     assert looks > 50 and not wrong and rest == running == [0, 0, 0] and most <= 10
 
@@ -54,6 +61,7 @@
             await asyncio.sleep(0.03)
         nodes = stage.front.gateway.nodes
         return nodes["s0"].room.size, nodes["s1"].room.size
+
     refuses, serves = staged(story, nodes=2)
     assert refuses < serves
 
@@ -66,6 +74,7 @@
         await (await stage.client()).ask(*read(1))
         await asyncio.sleep(0.05)
         return heard
+
     assert staged(story) == [(37, 0.0)]
 
 
@@ -80,34 +89,39 @@
         client.send(*read(2, left=900))
         await asyncio.sleep(0.1)
         held = len(stage.nodes[0].got) - before
-        other = Node()                   # it takes over the shard and serves what is held
+        other = Node()  # it takes over the shard and serves what is held
         await other.open()
         stage.nodes.append(other)
         stage.discovery.put(other.row("s9", 0))
         return held, await client.reply(), len(other.got)
+
     assert staged(story) == (0, ("$", b"data"), 1)
 
 
 def test_an_empty_whole_list_is_gone_by_and_what_comes_is_answered_at_its_quoted_time(staged):
     async def story(stage):
-        await asyncio.sleep(0.05)        # the watch has brought its first list
+        await asyncio.sleep(0.05)  # the watch has brought its first list
         stage.front.told(True, [])
         await asyncio.sleep(0.02)
         client = await stage.client()
         began = asyncio.get_running_loop().time()
         answer = await client.ask(*read(1))
         return answer, asyncio.get_running_loop().time() - began < 0.5, stage.nodes[0].got
-    assert staged(story) == (("-", b"BUSY"), True, [])   # at its quoted time: a node may come until then
+
+    assert staged(story) == (("-", b"BUSY"), True, [])  # at its quoted time: a node may come until then
 
 
 def test_a_start_of_a_node_is_a_cold_start_on_the_modules_clock(staged):
     async def story(stage):
         now = asyncio.get_running_loop().time()
-        stage.discovery.put(stage.nodes[0].row("s0", 0, "up", int((now - 1) * 1000)),
-                            stage.nodes[1].row("s1", 1, "up", int(max(1, now - 1000) * 1000)))
+        stage.discovery.put(
+            stage.nodes[0].row("s0", 0, "up", int((now - 1) * 1000)),
+            stage.nodes[1].row("s1", 1, "up", int(max(1, now - 1000) * 1000)),
+        )
         await asyncio.sleep(0.1)
         entries = [stage.front.gateway.nodes[name].entry.online_since for name in ("s0", "s1")]
         return (stage.front.now() - entries[0]) / 10_000, entries[1]
+
     age, old = staged(story, nodes=2)
     assert 1 < age < 1.5 and old == 0
 
@@ -117,18 +131,21 @@
         stage.nodes[0].plays = lambda words: ["close"] if len(stage.nodes[0].got) == 1 else [served()]
         answer = await (await stage.client()).ask(*write(1))
         return answer, len(stage.nodes[0].got), {words[3].split(b",k=")[1] for words in stage.nodes[0].got}
+
     answer, got, keys = staged(story)
     assert answer == ("$", b"data") and got == 2 and len(keys) == 1
 
 
 def test_what_the_module_gave_up_is_answered_at_once(staged):
     """A node that never answers: the operation ends when the module says so, and not at the hard stop."""
+
     async def story(stage):
         stage.nodes[0].close()
         loop = asyncio.get_running_loop()
         client, began = await stage.client(), loop.time()
         kind, _ = await client.ask(*read(1, left=1000))
         return kind, loop.time() - began
+
     kind, took = staged(story)
     assert kind == "-" and took < 0.6
 
@@ -144,6 +161,7 @@
         connection.sendall(served())
         time.sleep(1)
         connection.close()
+
     thread = threading.Thread(target=serve, daemon=True)
     thread.start()
 
@@ -155,13 +173,14 @@
         await asyncio.sleep(0.1)
         client = await stage.client()
         client.send(*read(1, left=300))
-        await asyncio.sleep(0.03)        # it is out
+        await asyncio.sleep(0.03)  # it is out
         begun = stage.front.loop.time()
         time.sleep(0.2)
         # The pause may fall between the look at the sockets and that at the timers: the time-out goes first.
         stage.front.time_over(f"{1:016x}", 0, begun + 0.1)
         await asyncio.sleep(0.05)
         return heard
+
     assert staged(story) == ["succeeded"]
     listening.close()
 
@@ -179,6 +198,7 @@
             # As the platform's meter: no figure until a period has ended.
             metered = came[-1][0] - came[0][0] > 1
             return [served(used=b"$6\r\nused=4\r\n" if metered else b"$-1\r\n")]
+
         stage.nodes[0].plays = plays
 
         async def ask(front_port, base):
@@ -188,7 +208,9 @@
             async def asks(client, first):
                 for number in range(12):
                     await client.ask(*read(first + number, units=2, left=500))
+
             await asyncio.gather(*(asks(client, base + 100 * at) for at, client in enumerate(clients)))
+
         await ask(stage.port, 1_000)
         start = stage.front.start
         again = Front(start._replace(seed=7), 0.0, asyncio.get_running_loop(), stage.log)
@@ -197,6 +219,7 @@
         for part in (again.watch_list, again.pool, again.listener):
             part.close()
         return came
+
     came = staged(story, plan={"NeverOver": rate, "CapDepth": burst, "Tolerance": slack})
     held, least, at = burst, 0.0, None
     for when, units in came:
@@ -212,8 +235,12 @@
             node = Node()
             await node.open()
             name = f"g{generation}"
-            stage.discovery.put(node.row(name, 0), stage.nodes[-1].row(f"g{generation - 1}", 0, "removed")
-                                if generation else stage.nodes[-1].row("s0", 0, "removed"))
+            stage.discovery.put(
+                node.row(name, 0),
+                stage.nodes[-1].row(f"g{generation - 1}", 0, "removed")
+                if generation
+                else stage.nodes[-1].row("s0", 0, "removed"),
+            )
             stage.nodes.append(node)
             await asyncio.sleep(0.03)
             client = await stage.client()
@@ -226,14 +253,22 @@
             # What is gone counts for the span of the rule on cold nodes; the next list forgets it then.
             for gone in gateway.nodes.values():
                 gone.arrivals.clear()
-            sizes.append((len(gateway.nodes), len(gateway.cells[0].nodes), len(gateway.ops),
-                          len(stage.front.taken), len(stage.front.pool.nodes), len(stage.front.conditions)))
+            sizes.append(
+                (
+                    len(gateway.nodes),
+                    len(gateway.cells[0].nodes),
+                    len(gateway.ops),
+                    len(stage.front.taken),
+                    len(stage.front.pool.nodes),
+                    len(stage.front.conditions),
+                )
+            )
             volumes.append(len(gateway.volumes))
         await asyncio.sleep(0.05)
         return sizes, len(stage.front.listener.clients)
+
     monkeypatch.setattr(rules, "FORGET", 1_000)
     volumes = []
     sizes, clients = staged(story)
     assert sizes[-1][2:4] == (0, 0) and max(sizes[-1]) <= 3 and clients == 0
-    assert max(volumes) < 25             # of 60 that came: those of the last tenth of a second
-
+    assert max(volumes) < 25  # of 60 that came: those of the last tenth of a second
--- a/tests/block/test_listener.py
+++ b/tests/block/test_listener.py
@@ -1,4 +1,5 @@
 """Clients of every kind on loopback."""
+
 import asyncio
 import errno
 import time
@@ -13,10 +14,26 @@
 def test_greetings(staged):
     async def story(stage):
         client = await stage.client()
-        return [await client.ask(*words) for words in ([b"PING"], [b"ping"], [b"CLIENT", b"SETNAME", b"x"],
-                                                       [b"SELECT", b"0"], [b"HELLO", b"3"], [b"GET", b"x"])]
-    assert staged(story) == [("+", b"PONG"), ("+", b"PONG"), ("+", b"OK"), ("+", b"OK"),
-                             ("-", b"ERR unknown command"), ("-", b"ERR unknown command")]
+        return [
+            await client.ask(*words)
+            for words in (
+                [b"PING"],
+                [b"ping"],
+                [b"CLIENT", b"SETNAME", b"x"],
+                [b"SELECT", b"0"],
+                [b"HELLO", b"3"],
+                [b"GET", b"x"],
+            )
+        ]
+
+    assert staged(story) == [
+        ("+", b"PONG"),
+        ("+", b"PONG"),
+        ("+", b"OK"),
+        ("+", b"OK"),
+        ("-", b"ERR unknown command"),
+        ("-", b"ERR unknown command"),
+    ]
 
 
 def test_ready_and_serving_with_no_discovery_at_all(staged):
@@ -24,6 +41,7 @@
         stage.discovery.silent = True
         client = await stage.client()
         return await client.ask(b"PING"), await client.ask(*read(1)), await client.ask(*write(2))
+
     assert staged(story) == (("+", b"PONG"), ("$", b"data"), ("$", b"data"))
 
 
@@ -35,12 +53,21 @@
         client.send(*read(2))
         client.send(b"PING")
         return [await client.reply() for _ in range(3)]
+
     assert staged(story) == [("$", b"%016x" % 1), ("$", b"%016x" % 2), ("+", b"PONG")]
 
 
-@pytest.mark.parametrize("noise", [b"noise\r\n", b"*3\r\n$60000000\r\n" + b"x" * 100_000,
-                                   b"*1\r\n$-5\r\n", b"*-3\r\n", b"*1000000000\r\n",
-                                   b"*2\r\n" + b"$" + b"9" * 50])
+@pytest.mark.parametrize(
+    "noise",
+    [
+        b"noise\r\n",
+        b"*3\r\n$60000000\r\n" + b"x" * 100_000,
+        b"*1\r\n$-5\r\n",
+        b"*-3\r\n",
+        b"*1000000000\r\n",
+        b"*2\r\n" + b"$" + b"9" * 50,
+    ],
+)
 def test_what_can_t_be_read_gets_an_error_behind_what_was_owed_and_then_a_close(staged, noise):
     async def story(stage):
         stage.nodes[0].plays = lambda words: [0.1, served()]
@@ -49,6 +76,7 @@
         client.writer.write(noise)
         replies = [await client.reply() for _ in range(3)]
         return replies, await usual.ask(*read(2)), len(stage.nodes[0].got)
+
     replies, usual, got = staged(story)
     assert replies[0] == ("$", b"data") and replies[1][0] == "-" and replies[2] is None
     assert usual == ("$", b"data") and got == 2
@@ -59,6 +87,7 @@
         client = await stage.client()
         replies = [await client.ask(*read(number, lane="none")) for number in range(3)]
         return [kind for kind, _ in replies], await client.reply(), stage.nodes[0].got
+
     assert staged(story) == (["-"] * 3, None, [])
 
 
@@ -69,6 +98,7 @@
         usual.send(*read(1))
         await asyncio.sleep(0.03)
         return (await other.ask(*read(1)))[0], await usual.reply(), len(stage.nodes[0].got)
+
     assert staged(story) == ("-", ("$", b"data"), 1)
 
 
@@ -79,6 +109,7 @@
         client.writer.write(begun)
         reply = await client.reply()
         return reply, await client.reply(), time.monotonic() - began
+
     reply, end, took = staged(story)
     assert reply[0] == "-" and end is None and 1 < took < 2.5
 
@@ -95,6 +126,7 @@
             if told.done():
                 break
         return (await told)[0], await client.reply(), time.monotonic() - begun
+
     kind, end, took = staged(story)
     assert kind == "-" and end is None and took < 2.5
 
@@ -109,6 +141,7 @@
                 client = await stage.client()
                 while not stop and await client.ask(*read(repeats + 50_000, lane="none")):
                     repeats += 1
+
         tasks = [asyncio.ensure_future(spam()) for _ in range(8)]
         usual = await stage.client()
         for number in range(30):
@@ -118,6 +151,7 @@
         stop = True
         await asyncio.gather(*tasks)
         return repeats, {answer for answer, _ in times}, sorted(took for _, took in times)[15]
+
     repeats, answers, median = staged(story)
     assert repeats > 200 and answers == {("$", b"data")} and median < 0.1
 
@@ -132,6 +166,7 @@
             kinds.append((await client.reply())[0])
             most = max(most, len(stage.front.taken))
         return kinds, most
+
     kinds, most = staged(story)
     assert len(kinds) == 600 and kinds.count("$") > 50 and most <= listener.MOST_OWED
 
@@ -142,15 +177,16 @@
 
     async def story(stage):
         most = stage.front.listener.most
-        for _ in range(most):            # they ask once and stay
+        for _ in range(most):  # they ask once and stay
             await (await stage.client()).ask(b"PING")
         await asyncio.sleep(0.5)
         held = len(stage.front.listener.clients)
-        for _ in range(most * 2):        # they say nothing
+        for _ in range(most * 2):  # they say nothing
             await stage.client()
         usual = await stage.client()
         answer = await usual.ask(*read(1))
         return most, held, len(stage.front.listener.clients), answer
+
     most, held, now, answer = staged(story, sockets=64)
     assert held < most and now <= most and answer == ("$", b"data")
 
@@ -158,17 +194,24 @@
 def test_a_crowd_that_greets_and_stays_makes_room_for_newcomers_at_once(staged):
     """Seen in a recorded day: all places held by such, and 900 newcomers a second turned away.  Who asked
     for an operation keeps its place for the two seconds that the platform's page names."""
+
     async def story(stage):
         most, answers = stage.front.listener.most, []
         busy, asked = await stage.client(), await stage.client()
         stage.nodes[0].plays = lambda words: [0.15 if words[2][-1:] == b"f" else 0.0, served()]
         await asked.ask(*read(1))
-        busy.send(*read(0xf))
+        busy.send(*read(0xF))
         for number in range(most * 3):
             answers.append(await (await stage.client()).ask(b"PING"))
         usual = await (await stage.client()).ask(*read(2))
-        return ({kind for kind, _ in answers}, usual, await busy.reply(), await asked.ask(*read(3)),
-                len(stage.front.listener.clients) <= most)
+        return (
+            {kind for kind, _ in answers},
+            usual,
+            await busy.reply(),
+            await asked.ask(*read(3)),
+            len(stage.front.listener.clients) <= most,
+        )
+
     data = ("$", b"data")
     assert staged(story, sockets=64) == ({"+"}, data, data, data, True)
 
@@ -185,6 +228,7 @@
             client.send(*read(number))
         await asyncio.sleep(2.5)
         return len(stage.nodes[0].got), len(stage.front.listener.clients)
+
     got, clients = staged(story)
     assert got < 200 and clients == 0
 
@@ -192,6 +236,7 @@
 def test_a_client_that_closes_has_gone_away_and_nothing_more_is_sent_for_it(staged):
     """Seen on the platform: hurried clients close, nodes then turn their requests away, and a node that
     serves everybody else well was held for crowded."""
+
     async def story(stage):
         client = await stage.client()
         stage.nodes[0].plays = lambda words: [0.1, b"-BUSY\r\n"]
@@ -200,6 +245,7 @@
         client.close()
         await asyncio.sleep(0.3)
         return len(stage.nodes[0].got), len(stage.front.taken), len(stage.front.listener.clients)
+
     assert staged(story) == (1, 0, 0)
 
 
@@ -212,6 +258,7 @@
         client.close()
         await asyncio.sleep(0.9)
         return len(stage.front.taken), len(stage.front.gateway.ops), stage.nodes[0].running
+
     assert staged(story) == (0, 0, 0)
 
 
@@ -220,6 +267,7 @@
         client = await stage.client()
         await client.ask(*read(1, left=480))
         return int(of(stage.nodes[0].got[0], "d"))
+
     assert 0 < staged(story) <= 480
 
 
@@ -244,5 +292,6 @@
         begun = time.monotonic()
         answer = await (await stage.client()).ask(*read(1))
         return answer, time.monotonic() - begun, short.asked
+
     answer, took, asked = staged(story)
     assert answer == ("$", b"data") and took < 0.7 and asked < 12
--- a/tests/block/test_pool.py
+++ b/tests/block/test_pool.py
@@ -1,4 +1,5 @@
 """Connections to nodes: what ran and what did not, and never another's value."""
+
 import asyncio
 import time
 
@@ -12,6 +13,7 @@
 
 def played(story, **settings):
     """Plays a story on a pool with one node, whose executions end in a list."""
+
     async def whole():
         loop = asyncio.get_running_loop()
         node = Node()
@@ -23,28 +25,40 @@
         async def run(number=1, until=1.0):
             future = loop.create_future()
             words = read(number)
-            execution = pool.send("s", lambda left: words, loop.time() + until,
-                                  lambda *outcome: future.set_result(outcome))
+            execution = pool.send(
+                "s", lambda left: words, loop.time() + until, lambda *outcome: future.set_result(outcome)
+            )
             done, _ = await asyncio.wait([future], timeout=until)
             if not done and execution is not None:
-                execution.drop()         # as the driver does at a time-out
+                execution.drop()  # as the driver does at a time-out
             return future.result()[:2] if done else (say.OVERDUE, None)
+
         try:
             return await story(pool, node, row, run)
         finally:
             pool.close()
             node.close()
             await asyncio.sleep(0.01)
+
     return asyncio.run(whole())
 
 
-@pytest.mark.parametrize("plays, found", [
-    ([served(b"v")], (say.SUCCEEDED, b"v")), ([b"-BUSY\r\n"], (say.FULL, None)),
-    ([b"-ERR failed\r\n"], (say.ERRORED, None)), (["close"], (say.SEVERED, None)),
-    ([b"*3\r\n$4\r\nda", "close"], (say.SEVERED, None)), ([b"noise\r\n"], (say.ERRORED, None)),
-    ([b"*3\r\n$3000000000\r\n"], (say.ERRORED, None)), ([b"+" + b"x" * 900], (say.ERRORED, None)),
-    (["hang"], (say.OVERDUE, None)), ([b"*3\r\n$4\r\n", "hang"], (say.OVERDUE, None)),
-    ([b"*3\r\n$2\r\ndata\r\n"], (say.ERRORED, None))])
+@pytest.mark.parametrize(
+    "plays, found",
+    [
+        ([served(b"v")], (say.SUCCEEDED, b"v")),
+        ([b"-BUSY\r\n"], (say.FULL, None)),
+        ([b"-ERR failed\r\n"], (say.ERRORED, None)),
+        (["close"], (say.SEVERED, None)),
+        ([b"*3\r\n$4\r\nda", "close"], (say.SEVERED, None)),
+        ([b"noise\r\n"], (say.ERRORED, None)),
+        ([b"*3\r\n$3000000000\r\n"], (say.ERRORED, None)),
+        ([b"+" + b"x" * 900], (say.ERRORED, None)),
+        (["hang"], (say.OVERDUE, None)),
+        ([b"*3\r\n$4\r\n", "hang"], (say.OVERDUE, None)),
+        ([b"*3\r\n$2\r\ndata\r\n"], (say.ERRORED, None)),
+    ],
+)
 def test_how_an_execution_comes_back(plays, found):
     async def story(pool, node, row, run):
         node.plays = lambda words: plays
@@ -52,6 +66,7 @@
         await asyncio.sleep(0.05)
         sound = found[0] in (say.SUCCEEDED, say.FULL) or plays[0] == b"-ERR failed\r\n"
         return outcome, len(node.got), len(node.connections) == sound, node.running
+
     assert played(story) == (found, 1, True, 0)
 
 
@@ -61,6 +76,7 @@
         refused = await run()
         pool.listed(False, [row._replace(condition=say.GONE)])
         return refused, await run(), pool.count()
+
     assert played(story) == ((say.UNREACHED, None), (say.UNREACHED, None), 0)
 
 
@@ -68,9 +84,11 @@
     async def story(pool, node, row, run):
         async def slow(*_):
             await asyncio.sleep(5)
+
         pool.loop.create_connection = slow
         began = time.monotonic()
         return await run(), time.monotonic() - began
+
     outcome, took = played(story)
     assert outcome == (say.UNREACHED, None) and 0.2 < took < 0.5
 
@@ -85,18 +103,21 @@
             found.append(await run(number))
             await asyncio.sleep(0.003)
         return [value for _, value in found] == [b"%016x" % number for number in range(1, 12)]
+
     assert played(story)
 
 
 def test_a_connection_rests_before_it_is_used_again_and_what_comes_meanwhile_waits_for_it():
     """Seen on the fleet's calm day: 1,498 of 10,244 new connections were opened within a rest of 20 ms."""
+
     async def story(pool, node, row, run):
         await run(1)
         began = time.monotonic()
         await run(2)
         waited = time.monotonic() - began
-        both = await asyncio.gather(run(3), run(4))   # one rest serves one; the other needs its own
+        both = await asyncio.gather(run(3), run(4))  # one rest serves one; the other needs its own
         return waited, node.opened, {result for result, _ in both}
+
     waited, opened, results = played(story)
     assert waited >= pools.REST * 0.9 and opened == 2 and results == {say.SUCCEEDED}
 
@@ -108,6 +129,7 @@
         await asyncio.sleep(0)
         next(iter(node.connections)).transport.abort()
         return await waits, node.opened
+
     assert played(story) == ((say.SUCCEEDED, b"data"), 2)
 
 
@@ -121,14 +143,16 @@
         await asyncio.sleep(0)
         pool.listed(False, [row._replace(condition=say.DRAINING)])
         return given_up, await waits, [words[2][-1:] for words in node.got], node.opened
+
     assert played(story) == ((say.OVERDUE, None), (say.UNREACHED, None), [b"1", b"3"], 1)
 
 
 def test_no_request_goes_on_a_connection_that_its_node_is_about_to_close():
     async def story(pool, node, row, run):
         await run(1)
-        await asyncio.sleep(0.2)         # before the sweep has closed it
+        await asyncio.sleep(0.2)  # before the sweep has closed it
         return await run(2), node.opened
+
     assert played(story, idle=0.2) == ((say.SUCCEEDED, b"data"), 2)
 
 
@@ -160,6 +184,7 @@
         await asyncio.sleep(0.1)
         await run(2)
         return node.opened
+
     assert played(story) == 2
 
 
@@ -172,6 +197,7 @@
         before = pool.count()
         await asyncio.sleep(0.4)
         return before, pool.count(), len(node.connections)
+
     assert played(story, idle=0.5) == (1, 0, 0)
 
 
@@ -187,6 +213,7 @@
         await run(6)
         pool.listed(False, [row._replace(started=99.0)])
         return first, broke, pool.count()
+
     assert played(story) == (4, 0, 0)
 
 
@@ -198,6 +225,7 @@
         pool.listed(False, [row._replace(started=99.0)])
         outcome = await task
         return outcome, pool.count()
+
     assert played(story) == ((say.SUCCEEDED, b"data"), 0)
 
 
@@ -212,6 +240,7 @@
         await asyncio.sleep(0.05)
         other.close()
         return outcome, node.got, other.got
+
     assert played(story) == ((say.UNREACHED, None), [], [])
 
 
@@ -222,11 +251,13 @@
         outcome = await run(1)
         await asyncio.sleep(0.05)
         return outcome, pool.count(), len(node.connections)
+
     assert played(story) == ((say.ERRORED, None), 0, 0)
 
 
 def test_what_had_not_left_this_process_whole_was_never_reached():
     """A node that reads nothing: the command stays in our buffer, and then the connection breaks."""
+
     async def story(pool, node, row, run):
         loop, held, result = pool.loop, [], pool.loop.create_future()
 
@@ -234,14 +265,20 @@
             def connection_made(self, transport):
                 transport.pause_reading()
                 held.append(transport)
+
         server = await loop.create_server(Deaf, "127.0.0.1", 0)
         pool.listed(True, [row._replace(port=server.sockets[0].getsockname()[1])])
-        pool.send("s", lambda left: [b"x" * (16 << 20)], loop.time() + 1,
-                  lambda *outcome: result.set_result(outcome))
+        pool.send(
+            "s",
+            lambda left: [b"x" * (16 << 20)],
+            loop.time() + 1,
+            lambda *outcome: result.set_result(outcome),
+        )
         await asyncio.sleep(0.1)
         held[0].abort()
         server.close()
         return (await result)[0]
+
     assert played(story) == say.UNREACHED
 
 
@@ -253,6 +290,7 @@
         outcome = await task
         await asyncio.sleep(0.05)
         return outcome, node.got
+
     assert played(story) == ((say.UNREACHED, None), [])
 
 
@@ -261,6 +299,7 @@
         node.plays = lambda words: [0.2, served()]
         outcomes = await asyncio.gather(*(run(number) for number in range(8)))
         return sorted(result for result, _ in outcomes), node.most
+
     assert played(story, most=5) == ([say.FULL] * 3 + [say.SUCCEEDED] * 5, 5)
 
 
@@ -272,6 +311,7 @@
         outcomes = await asyncio.gather(*(run(number, 0.5) for number in range(6)))
         node.plays = lambda words: [served()]
         return sorted(result for result, _ in outcomes), await run(9), pool.held
+
     results, after, held = played(story)
     assert results.count(say.ERRORED) >= 4 and after == (say.SUCCEEDED, b"data") and held == 0
 
@@ -285,6 +325,7 @@
         outcome = await run(2)
         other.close()
         return outcome, len(node.got), len(other.got)
+
     assert played(story) == ((say.SUCCEEDED, b"data"), 1, 1)
 
 
@@ -298,4 +339,5 @@
         pool.listed(True, [])
         await asyncio.sleep(0.1)
         return len(pool.nodes), pool.count()
+
     assert played(story) == (0, 0)
--- a/tests/block/test_program.py
+++ b/tests/block/test_program.py
@@ -1,4 +1,5 @@
 """The program: its start, signals and end, as a process."""
+
 import asyncio
 import json
 import os
@@ -24,13 +25,14 @@
         stage.process.send_signal(signal.SIGTERM)
         begun = asyncio.get_running_loop().time()
         await asyncio.sleep(0.2)
-        late = await stage.client()      # new connections still come for a while
+        late = await stage.client()  # new connections still come for a while
         pong = await late.ask(b"PING")
         answers = [await client.reply()]
         await asyncio.sleep(0.2)
-        answers.append(await late.ask(*read(2)))   # a connection in use is served on
+        answers.append(await late.ask(*read(2)))  # a connection in use is served on
         ends = [await one.reply() for one in (idle, late, client)]
         return pong, answers, ends, await stage.process.wait(), asyncio.get_running_loop().time() - begun
+
     pong, answers, ends, code, took = running(story)
     assert pong == ("+", b"PONG") and answers == [("$", b"data")] * 2
     assert ends == [None] * 3 and code == 0 and took < 1.7
@@ -42,13 +44,14 @@
         client = await stage.client()
         stage.process.send_signal(signal.SIGTERM)
         begun = asyncio.get_running_loop().time()
-        for number in range(28):         # asked until nothing more is taken: each has an answer, or a close
+        for number in range(28):  # asked until nothing more is taken: each has an answer, or a close
             await asyncio.sleep(0.05)
             client.send(*read(number))
         replies = []
         while (reply := await client.reply()) is not None:
             replies.append(reply)
         return replies, await stage.process.wait(), asyncio.get_running_loop().time() - begun
+
     replies, code, took = running(story)
     assert code == 0 and took < 1.9 and replies and {kind for kind, _ in replies} == {"-"}
 
@@ -73,9 +76,10 @@
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
         answer = await client.ask(*read(1))
-        calls, under = len(other.calls), await slow.reply()   # asked before the file changed
+        calls, under = len(other.calls), await slow.reply()  # asked before the file changed
         other.close()
         return before > 0, calls > 0, answer, under, stage.process.returncode
+
     assert running(story) == (True, True, ("$", b"data"), ("$", b"data"), None)
 
 
@@ -84,14 +88,21 @@
         file = tmp_path / "config.json"
         file.write_text(json.dumps(configuration(1, [], taken.getsockname()[1])))
         for path, event in ((str(file), "listen.refused"), ("", "config.refused")):
-            done = subprocess.run([sys.executable, "-m", "rushmux.block"], cwd=ROOT, capture_output=True,
-                                  text=True, timeout=20, check=False,
-                                  env={**os.environ, "NODE_CONFIG": path})
+            done = subprocess.run(
+                [sys.executable, "-m", "rushmux.block"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=20,
+                check=False,
+                env={**os.environ, "NODE_CONFIG": path},
+            )
             assert done.returncode == 2 and event in done.stderr and "Traceback" not in done.stderr
 
 
 def test_descriptors_that_run_out_do_not_end_it(running):
     """Fewer descriptors than it was told of: it goes on, and serves when some are free again."""
+
     async def story(stage):
         await stage.client()
         resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (40, 40))
@@ -103,7 +114,7 @@
         await asyncio.sleep(0.3)
         for client in crowd:
             client.close()
-        await asyncio.sleep(1.2)         # the loop tries again after a second
+        await asyncio.sleep(1.2)  # the loop tries again after a second
         usual = await stage.client()
         return await usual.ask(b"PING"), await usual.ask(*read(1)), stage.process.returncode
 
@@ -113,15 +124,25 @@
 def test_a_start_with_no_sense_says_why(tmp_path):
     file = tmp_path / "config.json"
     file.write_text("{}")
-    done = subprocess.run([sys.executable, "-m", "rushmux.block"], cwd=ROOT, capture_output=True, text=True,
-                          timeout=20, check=False, env={**os.environ, "NODE_CONFIG": str(file)})
+    done = subprocess.run(
+        [sys.executable, "-m", "rushmux.block"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+        env={**os.environ, "NODE_CONFIG": str(file)},
+    )
     assert done.returncode == 2 and "lacks" in done.stderr and "Traceback" not in done.stderr
 
 
 def test_the_program_imports_no_heavy_library():
-    code = ("import sys, rushmux.block.__main__; "
-            "print([name for name in ('numpy', 'google.protobuf', 'structlog', 'jsonschema')"
-            " if name in sys.modules])")
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=20,
-                          check=True)
+    code = (
+        "import sys, rushmux.block.__main__; "
+        "print([name for name in ('numpy', 'google.protobuf', 'structlog', 'jsonschema')"
+        " if name in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=20, check=True
+    )
     assert done.stdout.strip() == "[]"
--- a/tests/block/test_sizes.py
+++ b/tests/block/test_sizes.py
@@ -1,4 +1,5 @@
 """The largest fleets: a list of 1,024 nodes and settings of 1,024 gateways, through the program's own process."""
+
 import asyncio
 import re
 from pathlib import Path
@@ -8,8 +9,8 @@
 from rushmux.standins.platform import read, write
 
 NODES = 1_024
-MEMORY = 64 * 1024       # KiB
-TURN = 0.3               # seconds that a client waits at most for a PONG while lists come, on a busy machine
+MEMORY = 64 * 1024  # KiB
+TURN = 0.3  # seconds that a client waits at most for a PONG while lists come, on a busy machine
 
 
 def memory(process) -> int:
@@ -33,18 +34,20 @@
                 await pinger.ask(b"PING")
                 waits.append(loop.time() - at)
                 await asyncio.sleep(0.005)
+
         task = asyncio.ensure_future(ping())
-        for number in range(0, NODES, 16):   # nodes over all the list, from the list it was started with
+        for number in range(0, NODES, 16):  # nodes over all the list, from the list it was started with
             asked.append(await client.ask(*read(number + 1, cell=number)))
         half = range(NODES // 2)
         stage.discovery.put(*(stage.node.row(f"s{number}", number, "removed") for number in half))
         stage.discovery.put(*(stage.node.row(f"t{number}", number) for number in half))
         await asyncio.sleep(0.3)
-        for number in range(0, NODES, 16):   # half of them came as changes
+        for number in range(0, NODES, 16):  # half of them came as changes
             asked.append(await client.ask(*write(5_000 + number, cell=number)))
         stop = True
         await task
         return ready, asked, max(waits), memory(stage.process), len(stage.discovery.rows)
+
     ready, asked, longest, held, rows = running(story, nodes=NODES, gateways=NODES, shards=NODES)
     assert rows == NODES and ready < 5
     assert set(asked) == {("$", b"data")} and len(asked) == 2 * NODES // 16
--- a/tests/block/test_stop.py
+++ b/tests/block/test_stop.py
@@ -7,6 +7,7 @@
 and commands that came on the heels of an answer were never read.  What the program says that it took
 knows of neither: what clients wrote whole is counted here.
 """
+
 import asyncio
 import signal
 import socket
@@ -15,10 +16,10 @@
 
 from rushmux.standins.platform import Discovery, command, read, served
 
-STEP = 0.05              # seconds between two commands on each kind of connection
-PAUSE = 0.15             # seconds for which the process stands still
-GRACE = 0.7              # seconds past the longest hard stop, 3 s at most, until SIGKILL may come
-CROSSING = 0.05          # seconds before a connection's end in which a command may cross it, on a busy machine
+STEP = 0.05  # seconds between two commands on each kind of connection
+PAUSE = 0.15  # seconds for which the process stands still
+GRACE = 0.7  # seconds past the longest hard stop, 3 s at most, until SIGKILL may come
+CROSSING = 0.05  # seconds before a connection's end in which a command may cross it, on a busy machine
 
 
 class Asker:
@@ -30,7 +31,7 @@
 
     def lost(self):
         """When each command was written that got no answer and did not cross the connection's end."""
-        return [at for at in self.asks[len(self.answers):] if at < self.ended_at - CROSSING]
+        return [at for at in self.asks[len(self.answers) :] if at < self.ended_at - CROSSING]
 
     async def open(self, client):
         self.client = client
@@ -49,10 +50,18 @@
             self.client.writer.write(b"".join(command(read(number, left=hard_stop)) for number in numbers))
 
 
-@pytest.mark.parametrize("hard_stop, pauses", [
-    # The last stand-still is over 0.3 s before SIGKILL may come: a busy machine takes its part of that.
-    (100, (0.3,)), (300, ()), (1_000, (0.45,)), (2_000, (1.4, 2.25)), (6_700, (0.2, 2.45, 3.2)),
-    (10_000, (2.4, 3.25))])
+@pytest.mark.parametrize(
+    "hard_stop, pauses",
+    [
+        # The last stand-still is over 0.3 s before SIGKILL may come: a busy machine takes its part of that.
+        (100, (0.3,)),
+        (300, ()),
+        (1_000, (0.45,)),
+        (2_000, (1.4, 2.25)),
+        (6_700, (0.2, 2.45, 3.2)),
+        (10_000, (2.4, 3.25)),
+    ],
+)
 def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(running, hard_stop, pauses):
     killed_after = min(3.0, hard_stop / 1000) + GRACE
 
@@ -63,7 +72,7 @@
         idle, busy, pipe = Asker(stage.port), Asker(stage.port), Asker(stage.port)
         for one in (idle, busy, pipe):
             await one.open(await stage.client())
-        busy.ask(1, hard_stop=hard_stop)   # answered late
+        busy.ask(1, hard_stop=hard_stop)  # answered late
         askers, number = [idle, busy, pipe], 10
         begun = loop.time()
         stage.process.send_signal(signal.SIGTERM)
@@ -90,10 +99,11 @@
         await asyncio.gather(*(one.task for one in askers))
         answers = [answer for one in askers for answer in one.answers]
         return answers, log, code, ended, begun, [at - begun for one in askers for at in one.lost()]
+
     answers, log, code, ended, begun, lost = running(story, hard_stop=hard_stop)
     last = log.splitlines()[-1]
     assert code == 0 and "fault" not in log and "Traceback" not in log
-    assert ended < killed_after + 0.5    # the interpreter takes its time to end
+    assert ended < killed_after + 0.5  # the interpreter takes its time to end
     # Each that was taken is answered, and no connection is answered on more often.
     assert f"taken={len(answers)} open=0" in last, (last, len(answers))
     assert max(at for at, _ in answers) - begun < killed_after
@@ -120,17 +130,18 @@
     async def story(stage):
         await (await stage.client()).ask(b"PING")
         stage.process.send_signal(signal.SIGTERM)
-        await asyncio.sleep(0.25)        # new connections come for 0.4 s
+        await asyncio.sleep(0.25)  # new connections come for 0.4 s
         stage.process.send_signal(signal.SIGSTOP)
         askers = [await asking(stage, read(number, left=2_000)) for number in range(clients)]
-        await asyncio.sleep(0.4)         # past the time at which no new ones are waited for
+        await asyncio.sleep(0.4)  # past the time at which no new ones are waited for
         stage.process.send_signal(signal.SIGCONT)
         return await asyncio.gather(*map(answers_on, askers)), await stage.process.wait()
+
     assert running(story, hard_stop=2_000) == ([[("$", b"data")]] * clients, 0)
 
 
 def test_commands_that_wait_behind_a_full_connection_are_answered_at_the_stop(running):
-    asked = 150                          # more than a connection may be owed at a time
+    asked = 150  # more than a connection may be owed at a time
 
     async def story(stage):
         stage.node.plays = lambda words: ["hang"]
@@ -139,6 +150,7 @@
         await asyncio.sleep(0.2)
         stage.process.send_signal(signal.SIGTERM)
         return await answers_on(client)
+
     answers = running(story, hard_stop=9_000)
     assert [kind for kind, _ in answers] == ["-"] * asked
 
@@ -148,6 +160,7 @@
         await (await stage.client()).ask(b"PING")
         bad = [read(number, lane="none") for number in range(3)]
         return await answers_on(await asking(stage, *bad, read(4)))
+
     answers = running(story)
     assert [kind for kind, _ in answers] == ["-", "-", "-", "$"]
 
@@ -155,6 +168,7 @@
 @pytest.mark.parametrize("hard_stop", [1_000, 6_000])
 def test_who_comes_again_on_the_heels_of_an_answer_is_served_through_the_stop(running, hard_stop):
     """Each answer is followed at once by the next command, for as long as the connection stands."""
+
     async def story(stage):
         loop, unanswered, served_by = asyncio.get_running_loop(), 0, []
         stage.node.plays = lambda words: [0.03, served()]
@@ -174,9 +188,11 @@
                     unanswered += 1
                     return
                 served_by.append(loop.time() - begun)
+
         await asyncio.gather(*(again(client, place) for place, client in enumerate(clients)))
         await stage.process.wait()
         return unanswered, max(served_by), len(clients)
+
     unanswered, last, clients = running(story, hard_stop=hard_stop)
     killed_after = min(3.0, hard_stop / 1000) + GRACE
     # Only the cut itself is crossed, and it comes shortly before SIGKILL may.
@@ -199,6 +215,7 @@
         log = (await stage.process.stderr.read()).decode()
         other.close()
         return answer, len(other.calls) > 0, "fault" in log, await stage.process.wait()
+
     assert running(story) == (("$", b"data"), True, False, 0)
 
 
@@ -206,14 +223,17 @@
     value, asked = bytes(900_000), 5
 
     async def story(stage):
-        stage.node.plays = lambda words: [0.6, served(value)]   # the connection is ended 0.5 s after SIGTERM
+        stage.node.plays = lambda words: [0.6, served(value)]  # the connection is ended 0.5 s after SIGTERM
         client = await stage.client()
-        client.writer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        client.writer.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536
+        )
         client.writer.write(b"".join(command(read(number)) for number in range(asked)))
         await asyncio.sleep(0.05)
-        client.writer.transport.pause_reading()   # a client that is slow to read
+        client.writer.transport.pause_reading()  # a client that is slow to read
         stage.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(1.1)
         client.writer.transport.resume_reading()
         return [await client.reply() for _ in range(asked)]
+
     assert running(story) == [("$", value)] * asked
--- a/tests/buffer/conftest.py
+++ b/tests/buffer/conftest.py
@@ -1,4 +1,5 @@
 """Fixtures of the buffer's tests: the example's deployment with its buffer on, and its fleets."""
+
 import copy
 import json
 from pathlib import Path
@@ -20,6 +21,8 @@
 @pytest.fixture
 def play(raw):
     """Plays a story on a fleet of the deployment; the fleet and the story's result."""
+
     def played(story, seed=3, **settings):
         return fleet.play(deployment.build(raw), seed, story, **{"nodes": 4, "unit": 0.004, **settings})
+
     return played
--- a/tests/buffer/test_decide.py
+++ b/tests/buffer/test_decide.py
@@ -1,11 +1,20 @@
 """What the buffer decides, on a clock of the test's own."""
+
 import pytest
 
 from rushmux.buffer.decide import REFUSE, TAKE, WAIT, Buffer, Caps
 
-CAPS = Caps(edge_bytes=3_000, folder_bytes=2_000, age=2.0, keep=10.0, idle=0.3, batch_files=3,
-            batch_bytes=1_000,
-            out=2, background=0.5)
+CAPS = Caps(
+    edge_bytes=3_000,
+    folder_bytes=2_000,
+    age=2.0,
+    keep=10.0,
+    idle=0.3,
+    batch_files=3,
+    batch_bytes=1_000,
+    out=2,
+    background=0.5,
+)
 
 
 @pytest.fixture
@@ -29,14 +38,14 @@
     assert buffer.admit("f", 500, 0.0) == TAKE and buffer.admit("f", 501, 0.0) == WAIT
     put(buffer, "b", 1_400, folder="g")
     assert buffer.admit("h", 101, 0.0) == WAIT and buffer.admit("h", 100, 0.0) == TAKE
-    put(buffer, "a", 1_500, start=0)     # over the same bytes: nothing more is held
+    put(buffer, "a", 1_500, start=0)  # over the same bytes: nothing more is held
     assert buffer.bytes == 2_900
 
 
 def test_what_cannot_get_out_stops_new_packets_until_it_does(buffer):
     put(buffer, "a")
     batch, _ = buffer.next(1.0)
-    assert buffer.admit("f", 1, 9.0) == TAKE          # old, but nothing has failed
+    assert buffer.admit("f", 1, 9.0) == TAKE  # old, but nothing has failed
     buffer.failed(batch, 1.0, "no")
     assert buffer.admit("f", 1, 2.9) == TAKE and buffer.admit("f", 1, 3.1) == WAIT
     assert buffer.admit("g", 1, 3.1) == TAKE
@@ -98,7 +107,7 @@
     put(buffer, "b")
     first, _ = buffer.next(0.0)
     assert names(first) == ["a"] and first.barrier == barrier
-    assert buffer.next(0.0)[0] is None   # one batch for a folder
+    assert buffer.next(0.0)[0] is None  # one batch for a folder
     buffer.failed(first, 0.0, "no")
     again, _ = buffer.next(0.2)
     assert names(again) == ["a"] and again.barrier == barrier and not buffer.is_past("f", barrier)
--- a/tests/buffer/test_extents.py
+++ b/tests/buffer/test_extents.py
@@ -1,4 +1,5 @@
 """The dirty index against a plain array of bytes."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as some
@@ -22,7 +23,7 @@
     index, plain = kind(), [None] * (SIZE + 60)
     for number, (start, length) in enumerate(puts):
         index.put(start, bytes([number % 251]) * length, number)
-        plain[start:start + length] = [number] * length
+        plain[start : start + length] = [number] * length
     return index, plain
 
 
@@ -31,7 +32,7 @@
     for piece in index:
         assert piece.start >= last and piece.end - piece.start == len(piece.data)
         assert set(piece.data) == {piece.number % 251}
-        found[piece.start:piece.end] = [piece.number] * len(piece.data)
+        found[piece.start : piece.end] = [piece.number] * len(piece.data)
         last = piece.end
     return found
 
@@ -49,8 +50,8 @@
     index, plain = laid(puts)
     found = [None] * length
     for piece in index.within(start, start + length):
-        found[piece.start - start:piece.end - start] = [piece.number] * len(piece.data)
-    assert found == (plain[start:start + length] + [None] * length)[:length]
+        found[piece.start - start : piece.end - start] = [piece.number] * len(piece.data)
+    assert found == (plain[start : start + length] + [None] * length)[:length]
 
 
 @given(PUTS, some.integers(1, 100))
@@ -63,5 +64,5 @@
         assert not ends or start > ends[-1] or start % block == 0
         ends.append(pieces[-1].end)
         for piece in pieces:
-            found[piece.start:piece.end] = [piece.number] * len(piece.data)
+            found[piece.start : piece.end] = [piece.number] * len(piece.data)
     assert found == plain
--- a/tests/buffer/test_hard_cases.py
+++ b/tests/buffer/test_hard_cases.py
@@ -1,4 +1,5 @@
 """The buffer's troubles on the virtual clock."""
+
 import asyncio
 import errno
 
@@ -46,6 +47,7 @@
         assert (await one.ask(sftp.Read, handle, 0, 100)).data == bytes(10) + b"held"
         assert (await two.ask(sftp.Stat, "/heredia/a")).attributes.size == 14
         return took
+
     assert play(story)[1] < 0.002
 
 
@@ -62,6 +64,7 @@
             else:
                 await barrier(one, "/heredia")
             assert held(fleet) == 0 and await two.get(f"/heredia/{name}") == b"settled"
+
     play(story)
 
 
@@ -72,6 +75,7 @@
         await one.ask(sftp.Write, handle, 0, b"alone")
         await fleet.sleep(3)
         return held(fleet), await two.get("/heredia/a")
+
     assert play(story)[1] == (0, b"alone")
 
 
@@ -83,10 +87,11 @@
             await one.ask(sftp.Write, handle, at, bytes([at >> 12 & 255]) * 4_096)
         await one.ask(sftp.Close, handle)
         return await one.get("/heredia/a")
+
     fleet, data = play(story)
     assert data == b"".join(bytes([number & 255]) * 4_096 for number in range(256))
     writes = [row for row in fleet.records if row["kind"] == "execution" and row["what"] == "write"]
-    assert len(writes) < 30              # of 256
+    assert len(writes) < 30  # of 256
 
 
 def test_killed_right_after_a_flush_was_answered(play):
@@ -97,6 +102,7 @@
         await flush(one, handle)
         fleet.kill_edge(0)
         return await two.get("/heredia/a")
+
     assert play(story, logs=False)[1] == b"flushed" * 9_000
 
 
@@ -118,8 +124,9 @@
         if told == "ok":
             fleet.kill_edge(0)
         else:
-            await fleet.sleep(12)        # it goes on and comes through when the trouble is over
+            await fleet.sleep(12)  # it goes on and comes through when the trouble is over
         return told, took, await two.get("/heredia/a")
+
     _, (told, took, data) = play(story)
     assert data == b"careful" * 30_000 and took < 7 and told in ("ok", "terminated")
 
@@ -136,7 +143,7 @@
         await fleet.sleep(0.01)
         await fleet.replace(other, "new")
         await flushing
-        await fleet.sleep(4)             # until the list has told of the new one
+        await fleet.sleep(4)  # until the list has told of the new one
         return [await tried(two, at) for at in range(20)]
 
     async def tried(client, at):
@@ -145,6 +152,7 @@
             return (await client.ask(sftp.Read, handle, at * 300_000, 1_000)).data == b"p" * 1_000
         except Refusal as refusal:
             return "not on its node" in refusal.status.message
+
     # What lay on the node that was replaced by an empty one is lost with it, and told so, never wrong.
     assert all(play(story)[1])
 
@@ -164,13 +172,14 @@
         await far.ask(sftp.Remove, "/heredia/b")
         with pytest.raises(Refusal, match="/heredia/.: the file was removed"):
             await flush(one, handle)
-        await flush(one, handle)         # told once
+        await flush(one, handle)  # told once
         await one.ask(sftp.Close, handle)
         again = await two.open("/heredia/c", sftp.WRITE | sftp.CREATE)
         await two.ask(sftp.Write, again, 0, b"long before")
         await one.ask(sftp.Open, "/heredia/c", sftp.WRITE | sftp.TRUNCATE, PLAIN)
         await two.ask(sftp.Close, again)
         return await far.get("/heredia/c")
+
     assert play(story)[1] == b""
 
 
@@ -190,6 +199,7 @@
         await one.ask(sftp.Write, second, 0, b"after")
         await flush(one, second)
         return await far.get("/heredia/a"), await far.get("/heredia/b")
+
     assert play(story)[1] == (b"before" * 40_000, b"after")
 
 
@@ -203,9 +213,10 @@
         disk.fails, disk.half = fault, half
         await one.ask(sftp.Write, handle, 6, b"-not")
         await one.ask(sftp.Write, handle, 10, b"-through")
-        assert held(fleet) == 0          # at the latest the next write goes to the nodes itself
+        assert held(fleet) == 0  # at the latest the next write goes to the nodes itself
         fleet.kill_edge(0)
         return await two.get("/heredia/a")
+
     fleet, data = play(story)
     assert data == b"logged-not-through"
     assert any(row["event"] == "buffer.log.failed" for row in fleet.logs)
@@ -218,7 +229,7 @@
         await one.ask(sftp.Write, handles[0], 0, b"first")
         await one.ask(sftp.Write, handles[1], 0, b"second")
         fleet.kill_edge(0)
-        name, = fleet.log_disks[0].names()
+        (name,) = fleet.log_disks[0].names()
         hurt(fleet.log_disks[0].files[name])
         await fleet.edge(0)
         again = await fleet.client(0)
@@ -231,6 +242,7 @@
 
     def damaged(data):
         data[data.index(b"first")] ^= 1
+
     fleet, (one, two, _) = play(lambda fleet: story(fleet, torn))
     assert (one, two) == (b"first", b"") and any(row["event"] == "buffer.log.torn" for row in fleet.logs)
     fleet, (one, two, files) = play(lambda fleet: story(fleet, damaged))
@@ -251,6 +263,7 @@
                 results.append(name)
             except Refusal as refusal:
                 results.append(refusal.status.message.split(":")[0])
+
         clients = [await fleet.client(0) for _ in range(4)]
         tasks = [asyncio.ensure_future(file(clients[name % 4], name)) for name in range(40)]
         while not all(task.done() for task in tasks):
@@ -262,6 +275,7 @@
             if isinstance(name, int):
                 assert await far.get(f"/heredia/{name}") == bytes([name]) * 300_000
         return most, log, results
+
     _, (most, log, results) = play(story, unit=0.002)
     assert 0 < most <= 1 << 20 and log <= 17 << 20
     assert sum(isinstance(name, int) for name in results) >= 10 and len(results) == 40
@@ -278,6 +292,7 @@
         begun = fleet.loop.time()
         await flushing
         return fleet.loop.time() - begun, await far.get("/heredia/a")
+
     _, (took, data) = play(story)
     assert 2.9 < took < 7 and data == b"paused" * 10_000
 
@@ -288,13 +303,15 @@
     async def story(fleet):
         one, far = await fleet.client(0), await fleet.client(1)
         handle = await opened(one, "/heredia/a")
-        for at in range(60):             # every other place, so that nothing lies together
+        for at in range(60):  # every other place, so that nothing lies together
             await one.ask(sftp.Write, handle, at * 200, bytes([at]) * 100)
             await flush(one, handle)
-        rows = fleet.stores[f"node{HOME}"].base.execute("select value from rows where key like "
-                                                        "'b/%'").fetchall()
-        await fleet.sleep(5)             # until the cleaner has dropped what is no more named
-        return max(len(layout.unpack_block(value)) for value, in rows), await far.get("/heredia/a")
+        rows = (
+            fleet.stores[f"node{HOME}"].base.execute("select value from rows where key like 'b/%'").fetchall()
+        )
+        await fleet.sleep(5)  # until the cleaner has dropped what is no more named
+        return max(len(layout.unpack_block(value)) for (value,) in rows), await far.get("/heredia/a")
+
     fleet, (pieces, data) = play(story)
     assert pieces <= 8 and data == b"".join(bytes([at]) * 100 + bytes(100) for at in range(60))[:-100]
     assert any(row["kind"] == "execution" and row["what"] == "drop" for row in fleet.records)
@@ -304,7 +321,7 @@
     async def story(fleet):
         one, two = await fleet.client(0), await fleet.client(1)
         handles = [await opened(client, "/heredia/a") for client in (one, two)]
-        for at in range(10):             # each its own half of every stretch, and one place for both
+        for at in range(10):  # each its own half of every stretch, and one place for both
             await one.ask(sftp.Write, handles[0], at * 1_000, b"1" * 500)
             await two.ask(sftp.Write, handles[1], at * 1_000 + 500, b"2" * 500)
         await one.ask(sftp.Write, handles[0], 20_000, b"one")
@@ -312,6 +329,7 @@
         await two.ask(sftp.Write, handles[1], 20_000, b"two")
         await flush(two, handles[1])
         return await one.get("/heredia/a")
+
     data = play(story)[1]
     assert data[:10_000] == (b"1" * 500 + b"2" * 500) * 10 and data[20_000:] == b"two"
 
@@ -328,7 +346,8 @@
         await fleet.edge(1)
         two = await fleet.client(1)
         return await two.get("/heredia/a")
-    assert play(story)[1] == b"from two"   # its log brought back what was not flushed
+
+    assert play(story)[1] == b"from two"  # its log brought back what was not flushed
 
 
 def test_an_edge_that_ends_writes_out_what_it_holds(play):
@@ -339,6 +358,7 @@
         part = fleet.edges[0]
         await part.process.spawn(part.program.close())
         return await far.get("/heredia/a")
+
     assert play(story, logs=False)[1] == b"in time"
 
 
@@ -347,6 +367,7 @@
 
     async def story(fleet):
         await day.play(fleet, script.load("bad"), day.Load(part=0.4), 5)
+
     fleet, _ = play(story, nodes=6, edges=3, unit=0.02)
     for verdict in Checker(fleet.all_records(), build(raw), 0.005).verdicts():
         assert not verdict.breaches, verdict
--- a/tests/buffer/test_journal.py
+++ b/tests/buffer/test_journal.py
@@ -1,4 +1,5 @@
 """The log's records: whole, torn and damaged."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as some
@@ -6,8 +7,10 @@
 from rushmux.buffer import journal
 from rushmux.buffer.disk import Disk, InUse
 
-RECORDS = [journal.Record(journal.PUT, {"number": number, "folder": "f"}, bytes([number]) * 40)
-           for number in range(1, 6)]
+RECORDS = [
+    journal.Record(journal.PUT, {"number": number, "folder": "f"}, bytes([number]) * 40)
+    for number in range(1, 6)
+]
 PACKED = [journal.pack(record.kind, record.data, **record.fields) for record in RECORDS]
 TEXT = journal.HEAD + b"".join(PACKED)
 
--- a/tests/buffer/test_kills.py
+++ b/tests/buffer/test_kills.py
@@ -1,5 +1,6 @@
 """Kills at random moments: nothing flushed is lost, no barrier is crossed, and checks that are taken out
 are missed."""
+
 import random
 
 import pytest
@@ -11,8 +12,10 @@
 def breaches(play, seeds, **settings):
     found = []
     for seed in seeds:
+
         async def story(fleet):
             return (await kills.round_of(fleet, "heredia", random.Random(seed), 0, 1.2))[0]
+
         found += [f"seed {seed}: {text}" for text in play(story, seed=seed, **settings)[1]]
     return found
 
@@ -28,6 +31,7 @@
 def test_a_buffer_that_does_not_wait_for_its_flush_is_found_out(play, monkeypatch):
     async def at_once(self, *words):
         pass
+
     monkeypatch.setattr(WriteBack, "flush", at_once)
     monkeypatch.setattr(WriteBack, "past", at_once)
     assert breaches(play, range(10))
@@ -40,6 +44,7 @@
 
 def test_a_buffer_that_forgets_its_barriers_is_found_out(play, monkeypatch):
     from rushmux.buffer.decide import Buffer
+
     monkeypatch.setattr(Buffer, "barrier", lambda self, name: -1)
     assert any("barrier" in text or "flushed" in text for text in breaches(play, range(20)))
 
@@ -48,5 +53,6 @@
 def test_a_seed_replays(play, seed):
     async def story(fleet):
         return await kills.round_of(fleet, "heredia", random.Random(seed), 0, 1.2)
+
     (one, result), (two, other) = (play(story, seed=seed) for _ in range(2))
     assert one.records == two.records and result == other
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,23 +1,54 @@
 """The one helper file: plays a scenario in the notation of tests/scenarios/README.md."""
+
 import pytest
 
 from rushmux import interface as say
 from rushmux.rules import Gateway
 
-MS = 10   # ticks in a millisecond
-
-TERMS = {"gateways": 2, "tick": 20, "list_asked": False, "ask_within": 10_000 * MS, "executions": 3,
-         "come_back": 2_000 * MS, "mean_units": 2.0, "most_units": 8.0, "cold_units": 16.0,
-         "cold_span": 2_000 * MS, "fall_multiple": 2.0, "cold_start": 0.25, "warm_within": 16_000 * MS,
-         "meter_span": 0, "order_rest": 0, "budget_share": None, "budget_free": 0.0, "budget_span": 0,
-         "copies": False, "cancel": False, "load_asked": False}
-LANE = {"quoted": 400, "stop": 2000, "utility": 1.0, "repeat": say.REPLAYABLE, "group": "all",
-        "window": 3000, "in_order": False}
-ROUTE = {"time_out": 1 << 40, "executions": 1 << 40, "wait": 0, "copy_after": 0, "held": 1 << 40,
-         "share": 0.0,
-         "free": 1e12}
-PLAN = {"nominal": 4.0, "reserve": 2.0, "limit": 0.0, "burst": 0.0, "slack": 0.0, "weight": 1.0,
-        "price": 1.0}
+MS = 10  # ticks in a millisecond
+
+TERMS = {
+    "gateways": 2,
+    "tick": 20,
+    "list_asked": False,
+    "ask_within": 10_000 * MS,
+    "executions": 3,
+    "come_back": 2_000 * MS,
+    "mean_units": 2.0,
+    "most_units": 8.0,
+    "cold_units": 16.0,
+    "cold_span": 2_000 * MS,
+    "fall_multiple": 2.0,
+    "cold_start": 0.25,
+    "warm_within": 16_000 * MS,
+    "meter_span": 0,
+    "order_rest": 0,
+    "budget_share": None,
+    "budget_free": 0.0,
+    "budget_span": 0,
+    "copies": False,
+    "cancel": False,
+    "load_asked": False,
+}
+LANE = {
+    "quoted": 400,
+    "stop": 2000,
+    "utility": 1.0,
+    "repeat": say.REPLAYABLE,
+    "group": "all",
+    "window": 3000,
+    "in_order": False,
+}
+ROUTE = {
+    "time_out": 1 << 40,
+    "executions": 1 << 40,
+    "wait": 0,
+    "copy_after": 0,
+    "held": 1 << 40,
+    "share": 0.0,
+    "free": 1e12,
+}
+PLAN = {"nominal": 4.0, "reserve": 2.0, "limit": 0.0, "burst": 0.0, "slack": 0.0, "weight": 1.0, "price": 1.0}
 
 
 def valued(words, defaults):
@@ -70,16 +101,23 @@
         """A node's load, or how asking for it ended: queue, and service in ms."""
         row = valued(words, {"queue": -1.0, "service": -1.0})
         row["service"] *= MS
-        self.gateway.reported(node, result,
-                              *(value if value >= 0 else None for value in row.values()))
+        self.gateway.reported(node, result, *(value if value >= 0 else None for value in row.values()))
 
     def terms_(self, *words):
         self.terms = valued(words, self.terms)
 
     def lane(self, name, *words):
         row = valued(words, LANE)
-        self.lanes[name] = say.Lane(name, row["quoted"] * MS, row["stop"] * MS, row["utility"], row["repeat"],
-                                    row["group"], row["window"] * MS, row["in_order"])
+        self.lanes[name] = say.Lane(
+            name,
+            row["quoted"] * MS,
+            row["stop"] * MS,
+            row["utility"],
+            row["repeat"],
+            row["group"],
+            row["window"] * MS,
+            row["in_order"],
+        )
 
     def plan(self, name, *words):
         self.plans[name] = say.Plan(name, **valued(words, PLAN))
@@ -88,9 +126,15 @@
         """A route; `copies=` none stands for no copies.  A running gateway is told at once."""
         row = valued([word for word in words if word != "copies=none"], ROUTE)
         copy_after = None if "copies=none" in words else row["copy_after"] * MS
-        self.routes[lane, plan] = say.Route(row["time_out"] * MS, row["executions"], row["wait"] * MS,
-                                            copy_after,
-                                            row["held"], row["share"], row["free"])
+        self.routes[lane, plan] = say.Route(
+            row["time_out"] * MS,
+            row["executions"],
+            row["wait"] * MS,
+            copy_after,
+            row["held"],
+            row["share"],
+            row["free"],
+        )
         if self.gateway:
             self.gateway.routed(dict(self.routes))
 
@@ -104,17 +148,41 @@
         entries = []
         for text in nodes:
             name, cell, condition, since, zone = (text.split("/") + ["", "", ""])[:5]
-            entries.append(say.Listed(name, int(cell), zone or "z", condition or say.READY,
-                                      int(since or 0) * MS))
+            entries.append(
+                say.Listed(name, int(cell), zone or "z", condition or say.READY, int(since or 0) * MS)
+            )
         self.gateway.listed(self.now, kind, entries)
 
     def take(self, op_ids, *words):
-        row = valued(words, {"lane": "read", "plan": "base", "vol": "v", "key": "", "left": 0, "units": 2.0,
-                             "cell": 0, "mounts": 1, "again": False})
+        row = valued(
+            words,
+            {
+                "lane": "read",
+                "plan": "base",
+                "vol": "v",
+                "key": "",
+                "left": 0,
+                "units": 2.0,
+                "cell": 0,
+                "mounts": 1,
+                "again": False,
+            },
+        )
         left = row["left"] * MS or self.lanes[row["lane"]].hard_stop
         for op_id in op_ids.split(","):
-            self.gateway.taken(self.now, op_id, row["lane"], row["plan"], row["vol"], row["key"], left,
-                               row["units"], row["cell"], row["mounts"], row["again"])
+            self.gateway.taken(
+                self.now,
+                op_id,
+                row["lane"],
+                row["plan"],
+                row["vol"],
+                row["key"],
+                left,
+                row["units"],
+                row["cell"],
+                row["mounts"],
+                row["again"],
+            )
 
     def back(self, op_ids, result, *words):
         row = valued(words, {"others": 0.0, "use": 0})
@@ -122,8 +190,9 @@
         for op_id in op_ids.split(","):
             op_id, _, number = op_id.partition("/")
             number = int(number) if number else self.executions[op_id]
-            self.gateway.answered(self.now, op_id, number, result, result == say.SUCCEEDED,
-                                  row["use"], row["others"])
+            self.gateway.answered(
+                self.now, op_id, number, result, result == say.SUCCEEDED, row["use"], row["others"]
+            )
 
     def pause(self, milliseconds):
         self.now, self.wakes = self.now + int(milliseconds) * MS, []
--- a/tests/files/test_layout.py
+++ b/tests/files/test_layout.py
@@ -1,4 +1,5 @@
 """Blocks and extents against a plain array of bytes; names of cells."""
+
 from hypothesis import given
 from hypothesis import strategies as some
 
@@ -17,7 +18,7 @@
     for number, (start, length) in enumerate(writes):
         length = min(length, SIZE - start)
         extents = layout.lay(extents, Extent(start, length, f"o{number}", number % 3, 0))
-        plain[start:start + length] = [(f"o{number}", place) for place in range(length)]
+        plain[start : start + length] = [(f"o{number}", place) for place in range(length)]
     return extents, plain
 
 
@@ -55,20 +56,32 @@
 
 @given(some.integers(0, 1000), some.integers(0, 1000), some.integers(1, 50))
 def test_pieces_cover_a_stretch(offset, length, block):
-    bytes_ = [number * block + start + place for number, start, part in layout.pieces(offset, length, block)
-              for place in range(part)]
+    bytes_ = [
+        number * block + start + place
+        for number, start, part in layout.pieces(offset, length, block)
+        for place in range(part)
+    ]
     assert bytes_ == list(range(offset, offset + length))
 
 
-@pytest.mark.parametrize("path, names", [
-    ("", ()), ("/", ()), (".", ()), ("a/b", ("a", "b")), ("/a//b/./c/", ("a", "b", "c")),
-    ("/a/../b", ("b",))])
+@pytest.mark.parametrize(
+    "path, names",
+    [
+        ("", ()),
+        ("/", ()),
+        (".", ()),
+        ("a/b", ("a", "b")),
+        ("/a//b/./c/", ("a", "b", "c")),
+        ("/a/../b", ("b",)),
+    ],
+)
 def test_paths(path, names):
     assert paths.split(path) == names
 
 
-@pytest.mark.parametrize("path", ["..", "/../etc", "a/../../b", "a\0b", "x" * 256, "a/" * 65 + "b",
-                                  "a/" * 4000])
+@pytest.mark.parametrize(
+    "path", ["..", "/../etc", "a/../../b", "a\0b", "x" * 256, "a/" * 65 + "b", "a/" * 4000]
+)
 def test_paths_that_are_not_taken(path):
     with pytest.raises(paths.BadPath):
         paths.split(path)
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -1,11 +1,25 @@
 """Who lives: leases, starts, drains, flapping, and a planner that was away itself."""
+
 import random
 
 import pytest
 
 from rushmux.fleet import membership
-from rushmux.fleet.membership import (CROWD_WAIT, DRAINED, DRAINING, EDGE, GONE, HELD, LEASE, NODE, READY,
-                                        SETTLE, SUSPECTED, Full, Membership)
+from rushmux.fleet.membership import (
+    CROWD_WAIT,
+    DRAINED,
+    DRAINING,
+    EDGE,
+    GONE,
+    HELD,
+    LEASE,
+    NODE,
+    READY,
+    SETTLE,
+    SUSPECTED,
+    Full,
+    Membership,
+)
 
 
 class Fleet:
@@ -128,7 +142,7 @@
     assert fleet.of("n1")[-1] == DRAINING
     fleet.out["n1"] = 0
     fleet.run(SETTLE - 1)
-    fleet.out["n1"] = 1                  # a late one: it begins anew
+    fleet.out["n1"] = 1  # a late one: it begins anew
     fleet.run(1)
     fleet.out["n1"] = 0
     fleet.run(SETTLE)
@@ -144,8 +158,9 @@
 def test_members_from_a_store_get_a_whole_lease_and_stay_draining(fleet):
     fleet.members = Membership(100.0)
     fleet.now = 100.0
-    fleet.members.restored(100.0, [("n0", NODE, "a", False), ("n1", NODE, "a", True), ("e0", EDGE, "x",
-                                                                                       False)])
+    fleet.members.restored(
+        100.0, [("n0", NODE, "a", False), ("n1", NODE, "a", True), ("e0", EDGE, "x", False)]
+    )
     fleet.silent = {"n1"}
     fleet.run(4)
     assert GONE not in fleet.of("n1") and dict(fleet.members.told())["n1"] == DRAINING
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -1,4 +1,5 @@
 """Placement: even, cheap, stable, within zones and budget; against an exact solver on small cases."""
+
 import random
 
 import numpy
@@ -11,10 +12,13 @@
 def drawn(seed, cells, nodes, zones=3, spread=0.6):
     """Cells placed at random on nodes of unlike capacity."""
     chance = random.Random(seed)
-    stood = [Node(f"n{number}", chance.choice((1.0, 1.0, 2.0)),
-                  f"z{number % zones}") for number in range(nodes)]
-    return [Cell(number, chance.lognormvariate(0, spread), 1.0, chance.choice(stood).name)
-            for number in range(cells)], stood
+    stood = [
+        Node(f"n{number}", chance.choice((1.0, 1.0, 2.0)), f"z{number % zones}") for number in range(nodes)
+    ]
+    return [
+        Cell(number, chance.lognormvariate(0, spread), 1.0, chance.choice(stood).name)
+        for number in range(cells)
+    ], stood
 
 
 def applied(cells, found):
@@ -31,7 +35,7 @@
     rows, low, high = [], [], []
     for place in range(count):
         row = numpy.zeros(size)
-        row[place * many:(place + 1) * many] = 1
+        row[place * many : (place + 1) * many] = 1
         rows.append(row), low.append(1), high.append(1)
     for number, node in enumerate(nodes):
         row = numpy.zeros(size)
@@ -46,8 +50,13 @@
     rows.append(row), low.append(0), high.append(budget)
     kinds = numpy.ones(size)
     kinds[-1] = 0
-    found = milp(goal, constraints=LinearConstraint(numpy.array(rows), low, high), integrality=kinds,
-                 bounds=Bounds(0, numpy.append(numpy.ones(size - 1), numpy.inf)), options={"time_limit": 10})
+    found = milp(
+        goal,
+        constraints=LinearConstraint(numpy.array(rows), low, high),
+        integrality=kinds,
+        bounds=Bounds(0, numpy.append(numpy.ones(size - 1), numpy.inf)),
+        options={"time_limit": 10},
+    )
     return found.fun
 
 
@@ -66,7 +75,8 @@
     found = plan(cells, nodes)
     after = applied(cells, found)
     assert fullest(after, nodes) == pytest.approx(found.after) and fullest(cells, nodes) == pytest.approx(
-        found.before)
+        found.before
+    )
     assert found.after < found.before and found.moved == len(found.moves)
     even = sum(cell.weight for cell in cells) / sum(node.capacity for node in nodes)
     assert found.after <= even * 1.12
@@ -89,8 +99,9 @@
     own = {cell.name for cell in after if cell.node == lost}
     assert own == {move.cell for move in found.moves if move.forced}
     assert len(found.moves) <= 1.5 * len(own)
-    assert [move.forced for move in found.moves] == sorted((move.forced for move in found.moves),
-                                                           reverse=True)
+    assert [move.forced for move in found.moves] == sorted(
+        (move.forced for move in found.moves), reverse=True
+    )
 
 
 def test_zones_keep_their_parts():
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -1,11 +1,26 @@
 """The fleet's policy: a change takes hold everywhere or nowhere, whatever is lost, killed, stopped or cut
 off."""
+
 import json
 
 import pytest
 
-from rushmux.fleet.policy import (DRIFT, LEASE, MOST_BETWEEN, NARROW, PATIENCE, Ask, Conduct, Grant, Holder,
-                                  Policy, Refused, Register, packed, unpacked)
+from rushmux.fleet.policy import (
+    DRIFT,
+    LEASE,
+    MOST_BETWEEN,
+    NARROW,
+    PATIENCE,
+    Ask,
+    Conduct,
+    Grant,
+    Holder,
+    Policy,
+    Refused,
+    Register,
+    packed,
+    unpacked,
+)
 from rushmux.standins import policies, policy_defects
 
 SEEDS = 60
@@ -20,10 +35,18 @@
 
 
 # The same within how many seeds for each: `benchmarks/policy.py`.
-@pytest.mark.parametrize("defect", [
-    policy_defects.YesBeforeItsDisk, policy_defects.NeverNarrow, policy_defects.UpBeforeDown,
-    policy_defects.OldLeasesForgotten, policy_defects.OwnLeasesForgotten, policy_defects.JointIsForgotten],
-    ids=lambda defect: defect.__name__)
+@pytest.mark.parametrize(
+    "defect",
+    [
+        policy_defects.YesBeforeItsDisk,
+        policy_defects.NeverNarrow,
+        policy_defects.UpBeforeDown,
+        policy_defects.OldLeasesForgotten,
+        policy_defects.OwnLeasesForgotten,
+        policy_defects.JointIsForgotten,
+    ],
+    ids=lambda defect: defect.__name__,
+)
 def test_a_part_that_is_wrong_in_one_thing_is_found(defect):
     def found(seed):
         try:
@@ -31,6 +54,7 @@
         except policies.Breach:
             return True
         return False
+
     assert any(found(seed) for seed in range(SEEDS))
 
 
@@ -96,7 +120,7 @@
     made.apply(order("propose", 40.0))
     assert one.granted(0.6, grant(one, 0.5, made, 2)) and kept[-1][1].number == 2
     assert one.ask(0.7).joint == 2 and one.number == 1 and one.limits(0.7)["a"] == (40.0, 80.0)
-    again, _ = holder(disk=kept[-1])      # killed, and started on its disk with nobody to ask
+    again, _ = holder(disk=kept[-1])  # killed, and started on its disk with nobody to ask
     assert again.narrow(0.0) and again.limits(0.0)["a"] == (40.0 * NARROW, 80.0 * NARROW)
     made.apply(order("end", number=2, why="no"))
     assert one.granted(1.1, grant(one, 1.0, made, 3)) and one.limits(1.1)["a"] == (100.0, 200.0)
@@ -120,8 +144,10 @@
     def keep(*both):
         if full:
             raise OSError("no room")
+
     def prove(policy):
         return "a lane is unknown" if "30" in policy.text else None
+
     one = Holder("edge0", None, None, prove, keep)
     one.granted(0.1, grant(one, 0.0, made, 1))
     full.append(True)
@@ -131,7 +157,7 @@
     full.clear()
     made.apply(order("propose", 30.0))
     assert one.granted(1.1, grant(one, 1.0, made, 4)) and one.ask(1.2)[3:] == (0, 3, "a lane is unknown")
-    made.apply(order("decide", number=3, joint=[], why=""))   # it was away for a lease, and is back
+    made.apply(order("decide", number=3, joint=[], why=""))  # it was away for a lease, and is back
     assert not one.granted(1.6, grant(one, 1.5, made, 5)) and not one.serves()
 
 
@@ -148,7 +174,7 @@
     for member in MEMBERS[:2]:
         asked(conduct, 100.1, member, joint=2)
     assert conduct.look(100.2) is None
-    assert conduct.look(100.0 + LEASE) is None       # the planner before may have answered the third
+    assert conduct.look(100.0 + LEASE) is None  # the planner before may have answered the third
     asked(conduct, 105.0, "edge2")
     assert conduct.look(105.0 + LEASE) is None
     found = conduct.look(105.0 + LEASE * (1 + DRIFT))
@@ -175,7 +201,7 @@
     conduct = Conduct(made, 0.0)
     for member in MEMBERS[:2]:
         asked(conduct, 11.0, member, joint=2)
-    assert conduct.look(11.0) is None     # 25 of 100 in the hands of who is away, over the 20 of all
+    assert conduct.look(11.0) is None  # 25 of 100 in the hands of who is away, over the 20 of all
     assert conduct.look(11.0 + PATIENCE - 0.1) is None
     found = conduct.look(11.0 + PATIENCE)
     assert found["kind"] == "end" and "edge2" in found["why"]
@@ -184,7 +210,7 @@
     assert made.apply(order("forget", member="edge2")) == "edge2 is no longer waited for"
     for member in MEMBERS[:2]:
         asked(conduct, 11.0 + PATIENCE, member, joint=2)
-    assert conduct.look(11.0 + PATIENCE)["kind"] == "decide"   # a person's word: it does not run
+    assert conduct.look(11.0 + PATIENCE)["kind"] == "decide"  # a person's word: it does not run
     assert Register.restored(made.kept()).gone == {"edge2": True}
 
 
@@ -208,7 +234,7 @@
     asked(conduct, 11.0, "edge2", joint=2)
     for member in MEMBERS[:2]:
         asked(conduct, 25.0, member, joint=2)
-    assert conduct.look(25.0) is None     # 25 of 100, by a disk of before it was joint, over the 20 of all
+    assert conduct.look(25.0) is None  # 25 of 100, by a disk of before it was joint, over the 20 of all
     asked(conduct, 26.0, "edge2", joint=2)
     assert conduct.look(26.0)["joint"] == MEMBERS
 
--- a/tests/fleet/test_policy_states.py
+++ b/tests/fleet/test_policy_states.py
@@ -1,4 +1,5 @@
 """All orders of a few events, on the very parts that run; `benchmarks/policy.py states` goes further."""
+
 import pytest
 
 from rushmux.standins import policy_defects
@@ -15,12 +16,16 @@
         assert "under way" in found.ends
 
 
-@pytest.mark.parametrize("defect, begin, limits", [
-    (policy_defects.UpBeforeDown, "all there", (30.0, 90.0)),
-    (policy_defects.NeverNarrow, "one away, its lease over", (90.0, 30.0)),
-    (policy_defects.MostAreEnough, "two joint, the third serves on", (90.0, 30.0)),
-    (policy_defects.OldLeasesForgotten, "planner 2 leads, the third has the lease of 1", (90.0, 30.0))],
-    ids=lambda value: getattr(value, "__name__", ""))
+@pytest.mark.parametrize(
+    "defect, begin, limits",
+    [
+        (policy_defects.UpBeforeDown, "all there", (30.0, 90.0)),
+        (policy_defects.NeverNarrow, "one away, its lease over", (90.0, 30.0)),
+        (policy_defects.MostAreEnough, "two joint, the third serves on", (90.0, 30.0)),
+        (policy_defects.OldLeasesForgotten, "planner 2 leads, the third has the lease of 1", (90.0, 30.0)),
+    ],
+    ids=lambda value: getattr(value, "__name__", ""),
+)
 def test_the_check_finds_what_is_wrong_by_a_shortest_way(defect, begin, limits):
     found = check(Bounds(states=STATES), policy_defects.parts(defect), limits, BEGINS[begin])
     assert found.breach is not None and 0 < len(found.way) < 12
--- a/tests/fleet/test_raft.py
+++ b/tests/fleet/test_raft.py
@@ -1,4 +1,5 @@
 """The planners' log: what is decided is never undone, whatever is lost, repeated, late, cut off or killed."""
+
 import pytest
 
 from rushmux.fleet import raft
@@ -19,6 +20,7 @@
 
 # Each defect is a member that is wrong in one thing.  `seeds`: within which the judge has to find it.
 
+
 class VotesTwice(raft.Voice):
     def ask(self, now, message):
         if not message.trial:
@@ -33,6 +35,7 @@
 
 class AnswersBeforeItsDisk(raft.Voice):
     """What it says of its log is not on its disk."""
+
     def ready(self):
         done = super().ready()
         return done and done._replace(entries=())
@@ -51,6 +54,7 @@
 
 class StaysLeader(raft.Voice):
     """Does not step down when it hears a higher term."""
+
     def follow(self, now, term, leader=None):
         if self.role == raft.LEADS and leader is None:
             self.term = max(term, self.term)
@@ -60,26 +64,39 @@
 
 class NeverAppliesOnce(raft.Voice):
     """Applies again what its snapshot holds."""
+
     def __init__(self, me, kept, now, draw):
         super().__init__(me, kept, now, draw)
         self.applied = max(0, self.applied - 1)
 
 
-@pytest.mark.parametrize("defect", [
-    VotesTwice, VotesForAnOlderLog, AnswersBeforeItsDisk, DecidesAlone, KeepsAConflict, StaysLeader,
-    NeverAppliesOnce], ids=lambda defect: defect.__name__)
+@pytest.mark.parametrize(
+    "defect",
+    [
+        VotesTwice,
+        VotesForAnOlderLog,
+        AnswersBeforeItsDisk,
+        DecidesAlone,
+        KeepsAConflict,
+        StaysLeader,
+        NeverAppliesOnce,
+    ],
+    ids=lambda defect: defect.__name__,
+)
 def test_a_member_that_is_wrong_in_one_thing_is_found(defect):
     def found(seed):
         try:
             World(seed, members=3 + seed % 3, make=defect).play(until=18.0)
-        except AssertionError:           # a breach, or the log's own check that nothing decided is dropped
+        except AssertionError:  # a breach, or the log's own check that nothing decided is dropped
             return True
         return False
+
     assert any(found(seed) for seed in range(SEEDS))
 
 
 # What drawn plays seldom reach, step by step.
 
+
 def voice(me="a", term=0, voted=None, entries=(), members=("a", "b", "c"), now=100.0):
     kept = raft.founded(members)._replace(term=term, voted=voted, entries=tuple(entries))
     return raft.Voice(me, kept, now, lambda below: 0)
@@ -123,7 +140,7 @@
 def test_entries_of_older_terms_are_decided_only_with_one_of_the_leaders_own():
     one = leading([raft.Entry(2, raft.ORDER, b"x")])
     one.hear(105.1, raft.Appended("b", "a", 4, True, 1))
-    assert steps(one)[1] == []           # a majority has it, and it may still be overwritten
+    assert steps(one)[1] == []  # a majority has it, and it may still be overwritten
     one.hear(105.2, raft.Appended("b", "a", 4, True, 2))
     assert steps(one)[1] == [1, 2]
 
@@ -140,7 +157,7 @@
     one.change(105.1, ["a", "b"])
     with pytest.raises(raft.Refused, match="not decided"):
         one.change(105.1, ["a"])
-    assert one.members == ("a", "b")     # it counts from when it stands in the log
+    assert one.members == ("a", "b")  # it counts from when it stands in the log
 
 
 def test_one_that_was_cut_off_raises_no_term_and_unseats_nobody():
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -1,5 +1,6 @@
 """Shares never pass a limit, whatever happens to messages, edges and planners; and they follow what is "
-  "wanted."""
+"wanted."""
+
 import random
 
 import pytest
@@ -38,6 +39,7 @@
         def reach():
             grant = planner.asked(self.now, name, number, wants, done)
             self.send(lambda: self.reach_edge(name, grant))
+
         self.send(reach)
 
     def reach_edge(self, name, grant):
@@ -66,10 +68,11 @@
     for _ in range(1_500):
         world.step()
         if world.chance.random() < 0.004:
-            world.still[world.chance.choice(list(world.edges))] = world.now + world.chance.uniform(1,
-                                                                                                   3 * LEASE)
+            world.still[world.chance.choice(list(world.edges))] = world.now + world.chance.uniform(
+                1, 3 * LEASE
+            )
     assert max(world.most.values()) <= 1 + 1e-9
-    assert max(world.most.values()) > 0.9          # and the limit is used
+    assert max(world.most.values()) > 0.9  # and the limit is used
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -103,11 +106,12 @@
     def turn(now, edge, want):
         ask, done = edge.ask(now)
         return shares.asked(now, edge.edge, ask, {"a": want}, done)
+
     for now in range(6):
         one.granted(now, turn(now, one, 1.0))
     assert one.part(5, "a") > 0.8
     two.granted(6, turn(6, two, 1.0))
-    lost = turn(6, one, 0.0)                       # lowered, and the word is lost
+    lost = turn(6, one, 0.0)  # lowered, and the word is lost
     for now in range(7, 10):
         two.granted(now, turn(now, two, 1.0))
     assert one.part(9, "a") + two.part(9, "a") <= 1 + 1e-9 and two.part(9, "a") < 0.3
@@ -153,6 +157,7 @@
                 ask, done = edge.ask(now)
                 edge.granted(now, shares.asked(now, edge.edge, ask, {"a": want}, done))
         return [edge.part(since + count, "a") for edge in edges]
+
     first = turns((0.9, 0.1, 0.1), 0, 20)
     assert first[0] > 2.5 * first[1] and sum(first) > 0.95
     assert turns((0.92, 0.1, 0.1), 20, 5) == pytest.approx(first, rel=0.11)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,4 +1,5 @@
 """Fixtures of the gateway's tests: a deployment, and fleets on the virtual clock."""
+
 import copy
 import json
 from pathlib import Path
@@ -22,16 +23,20 @@
 @pytest.fixture
 def play(raw):
     """Plays a story on a fleet of the example's deployment; the fleet and the story's result."""
+
     def played(story, seed=3, **settings):
         return fleet.play(build(raw), seed, story, **settings)
+
     return played
 
 
 @pytest.fixture
 def judged(raw, play):
     """Plays a story and holds its recordings against every rule; the fleet and the result."""
+
     def played(story, **settings):
         fleet, result = play(story, **settings)
         assert not Checker(fleet.all_records(), build(raw), 0.005).breaches()
         return fleet, result
+
     return played
--- a/tests/gateway/test_cold_fleet.py
+++ b/tests/gateway/test_cold_fleet.py
@@ -4,6 +4,7 @@
 that a cold node always bears are 1.2 times what the least node does at its start within the span, and the
 rule allows it as many times that as the settings' multiple.  Each module has its own seed and clients.
 """
+
 import heapq
 import itertools
 import random
@@ -14,9 +15,9 @@
 from rushmux.rules import SECOND, Gateway
 
 MEAN, SPAN, START, WARM, MULTIPLE = 2.2, 30_000, 0.17, 160_000, 3.0
-STATED = 1.2             # of the least node's work at its start within the span: the units stated as borne
-COLD_AT = 35_000         # ticks: when the node starts; the gateways know their cells by then
-DIALS = 2_500            # ticks: connections that come up late come up together, so far apart
+STATED = 1.2  # of the least node's work at its start within the span: the units stated as borne
+COLD_AT = 35_000  # ticks: when the node starts; the gateways know their cells by then
+DIALS = 2_500  # ticks: connections that come up late come up together, so far apart
 LANES = {"read": say.Lane("read", 4_000, 20_000, 3, say.REPLAYABLE, "all", 0, False)}
 PLANS = {"base": say.Plan("base", 1e6, 5e5, 0, 0, 0, 1, 1)}
 
@@ -29,9 +30,30 @@
         self.chance, self.now, self.heap, self.order = random.Random(seed), 0, [], itertools.count()
         self.cells, self.rate, self.demand, self.seed = cells, rate, demand, seed
         stated = calls * MEAN
-        self.full = stated / STATED / (SPAN / SECOND) / START   # units a second once warm
-        self.terms = say.Terms(LANES, PLANS, gateways, 20, False, 0, 3, 0, MEAN, 8, stated, SPAN, MULTIPLE,
-                               START, WARM, SECOND, 0, None, 0, 0, cancel=True)
+        self.full = stated / STATED / (SPAN / SECOND) / START  # units a second once warm
+        self.terms = say.Terms(
+            LANES,
+            PLANS,
+            gateways,
+            20,
+            False,
+            0,
+            3,
+            0,
+            MEAN,
+            8,
+            stated,
+            SPAN,
+            MULTIPLE,
+            START,
+            WARM,
+            SECOND,
+            0,
+            None,
+            0,
+            0,
+            cancel=True,
+        )
         self.sent, self.served, self.free = [], 0, 0.0
         self.cold_at = 1 if listed_cold else COLD_AT
         self.gates = [None] * gateways
@@ -57,13 +79,27 @@
         self.gates[number] = gate
         gate.module = Gateway(self.terms, seed * 7_919 + number, self.now, gate)
         cold = self.now >= self.cold_at or self.cold_at == 1
-        gate.module.listed(self.now, say.WHOLE, [
-            say.Listed("cold" if cold and not cell else f"s{cell}", cell, "a", say.READY,
-                       self.cold_at if cold and not cell else 0) for cell in range(self.cells)])
+        gate.module.listed(
+            self.now,
+            say.WHOLE,
+            [
+                say.Listed(
+                    "cold" if cold and not cell else f"s{cell}",
+                    cell,
+                    "a",
+                    say.READY,
+                    self.cold_at if cold and not cell else 0,
+                )
+                for cell in range(self.cells)
+            ],
+        )
 
     def told(self, number):
-        self.gates[number].module.listed(self.now, say.CHANGES, [
-            say.Listed("s0", 0, "a", say.GONE, 0), say.Listed("cold", 0, "a", say.READY, self.cold_at)])
+        self.gates[number].module.listed(
+            self.now,
+            say.CHANGES,
+            [say.Listed("s0", 0, "a", say.GONE, 0), say.Listed("cold", 0, "a", say.READY, self.cold_at)],
+        )
         self.gates[number].module.act(self.now)
 
     def ask(self, number):
@@ -97,7 +133,7 @@
                 total -= self.sent[first][1]
                 first += 1
             allowed = MULTIPLE * self.capacity(at - SPAN // 2) * SPAN / SECOND / MEAN
-            worst = max(worst, total - allowed - 2 * allowed ** 0.5 - 2)
+            worst = max(worst, total - allowed - 2 * allowed**0.5 - 2)
         return worst
 
 
@@ -137,6 +173,7 @@
 
     def ignored(self, *_):
         """Answers to clients, and what these settings do not have."""
+
     shed = terminate = watch = withdraw = probe = ignored
 
 
@@ -152,7 +189,8 @@
 def hot_key(cells):
     """Two in five requests are for one volume's cell, from every gateway."""
     return lambda chance, now, number: (
-        (0, True) if chance.random() < 0.4 else (chance.randrange(cells), False))
+        (0, True) if chance.random() < 0.4 else (chance.randrange(cells), False)
+    )
 
 
 def one_cell(cells):
@@ -165,11 +203,13 @@
 
 
 @pytest.mark.parametrize("demand", [even, few_cells, hot_key, one_cell, suddenly])
-@pytest.mark.parametrize("gateways, cells, rate, calls", [
-    (20, 16, 16, 60), (30, 16, 5, 25), (200, 100, 1.5, 9)])
+@pytest.mark.parametrize(
+    "gateways, cells, rate, calls", [(20, 16, 16, 60), (30, 16, 5, 25), (200, 100, 1.5, 9)]
+)
 @pytest.mark.parametrize("listed_cold, restarted", [(False, False), (False, True), (True, False)])
 def test_all_gateways_together_keep_to_what_a_cold_node_bears(
-        demand, gateways, cells, rate, calls, listed_cold, restarted):
+    demand, gateways, cells, rate, calls, listed_cold, restarted
+):
     for seed in range(3):
         fleet = Fleet(gateways, cells, rate, calls, demand(cells), seed, listed_cold, restarted)
         fleet.play(fleet.cold_at + 60_000)
--- a/tests/gateway/test_files.py
+++ b/tests/gateway/test_files.py
@@ -1,4 +1,5 @@
 """Files through one edge and another, on the virtual clock."""
+
 import asyncio
 
 import pytest
@@ -20,6 +21,7 @@
         one, two = await fleet.client(0), await fleet.client(1)
         await one.put("/heredia/a", data)
         return await two.get("/heredia/a")
+
     assert play(story)[1] == data
 
 
@@ -27,12 +29,14 @@
     async def story(fleet):
         one = await fleet.client(0)
         handle = await one.open("/limon/x", sftp.READ | sftp.WRITE | sftp.CREATE)
-        await asyncio.gather(*(one.ask(sftp.Write, handle, at, bytes([at % 251]) * 1_000)
-                               for at in range(0, 40_000, 700)))
+        await asyncio.gather(
+            *(one.ask(sftp.Write, handle, at, bytes([at % 251]) * 1_000) for at in range(0, 40_000, 700))
+        )
         return (await one.ask(sftp.Read, handle, 0, 60_000)).data
+
     wanted = bytearray(39_900 + 1_000)
     for at in range(0, 40_000, 700):
-        wanted[at:at + 1_000] = bytes([at % 251]) * 1_000
+        wanted[at : at + 1_000] = bytes([at % 251]) * 1_000
     fleet, got = play(story)
     assert got == bytes(wanted)
     # The block was in 58 pieces, more than it keeps.
@@ -44,25 +48,35 @@
     async def story(fleet):
         clients = [await fleet.client(number) for number in (0, 1)]
         await clients[0].ask(sftp.MkDir, "/heredia/d", PLAIN)
-        await asyncio.gather(*(client.put(f"/heredia/d/{number}-{place}", b"%d" % place)
-                               for number, client in enumerate(clients) for place in range(12)))
+        await asyncio.gather(
+            *(
+                client.put(f"/heredia/d/{number}-{place}", b"%d" % place)
+                for number, client in enumerate(clients)
+                for place in range(12)
+            )
+        )
         return sorted(await clients[0].names("/heredia/d"))
-    assert play(story, unit=0.003)[1] == sorted(f"{number}-{place}" for number in (0, 1)
-                                                for place in range(12))
+
+    assert play(story, unit=0.003)[1] == sorted(
+        f"{number}-{place}" for number in (0, 1) for place in range(12)
+    )
 
 
 def test_two_edges_append_to_one_file_and_lose_nothing(play):
 
     async def story(fleet):
         clients = [await fleet.client(number) for number in (0, 1)]
-        handles = [await client.open("/heredia/log", sftp.WRITE | sftp.APPEND | sftp.CREATE)
-                   for client in clients]
+        handles = [
+            await client.open("/heredia/log", sftp.WRITE | sftp.APPEND | sftp.CREATE) for client in clients
+        ]
 
         async def lines(client, handle, name):
             for place in range(8):
                 await client.ask(sftp.Write, handle, 0, b"%s%d\n" % (name, place))
+
         await asyncio.gather(lines(clients[0], handles[0], b"a"), lines(clients[1], handles[1], b"b"))
         return (await clients[1].get("/heredia/log")).split()
+
     got = play(story)[1]
     assert sorted(got) == sorted(b"%s%d" % (name, place) for name in (b"a", b"b") for place in range(8))
     assert [line for line in got if line[:1] == b"a"] == [b"a%d" % place for place in range(8)]
@@ -89,6 +103,7 @@
         await one.ask(sftp.Remove, "/limon/d/c")
         await one.ask(sftp.RmDir, "/limon/d")
         return await one.names("/limon")
+
     assert play(story)[1] == []
 
 
@@ -103,9 +118,12 @@
         assert await two.get("/limon/a") == b"x" * 300_000 + bytes(10)
         await one.ask(sftp.Remove, "/limon/a")
         await fleet.sleep(8)
-        return sum(store.base.execute("select count(*) from objects").fetchone()[0]
-                   for store in fleet.stores.values())
-    assert play(story)[1] == 0           # what no name points at was dropped
+        return sum(
+            store.base.execute("select count(*) from objects").fetchone()[0]
+            for store in fleet.stores.values()
+        )
+
+    assert play(story)[1] == 0  # what no name points at was dropped
 
 
 def test_a_long_directory_is_listed_in_pages(play):
@@ -113,9 +131,11 @@
     async def story(fleet):
         one = await fleet.client(0)
         for first in range(0, 120, 30):
-            await asyncio.gather(*(one.ask(sftp.MkDir, f"/limon/{number:03}", PLAIN)
-                                   for number in range(first, first + 30)))
+            await asyncio.gather(
+                *(one.ask(sftp.MkDir, f"/limon/{number:03}", PLAIN) for number in range(first, first + 30))
+            )
         return await one.names("/limon")
+
     assert play(story, unit=0.003)[1] == [f"{number:03}" for number in range(120)]
 
 
@@ -123,8 +143,9 @@
     async def story(fleet):
         one = await fleet.client(0)
         reply = await one.ask(sftp.Extended, "statvfs@openssh.com", b"\0\0\0\6/limon")
-        fields = [int.from_bytes(reply.data[at:at + 8], "big") for at in range(0, 88, 8)]
+        fields = [int.from_bytes(reply.data[at : at + 8], "big") for at in range(0, 88, 8)]
         return fields[0] * fields[2], fields[0] * fields[3]
+
     total, free = play(story, nodes=4, disk=1 << 20)[1]
     assert total == 4 << 20 and 0 < free <= total
 
@@ -138,4 +159,5 @@
             await one.put("/limon/a", b"")
         await two.put("/limon/a", b"there")
         return "limon" in await one.names("/")
+
     assert play(story)[1] is False
--- a/tests/gateway/test_going.py
+++ b/tests/gateway/test_going.py
@@ -1,4 +1,5 @@
 """An edge's kept policy, and what people ask about the fleet's, on processes."""
+
 import asyncio
 import copy
 import json
@@ -61,8 +62,9 @@
         begun(OWN, Kept(path), Log())
     file = tmp_path / "d.json"
     file.write_text(json.dumps(RAW))
-    result = CliRunner().invoke(main, ["edge", "--deployment", str(file), "--lists", "127.0.0.1:9",
-                                       "--data", str(tmp_path / "e")])
+    result = CliRunner().invoke(
+        main, ["edge", "--deployment", str(file), "--lists", "127.0.0.1:9", "--data", str(tmp_path / "e")]
+    )
     assert result.exit_code == 1 and "format 2" in result.output and json.loads(path.read_text())[1] == 2
     result = CliRunner().invoke(main, ["edge", "--deployment", str(file), "--lists", "127.0.0.1:9"])
     assert result.exit_code == 1 and "needs --data" in result.output
@@ -113,6 +115,7 @@
         async def asks(*words_):
             place = ",".join(f"{host}:{port}" for host, port in fleet.places)
             return await asyncio.to_thread(CliRunner().invoke, main, ["policy", *words_, "--planner", place])
+
         try:
             await fleet.up(1, 2)
             other = copy.deepcopy(raw)
@@ -126,12 +129,23 @@
             refused = await asks("propose", str(tmp_path / "bad.json"))
             based = await asks("propose", str(tmp_path / "other.json"), "--base", "1")
             back = await asks("revert", "1", "--wait", "20")
-            return [diff, told, refused, based, back, await asks("withdraw", "2"),
-                    await asks("forget", "edge9"), await asks("show"), await asks("show", "--text"),
-                    await asks("history"), await asks("watch", "--looks", "1"),
-                    await asks("diff", "--past", "2")]
+            return [
+                diff,
+                told,
+                refused,
+                based,
+                back,
+                await asks("withdraw", "2"),
+                await asks("forget", "edge9"),
+                await asks("show"),
+                await asks("show", "--text"),
+                await asks("history"),
+                await asks("watch", "--looks", "1"),
+                await asks("diff", "--past", "2"),
+            ]
         finally:
             await fleet.down()
+
     found = asyncio.run(play())
     diff, told, refused, based, back, withdraw, forget, show, text, history, watch, past = found
     assert '+   "limit": 44' in diff.output
--- a/tests/gateway/test_hostile.py
+++ b/tests/gateway/test_hostile.py
@@ -1,4 +1,5 @@
 """Clients that break the protocol: a clear status or a closed connection, others untouched."""
+
 import asyncio
 
 import pytest
@@ -30,14 +31,17 @@
     return [row["why"] for row in fleet.logs if row["event"] == "session.ended"]
 
 
-@pytest.mark.parametrize("parts, begin, why", [
-    ([b"\xff\xff\xff\xff" + b"x" * 50], True, "4294967295 bytes"),
-    ([b"\0\0\0\0"], True, "0 bytes"),
-    ([sftp.encode(sftp.Stat(1, "/limon"))], False, "Stat before Init"),
-    ([sftp.encode(sftp.Init(3, ()))], True, "Init in the middle"),
-    ([sftp.encode(sftp.Status(1, 0, "", ""))], True, "Status in the middle"),
-    ([b"\0\0\0\2\x11\0"], True, "a field of 4 bytes where 1 are left"),
-])
+@pytest.mark.parametrize(
+    "parts, begin, why",
+    [
+        ([b"\xff\xff\xff\xff" + b"x" * 50], True, "4294967295 bytes"),
+        ([b"\0\0\0\0"], True, "0 bytes"),
+        ([sftp.encode(sftp.Stat(1, "/limon"))], False, "Stat before Init"),
+        ([sftp.encode(sftp.Init(3, ()))], True, "Init in the middle"),
+        ([sftp.encode(sftp.Status(1, 0, "", ""))], True, "Status in the middle"),
+        ([b"\0\0\0\2\x11\0"], True, "a field of 4 bytes where 1 are left"),
+    ],
+)
 def test_a_stream_that_cannot_be_followed_is_closed_with_a_reason(play, parts, begin, why):
     async def story(fleet):
         other = await fleet.client(0)
@@ -45,6 +49,7 @@
         assert closed
         await other.put("/limon/a", b"untouched")
         return await other.get("/limon/a")
+
     fleet, got = play(story)
     assert got == b"untouched" and any(why in text for text in ended(fleet))
 
@@ -52,9 +57,13 @@
 def test_a_bad_packet_gets_its_own_status_and_the_session_goes_on(play):
     async def story(fleet):
         bad = b"\x03" + (7).to_bytes(4, "big") + (99).to_bytes(4, "big")
-        return await raw(fleet, len(bad).to_bytes(4, "big") + bad,
-                         (5).to_bytes(4, "big") + b"\x14" + (8).to_bytes(4, "big"),
-                         sftp.encode(sftp.RealPath(9, "/limon/./x/..")))
+        return await raw(
+            fleet,
+            len(bad).to_bytes(4, "big") + bad,
+            (5).to_bytes(4, "big") + b"\x14" + (8).to_bytes(4, "big"),
+            sftp.encode(sftp.RealPath(9, "/limon/./x/..")),
+        )
+
     (version, bad, unknown, path), closed = play(story)[1]
     assert (bad.request, bad.code) == (7, sftp.BAD_MESSAGE)
     assert (unknown.request, unknown.code) == (8, sftp.OP_UNSUPPORTED)
@@ -72,6 +81,7 @@
             with pytest.raises(Refusal) as refusal:
                 await client.ask(kind, *fields)
             asked.append(refusal.value.status.code)
+
         for path in ("/..", "/limon/../../etc", "/limon/a\0b", "/limon/" + "x" * 300):
             await status(one, sftp.Open, path, sftp.READ, PLAIN)
         await status(one, sftp.MkDir, "/new", PLAIN)
@@ -79,9 +89,9 @@
         await status(one, sftp.Open, "/limon/x", 0, PLAIN)
         handle = await one.open("/limon/x", sftp.WRITE | sftp.CREATE)
         await status(two, sftp.Write, handle, 0, b"foreign")
-        await status(one, sftp.Write, handle, 2 ** 63, b"far")
+        await status(one, sftp.Write, handle, 2**63, b"far")
         await status(one, sftp.Read, handle, 0, 10)
-        await status(one, sftp.SetStat, "/limon/x", sftp.Attributes(size=2 ** 63))
+        await status(one, sftp.SetStat, "/limon/x", sftp.Attributes(size=2**63))
         await status(one, sftp.Extended, "fsync@openssh.com", b"\0\0\0\x09abc")
         await status(one, sftp.Extended, "nothing@nowhere", b"")
         for _ in range(2):
@@ -91,10 +101,19 @@
         await status(one, sftp.Close, handle)
         await one.open("/limon/x", sftp.READ)
         return asked
+
     denied, failed = sftp.PERMISSION_DENIED, sftp.FAILURE
     assert play(story)[1] == [denied] * 4 + [sftp.NO_SUCH_FILE] * 2 + [
-        sftp.BAD_MESSAGE, failed, failed, denied, failed, sftp.BAD_MESSAGE, sftp.OP_UNSUPPORTED,
-        failed, failed]
+        sftp.BAD_MESSAGE,
+        failed,
+        failed,
+        denied,
+        failed,
+        sftp.BAD_MESSAGE,
+        sftp.OP_UNSUPPORTED,
+        failed,
+        failed,
+    ]
 
 
 def test_a_read_far_past_the_end_is_its_end(play):
@@ -103,8 +122,9 @@
         await one.put("/limon/x", b"short")
         handle = await one.open("/limon/x", sftp.READ)
         with pytest.raises(Refusal, match="^1: "):
-            await one.ask(sftp.Read, handle, 2 ** 64 - 1, 2 ** 32 - 1)
-        return (await one.ask(sftp.Read, handle, 0, 2 ** 32 - 1)).data
+            await one.ask(sftp.Read, handle, 2**64 - 1, 2**32 - 1)
+        return (await one.ask(sftp.Read, handle, 0, 2**32 - 1)).data
+
     assert play(story)[1] == b"short"
 
 
@@ -129,6 +149,7 @@
             most = max(most, session.writer.transport.get_write_buffer_size())
         assert await one.get("/limon/big") == bytes(262_144)
         return most, session in fleet.edges[0].program.sessions
+
     fleet, (most, lives) = play(story)
     assert not lives and 1 << 20 < most < 64 * 262_144 + (2 << 20)
     assert any(row["event"] == "session.unread" for row in fleet.logs)
@@ -144,6 +165,7 @@
             writer.write(bytes([byte]))
             await fleet.sleep(1)
         return await reader.read(1 << 16), await reader.read(1 << 16)
+
     fleet, (version, rest) = play(story)
     assert rest == b"" and any("not whole after 5.0 s" in why for why in ended(fleet))
 
@@ -156,6 +178,7 @@
         with pytest.raises((Gone, OSError)):
             await fleet.client(0)
         return await kept[0].names("/limon")
+
     assert play(story)[1] == []
 
 
@@ -165,4 +188,5 @@
     async def story(fleet):
         one = await fleet.client(0)
         return len(await asyncio.gather(*(one.ask(sftp.Stat, "/limon") for _ in range(60))))
+
     assert play(story)[1] == 60
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -1,4 +1,5 @@
 """Nodes that tell their load to edges that ask: over real sockets on loopback, and through whole edges."""
+
 import asyncio
 import random
 from pathlib import Path
@@ -22,8 +23,18 @@
     async def story():
         quiet = log.to_list([], "info")
         store = Store(":memory:", 0, 1 << 20, 10.0)
-        node = Node("n", 0, "z", store, Address(HOST, 1), Shape(unit=0.02), 5, False, quiet,
-                    lambda kind, **fields: None)
+        node = Node(
+            "n",
+            0,
+            "z",
+            store,
+            Address(HOST, 1),
+            Shape(unit=0.02),
+            5,
+            False,
+            quiet,
+            lambda kind, **fields: None,
+        )
         links = Links(messages.Hello(version=1, peer="e", start="1"), 1.0, 1, random.Random(1), quiet)
         links.listed("n", Address(HOST, await node.open(HOST, 0)))
 
@@ -31,10 +42,16 @@
             future = asyncio.get_running_loop().create_future()
             call(*values, lambda result, told: future.done() or future.set_result((result, told)))
             return await asyncio.wait_for(future, 5)
+
         try:
-            assert await once(links.probe, "n") == (say.UNREACHED, None)      # nothing stands: no dial for it
-            execute = messages.Execute(op="o", volume="v", units=2, time_out=40_000,
-                                       read=messages.ReadObject(object="none", length=1))
+            assert await once(links.probe, "n") == (say.UNREACHED, None)  # nothing stands: no dial for it
+            execute = messages.Execute(
+                op="o",
+                volume="v",
+                units=2,
+                time_out=40_000,
+                read=messages.ReadObject(object="none", length=1),
+            )
             assert (await once(links.send, "n", execute))[0] == say.SUCCEEDED
             result, load = await once(links.probe, "n")
             assert result == say.SUCCEEDED and load.queue == 0 and 50 < load.service < 5_000
@@ -47,6 +64,7 @@
         finally:
             await links.close()
             await node.close()
+
     asyncio.run(story())
 
 
@@ -66,10 +84,12 @@
         for name in fleet.nodes:
             await fleet.trouble(name, "slow", 12, 6)
         for _ in range(4):
-            await asyncio.gather(*(one.get(f"/heredia/{number}") for number in range(8)),
-                                 return_exceptions=True)
+            await asyncio.gather(
+                *(one.get(f"/heredia/{number}") for number in range(8)), return_exceptions=True
+            )
             await fleet.sleep(0.5)
         return [heard(fleet, name) for name in fleet.nodes]
+
     return play(story)[1]
 
 
@@ -85,8 +105,16 @@
 
 def test_a_bad_day_with_loads_and_a_lane_in_order_keeps_every_rule(tmp_path):
     to = tmp_path / "new.json"
-    words = ["move", str(Path(deployment.__file__).with_name("example.json")), "--to", str(to),
-             "--meter-ms", "1000", "--in-order", "archivo-nuevo"]
+    words = [
+        "move",
+        str(Path(deployment.__file__).with_name("example.json")),
+        "--to",
+        str(to),
+        "--meter-ms",
+        "1000",
+        "--in-order",
+        "archivo-nuevo",
+    ]
     assert CliRunner().invoke(main, words).exit_code == 0
     played = CliRunner().invoke(main, ["demo", "--virtual", "--deployment", str(to)])
     assert played.exit_code == 0, played.output
--- a/tests/gateway/test_processes.py
+++ b/tests/gateway/test_processes.py
@@ -1,4 +1,5 @@
 """The programs as processes on loopback."""
+
 import io
 import json
 import os
@@ -36,10 +37,12 @@
     started = []
 
     def start(*words):
-        process = subprocess.Popen([*COMMAND, "up", "--data", str(tmp_path / "fleet"), *words],
-                                   stdout=subprocess.PIPE)
+        process = subprocess.Popen(
+            [*COMMAND, "up", "--data", str(tmp_path / "fleet"), *words], stdout=subprocess.PIPE
+        )
         started.append(process)
         return process, json.loads(process.stdout.readline())["edges"]
+
     yield start
     for process in started:
         if process.poll() is None:
@@ -49,8 +52,9 @@
 
 def of_group(process):
     """Processes that this one started."""
-    found = subprocess.run(["ps", "-o", "pid=,args=", "--ppid", str(process.pid)], capture_output=True,
-                           text=True)
+    found = subprocess.run(
+        ["ps", "-o", "pid=,args=", "--ppid", str(process.pid)], capture_output=True, text=True
+    )
     return [line for line in found.stdout.splitlines() if "rushmux" in line]
 
 
@@ -69,7 +73,7 @@
     children = of_group(process)
     assert len(children) == 6
     edge = next(int(line.split()[0]) for line in children if " edge " in line)
-    os.kill(edge, signal.SIGKILL)        # the other edge serves the same files at once
+    os.kill(edge, signal.SIGKILL)  # the other edge serves the same files at once
     left = [client for client, address in zip((one, two), edges) if works(client)]
     assert len(left) == 1 and left[0].listdir("/limon") == ["a.bin", "renamed"]
     process.send_signal(signal.SIGTERM)
@@ -87,7 +91,7 @@
     try:
         client.listdir("/limon")
         return True
-    except (OSError, EOFError, SSHException):   # the last: it broke in the middle of a request
+    except (OSError, EOFError, SSHException):  # the last: it broke in the middle of a request
         return False
 
 
@@ -112,6 +116,7 @@
 
 def test_connect_joins_a_client_to_an_edge(up):
     from rushmux.sftp import packets as sftp
+
     _, edges = up("--edges", "1", "--nodes", "1")
     asked = sftp.encode(sftp.Init(3, ())) + sftp.encode(sftp.RealPath(1, "/limon/.."))
     joined = subprocess.Popen([*COMMAND, "connect", edges[0]], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
@@ -125,29 +130,41 @@
 
 
 def test_a_short_bad_day_over_sockets_keeps_every_rule():
-    played = subprocess.run([*COMMAND, "demo", "--day", "short", "--load", "0.4"], capture_output=True,
-                            text=True,
-                            timeout=120)
+    played = subprocess.run(
+        [*COMMAND, "demo", "--day", "short", "--load", "0.4"], capture_output=True, text=True, timeout=120
+    )
     assert played.returncode == 0, played.stdout + played.stderr
     assert played.stdout.count("   kept") == 8
 
 
 def test_the_virtual_day_does_not_hang_on_the_order_of_hashes():
-    reports = [subprocess.run([*COMMAND, "demo", "--virtual", "--day", "short", "--load", "0.3"], text=True,
-                              capture_output=True, timeout=120,
-                              env={**os.environ, "PYTHONHASHSEED": seed}).stdout
-               for seed in ("1", "2")]
+    reports = [
+        subprocess.run(
+            [*COMMAND, "demo", "--virtual", "--day", "short", "--load", "0.3"],
+            text=True,
+            capture_output=True,
+            timeout=120,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+        ).stdout
+        for seed in ("1", "2")
+    ]
     assert reports[0] == reports[1] and " kept" in reports[0]
 
 
-@pytest.mark.parametrize("words, said", [
-    (["check", "none.json"], "cannot be read"),
-    (["edge", "--lists", "nowhere"], "'nowhere' is no HOST:PORT"),
-    (["edge", "--lists", "127.0.0.1:1", "--number", "9"], "edge 9 of 3"),
-    (["demo", "--day", "none"], "cannot be read"),
-    (["connect", "127.0.0.1:1"], "Connect call failed"),
-    (["node", "--name", "n", "--cell", "0", "--lists", "127.0.0.1:1", "--data", __file__], "not a database"),
-])
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (["check", "none.json"], "cannot be read"),
+        (["edge", "--lists", "nowhere"], "'nowhere' is no HOST:PORT"),
+        (["edge", "--lists", "127.0.0.1:1", "--number", "9"], "edge 9 of 3"),
+        (["demo", "--day", "none"], "cannot be read"),
+        (["connect", "127.0.0.1:1"], "Connect call failed"),
+        (
+            ["node", "--name", "n", "--cell", "0", "--lists", "127.0.0.1:1", "--data", __file__],
+            "not a database",
+        ),
+    ],
+)
 def test_bad_words_are_told_plainly(words, said):
     done = subprocess.run([*COMMAND, *words], capture_output=True, text=True, timeout=30)
     assert done.returncode not in (0, -11) and said in done.stderr and "Traceback" not in done.stderr
--- a/tests/lab/test_cases.py
+++ b/tests/lab/test_cases.py
@@ -1,4 +1,5 @@
 """Days that a search saved: the program serves no less on them than when they were saved."""
+
 from pathlib import Path
 
 import pytest
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -1,4 +1,5 @@
 """Experiments: the same on one core or many, resumed after a kill, honest about what is not seen."""
+
 import json
 import signal
 import sqlite3
@@ -19,9 +20,10 @@
 
 
 def plain(found):
-    return {name: {seed: {k: v for k, v in row.items() if k not in ("sketches",)} for seed,
-                   row in rows.items()}
-            for name, rows in found.items()}
+    return {
+        name: {seed: {k: v for k, v in row.items() if k not in ("sketches",)} for seed, row in rows.items()}
+        for name, rows in found.items()
+    }
 
 
 def test_one_core_or_four_same_result(small, tmp_path):
@@ -55,16 +57,31 @@
 
 
 def test_an_experiment_killed_half_way_goes_on(tmp_path):
-    raw = {"name": "killed", "seconds": 4, "fleet": {"edges": 4, "nodes": 4},
-           "variants": [{"name": "module"}],
-           "seeds": {"least": 24, "most": 24}}
+    raw = {
+        "name": "killed",
+        "seconds": 4,
+        "fleet": {"edges": 4, "nodes": 4},
+        "variants": [{"name": "module"}],
+        "seeds": {"least": 24, "most": 24},
+    }
     path = tmp_path / "e.json"
     path.write_text(json.dumps(raw))
-    words = [sys.executable, "-m", "rushmux", "lab", "run", str(path), "--data", str(tmp_path / "d"),
-             "--jobs", "2",
-             "--no-report"]
-    process = subprocess.Popen(words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
-                               start_new_session=True)
+    words = [
+        sys.executable,
+        "-m",
+        "rushmux",
+        "lab",
+        "run",
+        str(path),
+        "--data",
+        str(tmp_path / "d"),
+        "--jobs",
+        "2",
+        "--no-report",
+    ]
+    process = subprocess.Popen(
+        words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True
+    )
     base = tmp_path / "d" / "results.sqlite"
 
     def rows():
@@ -72,6 +89,7 @@
             return sqlite3.connect(base).execute("select count(*) from results").fetchone()[0]
         except sqlite3.Error:
             return 0
+
     until = time.monotonic() + 60
     while rows() < 3 and time.monotonic() < until:
         time.sleep(0.02)
@@ -105,11 +123,16 @@
     assert kept.get("w", "m", 1) is None
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"variants": []}, "/variants"), ({"troubles": ["nothing at all"]}, "there is no kind 'nothing'"),
-    ({"variants": [{"name": "a"}, {"name": "a"}]}, "two of one name"), ({"fleet": {"edges": 0}},
-                                                                        "/fleet/edges"),
-    ({"variants": [{"name": "a", "set": {"/plans/basico/weight": 0}}]}, "/variants/0")])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ({"variants": []}, "/variants"),
+        ({"troubles": ["nothing at all"]}, "there is no kind 'nothing'"),
+        ({"variants": [{"name": "a"}, {"name": "a"}]}, "two of one name"),
+        ({"fleet": {"edges": 0}}, "/fleet/edges"),
+        ({"variants": [{"name": "a", "set": {"/plans/basico/weight": 0}}]}, "/variants/0"),
+    ],
+)
 def test_bad_experiments_are_told(change, words, tmp_path):
     path = tmp_path / "e.json"
     path.write_text(json.dumps({"name": "x", "variants": [{"name": "module"}], **change}))
@@ -130,19 +153,21 @@
     for number in range(60):
         noise = chance.normal(0, 0.02, (2, 10))
         shift = 0.05 if number % 2 else 0.0
-        results = {"a": {s: {"in_time": 0.5 + noise[0][s]} for s in range(10)},
-                   "b": {s: {"in_time": 0.5 + shift + noise[1][s]} for s in range(10)}}
-        row, = compare.differences(results, ["in_time"])
+        results = {
+            "a": {s: {"in_time": 0.5 + noise[0][s]} for s in range(10)},
+            "b": {s: {"in_time": 0.5 + shift + noise[1][s]} for s in range(10)},
+        }
+        (row,) = compare.differences(results, ["in_time"])
         if shift:
             assert row.says == "better" or row.mean < 0.03
         else:
             false += row.says != "no difference seen"
-    assert false <= 4                    # of 30, at a level of one in twenty
+    assert false <= 4  # of 30, at a level of one in twenty
 
 
 def test_the_same_gives_no_difference_and_no_chance_of_one():
     results = {name: {seed: {"in_time": 0.1 * seed} for seed in range(5)} for name in "ab"}
-    row, = compare.differences(results, ["in_time"])
+    (row,) = compare.differences(results, ["in_time"])
     assert (row.mean, row.low, row.high, row.chance, row.says) == (0, 0, 0, 1, "no difference seen")
     assert compare.narrow(results, "in_time", 1e-6)
 
@@ -151,7 +176,11 @@
     raw = small(factors={"/workload/load": [0.3, 0.9], "/fleet/nodes": [3, 4]})
     many = spec.expanded(raw)
     assert [(one["workload"]["load"], one["fleet"]["nodes"]) for one in many] == [
-        (0.3, 3), (0.3, 4), (0.9, 3), (0.9, 4)]
+        (0.3, 3),
+        (0.3, 4),
+        (0.9, 3),
+        (0.9, 4),
+    ]
     assert len({one["name"] for one in many}) == 4
     with pytest.raises(spec.BadExperiment):
         spec.expanded(small(factors={"/fleet/nodes": [0]}))
@@ -194,7 +223,7 @@
     parts = [outcome.histogram() for _ in range(3)]
     for place, part in enumerate(parts):
         for value in range(1, 1_000):
-            part.record_value(value * 10 ** place)
+            part.record_value(value * 10**place)
     whole = outcome.merged(part.encode().decode() for part in parts)
     assert whole.get_total_count() == 3 * 999
     assert whole.get_value_at_percentile(50) == pytest.approx(4_700, rel=0.1)
@@ -205,30 +234,42 @@
 
 
 def test_the_yardstick_is_never_below_a_policy(small):
-    raw = small(["silent node at 1 for 2", "surge all size 3 at 1 for 2"],
-                [{"name": "module"}, {"name": "first", "decisions": "first-come"}])
+    raw = small(
+        ["silent node at 1 for 2", "surge all size 3 at 1 for 2"],
+        [{"name": "module"}, {"name": "first", "decisions": "first-come"}],
+    )
     for seed in (1, 2, 3):
-        bound = yardstick.bound(*spec.day(raw, raw["variants"][0], seed), raw["seconds"],
-                                speeds(spec.fleet(raw), seed))
+        bound = yardstick.bound(
+            *spec.day(raw, raw["variants"][0], seed), raw["seconds"], speeds(spec.fleet(raw), seed)
+        )
         for variant in raw["variants"]:
             assert run.play(raw, variant, run.source(variant), seed)["in_time"] <= bound + 1e-9
 
 
 def test_the_yardstick_sees_what_cannot_be_done(small):
-    light, heavy = (small(workload={"load": load, "rush": 0}, machine={"recent": 0, "saved": 0, "put_off": 0})
-                    for load in (0.2, 4.0))
-    bounds = [yardstick.bound(*spec.day(raw, raw["variants"][0], 1), raw["seconds"]) for raw in (light,
-                                                                                                 heavy)]
+    light, heavy = (
+        small(workload={"load": load, "rush": 0}, machine={"recent": 0, "saved": 0, "put_off": 0})
+        for load in (0.2, 4.0)
+    )
+    bounds = [
+        yardstick.bound(*spec.day(raw, raw["variants"][0], 1), raw["seconds"]) for raw in (light, heavy)
+    ]
     assert bounds[0] > 0.99 and bounds[1] < 0.75
 
 
 def test_the_search_finds_the_same_day_again_and_shrinks_it(small, tmp_path):
-    raw = small(["silent nodes 3 at 0.5..2 for 1..3", "reports node at 1 for 1", "slow node size 2..9 at 1 "
-                                                                                 "for 2"])
+    raw = small(
+        ["silent nodes 3 at 0.5..2 for 1..3", "reports node at 1 for 1", "slow node size 2..9 at 1 for 2"]
+    )
     days = [search.search(raw, 12, 5, 2) for _ in range(2)]
     assert days[0] == days[1]
-    worst = search.played(raw, raw["variants"][0], run.source(raw["variants"][0]), 3,
-                          ("silent nodes 3 at 0.5 for 3", "reports node at 1 for 1", "resets node at 0.2"))
+    worst = search.played(
+        raw,
+        raw["variants"][0],
+        run.source(raw["variants"][0]),
+        3,
+        ("silent nodes 3 at 0.5 for 3", "reports node at 1 for 1", "resets node at 0.2"),
+    )
     shrunk = search.shrink(raw, worst, 2)
     assert shrunk.lines == ("silent nodes 3 at 0.5 for 3",)
     search.save(tmp_path / "case.json", raw, shrunk)
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -1,4 +1,5 @@
 """The load tool against real edges over sockets."""
+
 import asyncio
 import copy
 import json
@@ -22,10 +23,12 @@
         fleet = ProcessFleet(path, deployment.load(path), tmp_path, 5, unit=0.001)
         try:
             await fleet.up(2, 1)
-            return await asyncio.to_thread(load.drive, raw, 1, 2.0, [fleet.edges[0].address],
-                                           ["limon", "golfo"])
+            return await asyncio.to_thread(
+                load.drive, raw, 1, 2.0, [fleet.edges[0].address], ["limon", "golfo"]
+            )
         finally:
             await fleet.down()
+
     lines, good = asyncio.run(story())
     assert good and "succeeded" in lines[0] and "lost" not in lines[0]
     assert [line.split()[0] for line in lines[1:]] == ["write", "read"]
--- a/tests/lab/test_whole.py
+++ b/tests/lab/test_whole.py
@@ -1,21 +1,31 @@
 """The whole level: troubles through real edges, several at once, judged by the checker."""
+
 import pytest
 
 from rushmux.lab import spec, whole
 from rushmux.standins.checker import Checker
 
 TOGETHER = {
-    "nodes": ["silent node at 0.5 for 1", "slow node size 5 at 1 for 1", "errors node size 0.5 at 0.2 for 1",
-              "lost nodes 2 size 0.2 at 1 for 1", "resets nodes 3 at 1.5", "neighbour nodes 2 size 4 at 0.5 "
-                                                                           "for 2",
-              "reports nodes 2 at 0.5 for 2"],
+    "nodes": [
+        "silent node at 0.5 for 1",
+        "slow node size 5 at 1 for 1",
+        "errors node size 0.5 at 0.2 for 1",
+        "lost nodes 2 size 0.2 at 1 for 1",
+        "resets nodes 3 at 1.5",
+        "neighbour nodes 2 size 4 at 0.5 for 2",
+        "reports nodes 2 at 0.5 for 2",
+    ],
     "restarts": ["restart nodes 2 at 1 for 0.7", "lag lists size 2 at 0.5 for 2"],
     "drains": ["drain nodes 1 size 1 at 0.5"],
     "edges": ["die edges 2 at 1 for 1", "still edge at 2.2 for 0.6"],
     "cut": ["cut zone at 1 for 1.5", "cut edge at 3 for 0.5"],
-    "clients": ["hurried all size 0.1 at 0.5 for 1", "surge all size 4 at 1 for 1", "hot all size 0.8 at 2 "
-                                                                                    "for 1",
-                "scan volume size 4 at 1 for 2"]}
+    "clients": [
+        "hurried all size 0.1 at 0.5 for 1",
+        "surge all size 4 at 1 for 1",
+        "hot all size 0.8 at 2 for 1",
+        "scan volume size 4 at 1 for 2",
+    ],
+}
 
 
 @pytest.mark.parametrize("name", TOGETHER)
@@ -40,7 +50,10 @@
     _, fleet = whole.play(built, stood, arrivals, events, 2)
     cut, begun = events[0], next(row["at"] for row in fleet.records if row["kind"] == "day")
     names = {f"node{target[1:]}" for target in cut.targets}
-    inside = [row for row in fleet.records if row["kind"] == "execution" and row["node"] in names
-              and begun + 1.01 < row["at"] < begun + 2.99]
+    inside = [
+        row
+        for row in fleet.records
+        if row["kind"] == "execution" and row["node"] in names and begun + 1.01 < row["at"] < begun + 2.99
+    ]
     assert not inside
     assert any(row["at"] > begun + 3 for row in fleet.records if row["kind"] == "execution")
--- a/tests/nodewire/test_frames.py
+++ b/tests/nodewire/test_frames.py
@@ -1,4 +1,5 @@
 """Frames between gateways and nodes."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as some
@@ -8,11 +9,12 @@
 
 @given(some.lists(some.binary(max_size=300), max_size=6), some.integers(1, 200))
 def test_messages_come_back_however_the_stream_is_cut(datas, step):
-    sent = [messages.Message(outcome=messages.Outcome(corr=place, data=data))
-            for place, data in enumerate(datas)]
+    sent = [
+        messages.Message(outcome=messages.Outcome(corr=place, data=data)) for place, data in enumerate(datas)
+    ]
     stream, frames, found = b"".join(map(frame, sent)), Frames(), []
     for at in range(0, len(stream), step):
-        found += frames.feed(stream[at:at + step])
+        found += frames.feed(stream[at : at + step])
     assert found == sent
 
 
--- a/tests/planner/test_asking.py
+++ b/tests/planner/test_asking.py
@@ -1,4 +1,5 @@
 """Parts of limits in running edges: never above the limit, better than even ones, safe without a planner."""
+
 import asyncio
 
 import pytest
@@ -32,21 +33,31 @@
         _, records, stated = day.played(True, 3, 40.0, False)
     finally:
         day.PART, day.MOST_THERE = part, there
-    verdict = next(verdict for verdict in Checker(records, stated, day.WAY).verdicts()
-                   if verdict.rule == "limits kept")
+    verdict = next(
+        verdict for verdict in Checker(records, stated, day.WAY).verdicts() if verdict.rule == "limits kept"
+    )
     assert not verdict.breaches
     end = max(row["at"] for row in records if row["kind"] == "execution") - 3.0
-    sent = sum(row["units"] for row in records if row["kind"] == "execution" and end - 15 < row["at"] <= end
-               and row["execution"] == 0 and row["what"] == "write")
+    sent = sum(
+        row["units"]
+        for row in records
+        if row["kind"] == "execution"
+        and end - 15 < row["at"] <= end
+        and row["execution"] == 0
+        and row["what"] == "write"
+    )
     assert sent > 0.75 * 15 * 3 * stated.terms.plans["basico"].limit
 
 
 @pytest.fixture
 def asking(tmp_path):
     """Plays a story on a fleet with a planner and parts of limits."""
+
     def played(story, seed=3):
-        return fleet.play(day.deployment(True), seed, story, 3, day.EDGES, planner=tmp_path / "p",
-                          level="error", logs=False)
+        return fleet.play(
+            day.deployment(True), seed, story, 3, day.EDGES, planner=tmp_path / "p", level="error", logs=False
+        )
+
     return played
 
 
@@ -57,7 +68,7 @@
 def test_without_a_planner_each_edge_falls_to_its_safe_part(asking):
     async def story(made):
         for edge in made.edges.values():
-            edge.program.asking.limits = dict.fromkeys(edge.program.asking.limits, 1e-6)   # all, it seems
+            edge.program.asking.limits = dict.fromkeys(edge.program.asking.limits, 1e-6)  # all, it seems
         first = rates(made)
         for _ in range(200):
             made.edges[0].program.driver.taking("caribe", 5.0)
@@ -66,6 +77,7 @@
         made.kill_planner()
         await made.sleep(LEASE + 1)
         return first, busy, rates(made)
+
     _, (first, busy, after) = asking(story)
     safe = SAFE / day.EDGES
     assert first == pytest.approx([safe] * 3) and busy[0] > 2 * safe
@@ -75,19 +87,27 @@
 def test_asks_that_make_no_sense_cost_their_own_connection_only(asking):
     async def story(made):
         bad, link = [], made.edges[0].program
-        for wants in ([messages.Want(folder="caribe", part=-1.0)],
-                      [messages.Want(folder=f"f{number}", part=1.0) for number in range(10_001)]):
+        for wants in (
+            [messages.Want(folder="caribe", part=-1.0)],
+            [messages.Want(folder=f"f{number}", part=1.0) for number in range(10_001)],
+        ):
             told = []
-            lists = Lists(made.lists.address, messages.Hello(version=1, peer="edge9", start="x"),
-                          link.chance, link.log, told.append)
+            lists = Lists(
+                made.lists.address,
+                messages.Hello(version=1, peer="edge9", start="x"),
+                link.chance,
+                link.log,
+                told.append,
+            )
             task = asyncio.ensure_future(lists.run())
             await made.sleep(1)
             assert lists.send(ask=messages.Ask(ask=1, wants=wants))
             before = len(told)
             await made.sleep(2)
-            bad.append(len(told) - before)     # it was closed, came back and was told the whole anew
+            bad.append(len(told) - before)  # it was closed, came back and was told the whole anew
             task.cancel()
         return bad, rates(made)
+
     _, (bad, parts) = asking(story)
     assert all(again >= 1 for again in bad) and None not in parts
 
--- a/tests/planner/test_logfile.py
+++ b/tests/planner/test_logfile.py
@@ -1,4 +1,5 @@
 """The planners' log on disk: what was synced is there again; a torn tail is told from a damaged middle."""
+
 import os
 
 import pytest
@@ -13,8 +14,9 @@
 
 
 def ready(**more):
-    return raft.Ready(**{**dict(vote=None, snapshot=None, cut=None, entries=(), send=(), restored=None,
-                                decided=()), **more})
+    return raft.Ready(
+        **{**dict(vote=None, snapshot=None, cut=None, entries=(), send=(), restored=None, decided=()), **more}
+    )
 
 
 @pytest.fixture
@@ -75,7 +77,7 @@
     disk.release()
     whole = path.read_bytes()
     place = whole.index(b"entry 2")
-    path.write_bytes(whole[:place] + b"X" + whole[place + 1:])
+    path.write_bytes(whole[:place] + b"X" + whole[place + 1 :])
     with pytest.raises(BadLog, match="damaged at byte"):
         again(path)
     path.write_bytes(b"something else altogether")
@@ -102,8 +104,9 @@
     real = os.write
 
     def half(sink, data):
-        real(sink, data[:len(data) // 2])
+        real(sink, data[: len(data) // 2])
         raise OSError("no room")
+
     monkeypatch.setattr(os, "write", half)
     with pytest.raises(OSError):
         disk.write(ready(entries=((2, entry(1, "lost")),)))
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_policy_fleet.py
@@ -1,4 +1,5 @@
 """A whole fleet with three planners on the virtual clock: changes of its policy under drawn faults."""
+
 import pytest
 
 from rushmux.planner import orders
@@ -23,6 +24,7 @@
         fleet = policy_fleet.PolicyFleet(loop, deployment, 5, tmp_path)
         await fleet.up(1, edges)
         return await tell(fleet)
+
     return run(whole, 5)
 
 
@@ -48,7 +50,9 @@
                 if failing:
                     raise OSError(28, "No space left on device")
                 return do(*values)
+
             return tried
+
         council.disk.write, council.disk.rewrite = map(fails, whole)
         await propose(fleet, "full", 40.0)
         await fleet.sleep(5)
@@ -63,6 +67,7 @@
         await propose(fleet, "after", 50.0)
         await fleet.sleep(6)
         assert council.register.force.number == 3
+
     story(tmp_path, tell)
 
 
@@ -84,6 +89,7 @@
                 await orders.policy(fleet.places, "propose", **bad)
         with pytest.raises(orders.NotOrdered, match="there is no order 'sing'"):
             await orders.policy(fleet.places, "sing", client="x", n=1, by="z")
+
     story(tmp_path, tell)
 
 
@@ -100,6 +106,7 @@
         assert {row.member: row.condition for row in answer.members}["node0"] in ("draining", "drained")
         with pytest.raises(orders.NotOrdered, match="no node"):
             await orders.order(fleet.places, "drain", "node7")
+
     story(tmp_path, tell)
 
 
@@ -107,7 +114,7 @@
     async def tell(fleet):
         name = next(name for name in policy_fleet.PLANNERS if name != leader(fleet))
         fleet.kill_planner_of(name)
-        for number in range(260):        # more entries than a log keeps
+        for number in range(260):  # more entries than a log keeps
             await orders.order(fleet.places, ("drain", "undrain")[number % 2], "node0")
         assert fleet.planners[leader(fleet)].program.council.voice.snapshot.index > 100
         await fleet.start_planner(name)
@@ -120,4 +127,5 @@
         fleet.kill_planner_of(name)
         await fleet.start_planner(name)
         assert fleet.planners[name].program.council.register.members == ("edge0", "edge1")
+
     story(tmp_path, tell)
--- a/tests/planner/test_processes.py
+++ b/tests/planner/test_processes.py
@@ -1,4 +1,5 @@
 """The planner as a process: killed in the middle of real clients' work, and ordered about."""
+
 import asyncio
 import copy
 import json
@@ -14,7 +15,7 @@
 from rushmux.standins.processes import ProcessFleet
 
 RAW = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
-WAY = 0.25               # seconds: longest that a message takes between processes of a busy machine
+WAY = 0.25  # seconds: longest that a message takes between processes of a busy machine
 
 
 def test_killed_twice_while_clients_work(tmp_path):
@@ -38,17 +39,20 @@
                     fleet.kill_planner()
                     await asyncio.sleep(0.7)
                     await fleet.plan(port)
+
             task = asyncio.ensure_future(killer())
             await days.play(fleet, events, days.Load(0.4), 5)
             await task
             # The last start knows all of it again.
             await asyncio.sleep(2.5)
             shown = await asyncio.to_thread(CliRunner().invoke, main, ["fleet", "show", "--planner", place])
-            drained = await asyncio.to_thread(CliRunner().invoke, main, [
-                "fleet", "drain", "node0", "--planner", place, "--wait", "20"])
+            drained = await asyncio.to_thread(
+                CliRunner().invoke, main, ["fleet", "drain", "node0", "--planner", place, "--wait", "20"]
+            )
             return fleet, shown, drained
         finally:
             await fleet.down()
+
     fleet, shown, drained = asyncio.run(story())
     records = fleet.all_records()
     breaches = Checker(records, stated, WAY).breaches()
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -1,4 +1,5 @@
 """The planner as a program: edges keep serving without it, and what it told outlives it."""
+
 import asyncio
 import copy
 import json
@@ -31,18 +32,26 @@
 @pytest.fixture
 def play(tmp_path):
     """Plays a story on a fleet with a planner, and judges it."""
+
     def played(story, seed=3, nodes=4, edges=2, **settings):
-        made, result = fleet.play(STATED, seed, story, nodes, edges, planner=tmp_path / "planner.db",
-                                  **settings)
+        made, result = fleet.play(
+            STATED, seed, story, nodes, edges, planner=tmp_path / "planner.db", **settings
+        )
         breaches = Checker(made.all_records(), STATED, 0.005).breaches()
         assert not breaches
         return made, result
+
     return played
 
 
 def shown(made, node):
-    return [(row["at"], condition) for row in made.records if row["kind"] == "told"
-            for name, condition in row["nodes"] if name == node]
+    return [
+        (row["at"], condition)
+        for row in made.records
+        if row["kind"] == "told"
+        for name, condition in row["nodes"]
+        if name == node
+    ]
 
 
 async def until(made, wanted, seconds=30.0):
@@ -66,6 +75,7 @@
         await made.node("node1", 1)
         await made.sleep(3)
         return died
+
     made, died = play(story)
     gone = [at for at, condition in shown(made, "node1") if condition == "gone"]
     assert len(gone) == 2 and max(gone) - died < 2.0
@@ -79,6 +89,7 @@
         made.kill_edge(1)
         await made.sleep(3)
         return alive, condition(made, "edge1"), condition(made, "edge0")
+
     assert play(story)[1] == ("ready", "gone", "ready")
 
 
@@ -98,6 +109,7 @@
         await orders.order(made.lists.address, "undrain", "node2")
         await made.sleep(1)
         return str(fault.value), "\n".join(orders.lines(await orders.order(made.lists.address, "show")))
+
     made, (fault, text) = play(story)
     assert "no node 'node9'" in fault and "node2" in text and "edge0" in text and "term 1" in text
     assert [condition for _, condition in shown(made, "node2")][-1] == "ready"
@@ -119,6 +131,7 @@
         assert await client.get("/limon/7") == b"y" * 20_000
         assert made.lists.program.store.term == 2 and made.lists.program.version >= version
         return condition(made, "node3")
+
     made, drained = play(story)
     assert drained in ("draining", "drained")
     drain = min(at for at, condition in shown(made, "node3") if condition == "draining")
@@ -145,6 +158,7 @@
         store.put = whole
         await made.sleep(1)
         return gone, made.lists.program.unkept
+
     made, (gone, unkept) = play(story)
     assert gone == "gone" and unkept == {}
     assert any(row["event"] == "store.full" for row in made.logs)
@@ -192,6 +206,7 @@
             return read, "served"
         except (Refusal, Gone) as fault:
             return read, type(fault).__name__
+
     made, (read, without) = play(story, lists=tmp_path)
     assert read == b"kept" * 100 and without == "Refusal"
     assert any(row["event"] == "lastlist.used" for row in made.logs)
@@ -201,8 +216,11 @@
 def test_a_last_list_of_long_ago_is_not_used(tmp_path):
     now, rows = [1_000_000.0], []
     kept = LastList(tmp_path / "l", lambda: now[0], log.to_list(rows))
-    kept.told(messages.Listing(version=3, whole=True, cells=2, entries=[messages.Entry(node="n0",
-                                                                                       condition="ready")]))
+    kept.told(
+        messages.Listing(
+            version=3, whole=True, cells=2, entries=[messages.Entry(node="n0", condition="ready")]
+        )
+    )
     now[0] += 100
     assert [entry.age for entry in kept.load().entries] == [1_000_000]
     now[0] += 8 * 86_400
@@ -217,6 +235,7 @@
         client = await made.client(0)
         await client.put("/limon/a", b"x")
         return refused
+
     assert play(story)[1] is False
 
 
@@ -225,16 +244,32 @@
         rows, told, count = [], {}, 300
         logger = log.to_list(rows, "error")
         store = Store(tmp_path / "p")
-        store.put([Row("n0", "node", "1", False, messages.Entry(
-            node="n0", condition="ready", start="1", cell=0).SerializeToString())], [], 5)
+        store.put(
+            [
+                Row(
+                    "n0",
+                    "node",
+                    "1",
+                    False,
+                    messages.Entry(node="n0", condition="ready", start="1", cell=0).SerializeToString(),
+                )
+            ],
+            [],
+            5,
+        )
         process = loop.process("planner")
         planner = Planner(1, store, logger)
         port = await process.spawn(planner.open("127.0.0.1", 0))
         tasks = []
         for number in range(count):
             hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
-            lists = Lists(("127.0.0.1", port), hello, random.Random(number), logger,
-                          lambda listing, number=number: told.setdefault(number, []).append(loop.time()))
+            lists = Lists(
+                ("127.0.0.1", port),
+                hello,
+                random.Random(number),
+                logger,
+                lambda listing, number=number: told.setdefault(number, []).append(loop.time()),
+            )
             tasks.append(loop.create_task(lists.run()))
         await asyncio.sleep(4)
         assert len(told) == count
@@ -248,6 +283,7 @@
         for task in tasks:
             task.cancel()
         return begun, told
+
     begun, told = run(whole, 5)
     firsts = sorted(times[0] - begun for times in told.values())
     assert len(firsts) == 300 and firsts[-1] < 3.0
--- a/tests/planner/test_rig.py
+++ b/tests/planner/test_rig.py
@@ -1,4 +1,5 @@
 """Stories of faults between real processes, and their judge.  All of them: `rushmux rig --all`."""
+
 import asyncio
 
 import pytest
@@ -10,9 +11,20 @@
 from rushmux.standins.relay import HOST, Relays
 
 # Those in which most goes wrong; some twenty more are played by hand.
-PLAYED = ("leader-at-stage", "leader-at-decision", "edge-stopped", "edge-cut-off", "minority-believes",
-          "leader-stopped", "disk-full-at-stage", "not-proved", "planner-empty-disk", "planner-torn-log",
-          "on-top-of-one-that-hangs", "forth-and-back")
+PLAYED = (
+    "leader-at-stage",
+    "leader-at-decision",
+    "edge-stopped",
+    "edge-cut-off",
+    "minority-believes",
+    "leader-stopped",
+    "disk-full-at-stage",
+    "not-proved",
+    "planner-empty-disk",
+    "planner-torn-log",
+    "on-top-of-one-that-hangs",
+    "forth-and-back",
+)
 
 
 def test_stories_keep_every_rule(tmp_path):
@@ -25,9 +37,14 @@
 
 
 def test_what_a_story_cannot_mean_is_told_with_its_line():
-    for text, wrong in (("at 2 explode leader", "no verb 'explode'"), ("wibble", "no line of this form"),
-                        ("at soon kill leader", "could not convert"), ("edges many", "invalid literal"),
-                        ("expect down", "no line of this form"), ("on propose", "out of range")):
+    for text, wrong in (
+        ("at 2 explode leader", "no verb 'explode'"),
+        ("wibble", "no line of this form"),
+        ("at soon kill leader", "could not convert"),
+        ("edges many", "invalid literal"),
+        ("expect down", "no line of this form"),
+        ("on propose", "out of range"),
+    ):
         with pytest.raises(rig.BadStory, match=wrong):
             rig.parse(text)
     result = CliRunner().invoke(main, ["rig", "no-such-story"])
@@ -36,13 +53,21 @@
 
 
 def execution(at, number, op="e.1.1/s", units=10.0, folder="a", count=0):
-    return {"kind": "execution", "at": at, "op": op, "policy": number, "units": units, "volume": folder,
-            "execution": count}
+    return {
+        "kind": "execution",
+        "at": at,
+        "op": op,
+        "policy": number,
+        "units": units,
+        "volume": folder,
+        "execution": count,
+    }
 
 
 def test_the_judge_finds_what_must_never_be():
     force = {1: (0.0, {"a": (10.0, 20.0)}), 2: (10.0, {"a": (2.0, 4.0)})}
     from collections import Counter
+
     assert operations([execution(1.0, 1), execution(1.1, 1, "e.1.2/s")], force, Counter()) == []
     assert "not decided" in operations([execution(5.0, 2)], force, Counter())[0]
     assert "not decided" in operations([execution(5.0, 9)], force, Counter())[0]
@@ -65,8 +90,10 @@
         async def echo(reader, writer):
             while data := await reader.read(100):
                 writer.write(data)
+
         server = await asyncio.start_server(echo, HOST, 0)
         import random
+
         relays = Relays(random.Random(1))
         relays.targets["b"] = server.sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection(HOST, await relays.port("a", "b"))
@@ -86,4 +113,5 @@
         writer.close()
         await relays.close()
         server.close()
+
     asyncio.run(play())
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -1,4 +1,5 @@
 """The codec of RESP2: whole values however the bytes are cut, and nothing kept past a bound."""
+
 import random
 
 import pytest
@@ -7,10 +8,26 @@
 from rushmux.resp import Commands, Malformed, Replies, bulk, command, error
 from rushmux.resp.codec import MOST_COMMAND, MOST_VALUE
 
-REPLIES = (b"+PONG\r\n-BUSY 20\r\n:7\r\n$-1\r\n*-1\r\n" + bulk(b"a\r\nb") + b"*3\r\n" + bulk(b"value")
-           + b"$-1\r\n" + bulk(b"inflight=7") + b"*0\r\n-ERR failed used=3\r\n")
-READ = [("+", b"PONG"), ("-", b"BUSY 20"), (":", b"7"), ("$", None), ("*", None), ("$", b"a\r\nb"),
-        ("*", [b"value", None, b"inflight=7"]), ("*", []), ("-", b"ERR failed used=3")]
+REPLIES = (
+    b"+PONG\r\n-BUSY 20\r\n:7\r\n$-1\r\n*-1\r\n"
+    + bulk(b"a\r\nb")
+    + b"*3\r\n"
+    + bulk(b"value")
+    + b"$-1\r\n"
+    + bulk(b"inflight=7")
+    + b"*0\r\n-ERR failed used=3\r\n"
+)
+READ = [
+    ("+", b"PONG"),
+    ("-", b"BUSY 20"),
+    (":", b"7"),
+    ("$", None),
+    ("*", None),
+    ("$", b"a\r\nb"),
+    ("*", [b"value", None, b"inflight=7"]),
+    ("*", []),
+    ("-", b"ERR failed used=3"),
+]
 
 
 def values(reader, pieces):
@@ -28,12 +45,13 @@
 
 
 def test_replies_byte_by_byte():
-    assert values(Replies(), [REPLIES[at:at + 1] for at in range(len(REPLIES))]) == READ
+    assert values(Replies(), [REPLIES[at : at + 1] for at in range(len(REPLIES))]) == READ
 
 
-@given(strategies.lists(strategies.lists(strategies.binary(max_size=80), min_size=1, max_size=16),
-                        max_size=8),
-       strategies.randoms(use_true_random=False))
+@given(
+    strategies.lists(strategies.lists(strategies.binary(max_size=80), min_size=1, max_size=16), max_size=8),
+    strategies.randoms(use_true_random=False),
+)
 def test_commands_come_out_as_they_went_in(commands, chance):
     data, pieces = b"".join(map(command, commands)), []
     while data:
@@ -48,17 +66,31 @@
 def test_noise_is_malformed_or_waits_and_never_grows(noise):
     for reader in (Commands(), Replies()):
         try:
-            values(reader, [noise[at:at + 7] for at in range(0, len(noise), 7)])
+            values(reader, [noise[at : at + 7] for at in range(0, len(noise), 7)])
         except Malformed:
             continue
         assert reader.held() <= MOST_COMMAND
 
 
-@pytest.mark.parametrize("head", [b"*2\r\n$65537\r\n", b"*1\r\n$60000000\r\n", b"*1\r\n$-1\r\n", b"*-1\r\n",
-                                  b"*0\r\n", b"*17\r\n", b"*1\r\n$1x\r\n", b"*99999999999999999\r\n",
-                                  b"PING\r\n",
-                                  b"*1\r\n$+4\r\n", b"*" + b"1" * 40, b"*1\r\n+",
-                                  b"*1\r\n$4\r\nPING  ", b"\0"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"*2\r\n$65537\r\n",
+        b"*1\r\n$60000000\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*-1\r\n",
+        b"*0\r\n",
+        b"*17\r\n",
+        b"*1\r\n$1x\r\n",
+        b"*99999999999999999\r\n",
+        b"PING\r\n",
+        b"*1\r\n$+4\r\n",
+        b"*" + b"1" * 40,
+        b"*1\r\n+",
+        b"*1\r\n$4\r\nPING  ",
+        b"\0",
+    ],
+)
 def test_a_bad_command_is_malformed_at_its_header(head):
     reader = Commands()
     reader.feed(head)
@@ -74,9 +106,21 @@
         reader.next()
 
 
-@pytest.mark.parametrize("data", [b"$3000000000\r\n", b"$1048577\r\n", b"*9\r\n", b"*2\r\n*1\r\n",
-                                  b"?\r\n", b"$2\r\nabc\r\n",
-                                  b"$-2\r\n", b"+" + b"x" * 600, b"\r\n", b"+a\nb\r\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"$3000000000\r\n",
+        b"$1048577\r\n",
+        b"*9\r\n",
+        b"*2\r\n*1\r\n",
+        b"?\r\n",
+        b"$2\r\nabc\r\n",
+        b"$-2\r\n",
+        b"+" + b"x" * 600,
+        b"\r\n",
+        b"+a\nb\r\n",
+    ],
+)
 def test_a_bad_reply_is_malformed(data):
     reader = Replies()
     reader.feed(data)
@@ -90,8 +134,9 @@
     asked for three times."""
     value = b"v" * 400_000
     data = b"*3\r\n" + bulk(value) + b"$-1\r\n$-1\r\n"
-    assert values(Replies(), [data[at:at + 65_536] for at in range(0, len(data), 65_536)]) == [
-        ("*", [value, None, None])]
+    assert values(Replies(), [data[at : at + 65_536] for at in range(0, len(data), 65_536)]) == [
+        ("*", [value, None, None])
+    ]
 
 
 def test_commands_before_a_bad_one_are_given_first():
@@ -108,7 +153,7 @@
     reader, at, found = Commands(), 0, 0
     while at < len(data):
         size = chance.randint(1, 300)
-        reader.feed(data[at:at + size])
+        reader.feed(data[at : at + size])
         at += size
         while reader.next() is not None:
             found += 1
--- a/tests/routes/conftest.py
+++ b/tests/routes/conftest.py
@@ -1,4 +1,5 @@
 """Fixtures of the routes' tests: the example's text, and what the proof says of a changed one."""
+
 import copy
 import json
 from pathlib import Path
@@ -21,6 +22,7 @@
 @pytest.fixture
 def refused(raw):
     """The findings on a deployment with these routes."""
+
     def found(routes=()):
         raw["routes"] = list(routes)
         try:
@@ -29,4 +31,5 @@
             assert len(fault.findings) == len(fault.faults), fault.faults
             return list(fault.findings)
         return []
+
     return found
--- a/tests/routes/test_broken.py
+++ b/tests/routes/test_broken.py
@@ -1,5 +1,6 @@
 """The folder of broken files: each refusal is told plainly, all of a file in one go, and what it says
 would pass does pass."""
+
 import copy
 import json
 import re
@@ -19,15 +20,19 @@
     "cold-crowd": [("/fleet/cold_units", prove.COLD, "24 gateways")],
     "copies-forbidden": [("/routes/0/second_copy", prove.TWICE, "the fleet allows one")],
     "copy-of-a-change": [("/routes/0/second_copy", prove.TWICE, "another cell")],
-    "copy-of-single-use": [("/routes/0/second_copy", prove.TWICE, "another cell"),
-                           ("/routes/0/second_copy", prove.TWICE, "must never run twice")],
-    "every-kind": [("/bounds/way_ms", prove.LOST, "2003 ms"), ("/routes/1/time_out_ms", prove.LOST, "2500 "
-                                                                                                    "ms"),
-                   ("/routes/0/second_copy", prove.LOST, "603 ms"), ("/fleet/drain_grace_ms", prove.DRAINS,
-                                                                     "309 ms"),
-                   ("/plans/basico/slack", prove.LIMITS, "24 units"), ("/routes/2/budget", prove.BUDGETS,
-                                                                       "free 30"),
-                   ("/routes/2/budget", prove.BUDGETS, "share 2")],
+    "copy-of-single-use": [
+        ("/routes/0/second_copy", prove.TWICE, "another cell"),
+        ("/routes/0/second_copy", prove.TWICE, "must never run twice"),
+    ],
+    "every-kind": [
+        ("/bounds/way_ms", prove.LOST, "2003 ms"),
+        ("/routes/1/time_out_ms", prove.LOST, "2500 ms"),
+        ("/routes/0/second_copy", prove.LOST, "603 ms"),
+        ("/fleet/drain_grace_ms", prove.DRAINS, "309 ms"),
+        ("/plans/basico/slack", prove.LIMITS, "24 units"),
+        ("/routes/2/budget", prove.BUDGETS, "free 30"),
+        ("/routes/2/budget", prove.BUDGETS, "share 2"),
+    ],
     "forgotten-marks": [("/routes/0/executions", prove.TWICE, "mark is known for 600 ms")],
     "held-together": [("/routes/1/held", prove.HELD, "23400 operations")],
     "late-at-a-drain": [("/fleet/drain_grace_ms", prove.DRAINS, "200 ms are allowed")],
@@ -68,8 +73,11 @@
 
 def test_rows_for_what_is_not_there_are_told_beside_what_would_break():
     result = CliRunner().invoke(main, ["check", str(FILES[0].with_name("every-kind.json"))])
-    for words in ("/routes/3/executions: 0 is less", "/routes/4/lane: there is no lane 'leer'",
-                  "/routes/0/second_copy"):
+    for words in (
+        "/routes/3/executions: 0 is less",
+        "/routes/4/lane: there is no lane 'leer'",
+        "/routes/0/second_copy",
+    ):
         assert words in result.output
     result = CliRunner().invoke(main, ["check", str(FILES[0].with_name("no-such-lane.json"))])
     for words in ("no lane 'escritura'", "no plan 'oro'", "/routes/3: routes the same as /routes/2"):
@@ -115,7 +123,10 @@
             continue
         tried += 1
         # A row for several lanes may be refused for another of them; this lane's refusal must be gone.
-        assert not [other for other in findings(nearer)
-                    if (other.place, other.rule, other.text) == (finding.place, finding.rule, finding.text)]
+        assert not [
+            other
+            for other in findings(nearer)
+            if (other.place, other.rule, other.text) == (finding.place, finding.rule, finding.text)
+        ]
         assert len(findings(nearer)) <= len(findings(raw))
     assert tried or path.stem == "cold-crowd"
--- a/tests/routes/test_model.py
+++ b/tests/routes/test_model.py
@@ -1,4 +1,5 @@
 """The prover against the real decision module in the schedules that the bounds allow."""
+
 import random
 
 import pytest
@@ -24,18 +25,31 @@
 
 
 # What the module or the prover takes for granted, taken away: the schedules must find the breach.
-@pytest.mark.parametrize("matter, rule, worse", [
-    ("way", prove.LOST, lambda ground: ground._replace(way=ground.terms.tick // 2 + 1)),
-    ("drain", prove.DRAINS, lambda ground: ground._replace(drain_grace=ground.terms.tick - 1)),
-    ("limit", prove.LIMITS, lambda ground: ground._replace(restarts=4)),
-    ("cold", prove.COLD, lambda ground: ground._replace(falls=ground.terms.most_units * 1.5)),
-    ("budget", prove.BUDGETS, lambda ground: ground._replace(terms=ground.terms._replace(budget_free=-4.0)))])
+@pytest.mark.parametrize(
+    "matter, rule, worse",
+    [
+        ("way", prove.LOST, lambda ground: ground._replace(way=ground.terms.tick // 2 + 1)),
+        ("drain", prove.DRAINS, lambda ground: ground._replace(drain_grace=ground.terms.tick - 1)),
+        ("limit", prove.LIMITS, lambda ground: ground._replace(restarts=4)),
+        ("cold", prove.COLD, lambda ground: ground._replace(falls=ground.terms.most_units * 1.5)),
+        (
+            "budget",
+            prove.BUDGETS,
+            lambda ground: ground._replace(terms=ground.terms._replace(budget_free=-4.0)),
+        ),
+    ],
+)
 def test_the_model_finds_what_is_broken(matter, rule, worse, monkeypatch):
     drawn = drawn_of(matter, accepted=True)
     if matter == "limit" and not drawn.ground.terms.plans["p"].slack:
-        drawn = drawn._replace(ground=drawn.ground._replace(terms=drawn.ground.terms._replace(
-            plans={"p": drawn.ground.terms.plans["p"]._replace(slack=8.0)})))
-    if matter == "budget":   # the module's own guard is what is taken away
+        drawn = drawn._replace(
+            ground=drawn.ground._replace(
+                terms=drawn.ground.terms._replace(
+                    plans={"p": drawn.ground.terms.plans["p"]._replace(slack=8.0)}
+                )
+            )
+        )
+    if matter == "budget":  # the module's own guard is what is taken away
         monkeypatch.setattr("rushmux.rules.Gateway.budget_left", lambda self, now: True)
     assert proof.play(drawn, rule, 40) is None or matter == "budget"
     breach = proof.play(drawn._replace(ground=worse(drawn.ground)), rule, 80)
@@ -45,6 +59,7 @@
 def test_paths_of_choices_are_all_gone_through():
     def path(choices):
         return choices.of((0, 1)), choices.of("abc"), choices.of((9,))
+
     choices, met = schedules.Choices(), []
     while choices is not None:
         met.append(path(choices))
--- a/tests/routes/test_prove.py
+++ b/tests/routes/test_prove.py
@@ -1,4 +1,5 @@
 """The prover at its borders, and which row wins."""
+
 import pytest
 
 from rushmux import interface as say
@@ -7,18 +8,24 @@
 
 
 def test_the_most_specific_row_wins_field_by_field(raw):
-    raw["routes"] = [{"lane": "lectura", "plan": "basico", "executions": 1},
-                     {"plan": "basico", "executions": 3, "held": 7, "wait_ms": 1},
-                     {"lane": "lectura", "executions": 2, "wait_ms": 5}]
+    raw["routes"] = [
+        {"lane": "lectura", "plan": "basico", "executions": 1},
+        {"plan": "basico", "executions": 3, "held": 7, "wait_ms": 1},
+        {"lane": "lectura", "executions": 2, "wait_ms": 5},
+    ]
     built = deployment.build(raw)
     route = built.terms.routes["lectura", "basico"]
     assert (route.executions, route.wait, route.held) == (1, 50, 7)
     assert built.terms.routes["lectura", "estandar"].executions == 2
     assert built.terms.routes["consulta", "basico"]._replace(held=0) == say.Route(
-        executions=3, wait=10, copy_after=None, held=0)
+        executions=3, wait=10, copy_after=None, held=0
+    )
     flow = next(flow for flow in built.flows if (flow.lane.name, flow.plan) == ("lectura", "basico"))
-    assert flow.places == {"executions": "/routes/0/executions", "wait_ms": "/routes/2/wait_ms",
-                           "held": "/routes/1/held"}
+    assert flow.places == {
+        "executions": "/routes/0/executions",
+        "wait_ms": "/routes/2/wait_ms",
+        "held": "/routes/1/held",
+    }
 
 
 def test_a_file_without_routes_sends_no_copies(raw):
@@ -32,7 +39,8 @@
     (("fleet", "drain_grace_ms"), 307, 306.9, prove.DRAINS),
     (("fleet", "cold_units"), 16.7, 16.8, prove.COLD),
     (("bounds", "restarts"), 1, 2, prove.LIMITS),
-    (("lanes", "registro", "window_ms"), 707, 706.9, prove.TWICE)]
+    (("lanes", "registro", "window_ms"), 707, 706.9, prove.TWICE),
+]
 
 
 @pytest.mark.parametrize("place, passes, breaks, rule", BORDERS, ids=lambda part: str(part)[-20:])
@@ -61,20 +69,20 @@
 
 def test_a_hard_stop_shorter_than_two_ticks(raw, refused):
     raw["lanes"]["limpieza"].update(quoted_ms=8.9, hard_stop_ms=8.9)
-    finding, = refused()
+    (finding,) = refused()
     assert finding.place == "/lanes/limpieza/hard_stop_ms" and finding.nearest == "hard_stop_ms 9"
 
 
 def test_routes_that_are_safe_alone_are_refused_together(refused):
     rows = [{"lane": "lectura", "time_out_ms": 200}, {"plan": "prioritario", "executions": 3, "wait_ms": 150}]
     assert refused(rows[:1]) == refused(rows[1:]) == []
-    finding, = refused(rows)
+    (finding,) = refused(rows)
     assert "lane 'lectura' of plan 'prioritario'" in finding.text
 
 
 def test_twenty_four_gateways_and_one_largest_operation(raw, refused):
     raw["fleet"]["gateways"], raw["plans"]["basico"]["burst"] = 24, 24 * 8
-    finding, = refused()
+    (finding,) = refused()
     assert finding.rule == prove.COLD and finding.worst > 24 * 8 and "24 gateways" in finding.text
     raw["bounds"]["cold_falls_units"] = 800
     assert refused() == []
@@ -85,11 +93,14 @@
         raw["lanes"][f"l{number}"] = dict(raw["lanes"]["lectura"])
     for number in range(40):
         raw["plans"][f"p{number}"] = dict(raw["plans"]["estandar"])
-    rows = [{"lane": f"l{lane}", "plan": f"p{plan}", "time_out_ms": 100 + lane, "executions": 2}
-            for lane in range(25) for plan in range(40)]
+    rows = [
+        {"lane": f"l{lane}", "plan": f"p{plan}", "time_out_ms": 100 + lane, "executions": 2}
+        for lane in range(25)
+        for plan in range(40)
+    ]
     assert refused(rows) == []
     rows[777]["time_out_ms"] = 5_000
-    finding, = refused(rows)
+    (finding,) = refused(rows)
     assert finding.place == "/routes/777/executions"
 
 
--- a/tests/routes/test_reload.py
+++ b/tests/routes/test_reload.py
@@ -1,4 +1,5 @@
 """New files for running edges: routes are taken over whole or not at all, and never for what was taken."""
+
 import asyncio
 import copy
 
@@ -15,6 +16,7 @@
 def surged(raw):
     """Plays a surge of writes through one edge with a reload in its middle; the fleet, what the reload
     said, and the operations that were taken before it."""
+
     def played(old, new, change=lambda raw: None, seed=5):
         raw["routes"] = old
         stated, told = deployment.build(raw), {}
@@ -29,6 +31,7 @@
                     await Errand(driver, "heredia", "-", fleet.loop.time() + 3).store(b"x" * 20_000)
                 except (Shed, Terminated):
                     pass
+
             process = fleet.edges[0].process
             tasks = []
             for number in range(300):
@@ -39,13 +42,15 @@
                     text = copy.deepcopy(raw)
                     text["routes"] = new
                     change(text)
-                    told["verdict"], = fleet.reload([0], text)
+                    (told["verdict"],) = fleet.reload([0], text)
             await asyncio.gather(*tasks)
             return told
+
         fleet, told = fleets.play(stated, seed, story, nodes=4, edges=1, unit=0.004)
         breaches = Checker(fleet.all_records(), stated, 0.005).breaches()
         assert not breaches
         return fleet, told
+
     return played
 
 
@@ -67,9 +72,12 @@
         after = max(int(op.split("/")[0].rsplit(".", 1)[1]) for op in told["before"])
 
         def later(op):
-            return int(op.split("/")[0].rsplit(".", 1)[1]) > after   # pylint: disable=cell-var-from-loop
+            return int(op.split("/")[0].rsplit(".", 1)[1]) > after  # pylint: disable=cell-var-from-loop
+
         assert any(time_out > 700 for time_out in time_outs(fleet, lambda op: op in told["before"]))
-        assert max(time_outs(fleet, later)) <= 700 and max(time_outs(fleet, lambda op: not later(op))) <= 1_500
+        assert (
+            max(time_outs(fleet, later)) <= 700 and max(time_outs(fleet, lambda op: not later(op))) <= 1_500
+        )
         assert max(ops[op] for op in told["before"] if op in ops) <= 1
         most = max(most, max(number for op, number in ops.items() if later(op)))
         assert [row["count"] for row in fleet.logs if row["event"] == "routes.taken"] == [3]
@@ -81,7 +89,7 @@
     fleet, told = surged(OLD, bad)
     assert told["verdict"] is False
     assert max(time_outs(fleet, lambda op: True)) > 700
-    row, = [row for row in fleet.logs if row["event"] == "routes.refused"]
+    (row,) = [row for row in fleet.logs if row["event"] == "routes.refused"]
     assert len(row["faults"]) == 1 and "/routes/1/executions" in row["faults"][0]
     assert fleet.edges[0].program.deployment.raw["routes"] == OLD
 
@@ -89,8 +97,6 @@
 def test_a_file_that_changes_anything_else_is_refused_with_its_place(surged):
     fleet, told = surged(OLD, NEW, lambda text: text["fleet"].update(gateways=2))
     assert told["verdict"] is False
-    row, = [row for row in fleet.logs if row["event"] == "routes.refused"]
+    (row,) = [row for row in fleet.logs if row["event"] == "routes.refused"]
     assert row["faults"] == ["/fleet/gateways: changes only with a start"]
     assert fleet.edges[0].program.driver.gateway.routes["archivo-nuevo", "basico"].time_out == 1_500
-
-
--- a/tests/settings/test_deployment.py
+++ b/tests/settings/test_deployment.py
@@ -1,4 +1,5 @@
 """Files of a deployment: what is wrong is told, all of it, with its place."""
+
 import copy
 import json
 from pathlib import Path
@@ -55,8 +56,10 @@
     assert len(fault.value.faults) == 3
 
 
-@pytest.mark.parametrize("text, words", [
-    ("{", "line 1, column 2"), ("[]", "one object"), (b"\xff", "UTF-8"), (None, "cannot be read")])
+@pytest.mark.parametrize(
+    "text, words",
+    [("{", "line 1, column 2"), ("[]", "one object"), (b"\xff", "UTF-8"), (None, "cannot be read")],
+)
 def test_files_that_are_none(tmp_path, text, words):
     path = tmp_path / "d.json"
     if text is not None:
@@ -69,4 +72,4 @@
     made = build(EXAMPLE)
     assert made.terms.lanes["lectura"].quoted_time == 4_000 and made.terms.tick == 50
     assert made.sessions.handles == 256 and made.files.object_bytes == 262_144
-    assert made.units(1) == 1 and made.units(32_769) == 2 and made.units(10 ** 9) == 8
+    assert made.units(1) == 1 and made.units(32_769) == 2 and made.units(10**9) == 8
--- a/tests/settings/test_moving.py
+++ b/tests/settings/test_moving.py
@@ -1,4 +1,5 @@
 """The move to the new shape: what is carried over, what is told as left, and that a trial changes nothing."""
+
 import copy
 import json
 from pathlib import Path
@@ -45,19 +46,31 @@
     raw["folders"]["delta"]["edges"] = [1, 2]
     new, left = moved(raw, Shape(reserves=False, copies=False, gateways=2, in_order=("volcados",)))
     assert [place for place, _ in left] == [
-        "/lanes/volcados", "/plans/basico/reserve", "/plans/estandar/reserve", "/plans/prioritario/reserve",
-        "/routes/0/second_copy", "/folders/caribe/edges", "/folders/delta/edges", "/fleet/cold_units"]
+        "/lanes/volcados",
+        "/plans/basico/reserve",
+        "/plans/estandar/reserve",
+        "/plans/prioritario/reserve",
+        "/routes/0/second_copy",
+        "/folders/caribe/edges",
+        "/folders/delta/edges",
+        "/fleet/cold_units",
+    ]
     assert "edges" not in new["folders"]["caribe"] and new["folders"]["delta"]["edges"] == [1]
-    assert new["routes"] == [{"lane": "limpieza", "executions": 2, "wait_ms": 500},
-                             {"plan": "basico", "held": 2000}]
+    assert new["routes"] == [
+        {"lane": "limpieza", "executions": 2, "wait_ms": 500},
+        {"plan": "basico", "held": 2000},
+    ]
     assert not build(new).terms.copies
-    assert raw["plans"]["basico"]["reserve"] == 10     # the old one is left as it was
+    assert raw["plans"]["basico"]["reserve"] == 10  # the old one is left as it was
 
 
-@pytest.mark.parametrize("words, told", [
-    (("--gateways", 40), "burst"),                     # the new file would be refused
-    (("--meter-ms", -1), "meter_span_ms"),
-])
+@pytest.mark.parametrize(
+    "words, told",
+    [
+        (("--gateways", 40), "burst"),  # the new file would be refused
+        (("--meter-ms", -1), "meter_span_ms"),
+    ],
+)
 def test_a_file_that_would_be_refused_is_not_written(tmp_path, words, told):
     to = tmp_path / "new.json"
     done = move(FILE, "--to", to, *words)
@@ -73,8 +86,10 @@
     assert move(one, "--to", two).exit_code == 0 and two.read_bytes() == one.read_bytes()
 
 
-@pytest.mark.parametrize("text, told", [
-    (None, "cannot be read"), ("{", "line 1"), ('{"version": 9}', "version"), ("[]", "one object")])
+@pytest.mark.parametrize(
+    "text, told",
+    [(None, "cannot be read"), ("{", "line 1"), ('{"version": 9}', "version"), ("[]", "one object")],
+)
 def test_an_old_file_that_is_none(tmp_path, text, told):
     old, to = tmp_path / "old.json", tmp_path / "new.json"
     if text is not None:
@@ -96,6 +111,7 @@
 
     def full(_):
         raise OSError(28, "No space left on device")
+
     monkeypatch.setattr("os.fsync", full)
     done = move(FILE, "--to", to, "--force")
     assert done.exit_code == 1 and "No space left" in done.output
--- a/tests/sftp/test_packets.py
+++ b/tests/sftp/test_packets.py
@@ -1,11 +1,12 @@
 """The codec: what is encoded comes back, and no bytes make it do anything but say so."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as some
 
 from rushmux.sftp import packets as sftp
 
-U32, U64 = some.integers(0, 2 ** 32 - 1), some.integers(0, 2 ** 64 - 1)
+U32, U64 = some.integers(0, 2**32 - 1), some.integers(0, 2**64 - 1)
 TEXT = some.text(max_size=40)
 
 
@@ -13,24 +14,36 @@
 def attributes(draw):
     owner, times = draw(some.booleans()), draw(some.booleans())
     return sftp.Attributes(
-        draw(some.none() | U64), *(draw(some.tuples(U32, U32)) if owner else (None, None)),
-        draw(some.none() | U32), *(draw(some.tuples(U32, U32)) if times else (None, None)))
-
-
-FIELDS = {"u32": U32, "u64": U64, "text": TEXT, "raw": some.binary(max_size=60),
-          "rest": some.binary(max_size=60),
-          "attributes": attributes(),
-          "names": some.lists(some.builds(sftp.Name, TEXT, TEXT, attributes()), max_size=4).map(tuple),
-          "pairs": some.lists(some.tuples(TEXT, some.binary(max_size=9)), max_size=3).map(tuple)}
-PACKETS = some.one_of([some.builds(kind, **{name: FIELDS[reader] for name, reader in fields})
-                       for kind, (_, fields) in sftp.TYPES.items()])
+        draw(some.none() | U64),
+        *(draw(some.tuples(U32, U32)) if owner else (None, None)),
+        draw(some.none() | U32),
+        *(draw(some.tuples(U32, U32)) if times else (None, None)),
+    )
+
+
+FIELDS = {
+    "u32": U32,
+    "u64": U64,
+    "text": TEXT,
+    "raw": some.binary(max_size=60),
+    "rest": some.binary(max_size=60),
+    "attributes": attributes(),
+    "names": some.lists(some.builds(sftp.Name, TEXT, TEXT, attributes()), max_size=4).map(tuple),
+    "pairs": some.lists(some.tuples(TEXT, some.binary(max_size=9)), max_size=3).map(tuple),
+}
+PACKETS = some.one_of(
+    [
+        some.builds(kind, **{name: FIELDS[reader] for name, reader in fields})
+        for kind, (_, fields) in sftp.TYPES.items()
+    ]
+)
 
 
 @given(some.lists(PACKETS, max_size=5), some.integers(1, 50))
 def test_packets_come_back_however_the_stream_is_cut(packets, step):
     stream, cutter, found = b"".join(map(sftp.encode, packets)), sftp.Packets(), []
     for at in range(0, len(stream), step):
-        found += cutter.feed(stream[at:at + step])
+        found += cutter.feed(stream[at : at + step])
     assert [sftp.decode(body) for body in found] == packets and not cutter.begun
 
 
@@ -55,7 +68,7 @@
             pass
 
 
-@pytest.mark.parametrize("length", [0, sftp.MOST + 1, 2 ** 32 - 1])
+@pytest.mark.parametrize("length", [0, sftp.MOST + 1, 2**32 - 1])
 def test_a_length_that_cannot_be_ends_the_stream(length):
     with pytest.raises(sftp.BadPacket) as fault:
         sftp.Packets().feed(length.to_bytes(4, "big") + b"x")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
 """The list of known red tests, which CI leaves out and prints."""
+
 import importlib.util
 import subprocess
 import sys
@@ -18,30 +19,50 @@
     (folder / ".ci" / "known_red.py").write_text(SCRIPT.read_text())
     (folder / "tests" / "test_it.py").write_text(
         "import pytest\n\ndef test_red():\n    assert False\n\n"
-        "@pytest.mark.parametrize('n', [1, 2])\ndef test_many(n):\n    assert n\n")
+        "@pytest.mark.parametrize('n', [1, 2])\ndef test_many(n):\n    assert n\n"
+    )
     if text is not None:
         (folder / "KNOWN-RED.txt").write_text(text)
-    done = subprocess.run([sys.executable, folder / ".ci" / "known_red.py"], capture_output=True, text=True,
-                          timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, folder / ".ci" / "known_red.py"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     return done.returncode, done.stdout.strip(), done.stderr
 
 
-@pytest.mark.parametrize("text, options", [
-    ("", ""), (GOOD, "--deselect=tests/test_it.py::test_red"),
-    ("tests/test_it.py::test_many, of two, one fails, issue 7", "--deselect=tests/test_it.py::test_many"),
-    ("tests/test_it.py::test_many[2], odd, issue 7\n\n", "--deselect=tests/test_it.py::test_many[2]")])
+@pytest.mark.parametrize(
+    "text, options",
+    [
+        ("", ""),
+        (GOOD, "--deselect=tests/test_it.py::test_red"),
+        ("tests/test_it.py::test_many, of two, one fails, issue 7", "--deselect=tests/test_it.py::test_many"),
+        ("tests/test_it.py::test_many[2], odd, issue 7\n\n", "--deselect=tests/test_it.py::test_many[2]"),
+    ],
+)
 def test_what_is_listed_is_left_out_and_printed(tmp_path, text, options):
     code, given, told = ran(tmp_path, text)
     assert code == 0 and given == options
     assert all(line.split(", ")[0] in told for line in text.split("\n") if line)
 
 
-@pytest.mark.parametrize("text", ["\n".join([GOOD] * 4), "tests/test_it.py::test_red", GOOD + " and more",
-                                  "tests/test_it.py, all of it, issue 1", "test_red, cause, issue 1",
-                                  "tests/test_it.py::test_red, , issue x", None,
-                                  "tests/test_it.py::test_gone, was renamed, issue 1",
-                                  "tests/test_gone.py::test_red, was moved, issue 1",
-                                  "tests/test_it.py::test_re, half a name, issue 1"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "\n".join([GOOD] * 4),
+        "tests/test_it.py::test_red",
+        GOOD + " and more",
+        "tests/test_it.py, all of it, issue 1",
+        "test_red, cause, issue 1",
+        "tests/test_it.py::test_red, , issue x",
+        None,
+        "tests/test_it.py::test_gone, was renamed, issue 1",
+        "tests/test_gone.py::test_red, was moved, issue 1",
+        "tests/test_it.py::test_re, half a name, issue 1",
+    ],
+)
 def test_a_list_that_is_too_long_malformed_or_names_no_test_fails(tmp_path, text):
     code, given, told = ran(tmp_path, text)
     assert code == 1 and not given and "KNOWN-RED.txt" in told and "Traceback" not in told
