--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -41,7 +41,8 @@
 
 def turns(size):
     """Yields for warm and for cold nodes: ms of the list, and us of an operation's two turns, median and
-    99th percentile."""
+    99th percentile.
+    """
     for cold in (False, True):
         terms = terms_of(settings(gateways=size, shards=size))._replace(
             warm_within=WARM_WITHIN, cold_units=200 * size
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -30,7 +30,8 @@
 
 def least(cells, nodes, level):
     """Cells that must move at least: on each node the heaviest first until it is no fuller than `level`, and
-    all that lie nowhere."""
+    all that lie nowhere.
+    """
     capacity, moved = {node.name: node.capacity for node in nodes}, 0
     for name in {cell.node: True for cell in cells}:
         own = sorted((cell.weight for cell in cells if cell.node == name), reverse=True)
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -16,12 +16,12 @@
 
 from rushmux import log
 from rushmux.edge.links import Lists
-from rushmux.virtual.loop import run
+from rushmux.fleet.membership import REPORT
 from rushmux.nodewire import VERSION, frame, messages
 from rushmux.planner import orders
-from rushmux.fleet.membership import REPORT
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import Store
+from rushmux.virtual.loop import run
 
 NODES = 47
 DEATHS = 5
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -210,7 +210,8 @@
 
 def served(job):
     """Answers a second on a whole fleet on the virtual clock, with or without changes of a limit that binds
-    nobody, and so many edges killed before."""
+    nobody, and so many edges killed before.
+    """
     edges, down, changes = job
 
     async def whole(loop):
--- a/rushmux/block/discovery.py
+++ b/rushmux/block/discovery.py
@@ -73,7 +73,7 @@
                         return self.lost("an answer too long")
                 elif isinstance(event, h11.EndOfMessage):
                     if not self.answered():
-                        return
+                        return None
                 elif isinstance(event, h11.ConnectionClosed):
                     return self.lost("closed")
         except h11.RemoteProtocolError as fault:
@@ -157,7 +157,7 @@
     def heard(self, call, version, whole, members, refused):
         """An answer; `refused`: the rows that made no sense, as id or None and the reason."""
         ours = self.version
-        if call is not self.call and (call not in self.leaving or ours is not None and version <= ours):
+        if call is not self.call and (call not in self.leaving or (ours is not None and version <= ours)):
             return
         if refused:
             # Danger: one bad row, and the changes beside it would not be heard of for as long as it stands.
--- a/rushmux/block/figures.py
+++ b/rushmux/block/figures.py
@@ -19,7 +19,7 @@
 
 def sound(result, kind, value) -> bool:
     """Whether the connection that brought a reply is of further use: after a spoilt one it is not."""
-    return result in (say.SUCCEEDED, say.FULL) or kind == "-" and value.startswith(FAILED)
+    return result in (say.SUCCEEDED, say.FULL) or (kind == "-" and value.startswith(FAILED))
 
 
 def outcome(kind, value):
--- a/rushmux/block/front.py
+++ b/rushmux/block/front.py
@@ -21,7 +21,8 @@
 
 class Front(Core):
     """The module, driven by the platform's protocol.  `epoch`: the calendar's seconds since 1970 at the
-    loop's clock of nought."""
+    loop's clock of nought.
+    """
 
     def __init__(self, start, epoch, loop, log):
         super().__init__(start.terms, start.seed, log)
@@ -149,7 +150,8 @@
 
     def end_all(self):
         """What is open, and what still comes, gets its final answer: the process is about to be ended from
-        outside."""
+        outside.
+        """
         self.ended = True
         self.listener.close()
         for op_id in list(self.taken):
--- a/rushmux/block/listener.py
+++ b/rushmux/block/listener.py
@@ -45,7 +45,7 @@
 class Slot:
     """The place of one command's answer."""
 
-    __slots__ = ("client", "reply", "op_id")
+    __slots__ = ("client", "op_id", "reply")
 
     def __init__(self, client, reply=None):
         self.client, self.reply, self.op_id = client, reply, None
@@ -186,7 +186,8 @@
 
     def lingering_close(self):
         """Sends no more and closes a little later, so that what was sent is read: closed with bytes unread,
-        the connection is reset and the error line lost with it.  See `finish` for what comes meanwhile."""
+        the connection is reset and the error line lost with it.  See `finish` for what comes meanwhile.
+        """
         if self.lingering:
             return
         self.lingering = True
@@ -306,7 +307,8 @@
 
     def full(self) -> bool:
         """Danger: newcomers, those on their way counted, take the descriptors that nodes and discovery
-        need.  Harm: they wait in the system's queue."""
+        need.  Harm: they wait in the system's queue.
+        """
         return len(self.clients) + len(self.coming) >= self.most + self.margin
 
     def accept(self, most=ACCEPTS):
@@ -455,7 +457,7 @@
 
     def done(self) -> bool:
         """Whether every connection has ended, and none waits in the system's queue; then it is closed."""
-        if self.clients or self.coming or self.sock is not None and not (self.accept() and not self.coming):
+        if self.clients or self.coming or (self.sock is not None and not (self.accept() and not self.coming)):
             return False
         self.close()
         return True
--- a/rushmux/block/members.py
+++ b/rushmux/block/members.py
@@ -59,7 +59,8 @@
 
 def listing(body: dict) -> tuple[int, bool, list[Member], list[tuple]]:
     """Version, whether it is whole, the rows of an answer and those that make no sense; ValueError where
-    none makes sense: such a list changes nothing."""
+    none makes sense: such a list changes nothing.
+    """
     good, refused = members(body["servers"])
     if refused and not good:
         raise ValueError(refused[0][1])
--- a/rushmux/block/pool.py
+++ b/rushmux/block/pool.py
@@ -71,7 +71,7 @@
     `Link.carry`): who was dropped does not wait any more, and `latest` is the last time for it.
     """
 
-    __slots__ = ("node", "words", "until", "latest", "done", "link", "written")
+    __slots__ = ("done", "latest", "link", "node", "until", "words", "written")
 
     def __init__(self, node, words, until, latest, done):
         self.node, self.words, self.until, self.latest, self.done = node, words, until, latest, done
@@ -203,7 +203,7 @@
             self.pool.loop.call_soon(execution.back, say.UNREACHED)
         elif link is not None:
             self.use(link, execution, now)
-        elif len(self.waiting) >= MOST_WAITING or resting is None and not self.pool.room():
+        elif len(self.waiting) >= MOST_WAITING or (resting is None and not self.pool.room()):
             self.pool.loop.call_soon(execution.back, say.FULL)
         elif resting is not None:
             resting.claimed = True
@@ -373,7 +373,8 @@
     def send(self, name, words, until, done, latest=NEVER):
         """Sends `words(milliseconds)` to a node; `done(result, value, fleet_use, from_others)` is called
         once, later, unless it is dropped.  `until`: the loop's time to which it is waited for; `latest`:
-        that before which it begins or never."""
+        that before which it begins or never.
+        """
         node = self.nodes.get(name)
         if node is None or node.place is None:
             self.loop.call_soon(done, say.UNREACHED, None, 0, 0.0)
--- a/rushmux/buffer/decide.py
+++ b/rushmux/buffer/decide.py
@@ -5,7 +5,7 @@
 reader elsewhere ever sees half of one.  Times are seconds of the caller's clock.
 """
 
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from rushmux.buffer.extents import Extents
 
@@ -37,15 +37,15 @@
     """A file's packets between two barriers; `out` are those of a batch on its way."""
 
     __slots__ = (
-        "index",
-        "out",
         "first_at",
         "first_number",
+        "index",
         "last_number",
-        "packets",
+        "out",
         "out_first",
         "out_last",
         "out_packets",
+        "packets",
     )
 
     def __init__(self):
@@ -102,7 +102,7 @@
         self.busy, self.failures, self.not_before = False, 0, 0.0
         self.level, self.level_at = rate * BUDGET_SPAN, 0.0
 
-    def lowest(self) -> Optional[int]:
+    def lowest(self) -> int | None:
         """The oldest layer that holds anything."""
         return min((barrier for file in self.files.values() for barrier in file.layers), default=None)
 
@@ -128,7 +128,8 @@
 
 class Buffer:
     """All that is held of one edge.  `rate(folder)` gives a plan's nominal units a second; `units(bytes)`
-    what a write of so many bytes counts."""
+    what a write of so many bytes counts.
+    """
 
     def __init__(self, caps: Caps, rate, units):
         self.caps, self.rate, self.units = caps, rate, units
@@ -151,7 +152,7 @@
             found.path = path
         return found
 
-    def known(self, folder, number) -> Optional[File]:
+    def known(self, folder, number) -> File | None:
         """The file's state where there is one."""
         held = self.folders.get(folder)
         return held and held.files.get(number)
@@ -232,10 +233,8 @@
     def is_out(file: File, number: int) -> bool:
         """Whether the file's packets up to a number are on nodes (or given up, with an error told)."""
         return not any(
-            layer.out is not None
-            and layer.out_first <= number
-            or layer.packets
-            and layer.first_number <= number
+            (layer.out is not None and layer.out_first <= number)
+            or (layer.packets and layer.first_number <= number)
             for layer in file.layers.values()
         )
 
@@ -258,7 +257,8 @@
 
     def due(self, folder: Folder, now: float):
         """Why the folder should be written out now: (rank, when to look again).  A lower rank goes
-        first; None: not now."""
+        first; None: not now.
+        """
         lowest = folder.lowest()
         if lowest is None or folder.busy:
             return None, float("inf")
@@ -281,7 +281,7 @@
         wait = (1 - folder.level) / folder.rate if folder.level < 1 else 0.0
         return None, min(oldest + self.caps.age, max(quiet, now + wait))
 
-    def next(self, now: float) -> tuple[Optional[Batch], float]:
+    def next(self, now: float) -> tuple[Batch | None, float]:
         """The batch to go next, or None and when to look again."""
         if self.out >= self.caps.out:
             return None, float("inf")
@@ -346,7 +346,8 @@
 
     def failed(self, batch: Batch, now: float, why: str):
         """The batch is not visible, or nobody knows.  It goes again later; what is too old is given up,
-        with all layers above it."""
+        with all layers above it.
+        """
         self.over(batch, now)
         folder = batch.folder
         folder.failures += 1
@@ -378,7 +379,7 @@
             self.account(self.folder(file.folder), -layer.index.bytes - (layer.out.bytes if layer.out else 0))
             file.error = f"{file.path}: {why}"
 
-    def take_error(self, file: File) -> Optional[str]:
+    def take_error(self, file: File) -> str | None:
         """What a client is still to be told, once."""
         error, file.error = file.error, None
         self.close(file)
--- a/rushmux/buffer/extents.py
+++ b/rushmux/buffer/extents.py
@@ -7,7 +7,8 @@
 """
 
 from bisect import bisect_right, insort
-from typing import Iterator, NamedTuple
+from collections.abc import Iterator
+from typing import NamedTuple
 
 CHUNK = 512  # pieces in a chunk before it is cut in two: so many move in a microsecond
 
--- a/rushmux/buffer/journal.py
+++ b/rushmux/buffer/journal.py
@@ -34,7 +34,8 @@
 
 class Read(NamedTuple):
     """What a segment held: whole records up to the first that is not; whether its tail was cut off,
-    as by a kill; and where it is damaged, if whole records follow (None: nowhere)."""
+    as by a kill; and where it is damaged, if whole records follow (None: nowhere).
+    """
 
     records: list
     torn: bool
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -57,7 +57,8 @@
 
     async def write(self, file: File, errand: Errand, start: int, data, opened) -> bool:
         """Holds a packet of an open file; False where it has to go to the nodes at once, which the log's
-        end or a size past all bounds ask for."""
+        end or a size past all bounds ask for.
+        """
         while True:
             verdict = self.buffer.admit(errand.folder, len(data), self.loop.time())
             if verdict == REFUSE or self.broken:
@@ -117,7 +118,8 @@
 
     async def flush(self, file: File, errand: Errand):
         """Until all that is held of the file is readable through any edge; Refused with what went wrong
-        before, told once."""
+        before, told once.
+        """
         if file.dirty:
             number = self.buffer.want(file)
             await self.until(errand, partial(self.buffer.is_out, file, number))
@@ -247,7 +249,8 @@
 
     def guessed(self, batch, extents):
         """The rows to change as they were last seen here: file -> (version, row, blocks by number), each
-        block its version and extents.  None where one is not known; a wrong guess is a check that fails."""
+        block its version and extents.  None where one is not known; a wrong guess is a check that fails.
+        """
         found = {}
         for part in batch.parts:
             known = self.known.get(part.file)
@@ -289,7 +292,8 @@
 
     async def commit(self, errand, batch, extents):
         """One change of rows for all files of the batch; the files that are no more, and why, and those
-        that others wrote to while an earlier start's packets lay in the log."""
+        that others wrote to while an earlier start's packets lay in the log.
+        """
         ends = {part.file: part.index.end for part in batch.parts}
         for attempt in range(CONFLICTS):
             await errand.apart(attempt)
@@ -407,9 +411,7 @@
             if not part.file.dirty:
                 self.based.pop(part.file, None)
         self.commit_log()
-        if not self.buffer.bytes:
-            self.begin_log()
-        elif sum(self.sizes.values()) > 2 * self.buffer.bytes + 4 * SEGMENT:
+        if not self.buffer.bytes or sum(self.sizes.values()) > 2 * self.buffer.bytes + 4 * SEGMENT:
             self.begin_log()
 
     def begin_log(self):
--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -28,7 +28,8 @@
 
 def sized(file, edges, folder, unit) -> tuple[Path, deployments.Deployment]:
     """The deployment with so many gateways on stand-in nodes of this speed, written to the fleet's folder.
-    What pushes such a node over is known, and the gateways' parts are made as small as the proof asks."""
+    What pushes such a node over is known, and the gateways' parts are made as small as the proof asks.
+    """
     shape = fleets.shape_of(deployed(file), unit=unit)
     raw = json.loads(Path(file).read_text())
     raw["fleet"]["gateways"] = edges
--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -66,7 +66,8 @@
 def run(experiment, data, jobs, report):
     """Plays an experiment, goes on where one was killed, and says what was seen.
 
-    Exit 1 where a variant of the module broke a rule."""
+    Exit 1 where a variant of the module broke a rule.
+    """
     from rushmux.lab import spec
 
     store = kept(data)
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -106,8 +106,8 @@
     from rushmux.buffer.disk import Disk, InUse
     from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
-    from rushmux.edge.lastlist import LastList
     from rushmux.edge.going import Kept, Newer
+    from rushmux.edge.lastlist import LastList
     from rushmux.rules import Gateway
     from rushmux.settings import deployment as deployments
     from rushmux.standins.passthrough import PassThrough
@@ -277,6 +277,7 @@
 def planner(file, listen, seed, records, log_level, with_parent, cells, data, planners, name, found):
     """Knows which nodes and edges live, and tells the edges."""
     import random
+
     from rushmux.planner.council import Planners
     from rushmux.planner.logfile import BadLog
     from rushmux.planner.planner import Planner
@@ -388,7 +389,8 @@
 @click.option("--no-copies", is_flag=True, help="the new nodes take no second copies")
 def move(file, to, dry_run, force, load, meter_ms, in_order, order_rest_ms, gateways, no_reserves, no_copies):
     """Makes the new shape's file from one of the old, and lists what it could not carry over."""
-    from rushmux.settings import deployment as deployments, moving
+    from rushmux.settings import deployment as deployments
+    from rushmux.settings import moving
 
     old = deployed(file)
     new, left = moving.moved(
--- a/rushmux/cli/rig.py
+++ b/rushmux/cli/rig.py
@@ -18,7 +18,8 @@
 @click.option("--facts", is_flag=True, help="counts of each story")
 def rig(stories, every, jobs, seed, data, facts):
     """Plays stories (names, or files) on planners, edges and nodes of their own; exit 1 where one breaks a
-    rule."""
+    rule.
+    """
     from rushmux.standins import rig as rigs
 
     try:
--- a/rushmux/cli/shared.py
+++ b/rushmux/cli/shared.py
@@ -55,7 +55,8 @@
 
 def deployed(path, plainly=False):
     """The deployment of a file, or an end with its faults; `plainly`: refusals of routes with how each
-    would come about."""
+    would come about.
+    """
     try:
         return deployments.load(path)
     except deployments.BadDeployment as fault:
--- a/rushmux/driver.py
+++ b/rushmux/driver.py
@@ -20,7 +20,7 @@
 class Taken:
     """An operation between being taken and its last execution's return."""
 
-    __slots__ = ("work", "facts", "ends", "answer", "ended", "sent", "flying", "backstop", "maybe_at")
+    __slots__ = ("answer", "backstop", "ended", "ends", "facts", "flying", "maybe_at", "sent", "work")
 
     def __init__(self, work, facts, ends, answer):
         self.work, self.facts, self.ends, self.answer = work, facts, ends, answer
@@ -47,7 +47,8 @@
         """Puts an execution on the way and calls `came` once, later.  It may wait for a connection, but
         its first byte is written before the loop's time `latest` or never.  What it returns tells whether
         it has `begun`, and may be told to `drop` it, when nobody waits any more, or to `withdraw` it;
-        None: there is nothing to tell."""
+        None: there is nothing to tell.
+        """
         raise NotImplementedError
 
     # What happens: each is put down for the round, since the module must not be called from within.
@@ -83,7 +84,8 @@
 
     def take(self, op_id, work, ends, answer, lane, plan, volume, key, units, cell, mounts, again=False):
         """Takes an operation that ends by the loop's time `ends`; `answer(result, value, come_back)` is
-        called once, with SUCCEEDED, SHED or TERMINATED."""
+        called once, with SUCCEEDED, SHED or TERMINATED.
+        """
         taken = self.taken[op_id] = Taken(
             work, (lane, plan, volume, key, units, cell, mounts, again), ends, answer
         )
--- a/rushmux/edge/asking.py
+++ b/rushmux/edge/asking.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from rushmux.nodewire import messages
 from rushmux.fleet.shares import Believed, Grant
+from rushmux.nodewire import messages
 
 EVERY = 0.5  # seconds between two asks: what is lowered here is free there two asks later
 APART = 0.5  # of that, drawn: hundreds of edges ask apart from each other
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -4,8 +4,9 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
-from typing import Callable, NamedTuple
+from typing import NamedTuple
 
 from rushmux import interface as say
 from rushmux.driver import SECOND, SHED, Core
@@ -117,9 +118,7 @@
         if (
             len(listing.entries) > MOST_LISTED
             or not 0 < listing.cells <= MOST_LISTED
-            or listing.whole
-            and not ready
-            and known
+            or (listing.whole and not ready and known)
         ):
             self.log.warning("list.refused", entries=len(listing.entries), cells=listing.cells, ready=ready)
             return False
@@ -155,7 +154,8 @@
 
     def online_since(self, now, node, start, age):
         """When a node started, on this clock, put down once; 0: long ago.  A later start is believed
-        from whoever tells of it first, and an older one no more."""
+        from whoever tells of it first, and an older one no more.
+        """
         known = self.online.get(node)
         if known is None or start not in known:
             since = 0 if age >= self.deployment.terms.warm_within else max(1, now - age)
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -22,7 +22,8 @@
 class Edge:
     """One gateway.  `seed` is all its chance and must differ at every start; `epoch` is the calendar
     time, in seconds since 1970, at the loop's clock of nought; `buffered` makes a write-back
-    buffer of a driver, a tree and a log (None: there is none)."""
+    buffer of a driver, a tree and a log (None: there is none).
+    """
 
     def __init__(
         self,
@@ -108,7 +109,8 @@
 
     def reload(self, read):
         """Takes over the routes of the deployment that `read()` gives; a bad file, or one that changes
-        anything else, leaves the routes in force whole.  Returns whether they were taken over."""
+        anything else, leaves the routes in force whole.  Returns whether they were taken over.
+        """
         if self.going is not None:
             # Danger: one edge's file is one edge's policy.
             self.log.error("routes.refused", faults=["the fleet decides its policy in common: propose it"])
--- a/rushmux/edge/errand.py
+++ b/rushmux/edge/errand.py
@@ -57,7 +57,8 @@
 
     async def change(self, key: str, checks, puts=(), drops=()):
         """Changes rows, all or none; the rows put with their new versions, or None where a check
-        does not hold.  Terminated: it may have been done."""
+        does not hold.  Terminated: it may have been done.
+        """
         change = messages.Change(
             mark=self.driver.unique(),
             checks=[messages.Check(**check) for check in checks],
@@ -92,7 +93,8 @@
 
     async def store(self, data: bytes, role="write") -> tuple[str, int]:
         """Writes a new object where the module's pick says; its name and its cell.  `role` names the
-        lane: `write_out` for what nobody waits for."""
+        lane: `write_out` for what nobody waits for.
+        """
         name = self.driver.unique()
         write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
         answer = await self.run(
--- a/rushmux/edge/going.py
+++ b/rushmux/edge/going.py
@@ -88,7 +88,8 @@
 def begun(own: Deployment, kept: Kept, log) -> tuple[Deployment, tuple]:
     """The deployment that an edge starts on: its file's, under the policy that its disk holds; and what it
     holds. A damaged one is as none: the edge serves nothing until a planner told it.  `Newer` is for the
-    caller."""
+    caller.
+    """
     try:
         force, staged = kept.load()
         found = own if force is None else documents.merged(own, force.text, f"policy {force.number}")
@@ -102,7 +103,8 @@
 
 class Going:
     """Goes by the policy.  `own`: the deployment of the edge's own file; `kept`: its disk, and what that
-    held."""
+    held.
+    """
 
     def __init__(self, edge, own: Deployment, kept: Kept, held, log):
         self.edge, self.driver, self.own, self.log = edge, edge.driver, own, log
@@ -162,7 +164,8 @@
 
     def serving(self) -> bool:
         """Whether an operation may be taken at this instant.  Danger: an edge that stood still wakes with
-        its lease over, and its sockets are read before its timers run."""
+        its lease over, and its sockets are read before its timers run.
+        """
         self.apply()
         return self.holder.serves()
 
--- a/rushmux/edge/lastlist.py
+++ b/rushmux/edge/lastlist.py
@@ -6,8 +6,8 @@
 
 import struct
 import zlib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Callable, Optional
 
 from rushmux import replace
 from rushmux.nodewire import messages
@@ -44,7 +44,7 @@
         except OSError as fault:
             self.log.warning("lastlist.unkept", why=str(fault))
 
-    def load(self) -> Optional[messages.Listing]:
+    def load(self) -> messages.Listing | None:
         """The last list with its nodes' ages as of now; None where there is none that can be used."""
         try:
             with open(self.path, "rb") as source:
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/links.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from typing import Callable, NamedTuple, Optional
+from collections.abc import Callable
+from typing import NamedTuple
 
 from rushmux import interface as say
 from rushmux.edge.outgoing import Outgoing
@@ -152,7 +153,8 @@
 
 class Sent(NamedTuple):
     """An execution or a probe on its way: `begun` once it was written, `drop` forgets it, `withdraw`
-    tells its node so."""
+    tells its node so.
+    """
 
     link: Link
     corr: int
@@ -181,7 +183,7 @@
         self.count += 1
         return self.count
 
-    def listed(self, node: str, address: Optional[Address]):
+    def listed(self, node: str, address: Address | None):
         """Takes in where a node listens; None: it is gone, and its links close."""
         links = self.nodes.get(node, ())
         if address is None or any(link.address != address for link in links):
@@ -190,9 +192,10 @@
         if address is not None:
             self.nodes.setdefault(node, [Link(self, node, address) for _ in range(self.per_node)])
 
-    def send(self, node: str, execute: messages.Execute, done: Callable, latest=NEVER) -> Optional[Sent]:
+    def send(self, node: str, execute: messages.Execute, done: Callable, latest=NEVER) -> Sent | None:
         """Sends one execution; `done(result, outcome)` is called once, later, unless it is dropped.
-        `latest`: the loop's time before which it begins or never."""
+        `latest`: the loop's time before which it begins or never.
+        """
         links = self.nodes.get(node)
         if not links:
             asyncio.get_running_loop().call_soon(done, say.UNREACHED, None)
@@ -200,9 +203,10 @@
         link = min(links, key=lambda link: len(link.out))
         return Sent(link, link.send(execute, done, latest))
 
-    def probe(self, node: str, done: Callable) -> Optional[Sent]:
+    def probe(self, node: str, done: Callable) -> Sent | None:
         """Asks a node for its load; `done(result, load)` is called once, later, unless it is dropped.
-        Asked over a connection that stands alone: a load is not worth a dial."""
+        Asked over a connection that stands alone: a load is not worth a dial.
+        """
         for link in self.nodes.get(node, ()):
             corr = link.probe(done)
             if corr is not None:
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -21,7 +21,7 @@
 class Block:
     """A block's extents as this handle last read them."""
 
-    __slots__ = ("extents", "version", "read_at")
+    __slots__ = ("extents", "read_at", "version")
 
     def __init__(self, extents, version, read_at):
         self.extents, self.version, self.read_at = extents, version, read_at
@@ -30,7 +30,7 @@
 class Laid:
     """A write whose objects are stored and whose rows are not changed yet."""
 
-    __slots__ = ("extents", "end", "done")
+    __slots__ = ("done", "end", "extents")
 
     def __init__(self, extents, end, done):
         self.extents, self.end, self.done = extents, end, done
@@ -38,7 +38,8 @@
 
 async def gather(errand: Errand, length: int, parts) -> bytes:
     """`length` bytes put together from parts (where its block begins, extents, start, length in the block);
-    what no extent covers is zeros.  Lost where an object is not there."""
+    what no extent covers is zeros.  Lost where an object is not there.
+    """
     wanted = [
         (at + extent.start, extent)
         for at, extents, start, part in parts
@@ -94,7 +95,7 @@
             number for number in numbers if number not in self.blocks or self.blocks[number].read_at < since
         ]
         if not numbers and self.read_at >= since:
-            return
+            return None
         data, key, now = self.file.data, layout.file_key(self.number), self.loop.time()
         keys = [key] + [layout.block_key(data, number) for number in numbers]
         rows = {row.key: row for row in (await errand.look(self.number, keys=keys)).rows}
@@ -214,7 +215,8 @@
 
     async def commit(self, errand, batch, exact=None):
         """Changes the rows that make the writes visible.  `exact`: only over this version of the file;
-        False where it has another."""
+        False where it has another.
+        """
         numbers = list(dict.fromkeys(number for laid in batch for number, _ in laid.extents))
         since = self.loop.time() - self.tree.files.fresh
         for attempt in range(CONFLICTS):
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/tree.py
@@ -4,7 +4,7 @@
 one folder at once lose nothing: a check that fails is followed by a fresh look, a few times.
 """
 
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from rushmux.edge.errand import CONFLICTS, Errand
 from rushmux.files import layout
@@ -30,7 +30,7 @@
     parent: str  # id of the directory that holds it
     name: str
     number: str  # its id; "" where there is nothing
-    file: Optional[File]
+    file: File | None
     entry_version: int = 0
     version: int = 0
     chain: tuple = ()  # (key, version) of the entries that lead to the parent
@@ -133,7 +133,7 @@
         data = self.unique() if kind == "f" else ""
         return File(kind, mode & 0o7777, 0, now, now, 0, 0, data, self.files.object_bytes if data else 0)
 
-    async def add(self, errand, found: Found, file: File) -> Optional[Found]:
+    async def add(self, errand, found: Found, file: File) -> Found | None:
         """Puts a new file or directory where nothing is; None where that has changed."""
         number = self.unique()
         entry, row = layout.entry_key(found.parent, found.name), layout.file_key(number)
@@ -148,7 +148,7 @@
             number=number, file=file, entry_version=done[0].version, version=done[1].version
         )
 
-    async def empty(self, errand, found: Found) -> Optional[Found]:
+    async def empty(self, errand, found: Found) -> Found | None:
         file = found.file._replace(size=0, mtime=self.wall(), data=self.unique())
         key = layout.file_key(found.number)
         done = await errand.change(
@@ -269,7 +269,7 @@
                 return changed, done[0].version
         raise contended("the file")
 
-    async def resize(self, errand, number, file, version, size) -> Optional[tuple[File, int]]:
+    async def resize(self, errand, number, file, version, size) -> tuple[File, int] | None:
         """Sets a size; what lies past it goes block by block from the end.  None: others changed it."""
         key = layout.file_key(number)
         while True:
@@ -308,7 +308,8 @@
 
     async def page(self, errand, number, after) -> tuple[list[tuple[str, str, File]], str]:
         """Up to PAGE entries (name, id, row) of a directory past the key `after` ("" : from the first), and
-        the key to go on from ("" : that was all)."""
+        the key to go on from ("" : that was all).
+        """
         first, below = layout.entries_of(number)
         outcome = await errand.look(number, after=after or first, below=below, most=PAGE)
         if not outcome.rows:
--- a/rushmux/edge/turns.py
+++ b/rushmux/edge/turns.py
@@ -35,7 +35,7 @@
         return False
     if not any(related(mine, its) for mine in one.paths for its in other.paths):
         return False
-    return ALTER in kinds or LOOK in kinds or one.low < other.high and other.low < one.high
+    return ALTER in kinds or LOOK in kinds or (one.low < other.high and other.low < one.high)
 
 
 class Turns:
--- a/rushmux/files/paths.py
+++ b/rushmux/files/paths.py
@@ -13,7 +13,8 @@
 
 def split(path: str) -> tuple[str, ...]:
     """The names of a path from the root, `.` and `..` resolved; BadPath for NUL, `..` above the
-    root, or more than the bounds above."""
+    root, or more than the bounds above.
+    """
     if "\0" in path:
         raise BadPath("a path with a NUL")
     if len(path.encode()) > MOST_PATH:
@@ -36,7 +37,8 @@
 
 def home(folder: str, cells: int) -> int:
     """The cell that holds a folder's names: the highest of a hash for each cell (rendezvous), so
-    that it follows from the name and the number of cells alone and few folders move with it."""
+    that it follows from the name and the number of cells alone and few folders move with it.
+    """
 
     def weight(cell):
         return hashlib.blake2b(f"{cell}/{folder}".encode(), digest_size=8).digest()
--- a/rushmux/fleet/membership.py
+++ b/rushmux/fleet/membership.py
@@ -75,7 +75,8 @@
 
     def restored(self, now, names):
         """Members known from before this planner's start: (name, kind, start, draining).
-        Danger: it has heard nobody yet; each gets a whole lease."""
+        Danger: it has heard nobody yet; each gets a whole lease.
+        """
         for name, kind, start, draining in names:
             member = self.members[name] = Member(name, kind, now)
             member.start, member.draining, member.condition = start, draining, DRAINING if draining else READY
@@ -179,7 +180,7 @@
                 return DRAINED, f"nothing out for {now - member.quiet_at:.1f} s: it may be stopped"
             return DRAINING, f"told to drain; {member.out} out"
         penalty = member.flapped(now)
-        if penalty >= HOLD or member.condition == HELD and penalty >= REUSE:
+        if penalty >= HOLD or (member.condition == HELD and penalty >= REUSE):
             return HELD, f"started too often of late (penalty {penalty:.1f})"
         if silent > SUSPECT * member.usual_gap():
             return SUSPECTED, f"silent for {silent:.1f} s, usually {member.usual_gap():.1f}"
--- a/rushmux/fleet/placement.py
+++ b/rushmux/fleet/placement.py
@@ -6,7 +6,7 @@
 """
 
 from heapq import heapify, heappop, heappush
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 EVEN = 0.05  # over the even load at which a node counts as full enough to take from
 SMALL = 0.02  # of the even load: a move that gains less is not worth its copy
@@ -20,7 +20,7 @@
     name: int
     weight: float
     size: float
-    node: Optional[str]
+    node: str | None
 
 
 class Node(NamedTuple):
@@ -35,7 +35,7 @@
     """A cell that goes to another node; `forced`: it lies nowhere now."""
 
     cell: int
-    source: Optional[str]
+    source: str | None
     target: str
     forced: bool
 
@@ -155,7 +155,8 @@
 
     def cost(cell, target):
         """What a move adds: nothing for a cell that lay nowhere, or that only goes elsewhere; back home "
-        "pays."""
+        "pays.
+        """
         home, at = origin[cell.name], work.at[cell.name]
         if home is None:
             return 0.0
--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -19,7 +19,8 @@
 
 import json
 import zlib
-from typing import Callable, NamedTuple, Optional
+from collections.abc import Callable
+from typing import NamedTuple
 
 LEASE = 10.0  # seconds that a member goes by what it was told, from when it asked
 DRIFT = 0.01  # part by which two clocks may run apart
@@ -52,7 +53,7 @@
         return {folder: (limit, burst) for folder, limit, burst in self.rows}
 
 
-def packed(policy: Optional[Policy]):
+def packed(policy: Policy | None):
     """A policy as JSON values; None stays so."""
     return (
         None
@@ -61,7 +62,7 @@
     )
 
 
-def unpacked(values) -> Optional[Policy]:
+def unpacked(values) -> Policy | None:
     """A policy of JSON values; ValueError where its checksum is wrong."""
     if values is None:
         return None
@@ -229,9 +230,10 @@
     def note(self, number, end, why, by):
         self.past = [*self.past, Past(number, end, why, by)][-HISTORY:]
 
-    def unharmed(self, policy: Policy) -> Optional[str]:
+    def unharmed(self, policy: Policy) -> str | None:
         """What a member that hears of nobody could use beyond its even part of a policy's limits; None:
-        nothing. It may go by any number from the floor on."""
+        nothing. It may go by any number from the floor on.
+        """
         limits = policy.limits()
         for number, rows in self.rows.items():
             for folder, limit, burst in rows:
@@ -289,7 +291,8 @@
 
 class Ask(NamedTuple):
     """`force`: the number it goes by (0: none); `joint`: the staged number that it keeps beside it (0: none);
-    `against`: why it does not take the number `refused`."""
+    `against`: why it does not take the number `refused`.
+    """
 
     member: str
     ask: int
@@ -301,14 +304,15 @@
 
 class Grant(NamedTuple):
     """What holds for a lease from the ask on: `force` and, while a change is under way, `staged`.  `term` and
-    `index` are of the log: what is older is not believed."""
+    `index` are of the log: what is older is not believed.
+    """
 
     member: str
     ask: int
     term: int
     index: int
     force: Policy
-    staged: Optional[Policy]
+    staged: Policy | None
 
 
 class Conduct:
@@ -325,7 +329,8 @@
 
     def asked(self, now, ask: Ask, round_: int):
         """An ask came while the log's newest round was `round_`: it is answered once a later one is
-        confirmed."""
+        confirmed.
+        """
         if ask.member in self.register.gone:
             # Danger: with an answer it would hold a lease that nothing waits for.
             self.returning[ask.member] = True
@@ -357,7 +362,7 @@
         said = self.said.get(member)
         return said is not None and said.joint == number
 
-    def look(self, now) -> Optional[dict]:
+    def look(self, now) -> dict | None:
         """The order that is to go to the log now; None: none."""
         register = self.register
         if register.force is None:
@@ -427,14 +432,15 @@
 
 class Holder:
     """`prove(policy)`: why it cannot be gone by, None: it can.  `keep(force, staged)`: puts both on its
-    disk, synced; OSError where the disk does not take them.  `force`, `staged`: what its disk held."""
+    disk, synced; OSError where the disk does not take them.  `force`, `staged`: what its disk held.
+    """
 
     def __init__(
         self,
         member: str,
-        force: Optional[Policy],
-        staged: Optional[Policy],
-        prove: Callable[[Policy], Optional[str]],
+        force: Policy | None,
+        staged: Policy | None,
+        prove: Callable[[Policy], str | None],
         keep: Callable,
     ):
         self.member, self.force, self.staged, self.prove, self.keep = member, force, staged, prove, keep
@@ -482,7 +488,7 @@
         self.fenced = 0 if force.number >= self.fenced else self.fenced
         return True
 
-    def stages(self, grant) -> Optional[Policy]:
+    def stages(self, grant) -> Policy | None:
         """The change under way, where this member takes part in it."""
         staged = grant.staged
         if staged is None or staged.number == self.refused[0]:
@@ -513,7 +519,8 @@
 
     def limits(self, now) -> dict[str, tuple[float, float]]:
         """Limit and burst of each folder that this member goes by at this moment, as those of all members
-        together: it uses its even part of them.  0: no limit."""
+        together: it uses its even part of them.  0: no limit.
+        """
         if not self.serves():
             return {}
         known = [policy.limits() for policy in (self.force, self.staged) if policy is not None]
--- a/rushmux/fleet/raft.py
+++ b/rushmux/fleet/raft.py
@@ -13,7 +13,8 @@
 """
 
 from collections import OrderedDict
-from typing import Callable, NamedTuple, Optional
+from collections.abc import Callable
+from typing import NamedTuple
 
 FOLLOWS, TRIES, STANDS, LEADS = "follows", "tries", "stands", "leads"
 BEGIN, ORDER, MEMBERS = "begin", "order", "members"  # kinds of entries
@@ -48,7 +49,7 @@
     """What a disk holds at a start: the entries follow the snapshot."""
 
     term: int
-    voted: Optional[str]
+    voted: str | None
     snapshot: Snapshot
     entries: tuple[Entry, ...] = ()
 
@@ -109,12 +110,12 @@
 class Ready(NamedTuple):
     """To be done in this order: written and synced, sent, applied; then `written`."""
 
-    vote: Optional[tuple[int, Optional[str]]]  # term and whom it voted for, where they changed
-    snapshot: Optional[Snapshot]  # replaces what is on disk up to its index
-    cut: Optional[int]  # from this index on the disk's entries are dropped before
+    vote: tuple[int, str | None] | None  # term and whom it voted for, where they changed
+    snapshot: Snapshot | None  # replaces what is on disk up to its index
+    cut: int | None  # from this index on the disk's entries are dropped before
     entries: tuple[tuple[int, Entry], ...]
     send: tuple
-    restored: Optional[Snapshot]  # the state to be taken over before what is decided is applied
+    restored: Snapshot | None  # the state to be taken over before what is decided is applied
     decided: tuple[tuple[int, Entry], ...]
 
 
@@ -149,7 +150,7 @@
     def last(self) -> int:
         return self.snapshot.index + len(self.log)
 
-    def term_at(self, index) -> Optional[int]:
+    def term_at(self, index) -> int | None:
         """None where the log has no such entry (any more)."""
         if index == self.snapshot.index:
             return self.snapshot.term
@@ -208,7 +209,8 @@
 
     def stand(self, now, trial):
         """Danger: one that was cut off comes back with a high term and unseats a leader that all hear.  So
-        it asks first whether it would be voted for, and its term rises only then."""
+        it asks first whether it would be voted for, and its term rises only then.
+        """
         self.role, self.leader, self.votes = TRIES if trial else STANDS, None, {self.me: True}
         if not trial:
             self.term, self.voted = self.term + 1, self.me
@@ -224,7 +226,7 @@
             elif self.role == STANDS:
                 self.role, self.leader = LEADS, self.me
                 self.next, self.match, self.echoes = {}, {}, {}
-                self.heard = {name: now for name in self.members}
+                self.heard = dict.fromkeys(self.members, now)
                 # Danger: entries of older terms are not decided by counting; one of its own decides them.
                 self.add([Entry(self.term, BEGIN, b"")])
                 self.tell(now)
@@ -328,7 +330,8 @@
     @property
     def confirmed(self) -> int:
         """The newest round that a majority echoed: after it began this member still led, by nobody's clock.
-        0 until an entry of its own term is decided: before that it may not know what was decided."""
+        0 until an entry of its own term is decided: before that it may not know what was decided.
+        """
         if self.role != LEADS or self.term_at(self.decided) != self.term:
             return 0
         rounds = sorted(
@@ -435,7 +438,7 @@
 
     # What is to be done.
 
-    def ready(self) -> Optional[Ready]:
+    def ready(self) -> Ready | None:
         """What is to be done now, None: nothing.  It is handed out once."""
         vote = (self.term, self.voted)
         entries = tuple(
@@ -473,7 +476,8 @@
 
 class Sessions:
     """Answers given to clients, so that an order that is proposed again is not applied again.  Part of the
-    state that the log makes: the same on every member."""
+    state that the log makes: the same on every member.
+    """
 
     def __init__(self, rows=()):
         self.rows = OrderedDict((client, (number, answer)) for client, number, answer in rows)
--- a/rushmux/fleet/shares.py
+++ b/rushmux/fleet/shares.py
@@ -9,7 +9,7 @@
 edge said so, or when its lease is over.
 """
 
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 LEASE = 10.0  # seconds for which a grant holds, from when the edge asked
 DRIFT = 0.01  # part by which two clocks may run apart
@@ -53,10 +53,11 @@
         # safe parts goes out until every lease of an older term is over.
         self.open_at = now + LEASE * (1 + DRIFT)
 
-    def asked(self, now, edge: str, ask: int, wants: dict[str, float], done: Optional[tuple] = None) -> Grant:
+    def asked(self, now, edge: str, ask: int, wants: dict[str, float], done: tuple | None = None) -> Grant:
         """An edge asks, tells what it could use of each folder (parts of the limit), and which grant it "
           "goes by
-        (`done`: its term and number).  What it is granted holds for a lease from when it asked."""
+        (`done`: its term and number).  What it is granted holds for a lease from when it asked.
+        """
         self.lapse(now)
         known = self.pending.get(edge)
         if done == (self.term, known and known[0]):
--- a/rushmux/interface.py
+++ b/rushmux/interface.py
@@ -6,7 +6,8 @@
 operations, nodes, volumes and keys are opaque text.
 """
 
-from typing import NamedTuple, Optional, Protocol, Sequence
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
 
 # How a lane's operations may be repeated.
 REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
@@ -58,7 +59,7 @@
     time_out: int = 1 << 62  # the most that an execution may take
     executions: int = 1 << 62  # the most of one operation, second copies counted
     wait: int = 0  # from an execution's return until the next
-    copy_after: Optional[int] = 0  # no second copy goes before; None: none goes at all
+    copy_after: int | None = 0  # no second copy goes before; None: none goes at all
     held: int = 1 << 62  # operations that a gateway holds at a time; others are shed
     share: float = 0.0  # further executions for each operation taken, saved up to `free`
     free: float = 1 << 62
@@ -87,7 +88,7 @@
     warm_within: int
     meter_span: int  # period of the fleet meter; 0: none
     order_rest: int  # rest of a key after an execution that may still run
-    budget_share: Optional[float]  # further executions for each operation taken; None: no budget
+    budget_share: float | None  # further executions for each operation taken; None: no budget
     budget_free: float
     budget_span: int
     copies: bool = False  # an operation may have two executions out
@@ -146,7 +147,7 @@
         fleet_use: int,
         from_others: float,
     ) -> None: ...
-    def reported(self, node: str, result: str, queue: Optional[float], service: Optional[float]) -> None: ...
+    def reported(self, node: str, result: str, queue: float | None, service: float | None) -> None: ...
     def left(self, now: int, op_id: str) -> None: ...
     def shared(self, now: int, volume: str, part: float) -> None: ...
     def routed(self, routes: dict[tuple[str, str], Route]) -> None: ...
--- a/rushmux/lab/compare.py
+++ b/rushmux/lab/compare.py
@@ -41,7 +41,8 @@
 
 def sign_flips(values) -> float:
     """Chance of a mean as far from nought, were each pair's sign a coin's: exact for few pairs, else "
-    "drawn."""
+    "drawn.
+    """
     values = numpy.asarray(values, float)
     if not numpy.any(values):
         return 1.0
--- a/rushmux/lab/lean.py
+++ b/rushmux/lab/lean.py
@@ -6,7 +6,8 @@
 
 import random
 from collections import defaultdict
-from typing import Callable, NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple
 
 from rushmux import interface as say
 from rushmux.lab.heap import HeapClock
@@ -167,7 +168,7 @@
 class Op:
     """One try of a client's operation at its gateway."""
 
-    __slots__ = ("arrival", "begun", "name", "number", "tries", "sent", "flying", "over")
+    __slots__ = ("arrival", "begun", "flying", "name", "number", "over", "sent", "tries")
 
     def __init__(self, arrival, begun, tries):
         self.arrival, self.begun, self.tries = arrival, begun, tries
--- a/rushmux/lab/report.py
+++ b/rushmux/lab/report.py
@@ -12,7 +12,7 @@
 from rushmux.lab.run import revision, whole
 
 matplotlib.use("Agg")
-from matplotlib import pyplot  # noqa: E402  pylint: disable=wrong-import-position
+from matplotlib import pyplot
 
 WIDE, HIGH = 9.0, 2.6  # inches of a plot
 DPI = 80
--- a/rushmux/lab/schedules.py
+++ b/rushmux/lab/schedules.py
@@ -148,7 +148,8 @@
 
 class Play:
     """One schedule over a deployment.  `acts`: what nodes may do with an execution, worst first; `way`:
-    messages, rounds and connections may be late."""
+    messages, rounds and connections may be late.
+    """
 
     def __init__(self, ground: Ground, choices, acts=(SILENT,), gateways=1, seed=1, way=True):
         self.ground, self.choices, self.acts, self.seed = ground, choices, acts, seed
@@ -176,7 +177,7 @@
             self.note(text)
             self.breach = Breach(rule, text, tuple(self.steps))
 
-    def run(self, until) -> Optional[Breach]:
+    def run(self, until) -> Breach | None:
         """Plays until a tick or a breach; at the end each operation must have been answered."""
         count = 0
         while self.heap and self.heap[0][0] <= until and self.breach is None:
@@ -391,9 +392,7 @@
     return full + 100 * (play.ground.restarts + 1)
 
 
-def search(
-    ground: Ground, story, lane, plan, acts, most=300, seed=1, gateways=1, way=True
-) -> Optional[Breach]:
+def search(ground: Ground, story, lane, plan, acts, most=300, seed=1, gateways=1, way=True) -> Breach | None:
     """The first breach found in `most` schedules, half of them in order and half drawn; None: none."""
     choices, chance = Choices(), random.Random(seed)
     for number in range(most):
--- a/rushmux/lab/search.py
+++ b/rushmux/lab/search.py
@@ -213,7 +213,8 @@
 
 def replay(path, tolerance=0.03) -> tuple[bool, str]:
     """Plays a saved day with the module as it is: whether the rules are kept and no less is served (but for
-    the tolerance), and what was seen."""
+    the tolerance), and what was seen.
+    """
     try:
         with open(path) as source:
             case = json.load(source)
--- a/rushmux/lab/spec.py
+++ b/rushmux/lab/spec.py
@@ -86,7 +86,8 @@
 
 def expanded(raw) -> list[dict]:
     """The experiments that the factors make of one: itself where it states none; BadExperiment for a value
-    that the schema does not allow."""
+    that the schema does not allow.
+    """
     found = [raw]
     for place, values in raw["factors"].items():
         found = [(one, place, value) for one in found for value in values]
--- a/rushmux/lab/store.py
+++ b/rushmux/lab/store.py
@@ -1,5 +1,6 @@
 """Results of experiments in an embedded store: a row for each variant and seed, written whole or not at "
-"all."""
+"all.
+"""
 
 import hashlib
 import json
--- a/rushmux/lab/troubles.py
+++ b/rushmux/lab/troubles.py
@@ -148,7 +148,8 @@
 
 def draw(lines: list[Line], seed, nodes: dict, edges, volumes: dict) -> list[Event]:
     """Events in the order of time.  Each line has a generator of its own: taking one away leaves the "
-    "others."""
+    "others.
+    """
     events = []
     for line in lines:
         chance = random.Random(f"{seed}/{line.text()}")
--- a/rushmux/lab/workload.py
+++ b/rushmux/lab/workload.py
@@ -61,7 +61,8 @@
 
 def volumes(nominal, counts: dict, cells: int, edges: int, capacity: float, spec: dict, seed) -> list[Volume]:
     """So many volumes of each plan, by the plans' nominal rates; together they ask for `load` of
-    the capacity (units a second)."""
+    the capacity (units a second).
+    """
     chance = numpy.random.default_rng([seed, 1])
     found = []
     for plan, count in counts.items():
--- a/rushmux/lab/yardstick.py
+++ b/rushmux/lab/yardstick.py
@@ -45,7 +45,7 @@
 
 def bound(deployment, stood, arrivals, events, seconds, speeds=None) -> float:
     """Part of all operations that could be served in time, at most.  `speeds`: of the machines by cell."""
-    speeds = speeds or {cell: stood.machine.speed for cell in range(stood.nodes)}
+    speeds = speeds or dict.fromkeys(range(stood.nodes), stood.machine.speed)
     whole, count = _capacity(stood, events, seconds + 5, speeds)
     seen, groups = set(), defaultdict(int)
     machine, terms = stood.machine, deployment.terms
--- a/rushmux/planner/council.py
+++ b/rushmux/planner/council.py
@@ -9,7 +9,8 @@
 import asyncio
 import base64
 import zlib
-from typing import Callable, NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple
 
 import orjson
 
@@ -40,7 +41,8 @@
 
 class Planners(NamedTuple):
     """This planner's name, where all listen (itself included), and whether the fleet is founded by this
-    start."""
+    start.
+    """
 
     name: str
     addresses: dict[str, tuple[str, int]]
@@ -49,7 +51,8 @@
 
 class Council:
     """This planner's part.  `changed(leads)` hears when its leadership begins and ends; `first()` gives the
-    order that founds the fleet's policy, or None; `chance` draws waits and the life of a new disk."""
+    order that founds the fleet's policy, or None; `chance` draws waits and the life of a new disk.
+    """
 
     def __init__(
         self,
@@ -130,7 +133,8 @@
 
     def mend(self):
         """Tries a disk again that took nothing.  Danger: what it took in part must be known before it goes
-        on."""
+        on.
+        """
         if self.loop.time() - self.broken < DISK_AGAIN:
             return
         self.broken = self.loop.time()
@@ -265,7 +269,8 @@
 
     def confirm(self, call: Callable):
         """Calls `call` once a majority has said, after this, that this planner leads; never if it does
-        not."""
+        not.
+        """
         if self.leads and len(self.asking) < MOST_WAITING:
             self.asking.append((self.voice.round, call))
 
@@ -309,7 +314,8 @@
 
     def take_in(self):
         """Members change by one at a time: a disk's new life is taught the log, comes in, and the old life
-        goes."""
+        goes.
+        """
         if not self.leads:
             return
         now = self.loop.time()
--- a/rushmux/planner/logfile.py
+++ b/rushmux/planner/logfile.py
@@ -8,7 +8,6 @@
 import fcntl
 import os
 from pathlib import Path
-from typing import Optional
 
 import orjson
 
@@ -36,7 +35,8 @@
 
 class LogFile:
     """The file of one planner, held by one program at a time.  `life` names this disk: one that was lost
-    comes back as another.  `fresh` draws the life of a new one."""
+    comes back as another.  `fresh` draws the life of a new one.
+    """
 
     def __init__(self, path, fresh):
         self.path, self.sink = Path(path), None
@@ -47,7 +47,7 @@
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as fault:
             raise BadLog(f"{path}: another program holds this log") from fault
-        self.kept: Optional[Kept] = None
+        self.kept: Kept | None = None
         self.life, self.new = "", not self.path.exists()
         if self.new:
             self.life = fresh()
@@ -81,7 +81,7 @@
         os.ftruncate(self.sink, found.end)
         os.fsync(self.sink)
 
-    def replayed(self, bodies) -> Optional[Kept]:
+    def replayed(self, bodies) -> Kept | None:
         term, voted, snapshot, entries = 0, None, Snapshot(0, 0, (), b""), {}
         for body in bodies:
             kind, values = body[:1], orjson.loads(body[1:])
@@ -127,7 +127,8 @@
 
     def write(self, done: Ready):
         """Puts what was handed out on the disk, synced; OSError where the disk does not take it, and then
-        nothing of it may be sent."""
+        nothing of it may be sent.
+        """
         kept, bodies = self.kept, []
         entries = dict(enumerate(kept.entries, kept.snapshot.index + 1))
         if done.vote is not None:
--- a/rushmux/planner/orders.py
+++ b/rushmux/planner/orders.py
@@ -17,12 +17,14 @@
 
 class Elsewhere(NotOrdered):
     """This planner gave no answer, does not lead, or does not know whether it was decided: the same order,
-    under the same name, may go to another."""
+    under the same name, may go to another.
+    """
 
 
 async def order(address, verb, member="") -> messages.Ordered:
     """Sends one order to the planner at (host, port), or to those of several that takes it; NotOrdered where
-    none can be reached, or it is refused."""
+    none can be reached, or it is refused.
+    """
     return await one_of(address, messages.Message(order=messages.Order(verb=verb, member=member)), "ordered")
 
 
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -5,11 +5,10 @@
 """
 
 import asyncio
-from typing import Optional
 
-from rushmux.nodewire import WireFault, messages
 from rushmux.fleet.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
 from rushmux.fleet.shares import Shares
+from rushmux.nodewire import WireFault, messages
 from rushmux.planner import policies
 from rushmux.planner.council import Council, Elsewhere, NotDecided, Planners
 from rushmux.planner.peers import Listener
@@ -27,7 +26,8 @@
 class Planner(Listener):
     """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells.  `planners`: who
     decides with it in common, in a log at `log_path`; `deployment`: the fleet's first policy, where it has
-    one; `chance` draws waits.  None: it decides alone, on its store."""
+    one; `chance` draws waits.  None: it decides alone, on its store.
+    """
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         record=lambda kind, **fields: None,
         folders=(),
         edges=1,
-        planners: Optional[Planners] = None,
+        planners: Planners | None = None,
         log_path=None,
         deployment=None,
         chance=None,
@@ -90,7 +90,8 @@
 
     def restore(self, term):
         """Begins anew with what its store knows; drains are those of the newest orders where there are
-        several planners, since its own store may be old."""
+        several planners, since its own store may be old.
+        """
         now = self.loop.time()
         self.entries, self.heard_at, self.waiting, self.unkept = {}, {}, {}, {}
         self.members = Membership(now)
@@ -309,7 +310,7 @@
         rows, dropped = [], []
         for name in self.unkept:
             member = self.members.members.get(name)
-            if member is None or member.kind == EDGE and member.condition == GONE:
+            if member is None or (member.kind == EDGE and member.condition == GONE):
                 dropped.append(name)
             else:
                 entry = self.entries.get(name)
@@ -363,7 +364,7 @@
         return self.order(order)
 
     def order(self, order) -> messages.Ordered:
-        fault: Optional[str] = None
+        fault: str | None = None
         if order.verb in ("drain", "undrain"):
             member = self.members.members.get(order.member)
             if member is None or member.kind != NODE:
--- a/rushmux/planner/policies.py
+++ b/rushmux/planner/policies.py
@@ -44,7 +44,8 @@
 
 async def decided(council, deployment, verb, order) -> str:
     """Has an order decided; what came of it.  Whoever asks again with the same client and number is told the
-    same, and nothing is done twice."""
+    same, and nothing is done twice.
+    """
     known = {"client": str(order["client"])[:64], "n": int(order["n"]), "by": str(order["by"])[:64]}
     if verb == "propose":
         if council.register.force is None:
--- a/rushmux/records.py
+++ b/rushmux/records.py
@@ -6,7 +6,7 @@
 
 import struct
 import zlib
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 FRAME = struct.Struct(">II")
 
@@ -17,7 +17,8 @@
 
 class Read(NamedTuple):
     """Bodies up to the first that is not whole; where that is; whether whole records follow it (damage, and
-    no torn tail)."""
+    no torn tail).
+    """
 
     bodies: list[bytes]
     end: int
@@ -32,7 +33,7 @@
     return FRAME.pack(len(body), zlib.crc32(body)) + body
 
 
-def one(text, at: int, most: int) -> Optional[tuple[bytes, int]]:
+def one(text, at: int, most: int) -> tuple[bytes, int] | None:
     """The body at a place and where the next record begins, or None."""
     if len(text) - at < FRAME.size:
         return None
--- a/rushmux/resp/codec.py
+++ b/rushmux/resp/codec.py
@@ -107,7 +107,8 @@
 
 class Replies(Reader):
     """Reads replies: (kind, value) with kind one of + - : $ *.  A null is None; an array holds values
-    of the other kinds."""
+    of the other kinds.
+    """
 
     def __init__(self):
         super().__init__()
--- a/rushmux/routes/prove.py
+++ b/rushmux/routes/prove.py
@@ -6,7 +6,7 @@
 by cutting the route short: such a route cannot do what it says.  The others can be played.
 """
 
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from rushmux import interface as say
 from rushmux.routes.resolve import Flow
@@ -57,14 +57,15 @@
 
     matter: str
     worst: float
-    bound: Optional[float]
+    bound: float | None
     unit: str
     exact: bool
 
 
 def kept(span: int, way: int, dial: int, tick: int) -> int:
     """The span that the module must keep to, so that what it sent within it covers all that can arrive
-    within `span`: delays bunch what was sent apart."""
+    within `span`: delays bunch what was sent apart.
+    """
     return span + way + dial + tick
 
 
@@ -133,7 +134,7 @@
     )
 
 
-def ladder(ground: Ground, flow: Flow) -> Optional[Finding]:
+def ladder(ground: Ground, flow: Flow) -> Finding | None:
     """Whether all stated executions can be played out one after the other."""
     route, lane, tick = flow.route, flow.lane, ground.terms.tick
     if "time_out_ms" not in flow.places:
@@ -179,7 +180,7 @@
     )
 
 
-def copies(ground: Ground, flow: Flow) -> Optional[Finding]:
+def copies(ground: Ground, flow: Flow) -> Finding | None:
     """Whether a second copy may go at all, and whether it can still be answered."""
     route, lane, terms = flow.route, flow.lane, ground.terms
     if route.copy_after is None:
@@ -252,11 +253,12 @@
 
 def connected(ground: Ground, flow: Flow) -> int:
     """Ticks after which an execution may still be sent: it waits for a connection until the round, late by
-    a tick, that gives it up."""
+    a tick, that gives it up.
+    """
     return min(ground.dial, longest(ground.terms.tick, flow) + ground.terms.tick)
 
 
-def window(ground: Ground, flow: Flow) -> Optional[Finding]:
+def window(ground: Ground, flow: Flow) -> Finding | None:
     """Whether a repeat of a referenced operation reaches its node while its mark is known."""
     lane, tick = flow.lane, ground.terms.tick
     if lane.repeat != say.REFERENCED or min(flow.route.executions, ground.terms.executions) < 2:
@@ -290,7 +292,7 @@
     )
 
 
-def drains(ground: Ground, flows: list[Flow]) -> Optional[Finding]:
+def drains(ground: Ground, flows: list[Flow]) -> Finding | None:
     """Whether anything can reach a node later than the grace after its drain was told."""
     flow = max(flows, key=lambda flow: connected(ground, flow))
     wait = connected(ground, flow)
@@ -341,7 +343,7 @@
     return max(0, int((ground.falls - cold_rest(ground)) * ground.wanted * 10) / 10)
 
 
-def cold(ground: Ground) -> Optional[Finding]:
+def cold(ground: Ground) -> Finding | None:
     terms, worst, nearest = ground.terms, cold_worst(ground), cold_nearest(ground)
     if worst <= ground.falls:
         return None
@@ -445,7 +447,7 @@
     return found
 
 
-def held(ground: Ground, flows: list[Flow]) -> Optional[Finding]:
+def held(ground: Ground, flows: list[Flow]) -> Finding | None:
     """Whether what the routes let a gateway hold has a place."""
     stated = [flow for flow in flows if "held" in flow.places]
     together = sum(flow.route.held for flow in stated)
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -7,7 +7,7 @@
 import copy
 import json
 from pathlib import Path
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 import jsonschema
 
@@ -20,7 +20,8 @@
 
 class BadDeployment(Exception):
     """A file that cannot be used; `faults` is a list of (place, what is wrong), `findings` those of the
-    proof among them."""
+    proof among them.
+    """
 
     def __init__(self, source, faults, findings=()):
         super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
@@ -31,7 +32,7 @@
     """A client folder: its plan, and the numbers of the edges that serve it (None: all)."""
 
     plan: str
-    edges: Optional[tuple[int, ...]]
+    edges: tuple[int, ...] | None
 
 
 class Sessions(NamedTuple):
@@ -63,7 +64,7 @@
     folders: dict[str, Folder]
     sessions: Sessions
     files: Files
-    buffer: Optional[dict]  # the file's part on the write-back buffer, times in seconds; None: off
+    buffer: dict | None  # the file's part on the write-back buffer, times in seconds; None: off
     drain_grace: float  # seconds
     dial: float  # seconds
     links: int
@@ -208,7 +209,8 @@
 
 def build(raw: dict, source: str = "deployment", proved=True) -> Deployment:
     """The deployment that `raw` states; BadDeployment with all its faults.  Not `proved`: what the proof
-    refuses is taken all the same, for the laboratory."""
+    refuses is taken all the same, for the laboratory.
+    """
     faults, routes = _faults(raw)
     stated = copy.deepcopy(raw)
     if routes is None:
@@ -263,7 +265,7 @@
     terms = terms._replace(routes=resolve.routes(flows))
     ground = _ground(terms, fleet, raw["bounds"])
     findings = prove.prove(ground, flows)
-    if faults or findings and proved:
+    if faults or (findings and proved):
         raise BadDeployment(
             source, faults + [(finding.place, finding.text) for finding in findings], findings
         )
--- a/rushmux/settings/moving.py
+++ b/rushmux/settings/moving.py
@@ -5,17 +5,17 @@
 """
 
 import copy
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 
 class Shape(NamedTuple):
     """What the new deployment is like; None or empty: as before."""
 
     load: str = "probe"
-    meter_ms: Optional[float] = None
+    meter_ms: float | None = None
     in_order: tuple[str, ...] = ()
-    order_rest_ms: Optional[float] = None
-    gateways: Optional[int] = None
+    order_rest_ms: float | None = None
+    gateways: int | None = None
     reserves: bool = True
     copies: bool = True
 
--- a/rushmux/settings/policy.py
+++ b/rushmux/settings/policy.py
@@ -54,7 +54,8 @@
 
 def against(now: Deployment, proposed: Deployment) -> list[str]:
     """What keeps a policy from being taken over without a start: all that differs but routes, and limits and
-    bursts of plans that keep one."""
+    bursts of plans that keep one.
+    """
     found = []
     for place in differences(now.raw, proposed.raw):
         parts = place.split("/")
--- a/rushmux/sftp/packets.py
+++ b/rushmux/sftp/packets.py
@@ -6,7 +6,7 @@
 """
 
 import struct
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 VERSION = 3
 MOST = 262_144 + 1_024  # bytes in a packet: what stock clients send at most, and its fields
@@ -24,7 +24,8 @@
 
 class BadPacket(Exception):
     """Bytes that are no packet; `request` is its id where that could be read, `ends` where the
-    stream itself cannot be followed any more."""
+    stream itself cannot be followed any more.
+    """
 
     def __init__(self, text, request=None, ends=False):
         super().__init__(text)
@@ -34,12 +35,12 @@
 class Attributes(NamedTuple):
     """File attributes; None where not told.  Times are whole seconds since 1970."""
 
-    size: Optional[int] = None
-    uid: Optional[int] = None
-    gid: Optional[int] = None
-    mode: Optional[int] = None
-    atime: Optional[int] = None
-    mtime: Optional[int] = None
+    size: int | None = None
+    uid: int | None = None
+    gid: int | None = None
+    mode: int | None = None
+    atime: int | None = None
+    mtime: int | None = None
 
 
 class Name(NamedTuple):
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -30,7 +30,8 @@
 
 class Verdict(NamedTuple):
     """One rule: how many events were held against it, how near the nearest came (1: the edge of it;
-    None where nothing came near), and the breaches."""
+    None where nothing came near), and the breaches.
+    """
 
     rule: str
     checked: int
--- a/rushmux/standins/client.py
+++ b/rushmux/standins/client.py
@@ -1,7 +1,7 @@
 """A scripted SFTP client: requests in any number at once, each recorded with its answer."""
 
 import asyncio
-from typing import Callable
+from collections.abc import Callable
 
 from rushmux.sftp import packets as sftp
 
--- a/rushmux/standins/day.py
+++ b/rushmux/standins/day.py
@@ -73,10 +73,10 @@
         pool[:] = [
             held
             for held in pool
-            if not held.done() or not held.exception() and not held.result().reading.done()
+            if not held.done() or (not held.exception() and not held.result().reading.done())
         ]
         free = min(pool, key=lambda held: len(held.result().waiting) if held.done() else 0, default=None)
-        busy = free is None or free.done() and len(free.result().waiting) >= BUSY
+        busy = free is None or (free.done() and len(free.result().waiting) >= BUSY)
         if busy and len(pool) < SESSIONS:
             free = self.fleet.loop.create_task(self.opened(edge))
             pool.append(free)
--- a/rushmux/standins/engine.py
+++ b/rushmux/standins/engine.py
@@ -6,7 +6,8 @@
 
 import asyncio
 from collections import OrderedDict, deque
-from typing import Callable, NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple
 
 NEIGHBOUR = 1.0  # seconds that a neighbour on the machine is in, and out
 RECENT_SPREAD = 0.3  # sigma of the lognormal draw of a service time around its mean
@@ -109,7 +110,8 @@
 
     def offer(self, units: float, key: str, writes: bool, time_out: float, done: Callable) -> bool:
         """Takes an execution; `done(late)` is called when its work is over, with whether it was
-        dropped for its time-out.  False: turned away."""
+        dropped for its time-out.  False: turned away.
+        """
         now = self.loop.time()
         if self.push(units, now):
             self.stop()
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -10,7 +10,6 @@
 from rushmux.edge.edge import Edge
 from rushmux.edge.lastlist import LastList
 from rushmux.edge.links import Address
-from rushmux.virtual.loop import VirtualLoop, run
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import Store as PlannerStore
 from rushmux.rules import Gateway
@@ -21,6 +20,7 @@
 from rushmux.standins.node import Node
 from rushmux.standins.orders import Orders
 from rushmux.standins.store import Store
+from rushmux.virtual.loop import VirtualLoop, run
 
 HOST = "127.0.0.1"
 UP = 60.0  # seconds at most until every edge knows all nodes
--- a/rushmux/standins/kills.py
+++ b/rushmux/standins/kills.py
@@ -33,7 +33,8 @@
 
 class Told(NamedTuple):
     """What the writer knows: its writes in order, those answered, what each flush covered, and the
-    barriers: the number of the last write before, and whether it was answered."""
+    barriers: the number of the last write before, and whether it was answered.
+    """
 
     writes: list
     answered: set
@@ -157,7 +158,7 @@
     """What is wrong with what was found, in words."""
     wrong = []
     for place, number in found.items():
-        if number is None or number and number not in numbers[place]:
+        if number is None or (number and number not in numbers[place]):
             wrong.append(f"slot {place} holds {number}, never written there, or not whole")
         elif number < told.flushed.get(place, 0):
             wrong.append(f"slot {place} holds {number}; {told.flushed[place]} was flushed")
@@ -175,7 +176,8 @@
 
 async def round_of(fleet, folder, chance, first, span):
     """One kill on a fleet that is up: writes through edge 0, kills it within `span` seconds, checks
-    through edge 1, has it started again and checks once more.  What was wrong, and the next number."""
+    through edge 1, has it started again and checks once more.  What was wrong, and the next number.
+    """
     slots = [Slots(chance) for _ in range(FILES)]
     told = Told([], set(), {}, [])
     client = await fleet.client(0)
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -1,14 +1,15 @@
 """A stand-in storage node: it keeps objects and rows, takes as long as a machine would, and can
-be told to be in trouble."""
+be told to be in trouble.
+"""
 
 import asyncio
 import random
 from collections import OrderedDict
 
 from rushmux.nodewire import Frames, WireFault, frame, messages
+from rushmux.planner.peers import Peer
 from rushmux.standins.engine import Engine, Shape, neighbour
 from rushmux.standins.obeying import Obeying
-from rushmux.planner.peers import Peer
 from rushmux.standins.store import DiskFull, Store
 
 MOST_VOLUMES = 100_000  # folders whose served units are kept, and edges they were told to
@@ -50,7 +51,8 @@
 
 class Node(Obeying):
     """One node from one start.  `record(kind, **fields)` hears of every execution; `obeys`: troubles
-    may be ordered over the socket."""
+    may be ordered over the socket.
+    """
 
     def __init__(
         self,
@@ -137,7 +139,8 @@
 
     async def register(self):
         """Tells the list source what this node is, now and then, for as long as it lives; of several planners
-        the one that takes it."""
+        the one that takes it.
+        """
         turn = -1
         while True:
             writer, turn = None, turn + 1
@@ -267,9 +270,8 @@
         # Bounded by the machine's waiting room; what a pushed-over node holds ends with it.
         if self.engine.offer(body.units, key, writes, body.time_out / 10_000, done):
             self.calls[peer, body.corr] = done
-        else:
-            if not self.fallen:
-                self.answer(peer, body, messages.Outcome(code=messages.BUSY))
+        elif not self.fallen:
+            self.answer(peer, body, messages.Outcome(code=messages.BUSY))
 
     def work(self, peer, body, what, late):
         """The machine's time for an execution is over: it takes effect now, all of it or nothing."""
--- a/rushmux/standins/orders.py
+++ b/rushmux/standins/orders.py
@@ -23,7 +23,8 @@
 
     async def person(self, word, verb, **order):
         """A person asks about the policy until an answer comes, under one name for one order; `people` holds
-        what was said.  For fleets that have `people` and `places`."""
+        what was said.  For fleets that have `people` and `places`.
+        """
         known = {"client": f"person{len(self.people)}", "n": 1, "by": "somebody"}
         row = {"word": word, "verb": verb, "said": "", "number": order.get("number")}
         self.people.append(row)
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -228,7 +228,8 @@
 
 def settings(plan=None, hard_stop=1_000, aim=400, window=None, gateways=3, shards=4, **limits) -> dict:
     """Settings in the form of the simulator's first message, with times that suit a test; `hard_stop` and
-    `aim` of both lanes and `window` of the referenced one in ms."""
+    `aim` of both lanes and `window` of the referenced one in ms.
+    """
     return {
         "Classes": [
             {"Name": "read", "Aim": aim * NS, "Deadline": hard_stop * NS, "Worth": 3, "Idempotency": "safe"},
--- a/rushmux/standins/policy_defects.py
+++ b/rushmux/standins/policy_defects.py
@@ -1,5 +1,6 @@
 """Seeded defects of the fleet's policy: each is a part that is wrong in one thing.  The judge of `policies`
-has to find every one of them; tests and the measurement say within how many seeds."""
+has to find every one of them; tests and the measurement say within how many seeds.
+"""
 
 from rushmux.fleet import policy
 from rushmux.fleet.policy import Conduct, Holder, Register
--- a/rushmux/standins/policy_states.py
+++ b/rushmux/standins/policy_states.py
@@ -11,7 +11,7 @@
 """
 
 import json
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from rushmux.fleet import policy
 
@@ -62,12 +62,13 @@
 
 class Found(NamedTuple):
     """States that were reached, up to how many events all orders were gone through, ends seen, and the first
-    breach with its way."""
+    breach with its way.
+    """
 
     states: int
     events: int
     ends: dict
-    breach: Optional[str]
+    breach: str | None
     way: tuple
 
 
@@ -95,7 +96,7 @@
             }
         )
         self.index = 1
-        self.disks = {name: (self.register.force, None) for name in MEMBERS}
+        self.disks = dict.fromkeys(MEMBERS, (self.register.force, None))
         self.members = {name: self.member(name) for name in MEMBERS}
         # Planner 1 leads; planner 2 may take over, and 1 may not know.
         self.leaders = {1: conduct(self.register, -2 * policy.LEASE)}
@@ -316,7 +317,8 @@
     bounds=Bounds(), parts=(policy.Register, policy.Conduct, policy.Holder), limits=LIMITS, begin=()
 ) -> Found:
     """Goes through all orders of events, breadth first, until as many states were reached as the bounds
-    allow; the first breach is a shortest one."""
+    allow; the first breach is a shortest one.
+    """
     start = begun(parts, limits, begin)
     seen, edge, ends, events = {start.key(): None}, [(start, ())], {}, 0
     while edge:
--- a/rushmux/standins/script.py
+++ b/rushmux/standins/script.py
@@ -1,7 +1,7 @@
 """The notation of scripted days: lines of text to events (see days/bad.txt)."""
 
 from pathlib import Path
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 DAYS = Path(__file__).with_name("days")
 MOST_LINES = 10_000
@@ -29,7 +29,7 @@
     events: tuple[Event, ...]
 
 
-def _event(words) -> Optional[Event]:
+def _event(words) -> Event | None:
     at, verb, target, *rest = words
     event = Event(float(at), verb, target)
     if verb in ("kill", "start") and not rest:
--- a/rushmux/standins/store.py
+++ b/rushmux/standins/store.py
@@ -32,7 +32,8 @@
 
 class Store:
     """One node's disk.  `path` may be ":memory:"; `limit` is its size in bytes; `window` is how many
-    seconds the mark of a change is known again."""
+    seconds the mark of a change is known again.
+    """
 
     def __init__(self, path, cell: int, limit: int, window: float, sync=False):
         self.limit, self.window = limit, window
--- a/rushmux/virtual/loop.py
+++ b/rushmux/virtual/loop.py
@@ -271,7 +271,7 @@
         return self._alive, (process, callback, args, context, asked), asked
 
     def _alive(self, process, callback, args, context, asked):
-        if process.dead or asked and asked[0].cancelled():
+        if process.dead or (asked and asked[0].cancelled()):
             return
         if process.held_until > self.clock:
             # Danger: timers of one instant have no order among them; what waits in a socket keeps its own.
--- a/tests/block/conftest.py
+++ b/tests/block/conftest.py
@@ -14,7 +14,6 @@
 from rushmux.block.front import Front
 from rushmux.standins.platform import Client, Discovery, Node, configuration
 
-
 ROOT = Path(__file__).resolve().parents[2]
 
 
--- a/tests/block/test_bounds_of_run.py
+++ b/tests/block/test_bounds_of_run.py
@@ -1,5 +1,6 @@
 """What `run` may do where the fleet's days are played: one process, TCP and UDP over IPv4, nothing of the
-fleet's control.  `run` of the deploy file is started under an audit hook of the interpreter."""
+fleet's control.  `run` of the deploy file is started under an audit hook of the interpreter.
+"""
 
 import signal
 import subprocess
--- a/tests/block/test_closes.py
+++ b/tests/block/test_closes.py
@@ -116,7 +116,8 @@
 @pytest.mark.parametrize("end", ["silent", "stop"])
 def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_sends_it_again(running, end):
     """Seen on roll and join days: eleven requests of ten brink scores were read behind the end, thrown away
-    and never answered; left unread before, a few were sent again."""
+    and never answered; left unread before, a few were sent again.
+    """
 
     async def story(stage):
         loop = asyncio.get_running_loop()
@@ -133,7 +134,8 @@
 
 def test_a_platform_that_knows_no_state_of_a_connection_cuts_no_client_off(staged, monkeypatch):
     """Seen on the bench, where the state told is that of a socket that was never connected: 1,682 connections
-    of a day were ended early."""
+    of a day were ended early.
+    """
     monkeypatch.setattr(
         asyncio.trsock.TransportSocket,
         "getsockopt",
--- a/tests/block/test_crossings.py
+++ b/tests/block/test_crossings.py
@@ -196,7 +196,8 @@
 
 class Surplus(threading.Thread):
     """A node in a thread of its own, which goes on while the gateway's loop stands still: a second answer
-    follows each first one."""
+    follows each first one.
+    """
 
     def __init__(self):
         super().__init__(daemon=True)
@@ -229,7 +230,8 @@
 def two_in_a_row(port, meanwhile):
     """Outcomes of two executions, the second sent in the turn in which the first one's answer was read: the
     process stands still past the rest, and the loop has looked at no socket since.  `meanwhile`: what is
-    waited for before."""
+    waited for before.
+    """
 
     async def story():
         loop, outcomes = asyncio.get_running_loop(), asyncio.Queue()
--- a/tests/block/test_front.py
+++ b/tests/block/test_front.py
@@ -187,7 +187,8 @@
 
 def test_a_limit_is_kept_at_the_node_over_a_restart_of_the_gateway(staged):
     """Units by the time they came: the store starts full, fills at the plan's rate, and dips below nought
-    by the plan's slack and 150 ms of its rate at most."""
+    by the plan's slack and 150 ms of its rate at most.
+    """
     rate, burst, slack = 40.0, 20.0, 8.0
 
     async def story(stage):
--- a/tests/block/test_listener.py
+++ b/tests/block/test_listener.py
@@ -193,7 +193,8 @@
 
 def test_a_crowd_that_greets_and_stays_makes_room_for_newcomers_at_once(staged):
     """Seen in a recorded day: all places held by such, and 900 newcomers a second turned away.  Who asked
-    for an operation keeps its place for the two seconds that the platform's page names."""
+    for an operation keeps its place for the two seconds that the platform's page names.
+    """
 
     async def story(stage):
         most, answers = stage.front.listener.most, []
@@ -235,7 +236,8 @@
 
 def test_a_client_that_closes_has_gone_away_and_nothing_more_is_sent_for_it(staged):
     """Seen on the platform: hurried clients close, nodes then turn their requests away, and a node that
-    serves everybody else well was held for crowded."""
+    serves everybody else well was held for crowded.
+    """
 
     async def story(stage):
         client = await stage.client()
--- a/tests/buffer/test_kills.py
+++ b/tests/buffer/test_kills.py
@@ -1,5 +1,6 @@
 """Kills at random moments: nothing flushed is lost, no barrier is crossed, and checks that are taken out
-are missed."""
+are missed.
+"""
 
 import random
 
--- a/tests/files/test_layout.py
+++ b/tests/files/test_layout.py
@@ -1,10 +1,9 @@
 """Blocks and extents against a plain array of bytes; names of cells."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as some
 
-import pytest
-
 from rushmux.files import layout, paths
 from rushmux.files.layout import Extent
 
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -1,5 +1,6 @@
 """The fleet's policy: a change takes hold everywhere or nowhere, whatever is lost, killed, stopped or cut
-off."""
+off.
+"""
 
 import json
 
--- a/tests/fleet/test_raft.py
+++ b/tests/fleet/test_raft.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux.fleet import raft
-from rushmux.standins.voices import Breach, World
+from rushmux.standins.voices import World
 
 SEEDS = 150
 
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -1,5 +1,6 @@
 """Shares never pass a limit, whatever happens to messages, edges and planners; and they follow what is "
-"wanted."""
+"wanted.
+"""
 
 import random
 
@@ -20,7 +21,7 @@
         self.still, self.way = {}, []
         self.wants = {name: {folder: self.chance.random() for folder in FOLDERS} for name in self.edges}
         self.planners = [Shares(1, FOLDERS, edges, 0.0)]
-        self.most = {folder: 0.0 for folder in FOLDERS}
+        self.most = dict.fromkeys(FOLDERS, 0.0)
 
     def clock(self, name):
         return self.now * self.speeds[name]
--- a/tests/gateway/test_cold_fleet.py
+++ b/tests/gateway/test_cold_fleet.py
@@ -24,7 +24,8 @@
 
 class Fleet:
     """Gateways, and one cold node among warm ones.  `demand(chance, now, gateway)` gives the cell, and
-    whether the volume goes through all gateways."""
+    whether the volume goes through all gateways.
+    """
 
     def __init__(self, gateways, cells, rate, calls, demand, seed, listed_cold, restarted):
         self.chance, self.now, self.heap, self.order = random.Random(seed), 0, [], itertools.count()
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -6,7 +6,8 @@
 
 from click.testing import CliRunner
 
-from rushmux import interface as say, log
+from rushmux import interface as say
+from rushmux import log
 from rushmux.cli.main import main
 from rushmux.edge.links import Address, Links
 from rushmux.nodewire import messages
--- a/tests/planner/test_asking.py
+++ b/tests/planner/test_asking.py
@@ -6,8 +6,8 @@
 
 from benchmarks import shares as day
 from rushmux.edge.links import Lists
-from rushmux.nodewire import messages
 from rushmux.fleet.shares import LEASE, SAFE
+from rushmux.nodewire import messages
 from rushmux.settings.deployment import BadDeployment, build
 from rushmux.standins import fleet
 from rushmux.standins.checker import Checker
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -14,16 +14,16 @@
 from rushmux.edge.lastlist import LastList
 from rushmux.edge.links import Lists
 from rushmux.files.paths import home
-from rushmux.virtual.loop import run
+from rushmux.fleet.membership import LEASE
 from rushmux.nodewire import VERSION, messages
 from rushmux.planner import orders
-from rushmux.fleet.membership import LEASE
 from rushmux.planner.planner import Planner
 from rushmux.planner.store import BadStore, Row, Store
 from rushmux.settings import deployment
 from rushmux.standins import fleet
 from rushmux.standins.checker import Checker
 from rushmux.standins.client import Gone, Refusal
+from rushmux.virtual.loop import run
 
 EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
 STATED = deployment.build(copy.deepcopy(EXAMPLE))
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -131,7 +131,8 @@
 
 def test_a_large_value_of_a_node_is_read_whole():
     """Seen on the platform: values of 400,000 bytes, where its page says 64 KiB; held for spoilt, each was
-    asked for three times."""
+    asked for three times.
+    """
     value = b"v" * 400_000
     data = b"*3\r\n" + bulk(value) + b"$-1\r\n$-1\r\n"
     assert values(Replies(), [data[at : at + 65_536] for at in range(0, len(data), 65_536)]) == [
--- a/tests/routes/test_broken.py
+++ b/tests/routes/test_broken.py
@@ -1,5 +1,6 @@
 """The folder of broken files: each refusal is told plainly, all of a file in one go, and what it says
-would pass does pass."""
+would pass does pass.
+"""
 
 import copy
 import json
--- a/tests/routes/test_reload.py
+++ b/tests/routes/test_reload.py
@@ -15,7 +15,8 @@
 @pytest.fixture
 def surged(raw):
     """Plays a surge of writes through one edge with a reload in its middle; the fleet, what the reload
-    said, and the operations that were taken before it."""
+    said, and the operations that were taken before it.
+    """
 
     def played(old, new, change=lambda raw: None, seed=5):
         raw["routes"] = old
