--- /dev/null
+++ b/tests/test_stored_data.py
@@ -0,0 +1,212 @@
+"""What earlier versions stored is read as it was meant, and written again byte for byte."""
+
+import base64
+import json
+import shutil
+import zlib
+from pathlib import Path
+
+import pytest
+
+from rushmux.buffer import journal
+from rushmux.edge.going import Kept
+from rushmux.edge.lastlist import LastList
+from rushmux.fleet import policy, raft
+from rushmux.lab import spec
+from rushmux.lab.store import Store as ResultStore
+from rushmux.nodewire import messages
+from rushmux.planner.logfile import LogFile
+from rushmux.planner.store import Row, Store
+from rushmux.settings import deployment
+from rushmux.standins import rig, script
+from rushmux.standins.store import Store as NodeStore
+
+STORED = Path(__file__).with_name("data") / "stored"
+SAVED_AT = 1_764_000_000.25
+STORY = (34.0, 2, 2)  # length, steps and expectations
+CARIBE, HEREDIA = "caribe", "heredia"
+
+
+class SilentLog:
+    def __getattr__(self, level):
+        return lambda event, **fields: None
+
+
+@pytest.fixture
+def stored(tmp_path):
+    """A copy of a recorded file, which may be written to."""
+
+    def copied(name):
+        return Path(shutil.copy(STORED / name, tmp_path / name))
+
+    return copied
+
+
+def ready(**fields):
+    empty = {
+        "vote": None,
+        "snapshot": None,
+        "cut": None,
+        "entries": (),
+        "send": (),
+        "restored": None,
+        "decided": (),
+    }
+    return raft.Ready(**{**empty, **fields})
+
+
+def order(text):
+    return raft.Entry(3, raft.ORDER, text.encode())
+
+
+DRAIN = '{"kind":"drain","member":"node1"}'
+UNDRAIN = '{"kind":"undrain","member":"node1"}'
+
+
+def test_the_planners_log_holds_its_vote_and_entries(stored):
+    log = LogFile(stored("planner.log"), lambda: "other")
+    assert (log.life, log.kept.term, log.kept.voted) == ("77aa", 3, "b/1")
+    assert log.kept.snapshot == raft.Snapshot(0, 0, ("a/77aa", "b/1"), b"")
+    assert log.kept.entries == (
+        raft.Entry(2, raft.BEGIN, b""),
+        order(UNDRAIN),
+        raft.Entry(3, raft.MEMBERS, ("a/77aa",)),
+    )
+    log.release()
+
+
+def test_a_torn_planners_log_loses_its_last_record_only(stored):
+    log = LogFile(stored("planner-torn.log"), lambda: "other")
+    assert log.kept.entries == (raft.Entry(2, raft.BEGIN, b""), order(UNDRAIN))
+    log.release()
+
+
+def test_the_planners_log_is_written_as_before(tmp_path):
+    log = LogFile(tmp_path / "planner.log", lambda: "77aa")
+    log.begin(raft.founded(["a/77aa", "b/1"]))
+    first, second = raft.Entry(2, raft.BEGIN, b""), raft.Entry(2, raft.ORDER, DRAIN.encode())
+    log.write(ready(vote=(3, "b/1"), entries=((1, first), (2, second))))
+    members = raft.Entry(3, raft.MEMBERS, ("a/77aa",))
+    log.write(ready(cut=2, entries=((2, order(UNDRAIN)), (3, members))))
+    log.release()
+    assert (tmp_path / "planner.log").read_bytes() == (STORED / "planner.log").read_bytes()
+
+
+def test_a_planners_log_with_a_snapshot_holds_the_policy_and_the_clients_answers(stored):
+    log = LogFile(stored("planner-snapshot.log"), lambda: "other")
+    snapshot = log.kept.snapshot
+    assert (snapshot.index, snapshot.term, snapshot.members) == (2, 4, ("a/77bb", "b/1", "c/1"))
+    assert (log.kept.term, log.kept.voted) == (5, "c/1")
+    assert log.kept.entries == (raft.Entry(5, raft.ORDER, b'{"kind":"back","number":2,"members":["edge1"]}'),)
+    state = json.loads(zlib.decompress(base64.b64decode(snapshot.state)))
+    assert state["sessions"] == [["ana/1", 3, "2 is staged"]]
+    assert state["register"].encode() == (STORED / "register-snapshot.json").read_bytes()
+    log.release()
+
+
+def test_a_snapshot_of_the_policy_is_restored_whole_and_written_as_before():
+    recorded = (STORED / "register-snapshot.json").read_bytes()
+    register = policy.Register.restored(recorded)
+    assert register.members == ("edge0", "edge1") and register.last == 3 and register.by == "ana"
+    assert register.force == policy.Policy(2, '{"a":2}', ((CARIBE, 20.0, 40.0), (HEREDIA, 0, 0)))
+    assert register.staged == policy.Policy(3, '{"a":3}', ((CARIBE, 30.0, 60.0), (HEREDIA, 10.0, 20.0)))
+    assert register.goes == {"edge0": 2, "edge1": 1} and register.floor == 2
+    assert list(register.drained) == ["node1"] and list(register.gone) == ["edge1"]
+    assert [(past.number, past.end, past.by) for past in register.past] == [
+        (1, "decided", "ana"),
+        (2, "decided", "ana"),
+    ]
+    assert list(register.texts) == [1] and list(register.rows) == [2]
+    assert register.kept() == recorded
+
+
+def test_the_membership_store_holds_its_rows_and_version(stored):
+    store = Store(stored("planner.db"))
+    rows, damaged = store.rows()
+    assert not damaged and store.version == 17 and store.term == 2
+    edge, node = rows
+    assert edge == Row("edge0", "edge", "e1", True, b"") and (node.name, node.kind, node.start) == (
+        "node0",
+        "node",
+        "s1",
+    )
+    entry = messages.Entry.FromString(node.entry)
+    assert (entry.node, entry.cell, entry.zone, entry.condition) == ("node0", 2, "z1", "ready")
+    store.close()
+
+
+def test_the_edges_last_list_is_read_with_its_nodes_ages(stored):
+    listing = LastList(stored("edge-list.bin"), lambda: SAVED_AT + 2, SilentLog()).load()
+    assert (listing.version, listing.whole, listing.cells) == (10, True, 4)
+    (entry,) = listing.entries
+    assert (entry.node, entry.host, entry.condition, entry.age) == ("node1", "10.0.0.2", "draining", 20_070)
+
+
+def test_the_edges_last_list_is_written_as_before(tmp_path):
+    path = tmp_path / "edge-list.bin"
+    entry = messages.Entry(
+        node="node1",
+        host="10.0.0.2",
+        port=7001,
+        cell=3,
+        zone="z2",
+        condition="draining",
+        start="s2",
+        age=70,
+    )
+    LastList(path, lambda: SAVED_AT, SilentLog()).told(
+        messages.Listing(version=10, whole=True, cells=4, entries=[entry])
+    )
+    assert path.read_bytes() == (STORED / "edge-list.bin").read_bytes()
+
+
+def test_the_edges_kept_policies_are_read_and_written_as_before(stored, tmp_path):
+    force, staged = Kept(stored("edge-policy.json")).load()
+    assert force == policy.Policy(2, '{"a":2}', ((CARIBE, 20.0, 40.0), (HEREDIA, 0, 0)))
+    assert staged == policy.Policy(3, '{"a":3}', ((CARIBE, 30.0, 60.0), (HEREDIA, 10.0, 20.0)))
+    Kept(tmp_path / "again.json").keep(force, staged)
+    assert (tmp_path / "again.json").read_bytes() == (STORED / "edge-policy.json").read_bytes()
+
+
+def test_a_segment_of_the_buffers_log_holds_the_writes_that_no_node_has():
+    recorded = (STORED / "buffer-00000001-000001.log").read_bytes()
+    found = journal.read(recorded)
+    assert not found.torn and found.damaged is None
+    assert [record.data for record in found.records if record.kind == journal.PUT] == [b"held", b"held too"]
+    again = b"".join(journal.pack(record.kind, record.data, **record.fields) for record in found.records)
+    assert journal.HEAD + again == recorded
+
+
+def test_a_nodes_store_knows_its_object_row_mark_and_floor(stored):
+    store = NodeStore(str(stored("node.db")), 2, 1 << 20, 30.0)
+    read = store.read(messages.ReadObject(object="o1", offset=0, length=9))
+    assert read.data == b"data" and store.floor == 2
+    assert tuple(store.row(HEREDIA, "d/0/a")) == ("d/0/a", b'["f1"]', 1)
+    again = store.change(HEREDIA, messages.Change(mark="m1"), 6.0)
+    assert [(row.key, row.version) for row in again.rows] == [("d/0/a", 1)]
+    store.close()
+
+
+def test_results_of_the_lab_are_found_again(stored):
+    store = ResultStore(stored("results.db"))
+    assert store.get("what", "module", 3) == {"G": 0.5, "rules": {"kept": True}}
+    store.close()
+
+
+def test_a_deployment_file_states_the_same_terms():
+    made = deployment.load(STORED / "deployment.json")
+    lane = made.terms.lanes["lectura"]
+    assert (lane.quoted_time, lane.repeat, made.terms.tick) == (4_000, "replayable", 50)
+    keyed = made.terms.lanes["registro"]
+    assert (keyed.repeat, keyed.group, keyed.window, keyed.in_order) == ("referenced", "cell", 200_000, True)
+
+
+def test_a_day_a_story_and_an_experiment_are_read():
+    day = script.load(STORED / "day.txt")
+    assert day.length == 14 and len(day.events) == 9
+    assert day.events[0] == script.Event(1.5, "trouble", "node1", "silent", 0.0, 2.0)
+    assert day.events[2] == script.Event(3.5, "replace", "node0", "node0b")
+    assert day.events[7] == script.Event(9.0, "surge", "bodega-sur", "", 6.0, 3.0)
+    story = rig.load(STORED / "story.txt")
+    assert (story.sizes["length"], len(story.deeds), len(story.expects)) == STORY
+    assert spec.load(STORED / "experiment.json")["variants"]
--- /dev/null
+++ b/tests/test_wire_recordings.py
@@ -0,0 +1,136 @@
+"""Every wire, byte for byte as earlier versions spoke it: recorded bytes in, recorded bytes out."""
+
+import io
+import json
+from pathlib import Path
+
+import pytest
+
+from rushmux.block import commands, figures
+from rushmux.block.config import parsed
+from rushmux.fleet import policy, raft
+from rushmux.nodewire import Frames, frame, messages
+from rushmux.planner import words
+from rushmux.resp import Commands, Replies, command, error
+from rushmux.sftp import packets as sftp
+from rushmux.standins.platform import configuration
+from rushmux.wirehost.host import Host
+
+WIRE = Path(__file__).with_name("data") / "wire"
+NODEWIRE = {
+    name: bytes.fromhex(text) for name, text in json.loads((WIRE / "nodewire.json").read_text()).items()
+}
+SFTP = json.loads((WIRE / "sftp.json").read_text())
+RESP2 = json.loads((WIRE / "resp2.json").read_text())
+
+FORCE = policy.Policy(2, '{"a":2}', (("caribe", 20.0, 40.0), ("heredia", 0, 0)))
+STAGED = policy.Policy(3, '{"a":3}', (("caribe", 30.0, 60.0), ("heredia", 10.0, 20.0)))
+GRANT = policy.Grant("edge0", 5, 7, 44, FORCE, STAGED)
+RAFT = {
+    "ask": raft.Ask("a/1", "b/2", 7, 40, 6, True),
+    "vote": raft.Vote("b/2", "a/1", 7, False, True),
+    "append": raft.Append(
+        "a/1",
+        "b/2",
+        7,
+        40,
+        6,
+        (
+            raft.Entry(7, raft.BEGIN, b""),
+            raft.Entry(7, raft.ORDER, b'{"kind":"x"}'),
+            raft.Entry(7, raft.MEMBERS, ("a/1", "c/3")),
+        ),
+        39,
+        12,
+    ),
+    "install": raft.Install("a/1", "b/2", 7, raft.Snapshot(30, 5, ("a/1", "b/2"), b"state"), 13),
+    "appended": raft.Appended("b/2", "a/1", 7, False, 38, 12),
+}
+MILLISECONDS = 250  # that the recorded commands tell a node
+
+
+def decoded(data):
+    (message,) = Frames().feed(data)
+    return message
+
+
+@pytest.mark.parametrize("name", sorted(NODEWIRE))
+def test_a_frame_is_read_and_made_again(name):
+    assert frame(decoded(NODEWIRE[name])) == NODEWIRE[name]
+
+
+def test_a_frame_of_every_message_is_recorded():
+    kinds = {decoded(data).WhichOneof("body") for data in NODEWIRE.values()}
+    assert kinds == {field.name for field in messages.Message.DESCRIPTOR.fields}
+
+
+@pytest.mark.parametrize("kind", sorted(RAFT))
+def test_a_raft_message_goes_over_the_wire_as_before(kind):
+    data = NODEWIRE[f"raft-{kind}"]
+    assert frame(messages.Message(word=words.sent(RAFT[kind]))) == data
+    assert words.heard(decoded(data).word) == RAFT[kind]
+
+
+@pytest.mark.parametrize("name, known", [("whole", ()), ("known", (2, 3))])
+def test_a_policy_grant_goes_over_the_wire_as_before(name, known):
+    made = messages.Message(policy_grant=words.grant(GRANT, known))
+    assert frame(made) == NODEWIRE[f"policy-grant-{name}"]
+
+
+def test_a_members_policy_ask_goes_over_the_wire_as_before():
+    holder = policy.Holder("edge0", FORCE, STAGED, lambda proposed: None, lambda force, staged: None)
+    ask = messages.PolicyAsk(**holder.ask(3.0)._asdict())
+    assert frame(messages.Message(policy_ask=ask)) == NODEWIRE["policy-ask"]
+
+
+def fields_of(values):
+    """A packet's fields out of the recording: tuples and bytes as they were."""
+    if isinstance(values, list):
+        return tuple(map(fields_of, values))
+    return bytes.fromhex(values["hex"]) if isinstance(values, dict) else values
+
+
+@pytest.mark.parametrize("row", SFTP, ids=lambda row: row["packet"])
+def test_an_sftp_packet_is_read_and_made_again(row):
+    data = bytes.fromhex(row["bytes"])
+    (body,) = sftp.Packets().feed(data)
+    packet = sftp.decode(body)
+    assert type(packet).__name__ == row["packet"] and packet == fields_of(row["fields"])
+    assert sftp.encode(packet) == data
+
+
+def test_an_sftp_packet_of_every_type_is_recorded():
+    assert {row["packet"] for row in SFTP} == {kind.__name__ for kind in sftp.TYPES}
+
+
+@pytest.mark.parametrize("row", RESP2["commands"])
+def test_a_clients_command_becomes_the_same_command_to_a_node_or_the_same_error(row):
+    start = parsed(json.dumps(configuration(1, [], 7000)).encode())
+    reader = Commands()
+    reader.feed(bytes.fromhex(row["client"]))
+    try:
+        answer = {"node": command(commands.check(reader.next(), start).words(MILLISECONDS)).hex()}
+    except commands.Refused as fault:
+        answer = {"error": error(f"ERR {fault}").hex()}
+    assert {"client": row["client"], **answer} == row
+
+
+@pytest.mark.parametrize("row", RESP2["replies"])
+def test_a_nodes_reply_means_the_same(row):
+    reader = Replies()
+    reader.feed(bytes.fromhex(row["node"]))
+    kind, value = reader.next()
+    result, found, fleet_use, from_others = figures.outcome(kind, value)
+    assert (result, fleet_use, from_others) == (row["result"], row["fleet_use"], row["from_others"])
+    assert found == (None if row["value"] is None else bytes.fromhex(row["value"]))
+    assert figures.sound(result, kind, value) == row["reusable"]
+
+
+@pytest.mark.parametrize("path", sorted(WIRE.glob("simulator-*.jsonl")), ids=lambda path: path.stem)
+def test_the_simulators_lines_are_answered_byte_for_byte(path):
+    host = Host()
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        asked, answered = json.loads(line)
+        sink = io.BytesIO()
+        host.serve([asked.encode()], sink)
+        assert sink.getvalue().decode() == answered + "\n", f"{path.name}, line {number}"
