--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -20,12 +20,12 @@
 from scipy import stats
 
 from rushmux import interface as say
-from rushmux.edge.links import Address, Links
-from rushmux.lab.heap import HeapClock
-from rushmux.lab.lean import WAY
+from rushmux.edge.node_connections import Address, Links
+from rushmux.lab.scheduler_simulation import WAY
+from rushmux.lab.timer_loop import HeapClock
 from rushmux.log import to_list
 from rushmux.nodewire import VERSION, messages
-from rushmux.standins.engine import Engine, Shape
+from rushmux.standins.service_model import Engine, Shape
 
 UNIT, CORES, ROOM = 0.01, 2, 40  # of the machine: seconds of a core for a unit, cores, waiting room
 BYTES = 4_096  # of an object: little, so that moving it is no work of its own
--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from rushmux.edge.driver import Shed, Terminated
-from rushmux.edge.errand import Errand
+from rushmux.edge.operation_runner import Errand
 from rushmux.settings import deployment as deployments
 from rushmux.standins import fleet as fleets
 from rushmux.standins.checker import Checker
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -15,8 +15,8 @@
 import numpy
 from scipy import stats
 
-from rushmux.lab import outcome, spec, whole
-from rushmux.lab.lean import World
+from rushmux.lab import outcome, spec, system_simulation
+from rushmux.lab.scheduler_simulation import World
 from rushmux.standins.checker import Checker
 
 CASES = {
@@ -57,7 +57,7 @@
 def real(raw, seed):
     """The same day through real edges."""
     built, stood, arrivals, events = spec.day(raw, raw["variants"][0], seed)
-    ended, fleet = whole.play(built, stood, arrivals, events, seed)
+    ended, fleet = system_simulation.play(built, stood, arrivals, events, seed)
     quoted = {name: lane.quoted_time / 10_000 for name, lane in built.terms.lanes.items()}
     good = [row for row in ended if row.how == "succeeded"]
     kept = not Checker(fleet.all_records(), built, 0.005).breaches()
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -94,7 +94,7 @@
         file.flush()
         begun = loop.time()
         child = subprocess.Popen(
-            [sys.executable, "-m", "rushmux.block"],
+            [sys.executable, "-m", "rushmux.gateway"],
             cwd=ROOT,
             stderr=subprocess.DEVNULL,
             env={**os.environ, "NODE_CONFIG": file.name},
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -15,13 +15,13 @@
 from pathlib import Path
 
 from rushmux import log
-from rushmux.edge.links import Lists
+from rushmux.edge.node_connections import Lists
 from rushmux.fleet.membership import REPORT
 from rushmux.nodewire import VERSION, frame, messages
-from rushmux.planner import orders
+from rushmux.planner import admin_server
+from rushmux.planner.membership_store import Store
 from rushmux.planner.planner import Planner
-from rushmux.planner.store import Store
-from rushmux.virtual.loop import run
+from rushmux.simulation.loop import run
 
 NODES = 47
 DEATHS = 5
@@ -94,7 +94,7 @@
             deaths.append(max(told[name, "gone"].values()) - died)
         for name in [name for name in sorted(nodes) if not nodes[name].dead][:DEATHS]:
             asked = loop.time()
-            await orders.order(("127.0.0.1", port), "drain", name)
+            await admin_server.order(("127.0.0.1", port), "drain", name)
             while len(told.get((name, "draining"), ())) < edges:
                 await asyncio.sleep(0.01)
             drains.append(max(told[name, "draining"].values()) - asked)
--- a/benchmarks/planner_kills.py
+++ b/benchmarks/planner_kills.py
@@ -17,8 +17,8 @@
 from pathlib import Path
 
 from rushmux.settings import deployment as deployments
-from rushmux.standins import day as days
 from rushmux.standins import fleet as fleets
+from rushmux.standins import scenario as days
 from rushmux.standins import script
 from rushmux.standins.checker import Checker
 
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -14,15 +14,21 @@
 from multiprocessing import Pool
 from pathlib import Path
 
-from rushmux.edge.going import granted
+from rushmux.edge.policy_client import granted
 from rushmux.fleet import policy, raft
 from rushmux.nodewire import VERSION, Frames, frame, messages
-from rushmux.planner import orders
-from rushmux.planner.logfile import LogFile
+from rushmux.planner import admin_server
+from rushmux.planner.raft_storage import LogFile
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
-from rushmux.standins import policies, policy_defects, policy_fleet, policy_states, rig
-from rushmux.virtual import loop as virtual
+from rushmux.simulation import loop as virtual
+from rushmux.standins import (
+    fault_injection,
+    policy_fleet,
+    policy_model_checker,
+    policy_mutants,
+    policy_simulation,
+)
 
 HOST = "127.0.0.1"
 EVERY = 0.5  # seconds between a stand-in member's asks, as an edge's
@@ -84,14 +90,14 @@
 
 
 async def one_change(edges, away, folder):
-    story = rig.parse(f"edges {edges}\nnodes {NODES}\n")
-    raw = rig.stated(story)
+    story = fault_injection.parse(f"edges {edges}\nnodes {NODES}\n")
+    raw = fault_injection.stated(story)
     raw["plans"]["basico"].update(limit=edges * 40.0, burst=edges * 80.0)
     raw["fleet"]["cold_units"] = 1
     raw["bounds"]["cold_falls_units"] = 113_000
     file = Path(folder) / "deployment.json"
     file.write_text(json.dumps(raw))
-    made = rig.Rig(story, file, build(raw, proved=False), folder, 1)
+    made = fault_injection.Rig(story, file, build(raw, proved=False), folder, 1)
     made.cells, made.planner_names = NODES, ["plannera", "plannerb", "plannerc"]
     chance, members = random.Random(1), []
     try:
@@ -110,7 +116,7 @@
         begun = asyncio.get_running_loop().time()
         there = members[round(edges * away) :]
         raw["plans"]["basico"].update(limit=edges * 20.0, burst=edges * 40.0)
-        await orders.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
+        await admin_server.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
         async with asyncio.timeout(60):
             while not all(2 in member.at for member in there):
                 await asyncio.sleep(0.01)
@@ -170,8 +176,8 @@
 
 def ended(seed, parts):
     try:
-        policies.played(seed, parts=parts)
-    except policies.Breach as fault:
+        policy_simulation.played(seed, parts=parts)
+    except policy_simulation.Breach as fault:
         return str(fault).split(" ")[1:4]
     return None
 
@@ -179,17 +185,17 @@
 def found(defect):
     begun = time.process_time()
     for seed in range(MOST_SEEDS):
-        settings = {"parts": policy_defects.parts(defect)} if defect else {"fences": False}
+        settings = {"parts": policy_mutants.parts(defect)} if defect else {"fences": False}
         try:
-            policies.played(seed, **settings)
-        except policies.Breach as fault:
+            policy_simulation.played(seed, **settings)
+        except policy_simulation.Breach as fault:
             return defect, seed + 1, time.process_time() - begun, str(fault)[:90]
     return defect, None, time.process_time() - begun, ""
 
 
 def defects():
     with Pool(3) as pool:
-        for defect, seeds, took, why in pool.imap_unordered(found, [None, *policy_defects.DEFECTS]):
+        for defect, seeds, took, why in pool.imap_unordered(found, [None, *policy_mutants.DEFECTS]):
             name = defect.__name__ if defect else "NodesThatFenceNothing"
             print(f"{name:24}{seeds!s:>6} seeds {took:6.1f} s  {why}", flush=True)
 
@@ -215,7 +221,7 @@
     edges, down, changes = job
 
     async def whole(loop):
-        raw = rig.stated(rig.parse(f"edges {edges}\n"))
+        raw = fault_injection.stated(fault_injection.parse(f"edges {edges}\n"))
         raw["plans"]["basico"].update(limit=edges * 200.0, burst=edges * 400.0)
         raw["bounds"]["cold_falls_units"], raw["fleet"]["cold_units"] = 113_000, 1
         fleet = policy_fleet.PolicyFleet(loop, build(raw, proved=False), 3, folder)
@@ -260,15 +266,19 @@
     return (
         begin,
         limits,
-        policy_states.check(
-            policy_states.Bounds(states=60_000), limits=limits, begin=policy_states.BEGINS[begin]
+        policy_model_checker.check(
+            policy_model_checker.Bounds(states=60_000),
+            limits=limits,
+            begin=policy_model_checker.BEGINS[begin],
         ),
     )
 
 
 def states():
     """The bounded check further than the tests go."""
-    jobs = [(begin, limits) for begin in policy_states.BEGINS for limits in ((90.0, 30.0), (30.0, 90.0))]
+    jobs = [
+        (begin, limits) for begin in policy_model_checker.BEGINS for limits in ((90.0, 30.0), (30.0, 90.0))
+    ]
     with Pool(4) as pool:
         for begin, limits, told in pool.imap(gone_through, jobs):
             print(
@@ -306,8 +316,8 @@
     from matplotlib import pyplot
 
     with tempfile.TemporaryDirectory() as folder:
-        story = rig.load("forth-and-back")
-        told = asyncio.run(rig.played(story, folder, 1))
+        story = fault_injection.load("forth-and-back")
+        told = asyncio.run(fault_injection.played(story, folder, 1))
         rows = [
             json.loads(line)
             for file in sorted(Path(folder, "records").glob("*.jsonl"))
@@ -321,7 +331,7 @@
     sent = [
         (row["at"], row["units"])
         for row in rows
-        if row["kind"] == "execution" and row["volume"] == rig.SURGED and row["execution"] == 0
+        if row["kind"] == "execution" and row["volume"] == fault_injection.SURGED and row["execution"] == 0
     ]
     begun = min(at for at, _ in sent)
     seconds = [0.0] * (int(max(at for at, _ in sent) - begun) + 1)
@@ -329,7 +339,7 @@
         seconds[int(at - begun)] += units
     figure, axes = pyplot.subplots(figsize=(8, 3))
     axes.step(range(len(seconds)), seconds, where="post", label="units that nodes were sent")
-    steps = [(at - begun, limits[rig.SURGED]) for at, limits in decided.values()]
+    steps = [(at - begun, limits[fault_injection.SURGED]) for at, limits in decided.values()]
     axes.step(
         [max(0, at) for at, _ in steps] + [len(seconds)],
         [limit for _, limit in steps] + [steps[-1][1]],
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from rushmux.lab import proof
-from rushmux.routes import prove
+from rushmux.routes import verifier
 from rushmux.settings import deployment as deployments
 
 EXAMPLE = json.loads(Path(deployments.__file__).with_name("example.json").read_text())
@@ -67,8 +67,8 @@
     print(
         f"{len(whole['routes'])} routes, {len(built.flows)} lanes and plans: read and proved in "
         f"{timed(deployments.build, whole):.3f} s, of which the proof "
-        f"{timed(prove.prove, built.ground, built.flows):.4f} s; for {len(small.flows)} lanes and plans "
-        f"the proof takes {timed(prove.prove, small.ground, small.flows):.4f} s"
+        f"{timed(verifier.prove, built.ground, built.flows):.4f} s; for {len(small.flows)} lanes and plans "
+        f"the proof takes {timed(verifier.prove, small.ground, small.flows):.4f} s"
     )
     each = -(-wanted.draws // wanted.jobs)
     with ProcessPoolExecutor(wanted.jobs) as pool:
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -8,10 +8,10 @@
 from functools import partial
 
 from rushmux.buffer import journal
-from rushmux.buffer.decide import REFUSE, TAKE, Batch, Buffer, Caps, File
-from rushmux.edge.errand import CONFLICTS, Errand, Lost, Shed, Terminated, together
+from rushmux.buffer.flush_policy import REFUSE, TAKE, Batch, Buffer, Caps, File
+from rushmux.edge.directories import Refused, contended
 from rushmux.edge.openfile import as_one
-from rushmux.edge.tree import Refused, contended
+from rushmux.edge.operation_runner import CONFLICTS, Errand, Lost, Shed, Terminated, together
 from rushmux.files import layout
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -12,8 +12,8 @@
 from rushmux.cli.shared import deployed, new_seed
 from rushmux.rules import Gateway
 from rushmux.settings import deployment as deployments
-from rushmux.standins import day as days
 from rushmux.standins import fleet as fleets
+from rushmux.standins import scenario as days
 from rushmux.standins import script
 from rushmux.standins.passthrough import PassThrough
 from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -141,10 +141,10 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 def yardstick(experiment, seed):
     """How far each variant is from what full knowledge could serve on one day."""
+    from rushmux.lab import optimal_bound as yards
     from rushmux.lab import run as runs
     from rushmux.lab import spec
-    from rushmux.lab import yardstick as yards
-    from rushmux.lab.lean import speeds
+    from rushmux.lab.scheduler_simulation import speeds
 
     raw = read(experiment)
     bound = yards.bound(
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -10,7 +10,7 @@
 
 import click
 
-from rushmux import log, replace
+from rushmux import atomic_write, log
 from rushmux.cli.lab import lab
 from rushmux.cli.planning import fleet
 from rushmux.cli.policies import policy
@@ -106,8 +106,8 @@
     from rushmux.buffer.disk import Disk, InUse
     from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
-    from rushmux.edge.going import Kept, Newer
-    from rushmux.edge.lastlist import LastList
+    from rushmux.edge.endpoint_cache import LastList
+    from rushmux.edge.policy_client import Kept, Newer
     from rushmux.rules import Gateway
     from rushmux.settings import deployment as deployments
     from rushmux.standins.passthrough import PassThrough
@@ -278,10 +278,10 @@
     """Knows which nodes and edges live, and tells the edges."""
     import random
 
-    from rushmux.planner.council import Planners
-    from rushmux.planner.logfile import BadLog
+    from rushmux.planner.membership_store import BadStore, Store
     from rushmux.planner.planner import Planner
-    from rushmux.planner.store import BadStore, Store
+    from rushmux.planner.raft_storage import BadLog
+    from rushmux.planner.replicated_log import Planners
 
     deployment, among = deployed(file), None
     if planners or deployment.policy:
@@ -354,14 +354,14 @@
 @click.option("--routes", "told", is_flag=True, help="the route of each lane and plan, and where it stands")
 def check(file, facts, told):
     """Reads a deployment file, proves its routes and tells every refusal, starting nothing."""
-    from rushmux.routes import prove, tell
+    from rushmux.routes import explain, verifier
 
     deployment = deployed(file, plainly=True)
     if told:
-        for line in tell.routes(deployment.flows):
+        for line in explain.routes(deployment.flows):
             click.echo(line)
     if facts:
-        for line in tell.facts(prove.facts(deployment.ground, deployment.flows)):
+        for line in explain.facts(verifier.facts(deployment.ground, deployment.flows)):
             click.echo(line)
     click.echo(
         f"{file}: {len(deployment.terms.lanes)} lanes, {len(deployment.terms.plans)} plans, "
@@ -390,12 +390,12 @@
 def move(file, to, dry_run, force, load, meter_ms, in_order, order_rest_ms, gateways, no_reserves, no_copies):
     """Makes the new shape's file from one of the old, and lists what it could not carry over."""
     from rushmux.settings import deployment as deployments
-    from rushmux.settings import moving
+    from rushmux.settings import migration
 
     old = deployed(file)
-    new, left = moving.moved(
+    new, left = migration.moved(
         old.raw,
-        moving.Shape(load, meter_ms, in_order, order_rest_ms, gateways, not no_reserves, not no_copies),
+        migration.Shape(load, meter_ms, in_order, order_rest_ms, gateways, not no_reserves, not no_copies),
     )
     for place, text in left:
         click.echo(f"{file}: {place}: {text}")
@@ -413,7 +413,7 @@
     if to.exists() and not force:
         raise click.ClickException(f"{to} is there already; --force writes over it")
     try:
-        replace.whole(to, data)
+        atomic_write.whole(to, data)
     except OSError as fault:
         raise click.ClickException(f"{to}: cannot be written: {fault.strerror}") from fault
     click.echo(f"{to}: written, {len(left)} to look at")
--- a/rushmux/cli/planning.py
+++ b/rushmux/cli/planning.py
@@ -13,11 +13,11 @@
 
 
 def ordered(planner, verb, member=""):
-    from rushmux.planner import orders
+    from rushmux.planner import admin_server
 
     try:
-        return asyncio.run(orders.order(planner, verb, member))
-    except orders.NotOrdered as fault:
+        return asyncio.run(admin_server.order(planner, verb, member))
+    except admin_server.NotOrdered as fault:
         place = f"{planner[0]}:{planner[1]}: " if isinstance(planner[0], str) else ""
         raise click.ClickException(f"{place}{fault}") from fault
 
@@ -31,9 +31,9 @@
 @PLANNER
 def show(planner):
     """Every member, its condition and why."""
-    from rushmux.planner import orders
+    from rushmux.planner import admin_server
 
-    click.echo("\n".join(orders.lines(ordered(planner, "show"))))
+    click.echo("\n".join(admin_server.lines(ordered(planner, "show"))))
 
 
 @fleet.command()
--- a/rushmux/cli/policies.py
+++ b/rushmux/cli/policies.py
@@ -18,11 +18,11 @@
 
 def asked(planner, verb, **order) -> tuple[str, dict]:
     """What was said, and the state behind it."""
-    from rushmux.planner import orders
+    from rushmux.planner import admin_server
 
     try:
-        answer = asyncio.run(orders.policy(planner, verb, **order))
-    except orders.NotOrdered as fault:
+        answer = asyncio.run(admin_server.policy(planner, verb, **order))
+    except admin_server.NotOrdered as fault:
         raise click.ClickException(str(fault)) from fault
     return answer.said, json.loads(answer.state or b"{}")
 
--- a/rushmux/cli/rig.py
+++ b/rushmux/cli/rig.py
@@ -20,7 +20,7 @@
     """Plays stories (names, or files) on planners, edges and nodes of their own; exit 1 where one breaks a
     rule.
     """
-    from rushmux.standins import rig as rigs
+    from rushmux.standins import fault_injection as rigs
 
     try:
         chosen = [rigs.load(name) for name in (rigs.names() if every else stories)]
--- a/rushmux/edge/tree.py
+++ b/rushmux/edge/directories.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from rushmux.edge.errand import CONFLICTS, Errand
+from rushmux.edge.operation_runner import CONFLICTS, Errand
 from rushmux.files import layout
 from rushmux.files.layout import ROOT, File
 from rushmux.sftp import packets as sftp
--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -10,7 +10,7 @@
 
 from rushmux import interface as say
 from rushmux.driver import SECOND, SHED, Core
-from rushmux.edge.links import Address, Links
+from rushmux.edge.node_connections import Address, Links
 from rushmux.nodewire import messages
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import Deployment
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 
-from rushmux.edge.asking import Asking
-from rushmux.edge.cleaner import Cleaner
+from rushmux.edge.directories import Tree
 from rushmux.edge.driver import Driver
-from rushmux.edge.going import Going, begun
-from rushmux.edge.links import Address, Links, Lists
+from rushmux.edge.garbage_collector import Cleaner
+from rushmux.edge.node_connections import Address, Links, Lists
+from rushmux.edge.policy_client import Going, begun
+from rushmux.edge.quota_client import Asking
 from rushmux.edge.session import Session
-from rushmux.edge.tree import Tree
 from rushmux.nodewire import VERSION, messages
 from rushmux.routes.reload import MOST_NAMED, judge
 from rushmux.rules import Gateway
--- a/rushmux/edge/lastlist.py
+++ b/rushmux/edge/endpoint_cache.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from rushmux import replace
+from rushmux import atomic_write
 from rushmux.nodewire import messages
 
 MAGIC, FORMAT = b"rmll", 1
@@ -40,7 +40,7 @@
         now = self.calendar()
         head = HEAD.pack(MAGIC, FORMAT, zlib.crc32(struct.pack(">d", now) + body), now)
         try:
-            replace.whole(self.path, head + body)
+            atomic_write.whole(self.path, head + body)
         except OSError as fault:
             self.log.warning("lastlist.unkept", why=str(fault))
 
--- a/rushmux/edge/cleaner.py
+++ b/rushmux/edge/garbage_collector.py
@@ -9,7 +9,7 @@
 import orjson
 
 from rushmux.edge.driver import Shed, Terminated
-from rushmux.edge.errand import Errand
+from rushmux.edge.operation_runner import Errand
 from rushmux.files import layout
 
 DELAY = 2.0  # seconds: readers with older rows finish first
--- a/rushmux/edge/links.py
+++ b/rushmux/edge/node_connections.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from rushmux import interface as say
-from rushmux.edge.outgoing import Outgoing
+from rushmux.edge.write_coalescing import Outgoing
 from rushmux.nodewire import Frames, WireFault, frame, messages
 
 BACK_OFF = 0.05  # seconds after a first failed dial: a process restarts in some of these
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -7,8 +7,8 @@
 import asyncio
 from collections import OrderedDict
 
-from rushmux.edge.errand import CONFLICTS, Errand, Lost, together
-from rushmux.edge.tree import Refused, Tree, contended
+from rushmux.edge.directories import Refused, Tree, contended
+from rushmux.edge.operation_runner import CONFLICTS, Errand, Lost, together
 from rushmux.files import layout
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
--- a/rushmux/edge/going.py
+++ b/rushmux/edge/policy_client.py
@@ -10,7 +10,7 @@
 import zlib
 from pathlib import Path
 
-from rushmux import replace
+from rushmux import atomic_write
 from rushmux.fleet import policy
 from rushmux.nodewire import WireFault, messages
 from rushmux.routes.reload import MOST_NAMED
@@ -82,7 +82,7 @@
     def keep(self, force, staged):
         """Writes both, synced; OSError where the disk does not take them."""
         body = json.dumps([policy.packed(force), policy.packed(staged)])
-        replace.whole(self.path, json.dumps([MAGIC, FORMAT, zlib.crc32(body.encode()), body]).encode())
+        atomic_write.whole(self.path, json.dumps([MAGIC, FORMAT, zlib.crc32(body.encode()), body]).encode())
 
 
 def begun(own: Deployment, kept: Kept, log) -> tuple[Deployment, tuple]:
--- a/rushmux/edge/asking.py
+++ b/rushmux/edge/quota_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from rushmux.fleet.shares import Believed, Grant
+from rushmux.fleet.quotas import Believed, Grant
 from rushmux.nodewire import messages
 
 EVERY = 0.5  # seconds between two asks: what is lowered here is free there two asks later
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -9,12 +9,12 @@
 import struct
 import time
 
-from rushmux.edge import turns
-from rushmux.edge.errand import Damaged, Errand, Lost, Shed, Terminated
+from rushmux.edge import request_ordering
+from rushmux.edge.directories import Refused, attributes, root_attributes
 from rushmux.edge.openfile import OpenFile
-from rushmux.edge.outgoing import Outgoing
-from rushmux.edge.tree import Refused, attributes, root_attributes
-from rushmux.edge.turns import Claim, Turns
+from rushmux.edge.operation_runner import Damaged, Errand, Lost, Shed, Terminated
+from rushmux.edge.request_ordering import Claim, Turns
+from rushmux.edge.write_coalescing import Outgoing
 from rushmux.files import layout, paths
 from rushmux.sftp import packets as sftp
 
@@ -189,10 +189,16 @@
         kind, held = type(packet), self.handles.get(getattr(packet, "handle", None))
         if held is not None:
             if kind is sftp.Read:
-                return Claim(turns.READ, (held.path,), packet.offset, packet.offset + packet.length)
+                return Claim(
+                    request_ordering.READ, (held.path,), packet.offset, packet.offset + packet.length
+                )
             if kind is sftp.Write and not (isinstance(held, OpenFile) and held.flags & sftp.APPEND):
-                return Claim(turns.WRITE, (held.path,), packet.offset, packet.offset + len(packet.data))
-            return Claim(turns.LOOK if kind is sftp.FStat else turns.ALTER, (held.path,))
+                return Claim(
+                    request_ordering.WRITE, (held.path,), packet.offset, packet.offset + len(packet.data)
+                )
+            return Claim(
+                request_ordering.LOOK if kind is sftp.FStat else request_ordering.ALTER, (held.path,)
+            )
         if kind is sftp.Extended:
             # Both texts of a rename; a handle's name where it is one of ours.
             cursor, texts = sftp.Cursor(memoryview(packet.data)), []
@@ -201,12 +207,12 @@
                     texts.append(cursor.raw())
             found = [self.handles[text].path for text in texts if text in self.handles]
             named = self.names(*(text.decode(errors="replace") for text in texts))
-            return Claim(turns.ALTER, (*found, *named))
+            return Claim(request_ordering.ALTER, (*found, *named))
         asked = self.names(*(getattr(packet, name) for name in ("path", "target") if hasattr(packet, name)))
         looks = kind in (sftp.Stat, sftp.LStat, sftp.OpenDir, sftp.RealPath) or (
             kind is sftp.Open and not packet.flags & (sftp.CREATE | sftp.TRUNCATE)
         )
-        return Claim(turns.LOOK if looks else turns.ALTER, asked)
+        return Claim(request_ordering.LOOK if looks else request_ordering.ALTER, asked)
 
     @staticmethod
     def names(*texts):
--- a/rushmux/block/__main__.py
+++ b/rushmux/gateway/__main__.py
@@ -7,10 +7,10 @@
 import sys
 import time
 
-from rushmux.block.config import BadFile, read
-from rushmux.block.front import Front
-from rushmux.block.lines import Lines
 from rushmux.driver import SECOND
+from rushmux.gateway.bounded_log import Lines
+from rushmux.gateway.config import BadFile, read
+from rushmux.gateway.server import Front
 
 SERVE_ON = 0.5  # seconds after SIGTERM in which new connections still come: a gateway that nobody
 # is connected to ends no sooner
--- a/rushmux/block/config.py
+++ b/rushmux/gateway/config.py
@@ -5,7 +5,7 @@
 import orjson
 
 from rushmux import interface as say
-from rushmux.block.members import Member, address, members
+from rushmux.gateway.endpoints import Member, address, members
 from rushmux.settings.platform import terms_of
 
 MOST_BYTES = 8 << 20  # of the file: a list of thousands of nodes
--- a/rushmux/block/discovery.py
+++ b/rushmux/gateway/discovery.py
@@ -6,7 +6,7 @@
 import orjson
 
 from rushmux import interface as say
-from rushmux.block.members import listing
+from rushmux.gateway.endpoints import listing
 
 PATH = "/catalog/members"
 # Whatever a call met, a change has to be here 6 s after discovery had it and could be reached.  The worst
--- a/rushmux/block/listener.py
+++ b/rushmux/gateway/listener.py
@@ -4,7 +4,7 @@
 import socket
 from collections import deque
 
-from rushmux.block import commands
+from rushmux.gateway import commands
 from rushmux.resp import Commands, Malformed, error
 
 BACKLOG = 1024  # connections that the system holds until they are accepted: hundreds come at once
--- a/rushmux/block/pool.py
+++ b/rushmux/gateway/pool.py
@@ -8,7 +8,7 @@
 from collections import deque
 
 from rushmux import interface as say
-from rushmux.block import figures
+from rushmux.gateway import replies
 from rushmux.resp import Malformed, Replies, command
 
 MOST_WAITING = 64  # executions that wait for connections to one node: six times the design's bound
@@ -154,8 +154,8 @@
         if reply is not None:
             surplus = self.replies.held() > 0
             self.node.pool.surplus += surplus
-            outcome = figures.outcome(*reply)
-            self.answered(outcome, not surplus and figures.sound(outcome[0], *reply))
+            outcome = replies.outcome(*reply)
+            self.answered(outcome, not surplus and replies.sound(outcome[0], *reply))
 
     def answered(self, outcome, sound=False):
         """Its execution came back; it is used again after a `sound` reply, if the node is still there."""
--- a/rushmux/block/front.py
+++ b/rushmux/gateway/server.py
@@ -4,11 +4,11 @@
 from functools import partial
 
 from rushmux import interface as say
-from rushmux.block import commands
-from rushmux.block.discovery import Watch
-from rushmux.block.listener import Listener
-from rushmux.block.pool import Pool
 from rushmux.driver import SECOND, SHED, Core
+from rushmux.gateway import commands
+from rushmux.gateway.discovery import Watch
+from rushmux.gateway.listener import Listener
+from rushmux.gateway.pool import Pool
 from rushmux.resp import bulk
 
 RESERVED = 24  # descriptors for what is neither a client nor a node
--- a/rushmux/lab/outcome.py
+++ b/rushmux/lab/outcome.py
@@ -4,7 +4,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from rushmux.lab.lean import World
+from rushmux.lab.scheduler_simulation import World
 from rushmux.standins.checker import Checker
 
 WAY = 0.01  # seconds: longest emulated way of a message
--- a/rushmux/lab/proof.py
+++ b/rushmux/lab/proof.py
@@ -11,22 +11,22 @@
 
 from rushmux import interface as say
 from rushmux.lab import schedules
-from rushmux.routes import prove, resolve
+from rushmux.routes import resolve, verifier
 
 MATTERS = ("way", "short", "window", "drain", "cold", "limit", "ladder", "copy", "budget")
 STORIES = {  # rule -> stories that try to break it, what nodes do there, whether ways are drawn
-    prove.LOST: ((schedules.late, (schedules.SILENT, schedules.FAILED, schedules.DONE), True),),
-    prove.TWICE: (
+    verifier.LOST: ((schedules.late, (schedules.SILENT, schedules.FAILED, schedules.DONE), True),),
+    verifier.TWICE: (
         (schedules.late, (schedules.SILENT, schedules.FAILED, schedules.TURNED_AWAY), True),
         (schedules.held_back, (schedules.SILENT, schedules.FAILED), True),
     ),
-    prove.DRAINS: ((schedules.drained, (schedules.SILENT,), True),),
-    prove.COLD: (
+    verifier.DRAINS: ((schedules.drained, (schedules.SILENT,), True),),
+    verifier.COLD: (
         (schedules.started, (schedules.SILENT,), True),
         (schedules.started, (schedules.DONE,), True),
     ),
-    prove.BUDGETS: ((schedules.late, (schedules.FAILED, schedules.SILENT), True),),
-    prove.LIMITS: ((schedules.forgotten, (schedules.DONE,), False),),
+    verifier.BUDGETS: ((schedules.late, (schedules.FAILED, schedules.SILENT), True),),
+    verifier.LIMITS: ((schedules.forgotten, (schedules.DONE,), False),),
 }
 
 
@@ -37,7 +37,7 @@
     """A small deployment: one lane, one plan."""
 
     matter: str
-    ground: prove.Ground
+    ground: verifier.Ground
     flows: list[resolve.Flow]
 
 
@@ -91,7 +91,7 @@
     lane = say.Lane("w", quoted, stop, 1.0, repeat, group, window, False)
     plan = say.Plan("p", 100.0, 50.0, limit, 24.0 * gateways if limit else 0.0, slack, 1.0, 1.0)
     flows = resolve.flows([{"lane": "w", **row}], {"w": lane}, {"p": plan}, 3)
-    grace = tick + min(dial, max(prove.longest(tick, flow) for flow in flows) + tick) + way
+    grace = tick + min(dial, max(verifier.longest(tick, flow) for flow in flows) + tick) + way
     terms = say.Terms(
         lanes={"w": lane},
         plans={"p": plan},
@@ -104,7 +104,7 @@
         mean_units=2.0,
         most_units=4.0,
         cold_units=cold,
-        cold_span=prove.kept(20_000, way, dial, tick),
+        cold_span=verifier.kept(20_000, way, dial, tick),
         fall_multiple=2.5,
         cold_start=0.2,
         warm_within=160_000,
@@ -118,14 +118,14 @@
         routes=resolve.routes(flows),
     )
     grace += max(-grace, near) if matter == "drain" else 50
-    ground = prove.Ground(terms, way, dial, grace, restarts, 20_000, 1_000.0, 400.0, 20_000, 1)
+    ground = verifier.Ground(terms, way, dial, grace, restarts, 20_000, 1_000.0, 400.0, 20_000, 1)
     if matter == "cold":
         # What it answers is a part of what pushes it over, and both stand in the border.
         falls = (cold + gateways * 4.0 + near) * chance.choice((1.0, 0.8, 0.5, 2.0, 4.0))
         ground = ground._replace(
             falls=falls, serves=falls / terms.fall_multiple * chance.choice((0.1, 0.5, 1.0))
         )
-        falls = prove.cold_worst(ground) + near if chance.random() < 0.5 else falls
+        falls = verifier.cold_worst(ground) + near if chance.random() < 0.5 else falls
         ground = ground._replace(falls=falls)
     return Drawn(matter, ground, flows)
 
@@ -133,7 +133,7 @@
 def play(drawn: Drawn, rule: str, most: int, seed=1):
     """The first breach of any rule found by the stories for one rule."""
     for story, acts, way in STORIES[rule]:
-        if rule == prove.LIMITS and not drawn.ground.terms.plans["p"].limit:
+        if rule == verifier.LIMITS and not drawn.ground.terms.plans["p"].limit:
             continue
         gateways = 1 if story in SINGLE else drawn.ground.terms.gateways
         breach = schedules.search(drawn.ground, story, "w", "p", acts, most, seed, gateways, way)
@@ -154,7 +154,7 @@
     counts, wrong = Counter(), []
     for place in range(number):
         drawn = draw(random.Random(f"{seed}/{place}"))
-        findings = prove.prove(drawn.ground, drawn.flows)
+        findings = verifier.prove(drawn.ground, drawn.flows)
         counts["drawn"] += 1
         if not findings:
             counts["accepted"] += 1
--- a/rushmux/lab/run.py
+++ b/rushmux/lab/run.py
@@ -10,7 +10,7 @@
 from rushmux import rules
 from rushmux.lab import compare, outcome, spec
 from rushmux.lab.baselines import BASELINES
-from rushmux.lab.lean import World
+from rushmux.lab.scheduler_simulation import World
 from rushmux.lab.store import Store, digest
 
 ROOT = Path(rules.__file__).resolve().parents[1]
--- a/rushmux/lab/lean.py
+++ b/rushmux/lab/scheduler_simulation.py
@@ -10,12 +10,12 @@
 from typing import NamedTuple
 
 from rushmux import interface as say
-from rushmux.lab.heap import HeapClock
+from rushmux.lab.timer_loop import HeapClock
 from rushmux.nodewire import messages
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import Deployment
-from rushmux.standins.engine import Engine, Shape, neighbour
 from rushmux.standins.node import Served
+from rushmux.standins.service_model import Engine, Shape, neighbour
 
 SECOND = 10_000  # ticks in a second
 WAY = (0.0002, 0.0015)  # seconds one way within a zone
@@ -390,7 +390,7 @@
             )
         )
 
-    # Troubles (`rushmux.lab.troubles`).
+    # Troubles (`rushmux.lab.faults`).
 
     def happen(self, event):
         ends = []
--- a/rushmux/lab/schedules.py
+++ b/rushmux/lab/schedules.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, Optional
 
 from rushmux import interface as say
-from rushmux.routes.prove import Ground
+from rushmux.routes.verifier import Ground
 from rushmux.rules import Gateway
 
 MOST_EVENTS = 20_000  # of one schedule: beyond it the play has run away
--- a/rushmux/lab/search.py
+++ b/rushmux/lab/search.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
-from rushmux.lab import run, spec, troubles
+from rushmux.lab import faults, run, spec
 
 FORMAT = 1
 WARM, COOL = 0.05, 0.002  # differences in the service that are taken with even chance, first and last
@@ -84,7 +84,7 @@
     if move < 0.15 or not ranges:
         return chance.randrange(1 << 30), tuple(lines)
     # Each line of the ranges stands for one trouble: none is met twice in a day.
-    met = {(line.kind, line.target, line.which) for line in troubles.parse(lines)}
+    met = {(line.kind, line.target, line.which) for line in faults.parse(lines)}
     free = [line for line in ranges if (line.kind, line.target, line.which) not in met]
     if (move < 0.4 or not lines) and free and len(lines) < MOST_LINES:
         lines.append(_point(chance.choice(free), chance).text())
@@ -92,7 +92,7 @@
         lines.pop(chance.randrange(len(lines)))
     else:
         place = chance.randrange(len(lines))
-        kind = troubles.parse([lines[place]])[0]
+        kind = faults.parse([lines[place]])[0]
         same = [
             line
             for line in ranges
@@ -107,7 +107,7 @@
 def search(raw: dict, days: int, seed: int, jobs: int, progress=lambda text: None) -> Day:
     """The worst day of so many; the same seed and number of jobs find the same one."""
     variant, chance = raw["variants"][0], random.Random(seed)
-    text, ranges = run.source(variant), troubles.parse(raw["troubles"])
+    text, ranges = run.source(variant), faults.parse(raw["troubles"])
     chains = min(jobs, max(1, days // 4), 8)
     with ProcessPoolExecutor(jobs) as pool:
 
--- a/rushmux/lab/spec.py
+++ b/rushmux/lab/spec.py
@@ -10,10 +10,10 @@
 
 import jsonschema
 
-from rushmux.lab import troubles, workload
-from rushmux.lab.lean import Fleet
+from rushmux.lab import faults, workload
+from rushmux.lab.scheduler_simulation import Fleet
 from rushmux.settings import deployment as deployments
-from rushmux.standins.engine import Shape
+from rushmux.standins.service_model import Shape
 
 SCHEMA = json.loads(Path(__file__).with_name("experiment.schema.json").read_text())
 EXAMPLE = Path(deployments.__file__).with_name("example.json")
@@ -58,8 +58,8 @@
     if len(set(names)) < len(names):
         found.append(("/variants", f"two of one name: {', '.join(names)}"))
     try:
-        troubles.parse(raw["troubles"])
-    except troubles.BadTrouble as fault:
+        faults.parse(raw["troubles"])
+    except faults.BadTrouble as fault:
         found.append(("/troubles", str(fault)))
     volumes = ()
     try:
@@ -195,8 +195,8 @@
         found = day_volumes(raw, seed)
     built = deployment(raw, variant, found)
     zones = {f"n{cell}": f"z{cell % stood.zones}" for cell in range(stood.nodes)}
-    events = troubles.draw(
-        troubles.parse(raw["troubles"]),
+    events = faults.draw(
+        faults.parse(raw["troubles"]),
         seed,
         zones,
         range(stood.edges),
--- a/rushmux/lab/whole.py
+++ b/rushmux/lab/system_simulation.py
@@ -8,7 +8,7 @@
 import random
 
 from rushmux.edge.driver import Shed, Terminated, Work
-from rushmux.lab.lean import AGAIN, TRIES, Ended
+from rushmux.lab.scheduler_simulation import AGAIN, TRIES, Ended
 from rushmux.nodewire import messages
 from rushmux.rules import Gateway
 from rushmux.standins import fleet as fleets
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -7,12 +7,12 @@
 import asyncio
 
 from rushmux.fleet.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
-from rushmux.fleet.shares import Shares
+from rushmux.fleet.quotas import Shares
 from rushmux.nodewire import WireFault, messages
-from rushmux.planner import policies
-from rushmux.planner.council import Council, Elsewhere, NotDecided, Planners
-from rushmux.planner.peers import Listener
-from rushmux.planner.store import Row, Store
+from rushmux.planner import policy_admin
+from rushmux.planner.membership_store import Row, Store
+from rushmux.planner.replicated_log import Council, Elsewhere, NotDecided, Planners
+from rushmux.planner.server import Listener
 
 LOOK = 0.5  # seconds between two looks at all leases
 ENTRIES = 10_000  # nodes in a list: as many as edges take
@@ -73,7 +73,7 @@
         """The order that founds the fleet's policy; None where it is to have none."""
         if self.deployment is None or not self.deployment.policy:
             return None
-        return policies.first(self.deployment)
+        return policy_admin.first(self.deployment)
 
     @property
     def leads(self) -> bool:
@@ -164,7 +164,7 @@
             self.council.heard(body)
         elif name == "policy_order":
             self.asked_for(
-                peer, lambda: policies.answer(self.council, self.deployment, body), "policy_answer"
+                peer, lambda: policy_admin.answer(self.council, self.deployment, body), "policy_answer"
             )
         elif name == "order" and self.council is not None:
             self.asked_for(peer, lambda: self.order_in_common(body), "ordered")
--- a/rushmux/planner/policies.py
+++ b/rushmux/planner/policy_admin.py
@@ -4,7 +4,7 @@
 
 from rushmux.fleet.policy import LEASE, NARROW
 from rushmux.nodewire import messages
-from rushmux.planner.council import Elsewhere, NotDecided
+from rushmux.planner.replicated_log import Elsewhere, NotDecided
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import BadDeployment, Deployment
 
--- a/rushmux/planner/logfile.py
+++ b/rushmux/planner/raft_storage.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from rushmux import records, replace
+from rushmux import atomic_write, records
 from rushmux.fleet.raft import MEMBERS, Entry, Kept, Ready, Snapshot
 
 WORD, FORMAT = b"RMPL", 1
@@ -121,7 +121,7 @@
             VOTE + orjson.dumps([kept.term, kept.voted]),
             *(_entry(index, entry) for index, entry in rows),
         ]
-        replace.whole(self.path, records.head(WORD, FORMAT) + b"".join(map(records.pack, bodies)))
+        atomic_write.whole(self.path, records.head(WORD, FORMAT) + b"".join(map(records.pack, bodies)))
         self.close()
         self.sink = os.open(self.path, os.O_WRONLY | os.O_APPEND)
 
--- a/rushmux/planner/council.py
+++ b/rushmux/planner/replicated_log.py
@@ -17,8 +17,8 @@
 from rushmux.fleet import raft
 from rushmux.fleet.policy import Ask, Conduct, Register
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
-from rushmux.planner import words
-from rushmux.planner.logfile import BadLog, LogFile
+from rushmux.planner import raft_codec
+from rushmux.planner.raft_storage import BadLog, LogFile
 
 TICK = 0.1  # seconds between two looks at the log
 AGAIN = 0.3  # seconds until another planner is dialled again
@@ -191,7 +191,7 @@
         now = self.loop.time()
         for grant in self.conduct.answers(now, confirmed, term, self.index):
             peer, known = self.peers[grant.member]
-            peer.send(policy_grant=words.grant(grant, known))
+            peer.send(policy_grant=raft_codec.grant(grant, known))
         order = self.first() if self.register.force is None else self.conduct.look(now)
         if order is not None and not any(
             (known["kind"], known.get("number")) == (order["kind"], order.get("number"))
@@ -291,7 +291,7 @@
         writer = self.writers.get(word.to.split("/")[0])
         if writer is not None and writer.transport.get_write_buffer_size() <= MOST_BUFFERED:
             try:
-                writer.write(frame(messages.Message(word=words.sent(word))))
+                writer.write(frame(messages.Message(word=raft_codec.sent(word))))
             except WireFault as fault:
                 self.say("council.word", str(fault))
 
@@ -299,7 +299,7 @@
         """A word from another planner."""
         if self.broken is not None:
             return
-        word = words.heard(body)
+        word = raft_codec.heard(body)
         self.voice.hear(self.loop.time(), word)
         self.work()
 
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -12,8 +12,8 @@
 import jsonschema
 
 from rushmux import interface as say
-from rushmux.fleet.shares import SAFE
-from rushmux.routes import prove, resolve
+from rushmux.fleet.quotas import SAFE
+from rushmux.routes import resolve, verifier
 
 SCHEMA = json.loads(Path(__file__).with_name("schema.json").read_text())
 
@@ -70,7 +70,7 @@
     links: int
     shares: bool  # parts of limits are asked of a planner
     policy: bool  # lanes, plans, routes and the like are decided in common by the planners
-    ground: prove.Ground  # what the proof of the routes was worked out on
+    ground: verifier.Ground  # what the proof of the routes was worked out on
     flows: list[resolve.Flow]
     raw: dict  # the file as it was
 
@@ -243,7 +243,7 @@
         mean_units=fleet["mean_units"],
         most_units=fleet["most_units"],
         cold_units=fleet["cold_units"],
-        cold_span=prove.kept(
+        cold_span=verifier.kept(
             resolve.ticks(fleet["cold_span_ms"]),
             resolve.ticks(raw["bounds"]["way_ms"]),
             resolve.ticks(fleet["dial_ms"]),
@@ -264,7 +264,7 @@
     flows = resolve.flows(routes, lanes, plans, fleet["executions"])
     terms = terms._replace(routes=resolve.routes(flows))
     ground = _ground(terms, fleet, raw["bounds"])
-    findings = prove.prove(ground, flows)
+    findings = verifier.prove(ground, flows)
     if faults or (findings and proved):
         raise BadDeployment(
             source, faults + [(finding.place, finding.text) for finding in findings], findings
@@ -302,7 +302,7 @@
 
 def _ground(terms, fleet, bounds):
     falls = bounds.get("cold_falls_units", fleet["cold_units"] * fleet["fall_multiple"])
-    return prove.Ground(
+    return verifier.Ground(
         terms,
         way=resolve.ticks(bounds["way_ms"]),
         dial=resolve.ticks(fleet["dial_ms"]),
--- a/rushmux/standins/obeying.py
+++ b/rushmux/standins/fault_control.py
@@ -1,7 +1,7 @@
 """What stand-ins share besides what all servers do: they may be ordered to be in trouble."""
 
 from rushmux.nodewire import messages
-from rushmux.planner.peers import Listener
+from rushmux.planner.server import Listener
 
 
 class Obeying(Listener):
--- a/rushmux/standins/rig.py
+++ b/rushmux/standins/fault_injection.py
@@ -26,10 +26,10 @@
 
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import Deployment, build
-from rushmux.standins import day as days
+from rushmux.standins import scenario as days
+from rushmux.standins.fault_proxy import Relays
 from rushmux.standins.policy_judge import judge
 from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
-from rushmux.standins.relay import Relays
 from rushmux.standins.script import Event, Script
 
 STORIES = Path(__file__).with_name("stories")
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -8,19 +8,19 @@
 from rushmux.buffer.disk import SimulatedDisk
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
-from rushmux.edge.lastlist import LastList
-from rushmux.edge.links import Address
+from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.node_connections import Address
+from rushmux.planner.membership_store import Store as PlannerStore
 from rushmux.planner.planner import Planner
-from rushmux.planner.store import Store as PlannerStore
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import Deployment, build
+from rushmux.simulation.loop import VirtualLoop, run
 from rushmux.standins.client import Client
-from rushmux.standins.engine import Shape
 from rushmux.standins.lists import ListSource
 from rushmux.standins.node import Node
 from rushmux.standins.orders import Orders
+from rushmux.standins.service_model import Shape
 from rushmux.standins.store import Store
-from rushmux.virtual.loop import VirtualLoop, run
 
 HOST = "127.0.0.1"
 UP = 60.0  # seconds at most until every edge knows all nodes
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from rushmux.nodewire import WireFault, messages
-from rushmux.standins.obeying import Obeying
+from rushmux.standins.fault_control import Obeying
 
 MOST_NODES = 10_000  # entries kept: as many as edges take
 SETTLE = 3.0  # seconds at most until a source that starts shows the nodes that have come
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -7,9 +7,9 @@
 from collections import OrderedDict
 
 from rushmux.nodewire import Frames, WireFault, frame, messages
-from rushmux.planner.peers import Peer
-from rushmux.standins.engine import Engine, Shape, neighbour
-from rushmux.standins.obeying import Obeying
+from rushmux.planner.server import Peer
+from rushmux.standins.fault_control import Obeying
+from rushmux.standins.service_model import Engine, Shape, neighbour
 from rushmux.standins.store import DiskFull, Store
 
 MOST_VOLUMES = 100_000  # folders whose served units are kept, and edges they were told to
--- a/rushmux/standins/orders.py
+++ b/rushmux/standins/orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from rushmux.planner import orders
+from rushmux.planner import admin_server
 
 PERSON = 60.0  # seconds that a person asks on for an answer that was lost
 PAUSE = 0.5  # seconds between two of its tries
@@ -31,11 +31,11 @@
         until = self.loop.time() + PERSON
         while self.loop.time() < until:
             try:
-                row["said"] = (await orders.policy(self.places, verb, **order, **known)).said
+                row["said"] = (await admin_server.policy(self.places, verb, **order, **known)).said
                 break
-            except orders.Elsewhere:
+            except admin_server.Elsewhere:
                 await asyncio.sleep(PAUSE)
-            except orders.NotOrdered as fault:
+            except admin_server.NotOrdered as fault:
                 row["said"] = f"refused: {fault}"
                 break
         if row["said"].endswith("is staged"):
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -12,17 +12,17 @@
 
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
-from rushmux.edge.going import Kept
-from rushmux.planner.council import Planners
+from rushmux.edge.policy_client import Kept
+from rushmux.planner.membership_store import Store as PlannerStore
 from rushmux.planner.planner import Planner
-from rushmux.planner.store import Store as PlannerStore
+from rushmux.planner.replicated_log import Planners
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
-from rushmux.standins import rig
+from rushmux.simulation.loop import run
+from rushmux.standins import fault_injection
 from rushmux.standins.client import Gone, Refusal
 from rushmux.standins.fleet import EPOCH, HOST, Part, VirtualFleet
 from rushmux.standins.policy_judge import judge
-from rushmux.virtual.loop import run
 
 PORT = 7_000  # of the first planner
 FAULTS = 40.0  # seconds of faults, and of changes
@@ -136,7 +136,7 @@
         """Changes one after another, now and then two at once."""
         while self.loop.time() < until:
             await self.sleep(self.draw.uniform(0.5, 9.0))
-            raw = rig.stated(rig.parse(f"edges {len(self.edges)}\n"))
+            raw = fault_injection.stated(fault_injection.parse(f"edges {len(self.edges)}\n"))
             limit = self.draw.choice(LIMITS)
             raw["plans"]["basico"].update(limit=limit, burst=2 * limit)
             word = f"change {len(self.people)}"
@@ -193,7 +193,7 @@
                     client = await self.client(number)
                     while self.loop.time() < until:
                         count += 1
-                        await client.put(f"/{rig.SURGED}/e{number}-{count}", b"x" * 40_000)
+                        await client.put(f"/{fault_injection.SURGED}/e{number}-{count}", b"x" * 40_000)
                         await self.sleep(0.02)
                 except Refusal:
                     await self.sleep(0.2)
@@ -224,7 +224,7 @@
 
 def played(seed, folder, edges=3, nodes=2) -> Told:
     """One seed on a fleet of its own, whose disks lie in `folder`."""
-    deployment = build(rig.stated(rig.parse(f"edges {edges}\n")))
+    deployment = build(fault_injection.stated(fault_injection.parse(f"edges {edges}\n")))
 
     async def whole(loop):
         fleet = PolicyFleet(loop, deployment, seed, folder)
--- a/rushmux/standins/policies.py
+++ b/rushmux/standins/policy_simulation.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from rushmux.fleet import policy, raft
-from rushmux.standins import voices
-from rushmux.standins.voices import Breach
+from rushmux.standins import raft_simulation
+from rushmux.standins.raft_simulation import Breach
 
 ASK = 0.5  # seconds between two asks of a member
 NO_ANSWER = 1.5  # seconds without a grant until another planner is asked
@@ -45,7 +45,7 @@
     return MemberFaults(*rates, mute=chance.random() < 0.15)
 
 
-class Planner(voices.Host):
+class Planner(raft_simulation.Host):
     """A planner: a voice of the log, the state it makes, and what it does when it leads."""
 
     def __init__(self, name, kept):
@@ -70,7 +70,7 @@
         return self.clock + now * self.rate
 
 
-class World(voices.World):
+class World(raft_simulation.World):
     """`members` edges; `parts`: (Register, Conduct, Holder) as they are, or as a defect has them."""
 
     host = Planner
@@ -335,7 +335,7 @@
             return
         for _ in range(copies):
             late = 30 if self.chance.random() < 0.05 and not self.healing else 1
-            self.at(self.chance.uniform(*voices.WAY) * late, act, *values)
+            self.at(self.chance.uniform(*raft_simulation.WAY) * late, act, *values)
 
     def asked_by(self, name, ask):
         host = self.hosts[name]
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from rushmux import replace
-from rushmux.edge.links import Address
+from rushmux import atomic_write
+from rushmux.edge.node_connections import Address
 from rushmux.nodewire import VERSION, Frames, frame, messages
 from rushmux.settings.deployment import Deployment
 from rushmux.standins.client import Client
@@ -172,7 +172,7 @@
 
     def reload(self, numbers, raw):
         """Writes the deployment's file anew and tells edges to read it."""
-        replace.whole(self.file, json.dumps(raw, indent=2).encode())
+        atomic_write.whole(self.file, json.dumps(raw, indent=2).encode())
         for number in numbers:
             if self.edges[number].process.returncode is None:
                 self.edges[number].process.send_signal(signal.SIGHUP)
--- a/tests/buffer/test_decide.py
+++ b/tests/buffer/test_flush_policy.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rushmux.buffer.decide import REFUSE, TAKE, WAIT, Buffer, Caps
+from rushmux.buffer.flush_policy import REFUSE, TAKE, WAIT, Buffer, Caps
 
 CAPS = Caps(
     edge_bytes=3_000,
--- a/tests/buffer/test_hard_cases.py
+++ b/tests/buffer/test_hard_cases.py
@@ -8,7 +8,7 @@
 from rushmux.files import layout
 from rushmux.files.paths import home
 from rushmux.sftp import packets as sftp
-from rushmux.standins import day, script
+from rushmux.standins import scenario, script
 from rushmux.standins.checker import Checker
 from rushmux.standins.client import Refusal
 
@@ -366,7 +366,7 @@
     from rushmux.settings.deployment import build
 
     async def story(fleet):
-        await day.play(fleet, script.load("bad"), day.Load(part=0.4), 5)
+        await scenario.play(fleet, script.load("bad"), scenario.Load(part=0.4), 5)
 
     fleet, _ = play(story, nodes=6, edges=3, unit=0.02)
     for verdict in Checker(fleet.all_records(), build(raw), 0.005).verdicts():
--- a/tests/buffer/test_kills.py
+++ b/tests/buffer/test_kills.py
@@ -44,7 +44,7 @@
 
 
 def test_a_buffer_that_forgets_its_barriers_is_found_out(play, monkeypatch):
-    from rushmux.buffer.decide import Buffer
+    from rushmux.buffer.flush_policy import Buffer
 
     monkeypatch.setattr(Buffer, "barrier", lambda self, name: -1)
     assert any("barrier" in text or "flushed" in text for text in breaches(play, range(20)))
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -8,7 +8,7 @@
 from rushmux.rules import Gateway
 from rushmux.settings.deployment import build
 from rushmux.sftp import packets as sftp
-from rushmux.standins import day, report, script
+from rushmux.standins import report, scenario, script
 from rushmux.standins.client import Gone, Refusal
 
 
@@ -84,7 +84,7 @@
 
 def test_half_of_the_nodes_restart_cold_at_once_under_load(judged):
     async def story(fleet):
-        await day.play(
+        await scenario.play(
             fleet,
             script.parse("""
             length 20
@@ -94,7 +94,7 @@
             at 5 start node0
             at 5 start node1
             at 5 start node2"""),
-            day.Load(part=1.5),
+            scenario.Load(part=1.5),
             7,
         )
 
@@ -110,13 +110,13 @@
 
 def test_a_drain_notice_comes_late(judged):
     async def story(fleet):
-        await day.play(
+        await scenario.play(
             fleet,
             script.parse("""
             length 12
             at 0 trouble lists lag size 3 for 10
             at 2 trouble node1 drain"""),
-            day.Load(),
+            scenario.Load(),
             7,
         )
 
@@ -129,8 +129,8 @@
 
 def test_a_surge_of_one_folder_leaves_the_others_their_reserves(judged, raw):
     async def story(fleet):
-        await day.play(
-            fleet, script.parse("length 15\nat 3 surge caribe times 25 for 10"), day.Load(part=0.6), 9
+        await scenario.play(
+            fleet, script.parse("length 15\nat 3 surge caribe times 25 for 10"), scenario.Load(part=0.6), 9
         )
 
     fleet, _ = judged(story, nodes=4, edges=3, unit=0.02)
@@ -283,7 +283,7 @@
 
 def test_the_same_seed_plays_the_same_day(play):
     async def story(fleet):
-        await day.play(fleet, script.load("short"), day.Load(part=0.5), 3)
+        await scenario.play(fleet, script.load("short"), scenario.Load(part=0.5), 3)
 
     one, two = (play(story, nodes=4, edges=2)[0].all_records() for _ in range(2))
     assert one == two and len(one) > 3_000
@@ -291,7 +291,7 @@
 
 def test_the_bad_day(judged, raw):
     async def story(fleet):
-        await day.play(fleet, script.load("bad"), day.Load(part=0.6), 5)
+        await scenario.play(fleet, script.load("bad"), scenario.Load(part=0.6), 5)
 
     fleet, _ = judged(story, nodes=6, edges=3, unit=0.02)
     service = report.Service(fleet.all_records(), build(raw))
--- a/tests/gateway/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -9,12 +9,12 @@
 from rushmux import interface as say
 from rushmux import log
 from rushmux.cli.main import main
-from rushmux.edge.links import Address, Links
+from rushmux.edge.node_connections import Address, Links
 from rushmux.nodewire import messages
 from rushmux.rules import FIRST_ROOM
 from rushmux.settings import deployment
-from rushmux.standins.engine import Shape
 from rushmux.standins.node import Node
+from rushmux.standins.service_model import Shape
 from rushmux.standins.store import Store
 
 HOST = "127.0.0.1"
--- a/tests/gateway/test_going.py
+++ b/tests/edge/test_policy_client.py
@@ -8,15 +8,15 @@
 from click.testing import CliRunner
 
 from rushmux.cli.main import main
-from rushmux.edge.going import BadKept, Kept, Newer, begun, granted
+from rushmux.edge.policy_client import BadKept, Kept, Newer, begun, granted
 from rushmux.fleet.policy import Grant, Policy
 from rushmux.nodewire import WireFault
-from rushmux.planner import words
+from rushmux.planner import raft_codec
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import BadDeployment, build
-from rushmux.standins import rig
+from rushmux.standins import fault_injection
 
-RAW = rig.stated(rig.parse("edges 3\n"))
+RAW = fault_injection.stated(fault_injection.parse("edges 3\n"))
 OWN = build(RAW)
 
 
@@ -90,9 +90,9 @@
 def test_a_grant_names_what_the_member_has_and_a_wrong_checksum_is_refused():
     first, second = policy(1), policy(2, changed(limit=40))
     grant = Grant("edge0", 5, 2, 9, first, second)
-    whole = words.grant(grant, ())
+    whole = raft_codec.grant(grant, ())
     assert granted(whole, {}) == grant
-    short = words.grant(grant, (1,))
+    short = raft_codec.grant(grant, (1,))
     assert not short.force.text and granted(short, {1: first}) == grant
     with pytest.raises(WireFault):
         granted(short, {})
@@ -104,13 +104,13 @@
 
 
 def test_people_change_a_fleet_by_the_command_line(tmp_path):
-    story = rig.parse("edges 2\nnodes 1\n")
-    raw = rig.stated(story)
+    story = fault_injection.parse("edges 2\nnodes 1\n")
+    raw = fault_injection.stated(story)
     file = tmp_path / "deployment.json"
     file.write_text(json.dumps(raw))
 
     async def play():
-        fleet = rig.Rig(story, file, build(raw), tmp_path, 3)
+        fleet = fault_injection.Rig(story, file, build(raw), tmp_path, 3)
 
         async def asks(*words_):
             place = ",".join(f"{host}:{port}" for host, port in fleet.places)
--- a/tests/gateway/test_turns.py
+++ b/tests/edge/test_request_ordering.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rushmux.edge.turns import ALTER, LOOK, READ, WRITE, Claim, conflict
+from rushmux.edge.request_ordering import ALTER, LOOK, READ, WRITE, Claim, conflict
 
 A, B, BELOW = ("f", "a"), ("f", "b"), ("f", "a", "c")
 
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -22,7 +22,7 @@
     packed,
     unpacked,
 )
-from rushmux.standins import policies, policy_defects
+from rushmux.standins import policy_mutants, policy_simulation
 
 SEEDS = 60
 
@@ -30,7 +30,7 @@
 def test_drawn_faults_pass_no_limit_and_in_a_quiet_time_all_go_by_one_number():
     ends = {"decide": 0, "end": 0, "withdraw": 0}
     for seed in range(SEEDS):
-        for end in policies.played(seed).outcomes.values():
+        for end in policy_simulation.played(seed).outcomes.values():
             ends[end] += 1
     assert ends["decide"] > 3 * SEEDS and ends["end"] > SEEDS / 3 and ends["withdraw"] > SEEDS / 10
 
@@ -39,20 +39,20 @@
 @pytest.mark.parametrize(
     "defect",
     [
-        policy_defects.YesBeforeItsDisk,
-        policy_defects.NeverNarrow,
-        policy_defects.UpBeforeDown,
-        policy_defects.OldLeasesForgotten,
-        policy_defects.OwnLeasesForgotten,
-        policy_defects.JointIsForgotten,
+        policy_mutants.YesBeforeItsDisk,
+        policy_mutants.NeverNarrow,
+        policy_mutants.UpBeforeDown,
+        policy_mutants.OldLeasesForgotten,
+        policy_mutants.OwnLeasesForgotten,
+        policy_mutants.JointIsForgotten,
     ],
     ids=lambda defect: defect.__name__,
 )
 def test_a_part_that_is_wrong_in_one_thing_is_found(defect):
     def found(seed):
         try:
-            policies.played(seed, parts=policy_defects.parts(defect))
-        except policies.Breach:
+            policy_simulation.played(seed, parts=policy_mutants.parts(defect))
+        except policy_simulation.Breach:
             return True
         return False
 
--- a/tests/fleet/test_policy_states.py
+++ b/tests/fleet/test_policy_model_checker.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from rushmux.standins import policy_defects
-from rushmux.standins.policy_states import BEGINS, Bounds, begun, check
+from rushmux.standins import policy_mutants
+from rushmux.standins.policy_model_checker import BEGINS, Bounds, begun, check
 
 STATES = 6_000
 
@@ -19,18 +19,18 @@
 @pytest.mark.parametrize(
     "defect, begin, limits",
     [
-        (policy_defects.UpBeforeDown, "all there", (30.0, 90.0)),
-        (policy_defects.NeverNarrow, "one away, its lease over", (90.0, 30.0)),
-        (policy_defects.MostAreEnough, "two joint, the third serves on", (90.0, 30.0)),
-        (policy_defects.OldLeasesForgotten, "planner 2 leads, the third has the lease of 1", (90.0, 30.0)),
+        (policy_mutants.UpBeforeDown, "all there", (30.0, 90.0)),
+        (policy_mutants.NeverNarrow, "one away, its lease over", (90.0, 30.0)),
+        (policy_mutants.MostAreEnough, "two joint, the third serves on", (90.0, 30.0)),
+        (policy_mutants.OldLeasesForgotten, "planner 2 leads, the third has the lease of 1", (90.0, 30.0)),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
 )
 def test_the_check_finds_what_is_wrong_by_a_shortest_way(defect, begin, limits):
-    found = check(Bounds(states=STATES), policy_defects.parts(defect), limits, BEGINS[begin])
+    found = check(Bounds(states=STATES), policy_mutants.parts(defect), limits, BEGINS[begin])
     assert found.breach is not None and 0 < len(found.way) < 12
 
 
 def test_a_way_that_cannot_be_is_said():
     with pytest.raises(ValueError, match="cannot be here"):
-        begun(policy_defects.parts(policy_defects.NeverNarrow), (90.0, 30.0), ["planner 9 sings"])
+        begun(policy_mutants.parts(policy_mutants.NeverNarrow), (90.0, 30.0), ["planner 9 sings"])
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_quotas.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rushmux.fleet.shares import DRIFT, LEASE, SAFE, Believed, Shares
+from rushmux.fleet.quotas import DRIFT, LEASE, SAFE, Believed, Shares
 
 FOLDERS = ("a", "b")
 
--- a/tests/fleet/test_raft.py
+++ b/tests/fleet/test_raft.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux.fleet import raft
-from rushmux.standins.voices import World
+from rushmux.standins.raft_simulation import World
 
 SEEDS = 150
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,42 +1,177 @@
-"""Fixtures of the gateway's tests: a deployment, and fleets on the virtual clock."""
+"""Fixtures of the platform's front: a gateway on loopback with stand-ins around it."""
 
-import copy
+import asyncio
 import json
+import os
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
-from rushmux.settings import deployment
-from rushmux.settings.deployment import build
-from rushmux.standins import fleet
-from rushmux.standins.checker import Checker
+from rushmux.gateway.config import parsed
+from rushmux.gateway.server import Front
+from rushmux.standins.platform import Client, Discovery, Node, configuration
 
-EXAMPLE = json.loads((Path(deployment.__file__).with_name("example.json")).read_text())
+ROOT = Path(__file__).resolve().parents[2]
 
 
-@pytest.fixture
-def raw():
-    """The example's text, to be changed at will."""
-    return copy.deepcopy(EXAMPLE)
+class Rows:
+    """A log that keeps what it is told."""
+
+    def __init__(self):
+        self.rows = []
+
+    def __getattr__(self, level):
+        return lambda event, **fields: self.rows.append((level, event, fields))
+
+    def debug(self, event, **fields):
+        """Too many to keep."""
+
+    def events(self):
+        return [event for _, event, _ in self.rows]
+
+
+class Stage:
+    """A gateway, its nodes, discovery and clients."""
+
+    def __init__(self):
+        self.nodes, self.clients, self.log = [], [], Rows()
+        self.discovery, self.front, self.port = Discovery(), None, 0
+
+    async def open(self, nodes, **terms):
+        loop = asyncio.get_running_loop()
+        await self.discovery.open()
+        for number in range(nodes):
+            self.nodes.append(Node())
+            await self.nodes[-1].open()
+            self.discovery.put(self.nodes[-1].row(f"s{number}", number))
+        raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **terms)
+        start = parsed(json.dumps(raw).encode())
+        # The front binds the port itself; port 0 can't stand in a file.
+        self.front = Front(start._replace(listen=("127.0.0.1", 0)), 0.0, loop, self.log)
+        await self.front.open()
+        self.port = self.front.listener.sock.getsockname()[1]
+        return self
+
+    async def client(self):
+        self.clients.append(await Client().open(self.port))
+        return self.clients[-1]
+
+    async def client_with(self, *words):
+        """A client that writes a command at once; nobody need have accepted it."""
+        client = await self.client()
+        client.send(*words)
+        return client
+
+    async def close(self):
+        for client in self.clients:
+            client.close()
+        for part in (self.front.watch_list, self.front.pool, self.discovery, *self.nodes):
+            part.close()
+        self.front.listener.close()
+        await asyncio.sleep(0.01)
 
 
 @pytest.fixture
-def play(raw):
-    """Plays a story on a fleet of the example's deployment; the fleet and the story's result."""
+def staged():
+    """Plays a story, a coroutine function of a `Stage`, on an event loop of its own."""
+
+    def played(story, nodes=1, **terms):
+        async def whole():
+            stage = await Stage().open(nodes, **terms)
+            try:
+                return await story(stage)
+            finally:
+                await stage.close()
 
-    def played(story, seed=3, **settings):
-        return fleet.play(build(raw), seed, story, **settings)
+        return asyncio.run(whole())
 
     return played
 
 
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Running:
+    """A gateway's process with a node and discovery."""
+
+    def __init__(self, folder):
+        self.file, self.node, self.discovery = folder / "config.json", Node(), Discovery()
+        self.port, self.process, self.terms = free_port(), None, {}
+
+    def write(self, discovery=None):
+        raw = configuration(
+            discovery or self.discovery.port, list(self.discovery.rows.values()), self.port, **self.terms
+        )
+        self.file.write_text(json.dumps(raw))
+
+    def write_known(self, *rows):
+        """The file's own list, which may be old."""
+        raw = json.loads(self.file.read_text())
+        raw["known"]["servers"] = rows
+        self.file.write_text(json.dumps(raw))
+
+    async def restart(self, *arguments):
+        """Starts it again from nothing, as after SIGKILL; what discovery was asked before is forgotten."""
+        self.process.kill()
+        await self.process.wait()
+        self.discovery.calls.clear()
+        await self.run(*arguments or ("-m", "rushmux.gateway"))
+
+    async def open(self, terms, nodes=1):
+        """`nodes`: rows of the list; all of them lead to the one stand-in."""
+        self.terms = terms
+        await self.node.open()
+        await self.discovery.open()
+        self.discovery.put(*(self.node.row(f"s{number}", number) for number in range(nodes)))
+        self.write()
+
+    async def run(self, *arguments):
+        """Starts it, with these arguments of the interpreter."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(self.file), "NODE_NAME": "n0"},
+        )
+
+    async def client_once(self):
+        return await Client().open(self.port)
+
+    async def client(self):
+        for _ in range(100):
+            try:
+                return await self.client_once()
+            except OSError:
+                await asyncio.sleep(0.05)
+        raise AssertionError("the gateway does not listen")
+
+
 @pytest.fixture
-def judged(raw, play):
-    """Plays a story and holds its recordings against every rule; the fleet and the result."""
+def running(tmp_path):
+    """Plays a story, a coroutine function of a `Running`, with the gateway's own process."""
+
+    def played(story, arguments=("-m", "rushmux.gateway"), nodes=1, **terms):
+        async def whole():
+            stage = Running(tmp_path)
+            await stage.open(terms, nodes)
+            try:
+                await stage.run(*arguments)
+                async with asyncio.timeout(20):
+                    return await story(stage)
+            finally:
+                if stage.process and stage.process.returncode is None:
+                    stage.process.kill()
+                    await stage.process.wait()
+                stage.node.close()
+                stage.discovery.close()
 
-    def played(story, **settings):
-        fleet, result = play(story, **settings)
-        assert not Checker(fleet.all_records(), build(raw), 0.005).breaches()
-        return fleet, result
+        return asyncio.run(whole())
 
     return played
--- a/tests/block/test_bounds_of_run.py
+++ b/tests/gateway/test_bounds_of_run.py
@@ -77,7 +77,7 @@
     assert answers == [("+", b"PONG"), ("$", b"data")] and code == 0
     assert "FORBIDDEN" not in log
     imported = log.rpartition("IMPORTED ")[2].split()
-    assert "rushmux.block.front" in imported
+    assert "rushmux.gateway.server" in imported
     assert [
         name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL)
     ] == []
--- a/tests/block/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from rushmux.block import listener
+from rushmux.gateway import listener
 from rushmux.resp import command
 from rushmux.standins.platform import Node, read, served
 
--- a/tests/block/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -5,8 +5,8 @@
 import pytest
 
 from rushmux import interface as say
-from rushmux.block import commands, figures
-from rushmux.block.config import BadFile, parsed
+from rushmux.gateway import commands, replies
+from rushmux.gateway.config import BadFile, parsed
 from rushmux.resp import Replies
 from rushmux.settings.platform import loads_of
 from rushmux.standins.platform import configuration, read, served, settings, write
@@ -84,9 +84,9 @@
 
 
 def outcome(data):
-    replies = Replies()
-    replies.feed(data)
-    return figures.outcome(*replies.next())
+    reader = Replies()
+    reader.feed(data)
+    return replies.outcome(*reader.next())
 
 
 NONE = (0, 0.0)
--- a/tests/block/test_crossings.py
+++ b/tests/gateway/test_crossings.py
@@ -13,8 +13,8 @@
 import pytest
 
 from rushmux import interface as say
-from rushmux.block import pool as pools
-from rushmux.block.members import Member
+from rushmux.gateway import pool as pools
+from rushmux.gateway.endpoints import Member
 from rushmux.resp import Commands
 from rushmux.standins.platform import Node, command, read, served, write
 
--- a/tests/block/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from rushmux.block import discovery as watches
-from rushmux.block.discovery import Watch
+from rushmux.gateway import discovery as watches
+from rushmux.gateway.discovery import Watch
 from rushmux.standins.platform import Discovery
 
 
--- a/tests/block/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rushmux.block import listener
+from rushmux.gateway import listener
 from rushmux.resp import command
 from rushmux.standins.platform import of, read, served, write
 
--- a/tests/block/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -6,8 +6,8 @@
 import pytest
 
 from rushmux import interface as say
-from rushmux.block import pool as pools
-from rushmux.block.members import Member
+from rushmux.gateway import pool as pools
+from rushmux.gateway.endpoints import Member
 from rushmux.standins.platform import Node, read, served
 
 
--- a/tests/block/test_program.py
+++ b/tests/gateway/test_program.py
@@ -89,7 +89,7 @@
         file.write_text(json.dumps(configuration(1, [], taken.getsockname()[1])))
         for path, event in ((str(file), "listen.refused"), ("", "config.refused")):
             done = subprocess.run(
-                [sys.executable, "-m", "rushmux.block"],
+                [sys.executable, "-m", "rushmux.gateway"],
                 cwd=ROOT,
                 capture_output=True,
                 text=True,
@@ -125,7 +125,7 @@
     file = tmp_path / "config.json"
     file.write_text("{}")
     done = subprocess.run(
-        [sys.executable, "-m", "rushmux.block"],
+        [sys.executable, "-m", "rushmux.gateway"],
         cwd=ROOT,
         capture_output=True,
         text=True,
@@ -138,7 +138,7 @@
 
 def test_the_program_imports_no_heavy_library():
     code = (
-        "import sys, rushmux.block.__main__; "
+        "import sys, rushmux.gateway.__main__; "
         "print([name for name in ('numpy', 'google.protobuf', 'structlog', 'jsonschema')"
         " if name in sys.modules])"
     )
--- a/tests/block/test_front.py
+++ b/tests/gateway/test_server.py
@@ -7,7 +7,7 @@
 import time
 
 from rushmux import rules
-from rushmux.block.front import Front
+from rushmux.gateway.server import Front
 from rushmux.standins.platform import Node, of, read, served, write
 
 
--- a/tests/block/test_told_in_time.py
+++ b/tests/gateway/test_told_in_time.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from rushmux.block import discovery as watches
-from rushmux.block.discovery import Watch
+from rushmux.gateway import discovery as watches
+from rushmux.gateway.discovery import Watch
 from rushmux.standins.platform import Discovery, command, read
 
 TOLD = 6.0  # seconds until a change counts as told
@@ -302,9 +302,9 @@
 
 # The first list is waited for longer than a test takes.
 PATIENT = (
-    "import runpy, rushmux.block.front as front\n"
+    "import runpy, rushmux.gateway.server as front\n"
     "front.FIRST_LIST = 60.0\n"
-    "runpy.run_module('rushmux.block', run_name='__main__')\n"
+    "runpy.run_module('rushmux.gateway', run_name='__main__')\n"
 )
 
 
@@ -400,7 +400,7 @@
 def test_a_reload_that_fails_as_nobody_thought_of_leaves_the_next_one_heard(running):
     """A fault of ours while the file is read must not end the reading of files."""
     code = (
-        "import runpy, rushmux.block.config as config\n"
+        "import runpy, rushmux.gateway.config as config\n"
         "good, calls = config.read, []\n"
         "def read(path):\n"
         "    calls.append(path)\n"
@@ -408,7 +408,7 @@
         "        raise RuntimeError('nobody thought of it')\n"
         "    return good(path)\n"
         "config.read = read\n"
-        "runpy.run_module('rushmux.block', run_name='__main__')\n"
+        "runpy.run_module('rushmux.gateway', run_name='__main__')\n"
     )
 
     async def story(stage):
@@ -427,7 +427,7 @@
     async def story(stage):
         await (await stage.client()).ask(b"PING")
         first = stage.process
-        await stage.run("-m", "rushmux.block")
+        await stage.run("-m", "rushmux.gateway")
         log = (await stage.process.stderr.read()).decode()
         code = await stage.process.wait()
         first.terminate()
--- a/tests/lab/conftest.py
+++ b/tests/lab/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux.lab import spec
-from rushmux.lab.lean import World
+from rushmux.lab.scheduler_simulation import World
 
 
 @pytest.fixture
--- a/tests/lab/test_days.py
+++ b/tests/lab/test_days.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from rushmux.lab import outcome, troubles, workload
+from rushmux.lab import faults, outcome, workload
 from rushmux.lab.baselines import BASELINES
-from rushmux.lab.heap import HeapClock
-from rushmux.standins.engine import Engine, Shape
+from rushmux.lab.timer_loop import HeapClock
+from rushmux.standins.service_model import Engine, Shape
 
 NODES = {f"n{number}": f"z{number % 2}" for number in range(4)}
 VOLUMES = {"a": "basico", "b": "basico", "c": "estandar"}
@@ -15,16 +15,16 @@
 EACH = [
     f"{kind} {target}{' 2' if target in ('nodes', 'edges') else ' basico' if target == 'plan' else ''}"
     f"{' size 0.4..0.6' if sized else ''} at 0.5..1{' for 1..2' if lasts else ''}"
-    for kind, (targets, sized, lasts) in troubles.KINDS.items()
+    for kind, (targets, sized, lasts) in faults.KINDS.items()
     for target in targets
 ]
 
 
 @pytest.mark.parametrize("line", EACH)
 def test_lines_come_back_as_they_were_written(line):
-    (parsed,) = troubles.parse([line])
-    assert troubles.parse([parsed.text()]) == [parsed]
-    events = troubles.draw([parsed], 3, NODES, range(4), VOLUMES)
+    (parsed,) = faults.parse([line])
+    assert faults.parse([parsed.text()]) == [parsed]
+    events = faults.draw([parsed], 3, NODES, range(4), VOLUMES)
     assert events and all(0.5 <= event.at <= 3 for event in events)
 
 
@@ -41,15 +41,15 @@
     ],
 )
 def test_lines_that_are_none_are_told(line, words):
-    with pytest.raises(troubles.BadTrouble) as fault:
-        troubles.parse(["resets node at 1", line])
+    with pytest.raises(faults.BadTrouble) as fault:
+        faults.parse(["resets node at 1", line])
     assert "line 2" in str(fault.value) and words in str(fault.value)
 
 
 def test_a_line_taken_away_leaves_the_draws_of_the_others():
-    lines = troubles.parse(["silent node at 1..9 for 1..5", "die edges 2 at 1..9 for 1..5"])
-    both = troubles.draw(lines, 5, NODES, range(9), VOLUMES)
-    assert troubles.draw(lines[1:], 5, NODES, range(9), VOLUMES) == [e for e in both if e.kind == "die"]
+    lines = faults.parse(["silent node at 1..9 for 1..5", "die edges 2 at 1..9 for 1..5"])
+    both = faults.draw(lines, 5, NODES, range(9), VOLUMES)
+    assert faults.draw(lines[1:], 5, NODES, range(9), VOLUMES) == [e for e in both if e.kind == "die"]
 
 
 # Whether a trouble of a kind shows in a day: what it must change against the calm one.
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -12,8 +12,8 @@
 from click.testing import CliRunner
 
 from rushmux.cli.main import main
-from rushmux.lab import compare, outcome, report, run, search, spec, store, yardstick
-from rushmux.lab.lean import speeds
+from rushmux.lab import compare, optimal_bound, outcome, report, run, search, spec, store
+from rushmux.lab.scheduler_simulation import speeds
 
 WORSE = {"name": "worse", "without": [["FIRST_ROOM = 3 ", "FIRST_ROOM = 0.01 "]]}
 CRASHES = {"name": "crashes", "without": [["def act(self, now):", "def act(self, now):\n        1 / 0\n"]]}
@@ -239,7 +239,7 @@
         [{"name": "module"}, {"name": "first", "decisions": "first-come"}],
     )
     for seed in (1, 2, 3):
-        bound = yardstick.bound(
+        bound = optimal_bound.bound(
             *spec.day(raw, raw["variants"][0], seed), raw["seconds"], speeds(spec.fleet(raw), seed)
         )
         for variant in raw["variants"]:
@@ -252,7 +252,7 @@
         for load in (0.2, 4.0)
     )
     bounds = [
-        yardstick.bound(*spec.day(raw, raw["variants"][0], 1), raw["seconds"]) for raw in (light, heavy)
+        optimal_bound.bound(*spec.day(raw, raw["variants"][0], 1), raw["seconds"]) for raw in (light, heavy)
     ]
     assert bounds[0] > 0.99 and bounds[1] < 0.75
 
--- a/tests/lab/test_whole.py
+++ b/tests/lab/test_system_simulation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rushmux.lab import spec, whole
+from rushmux.lab import spec, system_simulation
 from rushmux.standins.checker import Checker
 
 TOGETHER = {
@@ -32,7 +32,7 @@
 def test_troubles_together_through_real_edges(name, small):
     raw = small(TOGETHER[name])
     built, stood, arrivals, events = spec.day(raw, raw["variants"][0], 2)
-    ended, fleet = whole.play(built, stood, arrivals, events, 2)
+    ended, fleet = system_simulation.play(built, stood, arrivals, events, 2)
     breaches = Checker(fleet.all_records(), built, 0.005).breaches()
     assert not breaches
     assert len(ended) == len(arrivals) and sum(row.how == "succeeded" for row in ended) > 0.3 * len(ended)
@@ -41,13 +41,13 @@
 def test_same_seed_same_day(small):
     raw = small(["silent node at 0.5 for 1", "die edge at 1 for 1"])
     day = spec.day(raw, raw["variants"][0], 3)
-    assert whole.play(*day, 3)[0] == whole.play(*day, 3)[0]
+    assert system_simulation.play(*day, 3)[0] == system_simulation.play(*day, 3)[0]
 
 
 def test_a_cut_keeps_what_was_on_its_way(small):
     raw = small(["cut zone at 1 for 2"])
     built, stood, arrivals, events = spec.day(raw, raw["variants"][0], 2)
-    _, fleet = whole.play(built, stood, arrivals, events, 2)
+    _, fleet = system_simulation.play(built, stood, arrivals, events, 2)
     cut, begun = events[0], next(row["at"] for row in fleet.records if row["kind"] == "day")
     names = {f"node{target[1:]}" for target in cut.targets}
     inside = [
--- a/tests/planner/test_rig.py
+++ b/tests/planner/test_fault_injection.py
@@ -6,9 +6,9 @@
 from click.testing import CliRunner
 
 from rushmux.cli.main import main
-from rushmux.standins import rig
+from rushmux.standins import fault_injection
+from rushmux.standins.fault_proxy import HOST, Relays
 from rushmux.standins.policy_judge import operations, told
-from rushmux.standins.relay import HOST, Relays
 
 # Those in which most goes wrong; some twenty more are played by hand.
 PLAYED = (
@@ -28,7 +28,9 @@
 
 
 def test_stories_keep_every_rule(tmp_path):
-    found = asyncio.run(rig.together([rig.load(name) for name in PLAYED], tmp_path, 4, 1))
+    found = asyncio.run(
+        fault_injection.together([fault_injection.load(name) for name in PLAYED], tmp_path, 4, 1)
+    )
     assert {told.story: told.breaches for told in found if told.breaches} == {}
     for told_ in found:
         assert told_.facts["answers"] > 100, told_
@@ -45,8 +47,8 @@
         ("expect down", "no line of this form"),
         ("on propose", "out of range"),
     ):
-        with pytest.raises(rig.BadStory, match=wrong):
-            rig.parse(text)
+        with pytest.raises(fault_injection.BadStory, match=wrong):
+            fault_injection.parse(text)
     result = CliRunner().invoke(main, ["rig", "no-such-story"])
     assert result.exit_code == 1 and "cannot be read" in result.output and "Traceback" not in result.output
     assert "there are" in CliRunner().invoke(main, ["rig"]).output
--- a/tests/planner/test_processes.py
+++ b/tests/planner/test_processes.py
@@ -9,7 +9,7 @@
 
 from rushmux.cli.main import main
 from rushmux.settings import deployment
-from rushmux.standins import day as days
+from rushmux.standins import scenario as days
 from rushmux.standins import script
 from rushmux.standins.checker import Checker
 from rushmux.standins.processes import ProcessFleet
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -11,19 +11,19 @@
 
 from benchmarks import planner_kills
 from rushmux import log
-from rushmux.edge.lastlist import LastList
-from rushmux.edge.links import Lists
+from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.node_connections import Lists
 from rushmux.files.paths import home
 from rushmux.fleet.membership import LEASE
 from rushmux.nodewire import VERSION, messages
-from rushmux.planner import orders
+from rushmux.planner import admin_server
+from rushmux.planner.membership_store import BadStore, Row, Store
 from rushmux.planner.planner import Planner
-from rushmux.planner.store import BadStore, Row, Store
 from rushmux.settings import deployment
+from rushmux.simulation.loop import run
 from rushmux.standins import fleet
 from rushmux.standins.checker import Checker
 from rushmux.standins.client import Gone, Refusal
-from rushmux.virtual.loop import run
 
 EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
 STATED = deployment.build(copy.deepcopy(EXAMPLE))
@@ -99,16 +99,18 @@
     async def story(made):
         client = await made.client(0)
         await made.sleep(2)
-        answer = await orders.order(made.lists.address, "drain", "node2")
+        answer = await admin_server.order(made.lists.address, "drain", "node2")
         assert {row.member: row.condition for row in answer.members}["node2"] == "draining"
         for number in range(10):
             await client.put(f"/{away}/{number}", b"x" * 40_000)
         await until(made, lambda: condition(made, "node2") == "drained")
-        with pytest.raises(orders.NotOrdered) as fault:
-            await orders.order(made.lists.address, "drain", "node9")
-        await orders.order(made.lists.address, "undrain", "node2")
+        with pytest.raises(admin_server.NotOrdered) as fault:
+            await admin_server.order(made.lists.address, "drain", "node9")
+        await admin_server.order(made.lists.address, "undrain", "node2")
         await made.sleep(1)
-        return str(fault.value), "\n".join(orders.lines(await orders.order(made.lists.address, "show")))
+        return str(fault.value), "\n".join(
+            admin_server.lines(await admin_server.order(made.lists.address, "show"))
+        )
 
     made, (fault, text) = play(story)
     assert "no node 'node9'" in fault and "node2" in text and "edge0" in text and "term 1" in text
@@ -119,7 +121,7 @@
     async def story(made):
         client, port = await made.client(0), made.lists.port
         await made.sleep(2)
-        await orders.order(made.lists.address, "drain", "node3")
+        await admin_server.order(made.lists.address, "drain", "node3")
         await made.sleep(0.2)
         version = made.lists.program.version
         made.kill_planner()
--- a/tests/planner/test_asking.py
+++ b/tests/planner/test_quota_client.py
@@ -5,8 +5,8 @@
 import pytest
 
 from benchmarks import shares as day
-from rushmux.edge.links import Lists
-from rushmux.fleet.shares import LEASE, SAFE
+from rushmux.edge.node_connections import Lists
+from rushmux.fleet.quotas import LEASE, SAFE
 from rushmux.nodewire import messages
 from rushmux.settings.deployment import BadDeployment, build
 from rushmux.standins import fleet
--- a/tests/planner/test_logfile.py
+++ b/tests/planner/test_raft_storage.py
@@ -6,7 +6,7 @@
 
 from rushmux import records
 from rushmux.fleet import raft
-from rushmux.planner.logfile import FORMAT, WORD, BadLog, LogFile
+from rushmux.planner.raft_storage import FORMAT, WORD, BadLog, LogFile
 
 
 def entry(term, text):
--- a/tests/routes/test_broken.py
+++ b/tests/routes/test_broken.py
@@ -11,38 +11,38 @@
 from click.testing import CliRunner
 
 from rushmux.cli.main import main
-from rushmux.routes import prove
+from rushmux.routes import verifier
 from rushmux.settings.deployment import BadDeployment, build
 
 FILES = sorted(Path(__file__).parent.glob("broken/*.json"))
 # file -> the place, the rule and a word of each refusal, in order
 REFUSED = {
-    "budgets-together": [("/routes/1/budget", prove.BUDGETS, "together 12")],
-    "cold-crowd": [("/fleet/cold_units", prove.COLD, "24 gateways")],
-    "copies-forbidden": [("/routes/0/second_copy", prove.TWICE, "the fleet allows one")],
-    "copy-of-a-change": [("/routes/0/second_copy", prove.TWICE, "another cell")],
+    "budgets-together": [("/routes/1/budget", verifier.BUDGETS, "together 12")],
+    "cold-crowd": [("/fleet/cold_units", verifier.COLD, "24 gateways")],
+    "copies-forbidden": [("/routes/0/second_copy", verifier.TWICE, "the fleet allows one")],
+    "copy-of-a-change": [("/routes/0/second_copy", verifier.TWICE, "another cell")],
     "copy-of-single-use": [
-        ("/routes/0/second_copy", prove.TWICE, "another cell"),
-        ("/routes/0/second_copy", prove.TWICE, "must never run twice"),
+        ("/routes/0/second_copy", verifier.TWICE, "another cell"),
+        ("/routes/0/second_copy", verifier.TWICE, "must never run twice"),
     ],
     "every-kind": [
-        ("/bounds/way_ms", prove.LOST, "2003 ms"),
-        ("/routes/1/time_out_ms", prove.LOST, "2500 ms"),
-        ("/routes/0/second_copy", prove.LOST, "603 ms"),
-        ("/fleet/drain_grace_ms", prove.DRAINS, "309 ms"),
-        ("/plans/basico/slack", prove.LIMITS, "24 units"),
-        ("/routes/2/budget", prove.BUDGETS, "free 30"),
-        ("/routes/2/budget", prove.BUDGETS, "share 2"),
+        ("/bounds/way_ms", verifier.LOST, "2003 ms"),
+        ("/routes/1/time_out_ms", verifier.LOST, "2500 ms"),
+        ("/routes/0/second_copy", verifier.LOST, "603 ms"),
+        ("/fleet/drain_grace_ms", verifier.DRAINS, "309 ms"),
+        ("/plans/basico/slack", verifier.LIMITS, "24 units"),
+        ("/routes/2/budget", verifier.BUDGETS, "free 30"),
+        ("/routes/2/budget", verifier.BUDGETS, "share 2"),
     ],
-    "forgotten-marks": [("/routes/0/executions", prove.TWICE, "mark is known for 600 ms")],
-    "held-together": [("/routes/1/held", prove.HELD, "23400 operations")],
-    "late-at-a-drain": [("/fleet/drain_grace_ms", prove.DRAINS, "200 ms are allowed")],
-    "limit-forgotten": [("/plans/basico/slack", prove.LIMITS, "36 units")],
+    "forgotten-marks": [("/routes/0/executions", verifier.TWICE, "mark is known for 600 ms")],
+    "held-together": [("/routes/1/held", verifier.HELD, "23400 operations")],
+    "late-at-a-drain": [("/fleet/drain_grace_ms", verifier.DRAINS, "200 ms are allowed")],
+    "limit-forgotten": [("/plans/basico/slack", verifier.LIMITS, "36 units")],
     "no-such-lane": [],
-    "one-bad-route": [("/routes/2/executions", prove.LOST, "2710 ms")],
-    "short-deadline": [("/routes/0/second_copy", prove.LOST, "49 ms at the earliest")],
-    "slow-way": [("/bounds/way_ms", prove.LOST, "2001 ms")],
-    "unsafe-together": [("/routes/1/executions", prove.LOST, "plan 'prioritario'")],
+    "one-bad-route": [("/routes/2/executions", verifier.LOST, "2710 ms")],
+    "short-deadline": [("/routes/0/second_copy", verifier.LOST, "49 ms at the earliest")],
+    "slow-way": [("/bounds/way_ms", verifier.LOST, "2001 ms")],
+    "unsafe-together": [("/routes/1/executions", verifier.LOST, "plan 'prioritario'")],
 }
 
 
--- a/tests/routes/test_model.py
+++ b/tests/routes/test_model.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rushmux.lab import proof, schedules
-from rushmux.routes import prove
+from rushmux.routes import verifier
 
 
 def test_no_accepted_deployment_breaks_a_rule_and_most_refused_ones_do():
@@ -20,7 +20,7 @@
     chance = random.Random(5)
     while True:
         drawn = proof.draw(chance)
-        if drawn.matter == matter and bool(prove.prove(drawn.ground, drawn.flows)) != accepted:
+        if drawn.matter == matter and bool(verifier.prove(drawn.ground, drawn.flows)) != accepted:
             return drawn
 
 
@@ -28,13 +28,13 @@
 @pytest.mark.parametrize(
     "matter, rule, worse",
     [
-        ("way", prove.LOST, lambda ground: ground._replace(way=ground.terms.tick // 2 + 1)),
-        ("drain", prove.DRAINS, lambda ground: ground._replace(drain_grace=ground.terms.tick - 1)),
-        ("limit", prove.LIMITS, lambda ground: ground._replace(restarts=4)),
-        ("cold", prove.COLD, lambda ground: ground._replace(falls=ground.terms.most_units * 1.5)),
+        ("way", verifier.LOST, lambda ground: ground._replace(way=ground.terms.tick // 2 + 1)),
+        ("drain", verifier.DRAINS, lambda ground: ground._replace(drain_grace=ground.terms.tick - 1)),
+        ("limit", verifier.LIMITS, lambda ground: ground._replace(restarts=4)),
+        ("cold", verifier.COLD, lambda ground: ground._replace(falls=ground.terms.most_units * 1.5)),
         (
             "budget",
-            prove.BUDGETS,
+            verifier.BUDGETS,
             lambda ground: ground._replace(terms=ground.terms._replace(budget_free=-4.0)),
         ),
     ],
--- a/tests/routes/test_reload.py
+++ b/tests/routes/test_reload.py
@@ -6,7 +6,7 @@
 import pytest
 
 from rushmux.edge.driver import Shed, Terminated
-from rushmux.edge.errand import Errand
+from rushmux.edge.operation_runner import Errand
 from rushmux.settings import deployment
 from rushmux.standins import fleet as fleets
 from rushmux.standins.checker import Checker
--- a/tests/routes/test_prove.py
+++ b/tests/routes/test_verifier.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux import interface as say
-from rushmux.routes import prove, resolve
+from rushmux.routes import resolve, verifier
 from rushmux.settings import deployment
 
 
@@ -35,11 +35,11 @@
 
 # A change at the border, and the same one tick or unit further.
 BORDERS = [
-    (("bounds", "way_ms"), 2.5, 2.6, prove.LOST),
-    (("fleet", "drain_grace_ms"), 307, 306.9, prove.DRAINS),
-    (("fleet", "cold_units"), 16.7, 16.8, prove.COLD),
-    (("bounds", "restarts"), 1, 2, prove.LIMITS),
-    (("lanes", "registro", "window_ms"), 707, 706.9, prove.TWICE),
+    (("bounds", "way_ms"), 2.5, 2.6, verifier.LOST),
+    (("fleet", "drain_grace_ms"), 307, 306.9, verifier.DRAINS),
+    (("fleet", "cold_units"), 16.7, 16.8, verifier.COLD),
+    (("bounds", "restarts"), 1, 2, verifier.LIMITS),
+    (("lanes", "registro", "window_ms"), 707, 706.9, verifier.TWICE),
 ]
 
 
@@ -58,7 +58,7 @@
     # Three of 400 ms quoted time: two time-outs, two late ticks and two waits come before the last.
     row = {"lane": "lectura", "executions": 3, "wait_ms": 20}
     assert refused([{**row, "time_out_ms": 174.9}]) == []
-    assert [finding.rule for finding in refused([{**row, "time_out_ms": 175}])] == [prove.LOST]
+    assert [finding.rule for finding in refused([{**row, "time_out_ms": 175}])] == [verifier.LOST]
 
 
 def test_a_second_copy_at_its_border(refused):
@@ -83,7 +83,7 @@
 def test_twenty_four_gateways_and_one_largest_operation(raw, refused):
     raw["fleet"]["gateways"], raw["plans"]["basico"]["burst"] = 24, 24 * 8
     (finding,) = refused()
-    assert finding.rule == prove.COLD and finding.worst > 24 * 8 and "24 gateways" in finding.text
+    assert finding.rule == verifier.COLD and finding.worst > 24 * 8 and "24 gateways" in finding.text
     raw["bounds"]["cold_falls_units"] = 800
     assert refused() == []
 
@@ -106,7 +106,7 @@
 
 def test_facts_stay_within_their_bounds(raw):
     built = deployment.build(raw)
-    for fact in prove.facts(built.ground, built.flows):
+    for fact in verifier.facts(built.ground, built.flows):
         assert fact.bound is None or fact.worst <= fact.bound, fact
 
 
--- a/tests/settings/test_moving.py
+++ b/tests/settings/test_migration.py
@@ -10,7 +10,7 @@
 from rushmux.cli.main import main
 from rushmux.settings import deployment
 from rushmux.settings.deployment import build
-from rushmux.settings.moving import Shape, moved
+from rushmux.settings.migration import Shape, moved
 
 FILE = Path(deployment.__file__).with_name("example.json")
 EXAMPLE = json.loads(FILE.read_text())
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -9,16 +9,16 @@
 import pytest
 
 from rushmux.buffer import journal
-from rushmux.edge.going import Kept
-from rushmux.edge.lastlist import LastList
+from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.policy_client import Kept
 from rushmux.fleet import policy, raft
 from rushmux.lab import spec
 from rushmux.lab.store import Store as ResultStore
 from rushmux.nodewire import messages
-from rushmux.planner.logfile import LogFile
-from rushmux.planner.store import Row, Store
+from rushmux.planner.membership_store import Row, Store
+from rushmux.planner.raft_storage import LogFile
 from rushmux.settings import deployment
-from rushmux.standins import rig, script
+from rushmux.standins import fault_injection, script
 from rushmux.standins.store import Store as NodeStore
 
 STORED = Path(__file__).with_name("data") / "stored"
@@ -207,6 +207,6 @@
     assert day.events[0] == script.Event(1.5, "trouble", "node1", "silent", 0.0, 2.0)
     assert day.events[2] == script.Event(3.5, "replace", "node0", "node0b")
     assert day.events[7] == script.Event(9.0, "surge", "bodega-sur", "", 6.0, 3.0)
-    story = rig.load(STORED / "story.txt")
+    story = fault_injection.load(STORED / "story.txt")
     assert (story.sizes["length"], len(story.deeds), len(story.expects)) == STORY
     assert spec.load(STORED / "experiment.json")["variants"]
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from rushmux.block import commands, figures
-from rushmux.block.config import parsed
 from rushmux.fleet import policy, raft
+from rushmux.gateway import commands, replies
+from rushmux.gateway.config import parsed
 from rushmux.nodewire import Frames, frame, messages
-from rushmux.planner import words
+from rushmux.planner import raft_codec
 from rushmux.resp import Commands, Replies, command, error
 from rushmux.sftp import packets as sftp
 from rushmux.standins.platform import configuration
@@ -67,13 +67,13 @@
 @pytest.mark.parametrize("kind", sorted(RAFT))
 def test_a_raft_message_goes_over_the_wire_as_before(kind):
     data = NODEWIRE[f"raft-{kind}"]
-    assert frame(messages.Message(word=words.sent(RAFT[kind]))) == data
-    assert words.heard(decoded(data).word) == RAFT[kind]
+    assert frame(messages.Message(word=raft_codec.sent(RAFT[kind]))) == data
+    assert raft_codec.heard(decoded(data).word) == RAFT[kind]
 
 
 @pytest.mark.parametrize("name, known", [("whole", ()), ("known", (2, 3))])
 def test_a_policy_grant_goes_over_the_wire_as_before(name, known):
-    made = messages.Message(policy_grant=words.grant(GRANT, known))
+    made = messages.Message(policy_grant=raft_codec.grant(GRANT, known))
     assert frame(made) == NODEWIRE[f"policy-grant-{name}"]
 
 
@@ -120,10 +120,10 @@
     reader = Replies()
     reader.feed(bytes.fromhex(row["node"]))
     kind, value = reader.next()
-    result, found, fleet_use, from_others = figures.outcome(kind, value)
+    result, found, fleet_use, from_others = replies.outcome(kind, value)
     assert (result, fleet_use, from_others) == (row["result"], row["fleet_use"], row["from_others"])
     assert found == (None if row["value"] is None else bytes.fromhex(row["value"]))
-    assert figures.sound(result, kind, value) == row["reusable"]
+    assert replies.sound(result, kind, value) == row["reusable"]
 
 
 @pytest.mark.parametrize("path", sorted(WIRE.glob("simulator-*.jsonl")), ids=lambda path: path.stem)
