--- a/benchmarks/scheduler_equivalence.py
+++ b/benchmarks/scheduler_equivalence.py
@@ -1,7 +1,7 @@
 """Compares the scheduler with an older revision's, call by call, on the same streams of events.
 
-Every event goes to both, and what each does in answer has to be the same: names, values and order.  The streams
-are the scenarios of the tests, small fleets of the lab under drawn faults, and drawn schedules of
+Every event goes to both, and what each does in answer has to be the same: names, values and order.  The
+streams are the scenarios of the tests, small fleets of the lab under drawn faults, and drawn schedules of
 `lab.schedules` over deployments of `lab.proof`.  Prints how many events and actions were compared; exits 1 at
 the first difference.
 """
