--- a/rushmux/scheduling/driver.py
+++ b/rushmux/scheduling/driver.py
@@ -242,7 +242,8 @@
         """An attempt came back."""
         self.enqueue(self._tell_reply, op_id, number, reply)
 
-    def _on_timeout(self, op_id: str, number: int, due: float) -> None:
+    def on_timeout(self, op_id: str, number: int, due: float) -> None:
+        """An attempt's time, which ended at the loop's time `due`, is over."""
         reply = AttemptReply(AttemptResult.TIMED_OUT)
         # If this process stood still, the answer waits in its socket, and a healthy node would be blamed.
         if self.loop.time() - due > PAUSE_THRESHOLD:
@@ -293,7 +294,7 @@
             self.loop.call_soon(self.on_reply, op_id, number, AttemptReply(AttemptResult.NOT_SENT))
             return
         due = self.loop.time() + timeout / TICKS_PER_SECOND
-        timer = self.loop.call_at(due, self._on_timeout, op_id, number, due)
+        timer = self.loop.call_at(due, self.on_timeout, op_id, number, due)
         latest_start = min(due, self._latest_start(operation))
         decided_at = self.now()
         handle = self.send_attempt(number, node, operation, timeout, latest_start)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -183,7 +183,7 @@
         begun = stage.front.loop.time()
         time.sleep(0.2)
         # The pause may fall between the look at the sockets and that at the timers: the time-out goes first.
-        stage.front.time_over(f"{1:016x}", 0, begun + 0.1)
+        stage.front.on_timeout(f"{1:016x}", 0, begun + 0.1)
         await asyncio.sleep(0.05)
         return heard
 
