--- a/rushmux/scheduling/state.py
+++ b/rushmux/scheduling/state.py
@@ -174,9 +174,9 @@
         node = operation.in_flight.pop(report.attempt)
         operation.route_usage.in_flight -= report.operation_ended > operation.ended
         operation.ended = operation.ended or report.operation_ended
-        self.mark_changed([operation.cell])
+        self.changed_cells[operation.cell] = True
         if operation.hedged:
-            self.mark_changed([self.endpoints.cells[node.endpoint.cell]])
+            self.changed_cells[self.endpoints.cells[node.endpoint.cell]] = True
         self.unblock()
         return operation, node
 
