--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -65,10 +65,10 @@
     small, whole = deployments.build(large(5, 20)), large(25, 40)
     built = deployments.build(whole)
     print(
-        f"{len(whole['routes'])} routes, {len(built.flows)} lanes and plans: read and proved in "
+        f"{len(whole['routes'])} routes, {len(built.routes)} lanes and plans: read and proved in "
         f"{timed(deployments.build, whole):.3f} s, of which the proof "
-        f"{timed(verifier.prove, built.ground, built.flows):.4f} s; for {len(small.flows)} lanes and plans "
-        f"the proof takes {timed(verifier.prove, small.ground, small.flows):.4f} s"
+        f"{timed(verifier.verify, built.bounds, built.routes):.4f} s; for {len(small.routes)} lanes and "
+        f"plans the proof takes {timed(verifier.verify, small.bounds, small.routes):.4f} s"
     )
     each = -(-wanted.draws // wanted.jobs)
     with ProcessPoolExecutor(wanted.jobs) as pool:
--- a/benchmarks/scheduler_equivalence.py
+++ b/benchmarks/scheduler_equivalence.py
@@ -14,7 +14,7 @@
 
 from rushmux.lab import proof, schedules, spec, variants
 from rushmux.lab.scheduler_simulation import World
-from rushmux.routes import verifier
+from rushmux.routes.findings import Rule
 from rushmux.scheduling.scheduler import Scheduler
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -146,11 +146,11 @@
     for number in deployments:
         drawn = proof.draw(random.Random(f"equivalence/{number}"))
         for rule, stories in proof.STORIES.items():
-            if rule == verifier.LIMITS and not drawn.ground.settings.plans["p"].limit:
+            if rule == Rule.RATE_LIMIT and not drawn.bounds.settings.plans["p"].limit:
                 continue
             for story, acts, way in stories:
-                gateways = 1 if story in proof.SINGLE else drawn.ground.settings.gateway_count
-                schedules.search(drawn.ground, story, "w", "p", acts, each, number, gateways, way)
+                gateways = 1 if story in proof.SINGLE else drawn.bounds.settings.gateway_count
+                schedules.search(drawn.bounds, story, "w", "p", acts, each, number, gateways, way)
 
 
 def main() -> int:
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -358,10 +358,10 @@
 
     deployment = deployed(file, plainly=True)
     if told:
-        for line in explain.routes(deployment.flows):
+        for line in explain.routes(deployment.routes):
             click.echo(line)
     if facts:
-        for line in explain.facts(verifier.facts(deployment.ground, deployment.flows)):
+        for line in explain.worst_cases(verifier.worst_cases(deployment.bounds, deployment.routes)):
             click.echo(line)
     click.echo(
         f"{file}: {len(deployment.settings.request_classes)} lanes, {len(deployment.settings.plans)} plans, "
@@ -393,9 +393,11 @@
     from rushmux.settings import migration
 
     old = deployed(file)
-    new, left = migration.moved(
+    new, left = migration.migrate(
         old.raw,
-        migration.Shape(load, meter_ms, in_order, order_rest_ms, gateways, not no_reserves, not no_copies),
+        migration.TargetShape(
+            load, meter_ms, in_order, order_rest_ms, gateways, not no_reserves, not no_copies
+        ),
     )
     for place, text in left:
         click.echo(f"{file}: {place}: {text}")
--- a/rushmux/lab/proof.py
+++ b/rushmux/lab/proof.py
@@ -11,22 +11,24 @@
 
 from rushmux.lab import schedules
 from rushmux.routes import resolve, verifier
+from rushmux.routes.bounds import Bounds, longest_attempt, scheduler_window, worst_slow_start_units
+from rushmux.routes.findings import Rule
 from rushmux.scheduling.interface import DedupScope, Idempotency, QosPlan, RequestClass, SchedulerSettings
 
 MATTERS = ("way", "short", "window", "drain", "cold", "limit", "ladder", "copy", "budget")
 STORIES = {  # rule -> stories that try to break it, what nodes do there, whether ways are drawn
-    verifier.LOST: ((schedules.late, (schedules.SILENT, schedules.FAILED, schedules.DONE), True),),
-    verifier.TWICE: (
+    Rule.NO_LOSS: ((schedules.late, (schedules.SILENT, schedules.FAILED, schedules.DONE), True),),
+    Rule.NO_DUPLICATE: (
         (schedules.late, (schedules.SILENT, schedules.FAILED, schedules.TURNED_AWAY), True),
         (schedules.held_back, (schedules.SILENT, schedules.FAILED), True),
     ),
-    verifier.DRAINS: ((schedules.drained, (schedules.SILENT,), True),),
-    verifier.COLD: (
+    Rule.DRAINING: ((schedules.drained, (schedules.SILENT,), True),),
+    Rule.SLOW_START: (
         (schedules.started, (schedules.SILENT,), True),
         (schedules.started, (schedules.DONE,), True),
     ),
-    verifier.BUDGETS: ((schedules.late, (schedules.FAILED, schedules.SILENT), True),),
-    verifier.LIMITS: ((schedules.forgotten, (schedules.DONE,), False),),
+    Rule.RETRY_BUDGET: ((schedules.late, (schedules.FAILED, schedules.SILENT), True),),
+    Rule.RATE_LIMIT: ((schedules.forgotten, (schedules.DONE,), False),),
 }
 
 
@@ -37,8 +39,8 @@
     """A small deployment: one lane, one plan."""
 
     matter: str
-    ground: verifier.Ground
-    flows: list[resolve.Flow]
+    bounds: Bounds
+    routes: list[resolve.ResolvedRoute]
 
 
 def draw(chance: random.Random) -> Drawn:
@@ -90,8 +92,8 @@
         row, free = {"budget": {"share": 0.0, "free": 4.0}}, 4.0 + near
     lane = RequestClass("w", quoted, stop, 1.0, repeat, DedupScope(group), window, False)
     plan = QosPlan("p", 100.0, 50.0, limit, 24.0 * gateways if limit else 0.0, slack, 1.0, 1.0)
-    flows = resolve.flows([{"lane": "w", **row}], {"w": lane}, {"p": plan}, 3)
-    grace = tick + min(dial, max(verifier.longest(tick, flow) for flow in flows) + tick) + way
+    routes = resolve.resolve([{"lane": "w", **row}], {"w": lane}, {"p": plan}, 3)
+    grace = tick + min(dial, max(longest_attempt(tick, route) for route in routes) + tick) + way
     settings = SchedulerSettings(
         request_classes={"w": lane},
         plans={"p": plan},
@@ -104,7 +106,7 @@
         mean_units=2.0,
         max_units=4.0,
         slow_start_units=cold,
-        slow_start_window=verifier.kept(20_000, way, dial, tick),
+        slow_start_window=scheduler_window(20_000, way, dial, tick),
         overload_multiple=2.5,
         initial_capacity=0.2,
         warm_up_time=160_000,
@@ -115,28 +117,29 @@
         retry_budget_window=100_000,
         allows_hedging=copies,
         allows_cancellation=True,
-        route_policies=resolve.routes(flows),
+        route_policies=resolve.route_policies(routes),
     )
     grace += max(-grace, near) if matter == "drain" else 50
-    ground = verifier.Ground(settings, way, dial, grace, restarts, 20_000, 1_000.0, 400.0, 20_000, 1)
+    bounds = Bounds(settings, way, dial, grace, restarts, 20_000, 1_000.0, 400.0, 20_000, 1)
     if matter == "cold":
         # What it answers is a part of what pushes it over, and both stand in the border.
         falls = (cold + gateways * 4.0 + near) * chance.choice((1.0, 0.8, 0.5, 2.0, 4.0))
-        ground = ground._replace(
-            falls=falls, serves=falls / settings.overload_multiple * chance.choice((0.1, 0.5, 1.0))
+        bounds = bounds._replace(
+            overload_units=falls,
+            served_units=falls / settings.overload_multiple * chance.choice((0.1, 0.5, 1.0)),
         )
-        falls = verifier.cold_worst(ground) + near if chance.random() < 0.5 else falls
-        ground = ground._replace(falls=falls)
-    return Drawn(matter, ground, flows)
+        falls = worst_slow_start_units(bounds) + near if chance.random() < 0.5 else falls
+        bounds = bounds._replace(overload_units=falls)
+    return Drawn(matter, bounds, routes)
 
 
 def play(drawn: Drawn, rule: str, most: int, seed=1):
     """The first breach of any rule found by the stories for one rule."""
     for story, acts, way in STORIES[rule]:
-        if rule == verifier.LIMITS and not drawn.ground.settings.plans["p"].limit:
+        if rule == Rule.RATE_LIMIT and not drawn.bounds.settings.plans["p"].limit:
             continue
-        gateways = 1 if story in SINGLE else drawn.ground.settings.gateway_count
-        breach = schedules.search(drawn.ground, story, "w", "p", acts, most, seed, gateways, way)
+        gateways = 1 if story in SINGLE else drawn.bounds.settings.gateway_count
+        breach = schedules.search(drawn.bounds, story, "w", "p", acts, most, seed, gateways, way)
         if breach is not None:
             return breach
     return None
@@ -154,7 +157,7 @@
     counts, wrong = Counter(), []
     for place in range(number):
         drawn = draw(random.Random(f"{seed}/{place}"))
-        findings = verifier.prove(drawn.ground, drawn.flows)
+        findings = verifier.verify(drawn.bounds, drawn.routes)
         counts["drawn"] += 1
         if not findings:
             counts["accepted"] += 1
--- a/rushmux/lab/schedules.py
+++ b/rushmux/lab/schedules.py
@@ -10,7 +10,7 @@
 from heapq import heappop, heappush
 from typing import NamedTuple, Optional
 
-from rushmux.routes.verifier import Ground
+from rushmux.routes.bounds import Bounds
 from rushmux.scheduling.interface import (
     AttemptReport,
     AttemptResult,
@@ -76,7 +76,7 @@
         self.out = defaultdict(dict)  # operation -> execution -> (node, sent)
         self.sent, self.over, self.orphans = defaultdict(int), {}, {}
         self.scheduler = Scheduler(
-            self.play.ground.settings,
+            self.play.bounds.settings,
             self.play.seed * 64 + self.number * 8 + self.starts,
             self.play.now,
             self,
@@ -129,7 +129,7 @@
         play.sends(self, op, number, node, len(self.out[op]))
         self.out[op][number] = node, now
         dial = play.choices.of(play.dials)
-        dial = min(dial, timeout + play.ground.settings.round_interval)
+        dial = min(dial, timeout + play.bounds.settings.round_interval)
         self.tell(now + timeout, self.back, op, number, AttemptResult.TIMED_OUT)
 
         def connected():
@@ -164,17 +164,17 @@
     messages, rounds and connections may be late.
     """
 
-    def __init__(self, ground: Ground, choices, acts=(SILENT,), gateways=1, seed=1, way=True):
-        self.ground, self.choices, self.acts, self.seed = ground, choices, acts, seed
+    def __init__(self, bounds: Bounds, choices, acts=(SILENT,), gateways=1, seed=1, way=True):
+        self.bounds, self.choices, self.acts, self.seed = bounds, choices, acts, seed
         self.now, self.number, self.heap = 10, 0, []
         self.steps, self.breach = [], None
         both = lambda value: (value, 0) if value else (0,)  # noqa: E731
         self.ways, self.dials, self.lates = (0,), (0,), (0,)
         if way:
             self.ways, self.dials, self.lates = (
-                both(ground.way),
-                both(ground.dial),
-                both(ground.settings.round_interval),
+                both(bounds.network_delay),
+                both(bounds.dial_timeout),
+                both(bounds.settings.round_interval),
             )
         self.ops, self.answers, self.first, self.extras = {}, {}, {}, defaultdict(list)
         self.takes = defaultdict(list)
@@ -224,7 +224,7 @@
 
     def take(self, place, op, lane, plan, units, cell, mounts=1):
         """A client sends an operation now."""
-        lane = self.ground.settings.request_classes[lane]
+        lane = self.bounds.settings.request_classes[lane]
         self.ops[op] = self.now, lane, units
         self.note(f"a client sends {op}")
         # Danger: the gateway counts from what reaches it, and the client from its send.
@@ -247,7 +247,7 @@
     # What the gateways send, and where it arrives.
 
     def sends(self, place, op, number, node, out):
-        settings = self.ground.settings
+        settings = self.bounds.settings
         self.note(f"gateway {place.number} sends {op} execution {number} to {node}")
         if op in place.over:
             self.broke("no operation lost", f"{op} is sent after its answer")
@@ -276,7 +276,7 @@
         _, lane, units = self.ops[op]
         self.note(f"{op} execution {number} arrives at {node}")
         told = self.told.get((place.number, node))
-        if told is not None and self.now - told > self.ground.drain_grace:
+        if told is not None and self.now - told > self.bounds.drain_grace:
             self.broke("drains kept", f"{op} arrives {(self.now - told) / 10:g} ms after the drain was told")
         if self.nodes[node].online_since:
             self.cold(units)
@@ -314,16 +314,16 @@
         """Ticks of a just-started node for so many units."""
         if not self.nodes[node].online_since:
             return 0
-        return int(units * self.ground.span / self.ground.serves)
+        return int(units * self.bounds.overload_window / self.bounds.served_units)
 
     def cold(self, units):
-        span = self.ground.span
+        span = self.bounds.overload_window
         self.arrived.append((self.now, units))
         total = sum(sent for at, sent in self.arrived if at > self.now - span)
-        if total > self.ground.falls:
+        if total > self.bounds.overload_units:
             self.broke(
                 "no cold node pushed over",
-                f"{total:g} units within {span / 10:g} ms, {self.ground.falls:g} push it over",
+                f"{total:g} units within {span / 10:g} ms, {self.bounds.overload_units:g} push it over",
             )
 
 
@@ -334,10 +334,10 @@
     """One operation of a lane, and another that follows it."""
     place = play.places[0]
     play.list([Endpoint(f"n{cell}", cell, "z", EndpointState.READY, 0) for cell in range(3)])
-    cell = -1 if play.ground.settings.request_classes[lane].idempotency == Idempotency.IDEMPOTENT else 0
+    cell = -1 if play.bounds.settings.request_classes[lane].idempotency == Idempotency.IDEMPOTENT else 0
     play.at(40_000, lambda: play.take(place, "a", lane, plan, 1.0, cell))
     play.at(40_001, lambda: play.take(place, "b", lane, plan, 1.0, cell))
-    return 40_000 + 3 * play.ground.settings.request_classes[lane].deadline + 100_000
+    return 40_000 + 3 * play.bounds.settings.request_classes[lane].deadline + 100_000
 
 
 def drained(play, lane, plan):
@@ -345,7 +345,7 @@
     place = play.places[0]
     play.list([Endpoint("n0", 0, "z", EndpointState.READY, 0)])
     play.at(40_000, lambda: play.list([Endpoint("n0", 0, "z", EndpointState.DRAINING, 0)]))
-    for number, before in enumerate((play.ground.way, 0)):
+    for number, before in enumerate((play.bounds.network_delay, 0)):
         play.at(40_000 - before, lambda number=number: play.take(place, f"d{number}", lane, plan, 1.0, 0))
     return 200_000
 
@@ -353,9 +353,9 @@
 def held_back(play, lane, plan):
     """An operation's node is away after its first execution and back just before the repeat is too late."""
     row, tick, way = (
-        play.ground.settings.request_classes[lane],
-        play.ground.settings.round_interval,
-        play.ground.way,
+        play.bounds.settings.request_classes[lane],
+        play.bounds.settings.round_interval,
+        play.bounds.network_delay,
     )
     node = Endpoint("n0", 0, "z", EndpointState.READY, 0)
     play.list([node])
@@ -371,10 +371,10 @@
 
 def started(play, lane, plan):
     """All gateways have largest and small operations for a node that has just started, and go on so."""
-    settings, began = play.ground.settings, 2 * play.ground.settings.slow_start_window
+    settings, began = play.bounds.settings, 2 * play.bounds.settings.slow_start_window
     entries = [Endpoint("n0", 0, "z", EndpointState.READY, began)]
     # What each wants besides: the part of all cells that the bounds state.
-    cells = max(1, round(1 / play.ground.wanted))
+    cells = max(1, round(1 / play.bounds.contended_cells))
     entries += [Endpoint(f"n{cell}", cell, "z", EndpointState.READY, 0) for cell in range(1, cells)]
     play.at(began, lambda: play.list(entries))
     chance, count = random.Random(play.seed), 0
@@ -399,7 +399,7 @@
 
 def forgotten(play, lane, plan):
     """All gateways use up their parts of a limit and start anew, as often as the bounds allow."""
-    settings, count = play.ground.settings, 0
+    settings, count = play.bounds.settings, 0
     mounts = settings.gateway_count
     ready = [Endpoint("n0", 0, "z", EndpointState.READY, 0)]
     size = 1.0
@@ -417,18 +417,18 @@
                 count += 1
                 play.take(place, f"l{count}", lane, plan, size, 0, mounts)
 
-    for number in range(play.ground.restarts + 1):
+    for number in range(play.bounds.restarts + 1):
         play.at(full + 100 * number, lambda number=number: wave(number))
-    return full + 100 * (play.ground.restarts + 1)
+    return full + 100 * (play.bounds.restarts + 1)
 
 
-def search(ground: Ground, story, lane, plan, acts, most=300, seed=1, gateways=1, way=True) -> Breach | None:
+def search(bounds: Bounds, story, lane, plan, acts, most=300, seed=1, gateways=1, way=True) -> Breach | None:
     """The first breach found in `most` schedules, half of them in order and half drawn; None: none."""
     choices, chance = Choices(), random.Random(seed)
     for number in range(most):
         if choices is None or number >= most // 2:
             choices = Choices(chance=random.Random(chance.getrandbits(32)))
-        play = Play(ground, choices, acts, gateways, seed * 1_000 + number, way)
+        play = Play(bounds, choices, acts, gateways, seed * 1_000 + number, way)
         until = story(play, lane, plan)
         breach = play.run(until)
         if breach is not None:
--- a/rushmux/routes/resolve.py
+++ b/rushmux/routes/resolve.py
@@ -1,66 +1,64 @@
-"""From the file's rows to one route for each lane and plan.
+"""From the file's rows to one route policy for each request class and plan.
 
-A row names a lane, a plan, or both.  Field by field the most specific row that states it wins: one
-that names both, then one that names the lane, then one that names the plan, then the fleet.
+A row names a class (`lane` in the file), a plan, or both.  Field by field the most specific row that states
+it wins: one that names both, then one that names the class, then one that names the plan, then the fleet.
 """
 
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from rushmux.scheduling.interface import NO_ROUTE_POLICY, RequestClass, RoutePolicy
+from rushmux.scheduling.interface import NO_ROUTE_POLICY, RequestClass, RoutePolicy, Ticks
 
-TICKS = 10  # ticks of the decisions (0.1 ms) in a millisecond
+TICKS_PER_MS = 10
 FIELDS = ("time_out_ms", "executions", "wait_ms", "second_copy", "held", "budget")
 
 
-class Flow(NamedTuple):
-    """The route of one lane and plan, and the place in the file that each stated field comes from."""
+class ResolvedRoute(NamedTuple):
+    """The policy of one request class and plan, and where in the file each stated field comes from."""
 
-    lane: RequestClass
+    request_class: RequestClass
     plan: str
-    route: RoutePolicy
+    policy: RoutePolicy
     places: dict[str, str]
 
     @property
-    def name(self):
-        return f"lane '{self.lane.name}' of plan '{self.plan}'"
+    def name(self) -> str:
+        """The class and the plan in the file's words."""
+        return f"lane '{self.request_class.name}' of plan '{self.plan}'"
 
     def place(self, *fields: str) -> str:
         """Where the first of these fields that is stated stands."""
         return next((self.places[field] for field in fields if field in self.places), "/routes")
 
 
-def ticks(milliseconds: float) -> int:
+def ticks(milliseconds: float) -> Ticks:
     """Whole ticks of a time, rounded up."""
-    return -int(-milliseconds * TICKS // 1)
+    return -int(-milliseconds * TICKS_PER_MS // 1)
 
 
-def _route(stated: dict, executions: int) -> RoutePolicy:
-    copy, budget = stated.get("second_copy"), stated.get("budget")
-    return RoutePolicy(
-        attempt_timeout=ticks(stated["time_out_ms"])
-        if "time_out_ms" in stated
-        else NO_ROUTE_POLICY.attempt_timeout,
-        max_attempts=stated.get("executions", executions),
+def _policy(stated: dict, max_attempts: int) -> RoutePolicy:
+    hedge, budget = stated.get("second_copy"), stated.get("budget")
+    policy = RoutePolicy(
+        max_attempts=stated.get("executions", max_attempts),
         retry_delay=ticks(stated.get("wait_ms", 0)),
-        hedge_after=None if copy is None or copy is False else ticks(copy.get("after_ms", 0)),
+        hedge_after=None if hedge is None or hedge is False else ticks(hedge.get("after_ms", 0)),
         max_in_flight=stated.get("held", NO_ROUTE_POLICY.max_in_flight),
-        retry_ratio=budget["share"] if budget else 0.0,
-        retry_burst=budget["free"] if budget else NO_ROUTE_POLICY.retry_burst,
     )
+    if "time_out_ms" in stated:
+        policy = policy._replace(attempt_timeout=ticks(stated["time_out_ms"]))
+    if budget:
+        policy = policy._replace(retry_ratio=budget["share"], retry_burst=budget["free"])
+    return policy
 
 
-def faults(rows: list, lanes, plans) -> list[tuple[str, str]]:
+def faults(rows: list[dict], classes: Mapping, plans: Mapping) -> list[tuple[str, str]]:
     """Rows that name what is not there, or the same thing twice: (place, what is wrong)."""
     found, seen = [], {}
     for number, row in enumerate(rows):
-        for kind, known in (("lane", lanes), ("plan", plans)):
+        for kind, known in (("lane", classes), ("plan", plans)):
             if kind in row and row[kind] not in known:
-                found.append(
-                    (
-                        f"/routes/{number}/{kind}",
-                        f"there is no {kind} '{row[kind]}'; there are {', '.join(known)}",
-                    )
-                )
+                text = f"there is no {kind} '{row[kind]}'; there are {', '.join(known)}"
+                found.append((f"/routes/{number}/{kind}", text))
         names = row.get("lane"), row.get("plan")
         if names in seen and names != (None, None):
             found.append((f"/routes/{number}", f"routes the same as /routes/{seen[names]}"))
@@ -68,23 +66,34 @@
     return found
 
 
-def flows(rows: list, lanes: dict[str, RequestClass], plans, executions: int) -> list[Flow]:
-    """One for each lane and plan, in the order of the file; `rows` have no faults."""
+def resolve(
+    rows: list[dict], classes: Mapping[str, RequestClass], plans: Iterable[str], max_attempts: int
+) -> list[ResolvedRoute]:
+    """One for each class and plan, in the order of the file; `rows` have no faults.
+
+    Args:
+        rows: The file's rows.
+        classes: All request classes by name.
+        plans: The names of all plans.
+        max_attempts: The fleet's, where no row states another.
+    """
     numbers = {(row.get("lane"), row.get("plan")): number for number, row in enumerate(rows)}
     found = []
-    for lane in lanes.values():
+    for request_class in classes.values():
         for plan in plans:
             stated, places = {}, {}
-            for names in ((None, plan), (lane.name, None), (lane.name, plan)):
+            for names in ((None, plan), (request_class.name, None), (request_class.name, plan)):
                 number = numbers.get(names)
-                for field in FIELDS if number is not None else ():
+                if number is None:
+                    continue
+                for field in FIELDS:
                     if field in rows[number]:
                         stated[field] = rows[number][field]
                         places[field] = f"/routes/{number}/{field}"
-            found.append(Flow(lane, plan, _route(stated, executions), places))
+            found.append(ResolvedRoute(request_class, plan, _policy(stated, max_attempts), places))
     return found
 
 
-def routes(found: list[Flow]) -> dict[tuple[str, str], RoutePolicy]:
-    """As `Terms` takes them."""
-    return {(flow.lane.name, flow.plan): flow.route for flow in found}
+def route_policies(routes: list[ResolvedRoute]) -> dict[tuple[str, str], RoutePolicy]:
+    """As `SchedulerSettings` takes them: by names of class and plan."""
+    return {(route.request_class.name, route.plan): route.policy for route in routes}
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -1,29 +1,34 @@
-"""The deployment file: JSON, checked against schema.json and for what a schema cannot say.
+"""The deployment file: JSON, checked, and read into records.
 
-`load` reads a file and gives a `Deployment`; `BadDeployment` lists every fault with its place.
-Decisions read `Terms` only; the rest concerns sessions and files.
+`load` reads a file and gives a `Deployment`; `BadDeployment` lists every fault with its place.  The scheduler
+reads `SchedulerSettings` only; the rest concerns sessions and files.
 """
 
 import copy
 import json
+from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
 
-import jsonschema
-
-from rushmux.fleet.quotas import SAFE
+from rushmux.routes import bounds as route_bounds
 from rushmux.routes import resolve, verifier
+from rushmux.routes.findings import Finding
 from rushmux.scheduling.interface import DedupScope, Idempotency, QosPlan, RequestClass, SchedulerSettings
+from rushmux.settings.deployment_checks import SCHEMA, Fault, check, filled
 
-SCHEMA = json.loads(Path(__file__).with_name("schema.json").read_text())
+MS_PER_SECOND = 1000
 
 
 class BadDeployment(Exception):
-    """A file that cannot be used; `faults` is a list of (place, what is wrong), `findings` those of the
-    proof among them.
+    """A file that cannot be used.
+
+    Attributes:
+        source: Where it is from, for the message.
+        faults: Each place with what is wrong there.
+        findings: Those of the verifier among them.
     """
 
-    def __init__(self, source, faults, findings=()):
+    def __init__(self, source, faults: Sequence[Fault], findings: Sequence[Finding] = ()):
         super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
         self.source, self.faults, self.findings = source, faults, findings
 
@@ -64,27 +69,31 @@
     folders: dict[str, Folder]
     sessions: Sessions
     files: Files
-    buffer: dict | None  # the file's part on the write-back buffer, times in seconds; None: off
-    drain_grace: float  # seconds
-    dial: float  # seconds
+    buffer: dict | None
+    """The file's part on the write-back buffer, times in seconds; None: off."""
+    drain_grace: float
+    """Seconds."""
+    dial: float
+    """Seconds until a connection that does not come up is given up."""
     links: int
-    shares: bool  # parts of limits are asked of a planner
-    policy: bool  # lanes, plans, routes and the like are decided in common by the planners
-    ground: verifier.Ground  # what the proof of the routes was worked out on
-    flows: list[resolve.Flow]
-    raw: dict  # the file as it was
+    shares: bool
+    """Shares of limits are asked of a planner."""
+    policy: bool
+    """Classes, plans, routes and the like are decided in common by the planners."""
+    bounds: route_bounds.Bounds
+    """What the routes were verified on."""
+    routes: list[resolve.ResolvedRoute]
+    raw: dict
+    """The file as it was."""
 
     def units(self, size: int) -> float:
         """Units of an operation that moves `size` bytes."""
         return min(self.settings.max_units, float(max(1, -(-size // self.files.unit_bytes))))
 
     def limits(self) -> dict[str, float]:
-        """Folders whose plans have a limit, and that limit."""
-        return {
-            name: self.settings.plans[folder.plan].limit
-            for name, folder in self.folders.items()
-            if self.settings.plans[folder.plan].limit
-        }
+        """Folders whose plans have a limit, and that limit in units a second."""
+        limits = {name: self.settings.plans[folder.plan].limit for name, folder in self.folders.items()}
+        return {name: limit for name, limit in limits.items() if limit}
 
     def mounts(self, folder: str) -> int:
         """Through how many edges the folder works."""
@@ -92,150 +101,69 @@
         return len(edges) if edges else self.settings.gateway_count
 
 
-def _filled(schema, value):
-    """`value` with the schema's defaults put in."""
-    if not isinstance(value, dict):
-        return value
-    named, other = schema.get("properties", {}), schema.get("additionalProperties")
-    filled = {name: part["default"] for name, part in named.items() if "default" in part}
-    filled.update(
-        {
-            name: _filled(named.get(name, other if isinstance(other, dict) else {}), part)
-            for name, part in value.items()
-        }
-    )
-    return filled
-
-
-def _place(path):
-    return "/" + "/".join(str(part) for part in path)
-
-
-def _faults(raw):
-    """Faults with their places, and the rows of routes that can be worked with (None: nothing can)."""
-    checker = jsonschema.Draft202012Validator(SCHEMA)
-    wrong = list(checker.iter_errors(raw))
-    found = sorted((_place(fault.absolute_path), fault.message) for fault in wrong)
-    rows = [
-        fault.absolute_path[1]
-        if len(fault.absolute_path) > 1 and fault.absolute_path[0] == "routes"
-        else None
-        for fault in wrong
-    ]
-    if None in rows:
-        return found, None
-    routes = [{} if number in rows else row for number, row in enumerate(raw.get("routes", []))]
-    for name, lane in raw["lanes"].items():
-        if lane["quoted_ms"] > lane["hard_stop_ms"]:
-            found.append(
-                (
-                    f"/lanes/{name}/quoted_ms",
-                    f"{lane['quoted_ms']} is past the hard stop of {lane['hard_stop_ms']}",
-                )
-            )
-        if lane["repeat"] == "referenced" and not lane.get("window_ms"):
-            found.append(
-                (f"/lanes/{name}/window_ms", "a referenced lane needs the time that repeats are known")
-            )
-    for role, lane in raw["roles"].items():
-        if lane not in raw["lanes"]:
-            found.append(
-                (f"/roles/{role}", f"there is no lane '{lane}'; there are {', '.join(raw['lanes'])}")
-            )
-        elif role == "change" and raw["lanes"][lane]["repeat"] == "replayable":
-            found.append(
-                (f"/roles/{role}", f"lane '{lane}' is replayable; a change of names must not run twice")
-            )
-        elif role == "change" and raw["lanes"][lane].get("group") != "cell":
-            found.append(
-                (f"/roles/{role}", f"lane '{lane}' must state group 'cell': only it knows a mark again")
-            )
-    fleet = raw["fleet"]
-    most = fleet.get("most_units", 8)
-    for name, plan in raw["plans"].items():
-        if plan["reserve"] > plan["nominal"]:
-            found.append(
-                (f"/plans/{name}/reserve", f"{plan['reserve']} is over the nominal {plan['nominal']}")
-            )
-        if plan.get("limit") and plan.get("burst", 0) < most * fleet["gateways"]:
-            found.append(
-                (
-                    f"/plans/{name}/burst",
-                    f"{plan.get('burst', 0)} is under {most * fleet['gateways']}: "
-                    "one largest operation for each gateway, or a part of the burst holds none",
-                )
-            )
-        safe = plan.get("burst", 0) * SAFE / fleet["gateways"]
-        if plan.get("limit") and fleet.get("shares") and safe < most:
-            found.append(
-                (
-                    f"/plans/{name}/burst",
-                    f"{plan.get('burst', 0)} is under "
-                    f"{most * fleet['gateways'] / SAFE:g}: a safe part of it holds no largest "
-                    f"operation",
-                )
-            )
-    for name, folder in raw["folders"].items():
-        if folder["plan"] not in raw["plans"]:
-            found.append((f"/folders/{name}/plan", f"there is no plan '{folder['plan']}'"))
-        if name in (".", ".."):
-            found.append((f"/folders/{name}", "this name means another folder in a path"))
-        for place, number in enumerate(folder.get("edges", ())):
-            if number >= fleet["gateways"]:
-                found.append((f"/folders/{name}/edges/{place}", f"edge {number} of {fleet['gateways']}"))
-    bad = resolve.faults(routes, raw["lanes"], raw["plans"])
-    found += [(place, text) for place, text in bad]
-    rows = [int(place.split("/")[2]) for place, _ in bad]
-    routes = [{} if number in rows else row for number, row in enumerate(routes)]
-    buffer = raw.get("buffer", {})
-    if buffer.get("folder_bytes", 8 << 20) > buffer.get("edge_bytes", 64 << 20):
-        found.append(("/buffer/folder_bytes", "a folder cannot hold more than its edge"))
-    if buffer.get("age_ms", 2_000) >= buffer.get("keep_ms", 30_000):
-        found.append(("/buffer/keep_ms", "what is given up before it is written out is always lost"))
-    largest = raw.get("files", {}).get("object_bytes", 262_144)
-    if fleet.get("unit_bytes", 32_768) * most < largest:
-        found.append(("/files/object_bytes", f"{largest} bytes count more than most_units {most}"))
-    patience = raw.get("sessions", {}).get("patience_ms", 8_000)
-    for role, name in raw["roles"].items():
-        if raw["lanes"].get(name, {}).get("hard_stop_ms", 0) + 100 > patience:
-            found.append(
-                (
-                    "/sessions/patience_ms",
-                    f"{patience} leaves no time to answer after the hard stop of lane '{name}' for {role}",
-                )
-            )
-    return found, routes
-
-
-def build(raw: dict, source: str = "deployment", proved=True) -> Deployment:
-    """The deployment that `raw` states; BadDeployment with all its faults.  Not `proved`: what the proof
-    refuses is taken all the same, for the laboratory.
+def build(raw: dict, source: str = "deployment", proved: bool = True) -> Deployment:
+    """The deployment that `raw` states; BadDeployment with all its faults.
+
+    Args:
+        raw: The file's object.
+        source: Where it is from, for messages.
+        proved: Whether the verifier's findings are faults; the laboratory takes such a file all the same.
     """
-    faults, routes = _faults(raw)
-    stated = copy.deepcopy(raw)
-    if routes is None:
+    faults, rows = check(raw)
+    if rows is None:
         raise BadDeployment(source, faults)
-    raw = _filled(SCHEMA, {"sessions": {}, "files": {}, "bounds": {}, **raw})
+    stated = copy.deepcopy(raw)
+    raw = filled(SCHEMA, {"sessions": {}, "files": {}, "bounds": {}, **raw})
+    settings = _scheduler_settings(raw)
+    routes = resolve.resolve(rows, settings.request_classes, settings.plans, settings.max_attempts)
+    settings = settings._replace(route_policies=resolve.route_policies(routes))
+    bounds = _bounds(settings, raw["fleet"], raw["bounds"])
+    findings = verifier.verify(bounds, routes)
+    if faults or (findings and proved):
+        told = [(finding.place, finding.text) for finding in findings]
+        raise BadDeployment(source, faults + told, findings)
+    fleet = raw["fleet"]
+    raw["roles"].setdefault("write_out", raw["roles"]["write"])
+    return Deployment(
+        settings=settings,
+        roles=raw["roles"],
+        folders=_folders(raw["folders"]),
+        sessions=_sessions(raw["sessions"]),
+        files=_files(raw["files"], fleet["unit_bytes"]),
+        buffer=_buffer(raw.get("buffer")),
+        drain_grace=fleet["drain_grace_ms"] / MS_PER_SECOND,
+        dial=fleet["dial_ms"] / MS_PER_SECOND,
+        links=fleet["links"],
+        shares=fleet["shares"],
+        policy=fleet["policy"],
+        bounds=bounds,
+        routes=routes,
+        raw=stated,
+    )
+
+
+def _request_class(name: str, row: dict) -> RequestClass:
+    return RequestClass(
+        name,
+        resolve.ticks(row["quoted_ms"]),
+        resolve.ticks(row["hard_stop_ms"]),
+        row["utility"],
+        Idempotency(row["repeat"]),
+        DedupScope(row["group"]),
+        int(row["window_ms"] * resolve.TICKS_PER_MS),
+        row["in_order"],
+    )
+
+
+def _scheduler_settings(raw: dict) -> SchedulerSettings:
     fleet, budget = raw["fleet"], raw["fleet"].get("budget")
-    lanes = {
-        name: RequestClass(
-            name,
-            resolve.ticks(row["quoted_ms"]),
-            resolve.ticks(row["hard_stop_ms"]),
-            row["utility"],
-            Idempotency(row["repeat"]),
-            DedupScope(row["group"]),
-            int(row["window_ms"] * resolve.TICKS),
-            row["in_order"],
-        )
-        for name, row in raw["lanes"].items()
-    }
-    plans = {name: QosPlan(name, **row) for name, row in raw["plans"].items()}
-    settings = SchedulerSettings(
-        request_classes=lanes,
-        plans=plans,
+    interval, dial_timeout = resolve.ticks(fleet["tick_ms"]), resolve.ticks(fleet["dial_ms"])
+    window, delay = resolve.ticks(fleet["cold_span_ms"]), resolve.ticks(raw["bounds"]["way_ms"])
+    return SchedulerSettings(
+        request_classes={name: _request_class(name, row) for name, row in raw["lanes"].items()},
+        plans={name: QosPlan(name, **row) for name, row in raw["plans"].items()},
         gateway_count=fleet["gateways"],
-        round_interval=resolve.ticks(fleet["tick_ms"]),
+        round_interval=interval,
         polls_endpoints=False,
         poll_interval=0,
         max_attempts=fleet["executions"],
@@ -243,12 +171,7 @@
         mean_units=fleet["mean_units"],
         max_units=fleet["most_units"],
         slow_start_units=fleet["cold_units"],
-        slow_start_window=verifier.kept(
-            resolve.ticks(fleet["cold_span_ms"]),
-            resolve.ticks(raw["bounds"]["way_ms"]),
-            resolve.ticks(fleet["dial_ms"]),
-            resolve.ticks(fleet["tick_ms"]),
-        ),
+        slow_start_window=route_bounds.scheduler_window(window, delay, dial_timeout, interval),
         overload_multiple=fleet["fall_multiple"],
         initial_capacity=fleet["cold_start"],
         warm_up_time=resolve.ticks(fleet["warm_within_ms"]),
@@ -261,68 +184,54 @@
         allows_cancellation=True,
         reports_load=fleet["load"] == "probe",
     )
-    flows = resolve.flows(routes, lanes, plans, fleet["executions"])
-    settings = settings._replace(route_policies=resolve.routes(flows))
-    ground = _ground(settings, fleet, raw["bounds"])
-    findings = verifier.prove(ground, flows)
-    if faults or (findings and proved):
-        raise BadDeployment(
-            source, faults + [(finding.place, finding.text) for finding in findings], findings
-        )
-    bounds, files = raw["sessions"], raw["files"]
-    raw["roles"].setdefault("write_out", raw["roles"]["write"])
-    return Deployment(
-        settings=settings,
-        roles=raw["roles"],
-        folders={
-            name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
-            for name, row in raw["folders"].items()
-        },
-        sessions=Sessions(
-            bounds["patience_ms"] / 1000,
-            bounds["most"],
-            bounds["handles"],
-            bounds["pipelined"],
-            bounds["window"],
-            bounds["packet_ms"] / 1000,
-            bounds["unread_ms"] / 1000,
-        ),
-        files=Files(files["object_bytes"], files["extents"], files["fresh_ms"] / 1000, fleet["unit_bytes"]),
-        buffer=_buffer(raw.get("buffer")),
-        drain_grace=fleet["drain_grace_ms"] / 1000,
-        dial=fleet["dial_ms"] / 1000,
-        links=fleet["links"],
-        shares=fleet["shares"],
-        policy=fleet["policy"],
-        ground=ground,
-        flows=flows,
-        raw=stated,
-    )
 
 
-def _ground(settings, fleet, bounds):
-    falls = bounds.get("cold_falls_units", fleet["cold_units"] * fleet["fall_multiple"])
-    return verifier.Ground(
+def _bounds(settings: SchedulerSettings, fleet: dict, bounds: dict) -> route_bounds.Bounds:
+    overload_units = bounds.get("cold_falls_units", fleet["cold_units"] * fleet["fall_multiple"])
+    return route_bounds.Bounds(
         settings,
-        way=resolve.ticks(bounds["way_ms"]),
-        dial=resolve.ticks(fleet["dial_ms"]),
+        network_delay=resolve.ticks(bounds["way_ms"]),
+        dial_timeout=resolve.ticks(fleet["dial_ms"]),
         drain_grace=resolve.ticks(fleet["drain_grace_ms"]),
         restarts=bounds["restarts"],
-        span=resolve.ticks(fleet["cold_span_ms"]),
-        falls=falls,
-        serves=bounds.get("cold_serves_units", falls / fleet["fall_multiple"]),
-        held=bounds["held"],
+        overload_window=resolve.ticks(fleet["cold_span_ms"]),
+        overload_units=overload_units,
+        served_units=bounds.get("cold_serves_units", overload_units / fleet["fall_multiple"]),
+        max_operations=bounds["held"],
         unit_bytes=fleet["unit_bytes"],
-        wanted=bounds["cold_wanted"],
+        contended_cells=bounds["cold_wanted"],
     )
 
 
-def _buffer(raw):
-    if raw is None or not raw["on"]:
+def _folders(rows: dict) -> dict[str, Folder]:
+    return {
+        name: Folder(row["plan"], tuple(row["edges"]) if "edges" in row else None)
+        for name, row in rows.items()
+    }
+
+
+def _sessions(row: dict) -> Sessions:
+    return Sessions(
+        row["patience_ms"] / MS_PER_SECOND,
+        row["most"],
+        row["handles"],
+        row["pipelined"],
+        row["window"],
+        row["packet_ms"] / MS_PER_SECOND,
+        row["unread_ms"] / MS_PER_SECOND,
+    )
+
+
+def _files(row: dict, unit_bytes: int) -> Files:
+    return Files(row["object_bytes"], row["extents"], row["fresh_ms"] / MS_PER_SECOND, unit_bytes)
+
+
+def _buffer(row: dict | None) -> dict | None:
+    if row is None or not row["on"]:
         return None
     return {
-        name.removesuffix("_ms"): value / 1000 if name.endswith("_ms") else value
-        for name, value in raw.items()
+        name.removesuffix("_ms"): value / MS_PER_SECOND if name.endswith("_ms") else value
+        for name, value in row.items()
         if name != "on"
     }
 
--- a/rushmux/settings/migration.py
+++ b/rushmux/settings/migration.py
@@ -1,14 +1,18 @@
-"""Makes the deployment file of the new shape from one of the old: nodes that tell their load to edges that
-ask, a meter for the fleet, order by key, plans without reserves, no second copies.  No I/O.
+"""Makes the deployment file of the new shape from one of the old.
 
-`moved` gives the new file's object and what could not be carried over, as (place, what became of it).
+The new shape has nodes that tell their load to edges that ask, a usage meter for the fleet, order by key,
+plans without reserves, no hedged requests.  `migrate` gives the new file's object and what could not be
+carried over.  No I/O.
 """
 
 import copy
 from typing import NamedTuple
 
+Leftover = tuple[str, str]
+"""A place in the file and what became of it."""
 
-class Shape(NamedTuple):
+
+class TargetShape(NamedTuple):
     """What the new deployment is like; None or empty: as before."""
 
     load: str = "probe"
@@ -20,7 +24,7 @@
     copies: bool = True
 
 
-def moved(raw: dict, shape: Shape) -> tuple[dict, list[tuple[str, str]]]:
+def migrate(raw: dict, shape: TargetShape) -> tuple[dict, list[Leftover]]:
     """The counterpart of `raw`, which must be in order, and what is left of it."""
     new, left = copy.deepcopy(raw), []
     fleet = new["fleet"]
@@ -38,11 +42,11 @@
         else:
             left.append((f"/lanes/{name}", "there is no such lane to keep in order"))
     if not shape.reserves:
-        without_reserves(new, left)
+        _drop_reserves(new, left)
     if not shape.copies:
-        without_copies(new, left)
+        _drop_hedging(new, left)
     if shape.gateways is not None:
-        fewer_edges(new, shape.gateways, left)
+        _drop_edges(new, shape.gateways, left)
     left.append(
         (
             "/fleet/cold_units",
@@ -53,7 +57,7 @@
     return new, left
 
 
-def without_reserves(new, left):
+def _drop_reserves(new: dict, left: list[Leftover]) -> None:
     for name, plan in new["plans"].items():
         if plan["reserve"]:
             left.append(
@@ -66,7 +70,7 @@
             plan["reserve"] = 0
 
 
-def without_copies(new, left):
+def _drop_hedging(new: dict, left: list[Leftover]) -> None:
     new["fleet"]["second_copies"] = False
     kept = []
     for number, route in enumerate(new.get("routes", [])):
@@ -78,7 +82,7 @@
         new["routes"] = kept
 
 
-def fewer_edges(new, gateways, left):
+def _drop_edges(new: dict, gateways: int, left: list[Leftover]) -> None:
     for name, folder in new["folders"].items():
         gone = [edge for edge in folder.get("edges", ()) if edge >= gateways]
         if gone:
--- a/rushmux/settings/policy.py
+++ b/rushmux/settings/policy.py
@@ -1,7 +1,7 @@
-"""The part of a deployment file that the fleet decides in common: to text, back, and what may change while
-it runs.
+"""The part of a deployment file that the fleet decides in common.
 
-No I/O.  The text is JSON with its keys in order, so that the same policy has the same checksum everywhere.
+To text, back, and what of it may change while an edge runs.  No I/O.  The text is JSON with its keys in order, so
+that the same policy has the same checksum everywhere.
 """
 
 import copy
@@ -11,7 +11,7 @@
 from rushmux.settings.deployment import BadDeployment, Deployment, build
 
 DECIDES = ("lanes", "roles", "plans", "folders", "fleet", "routes", "bounds", "buffer")
-LIVE = ("limit", "burst")  # of a plan: what the module takes over by its parts of limits
+LIVE = ("limit", "burst")  # of a plan: what the scheduler takes over by its shares of limits
 
 
 def text(raw: dict) -> str:
@@ -44,7 +44,7 @@
         raise BadDeployment(source, [("/", "a policy holds one object")])
     unknown = [name for name in decided if name not in DECIDES]
     if unknown:
-        # Danger: a newer program's policy gone by in part is another policy.
+        # A newer program's policy that is followed in part would be another policy.
         raise BadDeployment(
             source, [(f"/{name}", "this program knows no such part of a policy") for name in unknown]
         )
@@ -53,16 +53,17 @@
 
 
 def against(now: Deployment, proposed: Deployment) -> list[str]:
-    """What keeps a policy from being taken over without a start: all that differs but routes, and limits and
-    bursts of plans that keep one.
+    """What keeps a policy from being taken over without a start.
+
+    That is all that differs but routes, and limits and bursts of plans that keep one.
     """
     found = []
     for place in differences(now.raw, proposed.raw):
-        parts = place.split("/")
-        if len(parts) == 4 and parts[1] == "plans" and parts[3] in LIVE:
-            ends = [made.raw["plans"].get(parts[2], {}).get(parts[3]) for made in (now, proposed)]
-            if all(ends):
-                continue
+        match place.split("/"):
+            case ["", "plans", plan, field] if field in LIVE:
+                values = [made.raw["plans"].get(plan, {}).get(field) for made in (now, proposed)]
+                if all(values):
+                    continue
         found.append(f"{place}: changes only with a start")
     more = [f"and {len(found) - MOST_NAMED} more"] if len(found) > MOST_NAMED else []
     return found[:MOST_NAMED] + more
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -209,7 +209,7 @@
 
     def cold(self, rule):
         """What comes to a node that has just started stays under the stated multiple of what it can do."""
-        span, settings = self.deployment.ground.span / SECOND, self.settings
+        span, settings = self.deployment.bounds.overload_window / SECOND, self.settings
         for row in self.rows["fell"]:
             rule.breach(f"{row['node']} was pushed over at {row['at']:.3f} s")
         by_node = defaultdict(list)
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -46,7 +46,7 @@
         cold_start=settings.initial_capacity,
         warm_within=settings.warm_up_time / 10_000,
         fall_multiple=settings.overload_multiple,
-        cold_span=deployment.ground.span / 10_000,
+        cold_span=deployment.bounds.overload_window / 10_000,
         **other,
     )
 
--- a/tests/routes/test_broken.py
+++ b/tests/routes/test_broken.py
@@ -1,5 +1,6 @@
-"""The folder of broken files: each refusal is told plainly, all of a file in one go, and what it says
-would pass does pass.
+"""The folder of broken files: each refusal is told plainly, all of a file in one go.
+
+What a refusal says would pass does pass.
 """
 
 import copy
@@ -11,38 +12,38 @@
 from click.testing import CliRunner
 
 from rushmux.cli.main import main
-from rushmux.routes import verifier
+from rushmux.routes.findings import Rule
 from rushmux.settings.deployment import BadDeployment, build
 
 FILES = sorted(Path(__file__).parent.glob("broken/*.json"))
 # file -> the place, the rule and a word of each refusal, in order
 REFUSED = {
-    "budgets-together": [("/routes/1/budget", verifier.BUDGETS, "together 12")],
-    "cold-crowd": [("/fleet/cold_units", verifier.COLD, "24 gateways")],
-    "copies-forbidden": [("/routes/0/second_copy", verifier.TWICE, "the fleet allows one")],
-    "copy-of-a-change": [("/routes/0/second_copy", verifier.TWICE, "another cell")],
+    "budgets-together": [("/routes/1/budget", Rule.RETRY_BUDGET, "together 12")],
+    "cold-crowd": [("/fleet/cold_units", Rule.SLOW_START, "24 gateways")],
+    "copies-forbidden": [("/routes/0/second_copy", Rule.NO_DUPLICATE, "the fleet allows one")],
+    "copy-of-a-change": [("/routes/0/second_copy", Rule.NO_DUPLICATE, "another cell")],
     "copy-of-single-use": [
-        ("/routes/0/second_copy", verifier.TWICE, "another cell"),
-        ("/routes/0/second_copy", verifier.TWICE, "must never run twice"),
+        ("/routes/0/second_copy", Rule.NO_DUPLICATE, "another cell"),
+        ("/routes/0/second_copy", Rule.NO_DUPLICATE, "must never run twice"),
     ],
     "every-kind": [
-        ("/bounds/way_ms", verifier.LOST, "2003 ms"),
-        ("/routes/1/time_out_ms", verifier.LOST, "2500 ms"),
-        ("/routes/0/second_copy", verifier.LOST, "603 ms"),
-        ("/fleet/drain_grace_ms", verifier.DRAINS, "309 ms"),
-        ("/plans/basico/slack", verifier.LIMITS, "24 units"),
-        ("/routes/2/budget", verifier.BUDGETS, "free 30"),
-        ("/routes/2/budget", verifier.BUDGETS, "share 2"),
+        ("/bounds/way_ms", Rule.NO_LOSS, "2003 ms"),
+        ("/routes/1/time_out_ms", Rule.NO_LOSS, "2500 ms"),
+        ("/routes/0/second_copy", Rule.NO_LOSS, "603 ms"),
+        ("/fleet/drain_grace_ms", Rule.DRAINING, "309 ms"),
+        ("/plans/basico/slack", Rule.RATE_LIMIT, "24 units"),
+        ("/routes/2/budget", Rule.RETRY_BUDGET, "free 30"),
+        ("/routes/2/budget", Rule.RETRY_BUDGET, "share 2"),
     ],
-    "forgotten-marks": [("/routes/0/executions", verifier.TWICE, "mark is known for 600 ms")],
-    "held-together": [("/routes/1/held", verifier.HELD, "23400 operations")],
-    "late-at-a-drain": [("/fleet/drain_grace_ms", verifier.DRAINS, "200 ms are allowed")],
-    "limit-forgotten": [("/plans/basico/slack", verifier.LIMITS, "36 units")],
+    "forgotten-marks": [("/routes/0/executions", Rule.NO_DUPLICATE, "mark is known for 600 ms")],
+    "held-together": [("/routes/1/held", Rule.NO_LOSS, "23400 operations")],
+    "late-at-a-drain": [("/fleet/drain_grace_ms", Rule.DRAINING, "200 ms are allowed")],
+    "limit-forgotten": [("/plans/basico/slack", Rule.RATE_LIMIT, "36 units")],
     "no-such-lane": [],
-    "one-bad-route": [("/routes/2/executions", verifier.LOST, "2710 ms")],
-    "short-deadline": [("/routes/0/second_copy", verifier.LOST, "49 ms at the earliest")],
-    "slow-way": [("/bounds/way_ms", verifier.LOST, "2001 ms")],
-    "unsafe-together": [("/routes/1/executions", verifier.LOST, "plan 'prioritario'")],
+    "one-bad-route": [("/routes/2/executions", Rule.NO_LOSS, "2710 ms")],
+    "short-deadline": [("/routes/0/second_copy", Rule.NO_LOSS, "49 ms at the earliest")],
+    "slow-way": [("/bounds/way_ms", Rule.NO_LOSS, "2001 ms")],
+    "unsafe-together": [("/routes/1/executions", Rule.NO_LOSS, "plan 'prioritario'")],
 }
 
 
@@ -58,7 +59,7 @@
 def test_each_refusal_is_told_with_place_rule_and_worst(path):
     found = findings(json.loads(path.read_text()))
     assert len(found) == len(REFUSED[path.stem]), [finding.text for finding in found]
-    for finding, (place, rule, word) in zip(found, REFUSED[path.stem]):
+    for finding, (place, rule, word) in zip(found, REFUSED[path.stem], strict=True):
         assert (finding.place, finding.rule) == (place, rule) and word in finding.text
         assert finding.worst > finding.bound and finding.nearest
 
--- a/tests/routes/test_model.py
+++ b/tests/routes/test_model.py
@@ -6,6 +6,7 @@
 
 from rushmux.lab import proof, schedules
 from rushmux.routes import verifier
+from rushmux.routes.findings import Rule
 
 
 def test_no_accepted_deployment_breaks_a_rule_and_most_refused_ones_do():
@@ -20,7 +21,7 @@
     chance = random.Random(5)
     while True:
         drawn = proof.draw(chance)
-        if drawn.matter == matter and bool(verifier.prove(drawn.ground, drawn.flows)) != accepted:
+        if drawn.matter == matter and bool(verifier.verify(drawn.bounds, drawn.routes)) != accepted:
             return drawn
 
 
@@ -28,28 +29,36 @@
 @pytest.mark.parametrize(
     "matter, rule, worse",
     [
-        ("way", verifier.LOST, lambda ground: ground._replace(way=ground.settings.round_interval // 2 + 1)),
+        (
+            "way",
+            Rule.NO_LOSS,
+            lambda bounds: bounds._replace(network_delay=bounds.settings.round_interval // 2 + 1),
+        ),
         (
             "drain",
-            verifier.DRAINS,
-            lambda ground: ground._replace(drain_grace=ground.settings.round_interval - 1),
+            Rule.DRAINING,
+            lambda bounds: bounds._replace(drain_grace=bounds.settings.round_interval - 1),
+        ),
+        ("limit", Rule.RATE_LIMIT, lambda bounds: bounds._replace(restarts=4)),
+        (
+            "cold",
+            Rule.SLOW_START,
+            lambda bounds: bounds._replace(overload_units=bounds.settings.max_units * 1.5),
         ),
-        ("limit", verifier.LIMITS, lambda ground: ground._replace(restarts=4)),
-        ("cold", verifier.COLD, lambda ground: ground._replace(falls=ground.settings.max_units * 1.5)),
         (
             "budget",
-            verifier.BUDGETS,
-            lambda ground: ground._replace(settings=ground.settings._replace(retry_budget_burst=-4.0)),
+            Rule.RETRY_BUDGET,
+            lambda bounds: bounds._replace(settings=bounds.settings._replace(retry_budget_burst=-4.0)),
         ),
     ],
 )
 def test_the_model_finds_what_is_broken(matter, rule, worse, monkeypatch):
     drawn = drawn_of(matter, accepted=True)
-    if matter == "limit" and not drawn.ground.settings.plans["p"].slack:
+    if matter == "limit" and not drawn.bounds.settings.plans["p"].slack:
         drawn = drawn._replace(
-            ground=drawn.ground._replace(
-                settings=drawn.ground.settings._replace(
-                    plans={"p": drawn.ground.settings.plans["p"]._replace(slack=8.0)}
+            bounds=drawn.bounds._replace(
+                settings=drawn.bounds.settings._replace(
+                    plans={"p": drawn.bounds.settings.plans["p"]._replace(slack=8.0)}
                 )
             )
         )
@@ -58,7 +67,7 @@
             "rushmux.scheduling.dispatcher.Dispatcher.has_retry_budget", lambda self, now: True
         )
     assert proof.play(drawn, rule, 40) is None or matter == "budget"
-    breach = proof.play(drawn._replace(ground=worse(drawn.ground)), rule, 80)
+    breach = proof.play(drawn._replace(bounds=worse(drawn.bounds)), rule, 80)
     assert breach is not None and breach.rule == rule and breach.steps
 
 
--- a/tests/routes/test_verifier.py
+++ b/tests/routes/test_verifier.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rushmux.routes import resolve, verifier
+from rushmux.routes.findings import Rule
 from rushmux.scheduling.interface import RoutePolicy
 from rushmux.settings import deployment
 
@@ -20,8 +21,10 @@
     assert built.settings.route_policies["consulta", "basico"]._replace(max_in_flight=0) == RoutePolicy(
         max_attempts=3, retry_delay=10, hedge_after=None, max_in_flight=0
     )
-    flow = next(flow for flow in built.flows if (flow.lane.name, flow.plan) == ("lectura", "basico"))
-    assert flow.places == {
+    route = next(
+        route for route in built.routes if (route.request_class.name, route.plan) == ("lectura", "basico")
+    )
+    assert route.places == {
         "executions": "/routes/0/executions",
         "wait_ms": "/routes/2/wait_ms",
         "held": "/routes/1/held",
@@ -35,16 +38,17 @@
 
 # A change at the border, and the same one tick or unit further.
 BORDERS = [
-    (("bounds", "way_ms"), 2.5, 2.6, verifier.LOST),
-    (("fleet", "drain_grace_ms"), 307, 306.9, verifier.DRAINS),
-    (("fleet", "cold_units"), 16.7, 16.8, verifier.COLD),
-    (("bounds", "restarts"), 1, 2, verifier.LIMITS),
-    (("lanes", "registro", "window_ms"), 707, 706.9, verifier.TWICE),
+    (("bounds", "way_ms"), 2.5, 2.6, Rule.NO_LOSS),
+    (("fleet", "drain_grace_ms"), 307, 306.9, Rule.DRAINING),
+    (("fleet", "cold_units"), 16.7, 16.8, Rule.SLOW_START),
+    (("bounds", "restarts"), 1, 2, Rule.RATE_LIMIT),
+    (("lanes", "registro", "window_ms"), 707, 706.9, Rule.NO_DUPLICATE),
 ]
 
 
-@pytest.mark.parametrize("place, passes, breaks, rule", BORDERS, ids=lambda part: str(part)[-20:])
-def test_borders_by_one_tick(raw, refused, place, passes, breaks, rule):
+@pytest.mark.parametrize("border", BORDERS, ids=str)
+def test_borders_by_one_tick(raw, refused, border):
+    place, passes, breaks, rule = border
     part = raw
     for name in place[:-1]:
         part = part[name]
@@ -58,7 +62,7 @@
     # Three of 400 ms quoted time: two time-outs, two late ticks and two waits come before the last.
     row = {"lane": "lectura", "executions": 3, "wait_ms": 20}
     assert refused([{**row, "time_out_ms": 174.9}]) == []
-    assert [finding.rule for finding in refused([{**row, "time_out_ms": 175}])] == [verifier.LOST]
+    assert [finding.rule for finding in refused([{**row, "time_out_ms": 175}])] == [Rule.NO_LOSS]
 
 
 def test_a_second_copy_at_its_border(refused):
@@ -83,7 +87,7 @@
 def test_twenty_four_gateways_and_one_largest_operation(raw, refused):
     raw["fleet"]["gateways"], raw["plans"]["basico"]["burst"] = 24, 24 * 8
     (finding,) = refused()
-    assert finding.rule == verifier.COLD and finding.worst > 24 * 8 and "24 gateways" in finding.text
+    assert finding.rule == Rule.SLOW_START and finding.worst > 24 * 8 and "24 gateways" in finding.text
     raw["bounds"]["cold_falls_units"] = 800
     assert refused() == []
 
@@ -106,7 +110,7 @@
 
 def test_facts_stay_within_their_bounds(raw):
     built = deployment.build(raw)
-    for fact in verifier.facts(built.ground, built.flows):
+    for fact in verifier.worst_cases(built.bounds, built.routes):
         assert fact.bound is None or fact.worst <= fact.bound, fact
 
 
--- a/tests/settings/test_migration.py
+++ b/tests/settings/test_migration.py
@@ -10,7 +10,7 @@
 from rushmux.cli.main import main
 from rushmux.settings import deployment
 from rushmux.settings.deployment import build
-from rushmux.settings.migration import Shape, moved
+from rushmux.settings.migration import TargetShape, migrate
 
 FILE = Path(deployment.__file__).with_name("example.json")
 EXAMPLE = json.loads(FILE.read_text())
@@ -46,7 +46,7 @@
     raw = copy.deepcopy(EXAMPLE)
     raw["folders"]["caribe"]["edges"] = [2]
     raw["folders"]["delta"]["edges"] = [1, 2]
-    new, left = moved(raw, Shape(reserves=False, copies=False, gateways=2, in_order=("volcados",)))
+    new, left = migrate(raw, TargetShape(reserves=False, copies=False, gateways=2, in_order=("volcados",)))
     assert [place for place, _ in left] == [
         "/lanes/volcados",
         "/plans/basico/reserve",
