--- a/rushmux/settings/policy.py
+++ b/rushmux/settings/policy.py
@@ -1,7 +1,7 @@
 """The part of a deployment file that the fleet decides in common.
 
-To text, back, and what of it may change while an edge runs.  No I/O.  The text is JSON with its keys in order, so
-that the same policy has the same checksum everywhere.
+To text, back, and what of it may change while an edge runs.  No I/O.  The text is JSON with its keys in
+order, so that the same policy has the same checksum everywhere.
 """
 
 import copy
