--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -14,7 +14,7 @@
 from rushmux.planner.planner import Planner
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.deployment import Deployment, build
-from rushmux.simulation.loop import VirtualLoop, run
+from rushmux.simulation.loop import SimulatedLoop, run
 from rushmux.standins.client import Client
 from rushmux.standins.lists import ListSource
 from rushmux.standins.node import Node
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        loop: VirtualLoop,
+        loop: SimulatedLoop,
         deployment: Deployment,
         seed: int,
         lag=1.0,
