--- a/rushmux/gateway/config.py
+++ b/rushmux/gateway/config.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from rushmux.gateway.endpoints import Member, address, members
+from rushmux.gateway.endpoints import DiscoveredEndpoint, address, members
 from rushmux.scheduling.interface import SchedulerSettings
 from rushmux.settings.platform import scheduler_settings_of
 
@@ -23,7 +23,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
-    known: list[Member]
+    known: list[DiscoveredEndpoint]
     settings: SchedulerSettings
     shards: int
     held: int  # operations open at a time
--- a/rushmux/gateway/discovery.py
+++ b/rushmux/gateway/discovery.py
@@ -170,7 +170,7 @@
             self.rows = {}
         self.rows.update((row.node, row) for row in members)
         for row in members:
-            if row.condition == EndpointState.REMOVED:
+            if row.state == EndpointState.REMOVED:
                 del self.rows[row.node]
         if whole or members:
             self.told(whole, members)
--- a/rushmux/gateway/endpoints.py
+++ b/rushmux/gateway/endpoints.py
@@ -8,7 +8,7 @@
 STATES = {"up": EndpointState.READY, "draining": EndpointState.DRAINING, "removed": EndpointState.REMOVED}
 
 
-class Member(NamedTuple):
+class DiscoveredEndpoint(NamedTuple):
     """A storage node as discovery tells it."""
 
     node: str
@@ -16,8 +16,8 @@
     port: int
     zone: str
     cell: int
-    condition: str
-    started: float  # Unix time in seconds; 0: long ago
+    state: EndpointState
+    started_at: float  # Unix time in seconds; 0: long ago
 
 
 def address(text: str) -> tuple[str, int]:
@@ -28,13 +28,13 @@
     return host, int(port)
 
 
-def member(row: dict) -> Member:
+def member(row: dict) -> DiscoveredEndpoint:
     """One row; KeyError, TypeError or ValueError where it makes no sense."""
     host, port = address(row["addr"])
     state, node = row["state"], row["id"]
     if state not in STATES or not isinstance(node, str) or not node:
         raise ValueError(f"a row with id {node!r} in state {state!r}")
-    return Member(
+    return DiscoveredEndpoint(
         node,
         host,
         port,
@@ -45,7 +45,7 @@
     )
 
 
-def members(rows) -> tuple[list[Member], list[tuple]]:
+def members(rows) -> tuple[list[DiscoveredEndpoint], list[tuple]]:
     """The rows that make sense, and of the others the id, None where even that can't be read, and why."""
     good, refused = [], []
     for row in rows:
@@ -57,7 +57,7 @@
     return good, refused
 
 
-def listing(body: dict) -> tuple[int, bool, list[Member], list[tuple]]:
+def listing(body: dict) -> tuple[int, bool, list[DiscoveredEndpoint], list[tuple]]:
     """Version, whether it is whole, the rows of an answer and those that make no sense; ValueError where
     none makes sense: such a list changes nothing.
     """
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -4,11 +4,11 @@
 from functools import partial
 
 from rushmux.gateway import commands
+from rushmux.gateway.connection_pool import ConnectionPool
 from rushmux.gateway.discovery import Watch
 from rushmux.gateway.listener import Listener
-from rushmux.gateway.pool import Pool
 from rushmux.resp import bulk
-from rushmux.scheduling.driver import TICKS_PER_SECOND, AttemptReply, FinalAnswer, OperationDriver
+from rushmux.scheduling.driver import TICKS_PER_SECOND, FinalAnswer, OperationDriver
 from rushmux.scheduling.interface import Endpoint, EndpointState, OperationRequest, UpdateKind
 
 RESERVED = 24  # descriptors for what is neither a client nor a node
@@ -28,7 +28,12 @@
         super().__init__(start.settings, start.seed, log)
         self.start, self.epoch = start, epoch
         spare = max(16, start.sockets - RESERVED)
-        self.pool = Pool(loop, int(spare * NODES), start.dial, start.idle)
+        self.pool = ConnectionPool(
+            loop,
+            max_connections=int(spare * NODES),
+            connect_timeout=start.dial,
+            idle_timeout=start.idle,
+        )
         self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.client_gone)
         self.watch_list = Watch(loop, start.discovery, log, self.told, start.known)
         self.conditions = {}  # node -> as the module was last told of it
@@ -54,9 +59,9 @@
             refused=listener.bad,
             turned_away=listener.turned_away,
             silent=listener.silent,
-            nodes=pool.count(),
-            surplus=pool.surplus,
-            rest_trusted=f"{pool.trust.most:g}",
+            nodes=pool.connection_count(),
+            surplus=pool.unsolicited_replies,
+            rest_trusted=f"{pool.keep_alive.max_idle_time:g}",
         )
         self.loop.call_later(TELL, self.tell)
 
@@ -97,12 +102,13 @@
     # Nodes.
 
     def send_attempt(self, number, node, operation, timeout, latest_start):
-        def done(result, value=None, fleet_usage=0, remote_usage=0.0):
-            reply = AttemptReply(result, value, fleet_usage, remote_usage)
-            self.on_reply(operation.request.op_id, number, reply)
-
-        until = self.loop.time() + timeout / TICKS_PER_SECOND
-        return self.pool.send(node, operation.payload.words, until, done, latest_start)
+        return self.pool.start_attempt(
+            node,
+            operation.payload.words,
+            deadline=self.loop.time() + timeout / TICKS_PER_SECOND,
+            on_reply=partial(self.on_reply, operation.request.op_id, number),
+            latest_start=latest_start,
+        )
 
     # Discovery.
 
@@ -110,27 +116,27 @@
         self.members(UpdateKind.SNAPSHOT if whole else UpdateKind.DELTA, members)
 
     def members(self, kind, members):
-        self.pool.listed(kind != UpdateKind.DELTA, members)
+        self.pool.update_endpoints(kind != UpdateKind.DELTA, members)
         self.log.info(
             "list.told",
             kind=kind,
             changed=" ".join(
-                f"{row.node}:{row.condition}"
+                f"{row.node}:{row.state}"
                 for row in members
-                if self.conditions.get(row.node) != (row.condition, row.started)
+                if self.conditions.get(row.node) != (row.state, row.started_at)
             )
             or "-",
         )
         if kind != UpdateKind.DELTA:
             self.conditions = {}
         for row in members:
-            self.conditions[row.node] = row.condition, row.started
-            if row.condition == EndpointState.REMOVED:
+            self.conditions[row.node] = row.state, row.started_at
+            if row.state == EndpointState.REMOVED:
                 del self.conditions[row.node]
         self.update_endpoints(
             kind,
             [
-                Endpoint(row.node, row.cell, row.zone, row.condition, self.since(row.started))
+                Endpoint(row.node, row.cell, row.zone, row.state, self.since(row.started_at))
                 for row in members
             ],
         )
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -86,7 +86,7 @@
 def outcome(data):
     reader = Replies()
     reader.feed(data)
-    return replies.outcome(*reader.next())
+    return replies.interpret(*reader.next())
 
 
 NONE = (0, 0.0)
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -40,7 +40,7 @@
             asyncio.get_running_loop(),
             ("127.0.0.1", source.port),
             Log(),
-            lambda whole, members: told.append((whole, [(one.node, one.condition) for one in members])),
+            lambda whole, members: told.append((whole, [(one.node, one.state) for one in members])),
         )
         watch.start()
         try:
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -20,7 +20,7 @@
         def held_out():
             """What the module holds out at each node, less what waits for a connection still."""
             return {
-                name: len(node.in_flight) - len(stage.front.pool.nodes[name].waiting)
+                name: len(node.in_flight) - len(stage.front.pool.endpoints[name].waiting)
                 for name, node in stage.front.scheduler.endpoints.nodes.items()
             }
 
@@ -255,7 +255,7 @@
                 await client.ask(*read(100 * (generation + 1) + number, volume=10 * generation + number))
             client.close()
             stage.front.pool.sweep()
-            stage.front.pool.timer.cancel()
+            stage.front.pool.sweep_timer.cancel()
             scheduler = stage.front.scheduler
             # What is gone counts for the span of the rule on cold nodes; the next list forgets it then.
             for gone in scheduler.endpoints.nodes.values():
@@ -266,7 +266,7 @@
                     len(scheduler.endpoints.cells[0].nodes),
                     len(scheduler.operations),
                     len(stage.front.operations),
-                    len(stage.front.pool.nodes),
+                    len(stage.front.pool.endpoints),
                     len(stage.front.conditions),
                 )
             )
--- a/tests/gateway/test_told_in_time.py
+++ b/tests/gateway/test_told_in_time.py
@@ -54,7 +54,7 @@
     def __call__(self, whole, members):
         if whole:
             self.conditions = {}
-        self.conditions.update((one.node, one.condition) for one in members)
+        self.conditions.update((one.node, one.state) for one in members)
         self.heard.set()
         self.heard = asyncio.Event()
 
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -120,10 +120,10 @@
     reader = Replies()
     reader.feed(bytes.fromhex(row["node"]))
     kind, value = reader.next()
-    result, found, fleet_use, from_others = replies.outcome(kind, value)
+    result, found, fleet_use, from_others = replies.interpret(kind, value)
     assert (result, fleet_use, from_others) == (row["result"], row["fleet_use"], row["from_others"])
     assert found == (None if row["value"] is None else bytes.fromhex(row["value"]))
-    assert replies.sound(result, kind, value) == row["reusable"]
+    assert replies.is_reusable(result, kind, value) == row["reusable"]
 
 
 @pytest.mark.parametrize("path", sorted(WIRE.glob("simulator-*.jsonl")), ids=lambda path: path.stem)
