--- a/rushmux/gateway/__main__.py
+++ b/rushmux/gateway/__main__.py
@@ -75,17 +75,19 @@
     log.info("stops", open=len(front.operations), clients=len(front.listener.clients))
     longest = max(lane.deadline for lane in front.settings.request_classes.values()) / TICKS_PER_SECOND
     killed_at = told_at[0] + min(LATEST, longest) + MORE
-    loop.call_at(killed_at - TO_ANSWER, front.listener.end)
+    loop.call_at(killed_at - TO_ANSWER, front.listener.begin_shutdown)
     loop.call_at(killed_at - TO_END, front.end_all)
-    loop.call_at(killed_at - TO_CUT, front.listener.cut)
+    loop.call_at(killed_at - TO_CUT, front.listener.finish_all)
     await asyncio.sleep(SERVE_ON)
-    while not front.listener.done() and loop.time() < killed_at:
+    while not front.listener.close_if_drained() and loop.time() < killed_at:
         await asyncio.sleep(LOOK)
     task.cancel()
     front.watch_list.close()
     front.pool.close()
     log.info(
-        "stopped", taken=front.listener.taken, open=sum(not one.ended for one in front.operations.values())
+        "stopped",
+        taken=front.listener.stats.accepted_operations,
+        open=sum(not one.ended for one in front.operations.values()),
     )
     return 0
 
--- /dev/null
+++ b/rushmux/gateway/command_dispatcher.py
@@ -0,0 +1,65 @@
+"""What each command of a client leads to: an operation, a greeting's reply or an error."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from rushmux.gateway import commands
+from rushmux.gateway.client_connection import ClientConnection, PendingReply
+from rushmux.gateway.config import Start
+from rushmux.resp import error
+
+if TYPE_CHECKING:
+    from rushmux.gateway.listener import Listener
+
+PONG, OK, BUSY = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n"
+UNKNOWN_COMMAND = error("ERR unknown command")
+
+
+class CommandDispatcher:
+    """Validates commands and hands operations on.
+
+    Attributes:
+        on_request: Called as `on_request(command, pending_reply)`; may raise `commands.Refused`.
+    """
+
+    def __init__(
+        self,
+        listener: Listener,
+        config: Start,
+        on_request: Callable[[commands.Command, PendingReply], None],
+    ):
+        self.listener = listener
+        self.config = config
+        self.on_request = on_request
+
+    def dispatch(self, arguments: list[bytes], client: ClientConnection) -> PendingReply:
+        """Returns the pending reply of one command, which may be complete at once."""
+        name = arguments[0].upper()
+        if name in (commands.READ, commands.WRITE):
+            return self._dispatch_operation(arguments, client)
+        if name == b"PING":
+            return PendingReply(client, PONG)
+        if name in (b"CLIENT", b"SELECT"):
+            return PendingReply(client, OK)
+        client.protocol_errors += name != b"HELLO"  # sent by libraries that can do without
+        return PendingReply(client, UNKNOWN_COMMAND)
+
+    def _dispatch_operation(self, arguments: list[bytes], client: ClientConnection) -> PendingReply:
+        pending = PendingReply(client)
+        is_first = not client.has_requested_operation
+        client.has_requested_operation = True
+        stats = self.listener.stats
+        if is_first and self.listener.is_over_capacity():
+            stats.rejected_clients += 1
+            client.finish()
+            return PendingReply(client, BUSY)
+        try:
+            self.on_request(commands.check(arguments, self.config), pending)
+            stats.accepted_operations += 1
+        except commands.Refused as fault:
+            stats.invalid_commands += 1
+            client.protocol_errors += 1
+            pending.reply = error(f"ERR {fault}")
+        return pending
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -34,7 +34,13 @@
             connect_timeout=start.dial,
             idle_timeout=start.idle,
         )
-        self.listener = Listener(loop, start, int(spare * CLIENTS), self.request, self.client_gone)
+        self.listener = Listener(
+            loop,
+            start,
+            int(spare * CLIENTS),
+            on_request=self.request,
+            on_client_gone=self.client_gone,
+        )
         self.watch_list = Watch(loop, start.discovery, log, self.told, start.known)
         self.conditions = {}  # node -> as the module was last told of it
         self.ended = False  # whether everything gets its answer at once: the stop is near
@@ -55,10 +61,10 @@
         self.log.info(
             "clients",
             open=len(listener.clients),
-            taken=listener.taken,
-            refused=listener.bad,
-            turned_away=listener.turned_away,
-            silent=listener.silent,
+            taken=listener.stats.accepted_operations,
+            refused=listener.stats.invalid_commands,
+            turned_away=listener.stats.rejected_clients,
+            silent=listener.stats.silent_clients,
             nodes=pool.connection_count(),
             surplus=pool.unsolicited_replies,
             rest_trusted=f"{pool.keep_alive.max_idle_time:g}",
@@ -67,14 +73,14 @@
 
     # Clients.
 
-    def request(self, command, slot):
-        """An operation comes; its answer goes to its slot."""
+    def request(self, command, pending):
+        """An operation comes; its answer goes to its pending."""
         if command.op_id in self.operations:
             raise commands.Refused("the id is that of an open request")
         if self.ended or len(self.operations) >= self.start.held:
-            slot.reply = BUSY
+            pending.reply = BUSY
             return
-        slot.op_id = command.op_id
+        pending.op_id = command.op_id
         request = OperationRequest(
             command.op_id,
             command.lane,
@@ -88,16 +94,16 @@
             command.again,
         )
         client_deadline = self.loop.time() + command.left
-        self.submit(request, command, client_deadline, partial(self.answered, slot))
+        self.submit(request, command, client_deadline, partial(self.answered, pending))
 
-    def answered(self, slot, answer, value, retry_after):
+    def answered(self, pending, answer, value, retry_after):
         if answer is FinalAnswer.SUCCEEDED:
-            slot.answer(bulk(value))
+            pending.complete(bulk(value))
         elif answer is FinalAnswer.SHED:
             milliseconds = -(-retry_after * 1000 // TICKS_PER_SECOND)
-            slot.answer(b"-BUSY %d\r\n" % milliseconds if retry_after else BUSY)
+            pending.complete(b"-BUSY %d\r\n" % milliseconds if retry_after else BUSY)
         else:
-            slot.answer(FAILED)
+            pending.complete(FAILED)
 
     # Nodes.
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -52,7 +52,7 @@
         # The front binds the port itself; port 0 can't stand in a file.
         self.front = Front(start._replace(listen=("127.0.0.1", 0)), 0.0, loop, self.log)
         await self.front.open()
-        self.port = self.front.listener.sock.getsockname()[1]
+        self.port = self.front.listener.listening_socket.getsockname()[1]
         return self
 
     async def client(self):
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_connection_close.py
@@ -1,5 +1,6 @@
-"""How connections to clients end: nothing that was answered is lost with them, and nothing that the system
-accepted is ended unanswered.  The crossings are forced: bytes come while a connection ends, places are full.
+"""How connections to clients end: no reply is lost with them, and no accepted client ends unanswered.
+
+The races are forced: bytes come while a connection ends, all places are taken.
 """
 
 import asyncio
@@ -11,12 +12,12 @@
 
 import pytest
 
-from rushmux.gateway import listener
+from rushmux.gateway import client_connection, eviction
 from rushmux.resp import command
 from rushmux.standins.platform import Node, read, served
 
 
-async def replies_of(client, within=5):
+async def replies_until_end(client, within=5):
     """All replies until the connection ends, and whether it was reset."""
     given = []
     while (reply := await client.reply(within=within)) is not None:
@@ -25,26 +26,26 @@
 
 
 @pytest.mark.parametrize(
-    "noise", [b"noise\r\n", b"".join(command(read(number, lane="none")) for number in range(3))]
+    "rejected", [b"noise\r\n", b"".join(command(read(number, lane="none")) for number in range(3))]
 )
-def test_a_client_that_sends_on_behind_its_error_reads_it_and_an_orderly_end(staged, noise):
-    async def story(stage):
+def test_a_client_that_goes_on_sending_behind_its_error_reads_it_and_an_orderly_end(staged, rejected):
+    async def scenario(stage):
         client = await stage.client()
         client.writer.transport.pause_reading()
-        client.writer.write(noise)
+        client.writer.write(rejected)
         for _ in range(20):  # past the time after which a quiet connection is closed
             await asyncio.sleep(0.02)
             client.writer.write(b"x")
         client.writer.transport.resume_reading()
-        given, reset = await replies_of(client)
+        given, reset = await replies_until_end(client)
         return {kind for kind, _ in given}, len(given), reset
 
-    kinds, count, reset = staged(story)
-    assert kinds == {"-"} and count == (1 if noise == b"noise\r\n" else 3) and not reset
+    kinds, count, reset = staged(scenario)
+    assert kinds == {"-"} and count == (1 if rejected == b"noise\r\n" else 3) and not reset
 
 
-def test_who_sends_on_and_on_behind_its_error_is_cut_off(staged):
-    async def story(stage):
+def test_a_client_that_never_stops_sending_behind_its_error_is_cut_off(staged):
+    async def scenario(stage):
         client, began = await stage.client(), time.monotonic()
         client.writer.write(b"noise\r\n")
         while time.monotonic() < began + 4 and stage.front.listener.clients:
@@ -56,53 +57,53 @@
             await asyncio.sleep(0.005)
         return time.monotonic() - began, len(stage.front.listener.clients)
 
-    took, left = staged(story)
+    took, left = staged(scenario)
     assert took < 3 and not left
 
 
 async def fill(stage):
     """Every place for clients is taken by one that asked just now."""
-    clients = [await stage.client() for _ in range(stage.front.listener.most)]
+    clients = [await stage.client() for _ in range(stage.front.listener.max_clients)]
     for number, client in enumerate(clients):
         assert (await client.ask(*read(number + 1)))[0] == "$"
     return clients
 
 
-def test_a_newcomer_with_a_command_where_every_place_is_in_use_is_told_busy(staged, monkeypatch):
-    monkeypatch.setattr(listener, "FULL_IDLE", 60.0)
+def test_a_newcomers_operation_gets_busy_where_every_place_is_in_use(staged, monkeypatch):
+    monkeypatch.setattr(eviction, "SHORT_IDLE_TIMEOUT", 60.0)
 
-    async def story(stage):
+    async def scenario(stage):
         usual = await fill(stage)
         newcomer = await stage.client_with(*read(900))
-        given = await replies_of(newcomer)
+        given = await replies_until_end(newcomer)
         return given, [await client.ask(*read(1_000 + at)) for at, client in enumerate(usual)]
 
-    given, usual = staged(story, sockets=64)
+    given, usual = staged(scenario, sockets=64)
     assert given == ([("-", b"BUSY")], False) and usual == [("$", b"data")] * len(usual)
 
 
-def test_newcomers_past_every_bound_wait_in_the_systems_queue_and_are_answered(staged, monkeypatch):
-    monkeypatch.setattr(listener, "FULL_IDLE", 0.5)
+def test_newcomers_past_the_margin_wait_in_the_accept_queue_and_are_answered(staged, monkeypatch):
+    monkeypatch.setattr(eviction, "SHORT_IDLE_TIMEOUT", 0.5)
 
-    async def story(stage):
+    async def scenario(stage):
         await fill(stage)
         newcomers = [await stage.client_with(*read(900 + number)) for number in range(30)]
-        ends = [asyncio.ensure_future(replies_of(client)) for client in newcomers]
+        ends = [asyncio.ensure_future(replies_until_end(client)) for client in newcomers]
         peak = 0
         while not all(end.done() for end in ends):
             peak = max(peak, len(stage.front.listener.clients))
             await asyncio.sleep(0.001)
-            for client, end in zip(newcomers, ends):
+            for client, end in zip(newcomers, ends, strict=True):
                 if client.replies_seen and not end.done():
                     client.close()
-        return [end.result() for end in ends], peak <= 1.2 * stage.front.listener.most
+        return [end.result() for end in ends], peak <= 1.2 * stage.front.listener.max_clients
 
-    ends, bounded = staged(story, sockets=64)
+    ends, bounded = staged(scenario, sockets=64)
     assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
 
 
-def crossed(sock, words):
-    """A command that crosses its connection's end: whether a reset tells the client that it was not read."""
+def is_reset_after_command(sock, words):
+    """Sends a command behind the connection's end; returns whether a reset tells that it was not read."""
     while sock.recv(65_536):  # what was answered, and the end
         pass
     sock.sendall(command(words))
@@ -114,12 +115,13 @@
 
 
 @pytest.mark.parametrize("end", ["silent", "stop"])
-def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_sends_it_again(running, end):
-    """Seen on roll and join days: eleven requests of ten brink scores were read behind the end, thrown away
-    and never answered; left unread before, a few were sent again.
+def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_retries(running, end):
+    """Seen on fleet days: eleven requests were read behind the end, discarded and never answered.
+
+    Left unread before, a few were sent again.
     """
 
-    async def story(stage):
+    async def scenario(stage):
         loop = asyncio.get_running_loop()
         await (await stage.client()).ask(b"PING")
         with socket.create_connection(("127.0.0.1", stage.port)) as sock:
@@ -127,36 +129,34 @@
                 sock.sendall(command([b"PING"]))
                 stage.process.send_signal(signal.SIGTERM)
             sock.settimeout(10)
-            return await loop.run_in_executor(None, crossed, sock, read(1)), stage.node.got
+            return await loop.run_in_executor(None, is_reset_after_command, sock, read(1)), stage.node.got
 
-    assert running(story) == (True, [])
+    assert running(scenario) == (True, [])
 
 
-def test_a_platform_that_knows_no_state_of_a_connection_cuts_no_client_off(staged, monkeypatch):
-    """Seen on the bench, where the state told is that of a socket that was never connected: 1,682 connections
-    of a day were ended early.
-    """
+def test_no_client_is_cut_off_where_the_platform_tells_no_tcp_state(staged, monkeypatch):
+    """Seen on the bench, which tells the state of a socket never connected: 1,682 connections ended early."""
     monkeypatch.setattr(
         asyncio.trsock.TransportSocket,
         "getsockopt",
         lambda self, level, option, *size: b"\x07" if size else 0,
     )
-    monkeypatch.setattr(listener, "READ_AHEAD", 1_000)
+    monkeypatch.setattr(client_connection, "MAX_READ_AHEAD", 1_000)
     asked = 300
 
-    async def story(stage):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.02, served()]
         client = await stage.client()
         client.writer.write(b"".join(command(read(number, left=9_000)) for number in range(asked)))
         return len([reply for reply in [await client.reply() for _ in range(asked)] if reply is not None])
 
-    assert staged(story, hard_stop=9_000, aim=9_000) == asked
+    assert staged(scenario, hard_stop=9_000, aim=9_000) == asked
 
 
-def test_connections_that_fail_on_their_way_give_their_places_back(staged):
-    async def story(stage):
+def test_accepted_connections_that_fail_before_they_join_free_their_places(staged):
+    async def scenario(stage):
         held, loop, join = stage.front.listener, stage.front.loop, stage.front.loop.connect_accepted_socket
-        held.most, held.margin, go = 0, 3, asyncio.Event()
+        held.max_clients, held.margin, go = 0, 3, asyncio.Event()
 
         async def fails(protocol, sock):
             await go.wait()
@@ -168,19 +168,19 @@
             await stage.client()
         usual = await stage.client_with(b"PING")
         async with asyncio.timeout(2):
-            while not held.held_back:
+            while not held.is_accepting_paused:
                 await asyncio.sleep(0.005)
         loop.connect_accepted_socket = join
         go.set()
         return await usual.reply(within=2)
 
-    assert staged(story) == ("+", b"PONG")
+    assert staged(scenario) == ("+", b"PONG")
 
 
-def test_an_idle_crowd_while_discovery_is_down_leaves_descriptors_for_nodes_and_work(running):
+def test_many_idle_clients_leave_descriptors_for_nodes_and_discovery(running):
     """A small limit, held by the system: each part must find its descriptors when discovery comes back."""
 
-    async def story(stage):
+    async def scenario(stage):
         await (await stage.client()).ask(b"PING")
         resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (64, 64))
         stage.discovery.silent = True
@@ -208,13 +208,13 @@
             client.close()
         return "no connection can be taken" in log, "Traceback" in log
 
-    assert running(story, sockets=64) == (False, False)
+    assert running(scenario, sockets=64) == (False, False)
 
 
-def test_commands_that_came_while_the_process_stood_still_save_their_idle_connections(running):
+def test_idle_connections_with_commands_received_during_a_pause_of_the_process_stay_open(running):
     """Connections idle for 2 s are closed where places are short: not over a command that was not read."""
 
-    async def story(stage):
+    async def scenario(stage):
         clients = [await stage.client() for _ in range(15)]  # over half of the places
         await asyncio.gather(*(client.ask(*read(number + 1)) for number, client in enumerate(clients)))
         await asyncio.sleep(1.5)
@@ -225,11 +225,11 @@
         stage.process.send_signal(signal.SIGCONT)
         return [await client.reply() for client in clients]
 
-    assert running(story, sockets=64) == [("$", b"data")] * 15
+    assert running(scenario, sockets=64) == [("$", b"data")] * 15
 
 
-def test_half_a_command_behind_a_whole_one_costs_no_processor_time(running):
-    async def story(stage):
+def test_an_incomplete_command_behind_a_complete_one_costs_no_processor_time(running):
+    async def scenario(stage):
         client = await stage.client()
         client.writer.write(command([b"PING"]) + b"*4\r\n$8\r\nBLK")
         assert await client.reply() == ("+", b"PONG")
@@ -243,23 +243,23 @@
         await asyncio.sleep(1.0)
         return used() - before
 
-    assert running(story) < 30  # of a hundred in a second; a loop that never rests takes all
+    assert running(scenario) < 30  # of a hundred in a second; a loop that never rests takes all
 
 
-def test_large_answers_that_are_not_read_hold_back_no_later_command(staged):
+def test_commands_behind_large_unread_replies_are_taken_once_those_are_read(staged):
     """What came behind answers that a client was slow to read is taken once it has read them."""
 
-    async def story(stage):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [served(bytes(900_000))]
         client = await stage.client()
         client.writer.transport.pause_reading()
         client.writer.write(b"".join(command(read(number)) for number in range(1, 10)))
         async with asyncio.timeout(3):
-            while not any(one.paused_writing for one in stage.front.listener.clients):
+            while not any(one.is_writing_paused for one in stage.front.listener.clients):
                 await asyncio.sleep(0.005)
         client.writer.write(command([b"PING"]))
         await asyncio.sleep(0.1)
         client.writer.transport.resume_reading()
         return [(await client.reply())[0] for _ in range(10)]
 
-    assert staged(story, hard_stop=3_000) == ["$"] * 9 + ["+"]
+    assert staged(scenario, hard_stop=3_000) == ["$"] * 9 + ["+"]
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -1,4 +1,4 @@
-"""Clients of every kind on loopback."""
+"""Clients of every kind on loopback: replies, bounds, timeouts, eviction."""
 
 import asyncio
 import errno
@@ -6,13 +6,13 @@
 
 import pytest
 
-from rushmux.gateway import listener
+from rushmux.gateway import client_connection, eviction
 from rushmux.resp import command
 from rushmux.standins.platform import of, read, served, write
 
 
 def test_greetings(staged):
-    async def story(stage):
+    async def scenario(stage):
         client = await stage.client()
         return [
             await client.ask(*words)
@@ -26,7 +26,7 @@
             )
         ]
 
-    assert staged(story) == [
+    assert staged(scenario) == [
         ("+", b"PONG"),
         ("+", b"PONG"),
         ("+", b"OK"),
@@ -36,17 +36,17 @@
     ]
 
 
-def test_ready_and_serving_with_no_discovery_at_all(staged):
-    async def story(stage):
+def test_operations_are_served_while_discovery_is_silent(staged):
+    async def scenario(stage):
         stage.discovery.silent = True
         client = await stage.client()
         return await client.ask(b"PING"), await client.ask(*read(1)), await client.ask(*write(2))
 
-    assert staged(story) == (("+", b"PONG"), ("$", b"data"), ("$", b"data"))
+    assert staged(scenario) == (("+", b"PONG"), ("$", b"data"), ("$", b"data"))
 
 
-def test_answers_leave_in_the_order_of_the_commands(staged):
-    async def story(stage):
+def test_replies_are_sent_in_the_order_of_the_commands(staged):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.15 if words[2][-1:] == b"1" else 0.0, served(words[2])]
         client = await stage.client()
         client.send(*read(1))
@@ -54,11 +54,11 @@
         client.send(b"PING")
         return [await client.reply() for _ in range(3)]
 
-    assert staged(story) == [("$", b"%016x" % 1), ("$", b"%016x" % 2), ("+", b"PONG")]
+    assert staged(scenario) == [("$", b"%016x" % 1), ("$", b"%016x" % 2), ("+", b"PONG")]
 
 
 @pytest.mark.parametrize(
-    "noise",
+    "malformed",
     [
         b"noise\r\n",
         b"*3\r\n$60000000\r\n" + b"x" * 100_000,
@@ -68,54 +68,56 @@
         b"*2\r\n" + b"$" + b"9" * 50,
     ],
 )
-def test_what_can_t_be_read_gets_an_error_behind_what_was_owed_and_then_a_close(staged, noise):
-    async def story(stage):
+def test_malformed_input_gets_an_error_behind_the_pending_replies_and_then_a_close(staged, malformed):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.1, served()]
         client, usual = await stage.client(), await stage.client()
         client.send(*read(1))
-        client.writer.write(noise)
+        client.writer.write(malformed)
         replies = [await client.reply() for _ in range(3)]
         return replies, await usual.ask(*read(2)), len(stage.nodes[0].got)
 
-    replies, usual, got = staged(story)
+    replies, usual, got = staged(scenario)
     assert replies[0] == ("$", b"data") and replies[1][0] == "-" and replies[2] is None
     assert usual == ("$", b"data") and got == 2
 
 
-def test_a_bad_command_never_reaches_a_node_and_the_third_ends_the_connection(staged):
-    async def story(stage):
+def test_an_invalid_command_reaches_no_node_and_the_third_ends_the_connection(staged):
+    async def scenario(stage):
         client = await stage.client()
         replies = [await client.ask(*read(number, lane="none")) for number in range(3)]
         return [kind for kind, _ in replies], await client.reply(), stage.nodes[0].got
 
-    assert staged(story) == (["-"] * 3, None, [])
+    assert staged(scenario) == (["-"] * 3, None, [])
 
 
-def test_the_id_of_an_open_request_is_refused_and_the_request_unharmed(staged):
-    async def story(stage):
+def test_the_id_of_an_operation_in_flight_is_rejected_and_the_operation_unharmed(staged):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.1, served()]
         usual, other = await stage.client(), await stage.client()
         usual.send(*read(1))
         await asyncio.sleep(0.03)
         return (await other.ask(*read(1)))[0], await usual.reply(), len(stage.nodes[0].got)
 
-    assert staged(story) == ("-", ("$", b"data"), 1)
+    assert staged(scenario) == ("-", ("$", b"data"), 1)
 
 
 @pytest.mark.parametrize("begun", [b"", b"*2\r\n$4\r\nPI", b"*4\r\n$8\r\nBLK.READ\r\n"])
-def test_who_says_nothing_or_half_a_command_is_told_and_parted_from_within_three_seconds(staged, begun):
-    async def story(stage):
+def test_a_client_that_sends_no_complete_command_gets_an_error_and_a_close_within_three_seconds(
+    staged, begun
+):
+    async def scenario(stage):
         client, began = await stage.client(), time.monotonic()
         client.writer.write(begun)
         reply = await client.reply()
         return reply, await client.reply(), time.monotonic() - began
 
-    reply, end, took = staged(story)
+    reply, end, took = staged(scenario)
     assert reply[0] == "-" and end is None and 1 < took < 2.5
 
 
-def test_half_a_command_that_grows_a_byte_at_a_time_is_parted_from_too(staged):
-    async def story(stage):
+def test_a_command_that_trickles_in_byte_by_byte_times_out_too(staged):
+    async def scenario(stage):
         client = await stage.client()
         await client.ask(b"PING")
         begun = time.monotonic()
@@ -127,12 +129,12 @@
                 break
         return (await told)[0], await client.reply(), time.monotonic() - begun
 
-    kind, end, took = staged(story)
+    kind, end, took = staged(scenario)
     assert kind == "-" and end is None and took < 2.5
 
 
-def test_refused_requests_repeated_at_full_speed_do_not_starve_the_others(staged):
-    async def story(stage):
+def test_invalid_commands_repeated_at_full_speed_do_not_starve_other_clients(staged):
+    async def scenario(stage):
         stop, repeats, times = False, 0, []
 
         async def spam():
@@ -152,12 +154,12 @@
         await asyncio.gather(*tasks)
         return repeats, {answer for answer, _ in times}, sorted(took for _, took in times)[15]
 
-    repeats, answers, median = staged(story)
+    repeats, answers, median = staged(scenario)
     assert repeats > 200 and answers == {("$", b"data")} and median < 0.1
 
 
-def test_hundreds_of_commands_at_once_are_held_back_and_all_answered(staged):
-    async def story(stage):
+def test_hundreds_of_pipelined_commands_are_bounded_in_flight_and_all_answered(staged):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.005, served()]
         client, most = await stage.client(), 0
         client.writer.write(b"".join(command(read(number, left=900)) for number in range(600)))
@@ -167,16 +169,16 @@
             most = max(most, len(stage.front.operations))
         return kinds, most
 
-    kinds, most = staged(story)
-    assert len(kinds) == 600 and kinds.count("$") > 50 and most <= listener.MOST_OWED
+    kinds, most = staged(scenario)
+    assert len(kinds) == 600 and kinds.count("$") > 50 and most <= client_connection.MAX_PENDING_REPLIES
 
 
-def test_places_for_clients_run_out_and_those_that_wait_give_theirs(staged, monkeypatch):
+def test_idle_and_silent_clients_are_evicted_where_places_run_out(staged, monkeypatch):
     """Seen on the platform's churn day: nothing was closed, and descriptors ran out."""
-    monkeypatch.setattr(listener, "FULL_IDLE", 0.2)
+    monkeypatch.setattr(eviction, "SHORT_IDLE_TIMEOUT", 0.2)
 
-    async def story(stage):
-        most = stage.front.listener.most
+    async def scenario(stage):
+        most = stage.front.listener.max_clients
         for _ in range(most):  # they ask once and stay
             await (await stage.client()).ask(b"PING")
         await asyncio.sleep(0.5)
@@ -187,22 +189,23 @@
         answer = await usual.ask(*read(1))
         return most, held, len(stage.front.listener.clients), answer
 
-    most, held, now, answer = staged(story, sockets=64)
+    most, held, now, answer = staged(scenario, sockets=64)
     assert held < most and now <= most and answer == ("$", b"data")
 
 
-def test_a_crowd_that_greets_and_stays_makes_room_for_newcomers_at_once(staged):
-    """Seen in a recorded day: all places held by such, and 900 newcomers a second turned away.  Who asked
-    for an operation keeps its place for the two seconds that the platform's page names.
+def test_clients_that_only_sent_ping_are_evicted_for_newcomers_at_once(staged):
+    """Seen in a recorded day: such clients held all places, and 900 newcomers a second were rejected.
+
+    A client that requested an operation keeps its place for the two seconds that the protocol grants.
     """
 
-    async def story(stage):
-        most, answers = stage.front.listener.most, []
+    async def scenario(stage):
+        most, answers = stage.front.listener.max_clients, []
         busy, asked = await stage.client(), await stage.client()
         stage.nodes[0].plays = lambda words: [0.15 if words[2][-1:] == b"f" else 0.0, served()]
         await asked.ask(*read(1))
         busy.send(*read(0xF))
-        for number in range(most * 3):
+        for _ in range(most * 3):
             answers.append(await (await stage.client()).ask(b"PING"))
         usual = await (await stage.client()).ask(*read(2))
         return (
@@ -214,14 +217,14 @@
         )
 
     data = ("$", b"data")
-    assert staged(story, sockets=64) == ({"+"}, data, data, data, True)
+    assert staged(scenario, sockets=64) == ({"+"}, data, data, data, True)
 
 
-def test_a_client_that_does_not_read_is_bounded(staged, monkeypatch):
-    monkeypatch.setattr(listener, "UNREAD", 1 << 16)
-    monkeypatch.setattr(listener, "UNREAD_TIME", 0.5)
+def test_a_client_that_does_not_read_is_bounded_and_then_aborted(staged, monkeypatch):
+    monkeypatch.setattr(client_connection, "MAX_UNREAD_REPLY_BYTES", 1 << 16)
+    monkeypatch.setattr(client_connection, "UNREAD_REPLIES_TIMEOUT", 0.5)
 
-    async def story(stage):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [served(b"x" * 65_536)]
         client = await stage.client()
         client.writer.transport.pause_reading()
@@ -230,16 +233,17 @@
         await asyncio.sleep(2.5)
         return len(stage.nodes[0].got), len(stage.front.listener.clients)
 
-    got, clients = staged(story)
+    got, clients = staged(scenario)
     assert got < 200 and clients == 0
 
 
-def test_a_client_that_closes_has_gone_away_and_nothing_more_is_sent_for_it(staged):
-    """Seen on the platform: hurried clients close, nodes then turn their requests away, and a node that
-    serves everybody else well was held for crowded.
+def test_no_attempt_starts_for_a_client_that_closed(staged):
+    """Seen on the platform: impatient clients close, nodes then reject their requests.
+
+    A node that served everybody else well was taken for overloaded.
     """
 
-    async def story(stage):
+    async def scenario(stage):
         client = await stage.client()
         stage.nodes[0].plays = lambda words: [0.1, b"-BUSY\r\n"]
         client.send(*read(1))
@@ -248,11 +252,11 @@
         await asyncio.sleep(0.3)
         return len(stage.nodes[0].got), len(stage.front.operations), len(stage.front.listener.clients)
 
-    assert staged(story) == (1, 0, 0)
+    assert staged(scenario) == (1, 0, 0)
 
 
-def test_a_client_that_goes_away_leaves_nothing_behind(staged):
-    async def story(stage):
+def test_a_client_that_leaves_has_no_state_left_behind(staged):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: ["hang"]
         client = await stage.client()
         client.send(*read(1, left=600))
@@ -261,19 +265,19 @@
         await asyncio.sleep(0.9)
         return len(stage.front.operations), len(stage.front.scheduler.operations), stage.nodes[0].running
 
-    assert staged(story) == (0, 0, 0)
+    assert staged(scenario) == (0, 0, 0)
 
 
-def test_what_is_left_of_the_time_goes_to_the_node(staged):
-    async def story(stage):
+def test_the_node_is_told_the_time_left(staged):
+    async def scenario(stage):
         client = await stage.client()
         await client.ask(*read(1, left=480))
         return int(of(stage.nodes[0].got[0], "d"))
 
-    assert 0 < staged(story) <= 480
+    assert 0 < staged(scenario) <= 480
 
 
-def test_out_of_descriptors_the_queue_is_asked_again_soon_and_nobody_is_lost(staged):
+def test_accepting_resumes_soon_after_descriptors_ran_out(staged):
     class Short:
         """A listening socket whose process has no descriptor left, for a while."""
 
@@ -289,11 +293,13 @@
                 raise OSError(errno.EMFILE, "too many open files")
             return self.sock.accept()
 
-    async def story(stage):
-        short = stage.front.listener.sock = Short(stage.front.listener.sock, time.monotonic() + 0.35)
+    async def scenario(stage):
+        short = stage.front.listener.listening_socket = Short(
+            stage.front.listener.listening_socket, time.monotonic() + 0.35
+        )
         begun = time.monotonic()
         answer = await (await stage.client()).ask(*read(1))
         return answer, time.monotonic() - begun, short.asked
 
-    answer, took, asked = staged(story)
+    answer, took, asked = staged(scenario)
     assert answer == ("$", b"data") and took < 0.7 and asked < 12
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -163,7 +163,7 @@
         await (await stage.client()).ask(*read(9))  # its connection stays idle, so the next is sent at once
         sock = socket.create_connection(("127.0.0.1", stage.port))
         sock.sendall(command([b"PING"]))
-        await settled(lambda: sum(client.spoke for client in front.listener.clients) == 2)
+        await settled(lambda: sum(client.has_sent_command for client in front.listener.clients) == 2)
         await asyncio.sleep(keep_alive.REUSE_COOLDOWN * 3)
         front.last_round_at = loop.time()
         front.enqueue(lambda now: None)  # a round waits for the tick
@@ -343,7 +343,7 @@
         client.writer.write(b"".join(command(read(number, left=5_000)) for number in range(1, 10)))
         await settled(
             lambda: (
-                any(one.paused_writing for one in stage.front.listener.clients)
+                any(one.is_writing_paused for one in stage.front.listener.clients)
                 and len([one for one in stage.front.operations.values() if not one.ended]) == 1
             )
         )
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -222,7 +222,7 @@
         start = stage.front.start
         again = Front(start._replace(seed=7), 0.0, asyncio.get_running_loop(), stage.log)
         await again.open()
-        await ask(again.listener.sock.getsockname()[1], 9_000)
+        await ask(again.listener.listening_socket.getsockname()[1], 9_000)
         for part in (again.watch_list, again.pool, again.listener):
             part.close()
         return came
