--- a/rushmux/gateway/__init__.py
+++ b/rushmux/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's gateway: client listener, node connection pool, discovery, configuration, the process."""
--- a/rushmux/gateway/command_dispatcher.py
+++ b/rushmux/gateway/command_dispatcher.py
@@ -7,7 +7,8 @@
 
 from rushmux.gateway import commands
 from rushmux.gateway.client_connection import ClientConnection, PendingReply
-from rushmux.gateway.config import Start
+from rushmux.gateway.config import GatewayConfig
+from rushmux.gateway.errors import InvalidCommandError
 from rushmux.resp import error
 
 if TYPE_CHECKING:
@@ -21,13 +22,13 @@
     """Validates commands and hands operations on.
 
     Attributes:
-        on_request: Called as `on_request(command, pending_reply)`; may raise `commands.Refused`.
+        on_request: Called as `on_request(command, pending_reply)`; may raise InvalidCommandError.
     """
 
     def __init__(
         self,
         listener: Listener,
-        config: Start,
+        config: GatewayConfig,
         on_request: Callable[[commands.Command, PendingReply], None],
     ):
         self.listener = listener
@@ -56,10 +57,10 @@
             client.finish()
             return PendingReply(client, BUSY)
         try:
-            self.on_request(commands.check(arguments, self.config), pending)
+            self.on_request(commands.parse_command(arguments, self.config), pending)
             stats.accepted_operations += 1
-        except commands.Refused as fault:
+        except InvalidCommandError as invalid:
             stats.invalid_commands += 1
             client.protocol_errors += 1
-            pending.reply = error(f"ERR {fault}")
+            pending.reply = error(f"ERR {invalid}")
         return pending
--- a/rushmux/gateway/commands.py
+++ b/rushmux/gateway/commands.py
@@ -1,101 +1,117 @@
-"""Checks a client's command wholly, before the module or a node hears of it.  No I/O.
+"""Validates a client's command completely, before the scheduler or a node sees it.  No I/O.
 
-Danger: a node turns away what no usual client sends, and that voids more than the one request.
+A node rejects what no usual client sends, and that costs more than the one request.
 """
 
 import re
 from typing import NamedTuple
 
+from rushmux.gateway.config import GatewayConfig
+from rushmux.gateway.errors import InvalidCommandError
 from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.scheduling.interface import Idempotency
 
 READ, WRITE = b"BLK.READ", b"BLK.WRITE"
-ID = re.compile(rb"[0-9a-f]{16}")
-LIST = re.compile(
+READ_ARGUMENTS = 4
+"""Name, block, id and options."""
+WRITE_ARGUMENTS = 5
+"""The same and the data."""
+HEX_ID = re.compile(rb"[0-9a-f]{16}")
+OPTIONS = re.compile(
     rb"c=([^,=]{1,64}),t=([^,=]{1,64}),d=([0-9]{1,7})(?:,k=([0-9a-f]{16}))?(,r=1)?"
     rb",volume=([0-9a-f]{16}),units=([0-9]{1,4}(?:\.[0-9]{1,6})?)"
     rb",shard=(-1|[0-9]{1,5}),hosts=([0-9]{1,4})"
 )
-MILLISECONDS = 1000  # in a second
-
-
-class Refused(Exception):
-    """A command that no usual client sends, with what is wrong in it."""
+TIME_LEFT_GROUP = 3
+"""The group of OPTIONS that holds the time left."""
+MILLISECONDS = 1000
+"""In a second."""
 
 
 class Command(NamedTuple):
-    """A checked command.  `before` and `after` enclose the time in the list that goes to a node."""
+    """A valid command."""
 
     op_id: str
-    lane: str
+    request_class: str
     plan: str
     volume: str
     key: str
     units: float
     cell: int
-    mounts: int
-    again: bool
-    left: float  # seconds
-    verb: bytes
-    piece: bytes
-    before: bytes
-    after: bytes
-    body: tuple
+    gateway_count: int
+    is_retry: bool
+    time_left: float
+    """Seconds that its client waits for it."""
+    name: bytes
+    block: bytes
+    options_before_time: bytes
+    """The options that go to a node, up to the time left in them."""
+    options_after_time: bytes
+    data: tuple[bytes, ...]
+    """A write's data; empty for a read."""
 
-    def words(self, milliseconds: int) -> list[bytes]:
-        """The command for a node, which will be waited for that long."""
-        what = b"%b%d%b" % (self.before, milliseconds, self.after)
-        return [self.verb, self.piece, self.op_id.encode(), what, *self.body]
+    def build_arguments(self, milliseconds: int) -> list[bytes]:
+        """Returns the command's arguments for a node, which will be waited for that long."""
+        options = b"%b%d%b" % (self.options_before_time, milliseconds, self.options_after_time)
+        return [self.name, self.block, self.op_id.encode(), options, *self.data]
 
 
-def check(words, start) -> Command:
-    """The command of `words` under a start's settings; Refused."""
-    verb = words[0].upper()
-    write = verb == WRITE
-    if len(words) != (5 if write else 4):
-        raise Refused(f"{len(words)} words")
-    _, piece, op_id, what = words[:4]
-    if not ID.fullmatch(piece) or not ID.fullmatch(op_id):
-        raise Refused("the piece and the id are 16 hex digits")
-    found = LIST.fullmatch(what)
+def parse_command(arguments: list[bytes], config: GatewayConfig) -> Command:
+    """Returns the command of a client's arguments; InvalidCommandError."""
+    name = arguments[0].upper()
+    if len(arguments) != (WRITE_ARGUMENTS if name == WRITE else READ_ARGUMENTS):
+        raise InvalidCommandError(f"{len(arguments)} words", len(arguments))
+    _, block, op_id, options = arguments[:READ_ARGUMENTS]
+    if not HEX_ID.fullmatch(block) or not HEX_ID.fullmatch(op_id):
+        raise InvalidCommandError("the piece and the id are 16 hex digits", (block, op_id))
+    found = OPTIONS.fullmatch(options)
     if not found:
-        raise Refused("the list of names and values can't be read")
-    lane, plan, left, key, again, volume, units, cell, mounts = found.groups()
-    lane, plan = lane.decode("utf-8", "replace"), plan.decode("utf-8", "replace")
-    if lane not in start.settings.request_classes or plan not in start.settings.plans:
-        raise Refused("no such class or plan")
-    known = start.settings.request_classes[lane]
-    units, left, cell, mounts = float(units), int(left), int(cell), int(mounts)
-    if start.writes[lane] != write:
-        raise Refused("the class does not go with the command")
-    if (key is not None) != (known.idempotency == Idempotency.KEYED):
-        raise Refused("a key exactly where the class has one")
-    if again and not start.marks:
-        raise Refused("retries are not marked here")
-    if not 0 < left * TICKS_PER_SECOND // MILLISECONDS <= known.deadline + start.settings.round_interval:
-        raise Refused(f"a time of {left} ms")
-    settings = start.settings
-    if (
-        not 0 < units <= settings.max_units
-        or not cell < start.shards
-        or not 0 < mounts <= settings.gateway_count
-    ):
-        raise Refused("a figure out of range")
-    at = found.start(3)
-    return Command(
+        raise InvalidCommandError("the list of names and values can't be read", options)
+    request_class, plan, time_left, key, retry_mark, volume, units, cell, gateway_count = found.groups()
+    milliseconds = int(time_left)
+    command = Command(
         op_id.decode(),
-        lane,
-        plan,
+        request_class.decode("utf-8", "replace"),
+        plan.decode("utf-8", "replace"),
         volume.decode(),
-        piece.decode(),
-        units,
-        cell,
-        mounts,
-        bool(again),
-        left / MILLISECONDS,
-        verb,
-        piece,
-        what[:at],
-        what[found.end(3) :],
-        tuple(words[4:]),
+        block.decode(),
+        float(units),
+        int(cell),
+        int(gateway_count),
+        bool(retry_mark),
+        milliseconds / MILLISECONDS,
+        name,
+        block,
+        options[: found.start(TIME_LEFT_GROUP)],
+        options[found.end(TIME_LEFT_GROUP) :],
+        tuple(arguments[READ_ARGUMENTS:]),
     )
+    _validate_class(command, key is not None, config)
+    _validate_figures(command, milliseconds, config)
+    return command
+
+
+def _validate_class(command: Command, has_key: bool, config: GatewayConfig) -> None:
+    settings = config.settings
+    if command.request_class not in settings.request_classes or command.plan not in settings.plans:
+        raise InvalidCommandError("no such class or plan", (command.request_class, command.plan))
+    if config.is_write[command.request_class] != (command.name == WRITE):
+        raise InvalidCommandError("the class does not go with the command", command.request_class)
+    request_class = settings.request_classes[command.request_class]
+    if has_key != (request_class.idempotency == Idempotency.KEYED):
+        raise InvalidCommandError("a key exactly where the class has one", command.request_class)
+    if command.is_retry and not config.allows_retry_mark:
+        raise InvalidCommandError("retries are not marked here")
+
+
+def _validate_figures(command: Command, milliseconds: int, config: GatewayConfig) -> None:
+    settings = config.settings
+    time_limit = settings.request_classes[command.request_class].deadline + settings.round_interval
+    if not 0 < milliseconds * TICKS_PER_SECOND // MILLISECONDS <= time_limit:
+        raise InvalidCommandError(f"a time of {milliseconds} ms", milliseconds)
+    if not 0 < command.units <= settings.max_units:
+        raise InvalidCommandError("a figure out of range", command.units)
+    if not command.cell < config.shard_count:
+        raise InvalidCommandError("a figure out of range", command.cell)
+    if not 0 < command.gateway_count <= settings.gateway_count:
+        raise InvalidCommandError("a figure out of range", command.gateway_count)
--- a/rushmux/gateway/config.py
+++ b/rushmux/gateway/config.py
@@ -4,69 +4,87 @@
 
 import orjson
 
-from rushmux.gateway.endpoints import DiscoveredEndpoint, address, members
+from rushmux.gateway.endpoints import (
+    MALFORMED_JSON_ERRORS,
+    DiscoveredEndpoint,
+    SocketAddress,
+    parse_address,
+    parse_endpoints,
+)
+from rushmux.gateway.errors import ConfigError
 from rushmux.scheduling.interface import SchedulerSettings
 from rushmux.settings.platform import scheduler_settings_of
 
-MOST_BYTES = 8 << 20  # of the file: a list of thousands of nodes
-NS = 1_000_000_000  # nanoseconds in a second
+MAX_FILE_BYTES = 8 << 20
+"""A list of thousands of nodes has its place in it."""
+NANOSECONDS = 1_000_000_000
+"""In a second."""
 
 
-class BadFile(Exception):
-    """A file that can't be used, with the reason."""
-
-
-class Start(NamedTuple):
+class GatewayConfig(NamedTuple):
     """What a gateway is told at its start; times in seconds."""
 
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: SocketAddress
+    discovery: SocketAddress
     seed: int
-    sockets: int
-    known: list[DiscoveredEndpoint]
+    max_sockets: int
+    """Descriptors of the process."""
+    known_endpoints: list[DiscoveredEndpoint]
+    """The last endpoint list that the platform knew; it may be old."""
     settings: SchedulerSettings
-    shards: int
-    held: int  # operations open at a time
-    dial: float
-    idle: float  # until a node closes a connection that nothing uses
-    marks: bool  # clients mark their retries
-    writes: dict[str, bool]  # lane -> whether it changes data
+    shard_count: int
+    max_operations: int
+    """Operations in flight at a time."""
+    connect_timeout: float
+    idle_timeout: float
+    """Until a node closes an idle connection."""
+    allows_retry_mark: bool
+    """Whether clients mark their retries."""
+    is_write: dict[str, bool]
+    """By request class: whether it changes data."""
 
 
-def read(path) -> Start:
-    """Reads the file; BadFile where it can't be read, is torn or lacks what is needed."""
+def load_config(path: str) -> GatewayConfig:
+    """Reads a file; ConfigError where it can't be read, is torn or lacks what is needed."""
     try:
         with open(path, "rb") as file:
-            data = file.read(MOST_BYTES + 1)
-    except OSError as fault:
-        raise BadFile(f"cannot be read: {fault.strerror}") from fault
-    if len(data) > MOST_BYTES:
-        raise BadFile(f"holds over {MOST_BYTES} bytes")
-    return parsed(data)
+            data = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        raise ConfigError(f"the file cannot be read: {error.strerror}", path) from error
+    if len(data) > MAX_FILE_BYTES:
+        raise ConfigError(f"the file holds over {MAX_FILE_BYTES} bytes", path)
+    return parse_config(data)
 
 
-def parsed(data: bytes) -> Start:
+def parse_config(data: bytes) -> GatewayConfig:
+    """Returns a file's content; ConfigError."""
     try:
-        raw = orjson.loads(data)
-        env = raw["settings"]
-        limits, extra, known = env["Limits"], env["Extra"], raw.get("known") or {}
-        return Start(
-            listen=address(raw["listen"]),
-            discovery=address(raw["discovery"]),
-            seed=int(raw["seed"], 16),
-            sockets=int(raw["limits"]["sockets"]),
-            known=members(known.get("servers", ()))[0],
-            settings=scheduler_settings_of(env),
-            shards=extra["SlotsTotal"],
-            held=limits["MostHeld"],
-            dial=limits["DialTimeout"] / NS,
-            idle=limits["ConnIdle"] / NS,
-            marks=bool(env.get("ClientHabits", {}).get("MarksRetry")),
-            writes={row["Name"]: bool(writes) for row, writes in zip(env["Classes"], extra["ChangesData"])},
-        )
-    except orjson.JSONDecodeError as fault:
-        raise BadFile(f"is no JSON: {fault}") from fault
-    except KeyError as fault:
-        raise BadFile(f"lacks {fault}") from fault
-    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as fault:
-        raise BadFile(f"has a value that makes no sense: {fault}") from fault
+        return _config_of(orjson.loads(data))
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"the file is no JSON: {error}") from error
+    except KeyError as error:
+        raise ConfigError(f"the file lacks {error}", *error.args) from error
+    except MALFORMED_JSON_ERRORS as error:
+        raise ConfigError(f"the file has a value that makes no sense: {error}") from error
+
+
+def _config_of(raw: dict) -> GatewayConfig:
+    env = raw["settings"]
+    limits, extra, known = env["Limits"], env["Extra"], raw.get("known") or {}
+    return GatewayConfig(
+        listen=parse_address(raw["listen"]),
+        discovery=parse_address(raw["discovery"]),
+        seed=int(raw["seed"], 16),
+        max_sockets=int(raw["limits"]["sockets"]),
+        known_endpoints=parse_endpoints(known.get("servers", ())).endpoints,
+        settings=scheduler_settings_of(env),
+        shard_count=extra["SlotsTotal"],
+        max_operations=limits["MostHeld"],
+        connect_timeout=limits["DialTimeout"] / NANOSECONDS,
+        idle_timeout=limits["ConnIdle"] / NANOSECONDS,
+        allows_retry_mark=bool(env.get("ClientHabits", {}).get("MarksRetry")),
+        is_write={
+            row["Name"]: bool(writes)
+            for row, writes in zip(env["Classes"], extra["ChangesData"], strict=False)  # as far as both go
+        },
+    )
--- a/rushmux/gateway/discovery.py
+++ b/rushmux/gateway/discovery.py
@@ -1,200 +1,165 @@
-"""Follows discovery: the whole list once, then a watch that never rests."""
+"""Follows discovery: the whole endpoint list once, then a watch that is always renewed.
 
-import asyncio
+Whatever a request met, a change has to be here 6 s after discovery had it and could be reached.  The worst
+that can follow one another: a response that trickles and began before the change (RESPONSE_TIMEOUT), a
+connection that does not come up (CONNECT_TIMEOUT), a response that trickles again (RESPONSE_TIMEOUT), and
+RECONNECT_DELAY before each of the last two: 5.6 s.
+"""
+
+from __future__ import annotations
 
-import h11
-import orjson
+import asyncio
+from collections.abc import Callable, Iterable
 
-from rushmux.gateway.endpoints import listing
+from rushmux.gateway.discovery_connection import DiscoveryConnection
+from rushmux.gateway.endpoints import DiscoveredEndpoint, EndpointListing, SocketAddress
 from rushmux.scheduling.interface import EndpointState
 
-PATH = "/catalog/members"
-# Whatever a call met, a change has to be here 6 s after discovery had it and could be reached.  The worst
-# that can follow one another: an answer that trickles and was begun before the change (ANSWER), a dial that
-# nobody takes (DIAL), an answer that trickles again (ANSWER), AGAIN before each: 5.6 s.
-WAIT = 1.0  # seconds that a watch may wait: silence is noticed well before changes count as told
-SLACK = 0.5  # seconds past that until a call with no byte of an answer is given up
-ANSWER = 2.5  # seconds from asking until an answer has to be whole
-DIAL = 0.5  # seconds for a connection to come up: the agent is on this machine
-AGAIN = 0.05  # seconds until the next try: within the 200 ms in which a watch goes on
-MOST_BYTES = 8 << 20  # of an answer
-MOST_LEAVING = 4  # calls to former addresses whose answers may still come: SIGHUP may come often
-ANEW = range(400, 500)  # statuses that refuse what was asked: the version is not known there
-
-
-class Call(asyncio.Protocol):
-    """One connection to discovery; asks again as soon as it is answered."""
-
-    def __init__(self, watch):
-        self.watch, self.address, self.transport, self.timer = watch, watch.address, None, None
-        self.http, self.body = h11.Connection(h11.CLIENT), bytearray()
-        self.asked_at, self.began = 0.0, False  # began: a part of the answer is here
-        self.over = False  # discovery has ended its sending
-
-    def connection_made(self, transport):
-        self.transport = transport
-        self.ask()
-
-    def ask(self):
-        watch, loop = self.watch, self.watch.loop
-        target = (
-            PATH if watch.version is None else (f"{PATH}?after={watch.version}&wait_ms={int(WAIT * 1000)}")
-        )
-        host = "%s:%d" % self.address
-        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
-        self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
-        self.asked_at, self.began = loop.time(), False
-        self.timer = loop.call_later(WAIT + SLACK, self.lost, "silent")
-
-    def data_received(self, data):
-        if not self.began:
-            self.began = True
-            self.timer.cancel()
-            self.timer = self.watch.loop.call_at(self.asked_at + ANSWER, self.lost, "an answer that trickles")
-        self.take(data)
-
-    def eof_received(self):
-        # An answer with neither length nor chunks ends so; a reset is no end, and comes as a loss only.
-        self.over = True
-        self.take(b"")
-
-    def take(self, data):
-        try:
-            self.http.receive_data(data)
-            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
-                if isinstance(event, h11.Response) and event.status_code != 200:
-                    # Danger: asked for changes after a version that is not known there, over and over.
-                    if event.status_code in ANEW and self.watch.call is self:
-                        self.watch.version = None
-                    return self.lost(f"status {event.status_code}")
-                if isinstance(event, h11.Data):
-                    self.body += event.data
-                    if len(self.body) > MOST_BYTES:
-                        return self.lost("an answer too long")
-                elif isinstance(event, h11.EndOfMessage):
-                    if not self.answered():
-                        return None
-                elif isinstance(event, h11.ConnectionClosed):
-                    return self.lost("closed")
-        except h11.RemoteProtocolError as fault:
-            self.lost(str(fault))
-
-    def answered(self) -> bool:
-        """Takes a whole answer in; whether the call goes on."""
-        body, self.body = bytes(self.body), bytearray()
-        self.timer.cancel()
-        try:
-            found = listing(orjson.loads(body))
-        except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as fault:
-            self.lost(f"an answer that makes no sense: {fault}")
-            return False
-        self.watch.heard(self, *found)
-        if (
-            self.watch.call is self
-            and not self.over
-            and self.http.our_state is h11.DONE
-            and self.http.their_state is h11.DONE
-        ):
-            self.http.start_next_cycle()
-            self.ask()
-            return True
-        self.lost("closed", whole=True)
-        return False
-
-    def connection_lost(self, fault):
-        self.lost("closed")
-
-    def lost(self, why, whole=False):
-        """It ends; `whole`: behind an answer, in good order."""
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.transport is not None:
-            self.transport.abort()
-        self.watch.ended(self, why, whole)
-
-
-class Watch:
-    """The watch; `told(whole, members)` hears each answer in order.  `known`: rows in force before."""
-
-    def __init__(self, loop, address, log, told, known=()):
-        self.loop, self.address, self.log, self.told = loop, address, log, told
-        self.version = self.call = self.task = None
-        self.closed = self.down = False
-        self.rows = {row.node: row for row in known}  # as last told: what a bad row leaves in force
-        self.leaving = {}  # calls to former addresses, the oldest first
-        self.first = loop.create_future()  # done when discovery was heard
-
-    def start(self):
-        if self.task is None and self.call is None and not self.closed:
-            self.task = self.loop.create_task(self.dial())
-
-    async def dial(self):
-        call = self.call = Call(self)
+CONNECT_TIMEOUT = 0.5
+"""Seconds for a connection to come up: the agent is on this machine."""
+RECONNECT_DELAY = 0.05
+"""Seconds until the next attempt: within the 200 ms in which a watch has to go on."""
+MAX_FORMER_CONNECTIONS = 4
+"""Connections to former addresses whose responses may still come: SIGHUP may come often."""
+ADDRESS_CHANGED = "left for another address"
+
+
+class DiscoveryWatch:
+    """The watch over the endpoint list.
+
+    Attributes:
+        version: Of the last list received; None: the whole list is asked for.
+        connection: To the current address, from its dial on.
+        dial_task: Opens the connection.
+        former_connections: To former addresses, the oldest first.
+        endpoints: As last passed on: what a rejected row leaves in force.
+        is_unavailable: Whether the last request failed.
+        first_response: Done when discovery was first heard.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: SocketAddress,
+        log,
+        on_update: Callable[[bool, list[DiscoveredEndpoint]], None],
+        known_endpoints: Iterable[DiscoveredEndpoint] = (),
+    ):
+        """Makes a watch that is not started.
+
+        Args:
+            loop: The event loop.
+            address: Where discovery is.
+            log: Takes events.
+            on_update: Called as `on_update(is_snapshot, endpoints)` with each response, in order.
+            known_endpoints: In force before the first response.
+        """
+        self.loop = loop
+        self.address = address
+        self.log = log
+        self.on_update = on_update
+        self.version: int | None = None
+        self.connection: DiscoveryConnection | None = None
+        self.dial_task: asyncio.Task | None = None
+        self.is_closed = False
+        self.is_unavailable = False
+        self.endpoints = {endpoint.node: endpoint for endpoint in known_endpoints}
+        self.former_connections: dict[DiscoveryConnection, bool] = {}
+        self.first_response: asyncio.Future = loop.create_future()
+
+    def start(self) -> None:
+        """Connects, unless it is connected or closed."""
+        if self.dial_task is None and self.connection is None and not self.is_closed:
+            self.dial_task = self.loop.create_task(self._dial())
+
+    async def _dial(self) -> None:
+        connection = self.connection = DiscoveryConnection(self, self.address)
+        host, port = self.address
         try:
-            async with asyncio.timeout(DIAL):
-                await self.loop.create_connection(lambda: call, *self.address)
-            self.task = None
-        except (OSError, TimeoutError, ValueError) as fault:  # ValueError: what can't be an address
-            self.task = None
-            self.ended(call, str(fault) or "no connection")
-
-    def move(self, address):
-        """Goes over to another address at once.  The version goes along, so nothing is missed.
-
-        Danger: an answer of the former address is on its way, which counts as told.  It is listened to
-        until the new one has answered.
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await self.loop.create_connection(lambda: connection, host, port)
+            self.dial_task = None
+        except (OSError, TimeoutError, ValueError) as error:  # ValueError: what can't be an address
+            self.dial_task = None
+            self.on_connection_closed(connection, str(error) or "no connection")
+
+    def change_address(self, address: SocketAddress) -> None:
+        """Connects to another address at once, with the same version, so that no change is missed.
+
+        A response of the former address that is on its way counts as received.  So the former connection is
+        kept until the new one has answered.
         """
-        old, self.address, self.call = self.call, address, None
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
-        elif old is not None:
-            self.leaving[old] = True
-            while len(self.leaving) > MOST_LEAVING:
-                next(iter(self.leaving)).lost("left for another address")
+        former, self.connection = self.connection, None
+        self.address = address
+        if self.dial_task is not None:
+            self.dial_task.cancel()
+            self.dial_task = None
+        elif former is not None:
+            self.former_connections[former] = True
+            while len(self.former_connections) > MAX_FORMER_CONNECTIONS:
+                next(iter(self.former_connections)).close(ADDRESS_CHANGED)
         self.start()
 
-    def heard(self, call, version, whole, members, refused):
-        """An answer; `refused`: the rows that made no sense, as id or None and the reason."""
-        ours = self.version
-        if call is not self.call and (call not in self.leaving or (ours is not None and version <= ours)):
+    def on_listing(self, connection: DiscoveryConnection, listing: EndpointListing) -> None:
+        """A response came on a connection."""
+        if not self._is_news(connection, listing.version):
             return
-        if refused:
-            # Danger: one bad row, and the changes beside it would not be heard of for as long as it stands.
-            self.log.warning("list.rows_refused", count=len(refused), node=refused[0][0], why=refused[0][1])
-            members += [self.rows[node] for node, _ in refused if whole and node in self.rows]
-        if self.down:
-            self.down = False
-            self.log.info("discovery.back", version=version)
-        if whole:
-            self.rows = {}
-        self.rows.update((row.node, row) for row in members)
-        for row in members:
-            if row.state == EndpointState.REMOVED:
-                del self.rows[row.node]
-        if whole or members:
-            self.told(whole, members)
-        # Danger: discovery began to count anew, and changes since then would never be newer than ours.
-        self.version = version if whole or ours is None or version >= ours else None
-        if call is self.call:
-            for old in list(self.leaving):
-                old.lost("left for another address")
-        if not self.first.done():
-            self.first.set_result(None)
-
-    def ended(self, call, why, whole=False):
-        self.leaving.pop(call, None)
-        if call is not self.call or self.closed:
+        endpoints = listing.endpoints + self._kept_for_rejected(listing)
+        if self.is_unavailable:
+            self.is_unavailable = False
+            self.log.info("discovery.recovered", version=listing.version)
+        self._remember(listing.is_snapshot, endpoints)
+        if listing.is_snapshot or endpoints:
+            self.on_update(listing.is_snapshot, endpoints)
+        # A lower version: discovery began to count anew, and its changes would never be newer than ours.
+        is_current = listing.is_snapshot or self.version is None or listing.version >= self.version
+        self.version = listing.version if is_current else None
+        if connection is self.connection:
+            for former in list(self.former_connections):
+                former.close(ADDRESS_CHANGED)
+        if not self.first_response.done():
+            self.first_response.set_result(None)
+
+    def _is_news(self, connection: DiscoveryConnection, version: int) -> bool:
+        if connection is self.connection:
+            return True
+        return connection in self.former_connections and (self.version is None or version > self.version)
+
+    def _kept_for_rejected(self, listing: EndpointListing) -> list[DiscoveredEndpoint]:
+        # One bad row must not keep the changes beside it from being taken for as long as it stands.
+        if not listing.rejected:
+            return []
+        first = listing.rejected[0]
+        self.log.warning(
+            "endpoints.rows_rejected", count=len(listing.rejected), node=first.node, why=first.reason
+        )
+        if not listing.is_snapshot:
+            return []
+        return [self.endpoints[row.node] for row in listing.rejected if row.node in self.endpoints]
+
+    def _remember(self, is_snapshot: bool, endpoints: list[DiscoveredEndpoint]) -> None:
+        if is_snapshot:
+            self.endpoints = {}
+        self.endpoints.update((endpoint.node, endpoint) for endpoint in endpoints)
+        for endpoint in endpoints:
+            if endpoint.state == EndpointState.REMOVED:
+                del self.endpoints[endpoint.node]
+
+    def on_connection_closed(self, connection: DiscoveryConnection, reason: str, is_orderly=False) -> None:
+        """A connection ended; `is_orderly`: behind a complete response."""
+        self.former_connections.pop(connection, None)
+        if connection is not self.connection or self.is_closed:
             return
-        self.call = None
-        if not self.down and not whole:
-            self.down = True
-            self.log.warning("discovery.lost", why=why)
-        self.loop.call_later(AGAIN, self.start)
-
-    def close(self):
-        self.closed = True
-        if self.task is not None:
-            self.task.cancel()
-        for call in [*self.leaving, *filter(None, (self.call,))]:
-            call.lost("closing")
+        self.connection = None
+        if not self.is_unavailable and not is_orderly:
+            self.is_unavailable = True
+            self.log.warning("discovery.unavailable", why=reason)
+        self.loop.call_later(RECONNECT_DELAY, self.start)
+
+    def close(self) -> None:
+        """Ends the watch."""
+        self.is_closed = True
+        if self.dial_task is not None:
+            self.dial_task.cancel()
+        for connection in [*self.former_connections, *filter(None, (self.connection,))]:
+            connection.close("closing")
--- a/rushmux/gateway/endpoints.py
+++ b/rushmux/gateway/endpoints.py
@@ -1,15 +1,32 @@
-"""Rows of discovery's list, as values.  No I/O."""
+"""Rows of discovery's endpoint list, as values.  No I/O."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from rushmux.gateway.errors import InvalidAddressError, InvalidEndpointError
 from rushmux.scheduling.interface import EndpointState
 
-MOST_PORT = 65_535
+MAX_PORT = 65_535
+MILLISECONDS = 1000
+"""In a second."""
 STATES = {"up": EndpointState.READY, "draining": EndpointState.DRAINING, "removed": EndpointState.REMOVED}
+"""States as discovery writes them."""
+MALFORMED_JSON_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
+"""What reading a value out of JSON may raise where that has another form than expected."""
+
+
+class SocketAddress(NamedTuple):
+    """Where a TCP server listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
 
 
 class DiscoveredEndpoint(NamedTuple):
-    """A storage node as discovery tells it."""
+    """A storage node as discovery lists it."""
 
     node: str
     host: str
@@ -17,23 +34,49 @@
     zone: str
     cell: int
     state: EndpointState
-    started_at: float  # Unix time in seconds; 0: long ago
+    started_at: float
+    """Unix time in seconds; 0: long ago."""
+
+
+class RejectedRow(NamedTuple):
+    """A row that makes no sense."""
 
+    node: str | None
+    """Its id; None: even that can't be read."""
+    reason: str
 
-def address(text: str) -> tuple[str, int]:
-    """Host and port of `host:port`; ValueError."""
+
+class EndpointRows(NamedTuple):
+    """The rows of a list, those that make sense and the others."""
+
+    endpoints: list[DiscoveredEndpoint]
+    rejected: list[RejectedRow]
+
+
+class EndpointListing(NamedTuple):
+    """A response of discovery."""
+
+    version: int
+    is_snapshot: bool
+    """Whether it is the whole list; else the changes since a version."""
+    endpoints: list[DiscoveredEndpoint]
+    rejected: list[RejectedRow]
+
+
+def parse_address(text: str) -> SocketAddress:
+    """Returns host and port of `host:port`; InvalidAddressError."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MOST_PORT:
-        raise ValueError(f"{text!r} is no address and port")
-    return host, int(port)
+    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise InvalidAddressError(f"{text!r} is no address and port", text)
+    return SocketAddress(host, int(port))
 
 
-def member(row: dict) -> DiscoveredEndpoint:
-    """One row; KeyError, TypeError or ValueError where it makes no sense."""
-    host, port = address(row["addr"])
+def parse_endpoint(row: dict) -> DiscoveredEndpoint:
+    """Returns one row; one of MALFORMED_JSON_ERRORS where it makes no sense."""
+    host, port = parse_address(row["addr"])
     state, node = row["state"], row["id"]
     if state not in STATES or not isinstance(node, str) or not node:
-        raise ValueError(f"a row with id {node!r} in state {state!r}")
+        raise InvalidEndpointError(f"a row with id {node!r} in state {state!r}", row)
     return DiscoveredEndpoint(
         node,
         host,
@@ -41,27 +84,31 @@
         str(row.get("zone", "")),
         int(row["cell"]),
         STATES[state],
-        float(row.get("started_ms", 0)) / 1000,
+        float(row.get("started_ms", 0)) / MILLISECONDS,
     )
 
 
-def members(rows) -> tuple[list[DiscoveredEndpoint], list[tuple]]:
-    """The rows that make sense, and of the others the id, None where even that can't be read, and why."""
-    good, refused = [], []
+def parse_endpoints(rows: Iterable) -> EndpointRows:
+    """Returns the rows that make sense, and why the others don't."""
+    endpoints, rejected = [], []
     for row in rows:
         try:
-            good.append(member(row))
-        except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as fault:
+            endpoints.append(parse_endpoint(row))
+        except MALFORMED_JSON_ERRORS as error:
             node = row.get("id") if isinstance(row, dict) else None
-            refused.append((node if isinstance(node, str) else None, f"{type(fault).__name__}: {fault}"))
-    return good, refused
+            reason = f"{type(error).__name__}: {error}"
+            rejected.append(RejectedRow(node if isinstance(node, str) else None, reason))
+    return EndpointRows(endpoints, rejected)
+
 
+def parse_listing(body: dict) -> EndpointListing:
+    """Returns a response's content.
 
-def listing(body: dict) -> tuple[int, bool, list[DiscoveredEndpoint], list[tuple]]:
-    """Version, whether it is whole, the rows of an answer and those that make no sense; ValueError where
-    none makes sense: such a list changes nothing.
+    Raises:
+        InvalidEndpointError: Every row makes no sense; such a list changes nothing.
+        LookupError, TypeError, ValueError, AttributeError, ArithmeticError: It has another form.
     """
-    good, refused = members(body["servers"])
-    if refused and not good:
-        raise ValueError(refused[0][1])
-    return int(body["version"]), bool(body["full"]), good, refused
+    endpoints, rejected = parse_endpoints(body["servers"])
+    if rejected and not endpoints:
+        raise InvalidEndpointError(rejected[0].reason, rejected[0].node)
+    return EndpointListing(int(body["version"]), bool(body["full"]), endpoints, rejected)
--- a/rushmux/gateway/listener.py
+++ b/rushmux/gateway/listener.py
@@ -11,7 +11,7 @@
 from rushmux.gateway.client_connection import ClientConnection, PendingReply
 from rushmux.gateway.command_dispatcher import CommandDispatcher
 from rushmux.gateway.commands import Command
-from rushmux.gateway.config import Start
+from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.event_loop import call_after_polling
 from rushmux.gateway.paused_clients import PausedClients
 
@@ -52,7 +52,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        config: Start,
+        config: GatewayConfig,
         max_clients: int,
         *,
         on_request: Callable[[Command, PendingReply], None],
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -1,116 +1,147 @@
-"""One gateway on the platform: clients, nodes and discovery around the driver's core."""
+"""One gateway on the platform: clients, nodes and discovery around the operation driver."""
+
+from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from functools import partial
+from typing import Any
 
-from rushmux.gateway import commands
+from rushmux.gateway.client_connection import PendingReply
+from rushmux.gateway.commands import Command
+from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.connection_pool import ConnectionPool
-from rushmux.gateway.discovery import Watch
+from rushmux.gateway.discovery import DiscoveryWatch
+from rushmux.gateway.endpoints import DiscoveredEndpoint
+from rushmux.gateway.errors import InvalidCommandError
 from rushmux.gateway.listener import Listener
+from rushmux.gateway.node_connection import NodeAttempt
 from rushmux.resp import bulk
-from rushmux.scheduling.driver import TICKS_PER_SECOND, FinalAnswer, OperationDriver
-from rushmux.scheduling.interface import Endpoint, EndpointState, OperationRequest, UpdateKind
-
-RESERVED = 24  # descriptors for what is neither a client nor a node
-CLIENTS = 0.55  # of the others, for clients: at most a third of all hold requests, and some rest
-NODES = 0.35  # of the others, for nodes; the rest is for connections that are just ending
-FIRST_LIST = 1.0  # seconds that the first list is waited for: an agent that can answer does so at once
-TELL = 30.0  # seconds between two lines on the traffic
+from rushmux.scheduling.driver import TICKS_PER_SECOND, FinalAnswer, InFlightOperation, OperationDriver
+from rushmux.scheduling.interface import Endpoint, EndpointState, OperationRequest, Ticks, UpdateKind
+
+RESERVED_SOCKETS = 24
+"""Descriptors for what is neither a client nor a node."""
+MIN_SHARED_SOCKETS = 16
+"""The least for clients and nodes, whatever the configuration says."""
+CLIENT_SOCKETS = 0.55
+"""Of the others, for clients: at most a third of all have operations in flight, and some are idle."""
+NODE_SOCKETS = 0.35
+"""Of the others, for nodes; the rest is for connections that are just ending."""
+FIRST_LIST_TIMEOUT = 1.0
+"""Seconds that the first endpoint list is waited for: an agent that can answer does so at once."""
+STATS_INTERVAL = 30.0
+"""Seconds between two lines on the traffic."""
+MILLISECONDS = 1000
+"""In a second."""
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
 
-class Front(OperationDriver):
-    """The module, driven by the platform's protocol.  `epoch`: the calendar's seconds since 1970 at the
-    loop's clock of nought.
+class GatewayServer(OperationDriver):
+    """The scheduler, driven by the platform's protocol.
+
+    Attributes:
+        epoch: Unix time, in seconds, at which the loop's clock was 0.
+        known_states: State and start of each node as the scheduler was last told of it.
+        is_stopping: Whether new operations get BUSY at once: the process is about to be ended.
     """
 
-    def __init__(self, start, epoch, loop, log):
-        super().__init__(start.settings, start.seed, log)
-        self.start, self.epoch = start, epoch
-        spare = max(16, start.sockets - RESERVED)
+    def __init__(self, config: GatewayConfig, epoch: float, loop: asyncio.AbstractEventLoop, log):
+        super().__init__(config.settings, config.seed, log)
+        self.config = config
+        self.epoch = epoch
+        shared_sockets = max(MIN_SHARED_SOCKETS, config.max_sockets - RESERVED_SOCKETS)
         self.pool = ConnectionPool(
             loop,
-            max_connections=int(spare * NODES),
-            connect_timeout=start.dial,
-            idle_timeout=start.idle,
+            max_connections=int(shared_sockets * NODE_SOCKETS),
+            connect_timeout=config.connect_timeout,
+            idle_timeout=config.idle_timeout,
         )
         self.listener = Listener(
             loop,
-            start,
-            int(spare * CLIENTS),
-            on_request=self.request,
+            config,
+            int(shared_sockets * CLIENT_SOCKETS),
+            on_request=self.on_request,
             on_client_gone=self.client_gone,
         )
-        self.watch_list = Watch(loop, start.discovery, log, self.told, start.known)
-        self.conditions = {}  # node -> as the module was last told of it
-        self.ended = False  # whether everything gets its answer at once: the stop is near
-
-    async def open(self):
-        self.members(UpdateKind.RECOVERED, self.start.known)
-        self.watch_list.start()
-        # Danger: what the agent has counts as told from the first moment, and the list in the file may be
-        # old; a request that comes before the answer would be sent to a node that drains.
-        await asyncio.wait([self.watch_list.first], timeout=FIRST_LIST)
-        await self.listener.open(*self.start.listen)
-        self.loop.call_later(TELL, self.tell)
-        self.log.info("serves", listen="%s:%d" % self.start.listen, nodes=len(self.start.known))
-
-    def tell(self):
-        """A line on the traffic, with counts from the start."""
-        listener, pool = self.listener, self.pool
+        self.discovery = DiscoveryWatch(
+            loop, config.discovery, log, self.on_discovered, config.known_endpoints
+        )
+        self.known_states: dict[str, tuple[EndpointState, float]] = {}
+        self.is_stopping = False
+
+    async def open(self) -> None:
+        """Waits for the first endpoint list, for a bounded time, and listens; OSError.
+
+        Discovery's list counts as received from the first moment, and the configuration's may be old: an
+        operation accepted before would be sent to a node that drains.
+        """
+        self._apply_endpoints(UpdateKind.RECOVERED, self.config.known_endpoints)
+        self.discovery.start()
+        await asyncio.wait([self.discovery.first_response], timeout=FIRST_LIST_TIMEOUT)
+        await self.listener.open(*self.config.listen)
+        self.loop.call_later(STATS_INTERVAL, self._log_stats)
+        self.log.info("gateway.listening", listen=self.config.listen, nodes=len(self.config.known_endpoints))
+
+    def _log_stats(self) -> None:
+        stats = self.listener.stats
         self.log.info(
-            "clients",
-            open=len(listener.clients),
-            taken=listener.stats.accepted_operations,
-            refused=listener.stats.invalid_commands,
-            turned_away=listener.stats.rejected_clients,
-            silent=listener.stats.silent_clients,
-            nodes=pool.connection_count(),
-            surplus=pool.unsolicited_replies,
-            rest_trusted=f"{pool.keep_alive.max_idle_time:g}",
+            "gateway.stats",
+            open=len(self.listener.clients),
+            taken=stats.accepted_operations,
+            refused=stats.invalid_commands,
+            turned_away=stats.rejected_clients,
+            silent=stats.silent_clients,
+            nodes=self.pool.connection_count(),
+            surplus=self.pool.unsolicited_replies,
+            rest_trusted=f"{self.pool.keep_alive.max_idle_time:g}",
         )
-        self.loop.call_later(TELL, self.tell)
+        self.loop.call_later(STATS_INTERVAL, self._log_stats)
 
     # Clients.
 
-    def request(self, command, pending):
-        """An operation comes; its answer goes to its pending."""
+    def on_request(self, command: Command, pending: PendingReply) -> None:
+        """Submits a client's operation; InvalidCommandError where its id is in use."""
         if command.op_id in self.operations:
-            raise commands.Refused("the id is that of an open request")
-        if self.ended or len(self.operations) >= self.start.held:
+            raise InvalidCommandError("the id is that of an open request", command.op_id)
+        if self.is_stopping or len(self.operations) >= self.config.max_operations:
             pending.reply = BUSY
             return
         pending.op_id = command.op_id
         request = OperationRequest(
             command.op_id,
-            command.lane,
+            command.request_class,
             command.plan,
             command.volume,
             command.key,
-            0,
+            0,  # time_left: set by the driver
             command.units,
             command.cell,
-            command.mounts,
-            command.again,
+            command.gateway_count,
+            command.is_retry,
         )
-        client_deadline = self.loop.time() + command.left
-        self.submit(request, command, client_deadline, partial(self.answered, pending))
+        client_deadline = self.loop.time() + command.time_left
+        self.submit(request, command, client_deadline, partial(self._on_answer, pending))
 
-    def answered(self, pending, answer, value, retry_after):
+    @staticmethod
+    def _on_answer(pending: PendingReply, answer: FinalAnswer, value: Any, retry_after: Ticks) -> None:
         if answer is FinalAnswer.SUCCEEDED:
             pending.complete(bulk(value))
         elif answer is FinalAnswer.SHED:
-            milliseconds = -(-retry_after * 1000 // TICKS_PER_SECOND)
+            milliseconds = -(-retry_after * MILLISECONDS // TICKS_PER_SECOND)
             pending.complete(b"-BUSY %d\r\n" % milliseconds if retry_after else BUSY)
         else:
             pending.complete(FAILED)
 
     # Nodes.
 
-    def send_attempt(self, number, node, operation, timeout, latest_start):
+    def send_attempt(
+        self, number: int, node: str, operation: InFlightOperation, timeout: Ticks, latest_start: float
+    ) -> NodeAttempt | None:
+        """Sends an attempt to a node (`OperationDriver`)."""
         return self.pool.start_attempt(
             node,
-            operation.payload.words,
+            operation.payload.build_arguments,
             deadline=self.loop.time() + timeout / TICKS_PER_SECOND,
             on_reply=partial(self.on_reply, operation.request.op_id, number),
             latest_start=latest_start,
@@ -118,53 +149,56 @@
 
     # Discovery.
 
-    def told(self, whole, members):
-        self.members(UpdateKind.SNAPSHOT if whole else UpdateKind.DELTA, members)
-
-    def members(self, kind, members):
-        self.pool.update_endpoints(kind != UpdateKind.DELTA, members)
-        self.log.info(
-            "list.told",
-            kind=kind,
-            changed=" ".join(
-                f"{row.node}:{row.state}"
-                for row in members
-                if self.conditions.get(row.node) != (row.state, row.started_at)
-            )
-            or "-",
-        )
+    def on_discovered(self, is_snapshot: bool, endpoints: Sequence[DiscoveredEndpoint]) -> None:
+        """Takes in a response of discovery."""
+        self._apply_endpoints(UpdateKind.SNAPSHOT if is_snapshot else UpdateKind.DELTA, endpoints)
+
+    def _apply_endpoints(self, kind: UpdateKind, endpoints: Sequence[DiscoveredEndpoint]) -> None:
+        self.pool.update_endpoints(kind != UpdateKind.DELTA, endpoints)
+        changed = [
+            f"{endpoint.node}:{endpoint.state}"
+            for endpoint in endpoints
+            if self.known_states.get(endpoint.node) != (endpoint.state, endpoint.started_at)
+        ]
+        self.log.info("endpoints.updated", kind=kind, changed=" ".join(changed) or "-")
         if kind != UpdateKind.DELTA:
-            self.conditions = {}
-        for row in members:
-            self.conditions[row.node] = row.state, row.started_at
-            if row.state == EndpointState.REMOVED:
-                del self.conditions[row.node]
-        self.update_endpoints(
-            kind,
-            [
-                Endpoint(row.node, row.cell, row.zone, row.state, self.since(row.started_at))
-                for row in members
-            ],
-        )
-
-    def since(self, started):
-        """When a node started, on the module's clock; 0: long ago."""
-        since = int((started - self.epoch) * TICKS_PER_SECOND)
-        return max(1, since) if started and self.now() - since < self.settings.warm_up_time else 0
+            self.known_states = {}
+        for endpoint in endpoints:
+            self.known_states[endpoint.node] = endpoint.state, endpoint.started_at
+            if endpoint.state == EndpointState.REMOVED:
+                del self.known_states[endpoint.node]
+        self.update_endpoints(kind, [self._scheduler_endpoint(endpoint) for endpoint in endpoints])
+
+    def _scheduler_endpoint(self, endpoint: DiscoveredEndpoint) -> Endpoint:
+        online_since = self._online_since(endpoint.started_at)
+        return Endpoint(endpoint.node, endpoint.cell, endpoint.zone, endpoint.state, online_since)
+
+    def _online_since(self, started_at: float) -> Ticks:
+        # When a node started, on the scheduler's clock; 0: long ago.
+        online_since = int((started_at - self.epoch) * TICKS_PER_SECOND)
+        is_warming_up = started_at and self.now() - online_since < self.settings.warm_up_time
+        return max(1, online_since) if is_warming_up else 0
 
     # Signals.
 
-    def reload(self, start):
+    def reload(self, config: GatewayConfig) -> None:
         """Takes over a new configuration: where discovery is."""
-        if start.discovery != self.watch_list.address:
-            self.log.info("discovery.moves", to="%s:%d" % start.discovery)
-            self.watch_list.move(start.discovery)
+        if config.discovery != self.discovery.address:
+            self.log.info("discovery.address_changed", to=config.discovery)
+            self.discovery.change_address(config.discovery)
 
-    def end_all(self):
-        """What is open, and what still comes, gets its final answer: the process is about to be ended from
-        outside.
-        """
-        self.ended = True
+    def abort_all(self) -> None:
+        """Answers all operations, and those that still come, at once: the process is about to be killed."""
+        self.is_stopping = True
         self.listener.close()
         for op_id in list(self.operations):
             self.abort(op_id)
+
+    def unanswered_count(self) -> int:
+        """Returns how many operations have no final answer."""
+        return sum(not operation.ended for operation in self.operations.values())
+
+    def close(self) -> None:
+        """Ends the connections to discovery and nodes."""
+        self.discovery.close()
+        self.pool.close()
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the platform's front: a gateway on loopback with stand-ins around it."""
+"""Fixtures: a gateway on loopback, in this process or its own, with stand-ins around it."""
 
 import asyncio
 import json
@@ -10,15 +10,16 @@
 
 import pytest
 
-from rushmux.gateway.config import parsed
-from rushmux.gateway.server import Front
+from rushmux.gateway.config import parse_config
+from rushmux.gateway.endpoints import SocketAddress
+from rushmux.gateway.server import GatewayServer
 from rushmux.standins.platform import Client, Discovery, Node, configuration
 
 ROOT = Path(__file__).resolve().parents[2]
 
 
-class Rows:
-    """A log that keeps what it is told."""
+class RecordingLog:
+    """A log that keeps its events."""
 
     def __init__(self):
         self.rows = []
@@ -33,12 +34,12 @@
         return [event for _, event, _ in self.rows]
 
 
-class Stage:
+class GatewayFixture:
     """A gateway, its nodes, discovery and clients."""
 
     def __init__(self):
-        self.nodes, self.clients, self.log = [], [], Rows()
-        self.discovery, self.front, self.port = Discovery(), None, 0
+        self.nodes, self.clients, self.log = [], [], RecordingLog()
+        self.discovery, self.server, self.port = Discovery(), None, 0
 
     async def open(self, nodes, **terms):
         loop = asyncio.get_running_loop()
@@ -48,11 +49,13 @@
             await self.nodes[-1].open()
             self.discovery.put(self.nodes[-1].row(f"s{number}", number))
         raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **terms)
-        start = parsed(json.dumps(raw).encode())
-        # The front binds the port itself; port 0 can't stand in a file.
-        self.front = Front(start._replace(listen=("127.0.0.1", 0)), 0.0, loop, self.log)
-        await self.front.open()
-        self.port = self.front.listener.listening_socket.getsockname()[1]
+        config = parse_config(json.dumps(raw).encode())
+        # The gateway binds the port itself; port 0 can't stand in a file.
+        self.server = GatewayServer(
+            config._replace(listen=SocketAddress("127.0.0.1", 0)), 0.0, loop, self.log
+        )
+        await self.server.open()
+        self.port = self.server.listener.listening_socket.getsockname()[1]
         return self
 
     async def client(self):
@@ -68,27 +71,27 @@
     async def close(self):
         for client in self.clients:
             client.close()
-        for part in (self.front.watch_list, self.front.pool, self.discovery, *self.nodes):
+        for part in (self.server.discovery, self.server.pool, self.discovery, *self.nodes):
             part.close()
-        self.front.listener.close()
+        self.server.listener.close()
         await asyncio.sleep(0.01)
 
 
 @pytest.fixture
 def staged():
-    """Plays a story, a coroutine function of a `Stage`, on an event loop of its own."""
+    """Runs a scenario, a coroutine function of a `GatewayFixture`, on an event loop of its own."""
 
-    def played(story, nodes=1, **terms):
-        async def whole():
-            stage = await Stage().open(nodes, **terms)
+    def run_scenario(scenario, nodes=1, **terms):
+        async def main():
+            stage = await GatewayFixture().open(nodes, **terms)
             try:
-                return await story(stage)
+                return await scenario(stage)
             finally:
                 await stage.close()
 
-        return asyncio.run(whole())
+        return asyncio.run(main())
 
-    return played
+    return run_scenario
 
 
 def free_port():
@@ -97,7 +100,7 @@
         return sock.getsockname()[1]
 
 
-class Running:
+class GatewayProcessFixture:
     """A gateway's process with a node and discovery."""
 
     def __init__(self, folder):
@@ -155,16 +158,16 @@
 
 @pytest.fixture
 def running(tmp_path):
-    """Plays a story, a coroutine function of a `Running`, with the gateway's own process."""
+    """Runs a scenario, a coroutine function of a `GatewayProcessFixture`, with the gateway's own process."""
 
-    def played(story, arguments=("-m", "rushmux.gateway"), nodes=1, **terms):
-        async def whole():
-            stage = Running(tmp_path)
+    def run_scenario(scenario, arguments=("-m", "rushmux.gateway"), nodes=1, **terms):
+        async def main():
+            stage = GatewayProcessFixture(tmp_path)
             await stage.open(terms, nodes)
             try:
                 await stage.run(*arguments)
                 async with asyncio.timeout(20):
-                    return await story(stage)
+                    return await scenario(stage)
             finally:
                 if stage.process and stage.process.returncode is None:
                     stage.process.kill()
@@ -172,6 +175,6 @@
                 stage.node.close()
                 stage.discovery.close()
 
-        return asyncio.run(whole())
+        return asyncio.run(main())
 
-    return played
+    return run_scenario
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -1,23 +1,32 @@
-"""What a command may look like, what goes on to a node, and what a node's reply means."""
+"""What a command may look like, what is forwarded to a node, and what a node's reply means."""
 
 import json
 
 import pytest
 
 from rushmux.gateway import commands, replies
-from rushmux.gateway.config import BadFile, parsed
+from rushmux.gateway.config import parse_config
+from rushmux.gateway.errors import ConfigError, InvalidCommandError
 from rushmux.resp import Replies
 from rushmux.scheduling.interface import AttemptResult
 from rushmux.settings.platform import loads_of
 from rushmux.standins.platform import configuration, read, served, settings, write
 
-START = parsed(json.dumps(configuration(1, [])).encode())
+CONFIG = parse_config(json.dumps(configuration(1, [])).encode())
 
 
-def test_a_read_is_what_it_says_and_goes_on_with_the_time_of_its_execution():
+def test_a_read_is_parsed_and_forwarded_with_the_time_of_its_attempt():
     words = read(7, cell=-1, left=480, units=2)
-    known = commands.check(words, START)
-    assert (known.op_id, known.lane, known.plan, known.units, known.cell, known.mounts, known.left) == (
+    known = commands.parse_command(words, CONFIG)
+    assert (
+        known.op_id,
+        known.request_class,
+        known.plan,
+        known.units,
+        known.cell,
+        known.gateway_count,
+        known.time_left,
+    ) == (
         f"{7:016x}",
         "read",
         "base",
@@ -26,13 +35,13 @@
         1,
         0.48,
     )
-    sent = known.words(120)
+    sent = known.build_arguments(120)
     assert sent[:3] == words[:3] and sent[3] == words[3].replace(b"d=480", b"d=120") and len(sent) == 4
 
 
-def test_a_write_passes_its_key_and_body_on():
+def test_a_write_is_forwarded_with_its_key_and_data():
     words = write(9, body=b"\r\n\0")
-    sent = commands.check(words, START).words(900)
+    sent = commands.parse_command(words, CONFIG).build_arguments(900)
     assert sent == words
 
 
@@ -78,12 +87,12 @@
         [*READ[:3], b"c=\xff" + READ[3][6:]],
     ],
 )
-def test_what_no_usual_client_sends_is_refused(words):
-    with pytest.raises(commands.Refused):
-        commands.check(words, START)
+def test_what_no_usual_client_sends_is_rejected(words):
+    with pytest.raises(InvalidCommandError):
+        commands.parse_command(words, CONFIG)
 
 
-def outcome(data):
+def interpreted(data):
     reader = Replies()
     reader.feed(data)
     return replies.interpret(*reader.next())
@@ -93,7 +102,7 @@
 
 
 @pytest.mark.parametrize(
-    "data, found",
+    "data, expected",
     [
         (served(), (AttemptResult.SUCCEEDED, b"data", *NONE)),
         (served(used=b"$7\r\nused=37\r\n"), (AttemptResult.SUCCEEDED, b"data", 38, 0.0)),
@@ -118,24 +127,24 @@
         (b"+OK\r\n", (AttemptResult.FAILED, None, *NONE)),
     ],
 )
-def test_a_reply_means(data, found):
-    assert outcome(data) == found
+def test_result_and_usage_of_a_nodes_reply(data, expected):
+    assert interpreted(data) == expected
 
 
-def test_the_load_words_of_the_sockets_are_those_of_the_first_message():
+def test_load_columns_of_the_settings():
     """`inflight` on the sockets stands as `outstanding` in the settings; neither is one the module reads."""
     assert loads_of(settings()) == [None, None]
     assert loads_of({"Report": {"How": "answers", "Columns": ["recent_ms", "backlog"]}}) == [1, 0]
 
 
 @pytest.mark.parametrize("wrong", [b"", b"{", b"[]", b'{"name":1}', b"\xff"])
-def test_a_file_that_can_t_be_used_says_why(wrong):
-    with pytest.raises(BadFile):
-        parsed(wrong)
+def test_an_unusable_file_is_a_config_error(wrong):
+    with pytest.raises(ConfigError):
+        parse_config(wrong)
 
 
-def test_a_file_cut_anywhere_is_refused_or_whole():
+def test_a_file_truncated_anywhere_is_a_config_error():
     whole = json.dumps(configuration(1, [])).encode()
     for cut in range(0, len(whole), 7):
-        with pytest.raises(BadFile):
-            parsed(whole[:cut])
+        with pytest.raises(ConfigError):
+            parse_config(whole[:cut])
--- a/tests/gateway/test_connection_close.py
+++ b/tests/gateway/test_connection_close.py
@@ -48,14 +48,14 @@
     async def scenario(stage):
         client, began = await stage.client(), time.monotonic()
         client.writer.write(b"noise\r\n")
-        while time.monotonic() < began + 4 and stage.front.listener.clients:
+        while time.monotonic() < began + 4 and stage.server.listener.clients:
             try:
                 client.writer.write(b"x" * 10_000)
                 await client.writer.drain()
             except ConnectionError:
                 break
             await asyncio.sleep(0.005)
-        return time.monotonic() - began, len(stage.front.listener.clients)
+        return time.monotonic() - began, len(stage.server.listener.clients)
 
     took, left = staged(scenario)
     assert took < 3 and not left
@@ -63,7 +63,7 @@
 
 async def fill(stage):
     """Every place for clients is taken by one that asked just now."""
-    clients = [await stage.client() for _ in range(stage.front.listener.max_clients)]
+    clients = [await stage.client() for _ in range(stage.server.listener.max_clients)]
     for number, client in enumerate(clients):
         assert (await client.ask(*read(number + 1)))[0] == "$"
     return clients
@@ -91,12 +91,12 @@
         ends = [asyncio.ensure_future(replies_until_end(client)) for client in newcomers]
         peak = 0
         while not all(end.done() for end in ends):
-            peak = max(peak, len(stage.front.listener.clients))
+            peak = max(peak, len(stage.server.listener.clients))
             await asyncio.sleep(0.001)
             for client, end in zip(newcomers, ends, strict=True):
                 if client.replies_seen and not end.done():
                     client.close()
-        return [end.result() for end in ends], peak <= 1.2 * stage.front.listener.max_clients
+        return [end.result() for end in ends], peak <= 1.2 * stage.server.listener.max_clients
 
     ends, bounded = staged(scenario, sockets=64)
     assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
@@ -155,7 +155,7 @@
 
 def test_accepted_connections_that_fail_before_they_join_free_their_places(staged):
     async def scenario(stage):
-        held, loop, join = stage.front.listener, stage.front.loop, stage.front.loop.connect_accepted_socket
+        held, loop, join = stage.server.listener, stage.server.loop, stage.server.loop.connect_accepted_socket
         held.max_clients, held.margin, go = 0, 3, asyncio.Event()
 
         async def fails(protocol, sock):
@@ -255,7 +255,7 @@
         client.writer.transport.pause_reading()
         client.writer.write(b"".join(command(read(number)) for number in range(1, 10)))
         async with asyncio.timeout(3):
-            while not any(one.is_writing_paused for one in stage.front.listener.clients):
+            while not any(one.is_writing_paused for one in stage.server.listener.clients):
                 await asyncio.sleep(0.005)
         client.writer.write(command([b"PING"]))
         await asyncio.sleep(0.1)
--- a/tests/gateway/test_told_in_time.py
+++ b/tests/gateway/test_discovery_deadline.py
@@ -1,6 +1,6 @@
-"""A change counts as told 6 s after discovery had it and could be reached, whatever call failed before.
+"""A change counts as received 6 s after discovery had it and could be reached, whatever failed before.
 
-Each story lets one call fail in its way, by the stand-in's hand, and then wants the change here.
+Each scenario has one request fail in its way and then expects the change.
 """
 
 import asyncio
@@ -10,12 +10,13 @@
 
 import pytest
 
-from rushmux.gateway import discovery as watches
-from rushmux.gateway.discovery import Watch
+from rushmux.gateway import discovery, discovery_connection
+from rushmux.gateway.discovery import DiscoveryWatch
+from rushmux.gateway.endpoints import SocketAddress
 from rushmux.standins.platform import Discovery, command, read
 
-TOLD = 6.0  # seconds until a change counts as told
-CORE = 0.3  # seconds that a gateway with a tenth of a core may need for a whole list
+RECEIVED_WITHIN = 6.0  # seconds until a change counts as received
+CORE = 0.3  # seconds that a gateway with a tenth of a core may need for a snapshot
 
 
 def row(name, state="up", **more):
@@ -45,44 +46,46 @@
     warning = info
 
 
-class Told:
-    """What a watch heard: each node's condition."""
+class ReceivedStates:
+    """What a watch passed on: each node's state."""
 
     def __init__(self):
-        self.conditions, self.heard = {}, asyncio.Event()
+        self.states, self.updated = {}, asyncio.Event()
 
-    def __call__(self, whole, members):
-        if whole:
-            self.conditions = {}
-        self.conditions.update((one.node, one.state) for one in members)
-        self.heard.set()
-        self.heard = asyncio.Event()
+    def __call__(self, is_snapshot, endpoints):
+        if is_snapshot:
+            self.states = {}
+        self.states.update((one.node, one.state) for one in endpoints)
+        self.updated.set()
+        self.updated = asyncio.Event()
 
-    async def until(self, node, condition, within):
+    async def until(self, node, state, within):
         async with asyncio.timeout(within):
-            while self.conditions.get(node) != condition:
+            while self.states.get(node) != state:
                 await asyncio.sleep(0.005)
 
 
-def played(story, first=True):
-    async def whole():
-        source, told = Discovery(), Told()
+def run_scenario(scenario, first=True):
+    async def main():
+        source, received = Discovery(), ReceivedStates()
         await source.open()
         source.put(row("a"), row("b"))
         log = Log()
-        watch = Watch(asyncio.get_running_loop(), ("127.0.0.1", source.port), log, told)
+        watch = DiscoveryWatch(
+            asyncio.get_running_loop(), SocketAddress("127.0.0.1", source.port), log, received
+        )
         watch.start()
         try:
             if first:
-                await told.until("a", "ready", 2)
-            return await story(source, watch, told)
+                await received.until("a", "ready", 2)
+            return await scenario(source, watch, received)
         finally:
             watch.close()
             source.close()
             await asyncio.sleep(0.01)
-            assert sum(event == "discovery.lost" for event, _ in log.lines) < 5
+            assert sum(event == "discovery.unavailable" for event, _ in log.lines) < 5
 
-    return asyncio.run(whole())
+    return asyncio.run(main())
 
 
 def once(source, steps):
@@ -95,49 +98,52 @@
     source.plays = plays
 
 
-def test_the_worst_that_can_follow_one_another_is_over_in_time():
-    """An answer that trickles, begun before the change; a dial that nobody takes; an answer that trickles."""
-    assert 2 * watches.ANSWER + watches.DIAL + 2 * watches.AGAIN + CORE <= TOLD
-    assert watches.WAIT + watches.SLACK + watches.DIAL + 2 * watches.AGAIN + watches.ANSWER + CORE <= TOLD
+def test_the_worst_sequence_of_failures_is_over_in_time():
+    """A response that trickles and began before the change, a failed connect, a response that trickles."""
+    reconnect = discovery.CONNECT_TIMEOUT + 2 * discovery.RECONNECT_DELAY
+    response = discovery_connection.RESPONSE_TIMEOUT
+    silence = discovery_connection.WATCH_TIMEOUT + discovery_connection.FIRST_BYTE_SLACK
+    assert response + reconnect + response + CORE <= RECEIVED_WITHIN
+    assert silence + reconnect + response + CORE <= RECEIVED_WITHIN
 
 
 @pytest.mark.parametrize("changes", [1, 3])
-def test_answers_with_neither_length_nor_chunks_end_with_the_connection(changes):
-    async def story(source, watch, told):
+def test_responses_with_neither_length_nor_chunks_end_with_the_connection(changes):
+    async def scenario(source, watch, received):
         source.plays = lambda target, text: [b"HTTP/1.1 200 OK\r\n\r\n", text[:9], 0.01, text[9:], "close"]
         for number in range(changes):
             source.put(row(f"n{number}"))
-            await told.until(f"n{number}", "ready", 2)
-        return watch.down
+            await received.until(f"n{number}", "ready", 2)
+        return watch.is_unavailable
 
-    assert played(story) is False  # an orderly end is no fault
+    assert run_scenario(scenario) is False  # an orderly end is no fault
 
 
-def test_a_reset_is_no_end_of_an_answer_without_length():
-    async def story(source, watch, told):
+def test_a_reset_does_not_end_a_response_without_length():
+    async def scenario(source, watch, received):
         spoilt = json.dumps({"version": 99, "full": True, "servers": [row("z")]}).encode()
         once(source, lambda text: [b"HTTP/1.1 200 OK\r\n\r\n" + spoilt, 0.05, "reset"])
         source.put(row("a", "draining"))
-        await told.until("a", "draining", 2)
-        return "z" in told.conditions, watch.version
+        await received.until("a", "draining", 2)
+        return "z" in received.states, watch.version
 
-    assert played(story) == (False, 3)
+    assert run_scenario(scenario) == (False, 3)
 
 
-def test_one_bad_row_leaves_its_node_in_force_and_the_others_are_heard():
-    async def story(source, watch, told):
+def test_one_malformed_row_leaves_its_node_in_force_and_the_others_are_taken():
+    async def scenario(source, watch, received):
         source.put(row("a", "draining"), row("b", addr=7), row("c"))
-        await told.until("a", "draining", 2)
-        await told.until("c", "ready", 2)
-        changes = dict(told.conditions)
+        await received.until("a", "draining", 2)
+        await received.until("c", "ready", 2)
+        changes = dict(received.states)
         source.version, source.changes = 1, []  # and so in a whole list
         source.rows["d"] = row("d")
         once(source, lambda text: [head(b"", "410 Gone")])
         source.put(row("d"))
-        await told.until("d", "ready", 2)
-        return changes, told.conditions
+        await received.until("d", "ready", 2)
+        return changes, received.states
 
-    assert played(story) == (
+    assert run_scenario(scenario) == (
         {"a": "draining", "b": "ready", "c": "ready"},
         {"a": "draining", "b": "ready", "c": "ready", "d": "ready"},
     )
@@ -156,77 +162,77 @@
         row("x", started_ms=None),
     ],
 )
-def test_rows_that_make_no_sense_beside_a_good_one(bad):
-    async def story(source, watch, told):
+def test_a_malformed_row_beside_a_good_one_is_skipped(bad):
+    async def scenario(source, watch, received):
         body = json.dumps({"version": 9, "full": False, "servers": [bad, row("c")]}).encode()
         source.plays = lambda target, text: [head(body) + body] if "after=2" in target else [0.05, "close"]
         source.put(row("a"))
-        await told.until("c", "ready", 2)
-        return told.conditions
+        await received.until("c", "ready", 2)
+        return received.states
 
-    assert played(story) == {"a": "ready", "b": "ready", "c": "ready"}
+    assert run_scenario(scenario) == {"a": "ready", "b": "ready", "c": "ready"}
 
 
 @pytest.mark.parametrize("status", ["410 Gone", "400 Bad Request", "404 Not Found"])
-def test_a_status_that_refuses_our_version_begins_anew(status):
-    async def story(source, watch, told):
+def test_a_status_that_rejects_our_version_leads_to_a_snapshot(status):
+    async def scenario(source, watch, received):
         source.plays = lambda target, text: (
             [head(b"", status)] if "after=2" in target else [head(text) + text]
         )
         source.put(row("a", "draining"))
-        await told.until("a", "draining", 2)
-        return told.conditions
+        await received.until("a", "draining", 2)
+        return received.states
 
-    assert played(story) == {"a": "draining", "b": "ready"}
+    assert run_scenario(scenario) == {"a": "draining", "b": "ready"}
 
 
 def test_a_server_error_keeps_the_version():
-    async def story(source, watch, told):
+    async def scenario(source, watch, received):
         once(source, lambda text: [head(b"", "503 Service Unavailable")])
         source.put(row("a", "draining"))
-        await told.until("a", "draining", 2)
-        return [target for _, target in source.calls].count(watches.PATH)
+        await received.until("a", "draining", 2)
+        return [target for _, target in source.calls].count(discovery_connection.PATH)
 
-    assert played(story) == 1
+    assert run_scenario(scenario) == 1
 
 
-def test_a_discovery_that_counts_anew_is_believed():
-    async def story(source, watch, told):
-        for number in range(9):
+def test_a_discovery_whose_versions_restart_is_followed():
+    async def scenario(source, watch, received):
+        for _ in range(9):
             source.put(row("a"))
         await asyncio.sleep(0.1)
         source.version, source.changes = 0, []
         source.put(row("a", "draining"))
         source.moved.set()
-        await told.until("a", "draining", 3)
+        await received.until("a", "draining", 3)
         before = source.version
         source.put(row("b", "draining"))
-        await told.until("b", "draining", 2)
+        await received.until("b", "draining", 2)
         return before
 
-    assert played(story) == 1
+    assert run_scenario(scenario) == 1
 
 
-def test_an_answer_that_trickles_is_given_up_and_the_change_is_here_in_time():
-    async def story(source, watch, told):
+def test_a_response_that_trickles_is_given_up_and_the_change_received_in_time():
+    async def scenario(source, watch, received):
         once(source, lambda text: [head(text)] + [part for byte in text for part in (bytes([byte]), 0.5)])
         source.put(row("a", "draining"))
-        await told.until("a", "draining", TOLD - CORE)
+        await received.until("a", "draining", RECEIVED_WITHIN - CORE)
 
-    played(story)
+    run_scenario(scenario)
 
 
-def test_an_answer_that_comes_slowly_and_whole_is_taken():
-    async def story(source, watch, told):
+def test_a_response_that_comes_slowly_and_completely_is_taken():
+    async def scenario(source, watch, received):
         source.plays = lambda target, text: [head(text) + text[:5], 1.8, text[5:]]
         source.put(row("a", "draining"))
-        await told.until("a", "draining", TOLD - CORE)
+        await received.until("a", "draining", RECEIVED_WITHIN - CORE)
 
-    played(story)
+    run_scenario(scenario)
 
 
 def test_a_connection_that_never_comes_up_is_given_up(monkeypatch):
-    async def story(source, watch, told):
+    async def scenario(source, watch, received):
         loop, connect, begun = watch.loop, watch.loop.create_connection, asyncio.Event()
 
         async def never(*_, **__):
@@ -238,24 +244,24 @@
         once(source, lambda text: ["reset"])
         source.put(row("a", "draining"))
         await asyncio.wait_for(begun.wait(), 2)
-        await told.until("a", "draining", watches.DIAL + 1)
+        await received.until("a", "draining", discovery.CONNECT_TIMEOUT + 1)
 
-    played(story)
+    run_scenario(scenario)
 
 
-def test_an_address_that_can_be_none_is_left_for_a_good_one():
-    async def story(source, watch, told):
-        watch.move(("x" * 70 + ".example", 1))
+def test_an_invalid_address_is_replaced_by_a_good_one():
+    async def scenario(source, watch, received):
+        watch.change_address(SocketAddress("x" * 70 + ".example", 1))
         await asyncio.sleep(0.2)
         source.put(row("a", "draining"))
-        watch.move(("127.0.0.1", source.port))
-        await told.until("a", "draining", 2)
+        watch.change_address(SocketAddress("127.0.0.1", source.port))
+        await received.until("a", "draining", 2)
 
-    played(story)
+    run_scenario(scenario)
 
 
-def test_a_list_in_flight_when_the_address_moves_is_heard_though_the_new_one_is_silent():
-    async def story(source, watch, told):
+def test_a_response_in_flight_when_the_address_changes_is_taken_while_the_new_one_is_silent():
+    async def scenario(source, watch, received):
         new, go = Discovery(), asyncio.Event()
         await new.open()
         new.silent = True
@@ -269,49 +275,49 @@
         source.put(row("a", "draining"))
         await asyncio.wait_for(asked.wait(), 2)
         await asyncio.sleep(0.05)
-        watch.move(("127.0.0.1", new.port))
-        watch.move(("127.0.0.1", new.port))  # SIGHUP twice
+        watch.change_address(SocketAddress("127.0.0.1", new.port))
+        watch.change_address(SocketAddress("127.0.0.1", new.port))  # SIGHUP twice
         go.set()
-        await told.until("a", "draining", 1)
+        await received.until("a", "draining", 1)
         new.version, new.rows = source.version, dict(source.rows)
         new.put(row("b", "draining"))
         new.silent = False
-        await told.until("b", "draining", TOLD - CORE)
+        await received.until("b", "draining", RECEIVED_WITHIN - CORE)
         await asyncio.sleep(0.1)
         calls = len(source.calls)
         new.close()
-        return watch.leaving, calls == len(source.calls)
+        return watch.former_connections, calls == len(source.calls)
 
-    assert played(story) == ({}, True)
+    assert run_scenario(scenario) == ({}, True)
 
 
-def test_former_addresses_are_listened_to_within_a_bound():
-    async def story(source, watch, told):
+def test_connections_to_former_addresses_are_bounded():
+    async def scenario(source, watch, received):
         source.silent = True
         for _ in range(40):
-            watch.move(("127.0.0.1", source.port))
+            watch.change_address(SocketAddress("127.0.0.1", source.port))
             async with asyncio.timeout(1):
-                while watch.task is not None:
+                while watch.dial_task is not None:
                     await asyncio.sleep(0.001)
-        return len(watch.leaving)
+        return len(watch.former_connections)
 
-    assert played(story) <= watches.MOST_LEAVING
+    assert run_scenario(scenario) <= discovery.MAX_FORMER_CONNECTIONS
 
 
 # The program's own process.
 
 # The first list is waited for longer than a test takes.
 PATIENT = (
-    "import runpy, rushmux.gateway.server as front\n"
-    "front.FIRST_LIST = 60.0\n"
+    "import runpy, rushmux.gateway.server as server\n"
+    "server.FIRST_LIST_TIMEOUT = 60.0\n"
     "runpy.run_module('rushmux.gateway', run_name='__main__')\n"
 )
 
 
-def test_nobody_is_let_in_before_the_first_list_is_here(running):
-    """The file's list is old: what the agent has counts as told from the first moment of a process."""
+def test_no_client_is_accepted_before_the_first_list_is_received(running):
+    """The file's list is old: discovery's counts as received from the first moment of a process."""
 
-    async def story(stage):
+    async def scenario(stage):
         go = asyncio.Event()
         stage.discovery.plays = lambda target, text: [go, head(text) + text]
         stage.discovery.put(stage.node.row("s0", 0, "draining"))
@@ -328,12 +334,12 @@
         client.writer.write(command([b"PING"]) + command(read(1)))
         return [await client.reply() for _ in range(2)], stage.node.got
 
-    (pong, answer), got = running(story)
+    (pong, answer), got = running(scenario)
     assert pong == ("+", b"PONG") and answer[0] == "-" and not got
 
 
 def test_a_silent_discovery_delays_the_start_by_a_second_at_most(running):
-    async def story(stage):
+    async def scenario(stage):
         stage.discovery.silent = True
         await stage.restart()
         loop = asyncio.get_running_loop()
@@ -345,12 +351,12 @@
         assert await client.ask(b"PING") == ("+", b"PONG")
         return loop.time() - asked_at, await client.ask(*read(1))
 
-    took, answer = running(story)
+    took, answer = running(scenario)
     assert took < 4 and answer == ("$", b"data")  # the stand-in is silent for good
 
 
-def test_a_stop_before_it_is_ready_ends_it_with_nobody_let_in(running):
-    async def story(stage):
+def test_a_stop_before_it_is_ready_ends_it_with_no_client_accepted(running):
+    async def scenario(stage):
         stage.discovery.silent = True
         await stage.restart("-c", PATIENT)
         async with asyncio.timeout(5):
@@ -361,11 +367,11 @@
             code = await stage.process.wait()
         return code, (await stage.process.stderr.read()).decode()
 
-    code, log = running(story)
-    assert code == 0 and "Traceback" not in log and "serves" not in log
+    code, log = running(scenario)
+    assert code == 0 and "Traceback" not in log and "gateway.listening" not in log
 
 
-async def goes_over(stage):
+async def change_discovery(stage):
     """Another discovery, named by a good file and SIGHUP, once the gateway has asked it."""
     other = Discovery()
     await other.open()
@@ -379,52 +385,52 @@
 
 
 @pytest.mark.parametrize("limits", [{"sockets": 1e308}, {"sockets": "x"}, {"sockets": [1]}, {}, None])
-def test_a_configuration_that_makes_no_sense_in_any_way_leaves_the_next_one_heard(running, limits):
-    async def story(stage):
+def test_after_a_malformed_configuration_the_next_one_is_loaded(running, limits):
+    async def scenario(stage):
         client = await stage.client()
         torn = json.loads(stage.file.read_text())
         torn["limits"] = limits
         stage.file.write_text(json.dumps(torn))
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        other = await goes_over(stage)
+        other = await change_discovery(stage)
         answer = await client.ask(*read(1))
         stage.process.terminate()
         log = (await stage.process.stderr.read()).decode()
         other.close()
         return answer, "Traceback" in log
 
-    assert running(story) == (("$", b"data"), False)
+    assert running(scenario) == (("$", b"data"), False)
 
 
-def test_a_reload_that_fails_as_nobody_thought_of_leaves_the_next_one_heard(running):
+def test_after_an_unexpected_error_in_a_reload_the_next_one_is_loaded(running):
     """A fault of ours while the file is read must not end the reading of files."""
     code = (
         "import runpy, rushmux.gateway.config as config\n"
-        "good, calls = config.read, []\n"
-        "def read(path):\n"
+        "good, calls = config.load_config, []\n"
+        "def load_config(path):\n"
         "    calls.append(path)\n"
         "    if len(calls) == 2:\n"
         "        raise RuntimeError('nobody thought of it')\n"
         "    return good(path)\n"
-        "config.read = read\n"
+        "config.load_config = load_config\n"
         "runpy.run_module('rushmux.gateway', run_name='__main__')\n"
     )
 
-    async def story(stage):
+    async def scenario(stage):
         await (await stage.client()).ask(b"PING")
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        other = await goes_over(stage)
+        other = await change_discovery(stage)
         other.close()
         stage.process.terminate()
-        return (await stage.process.stderr.read()).decode().count("config.refused")
+        return (await stage.process.stderr.read()).decode().count("config.rejected")
 
-    assert running(story, arguments=("-c", code)) == 1
+    assert running(scenario, arguments=("-c", code)) == 1
 
 
-def test_a_port_that_is_taken_is_said_without_a_traceback(running):
-    async def story(stage):
+def test_a_port_in_use_is_logged_without_a_traceback(running):
+    async def scenario(stage):
         await (await stage.client()).ask(b"PING")
         first = stage.process
         await stage.run("-m", "rushmux.gateway")
@@ -432,15 +438,15 @@
         code = await stage.process.wait()
         first.terminate()
         await first.wait()
-        return code, "listen.refused" in log, "Traceback" in log
+        return code, "listener.bind_failed" in log, "Traceback" in log
 
-    assert running(story) == (2, True, False)
+    assert running(scenario) == (2, True, False)
 
 
-def test_the_stand_in_resets_as_the_system_does():
+def test_the_stand_in_for_discovery_resets_as_the_system_does():
     """What the tests above lean on: a reset reaches the other end as a reset, not as an end."""
 
-    async def story(source, watch, told):
+    async def scenario(source, watch, received):
         source.plays = lambda target, text: [b"HTTP/1.1 200 OK\r\n\r\n{", 0.02, "reset"]
         with socket.create_connection(("127.0.0.1", source.port)) as sock:
             sock.sendall(b"GET /catalog/members HTTP/1.1\r\n\r\n")
@@ -451,4 +457,4 @@
             except ConnectionResetError:
                 return first[-1:], "reset"
 
-    assert played(story) == (b"{", "reset")
+    assert run_scenario(scenario) == (b"{", "reset")
--- /dev/null
+++ b/tests/gateway/test_discovery_watch.py
@@ -0,0 +1,141 @@
+"""The watch over discovery's endpoint list."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from rushmux.gateway import discovery_connection
+from rushmux.gateway.discovery import DiscoveryWatch
+from rushmux.gateway.endpoints import SocketAddress
+from rushmux.standins.platform import Discovery
+
+
+def row(name, state="up"):
+    return {
+        "id": name,
+        "addr": "127.0.0.1:6379",
+        "zone": "a",
+        "cell": 0,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": 0,
+    }
+
+
+class Log:
+    def info(self, event, **fields):
+        """Not checked here."""
+
+    warning = info
+
+
+def run_scenario(scenario, monkeypatch):
+    monkeypatch.setattr(discovery_connection, "WATCH_TIMEOUT", 0.3)
+    monkeypatch.setattr(discovery_connection, "FIRST_BYTE_SLACK", 0.15)
+
+    async def main():
+        source, updates = Discovery(), []
+        await source.open()
+        source.put(row("a"), row("b"))
+        watch = DiscoveryWatch(
+            asyncio.get_running_loop(),
+            SocketAddress("127.0.0.1", source.port),
+            Log(),
+            lambda is_snapshot, endpoints: updates.append(
+                (is_snapshot, [(endpoint.node, endpoint.state) for endpoint in endpoints])
+            ),
+        )
+        watch.start()
+        try:
+            return await scenario(source, watch, updates)
+        finally:
+            watch.close()
+            source.close()
+            await asyncio.sleep(0.01)
+
+    return asyncio.run(main())
+
+
+SNAPSHOT = (True, [("a", "ready"), ("b", "ready")])
+
+
+def test_the_snapshot_then_each_change_with_less_than_200_ms_between_requests(monkeypatch):
+    async def scenario(source, watch, updates):
+        await asyncio.sleep(0.1)
+        source.put(row("b", "draining"))
+        await asyncio.sleep(0.9)
+        source.put(row("b", "removed"), row("c"))
+        await asyncio.sleep(0.1)
+        return updates, [target for _, target in source.calls], [at for at, _ in source.calls]
+
+    updates, targets, times = run_scenario(scenario, monkeypatch)
+    assert updates == [SNAPSHOT, (False, [("b", "draining")]), (False, [("b", "gone"), ("c", "ready")])]
+    assert targets[0] == discovery_connection.PATH and all("after=" in target for target in targets[1:])
+    assert max(late - early for early, late in itertools.pairwise(times)) < 0.3 + 0.2
+
+
+def test_silence_is_noticed_and_missed_changes_are_passed_on(monkeypatch):
+    async def scenario(source, watch, updates):
+        await asyncio.sleep(0.1)
+        source.silent = True
+        source.put(row("a", "draining"))
+        await asyncio.sleep(0.8)
+        calls = len(source.calls)
+        source.silent = False
+        await asyncio.sleep(0.3)
+        return updates, calls
+
+    updates, calls = run_scenario(scenario, monkeypatch)
+    assert updates == [SNAPSHOT, (False, [("a", "draining")])] and calls > 3
+
+
+@pytest.mark.parametrize(
+    "broken", [b"", b"{", b"[]", b"7", b'{"version":3,"full":true,"servers":[{"id":"x"}]}']
+)
+def test_a_malformed_response_leaves_the_last_list_in_force(monkeypatch, broken):
+    async def scenario(source, watch, updates):
+        await asyncio.sleep(0.1)
+        source.broken = broken
+        source.put(row("c"))
+        await asyncio.sleep(0.3)
+        before = list(updates)
+        source.broken = None
+        await asyncio.sleep(0.3)
+        return before, updates
+
+    before, updates = run_scenario(scenario, monkeypatch)
+    assert before == [SNAPSHOT] and updates[-1] == (False, [("c", "ready")])
+
+
+def test_a_new_address_is_used_at_once_without_losing_a_change(monkeypatch):
+    async def scenario(source, watch, updates):
+        await asyncio.sleep(0.1)
+        other = Discovery()
+        await other.open()
+        other.version, other.rows = source.version, dict(source.rows)
+        other.put(row("c"))  # known to the new one only
+        watch.change_address(SocketAddress("127.0.0.1", other.port))
+        watch.change_address(SocketAddress("127.0.0.1", other.port))
+        await asyncio.sleep(0.15)
+        calls = len(source.calls)
+        await asyncio.sleep(0.4)
+        still = len(source.calls) == calls
+        other.close()
+        return updates, still
+
+    updates, still = run_scenario(scenario, monkeypatch)
+    assert updates == [SNAPSHOT, (False, [("c", "ready")])] and still
+
+
+def test_an_address_that_does_not_answer_is_replaced_by_one_that_does(monkeypatch):
+    async def scenario(source, watch, updates):
+        await asyncio.sleep(0.1)
+        watch.change_address(SocketAddress("127.0.0.1", 1))
+        await asyncio.sleep(0.2)
+        source.put(row("a", "draining"))
+        watch.change_address(SocketAddress("127.0.0.1", source.port))
+        await asyncio.sleep(0.1)
+        return updates[-1]
+
+    assert run_scenario(scenario, monkeypatch) == (False, [("a", "draining")])
--- a/tests/gateway/test_sizes.py
+++ b/tests/gateway/test_large_fleet.py
@@ -1,4 +1,4 @@
-"""The largest fleets: a list of 1,024 nodes and settings of 1,024 gateways, through the program's own process."""
+"""The largest fleets: 1,024 nodes and settings of 1,024 gateways, in a process of its own."""
 
 import asyncio
 import re
@@ -9,18 +9,18 @@
 from rushmux.standins.platform import read, write
 
 NODES = 1_024
-MEMORY = 64 * 1024  # KiB
-TURN = 0.3  # seconds that a client waits at most for a PONG while lists come, on a busy machine
+MAX_MEMORY = 64 * 1024  # KiB
+MAX_PING_TIME = 0.3  # seconds for a PONG while lists come, on a busy machine
 
 
-def memory(process) -> int:
+def peak_memory(process) -> int:
     """The most that the process ever held, in KiB."""
     return int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{process.pid}/status").read_text())[1])
 
 
 @pytest.mark.parametrize("indent", [None, 2])
-def test_a_thousand_nodes_and_gateways_within_time_and_memory(running, indent):
-    async def story(stage):
+def test_1024_nodes_and_gateways_stay_within_time_and_memory_limits(running, indent):
+    async def scenario(stage):
         loop, waits = asyncio.get_running_loop(), []
         stage.discovery.indent = indent
         begun = loop.time()
@@ -46,9 +46,9 @@
             asked.append(await client.ask(*write(5_000 + number, cell=number)))
         stop = True
         await task
-        return ready, asked, max(waits), memory(stage.process), len(stage.discovery.rows)
+        return ready, asked, max(waits), peak_memory(stage.process), len(stage.discovery.rows)
 
-    ready, asked, longest, held, rows = running(story, nodes=NODES, gateways=NODES, shards=NODES)
+    ready, asked, longest, held, rows = running(scenario, nodes=NODES, gateways=NODES, shards=NODES)
     assert rows == NODES and ready < 5
     assert set(asked) == {("$", b"data")} and len(asked) == 2 * NODES // 16
-    assert longest < TURN and held < MEMORY
+    assert longest < MAX_PING_TIME and held < MAX_MEMORY
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -166,7 +166,7 @@
         kinds = []
         for _ in range(600):
             kinds.append((await client.reply())[0])
-            most = max(most, len(stage.front.operations))
+            most = max(most, len(stage.server.operations))
         return kinds, most
 
     kinds, most = staged(scenario)
@@ -178,16 +178,16 @@
     monkeypatch.setattr(eviction, "SHORT_IDLE_TIMEOUT", 0.2)
 
     async def scenario(stage):
-        most = stage.front.listener.max_clients
+        most = stage.server.listener.max_clients
         for _ in range(most):  # they ask once and stay
             await (await stage.client()).ask(b"PING")
         await asyncio.sleep(0.5)
-        held = len(stage.front.listener.clients)
+        held = len(stage.server.listener.clients)
         for _ in range(most * 2):  # they say nothing
             await stage.client()
         usual = await stage.client()
         answer = await usual.ask(*read(1))
-        return most, held, len(stage.front.listener.clients), answer
+        return most, held, len(stage.server.listener.clients), answer
 
     most, held, now, answer = staged(scenario, sockets=64)
     assert held < most and now <= most and answer == ("$", b"data")
@@ -200,7 +200,7 @@
     """
 
     async def scenario(stage):
-        most, answers = stage.front.listener.max_clients, []
+        most, answers = stage.server.listener.max_clients, []
         busy, asked = await stage.client(), await stage.client()
         stage.nodes[0].plays = lambda words: [0.15 if words[2][-1:] == b"f" else 0.0, served()]
         await asked.ask(*read(1))
@@ -213,7 +213,7 @@
             usual,
             await busy.reply(),
             await asked.ask(*read(3)),
-            len(stage.front.listener.clients) <= most,
+            len(stage.server.listener.clients) <= most,
         )
 
     data = ("$", b"data")
@@ -231,7 +231,7 @@
         for number in range(400):
             client.send(*read(number))
         await asyncio.sleep(2.5)
-        return len(stage.nodes[0].got), len(stage.front.listener.clients)
+        return len(stage.nodes[0].got), len(stage.server.listener.clients)
 
     got, clients = staged(scenario)
     assert got < 200 and clients == 0
@@ -250,7 +250,7 @@
         await asyncio.sleep(0.05)
         client.close()
         await asyncio.sleep(0.3)
-        return len(stage.nodes[0].got), len(stage.front.operations), len(stage.front.listener.clients)
+        return len(stage.nodes[0].got), len(stage.server.operations), len(stage.server.listener.clients)
 
     assert staged(scenario) == (1, 0, 0)
 
@@ -263,7 +263,7 @@
         await asyncio.sleep(0.05)
         client.close()
         await asyncio.sleep(0.9)
-        return len(stage.front.operations), len(stage.front.scheduler.operations), stage.nodes[0].running
+        return len(stage.server.operations), len(stage.server.scheduler.operations), stage.nodes[0].running
 
     assert staged(scenario) == (0, 0, 0)
 
@@ -294,8 +294,8 @@
             return self.sock.accept()
 
     async def scenario(stage):
-        short = stage.front.listener.listening_socket = Short(
-            stage.front.listener.listening_socket, time.monotonic() + 0.35
+        short = stage.server.listener.listening_socket = Short(
+            stage.server.listener.listening_socket, time.monotonic() + 0.35
         )
         begun = time.monotonic()
         answer = await (await stage.client()).ask(*read(1))
--- a/tests/gateway/test_program.py
+++ b/tests/gateway/test_process.py
@@ -15,8 +15,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def test_at_sigterm_it_serves_on_answers_what_it_took_and_ends_with_nought(running):
-    async def story(stage):
+def test_at_sigterm_it_goes_on_serving_answers_everything_and_exits_with_0(running):
+    async def scenario(stage):
         stage.node.plays = lambda words: [0.2, served()]
         client, idle = await stage.client(), await stage.client()
         await idle.ask(b"PING")
@@ -33,13 +33,13 @@
         ends = [await one.reply() for one in (idle, late, client)]
         return pong, answers, ends, await stage.process.wait(), asyncio.get_running_loop().time() - begun
 
-    pong, answers, ends, code, took = running(story)
+    pong, answers, ends, code, took = running(scenario)
     assert pong == ("+", b"PONG") and answers == [("$", b"data")] * 2
     assert ends == [None] * 3 and code == 0 and took < 1.7
 
 
-def test_what_is_open_shortly_before_sigkill_gets_its_final_answer(running):
-    async def story(stage):
+def test_operations_in_flight_shortly_before_sigkill_get_their_final_answer(running):
+    async def scenario(stage):
         stage.node.plays = lambda words: ["hang"]
         client = await stage.client()
         stage.process.send_signal(signal.SIGTERM)
@@ -52,12 +52,12 @@
             replies.append(reply)
         return replies, await stage.process.wait(), asyncio.get_running_loop().time() - begun
 
-    replies, code, took = running(story)
+    replies, code, took = running(scenario)
     assert code == 0 and took < 1.9 and replies and {kind for kind, _ in replies} == {"-"}
 
 
-def test_sighup_goes_over_to_the_new_discovery_and_a_torn_file_keeps_the_old(running):
-    async def story(stage):
+def test_sighup_changes_the_discovery_address_and_a_torn_file_keeps_the_old_one(running):
+    async def scenario(stage):
         client = await stage.client()
         await client.ask(b"PING")
         await asyncio.sleep(0.2)
@@ -80,14 +80,14 @@
         other.close()
         return before > 0, calls > 0, answer, under, stage.process.returncode
 
-    assert running(story) == (True, True, ("$", b"data"), ("$", b"data"), None)
+    assert running(scenario) == (True, True, ("$", b"data"), ("$", b"data"), None)
 
 
-def test_a_port_that_is_taken_and_no_file_are_told_in_a_line(tmp_path):
+def test_a_port_in_use_and_a_missing_file_are_logged_in_a_line(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         file = tmp_path / "config.json"
         file.write_text(json.dumps(configuration(1, [], taken.getsockname()[1])))
-        for path, event in ((str(file), "listen.refused"), ("", "config.refused")):
+        for path, event in ((str(file), "listener.bind_failed"), ("", "config.rejected")):
             done = subprocess.run(
                 [sys.executable, "-m", "rushmux.gateway"],
                 cwd=ROOT,
@@ -103,7 +103,7 @@
 def test_descriptors_that_run_out_do_not_end_it(running):
     """Fewer descriptors than it was told of: it goes on, and serves when some are free again."""
 
-    async def story(stage):
+    async def scenario(stage):
         await stage.client()
         resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (40, 40))
         crowd = []
@@ -118,10 +118,10 @@
         usual = await stage.client()
         return await usual.ask(b"PING"), await usual.ask(*read(1)), stage.process.returncode
 
-    assert running(story) == (("+", b"PONG"), ("$", b"data"), None)
+    assert running(scenario) == (("+", b"PONG"), ("$", b"data"), None)
 
 
-def test_a_start_with_no_sense_says_why(tmp_path):
+def test_an_empty_configuration_is_rejected_with_its_reason(tmp_path):
     file = tmp_path / "config.json"
     file.write_text("{}")
     done = subprocess.run(
--- a/tests/gateway/test_bounds_of_run.py
+++ b/tests/gateway/test_process_restrictions.py
@@ -1,5 +1,6 @@
-"""What `run` may do where the fleet's days are played: one process, TCP and UDP over IPv4, nothing of the
-fleet's control.  `run` of the deploy file is started under an audit hook of the interpreter.
+"""Restrictions on `run`: one process, TCP and UDP over IPv4, nothing of the control plane.
+
+`run` of the deploy file is started under an audit hook of the interpreter.
 """
 
 import signal
@@ -44,7 +45,7 @@
 finally:
     os.write(2, b"IMPORTED %s\\n" % " ".join(sorted(sys.modules)).encode())
 """
-CONTROL = (
+CONTROL_PLANE = (
     "rushmux.planner",
     "rushmux.fleet",
     "rushmux.lab",
@@ -65,21 +66,21 @@
     return words[3]
 
 
-def test_run_serves_within_what_the_fleet_days_allow(running):
-    async def story(stage):
+def test_run_serves_within_the_restrictions(running):
+    async def scenario(stage):
         client = await stage.client()
         answers = [await client.ask(b"PING"), await client.ask(*read(1))]
         stage.process.send_signal(signal.SIGTERM)
         log = (await stage.process.stderr.read()).decode()
         return answers, log, await stage.process.wait()
 
-    answers, log, code = running(story, ("-c", GUARD, module_of_run()))
+    answers, log, code = running(scenario, ("-c", GUARD, module_of_run()))
     assert answers == [("+", b"PONG"), ("$", b"data")] and code == 0
     assert "FORBIDDEN" not in log
     imported = log.rpartition("IMPORTED ")[2].split()
     assert "rushmux.gateway.server" in imported
     assert [
-        name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL)
+        name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL_PLANE)
     ] == []
 
 
@@ -94,7 +95,7 @@
         "os.sendfile(1, 0, 0, 1)",
     ],
 )
-def test_the_guard_sees_what_is_forbidden(act, tmp_path):
+def test_the_guard_refuses_what_is_forbidden(act, tmp_path):
     (tmp_path / "bad.py").write_text(f"import os, socket, subprocess\n{act}\n")
     done = subprocess.run(
         [sys.executable, "-c", GUARD, "bad"],
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -36,7 +36,7 @@
     """A client's command whose attempt waits for a connection."""
     client = await stage.client()
     assert await client.ask(b"PING") == ("+", b"PONG")
-    held = HeldConnects(stage.front.loop)
+    held = HeldConnects(stage.server.loop)
     client.send(*words)
     await asyncio.wait_for(held.begun.wait(), 2)
     return client, held
@@ -57,11 +57,11 @@
     async def scenario(stage):
         client, held = await held_up(stage, *words)
         client.close()
-        await settled(lambda: not stage.front.listener.clients)
+        await settled(lambda: not stage.server.listener.clients)
         held.go.set()
         await asyncio.sleep(0.1)
-        node = stage.front.scheduler.endpoints.nodes["s0"]
-        return stage.nodes[0].got, stage.front.operations, node.in_flight, node.limit.size
+        node = stage.server.scheduler.endpoints.nodes["s0"]
+        return stage.nodes[0].got, stage.server.operations, node.in_flight, node.limit.size
 
     got, operations, in_flight, limit = staged(scenario, hard_stop=5_000, DialTimeout=5_000_000_000)
     assert not got and not operations and not in_flight and limit >= 1  # and the node is not blamed
@@ -70,11 +70,11 @@
 def test_an_attempt_that_waits_for_a_connection_is_not_sent_once_shutdown_has_answered(staged):
     async def scenario(stage):
         client, held = await held_up(stage, *write(1, left=5_000))
-        stage.front.end_all()
+        stage.server.abort_all()
         answer = await client.reply()
         held.go.set()
         await asyncio.sleep(0.1)
-        return answer, stage.nodes[0].got, stage.front.operations
+        return answer, stage.nodes[0].got, stage.server.operations
 
     answer, got, taken = staged(scenario, hard_stop=5_000, DialTimeout=5_000_000_000)
     assert answer[0] == "-" and not got and not taken
@@ -84,8 +84,8 @@
     """The scheduler may then shed it, where an operation that may have run would have to fail."""
 
     async def scenario(stage):
-        heard, on_result = [], stage.front.scheduler.on_attempt_result
-        stage.front.scheduler.on_attempt_result = lambda now, report: (
+        heard, on_result = [], stage.server.scheduler.on_attempt_result
+        stage.server.scheduler.on_attempt_result = lambda now, report: (
             heard.append(report.result),
             on_result(now, report),
         )
@@ -109,7 +109,7 @@
         assert await client.ask(b"PING") == ("+", b"PONG")
         client.send(*write(1, left=4_000))
         await settled(lambda: stage.nodes[0].got)
-        held = HeldConnects(stage.front.loop)
+        held = HeldConnects(stage.server.loop)
         stage.nodes[0].plays = lambda words: [served()]
         await asyncio.wait_for(held.begun.wait(), 2)
         await asyncio.sleep(window / 1000)
@@ -131,7 +131,7 @@
         first, second = await stage.client(), await stage.client()
         await first.ask(*read(1))
         second.send(*read(2))
-        await settled(lambda: stage.front.pool.endpoints["s0"].waiting)
+        await settled(lambda: stage.server.pool.endpoints["s0"].waiting)
         second.close()
         await asyncio.sleep(0.3)
         return [words[2] for words in stage.nodes[0].got]
@@ -159,19 +159,19 @@
 
 def test_a_client_that_asked_and_left_is_not_served_by_a_round_that_was_due_already(staged):
     async def scenario(stage):
-        loop, front = asyncio.get_running_loop(), stage.front
+        loop, server = asyncio.get_running_loop(), stage.server
         await (await stage.client()).ask(*read(9))  # its connection stays idle, so the next is sent at once
         sock = socket.create_connection(("127.0.0.1", stage.port))
         sock.sendall(command([b"PING"]))
-        await settled(lambda: sum(client.has_sent_command for client in front.listener.clients) == 2)
+        await settled(lambda: sum(client.has_sent_command for client in server.listener.clients) == 2)
         await asyncio.sleep(keep_alive.REUSE_COOLDOWN * 3)
-        front.last_round_at = loop.time()
-        front.enqueue(lambda now: None)  # a round waits for the tick
+        server.last_round_at = loop.time()
+        server.enqueue(lambda now: None)  # a round waits for the tick
         sock.sendall(command(read(1)))
         sock.close()
         time.sleep(0.05)  # command, end and round are all due when the loop goes on
         await asyncio.sleep(0.2)
-        return [words[2] for words in stage.nodes[0].got], front.operations
+        return [words[2] for words in stage.nodes[0].got], server.operations
 
     assert staged(scenario) == ([b"%016x" % 9], {})
 
@@ -343,11 +343,11 @@
         client.writer.write(b"".join(command(read(number, left=5_000)) for number in range(1, 10)))
         await settled(
             lambda: (
-                any(one.is_writing_paused for one in stage.front.listener.clients)
-                and len([one for one in stage.front.operations.values() if not one.ended]) == 1
+                any(one.is_writing_paused for one in stage.server.listener.clients)
+                and len([one for one in stage.server.operations.values() if not one.ended]) == 1
             )
         )
         client.writer.write_eof()
-        await settled(lambda: all(one.ended for one in stage.front.operations.values()), 0.5)
+        await settled(lambda: all(one.ended for one in stage.server.operations.values()), 0.5)
 
     staged(scenario, hard_stop=5_000)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -1,4 +1,4 @@
-"""The whole gateway: what it believes against what crosses the sockets, drains, and a long life."""
+"""The whole gateway: its state against what crosses the sockets, draining nodes, state that ages out."""
 
 import asyncio
 import random
@@ -6,22 +6,22 @@
 import threading
 import time
 
-from rushmux.gateway.server import Front
+from rushmux.gateway.server import GatewayServer
 from rushmux.scheduling import scheduler as scheduling
 from rushmux.standins.platform import Node, of, read, served, write
 
 
-def test_what_the_module_believes_out_is_what_the_nodes_have_open(staged):
-    """At each look, requests open at a node lie within what the module held out there since the last."""
+def test_attempts_in_flight_match_what_the_nodes_have_open(staged):
+    """At each check, requests open at a node lie within the attempts in flight there since the last."""
 
-    async def story(stage):
-        chance, looks, wrong = random.Random(5), 0, []
+    async def scenario(stage):
+        chance, checks, wrong = random.Random(5), 0, []
 
-        def held_out():
-            """What the module holds out at each node, less what waits for a connection still."""
+        def in_flight():
+            """The scheduler's attempts in flight at each node, less those that wait for a connection."""
             return {
-                name: len(node.in_flight) - len(stage.front.pool.endpoints[name].waiting)
-                for name, node in stage.front.scheduler.endpoints.nodes.items()
+                name: len(node.in_flight) - len(stage.server.pool.endpoints[name].waiting)
+                for name, node in stage.server.scheduler.endpoints.nodes.items()
             }
 
         for node in stage.nodes:
@@ -34,42 +34,42 @@
 
         tasks = [asyncio.ensure_future(asks(client, 1000 * (at + 1))) for at, client in enumerate(clients)]
         while not all(task.done() for task in tasks):
-            believed = held_out()
+            believed = in_flight()
             await asyncio.sleep(0.004)  # a round and the way there
-            after = held_out()
+            after = in_flight()
             for number, node in enumerate(stage.nodes):
                 name = f"s{number}"
                 low, high = min(believed[name], after[name]) - 3, max(believed[name], after[name]) + 3
-                looks += 1
+                checks += 1
                 if not low <= node.running <= high:
                     wrong.append((name, believed[name], node.running, after[name]))
         await asyncio.sleep(0.05)
-        rest = [len(node.in_flight) for node in stage.front.scheduler.endpoints.nodes.values()]
+        rest = [len(node.in_flight) for node in stage.server.scheduler.endpoints.nodes.values()]
         running = [node.running for node in stage.nodes]
-        return looks, wrong, rest, running, max(node.most for node in stage.nodes)
+        return checks, wrong, rest, running, max(node.most for node in stage.nodes)
 
-    looks, wrong, rest, running, most = staged(story, nodes=3)
-    assert looks > 50 and not wrong and rest == running == [0, 0, 0] and most <= 10
+    checks, wrong, rest, running, most = staged(scenario, nodes=3)
+    assert checks > 50 and not wrong and rest == running == [0, 0, 0] and most <= 10
 
 
-def test_a_node_that_refuses_loses_its_room_and_one_that_serves_keeps_it(staged):
-    async def story(stage):
+def test_a_node_that_refuses_connections_loses_concurrency_and_one_that_serves_keeps_it(staged):
+    async def scenario(stage):
         stage.nodes[0].close()
         client = await stage.client()
         for number in range(6):
             await client.ask(*read(10 + number, cell=number % 2))
             await asyncio.sleep(0.03)
-        nodes = stage.front.scheduler.endpoints.nodes
+        nodes = stage.server.scheduler.endpoints.nodes
         return nodes["s0"].limit.size, nodes["s1"].limit.size
 
-    refuses, serves = staged(story, nodes=2)
+    refuses, serves = staged(scenario, nodes=2)
     assert refuses < serves
 
 
-def test_figures_of_use_reach_the_module_as_the_simulator_counts_them(staged):
-    async def story(stage):
-        heard, on_result = [], stage.front.scheduler.on_attempt_result
-        stage.front.scheduler.on_attempt_result = lambda now, report: (
+def test_usage_figures_reach_the_scheduler_as_the_simulator_counts_them(staged):
+    async def scenario(stage):
+        heard, on_result = [], stage.server.scheduler.on_attempt_result
+        stage.server.scheduler.on_attempt_result = lambda now, report: (
             heard.append((report.fleet_usage, report.remote_usage)),
             on_result(now, report),
         )
@@ -78,11 +78,11 @@
         await asyncio.sleep(0.05)
         return heard
 
-    assert staged(story) == [(37, 0.0)]
+    assert staged(scenario) == [(37, 0.0)]
 
 
-def test_a_node_told_to_drain_gets_nothing_new_within_the_grace(staged):
-    async def story(stage):
+def test_a_draining_node_gets_no_new_attempt(staged):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.02, served()]
         client = await stage.client()
         await client.ask(*read(1))
@@ -98,62 +98,64 @@
         stage.discovery.put(other.row("s9", 0))
         return held, await client.reply(), len(other.got)
 
-    assert staged(story) == (0, ("$", b"data"), 1)
+    assert staged(scenario) == (0, ("$", b"data"), 1)
 
 
-def test_an_empty_whole_list_is_gone_by_and_what_comes_is_answered_at_its_quoted_time(staged):
-    async def story(stage):
+def test_with_an_empty_snapshot_operations_are_shed_at_their_latency_objective(staged):
+    async def scenario(stage):
         await asyncio.sleep(0.05)  # the watch has brought its first list
-        stage.front.told(True, [])
+        stage.server.on_discovered(True, [])
         await asyncio.sleep(0.02)
         client = await stage.client()
         began = asyncio.get_running_loop().time()
         answer = await client.ask(*read(1))
         return answer, asyncio.get_running_loop().time() - began < 0.5, stage.nodes[0].got
 
-    assert staged(story) == (("-", b"BUSY"), True, [])  # at its quoted time: a node may come until then
+    assert staged(scenario) == (("-", b"BUSY"), True, [])  # no sooner: a node may come until then
 
 
-def test_a_start_of_a_node_is_a_cold_start_on_the_modules_clock(staged):
-    async def story(stage):
+def test_the_start_of_a_node_is_known_on_the_schedulers_clock(staged):
+    async def scenario(stage):
         now = asyncio.get_running_loop().time()
         stage.discovery.put(
             stage.nodes[0].row("s0", 0, "up", int((now - 1) * 1000)),
             stage.nodes[1].row("s1", 1, "up", int(max(1, now - 1000) * 1000)),
         )
         await asyncio.sleep(0.1)
-        entries = [stage.front.scheduler.endpoints.nodes[name].endpoint.online_since for name in ("s0", "s1")]
-        return (stage.front.now() - entries[0]) / 10_000, entries[1]
+        entries = [
+            stage.server.scheduler.endpoints.nodes[name].endpoint.online_since for name in ("s0", "s1")
+        ]
+        return (stage.server.now() - entries[0]) / 10_000, entries[1]
 
-    age, old = staged(story, nodes=2)
+    age, old = staged(scenario, nodes=2)
     assert 1 < age < 1.5 and old == 0
 
 
-def test_a_write_that_may_have_run_is_sent_again_to_its_own_cell_only(staged):
-    async def story(stage):
+def test_a_write_that_may_have_run_is_retried_with_its_key(staged):
+    async def scenario(stage):
         stage.nodes[0].plays = lambda words: ["close"] if len(stage.nodes[0].got) == 1 else [served()]
         answer = await (await stage.client()).ask(*write(1))
         return answer, len(stage.nodes[0].got), {words[3].split(b",k=")[1] for words in stage.nodes[0].got}
 
-    answer, got, keys = staged(story)
+    answer, got, keys = staged(scenario)
     assert answer == ("$", b"data") and got == 2 and len(keys) == 1
 
 
-def test_what_the_module_gave_up_is_answered_at_once(staged):
-    """A node that never answers: the operation ends when the module says so, and not at the hard stop."""
+def test_an_operation_that_the_scheduler_gave_up_is_answered_at_once(staged):
+    """No node can be reached: the operation ends when the scheduler says so, not at its deadline."""
 
-    async def story(stage):
+    async def scenario(stage):
         stage.nodes[0].close()
         loop = asyncio.get_running_loop()
         client, began = await stage.client(), loop.time()
         kind, _ = await client.ask(*read(1, left=1000))
         return kind, loop.time() - began
 
-    kind, took = staged(story)
+    kind, took = staged(scenario)
     assert kind == "-" and took < 0.6
 
 
-def test_an_answer_that_waited_while_this_process_stood_still_is_not_judged_late(staged):
+def test_a_reply_received_while_the_process_stood_still_is_not_a_timeout(staged):
     """The node is a thread: it answers in 50 ms, while the loop stands still past the time-out."""
     listening = socket.create_server(("127.0.0.1", 0))
 
@@ -168,36 +170,37 @@
     thread = threading.Thread(target=serve, daemon=True)
     thread.start()
 
-    async def story(stage):
-        heard, on_result = [], stage.front.scheduler.on_attempt_result
-        stage.front.scheduler.on_attempt_result = lambda now, report: (
+    async def scenario(stage):
+        heard, on_result = [], stage.server.scheduler.on_attempt_result
+        stage.server.scheduler.on_attempt_result = lambda now, report: (
             heard.append(report.result),
             on_result(now, report),
         )
         row = stage.nodes[0].row("s0", 0)
-        stage.discovery.put({**row, "addr": "127.0.0.1:%d" % listening.getsockname()[1]})
+        stage.discovery.put({**row, "addr": f"127.0.0.1:{listening.getsockname()[1]}"})
         await asyncio.sleep(0.1)
         client = await stage.client()
         client.send(*read(1, left=300))
         await asyncio.sleep(0.03)  # it is out
-        begun = stage.front.loop.time()
+        begun = stage.server.loop.time()
         time.sleep(0.2)
         # The pause may fall between the look at the sockets and that at the timers: the time-out goes first.
-        stage.front.on_timeout(f"{1:016x}", 0, begun + 0.1)
+        stage.server.on_timeout(f"{1:016x}", 0, begun + 0.1)
         await asyncio.sleep(0.05)
         return heard
 
-    assert staged(story) == ["succeeded"]
+    assert staged(scenario) == ["succeeded"]
     listening.close()
 
 
-def test_a_limit_is_kept_at_the_node_over_a_restart_of_the_gateway(staged):
-    """Units by the time they came: the store starts full, fills at the plan's rate, and dips below nought
-    by the plan's slack and 150 ms of its rate at most.
+def test_a_volumes_limit_holds_over_a_restart_of_the_gateway(staged):
+    """Units by the time they came: a token bucket starts full and fills at the plan's rate.
+
+    It falls below zero by the plan's tolerance and 150 ms of its rate at most.
     """
-    rate, burst, slack = 40.0, 20.0, 8.0
+    rate, burst, tolerance = 40.0, 20.0, 8.0
 
-    async def story(stage):
+    async def scenario(stage):
         came = []
 
         def plays(words):
@@ -208,8 +211,8 @@
 
         stage.nodes[0].plays = plays
 
-        async def ask(front_port, base):
-            stage.port = front_port
+        async def ask(port, base):
+            stage.port = port
             clients = [await stage.client() for _ in range(6)]
 
             async def asks(client, first):
@@ -219,24 +222,24 @@
             await asyncio.gather(*(asks(client, base + 100 * at) for at, client in enumerate(clients)))
 
         await ask(stage.port, 1_000)
-        start = stage.front.start
-        again = Front(start._replace(seed=7), 0.0, asyncio.get_running_loop(), stage.log)
+        config = stage.server.config
+        again = GatewayServer(config._replace(seed=7), 0.0, asyncio.get_running_loop(), stage.log)
         await again.open()
         await ask(again.listener.listening_socket.getsockname()[1], 9_000)
-        for part in (again.watch_list, again.pool, again.listener):
+        for part in (again.discovery, again.pool, again.listener):
             part.close()
         return came
 
-    came = staged(story, plan={"NeverOver": rate, "CapDepth": burst, "Tolerance": slack})
+    came = staged(scenario, plan={"NeverOver": rate, "CapDepth": burst, "Tolerance": tolerance})
     held, least, at = burst, 0.0, None
     for when, units in came:
         held = min(burst, held + (when - (at or when)) * rate) - units
         at, least = when, min(least, held)
-    assert len(came) > 20 and least >= -slack - 0.15 * rate
+    assert len(came) > 20 and least >= -tolerance - 0.15 * rate
 
 
-def test_many_generations_of_nodes_ids_volumes_and_connections_leave_nothing_behind(staged, monkeypatch):
-    async def story(stage):
+def test_nodes_ids_volumes_and_connections_that_are_gone_leave_nothing_behind(staged, monkeypatch):
+    async def scenario(stage):
         sizes = []
         for generation in range(12):
             node = Node()
@@ -254,10 +257,10 @@
             for number in range(5):
                 await client.ask(*read(100 * (generation + 1) + number, volume=10 * generation + number))
             client.close()
-            stage.front.pool.sweep()
-            stage.front.pool.sweep_timer.cancel()
-            scheduler = stage.front.scheduler
-            # What is gone counts for the span of the rule on cold nodes; the next list forgets it then.
+            stage.server.pool.sweep()
+            stage.server.pool.sweep_timer.cancel()
+            scheduler = stage.server.scheduler
+            # A removed node counts for the slow start window; the next list forgets it then.
             for gone in scheduler.endpoints.nodes.values():
                 gone.recent_units.clear()
             sizes.append(
@@ -265,17 +268,17 @@
                     len(scheduler.endpoints.nodes),
                     len(scheduler.endpoints.cells[0].nodes),
                     len(scheduler.operations),
-                    len(stage.front.operations),
-                    len(stage.front.pool.endpoints),
-                    len(stage.front.conditions),
+                    len(stage.server.operations),
+                    len(stage.server.pool.endpoints),
+                    len(stage.server.known_states),
                 )
             )
             volumes.append(len(scheduler.volumes))
         await asyncio.sleep(0.05)
-        return sizes, len(stage.front.listener.clients)
+        return sizes, len(stage.server.listener.clients)
 
     monkeypatch.setattr(scheduling, "VOLUME_IDLE_TIME", 1_000)
     volumes = []
-    sizes, clients = staged(story)
+    sizes, clients = staged(scenario)
     assert sizes[-1][2:4] == (0, 0) and max(sizes[-1]) <= 3 and clients == 0
     assert max(volumes) < 25  # of 60 that came: those of the last tenth of a second
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_shutdown.py
@@ -1,11 +1,11 @@
 """From SIGTERM to the end: whatever is read gets its one answer before SIGKILL may come.
 
-Seen on the fleet's roll day (seed 90002): with hard stops over the 3.3 s after which all that is open is
-ended, operations were still open at SIGKILL; the timer that should have ended them called a number.
+Seen on a fleet day (seed 90002): with deadlines over the 3.3 s after which all operations are aborted, some
+were still in flight at SIGKILL; the timer that should have aborted them called a number.
 
-Seen on brink and roll days: connections that the system had accepted were reset when the listener closed,
-and commands that came on the heels of an answer were never read.  What the program says that it took
-knows of neither: what clients wrote whole is counted here.
+Seen on other days: connections that the system had accepted were reset when the listener closed, and commands
+right behind a reply were never read.  The program's own count knows of neither: complete commands that
+clients wrote are counted here.
 """
 
 import asyncio
@@ -29,8 +29,8 @@
         self.port, self.asks, self.answers, self.client, self.ended = port, [], [], None, False
         self.task = self.ended_at = None
 
-    def lost(self):
-        """When each command was written that got no answer and did not cross the connection's end."""
+    def unanswered(self):
+        """When each command was written that got no reply and did not cross the connection's end."""
         return [at for at in self.asks[len(self.answers) :] if at < self.ended_at - CROSSING]
 
     async def open(self, client):
@@ -65,7 +65,7 @@
 def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(running, hard_stop, pauses):
     killed_after = min(3.0, hard_stop / 1000) + GRACE
 
-    async def story(stage):
+    async def scenario(stage):
         loop = asyncio.get_running_loop()
         # A third is answered at once, a third late, a third never: those must be ended in time.
         stage.node.plays = lambda words: [[served()], [0.4, served()], ["hang"]][int(words[2], 16) % 3]
@@ -98,9 +98,9 @@
         code, ended = await stage.process.wait(), loop.time() - begun
         await asyncio.gather(*(one.task for one in askers))
         answers = [answer for one in askers for answer in one.answers]
-        return answers, log, code, ended, begun, [at - begun for one in askers for at in one.lost()]
+        return answers, log, code, ended, begun, [at - begun for one in askers for at in one.unanswered()]
 
-    answers, log, code, ended, begun, lost = running(story, hard_stop=hard_stop)
+    answers, log, code, ended, begun, lost = running(scenario, hard_stop=hard_stop)
     last = log.splitlines()[-1]
     assert code == 0 and "fault" not in log and "Traceback" not in log
     assert ended < killed_after + 0.5  # the interpreter takes its time to end
@@ -126,8 +126,8 @@
 
 
 @pytest.mark.parametrize("clients", [1, 100])
-def test_what_the_system_accepted_when_the_listener_closes_is_answered(running, clients):
-    async def story(stage):
+def test_connections_in_the_accept_queue_when_the_listener_closes_are_answered(running, clients):
+    async def scenario(stage):
         await (await stage.client()).ask(b"PING")
         stage.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.25)  # new connections come for 0.4 s
@@ -137,13 +137,13 @@
         stage.process.send_signal(signal.SIGCONT)
         return await asyncio.gather(*map(answers_on, askers)), await stage.process.wait()
 
-    assert running(story, hard_stop=2_000) == ([[("$", b"data")]] * clients, 0)
+    assert running(scenario, hard_stop=2_000) == ([[("$", b"data")]] * clients, 0)
 
 
-def test_commands_that_wait_behind_a_full_connection_are_answered_at_the_stop(running):
-    asked = 150  # more than a connection may be owed at a time
+def test_commands_past_the_bound_of_pending_replies_are_answered_at_shutdown(running):
+    asked = 150  # more than the pending replies of a connection
 
-    async def story(stage):
+    async def scenario(stage):
         stage.node.plays = lambda words: ["hang"]
         await (await stage.client()).ask(b"PING")
         client = await asking(stage, *(read(number, left=9_000) for number in range(asked)))
@@ -151,25 +151,25 @@
         stage.process.send_signal(signal.SIGTERM)
         return await answers_on(client)
 
-    answers = running(story, hard_stop=9_000)
+    answers = running(scenario, hard_stop=9_000)
     assert [kind for kind, _ in answers] == ["-"] * asked
 
 
-def test_a_good_command_behind_refused_ones_is_answered(running):
-    async def story(stage):
+def test_a_valid_command_behind_invalid_ones_is_answered(running):
+    async def scenario(stage):
         await (await stage.client()).ask(b"PING")
         bad = [read(number, lane="none") for number in range(3)]
         return await answers_on(await asking(stage, *bad, read(4)))
 
-    answers = running(story)
+    answers = running(scenario)
     assert [kind for kind, _ in answers] == ["-", "-", "-", "$"]
 
 
 @pytest.mark.parametrize("hard_stop", [1_000, 6_000])
-def test_who_comes_again_on_the_heels_of_an_answer_is_served_through_the_stop(running, hard_stop):
+def test_a_client_that_asks_again_at_once_is_served_through_the_shutdown(running, hard_stop):
     """Each answer is followed at once by the next command, for as long as the connection stands."""
 
-    async def story(stage):
+    async def scenario(stage):
         loop, unanswered, served_by = asyncio.get_running_loop(), 0, []
         stage.node.plays = lambda words: [0.03, served()]
         clients = [await stage.client() for _ in range(10)]
@@ -193,14 +193,14 @@
         await stage.process.wait()
         return unanswered, max(served_by), len(clients)
 
-    unanswered, last, clients = running(story, hard_stop=hard_stop)
+    unanswered, last, clients = running(scenario, hard_stop=hard_stop)
     killed_after = min(3.0, hard_stop / 1000) + GRACE
     # Only the cut itself is crossed, and it comes shortly before SIGKILL may.
     assert unanswered <= clients and killed_after - 0.3 < last < killed_after
 
 
-def test_a_new_configuration_in_the_midst_of_a_stop_harms_nothing(running):
-    async def story(stage):
+def test_a_reload_during_shutdown_harms_nothing(running):
+    async def scenario(stage):
         other = Discovery()
         await other.open()
         other.put(*stage.discovery.rows.values())
@@ -216,13 +216,13 @@
         other.close()
         return answer, len(other.calls) > 0, "fault" in log, await stage.process.wait()
 
-    assert running(story) == (("$", b"data"), True, False, 0)
+    assert running(scenario) == (("$", b"data"), True, False, 0)
 
 
-def test_large_answers_under_the_end_of_their_connection_are_given_whole(running):
+def test_large_replies_are_sent_completely_while_their_connection_ends(running):
     value, asked = bytes(900_000), 5
 
-    async def story(stage):
+    async def scenario(stage):
         stage.node.plays = lambda words: [0.6, served(value)]  # the connection is ended 0.5 s after SIGTERM
         client = await stage.client()
         client.writer.transport.get_extra_info("socket").setsockopt(
@@ -236,4 +236,4 @@
         client.writer.transport.resume_reading()
         return [await client.reply() for _ in range(asked)]
 
-    assert running(story) == [("$", value)] * asked
+    assert running(scenario) == [("$", value)] * asked
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -8,7 +8,8 @@
 
 from rushmux.fleet import policy, raft
 from rushmux.gateway import commands, replies
-from rushmux.gateway.config import parsed
+from rushmux.gateway.config import parse_config
+from rushmux.gateway.errors import InvalidCommandError
 from rushmux.nodewire import Frames, frame, messages
 from rushmux.planner import raft_codec
 from rushmux.resp import Commands, Replies, command, error
@@ -105,12 +106,14 @@
 
 @pytest.mark.parametrize("row", RESP2["commands"])
 def test_a_clients_command_becomes_the_same_command_to_a_node_or_the_same_error(row):
-    start = parsed(json.dumps(configuration(1, [], 7000)).encode())
+    config = parse_config(json.dumps(configuration(1, [], 7000)).encode())
     reader = Commands()
     reader.feed(bytes.fromhex(row["client"]))
     try:
-        answer = {"node": command(commands.check(reader.next(), start).words(MILLISECONDS)).hex()}
-    except commands.Refused as fault:
+        answer = {
+            "node": command(commands.parse_command(reader.next(), config).build_arguments(MILLISECONDS)).hex()
+        }
+    except InvalidCommandError as fault:
         answer = {"error": error(f"ERR {fault}").hex()}
     assert {"client": row["client"], **answer} == row
 
