--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -11,7 +11,7 @@
 from rushmux.gateway.event_loop import call_after_polling
 from rushmux.gateway.eviction import NEWCOMER_GRACE
 from rushmux.gateway.lingering_close import UNREAD_REPLIES_TIMEOUT, LingeringClose
-from rushmux.resp import Commands, Malformed, error
+from rushmux.resp import CommandReader, ProtocolError, encode_error
 
 if TYPE_CHECKING:
     from rushmux.gateway.listener import Listener
@@ -93,7 +93,7 @@
     def __init__(self, listener: Listener):
         self.listener = listener
         self.transport: asyncio.Transport | None = None
-        self.reader = Commands()
+        self.reader = CommandReader()
         self.state = ConnectionState.OPEN
         self.lingering_close: LingeringClose | None = None
         self.pending_replies: deque[PendingReply] = deque()
@@ -122,11 +122,11 @@
 
     def is_silent(self) -> bool:
         """Returns whether not a byte of a command has come."""
-        return not self.has_sent_command and not self.reader.partial()
+        return not self.has_sent_command and not self.reader.has_partial_command()
 
     def is_idle(self) -> bool:
         """Returns whether it is open with no pending reply and no incomplete command."""
-        return not self.pending_replies and not self.reader.partial() and self.is_open
+        return not self.pending_replies and not self.reader.has_partial_command() and self.is_open
 
     # Commands.
 
@@ -142,9 +142,9 @@
             self._discard(len(data))
             return
         # An incomplete command may grow a byte at a time: its time counts from its first byte.
-        if not self.reader.partial():
+        if not self.reader.has_partial_command():
             self.last_active_at = self.listener.loop.time()
-        self.reader.feed(data)
+        self.reader.receive_data(data)
         self._take_commands()
 
     def _discard(self, size: int) -> None:
@@ -163,17 +163,17 @@
                 and self.state is ConnectionState.OPEN
                 and not self.is_writing_paused
             ):
-                arguments = self.reader.next()
+                arguments = self.reader.next_command()
                 if arguments is None:
                     self.has_untaken_commands = False
                     break
                 self.has_sent_command = True
                 self.last_active_at = self.listener.loop.time()
                 self.pending_replies.append(self.listener.dispatcher.dispatch(arguments, self))
-        except Malformed as fault:
+        except ProtocolError as fault:
             error_text = str(fault)
         if error_text is not None:
-            self.pending_replies.append(PendingReply(self, error(f"ERR Protocol error: {error_text}")))
+            self.pending_replies.append(PendingReply(self, encode_error(f"ERR Protocol error: {error_text}")))
             self.finish(discards_input=True)
         elif self.protocol_errors >= MAX_PROTOCOL_ERRORS:
             self.finish(discards_input=True)
@@ -190,7 +190,7 @@
         # Commands at full speed would grow the buffers, so reading pauses.  While it is paused, the end of a
         # client that left is not seen behind what it sent, and all that it asked for would begin for nobody;
         # so a bounded part of the commands that can't be taken yet is read all the same.
-        read_ahead_bytes = self.reader.held()
+        read_ahead_bytes = self.reader.unread_bytes()
         self.listener.read_ahead_bytes += read_ahead_bytes - self.read_ahead_bytes
         self.read_ahead_bytes = read_ahead_bytes
         pause = self._must_pause_reading()
@@ -259,7 +259,7 @@
         if self.state is ConnectionState.OPEN:
             self.state = ConnectionState.FINISHING
         self.discards_input = discards_input
-        self.reader = Commands()
+        self.reader = CommandReader()
         self._update_reading()
 
     def _linger(self) -> None:
@@ -335,7 +335,7 @@
             self.transport.abort()
         elif self._is_command_overdue(now):
             self.listener.stats.silent_clients += 1
-            self.pending_replies.append(PendingReply(self, error("ERR no whole command came in time")))
+            self.pending_replies.append(PendingReply(self, encode_error("ERR no whole command came in time")))
             self.finish()
             self.flush()
         elif (
@@ -349,7 +349,7 @@
     def _is_command_overdue(self, now: float) -> bool:
         if self.pending_replies or self.has_untaken_commands:
             return False
-        if self.has_sent_command and not self.reader.partial():
+        if self.has_sent_command and not self.reader.has_partial_command():
             return False
         waiting_since = self.last_active_at if self.has_sent_command else self.connected_at
         return now - waiting_since > FIRST_COMMAND_TIMEOUT
--- a/rushmux/gateway/command_dispatcher.py
+++ b/rushmux/gateway/command_dispatcher.py
@@ -9,13 +9,13 @@
 from rushmux.gateway.client_connection import ClientConnection, PendingReply
 from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.errors import InvalidCommandError
-from rushmux.resp import error
+from rushmux.resp import encode_error
 
 if TYPE_CHECKING:
     from rushmux.gateway.listener import Listener
 
 PONG, OK, BUSY = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n"
-UNKNOWN_COMMAND = error("ERR unknown command")
+UNKNOWN_COMMAND = encode_error("ERR unknown command")
 
 
 class CommandDispatcher:
@@ -62,5 +62,5 @@
         except InvalidCommandError as invalid:
             stats.invalid_commands += 1
             client.protocol_errors += 1
-            pending.reply = error(f"ERR {invalid}")
+            pending.reply = encode_error(f"ERR {invalid}")
         return pending
--- a/rushmux/gateway/node_connection.py
+++ b/rushmux/gateway/node_connection.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rushmux.gateway import replies
-from rushmux.resp import Malformed, Replies, command
+from rushmux.resp import ProtocolError, ReplyKind, ReplyReader, encode_command
 from rushmux.scheduling.driver import AttemptReply
 from rushmux.scheduling.interface import AttemptResult
 
@@ -107,7 +107,7 @@
     def __init__(self, endpoint: EndpointPool, incarnation: NodeIncarnation):
         self.endpoint = endpoint
         self.incarnation = incarnation
-        self.reader = Replies()
+        self.reader = ReplyReader()
         self.transport: asyncio.Transport | None = None
         self.attempt: NodeAttempt | None = None
         self.has_unsent_bytes = False
@@ -137,7 +137,7 @@
         attempt.written = True
         time_left = attempt.deadline - self.endpoint.pool.loop.time()
         milliseconds = max(1, -int(-time_left * MILLISECONDS // 1))
-        self.transport.write(command(attempt.build_command(milliseconds)))
+        self.transport.write(encode_command(attempt.build_command(milliseconds)))
 
     def has_unread_input(self) -> bool:
         """Whether the socket holds something not read yet: an unsolicited reply, an end or a reset.
@@ -157,12 +157,12 @@
             pool.unsolicited_replies += 1
             self.close()
             return
-        self.reader.feed(data)
+        self.reader.receive_data(data)
         pool.partial_reply_bytes += len(data)
         self.partial_reply_bytes += len(data)
         try:
-            reply = self.reader.next()
-        except Malformed:
+            reply = self.reader.next_reply()
+        except ProtocolError:
             self._complete(replies.FAILED_REPLY)
             return
         if reply is not None:
@@ -171,8 +171,8 @@
             # Many values that keep coming, each within its own bound, would exhaust the process's memory.
             self._complete(replies.FAILED_REPLY)
 
-    def _on_reply(self, kind: str, value: bytes | list | None) -> None:
-        has_unsolicited = self.reader.held() > 0
+    def _on_reply(self, kind: ReplyKind, value: bytes | list | None) -> None:
+        has_unsolicited = self.reader.unread_bytes() > 0
         self.endpoint.pool.unsolicited_replies += has_unsolicited
         reply = replies.interpret(kind, value)
         self._complete(reply, not has_unsolicited and replies.is_reusable(reply.result, kind, value))
--- a/rushmux/gateway/replies.py
+++ b/rushmux/gateway/replies.py
@@ -2,6 +2,7 @@
 
 import re
 
+from rushmux.resp import ReplyKind
 from rushmux.scheduling.driver import AttemptReply
 from rushmux.scheduling.interface import AttemptResult
 
@@ -24,20 +25,20 @@
     return int(found[1]) + 1, float(found[2] or 0)
 
 
-def is_reusable(result: AttemptResult, kind: str, value: bytes | list | None) -> bool:
+def is_reusable(result: AttemptResult, kind: ReplyKind, value: bytes | list | None) -> bool:
     """Returns whether the connection that a reply came on may be used again: not after a malformed one."""
     return result in (AttemptResult.SUCCEEDED, AttemptResult.REJECTED) or (
-        kind == "-" and value.startswith(FAILED)
+        kind is ReplyKind.ERROR and value.startswith(FAILED)
     )
 
 
-def interpret(kind: str, value: bytes | list | None) -> AttemptReply:
+def interpret(kind: ReplyKind, value: bytes | list | None) -> AttemptReply:
     """Returns what a complete reply of a node says about the attempt it answers."""
-    if kind == "*" and value and len(value) == SUCCESS_ELEMENTS and isinstance(value[0], bytes):
+    if kind is ReplyKind.ARRAY and value and len(value) == SUCCESS_ELEMENTS and isinstance(value[0], bytes):
         return AttemptReply(AttemptResult.SUCCEEDED, value[0], *parse_usage(value[1]))
-    if kind == "-" and (value == BUSY or value.startswith(BUSY + b" ")):
+    if kind is ReplyKind.ERROR and (value == BUSY or value.startswith(BUSY + b" ")):
         return REJECTED_REPLY
-    if kind == "-" and value.startswith(FAILED):
+    if kind is ReplyKind.ERROR and value.startswith(FAILED):
         for word in value.split(b" ")[2:]:
             if word.startswith(b"used="):
                 return AttemptReply(AttemptResult.FAILED, None, *parse_usage(word))
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -16,7 +16,7 @@
 from rushmux.gateway.errors import InvalidCommandError
 from rushmux.gateway.listener import Listener
 from rushmux.gateway.node_connection import NodeAttempt
-from rushmux.resp import bulk
+from rushmux.resp import encode_bulk
 from rushmux.scheduling.driver import TICKS_PER_SECOND, FinalAnswer, InFlightOperation, OperationDriver
 from rushmux.scheduling.interface import Endpoint, EndpointState, OperationRequest, Ticks, UpdateKind
 
@@ -126,7 +126,7 @@
     @staticmethod
     def _on_answer(pending: PendingReply, answer: FinalAnswer, value: Any, retry_after: Ticks) -> None:
         if answer is FinalAnswer.SUCCEEDED:
-            pending.complete(bulk(value))
+            pending.complete(encode_bulk(value))
         elif answer is FinalAnswer.SHED:
             milliseconds = -(-retry_after * MILLISECONDS // TICKS_PER_SECOND)
             pending.complete(b"-BUSY %d\r\n" % milliseconds if retry_after else BUSY)
--- a/rushmux/standins/platform.py
+++ b/rushmux/standins/platform.py
@@ -9,14 +9,14 @@
 import socket
 import struct
 
-from rushmux.resp import Commands, Replies, bulk, command
+from rushmux.resp import CommandReader, ReplyReader, encode_bulk, encode_command
 
 NS = 1_000_000  # nanoseconds in a millisecond
 
 
 def served(value=b"data", used=b"$-1\r\n", load=b"$-1\r\n") -> bytes:
     """A good answer."""
-    return b"*3\r\n" + bulk(value) + used + load
+    return b"*3\r\n" + encode_bulk(value) + used + load
 
 
 def of(words, name) -> str:
@@ -26,7 +26,7 @@
 
 class _Open(asyncio.Protocol):
     def __init__(self, node):
-        self.node, self.reader, self.transport, self.task = node, Commands(), None, None
+        self.node, self.reader, self.transport, self.task = node, CommandReader(), None, None
 
     def connection_made(self, transport):
         self.transport = transport
@@ -34,8 +34,8 @@
         self.node.opened += 1
 
     def data_received(self, data):
-        self.reader.feed(data)
-        while (words := self.reader.next()) is not None:
+        self.reader.receive_data(data)
+        while (words := self.reader.next_command()) is not None:
             self.node.got.append(words)
             self.task = asyncio.ensure_future(self.play(words))
 
@@ -181,7 +181,7 @@
 
     def __init__(self):
         self.reader = self.writer = None
-        self.replies, self.reset = Replies(), False  # reset: whether it ended so, and not in order
+        self.replies, self.reset = ReplyReader(), False  # reset: whether it ended so, and not in order
         self.replies_seen = 0
 
     async def open(self, port):
@@ -189,12 +189,12 @@
         return self
 
     def send(self, *words):
-        self.writer.write(command(words))
+        self.writer.write(encode_command(words))
 
     async def reply(self, within=5.0):
         """The next reply, or None where the connection ended."""
         async with asyncio.timeout(within):
-            while (reply := self.replies.next()) is None:
+            while (reply := self.replies.next_reply()) is None:
                 try:
                     data = await self.reader.read(65_536)
                 except ConnectionError:
@@ -202,7 +202,7 @@
                     return None
                 if not data:
                     return None
-                self.replies.feed(data)
+                self.replies.receive_data(data)
             self.replies_seen += 1
             return reply
 
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -7,7 +7,7 @@
 from rushmux.gateway import commands, replies
 from rushmux.gateway.config import parse_config
 from rushmux.gateway.errors import ConfigError, InvalidCommandError
-from rushmux.resp import Replies
+from rushmux.resp import ReplyReader
 from rushmux.scheduling.interface import AttemptResult
 from rushmux.settings.platform import loads_of
 from rushmux.standins.platform import configuration, read, served, settings, write
@@ -93,9 +93,9 @@
 
 
 def interpreted(data):
-    reader = Replies()
-    reader.feed(data)
-    return replies.interpret(*reader.next())
+    reader = ReplyReader()
+    reader.receive_data(data)
+    return replies.interpret(*reader.next_reply())
 
 
 NONE = (0, 0.0)
--- a/tests/gateway/test_connection_close.py
+++ b/tests/gateway/test_connection_close.py
@@ -13,7 +13,7 @@
 import pytest
 
 from rushmux.gateway import client_connection, eviction
-from rushmux.resp import command
+from rushmux.resp import encode_command
 from rushmux.standins.platform import Node, read, served
 
 
@@ -26,7 +26,7 @@
 
 
 @pytest.mark.parametrize(
-    "rejected", [b"noise\r\n", b"".join(command(read(number, lane="none")) for number in range(3))]
+    "rejected", [b"noise\r\n", b"".join(encode_command(read(number, lane="none")) for number in range(3))]
 )
 def test_a_client_that_goes_on_sending_behind_its_error_reads_it_and_an_orderly_end(staged, rejected):
     async def scenario(stage):
@@ -106,7 +106,7 @@
     """Sends a command behind the connection's end; returns whether a reset tells that it was not read."""
     while sock.recv(65_536):  # what was answered, and the end
         pass
-    sock.sendall(command(words))
+    sock.sendall(encode_command(words))
     for _ in range(300):
         if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) in (errno.ECONNRESET, errno.EPIPE):
             return True
@@ -126,7 +126,7 @@
         await (await stage.client()).ask(b"PING")
         with socket.create_connection(("127.0.0.1", stage.port)) as sock:
             if end == "stop":
-                sock.sendall(command([b"PING"]))
+                sock.sendall(encode_command([b"PING"]))
                 stage.process.send_signal(signal.SIGTERM)
             sock.settimeout(10)
             return await loop.run_in_executor(None, is_reset_after_command, sock, read(1)), stage.node.got
@@ -147,7 +147,7 @@
     async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.02, served()]
         client = await stage.client()
-        client.writer.write(b"".join(command(read(number, left=9_000)) for number in range(asked)))
+        client.writer.write(b"".join(encode_command(read(number, left=9_000)) for number in range(asked)))
         return len([reply for reply in [await client.reply() for _ in range(asked)] if reply is not None])
 
     assert staged(scenario, hard_stop=9_000, aim=9_000) == asked
@@ -231,7 +231,7 @@
 def test_an_incomplete_command_behind_a_complete_one_costs_no_processor_time(running):
     async def scenario(stage):
         client = await stage.client()
-        client.writer.write(command([b"PING"]) + b"*4\r\n$8\r\nBLK")
+        client.writer.write(encode_command([b"PING"]) + b"*4\r\n$8\r\nBLK")
         assert await client.reply() == ("+", b"PONG")
         await asyncio.sleep(0.2)
 
@@ -253,11 +253,11 @@
         stage.nodes[0].plays = lambda words: [served(bytes(900_000))]
         client = await stage.client()
         client.writer.transport.pause_reading()
-        client.writer.write(b"".join(command(read(number)) for number in range(1, 10)))
+        client.writer.write(b"".join(encode_command(read(number)) for number in range(1, 10)))
         async with asyncio.timeout(3):
             while not any(one.is_writing_paused for one in stage.server.listener.clients):
                 await asyncio.sleep(0.005)
-        client.writer.write(command([b"PING"]))
+        client.writer.write(encode_command([b"PING"]))
         await asyncio.sleep(0.1)
         client.writer.transport.resume_reading()
         return [(await client.reply())[0] for _ in range(10)]
--- a/tests/gateway/test_discovery_deadline.py
+++ b/tests/gateway/test_discovery_deadline.py
@@ -13,7 +13,7 @@
 from rushmux.gateway import discovery, discovery_connection
 from rushmux.gateway.discovery import DiscoveryWatch
 from rushmux.gateway.endpoints import SocketAddress
-from rushmux.standins.platform import Discovery, command, read
+from rushmux.standins.platform import Discovery, encode_command, read
 
 RECEIVED_WITHIN = 6.0  # seconds until a change counts as received
 CORE = 0.3  # seconds that a gateway with a tenth of a core may need for a snapshot
@@ -331,7 +331,7 @@
             await stage.client_once()
         go.set()
         client = await stage.client()
-        client.writer.write(command([b"PING"]) + command(read(1)))
+        client.writer.write(encode_command([b"PING"]) + encode_command(read(1)))
         return [await client.reply() for _ in range(2)], stage.node.got
 
     (pong, answer), got = running(scenario)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rushmux.gateway import client_connection, eviction
-from rushmux.resp import command
+from rushmux.resp import encode_command
 from rushmux.standins.platform import of, read, served, write
 
 
@@ -122,7 +122,7 @@
         await client.ask(b"PING")
         begun = time.monotonic()
         told = asyncio.ensure_future(client.reply())
-        for byte in command(read(1))[:60]:
+        for byte in encode_command(read(1))[:60]:
             client.writer.write(bytes([byte]))
             await asyncio.sleep(0.05)
             if told.done():
@@ -162,7 +162,7 @@
     async def scenario(stage):
         stage.nodes[0].plays = lambda words: [0.005, served()]
         client, most = await stage.client(), 0
-        client.writer.write(b"".join(command(read(number, left=900)) for number in range(600)))
+        client.writer.write(b"".join(encode_command(read(number, left=900)) for number in range(600)))
         kinds = []
         for _ in range(600):
             kinds.append((await client.reply())[0])
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -14,9 +14,9 @@
 from rushmux.gateway import endpoint_pool, keep_alive
 from rushmux.gateway.connection_pool import ConnectionPool
 from rushmux.gateway.endpoints import DiscoveredEndpoint
-from rushmux.resp import Commands
+from rushmux.resp import CommandReader
 from rushmux.scheduling.interface import AttemptResult, EndpointState
-from rushmux.standins.platform import Node, command, read, served, write
+from rushmux.standins.platform import Node, encode_command, read, served, write
 
 
 class HeldConnects:
@@ -162,12 +162,12 @@
         loop, server = asyncio.get_running_loop(), stage.server
         await (await stage.client()).ask(*read(9))  # its connection stays idle, so the next is sent at once
         sock = socket.create_connection(("127.0.0.1", stage.port))
-        sock.sendall(command([b"PING"]))
+        sock.sendall(encode_command([b"PING"]))
         await settled(lambda: sum(client.has_sent_command for client in server.listener.clients) == 2)
         await asyncio.sleep(keep_alive.REUSE_COOLDOWN * 3)
         server.last_round_at = loop.time()
         server.enqueue(lambda now: None)  # a round waits for the tick
-        sock.sendall(command(read(1)))
+        sock.sendall(encode_command(read(1)))
         sock.close()
         time.sleep(0.05)  # command, end and round are all due when the loop goes on
         await asyncio.sleep(0.2)
@@ -227,12 +227,12 @@
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
-        reader = Commands()
+        reader = CommandReader()
         with connection:
             try:
                 while data := connection.recv(65_536):
-                    reader.feed(data)
-                    while (words := reader.next()) is not None:
+                    reader.receive_data(data)
+                    while (words := reader.next_command()) is not None:
                         connection.sendall(served(words[2]))
                         time.sleep(0.005)
                         connection.sendall(served(b"another's"))
@@ -288,9 +288,9 @@
     def serve():
         for number in range(2):
             connection, _ = server.accept()
-            reader = Commands()
-            while (words := reader.next()) is None:
-                reader.feed(connection.recv(65_536))
+            reader = CommandReader()
+            while (words := reader.next_command()) is None:
+                reader.receive_data(connection.recv(65_536))
             connection.sendall(served(words[2]))
             if number == 0:
                 connection.close()
@@ -324,7 +324,7 @@
         stage.node.plays = lambda words: ["hang"] if int(words[2], 16) == 1 else [0.05, served()]
         await (await stage.client()).ask(b"PING")
         client = await stage.client_once()
-        client.writer.write(b"".join(command(read(number + 1, left=9_000)) for number in range(asked)))
+        client.writer.write(b"".join(encode_command(read(number + 1, left=9_000)) for number in range(asked)))
         await settled(lambda: stage.node.got)
         client.writer.transport.abort() if asked > 1_000 else client.close()
         await asyncio.sleep(3)
@@ -340,7 +340,7 @@
         stage.nodes[0].plays = lambda words: [served(value)] if int(words[2], 16) < 9 else ["hang"]
         client = await stage.client()
         client.writer.transport.pause_reading()
-        client.writer.write(b"".join(command(read(number, left=5_000)) for number in range(1, 10)))
+        client.writer.write(b"".join(encode_command(read(number, left=5_000)) for number in range(1, 10)))
         await settled(
             lambda: (
                 any(one.is_writing_paused for one in stage.server.listener.clients)
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from rushmux.standins.platform import Discovery, command, read, served
+from rushmux.standins.platform import Discovery, encode_command, read, served
 
 STEP = 0.05  # seconds between two commands on each kind of connection
 PAUSE = 0.15  # seconds for which the process stands still
@@ -47,7 +47,9 @@
     def ask(self, *numbers, hard_stop):
         if not self.ended:
             self.asks += [asyncio.get_running_loop().time()] * len(numbers)
-            self.client.writer.write(b"".join(command(read(number, left=hard_stop)) for number in numbers))
+            self.client.writer.write(
+                b"".join(encode_command(read(number, left=hard_stop)) for number in numbers)
+            )
 
 
 @pytest.mark.parametrize(
@@ -113,7 +115,7 @@
 async def asking(stage, *commands):
     """A client that the system connected, with whole commands written; nobody need have accepted it."""
     client = await stage.client_once()
-    client.writer.write(b"".join(map(command, commands)))
+    client.writer.write(b"".join(map(encode_command, commands)))
     return client
 
 
@@ -228,7 +230,7 @@
         client.writer.transport.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536
         )
-        client.writer.write(b"".join(command(read(number)) for number in range(asked)))
+        client.writer.write(b"".join(encode_command(read(number)) for number in range(asked)))
         await asyncio.sleep(0.05)
         client.writer.transport.pause_reading()  # a client that is slow to read
         stage.process.send_signal(signal.SIGTERM)
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -1,23 +1,23 @@
-"""The codec of RESP2: whole values however the bytes are cut, and nothing kept past a bound."""
+"""The codec of RESP2: complete values however the bytes are split, and nothing kept past a bound."""
 
 import random
 
 import pytest
 from hypothesis import given, strategies
 
-from rushmux.resp import Commands, Malformed, Replies, bulk, command, error
-from rushmux.resp.codec import MOST_COMMAND, MOST_VALUE
+from rushmux.resp import CommandReader, ProtocolError, ReplyReader, encode_bulk, encode_command, encode_error
+from rushmux.resp.command_reader import MAX_COMMAND_BYTES, MAX_VALUE_BYTES
 
 REPLIES = (
     b"+PONG\r\n-BUSY 20\r\n:7\r\n$-1\r\n*-1\r\n"
-    + bulk(b"a\r\nb")
+    + encode_bulk(b"a\r\nb")
     + b"*3\r\n"
-    + bulk(b"value")
+    + encode_bulk(b"value")
     + b"$-1\r\n"
-    + bulk(b"inflight=7")
+    + encode_bulk(b"inflight=7")
     + b"*0\r\n-ERR failed used=3\r\n"
 )
-READ = [
+EXPECTED = [
     ("+", b"PONG"),
     ("-", b"BUSY 20"),
     (":", b"7"),
@@ -30,46 +30,51 @@
 ]
 
 
+def next_of(reader):
+    """The next command or reply, by the kind of reader."""
+    return reader.next_command() if isinstance(reader, CommandReader) else reader.next_reply()
+
+
 def values(reader, pieces):
     found = []
     for piece in pieces:
-        reader.feed(piece)
-        while (value := reader.next()) is not None:
+        reader.receive_data(piece)
+        while (value := next_of(reader)) is not None:
             found.append(value)
     return found
 
 
 @pytest.mark.parametrize("cut", range(len(REPLIES)))
-def test_replies_cut_at_every_byte(cut):
-    assert values(Replies(), [REPLIES[:cut], REPLIES[cut:]]) == READ
+def test_replies_split_at_every_byte(cut):
+    assert values(ReplyReader(), [REPLIES[:cut], REPLIES[cut:]]) == EXPECTED
 
 
 def test_replies_byte_by_byte():
-    assert values(Replies(), [REPLIES[at : at + 1] for at in range(len(REPLIES))]) == READ
+    assert values(ReplyReader(), [REPLIES[at : at + 1] for at in range(len(REPLIES))]) == EXPECTED
 
 
 @given(
     strategies.lists(strategies.lists(strategies.binary(max_size=80), min_size=1, max_size=16), max_size=8),
     strategies.randoms(use_true_random=False),
 )
-def test_commands_come_out_as_they_went_in(commands, chance):
-    data, pieces = b"".join(map(command, commands)), []
+def test_encoded_commands_are_read_back(commands, chance):
+    data, pieces = b"".join(map(encode_command, commands)), []
     while data:
         size = chance.randint(1, 40)
         pieces.append(data[:size])
         data = data[size:]
-    reader = Commands()
-    assert values(reader, pieces) == commands and not reader.partial()
+    reader = CommandReader()
+    assert values(reader, pieces) == commands and not reader.has_partial_command()
 
 
 @given(strategies.binary(max_size=400))
-def test_noise_is_malformed_or_waits_and_never_grows(noise):
-    for reader in (Commands(), Replies()):
+def test_random_bytes_are_a_protocol_error_or_stay_within_bounds(noise):
+    for reader in (CommandReader(), ReplyReader()):
         try:
             values(reader, [noise[at : at + 7] for at in range(0, len(noise), 7)])
-        except Malformed:
+        except ProtocolError:
             continue
-        assert reader.held() <= MOST_COMMAND
+        assert reader.unread_bytes() <= MAX_COMMAND_BYTES
 
 
 @pytest.mark.parametrize(
@@ -91,19 +96,19 @@
         b"\0",
     ],
 )
-def test_a_bad_command_is_malformed_at_its_header(head):
-    reader = Commands()
-    reader.feed(head)
-    with pytest.raises(Malformed):
-        while reader.next() is not None:
+def test_a_malformed_command_is_a_protocol_error_at_its_header(head):
+    reader = CommandReader()
+    reader.receive_data(head)
+    with pytest.raises(ProtocolError):
+        while reader.next_command() is not None:
             pass
 
 
-def test_a_command_that_claims_many_large_words_is_malformed_before_they_are_kept():
-    reader = Commands()
-    reader.feed(b"*3\r\n" + bulk(b"x" * MOST_VALUE) + b"$65536\r\n")
-    with pytest.raises(Malformed):
-        reader.next()
+def test_a_command_that_announces_too_many_bytes_is_a_protocol_error_before_they_come():
+    reader = CommandReader()
+    reader.receive_data(b"*3\r\n" + encode_bulk(b"x" * MAX_VALUE_BYTES) + b"$65536\r\n")
+    with pytest.raises(ProtocolError):
+        reader.next_command()
 
 
 @pytest.mark.parametrize(
@@ -121,46 +126,47 @@
         b"+a\nb\r\n",
     ],
 )
-def test_a_bad_reply_is_malformed(data):
-    reader = Replies()
-    reader.feed(data)
-    with pytest.raises(Malformed):
-        while reader.next() is not None:
+def test_a_malformed_reply_is_a_protocol_error(data):
+    reader = ReplyReader()
+    reader.receive_data(data)
+    with pytest.raises(ProtocolError):
+        while reader.next_reply() is not None:
             pass
 
 
-def test_a_large_value_of_a_node_is_read_whole():
-    """Seen on the platform: values of 400,000 bytes, where its page says 64 KiB; held for spoilt, each was
-    asked for three times.
+def test_a_large_value_of_a_node_is_read_completely():
+    """Seen on the platform: values of 400,000 bytes, where its protocol says 64 KiB.
+
+    Taken for malformed, each was asked for three times.
     """
     value = b"v" * 400_000
-    data = b"*3\r\n" + bulk(value) + b"$-1\r\n$-1\r\n"
-    assert values(Replies(), [data[at : at + 65_536] for at in range(0, len(data), 65_536)]) == [
+    data = b"*3\r\n" + encode_bulk(value) + b"$-1\r\n$-1\r\n"
+    assert values(ReplyReader(), [data[at : at + 65_536] for at in range(0, len(data), 65_536)]) == [
         ("*", [value, None, None])
     ]
 
 
-def test_commands_before_a_bad_one_are_given_first():
-    reader = Commands()
-    reader.feed(command([b"PING"]) + b"noise")
-    assert reader.next() == [b"PING"]
-    with pytest.raises(Malformed):
-        reader.next()
+def test_commands_before_a_malformed_one_are_returned_first():
+    reader = CommandReader()
+    reader.receive_data(encode_command([b"PING"]) + b"noise")
+    assert reader.next_command() == [b"PING"]
+    with pytest.raises(ProtocolError):
+        reader.next_command()
 
 
-def test_reading_is_linear_however_the_bytes_are_cut():
+def test_reading_is_linear_however_the_bytes_are_split():
     """The bytes moved within the buffer stay in proportion to what came."""
-    chance, data = random.Random(1), command([b"BLK.WRITE", b"x" * MOST_VALUE]) * 20
-    reader, at, found = Commands(), 0, 0
+    chance, data = random.Random(1), encode_command([b"BLK.WRITE", b"x" * MAX_VALUE_BYTES]) * 20
+    reader, at, found = CommandReader(), 0, 0
     while at < len(data):
         size = chance.randint(1, 300)
-        reader.feed(data[at : at + size])
+        reader.receive_data(data[at : at + size])
         at += size
-        while reader.next() is not None:
+        while reader.next_command() is not None:
             found += 1
-        assert reader.held() <= MOST_COMMAND
+        assert reader.unread_bytes() <= MAX_COMMAND_BYTES
     assert found == 20
 
 
 def test_an_error_line_stays_one_line():
-    assert error("ERR a\r\nb") == b"-ERR a  b\r\n"
+    assert encode_error("ERR a\r\nb") == b"-ERR a  b\r\n"
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -12,7 +12,7 @@
 from rushmux.gateway.errors import InvalidCommandError
 from rushmux.nodewire import Frames, frame, messages
 from rushmux.planner import raft_codec
-from rushmux.resp import Commands, Replies, command, error
+from rushmux.resp import CommandReader, ReplyReader, encode_command, encode_error
 from rushmux.sftp import packets as sftp
 from rushmux.standins.platform import configuration
 from rushmux.wirehost.host import Host
@@ -107,22 +107,24 @@
 @pytest.mark.parametrize("row", RESP2["commands"])
 def test_a_clients_command_becomes_the_same_command_to_a_node_or_the_same_error(row):
     config = parse_config(json.dumps(configuration(1, [], 7000)).encode())
-    reader = Commands()
-    reader.feed(bytes.fromhex(row["client"]))
+    reader = CommandReader()
+    reader.receive_data(bytes.fromhex(row["client"]))
     try:
         answer = {
-            "node": command(commands.parse_command(reader.next(), config).build_arguments(MILLISECONDS)).hex()
+            "node": encode_command(
+                commands.parse_command(reader.next_command(), config).build_arguments(MILLISECONDS)
+            ).hex()
         }
     except InvalidCommandError as fault:
-        answer = {"error": error(f"ERR {fault}").hex()}
+        answer = {"error": encode_error(f"ERR {fault}").hex()}
     assert {"client": row["client"], **answer} == row
 
 
 @pytest.mark.parametrize("row", RESP2["replies"])
 def test_a_nodes_reply_means_the_same(row):
-    reader = Replies()
-    reader.feed(bytes.fromhex(row["node"]))
-    kind, value = reader.next()
+    reader = ReplyReader()
+    reader.receive_data(bytes.fromhex(row["node"]))
+    kind, value = reader.next_reply()
     result, found, fleet_use, from_others = replies.interpret(kind, value)
     assert (result, fleet_use, from_others) == (row["result"], row["fleet_use"], row["from_others"])
     assert found == (None if row["value"] is None else bytes.fromhex(row["value"]))
