--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -170,8 +170,8 @@
                 self.has_sent_command = True
                 self.last_active_at = self.listener.loop.time()
                 self.pending_replies.append(self.listener.dispatcher.dispatch(arguments, self))
-        except ProtocolError as fault:
-            error_text = str(fault)
+        except ProtocolError as protocol_error:
+            error_text = str(protocol_error)
         if error_text is not None:
             self.pending_replies.append(PendingReply(self, encode_error(f"ERR Protocol error: {error_text}")))
             self.finish(discards_input=True)
--- a/rushmux/gateway/connection_pool.py
+++ b/rushmux/gateway/connection_pool.py
@@ -13,7 +13,7 @@
 from rushmux.scheduling.interface import AttemptResult, EndpointState
 
 IDLE_TIMEOUT_PART = 0.9
-"""Of the time after which a node closes an idle connection: the rest is for the way there."""
+"""Of the time after which a node closes an idle connection: the remainder is for the way there."""
 SWEEP_INTERVAL = 1.0
 """Seconds between two searches for connections that have been idle for too long."""
 NEVER = float("inf")
--- a/rushmux/gateway/discovery.py
+++ b/rushmux/gateway/discovery.py
@@ -1,4 +1,4 @@
-"""Follows discovery: the whole endpoint list once, then a watch that is always renewed.
+"""Follows discovery: a snapshot of the endpoint list once, then a watch that is always renewed.
 
 Whatever a request met, a change has to be here 6 s after discovery had it and could be reached.  The worst
 that can follow one another: a response that trickles and began before the change (RESPONSE_TIMEOUT), a
@@ -28,13 +28,13 @@
     """The watch over the endpoint list.
 
     Attributes:
-        version: Of the last list received; None: the whole list is asked for.
+        version: Of the last list received; None: a snapshot is asked for.
         connection: To the current address, from its dial on.
         dial_task: Opens the connection.
         former_connections: To former addresses, the oldest first.
         endpoints: As last passed on: what a rejected row leaves in force.
         is_unavailable: Whether the last request failed.
-        first_response: Done when discovery was first heard.
+        first_response: Done when discovery first answered.
     """
 
     def __init__(
@@ -104,7 +104,7 @@
         """A response came on a connection."""
         if not self._is_news(connection, listing.version):
             return
-        endpoints = listing.endpoints + self._kept_for_rejected(listing)
+        endpoints = listing.endpoints + self._unchanged_for_rejected(listing)
         if self.is_unavailable:
             self.is_unavailable = False
             self.log.info("discovery.recovered", version=listing.version)
@@ -125,7 +125,7 @@
             return True
         return connection in self.former_connections and (self.version is None or version > self.version)
 
-    def _kept_for_rejected(self, listing: EndpointListing) -> list[DiscoveredEndpoint]:
+    def _unchanged_for_rejected(self, listing: EndpointListing) -> list[DiscoveredEndpoint]:
         # One bad row must not keep the changes beside it from being taken for as long as it stands.
         if not listing.rejected:
             return []
--- a/rushmux/gateway/endpoints.py
+++ b/rushmux/gateway/endpoints.py
@@ -58,7 +58,7 @@
 
     version: int
     is_snapshot: bool
-    """Whether it is the whole list; else the changes since a version."""
+    """Whether it is the complete list; else the changes since a version."""
     endpoints: list[DiscoveredEndpoint]
     rejected: list[RejectedRow]
 
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -27,7 +27,7 @@
 CLIENT_SOCKETS = 0.55
 """Of the others, for clients: at most a third of all have operations in flight, and some are idle."""
 NODE_SOCKETS = 0.35
-"""Of the others, for nodes; the rest is for connections that are just ending."""
+"""Of the others, for nodes; the remainder is for connections that are just ending."""
 FIRST_LIST_TIMEOUT = 1.0
 """Seconds that the first endpoint list is waited for: an agent that can answer does so at once."""
 STATS_INTERVAL = 30.0
@@ -42,7 +42,7 @@
 
     Attributes:
         epoch: Unix time, in seconds, at which the loop's clock was 0.
-        known_states: State and start of each node as the scheduler was last told of it.
+        known_states: State and start of each node as last passed to the scheduler.
         is_stopping: Whether new operations get BUSY at once: the process is about to be ended.
     """
 
--- a/rushmux/resp/reply_reader.py
+++ b/rushmux/resp/reply_reader.py
@@ -24,6 +24,8 @@
 
 
 KINDS = {ord(kind): kind for kind in ReplyKind}
+"""By first byte."""
+ARRAY, BULK = ReplyKind.ARRAY, ReplyKind.BULK
 
 
 class ReplyReader(BufferedReader):
@@ -53,7 +55,7 @@
             kind, value = self._next_element()
             if kind is None:
                 return None
-            if kind is ReplyKind.ARRAY and (self.elements is not None or value is not None):
+            if kind is ARRAY and (self.elements is not None or value is not None):
                 if self.elements is not None:
                     raise InvalidSyntaxError("an array within an array", value)
                 self.elements, self.missing = [], value
@@ -64,19 +66,22 @@
                 self.missing -= 1
             if not self.missing:
                 elements, self.elements = self.elements, None
-                return ReplyKind.ARRAY, elements
+                return ARRAY, elements
 
     def _next_element(self) -> tuple[ReplyKind | None, bytes | int | None]:
         # Kind and value of the next element; of an array the count.  (None, None): it is incomplete.
         if self.length is None:
-            line = self._next_header()
+            # A line without an end is known by its first byte.
+            if self.unread_bytes() and self.buffer[self.position] not in KINDS:
+                raise InvalidSyntaxError("no kind of reply", self.buffer[self.position])
+            line = self._next_line(MAX_LINE_BYTES)
             if line is None:
                 return None, None
             kind, rest = KINDS[line[0]], line[1:]
-            if kind is ReplyKind.ARRAY:
+            if kind is ARRAY:
                 count = parse_length(rest, MAX_ARRAY_ELEMENTS)
                 return kind, count if count >= 0 else None
-            if kind is not ReplyKind.BULK:
+            if kind is not BULK:
                 if b"\r" in rest or b"\n" in rest:
                     raise InvalidSyntaxError("half a line's end within a line", bytes(rest))
                 return kind, bytes(rest)
@@ -88,10 +93,4 @@
         if value is None:
             return None, None
         self.length = None
-        return ReplyKind.BULK, value
-
-    def _next_header(self) -> bytearray | None:
-        # A line without an end is known by its first byte.
-        if self.unread_bytes() and self.buffer[self.position] not in KINDS:
-            raise InvalidSyntaxError("no kind of reply", self.buffer[self.position])
-        return self._next_line(MAX_LINE_BYTES)
+        return BULK, value
--- a/rushmux/settings/platform.py
+++ b/rushmux/settings/platform.py
@@ -1,50 +1,32 @@
-"""The platform's settings: the object of the simulator's first message, read into the scheduler's settings.
+"""The platform's settings: the object of the simulator's first message, as the scheduler's settings.
 
-The adapter finds it in that message, the real gateway in its configuration.
+The bench's adapter finds it in that message, the gateway in its configuration file.  Its keys are the
+platform's.
 """
 
 from rushmux.scheduling.interface import DedupScope, Idempotency, QosPlan, RequestClass, SchedulerSettings
 
-TICK_NS = 100_000  # nanoseconds in a tenth of a millisecond, the module's unit of time
+TICK_NS = 100_000
+"""Nanoseconds in a tick."""
+NS_PER_MILLISECOND = 1_000_000
+IDEMPOTENCY = {
+    "safe": Idempotency.IDEMPOTENT,
+    "keyed": Idempotency.KEYED,
+    "unsafe": Idempotency.NOT_IDEMPOTENT,
+}
+"""By the platform's name."""
+LOAD_COLUMNS = {"backlog": 1, "recent_ms": NS_PER_MILLISECOND / TICK_NS}
+"""Columns of a load report that the scheduler reads, with the factor to its unit."""
 
-REPEATS = {"safe": Idempotency.IDEMPOTENT, "keyed": Idempotency.KEYED, "unsafe": Idempotency.NOT_IDEMPOTENT}
-LOADS = {"backlog": 1, "recent_ms": 1_000_000 / TICK_NS}  # name -> in the module's unit
 
-
-def scheduler_settings_of(env):
-    """The settings, as the module reads them."""
+def scheduler_settings_of(env: dict) -> SchedulerSettings:
+    """Returns the scheduler's settings; KeyError, TypeError or ValueError where a value is malformed."""
     rules, limits, extra = env["Rules"], env["Limits"], env["Extra"]
-    lanes = {
-        row["Name"]: RequestClass(
-            row["Name"],
-            row["Aim"] // TICK_NS,
-            row["Deadline"] // TICK_NS,
-            row["Worth"],
-            REPEATS[row["Idempotency"]],
-            DedupScope(row.get("Group", "all")),
-            row.get("Window", 0) // TICK_NS,
-            row.get("ByArrival", False),
-        )
-        for row in env["Classes"]
-    }
-    plans = {
-        row["Name"]: QosPlan(
-            row["Name"],
-            row["Nominal"],
-            row["FloorRate"],
-            row["NeverOver"],
-            row["CapDepth"],
-            row["Tolerance"],
-            row["Parts"],
-            row["WorthFactor"],
-        )
-        for row in env["Grades"]
-    }
     return SchedulerSettings(
-        request_classes=lanes,
-        plans=plans,
+        request_classes={row["Name"]: _request_class_of(row) for row in env["Classes"]},
+        plans={row["Name"]: _plan_of(row) for row in env["Grades"]},
         gateway_count=env["ReplicasOfMe"],
-        round_interval=-(-env["Period"] // TICK_NS),
+        round_interval=_ticks_rounded_up(env["Period"]),
         polls_endpoints=env["Discovery"] == "ask",
         poll_interval=rules["AskWithin"] // TICK_NS,
         max_attempts=limits["MaxAttempts"],
@@ -52,24 +34,57 @@
         mean_units=extra["UnitMean"],
         max_units=extra["MostUnits"],
         slow_start_units=extra["ColdUnits"],
-        slow_start_window=-(-rules["OverloadFor"] // TICK_NS),
+        slow_start_window=_ticks_rounded_up(rules["OverloadFor"]),
         overload_multiple=rules["FallMultiple"],
         initial_capacity=rules["StartCapacity"],
-        warm_up_time=-(-rules["WarmWithin"] // TICK_NS),
+        warm_up_time=_ticks_rounded_up(rules["WarmWithin"]),
         usage_period=extra["UsePeriod"] // TICK_NS,
-        key_cooldown=-(-rules.get("OrderSettle", 0) // TICK_NS),
+        key_cooldown=_ticks_rounded_up(rules.get("OrderSettle", 0)),
         retry_budget_ratio=rules.get("ExtraRatio"),
         retry_budget_burst=rules.get("ExtraFree", 0),
-        retry_budget_window=-(-rules.get("BudgetSpan", 0) // TICK_NS),
+        retry_budget_window=_ticks_rounded_up(rules.get("BudgetSpan", 0)),
         allows_hedging=limits.get("SecondCopies", False),
         allows_cancellation=limits.get("Cancel", False),
-        # Only where the service time is told.
-        reports_load=bool(limits.get("MayProbe") and loads_of(env)[-1] is not None),
+        reports_load=_reports_service_time(env),
+    )
+
+
+def _request_class_of(row: dict) -> RequestClass:
+    return RequestClass(
+        row["Name"],
+        row["Aim"] // TICK_NS,
+        row["Deadline"] // TICK_NS,
+        row["Worth"],
+        IDEMPOTENCY[row["Idempotency"]],
+        DedupScope(row.get("Group", "all")),
+        row.get("Window", 0) // TICK_NS,
+        row.get("ByArrival", False),
     )
 
 
-def loads_of(env):
-    """Where the values of a load report stand in its row; None for those it lacks."""
+def _plan_of(row: dict) -> QosPlan:
+    return QosPlan(
+        row["Name"],
+        row["Nominal"],
+        row["FloorRate"],
+        row["NeverOver"],
+        row["CapDepth"],
+        row["Tolerance"],
+        row["Parts"],
+        row["WorthFactor"],
+    )
+
+
+def _ticks_rounded_up(nanoseconds: int) -> int:
+    return -(-nanoseconds // TICK_NS)
+
+
+def _reports_service_time(env: dict) -> bool:
+    return bool(env["Limits"].get("MayProbe") and load_positions(env)[-1] is not None)
+
+
+def load_positions(env: dict) -> list[int | None]:
+    """Returns where the values of `LOAD_COLUMNS` stand in a load report's row; None for those it lacks."""
     report = env.get("Report", {})
     columns = report.get("Columns", []) if report.get("How") in ("answers", "probe") else []
-    return [columns.index(name) if name in columns else None for name in LOADS]
+    return [columns.index(name) if name in columns else None for name in LOAD_COLUMNS]
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -19,7 +19,7 @@
     UpdateKind,
 )
 from rushmux.scheduling.scheduler import Scheduler
-from rushmux.settings.platform import LOADS, TICK_NS, loads_of, scheduler_settings_of
+from rushmux.settings.platform import LOAD_COLUMNS, TICK_NS, load_positions, scheduler_settings_of
 
 RESULTS = {
     "completed": AttemptResult.SUCCEEDED,
@@ -156,7 +156,7 @@
     def _attach(self, event: dict) -> SchedulerCall:
         instance, env = event["Gateway"], event["Env"]
         actions = InstanceActions(instance, self)
-        self.load_places[instance] = loads_of(env)
+        self.load_places[instance] = load_positions(env)
         return SchedulerCall(self._start, (instance, scheduler_settings_of(env), event["Entropy"], actions))
 
     def _start(self, instance, settings, seed, actions) -> None:
@@ -213,7 +213,7 @@
         row, places = event.get("Metrics") or (), self.load_places[event["Gateway"]]
         queue, service = (
             float(row[place]) * scale if place is not None and place < len(row) else None
-            for place, scale in zip(places, LOADS.values(), strict=True)
+            for place, scale in zip(places, LOAD_COLUMNS.values(), strict=True)
         )
         values = event["Node"], RESULTS[event["Verdict"]], queue, service
         return SchedulerCall(self._scheduler(event).on_load_report, values)
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -9,7 +9,7 @@
 from rushmux.gateway.errors import ConfigError, InvalidCommandError
 from rushmux.resp import ReplyReader
 from rushmux.scheduling.interface import AttemptResult
-from rushmux.settings.platform import loads_of
+from rushmux.settings.platform import load_positions
 from rushmux.standins.platform import configuration, read, served, settings, write
 
 CONFIG = parse_config(json.dumps(configuration(1, [])).encode())
@@ -133,8 +133,8 @@
 
 def test_load_columns_of_the_settings():
     """`inflight` on the sockets stands as `outstanding` in the settings; neither is one the module reads."""
-    assert loads_of(settings()) == [None, None]
-    assert loads_of({"Report": {"How": "answers", "Columns": ["recent_ms", "backlog"]}}) == [1, 0]
+    assert load_positions(settings()) == [None, None]
+    assert load_positions({"Report": {"How": "answers", "Columns": ["recent_ms", "backlog"]}}) == [1, 0]
 
 
 @pytest.mark.parametrize("wrong", [b"", b"{", b"[]", b'{"name":1}', b"\xff"])
