--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -1,4 +1,4 @@
-"""What the platform's gateway costs by the size of its lists: the module's turns, and the process.
+"""What the platform's gateway costs by the size of its endpoint list: scheduler rounds, and the process.
 
 python -m benchmarks.members
 """
@@ -11,7 +11,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 from pathlib import Path
+from typing import NamedTuple
 
 from rushmux.scheduling.interface import (
     AttemptReport,
@@ -24,105 +26,152 @@
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.scheduling.structures import RandomGenerator
 from rushmux.settings.platform import scheduler_settings_of
-from rushmux.standins.platform import Client, Discovery, Node, configuration, settings
+from rushmux.standins.platform import FakeClient, FakeDiscovery, FakeNode, configuration, settings
 
 ROOT = Path(__file__).resolve().parents[1]
-SIZES = 64, 256, 1_024  # nodes, shards and gateways
-OPERATIONS = 2_000  # of each case; half a hundred volumes
-APART = 20  # ticks between two
-WARM_WITHIN = 300_000  # ticks for which a node counts as cold here: all operations of a case
+SIZES = 64, 256, 1_024
+"""Nodes, shards and gateways."""
+OPERATIONS = 2_000
+"""Of each case."""
+VOLUMES = 50
+OPERATION_INTERVAL = 20
+"""Ticks between two operations."""
+WARM_UP_TIME = 300_000
+"""Ticks for which a node is in slow start: all operations of a case."""
+START = 10_000
+"""Ticks at which a case begins."""
+OPERATION_TIME_LEFT = 10_000
+"""Ticks."""
 PORT = 27_381
+LIST_TIME = 1.0
+"""Seconds in which discovery's list comes, too."""
+CONNECT_INTERVAL = 0.01
+"""Seconds between two attempts to connect."""
+KIB_PER_MB = 1024
 
 
-class Out:
-    """Takes what the module decides; only executions are looked at."""
+class SchedulerCost(NamedTuple):
+    """What a case of the scheduler took."""
+
+    is_slow_start: bool
+    list_ms: float
+    median_us: float
+    """Of an operation's two rounds."""
+    p99_us: float
+
+
+class ProcessCost(NamedTuple):
+    """What a process took."""
+
+    ready_s: float
+    """Until the first PONG."""
+    peak_mb: float
+
+
+class RecordingActions:
+    """Takes the scheduler's actions; only started attempts are kept."""
 
     def __init__(self):
-        self.sent = []
+        self.started: list[str] = []
 
-    def start_attempt(self, op_id, node, timeout):
-        self.sent.append(op_id)
+    def start_attempt(self, op_id: str, node: str, timeout: int) -> None:
+        """Keeps the operation's id."""
+        self.started.append(op_id)
 
     def __getattr__(self, name):
         return lambda *_: None
 
 
-def turns(size):
-    """Yields for warm and for cold nodes: ms of the list, and us of an operation's two turns, median and
-    99th percentile.
-    """
-    for cold in (False, True):
-        stated = scheduler_settings_of(settings(gateways=size, shards=size))._replace(
-            warm_up_time=WARM_WITHIN, slow_start_units=200 * size
-        )
-        out, chance, now, took = Out(), RandomGenerator(1), 10_000, []
-        scheduler = Scheduler(stated, 7, 0, out)
-        rows = [
-            Endpoint(f"s{number}", number, "a", EndpointState.READY, now if cold else 0)
-            for number in range(size)
+def measure_scheduler(size: int) -> Iterator[SchedulerCost]:
+    """Yields the cost with nodes that have warmed up and with nodes in slow start."""
+    scheduler_settings = scheduler_settings_of(settings(gateways=size, shards=size))._replace(
+        warm_up_time=WARM_UP_TIME, slow_start_units=200 * size
+    )
+    for is_slow_start in (False, True):
+        actions = RecordingActions()
+        scheduler = Scheduler(scheduler_settings, 7, 0, actions)
+        online_since = START if is_slow_start else 0
+        endpoints = [
+            Endpoint(f"s{number}", number, "a", EndpointState.READY, online_since) for number in range(size)
         ]
         begun = time.perf_counter()
-        scheduler.on_endpoints(now, UpdateKind.SNAPSHOT, rows)
+        scheduler.on_endpoints(START, UpdateKind.SNAPSHOT, endpoints)
+        scheduler.run_round(START)
+        list_time = time.perf_counter() - begun
+        times = sorted(_operation_times(scheduler, actions, size))
+        median, p99 = times[OPERATIONS // 2], times[OPERATIONS * 99 // 100]
+        yield SchedulerCost(is_slow_start, list_time * 1e3, median * 1e6, p99 * 1e6)
+
+
+def _operation_times(scheduler: Scheduler, actions: RecordingActions, size: int) -> Iterator[float]:
+    random, now = RandomGenerator(1), START
+    for number in range(OPERATIONS):
+        now += OPERATION_INTERVAL
+        begun = time.perf_counter()
+        volume, key, cell = f"v{number % VOLUMES}", f"k{number}", random.below(size)
+        request = OperationRequest(
+            f"o{number}", "read", "base", volume, key, OPERATION_TIME_LEFT, 2, cell, 3, False
+        )
+        scheduler.on_operation(now, request)
         scheduler.run_round(now)
-        listed = time.perf_counter() - begun
-        for number in range(OPERATIONS):
-            now += APART
-            begun = time.perf_counter()
-            volume, key, cell = f"v{number % 50}", f"k{number}", chance.below(size)
-            request = OperationRequest(f"o{number}", "read", "base", volume, key, 10_000, 2, cell, 3, False)
-            scheduler.on_operation(now, request)
-            scheduler.run_round(now)
-            for op_id in out.sent:
-                report = AttemptReport(op_id, 0, AttemptResult.SUCCEEDED, True, 50, 0.0)
-                scheduler.on_attempt_result(now + 1, report)
-            out.sent.clear()
-            scheduler.run_round(now + 1)
-            took.append(time.perf_counter() - begun)
-        took.sort()
-        yield cold, listed * 1e3, took[OPERATIONS // 2] * 1e6, took[OPERATIONS * 99 // 100] * 1e6
-
-
-async def process(size):
-    """Seconds to the first PONG of a process, and the most memory that it held by then, in MB."""
-    node, discovery, loop = Node(), Discovery(), asyncio.get_running_loop()
+        for op_id in actions.started:
+            report = AttemptReport(op_id, 0, AttemptResult.SUCCEEDED, True, 50, 0.0)
+            scheduler.on_attempt_result(now + 1, report)
+        actions.started.clear()
+        scheduler.run_round(now + 1)
+        yield time.perf_counter() - begun
+
+
+async def measure_process(size: int) -> ProcessCost:
+    """Starts a process and measures it."""
+    node, discovery, loop = FakeNode(), FakeDiscovery(), asyncio.get_running_loop()
     await node.open()
     await discovery.open()
-    discovery.put(*(node.row(f"s{number}", number) for number in range(size)))
+    discovery.update(*(node.row(f"s{number}", number) for number in range(size)))
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         rows = list(discovery.rows.values())
         json.dump(configuration(discovery.port, rows, PORT, gateways=size, shards=size), file)
         file.flush()
         begun = loop.time()
-        child = subprocess.Popen(
+        process = subprocess.Popen(
             [sys.executable, "-m", "rushmux.gateway"],
             cwd=ROOT,
             stderr=subprocess.DEVNULL,
             env={**os.environ, "NODE_CONFIG": file.name},
         )
         try:
-            while True:
-                try:
-                    client = await Client().open(PORT)
-                    break
-                except OSError:
-                    await asyncio.sleep(0.01)
-            await client.ask(b"PING")
+            client = await _connect()
+            await client.request(b"PING")
             ready = loop.time() - begun
-            await asyncio.sleep(1.0)  # the list of discovery comes too
-            status = Path(f"/proc/{child.pid}/status").read_text()
+            await asyncio.sleep(LIST_TIME)
+            status = Path(f"/proc/{process.pid}/status").read_text()
         finally:
-            child.kill()
-            child.wait()
+            process.kill()
+            process.wait()
             node.close()
             discovery.close()
-    return ready, int(re.search(r"VmHWM:\s+(\d+)", status)[1]) / 1024
+    return ProcessCost(ready, int(re.search(r"VmHWM:\s+(\d+)", status)[1]) / KIB_PER_MB)
 
 
-if __name__ == "__main__":
-    for count in SIZES:
-        for are_cold, list_ms, median, late in turns(count):
+async def _connect() -> FakeClient:
+    while True:
+        try:
+            return await FakeClient().open(PORT)
+        except OSError:
+            await asyncio.sleep(CONNECT_INTERVAL)
+
+
+def main() -> None:
+    """Prints the costs of each size."""
+    for size in SIZES:
+        for cost in measure_scheduler(size):
             print(
-                f"{count} nodes {'cold' if are_cold else 'warm'}: list {list_ms:.1f} ms, "
-                f"operation {median:.0f} us, {late:.0f} us (99th)"
+                f"{size} nodes {'cold' if cost.is_slow_start else 'warm'}: list {cost.list_ms:.1f} ms, "
+                f"operation {cost.median_us:.0f} us, {cost.p99_us:.0f} us (99th)"
             )
-        print(f"{count} nodes: ready %.2f s, %.1f MB" % asyncio.run(process(count)))
+        process = asyncio.run(measure_process(size))
+        print(f"{size} nodes: ready {process.ready_s:.2f} s, {process.peak_mb:.1f} MB")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rushmux/standins/platform/__init__.py
@@ -0,0 +1,22 @@
+"""Stand-ins for the platform on loopback: storage nodes, discovery, clients, and a configuration.
+
+What a node or discovery does with a request is given by a script: a function that returns steps.
+"""
+
+from rushmux.standins.platform.client import FakeClient
+from rushmux.standins.platform.configuration import configuration, settings
+from rushmux.standins.platform.discovery import FakeDiscovery
+from rushmux.standins.platform.messages import option_of, read_command, success_reply, write_command
+from rushmux.standins.platform.node import FakeNode
+
+__all__ = [
+    "FakeClient",
+    "FakeDiscovery",
+    "FakeNode",
+    "configuration",
+    "option_of",
+    "read_command",
+    "settings",
+    "success_reply",
+    "write_command",
+]
--- /dev/null
+++ b/rushmux/standins/platform/configuration.py
@@ -0,0 +1,107 @@
+"""A gateway's configuration, and the platform's settings in it."""
+
+NS_PER_MS = 1_000_000
+
+
+def settings(
+    *,
+    plan: dict | None = None,
+    deadline: int = 1_000,
+    objective: int = 400,
+    dedup_window: int | None = None,
+    gateways: int = 3,
+    shards: int = 4,
+    **limits,
+) -> dict:
+    """Returns settings in the form of the simulator's first message, with times that suit a test.
+
+    Args:
+        plan: Values of the plan that differ.
+        deadline: Of both request classes, in milliseconds.
+        objective: Of both request classes, in milliseconds.
+        dedup_window: Of the keyed one, in milliseconds.
+        gateways: How many share a volume.
+        shards: How many cells there are.
+        limits: Values of the limits that differ.
+    """
+    return {
+        "Classes": [
+            {
+                "Name": "read",
+                "Aim": objective * NS_PER_MS,
+                "Deadline": deadline * NS_PER_MS,
+                "Worth": 3,
+                "Idempotency": "safe",
+            },
+            {
+                "Name": "write",
+                "Aim": objective * NS_PER_MS,
+                "Deadline": deadline * NS_PER_MS,
+                "Worth": 2,
+                "Idempotency": "keyed",
+                "Group": "cell",
+                "Window": (dedup_window or max(3_000, deadline)) * NS_PER_MS,
+            },
+        ],
+        "Grades": [
+            {
+                "Name": "base",
+                "Nominal": 1_000,
+                "FloorRate": 500,
+                "NeverOver": 0,
+                "CapDepth": 0,
+                "Tolerance": 0,
+                "Parts": 1,
+                "WorthFactor": 1,
+                **(plan or {}),
+            }
+        ],
+        "Rules": {
+            "AskWithin": 9_000 * NS_PER_MS,
+            "OverloadFor": 1_000 * NS_PER_MS,
+            "FallMultiple": 3,
+            "StartCapacity": 0.2,
+            "WarmWithin": 3_000 * NS_PER_MS,
+            "StopSendingWithin": 250 * NS_PER_MS,
+        },
+        "Limits": {
+            "MaxAttempts": 3,
+            "RetryAfter": False,
+            "MaxRetryAfter": 0,
+            "MayProbe": False,
+            "MostHeld": 500,
+            "DialTimeout": 250 * NS_PER_MS,
+            "ConnIdle": 4_000 * NS_PER_MS,
+            "Cancel": True,
+            **limits,
+        },
+        "Extra": {
+            "UnitMean": 2,
+            "MostUnits": 8,
+            "ColdUnits": 20,
+            "UsePeriod": 1_000 * NS_PER_MS,
+            "SlotsTotal": shards,
+            "ChangesData": [False, True],
+            "SaysOthers": False,
+        },
+        "Report": {"How": "answers", "Columns": ["outstanding"]},
+        "ReplicasOfMe": gateways,
+        "Period": 2 * NS_PER_MS,
+        "Discovery": "push",
+        "ClientHabits": {"MarksRetry": False},
+    }
+
+
+def configuration(
+    discovery_port: int, known_rows: list[dict], listen_port: int = 0, *, sockets: int = 256, **options
+) -> dict:
+    """Returns what a gateway finds in its file; `options` are those of `settings`."""
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{listen_port or 1}",
+        "discovery": f"127.0.0.1:{discovery_port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": sockets},
+        "known": {"version": 1, "full": True, "servers": known_rows},
+        "settings": settings(**options),
+    }
--- /dev/null
+++ b/rushmux/standins/platform/discovery.py
@@ -0,0 +1,117 @@
+"""Discovery: the endpoint list, its changes, and failures on request."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import Callable, Iterable
+
+SILENCE_CHECK_INTERVAL = 0.01
+"""Seconds between two checks whether it is still silent."""
+MILLISECONDS = 1000
+"""In a second."""
+
+
+class FakeDiscovery:
+    """Discovery on loopback.
+
+    Attributes:
+        rows: The list, by node.
+        changes: All changes so far, each with its version.
+        requests: Time and target of each request.
+        is_silent: Whether it does not answer.
+        malformed_body: Sent in place of the list.
+        indent: Of the JSON.
+        script: Returns the steps of a response, given the target and the body: as a fake node's, and besides
+            "reset", and events, which are waited for.
+        changed: Set, and replaced, with each change.
+    """
+
+    def __init__(self):
+        self.version = 1
+        self.rows: dict[str, dict] = {}
+        self.changes: list[tuple[int, dict]] = []
+        self.requests: list[tuple[float, str]] = []
+        self.is_silent = False
+        self.malformed_body: bytes | None = None
+        self.indent: int | None = None
+        self.script: Callable[[str, bytes], Iterable] | None = None
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.changed = asyncio.Event()
+
+    async def open(self) -> None:
+        """Listens on any free port."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def update(self, *rows: dict) -> None:
+        """Changes rows of the list, as one version."""
+        self.version += 1
+        for row in rows:
+            self.rows[row["id"]] = row
+            self.changes.append((self.version, row))
+            if row["state"] == "removed":
+                del self.rows[row["id"]]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                target = head.split()[1].decode()
+                self.requests.append((asyncio.get_running_loop().time(), target))
+                while self.is_silent:
+                    await asyncio.sleep(SILENCE_CHECK_INTERVAL)
+                body = await self._body_of(target)
+                if self.script is None:
+                    writer.write(self._response_of(body))
+                elif not await self._run_script(self.script(target, json.dumps(body).encode()), writer):
+                    return
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _run_script(self, steps: Iterable, writer: asyncio.StreamWriter) -> bool:
+        # Returns whether the connection goes on.
+        for step in steps:
+            if step == "reset":
+                no_linger = struct.pack("ii", 1, 0)
+                writer.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+                )
+                writer.transport.abort()
+                return False
+            if step == "close":
+                return False
+            if isinstance(step, asyncio.Event):
+                await step.wait()
+            elif isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            else:
+                await asyncio.sleep(step)
+        return True
+
+    async def _body_of(self, target: str) -> dict:
+        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        if "after" not in query:
+            return {"version": self.version, "full": True, "servers": list(self.rows.values())}
+        after = int(query["after"])
+        if after == self.version:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), int(query["wait_ms"]) / MILLISECONDS)
+        rows = [row for version, row in self.changes if version > after]
+        return {"version": self.version, "full": False, "servers": rows}
+
+    def _response_of(self, body: dict) -> bytes:
+        text = self.malformed_body
+        if text is None:
+            text = json.dumps(body, indent=self.indent).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text)
+
+    def close(self) -> None:
+        """Stops listening."""
+        self.server.close()
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -13,7 +13,7 @@
 from rushmux.gateway.config import parse_config
 from rushmux.gateway.endpoints import SocketAddress
 from rushmux.gateway.server import GatewayServer
-from rushmux.standins.platform import Client, Discovery, Node, configuration
+from rushmux.standins.platform import FakeClient, FakeDiscovery, FakeNode, configuration
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -39,15 +39,15 @@
 
     def __init__(self):
         self.nodes, self.clients, self.log = [], [], RecordingLog()
-        self.discovery, self.server, self.port = Discovery(), None, 0
+        self.discovery, self.server, self.port = FakeDiscovery(), None, 0
 
     async def open(self, nodes, **terms):
         loop = asyncio.get_running_loop()
         await self.discovery.open()
         for number in range(nodes):
-            self.nodes.append(Node())
+            self.nodes.append(FakeNode())
             await self.nodes[-1].open()
-            self.discovery.put(self.nodes[-1].row(f"s{number}", number))
+            self.discovery.update(self.nodes[-1].row(f"s{number}", number))
         raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **terms)
         config = parse_config(json.dumps(raw).encode())
         # The gateway binds the port itself; port 0 can't stand in a file.
@@ -59,7 +59,7 @@
         return self
 
     async def client(self):
-        self.clients.append(await Client().open(self.port))
+        self.clients.append(await FakeClient().open(self.port))
         return self.clients[-1]
 
     async def client_with(self, *words):
@@ -104,7 +104,7 @@
     """A gateway's process with a node and discovery."""
 
     def __init__(self, folder):
-        self.file, self.node, self.discovery = folder / "config.json", Node(), Discovery()
+        self.file, self.node, self.discovery = folder / "config.json", FakeNode(), FakeDiscovery()
         self.port, self.process, self.terms = free_port(), None, {}
 
     def write(self, discovery=None):
@@ -123,7 +123,7 @@
         """Starts it again from nothing, as after SIGKILL; what discovery was asked before is forgotten."""
         self.process.kill()
         await self.process.wait()
-        self.discovery.calls.clear()
+        self.discovery.requests.clear()
         await self.run(*arguments or ("-m", "rushmux.gateway"))
 
     async def open(self, terms, nodes=1):
@@ -131,7 +131,7 @@
         self.terms = terms
         await self.node.open()
         await self.discovery.open()
-        self.discovery.put(*(self.node.row(f"s{number}", number) for number in range(nodes)))
+        self.discovery.update(*(self.node.row(f"s{number}", number) for number in range(nodes)))
         self.write()
 
     async def run(self, *arguments):
@@ -145,7 +145,7 @@
         )
 
     async def client_once(self):
-        return await Client().open(self.port)
+        return await FakeClient().open(self.port)
 
     async def client(self):
         for _ in range(100):
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -10,13 +10,13 @@
 from rushmux.resp import ReplyReader
 from rushmux.scheduling.interface import AttemptResult
 from rushmux.settings.platform import load_positions
-from rushmux.standins.platform import configuration, read, served, settings, write
+from rushmux.standins.platform import configuration, read_command, settings, success_reply, write_command
 
 CONFIG = parse_config(json.dumps(configuration(1, [])).encode())
 
 
 def test_a_read_is_parsed_and_forwarded_with_the_time_of_its_attempt():
-    words = read(7, cell=-1, left=480, units=2)
+    words = read_command(7, cell=-1, time_left=480, units=2)
     known = commands.parse_command(words, CONFIG)
     assert (
         known.op_id,
@@ -40,7 +40,7 @@
 
 
 def test_a_write_is_forwarded_with_its_key_and_data():
-    words = write(9, body=b"\r\n\0")
+    words = write_command(9, data=b"\r\n\0")
     sent = commands.parse_command(words, CONFIG).build_arguments(900)
     assert sent == words
 
@@ -49,7 +49,7 @@
     return [*words[:3], words[3].replace(old, new), *words[4:]]
 
 
-READ, WRITE = read(1), write(1)
+READ, WRITE = read_command(1), write_command(1)
 
 
 @pytest.mark.parametrize(
@@ -104,15 +104,15 @@
 @pytest.mark.parametrize(
     "data, expected",
     [
-        (served(), (AttemptResult.SUCCEEDED, b"data", *NONE)),
-        (served(used=b"$7\r\nused=37\r\n"), (AttemptResult.SUCCEEDED, b"data", 38, 0.0)),
-        (served(used=b"$14\r\nused=37,cost=4\r\n"), (AttemptResult.SUCCEEDED, b"data", 38, 4.0)),
-        (served(used=b"$6\r\nused=0\r\n"), (AttemptResult.SUCCEEDED, b"data", 1, 0.0)),
+        (success_reply(), (AttemptResult.SUCCEEDED, b"data", *NONE)),
+        (success_reply(used=b"$7\r\nused=37\r\n"), (AttemptResult.SUCCEEDED, b"data", 38, 0.0)),
+        (success_reply(used=b"$14\r\nused=37,cost=4\r\n"), (AttemptResult.SUCCEEDED, b"data", 38, 4.0)),
+        (success_reply(used=b"$6\r\nused=0\r\n"), (AttemptResult.SUCCEEDED, b"data", 1, 0.0)),
         (
-            served(used=b"$7\r\nused=x7\r\n", load=b"$5\r\n\0\1\2\3\4\r\n"),
+            success_reply(used=b"$7\r\nused=x7\r\n", load=b"$5\r\n\0\1\2\3\4\r\n"),
             (AttemptResult.SUCCEEDED, b"data", *NONE),
         ),
-        (served(used=b":9\r\n", load=b"$2\r\n==\r\n"), (AttemptResult.SUCCEEDED, b"data", *NONE)),
+        (success_reply(used=b":9\r\n", load=b"$2\r\n==\r\n"), (AttemptResult.SUCCEEDED, b"data", *NONE)),
         (b"-BUSY\r\n", (AttemptResult.REJECTED, None, *NONE)),
         (b"-BUSY 20\r\n", (AttemptResult.REJECTED, None, *NONE)),
         (b"-ERR failed\r\n", (AttemptResult.FAILED, None, *NONE)),
--- a/tests/gateway/test_connection_close.py
+++ b/tests/gateway/test_connection_close.py
@@ -14,7 +14,7 @@
 
 from rushmux.gateway import client_connection, eviction
 from rushmux.resp import encode_command
-from rushmux.standins.platform import Node, read, served
+from rushmux.standins.platform import FakeNode, read_command, success_reply
 
 
 async def replies_until_end(client, within=5):
@@ -22,11 +22,15 @@
     given = []
     while (reply := await client.reply(within=within)) is not None:
         given.append(reply)
-    return given, client.reset
+    return given, client.was_reset
 
 
 @pytest.mark.parametrize(
-    "rejected", [b"noise\r\n", b"".join(encode_command(read(number, lane="none")) for number in range(3))]
+    "rejected",
+    [
+        b"noise\r\n",
+        b"".join(encode_command(read_command(number, request_class="none")) for number in range(3)),
+    ],
 )
 def test_a_client_that_goes_on_sending_behind_its_error_reads_it_and_an_orderly_end(staged, rejected):
     async def scenario(stage):
@@ -65,7 +69,7 @@
     """Every place for clients is taken by one that asked just now."""
     clients = [await stage.client() for _ in range(stage.server.listener.max_clients)]
     for number, client in enumerate(clients):
-        assert (await client.ask(*read(number + 1)))[0] == "$"
+        assert (await client.request(*read_command(number + 1)))[0] == "$"
     return clients
 
 
@@ -74,9 +78,9 @@
 
     async def scenario(stage):
         usual = await fill(stage)
-        newcomer = await stage.client_with(*read(900))
+        newcomer = await stage.client_with(*read_command(900))
         given = await replies_until_end(newcomer)
-        return given, [await client.ask(*read(1_000 + at)) for at, client in enumerate(usual)]
+        return given, [await client.request(*read_command(1_000 + at)) for at, client in enumerate(usual)]
 
     given, usual = staged(scenario, sockets=64)
     assert given == ([("-", b"BUSY")], False) and usual == [("$", b"data")] * len(usual)
@@ -87,14 +91,14 @@
 
     async def scenario(stage):
         await fill(stage)
-        newcomers = [await stage.client_with(*read(900 + number)) for number in range(30)]
+        newcomers = [await stage.client_with(*read_command(900 + number)) for number in range(30)]
         ends = [asyncio.ensure_future(replies_until_end(client)) for client in newcomers]
         peak = 0
         while not all(end.done() for end in ends):
             peak = max(peak, len(stage.server.listener.clients))
             await asyncio.sleep(0.001)
             for client, end in zip(newcomers, ends, strict=True):
-                if client.replies_seen and not end.done():
+                if client.replies_received and not end.done():
                     client.close()
         return [end.result() for end in ends], peak <= 1.2 * stage.server.listener.max_clients
 
@@ -123,13 +127,15 @@
 
     async def scenario(stage):
         loop = asyncio.get_running_loop()
-        await (await stage.client()).ask(b"PING")
+        await (await stage.client()).request(b"PING")
         with socket.create_connection(("127.0.0.1", stage.port)) as sock:
             if end == "stop":
                 sock.sendall(encode_command([b"PING"]))
                 stage.process.send_signal(signal.SIGTERM)
             sock.settimeout(10)
-            return await loop.run_in_executor(None, is_reset_after_command, sock, read(1)), stage.node.got
+            return await loop.run_in_executor(
+                None, is_reset_after_command, sock, read_command(1)
+            ), stage.node.received
 
     assert running(scenario) == (True, [])
 
@@ -145,12 +151,14 @@
     asked = 300
 
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.02, served()]
+        stage.nodes[0].script = lambda words: [0.02, success_reply()]
         client = await stage.client()
-        client.writer.write(b"".join(encode_command(read(number, left=9_000)) for number in range(asked)))
+        client.writer.write(
+            b"".join(encode_command(read_command(number, time_left=9_000)) for number in range(asked))
+        )
         return len([reply for reply in [await client.reply() for _ in range(asked)] if reply is not None])
 
-    assert staged(scenario, hard_stop=9_000, aim=9_000) == asked
+    assert staged(scenario, deadline=9_000, objective=9_000) == asked
 
 
 def test_accepted_connections_that_fail_before_they_join_free_their_places(staged):
@@ -181,23 +189,23 @@
     """A small limit, held by the system: each part must find its descriptors when discovery comes back."""
 
     async def scenario(stage):
-        await (await stage.client()).ask(b"PING")
+        await (await stage.client()).request(b"PING")
         resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (64, 64))
-        stage.discovery.silent = True
+        stage.discovery.is_silent = True
         crowd = []
         for _ in range(200):
             crowd.append(await stage.client_once())
         for client in crowd:
             client.send(b"PING")
         await asyncio.sleep(2.5)
-        node = Node()
+        node = FakeNode()
         await node.open()
-        stage.discovery.put(node.row("s1", 1))
-        stage.discovery.silent = False
+        stage.discovery.update(node.row("s1", 1))
+        stage.discovery.is_silent = False
         async with asyncio.timeout(6):
-            while not node.got:
+            while not node.received:
                 client = await stage.client_once()
-                client.send(*read(len(crowd) + 1, cell=1))
+                client.send(*read_command(len(crowd) + 1, cell=1))
                 await client.reply()
                 crowd.append(client)
                 await asyncio.sleep(0.05)
@@ -216,11 +224,13 @@
 
     async def scenario(stage):
         clients = [await stage.client() for _ in range(15)]  # over half of the places
-        await asyncio.gather(*(client.ask(*read(number + 1)) for number, client in enumerate(clients)))
+        await asyncio.gather(
+            *(client.request(*read_command(number + 1)) for number, client in enumerate(clients))
+        )
         await asyncio.sleep(1.5)
         stage.process.send_signal(signal.SIGSTOP)
         for number, client in enumerate(clients):
-            client.send(*read(number + 100))
+            client.send(*read_command(number + 100))
         await asyncio.sleep(1.0)
         stage.process.send_signal(signal.SIGCONT)
         return [await client.reply() for client in clients]
@@ -250,10 +260,10 @@
     """What came behind answers that a client was slow to read is taken once it has read them."""
 
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [served(bytes(900_000))]
+        stage.nodes[0].script = lambda words: [success_reply(bytes(900_000))]
         client = await stage.client()
         client.writer.transport.pause_reading()
-        client.writer.write(b"".join(encode_command(read(number)) for number in range(1, 10)))
+        client.writer.write(b"".join(encode_command(read_command(number)) for number in range(1, 10)))
         async with asyncio.timeout(3):
             while not any(one.is_writing_paused for one in stage.server.listener.clients):
                 await asyncio.sleep(0.005)
@@ -262,4 +272,4 @@
         client.writer.transport.resume_reading()
         return [(await client.reply())[0] for _ in range(10)]
 
-    assert staged(scenario, hard_stop=3_000) == ["$"] * 9 + ["+"]
+    assert staged(scenario, deadline=3_000) == ["$"] * 9 + ["+"]
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -10,7 +10,7 @@
 from rushmux.gateway.endpoints import DiscoveredEndpoint
 from rushmux.gateway.keep_alive import REUSE_COOLDOWN
 from rushmux.scheduling.interface import AttemptResult, EndpointState
-from rushmux.standins.platform import Node, read, served
+from rushmux.standins.platform import FakeNode, read_command, success_reply
 
 
 def run_scenario(scenario, **settings):
@@ -18,7 +18,7 @@
 
     async def main():
         loop = asyncio.get_running_loop()
-        node = Node()
+        node = FakeNode()
         await node.open()
         pool = ConnectionPool(
             loop, **{"max_connections": 50, "connect_timeout": 0.25, "idle_timeout": 10.0, **settings}
@@ -28,9 +28,9 @@
 
         async def run(number=1, until=1.0):
             future = loop.create_future()
-            words = read(number)
+            words = read_command(number)
             attempt = pool.start_attempt(
-                "s", lambda left: words, deadline=loop.time() + until, on_reply=future.set_result
+                "s", lambda milliseconds: words, deadline=loop.time() + until, on_reply=future.set_result
             )
             done, _ = await asyncio.wait([future], timeout=until)
             if not done and attempt is not None:
@@ -50,7 +50,7 @@
 @pytest.mark.parametrize(
     "steps, expected",
     [
-        ([served(b"v")], (AttemptResult.SUCCEEDED, b"v")),
+        ([success_reply(b"v")], (AttemptResult.SUCCEEDED, b"v")),
         ([b"-BUSY\r\n"], (AttemptResult.REJECTED, None)),
         ([b"-ERR failed\r\n"], (AttemptResult.FAILED, None)),
         (["close"], (AttemptResult.CONNECTION_LOST, None)),
@@ -65,13 +65,13 @@
 )
 def test_result_of_an_attempt_by_what_the_node_does(steps, expected):
     async def scenario(pool, node, row, run):
-        node.plays = lambda words: steps
+        node.script = lambda words: steps
         outcome = await run(until=0.3)
         await asyncio.sleep(0.05)
         reusable = (
             expected[0] in (AttemptResult.SUCCEEDED, AttemptResult.REJECTED) or steps[0] == b"-ERR failed\r\n"
         )
-        return outcome, len(node.got), len(node.connections) == reusable, node.running
+        return outcome, len(node.received), len(node.connections) == reusable, node.running
 
     assert run_scenario(scenario) == (expected, 1, True, 0)
 
@@ -103,11 +103,11 @@
     assert outcome == (AttemptResult.CONNECT_FAILED, None) and 0.2 < took < 0.5
 
 
-@pytest.mark.parametrize("unsolicited", [served(b"other"), b"noise", b"-"])
+@pytest.mark.parametrize("unsolicited", [success_reply(b"other"), b"noise", b"-"])
 @pytest.mark.parametrize("late", [0.0, 0.005])
 def test_an_unsolicited_reply_is_never_taken_for_the_next_requests(unsolicited, late):
     async def scenario(pool, node, row, run):
-        node.plays = lambda words: [served(words[2]), late, unsolicited]
+        node.script = lambda words: [success_reply(words[2]), late, unsolicited]
         found = []
         for number in range(1, 12):
             found.append(await run(number))
@@ -128,7 +128,7 @@
         both = await asyncio.gather(
             run(3), run(4)
         )  # one cooldown serves one; the other needs its own connection
-        return waited, node.opened, {result for result, _ in both}
+        return waited, node.connections_opened, {result for result, _ in both}
 
     waited, opened, results = run_scenario(scenario)
     assert waited >= REUSE_COOLDOWN * 0.9 and opened == 2 and results == {AttemptResult.SUCCEEDED}
@@ -140,7 +140,7 @@
         waits = asyncio.ensure_future(run(2))
         await asyncio.sleep(0)
         next(iter(node.connections)).transport.abort()
-        return await waits, node.opened
+        return await waits, node.connections_opened
 
     assert run_scenario(scenario) == ((AttemptResult.SUCCEEDED, b"data"), 2)
 
@@ -154,7 +154,7 @@
         waits = asyncio.ensure_future(run(4))
         await asyncio.sleep(0)
         pool.update_endpoints(False, [row._replace(state=EndpointState.DRAINING)])
-        return given_up, await waits, [words[2][-1:] for words in node.got], node.opened
+        return given_up, await waits, [words[2][-1:] for words in node.received], node.connections_opened
 
     assert run_scenario(scenario) == (
         (AttemptResult.TIMED_OUT, None),
@@ -168,7 +168,7 @@
     async def scenario(pool, node, row, run):
         await run(1)
         await asyncio.sleep(0.2)  # before the sweep has closed it
-        return await run(2), node.opened
+        return await run(2), node.connections_opened
 
     assert run_scenario(scenario, idle_timeout=0.2) == ((AttemptResult.SUCCEEDED, b"data"), 2)
 
@@ -179,7 +179,7 @@
         pool.keep_alive.max_idle_time = 0.05
         await asyncio.sleep(0.1)
         await run(2)
-        return node.opened
+        return node.connections_opened
 
     assert run_scenario(scenario) == 2
 
@@ -201,11 +201,11 @@
     async def scenario(pool, node, row, run):
         await asyncio.gather(*(run(number) for number in range(4)))
         first = pool.connection_count()
-        node.plays = lambda words: ["close"]
+        node.script = lambda words: ["close"]
         await asyncio.sleep(REUSE_COOLDOWN * 2)
         await run(5)
         broke = pool.connection_count()
-        node.plays = lambda words: [served()]
+        node.script = lambda words: [success_reply()]
         await run(6)
         pool.update_endpoints(False, [row._replace(started_at=99.0)])
         return first, broke, pool.connection_count()
@@ -215,7 +215,7 @@
 
 def test_a_connection_in_use_while_its_node_restarted_is_not_reused():
     async def scenario(pool, node, row, run):
-        node.plays = lambda words: [0.1, served()]
+        node.script = lambda words: [0.1, success_reply()]
         task = asyncio.ensure_future(run(1))
         await asyncio.sleep(0.05)
         pool.update_endpoints(False, [row._replace(started_at=99.0)])
@@ -227,7 +227,7 @@
 
 def test_a_connection_to_a_former_address_carries_no_attempt():
     async def scenario(pool, node, row, run):
-        other = Node()
+        other = FakeNode()
         await other.open()
         task = asyncio.ensure_future(run(1))
         await asyncio.sleep(0)
@@ -235,7 +235,7 @@
         outcome = await task
         await asyncio.sleep(0.05)
         other.close()
-        return outcome, node.got, other.got
+        return outcome, node.received, other.received
 
     assert run_scenario(scenario) == ((AttemptResult.CONNECT_FAILED, None), [], [])
 
@@ -243,7 +243,7 @@
 @pytest.mark.parametrize("malformed", [b"*0\r\n", b"*1\r\n$1\r\nx\r\n", b":5\r\n", b"-xx\r\n", b"$-1\r\n"])
 def test_a_connection_that_brought_a_malformed_reply_is_closed(malformed):
     async def scenario(pool, node, row, run):
-        node.plays = lambda words: [malformed]
+        node.script = lambda words: [malformed]
         outcome = await run(1)
         await asyncio.sleep(0.05)
         return outcome, pool.connection_count(), len(node.connections)
@@ -266,7 +266,7 @@
         pool.update_endpoints(True, [row._replace(port=server.sockets[0].getsockname()[1])])
         pool.start_attempt(
             "s",
-            lambda left: [b"x" * (16 << 20)],
+            lambda milliseconds: [b"x" * (16 << 20)],
             deadline=loop.time() + 1,
             on_reply=result.set_result,
         )
@@ -285,16 +285,16 @@
         pool.update_endpoints(False, [row._replace(state=EndpointState.DRAINING)])
         outcome = await task
         await asyncio.sleep(0.05)
-        return outcome, node.got
+        return outcome, node.received
 
     assert run_scenario(scenario) == ((AttemptResult.CONNECT_FAILED, None), [])
 
 
 def test_connections_are_bounded_and_a_full_pool_rejects():
     async def scenario(pool, node, row, run):
-        node.plays = lambda words: [0.2, served()]
+        node.script = lambda words: [0.2, success_reply()]
         outcomes = await asyncio.gather(*(run(number) for number in range(8)))
-        return sorted(result for result, _ in outcomes), node.most
+        return sorted(result for result, _ in outcomes), node.max_running
 
     assert run_scenario(scenario, max_connections=5) == (
         [AttemptResult.REJECTED] * 3 + [AttemptResult.SUCCEEDED] * 5,
@@ -306,9 +306,9 @@
     monkeypatch.setattr(node_connection, "MAX_PARTIAL_REPLY_BYTES", 200_000)
 
     async def scenario(pool, node, row, run):
-        node.plays = lambda words: [b"*3\r\n$900000\r\n" + b"x" * 100_000, "hang"]
+        node.script = lambda words: [b"*3\r\n$900000\r\n" + b"x" * 100_000, "hang"]
         outcomes = await asyncio.gather(*(run(number, 0.5) for number in range(6)))
-        node.plays = lambda words: [served()]
+        node.script = lambda words: [success_reply()]
         return sorted(result for result, _ in outcomes), await run(9), pool.partial_reply_bytes
 
     results, after, held = run_scenario(scenario)
@@ -320,12 +320,12 @@
 def test_a_node_that_moved_gets_attempts_at_its_new_address():
     async def scenario(pool, node, row, run):
         await run(1)
-        other = Node()
+        other = FakeNode()
         await other.open()
         pool.update_endpoints(True, [row._replace(port=other.port)])
         outcome = await run(2)
         other.close()
-        return outcome, len(node.got), len(other.got)
+        return outcome, len(node.received), len(other.received)
 
     assert run_scenario(scenario) == ((AttemptResult.SUCCEEDED, b"data"), 1, 1)
 
--- a/tests/gateway/test_discovery_deadline.py
+++ b/tests/gateway/test_discovery_deadline.py
@@ -13,7 +13,8 @@
 from rushmux.gateway import discovery, discovery_connection
 from rushmux.gateway.discovery import DiscoveryWatch
 from rushmux.gateway.endpoints import SocketAddress
-from rushmux.standins.platform import Discovery, encode_command, read
+from rushmux.resp import encode_command
+from rushmux.standins.platform import FakeDiscovery, read_command
 
 RECEIVED_WITHIN = 6.0  # seconds until a change counts as received
 CORE = 0.3  # seconds that a gateway with a tenth of a core may need for a snapshot
@@ -67,9 +68,9 @@
 
 def run_scenario(scenario, first=True):
     async def main():
-        source, received = Discovery(), ReceivedStates()
+        source, received = FakeDiscovery(), ReceivedStates()
         await source.open()
-        source.put(row("a"), row("b"))
+        source.update(row("a"), row("b"))
         log = Log()
         watch = DiscoveryWatch(
             asyncio.get_running_loop(), SocketAddress("127.0.0.1", source.port), log, received
@@ -92,10 +93,10 @@
     """The next answer is played by these steps, those after it as usual."""
 
     def plays(target, text):
-        source.plays = None
+        source.script = None
         return steps(text)
 
-    source.plays = plays
+    source.script = plays
 
 
 def test_the_worst_sequence_of_failures_is_over_in_time():
@@ -110,9 +111,9 @@
 @pytest.mark.parametrize("changes", [1, 3])
 def test_responses_with_neither_length_nor_chunks_end_with_the_connection(changes):
     async def scenario(source, watch, received):
-        source.plays = lambda target, text: [b"HTTP/1.1 200 OK\r\n\r\n", text[:9], 0.01, text[9:], "close"]
+        source.script = lambda target, text: [b"HTTP/1.1 200 OK\r\n\r\n", text[:9], 0.01, text[9:], "close"]
         for number in range(changes):
-            source.put(row(f"n{number}"))
+            source.update(row(f"n{number}"))
             await received.until(f"n{number}", "ready", 2)
         return watch.is_unavailable
 
@@ -123,7 +124,7 @@
     async def scenario(source, watch, received):
         spoilt = json.dumps({"version": 99, "full": True, "servers": [row("z")]}).encode()
         once(source, lambda text: [b"HTTP/1.1 200 OK\r\n\r\n" + spoilt, 0.05, "reset"])
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         await received.until("a", "draining", 2)
         return "z" in received.states, watch.version
 
@@ -132,14 +133,14 @@
 
 def test_one_malformed_row_leaves_its_node_in_force_and_the_others_are_taken():
     async def scenario(source, watch, received):
-        source.put(row("a", "draining"), row("b", addr=7), row("c"))
+        source.update(row("a", "draining"), row("b", addr=7), row("c"))
         await received.until("a", "draining", 2)
         await received.until("c", "ready", 2)
         changes = dict(received.states)
         source.version, source.changes = 1, []  # and so in a whole list
         source.rows["d"] = row("d")
         once(source, lambda text: [head(b"", "410 Gone")])
-        source.put(row("d"))
+        source.update(row("d"))
         await received.until("d", "ready", 2)
         return changes, received.states
 
@@ -165,8 +166,8 @@
 def test_a_malformed_row_beside_a_good_one_is_skipped(bad):
     async def scenario(source, watch, received):
         body = json.dumps({"version": 9, "full": False, "servers": [bad, row("c")]}).encode()
-        source.plays = lambda target, text: [head(body) + body] if "after=2" in target else [0.05, "close"]
-        source.put(row("a"))
+        source.script = lambda target, text: [head(body) + body] if "after=2" in target else [0.05, "close"]
+        source.update(row("a"))
         await received.until("c", "ready", 2)
         return received.states
 
@@ -176,10 +177,10 @@
 @pytest.mark.parametrize("status", ["410 Gone", "400 Bad Request", "404 Not Found"])
 def test_a_status_that_rejects_our_version_leads_to_a_snapshot(status):
     async def scenario(source, watch, received):
-        source.plays = lambda target, text: (
+        source.script = lambda target, text: (
             [head(b"", status)] if "after=2" in target else [head(text) + text]
         )
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         await received.until("a", "draining", 2)
         return received.states
 
@@ -189,9 +190,9 @@
 def test_a_server_error_keeps_the_version():
     async def scenario(source, watch, received):
         once(source, lambda text: [head(b"", "503 Service Unavailable")])
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         await received.until("a", "draining", 2)
-        return [target for _, target in source.calls].count(discovery_connection.PATH)
+        return [target for _, target in source.requests].count(discovery_connection.PATH)
 
     assert run_scenario(scenario) == 1
 
@@ -199,14 +200,14 @@
 def test_a_discovery_whose_versions_restart_is_followed():
     async def scenario(source, watch, received):
         for _ in range(9):
-            source.put(row("a"))
+            source.update(row("a"))
         await asyncio.sleep(0.1)
         source.version, source.changes = 0, []
-        source.put(row("a", "draining"))
-        source.moved.set()
+        source.update(row("a", "draining"))
+        source.changed.set()
         await received.until("a", "draining", 3)
         before = source.version
-        source.put(row("b", "draining"))
+        source.update(row("b", "draining"))
         await received.until("b", "draining", 2)
         return before
 
@@ -216,7 +217,7 @@
 def test_a_response_that_trickles_is_given_up_and_the_change_received_in_time():
     async def scenario(source, watch, received):
         once(source, lambda text: [head(text)] + [part for byte in text for part in (bytes([byte]), 0.5)])
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         await received.until("a", "draining", RECEIVED_WITHIN - CORE)
 
     run_scenario(scenario)
@@ -224,8 +225,8 @@
 
 def test_a_response_that_comes_slowly_and_completely_is_taken():
     async def scenario(source, watch, received):
-        source.plays = lambda target, text: [head(text) + text[:5], 1.8, text[5:]]
-        source.put(row("a", "draining"))
+        source.script = lambda target, text: [head(text) + text[:5], 1.8, text[5:]]
+        source.update(row("a", "draining"))
         await received.until("a", "draining", RECEIVED_WITHIN - CORE)
 
     run_scenario(scenario)
@@ -242,7 +243,7 @@
 
         loop.create_connection = never
         once(source, lambda text: ["reset"])
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         await asyncio.wait_for(begun.wait(), 2)
         await received.until("a", "draining", discovery.CONNECT_TIMEOUT + 1)
 
@@ -253,7 +254,7 @@
     async def scenario(source, watch, received):
         watch.change_address(SocketAddress("x" * 70 + ".example", 1))
         await asyncio.sleep(0.2)
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         watch.change_address(SocketAddress("127.0.0.1", source.port))
         await received.until("a", "draining", 2)
 
@@ -262,17 +263,17 @@
 
 def test_a_response_in_flight_when_the_address_changes_is_taken_while_the_new_one_is_silent():
     async def scenario(source, watch, received):
-        new, go = Discovery(), asyncio.Event()
+        new, go = FakeDiscovery(), asyncio.Event()
         await new.open()
-        new.silent = True
+        new.is_silent = True
         asked = asyncio.Event()
 
         def plays(target, text):
             asked.set()
             return [head(text) + text[:9], go, text[9:]]
 
-        source.plays = plays
-        source.put(row("a", "draining"))
+        source.script = plays
+        source.update(row("a", "draining"))
         await asyncio.wait_for(asked.wait(), 2)
         await asyncio.sleep(0.05)
         watch.change_address(SocketAddress("127.0.0.1", new.port))
@@ -280,20 +281,20 @@
         go.set()
         await received.until("a", "draining", 1)
         new.version, new.rows = source.version, dict(source.rows)
-        new.put(row("b", "draining"))
-        new.silent = False
+        new.update(row("b", "draining"))
+        new.is_silent = False
         await received.until("b", "draining", RECEIVED_WITHIN - CORE)
         await asyncio.sleep(0.1)
-        calls = len(source.calls)
+        calls = len(source.requests)
         new.close()
-        return watch.former_connections, calls == len(source.calls)
+        return watch.former_connections, calls == len(source.requests)
 
     assert run_scenario(scenario) == ({}, True)
 
 
 def test_connections_to_former_addresses_are_bounded():
     async def scenario(source, watch, received):
-        source.silent = True
+        source.is_silent = True
         for _ in range(40):
             watch.change_address(SocketAddress("127.0.0.1", source.port))
             async with asyncio.timeout(1):
@@ -319,20 +320,20 @@
 
     async def scenario(stage):
         go = asyncio.Event()
-        stage.discovery.plays = lambda target, text: [go, head(text) + text]
-        stage.discovery.put(stage.node.row("s0", 0, "draining"))
+        stage.discovery.script = lambda target, text: [go, head(text) + text]
+        stage.discovery.update(stage.node.row("s0", 0, "draining"))
         stage.write_known(stage.node.row("s0", 0))
         await stage.restart("-c", PATIENT)
         async with asyncio.timeout(5):
-            while not stage.discovery.calls:
+            while not stage.discovery.requests:
                 await asyncio.sleep(0.01)
         await asyncio.sleep(0.2)
         with pytest.raises(OSError):
             await stage.client_once()
         go.set()
         client = await stage.client()
-        client.writer.write(encode_command([b"PING"]) + encode_command(read(1)))
-        return [await client.reply() for _ in range(2)], stage.node.got
+        client.writer.write(encode_command([b"PING"]) + encode_command(read_command(1)))
+        return [await client.reply() for _ in range(2)], stage.node.received
 
     (pong, answer), got = running(scenario)
     assert pong == ("+", b"PONG") and answer[0] == "-" and not got
@@ -340,16 +341,16 @@
 
 def test_a_silent_discovery_delays_the_start_by_a_second_at_most(running):
     async def scenario(stage):
-        stage.discovery.silent = True
+        stage.discovery.is_silent = True
         await stage.restart()
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(5):
-            while not stage.discovery.calls:
+            while not stage.discovery.requests:
                 await asyncio.sleep(0.01)
-        asked_at = stage.discovery.calls[0][0]
+        asked_at = stage.discovery.requests[0][0]
         client = await stage.client()
-        assert await client.ask(b"PING") == ("+", b"PONG")
-        return loop.time() - asked_at, await client.ask(*read(1))
+        assert await client.request(b"PING") == ("+", b"PONG")
+        return loop.time() - asked_at, await client.request(*read_command(1))
 
     took, answer = running(scenario)
     assert took < 4 and answer == ("$", b"data")  # the stand-in is silent for good
@@ -357,10 +358,10 @@
 
 def test_a_stop_before_it_is_ready_ends_it_with_no_client_accepted(running):
     async def scenario(stage):
-        stage.discovery.silent = True
+        stage.discovery.is_silent = True
         await stage.restart("-c", PATIENT)
         async with asyncio.timeout(5):
-            while not stage.discovery.calls:
+            while not stage.discovery.requests:
                 await asyncio.sleep(0.01)
         stage.process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(8):  # long before it would have listened
@@ -373,13 +374,13 @@
 
 async def change_discovery(stage):
     """Another discovery, named by a good file and SIGHUP, once the gateway has asked it."""
-    other = Discovery()
+    other = FakeDiscovery()
     await other.open()
-    other.put(*stage.discovery.rows.values())
+    other.update(*stage.discovery.rows.values())
     stage.write(discovery=other.port)
     stage.process.send_signal(signal.SIGHUP)
     async with asyncio.timeout(3):
-        while not other.calls:
+        while not other.requests:
             await asyncio.sleep(0.01)
     return other
 
@@ -394,7 +395,7 @@
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
         other = await change_discovery(stage)
-        answer = await client.ask(*read(1))
+        answer = await client.request(*read_command(1))
         stage.process.terminate()
         log = (await stage.process.stderr.read()).decode()
         other.close()
@@ -418,7 +419,7 @@
     )
 
     async def scenario(stage):
-        await (await stage.client()).ask(b"PING")
+        await (await stage.client()).request(b"PING")
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
         other = await change_discovery(stage)
@@ -431,7 +432,7 @@
 
 def test_a_port_in_use_is_logged_without_a_traceback(running):
     async def scenario(stage):
-        await (await stage.client()).ask(b"PING")
+        await (await stage.client()).request(b"PING")
         first = stage.process
         await stage.run("-m", "rushmux.gateway")
         log = (await stage.process.stderr.read()).decode()
@@ -447,7 +448,7 @@
     """What the tests above lean on: a reset reaches the other end as a reset, not as an end."""
 
     async def scenario(source, watch, received):
-        source.plays = lambda target, text: [b"HTTP/1.1 200 OK\r\n\r\n{", 0.02, "reset"]
+        source.script = lambda target, text: [b"HTTP/1.1 200 OK\r\n\r\n{", 0.02, "reset"]
         with socket.create_connection(("127.0.0.1", source.port)) as sock:
             sock.sendall(b"GET /catalog/members HTTP/1.1\r\n\r\n")
             loop = asyncio.get_running_loop()
--- a/tests/gateway/test_discovery_watch.py
+++ b/tests/gateway/test_discovery_watch.py
@@ -8,7 +8,7 @@
 from rushmux.gateway import discovery_connection
 from rushmux.gateway.discovery import DiscoveryWatch
 from rushmux.gateway.endpoints import SocketAddress
-from rushmux.standins.platform import Discovery
+from rushmux.standins.platform import FakeDiscovery
 
 
 def row(name, state="up"):
@@ -35,9 +35,9 @@
     monkeypatch.setattr(discovery_connection, "FIRST_BYTE_SLACK", 0.15)
 
     async def main():
-        source, updates = Discovery(), []
+        source, updates = FakeDiscovery(), []
         await source.open()
-        source.put(row("a"), row("b"))
+        source.update(row("a"), row("b"))
         watch = DiscoveryWatch(
             asyncio.get_running_loop(),
             SocketAddress("127.0.0.1", source.port),
@@ -63,11 +63,11 @@
 def test_the_snapshot_then_each_change_with_less_than_200_ms_between_requests(monkeypatch):
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
-        source.put(row("b", "draining"))
+        source.update(row("b", "draining"))
         await asyncio.sleep(0.9)
-        source.put(row("b", "removed"), row("c"))
+        source.update(row("b", "removed"), row("c"))
         await asyncio.sleep(0.1)
-        return updates, [target for _, target in source.calls], [at for at, _ in source.calls]
+        return updates, [target for _, target in source.requests], [at for at, _ in source.requests]
 
     updates, targets, times = run_scenario(scenario, monkeypatch)
     assert updates == [SNAPSHOT, (False, [("b", "draining")]), (False, [("b", "gone"), ("c", "ready")])]
@@ -78,11 +78,11 @@
 def test_silence_is_noticed_and_missed_changes_are_passed_on(monkeypatch):
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
-        source.silent = True
-        source.put(row("a", "draining"))
+        source.is_silent = True
+        source.update(row("a", "draining"))
         await asyncio.sleep(0.8)
-        calls = len(source.calls)
-        source.silent = False
+        calls = len(source.requests)
+        source.is_silent = False
         await asyncio.sleep(0.3)
         return updates, calls
 
@@ -96,11 +96,11 @@
 def test_a_malformed_response_leaves_the_last_list_in_force(monkeypatch, broken):
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
-        source.broken = broken
-        source.put(row("c"))
+        source.malformed_body = broken
+        source.update(row("c"))
         await asyncio.sleep(0.3)
         before = list(updates)
-        source.broken = None
+        source.malformed_body = None
         await asyncio.sleep(0.3)
         return before, updates
 
@@ -111,16 +111,16 @@
 def test_a_new_address_is_used_at_once_without_losing_a_change(monkeypatch):
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
-        other = Discovery()
+        other = FakeDiscovery()
         await other.open()
         other.version, other.rows = source.version, dict(source.rows)
-        other.put(row("c"))  # known to the new one only
+        other.update(row("c"))  # known to the new one only
         watch.change_address(SocketAddress("127.0.0.1", other.port))
         watch.change_address(SocketAddress("127.0.0.1", other.port))
         await asyncio.sleep(0.15)
-        calls = len(source.calls)
+        calls = len(source.requests)
         await asyncio.sleep(0.4)
-        still = len(source.calls) == calls
+        still = len(source.requests) == calls
         other.close()
         return updates, still
 
@@ -133,7 +133,7 @@
         await asyncio.sleep(0.1)
         watch.change_address(SocketAddress("127.0.0.1", 1))
         await asyncio.sleep(0.2)
-        source.put(row("a", "draining"))
+        source.update(row("a", "draining"))
         watch.change_address(SocketAddress("127.0.0.1", source.port))
         await asyncio.sleep(0.1)
         return updates[-1]
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rushmux.standins.platform import read, write
+from rushmux.standins.platform import read_command, write_command
 
 NODES = 1_024
 MAX_MEMORY = 64 * 1024  # KiB
@@ -25,25 +25,25 @@
         stage.discovery.indent = indent
         begun = loop.time()
         client, pinger = await stage.client(), await stage.client()
-        assert await client.ask(b"PING") == ("+", b"PONG")
+        assert await client.request(b"PING") == ("+", b"PONG")
         ready, asked, stop = loop.time() - begun, [], False
 
         async def ping():
             while not stop:
                 at = loop.time()
-                await pinger.ask(b"PING")
+                await pinger.request(b"PING")
                 waits.append(loop.time() - at)
                 await asyncio.sleep(0.005)
 
         task = asyncio.ensure_future(ping())
         for number in range(0, NODES, 16):  # nodes over all the list, from the list it was started with
-            asked.append(await client.ask(*read(number + 1, cell=number)))
+            asked.append(await client.request(*read_command(number + 1, cell=number)))
         half = range(NODES // 2)
-        stage.discovery.put(*(stage.node.row(f"s{number}", number, "removed") for number in half))
-        stage.discovery.put(*(stage.node.row(f"t{number}", number) for number in half))
+        stage.discovery.update(*(stage.node.row(f"s{number}", number, "removed") for number in half))
+        stage.discovery.update(*(stage.node.row(f"t{number}", number) for number in half))
         await asyncio.sleep(0.3)
         for number in range(0, NODES, 16):  # half of them came as changes
-            asked.append(await client.ask(*write(5_000 + number, cell=number)))
+            asked.append(await client.request(*write_command(5_000 + number, cell=number)))
         stop = True
         await task
         return ready, asked, max(waits), peak_memory(stage.process), len(stage.discovery.rows)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -8,14 +8,14 @@
 
 from rushmux.gateway import client_connection, eviction
 from rushmux.resp import encode_command
-from rushmux.standins.platform import of, read, served, write
+from rushmux.standins.platform import option_of, read_command, success_reply, write_command
 
 
 def test_greetings(staged):
     async def scenario(stage):
         client = await stage.client()
         return [
-            await client.ask(*words)
+            await client.request(*words)
             for words in (
                 [b"PING"],
                 [b"ping"],
@@ -38,19 +38,26 @@
 
 def test_operations_are_served_while_discovery_is_silent(staged):
     async def scenario(stage):
-        stage.discovery.silent = True
+        stage.discovery.is_silent = True
         client = await stage.client()
-        return await client.ask(b"PING"), await client.ask(*read(1)), await client.ask(*write(2))
+        return (
+            await client.request(b"PING"),
+            await client.request(*read_command(1)),
+            await client.request(*write_command(2)),
+        )
 
     assert staged(scenario) == (("+", b"PONG"), ("$", b"data"), ("$", b"data"))
 
 
 def test_replies_are_sent_in_the_order_of_the_commands(staged):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.15 if words[2][-1:] == b"1" else 0.0, served(words[2])]
+        stage.nodes[0].script = lambda words: [
+            0.15 if words[2][-1:] == b"1" else 0.0,
+            success_reply(words[2]),
+        ]
         client = await stage.client()
-        client.send(*read(1))
-        client.send(*read(2))
+        client.send(*read_command(1))
+        client.send(*read_command(2))
         client.send(b"PING")
         return [await client.reply() for _ in range(3)]
 
@@ -70,12 +77,12 @@
 )
 def test_malformed_input_gets_an_error_behind_the_pending_replies_and_then_a_close(staged, malformed):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.1, served()]
+        stage.nodes[0].script = lambda words: [0.1, success_reply()]
         client, usual = await stage.client(), await stage.client()
-        client.send(*read(1))
+        client.send(*read_command(1))
         client.writer.write(malformed)
         replies = [await client.reply() for _ in range(3)]
-        return replies, await usual.ask(*read(2)), len(stage.nodes[0].got)
+        return replies, await usual.request(*read_command(2)), len(stage.nodes[0].received)
 
     replies, usual, got = staged(scenario)
     assert replies[0] == ("$", b"data") and replies[1][0] == "-" and replies[2] is None
@@ -85,19 +92,19 @@
 def test_an_invalid_command_reaches_no_node_and_the_third_ends_the_connection(staged):
     async def scenario(stage):
         client = await stage.client()
-        replies = [await client.ask(*read(number, lane="none")) for number in range(3)]
-        return [kind for kind, _ in replies], await client.reply(), stage.nodes[0].got
+        replies = [await client.request(*read_command(number, request_class="none")) for number in range(3)]
+        return [kind for kind, _ in replies], await client.reply(), stage.nodes[0].received
 
     assert staged(scenario) == (["-"] * 3, None, [])
 
 
 def test_the_id_of_an_operation_in_flight_is_rejected_and_the_operation_unharmed(staged):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.1, served()]
+        stage.nodes[0].script = lambda words: [0.1, success_reply()]
         usual, other = await stage.client(), await stage.client()
-        usual.send(*read(1))
+        usual.send(*read_command(1))
         await asyncio.sleep(0.03)
-        return (await other.ask(*read(1)))[0], await usual.reply(), len(stage.nodes[0].got)
+        return (await other.request(*read_command(1)))[0], await usual.reply(), len(stage.nodes[0].received)
 
     assert staged(scenario) == ("-", ("$", b"data"), 1)
 
@@ -119,10 +126,10 @@
 def test_a_command_that_trickles_in_byte_by_byte_times_out_too(staged):
     async def scenario(stage):
         client = await stage.client()
-        await client.ask(b"PING")
+        await client.request(b"PING")
         begun = time.monotonic()
         told = asyncio.ensure_future(client.reply())
-        for byte in encode_command(read(1))[:60]:
+        for byte in encode_command(read_command(1))[:60]:
             client.writer.write(bytes([byte]))
             await asyncio.sleep(0.05)
             if told.done():
@@ -141,14 +148,16 @@
             nonlocal repeats
             while not stop:
                 client = await stage.client()
-                while not stop and await client.ask(*read(repeats + 50_000, lane="none")):
+                while not stop and await client.request(
+                    *read_command(repeats + 50_000, request_class="none")
+                ):
                     repeats += 1
 
         tasks = [asyncio.ensure_future(spam()) for _ in range(8)]
         usual = await stage.client()
         for number in range(30):
             begun = time.monotonic()
-            answer = await usual.ask(*read(number + 1))
+            answer = await usual.request(*read_command(number + 1))
             times.append((answer, time.monotonic() - begun))
         stop = True
         await asyncio.gather(*tasks)
@@ -160,9 +169,11 @@
 
 def test_hundreds_of_pipelined_commands_are_bounded_in_flight_and_all_answered(staged):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.005, served()]
+        stage.nodes[0].script = lambda words: [0.005, success_reply()]
         client, most = await stage.client(), 0
-        client.writer.write(b"".join(encode_command(read(number, left=900)) for number in range(600)))
+        client.writer.write(
+            b"".join(encode_command(read_command(number, time_left=900)) for number in range(600))
+        )
         kinds = []
         for _ in range(600):
             kinds.append((await client.reply())[0])
@@ -180,13 +191,13 @@
     async def scenario(stage):
         most = stage.server.listener.max_clients
         for _ in range(most):  # they ask once and stay
-            await (await stage.client()).ask(b"PING")
+            await (await stage.client()).request(b"PING")
         await asyncio.sleep(0.5)
         held = len(stage.server.listener.clients)
         for _ in range(most * 2):  # they say nothing
             await stage.client()
         usual = await stage.client()
-        answer = await usual.ask(*read(1))
+        answer = await usual.request(*read_command(1))
         return most, held, len(stage.server.listener.clients), answer
 
     most, held, now, answer = staged(scenario, sockets=64)
@@ -202,17 +213,17 @@
     async def scenario(stage):
         most, answers = stage.server.listener.max_clients, []
         busy, asked = await stage.client(), await stage.client()
-        stage.nodes[0].plays = lambda words: [0.15 if words[2][-1:] == b"f" else 0.0, served()]
-        await asked.ask(*read(1))
-        busy.send(*read(0xF))
+        stage.nodes[0].script = lambda words: [0.15 if words[2][-1:] == b"f" else 0.0, success_reply()]
+        await asked.request(*read_command(1))
+        busy.send(*read_command(0xF))
         for _ in range(most * 3):
-            answers.append(await (await stage.client()).ask(b"PING"))
-        usual = await (await stage.client()).ask(*read(2))
+            answers.append(await (await stage.client()).request(b"PING"))
+        usual = await (await stage.client()).request(*read_command(2))
         return (
             {kind for kind, _ in answers},
             usual,
             await busy.reply(),
-            await asked.ask(*read(3)),
+            await asked.request(*read_command(3)),
             len(stage.server.listener.clients) <= most,
         )
 
@@ -225,13 +236,13 @@
     monkeypatch.setattr(client_connection, "UNREAD_REPLIES_TIMEOUT", 0.5)
 
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [served(b"x" * 65_536)]
+        stage.nodes[0].script = lambda words: [success_reply(b"x" * 65_536)]
         client = await stage.client()
         client.writer.transport.pause_reading()
         for number in range(400):
-            client.send(*read(number))
+            client.send(*read_command(number))
         await asyncio.sleep(2.5)
-        return len(stage.nodes[0].got), len(stage.server.listener.clients)
+        return len(stage.nodes[0].received), len(stage.server.listener.clients)
 
     got, clients = staged(scenario)
     assert got < 200 and clients == 0
@@ -245,21 +256,21 @@
 
     async def scenario(stage):
         client = await stage.client()
-        stage.nodes[0].plays = lambda words: [0.1, b"-BUSY\r\n"]
-        client.send(*read(1))
+        stage.nodes[0].script = lambda words: [0.1, b"-BUSY\r\n"]
+        client.send(*read_command(1))
         await asyncio.sleep(0.05)
         client.close()
         await asyncio.sleep(0.3)
-        return len(stage.nodes[0].got), len(stage.server.operations), len(stage.server.listener.clients)
+        return len(stage.nodes[0].received), len(stage.server.operations), len(stage.server.listener.clients)
 
     assert staged(scenario) == (1, 0, 0)
 
 
 def test_a_client_that_leaves_has_no_state_left_behind(staged):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: ["hang"]
+        stage.nodes[0].script = lambda words: ["hang"]
         client = await stage.client()
-        client.send(*read(1, left=600))
+        client.send(*read_command(1, time_left=600))
         await asyncio.sleep(0.05)
         client.close()
         await asyncio.sleep(0.9)
@@ -271,8 +282,8 @@
 def test_the_node_is_told_the_time_left(staged):
     async def scenario(stage):
         client = await stage.client()
-        await client.ask(*read(1, left=480))
-        return int(of(stage.nodes[0].got[0], "d"))
+        await client.request(*read_command(1, time_left=480))
+        return int(option_of(stage.nodes[0].received[0], "d"))
 
     assert 0 < staged(scenario) <= 480
 
@@ -298,7 +309,7 @@
             stage.server.listener.listening_socket, time.monotonic() + 0.35
         )
         begun = time.monotonic()
-        answer = await (await stage.client()).ask(*read(1))
+        answer = await (await stage.client()).request(*read_command(1))
         return answer, time.monotonic() - begun, short.asked
 
     answer, took, asked = staged(scenario)
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -10,26 +10,26 @@
 import sys
 from pathlib import Path
 
-from rushmux.standins.platform import Discovery, configuration, read, served
+from rushmux.standins.platform import FakeDiscovery, configuration, read_command, success_reply
 
 ROOT = Path(__file__).resolve().parents[2]
 
 
 def test_at_sigterm_it_goes_on_serving_answers_everything_and_exits_with_0(running):
     async def scenario(stage):
-        stage.node.plays = lambda words: [0.2, served()]
+        stage.node.script = lambda words: [0.2, success_reply()]
         client, idle = await stage.client(), await stage.client()
-        await idle.ask(b"PING")
-        client.send(*read(1))
+        await idle.request(b"PING")
+        client.send(*read_command(1))
         await asyncio.sleep(0.05)
         stage.process.send_signal(signal.SIGTERM)
         begun = asyncio.get_running_loop().time()
         await asyncio.sleep(0.2)
         late = await stage.client()  # new connections still come for a while
-        pong = await late.ask(b"PING")
+        pong = await late.request(b"PING")
         answers = [await client.reply()]
         await asyncio.sleep(0.2)
-        answers.append(await late.ask(*read(2)))  # a connection in use is served on
+        answers.append(await late.request(*read_command(2)))  # a connection in use is served on
         ends = [await one.reply() for one in (idle, late, client)]
         return pong, answers, ends, await stage.process.wait(), asyncio.get_running_loop().time() - begun
 
@@ -40,13 +40,13 @@
 
 def test_operations_in_flight_shortly_before_sigkill_get_their_final_answer(running):
     async def scenario(stage):
-        stage.node.plays = lambda words: ["hang"]
+        stage.node.script = lambda words: ["hang"]
         client = await stage.client()
         stage.process.send_signal(signal.SIGTERM)
         begun = asyncio.get_running_loop().time()
         for number in range(28):  # asked until nothing more is taken: each has an answer, or a close
             await asyncio.sleep(0.05)
-            client.send(*read(number))
+            client.send(*read_command(number))
         replies = []
         while (reply := await client.reply()) is not None:
             replies.append(reply)
@@ -59,24 +59,24 @@
 def test_sighup_changes_the_discovery_address_and_a_torn_file_keeps_the_old_one(running):
     async def scenario(stage):
         client = await stage.client()
-        await client.ask(b"PING")
+        await client.request(b"PING")
         await asyncio.sleep(0.2)
         slow = await stage.client()
-        stage.node.plays = lambda words: [0.3 if words[2][-1:] == b"9" else 0.0, served()]
-        slow.send(*read(9))
+        stage.node.script = lambda words: [0.3 if words[2][-1:] == b"9" else 0.0, success_reply()]
+        slow.send(*read_command(9))
         await asyncio.sleep(0.05)
         stage.file.write_text('{"name": "n0", "lis')
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
-        before = len(stage.discovery.calls)
-        other = Discovery()
+        before = len(stage.discovery.requests)
+        other = FakeDiscovery()
         await other.open()
         other.version, other.rows = stage.discovery.version, dict(stage.discovery.rows)
         stage.write(other.port)
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
-        answer = await client.ask(*read(1))
-        calls, under = len(other.calls), await slow.reply()  # asked before the file changed
+        answer = await client.request(*read_command(1))
+        calls, under = len(other.requests), await slow.reply()  # asked before the file changed
         other.close()
         return before > 0, calls > 0, answer, under, stage.process.returncode
 
@@ -116,7 +116,7 @@
             client.close()
         await asyncio.sleep(1.2)  # the loop tries again after a second
         usual = await stage.client()
-        return await usual.ask(b"PING"), await usual.ask(*read(1)), stage.process.returncode
+        return await usual.request(b"PING"), await usual.request(*read_command(1)), stage.process.returncode
 
     assert running(scenario) == (("+", b"PONG"), ("$", b"data"), None)
 
--- a/tests/gateway/test_process_restrictions.py
+++ b/tests/gateway/test_process_restrictions.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from rushmux.standins.platform import read
+from rushmux.standins.platform import read_command
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -69,7 +69,7 @@
 def test_run_serves_within_the_restrictions(running):
     async def scenario(stage):
         client = await stage.client()
-        answers = [await client.ask(b"PING"), await client.ask(*read(1))]
+        answers = [await client.request(b"PING"), await client.request(*read_command(1))]
         stage.process.send_signal(signal.SIGTERM)
         log = (await stage.process.stderr.read()).decode()
         return answers, log, await stage.process.wait()
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -14,9 +14,9 @@
 from rushmux.gateway import endpoint_pool, keep_alive
 from rushmux.gateway.connection_pool import ConnectionPool
 from rushmux.gateway.endpoints import DiscoveredEndpoint
-from rushmux.resp import CommandReader
+from rushmux.resp import CommandReader, encode_command
 from rushmux.scheduling.interface import AttemptResult, EndpointState
-from rushmux.standins.platform import Node, encode_command, read, served, write
+from rushmux.standins.platform import FakeNode, read_command, success_reply, write_command
 
 
 class HeldConnects:
@@ -35,7 +35,7 @@
 async def held_up(stage, *words):
     """A client's command whose attempt waits for a connection."""
     client = await stage.client()
-    assert await client.ask(b"PING") == ("+", b"PONG")
+    assert await client.request(b"PING") == ("+", b"PONG")
     held = HeldConnects(stage.server.loop)
     client.send(*words)
     await asyncio.wait_for(held.begun.wait(), 2)
@@ -52,7 +52,7 @@
             await asyncio.sleep(0.005)
 
 
-@pytest.mark.parametrize("words", [read(1), write(1)])
+@pytest.mark.parametrize("words", [read_command(1), write_command(1)])
 def test_an_attempt_that_waits_for_a_connection_is_not_sent_for_a_client_that_left(staged, words):
     async def scenario(stage):
         client, held = await held_up(stage, *words)
@@ -61,22 +61,22 @@
         held.go.set()
         await asyncio.sleep(0.1)
         node = stage.server.scheduler.endpoints.nodes["s0"]
-        return stage.nodes[0].got, stage.server.operations, node.in_flight, node.limit.size
+        return stage.nodes[0].received, stage.server.operations, node.in_flight, node.limit.size
 
-    got, operations, in_flight, limit = staged(scenario, hard_stop=5_000, DialTimeout=5_000_000_000)
+    got, operations, in_flight, limit = staged(scenario, deadline=5_000, DialTimeout=5_000_000_000)
     assert not got and not operations and not in_flight and limit >= 1  # and the node is not blamed
 
 
 def test_an_attempt_that_waits_for_a_connection_is_not_sent_once_shutdown_has_answered(staged):
     async def scenario(stage):
-        client, held = await held_up(stage, *write(1, left=5_000))
+        client, held = await held_up(stage, *write_command(1, time_left=5_000))
         stage.server.abort_all()
         answer = await client.reply()
         held.go.set()
         await asyncio.sleep(0.1)
-        return answer, stage.nodes[0].got, stage.server.operations
+        return answer, stage.nodes[0].received, stage.server.operations
 
-    answer, got, taken = staged(scenario, hard_stop=5_000, DialTimeout=5_000_000_000)
+    answer, got, taken = staged(scenario, deadline=5_000, DialTimeout=5_000_000_000)
     assert answer[0] == "-" and not got and not taken
 
 
@@ -89,11 +89,11 @@
             heard.append(report.result),
             on_result(now, report),
         )
-        client, held = await held_up(stage, *write(1, left=400))
+        client, held = await held_up(stage, *write_command(1, time_left=400))
         answer = await client.reply()
         held.go.set()
         await asyncio.sleep(0.1)
-        return answer, heard, stage.nodes[0].got
+        return answer, heard, stage.nodes[0].received
 
     answer, heard, got = staged(scenario, DialTimeout=5_000_000_000)
     assert answer == ("-", b"BUSY") and set(heard) == {AttemptResult.CONNECT_FAILED} and not got
@@ -104,21 +104,21 @@
     window = 300
 
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.02, "close"]
+        stage.nodes[0].script = lambda words: [0.02, "close"]
         client = await stage.client()
-        assert await client.ask(b"PING") == ("+", b"PONG")
-        client.send(*write(1, left=4_000))
-        await settled(lambda: stage.nodes[0].got)
+        assert await client.request(b"PING") == ("+", b"PONG")
+        client.send(*write_command(1, time_left=4_000))
+        await settled(lambda: stage.nodes[0].received)
         held = HeldConnects(stage.server.loop)
-        stage.nodes[0].plays = lambda words: [served()]
+        stage.nodes[0].script = lambda words: [success_reply()]
         await asyncio.wait_for(held.begun.wait(), 2)
         await asyncio.sleep(window / 1000)
         held.go.set()
         answer = await client.reply()
         await asyncio.sleep(0.1)
-        return answer, len(stage.nodes[0].got)
+        return answer, len(stage.nodes[0].received)
 
-    answer, sent = staged(scenario, hard_stop=4_000, window=window, DialTimeout=3_000_000_000)
+    answer, sent = staged(scenario, deadline=4_000, dedup_window=window, DialTimeout=3_000_000_000)
     assert answer[0] == "-" and sent == 1
 
 
@@ -129,30 +129,30 @@
 
     async def scenario(stage):
         first, second = await stage.client(), await stage.client()
-        await first.ask(*read(1))
-        second.send(*read(2))
+        await first.request(*read_command(1))
+        second.send(*read_command(2))
         await settled(lambda: stage.server.pool.endpoints["s0"].waiting)
         second.close()
         await asyncio.sleep(0.3)
-        return [words[2] for words in stage.nodes[0].got]
+        return [words[2] for words in stage.nodes[0].received]
 
     assert staged(scenario) == [b"%016x" % 1]
 
 
 def test_a_client_that_asked_and_left_while_the_process_stood_still_is_not_served(running):
     async def scenario(stage):
-        await (await stage.client()).ask(b"PING")
+        await (await stage.client()).request(b"PING")
         client = await stage.client()
-        await client.ask(b"PING")
+        await client.request(b"PING")
         stage.process.send_signal(signal.SIGSTOP)
-        client.send(*read(1))
+        client.send(*read_command(1))
         await client.writer.drain()
         client.close()
         await asyncio.sleep(0.4)
         stage.process.send_signal(signal.SIGCONT)
         usual = await stage.client()
-        answer = await usual.ask(*read(2))
-        return answer, [words[2] for words in stage.node.got]
+        answer = await usual.request(*read_command(2))
+        return answer, [words[2] for words in stage.node.received]
 
     assert running(scenario) == (("$", b"data"), [b"%016x" % 2])
 
@@ -160,18 +160,20 @@
 def test_a_client_that_asked_and_left_is_not_served_by_a_round_that_was_due_already(staged):
     async def scenario(stage):
         loop, server = asyncio.get_running_loop(), stage.server
-        await (await stage.client()).ask(*read(9))  # its connection stays idle, so the next is sent at once
+        await (await stage.client()).request(
+            *read_command(9)
+        )  # its connection stays idle, so the next is sent at once
         sock = socket.create_connection(("127.0.0.1", stage.port))
         sock.sendall(encode_command([b"PING"]))
         await settled(lambda: sum(client.has_sent_command for client in server.listener.clients) == 2)
         await asyncio.sleep(keep_alive.REUSE_COOLDOWN * 3)
         server.last_round_at = loop.time()
         server.enqueue(lambda now: None)  # a round waits for the tick
-        sock.sendall(encode_command(read(1)))
+        sock.sendall(encode_command(read_command(1)))
         sock.close()
         time.sleep(0.05)  # command, end and round are all due when the loop goes on
         await asyncio.sleep(0.2)
-        return [words[2] for words in stage.nodes[0].got], server.operations
+        return [words[2] for words in stage.nodes[0].received], server.operations
 
     assert staged(scenario) == ([b"%016x" % 9], {})
 
@@ -183,7 +185,7 @@
     """The address stays: what answers there is another start, or wants nothing new."""
 
     async def scenario():
-        loop, node = asyncio.get_running_loop(), Node()
+        loop, node = asyncio.get_running_loop(), FakeNode()
         await node.open()
         row = DiscoveredEndpoint("s", "127.0.0.1", node.port, "a", 0, EndpointState.READY, 0.0)
         pool, connect, outcome = made_pool(loop, 5.0), loop.create_connection, loop.create_future()
@@ -191,14 +193,17 @@
         try:
             pool.update_endpoints(True, [row])
             pool.start_attempt(
-                "s", lambda left: read(1), deadline=loop.time() + 5, on_reply=outcome.set_result
+                "s",
+                lambda milliseconds: read_command(1),
+                deadline=loop.time() + 5,
+                on_reply=outcome.set_result,
             )
             await asyncio.wait_for(held.begun.wait(), 2)
             pool.update_endpoints(False, [row._replace(**change)])
             held.go.set()
             result = (await asyncio.wait_for(outcome, 2)).result
             await asyncio.sleep(0.1)
-            return result, node.got
+            return result, node.received
         finally:
             loop.create_connection = connect
             pool.close()
@@ -233,9 +238,9 @@
                 while data := connection.recv(65_536):
                     reader.receive_data(data)
                     while (words := reader.next_command()) is not None:
-                        connection.sendall(served(words[2]))
+                        connection.sendall(success_reply(words[2]))
                         time.sleep(0.005)
-                        connection.sendall(served(b"another's"))
+                        connection.sendall(success_reply(b"another's"))
                         self.sent.set()
             except ConnectionError:  # the gateway ends a connection with an unsolicited reply
                 pass
@@ -260,10 +265,14 @@
             if outcomes.qsize() == 1:
                 assert meanwhile.wait(2)
                 time.sleep(keep_alive.REUSE_COOLDOWN * 2)
-                pool.start_attempt("s", lambda left: read(2), deadline=loop.time() + 1, on_reply=again)
+                pool.start_attempt(
+                    "s", lambda milliseconds: read_command(2), deadline=loop.time() + 1, on_reply=again
+                )
 
         try:
-            pool.start_attempt("s", lambda left: read(1), deadline=loop.time() + 1, on_reply=again)
+            pool.start_attempt(
+                "s", lambda milliseconds: read_command(1), deadline=loop.time() + 1, on_reply=again
+            )
             await settled(lambda: outcomes.qsize() == 2)
             return outcomes.get_nowait(), outcomes.get_nowait()
         finally:
@@ -291,7 +300,7 @@
             reader = CommandReader()
             while (words := reader.next_command()) is None:
                 reader.receive_data(connection.recv(65_536))
-            connection.sendall(served(words[2]))
+            connection.sendall(success_reply(words[2]))
             if number == 0:
                 connection.close()
                 ended.set()
@@ -308,7 +317,9 @@
         pool.update_endpoints(
             True, [DiscoveredEndpoint("s", "x" * 70 + ".example", 1, "a", 0, EndpointState.READY, 0.0)]
         )
-        pool.start_attempt("s", lambda left: read(1), deadline=loop.time() + 60, on_reply=outcome.set_result)
+        pool.start_attempt(
+            "s", lambda milliseconds: read_command(1), deadline=loop.time() + 60, on_reply=outcome.set_result
+        )
         try:
             return (await asyncio.wait_for(outcome, 3)).result
         finally:
@@ -321,26 +332,30 @@
 def test_a_client_that_sent_many_commands_and_left_is_not_served_further(running, asked):
     async def scenario(stage):
         # The first is not answered, so that nothing is written to the client and no reset comes back.
-        stage.node.plays = lambda words: ["hang"] if int(words[2], 16) == 1 else [0.05, served()]
-        await (await stage.client()).ask(b"PING")
+        stage.node.script = lambda words: ["hang"] if int(words[2], 16) == 1 else [0.05, success_reply()]
+        await (await stage.client()).request(b"PING")
         client = await stage.client_once()
-        client.writer.write(b"".join(encode_command(read(number + 1, left=9_000)) for number in range(asked)))
-        await settled(lambda: stage.node.got)
+        client.writer.write(
+            b"".join(encode_command(read_command(number + 1, time_left=9_000)) for number in range(asked))
+        )
+        await settled(lambda: stage.node.received)
         client.writer.transport.abort() if asked > 1_000 else client.close()
         await asyncio.sleep(3)
-        return len(stage.node.got)
+        return len(stage.node.received)
 
     # All that a connection may be owed would be begun, 64, some in each 0.05 s; its end is seen in a tenth.
-    assert running(scenario, hard_stop=9_000, aim=9_000) < 45
+    assert running(scenario, deadline=9_000, objective=9_000) < 45
 
 
 def test_a_client_that_closes_without_reading_its_replies_counts_as_gone_at_once(staged):
     async def scenario(stage):
         value = bytes(900_000)
-        stage.nodes[0].plays = lambda words: [served(value)] if int(words[2], 16) < 9 else ["hang"]
+        stage.nodes[0].script = lambda words: [success_reply(value)] if int(words[2], 16) < 9 else ["hang"]
         client = await stage.client()
         client.writer.transport.pause_reading()
-        client.writer.write(b"".join(encode_command(read(number, left=5_000)) for number in range(1, 10)))
+        client.writer.write(
+            b"".join(encode_command(read_command(number, time_left=5_000)) for number in range(1, 10))
+        )
         await settled(
             lambda: (
                 any(one.is_writing_paused for one in stage.server.listener.clients)
@@ -350,4 +365,4 @@
         client.writer.write_eof()
         await settled(lambda: all(one.ended for one in stage.server.operations.values()), 0.5)
 
-    staged(scenario, hard_stop=5_000)
+    staged(scenario, deadline=5_000)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -8,7 +8,7 @@
 
 from rushmux.gateway.server import GatewayServer
 from rushmux.scheduling import scheduler as scheduling
-from rushmux.standins.platform import Node, of, read, served, write
+from rushmux.standins.platform import FakeNode, option_of, read_command, success_reply, write_command
 
 
 def test_attempts_in_flight_match_what_the_nodes_have_open(staged):
@@ -25,12 +25,12 @@
             }
 
         for node in stage.nodes:
-            node.plays = lambda words: [chance.uniform(0.01, 0.06), served()]
+            node.script = lambda words: [chance.uniform(0.01, 0.06), success_reply()]
         clients = [await stage.client() for _ in range(20)]
 
         async def asks(client, base):
             for number in range(12):
-                await client.ask(*read(base + number, cell=(base + number) % 3))
+                await client.request(*read_command(base + number, cell=(base + number) % 3))
 
         tasks = [asyncio.ensure_future(asks(client, 1000 * (at + 1))) for at, client in enumerate(clients)]
         while not all(task.done() for task in tasks):
@@ -46,7 +46,7 @@
         await asyncio.sleep(0.05)
         rest = [len(node.in_flight) for node in stage.server.scheduler.endpoints.nodes.values()]
         running = [node.running for node in stage.nodes]
-        return checks, wrong, rest, running, max(node.most for node in stage.nodes)
+        return checks, wrong, rest, running, max(node.max_running for node in stage.nodes)
 
     checks, wrong, rest, running, most = staged(scenario, nodes=3)
     assert checks > 50 and not wrong and rest == running == [0, 0, 0] and most <= 10
@@ -57,7 +57,7 @@
         stage.nodes[0].close()
         client = await stage.client()
         for number in range(6):
-            await client.ask(*read(10 + number, cell=number % 2))
+            await client.request(*read_command(10 + number, cell=number % 2))
             await asyncio.sleep(0.03)
         nodes = stage.server.scheduler.endpoints.nodes
         return nodes["s0"].limit.size, nodes["s1"].limit.size
@@ -73,8 +73,8 @@
             heard.append((report.fleet_usage, report.remote_usage)),
             on_result(now, report),
         )
-        stage.nodes[0].plays = lambda words: [served(used=b"$7\r\nused=36\r\n")]
-        await (await stage.client()).ask(*read(1))
+        stage.nodes[0].script = lambda words: [success_reply(used=b"$7\r\nused=36\r\n")]
+        await (await stage.client()).request(*read_command(1))
         await asyncio.sleep(0.05)
         return heard
 
@@ -83,20 +83,20 @@
 
 def test_a_draining_node_gets_no_new_attempt(staged):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: [0.02, served()]
+        stage.nodes[0].script = lambda words: [0.02, success_reply()]
         client = await stage.client()
-        await client.ask(*read(1))
-        stage.discovery.put(stage.nodes[0].row("s0", 0, "draining"))
+        await client.request(*read_command(1))
+        stage.discovery.update(stage.nodes[0].row("s0", 0, "draining"))
         await asyncio.sleep(0.1)
-        before = len(stage.nodes[0].got)
-        client.send(*read(2, left=900))
+        before = len(stage.nodes[0].received)
+        client.send(*read_command(2, time_left=900))
         await asyncio.sleep(0.1)
-        held = len(stage.nodes[0].got) - before
-        other = Node()  # it takes over the shard and serves what is held
+        held = len(stage.nodes[0].received) - before
+        other = FakeNode()  # it takes over the shard and serves what is held
         await other.open()
         stage.nodes.append(other)
-        stage.discovery.put(other.row("s9", 0))
-        return held, await client.reply(), len(other.got)
+        stage.discovery.update(other.row("s9", 0))
+        return held, await client.reply(), len(other.received)
 
     assert staged(scenario) == (0, ("$", b"data"), 1)
 
@@ -108,8 +108,8 @@
         await asyncio.sleep(0.02)
         client = await stage.client()
         began = asyncio.get_running_loop().time()
-        answer = await client.ask(*read(1))
-        return answer, asyncio.get_running_loop().time() - began < 0.5, stage.nodes[0].got
+        answer = await client.request(*read_command(1))
+        return answer, asyncio.get_running_loop().time() - began < 0.5, stage.nodes[0].received
 
     assert staged(scenario) == (("-", b"BUSY"), True, [])  # no sooner: a node may come until then
 
@@ -117,7 +117,7 @@
 def test_the_start_of_a_node_is_known_on_the_schedulers_clock(staged):
     async def scenario(stage):
         now = asyncio.get_running_loop().time()
-        stage.discovery.put(
+        stage.discovery.update(
             stage.nodes[0].row("s0", 0, "up", int((now - 1) * 1000)),
             stage.nodes[1].row("s1", 1, "up", int(max(1, now - 1000) * 1000)),
         )
@@ -133,9 +133,15 @@
 
 def test_a_write_that_may_have_run_is_retried_with_its_key(staged):
     async def scenario(stage):
-        stage.nodes[0].plays = lambda words: ["close"] if len(stage.nodes[0].got) == 1 else [served()]
-        answer = await (await stage.client()).ask(*write(1))
-        return answer, len(stage.nodes[0].got), {words[3].split(b",k=")[1] for words in stage.nodes[0].got}
+        stage.nodes[0].script = lambda words: (
+            ["close"] if len(stage.nodes[0].received) == 1 else [success_reply()]
+        )
+        answer = await (await stage.client()).request(*write_command(1))
+        return (
+            answer,
+            len(stage.nodes[0].received),
+            {words[3].split(b",k=")[1] for words in stage.nodes[0].received},
+        )
 
     answer, got, keys = staged(scenario)
     assert answer == ("$", b"data") and got == 2 and len(keys) == 1
@@ -148,7 +154,7 @@
         stage.nodes[0].close()
         loop = asyncio.get_running_loop()
         client, began = await stage.client(), loop.time()
-        kind, _ = await client.ask(*read(1, left=1000))
+        kind, _ = await client.request(*read_command(1, time_left=1000))
         return kind, loop.time() - began
 
     kind, took = staged(scenario)
@@ -163,7 +169,7 @@
         connection, _ = listening.accept()
         connection.recv(65_536)
         time.sleep(0.05)
-        connection.sendall(served())
+        connection.sendall(success_reply())
         time.sleep(1)
         connection.close()
 
@@ -177,10 +183,10 @@
             on_result(now, report),
         )
         row = stage.nodes[0].row("s0", 0)
-        stage.discovery.put({**row, "addr": f"127.0.0.1:{listening.getsockname()[1]}"})
+        stage.discovery.update({**row, "addr": f"127.0.0.1:{listening.getsockname()[1]}"})
         await asyncio.sleep(0.1)
         client = await stage.client()
-        client.send(*read(1, left=300))
+        client.send(*read_command(1, time_left=300))
         await asyncio.sleep(0.03)  # it is out
         begun = stage.server.loop.time()
         time.sleep(0.2)
@@ -204,12 +210,12 @@
         came = []
 
         def plays(words):
-            came.append((time.monotonic(), float(of(words, "units"))))
+            came.append((time.monotonic(), float(option_of(words, "units"))))
             # As the platform's meter: no figure until a period has ended.
             metered = came[-1][0] - came[0][0] > 1
-            return [served(used=b"$6\r\nused=4\r\n" if metered else b"$-1\r\n")]
+            return [success_reply(used=b"$6\r\nused=4\r\n" if metered else b"$-1\r\n")]
 
-        stage.nodes[0].plays = plays
+        stage.nodes[0].script = plays
 
         async def ask(port, base):
             stage.port = port
@@ -217,7 +223,7 @@
 
             async def asks(client, first):
                 for number in range(12):
-                    await client.ask(*read(first + number, units=2, left=500))
+                    await client.request(*read_command(first + number, units=2, time_left=500))
 
             await asyncio.gather(*(asks(client, base + 100 * at) for at, client in enumerate(clients)))
 
@@ -242,10 +248,10 @@
     async def scenario(stage):
         sizes = []
         for generation in range(12):
-            node = Node()
+            node = FakeNode()
             await node.open()
             name = f"g{generation}"
-            stage.discovery.put(
+            stage.discovery.update(
                 node.row(name, 0),
                 stage.nodes[-1].row(f"g{generation - 1}", 0, "removed")
                 if generation
@@ -255,7 +261,9 @@
             await asyncio.sleep(0.03)
             client = await stage.client()
             for number in range(5):
-                await client.ask(*read(100 * (generation + 1) + number, volume=10 * generation + number))
+                await client.request(
+                    *read_command(100 * (generation + 1) + number, volume=10 * generation + number)
+                )
             client.close()
             stage.server.pool.sweep()
             stage.server.pool.sweep_timer.cancel()
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from rushmux.standins.platform import Discovery, encode_command, read, served
+from rushmux.resp import encode_command
+from rushmux.standins.platform import FakeDiscovery, read_command, success_reply
 
 STEP = 0.05  # seconds between two commands on each kind of connection
 PAUSE = 0.15  # seconds for which the process stands still
@@ -44,16 +45,16 @@
         finally:
             self.ended, self.ended_at = True, asyncio.get_running_loop().time()
 
-    def ask(self, *numbers, hard_stop):
+    def request(self, *numbers, deadline):
         if not self.ended:
             self.asks += [asyncio.get_running_loop().time()] * len(numbers)
             self.client.writer.write(
-                b"".join(encode_command(read(number, left=hard_stop)) for number in numbers)
+                b"".join(encode_command(read_command(number, time_left=deadline)) for number in numbers)
             )
 
 
 @pytest.mark.parametrize(
-    "hard_stop, pauses",
+    "deadline, pauses",
     [
         # The last stand-still is over 0.3 s before SIGKILL may come: a busy machine takes its part of that.
         (100, (0.3,)),
@@ -64,17 +65,19 @@
         (10_000, (2.4, 3.25)),
     ],
 )
-def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(running, hard_stop, pauses):
-    killed_after = min(3.0, hard_stop / 1000) + GRACE
+def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(running, deadline, pauses):
+    killed_after = min(3.0, deadline / 1000) + GRACE
 
     async def scenario(stage):
         loop = asyncio.get_running_loop()
         # A third is answered at once, a third late, a third never: those must be ended in time.
-        stage.node.plays = lambda words: [[served()], [0.4, served()], ["hang"]][int(words[2], 16) % 3]
+        stage.node.script = lambda words: [[success_reply()], [0.4, success_reply()], ["hang"]][
+            int(words[2], 16) % 3
+        ]
         idle, busy, pipe = Asker(stage.port), Asker(stage.port), Asker(stage.port)
         for one in (idle, busy, pipe):
             await one.open(await stage.client())
-        busy.ask(1, hard_stop=hard_stop)  # answered late
+        busy.request(1, deadline=deadline)  # answered late
         askers, number = [idle, busy, pipe], 10
         begun = loop.time()
         stage.process.send_signal(signal.SIGTERM)
@@ -84,14 +87,14 @@
         while loop.time() < begun + killed_after:
             number += 3
             if len(idle.answers) == len(idle.asks):
-                idle.ask(number, hard_stop=hard_stop)
-            busy.ask(number + 1, hard_stop=hard_stop)
-            pipe.ask(1000 + 3 * number, 1001 + 3 * number, hard_stop=hard_stop)
+                idle.request(number, deadline=deadline)
+            busy.request(number + 1, deadline=deadline)
+            pipe.request(1000 + 3 * number, 1001 + 3 * number, deadline=deadline)
             try:
                 new = Asker(stage.port)
                 await new.open(await asyncio.wait_for(stage.client_once(), STEP))
                 askers.append(new)
-                new.ask(number + 2, hard_stop=hard_stop)
+                new.request(number + 2, deadline=deadline)
             except (OSError, TimeoutError):
                 pass
             await asyncio.sleep(STEP)
@@ -102,7 +105,7 @@
         answers = [answer for one in askers for answer in one.answers]
         return answers, log, code, ended, begun, [at - begun for one in askers for at in one.unanswered()]
 
-    answers, log, code, ended, begun, lost = running(scenario, hard_stop=hard_stop)
+    answers, log, code, ended, begun, lost = running(scenario, deadline=deadline)
     last = log.splitlines()[-1]
     assert code == 0 and "fault" not in log and "Traceback" not in log
     assert ended < killed_after + 0.5  # the interpreter takes its time to end
@@ -124,56 +127,56 @@
     given = []
     while (reply := await client.reply(within=6)) is not None:
         given.append(reply)
-    return given + [None] * client.reset
+    return given + [None] * client.was_reset
 
 
 @pytest.mark.parametrize("clients", [1, 100])
 def test_connections_in_the_accept_queue_when_the_listener_closes_are_answered(running, clients):
     async def scenario(stage):
-        await (await stage.client()).ask(b"PING")
+        await (await stage.client()).request(b"PING")
         stage.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.25)  # new connections come for 0.4 s
         stage.process.send_signal(signal.SIGSTOP)
-        askers = [await asking(stage, read(number, left=2_000)) for number in range(clients)]
+        askers = [await asking(stage, read_command(number, time_left=2_000)) for number in range(clients)]
         await asyncio.sleep(0.4)  # past the time at which no new ones are waited for
         stage.process.send_signal(signal.SIGCONT)
         return await asyncio.gather(*map(answers_on, askers)), await stage.process.wait()
 
-    assert running(scenario, hard_stop=2_000) == ([[("$", b"data")]] * clients, 0)
+    assert running(scenario, deadline=2_000) == ([[("$", b"data")]] * clients, 0)
 
 
 def test_commands_past_the_bound_of_pending_replies_are_answered_at_shutdown(running):
     asked = 150  # more than the pending replies of a connection
 
     async def scenario(stage):
-        stage.node.plays = lambda words: ["hang"]
-        await (await stage.client()).ask(b"PING")
-        client = await asking(stage, *(read(number, left=9_000) for number in range(asked)))
+        stage.node.script = lambda words: ["hang"]
+        await (await stage.client()).request(b"PING")
+        client = await asking(stage, *(read_command(number, time_left=9_000) for number in range(asked)))
         await asyncio.sleep(0.2)
         stage.process.send_signal(signal.SIGTERM)
         return await answers_on(client)
 
-    answers = running(scenario, hard_stop=9_000)
+    answers = running(scenario, deadline=9_000)
     assert [kind for kind, _ in answers] == ["-"] * asked
 
 
 def test_a_valid_command_behind_invalid_ones_is_answered(running):
     async def scenario(stage):
-        await (await stage.client()).ask(b"PING")
-        bad = [read(number, lane="none") for number in range(3)]
-        return await answers_on(await asking(stage, *bad, read(4)))
+        await (await stage.client()).request(b"PING")
+        bad = [read_command(number, request_class="none") for number in range(3)]
+        return await answers_on(await asking(stage, *bad, read_command(4)))
 
     answers = running(scenario)
     assert [kind for kind, _ in answers] == ["-", "-", "-", "$"]
 
 
-@pytest.mark.parametrize("hard_stop", [1_000, 6_000])
-def test_a_client_that_asks_again_at_once_is_served_through_the_shutdown(running, hard_stop):
+@pytest.mark.parametrize("deadline", [1_000, 6_000])
+def test_a_client_that_asks_again_at_once_is_served_through_the_shutdown(running, deadline):
     """Each answer is followed at once by the next command, for as long as the connection stands."""
 
     async def scenario(stage):
         loop, unanswered, served_by = asyncio.get_running_loop(), 0, []
-        stage.node.plays = lambda words: [0.03, served()]
+        stage.node.script = lambda words: [0.03, success_reply()]
         clients = [await stage.client() for _ in range(10)]
         stage.process.send_signal(signal.SIGTERM)
         begun = loop.time()
@@ -183,7 +186,7 @@
             while True:
                 number += 100
                 try:
-                    reply = await client.ask(*read(number, left=hard_stop))
+                    reply = await client.request(*read_command(number, time_left=deadline))
                 except ConnectionError:
                     return
                 if reply is None:
@@ -195,28 +198,28 @@
         await stage.process.wait()
         return unanswered, max(served_by), len(clients)
 
-    unanswered, last, clients = running(scenario, hard_stop=hard_stop)
-    killed_after = min(3.0, hard_stop / 1000) + GRACE
+    unanswered, last, clients = running(scenario, deadline=deadline)
+    killed_after = min(3.0, deadline / 1000) + GRACE
     # Only the cut itself is crossed, and it comes shortly before SIGKILL may.
     assert unanswered <= clients and killed_after - 0.3 < last < killed_after
 
 
 def test_a_reload_during_shutdown_harms_nothing(running):
     async def scenario(stage):
-        other = Discovery()
+        other = FakeDiscovery()
         await other.open()
-        other.put(*stage.discovery.rows.values())
+        other.update(*stage.discovery.rows.values())
         client = await stage.client()
-        assert await client.ask(*read(1)) == ("$", b"data")
+        assert await client.request(*read_command(1)) == ("$", b"data")
         stage.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.2)
         stage.write(discovery=other.port)
         stage.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        answer = await client.ask(*read(2))
+        answer = await client.request(*read_command(2))
         log = (await stage.process.stderr.read()).decode()
         other.close()
-        return answer, len(other.calls) > 0, "fault" in log, await stage.process.wait()
+        return answer, len(other.requests) > 0, "fault" in log, await stage.process.wait()
 
     assert running(scenario) == (("$", b"data"), True, False, 0)
 
@@ -225,12 +228,15 @@
     value, asked = bytes(900_000), 5
 
     async def scenario(stage):
-        stage.node.plays = lambda words: [0.6, served(value)]  # the connection is ended 0.5 s after SIGTERM
+        stage.node.script = lambda words: [
+            0.6,
+            success_reply(value),
+        ]  # the connection is ended 0.5 s after SIGTERM
         client = await stage.client()
         client.writer.transport.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536
         )
-        client.writer.write(b"".join(encode_command(read(number)) for number in range(asked)))
+        client.writer.write(b"".join(encode_command(read_command(number)) for number in range(asked)))
         await asyncio.sleep(0.05)
         client.writer.transport.pause_reading()  # a client that is slow to read
         stage.process.send_signal(signal.SIGTERM)
