--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from rushmux.gateway.event_loop import call_after_polling
 from rushmux.gateway.eviction import NEWCOMER_GRACE
-from rushmux.gateway.lingering_close import UNREAD_REPLIES_TIMEOUT, LingeringClose
+from rushmux.gateway.lingering_close import LingeringClose
 from rushmux.resp import CommandReader, ProtocolError, encode_error
 
 if TYPE_CHECKING:
@@ -20,8 +19,6 @@
 """Commands of one connection that are not answered; beyond it no more are taken."""
 MAX_UNREAD_REPLY_BYTES = 1 << 19
 """Bytes of replies that a client has not read; beyond it no more commands are taken."""
-FIRST_COMMAND_TIMEOUT = 1.6
-"""Seconds until a connection that sent no complete command is closed: 3 are allowed."""
 MAX_DISCARDED_BYTES = 1 << 20
 """Bytes of one connection that are read and discarded; then nothing more is read."""
 MAX_READ_AHEAD = 1 << 17
@@ -38,8 +35,6 @@
 
 The next command of a client that asks again at once is on its way for a few milliseconds.
 """
-TCP_CLOSE_WAIT = 8
-"""State of a connection whose client has ended its sending (first byte of TCP_INFO)."""
 
 
 class ConnectionState(Enum):
@@ -262,6 +257,12 @@
         self.reader = CommandReader()
         self._update_reading()
 
+    def finish_with_error(self, text: str) -> None:
+        """Sends an error behind the pending replies and takes no more commands."""
+        self.pending_replies.append(PendingReply(self, encode_error(text)))
+        self.finish()
+        self.flush()
+
     def _linger(self) -> None:
         if self.state is not ConnectionState.LINGERING:
             self.state = ConnectionState.LINGERING
@@ -311,45 +312,3 @@
         self.abandon_operations()
         self.pending_replies = deque()
         self.listener.remove_client(self)
-
-    def has_peer_closed(self) -> bool:
-        """Returns whether the system knows that the client closed or reset a connection that is not read.
-
-        A platform that does not tell shows the state of a socket that was never connected.  Counted as a
-        reset, that would cut off good clients; so a reset is known by the socket's error alone.
-        """
-        try:
-            sock = self.transport.get_extra_info("socket")
-            return (
-                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
-                or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-            )
-        except (OSError, AttributeError, IndexError, TypeError):
-            return False
-
-    def check_timeouts(self, now: float, idle_timeout: float) -> None:
-        """Ends the connection if its client is silent, idle for `idle_timeout` seconds or does not read."""
-        if self.transport.is_closing() or self.state is not ConnectionState.OPEN:
-            return
-        if self.is_writing_paused and now - self.writing_paused_at > UNREAD_REPLIES_TIMEOUT:
-            self.transport.abort()
-        elif self._is_command_overdue(now):
-            self.listener.stats.silent_clients += 1
-            self.pending_replies.append(PendingReply(self, encode_error("ERR no whole command came in time")))
-            self.finish()
-            self.flush()
-        elif (
-            self.is_idle()
-            and now - self.last_active_at > idle_timeout
-            and not self.transport.get_write_buffer_size()
-        ):
-            # Its socket was read just now and its last reply was sent long ago: nothing is cut off.
-            self.transport.close()
-
-    def _is_command_overdue(self, now: float) -> bool:
-        if self.pending_replies or self.has_untaken_commands:
-            return False
-        if self.has_sent_command and not self.reader.has_partial_command():
-            return False
-        waiting_since = self.last_active_at if self.has_sent_command else self.connected_at
-        return now - waiting_since > FIRST_COMMAND_TIMEOUT
--- a/rushmux/gateway/listener.py
+++ b/rushmux/gateway/listener.py
@@ -9,6 +9,7 @@
 
 from rushmux.gateway import eviction
 from rushmux.gateway.client_connection import ClientConnection, PendingReply
+from rushmux.gateway.client_timeouts import enforce_timeouts
 from rushmux.gateway.command_dispatcher import CommandDispatcher
 from rushmux.gateway.commands import Command
 from rushmux.gateway.config import GatewayConfig
@@ -188,7 +189,7 @@
         now = self.loop.time()
         idle_timeout = eviction.idle_timeout(len(self.clients), self.max_clients)
         for client in list(self.clients):
-            client.check_timeouts(now, idle_timeout)
+            enforce_timeouts(client, now, idle_timeout)
         for _ in range(len(self.clients) - self.max_clients):
             self._evict()
         self._schedule_sweep()
--- a/rushmux/gateway/paused_clients.py
+++ b/rushmux/gateway/paused_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -10,6 +11,8 @@
 
 CHECK_INTERVAL = 0.05
 """Seconds between two checks: nothing may begin for a client from 0.1 s after its end on."""
+TCP_CLOSE_WAIT = 8
+"""State of a connection whose client has ended its sending (first byte of TCP_INFO)."""
 
 
 class PausedClients:
@@ -31,8 +34,29 @@
 
     def _check(self) -> None:
         for client in list(self.clients):
-            if not client.is_lingering and client.has_peer_closed():
+            if not client.is_lingering and has_peer_closed(client.transport):
                 client.abandon_operations()
                 client.transport.abort()
         if self.clients:
             self.loop.call_later(CHECK_INTERVAL, self._check)
+
+
+def has_peer_closed(transport: asyncio.Transport) -> bool:
+    """Returns whether the system knows that the peer closed or reset a connection that is not read.
+
+    A platform that does not tell shows the state of a socket that was never connected.  Counted as a reset,
+    that would cut off good clients; so a reset is known by the socket's error alone.
+    """
+    try:
+        sock = transport.get_extra_info("socket")
+        return (
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
+            or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        )
+    except (
+        OSError,
+        AttributeError,
+        IndexError,
+        TypeError,
+    ):  # a platform without TCP_INFO, or a closed socket
+        return False
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -34,21 +34,21 @@
         return [event for _, event, _ in self.rows]
 
 
-class GatewayFixture:
+class InProcessFleet:
     """A gateway, its nodes, discovery and clients."""
 
     def __init__(self):
         self.nodes, self.clients, self.log = [], [], RecordingLog()
         self.discovery, self.server, self.port = FakeDiscovery(), None, 0
 
-    async def open(self, nodes, **terms):
+    async def open(self, nodes, **options):
         loop = asyncio.get_running_loop()
         await self.discovery.open()
         for number in range(nodes):
             self.nodes.append(FakeNode())
             await self.nodes[-1].open()
             self.discovery.update(self.nodes[-1].row(f"s{number}", number))
-        raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **terms)
+        raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **options)
         config = parse_config(json.dumps(raw).encode())
         # The gateway binds the port itself; port 0 can't stand in a file.
         self.server = GatewayServer(
@@ -62,10 +62,10 @@
         self.clients.append(await FakeClient().open(self.port))
         return self.clients[-1]
 
-    async def client_with(self, *words):
+    async def client_with(self, *arguments):
         """A client that writes a command at once; nobody need have accepted it."""
         client = await self.client()
-        client.send(*words)
+        client.send(*arguments)
         return client
 
     async def close(self):
@@ -78,16 +78,16 @@
 
 
 @pytest.fixture
-def staged():
-    """Runs a scenario, a coroutine function of a `GatewayFixture`, on an event loop of its own."""
+def with_fleet():
+    """Runs a scenario, a coroutine function of a `InProcessFleet`, on an event loop of its own."""
 
-    def run_scenario(scenario, nodes=1, **terms):
+    def run_scenario(scenario, nodes=1, **options):
         async def main():
-            stage = await GatewayFixture().open(nodes, **terms)
+            fleet = await InProcessFleet().open(nodes, **options)
             try:
-                return await scenario(stage)
+                return await scenario(fleet)
             finally:
-                await stage.close()
+                await fleet.close()
 
         return asyncio.run(main())
 
@@ -100,16 +100,16 @@
         return sock.getsockname()[1]
 
 
-class GatewayProcessFixture:
+class ProcessFleet:
     """A gateway's process with a node and discovery."""
 
     def __init__(self, folder):
         self.file, self.node, self.discovery = folder / "config.json", FakeNode(), FakeDiscovery()
-        self.port, self.process, self.terms = free_port(), None, {}
+        self.port, self.process, self.options = free_port(), None, {}
 
     def write(self, discovery=None):
         raw = configuration(
-            discovery or self.discovery.port, list(self.discovery.rows.values()), self.port, **self.terms
+            discovery or self.discovery.port, list(self.discovery.rows.values()), self.port, **self.options
         )
         self.file.write_text(json.dumps(raw))
 
@@ -126,9 +126,9 @@
         self.discovery.requests.clear()
         await self.run(*arguments or ("-m", "rushmux.gateway"))
 
-    async def open(self, terms, nodes=1):
+    async def open(self, options, nodes=1):
         """`nodes`: rows of the list; all of them lead to the one stand-in."""
-        self.terms = terms
+        self.options = options
         await self.node.open()
         await self.discovery.open()
         self.discovery.update(*(self.node.row(f"s{number}", number) for number in range(nodes)))
@@ -157,23 +157,23 @@
 
 
 @pytest.fixture
-def running(tmp_path):
-    """Runs a scenario, a coroutine function of a `GatewayProcessFixture`, with the gateway's own process."""
+def with_process(tmp_path):
+    """Runs a scenario, a coroutine function of a `ProcessFleet`, with the gateway's own process."""
 
-    def run_scenario(scenario, arguments=("-m", "rushmux.gateway"), nodes=1, **terms):
+    def run_scenario(scenario, arguments=("-m", "rushmux.gateway"), nodes=1, **options):
         async def main():
-            stage = GatewayProcessFixture(tmp_path)
-            await stage.open(terms, nodes)
+            fleet = ProcessFleet(tmp_path)
+            await fleet.open(options, nodes)
             try:
-                await stage.run(*arguments)
+                await fleet.run(*arguments)
                 async with asyncio.timeout(20):
-                    return await scenario(stage)
+                    return await scenario(fleet)
             finally:
-                if stage.process and stage.process.returncode is None:
-                    stage.process.kill()
-                    await stage.process.wait()
-                stage.node.close()
-                stage.discovery.close()
+                if fleet.process and fleet.process.returncode is None:
+                    fleet.process.kill()
+                    await fleet.process.wait()
+                fleet.node.close()
+                fleet.discovery.close()
 
         return asyncio.run(main())
 
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -16,8 +16,8 @@
 
 
 def test_a_read_is_parsed_and_forwarded_with_the_time_of_its_attempt():
-    words = read_command(7, cell=-1, time_left=480, units=2)
-    known = commands.parse_command(words, CONFIG)
+    arguments = read_command(7, cell=-1, time_left=480, units=2)
+    known = commands.parse_command(arguments, CONFIG)
     assert (
         known.op_id,
         known.request_class,
@@ -36,24 +36,26 @@
         0.48,
     )
     sent = known.build_arguments(120)
-    assert sent[:3] == words[:3] and sent[3] == words[3].replace(b"d=480", b"d=120") and len(sent) == 4
+    assert (
+        sent[:3] == arguments[:3] and sent[3] == arguments[3].replace(b"d=480", b"d=120") and len(sent) == 4
+    )
 
 
 def test_a_write_is_forwarded_with_its_key_and_data():
-    words = write_command(9, data=b"\r\n\0")
-    sent = commands.parse_command(words, CONFIG).build_arguments(900)
-    assert sent == words
+    arguments = write_command(9, data=b"\r\n\0")
+    sent = commands.parse_command(arguments, CONFIG).build_arguments(900)
+    assert sent == arguments
 
 
-def changed(words, old, new):
-    return [*words[:3], words[3].replace(old, new), *words[4:]]
+def changed(arguments, old, new):
+    return [*arguments[:3], arguments[3].replace(old, new), *arguments[4:]]
 
 
 READ, WRITE = read_command(1), write_command(1)
 
 
 @pytest.mark.parametrize(
-    "words",
+    "arguments",
     [
         READ[:3],
         [*READ, b"body"],
@@ -87,9 +89,9 @@
         [*READ[:3], b"c=\xff" + READ[3][6:]],
     ],
 )
-def test_what_no_usual_client_sends_is_rejected(words):
+def test_what_no_usual_client_sends_is_rejected(arguments):
     with pytest.raises(InvalidCommandError):
-        commands.parse_command(words, CONFIG)
+        commands.parse_command(arguments, CONFIG)
 
 
 def interpreted(data):
@@ -132,7 +134,7 @@
 
 
 def test_load_columns_of_the_settings():
-    """`inflight` on the sockets stands as `outstanding` in the settings; neither is one the module reads."""
+    """`inflight` on the sockets stands as `outstanding` in the settings; the scheduler reads neither."""
     assert load_positions(settings()) == [None, None]
     assert load_positions({"Report": {"How": "answers", "Columns": ["recent_ms", "backlog"]}}) == [1, 0]
 
@@ -144,7 +146,7 @@
 
 
 def test_a_file_truncated_anywhere_is_a_config_error():
-    whole = json.dumps(configuration(1, [])).encode()
-    for cut in range(0, len(whole), 7):
+    complete = json.dumps(configuration(1, [])).encode()
+    for cut in range(0, len(complete), 7):
         with pytest.raises(ConfigError):
-            parse_config(whole[:cut])
+            parse_config(complete[:cut])
--- a/tests/gateway/test_connection_close.py
+++ b/tests/gateway/test_connection_close.py
@@ -32,9 +32,9 @@
         b"".join(encode_command(read_command(number, request_class="none")) for number in range(3)),
     ],
 )
-def test_a_client_that_goes_on_sending_behind_its_error_reads_it_and_an_orderly_end(staged, rejected):
-    async def scenario(stage):
-        client = await stage.client()
+def test_a_client_that_goes_on_sending_behind_its_error_reads_it_and_an_orderly_end(with_fleet, rejected):
+    async def scenario(fleet):
+        client = await fleet.client()
         client.writer.transport.pause_reading()
         client.writer.write(rejected)
         for _ in range(20):  # past the time after which a quiet connection is closed
@@ -44,73 +44,73 @@
         given, reset = await replies_until_end(client)
         return {kind for kind, _ in given}, len(given), reset
 
-    kinds, count, reset = staged(scenario)
+    kinds, count, reset = with_fleet(scenario)
     assert kinds == {"-"} and count == (1 if rejected == b"noise\r\n" else 3) and not reset
 
 
-def test_a_client_that_never_stops_sending_behind_its_error_is_cut_off(staged):
-    async def scenario(stage):
-        client, began = await stage.client(), time.monotonic()
+def test_a_client_that_never_stops_sending_behind_its_error_is_cut_off(with_fleet):
+    async def scenario(fleet):
+        client, began = await fleet.client(), time.monotonic()
         client.writer.write(b"noise\r\n")
-        while time.monotonic() < began + 4 and stage.server.listener.clients:
+        while time.monotonic() < began + 4 and fleet.server.listener.clients:
             try:
                 client.writer.write(b"x" * 10_000)
                 await client.writer.drain()
             except ConnectionError:
                 break
             await asyncio.sleep(0.005)
-        return time.monotonic() - began, len(stage.server.listener.clients)
+        return time.monotonic() - began, len(fleet.server.listener.clients)
 
-    took, left = staged(scenario)
+    took, left = with_fleet(scenario)
     assert took < 3 and not left
 
 
-async def fill(stage):
+async def fill(fleet):
     """Every place for clients is taken by one that asked just now."""
-    clients = [await stage.client() for _ in range(stage.server.listener.max_clients)]
+    clients = [await fleet.client() for _ in range(fleet.server.listener.max_clients)]
     for number, client in enumerate(clients):
         assert (await client.request(*read_command(number + 1)))[0] == "$"
     return clients
 
 
-def test_a_newcomers_operation_gets_busy_where_every_place_is_in_use(staged, monkeypatch):
+def test_a_newcomers_operation_gets_busy_where_every_place_is_in_use(with_fleet, monkeypatch):
     monkeypatch.setattr(eviction, "SHORT_IDLE_TIMEOUT", 60.0)
 
-    async def scenario(stage):
-        usual = await fill(stage)
-        newcomer = await stage.client_with(*read_command(900))
+    async def scenario(fleet):
+        usual = await fill(fleet)
+        newcomer = await fleet.client_with(*read_command(900))
         given = await replies_until_end(newcomer)
         return given, [await client.request(*read_command(1_000 + at)) for at, client in enumerate(usual)]
 
-    given, usual = staged(scenario, sockets=64)
+    given, usual = with_fleet(scenario, sockets=64)
     assert given == ([("-", b"BUSY")], False) and usual == [("$", b"data")] * len(usual)
 
 
-def test_newcomers_past_the_margin_wait_in_the_accept_queue_and_are_answered(staged, monkeypatch):
+def test_newcomers_past_the_margin_wait_in_the_accept_queue_and_are_answered(with_fleet, monkeypatch):
     monkeypatch.setattr(eviction, "SHORT_IDLE_TIMEOUT", 0.5)
 
-    async def scenario(stage):
-        await fill(stage)
-        newcomers = [await stage.client_with(*read_command(900 + number)) for number in range(30)]
+    async def scenario(fleet):
+        await fill(fleet)
+        newcomers = [await fleet.client_with(*read_command(900 + number)) for number in range(30)]
         ends = [asyncio.ensure_future(replies_until_end(client)) for client in newcomers]
         peak = 0
         while not all(end.done() for end in ends):
-            peak = max(peak, len(stage.server.listener.clients))
+            peak = max(peak, len(fleet.server.listener.clients))
             await asyncio.sleep(0.001)
             for client, end in zip(newcomers, ends, strict=True):
                 if client.replies_received and not end.done():
                     client.close()
-        return [end.result() for end in ends], peak <= 1.2 * stage.server.listener.max_clients
+        return [end.result() for end in ends], peak <= 1.2 * fleet.server.listener.max_clients
 
-    ends, bounded = staged(scenario, sockets=64)
+    ends, bounded = with_fleet(scenario, sockets=64)
     assert bounded and all(len(given) == 1 and not reset for given, reset in ends)
 
 
-def is_reset_after_command(sock, words):
+def is_reset_after_command(sock, arguments):
     """Sends a command behind the connection's end; returns whether a reset tells that it was not read."""
     while sock.recv(65_536):  # what was answered, and the end
         pass
-    sock.sendall(encode_command(words))
+    sock.sendall(encode_command(arguments))
     for _ in range(300):
         if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) in (errno.ECONNRESET, errno.EPIPE):
             return True
@@ -119,28 +119,28 @@
 
 
 @pytest.mark.parametrize("end", ["silent", "stop"])
-def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_retries(running, end):
+def test_a_command_that_crosses_an_orderly_end_is_left_unread_so_that_its_client_retries(with_process, end):
     """Seen on fleet days: eleven requests were read behind the end, discarded and never answered.
 
     Left unread before, a few were sent again.
     """
 
-    async def scenario(stage):
+    async def scenario(fleet):
         loop = asyncio.get_running_loop()
-        await (await stage.client()).request(b"PING")
-        with socket.create_connection(("127.0.0.1", stage.port)) as sock:
+        await (await fleet.client()).request(b"PING")
+        with socket.create_connection(("127.0.0.1", fleet.port)) as sock:
             if end == "stop":
                 sock.sendall(encode_command([b"PING"]))
-                stage.process.send_signal(signal.SIGTERM)
+                fleet.process.send_signal(signal.SIGTERM)
             sock.settimeout(10)
             return await loop.run_in_executor(
                 None, is_reset_after_command, sock, read_command(1)
-            ), stage.node.received
+            ), fleet.node.received
 
-    assert running(scenario) == (True, [])
+    assert with_process(scenario) == (True, [])
 
 
-def test_no_client_is_cut_off_where_the_platform_tells_no_tcp_state(staged, monkeypatch):
+def test_no_client_is_cut_off_where_the_platform_tells_no_tcp_state(with_fleet, monkeypatch):
     """Seen on the bench, which tells the state of a socket never connected: 1,682 connections ended early."""
     monkeypatch.setattr(
         asyncio.trsock.TransportSocket,
@@ -150,20 +150,20 @@
     monkeypatch.setattr(client_connection, "MAX_READ_AHEAD", 1_000)
     asked = 300
 
-    async def scenario(stage):
-        stage.nodes[0].script = lambda words: [0.02, success_reply()]
-        client = await stage.client()
+    async def scenario(fleet):
+        fleet.nodes[0].script = lambda arguments: [0.02, success_reply()]
+        client = await fleet.client()
         client.writer.write(
             b"".join(encode_command(read_command(number, time_left=9_000)) for number in range(asked))
         )
         return len([reply for reply in [await client.reply() for _ in range(asked)] if reply is not None])
 
-    assert staged(scenario, deadline=9_000, objective=9_000) == asked
+    assert with_fleet(scenario, deadline=9_000, objective=9_000) == asked
 
 
-def test_accepted_connections_that_fail_before_they_join_free_their_places(staged):
-    async def scenario(stage):
-        held, loop, join = stage.server.listener, stage.server.loop, stage.server.loop.connect_accepted_socket
+def test_accepted_connections_that_fail_before_they_join_free_their_places(with_fleet):
+    async def scenario(fleet):
+        held, loop, join = fleet.server.listener, fleet.server.loop, fleet.server.loop.connect_accepted_socket
         held.max_clients, held.margin, go = 0, 3, asyncio.Event()
 
         async def fails(protocol, sock):
@@ -173,8 +173,8 @@
 
         loop.connect_accepted_socket = fails
         for _ in range(held.margin):
-            await stage.client()
-        usual = await stage.client_with(b"PING")
+            await fleet.client()
+        usual = await fleet.client_with(b"PING")
         async with asyncio.timeout(2):
             while not held.is_accepting_paused:
                 await asyncio.sleep(0.005)
@@ -182,94 +182,94 @@
         go.set()
         return await usual.reply(within=2)
 
-    assert staged(scenario) == ("+", b"PONG")
+    assert with_fleet(scenario) == ("+", b"PONG")
 
 
-def test_many_idle_clients_leave_descriptors_for_nodes_and_discovery(running):
+def test_many_idle_clients_leave_descriptors_for_nodes_and_discovery(with_process):
     """A small limit, held by the system: each part must find its descriptors when discovery comes back."""
 
-    async def scenario(stage):
-        await (await stage.client()).request(b"PING")
-        resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (64, 64))
-        stage.discovery.is_silent = True
-        crowd = []
+    async def scenario(fleet):
+        await (await fleet.client()).request(b"PING")
+        resource.prlimit(fleet.process.pid, resource.RLIMIT_NOFILE, (64, 64))
+        fleet.discovery.is_silent = True
+        idle_clients = []
         for _ in range(200):
-            crowd.append(await stage.client_once())
-        for client in crowd:
+            idle_clients.append(await fleet.client_once())
+        for client in idle_clients:
             client.send(b"PING")
         await asyncio.sleep(2.5)
         node = FakeNode()
         await node.open()
-        stage.discovery.update(node.row("s1", 1))
-        stage.discovery.is_silent = False
+        fleet.discovery.update(node.row("s1", 1))
+        fleet.discovery.is_silent = False
         async with asyncio.timeout(6):
             while not node.received:
-                client = await stage.client_once()
-                client.send(*read_command(len(crowd) + 1, cell=1))
+                client = await fleet.client_once()
+                client.send(*read_command(len(idle_clients) + 1, cell=1))
                 await client.reply()
-                crowd.append(client)
+                idle_clients.append(client)
                 await asyncio.sleep(0.05)
-        stage.process.terminate()
-        log = (await stage.process.stderr.read()).decode()
+        fleet.process.terminate()
+        log = (await fleet.process.stderr.read()).decode()
         node.close()
-        for client in crowd:
+        for client in idle_clients:
             client.close()
         return "no connection can be taken" in log, "Traceback" in log
 
-    assert running(scenario, sockets=64) == (False, False)
+    assert with_process(scenario, sockets=64) == (False, False)
 
 
-def test_idle_connections_with_commands_received_during_a_pause_of_the_process_stay_open(running):
+def test_idle_connections_with_commands_received_during_a_pause_of_the_process_stay_open(with_process):
     """Connections idle for 2 s are closed where places are short: not over a command that was not read."""
 
-    async def scenario(stage):
-        clients = [await stage.client() for _ in range(15)]  # over half of the places
+    async def scenario(fleet):
+        clients = [await fleet.client() for _ in range(15)]  # over half of the places
         await asyncio.gather(
             *(client.request(*read_command(number + 1)) for number, client in enumerate(clients))
         )
         await asyncio.sleep(1.5)
-        stage.process.send_signal(signal.SIGSTOP)
+        fleet.process.send_signal(signal.SIGSTOP)
         for number, client in enumerate(clients):
             client.send(*read_command(number + 100))
         await asyncio.sleep(1.0)
-        stage.process.send_signal(signal.SIGCONT)
+        fleet.process.send_signal(signal.SIGCONT)
         return [await client.reply() for client in clients]
 
-    assert running(scenario, sockets=64) == [("$", b"data")] * 15
+    assert with_process(scenario, sockets=64) == [("$", b"data")] * 15
 
 
-def test_an_incomplete_command_behind_a_complete_one_costs_no_processor_time(running):
-    async def scenario(stage):
-        client = await stage.client()
+def test_an_incomplete_command_behind_a_complete_one_costs_no_processor_time(with_process):
+    async def scenario(fleet):
+        client = await fleet.client()
         client.writer.write(encode_command([b"PING"]) + b"*4\r\n$8\r\nBLK")
         assert await client.reply() == ("+", b"PONG")
         await asyncio.sleep(0.2)
 
         def used():
-            with open(f"/proc/{stage.process.pid}/stat", encoding="ascii") as file:
+            with open(f"/proc/{fleet.process.pid}/stat", encoding="ascii") as file:
                 return sum(map(int, file.read().rsplit(")", 1)[1].split()[11:13]))
 
         before = used()
         await asyncio.sleep(1.0)
         return used() - before
 
-    assert running(scenario) < 30  # of a hundred in a second; a loop that never rests takes all
+    assert with_process(scenario) < 30  # of a hundred in a second; a loop that never rests takes all
 
 
-def test_commands_behind_large_unread_replies_are_taken_once_those_are_read(staged):
+def test_commands_behind_large_unread_replies_are_taken_once_those_are_read(with_fleet):
     """What came behind answers that a client was slow to read is taken once it has read them."""
 
-    async def scenario(stage):
-        stage.nodes[0].script = lambda words: [success_reply(bytes(900_000))]
-        client = await stage.client()
+    async def scenario(fleet):
+        fleet.nodes[0].script = lambda arguments: [success_reply(bytes(900_000))]
+        client = await fleet.client()
         client.writer.transport.pause_reading()
         client.writer.write(b"".join(encode_command(read_command(number)) for number in range(1, 10)))
         async with asyncio.timeout(3):
-            while not any(one.is_writing_paused for one in stage.server.listener.clients):
+            while not any(one.is_writing_paused for one in fleet.server.listener.clients):
                 await asyncio.sleep(0.005)
         client.writer.write(encode_command([b"PING"]))
         await asyncio.sleep(0.1)
         client.writer.transport.resume_reading()
         return [(await client.reply())[0] for _ in range(10)]
 
-    assert staged(scenario, deadline=3_000) == ["$"] * 9 + ["+"]
+    assert with_fleet(scenario, deadline=3_000) == ["$"] * 9 + ["+"]
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -28,9 +28,9 @@
 
         async def run(number=1, until=1.0):
             future = loop.create_future()
-            words = read_command(number)
+            arguments = read_command(number)
             attempt = pool.start_attempt(
-                "s", lambda milliseconds: words, deadline=loop.time() + until, on_reply=future.set_result
+                "s", lambda milliseconds: arguments, deadline=loop.time() + until, on_reply=future.set_result
             )
             done, _ = await asyncio.wait([future], timeout=until)
             if not done and attempt is not None:
@@ -65,7 +65,7 @@
 )
 def test_result_of_an_attempt_by_what_the_node_does(steps, expected):
     async def scenario(pool, node, row, run):
-        node.script = lambda words: steps
+        node.script = lambda arguments: steps
         outcome = await run(until=0.3)
         await asyncio.sleep(0.05)
         reusable = (
@@ -107,7 +107,7 @@
 @pytest.mark.parametrize("late", [0.0, 0.005])
 def test_an_unsolicited_reply_is_never_taken_for_the_next_requests(unsolicited, late):
     async def scenario(pool, node, row, run):
-        node.script = lambda words: [success_reply(words[2]), late, unsolicited]
+        node.script = lambda arguments: [success_reply(arguments[2]), late, unsolicited]
         found = []
         for number in range(1, 12):
             found.append(await run(number))
@@ -154,7 +154,12 @@
         waits = asyncio.ensure_future(run(4))
         await asyncio.sleep(0)
         pool.update_endpoints(False, [row._replace(state=EndpointState.DRAINING)])
-        return given_up, await waits, [words[2][-1:] for words in node.received], node.connections_opened
+        return (
+            given_up,
+            await waits,
+            [arguments[2][-1:] for arguments in node.received],
+            node.connections_opened,
+        )
 
     assert run_scenario(scenario) == (
         (AttemptResult.TIMED_OUT, None),
@@ -201,11 +206,11 @@
     async def scenario(pool, node, row, run):
         await asyncio.gather(*(run(number) for number in range(4)))
         first = pool.connection_count()
-        node.script = lambda words: ["close"]
+        node.script = lambda arguments: ["close"]
         await asyncio.sleep(REUSE_COOLDOWN * 2)
         await run(5)
         broke = pool.connection_count()
-        node.script = lambda words: [success_reply()]
+        node.script = lambda arguments: [success_reply()]
         await run(6)
         pool.update_endpoints(False, [row._replace(started_at=99.0)])
         return first, broke, pool.connection_count()
@@ -215,7 +220,7 @@
 
 def test_a_connection_in_use_while_its_node_restarted_is_not_reused():
     async def scenario(pool, node, row, run):
-        node.script = lambda words: [0.1, success_reply()]
+        node.script = lambda arguments: [0.1, success_reply()]
         task = asyncio.ensure_future(run(1))
         await asyncio.sleep(0.05)
         pool.update_endpoints(False, [row._replace(started_at=99.0)])
@@ -243,7 +248,7 @@
 @pytest.mark.parametrize("malformed", [b"*0\r\n", b"*1\r\n$1\r\nx\r\n", b":5\r\n", b"-xx\r\n", b"$-1\r\n"])
 def test_a_connection_that_brought_a_malformed_reply_is_closed(malformed):
     async def scenario(pool, node, row, run):
-        node.script = lambda words: [malformed]
+        node.script = lambda arguments: [malformed]
         outcome = await run(1)
         await asyncio.sleep(0.05)
         return outcome, pool.connection_count(), len(node.connections)
@@ -292,7 +297,7 @@
 
 def test_connections_are_bounded_and_a_full_pool_rejects():
     async def scenario(pool, node, row, run):
-        node.script = lambda words: [0.2, success_reply()]
+        node.script = lambda arguments: [0.2, success_reply()]
         outcomes = await asyncio.gather(*(run(number) for number in range(8)))
         return sorted(result for result, _ in outcomes), node.max_running
 
@@ -306,9 +311,9 @@
     monkeypatch.setattr(node_connection, "MAX_PARTIAL_REPLY_BYTES", 200_000)
 
     async def scenario(pool, node, row, run):
-        node.script = lambda words: [b"*3\r\n$900000\r\n" + b"x" * 100_000, "hang"]
+        node.script = lambda arguments: [b"*3\r\n$900000\r\n" + b"x" * 100_000, "hang"]
         outcomes = await asyncio.gather(*(run(number, 0.5) for number in range(6)))
-        node.script = lambda words: [success_reply()]
+        node.script = lambda arguments: [success_reply()]
         return sorted(result for result, _ in outcomes), await run(9), pool.partial_reply_bytes
 
     results, after, held = run_scenario(scenario)
--- a/tests/gateway/test_discovery_deadline.py
+++ b/tests/gateway/test_discovery_deadline.py
@@ -90,13 +90,13 @@
 
 
 def once(source, steps):
-    """The next answer is played by these steps, those after it as usual."""
+    """The next response follows these steps, those after it are as usual."""
 
-    def plays(target, text):
+    def script(target, text):
         source.script = None
         return steps(text)
 
-    source.script = plays
+    source.script = script
 
 
 def test_the_worst_sequence_of_failures_is_over_in_time():
@@ -137,7 +137,7 @@
         await received.until("a", "draining", 2)
         await received.until("c", "ready", 2)
         changes = dict(received.states)
-        source.version, source.changes = 1, []  # and so in a whole list
+        source.version, source.changes = 1, []  # and so in a snapshot
         source.rows["d"] = row("d")
         once(source, lambda text: [head(b"", "410 Gone")])
         source.update(row("d"))
@@ -268,11 +268,11 @@
         new.is_silent = True
         asked = asyncio.Event()
 
-        def plays(target, text):
+        def script(target, text):
             asked.set()
             return [head(text) + text[:9], go, text[9:]]
 
-        source.script = plays
+        source.script = script
         source.update(row("a", "draining"))
         await asyncio.wait_for(asked.wait(), 2)
         await asyncio.sleep(0.05)
@@ -308,77 +308,77 @@
 # The program's own process.
 
 # The first list is waited for longer than a test takes.
-PATIENT = (
+LONG_FIRST_LIST_TIMEOUT = (
     "import runpy, rushmux.gateway.server as server\n"
     "server.FIRST_LIST_TIMEOUT = 60.0\n"
     "runpy.run_module('rushmux.gateway', run_name='__main__')\n"
 )
 
 
-def test_no_client_is_accepted_before_the_first_list_is_received(running):
+def test_no_client_is_accepted_before_the_first_list_is_received(with_process):
     """The file's list is old: discovery's counts as received from the first moment of a process."""
 
-    async def scenario(stage):
+    async def scenario(fleet):
         go = asyncio.Event()
-        stage.discovery.script = lambda target, text: [go, head(text) + text]
-        stage.discovery.update(stage.node.row("s0", 0, "draining"))
-        stage.write_known(stage.node.row("s0", 0))
-        await stage.restart("-c", PATIENT)
+        fleet.discovery.script = lambda target, text: [go, head(text) + text]
+        fleet.discovery.update(fleet.node.row("s0", 0, "draining"))
+        fleet.write_known(fleet.node.row("s0", 0))
+        await fleet.restart("-c", LONG_FIRST_LIST_TIMEOUT)
         async with asyncio.timeout(5):
-            while not stage.discovery.requests:
+            while not fleet.discovery.requests:
                 await asyncio.sleep(0.01)
         await asyncio.sleep(0.2)
         with pytest.raises(OSError):
-            await stage.client_once()
+            await fleet.client_once()
         go.set()
-        client = await stage.client()
+        client = await fleet.client()
         client.writer.write(encode_command([b"PING"]) + encode_command(read_command(1)))
-        return [await client.reply() for _ in range(2)], stage.node.received
+        return [await client.reply() for _ in range(2)], fleet.node.received
 
-    (pong, answer), got = running(scenario)
+    (pong, answer), got = with_process(scenario)
     assert pong == ("+", b"PONG") and answer[0] == "-" and not got
 
 
-def test_a_silent_discovery_delays_the_start_by_a_second_at_most(running):
-    async def scenario(stage):
-        stage.discovery.is_silent = True
-        await stage.restart()
+def test_a_silent_discovery_delays_the_start_by_a_second_at_most(with_process):
+    async def scenario(fleet):
+        fleet.discovery.is_silent = True
+        await fleet.restart()
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(5):
-            while not stage.discovery.requests:
+            while not fleet.discovery.requests:
                 await asyncio.sleep(0.01)
-        asked_at = stage.discovery.requests[0][0]
-        client = await stage.client()
+        asked_at = fleet.discovery.requests[0][0]
+        client = await fleet.client()
         assert await client.request(b"PING") == ("+", b"PONG")
         return loop.time() - asked_at, await client.request(*read_command(1))
 
-    took, answer = running(scenario)
+    took, answer = with_process(scenario)
     assert took < 4 and answer == ("$", b"data")  # the stand-in is silent for good
 
 
-def test_a_stop_before_it_is_ready_ends_it_with_no_client_accepted(running):
-    async def scenario(stage):
-        stage.discovery.is_silent = True
-        await stage.restart("-c", PATIENT)
+def test_a_stop_before_it_is_ready_ends_it_with_no_client_accepted(with_process):
+    async def scenario(fleet):
+        fleet.discovery.is_silent = True
+        await fleet.restart("-c", LONG_FIRST_LIST_TIMEOUT)
         async with asyncio.timeout(5):
-            while not stage.discovery.requests:
+            while not fleet.discovery.requests:
                 await asyncio.sleep(0.01)
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(8):  # long before it would have listened
-            code = await stage.process.wait()
-        return code, (await stage.process.stderr.read()).decode()
+            code = await fleet.process.wait()
+        return code, (await fleet.process.stderr.read()).decode()
 
-    code, log = running(scenario)
+    code, log = with_process(scenario)
     assert code == 0 and "Traceback" not in log and "gateway.listening" not in log
 
 
-async def change_discovery(stage):
+async def change_discovery(fleet):
     """Another discovery, named by a good file and SIGHUP, once the gateway has asked it."""
     other = FakeDiscovery()
     await other.open()
-    other.update(*stage.discovery.rows.values())
-    stage.write(discovery=other.port)
-    stage.process.send_signal(signal.SIGHUP)
+    other.update(*fleet.discovery.rows.values())
+    fleet.write(discovery=other.port)
+    fleet.process.send_signal(signal.SIGHUP)
     async with asyncio.timeout(3):
         while not other.requests:
             await asyncio.sleep(0.01)
@@ -386,25 +386,25 @@
 
 
 @pytest.mark.parametrize("limits", [{"sockets": 1e308}, {"sockets": "x"}, {"sockets": [1]}, {}, None])
-def test_after_a_malformed_configuration_the_next_one_is_loaded(running, limits):
-    async def scenario(stage):
-        client = await stage.client()
-        torn = json.loads(stage.file.read_text())
+def test_after_a_malformed_configuration_the_next_one_is_loaded(with_process, limits):
+    async def scenario(fleet):
+        client = await fleet.client()
+        torn = json.loads(fleet.file.read_text())
         torn["limits"] = limits
-        stage.file.write_text(json.dumps(torn))
-        stage.process.send_signal(signal.SIGHUP)
+        fleet.file.write_text(json.dumps(torn))
+        fleet.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        other = await change_discovery(stage)
+        other = await change_discovery(fleet)
         answer = await client.request(*read_command(1))
-        stage.process.terminate()
-        log = (await stage.process.stderr.read()).decode()
+        fleet.process.terminate()
+        log = (await fleet.process.stderr.read()).decode()
         other.close()
         return answer, "Traceback" in log
 
-    assert running(scenario) == (("$", b"data"), False)
+    assert with_process(scenario) == (("$", b"data"), False)
 
 
-def test_after_an_unexpected_error_in_a_reload_the_next_one_is_loaded(running):
+def test_after_an_unexpected_error_in_a_reload_the_next_one_is_loaded(with_process):
     """A fault of ours while the file is read must not end the reading of files."""
     code = (
         "import runpy, rushmux.gateway.config as config\n"
@@ -418,30 +418,30 @@
         "runpy.run_module('rushmux.gateway', run_name='__main__')\n"
     )
 
-    async def scenario(stage):
-        await (await stage.client()).request(b"PING")
-        stage.process.send_signal(signal.SIGHUP)
+    async def scenario(fleet):
+        await (await fleet.client()).request(b"PING")
+        fleet.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
-        other = await change_discovery(stage)
+        other = await change_discovery(fleet)
         other.close()
-        stage.process.terminate()
-        return (await stage.process.stderr.read()).decode().count("config.rejected")
+        fleet.process.terminate()
+        return (await fleet.process.stderr.read()).decode().count("config.rejected")
 
-    assert running(scenario, arguments=("-c", code)) == 1
+    assert with_process(scenario, arguments=("-c", code)) == 1
 
 
-def test_a_port_in_use_is_logged_without_a_traceback(running):
-    async def scenario(stage):
-        await (await stage.client()).request(b"PING")
-        first = stage.process
-        await stage.run("-m", "rushmux.gateway")
-        log = (await stage.process.stderr.read()).decode()
-        code = await stage.process.wait()
+def test_a_port_in_use_is_logged_without_a_traceback(with_process):
+    async def scenario(fleet):
+        await (await fleet.client()).request(b"PING")
+        first = fleet.process
+        await fleet.run("-m", "rushmux.gateway")
+        log = (await fleet.process.stderr.read()).decode()
+        code = await fleet.process.wait()
         first.terminate()
         await first.wait()
         return code, "listener.bind_failed" in log, "Traceback" in log
 
-    assert running(scenario) == (2, True, False)
+    assert with_process(scenario) == (2, True, False)
 
 
 def test_the_stand_in_for_discovery_resets_as_the_system_does():
--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -19,12 +19,12 @@
 
 
 @pytest.mark.parametrize("indent", [None, 2])
-def test_1024_nodes_and_gateways_stay_within_time_and_memory_limits(running, indent):
-    async def scenario(stage):
+def test_1024_nodes_and_gateways_stay_within_time_and_memory_limits(with_process, indent):
+    async def scenario(fleet):
         loop, waits = asyncio.get_running_loop(), []
-        stage.discovery.indent = indent
+        fleet.discovery.indent = indent
         begun = loop.time()
-        client, pinger = await stage.client(), await stage.client()
+        client, pinger = await fleet.client(), await fleet.client()
         assert await client.request(b"PING") == ("+", b"PONG")
         ready, asked, stop = loop.time() - begun, [], False
 
@@ -39,16 +39,16 @@
         for number in range(0, NODES, 16):  # nodes over all the list, from the list it was started with
             asked.append(await client.request(*read_command(number + 1, cell=number)))
         half = range(NODES // 2)
-        stage.discovery.update(*(stage.node.row(f"s{number}", number, "removed") for number in half))
-        stage.discovery.update(*(stage.node.row(f"t{number}", number) for number in half))
+        fleet.discovery.update(*(fleet.node.row(f"s{number}", number, "removed") for number in half))
+        fleet.discovery.update(*(fleet.node.row(f"t{number}", number) for number in half))
         await asyncio.sleep(0.3)
         for number in range(0, NODES, 16):  # half of them came as changes
             asked.append(await client.request(*write_command(5_000 + number, cell=number)))
         stop = True
         await task
-        return ready, asked, max(waits), peak_memory(stage.process), len(stage.discovery.rows)
+        return ready, asked, max(waits), peak_memory(fleet.process), len(fleet.discovery.rows)
 
-    ready, asked, longest, held, rows = running(scenario, nodes=NODES, gateways=NODES, shards=NODES)
+    ready, asked, longest, held, rows = with_process(scenario, nodes=NODES, gateways=NODES, shards=NODES)
     assert rows == NODES and ready < 5
     assert set(asked) == {("$", b"data")} and len(asked) == 2 * NODES // 16
     assert longest < MAX_PING_TIME and held < MAX_MEMORY
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -15,34 +15,34 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def test_at_sigterm_it_goes_on_serving_answers_everything_and_exits_with_0(running):
-    async def scenario(stage):
-        stage.node.script = lambda words: [0.2, success_reply()]
-        client, idle = await stage.client(), await stage.client()
+def test_at_sigterm_it_goes_on_serving_answers_everything_and_exits_with_0(with_process):
+    async def scenario(fleet):
+        fleet.node.script = lambda arguments: [0.2, success_reply()]
+        client, idle = await fleet.client(), await fleet.client()
         await idle.request(b"PING")
         client.send(*read_command(1))
         await asyncio.sleep(0.05)
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.process.send_signal(signal.SIGTERM)
         begun = asyncio.get_running_loop().time()
         await asyncio.sleep(0.2)
-        late = await stage.client()  # new connections still come for a while
+        late = await fleet.client()  # new connections still come for a while
         pong = await late.request(b"PING")
         answers = [await client.reply()]
         await asyncio.sleep(0.2)
         answers.append(await late.request(*read_command(2)))  # a connection in use is served on
         ends = [await one.reply() for one in (idle, late, client)]
-        return pong, answers, ends, await stage.process.wait(), asyncio.get_running_loop().time() - begun
+        return pong, answers, ends, await fleet.process.wait(), asyncio.get_running_loop().time() - begun
 
-    pong, answers, ends, code, took = running(scenario)
+    pong, answers, ends, code, took = with_process(scenario)
     assert pong == ("+", b"PONG") and answers == [("$", b"data")] * 2
     assert ends == [None] * 3 and code == 0 and took < 1.7
 
 
-def test_operations_in_flight_shortly_before_sigkill_get_their_final_answer(running):
-    async def scenario(stage):
-        stage.node.script = lambda words: ["hang"]
-        client = await stage.client()
-        stage.process.send_signal(signal.SIGTERM)
+def test_operations_in_flight_shortly_before_sigkill_get_their_final_answer(with_process):
+    async def scenario(fleet):
+        fleet.node.script = lambda arguments: ["hang"]
+        client = await fleet.client()
+        fleet.process.send_signal(signal.SIGTERM)
         begun = asyncio.get_running_loop().time()
         for number in range(28):  # asked until nothing more is taken: each has an answer, or a close
             await asyncio.sleep(0.05)
@@ -50,37 +50,37 @@
         replies = []
         while (reply := await client.reply()) is not None:
             replies.append(reply)
-        return replies, await stage.process.wait(), asyncio.get_running_loop().time() - begun
+        return replies, await fleet.process.wait(), asyncio.get_running_loop().time() - begun
 
-    replies, code, took = running(scenario)
+    replies, code, took = with_process(scenario)
     assert code == 0 and took < 1.9 and replies and {kind for kind, _ in replies} == {"-"}
 
 
-def test_sighup_changes_the_discovery_address_and_a_torn_file_keeps_the_old_one(running):
-    async def scenario(stage):
-        client = await stage.client()
+def test_sighup_changes_the_discovery_address_and_a_torn_file_keeps_the_old_one(with_process):
+    async def scenario(fleet):
+        client = await fleet.client()
         await client.request(b"PING")
         await asyncio.sleep(0.2)
-        slow = await stage.client()
-        stage.node.script = lambda words: [0.3 if words[2][-1:] == b"9" else 0.0, success_reply()]
+        slow = await fleet.client()
+        fleet.node.script = lambda arguments: [0.3 if arguments[2][-1:] == b"9" else 0.0, success_reply()]
         slow.send(*read_command(9))
         await asyncio.sleep(0.05)
-        stage.file.write_text('{"name": "n0", "lis')
-        stage.process.send_signal(signal.SIGHUP)
+        fleet.file.write_text('{"name": "n0", "lis')
+        fleet.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
-        before = len(stage.discovery.requests)
+        before = len(fleet.discovery.requests)
         other = FakeDiscovery()
         await other.open()
-        other.version, other.rows = stage.discovery.version, dict(stage.discovery.rows)
-        stage.write(other.port)
-        stage.process.send_signal(signal.SIGHUP)
+        other.version, other.rows = fleet.discovery.version, dict(fleet.discovery.rows)
+        fleet.write(other.port)
+        fleet.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
         answer = await client.request(*read_command(1))
         calls, under = len(other.requests), await slow.reply()  # asked before the file changed
         other.close()
-        return before > 0, calls > 0, answer, under, stage.process.returncode
+        return before > 0, calls > 0, answer, under, fleet.process.returncode
 
-    assert running(scenario) == (True, True, ("$", b"data"), ("$", b"data"), None)
+    assert with_process(scenario) == (True, True, ("$", b"data"), ("$", b"data"), None)
 
 
 def test_a_port_in_use_and_a_missing_file_are_logged_in_a_line(tmp_path):
@@ -100,25 +100,25 @@
             assert done.returncode == 2 and event in done.stderr and "Traceback" not in done.stderr
 
 
-def test_descriptors_that_run_out_do_not_end_it(running):
-    """Fewer descriptors than it was told of: it goes on, and serves when some are free again."""
+def test_descriptors_that_run_out_do_not_end_it(with_process):
+    """Fewer descriptors than configured: it goes on, and serves when some are free again."""
 
-    async def scenario(stage):
-        await stage.client()
-        resource.prlimit(stage.process.pid, resource.RLIMIT_NOFILE, (40, 40))
-        crowd = []
+    async def scenario(fleet):
+        await fleet.client()
+        resource.prlimit(fleet.process.pid, resource.RLIMIT_NOFILE, (40, 40))
+        idle_clients = []
         for _ in range(80):
-            crowd.append(await stage.client())
-        for client in crowd:
+            idle_clients.append(await fleet.client())
+        for client in idle_clients:
             client.send(b"PING")
         await asyncio.sleep(0.3)
-        for client in crowd:
+        for client in idle_clients:
             client.close()
         await asyncio.sleep(1.2)  # the loop tries again after a second
-        usual = await stage.client()
-        return await usual.request(b"PING"), await usual.request(*read_command(1)), stage.process.returncode
+        usual = await fleet.client()
+        return await usual.request(b"PING"), await usual.request(*read_command(1)), fleet.process.returncode
 
-    assert running(scenario) == (("+", b"PONG"), ("$", b"data"), None)
+    assert with_process(scenario) == (("+", b"PONG"), ("$", b"data"), None)
 
 
 def test_an_empty_configuration_is_rejected_with_its_reason(tmp_path):
--- a/tests/gateway/test_process_restrictions.py
+++ b/tests/gateway/test_process_restrictions.py
@@ -60,21 +60,21 @@
 
 def module_of_run():
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-    words = line.split()
+    arguments = line.split()
     # One process: the shell is replaced, nothing stands before or behind the interpreter.
-    assert words[:3] == ["exec", ".venv/bin/python", "-m"] and len(words) == 4
-    return words[3]
+    assert arguments[:3] == ["exec", ".venv/bin/python", "-m"] and len(arguments) == 4
+    return arguments[3]
 
 
-def test_run_serves_within_the_restrictions(running):
-    async def scenario(stage):
-        client = await stage.client()
+def test_run_serves_within_the_restrictions(with_process):
+    async def scenario(fleet):
+        client = await fleet.client()
         answers = [await client.request(b"PING"), await client.request(*read_command(1))]
-        stage.process.send_signal(signal.SIGTERM)
-        log = (await stage.process.stderr.read()).decode()
-        return answers, log, await stage.process.wait()
+        fleet.process.send_signal(signal.SIGTERM)
+        log = (await fleet.process.stderr.read()).decode()
+        return answers, log, await fleet.process.wait()
 
-    answers, log, code = running(scenario, ("-c", GUARD, module_of_run()))
+    answers, log, code = with_process(scenario, ("-c", GUARD, module_of_run()))
     assert answers == [("+", b"PONG"), ("$", b"data")] and code == 0
     assert "FORBIDDEN" not in log
     imported = log.rpartition("IMPORTED ")[2].split()
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -32,12 +32,12 @@
         return await self.connect(*values, **named)
 
 
-async def held_up(stage, *words):
+async def held_up(fleet, *arguments):
     """A client's command whose attempt waits for a connection."""
-    client = await stage.client()
+    client = await fleet.client()
     assert await client.request(b"PING") == ("+", b"PONG")
-    held = HeldConnects(stage.server.loop)
-    client.send(*words)
+    held = HeldConnects(fleet.server.loop)
+    client.send(*arguments)
     await asyncio.wait_for(held.begun.wait(), 2)
     return client, held
 
@@ -52,118 +52,118 @@
             await asyncio.sleep(0.005)
 
 
-@pytest.mark.parametrize("words", [read_command(1), write_command(1)])
-def test_an_attempt_that_waits_for_a_connection_is_not_sent_for_a_client_that_left(staged, words):
-    async def scenario(stage):
-        client, held = await held_up(stage, *words)
+@pytest.mark.parametrize("arguments", [read_command(1), write_command(1)])
+def test_an_attempt_that_waits_for_a_connection_is_not_sent_for_a_client_that_left(with_fleet, arguments):
+    async def scenario(fleet):
+        client, held = await held_up(fleet, *arguments)
         client.close()
-        await settled(lambda: not stage.server.listener.clients)
+        await settled(lambda: not fleet.server.listener.clients)
         held.go.set()
         await asyncio.sleep(0.1)
-        node = stage.server.scheduler.endpoints.nodes["s0"]
-        return stage.nodes[0].received, stage.server.operations, node.in_flight, node.limit.size
+        node = fleet.server.scheduler.endpoints.nodes["s0"]
+        return fleet.nodes[0].received, fleet.server.operations, node.in_flight, node.limit.size
 
-    got, operations, in_flight, limit = staged(scenario, deadline=5_000, DialTimeout=5_000_000_000)
+    got, operations, in_flight, limit = with_fleet(scenario, deadline=5_000, DialTimeout=5_000_000_000)
     assert not got and not operations and not in_flight and limit >= 1  # and the node is not blamed
 
 
-def test_an_attempt_that_waits_for_a_connection_is_not_sent_once_shutdown_has_answered(staged):
-    async def scenario(stage):
-        client, held = await held_up(stage, *write_command(1, time_left=5_000))
-        stage.server.abort_all()
+def test_an_attempt_that_waits_for_a_connection_is_not_sent_once_shutdown_has_answered(with_fleet):
+    async def scenario(fleet):
+        client, held = await held_up(fleet, *write_command(1, time_left=5_000))
+        fleet.server.abort_all()
         answer = await client.reply()
         held.go.set()
         await asyncio.sleep(0.1)
-        return answer, stage.nodes[0].received, stage.server.operations
+        return answer, fleet.nodes[0].received, fleet.server.operations
 
-    answer, got, taken = staged(scenario, deadline=5_000, DialTimeout=5_000_000_000)
+    answer, got, taken = with_fleet(scenario, deadline=5_000, DialTimeout=5_000_000_000)
     assert answer[0] == "-" and not got and not taken
 
 
-def test_an_attempt_dropped_unsent_counts_as_connect_failed_so_a_retry_is_safe(staged):
+def test_an_attempt_dropped_unsent_counts_as_connect_failed_so_a_retry_is_safe(with_fleet):
     """The scheduler may then shed it, where an operation that may have run would have to fail."""
 
-    async def scenario(stage):
-        heard, on_result = [], stage.server.scheduler.on_attempt_result
-        stage.server.scheduler.on_attempt_result = lambda now, report: (
+    async def scenario(fleet):
+        heard, on_result = [], fleet.server.scheduler.on_attempt_result
+        fleet.server.scheduler.on_attempt_result = lambda now, report: (
             heard.append(report.result),
             on_result(now, report),
         )
-        client, held = await held_up(stage, *write_command(1, time_left=400))
+        client, held = await held_up(fleet, *write_command(1, time_left=400))
         answer = await client.reply()
         held.go.set()
         await asyncio.sleep(0.1)
-        return answer, heard, stage.nodes[0].received
+        return answer, heard, fleet.nodes[0].received
 
-    answer, heard, got = staged(scenario, DialTimeout=5_000_000_000)
+    answer, heard, got = with_fleet(scenario, DialTimeout=5_000_000_000)
     assert answer == ("-", b"BUSY") and set(heard) == {AttemptResult.CONNECT_FAILED} and not got
 
 
-def test_a_retry_is_not_sent_past_its_dedup_window_when_the_connection_comes_late(staged):
+def test_a_retry_is_not_sent_past_its_dedup_window_when_the_connection_comes_late(with_fleet):
     """The first attempt may have run; the second was decided within the window and waits for a connection."""
     window = 300
 
-    async def scenario(stage):
-        stage.nodes[0].script = lambda words: [0.02, "close"]
-        client = await stage.client()
+    async def scenario(fleet):
+        fleet.nodes[0].script = lambda arguments: [0.02, "close"]
+        client = await fleet.client()
         assert await client.request(b"PING") == ("+", b"PONG")
         client.send(*write_command(1, time_left=4_000))
-        await settled(lambda: stage.nodes[0].received)
-        held = HeldConnects(stage.server.loop)
-        stage.nodes[0].script = lambda words: [success_reply()]
+        await settled(lambda: fleet.nodes[0].received)
+        held = HeldConnects(fleet.server.loop)
+        fleet.nodes[0].script = lambda arguments: [success_reply()]
         await asyncio.wait_for(held.begun.wait(), 2)
         await asyncio.sleep(window / 1000)
         held.go.set()
         answer = await client.reply()
         await asyncio.sleep(0.1)
-        return answer, len(stage.nodes[0].received)
+        return answer, len(fleet.nodes[0].received)
 
-    answer, sent = staged(scenario, deadline=4_000, dedup_window=window, DialTimeout=3_000_000_000)
+    answer, sent = with_fleet(scenario, deadline=4_000, dedup_window=window, DialTimeout=3_000_000_000)
     assert answer[0] == "-" and sent == 1
 
 
-def test_an_attempt_that_waits_for_a_cooldown_is_not_sent_for_a_client_that_left(staged, monkeypatch):
+def test_an_attempt_that_waits_for_a_cooldown_is_not_sent_for_a_client_that_left(with_fleet, monkeypatch):
     monkeypatch.setattr(
         endpoint_pool, "REUSE_COOLDOWN", 0.15
     )  # shorter than the least time after which it is given up
 
-    async def scenario(stage):
-        first, second = await stage.client(), await stage.client()
+    async def scenario(fleet):
+        first, second = await fleet.client(), await fleet.client()
         await first.request(*read_command(1))
         second.send(*read_command(2))
-        await settled(lambda: stage.server.pool.endpoints["s0"].waiting)
+        await settled(lambda: fleet.server.pool.endpoints["s0"].waiting)
         second.close()
         await asyncio.sleep(0.3)
-        return [words[2] for words in stage.nodes[0].received]
+        return [arguments[2] for arguments in fleet.nodes[0].received]
 
-    assert staged(scenario) == [b"%016x" % 1]
+    assert with_fleet(scenario) == [b"%016x" % 1]
 
 
-def test_a_client_that_asked_and_left_while_the_process_stood_still_is_not_served(running):
-    async def scenario(stage):
-        await (await stage.client()).request(b"PING")
-        client = await stage.client()
+def test_a_client_that_asked_and_left_while_the_process_stood_still_is_not_served(with_process):
+    async def scenario(fleet):
+        await (await fleet.client()).request(b"PING")
+        client = await fleet.client()
         await client.request(b"PING")
-        stage.process.send_signal(signal.SIGSTOP)
+        fleet.process.send_signal(signal.SIGSTOP)
         client.send(*read_command(1))
         await client.writer.drain()
         client.close()
         await asyncio.sleep(0.4)
-        stage.process.send_signal(signal.SIGCONT)
-        usual = await stage.client()
+        fleet.process.send_signal(signal.SIGCONT)
+        usual = await fleet.client()
         answer = await usual.request(*read_command(2))
-        return answer, [words[2] for words in stage.node.received]
+        return answer, [arguments[2] for arguments in fleet.node.received]
 
-    assert running(scenario) == (("$", b"data"), [b"%016x" % 2])
+    assert with_process(scenario) == (("$", b"data"), [b"%016x" % 2])
 
 
-def test_a_client_that_asked_and_left_is_not_served_by_a_round_that_was_due_already(staged):
-    async def scenario(stage):
-        loop, server = asyncio.get_running_loop(), stage.server
-        await (await stage.client()).request(
+def test_a_client_that_asked_and_left_is_not_served_by_a_round_that_was_due_already(with_fleet):
+    async def scenario(fleet):
+        loop, server = asyncio.get_running_loop(), fleet.server
+        await (await fleet.client()).request(
             *read_command(9)
         )  # its connection stays idle, so the next is sent at once
-        sock = socket.create_connection(("127.0.0.1", stage.port))
+        sock = socket.create_connection(("127.0.0.1", fleet.port))
         sock.sendall(encode_command([b"PING"]))
         await settled(lambda: sum(client.has_sent_command for client in server.listener.clients) == 2)
         await asyncio.sleep(keep_alive.REUSE_COOLDOWN * 3)
@@ -173,9 +173,9 @@
         sock.close()
         time.sleep(0.05)  # command, end and round are all due when the loop goes on
         await asyncio.sleep(0.2)
-        return [words[2] for words in stage.nodes[0].received], server.operations
+        return [arguments[2] for arguments in fleet.nodes[0].received], server.operations
 
-    assert staged(scenario) == ([b"%016x" % 9], {})
+    assert with_fleet(scenario) == ([b"%016x" % 9], {})
 
 
 @pytest.mark.parametrize(
@@ -237,8 +237,8 @@
             try:
                 while data := connection.recv(65_536):
                     reader.receive_data(data)
-                    while (words := reader.next_command()) is not None:
-                        connection.sendall(success_reply(words[2]))
+                    while (arguments := reader.next_command()) is not None:
+                        connection.sendall(success_reply(arguments[2]))
                         time.sleep(0.005)
                         connection.sendall(success_reply(b"another's"))
                         self.sent.set()
@@ -298,9 +298,9 @@
         for number in range(2):
             connection, _ = server.accept()
             reader = CommandReader()
-            while (words := reader.next_command()) is None:
+            while (arguments := reader.next_command()) is None:
                 reader.receive_data(connection.recv(65_536))
-            connection.sendall(success_reply(words[2]))
+            connection.sendall(success_reply(arguments[2]))
             if number == 0:
                 connection.close()
                 ended.set()
@@ -329,40 +329,44 @@
 
 
 @pytest.mark.parametrize("asked", [150, 3_000])  # within what is read ahead, and past it
-def test_a_client_that_sent_many_commands_and_left_is_not_served_further(running, asked):
-    async def scenario(stage):
+def test_a_client_that_sent_many_commands_and_left_is_not_served_further(with_process, asked):
+    async def scenario(fleet):
         # The first is not answered, so that nothing is written to the client and no reset comes back.
-        stage.node.script = lambda words: ["hang"] if int(words[2], 16) == 1 else [0.05, success_reply()]
-        await (await stage.client()).request(b"PING")
-        client = await stage.client_once()
+        fleet.node.script = lambda arguments: (
+            ["hang"] if int(arguments[2], 16) == 1 else [0.05, success_reply()]
+        )
+        await (await fleet.client()).request(b"PING")
+        client = await fleet.client_once()
         client.writer.write(
             b"".join(encode_command(read_command(number + 1, time_left=9_000)) for number in range(asked))
         )
-        await settled(lambda: stage.node.received)
+        await settled(lambda: fleet.node.received)
         client.writer.transport.abort() if asked > 1_000 else client.close()
         await asyncio.sleep(3)
-        return len(stage.node.received)
+        return len(fleet.node.received)
 
     # All that a connection may be owed would be begun, 64, some in each 0.05 s; its end is seen in a tenth.
-    assert running(scenario, deadline=9_000, objective=9_000) < 45
+    assert with_process(scenario, deadline=9_000, objective=9_000) < 45
 
 
-def test_a_client_that_closes_without_reading_its_replies_counts_as_gone_at_once(staged):
-    async def scenario(stage):
+def test_a_client_that_closes_without_reading_its_replies_counts_as_gone_at_once(with_fleet):
+    async def scenario(fleet):
         value = bytes(900_000)
-        stage.nodes[0].script = lambda words: [success_reply(value)] if int(words[2], 16) < 9 else ["hang"]
-        client = await stage.client()
+        fleet.nodes[0].script = lambda arguments: (
+            [success_reply(value)] if int(arguments[2], 16) < 9 else ["hang"]
+        )
+        client = await fleet.client()
         client.writer.transport.pause_reading()
         client.writer.write(
             b"".join(encode_command(read_command(number, time_left=5_000)) for number in range(1, 10))
         )
         await settled(
             lambda: (
-                any(one.is_writing_paused for one in stage.server.listener.clients)
-                and len([one for one in stage.server.operations.values() if not one.ended]) == 1
+                any(one.is_writing_paused for one in fleet.server.listener.clients)
+                and len([one for one in fleet.server.operations.values() if not one.ended]) == 1
             )
         )
         client.writer.write_eof()
-        await settled(lambda: all(one.ended for one in stage.server.operations.values()), 0.5)
+        await settled(lambda: all(one.ended for one in fleet.server.operations.values()), 0.5)
 
-    staged(scenario, deadline=5_000)
+    with_fleet(scenario, deadline=5_000)
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -65,25 +65,25 @@
         (10_000, (2.4, 3.25)),
     ],
 )
-def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(running, deadline, pauses):
+def test_each_command_after_sigterm_is_answered_before_sigkill_or_never_read(with_process, deadline, pauses):
     killed_after = min(3.0, deadline / 1000) + GRACE
 
-    async def scenario(stage):
+    async def scenario(fleet):
         loop = asyncio.get_running_loop()
         # A third is answered at once, a third late, a third never: those must be ended in time.
-        stage.node.script = lambda words: [[success_reply()], [0.4, success_reply()], ["hang"]][
-            int(words[2], 16) % 3
+        fleet.node.script = lambda arguments: [[success_reply()], [0.4, success_reply()], ["hang"]][
+            int(arguments[2], 16) % 3
         ]
-        idle, busy, pipe = Asker(stage.port), Asker(stage.port), Asker(stage.port)
+        idle, busy, pipe = Asker(fleet.port), Asker(fleet.port), Asker(fleet.port)
         for one in (idle, busy, pipe):
-            await one.open(await stage.client())
+            await one.open(await fleet.client())
         busy.request(1, deadline=deadline)  # answered late
         askers, number = [idle, busy, pipe], 10
         begun = loop.time()
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.process.send_signal(signal.SIGTERM)
         for at in pauses:
-            loop.call_at(begun + at, stage.process.send_signal, signal.SIGSTOP)
-            loop.call_at(begun + at + PAUSE, stage.process.send_signal, signal.SIGCONT)
+            loop.call_at(begun + at, fleet.process.send_signal, signal.SIGSTOP)
+            loop.call_at(begun + at + PAUSE, fleet.process.send_signal, signal.SIGCONT)
         while loop.time() < begun + killed_after:
             number += 3
             if len(idle.answers) == len(idle.asks):
@@ -91,21 +91,21 @@
             busy.request(number + 1, deadline=deadline)
             pipe.request(1000 + 3 * number, 1001 + 3 * number, deadline=deadline)
             try:
-                new = Asker(stage.port)
-                await new.open(await asyncio.wait_for(stage.client_once(), STEP))
+                new = Asker(fleet.port)
+                await new.open(await asyncio.wait_for(fleet.client_once(), STEP))
                 askers.append(new)
                 new.request(number + 2, deadline=deadline)
             except (OSError, TimeoutError):
                 pass
             await asyncio.sleep(STEP)
         # Anything still on its way comes with the end of each connection.
-        log = (await stage.process.stderr.read()).decode()
-        code, ended = await stage.process.wait(), loop.time() - begun
+        log = (await fleet.process.stderr.read()).decode()
+        code, ended = await fleet.process.wait(), loop.time() - begun
         await asyncio.gather(*(one.task for one in askers))
         answers = [answer for one in askers for answer in one.answers]
         return answers, log, code, ended, begun, [at - begun for one in askers for at in one.unanswered()]
 
-    answers, log, code, ended, begun, lost = running(scenario, deadline=deadline)
+    answers, log, code, ended, begun, lost = with_process(scenario, deadline=deadline)
     last = log.splitlines()[-1]
     assert code == 0 and "fault" not in log and "Traceback" not in log
     assert ended < killed_after + 0.5  # the interpreter takes its time to end
@@ -115,9 +115,9 @@
     assert not lost, lost
 
 
-async def asking(stage, *commands):
+async def asking(fleet, *commands):
     """A client that the system connected, with whole commands written; nobody need have accepted it."""
-    client = await stage.client_once()
+    client = await fleet.client_once()
     client.writer.write(b"".join(map(encode_command, commands)))
     return client
 
@@ -131,54 +131,54 @@
 
 
 @pytest.mark.parametrize("clients", [1, 100])
-def test_connections_in_the_accept_queue_when_the_listener_closes_are_answered(running, clients):
-    async def scenario(stage):
-        await (await stage.client()).request(b"PING")
-        stage.process.send_signal(signal.SIGTERM)
+def test_connections_in_the_accept_queue_when_the_listener_closes_are_answered(with_process, clients):
+    async def scenario(fleet):
+        await (await fleet.client()).request(b"PING")
+        fleet.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.25)  # new connections come for 0.4 s
-        stage.process.send_signal(signal.SIGSTOP)
-        askers = [await asking(stage, read_command(number, time_left=2_000)) for number in range(clients)]
+        fleet.process.send_signal(signal.SIGSTOP)
+        askers = [await asking(fleet, read_command(number, time_left=2_000)) for number in range(clients)]
         await asyncio.sleep(0.4)  # past the time at which no new ones are waited for
-        stage.process.send_signal(signal.SIGCONT)
-        return await asyncio.gather(*map(answers_on, askers)), await stage.process.wait()
+        fleet.process.send_signal(signal.SIGCONT)
+        return await asyncio.gather(*map(answers_on, askers)), await fleet.process.wait()
 
-    assert running(scenario, deadline=2_000) == ([[("$", b"data")]] * clients, 0)
+    assert with_process(scenario, deadline=2_000) == ([[("$", b"data")]] * clients, 0)
 
 
-def test_commands_past_the_bound_of_pending_replies_are_answered_at_shutdown(running):
+def test_commands_past_the_bound_of_pending_replies_are_answered_at_shutdown(with_process):
     asked = 150  # more than the pending replies of a connection
 
-    async def scenario(stage):
-        stage.node.script = lambda words: ["hang"]
-        await (await stage.client()).request(b"PING")
-        client = await asking(stage, *(read_command(number, time_left=9_000) for number in range(asked)))
+    async def scenario(fleet):
+        fleet.node.script = lambda arguments: ["hang"]
+        await (await fleet.client()).request(b"PING")
+        client = await asking(fleet, *(read_command(number, time_left=9_000) for number in range(asked)))
         await asyncio.sleep(0.2)
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.process.send_signal(signal.SIGTERM)
         return await answers_on(client)
 
-    answers = running(scenario, deadline=9_000)
+    answers = with_process(scenario, deadline=9_000)
     assert [kind for kind, _ in answers] == ["-"] * asked
 
 
-def test_a_valid_command_behind_invalid_ones_is_answered(running):
-    async def scenario(stage):
-        await (await stage.client()).request(b"PING")
+def test_a_valid_command_behind_invalid_ones_is_answered(with_process):
+    async def scenario(fleet):
+        await (await fleet.client()).request(b"PING")
         bad = [read_command(number, request_class="none") for number in range(3)]
-        return await answers_on(await asking(stage, *bad, read_command(4)))
+        return await answers_on(await asking(fleet, *bad, read_command(4)))
 
-    answers = running(scenario)
+    answers = with_process(scenario)
     assert [kind for kind, _ in answers] == ["-", "-", "-", "$"]
 
 
 @pytest.mark.parametrize("deadline", [1_000, 6_000])
-def test_a_client_that_asks_again_at_once_is_served_through_the_shutdown(running, deadline):
+def test_a_client_that_asks_again_at_once_is_served_through_the_shutdown(with_process, deadline):
     """Each answer is followed at once by the next command, for as long as the connection stands."""
 
-    async def scenario(stage):
+    async def scenario(fleet):
         loop, unanswered, served_by = asyncio.get_running_loop(), 0, []
-        stage.node.script = lambda words: [0.03, success_reply()]
-        clients = [await stage.client() for _ in range(10)]
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.node.script = lambda arguments: [0.03, success_reply()]
+        clients = [await fleet.client() for _ in range(10)]
+        fleet.process.send_signal(signal.SIGTERM)
         begun = loop.time()
 
         async def again(client, number):
@@ -195,53 +195,53 @@
                 served_by.append(loop.time() - begun)
 
         await asyncio.gather(*(again(client, place) for place, client in enumerate(clients)))
-        await stage.process.wait()
+        await fleet.process.wait()
         return unanswered, max(served_by), len(clients)
 
-    unanswered, last, clients = running(scenario, deadline=deadline)
+    unanswered, last, clients = with_process(scenario, deadline=deadline)
     killed_after = min(3.0, deadline / 1000) + GRACE
     # Only the cut itself is crossed, and it comes shortly before SIGKILL may.
     assert unanswered <= clients and killed_after - 0.3 < last < killed_after
 
 
-def test_a_reload_during_shutdown_harms_nothing(running):
-    async def scenario(stage):
+def test_a_reload_during_shutdown_harms_nothing(with_process):
+    async def scenario(fleet):
         other = FakeDiscovery()
         await other.open()
-        other.update(*stage.discovery.rows.values())
-        client = await stage.client()
+        other.update(*fleet.discovery.rows.values())
+        client = await fleet.client()
         assert await client.request(*read_command(1)) == ("$", b"data")
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.2)
-        stage.write(discovery=other.port)
-        stage.process.send_signal(signal.SIGHUP)
+        fleet.write(discovery=other.port)
+        fleet.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.2)
         answer = await client.request(*read_command(2))
-        log = (await stage.process.stderr.read()).decode()
+        log = (await fleet.process.stderr.read()).decode()
         other.close()
-        return answer, len(other.requests) > 0, "fault" in log, await stage.process.wait()
+        return answer, len(other.requests) > 0, "fault" in log, await fleet.process.wait()
 
-    assert running(scenario) == (("$", b"data"), True, False, 0)
+    assert with_process(scenario) == (("$", b"data"), True, False, 0)
 
 
-def test_large_replies_are_sent_completely_while_their_connection_ends(running):
+def test_large_replies_are_sent_completely_while_their_connection_ends(with_process):
     value, asked = bytes(900_000), 5
 
-    async def scenario(stage):
-        stage.node.script = lambda words: [
+    async def scenario(fleet):
+        fleet.node.script = lambda arguments: [
             0.6,
             success_reply(value),
         ]  # the connection is ended 0.5 s after SIGTERM
-        client = await stage.client()
+        client = await fleet.client()
         client.writer.transport.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536
         )
         client.writer.write(b"".join(encode_command(read_command(number)) for number in range(asked)))
         await asyncio.sleep(0.05)
         client.writer.transport.pause_reading()  # a client that is slow to read
-        stage.process.send_signal(signal.SIGTERM)
+        fleet.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(1.1)
         client.writer.transport.resume_reading()
         return [await client.reply() for _ in range(asked)]
 
-    assert running(scenario) == [("$", value)] * asked
+    assert with_process(scenario) == [("$", value)] * asked
