--- a/rushmux/standins/platform/messages.py
+++ b/rushmux/standins/platform/messages.py
@@ -35,11 +35,7 @@
     return [b"BLK.READ", b"%016x" % (number + BLOCK_OFFSET), b"%016x" % number, options.encode()]
 
 
-def write_command(
-    number: int, *, cell: int = 0, time_left: int = 900, data: bytes = b"body"
-) -> list[bytes]:
+def write_command(number: int, *, cell: int = 0, time_left: int = 900, data: bytes = b"body") -> list[bytes]:
     """Returns the arguments of a write; `time_left` in milliseconds."""
-    options = (
-        f"c=write,t=base,d={time_left},k={number:016x},volume={1:016x},units=1,shard={cell},hosts=1"
-    )
+    options = f"c=write,t=base,d={time_left},k={number:016x},volume={1:016x},units=1,shard={cell},hosts=1"
     return [b"BLK.WRITE", b"%016x" % (number + BLOCK_OFFSET), b"%016x" % number, options.encode(), data]
