--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the platform's front: a gateway on loopback with stand-ins around it."""
+"""Fixtures: a gateway on loopback, in this process or its own, with stand-ins around it."""
 
 import asyncio
 import json
@@ -10,15 +10,16 @@
 
 import pytest
 
-from rushmux.gateway.config import parsed
-from rushmux.gateway.server import Front
-from rushmux.standins.platform import Client, Discovery, Node, configuration
+from rushmux.gateway.config import parse_config
+from rushmux.gateway.endpoints import SocketAddress
+from rushmux.gateway.server import GatewayServer
+from rushmux.standins.platform import FakeClient, FakeDiscovery, FakeNode, configuration
 
 ROOT = Path(__file__).resolve().parents[2]
 
 
-class Rows:
-    """A log that keeps what it is told."""
+class RecordingLog:
+    """A log that keeps its events."""
 
     def __init__(self):
         self.rows = []
@@ -33,62 +34,64 @@
         return [event for _, event, _ in self.rows]
 
 
-class Stage:
+class InProcessFleet:
     """A gateway, its nodes, discovery and clients."""
 
     def __init__(self):
-        self.nodes, self.clients, self.log = [], [], Rows()
-        self.discovery, self.front, self.port = Discovery(), None, 0
+        self.nodes, self.clients, self.log = [], [], RecordingLog()
+        self.discovery, self.server, self.port = FakeDiscovery(), None, 0
 
-    async def open(self, nodes, **terms):
+    async def open(self, nodes, **options):
         loop = asyncio.get_running_loop()
         await self.discovery.open()
         for number in range(nodes):
-            self.nodes.append(Node())
+            self.nodes.append(FakeNode())
             await self.nodes[-1].open()
-            self.discovery.put(self.nodes[-1].row(f"s{number}", number))
-        raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **terms)
-        start = parsed(json.dumps(raw).encode())
-        # The front binds the port itself; port 0 can't stand in a file.
-        self.front = Front(start._replace(listen=("127.0.0.1", 0)), 0.0, loop, self.log)
-        await self.front.open()
-        self.port = self.front.listener.sock.getsockname()[1]
+            self.discovery.update(self.nodes[-1].row(f"s{number}", number))
+        raw = configuration(self.discovery.port, list(self.discovery.rows.values()), **options)
+        config = parse_config(json.dumps(raw).encode())
+        # The gateway binds the port itself; port 0 can't stand in a file.
+        self.server = GatewayServer(
+            config._replace(listen=SocketAddress("127.0.0.1", 0)), 0.0, loop, self.log
+        )
+        await self.server.open()
+        self.port = self.server.listener.listening_socket.getsockname()[1]
         return self
 
     async def client(self):
-        self.clients.append(await Client().open(self.port))
+        self.clients.append(await FakeClient().open(self.port))
         return self.clients[-1]
 
-    async def client_with(self, *words):
+    async def client_with(self, *arguments):
         """A client that writes a command at once; nobody need have accepted it."""
         client = await self.client()
-        client.send(*words)
+        client.send(*arguments)
         return client
 
     async def close(self):
         for client in self.clients:
             client.close()
-        for part in (self.front.watch_list, self.front.pool, self.discovery, *self.nodes):
+        for part in (self.server.discovery, self.server.pool, self.discovery, *self.nodes):
             part.close()
-        self.front.listener.close()
+        self.server.listener.close()
         await asyncio.sleep(0.01)
 
 
 @pytest.fixture
-def staged():
-    """Plays a story, a coroutine function of a `Stage`, on an event loop of its own."""
+def with_fleet():
+    """Runs a scenario, a coroutine function of a `InProcessFleet`, on an event loop of its own."""
 
-    def played(story, nodes=1, **terms):
-        async def whole():
-            stage = await Stage().open(nodes, **terms)
+    def run_scenario(scenario, nodes=1, **options):
+        async def main():
+            fleet = await InProcessFleet().open(nodes, **options)
             try:
-                return await story(stage)
+                return await scenario(fleet)
             finally:
-                await stage.close()
+                await fleet.close()
 
-        return asyncio.run(whole())
+        return asyncio.run(main())
 
-    return played
+    return run_scenario
 
 
 def free_port():
@@ -97,16 +100,16 @@
         return sock.getsockname()[1]
 
 
-class Running:
+class ProcessFleet:
     """A gateway's process with a node and discovery."""
 
     def __init__(self, folder):
-        self.file, self.node, self.discovery = folder / "config.json", Node(), Discovery()
-        self.port, self.process, self.terms = free_port(), None, {}
+        self.file, self.node, self.discovery = folder / "config.json", FakeNode(), FakeDiscovery()
+        self.port, self.process, self.options = free_port(), None, {}
 
     def write(self, discovery=None):
         raw = configuration(
-            discovery or self.discovery.port, list(self.discovery.rows.values()), self.port, **self.terms
+            discovery or self.discovery.port, list(self.discovery.rows.values()), self.port, **self.options
         )
         self.file.write_text(json.dumps(raw))
 
@@ -120,15 +123,15 @@
         """Starts it again from nothing, as after SIGKILL; what discovery was asked before is forgotten."""
         self.process.kill()
         await self.process.wait()
-        self.discovery.calls.clear()
+        self.discovery.requests.clear()
         await self.run(*arguments or ("-m", "rushmux.gateway"))
 
-    async def open(self, terms, nodes=1):
+    async def open(self, options, nodes=1):
         """`nodes`: rows of the list; all of them lead to the one stand-in."""
-        self.terms = terms
+        self.options = options
         await self.node.open()
         await self.discovery.open()
-        self.discovery.put(*(self.node.row(f"s{number}", number) for number in range(nodes)))
+        self.discovery.update(*(self.node.row(f"s{number}", number) for number in range(nodes)))
         self.write()
 
     async def run(self, *arguments):
@@ -142,7 +145,7 @@
         )
 
     async def client_once(self):
-        return await Client().open(self.port)
+        return await FakeClient().open(self.port)
 
     async def client(self):
         for _ in range(100):
@@ -154,24 +157,24 @@
 
 
 @pytest.fixture
-def running(tmp_path):
-    """Plays a story, a coroutine function of a `Running`, with the gateway's own process."""
+def with_process(tmp_path):
+    """Runs a scenario, a coroutine function of a `ProcessFleet`, with the gateway's own process."""
 
-    def played(story, arguments=("-m", "rushmux.gateway"), nodes=1, **terms):
-        async def whole():
-            stage = Running(tmp_path)
-            await stage.open(terms, nodes)
+    def run_scenario(scenario, arguments=("-m", "rushmux.gateway"), nodes=1, **options):
+        async def main():
+            fleet = ProcessFleet(tmp_path)
+            await fleet.open(options, nodes)
             try:
-                await stage.run(*arguments)
+                await fleet.run(*arguments)
                 async with asyncio.timeout(20):
-                    return await story(stage)
+                    return await scenario(fleet)
             finally:
-                if stage.process and stage.process.returncode is None:
-                    stage.process.kill()
-                    await stage.process.wait()
-                stage.node.close()
-                stage.discovery.close()
+                if fleet.process and fleet.process.returncode is None:
+                    fleet.process.kill()
+                    await fleet.process.wait()
+                fleet.node.close()
+                fleet.discovery.close()
 
-        return asyncio.run(whole())
+        return asyncio.run(main())
 
-    return played
+    return run_scenario
--- a/tests/gateway/test_bounds_of_run.py
+++ b/tests/gateway/test_process_restrictions.py
@@ -1,5 +1,6 @@
-"""What `run` may do where the fleet's days are played: one process, TCP and UDP over IPv4, nothing of the
-fleet's control.  `run` of the deploy file is started under an audit hook of the interpreter.
+"""Restrictions on `run`: one process, TCP and UDP over IPv4, nothing of the control plane.
+
+`run` of the deploy file is started under an audit hook of the interpreter.
 """
 
 import signal
@@ -10,7 +11,7 @@
 
 import pytest
 
-from rushmux.standins.platform import read
+from rushmux.standins.platform import read_command
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -44,7 +45,7 @@
 finally:
     os.write(2, b"IMPORTED %s\\n" % " ".join(sorted(sys.modules)).encode())
 """
-CONTROL = (
+CONTROL_PLANE = (
     "rushmux.planner",
     "rushmux.fleet",
     "rushmux.lab",
@@ -59,27 +60,27 @@
 
 def module_of_run():
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-    words = line.split()
+    arguments = line.split()
     # One process: the shell is replaced, nothing stands before or behind the interpreter.
-    assert words[:3] == ["exec", ".venv/bin/python", "-m"] and len(words) == 4
-    return words[3]
+    assert arguments[:3] == ["exec", ".venv/bin/python", "-m"] and len(arguments) == 4
+    return arguments[3]
 
 
-def test_run_serves_within_what_the_fleet_days_allow(running):
-    async def story(stage):
-        client = await stage.client()
-        answers = [await client.ask(b"PING"), await client.ask(*read(1))]
-        stage.process.send_signal(signal.SIGTERM)
-        log = (await stage.process.stderr.read()).decode()
-        return answers, log, await stage.process.wait()
+def test_run_serves_within_the_restrictions(with_process):
+    async def scenario(fleet):
+        client = await fleet.client()
+        answers = [await client.request(b"PING"), await client.request(*read_command(1))]
+        fleet.process.send_signal(signal.SIGTERM)
+        log = (await fleet.process.stderr.read()).decode()
+        return answers, log, await fleet.process.wait()
 
-    answers, log, code = running(story, ("-c", GUARD, module_of_run()))
+    answers, log, code = with_process(scenario, ("-c", GUARD, module_of_run()))
     assert answers == [("+", b"PONG"), ("$", b"data")] and code == 0
     assert "FORBIDDEN" not in log
     imported = log.rpartition("IMPORTED ")[2].split()
     assert "rushmux.gateway.server" in imported
     assert [
-        name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL)
+        name for name in imported if any(name == one or name.startswith(one + ".") for one in CONTROL_PLANE)
     ] == []
 
 
@@ -94,7 +95,7 @@
         "os.sendfile(1, 0, 0, 1)",
     ],
 )
-def test_the_guard_sees_what_is_forbidden(act, tmp_path):
+def test_the_guard_refuses_what_is_forbidden(act, tmp_path):
     (tmp_path / "bad.py").write_text(f"import os, socket, subprocess\n{act}\n")
     done = subprocess.run(
         [sys.executable, "-c", GUARD, "bad"],
