--- a/rushmux/fleet/policy.py
+++ b/rushmux/fleet/policy.py
@@ -1,20 +1,21 @@
-"""A fleet's policy: a change of it takes hold at every member that serves, or at none.  No I/O, no clock of
+"""A fleet's policy: a change of it takes hold at every member that serves, or at none. No I/O, no clock of
 its own.
 
-Three parts.  `PolicyStateMachine` is the state that the planners' log makes, the same at each of them.
-`RolloutCoordinator` is what the planner that leads does with what members say.  `PolicyMember` is a member's side.
+Three parts. `PolicyStateMachine` is the state that the planners' log makes, the same at each of them.
+`RolloutCoordinator` is what the planner that leads does with what members say. `PolicyMember` is a
+member's side.
 
-A change is staged by an entry of the log.  A member proves it, keeps it beside the one in force, and from
+A change is staged by an entry of the log. A member proves it, keeps it beside the one in force, and from
 then on is *joint*: it goes by the lesser limit of both, so that it is harmless whichever way the change
-ends.  When every member is joint, or was silent until its lease was over, an entry decides it; one member's
-no ends it everywhere.  A member whose lease is over is *narrow*: it goes by a safe part (`DEGRADED_FRACTION`)
-of all that it knows, and a change is decided without it only where that part fits into its even part of the new
-limit.  So limits are down everywhere before they are up anywhere, and nobody needs a new decision to go on
-serving.
+ends. When every member is joint, or was silent until its lease was over, an entry decides it; one
+member's no ends it everywhere. A member whose lease is over is *narrow*: it goes by a safe part
+(`DEGRADED_FRACTION`) of all that it knows, and a change is decided without it only where that part fits
+into its even part of the new limit. So limits are down everywhere before they are up anywhere, and
+nobody needs a new decision to go on serving.
 
 A lease runs from when the member asked, by its own clock; the planner counts it from when it answered,
-longer by MAX_CLOCK_DRIFT.  Clocks may stand apart and be set; they may not run apart by more than MAX_CLOCK_DRIFT.
-Limits are units a second of all members together, 0: none.
+longer by MAX_CLOCK_DRIFT. Clocks may stand apart and be set; they may not run apart by more than
+MAX_CLOCK_DRIFT. Limits are units a second of all members together, 0: none.
 """
 
 import json
--- a/rushmux/fleet/raft.py
+++ b/rushmux/fleet/raft.py
@@ -1,15 +1,16 @@
-"""The planners' log: entries decided once, by a majority's disks.  No I/O, no clock of its own.
-
-Raft as published (Ongaro's dissertation): a trial vote before each real one, a leader that steps down when
-it hears no majority, members changed one at a time, snapshots.  A `RaftNode` is stepped with what happens and
-hands out by `ready` what is to be written, sent and applied.  The caller writes first, then sends, then calls
-`on_persisted`: a vote or a word on entries that left before the disk had it would be a promise that a power loss
-breaks.  Times are seconds of the caller's monotonic clock, which may begin anew with each start; no promise
-to another member rests on a clock, so clocks may differ, drift and jump without harm to what is decided.
-
-A member is named by its name and the life of its disk: one whose disk was lost comes back as somebody else,
-has no vote, and is taken in by a change of members.  Danger: under its old name it would vote twice in a
-term.
+"""The planners' log: entries decided once, by a majority's disks. No I/O, no clock of its own.
+
+Raft as published (Ongaro's dissertation): a trial vote before each real one, a leader that steps down
+when it hears no majority, members changed one at a time, snapshots. A `RaftNode` is stepped with what
+happens and hands out by `ready` what is to be written, sent and applied. The caller writes first, then
+sends, then calls `on_persisted`: a vote or a word on entries that left before the disk had it would be a
+promise that a power loss breaks. Times are seconds of the caller's monotonic clock, which may begin anew
+with each start; no promise to another member rests on a clock, so clocks may differ, drift and jump
+without harm to what is decided.
+
+A member is named by its name and the life of its disk: one whose disk was lost comes back as somebody
+else, has no vote, and is taken in by a change of members. Danger: under its old name it would vote twice
+in a term.
 """
 
 from collections import OrderedDict
