--- a/rushmux/fleet/errors.py
+++ b/rushmux/fleet/errors.py
@@ -10,7 +10,35 @@
 
 
 class NotLeaderError(ProposalRejectedError):
-    """A proposal was made to a member that does not lead."""
+    """A proposal was made to a member that does not lead; `leader` is the one it knows of, if any."""
+
+    def __init__(self, leader: str | None):
+        super().__init__(f"{leader or 'no member that is known here'} leads")
+        self.leader = leader
+
+
+class LogFullError(ProposalRejectedError):
+    """As many entries as may wait to be committed do; `limit` says how many."""
+
+    def __init__(self, limit: int):
+        super().__init__(f"{limit} entries wait to be decided")
+        self.limit = limit
+
+
+class MembershipChangeError(ProposalRejectedError):
+    """The log's members cannot be changed to `members` now."""
+
+    def __init__(self, reason: str, members: tuple[str, ...]):
+        super().__init__(reason)
+        self.members = members
+
+
+class CompactionError(ProposalRejectedError):
+    """Entries up to `index` cannot be replaced by a snapshot."""
+
+    def __init__(self, index: int, last_applied: int, snapshot_index: int):
+        super().__init__(f"entries up to {last_applied} are applied, up to {snapshot_index} are gone")
+        self.index = index
 
 
 class CommandRejectedError(FleetError):
--- a/tests/fleet/test_raft.py
+++ b/tests/fleet/test_raft.py
@@ -48,11 +48,11 @@
 
 class KeepsAConflict(raft.RaftNode):
     def on_append_entries(self, now, message):
-        before = (
-            message.prev_log_index if self.term_at(message.prev_log_index) is not None else self.last_index
-        )
+        before = message.prev_log_index
+        if self.log.term_at(before) is None:
+            before = self.log.last_index
         super().on_append_entries(
-            now, message._replace(prev_log_index=before, prev_log_term=self.term_at(before))
+            now, message._replace(prev_log_index=before, prev_log_term=self.log.term_at(before))
         )
 
 
@@ -71,7 +71,7 @@
 
     def __init__(self, member_id, state, now, random_below):
         super().__init__(member_id, state, now, random_below)
-        self.last_applied = max(0, self.last_applied - 1)
+        self.log.last_applied = max(0, self.last_applied - 1)
 
 
 @pytest.mark.parametrize(
