--- a/rushmux/standins/policy_model_checker.py
+++ b/rushmux/standins/policy_model_checker.py
@@ -172,7 +172,7 @@
                 (
                     ago(conduct.lease_expiry.get(name, 0.0)),
                     self.said(conduct.latest_requests.get(name)),
-                    conduct.deciding is not None and name in conduct.deciding[1],
+                    conduct.deciding is not None and name in conduct.deciding.joint,
                 )
                 for conduct in self.leaders.values()
             )
--- a/rushmux/standins/policy_mutants.py
+++ b/rushmux/standins/policy_mutants.py
@@ -155,20 +155,20 @@
 
 
 class WithdrawsWhatIsDecided(PolicyStateMachine):
-    def order_withdraw(self, order):
-        if order["number"] == self.active.version and self.past_policies:
+    def withdraw(self, command):
+        if command.version == self.active.version and self.past_policies:
             self.active = next(reversed(self.past_policies.values()))
             return "withdrawn"
-        return super().order_withdraw(order)
+        return super().withdraw(command)
 
 
 class TwoAtOnce(PolicyStateMachine):
     """A change on top of one that is under way takes its place."""
 
-    def order_propose(self, order):
+    def propose(self, command):
         staged, self.staged = self.staged, None
         try:
-            return super().order_propose(order)
+            return super().propose(command)
         except CommandRejectedError:
             self.staged = staged
             raise
@@ -177,7 +177,7 @@
 class DecidesWhatIsStaged(PolicyStateMachine):
     """Takes an old leader's word on another change for one on this."""
 
-    def require_staged(self, order):
+    def require_staged(self, version):
         if self.staged is None:
             raise CommandRejectedError("nothing is under way")
         return self.staged
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -323,4 +323,4 @@
 
 def test_refused_is_an_error_of_its_own():
     with pytest.raises(CommandRejectedError, match="not under way"):
-        register().require_staged({"number": 4})
+        register().require_staged(4)
