--- a/rushmux/fleet/errors.py
+++ b/rushmux/fleet/errors.py
@@ -151,6 +151,14 @@
         self.limit = limit
 
 
+class StaleVersionError(CommandRejectedError):
+    """Members reported `version`, which is not the active one any more."""
+
+    def __init__(self, version: int):
+        super().__init__("another number is in force by now")
+        self.version = version
+
+
 class PolicyChecksumError(FleetError, ValueError):
     """A stored policy, of `version`, is damaged."""
 
@@ -160,4 +168,15 @@
 
 
 class MembershipFullError(FleetError):
-    """More members than are kept; the text names the one that was rejected."""
+    """As many members as are kept are known; `member` was rejected."""
+
+    def __init__(self, member: str, limit: int):
+        super().__init__(f"{member}: {limit} members are known")
+        self.member = member
+
+
+class NoNodesError(FleetError, ValueError):
+    """There is no node that could hold cells."""
+
+    def __init__(self):
+        super().__init__("no node to place cells on")
--- a/rushmux/fleet/policy/state_machine.py
+++ b/rushmux/fleet/policy/state_machine.py
@@ -14,6 +14,7 @@
     PastPolicyError,
     PolicyTooLargeError,
     StaleBaseError,
+    StaleVersionError,
     TooManyDrainedError,
     UnknownChangeError,
     UnknownMemberError,
@@ -209,7 +210,7 @@
     def record_activation(self, command: RecordActivation) -> str:
         """Members reported that they apply the active version."""
         if self.active is None or command.version != self.active.version:
-            raise CommandRejectedError("another number is in force by now")
+            raise StaleVersionError(command.version)
         self.advance_members(command.members)
         return f"{len(command.members)} go by {self.active.version}"
 
