--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -29,6 +29,8 @@
     policy_mutants,
     policy_simulation,
 )
+from rushmux.standins.policy_parts import REAL_PARTS, PolicyParts
+from rushmux.standins.raft_simulation_checker import InvariantViolationError
 
 HOST = "127.0.0.1"
 EVERY = 0.5  # seconds between a stand-in member's asks, as an edge's
@@ -176,8 +178,8 @@
 
 def ended(seed, parts):
     try:
-        policy_simulation.played(seed, parts=parts)
-    except policy_simulation.Breach as fault:
+        policy_simulation.run_seed(seed, parts=parts)
+    except InvariantViolationError as fault:
         return str(fault).split(" ")[1:4]
     return None
 
@@ -185,26 +187,26 @@
 def found(defect):
     begun = time.process_time()
     for seed in range(MOST_SEEDS):
-        settings = {"parts": policy_mutants.parts(defect)} if defect else {"fences": False}
+        settings = {"parts": REAL_PARTS.with_mutant(defect)} if defect else {"fencing": False}
         try:
-            policy_simulation.played(seed, **settings)
-        except policy_simulation.Breach as fault:
+            policy_simulation.run_seed(seed, **settings)
+        except InvariantViolationError as fault:
             return defect, seed + 1, time.process_time() - begun, str(fault)[:90]
     return defect, None, time.process_time() - begun, ""
 
 
 def defects():
     with Pool(3) as pool:
-        for defect, seeds, took, why in pool.imap_unordered(found, [None, *policy_mutants.DEFECTS]):
+        for defect, seeds, took, why in pool.imap_unordered(found, [None, *policy_mutants.MUTANTS]):
             name = defect.__name__ if defect else "NodesThatFenceNothing"
             print(f"{name:24}{seeds!s:>6} seeds {took:6.1f} s  {why}", flush=True)
 
 
 def baselines(seeds=200):
     for name, parts in (
-        ("as it is", (policy.PolicyStateMachine, policy.RolloutCoordinator, policy.PolicyMember)),
-        ("one after another", (policy.PolicyStateMachine, OneAfterAnother, Plain)),
-        ("two phases, no leases", (policy.PolicyStateMachine, policy.RolloutCoordinator, Plain)),
+        ("as it is", REAL_PARTS),
+        ("one after another", PolicyParts(coordinator=OneAfterAnother, member=Plain)),
+        ("two phases, no leases", PolicyParts(member=Plain)),
     ):
         with Pool(3) as pool:
             ends = pool.starmap(ended, [(seed, parts) for seed in range(seeds)], 4)
@@ -269,7 +271,7 @@
         policy_model_checker.check(
             policy_model_checker.Bounds(states=60_000),
             limits=limits,
-            begin=policy_model_checker.BEGINS[begin],
+            start=policy_model_checker.STARTS[begin],
         ),
     )
 
@@ -277,13 +279,13 @@
 def states():
     """The bounded check further than the tests go."""
     jobs = [
-        (begin, limits) for begin in policy_model_checker.BEGINS for limits in ((90.0, 30.0), (30.0, 90.0))
+        (begin, limits) for begin in policy_model_checker.STARTS for limits in ((90.0, 30.0), (30.0, 90.0))
     ]
     with Pool(4) as pool:
         for begin, limits, told in pool.imap(gone_through, jobs):
             print(
                 f"{begin}, {limits[0]:g} to {limits[1]:g}: {told.states} states, all orders of "
-                f"{told.events} events, {told.ends}, breach: {told.breach} {told.way}",
+                f"{told.depth} events, {told.outcomes}, violation: {told.violation} {told.trace}",
                 flush=True,
             )
 
--- /dev/null
+++ b/rushmux/standins/policy_model_state.py
@@ -0,0 +1,331 @@
+"""States of the policy's model checker, on the very parts that run.
+
+Three members, two planners of which the second may take over from the first (terms 1 and 2), one change after
+the first policy, and time in steps of half a lease.  Messages may be lost, repeated and late; a planner may
+be replaced without knowing it; members may crash and restart from their disks.  The replicated log is taken as
+right (`raft_simulation` tests it): a command is committed when the planner of the newest term says so.
+"""
+
+import json
+from collections.abc import Callable, Iterator
+from copy import copy
+from typing import Any, NamedTuple
+
+from rushmux.fleet import policy
+from rushmux.standins.policy_parts import PolicyParts
+
+MEMBERS = ("edge0", "edge1", "edge2")
+FOLDER = "a"
+STEP = policy.LEASE_DURATION / 1.9  # two steps are longer than any lease, its drift included
+OLDEST_AGE = 30.0  # seconds: what is longer to come counts as the same
+EPSILON = 1e-6
+
+
+class Bounds(NamedTuple):
+    """How much may happen in a run."""
+
+    steps: int = 4  # of the clock
+    crashes: int = 1
+    takeovers: int = 1
+    messages: int = 2  # in flight at a time
+    states: int = 1_000_000
+
+
+class InFlightMessage(NamedTuple):
+    """A message between a member and the planner of a term."""
+
+    kind: str  # "request" or "grant"
+    body: policy.LeaseRequest | policy.LeaseGrant
+    term: int
+
+    def content(self) -> tuple[int, ...]:
+        """What it says, as far as that tells two states apart."""
+        body = self.body
+        if isinstance(body, policy.LeaseRequest):
+            return body.active_version, body.joint_version
+        return body.index, body.active.version, body.staged.version if body.staged else 0
+
+
+class Move(NamedTuple):
+    """Something that may happen next: its name, and what it does to a copy of the state."""
+
+    name: str
+    apply: Callable[["ModelState"], None]
+
+
+class ModelState:
+    """Everything that matters at one moment.
+
+    Args:
+        parts: The classes that run.
+        first_limit: The folder's limit (units a second) by the first policy.
+        second_limit: Its limit by the change that is staged.
+    """
+
+    def __init__(self, parts: PolicyParts, first_limit: float, second_limit: float):
+        self.parts = parts
+        self.now = 0.0
+        self.term = 1
+        self.machine = parts.state_machine()
+        first = {"text": "first", "rows": [[FOLDER, first_limit, first_limit]]}
+        self.machine.apply({"kind": "found", "by": "x", "members": list(MEMBERS), **first})
+        self.index = 1
+        self.disks = dict.fromkeys(MEMBERS, (self.machine.active, None))
+        self.members = {name: self._new_member(name) for name in MEMBERS}
+        # Planner 1 leads; planner 2 may take over, and 1 may not know.
+        self.coordinators = {1: parts.coordinator(self.machine, -2 * policy.LEASE_DURATION)}
+        self.replaced_machines: dict[int, policy.PolicyStateMachine] = {}
+        """The state as a replaced planner last knew it, by its term."""
+        self.in_flight: tuple[InFlightMessage, ...] = ()
+        self.crashes = 0
+        self.takeovers = 0
+        self.steps = 0
+        self.pending: dict[str, Any] | None = None
+        """A command in the newest planner's log that is not committed yet."""
+        self._lease_all()
+        second = {"text": "second", "rows": [[FOLDER, second_limit, second_limit]]}
+        self.machine.apply({"kind": "propose", "by": "x", **second})
+        self.index = 2
+
+    def _lease_all(self) -> None:
+        """Each member has just got a lease under the first policy."""
+        coordinator = self.coordinators[1]
+        for member in self.members.values():
+            coordinator.on_lease_request(self.now, member.lease_request(self.now), 0)
+            for grant in coordinator.grant_leases(self.now, 1, 1, self.index):
+                member.on_grant(self.now, grant)
+
+    def _new_member(self, name: str) -> policy.PolicyMember:
+        active, staged = self.disks[name]
+        return self.parts.member(name, active, staged, lambda _: None, self._disk_writer(name))
+
+    def _disk_writer(self, name: str) -> Callable[[policy.Policy, policy.Policy | None], None]:
+        def persist(active: policy.Policy, staged: policy.Policy | None) -> None:
+            self.disks[name] = active, staged
+
+        return persist
+
+    # Copies and comparison.
+
+    def copied(self) -> "ModelState":
+        """A state that holds the same and changes by itself."""
+        other = copy(self)
+        other.machine = _copied_machine(self.machine)
+        other.disks = dict(self.disks)
+        other.replaced_machines = dict(self.replaced_machines)
+        other.coordinators = {
+            term: self._copied_coordinator(
+                coordinator, other.machine if term == self.term else self.replaced_machines[term]
+            )
+            for term, coordinator in self.coordinators.items()
+        }
+        other.members = {name: self._copied_member(name, other) for name in self.members}
+        return other
+
+    @staticmethod
+    def _copied_coordinator(
+        coordinator: policy.RolloutCoordinator, machine: policy.PolicyStateMachine
+    ) -> policy.RolloutCoordinator:
+        other = copy(coordinator)
+        other.state_machine = machine
+        other.lease_expiry = dict(coordinator.lease_expiry)
+        other.latest_requests = dict(coordinator.latest_requests)
+        other.staged_since = dict(coordinator.staged_since)
+        other.pending_requests = list(coordinator.pending_requests)
+        return other
+
+    def _copied_member(self, name: str, state: "ModelState") -> policy.PolicyMember:
+        member = self.members[name]
+        other = copy(member)
+        # A request that is not in flight any more, nor its grant, is never answered.
+        other.sent_at = {
+            message.body.request_id: member.sent_at[message.body.request_id]
+            for message in self.in_flight
+            if message.body.member == name
+        }
+        other.persist = state._disk_writer(name)
+        return other
+
+    def key(self) -> int:
+        """What tells two states apart.  Members differ by nothing but their names: they are put in order."""
+        members = tuple(sorted(self._member_key(name) for name in self.members))
+        coordinators = tuple(
+            (term, self._age(coordinator.predecessor_leases_end), coordinator.deciding is not None)
+            for term, coordinator in self.coordinators.items()
+        )
+        return hash(
+            (
+                self.steps,
+                self.index,
+                self.machine.staged is None,
+                self.machine.active.version,
+                members,
+                coordinators,
+                self.crashes,
+                self.pending and self.pending["kind"],
+            )
+        )
+
+    def _member_key(self, name: str) -> tuple:
+        member = self.members[name]
+        messages = tuple(
+            (
+                message.kind,
+                message.term,
+                self._age(member.sent_at[message.body.request_id]),
+                *message.content(),
+            )
+            for message in self.in_flight
+            if message.body.member == name
+        )
+        known = tuple(self._known_of(name, coordinator) for coordinator in self.coordinators.values())
+        return (
+            member.active_version,
+            member.staged is not None,
+            0 if member.lease_expiry is None else self._age(member.lease_expiry),
+            member.last_grant_position,
+            self.disks[name][1] is not None,
+            self.machine.member_versions[name],
+            messages,
+            known,
+        )
+
+    def _known_of(self, name: str, coordinator: policy.RolloutCoordinator) -> tuple:
+        """What a planner knows of a member."""
+        request = coordinator.latest_requests.get(name)
+        return (
+            self._age(coordinator.lease_expiry.get(name, 0.0)),
+            (0, 0) if request is None else (request.active_version, request.joint_version),
+            coordinator.deciding is not None and name in coordinator.deciding.joint,
+        )
+
+    def _age(self, at: float) -> int:
+        """Hundredths of a second until a time; all that is past is the same."""
+        return round(max(-0.01, min(at - self.now, OLDEST_AGE)) * 100)
+
+    # What may happen next.
+
+    def moves(self, bounds: Bounds) -> Iterator[Move]:
+        """All that may happen next within the bounds."""
+        yield from self._member_moves(bounds)
+        yield from self._message_moves(bounds)
+        if self.steps < bounds.steps:
+            yield Move("time passes", ModelState.pass_time)
+        if self.takeovers < bounds.takeovers:
+            yield Move("planner 2 takes over", lambda state: state.take_over(with_pending=False))
+            if self.pending is not None:
+                yield Move(
+                    "planner 2 takes over with the pending command",
+                    lambda state: state.take_over(with_pending=True),
+                )
+        if self.pending is None:
+            yield Move(f"planner {self.term} proposes", ModelState.propose)
+        else:
+            yield Move("the pending command is committed", ModelState.commit)
+
+    def _member_moves(self, bounds: Bounds) -> Iterator[Move]:
+        room = len(self.in_flight) < bounds.messages
+        requesting = {message.body.member for message in self.in_flight if message.kind == "request"}
+        for name in MEMBERS:
+            if room and name not in requesting:
+                for term in self.coordinators:
+                    yield Move(
+                        f"{name} requests a lease of planner {term}",
+                        lambda state, name=name, term=term: state.send_request(name, term),
+                    )
+            if self.crashes < bounds.crashes:
+                yield Move(f"{name} crashes and restarts", lambda state, name=name: state.crash(name))
+
+    def _message_moves(self, bounds: Bounds) -> Iterator[Move]:
+        room = len(self.in_flight) < bounds.messages
+        for number, message in enumerate(self.in_flight):
+            name = f"{message.kind} of {message.body.member}"
+            yield Move(
+                f"{name} arrives, planner {message.term}", lambda state, number=number: state.deliver(number)
+            )
+            yield Move(f"{name} is lost", lambda state, number=number: state.lose(number))
+            if room and message.kind == "grant":
+                yield Move(
+                    f"{name} arrives, and will again",
+                    lambda state, number=number: state.deliver(number, duplicated=True),
+                )
+
+    def send_request(self, name: str, term: int) -> None:
+        """A member sends a request to the planner of a term."""
+        request = self.members[name].lease_request(self.now)
+        self.in_flight += (InFlightMessage("request", request, term),)
+
+    def crash(self, name: str) -> None:
+        """A member restarts from its disk; what it had requested is never answered."""
+        self.crashes += 1
+        self.members[name] = self._new_member(name)
+        self.in_flight = tuple(message for message in self.in_flight if message.body.member != name)
+
+    def lose(self, number: int) -> None:
+        """A message is lost."""
+        self.in_flight = self.in_flight[:number] + self.in_flight[number + 1 :]
+
+    def deliver(self, number: int, *, duplicated: bool = False) -> None:
+        """A message arrives; a duplicated one stays in flight."""
+        message = self.in_flight[number]
+        if not duplicated:
+            self.lose(number)
+        if message.kind == "grant":
+            self.members[message.body.member].on_grant(self.now, message.body)
+            return
+        coordinator = self.coordinators[message.term]
+        coordinator.on_lease_request(self.now, message.body, 0)
+        # A replaced planner hears no majority: no later round of it is ever confirmed.
+        leads = message.term == self.term
+        index = self.index if leads else 2
+        for grant in coordinator.grant_leases(self.now, 1 if leads else 0, message.term, index):
+            self.in_flight += (InFlightMessage("grant", grant, message.term),)
+
+    def pass_time(self) -> None:
+        """Half a lease passes."""
+        self.steps += 1
+        self.now += STEP
+
+    def take_over(self, *, with_pending: bool) -> None:
+        """The next planner leads; it has the pending command in its log and commits it, or it has it not."""
+        self.takeovers += 1
+        if with_pending:
+            self.commit()
+        self.pending = None
+        self.replaced_machines[self.term] = _copied_machine(self.machine)
+        self.coordinators[self.term].state_machine = self.replaced_machines[self.term]
+        self.term += 1
+        self.coordinators[self.term] = self.parts.coordinator(self.machine, self.now)
+
+    def propose(self) -> None:
+        """The leader proposes its next command, if any."""
+        self.pending = self.coordinators[self.term].next_command(self.now)
+
+    def commit(self) -> None:
+        """The pending command is committed and applied."""
+        self.machine.apply(json.loads(json.dumps(self.pending)))
+        self.index += 1
+        self.pending = None
+
+    # The invariant.
+
+    def violation(self) -> str | None:
+        """How members exceed the limit that was decided last; None: they do not."""
+        active = self.machine.active
+        limit, _ = active.limits()[FOLDER]
+        used = sum(self._applied_limit(member) for member in self.members.values()) / len(MEMBERS)
+        if used > limit + EPSILON:
+            return f"limit {limit:g} by {active.version}, {used:g} may be used"
+        return None
+
+    def _applied_limit(self, member: policy.PolicyMember) -> float:
+        limit, _ = member.effective_limits(self.now).get(FOLDER, (0.0, 0.0))
+        return limit
+
+
+def _copied_machine(machine: policy.PolicyStateMachine) -> policy.PolicyStateMachine:
+    other = copy(machine)
+    other.member_versions = dict(machine.member_versions)
+    other.limits_by_version = dict(machine.limits_by_version)
+    other.past_policies = dict(machine.past_policies)
+    return other
--- a/rushmux/standins/policy_mutants.py
+++ b/rushmux/standins/policy_mutants.py
@@ -1,171 +1,197 @@
-"""Seeded defects of the fleet's policy: each is a part that is wrong in one thing.  The judge of `policies`
-has to find every one of them; tests and the measurement say within how many seeds.
+"""Mutants of the policy's rollout: each is one of its three parts with one defect.
+
+The checker of `policy_simulation` has to find every one of them; tests and `benchmarks/policy.py` say within
+how many seeds.
 """
 
 from rushmux.fleet import policy
 from rushmux.fleet.errors import CommandRejectedError
 from rushmux.fleet.policy import PolicyMember, PolicyStateMachine, RolloutCoordinator
 
+# The member's side.
+
 
-class YesBeforeItsDisk(PolicyMember):
-    """Says that it is joint and has not kept it."""
+class JointBeforePersisted(PolicyMember):
+    """Reports that it is joint, and has not persisted it."""
 
-    def __init__(self, *values):
-        super().__init__(*values)
-        whole = self.persist
-        self.persist = lambda force, staged: whole(force, None)
+    def __init__(self, name, active, staged, validate, persist):
+        super().__init__(name, active, staged, validate, lambda active, staged: persist(active, None))
 
 
-class LeaseFromTheAnswer(PolicyMember):
-    """Counts its lease from when the answer came."""
+class LeaseFromGrant(PolicyMember):
+    """Counts its lease from when the grant arrived."""
 
     def on_grant(self, now, grant):
+        """As the original, but for the start of the lease."""
         if grant.request_id in self.sent_at:
             self.sent_at[grant.request_id] = now
         return super().on_grant(now, grant)
 
 
-class NeverNarrow(PolicyMember):
-    """Goes on as before when it hears of no planner."""
+class NeverDegraded(PolicyMember):
+    """Goes on as before without a lease."""
 
     def is_degraded(self, now):
+        """Never."""
         return False
 
 
-class UpBeforeDown(PolicyMember):
-    """Goes by the new limits as soon as a change is staged."""
+class RaisesBeforeDecided(PolicyMember):
+    """Applies the new limits as soon as a change is staged."""
 
     def effective_limits(self, now):
-        known = self.staged or self.active
-        return (
-            {
-                folder: tuple(
-                    policy.DEGRADED_FRACTION * value if self.is_degraded(now) else value for value in both
-                )
-                for folder, both in known.limits().items()
-            }
-            if self.is_serving()
-            else {}
-        )
-
-
-class BelievesOldWords(PolicyMember):
-    """Takes an older state of the log for the newest."""
+        """The staged limits."""
+        if not self.is_serving():
+            return {}
+        fraction = policy.DEGRADED_FRACTION if self.is_degraded(now) else 1.0
+        known = (self.staged or self.active).limits()
+        return {folder: (fraction * limit, fraction * burst) for folder, (limit, burst) in known.items()}
+
+
+class BelievesOldGrants(PolicyMember):
+    """Takes an older position of the log for the newest."""
 
     def on_grant(self, now, grant):
-        self.last_grant_position = 0, 0
+        """As the original, whatever was seen before."""
+        self.last_grant_position = policy.LogPosition(0, 0)
         return super().on_grant(now, grant)
 
 
-class JointIsForgotten(PolicyMember):
-    """A start drops what was under way."""
+class ForgetsStagedAtStart(PolicyMember):
+    """A start drops what was staged."""
 
     def __init__(self, name, active, staged, validate, persist):
         super().__init__(name, active, None, validate, persist)
 
 
-class WakesWithItsLease(PolicyMember):
-    """Counts its lease by what it last looked at, not by its clock."""
+class LeaseWithoutClock(PolicyMember):
+    """Judges its lease by when it sent its last request, not by its clock."""
 
     def effective_limits(self, now):
-        return super().effective_limits(
-            max(self.sent_at.values(), default=0.0) if self.lease_expiry is not None else now
-        )
+        """As the original, at an older time."""
+        if self.lease_expiry is not None:
+            now = max(self.sent_at.values(), default=0.0)
+        return super().effective_limits(now)
+
 
+# The leader's side.
 
-class OldLeasesForgotten(RolloutCoordinator):
-    """Does not wait for what the planner before it answered."""
+
+class IgnoresPredecessorLeases(RolloutCoordinator):
+    """Does not wait for leases that the leader before it granted."""
 
     def __init__(self, state_machine, now):
         super().__init__(state_machine, now)
         self.predecessor_leases_end = now
 
 
-class OwnLeasesForgotten(RolloutCoordinator):
-    """Takes who did not answer for who is away."""
+class ForgetsOwnLeases(RolloutCoordinator):
+    """Takes a member that did not answer for one without a lease."""
 
-    def grant_lease(self, now, ask, term, index):
-        grant = super().grant_lease(now, ask, term, index)
-        self.lease_expiry.pop(ask.member, None)
+    def grant_lease(self, now, request, term, index):
+        """As the original, and forgets it."""
+        grant = super().grant_lease(now, request, term, index)
+        self.lease_expiry.pop(request.member, None)
         self.predecessor_leases_end = 0.0
         return grant
 
 
-class AnswersUnconfirmed(RolloutCoordinator):
-    """Answers without asking whether it still leads."""
+class GrantsUnconfirmed(RolloutCoordinator):
+    """Grants leases without confirming that it still leads."""
 
-    def grant_leases(self, now, confirmed, term, index):
+    def grant_leases(self, now, confirmed_round, term, index):
+        """As the original, with all rounds confirmed."""
         return super().grant_leases(now, 1 << 60, term, index)
 
 
-class AnswersWhileItCloses(RolloutCoordinator):
-    """Gives leases to members that a change is being decided without."""
+class GrantsWhileDeciding(RolloutCoordinator):
+    """Grants leases to members that a change is being decided without."""
 
-    def grant_lease(self, now, ask, term, index):
-        closing, self.deciding = self.deciding, None
-        grant = super().grant_lease(now, ask, term, index)
-        self.deciding = closing
+    def grant_lease(self, now, request, term, index):
+        """As the original, as if nothing were being decided."""
+        deciding, self.deciding = self.deciding, None
+        grant = super().grant_lease(now, request, term, index)
+        self.deciding = deciding
         return grant
 
 
-class MostAreEnough(RolloutCoordinator):
-    """Decides as soon as most are joint."""
+class MajorityIsEnough(RolloutCoordinator):
+    """Decides as soon as most members are joint."""
+
+    def is_joint(self, member, version):
+        """Whether most members are joint."""
+        members = self.state_machine.members
+        joint = sum(super(MajorityIsEnough, self).is_joint(name, version) for name in members)
+        return joint * 2 > len(members)
 
-    def is_joint(self, member, number):
-        there = sum(super(MostAreEnough, self).is_joint(name, number) for name in self.state_machine.members)
-        return there * 2 > len(self.state_machine.members)
 
+class RejectionCountsAsJoint(RolloutCoordinator):
+    """Takes a rejection for an acceptance."""
 
-class ANoIsAYes(RolloutCoordinator):
-    def on_lease_request(self, now, ask, round_):
-        if ask.rejected_version:
-            ask = ask._replace(joint_version=ask.rejected_version, rejected_version=0)
-        super().on_lease_request(now, ask, round_)
+    def on_lease_request(self, now, request, round_):
+        """As the original, with a rejected version joint."""
+        if request.rejected_version:
+            request = request._replace(joint_version=request.rejected_version, rejected_version=0)
+        super().on_lease_request(now, request, round_)
 
 
-class WaitsForEver(RolloutCoordinator):
+class NeverTimesOut(RolloutCoordinator):
+    """Waits for a staged change without end."""
+
     def next_command(self, now):
+        """As the original, with every change staged just now."""
         self.staged_since = {}
         return super().next_command(now)
 
 
-class SilentIsThere(RolloutCoordinator):
-    """Who was joint once is taken for being there."""
+class SilentCountsAsLeased(RolloutCoordinator):
+    """Takes a member that was joint once for one that still has its lease."""
 
     def next_command(self, now):
+        """As the original, with the leases of joint members extended."""
+        staged = self.state_machine.staged
         for member in self.state_machine.members:
-            if self.state_machine.staged is not None and self.is_joint(
-                member, self.state_machine.staged.version
-            ):
+            if staged is not None and self.is_joint(member, staged.version):
                 self.lease_expiry[member] = now + 1.0
         return super().next_command(now)
 
 
-class HarmNotChecked(PolicyStateMachine):
-    def degraded_excess(self, staged):
-        return None
+# The replicated state.
+
+
+class ExcessNotChecked(PolicyStateMachine):
+    """Does not count what degraded members keep."""
+
+    def degraded_excess(self, policy):
+        """Never any."""
+        return None  # noqa: RET501 - the text of an excess, or None
 
 
-class OnlyTheNewestCounts(PolicyStateMachine):
-    """Forgets that who is away may go by an older number than the one in force."""
+class OnlyNewestCounts(PolicyStateMachine):
+    """Forgets that an absent member may apply an older version than the active one."""
 
     def advance_members(self, members):
+        """As the original, but for the older limits."""
         super().advance_members(members)
         self.limits_by_version = {self.active.version: self.active.folder_limits}
 
 
-class WithdrawsWhatIsDecided(PolicyStateMachine):
+class WithdrawsDecided(PolicyStateMachine):
+    """Withdraws a change that is decided."""
+
     def withdraw(self, command):
+        """As the original, and the active version too."""
         if command.version == self.active.version and self.past_policies:
             self.active = next(reversed(self.past_policies.values()))
             return "withdrawn"
         return super().withdraw(command)
 
 
-class TwoAtOnce(PolicyStateMachine):
-    """A change on top of one that is under way takes its place."""
+class ReplacesStaged(PolicyStateMachine):
+    """Lets a change take the place of one that is staged."""
 
     def propose(self, command):
+        """As the original, as if nothing were staged."""
         staged, self.staged = self.staged, None
         try:
             return super().propose(command)
@@ -174,42 +200,35 @@
             raise
 
 
-class DecidesWhatIsStaged(PolicyStateMachine):
-    """Takes an old leader's word on another change for one on this."""
+class DecidesAnyStaged(PolicyStateMachine):
+    """Takes an old leader's command on another change for one on this."""
 
     def require_staged(self, version):
+        """Whatever is staged."""
         if self.staged is None:
             raise CommandRejectedError("nothing is under way")
         return self.staged
 
 
-DEFECTS = (
-    YesBeforeItsDisk,
-    LeaseFromTheAnswer,
-    NeverNarrow,
-    UpBeforeDown,
-    BelievesOldWords,
-    JointIsForgotten,
-    WakesWithItsLease,
-    OldLeasesForgotten,
-    OwnLeasesForgotten,
-    AnswersUnconfirmed,
-    AnswersWhileItCloses,
-    MostAreEnough,
-    ANoIsAYes,
-    WaitsForEver,
-    SilentIsThere,
-    HarmNotChecked,
-    OnlyTheNewestCounts,
-    WithdrawsWhatIsDecided,
-    TwoAtOnce,
-    DecidesWhatIsStaged,
+MUTANTS = (
+    JointBeforePersisted,
+    LeaseFromGrant,
+    NeverDegraded,
+    RaisesBeforeDecided,
+    BelievesOldGrants,
+    ForgetsStagedAtStart,
+    LeaseWithoutClock,
+    IgnoresPredecessorLeases,
+    ForgetsOwnLeases,
+    GrantsUnconfirmed,
+    GrantsWhileDeciding,
+    MajorityIsEnough,
+    RejectionCountsAsJoint,
+    NeverTimesOut,
+    SilentCountsAsLeased,
+    ExcessNotChecked,
+    OnlyNewestCounts,
+    WithdrawsDecided,
+    ReplacesStaged,
+    DecidesAnyStaged,
 )
-
-
-def parts(defect):
-    """The three parts with one of them replaced."""
-    return tuple(
-        defect if issubclass(defect, part) else part
-        for part in (PolicyStateMachine, RolloutCoordinator, PolicyMember)
-    )
--- a/rushmux/standins/policy_simulation.py
+++ b/rushmux/standins/policy_simulation.py
@@ -1,468 +1,281 @@
-"""A world for the fleet's policy: planners with their log (`voices`), members with disks and clocks of
-their own, and a judge that knows only what was decided first and what each member may use at each instant.
+"""Simulation of the policy's rollout: planners with their replicated log, edges, operators and faults.
 
-All follows from the seed.  A faulty `RolloutCoordinator`, `PolicyMember` or `PolicyStateMachine` may be handed in: the judge has to
-find it.
+All follows from the seed.  Mutants of the three parts may be handed in: the checker has to find them.
 """
 
 import json
-import random
-from typing import NamedTuple
+from typing import Any, Self
 
 from rushmux.fleet import policy, raft
-from rushmux.standins import raft_simulation
-from rushmux.standins.raft_simulation import Breach
-
-ASK = 0.5  # seconds between two asks of a member
-NO_ANSWER = 1.5  # seconds without a grant until another planner is asked
-AWAY = 15.0  # seconds that a member stays away for a second change
-IMAGE = 10.5  # seconds that it takes at least to put an older image of a disk back: over a lease
+from rushmux.standins.policy_parts import REAL_PARTS, PolicyParts
+from rushmux.standins.policy_simulation_checker import PolicyChecker
+from rushmux.standins.policy_simulation_edges import SimulatedEdges
+from rushmux.standins.raft_simulation import RaftSimulation, SimulatedMember
+
+ABSENCE = 15.0  # seconds that an edge stays away for a second change
+FLOOR_DELAY = 0.2  # seconds until nodes hear of a fencing floor
+WAKE_DELAY = 0.001  # seconds: a planner that wakes reads its full sockets before its timers run
+ISOLATION_PROBABILITY = 0.5  # that an edge reaches only a planner that is paused
+INTERVENTION_PROBABILITY = 0.1  # that an operator withdraws a change as it would end
+NEW_COMMAND_PROBABILITY = 0.8  # that operators go on to their next command
+FORGET_ABOVE = 0.95  # bounds of the draw that says what operators do next
+WITHDRAW_BELOW = 0.1
+REVERT_BELOW = 0.2
+BASED_BELOW = 0.6
 FOLDERS = ("a", "b")
 LIMITS = (200.0, 100.0, 60.0, 30.0, 12.0, 4.0)
-APART = 0.004  # most by which a member's clock runs fast or slow: under half of the drift allowed
-MOST_IMAGES = 4  # older states of a disk that may come back
-EPSILON = 1e-6
-
-
-class MemberFaults(NamedTuple):
-    """How much goes wrong with members, each a second over all of them; `mute`: one never asks."""
-
-    kills: float
-    stops: float
-    cuts: float
-    disks: float
-    images: float  # part of starts that find an older disk
-    refusals: float  # part of policies that some member cannot prove
-    planner_stops: float  # a second, over all planners
-    mute: bool
-
-
-def drawn(chance) -> MemberFaults:
-    def some(most):
-        return most * chance.random() ** 2 if chance.random() < 0.6 else 0.0
-
-    rates = [some(most) for most in (0.3, 0.2, 0.3, 0.1, 0.5, 0.3, 0.2)]
-    return MemberFaults(*rates, mute=chance.random() < 0.15)
-
-
-class Planner(raft_simulation.Host):
-    """A planner: a voice of the log, the state it makes, and what it does when it leads."""
-
-    def __init__(self, name, kept):
-        super().__init__(name, kept)
-        self.register, self.conduct, self.index, self.held_until = policy.PolicyStateMachine(), None, 0, 0.0
-
-
-class Member:
-    """An edge: its disk survives a kill, its holder does not."""
-
-    def __init__(self, name, clock, rate):
-        self.name, self.clock, self.rate = name, clock, rate
-        self.disk, self.images, self.holder = (None, None), [], None
-        self.life, self.held_until, self.cut_until, self.full_until, self.heard = 0, 0.0, 0.0, 0.0, 0.0
-        self.planner, self.mute, self.said, self.image_at = 0, False, 0, 0.0
-        self.only, self.only_until = "", 0.0  # the one planner that it reaches, for some time
-
-    def reaches(self, planner, now):
-        return now >= self.only_until or planner == self.only
-
-    def time(self, now):
-        return self.clock + now * self.rate
-
-
-class World(raft_simulation.World):
-    """`members` edges; `parts`: (PolicyStateMachine, RolloutCoordinator, PolicyMember) as they are, or as a defect has them."""
-
-    host = Planner
-
-    def __init__(self, seed, planners=3, members=4, parts=None, make=raft.RaftNode, fences=True):
-        self.register, self.conduct, self.holder = parts or (
-            policy.PolicyStateMachine,
-            policy.RolloutCoordinator,
-            policy.PolicyMember,
-        )
-        self.decided, self.floor, self.unprovable, self.checked = [], 0, {}, 0
-        self.outcomes, self.ended_at, self.counted, self.order = {}, 0.0, 0, None
-        self.edges, self.fences = {}, fences
-        super().__init__(seed, planners, make)
-        self.faults = self.faults._replace(changes=0.0)
-        chance = random.Random(f"members {seed}")
-        self.member_faults = drawn(chance)
-        for number in range(members):
-            rate = 1 + (chance.random() * 2 - 1) * APART
-            edge = self.edges[f"edge{number}"] = Member(f"edge{number}", chance.uniform(0, 1e5), rate)
-            edge.mute = self.member_faults.mute and number == 0
-            self.begin(edge)
-        for rate, act in (
-            (self.member_faults.kills, self.kill_edge),
-            (self.member_faults.stops, self.stop_edge),
-            (self.member_faults.cuts, self.cut_edge),
-            (self.member_faults.disks, self.fill_disk),
-            (self.member_faults.planner_stops, self.stop_planner),
-        ):
-            if rate:
-                self.again(rate, act)
-
-    def change(self):
-        """Planners stay the same here; `voices` plays their coming and going."""
+DURATION = 130.0  # seconds of a seed
+HEAL_AT = 70.0  # seconds at which its faults end
+
+
+class SimulatedPlanner(SimulatedMember):
+    """A planner: a member of the log, the state that the log makes, and the coordinator while it leads."""
+
+    def __init__(self, name: str, disk: raft.PersistentState):
+        super().__init__(name, disk)
+        self.state_machine = policy.PolicyStateMachine()
+        self.coordinator: policy.RolloutCoordinator | None = None
+        self.coordinator_term = 0
+        self.applied_index = 0
+        self.paused_until = 0.0
+
+
+class PolicySimulation(RaftSimulation):
+    """Planners and edges that run together on simulated time.
+
+    Args:
+        seed: All follows from it.
+        planners: How many there are.
+        edges: How many there are.
+        parts: The classes that run.
+        fencing: Whether nodes reject operations of versions below the fencing floor.
+    """
+
+    member_class = SimulatedPlanner
+
+    def __init__(
+        self,
+        seed: int,
+        planners: int = 3,
+        edges: int = 4,
+        *,
+        parts: PolicyParts = REAL_PARTS,
+        fencing: bool = True,
+    ):
+        self.parts = parts
+        self.checker = PolicyChecker(fencing=fencing)
+        self.newest_applied_index = 0
+        self.operator_command: dict[str, Any] | None = None
+        super().__init__(seed, planners)
+        self.faults = self.faults._replace(membership_changes=0.0)
+        self.edges = SimulatedEdges(self, seed, edges)
+        self.schedule_faults(self.edges.faults.planner_pauses, self.pause_planner)
+
+    def change_membership(self) -> None:
+        """Planners stay the same here; `raft_simulation` has them come and go."""
+
+    def heal(self) -> None:
+        """All faults end."""
+        super().heal()
+        for planner in self.members.values():
+            planner.paused_until = 0.0
+        self.edges.heal()
+
+    def check_limits(self) -> None:
+        """Has the checker look at the limits of this instant."""
+        self.checker.check_limits(self.now, self.edges.all())
+
+    def check_settled(self) -> Self:
+        """Has the checker look at the end of a quiet time."""
+        machines = {planner.name: planner.state_machine for planner in self.members.values()}
+        rejecting = self.edges.rejecting_edge
+        self.checker.check_settled(self.now, machines, self.edges.all(), rejecting)
+        return self
 
     # Planners.
 
-    def start(self, name):
-        host = self.hosts[name]
-        host.conduct = None
-        super().start(name)
-
-    def restore(self, host, snapshot):
-        raw = json.loads(snapshot.state) if snapshot.state else {"register": "", "sessions": []}
-        host.register = self.register.from_snapshot(raw["register"].encode())
-        host.sessions = raft.ClientSessions([tuple(row) for row in raw["sessions"]])
-        host.index = snapshot.index
-
-    def state(self, host):
-        return json.dumps(
-            {"register": host.register.to_snapshot().decode(), "sessions": host.sessions.to_rows()}
-        ).encode()
-
-    def apply(self, host, index, entry):
-        known = self.applied.setdefault(index, entry)
-        if known != entry:
-            raise Breach(f"{self.now:.3f} {host.name} applies {entry} at {index}, where {known} was applied")
-        host.index, self.decided_at = index, self.now
+    def start_member(self, name: str) -> None:
+        """Starts a planner from its disk."""
+        self.members[name].coordinator = None
+        super().start_member(name)
+
+    def restore(self, member: SimulatedPlanner, snapshot: raft.Snapshot) -> None:
+        """Gives a planner the state of a snapshot."""
+        raw = json.loads(snapshot.state) if snapshot.state else {"machine": "", "sessions": []}
+        member.state_machine = self.parts.state_machine.from_snapshot(raw["machine"].encode())
+        member.sessions = raft.ClientSessions([tuple(row) for row in raw["sessions"]])
+        member.applied_index = snapshot.index
+
+    def snapshot_state(self, member: SimulatedPlanner) -> bytes:
+        """A planner's state, as `restore` takes it."""
+        machine = member.state_machine.to_snapshot().decode()
+        return json.dumps({"machine": machine, "sessions": member.sessions.to_rows()}).encode()
+
+    def apply(self, member: SimulatedPlanner, index: int, entry: raft.Entry) -> None:
+        """Applies a committed entry; the first planner to apply it tells the checker."""
+        self.log_checker.on_applied(self.now, member.name, index, entry)
+        member.applied_index = index
         if entry.kind != raft.EntryKind.COMMAND:
             return
-        order, before = json.loads(entry.body), host.register.staged
-        if "client" in order:
-            host.sessions.apply_once(order["client"], order["n"], lambda: host.register.apply(order))
+        command = json.loads(entry.body)
+        machine = member.state_machine
+        staged_before = machine.staged
+        if "client" in command:
+            member.sessions.apply_once(command["client"], command["n"], lambda: machine.apply(command))
         else:
-            host.register.apply(order)
-        if index > self.counted:  # the first to apply it: decided at this instant
-            self.counted = index
-            self.took(host, order, before)
-
-    def took(self, host, order, before):
-        force = host.register.active
-        if force is not None and (not self.decided or self.decided[-1].version != force.version):
-            if self.decided and force.version < self.decided[-1].version:
-                raise Breach(f"{self.now:.3f} {force.version} is in force after {self.decided[-1].version}")
-            self.decided.append(force)
-        staged = host.register.staged
-        if before is not None and staged is not before:
-            if staged is not None and staged.version != before.version:
-                raise Breach(
-                    f"{self.now:.3f} {staged.version} took the place of {before.version}, which had no end"
-                )
-            if "number" in order and order["number"] != before.version:
-                raise Breach(f"{self.now:.3f} {order['kind']} of {order['number']} ended {before.version}")
-        if before is not None and staged is None:
-            if before.version in self.outcomes:
-                raise Breach(f"{self.now:.3f} change {before.version} ended twice")
-            self.outcomes[before.version], self.ended_at = order["kind"], self.now
-            if order["kind"] == "decide" and len(order["joint"]) < len(self.edges) and not self.healing:
-                self.stay_away(order["joint"])
-        self.judge_limits()
-
-    def tick(self, host, voice):
-        if self.now < host.held_until:  # it wakes with its sockets full, and reads them before its timers
-            self.at(host.held_until - self.now + 0.001, self.tick, host, voice)
+            machine.apply(command)
+        if index > self.newest_applied_index:
+            self.newest_applied_index = index
+            self.checker.on_applied(self.now, machine, command, staged_before)
+            if staged_before is not None and machine.staged is None:
+                self._on_change_ended(command)
+            self.check_limits()
+
+    def _on_change_ended(self, command: dict[str, Any]) -> None:
+        # Aimed: edges that were absent for one change are absent for the next one too, and that comes soon.
+        partial = command["kind"] == "decide" and len(command["joint"]) < len(self.edges.by_name)
+        if partial and not self.healed:
+            self.edges.keep_absent(command["joint"], ABSENCE)
+            self.schedule(0.3, self.propose_as_operator)
+
+    def tick(self, member: SimulatedPlanner, node: raft.RaftNode) -> None:
+        """Ticks a planner, unless it is paused."""
+        if self.now < member.paused_until:
+            delay = member.paused_until - self.now + WAKE_DELAY
+            self.schedule(delay, self.tick, member, node)
             return
-        super().tick(host, voice)
+        super().tick(member, node)
 
-    def arrive(self, message):
-        host = self.hosts.get(message.receiver)
-        if host is not None and self.now < host.held_until:
-            self.at(host.held_until - self.now, self.arrive, message)
+    def deliver(self, message: raft.Message) -> None:
+        """A message arrives, or waits while its receiver is paused."""
+        member = self.members.get(message.receiver)
+        if member is not None and self.now < member.paused_until:
+            self.schedule(member.paused_until - self.now, self.deliver, message)
             return
-        super().arrive(message)
-
-    def leading(self):
-        return [host for host in super().leading() if self.now >= host.held_until]
-
-    def stop_planner(self):
-        # Aimed: the one that leads is the one that may say too much when it wakes.
-        host = self.chance.choice(self.leading() * 3 + [self.hosts[name] for name in sorted(self.hosts)])
-        host.held_until = self.now + 0.5 * 50 ** self.chance.random()  # to 25 s
-        if self.chance.random() < 0.5:  # and somebody reaches nobody else
-            edge = self.chance.choice(list(self.edges.values()))
-            edge.only, edge.only_until = host.name, host.held_until + 1.0
-
-    def work(self, host):
-        super().work(host)
-        voice = host.voice
-        if voice is None or voice.role != raft.Role.LEADER:
-            host.conduct = None
+        super().deliver(message)
+
+    def leaders(self) -> list[SimulatedPlanner]:
+        """Planners that believe to lead and are not paused."""
+        return [planner for planner in super().leaders() if self.now >= planner.paused_until]
+
+    def pause_planner(self) -> None:
+        """A planner stands still for up to 25 s."""
+        # Aimed: a leader is the one that may promise too much when it wakes.
+        planners = [self.members[name] for name in sorted(self.members)]
+        planner = self.random.choice(self.leaders() * 3 + planners)
+        planner.paused_until = self.now + 0.5 * 50 ** self.random.random()
+        if self.random.random() < ISOLATION_PROBABILITY:  # and some edge reaches nobody else
+            edge = self.edges.draw()
+            edge.only_planner = planner.name
+            edge.only_planner_until = planner.paused_until + 1.0
+
+    def on_lease_request(self, planner_name: str, request: policy.LeaseRequest) -> None:
+        """A lease request arrives at a planner."""
+        planner = self.members[planner_name]
+        if self.now < planner.paused_until:
+            delay = planner.paused_until - self.now
+            self.schedule(delay, self.on_lease_request, planner_name, request)
+        elif planner.node is not None and planner.coordinator is not None:
+            planner.coordinator.on_lease_request(self.now, request, planner.node.round)
+            self.process_ready(planner)
+
+    def process_ready(self, member: SimulatedPlanner) -> None:
+        """Does what the log hands out, and the work of a leader."""
+        super().process_ready(member)
+        node = member.node
+        if node is None or node.role != raft.Role.LEADER:
+            member.coordinator = None
             return
-        if host.conduct is None or host.conduct.term != voice.term:
-            host.conduct = self.conduct(host.register, self.now)
-            host.conduct.term = voice.term
-        if voice.confirmed_round:
-            if host.conduct.state_machine is not host.register:
-                host.conduct.state_machine = host.register
-            for grant in host.conduct.grant_leases(self.now, voice.confirmed_round, voice.term, host.index):
-                self.to_edge(host, grant)
-            order = host.conduct.next_command(self.now)
-            if order is not None:
-                if order["kind"] in ("decide", "end") and self.chance.random() < 0.1 and not self.healing:
-                    self.step_in(voice, order["number"])
-                try:
-                    voice.propose(self.now, json.dumps(order).encode())
-                except raft.ProposalRejectedError:
-                    host.conduct.on_command_rejected()
-                if order["kind"] == "decide" and not self.healing:
-                    self.come_back(order["joint"])
-                super().work(host)
-            # Nodes hear the floor from whoever leads, some later.
-            self.at(0.2, self.raise_floor, host.register.fencing_floor)
-
-    def come_back(self, joint):
-        """Aimed: who was away asks again while it is being decided without it."""
-        for edge in self.edges.values():
-            if edge.name not in joint and edge.holder is not None and self.chance.random() < 0.5:
-                edge.held_until = edge.cut_until = 0.0
-                edge.heard = self.now
-                self.at(self.chance.uniform(0, 0.01), self.ask_once, edge, edge.life)
-
-    def step_in(self, voice, number):
-        """Aimed: a person withdraws a change, and another proposes one, just before it would end."""
-        for order in ({"kind": "withdraw", "number": number}, {"kind": "propose", **self.drawn_policy()}):
-            self.asked += 1
-            known = {"client": f"c{self.asked % 3}", "n": self.asked // 3 + 1, "by": "somebody"}
-            try:
-                voice.propose(self.now, json.dumps({**known, **order}).encode())
-            except raft.ProposalRejectedError:
-                pass
-
-    def stay_away(self, joint):
-        """Aimed: who was away for one change is away for the next one too, and that comes soon."""
-        for edge in self.edges.values():
-            if edge.name not in joint and self.chance.random() < 0.5:
-                edge.cut_until = max(edge.cut_until, self.now + AWAY)
-        self.at(0.3, self.client_once)
-
-    def raise_floor(self, floor):
-        self.floor = max(self.floor, floor)
-
-    def client(self):
-        """People: the first policy, changes, withdrawals, going back; each asked again by chance."""
-        self.client_once()
-        wait = 0.1 if not self.decided else self.chance.uniform(0.5, 8.0)
-        if not self.healing or not self.decided:
-            self.at(wait, self.client)
-
-    def client_once(self):
-        for host in self.leading():
-            if self.order is None or self.chance.random() < 0.8:
-                self.asked += 1
-                self.order = self.drawn_order(host)
-            try:
-                host.voice.propose(self.now, json.dumps(self.order).encode())
-            except raft.ProposalRejectedError:
-                pass
-            self.work(host)
-
-    def drawn_order(self, host):
-        client = {"client": f"c{self.asked % 3}", "n": self.asked // 3 + 1, "by": "somebody"}
-        force, staged = host.register.active, host.register.staged
-        if force is None:
-            return {**client, "kind": "found", "members": sorted(self.edges), **self.drawn_policy()}
-        kind = self.chance.random()
-        gone = [edge.name for edge in self.edges.values() if edge.mute]  # a person's word has to be true
-        if gone and kind > 0.95:
-            return {**client, "kind": "forget", "member": self.chance.choice(gone)}
-        if staged is not None and kind < 0.1:
+        if member.coordinator is None or member.coordinator_term != node.term:
+            member.coordinator = self.parts.coordinator(member.state_machine, self.now)
+            member.coordinator_term = node.term
+        if node.confirmed_round:
+            self._coordinate(member, node)
+
+    def _coordinate(self, planner: SimulatedPlanner, node: raft.RaftNode) -> None:
+        """Grants leases and proposes the coordinator's next command."""
+        coordinator = planner.coordinator
+        coordinator.state_machine = planner.state_machine
+        grants = coordinator.grant_leases(self.now, node.confirmed_round, node.term, planner.applied_index)
+        for grant in grants:
+            self.edges.send_grant(planner.name, grant)
+        command = coordinator.next_command(self.now)
+        if command is not None:
+            self._propose_for_coordinator(planner, command)
+            super().process_ready(planner)
+        self.schedule(FLOOR_DELAY, self.checker.raise_floor, planner.state_machine.fencing_floor)
+
+    def _propose_for_coordinator(self, planner: SimulatedPlanner, command: dict[str, Any]) -> None:
+        coordinator = planner.coordinator
+        ends_change = command["kind"] in ("decide", "end")
+        if ends_change and self.random.random() < INTERVENTION_PROBABILITY and not self.healed:
+            self._intervene(planner, command["number"])
+        if not self.propose(planner, json.dumps(command).encode()):
+            coordinator.on_command_rejected()
+        if command["kind"] == "decide" and not self.healed:
+            self.edges.wake_absent(command["joint"])
+
+    # Operators.
+
+    def run_client(self) -> None:
+        """Operators: the first policy, changes, withdrawals, reverts; each repeated by chance."""
+        self.propose_as_operator()
+        delay = self.random.uniform(0.5, 8.0) if self.checker.decided else 0.1
+        if not self.healed or not self.checker.decided:
+            self.schedule(delay, self.run_client)
+
+    def propose_as_operator(self) -> None:
+        """Gives a new command, or the last one again, to whoever believes to lead."""
+        for planner in self.leaders():
+            if self.operator_command is None or self.random.random() < NEW_COMMAND_PROBABILITY:
+                self.last_command += 1
+                self.operator_command = self._draw_command(planner.state_machine)
+            self.propose(planner, json.dumps(self.operator_command).encode())
+            self.process_ready(planner)
+
+    def _intervene(self, planner: SimulatedPlanner, version: int) -> None:
+        """Aimed: an operator withdraws a change, and another proposes one, just before it would end."""
+        withdraw = {"kind": "withdraw", "number": version}
+        propose = {"kind": "propose", **self._draw_policy()}
+        for command in (withdraw, propose):
+            self.last_command += 1
+            self.propose(planner, json.dumps({**self._client_fields(), **command}).encode())
+
+    def _client_fields(self) -> dict[str, Any]:
+        number = self.last_command
+        return {"client": f"c{number % 3}", "n": number // 3 + 1, "by": "somebody"}
+
+    def _draw_command(self, machine: policy.PolicyStateMachine) -> dict[str, Any]:
+        client = self._client_fields()
+        active, staged = machine.active, machine.staged
+        if active is None:
+            members = sorted(self.edges.by_name)
+            return {**client, "kind": "found", "members": members, **self._draw_policy()}
+        kind = self.random.random()
+        silent = [edge.name for edge in self.edges.all() if edge.silent]  # what operators say has to be true
+        if silent and kind > FORGET_ABOVE:
+            return {**client, "kind": "forget", "member": self.random.choice(silent)}
+        if staged is not None and kind < WITHDRAW_BELOW:
             return {**client, "kind": "withdraw", "number": staged.version}
-        if kind < 0.2:
-            return {**client, "kind": "revert", "number": self.chance.randrange(1, force.version + 2)}
-        base = {"base": force.version} if kind < 0.6 else {}
-        return {**client, "kind": "propose", **base, **self.drawn_policy()}
-
-    def drawn_policy(self):
-        rows = [(folder, limit := self.chance.choice(LIMITS), limit * 2) for folder in FOLDERS]
-        text = f"text {self.asked}"
-        if self.decided and self.chance.random() < self.member_faults.refusals:
-            self.unprovable[text] = self.chance.choice(sorted(self.edges))
-        return {"text": text, "rows": rows}
-
-    # Members.
-
-    def begin(self, edge):
-        """A start: what the disk holds, narrow until a planner answers."""
-        edge.life += 1
-        life = edge.life
-
-        def keep(force, staged):
-            if self.now < edge.full_until:
-                raise OSError("no room")
-            edge.images = [*edge.images, edge.disk][-MOST_IMAGES:]
-            edge.disk = force, staged
-
-        def prove(proposed):
-            return "cannot" if self.unprovable.get(proposed.text) == edge.name else None
-
-        edge.holder = self.holder(edge.name, *edge.disk, prove, keep)
-        edge.heard = self.now
-        self.at(self.chance.uniform(0, ASK), self.ask, edge, life)
-
-    def ask(self, edge, life):
-        if edge.life != life:
-            return
-        self.at(ASK * self.chance.uniform(0.5, 1.0), self.ask, edge, life)
-        self.ask_once(edge, life)
-
-    def ask_once(self, edge, life):
-        if edge.life != life or edge.holder is None:
-            return
-        if edge.mute or self.now < edge.held_until:
-            return
-        if self.now - edge.heard > NO_ANSWER:
-            edge.planner, edge.heard = edge.planner + 1, self.now
-        name = sorted(self.hosts)[edge.planner % len(self.hosts)]
-        ask = edge.holder.lease_request(edge.time(self.now))
-        if edge.reaches(name, self.now):
-            self.carried(edge, self.asked_by, name, ask, self.copies())
-        # Aimed: what it has just said must outlive the instant after it.
-        if (
-            ask.joint_version > edge.said
-            and self.chance.random() < self.member_faults.kills
-            and not self.healing
-        ):
-            self.at(0.001, self.kill_edge, edge)
-        edge.said = max(edge.said, ask.joint_version)
-        # Aimed: it stands still with an answer on its way to it.
-        if self.chance.random() < self.member_faults.stops / 10 and not self.healing:
-            self.stop_edge(edge)
-
-    def copies(self):
-        return max(
-            0, 1 + (self.chance.random() < self.faults.repeated) - (self.chance.random() < self.faults.lost)
-        )
-
-    def carried(self, edge, act, *values):
-        *values, copies = values
-        if self.now < edge.cut_until:
-            return
-        for _ in range(copies):
-            late = 30 if self.chance.random() < 0.05 and not self.healing else 1
-            self.at(self.chance.uniform(*raft_simulation.WAY) * late, act, *values)
-
-    def asked_by(self, name, ask):
-        host = self.hosts[name]
-        if self.now < host.held_until:
-            self.at(host.held_until - self.now, self.asked_by, name, ask)
-        elif host.voice is not None and host.conduct is not None:
-            host.conduct.on_lease_request(self.now, ask, host.voice.round)
-            self.work(host)
-
-    def to_edge(self, host, grant):
-        edge = self.edges[grant.member]
-        if not edge.reaches(host.name, self.now):
-            return
-        self.carried(edge, self.granted, edge, edge.life, grant, self.copies())
-
-    def granted(self, edge, life, grant):
-        if edge.life != life or edge.holder is None:
-            return
-        if self.now < edge.held_until:  # it stands still: what came waits in its socket
-            self.at(edge.held_until - self.now, self.granted, edge, life, grant)
-            return
-        edge.heard = self.now
-        edge.holder.on_grant(edge.time(self.now), grant)
-        self.judge_limits()
-
-    def kill_edge(self, edge=None):
-        edge = edge or self.chance.choice(list(self.edges.values()))
-        edge.life, edge.holder = edge.life + 1, None
-        away = 0.01 * 2_500 ** self.chance.random()  # 10 ms to 25 s
-        if edge.images and self.chance.random() < self.member_faults.images:
-            edge.disk, edge.image_at = self.chance.choice(edge.images), self.now + IMAGE
-        away = max(away, edge.image_at - self.now)  # also where it is killed again meanwhile
-        self.at(away, self.begin_again, edge, edge.life)
-
-    def begin_again(self, edge, life):
-        if edge.life == life:
-            self.begin(edge)
-            self.judge_limits()
-
-    def stop_edge(self, edge=None):
-        edge = edge or self.chance.choice(list(self.edges.values()))
-        edge.held_until = self.now + 0.2 * 120 ** self.chance.random()  # to 24 s
-        self.at(edge.held_until - self.now, self.judge_limits)
-
-    def cut_edge(self):
-        edge = self.chance.choice(list(self.edges.values()))
-        edge.cut_until = self.now + 0.5 * 60 ** self.chance.random()
-
-    def fill_disk(self):
-        edge = self.chance.choice(list(self.edges.values()))
-        edge.full_until = self.now + self.chance.uniform(1, 15)
-
-    def quiet(self):
-        super().quiet()
-        for host in self.hosts.values():
-            host.held_until = 0.0
-        for edge in self.edges.values():
-            edge.held_until = edge.cut_until = edge.full_until = edge.only_until = 0.0
-
-    # The judge.
-
-    def judge_limits(self):
-        """All that members may use at this instant, against the limits decided last."""
-        if not self.decided:
-            return
-        self.checked += 1
-        known = {made.version for made in self.decided}
-        limits, used = self.decided[-1].limits(), {}
-        for edge in self.edges.values():
-            holder = edge.holder
-            if holder is None or self.now < edge.held_until or not holder.is_serving():
-                continue
-            if holder.active_version not in known:
-                raise Breach(
-                    f"{self.now:.3f} {edge.name} serves under {holder.active_version}, never decided"
-                )
-            if holder.newest_version < self.floor and self.fences:
-                holder.on_fenced(self.floor)  # the first operation tells it
-                continue
-            for folder, both in holder.effective_limits(edge.time(self.now)).items():
-                row = used.setdefault(folder, [0.0, 0.0])
-                for place, value in enumerate(both):
-                    row[place] += value / len(self.edges)
-        for folder, row in used.items():
-            for value, limit, what in zip(row, limits[folder], ("limit", "burst")):
-                if value > limit + EPSILON:
-                    who = ", ".join(
-                        f"{edge.name} {edge.holder and edge.holder.active_version}"
-                        for edge in self.edges.values()
-                    )
-                    raise Breach(
-                        f"{self.now:.3f} {what} of {folder} is {limit:g} by "
-                        f"{self.decided[-1].version}; members go by {value:g}: {who}"
-                    )
-
-    def settled(self):
-        """After a quiet time: one number everywhere, nothing under way, nobody narrow but the mute."""
-        if not self.decided:
-            raise Breach("no policy was ever decided")
-        for host in self.hosts.values():
-            if host.register.staged is not None:
-                raise Breach(f"change {host.register.staged.version} hangs at {host.name}")
-        for edge in self.edges.values():
-            refuses = self.unprovable.get(self.decided[-1].text) == edge.name
-            if edge.mute or refuses:
-                continue
-            if edge.holder.active_version != self.decided[-1].version or edge.holder.is_degraded(
-                edge.time(self.now)
-            ):
-                raise Breach(
-                    f"{edge.name} goes by {edge.holder.active_version}, {self.decided[-1].version} is in force"
-                )
-        return self
-
-
-PLAY, HEAL = 130.0, 70.0  # seconds of a seed, and when its faults end
-
-
-def played(seed, **other) -> World:
-    """One seed, whole: `Breach` where anything was found."""
-    world = World(seed, planners=1 + 2 * (seed % 3 > 0), members=3 + seed % 4, **other)
-    return world.play(PLAY, HEAL).settled()
+        if kind < REVERT_BELOW:
+            return {**client, "kind": "revert", "number": self.random.randrange(1, active.version + 2)}
+        base = {"base": active.version} if kind < BASED_BELOW else {}
+        return {**client, "kind": "propose", **base, **self._draw_policy()}
+
+    def _draw_policy(self) -> dict[str, Any]:
+        limits = [(folder, self.random.choice(LIMITS)) for folder in FOLDERS]
+        text = f"text {self.last_command}"
+        if self.checker.decided and self.random.random() < self.edges.faults.rejections:
+            self.edges.rejecting_edge[text] = self.random.choice(sorted(self.edges.by_name))
+        return {"text": text, "rows": [(folder, limit, limit * 2) for folder, limit in limits]}
+
+
+def run_seed(seed: int, *, parts: PolicyParts = REAL_PARTS, fencing: bool = True) -> PolicySimulation:
+    """Runs one seed to its end.
+
+    Raises:
+        InvariantViolationError: The checker found something.
+    """
+    planners = 1 + 2 * (seed % 3 > 0)
+    simulation = PolicySimulation(seed, planners, edges=3 + seed % 4, parts=parts, fencing=fencing)
+    return simulation.run(DURATION, HEAL_AT).check_settled()
--- a/rushmux/standins/raft_simulation.py
+++ b/rushmux/standins/raft_simulation.py
@@ -1,274 +1,320 @@
-"""A world for the planners' log: a network that loses, repeats, delays and cuts, disks that a kill leaves as
-they were synced, and a judge that knows nothing of the code but what members wrote, sent and applied.
+"""Simulation of a Raft cluster under faults, with a checker of its safety and liveness.
 
-All follows from the seed.  A faulty `RaftNode` may be handed in: the judge has to find what is wrong with it.
+The network loses, repeats, delays and partitions; members crash at any step and restart from what was
+synced.  `raft_simulation_checker` checks safety at each step, and progress once the faults have ended.
+
+All follows from the seed.  A mutant of `RaftNode` may be handed in: the checker has to find what is wrong.
 """
 
 import heapq
 import random
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, Self
 
 from rushmux.fleet import raft
-
-TICK = 0.1  # seconds between two ticks of a member
-WAY = (0.0005, 0.03)  # seconds of a message on its way; one in ten takes ten times as long
-MOST_EVENTS = 200_000  # of one play: it ends, whatever the members do
-ORDERS = "orders"  # the state: every order that was applied, in turn
-
-
-class Breach(AssertionError):
-    """What must never be, with the time and who."""
-
-
-class Faults(NamedTuple):
-    """How much goes wrong; a seed has its own."""
-
-    lost: float  # part of messages
-    repeated: float
-    kills: float  # a second, over all members
-    cuts: float  # a second; each for up to three seconds
-    changes: float  # of members, a second
-
-
-def drawn(chance) -> Faults:
-    """Swarm testing: each seed leaves some faults out and has much of others."""
-
-    def some(most):
-        return most * chance.random() ** 2 if chance.random() < 0.7 else 0.0
-
-    return Faults(some(0.4), some(0.3), some(1.5), some(1.0), some(0.8))
-
-
-class Host:
-    """A member's process and its disk.  `kept` is what survives a kill."""
-
-    def __init__(self, name, kept):
-        self.name, self.kept, self.voice, self.orders, self.sessions = (
-            name,
-            kept,
-            None,
-            [],
-            raft.ClientSessions(),
-        )
-
-    def disk(self, ready):
-        """Writes and syncs what is handed out."""
-        kept = self.kept
-        entries = dict(enumerate(kept.entries, kept.snapshot.index + 1))
+from rushmux.standins.raft_simulation_checker import RaftChecker
+from rushmux.standins.raft_simulation_faults import CRASHES, NO_FAULTS, CrashPoint, draw_fault_rates
+
+TICK_INTERVAL = 0.1  # seconds between two ticks of a member, on average
+NETWORK_DELAY = (0.0005, 0.03)  # seconds, least and most
+SLOW_MESSAGE_FACTOR = 10
+SLOW_MESSAGE_PROBABILITY = 0.1
+CUT_OFF_PROBABILITY = 0.4  # of each member, by a partition
+BOTH_WAYS_PROBABILITY = 0.6  # that a partition cuts both directions
+NEW_COMMAND_PROBABILITY = 0.7  # that a client goes on to its next command
+MAX_EVENTS = 200_000  # of one run: it ends, whatever the members do
+MAX_MEMBERS_BEFORE_REMOVAL = 3
+COMPACT_AT_ENTRIES = 40  # in memory, of which half are applied
+
+
+class SimulatedMember:
+    """A member's process and its disk; `disk` is what survives a crash."""
+
+    def __init__(self, name: str, disk: raft.PersistentState):
+        self.name = name
+        self.disk = disk
+        self.node: raft.RaftNode | None = None
+        """None while it is down."""
+        self.commands: list[str] = []
+        """The state machine: every command that was applied, in turn."""
+        self.sessions = raft.ClientSessions()
+
+    def persist(self, ready: raft.Ready) -> None:
+        """Writes and syncs what was handed out."""
+        disk = self.disk
+        entries = dict(enumerate(disk.entries, disk.snapshot.index + 1))
         if ready.truncate_from is not None:
             entries = {index: entry for index, entry in entries.items() if index < ready.truncate_from}
         entries.update(ready.entries)
-        snapshot = ready.snapshot or kept.snapshot
-        term, voted = ready.hard_state or (kept.term, kept.voted_for)
-        rows = [entries[index] for index in range(snapshot.index + 1, max([snapshot.index, *entries]) + 1)]
-        self.kept = raft.PersistentState(term, voted, snapshot, tuple(rows))
-
-
-class World:
-    """Members that play together until a time; `make` builds one."""
-
-    host = Host
-
-    def __init__(self, seed, members=3, make=raft.RaftNode):
-        self.chance = random.Random(seed)
-        self.make, self.faults, self.now, self.number = make, drawn(self.chance), 0.0, 0
-        self.events, self.cut, self.leaders, self.applied, self.promised = [], {}, {}, {}, {}
+        snapshot = ready.snapshot or disk.snapshot
+        term, voted_for = ready.hard_state or (disk.term, disk.voted_for)
+        last_index = max([snapshot.index, *entries])
+        rows = [entries[index] for index in range(snapshot.index + 1, last_index + 1)]
+        self.disk = raft.PersistentState(term, voted_for, snapshot, tuple(rows))
+
+
+class RaftSimulation:
+    """Members that run together on simulated time.
+
+    Args:
+        seed: All follows from it.
+        members: How many there are at the start.
+        node_class: `RaftNode`, or a mutant of it.
+    """
+
+    member_class = SimulatedMember
+
+    def __init__(self, seed: int, members: int = 3, node_class: type[raft.RaftNode] = raft.RaftNode):
+        self.random = random.Random(seed)
+        self.node_class = node_class
+        self.faults = draw_fault_rates(self.random)
+        self.now = 0.0
+        self.healed = False
+        self.scheduled = 0
+        self.events: list[tuple[float, int, Callable, tuple]] = []
+        self.blocked_links: dict[tuple[str, str], bool] = {}
+        """Links from a sender to a receiver that carry nothing now."""
+        self.log_checker = RaftChecker()
+        self.last_command = 0
+        self.next_member_number = members
         names = [f"p{number}/1" for number in range(members)]
-        self.hosts = {name: self.host(name, raft.bootstrap(names)) for name in names}
-        self.asked, self.spare, self.healing = 0, members, False
-        self.decided_at = self.quiet_decided = 0.0
+        self.members = {name: self.member_class(name, raft.bootstrap(names)) for name in names}
         for name in names:
-            self.start(name)
-        self.at(0.5, self.client)
-        for rate, act in (
-            (self.faults.kills, self.kill),
-            (self.faults.cuts, self.divide),
-            (self.faults.changes, self.change),
-        ):
-            if rate:
-                self.again(rate, act)
+            self.start_member(name)
+        self.schedule(0.5, self.run_client)
+        self.schedule_faults(self.faults.crashes, self.crash_random_member)
+        self.schedule_faults(self.faults.partitions, self.partition_network)
+        self.schedule_faults(self.faults.membership_changes, self.change_membership)
 
     # Time.
 
-    def at(self, after, act, *values):
-        self.number += 1
-        heapq.heappush(self.events, (self.now + after, self.number, act, values))
+    def schedule(self, delay: float, action: Callable[..., Any], *arguments: Any) -> None:
+        """Calls an action after some simulated seconds."""
+        self.scheduled += 1
+        heapq.heappush(self.events, (self.now + delay, self.scheduled, action, arguments))
 
-    def again(self, rate, act):
-        def once():
-            if not self.healing:
-                act()
-                self.again(rate, act)
+    def schedule_faults(self, rate: float, action: Callable[[], None]) -> None:
+        """Repeats a fault at a mean rate a second until the simulation heals."""
+        if not rate:
+            return
+
+        def strike() -> None:
+            if not self.healed:
+                action()
+                self.schedule_faults(rate, action)
 
-        self.at(self.chance.expovariate(rate), once)
+        self.schedule(self.random.expovariate(rate), strike)
 
-    def play(self, until, heal=None):
-        """Faults until `heal`, then a quiet time in which the log must go on; None: there is none."""
-        if heal is not None:
-            self.at(heal, self.quiet)
-        for _ in range(MOST_EVENTS):
+    def run(self, until: float, heal_at: float | None = None) -> Self:
+        """Runs with faults up to `heal_at`, then without: the log must go on then.
+
+        Raises:
+            InvariantViolationError: The checker found something.
+        """
+        if heal_at is not None:
+            self.schedule(heal_at, self.heal)
+        for _ in range(MAX_EVENTS):
             if not self.events or self.events[0][0] > until:
                 break
-            self.now, _, act, values = heapq.heappop(self.events)
-            act(*values)
-        if heal is not None and self.decided_at <= heal:
-            raise Breach(f"nothing was decided in {until - heal:.0f} quiet seconds")
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+        if heal_at is not None:
+            self.log_checker.check_progress(heal_at, until)
         return self
 
-    def quiet(self):
-        self.healing, self.cut = True, {}
-        self.faults = Faults(0, 0, 0, 0, 0)
+    def heal(self) -> None:
+        """All faults end."""
+        self.healed = True
+        self.blocked_links = {}
+        self.faults = NO_FAULTS
 
     # Members.
 
-    def start(self, name):
-        host = self.hosts[name]
-        host.voice = self.make(name, host.kept, self.now, self.chance.randrange)
-        self.restore(host, host.kept.snapshot)
-        self.at(self.chance.uniform(0, TICK), self.tick, host, host.voice)
-
-    def restore(self, host, snapshot):
-        rows = snapshot.state.decode().split("\n")
-        host.orders = [row for row in rows[0].split(" ") if row]
-        host.sessions = raft.ClientSessions(
-            [
-                (client, int(last), answer)
-                for client, last, answer in (row.split(" ") for row in rows[1:] if row)
-            ]
+    def start_member(self, name: str) -> None:
+        """Starts a member from its disk."""
+        member = self.members[name]
+        member.node = self.node_class(name, member.disk, self.now, self.random.randrange)
+        self.restore(member, member.disk.snapshot)
+        self.schedule(self.random.uniform(0, TICK_INTERVAL), self.tick, member, member.node)
+
+    def restore(self, member: SimulatedMember, snapshot: raft.Snapshot) -> None:
+        """Gives a member the state of a snapshot."""
+        commands, *sessions = snapshot.state.decode().split("\n")
+        member.commands = [command for command in commands.split(" ") if command]
+        rows = (row.split(" ") for row in sessions if row)
+        member.sessions = raft.ClientSessions(
+            [(client, int(sequence), answer) for client, sequence, answer in rows]
         )
 
-    def state(self, host):
-        rows = [" ".join(map(str, row)) for row in host.sessions.to_rows()]
-        return "\n".join([" ".join(host.orders), *rows]).encode()
-
-    def tick(self, host, voice):
-        if host.voice is voice:
-            voice.tick(self.now)
-            self.work(host)
-            self.at(TICK * self.chance.uniform(0.8, 1.2), self.tick, host, voice)
-
-    def work(self, host):
-        """Does what a member hands out, or dies at one of the steps."""
-        voice = host.voice
-        while voice is not None and host.voice is voice and (ready := voice.ready()) is not None:
-            # Aimed: what a vote promises must outlive the instant after it.
-            part = self.faults.kills / (10 if ready.hard_state else 100)
-            dies = self.chance.randrange(4) if self.chance.random() < part else 9
-            if dies == 0:
-                return self.die(host)
-            host.disk(ready)
-            if dies == 1:
-                return self.die(host)
-            for place, message in enumerate(ready.messages):
-                if dies == 2 and place >= len(ready.messages) / 2:
-                    return self.die(host)
-                self.send(message)
-            if ready.restore is not None:
-                self.restore(host, ready.restore)
-            for index, entry in ready.committed:
-                self.apply(host, index, entry)
-            if dies == 3:
-                return self.die(host)
-            voice.on_persisted(self.now, ready)
-            self.judge(host)
-            if len(voice.log) > 40 and voice.last_applied > voice.snapshot.index + 20:
-                voice.compact(voice.last_applied, self.state(host))
-
-    def apply(self, host, index, entry):
-        known = self.applied.setdefault(index, entry)
-        if known != entry:
-            raise Breach(f"{self.now:.3f} {host.name} applies {entry} at {index}, where {known} was applied")
-        self.decided_at = self.now
-        if entry.kind == raft.EntryKind.COMMAND:
-            client, number, order = entry.body.decode().split(" ")
-            host.sessions.apply_once(client, int(number), lambda: host.orders.append(order) or "done")
-            if len(set(host.orders)) != len(host.orders):
-                raise Breach(f"{self.now:.3f} {host.name} applies order {order} twice")
-
-    def judge(self, host):
-        voice = host.voice
-        if voice.role == raft.Role.LEADER:
-            other = self.leaders.setdefault(voice.term, host.name)
-            if other != host.name:
-                raise Breach(f"{self.now:.3f} {host.name} and {other} lead in term {voice.term}")
+    def snapshot_state(self, member: SimulatedMember) -> bytes:
+        """A member's state, as `restore` takes it."""
+        sessions = [" ".join(map(str, row)) for row in member.sessions.to_rows()]
+        return "\n".join([" ".join(member.commands), *sessions]).encode()
+
+    def tick(self, member: SimulatedMember, node: raft.RaftNode) -> None:
+        """Ticks a member, again and again while it runs."""
+        if member.node is node:
+            node.tick(self.now)
+            self.process_ready(member)
+            delay = TICK_INTERVAL * self.random.uniform(0.8, 1.2)
+            self.schedule(delay, self.tick, member, node)
+
+    def process_ready(self, member: SimulatedMember) -> None:
+        """Does what a member hands out until there is nothing, or crashes at one of the steps."""
+        node = member.node
+        while node is not None and member.node is node and (ready := node.ready()) is not None:
+            if not self._carry_out(member, node, ready):
+                self.crash(member)
+                return
+            node.on_persisted(self.now, ready)
+            self.log_checker.check_leader(self.now, node)
+            if len(node.log) > COMPACT_AT_ENTRIES:
+                applied = node.last_applied - node.snapshot.index
+                if applied > COMPACT_AT_ENTRIES / 2:
+                    node.compact(node.last_applied, self.snapshot_state(member))
+
+    def _carry_out(self, member: SimulatedMember, node: raft.RaftNode, ready: raft.Ready) -> bool:
+        """Persists, sends and applies; False where the member is to crash before it is through."""
+        crash_point = self._draw_crash_point(ready)
+        if crash_point == CrashPoint.BEFORE_PERSIST:
+            return False
+        member.persist(ready)
+        if crash_point == CrashPoint.AFTER_PERSIST:
+            return False
+        for number, message in enumerate(ready.messages):
+            if crash_point == CrashPoint.WHILE_SENDING and number >= len(ready.messages) / 2:
+                return False
+            self.send(message)
+        if ready.restore is not None:
+            self.restore(member, ready.restore)
+        for index, entry in ready.committed:
+            self.apply(member, index, entry)
+        return crash_point != CrashPoint.AFTER_APPLY
+
+    def _draw_crash_point(self, ready: raft.Ready) -> CrashPoint:
+        # Aimed: what a vote promises must outlive the instant after it.
+        probability = self.faults.crashes / (10 if ready.hard_state else 100)
+        crashes = self.random.random() < probability
+        return CRASHES[self.random.randrange(len(CRASHES))] if crashes else CrashPoint.NEVER
+
+    def apply(self, member: SimulatedMember, index: int, entry: raft.Entry) -> None:
+        """Applies a committed entry, which must be the same at every member."""
+        self.log_checker.on_applied(self.now, member.name, index, entry)
+        if entry.kind != raft.EntryKind.COMMAND:
+            return
+        client, sequence, command = entry.body.decode().split(" ")
+
+        def append() -> str:
+            member.commands.append(command)
+            return "done"
 
-    # Network.
+        member.sessions.apply_once(client, int(sequence), append)
+        self.log_checker.check_commands(self.now, member.name, member.commands)
 
-    def send(self, message):
-        copies = 1 + (self.chance.random() < self.faults.repeated) - (self.chance.random() < self.faults.lost)
-        for _ in range(max(0, copies)):
-            way = self.chance.uniform(*WAY) * (10 if self.chance.random() < 0.1 and not self.healing else 1)
-            self.at(way, self.arrive, message)
+    # Network.
 
-    def arrive(self, message):
-        host = self.hosts.get(message.receiver)
-        if host is None or host.voice is None or (message.sender, message.receiver) in self.cut:
+    def send(self, message: raft.Message) -> None:
+        """Puts a message on the network: it arrives never, once or twice, some time later."""
+        for _ in range(self.draw_copies()):
+            delay = self.random.uniform(*NETWORK_DELAY)
+            if self.random.random() < SLOW_MESSAGE_PROBABILITY and not self.healed:
+                delay *= SLOW_MESSAGE_FACTOR
+            self.schedule(delay, self.deliver, message)
+
+    def draw_copies(self) -> int:
+        """How often a message arrives."""
+        duplicated = self.random.random() < self.faults.duplication
+        lost = self.random.random() < self.faults.loss
+        return max(0, 1 + duplicated - lost)
+
+    def deliver(self, message: raft.Message) -> None:
+        """A message arrives, where its receiver is up and the link is not blocked."""
+        member = self.members.get(message.receiver)
+        if member is None or member.node is None:
+            return
+        if (message.sender, message.receiver) in self.blocked_links:
             return
-        host.voice.receive(self.now, message)
-        self.work(host)
+        member.node.receive(self.now, message)
+        self.process_ready(member)
 
     # Faults.
 
-    def die(self, host):
-        host.voice = None
-        self.at(0.002 * 1000 ** self.chance.random(), self.start, host.name)  # 2 ms to 2 s
-
-    def kill(self):
-        host = self.chance.choice([self.hosts[name] for name in sorted(self.hosts)])
-        if host.voice is not None:
-            self.die(host)
-
-    def divide(self):
-        """Cuts some from the others, both ways or one."""
-        names = sorted(self.hosts)
-        group = [name for name in names if self.chance.random() < 0.4]
-        both = self.chance.random() < 0.6
-        for one in group:
+    def crash(self, member: SimulatedMember) -> None:
+        """A member goes down, and restarts after 2 ms to 2 s."""
+        member.node = None
+        self.schedule(0.002 * 1000 ** self.random.random(), self.start_member, member.name)
+
+    def crash_random_member(self) -> None:
+        """One member goes down, unless it is down already."""
+        member = self.random.choice([self.members[name] for name in sorted(self.members)])
+        if member.node is not None:
+            self.crash(member)
+
+    def partition_network(self) -> None:
+        """Cuts some members off from the others, in both directions or one."""
+        names = sorted(self.members)
+        group = [name for name in names if self.random.random() < CUT_OFF_PROBABILITY]
+        both_ways = self.random.random() < BOTH_WAYS_PROBABILITY
+        for name in group:
             for other in names:
                 if other not in group:
-                    self.cut[one, other] = True
-                    if both:
-                        self.cut[other, one] = True
-        self.at(self.chance.uniform(0.2, 3.0), self.cut.clear)
-
-    def change(self):
-        """Takes in a new member, or lets one go."""
-        for host in self.leading():
-            members = host.voice.members
+                    self.blocked_links[name, other] = True
+                    if both_ways:
+                        self.blocked_links[other, name] = True
+        self.schedule(self.random.uniform(0.2, 3.0), self.blocked_links.clear)
+
+    def change_membership(self) -> None:
+        """Adds a new member, or removes one."""
+        for member in self.leaders():
             try:
-                if len(members) <= 3:
-                    learns = next((name for name in sorted(host.voice.learners)), None)
-                    if learns is None:
-                        name, self.spare = f"p{self.spare}/1", self.spare + 1
-                        empty = raft.PersistentState(0, None, raft.Snapshot(0, 0, (), b""))
-                        self.hosts[name] = self.host(name, empty)
-                        self.start(name)
-                        host.voice.add_learner(self.now, name)
-                    else:
-                        host.voice.change_members(self.now, [*members, learns])
+                if len(member.node.members) <= MAX_MEMBERS_BEFORE_REMOVAL:
+                    self._add_member(member.node)
                 else:
-                    gone = self.chance.choice(members)
-                    host.voice.change_members(self.now, [name for name in members if name != gone])
+                    self._remove_member(member.node)
             except raft.ProposalRejectedError:
                 pass
-            self.work(host)
+            self.process_ready(member)
 
-    def leading(self):
+    def _add_member(self, leader: raft.RaftNode) -> None:
+        learner = min(leader.learners, default=None)
+        if learner is not None:
+            leader.change_members(self.now, [*leader.members, learner])
+            return
+        name = f"p{self.next_member_number}/1"
+        self.next_member_number += 1
+        empty = raft.PersistentState(0, None, raft.Snapshot(0, 0, (), b""))
+        self.members[name] = self.member_class(name, empty)
+        self.start_member(name)
+        leader.add_learner(self.now, name)
+
+    def _remove_member(self, leader: raft.RaftNode) -> None:
+        removed = self.random.choice(leader.members)
+        leader.change_members(self.now, [name for name in leader.members if name != removed])
+
+    def leaders(self) -> list[SimulatedMember]:
+        """Members that believe to lead."""
         return [
-            host
-            for _, host in sorted(self.hosts.items())
-            if host.voice is not None and host.voice.role == raft.Role.LEADER
+            member
+            for _, member in sorted(self.members.items())
+            if member.node is not None and member.node.role == raft.Role.LEADER
         ]
 
-    def client(self):
-        """Asks whoever believes to lead; asks again for what it does not know to be ready."""
-        for host in self.leading():
-            if self.chance.random() < 0.7:
-                self.asked += 1
-            body = f"c{self.asked % 3} {self.asked // 3 + 1} o{self.asked}".encode()
-            try:
-                host.voice.propose(self.now, body)
-            except raft.ProposalRejectedError:
-                pass
-            self.work(host)
-        self.at(self.chance.uniform(0.02, 0.2), self.client)
+    # Clients.
+
+    def run_client(self) -> None:
+        """Proposes to whoever believes to lead; proposes again what it does not know to be done."""
+        for member in self.leaders():
+            if self.random.random() < NEW_COMMAND_PROBABILITY:
+                self.last_command += 1
+            number = self.last_command
+            self.propose(member, f"c{number % 3} {number // 3 + 1} o{number}".encode())
+            self.process_ready(member)
+        self.schedule(self.random.uniform(0.02, 0.2), self.run_client)
+
+    def propose(self, member: SimulatedMember, body: bytes) -> bool:
+        """Proposes a command to a member; whether it took it."""
+        try:
+            member.node.propose(self.now, body)
+        except raft.ProposalRejectedError:
+            return False
+        return True
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -23,6 +23,8 @@
     policy_to_json,
 )
 from rushmux.standins import policy_mutants, policy_simulation
+from rushmux.standins.policy_parts import REAL_PARTS
+from rushmux.standins.raft_simulation_checker import InvariantViolationError
 
 SEEDS = 60
 
@@ -30,7 +32,7 @@
 def test_drawn_faults_pass_no_limit_and_in_a_quiet_time_all_go_by_one_number():
     ends = {"decide": 0, "end": 0, "withdraw": 0}
     for seed in range(SEEDS):
-        for end in policy_simulation.played(seed).outcomes.values():
+        for end in policy_simulation.run_seed(seed).checker.outcomes.values():
             ends[end] += 1
     assert ends["decide"] > 3 * SEEDS and ends["end"] > SEEDS / 3 and ends["withdraw"] > SEEDS / 10
 
@@ -39,20 +41,20 @@
 @pytest.mark.parametrize(
     "defect",
     [
-        policy_mutants.YesBeforeItsDisk,
-        policy_mutants.NeverNarrow,
-        policy_mutants.UpBeforeDown,
-        policy_mutants.OldLeasesForgotten,
-        policy_mutants.OwnLeasesForgotten,
-        policy_mutants.JointIsForgotten,
+        policy_mutants.JointBeforePersisted,
+        policy_mutants.NeverDegraded,
+        policy_mutants.RaisesBeforeDecided,
+        policy_mutants.IgnoresPredecessorLeases,
+        policy_mutants.ForgetsOwnLeases,
+        policy_mutants.ForgetsStagedAtStart,
     ],
     ids=lambda defect: defect.__name__,
 )
 def test_a_part_that_is_wrong_in_one_thing_is_found(defect):
     def found(seed):
         try:
-            policy_simulation.played(seed, parts=policy_mutants.parts(defect))
-        except policy_simulation.Breach:
+            policy_simulation.run_seed(seed, parts=REAL_PARTS.with_mutant(defect))
+        except InvariantViolationError:
             return True
         return False
 
--- a/tests/fleet/test_raft.py
+++ b/tests/fleet/test_raft.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux.fleet import raft
-from rushmux.standins.raft_simulation import World
+from rushmux.standins.raft_simulation import RaftSimulation
 
 SEEDS = 150
 
@@ -11,10 +11,12 @@
 def test_drawn_faults_undo_nothing_and_in_a_quiet_time_the_log_goes_on():
     most, changed, killed = 0, 0, 0
     for seed in range(SEEDS):
-        world = World(seed, members=3 + seed % 3).play(until=26.0, heal=18.0)
-        most = max(most, max(world.applied))
-        changed += any(entry.kind == raft.EntryKind.CONFIGURATION for entry in world.applied.values())
-        killed += any(host.kept.snapshot.index for host in world.hosts.values())
+        world = RaftSimulation(seed, members=3 + seed % 3).run(until=26.0, heal_at=18.0)
+        most = max(most, max(world.log_checker.applied_entries))
+        changed += any(
+            entry.kind == raft.EntryKind.CONFIGURATION for entry in world.log_checker.applied_entries.values()
+        )
+        killed += any(member.disk.snapshot.index for member in world.members.values())
     assert most > 200 and changed > SEEDS / 5 and killed > SEEDS / 3
 
 
@@ -90,7 +92,7 @@
 def test_a_member_that_is_wrong_in_one_thing_is_found(defect):
     def found(seed):
         try:
-            World(seed, members=3 + seed % 3, make=defect).play(until=18.0)
+            RaftSimulation(seed, members=3 + seed % 3, node_class=defect).run(until=18.0)
         except AssertionError:  # a breach, or the log's own check that nothing decided is dropped
             return True
         return False
