--- a/rushmux/settings/deployment_checks.py
+++ b/rushmux/settings/deployment_checks.py
@@ -10,7 +10,7 @@
 
 import jsonschema
 
-from rushmux.fleet.quotas import SAFE
+from rushmux.fleet.quotas import SAFE_FRACTION
 from rushmux.routes import resolve
 
 SCHEMA = json.loads(Path(__file__).with_name("schema.json").read_text())
@@ -102,9 +102,9 @@
         if plan.get("limit") and burst < max_units * gateways:
             why = "one largest operation for each gateway, or a part of the burst holds none"
             yield burst_place, f"{burst} is under {max_units * gateways}: {why}"
-        if plan.get("limit") and fleet.get("shares") and burst * SAFE / gateways < max_units:
+        if plan.get("limit") and fleet.get("shares") and burst * SAFE_FRACTION / gateways < max_units:
             why = "a safe part of it holds no largest operation"
-            yield burst_place, f"{burst} is under {max_units * gateways / SAFE:g}: {why}"
+            yield burst_place, f"{burst} is under {max_units * gateways / SAFE_FRACTION:g}: {why}"
 
 
 def _folder_faults(raw: dict) -> Iterator[Fault]:
--- a/rushmux/standins/policy_mutants.py
+++ b/rushmux/standins/policy_mutants.py
@@ -1,205 +1,234 @@
-"""Seeded defects of the fleet's policy: each is a part that is wrong in one thing.  The judge of `policies`
-has to find every one of them; tests and the measurement say within how many seeds.
+"""Mutants of the policy's rollout: each is one of its three parts with one defect.
+
+The checker of `policy_simulation` has to find every one of them; tests and `benchmarks/policy.py` say within
+how many seeds.
 """
 
 from rushmux.fleet import policy
-from rushmux.fleet.policy import Conduct, Holder, Register
+from rushmux.fleet.errors import CommandRejectedError
+from rushmux.fleet.policy import PolicyMember, PolicyStateMachine, RolloutCoordinator
+
+# The member's side.
 
 
-class YesBeforeItsDisk(Holder):
-    """Says that it is joint and has not kept it."""
+class JointBeforePersisted(PolicyMember):
+    """Reports that it is joint, and has not persisted it."""
 
-    def __init__(self, *values):
-        super().__init__(*values)
-        whole = self.keep
-        self.keep = lambda force, staged: whole(force, None)
+    def __init__(self, name, active, staged, validate, persist):
+        super().__init__(name, active, staged, validate, lambda active, staged: persist(active, None))
 
 
-class LeaseFromTheAnswer(Holder):
-    """Counts its lease from when the answer came."""
+class LeaseFromGrant(PolicyMember):
+    """Counts its lease from when the grant arrived."""
 
-    def granted(self, now, grant):
-        if grant.ask in self.asks:
-            self.asks[grant.ask] = now
-        return super().granted(now, grant)
+    def on_grant(self, now, grant):
+        """As the original, but for the start of the lease."""
+        if grant.request_id in self.sent_at:
+            self.sent_at[grant.request_id] = now
+        return super().on_grant(now, grant)
 
 
-class NeverNarrow(Holder):
-    """Goes on as before when it hears of no planner."""
+class NeverDegraded(PolicyMember):
+    """Goes on as before without a lease."""
 
-    def narrow(self, now):
+    def is_degraded(self, now):
+        """Never."""
         return False
 
 
-class UpBeforeDown(Holder):
-    """Goes by the new limits as soon as a change is staged."""
+class RaisesBeforeDecided(PolicyMember):
+    """Applies the new limits as soon as a change is staged."""
+
+    def effective_limits(self, now):
+        """The staged limits."""
+        if not self.is_serving():
+            return {}
+        fraction = policy.DEGRADED_FRACTION if self.is_degraded(now) else 1.0
+        known = (self.staged or self.active).limits()
+        return {folder: (fraction * limit, fraction * burst) for folder, (limit, burst) in known.items()}
 
-    def limits(self, now):
-        known = self.staged or self.force
-        return (
-            {
-                folder: tuple(policy.NARROW * value if self.narrow(now) else value for value in both)
-                for folder, both in known.limits().items()
-            }
-            if self.serves()
-            else {}
-        )
 
+class BelievesOldGrants(PolicyMember):
+    """Takes an older position of the log for the newest."""
 
-class BelievesOldWords(Holder):
-    """Takes an older state of the log for the newest."""
+    def on_grant(self, now, grant):
+        """As the original, whatever was seen before."""
+        self.last_grant_position = policy.LogPosition(0, 0)
+        return super().on_grant(now, grant)
 
-    def granted(self, now, grant):
-        self.seen = 0, 0
-        return super().granted(now, grant)
 
+class ForgetsStagedAtStart(PolicyMember):
+    """A start drops what was staged."""
 
-class JointIsForgotten(Holder):
-    """A start drops what was under way."""
+    def __init__(self, name, active, staged, validate, persist):
+        super().__init__(name, active, None, validate, persist)
 
-    def __init__(self, member, force, staged, prove, keep):
-        super().__init__(member, force, None, prove, keep)
 
+class LeaseWithoutClock(PolicyMember):
+    """Judges its lease by when it sent its last request, not by its clock."""
 
-class WakesWithItsLease(Holder):
-    """Counts its lease by what it last looked at, not by its clock."""
+    def effective_limits(self, now):
+        """As the original, at an older time."""
+        if self.lease_expiry is not None:
+            now = max(self.sent_at.values(), default=0.0)
+        return super().effective_limits(now)
 
-    def limits(self, now):
-        return super().limits(max(self.asks.values(), default=0.0) if self.until is not None else now)
 
+# The leader's side.
 
-class OldLeasesForgotten(Conduct):
-    """Does not wait for what the planner before it answered."""
 
-    def __init__(self, register, now):
-        super().__init__(register, now)
-        self.open_at = now
+class IgnoresPredecessorLeases(RolloutCoordinator):
+    """Does not wait for leases that the leader before it granted."""
 
+    def __init__(self, state_machine, now):
+        super().__init__(state_machine, now)
+        self.predecessor_leases_end = now
 
-class OwnLeasesForgotten(Conduct):
-    """Takes who did not answer for who is away."""
 
-    def answer(self, now, ask, term, index):
-        grant = super().answer(now, ask, term, index)
-        self.until.pop(ask.member, None)
-        self.open_at = 0.0
+class ForgetsOwnLeases(RolloutCoordinator):
+    """Takes a member that did not answer for one without a lease."""
+
+    def grant_lease(self, now, request, term, index):
+        """As the original, and forgets it."""
+        grant = super().grant_lease(now, request, term, index)
+        self.lease_expiry.pop(request.member, None)
+        self.predecessor_leases_end = 0.0
         return grant
 
 
-class AnswersUnconfirmed(Conduct):
-    """Answers without asking whether it still leads."""
+class GrantsUnconfirmed(RolloutCoordinator):
+    """Grants leases without confirming that it still leads."""
 
-    def answers(self, now, confirmed, term, index):
-        return super().answers(now, 1 << 60, term, index)
+    def grant_leases(self, now, confirmed_round, term, index):
+        """As the original, with all rounds confirmed."""
+        return super().grant_leases(now, 1 << 60, term, index)
 
 
-class AnswersWhileItCloses(Conduct):
-    """Gives leases to members that a change is being decided without."""
+class GrantsWhileDeciding(RolloutCoordinator):
+    """Grants leases to members that a change is being decided without."""
 
-    def answer(self, now, ask, term, index):
-        closing, self.closing = self.closing, None
-        grant = super().answer(now, ask, term, index)
-        self.closing = closing
+    def grant_lease(self, now, request, term, index):
+        """As the original, as if nothing were being decided."""
+        deciding, self.deciding = self.deciding, None
+        grant = super().grant_lease(now, request, term, index)
+        self.deciding = deciding
         return grant
 
 
-class MostAreEnough(Conduct):
-    """Decides as soon as most are joint."""
+class MajorityIsEnough(RolloutCoordinator):
+    """Decides as soon as most members are joint."""
+
+    def is_joint(self, member, version):
+        """Whether most members are joint."""
+        members = self.state_machine.members
+        joint = sum(super(MajorityIsEnough, self).is_joint(name, version) for name in members)
+        return joint * 2 > len(members)
+
 
-    def joint(self, member, number):
-        there = sum(super(MostAreEnough, self).joint(name, number) for name in self.register.members)
-        return there * 2 > len(self.register.members)
+class RejectionCountsAsJoint(RolloutCoordinator):
+    """Takes a rejection for an acceptance."""
 
+    def on_lease_request(self, now, request, round_):
+        """As the original, with a rejected version joint."""
+        if request.rejected_version:
+            request = request._replace(joint_version=request.rejected_version, rejected_version=0)
+        super().on_lease_request(now, request, round_)
 
-class ANoIsAYes(Conduct):
-    def asked(self, now, ask, round_):
-        if ask.refused:
-            ask = ask._replace(joint=ask.refused, refused=0)
-        super().asked(now, ask, round_)
 
+class NeverTimesOut(RolloutCoordinator):
+    """Waits for a staged change without end."""
 
-class WaitsForEver(Conduct):
-    def look(self, now):
-        self.began = {}
-        return super().look(now)
+    def next_command(self, now):
+        """As the original, with every change staged just now."""
+        self.staged_since = {}
+        return super().next_command(now)
 
 
-class SilentIsThere(Conduct):
-    """Who was joint once is taken for being there."""
+class SilentCountsAsLeased(RolloutCoordinator):
+    """Takes a member that was joint once for one that still has its lease."""
 
-    def look(self, now):
-        for member in self.register.members:
-            if self.register.staged is not None and self.joint(member, self.register.staged.number):
-                self.until[member] = now + 1.0
-        return super().look(now)
+    def next_command(self, now):
+        """As the original, with the leases of joint members extended."""
+        staged = self.state_machine.staged
+        for member in self.state_machine.members:
+            if staged is not None and self.is_joint(member, staged.version):
+                self.lease_expiry[member] = now + 1.0
+        return super().next_command(now)
 
 
-class HarmNotChecked(Register):
-    def unharmed(self, staged):
-        return None
+# The replicated state.
 
 
-class OnlyTheNewestCounts(Register):
-    """Forgets that who is away may go by an older number than the one in force."""
+class ExcessNotChecked(PolicyStateMachine):
+    """Does not count what degraded members keep."""
 
-    def raised(self, members):
-        super().raised(members)
-        self.rows = {self.force.number: self.force.rows}
+    def degraded_excess(self, policy):
+        """Never any."""
+        return None  # noqa: RET501 - the text of an excess, or None
 
 
-class WithdrawsWhatIsDecided(Register):
-    def order_withdraw(self, order):
-        if order["number"] == self.force.number and self.texts:
-            self.force = next(reversed(self.texts.values()))
+class OnlyNewestCounts(PolicyStateMachine):
+    """Forgets that an absent member may apply an older version than the active one."""
+
+    def advance_members(self, members):
+        """As the original, but for the older limits."""
+        super().advance_members(members)
+        self.limits_by_version = {self.active.version: self.active.folder_limits}
+
+
+class WithdrawsDecided(PolicyStateMachine):
+    """Withdraws a change that is decided."""
+
+    def withdraw(self, command):
+        """As the original, and the active version too."""
+        if command.version == self.active.version and self.past_policies:
+            self.active = next(reversed(self.past_policies.values()))
             return "withdrawn"
-        return super().order_withdraw(order)
+        return super().withdraw(command)
 
 
-class TwoAtOnce(Register):
-    """A change on top of one that is under way takes its place."""
+class ReplacesStaged(PolicyStateMachine):
+    """Lets a change take the place of one that is staged."""
 
-    def order_propose(self, order):
+    def propose(self, command):
+        """As the original, as if nothing were staged."""
         staged, self.staged = self.staged, None
         try:
-            return super().order_propose(order)
-        except policy.Refused:
+            return super().propose(command)
+        except CommandRejectedError:
             self.staged = staged
             raise
 
 
-class DecidesWhatIsStaged(Register):
-    """Takes an old leader's word on another change for one on this."""
+class DecidesAnyStaged(PolicyStateMachine):
+    """Takes an old leader's command on another change for one on this."""
 
-    def under_way(self, order):
+    def require_staged(self, version):
+        """Whatever is staged."""
         if self.staged is None:
-            raise policy.Refused("nothing is under way")
+            raise CommandRejectedError("nothing is under way")
         return self.staged
 
 
-DEFECTS = (
-    YesBeforeItsDisk,
-    LeaseFromTheAnswer,
-    NeverNarrow,
-    UpBeforeDown,
-    BelievesOldWords,
-    JointIsForgotten,
-    WakesWithItsLease,
-    OldLeasesForgotten,
-    OwnLeasesForgotten,
-    AnswersUnconfirmed,
-    AnswersWhileItCloses,
-    MostAreEnough,
-    ANoIsAYes,
-    WaitsForEver,
-    SilentIsThere,
-    HarmNotChecked,
-    OnlyTheNewestCounts,
-    WithdrawsWhatIsDecided,
-    TwoAtOnce,
-    DecidesWhatIsStaged,
+MUTANTS = (
+    JointBeforePersisted,
+    LeaseFromGrant,
+    NeverDegraded,
+    RaisesBeforeDecided,
+    BelievesOldGrants,
+    ForgetsStagedAtStart,
+    LeaseWithoutClock,
+    IgnoresPredecessorLeases,
+    ForgetsOwnLeases,
+    GrantsUnconfirmed,
+    GrantsWhileDeciding,
+    MajorityIsEnough,
+    RejectionCountsAsJoint,
+    NeverTimesOut,
+    SilentCountsAsLeased,
+    ExcessNotChecked,
+    OnlyNewestCounts,
+    WithdrawsDecided,
+    ReplacesStaged,
+    DecidesAnyStaged,
 )
-
-
-def parts(defect):
-    """The three parts with one of them replaced."""
-    return tuple(defect if issubclass(defect, part) else part for part in (Register, Conduct, Holder))
