--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -18,7 +18,7 @@
 from rushmux.edge.node_connections import Lists
 from rushmux.fleet.membership import REPORT
 from rushmux.nodewire import VERSION, frame, messages
-from rushmux.planner import admin_server
+from rushmux.planner import admin_client
 from rushmux.planner.membership_store import Store
 from rushmux.planner.planner import Planner
 from rushmux.simulation.loop import run
@@ -94,7 +94,7 @@
             deaths.append(max(told[name, "gone"].values()) - died)
         for name in [name for name in sorted(nodes) if not nodes[name].dead][:DEATHS]:
             asked = loop.time()
-            await admin_server.order(("127.0.0.1", port), "drain", name)
+            await admin_client.send_fleet_command(("127.0.0.1", port), "drain", name)
             while len(told.get((name, "draining"), ())) < edges:
                 await asyncio.sleep(0.01)
             drains.append(max(told[name, "draining"].values()) - asked)
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -17,7 +17,7 @@
 from rushmux.edge.policy_client import granted
 from rushmux.fleet import policy, raft
 from rushmux.nodewire import VERSION, Frames, frame, messages
-from rushmux.planner import admin_server
+from rushmux.planner import admin_client
 from rushmux.planner.raft_storage import LogFile
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
@@ -116,7 +116,9 @@
         begun = asyncio.get_running_loop().time()
         there = members[round(edges * away) :]
         raw["plans"]["basico"].update(limit=edges * 20.0, burst=edges * 40.0)
-        await admin_server.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
+        await admin_client.send_policy_command(
+            made.places, "propose", client="b", n=1, by="b", text=documents.text(raw)
+        )
         async with asyncio.timeout(60):
             while not all(2 in member.at for member in there):
                 await asyncio.sleep(0.01)
@@ -234,8 +236,8 @@
         for place in range(changes):
             await fleet.sleep(3)
             raw["plans"]["basico"]["limit"] = edges * (190.0 if place % 2 else 195.0)
-            await fleet.person(f"c{place}", "propose", text=documents.text(raw))
-            decided.append(fleet.people[-1]["said"])
+            await fleet.send_policy_command(f"c{place}", "propose", text=documents.text(raw))
+            decided.append(fleet.operator_commands[-1]["said"])
         await work
         answers = [row for row in fleet.records if row["kind"] == "answer" and row["status"] in (0, 1)]
         seconds = [0] * int(SPAN)
--- a/rushmux/cli/planning.py
+++ b/rushmux/cli/planning.py
@@ -1,6 +1,7 @@
-"""`rushmux fleet`: what people ask of a planner."""
+"""`rushmux fleet`: commands on the members that a planner knows."""
 
 import asyncio
+import time
 
 import click
 
@@ -9,17 +10,25 @@
 PLANNER = click.option(
     "--planner", type=Places(), required=True, help="HOST:PORT of the planner; of several with commas between"
 )
-MOST_LOOKS = 100_000  # of one `watch`
+MAX_POLLS = 100_000  # of one `watch`
+DRAIN_POLL_INTERVAL = 0.5  # seconds between two requests while `drain --wait` waits
 
 
-def ordered(planner, verb, member=""):
-    from rushmux.planner import admin_server
+def run_command(planner, verb, member=""):
+    """Sends a fleet command; the command line ends with its error where it is rejected."""
+    from rushmux.planner import admin_client
+    from rushmux.planner.errors import CommandRejectedError
 
     try:
-        return asyncio.run(admin_server.order(planner, verb, member))
-    except admin_server.NotOrdered as fault:
-        place = f"{planner[0]}:{planner[1]}: " if isinstance(planner[0], str) else ""
-        raise click.ClickException(f"{place}{fault}") from fault
+        return asyncio.run(admin_client.send_fleet_command(planner, verb, member))
+    except CommandRejectedError as fault:
+        prefix = f"{planner[0]}:{planner[1]}: " if isinstance(planner[0], str) else ""
+        raise click.ClickException(f"{prefix}{fault}") from fault
+
+
+def row_of(answer, member):
+    """The row of one member in a planner's answer."""
+    return next(row for row in answer.members if row.member == member)
 
 
 @click.group()
@@ -31,9 +40,9 @@
 @PLANNER
 def show(planner):
     """Every member, its condition and why."""
-    from rushmux.planner import admin_server
+    from rushmux.planner import admin_client
 
-    click.echo("\n".join(admin_server.lines(ordered(planner, "show"))))
+    click.echo("\n".join(admin_client.format_fleet(run_command(planner, "show"))))
 
 
 @fleet.command()
@@ -42,15 +51,13 @@
 @click.option("--wait", type=float, default=0.0, help="seconds to wait until it may be stopped")
 def drain(planner, node, wait):
     """Nothing new goes to a node; exit 1 where it may not be stopped in the time waited for."""
-    import time
-
-    answer, until = ordered(planner, "drain", node), time.monotonic() + wait
+    answer, deadline = run_command(planner, "drain", node), time.monotonic() + wait
     while True:
-        row = next(row for row in answer.members if row.member == node)
-        if row.condition == "drained" or time.monotonic() >= until:
+        row = row_of(answer, node)
+        if row.condition == "drained" or time.monotonic() >= deadline:
             break
-        time.sleep(0.5)
-        answer = ordered(planner, "show")
+        time.sleep(DRAIN_POLL_INTERVAL)
+        answer = run_command(planner, "show")
     click.echo(f"{node}: {row.condition}, {row.reason}")
     raise SystemExit(1 if wait and row.condition != "drained" else 0)
 
@@ -60,23 +67,21 @@
 @click.argument("node")
 def undrain(planner, node):
     """A node may be used again."""
-    row = next(row for row in ordered(planner, "undrain", node).members if row.member == node)
+    row = row_of(run_command(planner, "undrain", node), node)
     click.echo(f"{node}: {row.condition}, {row.reason}")
 
 
 @fleet.command()
 @PLANNER
-@click.option("--every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True)
-@click.option("--looks", type=click.IntRange(1, MOST_LOOKS), default=MOST_LOOKS, show_default=True)
-def watch(planner, every, looks):
+@click.option("--every", "interval", type=click.FloatRange(0.1, 60), default=1.0, show_default=True)
+@click.option("--looks", "polls", type=click.IntRange(1, MAX_POLLS), default=MAX_POLLS, show_default=True)
+def watch(planner, interval, polls):
     """Prints members as their conditions change."""
-    import time
-
     known = {}
-    for look in range(looks):
-        for row in ordered(planner, "show").members:
+    for poll in range(polls):
+        for row in run_command(planner, "show").members:
             if known.get(row.member) != (row.condition, row.start):
                 known[row.member] = row.condition, row.start
                 click.echo(f"{row.member}: {row.condition}, {row.reason}")
-        if look + 1 < looks:
-            time.sleep(every)
+        if poll + 1 < polls:
+            time.sleep(interval)
--- a/rushmux/cli/policies.py
+++ b/rushmux/cli/policies.py
@@ -1,4 +1,4 @@
-"""`rushmux policy`: what people ask of the planners about the fleet's policy."""
+"""`rushmux policy`: commands on the fleet's policy."""
 
 import asyncio
 import difflib
@@ -11,67 +11,69 @@
 from rushmux.cli.planning import PLANNER
 from rushmux.cli.shared import deployed, new_seed
 
-MOST_LOOKS = 100_000  # of one `watch`
-EVERY = 0.5  # seconds between two looks
-TEXT = ("text", "texts")
+MAX_POLLS = 100_000  # of one `watch`
+POLL_INTERVAL = 0.5  # seconds between two requests for the state
 
 
-def asked(planner, verb, **order) -> tuple[str, dict]:
-    """What was said, and the state behind it."""
-    from rushmux.planner import admin_server
+def request(planner, verb, **fields) -> tuple[str, dict]:
+    """Sends a policy command; what came of it, and the policy's state."""
+    from rushmux.planner import admin_client
+    from rushmux.planner.errors import CommandRejectedError
 
     try:
-        answer = asyncio.run(admin_server.policy(planner, verb, **order))
-    except admin_server.NotOrdered as fault:
+        answer = asyncio.run(admin_client.send_policy_command(planner, verb, **fields))
+    except CommandRejectedError as fault:
         raise click.ClickException(str(fault)) from fault
     return answer.said, json.loads(answer.state or b"{}")
 
 
-def done(planner, verb, **order):
-    """An order under a name of its own, so that an answer that was lost costs no second one."""
-    said, state = asked(planner, verb, client=f"{new_seed(None):012x}", n=1, by=getpass.getuser(), **order)
-    click.echo(said)
-    if said.startswith("refused"):
+def run_command(planner, verb, **fields):
+    """Sends a command under an idempotency key of its own, so that a lost answer does not repeat it."""
+    result, state = request(
+        planner, verb, client=f"{new_seed(None):012x}", n=1, by=getpass.getuser(), **fields
+    )
+    click.echo(result)
+    if result.startswith("refused"):
         raise SystemExit(1)
-    return said, state
+    return result, state
 
 
-def lines(state) -> list[str]:
-    """The policy and who goes by what, as plain text."""
-    force, staged = state["force"], state["staged"]
-    found = [
-        f"in force: {force['number'] if force else 'none'}; under way: "
+def format_state(state) -> list[str]:
+    """The policy, and which member goes by what, as lines of plain text."""
+    active, staged = state["force"], state["staged"]
+    lines = [
+        f"in force: {active['number'] if active else 'none'}; under way: "
         + (f"{staged['number']} by {staged['by']}" if staged else "none")
         + f"; nodes turn away below {state['floor']}",
         f"planners: {', '.join(state['planners'])}; {state['leader'] or 'none'} leads, term {state['term']}",
     ]
     if state["harm"]:
-        found.append(f"waits for all: {state['harm']}")
-    found.append(f"{'member':10}{'goes by':>8}{'joint':>7}{'lease':>7}  against")
+        lines.append(f"waits for all: {state['harm']}")
+    lines.append(f"{'member':10}{'goes by':>8}{'joint':>7}{'lease':>7}  against")
     for row in state["members"]:
-        says = row["says"] if row["says"] is not None else f"({row['goes']})"
+        reported = row["says"] if row["says"] is not None else f"({row['goes']})"
         joint = str(row["joint"] or "-")
         against = "forgotten" if row["gone"] else row["against"]
-        found.append(f"{row['member']:10}{says!s:>8}{joint:>7}{row['lease']:>7}  {against}")
-    return found
+        lines.append(f"{row['member']:10}{reported!s:>8}{joint:>7}{row['lease']:>7}  {against}")
+    return lines
 
 
-def waited(planner, number, seconds):
+def await_change(planner, number, seconds):
     """Waits until a change has ended; exit 1 where it took hold nowhere, 2 where it is still under way."""
-    until = time.monotonic() + seconds
+    deadline = time.monotonic() + seconds
     while True:
-        _, state = asked(planner, "show")
-        past = next((past for past in state["history"] if past["number"] == number), None)
-        if past is not None:
-            if past["end"] == "decided":
-                click.echo(f"{number} is decided: {past['why']}")
+        _, state = request(planner, "show")
+        change = next((change for change in state["history"] if change["number"] == number), None)
+        if change is not None:
+            if change["end"] == "decided":
+                click.echo(f"{number} is decided: {change['why']}")
                 return
-            click.echo(f"{number} took hold nowhere ({past['end']}): {past['why']}")
+            click.echo(f"{number} took hold nowhere ({change['end']}): {change['why']}")
             raise SystemExit(1)
-        if time.monotonic() >= until:
+        if time.monotonic() >= deadline:
             click.echo(f"{number} is still under way")
             raise SystemExit(2)
-        time.sleep(EVERY)
+        time.sleep(POLL_INTERVAL)
 
 
 WAIT = click.option("--wait", type=float, default=0.0, help="seconds to wait until it has ended")
@@ -87,11 +89,11 @@
 @click.option("--text", is_flag=True, help="the policy in force itself, as JSON")
 def show(planner, text):
     """What is in force, what is under way, and which member goes by what."""
-    _, state = asked(planner, "show")
+    _, state = request(planner, "show")
     if text:
         click.echo(json.dumps(json.loads(state["force"]["text"]), indent=2, ensure_ascii=False))
     else:
-        click.echo("\n".join(lines(state)))
+        click.echo("\n".join(format_state(state)))
 
 
 @policy.command()
@@ -103,9 +105,11 @@
     """Proposes the policy of a deployment file: it takes hold at every member, or at none."""
     from rushmux.settings import policy as documents
 
-    said, _ = done(planner, "propose", text=documents.text(deployed(file, plainly=True).raw), base=base)
+    result, _ = run_command(
+        planner, "propose", text=documents.text(deployed(file, plainly=True).raw), base=base
+    )
     if wait:
-        waited(planner, int(said.split()[0]), wait)
+        await_change(planner, int(result.split()[0]), wait)
 
 
 @policy.command()
@@ -114,9 +118,9 @@
 @click.argument("number", type=int)
 def revert(planner, wait, number):
     """Proposes a policy of before anew, under a new number."""
-    said, _ = done(planner, "revert", number=number)
+    result, _ = run_command(planner, "revert", number=number)
     if wait:
-        waited(planner, int(said.split()[0]), wait)
+        await_change(planner, int(result.split()[0]), wait)
 
 
 @policy.command()
@@ -124,7 +128,7 @@
 @click.argument("number", type=int)
 def withdraw(planner, number):
     """Ends a change that is under way, everywhere."""
-    done(planner, "withdraw", number=number)
+    run_command(planner, "withdraw", number=number)
 
 
 @policy.command()
@@ -132,15 +136,15 @@
 @click.argument("member")
 def forget(planner, member):
     """Says that an edge is gone for good, so that changes do not wait for what it might go by."""
-    done(planner, "forget", member=member)
+    run_command(planner, "forget", member=member)
 
 
 @policy.command()
 @PLANNER
 def history(planner):
     """All changes and how they ended."""
-    for past in asked(planner, "show")[1]["history"]:
-        click.echo(f"{past['number']:>4} {past['end']:10} {past['by']}: {past['why']}")
+    for change in request(planner, "show")[1]["history"]:
+        click.echo(f"{change['number']:>4} {change['end']:10} {change['by']}: {change['why']}")
 
 
 @policy.command()
@@ -151,7 +155,7 @@
     """What a file, or a policy of before, would change in the one in force."""
     from rushmux.settings import policy as documents
 
-    _, state = asked(planner, "show")
+    _, state = request(planner, "show")
     if past is not None:
         if str(past) not in state["texts"]:
             raise click.ClickException(f"{past} is not kept; there are {', '.join(state['texts']) or 'none'}")
@@ -161,33 +165,33 @@
     else:
         raise click.ClickException("name a file, or --past NUMBER")
 
-    def plain(text):
+    def indented(text):
         return json.dumps(json.loads(text), indent=1, sort_keys=True, ensure_ascii=False).splitlines()
 
-    found = list(
+    difference = list(
         difflib.unified_diff(
-            plain(state["force"]["text"]),
-            plain(other),
+            indented(state["force"]["text"]),
+            indented(other),
             f"policy {state['force']['number']}",
             name,
             lineterm="",
         )
     )
-    click.echo("\n".join(found) if found else "the same")
+    click.echo("\n".join(difference) if difference else "the same")
 
 
 @policy.command()
 @PLANNER
-@click.option("--every", type=click.FloatRange(0.1, 60), default=EVERY, show_default=True)
-@click.option("--looks", type=click.IntRange(1, MOST_LOOKS), default=MOST_LOOKS, show_default=True)
-def watch(planner, every, looks):
+@click.option("--every", "interval", type=click.FloatRange(0.1, 60), default=POLL_INTERVAL, show_default=True)
+@click.option("--looks", "polls", type=click.IntRange(1, MAX_POLLS), default=MAX_POLLS, show_default=True)
+def watch(planner, interval, polls):
     """Prints changes and members as they come to pass."""
     known = {}
-    for look in range(looks):
-        _, state = asked(planner, "show")
+    for poll in range(polls):
+        _, state = request(planner, "show")
         rows = {
-            ("change", past["number"]): f"change {past['number']}: {past['end']}, {past['why']}"
-            for past in state["history"]
+            ("change", change["number"]): f"change {change['number']}: {change['end']}, {change['why']}"
+            for change in state["history"]
         }
         if state["staged"]:
             number = state["staged"]["number"]
@@ -199,5 +203,5 @@
             if known.get(key) != text:
                 click.echo(text)
         known = rows
-        if look + 1 < looks:
-            time.sleep(every)
+        if poll + 1 < polls:
+            time.sleep(interval)
--- a/rushmux/standins/fault_injection.py
+++ b/rushmux/standins/fault_injection.py
@@ -137,7 +137,7 @@
     def __init__(self, story: Story, file, deployment: Deployment, folder, seed):
         super().__init__(file, deployment, folder, seed, records=True, unit=0.002)
         self.story, self.relays = story, Relays(random.Random(seed))
-        self.planners, self.killed, self.images, self.people = {}, [], {}, []
+        self.planners, self.killed, self.images, self.operator_commands = {}, [], {}, []
         self.stopped = {}  # edge -> whether it ever stood still
 
     async def start_planner(self, name, found=False):
@@ -292,16 +292,16 @@
                 for step in inner:
                     target = target[int(step)] if isinstance(target, list) else target.setdefault(step, {})
                 target[last] = json.loads(value)
-        await self.person(word, "propose", text=documents.text(raw), **more)
+        await self.send_policy_command(word, "propose", text=documents.text(raw), **more)
 
     async def do_withdraw(self, number):
-        await self.person(f"w{number}", "withdraw", number=int(number))
+        await self.send_policy_command(f"w{number}", "withdraw", number=int(number))
 
     async def do_revert(self, number, *more):
-        await self.person(more[1] if more else "", "revert", number=int(number))
+        await self.send_policy_command(more[1] if more else "", "revert", number=int(number))
 
     async def do_forget(self, member):
-        await self.person(f"f{member}", "forget", member=member)
+        await self.send_policy_command(f"f{member}", "forget", member=member)
 
     async def do_kill(self, word):
         name = await self.name(word)
@@ -484,7 +484,7 @@
         settled = rig.settled()
     finally:
         await rig.down()
-    breaches, facts = judge(rig.all_records(), deployment, story.expects, rig.people, rig.stopped)
+    breaches, facts = judge(rig.all_records(), deployment, story.expects, rig.operator_commands, rig.stopped)
     if not settled:
         breaches.append(f"not all came to one number within {SETTLE:g} s")
     return Told(story.name, breaches, facts)
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -16,9 +16,9 @@
 from rushmux.settings.deployment import Deployment, build
 from rushmux.simulation.loop import VirtualLoop, run
 from rushmux.standins.client import Client
+from rushmux.standins.fleet_operations import FleetOperations
 from rushmux.standins.lists import ListSource
 from rushmux.standins.node import Node
-from rushmux.standins.orders import Orders
 from rushmux.standins.service_model import Shape
 from rushmux.standins.store import Store
 
@@ -56,7 +56,7 @@
     return deployment.settings.request_classes[deployment.roles["change"]].dedup_window / 10_000 + 1
 
 
-class VirtualFleet(Orders):
+class VirtualFleet(FleetOperations):
     """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
 
     def __init__(
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -55,7 +55,7 @@
 
     def __init__(self, loop, deployment, seed, folder):
         super().__init__(loop, deployment, seed, unit=0.002)
-        self.folder, self.planners, self.people, self.stopped = Path(folder), {}, [], {}
+        self.folder, self.planners, self.operator_commands, self.stopped = Path(folder), {}, [], {}
         self.island, self.draw = 0, random.Random(f"policy {seed}")
 
     @property
@@ -139,11 +139,11 @@
             raw = fault_injection.stated(fault_injection.parse(f"edges {len(self.edges)}\n"))
             limit = self.draw.choice(LIMITS)
             raw["plans"]["basico"].update(limit=limit, burst=2 * limit)
-            word = f"change {len(self.people)}"
+            word = f"change {len(self.operator_commands)}"
             if self.draw.random() < 0.15:
-                await self.person(word, "revert", number=self.draw.randrange(1, 4))
+                await self.send_policy_command(word, "revert", number=self.draw.randrange(1, 4))
             else:
-                await self.person(word, "propose", text=documents.text(raw))
+                await self.send_policy_command(word, "propose", text=documents.text(raw))
 
     async def happens(self, rate, act, until):
         while rate and self.loop.time() < until:
@@ -241,7 +241,7 @@
         await asyncio.gather(*work, fleet.changes(until), fleet.clients(until + 5))
         await fleet.sleep(QUIET)
         settled = fleet.settled()
-        breaches, facts = judge(fleet.all_records(), deployment, (), fleet.people, fleet.stopped)
+        breaches, facts = judge(fleet.all_records(), deployment, (), fleet.operator_commands, fleet.stopped)
         bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.refused")]
         return Told(breaches + settled + [str(row)[:300] for row in bad[:3]], facts, fleet.logs)
 
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -14,7 +14,7 @@
 from rushmux.nodewire import VERSION, Frames, frame, messages
 from rushmux.settings.deployment import Deployment
 from rushmux.standins.client import Client
-from rushmux.standins.orders import Orders
+from rushmux.standins.fleet_operations import FleetOperations
 
 HOST = "127.0.0.1"
 START = 30.0  # seconds for a process to say where it listens: a busy machine's imports
@@ -38,7 +38,7 @@
         return Address(HOST, self.port)
 
 
-class ProcessFleet(Orders):
+class ProcessFleet(FleetOperations):
     """The fleet; its data, logs and recordings lie in `folder`.  `records`: write recordings."""
 
     def __init__(
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_policy_fleet.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from rushmux.planner import admin_server
+from rushmux.planner import admin_client
+from rushmux.planner.errors import CommandRejectedError
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
 from rushmux.simulation.loop import run
@@ -31,7 +32,7 @@
 def propose(fleet, word, limit):
     raw = fault_injection.stated(fault_injection.parse(f"edges {len(fleet.edges)}\n"))
     raw["plans"]["basico"].update(limit=limit, burst=2 * limit)
-    return fleet.person(word, "propose", text=documents.text(raw))
+    return fleet.send_policy_command(word, "propose", text=documents.text(raw))
 
 
 def leader(fleet):
@@ -57,7 +58,7 @@
         await propose(fleet, "full", 40.0)
         await fleet.sleep(5)
         assert not council.leads and council.broken is not None and leader(fleet) != name
-        assert fleet.people[-1]["said"].endswith("is staged")
+        assert fleet.operator_commands[-1]["said"].endswith("is staged")
         failing.clear()
         await fleet.sleep(5)
         assert council.broken is None and council.register.force.number == 2
@@ -75,37 +76,39 @@
     async def tell(fleet):
         raw = documents.text(fault_injection.stated(fault_injection.parse("edges 2\n")))
         known = {"client": "anna", "n": 1, "by": "anna", "text": raw}
-        first = await admin_server.policy(fleet.places, "propose", **known)
-        again = await admin_server.policy(fleet.places, "propose", **known)
+        first = await admin_client.send_policy_command(fleet.places, "propose", **known)
+        again = await admin_client.send_policy_command(fleet.places, "propose", **known)
         assert first.said == again.said == "2 is staged"
         await fleet.sleep(4)
-        assert (await admin_server.policy(fleet.places, "propose", **known)).said == "2 is staged"
-        other = await admin_server.policy(fleet.places, "propose", **{**known, "n": 2})
+        assert (
+            await admin_client.send_policy_command(fleet.places, "propose", **known)
+        ).said == "2 is staged"
+        other = await admin_client.send_policy_command(fleet.places, "propose", **{**known, "n": 2})
         assert other.said == "3 is staged"
-        older = await admin_server.policy(fleet.places, "propose", **known)
+        older = await admin_client.send_policy_command(fleet.places, "propose", **known)
         assert "older than 2" in older.said
         for bad in ({"client": "x"}, {"client": "x", "n": "y", "by": "z", "text": ""}, {}):
-            with pytest.raises(admin_server.NotOrdered):
-                await admin_server.policy(fleet.places, "propose", **bad)
-        with pytest.raises(admin_server.NotOrdered, match="there is no order 'sing'"):
-            await admin_server.policy(fleet.places, "sing", client="x", n=1, by="z")
+            with pytest.raises(CommandRejectedError):
+                await admin_client.send_policy_command(fleet.places, "propose", **bad)
+        with pytest.raises(CommandRejectedError, match="there is no order 'sing'"):
+            await admin_client.send_policy_command(fleet.places, "sing", client="x", n=1, by="z")
 
     story(tmp_path, tell)
 
 
 def test_drains_are_entries_and_outlive_every_planner(tmp_path):
     async def tell(fleet):
-        answer = await admin_server.order(fleet.places, "drain", "node0")
+        answer = await admin_client.send_fleet_command(fleet.places, "drain", "node0")
         assert {row.member: row.condition for row in answer.members}["node0"] in ("draining", "drained")
         for name in list(fleet.planners):
             fleet.kill_planner_of(name)
         for name in policy_fleet.PLANNERS:
             await fleet.start_planner(name)
         await fleet.sleep(8)
-        answer = await admin_server.order(fleet.places, "show")
+        answer = await admin_client.send_fleet_command(fleet.places, "show")
         assert {row.member: row.condition for row in answer.members}["node0"] in ("draining", "drained")
-        with pytest.raises(admin_server.NotOrdered, match="no node"):
-            await admin_server.order(fleet.places, "drain", "node7")
+        with pytest.raises(CommandRejectedError, match="no node"):
+            await admin_client.send_fleet_command(fleet.places, "drain", "node7")
 
     story(tmp_path, tell)
 
@@ -115,7 +118,7 @@
         name = next(name for name in policy_fleet.PLANNERS if name != leader(fleet))
         fleet.kill_planner_of(name)
         for number in range(260):  # more entries than a log keeps
-            await admin_server.order(fleet.places, ("drain", "undrain")[number % 2], "node0")
+            await admin_client.send_fleet_command(fleet.places, ("drain", "undrain")[number % 2], "node0")
         assert fleet.planners[leader(fleet)].program.council.voice.snapshot.index > 100
         await fleet.start_planner(name)
         await propose(fleet, "down", 40.0)
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -16,7 +16,8 @@
 from rushmux.files.paths import home
 from rushmux.fleet.membership import LEASE
 from rushmux.nodewire import VERSION, messages
-from rushmux.planner import admin_server
+from rushmux.planner import admin_client
+from rushmux.planner.errors import CommandRejectedError
 from rushmux.planner.membership_store import BadStore, Row, Store
 from rushmux.planner.planner import Planner
 from rushmux.settings import deployment
@@ -99,17 +100,17 @@
     async def story(made):
         client = await made.client(0)
         await made.sleep(2)
-        answer = await admin_server.order(made.lists.address, "drain", "node2")
+        answer = await admin_client.send_fleet_command(made.lists.address, "drain", "node2")
         assert {row.member: row.condition for row in answer.members}["node2"] == "draining"
         for number in range(10):
             await client.put(f"/{away}/{number}", b"x" * 40_000)
         await until(made, lambda: condition(made, "node2") == "drained")
-        with pytest.raises(admin_server.NotOrdered) as fault:
-            await admin_server.order(made.lists.address, "drain", "node9")
-        await admin_server.order(made.lists.address, "undrain", "node2")
+        with pytest.raises(CommandRejectedError) as fault:
+            await admin_client.send_fleet_command(made.lists.address, "drain", "node9")
+        await admin_client.send_fleet_command(made.lists.address, "undrain", "node2")
         await made.sleep(1)
         return str(fault.value), "\n".join(
-            admin_server.lines(await admin_server.order(made.lists.address, "show"))
+            admin_client.format_fleet(await admin_client.send_fleet_command(made.lists.address, "show"))
         )
 
     made, (fault, text) = play(story)
@@ -121,7 +122,7 @@
     async def story(made):
         client, port = await made.client(0), made.lists.port
         await made.sleep(2)
-        await admin_server.order(made.lists.address, "drain", "node3")
+        await admin_client.send_fleet_command(made.lists.address, "drain", "node3")
         await made.sleep(0.2)
         version = made.lists.program.version
         made.kill_planner()
