--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -19,7 +19,7 @@
 from rushmux.fleet.membership import REPORT
 from rushmux.nodewire import VERSION, frame, messages
 from rushmux.planner import admin_client
-from rushmux.planner.membership_store import Store
+from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
 from rushmux.simulation.loop import run
 
@@ -52,7 +52,7 @@
         rows, told, sent = [], {}, [0]
         logger = log.to_list(rows, "error")
         process = loop.process("planner")
-        planner = Planner(NODES, Store(Path(folder) / f"p{edges}"), logger)
+        planner = Planner(NODES, MembershipStore(Path(folder) / f"p{edges}"), logger)
         port = await process.spawn(planner.open("127.0.0.1", 0))
         nodes = {}
         for cell in range(NODES):
@@ -107,7 +107,9 @@
         await asyncio.sleep(2)
         again = loop.process("planner")
         back = loop.time()
-        await again.spawn(Planner(NODES, Store(Path(folder) / f"p{edges}"), logger).open("127.0.0.1", port))
+        await again.spawn(
+            Planner(NODES, MembershipStore(Path(folder) / f"p{edges}"), logger).open("127.0.0.1", port)
+        )
         while len({number for known in told.values() for number in known}) < edges:
             await asyncio.sleep(0.05)
         last = max(at for known in told.values() for at in known.values())
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -278,7 +278,8 @@
     """Knows which nodes and edges live, and tells the edges."""
     import random
 
-    from rushmux.planner.membership_store import BadStore, Store
+    from rushmux.planner.errors import MembershipStoreError
+    from rushmux.planner.membership_store import MembershipStore
     from rushmux.planner.planner import Planner
     from rushmux.planner.raft_storage import BadLog
     from rushmux.planner.replicated_log import Planners
@@ -290,8 +291,8 @@
             raise click.ClickException(f"there is no planner '{name}'; there are {', '.join(planners)}")
         among = Planners(name, planners, found)
     try:
-        store = Store(data)
-    except (BadStore, OSError) as fault:
+        store = MembershipStore(data)
+    except (MembershipStoreError, OSError) as fault:
         raise click.ClickException(str(fault)) from fault
 
     async def run():
--- a/rushmux/planner/membership_store.py
+++ b/rushmux/planner/membership_store.py
@@ -1,24 +1,38 @@
-"""What a planner knows, on its disk: members, drains, the version of the list and the planner's term.
+"""A planner's membership on its disk: members, drains, the endpoint list's version and the planner's term.
 
-An embedded store; a row is written whole or not at all, with a checksum.  A kill loses nothing that was
-told to edges: a change is on the disk before the first edge hears of it.
+The store is an SQLite file.  A change is one transaction, and each row has a checksum.  A change is on the
+disk before an edge is notified of it, so a killed planner never forgets what edges were told.
 """
 
 import sqlite3
 import zlib
+from collections.abc import Iterable
 from pathlib import Path
 from typing import NamedTuple
 
-FORMAT = 1
-MOST_ROWS = 100_000
+from rushmux.planner.errors import MembershipStoreError
 
+STORE_FORMAT = 1
+MAX_ROWS = 100_000
+IN_MEMORY = ":memory:"
 
-class BadStore(Exception):
-    """A store that cannot be used; the text names the file and why."""
+_CREATE_ABOUT = "create table if not exists about (name text primary key, value integer)"
+_CREATE_MEMBERS = (
+    "create table if not exists members "
+    "(name text primary key, kind text, start text, draining integer, entry blob, sum integer)"
+)
 
 
-class Row(NamedTuple):
-    """One member as it is kept; `entry` is the list's message, empty for an edge."""
+class MemberRow(NamedTuple):
+    """One stored member.
+
+    Attributes:
+        name: the member's name.
+        kind: the value of its `MemberKind`.
+        start: its incarnation; another one at each start of the member.
+        draining: whether operators have it drained.
+        entry: a node's serialized `messages.Entry`; empty for an edge.
+    """
 
     name: str
     kind: str
@@ -26,75 +40,96 @@
     draining: bool
     entry: bytes
 
+    @property
+    def checksum(self) -> int:
+        """The CRC32 that is stored with the row."""
+        return _checksum(self.name, self.kind, self.start, int(self.draining), self.entry)
+
+
+class StoredMembers(NamedTuple):
+    """What the store holds: the intact rows by name, and the names of damaged rows, which are left out."""
+
+    rows: list[MemberRow]
+    damaged: list[str]
+
+
+def _checksum(name: str, kind: str, start: str, draining: int, entry: bytes) -> int:
+    return zlib.crc32("\0".join(map(str, (name, kind, start, draining, entry.hex()))).encode())
+
 
-def _sum(*parts):
-    return zlib.crc32("\0".join(map(str, parts)).encode())
+class MembershipStore:
+    """The store of one planner.
 
+    Attributes:
+        path: the file's name, or `IN_MEMORY`.
+        term: the planner's term where it has no replicated log: higher at each start.
+        version: the version of the endpoint list that was stored last.
 
-class Store:
-    """The file of one planner.  `term` is of this start and higher than of any before it."""
+    Raises:
+        MembershipStoreError: the file is no store, or one of a newer format.
+    """
 
-    def __init__(self, path):
+    def __init__(self, path: str | Path):
         self.path = str(path)
-        if self.path != ":memory:":
+        if self.path != IN_MEMORY:
             Path(path).parent.mkdir(parents=True, exist_ok=True)
-        try:
-            self.base = sqlite3.connect(self.path, isolation_level=None)
-            self.base.execute("pragma journal_mode=wal")
-            self.base.execute("pragma synchronous=full")
-            self.base.execute("create table if not exists about (name text primary key, value integer)")
-            self.base.execute(
-                "create table if not exists members (name text primary key, kind text, start "
-                "text, "
-                "draining integer, entry blob, sum integer)"
+        stored = self._open()
+        if stored.get("format", STORE_FORMAT) != STORE_FORMAT:
+            raise MembershipStoreError(
+                self.path,
+                f"format {stored['format']}, this planner reads {STORE_FORMAT}; start the newer one",
             )
-            known = dict(self.base.execute("select name, value from about"))
+        self.term = stored.get("term", 0) + 1
+        self.version = stored.get("version", 0)
+        self._store_about(format=STORE_FORMAT, term=self.term)
+
+    def _open(self) -> dict[str, int]:
+        """Connects, makes missing tables, and returns the stored values about the planner."""
+        try:
+            self._connection = sqlite3.connect(self.path, isolation_level=None)
+            self._connection.execute("pragma journal_mode=wal")
+            self._connection.execute("pragma synchronous=full")
+            self._connection.execute(_CREATE_ABOUT)
+            self._connection.execute(_CREATE_MEMBERS)
+            return dict(self._connection.execute("select name, value from about"))
         except sqlite3.DatabaseError as fault:
-            raise BadStore(f"{path}: is no store of a planner: {fault}") from fault
-        if known.get("format", FORMAT) != FORMAT:
-            raise BadStore(
-                f"{path}: format {known['format']}, this planner reads {FORMAT}; start the newer one"
-            )
-        self.term, self.version = known.get("term", 0) + 1, known.get("version", 0)
-        self.put_about(format=FORMAT, term=self.term)
-
-    def put_about(self, **values):
-        self.base.executemany("insert or replace into about values (?, ?)", list(values.items()))
-
-    def rows(self) -> tuple[list[Row], list[str]]:
-        """All members in the order of their names, and the names of rows that were damaged and left out."""
-        found, damaged = [], []
-        for name, kind, start, draining, entry, mark in self.base.execute(
-            "select * from members order by name limit ?", (MOST_ROWS,)
-        ):
-            if mark != _sum(name, kind, start, draining, entry.hex()):
-                damaged.append(name)
+            raise MembershipStoreError(self.path, f"is no store of a planner: {fault}") from fault
+
+    def _store_about(self, **values: int) -> None:
+        self._connection.executemany("insert or replace into about values (?, ?)", list(values.items()))
+
+    def load(self) -> StoredMembers:
+        """Reads all members."""
+        stored = StoredMembers([], [])
+        cursor = self._connection.execute("select * from members order by name limit ?", (MAX_ROWS,))
+        for name, kind, start, draining, entry, checksum in cursor:
+            if checksum == _checksum(name, kind, start, draining, entry):
+                stored.rows.append(MemberRow(name, kind, start, bool(draining), entry))
             else:
-                found.append(Row(name, kind, start, bool(draining), entry))
-        return found, damaged
+                stored.damaged.append(name)
+        return stored
+
+    def save(self, rows: Iterable[MemberRow], removed: Iterable[str], version: int) -> None:
+        """Stores and removes members, and the endpoint list's version, in one transaction.
 
-    def put(self, rows, dropped, version):
-        """Writes members and the list's version together; OSError where the disk has no room."""
+        Raises:
+            OSError: the disk does not take it; nothing of it is stored.
+        """
         try:
-            self.base.execute("begin immediate")
-            for row in rows:
-                self.base.execute(
-                    "insert or replace into members values (?, ?, ?, ?, ?, ?)",
-                    (
-                        *row[:3],
-                        int(row.draining),
-                        row.entry,
-                        _sum(row.name, row.kind, row.start, int(row.draining), row.entry.hex()),
-                    ),
-                )
-            self.base.executemany("delete from members where name = ?", [(name,) for name in dropped])
-            self.put_about(version=version)
-            self.base.execute("commit")
+            self._connection.execute("begin immediate")
+            self._connection.executemany(
+                "insert or replace into members values (?, ?, ?, ?, ?, ?)",
+                [(row.name, row.kind, row.start, int(row.draining), row.entry, row.checksum) for row in rows],
+            )
+            self._connection.executemany("delete from members where name = ?", [(name,) for name in removed])
+            self._store_about(version=version)
+            self._connection.execute("commit")
         except sqlite3.OperationalError as fault:
-            if self.base.in_transaction:
-                self.base.execute("rollback")
+            if self._connection.in_transaction:
+                self._connection.execute("rollback")
             raise OSError(f"{self.path}: {fault}") from fault
         self.version = version
 
-    def close(self):
-        self.base.close()
+    def close(self) -> None:
+        """Closes the file."""
+        self._connection.close()
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -10,7 +10,7 @@
 from rushmux.fleet.quotas import Shares
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner import policy_admin
-from rushmux.planner.membership_store import Row, Store
+from rushmux.planner.membership_store import MemberRow, MembershipStore
 from rushmux.planner.replicated_log import Council, Elsewhere, NotDecided, Planners
 from rushmux.planner.server import Listener
 
@@ -32,7 +32,7 @@
     def __init__(
         self,
         cells: int,
-        store: Store,
+        store: MembershipStore,
         log,
         record=lambda kind, **fields: None,
         folders=(),
@@ -96,7 +96,7 @@
         self.entries, self.heard_at, self.waiting, self.unkept = {}, {}, {}, {}
         self.members = Membership(now)
         self.shares = Shares(term, self.folders, self.most_edges, now)
-        rows, damaged = self.store.rows()
+        rows, damaged = self.store.load()
         for name in damaged:
             self.log.error("store.damaged", member=name)
         for row in rows:
@@ -315,7 +315,7 @@
             else:
                 entry = self.entries.get(name)
                 rows.append(
-                    Row(
+                    MemberRow(
                         name,
                         member.kind,
                         member.start,
@@ -324,7 +324,7 @@
                     )
                 )
         try:
-            self.store.put(rows, dropped, self.version if version is None else version)
+            self.store.save(rows, dropped, self.version if version is None else version)
             self.unkept = {}
         except OSError as fault:
             self.log.error("store.full", why=str(fault), waiting=len(self.unkept))
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -10,7 +10,7 @@
 from rushmux.edge.edge import Edge
 from rushmux.edge.endpoint_cache import LastList
 from rushmux.edge.node_connections import Address
-from rushmux.planner.membership_store import Store as PlannerStore
+from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.deployment import Deployment, build
@@ -127,7 +127,7 @@
         process = self.loop.process("planner")
         program = Planner(
             nodes,
-            PlannerStore(self.planner),
+            MembershipStore(self.planner),
             self.log,
             self.record,
             self.deployment.limits(),
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -13,7 +13,7 @@
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
 from rushmux.edge.policy_client import Kept
-from rushmux.planner.membership_store import Store as PlannerStore
+from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
 from rushmux.planner.replicated_log import Planners
 from rushmux.settings import policy as documents
@@ -68,7 +68,7 @@
         among = Planners(name, dict(zip(PLANNERS, self.places)), found)
         program = Planner(
             self.cells,
-            PlannerStore(data),
+            MembershipStore(data),
             self.log,
             self.record,
             self.deployment.limits(),
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -17,8 +17,8 @@
 from rushmux.fleet.membership import LEASE
 from rushmux.nodewire import VERSION, messages
 from rushmux.planner import admin_client
-from rushmux.planner.errors import CommandRejectedError
-from rushmux.planner.membership_store import BadStore, Row, Store
+from rushmux.planner.errors import CommandRejectedError, MembershipStoreError
+from rushmux.planner.membership_store import MemberRow, MembershipStore
 from rushmux.planner.planner import Planner
 from rushmux.settings import deployment
 from rushmux.simulation.loop import run
@@ -154,11 +154,11 @@
     async def story(made):
         await made.sleep(2)
         store = made.lists.program.store
-        whole, store.put = store.put, lambda *_: (_ for _ in ()).throw(OSError("no room"))
+        whole, store.save = store.save, lambda *_: (_ for _ in ()).throw(OSError("no room"))
         made.kill_node("node1")
         await made.sleep(3)
         gone = shown(made, "node1")[-1][1]
-        store.put = whole
+        store.save = whole
         await made.sleep(1)
         return gone, made.lists.program.unkept
 
@@ -168,24 +168,24 @@
 
 
 def test_a_newer_store_is_refused_and_a_damaged_row_left_out(tmp_path):
-    store = Store(tmp_path / "a")
-    store.put([Row("n0", "node", "1", True, b"x"), Row("n1", "node", "1", False, b"y")], [], 7)
+    store = MembershipStore(tmp_path / "a")
+    store.save([MemberRow("n0", "node", "1", True, b"x"), MemberRow("n1", "node", "1", False, b"y")], [], 7)
     store.close()
     base = sqlite3.connect(tmp_path / "a")
     with base:
         base.execute("update members set start = '2' where name = 'n0'")
-    again = Store(tmp_path / "a")
-    assert again.rows() == ([Row("n1", "node", "1", False, b"y")], ["n0"])
+    again = MembershipStore(tmp_path / "a")
+    assert again.load() == ([MemberRow("n1", "node", "1", False, b"y")], ["n0"])
     assert (again.term, again.version) == (2, 7)
     again.close()
     with base:
         base.execute("update about set value = 2 where name = 'format'")
-    with pytest.raises(BadStore) as fault:
-        Store(tmp_path / "a")
+    with pytest.raises(MembershipStoreError) as fault:
+        MembershipStore(tmp_path / "a")
     assert "format 2, this planner reads 1" in str(fault.value)
     (tmp_path / "b").write_bytes(b"nothing of a store" * 99)
-    with pytest.raises(BadStore):
-        Store(tmp_path / "b")
+    with pytest.raises(MembershipStoreError):
+        MembershipStore(tmp_path / "b")
 
 
 def test_an_edge_starts_on_its_last_list_with_no_planner_there(play, tmp_path):
@@ -246,10 +246,10 @@
     async def whole(loop):
         rows, told, count = [], {}, 300
         logger = log.to_list(rows, "error")
-        store = Store(tmp_path / "p")
-        store.put(
+        store = MembershipStore(tmp_path / "p")
+        store.save(
             [
-                Row(
+                MemberRow(
                     "n0",
                     "node",
                     "1",
@@ -281,7 +281,7 @@
         told.clear()
         again = loop.process("planner")
         begun = loop.time()
-        await again.spawn(Planner(1, Store(tmp_path / "p"), logger).open("127.0.0.1", port))
+        await again.spawn(Planner(1, MembershipStore(tmp_path / "p"), logger).open("127.0.0.1", port))
         await asyncio.sleep(LEASE)
         for task in tasks:
             task.cancel()
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -15,7 +15,7 @@
 from rushmux.lab import spec
 from rushmux.lab.store import Store as ResultStore
 from rushmux.nodewire import messages
-from rushmux.planner.membership_store import Row, Store
+from rushmux.planner.membership_store import MemberRow, MembershipStore
 from rushmux.planner.raft_storage import LogFile
 from rushmux.settings import deployment
 from rushmux.standins import fault_injection, script
@@ -121,11 +121,11 @@
 
 
 def test_the_membership_store_holds_its_rows_and_version(stored):
-    store = Store(stored("planner.db"))
-    rows, damaged = store.rows()
+    store = MembershipStore(stored("planner.db"))
+    rows, damaged = store.load()
     assert not damaged and store.version == 17 and store.term == 2
     edge, node = rows
-    assert edge == Row("edge0", "edge", "e1", True, b"") and (node.name, node.kind, node.start) == (
+    assert edge == MemberRow("edge0", "edge", "e1", True, b"") and (node.name, node.kind, node.start) == (
         "node0",
         "node",
         "s1",
