--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -12,7 +12,7 @@
 from rushmux.planner import policy_admin
 from rushmux.planner.membership_store import MemberRow, MembershipStore
 from rushmux.planner.replicated_log import Council, Elsewhere, NotDecided, Planners
-from rushmux.planner.server import Listener
+from rushmux.planner.server import PeerServer
 
 LOOK = 0.5  # seconds between two looks at all leases
 ENTRIES = 10_000  # nodes in a list: as many as edges take
@@ -23,7 +23,7 @@
 APART = 0.02  # seconds by which changes are gathered into one telling
 
 
-class Planner(Listener):
+class Planner(PeerServer):
     """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells.  `planners`: who
     decides with it in common, in a log at `log_path`; `deployment`: the fleet's first policy, where it has
     one; `chance` draws waits.  None: it decides alone, on its store.
@@ -81,9 +81,9 @@
 
     def led(self, leads):
         """Its leadership begins or ends.  Danger: what it knew before is old; all are heard anew."""
-        for writer, (peer, _) in list(self.peers.items()):
-            if peer is not None and not peer.hello.peer.startswith(("planner ", "people")):
-                writer.transport.abort()
+        for peer in self.connected_peers():
+            if not peer.hello.peer.startswith(("planner ", "people")):
+                peer.writer.transport.abort()
         self.confirming = {}
         if leads:
             self.restore(self.council.term)
@@ -120,7 +120,7 @@
             task.cancel()
         if self.council is not None:
             self.council.close()
-        await self.shut()
+        await self.close_server()
         self.store.close()
 
     async def look(self):
@@ -141,7 +141,7 @@
 
     # Peers.
 
-    def met(self, peer):
+    def on_peer_connected(self, peer):
         name = peer.hello.peer
         if name.startswith("planner ") and self.council is not None:
             self.council.greeted(name.split(" ", 1)[1])
@@ -153,13 +153,13 @@
             self.hear(name, EDGE, peer.hello.start, 0)
             self.whole(peer)
 
-    def left(self, peer):
+    def on_peer_disconnected(self, peer):
         self.edges.pop(peer, None)
         name = self.names.pop(peer, None)
         if name is not None and name not in self.names.values():
             self.members.broke(self.loop.time(), name)
 
-    def message(self, peer, name, body):
+    def on_message(self, peer, name, body):
         if name == "word" and self.council is not None:
             self.council.heard(body)
         elif name == "policy_order":
--- a/rushmux/planner/server.py
+++ b/rushmux/planner/server.py
@@ -1,114 +1,175 @@
-"""What servers of the nodes' wire share: a greeting, a loop over frames, and an end for each peer."""
+"""The common part of servers on the nodes' wire: the greeting, the message loop, and an end for each peer."""
 
 import asyncio
 
+import structlog
+
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
-READ = 1 << 17  # bytes asked of a socket at once
-MOST_PEERS = 8_192  # connections: a thousand edges with a few links each
-MOST_UNREAD = 8 << 20  # bytes a peer has not read before it is let go
+READ_SIZE = 1 << 17  # bytes asked of a socket at once
+MAX_CONNECTIONS = 8_192  # a thousand edges with a few connections each
+MAX_UNREAD = 8 << 20  # bytes that a peer may leave unread until its connection is aborted
 BACKLOG = 1_024  # connections that the system holds until they are accepted: all edges come at once
-GREET = 5.0  # seconds for a peer's first message
+HELLO_TIMEOUT = 5.0  # seconds for a peer's first message
+
+
+class PeerConnection:
+    """A connection that a peer opened.
 
+    Attributes:
+        writer: its stream.
+        hello: the peer's greeting.
+    """
 
-class Peer:
-    """A connection that was opened from the other side; `hello` says by whom."""
+    def __init__(self, writer: asyncio.StreamWriter, hello: messages.Hello):
+        self.writer = writer
+        self.hello = hello
 
-    def __init__(self, writer, hello):
-        self.writer, self.hello = writer, hello
+    @property
+    def name(self) -> str:
+        """The peer's name, as it greeted."""
+        return self.hello.peer
 
-    def send(self, **body):
-        """Sends one message; a peer that reads nothing is let go."""
+    def send(self, **body) -> None:
+        """Sends one message; the connection of a peer that reads nothing is aborted."""
         transport = self.writer.transport
         if transport.is_closing():
             return
-        if transport.get_write_buffer_size() > MOST_UNREAD:
+        if transport.get_write_buffer_size() > MAX_UNREAD:
             transport.abort()
             return
         self.writer.write(frame(messages.Message(**body)))
 
 
-class Listener:
-    """Takes peers and gives each message to `message(peer, body name, body)`."""
+class _Client:
+    """An accepted connection: its task, and the peer once it has greeted."""
 
-    def __init__(self, name, start, log):
-        self.name, self.start, self.log, self.peers = name, start, log, {}
-        self.server = self.port = None
-        self.ending = False
+    def __init__(self, task: asyncio.Task):
+        self.task = task
+        self.peer: PeerConnection | None = None
 
-    async def listen(self, host, port):
-        self.server = await asyncio.start_server(self.accept, host, port, backlog=BACKLOG)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self.port
 
-    async def accept(self, reader, writer):
-        peer, why = None, "left"
-        if len(self.peers) >= MOST_PEERS:
-            writer.close()
-            return
-        self.peers[writer] = None, asyncio.current_task()
-        try:
-            frames = Frames()
-            async with asyncio.timeout(GREET):
-                found = []
-                while not found:
-                    data = await reader.read(READ)
-                    if not data:
-                        return
-                    found = frames.feed(data)
-            hello = found.pop(0)
-            if hello.WhichOneof("body") != "hello" or hello.hello.version != VERSION:
-                raise WireFault("no greeting, or one of another version")
-            peer = Peer(writer, hello.hello)
-            self.peers[writer] = peer, asyncio.current_task()
-            peer.send(
-                welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start, age=self.age())
-            )
-            self.met(peer)
-            while True:
-                for message in found:
-                    body = message.WhichOneof("body")
-                    self.message(peer, body, getattr(message, body))
-                data = await reader.read(READ)
-                if not data:
-                    break
-                found = frames.feed(data)
-        except (OSError, WireFault, TimeoutError) as fault:
-            why = str(fault) or type(fault).__name__
-        except asyncio.CancelledError:
-            if not self.ending:  # else `shut` waits for it, and nobody else is to hear of it
-                raise
-        finally:
-            self.peers.pop(writer, None)
-            writer.close()
-            if peer is not None:
-                self.left(peer)
-                self.log.debug("peer.left", peer=peer.hello.peer, why=why)
+class PeerServer:
+    """Accepts peers and hands each of their messages to `on_message`.
 
-    def age(self):
-        """Tenths of a millisecond since the start, as far as that matters to a peer."""
-        return 0
+    Attributes:
+        name: what the server calls itself in its greeting.
+        start: its incarnation; another one at each start.
+        port: where it listens, once it does.
+    """
 
-    def met(self, peer):
-        """A peer has greeted."""
+    def __init__(self, name: str, start: str, log: structlog.typing.FilteringBoundLogger):
+        self.name = name
+        self.start = start
+        self.log = log
+        self.server: asyncio.Server | None = None
+        self.port: int | None = None
+        self._clients: dict[asyncio.StreamWriter, _Client] = {}
+        self._closing = False
 
-    def left(self, peer):
-        """A peer that had greeted is gone."""
+    async def listen(self, host: str, port: int) -> int:
+        """Starts to accept connections; the port."""
+        self.server = await asyncio.start_server(self._serve, host, port, backlog=BACKLOG)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self.port
 
-    def message(self, peer, name, body):
-        raise WireFault(f"{name} is not for this program")
+    def connected_peers(self) -> list[PeerConnection]:
+        """The peers that have greeted."""
+        return [client.peer for client in self._clients.values() if client.peer is not None]
 
-    def drop_peers(self):
+    def abort_connections(self) -> None:
         """Breaks all connections, as a process that dies does."""
-        for writer in list(self.peers):
+        for writer in list(self._clients):
             writer.transport.abort()
 
-    async def shut(self):
-        self.ending = True
+    async def close_server(self) -> None:
+        """Stops to accept, aborts all connections and waits for their tasks."""
+        self._closing = True
         if self.server is not None:
             self.server.close()
-        tasks = [task for _, task in self.peers.values()]
-        self.drop_peers()
+        tasks = [client.task for client in self._clients.values()]
+        self.abort_connections()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    # For subclasses.
+
+    def age(self) -> int:
+        """Tenths of a millisecond since the start, as far as that matters to a peer."""
+        return 0
+
+    def on_peer_connected(self, peer: PeerConnection) -> None:
+        """A peer has greeted; WireFault closes its connection."""
+
+    def on_peer_disconnected(self, peer: PeerConnection) -> None:
+        """A peer that had greeted is gone."""
+
+    def on_message(self, peer: PeerConnection, kind: str, body) -> None:
+        """A message came.
+
+        Args:
+            peer: its sender.
+            kind: the name of the message's body.
+            body: the body.
+
+        Raises:
+            WireFault: the message is not allowed here; the connection is closed.
+        """
+        raise WireFault(f"{kind} is not for this program")
+
+    # Connections.
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._clients) >= MAX_CONNECTIONS:
+            writer.close()
+            return
+        client = self._clients[writer] = _Client(asyncio.current_task())
+        reason = "left"
+        try:
+            await self._serve_client(client, reader, writer)
+        except (OSError, WireFault, TimeoutError) as fault:
+            reason = str(fault) or type(fault).__name__
+        except asyncio.CancelledError:
+            if not self._closing:  # `close_server` waits for this task, and nobody else is to see the error
+                raise
+        finally:
+            self._clients.pop(writer, None)
+            writer.close()
+            if client.peer is not None:
+                self.on_peer_disconnected(client.peer)
+                self.log.debug("peer.disconnected", peer=client.peer.name, why=reason)
+
+    async def _serve_client(
+        self, client: _Client, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Greets the peer, then handles its messages until it closes the connection."""
+        frames = Frames()
+        async with asyncio.timeout(HELLO_TIMEOUT):
+            received = await self._read_messages(reader, frames)
+        if not received:
+            return
+        client.peer = self._welcome(writer, received.pop(0))
+        self.on_peer_connected(client.peer)
+        while True:
+            for message in received:
+                kind = message.WhichOneof("body")
+                self.on_message(client.peer, kind, getattr(message, kind))
+            received = await self._read_messages(reader, frames)
+            if not received:
+                return
+
+    async def _read_messages(self, reader: asyncio.StreamReader, frames: Frames) -> list[messages.Message]:
+        """Returns the next messages, at least one; none at the end of the stream."""
+        while data := await reader.read(READ_SIZE):
+            if received := list(frames.feed(data)):
+                return received
+        return []
+
+    def _welcome(self, writer: asyncio.StreamWriter, greeting: messages.Message) -> PeerConnection:
+        """Checks a peer's greeting and answers it."""
+        if greeting.WhichOneof("body") != "hello" or greeting.hello.version != VERSION:
+            raise WireFault("no greeting, or one of another version")
+        peer = PeerConnection(writer, greeting.hello)
+        peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start, age=self.age()))
+        return peer
--- a/rushmux/standins/fault_control.py
+++ b/rushmux/standins/fault_control.py
@@ -1,10 +1,10 @@
 """What stand-ins share besides what all servers do: they may be ordered to be in trouble."""
 
 from rushmux.nodewire import messages
-from rushmux.planner.server import Listener
+from rushmux.planner.server import PeerServer
 
 
-class Obeying(Listener):
+class Obeying(PeerServer):
     """A server whose `begin(kind, size, seconds)` begins a trouble."""
 
     def obey(self, peer, order):
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -37,14 +37,14 @@
     async def close(self):
         if self.task:
             self.task.cancel()
-        await self.shut()
+        await self.close_server()
 
-    def met(self, peer):
+    def on_peer_connected(self, peer):
         if peer.hello.peer.startswith("edge"):
             self.edges[peer] = True
             self.whole(peer)
 
-    def left(self, peer):
+    def on_peer_disconnected(self, peer):
         self.edges.pop(peer, None)
         name = self.nodes.pop(peer, None)
         if name is not None and name not in self.nodes.values():
@@ -53,7 +53,7 @@
             entry.condition = "gone"
             self.changed(entry)
 
-    def message(self, peer, name, body):
+    def on_message(self, peer, name, body):
         if name == "report":
             if len(self.entries) >= MOST_NODES and body.entry.node not in self.entries:
                 raise WireFault(f"more than {MOST_NODES} nodes")
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 
 from rushmux.nodewire import Frames, WireFault, frame, messages
-from rushmux.planner.server import Peer
+from rushmux.planner.server import PeerConnection
 from rushmux.standins.fault_control import Obeying
 from rushmux.standins.service_model import Engine, Shape, neighbour
 from rushmux.standins.store import DiskFull, Store
@@ -101,7 +101,7 @@
         self.engine.stop()
         if self.task:
             self.task.cancel()
-        await self.shut()
+        await self.close_server()
         self.store.close()
 
     def fall(self):
@@ -112,7 +112,7 @@
         if self.task:
             self.task.cancel()
         self.server.close()
-        self.drop_peers()
+        self.abort_connections()
 
     # Towards the list source.
 
@@ -181,7 +181,7 @@
 
     # Towards the edges.
 
-    def message(self, peer, name, body):
+    def on_message(self, peer, name, body):
         if name == "execute":
             self.execute(peer, body)
         elif name == "withdraw":
@@ -203,7 +203,7 @@
         self.log.warning("trouble", kind=kind, size=size, seconds=seconds)
         if kind == "resets":
             self.record("reset", node=self.name)
-            self.drop_peers()
+            self.abort_connections()
             return
         if kind == "drain":
             self.condition = "draining"
@@ -224,7 +224,7 @@
             for peer, body in stuck:
                 self.serve(peer, body, body.WhichOneof("what"))
 
-    def execute(self, peer: Peer, body: messages.Execute):
+    def execute(self, peer: PeerConnection, body: messages.Execute):
         if self.fallen:
             return
         what = body.WhichOneof("what")
--- a/tests/edge/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -63,7 +63,7 @@
             waiting = asyncio.ensure_future(once(links.probe, "n"))
             await asyncio.sleep(0.05)
             assert not waiting.done()
-            node.drop_peers()
+            node.abort_connections()
             assert await waiting == (AttemptResult.CONNECTION_LOST, None)
         finally:
             await links.close()
