--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -98,7 +98,7 @@
             while len(told.get((name, "draining"), ())) < edges:
                 await asyncio.sleep(0.01)
             drains.append(max(told[name, "draining"].values()) - asked)
-            while planner.members.members[name].condition != "drained":
+            while planner.state.membership.members[name].condition != "drained":
                 await asyncio.sleep(0.1)
             released.append(loop.time() - asked)
         killed = loop.time()
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -18,7 +18,7 @@
 from rushmux.fleet import policy, raft
 from rushmux.nodewire import VERSION, Frames, frame, messages
 from rushmux.planner import admin_client
-from rushmux.planner.raft_storage import LogFile
+from rushmux.planner.raft_storage import RaftStorage
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
 from rushmux.simulation import loop as virtual
@@ -295,16 +295,16 @@
     for size in sizes:
         for short in (False, True):
             with tempfile.TemporaryDirectory() as folder:
-                disk = LogFile(Path(folder) / "a.log", lambda: "1")
+                disk = RaftStorage(Path(folder) / "a.log", lambda: "1")
                 rows = tuple(raft.Entry(1, raft.ORDER, b"x" * 200) for _ in range(size))
                 kept = raft.founded(["a/1"])._replace(term=1, entries=rows)
                 if short:
                     kept = raft.Kept(1, None, raft.Snapshot(size, 1, ("a/1",), b"s" * 20_000))
-                disk.begin(kept)
+                disk.create(kept)
                 disk.release()
                 begun = time.perf_counter()
-                disk = LogFile(Path(folder) / "a.log", lambda: "1")
-                raft.Voice("a/1", disk.kept, 0.0, lambda below: 0)
+                disk = RaftStorage(Path(folder) / "a.log", lambda: "1")
+                raft.Voice("a/1", disk.persistent, 0.0, lambda below: 0)
                 took = time.perf_counter() - begun
                 disk.release()
                 print({"orders": size, "snapshot": short, "s": round(took, 4)}, flush=True)
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -278,18 +278,19 @@
     """Knows which nodes and edges live, and tells the edges."""
     import random
 
-    from rushmux.planner.errors import MembershipStoreError
+    from rushmux.planner.errors import MembershipStoreError, RaftStorageError
     from rushmux.planner.membership_store import MembershipStore
     from rushmux.planner.planner import Planner
-    from rushmux.planner.raft_storage import BadLog
-    from rushmux.planner.replicated_log import Planners
+    from rushmux.planner.replication_settings import ReplicationSettings
 
-    deployment, among = deployed(file), None
+    deployment, replication = deployed(file), None
     if planners or deployment.policy:
         planners = planners or {name: listen}
         if name not in planners:
             raise click.ClickException(f"there is no planner '{name}'; there are {', '.join(planners)}")
-        among = Planners(name, planners, found)
+        replication = ReplicationSettings(
+            name, planners, f"{data}.log", random.Random(new_seed(seed)), bootstrap=found
+        )
     try:
         store = MembershipStore(data)
     except (MembershipStoreError, OSError) as fault:
@@ -300,17 +301,15 @@
             cells,
             store,
             log.to_stream(sys.stderr.buffer, log_level),
-            recorder(records, asyncio.get_running_loop()),
-            deployment.limits(),
-            deployment.settings.gateway_count,
-            among,
-            f"{data}.log",
-            deployment,
-            random.Random(new_seed(seed)),
+            record=recorder(records, asyncio.get_running_loop()),
+            limited_folders=deployment.limits(),
+            gateway_count=deployment.settings.gateway_count,
+            deployment=deployment,
+            replication=replication,
         )
         try:
             await serve(part, listen, with_parent)
-        except BadLog as fault:
+        except RaftStorageError as fault:
             raise click.ClickException(str(fault)) from fault
 
     asyncio.run(run())
--- /dev/null
+++ b/rushmux/planner/fleet_admin.py
@@ -0,0 +1,92 @@
+"""Operators' commands on the fleet's members: show, drain, undrain."""
+
+import asyncio
+
+import structlog
+
+from rushmux.fleet.membership import GONE, NODE
+from rushmux.nodewire import messages
+from rushmux.planner.commands import FleetVerb
+from rushmux.planner.endpoint_publisher import EndpointPublisher
+from rushmux.planner.errors import NotLeaderError, ProposalRejectedError, ProposalUndecidedError
+from rushmux.planner.fleet_state import FleetState
+from rushmux.planner.replicated_log import ReplicatedLog
+
+CHANGES = (FleetVerb.DRAIN, FleetVerb.UNDRAIN)
+PROPOSED_BY = "people"  # stored in the log's entries
+
+
+class FleetAdmin:
+    """Carries out commands on the members, and answers with the fleet as it then is."""
+
+    def __init__(
+        self, state: FleetState, publisher: EndpointPublisher, log: structlog.typing.FilteringBoundLogger
+    ):
+        self._state = state
+        self._publisher = publisher
+        self._log = log
+
+    async def execute_replicated(
+        self, replicated_log: ReplicatedLog, command: messages.Order
+    ) -> messages.Ordered:
+        """Carries out a command once the planners have committed it."""
+        if not replicated_log.is_leader:
+            fault = NotLeaderError(replicated_log.leader, unknown="no planner known here")
+            return messages.Ordered(fault=str(fault), elsewhere=True)
+        if command.verb in CHANGES and command.member in self._state.membership.members:
+            try:
+                result = await replicated_log.propose(
+                    {"kind": command.verb, "member": command.member, "by": PROPOSED_BY}
+                )
+            except ProposalRejectedError as fault:
+                return messages.Ordered(fault=str(fault), elsewhere=isinstance(fault, ProposalUndecidedError))
+            if result.startswith("refused"):
+                return messages.Ordered(fault=result)
+        return self.execute(command)
+
+    def execute(self, command: messages.Order) -> messages.Ordered:
+        """Carries out a command at once."""
+        fault = self._fault_of(command)
+        if fault is None and command.verb in CHANGES:
+            self._change_drain(FleetVerb(command.verb), command.member)
+        answer = messages.Ordered(fault=fault or "", term=self._state.term, version=self._publisher.version)
+        self._add_members(answer)
+        return answer
+
+    def _fault_of(self, command: messages.Order) -> str | None:
+        """Why a command cannot be carried out."""
+        if command.verb == FleetVerb.SHOW:
+            return None
+        if command.verb not in CHANGES:
+            return f"there is no order '{command.verb}'; there are {', '.join(FleetVerb)}"
+        member = self._state.membership.members.get(command.member)
+        if member is None or member.kind != NODE:
+            return f"there is no node '{command.member}'"
+        if command.verb == FleetVerb.DRAIN and member.condition == GONE:
+            return f"node '{command.member}' is gone"
+        return None
+
+    def _change_drain(self, verb: FleetVerb, node: str) -> None:
+        self._log.info("admin.fleet_command", verb=verb.value, member=node)
+        now = asyncio.get_running_loop().time()
+        if verb is FleetVerb.DRAIN:
+            self._state.drained.add(node)
+            changes = self._state.membership.drain(now, node)
+        else:
+            self._state.drained.discard(node)
+            changes = self._state.membership.undrain(now, node)
+        self._publisher.on_member_changes(changes)
+
+    def _add_members(self, answer: messages.Ordered) -> None:
+        for member in self._state.membership.members.values():
+            node = self._state.nodes.get(member.name)
+            answer.members.add(
+                member=member.name,
+                kind=member.kind,
+                condition=member.condition or "",
+                reason=self._state.reasons.get(member.name, "from the store"),
+                start=member.start,
+                out=member.out,
+                cell=node.entry.cell if node is not None else 0,
+                zone=node.entry.zone if node is not None else "",
+            )
--- /dev/null
+++ b/rushmux/planner/fleet_state.py
@@ -0,0 +1,65 @@
+"""What a planner that leads knows of its fleet: members, nodes' reports, drains, and reasons of states."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from rushmux.fleet.membership import NODE, Membership
+from rushmux.nodewire import messages
+from rushmux.planner.membership_store import MemberRow
+
+
+class NodeRecord(NamedTuple):
+    """What a node reported last.
+
+    Attributes:
+        entry: its entry in the endpoint list, as it sees itself.
+        reported_at: when the report came, in seconds of the loop's clock.
+    """
+
+    entry: messages.Entry
+    reported_at: float
+
+
+class FleetState:
+    """The fleet in one term of leadership.
+
+    Attributes:
+        term: the term in which it was restored.
+        membership: which members are alive.
+        nodes: node name -> its last report.
+        drained: nodes that operators have drained.
+        reasons: member -> why it is in its state.
+    """
+
+    def __init__(self):
+        self.term = 0
+        self.membership = Membership(0.0)
+        self.nodes: dict[str, NodeRecord] = {}
+        self.drained: set[str] = set()
+        self.reasons: dict[str, str] = {}
+
+    def restore(self, now: float, term: int, rows: list[MemberRow], drained: Iterable[str]) -> None:
+        """Starts anew from stored members, in a new term."""
+        self.term = term
+        self.drained = set(drained)
+        self.nodes = {
+            row.name: NodeRecord(messages.Entry.FromString(row.entry), now)
+            for row in rows
+            if row.kind == NODE
+        }
+        self.membership = Membership(now)
+        self.membership.restored(
+            now, [(row.name, row.kind, row.start, row.name in self.drained) for row in rows]
+        )
+
+    def remove_forgotten_nodes(self) -> list[str]:
+        """Drops the reports of nodes that are no members any more; their names."""
+        forgotten = [name for name in self.nodes if name not in self.membership.members]
+        for name in forgotten:
+            del self.nodes[name]
+            self.reasons.pop(name, None)
+        return forgotten
+
+    def member_nodes(self) -> dict[str, NodeRecord]:
+        """The reports of nodes that are members."""
+        return {name: node for name, node in self.nodes.items() if name in self.membership.members}
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -1,396 +1,308 @@
-"""The planner: hears nodes and edges, decides who lives (`membership`), keeps it, and tells edges.
+"""The planner's server: takes connections of nodes, edges, planners and operators, and connects the parts.
 
-Edges keep serving on the last list when it is away.  Each change is on its disk before it is told; where the
-disk takes nothing, what lives is told all the same and said in the log, and what was told is written later.
+Members are judged by `fleet.membership`, quotas by `fleet.quotas`; `endpoint_publisher` stores the endpoint
+list and sends it to the edges, `replicated_log` shares the policy with the other planners.  Edges go on with
+their last list while no planner leads.
 """
 
 import asyncio
+from collections.abc import Callable, Collection, Coroutine
 
-from rushmux.fleet.membership import EDGE, GONE, NODE, SHOWN, Change, Full, Membership
-from rushmux.fleet.quotas import Shares
+import structlog
+
+from rushmux.fleet.membership import EDGE, NODE, Full
 from rushmux.nodewire import WireFault, messages
-from rushmux.planner import policy_admin
-from rushmux.planner.membership_store import MemberRow, MembershipStore
-from rushmux.planner.replicated_log import Council, Elsewhere, NotDecided, Planners
-from rushmux.planner.server import PeerServer
+from rushmux.planner import peer_names, policy_admin
+from rushmux.planner.endpoint_publisher import EndpointPublisher
+from rushmux.planner.fleet_admin import FleetAdmin
+from rushmux.planner.fleet_state import FleetState, NodeRecord
+from rushmux.planner.membership_store import MembershipStore
+from rushmux.planner.policy_floor import PolicyFloor
+from rushmux.planner.quota_service import QuotaService
+from rushmux.planner.replicated_log import ReplicatedLog
+from rushmux.planner.replication_settings import ReplicationSettings
+from rushmux.planner.server import PeerConnection, PeerServer
+from rushmux.settings.deployment import Deployment
+
+TICK_INTERVAL = 0.5  # seconds between two checks of all members' leases
+MAX_NODES = 10_000  # in the endpoint list: as many as edges take
+MAX_ADMIN_COMMANDS = 100  # that wait for an answer
+FOR_EDGES = ("ask", "policy_ask")  # messages that only an edge may send
 
-LOOK = 0.5  # seconds between two looks at all leases
-ENTRIES = 10_000  # nodes in a list: as many as edges take
-WANTS = 10_000  # folders in one ask
-SECOND = 10_000  # ticks in a second
-FLOOR_LAG = 1.0  # seconds beyond the longest hard stop until a floor is told: ways and a late timer
-MOST_ORDERS = 100  # of people that wait for an answer
-APART = 0.02  # seconds by which changes are gathered into one telling
+
+def ignore_record(kind: str, **fields) -> None:
+    """Records nothing."""
 
 
 class Planner(PeerServer):
-    """One planner.  `store` is its disk; `record(kind, **fields)` hears of what it tells.  `planners`: who
-    decides with it in common, in a log at `log_path`; `deployment`: the fleet's first policy, where it has
-    one; `chance` draws waits.  None: it decides alone, on its store.
+    """One planner.
+
+    Args:
+        cells: shards that the fleet's data is spread over.
+        store: what it knows, on its disk.
+        log: the logger.
+        record: called with what is sent out, for checkers of recorded histories.
+        limited_folders: names of the folders that have limits.
+        gateway_count: edges that there may ever be.
+        deployment: the deployment whose policy is the fleet's first; None: the fleet has no policy.
+        replication: the planners that decide in common; None: this one decides alone, on its store.
     """
 
     def __init__(
         self,
         cells: int,
         store: MembershipStore,
-        log,
-        record=lambda kind, **fields: None,
-        folders=(),
-        edges=1,
-        planners: Planners | None = None,
-        log_path=None,
-        deployment=None,
-        chance=None,
+        log: structlog.typing.FilteringBoundLogger,
+        *,
+        record: Callable = ignore_record,
+        limited_folders: Collection[str] = (),
+        gateway_count: int = 1,
+        deployment: Deployment | None = None,
+        replication: ReplicationSettings | None = None,
     ):
         super().__init__("planner", str(store.term), log.bind(planner="planner", term=store.term))
-        self.cells, self.store, self.record = cells, store, record
-        self.folders, self.most_edges = folders, edges  # those with limits; edges there may ever be
-        self.council, self.deployment = None, deployment
-        self.floor = 0, 0.0  # the newest floor, and since when it stood here
-        self.planners, self.log_path, self.chance = planners, log_path, chance
-        self.asked, self.confirming = {}, {}  # people's orders; edges whose parts wait for a majority
-        self.drained = {}  # nodes that people ordered to drain
-        self.entries, self.heard_at = {}, {}  # node -> entry as it reported, and when
-        self.edges, self.names = {}, {}  # peers of edges; member of a peer
-        self.version, self.waiting, self.unkept = store.version, {}, {}
-        self.reasons, self.tasks, self.telling = {}, [], None
+        self.store = store
+        self.replicated_log: ReplicatedLog | None = None
+        self.state = FleetState()
+        self.publisher = EndpointPublisher(
+            self.state, store, self.log, cells=cells, record=record, is_leader=lambda: self.is_leader
+        )
+        self._cells = cells
+        self._record = record
+        self._deployment = deployment
+        self._replication = replication
+        self._admin = FleetAdmin(self.state, self.publisher, self.log)
+        self._quotas = QuotaService(limited_folders, gateway_count, self._confirm_leadership)
+        self._floor = PolicyFloor(deployment) if deployment is not None else None
+        self._member_of: dict[PeerConnection, str] = {}
+        self._ticks: asyncio.Task | None = None
+        self._admin_tasks: set[asyncio.Task] = set()
+        self._handlers, self._leader_handlers = self._message_handlers()
+
+    def _message_handlers(self) -> tuple[dict[str, Callable], dict[str, Callable]]:
+        """Handlers by message: those of any planner, and those of the one that leads."""
+        always = {"policy_order": self._on_policy_command}
+        leading = {"report": self._on_report, "ask": self._on_quota_request}
+        if self._replication is None:
+            leading["order"] = self._on_fleet_command
+        else:
+            always["order"] = self._on_replicated_fleet_command
+            always["word"] = self._on_raft_message
+            leading["policy_ask"] = self._on_lease_request
+        return always, leading
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether it decides: it leads the planners, or is alone."""
+        return self.replicated_log is None or self.replicated_log.is_leader
+
+    # Start and end.
 
     async def open(self, host: str, port: int) -> int:
-        """Begins to serve; the port."""
+        """Starts to serve; the port.
+
+        Raises:
+            RaftStorageError: the stored log cannot be used.
+            OSError: the address cannot be used.
+        """
         self.loop = asyncio.get_running_loop()
-        self.restore(self.store.term)
-        if self.planners is not None:
-            self.council = Council(
-                self.planners, self.log_path, self.chance, self.log, self.led, self.first, self.record
+        self._begin_term(self.store.term)
+        if self._replication is not None:
+            self.replicated_log = ReplicatedLog(
+                self._replication,
+                self.log,
+                on_leadership=self._on_leadership,
+                bootstrap_command=self._bootstrap_command,
+                record=self._record,
             )
         await self.listen(host, port)
-        self.tasks = [self.loop.create_task(self.look())]
-        if self.council is not None:
-            self.council.start()
+        self._ticks = self.loop.create_task(self._run_ticks())
+        if self.replicated_log is not None:
+            self.replicated_log.start()
         return self.port
 
-    def first(self):
-        """The order that founds the fleet's policy; None where it is to have none."""
-        if self.deployment is None or not self.deployment.policy:
+    async def close(self) -> None:
+        """Ends; what is not answered stays so."""
+        if self._ticks is not None:
+            self._ticks.cancel()
+        if self.replicated_log is not None:
+            self.replicated_log.close()
+        self.publisher.close()
+        await self.close_server()
+        for task in self._admin_tasks:
+            task.cancel()
+        self.store.close()
+
+    def _bootstrap_command(self) -> dict | None:
+        """The command that makes the fleet's first policy; None where it is to have none."""
+        if self._deployment is None or not self._deployment.policy:
             return None
-        return policy_admin.first(self.deployment)
+        return policy_admin.bootstrap_command(self._deployment)
 
-    @property
-    def leads(self) -> bool:
-        return self.council is None or self.council.leads
+    # Leadership.
 
-    def led(self, leads):
-        """Its leadership begins or ends.  Danger: what it knew before is old; all are heard anew."""
+    def _on_leadership(self, leads: bool) -> None:
+        """Its leadership begins or ends: members connect anew, since what it knew before is old."""
         for peer in self.connected_peers():
-            if not peer.hello.peer.startswith(("planner ", "people")):
+            if not peer_names.is_planner(peer.name) and not peer.name.startswith(peer_names.OPERATOR):
                 peer.writer.transport.abort()
-        self.confirming = {}
+        self._quotas.forget_unconfirmed()
         if leads:
-            self.restore(self.council.term)
+            self._begin_term(self.replicated_log.term)
+
+    def _confirm_leadership(self, call: Callable[[], None]) -> None:
+        """Calls a function once it is sure that this planner leads."""
+        if self.replicated_log is None:
+            call()
+        else:
+            self.replicated_log.confirm_leadership(call)
 
-    def restore(self, term):
-        """Begins anew with what its store knows; drains are those of the newest orders where there are
-        several planners, since its own store may be old.
+    def _begin_term(self, term: int) -> None:
+        """Starts anew with what the store holds.
+
+        With several planners the drains are those that they committed: this planner's store may be old.
         """
         now = self.loop.time()
-        self.entries, self.heard_at, self.waiting, self.unkept = {}, {}, {}, {}
-        self.members = Membership(now)
-        self.shares = Shares(term, self.folders, self.most_edges, now)
-        rows, damaged = self.store.load()
-        for name in damaged:
-            self.log.error("store.damaged", member=name)
-        for row in rows:
-            if row.kind == NODE:
-                entry = messages.Entry()
-                entry.ParseFromString(row.entry)
-                self.entries[row.name], self.heard_at[row.name] = entry, now
-        self.drained = dict.fromkeys(
-            self.council.register.drained
-            if self.council is not None
-            else [row.name for row in rows if row.draining],
-            True,
-        )
-        self.members.restored(
-            now, [(row.name, row.kind, row.start, row.name in self.drained) for row in rows]
+        stored = self.store.load()
+        for name in stored.damaged:
+            self.log.error("membership_store.row_damaged", member=name)
+        if self.replicated_log is None:
+            drained = [row.name for row in stored.rows if row.draining]
+        else:
+            drained = self.replicated_log.policy.drained
+        self.publisher.begin_term()
+        self._quotas.begin_term(term, now)
+        self.state.restore(now, term, stored.rows, drained)
+        self.log.info(
+            "planner.state_restored", members=len(stored.rows), version=self.publisher.version, term=term
         )
-        self.log.info("planner.restored", members=len(rows), version=self.version, term=term)
 
-    async def close(self):
-        for task in self.tasks:
-            task.cancel()
-        if self.council is not None:
-            self.council.close()
-        await self.close_server()
-        self.store.close()
-
-    async def look(self):
+    async def _run_ticks(self) -> None:
         while True:
-            await asyncio.sleep(LOOK)
-            if not self.leads:
-                continue
-            # Edges say nothing after their greeting: one lives as long as its connection.
-            for peer in list(self.edges):
-                self.hear(peer.hello.peer, EDGE, peer.hello.start, 0)
-            self.changed(self.members.look(self.loop.time()))
-            forgotten = [name for name in self.entries if name not in self.members.members]
-            for name in forgotten:
-                del self.entries[name], self.heard_at[name]
-                self.reasons.pop(name, None)
-            if self.unkept or forgotten:
-                self.keep(dict.fromkeys(forgotten, True))
-
-    # Peers.
-
-    def on_peer_connected(self, peer):
-        name = peer.hello.peer
-        if name.startswith("planner ") and self.council is not None:
-            self.council.greeted(name.split(" ", 1)[1])
-        elif not self.leads and name != "people":
+            await asyncio.sleep(TICK_INTERVAL)
+            if self.is_leader:
+                self._tick()
+
+    def _tick(self) -> None:
+        # Edges send no reports: an edge is alive as long as its connection.
+        for peer in list(self.publisher.subscribers):
+            self._heard_from(peer.name, EDGE, peer.hello.start, 0)
+        self.publisher.on_member_changes(self.state.membership.look(self.loop.time()))
+        forgotten = self.state.remove_forgotten_nodes()
+        if self.publisher.unsaved or forgotten:
+            self.publisher.save(forgotten)
+
+    def _heard_from(self, name: str, kind: str, start: str, in_flight: int) -> None:
+        try:
+            changes = self.state.membership.heard(self.loop.time(), name, kind, start, in_flight)
+        except Full as fault:
+            raise WireFault(str(fault)) from fault
+        self.publisher.on_member_changes(changes)
+
+    # Connections.
+
+    def on_peer_connected(self, peer: PeerConnection) -> None:
+        """Subscribes an edge to the endpoint list; a planner that does not lead accepts no members."""
+        if peer_names.is_planner(peer.name) and self.replicated_log is not None:
+            self.replicated_log.on_planner_connected(peer_names.planner_member_id(peer.name))
+        elif not self.is_leader and peer.name != peer_names.OPERATOR:
             raise WireFault("this planner does not lead")
-        if name.startswith("edge"):
-            self.edges[peer] = True
-            self.names[peer] = name
-            self.hear(name, EDGE, peer.hello.start, 0)
-            self.whole(peer)
-
-    def on_peer_disconnected(self, peer):
-        self.edges.pop(peer, None)
-        name = self.names.pop(peer, None)
-        if name is not None and name not in self.names.values():
-            self.members.broke(self.loop.time(), name)
-
-    def on_message(self, peer, name, body):
-        if name == "word" and self.council is not None:
-            self.council.heard(body)
-        elif name == "policy_order":
-            self.asked_for(
-                peer, lambda: policy_admin.answer(self.council, self.deployment, body), "policy_answer"
-            )
-        elif name == "order" and self.council is not None:
-            self.asked_for(peer, lambda: self.order_in_common(body), "ordered")
-        elif not self.leads:
+        if peer_names.is_edge(peer.name):
+            self._member_of[peer] = peer.name
+            self._heard_from(peer.name, EDGE, peer.hello.start, 0)
+            self.publisher.subscribe(peer)
+
+    def on_peer_disconnected(self, peer: PeerConnection) -> None:
+        """A member whose last connection ended is given a short time to come back."""
+        self.publisher.unsubscribe(peer)
+        name = self._member_of.pop(peer, None)
+        if name is not None and name not in self._member_of.values():
+            self.state.membership.broke(self.loop.time(), name)
+
+    def on_message(self, peer: PeerConnection, kind: str, body) -> None:
+        """Hands a message to its handler."""
+        handler = self._handlers.get(kind)
+        if handler is None and not self.is_leader:
             raise WireFault("this planner does not lead")
-        elif name == "report":
-            self.report(peer, body)
-            self.tell_floor(peer)
-        elif name == "policy_ask" and peer in self.edges and self.council is not None:
-            self.council.policy_ask(peer, body)
-        elif name == "ask" and peer in self.edges:
-            self.ask(peer, body)
-        elif name == "order":
-            peer.send(ordered=self.order(body))
-        else:
-            raise WireFault(f"{name} is not for a planner")
+        handler = handler or self._leader_handlers.get(kind)
+        if handler is None or (kind in FOR_EDGES and peer not in self.publisher.subscribers):
+            raise WireFault(f"{kind} is not for a planner")
+        handler(peer, body)
+
+    # Nodes and edges.
+
+    def _on_report(self, peer: PeerConnection, report: messages.Report) -> None:
+        self._check_entry(peer, report.entry)
+        self._store_report(peer, report)
+        self._send_floor(peer)
 
-    def report(self, peer, body):
-        entry = body.entry
-        if entry.cell >= self.cells or entry.node != peer.hello.peer or not entry.node:
+    def _check_entry(self, peer: PeerConnection, entry: messages.Entry) -> None:
+        if entry.cell >= self._cells or entry.node != peer.name or not entry.node:
             raise WireFault(f"node {entry.node} of cell {entry.cell} does not belong here")
-        if len(self.entries) >= ENTRIES and entry.node not in self.entries:
-            raise WireFault(f"more than {ENTRIES} nodes")
-        self.names[peer] = entry.node
-        known, now = self.entries.get(entry.node), self.loop.time()
-        # A node that asks to drain by itself is as one that was told to.
-        drains = entry.condition == "draining" or entry.node in self.drained
-        self.hear(entry.node, NODE, entry.start, body.out)
-        member = self.members.members.get(entry.node)
+        if len(self.state.nodes) >= MAX_NODES and entry.node not in self.state.nodes:
+            raise WireFault(f"more than {MAX_NODES} nodes")
+
+    def _store_report(self, peer: PeerConnection, report: messages.Report) -> None:
+        entry, now = report.entry, self.loop.time()
+        self._member_of[peer] = entry.node
+        known = self.state.nodes.get(entry.node)
+        self._heard_from(entry.node, NODE, entry.start, report.out)
+        member = self.state.membership.members.get(entry.node)
         if member is None or member.start != entry.start:
-            return  # a late word of an older start
-        self.entries[entry.node], self.heard_at[entry.node] = entry, now
-        if drains and not member.draining:
-            self.changed(self.members.drain(now, entry.node))
-        if known is None or (known.start, known.host, known.port, known.cell) != (
-            entry.start,
-            entry.host,
-            entry.port,
-            entry.cell,
-        ):
-            self.waiting[entry.node] = True
-            self.tell_soon()
-
-    def tell_floor(self, peer):
-        """Nodes turn away what goes by an older number than any member is known to.
-
-        Danger: what a member took before it went to the next number ends under the old one.  A floor is
-        told once the longest hard stop is over since it stood here.
-        """
-        if self.council is None or self.deployment is None or self.council.register.floor <= 1:
+            return  # a late report of an older incarnation
+        self.state.nodes[entry.node] = NodeRecord(entry, now)
+        # A node that asks to drain by itself is treated as one that operators drain.
+        wants_drain = entry.condition == "draining" or entry.node in self.state.drained
+        if wants_drain and not member.draining:
+            self.publisher.on_member_changes(self.state.membership.drain(now, entry.node))
+        if known is None or _identity(known.entry) != _identity(entry):
+            self.publisher.schedule(entry.node)
+
+    def _send_floor(self, peer: PeerConnection) -> None:
+        """Tells a node which policies' operations it is to reject."""
+        if self.replicated_log is None or self._floor is None:
             return
-        floor, now = self.council.register.floor, self.loop.time()
-        if self.floor[0] != floor:
-            self.floor = floor, now
-        longest = max(lane.deadline for lane in self.deployment.settings.request_classes.values()) / SECOND
-        if now - self.floor[1] > longest + FLOOR_LAG:
+        floor = self._floor.announced(self.replicated_log.policy.floor, self.loop.time())
+        if floor is not None:
             peer.send(floor=messages.Floor(number=floor))
 
-    def asked_for(self, peer, act, kind):
-        """A person's order: its answer goes out when it is known.  A bound on those that wait."""
-
-        async def whole():
-            peer.send(**{kind: await act()})
-
-        if len(self.asked) >= MOST_ORDERS:
-            raise WireFault(f"{MOST_ORDERS} orders wait")
-        task = self.loop.create_task(whole())
-        self.asked[task] = True
-        task.add_done_callback(lambda task: self.asked.pop(task, None))
-
-    def ask(self, peer, body):
-        if self.council is not None and peer not in self.confirming:
-            # Danger: a planner that others have replaced would grant parts that are another's by now.
-            self.confirming[peer] = True
-            self.council.confirm(lambda: (self.confirming.pop(peer, None), self.ask_confirmed(peer, body)))
-        elif self.council is None:
-            self.ask_confirmed(peer, body)
-
-    def ask_confirmed(self, peer, body):
-        if len(body.wants) > WANTS or any(not 0 <= want.part < 1e9 for want in body.wants):
-            raise WireFault("an ask that makes no sense")
-        grant = self.shares.asked(
-            self.loop.time(),
-            peer.hello.peer,
-            body.ask,
-            {want.folder: want.part for want in body.wants},
-            (body.term, body.number),
-        )
-        peer.send(
-            grant=messages.Grant(
-                term=grant.term,
-                number=grant.number,
-                ask=grant.ask,
-                parts=[messages.Want(folder=folder, part=part) for folder, part in grant.parts.items()],
-            )
-        )
+    def _on_quota_request(self, peer: PeerConnection, request: messages.Ask) -> None:
+        self._quotas.on_request(peer, request, self.loop.time)
 
-    def hear(self, name, kind, start, out):
-        try:
-            self.changed(self.members.heard(self.loop.time(), name, kind, start, out))
-        except Full as fault:
-            raise WireFault(str(fault)) from fault
+    def _on_lease_request(self, peer: PeerConnection, request: messages.PolicyAsk) -> None:
+        self.replicated_log.on_lease_request(peer, request)
 
-    # Changes.
-
-    def changed(self, changes: list[Change]):
-        for change in changes:
-            self.log.info("member", member=change.member, condition=change.condition, reason=change.reason)
-            self.reasons[change.member] = change.reason
-            self.waiting[change.member] = True
-        if changes:
-            self.tell_soon()
-
-    def tell_soon(self):
-        if self.telling is None:
-            self.telling = self.loop.call_later(APART, self.tell)
-
-    def tell(self):
-        """Keeps what changed and tells every edge."""
-        self.telling = None
-        if not self.leads:  # what it knows is another's by now
-            self.waiting = {}
-            return
-        names, self.waiting = self.waiting, {}
-        rows, version = {}, self.version + 1
-        for name in names:
-            member = self.members.members.get(name)
-            if member is None or member.kind == EDGE:
-                continue
-            rows[name] = self.entries[name]
-        self.keep(names, version if rows else self.version)
-        if not rows:
-            return
-        self.version = version
-        listing = self.listing(rows, False)
-        self.record("shown", version=version, nodes=[[told.node, told.condition] for told in listing.entries])
-        for peer in self.edges:
-            peer.send(listing=listing)
-
-    def keep(self, names, version=None):
-        """Danger: what edges were told must outlive a kill.  A full disk is said, and tried again."""
-        self.unkept.update(names)
-        rows, dropped = [], []
-        for name in self.unkept:
-            member = self.members.members.get(name)
-            if member is None or (member.kind == EDGE and member.condition == GONE):
-                dropped.append(name)
-            else:
-                entry = self.entries.get(name)
-                rows.append(
-                    MemberRow(
-                        name,
-                        member.kind,
-                        member.start,
-                        member.draining,
-                        entry.SerializeToString() if entry is not None else b"",
-                    )
-                )
-        try:
-            self.store.save(rows, dropped, self.version if version is None else version)
-            self.unkept = {}
-        except OSError as fault:
-            self.log.error("store.full", why=str(fault), waiting=len(self.unkept))
+    def _on_raft_message(self, peer: PeerConnection, message: messages.Word) -> None:
+        self.replicated_log.on_message(message)
 
-    def listing(self, rows, whole):
-        now = self.loop.time()
-        listing = messages.Listing(version=self.version, whole=whole, cells=self.cells)
-        for name, entry in rows.items():
-            told = listing.entries.add()
-            told.CopyFrom(entry)
-            # Danger: what a node says of itself is not what was decided of it.
-            condition = self.members.members[name].condition
-            told.condition = SHOWN.get(condition, condition)
-            told.age += int((now - self.heard_at[name]) * 10_000)
-        return listing
-
-    def whole(self, peer):
-        """The whole list; nothing while no node is known, since a list with none is not to be believed."""
-        rows = {name: entry for name, entry in self.entries.items() if name in self.members.members}
-        if rows:
-            peer.send(listing=self.listing(rows, True))
-
-    # People.
-
-    async def order_in_common(self, order) -> messages.Ordered:
-        """An order that several planners decide first; the fault tells who leads."""
-        if not self.leads:
-            leader = self.council.voice.leader or "no planner known here"
-            return messages.Ordered(fault=f"{leader} leads", elsewhere=True)
-        if order.verb in ("drain", "undrain") and order.member in self.members.members:
-            try:
-                said = await self.council.order({"kind": order.verb, "member": order.member, "by": "people"})
-            except NotDecided as fault:
-                return messages.Ordered(fault=str(fault), elsewhere=isinstance(fault, Elsewhere))
-            if said.startswith("refused"):
-                return messages.Ordered(fault=said)
-        return self.order(order)
-
-    def order(self, order) -> messages.Ordered:
-        fault: str | None = None
-        if order.verb in ("drain", "undrain"):
-            member = self.members.members.get(order.member)
-            if member is None or member.kind != NODE:
-                fault = f"there is no node '{order.member}'"
-            elif order.verb == "drain" and member.condition == GONE:
-                fault = f"node '{order.member}' is gone"
-            else:
-                self.log.info("order", verb=order.verb, member=order.member)
-                if order.verb == "drain":
-                    self.drained[order.member] = True
-                else:
-                    self.drained.pop(order.member, None)
-                self.changed(getattr(self.members, order.verb)(self.loop.time(), order.member))
-        elif order.verb != "show":
-            fault = f"there is no order '{order.verb}'; there are show, drain, undrain"
-        answer = messages.Ordered(fault=fault or "", term=self.shares.term, version=self.version)
-        for member in self.members.members.values():
-            entry = self.entries.get(member.name)
-            answer.members.add(
-                member=member.name,
-                kind=member.kind,
-                condition=member.condition or "",
-                reason=self.reasons.get(member.name, "from the store"),
-                start=member.start,
-                out=member.out,
-                cell=entry.cell if entry is not None else 0,
-                zone=entry.zone if entry is not None else "",
+    # Operators.
+
+    def _on_fleet_command(self, peer: PeerConnection, command: messages.Order) -> None:
+        peer.send(ordered=self._admin.execute(command))
+
+    def _on_replicated_fleet_command(self, peer: PeerConnection, command: messages.Order) -> None:
+        async def answer() -> None:
+            peer.send(ordered=await self._admin.execute_replicated(self.replicated_log, command))
+
+        self._start_admin_task(answer)
+
+    def _on_policy_command(self, peer: PeerConnection, command: messages.PolicyOrder) -> None:
+        async def answer() -> None:
+            peer.send(
+                policy_answer=await policy_admin.execute(self.replicated_log, self._deployment, command)
             )
-        return answer
+
+        self._start_admin_task(answer)
+
+    def _start_admin_task(self, answer: Callable[[], Coroutine]) -> None:
+        """Answers an operator when the answer is known; only so many may wait."""
+        if len(self._admin_tasks) >= MAX_ADMIN_COMMANDS:
+            raise WireFault(f"{MAX_ADMIN_COMMANDS} orders wait")
+        task = self.loop.create_task(answer())
+        self._admin_tasks.add(task)
+        task.add_done_callback(self._admin_tasks.discard)
+
+
+def _identity(entry: messages.Entry) -> tuple:
+    """What edges must be notified of at once when it changes."""
+    return entry.start, entry.host, entry.port, entry.cell
--- a/rushmux/planner/policy_admin.py
+++ b/rushmux/planner/policy_admin.py
@@ -1,104 +1,99 @@
-"""What people ask of the planners about the fleet's policy, and what they are told."""
+"""Operators' commands on the fleet's policy: show, propose, revert, withdraw, forget."""
+
+from collections.abc import Mapping
+from typing import Any
 
 import orjson
 
-from rushmux.fleet.policy import LEASE, NARROW
 from rushmux.nodewire import messages
-from rushmux.planner.replicated_log import Elsewhere, NotDecided
-from rushmux.settings import policy as documents
+from rushmux.planner.commands import PolicyVerb
+from rushmux.planner.errors import ProposalRejectedError, ProposalUndecidedError
+from rushmux.planner.policy_status import encode_status
+from rushmux.planner.replicated_log import ReplicatedLog
+from rushmux.settings import policy as policy_documents
 from rushmux.settings.deployment import BadDeployment, Deployment
 
-MOST_ORDER = 512 << 10  # bytes of an order
+MAX_COMMAND = 512 << 10  # bytes
+MAX_NAME = 64  # characters of a client id and of an operator's name
 
 
-def first(deployment: Deployment) -> dict:
-    """The order that founds the policy of a fleet: its deployment file's."""
+def bootstrap_command(deployment: Deployment) -> dict[str, Any]:
+    """The command that makes a fleet's first policy: that of its deployment file."""
     members = [f"edge{number}" for number in range(deployment.settings.gateway_count)]
-    return {"kind": "found", "members": members, "by": "the deployment file", **document(deployment)}
+    return {"kind": "found", "members": members, "by": "the deployment file", **_document(deployment)}
 
 
-def document(deployment: Deployment) -> dict:
-    return {"text": documents.text(deployment.raw), "rows": documents.rows(deployment)}
+def _document(deployment: Deployment) -> dict[str, Any]:
+    return {
+        "text": policy_documents.text(deployment.raw),
+        "rows": policy_documents.rows(deployment),
+    }
 
 
-async def answer(council, deployment, body: messages.PolicyOrder) -> messages.PolicyAnswer:
-    """The answer to a person; never raises."""
-    if council is None:
+async def execute(
+    replicated_log: ReplicatedLog | None, deployment: Deployment | None, command: messages.PolicyOrder
+) -> messages.PolicyAnswer:
+    """Carries out a command; whatever is wrong with it is said in the answer."""
+    if replicated_log is None:
         return messages.PolicyAnswer(fault="this planner keeps no policy: start it with --planners")
     try:
-        order = orjson.loads(body.order) if body.order else {}
-        if len(body.order) > MOST_ORDER or not isinstance(order, dict):
-            raise ValueError(f"{len(body.order)} bytes")
+        fields = _fields_of(command)
     except ValueError as fault:
         return messages.PolicyAnswer(fault=f"an order that cannot be read: {fault}")
-    if body.verb == "show":
-        return messages.PolicyAnswer(state=orjson.dumps(shown(council)))
+    if command.verb == PolicyVerb.SHOW:
+        return messages.PolicyAnswer(state=encode_status(replicated_log))
     try:
-        return messages.PolicyAnswer(
-            said=await decided(council, deployment, body.verb, order), state=orjson.dumps(shown(council))
-        )
-    except (NotDecided, BadDeployment, KeyError, TypeError, ValueError) as fault:
-        what = f"the order lacks {fault}" if isinstance(fault, KeyError) else str(fault)
-        return messages.PolicyAnswer(fault=what, elsewhere=isinstance(fault, Elsewhere))
-
-
-async def decided(council, deployment, verb, order) -> str:
-    """Has an order decided; what came of it.  Whoever asks again with the same client and number is told the
-    same, and nothing is done twice.
-    """
-    known = {"client": str(order["client"])[:64], "n": int(order["n"]), "by": str(order["by"])[:64]}
-    if verb == "propose":
-        if council.register.force is None:
-            raise Elsewhere("the fleet has no first policy yet")
-        proposed = documents.merged(deployment, order["text"], "the proposed policy")
-        now = documents.merged(deployment, council.register.force.text, "the policy in force")
-        against = documents.against(now, proposed)
-        if against:
-            raise NotDecided("; ".join(against))
-        made = {"kind": "propose", "base": order.get("base"), **document(proposed)}
-    elif verb in ("withdraw", "revert"):
-        made = {"kind": verb, "number": int(order["number"])}
-    elif verb == "forget":
-        made = {"kind": "forget", "member": str(order["member"])}
-    else:
-        raise NotDecided(f"there is no order '{verb}'; there are show, propose, withdraw, revert, forget")
-    return await council.order({**made, **known})
-
-
-def shown(council) -> dict:
-    """What this planner knows of the policy: the same on all but for how new it is."""
-    register, conduct = council.register, council.conduct
-    force, staged, now = register.force, register.staged, council.loop.time()
-    members = []
-    for member in register.members:
-        said = conduct.said.get(member) if conduct is not None else None
-        until = conduct.until.get(member, 0.0) if conduct is not None else 0.0
-        members.append(
-            {
-                "member": member,
-                "goes": register.goes[member],
-                "gone": member in register.gone,
-                "says": said.force if said else None,
-                "joint": said.joint if said else None,
-                "lease": round(max(0.0, until - now), 1),
-                "against": said.against if said and said.refused else "",
-            }
-        )
+        key = _idempotency_key(fields)
+        entry = _entry_of(replicated_log, deployment, command.verb, fields)
+        result = await replicated_log.propose({**entry, **key})
+    except KeyError as fault:
+        return messages.PolicyAnswer(fault=f"the order lacks {fault}")
+    except (ProposalRejectedError, BadDeployment, TypeError, ValueError) as fault:
+        undecided = isinstance(fault, ProposalUndecidedError)
+        return messages.PolicyAnswer(fault=str(fault), elsewhere=undecided)
+    return messages.PolicyAnswer(said=result, state=encode_status(replicated_log))
+
+
+def _fields_of(command: messages.PolicyOrder) -> dict[str, Any]:
+    """The command's fields; ValueError where they cannot be read."""
+    fields = orjson.loads(command.order) if command.order else {}
+    if len(command.order) > MAX_COMMAND or not isinstance(fields, dict):
+        raise ValueError(f"{len(command.order)} bytes")
+    return fields
+
+
+def _idempotency_key(fields: Mapping[str, Any]) -> dict[str, Any]:
+    """The client's key: who sends a command again under it is told the first result, and nothing more."""
     return {
-        "planner": council.me,
-        "leads": council.leads,
-        "term": council.term,
-        "leader": council.voice.leader,
-        "planners": list(council.voice.members),
-        "index": council.index,
-        "floor": register.floor,
-        "force": force and {"number": force.number, "text": force.text, "sum": force.sum},
-        "staged": staged and {"number": staged.number, "text": staged.text, "by": register.by},
-        "history": [past._asdict() for past in register.past],
-        "kept": list(register.texts),
-        "texts": {str(number): policy.text for number, policy in register.texts.items()},
-        "members": members,
-        "narrow": NARROW,
-        "lease": LEASE,
-        "harm": staged and register.unharmed(staged),
+        "client": str(fields["client"])[:MAX_NAME],
+        "n": int(fields["n"]),
+        "by": str(fields["by"])[:MAX_NAME],
     }
+
+
+def _entry_of(
+    replicated_log: ReplicatedLog, deployment: Deployment, verb: str, fields: Mapping[str, Any]
+) -> dict[str, Any]:
+    """The log's entry for a command, without its idempotency key."""
+    if verb == PolicyVerb.PROPOSE:
+        return _proposal(replicated_log, deployment, fields)
+    if verb in (PolicyVerb.WITHDRAW, PolicyVerb.REVERT):
+        return {"kind": verb, "number": int(fields["number"])}
+    if verb == PolicyVerb.FORGET:
+        return {"kind": verb, "member": str(fields["member"])}
+    raise ProposalRejectedError(f"there is no order '{verb}'; there are {', '.join(PolicyVerb)}")
+
+
+def _proposal(
+    replicated_log: ReplicatedLog, deployment: Deployment, fields: Mapping[str, Any]
+) -> dict[str, Any]:
+    """The entry of a proposed policy, which must be valid and one that can change while the fleet runs."""
+    active = replicated_log.policy.force
+    if active is None:
+        raise ProposalUndecidedError("the fleet has no first policy yet")
+    proposed = policy_documents.merged(deployment, fields["text"], "the proposed policy")
+    current = policy_documents.merged(deployment, active.text, "the policy in force")
+    obstacles = policy_documents.against(current, proposed)
+    if obstacles:
+        raise ProposalRejectedError("; ".join(obstacles))
+    return {"kind": PolicyVerb.PROPOSE, "base": fields.get("base"), **_document(proposed)}
--- /dev/null
+++ b/rushmux/planner/policy_leader.py
@@ -0,0 +1,74 @@
+"""The leader's work for one term: confirmed leadership, members' leases, and the rollout of changes."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from rushmux.fleet.policy import Ask, Conduct
+from rushmux.nodewire import WireFault, messages
+from rushmux.planner import raft_codec
+from rushmux.planner.proposals import MAX_PROPOSALS
+from rushmux.planner.replicated_state import ReplicatedState
+from rushmux.planner.server import PeerConnection
+
+
+class _Confirmation(NamedTuple):
+    """A function to call once a majority has echoed a round later than `round`."""
+
+    round: int
+    call: Callable[[], None]
+
+
+class _LeaseHolder(NamedTuple):
+    """A member that asked for a lease, and the numbers of the policies whose texts it has."""
+
+    peer: PeerConnection
+    known: tuple[int, int]
+
+
+class PolicyLeader:
+    """What a planner does for the policy's members while it leads.
+
+    Args:
+        state: the replicated state.
+        now: when its leadership began, in seconds of the loop's clock.
+    """
+
+    def __init__(self, state: ReplicatedState, now: float):
+        self.coordinator = Conduct(state.policy, now)
+        self._confirmations: list[_Confirmation] = []
+        self._holders: dict[str, _LeaseHolder] = {}
+
+    def confirm_leadership(self, current_round: int, call: Callable[[], None]) -> None:
+        """Calls a function once a majority has confirmed a round that begins after this.
+
+        The function is never called if that does not come about, or if too many wait.
+        """
+        if len(self._confirmations) < MAX_PROPOSALS:
+            self._confirmations.append(_Confirmation(current_round, call))
+
+    def on_lease_request(
+        self, peer: PeerConnection, request: messages.PolicyAsk, now: float, current_round: int
+    ) -> None:
+        """A member asks what holds; it is answered once a majority has confirmed a later round.
+
+        Raises:
+            WireFault: the request is in another member's name.
+        """
+        if request.member != peer.name:
+            raise WireFault(f"{peer.name} asks for {request.member}")
+        ask = Ask(request.member, request.ask, request.force, request.joint, request.refused, request.against)
+        self._holders[request.member] = _LeaseHolder(peer, (request.force, request.joint))
+        self.coordinator.asked(now, ask, current_round)
+
+    def on_round_confirmed(self, confirmed_round: int) -> None:
+        """Calls what waited for a round that is confirmed by now."""
+        ready = [waiting for waiting in self._confirmations if waiting.round < confirmed_round]
+        self._confirmations = [waiting for waiting in self._confirmations if waiting.round >= confirmed_round]
+        for waiting in ready:
+            waiting.call()
+
+    def send_grants(self, now: float, confirmed_round: int, term: int, index: int) -> None:
+        """Answers lease requests that came before a confirmed round."""
+        for grant in self.coordinator.answers(now, confirmed_round, term, index):
+            holder = self._holders[grant.member]
+            holder.peer.send(policy_grant=raft_codec.encode_grant(grant, holder.known))
--- /dev/null
+++ b/rushmux/planner/quota_service.py
@@ -0,0 +1,77 @@
+"""Answers edges' requests for their quotas of the folders' limits."""
+
+from collections.abc import Callable, Iterable
+
+from rushmux.fleet.quotas import Shares
+from rushmux.nodewire import WireFault, messages
+from rushmux.planner.server import PeerConnection
+
+MAX_WANTED_FOLDERS = 10_000  # in one request
+MAX_WANTED_PART = 1e9  # of a folder's limit
+
+
+class QuotaService:
+    """The quotas of one term of leadership.
+
+    Args:
+        limited_folders: names of the folders that have limits.
+        gateway_count: edges that there may ever be.
+        confirm_leadership: calls a function once a majority has confirmed that this planner leads.
+    """
+
+    def __init__(
+        self,
+        limited_folders: Iterable[str],
+        gateway_count: int,
+        confirm_leadership: Callable[[Callable[[], None]], None],
+    ):
+        self._limited_folders = limited_folders
+        self._gateway_count = gateway_count
+        self._confirm_leadership = confirm_leadership
+        self._unconfirmed: set[PeerConnection] = set()  # edges whose requests wait for a majority
+        self._shares: Shares | None = None
+
+    def begin_term(self, term: int, now: float) -> None:
+        """Starts anew: what an earlier leader granted is not known."""
+        self._shares = Shares(term, self._limited_folders, self._gateway_count, now)
+
+    def forget_unconfirmed(self) -> None:
+        """Drops requests that wait for a majority: leadership began or ended."""
+        self._unconfirmed.clear()
+
+    def on_request(self, peer: PeerConnection, request: messages.Ask, clock: Callable[[], float]) -> None:
+        """Answers an edge's request once this planner is sure that it leads.
+
+        A planner that others have replaced would grant quotas that are somebody else's by now.  One request
+        of an edge waits at a time; further ones are dropped, and the edge repeats them.
+        """
+        if peer in self._unconfirmed:
+            return
+        self._unconfirmed.add(peer)
+
+        def answer() -> None:
+            self._unconfirmed.discard(peer)
+            self._answer(peer, request, clock())
+
+        self._confirm_leadership(answer)
+
+    def _answer(self, peer: PeerConnection, request: messages.Ask, now: float) -> None:
+        if len(request.wants) > MAX_WANTED_FOLDERS or any(
+            not 0 <= want.part < MAX_WANTED_PART for want in request.wants
+        ):
+            raise WireFault("an ask that makes no sense")
+        grant = self._shares.asked(
+            now,
+            peer.name,
+            request.ask,
+            {want.folder: want.part for want in request.wants},
+            (request.term, request.number),
+        )
+        peer.send(
+            grant=messages.Grant(
+                term=grant.term,
+                number=grant.number,
+                ask=grant.ask,
+                parts=[messages.Want(folder=folder, part=part) for folder, part in grant.parts.items()],
+            )
+        )
--- a/rushmux/planner/raft_codec.py
+++ b/rushmux/planner/raft_codec.py
@@ -31,7 +31,7 @@
     return found
 
 
-def sent(word) -> messages.Word:
+def encode(word) -> messages.Word:
     """A word of the log as a message."""
     kind = type(word).__name__.lower()
     made = messages.Word(kind=kind, sender=word.sender, to=word.to, term=word.term)
@@ -60,7 +60,7 @@
     return made
 
 
-def heard(made: messages.Word):
+def decode(made: messages.Word):
     """The word of a message; WireFault where there is no such kind."""
     begin = made.sender, made.to, made.term
     if made.kind == "ask":
@@ -87,7 +87,7 @@
 # Policies.
 
 
-def policy(made: Policy, whole: bool) -> messages.Policy:
+def encode_policy(made: Policy, whole: bool) -> messages.Policy:
     """A policy as a message; not `whole`: its number and checksum alone, for who has the rest."""
     if not whole:
         return messages.Policy(number=made.number, sum=made.sum)
@@ -99,15 +99,15 @@
     )
 
 
-def grant(made: Grant, known) -> messages.PolicyGrant:
+def encode_grant(made: Grant, known) -> messages.PolicyGrant:
     """A grant for a member that has the texts of the `known` numbers."""
     told = messages.PolicyGrant(
         member=made.member,
         ask=made.ask,
         term=made.term,
         index=made.index,
-        force=policy(made.force, made.force.number not in known),
+        force=encode_policy(made.force, made.force.number not in known),
     )
     if made.staged is not None:
-        told.staged.CopyFrom(policy(made.staged, made.staged.number not in known))
+        told.staged.CopyFrom(encode_policy(made.staged, made.staged.number not in known))
     return told
--- a/rushmux/planner/raft_storage.py
+++ b/rushmux/planner/raft_storage.py
@@ -1,160 +1,236 @@
-"""A planner's log on its disk: what `fleet.raft` hands out is written and synced before anything is sent.
+"""The Raft log on a planner's disk: what the Raft node hands out is synced before anything is sent.
 
-One file of records (`rushmux.records`).  The first may be a snapshot; a new snapshot makes the file anew,
-whole, so that a kill leaves the old one or the new one.  A torn tail was answered to nobody and is cut off;
-a damaged middle was, and the planner does not start on it: it would break what it promised.
+One file of records (`rushmux.records`).  The first may be a snapshot; a new snapshot rewrites the file, which
+then replaces the old one at once, so that a kill leaves either.  An incomplete last record was never
+acknowledged and is cut off.  Damage before it means that acknowledged entries or votes are lost, and the
+planner does not start: it would break what it promised.
 """
 
 import fcntl
 import os
+from collections.abc import Callable, Iterable
+from enum import Enum
 from pathlib import Path
 
 import orjson
 
 from rushmux import atomic_write, records
 from rushmux.fleet.raft import MEMBERS, Entry, Kept, Ready, Snapshot
+from rushmux.planner.errors import RaftStorageError
 
-WORD, FORMAT = b"RMPL", 1
-MOST = 4 << 20  # bytes of a record: a snapshot of the largest state with room
-MOST_LOG = 64 << 20  # bytes of a file: far above what is kept between two snapshots
-LIFE, VOTE, ENTRY, CUT, SNAPSHOT = b"L", b"V", b"E", b"C", b"S"
+MAGIC = b"RMPL"
+FORMAT = 1
+MAX_RECORD = 4 << 20  # bytes: a snapshot of the largest state, with room
+MAX_FILE = 64 << 20  # bytes: far above what is kept between two snapshots
+LOCK_MODE = 0o600
 
 
-class BadLog(Exception):
-    """A log that cannot be gone on with; the text names the file and why."""
+class RecordKind(Enum):
+    """The first byte of a record."""
 
+    INCARNATION = b"L"  # of the disk
+    VOTE = b"V"  # the term, and whom this member voted for in it
+    ENTRY = b"E"
+    TRUNCATION = b"C"  # from an index on, entries before this record do not count
+    SNAPSHOT = b"S"
 
-def _entry(index, entry):
+
+def _encode(kind: RecordKind, values) -> bytes:
+    return kind.value + orjson.dumps(values)
+
+
+def _encode_entry(index: int, entry: Entry) -> bytes:
     body = list(entry.body) if entry.kind == MEMBERS else entry.body.decode()
-    return ENTRY + orjson.dumps([index, entry.term, entry.kind, body])
+    return _encode(RecordKind.ENTRY, [index, entry.term, entry.kind, body])
+
+
+def _encode_snapshot(snapshot: Snapshot) -> bytes:
+    values = [snapshot.index, snapshot.term, snapshot.members, snapshot.state.decode()]
+    return _encode(RecordKind.SNAPSHOT, values)
+
+
+def _decode_entry(values: list) -> tuple[int, Entry]:
+    index, term, kind, body = values
+    return index, Entry(term, kind, tuple(body) if kind == MEMBERS else body.encode())
+
+
+def _decode_snapshot(values: list) -> Snapshot:
+    index, term, members, state = values
+    return Snapshot(index, term, tuple(members), state.encode())
+
 
+class RaftStorage:
+    """The file of one planner, held by one program at a time.
 
-def _snapshot(snapshot):
-    return SNAPSHOT + orjson.dumps([snapshot.index, snapshot.term, snapshot.members, snapshot.state.decode()])
+    Args:
+        path: the log's file.
+        new_incarnation: draws the incarnation of a disk that is new.
 
+    Attributes:
+        persistent: what the file holds; None until a new one is created.
+        incarnation: names this disk: one that was lost comes back under another.
+        is_new: whether there was no file.
 
-class LogFile:
-    """The file of one planner, held by one program at a time.  `life` names this disk: one that was lost
-    comes back as another.  `fresh` draws the life of a new one.
+    Raises:
+        RaftStorageError: another program holds the file, or it is damaged.
     """
 
-    def __init__(self, path, fresh):
-        self.path, self.sink = Path(path), None
+    def __init__(self, path: str | Path, new_incarnation: Callable[[], str]):
+        self.path = Path(path)
         self.path.parent.mkdir(parents=True, exist_ok=True)
-        # Danger: an older self that was only stopped goes on voting beside the new one.
-        self.lock = os.open(self.path.with_name(self.path.name + ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
+        self.persistent: Kept | None = None
+        self.incarnation = ""
+        self.is_new = not self.path.exists()
+        self._file: int | None = None
+        self._lock = self._acquire_lock()
+        if self.is_new:
+            self.incarnation = new_incarnation()
+            return
         try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.load()
+        except RaftStorageError:
+            os.close(self._lock)
+            raise
+
+    def _acquire_lock(self) -> int:
+        """Locks the file: an older program that was only stopped would vote beside the new one."""
+        lock = os.open(self.path.with_name(self.path.name + ".lock"), os.O_RDWR | os.O_CREAT, LOCK_MODE)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as fault:
-            raise BadLog(f"{path}: another program holds this log") from fault
-        self.kept: Kept | None = None
-        self.life, self.new = "", not self.path.exists()
-        if self.new:
-            self.life = fresh()
-        else:
-            try:
-                self.load()
-            except BadLog:
-                os.close(self.lock)
-                raise
-
-    def load(self):
-        """Reads the file anew, and cuts a torn tail off."""
-        if self.path.stat().st_size > MOST_LOG:
-            raise BadLog(f"{self.path}: over {MOST_LOG} bytes")
+            os.close(lock)
+            raise RaftStorageError(self.path, "another program holds this log") from fault
+        return lock
+
+    def load(self) -> None:
+        """Reads the file, and cuts an incomplete last record off.
+
+        Raises:
+            RaftStorageError: the file is too long, of another format, or damaged.
+            OSError: the disk fails.
+        """
+        if self.path.stat().st_size > MAX_FILE:
+            raise RaftStorageError(self.path, f"over {MAX_FILE} bytes")
         try:
-            found = records.read(self.path.read_bytes(), WORD, FORMAT, MOST)
+            found = records.read(self.path.read_bytes(), MAGIC, FORMAT, MAX_RECORD)
         except records.BadFile as fault:
-            raise BadLog(f"{self.path}: is no log of a planner: {fault}") from fault
+            raise RaftStorageError(self.path, f"is no log of a planner: {fault}") from fault
         if found.damaged:
-            raise BadLog(
-                f"{self.path}: damaged at byte {found.end}, and whole records follow: what this "
-                f"planner promised is not known any more.  Put the file aside and start it with "
-                f"none: it comes back as a new member"
+            raise RaftStorageError(
+                self.path,
+                f"damaged at byte {found.end}, and whole records follow: what this planner promised is not "
+                f"known any more.  Put the file aside and start it with none: it comes back as a new member",
             )
         try:
-            self.kept = self.replayed(found.bodies)
+            self.persistent = self._replay(found.bodies)
         except (ValueError, IndexError, TypeError) as fault:
-            raise BadLog(f"{self.path}: holds what no planner wrote: {fault}") from fault
-        self.close()
-        self.sink = os.open(self.path, os.O_WRONLY | os.O_APPEND)
-        os.ftruncate(self.sink, found.end)
-        os.fsync(self.sink)
-
-    def replayed(self, bodies) -> Kept | None:
-        term, voted, snapshot, entries = 0, None, Snapshot(0, 0, (), b""), {}
+            raise RaftStorageError(self.path, f"holds what no planner wrote: {fault}") from fault
+        self._open_file()
+        os.ftruncate(self._file, found.end)
+        os.fsync(self._file)
+
+    def _replay(self, bodies: Iterable[bytes]) -> Kept:
+        """What the records make; ValueError where they are not a planner's."""
+        if not bodies:
+            raise ValueError("no life of its disk: it was killed while it was made")
+        term, voted_for, snapshot = 0, None, Snapshot(0, 0, (), b"")
+        entries: dict[int, Entry] = {}
         for body in bodies:
-            kind, values = body[:1], orjson.loads(body[1:])
-            if kind == LIFE:
-                self.life = values
-            elif kind == VOTE:
-                term, voted = values
-            elif kind == CUT:
+            kind, values = _record_kind(body[:1]), orjson.loads(body[1:])
+            if kind is RecordKind.INCARNATION:
+                self.incarnation = values
+            elif kind is RecordKind.VOTE:
+                term, voted_for = values
+            elif kind is RecordKind.TRUNCATION:
                 entries = {index: entry for index, entry in entries.items() if index < values}
-            elif kind == SNAPSHOT:
-                snapshot = Snapshot(values[0], values[1], tuple(values[2]), values[3].encode())
-            elif kind == ENTRY:
-                index, of, what, value = values
-                entries[index] = Entry(of, what, tuple(value) if what == MEMBERS else value.encode())
+            elif kind is RecordKind.SNAPSHOT:
+                snapshot = _decode_snapshot(values)
             else:
-                raise ValueError(f"a record of kind {kind!r}")
-        if not bodies:
-            raise ValueError("no life of its disk: it was killed while it was made")
-        following, index = [], snapshot.index + 1
-        while index in entries:
-            following.append(entries[index])
-            index += 1
-        return Kept(term, voted, snapshot, tuple(following))
+                index, entry = _decode_entry(values)
+                entries[index] = entry
+        return Kept(term, voted_for, snapshot, _following(entries, snapshot.index))
 
-    def begin(self, kept: Kept):
+    def create(self, persistent: Kept) -> None:
         """Makes the file of a planner that starts for the first time."""
-        self.kept = kept
+        self.persistent = persistent
         self.rewrite()
-        self.new = False
+        self.is_new = False
 
-    def rewrite(self):
-        kept = self.kept
-        rows = enumerate(kept.entries, kept.snapshot.index + 1)
+    def rewrite(self) -> None:
+        """Replaces the file by one that holds what it held, and nothing that was overwritten since."""
+        persistent = self.persistent
+        entries = enumerate(persistent.entries, persistent.snapshot.index + 1)
         bodies = [
-            LIFE + orjson.dumps(self.life),
-            _snapshot(kept.snapshot),
-            VOTE + orjson.dumps([kept.term, kept.voted]),
-            *(_entry(index, entry) for index, entry in rows),
+            _encode(RecordKind.INCARNATION, self.incarnation),
+            _encode_snapshot(persistent.snapshot),
+            _encode(RecordKind.VOTE, [persistent.term, persistent.voted]),
+            *(_encode_entry(index, entry) for index, entry in entries),
         ]
-        atomic_write.whole(self.path, records.head(WORD, FORMAT) + b"".join(map(records.pack, bodies)))
-        self.close()
-        self.sink = os.open(self.path, os.O_WRONLY | os.O_APPEND)
+        atomic_write.whole(self.path, records.head(MAGIC, FORMAT) + b"".join(map(records.pack, bodies)))
+        self._open_file()
+
+    def write(self, ready: Ready) -> None:
+        """Writes and syncs what the Raft node handed out.
 
-    def write(self, done: Ready):
-        """Puts what was handed out on the disk, synced; OSError where the disk does not take it, and then
-        nothing of it may be sent.
+        Raises:
+            OSError: the disk does not take it; then nothing of it may be sent.
         """
-        kept, bodies = self.kept, []
-        entries = dict(enumerate(kept.entries, kept.snapshot.index + 1))
-        if done.vote is not None:
-            bodies.append(VOTE + orjson.dumps(done.vote))
-        if done.cut is not None:
-            bodies.append(CUT + orjson.dumps(done.cut))
-            entries = {index: entry for index, entry in entries.items() if index < done.cut}
-        bodies += [_entry(index, entry) for index, entry in done.entries]
-        entries.update(done.entries)
-        snapshot = done.snapshot or kept.snapshot
-        rows = [entries[index] for index in range(snapshot.index + 1, max([snapshot.index, *entries]) + 1)]
-        self.kept = Kept(*(done.vote or (kept.term, kept.voted)), snapshot, tuple(rows))
-        if done.snapshot is not None:
+        bodies = []
+        if ready.vote is not None:
+            bodies.append(_encode(RecordKind.VOTE, ready.vote))
+        if ready.cut is not None:
+            bodies.append(_encode(RecordKind.TRUNCATION, ready.cut))
+        bodies += [_encode_entry(index, entry) for index, entry in ready.entries]
+        self.persistent = _after(self.persistent, ready)
+        if ready.snapshot is not None:
             self.rewrite()
         elif bodies:
-            data = b"".join(map(records.pack, bodies))
-            while data:
-                data = data[os.write(self.sink, data) :]
-            os.fsync(self.sink)
-
-    def close(self):
-        if self.sink is not None:
-            os.close(self.sink)
-            self.sink = None
-
-    def release(self):
-        """The planner ends: another may have the file."""
-        self.close()
-        os.close(self.lock)
+            self._append(b"".join(map(records.pack, bodies)))
+
+    def _append(self, data: bytes) -> None:
+        while data:
+            data = data[os.write(self._file, data) :]
+        os.fsync(self._file)
+
+    def _open_file(self) -> None:
+        self._close_file()
+        self._file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
+
+    def _close_file(self) -> None:
+        if self._file is not None:
+            os.close(self._file)
+            self._file = None
+
+    def release(self) -> None:
+        """Closes the file, and lets another program have it."""
+        self._close_file()
+        os.close(self._lock)
+
+
+def _record_kind(first_byte: bytes) -> RecordKind:
+    try:
+        return RecordKind(first_byte)
+    except ValueError as fault:
+        raise ValueError(f"a record of kind {first_byte!r}") from fault
+
+
+def _following(entries: dict[int, Entry], snapshot_index: int) -> tuple[Entry, ...]:
+    """The entries that follow a snapshot, up to the first gap."""
+    following, index = [], snapshot_index + 1
+    while index in entries:
+        following.append(entries[index])
+        index += 1
+    return tuple(following)
+
+
+def _after(before: Kept, ready: Ready) -> Kept:
+    """What the disk holds once `ready` is written."""
+    entries = dict(enumerate(before.entries, before.snapshot.index + 1))
+    if ready.cut is not None:
+        entries = {index: entry for index, entry in entries.items() if index < ready.cut}
+    entries.update(ready.entries)
+    snapshot = ready.snapshot or before.snapshot
+    last = max([snapshot.index, *entries])
+    kept = tuple(entries[index] for index in range(snapshot.index + 1, last + 1))
+    term, voted_for = ready.vote or (before.term, before.voted)
+    return Kept(term, voted_for, snapshot, kept)
--- a/rushmux/planner/replicated_log.py
+++ b/rushmux/planner/replicated_log.py
@@ -1,363 +1,334 @@
-"""Several planners as one: carries the words of their log, keeps it, and applies what was decided.
+"""Drives this planner's part of the replicated log: steps the Raft node, persists, sends and applies.
 
-`fleet.raft` decides the log, `fleet.policy` what its orders make.  A planner whose disk takes nothing says
-so and is silent until it does: it neither votes nor answers.  One whose disk was lost comes back as a new
-member (its name and the new disk's life), is taught the log, and takes the place of its old self by two
-changes of members.
+`fleet.raft` decides what is committed, `fleet.policy` what committed commands make.  A planner whose disk
+takes nothing is silent until it does: it neither votes nor answers.  One whose disk was lost comes back as a
+new member (`member_replacement`).
 """
 
 import asyncio
-import base64
-import zlib
 from collections.abc import Callable
-from typing import NamedTuple
 
 import orjson
+import structlog
 
 from rushmux.fleet import raft
-from rushmux.fleet.policy import Ask, Conduct, Register
-from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.fleet.policy import Conduct, Register
+from rushmux.nodewire import messages
 from rushmux.planner import raft_codec
-from rushmux.planner.raft_storage import BadLog, LogFile
-
-TICK = 0.1  # seconds between two looks at the log
-AGAIN = 0.3  # seconds until another planner is dialled again
-DIAL = 1.0  # seconds for a dial: one that was cut off answers nothing at all
-MOST_BUFFERED = 2 << 20  # bytes for a planner that reads nothing: more are not written
-MANY = 200  # entries after which the log is made shorter
-ORDER = 8.0  # seconds until a person hears that an order was not decided
-DISK_AGAIN = 1.0  # seconds until a disk that took nothing is tried again
-MOST_WAITING = 4_096  # orders that wait to be decided: one of each edge of a thousand, with room
-MOST_NEW = 8  # members that ask to be taken in
-
-
-class NotDecided(Exception):
-    """An order that was refused; the text says why."""
-
-
-class Elsewhere(NotDecided):
-    """An order that this planner cannot have decided, or of which it does not know: another may."""
-
-
-class Planners(NamedTuple):
-    """This planner's name, where all listen (itself included), and whether the fleet is founded by this
-    start.
-    """
-
-    name: str
-    addresses: dict[str, tuple[str, int]]
-    found: bool = False
-
-
-class Council:
-    """This planner's part.  `changed(leads)` hears when its leadership begins and ends; `first()` gives the
-    order that founds the fleet's policy, or None; `chance` draws waits and the life of a new disk.
+from rushmux.planner.errors import (
+    NotLeaderError,
+    ProposalRejectedError,
+    ProposalUndecidedError,
+    RaftStorageError,
+)
+from rushmux.planner.member_replacement import MemberReplacement
+from rushmux.planner.policy_leader import PolicyLeader
+from rushmux.planner.proposals import MAX_PROPOSALS, PROPOSAL_TIMEOUT, PendingProposals
+from rushmux.planner.raft_transport import RaftTransport
+from rushmux.planner.replicated_state import ReplicatedState
+from rushmux.planner.replication_settings import ReplicationSettings, open_storage
+from rushmux.planner.server import PeerConnection
+
+TICK_INTERVAL = 0.1  # seconds between two ticks of the Raft node
+COMPACTION_THRESHOLD = 200  # entries beyond which the log is compacted
+STORAGE_RETRY_INTERVAL = 1.0  # seconds until a disk that took nothing is tried again
+
+
+class ReplicatedLog:
+    """One planner's part in the log that all planners share.
+
+    Args:
+        settings: the planners, and where the log is stored.
+        log: the logger.
+        on_leadership: called with True when this planner's leadership begins, with False when it ends.
+        bootstrap_command: gives the command that makes the fleet's first policy, or None.
+        record: called with what is committed, for checkers of recorded histories.
+
+    Attributes:
+        storage: the log on the disk.
+        node: the Raft node.
+        storage_failed_at: since when the disk takes nothing, in seconds of the loop's clock; None: it works.
+
+    Raises:
+        RaftStorageError: the stored log cannot be used.
     """
 
     def __init__(
         self,
-        planners: Planners,
-        path,
-        chance,
-        log,
-        changed: Callable,
-        first: Callable,
-        record=lambda kind, **fields: None,
+        settings: ReplicationSettings,
+        log: structlog.typing.FilteringBoundLogger,
+        *,
+        on_leadership: Callable[[bool], None],
+        bootstrap_command: Callable[[], dict | None],
+        record: Callable,
     ):
-        self.planners, self.chance, self.log, self.changed, self.first = planners, chance, log, changed, first
-        self.record = record
-        self.disk = LogFile(path, lambda: f"{chance.getrandbits(48):012x}")
-        if self.disk.new:
-            if planners.found:
-                self.disk.life = "1"
-                kept = raft.founded([f"{name}/1" for name in planners.addresses])
-            else:
-                kept = raft.Kept(0, None, raft.Snapshot(0, 0, (), b""))
-            self.disk.begin(kept)
-        self.me = f"{planners.name}/{self.disk.life}"
-        self.loop, self.writers, self.tasks, self.waiting = asyncio.get_running_loop(), {}, [], {}
-        self.asking, self.new, self.peers, self.led, self.broken = [], {}, {}, 0, None
-        self.conduct, self.last_fault = None, ""
-        self.begin()
-
-    def begin(self):
-        """Takes up the log as the disk has it."""
-        kept = self.disk.kept
-        self.voice = raft.Voice(self.me, kept, self.loop.time(), self.chance.randrange)
-        self.restore(kept.snapshot)
-
-    def restore(self, snapshot):
-        raw = {"register": "", "sessions": []}
-        if snapshot.state:
-            raw = orjson.loads(zlib.decompress(base64.b64decode(snapshot.state)))
-        self.register = Register.restored(raw["register"].encode())
-        self.sessions = raft.Sessions([tuple(row) for row in raw["sessions"]])
-        self.index = snapshot.index
-
-    def state(self) -> bytes:
-        """What all entries made, small enough for one word whatever the policies hold."""
-        raw = orjson.dumps({"register": self.register.kept().decode(), "sessions": self.sessions.kept()})
-        return base64.b64encode(zlib.compress(raw))
-
-    def start(self):
-        others = [name for name in self.planners.addresses if name != self.planners.name]
-        self.tasks = [self.loop.create_task(self.live(name)) for name in others]
-        self.tasks.append(self.loop.create_task(self.look()))
-
-    def close(self):
-        for task in self.tasks:
-            task.cancel()
-        self.fail_waiting("this planner ends")
-        self.disk.release()
-
-    # The log.
+        self._settings = settings
+        self._log = log
+        self._on_leadership = on_leadership
+        self._bootstrap_command = bootstrap_command
+        self._record = record
+        self._loop = asyncio.get_running_loop()
+        self.storage = open_storage(settings)
+        self.member_id = f"{settings.name}/{self.storage.incarnation}"
+        self.storage_failed_at: float | None = None
+        others = {name: address for name, address in settings.addresses.items() if name != settings.name}
+        self._transport = RaftTransport(self.member_id, others, self._warn_once)
+        self._replacement = MemberReplacement(settings.addresses, log, self._warn_once)
+        self._proposals = PendingProposals()
+        self._leading_term = 0  # 0: it does not lead
+        self._policy_leader: PolicyLeader | None = None
+        self._last_warning: tuple[str, str] | None = None
+        self._ticks: asyncio.Task | None = None
+        self._start_node()
+
+    def _start_node(self) -> None:
+        """Begins with the log as the disk has it."""
+        persistent = self.storage.persistent
+        self.node = raft.Voice(self.member_id, persistent, self._loop.time(), self._settings.random.randrange)
+        self._state = ReplicatedState(persistent.snapshot)
+
+    def start(self) -> None:
+        """Begins to tick, and to connect to the other planners."""
+        self._transport.start()
+        self._ticks = self._loop.create_task(self._run_ticks())
+
+    def close(self) -> None:
+        """Ends: proposals that wait fail, and another program may have the log's file."""
+        self._transport.close()
+        if self._ticks is not None:
+            self._ticks.cancel()
+        self._proposals.fail_all("this planner ends")
+        self.storage.release()
+
+    # What it knows.
 
     @property
-    def leads(self) -> bool:
-        """Whether it leads and a majority said so since it was chosen."""
-        return self.broken is None and self.voice.confirmed > 0
+    def is_leader(self) -> bool:
+        """Whether it leads, and a majority has confirmed that since its election."""
+        return self.storage_failed_at is None and self.node.confirmed > 0
+
+    @property
+    def leader(self) -> str | None:
+        """The member id of the leader, where it is known."""
+        return self.node.leader
 
     @property
     def term(self) -> int:
-        return self.voice.term
+        """The Raft node's term."""
+        return self.node.term
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The member ids of the log's configuration."""
+        return self.node.members
+
+    @property
+    def applied_index(self) -> int:
+        """The index of the entry that was applied last."""
+        return self._state.index
+
+    @property
+    def policy(self) -> Register:
+        """The fleet's policy, as the entries that were applied made it."""
+        return self._state.policy
+
+    @property
+    def coordinator(self) -> Conduct | None:
+        """The rollout of changes; None while this planner does not lead."""
+        return self._policy_leader.coordinator if self._policy_leader is not None else None
+
+    def time(self) -> float:
+        """Seconds of the clock that leases are counted by."""
+        return self._loop.time()
 
-    async def look(self):
+    # Steps.
+
+    async def _run_ticks(self) -> None:
         while True:
-            if self.broken is not None:
-                self.mend()
+            if self.storage_failed_at is not None:
+                self._recover_storage()
             else:
-                self.voice.tick(self.loop.time())
-                self.work()
-                self.take_in()
-            await asyncio.sleep(TICK)
-
-    def mend(self):
-        """Tries a disk again that took nothing.  Danger: what it took in part must be known before it goes
-        on.
+                self.node.tick(self._loop.time())
+                self._process_ready()
+                self._replace_members()
+            await asyncio.sleep(TICK_INTERVAL)
+
+    def _process_ready(self) -> None:
+        """Does what the Raft node hands out: persists, sends, applies."""
+        while self.storage_failed_at is None and (ready := self.node.ready()) is not None:
+            if not self._persist(ready):
+                break
+            for message in ready.send:
+                self._transport.send(message)
+            if ready.restored is not None:
+                self._state = ReplicatedState(ready.restored)
+            for index, entry in ready.decided:
+                self._apply(index, entry)
+            self.node.written(self._loop.time(), ready)
+            self._compact()
+        self._update_leadership()
+
+    def _persist(self, ready: raft.Ready) -> bool:
+        """Writes to the disk; whether that took it.  Until it has, nothing of it may be sent."""
+        try:
+            self.storage.write(ready)
+        except OSError as fault:
+            self._log.error("raft.storage_failed", why=str(fault))
+            self.storage_failed_at = self._loop.time()
+            self._proposals.fail_all("its disk takes nothing")
+            return False
+        return True
+
+    def _recover_storage(self) -> None:
+        """Tries a disk again that took nothing.
+
+        What it took in part must be known before the node goes on, so the log is read anew.
         """
-        if self.loop.time() - self.broken < DISK_AGAIN:
+        if self._loop.time() - self.storage_failed_at < STORAGE_RETRY_INTERVAL:
             return
-        self.broken = self.loop.time()
+        self.storage_failed_at = self._loop.time()
         try:
-            self.disk.load()
-            self.disk.rewrite()
-        except (OSError, BadLog) as fault:
-            self.log.error("council.disk", why=str(fault))
+            self.storage.load()
+            self.storage.rewrite()
+        except (OSError, RaftStorageError) as fault:
+            self._log.error("raft.storage_failed", why=str(fault))
             return
-        self.broken = None
-        self.begin()
-        self.log.info("council.disk.mended")
-
-    def work(self):
-        """Does what the log hands out: writes, sends, applies."""
-        while self.broken is None and (done := self.voice.ready()) is not None:
-            try:
-                self.disk.write(done)
-            except OSError as fault:
-                self.log.error("council.disk", why=str(fault))
-                self.broken = self.loop.time()
-                self.fail_waiting("its disk takes nothing")
-                break
-            for word in done.send:
-                self.send(word)
-            if done.restored is not None:
-                self.restore(done.restored)
-            for index, entry in done.decided:
-                self.apply(index, entry)
-            self.voice.written(self.loop.time(), done)
-            if len(self.voice.log) > MANY and self.voice.applied - self.voice.snapshot.index > MANY // 2:
-                self.voice.compact(self.voice.applied, self.state())
-        self.judge()
-
-    def judge(self):
-        """Begins and ends its leadership, and does a leader's work."""
-        term = self.voice.term if self.leads else 0
-        if term != self.led:
-            self.led = term
-            self.conduct = Conduct(self.register, self.loop.time()) if term else None
-            self.log.info("planner.leads" if term else "planner.follows", term=self.voice.term)
-            if not term:
-                self.fail_waiting("another planner leads; it may still be decided")
-                self.asking, self.peers = [], {}
-            self.record("leads", planner=self.me, term=self.voice.term, leads=bool(term))
-            self.changed(bool(term))
-        if not term:
+        self.storage_failed_at = None
+        self._start_node()
+        self._log.info("raft.storage_recovered")
+
+    def _apply(self, index: int, entry: raft.Entry) -> None:
+        self._state.index = index
+        result = ""
+        if entry.kind == raft.ORDER:
+            command = orjson.loads(entry.body)
+            result = self._state.apply(command)
+            self._log.info("raft.command_applied", index=index, kind=command["kind"], said=result)
+            self._record_command(index, command, result)
+        self._proposals.resolve(index, entry.term, result)
+
+    def _record_command(self, index: int, command: dict, result: str) -> None:
+        active, staged = self.policy.force, self.policy.staged
+        self._record(
+            "decided",
+            planner=self.member_id,
+            index=index,
+            order=command["kind"],
+            said=result,
+            force=active.number if active else 0,
+            rows=list(active.rows) if active else [],
+            staged=staged.number if staged else 0,
+        )
+
+    def _compact(self) -> None:
+        """Replaces applied entries by a snapshot once there are many."""
+        applied = self.node.applied - self.node.snapshot.index
+        if len(self.node.log) > COMPACTION_THRESHOLD and applied > COMPACTION_THRESHOLD // 2:
+            self.node.compact(self.node.applied, self._state.serialized())
+
+    def on_message(self, body: messages.Word) -> None:
+        """A Raft message came from another planner."""
+        if self.storage_failed_at is not None:
             return
-        confirmed = self.voice.confirmed
-        ready = [call for round_, call in self.asking if round_ < confirmed]
-        self.asking = [(round_, call) for round_, call in self.asking if round_ >= confirmed]
-        for call in ready:
-            call()
-        now = self.loop.time()
-        for grant in self.conduct.answers(now, confirmed, term, self.index):
-            peer, known = self.peers[grant.member]
-            peer.send(policy_grant=raft_codec.grant(grant, known))
-        order = self.first() if self.register.force is None else self.conduct.look(now)
-        if order is not None and not any(
-            (known["kind"], known.get("number")) == (order["kind"], order.get("number"))
-            for _, known, _ in self.waiting.values()
-        ):
-            try:
-                self.put(order)
-            except raft.Refused as fault:
-                self.conduct.unkept()
-                self.say("council.full", str(fault))
-
-    def say(self, event, why):
-        if (event, why) != self.last_fault:
-            self.last_fault = event, why
-            self.log.warning(event, why=why)
-
-    def put(self, order) -> asyncio.Future:
-        """Gives an order to the log; what was said of it when it is decided."""
-        if len(self.waiting) >= MOST_WAITING:
-            raise raft.Refused(f"{MOST_WAITING} orders wait to be decided")
-        index, term = self.voice.propose(self.loop.time(), orjson.dumps(order))
-        future = self.loop.create_future()
-        self.waiting[index] = term, order, future
-        future.add_done_callback(lambda _: future.cancelled() or future.exception())
-        self.loop.call_soon(self.work)
-        return future
-
-    async def order(self, order) -> str:
-        """Has an order decided; NotDecided where it cannot be, or is not within `ORDER` seconds."""
-        if not self.leads:
-            raise Elsewhere(f"{self.voice.leader or 'no planner that is known here'} leads")
+        self.node.hear(self._loop.time(), raft_codec.decode(body))
+        self._process_ready()
+
+    # Leadership.
+
+    def _update_leadership(self) -> None:
+        """Begins and ends this planner's leadership, and does a leader's work."""
+        term = self.node.term if self.is_leader else 0
+        if term != self._leading_term:
+            self._change_leadership(term)
+        if term:
+            self._lead(term)
+
+    def _change_leadership(self, term: int) -> None:
+        self._leading_term = term
+        if term:
+            self._policy_leader = PolicyLeader(self._state, self._loop.time())
+            self._log.info("raft.leader_elected", term=self.node.term)
+        else:
+            self._policy_leader = None
+            self._log.info("raft.leadership_lost", term=self.node.term)
+            self._proposals.fail_all("another planner leads; it may still be decided")
+        self._record("leads", planner=self.member_id, term=self.node.term, leads=bool(term))
+        self._on_leadership(bool(term))
+
+    def _lead(self, term: int) -> None:
+        confirmed = self.node.confirmed
+        self._policy_leader.on_round_confirmed(confirmed)
+        now = self._loop.time()
+        self._policy_leader.send_grants(now, confirmed, term, self.applied_index)
+        command = self._next_command(now)
+        if command is None or self._proposals.contains(command):
+            return
+        try:
+            self._submit(command)
+        except raft.Refused as fault:
+            self._policy_leader.coordinator.unkept()
+            self._warn_once("raft.proposal_rejected", str(fault))
+
+    def _next_command(self, now: float) -> dict | None:
+        """The command that the leader itself proposes now."""
+        if self.policy.force is None:
+            return self._bootstrap_command()
+        return self._policy_leader.coordinator.look(now)
+
+    def _warn_once(self, event: str, reason: str) -> None:
+        """Logs a warning unless it is the same as the last one."""
+        if (event, reason) != self._last_warning:
+            self._last_warning = event, reason
+            self._log.warning(event, why=reason)
+
+    # Proposals.
+
+    async def propose(self, command: dict) -> str:
+        """Has a command committed and applied; its result.
+
+        Raises:
+            NotLeaderError: another planner leads.
+            ProposalUndecidedError: the outcome is not known; the command may still be committed.
+            ProposalRejectedError: the log does not accept it now.
+        """
+        if not self.is_leader:
+            raise NotLeaderError(self.leader)
         try:
-            async with asyncio.timeout(ORDER):
-                return await self.put(order)
+            async with asyncio.timeout(PROPOSAL_TIMEOUT):
+                return await self._submit(command)
         except raft.Refused as fault:
-            raise NotDecided(str(fault)) from fault
+            raise ProposalRejectedError(str(fault)) from fault
         except TimeoutError as fault:
-            raise Elsewhere(
-                f"not decided within {ORDER:g} s; it may still be: look before you ask again with other words"
+            raise ProposalUndecidedError(
+                f"not decided within {PROPOSAL_TIMEOUT:g} s; it may still be: look before you ask again "
+                f"with other words"
             ) from fault
 
-    def apply(self, index, entry):
-        self.index = index
-        term, _, future = self.waiting.pop(index, (None, None, None))
-        said = ""
-        if entry.kind == raft.ORDER:
-            order = orjson.loads(entry.body)
-            if "client" in order:
-                said = self.sessions.once(order["client"], order["n"], lambda: self.register.apply(order))
-            else:
-                said = self.register.apply(order)
-            self.log.info("council.decided", index=index, kind=order["kind"], said=said)
-            force, staged = self.register.force, self.register.staged
-            self.record(
-                "decided",
-                planner=self.me,
-                index=index,
-                order=order["kind"],
-                said=said,
-                force=force.number if force else 0,
-                rows=list(force.rows) if force else [],
-                staged=staged.number if staged else 0,
-            )
-        if future is not None and not future.done():
-            if term == entry.term:
-                future.set_result(said)
-            else:
-                future.set_exception(Elsewhere("another planner led meanwhile; it was not decided"))
-
-    def fail_waiting(self, why):
-        waiting, self.waiting = self.waiting, {}
-        for _, _, future in waiting.values():
-            if not future.done():
-                future.set_exception(Elsewhere(why))
-
-    def confirm(self, call: Callable):
-        """Calls `call` once a majority has said, after this, that this planner leads; never if it does
-        not.
-        """
-        if self.leads and len(self.asking) < MOST_WAITING:
-            self.asking.append((self.voice.round, call))
-
-    # Members' policies.
-
-    def policy_ask(self, peer, body):
-        """A member asks what holds; it is answered once this planner is sure that it still leads."""
-        if body.member != peer.hello.peer:
-            raise WireFault(f"{peer.hello.peer} asks for {body.member}")
-        if self.leads:
-            ask = Ask(body.member, body.ask, body.force, body.joint, body.refused, body.against)
-            self.peers[body.member] = peer, (body.force, body.joint)
-            self.conduct.asked(self.loop.time(), ask, self.voice.round)
-
-    # Other planners.
-
-    def send(self, word):
-        writer = self.writers.get(word.to.split("/")[0])
-        if writer is not None and writer.transport.get_write_buffer_size() <= MOST_BUFFERED:
-            try:
-                writer.write(frame(messages.Message(word=raft_codec.sent(word))))
-            except WireFault as fault:
-                self.say("council.word", str(fault))
-
-    def heard(self, body):
-        """A word from another planner."""
-        if self.broken is not None:
-            return
-        word = raft_codec.heard(body)
-        self.voice.hear(self.loop.time(), word)
-        self.work()
-
-    def greeted(self, name):
-        """Another planner came by its name and life."""
-        if (
-            name not in self.voice.members
-            and name.split("/")[0] in self.planners.addresses
-            and len(self.new) < MOST_NEW
-        ):
-            self.new[name] = self.loop.time()
-
-    def take_in(self):
-        """Members change by one at a time: a disk's new life is taught the log, comes in, and the old life
-        goes.
-        """
-        if not self.leads:
-            return
-        now = self.loop.time()
-        for name in list(self.new):
-            if name in self.voice.members:
-                old = [
-                    other
-                    for other in self.voice.members
-                    if other != name and other.split("/")[0] == name.split("/")[0]
-                ]
-                if not old:
-                    del self.new[name]
-                    continue
-                wanted = [other for other in self.voice.members if other not in old[:1]]
-            else:
-                wanted = [*self.voice.members, name]
-            try:
-                if name not in self.voice.members:
-                    self.voice.learn(now, name)
-                self.voice.change(now, wanted)
-                self.log.info("council.members", members=wanted)
-            except raft.Refused as fault:
-                self.say("council.waits", f"{name}: {fault}")
-            self.work()
-            return
-
-    async def live(self, name):
-        """Keeps a connection to another planner, on which this one's words go."""
-        while True:
-            writer = None
-            try:
-                async with asyncio.timeout(DIAL):
-                    reader, writer = await asyncio.open_connection(*self.planners.addresses[name])
-                hello = messages.Hello(version=VERSION, peer=f"planner {self.me}", start="0")
-                writer.write(frame(messages.Message(hello=hello)))
-                self.writers[name], frames = writer, Frames()
-                while data := await reader.read(1 << 16):
-                    frames.feed(data)
-            except (OSError, WireFault, TimeoutError):
-                pass
-            finally:
-                self.writers.pop(name, None)
-                if writer is not None:
-                    writer.close()
-            await asyncio.sleep(AGAIN)
+    def _submit(self, command: dict) -> asyncio.Future:
+        """Appends a command to the log; a future of its result."""
+        if self._proposals.is_full:
+            raise raft.Refused(f"{MAX_PROPOSALS} orders wait to be decided")
+        index, term = self.node.propose(self._loop.time(), orjson.dumps(command))
+        result = self._proposals.add(index, term, command)
+        self._loop.call_soon(self._process_ready)
+        return result
+
+    def confirm_leadership(self, call: Callable[[], None]) -> None:
+        """Calls a function once a majority has confirmed, after this, that this planner leads."""
+        if self.is_leader and self._policy_leader is not None:
+            self._policy_leader.confirm_leadership(self.node.round, call)
+
+    # Members of the policy, and other planners.
+
+    def on_lease_request(self, peer: PeerConnection, request: messages.PolicyAsk) -> None:
+        """A member asks what holds; WireFault where it asks in another's name."""
+        if self.is_leader and self._policy_leader is not None:
+            self._policy_leader.on_lease_request(peer, request, self._loop.time(), self.node.round)
+
+    def on_planner_connected(self, member_id: str) -> None:
+        """Another planner connected."""
+        self._replacement.on_planner_connected(member_id, self.node.members)
+
+    def _replace_members(self) -> None:
+        if self.is_leader and self._replacement.advance(self.node, self._loop.time()):
+            self._process_ready()
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -129,9 +129,9 @@
             nodes,
             MembershipStore(self.planner),
             self.log,
-            self.record,
-            self.deployment.limits(),
-            self.deployment.settings.gateway_count,
+            record=self.record,
+            limited_folders=self.deployment.limits(),
+            gateway_count=self.deployment.settings.gateway_count,
         )
         self.lists = Part(process, program, await process.spawn(program.open(HOST, port)))
 
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -15,7 +15,7 @@
 from rushmux.edge.policy_client import Kept
 from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
-from rushmux.planner.replicated_log import Planners
+from rushmux.planner.replication_settings import ReplicationSettings
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
 from rushmux.simulation.loop import run
@@ -65,18 +65,22 @@
     async def start_planner(self, name, found=False):
         process = self.loop.process(name)
         data = self.folder / f"{name}.db"
-        among = Planners(name, dict(zip(PLANNERS, self.places)), found)
+        replication = ReplicationSettings(
+            name,
+            dict(zip(PLANNERS, self.places)),
+            f"{data}.log",
+            random.Random(self.seed()),
+            bootstrap=found,
+        )
         program = Planner(
             self.cells,
             MembershipStore(data),
             self.log,
-            self.record,
-            self.deployment.limits(),
-            self.deployment.settings.gateway_count,
-            among,
-            f"{data}.log",
-            self.deployment,
-            random.Random(self.seed()),
+            record=self.record,
+            limited_folders=self.deployment.limits(),
+            gateway_count=self.deployment.settings.gateway_count,
+            deployment=self.deployment,
+            replication=replication,
         )
         place = PLANNERS.index(name)
         port = await process.spawn(program.open(HOST, PORT + place))
@@ -85,7 +89,7 @@
     def kill_planner_of(self, name):
         part = self.planners.pop(name)
         part.process.kill()
-        part.program.council.disk.release()  # the kernel lets go of a dead process' lock
+        part.program.replicated_log.storage.release()  # the kernel lets go of a dead process' lock
         part.program.store.close()
 
     async def up(self, nodes, edges):
@@ -205,8 +209,10 @@
     def settled(self):
         """What is not as it should be after the quiet time; nothing: it is."""
         found = []
-        forces = {part.program.council.register.force.number for part in self.planners.values()}
-        if len(forces) != 1 or any(part.program.council.register.staged for part in self.planners.values()):
+        forces = {part.program.replicated_log.policy.force.number for part in self.planners.values()}
+        if len(forces) != 1 or any(
+            part.program.replicated_log.policy.staged for part in self.planners.values()
+        ):
             found.append(f"planners end with {sorted(forces)}, or with a change under way")
         for part in self.edges.values():
             holder = part.program.going.holder
--- a/tests/edge/test_policy_client.py
+++ b/tests/edge/test_policy_client.py
@@ -90,9 +90,9 @@
 def test_a_grant_names_what_the_member_has_and_a_wrong_checksum_is_refused():
     first, second = policy(1), policy(2, changed(limit=40))
     grant = Grant("edge0", 5, 2, 9, first, second)
-    whole = raft_codec.grant(grant, ())
+    whole = raft_codec.encode_grant(grant, ())
     assert granted(whole, {}) == grant
-    short = raft_codec.grant(grant, (1,))
+    short = raft_codec.encode_grant(grant, (1,))
     assert not short.force.text and granted(short, {1: first}) == grant
     with pytest.raises(WireFault):
         granted(short, {})
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_policy_fleet.py
@@ -36,14 +36,16 @@
 
 
 def leader(fleet):
-    return next(name for name, part in sorted(fleet.planners.items()) if part.program.council.leads)
+    return next(
+        name for name, part in sorted(fleet.planners.items()) if part.program.replicated_log.is_leader
+    )
 
 
 def test_a_planner_whose_disk_takes_nothing_is_silent_and_comes_back(tmp_path):
     async def tell(fleet):
         name = leader(fleet)
-        council = fleet.planners[name].program.council
-        whole = council.disk.write, council.disk.rewrite
+        replicated_log = fleet.planners[name].program.replicated_log
+        whole = replicated_log.storage.write, replicated_log.storage.rewrite
         failing = [True]
 
         def fails(do):
@@ -54,20 +56,24 @@
 
             return tried
 
-        council.disk.write, council.disk.rewrite = map(fails, whole)
+        replicated_log.storage.write, replicated_log.storage.rewrite = map(fails, whole)
         await propose(fleet, "full", 40.0)
         await fleet.sleep(5)
-        assert not council.leads and council.broken is not None and leader(fleet) != name
+        assert (
+            not replicated_log.is_leader
+            and replicated_log.storage_failed_at is not None
+            and leader(fleet) != name
+        )
         assert fleet.operator_commands[-1]["said"].endswith("is staged")
         failing.clear()
         await fleet.sleep(5)
-        assert council.broken is None and council.register.force.number == 2
-        assert any(row["event"] == "council.disk" for row in fleet.logs)
+        assert replicated_log.storage_failed_at is None and replicated_log.policy.force.number == 2
+        assert any(row["event"] == "raft.storage_failed" for row in fleet.logs)
         # It votes again: the other two are one short without it.
         fleet.kill_planner_of(leader(fleet))
         await propose(fleet, "after", 50.0)
         await fleet.sleep(6)
-        assert council.register.force.number == 3
+        assert replicated_log.policy.force.number == 3
 
     story(tmp_path, tell)
 
@@ -119,16 +125,16 @@
         fleet.kill_planner_of(name)
         for number in range(260):  # more entries than a log keeps
             await admin_client.send_fleet_command(fleet.places, ("drain", "undrain")[number % 2], "node0")
-        assert fleet.planners[leader(fleet)].program.council.voice.snapshot.index > 100
+        assert fleet.planners[leader(fleet)].program.replicated_log.node.snapshot.index > 100
         await fleet.start_planner(name)
         await propose(fleet, "down", 40.0)
         await fleet.sleep(5)
-        council = fleet.planners[name].program.council
-        assert council.voice.snapshot.index > 100 and council.register.force.number == 2
-        assert council.register.members == ("edge0", "edge1")
+        replicated_log = fleet.planners[name].program.replicated_log
+        assert replicated_log.node.snapshot.index > 100 and replicated_log.policy.force.number == 2
+        assert replicated_log.policy.members == ("edge0", "edge1")
         # And from its disk.
         fleet.kill_planner_of(name)
         await fleet.start_planner(name)
-        assert fleet.planners[name].program.council.register.members == ("edge0", "edge1")
+        assert fleet.planners[name].program.replicated_log.policy.members == ("edge0", "edge1")
 
     story(tmp_path, tell)
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -64,7 +64,7 @@
 
 
 def condition(made, name):
-    return made.lists.program.members.members[name].condition
+    return made.lists.program.state.membership.members[name].condition
 
 
 def test_a_dead_node_is_told_gone_and_told_ready_when_it_is_back(play):
@@ -124,7 +124,7 @@
         await made.sleep(2)
         await admin_client.send_fleet_command(made.lists.address, "drain", "node3")
         await made.sleep(0.2)
-        version = made.lists.program.version
+        version = made.lists.program.publisher.version
         made.kill_planner()
         for number in range(20):
             await client.put(f"/limon/{number}", b"y" * 20_000)
@@ -132,7 +132,7 @@
         await made.plan(4, port)
         await made.sleep(4)
         assert await client.get("/limon/7") == b"y" * 20_000
-        assert made.lists.program.store.term == 2 and made.lists.program.version >= version
+        assert made.lists.program.store.term == 2 and made.lists.program.publisher.version >= version
         return condition(made, "node3")
 
     made, drained = play(story)
@@ -160,11 +160,11 @@
         gone = shown(made, "node1")[-1][1]
         store.save = whole
         await made.sleep(1)
-        return gone, made.lists.program.unkept
+        return gone, made.lists.program.publisher.unsaved
 
     made, (gone, unkept) = play(story)
     assert gone == "gone" and unkept == {}
-    assert any(row["event"] == "store.full" for row in made.logs)
+    assert any(row["event"] == "membership_store.write_failed" for row in made.logs)
 
 
 def test_a_newer_store_is_refused_and_a_damaged_row_left_out(tmp_path):
--- a/tests/planner/test_raft_storage.py
+++ b/tests/planner/test_raft_storage.py
@@ -6,7 +6,8 @@
 
 from rushmux import records
 from rushmux.fleet import raft
-from rushmux.planner.raft_storage import FORMAT, WORD, BadLog, LogFile
+from rushmux.planner.errors import RaftStorageError
+from rushmux.planner.raft_storage import FORMAT, MAGIC, RaftStorage
 
 
 def entry(term, text):
@@ -25,16 +26,16 @@
 
 
 def made(path):
-    disk = LogFile(path, lambda: "77")
-    if disk.new:
-        disk.begin(raft.founded(["a/77", "b/1"]))
+    disk = RaftStorage(path, lambda: "77")
+    if disk.is_new:
+        disk.create(raft.founded(["a/77", "b/1"]))
     return disk
 
 
 def again(path, disk=None):
     if disk is not None:
         disk.release()
-    return LogFile(path, lambda: "88")
+    return RaftStorage(path, lambda: "88")
 
 
 def test_votes_entries_cuts_and_snapshots_are_there_again(path):
@@ -42,13 +43,16 @@
     disk.write(ready(vote=(3, "b/1"), entries=((1, entry(2, "x")), (2, entry(2, "y")))))
     disk.write(ready(cut=2, entries=((2, entry(3, "z")), (3, raft.Entry(3, raft.MEMBERS, ("a/77",))))))
     disk = again(path, disk)
-    assert disk.life == "77" and disk.kept.term == 3 and disk.kept.voted == "b/1"
-    assert [row.body for row in disk.kept.entries] == [b"x", b"z", ("a/77",)]
+    assert disk.incarnation == "77" and disk.persistent.term == 3 and disk.persistent.voted == "b/1"
+    assert [row.body for row in disk.persistent.entries] == [b"x", b"z", ("a/77",)]
     whole = raft.Snapshot(2, 3, ("a/77",), b"state")
     disk.write(ready(snapshot=whole))
     disk.write(ready(entries=((4, entry(3, "w")),)))
     disk = again(path, disk)
-    assert disk.kept.snapshot == whole and [row.body for row in disk.kept.entries] == [("a/77",), b"w"]
+    assert disk.persistent.snapshot == whole and [row.body for row in disk.persistent.entries] == [
+        ("a/77",),
+        b"w",
+    ]
 
 
 def test_a_torn_tail_is_cut_at_any_byte_and_what_was_synced_stays(path):
@@ -63,10 +67,12 @@
     for size in range(len(synced), len(whole)):
         path.write_bytes(whole[:size])
         disk = again(path)
-        assert [row.body for row in disk.kept.entries] == [b"first"] and path.stat().st_size == len(synced)
+        assert [row.body for row in disk.persistent.entries] == [b"first"] and path.stat().st_size == len(
+            synced
+        )
         disk.write(ready(entries=((2, entry(1, "anew")),)))
         disk = again(path, disk)
-        assert [row.body for row in disk.kept.entries] == [b"first", b"anew"]
+        assert [row.body for row in disk.persistent.entries] == [b"first", b"anew"]
         disk.release()
 
 
@@ -78,22 +84,22 @@
     whole = path.read_bytes()
     place = whole.index(b"entry 2")
     path.write_bytes(whole[:place] + b"X" + whole[place + 1 :])
-    with pytest.raises(BadLog, match="damaged at byte"):
+    with pytest.raises(RaftStorageError, match="damaged at byte"):
         again(path)
     path.write_bytes(b"something else altogether")
-    with pytest.raises(BadLog, match="is no log"):
+    with pytest.raises(RaftStorageError, match="is no log"):
         again(path)
-    path.write_bytes(records.head(WORD, FORMAT + 1) + whole[8:])
-    with pytest.raises(BadLog, match="format 2, this program reads 1"):
+    path.write_bytes(records.head(MAGIC, FORMAT + 1) + whole[8:])
+    with pytest.raises(RaftStorageError, match="format 2, this program reads 1"):
         again(path)
-    path.write_bytes(records.head(WORD, FORMAT) + records.pack(b"?1"))
-    with pytest.raises(BadLog, match="no planner wrote"):
+    path.write_bytes(records.head(MAGIC, FORMAT) + records.pack(b"?1"))
+    with pytest.raises(RaftStorageError, match="no planner wrote"):
         again(path)
 
 
 def test_one_program_at_a_time(path):
     disk = made(path)
-    with pytest.raises(BadLog, match="another program"):
+    with pytest.raises(RaftStorageError, match="another program"):
         again(path)
     disk.release()
 
@@ -112,8 +118,8 @@
         disk.write(ready(entries=((2, entry(1, "lost")),)))
     monkeypatch.setattr(os, "write", real)
     disk.load()
-    assert [row.body for row in disk.kept.entries] == [b"kept"]
+    assert [row.body for row in disk.persistent.entries] == [b"kept"]
     disk.write(ready(entries=((2, entry(1, "anew")),)))
     disk = again(path, disk)
-    assert [row.body for row in disk.kept.entries] == [b"kept", b"anew"]
+    assert [row.body for row in disk.persistent.entries] == [b"kept", b"anew"]
     disk.release()
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -16,7 +16,7 @@
 from rushmux.lab.store import Store as ResultStore
 from rushmux.nodewire import messages
 from rushmux.planner.membership_store import MemberRow, MembershipStore
-from rushmux.planner.raft_storage import LogFile
+from rushmux.planner.raft_storage import RaftStorage
 from rushmux.settings import deployment
 from rushmux.standins import fault_injection, script
 from rushmux.standins.store import Store as NodeStore
@@ -64,10 +64,10 @@
 
 
 def test_the_planners_log_holds_its_vote_and_entries(stored):
-    log = LogFile(stored("planner.log"), lambda: "other")
-    assert (log.life, log.kept.term, log.kept.voted) == ("77aa", 3, "b/1")
-    assert log.kept.snapshot == raft.Snapshot(0, 0, ("a/77aa", "b/1"), b"")
-    assert log.kept.entries == (
+    log = RaftStorage(stored("planner.log"), lambda: "other")
+    assert (log.incarnation, log.persistent.term, log.persistent.voted) == ("77aa", 3, "b/1")
+    assert log.persistent.snapshot == raft.Snapshot(0, 0, ("a/77aa", "b/1"), b"")
+    assert log.persistent.entries == (
         raft.Entry(2, raft.BEGIN, b""),
         order(UNDRAIN),
         raft.Entry(3, raft.MEMBERS, ("a/77aa",)),
@@ -76,14 +76,14 @@
 
 
 def test_a_torn_planners_log_loses_its_last_record_only(stored):
-    log = LogFile(stored("planner-torn.log"), lambda: "other")
-    assert log.kept.entries == (raft.Entry(2, raft.BEGIN, b""), order(UNDRAIN))
+    log = RaftStorage(stored("planner-torn.log"), lambda: "other")
+    assert log.persistent.entries == (raft.Entry(2, raft.BEGIN, b""), order(UNDRAIN))
     log.release()
 
 
 def test_the_planners_log_is_written_as_before(tmp_path):
-    log = LogFile(tmp_path / "planner.log", lambda: "77aa")
-    log.begin(raft.founded(["a/77aa", "b/1"]))
+    log = RaftStorage(tmp_path / "planner.log", lambda: "77aa")
+    log.create(raft.founded(["a/77aa", "b/1"]))
     first, second = raft.Entry(2, raft.BEGIN, b""), raft.Entry(2, raft.ORDER, DRAIN.encode())
     log.write(ready(vote=(3, "b/1"), entries=((1, first), (2, second))))
     members = raft.Entry(3, raft.MEMBERS, ("a/77aa",))
@@ -93,11 +93,13 @@
 
 
 def test_a_planners_log_with_a_snapshot_holds_the_policy_and_the_clients_answers(stored):
-    log = LogFile(stored("planner-snapshot.log"), lambda: "other")
-    snapshot = log.kept.snapshot
+    log = RaftStorage(stored("planner-snapshot.log"), lambda: "other")
+    snapshot = log.persistent.snapshot
     assert (snapshot.index, snapshot.term, snapshot.members) == (2, 4, ("a/77bb", "b/1", "c/1"))
-    assert (log.kept.term, log.kept.voted) == (5, "c/1")
-    assert log.kept.entries == (raft.Entry(5, raft.ORDER, b'{"kind":"back","number":2,"members":["edge1"]}'),)
+    assert (log.persistent.term, log.persistent.voted) == (5, "c/1")
+    assert log.persistent.entries == (
+        raft.Entry(5, raft.ORDER, b'{"kind":"back","number":2,"members":["edge1"]}'),
+    )
     state = json.loads(zlib.decompress(base64.b64decode(snapshot.state)))
     assert state["sessions"] == [["ana/1", 3, "2 is staged"]]
     assert state["register"].encode() == (STORED / "register-snapshot.json").read_bytes()
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -67,13 +67,13 @@
 @pytest.mark.parametrize("kind", sorted(RAFT))
 def test_a_raft_message_goes_over_the_wire_as_before(kind):
     data = NODEWIRE[f"raft-{kind}"]
-    assert frame(messages.Message(word=raft_codec.sent(RAFT[kind]))) == data
-    assert raft_codec.heard(decoded(data).word) == RAFT[kind]
+    assert frame(messages.Message(word=raft_codec.encode(RAFT[kind]))) == data
+    assert raft_codec.decode(decoded(data).word) == RAFT[kind]
 
 
 @pytest.mark.parametrize("name, known", [("whole", ()), ("known", (2, 3))])
 def test_a_policy_grant_goes_over_the_wire_as_before(name, known):
-    made = messages.Message(policy_grant=raft_codec.grant(GRANT, known))
+    made = messages.Message(policy_grant=raft_codec.encode_grant(GRANT, known))
     assert frame(made) == NODEWIRE[f"policy-grant-{name}"]
 
 
