--- a/rushmux/planner/quota_service.py
+++ b/rushmux/planner/quota_service.py
@@ -44,7 +44,12 @@
 
         A planner that others have replaced would grant quotas that are somebody else's by now.  One request
         of an edge waits at a time; further ones are dropped, and the edge repeats them.
+
+        Raises:
+            WireFault: the request makes no sense.  It is said at once: later it would end the steps of the
+                replicated log, which confirms leadership, and not the edge's connection.
         """
+        _check(request)
         if peer in self._unconfirmed:
             return
         self._unconfirmed.add(peer)
@@ -56,10 +61,6 @@
         self._confirm_leadership(answer)
 
     def _answer(self, peer: PeerConnection, request: messages.Ask, now: float) -> None:
-        if len(request.wants) > MAX_WANTED_FOLDERS or any(
-            not 0 <= want.part < MAX_WANTED_PART for want in request.wants
-        ):
-            raise WireFault("an ask that makes no sense")
         grant = self._shares.asked(
             now,
             peer.name,
@@ -75,3 +76,10 @@
                 parts=[messages.Want(folder=folder, part=part) for folder, part in grant.parts.items()],
             )
         )
+
+
+def _check(request: messages.Ask) -> None:
+    if len(request.wants) > MAX_WANTED_FOLDERS or any(
+        not 0 <= want.part < MAX_WANTED_PART for want in request.wants
+    ):
+        raise WireFault("an ask that makes no sense")
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_policy_fleet.py
@@ -1,7 +1,10 @@
 """A whole fleet with three planners on the virtual clock: changes of its policy under drawn faults."""
 
+import asyncio
+
 import pytest
 
+from rushmux.nodewire import VERSION, frame, messages
 from rushmux.planner import admin_client
 from rushmux.planner.errors import CommandRejectedError
 from rushmux.settings import policy as documents
@@ -138,3 +141,23 @@
         assert fleet.planners[name].program.replicated_log.policy.members == ("edge0", "edge1")
 
     story(tmp_path, tell)
+
+
+def test_a_quota_request_that_makes_no_sense_ends_its_own_connection_only(tmp_path):
+    async def tell(fleet):
+        name = leader(fleet)
+        hello = messages.Hello(version=VERSION, peer="edge9", start="x")
+        request = messages.Ask(ask=1, wants=[messages.Want(folder="caribe", part=-1.0)])
+        address = fleet.places[policy_fleet.PLANNERS.index(name)]
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(frame(messages.Message(hello=hello)) + frame(messages.Message(ask=request)))
+        async with asyncio.timeout(5):
+            while await reader.read(1 << 16):
+                pass
+        await fleet.sleep(3)
+        # It still ticks: it would not lead any more, and decide nothing, if its steps had ended.
+        assert leader(fleet) == name
+        await propose(fleet, "down", 40.0)
+        assert fleet.operator_commands[-1]["said"].endswith("is staged")
+
+    story(tmp_path, tell)
