--- a/rushmux/planner/endpoint_publisher.py
+++ b/rushmux/planner/endpoint_publisher.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from rushmux.fleet.membership import EDGE, GONE, SHOWN, Change
+from rushmux.fleet.membership import PUBLISHED_STATES, MemberKind, MemberState, StateChange
 from rushmux.nodewire import messages
 from rushmux.planner.fleet_state import FleetState, NodeRecord
 from rushmux.planner.membership_store import MemberRow, MembershipStore
@@ -72,13 +72,13 @@
         """An edge's connection ended."""
         self.subscribers.pop(peer, None)
 
-    def on_member_changes(self, changes: list[Change]) -> None:
+    def on_member_changes(self, changes: list[StateChange]) -> None:
         """Logs changes of members' states, and schedules a notification of them."""
         for change in changes:
             self._log.info(
                 "member.state_changed",
                 member=change.member,
-                condition=change.condition,
+                condition=change.state,
                 reason=change.reason,
             )
             self._state.reasons[change.member] = change.reason
@@ -98,7 +98,8 @@
         nodes = {
             name: self._state.nodes[name]
             for name in pending
-            if (member := self._state.membership.members.get(name)) is not None and member.kind != EDGE
+            if (member := self._state.membership.members.get(name)) is not None
+            and member.kind != MemberKind.EDGE
         }
         version = self.version + 1 if nodes else self.version
         self.save(pending, version)
@@ -121,12 +122,12 @@
         rows, removed = [], []
         for name in self.unsaved:
             member = self._state.membership.members.get(name)
-            if member is None or (member.kind == EDGE and member.condition == GONE):
+            if member is None or (member.kind == MemberKind.EDGE and member.state == MemberState.REMOVED):
                 removed.append(name)
                 continue
             node = self._state.nodes.get(name)
             entry = node.entry.SerializeToString() if node is not None else b""
-            rows.append(MemberRow(name, member.kind, member.start, member.draining, entry))
+            rows.append(MemberRow(name, member.kind, member.incarnation, member.draining, entry))
         try:
             self._store.save(rows, removed, self.version if version is None else version)
         except OSError as fault:
@@ -141,7 +142,7 @@
             entry = listing.entries.add()
             entry.CopyFrom(node.entry)
             # What a node reports of itself is not what was decided about it.
-            condition = self._state.membership.members[name].condition
-            entry.condition = SHOWN.get(condition, condition)
+            state = self._state.membership.members[name].state
+            entry.condition = PUBLISHED_STATES.get(state, state)
             entry.age += int((now - node.reported_at) * TICKS_PER_SECOND)
         return listing
--- a/rushmux/planner/fleet_admin.py
+++ b/rushmux/planner/fleet_admin.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from rushmux.fleet.membership import GONE, NODE
+from rushmux.fleet.membership import MemberKind, MemberState
 from rushmux.nodewire import messages
 from rushmux.planner.commands import FleetVerb
 from rushmux.planner.endpoint_publisher import EndpointPublisher
@@ -60,9 +60,9 @@
         if command.verb not in CHANGES:
             return f"there is no order '{command.verb}'; there are {', '.join(FleetVerb)}"
         member = self._state.membership.members.get(command.member)
-        if member is None or member.kind != NODE:
+        if member is None or member.kind != MemberKind.NODE:
             return f"there is no node '{command.member}'"
-        if command.verb == FleetVerb.DRAIN and member.condition == GONE:
+        if command.verb == FleetVerb.DRAIN and member.state == MemberState.REMOVED:
             return f"node '{command.member}' is gone"
         return None
 
@@ -83,10 +83,10 @@
             answer.members.add(
                 member=member.name,
                 kind=member.kind,
-                condition=member.condition or "",
+                condition=member.state or "",
                 reason=self._state.reasons.get(member.name, "from the store"),
-                start=member.start,
-                out=member.out,
+                start=member.incarnation,
+                out=member.in_flight,
                 cell=node.entry.cell if node is not None else 0,
                 zone=node.entry.zone if node is not None else "",
             )
--- a/rushmux/planner/fleet_state.py
+++ b/rushmux/planner/fleet_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from rushmux.fleet.membership import NODE, Membership
+from rushmux.fleet.membership import MemberKind, Membership, StoredMember
 from rushmux.nodewire import messages
 from rushmux.planner.membership_store import MemberRow
 
@@ -45,11 +45,15 @@
         self.nodes = {
             row.name: NodeRecord(messages.Entry.FromString(row.entry), now)
             for row in rows
-            if row.kind == NODE
+            if row.kind == MemberKind.NODE
         }
         self.membership = Membership(now)
-        self.membership.restored(
-            now, [(row.name, row.kind, row.start, row.name in self.drained) for row in rows]
+        self.membership.restore(
+            now,
+            [
+                StoredMember(row.name, MemberKind(row.kind), row.start, row.name in self.drained)
+                for row in rows
+            ],
         )
 
     def remove_forgotten_nodes(self) -> list[str]:
--- a/rushmux/planner/member_replacement.py
+++ b/rushmux/planner/member_replacement.py
@@ -40,7 +40,7 @@
         if is_new and len(self._candidates) < MAX_CANDIDATES:
             self._candidates[member_id] = True
 
-    def advance(self, node: raft.Voice, now: float) -> bool:
+    def advance(self, node: raft.RaftNode, now: float) -> bool:
         """Proposes the next change of the configuration; whether there was one to propose."""
         for candidate in list(self._candidates):
             wanted = self._wanted_members(candidate, node.members)
@@ -64,12 +64,12 @@
             return None
         return [member for member in members if member != old[0]]
 
-    def _propose(self, node: raft.Voice, now: float, candidate: str, wanted: list[str]) -> None:
+    def _propose(self, node: raft.RaftNode, now: float, candidate: str, wanted: list[str]) -> None:
         try:
             if candidate not in node.members:
-                node.learn(now, candidate)
-            node.change(now, wanted)
-        except raft.Refused as fault:
+                node.add_learner(now, candidate)
+            node.change_members(now, wanted)
+        except raft.ProposalRejectedError as fault:
             self._warn("raft.configuration_waiting", f"{candidate}: {fault}")
             return
         self._log.info("raft.configuration_proposed", members=wanted)
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -10,7 +10,8 @@
 
 import structlog
 
-from rushmux.fleet.membership import EDGE, NODE, Full
+from rushmux.fleet.errors import MembershipFullError
+from rushmux.fleet.membership import MemberKind
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner import peer_names, policy_admin
 from rushmux.planner.endpoint_publisher import EndpointPublisher
@@ -169,7 +170,7 @@
         if self.replicated_log is None:
             drained = [row.name for row in stored.rows if row.draining]
         else:
-            drained = self.replicated_log.policy.drained
+            drained = self.replicated_log.policy.drained_nodes
         self.publisher.begin_term()
         self._quotas.begin_term(term, now)
         self.state.restore(now, term, stored.rows, drained)
@@ -186,16 +187,16 @@
     def _tick(self) -> None:
         # Edges send no reports: an edge is alive as long as its connection.
         for peer in list(self.publisher.subscribers):
-            self._heard_from(peer.name, EDGE, peer.hello.start, 0)
-        self.publisher.on_member_changes(self.state.membership.look(self.loop.time()))
+            self._heard_from(peer.name, MemberKind.EDGE, peer.hello.start, 0)
+        self.publisher.on_member_changes(self.state.membership.tick(self.loop.time()))
         forgotten = self.state.remove_forgotten_nodes()
         if self.publisher.unsaved or forgotten:
             self.publisher.save(forgotten)
 
-    def _heard_from(self, name: str, kind: str, start: str, in_flight: int) -> None:
+    def _heard_from(self, name: str, kind: MemberKind, incarnation: str, in_flight: int) -> None:
         try:
-            changes = self.state.membership.heard(self.loop.time(), name, kind, start, in_flight)
-        except Full as fault:
+            changes = self.state.membership.on_report(self.loop.time(), name, kind, incarnation, in_flight)
+        except MembershipFullError as fault:
             raise WireFault(str(fault)) from fault
         self.publisher.on_member_changes(changes)
 
@@ -209,7 +210,7 @@
             raise WireFault("this planner does not lead")
         if peer_names.is_edge(peer.name):
             self._member_of[peer] = peer.name
-            self._heard_from(peer.name, EDGE, peer.hello.start, 0)
+            self._heard_from(peer.name, MemberKind.EDGE, peer.hello.start, 0)
             self.publisher.subscribe(peer)
 
     def on_peer_disconnected(self, peer: PeerConnection) -> None:
@@ -217,7 +218,7 @@
         self.publisher.unsubscribe(peer)
         name = self._member_of.pop(peer, None)
         if name is not None and name not in self._member_of.values():
-            self.state.membership.broke(self.loop.time(), name)
+            self.state.membership.on_disconnect(self.loop.time(), name)
 
     def on_message(self, peer: PeerConnection, kind: str, body) -> None:
         """Hands a message to its handler."""
@@ -246,9 +247,9 @@
         entry, now = report.entry, self.loop.time()
         self._member_of[peer] = entry.node
         known = self.state.nodes.get(entry.node)
-        self._heard_from(entry.node, NODE, entry.start, report.out)
+        self._heard_from(entry.node, MemberKind.NODE, entry.start, report.out)
         member = self.state.membership.members.get(entry.node)
-        if member is None or member.start != entry.start:
+        if member is None or member.incarnation != entry.start:
             return  # a late report of an older incarnation
         self.state.nodes[entry.node] = NodeRecord(entry, now)
         # A node that asks to drain by itself is treated as one that operators drain.
@@ -262,7 +263,7 @@
         """Tells a node which policies' operations it is to reject."""
         if self.replicated_log is None or self._floor is None:
             return
-        floor = self._floor.announced(self.replicated_log.policy.floor, self.loop.time())
+        floor = self._floor.announced(self.replicated_log.policy.fencing_floor, self.loop.time())
         if floor is not None:
             peer.send(floor=messages.Floor(number=floor))
 
--- a/rushmux/planner/policy_admin.py
+++ b/rushmux/planner/policy_admin.py
@@ -88,7 +88,7 @@
     replicated_log: ReplicatedLog, deployment: Deployment, fields: Mapping[str, Any]
 ) -> dict[str, Any]:
     """The entry of a proposed policy, which must be valid and one that can change while the fleet runs."""
-    active = replicated_log.policy.force
+    active = replicated_log.policy.active
     if active is None:
         raise ProposalUndecidedError("the fleet has no first policy yet")
     proposed = policy_documents.merged(deployment, fields["text"], "the proposed policy")
--- a/rushmux/planner/policy_leader.py
+++ b/rushmux/planner/policy_leader.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from rushmux.fleet.policy import Ask, Conduct
+from rushmux.fleet.policy import LeaseRequest, RolloutCoordinator
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner import raft_codec
 from rushmux.planner.proposals import MAX_PROPOSALS
@@ -34,7 +34,7 @@
     """
 
     def __init__(self, state: ReplicatedState, now: float):
-        self.coordinator = Conduct(state.policy, now)
+        self.coordinator = RolloutCoordinator(state.policy, now)
         self._confirmations: list[_Confirmation] = []
         self._holders: dict[str, _LeaseHolder] = {}
 
@@ -56,9 +56,11 @@
         """
         if request.member != peer.name:
             raise WireFault(f"{peer.name} asks for {request.member}")
-        ask = Ask(request.member, request.ask, request.force, request.joint, request.refused, request.against)
+        lease_request = LeaseRequest(
+            request.member, request.ask, request.force, request.joint, request.refused, request.against
+        )
         self._holders[request.member] = _LeaseHolder(peer, (request.force, request.joint))
-        self.coordinator.asked(now, ask, current_round)
+        self.coordinator.on_lease_request(now, lease_request, current_round)
 
     def on_round_confirmed(self, confirmed_round: int) -> None:
         """Calls what waited for a round that is confirmed by now."""
@@ -69,6 +71,6 @@
 
     def send_grants(self, now: float, confirmed_round: int, term: int, index: int) -> None:
         """Answers lease requests that came before a confirmed round."""
-        for grant in self.coordinator.answers(now, confirmed_round, term, index):
+        for grant in self.coordinator.grant_leases(now, confirmed_round, term, index):
             holder = self._holders[grant.member]
             holder.peer.send(policy_grant=raft_codec.encode_grant(grant, holder.known))
--- a/rushmux/planner/quota_service.py
+++ b/rushmux/planner/quota_service.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from rushmux.fleet.quotas import Shares
+from rushmux.fleet.quotas import GrantId, QuotaAllocator
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner.server import PeerConnection
 
@@ -29,11 +29,11 @@
         self._gateway_count = gateway_count
         self._confirm_leadership = confirm_leadership
         self._unconfirmed: set[PeerConnection] = set()  # edges whose requests wait for a majority
-        self._shares: Shares | None = None
+        self._allocator: QuotaAllocator | None = None
 
     def begin_term(self, term: int, now: float) -> None:
         """Starts anew: what an earlier leader granted is not known."""
-        self._shares = Shares(term, self._limited_folders, self._gateway_count, now)
+        self._allocator = QuotaAllocator(term, self._limited_folders, self._gateway_count, now)
 
     def forget_unconfirmed(self) -> None:
         """Drops requests that wait for a majority: leadership began or ended."""
@@ -61,19 +61,19 @@
         self._confirm_leadership(answer)
 
     def _answer(self, peer: PeerConnection, request: messages.Ask, now: float) -> None:
-        grant = self._shares.asked(
+        grant = self._allocator.on_quota_request(
             now,
             peer.name,
             request.ask,
             {want.folder: want.part for want in request.wants},
-            (request.term, request.number),
+            GrantId(request.term, request.number),
         )
         peer.send(
             grant=messages.Grant(
                 term=grant.term,
-                number=grant.number,
-                ask=grant.ask,
-                parts=[messages.Want(folder=folder, part=part) for folder, part in grant.parts.items()],
+                number=grant.sequence,
+                ask=grant.request_id,
+                parts=[messages.Want(folder=folder, part=quota) for folder, quota in grant.quotas.items()],
             )
         )
 
--- a/rushmux/planner/raft_codec.py
+++ b/rushmux/planner/raft_codec.py
@@ -1,113 +1,188 @@
-"""The words of the planners' log on the nodes' wire: `fleet.raft` messages to frames and back, no I/O."""
+"""Raft messages, policies and lease grants on the nodes' wire: `fleet` records to messages and back, no I/O.
+
+The wire has one message for all kinds of Raft messages; which of its fields are used follows from its kind.
+"""
+
+from collections.abc import Callable, Collection, Iterable
 
 from rushmux.fleet import raft
-from rushmux.fleet.policy import Grant, Policy
+from rushmux.fleet.policy import LeaseGrant, Policy
 from rushmux.nodewire import WireFault, messages
 
-MOST_BYTES = 512 << 10  # of entries in one word: a frame holds a megabyte
-KINDS = {
-    "ask": raft.Ask,
-    "vote": raft.Vote,
-    "append": raft.Append,
-    "install": raft.Install,
-    "appended": raft.Appended,
+MAX_ENTRY_BYTES = 512 << 10  # of the entries in one message: a frame holds a megabyte
+ENTRY_OVERHEAD = 64  # bytes of an entry beside its body, at most
+
+RaftMessage = (
+    raft.RequestVote
+    | raft.RequestVoteResponse
+    | raft.AppendEntries
+    | raft.AppendEntriesResponse
+    | raft.InstallSnapshot
+)
+
+KINDS: dict[type, str] = {
+    raft.RequestVote: "ask",
+    raft.RequestVoteResponse: "vote",
+    raft.AppendEntries: "append",
+    raft.AppendEntriesResponse: "appended",
+    raft.InstallSnapshot: "install",
 }
 
 
-def _entry(entry):
-    if entry.kind == raft.MEMBERS:
-        return messages.LogEntry(term=entry.term, kind=entry.kind, members=entry.body)
-    return messages.LogEntry(term=entry.term, kind=entry.kind, body=entry.body)
+def encode(message: RaftMessage) -> messages.Word:
+    """A Raft message for the wire."""
+    kind = KINDS[type(message)]
+    encoded = messages.Word(kind=kind, sender=message.sender, to=message.receiver, term=message.term)
+    _ENCODERS[kind](message, encoded)
+    return encoded
+
+
+def decode(encoded: messages.Word) -> RaftMessage:
+    """The Raft message of one from the wire; WireFault where its kind is unknown."""
+    decoder = _DECODERS.get(encoded.kind)
+    if decoder is None:
+        raise WireFault(f"there is no word '{encoded.kind}' of a log")
+    return decoder(encoded)
+
+
+# Raft messages, by kind.
+
+
+def _encode_request_vote(message: raft.RequestVote, encoded: messages.Word) -> None:
+    encoded.index = message.last_log_index
+    encoded.index_term = message.last_log_term
+    encoded.trial = message.pre_vote
+
+
+def _decode_request_vote(encoded: messages.Word) -> raft.RequestVote:
+    return raft.RequestVote(
+        encoded.sender, encoded.to, encoded.term, encoded.index, encoded.index_term, encoded.trial
+    )
 
 
-def _entries(entries):
-    """As many as fit: the rest goes with the next word."""
-    found, size = [], 0
+def _encode_request_vote_response(message: raft.RequestVoteResponse, encoded: messages.Word) -> None:
+    encoded.trial = message.pre_vote
+    encoded.good = message.granted
+
+
+def _decode_request_vote_response(encoded: messages.Word) -> raft.RequestVoteResponse:
+    return raft.RequestVoteResponse(encoded.sender, encoded.to, encoded.term, encoded.trial, encoded.good)
+
+
+def _encode_append_entries(message: raft.AppendEntries, encoded: messages.Word) -> None:
+    encoded.index = message.prev_log_index
+    encoded.index_term = message.prev_log_term
+    encoded.decided = message.commit_index
+    encoded.round = message.round
+    encoded.entries.extend(_encode_entries(message.entries))
+
+
+def _decode_append_entries(encoded: messages.Word) -> raft.AppendEntries:
+    return raft.AppendEntries(
+        sender=encoded.sender,
+        receiver=encoded.to,
+        term=encoded.term,
+        prev_log_index=encoded.index,
+        prev_log_term=encoded.index_term,
+        entries=tuple(map(_decode_entry, encoded.entries)),
+        commit_index=encoded.decided,
+        round=encoded.round,
+    )
+
+
+def _encode_append_entries_response(message: raft.AppendEntriesResponse, encoded: messages.Word) -> None:
+    encoded.good = message.success
+    encoded.index = message.match_index
+    encoded.round = message.round
+
+
+def _decode_append_entries_response(encoded: messages.Word) -> raft.AppendEntriesResponse:
+    return raft.AppendEntriesResponse(
+        encoded.sender, encoded.to, encoded.term, encoded.good, encoded.index, encoded.round
+    )
+
+
+def _encode_install_snapshot(message: raft.InstallSnapshot, encoded: messages.Word) -> None:
+    snapshot = message.snapshot
+    encoded.round = message.round
+    encoded.snapshot.CopyFrom(
+        messages.LogSnapshot(
+            index=snapshot.index, term=snapshot.term, members=snapshot.members, state=snapshot.state
+        )
+    )
+
+
+def _decode_install_snapshot(encoded: messages.Word) -> raft.InstallSnapshot:
+    row = encoded.snapshot
+    snapshot = raft.Snapshot(row.index, row.term, tuple(row.members), row.state)
+    return raft.InstallSnapshot(encoded.sender, encoded.to, encoded.term, snapshot, encoded.round)
+
+
+_ENCODERS: dict[str, Callable] = {
+    "ask": _encode_request_vote,
+    "vote": _encode_request_vote_response,
+    "append": _encode_append_entries,
+    "appended": _encode_append_entries_response,
+    "install": _encode_install_snapshot,
+}
+_DECODERS: dict[str, Callable[[messages.Word], RaftMessage]] = {
+    "ask": _decode_request_vote,
+    "vote": _decode_request_vote_response,
+    "append": _decode_append_entries,
+    "appended": _decode_append_entries_response,
+    "install": _decode_install_snapshot,
+}
+
+
+# Entries.
+
+
+def _encode_entries(entries: Iterable[raft.Entry]) -> list[messages.LogEntry]:
+    """As many entries as fit, at least one: the rest goes with the next message."""
+    encoded, size = [], 0
     for entry in entries:
-        size += len(entry.body) + 64
-        if found and size > MOST_BYTES:
+        size += len(entry.body) + ENTRY_OVERHEAD
+        if encoded and size > MAX_ENTRY_BYTES:
             break
-        found.append(_entry(entry))
-    return found
-
-
-def encode(word) -> messages.Word:
-    """A word of the log as a message."""
-    kind = type(word).__name__.lower()
-    made = messages.Word(kind=kind, sender=word.sender, to=word.to, term=word.term)
-    if kind == "ask":
-        made.index, made.index_term, made.trial = word.last, word.last_term, word.trial
-    elif kind == "vote":
-        made.trial, made.good = word.trial, word.given
-    elif kind == "append":
-        made.index, made.index_term, made.decided, made.round = (
-            word.before,
-            word.before_term,
-            word.decided,
-            word.round,
-        )
-        made.entries.extend(_entries(word.entries))
-    elif kind == "install":
-        snapshot = word.snapshot
-        made.round = word.round
-        made.snapshot.CopyFrom(
-            messages.LogSnapshot(
-                index=snapshot.index, term=snapshot.term, members=snapshot.members, state=snapshot.state
-            )
-        )
-    else:
-        made.good, made.index, made.round = word.good, word.index, word.round
-    return made
-
-
-def decode(made: messages.Word):
-    """The word of a message; WireFault where there is no such kind."""
-    begin = made.sender, made.to, made.term
-    if made.kind == "ask":
-        return raft.Ask(*begin, made.index, made.index_term, made.trial)
-    if made.kind == "vote":
-        return raft.Vote(*begin, made.trial, made.good)
-    if made.kind == "append":
-        entries = tuple(
-            raft.Entry(
-                entry.term, entry.kind, tuple(entry.members) if entry.kind == raft.MEMBERS else entry.body
-            )
-            for entry in made.entries
-        )
-        return raft.Append(*begin, made.index, made.index_term, entries, made.decided, made.round)
-    if made.kind == "install":
-        row = made.snapshot
-        snapshot = raft.Snapshot(row.index, row.term, tuple(row.members), row.state)
-        return raft.Install(*begin, snapshot, made.round)
-    if made.kind == "appended":
-        return raft.Appended(*begin, made.good, made.index, made.round)
-    raise WireFault(f"there is no word '{made.kind}' of a log")
+        encoded.append(_encode_entry(entry))
+    return encoded
 
 
-# Policies.
+def _encode_entry(entry: raft.Entry) -> messages.LogEntry:
+    if entry.kind == raft.EntryKind.CONFIGURATION:
+        return messages.LogEntry(term=entry.term, kind=entry.kind, members=entry.body)
+    return messages.LogEntry(term=entry.term, kind=entry.kind, body=entry.body)
 
 
-def encode_policy(made: Policy, whole: bool) -> messages.Policy:
-    """A policy as a message; not `whole`: its number and checksum alone, for who has the rest."""
-    if not whole:
-        return messages.Policy(number=made.number, sum=made.sum)
-    return messages.Policy(
-        number=made.number,
-        sum=made.sum,
-        text=made.text,
-        rows=[messages.Limit(folder=folder, limit=limit, burst=burst) for folder, limit, burst in made.rows],
-    )
+def _decode_entry(encoded: messages.LogEntry) -> raft.Entry:
+    is_configuration = encoded.kind == raft.EntryKind.CONFIGURATION
+    body = tuple(encoded.members) if is_configuration else encoded.body
+    return raft.Entry(encoded.term, raft.entry_kind(encoded.kind), body)
+
+
+# Policies.
 
 
-def encode_grant(made: Grant, known) -> messages.PolicyGrant:
-    """A grant for a member that has the texts of the `known` numbers."""
-    told = messages.PolicyGrant(
-        member=made.member,
-        ask=made.ask,
-        term=made.term,
-        index=made.index,
-        force=encode_policy(made.force, made.force.number not in known),
+def encode_policy(policy: Policy, *, is_known: bool) -> messages.Policy:
+    """A policy for the wire; its number and checksum alone for a member that has the rest."""
+    if is_known:
+        return messages.Policy(number=policy.version, sum=policy.checksum)
+    limits = [
+        messages.Limit(folder=folder, limit=limit, burst=burst)
+        for folder, limit, burst in policy.folder_limits
+    ]
+    return messages.Policy(number=policy.version, sum=policy.checksum, text=policy.text, rows=limits)
+
+
+def encode_grant(grant: LeaseGrant, known: Collection[int]) -> messages.PolicyGrant:
+    """A lease grant for a member that has the policies of the `known` numbers."""
+    encoded = messages.PolicyGrant(
+        member=grant.member,
+        ask=grant.request_id,
+        term=grant.term,
+        index=grant.index,
+        force=encode_policy(grant.active, is_known=grant.active.version in known),
     )
-    if made.staged is not None:
-        told.staged.CopyFrom(encode_policy(made.staged, made.staged.number not in known))
-    return told
+    if grant.staged is not None:
+        encoded.staged.CopyFrom(encode_policy(grant.staged, is_known=grant.staged.version in known))
+    return encoded
--- a/rushmux/planner/raft_storage.py
+++ b/rushmux/planner/raft_storage.py
@@ -15,7 +15,7 @@
 import orjson
 
 from rushmux import atomic_write, records
-from rushmux.fleet.raft import MEMBERS, Entry, Kept, Ready, Snapshot
+from rushmux.fleet.raft import Entry, EntryKind, HardState, PersistentState, Ready, Snapshot, entry_kind
 from rushmux.planner.errors import RaftStorageError
 
 MAGIC = b"RMPL"
@@ -40,7 +40,7 @@
 
 
 def _encode_entry(index: int, entry: Entry) -> bytes:
-    body = list(entry.body) if entry.kind == MEMBERS else entry.body.decode()
+    body = list(entry.body) if entry.kind == EntryKind.CONFIGURATION else entry.body.decode()
     return _encode(RecordKind.ENTRY, [index, entry.term, entry.kind, body])
 
 
@@ -51,7 +51,8 @@
 
 def _decode_entry(values: list) -> tuple[int, Entry]:
     index, term, kind, body = values
-    return index, Entry(term, kind, tuple(body) if kind == MEMBERS else body.encode())
+    is_configuration = kind == EntryKind.CONFIGURATION
+    return index, Entry(term, entry_kind(kind), tuple(body) if is_configuration else body.encode())
 
 
 def _decode_snapshot(values: list) -> Snapshot:
@@ -78,7 +79,7 @@
     def __init__(self, path: str | Path, new_incarnation: Callable[[], str]):
         self.path = Path(path)
         self.path.parent.mkdir(parents=True, exist_ok=True)
-        self.persistent: Kept | None = None
+        self.persistent: PersistentState | None = None
         self.incarnation = ""
         self.is_new = not self.path.exists()
         self._file: int | None = None
@@ -129,7 +130,7 @@
         os.ftruncate(self._file, found.end)
         os.fsync(self._file)
 
-    def _replay(self, bodies: Iterable[bytes]) -> Kept:
+    def _replay(self, bodies: Iterable[bytes]) -> PersistentState:
         """What the records make; ValueError where they are not a planner's."""
         if not bodies:
             raise ValueError("no life of its disk: it was killed while it was made")
@@ -148,9 +149,9 @@
             else:
                 index, entry = _decode_entry(values)
                 entries[index] = entry
-        return Kept(term, voted_for, snapshot, _following(entries, snapshot.index))
+        return PersistentState(term, voted_for, snapshot, _following(entries, snapshot.index))
 
-    def create(self, persistent: Kept) -> None:
+    def create(self, persistent: PersistentState) -> None:
         """Makes the file of a planner that starts for the first time."""
         self.persistent = persistent
         self.rewrite()
@@ -163,7 +164,7 @@
         bodies = [
             _encode(RecordKind.INCARNATION, self.incarnation),
             _encode_snapshot(persistent.snapshot),
-            _encode(RecordKind.VOTE, [persistent.term, persistent.voted]),
+            _encode(RecordKind.VOTE, [persistent.term, persistent.voted_for]),
             *(_encode_entry(index, entry) for index, entry in entries),
         ]
         atomic_write.whole(self.path, records.head(MAGIC, FORMAT) + b"".join(map(records.pack, bodies)))
@@ -176,10 +177,10 @@
             OSError: the disk does not take it; then nothing of it may be sent.
         """
         bodies = []
-        if ready.vote is not None:
-            bodies.append(_encode(RecordKind.VOTE, ready.vote))
-        if ready.cut is not None:
-            bodies.append(_encode(RecordKind.TRUNCATION, ready.cut))
+        if ready.hard_state is not None:
+            bodies.append(_encode(RecordKind.VOTE, [ready.hard_state.term, ready.hard_state.voted_for]))
+        if ready.truncate_from is not None:
+            bodies.append(_encode(RecordKind.TRUNCATION, ready.truncate_from))
         bodies += [_encode_entry(index, entry) for index, entry in ready.entries]
         self.persistent = _after(self.persistent, ready)
         if ready.snapshot is not None:
@@ -223,14 +224,14 @@
     return tuple(following)
 
 
-def _after(before: Kept, ready: Ready) -> Kept:
+def _after(before: PersistentState, ready: Ready) -> PersistentState:
     """What the disk holds once `ready` is written."""
     entries = dict(enumerate(before.entries, before.snapshot.index + 1))
-    if ready.cut is not None:
-        entries = {index: entry for index, entry in entries.items() if index < ready.cut}
+    if ready.truncate_from is not None:
+        entries = {index: entry for index, entry in entries.items() if index < ready.truncate_from}
     entries.update(ready.entries)
     snapshot = ready.snapshot or before.snapshot
     last = max([snapshot.index, *entries])
     kept = tuple(entries[index] for index in range(snapshot.index + 1, last + 1))
-    term, voted_for = ready.vote or (before.term, before.voted)
-    return Kept(term, voted_for, snapshot, kept)
+    hard_state = ready.hard_state or HardState(before.term, before.voted_for)
+    return PersistentState(hard_state.term, hard_state.voted_for, snapshot, kept)
--- a/rushmux/planner/raft_transport.py
+++ b/rushmux/planner/raft_transport.py
@@ -55,7 +55,7 @@
 
     def send(self, message) -> None:
         """Sends one message to the planner that it names; drops it where that one cannot be reached."""
-        writer = self._writers.get(planner_of(message.to))
+        writer = self._writers.get(planner_of(message.receiver))
         if writer is None or writer.transport.get_write_buffer_size() > MAX_BUFFERED:
             return
         try:
--- a/rushmux/planner/replicated_log.py
+++ b/rushmux/planner/replicated_log.py
@@ -12,7 +12,7 @@
 import structlog
 
 from rushmux.fleet import raft
-from rushmux.fleet.policy import Conduct, Register
+from rushmux.fleet.policy import PolicyStateMachine, RolloutCoordinator
 from rushmux.nodewire import messages
 from rushmux.planner import raft_codec
 from rushmux.planner.errors import (
@@ -84,7 +84,9 @@
     def _start_node(self) -> None:
         """Begins with the log as the disk has it."""
         persistent = self.storage.persistent
-        self.node = raft.Voice(self.member_id, persistent, self._loop.time(), self._settings.random.randrange)
+        self.node = raft.RaftNode(
+            self.member_id, persistent, self._loop.time(), self._settings.random.randrange
+        )
         self._state = ReplicatedState(persistent.snapshot)
 
     def start(self) -> None:
@@ -105,7 +107,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether it leads, and a majority has confirmed that since its election."""
-        return self.storage_failed_at is None and self.node.confirmed > 0
+        return self.storage_failed_at is None and self.node.confirmed_round > 0
 
     @property
     def leader(self) -> str | None:
@@ -128,12 +130,12 @@
         return self._state.index
 
     @property
-    def policy(self) -> Register:
+    def policy(self) -> PolicyStateMachine:
         """The fleet's policy, as the entries that were applied made it."""
         return self._state.policy
 
     @property
-    def coordinator(self) -> Conduct | None:
+    def coordinator(self) -> RolloutCoordinator | None:
         """The rollout of changes; None while this planner does not lead."""
         return self._policy_leader.coordinator if self._policy_leader is not None else None
 
@@ -158,13 +160,13 @@
         while self.storage_failed_at is None and (ready := self.node.ready()) is not None:
             if not self._persist(ready):
                 break
-            for message in ready.send:
+            for message in ready.messages:
                 self._transport.send(message)
-            if ready.restored is not None:
-                self._state = ReplicatedState(ready.restored)
-            for index, entry in ready.decided:
+            if ready.restore is not None:
+                self._state = ReplicatedState(ready.restore)
+            for index, entry in ready.committed:
                 self._apply(index, entry)
-            self.node.written(self._loop.time(), ready)
+            self.node.on_persisted(self._loop.time(), ready)
             self._compact()
         self._update_leadership()
 
@@ -200,7 +202,7 @@
     def _apply(self, index: int, entry: raft.Entry) -> None:
         self._state.index = index
         result = ""
-        if entry.kind == raft.ORDER:
+        if entry.kind == raft.EntryKind.COMMAND:
             command = orjson.loads(entry.body)
             result = self._state.apply(command)
             self._log.info("raft.command_applied", index=index, kind=command["kind"], said=result)
@@ -208,29 +210,29 @@
         self._proposals.resolve(index, entry.term, result)
 
     def _record_command(self, index: int, command: dict, result: str) -> None:
-        active, staged = self.policy.force, self.policy.staged
+        active, staged = self.policy.active, self.policy.staged
         self._record(
             "decided",
             planner=self.member_id,
             index=index,
             order=command["kind"],
             said=result,
-            force=active.number if active else 0,
-            rows=list(active.rows) if active else [],
-            staged=staged.number if staged else 0,
+            force=active.version if active else 0,
+            rows=[list(row) for row in active.folder_limits] if active else [],
+            staged=staged.version if staged else 0,
         )
 
     def _compact(self) -> None:
         """Replaces applied entries by a snapshot once there are many."""
-        applied = self.node.applied - self.node.snapshot.index
+        applied = self.node.last_applied - self.node.snapshot.index
         if len(self.node.log) > COMPACTION_THRESHOLD and applied > COMPACTION_THRESHOLD // 2:
-            self.node.compact(self.node.applied, self._state.serialized())
+            self.node.compact(self.node.last_applied, self._state.serialized())
 
     def on_message(self, body: messages.Word) -> None:
         """A Raft message came from another planner."""
         if self.storage_failed_at is not None:
             return
-        self.node.hear(self._loop.time(), raft_codec.decode(body))
+        self.node.receive(self._loop.time(), raft_codec.decode(body))
         self._process_ready()
 
     # Leadership.
@@ -256,7 +258,7 @@
         self._on_leadership(bool(term))
 
     def _lead(self, term: int) -> None:
-        confirmed = self.node.confirmed
+        confirmed = self.node.confirmed_round
         self._policy_leader.on_round_confirmed(confirmed)
         now = self._loop.time()
         self._policy_leader.send_grants(now, confirmed, term, self.applied_index)
@@ -265,15 +267,15 @@
             return
         try:
             self._submit(command)
-        except raft.Refused as fault:
-            self._policy_leader.coordinator.unkept()
+        except raft.ProposalRejectedError as fault:
+            self._policy_leader.coordinator.on_command_rejected()
             self._warn_once("raft.proposal_rejected", str(fault))
 
     def _next_command(self, now: float) -> dict | None:
         """The command that the leader itself proposes now."""
-        if self.policy.force is None:
+        if self.policy.active is None:
             return self._bootstrap_command()
-        return self._policy_leader.coordinator.look(now)
+        return self._policy_leader.coordinator.next_command(now)
 
     def _warn_once(self, event: str, reason: str) -> None:
         """Logs a warning unless it is the same as the last one."""
@@ -296,7 +298,7 @@
         try:
             async with asyncio.timeout(PROPOSAL_TIMEOUT):
                 return await self._submit(command)
-        except raft.Refused as fault:
+        except raft.ProposalRejectedError as fault:
             raise ProposalRejectedError(str(fault)) from fault
         except TimeoutError as fault:
             raise ProposalUndecidedError(
@@ -307,7 +309,7 @@
     def _submit(self, command: dict) -> asyncio.Future:
         """Appends a command to the log; a future of its result."""
         if self._proposals.is_full:
-            raise raft.Refused(f"{MAX_PROPOSALS} orders wait to be decided")
+            raise raft.ProposalRejectedError(f"{MAX_PROPOSALS} orders wait to be decided")
         index, term = self.node.propose(self._loop.time(), orjson.dumps(command))
         result = self._proposals.add(index, term, command)
         self._loop.call_soon(self._process_ready)
--- a/rushmux/planner/replicated_state.py
+++ b/rushmux/planner/replicated_state.py
@@ -9,7 +9,7 @@
 import orjson
 
 from rushmux.fleet import raft
-from rushmux.fleet.policy import Register
+from rushmux.fleet.policy import PolicyStateMachine
 
 
 class ReplicatedState:
@@ -25,13 +25,15 @@
         raw = {"register": "", "sessions": []}
         if snapshot.state:
             raw = orjson.loads(zlib.decompress(base64.b64decode(snapshot.state)))
-        self.policy = Register.restored(raw["register"].encode())
+        self.policy = PolicyStateMachine.from_snapshot(raw["register"].encode())
         self.index = snapshot.index
-        self._sessions = raft.Sessions([tuple(row) for row in raw["sessions"]])
+        self._sessions = raft.ClientSessions([tuple(row) for row in raw["sessions"]])
 
     def serialized(self) -> bytes:
         """The state for a snapshot, small enough for one message whatever the policies hold."""
-        raw = orjson.dumps({"register": self.policy.kept().decode(), "sessions": self._sessions.kept()})
+        raw = orjson.dumps(
+            {"register": self.policy.to_snapshot().decode(), "sessions": self._sessions.to_rows()}
+        )
         return base64.b64encode(zlib.compress(raw))
 
     def apply(self, command: dict) -> str:
@@ -42,4 +44,4 @@
         """
         if "client" not in command:
             return self.policy.apply(command)
-        return self._sessions.once(command["client"], command["n"], lambda: self.policy.apply(command))
+        return self._sessions.apply_once(command["client"], command["n"], lambda: self.policy.apply(command))
--- a/rushmux/planner/replication_settings.py
+++ b/rushmux/planner/replication_settings.py
@@ -42,8 +42,8 @@
     if storage.is_new and settings.bootstrap:
         storage.incarnation = FIRST_INCARNATION
         members = [f"{name}/{FIRST_INCARNATION}" for name in settings.addresses]
-        storage.create(raft.founded(members))
+        storage.create(raft.bootstrap(members))
     elif storage.is_new:
         # The other planners send it the log once they have added it to their configuration.
-        storage.create(raft.Kept(0, None, raft.Snapshot(0, 0, (), b"")))
+        storage.create(raft.PersistentState(0, None, raft.Snapshot(0, 0, (), b"")))
     return storage
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_policy_fleet.py
@@ -70,13 +70,13 @@
         assert fleet.operator_commands[-1]["said"].endswith("is staged")
         failing.clear()
         await fleet.sleep(5)
-        assert replicated_log.storage_failed_at is None and replicated_log.policy.force.number == 2
+        assert replicated_log.storage_failed_at is None and replicated_log.policy.active.version == 2
         assert any(row["event"] == "raft.storage_failed" for row in fleet.logs)
         # It votes again: the other two are one short without it.
         fleet.kill_planner_of(leader(fleet))
         await propose(fleet, "after", 50.0)
         await fleet.sleep(6)
-        assert replicated_log.policy.force.number == 3
+        assert replicated_log.policy.active.version == 3
 
     story(tmp_path, tell)
 
@@ -133,7 +133,7 @@
         await propose(fleet, "down", 40.0)
         await fleet.sleep(5)
         replicated_log = fleet.planners[name].program.replicated_log
-        assert replicated_log.node.snapshot.index > 100 and replicated_log.policy.force.number == 2
+        assert replicated_log.node.snapshot.index > 100 and replicated_log.policy.active.version == 2
         assert replicated_log.policy.members == ("edge0", "edge1")
         # And from its disk.
         fleet.kill_planner_of(name)
