--- a/tests/planner/test_fault_injection.py
+++ b/tests/planner/test_fault_injection.py
@@ -1,6 +1,8 @@
-"""Stories of faults between real processes, and their judge.  All of them: `rushmux rig --all`."""
+"""Fault scenarios between real processes, and their checker.  All of them: `rushmux rig --all`."""
 
 import asyncio
+import random
+from collections import Counter
 
 import pytest
 from click.testing import CliRunner
@@ -10,8 +12,8 @@
 from rushmux.standins.fault_proxy import HOST, Relays
 from rushmux.standins.policy_judge import operations, told
 
-# Those in which most goes wrong; some twenty more are played by hand.
-PLAYED = (
+# Those with most faults; some twenty more are run by hand.
+SCENARIOS = (
     "leader-at-stage",
     "leader-at-decision",
     "edge-stopped",
@@ -27,18 +29,18 @@
 )
 
 
-def test_stories_keep_every_rule(tmp_path):
+def test_fault_scenarios_break_no_rule(tmp_path):
     found = asyncio.run(
-        fault_injection.together([fault_injection.load(name) for name in PLAYED], tmp_path, 4, 1)
+        fault_injection.together([fault_injection.load(name) for name in SCENARIOS], tmp_path, 4, 1)
     )
     assert {told.story: told.breaches for told in found if told.breaches} == {}
-    for told_ in found:
-        assert told_.facts["answers"] > 100, told_
+    for result in found:
+        assert result.facts["answers"] > 100, result
     # The limit is asked for and used, or its rule was not tried.
-    assert max(count for told_ in found for name, count in told_.facts.items() if "used" in name) > 40
+    assert max(count for result in found for name, count in result.facts.items() if "used" in name) > 40
 
 
-def test_what_a_story_cannot_mean_is_told_with_its_line():
+def test_a_line_that_is_no_step_is_rejected():
     for text, wrong in (
         ("at 2 explode leader", "no verb 'explode'"),
         ("wibble", "no line of this form"),
@@ -54,7 +56,7 @@
     assert "there are" in CliRunner().invoke(main, ["rig"]).output
 
 
-def execution(at, number, op="e.1.1/s", units=10.0, folder="a", count=0):
+def execution(at, number, op="e.1.1/s", *, units=10.0, folder="a", count=0):
     return {
         "kind": "execution",
         "at": at,
@@ -66,16 +68,14 @@
     }
 
 
-def test_the_judge_finds_what_must_never_be():
+def test_the_checker_finds_what_must_never_happen():
     force = {1: (0.0, {"a": (10.0, 20.0)}), 2: (10.0, {"a": (2.0, 4.0)})}
-    from collections import Counter
-
     assert operations([execution(1.0, 1), execution(1.1, 1, "e.1.2/s")], force, Counter()) == []
     assert "not decided" in operations([execution(5.0, 2)], force, Counter())[0]
     assert "not decided" in operations([execution(5.0, 9)], force, Counter())[0]
     apart = [execution(11.0, 1), execution(11.1, 2, count=1)]
     assert "under 1 and 2" in operations(apart, force, Counter())[0]
-    many = [execution(11.0 + place / 100, 2, f"e.1.{place}/s", 1.0) for place in range(8)]
+    many = [execution(11.0 + place / 100, 2, f"e.1.{place}/s", units=1.0) for place in range(8)]
     assert "units at once under 2" in operations(many, force, Counter())[0]
     turned = [{"kind": "fenced", "op": row["op"], "execution": 0} for row in many]
     assert operations(many + turned, force, Counter()) == []
@@ -87,15 +87,13 @@
     assert "told refused" in told(refused, {2: "decided"}, [], 2)[0]
 
 
-def test_a_relay_holds_back_what_is_cut_and_gives_it_when_it_heals():
+def test_a_proxy_holds_data_back_while_cut_and_delivers_it_when_healed():
     async def play():
         async def echo(reader, writer):
             while data := await reader.read(100):
                 writer.write(data)
 
         server = await asyncio.start_server(echo, HOST, 0)
-        import random
-
         relays = Relays(random.Random(1))
         relays.targets["b"] = server.sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection(HOST, await relays.port("a", "b"))
--- /dev/null
+++ b/tests/planner/test_planner.py
@@ -0,0 +1,274 @@
+"""A planner in a fleet on the virtual clock: edges serve without it, and what it sent them survives it."""
+
+import asyncio
+import copy
+import json
+import random
+from pathlib import Path
+
+import pytest
+
+from benchmarks import planner_kills
+from rushmux import log
+from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.node_connections import Lists
+from rushmux.files.paths import home
+from rushmux.fleet.membership import LEASE_DURATION
+from rushmux.nodewire import VERSION, messages
+from rushmux.planner import admin_client
+from rushmux.planner.errors import CommandRejectedError
+from rushmux.planner.membership_store import MemberRow, MembershipStore
+from rushmux.planner.planner import Planner
+from rushmux.settings import deployment
+from rushmux.simulation.loop import run
+from rushmux.standins.checker import Checker
+from rushmux.standins.client import Gone, Refusal
+from rushmux.standins.fleet import play
+
+EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
+DEPLOYMENT = deployment.build(copy.deepcopy(EXAMPLE))
+
+
+@pytest.fixture
+def run_fleet(tmp_path):
+    """Runs a scenario on a fleet with a planner, and checks the recorded history."""
+
+    def run_scenario(scenario, seed=3, nodes=4, edges=2, **settings):
+        fleet, result = play(
+            DEPLOYMENT, seed, scenario, nodes, edges, planner=tmp_path / "planner.db", **settings
+        )
+        assert not Checker(fleet.all_records(), DEPLOYMENT, 0.005).breaches()
+        return fleet, result
+
+    return run_scenario
+
+
+def published_states(fleet, node):
+    """When, and as what, edges were notified of a node."""
+    return [
+        (row["at"], state)
+        for row in fleet.records
+        if row["kind"] == "told"
+        for name, state in row["nodes"]
+        if name == node
+    ]
+
+
+async def wait_until(fleet, condition, seconds=30.0):
+    for _ in range(int(seconds / 0.05)):
+        if condition():
+            return
+        await fleet.sleep(0.05)
+    raise AssertionError("it did not come to that")
+
+
+def state_of(fleet, name):
+    return fleet.lists.program.state.membership.members[name].state
+
+
+def test_edges_are_notified_when_a_node_dies_and_when_it_is_back(run_fleet):
+    async def scenario(fleet):
+        await fleet.sleep(2)
+        fleet.kill_node("node1")
+        died = fleet.loop.time()
+        await fleet.sleep(4)
+        await fleet.node("node1", 1)
+        await fleet.sleep(3)
+        return died
+
+    fleet, died = run_fleet(scenario)
+    gone = [at for at, condition in published_states(fleet, "node1") if condition == "gone"]
+    assert len(gone) == 2 and max(gone) - died < 2.0
+    assert published_states(fleet, "node1")[-1][1] == "ready"
+
+
+def test_an_edge_is_alive_as_long_as_its_connection(run_fleet):
+    async def scenario(fleet):
+        await fleet.sleep(2 * LEASE_DURATION)
+        alive = state_of(fleet, "edge1")
+        fleet.kill_edge(1)
+        await fleet.sleep(3)
+        return alive, state_of(fleet, "edge1"), state_of(fleet, "edge0")
+
+    assert run_fleet(scenario)[1] == ("ready", "gone", "ready")
+
+
+def test_a_draining_node_is_drained_when_nothing_is_in_flight(run_fleet):
+    away = next(name for name in DEPLOYMENT.folders if home(name, 4) != 2)
+
+    async def scenario(fleet):
+        client = await fleet.client(0)
+        await fleet.sleep(2)
+        answer = await admin_client.send_fleet_command(fleet.lists.address, "drain", "node2")
+        assert {row.member: row.condition for row in answer.members}["node2"] == "draining"
+        for number in range(10):
+            await client.put(f"/{away}/{number}", b"x" * 40_000)
+        await wait_until(fleet, lambda: state_of(fleet, "node2") == "drained")
+        with pytest.raises(CommandRejectedError) as fault:
+            await admin_client.send_fleet_command(fleet.lists.address, "drain", "node9")
+        await admin_client.send_fleet_command(fleet.lists.address, "undrain", "node2")
+        await fleet.sleep(1)
+        return str(fault.value), "\n".join(
+            admin_client.format_fleet(await admin_client.send_fleet_command(fleet.lists.address, "show"))
+        )
+
+    fleet, (fault, text) = run_fleet(scenario)
+    assert "no node 'node9'" in fault and "node2" in text and "edge0" in text and "term 1" in text
+    assert [condition for _, condition in published_states(fleet, "node2")][-1] == "ready"
+
+
+def test_drains_and_sessions_survive_a_killed_planner(run_fleet):
+    async def scenario(fleet):
+        client, port = await fleet.client(0), fleet.lists.port
+        await fleet.sleep(2)
+        await admin_client.send_fleet_command(fleet.lists.address, "drain", "node3")
+        await fleet.sleep(0.2)
+        version = fleet.lists.program.publisher.version
+        fleet.kill_planner()
+        for number in range(20):
+            await client.put(f"/limon/{number}", b"y" * 20_000)
+            await fleet.sleep(0.3)
+        await fleet.plan(4, port)
+        await fleet.sleep(4)
+        assert await client.get("/limon/7") == b"y" * 20_000
+        assert fleet.lists.program.store.term == 2 and fleet.lists.program.publisher.version >= version
+        return state_of(fleet, "node3")
+
+    fleet, drained = run_fleet(scenario)
+    assert drained in ("draining", "drained")
+    drain = min(at for at, condition in published_states(fleet, "node3") if condition == "draining")
+    assert not any(condition == "ready" for at, condition in published_states(fleet, "node3") if at > drain)
+    told = [
+        condition for name in ("node0", "node1", "node2") for _, condition in published_states(fleet, name)
+    ]
+    assert "gone" not in told
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_planner_may_be_killed_at_any_moment_under_faults(seed):
+    answers, good, _, breaches = planner_kills.played(seed)
+    assert not breaches
+    assert good > 0.8 * answers
+
+
+def test_a_full_disk_is_logged_and_edges_are_notified_all_the_same(run_fleet):
+    async def scenario(fleet):
+        await fleet.sleep(2)
+        store = fleet.lists.program.store
+        whole, store.save = store.save, lambda *_: (_ for _ in ()).throw(OSError("no room"))
+        fleet.kill_node("node1")
+        await fleet.sleep(3)
+        gone = published_states(fleet, "node1")[-1][1]
+        store.save = whole
+        await fleet.sleep(1)
+        return gone, fleet.lists.program.publisher.unsaved
+
+    fleet, (gone, unkept) = run_fleet(scenario)
+    assert gone == "gone" and unkept == {}
+    assert any(row["event"] == "membership_store.write_failed" for row in fleet.logs)
+
+
+def test_an_edge_starts_on_its_cached_list_without_a_planner(run_fleet, tmp_path):
+    async def scenario(fleet):
+        client = await fleet.client(0)
+        await client.put("/limon/a", b"kept" * 100)
+        await fleet.sleep(3)
+        fleet.kill_planner()
+        fleet.kill_edge(0)
+        await fleet.edge(0)
+        again = await fleet.client(0)
+        read = await again.get("/limon/a")
+        # Nonsense in the file is as no file, and said.
+        fleet.kill_edge(1)
+        path = tmp_path / "edge1.list"
+        path.write_bytes(path.read_bytes()[:-3] + b"???")
+        await fleet.edge(1)
+        lost = await fleet.client(1)
+        try:
+            await lost.get("/limon/a")
+            return read, "served"
+        except (Refusal, Gone) as fault:
+            return read, type(fault).__name__
+
+    fleet, (read, without) = run_fleet(scenario, lists=tmp_path)
+    assert read == b"kept" * 100 and without == "Refusal"
+    assert any(row["event"] == "lastlist.used" for row in fleet.logs)
+    assert any(row["event"] == "lastlist.unread" and "checksum" in row["why"] for row in fleet.logs)
+
+
+def test_an_old_cached_list_is_not_used(tmp_path):
+    now, rows = [1_000_000.0], []
+    kept = LastList(tmp_path / "l", lambda: now[0], log.to_list(rows))
+    kept.told(
+        messages.Listing(
+            version=3, whole=True, cells=2, entries=[messages.Entry(node="n0", condition="ready")]
+        )
+    )
+    now[0] += 100
+    assert [entry.age for entry in kept.load().entries] == [1_000_000]
+    now[0] += 8 * 86_400
+    assert kept.load() is None and rows[-1]["event"] == "lastlist.old"
+
+
+def test_a_complete_list_without_a_ready_node_is_ignored(run_fleet):
+    async def scenario(fleet):
+        await fleet.sleep(1)
+        driver = fleet.edges[0].program.driver
+        refused = driver.told(messages.Listing(version=9, whole=True, cells=4))
+        client = await fleet.client(0)
+        await client.put("/limon/a", b"x")
+        return refused
+
+    assert run_fleet(scenario)[1] is False
+
+
+def test_hundreds_of_edges_reconnect_spread_over_time(tmp_path):
+    async def whole(loop):
+        rows, told, count = [], {}, 300
+        logger = log.to_list(rows, "error")
+        store = MembershipStore(tmp_path / "p")
+        store.save(
+            [
+                MemberRow(
+                    "n0",
+                    "node",
+                    "1",
+                    False,
+                    messages.Entry(node="n0", condition="ready", start="1", cell=0).SerializeToString(),
+                )
+            ],
+            [],
+            5,
+        )
+        process = loop.process("planner")
+        planner = Planner(1, store, logger)
+        port = await process.spawn(planner.open("127.0.0.1", 0))
+        tasks = []
+        for number in range(count):
+            hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
+            lists = Lists(
+                ("127.0.0.1", port),
+                hello,
+                random.Random(number),
+                logger,
+                lambda listing, number=number: told.setdefault(number, []).append(loop.time()),
+            )
+            tasks.append(loop.create_task(lists.run()))
+        await asyncio.sleep(4)
+        assert len(told) == count
+        process.kill()
+        await asyncio.sleep(3)
+        told.clear()
+        again = loop.process("planner")
+        begun = loop.time()
+        await again.spawn(Planner(1, MembershipStore(tmp_path / "p"), logger).open("127.0.0.1", port))
+        await asyncio.sleep(LEASE_DURATION)
+        for task in tasks:
+            task.cancel()
+        return begun, told
+
+    begun, told = run(whole, 5)
+    firsts = sorted(times[0] - begun for times in told.values())
+    assert len(firsts) == 300 and firsts[-1] < 3.0
+    busiest = max(sum(at <= one < at + 0.1 for one in firsts) for at in firsts)
+    assert busiest < 60
--- a/tests/planner/test_processes.py
+++ b/tests/planner/test_planner_process.py
@@ -1,4 +1,4 @@
-"""The planner as a process: killed in the middle of real clients' work, and ordered about."""
+"""The planner as a process: killed while real clients work, and commanded from the command line."""
 
 import asyncio
 import copy
@@ -9,16 +9,16 @@
 
 from rushmux.cli.main import main
 from rushmux.settings import deployment
-from rushmux.standins import scenario as days
+from rushmux.standins import scenario as scenarios
 from rushmux.standins import script
 from rushmux.standins.checker import Checker
 from rushmux.standins.processes import ProcessFleet
 
 RAW = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
-WAY = 0.25  # seconds: longest that a message takes between processes of a busy machine
+MAX_DELAY = 0.25  # seconds: longest that a message takes between processes of a busy machine
 
 
-def test_killed_twice_while_clients_work(tmp_path):
+def test_a_planner_is_killed_twice_while_clients_work(tmp_path):
     raw = copy.deepcopy(RAW)
     raw["fleet"]["gateways"] = 2
     path = tmp_path / "deployment.json"
@@ -26,12 +26,12 @@
     stated = deployment.load(path)
     events = script.parse("length 9\nat 2 trouble node1 silent for 2\nat 4 kill node2\nat 5 start node2\n")
 
-    async def story():
+    async def scenario():
         fleet = ProcessFleet(path, stated, tmp_path, 5, records=True, unit=0.004, planner=True)
         try:
             await fleet.up(3, 2)
             port = fleet.lists.port
-            place = f"127.0.0.1:{port}"
+            address = f"127.0.0.1:{port}"
 
             async def killer():
                 for _ in range(2):
@@ -41,21 +41,21 @@
                     await fleet.plan(port)
 
             task = asyncio.ensure_future(killer())
-            await days.play(fleet, events, days.Load(0.4), 5)
+            await scenarios.play(fleet, events, scenarios.Load(0.4), 5)
             await task
             # The last start knows all of it again.
             await asyncio.sleep(2.5)
-            shown = await asyncio.to_thread(CliRunner().invoke, main, ["fleet", "show", "--planner", place])
+            shown = await asyncio.to_thread(CliRunner().invoke, main, ["fleet", "show", "--planner", address])
             drained = await asyncio.to_thread(
-                CliRunner().invoke, main, ["fleet", "drain", "node0", "--planner", place, "--wait", "20"]
+                CliRunner().invoke, main, ["fleet", "drain", "node0", "--planner", address, "--wait", "20"]
             )
             return fleet, shown, drained
         finally:
             await fleet.down()
 
-    fleet, shown, drained = asyncio.run(story())
+    fleet, shown, drained = asyncio.run(scenario())
     records = fleet.all_records()
-    breaches = Checker(records, stated, WAY).breaches()
+    breaches = Checker(records, stated, MAX_DELAY).breaches()
     assert not breaches
     answers = [row for row in records if row["kind"] == "answer"]
     assert len(answers) > 100 and sum(row["status"] in (0, 1) for row in answers) > 0.8 * len(answers)
@@ -63,7 +63,7 @@
     assert drained.exit_code == 0 and "may be stopped" in drained.output
 
 
-def test_orders_to_nobody_are_told(tmp_path):
+def test_commands_without_a_planner_or_a_store_end_with_a_plain_error(tmp_path):
     result = CliRunner().invoke(main, ["fleet", "show", "--planner", "127.0.0.1:9"])
     assert result.exit_code == 1 and "127.0.0.1:9" in result.output and "Traceback" not in result.output
     (tmp_path / "p").write_bytes(b"not a store" * 50)
--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -1,4 +1,4 @@
-"""Parts of limits in running edges: never above the limit, better than even ones, safe without a planner."""
+"""Quotas in running edges: never above the limit, better than even ones, safe without a planner."""
 
 import asyncio
 
@@ -9,25 +9,25 @@
 from rushmux.fleet.quotas import LEASE_DURATION, SAFE_FRACTION
 from rushmux.nodewire import messages
 from rushmux.settings.deployment import BadDeployment, build
-from rushmux.standins import fleet
 from rushmux.standins.checker import Checker
+from rushmux.standins.fleet import play
 
 
-def kept(records, stated):
+def breaches(records, stated):
     return Checker(records, stated, day.WAY).breaches()
 
 
-@pytest.mark.parametrize("troubles, seconds", [(False, 60.0), (True, 120.0)])
-def test_planned_parts_store_more_than_even_ones_and_pass_no_limit(troubles, seconds):
+@pytest.mark.parametrize("with_faults, seconds", [(False, 60.0), (True, 120.0)])
+def test_planned_quotas_store_more_than_even_ones_and_exceed_no_limit(with_faults, seconds):
     ends = {}
     for planned in (False, True):
-        ends[planned], records, stated = day.played(planned, 2, seconds, troubles)
-        assert kept(records, stated) == []
+        ends[planned], records, stated = day.played(planned, 2, seconds, with_faults)
+        assert breaches(records, stated) == []
     in_time = {planned: found["in time"] / found["asked"] for planned, found in ends.items()}
     assert in_time[True] > in_time[False] + 0.05
 
 
-def test_asked_for_three_times_over_the_limit_is_used_and_not_passed():
+def test_a_limit_with_three_times_its_demand_is_used_and_not_exceeded():
     part, there, day.PART, day.MOST_THERE = day.PART, day.MOST_THERE, 3.0, 0.4
     try:
         _, records, stated = day.played(True, 3, 40.0, False)
@@ -50,69 +50,76 @@
 
 
 @pytest.fixture
-def asking(tmp_path):
-    """Plays a story on a fleet with a planner and parts of limits."""
-
-    def played(story, seed=3):
-        return fleet.play(
-            day.deployment(True), seed, story, 3, day.EDGES, planner=tmp_path / "p", level="error", logs=False
+def run_fleet(tmp_path):
+    """Runs a scenario on a fleet with a planner and quotas."""
+
+    def run_scenario(scenario, seed=3):
+        return play(
+            day.deployment(True),
+            seed,
+            scenario,
+            3,
+            day.EDGES,
+            planner=tmp_path / "p",
+            level="error",
+            logs=False,
         )
 
-    return played
+    return run_scenario
 
 
-def rates(made, folder="caribe"):
-    return [part.program.driver.scheduler.quota_shares.get(folder) for part in made.edges.values()]
+def rates(fleet, folder="caribe"):
+    return [part.program.driver.scheduler.quota_shares.get(folder) for part in fleet.edges.values()]
 
 
-def test_without_a_planner_each_edge_falls_to_its_safe_part(asking):
-    async def story(made):
-        for edge in made.edges.values():
+def test_without_a_planner_each_edge_falls_back_to_its_safe_quota(run_fleet):
+    async def scenario(fleet):
+        for edge in fleet.edges.values():
             edge.program.asking.limits = dict.fromkeys(edge.program.asking.limits, 1e-6)  # all, it seems
-        first = rates(made)
+        first = rates(fleet)
         for _ in range(200):
-            made.edges[0].program.driver.taking("caribe", 5.0)
-            await made.sleep(0.1)
-        busy = rates(made)
-        made.kill_planner()
-        await made.sleep(LEASE_DURATION + 1)
-        return first, busy, rates(made)
-
-    _, (first, busy, after) = asking(story)
+            fleet.edges[0].program.driver.taking("caribe", 5.0)
+            await fleet.sleep(0.1)
+        busy = rates(fleet)
+        fleet.kill_planner()
+        await fleet.sleep(LEASE_DURATION + 1)
+        return first, busy, rates(fleet)
+
+    _, (first, busy, after) = run_fleet(scenario)
     safe = SAFE_FRACTION / day.EDGES
     assert first == pytest.approx([safe] * 3) and busy[0] > 2 * safe
     assert sum(busy) <= 1 + 1e-9 and after == pytest.approx([safe] * 3)
 
 
-def test_asks_that_make_no_sense_cost_their_own_connection_only(asking):
-    async def story(made):
-        bad, link = [], made.edges[0].program
+def test_invalid_quota_requests_end_their_own_connection_only(run_fleet):
+    async def scenario(fleet):
+        bad, link = [], fleet.edges[0].program
         for wants in (
             [messages.Want(folder="caribe", part=-1.0)],
             [messages.Want(folder=f"f{number}", part=1.0) for number in range(10_001)],
         ):
             told = []
             lists = Lists(
-                made.lists.address,
+                fleet.lists.address,
                 messages.Hello(version=1, peer="edge9", start="x"),
                 link.chance,
                 link.log,
                 told.append,
             )
             task = asyncio.ensure_future(lists.run())
-            await made.sleep(1)
+            await fleet.sleep(1)
             assert lists.send(ask=messages.Ask(ask=1, wants=wants))
             before = len(told)
-            await made.sleep(2)
+            await fleet.sleep(2)
             bad.append(len(told) - before)  # it was closed, came back and was told the whole anew
             task.cancel()
-        return bad, rates(made)
+        return bad, rates(fleet)
 
-    _, (bad, parts) = asking(story)
+    _, (bad, parts) = run_fleet(scenario)
     assert all(again >= 1 for again in bad) and None not in parts
 
 
-def test_a_burst_whose_safe_part_holds_no_largest_operation_is_refused():
+def test_a_burst_whose_safe_quota_holds_no_largest_operation_is_rejected():
     raw = day.deployment(True).raw
     raw["fleet"]["gateways"] = 8
     with pytest.raises(BadDeployment) as fault:
--- a/tests/planner/test_raft_storage.py
+++ b/tests/planner/test_raft_storage.py
@@ -1,4 +1,4 @@
-"""The planners' log on disk: what was synced is there again; a torn tail is told from a damaged middle."""
+"""The Raft log on disk: what was synced is loaded again; an incomplete last record is told from damage."""
 
 import os
 
@@ -14,21 +14,19 @@
     return raft.Entry(term, raft.EntryKind.COMMAND, text.encode())
 
 
-def ready(**more):
-    return raft.Ready(
-        **{
-            **dict(
-                hard_state=None,
-                snapshot=None,
-                truncate_from=None,
-                entries=(),
-                messages=(),
-                restore=None,
-                committed=(),
-            ),
-            **more,
-        }
-    )
+NOTHING = raft.Ready(
+    hard_state=None,
+    snapshot=None,
+    truncate_from=None,
+    entries=(),
+    messages=(),
+    restore=None,
+    committed=(),
+)
+
+
+def ready(**fields):
+    return NOTHING._replace(**fields)
 
 
 @pytest.fixture
@@ -36,93 +34,113 @@
     return tmp_path / "planner.log"
 
 
-def made(path):
-    disk = RaftStorage(path, lambda: "77")
-    if disk.is_new:
-        disk.create(raft.bootstrap(["a/77", "b/1"]))
-    return disk
+def opened(path):
+    storage = RaftStorage(path, lambda: "77")
+    if storage.is_new:
+        storage.create(raft.bootstrap(["a/77", "b/1"]))
+    return storage
 
 
-def again(path, disk=None):
-    if disk is not None:
-        disk.release()
+def reopened(path, storage=None):
+    if storage is not None:
+        storage.release()
     return RaftStorage(path, lambda: "88")
 
 
-def test_votes_entries_cuts_and_snapshots_are_there_again(path):
-    disk = made(path)
-    disk.write(ready(hard_state=raft.HardState(3, "b/1"), entries=((1, entry(2, "x")), (2, entry(2, "y")))))
-    disk.write(
+def test_votes_entries_truncations_and_snapshots_are_loaded_again(path):
+    storage = opened(path)
+    storage.write(
+        ready(hard_state=raft.HardState(3, "b/1"), entries=((1, entry(2, "x")), (2, entry(2, "y"))))
+    )
+    storage.write(
         ready(
             truncate_from=2,
             entries=((2, entry(3, "z")), (3, raft.Entry(3, raft.EntryKind.CONFIGURATION, ("a/77",)))),
         )
     )
-    disk = again(path, disk)
-    assert disk.incarnation == "77" and disk.persistent.term == 3 and disk.persistent.voted_for == "b/1"
-    assert [row.body for row in disk.persistent.entries] == [b"x", b"z", ("a/77",)]
+    storage = reopened(path, storage)
+    assert (
+        storage.incarnation == "77" and storage.persistent.term == 3 and storage.persistent.voted_for == "b/1"
+    )
+    assert [row.body for row in storage.persistent.entries] == [b"x", b"z", ("a/77",)]
     whole = raft.Snapshot(2, 3, ("a/77",), b"state")
-    disk.write(ready(snapshot=whole))
-    disk.write(ready(entries=((4, entry(3, "w")),)))
-    disk = again(path, disk)
-    assert disk.persistent.snapshot == whole and [row.body for row in disk.persistent.entries] == [
+    storage.write(ready(snapshot=whole))
+    storage.write(ready(entries=((4, entry(3, "w")),)))
+    storage = reopened(path, storage)
+    assert storage.persistent.snapshot == whole and [row.body for row in storage.persistent.entries] == [
         ("a/77",),
         b"w",
     ]
 
 
-def test_a_torn_tail_is_cut_at_any_byte_and_what_was_synced_stays(path):
-    disk = made(path)
-    disk.write(ready(entries=((1, entry(1, "first")),)))
-    disk.release()
+def test_an_incomplete_last_record_is_cut_off_at_any_byte(path):
+    storage = opened(path)
+    storage.write(ready(entries=((1, entry(1, "first")),)))
+    storage.release()
     synced = path.read_bytes()
-    disk = again(path)
-    disk.write(ready(entries=((2, entry(1, "second")),)))
-    disk.release()
+    storage = reopened(path)
+    storage.write(ready(entries=((2, entry(1, "second")),)))
+    storage.release()
     whole = path.read_bytes()
     for size in range(len(synced), len(whole)):
         path.write_bytes(whole[:size])
-        disk = again(path)
-        assert [row.body for row in disk.persistent.entries] == [b"first"] and path.stat().st_size == len(
+        storage = reopened(path)
+        assert [row.body for row in storage.persistent.entries] == [b"first"] and path.stat().st_size == len(
             synced
         )
-        disk.write(ready(entries=((2, entry(1, "anew")),)))
-        disk = again(path, disk)
-        assert [row.body for row in disk.persistent.entries] == [b"first", b"anew"]
-        disk.release()
+        storage.write(ready(entries=((2, entry(1, "anew")),)))
+        storage = reopened(path, storage)
+        assert [row.body for row in storage.persistent.entries] == [b"first", b"anew"]
+        storage.release()
+
+
+def with_damaged_entry(data):
+    place = data.index(b"entry 2")
+    return data[:place] + b"X" + data[place + 1 :]
+
 
+def of_another_program(data):
+    return b"something else altogether"
 
-def test_a_damaged_middle_another_file_and_a_newer_format_are_refused_with_the_place(path):
-    disk = made(path)
+
+def of_a_newer_format(data):
+    return records.head(MAGIC, FORMAT + 1) + data[8:]
+
+
+def with_an_unknown_record(data):
+    return records.head(MAGIC, FORMAT) + records.pack(b"?1")
+
+
+@pytest.mark.parametrize(
+    "damage, message",
+    [
+        (with_damaged_entry, "damaged at byte"),
+        (of_another_program, "is no log"),
+        (of_a_newer_format, "format 2, this program reads 1"),
+        (with_an_unknown_record, "no planner wrote"),
+    ],
+)
+def test_a_log_that_cannot_be_used_is_rejected_with_its_path(path, damage, message):
+    storage = opened(path)
     for index in range(1, 5):
-        disk.write(ready(entries=((index, entry(1, f"entry {index}")),)))
-    disk.release()
-    whole = path.read_bytes()
-    place = whole.index(b"entry 2")
-    path.write_bytes(whole[:place] + b"X" + whole[place + 1 :])
-    with pytest.raises(RaftStorageError, match="damaged at byte"):
-        again(path)
-    path.write_bytes(b"something else altogether")
-    with pytest.raises(RaftStorageError, match="is no log"):
-        again(path)
-    path.write_bytes(records.head(MAGIC, FORMAT + 1) + whole[8:])
-    with pytest.raises(RaftStorageError, match="format 2, this program reads 1"):
-        again(path)
-    path.write_bytes(records.head(MAGIC, FORMAT) + records.pack(b"?1"))
-    with pytest.raises(RaftStorageError, match="no planner wrote"):
-        again(path)
-
-
-def test_one_program_at_a_time(path):
-    disk = made(path)
+        storage.write(ready(entries=((index, entry(1, f"entry {index}")),)))
+    storage.release()
+    path.write_bytes(damage(path.read_bytes()))
+    with pytest.raises(RaftStorageError, match=message) as fault:
+        reopened(path)
+    assert fault.value.path == path
+
+
+def test_one_program_holds_the_log_at_a_time(path):
+    storage = opened(path)
     with pytest.raises(RaftStorageError, match="another program"):
-        again(path)
-    disk.release()
+        reopened(path)
+    storage.release()
 
 
-def test_a_disk_that_takes_half_of_a_record_is_gone_on_with_from_what_is_whole(path, monkeypatch):
-    disk = made(path)
-    disk.write(ready(entries=((1, entry(1, "kept")),)))
+def test_after_a_partial_write_the_complete_records_are_loaded(path, monkeypatch):
+    storage = opened(path)
+    storage.write(ready(entries=((1, entry(1, "kept")),)))
     real = os.write
 
     def half(sink, data):
@@ -131,11 +149,11 @@
 
     monkeypatch.setattr(os, "write", half)
     with pytest.raises(OSError):
-        disk.write(ready(entries=((2, entry(1, "lost")),)))
+        storage.write(ready(entries=((2, entry(1, "lost")),)))
     monkeypatch.setattr(os, "write", real)
-    disk.load()
-    assert [row.body for row in disk.persistent.entries] == [b"kept"]
-    disk.write(ready(entries=((2, entry(1, "anew")),)))
-    disk = again(path, disk)
-    assert [row.body for row in disk.persistent.entries] == [b"kept", b"anew"]
-    disk.release()
+    storage.load()
+    assert [row.body for row in storage.persistent.entries] == [b"kept"]
+    storage.write(ready(entries=((2, entry(1, "anew")),)))
+    storage = reopened(path, storage)
+    assert [row.body for row in storage.persistent.entries] == [b"kept", b"anew"]
+    storage.release()
--- a/tests/planner/test_policy_fleet.py
+++ b/tests/planner/test_replicated_policy.py
@@ -1,4 +1,4 @@
-"""A whole fleet with three planners on the virtual clock: changes of its policy under drawn faults."""
+"""Three planners in a fleet on the virtual clock: changes of the policy, and faults."""
 
 import asyncio
 
@@ -14,22 +14,27 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_drawn_faults_break_no_rule_and_all_go_by_one_number_at_the_end(seed, tmp_path):
+def test_random_faults_break_no_rule_and_all_members_converge(seed, tmp_path):
     found = policy_fleet.played(seed, tmp_path)
     assert found.breaches == []
     assert found.facts["decide"] >= 2 and found.facts["answers"] > 200
 
 
-def story(tmp_path, tell, edges=2):
-    """Plays `tell(fleet)` on a fleet without faults; what it gave."""
-    deployment = build(fault_injection.stated(fault_injection.parse(f"edges {edges}\n")))
+@pytest.fixture
+def run_fleet(tmp_path):
+    """Runs a scenario on a fleet without faults."""
 
-    async def whole(loop):
-        fleet = policy_fleet.PolicyFleet(loop, deployment, 5, tmp_path)
-        await fleet.up(1, edges)
-        return await tell(fleet)
+    def run_scenario(scenario, edges=2):
+        deployment = build(fault_injection.stated(fault_injection.parse(f"edges {edges}\n")))
 
-    return run(whole, 5)
+        async def main(loop):
+            fleet = policy_fleet.PolicyFleet(loop, deployment, 5, tmp_path)
+            await fleet.up(1, edges)
+            return await scenario(fleet)
+
+        return run(main, 5)
+
+    return run_scenario
 
 
 def propose(fleet, word, limit):
@@ -44,22 +49,22 @@
     )
 
 
-def test_a_planner_whose_disk_takes_nothing_is_silent_and_comes_back(tmp_path):
-    async def tell(fleet):
+def test_a_planner_with_a_full_disk_is_silent_until_it_works_again(run_fleet):
+    async def scenario(fleet):
         name = leader(fleet)
         replicated_log = fleet.planners[name].program.replicated_log
-        whole = replicated_log.storage.write, replicated_log.storage.rewrite
+        working = replicated_log.storage.write, replicated_log.storage.rewrite
         failing = [True]
 
-        def fails(do):
-            def tried(*values):
+        def fails(function):
+            def attempt(*values):
                 if failing:
                     raise OSError(28, "No space left on device")
-                return do(*values)
+                return function(*values)
 
-            return tried
+            return attempt
 
-        replicated_log.storage.write, replicated_log.storage.rewrite = map(fails, whole)
+        replicated_log.storage.write, replicated_log.storage.rewrite = map(fails, working)
         await propose(fleet, "full", 40.0)
         await fleet.sleep(5)
         assert (
@@ -78,35 +83,47 @@
         await fleet.sleep(6)
         assert replicated_log.policy.active.version == 3
 
-    story(tmp_path, tell)
+    run_fleet(scenario)
 
 
-def test_an_order_asked_again_under_its_name_is_done_once_and_two_names_are_two(tmp_path):
-    async def tell(fleet):
-        raw = documents.text(fault_injection.stated(fault_injection.parse("edges 2\n")))
-        known = {"client": "anna", "n": 1, "by": "anna", "text": raw}
-        first = await admin_client.send_policy_command(fleet.places, "propose", **known)
-        again = await admin_client.send_policy_command(fleet.places, "propose", **known)
+def test_a_command_is_applied_once_for_each_idempotency_key(run_fleet):
+    async def scenario(fleet):
+        text = documents.text(fault_injection.stated(fault_injection.parse("edges 2\n")))
+        fields = {"client": "anna", "n": 1, "by": "anna", "text": text}
+        first = await admin_client.send_policy_command(fleet.places, "propose", **fields)
+        again = await admin_client.send_policy_command(fleet.places, "propose", **fields)
         assert first.said == again.said == "2 is staged"
         await fleet.sleep(4)
         assert (
-            await admin_client.send_policy_command(fleet.places, "propose", **known)
+            await admin_client.send_policy_command(fleet.places, "propose", **fields)
         ).said == "2 is staged"
-        other = await admin_client.send_policy_command(fleet.places, "propose", **{**known, "n": 2})
+        other = await admin_client.send_policy_command(fleet.places, "propose", **{**fields, "n": 2})
         assert other.said == "3 is staged"
-        older = await admin_client.send_policy_command(fleet.places, "propose", **known)
+        older = await admin_client.send_policy_command(fleet.places, "propose", **fields)
         assert "older than 2" in older.said
-        for bad in ({"client": "x"}, {"client": "x", "n": "y", "by": "z", "text": ""}, {}):
-            with pytest.raises(CommandRejectedError):
-                await admin_client.send_policy_command(fleet.places, "propose", **bad)
-        with pytest.raises(CommandRejectedError, match="there is no order 'sing'"):
-            await admin_client.send_policy_command(fleet.places, "sing", client="x", n=1, by="z")
 
-    story(tmp_path, tell)
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    "verb, fields, message",
+    [
+        ("propose", {"client": "x"}, "the order lacks 'n'"),
+        ("propose", {"client": "x", "n": "y", "by": "z", "text": ""}, "invalid literal"),
+        ("propose", {}, "the order lacks 'client'"),
+        ("sing", {"client": "x", "n": 1, "by": "z"}, "there is no order 'sing'"),
+    ],
+)
+def test_a_command_that_cannot_be_read_is_rejected(run_fleet, verb, fields, message):
+    async def scenario(fleet):
+        with pytest.raises(CommandRejectedError, match=message):
+            await admin_client.send_policy_command(fleet.places, verb, **fields)
+
+    run_fleet(scenario)
 
 
-def test_drains_are_entries_and_outlive_every_planner(tmp_path):
-    async def tell(fleet):
+def test_drains_survive_a_restart_of_all_planners(run_fleet):
+    async def scenario(fleet):
         answer = await admin_client.send_fleet_command(fleet.places, "drain", "node0")
         assert {row.member: row.condition for row in answer.members}["node0"] in ("draining", "drained")
         for name in list(fleet.planners):
@@ -119,11 +136,11 @@
         with pytest.raises(CommandRejectedError, match="no node"):
             await admin_client.send_fleet_command(fleet.places, "drain", "node7")
 
-    story(tmp_path, tell)
+    run_fleet(scenario)
 
 
-def test_a_planner_that_was_away_is_brought_up_by_a_snapshot(tmp_path):
-    async def tell(fleet):
+def test_a_planner_that_was_away_catches_up_by_a_snapshot(run_fleet):
+    async def scenario(fleet):
         name = next(name for name in policy_fleet.PLANNERS if name != leader(fleet))
         fleet.kill_planner_of(name)
         for number in range(260):  # more entries than a log keeps
@@ -140,11 +157,11 @@
         await fleet.start_planner(name)
         assert fleet.planners[name].program.replicated_log.policy.members == ("edge0", "edge1")
 
-    story(tmp_path, tell)
+    run_fleet(scenario)
 
 
-def test_a_quota_request_that_makes_no_sense_ends_its_own_connection_only(tmp_path):
-    async def tell(fleet):
+def test_an_invalid_quota_request_ends_its_own_connection_only(run_fleet):
+    async def scenario(fleet):
         name = leader(fleet)
         hello = messages.Hello(version=VERSION, peer="edge9", start="x")
         request = messages.Ask(ask=1, wants=[messages.Want(folder="caribe", part=-1.0)])
@@ -160,4 +177,4 @@
         await propose(fleet, "down", 40.0)
         assert fleet.operator_commands[-1]["said"].endswith("is staged")
 
-    story(tmp_path, tell)
+    run_fleet(scenario)
