--- a/rushmux/planner/admin_client.py
+++ b/rushmux/planner/admin_client.py
@@ -6,13 +6,13 @@
 import orjson
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.planner import peer_names
 from rushmux.planner.errors import CommandRejectedError, PlannerUnavailableError
 
 ANSWER_TIMEOUT = 10.0  # seconds; a planner gives up on a proposal sooner (`proposals.PROPOSAL_TIMEOUT`)
 MAX_ROUNDS = 4  # attempts over all planners: a new leader is elected within some three seconds
 ROUND_PAUSE = 1.0  # seconds between two rounds
 READ_SIZE = 1 << 16  # bytes asked of the socket at once
-OPERATOR_PEER = "people"  # what an operator's connection calls itself
 
 Address = tuple[str, int]
 
@@ -93,7 +93,7 @@
     try:
         async with asyncio.timeout(ANSWER_TIMEOUT):
             reader, writer = await asyncio.open_connection(*address)
-            hello = messages.Hello(version=VERSION, peer=OPERATOR_PEER, start="0")
+            hello = messages.Hello(version=VERSION, peer=peer_names.OPERATOR, start="0")
             writer.write(frame(messages.Message(hello=hello)) + frame(request))
             return await _read_answer(reader, answer_kind)
     except TimeoutError as fault:
--- a/rushmux/planner/fleet_admin.py
+++ b/rushmux/planner/fleet_admin.py
@@ -6,6 +6,7 @@
 
 from rushmux.fleet.membership import MemberKind, MemberState
 from rushmux.nodewire import messages
+from rushmux.planner import stored_commands
 from rushmux.planner.commands import FleetVerb
 from rushmux.planner.endpoint_publisher import EndpointPublisher
 from rushmux.planner.errors import NotLeaderError, ProposalRejectedError, ProposalUndecidedError
@@ -13,7 +14,6 @@
 from rushmux.planner.replicated_log import ReplicatedLog
 
 CHANGES = (FleetVerb.DRAIN, FleetVerb.UNDRAIN)
-PROPOSED_BY = "people"  # stored in the log's entries
 
 
 class FleetAdmin:
@@ -36,7 +36,7 @@
         if command.verb in CHANGES and command.member in self._state.membership.members:
             try:
                 result = await replicated_log.propose(
-                    {"kind": command.verb, "member": command.member, "by": PROPOSED_BY}
+                    stored_commands.drain(FleetVerb(command.verb), command.member)
                 )
             except ProposalRejectedError as fault:
                 return messages.Ordered(fault=str(fault), elsewhere=isinstance(fault, ProposalUndecidedError))
--- a/rushmux/planner/member_replacement.py
+++ b/rushmux/planner/member_replacement.py
@@ -4,12 +4,13 @@
 leader sends it the log, adds it, then removes the old member, by one change of the configuration at a time.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 
 import structlog
 
 from rushmux.fleet import raft
 from rushmux.planner.raft_transport import planner_of
+from rushmux.planner.warnings_log import DeduplicatedWarnings
 
 MAX_CANDIDATES = 8  # members that wait to be added
 
@@ -20,18 +21,18 @@
     Args:
         planners: names of all planners of the fleet.
         log: the logger.
-        warn: called with a log event and the reason while a change has to wait.
+        warnings: the logger of failures that repeat.
     """
 
     def __init__(
         self,
         planners: Collection[str],
         log: structlog.typing.FilteringBoundLogger,
-        warn: Callable[[str, str], None],
+        warnings: DeduplicatedWarnings,
     ):
         self._planners = planners
         self._log = log
-        self._warn = warn
+        self._warnings = warnings
         self._candidates: dict[str, bool] = {}  # in the order in which they came
 
     def on_planner_connected(self, member_id: str, members: Collection[str]) -> None:
@@ -70,6 +71,6 @@
                 node.add_learner(now, candidate)
             node.change_members(now, wanted)
         except raft.ProposalRejectedError as fault:
-            self._warn("raft.configuration_waiting", f"{candidate}: {fault}")
+            self._warnings.warn("raft.configuration_waiting", f"{candidate}: {fault}")
             return
         self._log.info("raft.configuration_proposed", members=wanted)
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -10,23 +10,22 @@
 
 import structlog
 
-from rushmux.fleet.errors import MembershipFullError
-from rushmux.fleet.membership import MemberKind
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner import peer_names, policy_admin
 from rushmux.planner.endpoint_publisher import EndpointPublisher
 from rushmux.planner.fleet_admin import FleetAdmin
-from rushmux.planner.fleet_state import FleetState, NodeRecord
+from rushmux.planner.fleet_state import FleetState
+from rushmux.planner.member_tracker import MemberTracker
 from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.policy_floor import PolicyFloor
 from rushmux.planner.quota_service import QuotaService
 from rushmux.planner.replicated_log import ReplicatedLog
 from rushmux.planner.replication_settings import ReplicationSettings
 from rushmux.planner.server import PeerConnection, PeerServer
+from rushmux.planner.stored_commands import StoredCommand
 from rushmux.settings.deployment import Deployment
 
 TICK_INTERVAL = 0.5  # seconds between two checks of all members' leases
-MAX_NODES = 10_000  # in the endpoint list: as many as edges take
 MAX_ADMIN_COMMANDS = 100  # that wait for an answer
 FOR_EDGES = ("ask", "policy_ask")  # messages that only an edge may send
 
@@ -68,14 +67,13 @@
         self.publisher = EndpointPublisher(
             self.state, store, self.log, cells=cells, record=record, is_leader=lambda: self.is_leader
         )
-        self._cells = cells
+        self._members = MemberTracker(self.state, self.publisher, cells)
         self._record = record
         self._deployment = deployment
         self._replication = replication
         self._admin = FleetAdmin(self.state, self.publisher, self.log)
         self._quotas = QuotaService(limited_folders, gateway_count, self._confirm_leadership)
         self._floor = PolicyFloor(deployment) if deployment is not None else None
-        self._member_of: dict[PeerConnection, str] = {}
         self._ticks: asyncio.Task | None = None
         self._admin_tasks: set[asyncio.Task] = set()
         self._handlers, self._leader_handlers = self._message_handlers()
@@ -134,7 +132,7 @@
             task.cancel()
         self.store.close()
 
-    def _bootstrap_command(self) -> dict | None:
+    def _bootstrap_command(self) -> StoredCommand | None:
         """The command that makes the fleet's first policy; None where it is to have none."""
         if self._deployment is None or not self._deployment.policy:
             return None
@@ -182,23 +180,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL)
             if self.is_leader:
-                self._tick()
-
-    def _tick(self) -> None:
-        # Edges send no reports: an edge is alive as long as its connection.
-        for peer in list(self.publisher.subscribers):
-            self._heard_from(peer.name, MemberKind.EDGE, peer.hello.start, 0)
-        self.publisher.on_member_changes(self.state.membership.tick(self.loop.time()))
-        forgotten = self.state.remove_forgotten_nodes()
-        if self.publisher.unsaved or forgotten:
-            self.publisher.save(forgotten)
-
-    def _heard_from(self, name: str, kind: MemberKind, incarnation: str, in_flight: int) -> None:
-        try:
-            changes = self.state.membership.on_report(self.loop.time(), name, kind, incarnation, in_flight)
-        except MembershipFullError as fault:
-            raise WireFault(str(fault)) from fault
-        self.publisher.on_member_changes(changes)
+                self._members.tick()
 
     # Connections.
 
@@ -209,16 +191,11 @@
         elif not self.is_leader and peer.name != peer_names.OPERATOR:
             raise WireFault("this planner does not lead")
         if peer_names.is_edge(peer.name):
-            self._member_of[peer] = peer.name
-            self._heard_from(peer.name, MemberKind.EDGE, peer.hello.start, 0)
-            self.publisher.subscribe(peer)
+            self._members.on_edge_connected(peer)
 
     def on_peer_disconnected(self, peer: PeerConnection) -> None:
-        """A member whose last connection ended is given a short time to come back."""
-        self.publisher.unsubscribe(peer)
-        name = self._member_of.pop(peer, None)
-        if name is not None and name not in self._member_of.values():
-            self.state.membership.on_disconnect(self.loop.time(), name)
+        """A member whose last connection ended is given a short time to connect again."""
+        self._members.on_disconnected(peer)
 
     def on_message(self, peer: PeerConnection, kind: str, body) -> None:
         """Hands a message to its handler."""
@@ -233,32 +210,9 @@
     # Nodes and edges.
 
     def _on_report(self, peer: PeerConnection, report: messages.Report) -> None:
-        self._check_entry(peer, report.entry)
-        self._store_report(peer, report)
+        self._members.on_report(peer, report)
         self._send_floor(peer)
 
-    def _check_entry(self, peer: PeerConnection, entry: messages.Entry) -> None:
-        if entry.cell >= self._cells or entry.node != peer.name or not entry.node:
-            raise WireFault(f"node {entry.node} of cell {entry.cell} does not belong here")
-        if len(self.state.nodes) >= MAX_NODES and entry.node not in self.state.nodes:
-            raise WireFault(f"more than {MAX_NODES} nodes")
-
-    def _store_report(self, peer: PeerConnection, report: messages.Report) -> None:
-        entry, now = report.entry, self.loop.time()
-        self._member_of[peer] = entry.node
-        known = self.state.nodes.get(entry.node)
-        self._heard_from(entry.node, MemberKind.NODE, entry.start, report.out)
-        member = self.state.membership.members.get(entry.node)
-        if member is None or member.incarnation != entry.start:
-            return  # a late report of an older incarnation
-        self.state.nodes[entry.node] = NodeRecord(entry, now)
-        # A node that asks to drain by itself is treated as one that operators drain.
-        wants_drain = entry.condition == "draining" or entry.node in self.state.drained
-        if wants_drain and not member.draining:
-            self.publisher.on_member_changes(self.state.membership.drain(now, entry.node))
-        if known is None or _identity(known.entry) != _identity(entry):
-            self.publisher.schedule(entry.node)
-
     def _send_floor(self, peer: PeerConnection) -> None:
         """Tells a node which policies' operations it is to reject."""
         if self.replicated_log is None or self._floor is None:
@@ -302,8 +256,3 @@
         task = self.loop.create_task(answer())
         self._admin_tasks.add(task)
         task.add_done_callback(self._admin_tasks.discard)
-
-
-def _identity(entry: messages.Entry) -> tuple:
-    """What edges must be notified of at once when it changes."""
-    return entry.start, entry.host, entry.port, entry.cell
--- a/rushmux/planner/policy_admin.py
+++ b/rushmux/planner/policy_admin.py
@@ -6,10 +6,12 @@
 import orjson
 
 from rushmux.nodewire import messages
+from rushmux.planner import stored_commands
 from rushmux.planner.commands import PolicyVerb
 from rushmux.planner.errors import ProposalRejectedError, ProposalUndecidedError
 from rushmux.planner.policy_status import encode_status
 from rushmux.planner.replicated_log import ReplicatedLog
+from rushmux.planner.stored_commands import Origin, PolicyDocument, StoredCommand
 from rushmux.settings import policy as policy_documents
 from rushmux.settings.deployment import BadDeployment, Deployment
 
@@ -17,23 +19,20 @@
 MAX_NAME = 64  # characters of a client id and of an operator's name
 
 
-def bootstrap_command(deployment: Deployment) -> dict[str, Any]:
+def bootstrap_command(deployment: Deployment) -> StoredCommand:
     """The command that makes a fleet's first policy: that of its deployment file."""
     members = [f"edge{number}" for number in range(deployment.settings.gateway_count)]
-    return {"kind": "found", "members": members, "by": "the deployment file", **_document(deployment)}
+    return stored_commands.bootstrap(members, _document_of(deployment))
 
 
-def _document(deployment: Deployment) -> dict[str, Any]:
-    return {
-        "text": policy_documents.text(deployment.raw),
-        "rows": policy_documents.rows(deployment),
-    }
+def _document_of(deployment: Deployment) -> PolicyDocument:
+    return PolicyDocument(policy_documents.text(deployment.raw), policy_documents.rows(deployment))
 
 
 async def execute(
     replicated_log: ReplicatedLog | None, deployment: Deployment | None, command: messages.PolicyOrder
 ) -> messages.PolicyAnswer:
-    """Carries out a command; whatever is wrong with it is said in the answer."""
+    """Carries out a command; the answer has what was wrong with it."""
     if replicated_log is None:
         return messages.PolicyAnswer(fault="this planner keeps no policy: start it with --planners")
     try:
@@ -43,9 +42,8 @@
     if command.verb == PolicyVerb.SHOW:
         return messages.PolicyAnswer(state=encode_status(replicated_log))
     try:
-        key = _idempotency_key(fields)
-        entry = _entry_of(replicated_log, deployment, command.verb, fields)
-        result = await replicated_log.propose({**entry, **key})
+        stored = _stored_command(replicated_log, deployment, command.verb, fields)
+        result = await replicated_log.propose(stored)
     except KeyError as fault:
         return messages.PolicyAnswer(fault=f"the order lacks {fault}")
     except (ProposalRejectedError, BadDeployment, TypeError, ValueError) as fault:
@@ -62,38 +60,39 @@
     return fields
 
 
-def _idempotency_key(fields: Mapping[str, Any]) -> dict[str, Any]:
-    """The client's key: who sends a command again under it is told the first result, and nothing more."""
-    return {
-        "client": str(fields["client"])[:MAX_NAME],
-        "n": int(fields["n"]),
-        "by": str(fields["by"])[:MAX_NAME],
-    }
+def _origin_of(fields: Mapping[str, Any]) -> Origin:
+    return Origin(
+        client=str(fields["client"])[:MAX_NAME],
+        sequence=int(fields["n"]),
+        author=str(fields["by"])[:MAX_NAME],
+    )
 
 
-def _entry_of(
+def _stored_command(
     replicated_log: ReplicatedLog, deployment: Deployment, verb: str, fields: Mapping[str, Any]
-) -> dict[str, Any]:
-    """The log's entry for a command, without its idempotency key."""
+) -> StoredCommand:
+    """The log's entry for an operator's command."""
+    origin = _origin_of(fields)
     if verb == PolicyVerb.PROPOSE:
-        return _proposal(replicated_log, deployment, fields)
-    if verb in (PolicyVerb.WITHDRAW, PolicyVerb.REVERT):
-        return {"kind": verb, "number": int(fields["number"])}
+        document = _checked_document(replicated_log, deployment, fields["text"])
+        return stored_commands.propose(document, fields.get("base"), origin)
+    if verb == PolicyVerb.WITHDRAW:
+        return stored_commands.withdraw(int(fields["number"]), origin)
+    if verb == PolicyVerb.REVERT:
+        return stored_commands.revert(int(fields["number"]), origin)
     if verb == PolicyVerb.FORGET:
-        return {"kind": verb, "member": str(fields["member"])}
+        return stored_commands.forget(str(fields["member"]), origin)
     raise ProposalRejectedError(f"there is no order '{verb}'; there are {', '.join(PolicyVerb)}")
 
 
-def _proposal(
-    replicated_log: ReplicatedLog, deployment: Deployment, fields: Mapping[str, Any]
-) -> dict[str, Any]:
-    """The entry of a proposed policy, which must be valid and one that can change while the fleet runs."""
+def _checked_document(replicated_log: ReplicatedLog, deployment: Deployment, text: str) -> PolicyDocument:
+    """A proposed policy, which must be valid and one that can change while the fleet runs."""
     active = replicated_log.policy.active
     if active is None:
         raise ProposalUndecidedError("the fleet has no first policy yet")
-    proposed = policy_documents.merged(deployment, fields["text"], "the proposed policy")
+    proposed = policy_documents.merged(deployment, text, "the proposed policy")
     current = policy_documents.merged(deployment, active.text, "the policy in force")
     obstacles = policy_documents.against(current, proposed)
     if obstacles:
         raise ProposalRejectedError("; ".join(obstacles))
-    return {"kind": PolicyVerb.PROPOSE, "base": fields.get("base"), **_document(proposed)}
+    return _document_of(proposed)
--- a/rushmux/planner/policy_leader.py
+++ b/rushmux/planner/policy_leader.py
@@ -9,6 +9,7 @@
 from rushmux.planner.proposals import MAX_PROPOSALS
 from rushmux.planner.replicated_state import ReplicatedState
 from rushmux.planner.server import PeerConnection
+from rushmux.planner.stored_commands import StoredCommand
 
 
 class _Confirmation(NamedTuple):
@@ -19,7 +20,7 @@
 
 
 class _LeaseHolder(NamedTuple):
-    """A member that asked for a lease, and the numbers of the policies whose texts it has."""
+    """A member that requested a lease, and the numbers of the policies whose texts it has."""
 
     peer: PeerConnection
     known: tuple[int, int]
@@ -31,9 +32,17 @@
     Args:
         state: the replicated state.
         now: when its leadership began, in seconds of the loop's clock.
+        bootstrap_command: gives the command that makes the fleet's first policy, or None.
     """
 
-    def __init__(self, state: ReplicatedState, now: float):
+    def __init__(
+        self,
+        state: ReplicatedState,
+        now: float,
+        bootstrap_command: Callable[[], StoredCommand | None],
+    ):
+        self._state = state
+        self._bootstrap_command = bootstrap_command
         self.coordinator = RolloutCoordinator(state.policy, now)
         self._confirmations: list[_Confirmation] = []
         self._holders: dict[str, _LeaseHolder] = {}
@@ -49,7 +58,7 @@
     def on_lease_request(
         self, peer: PeerConnection, request: messages.PolicyAsk, now: float, current_round: int
     ) -> None:
-        """A member asks what holds; it is answered once a majority has confirmed a later round.
+        """A member requests a lease; it is answered once a majority has confirmed a later round.
 
         Raises:
             WireFault: the request is in another member's name.
@@ -74,3 +83,9 @@
         for grant in self.coordinator.grant_leases(now, confirmed_round, term, index):
             holder = self._holders[grant.member]
             holder.peer.send(policy_grant=raft_codec.encode_grant(grant, holder.known))
+
+    def next_command(self, now: float) -> StoredCommand | None:
+        """The command that the leader itself proposes now."""
+        if self._state.policy.active is None:
+            return self._bootstrap_command()
+        return self.coordinator.next_command(now)
--- a/rushmux/planner/proposals.py
+++ b/rushmux/planner/proposals.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from rushmux.planner.errors import ProposalUndecidedError
+from rushmux.planner.stored_commands import StoredCommand, is_same_change
 
 PROPOSAL_TIMEOUT = 8.0  # seconds until an operator is told that a command was not decided
 MAX_PROPOSALS = 4_096  # one of each of a thousand edges, with room
@@ -11,7 +12,7 @@
 
 class _Proposal(NamedTuple):
     term: int
-    command: dict
+    command: StoredCommand
     result: asyncio.Future
 
 
@@ -26,7 +27,7 @@
         """Whether no further proposal may wait."""
         return len(self._proposals) >= MAX_PROPOSALS
 
-    def add(self, index: int, term: int, command: dict) -> asyncio.Future:
+    def add(self, index: int, term: int, command: StoredCommand) -> asyncio.Future:
         """Waits for an entry to be committed; a future of the command's result."""
         result = asyncio.get_running_loop().create_future()
         # The leader proposes commands for itself too, and awaits none of their results.
@@ -34,10 +35,9 @@
         self._proposals[index] = _Proposal(term, command, result)
         return result
 
-    def contains(self, command: dict) -> bool:
+    def contains(self, command: StoredCommand) -> bool:
         """Whether a command of this kind and policy number waits."""
-        key = _key(command)
-        return any(_key(proposal.command) == key for proposal in self._proposals.values())
+        return any(is_same_change(proposal.command, command) for proposal in self._proposals.values())
 
     def resolve(self, index: int, term: int, result: str) -> None:
         """An entry was applied: the proposal at its index has a result, or was overwritten."""
@@ -57,7 +57,3 @@
         for proposal in proposals.values():
             if not proposal.result.done():
                 proposal.result.set_exception(ProposalUndecidedError(reason))
-
-
-def _key(command: dict) -> tuple[str, int | None]:
-    return command["kind"], command.get("number")
--- a/rushmux/planner/raft_transport.py
+++ b/rushmux/planner/raft_transport.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 from rushmux.planner import peer_names, raft_codec
+from rushmux.planner.warnings_log import DeduplicatedWarnings
 
 CONNECT_TIMEOUT = 1.0  # seconds: a planner that was cut off answers nothing at all
 RECONNECT_PAUSE = 0.3  # seconds until another planner is dialled again
@@ -28,18 +29,18 @@
     Args:
         member_id: this planner's member id.
         addresses: name -> (host, port) of each other planner.
-        warn: called with a log event and the reason where a message cannot be sent.
+        warnings: the logger of failures that repeat.
     """
 
     def __init__(
         self,
         member_id: str,
         addresses: Mapping[str, tuple[str, int]],
-        warn: Callable[[str, str], None],
+        warnings: DeduplicatedWarnings,
     ):
         self._member_id = member_id
         self._addresses = addresses
-        self._warn = warn
+        self._warnings = warnings
         self._writers: dict[str, asyncio.StreamWriter] = {}
         self._tasks: list[asyncio.Task] = []
 
@@ -61,7 +62,7 @@
         try:
             writer.write(frame(messages.Message(word=raft_codec.encode(message))))
         except WireFault as fault:
-            self._warn("raft.message_not_sent", str(fault))
+            self._warnings.warn("raft.message_not_sent", str(fault))
 
     async def _stay_connected(self, name: str) -> None:
         while True:
--- a/rushmux/planner/replicated_log.py
+++ b/rushmux/planner/replicated_log.py
@@ -28,6 +28,8 @@
 from rushmux.planner.replicated_state import ReplicatedState
 from rushmux.planner.replication_settings import ReplicationSettings, open_storage
 from rushmux.planner.server import PeerConnection
+from rushmux.planner.stored_commands import StoredCommand
+from rushmux.planner.warnings_log import DeduplicatedWarnings
 
 TICK_INTERVAL = 0.1  # seconds between two ticks of the Raft node
 COMPACTION_THRESHOLD = 200  # entries beyond which the log is compacted
@@ -59,7 +61,7 @@
         log: structlog.typing.FilteringBoundLogger,
         *,
         on_leadership: Callable[[bool], None],
-        bootstrap_command: Callable[[], dict | None],
+        bootstrap_command: Callable[[], StoredCommand | None],
         record: Callable,
     ):
         self._settings = settings
@@ -68,16 +70,16 @@
         self._bootstrap_command = bootstrap_command
         self._record = record
         self._loop = asyncio.get_running_loop()
+        self._warnings = DeduplicatedWarnings(log)
         self.storage = open_storage(settings)
         self.member_id = f"{settings.name}/{self.storage.incarnation}"
         self.storage_failed_at: float | None = None
         others = {name: address for name, address in settings.addresses.items() if name != settings.name}
-        self._transport = RaftTransport(self.member_id, others, self._warn_once)
-        self._replacement = MemberReplacement(settings.addresses, log, self._warn_once)
+        self._transport = RaftTransport(self.member_id, others, self._warnings)
+        self._replacement = MemberReplacement(settings.addresses, log, self._warnings)
         self._proposals = PendingProposals()
         self._leading_term = 0  # 0: it does not lead
         self._policy_leader: PolicyLeader | None = None
-        self._last_warning: tuple[str, str] | None = None
         self._ticks: asyncio.Task | None = None
         self._start_node()
 
@@ -209,7 +211,7 @@
             self._record_command(index, command, result)
         self._proposals.resolve(index, entry.term, result)
 
-    def _record_command(self, index: int, command: dict, result: str) -> None:
+    def _record_command(self, index: int, command: StoredCommand, result: str) -> None:
         active, staged = self.policy.active, self.policy.staged
         self._record(
             "decided",
@@ -248,7 +250,7 @@
     def _change_leadership(self, term: int) -> None:
         self._leading_term = term
         if term:
-            self._policy_leader = PolicyLeader(self._state, self._loop.time())
+            self._policy_leader = PolicyLeader(self._state, self._loop.time(), self._bootstrap_command)
             self._log.info("raft.leader_elected", term=self.node.term)
         else:
             self._policy_leader = None
@@ -262,30 +264,18 @@
         self._policy_leader.on_round_confirmed(confirmed)
         now = self._loop.time()
         self._policy_leader.send_grants(now, confirmed, term, self.applied_index)
-        command = self._next_command(now)
+        command = self._policy_leader.next_command(now)
         if command is None or self._proposals.contains(command):
             return
         try:
             self._submit(command)
-        except raft.ProposalRejectedError as fault:
+        except ProposalRejectedError as fault:
             self._policy_leader.coordinator.on_command_rejected()
-            self._warn_once("raft.proposal_rejected", str(fault))
-
-    def _next_command(self, now: float) -> dict | None:
-        """The command that the leader itself proposes now."""
-        if self.policy.active is None:
-            return self._bootstrap_command()
-        return self._policy_leader.coordinator.next_command(now)
-
-    def _warn_once(self, event: str, reason: str) -> None:
-        """Logs a warning unless it is the same as the last one."""
-        if (event, reason) != self._last_warning:
-            self._last_warning = event, reason
-            self._log.warning(event, why=reason)
+            self._warnings.warn("raft.proposal_rejected", str(fault))
 
     # Proposals.
 
-    async def propose(self, command: dict) -> str:
+    async def propose(self, command: StoredCommand) -> str:
         """Has a command committed and applied; its result.
 
         Raises:
@@ -298,19 +288,20 @@
         try:
             async with asyncio.timeout(PROPOSAL_TIMEOUT):
                 return await self._submit(command)
-        except raft.ProposalRejectedError as fault:
-            raise ProposalRejectedError(str(fault)) from fault
         except TimeoutError as fault:
             raise ProposalUndecidedError(
                 f"not decided within {PROPOSAL_TIMEOUT:g} s; it may still be: look before you ask again "
                 f"with other words"
             ) from fault
 
-    def _submit(self, command: dict) -> asyncio.Future:
+    def _submit(self, command: StoredCommand) -> asyncio.Future:
         """Appends a command to the log; a future of its result."""
         if self._proposals.is_full:
-            raise raft.ProposalRejectedError(f"{MAX_PROPOSALS} orders wait to be decided")
-        index, term = self.node.propose(self._loop.time(), orjson.dumps(command))
+            raise ProposalRejectedError(f"{MAX_PROPOSALS} orders wait to be decided")
+        try:
+            index, term = self.node.propose(self._loop.time(), orjson.dumps(command))
+        except raft.ProposalRejectedError as fault:
+            raise ProposalRejectedError(str(fault)) from fault
         result = self._proposals.add(index, term, command)
         self._loop.call_soon(self._process_ready)
         return result
@@ -323,7 +314,7 @@
     # Members of the policy, and other planners.
 
     def on_lease_request(self, peer: PeerConnection, request: messages.PolicyAsk) -> None:
-        """A member asks what holds; WireFault where it asks in another's name."""
+        """A member requests a lease; WireFault where it does so in another's name."""
         if self.is_leader and self._policy_leader is not None:
             self._policy_leader.on_lease_request(peer, request, self._loop.time(), self.node.round)
 
--- a/rushmux/planner/replicated_state.py
+++ b/rushmux/planner/replicated_state.py
@@ -10,6 +10,7 @@
 
 from rushmux.fleet import raft
 from rushmux.fleet.policy import PolicyStateMachine
+from rushmux.planner.stored_commands import StoredCommand, origin_of
 
 
 class ReplicatedState:
@@ -36,12 +37,12 @@
         )
         return base64.b64encode(zlib.compress(raw))
 
-    def apply(self, command: dict) -> str:
+    def apply(self, command: StoredCommand) -> str:
         """Applies a committed command; its result in words.
 
-        A command with an idempotency key (`client` and `n`) is applied once, whatever number of entries
-        hold it.
+        A command with an idempotency key is applied once, whatever number of entries hold it.
         """
-        if "client" not in command:
+        origin = origin_of(command)
+        if origin is None:
             return self.policy.apply(command)
-        return self._sessions.apply_once(command["client"], command["n"], lambda: self.policy.apply(command))
+        return self._sessions.apply_once(origin.client, origin.sequence, lambda: self.policy.apply(command))
--- a/rushmux/planner/server.py
+++ b/rushmux/planner/server.py
@@ -103,7 +103,7 @@
         """A peer has greeted; WireFault closes its connection."""
 
     def on_peer_disconnected(self, peer: PeerConnection) -> None:
-        """A peer that had greeted is gone."""
+        """The connection of a peer that had greeted ended."""
 
     def on_message(self, peer: PeerConnection, kind: str, body) -> None:
         """A message came.
