--- a/rushmux/planner/fleet_admin.py
+++ b/rushmux/planner/fleet_admin.py
@@ -13,7 +13,10 @@
 from rushmux.planner.fleet_state import FleetState
 from rushmux.planner.replicated_log import ReplicatedLog
 
-CHANGES = (FleetVerb.DRAIN, FleetVerb.UNDRAIN)
+CHANGES = {  # verb -> its stored command, of a node's name
+    FleetVerb.DRAIN: stored_commands.drain,
+    FleetVerb.UNDRAIN: stored_commands.undrain,
+}
 
 
 class FleetAdmin:
@@ -35,9 +38,7 @@
             return messages.Ordered(fault=str(fault), elsewhere=True)
         if command.verb in CHANGES and command.member in self._state.membership.members:
             try:
-                result = await replicated_log.propose(
-                    stored_commands.drain(FleetVerb(command.verb), command.member)
-                )
+                result = await replicated_log.propose(CHANGES[command.verb](command.member))
             except ProposalRejectedError as fault:
                 return messages.Ordered(fault=str(fault), elsewhere=isinstance(fault, ProposalUndecidedError))
             if result.startswith("refused"):
--- a/rushmux/planner/member_replacement.py
+++ b/rushmux/planner/member_replacement.py
@@ -9,8 +9,8 @@
 import structlog
 
 from rushmux.fleet import raft
+from rushmux.planner.deduplicated_warnings import DeduplicatedWarnings
 from rushmux.planner.raft_transport import planner_of
-from rushmux.planner.warnings_log import DeduplicatedWarnings
 
 MAX_CANDIDATES = 8  # members that wait to be added
 
--- a/rushmux/planner/raft_codec.py
+++ b/rushmux/planner/raft_codec.py
@@ -12,14 +12,6 @@
 MAX_ENTRY_BYTES = 512 << 10  # of the entries in one message: a frame holds a megabyte
 ENTRY_OVERHEAD = 64  # bytes of an entry beside its body, at most
 
-RaftMessage = (
-    raft.RequestVote
-    | raft.RequestVoteResponse
-    | raft.AppendEntries
-    | raft.AppendEntriesResponse
-    | raft.InstallSnapshot
-)
-
 KINDS: dict[type, str] = {
     raft.RequestVote: "ask",
     raft.RequestVoteResponse: "vote",
@@ -29,7 +21,7 @@
 }
 
 
-def encode(message: RaftMessage) -> messages.Word:
+def encode(message: raft.Message) -> messages.Word:
     """A Raft message for the wire."""
     kind = KINDS[type(message)]
     encoded = messages.Word(kind=kind, sender=message.sender, to=message.receiver, term=message.term)
@@ -37,7 +29,7 @@
     return encoded
 
 
-def decode(encoded: messages.Word) -> RaftMessage:
+def decode(encoded: messages.Word) -> raft.Message:
     """The Raft message of one from the wire; WireFault where its kind is unknown."""
     decoder = _DECODERS.get(encoded.kind)
     if decoder is None:
@@ -125,7 +117,7 @@
     "appended": _encode_append_entries_response,
     "install": _encode_install_snapshot,
 }
-_DECODERS: dict[str, Callable[[messages.Word], RaftMessage]] = {
+_DECODERS: dict[str, Callable[[messages.Word], raft.Message]] = {
     "ask": _decode_request_vote,
     "vote": _decode_request_vote_response,
     "append": _decode_append_entries,
--- a/rushmux/planner/raft_transport.py
+++ b/rushmux/planner/raft_transport.py
@@ -10,7 +10,7 @@
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 from rushmux.planner import peer_names, raft_codec
-from rushmux.planner.warnings_log import DeduplicatedWarnings
+from rushmux.planner.deduplicated_warnings import DeduplicatedWarnings
 
 CONNECT_TIMEOUT = 1.0  # seconds: a planner that was cut off answers nothing at all
 RECONNECT_PAUSE = 0.3  # seconds until another planner is dialled again
--- a/rushmux/planner/replicated_log.py
+++ b/rushmux/planner/replicated_log.py
@@ -15,6 +15,7 @@
 from rushmux.fleet.policy import PolicyStateMachine, RolloutCoordinator
 from rushmux.nodewire import messages
 from rushmux.planner import raft_codec
+from rushmux.planner.deduplicated_warnings import DeduplicatedWarnings
 from rushmux.planner.errors import (
     NotLeaderError,
     ProposalRejectedError,
@@ -29,7 +30,6 @@
 from rushmux.planner.replication_settings import ReplicationSettings, open_storage
 from rushmux.planner.server import PeerConnection
 from rushmux.planner.stored_commands import StoredCommand
-from rushmux.planner.warnings_log import DeduplicatedWarnings
 
 TICK_INTERVAL = 0.1  # seconds between two ticks of the Raft node
 COMPACTION_THRESHOLD = 200  # entries beyond which the log is compacted
--- a/rushmux/planner/stored_commands.py
+++ b/rushmux/planner/stored_commands.py
@@ -3,11 +3,10 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from rushmux.planner.commands import FleetVerb, PolicyVerb
+from rushmux.fleet.policy.commands import CommandKind
 
 StoredCommand = dict[str, Any]
 
-BOOTSTRAP = "found"
 BOOTSTRAP_AUTHOR = "the deployment file"
 FLEET_AUTHOR = "people"  # of drains: their senders do not give their names
 
@@ -41,7 +40,7 @@
 def bootstrap(members: Sequence[str], document: PolicyDocument) -> StoredCommand:
     """Makes the fleet's first policy, and names the members that there may ever be."""
     return {
-        "kind": BOOTSTRAP,
+        "kind": CommandKind.BOOTSTRAP.value,
         "members": list(members),
         "by": BOOTSTRAP_AUTHOR,
         "text": document.text,
@@ -52,7 +51,7 @@
 def propose(document: PolicyDocument, base: int | None, origin: Origin) -> StoredCommand:
     """Stages a policy, on the condition that `base` is the active one; None: on no condition."""
     return {
-        "kind": PolicyVerb.PROPOSE.value,
+        "kind": CommandKind.PROPOSE.value,
         "base": base,
         "text": document.text,
         "rows": document.limits,
@@ -62,22 +61,27 @@
 
 def revert(version: int, origin: Origin) -> StoredCommand:
     """Stages a past policy anew."""
-    return {"kind": PolicyVerb.REVERT.value, "number": version, **_stored_origin(origin)}
+    return {"kind": CommandKind.REVERT.value, "number": version, **_stored_origin(origin)}
 
 
 def withdraw(version: int, origin: Origin) -> StoredCommand:
     """Ends the staged change."""
-    return {"kind": PolicyVerb.WITHDRAW.value, "number": version, **_stored_origin(origin)}
+    return {"kind": CommandKind.WITHDRAW.value, "number": version, **_stored_origin(origin)}
 
 
 def forget(member: str, origin: Origin) -> StoredCommand:
     """No change waits for a member any more."""
-    return {"kind": PolicyVerb.FORGET.value, "member": member, **_stored_origin(origin)}
+    return {"kind": CommandKind.FORGET.value, "member": member, **_stored_origin(origin)}
 
 
-def drain(verb: FleetVerb, node: str) -> StoredCommand:
-    """Drains a node, or ends that."""
-    return {"kind": verb.value, "member": node, "by": FLEET_AUTHOR}
+def drain(node: str) -> StoredCommand:
+    """Nothing new is to go to a node."""
+    return {"kind": CommandKind.DRAIN.value, "member": node, "by": FLEET_AUTHOR}
+
+
+def undrain(node: str) -> StoredCommand:
+    """A node may be used again."""
+    return {"kind": CommandKind.UNDRAIN.value, "member": node, "by": FLEET_AUTHOR}
 
 
 def _stored_origin(origin: Origin) -> StoredCommand:
--- a/tests/planner/test_raft_storage.py
+++ b/tests/planner/test_raft_storage.py
@@ -14,21 +14,6 @@
     return raft.Entry(term, raft.EntryKind.COMMAND, text.encode())
 
 
-NOTHING = raft.Ready(
-    hard_state=None,
-    snapshot=None,
-    truncate_from=None,
-    entries=(),
-    messages=(),
-    restore=None,
-    committed=(),
-)
-
-
-def ready(**fields):
-    return NOTHING._replace(**fields)
-
-
 @pytest.fixture
 def path(tmp_path):
     return tmp_path / "planner.log"
@@ -50,10 +35,10 @@
 def test_votes_entries_truncations_and_snapshots_are_loaded_again(path):
     storage = opened(path)
     storage.write(
-        ready(hard_state=raft.HardState(3, "b/1"), entries=((1, entry(2, "x")), (2, entry(2, "y"))))
+        raft.Ready(hard_state=raft.HardState(3, "b/1"), entries=((1, entry(2, "x")), (2, entry(2, "y"))))
     )
     storage.write(
-        ready(
+        raft.Ready(
             truncate_from=2,
             entries=((2, entry(3, "z")), (3, raft.Entry(3, raft.EntryKind.CONFIGURATION, ("a/77",)))),
         )
@@ -64,8 +49,8 @@
     )
     assert [row.body for row in storage.persistent.entries] == [b"x", b"z", ("a/77",)]
     whole = raft.Snapshot(2, 3, ("a/77",), b"state")
-    storage.write(ready(snapshot=whole))
-    storage.write(ready(entries=((4, entry(3, "w")),)))
+    storage.write(raft.Ready(snapshot=whole))
+    storage.write(raft.Ready(entries=((4, entry(3, "w")),)))
     storage = reopened(path, storage)
     assert storage.persistent.snapshot == whole and [row.body for row in storage.persistent.entries] == [
         ("a/77",),
@@ -75,11 +60,11 @@
 
 def test_an_incomplete_last_record_is_cut_off_at_any_byte(path):
     storage = opened(path)
-    storage.write(ready(entries=((1, entry(1, "first")),)))
+    storage.write(raft.Ready(entries=((1, entry(1, "first")),)))
     storage.release()
     synced = path.read_bytes()
     storage = reopened(path)
-    storage.write(ready(entries=((2, entry(1, "second")),)))
+    storage.write(raft.Ready(entries=((2, entry(1, "second")),)))
     storage.release()
     whole = path.read_bytes()
     for size in range(len(synced), len(whole)):
@@ -88,7 +73,7 @@
         assert [row.body for row in storage.persistent.entries] == [b"first"] and path.stat().st_size == len(
             synced
         )
-        storage.write(ready(entries=((2, entry(1, "anew")),)))
+        storage.write(raft.Ready(entries=((2, entry(1, "anew")),)))
         storage = reopened(path, storage)
         assert [row.body for row in storage.persistent.entries] == [b"first", b"anew"]
         storage.release()
@@ -123,7 +108,7 @@
 def test_a_log_that_cannot_be_used_is_rejected_with_its_path(path, damage, message):
     storage = opened(path)
     for index in range(1, 5):
-        storage.write(ready(entries=((index, entry(1, f"entry {index}")),)))
+        storage.write(raft.Ready(entries=((index, entry(1, f"entry {index}")),)))
     storage.release()
     path.write_bytes(damage(path.read_bytes()))
     with pytest.raises(RaftStorageError, match=message) as fault:
@@ -140,7 +125,7 @@
 
 def test_after_a_partial_write_the_complete_records_are_loaded(path, monkeypatch):
     storage = opened(path)
-    storage.write(ready(entries=((1, entry(1, "kept")),)))
+    storage.write(raft.Ready(entries=((1, entry(1, "kept")),)))
     real = os.write
 
     def half(sink, data):
@@ -149,11 +134,11 @@
 
     monkeypatch.setattr(os, "write", half)
     with pytest.raises(OSError):
-        storage.write(ready(entries=((2, entry(1, "lost")),)))
+        storage.write(raft.Ready(entries=((2, entry(1, "lost")),)))
     monkeypatch.setattr(os, "write", real)
     storage.load()
     assert [row.body for row in storage.persistent.entries] == [b"kept"]
-    storage.write(ready(entries=((2, entry(1, "anew")),)))
+    storage.write(raft.Ready(entries=((2, entry(1, "anew")),)))
     storage = reopened(path, storage)
     assert [row.body for row in storage.persistent.entries] == [b"kept", b"anew"]
     storage.release()
--- a/tests/planner/test_stored_commands.py
+++ b/tests/planner/test_stored_commands.py
@@ -4,7 +4,6 @@
 import pytest
 
 from rushmux.planner import stored_commands
-from rushmux.planner.commands import FleetVerb
 from rushmux.planner.stored_commands import Origin, PolicyDocument
 
 DOCUMENT = PolicyDocument("{}", [("caribe", 20.0, 40.0)])
@@ -37,11 +36,11 @@
             b'{"kind":"forget","member":"edge1","client":"c1","n":3,"by":"ana"}',
         ),
         (
-            stored_commands.drain(FleetVerb.DRAIN, "node1"),
+            stored_commands.drain("node1"),
             b'{"kind":"drain","member":"node1","by":"people"}',
         ),
         (
-            stored_commands.drain(FleetVerb.UNDRAIN, "node1"),
+            stored_commands.undrain("node1"),
             b'{"kind":"undrain","member":"node1","by":"people"}',
         ),
     ],
@@ -52,4 +51,4 @@
 
 def test_the_origin_of_a_stored_command_is_its_idempotency_key():
     assert stored_commands.origin_of(stored_commands.withdraw(2, ORIGIN)) == ORIGIN
-    assert stored_commands.origin_of(stored_commands.drain(FleetVerb.DRAIN, "node1")) is None
+    assert stored_commands.origin_of(stored_commands.drain("node1")) is None
