--- a/rushmux/planner/raft_transport.py
+++ b/rushmux/planner/raft_transport.py
@@ -8,6 +8,7 @@
 import contextlib
 from collections.abc import Mapping
 
+from rushmux.fleet import raft
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 from rushmux.planner import peer_names, raft_codec
 from rushmux.planner.deduplicated_warnings import DeduplicatedWarnings
@@ -54,7 +55,7 @@
         for task in self._tasks:
             task.cancel()
 
-    def send(self, message) -> None:
+    def send(self, message: raft.Message) -> None:
         """Sends one message to the planner that it names; drops it where that one cannot be reached."""
         writer = self._writers.get(planner_of(message.receiver))
         if writer is None or writer.transport.get_write_buffer_size() > MAX_BUFFERED:
--- a/rushmux/standins/fleet_operations.py
+++ b/rushmux/standins/fleet_operations.py
@@ -23,14 +23,14 @@
         self.record("killed", planner=True)
         self.lists.process.kill()
 
-    async def send_policy_command(self, word: str, verb: str, **fields) -> None:
+    async def send_policy_command(self, label: str, verb: str, **fields) -> None:
         """Sends a policy command until an answer comes, under one idempotency key.
 
-        The answer goes to `operator_commands`, under `word`.  For fleets that have `operator_commands` and
+        The answer goes to `operator_commands`, under `label`.  For fleets that have `operator_commands` and
         `places`.
         """
         key = {"client": f"person{len(self.operator_commands)}", "n": 1, "by": "somebody"}
-        row = {"word": word, "verb": verb, "said": "", "number": fields.get("number")}
+        row = {"word": label, "verb": verb, "said": "", "number": fields.get("number")}
         self.operator_commands.append(row)
         deadline = self.loop.time() + RETRY_TIMEOUT
         while self.loop.time() < deadline:
--- a/tests/planner/test_admin_client.py
+++ b/tests/planner/test_admin_client.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rushmux import log
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner import admin_client
 from rushmux.planner.errors import CommandRejectedError, PlannerUnavailableError
@@ -11,16 +12,11 @@
 HOST = "127.0.0.1"
 
 
-class SilentLog:
-    def __getattr__(self, level):
-        return lambda event, **fields: None
-
-
 class StubPlanner(PeerServer):
     """Gives one answer to each command; None: closes the connection."""
 
     def __init__(self, answer):
-        super().__init__("planner", "1", SilentLog())
+        super().__init__("planner", "1", log.to_list([]))
         self.answer = answer
         self.received = 0
 
