--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -17,8 +17,8 @@
 from rushmux.edge.policy_client import granted, lease_request
 from rushmux.fleet import policy, raft
 from rushmux.nodewire import VERSION, Frames, frame, messages
-from rushmux.planner import admin_server
-from rushmux.planner.raft_storage import LogFile
+from rushmux.planner import admin_client
+from rushmux.planner.raft_storage import RaftStorage
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
 from rushmux.simulation import loop as virtual
@@ -118,7 +118,9 @@
         begun = asyncio.get_running_loop().time()
         there = members[round(edges * away) :]
         raw["plans"]["basico"].update(limit=edges * 20.0, burst=edges * 40.0)
-        await admin_server.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
+        await admin_client.send_policy_command(
+            made.places, "propose", client="b", n=1, by="b", text=documents.text(raw)
+        )
         async with asyncio.timeout(60):
             while not all(2 in member.at for member in there):
                 await asyncio.sleep(0.01)
@@ -236,8 +238,8 @@
         for place in range(changes):
             await fleet.sleep(3)
             raw["plans"]["basico"]["limit"] = edges * (190.0 if place % 2 else 195.0)
-            await fleet.person(f"c{place}", "propose", text=documents.text(raw))
-            decided.append(fleet.people[-1]["said"])
+            await fleet.send_policy_command(f"c{place}", "propose", text=documents.text(raw))
+            decided.append(fleet.operator_commands[-1]["said"])
         await work
         answers = [row for row in fleet.records if row["kind"] == "answer" and row["status"] in (0, 1)]
         seconds = [0] * int(SPAN)
@@ -295,16 +297,16 @@
     for size in sizes:
         for short in (False, True):
             with tempfile.TemporaryDirectory() as folder:
-                disk = LogFile(Path(folder) / "a.log", lambda: "1")
+                disk = RaftStorage(Path(folder) / "a.log", lambda: "1")
                 rows = tuple(raft.Entry(1, raft.EntryKind.COMMAND, b"x" * 200) for _ in range(size))
                 kept = raft.bootstrap(["a/1"])._replace(term=1, entries=rows)
                 if short:
                     kept = raft.PersistentState(1, None, raft.Snapshot(size, 1, ("a/1",), b"s" * 20_000))
-                disk.begin(kept)
+                disk.create(kept)
                 disk.release()
                 begun = time.perf_counter()
-                disk = LogFile(Path(folder) / "a.log", lambda: "1")
-                raft.RaftNode("a/1", disk.kept, 0.0, lambda below: 0)
+                disk = RaftStorage(Path(folder) / "a.log", lambda: "1")
+                raft.RaftNode("a/1", disk.persistent, 0.0, lambda below: 0)
                 took = time.perf_counter() - begun
                 disk.release()
                 print({"orders": size, "snapshot": short, "s": round(took, 4)}, flush=True)
--- a/rushmux/planner/policy_admin.py
+++ b/rushmux/planner/policy_admin.py
@@ -1,113 +1,98 @@
-"""What people ask of the planners about the fleet's policy, and what they are told."""
+"""Operators' commands on the fleet's policy: show, propose, revert, withdraw, forget."""
+
+from collections.abc import Mapping
+from typing import Any
 
 import orjson
 
-from rushmux.fleet.policy import DEGRADED_FRACTION, LEASE_DURATION, ChangeRecord
 from rushmux.nodewire import messages
-from rushmux.planner.replicated_log import Elsewhere, NotDecided
-from rushmux.settings import policy as documents
+from rushmux.planner import stored_commands
+from rushmux.planner.commands import PolicyVerb
+from rushmux.planner.errors import ProposalRejectedError, ProposalUndecidedError
+from rushmux.planner.policy_status import encode_status
+from rushmux.planner.replicated_log import ReplicatedLog
+from rushmux.planner.stored_commands import Origin, PolicyDocument, StoredCommand
+from rushmux.settings import policy as policy_documents
 from rushmux.settings.deployment import BadDeployment, Deployment
 
-MOST_ORDER = 512 << 10  # bytes of an order
+MAX_COMMAND = 512 << 10  # bytes
+MAX_NAME = 64  # characters of a client id and of an operator's name
 
 
-def first(deployment: Deployment) -> dict:
-    """The order that founds the policy of a fleet: its deployment file's."""
+def bootstrap_command(deployment: Deployment) -> StoredCommand:
+    """The command that makes a fleet's first policy: that of its deployment file."""
     members = [f"edge{number}" for number in range(deployment.settings.gateway_count)]
-    return {"kind": "found", "members": members, "by": "the deployment file", **document(deployment)}
+    return stored_commands.bootstrap(members, _document_of(deployment))
 
 
-def document(deployment: Deployment) -> dict:
-    return {"text": documents.text(deployment.raw), "rows": documents.rows(deployment)}
+def _document_of(deployment: Deployment) -> PolicyDocument:
+    return PolicyDocument(policy_documents.text(deployment.raw), policy_documents.rows(deployment))
 
 
-async def answer(council, deployment, body: messages.PolicyOrder) -> messages.PolicyAnswer:
-    """The answer to a person; never raises."""
-    if council is None:
+async def execute(
+    replicated_log: ReplicatedLog | None, deployment: Deployment | None, command: messages.PolicyOrder
+) -> messages.PolicyAnswer:
+    """Carries out a command; the answer has what was wrong with it."""
+    if replicated_log is None:
         return messages.PolicyAnswer(fault="this planner keeps no policy: start it with --planners")
     try:
-        order = orjson.loads(body.order) if body.order else {}
-        if len(body.order) > MOST_ORDER or not isinstance(order, dict):
-            raise ValueError(f"{len(body.order)} bytes")
+        fields = _fields_of(command)
     except ValueError as fault:
         return messages.PolicyAnswer(fault=f"an order that cannot be read: {fault}")
-    if body.verb == "show":
-        return messages.PolicyAnswer(state=orjson.dumps(shown(council)))
+    if command.verb == PolicyVerb.SHOW:
+        return messages.PolicyAnswer(state=encode_status(replicated_log))
     try:
-        return messages.PolicyAnswer(
-            said=await decided(council, deployment, body.verb, order), state=orjson.dumps(shown(council))
-        )
-    except (NotDecided, BadDeployment, KeyError, TypeError, ValueError) as fault:
-        what = f"the order lacks {fault}" if isinstance(fault, KeyError) else str(fault)
-        return messages.PolicyAnswer(fault=what, elsewhere=isinstance(fault, Elsewhere))
-
-
-async def decided(council, deployment, verb, order) -> str:
-    """Has an order decided; what came of it.  Whoever asks again with the same client and number is told the
-    same, and nothing is done twice.
-    """
-    known = {"client": str(order["client"])[:64], "n": int(order["n"]), "by": str(order["by"])[:64]}
-    if verb == "propose":
-        if council.register.active is None:
-            raise Elsewhere("the fleet has no first policy yet")
-        proposed = documents.merged(deployment, order["text"], "the proposed policy")
-        now = documents.merged(deployment, council.register.active.text, "the policy in force")
-        against = documents.against(now, proposed)
-        if against:
-            raise NotDecided("; ".join(against))
-        made = {"kind": "propose", "base": order.get("base"), **document(proposed)}
-    elif verb in ("withdraw", "revert"):
-        made = {"kind": verb, "number": int(order["number"])}
-    elif verb == "forget":
-        made = {"kind": "forget", "member": str(order["member"])}
-    else:
-        raise NotDecided(f"there is no order '{verb}'; there are show, propose, withdraw, revert, forget")
-    return await council.order({**made, **known})
-
-
-def past_change(record: ChangeRecord) -> dict:
-    return {
-        "number": record.version,
-        "end": record.outcome,
-        "why": record.reason,
-        "by": record.proposed_by,
-    }
-
-
-def shown(council) -> dict:
-    """What this planner knows of the policy: the same on all but for how new it is."""
-    register, conduct = council.register, council.conduct
-    active, staged, now = register.active, register.staged, council.loop.time()
-    members = []
-    for member in register.members:
-        said = conduct.latest_requests.get(member) if conduct is not None else None
-        until = conduct.lease_expiry.get(member, 0.0) if conduct is not None else 0.0
-        members.append(
-            {
-                "member": member,
-                "goes": register.member_versions[member],
-                "gone": member in register.forgotten,
-                "says": said.active_version if said else None,
-                "joint": said.joint_version if said else None,
-                "lease": round(max(0.0, until - now), 1),
-                "against": said.rejection_reason if said and said.rejected_version else "",
-            }
-        )
-    return {
-        "planner": council.me,
-        "leads": council.leads,
-        "term": council.term,
-        "leader": council.voice.leader,
-        "planners": list(council.voice.members),
-        "index": council.index,
-        "floor": register.fencing_floor,
-        "force": active and {"number": active.version, "text": active.text, "sum": active.checksum},
-        "staged": staged and {"number": staged.version, "text": staged.text, "by": register.proposed_by},
-        "history": [past_change(record) for record in register.history],
-        "kept": list(register.past_policies),
-        "texts": {str(number): policy.text for number, policy in register.past_policies.items()},
-        "members": members,
-        "narrow": DEGRADED_FRACTION,
-        "lease": LEASE_DURATION,
-        "harm": staged and register.degraded_excess(staged),
-    }
+        stored = _stored_command(replicated_log, deployment, command.verb, fields)
+        result = await replicated_log.propose(stored)
+    except KeyError as fault:
+        return messages.PolicyAnswer(fault=f"the order lacks {fault}")
+    except (ProposalRejectedError, BadDeployment, TypeError, ValueError) as fault:
+        undecided = isinstance(fault, ProposalUndecidedError)
+        return messages.PolicyAnswer(fault=str(fault), elsewhere=undecided)
+    return messages.PolicyAnswer(said=result, state=encode_status(replicated_log))
+
+
+def _fields_of(command: messages.PolicyOrder) -> dict[str, Any]:
+    """The command's fields; ValueError where they cannot be read."""
+    fields = orjson.loads(command.order) if command.order else {}
+    if len(command.order) > MAX_COMMAND or not isinstance(fields, dict):
+        raise ValueError(f"{len(command.order)} bytes")
+    return fields
+
+
+def _origin_of(fields: Mapping[str, Any]) -> Origin:
+    return Origin(
+        client=str(fields["client"])[:MAX_NAME],
+        sequence=int(fields["n"]),
+        author=str(fields["by"])[:MAX_NAME],
+    )
+
+
+def _stored_command(
+    replicated_log: ReplicatedLog, deployment: Deployment, verb: str, fields: Mapping[str, Any]
+) -> StoredCommand:
+    """The log's entry for an operator's command."""
+    origin = _origin_of(fields)
+    if verb == PolicyVerb.PROPOSE:
+        document = _checked_document(replicated_log, deployment, fields["text"])
+        return stored_commands.propose(document, fields.get("base"), origin)
+    if verb == PolicyVerb.WITHDRAW:
+        return stored_commands.withdraw(int(fields["number"]), origin)
+    if verb == PolicyVerb.REVERT:
+        return stored_commands.revert(int(fields["number"]), origin)
+    if verb == PolicyVerb.FORGET:
+        return stored_commands.forget(str(fields["member"]), origin)
+    raise ProposalRejectedError(f"there is no order '{verb}'; there are {', '.join(PolicyVerb)}")
+
+
+def _checked_document(replicated_log: ReplicatedLog, deployment: Deployment, text: str) -> PolicyDocument:
+    """A proposed policy, which must be valid and one that can change while the fleet runs."""
+    active = replicated_log.policy.active
+    if active is None:
+        raise ProposalUndecidedError("the fleet has no first policy yet")
+    proposed = policy_documents.merged(deployment, text, "the proposed policy")
+    current = policy_documents.merged(deployment, active.text, "the policy in force")
+    obstacles = policy_documents.against(current, proposed)
+    if obstacles:
+        raise ProposalRejectedError("; ".join(obstacles))
+    return _document_of(proposed)
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -10,15 +10,15 @@
 from rushmux.edge.edge import Edge
 from rushmux.edge.endpoint_cache import LastList
 from rushmux.edge.node_connections import Address
-from rushmux.planner.membership_store import Store as PlannerStore
+from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.deployment import Deployment, build
 from rushmux.simulation.loop import SimulatedLoop, run
 from rushmux.standins.client import Client
+from rushmux.standins.fleet_operations import FleetOperations
 from rushmux.standins.lists import ListSource
 from rushmux.standins.node import Node
-from rushmux.standins.orders import Orders
 from rushmux.standins.service_model import Shape
 from rushmux.standins.store import Store
 
@@ -56,7 +56,7 @@
     return deployment.settings.request_classes[deployment.roles["change"]].dedup_window / 10_000 + 1
 
 
-class VirtualFleet(Orders):
+class VirtualFleet(FleetOperations):
     """The fleet.  `records` collects what the stand-ins saw and `logs` what the programs logged."""
 
     def __init__(
@@ -127,11 +127,11 @@
         process = self.loop.process("planner")
         program = Planner(
             nodes,
-            PlannerStore(self.planner),
+            MembershipStore(self.planner),
             self.log,
-            self.record,
-            self.deployment.limits(),
-            self.deployment.settings.gateway_count,
+            record=self.record,
+            limited_folders=self.deployment.limits(),
+            gateway_count=self.deployment.settings.gateway_count,
         )
         self.lists = Part(process, program, await process.spawn(program.open(HOST, port)))
 
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -13,9 +13,9 @@
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
 from rushmux.edge.policy_client import Kept
-from rushmux.planner.membership_store import Store as PlannerStore
+from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
-from rushmux.planner.replicated_log import Planners
+from rushmux.planner.replication_settings import ReplicationSettings
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import build
 from rushmux.simulation.loop import run
@@ -55,7 +55,7 @@
 
     def __init__(self, loop, deployment, seed, folder):
         super().__init__(loop, deployment, seed, unit=0.002)
-        self.folder, self.planners, self.people, self.stopped = Path(folder), {}, [], {}
+        self.folder, self.planners, self.operator_commands, self.stopped = Path(folder), {}, [], {}
         self.island, self.draw = 0, random.Random(f"policy {seed}")
 
     @property
@@ -65,18 +65,22 @@
     async def start_planner(self, name, found=False):
         process = self.loop.process(name)
         data = self.folder / f"{name}.db"
-        among = Planners(name, dict(zip(PLANNERS, self.places)), found)
+        replication = ReplicationSettings(
+            name,
+            dict(zip(PLANNERS, self.places)),
+            f"{data}.log",
+            random.Random(self.seed()),
+            bootstrap=found,
+        )
         program = Planner(
             self.cells,
-            PlannerStore(data),
+            MembershipStore(data),
             self.log,
-            self.record,
-            self.deployment.limits(),
-            self.deployment.settings.gateway_count,
-            among,
-            f"{data}.log",
-            self.deployment,
-            random.Random(self.seed()),
+            record=self.record,
+            limited_folders=self.deployment.limits(),
+            gateway_count=self.deployment.settings.gateway_count,
+            deployment=self.deployment,
+            replication=replication,
         )
         place = PLANNERS.index(name)
         port = await process.spawn(program.open(HOST, PORT + place))
@@ -85,7 +89,7 @@
     def kill_planner_of(self, name):
         part = self.planners.pop(name)
         part.process.kill()
-        part.program.council.disk.release()  # the kernel lets go of a dead process' lock
+        part.program.replicated_log.storage.release()  # the kernel lets go of a dead process' lock
         part.program.store.close()
 
     async def up(self, nodes, edges):
@@ -139,11 +143,11 @@
             raw = fault_injection.stated(fault_injection.parse(f"edges {len(self.edges)}\n"))
             limit = self.draw.choice(LIMITS)
             raw["plans"]["basico"].update(limit=limit, burst=2 * limit)
-            word = f"change {len(self.people)}"
+            word = f"change {len(self.operator_commands)}"
             if self.draw.random() < 0.15:
-                await self.person(word, "revert", number=self.draw.randrange(1, 4))
+                await self.send_policy_command(word, "revert", number=self.draw.randrange(1, 4))
             else:
-                await self.person(word, "propose", text=documents.text(raw))
+                await self.send_policy_command(word, "propose", text=documents.text(raw))
 
     async def happens(self, rate, act, until):
         while rate and self.loop.time() < until:
@@ -205,8 +209,10 @@
     def settled(self):
         """What is not as it should be after the quiet time; nothing: it is."""
         found = []
-        forces = {part.program.council.register.active.version for part in self.planners.values()}
-        if len(forces) != 1 or any(part.program.council.register.staged for part in self.planners.values()):
+        forces = {part.program.replicated_log.policy.active.version for part in self.planners.values()}
+        if len(forces) != 1 or any(
+            part.program.replicated_log.policy.staged for part in self.planners.values()
+        ):
             found.append(f"planners end with {sorted(forces)}, or with a change under way")
         for part in self.edges.values():
             holder = part.program.going.holder
@@ -241,7 +247,7 @@
         await asyncio.gather(*work, fleet.changes(until), fleet.clients(until + 5))
         await fleet.sleep(QUIET)
         settled = fleet.settled()
-        breaches, facts = judge(fleet.all_records(), deployment, (), fleet.people, fleet.stopped)
+        breaches, facts = judge(fleet.all_records(), deployment, (), fleet.operator_commands, fleet.stopped)
         bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.refused")]
         return Told(breaches + settled + [str(row)[:300] for row in bad[:3]], facts, fleet.logs)
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -15,8 +15,8 @@
 from rushmux.lab import spec
 from rushmux.lab.store import Store as ResultStore
 from rushmux.nodewire import messages
-from rushmux.planner.membership_store import Row, Store
-from rushmux.planner.raft_storage import LogFile
+from rushmux.planner.membership_store import MemberRow, MembershipStore
+from rushmux.planner.raft_storage import RaftStorage
 from rushmux.settings import deployment
 from rushmux.standins import fault_injection, script
 from rushmux.standins.store import Store as NodeStore
@@ -64,10 +64,10 @@
 
 
 def test_the_planners_log_holds_its_vote_and_entries(stored):
-    log = LogFile(stored("planner.log"), lambda: "other")
-    assert (log.life, log.kept.term, log.kept.voted_for) == ("77aa", 3, "b/1")
-    assert log.kept.snapshot == raft.Snapshot(0, 0, ("a/77aa", "b/1"), b"")
-    assert log.kept.entries == (
+    log = RaftStorage(stored("planner.log"), lambda: "other")
+    assert (log.incarnation, log.persistent.term, log.persistent.voted_for) == ("77aa", 3, "b/1")
+    assert log.persistent.snapshot == raft.Snapshot(0, 0, ("a/77aa", "b/1"), b"")
+    assert log.persistent.entries == (
         raft.Entry(2, raft.EntryKind.NOOP, b""),
         order(UNDRAIN),
         raft.Entry(3, raft.EntryKind.CONFIGURATION, ("a/77aa",)),
@@ -76,14 +76,14 @@
 
 
 def test_a_torn_planners_log_loses_its_last_record_only(stored):
-    log = LogFile(stored("planner-torn.log"), lambda: "other")
-    assert log.kept.entries == (raft.Entry(2, raft.EntryKind.NOOP, b""), order(UNDRAIN))
+    log = RaftStorage(stored("planner-torn.log"), lambda: "other")
+    assert log.persistent.entries == (raft.Entry(2, raft.EntryKind.NOOP, b""), order(UNDRAIN))
     log.release()
 
 
 def test_the_planners_log_is_written_as_before(tmp_path):
-    log = LogFile(tmp_path / "planner.log", lambda: "77aa")
-    log.begin(raft.bootstrap(["a/77aa", "b/1"]))
+    log = RaftStorage(tmp_path / "planner.log", lambda: "77aa")
+    log.create(raft.bootstrap(["a/77aa", "b/1"]))
     first, second = (
         raft.Entry(2, raft.EntryKind.NOOP, b""),
         raft.Entry(2, raft.EntryKind.COMMAND, DRAIN.encode()),
@@ -96,11 +96,11 @@
 
 
 def test_a_planners_log_with_a_snapshot_holds_the_policy_and_the_clients_answers(stored):
-    log = LogFile(stored("planner-snapshot.log"), lambda: "other")
-    snapshot = log.kept.snapshot
+    log = RaftStorage(stored("planner-snapshot.log"), lambda: "other")
+    snapshot = log.persistent.snapshot
     assert (snapshot.index, snapshot.term, snapshot.members) == (2, 4, ("a/77bb", "b/1", "c/1"))
-    assert (log.kept.term, log.kept.voted_for) == (5, "c/1")
-    assert log.kept.entries == (
+    assert (log.persistent.term, log.persistent.voted_for) == (5, "c/1")
+    assert log.persistent.entries == (
         raft.Entry(5, raft.EntryKind.COMMAND, b'{"kind":"back","number":2,"members":["edge1"]}'),
     )
     state = json.loads(zlib.decompress(base64.b64decode(snapshot.state)))
@@ -130,11 +130,11 @@
 
 
 def test_the_membership_store_holds_its_rows_and_version(stored):
-    store = Store(stored("planner.db"))
-    rows, damaged = store.rows()
+    store = MembershipStore(stored("planner.db"))
+    rows, damaged = store.load()
     assert not damaged and store.version == 17 and store.term == 2
     edge, node = rows
-    assert edge == Row("edge0", "edge", "e1", True, b"") and (node.name, node.kind, node.start) == (
+    assert edge == MemberRow("edge0", "edge", "e1", True, b"") and (node.name, node.kind, node.start) == (
         "node0",
         "node",
         "s1",
