--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -19,7 +19,7 @@
 import numpy
 from scipy import stats
 
-from rushmux.edge.node_connections import Address, Links
+from rushmux.edge.node_connections import Address, NodeConnections
 from rushmux.lab.scheduler_simulation import WAY
 from rushmux.lab.timer_loop import HeapClock
 from rushmux.log import to_list
@@ -98,17 +98,17 @@
     try:
         port = json.loads(await asyncio.wait_for(node.stdout.readline(), 30))["port"]
         loop, times = asyncio.get_running_loop(), [None] * len(operations)
-        links = Links(
+        connections = NodeConnections(
             messages.Hello(version=VERSION, peer="edge0", start="1"),
-            2.0,
-            2,
-            random.Random(seed),
-            to_list([], "error"),
+            connect_timeout=2.0,
+            connections_per_node=2,
+            rng=random.Random(seed),
+            log=to_list([], "error"),
         )
-        links.listed("n0", Address("127.0.0.1", port))
+        connections.set_address("n0", Address("127.0.0.1", port))
         data = b"x" * BYTES
         first = loop.create_future()
-        links.send("n0", execute(0, 1.0, "", data), lambda result, _: first.set_result(result))
+        connections.send("n0", execute(0, 1.0, "", data), lambda result, _: first.set_result(result))
         assert await first == AttemptResult.SUCCEEDED
         begun = loop.time()
 
@@ -120,13 +120,13 @@
             due = begun + at
             if due > loop.time():
                 await asyncio.sleep(due - loop.time())
-            links.send(
+            connections.send(
                 "n0",
                 execute(number + 1, units, "" if writes else key, data if writes else None),
                 lambda result, outcome, number=number, due=due: came(number, due, result, outcome),
             )
         await asyncio.sleep(3.0)
-        await links.close()
+        await connections.close()
         return times
     finally:
         node.stdin.close()
--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -15,7 +15,7 @@
 from collections import Counter
 from pathlib import Path
 
-from rushmux.edge.driver import Shed, Terminated
+from rushmux.edge.errors import OperationFailedError, OperationShedError
 from rushmux.edge.operation_runner import Errand
 from rushmux.settings import deployment as deployments
 from rushmux.standins import fleet as fleets
@@ -56,9 +56,9 @@
             await Errand(edge.program.driver, folder, "-", begun + hard_stop).store(b"x" * SIZE)
             times.append(fleet.loop.time() - begun)
             ends["stored"] += 1
-        except (Shed, Terminated) as fault:
+        except (OperationShedError, OperationFailedError) as fault:
             times.append(hard_stop)
-            ends[type(fault).__name__.lower()] += 1
+            ends["shed" if isinstance(fault, OperationShedError) else "terminated"] += 1
 
     async def story(fleet):
         chance, names = random.Random(seed), list(stated.folders)
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from rushmux import log
-from rushmux.edge.node_connections import Lists
+from rushmux.edge.planner_client import PlannerClient
 from rushmux.fleet.membership import REPORT
 from rushmux.nodewire import VERSION, frame, messages
 from rushmux.planner import admin_server
@@ -70,7 +70,7 @@
             hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
             tasks.append(
                 loop.create_task(
-                    Lists(
+                    PlannerClient(
                         ("127.0.0.1", port),
                         hello,
                         random.Random(f"{seed}/{number}"),
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -17,7 +17,7 @@
 from collections import Counter
 from pathlib import Path
 
-from rushmux.edge.driver import Shed, Terminated
+from rushmux.edge.errors import OperationFailedError, OperationShedError
 from rushmux.edge.operation_runner import Errand
 from rushmux.settings import deployment as deployments
 from rushmux.standins import fleet as fleets
@@ -53,7 +53,7 @@
         try:
             await Errand(edge.program.driver, folder, "-", begun + 3.0).store(b"x" * SIZE)
             ends["in time" if made.loop.time() - begun <= quoted else "late"] += 1
-        except (Shed, Terminated):
+        except (OperationShedError, OperationFailedError):
             ends["not stored"] += 1
 
     async def story(made):
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -9,9 +9,15 @@
 
 from rushmux.buffer import journal
 from rushmux.buffer.flush_policy import REFUSE, TAKE, Batch, Buffer, Caps, File
-from rushmux.edge.directories import Refused, contended
+from rushmux.edge.directories import contended
+from rushmux.edge.errors import (
+    ObjectMissingError,
+    OperationFailedError,
+    OperationShedError,
+    RequestRejectedError,
+)
 from rushmux.edge.openfile import as_one
-from rushmux.edge.operation_runner import CONFLICTS, Errand, Lost, Shed, Terminated, together
+from rushmux.edge.operation_runner import CONFLICTS, Errand, together
 from rushmux.files import layout
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
@@ -74,7 +80,7 @@
                 async with asyncio.timeout_at(errand.until - MARGIN):
                     await self.room.wait()
             except TimeoutError:
-                raise Shed() from None
+                raise OperationShedError from None
         known = self.known.get(file)
         if known is None or known[0] < opened.version:
             self.known[file] = (
@@ -117,8 +123,8 @@
             self.known.pop(file, None)
 
     async def flush(self, file: File, errand: Errand):
-        """Until all that is held of the file is readable through any edge; Refused with what went wrong
-        before, told once.
+        """Until all that is held of the file is readable through any edge; RequestRejectedError with what went
+        wrong before, told once.
         """
         if file.dirty:
             number = self.buffer.want(file)
@@ -128,7 +134,7 @@
     def tell(self, file):
         error = self.buffer.take_error(file)
         if error is not None:
-            raise Refused(sftp.FAILURE, f"written before and lost: {error}")
+            raise RequestRejectedError(sftp.FAILURE, f"written before and lost: {error}")
 
     def mark(self, folder: str) -> int:
         """Sets a barrier: what comes later goes after what came before.  Its number."""
@@ -148,7 +154,7 @@
         """Waits until `there()` holds, which each batch that ends may bring about."""
         if not self.buffer.can_make_it(errand.until - self.loop.time()):
             self.changed.set()
-            raise Terminated()  # it goes on all the same, but nobody can be told in time
+            raise OperationFailedError  # it goes on all the same, but nobody can be told in time
         self.changed.set()
         while not there():
             await self.until_changed()
@@ -185,8 +191,10 @@
                 self.log.error("buffer.overtaken", files=[file.number for file in overtaken])
             self.done(batch)
         except Exception as fault:  # pylint: disable=broad-except
-            known = isinstance(fault, (Shed, Terminated, Refused, Lost))
-            why = (str(fault) or type(fault).__name__) if known else why
+            known = isinstance(
+                fault, (OperationShedError, OperationFailedError, RequestRejectedError, ObjectMissingError)
+            )
+            why = fault.status_text if known else why
             if not known:
                 self.log.exception("buffer.fault", folder=batch.folder.name)
             before = {part.file: part.file.error for part in batch.parts}
@@ -303,10 +311,10 @@
                 files = await self.looked(errand, batch, extents, gone, overtaken)
             if not files:
                 return gone, overtaken
-            stamp = self.driver.unique()
+            stamp = self.driver.unique_name()
             try:
                 laid_out = await self.laid_out(errand, files, extents)
-            except Lost:  # replaced under our hands: a fresh look knows by what
+            except ObjectMissingError:  # replaced under our hands: a fresh look knows by what
                 continue
             checks, puts, dropped, after = [], [], [], {}
             for held, (version, file, blocks) in files.items():
@@ -553,7 +561,7 @@
                 async with asyncio.timeout_at(until):
                     await self.until_changed()
             except TimeoutError:
-                raise Shed() from None
+                raise OperationShedError from None
 
     async def until_changed(self):
         future = self.loop.create_future()
--- a/rushmux/edge/directories.py
+++ b/rushmux/edge/directories.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from rushmux.edge.errors import RequestRejectedError
 from rushmux.edge.operation_runner import CONFLICTS, Errand
 from rushmux.files import layout
 from rushmux.files.layout import ROOT, File
@@ -16,14 +17,6 @@
 MODE = 0o644  # of a file whose client states none
 
 
-class Refused(Exception):
-    """What a client asked cannot be done; `code` is the SFTP status."""
-
-    def __init__(self, code, text):
-        super().__init__(text)
-        self.code = code
-
-
 class Found(NamedTuple):
     """What a name means: its rows and their versions (0: no row)."""
 
@@ -44,11 +37,11 @@
 
 
 def no_such(names):
-    return Refused(sftp.NO_SUCH_FILE, "/".join(names) + ": no such file")
+    return RequestRejectedError(sftp.NO_SUCH_FILE, "/".join(names) + ": no such file")
 
 
 def contended(what):
-    return Refused(sftp.FAILURE, f"{what}: others change it at the same time; try again")
+    return RequestRejectedError(sftp.FAILURE, f"{what}: others change it at the same time; try again")
 
 
 def attributes(file: File) -> sftp.Attributes:
@@ -71,7 +64,7 @@
         self.files, self.unique, self.wall, self.drop = files, unique, wall, drop
 
     async def find(self, errand: Errand, names) -> Found:
-        """What the names mean; Refused where a directory on the way is missing or is a file."""
+        """What the names mean; RequestRejectedError where a directory on the way is missing or is a file."""
         if not names:
             return Found("", "", ROOT, File("d", 0o755))
         rows = (await errand.look("/".join(names), path=names)).rows
@@ -89,7 +82,9 @@
             if last:
                 return Found(parent, name, number, file, entry.version, row.version, tuple(chain))
             if file.kind != "d":
-                raise Refused(sftp.NO_SUCH_FILE, "/".join(names[: depth + 1]) + " is no directory")
+                raise RequestRejectedError(
+                    sftp.NO_SUCH_FILE, "/".join(names[: depth + 1]) + " is no directory"
+                )
             parent = number
             chain.append((entry.key, entry.version))
         raise AssertionError("unreachable: the loop returns at the last name")
@@ -117,9 +112,9 @@
                 if made:
                     return made
             elif flags & sftp.CREATE and flags & sftp.EXCLUSIVE:
-                raise Refused(sftp.FAILURE, "/".join(names) + " exists")
+                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " exists")
             elif found.is_directory:
-                raise Refused(sftp.FAILURE, "/".join(names) + " is a directory")
+                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " is a directory")
             elif flags & sftp.TRUNCATE and found.file.size:
                 emptied = await self.empty(errand, found)
                 if emptied:
@@ -166,7 +161,7 @@
             await errand.apart(attempt)
             found = await self.find(errand, names)
             if found.file is not None:
-                raise Refused(sftp.FAILURE, "/".join(names) + " exists")
+                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " exists")
             if await self.add(errand, found, self.new("d", 0o755 if asked.mode is None else asked.mode)):
                 return
         raise contended("/".join(names))
@@ -178,13 +173,13 @@
             found = await self.existing(errand, names)
             if found.is_directory != directory:
                 kind = "is a directory" if found.is_directory else "is no directory"
-                raise Refused(sftp.FAILURE, "/".join(names) + " " + kind)
+                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " " + kind)
             entry, row = layout.entry_key(found.parent, found.name), layout.file_key(found.number)
             checks = [{"key": entry, "version": found.entry_version}]
             if directory:
                 after, below = layout.entries_of(found.number)
                 if (await errand.look(found.number, after=after, below=below, most=1)).rows:
-                    raise Refused(sftp.FAILURE, "/".join(names) + " is not empty")
+                    raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " is not empty")
                 checks.append({"key": after, "empty_below": below})
                 puts = []
             else:
@@ -204,7 +199,7 @@
             if found.number == other.number:
                 return
             if found.is_directory and target[: len(names)] == names:
-                raise Refused(sftp.FAILURE, "a directory cannot go below itself")
+                raise RequestRejectedError(sftp.FAILURE, "a directory cannot go below itself")
             entry = layout.entry_key(found.parent, found.name)
             goal = layout.entry_key(other.parent, other.name)
             # The way to the new place must not change meanwhile, or a directory could end below itself.
@@ -218,9 +213,11 @@
             puts, drops = [(goal, layout.pack_entry(found.number, found.file.kind))], [entry]
             if other.file is not None:
                 if not replace:
-                    raise Refused(sftp.FAILURE, "/".join(target) + " exists")
+                    raise RequestRejectedError(sftp.FAILURE, "/".join(target) + " exists")
                 if other.is_directory != found.is_directory:
-                    raise Refused(sftp.FAILURE, "a directory and a file do not replace each other")
+                    raise RequestRejectedError(
+                        sftp.FAILURE, "a directory and a file do not replace each other"
+                    )
                 drops.append(layout.file_key(other.number))
                 if other.is_directory:
                     after, below = layout.entries_of(other.number)
@@ -240,13 +237,13 @@
             await errand.apart(attempt)
             rows = (await errand.look(number, keys=[key])).rows
             if not rows:
-                raise Refused(sftp.NO_SUCH_FILE, "the file was removed")
+                raise RequestRejectedError(sftp.NO_SUCH_FILE, "the file was removed")
             file, version = layout.unpack_file(rows[0].value), rows[0].version
             if asked.size is not None and asked.size != file.size:
                 if file.kind == "d":
-                    raise Refused(sftp.FAILURE, "a directory has no size")
+                    raise RequestRejectedError(sftp.FAILURE, "a directory has no size")
                 if asked.size > layout.most_bytes(file.block):
-                    raise Refused(
+                    raise RequestRejectedError(
                         sftp.FAILURE, f"a size of {asked.size} is over {layout.most_bytes(file.block)}"
                     )
                 done = await self.resize(errand, number, file, version, asked.size)
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -4,9 +4,10 @@
 import random
 
 from rushmux.edge.directories import Tree
-from rushmux.edge.driver import Driver
+from rushmux.edge.driver import EdgeDriver, EdgeIdentity
 from rushmux.edge.garbage_collector import Cleaner
-from rushmux.edge.node_connections import Address, Links, Lists
+from rushmux.edge.node_connections import Address, NodeConnections
+from rushmux.edge.planner_client import PlannerClient
 from rushmux.edge.policy_client import Going, begun
 from rushmux.edge.quota_client import Asking
 from rushmux.edge.session import Session
@@ -61,21 +62,26 @@
         if self.kept is not None:
             self.deployment, held = begun(self.own, self.kept, self.log)
         hello = messages.Hello(version=VERSION, peer=self.name, start=self.start)
-        self.links = Links(hello, self.deployment.dial, self.deployment.links, self.chance, self.log)
-        self.driver = Driver(
-            self.name,
-            self.start,
+        self.connections = NodeConnections(
+            hello,
+            connect_timeout=self.deployment.dial,
+            connections_per_node=self.deployment.links,
+            rng=self.chance,
+            log=self.log,
+        )
+        self.driver = EdgeDriver(
+            EdgeIdentity(self.name, self.start),
             self.deployment,
-            self.links,
-            self.seed,
+            self.connections,
             self.log,
-            self.chance,
-            self.decisions,
+            seed=self.seed,
+            rng=self.chance,
+            scheduler_type=self.decisions,
         )
         self.cleaner = Cleaner(self.driver, self.log)
         self.tree = Tree(
             self.deployment.files,
-            self.driver.unique,
+            self.driver.unique_name,
             lambda: int(self.epoch + loop.time()),
             self.cleaner.note,
         )
@@ -83,8 +89,8 @@
             self.buffer = self.buffered(self.driver, self.tree, self.log)
         known = self.last.load() if self.last is not None else None
         if known is not None:
-            self.driver.told(known)
-        lists = self.lists = Lists(self.lists_at, hello, self.chance, self.log, self.told)
+            self.driver.endpoint_table.on_listing(known)
+        lists = self.lists = PlannerClient(self.lists_at, hello, self.chance, self.log, self.told)
         if self.deployment.shares:
             self.asking = Asking(self.driver, lists, self.log)
         self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
@@ -101,7 +107,7 @@
         return port
 
     def told(self, listing):
-        if not self.driver.told(listing):
+        if not self.driver.endpoint_table.on_listing(listing):
             return
         if self.last is not None:
             self.last.told(listing)
@@ -131,7 +137,7 @@
     def take_over(self, found: Deployment):
         """Goes by another deployment's routes; what was taken before keeps its own."""
         self.deployment = found
-        self.driver.routed(found)
+        self.driver.update_route_policies(found)
 
     async def accept(self, reader, writer):
         if self.closing or len(self.sessions) >= self.deployment.sessions.most:
@@ -161,5 +167,5 @@
         for task in ending:
             task.cancel()
         await asyncio.gather(*ending, return_exceptions=True)
-        await self.links.close()
+        await self.connections.close()
         self.log.info("edge.ended")
--- /dev/null
+++ b/rushmux/edge/endpoint_table.py
@@ -0,0 +1,120 @@
+"""The storage nodes as this edge knows them: from the endpoint list, and from nodes' own welcomes."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+from rushmux.edge.node_connections import Address, NodeConnections
+from rushmux.nodewire import messages
+from rushmux.scheduling.interface import Endpoint, EndpointState, Ticks, UpdateKind
+
+if TYPE_CHECKING:
+    from rushmux.edge.driver import EdgeDriver
+
+MAX_ENDPOINTS = 10_000  # nodes in a listing: beyond any fleet this is for
+MAX_STARTS = 4  # starts remembered of a node, against late messages about an older one
+CONDITIONS = frozenset(EndpointState)
+
+
+class DiskSpace(NamedTuple):
+    """Bytes of a node's disk."""
+
+    total: int
+    free: int
+
+
+class EndpointTable:
+    """Takes in listings and welcomes, and tells the scheduler and the connections what changed."""
+
+    def __init__(self, driver: "EdgeDriver", connections: NodeConnections, log):
+        self.driver, self.connections, self.log = driver, connections, log
+        self.cell_count = 0
+        self.cell_of_node: dict[str, int] = {}
+        self.disk_space: dict[str, DiskSpace] = {}
+        self.endpoints: dict[str, Endpoint] = {}  # as the scheduler was last told of them
+        self.start_times: dict[str, dict[str, Ticks]] = {}  # node -> its starts, oldest first
+        connections.on_welcome = self.on_welcome
+
+    def on_listing(self, listing: messages.Listing) -> bool:
+        """Takes in a listing; an implausible one is logged and ignored, and False is returned."""
+        ready = sum(entry.condition == EndpointState.READY for entry in listing.entries)
+        if not self._is_plausible(listing, ready):
+            self.log.warning(
+                "endpoints.rejected", entries=len(listing.entries), cells=listing.cells, ready=ready
+            )
+            return False
+        now = self.driver.now()
+        endpoints = [
+            self._update(entry, now) for entry in listing.entries if self._is_valid(entry, listing.cells)
+        ]
+        if listing.whole:
+            self._remove_all_but({endpoint.node for endpoint in endpoints})
+        self.cell_count = listing.cells
+        self.log.info(
+            "endpoints.updated",
+            version=listing.version,
+            snapshot=listing.whole,
+            nodes=[[endpoint.node, endpoint.state] for endpoint in endpoints],
+        )
+        kind = UpdateKind.SNAPSHOT if listing.whole else UpdateKind.DELTA
+        self.driver.update_endpoints(kind, endpoints)
+        return True
+
+    def _is_plausible(self, listing: messages.Listing, ready: int) -> bool:
+        if len(listing.entries) > MAX_ENDPOINTS or not 0 < listing.cells <= MAX_ENDPOINTS:
+            return False
+        # A source that has just begun, or went wrong, may know no node.  A snapshot with none that is ready
+        # is not believed while some are; that each of them is gone comes one by one.
+        ready_before = sum(endpoint.state is EndpointState.READY for endpoint in self.endpoints.values())
+        return bool(ready) or not (listing.whole and ready_before)
+
+    def _is_valid(self, entry: messages.Entry, cell_count: int) -> bool:
+        if entry.cell < cell_count and entry.condition in CONDITIONS:
+            return True
+        self.log.warning(
+            "endpoints.entry_rejected", node=entry.node, cell=entry.cell, condition=entry.condition
+        )
+        return False
+
+    def _update(self, entry: messages.Entry, now: Ticks) -> Endpoint:
+        state = EndpointState(entry.condition)
+        removed = state is EndpointState.REMOVED
+        online_since = self._online_since(entry.node, entry.start, entry.age, now)
+        self.connections.set_address(entry.node, None if removed else Address(entry.host, entry.port))
+        self.cell_of_node[entry.node] = entry.cell
+        self.disk_space[entry.node] = DiskSpace(0, 0) if removed else DiskSpace(entry.total, entry.free)
+        endpoint = Endpoint(entry.node, entry.cell, entry.zone, state, online_since)
+        self.endpoints[entry.node] = endpoint
+        return endpoint
+
+    def _remove_all_but(self, listed: Iterable[str]) -> None:
+        for node in [node for node in self.connections.by_node if node not in listed]:
+            self.connections.set_address(node, None)
+            self.disk_space.pop(node, None)
+
+    def _online_since(self, node: str, start: str, age: Ticks, now: Ticks) -> Ticks:
+        # When a node started, on this clock, noted once; 0: long ago.  A later start is believed from whoever
+        # tells of it first, and an older one no more.
+        starts = self.start_times.setdefault(node, {})
+        if start not in starts:
+            warm = age >= self.driver.deployment.settings.warm_up_time
+            since = 0 if warm else max(1, now - age)
+            if not starts or since > max(starts.values()):
+                starts[start] = since
+            while len(starts) > MAX_STARTS:
+                del starts[next(iter(starts))]
+        return max(starts.values())
+
+    def on_welcome(self, node: str, start: str, age: Ticks) -> None:
+        """A node told its start and its age as a connection opened.
+
+        A node that restarted is cold, and the endpoint list will say so only seconds later.
+        """
+        endpoint = self.endpoints.get(node)
+        if endpoint is None:
+            return
+        online_since = self._online_since(node, start, age, self.driver.now())
+        if online_since != endpoint.online_since:
+            endpoint = endpoint._replace(online_since=online_since)
+            self.endpoints[node] = endpoint
+            self.log.info("node.restarted", node=node, start=start)
+            self.driver.update_endpoints(UpdateKind.DELTA, [endpoint])
--- /dev/null
+++ b/rushmux/edge/errors.py
@@ -0,0 +1,80 @@
+"""Errors of the edge; all derive from `EdgeError`."""
+
+
+class EdgeError(Exception):
+    """Base of all errors that this package raises."""
+
+    @property
+    def status_text(self) -> str:
+        """What a client's status message quotes of the error."""
+        return str(self)
+
+
+class OperationShedError(EdgeError):
+    """The operation was not done and may be retried.
+
+    Attributes:
+        retry_after: Seconds to wait before a retry; 0: no advice.
+    """
+
+    def __init__(self, retry_after: float = 0.0):
+        super().__init__("the operation was shed: it was not done and may be retried")
+        self.retry_after = retry_after
+
+    @property
+    def status_text(self) -> str:
+        """The word that clients were always sent for it."""
+        return "shed"
+
+
+class OperationFailedError(EdgeError):
+    """The operation was given up; it may have been done."""
+
+    def __init__(self):
+        super().__init__("the operation failed: it may have been done")
+
+    @property
+    def status_text(self) -> str:
+        """The word that clients were always sent for it."""
+        return "Terminated"
+
+
+class RequestRejectedError(EdgeError):
+    """What a client asked for cannot be done; the text says why.
+
+    Attributes:
+        status_code: The SFTP status to answer with, as `sftp.packets` names them.
+    """
+
+    def __init__(self, status_code: int, reason: str):
+        super().__init__(reason)
+        self.status_code = status_code
+
+
+class ObjectMissingError(EdgeError):
+    """An object that a name points at is not on its node.
+
+    Attributes:
+        object_name: The object.
+    """
+
+    def __init__(self, object_name: str):
+        super().__init__(f"object {object_name} is not on its node")
+        self.object_name = object_name
+
+    @property
+    def status_text(self) -> str:
+        """The object's name."""
+        return self.object_name
+
+
+class ObjectCorruptedError(EdgeError):
+    """An object's bytes came back other than they were written.
+
+    Attributes:
+        object_name: The object.
+    """
+
+    def __init__(self, object_name: str):
+        super().__init__(f"object {object_name} came back damaged")
+        self.object_name = object_name
--- a/rushmux/edge/garbage_collector.py
+++ b/rushmux/edge/garbage_collector.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from rushmux.edge.driver import Shed, Terminated
+from rushmux.edge.errors import OperationFailedError, OperationShedError
 from rushmux.edge.operation_runner import Errand
 from rushmux.files import layout
 
@@ -26,7 +26,7 @@
         self.driver, self.log = driver, log
         self.folders, self.seen, self.changed = {}, {}, asyncio.Event()
         self.left, self.left_over = {}, 0  # folder -> (cell, object) of copies that no name points at
-        driver.left_over = self.leave
+        driver.on_orphaned_object = self.leave
 
     def leave(self, folder: str, cell: int, name: str):
         """A write went to this cell too and another copy is the one that counts."""
@@ -55,7 +55,7 @@
             for folder in folders:
                 try:
                     await self.clean(folder)
-                except (Shed, Terminated):
+                except (OperationShedError, OperationFailedError):
                     again.append(folder)
                 except Exception:  # pylint: disable=broad-except
                     self.log.exception("cleaner.fault", folder=folder)
--- a/rushmux/edge/node_connections.py
+++ b/rushmux/edge/node_connections.py
@@ -1,23 +1,23 @@
-"""Connections of an edge to storage nodes: few, shared by all operations, re-opened with back-off.
+"""Connections of an edge to storage nodes: few, shared by all operations, re-opened with backoff.
 
-`Links.send` puts one execution on the way and later calls back once with how it came back, in
-the settings of `rushmux.interface`; never from within `send` itself.
+`NodeConnections.send` sends one attempt and later calls back once with its result
+(`scheduling.interface.AttemptResult`), never from within `send` itself.
 """
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from rushmux.edge.write_coalescing import Outgoing
+from rushmux.edge.write_coalescing import CoalescingWriter
 from rushmux.nodewire import Frames, WireFault, frame, messages
 from rushmux.scheduling.interface import AttemptResult
 
-BACK_OFF = 0.05  # seconds after a first failed dial: a process restarts in some of these
-MOST_BACK_OFF = 2.0  # seconds: a node that returns is found again within this
-MOST_WAITING = 64  # executions that wait for one dial: six gateways' worth of the bound of ten
-MOST_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
-LIST_DIAL = 2.0  # seconds for a dial to the source of the list
-READ = 1 << 18  # bytes asked of the socket at once
+INITIAL_BACKOFF = 0.05  # seconds after a first failed connect: a process restarts in some of these
+MAX_BACKOFF = 2.0  # seconds: a node that returns is found again within this
+MAX_UNSENT = 64  # attempts that wait for one connect: six gateways' worth of the bound of ten
+MAX_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
+READ_SIZE = 1 << 18  # bytes asked of the socket at once
 NEVER = float("inf")  # the loop's time that never comes
 RESULTS = {
     messages.DONE: AttemptResult.SUCCEEDED,
@@ -27,6 +27,9 @@
     messages.BUSY: AttemptResult.REJECTED,
 }
 
+OutcomeCallback = Callable[[AttemptResult, messages.Outcome | None], None]
+LoadCallback = Callable[[AttemptResult, messages.Load | None], None]
+
 
 class Address(NamedTuple):
     """Where a node listens."""
@@ -35,244 +38,267 @@
     port: int
 
 
-class Link:
-    """One connection to a node, opened when something is to be sent."""
+class UnsentAttempt(NamedTuple):
+    """An attempt that waits for a connection, and the loop's time before which it must be sent."""
+
+    execute: messages.Execute
+    latest_start: float
+
+
+class Stream(NamedTuple):
+    """A connection's two ends, and the frames that were read in part."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    frames: Frames
+
+
+def next_backoff(failures: int, rng: random.Random) -> float:
+    """Seconds to wait after a number of failures in a row: doubled with each, half of it drawn."""
+    return min(MAX_BACKOFF, INITIAL_BACKOFF * 2**failures) * (0.5 + rng.random() / 2)
+
 
-    def __init__(self, links, node, address):
-        self.links, self.node, self.address = links, node, address
-        self.writer, self.task = None, None
-        self.waiting = {}  # corr -> execution that waits for the dial, and before when it may begin
-        self.out = {}  # corr -> what to call when it comes back
-        self.probes = {}  # corr -> what to call when the node told its load
-        self.failures, self.not_before = 0, 0.0
+class NodeConnection:
+    """One connection to a node, opened when something is to be sent."""
 
-    def send(self, execute, done, latest):
+    def __init__(self, connections: "NodeConnections", node: str, address: Address):
+        self.connections, self.node, self.address = connections, node, address
+        self.stream: Stream | None = None
+        self.writer: CoalescingWriter | None = None  # None: not welcomed yet
+        self.task: asyncio.Task | None = None
+        # Each by correlation id.
+        self.unsent: dict[int, UnsentAttempt] = {}
+        self.pending: dict[int, OutcomeCallback] = {}  # those unsent among them
+        self.pending_load_reports: dict[int, LoadCallback] = {}
+        self.failures, self.retry_at = 0, 0.0
+
+    def send(self, execute: messages.Execute, on_result: OutcomeCallback, latest_start: float) -> int:
+        """Sends an attempt, or has it wait for the connection; its correlation id."""
         loop = asyncio.get_running_loop()
-        corr = execute.corr = self.links.number()
+        correlation_id = execute.corr = self.connections.next_correlation_id()
         if self.writer is not None:
-            if self.writer.held() > MOST_BUFFERED:
-                loop.call_soon(done, AttemptResult.REJECTED, None)
+            if self.writer.buffered_bytes() > MAX_BUFFERED:
+                loop.call_soon(on_result, AttemptResult.REJECTED, None)
             else:
-                self.out[corr] = done
+                self.pending[correlation_id] = on_result
                 self.writer.write(frame(messages.Message(execute=execute)))
-        elif len(self.waiting) >= MOST_WAITING:
-            loop.call_soon(done, AttemptResult.REJECTED, None)
-        elif self.task is None and loop.time() < self.not_before:
-            loop.call_soon(done, AttemptResult.CONNECT_FAILED, None)
+        elif len(self.unsent) >= MAX_UNSENT:
+            loop.call_soon(on_result, AttemptResult.REJECTED, None)
+        elif self.task is None and loop.time() < self.retry_at:
+            loop.call_soon(on_result, AttemptResult.CONNECT_FAILED, None)
         else:
-            self.waiting[corr], self.out[corr] = (execute, latest), done
+            self.unsent[correlation_id] = UnsentAttempt(execute, latest_start)
+            self.pending[correlation_id] = on_result
             if self.task is None:
-                self.task = loop.create_task(self.live())
-        return corr
-
-    def cancel(self, corr):
-        """Forgets an execution and tells the node; one that was not sent yet never is."""
-        if corr in self.out and corr not in self.waiting and self.writer is not None:
-            self.writer.write(frame(messages.Message(withdraw=messages.Withdraw(corr=corr))))
-        self.drop(corr)
-
-    def drop(self, corr):
-        """Forgets an execution or a probe that nobody waits for; one that was not sent yet never is."""
-        for kept in (self.waiting, self.out, self.probes):
-            kept.pop(corr, None)
-
-    def probe(self, done):
-        """Asks the node for its load over a connection that stands; None: there is none."""
-        if self.writer is None or self.writer.held() > MOST_BUFFERED:
+                self.task = loop.create_task(self._run())
+        return correlation_id
+
+    def cancel(self, correlation_id: int) -> None:
+        """Forgets an attempt and notifies the node; one that was not sent yet never is."""
+        sent = correlation_id in self.pending and correlation_id not in self.unsent
+        if sent and self.writer is not None:
+            withdraw = messages.Withdraw(corr=correlation_id)
+            self.writer.write(frame(messages.Message(withdraw=withdraw)))
+        self.drop(correlation_id)
+
+    def drop(self, correlation_id: int) -> None:
+        """Forgets an attempt or a load report that nobody waits for; one not sent yet never is."""
+        for requests in (self.unsent, self.pending, self.pending_load_reports):
+            requests.pop(correlation_id, None)
+
+    def request_load_report(self, on_report: LoadCallback) -> int | None:
+        """Asks the node for its load over a connection that is open; None: it is not."""
+        if self.writer is None or self.writer.buffered_bytes() > MAX_BUFFERED:
             return None
-        corr = self.links.number()
-        self.probes[corr] = done
-        self.writer.write(frame(messages.Message(probe=messages.Probe(corr=corr))))
-        return corr
-
-    async def live(self):
-        """Dials, sends what waits, and reads answers until the connection ends."""
-        loop, writer, why = asyncio.get_running_loop(), None, "closed by the node"
-        try:
-            async with asyncio.timeout(self.links.dial):
-                reader, writer = await asyncio.open_connection(*self.address)
-                writer.write(frame(messages.Message(hello=self.links.hello)))
-                frames, early = Frames(), []
-                while not early:
-                    data = await reader.read(READ)
-                    if not data:
-                        raise WireFault("closed before a welcome")
-                    early = frames.feed(data)
-            # Danger: another process has the address now, or an older one of this node.
-            if early[0].WhichOneof("body") != "welcome" or early[0].welcome.peer != self.node:
-                other = early[0].welcome.peer or "something"
-                raise WireFault(f"{other} answers at the address of {self.node}")
-            self.links.met(self.node, early[0].welcome.start, early[0].welcome.age)
-            self.writer, self.failures = Outgoing(writer), 0
-            self.begin(loop.time())
-            self.came(early[1:])
-            while data := await reader.read(READ):
-                self.came(frames.feed(data))
-        except (OSError, TimeoutError, WireFault) as fault:
-            why = str(fault) or type(fault).__name__
-        finally:
-            result = AttemptResult.CONNECTION_LOST if self.writer else AttemptResult.CONNECT_FAILED
-            if not self.writer:
-                self.failures += 1
-                pause = min(MOST_BACK_OFF, BACK_OFF * 2 ** (self.failures - 1))
-                self.not_before = loop.time() + pause * (0.5 + self.links.chance.random() / 2)
-            if writer:
-                writer.close()
-            out, self.out, self.waiting, self.writer, self.task = self.out, {}, {}, None, None
-            probes, self.probes = self.probes, {}
-            self.links.log.info("link.ended", node=self.node, why=why, lost=len(out), result=result)
-            for done in [*out.values(), *probes.values()]:
-                done(result, None)
-
-    def begin(self, now):
-        """Sends what waited.  Danger: what may not begin any more would be sent past its window."""
-        waiting, self.waiting = self.waiting, {}
-        for corr, (execute, latest) in waiting.items():
-            if now < latest:
-                self.writer.write(frame(messages.Message(execute=execute)))
-            else:
-                self.out.pop(corr)(AttemptResult.CONNECT_FAILED, None)
-
-    def came(self, found):
-        for message in found:
-            if message.WhichOneof("body") == "load":
-                done = self.probes.pop(message.load.corr, None)
-                if done is not None:
-                    done(AttemptResult.SUCCEEDED, message.load)
-                continue
-            if message.WhichOneof("body") != "outcome":
-                raise WireFault(f"{message.WhichOneof('body')} where an outcome belongs")
-            done = self.out.pop(message.outcome.corr, None)
-            if done is not None:  # else it was given up
-                done(RESULTS.get(message.outcome.code, AttemptResult.FAILED), message.outcome)
-
-    def close(self):
+        correlation_id = self.connections.next_correlation_id()
+        self.pending_load_reports[correlation_id] = on_report
+        self.writer.write(frame(messages.Message(probe=messages.Probe(corr=correlation_id))))
+        return correlation_id
+
+    def close(self) -> None:
+        """Closes the connection; what is pending comes back as lost."""
         if self.task is not None:
             self.task.cancel()
 
+    async def _run(self) -> None:
+        """Connects, sends what waits, and reads answers until the connection ends."""
+        loop, reason = asyncio.get_running_loop(), "closed by the node"
+        try:
+            async with asyncio.timeout(self.connections.connect_timeout):
+                received = await self._connect()
+            self._on_welcome(received[0])
+            self.writer, self.failures = CoalescingWriter(self.stream.writer), 0
+            self._send_unsent(loop.time())
+            self._on_messages(received[1:])
+            while data := await self.stream.reader.read(READ_SIZE):
+                self._on_messages(self.stream.frames.feed(data))
+        except (OSError, TimeoutError, WireFault) as error:
+            reason = str(error) or type(error).__name__
+        finally:
+            self._on_closed(reason, loop.time())
 
-class Sent(NamedTuple):
-    """An execution or a probe on its way: `begun` once it was written, `drop` forgets it, `cancel`
-    tells its node so.
-    """
+    async def _connect(self) -> list[messages.Message]:
+        """Opens the connection and says hello; the first messages of the node."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.stream = Stream(reader, writer, Frames())
+        writer.write(frame(messages.Message(hello=self.connections.hello)))
+        while True:
+            data = await reader.read(READ_SIZE)
+            if not data:
+                raise WireFault("closed before a welcome")
+            received = self.stream.frames.feed(data)
+            if received:
+                return received
+
+    def _on_welcome(self, message: messages.Message) -> None:
+        # Another process may have the address now, or an older one of this node.
+        if message.WhichOneof("body") != "welcome" or message.welcome.peer != self.node:
+            other = message.welcome.peer or "something"
+            raise WireFault(f"{other} answers at the address of {self.node}")
+        self.connections.on_welcome(self.node, message.welcome.start, message.welcome.age)
+
+    def _send_unsent(self, now: float) -> None:
+        unsent, self.unsent = self.unsent, {}
+        for correlation_id, attempt in unsent.items():
+            if now < attempt.latest_start:
+                self.writer.write(frame(messages.Message(execute=attempt.execute)))
+            else:  # sent now, it would run past its deduplication window
+                self.pending.pop(correlation_id)(AttemptResult.CONNECT_FAILED, None)
+
+    def _on_messages(self, received: Iterable[messages.Message]) -> None:
+        for message in received:
+            body = message.WhichOneof("body")
+            if body == "load":
+                on_report = self.pending_load_reports.pop(message.load.corr, None)
+                if on_report is not None:
+                    on_report(AttemptResult.SUCCEEDED, message.load)
+            elif body == "outcome":
+                self._on_outcome(message.outcome)
+            else:
+                raise WireFault(f"{body} where an outcome belongs")
+
+    def _on_outcome(self, outcome: messages.Outcome) -> None:
+        on_result = self.pending.pop(outcome.corr, None)
+        if on_result is not None:  # else it was given up
+            on_result(RESULTS.get(outcome.code, AttemptResult.FAILED), outcome)
 
-    link: Link
-    corr: int
+    def _on_closed(self, reason: str, now: float) -> None:
+        if self.writer is not None:
+            result = AttemptResult.CONNECTION_LOST
+        else:
+            result = AttemptResult.CONNECT_FAILED
+            self.retry_at = now + next_backoff(self.failures, self.connections.rng)
+            self.failures += 1
+        if self.stream is not None:
+            self.stream.writer.close()
+        pending, self.pending = self.pending, {}
+        load_reports, self.pending_load_reports = self.pending_load_reports, {}
+        self.unsent, self.stream, self.writer, self.task = {}, None, None, None
+        self.connections.log.info(
+            "node_connection.closed", node=self.node, reason=reason, lost=len(pending), result=result
+        )
+        for callback in [*pending.values(), *load_reports.values()]:
+            callback(result, None)
+
+
+class PendingRequest(NamedTuple):
+    """An attempt or a load report on its way (`scheduling.driver.AttemptHandle`)."""
+
+    connection: NodeConnection
+    correlation_id: int
 
     @property
     def begun(self) -> bool:
-        return self.corr not in self.link.waiting
+        """Whether it was written to its connection."""
+        return self.correlation_id not in self.connection.unsent
 
-    def drop(self):
-        self.link.drop(self.corr)
+    def drop(self) -> None:
+        """Nobody waits for it any more."""
+        self.connection.drop(self.correlation_id)
 
-    def cancel(self):
-        self.link.cancel(self.corr)
+    def cancel(self) -> None:
+        """It is called off, and its node is notified."""
+        self.connection.cancel(self.correlation_id)
 
 
-class Links:
-    """All connections of one edge.  `chance` draws the back-off; `log` takes events."""
+class NodeConnections:
+    """All connections of one edge to nodes.
 
-    def __init__(self, hello: messages.Hello, dial: float, per_node: int, chance, log):
-        self.hello, self.dial, self.per_node, self.chance, self.log = hello, dial, per_node, chance, log
-        self.nodes = {}  # node -> its links
-        self.met = lambda node, start, age: None  # hears of each greeting: the node's start and its age
-        self.count = 0
-
-    def number(self):
-        self.count += 1
-        return self.count
-
-    def listed(self, node: str, address: Address | None):
-        """Takes in where a node listens; None: it is gone, and its links close."""
-        links = self.nodes.get(node, ())
-        if address is None or any(link.address != address for link in links):
-            for link in self.nodes.pop(node, ()):
-                link.close()
-        if address is not None:
-            self.nodes.setdefault(node, [Link(self, node, address) for _ in range(self.per_node)])
+    Attributes:
+        by_node: The connections to each node of a known address.
+        on_welcome: Called with the node, its start and its age in ticks as each connection opens.
+    """
 
-    def send(self, node: str, execute: messages.Execute, done: Callable, latest=NEVER) -> Sent | None:
-        """Sends one execution; `done(result, outcome)` is called once, later, unless it is dropped.
-        `latest`: the loop's time before which it begins or never.
+    def __init__(
+        self,
+        hello: messages.Hello,
+        *,
+        connect_timeout: float,
+        connections_per_node: int,
+        rng: random.Random,
+        log,
+    ):
+        self.hello, self.connect_timeout = hello, connect_timeout
+        self.connections_per_node, self.rng, self.log = connections_per_node, rng, log
+        self.by_node: dict[str, list[NodeConnection]] = {}
+        self.on_welcome: Callable[[str, str, int], None] = lambda node, start, age: None
+        self._last_correlation_id = 0
+
+    def next_correlation_id(self) -> int:
+        """A number that no other request of this edge has."""
+        self._last_correlation_id += 1
+        return self._last_correlation_id
+
+    def set_address(self, node: str, address: Address | None) -> None:
+        """Notes where a node listens; None: it is gone, and its connections close."""
+        connections = self.by_node.get(node, ())
+        if address is None or any(connection.address != address for connection in connections):
+            for connection in self.by_node.pop(node, ()):
+                connection.close()
+        if address is not None and node not in self.by_node:
+            self.by_node[node] = [
+                NodeConnection(self, node, address) for _ in range(self.connections_per_node)
+            ]
+
+    def send(
+        self,
+        node: str,
+        execute: messages.Execute,
+        on_result: OutcomeCallback,
+        latest_start: float = NEVER,
+    ) -> PendingRequest | None:
+        """Sends one attempt, before the loop's time `latest_start` or never.
+
+        `on_result(result, outcome)` is called once, later, unless the request is dropped.  None: no address
+        of the node is known.
         """
-        links = self.nodes.get(node)
-        if not links:
-            asyncio.get_running_loop().call_soon(done, AttemptResult.CONNECT_FAILED, None)
+        connections = self.by_node.get(node)
+        if not connections:
+            asyncio.get_running_loop().call_soon(on_result, AttemptResult.CONNECT_FAILED, None)
             return None
-        link = min(links, key=lambda link: len(link.out))
-        return Sent(link, link.send(execute, done, latest))
+        connection = min(connections, key=lambda connection: len(connection.pending))
+        return PendingRequest(connection, connection.send(execute, on_result, latest_start))
+
+    def request_load_report(self, node: str, on_report: LoadCallback) -> PendingRequest | None:
+        """Asks a node for its load, over an open connection only: a load is not worth a connect.
 
-    def probe(self, node: str, done: Callable) -> Sent | None:
-        """Asks a node for its load; `done(result, load)` is called once, later, unless it is dropped.
-        Asked over a connection that stands alone: a load is not worth a dial.
+        `on_report(result, load)` is called once, later, unless the request is dropped.
         """
-        for link in self.nodes.get(node, ()):
-            corr = link.probe(done)
-            if corr is not None:
-                return Sent(link, corr)
-        asyncio.get_running_loop().call_soon(done, AttemptResult.CONNECT_FAILED, None)
+        for connection in self.by_node.get(node, ()):
+            correlation_id = connection.request_load_report(on_report)
+            if correlation_id is not None:
+                return PendingRequest(connection, correlation_id)
+        asyncio.get_running_loop().call_soon(on_report, AttemptResult.CONNECT_FAILED, None)
         return None
 
-    async def close(self):
-        tasks = [link.task for links in self.nodes.values() for link in links if link.task]
+    async def close(self) -> None:
+        """Closes all connections and waits until they are."""
+        tasks = [
+            connection.task
+            for connections in self.by_node.values()
+            for connection in connections
+            if connection.task
+        ]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-
-
-class Lists:
-    """Follows the source of the list; reconnects with back-off and keeps the last list meanwhile."""
-
-    def __init__(self, addresses, hello: messages.Hello, chance, log, told: Callable):
-        # One address, or those of several planners of which one takes edges.
-        self.addresses = [addresses] if isinstance(addresses[0], str) else list(addresses)
-        self.hello, self.chance, self.log, self.told = hello, chance, log, told
-        self.turn = 0  # whose turn it is to be dialled
-        self.granted, self.writer = lambda grant: None, None
-        self.policy_granted = lambda grant: None
-
-    def send(self, **body) -> bool:
-        """Sends one message to the source, where there is one now."""
-        if self.writer is None or self.writer.transport.get_write_buffer_size() > MOST_BUFFERED:
-            return False
-        self.writer.write(frame(messages.Message(**body)))
-        return True
-
-    def elsewhere(self):
-        """Lets go of a source that does not answer: it may be stopped, or cut off without a word."""
-        if self.writer is not None:
-            self.turn += 1
-            self.writer.transport.abort()
-
-    async def run(self):
-        """Until cancelled: calls `told(listing)` for each listing, in order."""
-        failures = 0
-        while True:
-            writer, why, heard = None, "closed", False
-            try:
-                address = self.addresses[self.turn % len(self.addresses)]
-                async with asyncio.timeout(LIST_DIAL):
-                    reader, writer = await asyncio.open_connection(*address)
-                writer.write(frame(messages.Message(hello=self.hello)))
-                self.writer, frames = writer, Frames()
-                while data := await reader.read(READ):
-                    for message in frames.feed(data):
-                        if message.WhichOneof("body") == "listing":
-                            failures, heard = 0, True
-                            self.told(message.listing)
-                        elif message.WhichOneof("body") == "grant":
-                            self.granted(message.grant)
-                        elif message.WhichOneof("body") == "policy_grant":
-                            self.policy_granted(message.policy_grant)
-            except (OSError, WireFault, TimeoutError) as fault:
-                why = str(fault) or "no answer"
-            finally:
-                self.writer = None
-                if writer:
-                    writer.close()
-            failures += 1
-            self.turn += not heard
-            pause = min(MOST_BACK_OFF, BACK_OFF * 2**failures) * (0.5 + self.chance.random() / 2)
-            self.log.info("list.lost", why=why, again_in=round(pause, 3))
-            await asyncio.sleep(pause)
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -7,8 +7,9 @@
 import asyncio
 from collections import OrderedDict
 
-from rushmux.edge.directories import Refused, Tree, contended
-from rushmux.edge.operation_runner import CONFLICTS, Errand, Lost, together
+from rushmux.edge.directories import Tree, contended
+from rushmux.edge.errors import ObjectMissingError, RequestRejectedError
+from rushmux.edge.operation_runner import CONFLICTS, Errand, together
 from rushmux.files import layout
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
@@ -38,7 +39,7 @@
 
 async def gather(errand: Errand, length: int, parts) -> bytes:
     """`length` bytes put together from parts (where its block begins, extents, start, length in the block);
-    what no extent covers is zeros.  Lost where an object is not there.
+    what no extent covers is zeros.  ObjectMissingError where an object is not there.
     """
     wanted = [
         (at + extent.start, extent)
@@ -100,7 +101,7 @@
         keys = [key] + [layout.block_key(data, number) for number in numbers]
         rows = {row.key: row for row in (await errand.look(self.number, keys=keys)).rows}
         if key not in rows:
-            raise Refused(sftp.NO_SUCH_FILE, "the file was removed")
+            raise RequestRejectedError(sftp.NO_SUCH_FILE, "the file was removed")
         file = layout.unpack_file(rows[key].value)
         if file.data != data:  # emptied by another: its blocks go by another name now
             self.blocks.clear()
@@ -142,9 +143,9 @@
             ]
             try:
                 return self.over(await gather(errand, length, parts), offset, held)
-            except Lost:
+            except ObjectMissingError:
                 since = self.loop.time()
-        raise Refused(sftp.FAILURE, "an object of this file is not on its node")
+        raise RequestRejectedError(sftp.FAILURE, "an object of this file is not on its node")
 
     @staticmethod
     def over(data, offset, held):
@@ -174,7 +175,7 @@
         if self.flags & sftp.APPEND:
             return await self.append(errand, data)
         if offset + len(data) > layout.most_bytes(self.file.block):
-            raise Refused(
+            raise RequestRejectedError(
                 sftp.FAILURE, f"past the largest size of a file, {layout.most_bytes(self.file.block)}"
             )
         if self.buffer is not None and await self.buffer.write(self.held, errand, offset, data, self):
@@ -198,7 +199,7 @@
         self.committing = self.loop.create_future()
         try:
             await self.commit(errand, batch)
-        except Refused as fault:  # holds for all: the file is gone, or fought over
+        except RequestRejectedError as fault:  # holds for all: the file is gone, or fought over
             for laid in batch:
                 if not laid.done.done():
                     laid.done.set_exception(fault)
@@ -239,7 +240,7 @@
                 if len(extents) > self.tree.files.extents:
                     try:
                         extents = [await as_one(errand, extents)]
-                    except Lost:  # replaced under our hands: this version's check will not hold
+                    except ObjectMissingError:  # replaced under our hands: this version's check will not hold
                         break
                 key = layout.block_key(file.data, number)
                 checks.append({"key": key, "version": block.version})
--- a/rushmux/edge/operation_runner.py
+++ b/rushmux/edge/operation_runner.py
@@ -3,7 +3,8 @@
 import asyncio
 import zlib
 
-from rushmux.edge.driver import Driver, Shed, Terminated, Work
+from rushmux.edge.driver import EdgeDriver, EdgeOperation
+from rushmux.edge.errors import ObjectCorruptedError, ObjectMissingError, OperationShedError
 from rushmux.files import paths
 from rushmux.nodewire import messages
 
@@ -13,38 +14,30 @@
 LEAST = 0.02  # seconds: with less left an operation is not begun
 
 
-class Lost(Exception):
-    """An object that a name points at is not there."""
-
-
-class Damaged(Exception):
-    """Data came back other than it was written."""
-
-
 class Errand:
     """One client request in one folder, or a piece of background work: its time and its tag."""
 
-    def __init__(self, driver: Driver, folder: str, tag: str, until: float):
+    def __init__(self, driver: EdgeDriver, folder: str, tag: str, until: float):
         self.driver, self.folder, self.tag, self.until = driver, folder, tag, until
         self.roles = driver.deployment.roles
 
     async def apart(self, attempt: int):
         """Waits a drawn time before a fresh look; the first of them waits for nothing."""
         if attempt:
-            await asyncio.sleep(self.driver.chance.random() * min(MOST_APART, APART * 2**attempt))
+            await asyncio.sleep(self.driver.rng.random() * min(MOST_APART, APART * 2**attempt))
 
     async def run(self, role, key, units, cell, fill):
         left = self.until - self.driver.loop.time()
         if left < LEAST:
-            raise Shed()
-        return await self.driver.run(
-            Work(self.roles[role], self.folder, key, units, cell, fill), left, self.tag
+            raise OperationShedError
+        return await self.driver.execute(
+            EdgeOperation(self.roles[role], self.folder, key, units, cell, fill), left, self.tag
         )
 
     async def names(self, role, key, units, fill):
-        cells = self.driver.cells
+        cells = self.driver.endpoint_table.cell_count
         if not cells:  # no list came yet
-            raise Shed()
+            raise OperationShedError
         answer = await self.run(role, key, units, paths.home(self.folder, cells), fill)
         return answer.outcome
 
@@ -57,10 +50,10 @@
 
     async def change(self, key: str, checks, puts=(), drops=()):
         """Changes rows, all or none; the rows put with their new versions, or None where a check
-        does not hold.  Terminated: it may have been done.
+        does not hold.  OperationFailedError: it may have been done.
         """
         change = messages.Change(
-            mark=self.driver.unique(),
+            mark=self.driver.unique_name(),
             checks=[messages.Check(**check) for check in checks],
             puts=[messages.Row(key=row, value=value) for row, value in puts],
             drops=drops,
@@ -75,7 +68,9 @@
         return None if outcome.code == messages.CONFLICT else outcome.rows
 
     async def fetch(self, cell: int, name: str, offset: int, length: int) -> bytes:
-        """Bytes of an object; Lost where it is not there, Damaged where they are not those written."""
+        """Bytes of an object; ObjectMissingError where it is not there, ObjectCorruptedError where they are not
+        those written.
+        """
         read = messages.ReadObject(object=name, offset=offset, length=length)
         answer = await self.run(
             "read",
@@ -85,17 +80,17 @@
             lambda execute: execute.read.CopyFrom(read),
         )
         if answer.outcome.code == messages.MISSING:
-            raise Lost(name)
+            raise ObjectMissingError(name)
         data = answer.outcome.data
         if len(data) != length or zlib.crc32(data) != answer.outcome.crc:
-            raise Damaged(name)
+            raise ObjectCorruptedError(name)
         return data
 
     async def store(self, data: bytes, role="write") -> tuple[str, int]:
         """Writes a new object where the module's pick says; its name and its cell.  `role` names the
         lane: `write_out` for what nobody waits for.
         """
-        name = self.driver.unique()
+        name = self.driver.unique_name()
         write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
         answer = await self.run(
             role,
@@ -104,8 +99,8 @@
             -1,
             lambda execute: execute.write.CopyFrom(write),
         )
-        for cell in answer.elsewhere:
-            self.driver.left_over(self.folder, cell, name)
+        for cell in answer.other_cells:
+            self.driver.on_orphaned_object(self.folder, cell, name)
         return name, answer.cell
 
     async def clean(self, cell: int, names) -> None:
@@ -126,6 +121,3 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         raise
-
-
-__all__ = ["Damaged", "Errand", "Lost", "Shed", "Terminated", "together"]
--- a/rushmux/edge/policy_client.py
+++ b/rushmux/edge/policy_client.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from rushmux import atomic_write
+from rushmux.edge.driver import PolicyVersion
 from rushmux.fleet import policy
 from rushmux.nodewire import WireFault, messages
 from rushmux.routes.reload import MOST_NAMED
@@ -112,8 +113,8 @@
         self.holder = policy.Holder(edge.name, *held, self.prove, kept.keep)
         self.base = {folder: (limit, burst) for folder, limit, burst in documents.rows(edge.deployment)}
         self.heard_at, self.said, self.scales = self.loop.time(), None, {}
-        self.lists.policy_granted = self.granted
-        self.driver.serving, self.driver.fenced = self.serving, self.fenced
+        self.lists.on_policy_grant = self.granted
+        self.driver.may_serve, self.driver.on_fenced = self.serving, self.fenced
         self.apply()
 
     def prove(self, proposed):
@@ -127,11 +128,11 @@
     async def run(self):
         """Until cancelled."""
         while True:
-            await asyncio.sleep(EVERY * (1 - APART * self.driver.chance.random()))
+            await asyncio.sleep(EVERY * (1 - APART * self.driver.rng.random()))
             now = self.loop.time()
             if now - self.heard_at > NO_ANSWER:
                 self.heard_at = now
-                self.lists.elsewhere()
+                self.lists.try_next_planner()
             self.lists.send(policy_ask=messages.PolicyAsk(**self.holder.ask(now)._asdict()))
             self.apply()
 
@@ -183,14 +184,14 @@
         if state == self.said:
             return
         self.said, limits = state, holder.limits(now)
-        self.driver.number = holder.number, holder.knows
+        self.driver.policy_version = PolicyVersion(holder.number, holder.knows)
         # The module was built on some limits; others are parts of them, the smaller of limit and burst.
         scales = {
             folder: min(own / base for own, base in zip(limits[folder], both))
             for folder, both in self.base.items()
             if folder in limits and all(both)
         }
-        self.driver.scaled(
+        self.driver.set_limit_scales(
             {folder: part for folder, part in scales.items() if self.scales.get(folder, 1.0) != part}
         )
         self.scales = scales
--- a/rushmux/edge/quota_client.py
+++ b/rushmux/edge/quota_client.py
@@ -18,8 +18,8 @@
         self.believed = Believed(driver.name, driver.deployment.settings.gateway_count)
         self.limits, self.lapse = driver.deployment.limits(), None
         self.wanted, self.since, self.parts = dict.fromkeys(self.limits, 0.0), driver.loop.time(), {}
-        lists.granted = self.granted
-        driver.taking = self.taking
+        lists.on_quota_grant = self.granted
+        driver.on_demand = self.taking
         self.apply()  # nothing above the safe parts before anything was granted
 
     def taking(self, folder, units):
@@ -31,7 +31,7 @@
         """Until cancelled."""
         loop = self.driver.loop
         while True:
-            await asyncio.sleep(EVERY * (1 - APART * self.driver.chance.random()))
+            await asyncio.sleep(EVERY * (1 - APART * self.driver.rng.random()))
             now = loop.time()
             span, self.since = max(0.1, now - self.since), now
             ask, (term, number) = self.believed.ask(now)
@@ -66,4 +66,4 @@
             part = self.believed.part(now, folder)
             if self.parts.get(folder) != part:
                 self.parts[folder] = part
-                self.driver.shared(folder, part)
+                self.driver.set_quota_share(folder, part)
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -10,11 +10,18 @@
 import time
 
 from rushmux.edge import request_ordering
-from rushmux.edge.directories import Refused, attributes, root_attributes
+from rushmux.edge.directories import attributes, root_attributes
+from rushmux.edge.errors import (
+    ObjectCorruptedError,
+    ObjectMissingError,
+    OperationFailedError,
+    OperationShedError,
+    RequestRejectedError,
+)
 from rushmux.edge.openfile import OpenFile
-from rushmux.edge.operation_runner import Damaged, Errand, Lost, Shed, Terminated
+from rushmux.edge.operation_runner import Errand
 from rushmux.edge.request_ordering import Claim, Turns
-from rushmux.edge.write_coalescing import Outgoing
+from rushmux.edge.write_coalescing import CoalescingWriter
 from rushmux.files import layout, paths
 from rushmux.sftp import packets as sftp
 
@@ -68,7 +75,7 @@
 
     def __init__(self, edge, name, reader, writer):
         self.edge, self.name, self.reader, self.writer = edge, name, reader, writer
-        self.outgoing = Outgoing(writer)
+        self.outgoing = CoalescingWriter(writer)
         self.log = edge.log.bind(session=name)
         self.bounds, self.loop = edge.deployment.sessions, asyncio.get_running_loop()
         self.packets, self.turns, self.handles, self.tasks = sftp.Packets(), Turns(), {}, {}
@@ -145,12 +152,12 @@
 
     def watch_unread(self):
         """Danger: a client that sends and never reads makes its answers pile up here."""
-        if self.outgoing.held() > UNSENT and self.unread_timer is None:
+        if self.outgoing.buffered_bytes() > UNSENT and self.unread_timer is None:
             self.unread_timer = self.loop.call_later(self.bounds.unread, self.unread)
 
     def unread(self):
         self.unread_timer = None
-        if self.outgoing.held() > UNSENT:
+        if self.outgoing.buffered_bytes() > UNSENT:
             self.log.warning("session.unread", seconds=self.bounds.unread)
             self.writer.transport.abort()
 
@@ -235,25 +242,27 @@
                         await self.edge.buffer.ready(path[0] if path else "", until - MARGIN)
                 call = self.calls.get(type(packet))
                 if call is None:
-                    raise Refused(sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered")
+                    raise RequestRejectedError(
+                        sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered"
+                    )
                 # Danger: a stock client sends hundreds of reads ahead; taken all at once, most would be
                 # past their quoted time before their turn, and be shed.
                 async with self.window:
                     reply = await call(packet, lambda folder: Errand(self.edge.driver, folder, tag, until))
-        except Refused as fault:
-            reply = self.status(packet.request, fault.code, str(fault))
+        except RequestRejectedError as fault:
+            reply = self.status(packet.request, fault.status_code, str(fault))
         except paths.BadPath as fault:
             reply = self.status(packet.request, sftp.PERMISSION_DENIED, str(fault))
-        except Shed as fault:
-            again = f"; try again in {fault.come_back:.1f} s" if fault.come_back else ""
+        except OperationShedError as fault:
+            again = f"; try again in {fault.retry_after:.1f} s" if fault.retry_after else ""
             reply = self.status(packet.request, sftp.FAILURE, "shed: nothing was done" + again)
-        except (Terminated, TimeoutError):
+        except (OperationFailedError, TimeoutError):
             reply = self.status(packet.request, sftp.FAILURE, "terminated: it may have been done")
-        except Lost as fault:
-            reply = self.status(packet.request, sftp.FAILURE, f"object {fault} is not on its node")
-        except Damaged as fault:
-            self.log.error("object.damaged", object=str(fault))
-            reply = self.status(packet.request, sftp.FAILURE, f"object {fault} came back damaged")
+        except ObjectMissingError as fault:
+            reply = self.status(packet.request, sftp.FAILURE, str(fault))
+        except ObjectCorruptedError as fault:
+            self.log.error("object.corrupted", object=fault.object_name)
+            reply = self.status(packet.request, sftp.FAILURE, str(fault))
         except Exception:  # pylint: disable=broad-except
             self.log.exception("session.fault", request=type(packet).__name__)
             reply = self.status(packet.request, sftp.FAILURE, "a fault of the gateway; it was logged")
@@ -281,9 +290,11 @@
         if not names:
             return "", ()
         if names[0] not in self.edge.deployment.folders:
-            raise Refused(sftp.NO_SUCH_FILE, f"there is no folder '{names[0]}'")
+            raise RequestRejectedError(sftp.NO_SUCH_FILE, f"there is no folder '{names[0]}'")
         if not self.edge.serves(names[0]):
-            raise Refused(sftp.PERMISSION_DENIED, f"folder '{names[0]}' is not served by this edge")
+            raise RequestRejectedError(
+                sftp.PERMISSION_DENIED, f"folder '{names[0]}' is not served by this edge"
+            )
         self.edge.cleaner.met(names[0])
         return names[0], names[1:]
 
@@ -291,7 +302,9 @@
         """As `place`, for what must lie in a folder."""
         folder, names = self.place(path)
         if not names:
-            raise Refused(sftp.PERMISSION_DENIED, "folders are made and removed by the deployment file only")
+            raise RequestRejectedError(
+                sftp.PERMISSION_DENIED, "folders are made and removed by the deployment file only"
+            )
         return folder, names
 
     def hold(self, packet, what):
@@ -302,12 +315,14 @@
 
     def room_for_handle(self):
         if len(self.handles) >= self.bounds.handles:
-            raise Refused(sftp.FAILURE, f"{self.bounds.handles} handles are open, the most of a session")
+            raise RequestRejectedError(
+                sftp.FAILURE, f"{self.bounds.handles} handles are open, the most of a session"
+            )
 
     def held(self, packet, kind):
         what = self.handles.get(packet.handle)
         if not isinstance(what, kind):
-            raise Refused(sftp.FAILURE, "no such handle in this session")
+            raise RequestRejectedError(sftp.FAILURE, "no such handle in this session")
         return what
 
     # One for each kind of request: the packet and a maker of errands in, the reply out.
@@ -316,7 +331,7 @@
         self.room_for_handle()
         folder, names = self.inside(packet.path)
         if not packet.flags & (sftp.READ | sftp.WRITE):
-            raise Refused(sftp.BAD_MESSAGE, "a file is opened to read or to write")
+            raise RequestRejectedError(sftp.BAD_MESSAGE, "a file is opened to read or to write")
         once = errand(folder)
         if packet.flags & sftp.TRUNCATE:
             await self.written_out(once, names)
@@ -347,7 +362,7 @@
     async def read(self, packet, errand):
         file = self.held(packet, OpenFile)
         if not file.flags & sftp.READ:
-            raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to read")
+            raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to read")
         data = await file.read(errand(file.folder), packet.offset, packet.length)
         if packet.length and not data:
             return self.status(packet.request, sftp.EOF, "end of file")
@@ -356,7 +371,7 @@
     async def write(self, packet, errand):
         file = self.held(packet, OpenFile)
         if not file.flags & sftp.WRITE:
-            raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
+            raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to write")
         if packet.data:
             await file.write(errand(file.folder), packet.offset, packet.data)
         return self.done(packet)
@@ -390,7 +405,7 @@
     async def handle_set_stat(self, packet, errand):
         file = self.held(packet, OpenFile)
         if packet.attributes.size is not None and not file.flags & sftp.WRITE:
-            raise Refused(sftp.PERMISSION_DENIED, "the handle is not open to write")
+            raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to write")
         await file.flush(errand(file.folder))
         row, version = await self.edge.tree.set_attributes(
             errand(file.folder), file.number, packet.attributes
@@ -408,7 +423,7 @@
         if names:
             found = await self.edge.tree.existing(errand(folder), names)
             if not found.is_directory:
-                raise Refused(sftp.FAILURE, "/".join(names) + " is no directory")
+                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " is no directory")
             number = found.number
         else:
             number = layout.ROOT
@@ -455,7 +470,7 @@
         folder, names = self.inside(packet.path)
         other, target = self.inside(packet.target)
         if folder != other:
-            raise Refused(sftp.PERMISSION_DENIED, "names do not move between folders")
+            raise RequestRejectedError(sftp.PERMISSION_DENIED, "names do not move between folders")
         await self.edge.tree.rename(errand(folder), names, target, replace)
         moved, goal = (folder, *names), (folder, *target)
         for held in self.handles.values():
@@ -477,7 +492,7 @@
             if packet.name == "barrier@rushmux":
                 folder, _ = self.place(cursor.text())
                 if not folder:
-                    raise Refused(sftp.FAILURE, "a barrier is set over one folder")
+                    raise RequestRejectedError(sftp.FAILURE, "a barrier is set over one folder")
                 if self.edge.buffer is not None:
                     barrier = self.edge.buffer.mark(folder)
                     await self.edge.buffer.past(folder, barrier, errand(folder))
@@ -486,11 +501,11 @@
                 self.place(cursor.text())
                 return sftp.ExtendedReply(packet.request, self.space())
         except sftp.BadPacket as fault:
-            raise Refused(sftp.BAD_MESSAGE, f"{packet.name}: {fault}") from fault
-        raise Refused(sftp.OP_UNSUPPORTED, f"extension '{packet.name[:64]}' is not offered")
+            raise RequestRejectedError(sftp.BAD_MESSAGE, f"{packet.name}: {fault}") from fault
+        raise RequestRejectedError(sftp.OP_UNSUPPORTED, f"extension '{packet.name[:64]}' is not offered")
 
     def space(self):
         """The fields of statvfs: what the nodes in the list have, in blocks."""
-        total = sum(total for total, _ in self.edge.driver.disk.values()) // BLOCK
-        free = sum(free for _, free in self.edge.driver.disk.values()) // BLOCK
+        total = sum(total for total, _ in self.edge.driver.endpoint_table.disk_space.values()) // BLOCK
+        free = sum(free for _, free in self.edge.driver.endpoint_table.disk_space.values()) // BLOCK
         return struct.pack(">11Q", BLOCK, BLOCK, total, free, free, 0, 0, 0, 0, 0, paths.MOST_NAME)
--- a/rushmux/lab/system_simulation.py
+++ b/rushmux/lab/system_simulation.py
@@ -7,7 +7,8 @@
 import asyncio
 import random
 
-from rushmux.edge.driver import Shed, Terminated, Work
+from rushmux.edge.driver import EdgeOperation
+from rushmux.edge.errors import OperationFailedError, OperationShedError
 from rushmux.lab.scheduler_simulation import AGAIN, TRIES, Ended
 from rushmux.nodewire import messages
 from rushmux.scheduling.scheduler import Scheduler
@@ -53,9 +54,9 @@
             try:
                 await self.attempt(number, arrival, lane)
                 how = "succeeded"
-            except Shed as shed:
-                how, again = "shed", shed.come_back
-            except Terminated:
+            except OperationShedError as shed:
+                how, again = "shed", shed.retry_after
+            except OperationFailedError:
                 how = "terminated"
             except _Lost:
                 how = "lost"
@@ -88,8 +89,12 @@
             else:
                 execute.read.CopyFrom(messages.ReadObject(object="none", offset=0, length=1))
 
-        work = Work(arrival.lane, arrival.volume, arrival.key, arrival.units, arrival.cell, fill)
-        task = edge.process.spawn(edge.program.driver.run(work, lane.deadline * arrival.left / 10_000, "-"))
+        operation = EdgeOperation(
+            arrival.lane, arrival.volume, arrival.key, arrival.units, arrival.cell, fill
+        )
+        task = edge.process.spawn(
+            edge.program.driver.execute(operation, lane.deadline * arrival.left / 10_000, "-")
+        )
         await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
         if not task.done():
             raise _Lost
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -100,7 +100,9 @@
         for number in range(edges):
             await self.edge(number)
         for _ in range(int(UP / 0.05)):
-            if all(len(part.program.driver.disk) == nodes for part in self.edges.values()):
+            if all(
+                len(part.program.driver.endpoint_table.disk_space) == nodes for part in self.edges.values()
+            ):
                 return
             await self.sleep(0.05)
         raise TimeoutError(f"the edges do not know all {nodes} nodes after {UP:g} s")
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -105,7 +105,7 @@
         await asyncio.gather(*(self.node(f"node{cell}", cell, cold=False) for cell in range(nodes)))
         await asyncio.gather(*(self.edge(number) for number in range(edges)))
         async with asyncio.timeout(UP):
-            while not all(b'"list.told"' in part.log.read_bytes() for part in self.edges.values()):
+            while not all(b'"endpoints.updated"' in part.log.read_bytes() for part in self.edges.values()):
                 await asyncio.sleep(0.05)
 
     async def source(self):
--- a/tests/edge/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -8,7 +8,7 @@
 
 from rushmux import log
 from rushmux.cli.main import main
-from rushmux.edge.node_connections import Address, Links
+from rushmux.edge.node_connections import Address, NodeConnections
 from rushmux.nodewire import messages
 from rushmux.scheduling.interface import AttemptResult
 from rushmux.scheduling.node import INITIAL_LIMIT
@@ -36,8 +36,14 @@
             quiet,
             lambda kind, **fields: None,
         )
-        links = Links(messages.Hello(version=1, peer="e", start="1"), 1.0, 1, random.Random(1), quiet)
-        links.listed("n", Address(HOST, await node.open(HOST, 0)))
+        connections = NodeConnections(
+            messages.Hello(version=1, peer="e", start="1"),
+            connect_timeout=1.0,
+            connections_per_node=1,
+            rng=random.Random(1),
+            log=quiet,
+        )
+        connections.set_address("n", Address(HOST, await node.open(HOST, 0)))
 
         async def once(call, *values):
             future = asyncio.get_running_loop().create_future()
@@ -45,7 +51,7 @@
             return await asyncio.wait_for(future, 5)
 
         try:
-            assert await once(links.probe, "n") == (
+            assert await once(connections.request_load_report, "n") == (
                 AttemptResult.CONNECT_FAILED,
                 None,
             )  # nothing stands: no dial for it
@@ -56,17 +62,17 @@
                 time_out=40_000,
                 read=messages.ReadObject(object="none", length=1),
             )
-            assert (await once(links.send, "n", execute))[0] == AttemptResult.SUCCEEDED
-            result, load = await once(links.probe, "n")
+            assert (await once(connections.send, "n", execute))[0] == AttemptResult.SUCCEEDED
+            result, load = await once(connections.request_load_report, "n")
             assert result == AttemptResult.SUCCEEDED and load.queue == 0 and 50 < load.service < 5_000
             node.begin("silent")
-            waiting = asyncio.ensure_future(once(links.probe, "n"))
+            waiting = asyncio.ensure_future(once(connections.request_load_report, "n"))
             await asyncio.sleep(0.05)
             assert not waiting.done()
             node.drop_peers()
             assert await waiting == (AttemptResult.CONNECTION_LOST, None)
         finally:
-            await links.close()
+            await connections.close()
             await node.close()
 
     asyncio.run(story())
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -12,7 +12,7 @@
 from benchmarks import planner_kills
 from rushmux import log
 from rushmux.edge.endpoint_cache import LastList
-from rushmux.edge.node_connections import Lists
+from rushmux.edge.planner_client import PlannerClient
 from rushmux.files.paths import home
 from rushmux.fleet.membership import LEASE
 from rushmux.nodewire import VERSION, messages
@@ -232,11 +232,11 @@
 def test_a_whole_list_with_no_ready_node_is_not_believed(play):
     async def story(made):
         await made.sleep(1)
-        driver = made.edges[0].program.driver
-        refused = driver.told(messages.Listing(version=9, whole=True, cells=4))
+        table = made.edges[0].program.driver.endpoint_table
+        accepted = table.on_listing(messages.Listing(version=9, whole=True, cells=4))
         client = await made.client(0)
         await client.put("/limon/a", b"x")
-        return refused
+        return accepted
 
     assert play(story)[1] is False
 
@@ -265,14 +265,14 @@
         tasks = []
         for number in range(count):
             hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
-            lists = Lists(
+            client = PlannerClient(
                 ("127.0.0.1", port),
                 hello,
                 random.Random(number),
                 logger,
                 lambda listing, number=number: told.setdefault(number, []).append(loop.time()),
             )
-            tasks.append(loop.create_task(lists.run()))
+            tasks.append(loop.create_task(client.run()))
         await asyncio.sleep(4)
         assert len(told) == count
         process.kill()
--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from benchmarks import shares as day
-from rushmux.edge.node_connections import Lists
+from rushmux.edge.planner_client import PlannerClient
 from rushmux.fleet.quotas import LEASE, SAFE
 from rushmux.nodewire import messages
 from rushmux.settings.deployment import BadDeployment, build
@@ -71,7 +71,7 @@
             edge.program.asking.limits = dict.fromkeys(edge.program.asking.limits, 1e-6)  # all, it seems
         first = rates(made)
         for _ in range(200):
-            made.edges[0].program.driver.taking("caribe", 5.0)
+            made.edges[0].program.driver.on_demand("caribe", 5.0)
             await made.sleep(0.1)
         busy = rates(made)
         made.kill_planner()
@@ -92,16 +92,16 @@
             [messages.Want(folder=f"f{number}", part=1.0) for number in range(10_001)],
         ):
             told = []
-            lists = Lists(
+            client = PlannerClient(
                 made.lists.address,
                 messages.Hello(version=1, peer="edge9", start="x"),
                 link.chance,
                 link.log,
                 told.append,
             )
-            task = asyncio.ensure_future(lists.run())
+            task = asyncio.ensure_future(client.run())
             await made.sleep(1)
-            assert lists.send(ask=messages.Ask(ask=1, wants=wants))
+            assert client.send(ask=messages.Ask(ask=1, wants=wants))
             before = len(told)
             await made.sleep(2)
             bad.append(len(told) - before)  # it was closed, came back and was told the whole anew
--- a/tests/routes/test_reload.py
+++ b/tests/routes/test_reload.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from rushmux.edge.driver import Shed, Terminated
+from rushmux.edge.errors import OperationFailedError, OperationShedError
 from rushmux.edge.operation_runner import Errand
 from rushmux.settings import deployment
 from rushmux.standins import fleet as fleets
@@ -30,7 +30,7 @@
             async def one(number):
                 try:
                     await Errand(driver, "heredia", "-", fleet.loop.time() + 3).store(b"x" * 20_000)
-                except (Shed, Terminated):
+                except (OperationShedError, OperationFailedError):
                     pass
 
             process = fleet.edges[0].process
