--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from rushmux.edge.errors import OperationFailedError, OperationShedError
-from rushmux.edge.operation_runner import Errand
+from rushmux.edge.operation_runner import OperationRunner
 from rushmux.settings import deployment as deployments
 from rushmux.standins import fleet as fleets
 from rushmux.standins.checker import Checker
@@ -53,7 +53,9 @@
     async def store(fleet, edge, folder):
         begun = fleet.loop.time()
         try:
-            await Errand(edge.program.driver, folder, "-", begun + hard_stop).store(b"x" * SIZE)
+            await OperationRunner(edge.program.driver, folder, "-", begun + hard_stop).write_object(
+                b"x" * SIZE
+            )
             times.append(fleet.loop.time() - begun)
             ends["stored"] += 1
         except (OperationShedError, OperationFailedError) as fault:
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 from rushmux.edge.errors import OperationFailedError, OperationShedError
-from rushmux.edge.operation_runner import Errand
+from rushmux.edge.operation_runner import OperationRunner
 from rushmux.settings import deployment as deployments
 from rushmux.standins import fleet as fleets
 from rushmux.standins.checker import Checker
@@ -51,7 +51,7 @@
     async def store(made, edge, folder):
         begun = made.loop.time()
         try:
-            await Errand(edge.program.driver, folder, "-", begun + 3.0).store(b"x" * SIZE)
+            await OperationRunner(edge.program.driver, folder, "-", begun + 3.0).write_object(b"x" * SIZE)
             ends["in time" if made.loop.time() - begun <= quoted else "late"] += 1
         except (OperationShedError, OperationFailedError):
             ends["not stored"] += 1
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -9,15 +9,22 @@
 
 from rushmux.buffer import journal
 from rushmux.buffer.flush_policy import REFUSE, TAKE, Batch, Buffer, Caps, File
-from rushmux.edge.directories import contended
+from rushmux.edge.block_io import compact_block
 from rushmux.edge.errors import (
+    ContentionError,
     ObjectMissingError,
     OperationFailedError,
     OperationShedError,
     RequestRejectedError,
 )
-from rushmux.edge.openfile import as_one
-from rushmux.edge.operation_runner import CONFLICTS, Errand, together
+from rushmux.edge.operation_runner import (
+    MAX_CONFLICTS,
+    NO_TAG,
+    OperationRunner,
+    RowChange,
+    check_version,
+    gather_or_cancel,
+)
 from rushmux.files import layout
 from rushmux.files.layout import Extent
 from rushmux.sftp import packets as sftp
@@ -35,8 +42,8 @@
         return None
     caps = Caps(**{name: value for name, value in deployment.buffer.items() if name in Caps._fields})
 
-    def made(driver, tree, log):
-        return WriteBack(driver, tree, caps, log, disk, deployment.buffer["log_bytes"])
+    def made(driver, file_system, log):
+        return WriteBack(driver, file_system, caps, log, disk, deployment.buffer["log_bytes"])
 
     return made
 
@@ -44,8 +51,9 @@
 class WriteBack:
     """One edge's buffer.  `disk` holds its log (None: no log); `most_log` bounds that in bytes."""
 
-    def __init__(self, driver, tree, caps: Caps, log, disk=None, most_log=256 << 20):
-        self.driver, self.tree, self.log, self.disk, self.most_log = driver, tree, log, disk, most_log
+    def __init__(self, driver, file_system, caps: Caps, log, disk=None, most_log=256 << 20):
+        self.driver, self.file_system, self.log = driver, file_system, log
+        self.disk, self.most_log = disk, most_log
         deployment = driver.deployment
         plans, folders = deployment.settings.plans, deployment.folders
         self.buffer = Buffer(caps, lambda folder: plans[folders[folder].plan].nominal, deployment.units)
@@ -61,14 +69,14 @@
 
     # Packets, flushes and barriers.
 
-    async def write(self, file: File, errand: Errand, start: int, data, opened) -> bool:
+    async def write(self, file: File, runner: OperationRunner, start: int, data, opened) -> bool:
         """Holds a packet of an open file; False where it has to go to the nodes at once, which the log's
         end or a size past all bounds ask for.
         """
         while True:
-            verdict = self.buffer.admit(errand.folder, len(data), self.loop.time())
+            verdict = self.buffer.admit(runner.folder, len(data), self.loop.time())
             if verdict == REFUSE or self.broken:
-                await self.flush(file, errand)
+                await self.flush(file, runner)
                 self.counts["direct"] += 1
                 return False
             if verdict == TAKE and not self.log_is_full():
@@ -77,7 +85,7 @@
             self.changed.set()
             self.room.clear()
             try:
-                async with asyncio.timeout_at(errand.until - MARGIN):
+                async with asyncio.timeout_at(runner.deadline - MARGIN):
                     await self.room.wait()
             except TimeoutError:
                 raise OperationShedError from None
@@ -122,13 +130,14 @@
         if not (file.opens or file.dirty):
             self.known.pop(file, None)
 
-    async def flush(self, file: File, errand: Errand):
-        """Until all that is held of the file is readable through any edge; RequestRejectedError with what went
-        wrong before, told once.
+    async def flush(self, file: File, runner: OperationRunner):
+        """Until all that is held of the file is readable through any edge.
+
+        RequestRejectedError with what went wrong before, reported once.
         """
         if file.dirty:
             number = self.buffer.want(file)
-            await self.until(errand, partial(self.buffer.is_out, file, number))
+            await self.until(runner, partial(self.buffer.is_out, file, number))
         self.tell(file)
 
     def tell(self, file):
@@ -144,15 +153,15 @@
         self.changed.set()
         return barrier
 
-    async def past(self, folder: str, barrier: int, errand: Errand):
+    async def past(self, folder: str, barrier: int, runner: OperationRunner):
         """Until all before a barrier is readable through any edge."""
-        await self.until(errand, partial(self.buffer.is_past, folder, barrier))
+        await self.until(runner, partial(self.buffer.is_past, folder, barrier))
         for file in list(self.buffer.folder(folder).files.values()):
             self.tell(file)
 
-    async def until(self, errand, there):
+    async def until(self, runner, there):
         """Waits until `there()` holds, which each batch that ends may bring about."""
-        if not self.buffer.can_make_it(errand.until - self.loop.time()):
+        if not self.buffer.can_make_it(runner.deadline - self.loop.time()):
             self.changed.set()
             raise OperationFailedError  # it goes on all the same, but nobody can be told in time
         self.changed.set()
@@ -179,10 +188,10 @@
                 pass
 
     async def write_out(self, batch: Batch):
-        errand = Errand(self.driver, batch.folder.name, "-", self.loop.time() + TIME)
+        runner = OperationRunner(self.driver, batch.folder.name, NO_TAG, self.loop.time() + TIME)
         why = "a fault of the gateway; it was logged"
         try:
-            gone, overtaken = await self.commit(errand, batch, await self.store(errand, batch))
+            gone, overtaken = await self.commit(runner, batch, await self.store(runner, batch))
             self.buffer.committed(batch, self.loop.time(), gone)
             if overtaken:
                 self.buffer.give_up(
@@ -224,34 +233,34 @@
                 if not future.done():
                     future.set_result(None)
 
-    async def store(self, errand, batch):
+    async def store(self, runner, batch):
         """Stores a batch's bytes, each run within a block as one object; for each file its extents."""
-        block, gate = self.tree.files.object_bytes, asyncio.Semaphore(STORES)
+        block, gate = self.file_system.settings.object_bytes, asyncio.Semaphore(STORES)
         role = "write" if batch.hurried else "write_out"
 
         async def one(number, start, pieces):
             data = b"".join(piece.data for piece in pieces)
             async with gate:
-                name, cell = await errand.store(data, role)
+                stored = await runner.write_object(data, role)
             self.counts["objects"] += 1
             self.counts["object_bytes"] += len(data)
-            return number, Extent(start, len(data), name, cell, 0)
+            return number, Extent(start, len(data), stored.name, stored.cell, 0)
 
         wanted = [
             (part, *divmod(start, block), pieces)
             for part in batch.parts
             for start, pieces in part.index.runs(block)
         ]
-        stored = await together(*(one(number, start, pieces) for _, number, start, pieces in wanted))
+        stored = await gather_or_cancel(*(one(number, start, pieces) for _, number, start, pieces in wanted))
         extents = {part.file: [] for part in batch.parts}
         for (part, _, _, _), extent in zip(wanted, stored):
             extents[part.file].append(extent)
         return extents
 
-    async def rows(self, errand, keys):
+    async def rows(self, runner, keys):
         found = {}
         for at in range(0, len(keys), KEYS):
-            outcome = await errand.look("buffer", keys=keys[at : at + KEYS])
+            outcome = await runner.read_rows("buffer", keys=keys[at : at + KEYS])
             found.update((row.key, row) for row in outcome.rows)
         return found
 
@@ -266,7 +275,7 @@
                 return None
             version, file, blocks = known
             for number, _ in extents[part.file]:
-                if number not in blocks and number * file.block < file.size:
+                if number not in blocks and number * file.block_size < file.size:
                     return None
             found[part.file] = (
                 version,
@@ -275,9 +284,9 @@
             )
         return found
 
-    async def looked(self, errand, batch, extents, gone, overtaken):
+    async def looked(self, runner, batch, extents, gone, overtaken):
         """The same by a look; files that are no more, or that others have changed, are put aside."""
-        rows = await self.rows(errand, [layout.file_key(part.file.number) for part in batch.parts])
+        rows = await self.rows(runner, [layout.file_key(part.file.number) for part in batch.parts])
         files, keys = {}, {}
         for part in batch.parts:
             row = rows.get(layout.file_key(part.file.number))
@@ -291,77 +300,79 @@
                 continue
             files[part.file] = row.version, file, {}
             for number, _ in extents[part.file]:
-                keys[layout.block_key(file.data, number)] = part.file, number
-        rows = await self.rows(errand, list(keys))
+                keys[layout.block_key(file.data_id, number)] = part.file, number
+        rows = await self.rows(runner, list(keys))
         for key, (file, number) in keys.items():
             row = rows.get(key)
             files[file][2][number] = (row.version, layout.unpack_block(row.value)) if row else (0, [])
         return files
 
-    async def commit(self, errand, batch, extents):
+    async def commit(self, runner, batch, extents):
         """One change of rows for all files of the batch; the files that are no more, and why, and those
         that others wrote to while an earlier start's packets lay in the log.
         """
         ends = {part.file: part.index.end for part in batch.parts}
-        for attempt in range(CONFLICTS):
-            await errand.apart(attempt)
+        for attempt in range(MAX_CONFLICTS):
+            await runner.back_off(attempt)
             gone, overtaken = {}, []
             files = self.guessed(batch, extents) if attempt == 0 else None
             if files is None:
-                files = await self.looked(errand, batch, extents, gone, overtaken)
+                files = await self.looked(runner, batch, extents, gone, overtaken)
             if not files:
                 return gone, overtaken
             stamp = self.driver.unique_name()
             try:
-                laid_out = await self.laid_out(errand, files, extents)
+                laid_out = await self.laid_out(runner, files, extents)
             except ObjectMissingError:  # replaced under our hands: a fresh look knows by what
                 continue
             checks, puts, dropped, after = [], [], [], {}
             for held, (version, file, blocks) in files.items():
-                file = file._replace(size=max(file.size, ends[held]), mtime=self.tree.wall(), by=stamp)
+                size, now = max(file.size, ends[held]), self.file_system.calendar()
+                file = file._replace(size=size, mtime=now, batch_stamp=stamp)
                 key, places = layout.file_key(held.number), {}
                 after[held] = len(puts), file, places
-                checks.append({"key": key, "version": version})
+                checks.append(check_version(key, version))
                 puts.append((key, layout.pack_file(file)))
                 for number, (version, before) in blocks.items():
                     laid = laid_out[held, number]
-                    key = layout.block_key(file.data, number)
+                    key = layout.block_key(file.data_id, number)
                     places[number] = len(puts), laid
-                    checks.append({"key": key, "version": version})
+                    checks.append(check_version(key, version))
                     puts.append((key, layout.pack_block(laid)))
-                    dropped += layout.dropped(before, laid)
+                    dropped += layout.unreferenced(before, laid)
             if dropped:
-                puts.append(self.tree.doomed(objects=dropped))
+                puts.append(self.file_system.garbage_objects_row(dropped))
             self.intend(batch, files, stamp)
-            done = await errand.change("buffer", checks, puts)
+            done = await runner.change_rows("buffer", RowChange(checks, puts))
             if done is None:
                 continue
             self.counts["changes"] += 1
             if dropped:
-                self.tree.drop(errand.folder)
+                self.file_system.schedule_collection(runner.folder)
             for held, (place, file, places) in after.items():
                 held.version = done[place].version
                 blocks = {number: (done[at].version, laid) for number, (at, laid) in places.items()}
                 self.known[held] = held.version, file, blocks
             return gone, overtaken
-        raise contended("the files")
+        raise ContentionError("the files")
 
-    async def laid_out(self, errand, files, extents):
+    async def laid_out(self, runner, files, extents):
         """The extents of each block with the batch's over them; one in too many pieces is written as one."""
         found = {}
         for held, (_, _, blocks) in files.items():
             for number, (_, laid) in blocks.items():
                 for place, extent in extents[held]:
                     if place == number:
-                        laid = layout.lay(laid, extent)
-                if len(laid) > self.tree.files.extents:
-                    laid = [await as_one(errand, laid)]
+                        laid = layout.overlay(laid, extent)
+                if len(laid) > self.file_system.settings.extents:
+                    laid = [await compact_block(runner, laid)]
                 found[held, number] = laid
         return found
 
     def overtaken(self, file, version, row):
         """Danger: what a killed edge still held must not undo what others wrote since."""
-        return file.recovered and file.version != version and not (file.stamp and row.by == file.stamp)
+        own = file.stamp and row.batch_stamp == file.stamp
+        return file.recovered and file.version != version and not own
 
     # The log.
 
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -106,7 +106,7 @@
     from rushmux.buffer.disk import Disk, InUse
     from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
-    from rushmux.edge.endpoint_cache import LastList
+    from rushmux.edge.endpoint_cache import EndpointCache
     from rushmux.edge.policy_client import Kept, Newer
     from rushmux.scheduling.scheduler import Scheduler
     from rushmux.settings import deployment as deployments
@@ -139,31 +139,31 @@
         record, logger = recorder(records, loop), log.to_stream(sys.stderr.buffer, log_level)
         if data:
             Path(data).mkdir(parents=True, exist_ok=True)
-        last = LastList(Path(data) / "last.list", time.time, logger) if data else None
+        cache = EndpointCache(Path(data) / "last.list", time.time, logger) if data else None
         part = Edge(
             number,
             deployment,
             lists,
-            new_seed(seed),
-            time.time() - loop.time(),
-            logger,
-            {"module": Scheduler, "passthrough": PassThrough}[decisions],
-            buffered(deployment, disk),
-            last,
-            kept,
+            seed=new_seed(seed),
+            epoch=time.time() - loop.time(),
+            log=logger,
+            scheduler_type={"module": Scheduler, "passthrough": PassThrough}[decisions],
+            make_buffer=buffered(deployment, disk),
+            endpoint_cache=cache,
+            policy_store=kept,
         )
-        part.went_by = lambda state: record(
+        part.on_policy_state = lambda state: record(
             "goes_by",
             edge=part.name,
-            start=part.start,
+            start=part.incarnation,
             number=state[0],
             staged=state[1] or 0,
             narrow=state[2],
             serves=state[3],
         )
-        part.heard = lambda nodes: record("told", edge=part.name, start=part.start, nodes=nodes)
+        part.on_listing = lambda nodes: record("told", edge=part.name, start=part.incarnation, nodes=nodes)
         loop.add_signal_handler(signal.SIGHUP, part.reload, lambda: deployments.load(file))
-        await serve(part, listen, with_parent, start=part.start)
+        await serve(part, listen, with_parent, start=part.incarnation)
 
     asyncio.run(run())
 
--- a/rushmux/edge/directories.py
+++ b/rushmux/edge/directories.py
@@ -1,322 +1,311 @@
-"""Names and attributes of a folder's files, as operations on its home cell.
+"""Names of a folder's files and directories, as operations on the folder's home cell.
 
-Every change carries checks on the rows that it was decided by, so that two edges that change
-one folder at once lose nothing: a check that fails is followed by a fresh look, a few times.
+Every change carries checks on the rows that it was decided by, so that two edges that change one folder at
+once lose nothing: a check that fails is followed by a fresh look, a few times.
 """
 
+from functools import partial
 from typing import NamedTuple
 
 from rushmux.edge.errors import RequestRejectedError
-from rushmux.edge.operation_runner import CONFLICTS, Errand
+from rushmux.edge.file_system import FileSystem
+from rushmux.edge.operation_runner import (
+    OperationRunner,
+    RowChange,
+    check_empty,
+    check_exists,
+    check_version,
+    retry_on_conflict,
+)
 from rushmux.files import layout
-from rushmux.files.layout import ROOT, File
+from rushmux.files.layout import ROOT, FileKind, FileRow
+from rushmux.files.paths import Names
+from rushmux.nodewire import messages
 from rushmux.sftp import packets as sftp
 
-PAGE = 100  # entries in one answer to READDIR: some 10 KiB
-STEP = 256  # blocks cut off by one change: its message stays far under a frame's bound
-MODE = 0o644  # of a file whose client states none
+PAGE_SIZE = 100  # entries in one answer to READDIR: some 10 KiB
+DEFAULT_FILE_MODE = 0o644  # of a file whose client states none
+DEFAULT_DIRECTORY_MODE = 0o755
 
 
-class Found(NamedTuple):
+class ResolvedName(NamedTuple):
     """What a name means: its rows and their versions (0: no row)."""
 
-    parent: str  # id of the directory that holds it
+    parent_id: str
     name: str
-    number: str  # its id; "" where there is nothing
-    file: File | None
+    file_id: str
+    """"" where nothing has the name."""
+    file: FileRow | None
     entry_version: int = 0
-    version: int = 0
-    chain: tuple = ()  # (key, version) of the entries that lead to the parent
+    file_version: int = 0
+    ancestor_checks: tuple[messages.Check, ...] = ()
+    """That the entries leading to the parent are unchanged."""
 
     @property
-    def is_directory(self):
-        return self.file is not None and self.file.kind == "d"
+    def is_directory(self) -> bool:
+        """Whether the name means a directory."""
+        return self.file is not None and self.file.kind is FileKind.DIRECTORY
 
-    def parent_check(self):
-        return [{"key": layout.file_key(self.parent), "exists": True}] if self.parent != ROOT else []
+    @property
+    def entry_key(self) -> str:
+        """Key of its entry, which may not be there."""
+        return layout.entry_key(self.parent_id, self.name)
 
+    def parent_checks(self) -> list[messages.Check]:
+        """That its parent is there; the root of a folder always is."""
+        return [check_exists(layout.file_key(self.parent_id))] if self.parent_id != ROOT else []
 
-def no_such(names):
-    return RequestRejectedError(sftp.NO_SUCH_FILE, "/".join(names) + ": no such file")
+
+class ListedEntry(NamedTuple):
+    """One entry of a directory."""
+
+    name: str
+    file_id: str
+    file: FileRow
 
 
-def contended(what):
-    return RequestRejectedError(sftp.FAILURE, f"{what}: others change it at the same time; try again")
+class DirectoryPage(NamedTuple):
+    """Some entries of a directory, and the key to continue after ("": that was all)."""
 
+    entries: list[ListedEntry]
+    next_key: str
 
-def attributes(file: File) -> sftp.Attributes:
-    kind = sftp.DIRECTORY if file.kind == "d" else sftp.REGULAR
-    return sftp.Attributes(file.size, file.uid, file.gid, kind | file.mode, file.atime, file.mtime)
 
+def _no_such_file(names: Names) -> RequestRejectedError:
+    return RequestRejectedError(sftp.NO_SUCH_FILE, "/".join(names) + ": no such file")
 
-def root_attributes() -> sftp.Attributes:
-    return sftp.Attributes(0, 0, 0, sftp.DIRECTORY | 0o755, 0, 0)
 
+def _rejected(names: Names, reason: str) -> RequestRejectedError:
+    return RequestRejectedError(sftp.FAILURE, "/".join(names) + " " + reason)
 
-class Tree:
+
+class DirectoryTree:
     """The names of all folders, as one edge reaches them.
 
-    `wall` gives whole seconds since 1970; `drop(folder)` tells the cleaner that a folder has
-    something to drop.
+    Where others change the same names again and again, each change raises ContentionError.
     """
 
-    def __init__(self, files, unique, wall, drop):
-        self.files, self.unique, self.wall, self.drop = files, unique, wall, drop
+    def __init__(self, file_system: FileSystem):
+        self.file_system = file_system
+
+    async def resolve(self, runner: OperationRunner, names: Names) -> ResolvedName:
+        """What the names mean; the last may mean nothing.
 
-    async def find(self, errand: Errand, names) -> Found:
-        """What the names mean; RequestRejectedError where a directory on the way is missing or is a file."""
+        Raises:
+            RequestRejectedError: A directory on the way is missing or is a file.
+        """
         if not names:
-            return Found("", "", ROOT, File("d", 0o755))
-        rows = (await errand.look("/".join(names), path=names)).rows
+            return ResolvedName("", "", ROOT, FileRow(FileKind.DIRECTORY, DEFAULT_DIRECTORY_MODE))
+        rows = (await runner.read_rows("/".join(names), path=names)).rows
         # The answer holds an entry's row and the file's row for each name, as far as the path leads.
-        parent, chain = ROOT, []
-        for depth, name in enumerate(names):
-            last = depth == len(names) - 1
+        parent_id, checks = ROOT, []
+        for depth in range(len(names) - 1):
             if 2 * depth + 1 >= len(rows):
-                if last:
-                    return Found(parent, name, "", None, chain=tuple(chain))
-                raise no_such(names)
-            entry, row = rows[2 * depth], rows[2 * depth + 1]
-            number, _ = layout.unpack_entry(entry.value)
-            file = layout.unpack_file(row.value)
-            if last:
-                return Found(parent, name, number, file, entry.version, row.version, tuple(chain))
-            if file.kind != "d":
-                raise RequestRejectedError(
-                    sftp.NO_SUCH_FILE, "/".join(names[: depth + 1]) + " is no directory"
-                )
-            parent = number
-            chain.append((entry.key, entry.version))
-        raise AssertionError("unreachable: the loop returns at the last name")
-
-    async def existing(self, errand, names) -> Found:
-        found = await self.find(errand, names)
+                raise _no_such_file(names)
+            entry, file_row = rows[2 * depth], rows[2 * depth + 1]
+            if layout.unpack_file(file_row.value).kind is not FileKind.DIRECTORY:
+                path = "/".join(names[: depth + 1])
+                raise RequestRejectedError(sftp.NO_SUCH_FILE, f"{path} is no directory")
+            parent_id = layout.unpack_entry(entry.value).file_id
+            checks.append(check_version(entry.key, entry.version))
+        if 2 * len(names) > len(rows):
+            return ResolvedName(parent_id, names[-1], "", None, ancestor_checks=tuple(checks))
+        entry, file_row = rows[2 * len(names) - 2], rows[2 * len(names) - 1]
+        return ResolvedName(
+            parent_id,
+            names[-1],
+            layout.unpack_entry(entry.value).file_id,
+            layout.unpack_file(file_row.value),
+            entry.version,
+            file_row.version,
+            tuple(checks),
+        )
+
+    async def resolve_existing(self, runner: OperationRunner, names: Names) -> ResolvedName:
+        """As `resolve`, and RequestRejectedError where nothing has the name."""
+        found = await self.resolve(runner, names)
         if found.file is None:
-            raise no_such(names)
+            raise _no_such_file(names)
         return found
 
-    def doomed(self, **what):
-        """A row that tells the cleaner of objects of no more use."""
-        return f"x/{self.unique()}", layout.orjson.dumps(what)
-
-    async def open(self, errand, names, flags, asked) -> Found:
-        """The file to open, made or emptied as the flags say."""
-        for attempt in range(CONFLICTS):
-            await errand.apart(attempt)
-            found = await self.find(errand, names)
-            if found.file is None:
-                if not flags & sftp.CREATE:
-                    raise no_such(names)
-                file = self.new("f", MODE if asked.mode is None else asked.mode)
-                made = await self.add(errand, found, file)
-                if made:
-                    return made
-            elif flags & sftp.CREATE and flags & sftp.EXCLUSIVE:
-                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " exists")
-            elif found.is_directory:
-                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " is a directory")
-            elif flags & sftp.TRUNCATE and found.file.size:
-                emptied = await self.empty(errand, found)
-                if emptied:
-                    return emptied
-            else:
-                return found
-        raise contended("/".join(names))
-
-    def new(self, kind, mode) -> File:
-        now = self.wall()
-        data = self.unique() if kind == "f" else ""
-        return File(kind, mode & 0o7777, 0, now, now, 0, 0, data, self.files.object_bytes if data else 0)
-
-    async def add(self, errand, found: Found, file: File) -> Found | None:
+    async def open(
+        self, runner: OperationRunner, names: Names, flags: int, attributes: sftp.Attributes
+    ) -> ResolvedName:
+        """The file to open, created or emptied as the SFTP flags say."""
+        attempt = partial(self._try_open, runner, names, flags, attributes)
+        return await retry_on_conflict(runner, "/".join(names), attempt)
+
+    async def _try_open(
+        self, runner: OperationRunner, names: Names, flags: int, attributes: sftp.Attributes
+    ) -> ResolvedName | None:
+        found = await self.resolve(runner, names)
+        if found.file is None:
+            if not flags & sftp.CREATE:
+                raise _no_such_file(names)
+            mode = DEFAULT_FILE_MODE if attributes.mode is None else attributes.mode
+            return await self._create(runner, found, self.file_system.new_file(mode))
+        if flags & sftp.CREATE and flags & sftp.EXCLUSIVE:
+            raise _rejected(names, "exists")
+        if found.is_directory:
+            raise _rejected(names, "is a directory")
+        if flags & sftp.TRUNCATE and found.file.size:
+            return await self._empty(runner, found)
+        return found
+
+    async def _create(
+        self, runner: OperationRunner, found: ResolvedName, file: FileRow
+    ) -> ResolvedName | None:
         """Puts a new file or directory where nothing is; None where that has changed."""
-        number = self.unique()
-        entry, row = layout.entry_key(found.parent, found.name), layout.file_key(number)
-        done = await errand.change(
-            f"{found.parent}/{found.name}",
-            [*found.parent_check(), {"key": entry}],
-            [(entry, layout.pack_entry(number, file.kind)), (row, layout.pack_file(file))],
+        file_id = self.file_system.unique_name()
+        change = RowChange(
+            checks=[*found.parent_checks(), check_version(found.entry_key, 0)],
+            puts=[
+                (found.entry_key, layout.pack_entry(file_id, file.kind)),
+                (layout.file_key(file_id), layout.pack_file(file)),
+            ],
         )
-        if done is None:
+        rows = await runner.change_rows(f"{found.parent_id}/{found.name}", change)
+        if rows is None:
             return None
         return found._replace(
-            number=number, file=file, entry_version=done[0].version, version=done[1].version
+            file_id=file_id, file=file, entry_version=rows[0].version, file_version=rows[1].version
         )
 
-    async def empty(self, errand, found: Found) -> Found | None:
-        file = found.file._replace(size=0, mtime=self.wall(), data=self.unique())
-        key = layout.file_key(found.number)
-        done = await errand.change(
-            found.number,
-            [{"key": key, "version": found.version}],
-            [(key, layout.pack_file(file)), self.doomed(data=found.file.data)],
+    async def _empty(self, runner: OperationRunner, found: ResolvedName) -> ResolvedName | None:
+        """Gives a file new data of no bytes; None where others changed the file."""
+        file_system = self.file_system
+        now = file_system.calendar()
+        file = found.file._replace(size=0, mtime=now, data_id=file_system.unique_name())
+        key = layout.file_key(found.file_id)
+        change = RowChange(
+            checks=[check_version(key, found.file_version)],
+            puts=[(key, layout.pack_file(file)), file_system.garbage_data_row(found.file.data_id)],
         )
-        if done is None:
+        rows = await runner.change_rows(found.file_id, change)
+        if rows is None:
             return None
-        self.drop(errand.folder)
-        return found._replace(file=file, version=done[0].version)
+        file_system.schedule_collection(runner.folder)
+        return found._replace(file=file, file_version=rows[0].version)
 
-    async def make_directory(self, errand, names, asked):
-        for attempt in range(CONFLICTS):
-            await errand.apart(attempt)
-            found = await self.find(errand, names)
+    async def make_directory(
+        self, runner: OperationRunner, names: Names, attributes: sftp.Attributes
+    ) -> None:
+        """Makes an empty directory where nothing is."""
+        mode = DEFAULT_DIRECTORY_MODE if attributes.mode is None else attributes.mode
+
+        async def attempt():
+            found = await self.resolve(runner, names)
             if found.file is not None:
-                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " exists")
-            if await self.add(errand, found, self.new("d", 0o755 if asked.mode is None else asked.mode)):
-                return
-        raise contended("/".join(names))
-
-    async def remove(self, errand, names, directory):
-        """Removes a file, or an empty directory."""
-        for attempt in range(CONFLICTS):
-            await errand.apart(attempt)
-            found = await self.existing(errand, names)
-            if found.is_directory != directory:
-                kind = "is a directory" if found.is_directory else "is no directory"
-                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " " + kind)
-            entry, row = layout.entry_key(found.parent, found.name), layout.file_key(found.number)
-            checks = [{"key": entry, "version": found.entry_version}]
-            if directory:
-                after, below = layout.entries_of(found.number)
-                if (await errand.look(found.number, after=after, below=below, most=1)).rows:
-                    raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " is not empty")
-                checks.append({"key": after, "empty_below": below})
-                puts = []
-            else:
-                puts = [self.doomed(data=found.file.data)]
-            if await errand.change(found.number, checks, puts, [entry, row]) is not None:
-                if puts:
-                    self.drop(errand.folder)
-                return
-        raise contended("/".join(names))
-
-    async def rename(self, errand, names, target, replace):
+                raise _rejected(names, "exists")
+            return await self._create(runner, found, self.file_system.new_directory(mode))
+
+        await retry_on_conflict(runner, "/".join(names), attempt)
+
+    async def remove_file(self, runner: OperationRunner, names: Names) -> None:
+        """Removes a file."""
+        await retry_on_conflict(runner, "/".join(names), partial(self._try_remove_file, runner, names))
+
+    async def _try_remove_file(self, runner: OperationRunner, names: Names) -> bool | None:
+        found = await self.resolve_existing(runner, names)
+        if found.is_directory:
+            raise _rejected(names, "is a directory")
+        change = self._removal(found)
+        change.puts.append(self.file_system.garbage_data_row(found.file.data_id))
+        if await runner.change_rows(found.file_id, change) is None:
+            return None
+        self.file_system.schedule_collection(runner.folder)
+        return True
+
+    async def remove_directory(self, runner: OperationRunner, names: Names) -> None:
+        """Removes an empty directory."""
+        attempt = partial(self._try_remove_directory, runner, names)
+        await retry_on_conflict(runner, "/".join(names), attempt)
+
+    async def _try_remove_directory(self, runner: OperationRunner, names: Names) -> bool | None:
+        found = await self.resolve_existing(runner, names)
+        if not found.is_directory:
+            raise _rejected(names, "is no directory")
+        keys = layout.entry_keys(found.file_id)
+        outcome = await runner.read_rows(found.file_id, after=keys.after, below=keys.below, most=1)
+        if outcome.rows:
+            raise _rejected(names, "is not empty")
+        change = self._removal(found)
+        change.checks.append(check_empty(keys))
+        return None if await runner.change_rows(found.file_id, change) is None else True
+
+    @staticmethod
+    def _removal(found: ResolvedName) -> RowChange:
+        return RowChange(
+            checks=[check_version(found.entry_key, found.entry_version)],
+            drops=[found.entry_key, layout.file_key(found.file_id)],
+        )
+
+    async def rename(self, runner: OperationRunner, names: Names, target: Names, replace: bool) -> None:
         """Moves a name within the folder; `replace`: over a file, or an empty directory, in one step."""
-        for attempt in range(CONFLICTS):
-            await errand.apart(attempt)
-            found = await self.existing(errand, names)
-            other = await self.find(errand, target)
-            if found.number == other.number:
-                return
-            if found.is_directory and target[: len(names)] == names:
-                raise RequestRejectedError(sftp.FAILURE, "a directory cannot go below itself")
-            entry = layout.entry_key(found.parent, found.name)
-            goal = layout.entry_key(other.parent, other.name)
+        attempt = partial(self._try_rename, runner, names, target, replace)
+        await retry_on_conflict(runner, "/".join(names), attempt)
+
+    async def _try_rename(
+        self, runner: OperationRunner, names: Names, target: Names, replace: bool
+    ) -> bool | None:
+        source = await self.resolve_existing(runner, names)
+        destination = await self.resolve(runner, target)
+        if source.file_id == destination.file_id:
+            return True
+        if source.is_directory and target[: len(names)] == names:
+            raise RequestRejectedError(sftp.FAILURE, "a directory cannot go below itself")
+        change = self._move(source, destination)
+        if destination.file is not None:
+            if not replace:
+                raise _rejected(target, "exists")
+            self._add_replacement(change, source, destination)
+        if await runner.change_rows(source.file_id, change) is None:
+            return None
+        if len(change.puts) > 1:  # garbage
+            self.file_system.schedule_collection(runner.folder)
+        return True
+
+    @staticmethod
+    def _move(source: ResolvedName, destination: ResolvedName) -> RowChange:
+        change = RowChange(
+            checks=[
+                check_version(source.entry_key, source.entry_version),
+                *destination.parent_checks(),
+                check_version(destination.entry_key, destination.entry_version),
+            ],
+            puts=[(destination.entry_key, layout.pack_entry(source.file_id, source.file.kind))],
+            drops=[source.entry_key],
+        )
+        if source.is_directory:
             # The way to the new place must not change meanwhile, or a directory could end below itself.
-            checks = [
-                {"key": entry, "version": found.entry_version},
-                *other.parent_check(),
-                {"key": goal, "version": other.entry_version},
-            ]
-            if found.is_directory:
-                checks += [{"key": key, "version": version} for key, version in other.chain]
-            puts, drops = [(goal, layout.pack_entry(found.number, found.file.kind))], [entry]
-            if other.file is not None:
-                if not replace:
-                    raise RequestRejectedError(sftp.FAILURE, "/".join(target) + " exists")
-                if other.is_directory != found.is_directory:
-                    raise RequestRejectedError(
-                        sftp.FAILURE, "a directory and a file do not replace each other"
-                    )
-                drops.append(layout.file_key(other.number))
-                if other.is_directory:
-                    after, below = layout.entries_of(other.number)
-                    checks.append({"key": after, "empty_below": below})
-                else:
-                    puts.append(self.doomed(data=other.file.data))
-            if await errand.change(found.number, checks, puts, drops) is not None:
-                if len(puts) > 1:
-                    self.drop(errand.folder)
-                return
-        raise contended("/".join(names))
-
-    async def set_attributes(self, errand, number, asked: sftp.Attributes) -> tuple[File, int]:
-        """Changes attributes of a file by its id, its size among them; the row and its version."""
-        key = layout.file_key(number)
-        for attempt in range(CONFLICTS):
-            await errand.apart(attempt)
-            rows = (await errand.look(number, keys=[key])).rows
-            if not rows:
-                raise RequestRejectedError(sftp.NO_SUCH_FILE, "the file was removed")
-            file, version = layout.unpack_file(rows[0].value), rows[0].version
-            if asked.size is not None and asked.size != file.size:
-                if file.kind == "d":
-                    raise RequestRejectedError(sftp.FAILURE, "a directory has no size")
-                if asked.size > layout.most_bytes(file.block):
-                    raise RequestRejectedError(
-                        sftp.FAILURE, f"a size of {asked.size} is over {layout.most_bytes(file.block)}"
-                    )
-                done = await self.resize(errand, number, file, version, asked.size)
-                if done is None:
-                    continue
-                file, version = done
-            changed = file._replace(
-                mode=file.mode if asked.mode is None else asked.mode & 0o7777,
-                uid=file.uid if asked.uid is None else asked.uid,
-                gid=file.gid if asked.gid is None else asked.gid,
-                mtime=file.mtime if asked.mtime is None else asked.mtime,
-                atime=file.atime if asked.atime is None else asked.atime,
-            )
-            if changed == file:
-                return file, version
-            done = await errand.change(
-                number, [{"key": key, "version": version}], [(key, layout.pack_file(changed))]
-            )
-            if done is not None:
-                return changed, done[0].version
-        raise contended("the file")
-
-    async def resize(self, errand, number, file, version, size) -> tuple[File, int] | None:
-        """Sets a size; what lies past it goes block by block from the end.  None: others changed it."""
-        key = layout.file_key(number)
-        while True:
-            # A large file is cut in steps, each a whole change that leaves a shorter file.
-            last = max(0, file.size - 1) // file.block
-            first = max(size // file.block, last - STEP + 1)
-            step = max(size, first * file.block) if size < file.size else size
-            puts, drops, objects, checks = [], [], [], [{"key": key, "version": version}]
-            if size < file.size:
-                after, below = layout.blocks_of(file.data, first)
-                rows = (await errand.look(number, after=after, below=below, most=STEP)).rows
-                for row in rows:
-                    extents = layout.unpack_block(row.value)
-                    start = int(row.key.rsplit("/", 1)[1]) * file.block
-                    left = layout.cut(extents, max(0, step - start))
-                    if left == extents:
-                        continue
-                    checks.append({"key": row.key, "version": row.version})
-                    objects += layout.dropped(extents, left)
-                    if left:
-                        puts.append((row.key, layout.pack_block(left)))
-                    else:
-                        drops.append(row.key)
-            file = file._replace(size=step, mtime=self.wall())
-            puts.insert(0, (key, layout.pack_file(file)))
-            if objects:
-                puts.append(self.doomed(objects=objects))
-            done = await errand.change(number, checks, puts, drops)
-            if done is None:
-                return None
-            if objects:
-                self.drop(errand.folder)
-            version = done[0].version
-            if step == size:
-                return file, version
-
-    async def page(self, errand, number, after) -> tuple[list[tuple[str, str, File]], str]:
-        """Up to PAGE entries (name, id, row) of a directory past the key `after` ("" : from the first), and
-        the key to go on from ("" : that was all).
-        """
-        first, below = layout.entries_of(number)
-        outcome = await errand.look(number, after=after or first, below=below, most=PAGE)
+            change.checks += destination.ancestor_checks
+        return change
+
+    def _add_replacement(self, change: RowChange, source: ResolvedName, destination: ResolvedName) -> None:
+        """Has a change drop what the destination was."""
+        if destination.is_directory != source.is_directory:
+            raise RequestRejectedError(sftp.FAILURE, "a directory and a file do not replace each other")
+        change.drops.append(layout.file_key(destination.file_id))
+        if destination.is_directory:
+            change.checks.append(check_empty(layout.entry_keys(destination.file_id)))
+        else:
+            change.puts.append(self.file_system.garbage_data_row(destination.file.data_id))
+
+    async def list_entries(self, runner: OperationRunner, directory_id: str, after: str) -> DirectoryPage:
+        """Up to PAGE_SIZE entries of a directory past the key `after` ("": from the first)."""
+        keys = layout.entry_keys(directory_id)
+        outcome = await runner.read_rows(
+            directory_id, after=after or keys.after, below=keys.below, most=PAGE_SIZE
+        )
         if not outcome.rows:
-            return [], ""
-        numbers = [layout.unpack_entry(row.value)[0] for row in outcome.rows]
-        rows = (await errand.look(number, keys=[layout.file_key(other) for other in numbers])).rows
-        files = {row.key: layout.unpack_file(row.value) for row in rows}
+            return DirectoryPage([], "")
+        file_ids = [layout.unpack_entry(row.value).file_id for row in outcome.rows]
+        file_keys = [layout.file_key(file_id) for file_id in file_ids]
+        file_rows = (await runner.read_rows(directory_id, keys=file_keys)).rows
+        files = {row.key: layout.unpack_file(row.value) for row in file_rows}
         entries = [
-            (row.key[len(first) :], other, files[layout.file_key(other)])
-            for row, other in zip(outcome.rows, numbers)
-            if layout.file_key(other) in files
+            ListedEntry(row.key[len(keys.after) :], file_id, files[file_key])
+            for row, file_id, file_key in zip(outcome.rows, file_ids, file_keys, strict=True)
+            if file_key in files
         ]
-        return entries, outcome.rows[-1].key if outcome.more else ""
+        return DirectoryPage(entries, outcome.rows[-1].key if outcome.more else "")
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Sequence
 
-from rushmux.edge.directories import Tree
+from rushmux.edge.directories import DirectoryTree
 from rushmux.edge.driver import EdgeDriver, EdgeIdentity
-from rushmux.edge.garbage_collector import Cleaner
+from rushmux.edge.endpoint_cache import EndpointCache
+from rushmux.edge.file_attributes import AttributeEditor
+from rushmux.edge.file_system import FileSystem
+from rushmux.edge.garbage_collector import GarbageCollector
 from rushmux.edge.node_connections import Address, NodeConnections
 from rushmux.edge.planner_client import PlannerClient
-from rushmux.edge.policy_client import Going, begun
+from rushmux.edge.policy_client import Going, Kept, begun
 from rushmux.edge.quota_client import Asking
 from rushmux.edge.session import Session
 from rushmux.nodewire import VERSION, messages
@@ -17,155 +21,209 @@
 from rushmux.settings.deployment import BadDeployment, Deployment
 
 BACKLOG = 1_024  # connections that the system holds until they are accepted
-LINGER = 0.2  # seconds for the last answers to leave before connections close
+LINGER = 0.2  # seconds for the last replies to leave before connections close
+INCARNATION_BITS = 48
 
 
 class Edge:
-    """One gateway.  `seed` is all its chance and must differ at every start; `epoch` is the calendar
-    time, in seconds since 1970, at the loop's clock of nought; `buffered` makes a write-back
-    buffer of a driver, a tree and a log (None: there is none).
+    """One gateway.
+
+    Attributes:
+        name: Its name on every wire.
+        incarnation: What differs at each of its starts.
+        on_listing: Called with [node, condition] of each entry of each listing taken in.
+        on_policy_state: Called with each change of the policy that it goes by.
     """
 
     def __init__(
         self,
         number: int,
         deployment: Deployment,
-        lists: Address,
+        planner_addresses: Address | Sequence[Address],
+        *,
         seed: int,
         epoch: float,
         log,
-        decisions=Scheduler,
-        buffered=None,
-        last=None,
-        kept=None,
+        scheduler_type: Callable = Scheduler,
+        make_buffer: Callable | None = None,
+        endpoint_cache: EndpointCache | None = None,
+        policy_store: Kept | None = None,
     ):
-        self.number, self.deployment, self.epoch = number, deployment, epoch
-        # The file's deployment; the disk of the fleet's policy; what goes by it.
-        self.own, self.kept, self.going = deployment, kept, None
-        self.went_by = lambda state: None  # hears of each change of what it goes by
-        self.name, self.start = f"edge{number}", f"{seed & 0xFFFFFFFFFFFF:012x}"
-        self.log = log.bind(edge=self.name, start=self.start)
-        self.chance, self.seed, self.lists_at, self.decisions = random.Random(seed), seed, lists, decisions
-        self.heard = lambda nodes: None  # hears of each listing taken in: [node, condition] each
-        self.buffered, self.buffer = buffered, None
-        self.last = last  # the last list of an earlier start (`edge.lastlist`)
-        self.closing, self.sessions, self.count, self.tasks = False, {}, 0, []
+        """Starts nothing yet.
+
+        Args:
+            number: Which of the deployment's edges it is.
+            deployment: The deployment of its own file.
+            planner_addresses: Where the endpoint list comes from.
+            seed: Decides all it draws; must differ at every start.
+            epoch: Calendar time, in seconds since 1970, at the loop's time 0.
+            log: Takes its events.
+            scheduler_type: Makes the scheduler.
+            make_buffer: Makes a write-back buffer of a driver, a file system and a log; None: there is none.
+            endpoint_cache: The endpoint list of an earlier start; None: none is cached.
+            policy_store: The fleet's policy on disk; None: the deployment's file alone decides.
+        """
+        self.number, self.deployment, self.epoch, self.seed = number, deployment, epoch, seed
+        self.name = f"edge{number}"
+        self.incarnation = f"{seed & (1 << INCARNATION_BITS) - 1:012x}"
+        self.log = log.bind(edge=self.name, start=self.incarnation)
+        self.rng = random.Random(seed)
+        self.planner_addresses, self.scheduler_type = planner_addresses, scheduler_type
+        self.make_buffer, self.buffer = make_buffer, None
+        self.endpoint_cache = endpoint_cache
+        self.own_deployment = deployment  # its file's, whatever the policy makes of it
+        self.policy_store, self.policy_client, self.quota_client = policy_store, None, None
+        self.on_listing: Callable[[list], None] = lambda nodes: None
+        self.on_policy_state: Callable[[tuple], None] = lambda state: None
+        self.closing = False
+        self.sessions: dict[Session, asyncio.Task] = {}
+        self.session_count = 0
+        self.tasks: list[asyncio.Task] = []
 
     def serves(self, folder: str) -> bool:
+        """Whether clients reach a folder through this edge."""
         edges = self.deployment.folders[folder].edges
         return edges is None or self.number in edges
 
+    # Start.
+
     async def open(self, host: str, port: int) -> int:
-        """Begins to serve; the port that clients are taken on."""
-        loop = asyncio.get_running_loop()
-        held = None, None
-        if self.kept is not None:
-            self.deployment, held = begun(self.own, self.kept, self.log)
-        hello = messages.Hello(version=VERSION, peer=self.name, start=self.start)
+        """Begins to serve; the port that clients connect to."""
+        stored_policies = None, None
+        if self.policy_store is not None:
+            self.deployment, stored_policies = begun(self.own_deployment, self.policy_store, self.log)
+        hello = messages.Hello(version=VERSION, peer=self.name, start=self.incarnation)
+        self._make_driver(hello)
+        self._make_files()
+        cached = self.endpoint_cache.load() if self.endpoint_cache is not None else None
+        if cached is not None:
+            self.driver.endpoint_table.on_listing(cached)
+        self.planner_client = PlannerClient(
+            self.planner_addresses, hello, self.rng, self.log, self._on_listing
+        )
+        self._start_tasks(stored_policies)
+        self.server = await asyncio.start_server(self._accept, host, port, backlog=BACKLOG)
+        port = self.server.sockets[0].getsockname()[1]
+        self.log.info("edge.listening", host=host, port=port)
+        return port
+
+    def _make_driver(self, hello: messages.Hello) -> None:
         self.connections = NodeConnections(
             hello,
             connect_timeout=self.deployment.dial,
             connections_per_node=self.deployment.links,
-            rng=self.chance,
+            rng=self.rng,
             log=self.log,
         )
         self.driver = EdgeDriver(
-            EdgeIdentity(self.name, self.start),
+            EdgeIdentity(self.name, self.incarnation),
             self.deployment,
             self.connections,
             self.log,
             seed=self.seed,
-            rng=self.chance,
-            scheduler_type=self.decisions,
+            rng=self.rng,
+            scheduler_type=self.scheduler_type,
         )
-        self.cleaner = Cleaner(self.driver, self.log)
-        self.tree = Tree(
+
+    def _make_files(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.garbage_collector = GarbageCollector(self.driver, self.log)
+        self.file_system = FileSystem(
             self.deployment.files,
             self.driver.unique_name,
             lambda: int(self.epoch + loop.time()),
-            self.cleaner.note,
+            self.garbage_collector.schedule,
         )
-        if self.buffered is not None:
-            self.buffer = self.buffered(self.driver, self.tree, self.log)
-        known = self.last.load() if self.last is not None else None
-        if known is not None:
-            self.driver.endpoint_table.on_listing(known)
-        lists = self.lists = PlannerClient(self.lists_at, hello, self.chance, self.log, self.told)
-        if self.deployment.shares:
-            self.asking = Asking(self.driver, lists, self.log)
-        self.tasks = [loop.create_task(lists.run()), loop.create_task(self.cleaner.run())]
+        self.directory_tree = DirectoryTree(self.file_system)
+        self.attribute_editor = AttributeEditor(self.file_system)
+        if self.make_buffer is not None:
+            self.buffer = self.make_buffer(self.driver, self.file_system, self.log)
+
+    def _start_tasks(self, stored_policies: tuple) -> None:
         if self.deployment.shares:
-            self.tasks.append(loop.create_task(self.asking.run()))
-        if self.kept is not None:
-            self.going = Going(self, self.own, self.kept, held, self.log)
-            self.tasks.append(loop.create_task(self.going.run()))
+            self.quota_client = Asking(self.driver, self.planner_client, self.log)
+        runs = [self.planner_client.run(), self.garbage_collector.run()]
+        if self.quota_client is not None:
+            runs.append(self.quota_client.run())
+        if self.policy_store is not None:
+            self.policy_client = Going(
+                self, self.own_deployment, self.policy_store, stored_policies, self.log
+            )
+            runs.append(self.policy_client.run())
         if self.buffer is not None:
-            self.tasks.append(loop.create_task(self.buffer.run()))
-        self.server = await asyncio.start_server(self.accept, host, port, backlog=BACKLOG)
-        port = self.server.sockets[0].getsockname()[1]
-        self.log.info("edge.serves", host=host, port=port)
-        return port
+            runs.append(self.buffer.run())
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(run) for run in runs]
+
+    # Changes while it runs.
 
-    def told(self, listing):
+    def _on_listing(self, listing: messages.Listing) -> None:
         if not self.driver.endpoint_table.on_listing(listing):
             return
-        if self.last is not None:
-            self.last.told(listing)
-        self.heard([[entry.node, entry.condition] for entry in listing.entries])
+        if self.endpoint_cache is not None:
+            self.endpoint_cache.update(listing)
+        self.on_listing([[entry.node, entry.condition] for entry in listing.entries])
+
+    def reload(self, read_deployment: Callable[[], Deployment]) -> bool:
+        """Takes over the route policies of the deployment that `read_deployment()` gives.
 
-    def reload(self, read):
-        """Takes over the routes of the deployment that `read()` gives; a bad file, or one that changes
-        anything else, leaves the routes in force whole.  Returns whether they were taken over.
+        A bad file, or one that changes anything else, leaves all policies as they are.  Returns whether they
+        were taken over.
         """
-        if self.going is not None:
-            # Danger: one edge's file is one edge's policy.
-            self.log.error("routes.refused", faults=["the fleet decides its policy in common: propose it"])
-            return False
+        if self.policy_client is not None:
+            # One edge's file would be one edge's policy.
+            return self._reject_reload(["the fleet decides its policy in common: propose it"])
         try:
-            found = read()
-        except BadDeployment as fault:
-            self.log.error("routes.refused", faults=[f"{place}: {text}" for place, text in fault.faults])
-            return False
-        verdict = judge(self.deployment, found)
+            deployment = read_deployment()
+        except BadDeployment as error:
+            return self._reject_reload([f"{place}: {text}" for place, text in error.faults])
+        verdict = judge(self.deployment, deployment)
         if not verdict.taken:
-            self.log.error("routes.refused", faults=list(verdict.against))
-            return False
-        self.take_over(found)
-        self.log.info("routes.taken", changed=list(verdict.changed[:MOST_NAMED]), count=len(verdict.changed))
+            return self._reject_reload(list(verdict.against))
+        self.take_over(deployment)
+        changed = list(verdict.changed[:MOST_NAMED])
+        self.log.info("routes.reloaded", changed=changed, count=len(verdict.changed))
         return True
 
-    def take_over(self, found: Deployment):
-        """Goes by another deployment's routes; what was taken before keeps its own."""
-        self.deployment = found
-        self.driver.update_route_policies(found)
+    def _reject_reload(self, faults: list[str]) -> bool:
+        self.log.error("routes.reload_rejected", faults=faults)
+        return False
+
+    def take_over(self, deployment: Deployment) -> None:
+        """Goes by another deployment's route policies; operations taken before keep theirs."""
+        self.deployment = deployment
+        self.driver.update_route_policies(deployment)
+
+    # Sessions.
 
-    async def accept(self, reader, writer):
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.closing or len(self.sessions) >= self.deployment.sessions.most:
-            self.log.warning("session.turned_away", sessions=len(self.sessions))
+            self.log.warning("session.rejected", sessions=len(self.sessions))
             writer.close()
             return
-        self.count += 1
-        session = Session(self, f"{self.name}.{self.start}/s{self.count}", reader, writer)
+        self.session_count += 1
+        name = f"{self.name}.{self.incarnation}/s{self.session_count}"
+        session = Session(self, name, reader, writer)
         self.sessions[session] = asyncio.current_task()
         try:
             await session.run()
         finally:
             del self.sessions[session]
 
-    async def close(self):
-        """Takes nothing new, answers what is held, and ends within the clients' patience."""
+    async def close(self) -> None:
+        """Shuts down gracefully: accepts nothing new, answers what is in flight within the clients' time."""
         self.closing = True
         self.server.close()
         loop = asyncio.get_running_loop()
-        until = loop.time() + self.deployment.sessions.patience
-        while any(session.tasks for session in self.sessions) and loop.time() < until:
+        deadline = loop.time() + self.deployment.sessions.patience
+        while any(session.tasks for session in self.sessions) and loop.time() < deadline:
             await asyncio.sleep(LINGER / 4)
         if self.buffer is not None:
-            await self.buffer.drain(until)
+            await self.buffer.drain(deadline)
         await asyncio.sleep(LINGER)
-        ending = list(self.sessions.values()) + self.tasks
-        for task in ending:
+        tasks = [*self.sessions.values(), *self.tasks]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*ending, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.connections.close()
-        self.log.info("edge.ended")
+        self.log.info("edge.stopped")
--- a/rushmux/edge/endpoint_cache.py
+++ b/rushmux/edge/endpoint_cache.py
@@ -1,81 +1,106 @@
-"""The last list that an edge was told, kept for a start with nobody to ask.
+"""The last endpoint list that an edge was sent, cached on disk for a start with no planner to ask.
 
-One file, replaced whole: a magic word, a format, a checksum, the calendar time, and the list as the wire
-has it.  What cannot be read is as no list at all, and said so.
+One file, replaced atomically: a magic word, a format, a checksum, the calendar time, and the list as the
+wire has it.  What cannot be read counts as no list at all and is logged.
 """
 
 import struct
 import zlib
 from collections.abc import Callable
 from pathlib import Path
+from typing import NamedTuple
+
+from google.protobuf.message import DecodeError
 
 from rushmux import atomic_write
+from rushmux.edge.errors import EdgeError
 from rushmux.nodewire import messages
+from rushmux.scheduling.driver import TICKS_PER_SECOND
+from rushmux.scheduling.interface import EndpointState
 
 MAGIC, FORMAT = b"rmll", 1
-HEAD = struct.Struct(">4sHId")  # magic, format, checksum of the rest, calendar seconds
-MOST = 8 << 20  # bytes of a file: far above any list
-OLD = 7 * 86_400.0  # seconds: an older list tells nothing of today's nodes
+HEADER = struct.Struct(">4sHId")  # magic, format, checksum of the rest, calendar seconds
+SAVED_AT = struct.Struct(">d")
+MAX_FILE_BYTES = 8 << 20  # far above any list
+MAX_AGE = 7 * 86_400.0  # seconds: an older list tells nothing of today's nodes
+
+
+class EndpointCacheError(EdgeError):
+    """A cached list that cannot be used; the text says why."""
+
+
+class CachedListing(NamedTuple):
+    """A list as it was cached, and when, in seconds since 1970."""
 
+    listing: messages.Listing
+    saved_at: float
 
-class LastList:
-    """The file.  `calendar` gives seconds since 1970."""
 
-    def __init__(self, path, calendar: Callable[[], float], log):
+class EndpointCache:
+    """The file, and the list in it as far as this start of the edge knows it."""
+
+    def __init__(self, path: str | Path, calendar: Callable[[], float], log):
+        """Opens no file yet; `calendar` gives seconds since 1970."""
         self.path, self.calendar, self.log = Path(path), calendar, log
-        self.cells, self.version, self.entries = 0, 0, {}
+        self.cell_count, self.version = 0, 0
+        self.entries: dict[str, messages.Entry] = {}
 
-    def told(self, listing: messages.Listing):
-        """Takes in a list or changes of it, and keeps the whole."""
+    def update(self, listing: messages.Listing) -> None:
+        """Takes in a snapshot or a delta, and writes the whole list."""
         if listing.whole:
             self.entries = {}
-        self.cells, self.version = listing.cells, listing.version
+        self.cell_count, self.version = listing.cells, listing.version
         for entry in listing.entries:
             self.entries.pop(entry.node, None)
-            if entry.condition != "gone":
+            if entry.condition != EndpointState.REMOVED:
                 self.entries[entry.node] = entry
+        try:
+            atomic_write.whole(self.path, self._encode(self.calendar()))
+        except OSError as error:
+            self.log.warning("endpoint_cache.write_failed", reason=str(error))
+
+    def _encode(self, saved_at: float) -> bytes:
         body = messages.Listing(
-            version=self.version, whole=True, cells=self.cells, entries=self.entries.values()
+            version=self.version, whole=True, cells=self.cell_count, entries=self.entries.values()
         ).SerializeToString()
-        now = self.calendar()
-        head = HEAD.pack(MAGIC, FORMAT, zlib.crc32(struct.pack(">d", now) + body), now)
-        try:
-            atomic_write.whole(self.path, head + body)
-        except OSError as fault:
-            self.log.warning("lastlist.unkept", why=str(fault))
+        checksum = zlib.crc32(SAVED_AT.pack(saved_at) + body)
+        return HEADER.pack(MAGIC, FORMAT, checksum, saved_at) + body
 
     def load(self) -> messages.Listing | None:
-        """The last list with its nodes' ages as of now; None where there is none that can be used."""
+        """The cached list with its nodes' ages as of now; None where there is none that can be used."""
         try:
-            with open(self.path, "rb") as source:
-                data = source.read(MOST + 1)
+            cached = self._read()
         except FileNotFoundError:
             return None
-        except OSError as fault:
-            self.log.warning("lastlist.unread", why=str(fault))
+        except (OSError, EndpointCacheError) as error:
+            self.log.warning("endpoint_cache.read_failed", reason=str(error))
             return None
-        listing = messages.Listing()
-        try:
-            magic, version, mark, at = HEAD.unpack_from(data)
-            body = data[HEAD.size :]
-            if magic != MAGIC or version != FORMAT or len(data) > MOST:
-                raise ValueError(f"format {version}, this edge reads {FORMAT}")
-            if zlib.crc32(struct.pack(">d", at) + body) != mark:
-                raise ValueError("its checksum is wrong")
-            listing.ParseFromString(body)
-        except (struct.error, ValueError) as fault:
-            self.log.warning("lastlist.unread", why=str(fault))
-            return None
-        except Exception as fault:  # pylint: disable=broad-except
-            self.log.warning("lastlist.unread", why=f"{type(fault).__name__}: {fault}")
-            return None
-        age = self.calendar() - at
-        if not 0 <= age <= OLD:
-            self.log.warning("lastlist.old", age=round(age))
+        listing, age = cached.listing, self.calendar() - cached.saved_at
+        if not 0 <= age <= MAX_AGE:
+            self.log.warning("endpoint_cache.expired", age=round(age))
             return None
         for entry in listing.entries:
-            entry.age += int(age * 10_000)
-        self.cells, self.version = listing.cells, listing.version
+            entry.age += int(age * TICKS_PER_SECOND)
+        self.cell_count, self.version = listing.cells, listing.version
         self.entries = {entry.node: entry for entry in listing.entries}
-        self.log.info("lastlist.used", age=round(age, 1), nodes=len(listing.entries))
+        self.log.info("endpoint_cache.loaded", age=round(age, 1), nodes=len(listing.entries))
         return listing
+
+    def _read(self) -> CachedListing:
+        with open(self.path, "rb") as source:
+            data = source.read(MAX_FILE_BYTES + 1)
+        try:
+            magic, file_format, checksum, saved_at = HEADER.unpack_from(data)
+        except struct.error as error:
+            raise EndpointCacheError(str(error)) from error
+        body = data[HEADER.size :]
+        if magic != MAGIC or file_format != FORMAT or len(data) > MAX_FILE_BYTES:
+            raise EndpointCacheError(f"format {file_format}, this edge reads {FORMAT}")
+        if zlib.crc32(SAVED_AT.pack(saved_at) + body) != checksum:
+            raise EndpointCacheError("its checksum is wrong")
+        listing = messages.Listing()
+        try:
+            listing.ParseFromString(body)
+        except DecodeError as error:
+            raise EndpointCacheError(f"it holds no endpoint list: {error}") from error
+        return CachedListing(listing, saved_at)
--- a/rushmux/edge/errors.py
+++ b/rushmux/edge/errors.py
@@ -1,5 +1,7 @@
 """Errors of the edge; all derive from `EdgeError`."""
 
+from rushmux.sftp import packets as sftp
+
 
 class EdgeError(Exception):
     """Base of all errors that this package raises."""
@@ -78,3 +80,10 @@
     def __init__(self, object_name: str):
         super().__init__(f"object {object_name} came back damaged")
         self.object_name = object_name
+
+
+class ContentionError(RequestRejectedError):
+    """Others changed the same rows at every attempt."""
+
+    def __init__(self, what: str):
+        super().__init__(sftp.FAILURE, f"{what}: others change it at the same time; try again")
--- a/rushmux/edge/garbage_collector.py
+++ b/rushmux/edge/garbage_collector.py
@@ -1,103 +1,115 @@
-"""Drops objects that no name points at any more, one operation at a time behind all else.
+"""Drops objects that no name points at any more, one operation at a time and behind all other work.
 
-What is to be dropped stands in rows of the folder's names, put there by the change that freed
-it, so that any edge can go on where one was killed.
+What is to be dropped stands in rows of the folder's names, put there by the change that freed it, so that any
+edge can continue where one was killed.
 """
 
 import asyncio
+from collections.abc import Iterable
 
-import orjson
-
+from rushmux.edge.driver import EdgeDriver
 from rushmux.edge.errors import OperationFailedError, OperationShedError
-from rushmux.edge.operation_runner import Errand
+from rushmux.edge.operation_runner import NO_TAG, OperationRunner, RowChange
 from rushmux.files import layout
 
 DELAY = 2.0  # seconds: readers with older rows finish first
-AGAIN = 5.0  # seconds until a folder is tried again after a shed
-TIME = 10.0  # seconds for one operation
-PAGE = 64  # rows and objects taken in hand at once
-MOST_LEFT = 4_096  # left-over objects kept in mind; more wait for a scrubber
+RETRY_DELAY = 5.0  # seconds until a folder is tried again after a shed
+OPERATION_TIMEOUT = 10.0  # seconds
+BATCH_SIZE = 64  # rows read and objects dropped at once
+MAX_ORPHANS = 4_096  # orphaned objects remembered; more wait for a scrubber
 
 
-class Cleaner:
-    """One worker of an edge.  `note` may be called at any time; it holds a folder once."""
+class GarbageCollector:
+    """The background worker of one edge."""
 
-    def __init__(self, driver, log):
+    def __init__(self, driver: EdgeDriver, log):
         self.driver, self.log = driver, log
-        self.folders, self.seen, self.changed = {}, {}, asyncio.Event()
-        self.left, self.left_over = {}, 0  # folder -> (cell, object) of copies that no name points at
-        driver.on_orphaned_object = self.leave
-
-    def leave(self, folder: str, cell: int, name: str):
-        """A write went to this cell too and another copy is the one that counts."""
-        if self.left_over < MOST_LEFT:
-            self.left_over += 1
-            self.left.setdefault(folder, []).append((cell, name))
-            self.note(folder)
-
-    def note(self, folder: str):
-        """A folder has something to drop."""
-        self.folders[folder] = True
-        self.changed.set()
-
-    def met(self, folder: str):
+        self.scheduled: dict[str, bool] = {}  # folders with something to drop, each once
+        self.folders_seen: set[str] = set()
+        self.wake = asyncio.Event()
+        self.orphans: dict[str, list[tuple[int, str]]] = {}  # folder -> (cell, object)
+        self.orphan_count = 0
+        driver.on_orphaned_object = self.on_orphaned_object
+
+    def on_orphaned_object(self, folder: str, cell: int, name: str) -> None:
+        """A write went to this cell too, and another copy is the one that counts."""
+        if self.orphan_count < MAX_ORPHANS:
+            self.orphan_count += 1
+            self.orphans.setdefault(folder, []).append((cell, name))
+            self.schedule(folder)
+
+    def schedule(self, folder: str) -> None:
+        """A folder has something to drop; may be called at any time."""
+        self.scheduled[folder] = True
+        self.wake.set()
+
+    def on_folder_used(self, folder: str) -> None:
         """A folder is used here: what a killed edge left there is looked for once."""
-        if folder not in self.seen:
-            self.seen[folder] = True
-            self.note(folder)
+        if folder not in self.folders_seen:
+            self.folders_seen.add(folder)
+            self.schedule(folder)
 
-    async def run(self):
+    async def run(self) -> None:
+        """Collects until cancelled."""
         while True:
-            await self.changed.wait()
-            self.changed.clear()
+            await self.wake.wait()
+            self.wake.clear()
             await asyncio.sleep(DELAY)
-            again, folders, self.folders = [], self.folders, {}
-            for folder in folders:
-                try:
-                    await self.clean(folder)
-                except (OperationShedError, OperationFailedError):
-                    again.append(folder)
-                except Exception:  # pylint: disable=broad-except
-                    self.log.exception("cleaner.fault", folder=folder)
-            if again:
-                await asyncio.sleep(AGAIN)
-                for folder in again:
-                    self.note(folder)
-
-    def errand(self, folder):
-        return Errand(self.driver, folder, "-", self.driver.loop.time() + TIME)
-
-    async def clean(self, folder):
-        # Danger: a copy that a node runs later than this stays; a drop of what is not there is harmless.
-        left = self.left.pop(folder, [])
-        self.left_over -= len(left)
-        await self.objects(folder, left)
+            folders, self.scheduled = self.scheduled, {}
+            retries = [folder for folder in folders if not await self._try_collect(folder)]
+            if retries:
+                await asyncio.sleep(RETRY_DELAY)
+                for folder in retries:
+                    self.schedule(folder)
+
+    async def _try_collect(self, folder: str) -> bool:
+        """Collects a folder; False: it is to be retried."""
+        try:
+            await self._collect(folder)
+        except (OperationShedError, OperationFailedError):
+            return False
+        except Exception:  # whatever it is: the other folders go on
+            self.log.exception("garbage_collector.fault", folder=folder)
+        return True
+
+    def _runner(self, folder: str) -> OperationRunner:
+        deadline = self.driver.loop.time() + OPERATION_TIMEOUT
+        return OperationRunner(self.driver, folder, NO_TAG, deadline)
+
+    async def _collect(self, folder: str) -> None:
+        # A copy that a node writes later than this stays; dropping what is not there is harmless.
+        orphans = self.orphans.pop(folder, [])
+        self.orphan_count -= len(orphans)
+        await self._drop_objects(folder, orphans)
+        after, below = layout.GARBAGE_KEYS
         while True:
-            rows = (await self.errand(folder).look("x", after="x/", below="x0", most=PAGE)).rows
-            for row in rows:
-                what = orjson.loads(row.value)
-                if "data" in what:
-                    await self.blocks(folder, what["data"])
-                await self.objects(folder, what.get("objects", ()))
-                await self.errand(folder).change(row.key, [], [], [row.key])
-            if len(rows) < PAGE:
+            outcome = await self._runner(folder).read_rows("x", after=after, below=below, most=BATCH_SIZE)
+            for row in outcome.rows:
+                garbage = layout.unpack_garbage(row.value)
+                if garbage.data_id:
+                    await self._drop_blocks(folder, garbage.data_id)
+                await self._drop_objects(folder, garbage.objects)
+                await self._runner(folder).change_rows(row.key, RowChange(drops=[row.key]))
+            if len(outcome.rows) < BATCH_SIZE:
                 return
 
-    async def blocks(self, folder, data):
-        """Drops a file's objects and their rows, in pages."""
-        after, below = layout.blocks_of(data)
+    async def _drop_blocks(self, folder: str, data_id: str) -> None:
+        """Drops the objects of a file's blocks and the rows of these."""
+        after, below = layout.block_keys(data_id)
         while True:
-            rows = (await self.errand(folder).look(data, after=after, below=below, most=PAGE)).rows
-            if not rows:
+            outcome = await self._runner(folder).read_rows(data_id, after=after, below=below, most=BATCH_SIZE)
+            if not outcome.rows:
                 return
-            extents = [extent for row in rows for extent in layout.unpack_block(row.value)]
-            await self.objects(folder, layout.dropped(extents, ()))
-            await self.errand(folder).change(data, [], [], [row.key for row in rows])
-
-    async def objects(self, folder, objects):
-        cells = {}
+            extents = [extent for row in outcome.rows for extent in layout.unpack_block(row.value)]
+            await self._drop_objects(folder, layout.unreferenced(extents, ()))
+            await self._runner(folder).change_rows(
+                data_id, RowChange(drops=[row.key for row in outcome.rows])
+            )
+
+    async def _drop_objects(self, folder: str, objects: Iterable[tuple[int, str]]) -> None:
+        by_cell: dict[int, list[str]] = {}
         for cell, name in objects:
-            cells.setdefault(cell, []).append(name)
-        for cell, names in cells.items():
-            for at in range(0, len(names), PAGE):
-                await self.errand(folder).clean(cell, names[at : at + PAGE])
+            by_cell.setdefault(cell, []).append(name)
+        for cell, names in by_cell.items():
+            for start in range(0, len(names), BATCH_SIZE):
+                await self._runner(folder).drop_objects(cell, names[start : start + BATCH_SIZE])
--- a/rushmux/edge/operation_runner.py
+++ b/rushmux/edge/operation_runner.py
@@ -1,122 +1,189 @@
-"""What one request of a client asks of the nodes: each access is one operation of the module."""
+"""What one client request asks of the storage nodes: each access is one operation of the scheduler."""
 
 import asyncio
 import zlib
-
-from rushmux.edge.driver import EdgeDriver, EdgeOperation
-from rushmux.edge.errors import ObjectCorruptedError, ObjectMissingError, OperationShedError
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple, TypeVar
+
+from rushmux.edge.driver import EdgeDriver, EdgeOperation, OperationResult
+from rushmux.edge.errors import (
+    ContentionError,
+    ObjectCorruptedError,
+    ObjectMissingError,
+    OperationShedError,
+)
 from rushmux.files import paths
+from rushmux.files.layout import KeyRange
 from rushmux.nodewire import messages
 
-CONFLICTS = 12  # fresh looks of one request: more means a crowd that none gets through
-APART = 0.002  # seconds: two edges that took turns by chance alone are apart after a few
-MOST_APART = 0.2  # seconds: far under any client's time
-LEAST = 0.02  # seconds: with less left an operation is not begun
+MAX_CONFLICTS = 12  # attempts of one request at a change: more means contention that none gets through
+CONFLICT_BACKOFF = 0.002  # seconds: two edges that collided by chance are apart after a few
+MAX_CONFLICT_BACKOFF = 0.2  # seconds: far under any client's time
+MIN_TIME_LEFT = 0.02  # seconds: with less left an operation is not begun
+ANY_CELL = -1  # of an operation that writes a new object
+NO_TAG = "-"  # of background work, which belongs to no client request
+
+FillExecute = Callable[[messages.Execute], None]
+Result = TypeVar("Result")
+
+
+class StoredObject(NamedTuple):
+    """A new object and the cell where it lies."""
+
+    name: str
+    cell: int
+
+
+@dataclass
+class RowChange:
+    """A change of rows of one folder: all of it is done if all checks hold, or nothing."""
+
+    checks: list[messages.Check] = field(default_factory=list)
+    puts: list[tuple[str, bytes]] = field(default_factory=list)
+    """Keys and values."""
+    drops: list[str] = field(default_factory=list)
+    """Keys."""
 
 
-class Errand:
-    """One client request in one folder, or a piece of background work: its time and its tag."""
+def check_version(key: str, version: int) -> messages.Check:
+    """The row has this version; 0: there is no such row."""
+    return messages.Check(key=key, version=version)
 
-    def __init__(self, driver: EdgeDriver, folder: str, tag: str, until: float):
-        self.driver, self.folder, self.tag, self.until = driver, folder, tag, until
+
+def check_exists(key: str) -> messages.Check:
+    """There is such a row, of any version."""
+    return messages.Check(key=key, exists=True)
+
+
+def check_empty(keys: KeyRange) -> messages.Check:
+    """No row lies between two keys."""
+    return messages.Check(key=keys.after, empty_below=keys.below)
+
+
+class OperationRunner:
+    """Runs the operations of one client request, or of a piece of background work, in one folder.
+
+    Attributes:
+        driver: The edge's driver.
+        folder: The folder that the operations count for.
+        tag: Ends the id of each operation.
+        deadline: The loop's time at which the request is answered at the latest.
+    """
+
+    def __init__(self, driver: EdgeDriver, folder: str, tag: str, deadline: float):
+        self.driver, self.folder, self.tag, self.deadline = driver, folder, tag, deadline
         self.roles = driver.deployment.roles
 
-    async def apart(self, attempt: int):
-        """Waits a drawn time before a fresh look; the first of them waits for nothing."""
+    async def back_off(self, attempt: int) -> None:
+        """Waits a drawn time before an attempt at a change; not before the first, number 0."""
         if attempt:
-            await asyncio.sleep(self.driver.rng.random() * min(MOST_APART, APART * 2**attempt))
+            longest = min(MAX_CONFLICT_BACKOFF, CONFLICT_BACKOFF * 2**attempt)
+            await asyncio.sleep(self.driver.rng.random() * longest)
 
-    async def run(self, role, key, units, cell, fill):
-        left = self.until - self.driver.loop.time()
-        if left < LEAST:
-            raise OperationShedError
-        return await self.driver.execute(
-            EdgeOperation(self.roles[role], self.folder, key, units, cell, fill), left, self.tag
-        )
+    async def read_rows(self, key: str, **fields) -> messages.Outcome:
+        """Reads rows of the folder's names; fields as in `messages.Look`."""
+        look = messages.Look(**fields)
+        return await self._run_on_home_cell("look", key, 1.0, lambda execute: execute.look.CopyFrom(look))
 
-    async def names(self, role, key, units, fill):
-        cells = self.driver.endpoint_table.cell_count
-        if not cells:  # no list came yet
-            raise OperationShedError
-        answer = await self.run(role, key, units, paths.home(self.folder, cells), fill)
-        return answer.outcome
+    async def change_rows(self, key: str, change: RowChange) -> Sequence[messages.Row] | None:
+        """Changes rows, all or none, if all checks hold.
 
-    async def look(self, key: str, **fields) -> messages.Outcome:
-        """Reads rows of the folder's names; fields as in nodewire's Look."""
-        look = messages.Look(**fields)
-        return await self.names(
-            "look", f"{self.folder}/{key}", 1.0, lambda execute: execute.look.CopyFrom(look)
-        )
+        Returns:
+            The rows that were put, with their new versions; None where a check does not hold.
 
-    async def change(self, key: str, checks, puts=(), drops=()):
-        """Changes rows, all or none; the rows put with their new versions, or None where a check
-        does not hold.  OperationFailedError: it may have been done.
+        Raises:
+            OperationFailedError: It may have been done.
         """
-        change = messages.Change(
+        message = messages.Change(
             mark=self.driver.unique_name(),
-            checks=[messages.Check(**check) for check in checks],
-            puts=[messages.Row(key=row, value=value) for row, value in puts],
-            drops=drops,
+            checks=change.checks,
+            puts=[messages.Row(key=row, value=value) for row, value in change.puts],
+            drops=change.drops,
         )
-        size = sum(len(value) for _, value in puts)
-        outcome = await self.names(
-            "change",
-            f"{self.folder}/{key}",
-            self.driver.deployment.units(size),
-            lambda execute: execute.change.CopyFrom(change),
+        units = self.driver.deployment.units(sum(len(value) for _, value in change.puts))
+        outcome = await self._run_on_home_cell(
+            "change", key, units, lambda execute: execute.change.CopyFrom(message)
         )
         return None if outcome.code == messages.CONFLICT else outcome.rows
 
-    async def fetch(self, cell: int, name: str, offset: int, length: int) -> bytes:
-        """Bytes of an object; ObjectMissingError where it is not there, ObjectCorruptedError where they are not
-        those written.
+    async def read_object(self, cell: int, name: str, offset: int, length: int) -> bytes:
+        """Reads bytes of an object.
+
+        Raises:
+            ObjectMissingError: The object is not there.
+            ObjectCorruptedError: The bytes are not those that were written.
         """
         read = messages.ReadObject(object=name, offset=offset, length=length)
-        answer = await self.run(
-            "read",
-            name,
-            self.driver.deployment.units(length),
-            cell,
-            lambda execute: execute.read.CopyFrom(read),
-        )
-        if answer.outcome.code == messages.MISSING:
+        units = self.driver.deployment.units(length)
+        result = await self._run("read", name, units, cell, lambda execute: execute.read.CopyFrom(read))
+        if result.outcome.code == messages.MISSING:
             raise ObjectMissingError(name)
-        data = answer.outcome.data
-        if len(data) != length or zlib.crc32(data) != answer.outcome.crc:
+        data = result.outcome.data
+        if len(data) != length or zlib.crc32(data) != result.outcome.crc:
             raise ObjectCorruptedError(name)
         return data
 
-    async def store(self, data: bytes, role="write") -> tuple[str, int]:
-        """Writes a new object where the module's pick says; its name and its cell.  `role` names the
-        lane: `write_out` for what nobody waits for.
+    async def write_object(self, data: bytes, role: str = "write") -> StoredObject:
+        """Writes a new object where the scheduler places it.
+
+        `role` names the request class in the deployment's roles: `write_out` for what nobody waits for.
         """
         name = self.driver.unique_name()
         write = messages.WriteObject(object=name, data=data, crc=zlib.crc32(data))
-        answer = await self.run(
-            role,
-            name,
-            self.driver.deployment.units(len(data)),
-            -1,
-            lambda execute: execute.write.CopyFrom(write),
-        )
-        for cell in answer.other_cells:
+        units = self.driver.deployment.units(len(data))
+        result = await self._run(role, name, units, ANY_CELL, lambda execute: execute.write.CopyFrom(write))
+        for cell in result.other_cells:
             self.driver.on_orphaned_object(self.folder, cell, name)
-        return name, answer.cell
+        return StoredObject(name, result.cell)
 
-    async def clean(self, cell: int, names) -> None:
+    async def drop_objects(self, cell: int, names: Iterable[str]) -> None:
         """Drops objects of one cell."""
         drop = messages.DropObjects(objects=names)
-        await self.run("clean", "", 1.0, cell, lambda execute: execute.drop.CopyFrom(drop))
+        await self._run("clean", "", 1.0, cell, lambda execute: execute.drop.CopyFrom(drop))
+
+    async def _run_on_home_cell(
+        self, role: str, key: str, units: float, fill: FillExecute
+    ) -> messages.Outcome:
+        cell_count = self.driver.endpoint_table.cell_count
+        if not cell_count:  # no endpoint list came yet
+            raise OperationShedError
+        cell = paths.home_cell(self.folder, cell_count)
+        result = await self._run(role, f"{self.folder}/{key}", units, cell, fill)
+        return result.outcome
+
+    async def _run(self, role: str, key: str, units: float, cell: int, fill: FillExecute) -> OperationResult:
+        time_left = self.deadline - self.driver.loop.time()
+        if time_left < MIN_TIME_LEFT:
+            raise OperationShedError
+        operation = EdgeOperation(self.roles[role], self.folder, key, units, cell, fill)
+        return await self.driver.execute(operation, time_left, self.tag)
+
+
+async def retry_on_conflict(
+    runner: OperationRunner, what: str, attempt: Callable[[], Awaitable[Result | None]]
+) -> Result:
+    """Calls `attempt` until it gives something else than None, which says that others changed the same rows.
+
+    Raises:
+        ContentionError: They did so at every attempt; it names `what` was to be changed.
+    """
+    for number in range(MAX_CONFLICTS):
+        await runner.back_off(number)
+        result = await attempt()
+        if result is not None:
+            return result
+    raise ContentionError(what)
 
 
-async def together(*calls):
-    """Runs calls side by side; the first fault is raised after the others were called off."""
+async def gather_or_cancel(*calls: Awaitable) -> list[Any]:
+    """Runs calls concurrently; the first error is raised after the others were cancelled."""
     if len(calls) == 1:
         return [await calls[0]]  # no task of its own: most reads and writes are one operation
     tasks = [asyncio.ensure_future(call) for call in calls]
     try:
         return await asyncio.gather(*tasks)
-    except BaseException:
+    except BaseException:  # a cancellation too must not leave calls running
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/rushmux/edge/policy_client.py
+++ b/rushmux/edge/policy_client.py
@@ -109,7 +109,7 @@
 
     def __init__(self, edge, own: Deployment, kept: Kept, held, log):
         self.edge, self.driver, self.own, self.log = edge, edge.driver, own, log
-        self.loop, self.lists, self.lapse = self.driver.loop, edge.lists, None
+        self.loop, self.lists, self.lapse = self.driver.loop, edge.planner_client, None
         self.holder = policy.Holder(edge.name, *held, self.prove, kept.keep)
         self.base = {folder: (limit, burst) for folder, limit, burst in documents.rows(edge.deployment)}
         self.heard_at, self.said, self.scales = self.loop.time(), None, {}
@@ -208,4 +208,4 @@
             serves=state[3],
             less=gives_up[:MOST_NAMED],
         )
-        self.edge.went_by(state)
+        self.edge.on_policy_state(state)
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -1,35 +1,36 @@
-"""One client's session: packets in, answers out, each request under its own time.
+"""One client's session: packets in, replies out, each request under its own deadline.
 
-A request becomes one or more operations through `Tree` and `OpenFile`.  Whatever happens to one
-request is its own answer; the session ends only where the stream itself cannot be followed.
+Whatever happens to one request is its own reply; the session ends only where the stream itself cannot be
+followed.
 """
 
 import asyncio
-import contextlib
-import struct
-import time
+from typing import TYPE_CHECKING, NamedTuple
 
-from rushmux.edge import request_ordering
-from rushmux.edge.directories import attributes, root_attributes
 from rushmux.edge.errors import (
+    EdgeError,
     ObjectCorruptedError,
     ObjectMissingError,
     OperationFailedError,
     OperationShedError,
     RequestRejectedError,
 )
-from rushmux.edge.openfile import OpenFile
-from rushmux.edge.operation_runner import Errand
-from rushmux.edge.request_ordering import Claim, Turns
+from rushmux.edge.handles import HandleTable
+from rushmux.edge.operation_runner import OperationRunner
+from rushmux.edge.request_access import access_of
+from rushmux.edge.request_handlers import EXTENSIONS, RequestHandlers, status
+from rushmux.edge.request_ordering import Access, Admission, RequestOrder
 from rushmux.edge.write_coalescing import CoalescingWriter
-from rushmux.files import layout, paths
+from rushmux.files import paths
 from rushmux.sftp import packets as sftp
 
-MARGIN = 0.05  # seconds kept back from a client's time for the way of the answer
-READ = 1 << 17  # bytes asked of the socket at once
-UNSENT = 1 << 20  # bytes of answers not taken by the client before no more of it is read
-BLOCK = 4_096  # bytes in a block as statvfs counts them
-NOT_ASKED = (
+if TYPE_CHECKING:
+    from rushmux.edge.edge import Edge
+
+REPLY_MARGIN = 0.05  # seconds kept back from a client's time for the way of the reply
+READ_SIZE = 1 << 17  # bytes asked of the socket at once
+MAX_UNREAD = 1 << 20  # bytes of replies not taken by the client before no more of it is read
+NOT_REQUESTS = (
     sftp.Init,
     sftp.Version,
     sftp.Status,
@@ -39,473 +40,209 @@
     sftp.Attrs,
     sftp.ExtendedReply,
 )
-EXTENSIONS = (
-    ("posix-rename@openssh.com", b"1"),
-    ("fsync@openssh.com", b"1"),
-    ("statvfs@openssh.com", b"2"),
-    ("barrier@rushmux", b"1"),
-)
 
 
-class Ended(Exception):
+class SessionEndedError(EdgeError):
     """The session cannot go on; the text is the reason that is logged."""
 
 
-class OpenDirectory:
-    """One handle's place in a listing."""
-
-    def __init__(self, path, folder, number, rows=None):
-        self.path, self.folder, self.number, self.rows = path, folder, number, rows
-        self.after, self.done = "", False
+class Request(NamedTuple):
+    """A request that is not answered yet."""
 
-
-def long_name(name, shown):
-    """A line as `ls -l` prints it, which old clients show as it is."""
-    kind = "d" if (shown.mode or 0) & sftp.DIRECTORY == sftp.DIRECTORY else "-"
-    bits = "".join(
-        letter if (shown.mode or 0) >> shift & 1 else "-"
-        for letter, shift in zip("rwxrwxrwx", range(8, -1, -1))
-    )
-    when = time.strftime("%b %d  %Y", time.gmtime(shown.mtime or 0))
-    return f"{kind}{bits}    1 {shown.uid or 0:<8} {shown.gid or 0:<8} {shown.size or 0:8} {when} {name}"
+    packet: tuple
+    number: int
+    """Of the session's packets that need a reply."""
+    access: Access
+    admission: Admission
 
 
 class Session:
-    """A connection of a client from its first byte to its last."""
+    """A connection of a client from its first byte to its last.
+
+    Attributes:
+        tasks: One for each request that is not answered yet.
+    """
 
-    def __init__(self, edge, name, reader, writer):
+    def __init__(self, edge: "Edge", name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self.edge, self.name, self.reader, self.writer = edge, name, reader, writer
-        self.outgoing = CoalescingWriter(writer)
-        self.log = edge.log.bind(session=name)
-        self.bounds, self.loop = edge.deployment.sessions, asyncio.get_running_loop()
-        self.packets, self.turns, self.handles, self.tasks = sftp.Packets(), Turns(), {}, {}
-        self.ready, self.count, self.opened, self.begun_at = False, 0, 0, None
-        self.room, self.unread_timer = asyncio.Event(), None
-        self.window = asyncio.Semaphore(self.bounds.window)
-        self.calls = {
-            sftp.Open: self.open,
-            sftp.Close: self.close,
-            sftp.Read: self.read,
-            sftp.Write: self.write,
-            sftp.LStat: self.stat,
-            sftp.Stat: self.stat,
-            sftp.FStat: self.handle_stat,
-            sftp.SetStat: self.set_stat,
-            sftp.FSetStat: self.handle_set_stat,
-            sftp.OpenDir: self.open_directory,
-            sftp.ReadDir: self.read_directory,
-            sftp.Remove: self.remove,
-            sftp.MkDir: self.make_directory,
-            sftp.RmDir: self.remove_directory,
-            sftp.RealPath: self.real_path,
-            sftp.Rename: self.rename,
-            sftp.Extended: self.extended,
-        }
-
-    async def run(self):
-        """Until the client leaves, breaks the protocol, or the edge calls it off."""
-        why = "left"
+        self.log, self.loop = edge.log.bind(session=name), asyncio.get_running_loop()
+        self.limits = edge.deployment.sessions
+        self.replies = CoalescingWriter(writer)
+        self.packets = sftp.Packets()
+        self.packet_begun_at: float | None = None  # the loop's time; None: no packet is read in part
+        self.established, self.request_count = False, 0
+        self.handles = HandleTable(name, self.limits.handles)
+        self.handlers = RequestHandlers(edge, self.handles)
+        self.order = RequestOrder()
+        self.request_completed = asyncio.Event()
+        self.concurrency = asyncio.Semaphore(self.limits.window)
+        self.tasks: dict[asyncio.Task, bool] = {}
+        self.unread_timer: asyncio.TimerHandle | None = None
+
+    async def run(self) -> None:
+        """Serves until the client leaves, breaks the protocol, or the edge cancels it."""
+        reason = "left"
         try:
             while True:
-                await self.take_some()
-        except Ended as reason:
-            why = str(reason)
-        except sftp.BadPacket as fault:
-            why = str(fault)
-        except (ConnectionError, OSError) as fault:
-            why = f"broken: {fault}"
+                await self._read_requests()
+        except (SessionEndedError, sftp.BadPacket) as error:
+            reason = str(error)
+        except OSError as error:
+            reason = f"broken: {error}"
         finally:
-            if not self.edge.closing:
-                for task in list(self.tasks):
-                    task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
-            for held in self.handles.values():
-                if isinstance(held, OpenFile):
-                    held.release()
-            if self.unread_timer is not None:
-                self.unread_timer.cancel()
-            self.outgoing.flush()
-            self.writer.close()
-            self.log.info("session.ended", why=why, requests=self.count)
-
-    async def take_some(self):
+            await self._close(reason)
+
+    async def _close(self, reason: str) -> None:
+        if not self.edge.closing:
+            for task in list(self.tasks):
+                task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.handles.release_all()
+        if self.unread_timer is not None:
+            self.unread_timer.cancel()
+        self.replies.flush()
+        self.writer.close()
+        self.log.info("session.closed", reason=reason, requests=self.request_count)
+
+    # Packets in.
+
+    async def _read_requests(self) -> None:
         """Reads once and begins the requests that this completes."""
-        # Danger: a client that sends a byte a second holds a session with nothing ever whole.
-        left = None if self.begun_at is None else self.begun_at + self.bounds.packet - self.loop.time()
+        for body in self._complete_packets(await self._read()):
+            await self._on_packet(body)
+            if self.unread_timer is not None:
+                self.replies.flush()
+                await self.writer.drain()  # more is begun when its replies were taken
+
+    async def _read(self) -> bytes:
+        # A client that sends a byte a second would hold a session with no packet ever complete.
+        time_left = None
+        if self.packet_begun_at is not None:
+            time_left = self.packet_begun_at + self.limits.packet - self.loop.time()
         try:
-            async with asyncio.timeout(left):
-                data = await self.reader.read(READ)
+            async with asyncio.timeout(time_left):
+                data = await self.reader.read(READ_SIZE)
         except TimeoutError:
-            raise Ended(f"a packet not whole after {self.bounds.packet} s") from None
+            raise SessionEndedError(f"a packet not whole after {self.limits.packet} s") from None
         if not data:
-            raise Ended("left" if not self.packets.begun else "left within a packet")
+            raise SessionEndedError("left within a packet" if self.packets.begun else "left")
+        return data
+
+    def _complete_packets(self, data: bytes) -> list[bytes]:
         bodies = self.packets.feed(data)
         if not self.packets.begun:
-            self.begun_at = None
-        elif bodies or self.begun_at is None:
-            self.begun_at = self.loop.time()
-        for body in bodies:
-            await self.take(body)
-            if self.unread_timer is not None:
-                self.outgoing.flush()
-                await self.writer.drain()  # more is begun when its answers were taken
-
-    def watch_unread(self):
-        """Danger: a client that sends and never reads makes its answers pile up here."""
-        if self.outgoing.buffered_bytes() > UNSENT and self.unread_timer is None:
-            self.unread_timer = self.loop.call_later(self.bounds.unread, self.unread)
+            self.packet_begun_at = None
+        elif bodies or self.packet_begun_at is None:
+            self.packet_begun_at = self.loop.time()
+        return bodies
 
-    def unread(self):
-        self.unread_timer = None
-        if self.outgoing.buffered_bytes() > UNSENT:
-            self.log.warning("session.unread", seconds=self.bounds.unread)
-            self.writer.transport.abort()
-
-    async def take(self, body):
+    async def _on_packet(self, body: bytes) -> None:
         try:
             packet = sftp.decode(body)
-        except sftp.BadPacket as fault:
-            if fault.request is None or not self.ready:
+        except sftp.BadPacket as error:
+            if error.request is None or not self.established:
                 raise
-            self.count += 1
-            self.log.warning("packet.bad", why=str(fault))
-            return self.reply(self.status(fault.request, sftp.BAD_MESSAGE, str(fault)))
-        if not self.ready:
-            if not isinstance(packet, sftp.Init):
-                raise Ended(f"{type(packet).__name__} before Init")
-            self.ready = True
-            self.log.info("session.ready", version=packet.version)
-            pairs = EXTENSIONS + (("session@rushmux", self.name.encode()),)
-            return self.reply(sftp.Version(min(packet.version, sftp.VERSION), pairs))
-        if isinstance(packet, NOT_ASKED):
-            raise Ended(f"{type(packet).__name__} in the middle of a session")
-        self.count += 1
+            self.request_count += 1
+            self.log.warning("session.bad_packet", reason=str(error))
+            self._reply(status(error.request, sftp.BAD_MESSAGE, str(error)))
+            return
+        if not self.established:
+            self._establish(packet)
+        elif isinstance(packet, NOT_REQUESTS):
+            raise SessionEndedError(f"{type(packet).__name__} in the middle of a session")
+        else:
+            await self._begin_request(packet)
+
+    def _establish(self, packet) -> None:
+        if not isinstance(packet, sftp.Init):
+            raise SessionEndedError(f"{type(packet).__name__} before Init")
+        self.established = True
+        self.log.info("session.established", version=packet.version)
+        extensions = (*EXTENSIONS, ("session@rushmux", self.name.encode()))
+        self._reply(sftp.Version(min(packet.version, sftp.VERSION), extensions))
+
+    # Requests.
+
+    async def _begin_request(self, packet) -> None:
+        self.request_count += 1
         if self.edge.closing:
-            return self.reply(self.status(packet.request, sftp.FAILURE, "shed: the edge is closing"))
-        while len(self.turns) >= self.bounds.pipelined:
-            self.room.clear()
-            await self.room.wait()
-        claim = self.claim(packet)
-        number, before = self.turns.enter(claim)
-        task = self.loop.create_task(self.answer(packet, self.count, claim, number, before))
+            self._reply(status(packet.request, sftp.FAILURE, "shed: the edge is closing"))
+            return
+        while len(self.order) >= self.limits.pipelined:
+            self.request_completed.clear()
+            await self.request_completed.wait()
+        access = access_of(packet, self.handles)
+        request = Request(packet, self.request_count, access, self.order.admit(access))
+        task = self.loop.create_task(self._answer(request))
         self.tasks[task] = True
         task.add_done_callback(self.tasks.pop)
 
-    def claim(self, packet) -> Claim:
-        """What the request touches; nothing where its path or handle means nothing."""
-        kind, held = type(packet), self.handles.get(getattr(packet, "handle", None))
-        if held is not None:
-            if kind is sftp.Read:
-                return Claim(
-                    request_ordering.READ, (held.path,), packet.offset, packet.offset + packet.length
-                )
-            if kind is sftp.Write and not (isinstance(held, OpenFile) and held.flags & sftp.APPEND):
-                return Claim(
-                    request_ordering.WRITE, (held.path,), packet.offset, packet.offset + len(packet.data)
-                )
-            return Claim(
-                request_ordering.LOOK if kind is sftp.FStat else request_ordering.ALTER, (held.path,)
-            )
-        if kind is sftp.Extended:
-            # Both texts of a rename; a handle's name where it is one of ours.
-            cursor, texts = sftp.Cursor(memoryview(packet.data)), []
-            with contextlib.suppress(sftp.BadPacket):
-                while cursor.at < len(packet.data) and len(texts) < 2:
-                    texts.append(cursor.raw())
-            found = [self.handles[text].path for text in texts if text in self.handles]
-            named = self.names(*(text.decode(errors="replace") for text in texts))
-            return Claim(request_ordering.ALTER, (*found, *named))
-        asked = self.names(*(getattr(packet, name) for name in ("path", "target") if hasattr(packet, name)))
-        looks = kind in (sftp.Stat, sftp.LStat, sftp.OpenDir, sftp.RealPath) or (
-            kind is sftp.Open and not packet.flags & (sftp.CREATE | sftp.TRUNCATE)
-        )
-        return Claim(request_ordering.LOOK if looks else request_ordering.ALTER, asked)
-
-    @staticmethod
-    def names(*texts):
-        found = []
-        for text in texts:
-            with contextlib.suppress(paths.BadPath):
-                found.append(paths.split(text))
-        return tuple(found)
-
-    async def answer(self, packet, count, claim, number, before):
-        """One request from its turn to its one answer."""
-        until = self.loop.time() + self.bounds.patience - MARGIN
-        tag = f"{self.name.rsplit('/', 1)[1]}.{count}"
+    async def _answer(self, request: Request) -> None:
+        """One request from its arrival to its one reply."""
         try:
-            async with asyncio.timeout_at(until):
-                for over in before:
-                    await over
-                if self.edge.buffer is not None and self.edge.buffer.recovering:
-                    for path in claim.paths:
-                        await self.edge.buffer.ready(path[0] if path else "", until - MARGIN)
-                call = self.calls.get(type(packet))
-                if call is None:
-                    raise RequestRejectedError(
-                        sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered"
-                    )
-                # Danger: a stock client sends hundreds of reads ahead; taken all at once, most would be
-                # past their quoted time before their turn, and be shed.
-                async with self.window:
-                    reply = await call(packet, lambda folder: Errand(self.edge.driver, folder, tag, until))
-        except RequestRejectedError as fault:
-            reply = self.status(packet.request, fault.status_code, str(fault))
-        except paths.BadPath as fault:
-            reply = self.status(packet.request, sftp.PERMISSION_DENIED, str(fault))
-        except OperationShedError as fault:
-            again = f"; try again in {fault.retry_after:.1f} s" if fault.retry_after else ""
-            reply = self.status(packet.request, sftp.FAILURE, "shed: nothing was done" + again)
-        except (OperationFailedError, TimeoutError):
-            reply = self.status(packet.request, sftp.FAILURE, "terminated: it may have been done")
-        except ObjectMissingError as fault:
-            reply = self.status(packet.request, sftp.FAILURE, str(fault))
-        except ObjectCorruptedError as fault:
-            self.log.error("object.corrupted", object=fault.object_name)
-            reply = self.status(packet.request, sftp.FAILURE, str(fault))
-        except Exception:  # pylint: disable=broad-except
-            self.log.exception("session.fault", request=type(packet).__name__)
-            reply = self.status(packet.request, sftp.FAILURE, "a fault of the gateway; it was logged")
+            reply = await self._execute(request)
+        except Exception as error:  # whatever it is: the session's other requests go on
+            reply = self._error_status(request.packet, error)
         finally:
-            self.turns.leave(number)
-            self.room.set()
-        self.reply(reply)
-
-    def reply(self, packet):
-        self.outgoing.write(sftp.encode(packet))
-        self.watch_unread()
-
-    @staticmethod
-    def status(request, code=sftp.OK, text="done"):
-        return sftp.Status(request, code, text, "en")
-
-    def done(self, packet):
-        return self.status(packet.request)
-
-    # Paths and handles.
-
-    def place(self, path) -> tuple[str, tuple[str, ...]]:
-        """The folder and the names below it; ("", ()) is the root."""
-        names = paths.split(path)
-        if not names:
-            return "", ()
-        if names[0] not in self.edge.deployment.folders:
-            raise RequestRejectedError(sftp.NO_SUCH_FILE, f"there is no folder '{names[0]}'")
-        if not self.edge.serves(names[0]):
-            raise RequestRejectedError(
-                sftp.PERMISSION_DENIED, f"folder '{names[0]}' is not served by this edge"
-            )
-        self.edge.cleaner.met(names[0])
-        return names[0], names[1:]
-
-    def inside(self, path):
-        """As `place`, for what must lie in a folder."""
-        folder, names = self.place(path)
-        if not names:
-            raise RequestRejectedError(
-                sftp.PERMISSION_DENIED, "folders are made and removed by the deployment file only"
-            )
-        return folder, names
-
-    def hold(self, packet, what):
-        self.opened += 1
-        handle = f"{self.name}/{self.opened}".encode()
-        self.handles[handle] = what
-        return sftp.Handle(packet.request, handle)
-
-    def room_for_handle(self):
-        if len(self.handles) >= self.bounds.handles:
-            raise RequestRejectedError(
-                sftp.FAILURE, f"{self.bounds.handles} handles are open, the most of a session"
-            )
-
-    def held(self, packet, kind):
-        what = self.handles.get(packet.handle)
-        if not isinstance(what, kind):
-            raise RequestRejectedError(sftp.FAILURE, "no such handle in this session")
-        return what
-
-    # One for each kind of request: the packet and a maker of errands in, the reply out.
-
-    async def open(self, packet, errand):
-        self.room_for_handle()
-        folder, names = self.inside(packet.path)
-        if not packet.flags & (sftp.READ | sftp.WRITE):
-            raise RequestRejectedError(sftp.BAD_MESSAGE, "a file is opened to read or to write")
-        once = errand(folder)
-        if packet.flags & sftp.TRUNCATE:
-            await self.written_out(once, names)
-        found = await self.edge.tree.open(once, names, packet.flags, packet.attributes)
-        self.room_for_handle()
-        file = OpenFile(self.edge.tree, (folder, *names), found, packet.flags, self.edge.buffer)
-        return self.hold(packet, file)
-
-    async def written_out(self, errand, names):
-        """Danger: bytes held of a file that is cut would come back after the cut."""
+            self.order.complete(request.admission.number)
+            self.request_completed.set()
+        self._reply(reply)
+
+    async def _execute(self, request: Request):
+        deadline = self.loop.time() + self.limits.patience - REPLY_MARGIN
+        tag = f"{self.name.rsplit('/', 1)[1]}.{request.number}"
+
+        def runner_for(folder: str) -> OperationRunner:
+            return OperationRunner(self.edge.driver, folder, tag, deadline)
+
+        async with asyncio.timeout_at(deadline):
+            for predecessor in request.admission.predecessors:
+                await predecessor
+            await self._wait_for_recovery(request.access, deadline)
+            handler = self.handlers.handler_for(request.packet)
+            # A stock client sends hundreds of reads ahead; begun all at once, most would be past their
+            # latency objective before their turn, and be shed.
+            async with self.concurrency:
+                return await handler(request.packet, runner_for)
+
+    async def _wait_for_recovery(self, access: Access, deadline: float) -> None:
+        """Waits until what the buffer of an earlier start held of the request's folders is on the nodes."""
         buffer = self.edge.buffer
-        if buffer is not None and buffer.buffer.folder(errand.folder).bytes:
-            found = await self.edge.tree.find(errand, names)
-            held = buffer.buffer.known(errand.folder, found.number)
-            if held is not None:
-                await buffer.flush(held, errand)
-
-    async def close(self, packet, errand):
-        held = self.held(packet, (OpenFile, OpenDirectory))
-        del self.handles[packet.handle]
-        if isinstance(held, OpenFile):
-            try:
-                await held.flush(errand(held.folder))
-            finally:
-                held.release()
-        return self.done(packet)
-
-    async def read(self, packet, errand):
-        file = self.held(packet, OpenFile)
-        if not file.flags & sftp.READ:
-            raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to read")
-        data = await file.read(errand(file.folder), packet.offset, packet.length)
-        if packet.length and not data:
-            return self.status(packet.request, sftp.EOF, "end of file")
-        return sftp.Data(packet.request, data)
-
-    async def write(self, packet, errand):
-        file = self.held(packet, OpenFile)
-        if not file.flags & sftp.WRITE:
-            raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to write")
-        if packet.data:
-            await file.write(errand(file.folder), packet.offset, packet.data)
-        return self.done(packet)
-
-    async def stat(self, packet, errand):
-        folder, names = self.place(packet.path)
-        if not names:
-            return sftp.Attrs(packet.request, root_attributes())
-        found = await self.edge.tree.existing(errand(folder), names)
-        return sftp.Attrs(packet.request, self.shown(folder, found.number, found.file))
-
-    def shown(self, folder, number, file):
-        """Attributes with what the buffer holds past the end of the file."""
-        held = self.edge.buffer and self.edge.buffer.buffer.known(folder, number)
-        return attributes(file._replace(size=max(file.size, held.end)) if held else file)
-
-    async def handle_stat(self, packet, errand):
-        file = self.held(packet, OpenFile)
-        await file.load(errand(file.folder), (), self.loop.time())
-        return sftp.Attrs(packet.request, self.shown(file.folder, file.number, file.file))
-
-    async def set_stat(self, packet, errand):
-        folder, names = self.inside(packet.path)
-        once = errand(folder)
-        if packet.attributes.size is not None:
-            await self.written_out(once, names)
-        found = await self.edge.tree.existing(once, names)
-        await self.edge.tree.set_attributes(once, found.number, packet.attributes)
-        return self.done(packet)
-
-    async def handle_set_stat(self, packet, errand):
-        file = self.held(packet, OpenFile)
-        if packet.attributes.size is not None and not file.flags & sftp.WRITE:
-            raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to write")
-        await file.flush(errand(file.folder))
-        row, version = await self.edge.tree.set_attributes(
-            errand(file.folder), file.number, packet.attributes
-        )
-        file.file, file.version = row, version
-        file.blocks.clear()
-        return self.done(packet)
-
-    async def open_directory(self, packet, errand):
-        self.room_for_handle()
-        folder, names = self.place(packet.path)
-        if not folder:
-            served = [name for name in self.edge.deployment.folders if self.edge.serves(name)]
-            return self.hold(packet, OpenDirectory((), "", layout.ROOT, served))
-        if names:
-            found = await self.edge.tree.existing(errand(folder), names)
-            if not found.is_directory:
-                raise RequestRejectedError(sftp.FAILURE, "/".join(names) + " is no directory")
-            number = found.number
-        else:
-            number = layout.ROOT
-        self.room_for_handle()
-        return self.hold(packet, OpenDirectory((folder, *names), folder, number))
-
-    async def read_directory(self, packet, errand):
-        held = self.held(packet, OpenDirectory)
-        rows = []
-        while not rows:
-            if held.done:
-                return self.status(packet.request, sftp.EOF, "end of the listing")
-            if held.rows is not None:
-                rows = [(name, root_attributes()) for name in held.rows[:100]]
-                held.rows = held.rows[100:]
-                held.done = not held.rows
-            else:
-                page, held.after = await self.edge.tree.page(errand(held.folder), held.number, held.after)
-                rows = [(name, self.shown(held.folder, number, file)) for name, number, file in page]
-                held.done = not held.after
-        names = [sftp.Name(name, long_name(name, shown), shown) for name, shown in rows]
-        return sftp.Names(packet.request, names)
-
-    async def remove(self, packet, errand):
-        folder, names = self.inside(packet.path)
-        await self.edge.tree.remove(errand(folder), names, directory=False)
-        return self.done(packet)
-
-    async def make_directory(self, packet, errand):
-        folder, names = self.inside(packet.path)
-        await self.edge.tree.make_directory(errand(folder), names, packet.attributes)
-        return self.done(packet)
-
-    async def remove_directory(self, packet, errand):
-        folder, names = self.inside(packet.path)
-        await self.edge.tree.remove(errand(folder), names, directory=True)
-        return self.done(packet)
-
-    async def real_path(self, packet, errand):
-        path = "/" + "/".join(paths.split(packet.path))
-        return sftp.Names(packet.request, [sftp.Name(path, path, sftp.Attributes())])
-
-    async def rename(self, packet, errand, replace=False):
-        folder, names = self.inside(packet.path)
-        other, target = self.inside(packet.target)
-        if folder != other:
-            raise RequestRejectedError(sftp.PERMISSION_DENIED, "names do not move between folders")
-        await self.edge.tree.rename(errand(folder), names, target, replace)
-        moved, goal = (folder, *names), (folder, *target)
-        for held in self.handles.values():
-            if held.path[: len(moved)] == moved:
-                held.path = goal + held.path[len(moved) :]
-        return self.done(packet)
-
-    async def extended(self, packet, errand):
-        cursor = sftp.Cursor(memoryview(packet.data))
-        try:
-            if packet.name == "posix-rename@openssh.com":
-                moved = sftp.Rename(packet.request, cursor.text(), cursor.text())
-                return await self.rename(moved, errand, replace=True)
-            if packet.name == "fsync@openssh.com":
-                # Without a buffer, what was answered as written lies on nodes already.
-                file = self.held(sftp.Close(packet.request, cursor.raw()), OpenFile)
-                await file.flush(errand(file.folder))
-                return self.done(packet)
-            if packet.name == "barrier@rushmux":
-                folder, _ = self.place(cursor.text())
-                if not folder:
-                    raise RequestRejectedError(sftp.FAILURE, "a barrier is set over one folder")
-                if self.edge.buffer is not None:
-                    barrier = self.edge.buffer.mark(folder)
-                    await self.edge.buffer.past(folder, barrier, errand(folder))
-                return self.done(packet)
-            if packet.name == "statvfs@openssh.com":
-                self.place(cursor.text())
-                return sftp.ExtendedReply(packet.request, self.space())
-        except sftp.BadPacket as fault:
-            raise RequestRejectedError(sftp.BAD_MESSAGE, f"{packet.name}: {fault}") from fault
-        raise RequestRejectedError(sftp.OP_UNSUPPORTED, f"extension '{packet.name[:64]}' is not offered")
-
-    def space(self):
-        """The fields of statvfs: what the nodes in the list have, in blocks."""
-        total = sum(total for total, _ in self.edge.driver.endpoint_table.disk_space.values()) // BLOCK
-        free = sum(free for _, free in self.edge.driver.endpoint_table.disk_space.values()) // BLOCK
-        return struct.pack(">11Q", BLOCK, BLOCK, total, free, free, 0, 0, 0, 0, 0, paths.MOST_NAME)
+        if buffer is not None and buffer.recovering:
+            for path in access.paths:
+                await buffer.ready(path[0] if path else "", deadline - REPLY_MARGIN)
+
+    def _error_status(self, packet, error: Exception) -> sftp.Status:
+        code, text = sftp.FAILURE, str(error)
+        match error:
+            case RequestRejectedError():
+                code = error.status_code
+            case paths.InvalidPathError():
+                code = sftp.PERMISSION_DENIED
+            case OperationShedError():
+                retry = f"; try again in {error.retry_after:.1f} s" if error.retry_after else ""
+                text = "shed: nothing was done" + retry
+            case OperationFailedError() | TimeoutError():
+                text = "terminated: it may have been done"
+            case ObjectMissingError():
+                pass
+            case ObjectCorruptedError():
+                self.log.error("object.corrupted", object=error.object_name)
+            case _:
+                self.log.exception("session.fault", request=type(packet).__name__)
+                text = "a fault of the gateway; it was logged"
+        return status(packet.request, code, text)
+
+    # Replies out.
+
+    def _reply(self, packet) -> None:
+        self.replies.write(sftp.encode(packet))
+        # A client that sends and never reads would make its replies pile up here.
+        if self.replies.buffered_bytes() > MAX_UNREAD and self.unread_timer is None:
+            self.unread_timer = self.loop.call_later(self.limits.unread, self._on_unread_timeout)
+
+    def _on_unread_timeout(self) -> None:
+        self.unread_timer = None
+        if self.replies.buffered_bytes() > MAX_UNREAD:
+            self.log.warning("session.client_not_reading", seconds=self.limits.unread)
+            self.writer.transport.abort()
--- a/rushmux/files/__init__.py
+++ b/rushmux/files/__init__.py
@@ -0,0 +1,1 @@
+"""Paths of clients' files and the layout of files on storage nodes; no I/O."""
--- a/rushmux/files/layout.py
+++ b/rushmux/files/layout.py
@@ -1,18 +1,20 @@
-"""How files lie on the nodes: rows of a folder's names, blocks, extents; no I/O.
+"""How files lie on storage nodes: rows of a folder's names, blocks, extents; no I/O.
 
 Rows, all of one folder in its home cell:
 
     d/PARENT/NAME   entry of a directory: the id and the kind of what it names
-    i/ID            a file or directory: its attributes and, for a file, where its blocks begin
+    i/ID            a file or directory: its attributes and, for a file, the id of its data
     b/DATA/NUMBER   a block of a file: the extents that make it up, in order
-    x/MARK          objects of no more use, to be dropped: {"objects": [[cell, object], ...]}
-                    or a whole file's: {"data": ID}
+    x/MARK          garbage, objects to be dropped: {"objects": [[cell, object], ...]}
+                    or all of a file's: {"data": ID}
 
-Objects are written once under a name never used again and are changed by nobody; a block's row
-names them only after they were answered as written.  A write that was held for lost and runs
-late makes an object that no row names.
+Objects are written once under a name never used again and are changed by nobody; a block's row names them
+only after they were answered as written.  A write that was taken for lost and runs late makes an object that
+no row names.
 """
 
+from collections.abc import Iterable, Iterator, Sequence
+from enum import StrEnum
 from typing import NamedTuple
 
 import orjson
@@ -21,112 +23,204 @@
 BLOCK_DIGITS = 9  # decimal digits of a block's number, so that keys sort as numbers do
 
 
+class FileKind(StrEnum):
+    """What an entry of a directory names; values as in the rows."""
+
+    FILE = "f"
+    DIRECTORY = "d"
+
+
 class Extent(NamedTuple):
-    """Bytes `start` to `start + length` of a block: those from `skip` on of an object at a cell."""
+    """Bytes `start` to `start + length` of a block: those of an object from `object_offset` on."""
 
     start: int
     length: int
-    object: str
+    object_name: str
     cell: int
-    skip: int
+    object_offset: int
 
     @property
-    def end(self):
+    def end(self) -> int:
+        """The first byte of the block past it."""
         return self.start + self.length
 
 
-class File(NamedTuple):
-    """Row of a file or a directory.  `data` names its blocks; it changes when the file is emptied."""
+class FileRow(NamedTuple):
+    """Row of a file or a directory; times in seconds since 1970."""
 
-    kind: str  # "f" or "d"
+    kind: FileKind
     mode: int
     size: int = 0
     mtime: int = 0
     atime: int = 0
     uid: int = 0
     gid: int = 0
-    data: str = ""
-    block: int = 0  # bytes in a block
-    by: str = ""  # stamp of the write-back batch that changed it last
+    data_id: str = ""
+    """Names its blocks; it changes when the file is emptied."""
+    block_size: int = 0
+    """Bytes in a block."""
+    batch_stamp: str = ""
+    """Stamp of the write-back batch that changed it last."""
+
+
+class Entry(NamedTuple):
+    """Entry of a directory."""
+
+    file_id: str
+    kind: FileKind
+
+
+class KeyRange(NamedTuple):
+    """The keys that lie between two, neither included."""
+
+    after: str
+    below: str
+
+
+class BlockRange(NamedTuple):
+    """Bytes of one block."""
+
+    number: int
+    start: int
+    length: int
+
+
+class Garbage(NamedTuple):
+    """Objects to be dropped: (cell, object) each, and all of a file's by the id of its data ("": none)."""
+
+    objects: Sequence[tuple[int, str]]
+    data_id: str
+
 
+GARBAGE_KEYS = KeyRange("x/", "x0")  # "0" sorts just after "/"
 
-def entry_key(parent: str, name: str) -> str:
-    return f"d/{parent}/{name}"
 
+# Keys.
 
-def file_key(number: str) -> str:
-    return f"i/{number}"
 
+def entry_key(parent_id: str, name: str) -> str:
+    """Key of a directory's entry."""
+    return f"d/{parent_id}/{name}"
 
-def block_key(data: str, number: int) -> str:
-    return f"b/{data}/{number:0{BLOCK_DIGITS}d}"
 
+def file_key(file_id: str) -> str:
+    """Key of a file's or a directory's row."""
+    return f"i/{file_id}"
 
-def entries_of(parent: str) -> tuple[str, str]:
-    """The keys between which the entries of a directory lie; "0" sorts just after "/"."""
-    return f"d/{parent}/", f"d/{parent}0"
 
+def block_key(data_id: str, number: int) -> str:
+    """Key of a block's row."""
+    return f"b/{data_id}/{number:0{BLOCK_DIGITS}d}"
 
-def blocks_of(data: str, first: int = 0) -> tuple[str, str]:
-    """The keys between which a file's blocks lie, from block `first` on."""
-    return (block_key(data, first - 1) if first else f"b/{data}/"), f"b/{data}0"
 
+def block_number(key: str) -> int:
+    """The number in a block's key."""
+    return int(key.rsplit("/", 1)[1])
 
-def most_bytes(block: int) -> int:
-    """The largest size of a file with blocks of so many bytes."""
-    return block * 10**BLOCK_DIGITS
 
+def garbage_key(unique_name: str) -> str:
+    """Key of a row of garbage."""
+    return f"x/{unique_name}"
 
-def pack_entry(number: str, kind: str) -> bytes:
-    return orjson.dumps([number, kind])
 
+def entry_keys(parent_id: str) -> KeyRange:
+    """The keys of the entries of a directory."""
+    return KeyRange(f"d/{parent_id}/", f"d/{parent_id}0")
 
-def unpack_entry(value: bytes) -> tuple[str, str]:
-    number, kind = orjson.loads(value)
-    return number, kind
 
+def block_keys(data_id: str, first: int = 0) -> KeyRange:
+    """The keys of a file's blocks from block `first` on."""
+    return KeyRange(block_key(data_id, first - 1) if first else f"b/{data_id}/", f"b/{data_id}0")
 
-def pack_file(file: File) -> bytes:
+
+def max_file_size(block_size: int) -> int:
+    """Bytes of the largest file with blocks of so many bytes."""
+    return block_size * 10**BLOCK_DIGITS
+
+
+# Values.
+
+
+def pack_entry(file_id: str, kind: FileKind) -> bytes:
+    """Value of a directory's entry."""
+    return orjson.dumps([file_id, kind])
+
+
+def unpack_entry(value: bytes) -> Entry:
+    """The entry of a row's value."""
+    file_id, kind = orjson.loads(value)
+    return Entry(file_id, FileKind(kind))
+
+
+def pack_file(file: FileRow) -> bytes:
+    """Value of a file's or a directory's row."""
     return orjson.dumps(tuple(file))
 
 
-def unpack_file(value: bytes) -> File:
-    return File(*orjson.loads(value))
+def unpack_file(value: bytes) -> FileRow:
+    """The file or directory of a row's value."""
+    kind, *rest = orjson.loads(value)
+    return FileRow(FileKind(kind), *rest)
 
 
-def pack_block(extents) -> bytes:
+def pack_block(extents: Iterable[Extent]) -> bytes:
+    """Value of a block's row."""
     return orjson.dumps([tuple(extent) for extent in extents])
 
 
 def unpack_block(value: bytes) -> list[Extent]:
+    """The extents of a block's value."""
     return [Extent(*row) for row in orjson.loads(value)]
 
 
-def pieces(offset: int, length: int, block: int):
-    """Cuts a stretch of a file by blocks: (number of the block, start in it, length) in order."""
+def pack_garbage_objects(objects: Sequence[tuple[int, str]]) -> bytes:
+    """Value of a row of garbage: objects as (cell, object)."""
+    return orjson.dumps({"objects": objects})
+
+
+def pack_garbage_data(data_id: str) -> bytes:
+    """Value of a row of garbage: all objects of a file's data."""
+    return orjson.dumps({"data": data_id})
+
+
+def unpack_garbage(value: bytes) -> Garbage:
+    """The garbage of a row's value."""
+    fields = orjson.loads(value)
+    return Garbage(fields.get("objects", ()), fields.get("data", ""))
+
+
+# Extents.
+
+
+def split_by_block(offset: int, length: int, block_size: int) -> Iterator[BlockRange]:
+    """Cuts a range of a file by blocks, in order."""
     end = offset + length
     while offset < end:
-        number, start = divmod(offset, block)
-        part = min(block - start, end - offset)
-        yield number, start, part
+        number, start = divmod(offset, block_size)
+        part = min(block_size - start, end - offset)
+        yield BlockRange(number, start, part)
         offset += part
 
 
-def lay(extents, new: Extent) -> list[Extent]:
+def overlay(extents: Iterable[Extent], new: Extent) -> list[Extent]:
     """The extents with `new` over them: what it covers goes, what it cuts stays in part."""
-    laid = []
+    result = []
     for old in extents:
         if old.start < new.start:
-            laid.append(old._replace(length=min(old.length, new.start - old.start)))
+            result.append(old._replace(length=min(old.length, new.start - old.start)))
         if old.end > new.end:
             cut = max(0, new.end - old.start)
-            laid.append(old._replace(start=old.start + cut, length=old.length - cut, skip=old.skip + cut))
+            result.append(
+                old._replace(
+                    start=old.start + cut, length=old.length - cut, object_offset=old.object_offset + cut
+                )
+            )
     # An extent that lies whole on one side was appended once by one of the two lines above.
-    laid.append(new)
-    return sorted(laid)
+    result.append(new)
+    return sorted(result)
 
 
-def cut(extents, length: int) -> list[Extent]:
+def truncate(extents: Iterable[Extent], length: int) -> list[Extent]:
     """What is left of a block of which `length` bytes stay."""
     return [
         extent._replace(length=min(extent.length, length - extent.start))
@@ -135,23 +229,21 @@
     ]
 
 
-def within(extents, start: int, length: int) -> list[Extent]:
-    """The parts of the extents that lie in a stretch, cut to it."""
-    found = []
+def clip(extents: Iterable[Extent], start: int, length: int) -> list[Extent]:
+    """The parts of the extents that lie in a range, cut to it."""
+    result = []
     for extent in extents:
         low, high = max(start, extent.start), min(start + length, extent.end)
         if low < high:
-            found.append(
-                Extent(low, high - low, extent.object, extent.cell, extent.skip + low - extent.start)
+            skipped = low - extent.start
+            result.append(
+                Extent(low, high - low, extent.object_name, extent.cell, extent.object_offset + skipped)
             )
-    return found
+    return result
 
 
-def dropped(before, after) -> list[tuple[int, str]]:
+def unreferenced(before: Iterable[Extent], after: Iterable[Extent]) -> list[tuple[int, str]]:
     """Objects that the extents before name and those after do not: (cell, object), each once."""
-    kept = {extent.object for extent in after}
-    gone = {}
-    for extent in before:
-        if extent.object not in kept:
-            gone[extent.object] = extent.cell
-    return [(cell, name) for name, cell in gone.items()]
+    referenced = {extent.object_name for extent in after}
+    cell_of = {extent.object_name: extent.cell for extent in before if extent.object_name not in referenced}
+    return [(cell, name) for name, cell in cell_of.items()]
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -8,7 +8,7 @@
 from rushmux.buffer.disk import SimulatedDisk
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
-from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.endpoint_cache import EndpointCache
 from rushmux.edge.node_connections import Address
 from rushmux.planner.membership_store import Store as PlannerStore
 from rushmux.planner.planner import Planner
@@ -79,7 +79,7 @@
         self.records, self.logs = [], []
         self.log_disks = {} if logs else None  # edge -> the disk of its buffer's log
         self.planner = planner  # path of a planner's store, to have one in place of the list source
-        self.last_lists = lists  # folder in which edges keep their last lists
+        self.endpoint_caches = lists  # folder in which edges cache their endpoint lists
         self.log = log.to_list(self.logs, level)
         self.nodes, self.edges, self.stores, self.lists = {}, {}, {}, None
 
@@ -173,22 +173,24 @@
             number,
             self.deployment,
             self.lists.address,
-            self.seed(),
-            EPOCH,
-            self.log,
-            self.decisions,
-            buffered(self.deployment, self.log_disk(number)),
-            self.last_list(number),
+            seed=self.seed(),
+            epoch=EPOCH,
+            log=self.log,
+            scheduler_type=self.decisions,
+            make_buffer=buffered(self.deployment, self.log_disk(number)),
+            endpoint_cache=self.endpoint_cache(number),
+        )
+        program.on_listing = lambda nodes: self.record(
+            "told", edge=program.name, start=program.incarnation, nodes=nodes
         )
-        program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
 
-    def last_list(self, number):
-        if self.last_lists is None:
+    def endpoint_cache(self, number):
+        if self.endpoint_caches is None:
             return None
-        return LastList(
-            Path(self.last_lists) / f"edge{number}.list", lambda: EPOCH + self.loop.time(), self.log
+        return EndpointCache(
+            Path(self.endpoint_caches) / f"edge{number}.list", lambda: EPOCH + self.loop.time(), self.log
         )
 
     def log_disk(self, number):
@@ -197,7 +199,7 @@
         return self.log_disks.setdefault(number, SimulatedDisk())
 
     def kill_edge(self, number):
-        self.record("killed", edge=f"edge{number}", start=self.edges[number].program.start)
+        self.record("killed", edge=f"edge{number}", start=self.edges[number].program.incarnation)
         self.edges[number].process.kill()
 
     def reload(self, numbers, raw):
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -98,7 +98,7 @@
         for number in range(edges):
             await self.edge(number)
         for _ in range(1_200):
-            holders = [part.program.going.holder for part in self.edges.values()]
+            holders = [part.program.policy_client.holder for part in self.edges.values()]
             if all(holder.serves() and not holder.narrow(self.loop.time()) for holder in holders):
                 return
             await self.sleep(0.05)
@@ -110,18 +110,20 @@
             number,
             self.deployment,
             self.places,
-            self.seed(),
-            EPOCH,
-            self.log,
-            self.decisions,
-            buffered(self.deployment, None),
-            kept=Kept(self.folder / f"edge{number}.kept"),
+            seed=self.seed(),
+            epoch=EPOCH,
+            log=self.log,
+            scheduler_type=self.decisions,
+            make_buffer=buffered(self.deployment, None),
+            policy_store=Kept(self.folder / f"edge{number}.kept"),
+        )
+        program.on_listing = lambda nodes: self.record(
+            "told", edge=program.name, start=program.incarnation, nodes=nodes
         )
-        program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
-        program.went_by = lambda state: self.record(
+        program.on_policy_state = lambda state: self.record(
             "goes_by",
             edge=program.name,
-            start=program.start,
+            start=program.incarnation,
             number=state[0],
             staged=state[1] or 0,
             narrow=state[2],
@@ -209,7 +211,7 @@
         if len(forces) != 1 or any(part.program.council.register.staged for part in self.planners.values()):
             found.append(f"planners end with {sorted(forces)}, or with a change under way")
         for part in self.edges.values():
-            holder = part.program.going.holder
+            holder = part.program.policy_client.holder
             if holder.number != max(forces) or holder.narrow(self.loop.time()):
                 narrow = holder.narrow(self.loop.time())
                 found.append(f"{holder.member} ends with {holder.number}, narrow {narrow}")
--- a/tests/buffer/test_hard_cases.py
+++ b/tests/buffer/test_hard_cases.py
@@ -6,14 +6,14 @@
 import pytest
 
 from rushmux.files import layout
-from rushmux.files.paths import home
+from rushmux.files.paths import home_cell
 from rushmux.sftp import packets as sftp
 from rushmux.standins import scenario, script
 from rushmux.standins.checker import Checker
 from rushmux.standins.client import Refusal
 
 PLAIN = sftp.Attributes()
-HOME = home("heredia", 4)
+HOME = home_cell("heredia", 4)
 
 
 def text(raw):
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rushmux.files.paths import home
+from rushmux.files.paths import home_cell
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.deployment import build
 from rushmux.sftp import packets as sftp
@@ -40,7 +40,7 @@
         return results
 
     fleet, results = judged(story)
-    assert len(results) == 60 and home("heredia", 4) != 1
+    assert len(results) == 60 and home_cell("heredia", 4) != 1
     assert results.count("ok") > 50  # names lie elsewhere, and data is written elsewhere
     assert any(row["kind"] == "execution" and row["node"] == "node1" for row in fleet.records)
 
@@ -168,7 +168,7 @@
 
     fleet, (results, took) = judged(story)
     for name, result in results.items():
-        assert result == ("shed" if home(name, 4) == 2 else "ok"), name
+        assert result == ("shed" if home_cell(name, 4) == 2 else "ok"), name
     assert "shed" in results.values() and took < 7
 
 
@@ -183,7 +183,7 @@
         return results
 
     fleet, results = judged(story)
-    assert home("heredia", 4) != 1, "the names lie on another node"
+    assert home_cell("heredia", 4) != 1, "the names lie on another node"
     assert results.count("ok") >= 18
     assert any(row["kind"] == "outcome" and row["code"] == 1 for row in fleet.records)
 
@@ -194,7 +194,7 @@
         await one.put("/heredia/a", b"old")
         handles = [await client.open("/heredia/a", sftp.WRITE) for client in (one, two)]
         # What reaches the names' node now is held there, and runs when the trouble ends.
-        await fleet.trouble(f"node{home('heredia', 4)}", "stuck", seconds=5)
+        await fleet.trouble(f"node{home_cell('heredia', 4)}", "stuck", seconds=5)
         first = asyncio.ensure_future(outcome(one.ask(sftp.Write, handles[0], 0, b"lost")))
         await fleet.sleep(4.9)
         assert await first != "ok"
@@ -324,7 +324,7 @@
     async def story(fleet):
         one = await fleet.client(0)
         await fleet.trouble("lists", "silent", seconds=4)
-        fleet.kill_node(f"node{(home('heredia', 4) + 1) % 4}")
+        fleet.kill_node(f"node{(home_cell('heredia', 4) + 1) % 4}")
         await fleet.sleep(0.5)
         results = [await outcome(one.put(f"/heredia/{number}", b"x")) for number in range(10)]
         before = len([row for row in fleet.records if row["kind"] == "told"])
--- a/tests/edge/test_hostile.py
+++ b/tests/edge/test_hostile.py
@@ -28,7 +28,7 @@
 
 
 def ended(fleet):
-    return [row["why"] for row in fleet.logs if row["event"] == "session.ended"]
+    return [row["reason"] for row in fleet.logs if row["event"] == "session.closed"]
 
 
 @pytest.mark.parametrize(
@@ -140,7 +140,7 @@
         writer.write(sftp.encode(sftp.Open(1, "/limon/big", sftp.READ, PLAIN)))
         await fleet.sleep(1)
         session = list(fleet.edges[0].program.sessions)[-1]
-        handle = next(iter(session.handles))
+        handle = next(iter(session.handles.by_id))
         for number in range(2, 400):
             writer.write(sftp.encode(sftp.Read(number, handle, 0, 262_144)))
         most = 0
@@ -152,7 +152,7 @@
 
     fleet, (most, lives) = play(story)
     assert not lives and 1 << 20 < most < 64 * 262_144 + (2 << 20)
-    assert any(row["event"] == "session.unread" for row in fleet.logs)
+    assert any(row["event"] == "session.client_not_reading" for row in fleet.logs)
 
 
 def test_a_client_that_sends_a_byte_a_second_is_closed(play, raw):
--- a/tests/edge/test_request_ordering.py
+++ b/tests/edge/test_request_ordering.py
@@ -1,28 +1,29 @@
-"""What may run side by side in a session."""
+"""Which requests of a session may run concurrently."""
 
 import pytest
 
-from rushmux.edge.request_ordering import ALTER, LOOK, READ, WRITE, Claim, conflict
+from rushmux.edge.request_ordering import Access, AccessKind, conflict
 
-A, B, BELOW = ("f", "a"), ("f", "b"), ("f", "a", "c")
+FILE, OTHER_FILE, BELOW_FILE = ("f", "a"), ("f", "b"), ("f", "a", "c")
+LOOKUP, MODIFY, READ, WRITE = AccessKind.LOOKUP, AccessKind.MODIFY, AccessKind.READ, AccessKind.WRITE
 
 
 @pytest.mark.parametrize(
     "one, other, waits",
     [
-        (Claim(LOOK, (A,)), Claim(LOOK, (A,)), False),
-        (Claim(READ, (A,)), Claim(LOOK, (A,)), False),
-        (Claim(ALTER, (A,)), Claim(ALTER, (B,)), False),
-        (Claim(ALTER, (A,)), Claim(ALTER, (BELOW,)), True),
-        (Claim(LOOK, (BELOW,)), Claim(ALTER, (A,)), True),
-        (Claim(LOOK, (("f",),)), Claim(WRITE, (A,)), True),
-        (Claim(READ, (A,), 0, 10), Claim(WRITE, (A,), 10, 20), False),
-        (Claim(READ, (A,), 0, 11), Claim(WRITE, (A,), 10, 20), True),
-        (Claim(WRITE, (A,), 0, 11), Claim(WRITE, (A,), 10, 20), True),
-        (Claim(WRITE, (A,)), Claim(WRITE, (B,)), False),
-        (Claim(ALTER, (A, B)), Claim(READ, (B,)), True),
-        (Claim(ALTER), Claim(ALTER, (A,)), False),
+        (Access(LOOKUP, (FILE,)), Access(LOOKUP, (FILE,)), False),
+        (Access(READ, (FILE,)), Access(LOOKUP, (FILE,)), False),
+        (Access(MODIFY, (FILE,)), Access(MODIFY, (OTHER_FILE,)), False),
+        (Access(MODIFY, (FILE,)), Access(MODIFY, (BELOW_FILE,)), True),
+        (Access(LOOKUP, (BELOW_FILE,)), Access(MODIFY, (FILE,)), True),
+        (Access(LOOKUP, (("f",),)), Access(WRITE, (FILE,)), True),
+        (Access(READ, (FILE,), 0, 10), Access(WRITE, (FILE,), 10, 20), False),
+        (Access(READ, (FILE,), 0, 11), Access(WRITE, (FILE,), 10, 20), True),
+        (Access(WRITE, (FILE,), 0, 11), Access(WRITE, (FILE,), 10, 20), True),
+        (Access(WRITE, (FILE,)), Access(WRITE, (OTHER_FILE,)), False),
+        (Access(MODIFY, (FILE, OTHER_FILE)), Access(READ, (OTHER_FILE,)), True),
+        (Access(MODIFY), Access(MODIFY, (FILE,)), False),
     ],
 )
-def test_what_waits(one, other, waits):
+def test_conflicting_accesses_wait_for_each_other(one, other, waits):
     assert conflict(one, other) is conflict(other, one) is waits
--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -11,9 +11,9 @@
 
 from benchmarks import planner_kills
 from rushmux import log
-from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.endpoint_cache import EndpointCache
 from rushmux.edge.planner_client import PlannerClient
-from rushmux.files.paths import home
+from rushmux.files.paths import home_cell
 from rushmux.fleet.membership import LEASE
 from rushmux.nodewire import VERSION, messages
 from rushmux.planner import admin_server
@@ -94,7 +94,7 @@
 
 
 def test_a_drained_node_is_released_when_nothing_is_out(play):
-    away = next(name for name in STATED.folders if home(name, 4) != 2)
+    away = next(name for name in STATED.folders if home_cell(name, 4) != 2)
 
     async def story(made):
         client = await made.client(0)
@@ -211,22 +211,24 @@
 
     made, (read, without) = play(story, lists=tmp_path)
     assert read == b"kept" * 100 and without == "Refusal"
-    assert any(row["event"] == "lastlist.used" for row in made.logs)
-    assert any(row["event"] == "lastlist.unread" and "checksum" in row["why"] for row in made.logs)
+    assert any(row["event"] == "endpoint_cache.loaded" for row in made.logs)
+    assert any(
+        row["event"] == "endpoint_cache.read_failed" and "checksum" in row["reason"] for row in made.logs
+    )
 
 
 def test_a_last_list_of_long_ago_is_not_used(tmp_path):
     now, rows = [1_000_000.0], []
-    kept = LastList(tmp_path / "l", lambda: now[0], log.to_list(rows))
-    kept.told(
+    cache = EndpointCache(tmp_path / "l", lambda: now[0], log.to_list(rows))
+    cache.update(
         messages.Listing(
             version=3, whole=True, cells=2, entries=[messages.Entry(node="n0", condition="ready")]
         )
     )
     now[0] += 100
-    assert [entry.age for entry in kept.load().entries] == [1_000_000]
+    assert [entry.age for entry in cache.load().entries] == [1_000_000]
     now[0] += 8 * 86_400
-    assert kept.load() is None and rows[-1]["event"] == "lastlist.old"
+    assert cache.load() is None and rows[-1]["event"] == "endpoint_cache.expired"
 
 
 def test_a_whole_list_with_no_ready_node_is_not_believed(play):
--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -68,7 +68,9 @@
 def test_without_a_planner_each_edge_falls_to_its_safe_part(asking):
     async def story(made):
         for edge in made.edges.values():
-            edge.program.asking.limits = dict.fromkeys(edge.program.asking.limits, 1e-6)  # all, it seems
+            edge.program.quota_client.limits = dict.fromkeys(
+                edge.program.quota_client.limits, 1e-6
+            )  # all, it seems
         first = rates(made)
         for _ in range(200):
             made.edges[0].program.driver.on_demand("caribe", 5.0)
--- a/tests/routes/test_reload.py
+++ b/tests/routes/test_reload.py
@@ -6,7 +6,7 @@
 import pytest
 
 from rushmux.edge.errors import OperationFailedError, OperationShedError
-from rushmux.edge.operation_runner import Errand
+from rushmux.edge.operation_runner import OperationRunner
 from rushmux.settings import deployment
 from rushmux.standins import fleet as fleets
 from rushmux.standins.checker import Checker
@@ -29,7 +29,9 @@
 
             async def one(number):
                 try:
-                    await Errand(driver, "heredia", "-", fleet.loop.time() + 3).store(b"x" * 20_000)
+                    await OperationRunner(driver, "heredia", "-", fleet.loop.time() + 3).write_object(
+                        b"x" * 20_000
+                    )
                 except (OperationShedError, OperationFailedError):
                     pass
 
@@ -81,7 +83,7 @@
         )
         assert max(ops[op] for op in told["before"] if op in ops) <= 1
         most = max(most, max(number for op, number in ops.items() if later(op)))
-        assert [row["count"] for row in fleet.logs if row["event"] == "routes.taken"] == [3]
+        assert [row["count"] for row in fleet.logs if row["event"] == "routes.reloaded"] == [3]
     assert most == 2, "three executions are the new route"
 
 
@@ -90,7 +92,7 @@
     fleet, told = surged(OLD, bad)
     assert told["verdict"] is False
     assert max(time_outs(fleet, lambda op: True)) > 700
-    (row,) = [row for row in fleet.logs if row["event"] == "routes.refused"]
+    (row,) = [row for row in fleet.logs if row["event"] == "routes.reload_rejected"]
     assert len(row["faults"]) == 1 and "/routes/1/executions" in row["faults"][0]
     assert fleet.edges[0].program.deployment.raw["routes"] == OLD
 
@@ -98,7 +100,7 @@
 def test_a_file_that_changes_anything_else_is_refused_with_its_place(surged):
     fleet, told = surged(OLD, NEW, lambda text: text["fleet"].update(gateways=2))
     assert told["verdict"] is False
-    (row,) = [row for row in fleet.logs if row["event"] == "routes.refused"]
+    (row,) = [row for row in fleet.logs if row["event"] == "routes.reload_rejected"]
     assert row["faults"] == ["/fleet/gateways: changes only with a start"]
     assert (
         fleet.edges[0].program.driver.scheduler.route_policies["archivo-nuevo", "basico"].attempt_timeout
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rushmux.buffer import journal
-from rushmux.edge.endpoint_cache import LastList
+from rushmux.edge.endpoint_cache import EndpointCache
 from rushmux.edge.policy_client import Kept
 from rushmux.fleet import policy, raft
 from rushmux.lab import spec
@@ -136,7 +136,7 @@
 
 
 def test_the_edges_last_list_is_read_with_its_nodes_ages(stored):
-    listing = LastList(stored("edge-list.bin"), lambda: SAVED_AT + 2, SilentLog()).load()
+    listing = EndpointCache(stored("edge-list.bin"), lambda: SAVED_AT + 2, SilentLog()).load()
     assert (listing.version, listing.whole, listing.cells) == (10, True, 4)
     (entry,) = listing.entries
     assert (entry.node, entry.host, entry.condition, entry.age) == ("node1", "10.0.0.2", "draining", 20_070)
@@ -154,7 +154,7 @@
         start="s2",
         age=70,
     )
-    LastList(path, lambda: SAVED_AT, SilentLog()).told(
+    EndpointCache(path, lambda: SAVED_AT, SilentLog()).update(
         messages.Listing(version=10, whole=True, cells=4, entries=[entry])
     )
     assert path.read_bytes() == (STORED / "edge-list.bin").read_bytes()
