--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -6,7 +6,7 @@
 
 from benchmarks import shares as day
 from rushmux.edge.planner_client import PlannerClient
-from rushmux.fleet.quotas import LEASE, SAFE
+from rushmux.fleet.quotas import LEASE_DURATION, SAFE_FRACTION
 from rushmux.nodewire import messages
 from rushmux.settings.deployment import BadDeployment, build
 from rushmux.standins import fleet
@@ -77,18 +77,18 @@
             await made.sleep(0.1)
         busy = rates(made)
         made.kill_planner()
-        await made.sleep(LEASE + 1)
+        await made.sleep(LEASE_DURATION + 1)
         return first, busy, rates(made)
 
     _, (first, busy, after) = asking(story)
-    safe = SAFE / day.EDGES
+    safe = SAFE_FRACTION / day.EDGES
     assert first == pytest.approx([safe] * 3) and busy[0] > 2 * safe
     assert sum(busy) <= 1 + 1e-9 and after == pytest.approx([safe] * 3)
 
 
 def test_asks_that_make_no_sense_cost_their_own_connection_only(asking):
     async def story(made):
-        bad, link = [], made.edges[0].program
+        bad, edge = [], made.edges[0].program
         for wants in (
             [messages.Want(folder="caribe", part=-1.0)],
             [messages.Want(folder=f"f{number}", part=1.0) for number in range(10_001)],
@@ -97,8 +97,8 @@
             client = PlannerClient(
                 made.lists.address,
                 messages.Hello(version=1, peer="edge9", start="x"),
-                link.chance,
-                link.log,
+                edge.rng,
+                edge.log,
                 told.append,
             )
             task = asyncio.ensure_future(client.run())
