--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -14,7 +14,7 @@
 from multiprocessing import Pool
 from pathlib import Path
 
-from rushmux.edge.policy_client import granted, lease_request
+from rushmux.edge.policy_codec import decode_lease_grant, encode_lease_request
 from rushmux.fleet import policy, raft
 from rushmux.nodewire import VERSION, Frames, frame, messages
 from rushmux.planner import admin_server
@@ -62,7 +62,7 @@
                         if message.WhichOneof("body") == "policy_grant":
                             holder = self.holder
                             known = {made.version: made for made in (holder.active, holder.staged) if made}
-                            holder.on_grant(loop.time(), granted(message.policy_grant, known))
+                            holder.on_grant(loop.time(), decode_lease_grant(message.policy_grant, known))
                             self.at.setdefault(holder.active_version, loop.time())
             except OSError:
                 pass
@@ -77,7 +77,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(EVERY * (1 - 0.5 * self.chance.random()))
-            ask = lease_request(self.holder.lease_request(loop.time()))
+            ask = encode_lease_request(self.holder.lease_request(loop.time()))
             data = frame(messages.Message(policy_ask=ask))
             self.written += len(data)
             writer.write(data)
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -107,7 +107,7 @@
     from rushmux.buffer.writeback import buffered
     from rushmux.edge.edge import Edge
     from rushmux.edge.endpoint_cache import EndpointCache
-    from rushmux.edge.policy_client import Kept, Newer
+    from rushmux.edge.policy_store import PolicyFormatError, PolicyStore
     from rushmux.scheduling.scheduler import Scheduler
     from rushmux.settings import deployment as deployments
     from rushmux.standins.passthrough import PassThrough
@@ -121,10 +121,10 @@
             raise click.ClickException(
                 "an edge of a fleet with a policy needs --data: it keeps what was decided"
             )
-        kept = Kept(Path(data) / "policy.kept")
+        kept = PolicyStore(Path(data) / "policy.kept")
         try:
             kept.load()
-        except Newer as fault:
+        except PolicyFormatError as fault:
             raise click.ClickException(str(fault)) from fault
         except Exception:  # pylint: disable=broad-except
             pass  # said when it starts: it serves nothing until it was told
@@ -156,10 +156,10 @@
             "goes_by",
             edge=part.name,
             start=part.incarnation,
-            number=state[0],
-            staged=state[1] or 0,
-            narrow=state[2],
-            serves=state[3],
+            number=state.active_version,
+            staged=state.staged_version or 0,
+            narrow=state.degraded,
+            serves=state.serving,
         )
         part.on_listing = lambda nodes: record("told", edge=part.name, start=part.incarnation, nodes=nodes)
         loop.add_signal_handler(signal.SIGHUP, part.reload, lambda: deployments.load(file))
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -12,8 +12,9 @@
 from rushmux.edge.garbage_collector import GarbageCollector
 from rushmux.edge.node_connections import Address, NodeConnections
 from rushmux.edge.planner_client import PlannerClient
-from rushmux.edge.policy_client import Going, Kept, begun
-from rushmux.edge.quota_client import Asking
+from rushmux.edge.policy_client import PolicyClient, PolicyState
+from rushmux.edge.policy_store import PolicyStore, StoredPolicies, initial_policy
+from rushmux.edge.quota_client import QuotaClient
 from rushmux.edge.session import Session
 from rushmux.nodewire import VERSION, messages
 from rushmux.routes.reload import MOST_NAMED, judge
@@ -47,7 +48,7 @@
         scheduler_type: Callable = Scheduler,
         make_buffer: Callable | None = None,
         endpoint_cache: EndpointCache | None = None,
-        policy_store: Kept | None = None,
+        policy_store: PolicyStore | None = None,
     ):
         """Starts nothing yet.
 
@@ -74,7 +75,7 @@
         self.own_deployment = deployment  # its file's, whatever the policy makes of it
         self.policy_store, self.policy_client, self.quota_client = policy_store, None, None
         self.on_listing: Callable[[list], None] = lambda nodes: None
-        self.on_policy_state: Callable[[tuple], None] = lambda state: None
+        self.on_policy_state: Callable[[PolicyState], None] = lambda state: None
         self.closing = False
         self.sessions: dict[Session, asyncio.Task] = {}
         self.session_count = 0
@@ -89,9 +90,10 @@
 
     async def open(self, host: str, port: int) -> int:
         """Begins to serve; the port that clients connect to."""
-        stored_policies = None, None
+        stored = StoredPolicies()
         if self.policy_store is not None:
-            self.deployment, stored_policies = begun(self.own_deployment, self.policy_store, self.log)
+            initial = initial_policy(self.own_deployment, self.policy_store, self.log)
+            self.deployment, stored = initial.deployment, initial.stored
         hello = messages.Hello(version=VERSION, peer=self.name, start=self.incarnation)
         self._make_driver(hello)
         self._make_files()
@@ -101,7 +103,7 @@
         self.planner_client = PlannerClient(
             self.planner_addresses, hello, self.rng, self.log, self._on_listing
         )
-        self._start_tasks(stored_policies)
+        self._start_tasks(stored)
         self.server = await asyncio.start_server(self._accept, host, port, backlog=BACKLOG)
         port = self.server.sockets[0].getsockname()[1]
         self.log.info("edge.listening", host=host, port=port)
@@ -139,16 +141,14 @@
         if self.make_buffer is not None:
             self.buffer = self.make_buffer(self.driver, self.file_system, self.log)
 
-    def _start_tasks(self, stored_policies: tuple) -> None:
+    def _start_tasks(self, stored: StoredPolicies) -> None:
         if self.deployment.shares:
-            self.quota_client = Asking(self.driver, self.planner_client, self.log)
+            self.quota_client = QuotaClient(self.driver, self.planner_client, self.log)
         runs = [self.planner_client.run(), self.garbage_collector.run()]
         if self.quota_client is not None:
             runs.append(self.quota_client.run())
         if self.policy_store is not None:
-            self.policy_client = Going(
-                self, self.own_deployment, self.policy_store, stored_policies, self.log
-            )
+            self.policy_client = PolicyClient(self, self.policy_store, stored, self.log)
             runs.append(self.policy_client.run())
         if self.buffer is not None:
             runs.append(self.buffer.run())
--- a/rushmux/edge/quota_client.py
+++ b/rushmux/edge/quota_client.py
@@ -1,69 +1,79 @@
-"""An edge's parts of limits: it tells the planner what it could use, and goes by what it is granted."""
+"""An edge's quotas: asks the planner for shares of folders' limits, and keeps to what it is granted."""
 
 import asyncio
 
+from rushmux.edge.driver import EdgeDriver
+from rushmux.edge.planner_client import PlannerClient
 from rushmux.fleet.quotas import EdgeQuotas, QuotaGrant
 from rushmux.nodewire import messages
 
-EVERY = 0.5  # seconds between two asks: what is lowered here is free there two asks later
-APART = 0.5  # of that, drawn: hundreds of edges ask apart from each other
-MOST_WANTS = 10_000  # folders asked for at once
+REQUEST_INTERVAL = 0.5  # seconds between two requests: what is lowered here is free there two requests later
+JITTER = 0.5  # of that, drawn: hundreds of edges ask apart from each other
+MIN_INTERVAL = 0.1  # seconds: over a shorter time demand is not measured
+MAX_FOLDERS = 10_000  # folders asked for at once
 
 
-class Asking:
-    """Asks for the folders whose plans have limits, and tells the driver what holds."""
+class QuotaClient:
+    """Asks for shares of the folders whose plans have limits, and has the driver keep to what holds."""
 
-    def __init__(self, driver, lists, log):
-        self.driver, self.lists, self.log = driver, lists, log
-        self.believed = EdgeQuotas(driver.name, driver.deployment.settings.gateway_count)
-        self.limits, self.lapse = driver.deployment.limits(), None
-        self.wanted, self.since, self.parts = dict.fromkeys(self.limits, 0.0), driver.loop.time(), {}
-        lists.on_quota_grant = self.granted
-        driver.on_demand = self.taking
-        self.apply()  # nothing above the safe parts before anything was granted
+    def __init__(self, driver: EdgeDriver, planner_client: PlannerClient, log):
+        self.driver, self.planner_client, self.log = driver, planner_client, log
+        self.quotas = EdgeQuotas(driver.name, driver.deployment.settings.gateway_count)
+        self.limits = driver.deployment.limits()
+        self.demand = dict.fromkeys(self.limits, 0.0)  # units since the last request
+        self.last_request_at = driver.loop.time()
+        self.lease_timer: asyncio.TimerHandle | None = None
+        self.shares: dict[str, float] = {}  # as the driver was last told of them
+        planner_client.on_quota_grant = self._on_grant_message
+        driver.on_demand = self._on_demand
+        self._apply()  # nothing above the safe shares before anything was granted
 
-    def taking(self, folder, units):
+    def _on_demand(self, folder: str, units: float) -> None:
         """An operation came, whatever becomes of it."""
-        if folder in self.wanted:
-            self.wanted[folder] += units
+        if folder in self.demand:
+            self.demand[folder] += units
 
-    async def run(self):
-        """Until cancelled."""
+    async def run(self) -> None:
+        """Asks for shares until cancelled."""
         loop = self.driver.loop
         while True:
-            await asyncio.sleep(EVERY * (1 - APART * self.driver.rng.random()))
+            await asyncio.sleep(REQUEST_INTERVAL * (1 - JITTER * self.driver.rng.random()))
             now = loop.time()
-            span, self.since = max(0.1, now - self.since), now
-            ask, (term, number) = self.believed.request(now)
+            elapsed, self.last_request_at = max(MIN_INTERVAL, now - self.last_request_at), now
+            request = self.quotas.request(now)
             wants = [
-                messages.Want(folder=folder, part=units / span / self.limits[folder])
-                for folder, units in list(self.wanted.items())[:MOST_WANTS]
+                messages.Want(folder=folder, part=units / elapsed / self.limits[folder])
+                for folder, units in list(self.demand.items())[:MAX_FOLDERS]
             ]
-            self.wanted = dict.fromkeys(self.wanted, 0.0)
-            self.lists.send(ask=messages.Ask(ask=ask, term=term, number=number, wants=wants))
-            self.apply()
+            self.demand = dict.fromkeys(self.demand, 0.0)
+            applied = request.applied
+            ask = messages.Ask(
+                ask=request.request_id, term=applied.term, number=applied.sequence, wants=wants
+            )
+            self.planner_client.send(ask=ask)
+            self._apply()
 
-    def granted(self, grant: messages.Grant):
+    def _on_grant_message(self, message: messages.Grant) -> None:
         loop = self.driver.loop
-        parts = {
+        shares = {
             want.folder: want.part
-            for want in grant.parts
+            for want in message.parts
             if want.folder in self.limits and 0 <= want.part <= 1
         }
-        if self.believed.on_grant(
-            loop.time(), QuotaGrant(self.driver.name, grant.term, grant.number, grant.ask, parts)
-        ):
-            self.apply()
-            # Danger: the lease ends while nothing else happens here.
-            if self.lapse is not None:
-                self.lapse.cancel()
-            self.lapse = loop.call_at(self.believed.lease_expiry, self.apply)
+        grant = QuotaGrant(self.driver.name, message.term, message.number, message.ask, shares)
+        if not self.quotas.on_grant(loop.time(), grant):
+            return
+        self._apply()
+        # The lease may end while nothing else happens here.
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        self.lease_timer = loop.call_at(self.quotas.lease_expiry, self._apply)
 
-    def apply(self):
-        """Has the module go by what holds at this moment."""
+    def _apply(self) -> None:
+        """Has the driver keep to what holds at this moment."""
         now = self.driver.loop.time()
         for folder in self.limits:
-            part = self.believed.quota(now, folder)
-            if self.parts.get(folder) != part:
-                self.parts[folder] = part
-                self.driver.set_quota_share(folder, part)
+            share = self.quotas.quota(now, folder)
+            if self.shares.get(folder) != share:
+                self.shares[folder] = share
+                self.driver.set_quota_share(folder, share)
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -12,7 +12,7 @@
 
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
-from rushmux.edge.policy_client import Kept
+from rushmux.edge.policy_store import PolicyStore
 from rushmux.planner.membership_store import Store as PlannerStore
 from rushmux.planner.planner import Planner
 from rushmux.planner.replicated_log import Planners
@@ -98,7 +98,7 @@
         for number in range(edges):
             await self.edge(number)
         for _ in range(1_200):
-            holders = [part.program.policy_client.holder for part in self.edges.values()]
+            holders = [part.program.policy_client.member for part in self.edges.values()]
             if all(holder.is_serving() and not holder.is_degraded(self.loop.time()) for holder in holders):
                 return
             await self.sleep(0.05)
@@ -115,7 +115,7 @@
             log=self.log,
             scheduler_type=self.decisions,
             make_buffer=buffered(self.deployment, None),
-            policy_store=Kept(self.folder / f"edge{number}.kept"),
+            policy_store=PolicyStore(self.folder / f"edge{number}.kept"),
         )
         program.on_listing = lambda nodes: self.record(
             "told", edge=program.name, start=program.incarnation, nodes=nodes
@@ -124,10 +124,10 @@
             "goes_by",
             edge=program.name,
             start=program.incarnation,
-            number=state[0],
-            staged=state[1] or 0,
-            narrow=state[2],
-            serves=state[3],
+            number=state.active_version,
+            staged=state.staged_version or 0,
+            narrow=state.degraded,
+            serves=state.serving,
         )
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
@@ -211,7 +211,7 @@
         if len(forces) != 1 or any(part.program.council.register.staged for part in self.planners.values()):
             found.append(f"planners end with {sorted(forces)}, or with a change under way")
         for part in self.edges.values():
-            holder = part.program.policy_client.holder
+            holder = part.program.policy_client.member
             if holder.active_version != max(forces) or holder.is_degraded(self.loop.time()):
                 narrow = holder.is_degraded(self.loop.time())
                 found.append(f"{holder.name} ends with {holder.active_version}, narrow {narrow}")
@@ -244,7 +244,7 @@
         await fleet.sleep(QUIET)
         settled = fleet.settled()
         breaches, facts = judge(fleet.all_records(), deployment, (), fleet.people, fleet.stopped)
-        bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.refused")]
+        bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.grant_rejected")]
         return Told(breaches + settled + [str(row)[:300] for row in bad[:3]], facts, fleet.logs)
 
     return run(whole, seed)
--- a/tests/edge/test_policy_client.py
+++ b/tests/edge/test_policy_client.py
@@ -1,4 +1,4 @@
-"""An edge's kept policy, and what people ask about the fleet's, on processes."""
+"""An edge's stored policy and its leases on the wire; the policy commands, on processes."""
 
 import asyncio
 import copy
@@ -8,7 +8,13 @@
 from click.testing import CliRunner
 
 from rushmux.cli.main import main
-from rushmux.edge.policy_client import BadKept, Kept, Newer, begun, granted
+from rushmux.edge.policy_codec import decode_lease_grant
+from rushmux.edge.policy_store import (
+    PolicyFormatError,
+    PolicyStore,
+    StoredPolicyError,
+    initial_policy,
+)
 from rushmux.fleet.policy import LeaseGrant, Policy
 from rushmux.nodewire import WireFault
 from rushmux.planner import raft_codec
@@ -38,28 +44,28 @@
     return raw
 
 
-def test_what_was_kept_is_there_again_and_what_is_damaged_is_as_none(tmp_path):
-    kept, log = Kept(tmp_path / "p"), Log()
-    assert kept.load() == (None, None) and begun(OWN, kept, log) == (OWN, (None, None))
+def test_stored_policies_are_read_again_and_a_damaged_file_counts_as_none(tmp_path):
+    store, log = PolicyStore(tmp_path / "p"), Log()
+    assert store.load() == (None, None) and initial_policy(OWN, store, log) == (OWN, (None, None))
     both = policy(3, changed(limit=40)), policy(4)
-    kept.keep(*both)
-    assert kept.load() == both
-    assert begun(OWN, kept, log)[0].settings.plans["basico"].limit == 40 and log.rows == []
-    whole = kept.path.read_bytes()
+    store.save(*both)
+    assert store.load() == both
+    assert initial_policy(OWN, store, log)[0].settings.plans["basico"].limit == 40 and log.rows == []
+    whole = store.path.read_bytes()
     for bad in (whole[:-30], whole.replace(b"basico", b"basic0", 1), b"", b"[]", b"\xff"):
-        kept.path.write_bytes(bad)
-        with pytest.raises(BadKept):
-            kept.load()
-        assert begun(OWN, kept, log) == (OWN, (None, None))
-    assert len(log.rows) == 5 and log.rows[0][0] == "policy.unread"
+        store.path.write_bytes(bad)
+        with pytest.raises(StoredPolicyError):
+            store.load()
+        assert initial_policy(OWN, store, log) == (OWN, (None, None))
+    assert len(log.rows) == 5 and log.rows[0][0] == "policy.load_failed"
 
 
-def test_a_newer_format_is_refused_and_not_written_over(tmp_path):
+def test_a_newer_format_is_rejected_and_not_written_over(tmp_path):
     (tmp_path / "e").mkdir()
     path = tmp_path / "e" / "policy.kept"
     path.write_text(json.dumps(["rushmux policy", 2, 0, ""]))
-    with pytest.raises(Newer, match="format 2, this edge reads 1"):
-        begun(OWN, Kept(path), Log())
+    with pytest.raises(PolicyFormatError, match="format 2, this edge reads 1"):
+        initial_policy(OWN, PolicyStore(path), Log())
     file = tmp_path / "d.json"
     file.write_text(json.dumps(RAW))
     result = CliRunner().invoke(
@@ -70,7 +76,7 @@
     assert result.exit_code == 1 and "needs --data" in result.output
 
 
-def test_what_changes_only_with_a_start_is_told_and_unknown_parts_are_refused():
+def test_changes_that_need_a_start_and_unknown_parts_are_rejected():
     assert documents.against(OWN, build(changed(limit=40, burst=90))) == []
     routes = {**copy.deepcopy(RAW), "routes": RAW["routes"][:1]}
     assert documents.against(OWN, build(routes)) == []
@@ -87,23 +93,23 @@
     assert documents.text(again) == documents.text(RAW)
 
 
-def test_a_grant_names_what_the_member_has_and_a_wrong_checksum_is_refused():
+def test_a_grant_leaves_out_policies_that_the_member_has_and_a_wrong_checksum_is_rejected():
     first, second = policy(1), policy(2, changed(limit=40))
     grant = LeaseGrant("edge0", 5, 2, 9, first, second)
     whole = raft_codec.grant(grant, ())
-    assert granted(whole, {}) == grant
+    assert decode_lease_grant(whole, {}) == grant
     short = raft_codec.grant(grant, (1,))
-    assert not short.force.text and granted(short, {1: first}) == grant
+    assert not short.force.text and decode_lease_grant(short, {1: first}) == grant
     with pytest.raises(WireFault):
-        granted(short, {})
+        decode_lease_grant(short, {})
     with pytest.raises(WireFault):
-        granted(short, {1: first._replace(text="other")})
+        decode_lease_grant(short, {1: first._replace(text="other")})
     whole.staged.rows[0].limit += 1
     with pytest.raises(WireFault, match="checksum"):
-        granted(whole, {})
+        decode_lease_grant(whole, {})
 
 
-def test_people_change_a_fleet_by_the_command_line(tmp_path):
+def test_operators_change_the_policy_by_the_command_line(tmp_path):
     story = fault_injection.parse("edges 2\nnodes 1\n")
     raw = fault_injection.stated(story)
     file = tmp_path / "deployment.json"
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -10,7 +10,7 @@
 
 from rushmux.buffer import journal
 from rushmux.edge.endpoint_cache import EndpointCache
-from rushmux.edge.policy_client import Kept
+from rushmux.edge.policy_store import PolicyStore
 from rushmux.fleet import policy, raft
 from rushmux.lab import spec
 from rushmux.lab.store import Store as ResultStore
@@ -170,10 +170,10 @@
 
 
 def test_the_edges_kept_policies_are_read_and_written_as_before(stored, tmp_path):
-    force, staged = Kept(stored("edge-policy.json")).load()
+    force, staged = PolicyStore(stored("edge-policy.json")).load()
     assert force == policy.Policy(2, '{"a":2}', ((CARIBE, 20.0, 40.0), (HEREDIA, 0, 0)))
     assert staged == policy.Policy(3, '{"a":3}', ((CARIBE, 30.0, 60.0), (HEREDIA, 10.0, 20.0)))
-    Kept(tmp_path / "again.json").keep(force, staged)
+    PolicyStore(tmp_path / "again.json").save(force, staged)
     assert (tmp_path / "again.json").read_bytes() == (STORED / "edge-policy.json").read_bytes()
 
 
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rushmux.edge.policy_client import lease_request
+from rushmux.edge.policy_codec import encode_lease_request
 from rushmux.fleet import policy, raft
 from rushmux.gateway import commands, replies
 from rushmux.gateway.config import parsed
@@ -80,7 +80,7 @@
 
 def test_a_members_policy_ask_goes_over_the_wire_as_before():
     holder = policy.PolicyMember("edge0", FORCE, STAGED, lambda proposed: None, lambda force, staged: None)
-    ask = lease_request(holder.lease_request(3.0))
+    ask = encode_lease_request(holder.lease_request(3.0))
     assert frame(messages.Message(policy_ask=ask)) == NODEWIRE["policy-ask"]
 
 
