--- /dev/null
+++ b/rushmux/edge/request_context.py
@@ -0,0 +1,82 @@
+"""What the handlers of one session's requests share: where a path leads, and how files are shown."""
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from rushmux.edge.errors import RequestRejectedError
+from rushmux.edge.file_attributes import to_sftp
+from rushmux.edge.handles import HandleTable
+from rushmux.edge.operation_runner import OperationRunner
+from rushmux.files import paths
+from rushmux.files.layout import FileRow
+from rushmux.files.paths import Names
+from rushmux.sftp import packets as sftp
+
+if TYPE_CHECKING:
+    from rushmux.edge.edge import Edge
+
+RunnerFactory = Callable[[str], OperationRunner]
+"""Makes the runner of a request's operations in a folder."""
+
+Handler = Callable[[Any, RunnerFactory], Awaitable]
+"""Takes a request's packet, and gives the packet of its reply."""
+
+
+class Location(NamedTuple):
+    """A folder and the names below it; ("", ()) is the root."""
+
+    folder: str
+    names: Names
+
+    @property
+    def path(self) -> Names:
+        """The names from the root."""
+        return (self.folder, *self.names)
+
+
+def status(request_id: int, code: int = sftp.OK, text: str = "done") -> sftp.Status:
+    """A status reply."""
+    return sftp.Status(request_id, code, text, "en")
+
+
+class RequestContext:
+    """One session's handles, and the edge that it is a session of."""
+
+    def __init__(self, edge: "Edge", handles: HandleTable):
+        self.edge, self.handles, self.buffer = edge, handles, edge.buffer
+
+    def locate(self, path: str) -> Location:
+        """Where a path leads.
+
+        Raises:
+            InvalidPathError: The path is not accepted.
+            RequestRejectedError: There is no such folder, or another edge serves it.
+        """
+        names = paths.split(path)
+        if not names:
+            return Location("", ())
+        folder = names[0]
+        if folder not in self.edge.deployment.folders:
+            raise RequestRejectedError(sftp.NO_SUCH_FILE, f"there is no folder '{folder}'")
+        if not self.edge.serves(folder):
+            raise RequestRejectedError(
+                sftp.PERMISSION_DENIED, f"folder '{folder}' is not served by this edge"
+            )
+        self.edge.garbage_collector.on_folder_used(folder)
+        return Location(folder, names[1:])
+
+    def locate_inside(self, path: str) -> Location:
+        """As `locate`, for what must lie in a folder."""
+        location = self.locate(path)
+        if not location.names:
+            raise RequestRejectedError(
+                sftp.PERMISSION_DENIED, "folders are made and removed by the deployment file only"
+            )
+        return location
+
+    def attributes(self, folder: str, file_id: str, file: FileRow) -> sftp.Attributes:
+        """Attributes with what the buffer holds past the end of the file."""
+        buffered_file = self.buffer and self.buffer.buffer.known(folder, file_id)
+        if buffered_file:
+            file = file._replace(size=max(file.size, buffered_file.end))
+        return to_sftp(file)
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -18,7 +18,8 @@
 from rushmux.edge.handles import HandleTable
 from rushmux.edge.operation_runner import OperationRunner
 from rushmux.edge.request_access import access_of
-from rushmux.edge.request_handlers import EXTENSIONS, RequestHandlers, status
+from rushmux.edge.request_context import status
+from rushmux.edge.request_handlers import EXTENSIONS, RequestHandlers
 from rushmux.edge.request_ordering import Access, Admission, RequestOrder
 from rushmux.edge.write_coalescing import CoalescingWriter
 from rushmux.files import paths
