--- a/rushmux/edge/file_requests.py
+++ b/rushmux/edge/file_requests.py
@@ -32,7 +32,7 @@
         found = await self.tree.open(runner, location.names, packet.flags, packet.attributes)
         self.handles.check_capacity()
         file = OpenFile(self.edge.file_system, location.path, found, packet.flags, self.buffer)
-        return sftp.Handle(packet.request, self.handles.add(file))
+        return sftp.Handle(packet.request_id, self.handles.add(file))
 
     async def _flush_before_truncation(self, runner: OperationRunner, names: Names) -> None:
         """Writes out what the buffer holds of a file: it would come back after the truncation."""
@@ -51,7 +51,7 @@
                 await opened.flush(runner_for(opened.folder))
             finally:
                 opened.release()
-        return status(packet.request)
+        return status(packet.request_id)
 
     async def read(self, packet: sftp.Read, runner_for: RunnerFactory):
         """Reads a range of an open file."""
@@ -60,15 +60,15 @@
             raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to read")
         data = await file.read(runner_for(file.folder), packet.offset, packet.length)
         if packet.length and not data:
-            return status(packet.request, sftp.EOF, "end of file")
-        return sftp.Data(packet.request, data)
+            return status(packet.request_id, sftp.EOF, "end of file")
+        return sftp.Data(packet.request_id, data)
 
     async def write(self, packet: sftp.Write, runner_for: RunnerFactory):
         """Writes a range of an open file."""
         file = self._writable_file(packet.handle)
         if packet.data:
             await file.write(runner_for(file.folder), packet.offset, packet.data)
-        return status(packet.request)
+        return status(packet.request_id)
 
     def _writable_file(self, handle: bytes) -> OpenFile:
         file = self.handles.file(handle)
@@ -76,26 +76,28 @@
             raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to write")
         return file
 
-    async def fsync(self, packet: sftp.Extended, fields: sftp.Cursor, runner_for: RunnerFactory):
+    async def fsync(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
         """Waits until what was written to an open file is readable through any edge."""
         # Without a buffer, what was answered as written lies on nodes already.
         file = self.handles.file(fields.raw())
         await file.flush(runner_for(file.folder))
-        return status(packet.request)
+        return status(packet.request_id)
 
     async def stat(self, packet: sftp.Stat | sftp.LStat, runner_for: RunnerFactory):
         """Shows the attributes that a path has; there are no links to follow."""
         folder, names = self.context.locate(packet.path)
         if not names:
-            return sftp.Attrs(packet.request, root_attributes())
+            return sftp.Attrs(packet.request_id, root_attributes())
         found = await self.tree.resolve_existing(runner_for(folder), names)
-        return sftp.Attrs(packet.request, self.context.attributes(folder, found.file_id, found.file))
+        return sftp.Attrs(packet.request_id, self.context.attributes(folder, found.file_id, found.file))
 
     async def handle_stat(self, packet: sftp.FStat, runner_for: RunnerFactory):
         """Shows the attributes of an open file, looked up anew."""
         file = self.handles.file(packet.handle)
         await file.view.refresh(runner_for(file.folder), (), self.loop.time())
-        return sftp.Attrs(packet.request, self.context.attributes(file.folder, file.file_id, file.view.file))
+        return sftp.Attrs(
+            packet.request_id, self.context.attributes(file.folder, file.file_id, file.view.file)
+        )
 
     async def set_stat(self, packet: sftp.SetStat, runner_for: RunnerFactory):
         """Sets attributes by a path."""
@@ -105,7 +107,7 @@
             await self._flush_before_truncation(runner, names)
         found = await self.tree.resolve_existing(runner, names)
         await self.attribute_editor.set_attributes(runner, found.file_id, packet.attributes)
-        return status(packet.request)
+        return status(packet.request_id)
 
     async def handle_set_stat(self, packet: sftp.FSetStat, runner_for: RunnerFactory):
         """Sets attributes of an open file."""
@@ -118,4 +120,4 @@
             runner_for(file.folder), file.file_id, packet.attributes
         )
         file.view.on_changed(changed.file, changed.version)
-        return status(packet.request)
+        return status(packet.request_id)
--- a/rushmux/edge/name_requests.py
+++ b/rushmux/edge/name_requests.py
@@ -24,7 +24,7 @@
         if not location.folder:
             served = [name for name in self.edge.deployment.folders if self.edge.serves(name)]
             handle = self.handles.add(OpenDirectory((), "", layout.ROOT, served))
-            return sftp.Handle(packet.request, handle)
+            return sftp.Handle(packet.request_id, handle)
         directory_id = layout.ROOT
         if location.names:
             found = await self.tree.resolve_existing(runner_for(location.folder), location.names)
@@ -33,20 +33,20 @@
             directory_id = found.file_id
         self.handles.check_capacity()
         handle = self.handles.add(OpenDirectory(location.path, location.folder, directory_id))
-        return sftp.Handle(packet.request, handle)
+        return sftp.Handle(packet.request_id, handle)
 
     async def read_directory(self, packet: sftp.ReadDir, runner_for: RunnerFactory):
         """Lists the next entries of an open directory."""
         directory, rows = self.handles.directory(packet.handle), []
         while not rows:
             if directory.exhausted:
-                return status(packet.request, sftp.EOF, "end of the listing")
+                return status(packet.request_id, sftp.EOF, "end of the listing")
             if directory.remaining_folders is not None:
                 rows = self._next_folders(directory)
             else:
                 rows = await self._next_entries(directory, runner_for(directory.folder))
         names = [sftp.Name(name, long_name(name, attributes), attributes) for name, attributes in rows]
-        return sftp.Names(packet.request, names)
+        return sftp.Names(packet.request_id, names)
 
     @staticmethod
     def _next_folders(directory: OpenDirectory) -> list[tuple[str, sftp.Attributes]]:
@@ -70,24 +70,24 @@
         """Removes a file."""
         folder, names = self.context.locate_inside(packet.path)
         await self.tree.remove_file(runner_for(folder), names)
-        return status(packet.request)
+        return status(packet.request_id)
 
     async def make_directory(self, packet: sftp.MkDir, runner_for: RunnerFactory):
         """Makes a directory."""
         folder, names = self.context.locate_inside(packet.path)
         await self.tree.make_directory(runner_for(folder), names, packet.attributes)
-        return status(packet.request)
+        return status(packet.request_id)
 
     async def remove_directory(self, packet: sftp.RmDir, runner_for: RunnerFactory):
         """Removes an empty directory."""
         folder, names = self.context.locate_inside(packet.path)
         await self.tree.remove_directory(runner_for(folder), names)
-        return status(packet.request)
+        return status(packet.request_id)
 
     async def real_path(self, packet: sftp.RealPath, runner_for: RunnerFactory):
         """Resolves a path without looking anything up."""
         path = "/" + "/".join(paths.split(packet.path))
-        return sftp.Names(packet.request, [sftp.Name(path, path, sftp.Attributes())])
+        return sftp.Names(packet.request_id, [sftp.Name(path, path, sftp.Attributes())])
 
     async def rename(self, packet: sftp.Rename, runner_for: RunnerFactory, replace: bool = False):
         """Moves a name within its folder."""
@@ -97,9 +97,9 @@
             raise RequestRejectedError(sftp.PERMISSION_DENIED, "names do not move between folders")
         await self.tree.rename(runner_for(source.folder), source.names, target.names, replace)
         self.handles.on_renamed(source.path, target.path)
-        return status(packet.request)
+        return status(packet.request_id)
 
-    async def posix_rename(self, packet: sftp.Extended, fields: sftp.Cursor, runner_for: RunnerFactory):
+    async def posix_rename(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
         """As `rename`, over a file or an empty directory."""
-        rename = sftp.Rename(packet.request, fields.text(), fields.text())
+        rename = sftp.Rename(packet.request_id, fields.text(), fields.text())
         return await self.rename(rename, runner_for, replace=True)
--- a/rushmux/edge/request_access.py
+++ b/rushmux/edge/request_access.py
@@ -40,10 +40,10 @@
 
 def _access_of_extended(packet: sftp.Extended, handles: HandleTable) -> Access:
     # Both paths of a rename; a handle where it is one of this session's.
-    cursor, texts = sftp.Cursor(memoryview(packet.data)), []
-    with contextlib.suppress(sftp.BadPacket):
-        while cursor.at < len(packet.data) and len(texts) < MAX_EXTENDED_PATHS:
-            texts.append(cursor.raw())
+    fields, texts = sftp.FieldReader(memoryview(packet.data)), []
+    with contextlib.suppress(sftp.ProtocolError):
+        while fields.has_more() and len(texts) < MAX_EXTENDED_PATHS:
+            texts.append(fields.raw())
     opened = [handles.get(text) for text in texts]
     opened_paths = [each.path for each in opened if each is not None]
     named = _valid_paths(text.decode(errors="replace") for text in texts)
--- a/rushmux/edge/request_handlers.py
+++ b/rushmux/edge/request_handlers.py
@@ -72,20 +72,20 @@
             name = packet.name[:MAX_QUOTED_NAME]
             raise RequestRejectedError(sftp.OP_UNSUPPORTED, f"extension '{name}' is not offered")
         try:
-            return await handler(packet, sftp.Cursor(memoryview(packet.data)), runner_for)
-        except sftp.BadPacket as error:
+            return await handler(packet, sftp.FieldReader(memoryview(packet.data)), runner_for)
+        except sftp.ProtocolError as error:
             raise RequestRejectedError(sftp.BAD_MESSAGE, f"{packet.name}: {error}") from error
 
-    async def _barrier(self, packet: sftp.Extended, fields: sftp.Cursor, runner_for: RunnerFactory):
+    async def _barrier(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
         folder = self.context.locate(fields.text()).folder
         if not folder:
             raise RequestRejectedError(sftp.FAILURE, "a barrier is set over one folder")
         if self.buffer is not None:
             barrier = self.buffer.mark(folder)
             await self.buffer.past(folder, barrier, runner_for(folder))
-        return status(packet.request)
+        return status(packet.request_id)
 
-    async def _statvfs(self, packet: sftp.Extended, fields: sftp.Cursor, runner_for: RunnerFactory):
+    async def _statvfs(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
         """What the listed nodes have, in blocks."""
         self.context.locate(fields.text())
         disks = self.edge.driver.endpoint_table.disk_space.values()
@@ -93,4 +93,4 @@
         free = sum(disk.free for disk in disks) // SPACE_BLOCK_BYTES
         block = SPACE_BLOCK_BYTES
         space = SPACE_FIELDS.pack(block, block, total, free, free, 0, 0, 0, 0, 0, paths.MAX_NAME_BYTES)
-        return sftp.ExtendedReply(packet.request, space)
+        return sftp.ExtendedReply(packet.request_id, space)
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -69,7 +69,7 @@
         self.log, self.loop = edge.log.bind(session=name), asyncio.get_running_loop()
         self.limits = edge.deployment.sessions
         self.replies = CoalescingWriter(writer)
-        self.packets = sftp.Packets()
+        self.packets = sftp.PacketSplitter()
         self.packet_begun_at: float | None = None  # the loop's time; None: no packet is read in part
         self.established, self.request_count = False, 0
         self.handles = HandleTable(name, self.limits.handles)
@@ -86,7 +86,7 @@
         try:
             while True:
                 await self._read_requests()
-        except (SessionEndedError, sftp.BadPacket) as error:
+        except (SessionEndedError, sftp.ProtocolError) as error:
             reason = str(error)
         except OSError as error:
             reason = f"broken: {error}"
@@ -126,12 +126,12 @@
         except TimeoutError:
             raise SessionEndedError(f"a packet not whole after {self.limits.packet} s") from None
         if not data:
-            raise SessionEndedError("left within a packet" if self.packets.begun else "left")
+            raise SessionEndedError("left within a packet" if self.packets.has_partial_packet else "left")
         return data
 
     def _complete_packets(self, data: bytes) -> list[bytes]:
         bodies = self.packets.feed(data)
-        if not self.packets.begun:
+        if not self.packets.has_partial_packet:
             self.packet_begun_at = None
         elif bodies or self.packet_begun_at is None:
             self.packet_begun_at = self.loop.time()
@@ -140,12 +140,12 @@
     async def _on_packet(self, body: bytes) -> None:
         try:
             packet = sftp.decode(body)
-        except sftp.BadPacket as error:
-            if error.request is None or not self.established:
+        except sftp.ProtocolError as error:
+            if error.request_id is None or not self.established:
                 raise
             self.request_count += 1
             self.log.warning("session.bad_packet", reason=str(error))
-            self._reply(status(error.request, sftp.BAD_MESSAGE, str(error)))
+            self._reply(status(error.request_id, sftp.BAD_MESSAGE, str(error)))
             return
         if not self.established:
             self._establish(packet)
@@ -167,7 +167,7 @@
     async def _begin_request(self, packet) -> None:
         self.request_count += 1
         if self.edge.closing:
-            self._reply(status(packet.request, sftp.FAILURE, "shed: the edge is closing"))
+            self._reply(status(packet.request_id, sftp.FAILURE, "shed: the edge is closing"))
             return
         while len(self.order) >= self.limits.pipelined:
             self.request_completed.clear()
@@ -232,7 +232,7 @@
             case _:
                 self.log.exception("session.fault", request=type(packet).__name__)
                 text = "a fault of the gateway; it was logged"
-        return status(packet.request, code, text)
+        return status(packet.request_id, code, text)
 
     # Replies out.
 
--- a/rushmux/sftp/__init__.py
+++ b/rushmux/sftp/__init__.py
@@ -1,1 +1,1 @@
-"""SFTP version 3 on the wire: packets to values and back, no I/O."""
+"""The codec of SFTP version 3 (draft-ietf-secsh-filexfer-02): fields, packets and their stream; no I/O."""
--- a/rushmux/sftp/packets.py
+++ b/rushmux/sftp/packets.py
@@ -1,248 +1,148 @@
-"""SFTP version 3 (draft-ietf-secsh-filexfer-02): packets to values and back; no I/O.
+"""SFTP packets: from bytes to values and back.
 
-A packet is four bytes of length, a type byte and its fields.  `Packets` cuts a stream into
-packets, `decode` makes one value of a packet's bytes, `encode` the bytes of a value.  Both
-sides of the protocol use the same classes, so a client is written with them as well.
+A packet is four bytes of length, a type byte and its fields.  `decode` makes one value of a packet's bytes,
+`encode` the bytes of a value, `PacketSplitter` cuts a stream into packets.  Both sides of the protocol use
+the same classes, so a client is written with them as well.
 """
 
-import struct
+from collections.abc import Callable
 from typing import NamedTuple
 
+from rushmux.sftp.fields import ENCODERS, U32
+
+# Packets hold these, so that users of packets need them too.
+from rushmux.sftp.fields import Attributes as Attributes
+from rushmux.sftp.fields import FieldReader as FieldReader
+from rushmux.sftp.fields import Name as Name
+from rushmux.sftp.fields import ProtocolError as ProtocolError
+
 VERSION = 3
-MOST = 262_144 + 1_024  # bytes in a packet: what stock clients send at most, and its fields
-U32, U64 = struct.Struct(">I"), struct.Struct(">Q")
+MAX_PACKET_BYTES = 262_144 + 1_024  # what stock clients send at most, and its fields
 
 # Status codes.
 OK, EOF, NO_SUCH_FILE, PERMISSION_DENIED, FAILURE, BAD_MESSAGE = 0, 1, 2, 3, 4, 5
 NO_CONNECTION, CONNECTION_LOST, OP_UNSUPPORTED = 6, 7, 8
 
-# Flags of OPEN, and of the fields present in attributes.
+# Flags of Open.
 READ, WRITE, APPEND, CREATE, TRUNCATE, EXCLUSIVE = 1, 2, 4, 8, 16, 32
-HAS_SIZE, HAS_OWNER, HAS_MODE, HAS_TIMES, HAS_EXTENDED = 1, 2, 4, 8, 0x80000000
-DIRECTORY, REGULAR = 0o040000, 0o100000
-
-
-class BadPacket(Exception):
-    """Bytes that are no packet; `request` is its id where that could be read, `ends` where the
-    stream itself cannot be followed any more.
-    """
-
-    def __init__(self, text, request=None, ends=False):
-        super().__init__(text)
-        self.request, self.ends = request, ends
-
-
-class Attributes(NamedTuple):
-    """File attributes; None where not told.  Times are whole seconds since 1970."""
-
-    size: int | None = None
-    uid: int | None = None
-    gid: int | None = None
-    mode: int | None = None
-    atime: int | None = None
-    mtime: int | None = None
-
-
-class Name(NamedTuple):
-    """One entry of a listing."""
-
-    name: str
-    long_name: str
-    attributes: Attributes
-
 
-class Cursor:
-    """Reads fields of one packet; BadPacket where they run past its end."""
-
-    def __init__(self, data, at=0):
-        self.data, self.at = data, at
-
-    def take(self, count):
-        if count > len(self.data) - self.at:
-            raise BadPacket(f"a field of {count} bytes where {len(self.data) - self.at} are left")
-        self.at += count
-        return self.data[self.at - count : self.at]
-
-    def u32(self):
-        return U32.unpack(self.take(4))[0]
-
-    def u64(self):
-        return U64.unpack(self.take(8))[0]
-
-    def raw(self):
-        return bytes(self.take(self.u32()))
-
-    def text(self):
-        try:
-            return self.raw().decode()
-        except UnicodeDecodeError as fault:
-            raise BadPacket(f"text that is not UTF-8: {fault.reason}") from fault
-
-    def attributes(self):
-        flags = self.u32()
-        size = self.u64() if flags & HAS_SIZE else None
-        uid, gid = (self.u32(), self.u32()) if flags & HAS_OWNER else (None, None)
-        mode = self.u32() if flags & HAS_MODE else None
-        atime, mtime = (self.u32(), self.u32()) if flags & HAS_TIMES else (None, None)
-        if flags & HAS_EXTENDED:
-            for _ in range(self.u32()):
-                self.raw(), self.raw()
-        return Attributes(size, uid, gid, mode, atime, mtime)
+# File types in a mode.
+DIRECTORY, REGULAR = 0o040000, 0o100000
 
-    def names(self):
-        return tuple(Name(self.text(), self.text(), self.attributes()) for _ in range(self.u32()))
 
-    def pairs(self):
-        pairs = []
-        while self.at < len(self.data):
-            pairs.append((self.text(), self.raw()))
-        return tuple(pairs)
+class PacketLayout(NamedTuple):
+    """A packet's type byte, and its fields with their kinds (methods of `FieldReader`) in their order."""
 
-    def rest(self):
-        return bytes(self.take(len(self.data) - self.at))
+    type_byte: int
+    fields: tuple[tuple[str, str], ...]
 
 
-def _text(value):
-    value = value.encode()
-    return U32.pack(len(value)) + value
+PACKET_BY_TYPE: dict[int, type] = {}
+LAYOUTS: dict[type, PacketLayout] = {}
 
 
-def _attributes(value):
-    flags = (
-        (value.size is not None) * HAS_SIZE
-        | (value.uid is not None) * HAS_OWNER
-        | (value.mode is not None) * HAS_MODE
-        | (value.mtime is not None) * HAS_TIMES
-    )
-    parts = [U32.pack(flags)]
-    if value.size is not None:
-        parts.append(U64.pack(value.size))
-    if value.uid is not None:
-        parts += [U32.pack(value.uid), U32.pack(value.gid or 0)]
-    if value.mode is not None:
-        parts.append(U32.pack(value.mode))
-    if value.mtime is not None:
-        parts += [U32.pack(value.atime or 0), U32.pack(value.mtime)]
-    return b"".join(parts)
-
-
-WRITERS = {
-    "u32": U32.pack,
-    "u64": U64.pack,
-    "text": _text,
-    "attributes": _attributes,
-    "raw": lambda value: U32.pack(len(value)) + value,
-    "rest": bytes,
-    "names": lambda value: (
-        U32.pack(len(value))
-        + b"".join(_text(row.name) + _text(row.long_name) + _attributes(row.attributes) for row in value)
-    ),
-    "pairs": lambda value: b"".join(_text(name) + U32.pack(len(data)) + data for name, data in value),
-}
-
-KINDS = {}  # type byte -> class
-TYPES = {}  # class -> (type byte, fields with their kinds)
-
-
-def packet(code, /, **kinds):
-    """Declares a packet class by its type byte and the kinds of its fields in their order."""
+def _packet(type_byte: int, /, **kinds: str) -> Callable[[str], type]:
+    """Declares a packet class by its type byte and the kinds of its fields."""
 
     def declare(name):
-        made = NamedTuple(name, [(field, object) for field in kinds])
-        KINDS[code], TYPES[made] = made, (code, tuple(kinds.items()))
-        return made
+        declared = NamedTuple(name, [(field, object) for field in kinds])
+        PACKET_BY_TYPE[type_byte], LAYOUTS[declared] = declared, PacketLayout(type_byte, tuple(kinds.items()))
+        return declared
 
     return declare
 
 
-Init = packet(1, version="u32", extensions="pairs")("Init")
-Version = packet(2, version="u32", extensions="pairs")("Version")
-Open = packet(3, request="u32", path="text", flags="u32", attributes="attributes")("Open")
-Close = packet(4, request="u32", handle="raw")("Close")
-Read = packet(5, request="u32", handle="raw", offset="u64", length="u32")("Read")
-Write = packet(6, request="u32", handle="raw", offset="u64", data="raw")("Write")
-LStat = packet(7, request="u32", path="text")("LStat")
-FStat = packet(8, request="u32", handle="raw")("FStat")
-SetStat = packet(9, request="u32", path="text", attributes="attributes")("SetStat")
-FSetStat = packet(10, request="u32", handle="raw", attributes="attributes")("FSetStat")
-OpenDir = packet(11, request="u32", path="text")("OpenDir")
-ReadDir = packet(12, request="u32", handle="raw")("ReadDir")
-Remove = packet(13, request="u32", path="text")("Remove")
-MkDir = packet(14, request="u32", path="text", attributes="attributes")("MkDir")
-RmDir = packet(15, request="u32", path="text")("RmDir")
-RealPath = packet(16, request="u32", path="text")("RealPath")
-Stat = packet(17, request="u32", path="text")("Stat")
-Rename = packet(18, request="u32", path="text", target="text")("Rename")
-Extended = packet(200, request="u32", name="text", data="rest")("Extended")
-Status = packet(101, request="u32", code="u32", message="text", language="text")("Status")
-Handle = packet(102, request="u32", handle="raw")("Handle")
-Data = packet(103, request="u32", data="raw")("Data")
-Names = packet(104, request="u32", names="names")("Names")
-Attrs = packet(105, request="u32", attributes="attributes")("Attrs")
-ExtendedReply = packet(201, request="u32", data="rest")("ExtendedReply")
-SYMLINK, READLINK = 20, 19  # known, and not offered
+Init = _packet(1, version="u32", extensions="pairs")("Init")
+Version = _packet(2, version="u32", extensions="pairs")("Version")
+Open = _packet(3, request_id="u32", path="text", flags="u32", attributes="attributes")("Open")
+Close = _packet(4, request_id="u32", handle="raw")("Close")
+Read = _packet(5, request_id="u32", handle="raw", offset="u64", length="u32")("Read")
+Write = _packet(6, request_id="u32", handle="raw", offset="u64", data="raw")("Write")
+LStat = _packet(7, request_id="u32", path="text")("LStat")
+FStat = _packet(8, request_id="u32", handle="raw")("FStat")
+SetStat = _packet(9, request_id="u32", path="text", attributes="attributes")("SetStat")
+FSetStat = _packet(10, request_id="u32", handle="raw", attributes="attributes")("FSetStat")
+OpenDir = _packet(11, request_id="u32", path="text")("OpenDir")
+ReadDir = _packet(12, request_id="u32", handle="raw")("ReadDir")
+Remove = _packet(13, request_id="u32", path="text")("Remove")
+MkDir = _packet(14, request_id="u32", path="text", attributes="attributes")("MkDir")
+RmDir = _packet(15, request_id="u32", path="text")("RmDir")
+RealPath = _packet(16, request_id="u32", path="text")("RealPath")
+Stat = _packet(17, request_id="u32", path="text")("Stat")
+Rename = _packet(18, request_id="u32", path="text", target="text")("Rename")
+Extended = _packet(200, request_id="u32", name="text", data="rest")("Extended")
+Status = _packet(101, request_id="u32", code="u32", message="text", language="text")("Status")
+Handle = _packet(102, request_id="u32", handle="raw")("Handle")
+Data = _packet(103, request_id="u32", data="raw")("Data")
+Names = _packet(104, request_id="u32", names="names")("Names")
+Attrs = _packet(105, request_id="u32", attributes="attributes")("Attrs")
+ExtendedReply = _packet(201, request_id="u32", data="rest")("ExtendedReply")
+
+SYMLINK, READLINK = 20, 19  # type bytes that are known, and not offered
 
 
 class Unknown(NamedTuple):
     """A packet of a type that is not offered; its request is to be answered OP_UNSUPPORTED."""
 
-    request: int
+    request_id: int
     code: int
 
 
-def encode(value) -> bytes:
+def encode(packet: tuple) -> bytes:
     """The bytes of a packet, its length included."""
-    code, fields = TYPES[type(value)]
-    body = bytes((code,)) + b"".join(WRITERS[kind](part) for (_, kind), part in zip(fields, value))
+    layout = LAYOUTS[type(packet)]
+    parts = [ENCODERS[kind](value) for (_, kind), value in zip(layout.fields, packet, strict=True)]
+    body = bytes((layout.type_byte,)) + b"".join(parts)
     return U32.pack(len(body)) + body
 
 
-def decode(body):
-    """The value of a packet's bytes without the length; BadPacket where they are none."""
+def decode(body: bytes) -> tuple:
+    """The packet of a body, which is a packet's bytes without the length; ProtocolError where it is none."""
     if not body:
-        raise BadPacket("a packet of no bytes")
-    code = body[0]
-    if code not in KINDS:
-        if len(body) < 5:
-            raise BadPacket(f"a packet of type {code} with no id")
-        return Unknown(U32.unpack_from(body, 1)[0], code)
-    kind = KINDS[code]
-    fields, cursor = TYPES[kind][1], Cursor(memoryview(body), 1)
-    request = None
+        raise ProtocolError("a packet of no bytes")
+    type_byte = body[0]
+    if type_byte not in PACKET_BY_TYPE:
+        if len(body) < 1 + U32.size:
+            raise ProtocolError(f"a packet of type {type_byte} with no id")
+        return Unknown(U32.unpack_from(body, 1)[0], type_byte)
+    packet_type = PACKET_BY_TYPE[type_byte]
+    reader, request_id, values = FieldReader(memoryview(body), 1), None, []
     try:
-        values = []
-        for name, reader in fields:
-            values.append(getattr(cursor, reader)())
-            if name == "request":
-                request = values[0]
-        return kind(*values)
-    except BadPacket as fault:
-        raise BadPacket(f"{kind.__name__}: {fault}", request) from fault
+        for name, kind in LAYOUTS[packet_type].fields:
+            values.append(getattr(reader, kind)())
+            if name == "request_id":
+                request_id = values[0]
+    except ProtocolError as error:
+        raise ProtocolError(f"{packet_type.__name__}: {error}", request_id) from error
+    return packet_type(*values)
 
 
-class Packets:
-    """Cuts a stream into the bodies of packets; holds one packet and one read at the most."""
+class PacketSplitter:
+    """Cuts a stream into the bodies of packets; buffers one packet and one read at the most."""
 
-    def __init__(self, most: int = MOST):
-        self.most, self.held = most, bytearray()
+    def __init__(self, max_bytes: int = MAX_PACKET_BYTES):
+        self.max_bytes, self.buffered = max_bytes, bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Bodies that `data` completes; BadPacket that ends the stream where a length cannot be."""
-        self.held += data
-        found, at = [], 0
-        while len(self.held) - at >= 4:
-            (length,) = U32.unpack_from(self.held, at)
-            # Danger: a length of gigabytes would be waited for, and held.
-            if not 0 < length <= self.most:
-                raise BadPacket(f"a packet of {length} bytes; 1 to {self.most} are taken", ends=True)
-            if len(self.held) - at - 4 < length:
+        """Bodies that `data` completes; ProtocolError that ends the stream where a length cannot be."""
+        self.buffered += data
+        bodies, position = [], 0
+        while len(self.buffered) - position >= U32.size:
+            (length,) = U32.unpack_from(self.buffered, position)
+            # A length of gigabytes would be waited for, and buffered.
+            if not 0 < length <= self.max_bytes:
+                raise ProtocolError(
+                    f"a packet of {length} bytes; 1 to {self.max_bytes} are taken", ends_stream=True
+                )
+            start = position + U32.size
+            if len(self.buffered) < start + length:
                 break
-            found.append(bytes(self.held[at + 4 : at + 4 + length]))
-            at += 4 + length
-        del self.held[:at]
-        return found
+            bodies.append(bytes(self.buffered[start : start + length]))
+            position = start + length
+        del self.buffered[:position]
+        return bodies
 
     @property
-    def begun(self):
-        """Whether part of a packet is held."""
-        return bool(self.held)
+    def has_partial_packet(self) -> bool:
+        """Whether part of a packet is buffered."""
+        return bool(self.buffered)
--- a/rushmux/standins/client.py
+++ b/rushmux/standins/client.py
@@ -32,7 +32,7 @@
         self.loop = asyncio.get_running_loop()
         self.reader, self.writer = await asyncio.open_connection(host, port)
         self.writer.write(sftp.encode(sftp.Init(sftp.VERSION, ())))
-        self.packets, first = sftp.Packets(), []
+        self.packets, first = sftp.PacketSplitter(), []
         while not first:
             data = await self.reader.read(READ)
             if not data:
@@ -50,11 +50,11 @@
             while data := await self.reader.read(READ):
                 for body in self.packets.feed(data):
                     packet = sftp.decode(body)
-                    future = self.waiting.pop(packet.request, None)
+                    future = self.waiting.pop(packet.request_id, None)
                     self.record(
                         "answer",
                         session=self.name,
-                        number=packet.request,
+                        number=packet.request_id,
                         status=getattr(packet, "code", 0),
                         text=getattr(packet, "message", ""),
                         known=future is not None,
--- a/tests/edge/test_hostile.py
+++ b/tests/edge/test_hostile.py
@@ -17,11 +17,11 @@
         writer.write(sftp.encode(sftp.Init(3, ())))
     for part in parts:
         writer.write(part)
-    cutter, found = sftp.Packets(), []
+    splitter, found = sftp.PacketSplitter(), []
     try:
         async with asyncio.timeout(1):
             while data := await reader.read(1 << 16):
-                found += [sftp.decode(body) for body in cutter.feed(data)]
+                found += [sftp.decode(body) for body in splitter.feed(data)]
     except TimeoutError:
         return found, False
     return found, True
@@ -65,8 +65,8 @@
         )
 
     (version, bad, unknown, path), closed = play(story)[1]
-    assert (bad.request, bad.code) == (7, sftp.BAD_MESSAGE)
-    assert (unknown.request, unknown.code) == (8, sftp.OP_UNSUPPORTED)
+    assert (bad.request_id, bad.code) == (7, sftp.BAD_MESSAGE)
+    assert (unknown.request_id, unknown.code) == (8, sftp.OP_UNSUPPORTED)
     assert path.names[0].name == "/limon" and not closed
 
 
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -122,9 +122,9 @@
     joined = subprocess.Popen([*COMMAND, "connect", edges[0]], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
     joined.stdin.write(asked)
     joined.stdin.flush()
-    cutter, found = sftp.Packets(), []
+    splitter, found = sftp.PacketSplitter(), []
     while len(found) < 2:
-        found += [sftp.decode(body) for body in cutter.feed(joined.stdout.read1(4_096))]
+        found += [sftp.decode(body) for body in splitter.feed(joined.stdout.read1(4_096))]
     joined.stdin.close()
     assert found[1].names[0].name == "/" and joined.wait(10) == 0
 
--- a/tests/sftp/test_packets.py
+++ b/tests/sftp/test_packets.py
@@ -1,23 +1,24 @@
 """The codec: what is encoded comes back, and no bytes make it do anything but say so."""
 
+import contextlib
+
 import pytest
-from hypothesis import given
-from hypothesis import strategies as some
+from hypothesis import given, strategies
 
 from rushmux.sftp import packets as sftp
 
-U32, U64 = some.integers(0, 2**32 - 1), some.integers(0, 2**64 - 1)
-TEXT = some.text(max_size=40)
+U32, U64 = strategies.integers(0, 2**32 - 1), strategies.integers(0, 2**64 - 1)
+TEXT = strategies.text(max_size=40)
 
 
-@some.composite
+@strategies.composite
 def attributes(draw):
-    owner, times = draw(some.booleans()), draw(some.booleans())
+    owner, times = draw(strategies.booleans()), draw(strategies.booleans())
     return sftp.Attributes(
-        draw(some.none() | U64),
-        *(draw(some.tuples(U32, U32)) if owner else (None, None)),
-        draw(some.none() | U32),
-        *(draw(some.tuples(U32, U32)) if times else (None, None)),
+        draw(strategies.none() | U64),
+        *(draw(strategies.tuples(U32, U32)) if owner else (None, None)),
+        draw(strategies.none() | U32),
+        *(draw(strategies.tuples(U32, U32)) if times else (None, None)),
     )
 
 
@@ -25,61 +26,59 @@
     "u32": U32,
     "u64": U64,
     "text": TEXT,
-    "raw": some.binary(max_size=60),
-    "rest": some.binary(max_size=60),
+    "raw": strategies.binary(max_size=60),
+    "rest": strategies.binary(max_size=60),
     "attributes": attributes(),
-    "names": some.lists(some.builds(sftp.Name, TEXT, TEXT, attributes()), max_size=4).map(tuple),
-    "pairs": some.lists(some.tuples(TEXT, some.binary(max_size=9)), max_size=3).map(tuple),
+    "names": strategies.lists(strategies.builds(sftp.Name, TEXT, TEXT, attributes()), max_size=4).map(tuple),
+    "pairs": strategies.lists(strategies.tuples(TEXT, strategies.binary(max_size=9)), max_size=3).map(tuple),
 }
-PACKETS = some.one_of(
+PACKETS = strategies.one_of(
     [
-        some.builds(kind, **{name: FIELDS[reader] for name, reader in fields})
-        for kind, (_, fields) in sftp.TYPES.items()
+        strategies.builds(packet_type, **{name: FIELDS[kind] for name, kind in layout.fields})
+        for packet_type, layout in sftp.LAYOUTS.items()
     ]
 )
 
 
-@given(some.lists(PACKETS, max_size=5), some.integers(1, 50))
+@given(strategies.lists(PACKETS, max_size=5), strategies.integers(1, 50))
 def test_packets_come_back_however_the_stream_is_cut(packets, step):
-    stream, cutter, found = b"".join(map(sftp.encode, packets)), sftp.Packets(), []
+    stream, splitter, found = b"".join(map(sftp.encode, packets)), sftp.PacketSplitter(), []
     for at in range(0, len(stream), step):
-        found += cutter.feed(stream[at : at + step])
-    assert [sftp.decode(body) for body in found] == packets and not cutter.begun
+        found += splitter.feed(stream[at : at + step])
+    assert [sftp.decode(body) for body in found] == packets and not splitter.has_partial_packet
 
 
-@given(some.binary(max_size=200))
-def test_no_body_makes_the_codec_fail_otherwise(body):
+@given(strategies.binary(max_size=200))
+def test_no_body_raises_anything_but_a_protocol_error(body):
     try:
         packet = sftp.decode(body)
-    except sftp.BadPacket:
+    except sftp.ProtocolError:
         return
     assert isinstance(packet, tuple)
 
 
-@given(PACKETS, some.data())
-def test_a_packet_cut_or_changed_is_told_or_is_another_packet(packet, data):
+@given(PACKETS, strategies.data())
+def test_a_packet_cut_or_changed_is_rejected_or_is_another_packet(packet, data):
     body = bytearray(sftp.encode(packet)[4:])
-    place = data.draw(some.integers(0, len(body) - 1))
-    body[place] ^= data.draw(some.integers(1, 255))
+    place = data.draw(strategies.integers(0, len(body) - 1))
+    body[place] ^= data.draw(strategies.integers(1, 255))
     for text in (bytes(body), bytes(body[:place])):
-        try:
+        with contextlib.suppress(sftp.ProtocolError):
             sftp.decode(text)
-        except sftp.BadPacket:
-            pass
 
 
-@pytest.mark.parametrize("length", [0, sftp.MOST + 1, 2**32 - 1])
+@pytest.mark.parametrize("length", [0, sftp.MAX_PACKET_BYTES + 1, 2**32 - 1])
 def test_a_length_that_cannot_be_ends_the_stream(length):
-    with pytest.raises(sftp.BadPacket) as fault:
-        sftp.Packets().feed(length.to_bytes(4, "big") + b"x")
-    assert fault.value.ends
+    with pytest.raises(sftp.ProtocolError) as error:
+        sftp.PacketSplitter().feed(length.to_bytes(4, "big") + b"x")
+    assert error.value.ends_stream
 
 
 def test_a_bad_field_names_its_request():
     body = bytes([3]) + (7).to_bytes(4, "big") + (99).to_bytes(4, "big") + b"short"
-    with pytest.raises(sftp.BadPacket) as fault:
+    with pytest.raises(sftp.ProtocolError) as error:
         sftp.decode(body)
-    assert fault.value.request == 7 and "Open" in str(fault.value)
+    assert error.value.request_id == 7 and "Open" in str(error.value)
 
 
 def test_an_unknown_type_keeps_its_request():
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -94,14 +94,14 @@
 @pytest.mark.parametrize("row", SFTP, ids=lambda row: row["packet"])
 def test_an_sftp_packet_is_read_and_made_again(row):
     data = bytes.fromhex(row["bytes"])
-    (body,) = sftp.Packets().feed(data)
+    (body,) = sftp.PacketSplitter().feed(data)
     packet = sftp.decode(body)
     assert type(packet).__name__ == row["packet"] and packet == fields_of(row["fields"])
     assert sftp.encode(packet) == data
 
 
 def test_an_sftp_packet_of_every_type_is_recorded():
-    assert {row["packet"] for row in SFTP} == {kind.__name__ for kind in sftp.TYPES}
+    assert {row["packet"] for row in SFTP} == {kind.__name__ for kind in sftp.LAYOUTS}
 
 
 @pytest.mark.parametrize("row", RESP2["commands"])
