--- a/tests/edge/test_checker.py
+++ b/tests/edge/test_checker.py
@@ -39,6 +39,7 @@
     number=1,
     execution=0,
     lane="lectura",
+    *,
     tag="s1.1",
     node="n1",
     cell=1,
@@ -65,7 +66,7 @@
     }
 
 
-def back(at, number=1, execution=0, code=0, node="n1", tag="s1.1"):
+def back(at, number=1, execution=0, code=0, *, node="n1", tag="s1.1"):
     return {
         "kind": "outcome",
         "at": at,
--- a/tests/edge/test_cold_fleet.py
+++ b/tests/edge/test_cold_fleet.py
@@ -36,11 +36,12 @@
 
 
 class Fleet:
-    """Gateways, and one cold node among warm ones.  `demand(chance, now, gateway)` gives the cell, and
-    whether the volume goes through all gateways.
+    """Gateways, and one cold node among warm ones.
+
+    `demand(chance, now, gateway)` gives the cell, and whether the volume goes through all gateways.
     """
 
-    def __init__(self, gateways, cells, rate, calls, demand, seed, listed_cold, restarted):
+    def __init__(self, gateways, cells, rate, calls, demand, *, seed, listed_cold, restarted):
         self.chance, self.now, self.heap, self.order = random.Random(seed), 0, [], itertools.count()
         self.cells, self.rate, self.demand, self.seed = cells, rate, demand, seed
         stated = calls * MEAN
@@ -236,9 +237,18 @@
 )
 @pytest.mark.parametrize("listed_cold, restarted", [(False, False), (False, True), (True, False)])
 def test_all_gateways_together_keep_to_what_a_cold_node_bears(
-    demand, gateways, cells, rate, calls, listed_cold, restarted
+    *, demand, gateways, cells, rate, calls, listed_cold, restarted
 ):
     for seed in range(3):
-        fleet = Fleet(gateways, cells, rate, calls, demand(cells), seed, listed_cold, restarted)
+        fleet = Fleet(
+            gateways,
+            cells,
+            rate,
+            calls,
+            demand(cells),
+            seed=seed,
+            listed_cold=listed_cold,
+            restarted=restarted,
+        )
         fleet.play(fleet.cold_at + 60_000)
         assert fleet.sent and fleet.over() <= 0, seed
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -164,9 +164,9 @@
         results = await asyncio.gather(
             *(outcome(client.put(f"/{name}/b", b"new")) for name, client in clients.items())
         )
-        return dict(zip(clients, results)), fleet.loop.time() - begun
+        return dict(zip(clients, results, strict=True)), fleet.loop.time() - begun
 
-    fleet, (results, took) = judged(story)
+    _, (results, took) = judged(story)
     for name, result in results.items():
         assert result == ("shed" if home_cell(name, 4) == 2 else "ok"), name
     assert "shed" in results.values() and took < 7
@@ -258,7 +258,7 @@
         await closing
         return late, await asyncio.gather(*tasks), fleet.loop.time() - begun
 
-    fleet, (late, results, took) = judged(story)
+    _, (late, results, took) = judged(story)
     assert late == "shed" and "gone" not in results and took < 7
 
 
@@ -267,7 +267,7 @@
         one = await fleet.client(0)
         for name in fleet.nodes:
             await fleet.trouble(name, "silent", seconds=5)
-        asyncio.ensure_future(outcome(one.ask(sftp.Stat, "/heredia/a")))
+        request = asyncio.ensure_future(outcome(one.ask(sftp.Stat, "/heredia/a")))
         await fleet.sleep(0.05)
         driver = fleet.edges[0].program.driver
         held = len(driver.operations)
@@ -275,6 +275,7 @@
         await fleet.sleep(0.1)
         ended = sum(taken.ended for taken in driver.operations.values())
         await fleet.sleep(4)
+        assert request.done()
         return held, ended, len(driver.operations)
 
     _, (held, ended, left) = judged(story)
--- a/tests/edge/test_hostile.py
+++ b/tests/edge/test_hostile.py
@@ -45,7 +45,7 @@
 def test_a_stream_that_cannot_be_followed_is_closed_with_a_reason(play, parts, begin, why):
     async def story(fleet):
         other = await fleet.client(0)
-        found, closed = await raw(fleet, *parts, begin=begin)
+        _, closed = await raw(fleet, *parts, begin=begin)
         assert closed
         await other.put("/limon/a", b"untouched")
         return await other.get("/limon/a")
@@ -64,7 +64,7 @@
             sftp.encode(sftp.RealPath(9, "/limon/./x/..")),
         )
 
-    (version, bad, unknown, path), closed = play(story)[1]
+    (_, bad, unknown, path), closed = play(story)[1]
     assert (bad.request_id, bad.code) == (7, sftp.BAD_MESSAGE)
     assert (unknown.request_id, unknown.code) == (8, sftp.OP_UNSUPPORTED)
     assert path.names[0].name == "/limon" and not closed
@@ -121,7 +121,7 @@
         one = await fleet.client(0)
         await one.put("/limon/x", b"short")
         handle = await one.open("/limon/x", sftp.READ)
-        with pytest.raises(Refusal, match="^1: "):
+        with pytest.raises(Refusal, match=r"^1: "):
             await one.ask(sftp.Read, handle, 2**64 - 1, 2**32 - 1)
         return (await one.ask(sftp.Read, handle, 0, 2**32 - 1)).data
 
@@ -134,7 +134,7 @@
     async def story(fleet):
         one = await fleet.client(0)
         await one.put("/limon/big", bytes(262_144))
-        reader, writer = await asyncio.open_connection(*fleet.edges[0].address)
+        _, writer = await asyncio.open_connection(*fleet.edges[0].address)
         writer.transport.pause_reading()
         writer.write(sftp.encode(sftp.Init(3, ())))
         writer.write(sftp.encode(sftp.Open(1, "/limon/big", sftp.READ, PLAIN)))
@@ -166,7 +166,7 @@
             await fleet.sleep(1)
         return await reader.read(1 << 16), await reader.read(1 << 16)
 
-    fleet, (version, rest) = play(story)
+    fleet, (_, rest) = play(story)
     assert rest == b"" and any("not whole after 5.0 s" in why for why in ended(fleet))
 
 
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -74,7 +74,7 @@
     assert len(children) == 6
     edge = next(int(line.split()[0]) for line in children if " edge " in line)
     os.kill(edge, signal.SIGKILL)  # the other edge serves the same files at once
-    left = [client for client, address in zip((one, two), edges) if works(client)]
+    left = [client for client, address in zip((one, two), edges, strict=True) if works(client)]
     assert len(left) == 1 and left[0].listdir("/limon") == ["a.bin", "renamed"]
     process.send_signal(signal.SIGTERM)
     assert process.wait(30) == 0
