--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -56,7 +56,7 @@
 
 
 class PolicyVersion(NamedTuple):
-    """Numbers of the fleet's policy: the active one, and the newest whose limits are kept to."""
+    """Numbers of the fleet's policy: the active one, and the newest whose limits the edge respects."""
 
     active: int
     newest: int
@@ -67,8 +67,8 @@
 
     Attributes:
         endpoint_table: The storage nodes.
-        policy_version: What operations are taken under from now on.
-        may_serve: Asked before each operation is taken.
+        policy_version: What operations submitted from now on belong to.
+        may_serve: Called before each operation; False sheds it.
         on_demand: Called with the folder and the units of each operation.
         on_fenced: Called with the floor of a node that rejects this edge's policy version.
         on_orphaned_object: Called with the folder, the cell and the name of each object that no name will
@@ -97,7 +97,7 @@
         self.operation_count = self.name_count = 0
         self.endpoint_table = EndpointTable(self, connections, log)
         self.policy_version = PolicyVersion(0, 0)
-        self.policy_versions: dict[str, PolicyVersion] = {}  # operation -> what it was taken under
+        self.policy_versions: dict[str, PolicyVersion] = {}  # operation -> what it belongs to
         self.cells_tried: dict[str, dict[int, bool]] = {}  # operation -> where an attempt may have run
         self.quota_shares: dict[str, float] = {}  # folder -> share of its limit
         self.limit_scales: dict[str, float] = {}  # folder -> factor by which the policy moves its limit
@@ -114,18 +114,18 @@
     # Changes of settings while it runs.
 
     def update_route_policies(self, deployment: Deployment) -> None:
-        """Takes over a deployment's route policies; operations taken before keep theirs."""
+        """Takes over a deployment's route policies; earlier operations keep theirs."""
         self.deployment = deployment
         policies = deployment.settings.route_policies
         self.enqueue(lambda now: self.guarded(None, self.scheduler.on_route_policies, policies))
 
     def set_quota_share(self, folder: str, share: float) -> None:
-        """Keeps to a share of a folder's limit from the next round on."""
+        """Applies a quota of a folder, as a share of its limit, from the next round on."""
         self.quota_shares[folder] = share
         self._apply_quota(folder)
 
     def set_limit_scales(self, scales: dict[str, float]) -> None:
-        """Keeps to limits other than the scheduler was built with: a factor for each folder."""
+        """Applies limits other than the scheduler was built with: a factor for each folder."""
         self.limit_scales.update(scales)
         for folder in scales:
             self._apply_quota(folder)
@@ -230,9 +230,9 @@
         self.on_reply(op_id, number, reply)
 
     def request_load_report(self, node: str) -> None:
-        """Asks a node for its load."""
+        """Requests a load report of a node."""
 
-        def on_report(result, load):
+        def on_report(result: AttemptResult, load: messages.Load | None) -> None:
             timer.cancel()
             if request is not None:
                 request.drop()
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -21,19 +21,31 @@
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.deployment import BadDeployment, Deployment
 
-BACKLOG = 1_024  # connections that the system holds until they are accepted
+BACKLOG = 1_024  # connections that the system queues until they are accepted
 LINGER = 0.2  # seconds for the last replies to leave before connections close
 INCARNATION_BITS = 48
 
 
 class Edge:
-    """One gateway.
+    """One gateway; `open` starts it.
+
+    Args:
+        number: Which of the deployment's edges it is.
+        deployment: The deployment of its own file.
+        planner_addresses: Where the endpoint list comes from.
+        seed: Seeds all its random choices; must differ at every start.
+        epoch: Calendar time, in seconds since 1970, at the loop's time 0.
+        log: Receives its events.
+        scheduler_type: Makes the scheduler.
+        make_buffer: Makes a write-back buffer of a driver, a file system and a log; None: there is none.
+        endpoint_cache: The endpoint list of an earlier start; None: none is cached.
+        policy_store: The fleet's policy on disk; None: the deployment's file alone decides.
 
     Attributes:
         name: Its name on every wire.
         incarnation: What differs at each of its starts.
         on_listing: Called with [node, condition] of each entry of each listing taken in.
-        on_policy_state: Called with each change of the policy that it goes by.
+        on_policy_state: Called with each change of its policy state.
     """
 
     def __init__(
@@ -50,20 +62,6 @@
         endpoint_cache: EndpointCache | None = None,
         policy_store: PolicyStore | None = None,
     ):
-        """Starts nothing yet.
-
-        Args:
-            number: Which of the deployment's edges it is.
-            deployment: The deployment of its own file.
-            planner_addresses: Where the endpoint list comes from.
-            seed: Decides all it draws; must differ at every start.
-            epoch: Calendar time, in seconds since 1970, at the loop's time 0.
-            log: Takes its events.
-            scheduler_type: Makes the scheduler.
-            make_buffer: Makes a write-back buffer of a driver, a file system and a log; None: there is none.
-            endpoint_cache: The endpoint list of an earlier start; None: none is cached.
-            policy_store: The fleet's policy on disk; None: the deployment's file alone decides.
-        """
         self.number, self.deployment, self.epoch, self.seed = number, deployment, epoch, seed
         self.name = f"edge{number}"
         self.incarnation = f"{seed & (1 << INCARNATION_BITS) - 1:012x}"
@@ -165,10 +163,10 @@
         self.on_listing([[entry.node, entry.condition] for entry in listing.entries])
 
     def reload(self, read_deployment: Callable[[], Deployment]) -> bool:
-        """Takes over the route policies of the deployment that `read_deployment()` gives.
+        """Applies the route policies of the deployment that `read_deployment()` gives.
 
         A bad file, or one that changes anything else, leaves all policies as they are.  Returns whether they
-        were taken over.
+        were applied.
         """
         if self.policy_client is not None:
             # One edge's file would be one edge's policy.
@@ -190,7 +188,7 @@
         return False
 
     def take_over(self, deployment: Deployment) -> None:
-        """Goes by another deployment's route policies; operations taken before keep theirs."""
+        """Applies another deployment's route policies; earlier operations keep theirs."""
         self.deployment = deployment
         self.driver.update_route_policies(deployment)
 
--- a/rushmux/edge/endpoint_cache.py
+++ b/rushmux/edge/endpoint_cache.py
@@ -22,7 +22,7 @@
 HEADER = struct.Struct(">4sHId")  # magic, format, checksum of the rest, calendar seconds
 SAVED_AT = struct.Struct(">d")
 MAX_FILE_BYTES = 8 << 20  # far above any list
-MAX_AGE = 7 * 86_400.0  # seconds: an older list tells nothing of today's nodes
+MAX_AGE = 7 * 86_400.0  # seconds: an older list says nothing about today's nodes
 
 
 class EndpointCacheError(EdgeError):
@@ -37,10 +37,14 @@
 
 
 class EndpointCache:
-    """The file, and the list in it as far as this start of the edge knows it."""
+    """The file, and the list in it as far as this start of the edge knows it.
+
+    Attributes:
+        path: The file; the constructor does not open it.
+        calendar: Gives seconds since 1970.
+    """
 
     def __init__(self, path: str | Path, calendar: Callable[[], float], log):
-        """Opens no file yet; `calendar` gives seconds since 1970."""
         self.path, self.calendar, self.log = Path(path), calendar, log
         self.cell_count, self.version = 0, 0
         self.entries: dict[str, messages.Entry] = {}
--- a/rushmux/edge/endpoint_table.py
+++ b/rushmux/edge/endpoint_table.py
@@ -23,14 +23,14 @@
 
 
 class EndpointTable:
-    """Takes in listings and welcomes, and tells the scheduler and the connections what changed."""
+    """Takes in listings and welcomes, and passes on what changed to the scheduler and the connections."""
 
     def __init__(self, driver: "EdgeDriver", connections: NodeConnections, log):
         self.driver, self.connections, self.log = driver, connections, log
         self.cell_count = 0
         self.cell_of_node: dict[str, int] = {}
         self.disk_space: dict[str, DiskSpace] = {}
-        self.endpoints: dict[str, Endpoint] = {}  # as the scheduler was last told of them
+        self.endpoints: dict[str, Endpoint] = {}  # as the scheduler last received them
         self.start_times: dict[str, dict[str, Ticks]] = {}  # node -> its starts, oldest first
         connections.on_welcome = self.on_welcome
 
@@ -63,7 +63,7 @@
         if len(listing.entries) > MAX_ENDPOINTS or not 0 < listing.cells <= MAX_ENDPOINTS:
             return False
         # A source that has just begun, or went wrong, may know no node.  A snapshot with none that is ready
-        # is not believed while some are; that each of them is gone comes one by one.
+        # is not believed while some are; their removals come one by one.
         ready_before = sum(endpoint.state is EndpointState.READY for endpoint in self.endpoints.values())
         return bool(ready) or not (listing.whole and ready_before)
 
@@ -93,7 +93,7 @@
 
     def _online_since(self, node: str, start: str, age: Ticks, now: Ticks) -> Ticks:
         # When a node started, on this clock, noted once; 0: long ago.  A later start is believed from whoever
-        # tells of it first, and an older one no more.
+        # reports it first, and an older one no more.
         starts = self.start_times.setdefault(node, {})
         if start not in starts:
             warm = age >= self.driver.deployment.settings.warm_up_time
@@ -105,7 +105,7 @@
         return max(starts.values())
 
     def on_welcome(self, node: str, start: str, age: Ticks) -> None:
-        """A node told its start and its age as a connection opened.
+        """A node reported its start and its age as a connection opened.
 
         A node that restarted is cold, and the endpoint list will say so only seconds later.
         """
--- a/rushmux/edge/errors.py
+++ b/rushmux/edge/errors.py
@@ -25,7 +25,7 @@
 
     @property
     def status_text(self) -> str:
-        """The word that clients were always sent for it."""
+        """The text of it on the wire."""
         return "shed"
 
 
@@ -37,7 +37,7 @@
 
     @property
     def status_text(self) -> str:
-        """The word that clients were always sent for it."""
+        """The text of it on the wire."""
         return "Terminated"
 
 
--- a/rushmux/edge/file_requests.py
+++ b/rushmux/edge/file_requests.py
@@ -20,7 +20,7 @@
         self.tree, self.attribute_editor = self.edge.directory_tree, self.edge.attribute_editor
         self.loop = asyncio.get_running_loop()
 
-    async def open(self, packet: sftp.Open, runner_for: RunnerFactory):
+    async def open(self, packet: sftp.Open, runner_for: RunnerFactory) -> sftp.Handle:
         """Opens a file, created or emptied as its flags say."""
         self.handles.check_capacity()
         location = self.context.locate_inside(packet.path)
@@ -35,7 +35,7 @@
         return sftp.Handle(packet.request_id, self.handles.add(file))
 
     async def _flush_before_truncation(self, runner: OperationRunner, names: Names) -> None:
-        """Writes out what the buffer holds of a file: it would come back after the truncation."""
+        """Writes out what is buffered of a file: it would come back after the truncation."""
         if self.buffer is None or not self.buffer.buffer.folder(runner.folder).bytes:
             return
         found = await self.tree.resolve(runner, names)
@@ -43,7 +43,7 @@
         if buffered_file is not None:
             await self.buffer.flush(buffered_file, runner)
 
-    async def close(self, packet: sftp.Close, runner_for: RunnerFactory):
+    async def close(self, packet: sftp.Close, runner_for: RunnerFactory) -> sftp.Status:
         """Closes a handle; what was written by it is readable through any edge then."""
         opened = self.handles.remove(packet.handle)
         if isinstance(opened, OpenFile):
@@ -53,7 +53,7 @@
                 opened.release()
         return status(packet.request_id)
 
-    async def read(self, packet: sftp.Read, runner_for: RunnerFactory):
+    async def read(self, packet: sftp.Read, runner_for: RunnerFactory) -> sftp.Data | sftp.Status:
         """Reads a range of an open file."""
         file = self.handles.file(packet.handle)
         if not file.flags & sftp.READ:
@@ -63,7 +63,7 @@
             return status(packet.request_id, sftp.EOF, "end of file")
         return sftp.Data(packet.request_id, data)
 
-    async def write(self, packet: sftp.Write, runner_for: RunnerFactory):
+    async def write(self, packet: sftp.Write, runner_for: RunnerFactory) -> sftp.Status:
         """Writes a range of an open file."""
         file = self._writable_file(packet.handle)
         if packet.data:
@@ -76,14 +76,16 @@
             raise RequestRejectedError(sftp.PERMISSION_DENIED, "the handle is not open to write")
         return file
 
-    async def fsync(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
+    async def fsync(
+        self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory
+    ) -> sftp.Status:
         """Waits until what was written to an open file is readable through any edge."""
         # Without a buffer, what was answered as written lies on nodes already.
         file = self.handles.file(fields.raw())
         await file.flush(runner_for(file.folder))
         return status(packet.request_id)
 
-    async def stat(self, packet: sftp.Stat | sftp.LStat, runner_for: RunnerFactory):
+    async def stat(self, packet: sftp.Stat | sftp.LStat, runner_for: RunnerFactory) -> sftp.Attrs:
         """Shows the attributes that a path has; there are no links to follow."""
         folder, names = self.context.locate(packet.path)
         if not names:
@@ -91,7 +93,7 @@
         found = await self.tree.resolve_existing(runner_for(folder), names)
         return sftp.Attrs(packet.request_id, self.context.attributes(folder, found.file_id, found.file))
 
-    async def handle_stat(self, packet: sftp.FStat, runner_for: RunnerFactory):
+    async def handle_stat(self, packet: sftp.FStat, runner_for: RunnerFactory) -> sftp.Attrs:
         """Shows the attributes of an open file, looked up anew."""
         file = self.handles.file(packet.handle)
         await file.view.refresh(runner_for(file.folder), (), self.loop.time())
@@ -99,7 +101,7 @@
             packet.request_id, self.context.attributes(file.folder, file.file_id, file.view.file)
         )
 
-    async def set_stat(self, packet: sftp.SetStat, runner_for: RunnerFactory):
+    async def set_stat(self, packet: sftp.SetStat, runner_for: RunnerFactory) -> sftp.Status:
         """Sets attributes by a path."""
         folder, names = self.context.locate_inside(packet.path)
         runner = runner_for(folder)
@@ -109,7 +111,7 @@
         await self.attribute_editor.set_attributes(runner, found.file_id, packet.attributes)
         return status(packet.request_id)
 
-    async def handle_set_stat(self, packet: sftp.FSetStat, runner_for: RunnerFactory):
+    async def handle_set_stat(self, packet: sftp.FSetStat, runner_for: RunnerFactory) -> sftp.Status:
         """Sets attributes of an open file."""
         if packet.attributes.size is None:
             file = self.handles.file(packet.handle)
--- a/rushmux/edge/name_requests.py
+++ b/rushmux/edge/name_requests.py
@@ -17,7 +17,7 @@
         self.context, self.handles, self.edge = context, context.handles, context.edge
         self.tree = self.edge.directory_tree
 
-    async def open_directory(self, packet: sftp.OpenDir, runner_for: RunnerFactory):
+    async def open_directory(self, packet: sftp.OpenDir, runner_for: RunnerFactory) -> sftp.Handle:
         """Opens a directory to list it."""
         self.handles.check_capacity()
         location = self.context.locate(packet.path)
@@ -35,7 +35,9 @@
         handle = self.handles.add(OpenDirectory(location.path, location.folder, directory_id))
         return sftp.Handle(packet.request_id, handle)
 
-    async def read_directory(self, packet: sftp.ReadDir, runner_for: RunnerFactory):
+    async def read_directory(
+        self, packet: sftp.ReadDir, runner_for: RunnerFactory
+    ) -> sftp.Names | sftp.Status:
         """Lists the next entries of an open directory."""
         directory, rows = self.handles.directory(packet.handle), []
         while not rows:
@@ -66,30 +68,32 @@
             for entry in page.entries
         ]
 
-    async def remove_file(self, packet: sftp.Remove, runner_for: RunnerFactory):
+    async def remove_file(self, packet: sftp.Remove, runner_for: RunnerFactory) -> sftp.Status:
         """Removes a file."""
         folder, names = self.context.locate_inside(packet.path)
         await self.tree.remove_file(runner_for(folder), names)
         return status(packet.request_id)
 
-    async def make_directory(self, packet: sftp.MkDir, runner_for: RunnerFactory):
+    async def make_directory(self, packet: sftp.MkDir, runner_for: RunnerFactory) -> sftp.Status:
         """Makes a directory."""
         folder, names = self.context.locate_inside(packet.path)
         await self.tree.make_directory(runner_for(folder), names, packet.attributes)
         return status(packet.request_id)
 
-    async def remove_directory(self, packet: sftp.RmDir, runner_for: RunnerFactory):
+    async def remove_directory(self, packet: sftp.RmDir, runner_for: RunnerFactory) -> sftp.Status:
         """Removes an empty directory."""
         folder, names = self.context.locate_inside(packet.path)
         await self.tree.remove_directory(runner_for(folder), names)
         return status(packet.request_id)
 
-    async def real_path(self, packet: sftp.RealPath, runner_for: RunnerFactory):
+    async def real_path(self, packet: sftp.RealPath, runner_for: RunnerFactory) -> sftp.Names:
         """Resolves a path without looking anything up."""
         path = "/" + "/".join(paths.split(packet.path))
         return sftp.Names(packet.request_id, [sftp.Name(path, path, sftp.Attributes())])
 
-    async def rename(self, packet: sftp.Rename, runner_for: RunnerFactory, replace: bool = False):
+    async def rename(
+        self, packet: sftp.Rename, runner_for: RunnerFactory, replace: bool = False
+    ) -> sftp.Status:
         """Moves a name within its folder."""
         source = self.context.locate_inside(packet.path)
         target = self.context.locate_inside(packet.target)
@@ -99,7 +103,9 @@
         self.handles.on_renamed(source.path, target.path)
         return status(packet.request_id)
 
-    async def posix_rename(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
+    async def posix_rename(
+        self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory
+    ) -> sftp.Status:
         """As `rename`, over a file or an empty directory."""
         rename = sftp.Rename(packet.request_id, fields.text(), fields.text())
         return await self.rename(rename, runner_for, replace=True)
--- a/rushmux/edge/node_connections.py
+++ b/rushmux/edge/node_connections.py
@@ -17,7 +17,7 @@
 MAX_BACKOFF = 2.0  # seconds: a node that returns is found again within this
 MAX_UNSENT = 64  # attempts that wait for one connect: six gateways' worth of the bound of ten
 MAX_BUFFERED = 4 << 20  # bytes written and not sent: a node that reads so slowly is full
-READ_SIZE = 1 << 18  # bytes asked of the socket at once
+READ_SIZE = 1 << 18  # bytes of one read from the socket
 NEVER = float("inf")  # the loop's time that never comes
 RESULTS = {
     messages.DONE: AttemptResult.SUCCEEDED,
@@ -107,7 +107,7 @@
             requests.pop(correlation_id, None)
 
     def request_load_report(self, on_report: LoadCallback) -> int | None:
-        """Asks the node for its load over a connection that is open; None: it is not."""
+        """Requests a load report if the connection is open; None: it is not."""
         if self.writer is None or self.writer.buffered_bytes() > MAX_BUFFERED:
             return None
         correlation_id = self.connections.next_correlation_id()
@@ -280,7 +280,7 @@
         return PendingRequest(connection, connection.send(execute, on_result, latest_start))
 
     def request_load_report(self, node: str, on_report: LoadCallback) -> PendingRequest | None:
-        """Asks a node for its load, over an open connection only: a load is not worth a connect.
+        """Requests a load report, over an open connection only: it is not worth a connect.
 
         `on_report(result, load)` is called once, later, unless the request is dropped.
         """
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -79,7 +79,7 @@
         ]
 
     async def write(self, runner: OperationRunner, offset: int, data: bytes) -> None:
-        """Writes bytes; returns when any edge can read them, or when the buffer holds them."""
+        """Writes bytes; returns when any edge can read them, or when they are buffered."""
         if self.flags & sftp.APPEND:
             await self.flush(runner)
             await self.group_commit.append(runner, data)
@@ -95,7 +95,7 @@
 
 
 def _overlay_buffered(data: bytes, offset: int, buffered: Sequence) -> bytes:
-    """Lays what the buffer holds over what the nodes have."""
+    """Overlays buffered writes on what the nodes have."""
     if not buffered:
         return data
     result = bytearray(data)
--- a/rushmux/edge/operation_runner.py
+++ b/rushmux/edge/operation_runner.py
@@ -1,4 +1,4 @@
-"""What one client request asks of the storage nodes: each access is one operation of the scheduler."""
+"""The operations of one client request on the storage nodes: each access is one of the scheduler's."""
 
 import asyncio
 import zlib
--- a/rushmux/edge/policy_client.py
+++ b/rushmux/edge/policy_client.py
@@ -1,6 +1,6 @@
-"""An edge's side of the fleet's policy: asks the planners for leases, and has the driver keep to what holds.
+"""An edge's side of the fleet's policy: renews its lease, and has the driver apply what is in force.
 
-`fleet.policy.PolicyMember` decides what holds.
+`fleet.policy.PolicyMember` decides what is in force.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
     from rushmux.edge.edge import Edge
 
 REQUEST_INTERVAL = 0.5  # seconds between two requests: a change reaches all within two of them
-JITTER = 0.5  # of that, drawn: hundreds of edges ask apart from each other
+JITTER = 0.5  # of that, drawn: hundreds of edges must not ask at once
 ANSWER_TIMEOUT = 2.0  # seconds without a grant until another planner is tried
 
 Limits = dict[str, tuple[float, float]]
@@ -27,18 +27,18 @@
 
 
 class PolicyState(NamedTuple):
-    """What an edge goes by at one moment."""
+    """The policy of an edge at one moment."""
 
     active_version: int
     staged_version: int | None
     degraded: bool
-    """It has no lease, and keeps to a safe fraction of its limits."""
+    """It has no lease, and uses a safe fraction of its limits."""
     serving: bool
     """It may take operations."""
 
 
 class PolicyClient:
-    """Keeps one edge to the fleet's policy."""
+    """Has one edge follow the fleet's policy."""
 
     def __init__(self, edge: "Edge", store: PolicyStore, stored: StoredPolicies, log):
         self.edge, self.driver, self.planner_client, self.log = edge, edge.driver, edge.planner_client, log
@@ -59,7 +59,7 @@
         self._apply()
 
     def _rejection_reason(self, proposed: Policy) -> str | None:
-        """Why this edge cannot go by a policy; None: it can."""
+        """Why this edge cannot apply a policy; None: it can."""
         try:
             deployment = documents.merged(
                 self.edge.own_deployment, proposed.text, f"policy {proposed.version}"
@@ -69,7 +69,7 @@
         return "; ".join(documents.against(self.edge.deployment, deployment)) or None
 
     async def run(self) -> None:
-        """Asks for leases until cancelled."""
+        """Requests leases until cancelled."""
         while True:
             await asyncio.sleep(REQUEST_INTERVAL * (1 - JITTER * self.driver.rng.random()))
             now = self.loop.time()
@@ -108,7 +108,7 @@
         self.lease_timer = self.loop.call_at(self.member.lease_expiry, self._apply)
 
     def _take_over(self) -> None:
-        """Another version is active: operations taken from now on go by it, earlier ones keep theirs."""
+        """Another version is active: operations from now on belong to it, earlier ones keep theirs."""
         active = self.member.active
         source = f"policy {active.version}"
         self.edge.take_over(documents.merged(self.edge.own_deployment, active.text, source))
@@ -119,14 +119,14 @@
         return self.member.is_serving()
 
     def _on_fenced(self, floor: int) -> None:
-        """A node rejected an attempt: this edge's version is older than any that is gone by."""
+        """A node rejected an attempt: this edge's version is older than any still in use."""
         if floor > self.member.fenced_below:
             self.member.on_fenced(floor)
             self.log.error("policy.fenced", version=self.member.active_version, floor=floor)
             self._apply()
 
     def _apply(self) -> None:
-        """Has the driver keep to what holds at this moment, and tells where that has changed."""
+        """Has the driver apply what is in force at this moment, and reports a change of it."""
         now, member = self.loop.time(), self.member
         state = PolicyState(
             member.active_version,
--- a/rushmux/edge/policy_store.py
+++ b/rushmux/edge/policy_store.py
@@ -1,4 +1,4 @@
-"""The fleet's policy on an edge's disk: what it goes by, and a staged change, from one start to the next.
+"""The fleet's policy on an edge's disk: the active one and a staged change, from one start to the next.
 
 The file: magic, format, checksum and both policies as JSON, replaced atomically and synced.
 """
@@ -62,7 +62,7 @@
 
         Raises:
             PolicyFormatError: Another format.
-            StoredPolicyError: It cannot be read or is damaged: what the edge agreed to is not known any more.
+            StoredPolicyError: It cannot be read or is damaged: what the edge had accepted is unknown.
         """
         try:
             with open(self.path, "rb") as source:
--- a/rushmux/edge/quota_client.py
+++ b/rushmux/edge/quota_client.py
@@ -1,4 +1,4 @@
-"""An edge's quotas: asks the planner for shares of folders' limits, and keeps to what it is granted."""
+"""An edge's quotas, its shares of folders' limits: requests them of the planner, and applies grants."""
 
 import asyncio
 
@@ -8,13 +8,13 @@
 from rushmux.nodewire import messages
 
 REQUEST_INTERVAL = 0.5  # seconds between two requests: what is lowered here is free there two requests later
-JITTER = 0.5  # of that, drawn: hundreds of edges ask apart from each other
+JITTER = 0.5  # of that, drawn: hundreds of edges must not ask at once
 MIN_INTERVAL = 0.1  # seconds: over a shorter time demand is not measured
-MAX_FOLDERS = 10_000  # folders asked for at once
+MAX_FOLDERS = 10_000  # folders of one request
 
 
 class QuotaClient:
-    """Asks for shares of the folders whose plans have limits, and has the driver keep to what holds."""
+    """Requests quotas of the folders whose plans have limits, and has the driver apply what is in force."""
 
     def __init__(self, driver: EdgeDriver, planner_client: PlannerClient, log):
         self.driver, self.planner_client, self.log = driver, planner_client, log
@@ -23,10 +23,10 @@
         self.demand = dict.fromkeys(self.limits, 0.0)  # units since the last request
         self.last_request_at = driver.loop.time()
         self.lease_timer: asyncio.TimerHandle | None = None
-        self.shares: dict[str, float] = {}  # as the driver was last told of them
+        self.shares: dict[str, float] = {}  # as the driver applies them
         planner_client.on_quota_grant = self._on_grant_message
         driver.on_demand = self._on_demand
-        self._apply()  # nothing above the safe shares before anything was granted
+        self._apply()  # no more than the safe quotas before anything was granted
 
     def _on_demand(self, folder: str, units: float) -> None:
         """An operation came, whatever becomes of it."""
@@ -34,7 +34,7 @@
             self.demand[folder] += units
 
     async def run(self) -> None:
-        """Asks for shares until cancelled."""
+        """Requests quotas until cancelled."""
         loop = self.driver.loop
         while True:
             await asyncio.sleep(REQUEST_INTERVAL * (1 - JITTER * self.driver.rng.random()))
@@ -70,7 +70,7 @@
         self.lease_timer = loop.call_at(self.quotas.lease_expiry, self._apply)
 
     def _apply(self) -> None:
-        """Has the driver keep to what holds at this moment."""
+        """Has the driver apply what is in force at this moment."""
         now = self.driver.loop.time()
         for folder in self.limits:
             share = self.quotas.quota(now, folder)
--- a/rushmux/edge/request_access.py
+++ b/rushmux/edge/request_access.py
@@ -14,7 +14,7 @@
 MAX_EXTENDED_PATHS = 2  # a rename's
 
 
-def access_of(packet, handles: HandleTable) -> Access:
+def access_of(packet: tuple, handles: HandleTable) -> Access:
     """What a request touches; nothing where its path or handle means nothing."""
     opened = handles.get(getattr(packet, "handle", None))
     if opened is not None:
@@ -28,7 +28,7 @@
     return Access(AccessKind.LOOKUP if is_lookup else AccessKind.MODIFY, _valid_paths(texts))
 
 
-def _access_by_handle(packet, opened: OpenFile | OpenDirectory) -> Access:
+def _access_by_handle(packet: tuple, opened: OpenFile | OpenDirectory) -> Access:
     kind, touched = type(packet), (opened.path,)
     if kind is sftp.Read:
         return Access(AccessKind.READ, touched, packet.offset, packet.offset + packet.length)
--- a/rushmux/edge/request_context.py
+++ b/rushmux/edge/request_context.py
@@ -75,7 +75,7 @@
         return location
 
     def attributes(self, folder: str, file_id: str, file: FileRow) -> sftp.Attributes:
-        """Attributes with what the buffer holds past the end of the file."""
+        """Attributes as clients see them: with the size that buffered writes give the file."""
         buffered_file = self.buffer and self.buffer.buffer.known(folder, file_id)
         if buffered_file:
             file = file._replace(size=max(file.size, buffered_file.end))
--- a/rushmux/edge/request_handlers.py
+++ b/rushmux/edge/request_handlers.py
@@ -59,14 +59,14 @@
             BARRIER: self._barrier,
         }
 
-    def handler_for(self, packet) -> Handler:
+    def handler_for(self, packet: tuple) -> Handler:
         """What does a request and gives its reply; RequestRejectedError where there is none."""
         handler = self.by_packet_type.get(type(packet))
         if handler is None:
             raise RequestRejectedError(sftp.OP_UNSUPPORTED, f"requests of type {packet.code} are not offered")
         return handler
 
-    async def _extended(self, packet: sftp.Extended, runner_for: RunnerFactory):
+    async def _extended(self, packet: sftp.Extended, runner_for: RunnerFactory) -> tuple:
         handler = self.by_extension.get(packet.name)
         if handler is None:
             name = packet.name[:MAX_QUOTED_NAME]
@@ -76,7 +76,9 @@
         except sftp.ProtocolError as error:
             raise RequestRejectedError(sftp.BAD_MESSAGE, f"{packet.name}: {error}") from error
 
-    async def _barrier(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
+    async def _barrier(
+        self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory
+    ) -> sftp.Status:
         folder = self.context.locate(fields.text()).folder
         if not folder:
             raise RequestRejectedError(sftp.FAILURE, "a barrier is set over one folder")
@@ -85,7 +87,9 @@
             await self.buffer.past(folder, barrier, runner_for(folder))
         return status(packet.request_id)
 
-    async def _statvfs(self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory):
+    async def _statvfs(
+        self, packet: sftp.Extended, fields: sftp.FieldReader, runner_for: RunnerFactory
+    ) -> sftp.ExtendedReply:
         """What the listed nodes have, in blocks."""
         self.context.locate(fields.text())
         disks = self.edge.driver.endpoint_table.disk_space.values()
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -28,9 +28,9 @@
 if TYPE_CHECKING:
     from rushmux.edge.edge import Edge
 
-REPLY_MARGIN = 0.05  # seconds kept back from a client's time for the way of the reply
-READ_SIZE = 1 << 17  # bytes asked of the socket at once
-MAX_UNREAD = 1 << 20  # bytes of replies not taken by the client before no more of it is read
+REPLY_MARGIN = 0.05  # seconds of a client's time that are reserved for the way of the reply
+READ_SIZE = 1 << 17  # bytes of one read from the socket
+MAX_UNREAD = 1 << 20  # bytes of replies that the client has not read, until no more of it is read
 NOT_REQUESTS = (
     sftp.Init,
     sftp.Version,
@@ -116,7 +116,7 @@
                 await self.writer.drain()  # more is begun when its replies were taken
 
     async def _read(self) -> bytes:
-        # A client that sends a byte a second would hold a session with no packet ever complete.
+        # A client that sends a byte a second would occupy a session with no packet ever complete.
         time_left = None
         if self.packet_begun_at is not None:
             time_left = self.packet_begun_at + self.limits.packet - self.loop.time()
@@ -207,7 +207,7 @@
                 return await handler(request.packet, runner_for)
 
     async def _wait_for_recovery(self, access: Access, deadline: float) -> None:
-        """Waits until what the buffer of an earlier start held of the request's folders is on the nodes."""
+        """Waits until what an earlier start had buffered of the request's folders is on the nodes."""
         buffer = self.edge.buffer
         if buffer is not None and buffer.recovering:
             for path in access.paths:
--- a/tests/edge/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -1,9 +1,10 @@
-"""Nodes that tell their load to edges that ask: over real sockets on loopback, and through whole edges."""
+"""Load reports that edges request of nodes: over real sockets on loopback, and through whole edges."""
 
 import asyncio
 import random
 from pathlib import Path
 
+import pytest
 from click.testing import CliRunner
 
 from rushmux import log
@@ -20,7 +21,7 @@
 HOST = "127.0.0.1"
 
 
-def test_a_node_tells_its_load_over_a_connection_that_stands():
+def test_a_node_reports_its_load_over_an_open_connection():
     async def story():
         quiet = log.to_list([], "info")
         store = Store(":memory:", 0, 1 << 20, 10.0)
@@ -47,14 +48,14 @@
 
         async def once(call, *values):
             future = asyncio.get_running_loop().create_future()
-            call(*values, lambda result, told: future.done() or future.set_result((result, told)))
+            call(*values, lambda result, reply: future.done() or future.set_result((result, reply)))
             return await asyncio.wait_for(future, 5)
 
         try:
             assert await once(connections.request_load_report, "n") == (
                 AttemptResult.CONNECT_FAILED,
                 None,
-            )  # nothing stands: no dial for it
+            )  # no connection is open: none is opened for it
             execute = messages.Execute(
                 op="o",
                 volume="v",
@@ -78,14 +79,19 @@
     asyncio.run(story())
 
 
-def heard(fleet, node):
-    """What each edge's module knows of a node: how long a mean operation takes there, and its room."""
-    found = [part.program.driver.scheduler.endpoints.nodes[node] for part in fleet.edges.values()]
-    return [known.expected_service for known in found], [known.limit.size for known in found]
+def node_states(fleet, node):
+    """What each edge's scheduler knows of a node: its expected service time, and its concurrency limit."""
+    states = [part.program.driver.scheduler.endpoints.nodes[node] for part in fleet.edges.values()]
+    return [state.expected_service for state in states], [state.limit.size for state in states]
 
 
-def busy(raw, play, load):
-    """Two seconds of reads from a node that has grown slow; what the edges' modules then know of it."""
+@pytest.fixture
+def states_of_slow_nodes(raw, play):
+    """Two seconds of reads from nodes that have grown slow; what the edges' schedulers then know of each."""
+    return lambda load: _states_of_slow_nodes(raw, play, load)
+
+
+def _states_of_slow_nodes(raw, play, load):
     raw["fleet"]["load"] = load
 
     async def story(fleet):
@@ -98,22 +104,23 @@
                 *(one.get(f"/heredia/{number}") for number in range(8)), return_exceptions=True
             )
             await fleet.sleep(0.5)
-        return [heard(fleet, name) for name in fleet.nodes]
+        return [node_states(fleet, name) for name in fleet.nodes]
 
     return play(story)[1]
 
 
-def test_an_edge_asks_nodes_that_answer_late_and_goes_by_what_they_tell(raw, play):
-    known = busy(raw, play, "probe")
-    assert any(answers_in > 500 for told, _ in known for answers_in in told)
-    assert any(room < INITIAL_LIMIT for _, rooms in known for room in rooms)
+def test_an_edge_requests_load_reports_of_slow_nodes_and_limits_them_accordingly(states_of_slow_nodes):
+    states = states_of_slow_nodes("probe")
+    assert any(service > 500 for service_times, _ in states for service in service_times)
+    assert any(limit < INITIAL_LIMIT for _, limits in states for limit in limits)
 
 
-def test_without_the_setting_no_node_is_asked(raw, play):
-    assert all(answers_in == 0 for told, _ in busy(raw, play, "none") for answers_in in told)
+def test_without_the_setting_no_load_report_is_requested(states_of_slow_nodes):
+    states = states_of_slow_nodes("none")
+    assert all(service == 0 for service_times, _ in states for service in service_times)
 
 
-def test_a_bad_day_with_loads_and_a_lane_in_order_keeps_every_rule(tmp_path):
+def test_a_fault_scenario_with_load_reports_and_a_class_in_order_keeps_every_rule(tmp_path):
     to = tmp_path / "new.json"
     words = [
         "move",
