--- a/tests/planner/test_program.py
+++ b/tests/planner/test_program.py
@@ -187,7 +187,7 @@
         Store(tmp_path / "b")
 
 
-def test_an_edge_starts_on_its_last_list_with_no_planner_there(play, tmp_path):
+def test_an_edge_starts_on_its_cached_endpoint_list_with_no_planner_there(play, tmp_path):
     async def story(made):
         client = await made.client(0)
         await client.put("/limon/a", b"kept" * 100)
@@ -217,7 +217,7 @@
     )
 
 
-def test_a_last_list_of_long_ago_is_not_used(tmp_path):
+def test_a_cached_endpoint_list_of_long_ago_is_not_used(tmp_path):
     now, rows = [1_000_000.0], []
     cache = EndpointCache(tmp_path / "l", lambda: now[0], log.to_list(rows))
     cache.update(
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -144,14 +144,14 @@
     store.close()
 
 
-def test_the_edges_last_list_is_read_with_its_nodes_ages(stored):
+def test_the_edges_cached_endpoint_list_is_read_with_its_nodes_ages(stored):
     listing = EndpointCache(stored("edge-list.bin"), lambda: SAVED_AT + 2, SilentLog()).load()
     assert (listing.version, listing.whole, listing.cells) == (10, True, 4)
     (entry,) = listing.entries
     assert (entry.node, entry.host, entry.condition, entry.age) == ("node1", "10.0.0.2", "draining", 20_070)
 
 
-def test_the_edges_last_list_is_written_as_before(tmp_path):
+def test_the_edges_cached_endpoint_list_is_written_as_before(tmp_path):
     path = tmp_path / "edge-list.bin"
     entry = messages.Entry(
         node="node1",
