--- a/rushmux/edge/endpoint_cache.py
+++ b/rushmux/edge/endpoint_cache.py
@@ -26,7 +26,15 @@
 
 
 class EndpointCacheError(EdgeError):
-    """A cached list that cannot be used; the text says why."""
+    """A cached list that cannot be used.
+
+    Attributes:
+        path: The file.
+    """
+
+    def __init__(self, path: Path, reason: str):
+        super().__init__(f"{path}: {reason}")
+        self.path = path
 
 
 class CachedListing(NamedTuple):
@@ -96,15 +104,15 @@
         try:
             magic, file_format, checksum, saved_at = HEADER.unpack_from(data)
         except struct.error as error:
-            raise EndpointCacheError(str(error)) from error
+            raise EndpointCacheError(self.path, str(error)) from error
         body = data[HEADER.size :]
         if magic != MAGIC or file_format != FORMAT or len(data) > MAX_FILE_BYTES:
-            raise EndpointCacheError(f"format {file_format}, this edge reads {FORMAT}")
+            raise EndpointCacheError(self.path, f"format {file_format}, this edge reads {FORMAT}")
         if zlib.crc32(SAVED_AT.pack(saved_at) + body) != checksum:
-            raise EndpointCacheError("its checksum is wrong")
+            raise EndpointCacheError(self.path, "its checksum is wrong")
         listing = messages.Listing()
         try:
             listing.ParseFromString(body)
         except DecodeError as error:
-            raise EndpointCacheError(f"it holds no endpoint list: {error}") from error
+            raise EndpointCacheError(self.path, f"it holds no endpoint list: {error}") from error
         return CachedListing(listing, saved_at)
--- a/rushmux/edge/errors.py
+++ b/rushmux/edge/errors.py
@@ -83,7 +83,12 @@
 
 
 class ContentionError(RequestRejectedError):
-    """Others changed the same rows at every attempt."""
+    """Others changed the same rows at every attempt.
+
+    Attributes:
+        what: What was to be changed: a path, or "the file".
+    """
 
     def __init__(self, what: str):
         super().__init__(sftp.FAILURE, f"{what}: others change it at the same time; try again")
+        self.what = what
--- a/rushmux/edge/planner_client.py
+++ b/rushmux/edge/planner_client.py
@@ -11,6 +11,13 @@
 from rushmux.nodewire import Frames, WireFault, frame, messages
 
 CONNECT_TIMEOUT = 2.0  # seconds
+REQUEST_INTERVAL = 0.5  # seconds at most between two requests: a change reaches all within two of them
+REQUEST_JITTER = 0.5  # of that, drawn: hundreds of edges must not ask at once
+
+
+def next_request_pause(rng: random.Random) -> float:
+    """Seconds until the next request for a lease of quotas or of the policy."""
+    return REQUEST_INTERVAL * (1 - REQUEST_JITTER * rng.random())
 
 
 class PlannerClient:
--- a/rushmux/edge/policy_client.py
+++ b/rushmux/edge/policy_client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rushmux.edge.driver import PolicyVersion
+from rushmux.edge.planner_client import next_request_pause
 from rushmux.edge.policy_codec import decode_lease_grant, encode_lease_request
 from rushmux.edge.policy_store import PolicyStore, StoredPolicies
 from rushmux.fleet.policy import Policy, PolicyMember
@@ -18,8 +19,6 @@
 if TYPE_CHECKING:
     from rushmux.edge.edge import Edge
 
-REQUEST_INTERVAL = 0.5  # seconds between two requests: a change reaches all within two of them
-JITTER = 0.5  # of that, drawn: hundreds of edges must not ask at once
 ANSWER_TIMEOUT = 2.0  # seconds without a grant until another planner is tried
 
 Limits = dict[str, tuple[float, float]]
@@ -71,7 +70,7 @@
     async def run(self) -> None:
         """Requests leases until cancelled."""
         while True:
-            await asyncio.sleep(REQUEST_INTERVAL * (1 - JITTER * self.driver.rng.random()))
+            await asyncio.sleep(next_request_pause(self.driver.rng))
             now = self.loop.time()
             if now - self.last_grant_at > ANSWER_TIMEOUT:
                 self.last_grant_at = now
--- a/rushmux/edge/quota_client.py
+++ b/rushmux/edge/quota_client.py
@@ -3,12 +3,10 @@
 import asyncio
 
 from rushmux.edge.driver import EdgeDriver
-from rushmux.edge.planner_client import PlannerClient
+from rushmux.edge.planner_client import PlannerClient, next_request_pause
 from rushmux.fleet.quotas import EdgeQuotas, QuotaGrant
 from rushmux.nodewire import messages
 
-REQUEST_INTERVAL = 0.5  # seconds between two requests: what is lowered here is free there two requests later
-JITTER = 0.5  # of that, drawn: hundreds of edges must not ask at once
 MIN_INTERVAL = 0.1  # seconds: over a shorter time demand is not measured
 MAX_FOLDERS = 10_000  # folders of one request
 
@@ -37,7 +35,7 @@
         """Requests quotas until cancelled."""
         loop = self.driver.loop
         while True:
-            await asyncio.sleep(REQUEST_INTERVAL * (1 - JITTER * self.driver.rng.random()))
+            await asyncio.sleep(next_request_pause(self.driver.rng))
             now = loop.time()
             elapsed, self.last_request_at = max(MIN_INTERVAL, now - self.last_request_at), now
             request = self.quotas.request(now)
