--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -12,7 +12,7 @@
 
 from rushmux.buffer.writeback import buffered
 from rushmux.edge.edge import Edge
-from rushmux.edge.policy_client import Kept
+from rushmux.edge.policy_store import PolicyStore
 from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
 from rushmux.planner.replication_settings import ReplicationSettings
@@ -102,7 +102,7 @@
         for number in range(edges):
             await self.edge(number)
         for _ in range(1_200):
-            holders = [part.program.going.holder for part in self.edges.values()]
+            holders = [part.program.policy_client.member for part in self.edges.values()]
             if all(holder.is_serving() and not holder.is_degraded(self.loop.time()) for holder in holders):
                 return
             await self.sleep(0.05)
@@ -114,22 +114,24 @@
             number,
             self.deployment,
             self.places,
-            self.seed(),
-            EPOCH,
-            self.log,
-            self.decisions,
-            buffered(self.deployment, None),
-            kept=Kept(self.folder / f"edge{number}.kept"),
+            seed=self.seed(),
+            epoch=EPOCH,
+            log=self.log,
+            scheduler_type=self.decisions,
+            make_buffer=buffered(self.deployment, None),
+            policy_store=PolicyStore(self.folder / f"edge{number}.kept"),
+        )
+        program.on_listing = lambda nodes: self.record(
+            "told", edge=program.name, start=program.incarnation, nodes=nodes
         )
-        program.heard = lambda nodes: self.record("told", edge=program.name, start=program.start, nodes=nodes)
-        program.went_by = lambda state: self.record(
+        program.on_policy_state = lambda state: self.record(
             "goes_by",
             edge=program.name,
-            start=program.start,
-            number=state[0],
-            staged=state[1] or 0,
-            narrow=state[2],
-            serves=state[3],
+            start=program.incarnation,
+            number=state.active_version,
+            staged=state.staged_version or 0,
+            narrow=state.degraded,
+            serves=state.serving,
         )
         self.edges[number] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.edges[number]
@@ -215,7 +217,7 @@
         ):
             found.append(f"planners end with {sorted(forces)}, or with a change under way")
         for part in self.edges.values():
-            holder = part.program.going.holder
+            holder = part.program.policy_client.member
             if holder.active_version != max(forces) or holder.is_degraded(self.loop.time()):
                 narrow = holder.is_degraded(self.loop.time())
                 found.append(f"{holder.name} ends with {holder.active_version}, narrow {narrow}")
@@ -248,7 +250,7 @@
         await fleet.sleep(QUIET)
         settled = fleet.settled()
         breaches, facts = judge(fleet.all_records(), deployment, (), fleet.operator_commands, fleet.stopped)
-        bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.refused")]
+        bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.grant_rejected")]
         return Told(breaches + settled + [str(row)[:300] for row in bad[:3]], facts, fleet.logs)
 
     return run(whole, seed)
--- a/tests/edge/test_hostile.py
+++ b/tests/edge/test_hostile.py
@@ -17,18 +17,18 @@
         writer.write(sftp.encode(sftp.Init(3, ())))
     for part in parts:
         writer.write(part)
-    cutter, found = sftp.Packets(), []
+    splitter, found = sftp.PacketSplitter(), []
     try:
         async with asyncio.timeout(1):
             while data := await reader.read(1 << 16):
-                found += [sftp.decode(body) for body in cutter.feed(data)]
+                found += [sftp.decode(body) for body in splitter.feed(data)]
     except TimeoutError:
         return found, False
     return found, True
 
 
 def ended(fleet):
-    return [row["why"] for row in fleet.logs if row["event"] == "session.ended"]
+    return [row["reason"] for row in fleet.logs if row["event"] == "session.closed"]
 
 
 @pytest.mark.parametrize(
@@ -45,7 +45,7 @@
 def test_a_stream_that_cannot_be_followed_is_closed_with_a_reason(play, parts, begin, why):
     async def story(fleet):
         other = await fleet.client(0)
-        found, closed = await raw(fleet, *parts, begin=begin)
+        _, closed = await raw(fleet, *parts, begin=begin)
         assert closed
         await other.put("/limon/a", b"untouched")
         return await other.get("/limon/a")
@@ -64,9 +64,9 @@
             sftp.encode(sftp.RealPath(9, "/limon/./x/..")),
         )
 
-    (version, bad, unknown, path), closed = play(story)[1]
-    assert (bad.request, bad.code) == (7, sftp.BAD_MESSAGE)
-    assert (unknown.request, unknown.code) == (8, sftp.OP_UNSUPPORTED)
+    (_, bad, unknown, path), closed = play(story)[1]
+    assert (bad.request_id, bad.code) == (7, sftp.BAD_MESSAGE)
+    assert (unknown.request_id, unknown.code) == (8, sftp.OP_UNSUPPORTED)
     assert path.names[0].name == "/limon" and not closed
 
 
@@ -121,7 +121,7 @@
         one = await fleet.client(0)
         await one.put("/limon/x", b"short")
         handle = await one.open("/limon/x", sftp.READ)
-        with pytest.raises(Refusal, match="^1: "):
+        with pytest.raises(Refusal, match=r"^1: "):
             await one.ask(sftp.Read, handle, 2**64 - 1, 2**32 - 1)
         return (await one.ask(sftp.Read, handle, 0, 2**32 - 1)).data
 
@@ -134,13 +134,13 @@
     async def story(fleet):
         one = await fleet.client(0)
         await one.put("/limon/big", bytes(262_144))
-        reader, writer = await asyncio.open_connection(*fleet.edges[0].address)
+        _, writer = await asyncio.open_connection(*fleet.edges[0].address)
         writer.transport.pause_reading()
         writer.write(sftp.encode(sftp.Init(3, ())))
         writer.write(sftp.encode(sftp.Open(1, "/limon/big", sftp.READ, PLAIN)))
         await fleet.sleep(1)
         session = list(fleet.edges[0].program.sessions)[-1]
-        handle = next(iter(session.handles))
+        handle = next(iter(session.handles.by_id))
         for number in range(2, 400):
             writer.write(sftp.encode(sftp.Read(number, handle, 0, 262_144)))
         most = 0
@@ -152,7 +152,7 @@
 
     fleet, (most, lives) = play(story)
     assert not lives and 1 << 20 < most < 64 * 262_144 + (2 << 20)
-    assert any(row["event"] == "session.unread" for row in fleet.logs)
+    assert any(row["event"] == "session.client_not_reading" for row in fleet.logs)
 
 
 def test_a_client_that_sends_a_byte_a_second_is_closed(play, raw):
@@ -166,7 +166,7 @@
             await fleet.sleep(1)
         return await reader.read(1 << 16), await reader.read(1 << 16)
 
-    fleet, (version, rest) = play(story)
+    fleet, (_, rest) = play(story)
     assert rest == b"" and any("not whole after 5.0 s" in why for why in ended(fleet))
 
 
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -10,9 +10,9 @@
 
 from benchmarks import planner_kills
 from rushmux import log
-from rushmux.edge.endpoint_cache import LastList
-from rushmux.edge.node_connections import Lists
-from rushmux.files.paths import home
+from rushmux.edge.endpoint_cache import EndpointCache
+from rushmux.edge.planner_client import PlannerClient
+from rushmux.files.paths import home_cell
 from rushmux.fleet.membership import LEASE_DURATION
 from rushmux.nodewire import VERSION, messages
 from rushmux.planner import admin_client
@@ -94,7 +94,7 @@
 
 
 def test_a_draining_node_is_drained_when_nothing_is_in_flight(run_fleet):
-    away = next(name for name in DEPLOYMENT.folders if home(name, 4) != 2)
+    away = next(name for name in DEPLOYMENT.folders if home_cell(name, 4) != 2)
 
     async def scenario(fleet):
         client = await fleet.client(0)
@@ -192,32 +192,34 @@
 
     fleet, (read, without) = run_fleet(scenario, lists=tmp_path)
     assert read == b"kept" * 100 and without == "Refusal"
-    assert any(row["event"] == "lastlist.used" for row in fleet.logs)
-    assert any(row["event"] == "lastlist.unread" and "checksum" in row["why"] for row in fleet.logs)
+    assert any(row["event"] == "endpoint_cache.loaded" for row in fleet.logs)
+    assert any(
+        row["event"] == "endpoint_cache.read_failed" and "checksum" in row["reason"] for row in fleet.logs
+    )
 
 
 def test_an_old_cached_list_is_not_used(tmp_path):
     now, rows = [1_000_000.0], []
-    kept = LastList(tmp_path / "l", lambda: now[0], log.to_list(rows))
-    kept.told(
+    cache = EndpointCache(tmp_path / "l", lambda: now[0], log.to_list(rows))
+    cache.update(
         messages.Listing(
             version=3, whole=True, cells=2, entries=[messages.Entry(node="n0", condition="ready")]
         )
     )
     now[0] += 100
-    assert [entry.age for entry in kept.load().entries] == [1_000_000]
+    assert [entry.age for entry in cache.load().entries] == [1_000_000]
     now[0] += 8 * 86_400
-    assert kept.load() is None and rows[-1]["event"] == "lastlist.old"
+    assert cache.load() is None and rows[-1]["event"] == "endpoint_cache.expired"
 
 
 def test_a_complete_list_without_a_ready_node_is_ignored(run_fleet):
     async def scenario(fleet):
         await fleet.sleep(1)
-        driver = fleet.edges[0].program.driver
-        refused = driver.told(messages.Listing(version=9, whole=True, cells=4))
+        table = fleet.edges[0].program.driver.endpoint_table
+        accepted = table.on_listing(messages.Listing(version=9, whole=True, cells=4))
         client = await fleet.client(0)
         await client.put("/limon/a", b"x")
-        return refused
+        return accepted
 
     assert run_fleet(scenario)[1] is False
 
@@ -246,14 +248,14 @@
         tasks = []
         for number in range(count):
             hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
-            lists = Lists(
+            client = PlannerClient(
                 ("127.0.0.1", port),
                 hello,
                 random.Random(number),
                 logger,
                 lambda listing, number=number: told.setdefault(number, []).append(loop.time()),
             )
-            tasks.append(loop.create_task(lists.run()))
+            tasks.append(loop.create_task(client.run()))
         await asyncio.sleep(4)
         assert len(told) == count
         process.kill()
--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from benchmarks import shares as day
-from rushmux.edge.node_connections import Lists
+from rushmux.edge.planner_client import PlannerClient
 from rushmux.fleet.quotas import LEASE_DURATION, SAFE_FRACTION
 from rushmux.nodewire import messages
 from rushmux.settings.deployment import BadDeployment, build
@@ -75,10 +75,12 @@
 def test_without_a_planner_each_edge_falls_back_to_its_safe_quota(run_fleet):
     async def scenario(fleet):
         for edge in fleet.edges.values():
-            edge.program.asking.limits = dict.fromkeys(edge.program.asking.limits, 1e-6)  # all, it seems
+            edge.program.quota_client.limits = dict.fromkeys(
+                edge.program.quota_client.limits, 1e-6
+            )  # all, it seems
         first = rates(fleet)
         for _ in range(200):
-            fleet.edges[0].program.driver.taking("caribe", 5.0)
+            fleet.edges[0].program.driver.on_demand("caribe", 5.0)
             await fleet.sleep(0.1)
         busy = rates(fleet)
         fleet.kill_planner()
@@ -93,22 +95,22 @@
 
 def test_invalid_quota_requests_end_their_own_connection_only(run_fleet):
     async def scenario(fleet):
-        bad, link = [], fleet.edges[0].program
+        bad, edge = [], fleet.edges[0].program
         for wants in (
             [messages.Want(folder="caribe", part=-1.0)],
             [messages.Want(folder=f"f{number}", part=1.0) for number in range(10_001)],
         ):
             told = []
-            lists = Lists(
+            client = PlannerClient(
                 fleet.lists.address,
                 messages.Hello(version=1, peer="edge9", start="x"),
-                link.chance,
-                link.log,
+                edge.rng,
+                edge.log,
                 told.append,
             )
-            task = asyncio.ensure_future(lists.run())
+            task = asyncio.ensure_future(client.run())
             await fleet.sleep(1)
-            assert lists.send(ask=messages.Ask(ask=1, wants=wants))
+            assert client.send(ask=messages.Ask(ask=1, wants=wants))
             before = len(told)
             await fleet.sleep(2)
             bad.append(len(told) - before)  # it was closed, came back and was told the whole anew
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -9,8 +9,8 @@
 import pytest
 
 from rushmux.buffer import journal
-from rushmux.edge.endpoint_cache import LastList
-from rushmux.edge.policy_client import Kept
+from rushmux.edge.endpoint_cache import EndpointCache
+from rushmux.edge.policy_store import PolicyStore
 from rushmux.fleet import policy, raft
 from rushmux.lab import spec
 from rushmux.lab.store import Store as ResultStore
@@ -144,14 +144,14 @@
     store.close()
 
 
-def test_the_edges_last_list_is_read_with_its_nodes_ages(stored):
-    listing = LastList(stored("edge-list.bin"), lambda: SAVED_AT + 2, SilentLog()).load()
+def test_the_edges_cached_endpoint_list_is_read_with_its_nodes_ages(stored):
+    listing = EndpointCache(stored("edge-list.bin"), lambda: SAVED_AT + 2, SilentLog()).load()
     assert (listing.version, listing.whole, listing.cells) == (10, True, 4)
     (entry,) = listing.entries
     assert (entry.node, entry.host, entry.condition, entry.age) == ("node1", "10.0.0.2", "draining", 20_070)
 
 
-def test_the_edges_last_list_is_written_as_before(tmp_path):
+def test_the_edges_cached_endpoint_list_is_written_as_before(tmp_path):
     path = tmp_path / "edge-list.bin"
     entry = messages.Entry(
         node="node1",
@@ -163,17 +163,17 @@
         start="s2",
         age=70,
     )
-    LastList(path, lambda: SAVED_AT, SilentLog()).told(
+    EndpointCache(path, lambda: SAVED_AT, SilentLog()).update(
         messages.Listing(version=10, whole=True, cells=4, entries=[entry])
     )
     assert path.read_bytes() == (STORED / "edge-list.bin").read_bytes()
 
 
 def test_the_edges_kept_policies_are_read_and_written_as_before(stored, tmp_path):
-    force, staged = Kept(stored("edge-policy.json")).load()
+    force, staged = PolicyStore(stored("edge-policy.json")).load()
     assert force == policy.Policy(2, '{"a":2}', ((CARIBE, 20.0, 40.0), (HEREDIA, 0, 0)))
     assert staged == policy.Policy(3, '{"a":3}', ((CARIBE, 30.0, 60.0), (HEREDIA, 10.0, 20.0)))
-    Kept(tmp_path / "again.json").keep(force, staged)
+    PolicyStore(tmp_path / "again.json").save(force, staged)
     assert (tmp_path / "again.json").read_bytes() == (STORED / "edge-policy.json").read_bytes()
 
 
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rushmux.edge.policy_client import lease_request
+from rushmux.edge.policy_codec import encode_lease_request
 from rushmux.fleet import policy, raft
 from rushmux.gateway import commands, replies
 from rushmux.gateway.config import parse_config
@@ -81,7 +81,7 @@
 
 def test_a_members_policy_ask_goes_over_the_wire_as_before():
     holder = policy.PolicyMember("edge0", FORCE, STAGED, lambda proposed: None, lambda force, staged: None)
-    ask = lease_request(holder.lease_request(3.0))
+    ask = encode_lease_request(holder.lease_request(3.0))
     assert frame(messages.Message(policy_ask=ask)) == NODEWIRE["policy-ask"]
 
 
@@ -95,14 +95,14 @@
 @pytest.mark.parametrize("row", SFTP, ids=lambda row: row["packet"])
 def test_an_sftp_packet_is_read_and_made_again(row):
     data = bytes.fromhex(row["bytes"])
-    (body,) = sftp.Packets().feed(data)
+    (body,) = sftp.PacketSplitter().feed(data)
     packet = sftp.decode(body)
     assert type(packet).__name__ == row["packet"] and packet == fields_of(row["fields"])
     assert sftp.encode(packet) == data
 
 
 def test_an_sftp_packet_of_every_type_is_recorded():
-    assert {row["packet"] for row in SFTP} == {kind.__name__ for kind in sftp.TYPES}
+    assert {row["packet"] for row in SFTP} == {kind.__name__ for kind in sftp.LAYOUTS}
 
 
 @pytest.mark.parametrize("row", RESP2["commands"])
