--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -20,8 +20,8 @@
 from scipy import stats
 
 from rushmux.edge.node_connections import Address, Links
-from rushmux.lab.scheduler_simulation import WAY
-from rushmux.lab.timer_loop import HeapClock
+from rushmux.lab.simulated_network import IN_ZONE_DELAY
+from rushmux.lab.timer_loop import TimerLoop
 from rushmux.log import to_list
 from rushmux.nodewire import VERSION, messages
 from rushmux.scheduling.interface import AttemptResult
@@ -50,19 +50,19 @@
 
 def emulated(operations, seed):
     """Answer times at the emulated machine, None where it turned one away."""
-    clock, chance, times = HeapClock(), random.Random(f"{seed}/ways"), [None] * len(operations)
+    clock, chance, times = TimerLoop(), random.Random(f"{seed}/ways"), [None] * len(operations)
     engine = Engine(Shape(cores=CORES, unit=UNIT, room=ROOM), random.Random(seed), False, lambda: None, clock)
 
     def arrive(number, sent, units, key, writes):
         def done(late):
-            back = clock.time() + chance.uniform(*WAY)
+            back = clock.time() + chance.uniform(*IN_ZONE_DELAY)
             if not late:
                 times[number] = back - sent
 
         engine.offer(units, "" if writes else key, writes, TIME_OUT / 10_000, done)
 
     for number, (at, units, key, writes) in enumerate(operations):
-        clock.call_at(1.0 + at + chance.uniform(*WAY), arrive, number, 1.0 + at, units, key, writes)
+        clock.call_at(1.0 + at + chance.uniform(*IN_ZONE_DELAY), arrive, number, 1.0 + at, units, key, writes)
     clock.run(1.0 + operations[-1][0] + 20)
     return times
 
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -15,8 +15,12 @@
 import numpy
 from scipy import stats
 
-from rushmux.lab import outcome, spec, system_simulation
-from rushmux.lab.scheduler_simulation import World
+from rushmux.lab import system_simulation
+from rushmux.lab.client import ClientOutcome
+from rushmux.lab.day import draw_day
+from rushmux.lab.experiment import check
+from rushmux.lab.measurements import measure
+from rushmux.lab.scheduler_simulation import SchedulerSimulation
 from rushmux.standins.checker import Checker
 
 CASES = {
@@ -32,7 +36,7 @@
 
 
 def stated(name, load, lines, edges=3, nodes=4, seconds=10.0):
-    return spec.checked(
+    return check(
         {
             "name": name.replace(" ", "-"),
             "seconds": seconds,
@@ -47,21 +51,30 @@
 
 
 def lean(raw, seed):
-    built, stood, arrivals, events = spec.day(raw, raw["variants"][0], seed)
-    world = World(built, stood, seed)
-    world.play(arrivals, events, raw["seconds"])
-    found = outcome.measured(world, raw["seconds"])
-    return [row.took for row in world.ended if row.how == "succeeded"], found["in_time"], found["kept"]
+    day = draw_day(raw, raw["variants"][0], seed)
+    simulation = SchedulerSimulation(day.deployment, day.fleet, seed)
+    simulation.run(day.arrivals, day.events, raw["seconds"])
+    found = measure(simulation, raw["seconds"])
+    return (
+        [row.latency for row in simulation.completed if row.outcome is ClientOutcome.SUCCEEDED],
+        found["in_time"],
+        found["kept"],
+    )
 
 
 def real(raw, seed):
     """The same day through real edges."""
-    built, stood, arrivals, events = spec.day(raw, raw["variants"][0], seed)
-    ended, fleet = system_simulation.play(built, stood, arrivals, events, seed)
-    quoted = {name: lane.latency_objective / 10_000 for name, lane in built.settings.request_classes.items()}
-    good = [row for row in ended if row.how == "succeeded"]
-    kept = not Checker(fleet.all_records(), built, 0.005).breaches()
-    return [row.took for row in good], sum(row.took <= quoted[row.lane] for row in good) / len(ended), kept
+    day = draw_day(raw, raw["variants"][0], seed)
+    ended, standins = system_simulation.simulate(day, seed)
+    request_classes = day.deployment.settings.request_classes
+    quoted = {name: row.latency_objective / 10_000 for name, row in request_classes.items()}
+    good = [row for row in ended if row.outcome is ClientOutcome.SUCCEEDED]
+    kept = not Checker(standins.all_records(), day.deployment, 0.005).breaches()
+    return (
+        [row.latency for row in good],
+        sum(row.latency <= quoted[row.request_class] for row in good) / len(ended),
+        kept,
+    )
 
 
 def scale(edges, nodes):
@@ -71,15 +84,15 @@
     )
     raw["volumes"] = {"basico": edges, "estandar": edges // 2, "prioritario": edges // 4}
     begun = time.perf_counter()
-    built, stood, arrivals, events = spec.day(raw, raw["variants"][0], 1)
+    day = draw_day(raw, raw["variants"][0], 1)
     drawn = time.perf_counter() - begun
-    world = World(built, stood, 1)
-    world.play(arrivals, events, raw["seconds"])
+    simulation = SchedulerSimulation(day.deployment, day.fleet, 1)
+    simulation.run(day.arrivals, day.events, raw["seconds"])
     played = time.perf_counter() - begun - drawn
-    found = outcome.measured(world, raw["seconds"])
+    found = measure(simulation, raw["seconds"])
     whole_time = time.perf_counter() - begun
     return (
-        f"{edges:9}{nodes:7}{len(arrivals):12}{drawn:9.1f}{played:9.1f}{whole_time - played - drawn:9.1f}"
+        f"{edges:9}{nodes:7}{len(day.arrivals):12}{drawn:9.1f}{played:9.1f}{whole_time - played - drawn:9.1f}"
         f"{resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:10.0f}{found['in_time']:9.3f}  "
         f"{'kept' if found['kept'] else 'BROKEN'}"
     )
--- a/benchmarks/scheduler_equivalence.py
+++ b/benchmarks/scheduler_equivalence.py
@@ -12,8 +12,10 @@
 import sys
 from pathlib import Path
 
-from rushmux.lab import proof, schedules, spec, variants
-from rushmux.lab.scheduler_simulation import World
+from rushmux.lab import proof, schedules, variants
+from rushmux.lab.day import draw_day
+from rushmux.lab.experiment import check
+from rushmux.lab.scheduler_simulation import SchedulerSimulation
 from rushmux.routes.findings import Rule
 from rushmux.scheduling.scheduler import Scheduler
 
@@ -78,7 +80,7 @@
         self.events = self.actions = 0
 
     def scheduler(self, settings, seed, now, actions) -> "ComparedScheduler":
-        """A scheduler for `World`, `schedules.Play` and the scenarios' player."""
+        """A scheduler for `SchedulerSimulation`, `schedules.Play` and the scenarios' player."""
         return ComparedScheduler(self, settings, seed, now, actions)
 
 
@@ -125,7 +127,7 @@
     for seed in seeds:
         chance = random.Random(seed)
         sets = {"/fleet/load": chance.choice(("none", "probe")), "/fleet/second_copies": seed % 3 > 0}
-        raw = spec.checked(
+        experiment = check(
             {
                 "name": "equivalence",
                 "seconds": 6,
@@ -136,8 +138,11 @@
                 "variants": [{"name": "module", "set": sets}],
             }
         )
-        built, stood, arrivals, events = spec.day(raw, raw["variants"][0], seed)
-        World(built, stood, seed, comparison.scheduler, keep=False).play(arrivals, events, raw["seconds"])
+        day = draw_day(experiment, experiment["variants"][0], seed)
+        simulation = SchedulerSimulation(
+            day.deployment, day.fleet, seed, comparison.scheduler, keep_records=False
+        )
+        simulation.run(day.arrivals, day.events, experiment["seconds"])
 
 
 def play_schedules(comparison: Comparison, deployments: range, each: int) -> None:
--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -1,15 +1,26 @@
-"""`rushmux lab`: experiments on emulated fleets."""
+"""`rushmux lab`: experiments on emulated fleets.
+
+The laboratory is imported by the commands that use it: its libraries would slow all others down.
+"""
 
 import os
 import sys
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from rushmux.cli.shared import Place
 
+if TYPE_CHECKING:
+    from rushmux.lab.experiment import Experiment, ExperimentError
+    from rushmux.lab.result_store import ResultStore
+    from rushmux.lab.run import Results
+
 EXPERIMENTS = Path(__file__).resolve().parents[1] / "lab" / "experiments"
+PROGRESS_WIDTH = 100  # columns, so that a line covers the one before
+MAX_JOBS, MAX_DAYS = 256, 100_000
 DATA = click.option(
     "--data",
     type=click.Path(),
@@ -19,36 +30,40 @@
 )
 JOBS = click.option(
     "--jobs",
-    type=click.IntRange(1, 256),
+    type=click.IntRange(1, MAX_JOBS),
     default=lambda: os.cpu_count() or 1,
     show_default="the machine's cores",
 )
 
 
-def read(name):
+def _load_experiment(name: str) -> "Experiment":
     """An experiment by its name among those that come along, or by its file."""
-    from rushmux.lab import spec
+    from rushmux.lab import experiment
 
     path = EXPERIMENTS / f"{name}.json"
     try:
-        return spec.load(path if path.exists() else name)
-    except spec.BadExperiment as fault:
-        raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
+        return experiment.load(path if path.exists() else name)
+    except experiment.ExperimentError as error:
+        raise _experiment_failure(error) from error
+
 
+def _experiment_failure(error: "ExperimentError") -> click.ClickException:
+    return click.ClickException(f"{len(error.faults)} fault(s)\n{error}")
 
-def kept(data):
-    from rushmux.lab.store import BadStore, Store
+
+def _open_store(data: str) -> "ResultStore":
+    from rushmux.lab.result_store import ResultStore, ResultStoreError
 
     try:
-        return Store(Path(data) / "results.sqlite")
-    except BadStore as fault:
-        raise click.ClickException(str(fault)) from fault
+        return ResultStore(Path(data) / "results.sqlite")
+    except ResultStoreError as error:
+        raise click.ClickException(str(error)) from error
 
 
-def told(text):
+def _show_progress(text: str) -> None:
     """Progress on standard error: one line that is written over on a terminal."""
     if sys.stderr.isatty():
-        click.echo(f"{text:100}\r", err=True, nl=False)
+        click.echo(f"{text:{PROGRESS_WIDTH}}\r", err=True, nl=False)
     else:
         click.echo(text, err=True)
 
@@ -68,58 +83,67 @@
 
     Exit 1 where a variant of the module broke a rule.
     """
-    from rushmux.lab import spec
+    from rushmux.lab.experiment import ExperimentError, expand
 
-    store = kept(data)
+    store = _open_store(data)
     try:
-        many = spec.expanded(read(experiment))
-    except spec.BadExperiment as fault:
-        raise click.ClickException(f"{len(fault.faults)} fault(s)\n{fault}") from fault
-    sys.exit(1 if any([one(raw, store, jobs, report, Path(data)) for raw in many]) else 0)
+        expanded = expand(_load_experiment(experiment))
+    except ExperimentError as error:
+        raise _experiment_failure(error) from error
+    report_folder = Path(data) if report else None
+    all_kept = [_run_one(one, store, jobs, report_folder) for one in expanded]
+    sys.exit(0 if all(all_kept) else 1)
 
 
-def one(raw, store, jobs, report, data):
-    """Plays one experiment and says what was seen; whether a variant of the module broke a rule."""
+def _run_one(experiment: "Experiment", store: "ResultStore", jobs: int, report_folder: Path | None) -> bool:
+    """Runs one experiment and says what was seen; whether the scheduler kept the rules."""
     from rushmux.lab import run as runs
-    from rushmux.lab import variants
+    from rushmux.lab.variants import SourceError
 
     begun = time.monotonic()
     try:
-        found = runs.run(raw, store, jobs, told)
-    except variants.SourceError as fault:
-        raise click.ClickException(str(fault)) from fault
-    click.echo("\n".join(runs.said(raw, found)))
-    if report:
-        from rushmux.lab import report as reports
-
-        path = reports.write(raw, found, data / raw["name"])
+        results = runs.run(experiment, store, jobs, _show_progress)
+    except SourceError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo("\n".join(runs.summarize(experiment, results)))
+    if report_folder is not None:
+        from rushmux.lab import report
+
+        path = report.write(experiment, results, report_folder / experiment["name"])
         click.echo(f"{path} ({time.monotonic() - begun:.0f} s)")
-    ours = [
+    return _scheduler_kept_rules(experiment, results)
+
+
+def _scheduler_kept_rules(experiment: "Experiment", results: "Results") -> bool:
+    """Whether no variant of the scheduler broke a rule; baselines and changed texts may."""
+    names = [
         variant["name"]
-        for variant in raw["variants"]
+        for variant in experiment["variants"]
         if variant.get("decisions", "module") == "module" and not variant.get("without")
     ]
-    return any(not row["kept"] for name in ours for row in found[name].values() if "crashed" not in row)
+    days = [day for name in names for day in results[name].values()]
+    return all(day["kept"] for day in days if "crashed" not in day)
 
 
 @lab.command()
 @click.argument("experiment")
 @DATA
 @JOBS
-@click.option("--days", type=click.IntRange(1, 100_000), default=120, show_default=True)
+@click.option("--days", type=click.IntRange(1, MAX_DAYS), default=120, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--save", type=click.Path(), help="file for the worst day, shrunk to what matters")
-def search(experiment, data, jobs, days, seed, save):
+def search(experiment, *, data, jobs, days, seed, save):
     """Looks for the day on which the first variant serves worst, within the experiment's ranges."""
+    from rushmux.lab import saved_day
     from rushmux.lab import search as searches
 
-    raw = read(experiment)
-    worst = searches.search(raw, days, seed, jobs, told)
-    shrunk = searches.shrink(raw, worst, jobs, told)
-    for line in searches.said(worst, shrunk):
+    loaded = _load_experiment(experiment)
+    worst = searches.search(loaded, days, seed, jobs, _show_progress)
+    shrunk = searches.shrink(loaded, worst, jobs, _show_progress)
+    for line in searches.summarize(worst, shrunk):
         click.echo(line)
     if save:
-        searches.save(save, raw, shrunk)
+        saved_day.save(save, loaded, shrunk)
         click.echo(save)
 
 
@@ -127,14 +151,14 @@
 @click.argument("case", type=click.Path())
 def replay(case):
     """Plays a saved day again; exit 1 where it ends otherwise than it was saved, or a rule breaks."""
-    from rushmux.lab import search as searches
+    from rushmux.lab import saved_day
 
     try:
-        same, text = searches.replay(case)
-    except searches.BadCase as fault:
-        raise click.ClickException(str(fault)) from fault
-    click.echo(text)
-    sys.exit(0 if same else 1)
+        result = saved_day.replay(case)
+    except saved_day.SavedDayError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(result.text)
+    sys.exit(0 if result.passes else 1)
 
 
 @lab.command()
@@ -142,26 +166,23 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 def yardstick(experiment, seed):
     """How far each variant is from what full knowledge could serve on one day."""
-    from rushmux.lab import optimal_bound as yards
-    from rushmux.lab import run as runs
-    from rushmux.lab import spec, variants
-    from rushmux.lab.scheduler_simulation import speeds
-
-    raw = read(experiment)
-    bound = yards.bound(
-        *spec.day(raw, raw["variants"][0], seed), raw["seconds"], speeds(spec.fleet(raw), seed)
-    )
+    from rushmux.lab import variants
+    from rushmux.lab.day import draw_day
+    from rushmux.lab.fleet import draw_node_speeds
+    from rushmux.lab.optimal_bound import upper_bound
+    from rushmux.lab.run import simulate
+
+    loaded = _load_experiment(experiment)
+    day = draw_day(loaded, loaded["variants"][0], seed)
+    bound = upper_bound(day, loaded["seconds"], draw_node_speeds(day.fleet, seed))
     click.echo(f"at most {bound:.3f} of all operations could be served in time")
-    for variant in raw["variants"]:
-        row = runs.play(raw, variant, variants.source(variant), seed)
-        click.echo(
-            f"  {variant['name']:24} "
-            + (
-                f"{row['in_time']:.3f}, {row['in_time'] / bound:.3f} of that"
-                if "crashed" not in row
-                else row["crashed"]
-            )
-        )
+    for variant in loaded["variants"]:
+        result = simulate(loaded, variant, variants.source(variant), seed)
+        if "crashed" in result:
+            text = result["crashed"]
+        else:
+            text = f"{result['in_time']:.3f}, {result['in_time'] / bound:.3f} of that"
+        click.echo(f"  {variant['name']:24} {text}")
 
 
 @lab.command()
@@ -170,11 +191,12 @@
 @click.option("--out", type=click.Path(), required=True)
 def trace(experiment, seed, out):
     """Writes the arrivals of one day as a trace."""
-    from rushmux.lab import spec, workload
+    from rushmux.lab import trace as traces
+    from rushmux.lab.day import draw_day, draw_volumes
 
-    raw = read(experiment)
-    _, _, arrivals, _ = spec.day(raw, raw["variants"][0], seed)
-    workload.write_trace(out, spec.day_volumes(raw, seed), arrivals)
+    loaded = _load_experiment(experiment)
+    arrivals = draw_day(loaded, loaded["variants"][0], seed).arrivals
+    traces.write(out, draw_volumes(loaded, seed), arrivals)
     click.echo(f"{out}: {len(arrivals)} operations")
 
 
@@ -195,10 +217,10 @@
     """Drives running edges over sockets with an experiment's workload."""
     from rushmux.lab import load as loads
 
-    raw = read(experiment)
+    loaded = _load_experiment(experiment)
     try:
-        lines, good = loads.drive(raw, seed, seconds, edges, folders)
-    except (OSError, loads.NotServed) as fault:
-        raise click.ClickException(str(fault)) from fault
-    click.echo("\n".join(lines))
-    sys.exit(0 if good else 1)
+        result = loads.drive(loaded, seed, seconds, edges, folders)
+    except (OSError, loads.NotServedError) as error:
+        raise click.ClickException(str(error)) from error
+    click.echo("\n".join(result.lines))
+    sys.exit(0 if result.all_answered else 1)
--- a/rushmux/lab/__init__.py
+++ b/rushmux/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on emulated fleets: simulations, fault injection, workloads, comparisons and reports."""
--- /dev/null
+++ b/rushmux/lab/experiment.py
@@ -0,0 +1,150 @@
+"""The text of an experiment: reading it, checking it, and the experiments that its factors make of it.
+
+An experiment is kept as its JSON, checked against `experiment.schema.json` and with the defaults put in; the
+keys are those of the schema.
+"""
+
+import copy
+import json
+import re
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import jsonschema
+
+from rushmux.lab import day, faults, trace
+from rushmux.lab.errors import LabError
+from rushmux.lab.json_path import set_value
+from rushmux.settings.deployment import BadDeployment
+
+SCHEMA = json.loads(Path(__file__).with_name("experiment.schema.json").read_text())
+MAX_NAME = 60  # characters of the name of an expanded experiment
+
+Experiment = dict[str, Any]
+"""The JSON of a checked experiment."""
+Variant = dict[str, Any]
+"""One of an experiment's `variants`."""
+
+
+class ExperimentFault(NamedTuple):
+    """One thing that is wrong in the text of an experiment."""
+
+    place: str
+    """Where in the JSON, such as `/fleet/edges`."""
+    text: str
+
+
+class ExperimentError(LabError):
+    """A text that is no experiment.
+
+    Attributes:
+        source: The file, or the name of the experiment.
+        faults: Everything that is wrong.
+    """
+
+    def __init__(self, source: str | Path, faults: Sequence[ExperimentFault]):
+        super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
+        self.source, self.faults = source, list(faults)
+
+
+def load(path: str | Path) -> Experiment:
+    """Reads an experiment from a file.
+
+    Raises:
+        ExperimentError: The file cannot be read or is no experiment.
+    """
+    try:
+        raw = json.loads(Path(path).read_text())
+    except OSError as error:
+        raise ExperimentError(path, [ExperimentFault("/", f"cannot be read: {error.strerror}")]) from error
+    except ValueError as error:
+        raise ExperimentError(path, [ExperimentFault("/", f"is no JSON: {error}")]) from error
+    return check(raw, str(path))
+
+
+def check(raw: Any, source: str = "experiment") -> Experiment:
+    """The experiment with its defaults put in.
+
+    Raises:
+        ExperimentError: It is none; the error has all its faults.
+    """
+    found = _schema_faults(raw)
+    if found:
+        raise ExperimentError(source, found)
+    experiment = _with_defaults(raw)
+    found = _name_faults(experiment) + _fault_line_faults(experiment)
+    volumes: Sequence = ()
+    try:
+        volumes = day.draw_volumes(experiment, 0)
+    except (trace.TraceError, OSError) as error:
+        found.append(ExperimentFault("/trace", str(error)))
+    if volumes:
+        found += _variant_faults(experiment, volumes)
+    if found:
+        raise ExperimentError(source, found)
+    return experiment
+
+
+def _schema_faults(raw: Any) -> list[ExperimentFault]:
+    errors = jsonschema.Draft202012Validator(SCHEMA).iter_errors(raw)
+    return sorted(
+        ExperimentFault("/" + "/".join(map(str, error.absolute_path)), error.message) for error in errors
+    )
+
+
+def _with_defaults(raw: dict[str, Any]) -> Experiment:
+    experiment = copy.deepcopy(raw)
+    for name, part in SCHEMA["properties"].items():
+        if "default" in part:
+            experiment.setdefault(name, copy.deepcopy(part["default"]))
+        for inner, value in part.get("properties", {}).items():
+            if "default" in value:
+                experiment.setdefault(name, {}).setdefault(inner, value["default"])
+    return experiment
+
+
+def _name_faults(experiment: Experiment) -> list[ExperimentFault]:
+    names = [variant["name"] for variant in experiment["variants"]]
+    if len(set(names)) == len(names):
+        return []
+    return [ExperimentFault("/variants", f"two of one name: {', '.join(names)}")]
+
+
+def _fault_line_faults(experiment: Experiment) -> list[ExperimentFault]:
+    try:
+        faults.parse(experiment["troubles"])
+    except faults.FaultError as error:
+        return [ExperimentFault("/troubles", str(error))]
+    return []
+
+
+def _variant_faults(experiment: Experiment, volumes: Sequence) -> list[ExperimentFault]:
+    found = []
+    for number, variant in enumerate(experiment["variants"]):
+        try:
+            day.build_deployment(experiment, variant, volumes)
+        except (BadDeployment, KeyError, TypeError, IndexError) as error:
+            found.append(ExperimentFault(f"/variants/{number}", f"its deployment is none: {error}"))
+    return found
+
+
+def expand(experiment: Experiment) -> list[Experiment]:
+    """The experiments that the factors make of one: itself where it states none.
+
+    Raises:
+        ExperimentError: A factor has a value that the schema does not allow.
+    """
+    expanded = [experiment]
+    for path, values in experiment["factors"].items():
+        expanded = [_with_factor(one, path, value) for one in expanded for value in values]
+    return [check({**one, "factors": {}}, one["name"]) for one in expanded]
+
+
+def _with_factor(experiment: Experiment, path: str, value: Any) -> Experiment:
+    changed = copy.deepcopy(experiment)
+    set_value(changed, path, value)
+    key = path.rsplit("/", 1)[1]
+    suffix = re.sub("[^a-z0-9]+", "-", f"{key}-{value}".lower()).strip("-")
+    changed["name"] = f"{experiment['name']}-{suffix}"[:MAX_NAME]
+    return changed
--- a/rushmux/lab/faults.py
+++ b/rushmux/lab/faults.py
@@ -1,4 +1,4 @@
-"""The notation of troubles: lines with ranges, drawn to events by a seed.
+"""The notation of faults: lines with ranges, from which a seed draws events.
 
     KIND TARGET [size A..B] at A..B [for A..B]
 
@@ -8,157 +8,282 @@
 """
 
 import random
+from collections.abc import Iterable, Mapping, Sequence
+from enum import StrEnum
 from typing import NamedTuple
 
-MOST_LINES = 200
-# kind -> the targets it may have, and whether it has a size and a length
-KINDS = {
-    "silent": (("node", "nodes", "zone"), False, True),
-    "slow": (("node", "nodes", "zone"), True, True),  # times longer
-    "errors": (("node", "nodes", "zone"), True, True),  # part of the executions
-    "lost": (("node", "nodes", "zone"), True, True),  # part of the messages
-    "resets": (("node", "nodes", "zone"), False, False),
-    "neighbour": (("node", "nodes", "zone"), True, True),  # times longer, in and out every second
-    "restart": (("node", "nodes", "zone"), False, True),  # down for so long, then cold
-    "drain": (("node", "nodes", "zone"), True, False),  # one after the other, so many seconds apart
-    "cut": (("zone", "edge", "edges"), False, True),  # no connection to the others
-    "lag": (("lists",), True, True),  # seconds that changes come late
-    "reports": (("node", "nodes", "zone"), False, True),  # answers say nothing of others' use
-    "die": (("edge", "edges"), False, True),  # gone for so long, comes back with nothing
-    "still": (("edge", "edges"), False, True),  # stands still
-    "hurried": (("volume", "plan", "all"), True, True),  # hard stops as a part of what they are
-    "surge": (("volume", "plan", "all"), True, True),  # times the rate
-    "hot": (("volume", "plan", "all"), True, True),  # part of the accesses that go to one key
-    "scan": (("volume", "plan", "all"), True, True),  # times the size
+from rushmux.lab.errors import LabError
+
+MAX_LINES = 200
+MAX_NUMBER = 1e6  # numbers of a range are below it
+
+
+class FaultKind(StrEnum):
+    """What can go wrong; the values are the words of the notation."""
+
+    SILENT = "silent"
+    """Nodes take attempts and do not answer."""
+    SLOW = "slow"
+    """Work takes `size` times as long."""
+    ERRORS = "errors"
+    """`size` is the part of the attempts that fail."""
+    MESSAGE_LOSS = "lost"
+    """`size` is the part of the messages that get lost."""
+    CONNECTION_RESET = "resets"
+    NOISY_NEIGHBOUR = "neighbour"
+    """Work takes `size` times as long, on and off every second."""
+    NODE_RESTART = "restart"
+    """Nodes are down for the duration and come back in slow start."""
+    DRAIN = "drain"
+    """Nodes drain one after the other, `size` seconds apart."""
+    PARTITION = "cut"
+    """No connection to the rest of the fleet."""
+    DISCOVERY_LAG = "lag"
+    """Updates of the endpoint list come `size` seconds late."""
+    USAGE_REPORT_LOSS = "reports"
+    """Answers do not tell of the usage at other gateways."""
+    GATEWAY_CRASH = "die"
+    """Gateways are down for the duration and come back with no state."""
+    GATEWAY_PAUSE = "still"
+    """Gateways do not run for the duration."""
+    SHORT_DEADLINE = "hurried"
+    """Clients wait for `size` of the deadline."""
+    LOAD_SURGE = "surge"
+    """Rates are `size` times as high."""
+    HOT_KEY = "hot"
+    """`size` is the part of the accesses that go to one key."""
+    LARGE_OPERATIONS = "scan"
+    """Operations are `size` times as large."""
+
+
+class FaultSyntax(NamedTuple):
+    """What a line of a kind may and must state."""
+
+    targets: tuple[str, ...]
+    has_size: bool
+    has_duration: bool
+
+
+NODE_TARGETS = ("node", "nodes", "zone")
+GATEWAY_TARGETS = ("edge", "edges")
+VOLUME_TARGETS = ("volume", "plan", "all")
+SYNTAX = {
+    FaultKind.SILENT: FaultSyntax(NODE_TARGETS, False, True),
+    FaultKind.SLOW: FaultSyntax(NODE_TARGETS, True, True),
+    FaultKind.ERRORS: FaultSyntax(NODE_TARGETS, True, True),
+    FaultKind.MESSAGE_LOSS: FaultSyntax(NODE_TARGETS, True, True),
+    FaultKind.CONNECTION_RESET: FaultSyntax(NODE_TARGETS, False, False),
+    FaultKind.NOISY_NEIGHBOUR: FaultSyntax(NODE_TARGETS, True, True),
+    FaultKind.NODE_RESTART: FaultSyntax(NODE_TARGETS, False, True),
+    FaultKind.DRAIN: FaultSyntax(NODE_TARGETS, True, False),
+    FaultKind.PARTITION: FaultSyntax(("zone", *GATEWAY_TARGETS), False, True),
+    FaultKind.DISCOVERY_LAG: FaultSyntax(("lists",), True, True),
+    FaultKind.USAGE_REPORT_LOSS: FaultSyntax(NODE_TARGETS, False, True),
+    FaultKind.GATEWAY_CRASH: FaultSyntax(GATEWAY_TARGETS, False, True),
+    FaultKind.GATEWAY_PAUSE: FaultSyntax(GATEWAY_TARGETS, False, True),
+    FaultKind.SHORT_DEADLINE: FaultSyntax(VOLUME_TARGETS, True, True),
+    FaultKind.LOAD_SURGE: FaultSyntax(VOLUME_TARGETS, True, True),
+    FaultKind.HOT_KEY: FaultSyntax(VOLUME_TARGETS, True, True),
+    FaultKind.LARGE_OPERATIONS: FaultSyntax(VOLUME_TARGETS, True, True),
 }
+TARGETS_WITH_ARGUMENT = ("nodes", "edges", "plan")
+
 
+class FaultError(LabError):
+    """A line that is not in the notation, or too many lines.
 
-class BadTrouble(Exception):
-    """A line that is none; the text names it."""
+    Attributes:
+        place: Source and line, for the message.
+        reason: What is wrong there.
+    """
 
+    def __init__(self, place: str, reason: str):
+        super().__init__(f"{place}: {reason}")
+        self.place, self.reason = place, reason
 
-class Line(NamedTuple):
-    """One line: ranges as (least, most)."""
 
-    kind: str
-    target: str
-    which: str  # number, part or plan, "" where none is stated
-    size: tuple[float, float]
-    at: tuple[float, float]
-    seconds: tuple[float, float]
+class Range(NamedTuple):
+    """A range of numbers that a seed draws from."""
 
-    def text(self):
-        """The line in the notation."""
+    low: float
+    high: float
 
-        def stretch(pair):
-            return f"{pair[0]:g}" if pair[0] == pair[1] else f"{pair[0]:g}..{pair[1]:g}"
+    def __str__(self):
+        return f"{self.low:g}" if self.low == self.high else f"{self.low:g}..{self.high:g}"
 
-        words = [self.kind, self.target, *([self.which] if self.which else [])]
-        if KINDS[self.kind][1]:
-            words += ["size", stretch(self.size)]
-        words += ["at", stretch(self.at)]
-        if KINDS[self.kind][2]:
-            words += ["for", stretch(self.seconds)]
+
+class FaultLine(NamedTuple):
+    """One line of the notation."""
+
+    kind: FaultKind
+    target: str
+    target_argument: str
+    """Count, percentage or plan; "" where the target has none."""
+    size: Range
+    at: Range
+    """Seconds from the begin of the day."""
+    duration: Range
+    """Seconds."""
+
+    def text(self) -> str:
+        """The line in the notation."""
+        syntax = SYNTAX[self.kind]
+        words = [self.kind, self.target]
+        if self.target_argument:
+            words.append(self.target_argument)
+        if syntax.has_size:
+            words += ["size", str(self.size)]
+        words += ["at", str(self.at)]
+        if syntax.has_duration:
+            words += ["for", str(self.duration)]
         return " ".join(words)
 
 
-class Event(NamedTuple):
-    """What is drawn of a line: names of nodes or volumes, numbers of edges."""
+class FaultEvent(NamedTuple):
+    """What a seed drew from a line."""
 
     at: float
-    kind: str
+    """Seconds from the begin of the day."""
+    kind: FaultKind
     targets: tuple
+    """Names of nodes or volumes, numbers of gateways."""
     size: float
-    seconds: float
-
+    duration: float
+    """Seconds."""
 
-def _range(word):
-    least, _, most = word.partition("..")
-    pair = float(least), float(most or least)
-    if not 0 <= pair[0] <= pair[1] < 1e6:
-        raise ValueError(f"'{word}' is no range")
-    return pair
 
+def parse(lines: Sequence[str], source: str = "troubles") -> list[FaultLine]:
+    """Reads lines of the notation; comments and blank lines are skipped.
 
-def parse(lines, source="troubles") -> list[Line]:
-    """Lines of the notation; BadTrouble with the line and what is wrong in it."""
+    Raises:
+        FaultError: A line is not in the notation, or there are too many.
+    """
+    if len(lines) > MAX_LINES:
+        raise FaultError(source, f"{len(lines)} lines, at most {MAX_LINES}")
     found = []
-    if len(lines) > MOST_LINES:
-        raise BadTrouble(f"{source}: {len(lines)} lines, at most {MOST_LINES}")
     for number, text in enumerate(lines, 1):
         words = text.split("#")[0].split()
-        if not words:
-            continue
-        where = f"{source}, line {number}: {text.strip()}"
-        try:
-            kind, target, rest = words[0], words[1], words[2:]
-            if kind not in KINDS:
-                raise BadTrouble(f"{where}: there is no kind '{kind}'; there are {', '.join(KINDS)}")
-            targets, sized, lasts = KINDS[kind]
-            if target not in targets:
-                raise BadTrouble(f"{where}: '{kind}' is for {', '.join(targets)}")
-            which = ""
-            if target in ("nodes", "edges", "plan"):
-                which, rest = rest[0], rest[1:]
-                if target != "plan":
-                    float(which.rstrip("%"))
-            fields = dict(zip(rest[::2], rest[1::2]))
-            wanted = {"at", *(["size"] if sized else []), *(["for"] if lasts else [])}
-            if len(rest) % 2 or set(fields) != wanted:
-                raise BadTrouble(f"{where}: '{kind}' needs {', '.join(sorted(wanted))}, each once")
-            found.append(
-                Line(
-                    kind,
-                    target,
-                    which,
-                    _range(fields.get("size", "0")),
-                    _range(fields["at"]),
-                    _range(fields.get("for", "0")),
-                )
-            )
-        except (IndexError, ValueError) as fault:
-            raise BadTrouble(f"{where}: {fault}") from fault
+        if words:
+            found.append(_parse_line(words, f"{source}, line {number}: {text.strip()}"))
     return found
 
 
-def _chosen(line, chance, nodes, edges, volumes):
-    """The names that a line's target comes to.  `nodes`: name -> zone; `volumes`: name -> plan."""
-    if line.target == "lists":
-        return ("lists",)
-    if line.target == "all":
-        return tuple(volumes)
-    if line.target == "plan":
-        return tuple(name for name, plan in volumes.items() if plan == line.which)
-    if line.target == "zone":
-        zone = chance.choice(sorted(set(nodes.values())))
-        return tuple(name for name in nodes if nodes[name] == zone)
-    pool = {
-        "node": list(nodes),
-        "nodes": list(nodes),
-        "edge": list(edges),
-        "edges": list(edges),
-        "volume": list(volumes),
-    }[line.target]
-    count = 1
-    if line.which:
-        number = float(line.which.rstrip("%"))
-        count = round(number / 100 * len(pool)) if line.which.endswith("%") else int(number)
-    return tuple(chance.sample(pool, max(1, min(len(pool), count))))
-
-
-def draw(lines: list[Line], seed, nodes: dict, edges, volumes: dict) -> list[Event]:
-    """Events in the order of time.  Each line has a generator of its own: taking one away leaves the "
-    "others.
+def _parse_line(words: list[str], place: str) -> FaultLine:
+    try:
+        target, rest = words[1], words[2:]
+        kind = _parse_kind(words[0], target, place)
+        argument = ""
+        if target in TARGETS_WITH_ARGUMENT:
+            argument, rest = rest[0], rest[1:]
+            if target != "plan":
+                float(argument.rstrip("%"))
+        fields = _parse_fields(kind, rest, place)
+        return FaultLine(
+            kind,
+            target,
+            argument,
+            _parse_range(fields.get("size", "0")),
+            _parse_range(fields["at"]),
+            _parse_range(fields.get("for", "0")),
+        )
+    except (IndexError, ValueError) as error:
+        raise FaultError(place, str(error)) from error
+
+
+def _parse_kind(word: str, target: str, place: str) -> FaultKind:
+    """The kind that a word names, where it may have that target."""
+    if word not in SYNTAX:
+        raise FaultError(place, f"there is no kind '{word}'; there are {', '.join(SYNTAX)}")
+    kind = FaultKind(word)
+    targets = SYNTAX[kind].targets
+    if target not in targets:
+        raise FaultError(place, f"'{kind}' is for {', '.join(targets)}")
+    return kind
+
+
+def _parse_fields(kind: FaultKind, words: list[str], place: str) -> dict[str, str]:
+    syntax = SYNTAX[kind]
+    fields = dict(zip(words[::2], words[1::2], strict=False))
+    wanted = {"at"}
+    if syntax.has_size:
+        wanted.add("size")
+    if syntax.has_duration:
+        wanted.add("for")
+    if len(words) % 2 or set(fields) != wanted:
+        raise FaultError(place, f"'{kind}' needs {', '.join(sorted(wanted))}, each once")
+    return fields
+
+
+def _parse_range(word: str) -> Range:
+    low, _, high = word.partition("..")
+    parsed = Range(float(low), float(high or low))
+    if not 0 <= parsed.low <= parsed.high < MAX_NUMBER:
+        raise ValueError(f"'{word}' is no range")
+    return parsed
+
+
+def draw(
+    lines: Iterable[FaultLine],
+    seed: int,
+    nodes: Mapping[str, str],
+    gateways: Iterable[int],
+    volumes: Mapping[str, str],
+) -> list[FaultEvent]:
+    """Draws the events of a day in the order of time.
+
+    Each line has a generator of its own, so that taking one away leaves what the others draw.
+
+    Args:
+        lines: What may happen.
+        seed: The seed of the day.
+        nodes: The zone of each node.
+        gateways: Numbers of the gateways.
+        volumes: The plan of each volume.
     """
     events = []
     for line in lines:
-        chance = random.Random(f"{seed}/{line.text()}")
-        at, size, seconds = (chance.uniform(*pair) for pair in (line.at, line.size, line.seconds))
-        targets = _chosen(line, chance, nodes, edges, volumes)
-        if line.kind == "drain":
+        generator = random.Random(f"{seed}/{line.text()}")
+        at, size, duration = (generator.uniform(*span) for span in (line.at, line.size, line.duration))
+        targets = _draw_targets(line, generator, nodes, gateways, volumes)
+        if line.kind is FaultKind.DRAIN:
             events += [
-                Event(at + place * size, "drain", (name,), 0.0, 0.0) for place, name in enumerate(targets)
+                FaultEvent(at + position * size, FaultKind.DRAIN, (name,), 0.0, 0.0)
+                for position, name in enumerate(targets)
             ]
         else:
-            events.append(Event(at, line.kind, targets, size, seconds))
+            events.append(FaultEvent(at, line.kind, targets, size, duration))
     return sorted(events, key=lambda event: event.at)
+
+
+def _draw_targets(
+    line: FaultLine,
+    generator: random.Random,
+    nodes: Mapping[str, str],
+    gateways: Iterable[int],
+    volumes: Mapping[str, str],
+) -> tuple:
+    if line.target == "lists":
+        return ("lists",)
+    if line.target == "all":
+        return tuple(volumes)
+    if line.target == "plan":
+        return tuple(name for name, plan in volumes.items() if plan == line.target_argument)
+    if line.target == "zone":
+        zone = generator.choice(sorted(set(nodes.values())))
+        return tuple(name for name in nodes if nodes[name] == zone)
+    candidates = list(volumes)
+    if line.target in NODE_TARGETS:
+        candidates = list(nodes)
+    elif line.target in GATEWAY_TARGETS:
+        candidates = list(gateways)
+    count = _target_count(line.target_argument, len(candidates))
+    return tuple(generator.sample(candidates, count))
+
+
+def _target_count(argument: str, available: int) -> int:
+    """How many targets "3" or "20%" asks for, from one to all; "" asks for one."""
+    if not argument:
+        return 1
+    number = float(argument.rstrip("%"))
+    wanted = round(number / 100 * available) if argument.endswith("%") else int(number)
+    return max(1, min(available, wanted))
--- a/rushmux/lab/optimal_bound.py
+++ b/rushmux/lab/optimal_bound.py
@@ -1,103 +1,198 @@
-"""An upper bound on what any policy could serve in time on a day, from a flow with full knowledge.
-
-Time is cut into slots.  In each slot a node has its cores' seconds, at its speed then; an operation
-may be worked on in any slot between its arrival and the end of its quoted time, at the node that holds its
-data, or at any for a new object.  Whatever is unknown is taken in favour of the policy: sizes are rounded
-down to classes, a piece of data that was asked for before costs its cheaper part, put-off work costs
-nothing, operations may be cut in pieces over slots, messages take no time, and a cold node may be
-filled up to what it can do.  A solver (HiGHS, by scipy) does the rest.
+"""An upper bound on what any scheduler could serve in time on a day, from a flow with full knowledge.
+
+Time is cut into slots.  In each slot a node has its cores' seconds, at its speed then; an operation may
+be worked on in any slot between its arrival and the end of its latency objective, at the node that holds
+its data, or at any for a new object.  Whatever is unknown is taken in favour of the scheduler: sizes are
+rounded down to classes, a piece of data that was asked for before costs its cheaper part, deferred work
+costs nothing, operations may be cut in pieces over slots, messages take no time, and a node in slow start
+may be filled up to what it can do.  A solver (HiGHS, by scipy) maximises what is served.
 """
 
 from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 import numpy
 from scipy import sparse
 from scipy.optimize import linprog
 
+from rushmux.lab.day import Day
+from rushmux.lab.errors import LabError
+from rushmux.lab.faults import FaultEvent, FaultKind
+from rushmux.lab.fleet import Fleet, node_name
+from rushmux.lab.workload import Arrival
+from rushmux.scheduling.driver import TICKS_PER_SECOND
+from rushmux.scheduling.interface import RequestClass
+from rushmux.standins.service_model import Shape
+
 SLOT = 0.5  # seconds
-CLASSES = 1.3  # ratio of neighbouring size classes
-
-
-def _capacity(stood, events, seconds, speeds):
-    """Core-seconds of each node in each slot."""
-    count, machine = int(numpy.ceil(seconds / SLOT)) + 1, stood.machine
-    times = (numpy.arange(count) + 0.5) * SLOT
-    whole = {}
-    for cell in range(stood.nodes):
-        name, part = f"n{cell}", numpy.ones(count)
-        for event in events:
-            if name not in event.targets:
-                continue
-            # Only slots that lie wholly within a trouble count as in it.
-            inner = (times - SLOT / 2 >= event.at) & (times + SLOT / 2 <= event.at + event.seconds)
-            if event.kind in ("silent", "cut", "restart"):
-                part = numpy.where(inner, 0.0, part)
-            elif event.kind == "slow":
-                part = numpy.where(inner, part / max(1.0, event.size), part)
-            if event.kind == "restart":
-                begun = event.at + event.seconds
-                age = numpy.clip(times + SLOT / 2 - begun, 0, None)
-                cold = machine.cold_start + (1 - machine.cold_start) * age / machine.warm_within
-                part = numpy.where(times >= begun, numpy.minimum(part, numpy.minimum(1.0, cold)), part)
-        whole[cell] = part * stood.machine.cores * speeds[cell] * SLOT
-    return whole, count
-
-
-def bound(deployment, stood, arrivals, events, seconds, speeds=None) -> float:
-    """Part of all operations that could be served in time, at most.  `speeds`: of the machines by cell."""
-    speeds = speeds or dict.fromkeys(range(stood.nodes), stood.machine.speed)
-    whole, count = _capacity(stood, events, seconds + 5, speeds)
-    seen, groups = set(), defaultdict(int)
-    machine, settings = stood.machine, deployment.settings
+SIZE_CLASS_RATIO = 1.3  # of neighbouring size classes
+RUN_OUT = 5  # seconds after the day in which work may still be done
+COST_DIGITS = 6  # of core-seconds, so that equal costs are grouped
+DOWN_KINDS = (FaultKind.SILENT, FaultKind.PARTITION, FaultKind.NODE_RESTART)
+SOLVED = 0  # status of scipy's solver
+
+
+class SolverError(LabError):
+    """The solver gave no bound.
+
+    Attributes:
+        reason: What it said.
+    """
+
+    def __init__(self, reason: str):
+        super().__init__(f"the solver ended with: {reason}")
+        self.reason = reason
+
+
+class _OperationGroup(NamedTuple):
+    """Operations that are alike to the flow."""
+
+    first_slot: int
+    last_slot: int
+    cell: int
+    cost: float
+    """Core-seconds of each."""
+
+
+def _node_capacity(
+    cell: int, fleet: Fleet, speed: float, events: Iterable[FaultEvent], slot_count: int
+) -> numpy.ndarray:
+    """Core-seconds of a node in each slot."""
+    middles = (numpy.arange(slot_count) + 0.5) * SLOT
+    part = numpy.ones(slot_count)
+    for event in events:
+        if node_name(cell) in event.targets:
+            part = _under_fault(part, event, middles, fleet.machine)
+    return part * fleet.machine.cores * speed * SLOT
+
+
+def _under_fault(
+    part: numpy.ndarray, event: FaultEvent, middles: numpy.ndarray, machine: Shape
+) -> numpy.ndarray:
+    """What a fault leaves of a node's capacity in each slot."""
+    end = event.at + event.duration
+    # Only slots that lie wholly within a fault count as in it.
+    within = (middles - SLOT / 2 >= event.at) & (middles + SLOT / 2 <= end)
+    if event.kind in DOWN_KINDS:
+        part = numpy.where(within, 0.0, part)
+    elif event.kind is FaultKind.SLOW:
+        part = numpy.where(within, part / max(1.0, event.size), part)
+    if event.kind is FaultKind.NODE_RESTART:
+        age = numpy.clip(middles + SLOT / 2 - end, 0, None)
+        slow_start = machine.cold_start + (1 - machine.cold_start) * age / machine.warm_within
+        after = numpy.minimum(part, numpy.minimum(1.0, slow_start))
+        part = numpy.where(middles >= end, after, part)
+    return part
+
+
+def _group_operations(
+    arrivals: Iterable[Arrival],
+    machine: Shape,
+    request_classes: Mapping[str, RequestClass],
+    slot_count: int,
+) -> dict[_OperationGroup, int]:
+    """Counts the operations of each group."""
+    seen: set[str] = set()
+    groups: dict[_OperationGroup, int] = defaultdict(int)
     for arrival in arrivals:
-        cost = CLASSES ** numpy.floor(numpy.log(arrival.units) / numpy.log(CLASSES)) * machine.unit
-        if arrival.key:
-            cost *= (1 - machine.saved) if arrival.key in seen else 1.0
-            seen.add(arrival.key)
-        if arrival.cell < 0:
-            cost *= 1 - machine.put_off
-        last = int((arrival.at + settings.request_classes[arrival.lane].latency_objective / 10_000) / SLOT)
-        groups[int(arrival.at / SLOT), min(last, count - 1), arrival.cell, round(float(cost), 6)] += 1
-    rows, columns, values, gains, limits, most = [], [], [], [], [], []
-    place, constraint, cells = 0, 0, {}
-    for slot in range(count):
-        for cell in range(stood.nodes):
-            cells[slot, cell] = constraint
-            limits.append(whole[cell][slot])
-            constraint += 1
-    # A new object may go anywhere: all nodes together are one, which only helps the policy.
-    anywhere = {}
-    for slot in range(count):
-        anywhere[slot] = constraint
-        limits.append(sum(whole[cell][slot] for cell in range(stood.nodes)))
-        constraint += 1
-    for (first, last, cell, cost), number in groups.items():
-        for slot in range(first, last + 1):
-            if cell >= 0:
-                rows.append(cells[slot, cell])
-                columns.append(place)
-                values.append(cost)
-            rows.append(anywhere[slot])
-            columns.append(place)
-            values.append(cost)
-            rows.append(constraint)
-            columns.append(place)
-            values.append(1.0)
-            gains.append(-1.0)
-            most.append(number)
-            place += 1
-        limits.append(number)
-        constraint += 1
-    if not place:
-        return 1.0
-    matrix = sparse.csr_matrix((values, (rows, columns)), shape=(constraint, place))
-    solved = linprog(
-        numpy.array(gains),
-        A_ub=matrix,
-        b_ub=numpy.array(limits),
-        bounds=list(zip(numpy.zeros(place), most)),
-        method="highs",
-    )
-    if solved.status != 0:
-        raise ValueError(f"the solver ended with: {solved.message}")
-    return min(1.0, -solved.fun / len(arrivals))
+        objective = request_classes[arrival.request_class].latency_objective / TICKS_PER_SECOND
+        last_slot = min(int((arrival.at + objective) / SLOT), slot_count - 1)
+        cost = round(float(_least_cost(arrival, machine, seen)), COST_DIGITS)
+        groups[_OperationGroup(int(arrival.at / SLOT), last_slot, arrival.cell, cost)] += 1
+    return groups
+
+
+def _least_cost(arrival: Arrival, machine: Shape, seen: set[str]) -> float:
+    """Core-seconds of an operation at speed 1, at least.  `seen`: keys that were asked for before."""
+    size_class = numpy.floor(numpy.log(arrival.units) / numpy.log(SIZE_CLASS_RATIO))
+    cost = SIZE_CLASS_RATIO**size_class * machine.unit
+    if arrival.key:
+        cost *= (1 - machine.saved) if arrival.key in seen else 1.0
+        seen.add(arrival.key)
+    if arrival.is_write:
+        cost *= 1 - machine.put_off
+    return cost
+
+
+class _LinearProgram:
+    """Variables are operations of a group worked on in a slot; constraints are capacities and counts."""
+
+    def __init__(self, capacities: Sequence[numpy.ndarray], slot_count: int):
+        self.rows: list[int] = []
+        self.columns: list[int] = []
+        self.coefficients: list[float] = []
+        self.limits: list[float] = []
+        self.upper_bounds: list[int] = []
+        self.cell_rows = {
+            (slot, cell): self._add_constraint(capacity[slot])
+            for slot in range(slot_count)
+            for cell, capacity in enumerate(capacities)
+        }
+        # A new object may go anywhere: all nodes together are one, which only helps the scheduler.
+        self.fleet_rows = [
+            self._add_constraint(sum(capacity[slot] for capacity in capacities)) for slot in range(slot_count)
+        ]
+
+    def _add_constraint(self, limit: float) -> int:
+        self.limits.append(limit)
+        return len(self.limits) - 1
+
+    def _add_coefficient(self, row: int, column: int, value: float) -> None:
+        self.rows.append(row)
+        self.columns.append(column)
+        self.coefficients.append(value)
+
+    def add_group(self, group: _OperationGroup, count: int) -> None:
+        """Adds the operations of a group: each may be done in any of its slots, and once."""
+        count_row = self._add_constraint(count)
+        for slot in range(group.first_slot, group.last_slot + 1):
+            column = len(self.upper_bounds)
+            self.upper_bounds.append(count)
+            if group.cell >= 0:
+                self._add_coefficient(self.cell_rows[slot, group.cell], column, group.cost)
+            self._add_coefficient(self.fleet_rows[slot], column, group.cost)
+            self._add_coefficient(count_row, column, 1.0)
+
+    def solve(self) -> float:
+        """The most operations that can be done; infinity where there are none to do."""
+        variable_count = len(self.upper_bounds)
+        if not variable_count:
+            return float("inf")
+        shape = (len(self.limits), variable_count)
+        matrix = sparse.csr_matrix((self.coefficients, (self.rows, self.columns)), shape=shape)
+        solved = linprog(
+            -numpy.ones(variable_count),
+            A_ub=matrix,
+            b_ub=numpy.array(self.limits),
+            bounds=[(0.0, upper) for upper in self.upper_bounds],
+            method="highs",
+        )
+        if solved.status != SOLVED:
+            raise SolverError(solved.message)
+        return -solved.fun
+
+
+def upper_bound(day: Day, seconds: float, speeds: Mapping[int, float] | None = None) -> float:
+    """Part of all operations that could be served in time, at most.
+
+    Args:
+        day: The day.
+        seconds: Its length.
+        speeds: Of the machines by cell; None: all have the one that the fleet states.
+
+    Raises:
+        SolverError: The solver gave no bound.
+    """
+    fleet = day.fleet
+    speeds = speeds or dict.fromkeys(range(fleet.node_count), fleet.machine.speed)
+    slot_count = int(numpy.ceil((seconds + RUN_OUT) / SLOT)) + 1
+    capacities = [
+        _node_capacity(cell, fleet, speeds[cell], day.events, slot_count) for cell in range(fleet.node_count)
+    ]
+    program = _LinearProgram(capacities, slot_count)
+    request_classes = day.deployment.settings.request_classes
+    groups = _group_operations(day.arrivals, fleet.machine, request_classes, slot_count)
+    for group, count in groups.items():
+        program.add_group(group, count)
+    return min(1.0, program.solve() / max(1, len(day.arrivals)))
--- a/rushmux/lab/run.py
+++ b/rushmux/lab/run.py
@@ -1,109 +1,172 @@
-"""Plays experiments: variants by seeds over the machine's cores, kept as they come, stopped when clear."""
+"""Runs experiments: variants by seeds over the cores, stored as they end, until the differences are clear."""
 
 import subprocess
 import traceback
-from concurrent.futures import ProcessPoolExecutor, as_completed
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future, ProcessPoolExecutor, as_completed
+from typing import NamedTuple
 
-from rushmux.lab import compare, outcome, spec
-from rushmux.lab.scheduler_simulation import World
-from rushmux.lab.store import Store, digest
+from rushmux.lab import compare
+from rushmux.lab.day import draw_day
+from rushmux.lab.experiment import Experiment, Variant
+from rushmux.lab.measurements import MEASURES, DayResult, measure
+from rushmux.lab.result_store import ResultKey, ResultStore, experiment_digest
+from rushmux.lab.scheduler_simulation import SchedulerSimulation
 from rushmux.lab.variants import ROOT, SchedulerSource, scheduler_type, source
 
+MAX_CRASHES = 3  # of a variant that the text tells
+TRACEBACK_FRAMES, TRACEBACK_LINES = 3, 4  # that the result of a crash holds
+STOP_MEASURE = "in_time"  # the measure whose intervals decide when an experiment ends
 
-def play(raw: dict, variant: dict, text: SchedulerSource, seed: int) -> dict:
-    """One day; a variant that crashes gives its fault in place of numbers."""
+Results = dict[str, dict[int, DayResult]]
+"""The result of each seed, by variant."""
+
+
+class _Run(NamedTuple):
+    """One day to simulate."""
+
+    variant: Variant
+    key: ResultKey
+
+
+def simulate(
+    experiment: Experiment, variant: Variant, scheduler_source: SchedulerSource, seed: int
+) -> DayResult:
+    """Simulates one day; a variant that crashes gives its exception in place of numbers."""
     try:
-        built, stood, arrivals, events = spec.day(raw, variant, seed)
-        world = World(built, stood, seed, scheduler_type(variant, text))
-        world.play(arrivals, events, raw["seconds"])
-        return outcome.measured(world, raw["seconds"])
-    except Exception as fault:  # pylint: disable=broad-except
+        day = draw_day(experiment, variant, seed)
+        make_scheduler = scheduler_type(variant, scheduler_source)
+        simulation = SchedulerSimulation(day.deployment, day.fleet, seed, make_scheduler)
+        simulation.run(day.arrivals, day.events, experiment["seconds"])
+        return measure(simulation, experiment["seconds"])
+    except Exception as error:
+        # A variant may be any change of the scheduler: whatever it raises is its result.
         return {
-            "crashed": f"{type(fault).__name__}: {fault}",
-            "where": traceback.format_exc(limit=-3).splitlines()[-4:],
+            "crashed": f"{type(error).__name__}: {error}",
+            "where": traceback.format_exc(limit=-TRACEBACK_FRAMES).splitlines()[-TRACEBACK_LINES:],
         }
 
 
-def revision() -> str:
-    found = subprocess.run(
-        ["git", "-C", str(ROOT), "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False
-    )
+def current_revision() -> str:
+    """The short hash of the commit that is checked out, "unknown" without a repository."""
+    command = ["git", "-C", str(ROOT), "rev-parse", "--short", "HEAD"]
+    found = subprocess.run(command, capture_output=True, text=True, check=False)
     return found.stdout.strip() or "unknown"
 
 
-def run(raw: dict, store: Store, jobs: int, progress=lambda text: None) -> dict:
-    """Plays an experiment until it is clear or its seeds are used up; variant -> seed -> outcome.
+class ExperimentRunner:
+    """Runs one experiment.
 
-    Seeds that the store has are not played again.  The order in which days end changes nothing: what
-    is decided at a batch of seeds is decided when all of it is there.
+    Attributes:
+        results: Of the days that are done.
     """
-    texts = {variant["name"]: source(variant) for variant in raw["variants"]}
-    marks = {name: text.mark() for name, text in texts.items()}
-    found = {variant["name"]: {} for variant in raw["variants"]}
-    seeds, at = raw["seeds"], revision()
-    first, last = seeds["first"], seeds["first"] + max(seeds["least"], seeds["most"])
-    batch = list(range(first, first + seeds["least"]))
-    with ProcessPoolExecutor(jobs) as pool:
-        while batch:
-            waiting = {}
-            for seed in batch:
-                for variant in raw["variants"]:
-                    name = variant["name"]
-                    kept = store.get(digest(raw, variant), marks[name], seed)
-                    if kept is not None and "crashed" not in kept:
-                        found[name][seed] = kept
-                    else:
-                        waiting[pool.submit(play, raw, variant, texts[name], seed)] = variant, seed
-            done = 0
-            for future in as_completed(waiting):
-                variant, seed = waiting[future]
-                result = future.result()
-                store.put(digest(raw, variant), marks[variant["name"]], seed, variant["name"], at, result)
-                found[variant["name"]][seed] = result
-                done += 1
-                progress(
-                    f"{raw['name']}: seed {seed} of {variant['name']}, {done} of {len(waiting)} in this batch"
-                )
-            good = whole(found)
-            if compare.narrow(good, "in_time", seeds["narrow"]) or len(good) < 2:
-                break
-            begin = batch[-1] + 1
-            batch = list(range(begin, min(last, begin + max(2, seeds["least"] // 2))))
-    return {name: dict(sorted(rows.items())) for name, rows in found.items()}
-
-
-def whole(found: dict) -> dict:
-    """The outcomes without what crashed."""
+
+    def __init__(self, experiment: Experiment, store: ResultStore, on_progress: Callable[[str], None]):
+        self.experiment, self.store, self.on_progress = experiment, store, on_progress
+        self.variants: Sequence[Variant] = experiment["variants"]
+        self.sources = {variant["name"]: source(variant) for variant in self.variants}
+        self.results: Results = {variant["name"]: {} for variant in self.variants}
+        self.revision = current_revision()
+
+    def run(self, jobs: int) -> Results:
+        """Runs batches of seeds until the differences are clear or the seeds are used up."""
+        seeds = self.experiment["seeds"]
+        end = seeds["first"] + max(seeds["least"], seeds["most"])
+        batch = range(seeds["first"], seeds["first"] + seeds["least"])
+        with ProcessPoolExecutor(jobs) as pool:
+            while batch:
+                self._run_batch(pool, batch)
+                if self._is_clear():
+                    break
+                begin = batch[-1] + 1
+                batch = range(begin, min(end, begin + max(2, seeds["least"] // 2)))
+        return {name: dict(sorted(days.items())) for name, days in self.results.items()}
+
+    def _is_clear(self) -> bool:
+        completed = without_crashes(self.results)
+        if len(completed) < compare.MIN_VARIANTS:
+            return True
+        return compare.is_narrow(completed, STOP_MEASURE, self.experiment["seeds"]["narrow"])
+
+    def _run_batch(self, pool: ProcessPoolExecutor, seeds: Sequence[int]) -> None:
+        """Takes what the store has of a batch, and simulates the rest."""
+        pending: dict[Future, _Run] = {}
+        for seed in seeds:
+            for variant in self.variants:
+                key = self._key(variant, seed)
+                stored = self.store.get(key)
+                if stored is not None and "crashed" not in stored:
+                    self.results[variant["name"]][seed] = stored
+                else:
+                    scheduler_source = self.sources[variant["name"]]
+                    future = pool.submit(simulate, self.experiment, variant, scheduler_source, seed)
+                    pending[future] = _Run(variant, key)
+        self._collect(pending)
+
+    def _collect(self, pending: dict[Future, _Run]) -> None:
+        for done, future in enumerate(as_completed(pending), 1):
+            variant, key = pending[future]
+            name, result = variant["name"], future.result()
+            self.store.put(key, name, self.revision, result)
+            self.results[name][key.seed] = result
+            self.on_progress(
+                f"{self.experiment['name']}: seed {key.seed} of {name}, "
+                f"{done} of {len(pending)} in this batch"
+            )
+
+    def _key(self, variant: Variant, seed: int) -> ResultKey:
+        digest = experiment_digest(self.experiment, variant)
+        return ResultKey(digest, self.sources[variant["name"]].mark(), seed)
+
+
+def run(
+    experiment: Experiment,
+    store: ResultStore,
+    jobs: int,
+    on_progress: Callable[[str], None] = lambda text: None,
+) -> Results:
+    """Runs an experiment until it is clear or its seeds are used up.
+
+    Seeds that the store has are not run again.  The order in which days end changes nothing: what is
+    decided at a batch of seeds is decided when all of it is there.
+
+    Raises:
+        SourceError: The scheduler of a variant is not there.
+    """
+    return ExperimentRunner(experiment, store, on_progress).run(jobs)
+
+
+def without_crashes(results: Results) -> Results:
+    """The results of the days that did not crash, of the variants that have any."""
     return {
-        name: {seed: row for seed, row in rows.items() if "crashed" not in row}
-        for name, rows in found.items()
-        if any("crashed" not in row for row in rows.values())
+        name: {seed: day for seed, day in days.items() if "crashed" not in day}
+        for name, days in results.items()
+        if any("crashed" not in day for day in days.values())
     }
 
 
-def said(raw, found) -> list[str]:
-    """The plain text of an experiment's result."""
-    lines = [f"{raw['name']}: {raw['question']}" if raw["question"] else raw["name"]]
-    for name, rows in found.items():
-        crashed = [f"seed {seed}: {row['crashed']}" for seed, row in rows.items() if "crashed" in row]
-        good = [row for row in rows.values() if "crashed" not in row]
-        broken = sum(not row["kept"] for row in good)
-        values = (
-            " ".join(
-                f"{measure} {sum(row[measure] for row in good) / len(good):.3f}"
-                for measure in outcome.MEASURES
-            )
-            if good
-            else "nothing played"
-        )
-        lines.append(
-            f"  {name:24} {len(good):3} days  {values}  "
-            + ("rules kept" if not broken else f"RULES BROKEN on {broken} days")
-        )
-        lines += [f"    crashed: {text}" for text in crashed[:3]]
-    for row in compare.differences(whole(found), outcome.MEASURES):
+def summarize(experiment: Experiment, results: Results) -> list[str]:
+    """The results of an experiment as plain text."""
+    name, question = experiment["name"], experiment["question"]
+    lines = [f"{name}: {question}" if question else name]
+    for variant, days in results.items():
+        lines += _summarize_variant(variant, days)
+    for row in compare.differences(without_crashes(results), MEASURES):
         lines.append(
             f"  {row.variant:24} {row.measure:9} {row.mean:+.4f} [{row.low:+.4f}, {row.high:+.4f}] "
-            f"p {row.chance:.3f} over {row.pairs} seeds: {row.says}"
+            f"p {row.p_value:.3f} over {row.pairs} seeds: {row.conclusion}"
         )
     return lines
+
+
+def _summarize_variant(variant: str, days: dict[int, DayResult]) -> list[str]:
+    crashes = [f"seed {seed}: {day['crashed']}" for seed, day in days.items() if "crashed" in day]
+    completed = [day for day in days.values() if "crashed" not in day]
+    broken = sum(not day["kept"] for day in completed)
+    values = "nothing played"
+    if completed:
+        means = {name: sum(day[name] for day in completed) / len(completed) for name in MEASURES}
+        values = " ".join(f"{name} {mean:.3f}" for name, mean in means.items())
+    rules = f"RULES BROKEN on {broken} days" if broken else "rules kept"
+    line = f"  {variant:24} {len(completed):3} days  {values}  {rules}"
+    return [line, *(f"    crashed: {text}" for text in crashes[:MAX_CRASHES])]
--- a/rushmux/lab/search.py
+++ b/rushmux/lab/search.py
@@ -1,236 +1,257 @@
-"""Looks for the worst day within an experiment's ranges, shrinks it to what matters, and saves it.
+"""Looks for the worst day within an experiment's ranges, and shrinks it to the faults that matter.
 
-A day is a seed (arrivals, machines, and what the lines of troubles draw) and lines of its own.  The
-search is an annealer over both: it changes a number within a line's range, takes a line in or out, or takes
-another seed, and goes on from the worse of two days mostly.  Weighed: a bandit over kinds of trouble finds
-the worst kind, not how kinds meet; a library's optimiser (scipy's dual annealing) wants a box of
+A day is a seed (arrivals, machines, and what fault lines draw) and fault lines of its own.  The search is
+simulated annealing over both: it changes a number within a line's range, takes a line in or out, or takes
+another seed, and goes on from the worse of two days mostly.  Considered: a bandit over kinds of faults
+finds the worst kind, not how kinds meet; a library's optimiser (scipy's dual annealing) wants a box of
 numbers of one length, and lines come and go.
 """
 
-import json
 import random
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from rushmux.lab import faults, run, spec, variants
+from rushmux.lab import faults, variants
+from rushmux.lab.experiment import Experiment, Variant
+from rushmux.lab.faults import FaultLine, Range
+from rushmux.lab.run import simulate
+from rushmux.lab.variants import SchedulerSource
 
-FORMAT = 1
-WARM, COOL = 0.05, 0.002  # differences in the service that are taken with even chance, first and last
-SPARE = 0.02  # of the service: what a shrunk day may be better than the whole one
-MOST_LINES = 12
+INITIAL_TEMPERATURE, FINAL_TEMPERATURE = 0.05, 0.002  # part served more that is accepted with even chance
+SHRINK_TOLERANCE = 0.02  # part served that a shrunk day may be better than the whole one
+MAX_LINES = 12  # of a day
+MAX_INITIAL_LINES = 3
+MAX_CHAINS, MIN_DAYS_PER_CHAIN = 8, 4
+MAX_SEED = 1 << 30
+BROKEN_RULE_BADNESS = -1.0  # a day with a broken rule is worse than any without
+RANGE_FIELDS = ("size", "at", "duration")
+NUMBER_DIGITS = 2  # of the numbers drawn from ranges
+# Chances of the moves; what is left changes a number of a line.
+NEW_SEED, ADD_LINE, REMOVE_LINE = 0.15, 0.4, 0.55
+KEPT_FIELDS = (
+    "in_time",
+    "worth",
+    "worst",
+    "entitled",
+    "fair",
+    "p99_ms",
+    "ends",
+    "plans",
+    "lanes",
+    "rules",
+)
 
+OnProgress = Callable[[str], None]
 
-class BadCase(Exception):
-    """A file that is no saved day; the text says why."""
 
+class Candidate(NamedTuple):
+    """A day that may be simulated."""
+
+    seed: int
+    lines: tuple[str, ...]
+    """Its faults in the notation."""
 
-class Day(NamedTuple):
-    """A day that was played: how much was served in time, and the rules that broke."""
+
+class SimulatedDay(NamedTuple):
+    """A day that was simulated: how much was served in time, and the rules that broke."""
 
     seed: int
     lines: tuple[str, ...]
     served: float
     broken: tuple[str, ...]
-    outcome: dict
+    result: dict[str, Any]
+    """`KEPT_FIELDS` of its `DayResult`."""
 
     @property
-    def badness(self):
-        return (-1.0 if self.broken else 0.0) + self.served
-
-
-def played(raw, variant, text, seed, lines) -> Day:
-    """Plays one day with these lines."""
-    row = run.play({**raw, "troubles": list(lines)}, variant, text, seed)
-    if "crashed" in row:
-        return Day(seed, tuple(lines), 0.0, (f"crashed: {row['crashed']}",), row)
-    broken = tuple(rule for rule, (_, _, breaches) in row["rules"].items() if breaches)
-    return Day(
-        seed,
-        tuple(lines),
-        row["in_time"],
-        broken,
-        {
-            name: row[name]
-            for name in (
-                "in_time",
-                "worth",
-                "worst",
-                "entitled",
-                "fair",
-                "p99_ms",
-                "ends",
-                "plans",
-                "lanes",
-                "rules",
-            )
-        },
-    )
-
-
-def _point(line, chance):
-    """A line with one number of each of its ranges."""
-    return line._replace(
-        **{
-            name: (value, value)
-            for name in ("size", "at", "seconds")
-            for value in [round(chance.uniform(*getattr(line, name)), 2)]
-        }
-    )
-
-
-def changed(day, ranges, chance) -> tuple[int, tuple[str, ...]]:
-    """Another day near a day: (seed, lines)."""
-    lines, move = list(day.lines), chance.random()
-    if move < 0.15 or not ranges:
-        return chance.randrange(1 << 30), tuple(lines)
-    # Each line of the ranges stands for one trouble: none is met twice in a day.
-    met = {(line.kind, line.target, line.which) for line in faults.parse(lines)}
-    free = [line for line in ranges if (line.kind, line.target, line.which) not in met]
-    if (move < 0.4 or not lines) and free and len(lines) < MOST_LINES:
-        lines.append(_point(chance.choice(free), chance).text())
-    elif move < 0.55 and len(lines) > 1:
-        lines.pop(chance.randrange(len(lines)))
-    else:
-        place = chance.randrange(len(lines))
-        kind = faults.parse([lines[place]])[0]
-        same = [
-            line
-            for line in ranges
-            if (line.kind, line.target, line.which) == (kind.kind, kind.target, kind.which)
-        ] or ranges
-        fresh = _point(chance.choice(same), chance)
-        name = chance.choice(("size", "at", "seconds"))
-        lines[place] = kind._replace(**{name: getattr(fresh, name)}).text()
-    return day.seed, tuple(lines)
-
-
-def search(raw: dict, days: int, seed: int, jobs: int, progress=lambda text: None) -> Day:
-    """The worst day of so many; the same seed and number of jobs find the same one."""
-    variant, chance = raw["variants"][0], random.Random(seed)
-    text, ranges = variants.source(variant), faults.parse(raw["troubles"])
-    chains = min(jobs, max(1, days // 4), 8)
-    with ProcessPoolExecutor(jobs) as pool:
+    def score(self) -> float:
+        """What the search makes small."""
+        return (BROKEN_RULE_BADNESS if self.broken else 0.0) + self.served
+
+
+def simulate_day(
+    experiment: Experiment,
+    variant: Variant,
+    scheduler_source: SchedulerSource,
+    candidate: Candidate,
+) -> SimulatedDay:
+    """Simulates a day of an experiment with other faults."""
+    seed, lines = candidate
+    changed = {**experiment, "troubles": list(lines)}
+    result = simulate(changed, variant, scheduler_source, seed)
+    if "crashed" in result:
+        return SimulatedDay(seed, lines, 0.0, (f"crashed: {result['crashed']}",), dict(result))
+    broken = tuple(rule for rule, (_, _, breaches) in result["rules"].items() if breaches)
+    kept = {name: result[name] for name in KEPT_FIELDS}
+    return SimulatedDay(seed, lines, result["in_time"], broken, kept)
+
+
+class _DaySimulator:
+    """Simulates candidates of an experiment's first variant on several cores."""
 
-        def play(many):
-            return list(
-                pool.map(
-                    played,
-                    [raw] * len(many),
-                    [variant] * len(many),
-                    [text] * len(many),
-                    [one for one, _ in many],
-                    [lines for _, lines in many],
-                )
+    def __init__(self, experiment: Experiment, pool: ProcessPoolExecutor):
+        self.experiment, self.pool = experiment, pool
+        self.variant = experiment["variants"][0]
+        self.scheduler_source = variants.source(self.variant)
+
+    def simulate(self, candidates: Sequence[Candidate]) -> list[SimulatedDay]:
+        """Simulates days; the results are in the order of the candidates."""
+        count = len(candidates)
+        return list(
+            self.pool.map(
+                simulate_day,
+                [self.experiment] * count,
+                [self.variant] * count,
+                [self.scheduler_source] * count,
+                candidates,
             )
+        )
+
+
+class Neighbourhood:
+    """Draws days that are near a day."""
+
+    def __init__(self, ranges: Sequence[FaultLine], generator: random.Random):
+        self.ranges, self.generator = ranges, generator
+
+    def initial_candidate(self) -> Candidate:
+        """A day with a few lines."""
+        count = min(len(self.ranges), 1 + self.generator.randrange(MAX_INITIAL_LINES))
+        lines = self.generator.sample(self.ranges, count)
+        seed = self.generator.randrange(MAX_SEED)
+        return Candidate(seed, tuple(self._draw_point(line).text() for line in lines))
+
+    def neighbour(self, day: SimulatedDay) -> Candidate:
+        """Another day near a day."""
+        lines, move = list(day.lines), self.generator.random()
+        if move < NEW_SEED or not self.ranges:
+            return Candidate(self.generator.randrange(MAX_SEED), tuple(lines))
+        unused = self._unused_ranges(lines)
+        if (move < ADD_LINE or not lines) and unused and len(lines) < MAX_LINES:
+            lines.append(self._draw_point(self.generator.choice(unused)).text())
+        elif move < REMOVE_LINE and len(lines) > 1:
+            lines.pop(self.generator.randrange(len(lines)))
+        else:
+            place = self.generator.randrange(len(lines))
+            lines[place] = self._with_another_number(lines[place])
+        return Candidate(day.seed, tuple(lines))
+
+    def _unused_ranges(self, lines: Sequence[str]) -> list[FaultLine]:
+        """Each line of the ranges stands for one fault: none comes twice in a day."""
+        used = {_fault_key(line) for line in faults.parse(lines)}
+        return [line for line in self.ranges if _fault_key(line) not in used]
+
+    def _draw_point(self, line: FaultLine) -> FaultLine:
+        """A line with one number of each of its ranges."""
+        numbers = {name: self._draw_number(getattr(line, name)) for name in RANGE_FIELDS}
+        return line._replace(**numbers)
+
+    def _draw_number(self, span: Range) -> Range:
+        number = round(self.generator.uniform(*span), NUMBER_DIGITS)
+        return Range(number, number)
 
-        begun = []
-        for _ in range(chains):
-            some = chance.sample(ranges, min(len(ranges), 1 + chance.randrange(3)))
-            begun.append((chance.randrange(1 << 30), tuple(_point(line, chance).text() for line in some)))
-        current = play(begun)
-        worst, count = min(current, key=lambda day: day.badness), chains
+    def _with_another_number(self, text: str) -> str:
+        (line,) = faults.parse([text])
+        same = [one for one in self.ranges if _fault_key(one) == _fault_key(line)]
+        drawn = self._draw_point(self.generator.choice(same or self.ranges))
+        name = self.generator.choice(RANGE_FIELDS)
+        return line._replace(**{name: getattr(drawn, name)}).text()
+
+
+def _fault_key(line: FaultLine) -> tuple[str, str, str]:
+    return line.kind, line.target, line.target_argument
+
+
+def search(
+    experiment: Experiment,
+    days: int,
+    seed: int,
+    jobs: int,
+    on_progress: OnProgress = lambda text: None,
+) -> SimulatedDay:
+    """The worst day of so many; the same seed and number of jobs find the same one."""
+    generator = random.Random(seed)
+    neighbourhood = Neighbourhood(faults.parse(experiment["troubles"]), generator)
+    chains = min(jobs, max(1, days // MIN_DAYS_PER_CHAIN), MAX_CHAINS)
+    with ProcessPoolExecutor(jobs) as pool:
+        simulator = _DaySimulator(experiment, pool)
+        current = simulator.simulate([neighbourhood.initial_candidate() for _ in range(chains)])
+        worst, count = _worst(current), chains
         rounds = max(1, (days - chains) // chains)
         for number in range(rounds):
-            heat = WARM * (COOL / WARM) ** (number / rounds)
-            tried = play([changed(day, ranges, chance) for day in current])
-            for place, day in enumerate(tried):
-                worse_by = current[place].badness - day.badness
-                if worse_by >= 0 or chance.random() < 0.5 ** (-worse_by / heat):
-                    current[place] = day
-            worst = min([worst, *tried], key=lambda day: day.badness)
+            temperature = _temperature(number / rounds)
+            tried = simulator.simulate([neighbourhood.neighbour(day) for day in current])
+            current = [
+                new if _accepts(old, new, temperature, generator) else old
+                for old, new in zip(current, tried, strict=True)
+            ]
+            worst = _worst([worst, *tried])
             count += chains
-            progress(
-                f"{count} of {days} days, worst {worst.served:.3f}"
-                + (f", broken: {', '.join(worst.broken)}" if worst.broken else "")
-            )
+            on_progress(_describe_progress(count, days, worst))
     return worst
 
 
-def shrink(raw: dict, day: Day, jobs: int, progress=lambda text: None) -> Day:
+def _temperature(done: float) -> float:
+    """Falls from the initial to the final one; `done`: part of the rounds."""
+    return INITIAL_TEMPERATURE * (FINAL_TEMPERATURE / INITIAL_TEMPERATURE) ** done
+
+
+def _accepts(old: SimulatedDay, new: SimulatedDay, temperature: float, generator: random.Random) -> bool:
+    """Whether a chain goes on from the new day: always where that is worse, else by chance."""
+    worse_by = old.score - new.score
+    return worse_by >= 0 or generator.random() < 0.5 ** (-worse_by / temperature)
+
+
+def _worst(days: Iterable[SimulatedDay]) -> SimulatedDay:
+    return min(days, key=lambda day: day.score)
+
+
+def _describe_progress(count: int, days: int, worst: SimulatedDay) -> str:
+    broken = f", broken: {', '.join(worst.broken)}" if worst.broken else ""
+    return f"{count} of {days} days, worst {worst.served:.3f}{broken}"
+
+
+def shrink(
+    experiment: Experiment,
+    day: SimulatedDay,
+    jobs: int,
+    on_progress: OnProgress = lambda text: None,
+) -> SimulatedDay:
     """The day without the lines that it is as bad without."""
-    variant = raw["variants"][0]
-    text = variants.source(variant)
     with ProcessPoolExecutor(jobs) as pool:
+        simulator = _DaySimulator(experiment, pool)
         while len(day.lines) > 1:
-            fewer = [day.lines[:place] + day.lines[place + 1 :] for place in range(len(day.lines))]
-            tried = list(
-                pool.map(
-                    played,
-                    [raw] * len(fewer),
-                    [variant] * len(fewer),
-                    [text] * len(fewer),
-                    [day.seed] * len(fewer),
-                    fewer,
-                )
-            )
-            fit = [one for one in tried if one.badness <= day.badness + SPARE]
-            if not fit:
+            tried = simulator.simulate(list(_without_one_line(day)))
+            as_bad = [one for one in tried if one.score <= day.score + SHRINK_TOLERANCE]
+            if not as_bad:
                 break
-            day = min(fit, key=lambda one: one.badness)
-            progress(f"shrunk to {len(day.lines)} lines, served {day.served:.3f}")
+            day = _worst(as_bad)
+            on_progress(f"shrunk to {len(day.lines)} lines, served {day.served:.3f}")
     return day
 
 
-def said(worst: Day, shrunk: Day) -> list[str]:
+def _without_one_line(day: SimulatedDay) -> Iterator[Candidate]:
+    for place in range(len(day.lines)):
+        yield Candidate(day.seed, day.lines[:place] + day.lines[place + 1 :])
+
+
+def summarize(worst: SimulatedDay, shrunk: SimulatedDay) -> list[str]:
     """Plain text of what a search found."""
-    row = shrunk.outcome
+    result = shrunk.result
     lines = [
         f"worst day: seed {worst.seed}, {worst.served:.3f} in time, {len(worst.lines)} lines; "
         f"as bad with {len(shrunk.lines)}: {shrunk.served:.3f}"
     ]
     lines += [f"  {line}" for line in shrunk.lines]
-    if "crashed" in row:
-        return lines + [f"  {shrunk.broken[0]}"]
-    lines.append(
-        "  by plan "
-        + ", ".join(f"{name} {part:.2f}" for name, part in row["plans"].items())
-        + "; by lane "
-        + ", ".join(f"{name} {part:.2f}" for name, part in row["lanes"].items())
-    )
-    lines.append("  ends " + ", ".join(f"{name} {count}" for name, count in sorted(row["ends"].items())))
-    lines.append("  rules " + (f"BROKEN: {', '.join(shrunk.broken)}" if shrunk.broken else "kept"))
-    return lines
-
-
-def save(path, raw: dict, day: Day):
-    """Writes a day that `replay` plays again."""
-    text = {name: value for name, value in raw.items() if name not in ("variants", "seeds", "troubles")}
-    with open(path, "w") as sink:
-        json.dump(
-            {
-                "format": FORMAT,
-                "experiment": text,
-                "seed": day.seed,
-                "troubles": list(day.lines),
-                "served": day.served,
-                "broken": list(day.broken),
-            },
-            sink,
-            indent=1,
-        )
-        sink.write("\n")
-
-
-def replay(path, tolerance=0.03) -> tuple[bool, str]:
-    """Plays a saved day with the module as it is: whether the rules are kept and no less is served (but for
-    the tolerance), and what was seen.
-    """
-    try:
-        with open(path) as source:
-            case = json.load(source)
-        if case["format"] != FORMAT:
-            raise BadCase(f"{path}: format {case['format']}, this reads {FORMAT}")
-        raw = spec.checked(
-            {**case["experiment"], "troubles": case["troubles"], "variants": [{"name": "module"}]}, str(path)
-        )
-        seed, before = int(case["seed"]), float(case["served"])
-    except (OSError, ValueError, KeyError, TypeError) as fault:
-        raise BadCase(f"{path}: is no saved day: {fault}") from fault
-    except spec.BadExperiment as fault:
-        raise BadCase(str(fault)) from fault
-    day = played(raw, raw["variants"][0], variants.source(raw["variants"][0]), seed, raw["troubles"])
-    good = not day.broken and day.served >= before - tolerance
-    return good, (
-        f"{path}: {day.served:.3f} in time, {before:.3f} when it was saved; rules "
-        + (f"BROKEN: {', '.join(day.broken)}" if day.broken else "kept")
-    )
+    if "crashed" in result:
+        return [*lines, f"  {shrunk.broken[0]}"]
+    plans = ", ".join(f"{name} {part:.2f}" for name, part in result["plans"].items())
+    request_classes = ", ".join(f"{name} {part:.2f}" for name, part in result["lanes"].items())
+    ends = ", ".join(f"{name} {count}" for name, count in sorted(result["ends"].items()))
+    rules = f"BROKEN: {', '.join(shrunk.broken)}" if shrunk.broken else "kept"
+    return [
+        *lines,
+        f"  by plan {plans}; by lane {request_classes}",
+        f"  ends {ends}",
+        f"  rules {rules}",
+    ]
--- a/rushmux/lab/system_simulation.py
+++ b/rushmux/lab/system_simulation.py
@@ -1,184 +1,263 @@
-"""The whole level: a day of an experiment through real edges and stand-in nodes on the virtual clock.
+"""A day of an experiment through real edges and stand-in nodes on the simulated clock.
 
-Each operation is one access of an edge's driver; troubles are those of the notation, carried out on
-processes, sockets and machines.  Smaller fleets than the lean level, and the same days.
+Each operation is one access of an edge's driver; faults are those of the notation, carried out on
+processes, sockets and machines.  For smaller fleets than `scheduler_simulation`, and the same days.
 """
 
 import asyncio
 import random
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
 
 from rushmux.edge.driver import Shed, Terminated, Work
-from rushmux.lab.scheduler_simulation import AGAIN, TRIES, Ended
+from rushmux.lab import client
+from rushmux.lab.client import ClientOutcome, CompletedOperation
+from rushmux.lab.day import Day
+from rushmux.lab.errors import LabError
+from rushmux.lab.faults import FaultEvent, FaultKind
+from rushmux.lab.workload import Arrival
 from rushmux.nodewire import messages
+from rushmux.scheduling.driver import TICKS_PER_SECOND
+from rushmux.scheduling.interface import RequestClass
 from rushmux.scheduling.scheduler import Scheduler
-from rushmux.standins import fleet as fleets
+from rushmux.standins import fleet as standin_fleets
+from rushmux.standins.fleet import VirtualFleet
 
-KINDS = {"reports": "unmetered"}  # of the notation, by the stand-in's word; all others are the same
-REPLACED = 2.0  # seconds after the grace until a drained node's replacement starts
+STANDIN_KINDS = {FaultKind.USAGE_REPORT_LOSS: "unmetered"}  # where the stand-ins' word is another
+STANDIN_FAULTS = (
+    FaultKind.SILENT,
+    FaultKind.SLOW,
+    FaultKind.ERRORS,
+    FaultKind.MESSAGE_LOSS,
+    FaultKind.CONNECTION_RESET,
+    FaultKind.NOISY_NEIGHBOUR,
+    FaultKind.USAGE_REPORT_LOSS,
+)
+REPLACEMENT_DELAY = 2.0  # seconds after grace and list until a drained node's replacement starts
+DISCOVERY_LAG = 0.5  # seconds until a change of a node reaches the gateways
+ISLANDS_PER_SECOND = 1_000  # tells partitions that begin at different times apart
+MACHINE_FIELDS = ("cores", "unit", "room", "recent", "saved", "put_off", "crowd", "pause", "pause_every")
 
 
-class _Lost(Exception):
-    """The edge was killed with the operation."""
+class OperationLostError(LabError):
+    """An operation whose gateway is not there, or was killed with it.
 
+    Attributes:
+        gateway: The gateway's number.
+    """
 
-class Day:
-    """One day on a fleet that is up."""
+    def __init__(self, gateway: int):
+        super().__init__(f"the operation was lost with gateway {gateway}")
+        self.gateway = gateway
 
-    def __init__(self, fleet, arrivals, events, seed):
+
+class AttemptOutcome(NamedTuple):
+    """How one attempt of a client ended."""
+
+    outcome: ClientOutcome
+    retry_after: float = 0.0
+    """Seconds; 0: the gateway gave no advice."""
+
+
+class SystemResult(NamedTuple):
+    """What a simulated day left."""
+
+    completed: list[CompletedOperation]
+    standins: VirtualFleet
+    """With its records."""
+
+
+class SystemSimulation:
+    """One day on a fleet of stand-ins that is up.
+
+    Attributes:
+        completed: How each operation ended.
+    """
+
+    def __init__(
+        self, fleet: VirtualFleet, arrivals: Sequence[Arrival], events: Sequence[FaultEvent], seed: int
+    ):
         self.fleet, self.arrivals, self.events = fleet, arrivals, events
-        self.loop, self.chance, self.ended = fleet.loop, random.Random(f"{seed}/clients"), []
-        self.gone = {number: self.loop.create_future() for number in fleet.edges}
-        self.begun = self.loop.time()
-
-    async def play(self):
-        """Plays it; rows as the lean level's."""
-        self.fleet.record("day", begun=self.begun, length=self.arrivals[-1].at if self.arrivals else 0.0)
-        tasks = [asyncio.ensure_future(self.happen(event)) for event in self.events]
+        self.loop, self.generator = fleet.loop, random.Random(f"{seed}/clients")
+        self.completed: list[CompletedOperation] = []
+        self.gateway_killed = {number: self.loop.create_future() for number in fleet.edges}
+        self.start = self.loop.time()
+
+    async def run(self) -> list[CompletedOperation]:
+        """Simulates the day; how each operation ended, as `scheduler_simulation` tells it."""
+        length = self.arrivals[-1].at if self.arrivals else 0.0
+        self.fleet.record("day", begun=self.start, length=length)
+        tasks = [asyncio.ensure_future(self._inject(event)) for event in self.events]
         for number, arrival in enumerate(self.arrivals):
-            wait = self.begun + arrival.at - self.loop.time()
-            if wait > 0:
-                await asyncio.sleep(wait)
-            tasks.append(asyncio.ensure_future(self.client(number, arrival)))
+            delay = self.start + arrival.at - self.loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            tasks.append(asyncio.ensure_future(self._run_client(number, arrival)))
         await asyncio.gather(*tasks)
-        return self.ended
-
-    # Clients.
+        return self.completed
 
-    async def client(self, number, arrival):
-        lane, how, tries = self.fleet.deployment.settings.request_classes[arrival.lane], "lost", 0
-        waits = self.begun + arrival.at + lane.deadline / 10_000 * 1.5
+    async def _run_client(self, number: int, arrival: Arrival) -> None:
+        """One client with its retries."""
+        request_class = self.fleet.deployment.settings.request_classes[arrival.request_class]
+        give_up_at = client.gives_up_at(self.start + arrival.at, request_class)
+        attempts = 0
         while True:
-            tries += 1
-            again = 0.0
-            try:
-                await self.attempt(number, arrival, lane)
-                how = "succeeded"
-            except Shed as shed:
-                how, again = "shed", shed.come_back
-            except Terminated:
-                how = "terminated"
-            except _Lost:
-                how = "lost"
-            again = self.loop.time() + (again or self.chance.uniform(*AGAIN))
-            if how not in ("shed", "lost") or tries >= TRIES or again >= waits:
+            attempts += 1
+            outcome, retry_after = await self._outcome_of_attempt(number, arrival, request_class)
+            retry_at = client.next_attempt_at(self.loop.time(), retry_after, self.generator)
+            if not client.should_retry(outcome, attempts, retry_at, give_up_at):
                 break
-            await asyncio.sleep(again - self.loop.time())
-        self.ended.append(
-            Ended(
+            await asyncio.sleep(retry_at - self.loop.time())
+        self.completed.append(
+            CompletedOperation(
                 arrival.at,
                 arrival.volume,
-                arrival.lane,
+                arrival.request_class,
                 arrival.units,
-                self.loop.time() - self.begun - arrival.at,
-                how,
-                tries,
+                self.loop.time() - self.start - arrival.at,
+                outcome,
+                attempts,
             )
         )
 
-    async def attempt(self, number, arrival, lane):
-        place = arrival.edge % len(self.fleet.edges)
-        edge, gone = self.fleet.edges[place], self.gone[place]
-        if gone.done():
-            raise _Lost
+    async def _outcome_of_attempt(
+        self, number: int, arrival: Arrival, request_class: RequestClass
+    ) -> AttemptOutcome:
+        try:
+            await self._attempt(number, arrival, request_class)
+        except Shed as shed:
+            return AttemptOutcome(ClientOutcome.SHED, shed.come_back)
+        except Terminated:
+            return AttemptOutcome(ClientOutcome.FAILED)
+        except OperationLostError:
+            return AttemptOutcome(ClientOutcome.LOST)
+        return AttemptOutcome(ClientOutcome.SUCCEEDED)
+
+    async def _attempt(self, number: int, arrival: Arrival, request_class: RequestClass) -> None:
+        gateway = arrival.gateway % len(self.fleet.edges)
+        edge, killed = self.fleet.edges[gateway], self.gateway_killed[gateway]
+        if killed.done():
+            raise OperationLostError(gateway)
 
-        def fill(execute):
+        def fill(execute: messages.Execute) -> None:
             # Objects of no bytes: what counts here is the machine's time.
-            if arrival.cell < 0:
+            if arrival.is_write:
                 execute.write.CopyFrom(messages.WriteObject(object=f"o{number}", data=b"", crc=0))
             else:
                 execute.read.CopyFrom(messages.ReadObject(object="none", offset=0, length=1))
 
-        work = Work(arrival.lane, arrival.volume, arrival.key, arrival.units, arrival.cell, fill)
-        task = edge.process.spawn(edge.program.driver.run(work, lane.deadline * arrival.left / 10_000, "-"))
-        await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
+        work = Work(arrival.request_class, arrival.volume, arrival.key, arrival.units, arrival.cell, fill)
+        time_left = request_class.deadline * arrival.deadline_fraction / TICKS_PER_SECOND
+        task = edge.process.spawn(edge.program.driver.run(work, time_left, "-"))
+        await asyncio.wait((task, killed), return_when=asyncio.FIRST_COMPLETED)
         if not task.done():
-            raise _Lost
+            raise OperationLostError(gateway)
         task.result()
 
-    # Troubles.
-
-    async def happen(self, event):
+    async def _inject(self, event: FaultEvent) -> None:
+        """Carries out a fault when its time has come."""
         await asyncio.sleep(event.at)
-        islands = {}
+        if event.kind is FaultKind.PARTITION:
+            self._partition(event)
+        elif event.kind is FaultKind.GATEWAY_PAUSE:
+            for number in event.targets:
+                self.fleet.edges[number].process.hold(event.duration)
+        elif event.kind in STANDIN_FAULTS:
+            await self._inject_at_nodes(event)
+        elif event.kind is FaultKind.DISCOVERY_LAG:
+            await self.fleet.trouble("lists", "lag", event.size, event.duration)
+        elif event.kind is FaultKind.GATEWAY_CRASH:
+            await self._crash_gateways(event)
+        elif event.kind is FaultKind.NODE_RESTART:
+            await self._restart_nodes(event)
+        elif event.kind is FaultKind.DRAIN:
+            await self._drain_nodes(event)
+
+    def _partition(self, event: FaultEvent) -> None:
+        """Cuts processes off: the nodes of a zone stay together, each gateway is alone."""
+        islands: dict[int, int] = {}
+        for target in event.targets:
+            is_gateway = isinstance(target, int)
+            process = self.fleet.edges[target].process if is_gateway else self._node(target).process
+            new_island = 1 + len(islands) + int(event.at * ISLANDS_PER_SECOND)
+            island = islands.setdefault(target if is_gateway else -1, new_island)
+            process.cut(island, event.duration)
+
+    async def _inject_at_nodes(self, event: FaultEvent) -> None:
+        kind = STANDIN_KINDS.get(event.kind, str(event.kind))
         for target in event.targets:
-            if event.kind == "cut":
-                number = target if isinstance(target, int) else -1
-                process = self.fleet.edges[number].process if number >= 0 else self.node(target).process
-                # A zone stays together; each edge is alone.
-                process.cut(
-                    islands.setdefault(number, 1 + len(islands) + int(event.at * 1000)), event.seconds
-                )
-            elif event.kind == "still":
-                self.fleet.edges[target].process.hold(event.seconds)
-            elif event.kind in ("silent", "slow", "errors", "lost", "resets", "neighbour", "reports"):
-                if target in self.alive():
-                    await self.fleet.trouble(
-                        self.name(target), KINDS.get(event.kind, event.kind), event.size, event.seconds
-                    )
-        if event.kind == "lag":
-            await self.fleet.trouble("lists", "lag", event.size, event.seconds)
-        elif event.kind == "die":
-            await self.die(event)
-        elif event.kind in ("restart", "drain"):
-            await getattr(self, event.kind)(event)
-
-    def name(self, target):
-        return f"node{target[1:]}"
-
-    def node(self, target):
-        return self.fleet.nodes[self.name(target)]
-
-    def alive(self):
-        return {f"n{name[4:]}" for name, part in self.fleet.nodes.items() if not part.process.dead}
-
-    async def die(self, event):
+            if target in self._running_nodes():
+                await self.fleet.trouble(_standin_name(target), kind, event.size, event.duration)
+
+    def _node(self, name: str):
+        return self.fleet.nodes[_standin_name(name)]
+
+    def _running_nodes(self) -> set[str]:
+        """Names of the nodes, as faults name them, whose processes run."""
+        return {f"n{name[4:]}" for name, node in self.fleet.nodes.items() if not node.process.dead}
+
+    async def _crash_gateways(self, event: FaultEvent) -> None:
         for number in event.targets:
             self.fleet.kill_edge(number)
-            self.gone[number].set_result(True)
-        await asyncio.sleep(event.seconds)
+            self.gateway_killed[number].set_result(True)
+        await asyncio.sleep(event.duration)
         for number in event.targets:
             await self.fleet.edge(number)
-            self.gone[number] = self.loop.create_future()
+            self.gateway_killed[number] = self.loop.create_future()
 
-    async def restart(self, event):
-        names = [target for target in event.targets if target in self.alive()]
-        for target in names:
-            self.fleet.kill_node(self.name(target))
-        await asyncio.sleep(event.seconds)
-        for target in names:
-            await self.fleet.node(self.name(target), int(target[1:]))
+    async def _restart_nodes(self, event: FaultEvent) -> None:
+        names = [target for target in event.targets if target in self._running_nodes()]
+        for name in names:
+            self.fleet.kill_node(_standin_name(name))
+        await asyncio.sleep(event.duration)
+        for name in names:
+            await self._start_node(name)
 
-    async def drain(self, event):
+    async def _drain_nodes(self, event: FaultEvent) -> None:
+        """Drains nodes and has each replaced by one in slow start."""
+        grace = self.fleet.deployment.drain_grace + self.fleet.lag
         for target in event.targets:
-            if target not in self.alive():
+            if target not in self._running_nodes():
                 continue
-            await self.fleet.trouble(self.name(target), "drain")
-            await asyncio.sleep(self.fleet.deployment.drain_grace + self.fleet.lag + REPLACED)
-            if target in self.alive():
-                self.fleet.kill_node(self.name(target))
-            await self.fleet.node(self.name(target), int(target[1:]))
+            await self.fleet.trouble(_standin_name(target), "drain")
+            await asyncio.sleep(grace + REPLACEMENT_DELAY)
+            if target in self._running_nodes():
+                self.fleet.kill_node(_standin_name(target))
+            await self._start_node(target)
+
+    async def _start_node(self, name: str) -> None:
+        await self.fleet.node(_standin_name(name), int(name[1:]))
+
+
+def _standin_name(name: str) -> str:
+    """The stand-in node's name for a node that faults name `n3`."""
+    return f"node{name[1:]}"
+
 
+def simulate(day: Day, seed: int, make_scheduler: Callable = Scheduler, **settings: Any) -> SystemResult:
+    """Simulates a day through real edges.
 
-def play(built, stood, arrivals, events, seed, decisions=Scheduler, **settings):
-    """A day through real edges: its ended operations and the fleet with its recordings."""
+    Args:
+        day: What happens, and on which fleet.
+        seed: The seed of the day.
+        make_scheduler: Makes a gateway's scheduler.
+        **settings: Of the stand-ins, in place of those that follow from the day's fleet.
+    """
 
-    async def story(fleet):
-        return await Day(fleet, arrivals, events, seed).play()
+    async def run_day(standins: VirtualFleet) -> list[CompletedOperation]:
+        return await SystemSimulation(standins, day.arrivals, day.events, seed).run()
 
-    machine = {
-        name: getattr(stood.machine, name)
-        for name in ("cores", "unit", "room", "recent", "saved", "put_off", "crowd", "pause", "pause_every")
-    }
-    fleet, ended = fleets.play(
-        built,
+    machine = {name: getattr(day.fleet.machine, name) for name in MACHINE_FIELDS}
+    standins, completed = standin_fleets.play(
+        day.deployment,
         seed,
-        story,
-        nodes=stood.nodes,
-        edges=stood.edges,
+        run_day,
+        nodes=day.fleet.node_count,
+        edges=day.fleet.gateway_count,
         level="error",
         logs=False,
-        lag=0.5,
-        decisions=decisions,
+        lag=DISCOVERY_LAG,
+        decisions=make_scheduler,
         **{**machine, **settings},
     )
-    return ended, fleet
+    return SystemResult(completed, standins)
--- a/rushmux/lab/timer_loop.py
+++ b/rushmux/lab/timer_loop.py
@@ -1,47 +1,65 @@
-"""A clock of timers alone: the part of an event loop that emulated machines use, without tasks or sockets."""
+"""A simulated clock with timers: the part of an event loop that emulated machines use."""
 
+from collections.abc import Callable
 from heapq import heappop, heappush
+from typing import Any
+
+START = 1.0  # seconds on a new clock
 
 
 class Timer:
-    """A call to come; `cancel` forgets it."""
+    """A call that is due at some time."""
+
+    __slots__ = ("arguments", "callback")
+
+    def __init__(self, callback: Callable, arguments: tuple[Any, ...]):
+        self.callback: Callable | None = callback
+        self.arguments = arguments
 
-    __slots__ = ("call", "values")
+    def cancel(self) -> None:
+        """Makes the loop skip this call."""
+        self.callback = None
 
-    def __init__(self, call, values):
-        self.call, self.values = call, values
 
-    def cancel(self):
-        self.call = None
+class TimerLoop:
+    """Offers the timer methods of `asyncio.AbstractEventLoop` on a simulated clock; `run` advances it.
 
+    Calls that are due at the same time happen in the order in which they were asked for.
 
-class HeapClock:
-    """Same calls as an event loop's: `time`, `call_at`, `call_later`, `call_soon`; `run` plays them."""
+    Attributes:
+        now: The simulated time, in seconds.
+    """
 
-    def __init__(self, start=1.0):
-        self.now, self.count, self.heap = start, 0, []
+    def __init__(self, start: float = START):
+        self.now = start
+        self._scheduled = 0
+        self._heap: list[tuple[float, int, Timer]] = []
 
-    def time(self):
+    def time(self) -> float:
+        """The simulated time, in seconds."""
         return self.now
 
-    def call_at(self, when, call, *values):
-        timer = Timer(call, values)
-        self.count += 1
-        heappush(self.heap, (max(when, self.now), self.count, timer))
+    def call_at(self, when: float, callback: Callable, *arguments: Any) -> Timer:
+        """Schedules a call at a time, or now where that time has passed."""
+        timer = Timer(callback, arguments)
+        self._scheduled += 1
+        heappush(self._heap, (max(when, self.now), self._scheduled, timer))
         return timer
 
-    def call_later(self, delay, call, *values):
-        return self.call_at(self.now + delay, call, *values)
+    def call_later(self, delay: float, callback: Callable, *arguments: Any) -> Timer:
+        """Schedules a call after a delay in seconds."""
+        return self.call_at(self.now + delay, callback, *arguments)
 
-    def call_soon(self, call, *values):
-        return self.call_at(self.now, call, *values)
+    def call_soon(self, callback: Callable, *arguments: Any) -> Timer:
+        """Schedules a call now, after those that are already due."""
+        return self.call_at(self.now, callback, *arguments)
 
-    def run(self, until):
-        """Plays all that is due until a time, in the order it was asked for."""
-        heap = self.heap
+    def run(self, until: float) -> None:
+        """Makes all calls that are due until a time, and advances the clock to it."""
+        heap = self._heap
         while heap and heap[0][0] <= until:
             when, _, timer = heappop(heap)
-            if timer.call is not None:
+            if timer.callback is not None:
                 self.now = when
-                timer.call(*timer.values)
+                timer.callback(*timer.arguments)
         self.now = max(self.now, until)
--- a/rushmux/lab/workload.py
+++ b/rushmux/lab/workload.py
@@ -1,190 +1,270 @@
-"""Arrivals of a day: open loop, drawn ahead of all answers, or read from a trace.
+"""The arrivals of a day as an open loop: all are drawn before any is answered."""
 
-A trace is lines of JSON: a header {"format": 1, "volumes": {name: plan}} and then one object for each
-operation: at (s), volume, lane, key ("" for none), units, cell (-1: a new object), edge, left (part of
-the hard stop).
-"""
-
-import json
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
 
 import numpy
 from scipy import stats
 
-FORMAT = 1
-MOST = 5_000_000  # operations of a day
-STEP = 0.25  # seconds: within them a rate stands still
+from rushmux.lab.errors import LabError
+from rushmux.lab.faults import FaultEvent, FaultKind
+
+MAX_OPERATIONS = 5_000_000  # of a day
+STEP = 0.25  # seconds within which a rate stays the same
+NEW_OBJECT = -1  # the cell of an operation that makes one
+MAX_CELLS, MAX_GATEWAYS = 6, 4  # of a volume: one to as many are drawn, evenly
+GATEWAY_SKEW = 0.6  # mean of the exponential draw of a gateway's place among a volume's
+MAX_BATCH = 8  # operations that a client sends in a row
+BATCH_SPACING = 0.004  # seconds between them
+MIN_ZIPF = 1.01  # exponent where a workload states one that has no distribution
+ZIPF_MARGIN = 1e-9  # the distribution is defined above one only
+VOLUME_STREAM, ARRIVAL_STREAM = 1, 2  # of the random streams of a seed
 
+WorkloadSettings = Mapping[str, Any]
+"""What an experiment's `workload` states, completed from `DEFAULTS`."""
 
-class BadTrace(Exception):
-    """A trace that cannot be used; the text names the line."""
+DEFAULTS: WorkloadSettings = {
+    "load": 0.6,
+    "write_part": 0.3,
+    "mean_units": 1.5,
+    "size_sigma": 0.7,
+    "keys": 400,
+    "zipf": 1.1,
+    "rush": 0.3,
+    "rush_period": 40.0,
+    "batch": 2.0,
+    "greedy_part": 0.25,
+    "greedy_times": 2.5,
+}
+
+
+class WorkloadError(LabError, ValueError):
+    """A day with more operations than can be simulated.
+
+    Attributes:
+        limit: The most that a day may have.
+    """
+
+    def __init__(self, limit: int):
+        super().__init__(f"more than {limit} operations in the day")
+        self.limit = limit
+
+    def __reduce__(self):
+        return type(self), (self.limit,)
 
 
 class Arrival(NamedTuple):
     """One operation as its client means to send it."""
 
     at: float
+    """Seconds from the begin of the day."""
     volume: str
-    lane: str
+    request_class: str
     key: str
+    """"" where it has none."""
     units: float
     cell: int
-    edge: int
-    left: float = 1.0  # part of the lane's hard stop that its client waits
+    """Negative: any, for a new object."""
+    gateway: int
+    deadline_fraction: float = 1.0
+    """Part of its class's deadline that the client waits."""
+
+    @property
+    def is_write(self) -> bool:
+        """Whether it makes a new object."""
+        return self.cell < 0
 
 
 class Volume(NamedTuple):
-    """A volume: its plan, units a second it asks for in the mean, its cells and edges."""
+    """A volume and what it asks for."""
 
     name: str
     plan: str
     rate: float
+    """Mean units a second."""
     cells: tuple[int, ...]
-    edges: tuple[int, ...]
+    gateways: tuple[int, ...]
 
 
-# What a workload states, with what it is when left out; `numbers` in the experiment's schema.
-DEFAULTS = {
-    "load": 0.6,
-    "write_part": 0.3,
-    "mean_units": 1.5,
-    "size_sigma": 0.7,
-    "keys": 400,
-    "zipf": 1.1,
-    "rush": 0.3,
-    "rush_period": 40.0,
-    "batch": 2.0,
-    "greedy_part": 0.25,
-    "greedy_times": 2.5,
-}
+class RequestClasses(NamedTuple):
+    """Names of the request classes that reads and writes belong to."""
+
+    read: str
+    write: str
 
 
-def volumes(nominal, counts: dict, cells: int, edges: int, capacity: float, spec: dict, seed) -> list[Volume]:
-    """So many volumes of each plan, by the plans' nominal rates; together they ask for `load` of
-    the capacity (units a second).
+def draw_volumes(
+    nominal_rates: Mapping[str, float],
+    counts: Mapping[str, int],
+    *,
+    cell_count: int,
+    gateway_count: int,
+    capacity: float,
+    settings: WorkloadSettings,
+    seed: int,
+) -> list[Volume]:
+    """Draws the volumes of a day.
+
+    Args:
+        nominal_rates: Units a second of a volume, by plan.
+        counts: Volumes of each plan.
+        cell_count: Cells of the fleet.
+        gateway_count: Gateways of the fleet.
+        capacity: Units a second of the fleet; together the volumes ask for `load` of it.
+        settings: The workload.
+        seed: The seed of the day.
     """
-    chance = numpy.random.default_rng([seed, 1])
-    found = []
+    generator = numpy.random.default_rng([seed, VOLUME_STREAM])
+    volumes = []
     for plan, count in counts.items():
         for number in range(count):
-            spread = int(chance.integers(1, min(6, cells) + 1))
-            mounts = int(chance.integers(1, min(4, edges) + 1))
-            times = spec["greedy_times"] if chance.random() < spec["greedy_part"] else 1.0
-            found.append(
+            cells = int(generator.integers(1, min(MAX_CELLS, cell_count) + 1))
+            gateways = int(generator.integers(1, min(MAX_GATEWAYS, gateway_count) + 1))
+            is_greedy = generator.random() < settings["greedy_part"]
+            factor = settings["greedy_times"] if is_greedy else 1.0
+            volumes.append(
                 Volume(
                     f"{plan}{number}",
                     plan,
-                    nominal[plan] * times,
-                    tuple(int(c) for c in chance.choice(cells, spread, replace=False)),
-                    tuple(int(e) for e in chance.choice(edges, mounts, replace=False)),
+                    nominal_rates[plan] * factor,
+                    tuple(int(cell) for cell in generator.choice(cell_count, cells, replace=False)),
+                    tuple(int(place) for place in generator.choice(gateway_count, gateways, replace=False)),
                 )
             )
-    total = sum(volume.rate for volume in found)
-    return [volume._replace(rate=volume.rate * spec["load"] * capacity / total) for volume in found]
+    total = sum(volume.rate for volume in volumes)
+    return [volume._replace(rate=volume.rate * settings["load"] * capacity / total) for volume in volumes]
+
+
+def rush(settings: WorkloadSettings, at):
+    """The rate at some times as a multiple of the mean: a slow sine, the same for all volumes."""
+    return 1 + settings["rush"] * numpy.sin(2 * numpy.pi * at / settings["rush_period"])
+
+
+class _Steps(NamedTuple):
+    """What a volume asks for in each step of a day."""
+
+    begins: numpy.ndarray
+    """Seconds from the begin of the day."""
+    rates: numpy.ndarray
+    """Units a second."""
+    sizes: numpy.ndarray
+    """Factors of the operations' sizes."""
+    hot_parts: numpy.ndarray
+    """Parts of the accesses that go to one key."""
+    deadline_fractions: numpy.ndarray
+
 
+def _volume_steps(
+    volume: Volume, settings: WorkloadSettings, seconds: float, events: Iterable[FaultEvent]
+) -> _Steps:
+    begins = numpy.arange(0.0, seconds, STEP)
+    rates, sizes = volume.rate * rush(settings, begins), numpy.ones(len(begins))
+    hot_parts, deadline_fractions = numpy.zeros(len(begins)), numpy.ones(len(begins))
+    for event in events:
+        if volume.name not in event.targets:
+            continue
+        within = (begins >= event.at) & (begins < event.at + event.duration)
+        if event.kind is FaultKind.LOAD_SURGE:
+            rates = numpy.where(within, rates * event.size, rates)
+        elif event.kind is FaultKind.LARGE_OPERATIONS:
+            sizes = numpy.where(within, event.size, sizes)
+        elif event.kind is FaultKind.HOT_KEY:
+            hot_parts = numpy.where(within, event.size, hot_parts)
+        elif event.kind is FaultKind.SHORT_DEADLINE:
+            deadline_fractions = numpy.where(within, event.size, deadline_fractions)
+    return _Steps(begins, rates, sizes, hot_parts, deadline_fractions)
 
-def rush(spec, at):
-    """Times the mean rate at a time: a slow swing, the same for all."""
-    return 1 + spec["rush"] * numpy.sin(2 * numpy.pi * at / spec["rush_period"])
 
+class _ArrivalSource:
+    """Draws the arrivals of one volume."""
 
-def drawn(
-    found: list[Volume],
-    spec: dict,
+    def __init__(
+        self,
+        volume: Volume,
+        settings: WorkloadSettings,
+        generator: numpy.random.Generator,
+        request_classes: RequestClasses,
+        max_units: float,
+    ):
+        self.volume, self.settings, self.generator = volume, settings, generator
+        self.request_classes, self.max_units = request_classes, max_units
+
+    def batches(self, steps: _Steps) -> numpy.ndarray:
+        """Batches in each step: programs send some in a row, batches come as a Poisson process."""
+        mean_batch_units = self.settings["mean_units"] * self.settings["batch"]
+        return self.generator.poisson(steps.rates * STEP / mean_batch_units)
+
+    def arrivals(self, steps: _Steps, batches: numpy.ndarray) -> Iterable[Arrival]:
+        """The arrivals of all batches."""
+        for step in numpy.nonzero(batches)[0]:
+            for at in steps.begins[step] + self.generator.random(int(batches[step])) * STEP:
+                yield from self._batch(steps, step, at)
+
+    def _batch(self, steps: _Steps, step: int, at: float) -> Iterable[Arrival]:
+        """One batch, of a geometric size, for one key and through one gateway."""
+        generator, volume = self.generator, self.volume
+        count = int(stats.geom.ppf(generator.random(), 1 / self.settings["batch"]))
+        is_write = generator.random() < self.settings["write_part"]
+        rank = self._key_rank(steps.hot_parts[step])
+        cell = volume.cells[rank % len(volume.cells)]
+        place = min(len(volume.gateways) - 1, int(generator.exponential(GATEWAY_SKEW)))
+        for number in range(min(count, MAX_BATCH)):
+            yield Arrival(
+                float(at + number * BATCH_SPACING),
+                volume.name,
+                self.request_classes.write if is_write else self.request_classes.read,
+                "" if is_write else f"{volume.name}/{rank}",
+                self._units(steps.sizes[step]),
+                NEW_OBJECT if is_write else cell,
+                volume.gateways[place],
+                float(steps.deadline_fractions[step]),
+            )
+
+    def _key_rank(self, hot_part: float) -> int:
+        """The rank of a batch's key by its popularity, by Zipf's law."""
+        if self.generator.random() < hot_part:
+            return 1
+        exponent = self.settings["zipf"]
+        exponent = exponent + ZIPF_MARGIN if exponent > 1 else MIN_ZIPF
+        return min(self.settings["keys"], int(self.generator.zipf(exponent)))
+
+    def _units(self, factor: float) -> float:
+        sigma = self.settings["size_sigma"]
+        units = self.generator.lognormal(-(sigma**2) / 2, sigma) * self.settings["mean_units"]
+        return float(min(self.max_units, max(1.0, round(units * factor, 1))))
+
+
+def draw_arrivals(
+    volumes: Sequence[Volume],
+    settings: WorkloadSettings,
+    *,
     seconds: float,
-    seed,
-    events,
-    lanes: dict,
-    most_units: float,
-    new="write",
-    read="read",
+    seed: int,
+    events: Iterable[FaultEvent],
+    request_classes: RequestClasses,
+    max_units: float,
 ) -> list[Arrival]:
-    """All arrivals of a day in the order of time; `lanes`: the names behind `new` and `read`."""
-    steps = numpy.arange(0.0, seconds, STEP)
-    arrivals = []
-    for place, volume in enumerate(found):
-        chance = numpy.random.default_rng([seed, 2, place])
-        rate = volume.rate * rush(spec, steps)
-        size, hot, left = numpy.ones(len(steps)), numpy.zeros(len(steps)), numpy.ones(len(steps))
-        for event in events:
-            if volume.name not in event.targets:
-                continue
-            within = (steps >= event.at) & (steps < event.at + event.seconds)
-            if event.kind == "surge":
-                rate = numpy.where(within, rate * event.size, rate)
-            elif event.kind == "scan":
-                size = numpy.where(within, event.size, size)
-            elif event.kind == "hot":
-                hot = numpy.where(within, event.size, hot)
-            elif event.kind == "hurried":
-                left = numpy.where(within, event.size, left)
-        # Programs read a few things in a row: batches come as a Poisson process, their sizes are geometric.
-        batches = chance.poisson(rate * STEP / (spec["mean_units"] * spec["batch"]))
-        if len(arrivals) + batches.sum() * spec["batch"] > MOST:
-            raise ValueError(f"more than {MOST} operations in the day")
-        for step in numpy.nonzero(batches)[0]:
-            for at in steps[step] + chance.random(int(batches[step])) * STEP:
-                count = int(stats.geom.ppf(chance.random(), 1 / spec["batch"]))
-                writes = chance.random() < spec["write_part"]
-                if chance.random() < hot[step]:
-                    rank = 1
-                else:
-                    rank = min(
-                        spec["keys"], int(chance.zipf(spec["zipf"] + 1e-9 if spec["zipf"] > 1 else 1.01))
-                    )
-                cell = volume.cells[rank % len(volume.cells)]
-                edge = volume.edges[min(len(volume.edges) - 1, int(chance.exponential(0.6)))]
-                for number in range(min(count, 8)):
-                    units = (
-                        chance.lognormal(-(spec["size_sigma"] ** 2) / 2, spec["size_sigma"])
-                        * spec["mean_units"]
-                    )
-                    units = float(min(most_units, max(1.0, round(units * size[step], 1))))
-                    arrivals.append(
-                        Arrival(
-                            float(at + number * 0.004),
-                            volume.name,
-                            lanes[new if writes else read],
-                            "" if writes else f"{volume.name}/{rank}",
-                            units,
-                            -1 if writes else cell,
-                            edge,
-                            float(left[step]),
-                        )
-                    )
-    return sorted(arrivals, key=lambda arrival: arrival.at)
+    """Draws all arrivals of a day in the order of time.
 
+    Args:
+        volumes: The volumes of the day.
+        settings: The workload.
+        seconds: Length of the day.
+        seed: The seed of the day.
+        events: Faults of the day, some of which change the workload.
+        request_classes: Of reads and writes.
+        max_units: The largest operation.
 
-def write_trace(path, found: list[Volume], arrivals):
-    """Writes a day as a trace."""
-    with open(path, "w") as sink:
-        sink.write(json.dumps({"format": FORMAT, "volumes": {v.name: v.plan for v in found}}) + "\n")
-        for arrival in arrivals:
-            sink.write(json.dumps(arrival._asdict()) + "\n")
-
-
-def read_trace(path) -> tuple[dict, list[Arrival]]:
-    """Volumes with their plans, and the arrivals; BadTrace where a line is none."""
-    with open(path) as source:
-        try:
-            header = json.loads(source.readline())
-            if header["format"] != FORMAT:
-                raise BadTrace(f"{path}: format {header['format']}, this reads {FORMAT}")
-            known = dict(header["volumes"])
-        except (ValueError, KeyError, TypeError) as fault:
-            raise BadTrace(f"{path}, line 1: no header: {fault}") from fault
-        arrivals, last = [], 0.0
-        for number, line in enumerate(source, 2):
-            try:
-                arrival = Arrival(**json.loads(line))
-                if arrival.volume not in known or arrival.at < last or arrival.units <= 0:
-                    raise ValueError(
-                        "its volume is not in the header, it is out of order, or it has no units"
-                    )
-            except (ValueError, TypeError) as fault:
-                raise BadTrace(f"{path}, line {number}: {fault}") from fault
-            last = arrival.at
-            arrivals.append(arrival)
-            if len(arrivals) > MOST:
-                raise BadTrace(f"{path}: more than {MOST} operations")
-    return known, arrivals
+    Raises:
+        WorkloadError: The day would have more than `MAX_OPERATIONS`.
+    """
+    arrivals: list[Arrival] = []
+    for place, volume in enumerate(volumes):
+        generator = numpy.random.default_rng([seed, ARRIVAL_STREAM, place])
+        source = _ArrivalSource(volume, settings, generator, request_classes, max_units)
+        steps = _volume_steps(volume, settings, seconds, events)
+        batches = source.batches(steps)
+        if len(arrivals) + batches.sum() * settings["batch"] > MAX_OPERATIONS:
+            raise WorkloadError(MAX_OPERATIONS)
+        arrivals += source.arrivals(steps, batches)
+    return sorted(arrivals, key=lambda arrival: arrival.at)
--- a/tests/lab/conftest.py
+++ b/tests/lab/conftest.py
@@ -1,41 +1,49 @@
-"""Fixtures of the laboratory's tests: a small experiment, and days of it."""
+"""Fixtures of the laboratory's tests: a small experiment, and simulations of its days."""
 
 import pytest
 
-from rushmux.lab import spec
-from rushmux.lab.scheduler_simulation import World
+from rushmux.lab.day import draw_day
+from rushmux.lab.experiment import check
+from rushmux.lab.result_store import ResultStore
+from rushmux.lab.scheduler_simulation import SchedulerSimulation
 
 
 @pytest.fixture
-def small():
+def make_experiment():
     """Makes a checked experiment of a few seconds."""
 
-    def made(troubles=(), variants=({"name": "module"},), **other):
-        return spec.checked(
+    def make(fault_lines=(), variants=({"name": "module"},), **other):
+        return check(
             {
                 "name": "small",
                 "seconds": 4,
                 "fleet": {"edges": 4, "nodes": 4, "zones": 2},
                 "volumes": {"basico": 3, "estandar": 2, "prioritario": 2},
                 "workload": {"load": 0.7},
-                "troubles": list(troubles),
+                "troubles": list(fault_lines),
                 "variants": list(variants),
                 "seeds": {"least": 2, "most": 2},
                 **other,
             }
         )
 
-    return made
+    return make
 
 
 @pytest.fixture
-def played():
-    """Plays one day of an experiment on the lean level."""
+def run_simulation():
+    """Runs a scheduler simulation of one day of an experiment."""
 
-    def made(raw, seed=1, **settings):
-        built, stood, arrivals, events = spec.day(raw, raw["variants"][0], seed)
-        world = World(built, stood, seed, **settings)
-        world.play(arrivals, events, raw["seconds"])
-        return world
+    def run(experiment, seed=1, **settings):
+        day = draw_day(experiment, experiment["variants"][0], seed)
+        simulation = SchedulerSimulation(day.deployment, day.fleet, seed, **settings)
+        simulation.run(day.arrivals, day.events, experiment["seconds"])
+        return simulation
 
-    return made
+    return run
+
+
+@pytest.fixture
+def make_store(tmp_path):
+    """Opens a store of results by its name."""
+    return lambda name="results": ResultStore(tmp_path / name)
--- a/tests/lab/test_system_simulation.py
+++ b/tests/lab/test_system_simulation.py
@@ -1,11 +1,13 @@
-"""The whole level: troubles through real edges, several at once, judged by the checker."""
+"""Days through real edges with several faults at once, judged by the checker."""
 
 import pytest
 
-from rushmux.lab import spec, system_simulation
+from rushmux.lab.client import ClientOutcome
+from rushmux.lab.day import draw_day
+from rushmux.lab.system_simulation import simulate
 from rushmux.standins.checker import Checker
 
-TOGETHER = {
+COMBINED_FAULTS = {
     "nodes": [
         "silent node at 0.5 for 1",
         "slow node size 5 at 1 for 1",
@@ -28,32 +30,31 @@
 }
 
 
-@pytest.mark.parametrize("name", TOGETHER)
-def test_troubles_together_through_real_edges(name, small):
-    raw = small(TOGETHER[name])
-    built, stood, arrivals, events = spec.day(raw, raw["variants"][0], 2)
-    ended, fleet = system_simulation.play(built, stood, arrivals, events, 2)
-    breaches = Checker(fleet.all_records(), built, 0.005).breaches()
+@pytest.mark.parametrize("name", COMBINED_FAULTS)
+def test_combined_faults_through_real_edges_keep_the_rules(name, make_experiment):
+    experiment = make_experiment(COMBINED_FAULTS[name])
+    day = draw_day(experiment, experiment["variants"][0], 2)
+    completed, standins = simulate(day, 2)
+    breaches = Checker(standins.all_records(), day.deployment, 0.005).breaches()
     assert not breaches
-    assert len(ended) == len(arrivals) and sum(row.how == "succeeded" for row in ended) > 0.3 * len(ended)
-
-
-def test_same_seed_same_day(small):
-    raw = small(["silent node at 0.5 for 1", "die edge at 1 for 1"])
-    day = spec.day(raw, raw["variants"][0], 3)
-    assert system_simulation.play(*day, 3)[0] == system_simulation.play(*day, 3)[0]
-
-
-def test_a_cut_keeps_what_was_on_its_way(small):
-    raw = small(["cut zone at 1 for 2"])
-    built, stood, arrivals, events = spec.day(raw, raw["variants"][0], 2)
-    _, fleet = system_simulation.play(built, stood, arrivals, events, 2)
-    cut, begun = events[0], next(row["at"] for row in fleet.records if row["kind"] == "day")
-    names = {f"node{target[1:]}" for target in cut.targets}
-    inside = [
-        row
-        for row in fleet.records
-        if row["kind"] == "execution" and row["node"] in names and begun + 1.01 < row["at"] < begun + 2.99
-    ]
+    assert len(completed) == len(day.arrivals)
+    succeeded = sum(row.outcome is ClientOutcome.SUCCEEDED for row in completed)
+    assert succeeded > 0.3 * len(completed)
+
+
+def test_the_same_seed_gives_the_same_day(make_experiment):
+    experiment = make_experiment(["silent node at 0.5 for 1", "die edge at 1 for 1"])
+    day = draw_day(experiment, experiment["variants"][0], 3)
+    assert simulate(day, 3).completed == simulate(day, 3).completed
+
+
+def test_a_partition_lets_nothing_through_until_it_ends(make_experiment):
+    experiment = make_experiment(["cut zone at 1 for 2"])
+    day = draw_day(experiment, experiment["variants"][0], 2)
+    records = simulate(day, 2).standins.records
+    begun = next(row["at"] for row in records if row["kind"] == "day")
+    names = {f"node{target[1:]}" for target in day.events[0].targets}
+    attempts = [row for row in records if row["kind"] == "execution"]
+    inside = [row for row in attempts if row["node"] in names and begun + 1.01 < row["at"] < begun + 2.99]
     assert not inside
-    assert any(row["at"] > begun + 3 for row in fleet.records if row["kind"] == "execution")
+    assert any(row["at"] > begun + 3 for row in attempts)
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -12,8 +12,8 @@
 from rushmux.edge.endpoint_cache import LastList
 from rushmux.edge.policy_client import Kept
 from rushmux.fleet import policy, raft
-from rushmux.lab import spec
-from rushmux.lab.store import Store as ResultStore
+from rushmux.lab import experiment
+from rushmux.lab.result_store import ResultKey, ResultStore
 from rushmux.nodewire import messages
 from rushmux.planner.membership_store import Row, Store
 from rushmux.planner.raft_storage import LogFile
@@ -189,7 +189,7 @@
 
 def test_results_of_the_lab_are_found_again(stored):
     store = ResultStore(stored("results.db"))
-    assert store.get("what", "module", 3) == {"G": 0.5, "rules": {"kept": True}}
+    assert store.get(ResultKey("what", "module", 3)) == {"G": 0.5, "rules": {"kept": True}}
     store.close()
 
 
@@ -218,4 +218,4 @@
     assert day.events[7] == script.Event(9.0, "surge", "bodega-sur", "", 6.0, 3.0)
     story = fault_injection.load(STORED / "story.txt")
     assert (story.sizes["length"], len(story.deeds), len(story.expects)) == STORY
-    assert spec.load(STORED / "experiment.json")["variants"]
+    assert experiment.load(STORED / "experiment.json")["variants"]
