--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -16,7 +16,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from rushmux.lab import proof
+from rushmux.lab.model_check.verifier_check import check_verifier
 from rushmux.routes import verifier
 from rushmux.settings import deployment as deployments
 
@@ -74,7 +74,7 @@
     with ProcessPoolExecutor(wanted.jobs) as pool:
         outcomes = list(
             pool.map(
-                proof.hold,
+                check_verifier,
                 [each] * wanted.jobs,
                 [wanted.seed * 1_000 + job for job in range(wanted.jobs)],
                 [wanted.schedules] * wanted.jobs,
@@ -83,7 +83,7 @@
     counts, wrong = Counter(), []
     for outcome in outcomes:
         counts += outcome.counts
-        wrong += outcome.wrong
+        wrong += outcome.mismatches
     print(
         f"at most {wanted.schedules} schedules a story; "
         + ", ".join(f"{name} {count}" for name, count in counts.items())
--- a/benchmarks/scheduler_equivalence.py
+++ b/benchmarks/scheduler_equivalence.py
@@ -2,7 +2,7 @@
 
 Every event goes to both, and what each does in answer has to be the same: names, values and order.  The
 streams are the scenarios of the tests, small fleets of the lab under drawn faults, and drawn schedules of
-`lab.schedules` over deployments of `lab.proof`.  Prints how many events and actions were compared; exits 1 at
+`lab.model_check` over deployments of its own.  Prints how many events and actions were compared; exits 1 at
 the first difference.
 """
 
@@ -12,11 +12,14 @@
 import sys
 from pathlib import Path
 
-from rushmux.lab import proof, schedules, variants
+from rushmux.lab import variants
 from rushmux.lab.day import draw_day
 from rushmux.lab.experiment import check
+from rushmux.lab.model_check.deployments import PLAN, REQUEST_CLASS, draw_deployment
+from rushmux.lab.model_check.scenarios import SCENARIOS
+from rushmux.lab.model_check.search import find_breach
+from rushmux.lab.model_check.verifier_check import scenarios_for
 from rushmux.lab.scheduler_simulation import SchedulerSimulation
-from rushmux.routes.findings import Rule
 from rushmux.scheduling.scheduler import Scheduler
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -80,7 +83,7 @@
         self.events = self.actions = 0
 
     def scheduler(self, settings, seed, now, actions) -> "ComparedScheduler":
-        """A scheduler for `SchedulerSimulation`, `schedules.Play` and the scenarios' player."""
+        """A scheduler for `SchedulerSimulation`, `Schedule` and the scenarios' player."""
         return ComparedScheduler(self, settings, seed, now, actions)
 
 
@@ -146,16 +149,20 @@
 
 
 def play_schedules(comparison: Comparison, deployments: range, each: int) -> None:
-    """Drawn schedules over drawn deployments, by every story of the proof."""
-    schedules.Scheduler = comparison.scheduler
+    """Drawn schedules over drawn deployments, by every scenario of the model check."""
     for number in deployments:
-        drawn = proof.draw(random.Random(f"equivalence/{number}"))
-        for rule, stories in proof.STORIES.items():
-            if rule == Rule.RATE_LIMIT and not drawn.bounds.settings.plans["p"].limit:
-                continue
-            for story, acts, way in stories:
-                gateways = 1 if story in proof.SINGLE else drawn.bounds.settings.gateway_count
-                schedules.search(drawn.bounds, story, "w", "p", acts, each, number, gateways, way)
+        drawn = draw_deployment(random.Random(f"equivalence/{number}"))
+        for rule in SCENARIOS:
+            for scenario in scenarios_for(drawn, rule):
+                find_breach(
+                    drawn.bounds,
+                    scenario,
+                    REQUEST_CLASS,
+                    PLAN,
+                    max_schedules=each,
+                    seed=number,
+                    make_scheduler=comparison.scheduler,
+                )
 
 
 def main() -> int:
@@ -164,7 +171,7 @@
     parser.add_argument("--revision", default=BASELINE)
     parser.add_argument("--fleets", type=int, default=24, help="seeds of the lab's fleets")
     parser.add_argument("--deployments", type=int, default=60, help="drawn deployments of the schedules")
-    parser.add_argument("--schedules", type=int, default=20, help="schedules of a story and deployment")
+    parser.add_argument("--schedules", type=int, default=20, help="schedules of a scenario and deployment")
     asked = parser.parse_args()
     comparison = Comparison(asked.revision)
     parts = (
--- /dev/null
+++ b/rushmux/lab/model_check/deployments.py
@@ -0,0 +1,284 @@
+"""Draws small deployments in which one bound is nearly reached or just passed."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from rushmux.routes import resolve
+from rushmux.routes.bounds import Bounds, longest_attempt, scheduler_window, worst_slow_start_units
+from rushmux.scheduling.interface import (
+    DedupScope,
+    Idempotency,
+    QosPlan,
+    RequestClass,
+    SchedulerSettings,
+    Ticks,
+)
+
+REQUEST_CLASS, PLAN = "w", "p"  # the only ones of a drawn deployment
+MAX_ATTEMPTS = 3
+TICKS_PER_MS = 10
+OVERLOAD_WINDOW = 20_000  # ticks
+OVERLOAD_MULTIPLE = 2.5
+MAX_UNITS = 4.0
+DRAIN_MARGIN = 50  # ticks of grace that are to spare
+HEDGING_PROBABILITY = 0.8  # that a deployment drawn for it allows hedging
+AT_BOUND_PROBABILITY = 0.5  # that a deployment drawn for slow start lies at the bound itself
+
+
+class Boundary(StrEnum):
+    """The bound that a deployment is drawn near to."""
+
+    NETWORK_DELAY = "way"
+    DEADLINE = "short"
+    DEDUP_WINDOW = "window"
+    DRAIN_GRACE = "drain"
+    SLOW_START = "cold"
+    RATE_LIMIT = "limit"
+    ATTEMPT_TIMEOUTS = "ladder"
+    HEDGING = "copy"
+    RETRY_BUDGET = "budget"
+
+
+class DrawnDeployment(NamedTuple):
+    """A small deployment: one request class, one plan."""
+
+    boundary: Boundary
+    bounds: Bounds
+    routes: list[resolve.ResolvedRoute]
+
+
+@dataclass(slots=True)
+class _Parameters:
+    """What a deployment is made of; all but the drawn bound is well inside."""
+
+    past: int
+    """Ticks, or units, that the drawn bound is passed by; negative: is missed by."""
+    round_interval: Ticks
+    network_delay: Ticks
+    dial_timeout: Ticks
+    latency_objective: Ticks
+    deadline: Ticks
+    idempotency: Idempotency = Idempotency.IDEMPOTENT
+    dedup_scope: DedupScope = DedupScope.ALL
+    dedup_window: Ticks = 200_000
+    route: dict[str, Any] = field(default_factory=dict)
+    """Of the deployment file."""
+    gateway_count: int = 2
+    slow_start_units: float = 10.0
+    restarts: int = 1
+    allows_hedging: bool = False
+    limit: float = 0.0
+    slack: float = 0.0
+    retry_burst: float = 50.0
+
+
+def draw_deployment(generator: random.Random) -> DrawnDeployment:
+    """A deployment in which one bound is near, the others well inside."""
+    boundary = generator.choice(tuple(Boundary))
+    parameters = _draw_parameters(generator)
+    draw_near = _DRAWS.get(boundary)
+    if draw_near is not None:
+        draw_near(parameters, generator)
+    request_class, plan = _request_class(parameters), _plan(parameters)
+    stated = [{"lane": REQUEST_CLASS, **parameters.route}]
+    routes = resolve.resolve(stated, {REQUEST_CLASS: request_class}, {PLAN: plan}, MAX_ATTEMPTS)
+    settings = _settings(parameters, request_class, plan, routes)
+    drain_margin = DRAIN_MARGIN
+    grace = _least_drain_grace(parameters, routes)
+    if boundary is Boundary.DRAIN_GRACE:
+        drain_margin = max(-grace, parameters.past)
+    bounds = _bounds(parameters, settings, grace + drain_margin)
+    if boundary is Boundary.SLOW_START:
+        bounds = _near_overload(parameters, bounds, generator)
+    return DrawnDeployment(boundary, bounds, routes)
+
+
+def _draw_parameters(generator: random.Random) -> _Parameters:
+    past = generator.randrange(-3, 4)
+    round_interval = generator.randrange(4, 60) * 2
+    network_delay = round_interval // 2 - generator.randrange(1, 3)
+    dial_timeout = generator.choice((0, 300, 2_000))
+    latency_objective = generator.randrange(20, 60) * 100
+    deadline = latency_objective * 3 + 4 * round_interval
+    return _Parameters(past, round_interval, network_delay, dial_timeout, latency_objective, deadline)
+
+
+def _draw_network_delay(parameters: _Parameters, _generator: random.Random) -> None:
+    parameters.network_delay = max(0, parameters.round_interval // 2 + parameters.past)
+
+
+def _draw_deadline(parameters: _Parameters, _generator: random.Random) -> None:
+    least = 2 * parameters.network_delay + parameters.round_interval
+    parameters.deadline = max(1, least + parameters.past)
+    parameters.latency_objective = max(1, min(parameters.latency_objective, parameters.deadline))
+
+
+def _draw_dedup_window(parameters: _Parameters, generator: random.Random) -> None:
+    parameters.idempotency = Idempotency.KEYED
+    parameters.dedup_scope = generator.choice((DedupScope.ALL, DedupScope.CELL))
+    timeout_ms = generator.randrange(2, 12) * 10.0
+    parameters.route = {"executions": 2, "time_out_ms": timeout_ms}
+    interval, past, objective = parameters.round_interval, parameters.past, parameters.latency_objective
+    wait = min(parameters.dial_timeout, int(timeout_ms * TICKS_PER_MS) + interval)
+    longest = objective + interval + wait + parameters.network_delay
+    offset = generator.choice((past, past - objective // 2, past - interval))
+    parameters.dedup_window = max(2 * interval, longest + offset)
+
+
+def _draw_slow_start(parameters: _Parameters, generator: random.Random) -> None:
+    parameters.gateway_count = generator.randrange(2, 7)
+    parameters.slow_start_units = generator.randrange(4, 40) * 1.0
+
+
+def _draw_rate_limit(parameters: _Parameters, generator: random.Random) -> None:
+    parameters.limit = 40.0
+    parameters.slack = generator.randrange(0, 4) * 4.0
+    parameters.restarts = generator.randrange(0, 3)
+
+
+def _draw_attempt_timeouts(parameters: _Parameters, generator: random.Random) -> None:
+    """The attempts' timeouts and the delays between them fill the deadline, or the latency objective."""
+    count = generator.randrange(1, 4)
+    delay_ms = generator.randrange(0, 5) * 10.0
+    interval, delay = parameters.round_interval, delay_ms * TICKS_PER_MS
+    longest = (parameters.deadline - 2 * interval - (count - 1) * (interval + delay)) // count
+    if count > 1:
+        within_objective = (parameters.latency_objective - 1) // (count - 1) - interval - delay
+        longest = min(longest, within_objective)
+    timeout_ms = max(1, longest + parameters.past) / TICKS_PER_MS
+    parameters.route = {"executions": count, "wait_ms": delay_ms, "time_out_ms": timeout_ms}
+
+
+def _draw_hedging(parameters: _Parameters, generator: random.Random) -> None:
+    parameters.allows_hedging = generator.random() < HEDGING_PROBABILITY
+    parameters.idempotency, parameters.dedup_scope = generator.choice(
+        (
+            (Idempotency.IDEMPOTENT, DedupScope.ALL),
+            (Idempotency.KEYED, DedupScope.ALL),
+            (Idempotency.KEYED, DedupScope.CELL),
+            (Idempotency.NOT_IDEMPOTENT, DedupScope.ALL),
+        )
+    )
+    interval = parameters.round_interval
+    latest = min(parameters.latency_objective, parameters.deadline - 2 * interval)
+    due = latest - interval - 2 * parameters.network_delay + parameters.past
+    after = max(0, generator.choice((due, due // 4)))
+    parameters.route = {"second_copy": {"after_ms": after / TICKS_PER_MS}}
+
+
+def _draw_retry_budget(parameters: _Parameters, _generator: random.Random) -> None:
+    parameters.route = {"budget": {"share": 0.0, "free": 4.0}}
+    parameters.retry_burst = 4.0 + parameters.past
+
+
+_DRAWS: dict[Boundary, Callable[[_Parameters, random.Random], None]] = {
+    Boundary.NETWORK_DELAY: _draw_network_delay,
+    Boundary.DEADLINE: _draw_deadline,
+    Boundary.DEDUP_WINDOW: _draw_dedup_window,
+    Boundary.SLOW_START: _draw_slow_start,
+    Boundary.RATE_LIMIT: _draw_rate_limit,
+    Boundary.ATTEMPT_TIMEOUTS: _draw_attempt_timeouts,
+    Boundary.HEDGING: _draw_hedging,
+    Boundary.RETRY_BUDGET: _draw_retry_budget,
+}
+
+
+def _request_class(parameters: _Parameters) -> RequestClass:
+    return RequestClass(
+        name=REQUEST_CLASS,
+        latency_objective=parameters.latency_objective,
+        deadline=parameters.deadline,
+        priority_weight=1.0,
+        idempotency=parameters.idempotency,
+        dedup_scope=parameters.dedup_scope,
+        dedup_window=parameters.dedup_window,
+        ordered=False,
+    )
+
+
+def _plan(parameters: _Parameters) -> QosPlan:
+    return QosPlan(
+        name=PLAN,
+        nominal=100.0,
+        reserve=50.0,
+        limit=parameters.limit,
+        burst=24.0 * parameters.gateway_count if parameters.limit else 0.0,
+        slack=parameters.slack,
+        weight=1.0,
+        price=1.0,
+    )
+
+
+def _settings(
+    parameters: _Parameters,
+    request_class: RequestClass,
+    plan: QosPlan,
+    routes: list[resolve.ResolvedRoute],
+) -> SchedulerSettings:
+    interval = parameters.round_interval
+    return SchedulerSettings(
+        request_classes={REQUEST_CLASS: request_class},
+        plans={PLAN: plan},
+        gateway_count=parameters.gateway_count,
+        round_interval=interval,
+        polls_endpoints=False,
+        poll_interval=0,
+        max_attempts=MAX_ATTEMPTS,
+        max_retry_after=0,
+        mean_units=2.0,
+        max_units=MAX_UNITS,
+        slow_start_units=parameters.slow_start_units,
+        slow_start_window=scheduler_window(
+            OVERLOAD_WINDOW, parameters.network_delay, parameters.dial_timeout, interval
+        ),
+        overload_multiple=OVERLOAD_MULTIPLE,
+        initial_capacity=0.2,
+        warm_up_time=160_000,
+        usage_period=0,
+        key_cooldown=0,
+        retry_budget_ratio=0.5,
+        retry_budget_burst=max(0.0, parameters.retry_burst),
+        retry_budget_window=100_000,
+        allows_hedging=parameters.allows_hedging,
+        allows_cancellation=True,
+        route_policies=resolve.route_policies(routes),
+    )
+
+
+def _least_drain_grace(parameters: _Parameters, routes: list[resolve.ResolvedRoute]) -> Ticks:
+    """The shortest grace within which all arrives that was sent before the drain was known."""
+    interval = parameters.round_interval
+    longest = max(longest_attempt(interval, route) for route in routes) + interval
+    return interval + min(parameters.dial_timeout, longest) + parameters.network_delay
+
+
+def _bounds(parameters: _Parameters, settings: SchedulerSettings, drain_grace: Ticks) -> Bounds:
+    return Bounds(
+        settings=settings,
+        network_delay=parameters.network_delay,
+        dial_timeout=parameters.dial_timeout,
+        drain_grace=drain_grace,
+        restarts=parameters.restarts,
+        overload_window=OVERLOAD_WINDOW,
+        overload_units=1_000.0,
+        served_units=400.0,
+        max_operations=20_000,
+        unit_bytes=1,
+    )
+
+
+def _near_overload(parameters: _Parameters, bounds: Bounds, generator: random.Random) -> Bounds:
+    """What a node in slow start answers is a part of what overloads it; both stand in the bound."""
+    least = parameters.slow_start_units + parameters.gateway_count * MAX_UNITS + parameters.past
+    overload_units = least * generator.choice((1.0, 0.8, 0.5, 2.0, 4.0))
+    part_served = generator.choice((0.1, 0.5, 1.0))
+    bounds = bounds._replace(
+        overload_units=overload_units,
+        served_units=overload_units / OVERLOAD_MULTIPLE * part_served,
+    )
+    if generator.random() < AT_BOUND_PROBABILITY:
+        overload_units = worst_slow_start_units(bounds) + parameters.past
+    return bounds._replace(overload_units=overload_units)
--- /dev/null
+++ b/rushmux/lab/model_check/verifier_check.py
@@ -0,0 +1,95 @@
+"""Checks the verifier of routes against the model: draws deployments near its bounds and searches schedules.
+
+Every accepted one must keep the rules in all schedules found; a refused one must have a schedule that breaks
+its rule, or count as conservative; or be marked `guarded`, where the scheduler keeps the rule by itself.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from rushmux.lab.model_check.deployments import PLAN, REQUEST_CLASS, DrawnDeployment, draw_deployment
+from rushmux.lab.model_check.history import Breach
+from rushmux.lab.model_check.scenarios import SCENARIOS, Scenario
+from rushmux.lab.model_check.search import find_breach
+from rushmux.routes import verifier
+from rushmux.routes.findings import Finding, Rule
+
+
+class Mismatch(NamedTuple):
+    """A deployment on which verifier and scheduler disagree."""
+
+    draw: int
+    """The number of the deployment among those drawn."""
+    text: str
+
+
+class VerifierCheck(NamedTuple):
+    """What a check came to."""
+
+    counts: Counter[str]
+    """Deployments drawn, accepted and refused; findings guarded, played and conservative."""
+    mismatches: list[Mismatch]
+
+
+def scenarios_for(drawn: DrawnDeployment, rule: Rule) -> tuple[Scenario, ...]:
+    """The scenarios that try to break a rule on a deployment."""
+    if rule is Rule.RATE_LIMIT and not drawn.bounds.settings.plans[PLAN].limit:
+        return ()
+    return SCENARIOS[rule]
+
+
+def find_breach_of(drawn: DrawnDeployment, rule: Rule, max_schedules: int, seed: int = 1) -> Breach | None:
+    """The first breach of any rule in the scenarios for one rule, in so many schedules of each."""
+    for scenario in scenarios_for(drawn, rule):
+        breach = find_breach(
+            drawn.bounds, scenario, REQUEST_CLASS, PLAN, max_schedules=max_schedules, seed=seed
+        )
+        if breach is not None:
+            return breach
+    return None
+
+
+def check_verifier(draws: int, seed: int, max_schedules: int) -> VerifierCheck:
+    """Draws so many deployments and searches at most so many schedules of each scenario."""
+    check = VerifierCheck(Counter(), [])
+    for number in range(draws):
+        drawn = draw_deployment(random.Random(f"{seed}/{number}"))
+        findings = verifier.verify(drawn.bounds, drawn.routes)
+        check.counts["drawn"] += 1
+        if findings:
+            check.counts["refused"] += 1
+            for finding in findings:
+                _check_refused(check, drawn, finding, number, max_schedules)
+        else:
+            check.counts["accepted"] += 1
+            check.mismatches.extend(_check_accepted(drawn, number, max_schedules))
+    return check
+
+
+def _check_accepted(drawn: DrawnDeployment, number: int, max_schedules: int) -> Iterator[Mismatch]:
+    for rule in SCENARIOS:
+        breach = find_breach_of(drawn, rule, max_schedules, number)
+        if breach is not None:
+            yield Mismatch(number, f"{drawn.boundary}: accepted, and {breach.rule}: {breach.text}")
+
+
+def _check_refused(
+    check: VerifierCheck,
+    drawn: DrawnDeployment,
+    finding: Finding,
+    number: int,
+    max_schedules: int,
+) -> None:
+    breach = find_breach_of(drawn, finding.rule, max_schedules, number)
+    if finding.guarded:
+        check.counts["guarded"] += 1
+        if breach is not None:
+            text = f"{drawn.boundary}: guarded, and {breach.rule}: {breach.text}"
+            check.mismatches.append(Mismatch(number, text))
+    elif breach is not None and breach.rule == finding.rule:
+        check.counts["played"] += 1
+    else:
+        check.counts["conservative"] += 1
+        check.counts[f"conservative {drawn.boundary}"] += 1
--- a/rushmux/lab/timer_loop.py
+++ b/rushmux/lab/timer_loop.py
@@ -56,10 +56,16 @@
 
     def run(self, until: float) -> None:
         """Makes all calls that are due until a time, and advances the clock to it."""
-        heap = self._heap
-        while heap and heap[0][0] <= until:
-            when, _, timer = heappop(heap)
-            if timer.callback is not None:
-                self.now = when
-                timer.callback(*timer.arguments)
+        while self.run_next(until):
+            pass
         self.now = max(self.now, until)
+
+    def run_next(self, until: float) -> bool:
+        """Makes the next call, where it is due until a time; False where none is."""
+        if not self._heap or self._heap[0][0] > until:
+            return False
+        when, _, timer = heappop(self._heap)
+        if timer.callback is not None:
+            self.now = when
+            timer.callback(*timer.arguments)
+        return True
--- a/tests/routes/test_model.py
+++ b/tests/routes/test_model.py
@@ -4,15 +4,17 @@
 
 import pytest
 
-from rushmux.lab import proof, schedules
+from rushmux.lab.model_check.choices import EnumeratedChoices
+from rushmux.lab.model_check.deployments import draw_deployment
+from rushmux.lab.model_check.verifier_check import check_verifier, find_breach_of
 from rushmux.routes import verifier
 from rushmux.routes.findings import Rule
 
 
 def test_no_accepted_deployment_breaks_a_rule_and_most_refused_ones_do():
-    outcome = proof.hold(36, seed=11, most=30)
+    outcome = check_verifier(36, seed=11, max_schedules=30)
     counts = outcome.counts
-    assert outcome.wrong == []
+    assert outcome.mismatches == []
     assert counts["accepted"] > 5 and counts["played"] > 3
     assert counts["played"] + counts["guarded"] > counts["conservative"]
 
@@ -20,8 +22,8 @@
 def drawn_of(matter, accepted):
     chance = random.Random(5)
     while True:
-        drawn = proof.draw(chance)
-        if drawn.matter == matter and bool(verifier.verify(drawn.bounds, drawn.routes)) != accepted:
+        drawn = draw_deployment(chance)
+        if drawn.boundary == matter and bool(verifier.verify(drawn.bounds, drawn.routes)) != accepted:
             return drawn
 
 
@@ -66,17 +68,17 @@
         monkeypatch.setattr(
             "rushmux.scheduling.dispatcher.Dispatcher.has_retry_budget", lambda self, now: True
         )
-    assert proof.play(drawn, rule, 40) is None or matter == "budget"
-    breach = proof.play(drawn._replace(bounds=worse(drawn.bounds)), rule, 80)
+    assert find_breach_of(drawn, rule, 40) is None or matter == "budget"
+    breach = find_breach_of(drawn._replace(bounds=worse(drawn.bounds)), rule, 80)
     assert breach is not None and breach.rule == rule and breach.steps
 
 
 def test_paths_of_choices_are_all_gone_through():
     def path(choices):
-        return choices.of((0, 1)), choices.of("abc"), choices.of((9,))
+        return choices.choose((0, 1)), choices.choose("abc"), choices.choose((9,))
 
-    choices, met = schedules.Choices(), []
+    choices, met = EnumeratedChoices(), []
     while choices is not None:
         met.append(path(choices))
-        choices = choices.next()
+        choices = choices.next_choices()
     assert met == [(number, letter, 9) for number in (0, 1) for letter in "abc"]
