--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -48,7 +48,7 @@
 
 
 def _experiment_failure(error: "ExperimentError") -> click.ClickException:
-    return click.ClickException(f"{len(error.faults)} fault(s)\n{error}")
+    return click.ClickException(f"{len(error.problems)} fault(s)\n{error}")
 
 
 def _open_store(data: str) -> "ResultStore":
--- a/rushmux/lab/experiment.py
+++ b/rushmux/lab/experiment.py
@@ -27,7 +27,7 @@
 """One of an experiment's `variants`."""
 
 
-class ExperimentFault(NamedTuple):
+class ExperimentProblem(NamedTuple):
     """One thing that is wrong in the text of an experiment."""
 
     place: str
@@ -40,12 +40,12 @@
 
     Attributes:
         source: The file, or the name of the experiment.
-        faults: Everything that is wrong.
+        problems: Everything that is wrong.
     """
 
-    def __init__(self, source: str | Path, faults: Sequence[ExperimentFault]):
-        super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in faults))
-        self.source, self.faults = source, list(faults)
+    def __init__(self, source: str | Path, problems: Sequence[ExperimentProblem]):
+        super().__init__("\n".join(f"{source}: {place}: {text}" for place, text in problems))
+        self.source, self.problems = source, list(problems)
 
 
 def load(path: str | Path) -> Experiment:
@@ -57,9 +57,9 @@
     try:
         raw = json.loads(Path(path).read_text())
     except OSError as error:
-        raise ExperimentError(path, [ExperimentFault("/", f"cannot be read: {error.strerror}")]) from error
+        raise ExperimentError(path, [ExperimentProblem("/", f"cannot be read: {error.strerror}")]) from error
     except ValueError as error:
-        raise ExperimentError(path, [ExperimentFault("/", f"is no JSON: {error}")]) from error
+        raise ExperimentError(path, [ExperimentProblem("/", f"is no JSON: {error}")]) from error
     return check(raw, str(path))
 
 
@@ -67,29 +67,29 @@
     """The experiment with its defaults put in.
 
     Raises:
-        ExperimentError: It is none; the error has all its faults.
+        ExperimentError: It is none; the error has all its problems.
     """
-    found = _schema_faults(raw)
+    found = _schema_problems(raw)
     if found:
         raise ExperimentError(source, found)
     experiment = _with_defaults(raw)
-    found = _name_faults(experiment) + _fault_line_faults(experiment)
+    found = _name_problems(experiment) + _fault_line_problems(experiment)
     volumes: Sequence = ()
     try:
         volumes = day.draw_volumes(experiment, 0)
     except (trace.TraceError, OSError) as error:
-        found.append(ExperimentFault("/trace", str(error)))
+        found.append(ExperimentProblem("/trace", str(error)))
     if volumes:
-        found += _variant_faults(experiment, volumes)
+        found += _variant_problems(experiment, volumes)
     if found:
         raise ExperimentError(source, found)
     return experiment
 
 
-def _schema_faults(raw: Any) -> list[ExperimentFault]:
+def _schema_problems(raw: Any) -> list[ExperimentProblem]:
     errors = jsonschema.Draft202012Validator(SCHEMA).iter_errors(raw)
     return sorted(
-        ExperimentFault("/" + "/".join(map(str, error.absolute_path)), error.message) for error in errors
+        ExperimentProblem("/" + "/".join(map(str, error.absolute_path)), error.message) for error in errors
     )
 
 
@@ -104,28 +104,28 @@
     return experiment
 
 
-def _name_faults(experiment: Experiment) -> list[ExperimentFault]:
+def _name_problems(experiment: Experiment) -> list[ExperimentProblem]:
     names = [variant["name"] for variant in experiment["variants"]]
     if len(set(names)) == len(names):
         return []
-    return [ExperimentFault("/variants", f"two of one name: {', '.join(names)}")]
+    return [ExperimentProblem("/variants", f"two of one name: {', '.join(names)}")]
 
 
-def _fault_line_faults(experiment: Experiment) -> list[ExperimentFault]:
+def _fault_line_problems(experiment: Experiment) -> list[ExperimentProblem]:
     try:
         faults.parse(experiment["troubles"])
     except faults.FaultError as error:
-        return [ExperimentFault("/troubles", str(error))]
+        return [ExperimentProblem("/troubles", str(error))]
     return []
 
 
-def _variant_faults(experiment: Experiment, volumes: Sequence) -> list[ExperimentFault]:
+def _variant_problems(experiment: Experiment, volumes: Sequence) -> list[ExperimentProblem]:
     found = []
     for number, variant in enumerate(experiment["variants"]):
         try:
             day.build_deployment(experiment, variant, volumes)
         except (BadDeployment, KeyError, TypeError, IndexError) as error:
-            found.append(ExperimentFault(f"/variants/{number}", f"its deployment is none: {error}"))
+            found.append(ExperimentProblem(f"/variants/{number}", f"its deployment is none: {error}"))
     return found
 
 
--- a/rushmux/lab/legacy_scheduler.py
+++ b/rushmux/lab/legacy_scheduler.py
@@ -20,7 +20,7 @@
     exec(compile(rules_text.replace(INTERFACE_IMPORT, ""), LEGACY_RULES, "exec"), rules.__dict__)
 
     def make(settings, seed, now, actions):
-        return LegacyScheduler(interface, rules, settings, seed, now, actions)
+        return LegacyScheduler(interface, rules, settings=settings, seed=seed, now=now, actions=actions)
 
     return make
 
@@ -46,7 +46,7 @@
 class LegacyScheduler:
     """A `Gateway` of before, called by today's events."""
 
-    def __init__(self, interface, rules, settings, seed, now, actions):
+    def __init__(self, interface, rules, *, settings, seed, now, actions):
         self.interface = interface
         lanes = {name: converted(interface.Lane, each) for name, each in settings.request_classes.items()}
         plans = {name: converted(interface.Plan, each) for name, each in settings.plans.items()}
--- a/rushmux/lab/load.py
+++ b/rushmux/lab/load.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from rushmux.lab import histograms
+from rushmux.lab.client import ClientOutcome
 from rushmux.lab.day import draw_day
 from rushmux.lab.errors import LabError
 from rushmux.lab.experiment import Experiment
@@ -78,7 +79,7 @@
     for pool in pools:
         for client in pool:
             await client.close()
-    return LoadResult(driver.summarize(len(arrivals), seconds), driver.outcomes["lost"] == 0)
+    return LoadResult(driver.summarize(len(arrivals), seconds), driver.outcomes[ClientOutcome.LOST] == 0)
 
 
 async def _connect(address: Address) -> list[Client]:
@@ -140,10 +141,10 @@
         except Refusal as refusal:
             self.outcomes[refusal.status.message.split(":")[0] or sftp.FAILURE] += 1
         except (Gone, OSError):
-            self.outcomes["lost"] += 1
+            self.outcomes[ClientOutcome.LOST] += 1
         else:
             latency = self.loop.time() - due
-            self.outcomes["succeeded"] += 1
+            self.outcomes[ClientOutcome.SUCCEEDED] += 1
             self.in_time += latency <= LATENCY_OBJECTIVES[kind]
             histograms.record_seconds(self.latencies[kind], latency)
 
--- a/rushmux/lab/model_check/verifier_check.py
+++ b/rushmux/lab/model_check/verifier_check.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterator
+from enum import StrEnum
 from typing import NamedTuple
 
 from rushmux.lab.model_check.deployments import PLAN, REQUEST_CLASS, DrawnDeployment, draw_deployment
@@ -17,6 +18,23 @@
 from rushmux.routes.findings import Finding, Rule
 
 
+class Count(StrEnum):
+    """What a check counts; the values are those that its callers print."""
+
+    DRAWN = "drawn"
+    """Deployments."""
+    ACCEPTED = "accepted"
+    """Deployments without findings."""
+    REFUSED = "refused"
+    """Deployments with findings."""
+    GUARDED = "guarded"
+    """Findings whose rule the scheduler keeps by itself."""
+    REPRODUCED = "played"
+    """Findings whose breach was found in a schedule."""
+    CONSERVATIVE = "conservative"
+    """Findings without a breach in the schedules searched."""
+
+
 class Mismatch(NamedTuple):
     """A deployment on which verifier and scheduler disagree."""
 
@@ -29,7 +47,7 @@
     """What a check came to."""
 
     counts: Counter[str]
-    """Deployments drawn, accepted and refused; findings guarded, played and conservative."""
+    """By `Count`; conservative findings also by the boundary of their deployment."""
     mismatches: list[Mismatch]
 
 
@@ -57,13 +75,13 @@
     for number in range(draws):
         drawn = draw_deployment(random.Random(f"{seed}/{number}"))
         findings = verifier.verify(drawn.bounds, drawn.routes)
-        check.counts["drawn"] += 1
+        check.counts[Count.DRAWN] += 1
         if findings:
-            check.counts["refused"] += 1
+            check.counts[Count.REFUSED] += 1
             for finding in findings:
                 _check_refused(check, drawn, finding, number, max_schedules)
         else:
-            check.counts["accepted"] += 1
+            check.counts[Count.ACCEPTED] += 1
             check.mismatches.extend(_check_accepted(drawn, number, max_schedules))
     return check
 
@@ -84,12 +102,12 @@
 ) -> None:
     breach = find_breach_of(drawn, finding.rule, max_schedules, number)
     if finding.guarded:
-        check.counts["guarded"] += 1
+        check.counts[Count.GUARDED] += 1
         if breach is not None:
             text = f"{drawn.boundary}: guarded, and {breach.rule}: {breach.text}"
             check.mismatches.append(Mismatch(number, text))
     elif breach is not None and breach.rule == finding.rule:
-        check.counts["played"] += 1
+        check.counts[Count.REPRODUCED] += 1
     else:
-        check.counts["conservative"] += 1
-        check.counts[f"conservative {drawn.boundary}"] += 1
+        check.counts[Count.CONSERVATIVE] += 1
+        check.counts[f"{Count.CONSERVATIVE} {drawn.boundary}"] += 1
--- a/rushmux/lab/run.py
+++ b/rushmux/lab/run.py
@@ -116,7 +116,7 @@
 
     def _key(self, variant: Variant, seed: int) -> ResultKey:
         digest = experiment_digest(self.experiment, variant)
-        return ResultKey(digest, self.sources[variant["name"]].mark(), seed)
+        return ResultKey(digest, self.sources[variant["name"]].digest(), seed)
 
 
 def run(
--- a/rushmux/lab/variants.py
+++ b/rushmux/lab/variants.py
@@ -1,4 +1,4 @@
-"""The decision logic that an experiment's variant plays: the tree's, a revision's, or a changed one."""
+"""The decision logic of an experiment's variant: the tree's, a revision's, or a changed one."""
 
 import hashlib
 import importlib.abc
@@ -12,14 +12,23 @@
 from rushmux import scheduling
 from rushmux.lab import legacy_scheduler
 from rushmux.lab.baselines import BASELINES
+from rushmux.lab.errors import LabError
 
 ROOT = Path(scheduling.__file__).resolve().parents[2]
 PACKAGE, FOLDER = "rushmux.scheduling", "rushmux/scheduling"
 SHARED = ("__init__", "interface", "driver")  # modules of the package that all variants have in common
 
 
-class SourceError(Exception):
-    """A revision or a change of the decision logic that is not there; the text says which."""
+class SourceError(LabError):
+    """A revision or a change of the decision logic that is not there; the text says which.
+
+    Attributes:
+        name: The revision, or the variant whose change it is.
+    """
+
+    def __init__(self, name: str, text: str):
+        super().__init__(text)
+        self.name = name
 
 
 class SchedulerSource(NamedTuple):
@@ -27,7 +36,7 @@
 
     texts: tuple[tuple[str, str], ...]
 
-    def mark(self) -> str:
+    def digest(self) -> str:
         """A digest that tells two sources apart."""
         whole = "\0".join(part for row in self.texts for part in row)
         return hashlib.blake2b(whole.encode(), digest_size=8).hexdigest()
@@ -38,7 +47,7 @@
         if legacy_scheduler.LEGACY_RULES in texts:
             interface = texts[legacy_scheduler.LEGACY_INTERFACE]
             return legacy_scheduler.load(interface, texts[legacy_scheduler.LEGACY_RULES])
-        name = f"scheduling_{self.mark()}"
+        name = f"scheduling_{self.digest()}"
         if name not in sys.modules:
             _import_package(name, {Path(path).stem: text for path, text in self.texts})
         return sys.modules[f"{name}.scheduler"].Scheduler
@@ -86,12 +95,12 @@
 def _of_revision(revision: str) -> dict[str, str]:
     listed = _git("ls-tree", "--name-only", revision, f"{FOLDER}/", legacy_scheduler.LEGACY_RULES)
     if listed.returncode:
-        raise SourceError(f"revision {revision}: {listed.stderr.strip()}")
+        raise SourceError(revision, f"revision {revision}: {listed.stderr.strip()}")
     paths = [path for path in listed.stdout.split() if _is_own(path)]
     if legacy_scheduler.LEGACY_RULES in paths:
         paths = [legacy_scheduler.LEGACY_INTERFACE, legacy_scheduler.LEGACY_RULES]
     if not paths:
-        raise SourceError(f"revision {revision} has no decision logic")
+        raise SourceError(revision, f"revision {revision} has no decision logic")
     return {path: _git("show", f"{revision}:{path}").stdout for path in paths}
 
 
@@ -100,7 +109,11 @@
 
 
 def source(variant: dict) -> SchedulerSource:
-    """The source of the scheduler that a variant plays; SourceError where it is not there."""
+    """The source of the scheduler of a variant.
+
+    Raises:
+        SourceError: It is not there.
+    """
     if "revision" in variant:
         texts = _of_revision(variant["revision"])
     else:
@@ -110,7 +123,8 @@
         count = sum(text.count(old) for text in texts.values())
         if count != 1:
             raise SourceError(
-                f"variant {variant['name']}: '{old[:60]}' stands {count} times in the decision logic"
+                variant["name"],
+                f"variant {variant['name']}: '{old[:60]}' stands {count} times in the decision logic",
             )
         texts = {path: text.replace(old, new) for path, text in texts.items()}
     return SchedulerSource(tuple(texts.items()))
--- a/rushmux/lab/workload.py
+++ b/rushmux/lab/workload.py
@@ -38,7 +38,7 @@
 }
 
 
-class WorkloadError(LabError, ValueError):
+class WorkloadError(LabError):
     """A day with more operations than can be simulated.
 
     Attributes:
@@ -49,9 +49,6 @@
         super().__init__(f"more than {limit} operations in the day")
         self.limit = limit
 
-    def __reduce__(self):
-        return type(self), (self.limit,)
-
 
 class Arrival(NamedTuple):
     """One operation as its client means to send it."""
@@ -135,8 +132,8 @@
     return [volume._replace(rate=volume.rate * settings["load"] * capacity / total) for volume in volumes]
 
 
-def rush(settings: WorkloadSettings, at):
-    """The rate at some times as a multiple of the mean: a slow sine, the same for all volumes."""
+def rush(settings: WorkloadSettings, at: numpy.ndarray) -> numpy.ndarray:
+    """The rate at some times (seconds) as a multiple of the mean: a slow sine, the same for all volumes."""
     return 1 + settings["rush"] * numpy.sin(2 * numpy.pi * at / settings["rush_period"])
 
 
--- a/rushmux/routes/verifier.py
+++ b/rushmux/routes/verifier.py
@@ -3,7 +3,7 @@
 Each check is a closed form over the stated bounds: the longest chain of delays that the bounds allow, in
 whole ticks, against what the rule allows (docs/routes.md derives each).  A `Finding` is a refusal.  Those
 marked `guarded` are of rules that the scheduler would keep by itself by cutting the route short: such a route
-cannot do what it says.  The others can be played (`lab/schedules.py`).
+cannot do what it says.  The others can be played (`lab/model_check`).
 """
 
 from rushmux.routes import fleet_checks, route_checks
--- a/tests/lab/test_workload.py
+++ b/tests/lab/test_workload.py
@@ -32,6 +32,11 @@
             '{"at":1,"volume":"x","lane":"l","key":"","units":1,"cell":0,"edge":0}\n',
             "not in the header",
         ),
+        (
+            '{"format": 1, "volumes": {"x": "p"}}\n'
+            '{"at":1,"volume":"x","lane":"l","key":"","units":1,"cell":0,"gateway":0}\n',
+            "there is no field gateway",
+        ),
     ],
 )
 def test_an_invalid_trace_is_named_in_the_error(tmp_path, text, words):
@@ -65,4 +70,4 @@
     assert result["kept"] and result["asked"] > 100
     with pytest.raises(ExperimentError) as error:
         make_experiment(trace=str(tmp_path / "none"))
-    assert error.value.faults[0][0] == "/trace"
+    assert error.value.problems[0][0] == "/trace"
