--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from rushmux.lab.experiment import Experiment, ExperimentError
+    from rushmux.lab.load import Address
     from rushmux.lab.result_store import ResultStore
     from rushmux.lab.run import Results
 
@@ -69,7 +71,7 @@
 
 
 @click.group()
-def lab():
+def lab() -> None:
     """Experiments on emulated fleets: what a change does, with confidence."""
 
 
@@ -78,7 +80,7 @@
 @DATA
 @JOBS
 @click.option("--report/--no-report", default=True, show_default=True)
-def run(experiment, data, jobs, report):
+def run(experiment: str, data: str, jobs: int, report: bool) -> None:
     """Plays an experiment, goes on where one was killed, and says what was seen.
 
     Exit 1 where a variant of the module broke a rule.
@@ -132,7 +134,7 @@
 @click.option("--days", type=click.IntRange(1, MAX_DAYS), default=120, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--save", type=click.Path(), help="file for the worst day, shrunk to what matters")
-def search(experiment, *, data, jobs, days, seed, save):
+def search(experiment: str, *, data: str, jobs: int, days: int, seed: int, save: str | None) -> None:
     """Looks for the day on which the first variant serves worst, within the experiment's ranges."""
     from rushmux.lab import saved_day
     from rushmux.lab import search as searches
@@ -149,7 +151,7 @@
 
 @lab.command()
 @click.argument("case", type=click.Path())
-def replay(case):
+def replay(case: str) -> None:
     """Plays a saved day again; exit 1 where it ends otherwise than it was saved, or a rule breaks."""
     from rushmux.lab import saved_day
 
@@ -164,7 +166,7 @@
 @lab.command()
 @click.argument("experiment")
 @click.option("--seed", type=int, default=1, show_default=True)
-def yardstick(experiment, seed):
+def yardstick(experiment: str, seed: int) -> None:
     """How far each variant is from what full knowledge could serve on one day."""
     from rushmux.lab import variants
     from rushmux.lab.day import draw_day
@@ -189,7 +191,7 @@
 @click.argument("experiment")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--out", type=click.Path(), required=True)
-def trace(experiment, seed, out):
+def trace(experiment: str, seed: int, out: str) -> None:
     """Writes the arrivals of one day as a trace."""
     from rushmux.lab import trace as traces
     from rushmux.lab.day import draw_day, draw_volumes
@@ -213,7 +215,9 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seconds", type=float, default=10.0, show_default=True)
 @click.option("--folder", "folders", multiple=True, required=True, help="client folders to work in")
-def load(experiment, edges, seed, seconds, folders):
+def load(
+    experiment: str, edges: "Sequence[Address]", seed: int, seconds: float, folders: Sequence[str]
+) -> None:
     """Drives running edges over sockets with an experiment's workload."""
     from rushmux.lab import load as loads
 
--- a/rushmux/lab/faults.py
+++ b/rushmux/lab/faults.py
@@ -60,31 +60,31 @@
     """What a line of a kind may and must state."""
 
     targets: tuple[str, ...]
-    has_size: bool
-    has_duration: bool
+    has_size: bool = True
+    has_duration: bool = True
 
 
 NODE_TARGETS = ("node", "nodes", "zone")
 GATEWAY_TARGETS = ("edge", "edges")
 VOLUME_TARGETS = ("volume", "plan", "all")
 SYNTAX = {
-    FaultKind.SILENT: FaultSyntax(NODE_TARGETS, False, True),
-    FaultKind.SLOW: FaultSyntax(NODE_TARGETS, True, True),
-    FaultKind.ERRORS: FaultSyntax(NODE_TARGETS, True, True),
-    FaultKind.MESSAGE_LOSS: FaultSyntax(NODE_TARGETS, True, True),
-    FaultKind.CONNECTION_RESET: FaultSyntax(NODE_TARGETS, False, False),
-    FaultKind.NOISY_NEIGHBOUR: FaultSyntax(NODE_TARGETS, True, True),
-    FaultKind.NODE_RESTART: FaultSyntax(NODE_TARGETS, False, True),
-    FaultKind.DRAIN: FaultSyntax(NODE_TARGETS, True, False),
-    FaultKind.PARTITION: FaultSyntax(("zone", *GATEWAY_TARGETS), False, True),
-    FaultKind.DISCOVERY_LAG: FaultSyntax(("lists",), True, True),
-    FaultKind.USAGE_REPORT_LOSS: FaultSyntax(NODE_TARGETS, False, True),
-    FaultKind.GATEWAY_CRASH: FaultSyntax(GATEWAY_TARGETS, False, True),
-    FaultKind.GATEWAY_PAUSE: FaultSyntax(GATEWAY_TARGETS, False, True),
-    FaultKind.SHORT_DEADLINE: FaultSyntax(VOLUME_TARGETS, True, True),
-    FaultKind.LOAD_SURGE: FaultSyntax(VOLUME_TARGETS, True, True),
-    FaultKind.HOT_KEY: FaultSyntax(VOLUME_TARGETS, True, True),
-    FaultKind.LARGE_OPERATIONS: FaultSyntax(VOLUME_TARGETS, True, True),
+    FaultKind.SILENT: FaultSyntax(NODE_TARGETS, has_size=False),
+    FaultKind.SLOW: FaultSyntax(NODE_TARGETS),
+    FaultKind.ERRORS: FaultSyntax(NODE_TARGETS),
+    FaultKind.MESSAGE_LOSS: FaultSyntax(NODE_TARGETS),
+    FaultKind.CONNECTION_RESET: FaultSyntax(NODE_TARGETS, has_size=False, has_duration=False),
+    FaultKind.NOISY_NEIGHBOUR: FaultSyntax(NODE_TARGETS),
+    FaultKind.NODE_RESTART: FaultSyntax(NODE_TARGETS, has_size=False),
+    FaultKind.DRAIN: FaultSyntax(NODE_TARGETS, has_duration=False),
+    FaultKind.PARTITION: FaultSyntax(("zone", *GATEWAY_TARGETS), has_size=False),
+    FaultKind.DISCOVERY_LAG: FaultSyntax(("lists",)),
+    FaultKind.USAGE_REPORT_LOSS: FaultSyntax(NODE_TARGETS, has_size=False),
+    FaultKind.GATEWAY_CRASH: FaultSyntax(GATEWAY_TARGETS, has_size=False),
+    FaultKind.GATEWAY_PAUSE: FaultSyntax(GATEWAY_TARGETS, has_size=False),
+    FaultKind.SHORT_DEADLINE: FaultSyntax(VOLUME_TARGETS),
+    FaultKind.LOAD_SURGE: FaultSyntax(VOLUME_TARGETS),
+    FaultKind.HOT_KEY: FaultSyntax(VOLUME_TARGETS),
+    FaultKind.LARGE_OPERATIONS: FaultSyntax(VOLUME_TARGETS),
 }
 TARGETS_WITH_ARGUMENT = ("nodes", "edges", "plan")
 
--- a/rushmux/lab/model_check/deployments.py
+++ b/rushmux/lab/model_check/deployments.py
@@ -8,6 +8,7 @@
 
 from rushmux.routes import resolve
 from rushmux.routes.bounds import Bounds, longest_attempt, scheduler_window, worst_slow_start_units
+from rushmux.routes.findings import TICKS_PER_MS
 from rushmux.scheduling.interface import (
     DedupScope,
     Idempotency,
@@ -19,7 +20,6 @@
 
 REQUEST_CLASS, PLAN = "w", "p"  # the only ones of a drawn deployment
 MAX_ATTEMPTS = 3
-TICKS_PER_MS = 10
 OVERLOAD_WINDOW = 20_000  # ticks
 OVERLOAD_MULTIPLE = 2.5
 MAX_UNITS = 4.0
--- a/rushmux/lab/model_check/gateway.py
+++ b/rushmux/lab/model_check/gateway.py
@@ -19,7 +19,7 @@
     from rushmux.lab.model_check.schedule import Schedule
 
 SEED_STRIDE, GATEWAY_STRIDE = 64, 8  # so that no two starts of a schedule's gateways share a seed
-FLEET_USAGE = 2  # that nodes tell of with an answer
+FLEET_USAGE = 2  # of the plan's rate, as answers tell of it: one percent
 
 
 class ModelGateway:
@@ -79,7 +79,14 @@
         self.in_flight[op_id].remove(number)
         if result is AttemptResult.SUCCEEDED and op_id not in self.answered:
             self._answer(op_id, ClientOutcome.SUCCEEDED)
-        report = AttemptReport(op_id, number, result, op_id in self.answered, FLEET_USAGE, 0.0)
+        report = AttemptReport(
+            op_id=op_id,
+            attempt=number,
+            result=result,
+            operation_ended=op_id in self.answered,
+            fleet_usage=FLEET_USAGE,
+            remote_usage=0.0,
+        )
         self.scheduler.on_attempt_result(self.schedule.now, report)
 
     def _answer(self, op_id: str, outcome: ClientOutcome) -> None:
--- a/rushmux/lab/model_check/history.py
+++ b/rushmux/lab/model_check/history.py
@@ -3,11 +3,9 @@
 from typing import NamedTuple
 
 from rushmux.lab.timer_loop import TimerLoop
-from rushmux.routes.findings import Rule, Step
+from rushmux.routes.findings import TICKS_PER_MS, Rule, Step
 from rushmux.scheduling.interface import Ticks
 
-TICKS_PER_MS = 10
-
 
 def format_ms(ticks: Ticks) -> str:
     """A time in milliseconds."""
--- a/rushmux/lab/model_check/scenarios.py
+++ b/rushmux/lab/model_check/scenarios.py
@@ -44,20 +44,20 @@
     plan: str
 
     def send(
-        self, gateway: ModelGateway, op_id: str, *, units: float = 1.0, cell: int = 0, mounts: int = 1
+        self, gateway: ModelGateway, op_id: str, *, units: float = 1.0, cell: int = 0, gateway_count: int = 1
     ) -> None:
         """Sends an operation now."""
         request = OperationRequest(
-            op_id,
-            self.request_class,
-            self.plan,
-            f"v{self.plan}",
-            "",
-            0,
-            units,
-            cell,
-            mounts,
-            False,
+            op_id=op_id,
+            request_class=self.request_class,
+            plan=self.plan,
+            volume=f"v{self.plan}",
+            key="",
+            time_left=0,  # set when it reaches the gateway
+            units=units,
+            cell=cell,
+            gateway_count=gateway_count,
+            is_retry=False,
         )
         self.schedule.send_operation(gateway, request)
 
@@ -133,8 +133,8 @@
 def restarts_with_spent_limits(schedule: Schedule, request_class: str, plan: str) -> Ticks:
     """All gateways use up their parts of a limit and restart, as often as the bounds allow."""
     client, bounds = _Client(schedule, request_class, plan), schedule.bounds
-    qos_plan, mounts = bounds.settings.plans[plan], bounds.settings.gateway_count
-    operations_each = int(qos_plan.burst / mounts) + 2
+    qos_plan, gateway_count = bounds.settings.plans[plan], bounds.settings.gateway_count
+    operations_each = int(qos_plan.burst / gateway_count) + 2
     full_at = int(qos_plan.burst / qos_plan.limit * TICKS_PER_SECOND) + TICKS_PER_SECOND
     endpoints, count = [_ready_node(0)], 0
     schedule.update_endpoints(endpoints)
@@ -147,7 +147,7 @@
                 schedule.update_endpoints(endpoints, [gateway])
             for _ in range(operations_each):
                 count += 1
-                client.send(gateway, f"l{count}", mounts=mounts)
+                client.send(gateway, f"l{count}", gateway_count=gateway_count)
 
     schedule.call_at(full_at, lambda: spend(restarts=False))
     for number in range(1, bounds.restarts + 1):
--- a/rushmux/lab/simulated_gateway.py
+++ b/rushmux/lab/simulated_gateway.py
@@ -138,16 +138,16 @@
         self._record_operation(operation)
         arrival, deployment = operation.arrival, self.context.deployment
         request = OperationRequest(
-            operation.op_id,
-            arrival.request_class,
-            deployment.folders[arrival.volume].plan,
-            arrival.volume,
-            arrival.key,
-            self._time_left(operation),
-            arrival.units,
-            arrival.cell,
-            deployment.mounts(arrival.volume),
-            False,
+            op_id=operation.op_id,
+            request_class=arrival.request_class,
+            plan=deployment.folders[arrival.volume].plan,
+            volume=arrival.volume,
+            key=arrival.key,
+            time_left=self._time_left(operation),
+            units=arrival.units,
+            cell=arrival.cell,
+            gateway_count=deployment.mounts(arrival.volume),
+            is_retry=False,
         )
         self.scheduler.on_operation(self.now(), request)
 
@@ -184,7 +184,14 @@
         operation.timeouts.pop(number).cancel()
         if result is AttemptResult.SUCCEEDED and not operation.answered:
             self._answer(operation, ClientOutcome.SUCCEEDED, 0)
-        report = AttemptReport(operation.op_id, number, result, operation.answered, 0, remote_usage)
+        report = AttemptReport(
+            op_id=operation.op_id,
+            attempt=number,
+            result=result,
+            operation_ended=operation.answered,
+            fleet_usage=0,
+            remote_usage=remote_usage,
+        )
         self.scheduler.on_attempt_result(self.now(), report)
         self._forget_if_done(operation)
 
--- a/rushmux/lab/system_simulation.py
+++ b/rushmux/lab/system_simulation.py
@@ -15,6 +15,7 @@
 from rushmux.lab.day import Day
 from rushmux.lab.errors import LabError
 from rushmux.lab.faults import FaultEvent, FaultKind
+from rushmux.lab.fleet import node_name
 from rushmux.lab.workload import Arrival
 from rushmux.nodewire import messages
 from rushmux.scheduling.driver import TICKS_PER_SECOND
@@ -36,6 +37,7 @@
 REPLACEMENT_DELAY = 2.0  # seconds after grace and list until a drained node's replacement starts
 DISCOVERY_LAG = 0.5  # seconds until a change of a node reaches the gateways
 ISLANDS_PER_SECOND = 1_000  # tells partitions that begin at different times apart
+STANDIN_PREFIX = "node"  # of a stand-in node's name, before its cell
 MACHINE_FIELDS = ("cores", "unit", "room", "recent", "saved", "put_off", "crowd", "pause", "pause_every")
 
 
@@ -194,7 +196,7 @@
 
     def _running_nodes(self) -> set[str]:
         """Names of the nodes, as faults name them, whose processes run."""
-        return {f"n{name[4:]}" for name, node in self.fleet.nodes.items() if not node.process.dead}
+        return {_fault_target(name) for name, node in self.fleet.nodes.items() if not node.process.dead}
 
     async def _crash_gateways(self, event: FaultEvent) -> None:
         for number in event.targets:
@@ -226,12 +228,22 @@
             await self._start_node(target)
 
     async def _start_node(self, name: str) -> None:
-        await self.fleet.node(_standin_name(name), int(name[1:]))
+        await self.fleet.node(_standin_name(name), _cell(name))
 
 
 def _standin_name(name: str) -> str:
     """The stand-in node's name for a node that faults name `n3`."""
-    return f"node{name[1:]}"
+    return f"{STANDIN_PREFIX}{_cell(name)}"
+
+
+def _fault_target(standin_name: str) -> str:
+    """The name that faults give to a stand-in node."""
+    return node_name(int(standin_name.removeprefix(STANDIN_PREFIX)))
+
+
+def _cell(name: str) -> int:
+    """The cell of a node that faults name `n3`."""
+    return int(name[1:])
 
 
 def simulate(day: Day, seed: int, make_scheduler: Callable = Scheduler, **settings: Any) -> SystemResult:
