--- a/benchmarks/buffer.py
+++ b/benchmarks/buffer.py
@@ -20,150 +20,176 @@
 from rushmux.standins.client import Refusal
 
 EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
-UNIT = 0.015
+UNIT = 0.015  # seconds of a core
+SETTLE_TIME = 5  # seconds after a workload in which what is buffered is flushed
+DESKS, DOCUMENTS = 8, 30  # writers of small files, and files of each
+DOCUMENT_BYTES = (2_000, 8_000)  # least and first that is too large
+DOCUMENT_RATE = 5  # documents a second that a desk files between two of its waits
+STREAMS, STREAM_BYTES = 4, 2 << 20
+STREAM_WRITES = (4_096, 16_384, 65_536)  # bytes of a write
+RATE = 40  # reads, and writes to each folder, a second
+READ_BYTES, WRITE_BYTES = 20_000, 8_192
+READ_TIME = 10  # seconds of reads
+MS = 1_000
 
 
-def share(times, part):
-    return sorted(times)[int(part * (len(times) - 1))] * 1_000
+def percentile(times, part):
+    """Milliseconds that a part of the times keeps within."""
+    return sorted(times)[int(part * (len(times) - 1))] * MS
 
 
 class Run:
-    """One story with the buffer off or on."""
+    """One workload with the buffer off or on.
 
-    def __init__(self, on, seed, story, **fleet):
+    Attributes:
+        times: Seconds of the calls that succeeded, by kind.
+        rejected: Calls that did not.
+        operations: Operations on nodes; `writes` and `changes` are parts of them.
+        counters: What the buffer of the first edge did, if it is on.
+    """
+
+    def __init__(self, buffer_on, seed, workload):
         raw = copy.deepcopy(EXAMPLE)
-        if on:
+        if buffer_on:
             raw["buffer"] = {}
-        self.times, self.refused, self.chance = {}, 0, random.Random(seed)
+        self.times, self.rejected, self.chance = {}, 0, random.Random(seed)
 
-        async def whole(made):
-            self.loop = made.loop
-            await story(self, made)
-            await made.sleep(5)
-            if on:
-                self.counts = made.edges[0].program.buffer.counts
+        async def story(fleet):
+            self.loop = fleet.loop
+            await workload(self, fleet)
+            await fleet.sleep(SETTLE_TIME)
+            if buffer_on:
+                self.counters = fleet.edges[0].program.buffer.counters
 
-        made, _ = fleets.play(deployment.build(raw), seed, whole, nodes=4, edges=2, **{"unit": UNIT, **fleet})
-        rows = [row for row in made.records if row["kind"] == "execution" and row["what"] != "drop"]
+        fleet, _ = fleets.play(deployment.build(raw), seed, story, nodes=4, edges=2, unit=UNIT)
+        rows = [row for row in fleet.records if row["kind"] == "execution" and row["what"] != "drop"]
         self.operations = len(rows)
         self.writes = sum(row["what"] == "write" for row in rows)
         self.changes = sum(row["what"] == "change" for row in rows)
 
-    async def timed(self, name, call):
+    async def timed(self, kind, call):
+        """Waits for a call and notes how long it took."""
         begun = self.loop.time()
         try:
             await call
         except Refusal:
-            self.refused += 1
+            self.rejected += 1
             return
-        self.times.setdefault(name, []).append(self.loop.time() - begun)
+        self.add_time(kind, begun)
+
+    def add_time(self, kind, begun):
+        """Notes that something that began at a time of the loop's clock is done."""
+        self.times.setdefault(kind, []).append(self.loop.time() - begun)
 
 
 async def small_files(run, fleet):
-    """Eight desks file 30 documents each, one after the other."""
+    """Desks file documents, each one after the other."""
 
     async def desk(number):
         client = await fleet.client(0)
-        for place in range(30):
-            size = run.chance.randrange(2_000, 8_000)
+        for place in range(DOCUMENTS):
+            size = run.chance.randrange(*DOCUMENT_BYTES)
             await run.timed("file", client.put(f"/heredia/{number}-{place}", bytes(size)))
-            await asyncio.sleep(run.chance.expovariate(5))
+            await asyncio.sleep(run.chance.expovariate(DOCUMENT_RATE))
 
-    await asyncio.gather(*(desk(number) for number in range(8)))
+    await asyncio.gather(*(desk(number) for number in range(DESKS)))
 
 
-def stream(size):
-    """Four clients write 2 MiB each in pieces of `size`, one at a time, and close."""
+def streams(write_bytes):
+    """Clients write a long file each, one write at a time, and close it."""
 
-    async def story(run, fleet):
-        async def one(number):
+    async def workload(run, fleet):
+        async def stream(number):
             client = await fleet.client(0)
             handle = await client.open(f"/heredia/s{number}", sftp.WRITE | sftp.CREATE)
             begun = fleet.loop.time()
-            for at in range(0, 2 << 20, size):
-                await run.timed("write", client.ask(sftp.Write, handle, at, bytes(size)))
+            for offset in range(0, STREAM_BYTES, write_bytes):
+                await run.timed("write", client.ask(sftp.Write, handle, offset, bytes(write_bytes)))
             await run.timed("close", client.ask(sftp.Close, handle))
-            run.times.setdefault("whole", []).append(fleet.loop.time() - begun)
+            run.add_time("whole", begun)
 
-        await asyncio.gather(*(one(number) for number in range(4)))
+        await asyncio.gather(*(stream(number) for number in range(STREAMS)))
 
-    return story
+    return workload
 
 
-async def reads_beside(run, fleet):
-    """Readers of one folder while another two are filed into: 40 reads a second for ten seconds."""
+async def reads(run, fleet, folders_written):
+    """Reads of one folder, while streams are written to others."""
     reader = await fleet.client(0)
-    await reader.put("/limon/read", bytes(20_000))
+    await reader.put("/limon/read", bytes(READ_BYTES))
     handle = await reader.open("/limon/read", sftp.READ)
-
-    async def filing(folder):
-        client = await fleet.client(0)
-        handle = await client.open(f"/{folder}/s", sftp.WRITE | sftp.CREATE)
-        at = 0
-        while fleet.loop.time() < until:
-            await run.timed("write", client.ask(sftp.Write, handle, at, bytes(8_192)))
-            at += 8_192
-            await asyncio.sleep(run.chance.expovariate(40))
-
-    until = fleet.loop.time() + 10
-    tasks = [asyncio.ensure_future(filing(folder)) for folder in ("heredia", "golfo")]
+    until = fleet.loop.time() + READ_TIME
+    tasks = [asyncio.ensure_future(write_until(run, fleet, folder, until)) for folder in folders_written]
     while fleet.loop.time() < until:
-        await asyncio.sleep(run.chance.expovariate(40))
-        tasks.append(asyncio.ensure_future(run.timed("read", reader.ask(sftp.Read, handle, 0, 20_000))))
+        await asyncio.sleep(run.chance.expovariate(RATE))
+        call = run.timed("read", reader.ask(sftp.Read, handle, 0, READ_BYTES))
+        tasks.append(asyncio.ensure_future(call))
     await asyncio.gather(*tasks)
 
 
-async def reads_alone(run, fleet):
-    """The same readers with nobody filing."""
-    reader = await fleet.client(0)
-    await reader.put("/limon/read", bytes(20_000))
-    handle = await reader.open("/limon/read", sftp.READ)
-    until, tasks = fleet.loop.time() + 10, []
+async def write_until(run, fleet, folder, until):
+    """Writes a stream into a folder until a time of the loop's clock."""
+    client = await fleet.client(0)
+    handle = await client.open(f"/{folder}/s", sftp.WRITE | sftp.CREATE)
+    offset = 0
     while fleet.loop.time() < until:
-        await asyncio.sleep(run.chance.expovariate(40))
-        tasks.append(asyncio.ensure_future(run.timed("read", reader.ask(sftp.Read, handle, 0, 20_000))))
-    await asyncio.gather(*tasks)
+        await run.timed("write", client.ask(sftp.Write, handle, offset, bytes(WRITE_BYTES)))
+        offset += WRITE_BYTES
+        await asyncio.sleep(run.chance.expovariate(RATE))
+
+
+async def reads_alone(run, fleet):
+    """Reads of one folder while nobody writes."""
+    await reads(run, fleet, ())
+
+
+async def reads_beside_writes(run, fleet):
+    """Reads of one folder while two others are written to."""
+    await reads(run, fleet, ("heredia", "golfo"))
 
 
-def told(name, what, seeds, story):
-    print(f"\n{name}")
-    for on in (False, True):
-        runs = [Run(on, seed, story) for seed in seeds]
-        for kind in what:
+def report(title, kinds, seeds, workload):
+    """Prints the times and operations of a workload, with the buffer off and on."""
+    print(f"\n{title}")
+    for buffer_on in (False, True):
+        runs = [Run(buffer_on, seed, workload) for seed in seeds]
+        state = "on " if buffer_on else "off"
+        for kind in kinds:
             times = [time for run in runs for time in run.times[kind]]
             print(
-                f"  buffer {'on ' if on else 'off'} {kind:6} 50th {share(times, 0.5):8.1f}  99th "
-                f"{share(times, 0.99):8.1f}  worst {share(times, 1):8.1f} ms  ({len(times)})"
+                f"  buffer {state} {kind:6} 50th {percentile(times, 0.5):8.1f}  99th "
+                f"{percentile(times, 0.99):8.1f}  worst {percentile(times, 1):8.1f} ms  ({len(times)})"
             )
         print(
-            f"  buffer {'on ' if on else 'off'} node operations {median(runs, 'operations')} (writes "
+            f"  buffer {state} node operations {median(runs, 'operations')} (writes "
             f"{median(runs, 'writes')}, changes {median(runs, 'changes')}), "
-            f"refused {median(runs, 'refused')}"
+            f"refused {median(runs, 'rejected')}"
         )
-        if on:
-            counts = [run.counts for run in runs]
-            twice = [count["object_bytes"] / max(1, count["bytes"]) for count in counts]
-            print(f"  bytes stored over bytes taken {statistics.median(twice):.3f}")
+        if buffer_on:
+            ratios = [run.counters.object_bytes / max(1, run.counters.bytes) for run in runs]
+            print(f"  bytes stored over bytes taken {statistics.median(ratios):.3f}")
 
 
 def median(runs, name):
+    """The median of an attribute."""
     return int(statistics.median(getattr(run, name) for run in runs))
 
 
 def main():
+    """Prints all workloads."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=5)
     seeds = range(1, parser.parse_args().seeds + 1)
-    told("240 small files by 8 desks", ("file",), seeds, small_files)
-    for size in (4_096, 16_384, 65_536):
-        told(
-            f"4 streams of 2 MiB in {size // 1024} KiB writes",
+    report("240 small files by 8 desks", ("file",), seeds, small_files)
+    for write_bytes in STREAM_WRITES:
+        report(
+            f"4 streams of 2 MiB in {write_bytes // 1024} KiB writes",
             ("write", "close", "whole"),
             seeds,
-            stream(size),
+            streams(write_bytes),
         )
-    told("40 reads a second alone", ("read",), seeds, reads_alone)
-    told("40 reads a second beside filing", ("read", "write"), seeds, reads_beside)
+    report("40 reads a second alone", ("read",), seeds, reads_alone)
+    report("40 reads a second beside filing", ("read", "write"), seeds, reads_beside_writes)
 
 
 if __name__ == "__main__":
--- a/benchmarks/extents.py
+++ b/benchmarks/extents.py
@@ -1,4 +1,4 @@
-"""The dirty index against a plain list and a library's interval tree, at 10^3 to 10^6 extents.
+"""The extent index against a plain list and a library's interval tree, at 10^3 to 10^6 extents.
 
 pip install intervaltree; python benchmarks/extents.py [--most 1000000]
 """
@@ -6,72 +6,97 @@
 import argparse
 import random
 import time
+from typing import NamedTuple
 
 from intervaltree import IntervalTree
 
-from rushmux.buffer.extents import Extents, PlainExtents
+from rushmux.buffer.extents import ExtentIndex
+from rushmux.buffer.linear_extents import LinearExtentIndex
 
 DATA = bytes(64)
-FEW = 300  # operations timed of a kind whose single one takes long
+SPACING = 100  # bytes between the starts of two extents
+RANGE = 1_000  # bytes of a range that is looked up
+CALLS = 300  # timed of each kind
+MICROSECONDS = 1e6
+SMALLEST, GROWTH = 1_000, 10  # extents of the first size, and factor to the next
 
 
-class Tree:
-    """A library's interval tree, put and asked the same way."""
+class IntervalTreeIndex:
+    """A library's interval tree with the methods of the extent index."""
 
     def __init__(self):
         self.tree = IntervalTree()
 
-    def put(self, start, data, number):
+    def insert(self, start, data, sequence):
+        """Puts a write over what is there."""
         self.tree.chop(start, start + len(data))
-        self.tree.addi(start, start + len(data), (number, data))
+        self.tree.addi(start, start + len(data), (sequence, data))
 
-    def within(self, start, end):
+    def overlapping(self, start, end):
+        """The extents that overlap a range."""
         return sorted(self.tree.overlap(start, end))
 
 
-def timed(index, calls):
+class Timings(NamedTuple):
+    """Microseconds of a call, each the mean of many."""
+
+    fill: float
+    insert: float
+    look_up: float
+
+
+def mean_time(calls):
+    """Microseconds that a call takes."""
     begun = time.perf_counter()
     for call in calls:
         call()
-    return (time.perf_counter() - begun) / len(calls) * 1e6
+    return (time.perf_counter() - begun) / len(calls) * MICROSECONDS
 
 
-def measure(kind, size, chance):
-    index, space = kind(), size * 100
-    places = list(range(0, space, 100))
-    chance.shuffle(places)
-    if kind is PlainExtents:  # filled in order at once: one by one would take hours
-        index.pieces = list(filled(Extents(), sorted(places)))
-        fill = float("nan")
+def fill(index, starts):
+    """Inserts an extent at each of the offsets."""
+    for sequence, start in enumerate(starts):
+        index.insert(start, DATA, sequence)
+    return index
+
+
+def measure(index_type, size, chance):
+    """The timings of an index with `size` extents."""
+    index, space = index_type(), size * SPACING
+    starts = list(range(0, space, SPACING))
+    chance.shuffle(starts)
+    if index_type is LinearExtentIndex:  # filled in order at once: one by one would take hours
+        index.extents = list(fill(ExtentIndex(), sorted(starts)))
+        fill_time = float("nan")
     else:
         begun = time.perf_counter()
-        filled(index, places)
-        fill = (time.perf_counter() - begun) / size * 1e6
-    count = FEW
-    over = [(chance.randrange(space), size + place) for place in range(count)]
-    put = timed(index, [lambda at=at, number=number: index.put(at, DATA, number) for at, number in over])
-    find = timed(index, [lambda at=at: index.within(at, at + 1_000) for at, _ in over])
-    return fill, put, find
-
-
-def filled(index, places):
-    for number, place in enumerate(places):
-        index.put(place, DATA, number)
-    return index
+        fill(index, starts)
+        fill_time = (time.perf_counter() - begun) / size * MICROSECONDS
+    writes = [(chance.randrange(space), size + place) for place in range(CALLS)]
+    insert_time = mean_time(
+        [lambda at=at, number=number: index.insert(at, DATA, number) for at, number in writes]
+    )
+    look_up_time = mean_time([lambda at=at: index.overlapping(at, at + RANGE) for at, _ in writes])
+    return Timings(fill_time, insert_time, look_up_time)
 
 
 def main():
+    """Prints a row for each size and index."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--most", type=int, default=1_000_000)
-    size = 1_000
-    print(
-        f"{'extents':>9} {'index':10} {'fill, each':>12} {'put over':>12} {'find 1,000 B':>13}  microseconds"
-    )
-    while size <= parser.parse_args().most:
-        for kind in (Extents, PlainExtents, Tree):
-            fill, put, find = measure(kind, size, random.Random(1))
-            print(f"{size:9} {kind.__name__:10} {fill:12.1f} {put:12.1f} {find:13.1f}", flush=True)
-        size *= 10
+    most = parser.parse_args().most
+    header = f"{'extents':>9} {'index':17} {'fill, each':>12} {'insert':>12} {'look up 1,000 B':>15}"
+    print(f"{header}  microseconds")
+    size = SMALLEST
+    while size <= most:
+        for index_type in (ExtentIndex, LinearExtentIndex, IntervalTreeIndex):
+            timings = measure(index_type, size, random.Random(1))
+            print(
+                f"{size:9} {index_type.__name__:17} {timings.fill:12.1f} {timings.insert:12.1f} "
+                f"{timings.look_up:15.1f}",
+                flush=True,
+            )
+        size *= GROWTH
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/buffer/test_log_faults.py
@@ -0,0 +1,81 @@
+"""Faults of the write-ahead log's disk, and recovery from a damaged log, on simulated fleets."""
+
+import errno
+
+import pytest
+
+from rushmux.sftp import packets as sftp
+
+
+def cut_off(segment):
+    """Ends a segment within its last record, as a crash does."""
+    del segment[-3:]
+
+
+def overwrite(segment):
+    """Damages a record that has whole ones behind it."""
+    segment[segment.index(b"first")] ^= 1
+
+
+@pytest.mark.parametrize("fault, half", [(errno.ENOSPC, True), (errno.EIO, False)])
+def test_writes_go_to_the_nodes_when_the_disk_of_the_log_fails(play, fault, half, files, buffered_bytes):
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        handle = await files.open(one, "/heredia/a")
+        await one.ask(sftp.Write, handle, 0, b"logged")
+        disk = fleet.log_disks[0]
+        disk.append_errno, disk.takes_half = fault, half
+        await one.ask(sftp.Write, handle, 6, b"-not")
+        await one.ask(sftp.Write, handle, 10, b"-through")
+        assert buffered_bytes(fleet) == 0  # at the latest the next write bypasses the buffer
+        fleet.kill_edge(0)
+        return await two.get("/heredia/a")
+
+    fleet, data = play(story)
+    assert data == b"logged-not-through"
+    assert any(row["event"] == "buffer.log_append_failed" for row in fleet.logs)
+
+
+@pytest.mark.parametrize(
+    "damage, contents, event",
+    [
+        (cut_off, (b"first", b""), "buffer.log_segment_torn"),
+        (overwrite, (b"", b""), "buffer.log_segment_corrupt"),
+    ],
+)
+def test_a_damaged_log_is_reported_and_used_up_to_the_damage(play, files, damage, contents, event):
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        handles = [await files.open(one, f"/heredia/{name}") for name in "ab"]
+        await one.ask(sftp.Write, handles[0], 0, b"first")
+        await one.ask(sftp.Write, handles[1], 0, b"second")
+        fleet.kill_edge(0)
+        (name,) = fleet.log_disks[0].names()
+        damage(fleet.log_disks[0].files[name])
+        await fleet.edge(0)
+        again = await fleet.client(0)
+        await again.names("/heredia")
+        await fleet.sleep(1)
+        return await two.get("/heredia/a"), await two.get("/heredia/b"), sorted(fleet.log_disks[0].files)
+
+    fleet, (first, second, stored_files) = play(story)
+    assert (first, second) == contents
+    assert any(row["event"] == event for row in fleet.logs)
+    if damage is overwrite:
+        assert stored_files[0].endswith(".damaged")
+
+
+def test_recovered_writes_come_after_those_of_another_edge(play, files):
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        handle = await files.open(one, "/heredia/a")
+        await one.ask(sftp.Write, handle, 0, b"from one")
+        await one.ask(sftp.Close, handle)
+        handle = await files.open(two, "/heredia/a")
+        await two.ask(sftp.Write, handle, 5, b"two")
+        fleet.kill_edge(1)
+        await fleet.edge(1)
+        two = await fleet.client(1)
+        return await two.get("/heredia/a")
+
+    assert play(story)[1] == b"from two"  # the log brought back what was not flushed
--- /dev/null
+++ b/tests/buffer/test_node_faults.py
@@ -0,0 +1,110 @@
+"""Flushes and barriers while nodes or edges have faults, on simulated fleets."""
+
+import asyncio
+
+import pytest
+
+from rushmux.files.paths import home
+from rushmux.settings import deployment
+from rushmux.sftp import packets as sftp
+from rushmux.standins import scenario, script
+from rushmux.standins.checker import Checker
+from rushmux.standins.client import Refusal
+
+HOME = home("heredia", 4)
+
+
+@pytest.mark.parametrize("kind", ["silent", "stuck", "disk", "errors"])
+def test_a_flush_during_a_node_fault_is_answered_truly(play, kind, files):
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        handle = await files.open(one, "/heredia/a")
+        await one.ask(sftp.Write, handle, 0, b"careful" * 30_000)
+        for node in (HOME, (HOME + 1) % 4):
+            await fleet.trouble(f"node{node}", kind, 1.0, 6)
+        begun = fleet.loop.time()
+        try:
+            await files.fsync(one, handle)
+            answer = "ok"
+        except Refusal as refusal:
+            answer = refusal.status.message.split(":")[0]
+        took = fleet.loop.time() - begun
+        if answer == "ok":
+            fleet.kill_edge(0)
+        else:
+            await fleet.sleep(12)  # the flush goes on and succeeds when the fault is over
+        return answer, took, await two.get("/heredia/a")
+
+    _, (answer, took, data) = play(story)
+    assert data == b"careful" * 30_000 and took < 7 and answer in ("ok", "terminated")
+
+
+def test_a_node_is_drained_and_replaced_during_a_flush(play, files):
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        handle = await files.open(one, "/heredia/a")
+        other = f"node{(HOME + 1) % 4}"
+        for at in range(20):
+            await one.ask(sftp.Write, handle, at * 300_000, b"p" * 1_000)
+        await fleet.trouble(other, "drain")
+        flushing = asyncio.ensure_future(files.fsync(one, handle))
+        await fleet.sleep(0.01)
+        await fleet.replace(other, "new")
+        await flushing
+        await fleet.sleep(4)  # until the endpoint list has the new one
+        return [await reads_truly(two, at) for at in range(20)]
+
+    async def reads_truly(client, at):
+        handle = await client.open("/heredia/a", sftp.READ)
+        try:
+            return (await client.ask(sftp.Read, handle, at * 300_000, 1_000)).data == b"p" * 1_000
+        except Refusal as refusal:
+            return "not on its node" in refusal.status.message
+
+    # Data of the node that an empty one replaced is lost: a read of it fails, and never gives wrong bytes.
+    assert all(play(story)[1])
+
+
+def test_a_barrier_waits_for_a_silent_node_and_no_write_passes_it(play, files):
+    async def story(fleet):
+        one, far = await fleet.client(0), await fleet.client(1)
+        first, second = [await files.open(one, f"/heredia/{name}") for name in "ab"]
+        await one.ask(sftp.Write, first, 0, b"before" * 40_000)
+        await fleet.trouble(f"node{HOME}", "silent", seconds=3)
+        waiting = asyncio.ensure_future(files.set_barrier(one, "/heredia"))
+        await fleet.sleep(0.05)
+        assert not waiting.done()
+        try:
+            await waiting
+        except Refusal:
+            await fleet.sleep(8)
+        await one.ask(sftp.Write, second, 0, b"after")
+        await files.fsync(one, second)
+        return await far.get("/heredia/a"), await far.get("/heredia/b")
+
+    assert play(story)[1] == (b"before" * 40_000, b"after")
+
+
+def test_a_flush_on_a_paused_edge_is_answered_after_the_pause(play, files):
+    async def story(fleet):
+        one, far = await fleet.client(0), await fleet.client(1)
+        handle = await files.open(one, "/heredia/a")
+        await one.ask(sftp.Write, handle, 0, b"paused" * 10_000)
+        flushing = asyncio.ensure_future(files.fsync(one, handle))
+        await fleet.sleep(0.004)
+        fleet.edges[0].process.hold(3)
+        begun = fleet.loop.time()
+        await flushing
+        return fleet.loop.time() - begun, await far.get("/heredia/a")
+
+    _, (took, data) = play(story)
+    assert 2.9 < took < 7 and data == b"paused" * 10_000
+
+
+def test_a_day_of_faults_keeps_every_rule(play, raw):
+    async def story(fleet):
+        await scenario.play(fleet, script.load("bad"), scenario.Load(part=0.4), 5)
+
+    fleet, _ = play(story, nodes=6, edges=3, unit=0.02)
+    for verdict in Checker(fleet.all_records(), deployment.build(raw), 0.005).verdicts():
+        assert not verdict.breaches, verdict
