--- a/rushmux/buffer/batch_writer.py
+++ b/rushmux/buffer/batch_writer.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -13,11 +14,13 @@
 from rushmux.buffer.flush_policy import Batch
 from rushmux.buffer.row_cache import NO_BLOCK, BlockExtent, BlockRow, FileRows, RowCache
 from rushmux.buffer.write_ahead_log import WriteAheadLog
-from rushmux.edge.directories import contended
+from rushmux.edge.directories import Tree, contended
+from rushmux.edge.driver import Driver
 from rushmux.edge.openfile import as_one
 from rushmux.edge.operation_runner import CONFLICTS, Errand, Lost, together
 from rushmux.files import layout
 from rushmux.files.layout import Extent
+from rushmux.nodewire import messages
 
 MAX_PARALLEL_STORES = 6  # objects of a batch in flight: below the bound of ten operations
 MAX_KEYS = 400  # rows read at once: far below the bytes of a frame
@@ -79,7 +82,7 @@
         self._put(layout.file_key(file.file_id), version, layout.pack_file(row))
 
     def put_block(self, file: BufferedFile, number: int, before: BlockRow, extents: list[Extent]) -> None:
-        """Replaces the row of a block of a file that was put before."""
+        """Replaces the row of a block; its file has to be put first."""
         self.blocks[file][number] = extents
         key = layout.block_key(self.files[file].data, number)
         self._put(key, before.version, layout.pack_block(extents))
@@ -89,7 +92,7 @@
         self.checks.append({"key": key, "version": version})
         self.puts.append((key, value))
 
-    def committed_files(self, done) -> dict[BufferedFile, FileRows]:
+    def committed_files(self, done: Sequence[messages.Row]) -> dict[BufferedFile, FileRows]:
         """The files' rows with their new versions, which the nodes give in the order of `puts`."""
         versions = {key: row.version for (key, _), row in zip(self.puts, done, strict=False)}
         committed = {}
@@ -106,14 +109,16 @@
     """Writes the batches of one edge.
 
     Args:
-        driver: The edge's driver (`edge.driver.Driver`).
-        tree: The edge's directories (`edge.directories.Tree`).
+        driver: The edge's driver.
+        tree: The edge's directories.
         row_cache: The rows as last seen.
-        wal: The log, which is told of a change before it is sent.
+        wal: The log, where each change is noted before it is sent.
         counters: What was done so far.
     """
 
-    def __init__(self, driver, tree, row_cache: RowCache, wal: WriteAheadLog, counters: Counters):
+    def __init__(
+        self, driver: Driver, tree: Tree, row_cache: RowCache, wal: WriteAheadLog, counters: Counters
+    ):
         self.driver = driver
         self.tree = tree
         self.row_cache = row_cache
@@ -171,7 +176,7 @@
             stamp = self.driver.unique()
             try:
                 blocks = await self._new_blocks(errand, files, extents)
-            except Lost:  # others replaced an object meanwhile: a fresh read tells by what
+            except Lost:  # others replaced an object meanwhile: read the rows again
                 continue
             change = self._row_change(batch, files, blocks, stamp)
             self._log_intent(batch, files, stamp)
@@ -182,7 +187,7 @@
             return outcome
         raise contended("the files")
 
-    def _on_committed(self, errand: Errand, change: RowChange, done) -> None:
+    def _on_committed(self, errand: Errand, change: RowChange, done: Sequence[messages.Row]) -> None:
         self.counters.commits += 1
         if change.obsolete:
             self.tree.drop(errand.folder)
@@ -217,7 +222,7 @@
             )
         return files
 
-    async def _look(self, errand: Errand, keys: list[str]) -> dict:
+    async def _look(self, errand: Errand, keys: list[str]) -> dict[str, messages.Row]:
         found = {}
         for first in range(0, len(keys), MAX_KEYS):
             outcome = await errand.look(OPERATION_KEY, keys=keys[first : first + MAX_KEYS])
@@ -228,8 +233,8 @@
     def is_overwritten(file: BufferedFile, version: int, file_row: layout.File) -> bool:
         """Whether other edges changed a file since this one was killed with writes of it buffered.
 
-        Recovered writes must not undo what others wrote meanwhile.  A row with this edge's own last stamp is
-        its own change, whose answer it did not live to see.
+        Recovered writes must not undo what others wrote meanwhile.  A row with the stamp of this edge's last
+        change was written by the edge itself, which was killed before the answer came.
         """
         is_own_change = file.stamp and file_row.by == file.stamp
         return file.recovered and file.version != version and not is_own_change
--- a/rushmux/buffer/buffered_writes.py
+++ b/rushmux/buffer/buffered_writes.py
@@ -22,7 +22,7 @@
         first_sequence: The oldest write in `index`.
         last_sequence: The newest write in `index`.
         write_count: How many writes went into `index`.
-        oldest_at: When the oldest write of the layer came, in seconds; None where there is none.
+        oldest_at: When the oldest write came, in seconds, or the last batch ended; None where there is none.
         in_flight: The bytes of the batch that is in flight, None where there is none.
         in_flight_first: The oldest write in flight.
         in_flight_last: The newest write in flight.
@@ -50,15 +50,15 @@
 
     @property
     def byte_count(self) -> int:
-        """Bytes held, in flight or not."""
+        """Bytes buffered, in flight or not."""
         return self.index.byte_count + (self.in_flight.byte_count if self.in_flight else 0)
 
     def indexes(self) -> list[ExtentIndex]:
-        """The indexes that hold anything, older bytes first."""
+        """The indexes that are not empty, older bytes first."""
         return [index for index in (self.in_flight, self.index) if index]
 
-    def add(self, start: int, data, sequence: int, now: float) -> None:
-        """Puts a write over what is held."""
+    def add(self, start: int, data: bytes | memoryview, sequence: int, now: float) -> None:
+        """Puts a write over older ones."""
         if self.oldest_at is None:
             self.oldest_at = now
         if not self.write_count:
@@ -68,7 +68,7 @@
         self.last_sequence = sequence
 
     def start_flush(self) -> ExtentIndex:
-        """Closes the writes held so far to newer ones, which get an index of their own."""
+        """Puts the writes so far in flight; newer ones get an index of their own."""
         self.in_flight, self.in_flight_count = self.index, self.write_count
         self.in_flight_first, self.in_flight_last = self.first_sequence, self.last_sequence
         self.index, self.write_count = ExtentIndex(), 0
@@ -88,7 +88,7 @@
         self.write_count, self.in_flight_count = self.write_count + self.in_flight_count, 0
 
     def has_writes_up_to(self, sequence: int) -> bool:
-        """Whether a write up to this one is still held."""
+        """Whether any write up to this one is still buffered."""
         if self.in_flight is not None and self.in_flight_first <= sequence:
             return True
         return bool(self.write_count) and self.first_sequence <= sequence
@@ -98,7 +98,7 @@
     """A file with buffered writes, open handles, or an error that no client was notified of yet.
 
     Attributes:
-        layers: The layers that hold writes, by the number of the barrier that follows them.
+        layers: The layers with writes, by the number of the barrier that follows them.
         error: Why writes of the file were discarded, until a client is notified.
         last_write_at: When the newest write came, in seconds.
         flush_requested: The newest write that a client waits for, 0 for none.
@@ -179,7 +179,7 @@
         return self.requested_barrier
 
     def lowest_layer(self) -> int | None:
-        """The oldest layer that holds anything."""
+        """The oldest layer with writes, None where there is none."""
         return min((barrier for file in self.files.values() for barrier in file.layers), default=None)
 
     def files_in_layer(self, barrier: int) -> list[BufferedFile]:
@@ -187,7 +187,7 @@
         return [file for file in self.files.values() if barrier in file.layers]
 
     def oldest_write_at(self, now: float) -> float:
-        """When the write that is held longest came; `now` where there is none."""
+        """When the oldest buffered write came; `now` where there is none."""
         layers = (layer for file in self.files.values() for layer in file.layers.values())
         return min((layer.oldest_at for layer in layers if layer.oldest_at is not None), default=now)
 
@@ -201,7 +201,7 @@
     Attributes:
         byte_count: Bytes buffered.
         last_sequence: Number of the newest write that was taken.
-        nonempty_folders: The folders that hold anything; the others cost nothing.
+        nonempty_folders: The folders with buffered bytes, the only ones that the policy checks.
     """
 
     def __init__(self, background_rate: Callable[[str], float]):
@@ -245,7 +245,7 @@
         if not (file.dirty or file.error or file.open_handles):
             self.folder(file.folder).files.pop(file.file_id, None)
 
-    def add(self, file: BufferedFile, start: int, data, now: float) -> int:
+    def add(self, file: BufferedFile, start: int, data: bytes | memoryview, now: float) -> int:
         """Buffers a write of a file and returns its sequence number."""
         folder = self.folder(file.folder)
         layer = file.layers.get(folder.barrier)
@@ -259,7 +259,7 @@
         return self.last_sequence
 
     def adjust_byte_count(self, folder: BufferedFolder, change: int) -> None:
-        """Adds to the bytes that a folder holds."""
+        """Adds to the bytes that a folder has buffered."""
         folder.byte_count += change
         self.byte_count += change
         if folder.byte_count:
--- a/rushmux/buffer/errors.py
+++ b/rushmux/buffer/errors.py
@@ -1,5 +1,7 @@
 """Errors of the write-back buffer."""
 
+from pathlib import Path
+
 
 class WriteBackError(Exception):
     """Base of all errors of this package."""
@@ -26,7 +28,7 @@
         folder: The log's folder.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder: str | Path):
         super().__init__(f"{folder}: another program holds this log")
         self.folder = folder
 
@@ -47,18 +49,18 @@
     """A log record has a valid checksum but not the fields of its kind.
 
     Attributes:
-        kind: The record's kind.
-        fields: The fields that it has.
+        kind: The name of the record's kind.
+        fields: Its fields as decoded from JSON.
     """
 
-    def __init__(self, kind: str, fields):
+    def __init__(self, kind: str, fields: object):
         super().__init__(f"a {kind} record of the log has the fields {fields!r}, which do not fit its kind")
         self.kind = kind
         self.fields = fields
 
 
 class MissingBaseError(WriteBackError):
-    """The log holds a write of a file without the record of the file before it.
+    """The log has a write of a file without a base record of the file before it.
 
     Attributes:
         folder: The file's folder.
@@ -66,6 +68,6 @@
     """
 
     def __init__(self, folder: str, file_id: str):
-        super().__init__(f"the log holds a write of file {file_id} of {folder} but no base record before it")
+        super().__init__(f"the log has a write of file {file_id} of {folder} but no base record before it")
         self.folder = folder
         self.file_id = file_id
--- a/rushmux/buffer/extents.py
+++ b/rushmux/buffer/extents.py
@@ -1,4 +1,4 @@
-"""An index of byte ranges of a file that keeps the newest bytes of each place; no I/O.
+"""An index of byte ranges of a file that has the newest bytes of each place; no I/O.
 
 Extents never overlap.  They stand in order in chunks of bounded length, so that an insertion moves some
 hundred references and not all of them.  Bytes are never copied: an extent is a view of the write that brought
@@ -22,6 +22,8 @@
 
     def clipped(self, start: int, end: int) -> "BufferedExtent":
         """The part that lies in a range, which has to overlap this one."""
+        if start <= self.start and self.end <= end:
+            return self
         low, high = max(start, self.start), min(end, self.end)
         return BufferedExtent(low, high, self.sequence, self.data[low - self.start : high - self.start])
 
@@ -73,7 +75,16 @@
         chunk, place = position.chunk, position.place + 1
         return Position(chunk, place) if place < len(self.chunks[chunk]) else Position(chunk + 1, 0)
 
-    def insert(self, start: int, data, sequence: int) -> None:
+    def _extents_from(self, position: Position) -> Iterator[BufferedExtent]:
+        place = position.place
+        for chunk in range(position.chunk, len(self.chunks)):
+            extents = self.chunks[chunk]
+            while place < len(extents):
+                yield extents[place]
+                place += 1
+            place = 0
+
+    def insert(self, start: int, data: bytes | memoryview, sequence: int) -> None:
         """Puts a write over what is there."""
         data = memoryview(data)
         end = start + len(data)
@@ -111,7 +122,7 @@
         self._split(first.chunk)
 
     def _replace_across_chunks(self, first: Position, last: Position, new: list[BufferedExtent]) -> None:
-        """Lets the first chunk keep its head and take the rest of the last one; those between go."""
+        """Joins the head of the first chunk, the new extents and the rest of the last chunk."""
         rest = self.chunks[last.chunk][last.place :] if last.place and last.chunk < len(self.chunks) else []
         past = last.chunk + 1 if rest else last.chunk
         self.chunks[first.chunk][first.place :] = new + rest
@@ -131,13 +142,10 @@
     def overlapping(self, start: int, end: int) -> list[BufferedExtent]:
         """The extents that overlap a range, clipped to it."""
         found = []
-        position = self._first_ending_after(start)
-        while position.chunk < len(self.chunks):
-            extent = self.chunks[position.chunk][position.place]
+        for extent in self._extents_from(self._first_ending_after(start)):
             if extent.start >= end:
                 break
             found.append(extent.clipped(start, end))
-            position = self._next(position)
         return found
 
     def runs(self, block_size: int) -> Iterator[list[BufferedExtent]]:
--- a/rushmux/buffer/flush_budget.py
+++ b/rushmux/buffer/flush_budget.py
@@ -22,7 +22,7 @@
         return self.units
 
     def spend(self, units: float) -> None:
-        """Takes units out; flushes that clients wait for may overdraw the budget."""
+        """Uses units; flushes that clients wait for may overdraw the budget."""
         self.units -= units
 
     def time_until_one(self) -> float:
--- a/rushmux/buffer/flush_policy.py
+++ b/rushmux/buffer/flush_policy.py
@@ -12,12 +12,12 @@
 from rushmux.buffer.errors import WritesDiscardedError
 from rushmux.buffer.extents import ExtentIndex
 
-PRESSURE = 0.5  # of a limit in bytes: beyond it the oldest writes are flushed whatever the budget says
+PRESSURE = 0.5  # of a limit in bytes: beyond it the oldest writes are flushed regardless of the budget
 STALE = 0.3  # of the retention: while flushes fail, writes older than this stop new ones
 INITIAL_BACKOFF = 0.1  # seconds until a failed batch is retried, doubled for each failure in a row
 MAX_BACKOFF = 5.0  # seconds
 REMEMBERED_BATCHES = 32  # batches whose duration is remembered
-MIN_SAMPLES = 4  # batches before their durations say anything
+MIN_SAMPLES = 4  # batches before their durations are used
 NEVER = float("inf")
 
 
@@ -33,7 +33,7 @@
     """Why a folder is flushed; lower values go first."""
 
     REQUESTED = 0  # a client waits for it
-    OVERDUE = 1  # its age, the fill level or a barrier asks for it
+    OVERDUE = 1  # its oldest write is old, the buffer fills up, or a barrier follows
     BACKGROUND = 2  # its files are idle and the budget allows it
 
 
@@ -42,7 +42,7 @@
 
     edge_bytes: int = 64 << 20
     folder_bytes: int = 8 << 20
-    max_age: float = 2.0  # seconds after which a write is flushed whatever the budget says
+    max_age: float = 2.0  # seconds after which a write is flushed regardless of the budget
     max_retention: float = 30.0  # seconds after which a write that cannot be flushed is discarded
     idle_time: float = 0.3  # seconds without a new write after which a file may be flushed
     batch_files: int = 64
@@ -79,7 +79,7 @@
     folder: BufferedFolder
     barrier: int
     parts: tuple[BatchPart, ...]
-    is_requested: bool  # a client waits for it
+    is_requested: bool  # whether a client waits for it
     started_at: float
     oldest_at: float
 
@@ -148,7 +148,7 @@
         """Starts the batch to go next.
 
         Returns:
-            The batch and `now`, or None and when to ask again.
+            The batch and `now`, or None and when to call again.
         """
         if self.batches_in_flight >= self.limits.max_batches:
             return None, NEVER
@@ -164,7 +164,7 @@
         return self._start_batch(best_folder, is_requested, now), now
 
     def _start_batch(self, folder: BufferedFolder, is_requested: bool, now: float) -> Batch:
-        """Takes the files of the oldest layer: those that clients wait for first, then the longest held."""
+        """Takes the files of the oldest layer: those that clients wait for first, then the oldest."""
         lowest = folder.lowest_layer()
         files = folder.files_in_layer(lowest)
         files.sort(key=lambda file: (not file.flush_requested, file.layers[lowest].oldest_at))
@@ -207,7 +207,7 @@
     def on_batch_failed(self, batch: Batch, now: float, reason: str) -> None:
         """Notes that a batch is not visible, or that nobody knows.
 
-        It is retried after a backoff.  Writes that were held too long are discarded with all layers above.
+        It is retried after a backoff.  Writes that are too old are discarded with all layers above.
         """
         remaining = self._end_batch(batch)
         folder = batch.folder
--- a/rushmux/buffer/journal.py
+++ b/rushmux/buffer/journal.py
@@ -22,7 +22,7 @@
 
 
 class RecordKind(IntEnum):
-    """What a record says; the values are those in the log."""
+    """Kinds of records; the values are those in the log."""
 
     BASE = 1
     WRITE = 2
@@ -110,12 +110,12 @@
 
 
 class SegmentContents(NamedTuple):
-    """What a segment holds.
+    """What a segment contains.
 
     Attributes:
-        records: The whole records up to the first that is not.
+        records: The complete records up to the first that is not.
         torn: Whether the last record was cut off, as by a kill.
-        corrupt_at: Offset of a damaged record with whole ones behind it; None where there is none.
+        corrupt_at: Offset of a damaged record with complete ones behind it; None where there is none.
     """
 
     records: list[Record]
@@ -165,7 +165,7 @@
 
 
 def _frame_at(view: memoryview, offset: int) -> _Frame | None:
-    """The record at an offset; None where there is no whole one."""
+    """The record at an offset; None where there is no complete one."""
     if len(view) - offset < FRAME.size:
         return None
     length, checksum = FRAME.unpack_from(view, offset)
--- a/rushmux/buffer/linear_extents.py
+++ b/rushmux/buffer/linear_extents.py
@@ -15,20 +15,20 @@
     def __iter__(self) -> Iterator[BufferedExtent]:
         return iter(self.extents)
 
-    def insert(self, start: int, data, sequence: int) -> None:
+    def insert(self, start: int, data: bytes | memoryview, sequence: int) -> None:
         """Puts a write over what is there."""
-        data, kept = memoryview(data), []
+        data, extents = memoryview(data), []
         end = start + len(data)
         for old in self.extents:
             if old.end <= start or old.start >= end:
-                kept.append(old)
+                extents.append(old)
                 continue
             if old.start < start:
-                kept.append(old.clipped(old.start, start))
+                extents.append(old.clipped(old.start, start))
             if old.end > end:
-                kept.append(old.clipped(end, old.end))
-        insort(kept, BufferedExtent(start, end, sequence, data), key=lambda extent: extent.start)
-        self.extents = kept
+                extents.append(old.clipped(end, old.end))
+        insort(extents, BufferedExtent(start, end, sequence, data), key=lambda extent: extent.start)
+        self.extents = extents
 
     def overlapping(self, start: int, end: int) -> list[BufferedExtent]:
         """The extents that overlap a range, clipped to it."""
--- a/rushmux/buffer/recovery.py
+++ b/rushmux/buffer/recovery.py
@@ -4,6 +4,8 @@
 from collections.abc import Container, Iterable
 from typing import NamedTuple
 
+from structlog.typing import FilteringBoundLogger
+
 from rushmux.buffer import journal
 from rushmux.buffer.buffered_writes import BufferedWrites
 from rushmux.buffer.disk import SegmentStorage
@@ -82,7 +84,13 @@
         self.files.pop((record.folder, record.file), None)
 
 
-def recover(wal: WriteAheadLog, writes: BufferedWrites, known_folders: Container[str], now: float, logger):
+def recover(
+    wal: WriteAheadLog,
+    writes: BufferedWrites,
+    known_folders: Container[str],
+    now: float,
+    logger: FilteringBoundLogger,
+):
     """Buffers what an earlier run had not flushed, and lets a new epoch of the log replace the old ones.
 
     Args:
@@ -118,7 +126,9 @@
     return records
 
 
-def _read_segments(storage: SegmentStorage, names: list[str], logger) -> list[journal.Record]:
+def _read_segments(
+    storage: SegmentStorage, names: list[str], logger: FilteringBoundLogger
+) -> list[journal.Record]:
     records = []
     for name in names:
         try:
@@ -137,7 +147,9 @@
     return records
 
 
-def _buffer_records(records, writes: BufferedWrites, known_folders, now: float, logger) -> dict[str, int]:
+def _buffer_records(
+    records, writes: BufferedWrites, known_folders, now: float, logger: FilteringBoundLogger
+) -> dict[str, int]:
     recovered = RecoveredFiles(records)
     recovered_writes = recovered.writes()
     for write in recovered_writes:
--- a/rushmux/buffer/row_cache.py
+++ b/rushmux/buffer/row_cache.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from rushmux.buffer.buffered_writes import BufferedFile
+from rushmux.edge.openfile import OpenFile
 from rushmux.files.layout import Extent, File
 
 
@@ -32,13 +33,13 @@
 
 
 class RowCache:
-    """Rows by file.  A row that is out of date makes a commit fail its check, and does no other harm."""
+    """Rows by file.  A commit over rows that are out of date fails its check, and is retried."""
 
     def __init__(self):
         self.rows: dict[BufferedFile, FileRows] = {}
 
-    def remember_opened(self, file: BufferedFile, opened) -> None:
-        """Takes over the rows that an open handle (`edge.openfile.OpenFile`) has read, if newer."""
+    def remember_opened(self, file: BufferedFile, opened: OpenFile) -> None:
+        """Takes over the rows that an open handle has read, if newer."""
         known = self.rows.get(file)
         if known is None or known.version < opened.version:
             blocks = {
--- a/rushmux/buffer/write_ahead_log.py
+++ b/rushmux/buffer/write_ahead_log.py
@@ -1,11 +1,13 @@
 """The write-ahead log of a write-back buffer: its epochs, segments and records.
 
-An epoch is a run of segments whose first record says that nothing before it is needed.  A new one begins when
+An epoch is a series of segments that can be read without any before it.  A new one begins when
 all writes are on the nodes, and when the log has grown much larger than what is buffered.
 """
 
 from collections.abc import Iterable
 
+from structlog.typing import FilteringBoundLogger
+
 from rushmux.buffer import journal
 from rushmux.buffer.buffered_writes import BufferedFile, BufferedWrites
 from rushmux.buffer.disk import SEGMENT_SUFFIX, SegmentStorage
@@ -17,7 +19,7 @@
 
 
 def epoch_of(segment: str) -> int:
-    """The epoch that a segment's name says."""
+    """The epoch that a segment belongs to, from its name."""
     return int(segment.split("-")[0])
 
 
@@ -26,7 +28,7 @@
 
     Args:
         writes: The buffered writes, which a new epoch begins with.
-        storage: Where the segments are; None: there is no log, and each call does nothing.
+        storage: Where the segments are; None: there is no log, and nothing is written.
         max_bytes: Above this the log is full, and writes wait.
         logger: The edge's logger.
 
@@ -34,7 +36,13 @@
         failed: Whether the disk did not take a record: nothing more is logged, or may be buffered.
     """
 
-    def __init__(self, writes: BufferedWrites, storage: SegmentStorage | None, max_bytes: int, logger):
+    def __init__(
+        self,
+        writes: BufferedWrites,
+        storage: SegmentStorage | None,
+        max_bytes: int,
+        logger: FilteringBoundLogger,
+    ):
         self.writes = writes
         self.storage = storage
         self.max_bytes = max_bytes
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -1,12 +1,14 @@
 """The write-back buffer of an edge: it answers writes at once, flushes and barriers when the nodes have them.
 
-The flush policy decides; this module carries its decisions out and lets clients wait for them.
+The flush policy decides; this module executes its decisions, and clients wait here for the results.
 """
 
 import asyncio
 from collections.abc import Callable
 from functools import partial
 
+from structlog.typing import FilteringBoundLogger
+
 from rushmux.buffer import journal
 from rushmux.buffer.batch_writer import BatchWriter, CommitOutcome, Counters
 from rushmux.buffer.buffered_writes import BufferedFile, BufferedWrites
@@ -15,13 +17,16 @@
 from rushmux.buffer.recovery import recover
 from rushmux.buffer.row_cache import RowCache
 from rushmux.buffer.write_ahead_log import WriteAheadLog
-from rushmux.edge.directories import Refused
+from rushmux.edge.directories import Refused, Tree
+from rushmux.edge.driver import Driver
+from rushmux.edge.openfile import OpenFile
 from rushmux.edge.operation_runner import Errand, Lost, Shed, Terminated
+from rushmux.settings.deployment import Deployment
 from rushmux.sftp import packets as sftp
 
 BATCH_TIMEOUT = 8.0  # seconds: past the deadlines of a batch's two accesses
-ANSWER_MARGIN = 0.1  # seconds kept back from a request that waits for capacity
-MIN_SLEEP = 0.001  # seconds between two looks at what is due
+ANSWER_MARGIN = 0.1  # seconds before a request's timeout at which it stops waiting for capacity
+MIN_SLEEP = 0.001  # seconds between two checks of what is due
 DRAIN_POLL_INTERVAL = 0.05  # seconds
 DEFAULT_LOG_BYTES = 256 << 20
 BACKGROUND_TAG = "-"  # tag of operations that belong to no session
@@ -45,15 +50,15 @@
     )
 
 
-def write_back_factory(deployment, storage: SegmentStorage | None = None) -> Callable | None:
-    """What an edge of the deployment makes its buffer with, of its driver, its directories and its logger.
+def write_back_factory(deployment: Deployment, storage: SegmentStorage | None = None) -> Callable | None:
+    """Gives the function that makes the buffer of an edge, from its driver, directories and logger.
 
     Args:
-        deployment: The deployment (`settings.deployment.Deployment`).
+        deployment: The deployment.
         storage: Where the log is; None: there is no log.
 
     Returns:
-        A function that makes a `WriteBack`; None where the deployment has no buffer.
+        The function; None where the deployment has no buffer.
     """
     if deployment.buffer is None:
         return None
@@ -69,8 +74,8 @@
     """One edge's write-back buffer.
 
     Args:
-        driver: The edge's driver (`edge.driver.Driver`).
-        tree: The edge's directories (`edge.directories.Tree`).
+        driver: The edge's driver.
+        tree: The edge's directories.
         logger: The edge's logger.
         limits: The buffer's limits.
         storage: Where the log is; None: there is no log.
@@ -82,9 +87,9 @@
 
     def __init__(
         self,
-        driver,
-        tree,
-        logger,
+        driver: Driver,
+        tree: Tree,
+        logger: FilteringBoundLogger,
         *,
         limits: BufferLimits,
         storage: SegmentStorage | None = None,
@@ -111,7 +116,9 @@
         if storage is not None:
             self.recovering = recover(self.wal, self.writes, folders, self.loop.time(), logger)
 
-    async def write(self, file: BufferedFile, errand: Errand, start: int, data, opened) -> bool:
+    async def write(
+        self, file: BufferedFile, errand: Errand, start: int, data: bytes, opened: OpenFile
+    ) -> bool:
         """Buffers a write.
 
         Args:
@@ -119,7 +126,7 @@
             errand: The client's request.
             start: Offset in the file.
             data: The bytes.
-            opened: The handle (`edge.openfile.OpenFile`), of which the rows are taken over.
+            opened: The handle, whose rows are remembered for the commit.
 
         Returns:
             Whether the write is buffered.  If not it has to go to the nodes at once: it is too large, or the
@@ -156,7 +163,7 @@
             except TimeoutError:
                 raise Shed() from None
 
-    def _buffer_write(self, file: BufferedFile, start: int, data, version: int) -> None:
+    def _buffer_write(self, file: BufferedFile, start: int, data: bytes, version: int) -> None:
         if not file.dirty:
             file.version = version
         sequence = self.writes.add(file, start, data, self.loop.time())
--- a/tests/buffer/test_flush_policy.py
+++ b/tests/buffer/test_flush_policy.py
@@ -51,7 +51,7 @@
     assert policy.admit("f", 500, 0.0) == Admission.ADMIT and policy.admit("f", 501, 0.0) == Admission.WAIT
     add("b", 1_400, folder="g")
     assert policy.admit("h", 101, 0.0) == Admission.WAIT and policy.admit("h", 100, 0.0) == Admission.ADMIT
-    add("a", 1_500, start=0)  # over the same bytes: nothing more is held
+    add("a", 1_500, start=0)  # over the same bytes: nothing is added
     assert writes.byte_count == 2_900
 
 
@@ -122,11 +122,13 @@
     assert file_ids(first) == ["a"] and first.barrier == barrier
     assert policy.next_batch(0.0)[0] is None  # one batch for a folder
     policy.on_batch_failed(first, 0.0, "no")
-    again, _ = policy.next_batch(0.2)
+    retried, _ = policy.next_batch(0.2)
     assert (
-        file_ids(again) == ["a"] and again.barrier == barrier and not writes.is_barrier_flushed("f", barrier)
+        file_ids(retried) == ["a"]
+        and retried.barrier == barrier
+        and not writes.is_barrier_flushed("f", barrier)
     )
-    policy.on_batch_committed(again, 0.3, {})
+    policy.on_batch_committed(retried, 0.3, {})
     assert writes.is_barrier_flushed("f", barrier) and file.dirty
     assert sorted(file_ids(policy.next_batch(3.0)[0])) == ["a", "b"]
 
@@ -165,16 +167,16 @@
     other = add("c", folder="g")
     now = 0.0
     while writes.folder("f").byte_count:
-        batch, again = policy.next_batch(now)
+        batch, check_at = policy.next_batch(now)
         if batch is None:
-            now = max(again, now + 0.01)
+            now = max(check_at, now + 0.01)
         elif batch.folder.name == "f":
             policy.on_batch_failed(batch, now, "no node")
         else:
             policy.on_batch_committed(batch, now, {})
     assert 10.0 <= now <= 16.0
-    lost = writes.find_file("f", "a")
-    assert "no node" in str(writes.take_error(lost)) and writes.take_error(lost) is None
+    discarded = writes.find_file("f", "a")
+    assert "no node" in str(writes.take_error(discarded)) and writes.take_error(discarded) is None
     assert "/f/b" in str(writes.take_error(above)) and writes.take_error(other) is None
     assert writes.byte_count == 0 and not writes.folder("f").files
 
@@ -187,10 +189,12 @@
 
 
 def test_a_removed_file_discards_its_own_writes_only(writes, policy, add):
-    removed, kept = add("a"), add("b")
+    removed, other = add("a"), add("b")
     batch, _ = policy.next_batch(5.0)
     policy.on_batch_committed(batch, 5.0, {removed: "the file was removed"})
-    assert str(writes.take_error(removed)) == "/f/a: the file was removed" and writes.take_error(kept) is None
+    assert (
+        str(writes.take_error(removed)) == "/f/a: the file was removed" and writes.take_error(other) is None
+    )
 
 
 def test_a_flush_that_would_take_too_long_is_foreseen(writes, policy, add):
--- a/tests/buffer/test_journal.py
+++ b/tests/buffer/test_journal.py
@@ -1,4 +1,4 @@
-"""The log's records: whole, torn and damaged segments."""
+"""The log's records: complete, torn and damaged segments."""
 
 import zlib
 
@@ -52,10 +52,10 @@
 
 
 @given(strategies.integers(0, len(SEGMENT)))
-def test_a_crash_at_any_byte_leaves_the_whole_records_before_it(length):
+def test_a_crash_at_any_byte_leaves_the_complete_records_before_it(length):
     contents = journal.decode_segment(SEGMENT[:length])
-    whole = sum(end <= length for end in record_ends())
-    assert contents.records == RECORDS[:whole] and contents.corrupt_at is None
+    complete = sum(end <= length for end in record_ends())
+    assert contents.records == RECORDS[:complete] and contents.corrupt_at is None
     assert contents.torn == (length not in (0, len(journal.HEADER), *record_ends()))
 
 
--- a/tests/buffer/test_log_faults.py
+++ b/tests/buffer/test_log_faults.py
@@ -13,7 +13,7 @@
 
 
 def overwrite(segment):
-    """Damages a record that has whole ones behind it."""
+    """Damages a record that has complete ones behind it."""
     segment[segment.index(b"first")] ^= 1
 
 
@@ -53,8 +53,8 @@
         (name,) = fleet.log_disks[0].names()
         damage(fleet.log_disks[0].files[name])
         await fleet.edge(0)
-        again = await fleet.client(0)
-        await again.names("/heredia")
+        restarted = await fleet.client(0)
+        await restarted.names("/heredia")
         await fleet.sleep(1)
         return await two.get("/heredia/a"), await two.get("/heredia/b"), sorted(fleet.log_disks[0].files)
 
