--- a/rushmux/buffer/recovery.py
+++ b/rushmux/buffer/recovery.py
@@ -90,8 +90,8 @@
     known_folders: Container[str],
     now: float,
     logger: FilteringBoundLogger,
-):
-    """Buffers what an earlier run had not flushed, and lets a new epoch of the log replace the old ones.
+) -> dict[str, int]:
+    """Buffers what an earlier run had not flushed, and replaces the log's epochs by a new one.
 
     Args:
         wal: The log, of which nothing was used yet.
@@ -116,7 +116,9 @@
     return barriers
 
 
-def _read_last_epoch(wal, segments_of_epoch: dict[int, list[str]], logger) -> list[journal.Record]:
+def _read_last_epoch(
+    wal: WriteAheadLog, segments_of_epoch: dict[int, list[str]], logger: FilteringBoundLogger
+) -> list[journal.Record]:
     records = []
     for epoch in sorted(segments_of_epoch, reverse=True):
         records = _read_segments(wal.storage, segments_of_epoch[epoch], logger)
@@ -148,7 +150,11 @@
 
 
 def _buffer_records(
-    records, writes: BufferedWrites, known_folders, now: float, logger: FilteringBoundLogger
+    records: list[journal.Record],
+    writes: BufferedWrites,
+    known_folders: Container[str],
+    now: float,
+    logger: FilteringBoundLogger,
 ) -> dict[str, int]:
     recovered = RecoveredFiles(records)
     recovered_writes = recovered.writes()
