--- a/rushmux/buffer/batch_writer.py
+++ b/rushmux/buffer/batch_writer.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from rushmux.buffer.buffered_writes import BufferedFile
+from rushmux.buffer.buffered_files import BufferedFile
 from rushmux.buffer.extents import BufferedExtent
 from rushmux.buffer.flush_policy import Batch
 from rushmux.buffer.row_cache import NO_BLOCK, BlockExtent, BlockRow, FileRows, RowCache
--- a/rushmux/buffer/flush_policy.py
+++ b/rushmux/buffer/flush_policy.py
@@ -8,7 +8,8 @@
 from enum import Enum, IntEnum
 from typing import NamedTuple
 
-from rushmux.buffer.buffered_writes import BufferedFile, BufferedFolder, BufferedWrites, Layer
+from rushmux.buffer.buffered_files import BufferedFile, BufferedFolder, Layer
+from rushmux.buffer.buffered_writes import BufferedWrites
 from rushmux.buffer.errors import WritesDiscardedError
 from rushmux.buffer.extents import ExtentIndex
 
--- a/rushmux/buffer/row_cache.py
+++ b/rushmux/buffer/row_cache.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from rushmux.buffer.buffered_writes import BufferedFile
+from rushmux.buffer.buffered_files import BufferedFile
 from rushmux.edge.openfile import OpenFile
 from rushmux.files.layout import Extent, File
 
--- a/rushmux/buffer/write_ahead_log.py
+++ b/rushmux/buffer/write_ahead_log.py
@@ -9,7 +9,8 @@
 from structlog.typing import FilteringBoundLogger
 
 from rushmux.buffer import journal
-from rushmux.buffer.buffered_writes import BufferedFile, BufferedWrites
+from rushmux.buffer.buffered_files import BufferedFile
+from rushmux.buffer.buffered_writes import BufferedWrites
 from rushmux.buffer.disk import SEGMENT_SUFFIX, SegmentStorage
 from rushmux.buffer.flush_policy import Batch
 
--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -11,7 +11,8 @@
 
 from rushmux.buffer import journal
 from rushmux.buffer.batch_writer import BatchWriter, CommitOutcome, Counters
-from rushmux.buffer.buffered_writes import BufferedFile, BufferedWrites
+from rushmux.buffer.buffered_files import BufferedFile
+from rushmux.buffer.buffered_writes import BufferedWrites
 from rushmux.buffer.disk import SegmentStorage
 from rushmux.buffer.flush_policy import NEVER, Admission, Batch, BufferLimits, FlushPolicy
 from rushmux.buffer.recovery import recover
--- a/tests/buffer/test_flush_policy.py
+++ b/tests/buffer/test_flush_policy.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from rushmux.buffer.buffered_writes import NO_BARRIER, BufferedWrites
+from rushmux.buffer.buffered_files import NO_BARRIER
+from rushmux.buffer.buffered_writes import BufferedWrites
 from rushmux.buffer.flush_policy import Admission, BufferLimits, FlushPolicy
 
 LIMITS = BufferLimits(
