--- /dev/null
+++ b/rushmux/buffer/batch_writer.py
@@ -0,0 +1,303 @@
+"""Carries a batch to the nodes: stores its bytes as new objects, then commits one change of rows.
+
+The change names all files of the batch, so that they become visible together, and is checked against the
+versions of their rows.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from rushmux.buffer.buffered_files import BufferedFile
+from rushmux.buffer.extents import BufferedExtent
+from rushmux.buffer.flush_policy import Batch
+from rushmux.buffer.row_cache import NO_BLOCK, BlockExtent, BlockRow, FileRows, RowCache
+from rushmux.buffer.write_ahead_log import WriteAheadLog
+from rushmux.edge.block_io import compact_block
+from rushmux.edge.driver import EdgeDriver
+from rushmux.edge.errors import ContentionError, ObjectMissingError
+from rushmux.edge.file_system import FileSystem
+from rushmux.edge.operation_runner import (
+    MAX_CONFLICTS,
+    OperationRunner,
+    RowChange,
+    check_version,
+    gather_or_cancel,
+)
+from rushmux.files import layout
+from rushmux.files.layout import Extent
+from rushmux.nodewire import messages
+
+MAX_PARALLEL_STORES = 6  # objects of a batch in flight: below the bound of ten operations
+MAX_KEYS = 400  # rows read at once: far below the bytes of a frame
+OPERATION_KEY = "buffer"  # ordering key of a batch's operations on rows
+REQUESTED_ROLE = "write"
+BACKGROUND_ROLE = "write_out"
+REMOVED = "the file was removed"
+OVERWRITTEN = "others wrote to the file while this edge was down"
+
+
+@dataclass
+class Counters:
+    """What a write-back buffer did since its start, for benchmarks."""
+
+    writes: int = 0
+    bytes: int = 0
+    objects: int = 0
+    object_bytes: int = 0
+    commits: int = 0
+    bypassed: int = 0
+
+
+@dataclass
+class CommitOutcome:
+    """The files of a batch that were not committed.
+
+    Attributes:
+        skipped: Why, for each of them.
+        overwritten: Those that other edges changed while this one was down.
+    """
+
+    skipped: dict[BufferedFile, str] = field(default_factory=dict)
+    overwritten: list[BufferedFile] = field(default_factory=list)
+
+
+class Run(NamedTuple):
+    """Adjacent bytes of a file within one block, which become one object."""
+
+    file: BufferedFile
+    block: int
+    start: int  # offset in the block
+    extents: list[BufferedExtent]
+
+
+class BatchChange(RowChange):
+    """A change of rows, and what it makes of its files."""
+
+    def __init__(self):
+        super().__init__()
+        self.obsolete: list[tuple[int, str]] = []  # objects that no row names any more: (cell, object)
+        self.files: dict[BufferedFile, layout.FileRow] = {}
+        self.blocks: dict[BufferedFile, dict[int, list[Extent]]] = {}
+
+    def put_file(self, file: BufferedFile, version: int, row: layout.FileRow) -> None:
+        """Replaces the row of a file, if it has this version."""
+        self.files[file] = row
+        self.blocks[file] = {}
+        self._put(layout.file_key(file.file_id), version, layout.pack_file(row))
+
+    def put_block(self, file: BufferedFile, number: int, before: BlockRow, extents: list[Extent]) -> None:
+        """Replaces the row of a block; its file has to be put first."""
+        self.blocks[file][number] = extents
+        key = layout.block_key(self.files[file].data_id, number)
+        self._put(key, before.version, layout.pack_block(extents))
+        self.obsolete += layout.unreferenced(before.extents, extents)
+
+    def _put(self, key: str, version: int, value: bytes) -> None:
+        self.checks.append(check_version(key, version))
+        self.puts.append((key, value))
+
+    def committed_files(self, done: Sequence[messages.Row]) -> dict[BufferedFile, FileRows]:
+        """The files' rows with their new versions, which the nodes give in the order of `puts`."""
+        versions = {key: row.version for (key, _), row in zip(self.puts, done, strict=False)}
+        committed = {}
+        for file, row in self.files.items():
+            blocks = {
+                number: BlockRow(versions[layout.block_key(row.data_id, number)], extents)
+                for number, extents in self.blocks[file].items()
+            }
+            committed[file] = FileRows(versions[layout.file_key(file.file_id)], row, blocks)
+        return committed
+
+
+class BatchWriter:
+    """Writes the batches of one edge.
+
+    Args:
+        driver: The edge's driver.
+        file_system: What the edge's requests share.
+        row_cache: The rows as last seen.
+        wal: The log, where each change is noted before it is sent.
+        counters: What was done so far.
+    """
+
+    def __init__(
+        self,
+        driver: EdgeDriver,
+        file_system: FileSystem,
+        row_cache: RowCache,
+        wal: WriteAheadLog,
+        counters: Counters,
+    ):
+        self.driver = driver
+        self.file_system = file_system
+        self.row_cache = row_cache
+        self.wal = wal
+        self.counters = counters
+
+    async def write(self, runner: OperationRunner, batch: Batch) -> CommitOutcome:
+        """Makes a batch readable through any edge.
+
+        Raises:
+            ContentionError: Other edges changed the files at the same time, too often.
+            OperationShedError, OperationFailedError, ObjectMissingError: An operation did not succeed.
+        """
+        return await self._commit(runner, batch, await self._store(runner, batch))
+
+    async def _store(self, runner: OperationRunner, batch: Batch) -> dict[BufferedFile, list[BlockExtent]]:
+        """Stores a batch's bytes, each run as one object."""
+        gate = asyncio.Semaphore(MAX_PARALLEL_STORES)
+        role = REQUESTED_ROLE if batch.is_requested else BACKGROUND_ROLE
+        runs = self._runs(batch)
+        stored = await gather_or_cancel(*(self._store_run(runner, run, role, gate) for run in runs))
+        extents = {part.file: [] for part in batch.parts}
+        for run, extent in zip(runs, stored, strict=True):
+            extents[run.file].append(BlockExtent(run.block, extent))
+        return extents
+
+    def _runs(self, batch: Batch) -> list[Run]:
+        block_size = self.file_system.settings.object_bytes
+        return [
+            Run(part.file, *divmod(extents[0].start, block_size), extents)
+            for part in batch.parts
+            for extents in part.index.runs(block_size)
+        ]
+
+    async def _store_run(
+        self, runner: OperationRunner, run: Run, role: str, gate: asyncio.Semaphore
+    ) -> Extent:
+        data = b"".join(extent.data for extent in run.extents)
+        async with gate:
+            stored = await runner.write_object(data, role)
+        self.counters.objects += 1
+        self.counters.object_bytes += len(data)
+        return Extent(run.start, len(data), stored.name, stored.cell, 0)
+
+    async def _commit(
+        self, runner: OperationRunner, batch: Batch, extents: dict[BufferedFile, list[BlockExtent]]
+    ) -> CommitOutcome:
+        """Changes the rows of all files of the batch; reads them again where others changed them."""
+        for attempt in range(MAX_CONFLICTS):
+            await runner.back_off(attempt)
+            outcome = CommitOutcome()
+            files = self.row_cache.expected_rows(extents) if attempt == 0 else None
+            if files is None:
+                files = await self._read_rows(runner, extents, outcome)
+            if not files:
+                return outcome
+            stamp = self.driver.unique_name()
+            try:
+                blocks = await self._new_blocks(runner, files, extents)
+            except ObjectMissingError:  # others replaced an object meanwhile: read the rows again
+                continue
+            change = self._row_change(batch, files, blocks, stamp)
+            self._log_intent(batch, files, stamp)
+            done = await runner.change_rows(OPERATION_KEY, change)
+            if done is None:
+                continue
+            self._on_committed(runner, change, done)
+            return outcome
+        raise ContentionError("the files")
+
+    def _on_committed(
+        self, runner: OperationRunner, change: BatchChange, done: Sequence[messages.Row]
+    ) -> None:
+        self.counters.commits += 1
+        if change.obsolete:
+            self.file_system.schedule_collection(runner.folder)
+        for file, rows in change.committed_files(done).items():
+            file.version = rows.version
+            self.row_cache.remember(file, rows)
+
+    async def _read_rows(
+        self, runner: OperationRunner, extents: dict[BufferedFile, list[BlockExtent]], outcome: CommitOutcome
+    ) -> dict[BufferedFile, FileRows]:
+        """Reads the rows to change; files that are removed or overwritten are noted in the outcome."""
+        rows = await self._look(runner, [layout.file_key(file.file_id) for file in extents])
+        files, blocks = {}, {}
+        for file, written in extents.items():
+            row = rows.get(layout.file_key(file.file_id))
+            if row is None:
+                outcome.skipped[file] = REMOVED
+                continue
+            file_row = layout.unpack_file(row.value)
+            if self.is_overwritten(file, row.version, file_row):
+                outcome.skipped[file] = OVERWRITTEN
+                outcome.overwritten.append(file)
+                continue
+            files[file] = FileRows(row.version, file_row, {})
+            for number, _ in written:
+                blocks[layout.block_key(file_row.data_id, number)] = file, number
+        rows = await self._look(runner, list(blocks))
+        for key, (file, number) in blocks.items():
+            row = rows.get(key)
+            files[file].blocks[number] = (
+                BlockRow(row.version, layout.unpack_block(row.value)) if row else NO_BLOCK
+            )
+        return files
+
+    async def _look(self, runner: OperationRunner, keys: list[str]) -> dict[str, messages.Row]:
+        found = {}
+        for first in range(0, len(keys), MAX_KEYS):
+            outcome = await runner.read_rows(OPERATION_KEY, keys=keys[first : first + MAX_KEYS])
+            found.update((row.key, row) for row in outcome.rows)
+        return found
+
+    @staticmethod
+    def is_overwritten(file: BufferedFile, version: int, file_row: layout.FileRow) -> bool:
+        """Whether other edges changed a file since this one was killed with writes of it buffered.
+
+        Recovered writes must not undo what others wrote meanwhile.  A row with the stamp of this edge's last
+        change was written by the edge itself, which was killed before the answer came.
+        """
+        is_own_change = file.stamp and file_row.batch_stamp == file.stamp
+        return file.recovered and file.version != version and not is_own_change
+
+    async def _new_blocks(
+        self,
+        runner: OperationRunner,
+        files: dict[BufferedFile, FileRows],
+        extents: dict[BufferedFile, list[BlockExtent]],
+    ) -> dict[tuple[BufferedFile, int], list[Extent]]:
+        """The extents of each block with the batch's over them; one with too many is written as one."""
+        found = {}
+        for file, rows in files.items():
+            for number, block in rows.blocks.items():
+                block_extents = block.extents
+                for written_block, extent in extents[file]:
+                    if written_block == number:
+                        block_extents = layout.overlay(block_extents, extent)
+                if len(block_extents) > self.file_system.settings.extents:
+                    block_extents = [await compact_block(runner, block_extents)]
+                found[file, number] = block_extents
+        return found
+
+    def _row_change(
+        self,
+        batch: Batch,
+        files: dict[BufferedFile, FileRows],
+        blocks: dict[tuple[BufferedFile, int], list[Extent]],
+        stamp: str,
+    ) -> BatchChange:
+        change = BatchChange()
+        ends = {part.file: part.index.end for part in batch.parts}
+        for file, rows in files.items():
+            size = max(rows.file.size, ends[file])
+            change.put_file(
+                file,
+                rows.version,
+                rows.file._replace(size=size, mtime=self.file_system.calendar(), batch_stamp=stamp),
+            )
+            for number, before in rows.blocks.items():
+                change.put_block(file, number, before, blocks[file, number])
+        if change.obsolete:
+            change.puts.append(self.file_system.garbage_objects_row(change.obsolete))
+        return change
+
+    def _log_intent(self, batch: Batch, files: dict[BufferedFile, FileRows], stamp: str) -> None:
+        """Notes a change before it is sent: after a crash the next run has to know it as its own."""
+        for part in batch.parts:
+            part.file.stamp = stamp
+        file_ids = [part.file.file_id for part in batch.parts if part.file in files]
+        self.wal.commit_intent(batch.folder.name, stamp, file_ids)
--- a/rushmux/edge/file_requests.py
+++ b/rushmux/edge/file_requests.py
@@ -36,10 +36,10 @@
 
     async def _flush_before_truncation(self, runner: OperationRunner, names: Names) -> None:
         """Writes out what is buffered of a file: it would come back after the truncation."""
-        if self.buffer is None or not self.buffer.buffer.folder(runner.folder).bytes:
+        if self.buffer is None or not self.buffer.writes.folder(runner.folder).byte_count:
             return
         found = await self.tree.resolve(runner, names)
-        buffered_file = self.buffer.buffer.known(runner.folder, found.file_id)
+        buffered_file = self.buffer.writes.find_file(runner.folder, found.file_id)
         if buffered_file is not None:
             await self.buffer.flush(buffered_file, runner)
 
--- a/rushmux/edge/openfile.py
+++ b/rushmux/edge/openfile.py
@@ -34,14 +34,14 @@
         self.group_commit = GroupCommit(self.view, file_system, self.folder)
         self.buffer, self.buffered_file = buffer, None
         if buffer is not None:
-            self.buffered_file = buffer.buffer.file(self.folder, self.file_id, "/" + "/".join(path))
-            self.buffered_file.opens += 1
+            self.buffered_file = buffer.writes.file(self.folder, self.file_id, "/" + "/".join(path))
+            self.buffered_file.open_handles += 1
 
     def release(self) -> None:
         """The handle is gone."""
         if self.buffer is not None:
-            self.buffered_file.opens -= 1
-            self.buffer.closed(self.buffered_file)
+            self.buffered_file.open_handles -= 1
+            self.buffer.on_handle_closed(self.buffered_file)
 
     async def flush(self, runner: OperationRunner) -> None:
         """Waits until all that was written by any handle of this edge is readable through any edge."""
--- a/rushmux/edge/request_context.py
+++ b/rushmux/edge/request_context.py
@@ -76,7 +76,7 @@
 
     def attributes(self, folder: str, file_id: str, file: FileRow) -> sftp.Attributes:
         """Attributes as clients see them: with the size that buffered writes give the file."""
-        buffered_file = self.buffer and self.buffer.buffer.known(folder, file_id)
+        buffered_file = self.buffer and self.buffer.writes.find_file(folder, file_id)
         if buffered_file:
             file = file._replace(size=max(file.size, buffered_file.end))
         return to_sftp(file)
--- a/rushmux/edge/request_handlers.py
+++ b/rushmux/edge/request_handlers.py
@@ -83,8 +83,8 @@
         if not folder:
             raise RequestRejectedError(sftp.FAILURE, "a barrier is set over one folder")
         if self.buffer is not None:
-            barrier = self.buffer.mark(folder)
-            await self.buffer.past(folder, barrier, runner_for(folder))
+            barrier = self.buffer.set_barrier(folder)
+            await self.buffer.wait_for_barrier(folder, barrier, runner_for(folder))
         return status(packet.request_id)
 
     async def _statvfs(
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -211,7 +211,7 @@
         buffer = self.edge.buffer
         if buffer is not None and buffer.recovering:
             for path in access.paths:
-                await buffer.ready(path[0] if path else "", deadline - REPLY_MARGIN)
+                await buffer.wait_until_recovered(path[0] if path else "", deadline - REPLY_MARGIN)
 
     def _error_status(self, packet, error: Exception) -> sftp.Status:
         code, text = sftp.FAILURE, str(error)
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from rushmux import log
-from rushmux.buffer.disk import SimulatedDisk
-from rushmux.buffer.writeback import buffered
+from rushmux.buffer.disk import SimulatedSegments
+from rushmux.buffer.writeback import write_back_factory
 from rushmux.edge.edge import Edge
 from rushmux.edge.endpoint_cache import EndpointCache
 from rushmux.edge.node_connections import Address
@@ -177,7 +177,7 @@
             epoch=EPOCH,
             log=self.log,
             scheduler_type=self.decisions,
-            make_buffer=buffered(self.deployment, self.log_disk(number)),
+            make_buffer=write_back_factory(self.deployment, self.log_disk(number)),
             endpoint_cache=self.endpoint_cache(number),
         )
         program.on_listing = lambda nodes: self.record(
@@ -196,7 +196,7 @@
     def log_disk(self, number):
         if self.log_disks is None:
             return None
-        return self.log_disks.setdefault(number, SimulatedDisk())
+        return self.log_disks.setdefault(number, SimulatedSegments())
 
     def kill_edge(self, number):
         self.record("killed", edge=f"edge{number}", start=self.edges[number].program.incarnation)
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from rushmux.buffer.writeback import buffered
+from rushmux.buffer.writeback import write_back_factory
 from rushmux.edge.edge import Edge
 from rushmux.edge.policy_store import PolicyStore
 from rushmux.planner.membership_store import MembershipStore
@@ -118,7 +118,7 @@
             epoch=EPOCH,
             log=self.log,
             scheduler_type=self.decisions,
-            make_buffer=buffered(self.deployment, None),
+            make_buffer=write_back_factory(self.deployment, None),
             policy_store=PolicyStore(self.folder / f"edge{number}.kept"),
         )
         program.on_listing = lambda nodes: self.record(
