--- a/rushmux/standins/fault_injection.py
+++ b/rushmux/standins/fault_injection.py
@@ -28,7 +28,7 @@
 from rushmux.settings.deployment import Deployment, build
 from rushmux.standins import scenario as days
 from rushmux.standins.fault_proxy import Relays
-from rushmux.standins.policy_judge import judge
+from rushmux.standins.policy_history_checker import check_history
 from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
 from rushmux.standins.script import Event, Script
 
@@ -484,7 +484,7 @@
         settled = rig.settled()
     finally:
         await rig.down()
-    breaches, facts = judge(rig.all_records(), deployment, story.expects, rig.people, rig.stopped)
+    breaches, facts = check_history(rig.all_records(), deployment, story.expects, rig.people, rig.stopped)
     if not settled:
         breaches.append(f"not all came to one number within {SETTLE:g} s")
     return Told(story.name, breaches, facts)
--- a/rushmux/standins/policy_fleet.py
+++ b/rushmux/standins/policy_fleet.py
@@ -1,7 +1,7 @@
 """A whole fleet with several planners on the virtual clock, and drawn faults while its policy is changed.
 
 The programs are those that run: planners with their logs on a real folder, edges, nodes, clients.  All
-follows from the seed.  `policy_judge` judges the recordings, as it does those of real processes.
+follows from the seed.  `policy_history_checker` checks the recordings, as it does those of real processes.
 """
 
 import asyncio
@@ -22,7 +22,7 @@
 from rushmux.standins import fault_injection
 from rushmux.standins.client import Gone, Refusal
 from rushmux.standins.fleet import EPOCH, HOST, Part, VirtualFleet
-from rushmux.standins.policy_judge import judge
+from rushmux.standins.policy_history_checker import check_history
 
 PORT = 7_000  # of the first planner
 FAULTS = 40.0  # seconds of faults, and of changes
@@ -241,7 +241,7 @@
         await asyncio.gather(*work, fleet.changes(until), fleet.clients(until + 5))
         await fleet.sleep(QUIET)
         settled = fleet.settled()
-        breaches, facts = judge(fleet.all_records(), deployment, (), fleet.people, fleet.stopped)
+        breaches, facts = check_history(fleet.all_records(), deployment, (), fleet.people, fleet.stopped)
         bad = [row for row in fleet.logs if row["event"] in ("scheduler.fault", "policy.refused")]
         return Told(breaches + settled + [str(row)[:300] for row in bad[:3]], facts, fleet.logs)
 
--- /dev/null
+++ b/rushmux/standins/policy_history_checker.py
@@ -0,0 +1,226 @@
+"""The checker of recorded histories of policy changes, in whole fleets and on real processes.
+
+It knows nothing of the code but the rows that the programs record: `decided` (a planner applied a command),
+`leads`, `goes_by` (an edge), `execution` (an attempt at a node), `fenced` (a node), `ask` and `answer` (a
+client), and what operators were told.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from rushmux.settings.deployment import Deployment
+from rushmux.standins.checker import Checker
+
+MAX_DELAY = 0.25  # seconds: longest that a message takes between processes of a busy machine
+MAX_VIOLATIONS = 20  # listed of those on operations
+EXCLUDED_RULES = ("limits kept", "no cold node pushed over")
+"""Rules of `Checker` that are checked here by the active policy, or not on these histories."""
+OUTCOMES = {"decide": "decided", "end": "ended", "withdraw": "withdrawn"}
+"""How a change ended, by the kind of the command that ended it."""
+
+Row = Mapping[str, Any]
+
+
+class AppliedCommand(NamedTuple):
+    """What a planner recorded of a command: its kind, what came of it, and the active version after it."""
+
+    kind: str
+    answer: str
+    active_version: int
+
+
+class ActivePolicy(NamedTuple):
+    """When a version became active, and limit and burst by folder."""
+
+    since: float
+    limits: Mapping[str, Sequence[float]]
+
+
+def check_history(
+    rows: Sequence[Row],
+    deployment: Deployment,
+    expectations: Iterable[Sequence[str]],
+    operators: Iterable[Row],
+    paused: Collection[str],
+) -> tuple[list[str], Counter]:
+    """Checks a whole history.
+
+    Args:
+        rows: All that the programs recorded, in order of time.
+        deployment: What the fleet began with.
+        expectations: How the changes of a scenario are to end.
+        operators: What operators asked for, and what they were told.
+        paused: Names of programs that stood still for a while.
+
+    Returns:
+        The violations, and counts of what happened.
+    """
+    facts: Counter = Counter()
+    applied, violations = _applied_commands(rows)
+    versions = [applied[index].active_version for index in sorted(applied)]
+    if versions != sorted(versions):
+        violations.append(f"a number was undone: {versions}")
+    outcomes = _outcomes(applied, facts)
+    policies = active_policies(rows)
+    violations += check_operations(rows, policies, facts)[:MAX_VIOLATIONS]
+    violations += check_answers(operators, outcomes, expectations, versions[-1] if versions else 0)
+    violations += _check_rules(rows, deployment, paused)
+    facts["executions"] = sum(row["kind"] == "execution" for row in rows)
+    facts["answers"] = sum(row["kind"] == "answer" and row["status"] in (0, 1) for row in rows)
+    facts["fenced"] = sum(row["kind"] == "fenced" for row in rows)
+    return violations, facts
+
+
+def _applied_commands(rows: Iterable[Row]) -> tuple[dict[int, AppliedCommand], list[str]]:
+    """The command at each index, and where planners disagree."""
+    applied: dict[int, AppliedCommand] = {}
+    violations = []
+    for row in rows:
+        if row["kind"] != "decided":
+            continue
+        command = AppliedCommand(row["order"], row["said"], row["force"])
+        known = applied.setdefault(row["index"], command)
+        if known != command:
+            violations.append(
+                f"entry {row['index']} is {tuple(known)} at one planner, {command.answer} at another"
+            )
+    return applied, violations
+
+
+def active_policies(rows: Iterable[Row]) -> dict[int, ActivePolicy]:
+    """Each version that became active, when, and its limits."""
+    policies: dict[int, ActivePolicy] = {}
+    for row in rows:
+        if row["kind"] == "decided" and row["force"] and row["force"] not in policies:
+            limits = {folder: limit_and_burst for folder, *limit_and_burst in row["rows"]}
+            policies[row["force"]] = ActivePolicy(row["at"], limits)
+    return policies
+
+
+def _outcomes(applied: Mapping[int, AppliedCommand], facts: Counter) -> dict[int, str]:
+    """How each change ended, by its version; counts the commands that ended them."""
+    outcomes: dict[int, str] = {}
+    for index in sorted(applied):
+        command = applied[index]
+        if command.kind in OUTCOMES and not command.answer.startswith("refused"):
+            version = int(command.answer.split()[0])
+            outcomes.setdefault(version, OUTCOMES[command.kind])
+            facts[command.kind] += 1
+    return outcomes
+
+
+def _check_rules(rows: Sequence[Row], deployment: Deployment, paused: Collection[str]) -> list[str]:
+    """The rules of `Checker`, but those that are checked here."""
+    # A paused edge answers late, and nobody but who paused it is at fault.
+    checked = [
+        row
+        for row in rows
+        if row["kind"] not in ("ask", "answer") or row["session"].split(".")[0] not in paused
+    ]
+    violations = []
+    for verdict in Checker(checked, deployment, MAX_DELAY).verdicts():
+        if verdict.rule in EXCLUDED_RULES:
+            continue
+        # What a paused program had sent reaches a node when a partition heals, long after it was fenced.
+        found = [text for text in verdict.breaches if not any(f"{name}." in text for name in paused if name)]
+        only_summary_left = found == list(verdict.breaches[-1:])
+        violations += [
+            f"{verdict.rule}: {text}" for text in found if not (only_summary_left and text.startswith("and "))
+        ]
+    return violations
+
+
+def check_operations(rows: Sequence[Row], policies: Mapping[int, ActivePolicy], facts: Counter) -> list[str]:
+    """No operation ran under a version that was not active, or under two, and no limit was exceeded."""
+    fenced = {(row["op"], row["execution"]) for row in rows if row["kind"] == "fenced"}
+    served: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    """By folder, when operations ran and their units."""
+    version_of: dict[str, int] = {}
+    violations = []
+    for row in rows:
+        if row["kind"] != "execution":
+            continue
+        operation, version = row["op"], row["policy"]
+        if version not in policies or policies[version].since > row["at"] + MAX_DELAY:
+            violations.append(f"{row['at']:.3f} {operation} under {version}, which was not decided")
+        elif version_of.setdefault(operation, version) != version:
+            violations.append(f"{operation} under {version_of[operation]} and {version}")
+        if (operation, row["execution"]) not in fenced and row["execution"] == 0:
+            served[row["volume"]].append((row["at"], row["units"]))
+    for folder, sent in served.items():
+        violations += _check_limits(folder, sent, policies, facts)
+    return violations
+
+
+def _check_limits(
+    folder: str,
+    sent: Sequence[tuple[float, float]],
+    policies: Mapping[int, ActivePolicy],
+    facts: Counter,
+) -> list[str]:
+    """What ran in a folder, against its limit by each version while that was active."""
+    violations = []
+    changes = sorted((policy.since, version) for version, policy in policies.items())
+    ends = [since for since, _ in changes[1:]] + [float("inf")]
+    for (since, version), until in zip(changes, ends, strict=True):
+        limit, burst = policies[version].limits.get(folder, (0, 0))
+        if not limit:
+            continue
+        peak = _peak_usage(sent, limit, since, until)
+        facts[f"used of {folder} under {version}"] = round(100 * peak / burst)
+        if peak > burst + limit * MAX_DELAY:
+            violations.append(
+                f"{folder}: {peak:.0f} units at once under {version}, which allows {burst:g} and {limit:g}/s"
+            )
+    return violations
+
+
+def _peak_usage(sent: Sequence[tuple[float, float]], limit: float, since: float, until: float) -> float:
+    """The fullest that a bucket was which leaks `limit` units a second."""
+    level, last, peak = 0.0, since, 0.0
+    for at, units in sent:
+        if since + MAX_DELAY <= at < until:
+            level = max(0.0, level - limit * (at - last)) + units
+            last = at
+            peak = max(peak, level)
+    return peak
+
+
+def check_answers(
+    operators: Iterable[Row],
+    outcomes: Mapping[int, str],
+    expectations: Iterable[Sequence[str]],
+    active_version: int,
+) -> list[str]:
+    """What operators were told stays true, and the scenario ended as expected."""
+    violations = []
+    answer_to: dict[str, Row] = {}
+    for row in operators:
+        answer_to[row["word"]] = row
+        refused = row["said"].startswith("refused") and row["verb"] == "propose"
+        if refused and row["number"] in outcomes:
+            outcome = outcomes[row["number"]]
+            violations.append(f"{row['word']}: told {row['said']}, and {row['number']} is {outcome}")
+    for name, *expected in expectations:
+        if name == "force":
+            if active_version != int(expected[0]):
+                violations.append(f"in force is {active_version}, not {expected[0]}")
+        elif name not in answer_to:
+            violations.append(f"nobody proposed {name}")
+        else:
+            violations += _check_expected(name, answer_to[name], outcomes, expected)
+    return violations
+
+
+def _check_expected(
+    name: str, answer: Row, outcomes: Mapping[int, str], expected: Sequence[str]
+) -> list[str]:
+    """How a change ended; `expected`: outcomes split by `|`, and words of the answer."""
+    wanted, *words = expected
+    outcome = outcomes.get(answer["number"], answer["said"] or "no answer")
+    if answer["said"].startswith("refused"):
+        outcome = "refused"
+    if outcome in wanted.split("|") and " ".join(words) in answer["said"]:
+        return []
+    return [f"{name} is {outcome} ({answer['said']}), not {' '.join(expected)}"]
--- a/tests/planner/test_fault_injection.py
+++ b/tests/planner/test_fault_injection.py
@@ -8,7 +8,7 @@
 from rushmux.cli.main import main
 from rushmux.standins import fault_injection
 from rushmux.standins.fault_proxy import HOST, Relays
-from rushmux.standins.policy_judge import operations, told
+from rushmux.standins.policy_history_checker import ActivePolicy, check_answers, check_operations
 
 # Those in which most goes wrong; some twenty more are played by hand.
 PLAYED = (
@@ -67,24 +67,26 @@
 
 
 def test_the_judge_finds_what_must_never_be():
-    force = {1: (0.0, {"a": (10.0, 20.0)}), 2: (10.0, {"a": (2.0, 4.0)})}
+    force = {1: ActivePolicy(0.0, {"a": (10.0, 20.0)}), 2: ActivePolicy(10.0, {"a": (2.0, 4.0)})}
     from collections import Counter
 
-    assert operations([execution(1.0, 1), execution(1.1, 1, "e.1.2/s")], force, Counter()) == []
-    assert "not decided" in operations([execution(5.0, 2)], force, Counter())[0]
-    assert "not decided" in operations([execution(5.0, 9)], force, Counter())[0]
+    assert check_operations([execution(1.0, 1), execution(1.1, 1, "e.1.2/s")], force, Counter()) == []
+    assert "not decided" in check_operations([execution(5.0, 2)], force, Counter())[0]
+    assert "not decided" in check_operations([execution(5.0, 9)], force, Counter())[0]
     apart = [execution(11.0, 1), execution(11.1, 2, count=1)]
-    assert "under 1 and 2" in operations(apart, force, Counter())[0]
+    assert "under 1 and 2" in check_operations(apart, force, Counter())[0]
     many = [execution(11.0 + place / 100, 2, f"e.1.{place}/s", 1.0) for place in range(8)]
-    assert "units at once under 2" in operations(many, force, Counter())[0]
+    assert "units at once under 2" in check_operations(many, force, Counter())[0]
     turned = [{"kind": "fenced", "op": row["op"], "execution": 0} for row in many]
-    assert operations(many + turned, force, Counter()) == []
+    assert check_operations(many + turned, force, Counter()) == []
     people = [{"word": "down", "verb": "propose", "said": "2 is staged", "number": 2}]
-    assert told(people, {2: "decided"}, [("down", "decided"), ("force", "2")], 2) == []
-    assert told(people, {2: "ended"}, [("down", "decided")], 1) and told(people, {}, [("force", "2")], 1)
-    assert told(people, {}, [("up", "decided")], 1)
+    assert check_answers(people, {2: "decided"}, [("down", "decided"), ("force", "2")], 2) == []
+    assert check_answers(people, {2: "ended"}, [("down", "decided")], 1) and check_answers(
+        people, {}, [("force", "2")], 1
+    )
+    assert check_answers(people, {}, [("up", "decided")], 1)
     refused = [{"word": "down", "verb": "propose", "said": "refused: x", "number": 2}]
-    assert "told refused" in told(refused, {2: "decided"}, [], 2)[0]
+    assert "told refused" in check_answers(refused, {2: "decided"}, [], 2)[0]
 
 
 def test_a_relay_holds_back_what_is_cut_and_gives_it_when_it_heals():
