--- a/rushmux/planner/quota_service.py
+++ b/rushmux/planner/quota_service.py
@@ -46,8 +46,8 @@
         of an edge waits at a time; further ones are dropped, and the edge repeats them.
 
         Raises:
-            WireFault: the request makes no sense.  It is said at once: later it would end the steps of the
-                replicated log, which confirms leadership, and not the edge's connection.
+            WireFault: the request is invalid.  It is raised at once, in the edge's connection: after the
+                confirmation it would interrupt a step of the replicated log instead.
         """
         _check(request)
         if peer in self._unconfirmed:
