--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Collection, Coroutine
 
 import structlog
+from google.protobuf.message import Message
 
 from rushmux.nodewire import WireFault, messages
 from rushmux.planner import peer_names, policy_admin
@@ -197,7 +198,7 @@
         """A member whose last connection ended is given a short time to connect again."""
         self._members.on_disconnected(peer)
 
-    def on_message(self, peer: PeerConnection, kind: str, body) -> None:
+    def on_message(self, peer: PeerConnection, kind: str, body: Message) -> None:
         """Hands a message to its handler."""
         handler = self._handlers.get(kind)
         if handler is None and not self.is_leader:
--- a/rushmux/planner/server.py
+++ b/rushmux/planner/server.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import structlog
+from google.protobuf.message import Message
 
 from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
 
@@ -105,7 +106,7 @@
     def on_peer_disconnected(self, peer: PeerConnection) -> None:
         """The connection of a peer that had greeted ended."""
 
-    def on_message(self, peer: PeerConnection, kind: str, body) -> None:
+    def on_message(self, peer: PeerConnection, kind: str, body: Message) -> None:
         """A message came.
 
         Args:
