--- a/rushmux/planner/quota_service.py
+++ b/rushmux/planner/quota_service.py
@@ -44,12 +44,7 @@
 
         A planner that others have replaced would grant quotas that are somebody else's by now.  One request
         of an edge waits at a time; further ones are dropped, and the edge repeats them.
-
-        Raises:
-            WireFault: the request is invalid.  It is raised at once, in the edge's connection: after the
-                confirmation it would interrupt a step of the replicated log instead.
         """
-        _check(request)
         if peer in self._unconfirmed:
             return
         self._unconfirmed.add(peer)
@@ -61,6 +56,10 @@
         self._confirm_leadership(answer)
 
     def _answer(self, peer: PeerConnection, request: messages.Ask, now: float) -> None:
+        if len(request.wants) > MAX_WANTED_FOLDERS or any(
+            not 0 <= want.part < MAX_WANTED_PART for want in request.wants
+        ):
+            raise WireFault("an ask that makes no sense")
         grant = self._allocator.on_quota_request(
             now,
             peer.name,
@@ -76,10 +75,3 @@
                 parts=[messages.Want(folder=folder, part=quota) for folder, quota in grant.quotas.items()],
             )
         )
-
-
-def _check(request: messages.Ask) -> None:
-    if len(request.wants) > MAX_WANTED_FOLDERS or any(
-        not 0 <= want.part < MAX_WANTED_PART for want in request.wants
-    ):
-        raise WireFault("an ask that makes no sense")
