--- a/rushmux/edge/driver.py
+++ b/rushmux/edge/driver.py
@@ -87,13 +87,8 @@
         scheduler_type: Callable = Scheduler,
     ):
         super().__init__(deployment.settings, seed, log, scheduler_type)
-        self.identity, self.name, self.deployment, self.connections = (
-            identity,
-            identity.name,
-            deployment,
-            connections,
-        )
-        self.rng = rng
+        self.identity, self.name = identity, identity.name
+        self.deployment, self.connections, self.rng = deployment, connections, rng
         self.operation_count = self.name_count = 0
         self.endpoint_table = EndpointTable(self, connections, log)
         self.policy_version = PolicyVersion(0, 0)
