--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -15,7 +15,8 @@
 from rushmux.cli.shared import Place
 
 if TYPE_CHECKING:
-    from rushmux.lab.experiment import Experiment, ExperimentError
+    from rushmux.lab.experiment import ExperimentError
+    from rushmux.lab.experiment_schema import Experiment
     from rushmux.lab.load import Address
     from rushmux.lab.result_store import ResultStore
     from rushmux.lab.run import Results
--- a/rushmux/lab/baselines.py
+++ b/rushmux/lab/baselines.py
@@ -45,7 +45,7 @@
         self.settings, self.actions, self.random = settings, actions, RandomGenerator(seed)
         self.cells, self.operations = {}, {}
         self.queues, self.in_flight = defaultdict(dict), defaultdict(int)
-        self.numbers, self.started_at, self.served = count(), now, defaultdict(float)
+        self.numbers, self.served = count(), defaultdict(float)
 
     def order(self, operation):
         """What an operation is ordered by: the least goes first."""
--- a/rushmux/lab/day.py
+++ b/rushmux/lab/day.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from rushmux.lab import faults, trace, workload
+from rushmux.lab.experiment_schema import Experiment, Variant
 from rushmux.lab.faults import FaultEvent
 from rushmux.lab.fleet import Fleet, node_name, zone_name
 from rushmux.lab.json_path import set_value
@@ -34,7 +35,7 @@
     events: list[FaultEvent]
 
 
-def build_fleet(experiment: Mapping[str, Any]) -> Fleet:
+def build_fleet(experiment: Experiment) -> Fleet:
     """The fleet that an experiment states."""
     stated, example = experiment["fleet"], EXAMPLE["fleet"]
     machine = Shape(
@@ -59,13 +60,13 @@
     )
 
 
-def fleet_capacity(experiment: Mapping[str, Any]) -> float:
+def fleet_capacity(experiment: Experiment) -> float:
     """Units a second of all nodes together, none in slow start."""
     fleet = build_fleet(experiment)
     return fleet.node_count * fleet.machine.cores * fleet.machine.speed / fleet.machine.unit
 
 
-def draw_volumes(experiment: Mapping[str, Any], seed: int) -> list[Volume]:
+def draw_volumes(experiment: Experiment, seed: int) -> list[Volume]:
     """The volumes of a day with what they ask for; of a trace, its own.
 
     Raises:
@@ -85,19 +86,17 @@
     )
 
 
-def _workload_settings(experiment: Mapping[str, Any]) -> dict[str, Any]:
+def _workload_settings(experiment: Experiment) -> dict[str, Any]:
     return {**workload.DEFAULTS, **experiment["workload"]}
 
 
-def _trace_volumes(experiment: Mapping[str, Any], plans: Mapping[str, str]) -> list[Volume]:
+def _trace_volumes(experiment: Experiment, plans: Mapping[str, str]) -> list[Volume]:
     """The volumes of a trace's header, through all gateways."""
     gateways = tuple(range(experiment["fleet"]["edges"]))
     return [Volume(name, plan, 1.0, (0,), gateways) for name, plan in plans.items()]
 
 
-def build_deployment(
-    experiment: Mapping[str, Any], variant: Mapping[str, Any], volumes: Sequence[Volume]
-) -> Deployment:
+def build_deployment(experiment: Experiment, variant: Variant, volumes: Sequence[Volume]) -> Deployment:
     """The deployment of a variant: the example, sized to the fleet and the volumes of the day.
 
     Plans are sized so that the reserves of all volumes together are `reserved` of the fleet's capacity; then
@@ -121,7 +120,7 @@
 
 
 def _scale_plans(
-    text: dict[str, Any], experiment: Mapping[str, Any], fleet: Fleet, volumes: Sequence[Volume]
+    text: dict[str, Any], experiment: Experiment, fleet: Fleet, volumes: Sequence[Volume]
 ) -> None:
     reserves = sum(text["plans"][volume.plan]["reserve"] for volume in volumes)
     factor = experiment["reserved"] * fleet_capacity(experiment) / reserves
@@ -145,7 +144,7 @@
     )
 
 
-def draw_day(experiment: Mapping[str, Any], variant: Mapping[str, Any], seed: int) -> Day:
+def draw_day(experiment: Experiment, variant: Variant, seed: int) -> Day:
     """Draws the day of a seed.
 
     Raises:
@@ -185,7 +184,7 @@
 
 
 def _draw_faults(
-    experiment: Mapping[str, Any], fleet: Fleet, volumes: Sequence[Volume], seed: int
+    experiment: Experiment, fleet: Fleet, volumes: Sequence[Volume], seed: int
 ) -> list[FaultEvent]:
     return faults.draw(
         faults.parse(experiment["troubles"]),
--- a/rushmux/lab/experiment.py
+++ b/rushmux/lab/experiment.py
@@ -1,7 +1,6 @@
 """The text of an experiment: reading it, checking it, and the experiments that its factors make of it.
 
-An experiment is kept as its JSON, checked against `experiment.schema.json` and with the defaults put in; the
-keys are those of the schema.
+An experiment is kept as its JSON (`experiment_schema`), checked and with the defaults put in.
 """
 
 import copy
@@ -15,17 +14,12 @@
 
 from rushmux.lab import day, faults, trace
 from rushmux.lab.errors import LabError
+from rushmux.lab.experiment_schema import SCHEMA, Experiment
 from rushmux.lab.json_path import set_value
 from rushmux.settings.deployment import BadDeployment
 
-SCHEMA = json.loads(Path(__file__).with_name("experiment.schema.json").read_text())
 MAX_NAME = 60  # characters of the name of an expanded experiment
 
-Experiment = dict[str, Any]
-"""The JSON of a checked experiment."""
-Variant = dict[str, Any]
-"""One of an experiment's `variants`."""
-
 
 class ExperimentProblem(NamedTuple):
     """One thing that is wrong in the text of an experiment."""
--- a/rushmux/lab/load.py
+++ b/rushmux/lab/load.py
@@ -13,7 +13,7 @@
 from rushmux.lab.client import ClientOutcome
 from rushmux.lab.day import draw_day
 from rushmux.lab.errors import LabError
-from rushmux.lab.experiment import Experiment
+from rushmux.lab.experiment_schema import Experiment
 from rushmux.lab.measurements import PERCENTILES
 from rushmux.lab.workload import Arrival
 from rushmux.sftp import packets as sftp
--- a/rushmux/lab/report.py
+++ b/rushmux/lab/report.py
@@ -13,7 +13,7 @@
 
 from rushmux.lab import compare, plots
 from rushmux.lab.compare import Conclusion, Difference, lower_is_better
-from rushmux.lab.experiment import Experiment
+from rushmux.lab.experiment_schema import Experiment
 from rushmux.lab.measurements import MEASURES, DayResult
 from rushmux.lab.plots import MEASURE_TITLES
 from rushmux.lab.run import Results, current_revision, without_crashes
--- a/rushmux/lab/result_store.py
+++ b/rushmux/lab/result_store.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from rushmux.lab.errors import LabError
-from rushmux.lab.experiment import Experiment, Variant
+from rushmux.lab.experiment_schema import Experiment, Variant
 from rushmux.lab.measurements import DayResult
 
 FORMAT = 1
--- a/rushmux/lab/run.py
+++ b/rushmux/lab/run.py
@@ -8,7 +8,7 @@
 
 from rushmux.lab import compare
 from rushmux.lab.day import draw_day
-from rushmux.lab.experiment import Experiment, Variant
+from rushmux.lab.experiment_schema import Experiment, Variant
 from rushmux.lab.measurements import MEASURES, DayResult, measure
 from rushmux.lab.result_store import ResultKey, ResultStore, experiment_digest
 from rushmux.lab.scheduler_simulation import SchedulerSimulation
--- a/rushmux/lab/saved_day.py
+++ b/rushmux/lab/saved_day.py
@@ -6,7 +6,8 @@
 
 from rushmux.lab import variants
 from rushmux.lab.errors import LabError
-from rushmux.lab.experiment import Experiment, ExperimentError, check
+from rushmux.lab.experiment import ExperimentError, check
+from rushmux.lab.experiment_schema import Experiment
 from rushmux.lab.search import Candidate, SimulatedDay, simulate_day
 
 FORMAT = 1
--- a/rushmux/lab/search.py
+++ b/rushmux/lab/search.py
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 
 from rushmux.lab import faults, variants
-from rushmux.lab.experiment import Experiment, Variant
+from rushmux.lab.experiment_schema import Experiment, Variant
 from rushmux.lab.faults import FaultLine, Range
 from rushmux.lab.run import simulate
 from rushmux.lab.variants import SchedulerSource
--- a/rushmux/lab/variants.py
+++ b/rushmux/lab/variants.py
@@ -13,6 +13,7 @@
 from rushmux.lab import legacy_scheduler
 from rushmux.lab.baselines import BASELINES
 from rushmux.lab.errors import LabError
+from rushmux.lab.experiment_schema import Variant
 
 ROOT = Path(scheduling.__file__).resolve().parents[2]
 PACKAGE, FOLDER = "rushmux.scheduling", "rushmux/scheduling"
@@ -108,7 +109,7 @@
     return path.endswith(".py") and Path(path).stem not in SHARED
 
 
-def source(variant: dict) -> SchedulerSource:
+def source(variant: Variant) -> SchedulerSource:
     """The source of the scheduler of a variant.
 
     Raises:
@@ -130,7 +131,7 @@
     return SchedulerSource(tuple(texts.items()))
 
 
-def scheduler_type(variant: dict, found: SchedulerSource) -> Callable:
+def scheduler_type(variant: Variant, found: SchedulerSource) -> Callable:
     """What makes a gateway's scheduler in a variant."""
     if variant.get("decisions", "module") != "module":
         return BASELINES[variant["decisions"]]
