--- a/tests/buffer/test_log_faults.py
+++ b/tests/buffer/test_log_faults.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rushmux.sftp import packets as sftp
+from rushmux.standins.client import Refusal
 
 
 def cut_off(segment):
@@ -79,3 +80,29 @@
         return await two.get("/heredia/a")
 
     assert play(story)[1] == b"from two"  # the log brought back what was not flushed
+
+
+def test_discarded_writes_do_not_come_back_after_a_crash(play, raw, files, buffered_bytes):
+    raw["buffer"] = {"keep_ms": 600, "age_ms": 200}
+
+    async def story(fleet):
+        one, two = await fleet.client(0), await fleet.client(1)
+        handles = [await files.open(one, f"/heredia/{name}") for name in "ab"]
+        for handle in handles:
+            await one.ask(sftp.Write, handle, 0, b"discarded")
+        for node in range(4):
+            await fleet.trouble(f"node{node}", "silent", seconds=20)
+        while buffered_bytes(fleet):
+            await fleet.sleep(0.1)
+        for handle in handles:
+            with pytest.raises(Refusal, match="written before and lost"):
+                await files.fsync(one, handle)
+        fleet.kill_edge(0)
+        await fleet.sleep(25)
+        await fleet.edge(0)
+        await fleet.sleep(5)
+        return [await two.get(f"/heredia/{name}") for name in "ab"]
+
+    fleet, contents = play(story)
+    assert contents == [b"", b""]
+    assert sum(row["event"] == "buffer.writes_discarded" for row in fleet.logs) == 2
