--- a/rushmux/lab/fault_injector.py
+++ b/rushmux/lab/fault_injector.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from rushmux.lab.faults import FaultEvent, FaultKind
+from rushmux.lab.fleet import REPLACEMENT_DELAY
 from rushmux.lab.simulated_gateway import SimulatedGateway
 from rushmux.lab.simulated_node import SimulatedNode
 from rushmux.scheduling.interface import EndpointState
@@ -12,7 +13,6 @@
 if TYPE_CHECKING:
     from rushmux.lab.scheduler_simulation import SchedulerSimulation
 
-REPLACEMENT_DELAY = 2.0  # seconds after grace and list until a drained node's replacement starts
 
 EndFault = Callable[[], None]
 
--- a/rushmux/lab/fleet.py
+++ b/rushmux/lab/fleet.py
@@ -5,6 +5,9 @@
 
 from rushmux.standins.service_model import Shape
 
+DISCOVERY_LAG = 0.5  # seconds until a change of a node reaches the gateways
+REPLACEMENT_DELAY = 2.0  # seconds after grace and lag until a drained node's replacement starts
+
 
 class Fleet(NamedTuple):
     """Size of a fleet and what its machines are like."""
--- a/rushmux/lab/scheduler_simulation.py
+++ b/rushmux/lab/scheduler_simulation.py
@@ -13,7 +13,7 @@
 from rushmux.lab.client import ClientOutcome, CompletedOperation
 from rushmux.lab.fault_injector import FaultInjector
 from rushmux.lab.faults import FaultEvent
-from rushmux.lab.fleet import Fleet, draw_node_speeds, node_name, zone_name
+from rushmux.lab.fleet import DISCOVERY_LAG, Fleet, draw_node_speeds, node_name, zone_name
 from rushmux.lab.simulated_gateway import SimulatedGateway, SimulatedOperation
 from rushmux.lab.simulated_network import SimulatedNetwork
 from rushmux.lab.simulated_node import SimulatedNode
@@ -27,7 +27,6 @@
 
 SAMPLE_INTERVAL = 0.5  # seconds between two samples of concurrency limits and queues
 SAMPLED_GATEWAYS = 40  # gateways whose concurrency limits are sampled
-DISCOVERY_LAG = 0.5  # seconds until a change of a node reaches the gateways
 RUN_OUT = 4.0  # seconds beside the longest deadline simulated after the last arrival
 
 
--- a/rushmux/lab/system_simulation.py
+++ b/rushmux/lab/system_simulation.py
@@ -15,7 +15,7 @@
 from rushmux.lab.day import Day
 from rushmux.lab.errors import LabError
 from rushmux.lab.faults import FaultEvent, FaultKind
-from rushmux.lab.fleet import node_name
+from rushmux.lab.fleet import DISCOVERY_LAG, REPLACEMENT_DELAY, node_name
 from rushmux.lab.workload import Arrival
 from rushmux.nodewire import messages
 from rushmux.scheduling.driver import TICKS_PER_SECOND
@@ -34,8 +34,6 @@
     FaultKind.NOISY_NEIGHBOUR,
     FaultKind.USAGE_REPORT_LOSS,
 )
-REPLACEMENT_DELAY = 2.0  # seconds after grace and list until a drained node's replacement starts
-DISCOVERY_LAG = 0.5  # seconds until a change of a node reaches the gateways
 ISLANDS_PER_SECOND = 1_000  # tells partitions that begin at different times apart
 STANDIN_PREFIX = "node"  # of a stand-in node's name, before its cell
 MACHINE_FIELDS = ("cores", "unit", "room", "recent", "saved", "put_off", "crowd", "pause", "pause_every")
