--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -15,7 +15,7 @@
 import tempfile
 from pathlib import Path
 
-from rushmux.nodewire import VERSION, Frames, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, frame, messages
 from rushmux.settings import deployment
 from rushmux.sftp import packets as sftp
 from rushmux.standins.processes import ProcessFleet
@@ -56,7 +56,7 @@
         nonlocal count
         reader, writer = await asyncio.open_connection(*fleet.nodes["node0"].address)
         writer.write(frame(messages.Message(hello=messages.Hello(version=VERSION, peer="direct", start="0"))))
-        frames, waiting, corr = Frames(), {}, 0
+        frames, waiting, corr = FrameReader(), {}, 0
 
         def send():
             nonlocal corr
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -16,7 +16,7 @@
 
 from rushmux.edge.policy_codec import decode_lease_grant, encode_lease_request
 from rushmux.fleet import policy, raft
-from rushmux.nodewire import VERSION, Frames, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, frame, messages
 from rushmux.planner import admin_client
 from rushmux.planner.raft_storage import RaftStorage
 from rushmux.settings import policy as documents
@@ -57,7 +57,7 @@
                 hello = messages.Hello(version=VERSION, peer=self.name, start="1")
                 writer.write(frame(messages.Message(hello=hello)))
                 asking = loop.create_task(self.ask(writer))
-                frames = Frames()
+                frames = FrameReader()
                 while data := await reader.read(1 << 16):
                     self.read += len(data)
                     for message in frames.feed(data):
--- a/rushmux/atomic_write.py
+++ b/rushmux/atomic_write.py
@@ -1,10 +1,10 @@
-"""Writes a file whole: a kill at any moment leaves the old one or the new one."""
+"""Replaces a file atomically: a kill at any moment leaves the old one or the new one."""
 
 import os
 from pathlib import Path
 
 
-def whole(path: Path, data: bytes):
+def replace_file(path: Path, data: bytes) -> None:
     """Replaces the file at `path`; OSError where that fails, and then the old one stands."""
     fresh = path.with_name(path.name + ".new")
     try:
@@ -13,7 +13,7 @@
             sink.flush()
             os.fsync(sink.fileno())
         fresh.replace(path)
-        # Danger: without the folder's own sync a power loss may bring the old file back.
+        # Without the folder's own sync a power loss may bring the old file back.
         folder = os.open(path.parent, os.O_RDONLY)
         try:
             os.fsync(folder)
--- a/rushmux/cli/fleets.py
+++ b/rushmux/cli/fleets.py
@@ -37,7 +37,7 @@
     raw.setdefault("bounds", {})["cold_falls_units"] = int(falls)
     try:
         deployments.build(raw)
-    except deployments.BadDeployment as fault:
+    except deployments.DeploymentError as fault:
         for finding in fault.findings:
             named = re.fullmatch(r"/fleet/cold_units (\S+)", finding.nearest)
             if named:
--- a/rushmux/cli/main.py
+++ b/rushmux/cli/main.py
@@ -404,7 +404,7 @@
         click.echo(f"{file}: {place}: {text}")
     try:
         deployments.build(new, to or "the new file")
-    except deployments.BadDeployment as fault:
+    except deployments.DeploymentError as fault:
         raise click.ClickException(f"nothing written; the new file would be refused\n{fault}") from fault
     if to is None or dry_run:
         click.echo(f"in order; nothing written, {len(left)} to look at")
@@ -416,7 +416,7 @@
     if to.exists() and not force:
         raise click.ClickException(f"{to} is there already; --force writes over it")
     try:
-        atomic_write.whole(to, data)
+        atomic_write.replace_file(to, data)
     except OSError as fault:
         raise click.ClickException(f"{to}: cannot be written: {fault.strerror}") from fault
     click.echo(f"{to}: written, {len(left)} to look at")
--- a/rushmux/cli/shared.py
+++ b/rushmux/cli/shared.py
@@ -59,7 +59,7 @@
     """
     try:
         return deployments.load(path)
-    except deployments.BadDeployment as fault:
+    except deployments.DeploymentError as fault:
         if plainly:
             told = {(finding.place, finding.text) for finding in fault.findings}
             lines = [f"{place}: {text}" for place, text in fault.faults if (place, text) not in told]
--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -17,9 +17,9 @@
 from rushmux.edge.quota_client import QuotaClient
 from rushmux.edge.session import Session
 from rushmux.nodewire import VERSION, messages
-from rushmux.routes.reload import MOST_NAMED, judge
+from rushmux.routes.reload import MAX_NAMED, compare
 from rushmux.scheduling.scheduler import Scheduler
-from rushmux.settings.deployment import BadDeployment, Deployment
+from rushmux.settings.deployment import Deployment, DeploymentError
 
 BACKLOG = 1_024  # connections that the system queues until they are accepted
 LINGER = 0.2  # seconds for the last replies to leave before connections close
@@ -173,13 +173,13 @@
             return self._reject_reload(["the fleet decides its policy in common: propose it"])
         try:
             deployment = read_deployment()
-        except BadDeployment as error:
+        except DeploymentError as error:
             return self._reject_reload([f"{place}: {text}" for place, text in error.faults])
-        verdict = judge(self.deployment, deployment)
-        if not verdict.taken:
-            return self._reject_reload(list(verdict.against))
+        verdict = compare(self.deployment, deployment)
+        if not verdict.accepted:
+            return self._reject_reload(list(verdict.obstacles))
         self.take_over(deployment)
-        changed = list(verdict.changed[:MOST_NAMED])
+        changed = list(verdict.changed[:MAX_NAMED])
         self.log.info("routes.reloaded", changed=changed, count=len(verdict.changed))
         return True
 
--- a/rushmux/edge/endpoint_cache.py
+++ b/rushmux/edge/endpoint_cache.py
@@ -67,7 +67,7 @@
             if entry.condition != EndpointState.REMOVED:
                 self.entries[entry.node] = entry
         try:
-            atomic_write.whole(self.path, self._encode(self.calendar()))
+            atomic_write.replace_file(self.path, self._encode(self.calendar()))
         except OSError as error:
             self.log.warning("endpoint_cache.write_failed", reason=str(error))
 
--- a/rushmux/edge/node_connections.py
+++ b/rushmux/edge/node_connections.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from rushmux.edge.write_coalescing import CoalescingWriter
-from rushmux.nodewire import Frames, WireFault, frame, messages
+from rushmux.nodewire import FrameReader, WireError, frame, messages
 from rushmux.scheduling.interface import AttemptResult
 
 INITIAL_BACKOFF = 0.05  # seconds after a first failed connect: a process restarts in some of these
@@ -50,7 +50,7 @@
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    frames: Frames
+    frames: FrameReader
 
 
 def next_backoff(failures: int, rng: random.Random) -> float:
@@ -132,7 +132,7 @@
             self._on_messages(received[1:])
             while data := await self.stream.reader.read(READ_SIZE):
                 self._on_messages(self.stream.frames.feed(data))
-        except (OSError, TimeoutError, WireFault) as error:
+        except (OSError, TimeoutError, WireError) as error:
             reason = str(error) or type(error).__name__
         finally:
             self._on_closed(reason, loop.time())
@@ -140,12 +140,12 @@
     async def _connect(self) -> list[messages.Message]:
         """Opens the connection and says hello; the first messages of the node."""
         reader, writer = await asyncio.open_connection(*self.address)
-        self.stream = Stream(reader, writer, Frames())
+        self.stream = Stream(reader, writer, FrameReader())
         writer.write(frame(messages.Message(hello=self.connections.hello)))
         while True:
             data = await reader.read(READ_SIZE)
             if not data:
-                raise WireFault("closed before a welcome")
+                raise WireError("closed before a welcome")
             received = self.stream.frames.feed(data)
             if received:
                 return received
@@ -154,7 +154,7 @@
         # Another process may have the address now, or an older one of this node.
         if message.WhichOneof("body") != "welcome" or message.welcome.peer != self.node:
             other = message.welcome.peer or "something"
-            raise WireFault(f"{other} answers at the address of {self.node}")
+            raise WireError(f"{other} answers at the address of {self.node}")
         self.connections.on_welcome(self.node, message.welcome.start, message.welcome.age)
 
     def _send_unsent(self, now: float) -> None:
@@ -175,7 +175,7 @@
             elif body == "outcome":
                 self._on_outcome(message.outcome)
             else:
-                raise WireFault(f"{body} where an outcome belongs")
+                raise WireError(f"{body} where an outcome belongs")
 
     def _on_outcome(self, outcome: messages.Outcome) -> None:
         on_result = self.pending.pop(outcome.corr, None)
--- a/rushmux/edge/planner_client.py
+++ b/rushmux/edge/planner_client.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from rushmux.edge.node_connections import MAX_BUFFERED, READ_SIZE, Address, next_backoff
-from rushmux.nodewire import Frames, WireFault, frame, messages
+from rushmux.nodewire import FrameReader, WireError, frame, messages
 
 CONNECT_TIMEOUT = 2.0  # seconds
 REQUEST_INTERVAL = 0.5  # seconds at most between two requests: a change reaches all within two of them
@@ -79,11 +79,11 @@
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 reader, writer = await asyncio.open_connection(*address)
             writer.write(frame(messages.Message(hello=self.hello)))
-            self.writer, frames = writer, Frames()
+            self.writer, frames = writer, FrameReader()
             while data := await reader.read(READ_SIZE):
                 for message in frames.feed(data):
                     self._on_message(message)
-        except (OSError, WireFault, TimeoutError) as error:
+        except (OSError, WireError, TimeoutError) as error:
             return str(error) or "no answer"
         finally:
             self.writer = None
--- a/rushmux/edge/policy_client.py
+++ b/rushmux/edge/policy_client.py
@@ -11,10 +11,10 @@
 from rushmux.edge.policy_codec import decode_lease_grant, encode_lease_request
 from rushmux.edge.policy_store import PolicyStore, StoredPolicies
 from rushmux.fleet.policy import Policy, PolicyMember
-from rushmux.nodewire import WireFault, messages
-from rushmux.routes.reload import MOST_NAMED
+from rushmux.nodewire import WireError, messages
+from rushmux.routes.reload import MAX_NAMED
 from rushmux.settings import policy as documents
-from rushmux.settings.deployment import BadDeployment
+from rushmux.settings.deployment import DeploymentError
 
 if TYPE_CHECKING:
     from rushmux.edge.edge import Edge
@@ -63,8 +63,8 @@
             deployment = documents.merged(
                 self.edge.own_deployment, proposed.text, f"policy {proposed.version}"
             )
-        except BadDeployment as error:
-            return "; ".join(f"{place}: {text}" for place, text in error.faults[:MOST_NAMED])
+        except DeploymentError as error:
+            return "; ".join(f"{place}: {text}" for place, text in error.faults[:MAX_NAMED])
         return "; ".join(documents.against(self.edge.deployment, deployment)) or None
 
     async def run(self) -> None:
@@ -85,7 +85,7 @@
         known = {policy.version: policy for policy in (member.active, member.staged) if policy is not None}
         try:
             grant = decode_lease_grant(message, known)
-        except WireFault as error:
+        except WireError as error:
             self.log.error("policy.grant_rejected", reason=str(error))
             return
         version_before, rejected_before = member.active_version, member.rejected
@@ -144,7 +144,7 @@
             staged=state.staged_version or 0,
             degraded=state.degraded,
             serving=state.serving,
-            reduced=self._reduced_limits(limits)[:MOST_NAMED],
+            reduced=self._reduced_limits(limits)[:MAX_NAMED],
         )
         self.edge.on_policy_state(state)
 
--- a/rushmux/edge/policy_codec.py
+++ b/rushmux/edge/policy_codec.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from rushmux.fleet import policy
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 
 
 def decode_lease_grant(
@@ -12,7 +12,7 @@
     """The grant of a message, whose policies may be left out where their versions are `known`.
 
     Raises:
-        WireFault: A policy has a wrong checksum, or was left out and is not known.
+        WireError: A policy has a wrong checksum, or was left out and is not known.
     """
     active = _decode_policy(message.force, known)
     staged = _decode_policy(message.staged, known) if message.HasField("staged") else None
@@ -26,7 +26,7 @@
     else:
         decoded = known.get(message.number)
     if decoded is None or decoded.checksum != message.sum:
-        raise WireFault(f"policy {message.number} has a wrong checksum")
+        raise WireError(f"policy {message.number} has a wrong checksum")
     return decoded
 
 
--- a/rushmux/edge/policy_store.py
+++ b/rushmux/edge/policy_store.py
@@ -12,7 +12,7 @@
 from rushmux.edge.errors import EdgeError
 from rushmux.fleet import policy
 from rushmux.settings import policy as documents
-from rushmux.settings.deployment import BadDeployment, Deployment
+from rushmux.settings.deployment import Deployment, DeploymentError
 
 MAGIC, FORMAT = "rushmux policy", 1
 MAX_FILE_BYTES = 1 << 20  # two policies with room
@@ -88,7 +88,7 @@
         """Writes both, synced; OSError where the disk does not take them."""
         body = json.dumps([policy.policy_to_json(active), policy.policy_to_json(staged)])
         content = json.dumps([MAGIC, FORMAT, zlib.crc32(body.encode()), body])
-        atomic_write.whole(self.path, content.encode())
+        atomic_write.replace_file(self.path, content.encode())
 
 
 class InitialPolicy(NamedTuple):
@@ -114,6 +114,6 @@
         return InitialPolicy(documents.merged(own, stored.active.text, source), stored)
     except PolicyFormatError:
         raise
-    except (StoredPolicyError, BadDeployment) as error:
+    except (StoredPolicyError, DeploymentError) as error:
         log.error("policy.load_failed", reason=str(error))
         return InitialPolicy(own, StoredPolicies())
--- a/rushmux/lab/day.py
+++ b/rushmux/lab/day.py
@@ -104,7 +104,7 @@
     verifier would refuse too.
 
     Raises:
-        BadDeployment: What the variant sets is not a deployment.
+        DeploymentError: What the variant sets is not a deployment.
     """
     text, fleet = copy.deepcopy(EXAMPLE), build_fleet(experiment)
     _scale_plans(text, experiment, fleet, volumes)
@@ -150,7 +150,7 @@
     Raises:
         TraceError: The trace cannot be used.
         WorkloadError: The day would have too many operations.
-        BadDeployment: What the variant sets is not a deployment.
+        DeploymentError: What the variant sets is not a deployment.
     """
     fleet, arrivals = build_fleet(experiment), None
     if "trace" in experiment:
--- a/rushmux/lab/experiment.py
+++ b/rushmux/lab/experiment.py
@@ -16,7 +16,7 @@
 from rushmux.lab.errors import LabError
 from rushmux.lab.experiment_schema import SCHEMA, Experiment
 from rushmux.lab.json_path import set_value
-from rushmux.settings.deployment import BadDeployment
+from rushmux.settings.deployment import DeploymentError
 
 MAX_NAME = 60  # characters of the name of an expanded experiment
 
@@ -118,7 +118,7 @@
     for number, variant in enumerate(experiment["variants"]):
         try:
             day.build_deployment(experiment, variant, volumes)
-        except (BadDeployment, KeyError, TypeError, IndexError) as error:
+        except (DeploymentError, KeyError, TypeError, IndexError) as error:
             found.append(ExperimentProblem(f"/variants/{number}", f"its deployment is none: {error}"))
     return found
 
--- a/rushmux/nodewire/__init__.py
+++ b/rushmux/nodewire/__init__.py
@@ -1,6 +1,6 @@
 """The protocol between gateways, storage nodes and the list of nodes: messages and frames, no I/O."""
 
 from rushmux.nodewire import messages_pb2 as messages
-from rushmux.nodewire.frames import MOST, VERSION, Frames, WireFault, frame
+from rushmux.nodewire.frames import MAX_FRAME, VERSION, FrameReader, WireError, frame
 
-__all__ = ["MOST", "VERSION", "Frames", "WireFault", "frame", "messages"]
+__all__ = ["MAX_FRAME", "VERSION", "FrameReader", "WireError", "frame", "messages"]
--- a/rushmux/planner/admin_client.py
+++ b/rushmux/planner/admin_client.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, WireError, frame, messages
 from rushmux.planner import peer_names
 from rushmux.planner.errors import CommandRejectedError, PlannerUnavailableError
 
@@ -98,7 +98,7 @@
             return await _read_answer(reader, answer_kind)
     except TimeoutError as fault:
         raise PlannerUnavailableError(f"no answer within {ANSWER_TIMEOUT:g} s") from fault
-    except (OSError, WireFault) as fault:
+    except (OSError, WireError) as fault:
         raise PlannerUnavailableError(str(fault)) from fault
     finally:
         if writer is not None:
@@ -107,7 +107,7 @@
 
 async def _read_answer(reader: asyncio.StreamReader, answer_kind: str):
     """Reads up to the answer, and raises what it says was wrong."""
-    frames = Frames()
+    frames = FrameReader()
     while data := await reader.read(READ_SIZE):
         for message in frames.feed(data):
             if message.WhichOneof("body") != answer_kind:
--- a/rushmux/planner/member_tracker.py
+++ b/rushmux/planner/member_tracker.py
@@ -4,7 +4,7 @@
 
 from rushmux.fleet.errors import MembershipFullError
 from rushmux.fleet.membership import MemberKind
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.planner.endpoint_publisher import EndpointPublisher
 from rushmux.planner.fleet_state import FleetState, NodeRecord
 from rushmux.planner.server import PeerConnection
@@ -42,7 +42,7 @@
         """An edge connected: it is sent the endpoint list, and all changes from now on.
 
         Raises:
-            WireFault: there are too many members.
+            WireError: there are too many members.
         """
         self._member_of[peer] = peer.name
         self._on_alive(peer.name, MemberKind.EDGE, peer.hello.start, in_flight=0)
@@ -59,7 +59,7 @@
         """A node reported.
 
         Raises:
-            WireFault: the node is not of this fleet, or there are too many.
+            WireError: the node is not of this fleet, or there are too many.
         """
         entry, now = report.entry, self._now()
         self._check_entry(peer, entry)
@@ -79,15 +79,15 @@
 
     def _check_entry(self, peer: PeerConnection, entry: messages.Entry) -> None:
         if entry.cell >= self._cells or entry.node != peer.name or not entry.node:
-            raise WireFault(f"node {entry.node} of cell {entry.cell} does not belong here")
+            raise WireError(f"node {entry.node} of cell {entry.cell} does not belong here")
         if len(self._state.nodes) >= MAX_NODES and entry.node not in self._state.nodes:
-            raise WireFault(f"more than {MAX_NODES} nodes")
+            raise WireError(f"more than {MAX_NODES} nodes")
 
     def _on_alive(self, name: str, kind: MemberKind, incarnation: str, in_flight: int) -> None:
         try:
             changes = self._state.membership.on_report(self._now(), name, kind, incarnation, in_flight)
         except MembershipFullError as fault:
-            raise WireFault(str(fault)) from fault
+            raise WireError(str(fault)) from fault
         self._publisher.on_member_changes(changes)
 
     def _now(self) -> float:
--- a/rushmux/planner/planner.py
+++ b/rushmux/planner/planner.py
@@ -11,7 +11,7 @@
 import structlog
 from google.protobuf.message import Message
 
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.planner import peer_names, policy_admin
 from rushmux.planner.endpoint_publisher import EndpointPublisher
 from rushmux.planner.fleet_admin import FleetAdmin
@@ -190,7 +190,7 @@
         if peer_names.is_planner(peer.name) and self.replicated_log is not None:
             self.replicated_log.on_planner_connected(peer_names.planner_member_id(peer.name))
         elif not self.is_leader and peer.name != peer_names.OPERATOR:
-            raise WireFault("this planner does not lead")
+            raise WireError("this planner does not lead")
         if peer_names.is_edge(peer.name):
             self._members.on_edge_connected(peer)
 
@@ -202,10 +202,10 @@
         """Hands a message to its handler."""
         handler = self._handlers.get(kind)
         if handler is None and not self.is_leader:
-            raise WireFault("this planner does not lead")
+            raise WireError("this planner does not lead")
         handler = handler or self._leader_handlers.get(kind)
         if handler is None or (kind in FOR_EDGES and peer not in self.publisher.subscribers):
-            raise WireFault(f"{kind} is not for a planner")
+            raise WireError(f"{kind} is not for a planner")
         handler(peer, body)
 
     # Nodes and edges.
@@ -253,7 +253,7 @@
     def _start_admin_task(self, answer: Callable[[], Coroutine]) -> None:
         """Answers an operator when the answer is known; only so many may wait."""
         if len(self._admin_tasks) >= MAX_ADMIN_COMMANDS:
-            raise WireFault(f"{MAX_ADMIN_COMMANDS} orders wait")
+            raise WireError(f"{MAX_ADMIN_COMMANDS} orders wait")
         task = self.loop.create_task(answer())
         self._admin_tasks.add(task)
         task.add_done_callback(self._admin_tasks.discard)
--- a/rushmux/planner/policy_admin.py
+++ b/rushmux/planner/policy_admin.py
@@ -13,7 +13,7 @@
 from rushmux.planner.replicated_log import ReplicatedLog
 from rushmux.planner.stored_commands import Origin, PolicyDocument, StoredCommand
 from rushmux.settings import policy as policy_documents
-from rushmux.settings.deployment import BadDeployment, Deployment
+from rushmux.settings.deployment import Deployment, DeploymentError
 
 MAX_COMMAND = 512 << 10  # bytes
 MAX_NAME = 64  # characters of a client id and of an operator's name
@@ -46,7 +46,7 @@
         result = await replicated_log.propose(stored)
     except KeyError as fault:
         return messages.PolicyAnswer(fault=f"the order lacks {fault}")
-    except (ProposalRejectedError, BadDeployment, TypeError, ValueError) as fault:
+    except (ProposalRejectedError, DeploymentError, TypeError, ValueError) as fault:
         undecided = isinstance(fault, ProposalUndecidedError)
         return messages.PolicyAnswer(fault=str(fault), elsewhere=undecided)
     return messages.PolicyAnswer(said=result, state=encode_status(replicated_log))
--- a/rushmux/planner/policy_leader.py
+++ b/rushmux/planner/policy_leader.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from rushmux.fleet.policy import LeaseRequest, RolloutCoordinator
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.planner import raft_codec
 from rushmux.planner.proposals import MAX_PROPOSALS
 from rushmux.planner.replicated_state import ReplicatedState
@@ -61,10 +61,10 @@
         """A member requests a lease; it is answered once a majority has confirmed a later round.
 
         Raises:
-            WireFault: the request is in another member's name.
+            WireError: the request is in another member's name.
         """
         if request.member != peer.name:
-            raise WireFault(f"{peer.name} asks for {request.member}")
+            raise WireError(f"{peer.name} asks for {request.member}")
         lease_request = LeaseRequest(
             request.member, request.ask, request.force, request.joint, request.refused, request.against
         )
--- a/rushmux/planner/quota_service.py
+++ b/rushmux/planner/quota_service.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from rushmux.fleet.quotas import GrantId, QuotaAllocator
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.planner.server import PeerConnection
 
 MAX_WANTED_FOLDERS = 10_000  # in one request
@@ -59,7 +59,7 @@
         if len(request.wants) > MAX_WANTED_FOLDERS or any(
             not 0 <= want.part < MAX_WANTED_PART for want in request.wants
         ):
-            raise WireFault("an ask that makes no sense")
+            raise WireError("an ask that makes no sense")
         grant = self._allocator.on_quota_request(
             now,
             peer.name,
--- a/rushmux/planner/raft_codec.py
+++ b/rushmux/planner/raft_codec.py
@@ -7,7 +7,7 @@
 
 from rushmux.fleet import raft
 from rushmux.fleet.policy import LeaseGrant, Policy
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 
 MAX_ENTRY_BYTES = 512 << 10  # of the entries in one message: a frame holds a megabyte
 ENTRY_OVERHEAD = 64  # bytes of an entry beside its body, at most
@@ -30,10 +30,10 @@
 
 
 def decode(encoded: messages.Word) -> raft.Message:
-    """The Raft message of one from the wire; WireFault where its kind is unknown."""
+    """The Raft message of one from the wire; WireError where its kind is unknown."""
     decoder = _DECODERS.get(encoded.kind)
     if decoder is None:
-        raise WireFault(f"there is no word '{encoded.kind}' of a log")
+        raise WireError(f"there is no word '{encoded.kind}' of a log")
     return decoder(encoded)
 
 
--- a/rushmux/planner/raft_storage.py
+++ b/rushmux/planner/raft_storage.py
@@ -113,8 +113,8 @@
         if self.path.stat().st_size > MAX_FILE:
             raise RaftStorageError(self.path, f"over {MAX_FILE} bytes")
         try:
-            found = records.read(self.path.read_bytes(), MAGIC, FORMAT, MAX_RECORD)
-        except records.BadFile as fault:
+            found = records.read_file(self.path.read_bytes(), MAGIC, FORMAT, MAX_RECORD)
+        except records.RecordFileError as fault:
             raise RaftStorageError(self.path, f"is no log of a planner: {fault}") from fault
         if found.damaged:
             raise RaftStorageError(
@@ -167,7 +167,9 @@
             _encode(RecordKind.VOTE, [persistent.term, persistent.voted_for]),
             *(_encode_entry(index, entry) for index, entry in entries),
         ]
-        atomic_write.whole(self.path, records.head(MAGIC, FORMAT) + b"".join(map(records.pack, bodies)))
+        atomic_write.replace_file(
+            self.path, records.file_header(MAGIC, FORMAT) + b"".join(map(records.pack_record, bodies))
+        )
         self._open_file()
 
     def write(self, ready: Ready) -> None:
@@ -186,7 +188,7 @@
         if ready.snapshot is not None:
             self.rewrite()
         elif bodies:
-            self._append(b"".join(map(records.pack, bodies)))
+            self._append(b"".join(map(records.pack_record, bodies)))
 
     def _append(self, data: bytes) -> None:
         while data:
--- a/rushmux/planner/raft_transport.py
+++ b/rushmux/planner/raft_transport.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from rushmux.fleet import raft
-from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, WireError, frame, messages
 from rushmux.planner import peer_names, raft_codec
 from rushmux.planner.deduplicated_warnings import DeduplicatedWarnings
 
@@ -62,13 +62,13 @@
             return
         try:
             writer.write(frame(messages.Message(word=raft_codec.encode(message))))
-        except WireFault as fault:
+        except WireError as fault:
             self._warnings.warn("raft.message_not_sent", str(fault))
 
     async def _stay_connected(self, name: str) -> None:
         while True:
             # A planner that is down is no event of its own: the others elect a leader without it.
-            with contextlib.suppress(OSError, WireFault, TimeoutError):
+            with contextlib.suppress(OSError, WireError, TimeoutError):
                 await self._connect(name)
             await asyncio.sleep(RECONNECT_PAUSE)
 
@@ -83,7 +83,7 @@
             )
             writer.write(frame(messages.Message(hello=hello)))
             self._writers[name] = writer
-            frames = Frames()
+            frames = FrameReader()
             while data := await reader.read(READ_SIZE):
                 frames.feed(data)  # a greeting at most: answers come on the other planner's connection
         finally:
--- a/rushmux/planner/replicated_log.py
+++ b/rushmux/planner/replicated_log.py
@@ -314,7 +314,7 @@
     # Members of the policy, and other planners.
 
     def on_lease_request(self, peer: PeerConnection, request: messages.PolicyAsk) -> None:
-        """A member requests a lease; WireFault where it does so in another's name."""
+        """A member requests a lease; WireError where it does so in another's name."""
         if self.is_leader and self._policy_leader is not None:
             self._policy_leader.on_lease_request(peer, request, self._loop.time(), self.node.round)
 
--- a/rushmux/planner/server.py
+++ b/rushmux/planner/server.py
@@ -5,7 +5,7 @@
 import structlog
 from google.protobuf.message import Message
 
-from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, WireError, frame, messages
 
 READ_SIZE = 1 << 17  # bytes asked of a socket at once
 MAX_CONNECTIONS = 8_192  # a thousand edges with a few connections each
@@ -101,7 +101,7 @@
         return 0
 
     def on_peer_connected(self, peer: PeerConnection) -> None:
-        """A peer has greeted; WireFault closes its connection."""
+        """A peer has greeted; WireError closes its connection."""
 
     def on_peer_disconnected(self, peer: PeerConnection) -> None:
         """The connection of a peer that had greeted ended."""
@@ -115,9 +115,9 @@
             body: the body.
 
         Raises:
-            WireFault: the message is not allowed here; the connection is closed.
+            WireError: the message is not allowed here; the connection is closed.
         """
-        raise WireFault(f"{kind} is not for this program")
+        raise WireError(f"{kind} is not for this program")
 
     # Connections.
 
@@ -129,7 +129,7 @@
         reason = "left"
         try:
             await self._serve_client(client, reader, writer)
-        except (OSError, WireFault, TimeoutError) as fault:
+        except (OSError, WireError, TimeoutError) as fault:
             reason = str(fault) or type(fault).__name__
         except asyncio.CancelledError:
             if not self._closing:  # `close_server` waits for this task, and nobody else is to see the error
@@ -145,7 +145,7 @@
         self, client: _Client, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Greets the peer, then handles its messages until it closes the connection."""
-        frames = Frames()
+        frames = FrameReader()
         async with asyncio.timeout(HELLO_TIMEOUT):
             received = await self._read_messages(reader, frames)
         if not received:
@@ -160,7 +160,9 @@
             if not received:
                 return
 
-    async def _read_messages(self, reader: asyncio.StreamReader, frames: Frames) -> list[messages.Message]:
+    async def _read_messages(
+        self, reader: asyncio.StreamReader, frames: FrameReader
+    ) -> list[messages.Message]:
         """Returns the next messages, at least one; none at the end of the stream."""
         while data := await reader.read(READ_SIZE):
             if received := list(frames.feed(data)):
@@ -170,7 +172,7 @@
     def _welcome(self, writer: asyncio.StreamWriter, greeting: messages.Message) -> PeerConnection:
         """Checks a peer's greeting and answers it."""
         if greeting.WhichOneof("body") != "hello" or greeting.hello.version != VERSION:
-            raise WireFault("no greeting, or one of another version")
+            raise WireError("no greeting, or one of another version")
         peer = PeerConnection(writer, greeting.hello)
         peer.send(welcome=messages.Welcome(version=VERSION, peer=self.name, start=self.start, age=self.age()))
         return peer
--- a/rushmux/routes/reload.py
+++ b/rushmux/routes/reload.py
@@ -1,22 +1,30 @@
-"""What a new file may change while an edge runs: its routes, whole; all else needs a start.
+"""What a new deployment file may change while an edge runs: its routes, all or none; the rest needs a start.
 
-Decides only; `rushmux.edge.edge` reads the file and tells the module.
+Decides only; `rushmux.edge.edge` reads the file and tells the scheduler.
 """
 
-from typing import NamedTuple
+from __future__ import annotations
 
-MOST_NAMED = 20  # places told of; more are counted
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any, NamedTuple
 
+if TYPE_CHECKING:
+    from rushmux.settings.deployment import Deployment
 
-class Verdict(NamedTuple):
-    """Whether the routes are taken over, what stands against it, and the lanes and plans that change."""
+MAX_NAMED = 20  # places named; more are counted
 
-    taken: bool
-    against: tuple[str, ...]
+
+class ReloadVerdict(NamedTuple):
+    """Whether a file's routes are taken over."""
+
+    accepted: bool
+    obstacles: tuple[str, ...]
+    """What stands against it."""
     changed: tuple[str, ...]
+    """Classes and plans whose routes change, as `class/plan`."""
 
 
-def differences(old, new, place=""):
+def differences(old: Any, new: Any, place: str = "") -> Iterator[str]:
     """Places, like `/plans/basico/limit`, at which two files differ, but for their routes."""
     if isinstance(old, dict) and isinstance(new, dict):
         for name in [*old, *(name for name in new if name not in old)]:
@@ -26,19 +34,21 @@
         yield place
 
 
-def judge(old, new) -> Verdict:
-    """Holds a checked deployment against the one in force."""
-    against = list(differences(old.raw, new.raw))
-    if against:
-        more = [f"and {len(against) - MOST_NAMED} more"] if len(against) > MOST_NAMED else []
-        return Verdict(
-            False,
-            tuple(f"{place}: changes only with a start" for place in against[:MOST_NAMED]) + tuple(more),
-            (),
-        )
-    changed = tuple(
-        f"{lane}/{plan}"
-        for (lane, plan), route in new.settings.route_policies.items()
-        if old.settings.route_policies.get((lane, plan)) != route
-    )
-    return Verdict(True, (), changed)
+def name_first(places: list[str]) -> tuple[str, ...]:
+    """The first places as text, and how many more there are."""
+    more = [f"and {len(places) - MAX_NAMED} more"] if len(places) > MAX_NAMED else []
+    return (*places[:MAX_NAMED], *more)
+
+
+def compare(old: Deployment, new: Deployment) -> ReloadVerdict:
+    """Compares a checked deployment with the one in force."""
+    obstacles = [f"{place}: changes only with a start" for place in differences(old.raw, new.raw)]
+    if obstacles:
+        return ReloadVerdict(False, name_first(obstacles), ())
+    old_policies, new_policies = old.settings.route_policies, new.settings.route_policies
+    changed = [
+        f"{class_name}/{plan}"
+        for (class_name, plan), policy in new_policies.items()
+        if old_policies.get((class_name, plan)) != policy
+    ]
+    return ReloadVerdict(True, (), tuple(changed))
--- a/rushmux/settings/deployment.py
+++ b/rushmux/settings/deployment.py
@@ -1,6 +1,6 @@
 """The deployment file: JSON, checked, and read into records.
 
-`load` reads a file and gives a `Deployment`; `BadDeployment` lists every fault with its place.  The scheduler
+`load` reads a file and gives a `Deployment`; `DeploymentError` lists every fault with its place.  The scheduler
 reads `SchedulerSettings` only; the rest concerns sessions and files.
 """
 
@@ -19,7 +19,7 @@
 MS_PER_SECOND = 1000
 
 
-class BadDeployment(Exception):
+class DeploymentError(Exception):
     """A file that cannot be used.
 
     Attributes:
@@ -102,7 +102,7 @@
 
 
 def build(raw: dict, source: str = "deployment", proved: bool = True) -> Deployment:
-    """The deployment that `raw` states; BadDeployment with all its faults.
+    """The deployment that `raw` states; DeploymentError with all its faults.
 
     Args:
         raw: The file's object.
@@ -111,7 +111,7 @@
     """
     faults, rows = check(raw)
     if rows is None:
-        raise BadDeployment(source, faults)
+        raise DeploymentError(source, faults)
     stated = copy.deepcopy(raw)
     raw = filled(SCHEMA, {"sessions": {}, "files": {}, "bounds": {}, **raw})
     settings = _scheduler_settings(raw)
@@ -121,7 +121,7 @@
     findings = verifier.verify(bounds, routes)
     if faults or (findings and proved):
         told = [(finding.place, finding.text) for finding in findings]
-        raise BadDeployment(source, faults + told, findings)
+        raise DeploymentError(source, faults + told, findings)
     fleet = raw["fleet"]
     raw["roles"].setdefault("write_out", raw["roles"]["write"])
     return Deployment(
@@ -237,15 +237,15 @@
 
 
 def load(path) -> Deployment:
-    """Reads a deployment file; BadDeployment where it cannot be read, is no JSON or has faults."""
+    """Reads a deployment file; DeploymentError where it cannot be read, is no JSON or has faults."""
     try:
         raw = json.loads(Path(path).read_text())
     except OSError as fault:
-        raise BadDeployment(path, [("/", f"cannot be read: {fault.strerror}")]) from fault
+        raise DeploymentError(path, [("/", f"cannot be read: {fault.strerror}")]) from fault
     except json.JSONDecodeError as fault:
-        raise BadDeployment(path, [(f"line {fault.lineno}, column {fault.colno}", fault.msg)]) from fault
+        raise DeploymentError(path, [(f"line {fault.lineno}, column {fault.colno}", fault.msg)]) from fault
     except UnicodeDecodeError as fault:
-        raise BadDeployment(path, [("/", f"is not UTF-8: {fault.reason} at byte {fault.start}")]) from fault
+        raise DeploymentError(path, [("/", f"is not UTF-8: {fault.reason} at byte {fault.start}")]) from fault
     if not isinstance(raw, dict):
-        raise BadDeployment(path, [("/", "the file must hold one object")])
+        raise DeploymentError(path, [("/", "the file must hold one object")])
     return build(raw, str(path))
--- a/rushmux/settings/policy.py
+++ b/rushmux/settings/policy.py
@@ -7,8 +7,8 @@
 import copy
 import json
 
-from rushmux.routes.reload import MOST_NAMED, differences
-from rushmux.settings.deployment import BadDeployment, Deployment, build
+from rushmux.routes.reload import differences, name_first
+from rushmux.settings.deployment import Deployment, DeploymentError, build
 
 DECIDES = ("lanes", "roles", "plans", "folders", "fleet", "routes", "bounds", "buffer")
 LIVE = ("limit", "burst")  # of a plan: what the scheduler takes over by its shares of limits
@@ -35,17 +35,17 @@
 
 
 def merged(own: Deployment, policy: str, source: str) -> Deployment:
-    """The deployment of an own file under a policy, proved; BadDeployment with all that is wrong."""
+    """The deployment of an own file under a policy, proved; DeploymentError with all that is wrong."""
     try:
         decided = json.loads(policy)
     except ValueError as fault:
-        raise BadDeployment(source, [("/", f"is no JSON: {fault}")]) from fault
+        raise DeploymentError(source, [("/", f"is no JSON: {fault}")]) from fault
     if not isinstance(decided, dict):
-        raise BadDeployment(source, [("/", "a policy holds one object")])
+        raise DeploymentError(source, [("/", "a policy holds one object")])
     unknown = [name for name in decided if name not in DECIDES]
     if unknown:
         # A newer program's policy that is followed in part would be another policy.
-        raise BadDeployment(
+        raise DeploymentError(
             source, [(f"/{name}", "this program knows no such part of a policy") for name in unknown]
         )
     raw = {name: value for name, value in own.raw.items() if name not in DECIDES}
@@ -65,5 +65,4 @@
                 if all(values):
                     continue
         found.append(f"{place}: changes only with a start")
-    more = [f"and {len(found) - MOST_NAMED} more"] if len(found) > MOST_NAMED else []
-    return found[:MOST_NAMED] + more
+    return list(name_first(found))
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.standins.fault_control import Obeying
 
 MOST_NODES = 10_000  # entries kept: as many as edges take
@@ -56,9 +56,9 @@
     def on_message(self, peer, name, body):
         if name == "report":
             if len(self.entries) >= MOST_NODES and body.entry.node not in self.entries:
-                raise WireFault(f"more than {MOST_NODES} nodes")
+                raise WireError(f"more than {MOST_NODES} nodes")
             if body.entry.cell >= self.cells or body.entry.node != peer.hello.peer:
-                raise WireFault(f"node {body.entry.node} of cell {body.entry.cell} does not belong here")
+                raise WireError(f"node {body.entry.node} of cell {body.entry.cell} does not belong here")
             self.nodes[peer] = body.entry.node
             for used in body.used:
                 self.used[used.volume] = self.used.get(used.volume, 0.0) + used.units
@@ -66,12 +66,12 @@
         elif name == "trouble" and self.obeys:
             self.obey(peer, body)
         else:
-            raise WireFault(f"{name} is not for the source of the list")
+            raise WireError(f"{name} is not for the source of the list")
 
     def begin(self, kind, size=0.0, seconds=0.0):
         """`lag`: changes come `size` seconds late; `silent`: nothing is told."""
         if kind not in TROUBLES:
-            raise WireFault(f"there is no trouble '{kind}'")
+            raise WireError(f"there is no trouble '{kind}'")
         before = self.lag
         if kind == "lag":
             self.lag = size
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -6,7 +6,7 @@
 import random
 from collections import OrderedDict
 
-from rushmux.nodewire import Frames, WireFault, frame, messages
+from rushmux.nodewire import FrameReader, WireError, frame, messages
 from rushmux.planner.server import PeerConnection
 from rushmux.standins.fault_control import Obeying
 from rushmux.standins.service_model import Engine, Shape, neighbour
@@ -165,7 +165,7 @@
             await asyncio.sleep(AGAIN)
 
     async def hear(self, reader):
-        frames = Frames()
+        frames = FrameReader()
         while data := await reader.read(1 << 16):
             for message in frames.feed(data):
                 if message.WhichOneof("body") == "floor":
@@ -194,12 +194,12 @@
         elif name == "trouble" and self.obeys:
             self.obey(peer, body)
         else:
-            raise WireFault(f"{name} is not for a node")
+            raise WireError(f"{name} is not for a node")
 
     def begin(self, kind, size=0.0, seconds=0.0):
         """Begins a trouble, for so many seconds (0: for good)."""
         if kind not in TROUBLES:
-            raise WireFault(f"there is no trouble '{kind}'")
+            raise WireError(f"there is no trouble '{kind}'")
         self.log.warning("trouble", kind=kind, size=size, seconds=seconds)
         if kind == "resets":
             self.record("reset", node=self.name)
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -11,7 +11,7 @@
 
 from rushmux import atomic_write
 from rushmux.edge.node_connections import Address
-from rushmux.nodewire import VERSION, Frames, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, frame, messages
 from rushmux.settings.deployment import Deployment
 from rushmux.standins.client import Client
 from rushmux.standins.fleet_operations import FleetOperations
@@ -172,7 +172,7 @@
 
     def reload(self, numbers, raw):
         """Writes the deployment's file anew and tells edges to read it."""
-        atomic_write.whole(self.file, json.dumps(raw, indent=2).encode())
+        atomic_write.replace_file(self.file, json.dumps(raw, indent=2).encode())
         for number in numbers:
             if self.edges[number].process.returncode is None:
                 self.edges[number].process.send_signal(signal.SIGHUP)
@@ -196,7 +196,7 @@
         writer.write(frame(messages.Message(hello=hello)))
         order = messages.Trouble(kind=kind, size=size, seconds=seconds)
         writer.write(frame(messages.Message(trouble=order)))
-        frames, found = Frames(), []
+        frames, found = FrameReader(), []
         while kind != "resets" and not any(message.WhichOneof("body") == "obeyed" for message in found):
             data = await reader.read(1 << 16)
             if not data:
--- a/tests/edge/test_policy_client.py
+++ b/tests/edge/test_policy_client.py
@@ -16,10 +16,10 @@
     initial_policy,
 )
 from rushmux.fleet.policy import LeaseGrant, Policy
-from rushmux.nodewire import WireFault
+from rushmux.nodewire import WireError
 from rushmux.planner import raft_codec
 from rushmux.settings import policy as documents
-from rushmux.settings.deployment import BadDeployment, build
+from rushmux.settings.deployment import DeploymentError, build
 from rushmux.standins import fault_injection
 
 RAW = fault_injection.stated(fault_injection.parse("edges 3\n"))
@@ -85,9 +85,9 @@
     unlimited = copy.deepcopy(RAW)
     del unlimited["plans"]["basico"]["limit"]
     assert documents.against(OWN, build(unlimited)) == ["/plans/basico/limit: changes only with a start"]
-    with pytest.raises(BadDeployment, match="no such part"):
+    with pytest.raises(DeploymentError, match="no such part"):
         documents.merged(OWN, json.dumps({**json.loads(documents.text(RAW)), "tides": 1}), "x")
-    with pytest.raises(BadDeployment, match="is no JSON"):
+    with pytest.raises(DeploymentError, match="is no JSON"):
         documents.merged(OWN, "{", "x")
     again = dict(reversed(list(RAW.items())))
     assert documents.text(again) == documents.text(RAW)
@@ -100,12 +100,12 @@
     assert decode_lease_grant(whole, {}) == grant
     short = raft_codec.encode_grant(grant, (1,))
     assert not short.force.text and decode_lease_grant(short, {1: first}) == grant
-    with pytest.raises(WireFault):
+    with pytest.raises(WireError):
         decode_lease_grant(short, {})
-    with pytest.raises(WireFault):
+    with pytest.raises(WireError):
         decode_lease_grant(short, {1: first._replace(text="other")})
     whole.staged.rows[0].limit += 1
-    with pytest.raises(WireFault, match="checksum"):
+    with pytest.raises(WireError, match="checksum"):
         decode_lease_grant(whole, {})
 
 
--- a/tests/planner/test_admin_client.py
+++ b/tests/planner/test_admin_client.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux import log
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.planner import admin_client
 from rushmux.planner.errors import CommandRejectedError, PlannerUnavailableError
 from rushmux.planner.server import PeerServer
@@ -23,7 +23,7 @@
     def on_message(self, peer, kind, body):
         self.received += 1
         if self.answer is None:
-            raise WireFault("closed")
+            raise WireError("closed")
         peer.send(ordered=self.answer)
 
 
--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -8,7 +8,7 @@
 from rushmux.edge.planner_client import PlannerClient
 from rushmux.fleet.quotas import LEASE_DURATION, SAFE_FRACTION
 from rushmux.nodewire import messages
-from rushmux.settings.deployment import BadDeployment, build
+from rushmux.settings.deployment import DeploymentError, build
 from rushmux.standins.checker import Checker
 from rushmux.standins.fleet import play
 
@@ -124,6 +124,6 @@
 def test_a_burst_whose_safe_quota_holds_no_largest_operation_is_rejected():
     raw = day.deployment(True).raw
     raw["fleet"]["gateways"] = 8
-    with pytest.raises(BadDeployment) as fault:
+    with pytest.raises(DeploymentError) as fault:
         build(raw)
     assert any(place == "/plans/basico/burst" and "safe part" in text for place, text in fault.value.faults)
--- a/tests/planner/test_quota_service.py
+++ b/tests/planner/test_quota_service.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rushmux.nodewire import WireFault, messages
+from rushmux.nodewire import WireError, messages
 from rushmux.planner.quota_service import MAX_WANTED_FOLDERS, QuotaService
 
 
@@ -63,6 +63,6 @@
     ids=["negative", "too large", "no number", "too many"],
 )
 def test_an_invalid_request_is_rejected_when_it_comes(service, confirmations, wants):
-    with pytest.raises(WireFault, match="makes no sense"):
+    with pytest.raises(WireError, match="makes no sense"):
         service.on_request(Edge(), request(1, *wants), lambda: 1.0)
     assert not confirmations
--- a/tests/planner/test_raft_storage.py
+++ b/tests/planner/test_raft_storage.py
@@ -89,11 +89,11 @@
 
 
 def of_a_newer_format(data):
-    return records.head(MAGIC, FORMAT + 1) + data[8:]
+    return records.file_header(MAGIC, FORMAT + 1) + data[8:]
 
 
 def with_an_unknown_record(data):
-    return records.head(MAGIC, FORMAT) + records.pack(b"?1")
+    return records.file_header(MAGIC, FORMAT) + records.pack_record(b"?1")
 
 
 @pytest.mark.parametrize(
--- a/tests/planner/test_server.py
+++ b/tests/planner/test_server.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rushmux import log
-from rushmux.nodewire import VERSION, Frames, WireFault, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, WireError, frame, messages
 from rushmux.planner.server import HELLO_TIMEOUT, PeerServer
 from rushmux.simulation.loop import run
 
@@ -40,7 +40,7 @@
         server = RecordingServer()
         port = await server.listen(HOST, 0)
         reader, writer = await asyncio.open_connection(HOST, port)
-        begun, received, frames = loop.time(), [], Frames()
+        begun, received, frames = loop.time(), [], FrameReader()
         for message in sent:
             writer.write(frame(message))
         try:
@@ -82,5 +82,5 @@
     message = messages.Message(meter=messages.Meter())
     server, _, closed_after = converse(HELLO, message)
     assert closed_after < 1.0 and server.events[-1] == ("disconnected", "edge0")
-    with pytest.raises(WireFault, match="meter is not for this program"):
+    with pytest.raises(WireError, match="meter is not for this program"):
         PeerServer.on_message(server, None, "meter", message.meter)
--- a/tests/routes/conftest.py
+++ b/tests/routes/conftest.py
@@ -27,7 +27,7 @@
         raw["routes"] = list(routes)
         try:
             deployment.build(raw)
-        except deployment.BadDeployment as fault:
+        except deployment.DeploymentError as fault:
             assert len(fault.findings) == len(fault.faults), fault.faults
             return list(fault.findings)
         return []
--- a/tests/routes/test_broken.py
+++ b/tests/routes/test_broken.py
@@ -13,7 +13,7 @@
 
 from rushmux.cli.main import main
 from rushmux.routes.findings import Rule
-from rushmux.settings.deployment import BadDeployment, build
+from rushmux.settings.deployment import DeploymentError, build
 
 FILES = sorted(Path(__file__).parent.glob("broken/*.json"))
 # file -> the place, the rule and a word of each refusal, in order
@@ -50,7 +50,7 @@
 def findings(raw):
     try:
         build(raw)
-    except BadDeployment as fault:
+    except DeploymentError as fault:
         return fault.findings
     return ()
 
--- a/tests/settings/test_deployment.py
+++ b/tests/settings/test_deployment.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rushmux.settings import deployment
-from rushmux.settings.deployment import BadDeployment, build, load
+from rushmux.settings.deployment import DeploymentError, build, load
 
 EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
 
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("place, value, told, words", WRONG, ids=lambda part: str(part)[:40])
 def test_what_is_wrong_is_told_with_its_place(place, value, told, words):
-    with pytest.raises(BadDeployment) as fault:
+    with pytest.raises(DeploymentError) as fault:
         build(changed(place, value))
     assert any(where == told and words in text for where, text in fault.value.faults), fault.value.faults
 
@@ -51,7 +51,7 @@
 def test_all_faults_are_told_at_once():
     raw = changed(("roles", "read"), "leer")
     raw["folders"]["limon"]["plan"] = raw["folders"]["golfo"]["plan"] = "oro"
-    with pytest.raises(BadDeployment) as fault:
+    with pytest.raises(DeploymentError) as fault:
         build(raw)
     assert len(fault.value.faults) == 3
 
@@ -64,7 +64,7 @@
     path = tmp_path / "d.json"
     if text is not None:
         path.write_bytes(text.encode() if isinstance(text, str) else text)
-    with pytest.raises(BadDeployment, match=words):
+    with pytest.raises(DeploymentError, match=words):
         load(path)
 
 
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -11,7 +11,7 @@
 from rushmux.gateway import commands, replies
 from rushmux.gateway.config import parse_config
 from rushmux.gateway.errors import InvalidCommandError
-from rushmux.nodewire import Frames, frame, messages
+from rushmux.nodewire import FrameReader, frame, messages
 from rushmux.planner import raft_codec
 from rushmux.resp import CommandReader, ReplyReader, encode_command, encode_error
 from rushmux.sftp import packets as sftp
@@ -52,7 +52,7 @@
 
 
 def decoded(data):
-    (message,) = Frames().feed(data)
+    (message,) = FrameReader().feed(data)
     return message
 
 
