--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,4 +1,4 @@
-"""Rebalancing: moves against the least that could do, evenness, and time up to 1,000 cells.
+"""Rebalancing: moves against the least that could do, balance, and time up to 1,000 cells.
 
 python -m benchmarks.placement [--seed N]
 """
@@ -6,74 +6,116 @@
 import argparse
 import random
 import time
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
 
-from rushmux.fleet.placement import Cell, Node, greedy_plan, peak_utilization, plan_moves
+from rushmux.fleet.placement import (
+    Cell,
+    Node,
+    PlacementPlan,
+    greedy_plan,
+    peak_utilization,
+    plan_moves,
+)
 
-SPREAD = 0.6  # sigma of the cells' weights
+WEIGHT_SIGMA = 0.6  # of the cells' lognormal weights
+CAPACITIES = (1.0, 1.0, 1.5)
+ZONES = 5
+LOST_ZONE = "z2"
+HOT_EVERY, HOT_FACTOR = 20, 4  # one cell in so many has so many times its weight
+SIZES = (100, 300, 1_000)  # cells
+COLUMNS = {"cells": 7, "fullest before": 15, "after": 8, "moved": 8, "least": 8, "anew": 8, "s": 8}
+"""Headings and their widths."""
+CASE_WIDTH = 34
+EPSILON = 1e-9
 
 
-def placed(cells, found):
-    to = {move.cell: move.target for move in found.moves}
-    return [cell._replace(node=to.get(cell.name, cell.node)) for cell in cells]
+class Case(NamedTuple):
+    """Cells where they are, and the nodes that are there now."""
 
+    name: str
+    cells: Sequence[Cell]
+    nodes: Sequence[Node]
 
-def start(chance, count, nodes):
-    cells = [Cell(number, chance.lognormvariate(0, SPREAD), 1.0, None) for number in range(count)]
-    return placed(cells, plan_moves(cells, nodes))
 
+def after_moves(cells: Sequence[Cell], plan: PlacementPlan) -> list[Cell]:
+    """The cells where a plan puts them."""
+    target = {move.cell: move.target for move in plan.moves}
+    return [cell._replace(node=target.get(cell.name, cell.node)) for cell in cells]
 
-def nodes_of(chance, count, first=0):
+
+def draw_cells(rng: random.Random, count: int, nodes: Sequence[Node]) -> list[Cell]:
+    """New cells, placed on nodes."""
+    cells = [Cell(number, rng.lognormvariate(0, WEIGHT_SIGMA), 1.0, None) for number in range(count)]
+    return after_moves(cells, plan_moves(cells, nodes))
+
+
+def draw_nodes(rng: random.Random, count: int, first: int = 0) -> list[Node]:
+    """Nodes from number `first` up to `count`."""
     return [
-        Node(f"n{number}", chance.choice((1.0, 1.0, 1.5)), f"z{number % 5}") for number in range(first, count)
+        Node(f"n{number}", rng.choice(CAPACITIES), f"z{number % ZONES}") for number in range(first, count)
     ]
 
 
-def least(cells, nodes, level):
-    """Cells that must move at least: on each node the heaviest first until it is no fuller than `level`, and
-    all that lie nowhere.
+def least_moves(cells: Sequence[Cell], nodes: Sequence[Node], peak: float) -> int:
+    """How many cells must move at least.
+
+    On each node the heaviest go first until it is no fuller than `peak`, and all that no node has.
     """
-    capacity, moved = {node.name: node.capacity for node in nodes}, 0
-    for name in {cell.node: True for cell in cells}:
-        own = sorted((cell.weight for cell in cells if cell.node == name), reverse=True)
+    capacity = {node.name: node.capacity for node in nodes}
+    moved = 0
+    for name in dict.fromkeys(cell.node for cell in cells):
+        weights = sorted((cell.weight for cell in cells if cell.node == name), reverse=True)
         if name not in capacity:
-            moved += len(own)
+            moved += len(weights)
             continue
-        load = sum(own)
-        while load > level * capacity[name] + 1e-9:
-            load -= own.pop(0)
+        load = sum(weights)
+        while load > peak * capacity[name] + EPSILON:
+            load -= weights.pop(0)
             moved += 1
     return moved
 
 
-def main():
-    asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    asked.add_argument("--seed", type=int, default=1)
-    chance = random.Random(asked.parse_args().seed)
-    heads = ("cells", "fullest before", "after", "moved", "least", "anew", "s")
-    print(f"{'case':34}" + "".join(f"{head:>{width}}" for head, width in zip(heads, (7, 15, 8, 8, 8, 8, 8))))
-    for count in (100, 300, 1_000):
-        ten, fifty = nodes_of(chance, 10), None
-        cells = start(chance, count, ten)
-        fifty = ten + nodes_of(chance, 50, 10)
-        grown = start(chance, count, fifty)
-        rack = [node for node in fifty if node.zone != "z2"]
-        hot = [cell._replace(weight=cell.weight * (4 if cell.name % 20 == 0 else 1)) for cell in grown]
-        for name, before, stood in (
-            ("10 nodes grow to 50", cells, fifty),
-            ("10 grow to 11", cells, fifty[:11]),
-            ("a rack of 10 of 50 is lost", grown, rack),
-            ("a twentieth is four times hotter", hot, fifty),
-        ):
-            begun = time.perf_counter()
-            found = plan_moves(before, stood)
-            took = time.perf_counter() - begun
-            even = sum(cell.weight for cell in before) / sum(node.capacity for node in stood)
-            peak, anew = peak_utilization(before, stood), greedy_plan(before, stood)
-            print(
-                f"{name:34}{count:7}{peak / even:15.2f}{found.peak_after / even:8.2f}"
-                f"{found.moved_size:8.0f}{least(before, stood, found.peak_after):8}{anew.moved_size:8.0f}"
-                f"{took:8.2f}"
-            )
+def cases(rng: random.Random, count: int, ten: Sequence[Node]) -> Iterator[Case]:
+    """The cases of one size."""
+    cells = draw_cells(rng, count, ten)
+    fifty = [*ten, *draw_nodes(rng, 50, 10)]
+    spread = draw_cells(rng, count, fifty)
+    left = [node for node in fifty if node.zone != LOST_ZONE]
+    hot = [
+        cell._replace(weight=cell.weight * (HOT_FACTOR if cell.name % HOT_EVERY == 0 else 1))
+        for cell in spread
+    ]
+    yield Case("10 nodes grow to 50", cells, fifty)
+    yield Case("10 grow to 11", cells, fifty[:11])
+    yield Case("a rack of 10 of 50 is lost", spread, left)
+    yield Case("a twentieth is four times hotter", hot, fifty)
+
+
+def print_case(case: Case) -> None:
+    """Plans a case and prints its line."""
+    begun = time.perf_counter()
+    plan = plan_moves(case.cells, case.nodes)
+    took = time.perf_counter() - begun
+    even = sum(cell.weight for cell in case.cells) / sum(node.capacity for node in case.nodes)
+    before = peak_utilization(case.cells, case.nodes) / even
+    least = least_moves(case.cells, case.nodes, plan.peak_after)
+    anew = greedy_plan(case.cells, case.nodes).moved_size
+    print(
+        f"{case.name:{CASE_WIDTH}}{len(case.cells):7}{before:15.2f}{plan.peak_after / even:8.2f}"
+        f"{plan.moved_size:8.0f}{least:8}{anew:8.0f}{took:8.2f}"
+    )
+
+
+def main() -> None:
+    """Prints a table of all cases."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    rng = random.Random(parser.parse_args().seed)
+    print(f"{'case':{CASE_WIDTH}}" + "".join(f"{head:>{width}}" for head, width in COLUMNS.items()))
+    for count in SIZES:
+        for case in cases(rng, count, draw_nodes(rng, 10)):
+            print_case(case)
 
 
 if __name__ == "__main__":
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -1,10 +1,10 @@
-"""Even parts of limits against planned ones, on a day on which the busiest edge of each folder changes.
+"""Even quotas against planned ones, while the busiest edge of each folder changes.
 
     python -m benchmarks.shares [--seeds N] [--seconds S]
 
-On the virtual clock: three edges, a planner, nodes with room; folders with a limit ask for most of it through
-one edge at a time.  The planner is killed and started anew once, and an edge stands still for longer than its
-lease.  Both variants meet the same seeds, and the checker judges the limits.
+On simulated time: three edges, a planner, and nodes with room; clients of a folder with a limit ask for most
+of it through one edge at a time.  With faults, the planner crashes and restarts once, and an edge is paused
+for longer than its lease.  Both variants run the same seeds, and the checker checks the limits.
 """
 
 import argparse
@@ -24,61 +24,67 @@
 from rushmux.standins.checker import Checker
 
 EXAMPLE = json.loads(Path(deployments.__file__).with_name("example.json").read_text())
-PART = 0.75  # of a limit that a folder asks for, nearly all of it through one edge
-MOST_THERE = 0.9  # of that, through the busiest
-SHIFT = 12.0  # seconds until another edge is the busiest of a folder
-SIZE, UNITS = 60_000, 2.0  # bytes of an object, and what it counts
+DEMAND = 0.75  # of a limit: what clients of a folder ask for, nearly all of it through one edge
+BUSIEST_SHARE = 0.9  # of that, through the busiest edge
+SHIFT_INTERVAL = 12.0  # seconds until another edge is the busiest of a folder
+OBJECT_BYTES, OBJECT_UNITS = 60_000, 2.0
 EDGES, NODES = 3, 4
-STILL, AT, KILLED, DOWN = 14.0, 0.35, 0.6, 2.0  # of the edge that stands still; when, of the day
-WAY = 0.005
+DEADLINE = 3.0  # seconds of an operation
+TICKS_PER_SECOND = 10_000
+PAUSE_AT, PAUSE = 0.35, 14.0  # fraction of the run at which an edge is paused, and for how many seconds
+CRASH_AT, DOWNTIME = 0.6, 2.0  # the same of the planner's crash
+PAUSED_EDGE = 2
+NETWORK_DELAY = 0.005  # seconds
 
 
-def deployment(shares):
+def deployment(shares: bool) -> deployments.Deployment:
+    """A fleet with three folders that have a limit, with planned quotas or even ones."""
     raw = copy.deepcopy(EXAMPLE)
     raw["fleet"].update(shares=shares, gateways=EDGES)
     raw["folders"] = {name: {"plan": "basico"} for name in ("aduana-norte", "bodega-sur", "caribe")}
-    # Reserves would hide it: what is looked at is the limit.
+    # Reserves would hide it: what is measured is the limit.
     raw["plans"]["basico"].update(limit=40, nominal=40)
     return deployments.build(raw)
 
 
-def played(shares, seed, seconds, troubles=True):
-    """Counts of ends, those stored in time, and the recordings."""
+def run_seed(shares: bool, seed: int, seconds: float, faults: bool = True):
+    """Counts of outcomes, the recorded history, and the deployment."""
     stated = deployment(shares)
-    quoted = stated.settings.request_classes["archivo-nuevo"].latency_objective / 10_000
-    ends, limit = Counter(), stated.settings.plans["basico"].limit
+    objective = stated.settings.request_classes["archivo-nuevo"].latency_objective / TICKS_PER_SECOND
+    outcomes, limit = Counter(), stated.settings.plans["basico"].limit
 
     async def store(made, edge, folder):
         begun = made.loop.time()
         try:
-            await Errand(edge.program.driver, folder, "-", begun + 3.0).store(b"x" * SIZE)
-            ends["in time" if made.loop.time() - begun <= quoted else "late"] += 1
+            await Errand(edge.program.driver, folder, "-", begun + DEADLINE).store(b"x" * OBJECT_BYTES)
+            outcomes["in time" if made.loop.time() - begun <= objective else "late"] += 1
         except (Shed, Terminated):
-            ends["not stored"] += 1
+            outcomes["not stored"] += 1
 
     async def story(made):
-        chance, port = random.Random(seed), made.lists.port
+        rng, port = random.Random(seed), made.lists.port
         begun, tasks = made.loop.time(), []
 
         async def folder(name):
             while made.loop.time() - begun < seconds:
-                await asyncio.sleep(chance.expovariate(PART * limit / UNITS))
-                busiest = (int((made.loop.time() - begun) / SHIFT) + len(name)) % EDGES
-                there = chance.random() < MOST_THERE
-                number = busiest if there else chance.randrange(EDGES)
+                await asyncio.sleep(rng.expovariate(DEMAND * limit / OBJECT_UNITS))
+                busiest = (int((made.loop.time() - begun) / SHIFT_INTERVAL) + len(name)) % EDGES
+                at_busiest = rng.random() < BUSIEST_SHARE
+                number = busiest if at_busiest else rng.randrange(EDGES)
                 edge = made.edges[number]
-                ends["asked"] += 1
+                outcomes["asked"] += 1
                 tasks.append(edge.process.spawn(store(made, edge, name)))
 
-        async def happens():
-            await asyncio.sleep(seconds * AT)
-            made.edges[2].process.hold(STILL)
-            await asyncio.sleep(seconds * (KILLED - AT))
+        async def inject_faults():
+            await asyncio.sleep(seconds * PAUSE_AT)
+            made.edges[PAUSED_EDGE].process.hold(PAUSE)
+            await asyncio.sleep(seconds * (CRASH_AT - PAUSE_AT))
             made.kill_planner()
-            await asyncio.sleep(DOWN)
+            await asyncio.sleep(DOWNTIME)
             await made.plan(NODES, port)
 
-        await asyncio.gather(*(folder(name) for name in stated.folders), *([happens()] if troubles else []))
+        injected = [inject_faults()] if faults else []
+        await asyncio.gather(*(folder(name) for name in stated.folders), *injected)
         await asyncio.gather(*tasks)
 
     with tempfile.TemporaryDirectory() as place:
@@ -93,36 +99,42 @@
             logs=False,
             unit=0.004,
         )
-    return ends, made.all_records(), stated
-
-
-def main():
-    asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    asked.add_argument("--seeds", type=int, default=3)
-    asked.add_argument("--seconds", type=float, default=120.0)
-    wanted = asked.parse_args()
-    broken = False
-    heads = ("parts", "asked", "in time", "late", "not stored", "limit, nearest")
-    widths = (9, 8, 9, 7, 12, 16)
-    print(f"{'day':10}" + "".join(f"{head:>{width}}" for head, width in zip(heads, widths)) + "  rules")
-    for troubles in (False, True):
-        for shares in (False, True):
-            ends, nearest, breaches = Counter(), 0.0, []
-            for seed in range(1, wanted.seeds + 1):
-                some, records, stated = played(shares, seed, wanted.seconds, troubles)
-                ends += some
-                for verdict in Checker(records, stated, WAY).verdicts():
-                    breaches += verdict.breaches
-                    if verdict.rule == "limits kept" and verdict.nearest is not None:
-                        nearest = max(nearest, verdict.nearest)
-            broken = broken or bool(breaches)
-            part = {name: ends[name] / ends["asked"] for name in ("in time", "late", "not stored")}
-            day, parts = "troubled" if troubles else "calm", "planned" if shares else "even"
-            print(
-                f"{day:10}{parts:>9}{ends['asked']:8}{part['in time']:9.3f}{part['late']:7.3f}"
-                f"{part['not stored']:12.3f}{nearest:16.2f}  {'kept' if not breaches else breaches[0]}"
-            )
-    sys.exit(broken)
+    return outcomes, made.all_records(), stated
+
+
+def print_variant(faults: bool, shares: bool, seeds: int, seconds: float) -> bool:
+    """Runs all seeds of a variant and prints its line; whether all rules were kept."""
+    outcomes, nearest, violations = Counter(), 0.0, []
+    for seed in range(1, seeds + 1):
+        counts, records, stated = run_seed(shares, seed, seconds, faults)
+        outcomes += counts
+        for verdict in Checker(records, stated, NETWORK_DELAY).verdicts():
+            violations += verdict.breaches
+            if verdict.rule == "limits kept" and verdict.nearest is not None:
+                nearest = max(nearest, verdict.nearest)
+    share = {name: outcomes[name] / outcomes["asked"] for name in ("in time", "late", "not stored")}
+    day, parts = "troubled" if faults else "calm", "planned" if shares else "even"
+    print(
+        f"{day:10}{parts:>9}{outcomes['asked']:8}{share['in time']:9.3f}{share['late']:7.3f}"
+        f"{share['not stored']:12.3f}{nearest:16.2f}  {violations[0] if violations else 'kept'}"
+    )
+    return not violations
+
+
+def main() -> None:
+    """Prints a table of all variants; exits with 1 where a rule was broken."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=120.0)
+    options = parser.parse_args()
+    columns = {"parts": 9, "asked": 8, "in time": 9, "late": 7, "not stored": 12, "limit, nearest": 16}
+    print(f"{'day':10}" + "".join(f"{head:>{width}}" for head, width in columns.items()) + "  rules")
+    kept = [
+        print_variant(faults, shares, options.seeds, options.seconds)
+        for faults in (False, True)
+        for shares in (False, True)
+    ]
+    sys.exit(not all(kept))
 
 
 if __name__ == "__main__":
--- a/tests/planner/test_quota_client.py
+++ b/tests/planner/test_quota_client.py
@@ -14,27 +14,29 @@
 
 
 def kept(records, stated):
-    return Checker(records, stated, day.WAY).breaches()
+    return Checker(records, stated, day.NETWORK_DELAY).breaches()
 
 
 @pytest.mark.parametrize("troubles, seconds", [(False, 60.0), (True, 120.0)])
 def test_planned_parts_store_more_than_even_ones_and_pass_no_limit(troubles, seconds):
     ends = {}
     for planned in (False, True):
-        ends[planned], records, stated = day.played(planned, 2, seconds, troubles)
+        ends[planned], records, stated = day.run_seed(planned, 2, seconds, troubles)
         assert kept(records, stated) == []
     in_time = {planned: found["in time"] / found["asked"] for planned, found in ends.items()}
     assert in_time[True] > in_time[False] + 0.05
 
 
 def test_asked_for_three_times_over_the_limit_is_used_and_not_passed():
-    part, there, day.PART, day.MOST_THERE = day.PART, day.MOST_THERE, 3.0, 0.4
+    part, there, day.DEMAND, day.BUSIEST_SHARE = day.DEMAND, day.BUSIEST_SHARE, 3.0, 0.4
     try:
-        _, records, stated = day.played(True, 3, 40.0, False)
+        _, records, stated = day.run_seed(True, 3, 40.0, False)
     finally:
-        day.PART, day.MOST_THERE = part, there
+        day.DEMAND, day.BUSIEST_SHARE = part, there
     verdict = next(
-        verdict for verdict in Checker(records, stated, day.WAY).verdicts() if verdict.rule == "limits kept"
+        verdict
+        for verdict in Checker(records, stated, day.NETWORK_DELAY).verdicts()
+        if verdict.rule == "limits kept"
     )
     assert not verdict.breaches
     end = max(row["at"] for row in records if row["kind"] == "execution") - 3.0
