--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -1,5 +1,7 @@
-"""The fleet's policy measured: a change over real planners at 10, 100 and 300 edges; seeded defects and
-baselines; planners' start by size of their log; a limit's use by second through changes.
+"""The policy's rollout measured.
+
+A change over real planners at 10, 100 and 300 edges; mutants and baselines in simulation; the model checker
+beyond the tests' bounds; answers through changes; a planner's start by the size of its log; a limit's use.
 
     python -m benchmarks.policy change | defects | baselines | states | service | start | use PLOT.svg
 """
@@ -33,9 +35,12 @@
 from rushmux.standins.raft_simulation_checker import InvariantViolationError
 
 HOST = "127.0.0.1"
-EVERY = 0.5  # seconds between a stand-in member's asks, as an edge's
-MOST_SEEDS = 500
+REQUEST_INTERVAL = 0.5  # seconds between two lease requests, at most, as an edge's
+RECONNECT_DELAY = 0.2  # seconds
+CONVERGENCE_TIMEOUT = 60  # seconds
+MAX_SEEDS = 500
 NODES = 2
+CHANGED_VERSION = 2
 
 
 class Member:
@@ -43,44 +48,46 @@
 
     def __init__(self, number, places, chance):
         self.name, self.places, self.chance = f"edge{number}", places, chance
-        self.holder = policy.PolicyMember(self.name, None, None, lambda made: None, lambda *both: None)
+        self.member = policy.PolicyMember(self.name, None, None, lambda made: None, lambda *both: None)
         self.read = self.written = 0
-        self.task, self.at, self.turn = None, {}, 0
+        self.task, self.active_since, self.turn = None, {}, 0
 
     async def run(self):
+        """Stays connected to some planner and takes in grants, until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            writer = asking = None
+            writer = requesting = None
             try:
                 self.turn += 1
                 reader, writer = await asyncio.open_connection(*self.places[self.turn % len(self.places)])
                 hello = messages.Hello(version=VERSION, peer=self.name, start="1")
                 writer.write(frame(messages.Message(hello=hello)))
-                asking = loop.create_task(self.ask(writer))
+                requesting = loop.create_task(self.request_leases(writer))
                 frames = Frames()
                 while data := await reader.read(1 << 16):
                     self.read += len(data)
                     for message in frames.feed(data):
                         if message.WhichOneof("body") == "policy_grant":
-                            holder = self.holder
-                            known = {made.version: made for made in (holder.active, holder.staged) if made}
-                            holder.on_grant(loop.time(), granted(message.policy_grant, known))
-                            self.at.setdefault(holder.active_version, loop.time())
+                            policies = self.member.active, self.member.staged
+                            known = {known.version: known for known in policies if known}
+                            self.member.on_grant(loop.time(), granted(message.policy_grant, known))
+                            self.active_since.setdefault(self.member.active_version, loop.time())
             except OSError:
                 pass
             finally:
-                if asking is not None:
-                    asking.cancel()
+                if requesting is not None:
+                    requesting.cancel()
                 if writer is not None:
                     writer.close()
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(RECONNECT_DELAY)
 
-    async def ask(self, writer):
+    async def request_leases(self, writer):
+        """Sends requests on a connection, until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(EVERY * (1 - 0.5 * self.chance.random()))
-            ask = lease_request(self.holder.lease_request(loop.time()))
-            data = frame(messages.Message(policy_ask=ask))
+            await asyncio.sleep(REQUEST_INTERVAL * (1 - 0.5 * self.chance.random()))
+            request = lease_request(self.member.lease_request(loop.time()))
+            data = frame(messages.Message(policy_ask=request))
             self.written += len(data)
             writer.write(data)
 
@@ -92,6 +99,7 @@
 
 
 async def one_change(edges, away, folder):
+    """Times a change with so many edges, a fraction of which has gone away."""
     story = fault_injection.parse(f"edges {edges}\nnodes {NODES}\n")
     raw = fault_injection.stated(story)
     raw["plans"]["basico"].update(limit=edges * 40.0, burst=edges * 80.0)
@@ -107,8 +115,8 @@
         members = [Member(number, made.places, chance) for number in range(edges)]
         for member in members:
             member.task = asyncio.ensure_future(member.run())
-        async with asyncio.timeout(60):
-            while not all(member.holder.active_version == 1 for member in members):
+        async with asyncio.timeout(CONVERGENCE_TIMEOUT):
+            while not all(member.member.active_version == 1 for member in members):
                 await asyncio.sleep(0.1)
         await asyncio.sleep(3)
         for member in members[: round(edges * away)]:
@@ -119,12 +127,12 @@
         there = members[round(edges * away) :]
         raw["plans"]["basico"].update(limit=edges * 20.0, burst=edges * 40.0)
         await admin_server.policy(made.places, "propose", client="b", n=1, by="b", text=documents.text(raw))
-        async with asyncio.timeout(60):
-            while not all(2 in member.at for member in there):
+        async with asyncio.timeout(CONVERGENCE_TIMEOUT):
+            while not all(CHANGED_VERSION in member.active_since for member in there):
                 await asyncio.sleep(0.01)
         ended = asyncio.get_running_loop().time()
         after = [processor(part) for part in made.planners.values()]
-        times = sorted(member.at[2] - begun for member in there)
+        times = sorted(member.active_since[CHANGED_VERSION] - begun for member in there)
         moved = sum(member.read + member.written for member in members) - moved
         return {
             "edges": edges,
@@ -132,7 +140,9 @@
             "first s": round(times[0], 2),
             "last s": round(times[-1], 2),
             "KB": round(moved / 1000),
-            "leader's core": round((max(b - a for a, b in zip(used, after))) / (ended - begun), 3),
+            "leader's core": round(
+                (max(b - a for a, b in zip(used, after, strict=True))) / (ended - begun), 3
+            ),
         }
     finally:
         for member in members:
@@ -141,19 +151,21 @@
 
 
 def change(sizes=(10, 100, 300)):
+    """How long a change takes until the first and the last edge applies it."""
     for edges in sizes:
         for away in (0.0, 0.1):
             with tempfile.TemporaryDirectory() as folder:
                 print(asyncio.run(one_change(edges, away, folder)), flush=True)
 
 
-# Defects and baselines, on the seeded world.
+# Mutants and baselines, in simulation.
 
 
-class OneAfterAnother(policy.RolloutCoordinator):
+class OneByOne(policy.RolloutCoordinator):
     """As SIGHUP to one edge after another does: nobody waits for anybody."""
 
     def next_command(self, now):
+        """Decides a staged change at once."""
         staged = self.state_machine.staged
         if staged is None:
             return super().next_command(now)
@@ -165,18 +177,20 @@
         }
 
 
-class Plain(policy.PolicyMember):
-    """As in two phases without leases: it goes by what it was last told, whatever the time."""
+class WithoutLease(policy.PolicyMember):
+    """As in a two-phase rollout without leases: it applies what it was granted last, whatever the time."""
 
     def is_degraded(self, now):
+        """Only before the first grant."""
         return self.lease_expiry is None
 
     def effective_limits(self, now):
-        active = self.active
-        return {folder: both for folder, both in active.limits().items()} if active is not None else {}
+        """The active limits."""
+        return self.active.limits() if self.active is not None else {}
 
 
-def ended(seed, parts):
+def violation_of(seed, parts):
+    """Words of the violation that a seed ends with, or None."""
     try:
         policy_simulation.run_seed(seed, parts=parts)
     except InvariantViolationError as fault:
@@ -184,41 +198,49 @@
     return None
 
 
-def found(defect):
+def seeds_until_found(mutant):
+    """Mutant, seeds until it was found, processor seconds, and the violation; None: no fencing by nodes."""
     begun = time.process_time()
-    for seed in range(MOST_SEEDS):
-        settings = {"parts": REAL_PARTS.with_mutant(defect)} if defect else {"fencing": False}
+    for seed in range(MAX_SEEDS):
+        settings = {"parts": REAL_PARTS.with_mutant(mutant)} if mutant else {"fencing": False}
         try:
             policy_simulation.run_seed(seed, **settings)
         except InvariantViolationError as fault:
-            return defect, seed + 1, time.process_time() - begun, str(fault)[:90]
-    return defect, None, time.process_time() - begun, ""
+            return mutant, seed + 1, time.process_time() - begun, str(fault)[:90]
+    return mutant, None, time.process_time() - begun, ""
 
 
-def defects():
+def mutants():
+    """Within how many seeds each mutant is found."""
     with Pool(3) as pool:
-        for defect, seeds, took, why in pool.imap_unordered(found, [None, *policy_mutants.MUTANTS]):
-            name = defect.__name__ if defect else "NodesThatFenceNothing"
+        for mutant, seeds, took, why in pool.imap_unordered(
+            seeds_until_found, [None, *policy_mutants.MUTANTS]
+        ):
+            name = mutant.__name__ if mutant else "NodesThatFenceNothing"
             print(f"{name:24}{seeds!s:>6} seeds {took:6.1f} s  {why}", flush=True)
 
 
 def baselines(seeds=200):
+    """How many seeds end with a violation, by simpler ways to roll a change out."""
     for name, parts in (
         ("as it is", REAL_PARTS),
-        ("one after another", PolicyParts(coordinator=OneAfterAnother, member=Plain)),
-        ("two phases, no leases", PolicyParts(member=Plain)),
+        ("one after another", PolicyParts(coordinator=OneByOne, member=WithoutLease)),
+        ("two phases, no leases", PolicyParts(member=WithoutLease)),
     ):
         with Pool(3) as pool:
-            ends = pool.starmap(ended, [(seed, parts) for seed in range(seeds)], 4)
+            ends = pool.starmap(violation_of, [(seed, parts) for seed in range(seeds)], 4)
         print(f"{name}: {sum(end is not None for end in ends)} of {seeds} seeds with a breach", flush=True)
 
 
 SPAN = 24.0  # seconds of a run of `service`
+ANSWERED = (0, 1)  # SFTP statuses
 
 
 def served(job):
-    """Answers a second on a whole fleet on the virtual clock, with or without changes of a limit that binds
-    nobody, and so many edges killed before.
+    """Answers a second of a whole fleet in simulated time.
+
+    `job`: how many edges there are, how many crash before, and how many changes are made of a limit that
+    binds nobody.
     """
     edges, down, changes = job
 
@@ -239,7 +261,7 @@
             await fleet.person(f"c{place}", "propose", text=documents.text(raw))
             decided.append(fleet.people[-1]["said"])
         await work
-        answers = [row for row in fleet.records if row["kind"] == "answer" and row["status"] in (0, 1)]
+        answers = [row for row in fleet.records if row["kind"] == "answer" and row["status"] in ANSWERED]
         seconds = [0] * int(SPAN)
         for row in answers:
             if 0 <= row["at"] - begun < SPAN:
@@ -251,6 +273,7 @@
 
 
 def service():
+    """Answers with and without changes, and with and without crashed edges."""
     jobs = [
         (edges, round(edges * away), changes) for edges in (10, 20) for away in (0, 0.1) for changes in (0, 5)
     ]
@@ -263,7 +286,8 @@
             )
 
 
-def gone_through(job):
+def explored(job):
+    """The model checker's result for a start and limits."""
     begin, limits = job
     return (
         begin,
@@ -277,12 +301,12 @@
 
 
 def states():
-    """The bounded check further than the tests go."""
+    """The model checker beyond the bounds of the tests."""
     jobs = [
         (begin, limits) for begin in policy_model_checker.STARTS for limits in ((90.0, 30.0), (30.0, 90.0))
     ]
     with Pool(4) as pool:
-        for begin, limits, told in pool.imap(gone_through, jobs):
+        for begin, limits, told in pool.imap(explored, jobs):
             print(
                 f"{begin}, {limits[0]:g} to {limits[1]:g}: {told.states} states, all orders of "
                 f"{told.depth} events, {told.outcomes}, violation: {told.violation} {told.trace}",
@@ -291,7 +315,7 @@
 
 
 def start(sizes=(100, 1_000, 10_000, 30_000)):
-    """Seconds from a planner's log on disk to a voice, with and without a snapshot in place of entries."""
+    """Seconds from a log on disk to a member of the log, with and without a snapshot."""
     for size in sizes:
         for short in (False, True):
             with tempfile.TemporaryDirectory() as folder:
@@ -311,7 +335,7 @@
 
 
 def use(path):
-    """The limit's use by second through five changes of a folder that asks for more, from a story."""
+    """Plots the use of a limit by second through five changes, while clients ask for more."""
     import matplotlib
 
     matplotlib.use("Agg")
@@ -358,7 +382,7 @@
 if __name__ == "__main__":
     {
         "change": change,
-        "defects": defects,
+        "defects": mutants,
         "baselines": baselines,
         "start": start,
         "states": states,
