--- /dev/null
+++ b/rushmux/cli/demo.py
@@ -0,0 +1,126 @@
+"""A scripted bad day, judged from its recordings (`rushmux demo`)."""
+
+import asyncio
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from rushmux.cli.local_fleet import write_deployment
+from rushmux.scheduling.scheduler import Scheduler
+from rushmux.settings.deployment import Deployment
+from rushmux.standins import fleet as fleets
+from rushmux.standins import scenario as days
+from rushmux.standins import script
+from rushmux.standins.passthrough import PassThrough
+from rushmux.standins.processes import NotStarted, ProcessFleet
+from rushmux.standins.report import judge
+
+UNIT_TIME = 0.015
+"""Seconds of a core for a unit of work at a node."""
+MAX_SIMULATED_DELAY = 0.005
+"""Seconds that a message is on its way at most, on the simulated network."""
+MAX_REAL_DELAY = 0.25
+"""The same between real processes on a busy machine."""
+SCHEDULER_TYPES = {"module": Scheduler, "passthrough": PassThrough}
+
+
+class Demo(NamedTuple):
+    """A day and the fleet that it is played on."""
+
+    day: str
+    edges: int
+    nodes: int
+    load: float
+    seed: int
+    virtual: bool
+    deployment_file: str
+
+
+class Recording(NamedTuple):
+    """What the parts of a fleet recorded of a day."""
+
+    rows: Sequence[dict]
+    deployment: Deployment
+
+
+def run(demo: Demo, with_passthrough: bool, data: str | None) -> bool:
+    """Plays a day and prints its report; whether the scheduler kept every rule.
+
+    Args:
+        demo: What is played.
+        with_passthrough: Whether the same day is also played with a scheduler that passes all on at once.
+        data: Folder for data, logs and recordings; None: a temporary one.
+    """
+    scheduler_kept_rules = True
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(data or temporary)
+        for decisions in ("module", "passthrough") if with_passthrough else ("module",):
+            kept_rules = _run_once(demo, decisions, folder / decisions)
+            if decisions == "module":
+                scheduler_kept_rules = kept_rules
+    return scheduler_kept_rules
+
+
+def _run_once(demo: Demo, decisions: str, folder: Path) -> bool:
+    """Plays the day with one scheduler and prints its report; whether every rule was kept."""
+    try:
+        recording = _record_day(demo, decisions, folder)
+    except (script.BadScript, NotStarted) as error:
+        raise click.ClickException(str(error)) from error
+    delay = MAX_SIMULATED_DELAY if demo.virtual else MAX_REAL_DELAY
+    lines, kept_rules, _ = judge(recording.rows, recording.deployment, delay)
+    click.echo(
+        f"day '{demo.day}', {demo.edges} edges, {demo.nodes} nodes, load {demo.load}, seed {demo.seed}, "
+        f"{'virtual' if demo.virtual else 'processes'}, decisions: {decisions}"
+    )
+    click.echo("\n".join(lines) + "\n")
+    return kept_rules
+
+
+def _record_day(demo: Demo, decisions: str, folder: Path) -> Recording:
+    path, deployment = write_deployment(demo.deployment_file, demo.edges, folder, UNIT_TIME)
+    if demo.virtual:
+        return _record_simulated_day(demo, decisions, deployment)
+    return _record_real_day(demo, decisions, folder, path, deployment)
+
+
+def _record_simulated_day(demo: Demo, decisions: str, deployment: Deployment) -> Recording:
+    """Plays the day in this process on a simulated clock."""
+    chosen, load = script.load(demo.day), days.Load(part=demo.load)
+
+    async def story(fleet: fleets.VirtualFleet) -> None:
+        await days.play(fleet, chosen, load, demo.seed)
+
+    fleet, _ = fleets.play(
+        deployment,
+        demo.seed,
+        story,
+        nodes=demo.nodes,
+        edges=demo.edges,
+        unit=UNIT_TIME,
+        decisions=SCHEDULER_TYPES[decisions],
+    )
+    return Recording(fleet.all_records(), deployment)
+
+
+def _record_real_day(
+    demo: Demo, decisions: str, folder: Path, path: Path, deployment: Deployment
+) -> Recording:
+    """Plays the day on processes of their own."""
+    chosen, load = script.load(demo.day), days.Load(part=demo.load)
+
+    async def play() -> Sequence[dict]:
+        fleet = ProcessFleet(
+            path, deployment, folder, demo.seed, records=True, decisions=decisions, unit=UNIT_TIME
+        )
+        try:
+            await fleet.up(demo.nodes, demo.edges)
+            await days.play(fleet, chosen, load, demo.seed)
+        finally:
+            await fleet.down()
+        return fleet.all_records()
+
+    return Recording(asyncio.run(play()), deployment)
--- /dev/null
+++ b/rushmux/cli/fault_scenarios.py
@@ -0,0 +1,47 @@
+"""`rushmux rig`: scenarios of faults between real processes, judged from recordings."""
+
+import asyncio
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+
+import click
+
+MAX_JOBS = 16
+
+
+@click.command(
+    "rig",
+    help="Plays stories (names, or files) on planners, edges and nodes of their own; exit 1 where one breaks"
+    " a rule.",
+)
+@click.argument("scenarios", metavar="[STORIES]...", nargs=-1)
+@click.option("--all", "run_all", is_flag=True, help="every story of the collection")
+@click.option(
+    "--jobs", type=click.IntRange(1, MAX_JOBS), default=3, show_default=True, help="stories at a time"
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option(
+    "--data", type=click.Path(), help="folder for data, logs and recordings; default: a temporary one"
+)
+@click.option("--facts", is_flag=True, help="counts of each story")
+def rig(
+    scenarios: Sequence[str], *, run_all: bool, jobs: int, seed: int, data: str | None, facts: bool
+) -> None:
+    """Runs fault scenarios; exit 1 where one breaks a rule."""
+    from rushmux.standins import fault_injection
+
+    try:
+        chosen = [fault_injection.load(name) for name in (fault_injection.names() if run_all else scenarios)]
+    except fault_injection.BadStory as error:
+        raise click.ClickException(str(error)) from error
+    if not chosen:
+        available = ", ".join(fault_injection.names())
+        raise click.ClickException(f"name a story, or --all; there are {available}")
+    with tempfile.TemporaryDirectory() as temporary:
+        results = asyncio.run(
+            fault_injection.together(chosen, Path(data or temporary), jobs, seed, click.echo, facts)
+        )
+    broken = sum(bool(result.breaches) for result in results)
+    click.echo(f"{len(results) - broken} of {len(results)} stories kept every rule")
+    raise SystemExit(1 if broken else 0)
--- a/rushmux/cli/planning.py
+++ b/rushmux/cli/fleet.py
@@ -2,43 +2,60 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 import click
 
-from rushmux.cli.shared import Places
+from rushmux.cli.parameters import Address, AddressListParameter
+
+if TYPE_CHECKING:
+    from rushmux.nodewire import messages
 
 PLANNER = click.option(
-    "--planner", type=Places(), required=True, help="HOST:PORT of the planner; of several with commas between"
+    "--planner",
+    type=AddressListParameter(),
+    required=True,
+    help="HOST:PORT of the planner; of several with commas between",
 )
-MAX_POLLS = 100_000  # of one `watch`
-DRAIN_POLL_INTERVAL = 0.5  # seconds between two requests while `drain --wait` waits
+MAX_POLLS = 100_000
+"""Requests of one `watch`."""
+DRAIN_POLL_INTERVAL = 0.5
+"""Seconds between two requests while `drain --wait` waits."""
+
+Planners = Address | Sequence[Address]
+"""Address of the planner, or of several."""
+
 
+def run_command(planner: Planners, verb: str, member: str = "") -> "messages.Ordered":
+    """Sends a fleet command; the planner's answer.
 
-def run_command(planner, verb, member=""):
-    """Sends a fleet command; the command line ends with its error where it is rejected."""
+    Raises:
+        click.ClickException: The planner rejected it or could not be reached.
+    """
     from rushmux.planner import admin_client
     from rushmux.planner.errors import CommandRejectedError
 
     try:
         return asyncio.run(admin_client.send_fleet_command(planner, verb, member))
-    except CommandRejectedError as fault:
+    except CommandRejectedError as error:
         prefix = f"{planner[0]}:{planner[1]}: " if isinstance(planner[0], str) else ""
-        raise click.ClickException(f"{prefix}{fault}") from fault
+        raise click.ClickException(f"{prefix}{error}") from error
 
 
-def row_of(answer, member):
+def row_of(answer: "messages.Ordered", member: str) -> "messages.MemberRow":
     """The row of one member in a planner's answer."""
     return next(row for row in answer.members if row.member == member)
 
 
 @click.group()
-def fleet():
+def fleet() -> None:
     """Nodes and edges as the planner knows them; drains."""
 
 
 @fleet.command()
 @PLANNER
-def show(planner):
+def show(planner: Planners) -> None:
     """Every member, its condition and why."""
     from rushmux.planner import admin_client
 
@@ -49,7 +66,7 @@
 @PLANNER
 @click.argument("node")
 @click.option("--wait", type=float, default=0.0, help="seconds to wait until it may be stopped")
-def drain(planner, node, wait):
+def drain(planner: Planners, *, node: str, wait: float) -> None:
     """Nothing new goes to a node; exit 1 where it may not be stopped in the time waited for."""
     answer, deadline = run_command(planner, "drain", node), time.monotonic() + wait
     while True:
@@ -65,7 +82,7 @@
 @fleet.command()
 @PLANNER
 @click.argument("node")
-def undrain(planner, node):
+def undrain(planner: Planners, *, node: str) -> None:
     """A node may be used again."""
     row = row_of(run_command(planner, "undrain", node), node)
     click.echo(f"{node}: {row.condition}, {row.reason}")
@@ -75,7 +92,7 @@
 @PLANNER
 @click.option("--every", "interval", type=click.FloatRange(0.1, 60), default=1.0, show_default=True)
 @click.option("--looks", "polls", type=click.IntRange(1, MAX_POLLS), default=MAX_POLLS, show_default=True)
-def watch(planner, interval, polls):
+def watch(planner: Planners, *, interval: float, polls: int) -> None:
     """Prints members as their conditions change."""
     known = {}
     for poll in range(polls):
--- a/rushmux/cli/lab.py
+++ b/rushmux/cli/lab.py
@@ -12,7 +12,7 @@
 
 import click
 
-from rushmux.cli.shared import Place
+from rushmux.cli.parameters import AddressParameter
 
 if TYPE_CHECKING:
     from rushmux.lab.experiment import ExperimentError
@@ -208,7 +208,7 @@
 @click.option(
     "--edge",
     "edges",
-    type=Place(),
+    type=AddressParameter(),
     multiple=True,
     required=True,
     help="HOST:PORT of an edge; may be repeated",
--- /dev/null
+++ b/rushmux/cli/node.py
@@ -0,0 +1,123 @@
+"""`rushmux node` and `rushmux lists`: the stand-ins for storage nodes and the source of their list."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import click
+
+from rushmux.cli.parameters import (
+    Address,
+    AddressListParameter,
+    AddressParameter,
+    load_deployment,
+    new_seed,
+)
+from rushmux.cli.serving import ServerOptions, open_recorder, serve, server_options
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+TICKS_PER_SECOND = 10_000
+CELLS = click.option(
+    "--cells", type=int, required=True, help="shards that data is spread over; never changed later"
+)
+OBEYS = click.option("--obeys", is_flag=True, help="take orders to be in trouble")
+
+
+@click.command("node")
+@server_options
+@click.option("--name", required=True)
+@click.option("--cell", type=int, required=True, help="the shard of data it holds")
+@click.option("--zone", default="z", show_default=True)
+@click.option("--lists", "endpoint_sources", type=AddressListParameter(), required=True)
+@click.option(
+    "--tell", "advertised", type=AddressParameter(), help="where edges find it, if not where it listens"
+)
+@click.option("--data", type=click.Path(), required=True, help="file of its store")
+@click.option("--disk", "disk_bytes", type=int, default=1 << 30, show_default=True, help="bytes")
+@click.option(
+    "--unit",
+    "unit_time",
+    type=float,
+    default=0.015,
+    show_default=True,
+    help="seconds of a core for a unit of work",
+)
+@click.option("--cores", type=int, default=2, show_default=True)
+@click.option("--warm", is_flag=True, help="start at full capacity")
+@click.option("--sync", is_flag=True, help="every commit reaches the disk before it is answered")
+@OBEYS
+def node(
+    options: ServerOptions,
+    *,
+    name: str,
+    cell: int,
+    zone: str,
+    endpoint_sources: "Address | Sequence[Address]",
+    advertised: Address | None,
+    data: str,
+    disk_bytes: int,
+    unit_time: float,
+    cores: int,
+    warm: bool,
+    sync: bool,
+    obeys: bool,
+) -> None:
+    """A stand-in storage node."""
+    from rushmux.standins.fleet import shape_of, window_of
+    from rushmux.standins.node import Node
+    from rushmux.standins.store import BadStore, Store
+
+    deployment = load_deployment(options.deployment_file)
+    try:
+        store = Store(data, cell, disk_bytes, window_of(deployment), sync)
+    except BadStore as error:
+        raise click.ClickException(str(error)) from error
+
+    async def run() -> None:
+        server = Node(
+            name,
+            cell,
+            zone,
+            store,
+            endpoint_sources,
+            shape_of(deployment, unit=unit_time, cores=cores),
+            new_seed(options.seed),
+            not warm,
+            options.logger(),
+            open_recorder(options.records, asyncio.get_running_loop()),
+            obeys,
+            advertised,
+        )
+        await serve(server, options, start=server.start)
+
+    asyncio.run(run())
+
+
+@click.command("lists")
+@server_options
+@CELLS
+@click.option("--lag", type=float, default=1.0, show_default=True, help="seconds until a change is told")
+@OBEYS
+def lists(options: ServerOptions, *, cells: int, lag: float, obeys: bool) -> None:
+    """A stand-in for the source of the list of nodes."""
+    from rushmux.standins.lists import ListSource
+
+    deployment = load_deployment(options.deployment_file)
+    settings = deployment.settings
+
+    async def run() -> None:
+        rates = {name: settings.plans[folder.plan].nominal for name, folder in deployment.folders.items()}
+        server = ListSource(
+            cells,
+            lag,
+            options.logger(),
+            open_recorder(options.records, asyncio.get_running_loop()),
+            f"{new_seed(options.seed):x}",
+            settings.usage_period / TICKS_PER_SECOND,
+            rates,
+            obeys,
+        )
+        await serve(server, options)
+
+    asyncio.run(run())
--- /dev/null
+++ b/rushmux/cli/planner.py
@@ -0,0 +1,84 @@
+"""`rushmux planner`: the control plane's server."""
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import click
+
+from rushmux.cli.node import CELLS
+from rushmux.cli.parameters import Address, NamedAddressesParameter, load_deployment, new_seed
+from rushmux.cli.serving import ServerOptions, open_recorder, serve, server_options
+
+if TYPE_CHECKING:
+    from rushmux.planner.replication_settings import ReplicationSettings
+
+
+@click.command("planner")
+@server_options
+@CELLS
+@click.option(
+    "--data", type=click.Path(), required=True, help="file of what it knows; its log lies beside it"
+)
+@click.option(
+    "--planners", type=NamedAddressesParameter(), help="all planners of the fleet, this one among them"
+)
+@click.option("--name", default="a", show_default=True, help="which of the planners this is")
+@click.option(
+    "--found",
+    "bootstrap",
+    is_flag=True,
+    help="begin the planners' log; at the fleet's first start only",
+)
+def planner(
+    options: ServerOptions,
+    *,
+    cells: int,
+    data: str,
+    planners: dict[str, Address] | None,
+    name: str,
+    bootstrap: bool,
+) -> None:
+    """Knows which nodes and edges live, and tells the edges."""
+    from rushmux.planner.errors import MembershipStoreError, RaftStorageError
+    from rushmux.planner.membership_store import MembershipStore
+    from rushmux.planner.planner import Planner
+
+    deployment, replication = load_deployment(options.deployment_file), None
+    if planners or deployment.policy:
+        replication = _replication_settings(
+            planners or {name: options.listen}, name, f"{data}.log", options.seed, bootstrap
+        )
+    try:
+        store = MembershipStore(data)
+    except (MembershipStoreError, OSError) as error:
+        raise click.ClickException(str(error)) from error
+
+    async def run() -> None:
+        server = Planner(
+            cells,
+            store,
+            options.logger(),
+            record=open_recorder(options.records, asyncio.get_running_loop()),
+            limited_folders=deployment.limits(),
+            gateway_count=deployment.settings.gateway_count,
+            deployment=deployment,
+            replication=replication,
+        )
+        try:
+            await serve(server, options)
+        except RaftStorageError as error:
+            raise click.ClickException(str(error)) from error
+
+    asyncio.run(run())
+
+
+def _replication_settings(
+    planners: dict[str, Address], name: str, log_path: str, seed: int | None, bootstrap: bool
+) -> "ReplicationSettings":
+    """How a planner replicates its log with the others."""
+    from rushmux.planner.replication_settings import ReplicationSettings
+
+    if name not in planners:
+        raise click.ClickException(f"there is no planner '{name}'; there are {', '.join(planners)}")
+    return ReplicationSettings(name, planners, log_path, random.Random(new_seed(seed)), bootstrap=bootstrap)
--- a/rushmux/cli/policies.py
+++ b/rushmux/cli/policy.py
@@ -5,40 +5,49 @@
 import getpass
 import json
 import time
+from typing import Any
 
 import click
 
-from rushmux.cli.planning import PLANNER
-from rushmux.cli.shared import deployed, new_seed
+from rushmux.cli.fleet import PLANNER, Planners
+from rushmux.cli.parameters import load_deployment, new_seed
 
-MAX_POLLS = 100_000  # of one `watch`
-POLL_INTERVAL = 0.5  # seconds between two requests for the state
+MAX_POLLS = 100_000
+"""Requests of one `watch`."""
+POLL_INTERVAL = 0.5
+"""Seconds between two requests for the state."""
+EXIT_NOT_DECIDED, EXIT_UNDER_WAY = 1, 2
+WAIT = click.option("--wait", type=float, default=0.0, help="seconds to wait until it has ended")
+
+State = dict[str, Any]
+"""The policy's state as the planner sends it: JSON."""
 
 
-def request(planner, verb, **fields) -> tuple[str, dict]:
+def request(planner: Planners, verb: str, **fields: Any) -> tuple[str, State]:
     """Sends a policy command; what came of it, and the policy's state."""
     from rushmux.planner import admin_client
     from rushmux.planner.errors import CommandRejectedError
 
     try:
         answer = asyncio.run(admin_client.send_policy_command(planner, verb, **fields))
-    except CommandRejectedError as fault:
-        raise click.ClickException(str(fault)) from fault
+    except CommandRejectedError as error:
+        raise click.ClickException(str(error)) from error
     return answer.said, json.loads(answer.state or b"{}")
 
 
-def run_command(planner, verb, **fields):
-    """Sends a command under an idempotency key of its own, so that a lost answer does not repeat it."""
-    result, state = request(
-        planner, verb, client=f"{new_seed(None):012x}", n=1, by=getpass.getuser(), **fields
-    )
+def run_command(planner: Planners, verb: str, **fields: Any) -> str:
+    """Sends a command under an idempotency key of its own, so that a lost answer does not repeat it.
+
+    Prints what came of it and returns it; exits where it was rejected.
+    """
+    result, _ = request(planner, verb, client=f"{new_seed(None):012x}", n=1, by=getpass.getuser(), **fields)
     click.echo(result)
     if result.startswith("refused"):
         raise SystemExit(1)
-    return result, state
+    return result
 
 
-def format_state(state) -> list[str]:
+def format_state(state: State) -> list[str]:
     """The policy, and which member goes by what, as lines of plain text."""
     active, staged = state["force"], state["staged"]
     lines = [
@@ -58,7 +67,7 @@
     return lines
 
 
-def await_change(planner, number, seconds):
+def await_change(planner: Planners, number: int, seconds: float) -> None:
     """Waits until a change has ended; exit 1 where it took hold nowhere, 2 where it is still under way."""
     deadline = time.monotonic() + seconds
     while True:
@@ -69,25 +78,22 @@
                 click.echo(f"{number} is decided: {change['why']}")
                 return
             click.echo(f"{number} took hold nowhere ({change['end']}): {change['why']}")
-            raise SystemExit(1)
+            raise SystemExit(EXIT_NOT_DECIDED)
         if time.monotonic() >= deadline:
             click.echo(f"{number} is still under way")
-            raise SystemExit(2)
+            raise SystemExit(EXIT_UNDER_WAY)
         time.sleep(POLL_INTERVAL)
 
 
-WAIT = click.option("--wait", type=float, default=0.0, help="seconds to wait until it has ended")
-
-
 @click.group()
-def policy():
+def policy() -> None:
     """The fleet's policy: lanes, plans, limits and routes, decided in common by the planners."""
 
 
 @policy.command()
 @PLANNER
 @click.option("--text", is_flag=True, help="the policy in force itself, as JSON")
-def show(planner, text):
+def show(planner: Planners, *, text: bool) -> None:
     """What is in force, what is under way, and which member goes by what."""
     _, state = request(planner, "show")
     if text:
@@ -101,13 +107,12 @@
 @WAIT
 @click.option("--base", type=int, help="refuse it where another number is in force")
 @click.argument("file", type=click.Path())
-def propose(planner, wait, base, file):
+def propose(planner: Planners, *, wait: float, base: int | None, file: str) -> None:
     """Proposes the policy of a deployment file: it takes hold at every member, or at none."""
     from rushmux.settings import policy as documents
 
-    result, _ = run_command(
-        planner, "propose", text=documents.text(deployed(file, plainly=True).raw), base=base
-    )
+    text = documents.text(load_deployment(file, explain=True).raw)
+    result = run_command(planner, "propose", text=text, base=base)
     if wait:
         await_change(planner, int(result.split()[0]), wait)
 
@@ -116,9 +121,9 @@
 @PLANNER
 @WAIT
 @click.argument("number", type=int)
-def revert(planner, wait, number):
+def revert(planner: Planners, *, wait: float, number: int) -> None:
     """Proposes a policy of before anew, under a new number."""
-    result, _ = run_command(planner, "revert", number=number)
+    result = run_command(planner, "revert", number=number)
     if wait:
         await_change(planner, int(result.split()[0]), wait)
 
@@ -126,7 +131,7 @@
 @policy.command()
 @PLANNER
 @click.argument("number", type=int)
-def withdraw(planner, number):
+def withdraw(planner: Planners, *, number: int) -> None:
     """Ends a change that is under way, everywhere."""
     run_command(planner, "withdraw", number=number)
 
@@ -134,14 +139,14 @@
 @policy.command()
 @PLANNER
 @click.argument("member")
-def forget(planner, member):
+def forget(planner: Planners, *, member: str) -> None:
     """Says that an edge is gone for good, so that changes do not wait for what it might go by."""
     run_command(planner, "forget", member=member)
 
 
 @policy.command()
 @PLANNER
-def history(planner):
+def history(planner: Planners) -> None:
     """All changes and how they ended."""
     for change in request(planner, "show")[1]["history"]:
         click.echo(f"{change['number']:>4} {change['end']:10} {change['by']}: {change['why']}")
@@ -151,57 +156,64 @@
 @PLANNER
 @click.argument("file", type=click.Path(), required=False)
 @click.option("--past", type=int, help="compare with a policy of before that is still kept")
-def diff(planner, file, past):
+def diff(planner: Planners, *, file: str | None, past: int | None) -> None:
     """What a file, or a policy of before, would change in the one in force."""
+    _, state = request(planner, "show")
+    other, name = _other_policy(state, file, past)
+    active = state["force"]
+    lines = difflib.unified_diff(
+        _indented(active["text"]), _indented(other), f"policy {active['number']}", name, lineterm=""
+    )
+    click.echo("\n".join(lines) or "the same")
+
+
+def _other_policy(state: State, file: str | None, past: int | None) -> tuple[str, str]:
+    """The text and name of what the active policy is compared with: a former version, or a file."""
     from rushmux.settings import policy as documents
 
-    _, state = request(planner, "show")
     if past is not None:
-        if str(past) not in state["texts"]:
-            raise click.ClickException(f"{past} is not kept; there are {', '.join(state['texts']) or 'none'}")
-        other, name = state["texts"][str(past)], f"policy {past}"
-    elif file:
-        other, name = documents.text(deployed(file, plainly=True).raw), file
-    else:
-        raise click.ClickException("name a file, or --past NUMBER")
-
-    def indented(text):
-        return json.dumps(json.loads(text), indent=1, sort_keys=True, ensure_ascii=False).splitlines()
-
-    difference = list(
-        difflib.unified_diff(
-            indented(state["force"]["text"]),
-            indented(other),
-            f"policy {state['force']['number']}",
-            name,
-            lineterm="",
-        )
-    )
-    click.echo("\n".join(difference) if difference else "the same")
+        former = state["texts"]
+        if str(past) not in former:
+            raise click.ClickException(f"{past} is not kept; there are {', '.join(former) or 'none'}")
+        return former[str(past)], f"policy {past}"
+    if file:
+        return documents.text(load_deployment(file, explain=True).raw), file
+    raise click.ClickException("name a file, or --past NUMBER")
+
+
+def _indented(text: str) -> list[str]:
+    """A policy's JSON as sorted lines, so that two can be compared."""
+    return json.dumps(json.loads(text), indent=1, sort_keys=True, ensure_ascii=False).splitlines()
 
 
 @policy.command()
 @PLANNER
 @click.option("--every", "interval", type=click.FloatRange(0.1, 60), default=POLL_INTERVAL, show_default=True)
 @click.option("--looks", "polls", type=click.IntRange(1, MAX_POLLS), default=MAX_POLLS, show_default=True)
-def watch(planner, interval, polls):
+def watch(planner: Planners, *, interval: float, polls: int) -> None:
     """Prints changes and members as they come to pass."""
     known = {}
     for poll in range(polls):
         _, state = request(planner, "show")
-        rows = {
-            ("change", change["number"]): f"change {change['number']}: {change['end']}, {change['why']}"
-            for change in state["history"]
-        }
-        if state["staged"]:
-            number = state["staged"]["number"]
-            rows["change", number] = f"change {number}: under way, by {state['staged']['by']}"
-        for row in state["members"]:
-            joint = f", joint in {row['joint']}" if row["joint"] else ""
-            rows["member", row["member"]] = f"{row['member']}: goes by {row['says']}{joint}"
+        rows = _watched_rows(state)
         for key, text in rows.items():
             if known.get(key) != text:
                 click.echo(text)
         known = rows
         if poll + 1 < polls:
             time.sleep(interval)
+
+
+def _watched_rows(state: State) -> dict[tuple[str, Any], str]:
+    """A line for each change and each member."""
+    rows: dict[tuple[str, Any], str] = {
+        ("change", change["number"]): f"change {change['number']}: {change['end']}, {change['why']}"
+        for change in state["history"]
+    }
+    if staged := state["staged"]:
+        number = staged["number"]
+        rows["change", number] = f"change {number}: under way, by {staged['by']}"
+    for row in state["members"]:
+        joint = f", joint in {row['joint']}" if row["joint"] else ""
+        rows["member", row["member"]] = f"{row['member']}: goes by {row['says']}{joint}"
+    return rows
