--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -309,7 +309,7 @@
         for begin, limits, told in pool.imap(explored, jobs):
             print(
                 f"{begin}, {limits[0]:g} to {limits[1]:g}: {told.states} states, all orders of "
-                f"{told.depth} events, {told.outcomes}, violation: {told.violation} {told.trace}",
+                f"{told.depth} events, {dict(told.outcomes)}, violation: {told.violation} {told.trace}",
                 flush=True,
             )
 
--- a/rushmux/standins/policy_model_checker.py
+++ b/rushmux/standins/policy_model_checker.py
@@ -5,7 +5,8 @@
 were.
 """
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from rushmux.standins.policy_model_state import MEMBERS, Bounds, ModelState
@@ -51,7 +52,7 @@
     """States that were reached."""
     depth: int
     """Up to so many events all orders were explored."""
-    outcomes: dict[str, int]
+    outcomes: Counter[str]
     """How many states have the change in progress, and how many have each version active after it."""
     violation: str | None
     """The first violation, by a shortest trace."""
@@ -93,32 +94,42 @@
     """
     first = start_state(parts, limits, start)
     seen = {first.key()}
-    frontier: list[tuple[ModelState, tuple[str, ...]]] = [(first, ())]
-    outcomes: dict[str, int] = {}
+    frontier: list[_Reached] = [_Reached(first, ())]
+    outcomes: Counter[str] = Counter()
     depth = 0
     while frontier:
         following = []
-        for state, trace in frontier:
-            for move in state.moves(bounds):
-                reached = state.copied()
-                move.apply(reached)
-                key = reached.key()
-                if key in seen:
-                    continue
-                seen.add(key)
-                outcome = _outcome(reached)
-                outcomes[outcome] = outcomes.get(outcome, 0) + 1
-                violation = reached.violation()
-                if violation is not None:
-                    return CheckResult(len(seen), depth, outcomes, violation, (*trace, move.name))
-                if len(seen) >= bounds.states:
-                    return CheckResult(len(seen), depth, outcomes, None, ())
-                following.append((reached, (*trace, move.name)))
+        for reached in (after for before in frontier for after in _successors(before, bounds)):
+            key = reached.state.key()
+            if key in seen:
+                continue
+            seen.add(key)
+            outcomes[_outcome(reached.state)] += 1
+            violation = reached.state.violation()
+            if violation is not None:
+                return CheckResult(len(seen), depth, outcomes, violation, reached.trace)
+            if len(seen) >= bounds.states:
+                return CheckResult(len(seen), depth, outcomes, None, ())
+            following.append(reached)
         frontier = following
         depth += 1
     return CheckResult(len(seen), depth, outcomes, None, ())
 
 
+class _Reached(NamedTuple):
+    """A state, and the names of the moves that led to it."""
+
+    state: ModelState
+    trace: tuple[str, ...]
+
+
+def _successors(reached: _Reached, bounds: Bounds) -> Iterator[_Reached]:
+    for move in reached.state.moves(bounds):
+        state = reached.state.copied()
+        move.apply(state)
+        yield _Reached(state, (*reached.trace, move.name))
+
+
 def _outcome(state: ModelState) -> str:
     machine = state.machine
     return "in progress" if machine.staged is not None else f"version {machine.active.version}"
--- a/rushmux/standins/policy_model_state.py
+++ b/rushmux/standins/policy_model_state.py
@@ -1,9 +1,10 @@
 """States of the policy's model checker, on the very parts that run.
 
-Three members, two planners of which the second may take over from the first (terms 1 and 2), one change after
-the first policy, and time in steps of half a lease.  Messages may be lost, repeated and late; a planner may
-be replaced without knowing it; members may crash and restart from their disks.  The replicated log is taken as
-right (`raft_simulation` tests it): a command is committed when the planner of the newest term says so.
+Three members, two planners of which the second may take over from the first (terms 1 and 2), one change
+after the first policy, and time in steps of half a lease.  Messages may be lost, repeated and late; a planner
+may be replaced without knowing it; members may crash and restart from their disks.  The replicated log is
+taken as right (`raft_simulation` tests it): a command is committed when the planner of the newest term says
+so.
 """
 
 import json
--- a/rushmux/standins/policy_mutants.py
+++ b/rushmux/standins/policy_mutants.py
@@ -4,9 +4,21 @@
 how many seeds.
 """
 
-from rushmux.fleet import policy
+from collections.abc import Iterable
+from typing import Any
+
 from rushmux.fleet.errors import CommandRejectedError
-from rushmux.fleet.policy import PolicyMember, PolicyStateMachine, RolloutCoordinator
+from rushmux.fleet.policy import (
+    DEGRADED_FRACTION,
+    LeaseGrant,
+    LeaseRequest,
+    LogPosition,
+    Policy,
+    PolicyMember,
+    PolicyStateMachine,
+    RolloutCoordinator,
+)
+from rushmux.fleet.policy.commands import ProposeChange, WithdrawChange
 
 # The member's side.
 
@@ -21,7 +33,7 @@
 class LeaseFromGrant(PolicyMember):
     """Counts its lease from when the grant arrived."""
 
-    def on_grant(self, now, grant):
+    def on_grant(self, now: float, grant: LeaseGrant) -> bool:
         """As the original, but for the start of the lease."""
         if grant.request_id in self.sent_at:
             self.sent_at[grant.request_id] = now
@@ -31,7 +43,7 @@
 class NeverDegraded(PolicyMember):
     """Goes on as before without a lease."""
 
-    def is_degraded(self, now):
+    def is_degraded(self, now: float) -> bool:
         """Never."""
         return False
 
@@ -39,11 +51,11 @@
 class RaisesBeforeDecided(PolicyMember):
     """Applies the new limits as soon as a change is staged."""
 
-    def effective_limits(self, now):
+    def effective_limits(self, now: float) -> dict[str, tuple[float, float]]:
         """The staged limits."""
         if not self.is_serving():
             return {}
-        fraction = policy.DEGRADED_FRACTION if self.is_degraded(now) else 1.0
+        fraction = DEGRADED_FRACTION if self.is_degraded(now) else 1.0
         known = (self.staged or self.active).limits()
         return {folder: (fraction * limit, fraction * burst) for folder, (limit, burst) in known.items()}
 
@@ -51,9 +63,9 @@
 class BelievesOldGrants(PolicyMember):
     """Takes an older position of the log for the newest."""
 
-    def on_grant(self, now, grant):
+    def on_grant(self, now: float, grant: LeaseGrant) -> bool:
         """As the original, whatever was seen before."""
-        self.last_grant_position = policy.LogPosition(0, 0)
+        self.last_grant_position = LogPosition(0, 0)
         return super().on_grant(now, grant)
 
 
@@ -67,7 +79,7 @@
 class LeaseWithoutClock(PolicyMember):
     """Judges its lease by when it sent its last request, not by its clock."""
 
-    def effective_limits(self, now):
+    def effective_limits(self, now: float) -> dict[str, tuple[float, float]]:
         """As the original, at an older time."""
         if self.lease_expiry is not None:
             now = max(self.sent_at.values(), default=0.0)
@@ -80,7 +92,7 @@
 class IgnoresPredecessorLeases(RolloutCoordinator):
     """Does not wait for leases that the leader before it granted."""
 
-    def __init__(self, state_machine, now):
+    def __init__(self, state_machine: PolicyStateMachine, now: float):
         super().__init__(state_machine, now)
         self.predecessor_leases_end = now
 
@@ -88,7 +100,7 @@
 class ForgetsOwnLeases(RolloutCoordinator):
     """Takes a member that did not answer for one without a lease."""
 
-    def grant_lease(self, now, request, term, index):
+    def grant_lease(self, now: float, request: LeaseRequest, term: int, index: int) -> LeaseGrant | None:
         """As the original, and forgets it."""
         grant = super().grant_lease(now, request, term, index)
         self.lease_expiry.pop(request.member, None)
@@ -99,7 +111,7 @@
 class GrantsUnconfirmed(RolloutCoordinator):
     """Grants leases without confirming that it still leads."""
 
-    def grant_leases(self, now, confirmed_round, term, index):
+    def grant_leases(self, now: float, confirmed_round: int, term: int, index: int) -> list[LeaseGrant]:
         """As the original, with all rounds confirmed."""
         return super().grant_leases(now, 1 << 60, term, index)
 
@@ -107,7 +119,7 @@
 class GrantsWhileDeciding(RolloutCoordinator):
     """Grants leases to members that a change is being decided without."""
 
-    def grant_lease(self, now, request, term, index):
+    def grant_lease(self, now: float, request: LeaseRequest, term: int, index: int) -> LeaseGrant | None:
         """As the original, as if nothing were being decided."""
         deciding, self.deciding = self.deciding, None
         grant = super().grant_lease(now, request, term, index)
@@ -118,7 +130,7 @@
 class MajorityIsEnough(RolloutCoordinator):
     """Decides as soon as most members are joint."""
 
-    def is_joint(self, member, version):
+    def is_joint(self, member: str, version: int) -> bool:
         """Whether most members are joint."""
         members = self.state_machine.members
         joint = sum(super(MajorityIsEnough, self).is_joint(name, version) for name in members)
@@ -128,7 +140,7 @@
 class RejectionCountsAsJoint(RolloutCoordinator):
     """Takes a rejection for an acceptance."""
 
-    def on_lease_request(self, now, request, round_):
+    def on_lease_request(self, now: float, request: LeaseRequest, round_: int) -> None:
         """As the original, with a rejected version joint."""
         if request.rejected_version:
             request = request._replace(joint_version=request.rejected_version, rejected_version=0)
@@ -138,7 +150,7 @@
 class NeverTimesOut(RolloutCoordinator):
     """Waits for a staged change without end."""
 
-    def next_command(self, now):
+    def next_command(self, now: float) -> dict[str, Any] | None:
         """As the original, with every change staged just now."""
         self.staged_since = {}
         return super().next_command(now)
@@ -147,7 +159,7 @@
 class SilentCountsAsLeased(RolloutCoordinator):
     """Takes a member that was joint once for one that still has its lease."""
 
-    def next_command(self, now):
+    def next_command(self, now: float) -> dict[str, Any] | None:
         """As the original, with the leases of joint members extended."""
         staged = self.state_machine.staged
         for member in self.state_machine.members:
@@ -162,15 +174,15 @@
 class ExcessNotChecked(PolicyStateMachine):
     """Does not count what degraded members keep."""
 
-    def degraded_excess(self, policy):
+    def degraded_excess(self, policy: Policy) -> str | None:
         """Never any."""
-        return None  # noqa: RET501 - the text of an excess, or None
+        return None
 
 
 class OnlyNewestCounts(PolicyStateMachine):
     """Forgets that an absent member may apply an older version than the active one."""
 
-    def advance_members(self, members):
+    def advance_members(self, members: Iterable[str]) -> None:
         """As the original, but for the older limits."""
         super().advance_members(members)
         self.limits_by_version = {self.active.version: self.active.folder_limits}
@@ -179,7 +191,7 @@
 class WithdrawsDecided(PolicyStateMachine):
     """Withdraws a change that is decided."""
 
-    def withdraw(self, command):
+    def withdraw(self, command: WithdrawChange) -> str:
         """As the original, and the active version too."""
         if command.version == self.active.version and self.past_policies:
             self.active = next(reversed(self.past_policies.values()))
@@ -190,7 +202,7 @@
 class ReplacesStaged(PolicyStateMachine):
     """Lets a change take the place of one that is staged."""
 
-    def propose(self, command):
+    def propose(self, command: ProposeChange) -> str:
         """As the original, as if nothing were staged."""
         staged, self.staged = self.staged, None
         try:
@@ -203,7 +215,7 @@
 class DecidesAnyStaged(PolicyStateMachine):
     """Takes an old leader's command on another change for one on this."""
 
-    def require_staged(self, version):
+    def require_staged(self, version: int) -> Policy:
         """Whatever is staged."""
         if self.staged is None:
             raise CommandRejectedError("nothing is under way")
