--- a/rushmux/standins/policy_model_checker.py
+++ b/rushmux/standins/policy_model_checker.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
+from rushmux.standins.policy_model_key import state_key
 from rushmux.standins.policy_model_state import MEMBERS, Bounds, ModelState
 from rushmux.standins.policy_parts import REAL_PARTS, PolicyParts
 
@@ -93,14 +94,14 @@
         start: Names of the moves that happened before.
     """
     first = start_state(parts, limits, start)
-    seen = {first.key()}
+    seen = {state_key(first)}
     frontier: list[_Reached] = [_Reached(first, ())]
     outcomes: Counter[str] = Counter()
     depth = 0
     while frontier:
         following = []
         for reached in (after for before in frontier for after in _successors(before, bounds)):
-            key = reached.state.key()
+            key = state_key(reached.state)
             if key in seen:
                 continue
             seen.add(key)
--- a/rushmux/standins/policy_model_state.py
+++ b/rushmux/standins/policy_model_state.py
@@ -18,7 +18,6 @@
 MEMBERS = ("edge0", "edge1", "edge2")
 FOLDER = "a"
 STEP = policy.LEASE_DURATION / 1.9  # two steps are longer than any lease, its drift included
-OLDEST_AGE = 30.0  # seconds: what is longer to come counts as the same
 EPSILON = 1e-6
 
 
@@ -106,7 +105,7 @@
 
         return persist
 
-    # Copies and comparison.
+    # Copies.
 
     def copied(self) -> "ModelState":
         """A state that holds the same and changes by itself."""
@@ -147,63 +146,6 @@
         other.persist = state._disk_writer(name)
         return other
 
-    def key(self) -> int:
-        """What tells two states apart.  Members differ by nothing but their names: they are put in order."""
-        members = tuple(sorted(self._member_key(name) for name in self.members))
-        coordinators = tuple(
-            (term, self._age(coordinator.predecessor_leases_end), coordinator.deciding is not None)
-            for term, coordinator in self.coordinators.items()
-        )
-        return hash(
-            (
-                self.steps,
-                self.index,
-                self.machine.staged is None,
-                self.machine.active.version,
-                members,
-                coordinators,
-                self.crashes,
-                self.pending and self.pending["kind"],
-            )
-        )
-
-    def _member_key(self, name: str) -> tuple:
-        member = self.members[name]
-        messages = tuple(
-            (
-                message.kind,
-                message.term,
-                self._age(member.sent_at[message.body.request_id]),
-                *message.content(),
-            )
-            for message in self.in_flight
-            if message.body.member == name
-        )
-        known = tuple(self._known_of(name, coordinator) for coordinator in self.coordinators.values())
-        return (
-            member.active_version,
-            member.staged is not None,
-            0 if member.lease_expiry is None else self._age(member.lease_expiry),
-            member.last_grant_position,
-            self.disks[name][1] is not None,
-            self.machine.member_versions[name],
-            messages,
-            known,
-        )
-
-    def _known_of(self, name: str, coordinator: policy.RolloutCoordinator) -> tuple:
-        """What a planner knows of a member."""
-        request = coordinator.latest_requests.get(name)
-        return (
-            self._age(coordinator.lease_expiry.get(name, 0.0)),
-            (0, 0) if request is None else (request.active_version, request.joint_version),
-            coordinator.deciding is not None and name in coordinator.deciding.joint,
-        )
-
-    def _age(self, at: float) -> int:
-        """Hundredths of a second until a time; all that is past is the same."""
-        return round(max(-0.01, min(at - self.now, OLDEST_AGE)) * 100)
-
     # What may happen next.
 
     def moves(self, bounds: Bounds) -> Iterator[Move]:
--- a/rushmux/standins/policy_simulation.py
+++ b/rushmux/standins/policy_simulation.py
@@ -10,7 +10,8 @@
 from rushmux.standins.policy_parts import REAL_PARTS, PolicyParts
 from rushmux.standins.policy_simulation_checker import PolicyChecker
 from rushmux.standins.policy_simulation_edges import SimulatedEdges
-from rushmux.standins.raft_simulation import RaftSimulation, SimulatedMember
+from rushmux.standins.raft_simulation import RaftSimulation
+from rushmux.standins.raft_simulation_member import SimulatedMember
 
 ABSENCE = 15.0  # seconds that an edge stays away for a second change
 FLOOR_DELAY = 0.2  # seconds until nodes hear of a fencing floor
--- a/rushmux/standins/raft_simulation.py
+++ b/rushmux/standins/raft_simulation.py
@@ -14,6 +14,7 @@
 from rushmux.fleet import raft
 from rushmux.standins.raft_simulation_checker import RaftChecker
 from rushmux.standins.raft_simulation_faults import CRASHES, NO_FAULTS, CrashPoint, draw_fault_rates
+from rushmux.standins.raft_simulation_member import SimulatedMember
 
 TICK_INTERVAL = 0.1  # seconds between two ticks of a member, on average
 NETWORK_DELAY = (0.0005, 0.03)  # seconds, least and most
@@ -27,32 +28,6 @@
 COMPACT_AT_ENTRIES = 40  # in memory, of which half are applied
 
 
-class SimulatedMember:
-    """A member's process and its disk; `disk` is what survives a crash."""
-
-    def __init__(self, name: str, disk: raft.PersistentState):
-        self.name = name
-        self.disk = disk
-        self.node: raft.RaftNode | None = None
-        """None while it is down."""
-        self.commands: list[str] = []
-        """The state machine: every command that was applied, in turn."""
-        self.sessions = raft.ClientSessions()
-
-    def persist(self, ready: raft.Ready) -> None:
-        """Writes and syncs what was handed out."""
-        disk = self.disk
-        entries = dict(enumerate(disk.entries, disk.snapshot.index + 1))
-        if ready.truncate_from is not None:
-            entries = {index: entry for index, entry in entries.items() if index < ready.truncate_from}
-        entries.update(ready.entries)
-        snapshot = ready.snapshot or disk.snapshot
-        term, voted_for = ready.hard_state or (disk.term, disk.voted_for)
-        last_index = max([snapshot.index, *entries])
-        rows = [entries[index] for index in range(snapshot.index + 1, last_index + 1)]
-        self.disk = raft.PersistentState(term, voted_for, snapshot, tuple(rows))
-
-
 class RaftSimulation:
     """Members that run together on simulated time.
 
