--- a/rushmux/cli/fleet.py
+++ b/rushmux/cli/fleet.py
@@ -43,7 +43,7 @@
         raise click.ClickException(f"{prefix}{error}") from error
 
 
-def row_of(answer: "messages.Ordered", member: str) -> "messages.MemberRow":
+def row_of(answer: "messages.Ordered", member: str) -> "messages.Known":
     """The row of one member in a planner's answer."""
     return next(row for row in answer.members if row.member == member)
 
