--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -9,17 +9,18 @@
 import sys
 from pathlib import Path
 
-MOST = 3  # lines: the operators' bound
+MAX_LINES = 3
+"""The operators' bound."""
 LINE = re.compile(r"(?P<test>tests/\S+\.py::\S+), (?P<cause>.+), issue (?P<issue>[0-9]+)")
 
 
 def listed(text: str) -> list[tuple[str, str, str]]:
     """Test, cause and issue of each line; ValueError."""
     lines = [line for line in text.splitlines() if line.strip()]
-    if len(lines) > MOST:
-        raise ValueError(f"{len(lines)} lines where {MOST} may stand")
+    if len(lines) > MAX_LINES:
+        raise ValueError(f"{len(lines)} lines where {MAX_LINES} may stand")
     found = [LINE.fullmatch(line) for line in lines]
-    for line, match in zip(lines, found):
+    for line, match in zip(lines, found, strict=True):
         if match is None:
             raise ValueError(f"a line that is not `test id, cause, issue N`: {line!r}")
     return [match.group("test", "cause", "issue") for match in found]
@@ -40,6 +41,7 @@
 
 
 def main(root: Path) -> int:
+    """Prints the options for the tests that are listed; the exit code."""
     try:
         rows = listed((root / "KNOWN-RED.txt").read_text(encoding="utf-8"))
         for test, _, _ in rows:
--- a/benchmarks/buffer.py
+++ b/benchmarks/buffer.py
@@ -17,7 +17,7 @@
 from rushmux.settings import deployment
 from rushmux.sftp import packets as sftp
 from rushmux.standins import fleet as fleets
-from rushmux.standins.client import Refusal
+from rushmux.standins.client import StatusError
 
 EXAMPLE = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
 UNIT = 0.015  # seconds of a core
@@ -72,7 +72,7 @@
         begun = self.loop.time()
         try:
             await call
-        except Refusal:
+        except StatusError:
             self.rejected += 1
             return
         self.add_time(kind, begun)
--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -25,7 +25,7 @@
 from rushmux.log import to_list
 from rushmux.nodewire import VERSION, messages
 from rushmux.scheduling.interface import AttemptResult
-from rushmux.standins.service_model import Engine, Shape
+from rushmux.standins.service_model import ServiceModel, Shape
 
 UNIT, CORES, ROOM = 0.01, 2, 40  # of the machine: seconds of a core for a unit, cores, waiting room
 BYTES = 4_096  # of an object: little, so that moving it is no work of its own
@@ -51,7 +51,9 @@
 def emulated(operations, seed):
     """Answer times at the emulated machine, None where it turned one away."""
     clock, chance, times = TimerLoop(), random.Random(f"{seed}/ways"), [None] * len(operations)
-    engine = Engine(Shape(cores=CORES, unit=UNIT, room=ROOM), random.Random(seed), False, lambda: None, clock)
+    model = ServiceModel(
+        Shape(cores=CORES, unit=UNIT, room=ROOM), random.Random(seed), False, lambda: None, clock
+    )
 
     def arrive(number, sent, units, key, writes):
         def done(late):
@@ -59,7 +61,7 @@
             if not late:
                 times[number] = back - sent
 
-        engine.offer(units, "" if writes else key, writes, TIME_OUT / 10_000, done)
+        model.submit(units, "" if writes else key, writes, TIME_OUT / 10_000, done)
 
     for number, (at, units, key, writes) in enumerate(operations):
         clock.call_at(1.0 + at + chance.uniform(*IN_ZONE_DELAY), arrive, number, 1.0 + at, units, key, writes)
@@ -135,6 +137,7 @@
 
 
 def execute(number, units, key, data):
+    """The message of an attempt: a write of `data`, or a read where there is none."""
     message = messages.Execute(
         op=f"edge0.1.{number}/-",
         execution=0,
@@ -152,6 +155,7 @@
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--seconds", type=float, default=20.0)
     asked.add_argument("--seed", type=int, default=1)
--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -35,6 +35,7 @@
 
 
 def deployment(copies: bool):
+    """The example with or without hedged requests."""
     raw = copy.deepcopy(EXAMPLE)
     raw["fleet"]["second_copies"] = copies
     raw["routes"] = [{"lane": "archivo-nuevo", "second_copy": {"after_ms": 40}}] if copies else []
@@ -81,10 +82,12 @@
 
 
 def quantile(times, part):
+    """The time that a part of the times do not exceed."""
     return sorted(times)[min(len(times) - 1, int(part * len(times)))]
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--seeds", type=int, default=5)
     asked.add_argument("--seconds", type=float, default=30.0)
--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -40,7 +40,7 @@
             count += 1
 
     await asyncio.gather(
-        *(one(client, handle) for client, handle in zip(clients, handles) for _ in range(OUT))
+        *(one(client, handle) for client, handle in zip(clients, handles, strict=True) for _ in range(OUT))
     )
     for client in clients:
         await client.close()
@@ -94,10 +94,12 @@
 
 
 def at(times, share):
+    """The time that a share of the times do not exceed, ms."""
     return sorted(times)[int(share * (len(times) - 1))] * 1_000
 
 
 async def measure(words, folder):
+    """Measures an edge and the node alone by turns, and prints both."""
     raw = json.loads(Path(deployment.__file__).with_name("example.json").read_text())
     raw["fleet"]["gateways"] = 1
     file = Path(folder) / "deployment.json"
@@ -148,6 +150,7 @@
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--sessions", type=int, default=8)
     parser.add_argument("--seconds", type=float, default=3)
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -35,7 +35,8 @@
 SIZES = ((10, 8), (50, 16), (100, 24), (300, 47))
 
 
-def stated(name, load, lines, edges=3, nodes=4, seconds=10.0):
+def stated(name, load, lines, *, edges=3, nodes=4, seconds=10.0):
+    """The experiment of a case."""
     return check(
         {
             "name": name.replace(" ", "-"),
@@ -51,6 +52,7 @@
 
 
 def lean(raw, seed):
+    """Latencies and the part in time of a day, with the scheduler alone."""
     day = draw_day(raw, raw["variants"][0], seed)
     simulation = SchedulerSimulation(day.deployment, day.fleet, seed)
     simulation.run(day.arrivals, day.events, raw["seconds"])
@@ -99,6 +101,7 @@
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--seeds", type=int, default=4)
     asked.add_argument("--scale", action="store_true", help="the scale curve in place of the shared cases")
@@ -110,7 +113,7 @@
     if wanted.scale:
         heads = ("gateways", "nodes", "operations", "draw s", "play s", "judge s", "MB", "in time")
         widths = (9, 7, 12, 9, 9, 9, 10, 9)
-        print("".join(f"{head:>{width}}" for head, width in zip(heads, widths)) + "  rules")
+        print("".join(f"{head:>{width}}" for head, width in zip(heads, widths, strict=True)) + "  rules")
         for edges, nodes in SIZES:
             print(
                 subprocess.run(
@@ -126,7 +129,7 @@
     heads = ("level", "answers", "in time", "p50 ms", "p90", "p99", "KS", "chance")
     print(
         f"{'case':14}"
-        + "".join(f"{head:>{width}}" for head, width in zip(heads, (7, 9, 9, 9, 9, 9, 8, 8)))
+        + "".join(f"{head:>{width}}" for head, width in zip(heads, (7, 9, 9, 9, 9, 9, 8, 8), strict=True))
         + "  rules"
     )
     for name, (load, lines) in CASES.items():
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 from rushmux import log
 from rushmux.edge.planner_client import PlannerClient
@@ -23,19 +24,21 @@
 from rushmux.planner.planner import Planner
 from rushmux.simulation.loop import run
 
+HOST = "127.0.0.1"
 NODES = 47
+START_TIME = 5.0  # seconds until everything is up
 DEATHS = 5
 QUIET = 20.0  # seconds of nothing but reports, for the cost of standing still
 
 
 async def reports(name, cell, port, loop):
     """A node that only reports."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    _, writer = await asyncio.open_connection(HOST, port)
     writer.write(frame(messages.Message(hello=messages.Hello(version=VERSION, peer=name, start="1"))))
     while True:
         entry = messages.Entry(
             node=name,
-            host="127.0.0.1",
+            host=HOST,
             port=1 + cell,
             cell=cell,
             zone=f"z{cell % 3}",
@@ -47,80 +50,123 @@
         await asyncio.sleep(REPORT_INTERVAL)
 
 
-def measured(edges, seed, folder):
-    async def whole(loop):
-        rows, told, sent = [], {}, [0]
-        logger = log.to_list(rows, "error")
-        process = loop.process("planner")
-        planner = Planner(NODES, MembershipStore(Path(folder) / f"p{edges}"), logger)
-        port = await process.spawn(planner.open("127.0.0.1", 0))
-        nodes = {}
+class Figures(NamedTuple):
+    """What a run measured; times in seconds."""
+
+    removals: list[float]
+    drains: list[float]
+    releases: list[float]
+    recovery: float
+    processor_part: float
+    bytes_per_second: float
+
+
+class Trial:
+    """A planner, nodes that only report, and edges' list clients, on a virtual clock."""
+
+    def __init__(self, loop, edges, seed, folder):
+        self.loop, self.edges, self.seed = loop, edges, seed
+        self.store_path = Path(folder) / f"p{edges}"
+        self.log = log.to_list([], "error")
+        self.nodes, self.clients = {}, []
+        self.informed = {}  # node and state -> when each edge was told
+        self.bytes_sent = 0
+
+    async def open(self):
+        """Starts everything."""
+        self.process = self.loop.process("planner")
+        self.planner = Planner(NODES, MembershipStore(self.store_path), self.log)
+        self.port = await self.process.spawn(self.planner.open(HOST, 0))
         for cell in range(NODES):
-            part = loop.process(f"n{cell}")
-            part.spawn(reports(f"n{cell}", cell, port, loop))
-            nodes[f"n{cell}"] = part
-
-        def heard(number, listing):
-            sent[0] += listing.ByteSize()
-            for entry in listing.entries:
-                told.setdefault((entry.node, entry.condition), {}).setdefault(number, loop.time())
-
-        tasks = []
-        for number in range(edges):
-            hello = messages.Hello(version=VERSION, peer=f"edge{number}", start="1")
-            tasks.append(
-                loop.create_task(
-                    PlannerClient(
-                        ("127.0.0.1", port),
-                        hello,
-                        random.Random(f"{seed}/{number}"),
-                        logger,
-                        lambda listing, n=number: heard(n, listing),
-                    ).run()
-                )
-            )
-        await asyncio.sleep(5)
-        sent[0], begun = 0, time.process_time()
+            process = self.loop.process(f"n{cell}")
+            process.spawn(reports(f"n{cell}", cell, self.port, self.loop))
+            self.nodes[f"n{cell}"] = process
+        self.clients = [self.loop.create_task(self.client(number).run()) for number in range(self.edges)]
+        await asyncio.sleep(START_TIME)
+
+    def client(self, number):
+        """The list client of an edge."""
+        return PlannerClient(
+            (HOST, self.port),
+            messages.Hello(version=VERSION, peer=f"edge{number}", start="1"),
+            random.Random(f"{self.seed}/{number}"),
+            self.log,
+            lambda listing: self.on_listing(number, listing),
+        )
+
+    def on_listing(self, number, listing):
+        """Notes when an edge was told of each entry."""
+        self.bytes_sent += listing.ByteSize()
+        for entry in listing.entries:
+            informed = self.informed.setdefault((entry.node, entry.condition), {})
+            informed.setdefault(number, self.loop.time())
+
+    async def all_informed(self, node, state, poll):
+        """Waits until every edge was told of a node's state; when the last was."""
+        while len(self.informed.get((node, state), ())) < self.edges:
+            await asyncio.sleep(poll)
+        return max(self.informed[node, state].values())
+
+    async def idle_cost(self):
+        """Part of a core and bytes a second while nothing happens."""
+        self.bytes_sent, begun = 0, time.process_time()
         await asyncio.sleep(QUIET)
-        quiet_cpu, quiet_bytes = (time.process_time() - begun) / QUIET, sent[0] / QUIET
-        deaths, drains, released = [], [], []
-        chance = random.Random(seed)
-        for name in chance.sample(sorted(nodes), DEATHS):
-            await asyncio.sleep(chance.uniform(1, 3))
-            died = loop.time()
-            nodes[name].kill()
-            while len(told.get((name, "gone"), ())) < edges:
-                await asyncio.sleep(0.05)
-            deaths.append(max(told[name, "gone"].values()) - died)
-        for name in [name for name in sorted(nodes) if not nodes[name].dead][:DEATHS]:
-            asked = loop.time()
-            await admin_client.send_fleet_command(("127.0.0.1", port), "drain", name)
-            while len(told.get((name, "draining"), ())) < edges:
-                await asyncio.sleep(0.01)
-            drains.append(max(told[name, "draining"].values()) - asked)
-            while planner.state.membership.members[name].state != "drained":
+        return (time.process_time() - begun) / QUIET, self.bytes_sent / QUIET
+
+    async def kill_nodes(self):
+        """Seconds from a node's death until the last edge knows."""
+        removals, rng = [], random.Random(self.seed)
+        for name in rng.sample(sorted(self.nodes), DEATHS):
+            await asyncio.sleep(rng.uniform(1, 3))
+            died_at = self.loop.time()
+            self.nodes[name].kill()
+            removals.append(await self.all_informed(name, "gone", 0.05) - died_at)
+        return removals
+
+    async def drain_nodes(self):
+        """Seconds from a drain until the last edge knows, and until the node is released."""
+        drains, releases = [], []
+        for name in [name for name in sorted(self.nodes) if not self.nodes[name].dead][:DEATHS]:
+            asked_at = self.loop.time()
+            await admin_client.send_fleet_command((HOST, self.port), "drain", name)
+            drains.append(await self.all_informed(name, "draining", 0.01) - asked_at)
+            while self.planner.state.membership.members[name].state != "drained":
                 await asyncio.sleep(0.1)
-            released.append(loop.time() - asked)
-        killed = loop.time()
-        process.kill()
-        told.clear()
+            releases.append(self.loop.time() - asked_at)
+        return drains, releases
+
+    async def restart_planner(self):
+        """Seconds from a planner's start until the last edge has its list."""
+        self.process.kill()
+        self.informed.clear()
         await asyncio.sleep(2)
-        again = loop.process("planner")
-        back = loop.time()
-        await again.spawn(
-            Planner(NODES, MembershipStore(Path(folder) / f"p{edges}"), logger).open("127.0.0.1", port)
-        )
-        while len({number for known in told.values() for number in known}) < edges:
+        process, begun_at = self.loop.process("planner"), self.loop.time()
+        planner = Planner(NODES, MembershipStore(self.store_path), self.log)
+        await process.spawn(planner.open(HOST, self.port))
+        while len({number for informed in self.informed.values() for number in informed}) < self.edges:
             await asyncio.sleep(0.05)
-        last = max(at for known in told.values() for at in known.values())
-        for task in tasks:
-            task.cancel()
-        return deaths, drains, released, last - back, back - killed, quiet_cpu, quiet_bytes
+        return max(at for informed in self.informed.values() for at in informed.values()) - begun_at
+
+
+def measured(edges, seed, folder):
+    """The figures of a fleet with so many edges."""
+
+    async def run_trial(loop):
+        trial = Trial(loop, edges, seed, folder)
+        await trial.open()
+        processor_part, bytes_per_second = await trial.idle_cost()
+        removals = await trial.kill_nodes()
+        drains, releases = await trial.drain_nodes()
+        recovery = await trial.restart_planner()
+        for client in trial.clients:
+            client.cancel()
+        return Figures(removals, drains, releases, recovery, processor_part, bytes_per_second)
 
-    return run(whole, seed)
+    return run(run_trial, seed)
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--seed", type=int, default=1)
     seed = asked.parse_args().seed
@@ -137,21 +183,21 @@
     print("".join(f"{head:>{max(9, len(head) + 2)}}" for head in heads))
     for edges in (10, 100, 300):
         with tempfile.TemporaryDirectory() as folder:
-            deaths, drains, released, back, _, cpu, sent = measured(edges, seed, folder)
+            figures = measured(edges, seed, folder)
         values = (
             edges,
-            statistics.median(deaths),
-            max(deaths),
-            statistics.median(drains),
-            statistics.median(released),
-            back,
-            cpu,
-            sent,
+            statistics.median(figures.removals),
+            max(figures.removals),
+            statistics.median(figures.drains),
+            statistics.median(figures.releases),
+            figures.recovery,
+            figures.processor_part,
+            figures.bytes_per_second,
         )
         print(
             "".join(
                 f"{value:{max(9, len(head) + 2)}.{0 if head in ('edges', 'bytes/s at rest') else 3}f}"
-                for value, head in zip(values, heads)
+                for value, head in zip(values, heads, strict=True)
             )
         )
     print(
--- a/benchmarks/planner_kills.py
+++ b/benchmarks/planner_kills.py
@@ -60,6 +60,7 @@
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--runs", type=int, default=70)
     asked.add_argument("--seed", type=int, default=1)
@@ -69,7 +70,7 @@
     answers = good = kills = 0
     broken = []
     with ProcessPoolExecutor(wanted.jobs) as pool:
-        for seed, (some, fine, killed, breaches) in zip(seeds, pool.map(played, seeds)):
+        for seed, (some, fine, killed, breaches) in zip(seeds, pool.map(played, seeds), strict=True):
             answers, good, kills = answers + some, good + fine, kills + killed
             broken += [f"seed {seed}: {text}" for text in breaches[:3]]
     print(
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -26,6 +26,7 @@
 from rushmux.simulation import loop as virtual
 from rushmux.standins import (
     fault_injection,
+    fault_scenario,
     policy_fleet,
     policy_model_checker,
     policy_mutants,
@@ -100,14 +101,14 @@
 
 async def one_change(edges, away, folder):
     """Times a change with so many edges, a fraction of which has gone away."""
-    story = fault_injection.parse(f"edges {edges}\nnodes {NODES}\n")
-    raw = fault_injection.stated(story)
+    story = fault_scenario.parse(f"edges {edges}\nnodes {NODES}\n")
+    raw = fault_scenario.raw_deployment(story)
     raw["plans"]["basico"].update(limit=edges * 40.0, burst=edges * 80.0)
     raw["fleet"]["cold_units"] = 1
     raw["bounds"]["cold_falls_units"] = 113_000
     file = Path(folder) / "deployment.json"
     file.write_text(json.dumps(raw))
-    made = fault_injection.Rig(story, file, build(raw, proved=False), folder, 1)
+    made = fault_injection.ScenarioFleet(story, file, build(raw, proved=False), folder, 1)
     made.cells, made.planner_names = NODES, ["plannera", "plannerb", "plannerc"]
     chance, members = random.Random(1), []
     try:
@@ -247,7 +248,7 @@
     edges, down, changes = job
 
     async def whole(loop):
-        raw = fault_injection.stated(fault_injection.parse(f"edges {edges}\n"))
+        raw = fault_scenario.raw_deployment(fault_scenario.parse(f"edges {edges}\n"))
         raw["plans"]["basico"].update(limit=edges * 200.0, burst=edges * 400.0)
         raw["bounds"]["cold_falls_units"], raw["fleet"]["cold_units"] = 113_000, 1
         fleet = policy_fleet.PolicyFleet(loop, build(raw, proved=False), 3, folder)
@@ -344,8 +345,8 @@
     from matplotlib import pyplot
 
     with tempfile.TemporaryDirectory() as folder:
-        story = fault_injection.load("forth-and-back")
-        told = asyncio.run(fault_injection.played(story, folder, 1))
+        story = fault_scenario.load("forth-and-back")
+        told = asyncio.run(fault_injection.run_scenario(story, folder, 1))
         rows = [
             json.loads(line)
             for file in sorted(Path(folder, "records").glob("*.jsonl"))
@@ -359,7 +360,9 @@
     sent = [
         (row["at"], row["units"])
         for row in rows
-        if row["kind"] == "execution" and row["volume"] == fault_injection.SURGED and row["execution"] == 0
+        if row["kind"] == "execution"
+        and row["volume"] == fault_scenario.LIMITED_FOLDER
+        and row["execution"] == 0
     ]
     begun = min(at for at, _ in sent)
     seconds = [0.0] * (int(max(at for at, _ in sent) - begun) + 1)
@@ -367,7 +370,7 @@
         seconds[int(at - begun)] += units
     figure, axes = pyplot.subplots(figsize=(8, 3))
     axes.step(range(len(seconds)), seconds, where="post", label="units that nodes were sent")
-    steps = [(at - begun, limits[fault_injection.SURGED]) for at, limits in decided.values()]
+    steps = [(at - begun, limits[fault_scenario.LIMITED_FOLDER]) for at, limits in decided.values()]
     axes.step(
         [max(0, at) for at, _ in steps] + [len(seconds)],
         [limit for _, limit in steps] + [steps[-1][1]],
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -24,8 +24,8 @@
 def made(disk, size):
     """A log that holds `size` MiB."""
     folders, parts = sorted(EXAMPLE["folders"])[:8], [journal.HEADER, journal.encode(journal.EpochRecord(1))]
-    number, segment = 0, 1
-    for place in range(size * 256):
+    segment = 1
+    for number, place in enumerate(range(size * 256), 1):
         file, at = place % FILES, place // FILES * PACKET
         if at == 0:
             parts.append(
@@ -33,7 +33,6 @@
                     journal.BaseRecord(folder=folders[file % 8], file=f"f{file}", path=f"/{file}", version=1)
                 )
             )
-        number += 1
         parts.append(
             journal.encode(
                 journal.WriteRecord(
@@ -72,6 +71,7 @@
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--most", type=int, default=64)
     size = 1
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -47,6 +47,7 @@
 
 
 def timed(call, *values):
+    """Median seconds of a call."""
     times = []
     for _ in range(ROUNDS):
         begun = time.perf_counter()
@@ -56,6 +57,7 @@
 
 
 def main():
+    """Runs the benchmark and prints its table."""
     asked = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     asked.add_argument("--draws", type=int, default=400)
     asked.add_argument("--schedules", type=int, default=60)
--- a/rushmux/cli/demo.py
+++ b/rushmux/cli/demo.py
@@ -15,7 +15,7 @@
 from rushmux.standins import scenario as days
 from rushmux.standins import script
 from rushmux.standins.passthrough import PassThrough
-from rushmux.standins.processes import NotStarted, ProcessFleet
+from rushmux.standins.processes import ProcessFleet, ProcessStartError
 from rushmux.standins.report import judge
 
 UNIT_TIME = 0.015
@@ -68,7 +68,7 @@
     """Plays the day with one scheduler and prints its report; whether every rule was kept."""
     try:
         recording = _record_day(demo, decisions, folder)
-    except (script.BadScript, NotStarted) as error:
+    except (script.ScriptError, ProcessStartError) as error:
         raise click.ClickException(str(error)) from error
     delay = MAX_SIMULATED_DELAY if demo.virtual else MAX_REAL_DELAY
     lines, kept_rules, _ = judge(recording.rows, recording.deployment, delay)
--- a/rushmux/cli/fault_scenarios.py
+++ b/rushmux/cli/fault_scenarios.py
@@ -29,18 +29,25 @@
     scenarios: Sequence[str], *, run_all: bool, jobs: int, seed: int, data: str | None, facts: bool
 ) -> None:
     """Runs fault scenarios; exit 1 where one breaks a rule."""
-    from rushmux.standins import fault_injection
+    from rushmux.standins import fault_injection, fault_scenario
 
     try:
-        chosen = [fault_injection.load(name) for name in (fault_injection.names() if run_all else scenarios)]
-    except fault_injection.BadStory as error:
+        chosen = [fault_scenario.load(name) for name in (fault_scenario.names() if run_all else scenarios)]
+    except fault_scenario.ScenarioError as error:
         raise click.ClickException(str(error)) from error
     if not chosen:
-        available = ", ".join(fault_injection.names())
+        available = ", ".join(fault_scenario.names())
         raise click.ClickException(f"name a story, or --all; there are {available}")
     with tempfile.TemporaryDirectory() as temporary:
         results = asyncio.run(
-            fault_injection.together(chosen, Path(data or temporary), jobs, seed, click.echo, facts)
+            fault_injection.run_scenarios(
+                chosen,
+                Path(data or temporary),
+                jobs=jobs,
+                seed=seed,
+                show=click.echo,
+                show_facts=facts,
+            )
         )
     broken = sum(bool(result.breaches) for result in results)
     click.echo(f"{len(results) - broken} of {len(results)} stories kept every rule")
--- a/rushmux/cli/local_fleet.py
+++ b/rushmux/cli/local_fleet.py
@@ -13,7 +13,7 @@
 from rushmux.cli.parameters import load_deployment, new_seed
 from rushmux.settings import deployment as deployments
 from rushmux.standins import fleet as fleets
-from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
+from rushmux.standins.processes import HOST, ProcessFleet, ProcessStartError
 
 UNIT_TIME = 0.001
 """Seconds of a core for a unit of work at a node of `rushmux up`, which is there to be used."""
@@ -86,7 +86,7 @@
             await fleet.up(nodes, edges)
             _announce(fleet)
             await _restart_until_stopped(fleet, stopped)
-        except NotStarted as error:
+        except ProcessStartError as error:
             raise click.ClickException(str(error)) from error
         finally:
             await fleet.down()
--- a/rushmux/cli/node.py
+++ b/rushmux/cli/node.py
@@ -21,7 +21,7 @@
 CELLS = click.option(
     "--cells", type=int, required=True, help="shards that data is spread over; never changed later"
 )
-OBEYS = click.option("--obeys", is_flag=True, help="take orders to be in trouble")
+ACCEPTS_FAULTS = click.option("--obeys", "accepts_faults", is_flag=True, help="take orders to be in trouble")
 
 
 @click.command("node")
@@ -46,7 +46,7 @@
 @click.option("--cores", type=int, default=2, show_default=True)
 @click.option("--warm", is_flag=True, help="start at full capacity")
 @click.option("--sync", is_flag=True, help="every commit reaches the disk before it is answered")
-@OBEYS
+@ACCEPTS_FAULTS
 def node(
     options: ServerOptions,
     *,
@@ -61,33 +61,30 @@
     cores: int,
     warm: bool,
     sync: bool,
-    obeys: bool,
+    accepts_faults: bool,
 ) -> None:
     """A stand-in storage node."""
     from rushmux.standins.fleet import shape_of, window_of
-    from rushmux.standins.node import Node
-    from rushmux.standins.store import BadStore, Store
+    from rushmux.standins.node import Identity, Node
+    from rushmux.standins.store import Store, StoreError
 
     deployment = load_deployment(options.deployment_file)
     try:
         store = Store(data, cell, disk_bytes, window_of(deployment), sync)
-    except BadStore as error:
+    except StoreError as error:
         raise click.ClickException(str(error)) from error
 
     async def run() -> None:
         server = Node(
-            name,
-            cell,
-            zone,
+            Identity(name, cell, zone, advertised),
             store,
             endpoint_sources,
             shape_of(deployment, unit=unit_time, cores=cores),
-            new_seed(options.seed),
-            not warm,
-            options.logger(),
-            open_recorder(options.records, asyncio.get_running_loop()),
-            obeys,
-            advertised,
+            seed=new_seed(options.seed),
+            cold=not warm,
+            log=options.logger(),
+            record=open_recorder(options.records, asyncio.get_running_loop()),
+            accepts_faults=accepts_faults,
         )
         await serve(server, options, start=server.start)
 
@@ -98,8 +95,8 @@
 @server_options
 @CELLS
 @click.option("--lag", type=float, default=1.0, show_default=True, help="seconds until a change is told")
-@OBEYS
-def lists(options: ServerOptions, *, cells: int, lag: float, obeys: bool) -> None:
+@ACCEPTS_FAULTS
+def lists(options: ServerOptions, *, cells: int, lag: float, accepts_faults: bool) -> None:
     """A stand-in for the source of the list of nodes."""
     from rushmux.standins.lists import ListSource
 
@@ -113,10 +110,10 @@
             lag,
             options.logger(),
             open_recorder(options.records, asyncio.get_running_loop()),
-            f"{new_seed(options.seed):x}",
-            settings.usage_period / TICKS_PER_SECOND,
-            rates,
-            obeys,
+            start=f"{new_seed(options.seed):x}",
+            usage_period=settings.usage_period / TICKS_PER_SECOND,
+            nominal_rates=rates,
+            accepts_faults=accepts_faults,
         )
         await serve(server, options)
 
--- a/rushmux/lab/fault_injector.py
+++ b/rushmux/lab/fault_injector.py
@@ -8,7 +8,7 @@
 from rushmux.lab.simulated_gateway import SimulatedGateway
 from rushmux.lab.simulated_node import SimulatedNode
 from rushmux.scheduling.interface import EndpointState
-from rushmux.standins.service_model import neighbour
+from rushmux.standins.service_model import run_noisy_neighbour
 
 if TYPE_CHECKING:
     from rushmux.lab.scheduler_simulation import SchedulerSimulation
@@ -79,12 +79,14 @@
         return lambda: setattr(node, "loss_rate", 0.0)
 
     def _start_slowness(self, event: FaultEvent, node: SimulatedNode) -> EndFault:
-        node.engine.slowed = event.size
-        # A restart in between gives the node another engine, which is not slow.
-        return lambda: setattr(node.engine, "slowed", 1.0)
+        node.service_model.slowdown = event.size
+        # A restart in between gives the node another service model, which is not slow.
+        return lambda: setattr(node.service_model, "slowdown", 1.0)
 
     def _start_noisy_neighbour(self, event: FaultEvent, node: SimulatedNode) -> None:
-        neighbour(self.clock, lambda: node.engine, event.size, self.clock.time() + event.duration)
+        run_noisy_neighbour(
+            self.clock, lambda: node.service_model, event.size, self.clock.time() + event.duration
+        )
 
     def _reset_connections(self, _event: FaultEvent, node: SimulatedNode) -> None:
         node.reset_connections()
--- a/rushmux/lab/load.py
+++ b/rushmux/lab/load.py
@@ -17,7 +17,7 @@
 from rushmux.lab.measurements import PERCENTILES
 from rushmux.lab.workload import Arrival
 from rushmux.sftp import packets as sftp
-from rushmux.standins.client import Client, Gone, Refusal
+from rushmux.standins.client import Client, ConnectionClosedError, StatusError
 
 MAX_IN_FLIGHT = 2_000  # requests; more are not sent, and counted
 BYTES_PER_UNIT = 32_768
@@ -87,7 +87,7 @@
     host, port = address
     try:
         return [await Client(_ignore_record).connect(host, port) for _ in range(SESSIONS_PER_EDGE)]
-    except (OSError, Gone) as error:
+    except (OSError, ConnectionClosedError) as error:
         raise NotServedError(f"{host}:{port}", f"takes no session: {error}") from error
 
 
@@ -115,7 +115,7 @@
                 path = f"/{folder}/load-{self.loop.time():.6f}-{number}"
                 try:
                     await client.put(path, b"x" * BYTES_PER_UNIT)
-                except (Refusal, Gone) as error:
+                except (StatusError, ConnectionClosedError) as error:
                     raise NotServedError(path, f"cannot be filed: {error}") from error
                 self.known_files[folder].append(path)
 
@@ -138,9 +138,9 @@
         kind = WRITE if arrival.is_write else READ
         try:
             await self._request(number, arrival, due)
-        except Refusal as refusal:
+        except StatusError as refusal:
             self.outcomes[refusal.status.message.split(":")[0] or sftp.FAILURE] += 1
-        except (Gone, OSError):
+        except (ConnectionClosedError, OSError):
             self.outcomes[ClientOutcome.LOST] += 1
         else:
             latency = self.loop.time() - due
--- a/rushmux/lab/scheduler_simulation.py
+++ b/rushmux/lab/scheduler_simulation.py
@@ -202,7 +202,7 @@
     def _sample(self) -> None:
         clock, limits = self.context.clock, self._concurrency_limits()
         nodes = {
-            name: NodeSample(node.engine.inflight if node.alive else 0, _upper_median(limits[name]))
+            name: NodeSample(node.service_model.in_flight if node.alive else 0, _upper_median(limits[name]))
             for name, node in self.nodes.items()
         }
         self.samples.append(Sample(clock.time() - START, nodes))
--- a/rushmux/lab/simulated_gateway.py
+++ b/rushmux/lab/simulated_gateway.py
@@ -21,6 +21,7 @@
     Ticks,
     UpdateKind,
 )
+from rushmux.standins.service_model import LoadSample
 
 SEED_BITS = 48  # of a scheduler's seed
 
@@ -236,14 +237,14 @@
     def request_load_report(self, node: str) -> None:
         """Asks a node for its load; the report arrives with the next round."""
         asked = self.nodes.get(node)
-        load = asked.engine.load() if asked is not None and asked.alive else None
+        load = asked.service_model.load_sample() if asked is not None and asked.alive else None
         self.context.clock.call_soon(self.deliver, self._on_load_report, node, load)
 
-    def _on_load_report(self, node: str, load: dict[str, float] | None) -> None:
+    def _on_load_report(self, node: str, load: LoadSample | None) -> None:
         if load is None:
             self.scheduler.on_load_report(node, AttemptResult.CONNECT_FAILED, None, None)
         else:
-            self.scheduler.on_load_report(node, AttemptResult.SUCCEEDED, load["queue"], load["service"])
+            self.scheduler.on_load_report(node, AttemptResult.SUCCEEDED, load.queue, load.service)
 
     def wake_after(self, delay: Ticks) -> None:
         """Runs a round after a delay; replaces the one asked for before."""
--- a/rushmux/lab/simulated_node.py
+++ b/rushmux/lab/simulated_node.py
@@ -10,8 +10,8 @@
 from rushmux.nodewire import messages
 from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.scheduling.interface import AttemptResult, Endpoint, EndpointState
-from rushmux.standins.node import Served
-from rushmux.standins.service_model import Engine, Shape
+from rushmux.standins.service_model import ServiceModel, Shape
+from rushmux.standins.usage_meter import UsageMeter
 
 if TYPE_CHECKING:
     from rushmux.lab.simulated_gateway import SimulatedGateway
@@ -47,7 +47,7 @@
         self.endpoint = Endpoint(self.name, cell, zone, EndpointState.READY, 0)
         self.start_count = 0
         self.in_flight: dict[SimulatedAttempt, bool] = {}
-        self.usage_meter = Served()
+        self.usage_meter = UsageMeter()
         self.silent = self.partitioned = self.omits_usage = False
         self.error_rate = self.loss_rate = 0.0
         self.connections: dict[int, float] = {}
@@ -58,7 +58,7 @@
         context = self.context
         self.start_count += 1
         self.alive = True
-        self.engine = Engine(
+        self.service_model = ServiceModel(
             self.machine,
             random.Random(f"{context.seed}/{self.name}/{self.start_count}"),
             cold,
@@ -72,7 +72,7 @@
             cell=self.cell,
             cold=cold,
             start=str(self.start_count),
-            per_second=self.engine.per_second(),
+            per_second=self.service_model.units_per_second(),
             cold_start=self.machine.cold_start,
             warm_within=self.machine.warm_within,
         )
@@ -84,7 +84,7 @@
     def stop(self) -> None:
         """Ends its process: connections break, and the endpoint list will say so."""
         self.alive = False
-        self.engine.stop()
+        self.service_model.stop()
         self.context.recorder.record("killed", node=self.name)
         self.reset_connections()
         self.on_state_change(self, EndpointState.REMOVED)
@@ -153,7 +153,7 @@
                 self._answer(attempt, AttemptResult.SUCCEEDED, messages.DONE)
 
         timeout = attempt.timeout / TICKS_PER_SECOND
-        accepted = self.engine.offer(arrival.units, arrival.key, arrival.is_write, timeout, on_done)
+        accepted = self.service_model.submit(arrival.units, arrival.key, arrival.is_write, timeout, on_done)
         if not accepted and self.alive:
             self._answer(attempt, AttemptResult.REJECTED, messages.BUSY)
 
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -1,14 +1,16 @@
-"""Judges a day by its recordings alone: the seven rules, and the bytes read against those written.
+"""Checks a day by its recordings alone: the seven rules, and the bytes read against those written.
 
-Recordings are rows with a `kind` and a time `at` in seconds of one clock: of the clients (session,
-ask, answer, left, writing, wrote, unsure, got), of the nodes' sockets (start, execution, outcome,
-effect, reset, fell), of what edges were told (told) and of what was done to the fleet (killed).  An
-operation's id reads EDGE.START.NUMBER/SESSION.REQUEST, or /- where no client asked for it.
+Recordings are rows with a `kind` and a time `at` in seconds of one clock: of the clients (session, ask,
+answer, left, writing, wrote, unsure, got), of the nodes' sockets (start, execution, outcome, effect, reset,
+fell), of what edges were told (told) and of what was done to the fleet (killed).  An operation's id reads
+EDGE.START.NUMBER/SESSION.REQUEST, or /- where no client asked for it.
 """
 
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
-from typing import NamedTuple
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import pairwise
+from typing import Any, NamedTuple
 
 from rushmux.nodewire import messages
 from rushmux.scheduling.interface import EndpointState, Idempotency
@@ -24,41 +26,57 @@
     "limits kept",
     "bytes as written",
 )
-SECOND = 10_000  # ticks in a second
-MOST_TOLD = 20  # breaches told of a rule; more are counted
+TICKS_PER_SECOND = 10_000
+MAX_BREACHES_SHOWN = 20
+"""Breaches of a rule that are described; more are counted."""
+NO_REQUEST = "-"
+NEVER = float("inf")
+
+Row = Mapping[str, Any]
 
 
 class Verdict(NamedTuple):
-    """One rule: how many events were held against it, how near the nearest came (1: the edge of it;
-    None where nothing came near), and the breaches.
+    """What became of one rule.
+
+    Attributes:
+        rule: Its name.
+        checked: Number of events that it was checked on.
+        nearest: How near the nearest of them came; 1: the edge of it. None: nothing came near.
+        breaches: Descriptions.
     """
 
     rule: str
     checked: int
-    nearest: float
+    nearest: float | None
     breaches: tuple[str, ...]
 
 
-class _Rule:
-    def __init__(self, name):
-        self.name, self.checked, self.nearest, self.breaches, self.more = name, 0, None, [], 0
+class _RuleCheck:
+    """Collects what a rule was checked on."""
+
+    def __init__(self, name: str):
+        self.name = name
+        self.checked = 0
+        self._nearest: float | None = None
+        self._breaches: list[str] = []
+        self._not_shown = 0
 
-    def near(self, part):
-        self.nearest = part if self.nearest is None else max(self.nearest, part)
+    def came_near(self, part: float) -> None:
+        self._nearest = part if self._nearest is None else max(self._nearest, part)
 
-    def breach(self, text):
-        if len(self.breaches) < MOST_TOLD:
-            self.breaches.append(text)
+    def breach(self, text: str) -> None:
+        if len(self._breaches) < MAX_BREACHES_SHOWN:
+            self._breaches.append(text)
         else:
-            self.more += 1
+            self._not_shown += 1
 
-    def verdict(self):
-        more = [f"and {self.more} more"] if self.more else []
-        return Verdict(self.name, self.checked, self.nearest, tuple(self.breaches + more))
+    def verdict(self) -> Verdict:
+        more = [f"and {self._not_shown} more"] if self._not_shown else []
+        return Verdict(self.name, self.checked, self._nearest, tuple(self._breaches + more))
 
 
-class Sent(NamedTuple):
-    """An execution as a node's socket saw it."""
+class Attempt(NamedTuple):
+    """An attempt as a node's socket saw it."""
 
     at: float
     node: str
@@ -66,31 +84,48 @@
     start: str
     number: int  # of the operation, in the order that its edge took them
     request: str  # session and request, "" where no client asked
-    row: dict
+    row: Row
 
     @property
-    def name(self):
+    def description(self) -> str:
+        """How breaches name it."""
         return f"{self.row['op']} execution {self.row['execution']} at {self.node}, {self.at:.4f} s"
 
 
-def _sent(row):
-    whole, tag = row["op"].split("/", 1)
-    edge, start, number = whole.rsplit(".", 2)
-    return Sent(
-        row["at"], row["node"], edge, start, int(number), "" if tag == "-" else f"{edge}.{start}/{tag}", row
-    )
+def _attempt(row: Row) -> Attempt:
+    operation, request = row["op"].split("/", 1)
+    edge, start, number = operation.rsplit(".", 2)
+    session = "" if request == NO_REQUEST else f"{edge}.{start}/{request}"
+    return Attempt(row["at"], row["node"], edge, start, int(number), session, row)
+
+
+class _Version:
+    """A version of a file that a client wrote: when it began, when it ended, whether it was acknowledged."""
+
+    def __init__(self, begun_at: float):
+        self.begun_at, self.ended_at, self.acknowledged = begun_at, NEVER, False
 
 
 class Checker:
-    """All recordings of one day.  `way` is the longest time a message is on its way, in seconds."""
+    """All recordings of one day.
+
+    Args:
+        records: The rows, in order of time.
+        deployment: What the fleet ran with.
+        max_delay: Longest time that a message is on its way, seconds.
+    """
 
-    def __init__(self, records, deployment: Deployment, way: float):
-        self.deployment, self.settings, self.way = deployment, deployment.settings, way
-        self.rows = defaultdict(list)
+    def __init__(self, records: Iterable[Row], deployment: Deployment, max_delay: float):
+        self.deployment, self.settings, self.max_delay = deployment, deployment.settings, max_delay
+        self.rows: dict[str, list[Row]] = defaultdict(list)
         for row in records:
             self.rows[row["kind"]].append(row)
-        self.sent = [_sent(row) for row in self.rows["execution"]]
+        self.attempts = [_attempt(row) for row in self.rows["execution"]]
         self.outcomes = {(row["op"], row["execution"], row["node"]): row for row in self.rows["outcome"]}
+        self._edge_killed_at = {
+            f"{row['edge']}.{row['start']}": row["at"] for row in self.rows["killed"] if "edge" in row
+        }
+        self._session_left_at = {row["session"]: row["at"] for row in self.rows["left"]}
 
     def breaches(self) -> list[str]:
         """What broke any rule."""
@@ -99,278 +134,357 @@
     def verdicts(self) -> list[Verdict]:
         """One for each of RULES, in that order."""
         checks = (
-            self.lost,
-            self.effects,
-            self.drains,
-            self.cold,
-            self.order,
-            self.budgets,
-            self.limits,
-            self.bytes,
+            self._check_answers,
+            self._check_effects,
+            self._check_drains,
+            self._check_cold_nodes,
+            self._check_order,
+            self._check_retry_budgets,
+            self._check_limits,
+            self._check_bytes,
         )
-        found = []
-        for name, check in zip(RULES, checks):
-            rule = _Rule(name)
+        verdicts = []
+        for name, check in zip(RULES, checks, strict=True):
+            rule = _RuleCheck(name)
             check(rule)
-            found.append(rule.verdict())
-        return found
+            verdicts.append(rule.verdict())
+        return verdicts
+
+    def _outcome_of(self, attempt: Attempt) -> Row | None:
+        return self.outcomes.get((attempt.row["op"], attempt.row["execution"], attempt.node))
 
-    def lost(self, rule):
+    # No operation lost.
+
+    def _check_answers(self, rule: _RuleCheck) -> None:
         """Each request that a running edge took has one answer in time, and nothing is sent after it."""
-        patience = self.deployment.sessions.patience
-        killed = {f"{row['edge']}.{row['start']}": row["at"] for row in self.rows["killed"] if "edge" in row}
         answers = defaultdict(list)
         for row in self.rows["answer"]:
             answers[row["session"], row["number"]].append(row)
-        left = {row["session"]: row["at"] for row in self.rows["left"]}
-        for ask in self.rows["ask"]:
-            key = ask["session"], ask["number"]
-            name = f"{ask['session']} request {ask['number']} ({ask['what']})"
+        for request in self.rows["ask"]:
             rule.checked += 1
-            found = answers.pop(key, [])
-            if len(found) > 1:
-                rule.breach(f"{name}: {len(found)} answers")
-            if found:
-                took = found[0]["at"] - ask["at"]
-                rule.near(took / patience)
-                if took > patience:
-                    rule.breach(f"{name}: answered after {took:.3f} s of {patience} s")
-            else:
-                edge = ask["session"].split("/")[0]
-                # Danger: an edge that closes on a client owes the answers; only its own death or the
-                # client's leaving excuses them.
-                over = min(killed.get(edge, float("inf")), left.get(ask["session"], float("inf")))
-                if over > ask["at"] + patience:
-                    rule.breach(f"{name}: no answer")
+            self._check_request(rule, request, answers.pop((request["session"], request["number"]), []))
         for (session, number), rows in answers.items():
             rule.breach(
                 f"{session} request {number}: an answer that nobody asked for, at {rows[0]['at']:.4f} s"
             )
-        answered = {f"{row['session']}.{row['number']}": row["at"] for row in self.rows["answer"]}
-        for sent in self.sent:
-            over = answered.get(sent.request)
-            if over is not None and sent.at > over + self.way:
-                rule.breach(f"{sent.name}: sent {sent.at - over:.4f} s after the answer")
-
-    def effects(self, rule):
-        """Repeats of a single-use or referenced operation stay where and when they are known again."""
-        by_op = defaultdict(list)
-        for sent in self.sent:
-            by_op[sent.row["op"]].append(sent)
-        for sends in by_op.values():
-            lane = self.settings.request_classes[sends[0].row["lane"]]
-            if lane.idempotency == Idempotency.IDEMPOTENT:
-                continue
-            sends.sort(key=lambda sent: sent.row["execution"])
-            rule.checked += 1
-            maybe = None
-            for sent in sends:
-                if maybe is not None:
-                    rule.near((sent.at - maybe.at) / (lane.dedup_window / SECOND) if lane.dedup_window else 0)
-                    if lane.idempotency == Idempotency.NOT_IDEMPOTENT:
-                        rule.breach(f"{sent.name}: an earlier one may have run")
-                    elif sent.at - maybe.at > lane.dedup_window / SECOND + self.way:
-                        rule.breach(f"{sent.name}: its mark is forgotten by then")
-                    elif lane.dedup_scope == "cell" and sent.row["cell"] != maybe.row["cell"]:
-                        rule.breach(f"{sent.name}: another cell does not know its mark")
-                outcome = self.outcomes.get((sent.row["op"], sent.row["execution"], sent.node))
-                known = outcome is not None and outcome["code"] == messages.BUSY
-                maybe = maybe if maybe is not None or known else sent
-        marks = {}
+        self._check_nothing_sent_after_answers(rule)
+
+    def _check_request(self, rule: _RuleCheck, request: Row, answers: Sequence[Row]) -> None:
+        patience = self.deployment.sessions.patience
+        name = f"{request['session']} request {request['number']} ({request['what']})"
+        if len(answers) > 1:
+            rule.breach(f"{name}: {len(answers)} answers")
+        if answers:
+            elapsed = answers[0]["at"] - request["at"]
+            rule.came_near(elapsed / patience)
+            if elapsed > patience:
+                rule.breach(f"{name}: answered after {elapsed:.3f} s of {patience} s")
+        elif self._excused_at(request["session"]) > request["at"] + patience:
+            rule.breach(f"{name}: no answer")
+
+    def _excused_at(self, session: str) -> float:
+        """From when on a session's answers are not owed any more.
+
+        An edge that closes on a client owes the answers; only its own death or the client's leaving excuses
+        them.
+        """
+        edge = session.split("/")[0]
+        return min(self._edge_killed_at.get(edge, NEVER), self._session_left_at.get(session, NEVER))
+
+    def _check_nothing_sent_after_answers(self, rule: _RuleCheck) -> None:
+        answered_at = {f"{row['session']}.{row['number']}": row["at"] for row in self.rows["answer"]}
+        for attempt in self.attempts:
+            at = answered_at.get(attempt.request)
+            if at is not None and attempt.at > at + self.max_delay:
+                rule.breach(f"{attempt.description}: sent {attempt.at - at:.4f} s after the answer")
+
+    # No effect twice.
+
+    def _check_effects(self, rule: _RuleCheck) -> None:
+        """Retries of what is not idempotent stay where and when they are recognized."""
+        by_operation = defaultdict(list)
+        for attempt in self.attempts:
+            by_operation[attempt.row["op"]].append(attempt)
+        for attempts in by_operation.values():
+            request_class = self.settings.request_classes[attempts[0].row["lane"]]
+            if request_class.idempotency != Idempotency.IDEMPOTENT:
+                rule.checked += 1
+                attempts.sort(key=lambda attempt: attempt.row["execution"])
+                self._check_retries(rule, attempts, request_class)
+        self._check_marks(rule)
+
+    def _check_retries(self, rule: _RuleCheck, attempts: Sequence[Attempt], request_class) -> None:
+        """Checks the attempts of one operation that is not idempotent, in their order."""
+        window = request_class.dedup_window / TICKS_PER_SECOND
+        first = None  # of those that may have run
+        for attempt in attempts:
+            if first is not None:
+                elapsed = attempt.at - first.at
+                rule.came_near(elapsed / window if request_class.dedup_window else 0)
+                if request_class.idempotency == Idempotency.NOT_IDEMPOTENT:
+                    rule.breach(f"{attempt.description}: an earlier one may have run")
+                elif elapsed > window + self.max_delay:
+                    rule.breach(f"{attempt.description}: its mark is forgotten by then")
+                elif request_class.dedup_scope == "cell" and attempt.row["cell"] != first.row["cell"]:
+                    rule.breach(f"{attempt.description}: another cell does not know its mark")
+            elif self._may_have_run(attempt):
+                first = attempt
+
+    def _may_have_run(self, attempt: Attempt) -> bool:
+        outcome = self._outcome_of(attempt)
+        return outcome is None or outcome["code"] != messages.BUSY
+
+    def _check_marks(self, rule: _RuleCheck) -> None:
+        node_by_mark: dict[str, str] = {}
         for row in self.rows["effect"]:
             rule.checked += 1
-            if row["mark"] in marks:
+            mark = row["mark"]
+            if mark in node_by_mark:
                 rule.breach(
-                    f"{row['op']}: its change took effect at {marks[row['mark']]} and at {row['node']}"
+                    f"{row['op']}: its change took effect at {node_by_mark[mark]} and at {row['node']}"
                 )
-            marks[row["mark"]] = row["node"]
+            node_by_mark[mark] = row["node"]
+
+    # Drains kept.
 
-    def drains(self, rule):
+    def _check_drains(self, rule: _RuleCheck) -> None:
         """Nothing new from an edge to a node later than the grace after it was told of its drain."""
-        told = defaultdict(list)  # edge, start, node -> times and conditions
+        told = defaultdict(list)
         for row in self.rows["told"]:
-            for node, condition in row["nodes"]:
-                rule.checked += condition != EndpointState.READY
-                told[row["edge"], row["start"], node].append((row["at"], condition))
-        grace = self.deployment.drain_grace
-        for sent in self.sent:
-            history = told.get((sent.edge, sent.start, sent.node), ())
-            since = None
-            for at, condition in history:
-                if at > sent.at:
-                    break
-                since = (since if since is not None else at) if condition != EndpointState.READY else None
+            for node, state in row["nodes"]:
+                rule.checked += state != EndpointState.READY
+                told[row["edge"], row["start"], node].append((row["at"], state))
+        grace = self.deployment.drain_grace + self.max_delay
+        for attempt in self.attempts:
+            since = _not_ready_since(told.get((attempt.edge, attempt.start, attempt.node), ()), attempt.at)
             if since is None:
                 continue
             rule.checked += 1
-            rule.near((sent.at - since) / (grace + self.way))
-            if sent.at - since > grace + self.way:
-                rule.breach(f"{sent.name}: told {sent.at - since:.3f} s before that it drains or is gone")
+            elapsed = attempt.at - since
+            rule.came_near(elapsed / grace)
+            if elapsed > grace:
+                rule.breach(f"{attempt.description}: told {elapsed:.3f} s before that it drains or is gone")
+
+    # No cold node pushed over.
 
-    def cold(self, rule):
-        """What comes to a node that has just started stays under the stated multiple of what it can do."""
-        span, settings = self.deployment.bounds.overload_window / SECOND, self.settings
+    def _check_cold_nodes(self, rule: _RuleCheck) -> None:
+        """What comes to a node that has just started stays under the stated multiple of its capacity."""
         for row in self.rows["fell"]:
             rule.breach(f"{row['node']} was pushed over at {row['at']:.3f} s")
         by_node = defaultdict(list)
-        for sent in self.sent:
-            by_node[sent.node].append(sent)
+        for attempt in self.attempts:
+            by_node[attempt.node].append(attempt)
         for start in self.rows["start"]:
-            if not start["cold"]:
-                continue
-            sends = by_node[start["node"]]
-            times = [sent.at for sent in sends]
-            first = bisect_left(times, start["at"])
-            last = bisect_right(times, start["at"] + start["warm_within"] + span)
-            others = [
-                other["at"]
-                for other in self.rows["start"]
-                if other["node"] == start["node"] and other["at"] > start["at"]
-            ]
-            low, held = first, 0.0
-            for place in range(first, last):
-                sent = sends[place]
-                if others and sent.at >= min(others):
-                    break
-                held += sent.row["units"]
-                while times[low] <= sent.at - span:
-                    held -= sends[low].row["units"]
-                    low += 1
-                part = min(
-                    1.0,
-                    start["cold_start"]
-                    + (1 - start["cold_start"]) * (sent.at - start["at"]) / start["warm_within"],
+            if start["cold"]:
+                self._check_cold_start(rule, start, by_node[start["node"]])
+
+    def _check_cold_start(self, rule: _RuleCheck, start: Row, attempts: Sequence[Attempt]) -> None:
+        """Checks what came to a node within any window while it was warming up."""
+        window = self.deployment.bounds.overload_window / TICKS_PER_SECOND
+        times = [attempt.at for attempt in attempts]
+        first = bisect_left(times, start["at"])
+        last = bisect_right(times, start["at"] + start["warm_within"] + window)
+        next_start = self._next_start(start)
+        oldest, units = first, 0.0
+        for index in range(first, last):
+            attempt = attempts[index]
+            if attempt.at >= next_start:
+                break
+            units += attempt.row["units"]
+            while times[oldest] <= attempt.at - window:
+                units -= attempts[oldest].row["units"]
+                oldest += 1
+            bearable = self.settings.overload_multiple * _capacity(start, attempt.at) * window
+            rule.checked += 1
+            rule.came_near(units / bearable)
+            if units > bearable:
+                rule.breach(
+                    f"{attempt.description}: {units:.1f} units in {window} s, {bearable:.1f} push it over"
                 )
-                most = settings.overload_multiple * part * start["per_second"] * span
-                rule.checked += 1
-                rule.near(held / most)
-                if held > most:
-                    rule.breach(f"{sent.name}: {held:.1f} units in {span} s, {most:.1f} push it over")
-
-    def order(self, rule):
-        """In a lane in order, one at a time for a key and in the order taken, with rests."""
-        lines = defaultdict(list)
-        for sent in self.sent:
-            if self.settings.request_classes[sent.row["lane"]].ordered and sent.row["key"]:
-                lines[sent.edge, sent.start, sent.row["key"]].append(sent)
-        rest = self.settings.key_cooldown / SECOND
-        breaks = sorted(
-            (row["at"], row["node"])
-            for kind in ("killed", "reset", "fell")
-            for row in self.rows[kind]
-            if "node" in row
+
+    def _next_start(self, start: Row) -> float:
+        later = (
+            other["at"]
+            for other in self.rows["start"]
+            if other["node"] == start["node"] and other["at"] > start["at"]
         )
-        breaks += [
-            (row["at"], node)
-            for row in self.rows["told"]
-            for node, condition in row["nodes"]
-            if condition == EndpointState.REMOVED
-        ]
-        for line in lines.values():
-            line.sort(key=lambda sent: sent.at)
-            for before, sent in zip(line, line[1:]):
-                if before.row["op"] == sent.row["op"]:
+        return min(later, default=NEVER)
+
+    # Order kept.
+
+    def _check_order(self, rule: _RuleCheck) -> None:
+        """In an ordered request class, one at a time for a key and in the order taken, with cooldowns."""
+        by_key = defaultdict(list)
+        for attempt in self.attempts:
+            if self.settings.request_classes[attempt.row["lane"]].ordered and attempt.row["key"]:
+                by_key[attempt.edge, attempt.start, attempt.row["key"]].append(attempt)
+        breaks = list(self._connection_breaks())
+        for attempts in by_key.values():
+            attempts.sort(key=lambda attempt: attempt.at)
+            for before, attempt in pairwise(attempts):
+                if before.row["op"] == attempt.row["op"]:
                     continue
                 rule.checked += 1
-                if sent.number < before.number:
-                    rule.breach(f"{sent.name}: taken before {before.name}")
-                outcome = self.outcomes.get((before.row["op"], before.row["execution"], before.node))
-                over = before.at + before.row["time_out"] / SECOND
-                # What the edge did not hear in time, or what broke off, it held for lost; then the key rests.
-                if outcome is not None and outcome["at"] <= over:
-                    free = outcome["at"]
-                else:
-                    broke = [
-                        at
-                        for at, node in breaks
-                        if node == before.node and before.at <= at + self.way and at < over
-                    ]
-                    free = rest + min([over, *broke])
-                if sent.at < free - self.way:
-                    rule.breach(f"{sent.name}: {before.name} is not over")
-
-    def budgets(self, rule):
-        """Further executions of an edge stay within the budget in any window."""
-        share, free, span = (
-            self.settings.retry_budget_ratio,
-            self.settings.retry_budget_burst,
-            self.settings.retry_budget_window / SECOND,
-        )
-        if share is None:
+                if attempt.number < before.number:
+                    rule.breach(f"{attempt.description}: taken before {before.description}")
+                if attempt.at < self._key_free_at(before, breaks) - self.max_delay:
+                    rule.breach(f"{attempt.description}: {before.description} is not over")
+
+    def _connection_breaks(self) -> Iterator[tuple[float, str]]:
+        """When an edge may have counted what was out at a node as lost, and the node."""
+        for kind in ("killed", "reset", "fell"):
+            yield from ((row["at"], row["node"]) for row in self.rows[kind] if "node" in row)
+        for row in self.rows["told"]:
+            yield from ((row["at"], node) for node, state in row["nodes"] if state == EndpointState.REMOVED)
+
+    def _key_free_at(self, attempt: Attempt, breaks: Iterable[tuple[float, str]]) -> float:
+        """When the next operation on the same key may be sent.
+
+        What the edge did not hear of in time, or what broke off, counts as lost; then the key cools down.
+        """
+        outcome = self._outcome_of(attempt)
+        timed_out_at = attempt.at + attempt.row["time_out"] / TICKS_PER_SECOND
+        if outcome is not None and outcome["at"] <= timed_out_at:
+            return outcome["at"]
+        broken_at = [
+            at
+            for at, node in breaks
+            if node == attempt.node and attempt.at <= at + self.max_delay and at < timed_out_at
+        ]
+        return self.settings.key_cooldown / TICKS_PER_SECOND + min([timed_out_at, *broken_at])
+
+    # Budgets kept.
+
+    def _check_retry_budgets(self, rule: _RuleCheck) -> None:
+        """Retries of an edge stay within the budget in any window."""
+        if self.settings.retry_budget_ratio is None:
             return
-        edges, taken_at = defaultdict(list), defaultdict(list)
+        by_edge, taken_at = defaultdict(list), defaultdict(list)
         for row in self.rows["took"]:
             taken_at[row["edge"], row["start"]].append(row["at"])
-        for sent in self.sent:
-            edges[sent.edge, sent.start].append(sent)
-        for sends in edges.values():
-            sends.sort(key=lambda sent: sent.at)
-            extras = [sent for sent in sends if sent.row["execution"]]
-            # Operations are numbered as they are taken: those taken by a time are at least the highest
-            # number sent by then, and those taken before it at most the lowest first sent after it.
-            times = [sent.at for sent in sends]
-            took = taken_at.get((sends[0].edge, sends[0].start))
-            highest, top = [], 0
-            for sent in sends:
-                top = max(top, sent.number)
-                highest.append(top)
-            for place, extra in enumerate(extras):
-                low = bisect_left([other.at for other in extras], extra.at - span + 2 * self.way)
-                seen = highest[bisect_right(times, extra.at) - 1]
-                before = bisect_right(times, extra.at - span)
-                taken = seen - (highest[before - 1] if before else 0)
-                if took is not None:  # told by the edge itself, those that it never sent included
-                    taken = bisect_right(took, extra.at) - bisect_left(took, extra.at - span)
-                rule.checked += 1
-                most = free + share * taken
-                rule.near((place - low + 1) / max(1, most))
-                if place - low + 1 > most:
-                    rule.breach(
-                        f"{extra.name}: {place - low + 1} further executions in {span} s, "
-                        f"{most:.1f} for {taken} taken"
-                    )
-
-    def limits(self, rule):
+        for attempt in self.attempts:
+            by_edge[attempt.edge, attempt.start].append(attempt)
+        for edge, attempts in by_edge.items():
+            attempts.sort(key=lambda attempt: attempt.at)
+            self._check_retry_budget(rule, attempts, taken_at.get(edge))
+
+    def _check_retry_budget(
+        self, rule: _RuleCheck, attempts: Sequence[Attempt], taken_at: Sequence[float] | None
+    ) -> None:
+        window = self.settings.retry_budget_window / TICKS_PER_SECOND
+        retries = [attempt for attempt in attempts if attempt.row["execution"]]
+        retried_at = [retry.at for retry in retries]
+        estimate = _TakenEstimate(attempts)
+        for index, retry in enumerate(retries):
+            oldest = bisect_left(retried_at, retry.at - window + 2 * self.max_delay)
+            if taken_at is None:
+                taken = estimate.taken_by(retry.at) - estimate.taken_by(retry.at - window)
+            else:  # reported by the edge itself, those that it never sent included
+                taken = bisect_right(taken_at, retry.at) - bisect_left(taken_at, retry.at - window)
+            allowed = self.settings.retry_budget_burst + self.settings.retry_budget_ratio * taken
+            count = index - oldest + 1
+            rule.checked += 1
+            rule.came_near(count / max(1, allowed))
+            if count > allowed:
+                rule.breach(
+                    f"{retry.description}: {count} further executions in {window} s, "
+                    f"{allowed:.1f} for {taken} taken"
+                )
+
+    # Limits kept.
+
+    def _check_limits(self, rule: _RuleCheck) -> None:
         """What all edges first send for a folder keeps to its plan's limit."""
-        stores, seen = {}, set()
-        for sent in sorted(self.sent, key=lambda sent: sent.at):
-            folder = sent.row["volume"]
+        levels: dict[str, tuple[float, float]] = {}  # units left in a folder's bucket, and when
+        seen = set()
+        for attempt in sorted(self.attempts, key=lambda attempt: attempt.at):
+            folder = attempt.row["volume"]
             plan = self.settings.plans[self.deployment.folders[folder].plan]
-            if not plan.limit or sent.row["op"] in seen:
+            if not plan.limit or attempt.row["op"] in seen:
                 continue
-            seen.add(sent.row["op"])
-            level, at = stores.get(folder, (plan.burst, sent.at))
-            level = min(plan.burst, level + plan.limit * (sent.at - at)) - sent.row["units"]
-            stores[folder] = level, sent.at
+            seen.add(attempt.row["op"])
+            level, at = levels.get(folder, (plan.burst, attempt.at))
+            level = min(plan.burst, level + plan.limit * (attempt.at - at)) - attempt.row["units"]
+            levels[folder] = level, attempt.at
             rule.checked += 1
-            rule.near((plan.burst - level) / (plan.burst + plan.slack))
-            if level < -plan.slack - plan.limit * self.way:
+            rule.came_near((plan.burst - level) / (plan.burst + plan.slack))
+            if level < -plan.slack - plan.limit * self.max_delay:
                 rule.breach(
-                    f"{sent.name}: the limit of '{folder}' is passed by {-level:.1f} units, "
+                    f"{attempt.description}: the limit of '{folder}' is passed by {-level:.1f} units, "
                     f"{plan.slack} are allowed"
                 )
 
-    def bytes(self, rule):
+    # Bytes as written.
+
+    def _check_bytes(self, rule: _RuleCheck) -> None:
         """What was read is a version that was whole, and no older than the last one acknowledged."""
-        writes = defaultdict(dict)  # path -> digest -> [begun, over, acknowledged]
-        for row in self.rows["writing"]:
-            writes[row["path"]][row["digest"]] = [row["begun"], float("inf"), False]
-        for kind in ("wrote", "unsure"):
-            for row in self.rows[kind]:
-                writes[row["path"]][row["digest"]][1:] = row["at"], kind == "wrote"
+        versions = self._written_versions()
         for row in self.rows["got"]:
             rule.checked += 1
-            known = writes[row["path"]].get(row["digest"])
-            if known is None:
+            read = versions[row["path"]].get(row["digest"])
+            if read is None:
                 rule.breach(f"{row['path']} read at {row['at']:.4f} s: bytes that nobody wrote whole")
                 continue
             newer = [
-                other
-                for other in writes[row["path"]].values()
-                if other[2] and other[0] > known[1] and other[1] < row["begun"]
+                version
+                for version in versions[row["path"]].values()
+                if version.acknowledged
+                and version.begun_at > read.ended_at
+                and version.ended_at < row["begun"]
             ]
-            if newer or known[0] > row["at"]:
+            if newer or read.begun_at > row["at"]:
                 rule.breach(
-                    f"{row['path']} read at {row['at']:.4f} s: a version of {known[0]:.4f} s, "
+                    f"{row['path']} read at {row['at']:.4f} s: a version of {read.begun_at:.4f} s, "
                     f"over {len(newer)} newer ones that were acknowledged before"
                 )
+
+    def _written_versions(self) -> dict[str, dict[str, _Version]]:
+        """Versions by path and digest."""
+        versions: dict[str, dict[str, _Version]] = defaultdict(dict)
+        for row in self.rows["writing"]:
+            versions[row["path"]][row["digest"]] = _Version(row["begun"])
+        for kind in ("wrote", "unsure"):
+            for row in self.rows[kind]:
+                version = versions[row["path"]][row["digest"]]
+                version.ended_at, version.acknowledged = row["at"], kind == "wrote"
+        return versions
+
+
+class _TakenEstimate:
+    """How many operations an edge had taken by a time, from the numbers of those that it sent.
+
+    Operations are numbered as they are taken: those taken by a time are at least the highest number sent
+    by then.
+    """
+
+    def __init__(self, attempts: Sequence[Attempt]):
+        self._times = [attempt.at for attempt in attempts]
+        self._highest: list[int] = []
+        highest = 0
+        for attempt in attempts:
+            highest = max(highest, attempt.number)
+            self._highest.append(highest)
+
+    def taken_by(self, at: float) -> int:
+        count = bisect_right(self._times, at)
+        return self._highest[count - 1] if count else 0
+
+
+def _not_ready_since(history: Iterable[tuple[float, EndpointState]], at: float) -> float | None:
+    """Since when an edge knew at a time that a node was not ready; None: it was, as far as it knew."""
+    since = None
+    for told_at, state in history:
+        if told_at > at:
+            break
+        if state == EndpointState.READY:
+            since = None
+        elif since is None:
+            since = told_at
+    return since
+
+
+def _capacity(start: Row, at: float) -> float:
+    """Units a second that a node of a cold start can serve at a time."""
+    age = (at - start["at"]) / start["warm_within"]
+    part = min(1.0, start["cold_start"] + (1 - start["cold_start"]) * age)
+    return part * start["per_second"]
--- a/rushmux/standins/client.py
+++ b/rushmux/standins/client.py
@@ -5,14 +5,16 @@
 
 from rushmux.sftp import packets as sftp
 
-READ = 1 << 17
+READ_SIZE = 1 << 17
+PIECE_SIZE = 32_768
+"""Bytes of a READ or WRITE request."""
 
 
-class Gone(Exception):
+class ConnectionClosedError(Exception):
     """The connection ended before the answer came."""
 
 
-class Refusal(Exception):
+class StatusError(Exception):
     """A status that is not OK; `status` is the packet."""
 
     def __init__(self, status):
@@ -34,9 +36,9 @@
         self.writer.write(sftp.encode(sftp.Init(sftp.VERSION, ())))
         self.packets, first = sftp.PacketSplitter(), []
         while not first:
-            data = await self.reader.read(READ)
+            data = await self.reader.read(READ_SIZE)
             if not data:
-                raise Gone("before a version")
+                raise ConnectionClosedError("before a version")
             first = self.packets.feed(data)
         self.version = sftp.decode(first[0])
         self.name = dict(self.version.extensions).get("session@rushmux", b"").decode()
@@ -45,9 +47,10 @@
         return self
 
     async def read_all(self):
+        """Reads replies until the connection ends."""
         why = "closed"
         try:
-            while data := await self.reader.read(READ):
+            while data := await self.reader.read(READ_SIZE):
                 for body in self.packets.feed(data):
                     packet = sftp.decode(body)
                     future = self.waiting.pop(packet.request_id, None)
@@ -68,13 +71,23 @@
             waiting, self.waiting = self.waiting, {}
             for future in waiting.values():
                 if not future.done():
-                    future.set_exception(Gone(why))
+                    future.set_exception(ConnectionClosedError(why))
             self.writer.close()
 
     async def ask(self, kind, *fields, **about):
-        """One request: a packet class and its fields after the id.  The reply, Refusal or Gone."""
+        """Sends one request and waits for its reply.
+
+        Args:
+            kind: The packet's class.
+            fields: Its fields after the id.
+            about: Further fields of the recorded row.
+
+        Raises:
+            StatusError: The reply is a status other than OK.
+            ConnectionClosedError: The connection ended before the reply came.
+        """
         if self.reading is None or self.reading.done():
-            raise Gone("not connected")
+            raise ConnectionClosedError("not connected")
         # Ids count from one, as the server counts requests: both sides name a request alike.
         self.requests += 1
         number = self.requests
@@ -83,7 +96,7 @@
         self.writer.write(sftp.encode(kind(number, *fields)))
         reply = await future
         if isinstance(reply, sftp.Status) and reply.code != sftp.OK:
-            raise Refusal(reply)
+            raise StatusError(reply)
         return reply
 
     async def close(self):
@@ -93,12 +106,13 @@
             self.reading.cancel()
             await asyncio.gather(self.reading, return_exceptions=True)
 
-    # Whole errands of a user.
+    # What a user does with several requests.
 
     async def open(self, path, flags, **about):
+        """Opens a file; its handle."""
         return (await self.ask(sftp.Open, path, flags, sftp.Attributes(), **about)).handle
 
-    async def put(self, path, data, piece=32_768, **about):
+    async def put(self, path, data, piece=PIECE_SIZE, **about):
         """Writes a whole file, its pieces side by side."""
         handle = await self.open(path, sftp.WRITE | sftp.CREATE | sftp.TRUNCATE, **about)
         await asyncio.gather(
@@ -109,14 +123,14 @@
         )
         await self.ask(sftp.Close, handle, **about)
 
-    async def get(self, path, piece=32_768, **about):
+    async def get(self, path, piece=PIECE_SIZE, **about):
         """Reads a whole file."""
         handle = await self.open(path, sftp.READ, **about)
         parts = []
         while True:
             try:
                 parts.append((await self.ask(sftp.Read, handle, sum(map(len, parts)), piece, **about)).data)
-            except Refusal as refusal:
+            except StatusError as refusal:
                 if refusal.status.code == sftp.EOF:
                     break
                 raise
@@ -132,7 +146,7 @@
         while True:
             try:
                 names += [row.name for row in (await self.ask(sftp.ReadDir, handle, **about)).names]
-            except Refusal as refusal:
+            except StatusError as refusal:
                 if refusal.status.code != sftp.EOF:
                     raise
                 break
--- a/rushmux/standins/fault_injection.py
+++ b/rushmux/standins/fault_injection.py
@@ -1,18 +1,4 @@
-"""The fault rig: real processes of the program, relays between them, a story of what happens, and its judge.
-
-A story is lines of text (`stories/*.txt`).  `planners 3`, `edges 3`, `nodes 2`, `length 30`, `limit 60`,
-`load 0.3` state the fleet.  `at TIME VERB …` is done at a time, `on KIND VERB …` when the first planner has
-decided an entry of that kind (`on propose after 0.3 kill leader`).  Verbs:
-
-    propose PLACE=VALUE … [base N] [as WORD]   withdraw N   revert N [as WORD]   forget MEMBER
-    kill NAME   stop NAME SECONDS   start NAME [image|empty|torn]   image NAME   full NAME SECONDS
-    cut NAMES from NAMES SECONDS   mute NAMES to NAMES SECONDS   delay NAMES to NAMES LEAST MOST SECONDS
-    refuse NAMES to NAMES SECONDS   reset NAME from NAME BYTES
-
-`leader` is the planner that leads then, `last` what was killed last.
-`expect WORD decided|ended|withdrawn|refused [text]` says how a change has to end, `expect force N` what is in
-force at the end.
-"""
+"""Runs fault scenarios on real processes of the program, with proxies between them, and checks each."""
 
 import asyncio
 import copy
@@ -21,493 +7,512 @@
 import shutil
 import signal
 from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import Deployment, build
 from rushmux.standins import scenario as days
-from rushmux.standins.fault_proxy import Relays
+from rushmux.standins.fault_proxy import FaultProxies, matching_names
+from rushmux.standins.fault_scenario import LIMITED_FOLDER, Scenario, Step, raw_deployment
 from rushmux.standins.policy_history_checker import check_history
-from rushmux.standins.processes import HOST, NotStarted, ProcessFleet
+from rushmux.standins.processes import HOST, Part, ProcessFleet, ProcessStartError
 from rushmux.standins.script import Event, Script
 
-STORIES = Path(__file__).with_name("stories")
-EXAMPLE = Path(documents.__file__).with_name("example.json")
-LOOK = 0.02  # seconds between two looks at what was decided
-MOST_LINES = 500
-SETTLE = 25.0  # seconds at the end in which all must come to one number
-SURGED = "caribe"  # a folder with a limit that is asked for more than it allows
-
-
-class BadStory(Exception):
-    """A line that means nothing; the text names it."""
-
-
-class Deed(NamedTuple):
-    """`at`: seconds after the clients began; or `on` a kind of entry, and so many seconds after it."""
-
-    at: float
-    on: str
-    verb: str
-    words: tuple[str, ...]
-
-
-class Story(NamedTuple):
-    name: str
-    sizes: dict[str, float]
-    deeds: tuple[Deed, ...]
-    expects: tuple[tuple[str, ...], ...]
-
-
-SIZES = {"planners": 3, "edges": 3, "nodes": 2, "length": 25.0, "limit": 60.0, "load": 0.15, "surge": 16.0}
-VERBS = (
-    "propose",
-    "withdraw",
-    "revert",
-    "forget",
-    "kill",
-    "stop",
-    "start",
-    "image",
-    "full",
-    "cut",
-    "mute",
-    "delay",
-    "refuse",
-    "reset",
-)
-
-
-def parse(text: str, name="story") -> Story:
-    """The story that a text tells; BadStory with the line and what is wrong in it."""
-    sizes, deeds, expects = dict(SIZES), [], []
-    for number, line in enumerate(text.splitlines()[:MOST_LINES], 1):
-        words = line.split("#")[0].split()
-        if not words:
-            continue
-        try:
-            if words[0] in SIZES and len(words) == 2:
-                sizes[words[0]] = type(SIZES[words[0]])(words[1])
-            elif words[0] == "expect" and len(words) > 2:
-                expects.append(tuple(words[1:]))
-            elif words[0] in ("at", "on"):
-                at, on, rest = 0.0, "", words[2:]
-                if words[0] == "at":
-                    at = float(words[1])
-                else:
-                    on = words[1]
-                if on and rest[0] == "after":
-                    at, rest = float(rest[1]), rest[2:]
-                if rest[0] not in VERBS:
-                    raise ValueError(f"there is no verb '{rest[0]}'")
-                deeds.append(Deed(at, on, rest[0], tuple(rest[1:])))
-            else:
-                raise ValueError("no line of this form")
-        except (ValueError, IndexError) as fault:
-            raise BadStory(f"{name}, line {number}: {line.strip()}: {fault}") from fault
-    return Story(name, sizes, tuple(deeds), tuple(expects))
-
-
-def load(name) -> Story:
-    """A story of the collection by its name, or a file by its path."""
-    path = STORIES / f"{name}.txt"
-    path = path if path.exists() else Path(name)
-    try:
-        return parse(path.read_text(), path.stem)
-    except OSError as fault:
-        raise BadStory(f"{path}: cannot be read: {fault.strerror}") from fault
-
-
-def names() -> list[str]:
-    return sorted(path.stem for path in STORIES.glob("*.txt"))
-
-
-def stated(story: Story) -> dict:
-    """The deployment of a story: the example, with a policy in common and a limit that binds."""
-    raw, edges = json.loads(EXAMPLE.read_text()), story.sizes["edges"]
-    raw["fleet"].update(gateways=edges, policy=True)
-    raw["plans"]["basico"].update(limit=story.sizes["limit"], burst=2 * story.sizes["limit"])
-    return raw
-
-
-class Rig(ProcessFleet):
-    """The fleet of a story."""
-
-    def __init__(self, story: Story, file, deployment: Deployment, folder, seed):
-        super().__init__(file, deployment, folder, seed, records=True, unit=0.002)
-        self.story, self.relays = story, Relays(random.Random(seed))
-        self.planners, self.killed, self.images, self.operator_commands = {}, [], {}, []
-        self.stopped = {}  # edge -> whether it ever stood still
-
-    async def start_planner(self, name, found=False):
-        """Starts a planner; the others are known to it through relays."""
-        parts = [f"{other}={HOST}:{await self.relays.port(name, other)}" for other in self.planner_names]
+NODE_UNIT_TIME = 0.002
+"""Seconds of a core for a unit of work at a node."""
+POLL_INTERVAL = 0.02
+"""Seconds between two looks at what planners recorded."""
+SLOW_POLL_INTERVAL = 0.1
+SETTLE_TIME = 25.0
+"""Seconds at the end in which all members must come to one version."""
+START_TIMEOUT = 45.0
+"""Seconds until every edge serves under the policy."""
+LEADER_POLLS, KILL_POLLS = 100, 300
+"""Looks for a leader, and for a process that a scenario kills first, a slow interval apart."""
+CLIENT_SEED = 7
+TORN_BYTES = 3
+"""Bytes that a torn log lacks at its end."""
+PLANNER_LETTERS = "abcde"
+EDGE, NODE, PLANNER = "edge", "node", "planner"
+
+Row = dict[str, Any]
+
+
+class ScenarioFleet(ProcessFleet):
+    """The fleet of a scenario: planners, nodes and edges that reach each other through proxies."""
+
+    def __init__(self, scenario: Scenario, file: Path, deployment: Deployment, folder: Path, seed: int):
+        super().__init__(file, deployment, folder, seed, records=True, unit=NODE_UNIT_TIME)
+        self.scenario, self.proxies = scenario, FaultProxies(random.Random(seed))
+        self.planner_names = [f"{PLANNER}{letter}" for letter in PLANNER_LETTERS[: self._size("planners")]]
+        self.planners: dict[str, Part] = {}
+        self.killed: list[str] = []
+        self.operator_commands: list[Row] = []
+        self.stopped: dict[str, bool] = {}  # edges that ever stood still
+
+    def _size(self, name: str) -> int:
+        return int(self.scenario.sizes[name])
+
+    # Processes.
+
+    async def start_planner(self, name: str, found: bool = False) -> None:
+        """Starts a planner; it reaches the others through proxies.
+
+        Args:
+            name: Its name.
+            found: Whether it begins the log, as at the fleet's first start.
+        """
+        addresses = [f"{other}={HOST}:{await self.proxies.port(name, other)}" for other in self.planner_names]
+        arguments = {
+            "--deployment": self.file,
+            "--cells": self.cells,
+            "--name": name,
+            "--planners": ",".join(addresses),
+            "--data": self.folder / "data" / name / "planner.db",
+        }
         self.planners[name] = part = await self.begin(
-            name,
-            "planner",
-            "--deployment",
-            self.file,
-            "--cells",
-            self.cells,
-            "--name",
-            name,
-            "--planners",
-            ",".join(parts),
-            "--data",
-            self.folder / "data" / name / "planner.db",
-            *(["--found"] if found else []),
-        )
-        self.relays.targets[name] = part.port
-
-    async def listed(self, name):
-        """Where a part finds the planners, through relays."""
-        return ",".join([f"{HOST}:{await self.relays.port(name, other)}" for other in self.planner_names])
-
-    async def node(self, name, cell, cold=True):
-        told = await self.relays.port("edges", name)
-        part = await self.begin(
-            name,
-            "node",
-            "--deployment",
-            self.file,
-            "--name",
-            name,
-            "--cell",
-            cell,
-            "--unit",
-            self.unit,
-            "--lists",
-            await self.listed(name),
-            "--obeys",
-            "--tell",
-            f"{HOST}:{told}",
-            "--data",
-            self.folder / "data" / f"{name}.db",
-            *(() if cold else ("--warm",)),
+            name, "planner", *_flatten(arguments), *(["--found"] if found else [])
         )
+        self.proxies.targets[name] = part.port
+
+    async def _planner_addresses(self, name: str) -> str:
+        """Where a process reaches the planners: through proxies."""
+        return ",".join([f"{HOST}:{await self.proxies.port(name, other)}" for other in self.planner_names])
+
+    async def node(self, name: str, cell: int, cold: bool = True) -> Part:
+        """Starts a node; edges reach it through a proxy."""
+        arguments = {
+            "--deployment": self.file,
+            "--name": name,
+            "--cell": cell,
+            "--unit": self.unit,
+            "--lists": await self._planner_addresses(name),
+            "--tell": f"{HOST}:{await self.proxies.port('edges', name)}",
+            "--data": self.folder / "data" / f"{name}.db",
+        }
+        part = await self.begin(name, "node", *_flatten(arguments), "--obeys", *(() if cold else ("--warm",)))
         part.cell, self.nodes[name] = cell, part
-        self.relays.targets[name] = part.port
+        self.proxies.targets[name] = part.port
         return part
 
-    async def edge(self, number, port=0):
-        name = f"edge{number}"
-        self.edges[number] = await self.begin(
-            name,
-            "edge",
-            "--listen",
-            f"{HOST}:{port}",
-            "--deployment",
-            self.file,
-            "--number",
-            number,
-            "--lists",
-            await self.listed(name),
-            "--data",
-            self.folder / "data" / name,
-        )
+    async def edge(self, number: int, port: int = 0) -> Part:
+        """Starts an edge, on the port that it had before where one is given."""
+        name = f"{EDGE}{number}"
+        arguments = {
+            "--listen": f"{HOST}:{port}",
+            "--deployment": self.file,
+            "--number": number,
+            "--lists": await self._planner_addresses(name),
+            "--data": self.folder / "data" / name,
+        }
+        self.edges[number] = await self.begin(name, "edge", *_flatten(arguments))
         return self.edges[number]
 
-    async def up(self, nodes, edges):
+    async def up(self, nodes: int, edges: int) -> None:
+        """Starts everything, nodes warm, and waits until every edge serves under the policy."""
         self.cells = nodes
-        self.planner_names = [f"planner{letter}" for letter in "abcde"[: self.story.sizes["planners"]]]
         await asyncio.gather(*(self.start_planner(name, True) for name in self.planner_names))
-        await asyncio.gather(*(self.node(f"node{cell}", cell, cold=False) for cell in range(nodes)))
+        await asyncio.gather(*(self.node(f"{NODE}{cell}", cell, cold=False) for cell in range(nodes)))
         await asyncio.gather(*(self.edge(number) for number in range(edges)))
-        async with asyncio.timeout(45):
-            while not all(
-                any(
-                    row["kind"] == "goes_by" and row["serves"] and not row["narrow"]
-                    for row in self.rows_of(part)
-                )
-                for part in self.edges.values()
-            ):
-                await asyncio.sleep(0.1)
-
-    def rows_of(self, part):
-        """What a part recorded so far."""
+        async with asyncio.timeout(START_TIMEOUT):
+            while not all(self._is_serving(part) for part in self.edges.values()):
+                await asyncio.sleep(SLOW_POLL_INTERVAL)
+
+    def _is_serving(self, edge: Part) -> bool:
+        rows = self._policy_states(edge)
+        return any(row["serves"] and not row["narrow"] for row in rows)
+
+    async def down(self) -> None:
+        """Ends everything, also what was stopped."""
+        for parts in (self.edges.values(), self.nodes.values(), self.planners.values()):
+            for part in parts:
+                if part.process.returncode is None:
+                    part.process.send_signal(signal.SIGCONT)
+            await asyncio.gather(*(self.end_one(part) for part in parts))
+        await self.proxies.close()
+
+    @property
+    def places(self) -> tuple[tuple[str, int], ...]:
+        """The planners' addresses, as operators use them."""
+        return tuple((HOST, part.port) for part in self.planners.values())
+
+    # Recordings.
+
+    def _rows_of(self, part: Part) -> list[Row]:
+        """What a process recorded so far."""
         path = self.folder / "records" / (part.log.stem + ".jsonl")
         lines = path.read_bytes().splitlines(keepends=True) if path.exists() else ()
         return [json.loads(line) for line in lines if line.endswith(b"\n")]
 
-    def decided(self):
-        return [
-            row for part in self.planners.values() for row in self.rows_of(part) if row["kind"] == "decided"
-        ]
+    def _policy_states(self, edge: Part) -> list[Row]:
+        return [row for row in self._rows_of(edge) if row["kind"] == "goes_by"]
 
-    @property
-    def places(self):
-        return tuple((HOST, part.port) for part in self.planners.values())
+    def _applied_commands(self) -> list[Row]:
+        """The commands that any planner applied."""
+        rows = (row for part in self.planners.values() for row in self._rows_of(part))
+        return [row for row in rows if row["kind"] == "decided"]
 
-    async def leader(self) -> str:
+    async def _leader(self) -> str:
         """The planner that leads."""
-        for _ in range(100):
+        for _ in range(LEADER_POLLS):
             for name, part in self.planners.items():
-                if part.process.returncode is None:
-                    rows = [row for row in self.rows_of(part) if row["kind"] == "leads"]
-                    if rows and rows[-1]["leads"]:
-                        return name
-            await asyncio.sleep(0.1)
+                if part.process.returncode is None and self._believes_to_lead(part):
+                    return name
+            await asyncio.sleep(SLOW_POLL_INTERVAL)
         raise TimeoutError("no planner leads")
 
-    async def name(self, word):
-        """A part's name; `last` waits for what is to be killed first, on a busy machine later than its start."""
-        for _ in range(300 if word == "last" else 0):
+    def _believes_to_lead(self, planner: Part) -> bool:
+        rows = [row for row in self._rows_of(planner) if row["kind"] == "leads"]
+        return bool(rows) and rows[-1]["leads"]
+
+    def is_settled(self) -> bool:
+        """Whether every running edge applies the version decided last, and no change is under way."""
+        applied = sorted(self._applied_commands(), key=lambda row: row["index"])
+        if not applied or applied[-1]["staged"]:
+            return False
+        version = applied[-1]["force"]
+        running = (part for part in self.edges.values() if part.process.returncode is None)
+        return all(self._applies(part, version) for part in running)
+
+    def _applies(self, edge: Part, version: int) -> bool:
+        rows = self._policy_states(edge)
+        return bool(rows) and rows[-1]["number"] == version and not rows[-1]["narrow"]
+
+    # Names in steps.
+
+    async def _resolve(self, word: str) -> str:
+        """The process that a word means.
+
+        `last` waits for what is to be killed first, on a busy machine later than its start.
+        """
+        if word == "leader":
+            return await self._leader()
+        if word != "last":
+            return word
+        for _ in range(KILL_POLLS):
             if self.killed:
                 return self.killed[-1]
-            await asyncio.sleep(0.1)
-        if word == "last":
-            raise TimeoutError("nothing was killed that could be started")
-        return await self.leader() if word == "leader" else word
+            await asyncio.sleep(SLOW_POLL_INTERVAL)
+        raise TimeoutError("nothing was killed that could be started")
 
-    def part(self, name):
+    def _part(self, name: str) -> Part:
         for parts in (self.planners, self.nodes):
             if name in parts:
                 return parts[name]
-        return self.edges[int(name[4:])]
+        return self.edges[_number(name, EDGE)]
 
-    def all_named(self, words):
-        known = [*self.planner_names, *self.nodes, *(f"edge{number}" for number in self.edges)]
-        return [name for word in words.split(",") for name in self.relays.named(word, known)]
+    def _all_named(self, words: str) -> list[str]:
+        known = [*self.planner_names, *self.nodes, *(f"{EDGE}{number}" for number in self.edges)]
+        return [name for word in words.split(",") for name in matching_names(word, known)]
+
+    def _disk(self, name: str) -> list[Path]:
+        """What a process has on its disk."""
+        data = self.folder / "data"
+        if name.startswith(NODE):
+            return [data / f"{name}.db", data / f"{name}.db-wal"]
+        return [data / name]
 
     # Verbs.
 
-    async def do(self, deed: Deed):
-        self.record("deed", verb=deed.verb, words=deed.words)
-        await getattr(self, f"do_{deed.verb}")(*deed.words)
-
-    async def do_propose(self, *words):
-        raw, more, word = copy.deepcopy(self.deployment.raw), {}, ""
-        rest = list(words)
-        while rest:
-            part = rest.pop(0)
-            if part == "base":
-                more["base"] = int(rest.pop(0))
-            elif part == "as":
-                word = rest.pop(0)
+    async def run_step(self, step: Step) -> None:
+        """Carries out a step, and records it."""
+        self.record("deed", verb=step.verb, words=step.words)
+        await getattr(self, f"_do_{step.verb}")(*step.words)
+
+    async def _do_propose(self, *words: str) -> None:
+        raw, options, label = copy.deepcopy(self.deployment.raw), {}, ""
+        remaining = iter(words)
+        for word in remaining:
+            if word == "base":
+                options["base"] = int(next(remaining))
+            elif word == "as":
+                label = next(remaining)
             else:
-                place, _, value = part.partition("=")
-                *inner, last = place.strip("/").split("/")
-                target = raw
-                for step in inner:
-                    target = target[int(step)] if isinstance(target, list) else target.setdefault(step, {})
-                target[last] = json.loads(value)
-        await self.send_policy_command(word, "propose", text=documents.text(raw), **more)
-
-    async def do_withdraw(self, number):
+                place, _, value = word.partition("=")
+                _set_value(raw, place, json.loads(value))
+        await self.send_policy_command(label, "propose", text=documents.text(raw), **options)
+
+    async def _do_withdraw(self, number: str) -> None:
         await self.send_policy_command(f"w{number}", "withdraw", number=int(number))
 
-    async def do_revert(self, number, *more):
-        await self.send_policy_command(more[1] if more else "", "revert", number=int(number))
+    async def _do_revert(self, number: str, _as: str = "as", label: str = "") -> None:
+        await self.send_policy_command(label, "revert", number=int(number))
 
-    async def do_forget(self, member):
+    async def _do_forget(self, member: str) -> None:
         await self.send_policy_command(f"f{member}", "forget", member=member)
 
-    async def do_kill(self, word):
-        name = await self.name(word)
-        part = self.part(name)
+    async def _do_kill(self, word: str) -> None:
+        name = await self._resolve(word)
+        part = self._part(name)
         self.killed.append(name)
-        if name.startswith("edge"):
+        if name.startswith(EDGE):
             self.record("killed", edge=name, start=part.start)
-        elif name.startswith("node"):
+        elif name.startswith(NODE):
             self.record("killed", node=name)
         part.process.kill()
         await part.process.wait()
 
-    def disk(self, name):
-        data = self.folder / "data"
-        return [data / f"{name}.db", data / f"{name}.db-wal"] if name.startswith("node") else [data / name]
-
-    async def do_image(self, name):
-        """Keeps what a disk holds now, as an image that may be put back."""
-        for path in self.disk(name):
+    async def _do_image(self, name: str) -> None:
+        """Copies what a disk holds now, as an image that may be put back."""
+        for path in self._disk(name):
             if path.exists():
-                to = self.folder / "images" / path.name
-                shutil.rmtree(to, ignore_errors=True)
-                to.parent.mkdir(exist_ok=True)
-                (shutil.copytree if path.is_dir() else shutil.copy)(path, to)
-
-    async def do_start(self, word, how=""):
-        name = await self.name(word)
+                image = self.folder / "images" / path.name
+                shutil.rmtree(image, ignore_errors=True)
+                image.parent.mkdir(exist_ok=True)
+                _copy(path, image)
+
+    async def _do_start(self, word: str, disk: str = "") -> None:
+        """Starts what was killed, on its disk as it is, on an image, an empty or a torn one."""
+        name = await self._resolve(word)
         self.killed = [other for other in self.killed if other != name]
-        for path in self.disk(name):
-            if how in ("image", "empty"):
-                shutil.rmtree(path, ignore_errors=True) if path.is_dir() else path.unlink(missing_ok=True)
-            kept = self.folder / "images" / path.name
-            if how == "image" and kept.exists():
-                (shutil.copytree if kept.is_dir() else shutil.copy)(kept, path)
-            if how == "torn":
+        for path in self._disk(name):
+            if disk in ("image", "empty"):
+                _remove(path)
+            image = self.folder / "images" / path.name
+            if disk == "image" and image.exists():
+                _copy(image, path)
+            if disk == "torn":
                 log = path / "planner.db.log"
-                log.write_bytes(log.read_bytes()[:-3])
-        if name.startswith("planner"):
+                log.write_bytes(log.read_bytes()[:-TORN_BYTES])
+        if name.startswith(PLANNER):
             await self.start_planner(name)
-        elif name.startswith("node"):
-            await self.node(name, int(name[4:]))
+        elif name.startswith(NODE):
+            await self.node(name, _number(name, NODE))
         else:
-            await self.edge(int(name[4:]), self.edges[int(name[4:])].port)
+            number = _number(name, EDGE)
+            await self.edge(number, self.edges[number].port)
 
-    async def do_stop(self, word, seconds):
-        part = self.part(await self.name(word))
+    async def _do_stop(self, word: str, seconds: str) -> None:
+        part = self._part(await self._resolve(word))
         self.stopped[part.name] = True
         part.process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(float(seconds))
         if part.process.returncode is None:
             part.process.send_signal(signal.SIGCONT)
 
-    async def do_full(self, name, seconds):
+    async def _do_full(self, name: str, seconds: str) -> None:
         """An edge's disk takes nothing: what it would write first is in the way."""
-        way = self.folder / "data" / name / "policy.kept.new"
-        way.mkdir()
+        obstacle = self.folder / "data" / name / "policy.kept.new"
+        obstacle.mkdir()
         await asyncio.sleep(float(seconds))
-        way.rmdir()
+        obstacle.rmdir()
 
-    async def between(self, sources, targets, seconds, both):
-        pairs = [(self.all_named(sources), self.all_named(targets))]
-        pairs += [pairs[0][::-1]] if both else []
-        for one, other in pairs:
-            self.relays.block([name for name in one], [name for name in other if name not in one])
-        await asyncio.sleep(float(seconds))
-        for one, other in pairs:
-            self.relays.heal(one, other)
-
-    async def do_cut(self, sources, _, targets, seconds):
-        leader = await self.leader() if "leader" in (sources, targets) else ""
+    async def _do_cut(self, sources: str, _from: str, targets: str, seconds: str) -> None:
+        leader = await self._leader() if "leader" in (sources, targets) else ""
         sources, targets = (leader if word == "leader" else word for word in (sources, targets))
         if targets == "others":
-            gone = self.all_named(sources)
-            targets = ",".join(name for name in self.all_named("planners") if name not in gone)
-        await self.between(sources, targets, seconds, True)
-
-    async def do_mute(self, sources, _, targets, seconds):
-        await self.between(sources, targets, seconds, False)
-
-    async def do_delay(self, sources, _, targets, least, most, seconds):
-        for one in self.all_named(sources):
-            for other in self.all_named(targets):
-                self.relays.way(one, other).delay = float(least), float(most)
+            cut_off = self._all_named(sources)
+            targets = ",".join(name for name in self._all_named("planners") if name not in cut_off)
+        one, other = self._all_named(sources), self._all_named(targets)
+        await self._block([(one, other), (other, one)], float(seconds))
+
+    async def _do_mute(self, sources: str, _to: str, targets: str, seconds: str) -> None:
+        await self._block([(self._all_named(sources), self._all_named(targets))], float(seconds))
+
+    async def _block(self, pairs: Iterable[tuple[list[str], list[str]]], seconds: float) -> None:
+        pairs = list(pairs)
+        for sources, targets in pairs:
+            self.proxies.block(sources, [name for name in targets if name not in sources])
+        await asyncio.sleep(seconds)
+        for sources, targets in pairs:
+            self.proxies.heal(sources, targets)
+
+    async def _do_delay(
+        self, sources: str, _to: str, targets: str, shortest: str, longest: str, seconds: str
+    ) -> None:
+        for source in self._all_named(sources):
+            for target in self._all_named(targets):
+                self.proxies.link(source, target).delay = float(shortest), float(longest)
         await asyncio.sleep(float(seconds))
-        self.relays.heal(self.all_named(sources), self.all_named(targets))
+        self.proxies.heal(self._all_named(sources), self._all_named(targets))
 
-    async def do_refuse(self, sources, _, targets, seconds):
-        for one in self.all_named(sources):
-            for other in self.all_named(targets):
-                self.relays.refused[one, other] = True
-                self.relays.reset(one, other)
+    async def _do_refuse(self, sources: str, _to: str, targets: str, seconds: str) -> None:
+        for source in self._all_named(sources):
+            for target in self._all_named(targets):
+                self.proxies.refuse(source, target)
         await asyncio.sleep(float(seconds))
-        self.relays.heal(self.all_named(sources), self.all_named(targets))
-
-    async def do_reset(self, source, _, target, size):
-        for one in self.all_named(source):
-            for other in self.all_named(target):
-                self.relays.way(one, other).resets_at = int(size)
-
-    # The story.
-
-    async def tell(self):
-        """Plays it beside the clients' work; returned when all has settled or the time for it is over."""
-        begun, tasks = self.loop.time(), []
-        timed = sorted((deed for deed in self.story.deeds if not deed.on), key=lambda deed: deed.at)
-        waiting = [deed for deed in self.story.deeds if deed.on]
-        sizes = self.story.sizes
-        surge = Event(0.1, "surge", SURGED, size=sizes["surge"], seconds=sizes["length"])
-        script = Script(sizes["length"], (surge,))
-        clients = self.loop.create_task(days.play(self, script, days.Load(sizes["load"]), 7))
-        known = {(row["index"], row["order"]) for row in self.decided()} if waiting else set()
-        while timed or waiting or self.loop.time() - begun < self.story.sizes["length"]:
-            now = self.loop.time() - begun
-            while timed and timed[0].at <= now:
-                tasks.append(self.loop.create_task(self.do(timed.pop(0))))
-            if waiting:
-                for row in self.decided():
-                    if (row["index"], row["order"]) not in known:
-                        known.add((row["index"], row["order"]))
-                        for deed in [deed for deed in waiting if deed.on == row["order"]]:
-                            waiting.remove(deed)
-                            tasks.append(self.loop.create_task(self.later(deed)))
-            if now > self.story.sizes["length"] + SETTLE:
+        self.proxies.heal(self._all_named(sources), self._all_named(targets))
+
+    async def _do_reset(self, sources: str, _from: str, targets: str, size: str) -> None:
+        for source in self._all_named(sources):
+            for target in self._all_named(targets):
+                self.proxies.link(source, target).reset_after = int(size)
+
+    # The scenario.
+
+    async def run(self) -> None:
+        """Runs the steps beside the clients' work, and waits until all has settled or the time is over."""
+        steps = _Steps(self.scenario.steps, self._applied_commands)
+        length, begun_at = self.scenario.sizes["length"], self.loop.time()
+        clients, tasks = self.loop.create_task(self._run_clients()), []
+        while steps.remain or self.loop.time() - begun_at < length:
+            elapsed = self.loop.time() - begun_at
+            tasks += [self.loop.create_task(self.run_step(step)) for step in steps.take_due(elapsed)]
+            tasks += [self.loop.create_task(self._run_later(step)) for step in steps.take_triggered()]
+            if elapsed > length + SETTLE_TIME:
                 break
-            await asyncio.sleep(LOOK)
-        for found in await asyncio.gather(*tasks, return_exceptions=True):
-            if isinstance(found, Exception):
-                raise found
+            await asyncio.sleep(POLL_INTERVAL)
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
         await clients
-        until = self.loop.time() + SETTLE
-        while self.loop.time() < until and not self.settled():
-            await asyncio.sleep(0.2)
-
-    async def later(self, deed):
-        await asyncio.sleep(deed.at)
-        await self.do(deed)
-
-    def settled(self):
-        """Whether every edge that runs goes by the number decided last, and nothing is under way."""
-        decided = sorted(self.decided(), key=lambda row: row["index"])
-        if not decided or decided[-1]["staged"]:
-            return False
-        for part in self.edges.values():
-            rows = [row for row in self.rows_of(part) if row["kind"] == "goes_by"]
-            if part.process.returncode is None and (
-                not rows or rows[-1]["number"] != decided[-1]["force"] or rows[-1]["narrow"]
-            ):
-                return False
-        return True
-
-    async def down(self):
-        for parts in (self.edges.values(), self.nodes.values(), self.planners.values()):
-            for part in parts:
-                if part.process.returncode is None:
-                    part.process.send_signal(signal.SIGCONT)
-            await asyncio.gather(*(self.end_one(part) for part in parts))
-        await self.relays.close()
+        until = self.loop.time() + SETTLE_TIME
+        while self.loop.time() < until and not self.is_settled():
+            await asyncio.sleep(2 * SLOW_POLL_INTERVAL)
+
+    async def _run_clients(self) -> None:
+        sizes = self.scenario.sizes
+        surge = Event(0.1, "surge", LIMITED_FOLDER, size=sizes["surge"], seconds=sizes["length"])
+        script = Script(sizes["length"], (surge,))
+        await days.play(self, script, days.Load(sizes["load"]), CLIENT_SEED)
 
+    async def _run_later(self, step: Step) -> None:
+        await asyncio.sleep(step.at)
+        await self.run_step(step)
 
-class Told(NamedTuple):
-    """What became of a story: breaches (none: it passed) and counts for the reader."""
 
-    story: str
+class _Steps:
+    """The steps of a scenario that were not taken yet."""
+
+    def __init__(self, steps: Iterable[Step], applied_commands: Callable[[], list[Row]]):
+        steps = list(steps)
+        self._timed = sorted((step for step in steps if not step.on), key=lambda step: step.at)
+        self._triggered = [step for step in steps if step.on]
+        self._applied_commands = applied_commands
+        self._seen = {_command_key(row) for row in applied_commands()} if self._triggered else set()
+
+    @property
+    def remain(self) -> bool:
+        return bool(self._timed or self._triggered)
+
+    def take_due(self, elapsed: float) -> list[Step]:
+        """Steps whose time has come."""
+        due = [step for step in self._timed if step.at <= elapsed]
+        self._timed = self._timed[len(due) :]
+        return due
+
+    def take_triggered(self) -> list[Step]:
+        """Steps that waited for a command that was applied meanwhile."""
+        taken: list[Step] = []
+        for row in self._applied_commands() if self._triggered else ():
+            if _command_key(row) not in self._seen:
+                self._seen.add(_command_key(row))
+                triggered = [step for step in self._triggered if step.on == row["order"]]
+                self._triggered = [step for step in self._triggered if step not in triggered]
+                taken += triggered
+        return taken
+
+
+def _command_key(row: Row) -> tuple[int, str]:
+    return row["index"], row["order"]
+
+
+def _flatten(arguments: dict[str, Any]) -> list[Any]:
+    """Options and their values as words of a command line."""
+    return [word for option in arguments.items() for word in option]
+
+
+def _number(name: str, kind: str) -> int:
+    return int(name.removeprefix(kind))
+
+
+def _set_value(raw: dict, place: str, value: Any) -> None:
+    """Sets a value of a deployment file by its place."""
+    *inner, last = place.strip("/").split("/")
+    target = raw
+    for step in inner:
+        target = target[int(step)] if isinstance(target, list) else target.setdefault(step, {})
+    target[last] = value
+
+
+def _copy(source: Path, target: Path) -> None:
+    if source.is_dir():
+        shutil.copytree(source, target)
+    else:
+        shutil.copy(source, target)
+
+
+def _remove(path: Path) -> None:
+    if path.is_dir():
+        shutil.rmtree(path, ignore_errors=True)
+    else:
+        path.unlink(missing_ok=True)
+
+
+class ScenarioResult(NamedTuple):
+    """What became of a scenario: breaches (none: it passed) and counts of what happened."""
+
+    scenario: str
     breaches: list[str]
     facts: Counter
 
 
-async def played(story: Story, folder, seed=1) -> Told:
-    """Plays a story on processes whose data, logs and recordings lie in `folder`."""
-    folder = Path(folder)
+async def run_scenario(scenario: Scenario, folder: Path, seed: int = 1) -> ScenarioResult:
+    """Runs a scenario on processes of its own and checks the recordings.
+
+    Args:
+        scenario: What happens.
+        folder: Where data, logs and recordings are put.
+        seed: Of all random draws.
+    """
     folder.mkdir(parents=True, exist_ok=True)
-    raw = stated(story)
+    raw = raw_deployment(scenario)
     file = folder / "deployment.json"
     file.write_text(json.dumps(raw, indent=2))
     deployment = build(raw)
-    rig = Rig(story, file, deployment, folder, seed)
+    fleet = ScenarioFleet(scenario, file, deployment, folder, seed)
     try:
-        await rig.up(story.sizes["nodes"], story.sizes["edges"])
-        await rig.tell()
-        settled = rig.settled()
+        await fleet.up(int(scenario.sizes["nodes"]), int(scenario.sizes["edges"]))
+        await fleet.run()
+        settled = fleet.is_settled()
     finally:
-        await rig.down()
+        await fleet.down()
     breaches, facts = check_history(
-        rig.all_records(), deployment, story.expects, rig.operator_commands, rig.stopped
+        fleet.all_records(), deployment, scenario.expectations, fleet.operator_commands, fleet.stopped
     )
     if not settled:
-        breaches.append(f"not all came to one number within {SETTLE:g} s")
-    return Told(story.name, breaches, facts)
-
-
-async def together(
-    stories, folder: Path, jobs: int, seed: int, say=lambda line: None, facts=False
-) -> list[Told]:
-    """Plays stories, so many at a time, each in a folder of its own; `say` hears of each as it ends."""
-    turn = asyncio.Semaphore(jobs)
-
-    async def one(story):
-        async with turn:
-            try:
-                found = await played(story, folder / story.name, seed)
-            except (NotStarted, TimeoutError, OSError) as fault:
-                why = f"it could not be played: {type(fault).__name__}: {fault}"
-                found = Told(story.name, [why], Counter())
-            say(f"{story.name}: " + ("kept" if not found.breaches else "; ".join(found.breaches)))
-            if facts:
-                say("  " + ", ".join(f"{name} {count}" for name, count in found.facts.items()))
-            return found
-
-    return list(await asyncio.gather(*(one(story) for story in stories)))
+        breaches.append(f"not all came to one number within {SETTLE_TIME:g} s")
+    return ScenarioResult(scenario.name, breaches, facts)
+
+
+async def run_scenarios(
+    scenarios: Sequence[Scenario],
+    folder: Path,
+    *,
+    jobs: int,
+    seed: int,
+    show: Callable[[str], None] = lambda line: None,
+    show_facts: bool = False,
+) -> list[ScenarioResult]:
+    """Runs scenarios, each in a folder of its own.
+
+    Args:
+        scenarios: What is run.
+        folder: Where their folders are put.
+        jobs: How many run at the same time.
+        seed: Of each.
+        show: Called with a line as each ends.
+        show_facts: Whether the counts are shown too.
+    """
+    slots = asyncio.Semaphore(jobs)
+
+    async def run_one(scenario: Scenario) -> ScenarioResult:
+        async with slots:
+            result = await _run_or_fail(scenario, folder / scenario.name, seed)
+        show(f"{scenario.name}: " + ("; ".join(result.breaches) or "kept"))
+        if show_facts:
+            show("  " + ", ".join(f"{name} {count}" for name, count in result.facts.items()))
+        return result
+
+    return list(await asyncio.gather(*(run_one(scenario) for scenario in scenarios)))
+
+
+async def _run_or_fail(scenario: Scenario, folder: Path, seed: int) -> ScenarioResult:
+    """Runs a scenario; one that could not be run counts as a breach."""
+    try:
+        return await run_scenario(scenario, folder, seed)
+    except (ProcessStartError, TimeoutError, OSError) as error:
+        reason = f"it could not be played: {type(error).__name__}: {error}"
+        return ScenarioResult(scenario.name, [reason], Counter())
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -18,14 +18,19 @@
 from rushmux.standins.client import Client
 from rushmux.standins.fleet_operations import FleetOperations
 from rushmux.standins.lists import ListSource
-from rushmux.standins.node import Node
+from rushmux.standins.node import Identity, Node
 from rushmux.standins.service_model import Shape
 from rushmux.standins.store import Store
 
 HOST = "127.0.0.1"
-UP = 60.0  # seconds at most until every edge knows all nodes
-DISK = 1 << 30  # bytes of a node's disk where a test says nothing else
-EPOCH = 1_800_000_000.0  # calendar time at nought of the virtual clock
+START_TIMEOUT = 60.0
+"""Seconds until every edge knows all nodes."""
+POLL_INTERVAL = 0.05
+DISK_SIZE = 1 << 30
+"""Bytes of a node's disk where a test says nothing else."""
+EPOCH = 1_800_000_000.0
+"""Calendar time at the start of the virtual clock."""
+TICKS_PER_SECOND = 10_000
 
 
 class Part:
@@ -36,6 +41,7 @@
 
     @property
     def address(self):
+        """Where it listens."""
         return Address(HOST, self.port)
 
 
@@ -44,16 +50,16 @@
     settings = deployment.settings
     return Shape(
         cold_start=settings.initial_capacity,
-        warm_within=settings.warm_up_time / 10_000,
+        warm_within=settings.warm_up_time / TICKS_PER_SECOND,
         fall_multiple=settings.overload_multiple,
-        cold_span=deployment.bounds.overload_window / 10_000,
+        cold_span=deployment.bounds.overload_window / TICKS_PER_SECOND,
         **other,
     )
 
 
 def window_of(deployment: Deployment) -> float:
     """Seconds for which a node knows the mark of a change again, with room for the way to it."""
-    return deployment.settings.request_classes[deployment.roles["change"]].dedup_window / 10_000 + 1
+    return deployment.settings.request_classes[deployment.roles["change"]].dedup_window / TICKS_PER_SECOND + 1
 
 
 class VirtualFleet(FleetOperations):
@@ -64,16 +70,17 @@
         loop: SimulatedLoop,
         deployment: Deployment,
         seed: int,
+        *,
         lag=1.0,
         decisions=Scheduler,
         level="info",
-        disk=DISK,
+        disk=DISK_SIZE,
         logs=True,
         planner=None,
         lists=None,
         **shape,
     ):
-        self.loop, self.deployment, self.chance = loop, deployment, random.Random(seed)
+        self.loop, self.deployment, self.rng = loop, deployment, random.Random(seed)
         self.lag, self.decisions, self.disk = lag, decisions, disk
         self.shape = shape_of(deployment, **shape)
         self.records, self.logs = [], []
@@ -84,10 +91,12 @@
         self.nodes, self.edges, self.stores, self.lists = {}, {}, {}, None
 
     def record(self, kind, **fields):
+        """Adds a row to the recording."""
         self.records.append({"kind": kind, "at": self.loop.time(), **fields})
 
     def seed(self):
-        return self.chance.getrandbits(48)
+        """A seed for a part of the fleet."""
+        return self.rng.getrandbits(48)
 
     async def up(self, nodes: int, edges: int):
         """Starts everything, nodes warm, and waits until the edges know the list."""
@@ -99,13 +108,13 @@
             await self.node(f"node{cell}", cell, cold=False)
         for number in range(edges):
             await self.edge(number)
-        for _ in range(int(UP / 0.05)):
+        for _ in range(int(START_TIMEOUT / POLL_INTERVAL)):
             if all(
                 len(part.program.driver.endpoint_table.disk_space) == nodes for part in self.edges.values()
             ):
                 return
-            await self.sleep(0.05)
-        raise TimeoutError(f"the edges do not know all {nodes} nodes after {UP:g} s")
+            await self.sleep(POLL_INTERVAL)
+        raise TimeoutError(f"the edges do not know all {nodes} nodes after {START_TIMEOUT:g} s")
 
     async def source(self, nodes, port=0):
         """Starts the stand-in for the source of the list."""
@@ -116,11 +125,11 @@
             self.lag,
             self.log,
             self.record,
-            period=settings.usage_period / 10_000,
-            rates={
+            usage_period=settings.usage_period / TICKS_PER_SECOND,
+            nominal_rates={
                 name: settings.plans[folder.plan].nominal for name, folder in self.deployment.folders.items()
             },
-            obeys=True,
+            accepts_faults=True,
         )
         self.lists = Part(process, source, await process.spawn(source.open(HOST, port)))
 
@@ -138,6 +147,7 @@
         self.lists = Part(process, program, await process.spawn(program.open(HOST, port)))
 
     async def sleep(self, seconds):
+        """Waits on the virtual clock."""
         await asyncio.sleep(seconds)
 
     async def node(self, name, cell, cold=True, empty=False, disk=None):
@@ -146,25 +156,24 @@
             self.stores[name] = Store(":memory:", cell, disk or self.disk, window_of(self.deployment))
         process = self.loop.process(name)
         program = Node(
-            name,
-            cell,
-            f"z{cell % 2}",
+            Identity(name, cell, f"z{cell % 2}"),
             self.stores[name],
             self.lists.address,
             self.shape,
-            self.seed(),
-            cold,
-            self.log,
-            self.record,
-            obeys=True,
+            seed=self.seed(),
+            cold=cold,
+            log=self.log,
+            record=self.record,
+            accepts_faults=True,
         )
         self.nodes[name] = Part(process, program, await process.spawn(program.open(HOST, 0)))
         return self.nodes[name]
 
     def kill_node(self, name):
+        """Kills a node; what it had not committed is lost."""
         self.record("killed", node=name)
         self.nodes[name].process.kill()
-        self.stores[name].crashed()
+        self.stores[name].roll_back()
 
     async def edge(self, number):
         """Starts an edge, anew where it ran before."""
@@ -187,6 +196,7 @@
         return self.edges[number]
 
     def endpoint_cache(self, number):
+        """The endpoint cache of an edge, where edges have one."""
         if self.endpoint_caches is None:
             return None
         return EndpointCache(
@@ -194,11 +204,13 @@
         )
 
     def log_disk(self, number):
+        """The disk of the log of an edge's write-back buffer, where edges have one."""
         if self.log_disks is None:
             return None
         return self.log_disks.setdefault(number, SimulatedSegments())
 
     def kill_edge(self, number):
+        """Kills an edge."""
         self.record("killed", edge=f"edge{number}", start=self.edges[number].program.incarnation)
         self.edges[number].process.kill()
 
@@ -210,11 +222,13 @@
         ]
 
     def cell_of(self, name):
+        """The cell that a node holds."""
         return self.nodes[name].program.cell
 
     async def trouble(self, target, kind, size=0.0, seconds=0.0):
+        """Starts a fault at a node, or at the source of the endpoint list."""
         part = self.lists if target == "lists" else self.nodes[target]
-        part.process.context.run(part.program.begin, kind, size, seconds)
+        part.process.context.run(part.program.start_fault, kind, size, seconds)
 
     async def client(self, number) -> Client:
         """A session with an edge."""
@@ -228,9 +242,9 @@
 def play(deployment: Deployment, seed: int, story, nodes=4, edges=2, **fleet):
     """Brings a fleet up on a virtual clock and plays `story(fleet)`; the fleet, and what that gave."""
 
-    async def whole(loop):
-        made = VirtualFleet(loop, deployment, seed, **fleet)
-        await made.up(nodes, edges)
-        return made, await story(made)
+    async def run_story(loop):
+        started = VirtualFleet(loop, deployment, seed, **fleet)
+        await started.up(nodes, edges)
+        return started, await story(started)
 
-    return run(whole, seed)
+    return run(run_story, seed)
--- a/rushmux/standins/kills.py
+++ b/rushmux/standins/kills.py
@@ -7,217 +7,338 @@
 """
 
 import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, field
 from functools import partial
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from rushmux.sftp import packets as sftp
-from rushmux.standins.client import Gone, Refusal
-
-FILES, SLOTS = 4, 6  # files of a folder, and slots of a file
-SIZES = (700, 4_096, 30_000, 70_000)  # bytes of a slot: within a block and over the ends of one
-BLOCK = 262_144  # bytes of an object: the slots lie around its ends
-TRIES, AGAIN = 40, 0.25  # looks at a slot until it can be read, and seconds between them
-
-
-class Written(NamedTuple):
-    """A write: its number, file and slot, and whether it was answered."""
+from rushmux.standins.client import Client, ConnectionClosedError, StatusError
+from rushmux.standins.fleet_operations import FleetOperations
+
+FILES, SLOTS = 4, 6
+"""Files of a folder, and slots of a file."""
+SLOT_SIZES = (700, 4_096, 30_000, 70_000)
+"""Bytes of a slot: within a block and over the ends of one."""
+SLOT_GAPS = (0, 0, 5_000)
+BLOCK_SIZE = 262_144
+FIRST_SLOT = BLOCK_SIZE - 150_000
+"""Where the first slot lies: the slots lie around the end of a block."""
+NUMBER_BYTES = 8
+MAX_TRIES, RETRY_PAUSE = 40, 0.25
+"""Tries of a request until it succeeds, and seconds between them."""
+WRITE_CHANCE, FLUSH_CHANCE = 0.7, 0.15
+"""Of a step of the writer; what is left sets a barrier."""
+MAX_BATCH = 5
+PAUSE_CHANCE, PAUSES_PER_SECOND = 0.3, 10
+MIN_TIME_TO_KILL = 0.05
+OTHER_WRITER_CHANCE, OTHER_WRITES = 0.5, 3
+SETTLE_TIME = 1.0
+EDGE, OTHER_EDGE = 0, 1
+
+Place = tuple[int, int]
+"""A file's number and a slot in it."""
+Result = TypeVar("Result")
+
+
+class Write(NamedTuple):
+    """A write: its number and where it goes."""
 
     number: int
     file: int
     slot: int
 
+    @property
+    def place(self) -> Place:
+        """Where it goes."""
+        return self.file, self.slot
 
-class Stuck(Exception):
-    """A fleet that serves again should do a thing, and did not."""
 
+class RequestStuckError(Exception):
+    """A fleet that serves again should have done something, and did not."""
 
-class Told(NamedTuple):
-    """What the writer knows: its writes in order, those answered, what each flush covered, and the
-    barriers: the number of the last write before, and whether it was answered.
-    """
 
-    writes: list
-    answered: set
-    flushed: dict  # (file, slot) -> least number that must be found
-    barriers: list
+@dataclass
+class Barrier:
+    """A barrier: the number of the last write before it, and the newest answered number in each slot."""
 
+    last_number: int
+    before: Mapping[Place, int]
 
-class Slots:
-    """Where the slots of a file lie: none touches another, some lie over the end of a block."""
 
-    def __init__(self, chance):
-        self.places, at = [], BLOCK - 150_000
-        for _ in range(SLOTS):
-            size = chance.choice(SIZES)
-            self.places.append((at, size))
-            at += size + chance.choice((0, 0, 5_000))
+@dataclass
+class Promises:
+    """What the writer knows: its writes in order, those answered, and what flushes and barriers promise."""
+
+    writes: list[Write] = field(default_factory=list)
+    answered: set[int] = field(default_factory=set)
+    flushed: dict[Place, int] = field(default_factory=dict)
+    """The least number that must be found in a slot."""
+    barriers: list[Barrier] = field(default_factory=list)
+
+    def newest_answered(self, file: int | None = None) -> dict[Place, int]:
+        """The newest answered number in each slot of a file, or of all."""
+        return {
+            write.place: write.number
+            for write in self.writes
+            if write.number in self.answered and file in (None, write.file)
+        }
+
 
+class Extent(NamedTuple):
+    """Where a slot lies in its file, bytes."""
 
-def fill(number, size):
+    start: int
+    size: int
+
+
+def draw_slots(rng: random.Random) -> list[Extent]:
+    """Where the slots of a file lie: none touches another, some lie over the end of a block."""
+    slots, start = [], FIRST_SLOT
+    for _ in range(SLOTS):
+        size = rng.choice(SLOT_SIZES)
+        slots.append(Extent(start, size))
+        start += size + rng.choice(SLOT_GAPS)
+    return slots
+
+
+def slot_content(number: int, size: int) -> bytes:
     """A slot's bytes: the number over and over."""
-    return (number.to_bytes(8, "big") * (size // 8 + 1))[:size]
+    return (number.to_bytes(NUMBER_BYTES, "big") * (size // NUMBER_BYTES + 1))[:size]
 
 
-def value(data):
+def slot_number(content: bytes) -> int | None:
     """The number that a slot holds, 0 where it was never written; None where it is not one, whole."""
-    data = bytes(data)
-    number = int.from_bytes(data[:8], "big") if len(data) >= 8 else 0
-    return number if data == fill(number, len(data)) else None
+    content = bytes(content)
+    whole = len(content) >= NUMBER_BYTES
+    number = int.from_bytes(content[:NUMBER_BYTES], "big") if whole else 0
+    return number if content == slot_content(number, len(content)) else None
 
 
-async def write(client, folder, slots, chance, told, first):
-    """Writes, flushes and sets barriers until the edge dies."""
-    handles = [
-        await tried(partial(client.open, f"/{folder}/k{file}", sftp.READ | sftp.WRITE | sftp.CREATE))
-        for file in range(FILES)
-    ]
-    count = first
+class Writer:
+    """Writes, flushes and sets barriers in a folder until its edge dies.
 
-    async def one(number, file, slot):
-        start, size = slots[file].places[slot]
-        try:
-            await client.ask(sftp.Write, handles[file], start, fill(number, size))
-            told.answered.add(number)
-        except Refusal:
-            pass
-
-    while True:
-        draw = chance.random()
-        if draw < 0.7:
-            batch = []
-            for place in chance.sample(range(FILES * SLOTS), chance.randint(1, 5)):
-                count += 1
-                batch.append(Written(count, *divmod(place, SLOTS)))
-            told.writes.extend(batch)
-            await asyncio.gather(*(one(*written) for written in batch))
-        elif draw < 0.85:
-            file = chance.randrange(FILES)
-            covered = newest(told, file)
-            try:
-                handle = handles[file]
-                await client.ask(sftp.Extended, "fsync@openssh.com", len(handle).to_bytes(4, "big") + handle)
-                told.flushed.update(covered)
-            except Refusal:
-                pass
-        else:
-            barrier = [count, False, newest(told)]
-            told.barriers.append(barrier)
-            name = f"/{folder}".encode()
-            try:
-                await client.ask(sftp.Extended, "barrier@rushmux", len(name).to_bytes(4, "big") + name)
-                barrier[1] = True
-                told.flushed.update(barrier[2])
-            except Refusal:
-                pass
-        if chance.random() < 0.3:
-            await asyncio.sleep(chance.expovariate(10))
-
-
-async def tried(call):
-    """What a call gives, tried again while it is refused for now."""
-    for _ in range(TRIES):
-        try:
-            return await call()
-        except Refusal as refusal:
-            if refusal.status.code != sftp.FAILURE:
-                raise
-            await asyncio.sleep(AGAIN)
-    raise Stuck(f"{call} was refused {TRIES} times")
+    Attributes:
+        promises: What it knows.
 
+    Args:
+        client: A session with the edge.
+        folder: The folder.
+        slots: Where the slots of each file lie.
+        rng: Its random draws.
+        first_number: Its numbers begin after this one.
+    """
 
-def newest(told, file=None):
-    """(file, slot) -> number of the newest answered write."""
-    found = {}
-    for written in told.writes:
-        if written.number in told.answered and file in (None, written.file):
-            found[written.file, written.slot] = written.number
-    return found
+    def __init__(
+        self,
+        client: Client,
+        folder: str,
+        slots: Sequence[Sequence[Extent]],
+        rng: random.Random,
+        first_number: int,
+    ):
+        self.promises = Promises()
+        self._client, self._folder, self._slots, self._rng = client, folder, slots, rng
+        self._last_number = first_number
+        self._handles: list[bytes] = []
+
+    async def run(self) -> None:
+        """Works until the connection ends, with ConnectionClosedError or OSError."""
+        flags = sftp.READ | sftp.WRITE | sftp.CREATE
+        for file in range(FILES):
+            open_file = partial(self._client.open, f"/{self._folder}/k{file}", flags)
+            self._handles.append(await retry(open_file))
+        while True:
+            draw = self._rng.random()
+            if draw < WRITE_CHANCE:
+                await self._write_some()
+            elif draw < WRITE_CHANCE + FLUSH_CHANCE:
+                await self._flush(self._rng.randrange(FILES))
+            else:
+                await self._set_barrier()
+            if self._rng.random() < PAUSE_CHANCE:
+                await asyncio.sleep(self._rng.expovariate(PAUSES_PER_SECOND))
+
+    async def _write_some(self) -> None:
+        """Writes to a few slots at the same time."""
+        batch = []
+        for index in self._rng.sample(range(FILES * SLOTS), self._rng.randint(1, MAX_BATCH)):
+            self._last_number += 1
+            batch.append(Write(self._last_number, *divmod(index, SLOTS)))
+        self.promises.writes.extend(batch)
+        await asyncio.gather(*(self._write(write) for write in batch))
+
+    async def _write(self, write: Write) -> None:
+        start, size = self._slots[write.file][write.slot]
+        content = slot_content(write.number, size)
+        with contextlib.suppress(StatusError):
+            await self._client.ask(sftp.Write, self._handles[write.file], start, content)
+            self.promises.answered.add(write.number)
+
+    async def _flush(self, file: int) -> None:
+        covered = self.promises.newest_answered(file)
+        with contextlib.suppress(StatusError):
+            await self._extended("fsync@openssh.com", self._handles[file])
+            self.promises.flushed.update(covered)
+
+    async def _set_barrier(self) -> None:
+        barrier = Barrier(self._last_number, self.promises.newest_answered())
+        self.promises.barriers.append(barrier)
+        with contextlib.suppress(StatusError):
+            await self._extended("barrier@rushmux", f"/{self._folder}".encode())
+            self.promises.flushed.update(barrier.before)
+
+    async def _extended(self, name: str, argument: bytes) -> None:
+        """An extended request with one string."""
+        await self._client.ask(sftp.Extended, name, len(argument).to_bytes(4, "big") + argument)
+
+
+async def retry(request: Callable[[], Awaitable[Result]]) -> Result:
+    """The result of a request, retried while it fails for now.
+
+    Raises:
+        StatusError: It failed for good.
+        RequestStuckError: It did not succeed in MAX_TRIES tries.
+    """
+    for _ in range(MAX_TRIES):
+        try:
+            return await request()
+        except StatusError as error:
+            if error.status.code != sftp.FAILURE:
+                raise
+            await asyncio.sleep(RETRY_PAUSE)
+    raise RequestStuckError(f"{request} was refused {MAX_TRIES} times")
 
 
-async def read(client, folder, slots):
-    """The number in each slot, and the size of what could not be read as one."""
-    found = {}
+async def read_slots(
+    client: Client, folder: str, slots: Sequence[Sequence[Extent]]
+) -> dict[Place, int | None]:
+    """The number in each slot; None where it is not one, whole."""
+    found: dict[Place, int | None] = {}
     for file in range(FILES):
         try:
-            handle = await tried(partial(client.open, f"/{folder}/k{file}", sftp.READ))
-        except Refusal:  # there is no such file
+            handle = await retry(partial(client.open, f"/{folder}/k{file}", sftp.READ))
+        except StatusError:  # there is no such file
             handle = None
-        for slot, (start, size) in enumerate(slots[file].places):
-            found[file, slot] = 0 if handle is None else await read_slot(client, handle, start, size)
+        for slot, extent in enumerate(slots[file]):
+            found[file, slot] = 0 if handle is None else await _read_slot(client, handle, extent)
     return found
 
 
-async def read_slot(client, handle, start, size):
+async def _read_slot(client: Client, handle: bytes, extent: Extent) -> int | None:
     try:
-        return value((await tried(partial(client.ask, sftp.Read, handle, start, size))).data)
-    except Refusal:  # past the end
+        return slot_number((await retry(partial(client.ask, sftp.Read, handle, *extent))).data)
+    except StatusError:  # past the end
         return 0
 
 
-def judge(told, found, numbers):
-    """What is wrong with what was found, in words."""
-    wrong = []
+def broken_promises(
+    promises: Promises, found: Mapping[Place, int | None], written: Mapping[Place, set[int]]
+) -> list[str]:
+    """What is wrong with what was found.
+
+    Args:
+        promises: What the writer knows.
+        found: The number in each slot.
+        written: All numbers that were ever written to each slot.
+    """
+    errors = []
     for place, number in found.items():
-        if number is None or (number and number not in numbers[place]):
-            wrong.append(f"slot {place} holds {number}, never written there, or not whole")
-        elif number < told.flushed.get(place, 0):
-            wrong.append(f"slot {place} holds {number}; {told.flushed[place]} was flushed")
-    for last, _, before in told.barriers:
-        after = [place for place, number in found.items() if number and number > last]
-        if after:
-            wrong += [
-                f"slot {place} holds {found[place]} and {after[0]} holds {found[after[0]]}, "
-                f"from after the barrier at {last}; {number} came before it"
-                for place, number in before.items()
-                if found[place] is not None and found[place] < number
-            ]
-    return wrong
-
-
-async def round_of(fleet, folder, chance, first, span):
-    """One kill on a fleet that is up: writes through edge 0, kills it within `span` seconds, checks
-    through edge 1, has it started again and checks once more.  What was wrong, and the next number.
+        if number is None or (number and number not in written[place]):
+            errors.append(f"slot {place} holds {number}, never written there, or not whole")
+        elif number < promises.flushed.get(place, 0):
+            errors.append(f"slot {place} holds {number}; {promises.flushed[place]} was flushed")
+    for barrier in promises.barriers:
+        errors += _broken_barrier(barrier, found)
+    return errors
+
+
+def _broken_barrier(barrier: Barrier, found: Mapping[Place, int | None]) -> list[str]:
+    """Slots that lack a number from before a barrier though another holds one from after it."""
+    after = [place for place, number in found.items() if number and number > barrier.last_number]
+    if not after:
+        return []
+    return [
+        f"slot {place} holds {found[place]} and {after[0]} holds {found[after[0]]}, "
+        f"from after the barrier at {barrier.last_number}; {number} came before it"
+        for place, number in barrier.before.items()
+        if found[place] is not None and found[place] < number
+    ]
+
+
+async def round_of(
+    fleet: FleetOperations, folder: str, rng: random.Random, first_number: int, kill_window: float
+) -> tuple[list[str], int]:
+    """One kill on a fleet that is up.
+
+    Writes through one edge, kills it, checks through another, has it started again and checks once more.
+
+    Args:
+        fleet: The fleet, with two edges.
+        folder: The folder that is used.
+        rng: All random draws.
+        first_number: The round's numbers begin after this one.
+        kill_window: Seconds within which the kill comes.
+
+    Returns:
+        What was wrong, and the round's last number.
     """
-    slots = [Slots(chance) for _ in range(FILES)]
-    told = Told([], set(), {}, [])
-    client = await fleet.client(0)
-    writer = asyncio.ensure_future(write(client, folder, slots, chance, told, first))
-    await asyncio.sleep(chance.uniform(0.05, span))
-    fleet.kill_edge(0)
-    try:
-        await writer
-    except (Gone, OSError):
-        pass
-    numbers = {(file, slot): set() for file in range(FILES) for slot in range(SLOTS)}
-    for written in told.writes:
-        numbers[written.file, written.slot].add(written.number)
-    count = first + len(told.writes)
-    other = await fleet.client(1)
-    wrong = judge(told, await read(other, folder, slots), numbers)
-    # Others may write while it is down; what they flushed must not be undone by what its log holds.
-    if chance.random() < 0.5:
-        for file, slot in ((chance.randrange(FILES), chance.randrange(SLOTS)) for _ in range(3)):
-            count += 1
-            start, size = slots[file].places[slot]
-            handle = await tried(partial(other.open, f"/{folder}/k{file}", sftp.WRITE | sftp.CREATE))
-            try:
-                await other.ask(sftp.Write, handle, start, fill(count, size))
-                numbers[file, slot].add(count)
-                await other.ask(sftp.Close, handle)
-                told.flushed[file, slot] = count
-            except Refusal:
-                numbers[file, slot].add(count)
-        told.barriers.clear()  # what others wrote has no place among this writer's barriers
-    await fleet.edge(0)
-    again = await fleet.client(0)
-    await read(again, folder, slots)  # waits until its log is written out
-    await again.close()
-    await asyncio.sleep(1.0)
-    wrong += [f"after the return: {text}" for text in judge(told, await read(other, folder, slots), numbers)]
+    slots = [draw_slots(rng) for _ in range(FILES)]
+    writer = Writer(await fleet.client(EDGE), folder, slots, rng, first_number)
+    promises = await _write_until_killed(fleet, writer, rng, kill_window)
+    written: dict[Place, set[int]] = {(file, slot): set() for file in range(FILES) for slot in range(SLOTS)}
+    for write in promises.writes:
+        written[write.place].add(write.number)
+    last_number = first_number + len(promises.writes)
+    other = await fleet.client(OTHER_EDGE)
+    errors = broken_promises(promises, await read_slots(other, folder, slots), written)
+    if rng.random() < OTHER_WRITER_CHANCE:
+        for _ in range(OTHER_WRITES):
+            last_number += 1
+            write = Write(last_number, rng.randrange(FILES), rng.randrange(SLOTS))
+            written[write.place].add(write.number)
+            await _write_through(other, folder, slots, write, promises)
+        promises.barriers.clear()  # what others wrote has no place among this writer's barriers
+    await _wait_for_recovery(fleet, folder, slots)
+    found = await read_slots(other, folder, slots)
+    errors += [f"after the return: {text}" for text in broken_promises(promises, found, written)]
     for file in range(FILES):
-        try:
-            await tried(partial(other.ask, sftp.Remove, f"/{folder}/k{file}"))
-        except Refusal:
-            pass
+        with contextlib.suppress(StatusError):
+            await retry(partial(other.ask, sftp.Remove, f"/{folder}/k{file}"))
     await other.close()
-    return wrong, count
+    return errors, last_number
+
+
+async def _write_until_killed(
+    fleet: FleetOperations, writer: Writer, rng: random.Random, kill_window: float
+) -> Promises:
+    writing = asyncio.ensure_future(writer.run())
+    await asyncio.sleep(rng.uniform(MIN_TIME_TO_KILL, kill_window))
+    fleet.kill_edge(EDGE)
+    with contextlib.suppress(ConnectionClosedError, OSError):
+        await writing
+    return writer.promises
+
+
+async def _write_through(
+    client: Client, folder: str, slots: Sequence[Sequence[Extent]], write: Write, promises: Promises
+) -> None:
+    """Writes and flushes through another edge: what the first one's log holds must not undo it."""
+    start, size = slots[write.file][write.slot]
+    open_file = partial(client.open, f"/{folder}/k{write.file}", sftp.WRITE | sftp.CREATE)
+    handle = await retry(open_file)
+    with contextlib.suppress(StatusError):
+        await client.ask(sftp.Write, handle, start, slot_content(write.number, size))
+        await client.ask(sftp.Close, handle)
+        promises.flushed[write.place] = write.number
+
+
+async def _wait_for_recovery(fleet: FleetOperations, folder: str, slots: Sequence[Sequence[Extent]]) -> None:
+    """Starts the edge again and waits until what its log held is written out."""
+    await fleet.edge(EDGE)
+    client = await fleet.client(EDGE)
+    await read_slots(client, folder, slots)
+    await client.close()
+    await asyncio.sleep(SETTLE_TIME)
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -1,153 +1,220 @@
-"""A stand-in for the source of the list of nodes: it hears nodes, and tells edges, late.
+"""A stand-in for the source of the endpoint list: it receives nodes' reports and informs edges, late.
 
-It knows only whether a node's process runs and what that says of itself.  Changes reach the
-edges `lag` seconds after they happened, in order.
+It knows only whether a node's process runs and what that reports of itself.  Changes reach the edges `lag`
+seconds after they happened, in order.
 """
 
 import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
 
-from rushmux.nodewire import WireError, messages
-from rushmux.standins.fault_control import Obeying
-
-MOST_NODES = 10_000  # entries kept: as many as edges take
-SETTLE = 3.0  # seconds at most until a source that starts shows the nodes that have come
-GONE_KEPT = 600.0  # seconds for which a node that is gone stays in the list
-TROUBLES = ("lag", "silent")
-
-
-class ListSource(Obeying):
-    """One source.  `rates` gives the nominal rate of a folder (None: no meter), `period` its seconds."""
+import structlog
 
-    def __init__(self, cells: int, lag: float, log, record, start="0", period=0.0, rates=None, obeys=False):
+from rushmux.nodewire import WireError, messages
+from rushmux.planner.server import PeerConnection
+from rushmux.standins.fault_control import FaultInjectingServer
+
+MAX_NODES = 10_000
+"""Entries: as many as edges take."""
+MAX_SETTLE_TIME = 3.0
+"""Seconds at most until a source that starts lists the nodes that have reported."""
+REMOVED_RETENTION = 600.0
+"""Seconds for which a removed node stays in the list."""
+TICKS_PER_SECOND = 10_000
+PERCENT = 100
+REMOVED = "gone"
+LAG_FAULT, SILENT_FAULT = "lag", "silent"
+
+
+class Published(NamedTuple):
+    """An entry of the list as edges know it."""
+
+    entry: messages.Entry
+    since: float
+
+
+class ListSource(FaultInjectingServer):
+    """One source.
+
+    Args:
+        cells: Number of cells.
+        lag: Seconds until edges learn of a change.
+        log: Its log.
+        record: Called with `(kind, **fields)` for each change that edges are told.
+        start: Its incarnation.
+        usage_period: Seconds of the fleet's usage meter; 0: there is none.
+        nominal_rates: Units a second that each folder's plan is sized for.
+        accepts_faults: Whether peers may inject faults.
+    """
+
+    def __init__(
+        self,
+        cells: int,
+        lag: float,
+        log: structlog.typing.FilteringBoundLogger,
+        record: Callable[..., None],
+        *,
+        start: str = "0",
+        usage_period: float = 0.0,
+        nominal_rates: Mapping[str, float] | None = None,
+        accepts_faults: bool = False,
+    ):
         super().__init__("lists", start, log)
-        self.cells, self.lag, self.record, self.obeys = cells, lag, record, obeys
-        self.period, self.rates = period, rates or {}
-        self.entries, self.shown, self.version = {}, {}, 0
-        self.edges, self.nodes, self.last, self.silent, self.used = {}, {}, 0.0, False, {}
-        self.task, self.settled = None, False
-
-    async def open(self, host, port):
+        self.cells, self.lag, self.record, self.accepts_faults = cells, lag, record, accepts_faults
+        self.usage_period, self.nominal_rates = usage_period, nominal_rates or {}
+        self.version = 0
+        self._reported: dict[str, messages.Entry] = {}
+        self._published: dict[str, Published] = {}
+        self._edges: dict[PeerConnection, bool] = {}
+        self._nodes: dict[PeerConnection, str] = {}
+        self._used: dict[str, float] = {}
+        self._last_publish_at = 0.0
+        self._silent = self._settled = False
+        self._metering: asyncio.Task | None = None
+
+    async def open(self, host: str, port: int) -> int:
+        """Listens; the port."""
         self.loop = asyncio.get_running_loop()
-        self.loop.call_later(SETTLE, self.settle)
+        self.loop.call_later(MAX_SETTLE_TIME, self._settle)
         await self.listen(host, port)
-        if self.period:
-            self.task = self.loop.create_task(self.meter())
+        if self.usage_period:
+            self._metering = self.loop.create_task(self._report_usage())
         return self.port
 
-    async def close(self):
-        if self.task:
-            self.task.cancel()
+    async def close(self) -> None:
+        """Ends."""
+        if self._metering:
+            self._metering.cancel()
         await self.close_server()
 
-    def on_peer_connected(self, peer):
+    def on_peer_connected(self, peer: PeerConnection) -> None:
+        """Sends an edge the whole list."""
         if peer.hello.peer.startswith("edge"):
-            self.edges[peer] = True
-            self.whole(peer)
-
-    def on_peer_disconnected(self, peer):
-        self.edges.pop(peer, None)
-        name = self.nodes.pop(peer, None)
-        if name is not None and name not in self.nodes.values():
+            self._edges[peer] = True
+            self._send_snapshot(peer)
+
+    def on_peer_disconnected(self, peer: PeerConnection) -> None:
+        """Counts a node whose last connection ended as removed."""
+        self._edges.pop(peer, None)
+        name = self._nodes.pop(peer, None)
+        if name is not None and name not in self._nodes.values():
             entry = messages.Entry()
-            entry.CopyFrom(self.entries[name])
-            entry.condition = "gone"
-            self.changed(entry)
+            entry.CopyFrom(self._reported[name])
+            entry.condition = REMOVED
+            self._on_entry(entry)
 
-    def on_message(self, peer, name, body):
+    def on_message(self, peer: PeerConnection, name: str, body) -> None:
+        """Handles a node's report, or a request to inject a fault."""
         if name == "report":
-            if len(self.entries) >= MOST_NODES and body.entry.node not in self.entries:
-                raise WireError(f"more than {MOST_NODES} nodes")
-            if body.entry.cell >= self.cells or body.entry.node != peer.hello.peer:
-                raise WireError(f"node {body.entry.node} of cell {body.entry.cell} does not belong here")
-            self.nodes[peer] = body.entry.node
-            for used in body.used:
-                self.used[used.volume] = self.used.get(used.volume, 0.0) + used.units
-            self.changed(body.entry)
-        elif name == "trouble" and self.obeys:
-            self.obey(peer, body)
+            self._on_report(peer, body)
+        elif name == "trouble" and self.accepts_faults:
+            self.on_fault_request(peer, body)
         else:
             raise WireError(f"{name} is not for the source of the list")
 
-    def begin(self, kind, size=0.0, seconds=0.0):
-        """`lag`: changes come `size` seconds late; `silent`: nothing is told."""
-        if kind not in TROUBLES:
+    def _on_report(self, peer: PeerConnection, report: messages.Report) -> None:
+        entry = report.entry
+        if len(self._reported) >= MAX_NODES and entry.node not in self._reported:
+            raise WireError(f"more than {MAX_NODES} nodes")
+        if entry.cell >= self.cells or entry.node != peer.hello.peer:
+            raise WireError(f"node {entry.node} of cell {entry.cell} does not belong here")
+        self._nodes[peer] = entry.node
+        for used in report.used:
+            self._used[used.volume] = self._used.get(used.volume, 0.0) + used.units
+        self._on_entry(entry)
+
+    def start_fault(self, kind: str, size: float = 0.0, seconds: float = 0.0) -> None:
+        """Starts a fault: `lag`, changes come `size` seconds late; `silent`, nothing is sent."""
+        if kind not in (LAG_FAULT, SILENT_FAULT):
             raise WireError(f"there is no trouble '{kind}'")
-        before = self.lag
-        if kind == "lag":
+        former_lag = self.lag
+        if kind == LAG_FAULT:
             self.lag = size
         else:
-            self.silent = True
+            self._silent = True
         if seconds:
-            self.loop.call_later(seconds, self.end, kind, before)
+            self.loop.call_later(seconds, self._end_fault, kind, former_lag)
 
-    def end(self, kind, before):
-        if kind == "lag":
-            self.lag = before
+    def _end_fault(self, kind: str, former_lag: float) -> None:
+        if kind == LAG_FAULT:
+            self.lag = former_lag
         else:
-            self.silent = False
-            for peer in self.edges:
-                self.whole(peer)
-
-    def changed(self, entry):
-        """Puts a change down for its time; a report that says nothing new changes nothing."""
-        known = self.entries.get(entry.node)
-        self.entries[entry.node] = entry
-        if known is not None and (known.condition, known.start, known.port, known.cell) == (
-            entry.condition,
-            entry.start,
-            entry.port,
-            entry.cell,
-        ):
-            if entry.node in self.shown:
-                self.shown[entry.node][0].free = entry.free
+            self._silent = False
+            self._send_snapshots()
+
+    def _on_entry(self, entry: messages.Entry) -> None:
+        """Publishes a change after the lag; a report without news changes only the free space."""
+        known = self._reported.get(entry.node)
+        self._reported[entry.node] = entry
+        if known is not None and _identity(known) == _identity(entry):
+            if entry.node in self._published:
+                self._published[entry.node].entry.free = entry.free
             return
-        if not self.settled:  # a source that starts waits until each cell has a node
-            self.shown[entry.node] = entry, self.loop.time()
-            if len({shown.cell for shown, _ in self.shown.values()}) == self.cells:
-                self.settle()
+        if not self._settled:  # a source that starts waits until each cell has a node
+            self._published[entry.node] = Published(entry, self.loop.time())
+            if len({published.entry.cell for published in self._published.values()}) == self.cells:
+                self._settle()
             return
-        self.last = max(self.last, self.loop.time() + self.lag)  # later changes never overtake
-        self.loop.call_at(self.last, self.push, entry, self.loop.time())
+        # A later change never overtakes an earlier one.
+        self._last_publish_at = max(self._last_publish_at, self.loop.time() + self.lag)
+        self.loop.call_at(self._last_publish_at, self._publish, Published(entry, self.loop.time()))
 
-    def settle(self):
-        if not self.settled:
-            self.settled = True
-            for peer in self.edges:
-                self.whole(peer)
+    def _settle(self) -> None:
+        if not self._settled:
+            self._settled = True
+            self._send_snapshots()
 
-    def push(self, entry, at):
+    def _publish(self, change: Published) -> None:
         self.version += 1
-        self.shown[entry.node] = entry, at
-        for name, (old, since) in list(self.shown.items()):
-            if old.condition == "gone" and self.loop.time() - since > GONE_KEPT:
-                del self.shown[name]
-        self.record("shown", node=entry.node, condition=entry.condition)
-        if not self.silent:
-            listing = self.listing([(entry, at)], False)
-            for peer in self.edges:
+        self._published[change.entry.node] = change
+        self._forget_removed()
+        self.record("shown", node=change.entry.node, condition=change.entry.condition)
+        if not self._silent:
+            listing = self._listing([change], is_snapshot=False)
+            for peer in self._edges:
                 peer.send(listing=listing)
 
-    def listing(self, rows, whole):
-        listing = messages.Listing(version=self.version, whole=whole, cells=self.cells)
-        for entry, at in rows:
-            told = listing.entries.add()
-            told.CopyFrom(entry)
-            told.age += int((self.loop.time() - at) * 10_000)
+    def _forget_removed(self) -> None:
+        for name, published in list(self._published.items()):
+            age = self.loop.time() - published.since
+            if published.entry.condition == REMOVED and age > REMOVED_RETENTION:
+                del self._published[name]
+
+    def _listing(self, changes: Iterable[Published], is_snapshot: bool) -> messages.Listing:
+        listing = messages.Listing(version=self.version, whole=is_snapshot, cells=self.cells)
+        for change in changes:
+            entry = listing.entries.add()
+            entry.CopyFrom(change.entry)
+            entry.age += int((self.loop.time() - change.since) * TICKS_PER_SECOND)
         return listing
 
-    def whole(self, peer):
-        if self.settled and self.shown and not self.silent:
-            peer.send(listing=self.listing(list(self.shown.values()), True))
+    def _send_snapshots(self) -> None:
+        for peer in self._edges:
+            self._send_snapshot(peer)
+
+    def _send_snapshot(self, peer: PeerConnection) -> None:
+        if self._settled and self._published and not self._silent:
+            peer.send(listing=self._listing(self._published.values(), is_snapshot=True))
 
-    async def meter(self):
+    async def _report_usage(self) -> None:
         """Tells the nodes, each period, what the fleet served for each folder in the one before."""
         while True:
-            await asyncio.sleep(self.period)
-            used, self.used = self.used, {}
-            told = [
-                messages.Used(volume=folder, percent=int(100 * units / (self.rates[folder] * self.period)))
-                for folder, units in used.items()
-                if folder in self.rates
-            ]
-            for peer in self.nodes:
-                peer.send(meter=messages.Meter(used=told))
+            await asyncio.sleep(self.usage_period)
+            used, self._used = self._used, {}
+            meter = messages.Meter(
+                used=[
+                    messages.Used(volume=folder, percent=self._percent_of_nominal(folder, units))
+                    for folder, units in used.items()
+                    if folder in self.nominal_rates
+                ]
+            )
+            for peer in self._nodes:
+                peer.send(meter=meter)
+
+    def _percent_of_nominal(self, folder: str, units: float) -> int:
+        return int(PERCENT * units / (self.nominal_rates[folder] * self.usage_period))
+
+
+def _identity(entry: messages.Entry) -> tuple[str, str, int, int]:
+    """What makes a report news."""
+    return entry.condition, entry.start, entry.port, entry.cell
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -1,86 +1,117 @@
-"""A stand-in storage node: it keeps objects and rows, takes as long as a machine would, and can
-be told to be in trouble.
+"""A stand-in storage node.
+
+It stores objects and rows, takes as long as a machine would, and injects faults into itself when it is asked.
 """
 
 import asyncio
+import contextlib
 import random
-from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+import structlog
 
-from rushmux.nodewire import FrameReader, WireError, frame, messages
+from rushmux.nodewire import VERSION, FrameReader, WireError, frame, messages
 from rushmux.planner.server import PeerConnection
-from rushmux.standins.fault_control import Obeying
-from rushmux.standins.service_model import Engine, Shape, neighbour
-from rushmux.standins.store import DiskFull, Store
-
-MOST_VOLUMES = 100_000  # folders whose served units are kept, and edges they were told to
-REPORT_EVERY = 1.0  # seconds between reports of free space to the list source
-AGAIN = 0.3  # seconds until the list source is dialled again
-HOLD_MOST = 10_000  # executions kept by the trouble `stuck`
-TROUBLES = (
-    "silent",
-    "stuck",
-    "slow",
-    "errors",
-    "lost",
-    "resets",
-    "drain",
-    "disk",
-    "neighbour",
-    "unmetered",
-    "unanswered",
-)
-
-
-class Served:
-    """Units served for each folder, in all and for each edge, as answers tell of them."""
-
-    def __init__(self):
-        self.total, self.told, self.period = {}, OrderedDict(), {}
-
-    def add(self, folder, edge, units):
-        """Counts a served execution; what other edges had served since this edge's last answer."""
-        total = self.total[folder] = self.total.get(folder, 0.0) + units
-        before = self.told.pop((folder, edge), 0.0)
-        self.told[folder, edge] = total
-        if len(self.told) > MOST_VOLUMES:
-            self.told.popitem(last=False)
-        if folder in self.period or len(self.period) < MOST_VOLUMES:
-            self.period[folder] = self.period.get(folder, 0.0) + units
-        return max(0.0, total - units - before)
-
-
-class Node(Obeying):
-    """One node from one start.  `record(kind, **fields)` hears of every execution; `obeys`: troubles
-    may be ordered over the socket.
+from rushmux.standins.fault_control import FaultInjectingServer
+from rushmux.standins.service_model import ServiceModel, Shape, run_noisy_neighbour
+from rushmux.standins.store import DiskFullError, Store
+from rushmux.standins.usage_meter import UsageMeter
+
+REPORT_INTERVAL = 1.0
+"""Seconds between reports to the source of the endpoint list."""
+RECONNECT_DELAY = 0.3
+"""Seconds until that source is connected to again."""
+MAX_STUCK_ATTEMPTS = 10_000
+"""Attempts held by the fault `stuck`."""
+READ_SIZE = 1 << 16
+TICKS_PER_SECOND = 10_000
+SERVED_CODES = (messages.DONE, messages.MISSING, messages.CONFLICT)
+FAULT_TEXT = "in trouble"
+"""Text of errors that a fault makes."""
+
+Address = tuple[str, int]
+"""Host and port."""
+
+
+class Fault(StrEnum):
+    """Faults of a node; their size in brackets."""
+
+    SILENT = "silent"  # no reply leaves
+    STUCK = "stuck"  # attempts wait until the fault ends, and run then
+    SLOW = "slow"  # work takes longer (times)
+    ERRORS = "errors"  # attempts fail at once (probability)
+    LOST = "lost"  # attempts are lost on their way (probability)
+    RESETS = "resets"  # all connections break, once
+    DRAIN = "drain"  # it drains, for good
+    DISK = "disk"  # nothing fits on its disk
+    NOISY_NEIGHBOUR = "neighbour"  # another program on the machine, by turns (times)
+    UNMETERED = "unmetered"  # replies report no usage
+    UNANSWERED = "unanswered"  # replies are lost on their way (probability)
+
+
+class Identity(NamedTuple):
+    """What a node says of itself."""
+
+    name: str
+    cell: int
+    zone: str
+    advertised: Address | None = None
+    """Where edges find it, if not where it listens."""
+
+
+class Node(FaultInjectingServer):
+    """One node from one start.
+
+    Args:
+        identity: Its name and place.
+        store: Its disk.
+        endpoint_sources: Address of the source of the endpoint list, or of several planners.
+        shape: Its machine.
+        seed: Of all its random draws and of its incarnation.
+        cold: Whether it begins with a slow start.
+        log: Its log.
+        record: Called with `(kind, **fields)` for every attempt, outcome and effect.
+        accepts_faults: Whether peers may inject faults.
     """
 
     def __init__(
         self,
-        name,
-        cell,
-        zone,
+        identity: Identity,
         store: Store,
-        lists,
+        endpoint_sources: Address | Sequence[Address],
         shape: Shape,
-        seed,
-        cold,
-        log,
-        record,
-        obeys=False,
-        tell=None,
+        *,
+        seed: int,
+        cold: bool,
+        log: structlog.typing.FilteringBoundLogger,
+        record: Callable[..., None],
+        accepts_faults: bool = False,
     ):
-        super().__init__(name, f"{seed & 0xFFFFFFFFFFFF:012x}", log.bind(node=name))
-        self.tell = tell  # (host, port) where edges find it, if not where it listens
-        self.cell, self.zone, self.store, self.lists, self.shape = cell, zone, store, lists, shape
-        self.chance, self.cold, self.record, self.obeys = random.Random(seed), cold, record, obeys
-        self.condition, self.trouble, self.served, self.use = "ready", {}, Served(), None
-        self.waiting_commit, self.stuck, self.fallen, self.task = [], [], False, None
-        self.calls = {}  # (peer, corr) -> call of what the machine holds
-
-    async def open(self, host, port):
+        super().__init__(identity.name, f"{seed & 0xFFFFFFFFFFFF:012x}", log.bind(node=identity.name))
+        self.cell, self.zone, self.advertised = identity.cell, identity.zone, identity.advertised
+        self.store, self.shape, self.cold = store, shape, cold
+        self.endpoint_sources: Sequence[Address] = (
+            [endpoint_sources] if isinstance(endpoint_sources[0], str) else endpoint_sources
+        )
+        self.record, self.accepts_faults = record, accepts_faults
+        self.state = "ready"
+        self.usage_meter = UsageMeter()
+        self._rng = random.Random(seed)
+        self._faults: dict[Fault, float] = {}
+        self._fleet_usage: dict[str, int] | None = None  # percent of a folder's nominal rate
+        self._uncommitted: list[tuple[PeerConnection, messages.Execute, messages.Outcome]] = []
+        self._stuck: list[tuple[PeerConnection, messages.Execute]] = []
+        self._in_service: dict[tuple[PeerConnection, int], Callable[[bool], None]] = {}
+        self._overloaded = False
+        self._reporting: asyncio.Task | None = None
+
+    async def open(self, host: str, port: int) -> int:
+        """Starts its machine and listens; the port."""
         self.loop = asyncio.get_running_loop()
-        self.began = self.loop.time()
-        self.engine = Engine(self.shape, self.chance, self.cold, self.fall)
+        self._started_at = self.loop.time()
+        self.model = ServiceModel(self.shape, self._rng, self.cold, self._on_overload)
         self.host = host
         await self.listen(host, port)
         self.record(
@@ -89,145 +120,139 @@
             cell=self.cell,
             cold=self.cold,
             start=self.start,
-            per_second=self.engine.per_second(),
+            per_second=self.model.units_per_second(),
             cold_start=self.shape.cold_start,
             warm_within=self.shape.warm_within,
         )
-        self.task = self.loop.create_task(self.register())
+        self._reporting = self.loop.create_task(self._report_until_cancelled())
         return self.port
 
-    async def close(self):
-        """Ends as a process does that is killed: nothing more is answered."""
-        self.engine.stop()
-        if self.task:
-            self.task.cancel()
+    async def close(self) -> None:
+        """Ends as a process that is killed: nothing more is answered."""
+        self.model.stop()
+        if self._reporting:
+            self._reporting.cancel()
         await self.close_server()
         self.store.close()
 
-    def fall(self):
-        """Pushed over: stays down."""
-        self.fallen = True
+    def _on_overload(self) -> None:
+        """Stops serving: too much was sent to a cold node."""
+        self._overloaded = True
         self.record("fell", node=self.name)
         self.log.error("node.fell")
-        if self.task:
-            self.task.cancel()
+        if self._reporting:
+            self._reporting.cancel()
         self.server.close()
         self.abort_connections()
 
-    # Towards the list source.
+    # Reports to the source of the endpoint list.
 
-    def age(self):
-        return int((self.loop.time() - self.began + (0 if self.cold else self.shape.warm_within)) * 10_000)
+    def age(self) -> int:
+        """Ticks since its start, as its greeting and its reports state; a warm node counts as warmed up."""
+        warm_for = 0 if self.cold else self.shape.warm_within
+        return int((self.loop.time() - self._started_at + warm_for) * TICKS_PER_SECOND)
 
-    def report(self):
-        host, port = self.tell or (self.host, self.port)
+    def _report(self) -> messages.Message:
+        host, port = self.advertised or (self.host, self.port)
         entry = messages.Entry(
             node=self.name,
             host=host,
             port=port,
             cell=self.cell,
             zone=self.zone,
-            condition=self.condition,
+            condition=self.state,
             start=self.start,
             age=self.age(),
             total=self.store.limit,
             free=self.store.free,
         )
-        used = [messages.Used(volume=folder, units=units) for folder, units in self.served.period.items()]
-        self.served.period = {}
-        return messages.Message(report=messages.Report(entry=entry, used=used, out=self.engine.inflight))
-
-    async def register(self):
-        """Tells the list source what this node is, now and then, for as long as it lives; of several planners
-        the one that takes it.
-        """
-        turn = -1
+        usage = self.usage_meter.take_period()
+        used = [messages.Used(volume=folder, units=units) for folder, units in usage.items()]
+        return messages.Message(report=messages.Report(entry=entry, used=used, out=self.model.in_flight))
+
+    async def _report_until_cancelled(self) -> None:
+        """Reports to the source of the endpoint list; of several planners to the one that takes it."""
+        attempt = 0
         while True:
-            writer, turn = None, turn + 1
+            with contextlib.suppress(OSError):
+                await self._report_to(self.endpoint_sources[attempt % len(self.endpoint_sources)])
+            attempt += 1
+            await asyncio.sleep(RECONNECT_DELAY)
+
+    async def _report_to(self, address: Address) -> None:
+        """Reports until the connection ends."""
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            hello = messages.Hello(version=VERSION, peer=self.name, start=self.start)
+            writer.write(frame(messages.Message(hello=hello)))
+            reading = self.loop.create_task(self._read_from_source(reader))
             try:
-                lists = [self.lists] if isinstance(self.lists[0], str) else self.lists
-                reader, writer = await asyncio.open_connection(*lists[turn % len(lists)])
-                hello = messages.Hello(version=1, peer=self.name, start=self.start)
-                writer.write(frame(messages.Message(hello=hello)))
-                reading = self.loop.create_task(self.hear(reader))
-                try:
-                    while not reading.done():
-                        writer.write(frame(self.report()))
-                        await writer.drain()
-                        await asyncio.sleep(REPORT_EVERY)
-                finally:
-                    reading.cancel()
-            except OSError:
-                pass
+                while not reading.done():
+                    writer.write(frame(self._report()))
+                    await writer.drain()
+                    await asyncio.sleep(REPORT_INTERVAL)
             finally:
-                if writer:
-                    writer.close()
-            await asyncio.sleep(AGAIN)
+                reading.cancel()
+        finally:
+            writer.close()
 
-    async def hear(self, reader):
+    async def _read_from_source(self, reader: asyncio.StreamReader) -> None:
         frames = FrameReader()
-        while data := await reader.read(1 << 16):
+        while data := await reader.read(READ_SIZE):
             for message in frames.feed(data):
                 if message.WhichOneof("body") == "floor":
-                    self.raise_floor(message.floor.number)
+                    self._raise_fencing_floor(message.floor.number)
                 elif message.WhichOneof("body") == "meter":
-                    self.use = {used.volume: used.percent for used in message.meter.used}
+                    self._fleet_usage = {used.volume: used.percent for used in message.meter.used}
 
-    def raise_floor(self, number):
-        """Turns away what goes by older policies from now on, and after a start too."""
-        if number > self.store.floor:
-            self.store.raise_floor(number)
-            self.log.info("node.floor", number=number)
+    def _raise_fencing_floor(self, version: int) -> None:
+        """Rejects attempts under older policies from now on, and after a restart too."""
+        if version > self.store.fencing_floor:
+            self.store.raise_fencing_floor(version)
+            self.log.info("node.floor", number=version)
 
-    # Towards the edges.
+    # Messages of edges.
 
-    def on_message(self, peer, name, body):
+    def on_message(self, peer: PeerConnection, name: str, body) -> None:
+        """Handles a message of an edge, or of whoever injects faults."""
         if name == "execute":
-            self.execute(peer, body)
+            self._on_attempt(peer, body)
         elif name == "withdraw":
-            done = self.calls.pop((peer, body.corr), None)
-            if done is not None and self.engine.withdraw(done):
-                self.record("withdrawn", node=self.name, edge=peer.hello.peer)
+            self._on_cancel(peer, body)
         elif name == "probe":
-            if not self.fallen and "silent" not in self.trouble and "stuck" not in self.trouble:
-                peer.send(load=messages.Load(corr=body.corr, **self.engine.load()))
-        elif name == "trouble" and self.obeys:
-            self.obey(peer, body)
+            self._on_load_request(peer, body)
+        elif name == "trouble" and self.accepts_faults:
+            self.on_fault_request(peer, body)
         else:
             raise WireError(f"{name} is not for a node")
 
-    def begin(self, kind, size=0.0, seconds=0.0):
-        """Begins a trouble, for so many seconds (0: for good)."""
-        if kind not in TROUBLES:
-            raise WireError(f"there is no trouble '{kind}'")
-        self.log.warning("trouble", kind=kind, size=size, seconds=seconds)
-        if kind == "resets":
-            self.record("reset", node=self.name)
-            self.abort_connections()
-            return
-        if kind == "drain":
-            self.condition = "draining"
-            return
-        self.trouble[kind] = size
-        if kind == "neighbour":
-            neighbour(self.loop, lambda: self.engine, size, self.loop.time() + seconds)
-        if kind == "slow":
-            self.engine.slowed = size
-        if seconds:
-            self.loop.call_later(seconds, self.end, kind)
+    def _on_cancel(self, peer: PeerConnection, request: messages.Withdraw) -> None:
+        on_done = self._in_service.pop((peer, request.corr), None)
+        if on_done is not None and self.model.cancel(on_done):
+            self.record("withdrawn", node=self.name, edge=peer.hello.peer)
 
-    def end(self, kind):
-        self.trouble.pop(kind, None)
-        self.engine.slowed = self.trouble.get("slow", 1.0)
-        if kind == "stuck":  # what was held for lost runs now
-            stuck, self.stuck = self.stuck, []
-            for peer, body in stuck:
-                self.serve(peer, body, body.WhichOneof("what"))
+    def _on_load_request(self, peer: PeerConnection, request: messages.Probe) -> None:
+        if self._overloaded or Fault.SILENT in self._faults or Fault.STUCK in self._faults:
+            return
+        peer.send(load=messages.Load(corr=request.corr, **self.model.load_sample()._asdict()))
 
-    def execute(self, peer: PeerConnection, body: messages.Execute):
-        if self.fallen:
+    def _on_attempt(self, peer: PeerConnection, body: messages.Execute) -> None:
+        if self._overloaded:
             return
-        what = body.WhichOneof("what")
+        self._record_attempt(peer, body)
+        # An edge that holds no version from the floor on came back with an old disk.
+        if 0 < body.knows < self.store.fencing_floor:
+            self.record("fenced", node=self.name, op=body.op, execution=body.execution, policy=body.policy)
+            self._answer(peer, body, messages.Outcome(code=messages.BUSY, floor=self.store.fencing_floor))
+        elif self._strikes(Fault.LOST):
+            return
+        elif Fault.STUCK in self._faults:
+            if len(self._stuck) < MAX_STUCK_ATTEMPTS:
+                self._stuck.append((peer, body))
+        else:
+            self._submit(peer, body)
+
+    def _record_attempt(self, peer: PeerConnection, body: messages.Execute) -> None:
         self.record(
             "execution",
             node=self.name,
@@ -239,92 +264,121 @@
             lane=body.lane,
             key=body.key,
             units=body.units,
-            what=what,
+            what=body.WhichOneof("what"),
             time_out=body.time_out,
             policy=body.policy,
         )
-        # Danger: whoever goes by a number that no member goes by any more has an old disk.
-        if 0 < body.knows < self.store.floor:
-            self.record("fenced", node=self.name, op=body.op, execution=body.execution, policy=body.policy)
-            self.answer(peer, body, messages.Outcome(code=messages.BUSY, floor=self.store.floor))
-            return
-        if "lost" in self.trouble and self.chance.random() < self.trouble["lost"]:
-            return
-        if "stuck" in self.trouble:
-            if len(self.stuck) < HOLD_MOST:
-                self.stuck.append((peer, body))
-            return
-        self.serve(peer, body, what)
 
-    def serve(self, peer, body, what):
-        if "errors" in self.trouble and self.chance.random() < self.trouble["errors"]:
-            self.answer(peer, body, messages.Outcome(code=messages.FAILED, error="in trouble"))
+    def _submit(self, peer: PeerConnection, body: messages.Execute) -> None:
+        """Hands an attempt to the machine; a full machine rejects it."""
+        if self._strikes(Fault.ERRORS):
+            self._answer(peer, body, messages.Outcome(code=messages.FAILED, error=FAULT_TEXT))
             return
-        writes = what in ("write", "change")
         key = f"{body.volume}/{body.key}" if body.key else ""
 
-        def done(late):
-            self.calls.pop((peer, body.corr), None)
-            self.work(peer, body, what, late)
+        def on_done(dropped: bool) -> None:
+            self._in_service.pop((peer, body.corr), None)
+            self._complete(peer, body, dropped)
 
-        # Bounded by the machine's waiting room; what a pushed-over node holds ends with it.
-        if self.engine.offer(body.units, key, writes, body.time_out / 10_000, done):
-            self.calls[peer, body.corr] = done
-        elif not self.fallen:
-            self.answer(peer, body, messages.Outcome(code=messages.BUSY))
+        is_write = body.WhichOneof("what") in ("write", "change")
+        if self.model.submit(body.units, key, is_write, body.time_out / TICKS_PER_SECOND, on_done):
+            self._in_service[peer, body.corr] = on_done
+        elif not self._overloaded:
+            self._answer(peer, body, messages.Outcome(code=messages.BUSY))
 
-    def work(self, peer, body, what, late):
-        """The machine's time for an execution is over: it takes effect now, all of it or nothing."""
-        if self.fallen:
+    def _complete(self, peer: PeerConnection, body: messages.Execute, dropped: bool) -> None:
+        """Executes an attempt whose service time is over, all of it or nothing."""
+        if self._overloaded:
             return
-        if late:
+        if dropped:
             self.record("dropped", node=self.name, op=body.op, execution=body.execution)
             return
+        what = body.WhichOneof("what")
+        if what == "read":
+            self._answer(peer, body, self.store.read(body.read))
+        elif what == "look":
+            self._answer(peer, body, self.store.look(body.volume, body.look))
+        else:
+            self._change(peer, body, what)
+
+    def _change(self, peer: PeerConnection, body: messages.Execute, what: str) -> None:
+        """Executes an attempt that changes the store; it is answered after the next commit."""
+        if not self._uncommitted:
+            self.store.begin()
+            self.loop.call_soon(self._commit)
         try:
-            if what == "read":
-                self.answer(peer, body, self.store.read(body.read))
-                return
-            if what == "look":
-                self.answer(peer, body, self.store.look(body.volume, body.look))
-                return
-            if not self.waiting_commit:
-                self.store.begin()
-                self.loop.call_soon(self.commit)
-            if "disk" in self.trouble and what in ("write", "change"):
-                raise DiskFull("in trouble")
-            if what == "write":
-                outcome = self.store.write(body.write)
-            elif what == "drop":
-                outcome = self.store.drop(body.drop)
-            elif what == "change":
-                known = self.store.version
-                outcome = self.store.change(body.volume, body.change, self.loop.time())
-                if self.store.version != known:
-                    self.record("effect", node=self.name, mark=body.change.mark, op=body.op)
-            else:
-                outcome = messages.Outcome(code=messages.FAILED, error="nothing to do")
-        except DiskFull as fault:
-            outcome = messages.Outcome(code=messages.FAILED, error=f"disk full: {fault}")
-        self.waiting_commit.append((peer, body, outcome))
-
-    def commit(self):
+            outcome = self._apply(body, what)
+        except DiskFullError as error:
+            outcome = messages.Outcome(code=messages.FAILED, error=f"disk full: {error}")
+        self._uncommitted.append((peer, body, outcome))
+
+    def _apply(self, body: messages.Execute, what: str) -> messages.Outcome:
+        if Fault.DISK in self._faults and what in ("write", "change"):
+            raise DiskFullError(FAULT_TEXT)
+        if what == "write":
+            return self.store.write(body.write)
+        if what == "drop":
+            return self.store.drop(body.drop)
+        if what != "change":
+            return messages.Outcome(code=messages.FAILED, error="nothing to do")
+        version = self.store.version
+        outcome = self.store.change(body.volume, body.change, self.loop.time())
+        if self.store.version != version:
+            self.record("effect", node=self.name, mark=body.change.mark, op=body.op)
+        return outcome
+
+    def _commit(self) -> None:
         self.store.commit()
-        waiting, self.waiting_commit = self.waiting_commit, []
-        for peer, body, outcome in waiting:
-            self.answer(peer, body, outcome)
-
-    def answer(self, peer, body, outcome):
-        outcome.corr, outcome.inflight = body.corr, self.engine.inflight
-        if outcome.code in (messages.DONE, messages.MISSING, messages.CONFLICT):
-            outcome.from_others = self.served.add(body.volume, peer.hello.peer, body.units)
-            if self.use is not None:
-                outcome.fleet_use = 1 + self.use.get(body.volume, 0)
-        if "silent" in self.trouble:
-            return
-        # The work is done and its answer lost on the way; probes come through.
-        if "unanswered" in self.trouble and self.chance.random() < self.trouble["unanswered"]:
+        uncommitted, self._uncommitted = self._uncommitted, []
+        for peer, body, outcome in uncommitted:
+            self._answer(peer, body, outcome)
+
+    def _answer(self, peer: PeerConnection, body: messages.Execute, outcome: messages.Outcome) -> None:
+        """Sends an outcome with the node's load and the folder's usage, unless a fault keeps it back."""
+        outcome.corr, outcome.inflight = body.corr, self.model.in_flight
+        if outcome.code in SERVED_CODES:
+            outcome.from_others = self.usage_meter.add(body.volume, peer.hello.peer, body.units)
+            if self._fleet_usage is not None:
+                outcome.fleet_use = 1 + self._fleet_usage.get(body.volume, 0)
+        if Fault.SILENT in self._faults or self._strikes(Fault.UNANSWERED):
             return
-        if "unmetered" in self.trouble:
+        if Fault.UNMETERED in self._faults:
             outcome.from_others = outcome.fleet_use = 0
         self.record("outcome", node=self.name, op=body.op, execution=body.execution, code=outcome.code)
         peer.send(outcome=outcome)
+
+    # Faults.
+
+    def _strikes(self, fault: Fault) -> bool:
+        """Whether a fault that strikes with a probability does so now."""
+        return fault in self._faults and self._rng.random() < self._faults[fault]
+
+    def start_fault(self, kind: str, size: float = 0.0, seconds: float = 0.0) -> None:
+        """Starts a fault; see `FaultInjectingServer`."""
+        try:
+            fault = Fault(kind)
+        except ValueError as error:
+            raise WireError(f"there is no trouble '{kind}'") from error
+        self.log.warning("trouble", kind=kind, size=size, seconds=seconds)
+        if fault is Fault.RESETS:
+            self.record("reset", node=self.name)
+            self.abort_connections()
+            return
+        if fault is Fault.DRAIN:
+            self.state = "draining"
+            return
+        self._faults[fault] = size
+        if fault is Fault.NOISY_NEIGHBOUR:
+            run_noisy_neighbour(self.loop, lambda: self.model, size, self.loop.time() + seconds)
+        if fault is Fault.SLOW:
+            self.model.slowdown = size
+        if seconds:
+            self.loop.call_later(seconds, self._end_fault, fault)
+
+    def _end_fault(self, fault: Fault) -> None:
+        self._faults.pop(fault, None)
+        self.model.slowdown = self._faults.get(Fault.SLOW, 1.0)
+        if fault is Fault.STUCK:
+            stuck, self._stuck = self._stuck, []
+            for peer, body in stuck:
+                self._submit(peer, body)
