--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -31,6 +31,7 @@
     policy_model_checker,
     policy_mutants,
     policy_simulation,
+    scenario_fleet,
 )
 from rushmux.standins.policy_parts import REAL_PARTS, PolicyParts
 from rushmux.standins.raft_simulation_checker import InvariantViolationError
@@ -108,7 +109,7 @@
     raw["bounds"]["cold_falls_units"] = 113_000
     file = Path(folder) / "deployment.json"
     file.write_text(json.dumps(raw))
-    made = fault_injection.ScenarioFleet(story, file, build(raw, proved=False), folder, 1)
+    made = scenario_fleet.ScenarioFleet(story, file, build(raw, proved=False), folder, 1)
     made.cells, made.planner_names = NODES, ["plannera", "plannerb", "plannerc"]
     chance, members = random.Random(1), []
     try:
--- a/rushmux/cli/node.py
+++ b/rushmux/cli/node.py
@@ -13,11 +13,11 @@
     new_seed,
 )
 from rushmux.cli.serving import ServerOptions, open_recorder, serve, server_options
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-TICKS_PER_SECOND = 10_000
 CELLS = click.option(
     "--cells", type=int, required=True, help="shards that data is spread over; never changed later"
 )
--- a/rushmux/planner/endpoint_publisher.py
+++ b/rushmux/planner/endpoint_publisher.py
@@ -14,9 +14,9 @@
 from rushmux.planner.fleet_state import FleetState, NodeRecord
 from rushmux.planner.membership_store import MemberRow, MembershipStore
 from rushmux.planner.server import PeerConnection
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 
 NOTIFY_DELAY = 0.02  # seconds for which changes are gathered into one notification
-TICKS_PER_SECOND = 10_000  # of an entry's age
 
 
 class EndpointPublisher:
--- a/rushmux/planner/policy_floor.py
+++ b/rushmux/planner/policy_floor.py
@@ -1,8 +1,8 @@
 """When storage nodes are told of the fencing floor: the oldest policy that a member may still go by."""
 
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.settings.deployment import Deployment
 
-TICKS_PER_SECOND = 10_000  # of a deadline
 GRACE = 1.0  # seconds beyond the longest deadline: time on the way, and a late timer
 FIRST_POLICY = 1  # no node has anything older to reject
 
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -13,6 +13,7 @@
 from typing import Any, NamedTuple
 
 from rushmux.nodewire import messages
+from rushmux.scheduling.driver import NEVER, TICKS_PER_SECOND
 from rushmux.scheduling.interface import EndpointState, Idempotency
 from rushmux.settings.deployment import Deployment
 
@@ -26,11 +27,9 @@
     "limits kept",
     "bytes as written",
 )
-TICKS_PER_SECOND = 10_000
 MAX_BREACHES_SHOWN = 20
 """Breaches of a rule that are described; more are counted."""
 NO_REQUEST = "-"
-NEVER = float("inf")
 
 Row = Mapping[str, Any]
 
--- a/rushmux/standins/fault_control.py
+++ b/rushmux/standins/fault_control.py
@@ -1,12 +1,12 @@
 """The common part of stand-ins that inject faults into themselves."""
 
-from abc import abstractmethod
+from abc import ABC, abstractmethod
 
 from rushmux.nodewire import messages
 from rushmux.planner.server import PeerConnection, PeerServer
 
 
-class FaultInjectingServer(PeerServer):
+class FaultInjectingServer(PeerServer, ABC):
     """A server that starts a fault when a peer asks for it."""
 
     @abstractmethod
--- a/rushmux/standins/fault_injection.py
+++ b/rushmux/standins/fault_injection.py
@@ -1,356 +1,42 @@
-"""Runs fault scenarios on real processes of the program, with proxies between them, and checks each."""
+"""Runs fault scenarios on real processes of the program, and checks each."""
 
 import asyncio
-import copy
 import json
-import random
-import shutil
-import signal
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from rushmux.settings import policy as documents
-from rushmux.settings.deployment import Deployment, build
+from rushmux.settings.deployment import build
 from rushmux.standins import scenario as days
-from rushmux.standins.fault_proxy import FaultProxies, matching_names
 from rushmux.standins.fault_scenario import LIMITED_FOLDER, Scenario, Step, raw_deployment
 from rushmux.standins.policy_history_checker import check_history
-from rushmux.standins.processes import HOST, Part, ProcessFleet, ProcessStartError
+from rushmux.standins.processes import ProcessStartError
+from rushmux.standins.scenario_fleet import Row, ScenarioFleet
 from rushmux.standins.script import Event, Script
 
-NODE_UNIT_TIME = 0.002
-"""Seconds of a core for a unit of work at a node."""
 POLL_INTERVAL = 0.02
 """Seconds between two looks at what planners recorded."""
-SLOW_POLL_INTERVAL = 0.1
-SETTLE_TIME = 25.0
-"""Seconds at the end in which all members must come to one version."""
-START_TIMEOUT = 45.0
-"""Seconds until every edge serves under the policy."""
-LEADER_POLLS, KILL_POLLS = 100, 300
-"""Looks for a leader, and for a process that a scenario kills first, a slow interval apart."""
+SETTLE_TIME, SETTLE_POLL_INTERVAL = 25.0, 0.2
+"""Seconds at the end in which all members must come to one version, and between two looks at it."""
 CLIENT_SEED = 7
-TORN_BYTES = 3
-"""Bytes that a torn log lacks at its end."""
-PLANNER_LETTERS = "abcde"
-EDGE, NODE, PLANNER = "edge", "node", "planner"
 
-Row = dict[str, Any]
 
+class ScenarioRun:
+    """One scenario on a fleet that is up."""
 
-class ScenarioFleet(ProcessFleet):
-    """The fleet of a scenario: planners, nodes and edges that reach each other through proxies."""
-
-    def __init__(self, scenario: Scenario, file: Path, deployment: Deployment, folder: Path, seed: int):
-        super().__init__(file, deployment, folder, seed, records=True, unit=NODE_UNIT_TIME)
-        self.scenario, self.proxies = scenario, FaultProxies(random.Random(seed))
-        self.planner_names = [f"{PLANNER}{letter}" for letter in PLANNER_LETTERS[: self._size("planners")]]
-        self.planners: dict[str, Part] = {}
-        self.killed: list[str] = []
-        self.operator_commands: list[Row] = []
-        self.stopped: dict[str, bool] = {}  # edges that ever stood still
-
-    def _size(self, name: str) -> int:
-        return int(self.scenario.sizes[name])
-
-    # Processes.
-
-    async def start_planner(self, name: str, found: bool = False) -> None:
-        """Starts a planner; it reaches the others through proxies.
-
-        Args:
-            name: Its name.
-            found: Whether it begins the log, as at the fleet's first start.
-        """
-        addresses = [f"{other}={HOST}:{await self.proxies.port(name, other)}" for other in self.planner_names]
-        arguments = {
-            "--deployment": self.file,
-            "--cells": self.cells,
-            "--name": name,
-            "--planners": ",".join(addresses),
-            "--data": self.folder / "data" / name / "planner.db",
-        }
-        self.planners[name] = part = await self.begin(
-            name, "planner", *_flatten(arguments), *(["--found"] if found else [])
-        )
-        self.proxies.targets[name] = part.port
-
-    async def _planner_addresses(self, name: str) -> str:
-        """Where a process reaches the planners: through proxies."""
-        return ",".join([f"{HOST}:{await self.proxies.port(name, other)}" for other in self.planner_names])
-
-    async def node(self, name: str, cell: int, cold: bool = True) -> Part:
-        """Starts a node; edges reach it through a proxy."""
-        arguments = {
-            "--deployment": self.file,
-            "--name": name,
-            "--cell": cell,
-            "--unit": self.unit,
-            "--lists": await self._planner_addresses(name),
-            "--tell": f"{HOST}:{await self.proxies.port('edges', name)}",
-            "--data": self.folder / "data" / f"{name}.db",
-        }
-        part = await self.begin(name, "node", *_flatten(arguments), "--obeys", *(() if cold else ("--warm",)))
-        part.cell, self.nodes[name] = cell, part
-        self.proxies.targets[name] = part.port
-        return part
-
-    async def edge(self, number: int, port: int = 0) -> Part:
-        """Starts an edge, on the port that it had before where one is given."""
-        name = f"{EDGE}{number}"
-        arguments = {
-            "--listen": f"{HOST}:{port}",
-            "--deployment": self.file,
-            "--number": number,
-            "--lists": await self._planner_addresses(name),
-            "--data": self.folder / "data" / name,
-        }
-        self.edges[number] = await self.begin(name, "edge", *_flatten(arguments))
-        return self.edges[number]
-
-    async def up(self, nodes: int, edges: int) -> None:
-        """Starts everything, nodes warm, and waits until every edge serves under the policy."""
-        self.cells = nodes
-        await asyncio.gather(*(self.start_planner(name, True) for name in self.planner_names))
-        await asyncio.gather(*(self.node(f"{NODE}{cell}", cell, cold=False) for cell in range(nodes)))
-        await asyncio.gather(*(self.edge(number) for number in range(edges)))
-        async with asyncio.timeout(START_TIMEOUT):
-            while not all(self._is_serving(part) for part in self.edges.values()):
-                await asyncio.sleep(SLOW_POLL_INTERVAL)
-
-    def _is_serving(self, edge: Part) -> bool:
-        rows = self._policy_states(edge)
-        return any(row["serves"] and not row["narrow"] for row in rows)
-
-    async def down(self) -> None:
-        """Ends everything, also what was stopped."""
-        for parts in (self.edges.values(), self.nodes.values(), self.planners.values()):
-            for part in parts:
-                if part.process.returncode is None:
-                    part.process.send_signal(signal.SIGCONT)
-            await asyncio.gather(*(self.end_one(part) for part in parts))
-        await self.proxies.close()
-
-    @property
-    def places(self) -> tuple[tuple[str, int], ...]:
-        """The planners' addresses, as operators use them."""
-        return tuple((HOST, part.port) for part in self.planners.values())
-
-    # Recordings.
-
-    def _rows_of(self, part: Part) -> list[Row]:
-        """What a process recorded so far."""
-        path = self.folder / "records" / (part.log.stem + ".jsonl")
-        lines = path.read_bytes().splitlines(keepends=True) if path.exists() else ()
-        return [json.loads(line) for line in lines if line.endswith(b"\n")]
-
-    def _policy_states(self, edge: Part) -> list[Row]:
-        return [row for row in self._rows_of(edge) if row["kind"] == "goes_by"]
-
-    def _applied_commands(self) -> list[Row]:
-        """The commands that any planner applied."""
-        rows = (row for part in self.planners.values() for row in self._rows_of(part))
-        return [row for row in rows if row["kind"] == "decided"]
-
-    async def _leader(self) -> str:
-        """The planner that leads."""
-        for _ in range(LEADER_POLLS):
-            for name, part in self.planners.items():
-                if part.process.returncode is None and self._believes_to_lead(part):
-                    return name
-            await asyncio.sleep(SLOW_POLL_INTERVAL)
-        raise TimeoutError("no planner leads")
-
-    def _believes_to_lead(self, planner: Part) -> bool:
-        rows = [row for row in self._rows_of(planner) if row["kind"] == "leads"]
-        return bool(rows) and rows[-1]["leads"]
-
-    def is_settled(self) -> bool:
-        """Whether every running edge applies the version decided last, and no change is under way."""
-        applied = sorted(self._applied_commands(), key=lambda row: row["index"])
-        if not applied or applied[-1]["staged"]:
-            return False
-        version = applied[-1]["force"]
-        running = (part for part in self.edges.values() if part.process.returncode is None)
-        return all(self._applies(part, version) for part in running)
-
-    def _applies(self, edge: Part, version: int) -> bool:
-        rows = self._policy_states(edge)
-        return bool(rows) and rows[-1]["number"] == version and not rows[-1]["narrow"]
-
-    # Names in steps.
-
-    async def _resolve(self, word: str) -> str:
-        """The process that a word means.
-
-        `last` waits for what is to be killed first, on a busy machine later than its start.
-        """
-        if word == "leader":
-            return await self._leader()
-        if word != "last":
-            return word
-        for _ in range(KILL_POLLS):
-            if self.killed:
-                return self.killed[-1]
-            await asyncio.sleep(SLOW_POLL_INTERVAL)
-        raise TimeoutError("nothing was killed that could be started")
-
-    def _part(self, name: str) -> Part:
-        for parts in (self.planners, self.nodes):
-            if name in parts:
-                return parts[name]
-        return self.edges[_number(name, EDGE)]
-
-    def _all_named(self, words: str) -> list[str]:
-        known = [*self.planner_names, *self.nodes, *(f"{EDGE}{number}" for number in self.edges)]
-        return [name for word in words.split(",") for name in matching_names(word, known)]
-
-    def _disk(self, name: str) -> list[Path]:
-        """What a process has on its disk."""
-        data = self.folder / "data"
-        if name.startswith(NODE):
-            return [data / f"{name}.db", data / f"{name}.db-wal"]
-        return [data / name]
-
-    # Verbs.
-
-    async def run_step(self, step: Step) -> None:
-        """Carries out a step, and records it."""
-        self.record("deed", verb=step.verb, words=step.words)
-        await getattr(self, f"_do_{step.verb}")(*step.words)
-
-    async def _do_propose(self, *words: str) -> None:
-        raw, options, label = copy.deepcopy(self.deployment.raw), {}, ""
-        remaining = iter(words)
-        for word in remaining:
-            if word == "base":
-                options["base"] = int(next(remaining))
-            elif word == "as":
-                label = next(remaining)
-            else:
-                place, _, value = word.partition("=")
-                _set_value(raw, place, json.loads(value))
-        await self.send_policy_command(label, "propose", text=documents.text(raw), **options)
-
-    async def _do_withdraw(self, number: str) -> None:
-        await self.send_policy_command(f"w{number}", "withdraw", number=int(number))
-
-    async def _do_revert(self, number: str, _as: str = "as", label: str = "") -> None:
-        await self.send_policy_command(label, "revert", number=int(number))
-
-    async def _do_forget(self, member: str) -> None:
-        await self.send_policy_command(f"f{member}", "forget", member=member)
-
-    async def _do_kill(self, word: str) -> None:
-        name = await self._resolve(word)
-        part = self._part(name)
-        self.killed.append(name)
-        if name.startswith(EDGE):
-            self.record("killed", edge=name, start=part.start)
-        elif name.startswith(NODE):
-            self.record("killed", node=name)
-        part.process.kill()
-        await part.process.wait()
-
-    async def _do_image(self, name: str) -> None:
-        """Copies what a disk holds now, as an image that may be put back."""
-        for path in self._disk(name):
-            if path.exists():
-                image = self.folder / "images" / path.name
-                shutil.rmtree(image, ignore_errors=True)
-                image.parent.mkdir(exist_ok=True)
-                _copy(path, image)
-
-    async def _do_start(self, word: str, disk: str = "") -> None:
-        """Starts what was killed, on its disk as it is, on an image, an empty or a torn one."""
-        name = await self._resolve(word)
-        self.killed = [other for other in self.killed if other != name]
-        for path in self._disk(name):
-            if disk in ("image", "empty"):
-                _remove(path)
-            image = self.folder / "images" / path.name
-            if disk == "image" and image.exists():
-                _copy(image, path)
-            if disk == "torn":
-                log = path / "planner.db.log"
-                log.write_bytes(log.read_bytes()[:-TORN_BYTES])
-        if name.startswith(PLANNER):
-            await self.start_planner(name)
-        elif name.startswith(NODE):
-            await self.node(name, _number(name, NODE))
-        else:
-            number = _number(name, EDGE)
-            await self.edge(number, self.edges[number].port)
-
-    async def _do_stop(self, word: str, seconds: str) -> None:
-        part = self._part(await self._resolve(word))
-        self.stopped[part.name] = True
-        part.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(float(seconds))
-        if part.process.returncode is None:
-            part.process.send_signal(signal.SIGCONT)
-
-    async def _do_full(self, name: str, seconds: str) -> None:
-        """An edge's disk takes nothing: what it would write first is in the way."""
-        obstacle = self.folder / "data" / name / "policy.kept.new"
-        obstacle.mkdir()
-        await asyncio.sleep(float(seconds))
-        obstacle.rmdir()
-
-    async def _do_cut(self, sources: str, _from: str, targets: str, seconds: str) -> None:
-        leader = await self._leader() if "leader" in (sources, targets) else ""
-        sources, targets = (leader if word == "leader" else word for word in (sources, targets))
-        if targets == "others":
-            cut_off = self._all_named(sources)
-            targets = ",".join(name for name in self._all_named("planners") if name not in cut_off)
-        one, other = self._all_named(sources), self._all_named(targets)
-        await self._block([(one, other), (other, one)], float(seconds))
-
-    async def _do_mute(self, sources: str, _to: str, targets: str, seconds: str) -> None:
-        await self._block([(self._all_named(sources), self._all_named(targets))], float(seconds))
-
-    async def _block(self, pairs: Iterable[tuple[list[str], list[str]]], seconds: float) -> None:
-        pairs = list(pairs)
-        for sources, targets in pairs:
-            self.proxies.block(sources, [name for name in targets if name not in sources])
-        await asyncio.sleep(seconds)
-        for sources, targets in pairs:
-            self.proxies.heal(sources, targets)
-
-    async def _do_delay(
-        self, sources: str, _to: str, targets: str, shortest: str, longest: str, seconds: str
-    ) -> None:
-        for source in self._all_named(sources):
-            for target in self._all_named(targets):
-                self.proxies.link(source, target).delay = float(shortest), float(longest)
-        await asyncio.sleep(float(seconds))
-        self.proxies.heal(self._all_named(sources), self._all_named(targets))
-
-    async def _do_refuse(self, sources: str, _to: str, targets: str, seconds: str) -> None:
-        for source in self._all_named(sources):
-            for target in self._all_named(targets):
-                self.proxies.refuse(source, target)
-        await asyncio.sleep(float(seconds))
-        self.proxies.heal(self._all_named(sources), self._all_named(targets))
-
-    async def _do_reset(self, sources: str, _from: str, targets: str, size: str) -> None:
-        for source in self._all_named(sources):
-            for target in self._all_named(targets):
-                self.proxies.link(source, target).reset_after = int(size)
-
-    # The scenario.
+    def __init__(self, fleet: ScenarioFleet):
+        self._fleet, self._loop = fleet, fleet.loop
 
     async def run(self) -> None:
         """Runs the steps beside the clients' work, and waits until all has settled or the time is over."""
-        steps = _Steps(self.scenario.steps, self._applied_commands)
-        length, begun_at = self.scenario.sizes["length"], self.loop.time()
-        clients, tasks = self.loop.create_task(self._run_clients()), []
-        while steps.remain or self.loop.time() - begun_at < length:
-            elapsed = self.loop.time() - begun_at
-            tasks += [self.loop.create_task(self.run_step(step)) for step in steps.take_due(elapsed)]
-            tasks += [self.loop.create_task(self._run_later(step)) for step in steps.take_triggered()]
+        steps = _Steps(self._fleet.scenario.steps, self._fleet.applied_commands)
+        length, begun_at = self._fleet.scenario.sizes["length"], self._loop.time()
+        clients, tasks = self._loop.create_task(self._run_clients()), []
+        while steps.remain or self._loop.time() - begun_at < length:
+            elapsed = self._loop.time() - begun_at
+            tasks += [self._loop.create_task(self._fleet.run_step(step)) for step in steps.take_due(elapsed)]
+            tasks += [self._loop.create_task(self._run_later(step)) for step in steps.take_triggered()]
             if elapsed > length + SETTLE_TIME:
                 break
             await asyncio.sleep(POLL_INTERVAL)
@@ -358,19 +44,19 @@
             if isinstance(result, Exception):
                 raise result
         await clients
-        until = self.loop.time() + SETTLE_TIME
-        while self.loop.time() < until and not self.is_settled():
-            await asyncio.sleep(2 * SLOW_POLL_INTERVAL)
+        until = self._loop.time() + SETTLE_TIME
+        while self._loop.time() < until and not self._fleet.is_settled():
+            await asyncio.sleep(SETTLE_POLL_INTERVAL)
 
     async def _run_clients(self) -> None:
-        sizes = self.scenario.sizes
+        sizes = self._fleet.scenario.sizes
         surge = Event(0.1, "surge", LIMITED_FOLDER, size=sizes["surge"], seconds=sizes["length"])
         script = Script(sizes["length"], (surge,))
-        await days.play(self, script, days.Load(sizes["load"]), CLIENT_SEED)
+        await days.play(self._fleet, script, days.Load(sizes["load"]), CLIENT_SEED)
 
     async def _run_later(self, step: Step) -> None:
         await asyncio.sleep(step.at)
-        await self.run_step(step)
+        await self._fleet.run_step(step)
 
 
 class _Steps:
@@ -409,38 +95,6 @@
     return row["index"], row["order"]
 
 
-def _flatten(arguments: dict[str, Any]) -> list[Any]:
-    """Options and their values as words of a command line."""
-    return [word for option in arguments.items() for word in option]
-
-
-def _number(name: str, kind: str) -> int:
-    return int(name.removeprefix(kind))
-
-
-def _set_value(raw: dict, place: str, value: Any) -> None:
-    """Sets a value of a deployment file by its place."""
-    *inner, last = place.strip("/").split("/")
-    target = raw
-    for step in inner:
-        target = target[int(step)] if isinstance(target, list) else target.setdefault(step, {})
-    target[last] = value
-
-
-def _copy(source: Path, target: Path) -> None:
-    if source.is_dir():
-        shutil.copytree(source, target)
-    else:
-        shutil.copy(source, target)
-
-
-def _remove(path: Path) -> None:
-    if path.is_dir():
-        shutil.rmtree(path, ignore_errors=True)
-    else:
-        path.unlink(missing_ok=True)
-
-
 class ScenarioResult(NamedTuple):
     """What became of a scenario: breaches (none: it passed) and counts of what happened."""
 
@@ -465,7 +119,7 @@
     fleet = ScenarioFleet(scenario, file, deployment, folder, seed)
     try:
         await fleet.up(int(scenario.sizes["nodes"]), int(scenario.sizes["edges"]))
-        await fleet.run()
+        await ScenarioRun(fleet).run()
         settled = fleet.is_settled()
     finally:
         await fleet.down()
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -12,6 +12,7 @@
 from rushmux.edge.node_connections import Address
 from rushmux.planner.membership_store import MembershipStore
 from rushmux.planner.planner import Planner
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.deployment import Deployment, build
 from rushmux.simulation.loop import SimulatedLoop, run
@@ -30,7 +31,6 @@
 """Bytes of a node's disk where a test says nothing else."""
 EPOCH = 1_800_000_000.0
 """Calendar time at the start of the virtual clock."""
-TICKS_PER_SECOND = 10_000
 
 
 class Part:
--- a/rushmux/standins/lists.py
+++ b/rushmux/standins/lists.py
@@ -12,6 +12,7 @@
 
 from rushmux.nodewire import WireError, messages
 from rushmux.planner.server import PeerConnection
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.standins.fault_control import FaultInjectingServer
 
 MAX_NODES = 10_000
@@ -20,7 +21,6 @@
 """Seconds at most until a source that starts lists the nodes that have reported."""
 REMOVED_RETENTION = 600.0
 """Seconds for which a removed node stays in the list."""
-TICKS_PER_SECOND = 10_000
 PERCENT = 100
 REMOVED = "gone"
 LAG_FAULT, SILENT_FAULT = "lag", "silent"
--- a/rushmux/standins/node.py
+++ b/rushmux/standins/node.py
@@ -13,7 +13,9 @@
 import structlog
 
 from rushmux.nodewire import VERSION, FrameReader, WireError, frame, messages
+from rushmux.planner.admin_client import Address
 from rushmux.planner.server import PeerConnection
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.standins.fault_control import FaultInjectingServer
 from rushmux.standins.service_model import ServiceModel, Shape, run_noisy_neighbour
 from rushmux.standins.store import DiskFullError, Store
@@ -26,14 +28,10 @@
 MAX_STUCK_ATTEMPTS = 10_000
 """Attempts held by the fault `stuck`."""
 READ_SIZE = 1 << 16
-TICKS_PER_SECOND = 10_000
 SERVED_CODES = (messages.DONE, messages.MISSING, messages.CONFLICT)
 FAULT_TEXT = "in trouble"
 """Text of errors that a fault makes."""
 
-Address = tuple[str, int]
-"""Host and port."""
-
 
 class Fault(StrEnum):
     """Faults of a node; their size in brackets."""
--- a/rushmux/standins/report.py
+++ b/rushmux/standins/report.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.settings.deployment import Deployment
 from rushmux.sftp import packets as sftp
 from rushmux.standins.checker import Checker, Verdict
@@ -14,7 +15,6 @@
 """Requests in a window that counts."""
 DEFAULT_OBJECTIVE = 0.4
 """Latency objective of requests that have no access, seconds."""
-TICKS_PER_SECOND = 10_000
 MAX_BREACHES_SHOWN = 5
 ACCESSES = {
     "Open": ("look", "change"),
--- a/rushmux/standins/service_model.py
+++ b/rushmux/standins/service_model.py
@@ -10,14 +10,14 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from rushmux.scheduling.driver import NEVER, TICKS_PER_SECOND
+
 NEIGHBOUR_PERIOD = 1.0
 """Seconds that a noisy neighbour on the machine runs, and then rests."""
 SERVICE_TIME_SIGMA = 0.3
 """Of the lognormal draw of a service time around its mean."""
 SERVICE_TIME_WEIGHT = 8
 """One over the weight of the newest service time in the running mean."""
-TICKS_PER_SECOND = 10_000
-NEVER = float("inf")
 
 OnDone = Callable[[bool], None]
 """Called when an attempt's work is over; True: it was dropped for its timeout."""
--- a/tests/edge/test_policy_client.py
+++ b/tests/edge/test_policy_client.py
@@ -20,7 +20,7 @@
 from rushmux.planner import raft_codec
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import DeploymentError, build
-from rushmux.standins import fault_injection, fault_scenario
+from rushmux.standins import fault_scenario, scenario_fleet
 
 RAW = fault_scenario.raw_deployment(fault_scenario.parse("edges 3\n"))
 OWN = build(RAW)
@@ -116,7 +116,7 @@
     file.write_text(json.dumps(raw))
 
     async def play():
-        fleet = fault_injection.ScenarioFleet(story, file, build(raw), tmp_path, 3)
+        fleet = scenario_fleet.ScenarioFleet(story, file, build(raw), tmp_path, 3)
 
         async def asks(*words_):
             place = ",".join(f"{host}:{port}" for host, port in fleet.places)
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -83,20 +83,25 @@
     assert with_process(scenario) == (True, True, ("$", b"data"), ("$", b"data"), None)
 
 
+def run_gateway(config_path):
+    """Runs a gateway that is expected to end by itself."""
+    return subprocess.run(
+        [sys.executable, "-m", "rushmux.gateway"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+        env={**os.environ, "NODE_CONFIG": config_path},
+    )
+
+
 def test_a_port_in_use_and_a_missing_file_are_logged_in_a_line(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         file = tmp_path / "config.json"
         file.write_text(json.dumps(configuration(1, [], taken.getsockname()[1])))
         for path, event in ((str(file), "listener.bind_failed"), ("", "config.rejected")):
-            done = subprocess.run(
-                [sys.executable, "-m", "rushmux.gateway"],
-                cwd=ROOT,
-                capture_output=True,
-                text=True,
-                timeout=20,
-                check=False,
-                env={**os.environ, "NODE_CONFIG": path},
-            )
+            done = run_gateway(path)
             assert done.returncode == 2 and event in done.stderr and "Traceback" not in done.stderr
 
 
@@ -124,15 +129,7 @@
 def test_an_empty_configuration_is_rejected_with_its_reason(tmp_path):
     file = tmp_path / "config.json"
     file.write_text("{}")
-    done = subprocess.run(
-        [sys.executable, "-m", "rushmux.gateway"],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=20,
-        check=False,
-        env={**os.environ, "NODE_CONFIG": str(file)},
-    )
+    done = run_gateway(str(file))
     assert done.returncode == 2 and "lacks" in done.stderr and "Traceback" not in done.stderr
 
 
