--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -66,7 +66,7 @@
     async def story(fleet):
         chance, names = random.Random(seed), list(stated.folders)
         for node, kind, size in troubles:
-            await fleet.trouble(node, kind, size)
+            await fleet.inject_fault(node, kind, size)
 
         async def arrivals(edge):
             until, tasks = fleet.loop.time() + seconds, []
--- a/rushmux/cli/crash_rounds.py
+++ b/rushmux/cli/crash_rounds.py
@@ -88,7 +88,9 @@
     if kind is None:
         return
     target = rng.choice(sorted(fleet.nodes))
-    await fleet.trouble(target, kind, FAULT_SIZES.get(kind, 0.0), rng.uniform(MIN_FAULT_TIME, MAX_FAULT_TIME))
+    await fleet.inject_fault(
+        target, kind, FAULT_SIZES.get(kind, 0.0), rng.uniform(MIN_FAULT_TIME, MAX_FAULT_TIME)
+    )
 
 
 def _run_simulated_batch(raw: dict, seeds: Sequence[int]) -> list[Round]:
--- a/rushmux/cli/demo.py
+++ b/rushmux/cli/demo.py
@@ -16,7 +16,7 @@
 from rushmux.standins import script
 from rushmux.standins.passthrough import PassThrough
 from rushmux.standins.processes import ProcessFleet, ProcessStartError
-from rushmux.standins.report import judge
+from rushmux.standins.report import evaluate
 
 UNIT_TIME = 0.015
 """Seconds of a core for a unit of work at a node."""
@@ -71,7 +71,7 @@
     except (script.ScriptError, ProcessStartError) as error:
         raise click.ClickException(str(error)) from error
     delay = MAX_SIMULATED_DELAY if demo.virtual else MAX_REAL_DELAY
-    lines, kept_rules, _ = judge(recording.rows, recording.deployment, delay)
+    lines, kept_rules, _ = evaluate(recording.rows, recording.deployment, delay)
     click.echo(
         f"day '{demo.day}', {demo.edges} edges, {demo.nodes} nodes, load {demo.load}, seed {demo.seed}, "
         f"{'virtual' if demo.virtual else 'processes'}, decisions: {decisions}"
--- a/rushmux/lab/system_simulation.py
+++ b/rushmux/lab/system_simulation.py
@@ -168,7 +168,7 @@
         elif event.kind in STANDIN_FAULTS:
             await self._inject_at_nodes(event)
         elif event.kind is FaultKind.DISCOVERY_LAG:
-            await self.fleet.trouble("lists", "lag", event.size, event.duration)
+            await self.fleet.inject_fault("lists", "lag", event.size, event.duration)
         elif event.kind is FaultKind.GATEWAY_CRASH:
             await self._crash_gateways(event)
         elif event.kind is FaultKind.NODE_RESTART:
@@ -190,7 +190,7 @@
         kind = STANDIN_KINDS.get(event.kind, str(event.kind))
         for target in event.targets:
             if target in self._running_nodes():
-                await self.fleet.trouble(_standin_name(target), kind, event.size, event.duration)
+                await self.fleet.inject_fault(_standin_name(target), kind, event.size, event.duration)
 
     def _node(self, name: str):
         return self.fleet.nodes[_standin_name(name)]
@@ -222,7 +222,7 @@
         for target in event.targets:
             if target not in self._running_nodes():
                 continue
-            await self.fleet.trouble(_standin_name(target), "drain")
+            await self.fleet.inject_fault(_standin_name(target), "drain")
             await asyncio.sleep(grace + REPLACEMENT_DELAY)
             if target in self._running_nodes():
                 self.fleet.kill_node(_standin_name(target))
--- a/rushmux/standins/fleet.py
+++ b/rushmux/standins/fleet.py
@@ -225,7 +225,7 @@
         """The cell that a node holds."""
         return self.nodes[name].program.cell
 
-    async def trouble(self, target, kind, size=0.0, seconds=0.0):
+    async def inject_fault(self, target, kind, size=0.0, seconds=0.0):
         """Starts a fault at a node, or at the source of the endpoint list."""
         part = self.lists if target == "lists" else self.nodes[target]
         part.process.context.run(part.program.start_fault, kind, size, seconds)
--- a/rushmux/standins/processes.py
+++ b/rushmux/standins/processes.py
@@ -204,7 +204,7 @@
         self.record("killed", edge=f"edge{number}", start=self.edges[number].start)
         self.edges[number].process.kill()
 
-    async def trouble(self, target, kind, size=0.0, seconds=0.0):
+    async def inject_fault(self, target, kind, size=0.0, seconds=0.0):
         """Starts a fault at a node or the source of the endpoint list, over its own socket."""
         part = self.lists if target == "lists" else self.nodes[target]
         reader, writer = await asyncio.open_connection(*part.address)
--- a/rushmux/standins/report.py
+++ b/rushmux/standins/report.py
@@ -122,7 +122,7 @@
         yield from (f"    {text}" for text in verdict.breaches[:MAX_BREACHES_SHOWN])
 
 
-def judge(records: Sequence[Row], deployment: Deployment, max_delay: float) -> Report:
+def evaluate(records: Sequence[Row], deployment: Deployment, max_delay: float) -> Report:
     """Checks a day and reports it.
 
     Args:
--- a/rushmux/standins/scenario.py
+++ b/rushmux/standins/scenario.py
@@ -177,7 +177,7 @@
     """Carries out one event of a script."""
     fleet.record("event", verb=event.verb, target=event.target, what=event.kind)
     if event.verb == "trouble":
-        await fleet.trouble(event.target, event.kind, event.size, event.seconds)
+        await fleet.inject_fault(event.target, event.kind, event.size, event.seconds)
     elif event.verb == "surge":
         clients_of[event.target].rate_factor = event.size
         await asyncio.sleep(event.seconds)
--- a/tests/buffer/test_log_faults.py
+++ b/tests/buffer/test_log_faults.py
@@ -91,7 +91,7 @@
         for handle in handles:
             await one.ask(sftp.Write, handle, 0, b"discarded")
         for node in range(4):
-            await fleet.trouble(f"node{node}", "silent", seconds=20)
+            await fleet.inject_fault(f"node{node}", "silent", seconds=20)
         while buffered_bytes(fleet):
             await fleet.sleep(0.1)
         for handle in handles:
--- a/tests/buffer/test_node_faults.py
+++ b/tests/buffer/test_node_faults.py
@@ -21,7 +21,7 @@
         handle = await files.open(one, "/heredia/a")
         await one.ask(sftp.Write, handle, 0, b"careful" * 30_000)
         for node in (HOME, (HOME + 1) % 4):
-            await fleet.trouble(f"node{node}", kind, 1.0, 6)
+            await fleet.inject_fault(f"node{node}", kind, 1.0, 6)
         begun = fleet.loop.time()
         try:
             await files.fsync(one, handle)
@@ -46,7 +46,7 @@
         other = f"node{(HOME + 1) % 4}"
         for at in range(20):
             await one.ask(sftp.Write, handle, at * 300_000, b"p" * 1_000)
-        await fleet.trouble(other, "drain")
+        await fleet.inject_fault(other, "drain")
         flushing = asyncio.ensure_future(files.fsync(one, handle))
         await fleet.sleep(0.01)
         await fleet.replace(other, "new")
@@ -70,7 +70,7 @@
         one, far = await fleet.client(0), await fleet.client(1)
         first, second = [await files.open(one, f"/heredia/{name}") for name in "ab"]
         await one.ask(sftp.Write, first, 0, b"before" * 40_000)
-        await fleet.trouble(f"node{HOME}", "silent", seconds=3)
+        await fleet.inject_fault(f"node{HOME}", "silent", seconds=3)
         waiting = asyncio.ensure_future(files.set_barrier(one, "/heredia"))
         await fleet.sleep(0.05)
         assert not waiting.done()
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -26,7 +26,7 @@
 def test_a_node_takes_operations_and_never_answers(judged):
     async def story(fleet):
         one = await fleet.client(0)
-        await fleet.trouble("node1", "silent", seconds=8)
+        await fleet.inject_fault("node1", "silent", seconds=8)
         results = []
 
         async def write(number):
@@ -51,7 +51,7 @@
         await one.put("/heredia/a", b"twice" * 100)
         handle = await one.open("/heredia/a", sftp.READ)
         for name in fleet.nodes:
-            await fleet.trouble(name, "slow", 10, 5)
+            await fleet.inject_fault(name, "slow", 10, 5)
         replies = await asyncio.gather(*(one.ask(sftp.Read, handle, 0, 500) for _ in range(2)))
         return [reply.data for reply in replies]
 
@@ -176,7 +176,7 @@
     async def story(fleet):
         one, full = await fleet.client(0), "node1"
         await one.put("/heredia/a", b"small")
-        await fleet.trouble(full, "disk", seconds=6)
+        await fleet.inject_fault(full, "disk", seconds=6)
         results = [await outcome(one.put(f"/heredia/f{number}", b"z" * 30_000)) for number in range(20)]
         await fleet.sleep(6)
         assert await outcome(one.put("/heredia/late", b"z")) == "ok"
@@ -194,7 +194,7 @@
         await one.put("/heredia/a", b"old")
         handles = [await client.open("/heredia/a", sftp.WRITE) for client in (one, two)]
         # What reaches the names' node now is held there, and runs when the trouble ends.
-        await fleet.trouble(f"node{home_cell('heredia', 4)}", "stuck", seconds=5)
+        await fleet.inject_fault(f"node{home_cell('heredia', 4)}", "stuck", seconds=5)
         first = asyncio.ensure_future(outcome(one.ask(sftp.Write, handles[0], 0, b"lost")))
         await fleet.sleep(4.9)
         assert await first != "ok"
@@ -247,7 +247,7 @@
     async def story(fleet):
         one = await fleet.client(0)
         for name in fleet.nodes:
-            await fleet.trouble(name, "slow", 5, 3)
+            await fleet.inject_fault(name, "slow", 5, 3)
         tasks = [asyncio.ensure_future(outcome(one.put(f"/heredia/n{number}", b"y"))) for number in range(10)]
         await fleet.sleep(0.02)
         part = fleet.edges[0]
@@ -266,7 +266,7 @@
     async def story(fleet):
         one = await fleet.client(0)
         for name in fleet.nodes:
-            await fleet.trouble(name, "silent", seconds=5)
+            await fleet.inject_fault(name, "silent", seconds=5)
         request = asyncio.ensure_future(outcome(one.ask(sftp.Stat, "/heredia/a")))
         await fleet.sleep(0.05)
         driver = fleet.edges[0].program.driver
@@ -324,7 +324,7 @@
 def test_a_list_that_says_nothing_is_gone_by_until_it_speaks_again(judged):
     async def story(fleet):
         one = await fleet.client(0)
-        await fleet.trouble("lists", "silent", seconds=4)
+        await fleet.inject_fault("lists", "silent", seconds=4)
         fleet.kill_node(f"node{(home_cell('heredia', 4) + 1) % 4}")
         await fleet.sleep(0.5)
         results = [await outcome(one.put(f"/heredia/{number}", b"x")) for number in range(10)]
@@ -359,7 +359,7 @@
     async def story(fleet):
         one, tasks = await fleet.client(0), []
         for name in fleet.nodes:
-            await fleet.trouble(name, "unanswered", 0.3, 6)
+            await fleet.inject_fault(name, "unanswered", 0.3, 6)
         for number in range(40):
             tasks.append(asyncio.ensure_future(outcome(one.put(f"/heredia/{number}", b"x" * 9_000))))
             await fleet.sleep(0.15)
--- a/tests/edge/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -96,7 +96,7 @@
         one = await fleet.client(0)
         await asyncio.gather(*(one.put(f"/heredia/{number}", b"x" * 9_000) for number in range(8)))
         for name in fleet.nodes:
-            await fleet.trouble(name, "slow", 12, 6)
+            await fleet.inject_fault(name, "slow", 12, 6)
         for _ in range(4):
             await asyncio.gather(
                 *(one.get(f"/heredia/{number}") for number in range(8)), return_exceptions=True
--- a/tests/routes/test_reload.py
+++ b/tests/routes/test_reload.py
@@ -27,7 +27,7 @@
         async def story(fleet):
             driver = fleet.edges[0].program.driver
             for name in fleet.nodes:
-                await fleet.trouble(name, "lost", 0.12)
+                await fleet.inject_fault(name, "lost", 0.12)
 
             async def one(number):
                 runner = OperationRunner(driver, "heredia", "-", fleet.loop.time() + 3)
