Logs: volumes with limits, attempts by result, and why operations ended without a success

Need: the log of the incident said nothing of a volume, its bucket or the reason of a rejection, so the cause could not be read from it. Change: the scheduler reports when a volume with a limit starts, is forgotten, and when replies begin or cease to hold a usage figure (volume.*), and counts operations without a success by reason; gateway.stats has these counts and attempts by result, and stands once more at the stop. Decisions are unchanged.

--- a/rushmux/gateway/process.py
+++ b/rushmux/gateway/process.py
@@ -125,6 +125,7 @@
 
 async def _shut_down(server: GatewayServer, requested_at: float, log: BoundedLogger) -> None:
     loop, listener = server.loop, server.listener
+    server.log_stats()
     log.info("gateway.stopping", open=len(server.operations), clients=len(listener.clients))
     request_classes = server.settings.request_classes.values()
     longest = max(request_class.deadline for request_class in request_classes) / TICKS_PER_SECOND
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import partial
 from typing import Any
 
@@ -37,6 +37,10 @@
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
 
+def _format_counts(counts: Mapping[str, int]) -> str:
+    return ",".join(f"{name}:{count}" for name, count in sorted(counts.items())) or "-"
+
+
 class GatewayServer(OperationDriver):
     """The scheduler, driven by the platform's protocol.
 
@@ -80,10 +84,15 @@
         self.discovery.start()
         await asyncio.wait([self.discovery.first_response], timeout=FIRST_LIST_TIMEOUT)
         await self.listener.open(*self.config.listen)
-        self.loop.call_later(STATS_INTERVAL, self._log_stats)
+        self.loop.call_later(STATS_INTERVAL, self._log_stats_repeatedly)
         self.log.info("gateway.listening", listen=self.config.listen, nodes=len(self.config.known_endpoints))
 
-    def _log_stats(self) -> None:
+    def _log_stats_repeatedly(self) -> None:
+        self.log_stats()
+        self.loop.call_later(STATS_INTERVAL, self._log_stats_repeatedly)
+
+    def log_stats(self) -> None:
+        """Logs what came and what became of it, counted from the start."""
         stats = self.listener.stats
         self.log.info(
             "gateway.stats",
@@ -95,8 +104,9 @@
             nodes=self.pool.connection_count(),
             surplus=self.pool.unsolicited_replies,
             rest_trusted=f"{self.pool.keep_alive.max_idle_time:g}",
+            attempts=_format_counts(self.attempt_results),
+            given_up=_format_counts(self.scheduler.given_up),
         )
-        self.loop.call_later(STATS_INTERVAL, self._log_stats)
 
     # Clients.
 
--- a/rushmux/lab/model_check/gateway.py
+++ b/rushmux/lab/model_check/gateway.py
@@ -13,6 +13,7 @@
     OperationRequest,
     Ticks,
     UpdateKind,
+    VolumeEvent,
 )
 
 if TYPE_CHECKING:
@@ -130,6 +131,9 @@
     def request_load_report(self, node: str) -> None:
         """Loads change concurrency limits alone, which no rule of the verifier rests on."""
 
+    def report_volume(self, event: VolumeEvent) -> None:
+        """Nobody reads a log here."""
+
     def wake_after(self, delay: Ticks) -> None:
         """Runs a round after a delay."""
         self.deliver(self.schedule.now + delay, self._on_wake)
--- a/rushmux/lab/simulated_gateway.py
+++ b/rushmux/lab/simulated_gateway.py
@@ -20,6 +20,7 @@
     OperationRequest,
     Ticks,
     UpdateKind,
+    VolumeEvent,
 )
 from rushmux.standins.service_model import LoadSample
 
@@ -257,3 +258,6 @@
 
     def poll_endpoints(self) -> None:
         """Updates of the endpoint list come by themselves here."""
+
+    def report_volume(self, event: VolumeEvent) -> None:
+        """Nobody reads a log here."""
--- a/rushmux/scheduling/dispatcher.py
+++ b/rushmux/scheduling/dispatcher.py
@@ -1,7 +1,7 @@
 """Starts attempts and retries within their budgets, and hedged requests; notes what comes back."""
 
 from rushmux.scheduling.endpoint_picker import RESERVED_FACTOR, least_loaded
-from rushmux.scheduling.interface import NEVER_RAN, AttemptResult, DedupScope, Idempotency
+from rushmux.scheduling.interface import NEVER_RAN, AttemptResult, DedupScope, GiveUpReason, Idempotency
 from rushmux.scheduling.node import MAX_IN_FLIGHT
 from rushmux.scheduling.records import NEVER, Stage
 from rushmux.scheduling.structures import SlidingCounter
@@ -81,7 +81,7 @@
 
     def _send(self, operation, node, now):
         if operation.attempts_started and not self.may_retry(operation, node, now):
-            self.scheduler.give_up(operation, now)
+            self.scheduler.give_up(operation, now, GiveUpReason.NO_RETRY)
             return
         operation.cell.remove(operation)
         self._start(operation, node, now)
--- a/rushmux/scheduling/driver.py
+++ b/rushmux/scheduling/driver.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -22,6 +23,7 @@
     SchedulerSettings,
     Ticks,
     UpdateKind,
+    VolumeEvent,
 )
 from rushmux.scheduling.scheduler import Scheduler
 
@@ -101,6 +103,7 @@
         self.round_scheduled = False
         self.last_round_at = 0.0
         self.wake_timer: asyncio.TimerHandle | None = None
+        self.attempt_results: Counter[AttemptResult] = Counter()
         self.scheduler = scheduler_type(settings, seed, self.now(), self)
 
     def now(self) -> Ticks:
@@ -264,6 +267,7 @@
         if result is AttemptResult.SUCCEEDED and not operation.ended:
             value = self.answer_value(op_id, attempt.node, reply.value)
             self._answer(operation, FinalAnswer.SUCCEEDED, value)
+        self.attempt_results[result] += 1
         self.log.debug("attempt.result", op=op_id, attempt=number, node=attempt.node, result=result)
         report = AttemptReport(op_id, number, result, operation.ended, reply.fleet_usage, reply.remote_usage)
         self.guarded(op_id, self.scheduler.on_attempt_result, now, report)
@@ -352,3 +356,15 @@
         """Asks a node for its load; here, where no node can be asked, that fails in the next round."""
         failed = AttemptResult.CONNECT_FAILED
         self.enqueue(lambda now: self.guarded(None, self.scheduler.on_load_report, node, failed, None, None))
+
+    def report_volume(self, event: VolumeEvent) -> None:
+        """Logs a change of what is kept of a volume."""
+        self.log.info(
+            f"volume.{event.kind}",
+            volume=event.volume,
+            plan=event.plan,
+            gateways=event.gateway_count,
+            level=round(event.limit_level, 1),
+            capacity=round(event.limit_capacity, 1),
+            rate=round(event.limit_rate, 2),
+        )
--- a/rushmux/scheduling/endpoint_picker.py
+++ b/rushmux/scheduling/endpoint_picker.py
@@ -1,6 +1,6 @@
 """Finds an operation's cell: the one that holds its data, or for a new object the better of two drawn."""
 
-from rushmux.scheduling.interface import EndpointState, Idempotency
+from rushmux.scheduling.interface import EndpointState, GiveUpReason, Idempotency
 from rushmux.scheduling.records import Stage
 
 MAX_DRAWS = 10  # for two nodes that are fit: enough with half of them resting
@@ -25,7 +25,7 @@
             cells, number = self.scheduler.endpoints.cells, operation.requested_cell
             operation.cell = cells[number] if number >= 0 else self.pick(operation.units, now)
         if operation.cell is None:
-            self.scheduler.give_up(operation, now)
+            self.scheduler.give_up(operation, now, GiveUpReason.NO_ENDPOINT)
         return operation.cell is not None
 
     def pick(self, units, now):
--- a/rushmux/scheduling/interface.py
+++ b/rushmux/scheduling/interface.py
@@ -69,6 +69,34 @@
     REMOVED = "gone"
 
 
+class GiveUpReason(StrEnum):
+    """Why an operation got its final answer without a success."""
+
+    RATE_LIMIT = "rate_limit"
+    """Its volume's limit did not let it go before its latency objective."""
+    CAPACITY = "capacity"
+    """No node let it go before its latency objective, or would answer it in time."""
+    ROUTE_FULL = "route_full"
+    """Its route has too many in flight."""
+    NO_ENDPOINT = "no_endpoint"
+    """No node is listed that could take it."""
+    NO_RETRY = "no_retry"
+    """An attempt came back without a success, and no other may be made."""
+
+
+class VolumeEventKind(StrEnum):
+    """What changed in what a gateway keeps of a volume."""
+
+    STARTED = "started"
+    """It was not known, or forgotten."""
+    USAGE_REPORTED = "usage_reported"
+    """Answers hold a figure of the fleet's usage, after none before."""
+    USAGE_MISSING = "usage_missing"
+    """They hold none, after a figure before."""
+    FORGOTTEN = "forgotten"
+    """It was idle for long."""
+
+
 class UpdateKind(StrEnum):
     """What an update of the endpoint list is."""
 
@@ -230,6 +258,20 @@
     """Units served for the volume through other gateways since the last answer."""
 
 
+class VolumeEvent(NamedTuple):
+    """A change in what a gateway keeps of a volume that has a limit."""
+
+    kind: VolumeEventKind
+    volume: str
+    plan: str
+    gateway_count: int
+    limit_level: float
+    """Units that its limit bucket holds."""
+    limit_capacity: float
+    limit_rate: float
+    """Units a second."""
+
+
 class SchedulerActions(Protocol):
     """What the scheduler may do.  Each call takes effect at the time of the event it answers."""
 
@@ -254,6 +296,9 @@
     def request_load_report(self, node: str) -> None:
         """Asks a node for its load."""
 
+    def report_volume(self, event: VolumeEvent) -> None:
+        """Tells operators of a change; nothing has to be done."""
+
 
 class SchedulerEvents(Protocol):
     """What the scheduler is told.  `run_round` closes each round of events."""
--- a/rushmux/scheduling/pacer.py
+++ b/rushmux/scheduling/pacer.py
@@ -3,7 +3,7 @@
 from bisect import insort
 
 from rushmux.scheduling.endpoint_picker import RESERVED_FACTOR
-from rushmux.scheduling.interface import AttemptResult
+from rushmux.scheduling.interface import AttemptResult, GiveUpReason
 from rushmux.scheduling.node import MAX_IN_FLIGHT
 from rushmux.scheduling.records import NEVER, Stage
 from rushmux.scheduling.volume import BIN_WIDTH
@@ -82,7 +82,7 @@
             if queue[0].objective_at > now + max(usual, by_report):
                 return
             node.wants_report = True
-            self.scheduler.give_up(queue[0], now, late=True)
+            self.scheduler.give_up(queue[0], now, GiveUpReason.CAPACITY, late=True)
 
     def _is_released(self, operation, node, now):
         operation.volume.advance(now)
--- a/rushmux/scheduling/scheduler.py
+++ b/rushmux/scheduling/scheduler.py
@@ -3,7 +3,14 @@
 from rushmux.scheduling.concurrency_limit import ConcurrencyLimit
 from rushmux.scheduling.dispatcher import Dispatcher, is_harmless
 from rushmux.scheduling.endpoint_picker import EndpointPicker
-from rushmux.scheduling.interface import NO_ROUTE_POLICY, AttemptResult, EndpointState, UpdateKind
+from rushmux.scheduling.interface import (
+    NO_ROUTE_POLICY,
+    AttemptResult,
+    EndpointState,
+    GiveUpReason,
+    UpdateKind,
+    VolumeEventKind,
+)
 from rushmux.scheduling.key_serializer import KeySerializer
 from rushmux.scheduling.node import MAX_IN_FLIGHT, Node
 from rushmux.scheduling.pacer import Pacer
@@ -62,8 +69,7 @@
     def on_operation(self, now, request):
         """Takes an operation; it is shed at once where its route has too many in flight."""
         request_class = self.settings.request_classes[request.request_class]
-        volume = self.volumes.touch(request.volume, now, lambda: Volume(request, self, now))
-        self.volumes.forget_idle(now, VOLUME_IDLE_TIME)
+        volume = self._volume_of(request, now)
         margin = ANSWER_MARGIN * self.settings.round_interval
         deadline_at = now + max(0, request.time_left - margin)
         objective_at = min(deadline_at, self._objective_time(request, request_class, volume, now))
@@ -76,11 +82,26 @@
         self.operations[request.op_id] = operation
         self.dispatcher.on_arrival(now)
         if usage.in_flight > route.max_in_flight:
-            self.give_up(operation, now)
+            self.give_up(operation, now, GiveUpReason.ROUTE_FULL)
             return
         self.look_again_at(operation.objective_at, operation)
         self.advance(operation, now)
 
+    def _volume_of(self, request, now):
+        volume = self.volumes.get(request.volume)
+        if volume is None:
+            volume = self.volumes[request.volume] = Volume(request, self, now)
+            self._report_volume(volume, VolumeEventKind.STARTED)
+        self.volumes.touch(volume, now)
+        forgotten = self.volumes.forget_idle(now, VOLUME_IDLE_TIME)
+        if forgotten is not None:
+            self._report_volume(forgotten, VolumeEventKind.FORGOTTEN)
+        return volume
+
+    def _report_volume(self, volume, kind):
+        if volume.plan.limit:
+            self.actions.report_volume(volume.event(kind))
+
     def _objective_time(self, request, request_class, volume, now):
         # A retry is in time as its first try was: its client's deadline is the same, or it gave up just now.
         hurried = request.time_left < request_class.deadline
@@ -102,6 +123,7 @@
             period = self.settings.usage_period
             self.fleet_is_new = self.fleet_is_new or period > report.fleet_usage == 0
             operation.volume.on_usage_meter(report.fleet_usage, report.remote_usage, period, now)
+            self._note_usage_report(operation.volume, report.fleet_usage > 0)
         for stage in reversed(self.stages):
             stage.on_result(operation, report.attempt, node, report.result, now)
         if operation.ended:
@@ -109,11 +131,17 @@
         elif not operation.in_flight:  # else the other attempt may still succeed
             self._retry(operation, node, now)
 
+    def _note_usage_report(self, volume, is_reported):
+        if is_reported != volume.usage_reported:
+            volume.usage_reported = is_reported
+            kind = VolumeEventKind.USAGE_REPORTED if is_reported else VolumeEventKind.USAGE_MISSING
+            self._report_volume(volume, kind)
+
     def _retry(self, operation, node, now):
         operation.retry_at = now + operation.route.retry_delay
         in_time = operation.retry_at < operation.objective_at
         if not in_time or not self.dispatcher.may_retry(operation, node, now):
-            self.give_up(operation, now)
+            self.give_up(operation, now, GiveUpReason.NO_RETRY)
         elif operation.route.retry_delay:
             self.look_again_at(operation.retry_at, operation)
         else:
@@ -125,8 +153,9 @@
             self.endpoints.nodes[node].on_load_report(result, queue, service)
             self.unblock()
 
-    def give_up(self, operation, now, late=False):
+    def give_up(self, operation, now, reason, late=False):
         """Gives a final answer: shed where that is true, else failed; a late client may stay away a while."""
+        self.given_up[reason] += 1
         if is_harmless(operation):
             late = late or now >= operation.objective_at
             self.actions.shed(operation.op_id, self.settings.max_retry_after if late else 0)
@@ -150,12 +179,18 @@
     def _on_timer(self, operation, now):
         waits = not (operation.ended or operation.in_flight)
         if waits and now >= operation.objective_at:
-            self.give_up(operation, now)
+            self.give_up(operation, now, self._hindrance(operation, now))
         elif waits and not operation.queued and now >= operation.retry_at:
             self.advance(operation, now)
         elif not operation.ended and len(operation.in_flight) == 1 and now >= operation.hedge_at:
             self.dispatcher.hedge(operation, now)
 
+    def _hindrance(self, operation, now):
+        if operation.attempts_started:
+            return GiveUpReason.NO_RETRY
+        waits_for_limit = operation.queued and operation.volume.release_time(operation.units, now) > now
+        return GiveUpReason.RATE_LIMIT if waits_for_limit else GiveUpReason.CAPACITY
+
     def _request_reports(self, now):
         for node in self.endpoints.nodes.values():
             rested = now - node.report_requested_at >= REPORT_INTERVAL
--- a/rushmux/scheduling/state.py
+++ b/rushmux/scheduling/state.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from rushmux.scheduling.interface import (
     AttemptReport,
     Endpoint,
     EndpointState,
+    GiveUpReason,
     RoutePolicy,
     SchedulerActions,
     SchedulerSettings,
@@ -19,6 +20,9 @@
 from rushmux.scheduling.records import Cell, EndedOperation, Operation, SentUnits, Stage
 from rushmux.scheduling.structures import RandomGenerator, TimerQueue, WakeTimer
 
+if TYPE_CHECKING:
+    from rushmux.scheduling.volume import Volume
+
 
 class EndpointTable:
     """Nodes by name and by cell, as the endpoint list shows them."""
@@ -57,20 +61,19 @@
 class VolumeTable(OrderedDict):
     """Volumes by name, the one that was asked for longest ago first."""
 
-    def touch(self, name: str, now: Ticks, make_volume: Callable):
-        """The volume of a name, made where it is not known, as the one asked for last."""
-        if name not in self:
-            self[name] = make_volume()
-        self.move_to_end(name)
-        self[name].requested_at = now
-        return self[name]
+    def touch(self, volume: Volume, now: Ticks) -> None:
+        """Notes a volume as the one asked for last."""
+        self.move_to_end(volume.name)
+        volume.requested_at = now
 
-    def forget_idle(self, now: Ticks, idle_time: Ticks) -> None:
+    def forget_idle(self, now: Ticks, idle_time: Ticks) -> Volume | None:
         """Forgets the volume asked for longest ago, once it is idle for a time and its limit is full."""
         volume = next(iter(self.values()))
         full_at = volume.release_time(volume.limit_cap, volume.updated_at)
-        if max(volume.requested_at + idle_time, full_at) <= now:
-            del self[volume.name]
+        if max(volume.requested_at + idle_time, full_at) > now:
+            return None
+        del self[volume.name]
+        return volume
 
 
 class SchedulerState:
@@ -97,6 +100,8 @@
         self.quota_shares: dict[str, float] = {}
         """Shares of volumes' limits that this gateway was told."""
         self.stages: tuple[Stage, ...] = ()
+        self.given_up: Counter[GiveUpReason] = Counter()
+        """Operations that ended without a success, by the reason, since the start."""
 
     def on_route_policies(self, policies: Mapping[tuple[str, str], RoutePolicy]) -> None:
         """Takes over route policies; operations taken before keep theirs, and what is used up stays so."""
--- a/rushmux/scheduling/volume.py
+++ b/rushmux/scheduling/volume.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from rushmux.scheduling.interface import VolumeEvent
 from rushmux.scheduling.records import NEVER, SECOND
 from rushmux.scheduling.structures import DecayingWindow
 
@@ -29,6 +30,7 @@
         self.limit = self.limit_cap if scheduler.fleet_is_new else min(self.limit_cap, filled)
         self.usage = DecayingWindow(BIN_WIDTH, BIN_COUNT, DECAY, now)
         self.remote_usage_rate = 0.0  # units a second
+        self.usage_reported = False  # by the last answer, as a figure of the fleet's usage
         self.ended_operations = deque(maxlen=REMEMBERED_OPERATIONS)
 
     def _set_quota(self, share):
@@ -42,6 +44,11 @@
         self._set_quota(share)
         self.limit = min(self.limit, self.limit_cap)
 
+    def event(self, kind):
+        """What operators are told when something of it changes."""
+        names = self.name, self.plan.name, self.gateway_count
+        return VolumeEvent(kind, *names, self.limit, self.limit_cap, self.limit_rate)
+
     def advance(self, now):
         """Fills the buckets and ages the average up to now."""
         elapsed, self.updated_at = (now - self.updated_at) / SECOND, now
--- a/rushmux/wirehost/host.py
+++ b/rushmux/wirehost/host.py
@@ -17,6 +17,7 @@
     OperationRequest,
     Ticks,
     UpdateKind,
+    VolumeEvent,
 )
 from rushmux.scheduling.scheduler import Scheduler
 from rushmux.settings.platform import LOAD_COLUMNS, TICK_NS, load_positions, scheduler_settings_of
@@ -82,6 +83,9 @@
         """Asks a node for its load."""
         self.put("Probe", Node=node)
 
+    def report_volume(self, event: VolumeEvent) -> None:
+        """Nobody reads a log here."""
+
 
 class SchedulerCall(NamedTuple):
     """What an event has the host call."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -144,7 +144,7 @@
     def __init__(self):
         self.now, self.scheduler, self.done, self.wakes, self.time_outs = 0, None, [], [], {}
         self.terms, self.lanes, self.plans, self.executions = dict(TERMS), {}, {}, {}
-        self.routes, self.advice = {}, {}
+        self.routes, self.advice, self.events = {}, {}, []
         self.lane("read")
         self.plan("base")
 
@@ -174,6 +174,9 @@
     def request_load_report(self, node):
         self.done.append(f"probe {node}")
 
+    def report_volume(self, event):
+        self.events.append(event)
+
     def told(self, node, result, *words):
         """A node's load, or how asking for it ended: queue, and service in ms."""
         row = valued(words, {"queue": -1.0, "service": -1.0})
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -143,3 +143,21 @@
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=20, check=True
     )
     assert done.stdout.strip() == "[]"
+
+
+def test_the_log_tells_volumes_attempts_and_reasons_at_the_stop(with_process):
+    async def scenario(fleet):
+        client = await fleet.client()
+        replies = [await client.request(*read_command(number)) for number in range(3)]
+        fleet.process.send_signal(signal.SIGTERM)
+        client.close()
+        return replies, (await fleet.process.stderr.read()).decode()
+
+    plan = {"NeverOver": 50, "CapDepth": 64, "Tolerance": 8}
+    replies, text = with_process(scenario, plan=plan)
+    assert replies == [("$", b"data")] * 3
+    lines = text.splitlines()
+    started = [line for line in lines if " volume.started " in line]
+    assert len(started) == 1 and "volume=0000000000000001 plan=base gateways=1" in started[0]
+    (stats,) = [line for line in lines if " gateway.stats " in line]
+    assert "attempts=succeeded:3 given_up=-" in stats
