--- a/rushmux/standins/gateway_soak.py
+++ b/rushmux/standins/gateway_soak.py
@@ -7,13 +7,10 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import random
 import re
 import signal
-import subprocess
-import sys
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
@@ -39,6 +36,7 @@
     success_reply,
     write_command,
 )
+from rushmux.standins.platform.gateway_process import GATEWAY_ARGUMENTS, GatewayProcess
 
 READY_WITHIN = 10.0
 """Seconds from the start to the first PONG."""
@@ -97,13 +95,13 @@
         arguments: Of the interpreter, that start the gateway.
     """
 
-    def __init__(self, seed: int, folder: Path, arguments: Iterable[str] = ("-m", "rushmux.gateway")):
+    def __init__(self, seed: int, folder: Path, arguments: Iterable[str] = GATEWAY_ARGUMENTS):
         self.settings = draw_settings(random.Random(f"soak {seed}"))
         # Apart, since how many draws nodes and clients make depends on the machine.
         self.rng = random.Random(f"soak {seed} course")
         self._node_rng = random.Random(f"soak {seed} nodes")
         self.breaches: list[str] = []
-        self._file, self._arguments = folder / "config.json", tuple(arguments)
+        self._gateway = GatewayProcess("n0", folder / "config.json", 0, tuple(arguments))
         self._requests: dict[int, Request] = {}
         self._nodes = {f"s{cell}": FakeNode() for cell in range(self.settings.node_count)}
         self._discovery = FakeDiscovery()
@@ -112,30 +110,25 @@
         self._longest_lag = 0.0
         self._serving = True
         self._new_connections_until = float("inf")
-        self._port = 0
-        self._log = b""
 
     async def run(self) -> Outcome:
         """Plays and judges the run."""
         self._loop = asyncio.get_running_loop()
         lag_task = self._loop.create_task(self._watch_lag())
         await self._open_stand_ins()
-        process = await self._start_gateway()
-        reader = self._loop.create_task(process.stderr.read())
+        await self._gateway.start()
+        process = self._gateway.process
         try:
             if self.settings.shape is Shape.NO_LIST:
                 await self._stop_before_list(process)
             else:
                 await self._load_and_stop(process)
-            self._log = await reader
         finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
+            await self._gateway.end()
             lag_task.cancel()
             self._close_stand_ins()
         judged = judge(list(self._requests.values()), self.settings, self._drained_at, self._longest_lag)
-        self.breaches += judged + judge_log(self._log.decode(errors="replace"))
+        self.breaches += judged + judge_log(self._gateway.log.decode(errors="replace"))
         answered = sum(request.replied_at is not None for request in self._requests.values())
         return Outcome(self.settings, len(self._requests), answered, self.breaches)
 
@@ -157,7 +150,7 @@
         self._discovery.is_silent = self.settings.shape is Shape.NO_LIST
         with_port = FakeNode()
         await with_port.open()
-        self._port = with_port.port
+        self._gateway.port = with_port.port
         with_port.close()
         self._write_file()
 
@@ -166,7 +159,7 @@
         raw = configuration(
             self._discovery.port,
             list(self._discovery.rows.values()),
-            self._port,
+            self._gateway.port,
             sockets=settings.sockets,
             deadline=round(settings.deadline * 1000),
             objective=round(settings.deadline * 400),
@@ -174,15 +167,7 @@
             ConnIdle=round(IDLE_TIME * 1e9),
         )
         raw["settings"]["Classes"][1]["Idempotency"] = settings.write_effect
-        self._file.write_text(json.dumps(raw))
-
-    async def _start_gateway(self) -> asyncio.subprocess.Process:
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            *self._arguments,
-            stderr=subprocess.PIPE,
-            env={**os.environ, "NODE_CONFIG": str(self._file), "NODE_NAME": "n0"},
-        )
+        self._gateway.write_configuration(raw)
 
     def _close_stand_ins(self) -> None:
         self._discovery.close()
@@ -235,11 +220,11 @@
         await self._end(process)
 
     async def _load_and_stop(self, process: asyncio.subprocess.Process) -> None:
-        if not await self._is_ready(process):
+        if not await self._gateway.is_ready(READY_WITHIN):
             self.breaches.append(f"not ready within {READY_WITHIN:g} s")
             return
         descriptors = self._descriptors(process)
-        idle = [await FakeClient().open(self._port) for _ in range(self.settings.idle_clients)]
+        idle = [await FakeClient().open(self._gateway.port) for _ in range(self.settings.idle_clients)]
         clients = self._start_clients(self.settings.client_count)
         troubles = self._loop.create_task(self._troubles())
         await asyncio.sleep(LOAD_TIME)
@@ -258,18 +243,6 @@
     def _start_clients(self, count: int) -> list[asyncio.Task]:
         return [self._loop.create_task(self._client(self.rng.random())) for _ in range(count)]
 
-    async def _is_ready(self, process: asyncio.subprocess.Process) -> bool:
-        until = self._loop.time() + READY_WITHIN
-        while self._loop.time() < until and process.returncode is None:
-            try:
-                client = await FakeClient().open(self._port)
-                if await client.request(b"PING") == ("+", b"PONG"):
-                    client.close()
-                    return True
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.05)
-        return False
-
     async def _check_descriptors(
         self,
         process: asyncio.subprocess.Process,
@@ -296,7 +269,7 @@
     async def _send_signals(self, process: asyncio.subprocess.Process) -> None:
         signals = self.settings.signals
         if signals is Signals.BAD_HUP_TERM:
-            self._file.write_text('{"name": ')
+            self._gateway.file.write_text('{"name": ')
         numbers = [getattr(signal, f"SIG{word}") for word in signals.split() if word in ("HUP", "TERM")]
         terminated_at = None
         for number in numbers:
@@ -349,7 +322,7 @@
         rng = random.Random(seed)
         while self._serving and self._loop.time() < self._new_connections_until:
             try:
-                connection = await FakeClient().open(self._port)
+                connection = await FakeClient().open(self._gateway.port)
             except OSError:
                 return
             await self._use(connection, rng)
--- /dev/null
+++ b/rushmux/standins/limit_soak.py
@@ -0,0 +1,331 @@
+"""A drawn run of several gateways as real processes, judged by the limits of volumes over all of them.
+
+Drawn from a seed: the limit, how nodes tell usage, restarts one after another, a quiet time before a
+burst, nodes that read or accept late, processes that stand still, reloads.  `limit_judge` judges what nodes
+received.
+"""
+
+import asyncio
+import random
+import signal
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from rushmux.standins.limit_judge import LimitBreach, UnitArrival, VolumeLimit, judge_limits
+from rushmux.standins.platform import FakeClient, FakeDiscovery, FakeNode, configuration, read_command
+from rushmux.standins.platform.gateway_process import GATEWAY_ARGUMENTS, GatewayProcess
+from rushmux.standins.platform.metered_node import Meter, MeteredNode, NodeFault
+
+READY_WITHIN = 10.0
+"""Seconds from a start to the first PONG."""
+LAG_INTERVAL = 0.01
+MAX_UNITS = 8
+SHARED_VOLUME, SINGLE_VOLUME = 1, 2
+"""One that comes through all gateways, one through the first alone."""
+CLIENTS_PER_GATEWAY = 10
+RECONNECT_INTERVAL = 0.02
+FAULT_TIME = (0.3, 1.3)
+"""Least and most seconds for which nodes take commands late."""
+STALL_TIME = (0.15, 0.4)
+"""Least and most seconds for which a process stands still."""
+TIME_BETWEEN_RESTARTS = 0.3
+"""Seconds of load that a gateway has after each restart."""
+DIAL_TIMEOUT = 2.5
+"""Seconds: over the second after which a system repeats a connect."""
+NS_PER_SECOND = 1_000_000_000
+MS_PER_SECOND = 1000
+
+
+@dataclass
+class LimitScenario:
+    """What a run is made of; times in seconds."""
+
+    limit: VolumeLimit
+    gateway_count: int = 2
+    node_count: int = 2
+    meter: Meter = Meter.STEADY
+    fault: NodeFault = NodeFault.NONE
+    deadline: float = 1.0
+    load_time: float = 3.0
+    """From the first burst, and from the one after the quiet time."""
+    quiet_time: float = 0.0
+    """Between two bursts; 0: one burst."""
+    restarts: int = 0
+    """In a row, of each gateway that restarts."""
+    restarted_gateways: int = 0
+    restart_signal: signal.Signals = signal.SIGKILL
+    stalls: int = 0
+    reloads: int = 0
+
+
+@dataclass
+class LimitOutcome:
+    """The result of a run."""
+
+    requests: int
+    arrivals: int
+    largest_overdraft: float
+    """Units under zero."""
+    breaches: list[LimitBreach]
+    problems: list[str]
+    """What else went wrong."""
+    logs: str
+
+
+def draw_scenario(seed: int) -> LimitScenario:
+    """The scenario of a seed."""
+    rng = random.Random(f"limit {seed}")
+    gateway_count = rng.randint(1, 4)
+    rate = rng.choice((2.0, 5.0, 20.0))
+    burst = max(2.0 * MAX_UNITS * gateway_count, rate * rng.choice((1, 3)))
+    restarts = rng.choice((0, 0, 1, 1, 2, 3))
+    return LimitScenario(
+        limit=VolumeLimit(rate, burst, max(float(MAX_UNITS), burst / 10)),
+        gateway_count=gateway_count,
+        node_count=rng.randint(1, 3),
+        meter=rng.choice(list(Meter)),
+        fault=rng.choice(list(NodeFault)),
+        deadline=rng.choice((1.0, 3.0)),
+        load_time=rng.choice((2.0, 3.0, 6.0)),
+        quiet_time=rng.choice((0.0, 0.0, 2.0, 4.0)),
+        restarts=restarts,
+        restarted_gateways=rng.randint(1, gateway_count),
+        restart_signal=rng.choice((signal.SIGKILL, signal.SIGTERM)),
+        stalls=rng.choice((0, 0, 3)),
+        reloads=rng.choice((0, 0, 2)),
+    )
+
+
+class LimitRun:
+    """One run.
+
+    Args:
+        scenario: What happens.
+        seed: Seeds the course.
+        folder: Where configurations lie.
+        arguments: Of the interpreter, that start a gateway.
+    """
+
+    def __init__(
+        self,
+        scenario: LimitScenario,
+        seed: int,
+        folder: Path,
+        arguments: Sequence[str] = GATEWAY_ARGUMENTS,
+    ):
+        self.scenario = scenario
+        self.problems: list[str] = []
+        self._rng = random.Random(f"limit {seed} course")
+        self._folder = folder
+        self._arguments = arguments
+        self._nodes: list[MeteredNode] = []
+        self._gateways: list[GatewayProcess] = []
+        self._discovery = FakeDiscovery()
+        self._longest_lag = 0.0
+        self._request_count = 0
+        self._is_serving = True
+        self._load = asyncio.Event()
+
+    async def run(self) -> LimitOutcome:
+        """Plays and judges the run."""
+        self._loop = asyncio.get_running_loop()
+        await self._open()
+        begin = self._loop.time()
+        tasks = [self._loop.create_task(self._watch_lag())]
+        try:
+            await self._start_gateways()
+            tasks += self._start_clients()
+            await self._play()
+        finally:
+            self._is_serving = False
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._close()
+        return self._judge(begin)
+
+    async def _open(self) -> None:
+        scenario = self.scenario
+        await self._discovery.open()
+        for cell in range(scenario.node_count):
+            name = f"s{cell}"
+            node = MeteredNode(name, scenario.meter, scenario.fault, random.Random(self._rng.random()))
+            await node.open()
+            self._nodes.append(node)
+            self._discovery.update(node.row(name, cell))
+        for number in range(scenario.gateway_count):
+            file = self._folder / f"n{number}.json"
+            port = await _free_port()
+            self._gateways.append(GatewayProcess(f"n{number}", file, port, self._arguments))
+            self._gateways[-1].write_configuration(self._configuration(port))
+
+    def _configuration(self, port: int) -> dict:
+        scenario, limit = self.scenario, self.scenario.limit
+        plan = {
+            "Nominal": limit.rate / 5,
+            "FloorRate": limit.rate / 10,
+            "NeverOver": limit.rate,
+            "CapDepth": limit.burst,
+            "Tolerance": limit.tolerance,
+        }
+        raw = configuration(
+            self._discovery.port,
+            list(self._discovery.rows.values()),
+            port,
+            plan=plan,
+            deadline=round(scenario.deadline * MS_PER_SECOND),
+            objective=round(scenario.deadline * MS_PER_SECOND * 0.4),
+            gateways=scenario.gateway_count,
+            shards=scenario.node_count,
+            DialTimeout=round(DIAL_TIMEOUT * NS_PER_SECOND),
+        )
+        raw["seed"] = f"{self._rng.getrandbits(64):016x}"
+        return raw
+
+    async def _start_gateways(self) -> None:
+        for gateway in self._gateways:
+            await gateway.start()
+        for gateway in self._gateways:
+            await self._check_ready(gateway)
+
+    async def _check_ready(self, gateway: GatewayProcess) -> None:
+        if not await gateway.is_ready(READY_WITHIN):
+            self.problems.append(f"{gateway.name} is not ready within {READY_WITHIN:g} s")
+
+    async def _watch_lag(self) -> None:
+        while True:
+            due = self._loop.time() + LAG_INTERVAL
+            await asyncio.sleep(LAG_INTERVAL)
+            self._longest_lag = max(self._longest_lag, self._loop.time() - due)
+
+    # The course.
+
+    async def _play(self) -> None:
+        scenario = self.scenario
+        self._load.set()
+        troubles = [self._loop.create_task(self._trouble(scenario.load_time))]
+        await asyncio.sleep(scenario.load_time)
+        if scenario.quiet_time:
+            self._load.clear()
+            await asyncio.sleep(scenario.quiet_time)
+            self._load.set()
+            troubles.append(self._loop.create_task(self._trouble(scenario.load_time)))
+            await asyncio.sleep(scenario.load_time)
+        await self._restart_in_a_row()
+        await asyncio.gather(*troubles)
+
+    async def _restart_in_a_row(self) -> None:
+        for _ in range(self.scenario.restarts):
+            chosen = self._gateways[: self.scenario.restarted_gateways]
+            await asyncio.gather(*(self._restart(gateway) for gateway in chosen))
+            await asyncio.sleep(TIME_BETWEEN_RESTARTS)
+
+    async def _restart(self, gateway: GatewayProcess) -> None:
+        gateway.send_signal(self.scenario.restart_signal)
+        await asyncio.sleep(self._rng.uniform(0, 0.2))
+        await gateway.end()
+        await gateway.start()
+        await self._check_ready(gateway)
+
+    async def _trouble(self, duration: float) -> None:
+        """What happens to nodes and processes during a burst."""
+        until = self._loop.time() + duration
+        jobs = [asyncio.ensure_future(self._delay_nodes(node)) for node in self._nodes]
+        for _ in range(self.scenario.stalls + self.scenario.reloads):
+            await asyncio.sleep(max(0.0, self._rng.uniform(0, until - self._loop.time())))
+            gateway = self._rng.choice(self._gateways)
+            if self.scenario.reloads and self._rng.random() < 1 / 2:
+                gateway.send_signal(signal.SIGHUP)
+            if self.scenario.stalls:
+                gateway.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(self._rng.uniform(*STALL_TIME))
+                gateway.send_signal(signal.SIGCONT)
+        await asyncio.gather(*jobs)
+
+    async def _delay_nodes(self, node: MeteredNode) -> None:
+        await node.misbehave(self._rng.uniform(*FAULT_TIME))
+        await asyncio.sleep(self._rng.uniform(0, 1))
+        await node.misbehave(self._rng.uniform(*FAULT_TIME))
+
+    # Clients.
+
+    def _start_clients(self) -> list[asyncio.Task]:
+        return [
+            self._loop.create_task(self._client(gateway, number, self._rng.random()))
+            for number, gateway in enumerate(self._gateways)
+            for _ in range(CLIENTS_PER_GATEWAY)
+        ]
+
+    async def _client(self, gateway: GatewayProcess, number: int, seed: float) -> None:
+        """Asks again and again, on one connection after another."""
+        rng = random.Random(seed)
+        while self._is_serving:
+            await self._load.wait()
+            try:
+                connection = await FakeClient().open(gateway.port)
+            except OSError:
+                await asyncio.sleep(RECONNECT_INTERVAL)
+                continue
+            try:
+                await self._use(connection, number, rng)
+            finally:
+                connection.close()
+
+    async def _use(self, connection: FakeClient, number: int, rng: random.Random) -> None:
+        while self._is_serving:
+            await self._load.wait()
+            count = rng.choice((1, 1, 3))
+            for _ in range(count):
+                connection.send(*self._command(number, rng))
+            for _ in range(count):
+                try:
+                    if await connection.reply(within=self.scenario.deadline + 1) is None:
+                        return
+                except TimeoutError:
+                    return
+            await asyncio.sleep(rng.expovariate(50))
+
+    def _command(self, gateway_number: int, rng: random.Random) -> list[bytes]:
+        self._request_count += 1
+        single = gateway_number == 0 and rng.random() < 1 / 4
+        return read_command(
+            self._request_count,
+            cell=rng.randrange(self.scenario.node_count),
+            time_left=round(self.scenario.deadline * MS_PER_SECOND),
+            volume=SINGLE_VOLUME if single else SHARED_VOLUME,
+            units=rng.choice((1, 1, 2, 4, MAX_UNITS)),
+            hosts=1 if single else self.scenario.gateway_count,
+        )
+
+    # The end.
+
+    async def _close(self) -> None:
+        for gateway in self._gateways:
+            if gateway.process is not None:
+                await gateway.end()
+        for node in self._nodes:
+            node.close()
+        self._discovery.close()
+
+    def _judge(self, begin: float) -> LimitOutcome:
+        arrivals: list[UnitArrival] = [arrival for node in self._nodes for arrival in node.arrivals]
+        limits = {f"{volume:016x}": self.scenario.limit for volume in (SHARED_VOLUME, SINGLE_VOLUME)}
+        verdict = judge_limits(arrivals, limits, begin, self._longest_lag)
+        logs = "\n".join(gateway.log.decode(errors="replace") for gateway in self._gateways)
+        self.problems += [line for line in logs.splitlines() if "Traceback" in line or ".fault " in line]
+        return LimitOutcome(
+            self._request_count,
+            len(arrivals),
+            verdict.largest_overdraft,
+            verdict.breaches,
+            self.problems,
+            logs,
+        )
+
+
+async def _free_port() -> int:
+    node = FakeNode()
+    await node.open()
+    node.close()
+    return node.port
--- a/rushmux/standins/platform/messages.py
+++ b/rushmux/standins/platform/messages.py
@@ -27,11 +27,11 @@
     plan: str = "base",
     volume: int = 1,
     units: float = 1,
+    hosts: int = 1,
 ) -> list[bytes]:
     """Returns the arguments of a read; `time_left` in milliseconds."""
-    options = (
-        f"c={request_class},t={plan},d={time_left},volume={volume:016x},units={units},shard={cell},hosts=1"
-    )
+    size = f"volume={volume:016x},units={units},shard={cell},hosts={hosts}"
+    options = f"c={request_class},t={plan},d={time_left},{size}"
     return [b"BLK.READ", b"%016x" % (number + BLOCK_OFFSET), b"%016x" % number, options.encode()]
 
 
--- /dev/null
+++ b/rushmux/standins/platform/metered_node.py
@@ -0,0 +1,163 @@
+"""A storage node that notes when units come, tells usage in drawn ways, and takes commands late."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Iterable
+from enum import StrEnum
+from functools import partial
+
+from rushmux.resp import encode_bulk
+from rushmux.standins.limit_judge import UnitArrival
+from rushmux.standins.platform.messages import NULL, option_of, success_reply
+from rushmux.standins.platform.node import FakeNode, NodeServerConnection
+
+BUSY, FAILED = b"-BUSY\r\n", b"-ERR failed\r\n"
+METER_CHANGE = 2.0
+"""Seconds from the start until a meter that comes or goes does so."""
+MAX_USAGE = 300
+"""Percent, of an untrue figure."""
+USUAL_FIGURE = encode_bulk(b"used=40")
+MALFORMED_FIGURES = (encode_bulk(b"used=x"), encode_bulk(b""), NULL)
+ACCEPT_BACKLOG = 100
+BLOCKING_CONNECTIONS = 2
+"""They fill the accept queue of a listener with a backlog of 0."""
+
+
+class Meter(StrEnum):
+    """How a node tells the fleet's usage of a volume."""
+
+    STEADY = "steady"
+    MISSING = "missing"
+    LATE = "late"
+    """No figure at first."""
+    LOST = "lost"
+    """A figure at first, then none."""
+    FLICKERING = "flickering"
+    UNTRUE = "untrue"
+    """Any figure, of any time."""
+    MALFORMED = "malformed"
+
+
+class NodeFault(StrEnum):
+    """What is wrong with a node beside its meter."""
+
+    NONE = "none"
+    ERRORS = "errors"
+    """It rejects, fails and closes connections."""
+    HELD = "held"
+    """It does not read for some time: commands wait in its sockets and arrive together."""
+    LATE_CONNECTIONS = "late connections"
+    """New connections come up late, together."""
+
+
+class MeteredNode(FakeNode):
+    """A storage node that notes when units come.
+
+    Attributes:
+        arrivals: Each command's arrival, with its units.
+    """
+
+    def __init__(self, name: str, meter: Meter, fault: NodeFault, rng: random.Random):
+        super().__init__(self._respond)
+        self.name = name
+        self.meter = meter
+        self.fault = fault
+        self.arrivals: list[UnitArrival] = []
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        self._listener: socket.socket | None = None
+        self._accept_task: asyncio.Task | None = None
+        self._blockers: list[socket.socket] = []
+        self._is_held = False
+
+    async def open(self, port: int = 0) -> None:
+        """Listens; 0: on any free port."""
+        self._listener = socket.create_server(("127.0.0.1", port), backlog=ACCEPT_BACKLOG)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._accept_task = self._loop.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        while True:
+            accepted, _ = await self._loop.sock_accept(self._listener)
+            make_protocol = partial(NodeServerConnection, self)
+            transport, _ = await self._loop.connect_accepted_socket(make_protocol, accepted)
+            if self._is_held:
+                transport.pause_reading()
+
+    def _respond(self, arguments: list[bytes]) -> Iterable:
+        volume, units = option_of(arguments, "volume"), float(option_of(arguments, "units"))
+        op_id = arguments[2].decode()
+        self.arrivals.append(UnitArrival(self._loop.time(), volume, op_id, units, self.name))
+        delay = self._rng.uniform(0, 0.02)
+        if self.fault is NodeFault.ERRORS:
+            steps = ([success_reply(used=self._usage())], [BUSY], [FAILED], ["close"], ["hang"])
+            return [delay, *self._rng.choices(steps, (60, 10, 10, 10, 10))[0]]
+        return [delay, success_reply(used=self._usage())]
+
+    def _usage(self) -> bytes:
+        # The element of a reply that tells the fleet's usage, or null.
+        figure = USUAL_FIGURE
+        has_changed = self._loop.time() - self._started_at > METER_CHANGE
+        if self.meter is Meter.UNTRUE:
+            figure = encode_bulk(b"used=%d" % self._rng.randrange(MAX_USAGE))
+        elif self.meter is Meter.MALFORMED:
+            figure = self._rng.choice(MALFORMED_FIGURES)
+        is_missing = {
+            Meter.MISSING: True,
+            Meter.LATE: not has_changed,
+            Meter.LOST: has_changed,
+            Meter.FLICKERING: self._rng.random() < 1 / 2,
+        }
+        return NULL if is_missing.get(self.meter, False) else figure
+
+    async def misbehave(self, duration: float) -> None:
+        """Takes commands or connections late for so many seconds, if that is its fault."""
+        if self.fault is NodeFault.HELD:
+            self._hold(True)
+            await asyncio.sleep(duration)
+            self._hold(False)
+        elif self.fault is NodeFault.LATE_CONNECTIONS:
+            self._block_connects()
+            await asyncio.sleep(duration)
+            self._unblock_connects()
+
+    def _hold(self, is_held: bool) -> None:
+        self._is_held = is_held
+        for connection in self.connections:
+            if is_held:
+                connection.transport.pause_reading()
+            else:
+                connection.transport.resume_reading()
+
+    def _block_connects(self) -> None:
+        # Past the accept queue the system leaves a connect unanswered, and the client's system asks again
+        # after a second.
+        self._accept_task.cancel()
+        self._listener.listen(0)
+        for _ in range(BLOCKING_CONNECTIONS):
+            blocker = socket.socket()
+            blocker.setblocking(False)
+            blocker.connect_ex(("127.0.0.1", self.port))
+            self._blockers.append(blocker)
+        for connection in list(self.connections):  # what is open would be used in place of a new one
+            connection.transport.abort()
+
+    def _unblock_connects(self) -> None:
+        for blocker in self._blockers:
+            blocker.close()
+        self._blockers.clear()
+        self._listener.listen(ACCEPT_BACKLOG)
+        self._accept_task = self._loop.create_task(self._accept())
+
+    def close(self) -> None:
+        """Stops listening and aborts all connections."""
+        self._accept_task.cancel()
+        self._listener.close()
+        for blocker in self._blockers:
+            blocker.close()
+        super().close()
--- a/rushmux/standins/platform/node.py
+++ b/rushmux/standins/platform/node.py
@@ -16,8 +16,8 @@
     return [success_reply()]
 
 
-class _NodeConnection(asyncio.Protocol):
-    """A gateway's connection to a fake node."""
+class NodeServerConnection(asyncio.Protocol):
+    """A gateway's connection to a fake node (`asyncio.Protocol`)."""
 
     def __init__(self, node: FakeNode):
         self.node = node
@@ -26,11 +26,13 @@
         self.task: asyncio.Task | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
+        """Counts it."""
         self.transport = transport
         self.node.connections[self] = True
         self.node.connections_opened += 1
 
     def data_received(self, data: bytes) -> None:
+        """Runs the script of each command."""
         self.reader.receive_data(data)
         while (arguments := self.reader.next_command()) is not None:
             self.node.received.append(arguments)
@@ -53,6 +55,7 @@
             self.node.running -= 1
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Stops its script."""
         self.node.connections.pop(self, None)
         if self.task is not None:
             self.task.cancel()  # a node stops what its gateway gave up
@@ -73,7 +76,7 @@
     def __init__(self, script: Callable[[list[bytes]], Iterable] = _serve):
         self.script = script
         self.received: list[list[bytes]] = []
-        self.connections: dict[_NodeConnection, bool] = {}
+        self.connections: dict[NodeServerConnection, bool] = {}
         self.running = 0
         self.max_running = 0
         self.connections_opened = 0
@@ -83,7 +86,7 @@
     async def open(self, port: int = 0) -> None:
         """Listens; 0: on any free port."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: _NodeConnection(self), "127.0.0.1", port)
+        self.server = await loop.create_server(lambda: NodeServerConnection(self), "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def row(self, name: str, cell: int, state: str = "up", started_ms: int = 0) -> dict:
--- /dev/null
+++ b/tests/gateway/test_limits_over_gateways.py
@@ -0,0 +1,116 @@
+"""A burst after a long quiet time took a volume past its limit.
+
+Seen before production, with faults injected: one of six gateways alone sent a volume 12 operations in
+4.1 s past the limit of 4.1 units a second and 48 at once and the slack of 8.
+
+    86.764 took its volume (plan basico) past the limit of 4.1 units a second and 48 at once by more than the
+    slack of 8 (n1)
+
+Its log told of no restart and no new configuration before the first of them (86.764; the first SIGHUP came at
+89.0), and of nothing else about the volume.
+
+The tests here play real gateways between stand-ins, and judge each volume's units over all gateways.  More
+drawn runs, and one again: `--seeds FIRST:END`, a row each with `-rP`.
+"""
+
+import asyncio
+import signal
+
+import pytest
+
+from rushmux.standins.limit_judge import UnitArrival, VolumeLimit, judge_limits
+from rushmux.standins.limit_soak import LimitRun, LimitScenario, draw_scenario
+from rushmux.standins.platform.metered_node import Meter, NodeFault
+
+TEST_FILE = "tests/gateway/test_limits_over_gateways.py"
+DEFAULT_SEEDS = range(6)
+SLOW = VolumeLimit(rate=4.0, burst=48.0, tolerance=8.0)
+"""As in the incident: it takes 12 s to fill."""
+FAST = VolumeLimit(rate=40.0, burst=40.0, tolerance=8.0)
+
+
+def pytest_generate_tests(metafunc):
+    if "limit_seed" in metafunc.fixturenames:
+        text = metafunc.config.getoption("--seeds")
+        seeds = range(*map(int, text.split(":"))) if text else DEFAULT_SEEDS
+        metafunc.parametrize("limit_seed", seeds)
+
+
+def play(scenario, folder, seed=0, **options):
+    return asyncio.run(LimitRun(scenario, seed, folder, **options).run())
+
+
+def test_a_burst_after_a_quiet_time_keeps_the_limit(tmp_path):
+    scenario = LimitScenario(SLOW, gateway_count=3, meter=Meter.MISSING, quiet_time=3.0, load_time=5.0)
+    outcome = play(scenario, tmp_path)
+    assert outcome.breaches == [] and outcome.problems == []
+    assert outcome.arrivals > 20
+
+
+@pytest.mark.parametrize("meter", [Meter.STEADY, Meter.MISSING, Meter.LOST])
+@pytest.mark.parametrize("restarts", [1, 3])
+def test_restarts_keep_the_limit(tmp_path, meter, restarts):
+    scenario = LimitScenario(SLOW, meter=meter, restarts=restarts, restarted_gateways=2, load_time=2.5)
+    outcome = play(scenario, tmp_path)
+    assert outcome.breaches == [] and outcome.problems == []
+
+
+@pytest.mark.parametrize("fault", [NodeFault.HELD, NodeFault.LATE_CONNECTIONS])
+def test_commands_that_reach_their_nodes_late_and_together_keep_the_limit(tmp_path, fault):
+    scenario = LimitScenario(FAST, gateway_count=1, node_count=3, fault=fault, deadline=3.0, load_time=5.0)
+    outcome = play(scenario, tmp_path)
+    assert outcome.breaches == [] and outcome.problems == []
+
+
+def test_reloads_and_stalled_processes_keep_the_limit(tmp_path):
+    scenario = LimitScenario(FAST, reloads=2, stalls=4, load_time=4.0)
+    outcome = play(scenario, tmp_path)
+    assert outcome.breaches == [] and outcome.problems == []
+
+
+def test_a_drawn_run_keeps_the_limits(tmp_path, limit_seed):
+    scenario = draw_scenario(limit_seed)
+    outcome = play(scenario, tmp_path, limit_seed)
+    print(
+        f"| {limit_seed} | {scenario.limit.rate:g}, {scenario.limit.burst:g} | {scenario.gateway_count} |"
+        f" {scenario.meter} | {scenario.fault} | {scenario.quiet_time:g} |"
+        f" {scenario.restarts} x {scenario.restarted_gateways} | {outcome.arrivals} |"
+        f" {outcome.largest_overdraft:.1f} | {len(outcome.breaches)} {'; '.join(outcome.problems[:2])} |"
+    )
+    again = f"python -m pytest {TEST_FILE} --seeds {limit_seed}:{limit_seed + 1}"
+    assert outcome.breaches == [] and outcome.problems == [], again
+
+
+def arrival(at, op_id, units, volume="v"):
+    return UnitArrival(at, volume, op_id, units, "s0")
+
+
+@pytest.mark.parametrize(
+    "arrivals, overdraft, breaches",
+    [
+        ([arrival(0, "a", 10), arrival(0, "b", 2)], 2, 0),
+        ([arrival(0, "a", 10), arrival(0, "b", 2.6)], 2.6, 1),
+        ([arrival(0, "a", 10), arrival(1, "b", 12.6)], 2.6, 1),
+        ([arrival(5, "a", 12.4)], 2.4, 0),  # the bucket is never over its burst
+        ([arrival(0, "a", 10), arrival(0.1, "a", 10)], 0, 0),  # a retry takes no units
+        ([arrival(0, "a", 10), arrival(0, "b", 10, "w")], 0, 0),  # another volume
+        ([arrival(1, "b", 9), arrival(0, "a", 9)], 0, 0),
+    ],
+)
+def test_the_judge_counts_first_arrivals_against_one_bucket_a_volume(arrivals, overdraft, breaches):
+    limit = VolumeLimit(rate=10.0, burst=10.0, tolerance=1.0)
+    verdict = judge_limits(arrivals, {"v": limit, "w": limit}, begin=0.0, lag=0.0)
+    assert verdict.largest_overdraft == pytest.approx(overdraft)
+    assert len(verdict.breaches) == breaches
+
+
+def test_a_gateway_that_forgets_its_limit_is_found_out(tmp_path):
+    statements = (
+        "from rushmux.scheduling.volume import Volume",
+        "Volume.release_time = lambda self, units, now: now",
+        "import runpy",
+        "runpy.run_module('rushmux.gateway', run_name='__main__')",
+    )
+    scenario = LimitScenario(SLOW, restart_signal=signal.SIGTERM)
+    outcome = play(scenario, tmp_path, arguments=("-c", "; ".join(statements)))
+    assert outcome.breaches
