Units of a limit stay reserved until a node answered for them

What callers saw: with nodes that did not read for 0.7 s, or connections that came up late, a volume was sent up to 18.8 units more than its bucket held where 14.1 are allowed. Cause: Dispatcher._start took the units when an attempt was decided, and the bucket filled on while the attempt waited for a connection or in its node's socket; a retry of an attempt that never arrived was not charged at all when it did. Why it holds: LimitBucket (a module of its own) reserves the units until an answer proves that a node had them, or the operation is over, and fills only up to the share less what is reserved; so level and arrivals together never pass the share, at whatever moment they come. The model counts first arrivals now, with delays.

--- a/rushmux/lab/model_check/rule_monitor.py
+++ b/rushmux/lab/model_check/rule_monitor.py
@@ -58,6 +58,7 @@
         self._not_ready_since: dict[tuple[int, str], Ticks] = {}  # by gateway and node, as it was told
         self._slow_start_arrivals: list[tuple[Ticks, float]] = []
         self._buckets: dict[str, _TokenBucket] = {}
+        self._counted: set[str] = set()  # operations whose units were taken from a bucket
 
     @property
     def now(self) -> Ticks:
@@ -85,9 +86,7 @@
             self._breach(Rule.NO_LOSS, f"{attempt.op_id} is sent after its answer")
         if in_flight and not self.settings.allows_hedging:
             self._breach(Rule.NO_DUPLICATE, f"{attempt.op_id} has two executions out")
-        if not attempt.number:
-            self._check_rate_limit(attempt)
-        elif self.settings.retry_budget_ratio is not None:
+        if attempt.number and self.settings.retry_budget_ratio is not None:
             self._check_retry_budget(attempt.gateway)
 
     def _check_retry_budget(self, gateway: int) -> None:
@@ -102,8 +101,9 @@
 
     def _check_rate_limit(self, attempt: ModelAttempt) -> None:
         plan = next(iter(self.settings.plans.values()))
-        if not plan.limit:
+        if not plan.limit or attempt.op_id in self._counted:
             return
+        self._counted.add(attempt.op_id)
         bucket = self._buckets.get(plan.name, _TokenBucket(plan.burst, self.now))
         refilled = bucket.level + plan.limit * (self.now - bucket.updated_at) / TICKS_PER_SECOND
         level = min(plan.burst, refilled) - self.operations[attempt.op_id].units
@@ -117,6 +117,7 @@
     def on_arrival(self, attempt: ModelAttempt) -> None:
         """An attempt arrives at its node."""
         self._check_drain(attempt)
+        self._check_rate_limit(attempt)
         if self.nodes[attempt.node].online_since:
             self._check_slow_start(self.operations[attempt.op_id].units)
         self._check_duplicate(attempt)
--- a/rushmux/lab/model_check/scenarios.py
+++ b/rushmux/lab/model_check/scenarios.py
@@ -183,5 +183,8 @@
     Rule.RETRY_BUDGET: (
         Scenario(consecutive_operations, (NodeBehaviour.FAIL, NodeBehaviour.SILENT), single_gateway=True),
     ),
-    Rule.RATE_LIMIT: (Scenario(restarts_with_spent_limits, (NodeBehaviour.SUCCEED,), has_delays=False),),
+    Rule.RATE_LIMIT: (
+        Scenario(restarts_with_spent_limits, (NodeBehaviour.SUCCEED,), has_delays=False),
+        Scenario(restarts_with_spent_limits, (NodeBehaviour.SUCCEED, NodeBehaviour.REJECT)),
+    ),
 }
--- a/rushmux/scheduling/dispatcher.py
+++ b/rushmux/scheduling/dispatcher.py
@@ -91,7 +91,7 @@
             self.retries.add(now)
             operation.route_usage.retry_credit -= 1
         else:
-            operation.volume.limit -= operation.units
+            operation.volume.reserve_limit(operation)
         operation.volume.charge(operation.units)
         self.scheduler.register_attempt(operation, node, now)
         # What is lost on its way, or at a node that hangs, must not use up the objective.
--- a/rushmux/scheduling/pacer.py
+++ b/rushmux/scheduling/pacer.py
@@ -29,6 +29,7 @@
 
     def on_result(self, operation, attempt, node, result, now):
         """Takes back what a failed attempt was charged: fast errors would make a failing volume look fed."""
+        operation.volume.settle_limit(operation, now, result)
         if result is not AttemptResult.SUCCEEDED:
             operation.volume.charge(-operation.units)
 
@@ -36,7 +37,9 @@
         """When to look whether the limit bucket and the node's slow start let it go."""
         if operation.units > node.slow_start_allowance(self.scheduler, operation.units, now):
             return now + BIN_WIDTH
-        return now if operation.attempts_started else operation.volume.release_time(operation.units, now)
+        return (
+            now if operation.attempts_started else operation.volume.limit.release_time(operation.units, now)
+        )
 
     def next_admission(self, node, factor, now):
         """When its limits, `factor` times as large, let the next attempt go to a node."""
--- a/rushmux/scheduling/records.py
+++ b/rushmux/scheduling/records.py
@@ -97,6 +97,8 @@
     in_flight: dict[int, Node] = field(default_factory=dict)
     """Attempt's number to its node: two with a hedged request."""
     attempts_started: int = 0
+    limit_reserved: float = 0.0
+    """Units let go that no node is known to have."""
     hedged: bool = False
     hedge_at: Ticks = NEVER
     may_have_run_at: Ticks | None = None
--- a/rushmux/scheduling/scheduler.py
+++ b/rushmux/scheduling/scheduler.py
@@ -125,7 +125,7 @@
         for stage in reversed(self.stages):
             stage.on_result(operation, report.attempt, node, report.result, now)
         if operation.ended:
-            self.forget_or_cancel(operation)
+            self.forget_or_cancel(operation, now)
         elif not operation.in_flight:  # else the other attempt may still succeed
             self._retry(operation, node, now)
 
@@ -186,7 +186,7 @@
     def _hindrance(self, operation, now):
         if operation.attempts_started:
             return GiveUpReason.NO_RETRY
-        waits_for_limit = operation.queued and operation.volume.release_time(operation.units, now) > now
+        waits_for_limit = operation.queued and operation.volume.limit.release_time(operation.units, now) > now
         return GiveUpReason.RATE_LIMIT if waits_for_limit else GiveUpReason.CAPACITY
 
     def _request_reports(self, now):
--- a/rushmux/scheduling/state.py
+++ b/rushmux/scheduling/state.py
@@ -69,8 +69,7 @@
     def forget_idle(self, now: Ticks, idle_time: Ticks) -> Volume | None:
         """Forgets the volume asked for longest ago, once it is idle for a time and its limit is full."""
         volume = next(iter(self.values()))
-        full_at = volume.release_time(volume.limit_cap, volume.updated_at)
-        if max(volume.requested_at + idle_time, full_at) > now:
+        if max(volume.requested_at + idle_time, volume.limit.full_at()) > now:
             return None
         del self[volume.name]
         return volume
@@ -112,7 +111,7 @@
         self.quota_shares[volume] = share
         known = self.volumes.get(volume)
         if known is not None:
-            known.on_quota(now, share)
+            known.limit.set_share(share, now)
             cells = (cell for cell in self.endpoints.listed_cells if known in cell.queues)
             self.mark_changed(cells)
 
@@ -195,11 +194,12 @@
             operation.cell.remove(operation)
         if not operation.in_flight:
             self.stages[0].on_result(operation, None, None, None, now)
-        self.forget_or_cancel(operation)
+        self.forget_or_cancel(operation, now)
 
-    def forget_or_cancel(self, operation: Operation) -> None:
+    def forget_or_cancel(self, operation: Operation, now: Ticks) -> None:
         """Forgets an operation that ended, or cancels what is in flight of one that was hedged."""
         if not operation.in_flight:
+            operation.volume.settle_limit(operation, now)
             del self.operations[operation.op_id]
         elif operation.hedged and self.settings.allows_cancellation:
             operation.hedged = False
--- a/rushmux/scheduling/volume.py
+++ b/rushmux/scheduling/volume.py
@@ -2,7 +2,8 @@
 
 from collections import deque
 
-from rushmux.scheduling.interface import VolumeEvent
+from rushmux.scheduling.interface import AttemptResult, VolumeEvent
+from rushmux.scheduling.limit_bucket import LimitBucket
 from rushmux.scheduling.records import NEVER, SECOND
 from rushmux.scheduling.structures import DecayingWindow
 
@@ -11,6 +12,7 @@
 DECAY = 0.9  # weight of a bin against the next younger one, from the design
 MAX_DEBT = 4  # seconds of the reserve's fill: slack taken long ago must not eat today's reserve
 REMOTE_USAGE_AGE = 30_000  # ticks for which the told rate of other gateways counts: surges last longer
+REACHED_NODE = (AttemptResult.SUCCEEDED, AttemptResult.FAILED)  # answers that prove that a node had the units
 REMEMBERED_OPERATIONS = 64  # ended operations to know retries by: some seconds of a surge
 
 
@@ -23,30 +25,19 @@
         self.updated_at = self.requested_at = self.metered_at = now
         self.reserve_cap = plan.reserve + scheduler.settings.max_units
         self.reserve = self.reserve_cap / self.gateway_count  # what all its gateways promise together
-        self._set_quota(scheduler.quota_shares.get(self.name))
+        share = scheduler.quota_shares.get(self.name, 1 / self.gateway_count)
         # A gateway that came back has forgotten what it used, and may come back again and again: its share of
         # the limit is empty at its start and fills from then on.
-        self.limit = min(self.limit_cap, self.limit_rate * (now - scheduler.started_at) / SECOND)
+        self.limit = LimitBucket(plan, share, scheduler.started_at, now)
         self.usage = DecayingWindow(BIN_WIDTH, BIN_COUNT, DECAY, now)
         self.remote_usage_rate = 0.0  # units a second
         self.usage_reported = False  # by the last answer, as a figure of the fleet's usage
         self.ended_operations = deque(maxlen=REMEMBERED_OPERATIONS)
 
-    def _set_quota(self, share):
-        plan, count = self.plan, self.gateway_count
-        self.limit_rate = plan.limit / count if share is None else plan.limit * share
-        self.limit_cap = plan.burst / count if share is None else plan.burst * share
-
-    def on_quota(self, now, share):
-        """Takes over another share: what is above a smaller one is another gateway's by now."""
-        self.advance(now)
-        self._set_quota(share)
-        self.limit = min(self.limit, self.limit_cap)
-
     def event(self, kind):
         """What operators are told when something of it changes."""
         names = self.name, self.plan.name, self.gateway_count
-        return VolumeEvent(kind, *names, self.limit, self.limit_cap, self.limit_rate)
+        return VolumeEvent(kind, *names, self.limit.level, self.limit.capacity, self.limit.rate)
 
     def advance(self, now):
         """Fills the buckets and ages the average up to now."""
@@ -54,17 +45,24 @@
         remote_time = min(elapsed, max(0, (self.metered_at + REMOTE_USAGE_AGE - now) / SECOND + elapsed))
         self.reserve = min(self.reserve_cap, self.reserve + self.plan.reserve * elapsed)
         self._charge_reserve(self.remote_usage_rate * remote_time)
-        self.limit = min(self.limit_cap, self.limit + self.limit_rate * elapsed)
+        self.limit.advance(now)
         self.usage.advance(now)
 
     def deadline(self, units, now):
         """When the reserve bucket has, or will have, the units."""
         return now - int((self.reserve - units) / self.plan.reserve * SECOND) if self.plan.reserve else NEVER
 
-    def release_time(self, units, now):
-        """When the limit bucket has the units."""
-        waits = self.plan.limit > 0 and self.limit < units
-        return now + 1 + int((units - self.limit) / self.limit_rate * SECOND) if waits else now
+    def reserve_limit(self, operation):
+        """Lets an operation's first attempt go."""
+        self.limit.reserve(operation.units)
+        operation.limit_reserved = operation.units
+
+    def settle_limit(self, operation, now, result=None):
+        """Takes in how an attempt came back; None: the operation is over."""
+        # An attempt that was lost or rejected need not have reached its node, and the retry still may.
+        if operation.limit_reserved and (result is None or result in REACHED_NODE):
+            self.limit.settle(operation.limit_reserved, now)
+            operation.limit_reserved = 0.0
 
     def _charge_reserve(self, units):
         self.reserve = min(self.reserve_cap, max(self.reserve - units, -MAX_DEBT * self.plan.reserve))
--- a/rushmux/standins/limit_soak.py
+++ b/rushmux/standins/limit_soak.py
@@ -197,7 +197,8 @@
 
     async def _check_ready(self, gateway: GatewayProcess) -> None:
         if not await gateway.is_ready(READY_WITHIN):
-            self.problems.append(f"{gateway.name} is not ready within {READY_WITHIN:g} s")
+            state = f"exit code {gateway.process.returncode}"
+            self.problems.append(f"{gateway.name} is not ready within {READY_WITHIN:g} s: {state}")
 
     async def _watch_lag(self) -> None:
         while True:
@@ -218,8 +219,9 @@
             self._load.set()
             troubles.append(self._loop.create_task(self._trouble(scenario.load_time)))
             await asyncio.sleep(scenario.load_time)
-        await self._restart_in_a_row()
+        # The platform sends no SIGHUP in a process's first second: it would end one that has no handler yet.
         await asyncio.gather(*troubles)
+        await self._restart_in_a_row()
 
     async def _restart_in_a_row(self) -> None:
         for _ in range(self.scenario.restarts):
--- a/tests/gateway/test_limits_over_gateways.py
+++ b/tests/gateway/test_limits_over_gateways.py
@@ -73,6 +73,10 @@
     assert outcome.breaches == [] and outcome.problems == []
 
 
+# Units were taken from the bucket when an attempt was decided, and the bucket filled on while the attempt
+# waited for a connection or in its node's socket; what arrived together then was more than a bucket holds:
+# 18.8 units under zero where 14.1 are allowed with nodes that did not read for 0.7 s, 16.7 with connections
+# that came up late.
 @pytest.mark.parametrize("fault", [NodeFault.HELD, NodeFault.LATE_CONNECTIONS])
 def test_commands_that_reach_their_nodes_late_and_together_keep_the_limit(tmp_path, fault):
     scenario = LimitScenario(
--- a/tests/routes/test_model.py
+++ b/tests/routes/test_model.py
@@ -33,7 +33,7 @@
 
 def start_with_a_full_limit(volume, *arguments):
     volume_init(volume, *arguments)
-    volume.limit = volume.limit_cap
+    volume.limit.level = volume.limit.capacity
 
 
 # What the module or the prover takes for granted, taken away: the schedules must find the breach.
