A volume's share follows the most gateways that its requests name

Cause: Volume kept the number of its first request. Why it holds: a request that names more makes the share smaller, and what the larger one had over it is owed, since the others begin with shares of their own; a request that names fewer changes nothing until the volume is forgotten. A volume that more gateways get than any request names can't be held by one of them alone.

--- a/rushmux/scheduling/interface.py
+++ b/rushmux/scheduling/interface.py
@@ -93,6 +93,8 @@
     """Answers hold a figure of the fleet's usage, after none before."""
     USAGE_MISSING = "usage_missing"
     """They hold none, after a figure before."""
+    SPLIT_FURTHER = "split_further"
+    """A request names more gateways than those before."""
     FORGOTTEN = "forgotten"
     """It was idle for long."""
 
--- a/rushmux/scheduling/limit_bucket.py
+++ b/rushmux/scheduling/limit_bucket.py
@@ -29,6 +29,13 @@
         self.rate, self.capacity = self.plan.limit * share, self.plan.burst * share
         self.level = min(self.level, self.capacity - self.reserved)
 
+    def split_further(self, share, now):
+        """Takes over a smaller share beside others that begin with shares of their own; owes theirs."""
+        lost_capacity = self.capacity - self.plan.burst * share
+        self.advance(now)
+        self.level -= lost_capacity
+        self.set_share(share, now)
+
     def advance(self, now):
         """Fills it up to now."""
         elapsed, self.updated_at = (now - self.updated_at) / SECOND, now
--- a/rushmux/scheduling/scheduler.py
+++ b/rushmux/scheduling/scheduler.py
@@ -91,6 +91,8 @@
         if volume is None:
             volume = self.volumes[request.volume] = Volume(request, self, now)
             self._report_volume(volume, VolumeEventKind.STARTED)
+        elif volume.on_gateway_count(request.gateway_count, request.volume in self.quota_shares, now):
+            self._report_volume(volume, VolumeEventKind.SPLIT_FURTHER)
         self.volumes.touch(volume, now)
         forgotten = self.volumes.forget_idle(now, VOLUME_IDLE_TIME)
         if forgotten is not None:
--- a/rushmux/scheduling/volume.py
+++ b/rushmux/scheduling/volume.py
@@ -34,6 +34,17 @@
         self.usage_reported = False  # by the last answer, as a figure of the fleet's usage
         self.ended_operations = deque(maxlen=REMEMBERED_OPERATIONS)
 
+    def on_gateway_count(self, count, has_quota, now):
+        """Takes in how many gateways a request names; whether it is more than all before named."""
+        # Requests may differ.  The most that any named counts until the volume is forgotten: a larger share
+        # here would stand beside the smaller ones of gateways that were told of more.
+        if count <= self.gateway_count:
+            return False
+        self.gateway_count = count
+        if not has_quota:
+            self.limit.split_further(1 / count, now)
+        return True
+
     def event(self, kind):
         """What operators are told when something of it changes."""
         names = self.name, self.plan.name, self.gateway_count
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -322,3 +322,8 @@
 @pytest.fixture
 def player():
     return Player()
+
+
+@pytest.fixture
+def another_player():
+    return Player()
