A quota that grew before its volume was met fills from when it was told

What callers would see: an edge with a quota of a tenth for 100 s and of nine tenths since 2 s met a volume and gave it 43.2 units at once, where 18 can be its own: the other edge may have spent its larger part just before. Why it holds: a share that grew fills from that moment, one that shrank is cut to its size.

--- a/rushmux/scheduling/state.py
+++ b/rushmux/scheduling/state.py
@@ -98,6 +98,8 @@
         self.route_policies, self.route_usage = settings.route_policies, {}
         self.quota_shares: dict[str, float] = {}
         """Shares of volumes' limits that this gateway was told."""
+        self.quota_grown_at: dict[str, Ticks] = {}
+        """When such a share last became larger: until then a part of it was another gateway's."""
         self.stages: tuple[Stage, ...] = ()
         self.given_up: Counter[GiveUpReason] = Counter()
         """Operations that ended without a success, by the reason, since the start."""
@@ -108,6 +110,8 @@
 
     def on_quota(self, now: Ticks, volume: str, share: float) -> None:
         """Takes over a share of a volume's limit."""
+        if share > self.quota_shares.get(volume, 0.0):
+            self.quota_grown_at[volume] = now
         self.quota_shares[volume] = share
         known = self.volumes.get(volume)
         if known is not None:
--- a/rushmux/scheduling/volume.py
+++ b/rushmux/scheduling/volume.py
@@ -27,8 +27,9 @@
         self.reserve = self.reserve_cap / self.gateway_count  # what all its gateways promise together
         share = scheduler.quota_shares.get(self.name, 1 / self.gateway_count)
         # A gateway that came back has forgotten what it used, and may come back again and again: its share of
-        # the limit is empty at its start and fills from then on.
-        self.limit = LimitBucket(plan, share, scheduler.started_at, now)
+        # the limit is empty at its start and fills from then on; a larger quota, from when it was told.
+        filling_since = scheduler.quota_grown_at.get(self.name, scheduler.started_at)
+        self.limit = LimitBucket(plan, share, filling_since, now)
         self.usage = DecayingWindow(BIN_WIDTH, BIN_COUNT, DECAY, now)
         self.remote_usage_rate = 0.0  # units a second
         self.usage_reported = False  # by the last answer, as a figure of the fleet's usage
--- a/tests/scheduling/test_limit_shares.py
+++ b/tests/scheduling/test_limit_shares.py
@@ -85,3 +85,27 @@
     ask(player, "b", 1)
     assert answer(player) == 8
     assert player.scheduler.volumes["v"].limit.capacity == BURST / 4
+
+
+def test_a_quota_that_grew_before_the_volume_was_met_fills_from_then_on(player):
+    """A volume met for the first time began with all that a quota had filled since the gateway's start.
+
+    The part that had only just been told was another gateway's until then, and may have been used there.
+    """
+    started([player])
+    player.scheduler.on_quota(0, "v", 0.1)
+    player.until(100 * SECONDS)
+    player.scheduler.on_quota(player.now, "v", 0.9)
+    player.until(102 * SECONDS)
+    ask(player, "a", 2, units=1)
+    assert player.events[0].limit_level == pytest.approx(RATE * 0.9 * 2)
+    assert player.events[0].limit_capacity == pytest.approx(BURST * 0.9)
+
+
+def test_a_quota_that_shrank_before_the_volume_was_met_is_full_at_its_size(player):
+    started([player])
+    player.scheduler.on_quota(0, "v", 0.9)
+    player.until(100 * SECONDS)
+    player.scheduler.on_quota(player.now, "v", 0.1)
+    ask(player, "a", 2, units=1)
+    assert player.events[0].limit_level == pytest.approx(BURST * 0.1)
