Three defects of the limit's bucket are found out between real processes

Seen: the test of a gateway that forgets its limit failed in a whole run of the gateway's tests, since it replaced a method that had moved to LimitBucket. Change: in its place three defects, of the bucket itself: it forgets the limit, begins with a full share, counts units as used at once.

--- a/tests/gateway/test_limits_over_gateways.py
+++ b/tests/gateway/test_limits_over_gateways.py
@@ -14,7 +14,7 @@
 """
 
 import asyncio
-import signal
+from dataclasses import replace
 
 import pytest
 
@@ -27,6 +27,16 @@
 SLOW = VolumeLimit(rate=4.0, burst=48.0, tolerance=8.0)
 """As in the incident: it takes 12 s to fill."""
 FAST = VolumeLimit(rate=40.0, burst=40.0, tolerance=8.0)
+LATE = LimitScenario(
+    FAST,
+    node_count=4,
+    fault_time=(0.6, 0.8),
+    service_time=0.3,
+    units=(MAX_UNITS,),
+    deadline=3.0,
+    quiet_time=2.5,
+)
+"""Nodes with a fault get large operations late and together."""
 
 
 def pytest_generate_tests(metafunc):
@@ -79,17 +89,7 @@
 # that came up late.
 @pytest.mark.parametrize("fault", [NodeFault.HELD, NodeFault.LATE_CONNECTIONS])
 def test_commands_that_reach_their_nodes_late_and_together_keep_the_limit(tmp_path, fault):
-    scenario = LimitScenario(
-        FAST,
-        node_count=4,
-        fault=fault,
-        fault_time=(0.6, 0.8),
-        service_time=0.3,
-        units=(MAX_UNITS,),
-        deadline=3.0,
-        quiet_time=2.5,
-    )
-    outcome = play(scenario, tmp_path)
+    outcome = play(replace(LATE, fault=fault), tmp_path)
     assert outcome.breaches == [] and outcome.problems == []
 
 
@@ -135,13 +135,33 @@
     assert len(verdict.breaches) == breaches
 
 
-def test_a_gateway_that_forgets_its_limit_is_found_out(tmp_path):
-    statements = (
-        "from rushmux.scheduling.volume import Volume",
-        "Volume.release_time = lambda self, units, now: now",
+# Statements that break the gateway, and a scenario that shows it.
+DEFECTS = {
+    "forgets its limit": (
+        LimitScenario(SLOW),
+        "Bucket.release_time = lambda self, units, now: now",
+    ),
+    "begins with a full share": (
+        LimitScenario(SLOW, gateway_count=1, restarts=2),
+        "init = Bucket.__init__",
+        "Bucket.__init__ = lambda self, *a: (init(self, *a), setattr(self, 'level', self.capacity))[0]",
+    ),
+    "counts units as used at once": (
+        replace(LATE, fault=NodeFault.HELD),
+        "Bucket.reserve = lambda self, units: setattr(self, 'level', self.level - units)",
+        "Bucket.settle = lambda self, units, now: None",
+    ),
+}
+
+
+@pytest.mark.parametrize("defect", DEFECTS)
+def test_a_gateway_with_a_defect_is_found_out(tmp_path, defect):
+    scenario, *statements = DEFECTS[defect]
+    program = (
         "import runpy",
+        "from rushmux.scheduling.limit_bucket import LimitBucket as Bucket",
+        *statements,
         "runpy.run_module('rushmux.gateway', run_name='__main__')",
     )
-    scenario = LimitScenario(SLOW, restart_signal=signal.SIGTERM)
-    outcome = play(scenario, tmp_path, arguments=("-c", "; ".join(statements)))
+    outcome = play(scenario, tmp_path, arguments=("-c", "; ".join(program)))
     assert outcome.breaches
