A limit bucket is full again after units whose float sums are rounded

What would be seen: a volume whose operations have sizes such as 0.1, 0.2 and 0.3 units keeps 5e-17 units reserved for good, is never full, and since the volume idle longest is looked at first, no volume is forgotten any more: memory grows. The same for a quota of nothing. Why it holds: what is left under a millionth of a unit counts as none, a share of nothing as full. Measured: both new cases fail before.

--- a/rushmux/scheduling/limit_bucket.py
+++ b/rushmux/scheduling/limit_bucket.py
@@ -6,6 +6,8 @@
 
 from rushmux.scheduling.records import NEVER, SECOND
 
+ROUNDING = 1e-6  # units by which sums of floats may be off
+
 
 class LimitBucket:
     """A token bucket whose units count as used once a node has them.
@@ -56,10 +58,12 @@
         """Counts reserved units as used: a node has them, or none will get them."""
         self.advance(now)
         self.reserved -= units
+        if self.reserved < ROUNDING:  # else it would never be full again
+            self.reserved = 0.0
 
     def full_at(self):
         """When it is full if nothing more is let go; with units reserved that is not known."""
-        if not self.plan.limit:
+        if not self.plan.limit or not self.capacity:
             return self.updated_at
         if self.reserved or not self.rate:
             return NEVER
--- a/tests/scheduling/test_limit_bucket.py
+++ b/tests/scheduling/test_limit_bucket.py
@@ -110,3 +110,17 @@
     bucket = LimitBucket(PLAN._replace(limit=0.0, burst=0.0), 0.5, 0, 0)
     bucket.reserve(1_000)
     assert bucket.release_time(1_000, 5) == 5 and bucket.full_at() == 0
+
+
+def test_it_is_full_again_after_units_whose_sums_are_rounded():
+    bucket = LimitBucket(PLAN, 0.5, 0, 100 * SECOND)
+    for units in (0.1, 0.2, 0.3):
+        bucket.reserve(units)
+    for units in (0.3, 0.1, 0.2):
+        bucket.settle(units, 100 * SECOND)
+    assert bucket.reserved == 0
+    assert bucket.full_at() < 101 * SECOND
+
+
+def test_a_share_of_nothing_is_full():
+    assert LimitBucket(PLAN, 0.0, 0, SECOND).full_at() == SECOND
