Volumes whose usage figures come and go are noted every ten seconds at most

Need: with a meter that flickers each answer of a busy volume would have had a line, and the log is bounded to 20 a second: other events would have been left out.

--- a/rushmux/scheduling/scheduler.py
+++ b/rushmux/scheduling/scheduler.py
@@ -21,6 +21,7 @@
 RETRY_JITTER = 50  # ticks: how far a retry's deadline may be from its first try's
 POLL_RETRY_PART = 0.1  # of the interval within which the list must be polled: for a lost or failed poll
 VOLUME_IDLE_TIME = 600_000  # ticks: volumes come and go for hours; one idle so long is as never seen
+USAGE_NOTE_INTERVAL = 100_000  # ticks between two notes of one volume: figures that come and go fill no log
 REPORT_INTERVAL = 20_000  # ticks until a node is asked for its load again: tens of gateways ask, it caps them
 ANSWER_MARGIN = 2  # rounds before its client stops waiting that an operation ends
 
@@ -125,7 +126,7 @@
         if report.result is AttemptResult.SUCCEEDED:
             period = self.settings.usage_period
             operation.volume.on_usage_meter(report.fleet_usage, report.remote_usage, period, now)
-            self._note_usage_report(operation.volume, report.fleet_usage > 0)
+            self._note_usage_report(operation.volume, report.fleet_usage > 0, now)
         for stage in reversed(self.stages):
             stage.on_result(operation, report.attempt, node, report.result, now)
         if operation.ended:
@@ -133,9 +134,9 @@
         elif not operation.in_flight:  # else the other attempt may still succeed
             self._retry(operation, node, now)
 
-    def _note_usage_report(self, volume, is_reported):
-        if is_reported != volume.usage_reported:
-            volume.usage_reported = is_reported
+    def _note_usage_report(self, volume, is_reported, now):
+        if is_reported != volume.usage_reported and now >= volume.usage_noted_at + USAGE_NOTE_INTERVAL:
+            volume.usage_reported, volume.usage_noted_at = is_reported, now
             kind = VolumeEventKind.USAGE_REPORTED if is_reported else VolumeEventKind.USAGE_MISSING
             self._report_volume(volume, kind)
 
