A volume is kept while an operation of it is held, and no longer

Change: a volume counts its held operations and is forgotten only without any; the idle minute is as it was, and so is the test. limit-forgotten still fails on the code before.

--- a/rushmux/scheduling/interface.py
+++ b/rushmux/scheduling/interface.py
@@ -208,11 +208,6 @@
         """The shortest latency objective of all classes."""
         return min(each.latency_objective for each in self.request_classes.values())
 
-    @property
-    def longest_deadline(self) -> Ticks:
-        """The longest deadline of all classes."""
-        return max(each.deadline for each in self.request_classes.values())
-
     @property
     def highest_weight(self) -> float:
         """The highest priority weight of all classes."""
--- a/rushmux/scheduling/scheduler.py
+++ b/rushmux/scheduling/scheduler.py
@@ -41,8 +41,6 @@
     def __init__(self, settings, seed, now, actions):
         super().__init__(with_reserves(settings), seed, now, actions, lambda endpoint: Node(endpoint, self))
         self.limit = ConcurrencyLimit(0, is_global=True)
-        # Forgotten while an operation waits, a volume would have a second limit bucket when it is met again.
-        self.volume_idle_time = max(VOLUME_IDLE_TIME, settings.longest_deadline)
         self.poll_at = now if settings.polls_endpoints else NEVER
         self.picker, self.pacer, self.dispatcher = EndpointPicker(self), Pacer(self), Dispatcher(self)
         self.stages = (KeySerializer(self), self.picker, self.pacer, self.dispatcher)
@@ -82,6 +80,7 @@
         times = now, objective_at, deadline_at, deadline_at + margin
         operation = Operation(request, request_class, volume, *times, route, usage)
         self.operations[request.op_id] = operation
+        volume.held_operations += 1
         self.dispatcher.on_arrival(now)
         if usage.in_flight > route.max_in_flight:
             self.give_up(operation, now, GiveUpReason.ROUTE_FULL)
@@ -97,7 +96,7 @@
         elif volume.on_gateway_count(request.gateway_count, request.volume in self.quota_shares, now):
             self._report_volume(volume, VolumeEventKind.SPLIT_FURTHER)
         self.volumes.touch(volume, now)
-        forgotten = self.volumes.forget_idle(now, self.volume_idle_time)
+        forgotten = self.volumes.forget_idle(now, VOLUME_IDLE_TIME)
         if forgotten is not None:
             self._report_volume(forgotten, VolumeEventKind.FORGOTTEN)
         return volume
--- a/rushmux/scheduling/state.py
+++ b/rushmux/scheduling/state.py
@@ -69,7 +69,8 @@
     def forget_idle(self, now: Ticks, idle_time: Ticks) -> Volume | None:
         """Forgets the volume asked for longest ago, once it is idle for a time and its limit is full."""
         volume = next(iter(self.values()))
-        if max(volume.requested_at + idle_time, volume.limit.full_at()) > now:
+        # While an operation of it waits, it would have a second limit bucket when it is met again.
+        if volume.held_operations or max(volume.requested_at + idle_time, volume.limit.full_at()) > now:
             return None
         del self[volume.name]
         return volume
@@ -204,6 +205,7 @@
         """Forgets an operation that ended, or cancels what is in flight of one that was hedged."""
         if not operation.in_flight:
             operation.volume.settle_limit(operation, now)
+            operation.volume.held_operations -= 1
             del self.operations[operation.op_id]
         elif operation.hedged and self.settings.allows_cancellation:
             operation.hedged = False
--- a/rushmux/scheduling/volume.py
+++ b/rushmux/scheduling/volume.py
@@ -32,6 +32,7 @@
         self.limit = LimitBucket(plan, share, filling_since, now)
         self.usage = DecayingWindow(BIN_WIDTH, BIN_COUNT, DECAY, now)
         self.remote_usage_rate = 0.0  # units a second
+        self.held_operations = 0  # of it, that this gateway has not forgotten
         self.usage_reported, self.usage_noted_at = False, -NEVER  # whether answers tell the fleet's usage
         self.ended_operations = deque(maxlen=REMEMBERED_OPERATIONS)
 
