Review case 3: a line of noise in an answer is served as the value

Cause: the reader drops the type of an array's elements, and any bytes in the first place pass for a value. Change: a case in which one answer in ten holds a line where the value belongs.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,111 @@
+"""Storage nodes answer some requests spoilt: a line of noise stands where the value belongs."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+from harness import (
+    HOST,
+    TROUBLE,
+    Discovery,
+    Gateway,
+    Node,
+    Record,
+    read_value,
+    request,
+    run_case,
+    served,
+    settings,
+)
+
+NODES = 3
+REQUESTS = 120
+SPOILT_EVERY = 10
+"""One answer in so many is spoilt."""
+WAIT_MS = 2_000
+SPOILT = (
+    b"*3\r\n+\x8e~q#0\x13z\r\n$-1\r\n$10\r\ninflight=1\r\n",
+    b"*3\r\n:70412\r\n$-1\r\n$10\r\ninflight=1\r\n",
+    b"*3\r\n-ERR failed\r\n$-1\r\n$10\r\ninflight=1\r\n",
+)
+"""An answer whose first element is a line, and not the bulk string that a value is."""
+
+
+class Answers:
+    """What the storage nodes answered, by request."""
+
+    def __init__(self, record: Record):
+        self.record = record
+        self.count = 0
+        self.values: dict[str, list[bytes]] = {}
+        """The values that a storage node gave for a request."""
+        self.spoilt: dict[str, bytes] = {}
+
+    async def behave(self, node: Node, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        """Answers one request, sometimes spoilt."""
+        op_id = words[2].decode()
+        await asyncio.sleep(0.01)
+        self.count += 1
+        if TROUBLE and self.count % SPOILT_EVERY == 0 and op_id not in self.spoilt:
+            answer = self.spoilt[op_id] = SPOILT[self.count // SPOILT_EVERY % len(SPOILT)]
+            self.record.write(node.name, f"answers {op_id} spoilt: {answer!r}")
+        else:
+            value = b"value-of-" + words[2] + b"-at-" + node.name.encode()
+            self.values.setdefault(op_id, []).append(value)
+            answer = served(value)
+            self.record.write(node.name, f"answers {op_id} with {value!r}")
+        writer.write(answer)
+        await writer.drain()
+
+
+async def ask(gateway: Gateway, record: Record, answers: Answers) -> list[str]:
+    """Sends the requests one at a time, and returns the breaks."""
+    breaks = []
+    reader, writer = await asyncio.open_connection(HOST, gateway.port)
+    for number in range(1, REQUESTS + 1):
+        is_write = number % 2 == 0
+        record.write("client", f"sends {'write' if is_write else 'read'} {number:016x}")
+        writer.write(
+            request(
+                number,
+                lane="escritura" if is_write else "lectura",
+                body=b"the body" if is_write else None,
+                shard=number % NODES,
+                wait_ms=WAIT_MS,
+            )
+        )
+        async with asyncio.timeout(WAIT_MS / 1000 + 1):
+            kind, value = await read_value(reader)
+        op_id = f"{number:016x}"
+        record.write("client", f"{op_id} is answered {kind}{value!r}")
+        if kind == "$" and value not in answers.values.get(op_id, []):
+            name = "write" if is_write else "read"
+            breaks.append(
+                f"{name} {op_id} was served with {value!r}; no storage node gave that value for it, but one "
+                f"answered spoilt: {answers.spoilt.get(op_id)!r}"
+            )
+    writer.close()
+    return breaks
+
+
+async def case(record: Record, folder: Path) -> list[str]:
+    """Plays the case and returns the breaks."""
+    answers = Answers(record)
+    nodes = [Node(f"s-{shard:08x}", shard, record, answers.behave) for shard in range(NODES)]
+    for node in nodes:
+        await node.open()
+    discovery = Discovery(record, nodes)
+    await discovery.open()
+    gateway = Gateway(record, folder, discovery, settings())
+    try:
+        await gateway.start()
+        return await ask(gateway, record, answers)
+    finally:
+        await gateway.stop()
+
+
+if __name__ == "__main__":
+    run_case(__file__, case)
