--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""Storage nodes answer some requests spoilt: a line of noise stands where the value belongs."""
+"""Storage nodes answer some requests spoilt: noise lies over the header of the value."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import sys
 from pathlib import Path
 
@@ -22,16 +23,20 @@
 )
 
 NODES = 3
-REQUESTS = 120
-SPOILT_EVERY = 10
+REQUESTS = 1_500
+SPOILT_EVERY = 4
 """One answer in so many is spoilt."""
+SEED = 1
 WAIT_MS = 2_000
-SPOILT = (
-    b"*3\r\n+\x8e~q#0\x13z\r\n$-1\r\n$10\r\ninflight=1\r\n",
-    b"*3\r\n:70412\r\n$-1\r\n$10\r\ninflight=1\r\n",
-    b"*3\r\n-ERR failed\r\n$-1\r\n$10\r\ninflight=1\r\n",
-)
-"""An answer whose first element is a line, and not the bulk string that a value is."""
+SERVICE_S = 0.002
+ARRAY_HEADER = b"*3\r\n"
+
+
+def spoil(answer: bytes, noise: random.Random) -> bytes:
+    """Returns an answer with noise over the length of its value and the end of that line."""
+    start = len(ARRAY_HEADER)
+    end = answer.index(b"\r\n", start) + 2
+    return answer[:start] + bytes(noise.randrange(256) for _ in range(end - start)) + answer[end:]
 
 
 class Answers:
@@ -40,22 +45,24 @@
     def __init__(self, record: Record):
         self.record = record
         self.count = 0
+        self.noise = random.Random(SEED)
         self.values: dict[str, list[bytes]] = {}
         """The values that a storage node gave for a request."""
-        self.spoilt: dict[str, bytes] = {}
+        self.spoilt: dict[str, list[bytes]] = {}
 
     async def behave(self, node: Node, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         """Answers one request, sometimes spoilt."""
         op_id = words[2].decode()
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(SERVICE_S)
         self.count += 1
-        if TROUBLE and self.count % SPOILT_EVERY == 0 and op_id not in self.spoilt:
-            answer = self.spoilt[op_id] = SPOILT[self.count // SPOILT_EVERY % len(SPOILT)]
+        value = b"value-of-" + words[2] + b"-at-" + node.name.encode()
+        answer = served(value)
+        if TROUBLE and self.count % SPOILT_EVERY == 0:
+            answer = spoil(answer, self.noise)
+            self.spoilt.setdefault(op_id, []).append(answer)
             self.record.write(node.name, f"answers {op_id} spoilt: {answer!r}")
         else:
-            value = b"value-of-" + words[2] + b"-at-" + node.name.encode()
             self.values.setdefault(op_id, []).append(value)
-            answer = served(value)
             self.record.write(node.name, f"answers {op_id} with {value!r}")
         writer.write(answer)
         await writer.drain()
@@ -84,8 +91,8 @@
         if kind == "$" and value not in answers.values.get(op_id, []):
             name = "write" if is_write else "read"
             breaks.append(
-                f"{name} {op_id} was served with {value!r}; no storage node gave that value for it, but one "
-                f"answered spoilt: {answers.spoilt.get(op_id)!r}"
+                f"{name} {op_id} was served with {value!r}; no storage node gave that value for it, but what "
+                f"came was spoilt: {answers.spoilt.get(op_id)!r}"
             )
     writer.close()
     return breaks
