--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,15 +25,15 @@
     settings,
 )
 
-MEMORY_MB = 192
-"""The highest limit of the pages."""
+MEMORY_MB = 128
+"""Of the 32 to 192 MB that the pages name."""
 SOCKETS = 1024
 NODES = 9
 SERVICE_S = 0.03
 USUAL_CLIENTS = 8
 USUAL_INTERVAL_S = 0.1
 USUAL_WAIT_MS = 2_000
-BAD_CLIENTS = 60
+BAD_CLIENTS = 40
 COMMANDS_AT_ONCE = 200
 BODY = b"x" * 65_536
 """The largest value of the protocol."""
