Review: a case that is interrupted says that it could not run

Cause: an unexpected error ended a case with 1, which reads as broken, and an interrupted one left its programs.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -405,19 +405,26 @@
 ) -> None:
     """Runs a case and ends the process with its verdict.
 
-    `case(record, folder)` returns the breaks that it saw, as sentences.
+    `case(record, folder)` returns the breaks that it saw, as sentences.  Whatever else ends it means that the
+    case could not run.
     """
-    record = Record(Path(case_file).resolve().parent / "record.txt")
-    folder = Path(tempfile.mkdtemp(prefix="review-"))
+    try:
+        record = Record(Path(case_file).resolve().parent / "record.txt")
+        folder = Path(tempfile.mkdtemp(prefix="review-"))
+    except OSError as error:
+        print(f"could not run: {error}")
+        sys.exit(NOT_RUN)
     record.write("case", f"TROUBLE={int(TROUBLE)}")
 
     async def limited() -> list[str]:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record, folder)
 
     try:
         breaks = asyncio.run(limited())
-    except (CaseCouldNotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write("case", f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(NOT_RUN)
