Review: each case names and writes its record.txt in its own folder

Cause: the shared part wrote the record, so nothing in a case's folder named it; a program that failed at its start ended with 1.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,6 +25,8 @@
     settings,
 )
 
+RECORD_FILE = Path(__file__).resolve().parent / "record.txt"
+"""What was sent, answered and run, of the last run."""
 MEMORY_MB = 128
 """Of the 32 to 192 MB that the pages name."""
 SOCKETS = 1024
@@ -194,4 +196,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, case)
+    run_case(RECORD_FILE, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,6 +22,8 @@
     settings,
 )
 
+RECORD_FILE = Path(__file__).resolve().parent / "record.txt"
+"""What was sent, answered and run, of the last run."""
 NODES = 3
 REQUESTS = 1_500
 SPOILT_EVERY = 4
@@ -115,4 +117,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, case)
+    run_case(RECORD_FILE, case)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -401,15 +401,15 @@
 
 
 def run_case(
-    case_file: str, case: Callable[[Record, Path], Awaitable[list[str]]], limit_s: float = 100
+    record_file: Path, case: Callable[[Record, Path], Awaitable[list[str]]], limit_s: float = 100
 ) -> None:
     """Runs a case and ends the process with its verdict.
 
-    `case(record, folder)` returns the breaks that it saw, as sentences.  Whatever else ends it means that the
-    case could not run.
+    `case(record, folder)` returns the breaks that it saw, as sentences.  Its events replace `record_file`.
+    Whatever else ends it means that the case could not run.
     """
     try:
-        record = Record(Path(case_file).resolve().parent / "record.txt")
+        record = Record(record_file)
         folder = Path(tempfile.mkdtemp(prefix="review-"))
     except OSError as error:
         print(f"could not run: {error}")
