A gateway keeps the bytes of all messages within its limit of memory

What callers saw: a gateway that 40 clients flooded with 200 writes of 64 KiB each grew from 22 to 136 MB in half a second, over its limit of 128 MB.

Cause: limits.memory_mb was not read. Bounds were numbers of commands and operations, or bytes of one connection; read-ahead (4 MiB) and partial replies (24 MiB) had bounds that ignored the limit; and a connection's buffer kept what had been processed until its next read, up to 256 KiB each.

Evidence: each kind of byte forced alone on a gateway process, peak of resident memory on the old code with a limit of 32 MB: large writes 214, halves of writes 41, values behind a read that hangs 58, values that are not read 45, read-ahead 195. A trial that bounded bodies only still reached 91 MB of 48 with 250 clients, and 30 MB once processed bytes were freed. A trial that read 64 KiB at a time made test_a_client_that_sent_many_commands_and_left_... fail: the client's FIN then stays behind a full receive window (ss: FIN-WAIT-1, 95 KB unread), so reads are 256 KiB as before, into one shared buffer.

Change: memory_limits.py derives five bounds from the limit less program, endpoints and clients. A command without room gets -BUSY, its body is dropped as it arrives and the connection goes on; a value without room becomes -ERR failed. Half of each bound is closed to messages queued behind others of their client, so pipelines do not shut out clients that wait for each reply. Memory per operation (2.9 kB), per client (5.5 kB) and per listed node (6 kB) were measured on gateway processes.

The bound of partial replies, which test_incomplete_replies_are_bounded_together replaced by patching a constant, is now an argument of the pool; the test is otherwise the same.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -26,8 +26,6 @@
 
 Reading ahead detects the close of a client that sent hundreds of commands at once and left.
 """
-MAX_TOTAL_READ_AHEAD = 4 << 20
-"""Bytes of unprocessed commands of all connections above which none reads ahead."""
 MAX_PROTOCOL_ERRORS = 3
 """Invalid commands after which a connection is closed."""
 QUIET_TIME = 0.02
@@ -69,7 +67,7 @@
         self.client.flush()
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A client connection.
 
     The flags for what the client has sent and which direction is paused are independent of `state` and of
@@ -83,13 +81,16 @@
         has_unprocessed_commands: Whether the buffer may hold complete commands.
         has_shutdown_check: Whether `_close_if_quiet` is scheduled.
         read_ahead_bytes: Bytes of unprocessed commands.
+        held_reply_bytes: Bytes of complete replies that have not left this process, when last counted.
+        unread_reply_bytes: Those of them that were written.
+        last_read_at: Event loop time at which the client was last known to read its replies.
         discards_input: Whether further input is read and discarded once no commands are accepted.
     """
 
     def __init__(self, listener: Listener):
         self.listener = listener
         self.transport: asyncio.Transport | None = None
-        self.reader = CommandReader()
+        self.reader = CommandReader(listener.partial_command_budget)
         self.state = ConnectionState.OPEN
         self.lingering_close: LingeringClose | None = None
         self.pending_replies: deque[PendingReply] = deque()
@@ -104,6 +105,9 @@
         self.discards_input = False
         self.discarded_bytes = 0
         self.read_ahead_bytes = 0
+        self.held_reply_bytes = 0
+        self.unread_reply_bytes = 0
+        self.last_read_at = self.connected_at
         self.protocol_errors = 0
 
     @property
@@ -127,20 +131,24 @@
     # Commands.
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Registers the connection (`asyncio.Protocol`)."""
+        """Registers the connection (`asyncio.BufferedProtocol`)."""
         self.transport = transport
         transport.set_write_buffer_limits(high=MAX_UNREAD_REPLY_BYTES)
         self.listener.add_client(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Processes received commands (`asyncio.Protocol`)."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read (`asyncio.BufferedProtocol`)."""
+        return self.listener.receive_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Processes received commands (`asyncio.BufferedProtocol`)."""
         if self.state is not ConnectionState.OPEN:
-            self._discard(len(data))
+            self._discard(nbytes)
             return
         # A command may arrive a byte at a time; its timeout counts from the first.
         if not self.reader.has_partial_command():
             self.last_active_at = self.listener.loop.time()
-        self.reader.receive_data(data)
+        self.reader.receive_data(self.listener.receive_memory[:nbytes])
         self._process_commands()
 
     def _discard(self, size: int) -> None:
@@ -173,6 +181,7 @@
             self.finish(discards_input=True)
         elif self.protocol_errors >= MAX_PROTOCOL_ERRORS:
             self.finish(discards_input=True)
+        self.reader.compact()
         self._update_reading()
         self.flush()
 
@@ -185,7 +194,7 @@
     def _update_reading(self) -> None:
         # Reading pauses while commands can't be processed, to bound the buffer. But a close is not detected
         # while reading is paused, and a client that left would still be served; so a part is read ahead.
-        read_ahead_bytes = self.reader.unread_bytes()
+        read_ahead_bytes = max(0, self.reader.unread_bytes() - self.reader.reserved_bytes)
         self.listener.read_ahead_bytes += read_ahead_bytes - self.read_ahead_bytes
         self.read_ahead_bytes = read_ahead_bytes
         pause = self._must_pause_reading()
@@ -204,23 +213,47 @@
             return not self.discards_input or self.discarded_bytes > MAX_DISCARDED_BYTES
         can_process = not self.is_writing_paused and len(self.pending_replies) < MAX_PENDING_REPLIES
         return not can_process and (
-            self.read_ahead_bytes >= MAX_READ_AHEAD or self.listener.read_ahead_bytes >= MAX_TOTAL_READ_AHEAD
+            self.read_ahead_bytes >= MAX_READ_AHEAD or self.listener.is_read_ahead_exhausted()
         )
 
     def pause_writing(self) -> None:
-        """Stops processing commands: the client does not read its replies (`asyncio.Protocol`)."""
+        """Stops processing commands: the client does not read its replies (`asyncio.BufferedProtocol`)."""
         self.is_writing_paused = True
         self.writing_paused_at = self.listener.loop.time()
         self._update_reading()
 
     def resume_writing(self) -> None:
-        """Resumes processing: the client has read most of its replies (`asyncio.Protocol`)."""
+        """Resumes processing: the client has read most of its replies (`asyncio.BufferedProtocol`)."""
         self.is_writing_paused = False
         self._update_reading()
         self.listener.loop.call_soon(self._process_more_commands)
 
+    def has_room_for(self, pending: PendingReply, size: int) -> bool:
+        """Returns whether a reply of `size` bytes may be held until the client has received it."""
+        waits_for_others = bool(self.pending_replies) and self.pending_replies[0] is not pending
+        return self.listener.reply_budget.admits(size, is_pipelined=waits_for_others)
+
+    def count_held_replies(self) -> None:
+        """Counts the bytes of the complete replies that have not left this process."""
+        unread_bytes = self.transport.get_write_buffer_size()
+        if not unread_bytes or unread_bytes < self.unread_reply_bytes:
+            self.last_read_at = self.listener.loop.time()
+        self.unread_reply_bytes = unread_bytes
+        waiting_bytes = sum(
+            len(pending.reply) for pending in self.pending_replies if pending.reply is not None
+        )
+        self._set_held_replies(unread_bytes + waiting_bytes)
+
+    def _set_held_replies(self, size: int) -> None:
+        self.listener.reply_budget.release(self.held_reply_bytes - size)
+        self.held_reply_bytes = size
+
     def flush(self) -> None:
         """Sends the replies up to the first incomplete one."""
+        self._write_replies()
+        self.count_held_replies()
+
+    def _write_replies(self) -> None:
         parts = []
         while self.pending_replies and self.pending_replies[0].reply is not None:
             parts.append(self.pending_replies.popleft().reply)
@@ -254,7 +287,8 @@
         if self.state is ConnectionState.OPEN:
             self.state = ConnectionState.FINISHING
         self.discards_input = discards_input
-        self.reader = CommandReader()
+        self.reader.close()
+        self.reader = CommandReader(self.listener.partial_command_budget)
         self._update_reading()
 
     def finish_with_error(self, text: str) -> None:
@@ -291,7 +325,7 @@
         self._linger()
 
     def eof_received(self) -> bool:
-        """Treats the client as gone and abandons its operations (`asyncio.Protocol`).
+        """Treats the client as gone and abandons its operations (`asyncio.BufferedProtocol`).
 
         Unread replies in the buffer may delay `connection_lost`.
         """
@@ -306,8 +340,9 @@
                 pending.op_id = None
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cleans up after the connection ended (`asyncio.Protocol`)."""
+        """Cleans up after the connection ended (`asyncio.BufferedProtocol`)."""
         self.finish()
         self.abandon_operations()
         self.pending_replies = deque()
+        self._set_held_replies(0)
         self.listener.remove_client(self)
--- a/rushmux/gateway/client_timeouts.py
+++ b/rushmux/gateway/client_timeouts.py
@@ -19,7 +19,13 @@
     Call it right after reading the sockets, since closing loses an unread command.
     """
     transport = client.transport
-    if transport.is_closing() or not client.is_open:
+    if transport.is_closing():
+        return
+    if client.held_reply_bytes:
+        client.count_held_replies()
+    if _blocks_reply_memory(client, now):
+        transport.abort()
+    if not client.is_open:
         return
     if client.is_writing_paused and now - client.writing_paused_at > UNREAD_REPLIES_TIMEOUT:
         transport.abort()
@@ -35,6 +41,13 @@
         transport.close()
 
 
+def _blocks_reply_memory(client: ClientConnection, now: float) -> bool:
+    # A client may leave replies unread for as long as other clients' replies have room.
+    if not client.unread_reply_bytes or not client.listener.reply_budget.is_crowded():
+        return False
+    return now - client.last_read_at > UNREAD_REPLIES_TIMEOUT
+
+
 def _is_command_overdue(client: ClientConnection, now: float) -> bool:
     if client.pending_replies or client.has_unprocessed_commands:
         return False
--- a/rushmux/gateway/command_dispatcher.py
+++ b/rushmux/gateway/command_dispatcher.py
@@ -36,8 +36,10 @@
         self.config = config
         self.on_request = on_request
 
-    def dispatch(self, arguments: list[bytes], client: ClientConnection) -> PendingReply:
+    def dispatch(self, arguments: list[bytes | None], client: ClientConnection) -> PendingReply:
         """Executes one command and returns its pending reply, which may be complete already."""
+        if None in arguments:  # there was no memory for an argument
+            return PendingReply(client, BUSY)
         name = arguments[0].upper()
         if name in (commands.READ, commands.WRITE):
             return self._dispatch_operation(arguments, client)
--- a/rushmux/gateway/commands.py
+++ b/rushmux/gateway/commands.py
@@ -8,6 +8,7 @@
 
 from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.errors import InvalidCommandError
+from rushmux.gateway.memory_limits import OPERATION_BYTES
 from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.scheduling.interface import Idempotency
 
@@ -49,6 +50,10 @@
     data: tuple[bytes, ...]
     """The data of a write; empty for a read."""
 
+    def held_bytes(self) -> int:
+        """Returns the memory, in bytes, that the operation takes while it is in flight."""
+        return OPERATION_BYTES + sum(map(len, self.data))
+
     def build_arguments(self, milliseconds: int) -> list[bytes]:
         """Returns the arguments to send to a node, with `milliseconds` as the time left."""
         options = b"%b%d%b" % (self.options_before_time, milliseconds, self.options_after_time)
--- a/rushmux/gateway/config.py
+++ b/rushmux/gateway/config.py
@@ -28,6 +28,8 @@
     seed: int
     max_sockets: int
     """Limit of the process's file descriptors."""
+    memory_mb: float
+    """Limit of the process's memory in megabytes."""
     known_endpoints: list[DiscoveredEndpoint]
     """The last endpoint list known to the platform; it may be outdated."""
     settings: SchedulerSettings
@@ -75,6 +77,7 @@
         discovery=parse_address(raw["discovery"]),
         seed=int(raw["seed"], 16),
         max_sockets=int(raw["limits"]["sockets"]),
+        memory_mb=float(raw["limits"]["memory_mb"]),
         known_endpoints=parse_endpoints(known.get("servers", ())).endpoints,
         settings=scheduler_settings_of(env),
         shard_count=extra["SlotsTotal"],
--- a/rushmux/gateway/connection_pool.py
+++ b/rushmux/gateway/connection_pool.py
@@ -33,6 +33,7 @@
         loop: asyncio.AbstractEventLoop,
         *,
         max_connections: int,
+        max_partial_reply_bytes: int,
         connect_timeout: float,
         idle_timeout: float,
     ):
@@ -41,11 +42,13 @@
         Args:
             loop: The event loop.
             max_connections: How many may be open or being opened at a time.
+            max_partial_reply_bytes: Bytes of all incomplete replies together.
             connect_timeout: Seconds allowed for opening a connection.
             idle_timeout: Seconds after which a node closes an idle connection.
         """
         self.loop = loop
         self.max_connections = max_connections
+        self.max_partial_reply_bytes = max_partial_reply_bytes
         self.connect_timeout = connect_timeout
         self.max_idle_time = idle_timeout * IDLE_TIMEOUT_FRACTION
         self.endpoints: dict[str, EndpointPool] = {}
--- a/rushmux/gateway/listener.py
+++ b/rushmux/gateway/listener.py
@@ -14,6 +14,7 @@
 from rushmux.gateway.commands import Command
 from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.event_loop import call_after_polling
+from rushmux.gateway.memory_limits import ByteBudget, MemoryLimits
 from rushmux.gateway.paused_clients import PausedClients
 
 BACKLOG = 1024
@@ -24,6 +25,10 @@
 """Share of the client limit allowed above it, for lingering closes and clients to be told BUSY."""
 SWEEP_INTERVAL = 0.1
 """Seconds between two checks of the clients' timeouts."""
+RECEIVE_SIZE = 1 << 18
+"""Bytes read from a connection at a time."""
+SMALL_RECEIVE_SIZE = 1 << 12
+"""Bytes read at a time while the bound on read-ahead is reached: each connection may still exceed it once."""
 
 
 @dataclass(slots=True)
@@ -48,6 +53,9 @@
         setup_tasks: Tasks that set up accepted connections.
         overflow_limit: Connections allowed above `max_clients`.
         read_ahead_bytes: Bytes of unprocessed commands of all clients.
+        partial_command_budget: Memory for the arguments of incomplete commands of all clients.
+        receive_memory: Filled by each read of a connection, which copies from it at once.
+        reply_budget: Memory for complete replies that clients have not received.
         is_accepting_paused: Whether new connections wait in the accept queue because the limit is reached.
     """
 
@@ -56,6 +64,7 @@
         loop: asyncio.AbstractEventLoop,
         config: GatewayConfig,
         max_clients: int,
+        memory_limits: MemoryLimits,
         *,
         on_request: Callable[[Command, PendingReply], None],
         on_client_gone: Callable[[str], None],
@@ -66,6 +75,7 @@
             loop: The event loop.
             config: Configuration that commands are validated against.
             max_clients: Limit of client connections.
+            memory_limits: Bounds on the bytes that all connections together hold.
             on_request: Called as `on_request(command, pending_reply)` to submit an operation.
             on_client_gone: Called with the id of each operation whose client disconnected.
         """
@@ -79,6 +89,10 @@
         self.setup_tasks: dict[asyncio.Task, bool] = {}
         self.paused_clients = PausedClients(loop)
         self.read_ahead_bytes = 0
+        self.max_read_ahead = memory_limits.read_ahead
+        self.partial_command_budget = ByteBudget(memory_limits.partial_commands)
+        self.reply_budget = ByteBudget(memory_limits.replies)
+        self.receive_memory = memoryview(bytearray(RECEIVE_SIZE))
         self.is_shutting_down = False
         self.is_accepting_paused = False
         self.listening_socket: socket.socket | None = None
@@ -150,6 +164,17 @@
             task.exception()  # marks it as retrieved: the client disconnected during setup
         self._resume_accepting_if_below_limit()
 
+    # Reading.
+
+    def is_read_ahead_exhausted(self) -> bool:
+        """Returns whether the clients' unprocessed commands have reached their bound."""
+        return self.read_ahead_bytes >= self.max_read_ahead
+
+    def receive_buffer(self) -> memoryview:
+        """Returns the part of `receive_memory` for the next read."""
+        size = SMALL_RECEIVE_SIZE if self.is_read_ahead_exhausted() else RECEIVE_SIZE
+        return self.receive_memory[:size]
+
     # Clients.
 
     def add_client(self, client: ClientConnection) -> None:
--- a/rushmux/gateway/node_connection.py
+++ b/rushmux/gateway/node_connection.py
@@ -18,8 +18,6 @@
 if TYPE_CHECKING:
     from rushmux.gateway.endpoint_pool import EndpointPool
 
-MAX_PARTIAL_REPLY_BYTES = 24 << 20
-"""Bytes of all incomplete replies together: sixty of the largest seen."""
 MS_PER_SECOND = 1000
 
 
@@ -166,11 +164,12 @@
             return
         if reply is not None:
             self._on_reply(*reply)
-        elif pool.partial_reply_bytes > MAX_PARTIAL_REPLY_BYTES:
+        elif pool.partial_reply_bytes > pool.max_partial_reply_bytes:
             # Many incomplete values, each within its limit, could exhaust memory.
             self._complete(replies.FAILED_REPLY)
 
     def _on_reply(self, kind: ReplyKind, value: bytes | list | None) -> None:
+        self.reader.compact()  # an idle connection holds no reply
         has_unsolicited = self.reader.unread_bytes() > 0
         self.endpoint.pool.unsolicited_replies += has_unsolicited
         reply = replies.interpret(kind, value)
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -15,10 +15,24 @@
 from rushmux.gateway.endpoints import DiscoveredEndpoint
 from rushmux.gateway.errors import InvalidCommandError
 from rushmux.gateway.listener import Listener
+from rushmux.gateway.memory_limits import ByteBudget, memory_limits_of
 from rushmux.gateway.node_connection import NodeAttempt
 from rushmux.resp import encode_bulk
-from rushmux.scheduling.driver import TICKS_PER_SECOND, FinalAnswer, InFlightOperation, OperationDriver
-from rushmux.scheduling.interface import Endpoint, EndpointState, OperationRequest, Ticks, UpdateKind
+from rushmux.scheduling.driver import (
+    TICKS_PER_SECOND,
+    AttemptReply,
+    FinalAnswer,
+    InFlightOperation,
+    OperationDriver,
+)
+from rushmux.scheduling.interface import (
+    AttemptResult,
+    Endpoint,
+    EndpointState,
+    OperationRequest,
+    Ticks,
+    UpdateKind,
+)
 
 RESERVED_SOCKETS = 24
 """File descriptors reserved for everything but clients and nodes."""
@@ -45,6 +59,8 @@
 
     Attributes:
         epoch: Unix time, in seconds, at which the event loop's clock was 0.
+        operation_budget: Memory for the operations in flight.
+        undelivered_reply_bytes: Memory reserved for values of nodes until the next round.
         known_states: State and start time of each node as last passed to the scheduler.
         is_stopping: Whether new operations get BUSY because the process is about to end.
     """
@@ -54,16 +70,22 @@
         self.config = config
         self.epoch = epoch
         shared_sockets = max(MIN_SHARED_SOCKETS, config.max_sockets - RESERVED_SOCKETS)
+        max_clients = int(shared_sockets * CLIENT_SOCKET_RATIO)
+        memory_limits = memory_limits_of(config.memory_mb, len(config.known_endpoints), max_clients)
+        self.operation_budget = ByteBudget(memory_limits.operations)
+        self.undelivered_reply_bytes = 0
         self.pool = ConnectionPool(
             loop,
             max_connections=int(shared_sockets * NODE_SOCKET_RATIO),
+            max_partial_reply_bytes=memory_limits.partial_replies,
             connect_timeout=config.connect_timeout,
             idle_timeout=config.idle_timeout,
         )
         self.listener = Listener(
             loop,
             config,
-            int(shared_sockets * CLIENT_SOCKET_RATIO),
+            max_clients,
+            memory_limits,
             on_request=self.on_request,
             on_client_gone=self.client_gone,
         )
@@ -101,19 +123,26 @@
             turned_away=stats.rejected_clients,
             silent=stats.silent_clients,
             nodes=self.pool.connection_count(),
+            operation_bytes=self.operation_budget.held,
+            reply_bytes=self.listener.reply_budget.held,
+            no_memory=self._memory_refusals(),
             surplus=self.pool.unsolicited_replies,
             rest_trusted=f"{self.pool.keep_alive.max_idle_time:g}",
             attempts=_format_counts(self.attempt_results),
             given_up=_format_counts(self.scheduler.given_up),
         )
 
+    def _memory_refusals(self) -> int:
+        budgets = self.operation_budget, self.listener.partial_command_budget, self.listener.reply_budget
+        return sum(budget.refused for budget in budgets)
+
     # Clients.
 
     def on_request(self, command: Command, pending: PendingReply) -> None:
         """Submits a client's operation; raises InvalidCommandError if its id is in use."""
         if command.op_id in self.operations:
             raise InvalidCommandError("the id is that of an open request", command.op_id)
-        if self.is_stopping or len(self.operations) >= self.config.max_operations:
+        if self.is_stopping or not self._has_room_for(command, pending):
             pending.reply = BUSY
             return
         pending.op_id = command.op_id
@@ -132,9 +161,20 @@
         client_deadline = self.loop.time() + command.time_left
         self.submit(request, command, client_deadline, partial(self._on_answer, pending))
 
+    def _has_room_for(self, command: Command, pending: PendingReply) -> bool:
+        # Reserves the operation's memory if it may be accepted.
+        if len(self.operations) >= self.config.max_operations:
+            return False
+        is_pipelined = bool(pending.client.pending_replies)
+        return self.operation_budget.reserve(command.held_bytes(), is_pipelined=is_pipelined)
+
+    def on_operation_finished(self, operation: InFlightOperation) -> None:
+        """Releases the operation's memory (`OperationDriver`)."""
+        self.operation_budget.release(operation.payload.held_bytes())
+
     @staticmethod
     def _on_answer(pending: PendingReply, answer: FinalAnswer, value: Any, retry_after: Ticks) -> None:
-        if answer is FinalAnswer.SUCCEEDED:
+        if answer is FinalAnswer.SUCCEEDED and pending.client.has_room_for(pending, len(value)):
             pending.complete(encode_bulk(value))
         elif answer is FinalAnswer.SHED:
             milliseconds = -(-retry_after * MS_PER_SECOND // TICKS_PER_SECOND)
@@ -156,6 +196,22 @@
             latest_start=latest_start,
         )
 
+    def on_reply(self, op_id: str, number: int, reply: AttemptReply) -> None:
+        """Delivers the outcome of an attempt; it fails if there is no memory for its value."""
+        size = len(reply.value or b"")
+        if size and not self.listener.reply_budget.reserve(size):
+            reply = reply._replace(result=AttemptResult.FAILED, value=None)
+            size = 0
+        self.undelivered_reply_bytes += size
+        super().on_reply(op_id, number, reply)
+
+    def run_round(self) -> None:
+        """Delivers all pending events and closes the round (`OperationDriver`)."""
+        # From here on, the clients' connections count the values that they hold.
+        self.listener.reply_budget.release(self.undelivered_reply_bytes)
+        self.undelivered_reply_bytes = 0
+        super().run_round()
+
     # Discovery.
 
     def on_discovered(self, is_snapshot: bool, endpoints: Sequence[DiscoveredEndpoint]) -> None:
--- a/rushmux/resp/reader.py
+++ b/rushmux/resp/reader.py
@@ -33,12 +33,16 @@
         self.buffer = bytearray()
         self.position = 0
 
-    def receive_data(self, data: bytes) -> None:
-        """Appends received bytes to the buffer."""
+    def receive_data(self, data: bytes | memoryview) -> None:
+        """Appends a copy of received bytes to the buffer."""
+        self.compact()
+        self.buffer += data
+
+    def compact(self) -> None:
+        """Frees the memory of the received bytes that are part of returned values."""
         if self.position:
             del self.buffer[: self.position]
             self.position = 0
-        self.buffer += data
 
     def unread_bytes(self) -> int:
         """Returns the number of received bytes that are not part of a returned value."""
--- a/rushmux/scheduling/driver.py
+++ b/rushmux/scheduling/driver.py
@@ -126,6 +126,9 @@
         """Returns the value for the client of a successful operation."""
         return value
 
+    def on_operation_finished(self, operation: InFlightOperation) -> None:
+        """Releases what the gateway holds for an operation whose last attempt has finished."""
+
     # Events: each waits for its round, since the scheduler must not be called from within its own calls.
 
     def enqueue(self, handler: Callable, *values) -> None:
@@ -237,6 +240,7 @@
         if operation is not None and operation.ended and not operation.attempts:
             operation.deadline_timer.cancel()
             del self.operations[op_id]
+            self.on_operation_finished(operation)
 
     # Attempts.
 
--- a/rushmux/standins/platform/configuration.py
+++ b/rushmux/standins/platform/configuration.py
@@ -93,7 +93,13 @@
 
 
 def configuration(
-    discovery_port: int, known_rows: list[dict], listen_port: int = 0, *, sockets: int = 256, **options
+    discovery_port: int,
+    known_rows: list[dict],
+    listen_port: int = 0,
+    *,
+    sockets: int = 256,
+    memory_mb: int = 128,
+    **options,
 ) -> dict:
     """Returns a gateway's configuration; `options` are those of `settings`."""
     return {
@@ -101,7 +107,7 @@
         "listen": f"127.0.0.1:{listen_port or 1}",
         "discovery": f"127.0.0.1:{discovery_port}",
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "known": {"version": 1, "full": True, "servers": known_rows},
         "settings": settings(**options),
     }
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from rushmux.gateway import connection_pool, node_connection
+from rushmux.gateway import connection_pool
 from rushmux.gateway.connection_pool import ConnectionPool
 from rushmux.gateway.endpoints import DiscoveredEndpoint
 from rushmux.gateway.keep_alive import REUSE_COOLDOWN
@@ -20,9 +20,13 @@
         loop = asyncio.get_running_loop()
         node = FakeNode()
         await node.open()
-        pool = ConnectionPool(
-            loop, **{"max_connections": 50, "connect_timeout": 0.25, "idle_timeout": 10.0, **settings}
-        )
+        defaults = {
+            "max_connections": 50,
+            "max_partial_reply_bytes": 24 << 20,
+            "connect_timeout": 0.25,
+            "idle_timeout": 10.0,
+        }
+        pool = ConnectionPool(loop, **{**defaults, **settings})
         row = DiscoveredEndpoint("s", "127.0.0.1", node.port, "a", 0, EndpointState.READY, 0.0)
         pool.update_endpoints(True, [row])
 
@@ -307,16 +311,14 @@
     )
 
 
-def test_incomplete_replies_are_bounded_together(monkeypatch):
-    monkeypatch.setattr(node_connection, "MAX_PARTIAL_REPLY_BYTES", 200_000)
-
+def test_incomplete_replies_are_bounded_together():
     async def scenario(pool, node, row, run):
         node.script = lambda arguments: [b"*3\r\n$900000\r\n" + b"x" * 100_000, "hang"]
         outcomes = await asyncio.gather(*(run(number, 0.5) for number in range(6)))
         node.script = lambda arguments: [success_reply()]
         return sorted(result for result, _ in outcomes), await run(9), pool.partial_reply_bytes
 
-    results, after, partial_bytes = run_scenario(scenario)
+    results, after, partial_bytes = run_scenario(scenario, max_partial_reply_bytes=200_000)
     assert (
         results.count(AttemptResult.FAILED) >= 4
         and after == (AttemptResult.SUCCEEDED, b"data")
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -43,7 +43,13 @@
 
 
 def make_pool(loop, connect_timeout):
-    return ConnectionPool(loop, max_connections=50, connect_timeout=connect_timeout, idle_timeout=10.0)
+    return ConnectionPool(
+        loop,
+        max_connections=50,
+        max_partial_reply_bytes=24 << 20,
+        connect_timeout=connect_timeout,
+        idle_timeout=10.0,
+    )
 
 
 async def wait_until(condition, within=2.0):
