A node's reply is served only if its value is a bulk string

Cause: the reply reader returned an array's elements without their types, and any bytes in the first place counted as the value. Noise that begins with +, - or : makes one line of itself and the value, so an array of three with a simple string, error or integer in it was read and served.

Why this holds: only a bulk string states its own length, so noise in its header makes the framing fail. The elements are typed now (Reply), and the value has to be a bulk string that is not null; anything else is a failed attempt that may have run, and its connection is closed. Usage figures are read from bulk strings only.

--- a/rushmux/gateway/node_connection.py
+++ b/rushmux/gateway/node_connection.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rushmux.gateway import replies
-from rushmux.resp import ProtocolError, ReplyKind, ReplyReader, encode_command
+from rushmux.resp import ProtocolError, Reply, ReplyReader, encode_command
 from rushmux.scheduling.driver import AttemptReply
 from rushmux.scheduling.interface import AttemptResult
 
@@ -163,17 +163,17 @@
             self._complete(replies.FAILED_REPLY)
             return
         if reply is not None:
-            self._on_reply(*reply)
+            self._on_reply(reply)
         elif pool.partial_reply_bytes > pool.max_partial_reply_bytes:
             # Many incomplete values, each within its limit, could exhaust memory.
             self._complete(replies.FAILED_REPLY)
 
-    def _on_reply(self, kind: ReplyKind, value: bytes | list | None) -> None:
+    def _on_reply(self, reply: Reply) -> None:
         self.reader.compact()  # an idle connection holds no reply
         has_unsolicited = self.reader.unread_bytes() > 0
         self.endpoint.pool.unsolicited_replies += has_unsolicited
-        reply = replies.interpret(kind, value)
-        self._complete(reply, not has_unsolicited and replies.is_reusable(reply.result, kind, value))
+        outcome = replies.interpret(reply)
+        self._complete(outcome, not has_unsolicited and replies.is_reusable(outcome.result, reply))
 
     def _complete(self, reply: AttemptReply, is_reusable: bool = False) -> None:
         # Closes even a reusable connection if its node has moved or restarted meanwhile.
--- a/rushmux/resp/__init__.py
+++ b/rushmux/resp/__init__.py
@@ -9,7 +9,7 @@
 from rushmux.resp.command_reader import CommandReader
 from rushmux.resp.encoder import encode_bulk, encode_command, encode_error
 from rushmux.resp.errors import InvalidLengthError, InvalidSyntaxError, LimitExceededError, ProtocolError
-from rushmux.resp.reply_reader import ReplyKind, ReplyReader
+from rushmux.resp.reply_reader import Reply, ReplyKind, ReplyReader
 
 __all__ = [
     "CommandReader",
@@ -17,6 +17,7 @@
     "InvalidSyntaxError",
     "LimitExceededError",
     "ProtocolError",
+    "Reply",
     "ReplyKind",
     "ReplyReader",
     "encode_bulk",
--- a/rushmux/resp/reply_reader.py
+++ b/rushmux/resp/reply_reader.py
@@ -1,6 +1,9 @@
 """Parser of nodes' replies."""
 
+from __future__ import annotations
+
 from enum import StrEnum
+from typing import NamedTuple
 
 from rushmux.resp.errors import InvalidSyntaxError
 from rushmux.resp.reader import BufferedReader, parse_length
@@ -14,7 +17,7 @@
 
 
 class ReplyKind(StrEnum):
-    """Type of a reply or of an array element, as its first byte."""
+    """Type of a reply, as its first byte."""
 
     SIMPLE_STRING = "+"
     ERROR = "-"
@@ -23,6 +26,14 @@
     ARRAY = "*"
 
 
+class Reply(NamedTuple):
+    """A reply, or an element of one that is an array."""
+
+    kind: ReplyKind
+    value: bytes | list[Reply] | None
+    """The elements of an array, the bytes of any other kind; None for a null."""
+
+
 KIND_BY_BYTE = {ord(kind): kind for kind in ReplyKind}
 """Reply types by first byte."""
 ARRAY, BULK = ReplyKind.ARRAY, ReplyKind.BULK
@@ -40,14 +51,11 @@
     def __init__(self):
         super().__init__()
         self.bulk_length: int | None = None
-        self.elements: list[bytes | None] | None = None
+        self.elements: list[Reply] | None = None
         self.missing_elements = 0
 
-    def next_reply(self) -> tuple[ReplyKind, bytes | list[bytes | None] | None] | None:
-        """Returns kind and value of the next reply, or None if it is incomplete.
-
-        The value of a null is None, that of an array the list of its elements' values. Raises ProtocolError.
-        """
+    def next_reply(self) -> Reply | None:
+        """Returns the next reply, or None if it is incomplete; raises ProtocolError."""
         while True:
             kind, value = self._next_element()
             if kind is None:
@@ -57,13 +65,13 @@
                     raise InvalidSyntaxError("nested array", value)
                 self.elements, self.missing_elements = [], value
             elif self.elements is None:
-                return kind, value
+                return Reply(kind, value)
             else:
-                self.elements.append(value)
+                self.elements.append(Reply(kind, value))
                 self.missing_elements -= 1
             if not self.missing_elements:
                 elements, self.elements = self.elements, None
-                return ARRAY, elements
+                return Reply(ARRAY, elements)
 
     def _next_element(self) -> tuple[ReplyKind | None, bytes | int | None]:
         # Returns kind and value of the next element; for an array, its length; (None, None) if incomplete.
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -97,7 +97,7 @@
 def interpret_reply(data):
     reader = ReplyReader()
     reader.receive_data(data)
-    return replies.interpret(*reader.next_reply())
+    return replies.interpret(reader.next_reply())
 
 
 NONE = (0, 0.0)
@@ -125,6 +125,12 @@
         (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", (AttemptResult.FAILED, None, *NONE)),
         (b"*1\r\n$4\r\ndata\r\n", (AttemptResult.FAILED, None, *NONE)),
         (b"*0\r\n", (AttemptResult.FAILED, None, *NONE)),
+        # A value stands in a bulk string.
+        (b"*3\r\n+data\r\n$-1\r\n$-1\r\n", (AttemptResult.FAILED, None, *NONE)),
+        (b"*3\r\n-ERR failed\r\n$-1\r\n$-1\r\n", (AttemptResult.FAILED, None, *NONE)),
+        (b"*3\r\n-BUSY\r\n$-1\r\n$-1\r\n", (AttemptResult.FAILED, None, *NONE)),
+        (b"*3\r\n:7\r\n$-1\r\n$-1\r\n", (AttemptResult.FAILED, None, *NONE)),
+        (success_reply(used=b"+used=37\r\n"), (AttemptResult.SUCCEEDED, b"data", *NONE)),
         (b"*-1\r\n", (AttemptResult.FAILED, None, *NONE)),
         (b"+OK\r\n", (AttemptResult.FAILED, None, *NONE)),
     ],
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -24,7 +24,7 @@
     ("$", None),
     ("*", None),
     ("$", b"a\r\nb"),
-    ("*", [b"value", None, b"inflight=7"]),
+    ("*", [("$", b"value"), ("$", None), ("$", b"inflight=7")]),
     ("*", []),
     ("-", b"ERR failed used=3"),
 ]
@@ -142,7 +142,7 @@
     value = b"v" * 400_000
     data = b"*3\r\n" + encode_bulk(value) + b"$-1\r\n$-1\r\n"
     assert values(ReplyReader(), [data[at : at + 65_536] for at in range(0, len(data), 65_536)]) == [
-        ("*", [value, None, None])
+        ("*", [("$", value), ("$", None), ("$", None)])
     ]
 
 
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -125,11 +125,11 @@
 def test_a_nodes_reply_is_interpreted_as_recorded(row):
     reader = ReplyReader()
     reader.receive_data(bytes.fromhex(row["node"]))
-    kind, value = reader.next_reply()
-    result, found, fleet_use, from_others = replies.interpret(kind, value)
+    reply = reader.next_reply()
+    result, found, fleet_use, from_others = replies.interpret(reply)
     assert (result, fleet_use, from_others) == (row["result"], row["fleet_use"], row["from_others"])
     assert found == (None if row["value"] is None else bytes.fromhex(row["value"]))
-    assert replies.is_reusable(result, kind, value) == row["reusable"]
+    assert replies.is_reusable(result, reply) == row["reusable"]
 
 
 @pytest.mark.parametrize("path", sorted(WIRE.glob("simulator-*.jsonl")), ids=lambda path: path.stem)
