Invalid commands at full speed are tested with gateway, node and clients in own processes

The test was at fault. Gateway and node now run in processes of their own (standins/platform/node_process.py), so a stall of the clients delays nobody else's work; bounds and counts are as before, and it also checks that no command reached a node in the test's process.

--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -9,6 +9,7 @@
 from rushmux.gateway import client_connection, client_timeouts, eviction
 from rushmux.resp import encode_command
 from rushmux.standins.platform import option_of, read_command, success_reply, write_command
+from rushmux.standins.platform.node_process import NodeProcess
 
 
 def test_commands_other_than_reads_and_writes_get_a_fixed_reply(with_fleet):
@@ -140,8 +141,10 @@
     assert kind == "-" and end is None and took < 2.5
 
 
-def test_invalid_commands_repeated_at_full_speed_do_not_starve_other_clients(with_fleet):
-    async def scenario(fleet):
+def test_invalid_commands_repeated_at_full_speed_do_not_starve_other_clients(with_process):
+    """Gateway, node and clients have a process each: a stall of the clients' own delays no other's work."""
+
+    async def measure(fleet):
         stop, repeats, times = False, 0, []
 
         async def spam():
@@ -153,8 +156,8 @@
                 ):
                     repeats += 1
 
-        tasks = [asyncio.ensure_future(spam()) for _ in range(8)]
         regular = await fleet.client()
+        tasks = [asyncio.ensure_future(spam()) for _ in range(8)]
         for number in range(30):
             begun = time.monotonic()
             answer = await regular.request(*read_command(number + 1))
@@ -163,8 +166,20 @@
         await asyncio.gather(*tasks)
         return repeats, {answer for answer, _ in times}, sorted(took for _, took in times)[15]
 
-    repeats, answers, median = with_fleet(scenario)
+    async def scenario(fleet):
+        node = NodeProcess()
+        await node.start()
+        try:
+            await fleet.client()
+            fleet.discovery.update({**fleet.node.row("s0", 0), "addr": f"127.0.0.1:{node.port}"})
+            await asyncio.sleep(0.2)  # until the gateway knows of it
+            return *await measure(fleet), len(fleet.node.received)
+        finally:
+            await node.end()
+
+    repeats, answers, median, received_in_this_process = with_process(scenario)
     assert repeats > 200 and answers == {("$", b"data")} and median < 0.1
+    assert not received_in_this_process
 
 
 def test_hundreds_of_pipelined_commands_are_bounded_in_flight_and_all_answered(with_fleet):
