Answer commands of an ending connection where operations are dispatched

CommandDispatcher.reject repeated the checks of dispatch (a missing argument, the names of operations); the dispatcher now answers BUSY to an operation whose connection no longer accepts any, and finish passes what was read to dispatch like any other command. enforce_timeouts stops at a connection that it has aborted for replies that nobody reads, in place of judging it by its other timeouts. Four tests of discarded writes shared a prelude, which is open_and_lose_writes now; their checks are as before.

Behaviour is the same but for that return.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -197,7 +197,7 @@
         # A command that was read is owed a reply, and its client will not send it again.
         try:
             while (arguments := self.reader.next_command()) is not None:
-                self.pending_replies.append(self.listener.dispatcher.reject(arguments, self))
+                self.pending_replies.append(self.listener.dispatcher.dispatch(arguments, self))
         except ProtocolError as protocol_error:
             self._add_protocol_error(str(protocol_error))
 
--- a/rushmux/gateway/client_timeouts.py
+++ b/rushmux/gateway/client_timeouts.py
@@ -25,6 +25,7 @@
         client.count_held_replies()
     if _blocks_reply_memory(client, now):
         transport.abort()
+        return
     if not client.is_open:
         return
     if client.is_writing_paused and now - client.writing_paused_at > UNREAD_REPLIES_TIMEOUT:
--- a/rushmux/gateway/command_dispatcher.py
+++ b/rushmux/gateway/command_dispatcher.py
@@ -50,12 +50,9 @@
         client.protocol_errors += name != b"HELLO"  # client libraries send HELLO but work without it
         return PendingReply(client, UNKNOWN_COMMAND)
 
-    def reject(self, arguments: list[bytes | None], client: ClientConnection) -> PendingReply:
-        """Returns the reply to a command of a connection that ends: BUSY if it is an operation."""
-        is_operation = None in arguments or arguments[0].upper() in (commands.READ, commands.WRITE)
-        return PendingReply(client, BUSY) if is_operation else self.dispatch(arguments, client)
-
     def _dispatch_operation(self, arguments: list[bytes], client: ClientConnection) -> PendingReply:
+        if not client.is_open:  # it was received before its connection began to end
+            return PendingReply(client, BUSY)
         pending = PendingReply(client)
         is_first = not client.has_requested_operation
         client.has_requested_operation = True
--- a/tests/buffer/test_discarded_writes.py
+++ b/tests/buffer/test_discarded_writes.py
@@ -345,6 +345,14 @@
     return opened
 
 
+async def open_and_lose_writes(fleet, files, count):
+    """Opens and writes like `open_and_write`, and waits until the writes were discarded."""
+    opened = await open_and_write(fleet, files, count)
+    await silence_nodes(fleet)
+    await wait_for_discards(fleet, 1)
+    return opened
+
+
 async def set_third_partys_barrier(fleet, files):
     """Whether the barrier of a client without handles succeeds."""
     return not await (await start_barrier(fleet, files))
@@ -389,9 +397,7 @@
 
 def test_each_of_two_losses_in_a_row_is_told_to_every_handle(run_fleet, short_retention, files):
     async def steps(fleet):
-        first, second = await open_and_write(fleet, files, 2)
-        await silence_nodes(fleet)
-        await wait_for_discards(fleet, 1)
+        first, second = await open_and_lose_writes(fleet, files, 2)
         answers = [await is_told_of_loss(*first)]
         await fleet.sleep(FAULT_TIME)
         await first[0].ask(sftp.Write, first[2], 0, b"again")
@@ -434,9 +440,7 @@
 
 def test_a_handle_opened_after_a_loss_is_told_only_while_nobody_was(run_fleet, short_retention, files):
     async def steps(fleet):
-        opened = await open_and_write(fleet, files, 1)
-        await silence_nodes(fleet)
-        await wait_for_discards(fleet, 1)
+        opened = await open_and_lose_writes(fleet, files, 1)
         await fleet.sleep(FAULT_TIME)
         before = await fleet.client(0)
         opened_before = before, files, await files.open(before, "/heredia/a")
@@ -450,9 +454,7 @@
 
 def test_a_loss_of_a_handle_that_is_gone_is_told_to_the_next_one(run_fleet, short_retention, files):
     async def steps(fleet):
-        first, second = await open_and_write(fleet, files, 2)
-        await silence_nodes(fleet)
-        await wait_for_discards(fleet, 1)
+        first, second = await open_and_lose_writes(fleet, files, 2)
         told = [await is_told_of_loss(*first)]
         await second[0].close()  # its session ends without a flush
         await fleet.sleep(FAULT_TIME)
@@ -467,9 +469,7 @@
     run_fleet, short_retention, files
 ):
     async def steps(fleet):
-        opened = await open_and_write(fleet, files, 2)
-        await silence_nodes(fleet)
-        await wait_for_discards(fleet, 1)
+        opened = await open_and_lose_writes(fleet, files, 2)
         told = [await is_told_of_loss(*opened[0])]
         await fleet.sleep(2)  # longer than the log waits for the answer to be sent
         await restart_edge_after_fault(fleet)
