--- a/rushmux/standins/platform/__init__.py
+++ b/rushmux/standins/platform/__init__.py
@@ -8,6 +8,7 @@
 from rushmux.standins.platform.discovery import FakeDiscovery
 from rushmux.standins.platform.messages import option_of, read_command, success_reply, write_command
 from rushmux.standins.platform.node import FakeNode
+from rushmux.standins.platform.polling import wait_until
 
 __all__ = [
     "FakeClient",
@@ -18,5 +19,6 @@
     "read_command",
     "settings",
     "success_reply",
+    "wait_until",
     "write_command",
 ]
--- a/tests/gateway/test_connection_close.py
+++ b/tests/gateway/test_connection_close.py
@@ -14,7 +14,7 @@
 
 from rushmux.gateway import client_connection, eviction
 from rushmux.resp import encode_command
-from rushmux.standins.platform import FakeNode, read_command, success_reply
+from rushmux.standins.platform import FakeNode, read_command, success_reply, wait_until
 
 
 async def replies_until_end(client, within=5):
@@ -281,12 +281,6 @@
 # was told BUSY was once replaced, and with it went the commands behind the first.
 
 
-async def wait_until(condition):
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def reads(count):
     return b"".join(encode_command(read_command(number, time_left=900)) for number in range(count))
 
@@ -294,7 +288,7 @@
 def test_every_command_sent_with_the_first_on_a_crowded_gateway_is_answered(with_fleet):
     async def scenario(fleet):
         client = await fleet.client()
-        await wait_until(lambda: fleet.server.listener.clients)
+        await wait_until(lambda: fleet.server.listener.clients, within=5)
         fleet.server.listener.max_clients = 0
         client.writer.write(reads(4) + encode_command([b"PING"]) + reads(1))
         return await replies_until_end(client)
@@ -310,7 +304,7 @@
         client = await fleet.client()
         count = 0 if end == "shutdown" else client_connection.MAX_PROTOCOL_ERRORS
         client.writer.write(encode_command([b"GET", b"x"]) * count + reads(150))
-        await wait_until(lambda: fleet.server.operations)
+        await wait_until(lambda: fleet.server.operations, within=5)
         if end == "shutdown":
             fleet.server.abort_all()
             fleet.server.listener.finish_all()
--- a/tests/gateway/test_races.py
+++ b/tests/gateway/test_races.py
@@ -16,7 +16,7 @@
 from rushmux.gateway.endpoints import DiscoveredEndpoint
 from rushmux.resp import CommandReader, encode_command
 from rushmux.scheduling.interface import AttemptResult, EndpointState
-from rushmux.standins.platform import FakeNode, read_command, success_reply, write_command
+from rushmux.standins.platform import FakeNode, read_command, success_reply, wait_until, write_command
 
 
 class DelayedConnects:
@@ -52,12 +52,6 @@
     )
 
 
-async def wait_until(condition, within=2.0):
-    async with asyncio.timeout(within):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 @pytest.mark.parametrize("arguments", [read_command(1), write_command(1)])
 def test_an_attempt_that_waits_for_a_connection_is_not_sent_for_a_client_that_left(with_fleet, arguments):
     async def scenario(fleet):
