--- a/rushmux/buffer/writeback.py
+++ b/rushmux/buffer/writeback.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
-from typing import Protocol
 
 from structlog.typing import FilteringBoundLogger
 
@@ -15,8 +14,8 @@
 from rushmux.buffer.buffered_files import BufferedFile
 from rushmux.buffer.buffered_writes import BufferedWrites
 from rushmux.buffer.disk import SegmentStorage
-from rushmux.buffer.errors import WritesDiscardedError
 from rushmux.buffer.flush_policy import NEVER, Admission, Batch, BufferLimits, Discard, FlushPolicy
+from rushmux.buffer.loss_notifier import Handle, LossNotifier, loss_reply
 from rushmux.buffer.losses import BarrierWait
 from rushmux.buffer.recovery import recover
 from rushmux.buffer.row_cache import RowCache
@@ -29,17 +28,14 @@
     RequestRejectedError,
 )
 from rushmux.edge.file_system import FileSystem
-from rushmux.edge.file_view import FileView
 from rushmux.edge.operation_runner import OperationRunner
 from rushmux.settings.deployment import Deployment
-from rushmux.sftp import packets as sftp
 from rushmux.supervision import Supervisor
 
 BATCH_TIMEOUT = 8.0  # seconds; longer than the deadlines of a batch's stores and commit
 ANSWER_MARGIN = 0.1  # seconds before its deadline at which a request stops waiting for capacity
 MIN_SLEEP = 0.001  # shortest pause in seconds between checks for due batches
 DRAIN_POLL_INTERVAL = 0.05  # seconds
-NOTIFICATION_DELAY = 1.0  # seconds after which an answer has surely been sent
 DEFAULT_LOG_BYTES = 256 << 20
 BACKGROUND_TAG = "-"  # tag of operations that belong to no client request
 OPERATION_ERRORS = (OperationShedError, OperationFailedError, RequestRejectedError, ObjectMissingError)
@@ -47,22 +43,6 @@
 LOWER_LAYER_OVERWRITTEN = "others wrote while this edge was down"
 
 
-class Handle(Protocol):
-    """An open handle of a file.
-
-    Attributes:
-        buffered_file: The file's state, as returned by `open_handle`.
-        view: The handle's cached rows of the file.
-    """
-
-    buffered_file: BufferedFile
-    view: FileView
-
-
-def _loss_reply(error: WritesDiscardedError) -> RequestRejectedError:
-    return RequestRejectedError(sftp.FAILURE, f"written before and lost: {error}")
-
-
 def limits_of(settings: dict) -> BufferLimits:
     """Converts the buffer section of a deployment, with times in seconds."""
     return BufferLimits(
@@ -141,7 +121,7 @@
         self.batch_waiters: dict[asyncio.Future, bool] = {}
         self.supervisor = Supervisor(logger)
         self.tasks: dict[asyncio.Task, bool] = {}
-        self.notifications: dict[tuple[str, str], asyncio.TimerHandle] = {}  # by folder and file id
+        self.loss_notifier = LossNotifier(self.loop, self.wal)
         self.recovering: dict[str, int] = {}
         if storage is not None:
             self.recovering = recover(self.wal, self.writes, folders, self.loop.time(), logger)
@@ -197,7 +177,7 @@
             loss_count = file.losses.count
             await self.wait_until_flushed(file, runner)
             if file.losses.count > loss_count:
-                raise _loss_reply(file.losses.newest)
+                raise loss_reply(file.losses.newest)
         return True
 
     async def _admit(self, runner: OperationRunner, size: int) -> bool:
@@ -236,7 +216,7 @@
             OperationFailedError: Too little time is left for the request; the flush goes on.
         """
         await self.wait_until_flushed(handle.buffered_file, runner)
-        self._raise_loss(handle)
+        self.loss_notifier.raise_loss(handle)
 
     async def wait_until_flushed(self, file: BufferedFile, runner: OperationRunner) -> None:
         """Waits until all buffered writes of a file are on the nodes or were discarded.
@@ -248,30 +228,6 @@
             sequence = self.writes.request_flush(file)
             await self._wait_until(runner, partial(self.writes.is_flushed, file, sequence))
 
-    def _raise_loss(self, handle: Handle) -> None:
-        file = handle.buffered_file
-        error = file.losses.take_error(handle)
-        if error is None:
-            return
-        self._cancel_notification(file)
-        if file.losses.error is None:  # every handle that has to be told was told
-            # Logged only when the answer has surely been sent: after a crash better notify twice than never.
-            record = journal.NotifiedRecord(file.folder, file.file_id)
-            self.notifications[file.folder, file.file_id] = self.loop.call_later(
-                NOTIFICATION_DELAY, self._record_notification, record
-            )
-        raise _loss_reply(error)
-
-    def _cancel_notification(self, file: BufferedFile) -> None:
-        timer = self.notifications.pop((file.folder, file.file_id), None)
-        if timer is not None:
-            timer.cancel()
-
-    def _record_notification(self, record: journal.NotifiedRecord) -> None:
-        self.notifications.pop((record.folder, record.file))
-        self.wal.append(record)
-        self.wal.commit()
-
     def set_barrier(self, folder: str) -> int:
         """Sets a barrier: later writes become visible only after earlier ones.  Returns its number."""
         barrier = self.writes.set_barrier(folder)
@@ -307,9 +263,9 @@
         finally:
             del waits[wait]
         for handle in handles:
-            self._raise_loss(handle)
+            self.loss_notifier.raise_loss(handle)
         if wait.error is not None:
-            raise _loss_reply(wait.error)
+            raise loss_reply(wait.error)
 
     async def wait_until_recovered(self, folder: str, until: float) -> None:
         """Waits until a folder's recovered writes are flushed or discarded.
@@ -389,7 +345,7 @@
     def _record_discards(self, discards: Sequence[Discard]) -> bool:
         """Logs discards in advance; False if they could not be written to disk."""
         for discard in discards:  # earlier notifications do not cover these discards
-            self._cancel_notification(discard.file)
+            self.loss_notifier.cancel_record(discard.file)
         recorded = self.wal.commit_discarded(discards)
         event = "buffer.writes_discarded" if recorded else "buffer.discard_not_recorded"
         for discard in discards:
