The checker of histories knows stalls of a node's own process

A recording's time was when the node read the attempt, not when it was sent.

Nodes and the process of the proxies record stalls of their event loop (`LoopLagWatch`, which the two soaks had each for themselves). An attempt counts as sent, at the earliest, when the stall began during which it may have waited; the bounds stay, and an attempt after an answer that came before that stall, at another node, or later than the backlog is still a breach (four new recordings).

--- a/rushmux/cli/node.py
+++ b/rushmux/cli/node.py
@@ -67,6 +67,7 @@
 ) -> None:
     """Runs a stand-in for a storage node."""
     from rushmux.standins.fleet import dedup_window_of, shape_of
+    from rushmux.standins.loop_lag import LoopLagWatch
     from rushmux.standins.node import Identity, Node
     from rushmux.standins.store import Store, StoreError
 
@@ -77,6 +78,7 @@
         raise click.ClickException(str(error)) from error
 
     async def run() -> None:
+        record = open_recorder(options.records, asyncio.get_running_loop())
         server = Node(
             Identity(name, cell, zone, advertised),
             store,
@@ -85,10 +87,14 @@
             seed=new_seed(options.seed),
             cold=not warm,
             log=options.logger(),
-            record=open_recorder(options.records, asyncio.get_running_loop()),
+            record=record,
             accepts_faults=accepts_faults,
         )
-        await serve(server, options, start=server.incarnation)
+        lag_watch = LoopLagWatch(lambda since: record("stall", node=name, since=since))
+        async with asyncio.TaskGroup() as tasks:
+            lag_task = tasks.create_task(lag_watch.run())
+            await serve(server, options, start=server.incarnation)
+            lag_task.cancel()
 
     asyncio.run(run())
 
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -2,7 +2,8 @@
 
 Recordings are rows with a `kind` and a time `at` (seconds of a common clock): of clients (session, ask,
 answer, left, writing, wrote, unsure, got), nodes' sockets (start, execution, outcome, effect, reset, fell),
-edges (took; told: the endpoint list) and faults (killed).  Operation ids have the form
+processes through which nodes' messages pass (stall: the event loop did not run since a time), edges (took;
+told: the endpoint list) and faults (killed).  Operation ids have the form
 EDGE.START.NUMBER/SESSION.REQUEST, or EDGE.START.NUMBER/- if no client requested the operation.
 """
 
@@ -30,6 +31,10 @@
 MAX_BREACHES_SHOWN = 20
 """Breaches of a rule that are described; further ones are only counted."""
 NO_REQUEST = "-"
+EVERY_NODE = "*"
+"""The node of a stall of a process through which the messages to all nodes pass."""
+BACKLOG_TIME = 0.05
+"""Seconds after a stall in which a process reads what arrived during it."""
 
 Row = Mapping[str, Any]
 
@@ -125,6 +130,7 @@
             f"{row['edge']}.{row['start']}": row["at"] for row in self.rows["killed"] if "edge" in row
         }
         self._session_left_at = {row["session"]: row["at"] for row in self.rows["left"]}
+        self._stalls = sorted(self.rows["stall"], key=lambda row: row["at"], reverse=True)
 
     def breaches(self) -> list[str]:
         """The breaches of all rules."""
@@ -152,6 +158,18 @@
     def _outcome_of(self, attempt: Attempt) -> Row | None:
         return self.outcomes.get((attempt.row["op"], attempt.row["execution"], attempt.node))
 
+    def _earliest_send(self, attempt: Attempt) -> float:
+        """The earliest time, but for the network's delay, at which an attempt can have been sent.
+
+        This is its arrival, or the begin of the stalls during which it may have waited in a socket.
+        """
+        earliest = attempt.at
+        for stall in self._stalls:
+            delays_it = stall["node"] in (attempt.node, EVERY_NODE)
+            if delays_it and stall["since"] <= earliest <= stall["at"] + BACKLOG_TIME:
+                earliest = stall["since"]
+        return earliest
+
     # No operation lost.
 
     def _check_answers(self, rule: _RuleCheck) -> None:
@@ -191,8 +209,9 @@
         answered_at = {f"{row['session']}.{row['number']}": row["at"] for row in self.rows["answer"]}
         for attempt in self.attempts:
             at = answered_at.get(attempt.request)
-            if at is not None and attempt.at > at + self.max_delay:
-                rule.breach(f"{attempt.description}: sent {attempt.at - at:.4f} s after the answer")
+            sent_at = self._earliest_send(attempt)
+            if at is not None and sent_at > at + self.max_delay:
+                rule.breach(f"{attempt.description}: sent {sent_at - at:.4f} s after the answer")
 
     # No effect twice.
 
@@ -252,11 +271,12 @@
                 told[row["edge"], row["start"], node].append((row["at"], state))
         grace = self.deployment.drain_grace + self.max_delay
         for attempt in self.attempts:
-            since = _not_ready_since(told.get((attempt.edge, attempt.start, attempt.node), ()), attempt.at)
+            sent_at = self._earliest_send(attempt)
+            since = _not_ready_since(told.get((attempt.edge, attempt.start, attempt.node), ()), sent_at)
             if since is None:
                 continue
             rule.checked += 1
-            elapsed = attempt.at - since
+            elapsed = sent_at - since
             rule.record_ratio(elapsed / grace)
             if elapsed > grace:
                 rule.breach(f"{attempt.description}: listed as draining or removed {elapsed:.3f} s before")
--- a/rushmux/standins/gateway_soak.py
+++ b/rushmux/standins/gateway_soak.py
@@ -25,6 +25,7 @@
     check_log,
     check_requests,
 )
+from rushmux.standins.loop_lag import LoopLagWatch
 from rushmux.standins.platform import (
     FakeClient,
     FakeDiscovery,
@@ -44,7 +45,6 @@
 NODE_IDLE_TIMEOUT = 0.6
 """Seconds after which nodes close idle connections (`ConnIdle`)."""
 LOAD_TIME = 2.5
-LAG_INTERVAL = 0.01
 NEW_CONNECTIONS_TIME = 0.4
 """Seconds after SIGTERM during which clients may open new connections."""
 PROMPT_PROBABILITY, DISCONNECT_PROBABILITY = 0.6, 0.06
@@ -105,14 +105,14 @@
         self._discovery = FakeDiscovery()
         self._drained_at: dict[str, float] = {}
         self._tasks: list[asyncio.Task] = []
-        self._longest_lag = 0.0
+        self._lag_watch = LoopLagWatch()
         self._clients_active = True
         self._new_connections_until = float("inf")
 
     async def run(self) -> Outcome:
         """Executes the run and checks what was observed."""
         self._loop = asyncio.get_running_loop()
-        lag_task = self._loop.create_task(self._watch_lag())
+        lag_task = self._loop.create_task(self._lag_watch.run())
         await self._open_stand_ins()
         await self._gateway.start()
         process = self._gateway.process
@@ -126,19 +126,12 @@
             lag_task.cancel()
             self._close_stand_ins()
         breaches = check_requests(
-            list(self._requests.values()), self.settings, self._drained_at, self._longest_lag
+            list(self._requests.values()), self.settings, self._drained_at, self._lag_watch.longest
         )
         self.breaches += breaches + check_log(self._gateway.log.decode(errors="replace"))
         answered = sum(request.replied_at is not None for request in self._requests.values())
         return Outcome(self.settings, len(self._requests), answered, self.breaches)
 
-    async def _watch_lag(self) -> None:
-        """Measures the largest delay of this event loop: times are no more accurate."""
-        while True:
-            due = self._loop.time() + LAG_INTERVAL
-            await asyncio.sleep(LAG_INTERVAL)
-            self._longest_lag = max(self._longest_lag, self._loop.time() - due)
-
     # Gateway and stand-ins.
 
     async def _open_stand_ins(self) -> None:
--- a/rushmux/standins/limit_soak.py
+++ b/rushmux/standins/limit_soak.py
@@ -13,13 +13,13 @@
 from pathlib import Path
 
 from rushmux.standins.limit_judge import LimitBreach, UnitArrival, VolumeLimit, check_limits
+from rushmux.standins.loop_lag import LoopLagWatch
 from rushmux.standins.platform import FakeClient, FakeDiscovery, configuration, read_command
 from rushmux.standins.platform.gateway_process import GATEWAY_ARGUMENTS, GatewayProcess, free_gateway_port
 from rushmux.standins.platform.metered_node import Meter, MeteredNode, NodeFault
 
 READY_TIMEOUT = 10.0
 """Seconds from a start to the first PONG."""
-LAG_INTERVAL = 0.01
 MAX_UNITS = 8
 SHARED_VOLUME, SINGLE_VOLUME = 1, 2
 """Used through all gateways, and through the first only."""
@@ -127,7 +127,7 @@
         self._nodes: list[MeteredNode] = []
         self._gateways: list[GatewayProcess] = []
         self._discovery = FakeDiscovery()
-        self._longest_lag = 0.0
+        self._lag_watch = LoopLagWatch()
         self._request_count = 0
         self._clients_active = True
         self._load_active = asyncio.Event()
@@ -137,7 +137,7 @@
         self._loop = asyncio.get_running_loop()
         await self._open_stand_ins()
         begin = self._loop.time()
-        tasks = [self._loop.create_task(self._watch_lag())]
+        tasks = [self._loop.create_task(self._lag_watch.run())]
         try:
             await self._start_gateways()
             tasks += self._start_clients()
@@ -200,12 +200,6 @@
             state = f"exit code {gateway.process.returncode}"
             self.problems.append(f"{gateway.name} was not ready within {READY_TIMEOUT:g} s: {state}")
 
-    async def _watch_lag(self) -> None:
-        while True:
-            due = self._loop.time() + LAG_INTERVAL
-            await asyncio.sleep(LAG_INTERVAL)
-            self._longest_lag = max(self._longest_lag, self._loop.time() - due)
-
     # Steps of a run.
 
     async def _run_steps(self) -> None:
@@ -319,7 +313,7 @@
     def _outcome(self, begin: float) -> LimitOutcome:
         arrivals: list[UnitArrival] = [arrival for node in self._nodes for arrival in node.arrivals]
         limits = {f"{volume:016x}": self.scenario.limit for volume in (SHARED_VOLUME, SINGLE_VOLUME)}
-        verdict = check_limits(arrivals, limits, begin, self._longest_lag)
+        verdict = check_limits(arrivals, limits, begin, self._lag_watch.longest)
         logs = "\n".join(gateway.log.decode(errors="replace") for gateway in self._gateways)
         self.problems += [line for line in logs.splitlines() if "Traceback" in line or ".fault " in line]
         return LimitOutcome(
--- a/rushmux/standins/scenario_fleet.py
+++ b/rushmux/standins/scenario_fleet.py
@@ -12,8 +12,10 @@
 
 from rushmux.settings import policy as documents
 from rushmux.settings.deployment import Deployment
+from rushmux.standins.checker import EVERY_NODE
 from rushmux.standins.fault_proxy import FaultProxies, matching_names
 from rushmux.standins.fault_scenario import Scenario, Step
+from rushmux.standins.loop_lag import LoopLagWatch
 from rushmux.standins.processes import HOST, Part, ProcessFleet
 
 NODE_UNIT_TIME = 0.002
@@ -42,6 +44,8 @@
         self.killed: list[str] = []
         self.operator_commands: list[Row] = []
         self.stopped: dict[str, bool] = {}  # processes that were ever stopped
+        lag_watch = LoopLagWatch(lambda since: self.record("stall", node=EVERY_NODE, since=since))
+        self._lag_task = self.loop.create_task(lag_watch.run())
 
     def _size(self, name: str) -> int:
         return int(self.scenario.sizes[name])
@@ -119,6 +123,7 @@
 
     async def stop(self) -> None:
         """Resumes and stops all processes, and closes the proxies."""
+        self._lag_task.cancel()
         for parts in (self.edges.values(), self.nodes.values(), self.planners.values()):
             for part in parts:
                 if part.process.returncode is None:
--- a/tests/edge/test_checker.py
+++ b/tests/edge/test_checker.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rushmux.settings.deployment import build
-from rushmux.standins.checker import RULES, Checker
+from rushmux.standins.checker import EVERY_NODE, RULES, Checker
 
 NODE_START = {
     "kind": "start",
@@ -81,6 +81,10 @@
     return {"kind": "told", "at": at, "edge": "edge0", "start": "a", "nodes": [[node, condition]]}
 
 
+def stall_record(since, at, node="n1"):
+    return {"kind": "stall", "at": at, "node": node, "since": since}
+
+
 def file_record(kind, at, begun, digest, path="/limon/a"):
     return {"kind": kind, "at": at, "path": path, "digest": digest, "begun": begun}
 
@@ -103,6 +107,9 @@
         [request_record(), reply_record(17.5)],
         [reply_record()],
         [*ANSWERED_REQUEST, execution_record(10.9, execution=1)],
+        [*ANSWERED_REQUEST, stall_record(10.8, 11.4), execution_record(11.4, execution=1)],  # sent after 10.8
+        [*ANSWERED_REQUEST, stall_record(10.4, 11.4, "n2"), execution_record(11.4, execution=1)],
+        [*ANSWERED_REQUEST, stall_record(10.4, 11.4), execution_record(11.6, execution=1)],
         [request_record(), {"kind": "killed", "at": 30.0, "edge": "edge0", "start": "a"}],
     ],
     "no effect twice": [
@@ -112,6 +119,7 @@
     ],
     "drains kept": [
         [listing_record(5.0, "draining"), execution_record(6.5, tag="-")],
+        [listing_record(5.0, "draining"), stall_record(6.4, 7.0), execution_record(7.0, tag="-")],
         [listing_record(5.0, "gone"), listing_record(5.5, "draining"), execution_record(6.2, tag="-")],
     ],
     "no cold node pushed over": [
@@ -173,6 +181,15 @@
         change_record(1, 30.0, 1, cell=2, tag="-"),
     ],  # the node was busy: the first attempt did not run
     [listing_record(5.0, "draining"), execution_record(5.9, tag="-")],
+    [listing_record(5.0, "draining"), stall_record(5.9, 7.0), execution_record(7.001, tag="-")],
+    # An attempt that waited in the socket of a stalled process may have been sent before the answer.
+    [*ANSWERED_REQUEST, stall_record(10.45, 11.4), execution_record(11.402, execution=1)],
+    [
+        *ANSWERED_REQUEST,
+        stall_record(10.45, 11.4, EVERY_NODE),
+        stall_record(11.3, 12.0),
+        execution_record(12.01, execution=1),
+    ],
     [listing_record(5.0, "gone"), listing_record(5.5, "ready"), execution_record(9.0, tag="-")],
     [NODE_START, *(execution_record(100.1, number, units=8.0, tag="-") for number in range(1, 11))],
     [change_record(1, 1.0, tag="-"), outcome_record(1.5, 1, tag="-"), change_record(2, 1.6, tag="-")],
--- a/tests/planner/test_fault_injection.py
+++ b/tests/planner/test_fault_injection.py
@@ -39,6 +39,14 @@
     assert max(count for result in results for name, count in result.facts.items() if "used" in name) > 40
 
 
+def test_stalls_of_a_node_are_not_taken_for_attempts_after_the_answer(tmp_path):
+    # Attempts that waited in a stalled node's socket were recorded as sent when the node read them.
+    scenario = fault_scenario.parse("length 12\nat 3 stop node0 1.2\nat 7 stop node0 1.6", "node-stopped")
+    [result] = asyncio.run(fault_injection.run_scenarios([scenario], tmp_path, jobs=1, seed=1))
+    assert result.breaches == []
+    assert result.facts["answers"] > 100, result
+
+
 def test_an_invalid_line_of_a_scenario_is_rejected():
     for text, message in (
         ("at 2 explode leader", "no verb 'explode'"),
