Clients that closed behind a full receive window are found by reading on

Cause: with 64 commands unanswered, reading pauses at 128 KiB; the end of the stream stands behind unread bytes. Evidence, on real sockets (three tests): with the receive window full the system reports ESTABLISHED, no error and no EPOLLRDHUP until the bytes were read; a close behind bytes that fit into the window is CLOSE_WAIT at once, a reset is reported at once.

A paused connection that got no reply for 10 ms (a reply to a client that has gone brings a reset) is now read on; operations get -BUSY in order, joined in one buffer within the bounds on unread replies, until replies were sent and a reset had 2 ms to arrive. The timers that check paused connections could multiply; there is one now.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -17,6 +17,8 @@
 
 MAX_PENDING_REPLIES = 64
 """Unanswered commands of a connection above which its commands wait."""
+RESUME_PENDING_REPLIES = MAX_PENDING_REPLIES // 2
+"""Unanswered commands of a connection at which waiting commands are processed again."""
 MAX_UNREAD_REPLY_BYTES = 1 << 19
 """Bytes of unread replies of a connection above which its commands wait."""
 MAX_DISCARDED_BYTES = 1 << 20
@@ -26,6 +28,13 @@
 
 Reading ahead detects the close of a client that sent hundreds of commands at once and left.
 """
+SHED_ALLOWANCE = 1 << 23
+"""Bytes of further commands read at a time from a connection with too many unanswered ones.
+
+It is at least what the system keeps of a connection in its default buffers.
+"""
+RESET_TIME = 0.002
+"""Seconds in which a reply to a client that has closed its connection brings a reset."""
 MAX_PROTOCOL_ERRORS = 3
 """Invalid commands after which a connection is closed."""
 QUIET_TIME = 0.02
@@ -50,13 +59,13 @@
     """The reply to one command, queued until it is complete and next in order.
 
     Attributes:
-        reply: The encoded reply; None until known.
+        reply: The encoded reply, or replies to several commands in a row; None until known.
         op_id: The operation that gives the reply; None if there is none or the client has gone.
     """
 
     __slots__ = ("client", "op_id", "reply")
 
-    def __init__(self, client: ClientConnection, reply: bytes | None = None):
+    def __init__(self, client: ClientConnection, reply: bytes | bytearray | None = None):
         self.client = client
         self.reply = reply
         self.op_id: str | None = None
@@ -82,6 +91,9 @@
         ends_after_reply: Whether the command being dispatched is the last one accepted.
         has_shutdown_check: Whether `_close_if_quiet` is scheduled.
         read_ahead_bytes: Bytes of unprocessed commands.
+        is_shedding: Whether operations get BUSY at once, see `shed_further_commands`.
+        shed_allowance: Bytes that may be read meanwhile.
+        shed_replies: The replies to the commands that were last shed; None if there are none.
         held_reply_bytes: Bytes of complete replies that have not left this process, when last counted.
         unread_reply_bytes: Those of them that were written.
         last_read_at: Event loop time at which the client was last known to read its replies.
@@ -107,6 +119,9 @@
         self.discards_input = False
         self.discarded_bytes = 0
         self.read_ahead_bytes = 0
+        self.is_shedding = False
+        self.shed_allowance = 0
+        self.shed_replies: PendingReply | None = None
         self.held_reply_bytes = 0
         self.unread_reply_bytes = 0
         self.last_read_at = self.connected_at
@@ -130,6 +145,10 @@
         """Returns whether the connection is open with no pending reply and no partial command."""
         return not self.pending_replies and not self.reader.has_partial_command() and self.is_open
 
+    def accepts_operations(self) -> bool:
+        """Returns whether an operation may be submitted."""
+        return self.is_open and not self.is_shedding
+
     # Commands.
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -151,6 +170,7 @@
         if not self.reader.has_partial_command():
             self.last_active_at = self.listener.loop.time()
         self.reader.receive_data(self.listener.receive_memory[:nbytes])
+        self.shed_allowance = max(0, self.shed_allowance - nbytes)
         self._process_commands()
 
     def _discard(self, size: int) -> None:
@@ -160,22 +180,18 @@
         self._update_reading()
 
     def _process_commands(self) -> None:
-        # Processes buffered commands up to the limit of pending replies.
+        # Processes buffered commands up to the limit of pending replies, and sheds some above it.
         error_text = None
         self.has_unprocessed_commands = True
         try:
-            while (
-                len(self.pending_replies) < MAX_PENDING_REPLIES
-                and self.state is ConnectionState.OPEN
-                and not self.is_writing_paused
-            ):
+            while self.state is ConnectionState.OPEN and self._can_process():
                 arguments = self.reader.next_command()
                 if arguments is None:
                     self.has_unprocessed_commands = False
                     break
                 self.has_sent_command = True
                 self.last_active_at = self.listener.loop.time()
-                self.pending_replies.append(self.listener.dispatcher.dispatch(arguments, self))
+                self._append_reply(self.listener.dispatcher.dispatch(arguments, self))
                 if self.ends_after_reply:
                     self.finish()
         except ProtocolError as protocol_error:
@@ -190,6 +206,46 @@
         self._update_reading()
         self.flush()
 
+    def _can_process(self) -> bool:
+        if self.is_writing_paused:
+            return False
+        return len(self.pending_replies) < MAX_PENDING_REPLIES or self._can_shed()
+
+    def _append_reply(self, pending: PendingReply) -> None:
+        if not self.is_shedding:
+            self.pending_replies.append(pending)
+        elif self.pending_replies and self.pending_replies[-1] is self.shed_replies:
+            self.shed_replies.reply += pending.reply
+        else:
+            self.shed_replies = PendingReply(self, bytearray(pending.reply))
+            self.pending_replies.append(self.shed_replies)
+
+    # Shedding.
+
+    def _can_shed(self) -> bool:
+        return (
+            self.shed_allowance > 0
+            and self.held_reply_bytes < MAX_UNREAD_REPLY_BYTES
+            and not self.listener.reply_budget.is_crowded()
+        )
+
+    def shed_further_commands(self) -> None:
+        """Reads more commands than may be unanswered, and answers them BUSY, until replies have been sent.
+
+        The end of the stream of a client that closed stands behind them. While the receive window is full,
+        the system can't report it.
+        """
+        if self.state is ConnectionState.OPEN and not self.transport.is_closing():
+            self.is_shedding = True
+            self.shed_allowance = SHED_ALLOWANCE
+            self._process_commands()
+
+    def _end_shedding(self) -> None:
+        if self.is_shedding:
+            self.is_shedding = False
+            self.shed_allowance = 0
+            self._process_more_commands()
+
     def _add_protocol_error(self, text: str) -> None:
         self.pending_replies.append(PendingReply(self, encode_error(f"ERR Protocol error: {text}")))
 
@@ -209,7 +265,8 @@
 
     def _update_reading(self) -> None:
         # Reading pauses while commands can't be processed, to bound the buffer. But a close is not detected
-        # while reading is paused, and a client that left would still be served; so a part is read ahead.
+        # while reading is paused, and a client that left would still be served; so a part is read ahead, and
+        # `paused_clients` has the rest shed if the pause lasts.
         read_ahead_bytes = max(0, self.reader.unread_bytes() - self.reader.reserved_bytes)
         self.listener.read_ahead_bytes += read_ahead_bytes - self.read_ahead_bytes
         self.read_ahead_bytes = read_ahead_bytes
@@ -227,8 +284,7 @@
     def _must_pause_reading(self) -> bool:
         if self.state is not ConnectionState.OPEN:
             return not self.discards_input or self.discarded_bytes > MAX_DISCARDED_BYTES
-        can_process = not self.is_writing_paused and len(self.pending_replies) < MAX_PENDING_REPLIES
-        return not can_process and (
+        return not self._can_process() and (
             self.read_ahead_bytes >= MAX_READ_AHEAD or self.listener.is_read_ahead_exhausted()
         )
 
@@ -281,10 +337,12 @@
         if self.state is not ConnectionState.OPEN:
             if not self.pending_replies:
                 self._linger()
+        elif self.is_shedding and len(self.pending_replies) <= RESUME_PENDING_REPLIES:
+            self.listener.loop.call_later(RESET_TIME, self._end_shedding)
         elif (
             self.has_unprocessed_commands
             and not self.is_writing_paused
-            and len(self.pending_replies) <= MAX_PENDING_REPLIES // 2
+            and len(self.pending_replies) <= RESUME_PENDING_REPLIES
         ):
             self.listener.loop.call_soon(self._process_more_commands)
         elif self.listener.is_shutting_down and not self.pending_replies:
--- a/rushmux/gateway/command_dispatcher.py
+++ b/rushmux/gateway/command_dispatcher.py
@@ -51,7 +51,8 @@
         return PendingReply(client, UNKNOWN_COMMAND)
 
     def _dispatch_operation(self, arguments: list[bytes], client: ClientConnection) -> PendingReply:
-        if not client.is_open:  # it was received before its connection began to end
+        # The connection may end, or have too many unanswered commands.
+        if not client.accepts_operations():
             return PendingReply(client, BUSY)
         pending = PendingReply(client)
         is_first = not client.has_requested_operation
--- a/rushmux/gateway/paused_clients.py
+++ b/rushmux/gateway/paused_clients.py
@@ -1,4 +1,8 @@
-"""Detects closed connections among clients whose sockets are not being read."""
+"""Detects closed connections among clients whose sockets are not being read.
+
+The system reports a close unless it stands behind a full receive window: then the peer's last segment has not
+arrived, and the connection looks established until the bytes before it are read.
+"""
 
 from __future__ import annotations
 
@@ -9,8 +13,13 @@
 if TYPE_CHECKING:
     from rushmux.gateway.client_connection import ClientConnection
 
-CHECK_INTERVAL = 0.05
+CHECK_INTERVAL = 0.01
 """Seconds between checks: no attempt may start more than 0.1 s after its client's close."""
+SHED_AFTER = 0.01
+"""Seconds without a reply to a paused client after which its further commands are read and shed.
+
+A reply to a client that has closed its connection brings a reset.
+"""
 TCP_CLOSE_WAIT = 8
 """TCP state, the first byte of TCP_INFO, after the peer has shut down its sending side."""
 
@@ -21,24 +30,34 @@
     def __init__(self, loop: asyncio.AbstractEventLoop):
         self.loop = loop
         self.clients: dict[ClientConnection, bool] = {}
+        self._is_check_scheduled = False
 
     def add(self, client: ClientConnection) -> None:
         """Starts watching a client whose reading was paused."""
-        if not self.clients:
-            self.loop.call_later(CHECK_INTERVAL, self._check)
         self.clients[client] = True
+        self._schedule_check()
 
     def discard(self, client: ClientConnection) -> None:
         """Stops watching a client that is read again or whose connection ended."""
         self.clients.pop(client, None)
 
+    def _schedule_check(self) -> None:
+        if self.clients and not self._is_check_scheduled:
+            self._is_check_scheduled = True
+            self.loop.call_later(CHECK_INTERVAL, self._check)
+
     def _check(self) -> None:
+        self._is_check_scheduled = False
+        now = self.loop.time()
         for client in list(self.clients):
-            if not client.is_lingering and has_peer_closed(client.transport):
+            if client.is_lingering:
+                continue
+            if has_peer_closed(client.transport):
                 client.abandon_operations()
                 client.transport.abort()
-        if self.clients:
-            self.loop.call_later(CHECK_INTERVAL, self._check)
+            elif now - client.last_active_at >= SHED_AFTER:
+                client.shed_further_commands()
+        self._schedule_check()
 
 
 def has_peer_closed(transport: asyncio.Transport) -> bool:
