The time left of a request counts from the arrival of its bytes

What nodes saw: commands that had waited behind 64 others of their client told up to the whole time of the request again (rule: what the client has left, and 0.15 s); their answers could come more than half a second late.

Cause: on_request counted from when a command was taken up; commands that arrive in pieces, and the first one of a connection that waited in the accept queue, the same.

Each connection keeps when its unprocessed bytes arrived; for its first data the system tells how long ago they came (tcpi_last_data_recv, only in a connected state). A command whose time is over gets -BUSY and is not sent.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -7,9 +7,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from rushmux.gateway.arrival_times import ArrivalTimes
 from rushmux.gateway.event_loop import call_after_polling
 from rushmux.gateway.eviction import NEW_CLIENT_GRACE
 from rushmux.gateway.lingering_close import LingeringClose
+from rushmux.gateway.tcp_info import tcp_info_of
 from rushmux.resp import CommandReader, ProtocolError, encode_error
 
 if TYPE_CHECKING:
@@ -61,14 +63,16 @@
     Attributes:
         reply: The encoded reply, or replies to several commands in a row; None until known.
         op_id: The operation that gives the reply; None if there is none or the client has gone.
+        arrived_at: Event loop time at which the first byte of the command arrived.
     """
 
-    __slots__ = ("client", "op_id", "reply")
+    __slots__ = ("arrived_at", "client", "op_id", "reply")
 
     def __init__(self, client: ClientConnection, reply: bytes | bytearray | None = None):
         self.client = client
         self.reply = reply
         self.op_id: str | None = None
+        self.arrived_at = client.command_arrived_at
 
     def complete(self, reply: bytes) -> None:
         """Sets the reply, which is sent after all earlier ones."""
@@ -85,6 +89,9 @@
     Attributes:
         pending_replies: Replies not sent yet, in the order of the commands.
         last_active_at: Event loop time of the last command or reply, or the start of a partial command.
+        command_arrived_at: Event loop time at which the first byte of the next command arrived; None if it is
+            not known.
+        has_received_data: Whether anything was received.
         has_sent_command: Whether a complete command was received.
         has_requested_operation: Whether a read or write was received.
         has_unprocessed_commands: Whether the buffer may hold complete commands.
@@ -108,6 +115,9 @@
         self.lingering_close: LingeringClose | None = None
         self.pending_replies: deque[PendingReply] = deque()
         self.connected_at = self.last_active_at = listener.loop.time()
+        self.arrival_times = ArrivalTimes()
+        self.command_arrived_at: float | None = None
+        self.has_received_data = False
         self.has_sent_command = False
         self.has_requested_operation = False
         self.has_unprocessed_commands = False
@@ -167,12 +177,22 @@
             self._discard(nbytes)
             return
         # A command may arrive a byte at a time; its timeout counts from the first.
+        now = self.listener.loop.time()
         if not self.reader.has_partial_command():
-            self.last_active_at = self.listener.loop.time()
+            self.last_active_at = now
+        self.arrival_times.add(nbytes, self._last_arrival(now))
         self.reader.receive_data(self.listener.receive_memory[:nbytes])
         self.shed_allowance = max(0, self.shed_allowance - nbytes)
         self._process_commands()
 
+    def _last_arrival(self, now: float) -> float:
+        # The first data of a connection may have waited in the accept queue.
+        if self.has_received_data:
+            return now
+        self.has_received_data = True
+        info = tcp_info_of(self.transport)
+        return now - info.time_since_data if info is not None and info.is_connected else now
+
     def _discard(self, size: int) -> None:
         self.discarded_bytes += size
         if self.lingering_close is not None:
@@ -185,13 +205,14 @@
         self.has_unprocessed_commands = True
         try:
             while self.state is ConnectionState.OPEN and self._can_process():
-                arguments = self.reader.next_command()
+                arguments = self._next_command()
                 if arguments is None:
                     self.has_unprocessed_commands = False
                     break
                 self.has_sent_command = True
                 self.last_active_at = self.listener.loop.time()
                 self._append_reply(self.listener.dispatcher.dispatch(arguments, self))
+                self.command_arrived_at = None
                 if self.ends_after_reply:
                     self.finish()
         except ProtocolError as protocol_error:
@@ -206,6 +227,12 @@
         self._update_reading()
         self.flush()
 
+    def _next_command(self) -> list[bytes | None] | None:
+        unread = self.reader.unread_bytes()
+        if self.command_arrived_at is None and unread:
+            self.command_arrived_at = self.arrival_times.first_of(unread)
+        return self.reader.next_command()
+
     def _can_process(self) -> bool:
         if self.is_writing_paused:
             return False
--- a/rushmux/gateway/paused_clients.py
+++ b/rushmux/gateway/paused_clients.py
@@ -10,6 +10,8 @@
 import socket
 from typing import TYPE_CHECKING
 
+from rushmux.gateway.tcp_info import CLOSE_WAIT, tcp_info_of
+
 if TYPE_CHECKING:
     from rushmux.gateway.client_connection import ClientConnection
 
@@ -20,8 +22,6 @@
 
 A reply to a client that has closed its connection brings a reset.
 """
-TCP_CLOSE_WAIT = 8
-"""TCP state, the first byte of TCP_INFO, after the peer has shut down its sending side."""
 
 
 class PausedClients:
@@ -66,16 +66,14 @@
     Only the socket's error counts as a reset, not the TCP state: platforms that don't provide the state
     report that of an unconnected socket, and healthy clients would be aborted.
     """
+    info = tcp_info_of(transport)
+    if info is None:
+        return False
+    return info.state == CLOSE_WAIT or _has_error(transport)
+
+
+def _has_error(transport: asyncio.Transport) -> bool:
     try:
-        sock = transport.get_extra_info("socket")
-        return (
-            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
-            or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-        )
-    except (
-        OSError,
-        AttributeError,
-        IndexError,
-        TypeError,
-    ):  # TCP_INFO is not available, or the socket is closed
+        return transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+    except (OSError, AttributeError):  # the socket is closed
         return False
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -139,10 +139,15 @@
     # Clients.
 
     def on_request(self, command: Command, pending: PendingReply) -> None:
-        """Submits a client's operation; raises InvalidCommandError if its id is in use."""
+        """Submits a client's operation; raises InvalidCommandError if its id is in use.
+
+        Its client waits since the command arrived, which may be long ago in a pipeline.
+        """
         if command.op_id in self.operations:
             raise InvalidCommandError("the id is that of an open request", command.op_id)
-        if self.is_stopping or not self._has_room_for(command, pending):
+        client_deadline = pending.arrived_at + command.time_left
+        is_over = client_deadline <= self.loop.time()
+        if is_over or self.is_stopping or not self._has_room_for(command, pending):
             pending.reply = BUSY
             return
         pending.op_id = command.op_id
@@ -158,7 +163,6 @@
             command.gateway_count,
             command.is_retry,
         )
-        client_deadline = self.loop.time() + command.time_left
         self.submit(request, command, client_deadline, partial(self._on_answer, pending))
 
     def _has_room_for(self, command: Command, pending: PendingReply) -> bool:
--- a/rushmux/standins/gateway_soak.py
+++ b/rushmux/standins/gateway_soak.py
@@ -16,7 +16,6 @@
 
 from rushmux.standins.gateway_soak_judge import (
     ANSWER_SLACK,
-    MAX_WRITE_DELAY,
     Attempt,
     Request,
     Scenario,
@@ -47,6 +46,8 @@
 LOAD_TIME = 2.5
 NEW_CONNECTIONS_TIME = 0.4
 """Seconds after SIGTERM during which clients may open new connections."""
+PIPELINE_LENGTHS = (1, 1, 1, 2, 5, 100)
+"""Requests that a client sends at once, drawn evenly; more than 64 of a connection wait in the gateway."""
 PROMPT_PROBABILITY, DISCONNECT_PROBABILITY = 0.6, 0.06
 """Of an immediate reply by a healthy node; of a client that leaves with requests pending."""
 EXIT_CODES_AFTER_SIGTERM = (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP)
@@ -174,9 +175,8 @@
                 self.breaches.append(f"{name} received the command {arguments[2]!r}, which no client sent")
                 return response
             may_have_run = response[-1] != BUSY
-            request.attempts.append(Attempt(self._loop.time(), name, may_have_run))
-            if int(option_of(arguments, "d")) / 1000 > request.deadline + MAX_WRITE_DELAY:
-                self.breaches.append(f"request {request.number} was forwarded with more time than it had")
+            time_told = int(option_of(arguments, "d")) / 1000
+            request.attempts.append(Attempt(self._loop.time(), name, may_have_run, time_told))
             return response
 
         return script
@@ -320,7 +320,7 @@
 
     async def _send_requests(self, connection: FakeClient, rng: random.Random) -> None:
         while self._clients_active:
-            requests = [self._send_request(connection, rng) for _ in range(rng.choice((1, 1, 1, 2, 5)))]
+            requests = [self._send_request(connection, rng) for _ in range(rng.choice(PIPELINE_LENGTHS))]
             if rng.random() < DISCONNECT_PROBABILITY:
                 await asyncio.sleep(rng.uniform(0, 0.05))
                 connection.writer.transport.abort() if rng.random() < 1 / 2 else connection.close()
--- a/rushmux/standins/gateway_soak_judge.py
+++ b/rushmux/standins/gateway_soak_judge.py
@@ -61,11 +61,19 @@
 
 @dataclass
 class Attempt:
-    """A command that a node received."""
+    """A command that a node received.
+
+    Attributes:
+        at: Event loop time, in seconds.
+        node: The node's name.
+        may_have_run: Whether it may have taken effect.
+        time_told: Seconds for which the gateway says that it will wait.
+    """
 
     at: float
     node: str
     may_have_run: bool
+    time_told: float
 
 
 @dataclass
@@ -116,6 +124,12 @@
                     )
             if request.replied_at is not None and attempt.at > request.replied_at + slack:
                 self.breaches.append(f"request {request.number} was forwarded after its answer")
+            time_left = request.sent_at + request.deadline - attempt.at
+            if attempt.time_told > time_left + MAX_WRITE_DELAY + slack:
+                self.breaches.append(
+                    f"request {request.number} was forwarded with {attempt.time_told:.3f} s, when its client"
+                    f" had {time_left:.3f} s left"
+                )
             self._check_drain(request, attempt, slack)
         self._check_retries(request, slack)
 
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -53,6 +53,11 @@
         "from rushmux.gateway.connection_pool import ConnectionPool as P",
         "P.sweep = lambda self: 1 / 0",
     ),
+    "tells nodes more time than clients have": (
+        2,
+        "from rushmux.gateway.client_connection import PendingReply as P",
+        "P.arrived_at = property(lambda self: self.client.listener.loop.time(), lambda self, value: None)",
+    ),
     "never listens": (1, "from rushmux.gateway.listener import Listener as L", "L.open = lambda self: None"),
 }
 
@@ -77,8 +82,8 @@
     return Request(**{**defaults, **fields})
 
 
-def attempts(*times, node="s0"):
-    return [Attempt(at, node, may_have_run=True) for at in times]
+def attempts(*times, node="s0", time_told=0.0):
+    return [Attempt(at, node, may_have_run=True, time_told=time_told) for at in times]
 
 
 @pytest.mark.parametrize(
@@ -86,6 +91,8 @@
     [
         ({"replied_at": 2.0, "attempts": attempts(1.1)}, "safe", None),
         ({"replied_at": 2.06, "attempts": attempts(1.1)}, "safe", "too late"),
+        ({"replied_at": 1.4, "attempts": attempts(1.2, time_told=0.5)}, "safe", None),
+        ({"replied_at": 1.4, "attempts": attempts(1.22, time_told=0.5)}, "safe", "had 0.280 s left"),
         ({"attempts": attempts(1.1)}, "safe", "got no answer"),
         ({"connection_ended_at": 1.01, "attempts": attempts(1.005)}, "safe", "was forwarded, and its"),
         ({"connection_ended_at": 1.05}, "safe", None),
