Gateways that ask for changes do not keep a shared discovery crowded

Cause (the review's, confirmed on a stand-in): discovery is one service of fixed capacity, calls wait in turn for up to 2 s. Every gateway held a watch for 1 s, gave a call up after 1.5 s and asked again 50 ms after each failure, so discovery answered calls that had been given up.

Where the settings say that changes are asked for, a watch is held for 2 s and given up after 4 s (2 s more than it is held), with full jitter over pauses of 0.25 to 1 s after failures; a local agent that pushes is called as before.

--- a/rushmux/gateway/discovery.py
+++ b/rushmux/gateway/discovery.py
@@ -1,23 +1,25 @@
 """Follows discovery: one snapshot of the endpoint list, then a watch renewed after each response.
 
-Whichever requests fail, a change must arrive within 6 s after discovery has it and is reachable.  The worst
-case is 5.6 s: a slow response that began before the change (RESPONSE_TIMEOUT), a failed connect
-(CONNECT_TIMEOUT), another slow response (RESPONSE_TIMEOUT), and RECONNECT_DELAY before each of the last two.
+Whichever requests fail, a change must arrive within 6 s after discovery has it and is reachable.  With an
+agent on this machine the worst case is 5.6 s: a slow response that began before the change, a failed connect
+(CONNECT_TIMEOUT), another slow response, and a pause before each of the last two.  With a service that all
+gateways share it is 5.75 s: a silent call that began before the change, a failed connect, a pause before each
+of the next two calls, and a response that comes half a second after its call.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from rushmux.gateway.discovery_connection import DiscoveryConnection
+from rushmux.gateway.discovery_timing import LOCAL_AGENT, RECONNECT_DELAY, DiscoveryTiming
 from rushmux.gateway.endpoints import DiscoveredEndpoint, EndpointListing, SocketAddress
 from rushmux.scheduling.interface import EndpointState
 
 CONNECT_TIMEOUT = 0.5
 """Seconds allowed for connecting: the discovery agent runs on this machine."""
-RECONNECT_DELAY = 0.05
-"""Seconds before reconnecting: a watch must be renewed within 200 ms."""
 MAX_FORMER_CONNECTIONS = 4
 """Connections to former addresses kept for their responses: SIGHUP may come often."""
 ADDRESS_CHANGED = "address changed"
@@ -32,7 +34,7 @@
         dial_task: Opens the connection.
         former_connections: To former addresses, the oldest first.
         endpoints: As last passed on; they stay in force where a row is rejected.
-        is_unavailable: Whether the last request failed.
+        failures: Requests that failed in a row.
         first_response: Done once discovery has responded.
     """
 
@@ -43,6 +45,9 @@
         log,
         on_update: Callable[[bool, list[DiscoveredEndpoint]], None],
         known_endpoints: Iterable[DiscoveredEndpoint] = (),
+        *,
+        timing: DiscoveryTiming = LOCAL_AGENT,
+        seed: int = 0,
     ):
         """Creates a watch that is not started.
 
@@ -52,6 +57,8 @@
             log: The logger.
             on_update: Called as `on_update(is_snapshot, endpoints)` with each response, in order.
             known_endpoints: In force before the first response.
+            timing: How long to wait for discovery, and when to ask again.
+            seed: Seeds the jitter of retries.
         """
         self.loop = loop
         self.address = address
@@ -61,7 +68,9 @@
         self.connection: DiscoveryConnection | None = None
         self.dial_task: asyncio.Task | None = None
         self.is_closed = False
-        self.is_unavailable = False
+        self.timing = timing
+        self.rng = random.Random(seed)
+        self.failures = 0
         self.endpoints = {endpoint.node: endpoint for endpoint in known_endpoints}
         self.former_connections: dict[DiscoveryConnection, bool] = {}
         self.first_response: asyncio.Future = loop.create_future()
@@ -104,8 +113,8 @@
         if not self._is_news(connection, listing.version):
             return
         endpoints = listing.endpoints + self._unchanged_for_rejected(listing)
-        if self.is_unavailable:
-            self.is_unavailable = False
+        if self.failures:
+            self.failures = 0
             self.log.info("discovery.recovered", version=listing.version)
         self._remember(listing.is_snapshot, endpoints)
         if listing.is_snapshot or endpoints:
@@ -150,10 +159,13 @@
         if connection is not self.connection or self.is_closed:
             return
         self.connection = None
-        if not self.is_unavailable and not is_orderly:
-            self.is_unavailable = True
+        if is_orderly:
+            self.loop.call_later(RECONNECT_DELAY, self.start)
+            return
+        self.failures += 1
+        if self.failures == 1:
             self.log.warning("discovery.unavailable", why=reason)
-        self.loop.call_later(RECONNECT_DELAY, self.start)
+        self.loop.call_later(self.timing.retry_pause(self.failures, self.rng), self.start)
 
     def close(self) -> None:
         """Ends the watch."""
--- a/rushmux/gateway/discovery_connection.py
+++ b/rushmux/gateway/discovery_connection.py
@@ -14,12 +14,6 @@
     from rushmux.gateway.discovery import DiscoveryWatch
 
 PATH = "/catalog/members"
-WATCH_TIMEOUT = 1.0
-"""Seconds that discovery may hold a request: silence is detected well before changes are due (6 s)."""
-FIRST_BYTE_SLACK = 0.5
-"""Seconds after `WATCH_TIMEOUT` until a request without a response byte is abandoned."""
-RESPONSE_TIMEOUT = 2.5
-"""Seconds from the request until its response must be complete."""
 MAX_RESPONSE_BYTES = 8 << 20
 MS_PER_SECOND = 1000
 STATUS_OK = 200
@@ -54,23 +48,23 @@
         self._send_request()
 
     def _send_request(self) -> None:
-        version, loop = self.watch.version, self.watch.loop
+        version, loop, timing = self.watch.version, self.watch.loop, self.watch.timing
         host, port = self.address
         target = PATH
         if version is not None:
-            target = f"{PATH}?after={version}&wait_ms={int(WATCH_TIMEOUT * MS_PER_SECOND)}"
+            target = f"{PATH}?after={version}&wait_ms={int(timing.watch * MS_PER_SECOND)}"
         request = h11.Request(method="GET", target=target, headers=[("Host", f"{host}:{port}")])
         self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
         self.requested_at = loop.time()
         self.has_response_begun = False
-        self.timer = loop.call_later(WATCH_TIMEOUT + FIRST_BYTE_SLACK, self.close, "no response in time")
+        self.timer = loop.call_later(timing.first_byte, self.close, "no response in time")
 
     def data_received(self, data: bytes) -> None:
         """Reads a part of a response (`asyncio.Protocol`)."""
         if not self.has_response_begun:
             self.has_response_begun = True
             self.timer.cancel()
-            due = self.requested_at + RESPONSE_TIMEOUT
+            due = self.requested_at + self.watch.timing.response
             self.timer = self.watch.loop.call_at(due, self.close, "response incomplete in time")
         self._receive(data)
 
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -12,6 +12,7 @@
 from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.connection_pool import ConnectionPool
 from rushmux.gateway.discovery import DiscoveryWatch
+from rushmux.gateway.discovery_timing import LOCAL_AGENT, SHARED_SERVICE
 from rushmux.gateway.endpoints import DiscoveredEndpoint
 from rushmux.gateway.errors import InvalidCommandError
 from rushmux.gateway.listener import Listener
@@ -90,7 +91,13 @@
             on_client_gone=self.client_gone,
         )
         self.discovery = DiscoveryWatch(
-            loop, config.discovery, log, self.on_discovered, config.known_endpoints
+            loop,
+            config.discovery,
+            log,
+            self.on_discovered,
+            config.known_endpoints,
+            timing=SHARED_SERVICE if config.settings.polls_endpoints else LOCAL_AGENT,
+            seed=config.seed,
         )
         self.known_states: dict[str, tuple[EndpointState, float]] = {}
         self.is_stopping = False
--- a/rushmux/standins/platform/configuration.py
+++ b/rushmux/standins/platform/configuration.py
@@ -11,6 +11,7 @@
     dedup_window: int | None = None,
     gateways: int = 3,
     shards: int = 4,
+    asks_discovery: bool = False,
     **limits,
 ) -> dict:
     """Returns settings in the format of the simulator's first message, suited to tests.
@@ -22,6 +23,7 @@
         dedup_window: Of the keyed class, in milliseconds.
         gateways: Number of gateways that share a volume.
         shards: Number of cells.
+        asks_discovery: Whether changes of the endpoint list have to be asked for.
         limits: Overrides values of `Limits`.
     """
     return {
@@ -87,7 +89,7 @@
         "Report": {"How": "answers", "Columns": ["outstanding"]},
         "ReplicasOfMe": gateways,
         "Period": 2 * NS_PER_MS,
-        "Discovery": "push",
+        "Discovery": "ask" if asks_discovery else "push",
         "ClientHabits": {"MarksRetry": False},
     }
 
--- a/rushmux/standins/platform/discovery.py
+++ b/rushmux/standins/platform/discovery.py
@@ -9,6 +9,8 @@
 
 SILENCE_CHECK_INTERVAL = 0.01
 """Seconds between two checks of `is_silent`."""
+LONGEST_TURN = 2.0
+"""Seconds that a call waits for its turn before it fails, where the service is shared."""
 MS_PER_SECOND = 1000
 
 
@@ -24,6 +26,7 @@
         indent: Indentation of the JSON.
         script: Returns the steps of a response, given the target and the body: bytes to send, seconds to
             wait, "close", "reset", or events to wait for.
+        call_time: Seconds that each call takes of a service that takes one at a time; 0: no limit.
         changed: Set and replaced at each change.
     """
 
@@ -36,6 +39,8 @@
         self.malformed_body: bytes | None = None
         self.indent: int | None = None
         self.script: Callable[[str, bytes], Iterable] | None = None
+        self.call_time = 0.0
+        self._turn = asyncio.Lock()
         self.port = 0
         self.server: asyncio.Server | None = None
         self.changed = asyncio.Event()
@@ -63,6 +68,9 @@
                 self.requests.append((asyncio.get_running_loop().time(), target))
                 while self.is_silent:
                     await asyncio.sleep(SILENCE_CHECK_INTERVAL)
+                if self.call_time and not await self._take_turn():
+                    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                    continue
                 body = await self._list_body(target)
                 if self.script is None:
                     writer.write(self._encode_response(body))
@@ -73,6 +81,19 @@
         finally:
             writer.close()
 
+    async def _take_turn(self) -> bool:
+        # Returns whether the call was taken up in time; one that was given up takes its turn as well.
+        try:
+            async with asyncio.timeout(LONGEST_TURN):
+                await self._turn.acquire()
+        except TimeoutError:
+            return False
+        try:
+            await asyncio.sleep(self.call_time)
+        finally:
+            self._turn.release()
+        return True
+
     async def _run_script(self, steps: Iterable, writer: asyncio.StreamWriter) -> bool:
         # Returns whether the connection stays open.
         for step in steps:
--- a/tests/gateway/test_discovery_deadline.py
+++ b/tests/gateway/test_discovery_deadline.py
@@ -10,13 +10,17 @@
 
 import pytest
 
-from rushmux.gateway import discovery, discovery_connection
+from rushmux.gateway import discovery
 from rushmux.gateway.discovery import DiscoveryWatch
+from rushmux.gateway.discovery_connection import PATH
+from rushmux.gateway.discovery_timing import LOCAL_AGENT, RECONNECT_DELAY, SHARED_SERVICE
 from rushmux.gateway.endpoints import SocketAddress
 from rushmux.resp import encode_command
 from rushmux.standins.platform import FakeDiscovery, read_command
 
 RECEIVED_WITHIN = 6.0  # seconds within which a change must arrive
+LONGEST_TURN = 2.0  # seconds that a call may wait for its turn
+PROMPT_RESPONSE_TIME = 0.5
 PROCESSING_TIME = 0.3  # seconds that a gateway with a tenth of a core may need for a snapshot
 
 
@@ -99,13 +103,22 @@
     source.script = script
 
 
-def test_the_worst_sequence_of_failures_takes_less_than_the_limit():
+def test_the_worst_sequence_of_failures_of_an_agent_takes_less_than_the_limit():
     """A slow response that began before the change, a failed connect, and another slow response."""
-    reconnect = discovery.CONNECT_TIMEOUT + 2 * discovery.RECONNECT_DELAY
-    response = discovery_connection.RESPONSE_TIMEOUT
-    silence = discovery_connection.WATCH_TIMEOUT + discovery_connection.FIRST_BYTE_SLACK
-    assert response + reconnect + response + PROCESSING_TIME <= RECEIVED_WITHIN
-    assert silence + reconnect + response + PROCESSING_TIME <= RECEIVED_WITHIN
+    reconnect = discovery.CONNECT_TIMEOUT + 2 * RECONNECT_DELAY
+    for first in (LOCAL_AGENT.response, LOCAL_AGENT.first_byte):
+        assert first + reconnect + LOCAL_AGENT.response + PROCESSING_TIME <= RECEIVED_WITHIN
+    assert LOCAL_AGENT.retry.max_pause == RECONNECT_DELAY
+
+
+def test_the_worst_sequence_of_failures_of_a_shared_service_takes_less_than_the_limit():
+    """A silent call that began before the change, a failed connect, and a prompt response."""
+    pauses = SHARED_SERVICE.retry.pause(0) + SHARED_SERVICE.retry.pause(1)
+    begun = SHARED_SERVICE.first_byte + discovery.CONNECT_TIMEOUT + pauses
+    assert begun + PROMPT_RESPONSE_TIME + PROCESSING_TIME / 2 <= RECEIVED_WITHIN
+    # A call may wait for its turn as long as the service lets it.
+    assert SHARED_SERVICE.first_byte >= SHARED_SERVICE.watch + LONGEST_TURN
+    assert SHARED_SERVICE.response > SHARED_SERVICE.first_byte
 
 
 @pytest.mark.parametrize("changes", [1, 3])
@@ -115,9 +128,9 @@
         for number in range(changes):
             source.update(row(f"n{number}"))
             await received.until(f"n{number}", "ready", 2)
-        return watch.is_unavailable
+        return watch.failures
 
-    assert run_scenario(scenario) is False  # an orderly end is not a failure
+    assert run_scenario(scenario) == 0  # an orderly end is not a failure
 
 
 def test_a_reset_does_not_end_a_response_without_length():
@@ -194,7 +207,7 @@
         script_next_response(source, lambda text: [response_head(b"", "503 Service Unavailable")])
         source.update(row("a", "draining"))
         await received.until("a", "draining", 2)
-        return [target for _, target in source.requests].count(discovery_connection.PATH)
+        return [target for _, target in source.requests].count(PATH)
 
     assert run_scenario(scenario) == 1
 
--- a/tests/gateway/test_discovery_watch.py
+++ b/tests/gateway/test_discovery_watch.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from rushmux.gateway import discovery_connection
 from rushmux.gateway.discovery import DiscoveryWatch
+from rushmux.gateway.discovery_connection import PATH
+from rushmux.gateway.discovery_timing import LOCAL_AGENT
 from rushmux.gateway.endpoints import SocketAddress
 from rushmux.standins.platform import FakeDiscovery
 
@@ -30,10 +31,7 @@
     warning = info
 
 
-def run_scenario(scenario, monkeypatch):
-    monkeypatch.setattr(discovery_connection, "WATCH_TIMEOUT", 0.3)
-    monkeypatch.setattr(discovery_connection, "FIRST_BYTE_SLACK", 0.15)
-
+def run_scenario(scenario):
     async def main():
         source, updates = FakeDiscovery(), []
         await source.open()
@@ -45,6 +43,7 @@
             lambda is_snapshot, endpoints: updates.append(
                 (is_snapshot, [(endpoint.node, endpoint.state) for endpoint in endpoints])
             ),
+            timing=LOCAL_AGENT._replace(watch=0.3, first_byte=0.45),
         )
         watch.start()
         try:
@@ -60,7 +59,7 @@
 SNAPSHOT = (True, [("a", "ready"), ("b", "ready")])
 
 
-def test_a_snapshot_then_each_change_is_passed_on_with_less_than_200_ms_between_requests(monkeypatch):
+def test_a_snapshot_then_each_change_is_passed_on_with_less_than_200_ms_between_requests():
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
         source.update(row("b", "draining"))
@@ -69,13 +68,13 @@
         await asyncio.sleep(0.1)
         return updates, [target for _, target in source.requests], [at for at, _ in source.requests]
 
-    updates, targets, times = run_scenario(scenario, monkeypatch)
+    updates, targets, times = run_scenario(scenario)
     assert updates == [SNAPSHOT, (False, [("b", "draining")]), (False, [("b", "gone"), ("c", "ready")])]
-    assert targets[0] == discovery_connection.PATH and all("after=" in target for target in targets[1:])
+    assert targets[0] == PATH and all("after=" in target for target in targets[1:])
     assert max(late - early for early, late in itertools.pairwise(times)) < 0.3 + 0.2
 
 
-def test_a_silent_discovery_is_detected_and_missed_changes_are_passed_on(monkeypatch):
+def test_a_silent_discovery_is_detected_and_missed_changes_are_passed_on():
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
         source.is_silent = True
@@ -86,14 +85,14 @@
         await asyncio.sleep(0.3)
         return updates, calls
 
-    updates, calls = run_scenario(scenario, monkeypatch)
+    updates, calls = run_scenario(scenario)
     assert updates == [SNAPSHOT, (False, [("a", "draining")])] and calls > 3
 
 
 @pytest.mark.parametrize(
     "broken", [b"", b"{", b"[]", b"7", b'{"version":3,"full":true,"servers":[{"id":"x"}]}']
 )
-def test_a_malformed_response_leaves_the_last_list_in_force(monkeypatch, broken):
+def test_a_malformed_response_leaves_the_last_list_in_force(broken):
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
         source.malformed_body = broken
@@ -104,11 +103,11 @@
         await asyncio.sleep(0.3)
         return before, updates
 
-    before, updates = run_scenario(scenario, monkeypatch)
+    before, updates = run_scenario(scenario)
     assert before == [SNAPSHOT] and updates[-1] == (False, [("c", "ready")])
 
 
-def test_a_new_address_is_used_at_once_without_losing_a_change(monkeypatch):
+def test_a_new_address_is_used_at_once_without_losing_a_change():
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
         other = FakeDiscovery()
@@ -124,11 +123,11 @@
         other.close()
         return updates, former_is_unused
 
-    updates, former_is_unused = run_scenario(scenario, monkeypatch)
+    updates, former_is_unused = run_scenario(scenario)
     assert updates == [SNAPSHOT, (False, [("c", "ready")])] and former_is_unused
 
 
-def test_an_address_that_does_not_answer_is_replaced_by_one_that_does(monkeypatch):
+def test_an_address_that_does_not_answer_is_replaced_by_one_that_does():
     async def scenario(source, watch, updates):
         await asyncio.sleep(0.1)
         watch.change_address(SocketAddress("127.0.0.1", 1))
@@ -138,4 +137,4 @@
         await asyncio.sleep(0.1)
         return updates[-1]
 
-    assert run_scenario(scenario, monkeypatch) == (False, [("a", "draining")])
+    assert run_scenario(scenario) == (False, [("a", "draining")])
