--- a/rushmux/standins/discovery_crowd.py
+++ b/rushmux/standins/discovery_crowd.py
@@ -1,7 +1,7 @@
 """Watches of many gateways on a discovery of fixed capacity, over sockets on loopback.
 
-`python -m rushmux.standins.discovery_crowd GATEWAYS CAPACITY` prints the shares that learn of changes in time; the
-capacity is given as the seconds that one call from each gateway takes.
+`python -m rushmux.standins.discovery_crowd GATEWAYS CAPACITY` prints the shares that learn of each change in
+time; the capacity is given as the seconds that one call from each gateway takes.
 """
 
 import asyncio
