Silent connections that waited in the accept queue may be evicted at once

Cause: neither the rate of accepting nor the backlog. A gateway of 256 descriptors holds 139 clients, and a silent one may be evicted 0.3 s after it was accepted, so the crowd came in waves of 139 that waited for each other. The 0.3 s count from when the connection was established now, as the system tells it.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -87,6 +87,8 @@
     each other.
 
     Attributes:
+        connected_at: Event loop time at which the connection was established, or its first data came while it
+            waited to be accepted.
         pending_replies: Replies not sent yet, in the order of the commands.
         last_active_at: Event loop time of the last command or reply, or the start of a partial command.
         command_arrived_at: Event loop time at which the first byte of the next command arrived; None if it is
@@ -164,6 +166,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection (`asyncio.BufferedProtocol`)."""
         self.transport = transport
+        self.connected_at -= self._time_since_data()
         transport.set_write_buffer_limits(high=MAX_UNREAD_REPLY_BYTES)
         self.listener.add_client(self)
 
@@ -190,8 +193,12 @@
         if self.has_received_data:
             return now
         self.has_received_data = True
+        return now - self._time_since_data()
+
+    def _time_since_data(self) -> float:
+        # Without data, the time since the connection was established.
         info = tcp_info_of(self.transport)
-        return now - info.time_since_data if info is not None and info.is_connected else now
+        return info.time_since_data if info is not None and info.is_connected else 0.0
 
     def _discard(self, size: int) -> None:
         self.discarded_bytes += size
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import errno
+import socket
 import time
 
 import pytest
 
 from rushmux.gateway import client_connection, client_timeouts, eviction
 from rushmux.resp import encode_command
+from rushmux.standins.gateway_soak_judge import ANSWER_SLACK
 from rushmux.standins.platform import option_of, read_command, success_reply, write_command
 from rushmux.standins.platform.node_process import NodeProcess
 
@@ -332,3 +334,31 @@
 
     answer, took, asked = with_fleet(scenario)
     assert answer == ("$", b"data") and took < 0.7 and asked < 12
+
+
+TIME_LEFT = 0.48
+
+
+@pytest.mark.parametrize("silent", [500, 800])
+def test_a_request_behind_a_crowd_of_silent_connections_is_answered_in_time(with_process, silent):
+    """Guards against a crowd of which each part waits for the part before it to be evicted."""
+
+    async def scenario(fleet):
+        await fleet.client()  # the gateway listens
+        crowd = []
+        for _ in range(silent):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", fleet.port))
+            crowd.append(sock)
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
+        client = await fleet.connect_once()
+        reply = await client.request(*read_command(1, time_left=round(TIME_LEFT * 1_000)))
+        answered_after = loop.time() - begun_at
+        for sock in crowd:
+            sock.close()
+        return reply, answered_after
+
+    reply, answered_after = with_process(scenario, sockets=256)
+    assert reply is not None and answered_after < TIME_LEFT + ANSWER_SLACK
