The queue of pending replies is a class of its own

No change of behaviour. test_clients_gone, test_commands, test_time_told and test_connection_close: 98 passed.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from rushmux.gateway.event_loop import call_after_polling
 from rushmux.gateway.eviction import NEW_CLIENT_GRACE
 from rushmux.gateway.lingering_close import LingeringClose
+from rushmux.gateway.pending_replies import PendingReplies, PendingReply
 from rushmux.gateway.tcp_info import tcp_info_of
 from rushmux.resp import CommandReader, ProtocolError, encode_error
 
@@ -57,29 +57,6 @@
     """All replies were sent; see `lingering_close`."""
 
 
-class PendingReply:
-    """The reply to one command, queued until it is complete and next in order.
-
-    Attributes:
-        reply: The encoded reply, or replies to several commands in a row; None until known.
-        op_id: The operation that gives the reply; None if there is none or the client has gone.
-        arrived_at: Event loop time at which the first byte of the command arrived.
-    """
-
-    __slots__ = ("arrived_at", "client", "op_id", "reply")
-
-    def __init__(self, client: ClientConnection, reply: bytes | bytearray | None = None):
-        self.client = client
-        self.reply = reply
-        self.op_id: str | None = None
-        self.arrived_at = client.command_arrived_at
-
-    def complete(self, reply: bytes) -> None:
-        """Sets the reply, which is sent after all earlier ones."""
-        self.reply = reply
-        self.client.flush()
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection.
 
@@ -102,7 +79,6 @@
         read_ahead_bytes: Bytes of unprocessed commands.
         is_shedding: Whether operations get BUSY at once, see `shed_further_commands`.
         shed_allowance: Bytes that may be read meanwhile.
-        shed_replies: The replies to the commands that were last shed; None if there are none.
         held_reply_bytes: Bytes of complete replies that have not left this process, when last counted.
         unread_reply_bytes: Those of them that were written.
         last_read_at: Event loop time at which the client was last known to read its replies.
@@ -115,7 +91,7 @@
         self.reader = CommandReader(listener.partial_command_budget)
         self.state = ConnectionState.OPEN
         self.lingering_close: LingeringClose | None = None
-        self.pending_replies: deque[PendingReply] = deque()
+        self.pending_replies = PendingReplies()
         self.connected_at = self.last_active_at = listener.loop.time()
         self.arrival_times = ArrivalTimes()
         self.command_arrived_at: float | None = None
@@ -133,7 +109,6 @@
         self.read_ahead_bytes = 0
         self.is_shedding = False
         self.shed_allowance = 0
-        self.shed_replies: PendingReply | None = None
         self.held_reply_bytes = 0
         self.unread_reply_bytes = 0
         self.last_read_at = self.connected_at
@@ -246,13 +221,10 @@
         return len(self.pending_replies) < MAX_PENDING_REPLIES or self._can_shed()
 
     def _append_reply(self, pending: PendingReply) -> None:
-        if not self.is_shedding:
-            self.pending_replies.append(pending)
-        elif self.pending_replies and self.pending_replies[-1] is self.shed_replies:
-            self.shed_replies.reply += pending.reply
+        if self.is_shedding:
+            self.pending_replies.append_shed(pending)
         else:
-            self.shed_replies = PendingReply(self, bytearray(pending.reply))
-            self.pending_replies.append(self.shed_replies)
+            self.pending_replies.append(pending)
 
     # Shedding.
 
@@ -336,7 +308,7 @@
 
     def has_room_for(self, pending: PendingReply, size: int) -> bool:
         """Returns whether a reply of `size` bytes may be held until the client has received it."""
-        waits_for_others = bool(self.pending_replies) and self.pending_replies[0] is not pending
+        waits_for_others = not self.pending_replies.is_next(pending)
         return self.listener.reply_budget.admits(size, is_pipelined=waits_for_others)
 
     def count_held_replies(self) -> None:
@@ -345,10 +317,7 @@
         if not unread_bytes or unread_bytes < self.unread_reply_bytes:
             self.last_read_at = self.listener.loop.time()
         self.unread_reply_bytes = unread_bytes
-        waiting_bytes = sum(
-            len(pending.reply) for pending in self.pending_replies if pending.reply is not None
-        )
-        self._set_held_replies(unread_bytes + waiting_bytes)
+        self._set_held_replies(unread_bytes + self.pending_replies.complete_bytes())
 
     def _set_held_replies(self, size: int) -> None:
         self.listener.reply_budget.release(self.held_reply_bytes - size)
@@ -360,13 +329,11 @@
         self.count_held_replies()
 
     def _write_replies(self) -> None:
-        parts = []
-        while self.pending_replies and self.pending_replies[0].reply is not None:
-            parts.append(self.pending_replies.popleft().reply)
+        replies = self.pending_replies.take_complete()
         if self.transport.is_closing():
             return
-        if parts:
-            self.transport.write(b"".join(parts))
+        if replies:
+            self.transport.write(replies)
             self.last_active_at = self.listener.loop.time()
         if self.state is not ConnectionState.OPEN:
             if not self.pending_replies:
@@ -459,6 +426,6 @@
             self.state = ConnectionState.FINISHING
         self._reset_reader()
         self.abandon_operations()
-        self.pending_replies = deque()
+        self.pending_replies.clear()
         self._set_held_replies(0)
         self.listener.remove_client(self)
--- a/rushmux/gateway/command_dispatcher.py
+++ b/rushmux/gateway/command_dispatcher.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from rushmux.gateway import commands
-from rushmux.gateway.client_connection import ClientConnection, PendingReply
+from rushmux.gateway.client_connection import ClientConnection
 from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.errors import InvalidCommandError
+from rushmux.gateway.pending_replies import PendingReply
 from rushmux.resp import encode_error
 
 if TYPE_CHECKING:
--- a/rushmux/gateway/listener.py
+++ b/rushmux/gateway/listener.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from rushmux.gateway import eviction
-from rushmux.gateway.client_connection import ClientConnection, PendingReply
+from rushmux.gateway.client_connection import ClientConnection
 from rushmux.gateway.client_timeouts import enforce_timeouts
 from rushmux.gateway.command_dispatcher import CommandDispatcher
 from rushmux.gateway.commands import Command
@@ -16,6 +16,7 @@
 from rushmux.gateway.event_loop import call_after_polling
 from rushmux.gateway.memory_limits import ByteBudget, MemoryLimits
 from rushmux.gateway.paused_clients import PausedClients
+from rushmux.gateway.pending_replies import PendingReply
 
 BACKLOG = 1024
 """Length of the system's accept queue: hundreds of connections may come at once."""
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -7,7 +7,6 @@
 from functools import partial
 from typing import Any
 
-from rushmux.gateway.client_connection import PendingReply
 from rushmux.gateway.commands import Command
 from rushmux.gateway.config import GatewayConfig
 from rushmux.gateway.connection_pool import ConnectionPool
@@ -18,6 +17,7 @@
 from rushmux.gateway.listener import Listener
 from rushmux.gateway.memory_limits import ByteBudget, memory_limits_of
 from rushmux.gateway.node_connection import NodeAttempt
+from rushmux.gateway.pending_replies import PendingReply
 from rushmux.resp import encode_bulk
 from rushmux.scheduling.driver import (
     TICKS_PER_SECOND,
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -55,7 +55,7 @@
     ),
     "tells nodes more time than clients have": (
         2,
-        "from rushmux.gateway.client_connection import PendingReply as P",
+        "from rushmux.gateway.pending_replies import PendingReply as P",
         "P.arrived_at = property(lambda self: self.client.listener.loop.time(), lambda self, value: None)",
     ),
     "never listens": (1, "from rushmux.gateway.listener import Listener as L", "L.open = lambda self: None"),
