--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,8 +1,9 @@
 r"""Reads KNOWN-RED.txt, the short list of tests that fail because of a known, unfixed fault.
 
 A line is `test id, cause, issue N`; after the id may come what shows the fault: `seed S` and a command in
-backquotes.  Prints pytest's options that deselect these tests, and lists them on standard error.  Exits with
-1 if the list or a line is too long, a line is malformed, a test is listed twice, or an id names no test.
+backquotes.  In place of a test's id a line may name a script, `review/N/run.sh`, which CI never runs.  Prints
+pytest's options that deselect the tests, and lists all lines on standard error.  Exits with 1 if the list or
+a line is too long, a line is malformed, a test is listed twice, or an id or a script does not exist.
 
 With --passing: runs each listed test and reports which of them pass, so that they can be removed.
 """
@@ -18,13 +19,13 @@
 TEST_TIMEOUT = 600
 """Seconds for one pytest run."""
 LINE = re.compile(
-    r"(?P<test>tests/\S+\.py::\S+), (seed (?P<seed>[0-9]+), )?(`(?P<command>[^`]+)`, )?"
+    r"(?P<test>tests/\S+\.py::\S+|review/[0-9]+/run\.sh), (seed (?P<seed>[0-9]+), )?(`(?P<command>[^`]+)`, )?"
     r"(?P<cause>[^`]+), issue (?P<issue>[0-9]+)"
 )
 
 
 class KnownRed(NamedTuple):
-    """A listed test; `seed` and `command` may be empty."""
+    """A listed test or script; `seed` and `command` may be empty."""
 
     test: str
     seed: str
@@ -32,6 +33,11 @@
     cause: str
     issue: str
 
+    @property
+    def is_script(self) -> bool:
+        """Whether it is a script and not a test."""
+        return self.test.endswith(".sh")
+
     def __str__(self) -> str:
         seed = f", seed {self.seed}" if self.seed else ""
         command = f", by `{self.command}`" if self.command else ""
@@ -91,20 +97,21 @@
     try:
         rows = parse_list((root / "KNOWN-RED.txt").read_text(encoding="utf-8"))
         for row in rows:
-            if not names_a_test(row.test, root):
-                raise ValueError(f"no such test: {row.test!r}")
+            exists = (root / row.test).is_file() if row.is_script else names_a_test(row.test, root)
+            if not exists:
+                raise ValueError(f"no such test or script: {row.test!r}")
     except (OSError, ValueError) as error:
         print(f"KNOWN-RED.txt: {error}", file=sys.stderr)
         return 1
     if "--passing" in options:
-        for row in rows:
+        for row in (row for row in rows if not row.is_script):
             state = "passes now, take it off the list" if passes(row.test, root) else "still fails"
             print(f"known red, {state}: {row}", file=sys.stderr)
         return 0
     for row in rows:
         print(f"known red, not run: {row}", file=sys.stderr)
     print(f"known red tests: {len(rows)}", file=sys.stderr)
-    print(" ".join(f"--deselect={row.test}" for row in rows))
+    print(" ".join(f"--deselect={row.test}" for row in rows if not row.is_script))
     return 0
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -16,6 +16,8 @@
     """Returns the script's exit code, options and errors in a temporary tree."""
     (folder / ".ci").mkdir()
     (folder / "tests").mkdir()
+    (folder / "review" / "4").mkdir(parents=True)
+    (folder / "review" / "4" / "run.sh").write_text("exit 1\n")
     (folder / ".ci" / "known_red.py").write_text(SCRIPT.read_text())
     (folder / "tests" / "test_it.py").write_text(
         "import pytest\n\ndef test_red():\n    assert False\n\n"
@@ -38,6 +40,8 @@
     [
         ("", ""),
         (VALID_LINE, "--deselect=tests/test_it.py::test_red"),
+        ("review/4/run.sh, a script is not run, issue 7", ""),
+        (f"review/4/run.sh, too, issue 7\n{VALID_LINE}", "--deselect=tests/test_it.py::test_red"),
         ("tests/test_it.py::test_many, of two, one fails, issue 7", "--deselect=tests/test_it.py::test_many"),
         ("tests/test_it.py::test_many[2], odd, issue 7\n\n", "--deselect=tests/test_it.py::test_many[2]"),
         (
@@ -68,6 +72,9 @@
         "tests/test_it.py::test_gone, was renamed, issue 1",
         "tests/test_gone.py::test_red, was moved, issue 1",
         "tests/test_it.py::test_re, half a name, issue 1",
+        "review/5/run.sh, there is none, issue 1",
+        "review/4/other.sh, a name of another form, issue 1",
+        "review/../review/4/run.sh, a path of another form, issue 1",
     ],
 )
 def test_a_list_that_is_too_long_malformed_or_names_no_test_fails(tmp_path, text):
@@ -76,11 +83,12 @@
 
 
 def test_whether_listed_tests_pass_now_is_reported(tmp_path):
-    text = f"{VALID_LINE}\ntests/test_it.py::test_many, all fail, issue 7"
+    text = f"{VALID_LINE}\ntests/test_it.py::test_many, all fail, issue 7\nreview/4/run.sh, red, issue 7"
     code, printed_options, errors = run_script(tmp_path, text, "--passing")
     assert code == 0 and not printed_options
     assert "still fails: tests/test_it.py::test_red" in errors
     assert "passes now, take it off the list: tests/test_it.py::test_many" in errors
+    assert "review/" not in errors
 
 
 def test_the_projects_own_list_can_be_read():
