--- a/rushmux/gateway/paused_clients.py
+++ b/rushmux/gateway/paused_clients.py
@@ -20,7 +20,7 @@
 SHED_AFTER = 0.01
 """Seconds without a reply to a paused client after which its further commands are read and shed.
 
-A reply to a client that has closed its connection brings a reset.
+A reply to a client that has closed its connection brings a reset, also if it leaves earlier ones unread.
 """
 
 
@@ -55,7 +55,7 @@
             if has_peer_closed(client.transport):
                 client.abandon_operations()
                 client.transport.abort()
-            elif now - client.last_active_at >= SHED_AFTER:
+            elif not client.is_writing_paused and now - client.last_active_at >= SHED_AFTER:
                 client.shed_further_commands()
         self._schedule_check()
 
