--- a/rushmux/backoff.py
+++ b/rushmux/backoff.py
@@ -25,3 +25,7 @@
     def jittered_pause(self, doublings: int, rng: random.Random) -> float:
         """As `pause`, but randomly shortened by up to half, so that simultaneous failures retry apart."""
         return self.pause(doublings) * (0.5 + rng.random() / 2)
+
+    def fully_jittered_pause(self, doublings: int, rng: random.Random) -> float:
+        """As `pause`, but drawn between 0 and its length, for many that share what failed."""
+        return rng.uniform(0, self.pause(doublings))
--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -33,7 +33,7 @@
 SHED_ALLOWANCE = 1 << 23
 """Bytes of further commands read at a time from a connection with too many unanswered ones.
 
-It is at least what the system keeps of a connection in its default buffers.
+When they are used up, reading pauses and the next follow after a while.
 """
 RESET_TIME = 0.002
 """Seconds in which a reply to a client that has closed its connection brings a reset."""
--- a/rushmux/gateway/discovery_timing.py
+++ b/rushmux/gateway/discovery_timing.py
@@ -30,8 +30,9 @@
 
     def retry_pause(self, failures: int, rng: random.Random) -> float:
         """Returns the pause after `failures` calls in a row that failed, one at least."""
-        pause = self.retry.pause(failures - 1)
-        return rng.uniform(0, pause) if self.has_jitter else pause
+        if self.has_jitter:
+            return self.retry.fully_jittered_pause(failures - 1, rng)
+        return self.retry.pause(failures - 1)
 
 
 RECONNECT_DELAY = 0.05
--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -83,6 +83,7 @@
     """An attempt as it arrived at a node's socket."""
 
     at: float
+    sent_at: float  # the earliest time, but for the network's delay, at which it can have been sent
     node: str
     edge: str
     start: str
@@ -96,11 +97,11 @@
         return f"{self.row['op']} execution {self.row['execution']} at {self.node}, {self.at:.4f} s"
 
 
-def _attempt(row: Row) -> Attempt:
+def _attempt(row: Row, sent_at: float) -> Attempt:
     operation, request = row["op"].split("/", 1)
     edge, start, number = operation.rsplit(".", 2)
     session = "" if request == NO_REQUEST else f"{edge}.{start}/{request}"
-    return Attempt(row["at"], row["node"], edge, start, int(number), session, row)
+    return Attempt(row["at"], sent_at, row["node"], edge, start, int(number), session, row)
 
 
 class _Version:
@@ -124,13 +125,13 @@
         self.rows: dict[str, list[Row]] = defaultdict(list)
         for row in records:
             self.rows[row["kind"]].append(row)
-        self.attempts = [_attempt(row) for row in self.rows["execution"]]
+        self._stalls = sorted(self.rows["stall"], key=lambda row: row["at"], reverse=True)
+        self.attempts = [_attempt(row, self._earliest_send(row)) for row in self.rows["execution"]]
         self.outcomes = {(row["op"], row["execution"], row["node"]): row for row in self.rows["outcome"]}
         self._edge_killed_at = {
             f"{row['edge']}.{row['start']}": row["at"] for row in self.rows["killed"] if "edge" in row
         }
         self._session_left_at = {row["session"]: row["at"] for row in self.rows["left"]}
-        self._stalls = sorted(self.rows["stall"], key=lambda row: row["at"], reverse=True)
 
     def breaches(self) -> list[str]:
         """The breaches of all rules."""
@@ -158,14 +159,11 @@
     def _outcome_of(self, attempt: Attempt) -> Row | None:
         return self.outcomes.get((attempt.row["op"], attempt.row["execution"], attempt.node))
 
-    def _earliest_send(self, attempt: Attempt) -> float:
-        """The earliest time, but for the network's delay, at which an attempt can have been sent.
-
-        This is its arrival, or the begin of the stalls during which it may have waited in a socket.
-        """
-        earliest = attempt.at
+    def _earliest_send(self, execution: Row) -> float:
+        # The arrival of an attempt, or the begin of the stalls during which it may have waited in a socket.
+        earliest = execution["at"]
         for stall in self._stalls:
-            delays_it = stall["node"] in (attempt.node, EVERY_NODE)
+            delays_it = stall["node"] in (execution["node"], EVERY_NODE)
             if delays_it and stall["since"] <= earliest <= stall["at"] + BACKLOG_TIME:
                 earliest = stall["since"]
         return earliest
@@ -209,9 +207,8 @@
         answered_at = {f"{row['session']}.{row['number']}": row["at"] for row in self.rows["answer"]}
         for attempt in self.attempts:
             at = answered_at.get(attempt.request)
-            sent_at = self._earliest_send(attempt)
-            if at is not None and sent_at > at + self.max_delay:
-                rule.breach(f"{attempt.description}: sent {sent_at - at:.4f} s after the answer")
+            if at is not None and attempt.sent_at > at + self.max_delay:
+                rule.breach(f"{attempt.description}: sent {attempt.sent_at - at:.4f} s after the answer")
 
     # No effect twice.
 
@@ -271,12 +268,12 @@
                 told[row["edge"], row["start"], node].append((row["at"], state))
         grace = self.deployment.drain_grace + self.max_delay
         for attempt in self.attempts:
-            sent_at = self._earliest_send(attempt)
-            since = _not_ready_since(told.get((attempt.edge, attempt.start, attempt.node), ()), sent_at)
+            listings = told.get((attempt.edge, attempt.start, attempt.node), ())
+            since = _not_ready_since(listings, attempt.sent_at)
             if since is None:
                 continue
             rule.checked += 1
-            elapsed = sent_at - since
+            elapsed = attempt.sent_at - since
             rule.record_ratio(elapsed / grace)
             if elapsed > grace:
                 rule.breach(f"{attempt.description}: listed as draining or removed {elapsed:.3f} s before")
--- a/rushmux/standins/discovery_crowd.py
+++ b/rushmux/standins/discovery_crowd.py
@@ -14,12 +14,15 @@
 from rushmux.gateway.discovery_timing import LOCAL_AGENT, SHARED_SERVICE, DiscoveryTiming
 from rushmux.gateway.endpoints import DiscoveredEndpoint, SocketAddress
 from rushmux.standins.platform import FakeDiscovery
+from rushmux.standins.platform.discovery import endpoint_row
 
 TOLD_WITHIN = 6.0
 """Seconds after which a change counts as told."""
 SETTLE_TIME = 10.0
 """Seconds of calls before the first change."""
 CHANGES = 3
+NODE_PORT = 6379
+"""Port of the listed node, to which nothing connects."""
 
 
 class CrowdResult(NamedTuple):
@@ -61,7 +64,7 @@
     await asyncio.sleep(SETTLE_TIME)
     shares = []
     for version in range(1, changes + 1):
-        source.update(_row(version))
+        source.update(endpoint_row("s0", NODE_PORT, cell=version))
         await asyncio.sleep(TOLD_WITHIN)
         shares.append(sum(known >= version for known in versions) / gateways)
     calls_per_second = len(source.requests) / gateways / (loop.time() - begun_at)
@@ -72,18 +75,6 @@
     return CrowdResult(tuple(shares), calls_per_second)
 
 
-def _row(version: int) -> dict:
-    return {
-        "id": "s0",
-        "addr": "127.0.0.1:6379",
-        "zone": "a",
-        "cell": version,
-        "state": "up",
-        "weight": 1.0,
-        "started_ms": 0,
-    }
-
-
 def main() -> None:
     """Prints the results of a shared service's timing and of a local agent's."""
     gateways, capacity = int(sys.argv[1]), float(sys.argv[2])
--- a/rushmux/standins/platform/discovery.py
+++ b/rushmux/standins/platform/discovery.py
@@ -14,6 +14,20 @@
 MS_PER_SECOND = 1000
 
 
+def endpoint_row(name: str, port: int, cell: int = 0, state: str = "up", started_ms: int = 0) -> dict:
+    """Returns the row of a node on loopback in discovery's list."""
+    return {
+        "id": name,
+        "addr": f"127.0.0.1:{port}",
+        "zone": "a",
+        "kind": "m",
+        "cell": cell,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": started_ms,
+    }
+
+
 class FakeDiscovery:
     """Discovery on loopback.
 
--- a/rushmux/standins/platform/node.py
+++ b/rushmux/standins/platform/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from rushmux.resp import CommandReader
+from rushmux.standins.platform.discovery import endpoint_row
 from rushmux.standins.platform.messages import success_reply
 
 HANG_TIME = 60
@@ -91,16 +92,7 @@
 
     def row(self, name: str, cell: int, state: str = "up", started_ms: int = 0) -> dict:
         """Returns the node's row in discovery's list."""
-        return {
-            "id": name,
-            "addr": f"127.0.0.1:{self.port}",
-            "zone": "a",
-            "kind": "m",
-            "cell": cell,
-            "state": state,
-            "weight": 1.0,
-            "started_ms": started_ms,
-        }
+        return endpoint_row(name, self.port, cell, state, started_ms)
 
     def close(self) -> None:
         """Stops listening and aborts all connections."""
