--- /dev/null
+++ b/review/common-2/trial.py
@@ -0,0 +1,158 @@
+"""Runs one case: a small fleet of the project's own processes on loopback, and a record of what passes.
+
+A case calls `main` with a coroutine function that gets a `Trial` and returns whether the rule held.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+
+from rushmux.cli.local_fleet import write_deployment
+from rushmux.cli.parameters import EXAMPLE
+from rushmux.sftp import packets as sftp
+from rushmux.sftp.fields import ENCODERS
+from rushmux.standins.client import Client
+from rushmux.standins.processes import ProcessFleet
+
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+"""Exit codes."""
+TIME_LIMIT = 110.0
+"""Seconds for a whole case."""
+LIST_LAG = 0.5
+"""Seconds until a list source announces a change."""
+UNIT_TIME = 0.001
+"""Core seconds of a node for one unit of work."""
+SEED_BITS = 40
+FSYNC = "fsync@openssh.com"
+BARRIER = "barrier@rushmux"
+
+
+class Trial:
+    """One run of a case.
+
+    Attributes:
+        has_trouble: Whether the disruption takes place.
+        folder: A temporary folder.
+        fleet: The processes, after `start`.
+    """
+
+    def __init__(self, folder: Path, record_file: Path):
+        self.has_trouble = os.environ.get("TROUBLE") != "0"
+        self.folder = folder
+        self.fleet: ProcessFleet | None = None
+        self._started_at = time.monotonic()
+        self._sink = record_file.open("w")
+        self.note("run", trouble=self.has_trouble)
+
+    def now(self) -> float:
+        """Returns seconds since the start of the case."""
+        return time.monotonic() - self._started_at
+
+    def since_start(self, at: float) -> float:
+        """Converts a time of the monotonic clock, which all processes share, to one of this case."""
+        return at - self._started_at
+
+    def note(self, kind: str, **fields) -> None:
+        """Adds a line to the record."""
+        words = " ".join(f"{name}={value}" for name, value in fields.items())
+        self._sink.write(f"{self.now():9.4f} {kind} {words}\n")
+        self._sink.flush()
+
+    async def start(
+        self, *, nodes: int, edges: int, change: Callable[[dict], None] = lambda raw: None
+    ) -> ProcessFleet:
+        """Starts planner, nodes and edges; `change` adapts the example's deployment file."""
+        raw = json.loads(Path(EXAMPLE).read_text())
+        change(raw)
+        template = self.folder / "template.json"
+        template.write_text(json.dumps(raw))
+        path, deployment = write_deployment(template, edges, self.folder, UNIT_TIME)
+        seed = random.SystemRandom().getrandbits(SEED_BITS)
+        self.fleet = ProcessFleet(
+            path, deployment, self.folder, seed, lag=LIST_LAG, records=True, unit=UNIT_TIME, planner=True
+        )
+        await self.fleet.start(nodes, edges)
+        self.note("fleet", nodes=nodes, edges=edges)
+        return self.fleet
+
+    async def client(self, edge: int) -> Client:
+        """Opens a session with an edge, whose requests and answers are recorded."""
+        client = await self.fleet.client(edge)
+        client.record = self.note
+        return client
+
+    def parts(self) -> list:
+        """Returns the processes of the fleet."""
+        if self.fleet is None:
+            return []
+        parts = [*self.fleet.edges.values(), *self.fleet.nodes.values(), self.fleet.endpoint_source]
+        return [part for part in parts if part is not None]
+
+    def signal(self, part, number: signal.Signals) -> None:
+        """Sends a signal to a process of the fleet."""
+        self.note("signal", process=part.name, signal=number.name)
+        part.process.send_signal(number)
+
+    async def end(self) -> None:
+        """Ends all processes; what they logged stays in the record's last lines."""
+        for part in self.parts():
+            if part.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    part.process.kill()
+                await part.process.wait()
+        if self.fleet is not None:
+            for log in sorted((self.folder / "logs").glob("*edge*.jsonl")):
+                for line in log.read_text(errors="replace").splitlines():
+                    self._sink.write(f"log {log.stem}: {line}\n")
+        self._sink.close()
+
+
+def handle_field(handle: bytes) -> bytes:
+    """Returns the data of an extended request about a handle."""
+    return ENCODERS["raw"](handle)
+
+
+def path_field(path: str) -> bytes:
+    """Returns the data of an extended request about a path."""
+    return ENCODERS["text"](path)
+
+
+async def barrier(client: Client, folder: str) -> None:
+    """Sets a barrier over a folder and waits for its success."""
+    await client.ask(sftp.Extended, BARRIER, path_field(f"/{folder}"))
+
+
+async def fsync(client: Client, handle: bytes) -> None:
+    """Flushes a file and waits for its success."""
+    await client.ask(sftp.Extended, FSYNC, handle_field(handle))
+
+
+async def _run(case: Callable[[Trial], Coroutine], record_file: Path) -> int:
+    with tempfile.TemporaryDirectory(prefix="case-") as folder:
+        trial = Trial(Path(folder), record_file)
+        try:
+            async with asyncio.timeout(TIME_LIMIT):
+                held = await case(trial)
+            trial.note("verdict", held=held)
+        except Exception as error:  # the case could not run to its end
+            trial.note("not_run", error=repr(error))
+            return NOT_RUN
+        finally:
+            await trial.end()
+    return HELD if held else BROKEN
+
+
+def main(case: Callable[[Trial], Coroutine]) -> None:
+    """Runs a case, prints its verdict and exits: 0 if the rule held, 1 if not, 2 if it could not run."""
+    record_file = Path(sys.argv[0]).resolve().with_name("record.txt")
+    code = asyncio.run(_run(case, record_file))
+    print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[code])
+    sys.exit(code)
