Show an edge that sends to draining nodes after a restart

Cause: EndpointTable._is_plausible refuses a whole list without a ready node while the edge knows a ready one, which a restarted edge takes from its stored list.

--- a/review/common-2/trial.py
+++ b/review/common-2/trial.py
@@ -17,10 +17,11 @@
 
 from rushmux.cli.local_fleet import write_deployment
 from rushmux.cli.parameters import EXAMPLE
+from rushmux.nodewire import FrameReader
 from rushmux.sftp import packets as sftp
 from rushmux.sftp.fields import ENCODERS
 from rushmux.standins.client import Client
-from rushmux.standins.processes import ProcessFleet
+from rushmux.standins.processes import HOST, ProcessFleet
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit codes."""
@@ -33,6 +34,97 @@
 SEED_BITS = 40
 FSYNC = "fsync@openssh.com"
 BARRIER = "barrier@rushmux"
+READ_SIZE = 1 << 16
+
+
+class ListTap:
+    """Passes the connections of edges on to the planner, and notes the endpoint lists that it writes to them.
+
+    Attributes:
+        port: Where the edges connect.
+        on_listing: Called with each list, once it is written.
+    """
+
+    def __init__(self, planner_port: int, on_listing: Callable):
+        self.planner_port, self.on_listing = planner_port, on_listing
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            planner_reader, planner_writer = await asyncio.open_connection(HOST, self.planner_port)
+            copies = (
+                self._copy(reader, planner_writer, lambda data: None),
+                self._copy(planner_reader, writer, self._observer()),
+            )
+            await asyncio.gather(*copies, return_exceptions=True)
+
+    def _observer(self) -> Callable[[bytes], None]:
+        frames = FrameReader()
+
+        def observe(data: bytes) -> None:
+            for message in frames.feed(data):
+                if message.WhichOneof("body") == "listing":
+                    self.on_listing(message.listing)
+
+        return observe
+
+    @staticmethod
+    async def _copy(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, observe: Callable[[bytes], None]
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_SIZE):
+                writer.write(data)
+                await writer.drain()
+                observe(data)
+        writer.close()
+
+
+class TappedFleet(ProcessFleet):
+    """A fleet whose edges reach the planner through a `ListTap`.
+
+    Attributes:
+        list_tap: The tap, set before the first edge starts.
+    """
+
+    list_tap: ListTap | None = None
+
+    async def start_edge(self, number: int, port: int = 0):
+        """Starts an edge; `port` is its former port for a restart."""
+        part = await self.start_process(
+            f"edge{number}",
+            "edge",
+            "--listen",
+            f"{HOST}:{port}",
+            "--deployment",
+            self.file,
+            "--number",
+            number,
+            "--lists",
+            f"{HOST}:{self.list_tap.port}",
+            "--data",
+            self.folder / "data" / f"edge{number}",
+        )
+        self.edges[number] = part
+        return part
+
+    async def start_single_planner(self, port: int = 0) -> None:
+        """Starts or restarts the planner, and the tap at the first time."""
+        await super().start_single_planner(port)
+        if self.list_tap is None:
+            self.list_tap = ListTap(self.endpoint_source.port, self._on_listing)
+            await self.list_tap.open()
+
+    def _on_listing(self, listing) -> None:
+        self.record(
+            "listed", whole=listing.whole, nodes={each.node: each.condition for each in listing.entries}
+        )
 
 
 class Trial:
@@ -47,7 +139,7 @@
     def __init__(self, folder: Path, record_file: Path):
         self.has_trouble = os.environ.get("TROUBLE") != "0"
         self.folder = folder
-        self.fleet: ProcessFleet | None = None
+        self.fleet: TappedFleet | None = None
         self._started_at = time.monotonic()
         self._sink = record_file.open("w")
         self.note("run", trouble=self.has_trouble)
@@ -68,7 +160,7 @@
 
     async def start(
         self, *, nodes: int, edges: int, change: Callable[[dict], None] = lambda raw: None
-    ) -> ProcessFleet:
+    ) -> TappedFleet:
         """Starts planner, nodes and edges; `change` adapts the example's deployment file."""
         raw = json.loads(Path(EXAMPLE).read_text())
         change(raw)
@@ -76,7 +168,7 @@
         template.write_text(json.dumps(raw))
         path, deployment = write_deployment(template, edges, self.folder, UNIT_TIME)
         seed = random.SystemRandom().getrandbits(SEED_BITS)
-        self.fleet = ProcessFleet(
+        self.fleet = TappedFleet(
             path, deployment, self.folder, seed, lag=LIST_LAG, records=True, unit=UNIT_TIME, planner=True
         )
         await self.fleet.start(nodes, edges)
