--- a/review/common-2/trial.py
+++ b/review/common-2/trial.py
@@ -159,17 +159,22 @@
         self._sink.flush()
 
     async def start(
-        self, *, nodes: int, edges: int, change: Callable[[dict], None] = lambda raw: None
+        self,
+        *,
+        nodes: int,
+        edges: int,
+        change: Callable[[dict], None] = lambda raw: None,
+        unit_time: float = UNIT_TIME,
     ) -> TappedFleet:
         """Starts planner, nodes and edges; `change` adapts the example's deployment file."""
         raw = json.loads(Path(EXAMPLE).read_text())
         change(raw)
         template = self.folder / "template.json"
         template.write_text(json.dumps(raw))
-        path, deployment = write_deployment(template, edges, self.folder, UNIT_TIME)
+        path, deployment = write_deployment(template, edges, self.folder, unit_time)
         seed = random.SystemRandom().getrandbits(SEED_BITS)
         self.fleet = TappedFleet(
-            path, deployment, self.folder, seed, lag=LIST_LAG, records=True, unit=UNIT_TIME, planner=True
+            path, deployment, self.folder, seed, lag=LIST_LAG, records=True, unit=unit_time, planner=True
         )
         await self.fleet.start(nodes, edges)
         self.note("fleet", nodes=nodes, edges=edges)
