--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,66 +1,84 @@
-"""A client sends many requests at once and leaves: nothing more may be sent to nodes for it.
+"""An edge that comes back while all nodes drain: nothing new may go to them.
 
-The client asks for pieces of a file, a thousand requests in a row, and closes its connection.
+An operator drains the nodes one by one while an edge is down for a moment.  The edge starts again, gets the
+planner's list, and its clients ask for files.
 """
 
 import asyncio
+import signal
+import sys
 
 from trial import Trial, main
 
 from rushmux.sftp import packets as sftp
-from rushmux.standins.client import Client
+from rushmux.standins.client import StatusError
 
-PATH = "/heredia/scan"
-CHUNK = 512
-CHUNKS = 8
-REQUESTS = 1000
-GRACE = 0.1
-"""Seconds from a client's close after which no attempt may begin for it."""
-UNIT_TIME = 0.005
-"""Core seconds of a node for one unit of work."""
-WATCH_TIME = 8.0
-"""Seconds for which the nodes are watched after the close."""
+NODES = 2
+FOLDERS = ("estrella", "frutas", "golfo", "heredia", "limon")
+GRACE = 2.0
+"""Seconds after which a gateway that was told of a drain sends nothing new: the longest of all pages."""
+ASK_FOR = 6.0
+"""Seconds for which the clients ask."""
+ASK_PAUSE = 0.03
 
 
-def send_at_once(client: Client, handle: bytes) -> list[asyncio.Future]:
-    """Sends all requests in one write; returns the futures of their answers."""
-    packets = []
-    for number in range(REQUESTS):
-        client.request_count += 1
-        client.pending[client.request_count] = client.loop.create_future()
-        packets.append(sftp.Read(client.request_count, handle, number % CHUNKS * CHUNK, CHUNK))
-    client.writer.write(b"".join(map(sftp.encode, packets)))
-    client.record("sent", session=client.name, requests=len(packets))
-    return [client.pending[packet.request_id] for packet in packets]
+async def ask(trial: Trial, until: float) -> None:
+    """Asks for the attributes of files, again and again."""
+    client, number = await trial.client(0), 0
+    while trial.now() < until:
+        folder = FOLDERS[number % len(FOLDERS)]
+        number += 1
+        try:
+            await client.ask(sftp.Stat, f"/{folder}/invoice")
+        except StatusError as error:
+            trial.note("answered", folder=folder, text=str(error))
+        await asyncio.sleep(ASK_PAUSE)
+
+
+async def drain(planner_port: int, node: str) -> None:
+    """Gives the operators' command to drain a node."""
+    words = "-m", "rushmux", "fleet", "drain", "--planner", f"127.0.0.1:{planner_port}", node
+    process = await asyncio.create_subprocess_exec(sys.executable, *words)
+    if await process.wait():
+        raise RuntimeError(f"the drain of {node} was refused")
+
+
+async def told(trial: Trial) -> float:
+    """Returns when an edge had been written, last, that every node drains."""
+    while True:
+        states, at = {}, 0.0
+        for row in trial.fleet.rows:
+            if row["kind"] == "listed":
+                states = row["nodes"] if row["whole"] else states | row["nodes"]
+                at = row["at"]
+        if len(states) == NODES and set(states.values()) == {"draining"}:
+            return trial.since_start(at)
+        await asyncio.sleep(ASK_PAUSE)
 
 
 async def case(trial: Trial) -> bool:
-    """Returns whether no attempt began for the client later than the grace after its close."""
-    fleet = await trial.start(nodes=4, edges=2, unit_time=UNIT_TIME)
-    client = await trial.client(0)
-    await client.put(PATH, bytes(CHUNK * CHUNKS))
-    handle = await client.open(PATH, sftp.READ)
-    asked = send_at_once(client, handle)
+    """Returns whether the nodes got nothing new from the edge later than the grace after it was told."""
+    fleet = await trial.start(nodes=NODES, edges=1)
+    await ask(trial, trial.now() + 1.0)
+    edge = fleet.edges[0]
+    if trial.has_trouble:
+        trial.signal(edge, signal.SIGKILL)
+        await edge.process.wait()
+    for node in fleet.nodes.values():
+        trial.note("drain", node=node.name)
+        await drain(fleet.endpoint_source.port, node.name)
     if trial.has_trouble:
-        await asyncio.sleep(GRACE)
-    else:
-        await asyncio.wait(asked)
-    session = client.name.rsplit("/", 1)[1]
-    client.writer.close()
-    closed_at = asyncio.get_running_loop().time()
-    trial.note("closed", answered=sum(each.done() for each in asked))
-    await asyncio.sleep(WATCH_TIME)
-    for each in asked:
-        each.cancel()
+        await fleet.start_edge(0, edge.port)
+    told_at = await told(trial)
+    trial.note("told", at=f"{told_at:.4f}")
+    await ask(trial, told_at + GRACE + ASK_FOR)
     late = 0
     for row in fleet.all_records():
-        is_own = row["kind"] == "execution" and f"/{session}." in row["op"]
-        if is_own and row["at"] > closed_at + GRACE:
+        at = trial.since_start(row["at"])
+        if row["kind"] == "execution" and row["edge"] == "edge0" and at > told_at + GRACE:
             late += 1
-            trial.note(
-                "execution", after_close=f"{row['at'] - closed_at:.4f}", node=row["node"], op=row["op"]
-            )
-    trial.note("counted", attempts_after_close=late)
+            trial.note("execution", at=f"{at:.4f}", node=row["node"], op=row["op"])
+    trial.note("counted", executions_after_grace=late)
     return late == 0
 
 
