--- a/review/common-2/trial.py
+++ b/review/common-2/trial.py
@@ -199,16 +199,23 @@
         part.process.send_signal(number)
 
     async def end(self) -> None:
-        """Ends all processes; what they logged stays in the record's last lines."""
+        """Ends all processes, and copies what the edges logged into the record."""
         for part in self.parts():
             if part.process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
                     part.process.kill()
                 await part.process.wait()
-        if self.fleet is not None:
-            for log in sorted((self.folder / "logs").glob("*edge*.jsonl")):
-                for line in log.read_text(errors="replace").splitlines():
-                    self._sink.write(f"log {log.stem}: {line}\n")
+        for log in sorted((self.folder / "logs").glob("*edge*.jsonl")):
+            for line in log.read_text(errors="replace").splitlines():
+                self._sink.write(f"log {log.stem}: {self._without_paths(line)}\n")
+
+    def _without_paths(self, line: str) -> str:
+        for path in (self.folder, Path(sys.prefix).parent, Path(sys.base_prefix)):
+            line = line.replace(f"{path}/", "")
+        return line
+
+    def close(self) -> None:
+        """Ends the record."""
         self._sink.close()
 
 
@@ -233,18 +240,23 @@
 
 
 async def _run(case: Callable[[Trial], Coroutine], record_file: Path) -> int:
+    held = None
+    loop, this_task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, this_task.cancel)
     with tempfile.TemporaryDirectory(prefix="case-") as folder:
         trial = Trial(Path(folder), record_file)
         try:
             async with asyncio.timeout(TIME_LIMIT):
                 held = await case(trial)
-            trial.note("verdict", held=held)
-        except Exception as error:  # the case could not run to its end
+        except (Exception, asyncio.CancelledError) as error:  # the case could not run to its end
             trial.note("not_run", error=repr(error))
-            return NOT_RUN
         finally:
             await trial.end()
-    return HELD if held else BROKEN
+        code = NOT_RUN if held is None else HELD if held else BROKEN
+        trial.note("verdict", exit_code=code)
+        trial.close()
+    return code
 
 
 def main(case: Callable[[Trial], Coroutine]) -> None:
