Read on behind invalid commands while operations are in flight for their client

Cause: after a protocol error the connection is FINISHING, discards 1 MiB and reads no more, so the end of the stream stays behind a full receive window, where the system reports ESTABLISHED and no error. The watch of paused clients read on in the state OPEN alone.

Change: until the last reply is sent a paused client is read on in either state, 8 MiB every 10 ms at most; the 1 MiB counts from the start of the lingering close, where no operation is left. It holds because the end of the stream is all that tells a close behind a full window, and discarding takes no memory.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -24,14 +24,14 @@
 MAX_UNREAD_REPLY_BYTES = 1 << 19
 """Bytes of unread replies of a connection above which its commands wait."""
 MAX_DISCARDED_BYTES = 1 << 20
-"""Bytes of discarded input of a connection after which reading stops."""
+"""Bytes of input discarded during a lingering close after which reading stops."""
 MAX_READ_AHEAD = 1 << 17
 """Bytes of unprocessed commands read from a connection.
 
 Reading ahead detects the close of a client that sent hundreds of commands at once and left.
 """
-SHED_ALLOWANCE = 1 << 23
-"""Bytes of further commands read at a time from a connection with too many unanswered ones.
+FURTHER_INPUT_ALLOWANCE = 1 << 23
+"""Bytes read at a time to find the end of the stream of a client whose operations are in flight.
 
 When they are used up, reading pauses and the next follow after a while.
 """
@@ -77,8 +77,8 @@
         ends_after_reply: Whether the command being dispatched is the last one accepted.
         has_shutdown_check: Whether `_close_if_quiet` is scheduled.
         read_ahead_bytes: Bytes of unprocessed commands.
-        is_shedding: Whether operations get BUSY at once, see `shed_further_commands`.
-        shed_allowance: Bytes that may be read meanwhile.
+        is_shedding: Whether operations get BUSY at once, see `read_further`.
+        further_input_allowance: Bytes that may be read meanwhile, or discarded before the last reply is sent.
         held_reply_bytes: Bytes of complete replies that have not left this process, when last counted.
         unread_reply_bytes: Those of them that were written.
         last_read_at: Event loop time at which the client was last known to read its replies.
@@ -108,7 +108,7 @@
         self.discarded_bytes = 0
         self.read_ahead_bytes = 0
         self.is_shedding = False
-        self.shed_allowance = 0
+        self.further_input_allowance = 0
         self.held_reply_bytes = 0
         self.unread_reply_bytes = 0
         self.last_read_at = self.connected_at
@@ -160,7 +160,7 @@
             self.last_active_at = now
         self.arrival_times.add(nbytes, self._last_arrival(now))
         self.reader.receive_data(self.listener.receive_memory[:nbytes])
-        self.shed_allowance = max(0, self.shed_allowance - nbytes)
+        self.further_input_allowance = max(0, self.further_input_allowance - nbytes)
         self._process_commands()
 
     def _last_arrival(self, now: float) -> float:
@@ -176,9 +176,10 @@
         return info.time_since_data if info is not None and info.is_connected else 0.0
 
     def _discard(self, size: int) -> None:
-        self.discarded_bytes += size
         if self.lingering_close is not None:
+            self.discarded_bytes += size
             self.lingering_close.last_input_at = self.listener.loop.time()
+        self.further_input_allowance = max(0, self.further_input_allowance - size)
         self._update_reading()
 
     def _process_commands(self) -> None:
@@ -230,26 +231,31 @@
 
     def _can_shed(self) -> bool:
         return (
-            self.shed_allowance > 0
+            self.further_input_allowance > 0
             and self.held_reply_bytes < MAX_UNREAD_REPLY_BYTES
             and not self.listener.reply_budget.is_crowded()
         )
 
-    def shed_further_commands(self) -> None:
-        """Reads more commands than may be unanswered, and answers them BUSY, until replies have been sent.
+    def read_further(self) -> None:
+        """Reads on although reading is paused, to find the end of the stream of a client that closed.
 
-        The end of the stream of a client that closed stands behind them. While the receive window is full,
-        the system can't report it.
+        While the receive window is full, the system can't report it. Further operations get BUSY until
+        replies have been sent; input behind an invalid command is discarded.
         """
-        if self.state is ConnectionState.OPEN and not self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if self.state is ConnectionState.OPEN:
             self.is_shedding = True
-            self.shed_allowance = SHED_ALLOWANCE
+            self.further_input_allowance = FURTHER_INPUT_ALLOWANCE
             self._process_commands()
+        elif self.discards_input:
+            self.further_input_allowance = FURTHER_INPUT_ALLOWANCE
+            self._update_reading()
 
     def _end_shedding(self) -> None:
         if self.is_shedding:
             self.is_shedding = False
-            self.shed_allowance = 0
+            self.further_input_allowance = 0
             self._process_more_commands()
 
     def _add_protocol_error(self, text: str) -> None:
@@ -288,8 +294,10 @@
             self.transport.resume_reading()
 
     def _must_pause_reading(self) -> bool:
-        if self.state is not ConnectionState.OPEN:
+        if self.state is ConnectionState.LINGERING:
             return not self.discards_input or self.discarded_bytes > MAX_DISCARDED_BYTES
+        if self.state is ConnectionState.FINISHING:
+            return not self.discards_input or not self.further_input_allowance
         return not self._can_process() and (
             self.read_ahead_bytes >= MAX_READ_AHEAD or self.listener.is_read_ahead_exhausted()
         )
@@ -365,6 +373,7 @@
             self.state = ConnectionState.FINISHING
             self._reject_received_commands()
         self.discards_input = discards_input
+        self.further_input_allowance = FURTHER_INPUT_ALLOWANCE
         self._reset_reader()
 
     def _reset_reader(self) -> None:
@@ -382,6 +391,7 @@
         if self.state is not ConnectionState.LINGERING:
             self.state = ConnectionState.LINGERING
             self.lingering_close = LingeringClose(self)
+            self._update_reading()
 
     def close_when_quiet(self) -> None:
         """During a shutdown, closes the connection once it is quiet with no pending reply.
--- a/rushmux/gateway/paused_clients.py
+++ b/rushmux/gateway/paused_clients.py
@@ -17,7 +17,7 @@
 
 CHECK_INTERVAL = 0.01
 """Seconds between checks: no attempt may start more than 0.1 s after its client's close."""
-SHED_AFTER = 0.01
+READ_FURTHER_AFTER = 0.01
 """Seconds without a reply to a paused client after which its further commands are read and shed.
 
 A reply to a client that has closed its connection brings a reset, also if it leaves earlier ones unread.
@@ -55,10 +55,14 @@
             if has_peer_closed(client.transport):
                 client.abandon_operations()
                 client.transport.abort()
-            elif not client.is_writing_paused and now - client.last_active_at >= SHED_AFTER:
-                client.shed_further_commands()
+            elif not client.is_open or self._is_shedding_due(client, now):
+                client.read_further()
         self._schedule_check()
 
+    @staticmethod
+    def _is_shedding_due(client: ClientConnection, now: float) -> bool:
+        return not client.is_writing_paused and now - client.last_active_at >= READ_FURTHER_AFTER
+
 
 def has_peer_closed(transport: asyncio.Transport) -> bool:
     """Returns whether the system reports that the peer closed or reset the connection.
--- a/tests/gateway/test_clients_gone.py
+++ b/tests/gateway/test_clients_gone.py
@@ -165,6 +165,67 @@
     assert begun > 0 and late == []
 
 
+SERVICE_TIME = 0.08
+FURTHER_BYTES = 8_000_000
+SEND_TIME = 0.05
+
+
+def repeated(data):
+    return data * (FURTHER_BYTES // len(data))
+
+
+FURTHER_INPUT = {
+    "noise": repeated(b"\xff"),
+    "unknown-commands": repeated(encode_command([b"GET", b"name"])),
+    "invalid-reads": repeated(encode_command([b"BLK.READ", b"no id"])),
+    "large-writes": repeated(encode_command(write_command(1, cell=1, data=b"x" * 65_536))),
+}
+
+
+@pytest.mark.parametrize("further_input", FURTHER_INPUT.values(), ids=FURTHER_INPUT)
+def test_no_attempt_begins_for_a_client_that_closed_behind_input_that_is_not_served(
+    with_process, further_input
+):
+    """Guards against reading no further for a client with operations in flight, whatever it sends.
+
+    A client sent 60 reads and 8 MB of noise and closed: after a protocol error the gateway discarded 1 MB and
+    read no more, so that the close stood behind a full receive window, and 39 attempts began up to 0.47 s
+    after it.
+    """
+
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+        arrivals = []
+
+        def serve_and_record(arguments):
+            arrivals.append(loop.time())
+            is_hanging = option_of(arguments, "shard") == str(HANGING_CELL)
+            return ["hang"] if is_hanging else [SERVICE_TIME, success_reply()]
+
+        fleet.node.script = serve_and_record
+        lag_watch = LoopLagWatch()
+        lag_task = asyncio.create_task(lag_watch.run())
+        await fleet.client()  # the gateway listens
+        commands = [
+            read_command(1 + number, cell=min(number, 1), time_left=TIME_LEFT) for number in range(60)
+        ]
+        data = memoryview(b"".join(map(encode_command, commands)) + further_input)
+        with socket.create_connection(("127.0.0.1", fleet.port)) as sock:
+            until = loop.time() + SEND_TIME
+            while loop.time() < until:
+                data = data[send_until_blocked(sock, data) :]
+                await asyncio.sleep(0.001)
+        closed_at = loop.time()
+        await asyncio.sleep(OBSERVED_TIME)
+        lag_task.cancel()
+        latest = closed_at + DISCONNECT_SLACK + TIME_SLACK + lag_watch.longest
+        return len(arrivals), [round(at - closed_at, 3) for at in arrivals if at > latest]
+
+    options = {"sockets": 1_024, "deadline": TIME_LEFT, "objective": TIME_LEFT // 2, "MostHeld": 20_000}
+    begun, late = with_process(scenario, nodes=CELLS, shards=CELLS, memory_mb=128, **options)
+    assert begun > 0 and late == []
+
+
 @pytest.mark.parametrize("commands_of, count", [(writes_of, 300), (reads_of, 9_000)], ids=["writes", "reads"])
 def test_a_client_that_stays_gets_a_reply_to_each_command_and_is_served_afterwards(
     with_fleet, commands_of, count
