Process a connection's commands 64 an iteration of the event loop on every path

Callers saw: while one connection sent small or invalid commands at full speed, other clients' reads from a node that answers in 5 ms took 40 to 62 ms at the median and up to 119 ms.

Cause: commands that were shed, and those behind the third invalid one, were processed in one iteration, as many as a read of 256 KiB holds; and each reply that was sent scheduled the processing again, so that even the bounded path ran several times an iteration. Evidence: counted by iteration, one connection had 192 (PING), 474 and 1,900 (reads), 2,849 (shed PINGs) and 11,410 (rejected) commands dispatched at once; a profile had 5 runs of the processing for each poll.

Change: 64 commands an iteration, whether accepted, shed or rejected, by one callback that is scheduled once; reading pauses meanwhile without being watched as a client that can't be answered. It holds because every path that dispatches commands goes through the two bounded loops.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -21,6 +21,11 @@
 """Unanswered commands of a connection above which its commands wait."""
 RESUME_PENDING_REPLIES = MAX_PENDING_REPLIES // 2
 """Unanswered commands of a connection at which waiting commands are processed again."""
+MAX_COMMANDS_PER_TURN = 64
+"""Commands of a connection processed per iteration of the event loop.
+
+Other connections wait meanwhile, and a request of theirs takes several iterations.
+"""
 MAX_UNREAD_REPLY_BYTES = 1 << 19
 """Bytes of unread replies of a connection above which its commands wait."""
 MAX_DISCARDED_BYTES = 1 << 20
@@ -74,6 +79,7 @@
         has_sent_command: Whether a complete command was received.
         has_requested_operation: Whether a read or write was received.
         has_unprocessed_commands: Whether the buffer may hold complete commands.
+        is_processing_scheduled: Whether more buffered commands are processed in the next iteration.
         ends_after_reply: Whether the command being dispatched is the last one accepted.
         has_shutdown_check: Whether `_close_if_quiet` is scheduled.
         read_ahead_bytes: Bytes of unprocessed commands.
@@ -99,6 +105,7 @@
         self.has_sent_command = False
         self.has_requested_operation = False
         self.has_unprocessed_commands = False
+        self.is_processing_scheduled = False
         self.is_reading_paused = False
         self.is_writing_paused = False
         self.writing_paused_at = 0.0
@@ -161,7 +168,10 @@
         self.arrival_times.add(nbytes, self._last_arrival(now))
         self.reader.receive_data(self.listener.receive_memory[:nbytes])
         self.further_input_allowance = max(0, self.further_input_allowance - nbytes)
-        self._process_commands()
+        if self.is_processing_scheduled:
+            self._update_reading()
+        else:
+            self._process_commands()
 
     def _last_arrival(self, now: float) -> float:
         # The first data of a connection may have waited in the accept queue.
@@ -187,17 +197,7 @@
         error_text = None
         self.has_unprocessed_commands = True
         try:
-            while self.state is ConnectionState.OPEN and self._can_process():
-                arguments = self._next_command()
-                if arguments is None:
-                    self.has_unprocessed_commands = False
-                    break
-                self.has_sent_command = True
-                self.last_active_at = self.listener.loop.time()
-                self._append_reply(self.listener.dispatcher.dispatch(arguments, self))
-                self.command_arrived_at = None
-                if self.ends_after_reply:
-                    self.finish()
+            self._dispatch_commands()
         except ProtocolError as protocol_error:
             error_text = str(protocol_error)
         if error_text is not None:
@@ -210,6 +210,37 @@
         self._update_reading()
         self.flush()
 
+    def _dispatch_commands(self) -> None:
+        for _ in range(MAX_COMMANDS_PER_TURN):
+            if self.state is not ConnectionState.OPEN or not self._can_process():
+                return
+            arguments = self._next_command()
+            if arguments is None:
+                self.has_unprocessed_commands = False
+                return
+            self.has_sent_command = True
+            self.last_active_at = self.listener.loop.time()
+            self._append_reply(self.listener.dispatcher.dispatch(arguments, self))
+            self.command_arrived_at = None
+            if self.ends_after_reply:
+                self.finish()
+        self._schedule_processing()
+
+    def _schedule_processing(self) -> None:
+        if not self.is_processing_scheduled:
+            self.is_processing_scheduled = True
+            self.listener.loop.call_soon(self._process_scheduled)
+
+    def _process_scheduled(self) -> None:
+        self.is_processing_scheduled = False
+        if self.transport.is_closing():
+            return
+        if self.state is ConnectionState.OPEN:
+            self._process_commands()
+        else:
+            self._reject_received_commands()
+            self.flush()
+
     def _next_command(self) -> list[bytes | None] | None:
         unread = self.reader.unread_bytes()
         if self.command_arrived_at is None and unread:
@@ -247,7 +278,7 @@
         if self.state is ConnectionState.OPEN:
             self.is_shedding = True
             self.further_input_allowance = FURTHER_INPUT_ALLOWANCE
-            self._process_commands()
+            self._schedule_processing()
         elif self.discards_input:
             self.further_input_allowance = FURTHER_INPUT_ALLOWANCE
             self._update_reading()
@@ -256,7 +287,7 @@
         if self.is_shedding:
             self.is_shedding = False
             self.further_input_allowance = 0
-            self._process_more_commands()
+            self._schedule_processing()
 
     def _add_protocol_error(self, text: str) -> None:
         self.pending_replies.append(PendingReply(self, encode_error(f"ERR Protocol error: {text}")))
@@ -264,14 +295,17 @@
     def _reject_received_commands(self) -> None:
         # A command that was read is owed a reply, and its client will not send it again.
         try:
-            while (arguments := self.reader.next_command()) is not None:
-                self.pending_replies.append(self.listener.dispatcher.dispatch(arguments, self))
+            for _ in range(MAX_COMMANDS_PER_TURN):
+                arguments = self.reader.next_command()
+                if arguments is None:
+                    break
+                self.pending_replies.append_shed(self.listener.dispatcher.dispatch(arguments, self))
+            else:
+                self._schedule_processing()
+                return
         except ProtocolError as protocol_error:
             self._add_protocol_error(str(protocol_error))
-
-    def _process_more_commands(self) -> None:
-        if self.state is ConnectionState.OPEN and not self.transport.is_closing():
-            self._process_commands()
+        self._reset_reader()
 
     # Flow control.
 
@@ -282,25 +316,25 @@
         read_ahead_bytes = max(0, self.reader.unread_bytes() - self.reader.reserved_bytes)
         self.listener.read_ahead_bytes += read_ahead_bytes - self.read_ahead_bytes
         self.read_ahead_bytes = read_ahead_bytes
-        pause = self._must_pause_reading()
-        if pause == self.is_reading_paused or self.transport.is_closing():
+        if self.transport.is_closing():
             return
-        self.is_reading_paused = pause
-        self.listener.paused_clients.discard(self)
-        if pause:
+        pause = self._must_pause_reading()
+        if pause != self.is_reading_paused:
+            self.is_reading_paused = pause
+            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+        if pause and not self.is_processing_scheduled:
             self.listener.paused_clients.add(self)
-            self.transport.pause_reading()
         else:
-            self.transport.resume_reading()
+            self.listener.paused_clients.discard(self)
 
     def _must_pause_reading(self) -> bool:
         if self.state is ConnectionState.LINGERING:
             return not self.discards_input or self.discarded_bytes > MAX_DISCARDED_BYTES
         if self.state is ConnectionState.FINISHING:
             return not self.discards_input or not self.further_input_allowance
-        return not self._can_process() and (
-            self.read_ahead_bytes >= MAX_READ_AHEAD or self.listener.is_read_ahead_exhausted()
-        )
+        must_wait = self.is_processing_scheduled or not self._can_process()
+        is_full = self.read_ahead_bytes >= MAX_READ_AHEAD or self.listener.is_read_ahead_exhausted()
+        return must_wait and is_full
 
     def pause_writing(self) -> None:
         """Stops processing commands: the client does not read its replies (`asyncio.BufferedProtocol`)."""
@@ -312,7 +346,7 @@
         """Resumes processing: the client has read most of its replies (`asyncio.BufferedProtocol`)."""
         self.is_writing_paused = False
         self._update_reading()
-        self.listener.loop.call_soon(self._process_more_commands)
+        self._schedule_processing()
 
     def has_room_for(self, pending: PendingReply, size: int) -> bool:
         """Returns whether a reply of `size` bytes may be held until the client has received it."""
@@ -344,7 +378,7 @@
             self.transport.write(replies)
             self.last_active_at = self.listener.loop.time()
         if self.state is not ConnectionState.OPEN:
-            if not self.pending_replies:
+            if not self.pending_replies and not self.is_processing_scheduled:
                 self._linger()
         elif self.is_shedding and len(self.pending_replies) <= RESUME_PENDING_REPLIES:
             self.listener.loop.call_later(RESET_TIME, self._end_shedding)
@@ -353,7 +387,7 @@
             and not self.is_writing_paused
             and len(self.pending_replies) <= RESUME_PENDING_REPLIES
         ):
-            self.listener.loop.call_soon(self._process_more_commands)
+            self._schedule_processing()
         elif self.listener.is_shutting_down and not self.pending_replies:
             self.close_when_quiet()
 
@@ -369,12 +403,13 @@
                 instead of a reset. Only after invalid input: a valid command that arrives during the close
                 must stay unread, since the reset makes its client retry it.
         """
-        if self.state is ConnectionState.OPEN:
-            self.state = ConnectionState.FINISHING
-            self._reject_received_commands()
+        if self.state is not ConnectionState.OPEN:
+            return
+        self.state = ConnectionState.FINISHING
         self.discards_input = discards_input
         self.further_input_allowance = FURTHER_INPUT_ALLOWANCE
-        self._reset_reader()
+        self._schedule_processing()
+        self._update_reading()
 
     def _reset_reader(self) -> None:
         self.reader.close()
