Shut down the sending side of a reset connection without an exception

Cause: a lingering close calls shutdown on the socket. A client may have reset the connection after the last write, and shutdown raises ENOTCONN then. Before, this ran in the callback of a read, where asyncio takes an OSError for the connection's end; in a scheduled callback it is an exception of the loop.

Change: the lingering close aborts the connection on OSError. Clients saw nothing of it, since theirs had ended.

--- a/rushmux/gateway/lingering_close.py
+++ b/rushmux/gateway/lingering_close.py
@@ -31,11 +31,18 @@
     def __init__(self, connection: ClientConnection):
         self.connection = connection
         self.loop = connection.listener.loop
-        if connection.transport.can_write_eof():
-            connection.transport.write_eof()
         self.started_at = self.loop.time()
         self.last_input_at = self.started_at
         self._schedule_check()
+        self._shut_down_sending()
+
+    def _shut_down_sending(self) -> None:
+        transport = self.connection.transport
+        try:
+            if transport.can_write_eof():
+                transport.write_eof()
+        except OSError:  # the client has reset the connection
+            transport.abort()
 
     def cancel(self) -> None:
         """Ends the checks: the connection has ended."""
--- a/tests/gateway/test_connection_close.py
+++ b/tests/gateway/test_connection_close.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import socket
+import struct
 import time
 
 import pytest
@@ -48,6 +49,35 @@
     assert kinds == {"-"} and count == (1 if rejected == b"noise\r\n" else 3) and not reset
 
 
+def test_a_client_that_reset_its_connection_before_its_commands_were_rejected_leaves_no_fault(
+    with_fleet, monkeypatch
+):
+    """Guards against an exception in a callback, as the sending side of a reset connection is shut down.
+
+    Drawn run 0 with a crowd logged `Exception in callback ClientConnection._process_scheduled() ... Transport
+    endpoint is not connected` once commands were rejected in a callback of their own.
+    """
+
+    async def scenario(fleet):
+        faults = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+        listener = fleet.server.listener
+        client = socket.create_connection(("127.0.0.1", fleet.port))
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        flush = client_connection.ClientConnection.flush
+
+        def flush_and_reset(connection):
+            flush(connection)
+            client.close()
+
+        monkeypatch.setattr(client_connection.ClientConnection, "flush", flush_and_reset)
+        client.send(encode_command([b"GET", b"name"]) * 3)
+        await wait_until(lambda: listener.stats.ended_connections)
+        return [repr(context.get("exception")) for context in faults]
+
+    assert with_fleet(scenario) == []
+
+
 def test_a_client_that_never_stops_sending_after_its_error_is_aborted(with_fleet):
     async def scenario(fleet):
         client, began = await fleet.client(), time.monotonic()
