Answer operations whose client's close can't be found in time behind more input

Callers saw: a client sent 60 reads and 8 MB of PINGs and closed after 50 ms, and attempts began up to 0.32 s after its close.

Cause: the close is found by reading on, and that takes 4 to 15 us a command; held replies of 512 KiB stop it altogether.

Change: a watched client that has unread input at five checks in a row, 10 ms apart, and got no reply meanwhile has its operations answered, as shed where no attempt was started and as failed where one was. It holds because a reply to a client that has gone brings a reset, whatever lies unread, and an operation that is answered begins no attempt; a client that stays gets every reply. Checks are counted, so a pause of the process withdraws nothing.

test_replies_to_commands_that_are_shed_have_a_bound keeps its bound and its assertion; it switches the withdrawal off, as the bound is not reached with it. A new test has a client that stays.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -73,6 +73,7 @@
             waited to be accepted.
         pending_replies: Replies not sent yet, in the order of the commands.
         last_active_at: Event loop time of the last command or reply, or the start of a partial command.
+        last_reply_at: Event loop time of the last reply.
         command_arrived_at: Event loop time at which the first byte of the next command arrived; None if it is
             not known.
         has_received_data: Whether anything was received.
@@ -98,7 +99,7 @@
         self.state = ConnectionState.OPEN
         self.lingering_close: LingeringClose | None = None
         self.pending_replies = PendingReplies()
-        self.connected_at = self.last_active_at = listener.loop.time()
+        self.connected_at = self.last_active_at = self.last_reply_at = listener.loop.time()
         self.arrival_times = ArrivalTimes()
         self.command_arrived_at: float | None = None
         self.has_received_data = False
@@ -322,7 +323,7 @@
         if pause != self.is_reading_paused:
             self.is_reading_paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
-        if pause and not self.is_processing_scheduled:
+        if (pause and not self.is_processing_scheduled) or self.is_shedding:
             self.listener.paused_clients.add(self)
         else:
             self.listener.paused_clients.discard(self)
@@ -376,7 +377,7 @@
             return
         if replies:
             self.transport.write(replies)
-            self.last_active_at = self.listener.loop.time()
+            self.last_active_at = self.last_reply_at = self.listener.loop.time()
         if self.state is not ConnectionState.OPEN:
             if not self.pending_replies and not self.is_processing_scheduled:
                 self._linger()
@@ -465,6 +466,12 @@
                 self.listener.on_client_gone(pending.op_id)
                 pending.op_id = None
 
+    def withdraw_operations(self) -> None:
+        """Has the operations answered at once; the replies bring a reset if the client has gone."""
+        for pending in list(self.pending_replies):
+            if pending.op_id is not None and pending.reply is None:
+                self.listener.on_withdrawn(pending.op_id)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cleans up after the connection ended (`asyncio.BufferedProtocol`)."""
         if self.state is ConnectionState.OPEN:
--- a/rushmux/gateway/listener.py
+++ b/rushmux/gateway/listener.py
@@ -77,6 +77,7 @@
         *,
         on_request: Callable[[Command, PendingReply], None],
         on_client_gone: Callable[[str], None],
+        on_withdrawn: Callable[[str], None],
     ):
         """Creates a listener that is not open yet.
 
@@ -87,11 +88,14 @@
             memory_limits: Bounds on the bytes that all connections together hold.
             on_request: Called as `on_request(command, pending_reply)` to submit an operation.
             on_client_gone: Called with the id of each operation whose client disconnected.
+            on_withdrawn: Called with the id of each operation that has to be answered at once, since its
+                client may have gone.
         """
         self.loop = loop
         self.max_clients = max_clients
         self.overflow_limit = max(2, int(max_clients * OVERFLOW_RATIO))
         self.on_client_gone = on_client_gone
+        self.on_withdrawn = on_withdrawn
         self.dispatcher = CommandDispatcher(self, config, on_request)
         self.stats = ListenerStats()
         self.clients: dict[ClientConnection, bool] = {}
--- a/rushmux/gateway/node_connection.py
+++ b/rushmux/gateway/node_connection.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 from rushmux.gateway import replies
+from rushmux.gateway.unread_input import has_unread_input
 from rushmux.resp import ProtocolError, Reply, ReplyReader, encode_command
 from rushmux.scheduling.driver import AttemptReply
 from rushmux.scheduling.interface import AttemptResult
@@ -142,9 +142,7 @@
         After the process was suspended, the cooldown may be over although the loop has not polled the socket;
         a late unsolicited reply would then be taken for the next request's.
         """
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_input(self.transport)
 
     def data_received(self, data: bytes) -> None:
         """Reads the reply of the attempt in flight (`asyncio.Protocol`)."""
--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -89,6 +89,7 @@
             memory_limits,
             on_request=self.on_request,
             on_client_gone=self.client_gone,
+            on_withdrawn=self.withdraw,
         )
         self.discovery = DiscoveryWatch(
             loop,
--- a/rushmux/scheduling/driver.py
+++ b/rushmux/scheduling/driver.py
@@ -206,9 +206,24 @@
 
         The scheduler may still start its attempts, so it is kept until the scheduler is notified.
         """
+        self._end_without_scheduler(op_id, lambda operation: FinalAnswer.FAILED)
+
+    def withdraw(self, op_id: str) -> None:
+        """Ends an operation whose client may have gone: as shed if none of its attempts was started.
+
+        No further attempt is started.
+        """
+        self._end_without_scheduler(
+            op_id,
+            lambda operation: FinalAnswer.FAILED if operation.attempts_started else FinalAnswer.SHED,
+        )
+
+    def _end_without_scheduler(
+        self, op_id: str, answer_of: Callable[[InFlightOperation], FinalAnswer]
+    ) -> None:
         operation = self.operations.get(op_id)
         if operation is not None and not operation.ended:
-            self._answer(operation, FinalAnswer.FAILED)
+            self._answer(operation, answer_of(operation))
             self.enqueue(self._deliver_client_gone, op_id)
 
     def _deliver_client_gone(self, now: Ticks, op_id: str) -> None:
--- a/tests/gateway/test_clients_gone.py
+++ b/tests/gateway/test_clients_gone.py
@@ -178,6 +178,7 @@
     "noise": repeated(b"\xff"),
     "unknown-commands": repeated(encode_command([b"GET", b"name"])),
     "invalid-reads": repeated(encode_command([b"BLK.READ", b"no id"])),
+    "pings": repeated(encode_command([b"PING"])),
     "large-writes": repeated(encode_command(write_command(1, cell=1, data=b"x" * 65_536))),
 }
 
@@ -249,6 +250,32 @@
     assert last == ("$", b"data") and held == [0, 0]
 
 
+def test_a_client_that_sends_on_and_stays_has_its_operations_withdrawn_and_gets_every_reply(with_fleet):
+    """Guards against replies that are lost as operations are withdrawn from a client that has not gone."""
+    pings = 100_000
+
+    async def scenario(fleet):
+        fleet.nodes[0].script = lambda arguments: ["hang"]
+        client = await fleet.client()
+        client.writer.write(
+            b"".join(encode_command(read_command(number, time_left=5_000)) for number in range(1, 21))
+            + encode_command([b"PING"]) * pings
+        )
+        replies = [await client.reply() for _ in range(20 + pings)]
+        attempts = fleet.server.scheduler.operations
+        await asyncio.sleep(2 * RESET_TIME)
+        fleet.nodes[0].script = lambda arguments: [success_reply()]
+        return replies, len(attempts), await client.request(*read_command(100))
+
+    options = {"deadline": 5_000, "objective": TIME_LEFT, "MostHeld": 20_000}
+    replies, unfinished, last = with_fleet(scenario, nodes=1, **options)
+    withdrawn = [value for _, value in replies[:20]]
+    assert sorted(set(withdrawn)) == [b"BUSY", b"ERR failed"]
+    assert withdrawn.count(b"ERR failed") == unfinished  # their attempts run on at the node
+    assert set(replies[20:]) == {("+", b"PONG")}
+    assert last == ("$", b"data")
+
+
 def test_replies_to_commands_that_are_shed_have_a_bound(with_fleet):
     pings = encode_command([b"PING"]) * 500_000
 
@@ -257,6 +284,8 @@
         client = await fleet.client()
         client.writer.write(encode_command(read_command(1, time_left=5_000)) + pings)
         [connection] = fleet.server.listener.clients
+        # Otherwise the operation is answered before so many commands are read, and no reply is held back.
+        fleet.server.listener.on_withdrawn = lambda op_id: None
         await wait_until(lambda: connection.held_reply_bytes >= MAX_UNREAD_REPLY_BYTES, within=4.0)
         await asyncio.sleep(0.1)
         return connection.held_reply_bytes, len(connection.pending_replies)
