Bound the number of volumes that a scheduler knows

Callers saw, in a picture that operators of other deployments report: memory grows while one client sends requests under ever new names. Here a client with 60 reads of new volumes in flight took a gateway from 24 to 30 MB in eight seconds.

Cause: the table of volumes was bounded in time (a minute) and not in number. Evidence: 3,840 commands, 1.6 KB each, and the size of the table in the new test, which grows with every name.

Change: 2,048 volumes; one without operations whose limit is full is forgotten for a new one, else the new one's operation is shed. It holds because a new volume's limit would be as full as that of the one forgotten, so no limit is given twice, and a volume in use is never forgotten.

With the constant alone and the old code the three new tests fail (5 volumes where 4 may be; nothing shed; 40 volumes); with the change tests/scheduling and test_server.py: 56 passed.

--- a/rushmux/scheduling/interface.py
+++ b/rushmux/scheduling/interface.py
@@ -77,6 +77,8 @@
     """No node could accept it before its latency objective, or would answer in time."""
     ROUTE_FULL = "route_full"
     """Its route has too many operations in flight."""
+    VOLUMES_FULL = "volumes_full"
+    """Its volume is new, and no other could be forgotten for it."""
     NO_ENDPOINT = "no_endpoint"
     """No listed node can serve it."""
     NO_RETRY = "no_retry"
--- a/rushmux/scheduling/scheduler.py
+++ b/rushmux/scheduling/scheduler.py
@@ -21,6 +21,8 @@
 RETRY_JITTER = 50  # ticks by which deadlines of a retry and its first try may differ
 POLL_RETRY_FRACTION = 0.1  # of the poll interval: minimum pause after a failed poll
 VOLUME_IDLE_TIME = 600_000  # ticks until an idle volume is forgotten, since over hours many come and go
+MAX_VOLUMES = 2_048  # bounds the memory that ever new names take; a volume takes 1.6 KB
+SEARCHED_VOLUMES = 16  # of the oldest, to find one that may be forgotten
 USAGE_EVENT_INTERVAL = 100_000  # ticks between usage events of one volume, so that they do not flood the log
 REPORT_INTERVAL = 20_000  # ticks between load requests to a node: tens of gateways ask, and it rejects excess
 ANSWER_MARGIN = 2  # rounds between an operation's deadline and the client's
@@ -69,8 +71,12 @@
         return node.limit.latencies.median() or self.limit.latencies.median()
 
     def on_operation(self, now, request):
-        """Accepts an operation, or sheds it at once if its route has too many in flight."""
+        """Accepts an operation, or sheds it at once if its route or the volumes are too many."""
         request_class = self.settings.request_classes[request.request_class]
+        if request.volume not in self.volumes and not self._has_room_for_volume(now):
+            self.given_up[GiveUpReason.VOLUMES_FULL] += 1
+            self.actions.shed(request.op_id, 0)
+            return
         volume = self._volume_of(request, now)
         margin = ANSWER_MARGIN * self.settings.round_interval
         deadline_at = now + max(0, request.time_left - margin)
@@ -90,6 +96,15 @@
         self.schedule_check(operation.objective_at, operation)
         self.advance(operation, now)
 
+    def _has_room_for_volume(self, now):
+        # A volume that is not in use may be forgotten early if its limit is full, as a new one's would be.
+        if len(self.volumes) < MAX_VOLUMES:
+            return True
+        forgotten = self.volumes.forget_unused(now, SEARCHED_VOLUMES)
+        if forgotten is not None:
+            self._report_volume(forgotten, VolumeEventKind.FORGOTTEN)
+        return forgotten is not None
+
     def _volume_of(self, request, now):
         volume = self.volumes.get(request.volume)
         if volume is None:
--- a/rushmux/scheduling/state.py
+++ b/rushmux/scheduling/state.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from rushmux.scheduling.interface import (
@@ -69,9 +70,26 @@
     def forget_idle(self, now: Ticks, idle_time: Ticks) -> Volume | None:
         """Deletes and returns the least recently requested volume if it is idle and its limit is full."""
         volume = next(iter(self.values()))
+        return self._forget(volume) if self._is_unused(volume, now, idle_time) else None
+
+    def forget_unused(self, now: Ticks, searched: int) -> Volume | None:
+        """Deletes and returns a volume without operations whose limit is full, if one of the oldest is.
+
+        Args:
+            now: The current time.
+            searched: Number of volumes to look at, least recently requested first.
+        """
+        oldest = islice(self.values(), searched)
+        unused = next((volume for volume in oldest if self._is_unused(volume, now, 0)), None)
+        return None if unused is None else self._forget(unused)
+
+    @staticmethod
+    def _is_unused(volume: Volume, now: Ticks, idle_time: Ticks) -> bool:
         # With unfinished operations it is kept: its next request would create a second limit bucket.
-        if volume.operation_count or max(volume.requested_at + idle_time, volume.limit.full_at()) > now:
-            return None
+        full_at = volume.limit.full_at()
+        return not volume.operation_count and max(volume.requested_at + idle_time, full_at) <= now
+
+    def _forget(self, volume: Volume) -> Volume:
         del self[volume.name]
         return volume
 
--- a/tests/scheduling/test_volume_events.py
+++ b/tests/scheduling/test_volume_events.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rushmux.scheduling import scheduler as scheduling
 from rushmux.scheduling.interface import GiveUpReason, VolumeEventKind
 
 LIMITED = """
@@ -62,3 +63,55 @@
     )
     scenario.play("start\nat 9000\n" + steps + "\nat 12000")
     assert scenario.scheduler.given_up == {reason: 1}
+
+
+MAX_VOLUMES = 4
+NEW_VOLUMES = 40
+
+
+@pytest.fixture
+def few_volumes(monkeypatch):
+    """Sets the bound on volumes to `MAX_VOLUMES`."""
+    monkeypatch.setattr(scheduling, "MAX_VOLUMES", MAX_VOLUMES)
+
+
+def serve(scenario, number, volume, units=1):
+    scenario.play(f"take {number} vol={volume} units={units} mounts=1\nback {number} succeeded use=3")
+
+
+def test_volumes_that_are_not_used_are_forgotten_for_new_ones(scenario, few_volumes):
+    """Guards against a table that grows with every new name.
+
+    A client that asked for ever new volumes, 480 a second, took a gateway from 24 to 30 MB in eight seconds,
+    and each volume was kept for a minute.
+    """
+    scenario.play(LIMITED + "at 10000")
+    for number in range(NEW_VOLUMES):
+        serve(scenario, f"a{number}", f"v{number}")
+        scenario.play(f"at {10_000 + (number + 1) * 2_000}")
+        assert len(scenario.scheduler.volumes) <= MAX_VOLUMES
+    assert not scenario.scheduler.given_up
+
+
+def test_a_new_volume_is_shed_while_the_limits_of_all_known_ones_fill(scenario, few_volumes):
+    """Guards against a forgotten volume that gets the units of its limit again."""
+    scenario.play(LIMITED + "at 10000")
+    for number in range(MAX_VOLUMES):
+        serve(scenario, f"a{number}", f"v{number}", units=8)
+    scenario.play("take b vol=w units=1 mounts=1")
+    assert scenario.scheduler.given_up == {GiveUpReason.VOLUMES_FULL: 1}
+    assert "w" not in scenario.scheduler.volumes and not scenario.scheduler.operations
+    serve(scenario, "c", "v0")  # a known one is served
+    scenario.play("at 20000")  # the limits are full again
+    serve(scenario, "d", "w")
+    assert list(scenario.scheduler.volumes) == ["v2", "v3", "v0", "w"]
+    assert scenario.scheduler.given_up == {GiveUpReason.VOLUMES_FULL: 1}
+
+
+def test_a_volume_with_operations_in_flight_is_not_forgotten(scenario, few_volumes):
+    """Guards against a second limit of a volume beside that of its operations in flight."""
+    scenario.play(LIMITED + "at 10000\ntake a vol=v0 units=1 mounts=1")
+    for number in range(1, NEW_VOLUMES):
+        scenario.play(f"at {10_000 + number * 1_000}")
+        serve(scenario, f"a{number}", f"v{number}")
+    assert "v0" in scenario.scheduler.volumes and len(scenario.scheduler.volumes) == MAX_VOLUMES
