Reject an id that comes again after its operation may have run

Here a client sent an unsafe write, left while the node worked on it, and sent the same command on a new connection after the attempt had ended: the node got it twice.

Cause: the gateway knew an id only while an attempt of its operation was in flight.

It holds because an id enters the table in the same step in which its operation leaves the table of open ones, and what never ran does not enter it, so that a request that crossed the end of its connection may be sent once more.

--- a/rushmux/gateway/server.py
+++ b/rushmux/gateway/server.py
@@ -18,6 +18,7 @@
 from rushmux.gateway.memory_limits import ByteBudget, memory_limits_of
 from rushmux.gateway.node_connection import NodeAttempt
 from rushmux.gateway.pending_replies import PendingReply
+from rushmux.gateway.recent_ids import RecentIds
 from rushmux.resp import encode_bulk
 from rushmux.scheduling.driver import (
     TICKS_PER_SECOND,
@@ -30,6 +31,7 @@
     AttemptResult,
     Endpoint,
     EndpointState,
+    Idempotency,
     OperationRequest,
     Ticks,
     UpdateKind,
@@ -62,6 +64,7 @@
         epoch: Unix time, in seconds, at which the event loop's clock was 0.
         operation_budget: Memory for the operations in flight.
         undelivered_reply_bytes: Memory reserved for values of nodes until the next round.
+        finished_ids: Ids of operations that may have run and may not be repeated.
         known_states: State and start time of each node as last passed to the scheduler.
         is_stopping: Whether new operations get BUSY because the process is about to end.
     """
@@ -75,6 +78,7 @@
         memory_limits = memory_limits_of(config.memory_mb, len(config.known_endpoints), max_clients)
         self.operation_budget = ByteBudget(memory_limits.operations)
         self.undelivered_reply_bytes = 0
+        self.finished_ids = RecentIds()
         self.pool = ConnectionPool(
             loop,
             max_connections=int(shared_sockets * NODE_SOCKET_RATIO),
@@ -147,12 +151,14 @@
     # Clients.
 
     def on_request(self, command: Command, pending: PendingReply) -> None:
-        """Submits a client's operation; raises InvalidCommandError if its id is in use.
+        """Submits a client's operation; raises InvalidCommandError if its id is or was in use.
 
         Its client waits since the command arrived, which may be long ago in a pipeline.
         """
         if command.op_id in self.operations:
             raise InvalidCommandError("the id is that of an open request", command.op_id)
+        if command.op_id in self.finished_ids:
+            raise InvalidCommandError("the id is that of an earlier request that may have run", command.op_id)
         client_deadline = pending.arrived_at + command.time_left
         is_over = client_deadline <= self.loop.time()
         if is_over or self.is_stopping or not self._has_room_for(command, pending):
@@ -181,8 +187,12 @@
         return self.operation_budget.reserve(command.held_bytes(), is_pipelined=is_pipelined)
 
     def on_operation_finished(self, operation: InFlightOperation) -> None:
-        """Releases the operation's memory (`OperationDriver`)."""
+        """Releases the operation's memory, and remembers its id (`OperationDriver`)."""
         self.operation_budget.release(operation.payload.held_bytes())
+        request = operation.request
+        idempotency = self.settings.request_classes[request.request_class].idempotency
+        if operation.may_have_run and idempotency is not Idempotency.IDEMPOTENT:
+            self.finished_ids.add(request.op_id)
 
     @staticmethod
     def _on_answer(pending: PendingReply, answer: FinalAnswer, value: Any, retry_after: Ticks) -> None:
--- a/rushmux/scheduling/driver.py
+++ b/rushmux/scheduling/driver.py
@@ -89,7 +89,8 @@
     attempts_started: int = 0
     attempts: dict[int, Attempt] = field(default_factory=dict)
     may_have_run_at: Ticks | None = None
-    """When the first attempt that may have run was decided."""
+    """When the first unsuccessful attempt that may have run was decided."""
+    may_have_run: bool = False
 
 
 class OperationDriver:
@@ -278,6 +279,7 @@
             return  # it has timed out before
         attempt = operation.attempts.pop(number)
         result = self._close_attempt(attempt, reply.result)
+        operation.may_have_run |= result not in NEVER_RAN
         if result not in NEVER_RAN and result is not AttemptResult.SUCCEEDED:
             earlier_at = operation.may_have_run_at
             decided_at = attempt.decided_at
--- a/rushmux/standins/gateway_soak.py
+++ b/rushmux/standins/gateway_soak.py
@@ -8,7 +8,6 @@
 import contextlib
 import os
 import random
-import re
 import signal
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -155,9 +154,9 @@
             deadline=round(settings.deadline * 1000),
             objective=round(settings.deadline * 400),
             dedup_window=round(settings.dedup_window * 1000),
+            write_idempotency=settings.write_idempotency,
             ConnIdle=round(NODE_IDLE_TIMEOUT * 1e9),
         )
-        raw["settings"]["Classes"][1]["Idempotency"] = settings.write_idempotency
         self._gateway.write_configuration(raw)
 
     def _close_stand_ins(self) -> None:
@@ -345,10 +344,8 @@
         time_left = round(self.settings.deadline * 1000)
         if not is_write:
             return read_command(number, cell=cell, time_left=time_left)
-        arguments = write_command(number, cell=cell, time_left=time_left)
-        if self.settings.write_idempotency != "keyed":  # classes that are not keyed reject a key
-            arguments[3] = re.sub(rb",k=[0-9a-f]+", b"", arguments[3])
-        return arguments
+        is_keyed = self.settings.write_idempotency == "keyed"
+        return write_command(number, cell=cell, time_left=time_left, is_keyed=is_keyed)
 
     async def _read_replies(self, connection: FakeClient, requests: list[Request]) -> bool:
         """Reads the replies in order; False if the connection ended or a reply is overdue."""
--- a/rushmux/standins/platform/configuration.py
+++ b/rushmux/standins/platform/configuration.py
@@ -9,6 +9,7 @@
     deadline: int = 1_000,
     objective: int = 400,
     dedup_window: int | None = None,
+    write_idempotency: str = "keyed",
     gateways: int = 3,
     shards: int = 4,
     asks_discovery: bool = False,
@@ -20,7 +21,8 @@
         plan: Overrides values of the plan.
         deadline: Of both request classes, in milliseconds.
         objective: Latency objective of both request classes, in milliseconds.
-        dedup_window: Of the keyed class, in milliseconds.
+        dedup_window: Of the class of writes, in milliseconds.
+        write_idempotency: Of the class of writes: "safe", "keyed" or "unsafe".
         gateways: Number of gateways that share a volume.
         shards: Number of cells.
         asks_discovery: Whether changes of the endpoint list have to be asked for.
@@ -40,7 +42,7 @@
                 "Aim": objective * NS_PER_MS,
                 "Deadline": deadline * NS_PER_MS,
                 "Worth": 2,
-                "Idempotency": "keyed",
+                "Idempotency": write_idempotency,
                 "Group": "cell",
                 "Window": (dedup_window or max(3_000, deadline)) * NS_PER_MS,
             },
--- a/rushmux/standins/platform/messages.py
+++ b/rushmux/standins/platform/messages.py
@@ -35,9 +35,15 @@
     return [b"BLK.READ", b"%016x" % (number + BLOCK_NUMBER_OFFSET), b"%016x" % number, options.encode()]
 
 
-def write_command(number: int, *, cell: int = 0, time_left: int = 900, data: bytes = b"body") -> list[bytes]:
-    """Returns the arguments of a write; `time_left` in milliseconds."""
-    options = f"c=write,t=base,d={time_left},k={number:016x},volume={1:016x},units=1,shard={cell},hosts=1"
+def write_command(
+    number: int, *, cell: int = 0, time_left: int = 900, data: bytes = b"body", is_keyed: bool = True
+) -> list[bytes]:
+    """Returns the arguments of a write; `time_left` in milliseconds.
+
+    A class rejects a key unless it is keyed.
+    """
+    key = f",k={number:016x}" if is_keyed else ""
+    options = f"c=write,t=base,d={time_left}{key},volume={1:016x},units=1,shard={cell},hosts=1"
     return [
         b"BLK.WRITE",
         b"%016x" % (number + BLOCK_NUMBER_OFFSET),
