Let requests of a session wait for an event that no waiter can cancel

Cause: Session._execute awaited the future of the earlier request itself, and the time limit of the later one cancelled it; both limits end in one turn of the event loop, and RequestOrder.complete raised InvalidStateError before the reply.

Change: an asyncio.Event a request. It holds because a waiter's cancellation ends its own wait only, and setting an event cannot raise.

--- a/rushmux/edge/request_ordering.py
+++ b/rushmux/edge/request_ordering.py
@@ -36,17 +36,20 @@
 
 
 class QueuedRequest(NamedTuple):
-    """A pending request; `done` is set when it is answered."""
+    """A pending request; `done` is set when it is answered.
+
+    Any number of later requests wait for the event, and none of them can cancel it, as it could a future.
+    """
 
     access: Access
-    done: asyncio.Future
+    done: asyncio.Event
 
 
 class Admission(NamedTuple):
     """A request's number in its session, and what it must wait for."""
 
     number: int
-    predecessors: list[asyncio.Future]
+    predecessors: list[asyncio.Event]
 
 
 def is_same_or_above(one: tuple[str, ...], other: tuple[str, ...]) -> bool:
@@ -83,10 +86,9 @@
             request.done for request in self.requests.values() if conflict(access, request.access)
         ]
         self.request_count += 1
-        done = asyncio.get_running_loop().create_future()
-        self.requests[self.request_count] = QueuedRequest(access, done)
+        self.requests[self.request_count] = QueuedRequest(access, asyncio.Event())
         return Admission(self.request_count, predecessors)
 
     def complete(self, number: int) -> None:
         """Marks a request as answered, which releases those waiting for it."""
-        self.requests.pop(number).done.set_result(None)
+        self.requests.pop(number).done.set()
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -199,7 +199,7 @@
 
         async with asyncio.timeout_at(deadline):
             for predecessor in request.admission.predecessors:
-                await predecessor
+                await predecessor.wait()
             await self._wait_for_recovery(request.access, deadline)
             handler = self.handlers.handler_for(request.packet)
             # Stock clients send hundreds of reads ahead.  Started all at once, most would miss their latency
--- a/tests/buffer/test_node_faults.py
+++ b/tests/buffer/test_node_faults.py
@@ -1,6 +1,7 @@
 """Flushes and barriers while nodes or edges have faults, on simulated fleets."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -108,3 +109,54 @@
     fleet, _ = run_fleet(steps, nodes=6, edges=3, unit=0.02)
     for verdict in Checker(fleet.all_records(), deployment.build(raw), 0.005).verdicts():
         assert not verdict.breaches, verdict
+
+
+def requests_behind_a_flush(files, client, handle):
+    """Returns requests of each kind that have to wait for a flush of the same file, not sent yet."""
+    return {
+        "close": client.ask(sftp.Close, handle),
+        "flush": files.fsync(client, handle),
+        "read": client.ask(sftp.Read, handle, 0, 100),
+        "write": client.ask(sftp.Write, handle, 0, b"again"),
+        "attributes": client.ask(sftp.FStat, handle),
+        "remove": client.ask(sftp.Remove, "/heredia/a"),
+    }
+
+
+@pytest.mark.parametrize("kind", ["close", "flush", "read", "write", "attributes", "remove"])
+def test_a_flush_is_answered_when_its_time_limit_ends_with_that_of_a_request_behind_it(
+    run_fleet, kind, files
+):
+    """Guards against a flush that never gets its answer while its node is silent.
+
+    A client sent a flush and a CLOSE in a row and its node was silent for 12 s: the CLOSE was answered after
+    7 s, the flush never, and the edge logged InvalidStateError in RequestOrder.complete.
+    """
+
+    async def steps(fleet):
+        client = await fleet.client(0)
+        handle = await files.open(client, "/heredia/a")
+        await client.ask(sftp.Write, handle, 0, b"declaration" * 100)
+        for node in range(4):
+            await fleet.inject_fault(f"node{node}", "silent", 1.0, 12)
+        requests = requests_behind_a_flush(files, client, handle)
+        behind = requests.pop(kind)
+        for request in requests.values():
+            request.close()
+        # Both arrive in one read, so that their time limits are the same.
+        writer, written = client.writer, []
+        client.writer = SimpleNamespace(write=written.append)
+        asked = [asyncio.ensure_future(files.fsync(client, handle)), asyncio.ensure_future(behind)]
+        await asyncio.sleep(0)
+        client.writer = writer
+        writer.write(b"".join(written))
+        patience = fleet.deployment.sessions.request_timeout
+        _, unanswered = await asyncio.wait(asked, timeout=patience + 0.5)
+        for request in asked:
+            request.cancel()
+        await asyncio.gather(*asked, return_exceptions=True)
+        return len(unanswered)
+
+    fleet, unanswered = run_fleet(steps)
+    assert unanswered == 0
+    assert not [row for row in fleet.logs if "fault" in row["event"]]
