--- a/rushmux/buffer/disk.py
+++ b/rushmux/buffer/disk.py
@@ -68,12 +68,22 @@
         if name not in self.descriptors:
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
             self.descriptors[name] = os.open(self.folder / name, flags, OWNER_ONLY)
+            if self.sync:
+                self._sync_folder()
         descriptor = self.descriptors[name]
         while data:
             data = data[os.write(descriptor, data) :]
         if self.sync:
             os.fdatasync(descriptor)
 
+    def _sync_folder(self) -> None:
+        # Otherwise a power failure could take back the new file, but not the removal of older ones.
+        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
     def remove(self, name: str) -> None:
         """Removes a segment if it exists."""
         if name in self.descriptors:
--- a/rushmux/buffer/journal.py
+++ b/rushmux/buffer/journal.py
@@ -32,6 +32,7 @@
     DISCARDED = 6
     EPOCH = 7
     NOTIFIED = 8
+    SNAPSHOT_END = 9
 
 
 # The field names of the records below are the JSON keys in the log, in this order.
@@ -103,7 +104,17 @@
 
 
 class EpochRecord(NamedTuple):
-    """An epoch begins: what follows can be read without earlier ones."""
+    """An epoch begins: what follows can be read without earlier ones.
+
+    Earlier program versions wrote only `epoch`, and no `SnapshotEndRecord`.
+    """
+
+    epoch: int
+    has_snapshot_end: bool = False
+
+
+class SnapshotEndRecord(NamedTuple):
+    """The epoch holds all that it takes over from earlier ones, which are not needed any more."""
 
     epoch: int
 
@@ -116,6 +127,7 @@
     | FlushedRecord
     | DiscardedRecord
     | EpochRecord
+    | SnapshotEndRecord
     | NotifiedRecord
 )
 
@@ -128,6 +140,7 @@
     RecordKind.DISCARDED: DiscardedRecord,
     RecordKind.EPOCH: EpochRecord,
     RecordKind.NOTIFIED: NotifiedRecord,
+    RecordKind.SNAPSHOT_END: SnapshotEndRecord,
 }
 RECORD_KINDS = {record_type: kind for kind, record_type in RECORD_TYPES.items()}
 
--- a/rushmux/buffer/recovery.py
+++ b/rushmux/buffer/recovery.py
@@ -132,13 +132,25 @@
 def _read_last_epoch(
     wal: WriteAheadLog, segments_of_epoch: dict[int, list[str]], logger: FilteringBoundLogger
 ) -> list[journal.Record]:
-    records = []
+    newest: list[journal.Record] = []
     for epoch in sorted(segments_of_epoch, reverse=True):
         records = _read_segments(wal.storage, segments_of_epoch[epoch], logger)
-        # An epoch is valid once its first record is written; before that the previous epoch counts.
-        if records and isinstance(records[0], journal.EpochRecord):
-            break
-    return records
+        if _is_complete(records):
+            return records
+        newest = newest or records
+        if records:
+            logger.info("buffer.log_epoch_incomplete", epoch=epoch, records=len(records))
+    # The disk has damaged the only epoch: what can be read of it is better than nothing.
+    return newest
+
+
+def _is_complete(records: list[journal.Record]) -> bool:
+    """Whether an epoch holds all that it took over from the one before it, which may be removed already."""
+    if not records or not isinstance(records[0], journal.EpochRecord):
+        return False
+    if not records[0].has_snapshot_end:  # written by an earlier program version
+        return True
+    return any(isinstance(record, journal.SnapshotEndRecord) for record in records)
 
 
 def _read_segments(
--- a/rushmux/buffer/write_ahead_log.py
+++ b/rushmux/buffer/write_ahead_log.py
@@ -1,7 +1,9 @@
 """The write-ahead log of a write-back buffer.
 
 An epoch is a series of segments that can be read without earlier ones.  A new epoch begins when all writes
-are on the nodes, or when the log has grown much larger than the buffered bytes.
+are on the nodes, or when the log has grown much larger than the buffered bytes.  It begins with a snapshot of
+what is buffered, and counts once the record at the snapshot's end is written: until then a crash leaves the
+epoch before it in force.
 """
 
 from collections.abc import Container, Iterable
@@ -81,9 +83,19 @@
         pending, self.pending = self.pending, []
         if not pending or self.failed:
             return
-        data = b"".join(pending)
-        if not self.segment_sizes:  # the first segment of the epoch
-            data = journal.encode(journal.EpochRecord(self.epoch)) + data
+        if not self.segment_sizes:  # the epoch has no snapshot, since nothing was buffered
+            pending = [*self._snapshot_frame([]), *pending]
+        self._write(b"".join(pending))
+
+    def _snapshot_frame(self, snapshot: list[bytes]) -> list[bytes]:
+        begin = journal.EpochRecord(self.epoch, has_snapshot_end=True)
+        return [
+            journal.encode(begin),
+            *snapshot,
+            journal.encode(journal.SnapshotEndRecord(self.epoch)),
+        ]
+
+    def _write(self, data: bytes) -> None:
         if not self.segment_sizes or self.segment_sizes[self.segment] > SEGMENT_BYTES:
             self._begin_segment()
             data = journal.HEADER + data
@@ -131,9 +143,10 @@
         self.commit()
         buffered = self.writes.byte_count
         if not buffered or self.size > COMPACTION_FACTOR * buffered + COMPACTION_SLACK:
-            self._begin_epoch()
+            self.begin_epoch()
 
-    def _begin_epoch(self) -> None:
+    def begin_epoch(self) -> None:
+        """Rewrites the log as a new epoch."""
         old_segments = list(self.segment_sizes)
         self.segment_sizes = {}
         self.epoch += 1
@@ -141,7 +154,10 @@
         self.replace(old_segments)
 
     def replace(self, old_segments: Iterable[str]) -> None:
-        """Writes all state that a crash must not lose to this epoch, then removes the old segments."""
+        """Writes all state that a crash must not lose to this epoch, then removes the old segments.
+
+        A crash in between leaves both epochs complete, and the later one counts.
+        """
         self._write_snapshot()
         if not self.failed:
             for name in old_segments:
@@ -161,4 +177,6 @@
                             file.folder, file.file_id, extent.start, extent.sequence, barrier, extent.data
                         )
                     )
-        self.commit()
+        snapshot, self.pending = self.pending, []
+        if snapshot and not self.failed:
+            self._write(b"".join(self._snapshot_frame(snapshot)))
--- a/tests/buffer/test_journal.py
+++ b/tests/buffer/test_journal.py
@@ -36,6 +36,8 @@
         journal.FlushedRecord("f", "file", 1, 4),
         journal.DiscardedRecord("f", "file"),
         journal.EpochRecord(7),
+        journal.EpochRecord(7, has_snapshot_end=True),
+        journal.SnapshotEndRecord(7),
     ],
 )
 def test_each_kind_of_record_is_decoded_as_encoded(record):
