Leave commands that are read behind the last buffered ones to the next iteration

A scheduled callback may process the last few buffered commands, and a read event of the same iteration then processed 64 more, so an iteration could have 70 to 127 commands of one connection and the flood tests could fail by chance.

Change: the callback that processes the last buffered commands stays scheduled for one more iteration, so that a read meanwhile only fills the buffer.

--- a/rushmux/gateway/client_connection.py
+++ b/rushmux/gateway/client_connection.py
@@ -236,11 +236,14 @@
         self.is_processing_scheduled = False
         if self.transport.is_closing():
             return
-        if self.state is ConnectionState.OPEN:
-            self._process_commands()
-        else:
+        if self.state is not ConnectionState.OPEN:
             self._reject_received_commands()
             self.flush()
+            return
+        was_behind = self.has_unprocessed_commands
+        self._process_commands()
+        if was_behind and not self.has_unprocessed_commands:
+            self._schedule_processing()  # what is read in this iteration waits for the next
 
     def _next_command(self) -> list[bytes | None] | None:
         unread = self.reader.unread_bytes()
--- a/tests/gateway/test_command_floods.py
+++ b/tests/gateway/test_command_floods.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from rushmux.gateway.client_connection import MAX_COMMANDS_PER_TURN
+from rushmux.gateway.client_connection import MAX_COMMANDS_PER_TURN, ClientConnection
 from rushmux.resp import encode_command
 from rushmux.standins.platform import read_command, success_reply
 
