--- a/tests/gateway/test_command_floods.py
+++ b/tests/gateway/test_command_floods.py
@@ -85,6 +85,36 @@
     assert most <= MAX_COMMANDS_PER_TURN
 
 
+def test_commands_that_are_read_right_after_the_last_buffered_ones_wait_for_the_next_iteration(
+    with_fleet, monkeypatch
+):
+    count = MAX_COMMANDS_PER_TURN + 6
+    pings = encode_command([b"PING"]) * count
+
+    async def scenario(fleet):
+        client = await fleet.client()
+        await client.request(b"PING")
+        listener = fleet.server.listener
+        [connection] = listener.clients
+        process_scheduled, reads = ClientConnection._process_scheduled, []
+
+        def process_and_read(self):
+            process_scheduled(self)
+            if not reads:  # as the event loop does when a read event is ready in the same iteration
+                reads.append(len(pings))
+                listener.receive_memory[: len(pings)] = pings
+                self.buffer_updated(len(pings))
+
+        monkeypatch.setattr(ClientConnection, "_process_scheduled", process_and_read)
+        counts = count_dispatches_per_iteration(listener, connection)
+        client.writer.write(pings)
+        replies = [await client.reply() for _ in range(2 * count)]
+        return set(replies), max(counts.values())
+
+    replies, most = with_fleet(scenario)
+    assert replies == {("+", b"PONG")} and most <= MAX_COMMANDS_PER_TURN
+
+
 @pytest.mark.parametrize(
     "invalid", [b"\xff", encode_command([b"GET", b"name"]) * 3], ids=["noise", "unknown"]
 )
