Keep the stored form of epochs of earlier versions of the buffer's log

The record of an epoch had got a new field, so a stored segment of an earlier version, decoded and encoded again, was no longer the same bytes.

Change: EpochRecord is as it was and is only read; epochs of this version begin with a record of their own, SNAPSHOT_BEGIN, and count once SNAPSHOT_END is there.

--- a/rushmux/buffer/journal.py
+++ b/rushmux/buffer/journal.py
@@ -32,7 +32,8 @@
     DISCARDED = 6
     EPOCH = 7
     NOTIFIED = 8
-    SNAPSHOT_END = 9
+    SNAPSHOT_BEGIN = 9
+    SNAPSHOT_END = 10
 
 
 # The field names of the records below are the JSON keys in the log, in this order.
@@ -104,13 +105,15 @@
 
 
 class EpochRecord(NamedTuple):
-    """An epoch begins: what follows can be read without earlier ones.
+    """An epoch of an earlier program version begins, which counts from this record on; no longer written."""
 
-    Earlier program versions wrote only `epoch`, and no `SnapshotEndRecord`.
-    """
+    epoch: int
+
+
+class SnapshotBeginRecord(NamedTuple):
+    """An epoch begins that can be read without earlier ones, once its `SnapshotEndRecord` is there."""
 
     epoch: int
-    has_snapshot_end: bool = False
 
 
 class SnapshotEndRecord(NamedTuple):
@@ -127,6 +130,7 @@
     | FlushedRecord
     | DiscardedRecord
     | EpochRecord
+    | SnapshotBeginRecord
     | SnapshotEndRecord
     | NotifiedRecord
 )
@@ -140,6 +144,7 @@
     RecordKind.DISCARDED: DiscardedRecord,
     RecordKind.EPOCH: EpochRecord,
     RecordKind.NOTIFIED: NotifiedRecord,
+    RecordKind.SNAPSHOT_BEGIN: SnapshotBeginRecord,
     RecordKind.SNAPSHOT_END: SnapshotEndRecord,
 }
 RECORD_KINDS = {record_type: kind for kind, record_type in RECORD_TYPES.items()}
--- a/rushmux/buffer/recovery.py
+++ b/rushmux/buffer/recovery.py
@@ -146,11 +146,12 @@
 
 def _is_complete(records: list[journal.Record]) -> bool:
     """Whether an epoch holds all that it took over from the one before it, which may be removed already."""
-    if not records or not isinstance(records[0], journal.EpochRecord):
-        return False
-    if not records[0].has_snapshot_end:  # written by an earlier program version
-        return True
-    return any(isinstance(record, journal.SnapshotEndRecord) for record in records)
+    match records[:1]:
+        case [journal.EpochRecord()]:  # written by an earlier program version
+            return True
+        case [journal.SnapshotBeginRecord()]:
+            return any(isinstance(record, journal.SnapshotEndRecord) for record in records)
+    return False
 
 
 def _read_segments(
--- a/rushmux/buffer/write_ahead_log.py
+++ b/rushmux/buffer/write_ahead_log.py
@@ -88,9 +88,8 @@
         self._write(b"".join(pending))
 
     def _snapshot_frame(self, snapshot: list[bytes]) -> list[bytes]:
-        begin = journal.EpochRecord(self.epoch, has_snapshot_end=True)
         return [
-            journal.encode(begin),
+            journal.encode(journal.SnapshotBeginRecord(self.epoch)),
             *snapshot,
             journal.encode(journal.SnapshotEndRecord(self.epoch)),
         ]
--- a/tests/buffer/test_journal.py
+++ b/tests/buffer/test_journal.py
@@ -36,7 +36,7 @@
         journal.FlushedRecord("f", "file", 1, 4),
         journal.DiscardedRecord("f", "file"),
         journal.EpochRecord(7),
-        journal.EpochRecord(7, has_snapshot_end=True),
+        journal.SnapshotBeginRecord(7),
         journal.SnapshotEndRecord(7),
     ],
 )
