--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -1,7 +1,6 @@
 """Workers exit when the program that started them is killed, instead of waiting for work forever."""
 
 import os
-import signal
 import subprocess
 import sys
 import time
@@ -13,7 +12,8 @@
 from rushmux.worker_pool import worker_pool
 
 def work(seconds):
-    print(os.getpid(), flush=True)
+    # print() of an unbuffered Python writes the line end by itself, so that two lines may mix.
+    os.write(sys.stdout.fileno(), b"%d\\n" % os.getpid())
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         pass
@@ -38,12 +38,14 @@
     path = tmp_path / "program.py"
     path.write_text(PROGRAM.format(seconds=seconds))
     parent = subprocess.Popen([sys.executable, path], stdout=subprocess.PIPE, text=True)
-    workers = {int(parent.stdout.readline()) for _ in range(2)}
-    time.sleep(0.5)
-    assert all(map(is_alive, workers))
-    parent.send_signal(signal.SIGKILL)
-    parent.wait()
-    parent.stdout.close()
+    try:
+        workers = {int(parent.stdout.readline()) for _ in range(2)}
+        time.sleep(0.5)
+        assert all(map(is_alive, workers))
+    finally:
+        parent.kill()
+        parent.wait()
+        parent.stdout.close()
     deadline = time.monotonic() + 10
     while any(map(is_alive, workers)) and time.monotonic() < deadline:
         time.sleep(0.1)
