Use the nodes' ages of a cached list as saved, whatever the wall clock says

Callers saw: an edge that started with its cached list after a step back of the wall clock shed until a planner answered; after a step forward a cold node counted as warm.

Cause: the wall clock's time since the list was saved was added to the ages, and a negative one was 'expired'. Change: saved ages are used as they are, a lower bound; a list from up to an hour in the future is used.

--- a/rushmux/edge/endpoint_cache.py
+++ b/rushmux/edge/endpoint_cache.py
@@ -15,7 +15,6 @@
 from rushmux import atomic_write
 from rushmux.edge.errors import EdgeError
 from rushmux.nodewire import messages
-from rushmux.scheduling.driver import TICKS_PER_SECOND
 from rushmux.scheduling.interface import EndpointState
 
 MAGIC, FORMAT = b"rmll", 1
@@ -23,6 +22,7 @@
 SAVED_AT = struct.Struct(">d")
 MAX_FILE_BYTES = 8 << 20  # far larger than any list
 MAX_AGE = 7 * 86_400.0  # seconds; nodes may all have changed since an older list
+MAX_CLOCK_STEP = 3_600.0  # seconds by which the wall clock may be stepped
 
 
 class EndpointCacheError(EdgeError):
@@ -79,7 +79,11 @@
         return HEADER.pack(MAGIC, FORMAT, checksum, saved_at) + body
 
     def load(self) -> messages.Listing | None:
-        """Reads the cached list, with the nodes' ages adjusted to now; None: there is no usable list."""
+        """Reads the cached list; None: there is no usable list.
+
+        The nodes' ages are those of the last update.  The time since is not added, since the wall clock may
+        have been stepped: a cold node that counts as warm would be pushed over.
+        """
         try:
             cached = self._read()
         except FileNotFoundError:
@@ -88,11 +92,9 @@
             self.log.warning("endpoint_cache.read_failed", reason=str(error))
             return None
         listing, age = cached.listing, self.wall_clock() - cached.saved_at
-        if not 0 <= age <= MAX_AGE:
+        if not -MAX_CLOCK_STEP <= age <= MAX_AGE:
             self.log.warning("endpoint_cache.expired", age=round(age))
             return None
-        for entry in listing.entries:
-            entry.age += int(age * TICKS_PER_SECOND)
         self.cell_count, self.version = listing.cells, listing.version
         self.entries = {entry.node: entry for entry in listing.entries}
         self.log.info("endpoint_cache.loaded", age=round(age, 1), nodes=len(listing.entries))
