Keep the drains of a list without a ready node

Callers saw: an edge that came back with a cached list while all nodes drained refused the planner's list and went on sending to the draining nodes.

Cause: a complete list without a ready node was ignored as a whole while some were known as ready. Change: it is doubted only if it omits or removes such nodes, and its draining rows are applied in any case.

--- a/rushmux/edge/endpoint_table.py
+++ b/rushmux/edge/endpoint_table.py
@@ -35,13 +35,50 @@
         connections.on_welcome = self.on_welcome
 
     def on_listing(self, listing: messages.Listing) -> bool:
-        """Applies a listing; returns False if it is implausible and therefore ignored."""
+        """Applies a listing; returns False if it is implausible.
+
+        Of a listing that would leave no ready node only the drains are applied, since they have to be kept
+        whoever announces them.
+        """
+        if not self._has_valid_size(listing):
+            self._log_rejected(listing)
+            return False
+        if self._removes_last_ready_nodes(listing):
+            self._log_rejected(listing)
+            self._apply_drains(listing)
+            return False
+        self._apply(listing)
+        return True
+
+    def _log_rejected(self, listing: messages.Listing) -> None:
         ready = sum(entry.condition == EndpointState.READY for entry in listing.entries)
-        if not self._is_plausible(listing, ready):
-            self.log.warning(
-                "endpoints.rejected", entries=len(listing.entries), cells=listing.cells, ready=ready
-            )
+        self.log.warning("endpoints.rejected", entries=len(listing.entries), cells=listing.cells, ready=ready)
+
+    @staticmethod
+    def _has_valid_size(listing: messages.Listing) -> bool:
+        return len(listing.entries) <= MAX_ENDPOINTS and 0 < listing.cells <= MAX_ENDPOINTS
+
+    def _removes_last_ready_nodes(self, listing: messages.Listing) -> bool:
+        """Whether a snapshot without ready nodes omits some that are ready.
+
+        A new or faulty planner may know no nodes; nodes that really leave are drained or removed one by one.
+        """
+        if not listing.whole or any(entry.condition == EndpointState.READY for entry in listing.entries):
             return False
+        drained = {entry.node for entry in listing.entries if entry.condition == EndpointState.DRAINING}
+        return any(
+            endpoint.state is EndpointState.READY and endpoint.node not in drained
+            for endpoint in self.endpoints.values()
+        )
+
+    def _apply_drains(self, listing: messages.Listing) -> None:
+        drains = [entry for entry in listing.entries if entry.condition == EndpointState.DRAINING]
+        if drains:
+            self._apply(
+                messages.Listing(version=listing.version, whole=False, cells=self.cell_count, entries=drains)
+            )
+
+    def _apply(self, listing: messages.Listing) -> None:
         now = self.driver.now()
         endpoints = [
             self._update(entry, now) for entry in listing.entries if self._is_valid(entry, listing.cells)
@@ -57,15 +94,6 @@
         )
         kind = UpdateKind.SNAPSHOT if listing.whole else UpdateKind.DELTA
         self.driver.update_endpoints(kind, endpoints)
-        return True
-
-    def _is_plausible(self, listing: messages.Listing, ready: int) -> bool:
-        if len(listing.entries) > MAX_ENDPOINTS or not 0 < listing.cells <= MAX_ENDPOINTS:
-            return False
-        # A new or faulty planner may know no nodes, so a snapshot without ready nodes is ignored while some
-        # are ready; nodes that really leave are removed one by one.
-        ready_before = sum(endpoint.state is EndpointState.READY for endpoint in self.endpoints.values())
-        return bool(ready) or not (listing.whole and ready_before)
 
     def _is_valid(self, entry: messages.Entry, cell_count: int) -> bool:
         if entry.cell < cell_count and entry.condition in CONDITIONS:
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -231,6 +231,34 @@
     assert [entry.age for entry in cache.load().entries] == [age]
 
 
+def listing(*entries, **fields):
+    """A complete list of nodes, each with its condition, of one cell each."""
+    rows = [
+        messages.Entry(node=node, condition=condition, cell=cell, host="127.0.0.1", port=1, start="s")
+        for cell, (node, condition) in enumerate(entries)
+    ]
+    return messages.Listing(version=9, whole=True, cells=4, entries=rows, **fields)
+
+
+@pytest.mark.parametrize("left", [0, 1], ids=["all listed", "one missing"])
+def test_drains_are_kept_also_if_no_node_is_ready(run_fleet, left):
+    """An edge that came back with a stored list refused the planner's while all nodes drained."""
+
+    async def scenario(fleet):
+        await fleet.sleep(1)
+        driver = fleet.edges[0].program.driver
+        nodes = sorted(driver.endpoint_table.endpoints)
+        accepted = driver.endpoint_table.on_listing(
+            listing(*((node, "draining") for node in nodes[: len(nodes) - left]))
+        )
+        states = [driver.endpoint_table.endpoints[node].state for node in nodes]
+        return accepted, [str(state) for state in states]
+
+    _, (accepted, states) = run_fleet(scenario)
+    assert accepted is not bool(left)
+    assert states == ["draining"] * (len(states) - left) + ["ready"] * left
+
+
 def test_a_complete_list_without_a_ready_node_is_ignored(run_fleet):
     async def scenario(fleet):
         await fleet.sleep(1)
