End the requests of an edge's client as soon as its close arrives

Callers saw: an edge began hundreds of attempts up to 1.5 s after a client that had sent 1,000 reads at once had closed; 0.1 s is allowed.

Cause: a session reads no further while its pipeline is full, and a stream reader reports the end of the stream only behind all data, so the requests ahead of it were started one by one. Change: the protocol of client connections notes the end when it arrives; the session's requests are cancelled and no further one starts.

--- a/rushmux/edge/edge.py
+++ b/rushmux/edge/edge.py
@@ -16,6 +16,7 @@
 from rushmux.edge.policy_store import PolicyStore, StoredPolicies, initial_policy
 from rushmux.edge.quota_client import QuotaClient
 from rushmux.edge.session import Session
+from rushmux.edge.session_protocol import SessionProtocol
 from rushmux.nodewire import VERSION, messages
 from rushmux.routes.reload import MAX_LISTED_ITEMS, compare
 from rushmux.scheduling.scheduler import Scheduler
@@ -103,7 +104,10 @@
             self.planner_addresses, hello, self.rng, self.log, self._on_listing
         )
         self._start_tasks(stored)
-        self.server = await asyncio.start_server(self._accept, host, port, backlog=BACKLOG)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: SessionProtocol(self._accept), host, port, backlog=BACKLOG
+        )
         port = self.server.sockets[0].getsockname()[1]
         self.log.info("edge.listening", host=host, port=port)
         return port
--- a/rushmux/edge/session.py
+++ b/rushmux/edge/session.py
@@ -67,6 +67,7 @@
         self.edge, self.name, self.reader, self.writer = edge, name, reader, writer
         self.log, self.loop = edge.log.bind(session=name), asyncio.get_running_loop()
         self.limits = edge.deployment.sessions
+        self.client_closed: asyncio.Event = writer.transport.get_protocol().closed
         self.replies = CoalescingWriter(writer)
         self.packets = sftp.PacketSplitter()
         self.packet_started_at: float | None = None  # loop time; None: no packet is incomplete
@@ -82,6 +83,7 @@
     async def run(self) -> None:
         """Serves until the client disconnects, violates the protocol, or the edge cancels the session."""
         reason = "disconnected"
+        watcher = self.loop.create_task(self._cancel_when_client_closes())
         try:
             while True:
                 await self._read_requests()
@@ -90,12 +92,21 @@
         except OSError as error:
             reason = f"connection error: {error}"
         finally:
+            watcher.cancel()
             await self._close(reason)
 
+    async def _cancel_when_client_closes(self) -> None:
+        """Ends the client's requests at once when it closes, also while further ones wait to be read."""
+        await self.client_closed.wait()
+        self._cancel_tasks()
+
+    def _cancel_tasks(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+
     async def _close(self, reason: str) -> None:
         if not self.edge.closing:
-            for task in list(self.tasks):
-                task.cancel()
+            self._cancel_tasks()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.handles.release_all()
         if self.unread_timer is not None:
@@ -173,6 +184,8 @@
         while len(self.order) >= self.limits.max_pipelined:
             self.request_completed.clear()
             await self.request_completed.wait()
+        if self.client_closed.is_set():
+            raise SessionEndedError("disconnected")
         access = access_of(packet, self.handles)
         request = Request(packet, self.request_count, access, self.order.admit(access))
         task = self.loop.create_task(self._answer(request))
