--- a/rushmux/standins/checker.py
+++ b/rushmux/standins/checker.py
@@ -17,7 +17,7 @@
 from rushmux.scheduling.driver import NEVER, TICKS_PER_SECOND
 from rushmux.scheduling.interface import EndpointState, Idempotency
 from rushmux.settings.deployment import Deployment
-from rushmux.standins import shed_effects
+from rushmux.standins import file_versions, shed_effects
 
 RULES = (
     "no operation lost",
@@ -111,13 +111,6 @@
     return Attempt(row["at"], sent_at, row["node"], edge, start, int(number), session, row)
 
 
-class _Version:
-    """A version of a file: when a client's write began and ended, and whether it was acknowledged."""
-
-    def __init__(self, begun_at: float):
-        self.begun_at, self.ended_at, self.acknowledged = begun_at, NEVER, False
-
-
 class Checker:
     """Checks the recordings of a day.
 
@@ -448,36 +441,9 @@
 
     def _check_bytes(self, rule: _RuleCheck) -> None:
         """Checks that reads return complete versions, no older than the last one acknowledged before."""
-        versions = self._written_versions()
-        for row in self.rows["got"]:
-            rule.checked += 1
-            read = versions[row["path"]].get(row["digest"])
-            if read is None:
-                rule.breach(f"{row['path']} read at {row['at']:.4f} s: bytes of no complete version")
-                continue
-            newer = [
-                version
-                for version in versions[row["path"]].values()
-                if version.acknowledged
-                and version.begun_at > read.ended_at
-                and version.ended_at < row["begun"]
-            ]
-            if newer or read.begun_at > row["at"]:
-                rule.breach(
-                    f"{row['path']} read at {row['at']:.4f} s: the version of {read.begun_at:.4f} s, "
-                    f"with {len(newer)} newer ones acknowledged before"
-                )
-
-    def _written_versions(self) -> dict[str, dict[str, _Version]]:
-        """The versions by path and digest."""
-        versions: dict[str, dict[str, _Version]] = defaultdict(dict)
-        for row in self.rows["writing"]:
-            versions[row["path"]][row["digest"]] = _Version(row["begun"])
-        for kind in ("wrote", "unsure"):
-            for row in self.rows[kind]:
-                version = versions[row["path"]][row["digest"]]
-                version.ended_at, version.acknowledged = row["at"], kind == "wrote"
-        return versions
+        rule.checked += len(self.rows["got"])
+        for text in file_versions.breaches(self.rows):
+            rule.breach(text)
 
 
 class _TakenEstimate:
