Encode the noted versions of rows in one place, and take a commit's version once

Cause: the reading of the whole change found the rule 'leave out an unknown version' written twice in layout.py, and the version that a group commit's extents note computed anew for each block. Behaviour is the same.

--- a/rushmux/edge/group_commit.py
+++ b/rushmux/edge/group_commit.py
@@ -222,10 +222,10 @@
     ) -> BlockUpdates | None:
         """Applies a batch to the blocks; returns None if an object was replaced meanwhile."""
         updates = BlockUpdates()
+        committed_over = self.file_system.noted_version(self.view.version)
         for number in numbers:
             block = self.view.blocks[number]
             extents = block.extents
-            committed_over = self.file_system.noted_version(self.view.version)
             for write in batch:
                 for written in write.extents:
                     if written.number == number:
--- a/rushmux/files/layout.py
+++ b/rushmux/files/layout.py
@@ -159,7 +159,7 @@
 
 def pack_file(file: FileRow) -> bytes:
     """Encodes a file or directory row's value."""
-    return orjson.dumps(tuple(file) if file.cut_over != UNKNOWN_VERSION else tuple(file)[:-1])
+    return orjson.dumps(_encoded_fields(file))
 
 
 def unpack_file(value: bytes) -> FileRow:
@@ -170,12 +170,7 @@
 
 def pack_block(extents: Iterable[Extent]) -> bytes:
     """Encodes a block row's value."""
-    return orjson.dumps(
-        [
-            tuple(extent) if extent.committed_over != UNKNOWN_VERSION else tuple(extent)[:-1]
-            for extent in extents
-        ]
-    )
+    return orjson.dumps([_encoded_fields(extent) for extent in extents])
 
 
 def unpack_block(value: bytes) -> list[Extent]:
@@ -199,6 +194,12 @@
     return Garbage(fields.get("objects", ()), fields.get("data", ""))
 
 
+def _encoded_fields(value: FileRow | Extent) -> tuple:
+    """Returns the fields to encode; the last one is a version, and left out if it is unknown."""
+    fields = tuple(value)
+    return fields[:-1] if fields[-1] == UNKNOWN_VERSION else fields
+
+
 # Extents.
 
 
